--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# A thin front on meson and ninja: see README.md for the commands.
+BUILD ?= build
+
+.PHONY: all setup check demo format lint sanitize capacity clean
+
+all: setup
+	ninja -C $(BUILD)
+
+setup:
+	scripts/setup
+	test -f $(BUILD)/build.ninja || meson setup $(BUILD)
+
+check: all
+	scripts/check $(BUILD)
+
+demo: all
+	scripts/demo $(BUILD)
+
+format:
+	scripts/format --write
+
+lint: setup
+	scripts/format --check
+	scripts/lint $(BUILD)
+
+sanitize: setup
+	test -f $(BUILD)-asan/build.ninja || meson setup $(BUILD)-asan \
+		-Db_sanitize=address,undefined -Db_lundef=false
+	ninja -C $(BUILD)-asan
+	scripts/check $(BUILD)-asan
+
+capacity: all
+	scripts/capacity $(BUILD)
+
+clean:
+	rm -rf $(BUILD) $(BUILD)-asan
--- /dev/null
+++ b/include/coord/fold.h
@@ -0,0 +1,81 @@
+/*
+ * fold.h - the configuration in force, folded from the log
+ *
+ * DESCRIPTION
+ *	An operator's file is appended whole with the revision that it is based
+ *	on. Every reader folds the log alike: a record is accepted when its base
+ *	is the revision in force at its offset and its content passes the check;
+ *	its own offset is then the revision. So racing operators agree with no
+ *	lock. A lower revision never replaces a higher. Before retention drops
+ *	the record in force it is appended again under its old revision by one
+ *	instance. Instances pass (revision, content) on to each other.
+ *
+ *	The two instances of a data centre with the highest rendezvous weight
+ *	read the log; the others learn from them.
+ */
+#ifndef COORD_FOLD_H
+#define COORD_FOLD_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "coord/log_store.h"
+#include "coord/member.h"
+#include "coord/transport.h"
+
+#define REVISION_NONE UINT64_C(0)
+#define FOLD_AUTHOR_MAX 64
+#define FOLD_HISTORY_MAX 256
+
+/* One line of the audit trail. */
+struct fold_audit {
+	uint64_t offset; /* plus one: offsets start at 0, revisions at 1 */
+	uint64_t base;
+	int64_t unix_us;
+	char author[FOLD_AUTHOR_MAX];
+	enum result_code code; /* RESULT_OK when accepted */
+	char reason[ERROR_TEXT_MAX];
+	uint64_t content_hash;
+	size_t size;
+};
+
+struct fold_ops {
+	/* Checks content before it is accepted; must be deterministic. */
+	bool (*check)(void *ctx, const void *data, size_t size,
+		      struct error *err);
+	/* A higher revision is in force. */
+	void (*changed)(void *ctx, uint64_t revision, const void *data,
+			size_t size);
+	void (*audit)(void *ctx, const struct fold_audit *entry);
+};
+
+/* code is RESULT_OK, RESULT_STALE_REVISION, RESULT_BAD_CONFIG, or an error of
+ * the log; revision is that in force after the record was read back. */
+typedef void (*fold_apply_fn)(void *ctx, enum result_code code,
+			      uint64_t revision, const char *reason);
+
+struct fold;
+
+struct fold *fold_create(struct clock *clock, struct membership *membership,
+			 const struct log_store *store,
+			 const struct transport *transport,
+			 const struct fold_ops *ops, void *ctx);
+void fold_destroy(struct fold *fold);
+void fold_start(struct fold *fold);
+void fold_receive(struct fold *fold, uint64_t from, const void *data,
+		  size_t size);
+void fold_member(struct fold *fold, const struct member *member);
+/* Appends the file and answers only what was read back; an append whose answer
+ * was lost is found by its unique tag. Gives up after timeout_us with
+ * RESULT_LOG_DOWN (not appended) or RESULT_LOG_UNKNOWN. */
+void fold_apply(struct fold *fold, uint64_t base, const char *author,
+		const void *data, size_t size, int64_t timeout_us,
+		fold_apply_fn fn, void *fn_ctx);
+uint64_t fold_revision(const struct fold *fold);
+const void *fold_content(const struct fold *fold, size_t *size);
+size_t fold_history(const struct fold *fold, const struct fold_audit **entries);
+
+#endif
--- /dev/null
+++ b/include/entry/directory.h
@@ -0,0 +1,45 @@
+/*
+ * directory.h - the backend servers that the platform's list names
+ *
+ * DESCRIPTION
+ *	Filled from the platform's lagging list and from facts spread by other
+ *	instances. A server marked leaving from any sign stays so until the list
+ *	shows it under a new incarnation. While the platform cannot be read, the
+ *	last list holds.
+ */
+#ifndef ENTRY_DIRECTORY_H
+#define ENTRY_DIRECTORY_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+struct entry;
+struct directory;
+
+struct backend {
+	uint64_t id; /* id_of(name) */
+	uint64_t incarnation;
+	char name[64];
+	char pool[64];
+	char data_centre[64];
+	char address[64];
+	bool leaving;
+	bool listed; /* still in the platform's list */
+};
+
+struct directory *directory_create(struct entry *entry);
+void directory_destroy(struct directory *directory);
+const struct backend *directory_find(const struct directory *directory,
+				     uint64_t id);
+/* Walks all, sorted by name; cursor starts at 0. */
+const struct backend *directory_next(const struct directory *directory,
+				     uint32_t *cursor);
+/* One entry as read from the list or told by a peer. */
+void directory_put(struct directory *directory, const struct backend *backend);
+/* All entries of one reading were put: those not among them are unlisted. */
+void directory_swept(struct directory *directory);
+/* The server said, refused or was reported to be leaving: spread it. */
+void directory_leaving(struct directory *directory, uint64_t id);
+
+#endif
--- /dev/null
+++ b/include/entry/settings.h
@@ -0,0 +1,49 @@
+/*
+ * settings.h - what a process is told at its start, by flags and environment
+ *
+ * DESCRIPTION
+ *	Each setting has a flag (--data-centre) and an environment variable
+ *	(JT_DATA_CENTRE); the flag wins. Every value is checked; a bad one is
+ *	refused at the start with RESULT_BAD_SETTING and the setting's name.
+ */
+#ifndef ENTRY_SETTINGS_H
+#define ENTRY_SETTINGS_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/error.h"
+
+#define SETTINGS_SEEDS_MAX 16
+
+struct settings {
+	const char *name; /* this instance's, unique in the site */
+	const char *data_centre;
+	const char *listen;	  /* callers, "IP:port", port 0 picks one */
+	const char *admin_listen; /* operators and the balancer */
+	const char *peer_listen;
+	const char *platform; /* address of the platform's service */
+	const char *seeds[SETTINGS_SEEDS_MAX]; /* "NAME@DATA_CENTRE@IP:port" */
+	unsigned int seed_count;
+	const char
+		*config_file; /* in force until the log gives one; optional */
+	int log_level;
+	uint32_t random_seed; /* 0: taken from the start time */
+	int64_t heartbeat_usec;
+	int64_t settle_usec;
+	int64_t orphan_grace_usec;
+	int64_t coalesce_usec;
+	int64_t drain_usec; /* longest graceful shutdown; 0: no bound */
+	int64_t list_usec;  /* how often the platform's list is read */
+	int64_t poll_usec;  /* how often runners' reports are read */
+	uint64_t body_bytes_max;
+	uint32_t connections_max;
+	uint32_t requests_max;	   /* in flight */
+	uint64_t replay_bytes_max; /* kept answers of keyed requests */
+};
+
+/* Reads environment and argv; exits by itself only for --help and --version. */
+bool settings_read(struct settings *settings, int argc, char **argv,
+		   struct error *err);
+
+#endif
--- /dev/null
+++ b/include/web/client.h
@@ -0,0 +1,71 @@
+/*
+ * client.h - HTTP/1.1 client on h2o, with connections kept for reuse
+ *
+ * DESCRIPTION
+ *	web_call() sends one request and reports its answer through callbacks:
+ *	head once, body any number of times, then done exactly once unless
+ *	web_call_cancel() came first. No callback runs before web_call()
+ *	returns, nor after done or a cancel. Cancelling closes the connection.
+ *	Nothing is ever sent twice by the client itself: a call on a kept
+ *	connection that the other side had closed fails with sent = true unless
+ *	no byte was written.
+ */
+#ifndef WEB_CLIENT_H
+#define WEB_CLIENT_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "web/server.h"
+
+struct web_client;
+struct web_call;
+
+/* How a call ended. */
+struct web_result {
+	bool ok;   /* the whole answer arrived */
+	bool sent; /* at least one byte may have reached the server */
+	bool timed_out;
+	const char *text; /* reason when not ok */
+};
+
+struct web_call_ops {
+	/* May be NULL. Headers are valid during the call. */
+	void (*head)(void *ctx, int status, const struct web_header *headers,
+		     size_t count);
+	/* May be NULL. */
+	void (*body)(void *ctx, const void *data, size_t size);
+	void (*done)(void *ctx, const struct web_result *result);
+};
+
+struct web_call_spec {
+	const char *address; /* "IP:port" */
+	const char *method;
+	const char *path; /* with query */
+	const struct web_header
+		*headers; /* host and content-length are added */
+	size_t header_count;
+	const void *body; /* copied */
+	size_t body_size;
+	int64_t head_usec; /* time to the answer's head; 0 for the default */
+	int64_t idle_usec; /* time between pieces of the body; 0: default */
+	bool fresh; /* open a new connection, for calls that run at most once */
+};
+
+struct web_client *web_client_create(struct loop *loop);
+void web_client_destroy(struct web_client *client);
+/* Never NULL; failures are reported through done. */
+struct web_call *web_call(struct web_client *client,
+			  const struct web_call_spec *spec,
+			  const struct web_call_ops *ops, void *ctx);
+void web_call_cancel(struct web_call *call);
+
+/* A call whose whole answer is collected, at most limit bytes. */
+typedef void (*web_answer_fn)(void *ctx, const struct web_result *result,
+			      int status, const void *body, size_t size);
+struct web_call *web_fetch(struct web_client *client,
+			   const struct web_call_spec *spec, size_t limit,
+			   web_answer_fn fn, void *ctx);
+
+#endif
