--- /dev/null
+++ b/common/clock.c
@@ -0,0 +1,102 @@
+#include "clock_heap.h"
+
+#include <time.h>
+
+static int64_t system_time(clockid_t id)
+{
+	struct timespec ts;
+
+	clock_gettime(id, &ts);
+	return ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+struct clock *clock_create(int64_t unix_us)
+{
+	struct clock *clock = g_new0(struct clock, 1);
+
+	clock->unix_zero = unix_us;
+	clock->heap = g_ptr_array_new();
+	return clock;
+}
+
+/* CLOCK_BOOTTIME also counts the time that the machine was suspended, so a
+ * lease is not held longer for it. */
+struct clock *clock_create_system(void)
+{
+	struct clock *clock = clock_create(system_time(CLOCK_REALTIME));
+
+	clock->system_zero = system_time(CLOCK_BOOTTIME);
+	return clock;
+}
+
+void clock_destroy(struct clock *clock)
+{
+	if (!clock)
+		return;
+	for (size_t i = 0; i < clock->heap->len; i++) {
+		struct timer *timer = clock->heap->pdata[i];
+
+		timer->slot = 0;
+	}
+	g_ptr_array_free(clock->heap, TRUE);
+	g_free(clock);
+}
+
+int64_t clock_now(const struct clock *clock)
+{
+	return clock->now;
+}
+
+int64_t clock_unix(const struct clock *clock)
+{
+	return clock->unix_zero + clock->now;
+}
+
+int64_t clock_next(const struct clock *clock)
+{
+	const struct timer *timer = clock_first(clock);
+
+	return timer ? timer->due : CLOCK_NEVER;
+}
+
+static void clock_fire(struct timer *timer)
+{
+	timer_stop(timer);
+	timer->fn(timer, timer->ctx);
+}
+
+void clock_advance(struct clock *clock, int64_t now_us)
+{
+	struct timer *timer;
+
+	while ((timer = clock_first(clock)) && timer->due <= now_us) {
+		clock->now = MAX(clock->now, timer->due);
+		clock_fire(timer);
+	}
+	clock->now = MAX(clock->now, now_us);
+}
+
+/* Timers started meanwhile wait for the next call, so that one that restarts
+ * itself with no delay cannot hold the loop. */
+void clock_jump(struct clock *clock, int64_t now_us)
+{
+	uint64_t orders = clock->orders;
+	struct timer *timer;
+
+	clock->now = MAX(clock->now, now_us);
+	while ((timer = clock_first(clock)) && timer->due <= clock->now &&
+	       timer->order < orders)
+		clock_fire(timer);
+}
+
+int64_t clock_follow(struct clock *clock)
+{
+	int64_t now = system_time(CLOCK_BOOTTIME) - clock->system_zero;
+	int64_t gap = now - clock->now;
+
+	if (gap < 0)
+		gap = 0;
+	clock->unix_zero = system_time(CLOCK_REALTIME) - now;
+	clock_jump(clock, now);
+	return gap;
+}
--- /dev/null
+++ b/common/clock_heap.h
@@ -0,0 +1,22 @@
+/*
+ * clock_heap.h - the heap of running timers, shared by clock.c and timer.c
+ */
+#ifndef COMMON_CLOCK_HEAP_H
+#define COMMON_CLOCK_HEAP_H
+
+#include <glib.h>
+
+#include "common/clock.h"
+
+struct clock {
+	int64_t now;
+	int64_t unix_zero; /* wall-clock time at zero */
+	int64_t system_zero;
+	uint64_t orders; /* timers started so far */
+	GPtrArray *heap; /* struct timer, earliest first */
+};
+
+/* The earliest timer, or NULL. */
+struct timer *clock_first(const struct clock *clock);
+
+#endif
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -48,7 +48,10 @@
 int64_t clock_next(const struct clock *clock);
 /* Moves to now_us, firing every timer due on the way at its own due time. */
 void clock_advance(struct clock *clock, int64_t now_us);
-/* Moves a system clock to the present, firing timers. Returns how far the
+/* Moves to now_us at once and then fires what fell due on the way, in order:
+ * what a process sees that stood still meanwhile. */
+void clock_jump(struct clock *clock, int64_t now_us);
+/* Jumps a system clock to the present, firing timers. Returns how far the
  * present had run ahead of the last call: a long gap tells a paused process. */
 int64_t clock_follow(struct clock *clock);
 
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -13,6 +13,7 @@
 #ifndef COMMON_LOG_H
 #define COMMON_LOG_H
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <syslog.h>
@@ -55,6 +56,9 @@
 /* Sets the clock, the component's name and the most verbose level kept. */
 void log_setup(const struct clock *clock, const char *program, int level);
 void log_write(int level, const char *event, const struct log_field *fields);
+/* Appends the line that log_write() would print, with its newline. */
+void log_format(GString *out, int level, const char *event,
+		const struct log_field *fields);
 /* Parses "err", "warning", "notice", "info" or "debug". */
 bool log_level_parse(const char *text, int *level, struct error *err);
 
