--- a/include/policy/policy.h
+++ b/include/policy/policy.h
@@ -6,8 +6,9 @@
  *	decode pools in one data centre), at the instance that is home to the
  *	cell. It is called with the requests that wait, in the order that its
  *	own rank() gives, and answers for each: start now on these runners,
- *wait, or refuse. It does no I/O and knows no time but view->now. It holds only
- *	state that may be lost. The home alone changes the tables in the view.
+ *	wait, or refuse. It does no I/O and knows no time but view->now. It
+ *	holds only state that may be lost. The home alone changes the tables in
+ *	the view.
  *
  *	Policies are found by name in the sorted table of policy/table.c. A swap
  *	creates the new one and destroys the old one; waiting requests stay in
@@ -22,10 +23,9 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "common/error.h"
 #include "config/config.h"
 
-struct error;
-
 #define RUNNER_NONE UINT32_MAX
 #define PREFIX_BLOCK_TOKENS 256
 #define PREFIX_BLOCKS_MAX 64
@@ -35,6 +35,7 @@
 	uint64_t id;
 	enum pool_role role;
 	bool usable; /* live, not leaving, circuit closed */
+	bool held;   /* a request ahead in the queue waits for its memory */
 	/* What the runner last reported, and when (clock time of arrival). */
 	int64_t reported_at;
 	uint32_t reported_pieces;	/* decode: pieces in use */
@@ -97,10 +98,14 @@
 struct placement {
 	uint32_t prefill; /* index into view->runners */
 	uint32_t decode;
-	int64_t again_at;    /* VERDICT_WAIT: ask again then, or CLOCK_NEVER:
-				when something is released */
-	int64_t retry_after; /* VERDICT_REFUSE: microseconds */
+	int64_t again_at;      /* VERDICT_WAIT: ask again then, or CLOCK_NEVER:
+				  when something is released */
+	int64_t retry_after;   /* VERDICT_REFUSE: microseconds */
+	enum result_code code; /* VERDICT_REFUSE: a code that means not run */
 	bool reserve; /* count the pieces in the ledger and never overfill */
+	/* VERDICT_WAIT: the decode runner, as an index, that requests behind
+	 * this one leave alone in this pass, or RUNNER_NONE. */
+	uint32_t hold;
 };
 
 struct policy_ops {
@@ -109,7 +114,9 @@
 	void *(*create)(const struct config_policy *settings,
 			struct error *err);
 	void (*destroy)(void *state);
-	/* Lower goes first. */
+	/* Lower goes first. It is asked for again whenever the request is
+	 * looked at: within a class it may rise with time, not fall; the heads
+	 * of the classes are compared anew at each decision. */
 	int64_t (*rank)(void *state, const struct policy_view *view,
 			const struct policy_request *request);
 	enum verdict (*place)(void *state, const struct policy_view *view,
--- /dev/null
+++ b/policy/policies.h
@@ -0,0 +1,15 @@
+/*
+ * policies.h - the policies that table.c lists, one file each
+ */
+#ifndef POLICY_POLICIES_H
+#define POLICY_POLICIES_H
+
+#include "policy/policy.h"
+
+extern const struct policy_ops policy_least_load;
+extern const struct policy_ops policy_prefix;
+extern const struct policy_ops policy_reserve;
+extern const struct policy_ops policy_round_robin;
+extern const struct policy_ops policy_two_choices;
+
+#endif
--- /dev/null
+++ b/policy/reserve.c
@@ -0,0 +1,298 @@
+/* Reserves decode memory before prefill starts, and lets a prefill start only
+ * when it would run soon. docs/design/ledger.md gives the reasons. */
+#include <glib.h>
+#include <math.h>
+
+#include "common/clock.h"
+#include "place.h"
+#include "policies.h"
+
+#define AHEAD_MS_DEFAULT 20.0
+#define AGEING_MS_DEFAULT 5000.0
+#define SHARE_DEFAULT 0.1
+#define CREDIT_MAX_DEFAULT 32.0
+#define HOLD_MS_DEFAULT 250.0
+
+/* Ranks: one band after the other, by time within each. */
+#define BAND ((int64_t)1 << 60)
+#define BAND_OWED (-2 * BAND)
+#define BAND_URGENT (-BAND)
+#define BAND_LATE 0
+#define BAND_DEFERRABLE BAND
+
+struct reserve {
+	int64_t ahead;	/* how long before a prefill runner is free */
+	int64_t ageing; /* after this wait a deferrable may be owed memory */
+	int64_t hold;	/* after this wait a request holds a runner */
+	double share;	/* of urgent pieces that deferrable work is owed */
+	double credit_max;
+	double credit; /* pieces owed to deferrable work */
+};
+
+/* The fastest that the request can be served from a runner pair. */
+struct cost {
+	int64_t prefill;
+	int64_t transfer;
+};
+
+static int64_t ms(const struct config_policy *settings, const char *name,
+		  double fallback)
+{
+	double value = policy_param(settings, name, fallback);
+
+	return (int64_t)(value * (double)USEC_PER_MSEC);
+}
+
+static void *reserve_create(const struct config_policy *settings,
+			    struct error *err)
+{
+	struct reserve *rs = g_new0(struct reserve, 1);
+
+	rs->ahead = ms(settings, "ahead_ms", AHEAD_MS_DEFAULT);
+	rs->ageing = ms(settings, "ageing_ms", AGEING_MS_DEFAULT);
+	rs->hold = ms(settings, "hold_ms", HOLD_MS_DEFAULT);
+	rs->share = policy_param(settings, "deferrable_share", SHARE_DEFAULT);
+	rs->credit_max =
+		policy_param(settings, "credit_pieces", CREDIT_MAX_DEFAULT);
+	if (rs->share > 0 && rs->share <= 1 && rs->credit_max >= 1 &&
+	    rs->ahead >= 0 && rs->ageing >= 0 && rs->hold >= 0)
+		return rs;
+	g_free(rs);
+	error_set(err, RESULT_BAD_CONFIG,
+		  "policy.params: reserve needs times of 0 or more, 0 < "
+		  "deferrable_share <= 1 and credit_pieces >= 1");
+	return NULL;
+}
+
+static uint32_t uncached_tokens(const struct policy_view *view, uint32_t runner,
+				const struct policy_request *request)
+{
+	uint64_t cached = 0;
+
+	if (request->block_count > 0)
+		cached = (uint64_t)PREFIX_BLOCK_TOKENS *
+			 view->cached_blocks(view->ctx, runner, request);
+	return cached < request->prompt_tokens
+		       ? request->prompt_tokens - (uint32_t)cached
+		       : 0;
+}
+
+static int64_t prefill_time(const struct policy_view *view, uint32_t runner,
+			    const struct policy_request *request)
+{
+	double rate = view->runners[runner].prefill_tokens_per_s;
+
+	if (rate <= 0)
+		return 0;
+	return (int64_t)(uncached_tokens(view, runner, request) / rate *
+			 (double)USEC_PER_SEC);
+}
+
+static int64_t transfer_time(const struct policy_view *view,
+			     const struct policy_request *request)
+{
+	uint64_t bytes = (uint64_t)request->prompt_tokens *
+			 view->prefill_pool->kv_bytes_per_token;
+	uint64_t out = view->prefill_pool->link_bytes_per_s;
+	uint64_t in = view->decode_pool->link_bytes_per_s;
+	uint64_t rate = out != 0 && (in == 0 || out < in) ? out : in;
+
+	if (rate == 0)
+		return 0;
+	return (int64_t)((double)bytes / (double)rate * (double)USEC_PER_SEC);
+}
+
+/* A bound from below: the whole prompt may be cached, not yet transferred. */
+static int64_t least_time(const struct policy_view *view,
+			  const struct policy_request *request)
+{
+	return transfer_time(view, request);
+}
+
+static bool owed(const struct reserve *rs, const struct policy_view *view,
+		 const struct policy_request *request)
+{
+	double need = fmin(request->pieces, rs->credit_max);
+
+	return view->now - request->arrived >= rs->ageing && rs->credit >= need;
+}
+
+static int64_t reserve_rank(void *state, const struct policy_view *view,
+			    const struct policy_request *request)
+{
+	const struct reserve *rs = state;
+	int64_t by = request->first_token_by;
+
+	if (request->class != CLASS_URGENT)
+		return (owed(rs, view, request) ? BAND_OWED : BAND_DEFERRABLE) +
+		       request->arrived;
+	if (by == CLOCK_NEVER)
+		by = request->deadline;
+	if (by == CLOCK_NEVER)
+		return BAND_URGENT + request->arrived;
+	if (view->now + least_time(view, request) > by)
+		return BAND_LATE + by;
+	return BAND_URGENT + by;
+}
+
+/* Among the prefill runners that are free soon, the one that would end first:
+ * a cached prefix counts as the time that it saves. When none is free soon,
+ * *free_at says when the first will be. */
+static uint32_t choose_prefill(const struct reserve *rs,
+			       const struct policy_view *view,
+			       const struct policy_request *request,
+			       int64_t *free_at)
+{
+	uint32_t best = RUNNER_NONE;
+	int64_t best_end = CLOCK_NEVER;
+
+	*free_at = CLOCK_NEVER;
+	for (uint32_t i = 0; i < view->runner_count; i++) {
+		const struct policy_runner *r = &view->runners[i];
+		int64_t start, end;
+
+		if (!runner_takes(r, POOL_PREFILL))
+			continue;
+		start = MAX(r->busy_until, view->now);
+		*free_at = MIN(*free_at, start);
+		if (start > view->now + rs->ahead)
+			continue;
+		end = MAX(start + prefill_time(view, i, request),
+			  r->link_until);
+		if (end >= best_end)
+			continue;
+		best = i;
+		best_end = end;
+	}
+	return best;
+}
+
+static bool fits(const struct policy_runner *r,
+		 const struct policy_request *request)
+{
+	if (r->granted_pieces + request->pieces > r->pieces)
+		return false;
+	return r->slots == 0 || r->granted_running < r->slots;
+}
+
+/* The decode runner with most memory left; of equals the one whose link is free
+ * first. */
+static uint32_t choose_decode(const struct policy_view *view,
+			      const struct policy_request *request)
+{
+	uint32_t best = RUNNER_NONE;
+
+	for (uint32_t i = 0; i < view->runner_count; i++) {
+		const struct policy_runner *r = &view->runners[i];
+		const struct policy_runner *b;
+		uint32_t left, best_left;
+
+		if (!runner_takes(r, POOL_DECODE) || r->held ||
+		    !fits(r, request))
+			continue;
+		if (best == RUNNER_NONE) {
+			best = i;
+			continue;
+		}
+		b = &view->runners[best];
+		left = r->pieces - r->granted_pieces;
+		best_left = b->pieces - b->granted_pieces;
+		if (left > best_left ||
+		    (left == best_left && r->link_until < b->link_until))
+			best = i;
+	}
+	return best;
+}
+
+/* The decode runner whose memory is expected to be free first. */
+static uint32_t choose_hold(const struct policy_view *view,
+			    const struct policy_request *request)
+{
+	uint32_t best = RUNNER_NONE;
+	int64_t best_at = CLOCK_NEVER;
+
+	for (uint32_t i = 0; i < view->runner_count; i++) {
+		const struct policy_runner *r = &view->runners[i];
+		int64_t at;
+
+		if (!runner_takes(r, POOL_DECODE) || r->held ||
+		    r->pieces < request->pieces)
+			continue;
+		at = view->pieces_free_at(view->ctx, i, request->pieces);
+		if (best != RUNNER_NONE && at >= best_at)
+			continue;
+		best = i;
+		best_at = at;
+	}
+	return best;
+}
+
+static enum verdict refuse(struct placement *placement, enum result_code code,
+			   int64_t retry_after)
+{
+	placement->code = code;
+	placement->retry_after = retry_after;
+	return VERDICT_REFUSE;
+}
+
+static enum verdict wait_for_memory(const struct reserve *rs,
+				    const struct policy_view *view,
+				    const struct policy_request *request,
+				    struct placement *placement)
+{
+	int64_t waited = view->now - request->arrived;
+
+	placement->again_at = CLOCK_NEVER;
+	if (waited < rs->hold) {
+		placement->again_at = request->arrived + rs->hold;
+		return VERDICT_WAIT;
+	}
+	placement->hold = choose_hold(view, request);
+	if (placement->hold == RUNNER_NONE)
+		placement->again_at = view->now + PLACE_RETRY_USEC;
+	return VERDICT_WAIT;
+}
+
+static void account(struct reserve *rs, const struct policy_view *view,
+		    const struct policy_request *request)
+{
+	if (request->class == CLASS_URGENT)
+		rs->credit += rs->share * request->pieces;
+	else if (owed(rs, view, request))
+		rs->credit -= request->pieces;
+	rs->credit = CLAMP(rs->credit, 0, rs->credit_max);
+}
+
+static enum verdict reserve_place(void *state, const struct policy_view *view,
+				  const struct policy_request *request,
+				  struct placement *placement)
+{
+	struct reserve *rs = state;
+	int64_t free_at;
+
+	placement->reserve = true;
+	placement->hold = RUNNER_NONE;
+	if (view->now + least_time(view, request) > request->deadline)
+		return refuse(placement, RESULT_DEADLINE, USEC_PER_SEC);
+	placement->decode = choose_decode(view, request);
+	if (placement->decode == RUNNER_NONE)
+		return wait_for_memory(rs, view, request, placement);
+	placement->prefill = choose_prefill(rs, view, request, &free_at);
+	if (placement->prefill != RUNNER_NONE) {
+		account(rs, view, request);
+		return VERDICT_START;
+	}
+	placement->again_at = free_at == CLOCK_NEVER
+				      ? view->now + PLACE_RETRY_USEC
+				      : free_at - rs->ahead;
+	return VERDICT_WAIT;
+}
+
+const struct policy_ops policy_reserve = {
+	.name = "reserve",
+	.summary = "decode memory reserved before prefill starts",
+	.create = reserve_create,
+	.destroy = g_free,
+	.rank = reserve_rank,
+	.place = reserve_place,
+};
