web: add the loop, server and client on h2o

The daemon, the command and the stand-ins need one loop, an HTTP/1.1 and HTTP/2 server and a client with kept connections.

The loop follows the clock before the first callback after a wait, so a process that was stopped learns it before it takes new work. The server defers its sends to the end of the turn: pieces of one turn leave together, and no call of a handler frees a request.

Tested: a whole answer and one of a thousand pieces, over the client.

--- a/include/web/loop.h
+++ b/include/web/loop.h
@@ -3,8 +3,14 @@
  *
  * DESCRIPTION
  *	loop_run() turns until loop_stop(): it moves the clock, which fires the
- *	timers due, calls the turn hook, then waits for sockets until the next
- *	timer. Signals are taken by a signalfd of the loop's own.
+ *	timers due, calls the turn hook, runs what was deferred, then waits for
+ *	sockets until the next timer. Signals are taken by a signalfd of the
+ *	loop's own.
+ *
+ *	A callback that a socket wakes runs before the loop is back at its top,
+ *	so it starts with loop_enter(): the first call after a wait moves the
+ *	clock and calls the turn hook, so that a process that was stopped knows
+ *	it before it takes new work.
  */
 #ifndef WEB_LOOP_H
 #define WEB_LOOP_H
@@ -20,6 +26,15 @@
  * turn, less the time waited on purpose: large after SIGSTOP and SIGCONT. */
 typedef void (*loop_turn_fn)(void *ctx, int64_t gap_us);
 
+/* Fields private. */
+struct loop_deferred {
+	struct loop_deferred *prev;
+	struct loop_deferred *next;
+	void (*fn)(void *ctx);
+	void *ctx;
+};
+typedef void (*loop_deferred_fn)(void *ctx);
+
 struct loop *loop_create(struct clock *clock);
 void loop_destroy(struct loop *loop);
 void loop_run(struct loop *loop);
@@ -27,6 +42,15 @@
 void loop_on_signal(struct loop *loop, int signal, loop_signal_fn fn,
 		    void *ctx);
 void loop_on_turn(struct loop *loop, loop_turn_fn fn, void *ctx);
+/* Follows the clock and calls the turn hook, once after each wait. Timers may
+ * fire in it. Server and client call it before their callbacks. */
+void loop_enter(struct loop *loop);
+/* Runs fn once before the loop waits again. The node is embedded in its owner
+ * and zeroed before its first use; deferring a node that waits has no effect.
+ */
+void loop_defer(struct loop *loop, struct loop_deferred *node,
+		loop_deferred_fn fn, void *ctx);
+void loop_defer_cancel(struct loop_deferred *node);
 struct clock *loop_clock(struct loop *loop);
 h2o_loop_t *loop_h2o(struct loop *loop);
 
--- /dev/null
+++ b/web/call.c
@@ -0,0 +1,253 @@
+#include "call.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+#define HEADERS_MAX 100
+#define CONNECT_USEC (3 * USEC_PER_SEC)
+#define HEAD_USEC (30 * USEC_PER_SEC)
+#define IDLE_USEC (30 * USEC_PER_SEC)
+
+static void call_destroy(struct web_call *call)
+{
+	timer_stop(&call->timer);
+	loop_defer_cancel(&call->fail);
+	g_queue_unlink(&call->client->calls, &call->link);
+	if (call->request)
+		g_string_free(call->request, TRUE);
+	if (call->release)
+		call->release(call->ctx);
+	g_free(call);
+}
+
+static void call_done(struct web_call *call, bool ok)
+{
+	const struct web_result result = {
+		.ok = ok,
+		.sent = call->connected,
+		.timed_out = call->timed_out,
+		.text = ok ? NULL : call->text,
+	};
+
+	call->busy = true;
+	timer_stop(&call->timer);
+	if (!call->cancelled)
+		call->ops.done(call->ctx, &result);
+	call_destroy(call);
+}
+
+static void http_cancel(struct web_call *call)
+{
+	if (call->http)
+		h2o_http1client_cancel(call->http);
+	call->http = NULL;
+}
+
+void call_fail(struct web_call *call, const char *text)
+{
+	call->text = text;
+	if (call->busy)
+		return;
+	http_cancel(call);
+	call_done(call, false);
+}
+
+static void on_fail(void *ctx)
+{
+	call_done(ctx, false);
+}
+
+void call_fail_later(struct web_call *call, const char *text)
+{
+	call->text = text;
+	loop_defer(call->client->loop, &call->fail, on_fail, call);
+}
+
+static void on_timer(struct timer *timer, void *ctx)
+{
+	struct web_call *call = ctx;
+	int64_t limit = call->answered ? call->idle_usec : call->head_usec;
+	int64_t since =
+		clock_now(loop_clock(call->client->loop)) - call->active;
+
+	/* Bytes have just come: this is one of the call's own callbacks. */
+	if (call->busy)
+		since = 0;
+	if (!call->connected)
+		limit = MIN(limit, CONNECT_USEC);
+	if (since < limit) {
+		timer_start(timer, limit - since);
+		return;
+	}
+	call->timed_out = true;
+	call_fail(call, call->connected ? "no answer in time"
+					: "no connection in time");
+}
+
+static void activity(struct web_call *call)
+{
+	call->active = clock_now(loop_clock(call->client->loop));
+}
+
+static void busy_begin(struct web_call *call)
+{
+	call->busy = true;
+	loop_enter(call->client->loop);
+	activity(call);
+}
+
+/* False when the call was cancelled or failed in its callback, and is no
+ * more; h2o then closes the connection. */
+static bool busy_end(struct web_call *call)
+{
+	call->busy = false;
+	if (!call->cancelled && !call->text)
+		return true;
+	call->http = NULL;
+	call_done(call, false);
+	return false;
+}
+
+/* Keeps h2o from using the connection again. */
+static void sock_spoil(h2o_http1client_t *http)
+{
+	if (http->sock)
+		shutdown(h2o_socket_get_fd(http->sock), SHUT_RDWR);
+}
+
+static void answer_end(struct web_call *call)
+{
+	if (call->fresh)
+		sock_spoil(call->http);
+	call->http = NULL;
+	call_done(call, !call->text);
+}
+
+static void input_take(struct web_call *call, h2o_http1client_t *http)
+{
+	h2o_buffer_t *input = http->sock ? http->sock->input : NULL;
+
+	if (!input || input->size == 0)
+		return;
+	if (call->ops.body && !call->cancelled && !call->text)
+		call->ops.body(call->ctx, input->bytes, input->size);
+	h2o_buffer_consume(&http->sock->input, http->sock->input->size);
+}
+
+static int on_body(h2o_http1client_t *http, const char *err)
+{
+	struct web_call *call = http->data;
+
+	busy_begin(call);
+	if (err && err != h2o_http1client_error_is_eos) {
+		call->http = NULL;
+		call->text = err;
+		call_done(call, false);
+		return -1;
+	}
+	input_take(call, http);
+	if (err) {
+		answer_end(call);
+		return 0;
+	}
+	return busy_end(call) ? 0 : -1;
+}
+
+static void head_report(struct web_call *call, int status,
+			const h2o_header_t *headers, size_t count)
+{
+	struct web_header list[HEADERS_MAX];
+
+	count = MIN(count, HEADERS_MAX);
+	for (size_t i = 0; i < count; i++) {
+		const h2o_iovec_t *name = headers[i].name;
+		const h2o_iovec_t *value = &headers[i].value;
+
+		list[i].name = (struct web_text){name->base, name->len};
+		list[i].value = (struct web_text){value->base, value->len};
+	}
+	call->ops.head(call->ctx, status, list, count);
+}
+
+static h2o_http1client_body_cb on_head(h2o_http1client_t *http, const char *err,
+				       int minor, int status, h2o_iovec_t msg,
+				       h2o_header_t *headers, size_t count,
+				       int rlen)
+{
+	struct web_call *call = http->data;
+
+	busy_begin(call);
+	if (err && err != h2o_http1client_error_is_eos) {
+		call->http = NULL;
+		call->text = err;
+		call_done(call, false);
+		return NULL;
+	}
+	call->answered = true;
+	if (call->ops.head && !call->cancelled)
+		head_report(call, status, headers, count);
+	if (err) {
+		answer_end(call);
+		return NULL;
+	}
+	/* The limit from now on is that between pieces. */
+	timer_start(&call->timer, call->idle_usec);
+	return busy_end(call) ? on_body : NULL;
+}
+
+static h2o_http1client_head_cb on_connect(h2o_http1client_t *http,
+					  const char *err, h2o_iovec_t **vecs,
+					  size_t *count, int *is_head)
+{
+	struct web_call *call = http->data;
+
+	if (err) {
+		call->http = NULL;
+		call_fail_later(call, err);
+		return NULL;
+	}
+	call->connected = true;
+	activity(call);
+	timer_start(&call->timer, call->head_usec);
+	call->vec = h2o_iovec_init(call->request->str, call->request->len);
+	*vecs = &call->vec;
+	*count = 1;
+	*is_head = call->is_head;
+	return on_head;
+}
+
+struct web_call *call_create(struct web_client *client,
+			     const struct web_call_spec *spec,
+			     const struct web_call_ops *ops, void *ctx)
+{
+	struct web_call *call = g_new0(struct web_call, 1);
+
+	call->client = client;
+	call->link.data = call;
+	g_queue_push_tail_link(&client->calls, &call->link);
+	call->ops = *ops;
+	call->ctx = ctx;
+	call->head_usec = spec->head_usec > 0 ? spec->head_usec : HEAD_USEC;
+	call->idle_usec = spec->idle_usec > 0 ? spec->idle_usec : IDLE_USEC;
+	call->is_head = g_strcmp0(spec->method, "HEAD") == 0;
+	call->fresh = spec->fresh;
+	timer_init(&call->timer, loop_clock(client->loop), on_timer, call);
+	return call;
+}
+
+void call_connect(struct web_call *call, h2o_socketpool_t *sockets)
+{
+	activity(call);
+	timer_start(&call->timer, MIN(call->head_usec, CONNECT_USEC));
+	h2o_http1client_connect_with_pool(
+		&call->http, call, &call->client->context, sockets, on_connect);
+}
+
+void web_call_cancel(struct web_call *call)
+{
+	call->cancelled = true;
+	if (call->busy)
+		return;
+	http_cancel(call);
+	call_destroy(call);
+}
--- /dev/null
+++ b/web/loop.c
@@ -0,0 +1,225 @@
+#include "web/loop.h"
+
+#include <errno.h>
+#include <glib.h>
+#include <signal.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+
+/* Longest wait when no timer runs: signals and sockets end it earlier. */
+#define WAIT_MAX_MSEC 1000
+
+struct signal_watch {
+	int signal;
+	loop_signal_fn fn;
+	void *ctx;
+};
+
+struct loop {
+	h2o_loop_t *h2o;
+	struct clock *clock;
+	struct loop_deferred deferred; /* head of a ring */
+	h2o_timeout_t soon;	       /* ends a turn of h2o's */
+	h2o_timeout_entry_t soon_entry;
+	GArray *watches;
+	sigset_t mask;
+	int signal_fd;
+	h2o_socket_t *signal_sock;
+	loop_turn_fn turn_fn;
+	void *turn_ctx;
+	int64_t waited_usec; /* on purpose, since the clock was followed */
+	bool entered;	     /* the clock was followed since the last wait */
+	bool running;
+};
+
+static void deferred_run(struct loop *loop)
+{
+	while (loop->deferred.next != &loop->deferred) {
+		struct loop_deferred *node = loop->deferred.next;
+
+		loop_defer_cancel(node);
+		node->fn(node->ctx);
+	}
+}
+
+static void on_soon(h2o_timeout_entry_t *entry)
+{
+	deferred_run(H2O_STRUCT_FROM_MEMBER(struct loop, soon_entry, entry));
+}
+
+struct loop *loop_create(struct clock *clock)
+{
+	struct loop *loop = g_new0(struct loop, 1);
+
+	signal(SIGPIPE, SIG_IGN);
+	loop->h2o = h2o_evloop_create();
+	loop->clock = clock;
+	h2o_timeout_init(loop->h2o, &loop->soon, 0);
+	loop->soon_entry.cb = on_soon;
+	loop->deferred.prev = &loop->deferred;
+	loop->deferred.next = &loop->deferred;
+	loop->watches = g_array_new(FALSE, FALSE, sizeof(struct signal_watch));
+	sigemptyset(&loop->mask);
+	loop->signal_fd = -1;
+	return loop;
+}
+
+void loop_destroy(struct loop *loop)
+{
+	if (!loop)
+		return;
+	if (loop->signal_sock)
+		h2o_socket_close(loop->signal_sock);
+	sigprocmask(SIG_UNBLOCK, &loop->mask, NULL);
+	/* Lets h2o free the sockets that were closed last. */
+	h2o_evloop_run(loop->h2o, 0);
+	h2o_timeout_unlink(&loop->soon_entry);
+	h2o_timeout_dispose(loop->h2o, &loop->soon);
+	h2o_evloop_destroy(loop->h2o);
+	g_array_free(loop->watches, TRUE);
+	g_free(loop);
+}
+
+void loop_defer(struct loop *loop, struct loop_deferred *node,
+		loop_deferred_fn fn, void *ctx)
+{
+	if (node->next)
+		return;
+	node->fn = fn;
+	node->ctx = ctx;
+	node->prev = loop->deferred.prev;
+	node->next = &loop->deferred;
+	node->prev->next = node;
+	node->next->prev = node;
+	/* Inside a turn of h2o's it runs at the end of that same turn. */
+	if (!h2o_timeout_is_linked(&loop->soon_entry))
+		h2o_timeout_link(loop->h2o, &loop->soon, &loop->soon_entry);
+}
+
+void loop_defer_cancel(struct loop_deferred *node)
+{
+	if (!node->next)
+		return;
+	node->prev->next = node->next;
+	node->next->prev = node->prev;
+	node->prev = NULL;
+	node->next = NULL;
+}
+
+void loop_enter(struct loop *loop)
+{
+	int64_t gap;
+
+	if (loop->entered)
+		return;
+	loop->entered = true;
+	gap = clock_follow(loop->clock) - loop->waited_usec;
+	loop->waited_usec = 0;
+	if (loop->turn_fn)
+		loop->turn_fn(loop->turn_ctx, MAX(gap, 0));
+}
+
+static int32_t wait_msec(struct loop *loop)
+{
+	int64_t next = clock_next(loop->clock);
+	int64_t usec;
+
+	/* h2o does not look at callbacks due from writes made outside of it. */
+	if (!loop->running || loop->h2o->_pending_as_client ||
+	    loop->h2o->_pending_as_server)
+		return 0;
+	if (next == CLOCK_NEVER)
+		return WAIT_MAX_MSEC;
+	usec = next - clock_now(loop->clock);
+	if (usec <= 0)
+		return 0;
+	return (int32_t)MIN((usec + USEC_PER_MSEC - 1) / USEC_PER_MSEC,
+			    WAIT_MAX_MSEC);
+}
+
+static void turn(struct loop *loop)
+{
+	int32_t msec;
+
+	loop_enter(loop);
+	deferred_run(loop);
+	h2o_timeout_unlink(&loop->soon_entry);
+	msec = wait_msec(loop);
+	loop->waited_usec = msec * USEC_PER_MSEC;
+	loop->entered = false;
+	h2o_evloop_run(loop->h2o, msec);
+}
+
+void loop_run(struct loop *loop)
+{
+	loop->running = true;
+	/* Time before the loop ran is no gap. */
+	clock_follow(loop->clock);
+	while (loop->running)
+		turn(loop);
+	loop_enter(loop);
+	deferred_run(loop);
+}
+
+void loop_stop(struct loop *loop)
+{
+	loop->running = false;
+}
+
+static void signal_dispatch(struct loop *loop, int signal)
+{
+	for (guint i = 0; i < loop->watches->len; i++) {
+		struct signal_watch *watch =
+			&g_array_index(loop->watches, struct signal_watch, i);
+
+		if (watch->signal == signal)
+			watch->fn(watch->ctx, signal);
+	}
+}
+
+static void signal_readable(h2o_socket_t *sock, const char *err)
+{
+	struct loop *loop = sock->data;
+	struct signalfd_siginfo info;
+
+	if (err)
+		return;
+	while (read(loop->signal_fd, &info, sizeof(info)) == sizeof(info))
+		signal_dispatch(loop, (int)info.ssi_signo);
+}
+
+void loop_on_signal(struct loop *loop, int signal, loop_signal_fn fn, void *ctx)
+{
+	struct signal_watch watch = {signal, fn, ctx};
+
+	g_array_append_val(loop->watches, watch);
+	sigaddset(&loop->mask, signal);
+	sigprocmask(SIG_BLOCK, &loop->mask, NULL);
+	loop->signal_fd = signalfd(loop->signal_fd, &loop->mask,
+				   SFD_NONBLOCK | SFD_CLOEXEC);
+	g_assert(loop->signal_fd >= 0);
+	if (loop->signal_sock)
+		return;
+	loop->signal_sock = h2o_evloop_socket_create(loop->h2o, loop->signal_fd,
+						     H2O_SOCKET_FLAG_DONT_READ);
+	loop->signal_sock->data = loop;
+	h2o_socket_read_start(loop->signal_sock, signal_readable);
+}
+
+void loop_on_turn(struct loop *loop, loop_turn_fn fn, void *ctx)
+{
+	loop->turn_fn = fn;
+	loop->turn_ctx = ctx;
+}
+
+struct clock *loop_clock(struct loop *loop)
+{
+	return loop->clock;
+}
+
+h2o_loop_t *loop_h2o(struct loop *loop)
+{
+	return loop->h2o;
+}
--- /dev/null
+++ b/web/reply.c
@@ -0,0 +1,251 @@
+#include "request.h"
+
+#include <string.h>
+#include <sys/socket.h>
+
+#include "common/clock.h"
+
+/* What h2o gets at once, so that a slow caller's progress can be seen. */
+#define SLICE_MAX ((size_t)128 * 1024)
+/* A buffer larger than this is given back when it is empty. */
+#define KEEP_MAX ((size_t)16 * 1024)
+
+static const struct {
+	int status;
+	const char *reason;
+} reasons[] = {
+	{200, "OK"},
+	{201, "Created"},
+	{202, "Accepted"},
+	{204, "No Content"},
+	{304, "Not Modified"},
+	{400, "Bad Request"},
+	{401, "Unauthorized"},
+	{403, "Forbidden"},
+	{404, "Not Found"},
+	{405, "Method Not Allowed"},
+	{408, "Request Timeout"},
+	{409, "Conflict"},
+	{412, "Precondition Failed"},
+	{413, "Content Too Large"},
+	{422, "Unprocessable Content"},
+	{429, "Too Many Requests"},
+	{500, "Internal Server Error"},
+	{501, "Not Implemented"},
+	{502, "Bad Gateway"},
+	{503, "Service Unavailable"},
+	{504, "Gateway Timeout"},
+};
+
+static const char *reason_of(int status)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++)
+		if (reasons[i].status == status)
+			return reasons[i].reason;
+	return "Status";
+}
+
+static size_t flight_left(const struct web_request *request)
+{
+	return request->flight ? request->flight->len - request->offset : 0;
+}
+
+static size_t queue_size(const struct web_request *request)
+{
+	return request->queue ? request->queue->len : 0;
+}
+
+/* Makes the queue the flight once the latter has been sent. */
+static void flight_fill(struct web_request *request)
+{
+	GByteArray *spent = request->flight;
+
+	if (flight_left(request) > 0 || queue_size(request) == 0)
+		return;
+	request->flight = request->queue;
+	request->offset = 0;
+	request->queue = NULL;
+	if (!spent)
+		return;
+	if (spent->len > KEEP_MAX) {
+		g_byte_array_unref(spent);
+		return;
+	}
+	g_byte_array_set_size(spent, 0);
+	request->queue = spent;
+}
+
+/* Nothing may be touched after this: h2o may have freed the request. */
+static void slice_send(struct web_request *request, h2o_send_state_t state)
+{
+	h2o_req_t *req = request->req;
+	h2o_iovec_t vec = {NULL, 0};
+
+	if (request->slice > 0)
+		vec = h2o_iovec_init(request->flight->data + request->offset,
+				     request->slice);
+	request->sending = h2o_send_state_is_in_progress(state);
+	request->since = clock_now(loop_clock(request->loop));
+	if (!request->sending) {
+		request->final = true;
+		request_unwatch(request);
+	}
+	if (!request->opened) {
+		request->opened = true;
+		h2o_start_response(req, &request->generator);
+	}
+	h2o_send(req, &vec, request->slice > 0 ? 1 : 0, state);
+}
+
+static void cut_send(struct web_request *request)
+{
+	request->slice = 0;
+	request->req->http1_is_persistent = 0;
+	if (!request->started) {
+		request->req->res.status = 500;
+		request->req->res.reason = reason_of(500);
+	}
+	slice_send(request, H2O_SEND_STATE_ERROR);
+}
+
+static void flush(void *ctx)
+{
+	struct web_request *request = ctx;
+	bool last;
+
+	if (request->sending || request->final)
+		return;
+	if (request->cut) {
+		cut_send(request);
+		return;
+	}
+	flight_fill(request);
+	request->slice = MIN(flight_left(request), SLICE_MAX);
+	last = request->ended && queue_size(request) == 0 &&
+	       request->slice == flight_left(request);
+	if (!last && request->opened && request->slice == 0)
+		return;
+	slice_send(request,
+		   last ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_IN_PROGRESS);
+}
+
+static void flush_defer(struct web_request *request)
+{
+	if (!request->sending && !request->final)
+		loop_defer(request->loop, &request->flush, flush, request);
+}
+
+void reply_proceed(h2o_generator_t *generator, h2o_req_t *req)
+{
+	struct web_request *request = (struct web_request *)generator;
+
+	request->sending = false;
+	request->offset += request->slice;
+	request->slice = 0;
+	flush(request);
+}
+
+void reply_cut(struct web_request *request)
+{
+	request->ended = true;
+	request->cut = true;
+	/* Ends a write that the caller does not take. */
+	if (request->sock && !request->final)
+		shutdown(h2o_socket_get_fd(request->sock), SHUT_RDWR);
+	flush_defer(request);
+}
+
+void web_reply_header(struct web_request *request, const char *name,
+		      const char *value)
+{
+	h2o_req_t *req = request->req;
+	h2o_iovec_t key;
+	h2o_iovec_t text;
+
+	if (request->started || request->ended)
+		return;
+	key = h2o_strdup(&req->pool, name, SIZE_MAX);
+	text = h2o_strdup(&req->pool, value, SIZE_MAX);
+	h2o_strtolower(key.base, key.len);
+	h2o_add_header_by_str(&req->pool, &req->res.headers, key.base, key.len,
+			      1, NULL, text.base, text.len);
+}
+
+static void head_set(struct web_request *request, int status, const char *type)
+{
+	h2o_req_t *req = request->req;
+
+	if (type)
+		web_reply_header(request, "content-type", type);
+	req->res.status = status;
+	req->res.reason = reason_of(status);
+	request->started = true;
+}
+
+static bool is_head(const struct web_request *request)
+{
+	const h2o_iovec_t *method = &request->req->input.method;
+
+	return h2o_memis(method->base, method->len, H2O_STRLIT("HEAD"));
+}
+
+static void queue_add(struct web_request *request, const void *data,
+		      size_t size)
+{
+	if (size == 0 || is_head(request))
+		return;
+	if (!request->queue)
+		request->queue = g_byte_array_new();
+	g_byte_array_append(request->queue, data, (guint)size);
+}
+
+void web_reply(struct web_request *request, int status, const char *type,
+	       const void *body, size_t size)
+{
+	if (request->started || request->ended)
+		return;
+	head_set(request, status, type);
+	if (status != 204 && status != 304)
+		request->req->res.content_length = size;
+	queue_add(request, body, size);
+	request->ended = true;
+	flush_defer(request);
+}
+
+void web_reply_start(struct web_request *request, int status, const char *type)
+{
+	if (request->started || request->ended)
+		return;
+	head_set(request, status, type);
+	flush_defer(request);
+}
+
+void web_reply_piece(struct web_request *request, const void *data, size_t size)
+{
+	if (!request->started || request->ended)
+		return;
+	queue_add(request, data, size);
+	flush_defer(request);
+}
+
+size_t web_reply_queued(const struct web_request *request)
+{
+	return queue_size(request) + flight_left(request);
+}
+
+void web_reply_end(struct web_request *request)
+{
+	if (!request->started || request->ended)
+		return;
+	request->ended = true;
+	flush_defer(request);
+}
+
+void web_reply_abort(struct web_request *request)
+{
+	if (request->ended)
+		return;
+	request->ended = true;
+	request->cut = true;
+	flush_defer(request);
+}
