config: parse and check the operators' file

Every part of the program reads pools, services and the policy in force from one file, so a fault in it has to be refused before it is applied, with the place to mend.

--- a/include/config/config.h
+++ b/include/config/config.h
@@ -126,6 +126,10 @@
 			    struct error *err);
 /* Reads the file, then as config_parse(). */
 struct config *config_load(const char *file, struct error *err);
+/* Reads a file of at most CONFIG_FILE_MAX bytes, unchecked; free with g_free().
+ */
+bool config_read(const char *file, char **data, size_t *size,
+		 struct error *err);
 void config_destroy(struct config *config);
 
 const struct config_pool *config_pool(const struct config *config,
@@ -135,7 +139,9 @@
 /* The service of kind model for the model's name, or NULL. */
 const struct config_service *config_model(const struct config *config,
 					  const char *model);
-/* The service of kind plain for host and path; the longest prefix wins. */
+/* The service of kind plain for host (may be NULL; a port is ignored) and path:
+ * one that names the host goes before one that names none, then the longest
+ * prefix of whole path segments wins. */
 const struct config_service *config_route(const struct config *config,
 					  const char *host, const char *path);
 bool class_parse(const char *text, size_t size, enum request_class *class);
--- /dev/null
+++ b/tests/config/files.h
@@ -0,0 +1,26 @@
+/* Files of the source tree and edits of them, for the tests of config/. */
+#ifndef TESTS_CONFIG_FILES_H
+#define TESTS_CONFIG_FILES_H
+
+#include <glib.h>
+#include <string.h>
+
+static inline char *source_file(const char *name)
+{
+	g_autofree char *path = g_build_filename(SOURCE_ROOT, name, NULL);
+	char *text;
+
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	return text;
+}
+
+/* The text with the first occurrence of from, which must be there, replaced. */
+static inline char *edited(const char *text, const char *from, const char *to)
+{
+	g_auto(GStrv) parts = g_strsplit(text, from, 2);
+
+	g_assert_cmpuint(g_strv_length(parts), ==, 2);
+	return g_strjoinv(to, parts);
+}
+
+#endif
