--- /dev/null
+++ b/entry/request_plain.c
@@ -0,0 +1,302 @@
+/*
+ * The path of a request for a plain service: method, headers, status and body
+ * are passed on intact. A call is repeated only when the request is idempotent
+ * or when it is known that nothing was run.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "common/hex.h"
+#include "common/log.h"
+#include "coord/retry.h"
+#include "entry/directory.h"
+#include "entry/plain.h"
+#include "entry/request.h"
+
+#define CALL_HEAD_USEC (30 * USEC_PER_SEC)
+#define ANSWER_KEPT_MAX (4u << 20)
+#define RETRY_BASE_USEC (10 * USEC_PER_MSEC)
+#define RETRY_MAX_USEC USEC_PER_SEC
+#define ATTEMPTS_MAX 4u
+
+static const char *const hop_headers[] = {
+	"connection", "content-length",	   "host",    "keep-alive", "te",
+	"trailer",    "transfer-encoding", "upgrade",
+};
+
+bool plain_header_dropped(struct web_text name)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(hop_headers); i++)
+		if (strlen(hop_headers[i]) == name.size &&
+		    memcmp(hop_headers[i], name.data, name.size) == 0)
+			return true;
+	return false;
+}
+
+static bool is_own_header(struct web_text name)
+{
+	return name.size > 3 && memcmp(name.data, "jt-", 3) == 0;
+}
+
+void plain_headers_copy(GPtrArray *to, const struct web_header *headers,
+			size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		struct web_text name = headers[i].name;
+		struct web_text value = headers[i].value;
+
+		if (plain_header_dropped(name) || is_own_header(name))
+			continue;
+		g_ptr_array_add(to, g_strndup(name.data, name.size));
+		g_ptr_array_add(to, g_strndup(value.data, value.size));
+	}
+}
+
+static bool header_is(const struct web_header *header, const char *name,
+		      const char *value)
+{
+	return strlen(name) == header->name.size &&
+	       memcmp(name, header->name.data, header->name.size) == 0 &&
+	       strlen(value) == header->value.size &&
+	       memcmp(value, header->value.data, header->value.size) == 0;
+}
+
+/* A refusal that says the call was not run. */
+static bool says_not_run(int status, const struct web_header *headers,
+			 size_t count)
+{
+	if (status != 503)
+		return false;
+	for (size_t i = 0; i < count; i++)
+		if (header_is(&headers[i], "jt-not-run", "1"))
+			return true;
+	return false;
+}
+
+static void call_head(void *ctx, int status, const struct web_header *headers,
+		      size_t count)
+{
+	struct request *request = ctx;
+
+	request->status = status;
+	request->refused = says_not_run(status, headers, count);
+	g_ptr_array_set_size(request->answer_headers, 0);
+	plain_headers_copy(request->answer_headers, headers, count);
+	g_string_truncate(request->answer_body, 0);
+}
+
+static void call_body(void *ctx, const void *data, size_t size)
+{
+	struct request *request = ctx;
+
+	if (request->answer_body->len + size > ANSWER_KEPT_MAX) {
+		request->too_long = true;
+		return;
+	}
+	g_string_append_len(request->answer_body, data, (gssize)size);
+}
+
+static void server_put(struct request *request, enum plain_use use)
+{
+	uint64_t id = request->server;
+
+	request->server = 0;
+	if (id)
+		plain_put(request->entry->requests->plain, id, use);
+}
+
+/* Another try after a pause; or the end, with what is known. */
+static void call_retry(struct request *request, enum result_code code,
+		       const char *text)
+{
+	uint32_t tries = ++request->attempts;
+	bool again = request->idempotent || !request->reached;
+
+	request->last_code = code;
+	log_event(LOG_NOTICE, "attempt_failed", LOG_X("request", request->id),
+		  LOG_S("service", request->service.name),
+		  LOG_D("attempt", tries), LOG_S("code", result_label(code)),
+		  LOG_S("text", text));
+	if (!again || tries >= ATTEMPTS_MAX || !requests_may_retry(request)) {
+		request_fail(request, code, USEC_PER_SEC, text);
+		return;
+	}
+	request->state = REQUEST_CALLING;
+	timer_start(&request->timer,
+		    retry_backoff(request->entry->rand, tries, RETRY_BASE_USEC,
+				  RETRY_MAX_USEC));
+}
+
+static enum result_code failure_code(const struct web_result *result)
+{
+	if (!result->sent)
+		return RESULT_BACKEND_REFUSED;
+	return result->timed_out ? RESULT_BACKEND_TIMEOUT
+				 : RESULT_BACKEND_FAILED;
+}
+
+static void call_done(void *ctx, const struct web_result *result)
+{
+	struct request *request = ctx;
+	uint64_t server = request->server;
+
+	request->web_call = NULL;
+	if (result->ok && request->refused) {
+		directory_leaving(request->entry->directory, server);
+		server_put(request, PLAIN_UNKNOWN);
+		call_retry(request, RESULT_BACKEND_REFUSED,
+			   "the server refused the call as not run");
+		return;
+	}
+	if (!result->ok) {
+		request->reached |= result->sent;
+		server_put(request, PLAIN_BAD);
+		call_retry(request, failure_code(result), result->text);
+		return;
+	}
+	request->reached = true;
+	server_put(request, PLAIN_GOOD);
+	if (request->too_long) {
+		request_fail(request, RESULT_BACKEND_FAILED, 0,
+			     "the server's answer is too long");
+		return;
+	}
+	request_complete(request);
+}
+
+static const struct web_call_ops call_ops = {
+	.head = call_head,
+	.body = call_body,
+	.done = call_done,
+};
+
+static struct web_text text_of(const char *text)
+{
+	return (struct web_text){.data = text, .size = strlen(text)};
+}
+
+void plain_call(struct request *request)
+{
+	const struct backend *backend =
+		directory_find(request->entry->directory, request->server);
+	size_t count = request->headers->len / 2;
+	struct web_header *headers = g_new0(struct web_header, count + 1);
+	char id[HEX_ID_SIZE];
+	struct web_call_spec spec = {
+		.address = backend->address,
+		.method = request->method->str,
+		.path = request->path->str,
+		.headers = headers,
+		.header_count = count + 1,
+		.body = request->body->str,
+		.body_size = request->body->len,
+		.head_usec = CALL_HEAD_USEC,
+		.fresh = !request->idempotent,
+	};
+
+	for (size_t i = 0; i < count; i++) {
+		headers[i].name = text_of(request->headers->pdata[2 * i]);
+		headers[i].value = text_of(request->headers->pdata[2 * i + 1]);
+	}
+	headers[count].name = text_of("jt-request-id");
+	headers[count].value = text_of(hex_id(id, request->id));
+	request->state = REQUEST_CALLING;
+	request->refused = false;
+	request->too_long = false;
+	request->web_call =
+		web_call(request->entry->client, &spec, &call_ops, request);
+	g_free(headers);
+}
+
+/*
+ * A place at a server is held. The key of a request that is not idempotent is
+ * claimed only now, so that a full queue does not spend it.
+ */
+void plain_start(struct request *request, uint64_t server)
+{
+	timer_stop(&request->timer);
+	request->server = server;
+	if (request->idempotent || !request->key || request->claimed) {
+		plain_call(request);
+		return;
+	}
+	request_claim(request);
+}
+
+static int64_t time_left(const struct request *request)
+{
+	if (request->deadline == CLOCK_NEVER)
+		return CALL_HEAD_USEC;
+	return request->deadline - clock_now(request->entry->clock);
+}
+
+void plain_run(struct request *request)
+{
+	struct plain *plain = request->entry->requests->plain;
+	int64_t left = time_left(request);
+	bool any;
+	uint64_t server;
+
+	if (left <= 0) {
+		request_fail(request, RESULT_DEADLINE, USEC_PER_SEC,
+			     "the deadline passed before a server was free");
+		return;
+	}
+	server = plain_pick(plain, request, &any);
+	request->state = REQUEST_CALLING;
+	if (server) {
+		plain_start(request, server);
+		return;
+	}
+	if (!any) {
+		request_fail(request, RESULT_NO_BACKEND, USEC_PER_SEC,
+			     "the service has no server to call");
+		return;
+	}
+	if (!plain_wait(plain, request)) {
+		request_fail(request, RESULT_QUEUE_FULL, USEC_PER_SEC,
+			     "the service's queue is full");
+		return;
+	}
+	timer_start(&request->timer, left);
+}
+
+/* A pause before another try is over, or the wait for a server is. */
+void plain_timer(struct request *request)
+{
+	struct plain *plain = request->entry->requests->plain;
+
+	if (!request->queued) {
+		plain_run(request);
+		return;
+	}
+	plain_unwait(plain, request);
+	request_fail(request, RESULT_DEADLINE, USEC_PER_SEC,
+		     "the deadline passed before a server was free");
+}
+
+/* Gives up whatever the request holds or waits for at the servers. */
+void plain_drop(struct request *request)
+{
+	plain_unwait(request->entry->requests->plain, request);
+	if (request->web_call) {
+		web_call_cancel(request->web_call);
+		request->web_call = NULL;
+		request->reached = true;
+	}
+	server_put(request, PLAIN_UNKNOWN);
+}
+
+/*
+ * All callers have gone. A call with a key that was sent or claimed goes on:
+ * its caller will ask again and is then given the answer. Others are ended.
+ */
+void plain_cancel(struct request *request)
+{
+	if (request->key && (request->web_call || !request->idempotent))
+		return;
+	plain_drop(request);
+	request_release(request,
+			request->reached ? RELEASE_FAILED : RELEASE_NOT_RUN);
+	request_destroy(request);
+}
--- /dev/null
+++ b/entry/request_start.c
@@ -0,0 +1,163 @@
+/* From a request that was read to one that runs: limits, home, claim. */
+#include <string.h>
+
+#include "common/log.h"
+#include "entry/request.h"
+
+#define CLAIM_TIMEOUT_USEC (3 * USEC_PER_SEC)
+#define RETRY_SOON_USEC USEC_PER_SEC
+#define ASK_AGAIN_USEC (100 * USEC_PER_MSEC)
+
+static int64_t target_time(const struct request *request)
+{
+	uint32_t ms = request->service.targets[request->class].first_token_ms;
+
+	return ms ? request->arrived + ms * USEC_PER_MSEC : CLOCK_NEVER;
+}
+
+static void request_ask(struct request *request)
+{
+	struct ledger_request ask = {
+		.request = request->id,
+		.service = request->service.name,
+		.key = request->key,
+		.fingerprint = request->fingerprint,
+		.idempotent = request->idempotent,
+		.need =
+			{
+				.id = request->id,
+				.class = request->class,
+				.arrived = request->arrived,
+				.deadline = request->deadline,
+				.first_token_by = target_time(request),
+				.prompt_tokens = request->prompt_tokens,
+				.output_tokens_max = request->output_tokens_max,
+				.organisation = request->organisation,
+				.block_count = request->block_count,
+			},
+	};
+
+	memcpy(ask.need.blocks, request->blocks, sizeof(ask.need.blocks));
+	request->state = REQUEST_ASKING;
+	ledger_ask(request->entry->ledger, &ask);
+}
+
+void request_ask_later(struct request *request)
+{
+	request->state = REQUEST_PAUSED;
+	timer_start(&request->timer, ASK_AGAIN_USEC);
+}
+
+void request_start(struct request *request)
+{
+	struct entry *entry = request->entry;
+
+	if (entry->requests->active > entry->settings.requests_max) {
+		request_fail(request, RESULT_LIMITED, RETRY_SOON_USEC,
+			     "too many requests in flight at this instance");
+		return;
+	}
+	if (request->key && request_join_local(request))
+		return;
+	requests_count_request(request);
+	if (request->service.kind == SERVICE_PLAIN && !request->key) {
+		plain_run(request);
+		return;
+	}
+	request_ask(request);
+}
+
+void request_claim(struct request *request)
+{
+	request->state = REQUEST_CLAIMING;
+	claims_take(request->entry->claims, request->id, request->key,
+		    CLAIM_TIMEOUT_USEC);
+}
+
+/* Plain services claim later, when a place at a server is held. */
+void request_granted(struct request *request)
+{
+	request_own_key(request);
+	if (request->service.kind == SERVICE_PLAIN) {
+		plain_run(request);
+		return;
+	}
+	if (request->idempotent || !request->key || request->claimed) {
+		model_run(request);
+		return;
+	}
+	request_claim(request);
+}
+
+static void claim_won(struct request *request)
+{
+	request->claimed = true;
+	if (request->service.kind == SERVICE_PLAIN)
+		plain_call(request);
+	else
+		model_run(request);
+}
+
+/* Another instance holds the claim: its answer, when it can be had. */
+static void claim_lost(struct request *request, const struct owner *winner)
+{
+	const struct membership *members = request->entry->membership;
+	const struct member *peer =
+		winner ? membership_find(members, winner->instance) : NULL;
+
+	plain_drop(request);
+	if (!peer || peer == membership_self(members) ||
+	    peer->state == MEMBER_DEAD ||
+	    peer->incarnation != winner->incarnation) {
+		request_fail(request, RESULT_ALREADY_CLAIMED, 0,
+			     "a request with this key was claimed before");
+		return;
+	}
+	request_release(request, RELEASE_NOT_RUN);
+	request_join_peer(request, peer);
+}
+
+void request_claimed(struct request *request, enum result_code code,
+		     const struct owner *winner)
+{
+	if (request->state == REQUEST_CANCELLING) {
+		request_release(request, RELEASE_NOT_RUN);
+		request_destroy(request);
+		return;
+	}
+	if (request->state != REQUEST_CLAIMING)
+		return;
+	if (code == RESULT_OK) {
+		claim_won(request);
+		return;
+	}
+	if (code == RESULT_ALREADY_CLAIMED) {
+		claim_lost(request, winner);
+		return;
+	}
+	request_fail(request, code, RETRY_SOON_USEC,
+		     "the claim could not be decided; nothing was run");
+}
+
+/* What the one timer of a request is for depends on its state. */
+void request_timer(struct timer *timer, void *ctx)
+{
+	struct request *request = ctx;
+
+	switch (request->state) {
+	case REQUEST_KEPT:
+		request_destroy(request);
+		return;
+	case REQUEST_PAUSED:
+		if (request->granted || request->attempts)
+			model_again(request);
+		else
+			request_ask(request);
+		return;
+	case REQUEST_CALLING:
+		plain_timer(request);
+		return;
+	default:
+		model_timer(request);
+	}
+}
--- /dev/null
+++ b/include/common/hex.h
@@ -0,0 +1,19 @@
+/*
+ * hex.h - 64-bit identifiers as 16 lower-case hexadecimal digits
+ */
+#ifndef COMMON_HEX_H
+#define COMMON_HEX_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#define HEX_ID_SIZE 17
+
+/* Writes the digits and a NUL into text, which holds HEX_ID_SIZE; returns it.
+ */
+char *hex_id(char *text, uint64_t id);
+/* Parses exactly 16 digits; false otherwise. */
+bool hex_parse(const char *text, size_t size, uint64_t *id);
+
+#endif
