standin: add an engine and a plain service on one loop each

Tests and demonstrations need the systems around the daemon. The engine's time, memory and batching are a model with no sockets, so that tests can run it on a paused clock; its HTTP face is thin. Prefill by priority, results held for a limited time, transfers that share both links fairly, memory in pieces, one step a token for the whole batch, resume, cancel, cache events, orders, faults and an exact ledger of wasted tokens are there. The plain service counts its runs by key.

--- /dev/null
+++ b/standin/engine.c
@@ -0,0 +1,47 @@
+/* Stands in for one model engine; see docs/design/standins.md. */
+#include <stdlib.h>
+
+#include "standin/backend.h"
+#include "standin/engine_http.h"
+#include "standin/engine_model.h"
+#include "standin/engine_settings.h"
+
+static void engine_told_to_leave(void *ctx)
+{
+	engine_leave(ctx);
+}
+
+static bool engine_finished(void *ctx)
+{
+	return engine_idle(ctx);
+}
+
+static const struct backend_ops backend_ops = {
+	.leave = engine_told_to_leave,
+	.idle = engine_finished,
+};
+
+int main(int argc, char **argv)
+{
+	struct engine_settings settings;
+	struct standin_backend backend;
+	struct registration_spec spec = {.kind = "runner"};
+	struct engine_model *model;
+	struct engine_http *http;
+
+	engine_settings_read(&settings, argc, argv);
+	if (!backend_open(&backend, "jtengine", settings.listen))
+		return EXIT_FAILURE;
+	model = engine_create(backend.clock, &settings.params);
+	http = engine_http_create(model, backend.server, backend.client);
+	spec.platform = settings.platform;
+	spec.name = settings.name;
+	spec.pool = settings.pool;
+	spec.data_centre = settings.data_centre;
+	backend_run(&backend, &spec, &backend_ops, model);
+	backend_close_server(&backend);
+	engine_destroy(model);
+	engine_http_destroy(http);
+	backend_close(&backend);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/standin/engine_stream.c
@@ -0,0 +1,306 @@
+#include "standin/engine_stream.h"
+
+#include <math.h>
+
+#include "common/table.h"
+
+/* Each further stream of a batch slows every step by this part. */
+#define BATCH_SLOWDOWN 0.02
+
+double stream_rate(const struct engine_model *model, uint32_t batch)
+{
+	double others = batch > 1 ? batch - 1 : 0;
+	double alone = model->params.decode_tokens_per_s;
+
+	return alone / ((1 + BATCH_SLOWDOWN * others) * engine_slowness(model));
+}
+
+/* The reader is forgotten before it is told, so that it may attach anew. */
+static void reader_cut(struct stream *s, const char *text)
+{
+	const struct stream_ops *ops = s->ops;
+
+	s->ops = NULL;
+	if (ops)
+		ops->cut(s->ctx, text);
+}
+
+static void stream_free(struct stream *s, const char *text)
+{
+	struct engine_model *model = s->model;
+
+	timer_stop(&s->hold_timer);
+	engine_link_stop(model->link, &s->transfer);
+	reader_cut(s, text);
+	if (!s->fetched)
+		s->gone(s->gone_ctx);
+	if (s->started && !s->done)
+		model->batch--;
+	model->pieces_used -= s->pieces;
+	table_remove(model->streams, s->handle);
+}
+
+static void stream_expired(struct timer *timer, void *ctx)
+{
+	stream_free(ctx, NULL);
+}
+
+static void reader_left(struct stream *s)
+{
+	int64_t resume_usec = s->model->params.resume_usec;
+
+	s->ops = NULL;
+	if (resume_usec > 0)
+		timer_start(&s->hold_timer, resume_usec);
+}
+
+/* Cuts the reader off when a fault says so; true when the stream is gone. */
+static bool reader_fault(struct stream *s, enum engine_fault fault)
+{
+	struct fault_set *faults = &s->model->faults;
+	int64_t after = fault_value(faults, fault);
+
+	if (after == 0 || s->delivered < after)
+		return false;
+	fault_take(faults, fault);
+	if (fault == ENGINE_LOSE_STREAM) {
+		stream_free(s, NULL);
+		return true;
+	}
+	reader_cut(s, NULL);
+	reader_left(s);
+	return false;
+}
+
+/* How many tokens the reader may get before a fault strikes. */
+static uint32_t reader_room(const struct stream *s)
+{
+	static const enum engine_fault limits[] = {ENGINE_DROP_STREAM,
+						   ENGINE_LOSE_STREAM};
+	int64_t room = UINT32_MAX;
+
+	for (unsigned int i = 0; i < G_N_ELEMENTS(limits); i++) {
+		int64_t after = fault_value(&s->model->faults, limits[i]);
+
+		if (after > 0)
+			room = MIN(room, MAX(after - s->delivered, 0));
+	}
+	return (uint32_t)room;
+}
+
+/* Tells the reader all there is; may free the stream. */
+static void stream_deliver(struct stream *s)
+{
+	uint32_t count;
+
+	if (!s->ops || !s->started)
+		return;
+	if (!s->told_started) {
+		s->told_started = true;
+		s->ops->started(s->ctx);
+	}
+	count = s->offset > s->sent ? s->offset - s->sent : 0;
+	count = MIN(count, reader_room(s));
+	if (count > 0 && !s->ops->tokens(s->ctx, s, s->sent, s->sent + count))
+		return;
+	s->sent += count;
+	s->delivered += count;
+	if (reader_fault(s, ENGINE_LOSE_STREAM))
+		return;
+	reader_fault(s, ENGINE_DROP_STREAM);
+	if (!s->ops || !s->done || s->sent < s->offset)
+		return;
+	s->ops->ended(s->ctx, s->length < s->job.output_max ? "stop" : "length",
+		      s->length);
+	s->ops = NULL;
+	stream_free(s, NULL);
+}
+
+static void step_start(struct engine_model *model)
+{
+	double usec = USEC_PER_SEC / stream_rate(model, model->batch);
+
+	if (model->batch > 0 && !timer_running(&model->step_timer))
+		timer_start(&model->step_timer, (int64_t)ceil(usec));
+}
+
+static void stream_finish(struct stream *s)
+{
+	s->done = true;
+	s->model->batch--;
+	engine_tally(s->model, s->job.request)->finished++;
+}
+
+/* One step of the batch: a token for each stream that runs. */
+static void step_done(struct timer *timer, void *ctx)
+{
+	struct engine_model *model = ctx;
+	uint32_t cursor = 0;
+	uint64_t handle;
+	struct stream *s;
+
+	while ((s = table_next(model->streams, &cursor, &handle))) {
+		if (!s->started)
+			continue;
+		if (!s->done) {
+			s->offset++;
+			model->ledger.tokens++;
+			if (s->offset >= s->length)
+				stream_finish(s);
+		}
+		stream_deliver(s);
+	}
+	step_start(model);
+}
+
+static void stream_begin(struct stream *s)
+{
+	struct engine_model *model = s->model;
+
+	if (!s->fetched || !s->moved)
+		return;
+	s->started = true;
+	model->batch++;
+	if (s->offset >= s->length)
+		stream_finish(s);
+	stream_deliver(s);
+	step_start(model);
+}
+
+static void stream_moved(void *ctx)
+{
+	struct stream *s = ctx;
+
+	s->moved = true;
+	stream_begin(s);
+}
+
+static void transfer_begin(struct stream *s)
+{
+	struct engine_model *model = s->model;
+	double bytes = s->job.prompt_tokens * model->params.kv_bytes_per_token;
+	bool stalled = fault_take(&model->faults, ENGINE_STALL_TRANSFER) != 0;
+
+	engine_link_start(model->link, &s->transfer,
+			  bytes * engine_slowness(model), stalled, stream_moved,
+			  s);
+}
+
+void stream_setup(struct engine_model *model)
+{
+	model->streams =
+		table_create(sizeof(struct stream), ENGINE_OBJECTS_MAX);
+	timer_init(&model->step_timer, model->clock, step_done, model);
+}
+
+struct stream *stream_reserve(struct engine_model *model,
+			      const struct engine_job *job, stream_gone_fn gone,
+			      void *gone_ctx, enum engine_refusal *refusal)
+{
+	uint64_t tokens = (uint64_t)job->prompt_tokens + job->output_max;
+	uint32_t pieces = engine_pieces(model, tokens);
+	struct stream *s = NULL;
+	uint64_t handle;
+
+	*refusal = engine_refusal(model, ENGINE_DECODE);
+	if (*refusal != ENGINE_ACCEPTED)
+		return NULL;
+	if ((uint64_t)model->pieces_used + pieces <= model->params.pieces &&
+	    table_count(model->streams) < model->params.slots)
+		s = table_add(model->streams, &handle);
+	if (!s) {
+		*refusal = ENGINE_FULL;
+		return NULL;
+	}
+	s->model = model;
+	s->handle = handle;
+	engine_name_write(model, 's', handle, s->name);
+	s->job = *job;
+	s->pieces = pieces;
+	s->offset = job->output_from;
+	s->gone = gone;
+	s->gone_ctx = gone_ctx;
+	model->pieces_used += pieces;
+	model->ledger.decodes++;
+	engine_tally(model, job->request)->decodes++;
+	timer_init(&s->hold_timer, model->clock, stream_expired, s);
+	transfer_begin(s);
+	return s;
+}
+
+void stream_fetched(struct stream *s, const struct engine_kv *kv)
+{
+	s->fetched = true;
+	s->prompt = kv->prompt;
+	s->length = MIN(kv->length, s->job.output_max);
+	stream_begin(s);
+}
+
+void stream_fail(struct stream *s, const char *text)
+{
+	s->fetched = true;
+	stream_free(s, text);
+}
+
+struct stream *stream_find(struct engine_model *model, const char *name)
+{
+	uint64_t handle = engine_name_read(model, 's', name);
+
+	return table_get(model->streams, handle);
+}
+
+bool stream_attach(struct stream *s, uint32_t offset, bool first,
+		   const struct stream_ops *ops, void *ctx)
+{
+	if (offset < s->job.output_from)
+		return false;
+	timer_stop(&s->hold_timer);
+	reader_cut(s, NULL);
+	s->ops = ops;
+	s->ctx = ctx;
+	s->told_started = !first;
+	s->sent = offset;
+	s->delivered = 0;
+	stream_deliver(s);
+	return true;
+}
+
+void stream_detach(struct stream *s, const void *ctx)
+{
+	if (s->ops && s->ctx == ctx)
+		reader_left(s);
+}
+
+uint32_t stream_cancel(struct stream *s)
+{
+	uint32_t pieces = s->pieces;
+
+	if (!s->done)
+		engine_tally(s->model, s->job.request)->cancelled++;
+	stream_free(s, NULL);
+	return pieces;
+}
+
+uint32_t stream_count_waiting(const struct engine_model *model)
+{
+	const struct stream *s;
+	uint32_t cursor = 0;
+	uint32_t count = 0;
+	uint64_t handle;
+
+	while ((s = table_next(model->streams, &cursor, &handle)))
+		count += !s->started;
+	return count;
+}
+
+void stream_teardown(struct engine_model *model)
+{
+	struct stream *s;
+	uint32_t cursor = 0;
+	uint64_t handle;
+
+	timer_stop(&model->step_timer);
+	while ((s = table_next(model->streams, &cursor, &handle)))
+		stream_free(s, NULL);
+	table_destroy(model->streams);
+}
--- /dev/null
+++ b/standin/service.c
@@ -0,0 +1,305 @@
+/* Stands in for a plain service; see docs/design/standins.md. */
+#include <argp.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "standin/backend.h"
+#include "standin/fault.h"
+#include "standin/reply.h"
+#include "web/server.h"
+
+enum service_fault {
+	SERVICE_REFUSE,
+	SERVICE_LOSE_ANSWER,
+	SERVICE_SLOW,
+	SERVICE_LATE_ANSWER,
+	SERVICE_FAIL,
+	SERVICE_LEAVING,
+	SERVICE_HANG,
+};
+
+static const char *const fault_names[] = {
+	[SERVICE_REFUSE] = "refuse", [SERVICE_LOSE_ANSWER] = "lose_answer",
+	[SERVICE_SLOW] = "slow",     [SERVICE_LATE_ANSWER] = "late_answer",
+	[SERVICE_FAIL] = "fail",     [SERVICE_LEAVING] = "leaving",
+	[SERVICE_HANG] = "hang",     NULL,
+};
+
+struct settings {
+	const char *name;
+	const char *pool;
+	const char *data_centre;
+	const char *listen;
+	const char *platform;
+	int64_t work_usec;
+};
+
+struct service {
+	struct clock *clock;
+	int64_t work_usec;
+	struct fault_set faults;
+	bool leaving;
+	uint64_t runs;
+	GHashTable *keys; /* key -> runs, as a pointer-sized number */
+	uint32_t running;
+};
+
+/* A call that was run and whose answer is on its way. */
+struct run {
+	struct service *service;
+	struct web_request *request;
+	struct timer timer;
+	uint64_t number; /* of runs under its key, this one included */
+	bool failed;
+	bool lost;
+};
+
+static char *text_copy(struct web_text text)
+{
+	return g_strndup(text.data ? text.data : "", text.size);
+}
+
+/* Counts a run under its key and returns how many there were. */
+static uint64_t run_count(struct service *service,
+			  const struct web_request *request)
+{
+	struct web_text key = web_request_header(request, "idempotency-key");
+	gsize count;
+	char *name;
+
+	service->runs++;
+	if (!key.data)
+		key = web_request_header(request, "x-request-id");
+	if (!key.data)
+		return service->runs;
+	name = text_copy(key);
+	count = GPOINTER_TO_SIZE(g_hash_table_lookup(service->keys, name)) + 1;
+	g_hash_table_replace(service->keys, name, GSIZE_TO_POINTER(count));
+	return count;
+}
+
+static json_t *run_json(const struct run *run)
+{
+	struct web_text method = web_request_method(run->request);
+	struct web_text path = web_request_path(run->request);
+	struct web_text body = web_request_body(run->request);
+
+	return json_pack("{s:I, s:s%, s:s%, s:o?}", "ran",
+			 (json_int_t)run->number, "method", method.data,
+			 method.size, "path", path.data, path.size, "body",
+			 json_stringn(body.data ? body.data : "", body.size));
+}
+
+static void run_end(struct run *run)
+{
+	timer_stop(&run->timer);
+	run->service->running--;
+	g_free(run);
+}
+
+static void run_done(struct timer *timer, void *ctx)
+{
+	struct run *run = ctx;
+
+	if (run->lost)
+		web_reply_abort(run->request);
+	else if (run->failed)
+		reply_error(run->request, 500, "failed");
+	else
+		reply_json(run->request, 200, run_json(run));
+	run_end(run);
+}
+
+static void run_gone(void *ctx)
+{
+	run_end(ctx);
+}
+
+static void run_start(struct service *service, struct web_request *request)
+{
+	int64_t slow = fault_take(&service->faults, SERVICE_SLOW);
+	int64_t late = fault_take(&service->faults, SERVICE_LATE_ANSWER);
+	bool hangs = fault_take(&service->faults, SERVICE_HANG) != 0;
+	int64_t usec = service->work_usec * (slow ? slow : 1);
+	struct run *run = g_new0(struct run, 1);
+
+	usec += late * USEC_PER_MSEC;
+	run->service = service;
+	run->request = request;
+	run->number = run_count(service, request);
+	run->failed = fault_take(&service->faults, SERVICE_FAIL) != 0;
+	run->lost = fault_take(&service->faults, SERVICE_LOSE_ANSWER) != 0;
+	service->running++;
+	timer_init(&run->timer, service->clock, run_done, run);
+	if (usec == 0 && !hangs) {
+		run_done(&run->timer, run);
+		return;
+	}
+	web_request_on_gone(request, run_gone, run);
+	if (!hangs)
+		timer_start(&run->timer, usec);
+}
+
+static bool service_is_leaving(const struct service *service)
+{
+	return service->leaving ||
+	       fault_value(&service->faults, SERVICE_LEAVING) != 0;
+}
+
+static void handle_call(void *ctx, struct web_request *request)
+{
+	struct service *service = ctx;
+	const char *reason = NULL;
+
+	if (service_is_leaving(service))
+		reason = "leaving";
+	else if (fault_take(&service->faults, SERVICE_REFUSE))
+		reason = "full";
+	if (!reason) {
+		run_start(service, request);
+		return;
+	}
+	web_reply_header(request, "jt-not-run", "1");
+	reply_refused(request, reason);
+}
+
+static void handle_load(void *ctx, struct web_request *request)
+{
+	struct service *service = ctx;
+
+	reply_json(request, 200,
+		   json_pack("{s:b, s:I, s:I}", "leaving",
+			     service_is_leaving(service), "running",
+			     (json_int_t)service->running, "age_ms",
+			     (json_int_t)0));
+}
+
+static void handle_ledger(void *ctx, struct web_request *request)
+{
+	struct service *service = ctx;
+	json_t *keys = json_object();
+	GHashTableIter iter;
+	gpointer key;
+	gpointer count;
+
+	g_hash_table_iter_init(&iter, service->keys);
+	while (g_hash_table_iter_next(&iter, &key, &count))
+		json_object_set_new(
+			keys, key,
+			json_integer((json_int_t)GPOINTER_TO_SIZE(count)));
+	reply_json(request, 200,
+		   json_pack("{s:I, s:o}", "runs", (json_int_t)service->runs,
+			     "keys", keys));
+}
+
+static void handle_faults(void *ctx, struct web_request *request)
+{
+	struct service *service = ctx;
+
+	reply_fault(request, &service->faults);
+}
+
+static void service_told_to_leave(void *ctx)
+{
+	((struct service *)ctx)->leaving = true;
+}
+
+static bool service_finished(void *ctx)
+{
+	return ((struct service *)ctx)->running == 0;
+}
+
+static const struct backend_ops backend_ops = {
+	.leave = service_told_to_leave,
+	.idle = service_finished,
+};
+
+static const struct argp_option options[] = {
+	{"name", 'n', "NAME", 0, "name of the instance", 0},
+	{"pool", 'p', "NAME", 0, "its pool", 0},
+	{"data-centre", 'd', "NAME", 0, "its data centre", 0},
+	{"listen", 'l', "IP:PORT", 0, "own address; port 0 picks one", 0},
+	{"platform", 'P', "IP:PORT", 0, "register there", 0},
+	{"work-ms", 'w', "X", 0, "time that a call takes", 0},
+	{0},
+};
+
+static error_t option_parse(int key, char *arg, struct argp_state *state)
+{
+	struct settings *settings = state->input;
+	char *end;
+
+	switch (key) {
+	case 'n':
+		settings->name = arg;
+		return 0;
+	case 'p':
+		settings->pool = arg;
+		return 0;
+	case 'd':
+		settings->data_centre = arg;
+		return 0;
+	case 'l':
+		settings->listen = arg;
+		return 0;
+	case 'P':
+		settings->platform = arg;
+		return 0;
+	case 'w':
+		settings->work_usec =
+			(int64_t)(strtod(arg, &end) * USEC_PER_MSEC);
+		if (end == arg || *end || settings->work_usec < 0)
+			argp_error(state, "--work-ms: '%s' is no time", arg);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static void handlers_add(struct service *service, struct web_server *server)
+{
+	web_server_handle(server, "/", handle_call, service);
+	web_server_handle(server, "/-/load", handle_load, service);
+	web_server_handle(server, "/-/ledger", handle_ledger, service);
+	web_server_handle(server, "/-/faults", handle_faults, service);
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		.options = options,
+		.parser = option_parse,
+		.doc = "Stands in for one plain service in tests.",
+	};
+	struct settings settings = {
+		.name = "service",
+		.pool = "pool",
+		.data_centre = "local",
+		.listen = "127.0.0.1:0",
+	};
+	struct registration_spec spec = {.kind = "server"};
+	struct standin_backend backend;
+	struct service service = {0};
+
+	argp_program_version = "jtservice " JT_VERSION;
+	argp_parse(&argp, argc, argv, 0, NULL, &settings);
+	if (!backend_open(&backend, "jtservice", settings.listen))
+		return EXIT_FAILURE;
+	service.clock = backend.clock;
+	service.work_usec = settings.work_usec;
+	fault_init(&service.faults, fault_names);
+	service.keys =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	handlers_add(&service, backend.server);
+	spec.platform = settings.platform;
+	spec.name = settings.name;
+	spec.pool = settings.pool;
+	spec.data_centre = settings.data_centre;
+	backend_run(&backend, &spec, &backend_ops, &service);
+	backend_close_server(&backend);
+	backend_close(&backend);
+	g_hash_table_destroy(service.keys);
+	return EXIT_SUCCESS;
+}
