standin: add the platform

The daemon needs a log with offsets, a weight store and a list of instances to run against, with the faults that the real ones have.

--- /dev/null
+++ b/standin/platform_list.c
@@ -0,0 +1,156 @@
+#include <string.h>
+
+#include "standin/platform.h"
+#include "standin/reply.h"
+#include "web/server.h"
+
+#define INSTANCE_NAME_MAX 128
+
+/* A change that readers see once the lag has passed. */
+struct change {
+	int64_t at;
+	char *name;
+	json_t *instance; /* NULL: removed */
+};
+
+struct platform_list {
+	struct platform *platform;
+	json_t *shown; /* name to instance */
+	GQueue changes;
+};
+
+struct platform_list *platform_list_create(struct platform *platform)
+{
+	struct platform_list *list = g_new0(struct platform_list, 1);
+
+	list->platform = platform;
+	list->shown = json_object();
+	return list;
+}
+
+static void change_free(void *data)
+{
+	struct change *change = data;
+
+	json_decref(change->instance);
+	g_free(change->name);
+	g_free(change);
+}
+
+void platform_list_destroy(struct platform_list *list)
+{
+	if (list == NULL)
+		return;
+	g_queue_clear_full(&list->changes, change_free);
+	json_decref(list->shown);
+	g_free(list);
+}
+
+static int64_t list_lag(const struct platform *platform)
+{
+	int64_t fault = fault_value(&platform->faults, PLATFORM_LAG);
+
+	return fault > 0 ? fault * USEC_PER_MSEC
+			 : platform->settings.list_lag_usec;
+}
+
+static void list_catch_up(struct platform_list *list)
+{
+	int64_t seen =
+		clock_now(list->platform->clock) - list_lag(list->platform);
+	struct change *change;
+
+	while ((change = g_queue_peek_head(&list->changes)) != NULL &&
+	       change->at <= seen) {
+		if (change->instance != NULL)
+			json_object_set(list->shown, change->name,
+					change->instance);
+		else
+			json_object_del(list->shown, change->name);
+		change_free(g_queue_pop_head(&list->changes));
+	}
+}
+
+static void list_change(struct platform_list *list, const char *name,
+			json_t *instance)
+{
+	struct change *change = g_new0(struct change, 1);
+
+	change->at = clock_now(list->platform->clock);
+	change->name = g_strdup(name);
+	change->instance = instance;
+	g_queue_push_tail(&list->changes, change);
+}
+
+static void list_answer(struct platform_list *list, struct web_request *request)
+{
+	json_t *array = json_array();
+	const char *name;
+	json_t *instance;
+
+	list_catch_up(list);
+	json_object_foreach (list->shown, name, instance)
+		json_array_append(array, instance);
+	platform_answer(list->platform, request, 200,
+			json_pack("{s:o}", "instances", array), 0);
+}
+
+static bool one_of(const json_t *value, const char *const *choices)
+{
+	const char *text = json_string_value(value);
+
+	return text != NULL && g_strv_contains(choices, text);
+}
+
+static bool instance_ok(const json_t *json)
+{
+	static const char *const kinds[] = {"entry", "runner", "server", NULL};
+	static const char *const states[] = {"live", "leaving", NULL};
+	static const char *const texts[] = {"data_centre", "address",
+					    "incarnation"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		if (!json_is_string(json_object_get(json, texts[i])))
+			return false;
+	return one_of(json_object_get(json, "kind"), kinds) &&
+	       one_of(json_object_get(json, "state"), states);
+}
+
+static void list_put(struct platform_list *list, const char *name,
+		     struct web_request *request)
+{
+	json_t *json = request_json(request);
+
+	if (json == NULL)
+		return;
+	if (!instance_ok(json)) {
+		json_decref(json);
+		platform_answer_error(list->platform, request, 400,
+				      "not an instance");
+		return;
+	}
+	json_object_set_new(json, "name", json_string(name));
+	list_change(list, name, json);
+	platform_answer_effect(list->platform, request, 200, json_object());
+}
+
+void platform_list_handle(void *ctx, struct web_request *request)
+{
+	struct platform_list *list = ctx;
+	char name[INSTANCE_NAME_MAX];
+	bool named = request_tail(request, "/instances", name, sizeof(name));
+
+	if (platform_cut(list->platform, request))
+		return;
+	if (!named && request_is(request, "GET")) {
+		list_answer(list, request);
+	} else if (named && request_is(request, "PUT")) {
+		list_put(list, name, request);
+	} else if (named && request_is(request, "DELETE")) {
+		list_change(list, name, NULL);
+		platform_answer_effect(list->platform, request, 200,
+				       json_object());
+	} else {
+		platform_answer_error(list->platform, request, 405, "method");
+	}
+}
