load: add the load tool

Policies are compared by what callers see, so every call needs a check of its answer and of what really ran.

jtload run sends calls open loop (Poisson, or in bursts) from a YAML workload, checks each answer token by token against the model text, retries as a client would under the same key, hangs up on some, and at the end compares all with the ledgers of engines and plain services. jtload compare puts two reports side by side, jtload plot draws them.

--- a/include/entry/request.h
+++ b/include/entry/request.h
@@ -134,8 +134,7 @@
 	GQueue kept;	    /* oldest first */
 	uint64_t kept_bytes;
 	uint64_t next;
-	uint32_t active; /* not counting kept ones */
-	struct limits *limits;
+	uint32_t active;     /* not counting kept ones */
 	GHashTable *budgets; /* service's name -> struct retry_budget */
 	struct plain *plain;
 	struct counter *late_pieces;
--- /dev/null
+++ b/include/load/plan.h
@@ -0,0 +1,30 @@
+/*
+ * plan.h - one call as drawn from a workload: its kind, prompt, key and length
+ */
+#ifndef LOAD_PLAN_H
+#define LOAD_PLAN_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "load/workload.h"
+
+#define PLAN_KEY_MAX 64
+
+struct call_plan {
+	const struct load_kind *kind;
+	char key[PLAN_KEY_MAX]; /* unique in the run; sent if the kind says so
+				 */
+	char *text;		/* the prompt, or the body of a plain call */
+	uint64_t text_hash;
+	uint32_t prompt_tokens;
+	uint32_t output_tokens;
+	int64_t hang_up_usec; /* after the start; 0: never */
+};
+
+/* Draws the number-th call of the run. */
+struct call_plan *plan_draw(GRand *rand, const struct workload *workload,
+			    const char *run, uint64_t number);
+void plan_destroy(struct call_plan *plan);
+
+#endif
--- /dev/null
+++ b/include/load/tally.h
@@ -0,0 +1,35 @@
+/*
+ * tally.h - counts and latencies of the calls of one kind or class
+ *
+ * DESCRIPTION
+ *	Goodput is the share of calls that were answered whole and within every
+ *	target of their kind, out of those that we did not hang up on.
+ */
+#ifndef LOAD_TALLY_H
+#define LOAD_TALLY_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+#include "load/call.h"
+
+struct tally {
+	const char *name;
+	int64_t sent;
+	int64_t retried; /* further attempts */
+	int64_t good;
+	int64_t verdicts[CALL_VERDICTS];
+	GHashTable *codes;   /* result code to count, of calls not whole */
+	GArray *first_token; /* int64_t, microseconds */
+	GArray *between_tokens;
+	GArray *total;
+};
+
+void tally_init(struct tally *tally, const char *name);
+void tally_clear(struct tally *tally);
+void tally_add(struct tally *tally, const struct load_kind *kind,
+	       const struct call_result *result);
+json_t *tally_json(struct tally *tally);
+
+#endif
--- /dev/null
+++ b/load/answer.c
@@ -0,0 +1,232 @@
+#include "load/answer.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+
+#define BODY_MAX (16u << 20)
+#define EVENT_PREFIX "data: "
+
+void answer_init(struct answer *answer, const struct call_plan *plan,
+		 const struct clock *clock)
+{
+	*answer = (struct answer){
+		.plan = plan,
+		.clock = clock,
+		.buffer = g_string_new(NULL),
+		.gaps = g_array_new(FALSE, FALSE, sizeof(int64_t)),
+		.first_at = -1,
+		.retry_after = -1,
+		.outcome = OUTCOME_UNKNOWN,
+	};
+	text_check_init(&answer->check, plan->text_hash, plan->output_tokens);
+}
+
+void answer_clear(struct answer *answer)
+{
+	g_string_free(answer->buffer, TRUE);
+	g_array_free(answer->gaps, TRUE);
+}
+
+static bool text_is(struct web_text text, const char *other)
+{
+	return text.size == strlen(other) &&
+	       memcmp(text.data, other, text.size) == 0;
+}
+
+static bool outcome_parse(const char *text, enum outcome *outcome)
+{
+	for (int i = OUTCOME_NOT_RUN; text && i <= OUTCOME_RUN; i++) {
+		if (strcmp(outcome_label((enum outcome)i), text) != 0)
+			continue;
+		*outcome = (enum outcome)i;
+		return true;
+	}
+	return false;
+}
+
+static void header_take(struct answer *answer, const struct web_header *header)
+{
+	char *value = g_strndup(header->value.data, header->value.size);
+
+	if (text_is(header->name, "jt-request-id"))
+		g_strlcpy(answer->request_id, value, CALL_ID_MAX);
+	else if (text_is(header->name, "jt-result"))
+		answer->code = atoi(value);
+	else if (text_is(header->name, "retry-after"))
+		answer->retry_after = atoi(value);
+	else if (text_is(header->name, "jt-outcome"))
+		answer->outcome_told = outcome_parse(value, &answer->outcome);
+	else if (text_is(header->name, "content-type"))
+		answer->events = g_str_has_prefix(value, "text/event-stream");
+	g_free(value);
+}
+
+void answer_head(struct answer *answer, int status,
+		 const struct web_header *headers, size_t count)
+{
+	answer->status = status;
+	for (size_t i = 0; i < count; i++)
+		header_take(answer, &headers[i]);
+}
+
+static void tokens_count(struct answer *answer, uint32_t tokens)
+{
+	int64_t now = clock_now(answer->clock);
+	int64_t gap;
+
+	for (uint32_t i = 0; i < tokens; i++) {
+		gap = now - answer->last_at;
+		if (answer->first_at < 0)
+			answer->first_at = now;
+		else
+			g_array_append_val(answer->gaps, gap);
+		answer->last_at = now;
+	}
+}
+
+static void text_take(struct answer *answer, const char *text)
+{
+	if (text == NULL)
+		return;
+	if (answer->finished)
+		answer->check.wrong = true;
+	tokens_count(answer,
+		     text_check_feed(&answer->check, text, strlen(text)));
+}
+
+/* The text of a completion or of a chat completion, whole or in part. */
+static const char *choice_text(const json_t *json)
+{
+	json_t *choice = json_array_get(json_object_get(json, "choices"), 0);
+	json_t *text = json_object_get(choice, "text");
+
+	if (text == NULL)
+		text = json_object_get(json_object_get(choice, "delta"),
+				       "content");
+	if (text == NULL)
+		text = json_object_get(json_object_get(choice, "message"),
+				       "content");
+	return json_string_value(text);
+}
+
+static void error_take(struct answer *answer, const json_t *error)
+{
+	const char *outcome =
+		json_string_value(json_object_get(error, "outcome"));
+	int code = (int)json_integer_value(json_object_get(error, "code"));
+
+	if (code != 0)
+		answer->code = code;
+	if (outcome_parse(outcome, &answer->outcome))
+		answer->outcome_told = true;
+}
+
+static void event_take(struct answer *answer, const char *data, size_t size)
+{
+	json_t *json;
+	json_t *error;
+
+	if (size == strlen("[DONE]") && memcmp(data, "[DONE]", size) == 0) {
+		answer->check.wrong |= answer->finished;
+		answer->finished = true;
+		return;
+	}
+	json = json_loadb(data, size, 0, NULL);
+	error = json_object_get(json, "error");
+	if (error != NULL) {
+		answer->failed = true;
+		error_take(answer, error);
+	} else if (json == NULL) {
+		answer->check.wrong = true;
+	} else {
+		text_take(answer, choice_text(json));
+	}
+	json_decref(json);
+}
+
+static void events_take(struct answer *answer)
+{
+	GString *buffer = answer->buffer;
+	size_t prefix = strlen(EVENT_PREFIX);
+	char *line = buffer->str;
+	char *end;
+	size_t size;
+
+	while ((end = strchr(line, '\n')) != NULL) {
+		size = (size_t)(end - line);
+		if (size > prefix && memcmp(line, EVENT_PREFIX, prefix) == 0)
+			event_take(answer, line + prefix, size - prefix);
+		line = end + 1;
+	}
+	g_string_erase(buffer, 0, line - buffer->str);
+}
+
+void answer_body(struct answer *answer, const void *data, size_t size)
+{
+	if (answer->buffer->len + size > BODY_MAX) {
+		answer->check.wrong = true;
+		return;
+	}
+	g_string_append_len(answer->buffer, data, (gssize)size);
+	if (answer->status == 200 && answer->events)
+		events_take(answer);
+}
+
+/* A plain service echoes the body, and counts the runs under the key. */
+static bool echo_check(const struct answer *answer, const json_t *json)
+{
+	const struct load_kind *kind = answer->plan->kind;
+	const char *body = json_string_value(json_object_get(json, "body"));
+	int64_t ran = json_integer_value(json_object_get(json, "ran"));
+
+	if (ran < 1 || (kind->non_idempotent && ran != 1))
+		return false;
+	return body != NULL && strcmp(body, answer->plan->text) == 0;
+}
+
+static bool body_check(struct answer *answer)
+{
+	GString *buffer = answer->buffer;
+	json_t *json = json_loadb(buffer->str, buffer->len, 0, NULL);
+	bool ok;
+
+	if (answer->plan->kind->model != NULL) {
+		text_take(answer, choice_text(json));
+		ok = text_check_whole(&answer->check);
+	} else {
+		ok = echo_check(answer, json);
+	}
+	json_decref(json);
+	return ok;
+}
+
+static enum call_verdict refusal_verdict(struct answer *answer)
+{
+	GString *buffer = answer->buffer;
+	json_t *json = json_loadb(buffer->str, buffer->len, 0, NULL);
+	json_t *error = json_object_get(json, "error");
+
+	error_take(answer, error);
+	json_decref(json);
+	return CALL_REFUSED;
+}
+
+enum call_verdict answer_verdict(struct answer *answer, bool ok)
+{
+	if (answer->status != 0 && answer->status != 200)
+		return ok ? refusal_verdict(answer) : CALL_BROKEN;
+	if (answer->check.wrong)
+		return CALL_WRONG;
+	if (!ok || answer->failed || answer->status == 0)
+		return CALL_BROKEN;
+	if (answer->events != answer->plan->kind->stream)
+		return CALL_WRONG;
+	if (!answer->events)
+		return body_check(answer) ? CALL_WHOLE : CALL_WRONG;
+	if (!answer->finished)
+		return CALL_BROKEN;
+	return text_check_whole(&answer->check) ? CALL_WHOLE : CALL_WRONG;
+}
--- /dev/null
+++ b/load/check.c
@@ -0,0 +1,115 @@
+#include "load/check.h"
+
+#include "load/ledgers.h"
+
+#define EXAMPLES_MAX 5
+
+typedef bool (*check_fn)(const struct check_record *record,
+			 const struct ledgers *ledgers);
+
+static bool wrong_answer(const struct check_record *record,
+			 const struct ledgers *ledgers)
+{
+	return record->verdict == CALL_WRONG;
+}
+
+static bool lost(const struct check_record *record,
+		 const struct ledgers *ledgers)
+{
+	return record->verdict == CALL_BROKEN ||
+	       record->verdict == CALL_UNANSWERED;
+}
+
+static bool ran_though_refused(const struct check_record *record,
+			       const struct ledgers *ledgers)
+{
+	if (record->verdict != CALL_REFUSED || record->maybe_run ||
+	    record->outcome != OUTCOME_NOT_RUN)
+		return false;
+	if (record->kind->model == NULL)
+		return ledgers_key(ledgers, record->key) != 0;
+	return ledgers_request(ledgers, record->request_id, "prefills") +
+		       ledgers_request(ledgers, record->request_id,
+				       "decodes") !=
+	       0;
+}
+
+/* A booking that was answered ran once; any other at most once. */
+static bool booked_wrongly(const struct check_record *record,
+			   const struct ledgers *ledgers)
+{
+	int64_t runs;
+
+	if (!record->kind->non_idempotent || record->kind->model != NULL)
+		return false;
+	runs = ledgers_key(ledgers, record->key);
+	return runs > 1 || (record->verdict == CALL_WHOLE && runs != 1);
+}
+
+static bool finished_twice(const struct check_record *record,
+			   const struct ledgers *ledgers)
+{
+	return record->kind->model != NULL && record->request_id[0] != '\0' &&
+	       ledgers_request(ledgers, record->request_id, "finished") > 1;
+}
+
+static const struct {
+	const char *name;
+	check_fn broken_by;
+} checks[] = {
+	{"every answer is whole, its own and single", wrong_answer},
+	{"no call was lost", lost},
+	{"what was refused as not run did not run", ran_though_refused},
+	{"non-idempotent calls ran at most once", booked_wrongly},
+	{"no request was finished twice", finished_twice},
+};
+
+static json_t *check_json(const char *name, int64_t count, const char *examples)
+{
+	return json_pack("{s:s, s:b, s:I, s:s}", "name", name, "ok", count == 0,
+			 "broken", (json_int_t)count, "examples", examples);
+}
+
+static json_t *check_run(const char *name, check_fn broken_by,
+			 const GArray *records, const struct ledgers *ledgers)
+{
+	GString *examples = g_string_new(NULL);
+	int64_t count = 0;
+	json_t *json;
+
+	for (guint i = 0; i < records->len; i++) {
+		const struct check_record *record =
+			&g_array_index(records, struct check_record, i);
+
+		if (!broken_by(record, ledgers))
+			continue;
+		if (count++ < EXAMPLES_MAX)
+			g_string_append_printf(examples, "%s%s/%s",
+					       count > 1 ? " " : "",
+					       record->key, record->request_id);
+	}
+	json = check_json(name, count, examples->str);
+	g_string_free(examples, TRUE);
+	return json;
+}
+
+json_t *checks_run(const GArray *records, const struct ledgers *ledgers,
+		   bool *ok)
+{
+	json_t *all = json_array();
+	size_t at;
+	json_t *check;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(checks); i++)
+		json_array_append_new(all, check_run(checks[i].name,
+						     checks[i].broken_by,
+						     records, ledgers));
+	json_array_append_new(all, check_json("no engine memory stays held",
+					      ledgers_held(ledgers), ""));
+	json_array_append_new(all, check_json("every ledger was read",
+					      ledgers_unread(ledgers), ""));
+	*ok = true;
+	json_array_foreach (all, at, check)
+		*ok &= json_is_true(json_object_get(check, "ok"));
+	return all;
+}
--- /dev/null
+++ b/load/command_report.c
@@ -0,0 +1,118 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/error.h"
+#include "load/command.h"
+#include "load/report.h"
+
+struct plot_arguments {
+	const char *out;
+	char **files;
+	int file_count;
+};
+
+static int fail(const struct error *err)
+{
+	fprintf(stderr, "jtload: %s\n", err->text);
+	return EXIT_FAILURE;
+}
+
+int command_compare(int argc, char **argv)
+{
+	static const struct argp argp = {
+		.args_doc = "BEFORE.json AFTER.json",
+		.doc = "Puts two reports of jtload run side by side",
+	};
+	struct error err = {0};
+	json_t *before;
+	json_t *after;
+	GString *out;
+	int first;
+
+	argp_parse(&argp, argc, argv, ARGP_NO_ARGS, &first, NULL);
+	if (argc - first != 2) {
+		error_set(&err, RESULT_USAGE, "compare takes two reports");
+		return fail(&err);
+	}
+	before = report_read(argv[first], &err);
+	after = before != NULL ? report_read(argv[first + 1], &err) : NULL;
+	if (after != NULL) {
+		out = g_string_new(NULL);
+		report_compare(before, after, out);
+		fputs(out->str, stdout);
+		g_string_free(out, TRUE);
+	}
+	json_decref(before);
+	json_decref(after);
+	return after != NULL ? EXIT_SUCCESS : fail(&err);
+}
+
+static error_t plot_parse(int key, char *arg, struct argp_state *state)
+{
+	struct plot_arguments *arguments = state->input;
+
+	switch (key) {
+	case 'o':
+		arguments->out = arg;
+		return 0;
+	case ARGP_KEY_ARGS:
+		arguments->files = state->argv + state->next;
+		arguments->file_count = state->argc - state->next;
+		return 0;
+	case ARGP_KEY_NO_ARGS:
+		argp_error(state, "no report");
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static bool plot_write(const char *file, json_t *const *reports, size_t count,
+		       struct error *err)
+{
+	GString *out = g_string_new(NULL);
+	GError *error = NULL;
+	bool ok;
+
+	report_plot(reports, count, out);
+	ok = g_file_set_contents(file, out->str, (gssize)out->len, &error);
+	if (!ok) {
+		error_set(err, RESULT_IO, "%s", error->message);
+		g_error_free(error);
+	}
+	g_string_free(out, TRUE);
+	return ok;
+}
+
+int command_plot(int argc, char **argv)
+{
+	static const struct argp_option options[] = {
+		{"out", 'o', "FILE", 0, "Where to write the SVG", 0},
+		{0},
+	};
+	static const struct argp argp = {
+		.options = options,
+		.parser = plot_parse,
+		.args_doc = "REPORT.json...",
+		.doc = "Draws reports of jtload run as an SVG",
+	};
+	struct plot_arguments arguments = {.out = "report.svg"};
+	struct error err = {0};
+	json_t **reports;
+	bool ok = true;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	reports = g_new0(json_t *, (gsize)arguments.file_count);
+	for (int i = 0; ok && i < arguments.file_count; i++) {
+		reports[i] = report_read(arguments.files[i], &err);
+		ok = reports[i] != NULL;
+	}
+	if (ok)
+		ok = plot_write(arguments.out, reports,
+				(size_t)arguments.file_count, &err);
+	for (int i = 0; i < arguments.file_count; i++)
+		json_decref(reports[i]);
+	g_free(reports);
+	return ok ? EXIT_SUCCESS : fail(&err);
+}
