--- a/common/error.c
+++ b/common/error.c
@@ -1,5 +1,6 @@
 #include "common/error.h"
 
+#include <glib.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
@@ -41,7 +42,7 @@
 		return false;
 	e->code = code;
 	va_start(args, fmt);
-	vsnprintf(e->text, sizeof(e->text), fmt, args);
+	g_vsnprintf(e->text, sizeof(e->text), fmt, args);
 	va_end(args);
 	return false;
 }
@@ -55,7 +56,7 @@
 	if (!e)
 		return false;
 	va_start(args, fmt);
-	vsnprintf(text, ERROR_TEXT_MAX, fmt, args);
+	g_vsnprintf(text, ERROR_TEXT_MAX, fmt, args);
 	va_end(args);
 	used = strlen(text);
 	snprintf(text + used, sizeof(text) - used, ": %s", e->text);
--- a/common/frame.c
+++ b/common/frame.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/error.h"
+#include "common/unpack.h"
 
 /* The most that an array header, or a channel and a payload header, take. */
 #define ARRAY_HEADER_MAX 5u
@@ -133,11 +134,10 @@
 			size_t size, struct error *err)
 {
 	const msgpack_object_array *array;
-	size_t used = 0;
 
-	if (msgpack_unpack_next(&reader->unpacked, data, size, &used) !=
-		    MSGPACK_UNPACK_SUCCESS ||
-	    used != size || !body_valid(&reader->unpacked.data))
+	if (!message_unpack(&reader->unpacked, data, size, err))
+		return error_prefix(err, "frame");
+	if (!body_valid(&reader->unpacked.data))
 		return error_set(err, RESULT_BAD_MESSAGE,
 				 "frame of %zu bytes is malformed", size);
 	array = &reader->unpacked.data.via.array;
--- /dev/null
+++ b/common/unpack.c
@@ -0,0 +1,126 @@
+#include "common/unpack.h"
+
+#include <stdint.h>
+
+#include "common/error.h"
+
+enum item_kind {
+	ITEM_RESERVED,
+	ITEM_BYTES, /* followed by size bytes */
+	ITEM_ARRAY, /* followed by size items */
+	ITEM_MAP,   /* followed by size pairs of items */
+};
+
+struct item {
+	enum item_kind kind;
+	uint8_t length_bytes; /* of the length that follows the first byte */
+	uint8_t extra;	      /* bytes besides that length */
+};
+
+/* The MessagePack specification's formats 0xc0 to 0xdf. */
+static const struct item formats[32] = {
+	{ITEM_BYTES, 0, 0},    /* nil */
+	{ITEM_RESERVED, 0, 0}, /* never used */
+	{ITEM_BYTES, 0, 0},    /* false */
+	{ITEM_BYTES, 0, 0},    /* true */
+	{ITEM_BYTES, 1, 0},    /* bin 8 */
+	{ITEM_BYTES, 2, 0},    /* bin 16 */
+	{ITEM_BYTES, 4, 0},    /* bin 32 */
+	{ITEM_BYTES, 1, 1},    /* ext 8 */
+	{ITEM_BYTES, 2, 1},    /* ext 16 */
+	{ITEM_BYTES, 4, 1},    /* ext 32 */
+	{ITEM_BYTES, 0, 4},    /* float 32 */
+	{ITEM_BYTES, 0, 8},    /* float 64 */
+	{ITEM_BYTES, 0, 1},    /* uint 8 */
+	{ITEM_BYTES, 0, 2},    /* uint 16 */
+	{ITEM_BYTES, 0, 4},    /* uint 32 */
+	{ITEM_BYTES, 0, 8},    /* uint 64 */
+	{ITEM_BYTES, 0, 1},    /* int 8 */
+	{ITEM_BYTES, 0, 2},    /* int 16 */
+	{ITEM_BYTES, 0, 4},    /* int 32 */
+	{ITEM_BYTES, 0, 8},    /* int 64 */
+	{ITEM_BYTES, 0, 2},    /* fixext 1 */
+	{ITEM_BYTES, 0, 3},    /* fixext 2 */
+	{ITEM_BYTES, 0, 5},    /* fixext 4 */
+	{ITEM_BYTES, 0, 9},    /* fixext 8 */
+	{ITEM_BYTES, 0, 17},   /* fixext 16 */
+	{ITEM_BYTES, 1, 0},    /* str 8 */
+	{ITEM_BYTES, 2, 0},    /* str 16 */
+	{ITEM_BYTES, 4, 0},    /* str 32 */
+	{ITEM_ARRAY, 2, 0},    /* array 16 */
+	{ITEM_ARRAY, 4, 0},    /* array 32 */
+	{ITEM_MAP, 2, 0},      /* map 16 */
+	{ITEM_MAP, 4, 0},      /* map 32 */
+};
+
+/* The format of a first byte; size holds a length that is in the byte. */
+static struct item item_format(uint8_t byte, uint64_t *size)
+{
+	*size = 0;
+	if (byte < 0x80 || byte >= 0xe0)
+		return (struct item){ITEM_BYTES, 0, 0};
+	if (byte >= 0xc0)
+		return formats[byte - 0xc0];
+	if (byte >= 0xa0) {
+		*size = byte & 0x1f;
+		return (struct item){ITEM_BYTES, 0, 0};
+	}
+	*size = byte & 0x0f;
+	return (struct item){byte >= 0x90 ? ITEM_ARRAY : ITEM_MAP, 0, 0};
+}
+
+/* Measures one item's own bytes and the items that it holds; false when it
+ * does not fit into size. */
+static bool item_measure(const uint8_t *data, size_t size, size_t *used,
+			 uint64_t *holds)
+{
+	uint64_t length;
+	struct item item = item_format(data[0], &length);
+
+	if (item.kind == ITEM_RESERVED || item.length_bytes >= size)
+		return false;
+	for (uint8_t i = 0; i < item.length_bytes; i++)
+		length = length << 8 | data[1 + i];
+	*used = (size_t)1 + item.length_bytes;
+	*holds = 0;
+	if (item.kind == ITEM_ARRAY)
+		*holds = length;
+	else if (item.kind == ITEM_MAP)
+		*holds = 2 * length;
+	else if (length + item.extra > size - *used)
+		return false;
+	else
+		*used += length + item.extra;
+	return true;
+}
+
+/* Each item takes a byte at least, so as many may be due as bytes are left. */
+static bool message_measure(const uint8_t *data, size_t size)
+{
+	uint64_t due = 1;
+
+	while (due && due <= size) {
+		uint64_t holds;
+		size_t used;
+
+		if (!item_measure(data, size, &used, &holds))
+			return false;
+		data += used;
+		size -= used;
+		due += holds - 1;
+	}
+	return !due && !size;
+}
+
+bool message_unpack(msgpack_unpacked *result, const void *data, size_t size,
+		    struct error *err)
+{
+	size_t used = 0;
+
+	if (data && message_measure(data, size) &&
+	    msgpack_unpack_next(result, data, size, &used) ==
+		    MSGPACK_UNPACK_SUCCESS)
+		return true;
+	return error_set(err, RESULT_BAD_MESSAGE,
+			 "%zu bytes are no one MessagePack value", size);
+}
--- a/entry/request_start.c
+++ b/entry/request_start.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "coord/limit.h"
 #include "entry/request.h"
 
 #define CLAIM_TIMEOUT_USEC (3 * USEC_PER_SEC)
@@ -48,9 +49,42 @@
 	timer_start(&request->timer, ASK_AGAIN_USEC);
 }
 
+static uint32_t instances_alive(const struct entry *entry)
+{
+	const struct member *member;
+	uint32_t cursor = 0;
+	uint32_t count = 0;
+
+	while ((member = membership_next(entry->membership, &cursor)))
+		if (member->state == MEMBER_ALIVE ||
+		    member->state == MEMBER_SUSPECT)
+			count++;
+	return count;
+}
+
+/* The rates of the organisation and of the whole service. */
+static bool request_allowed(const struct request *request, int64_t *retry_after)
+{
+	const struct config_service *service = &request->service;
+	struct limits *limits = request->entry->requests->limits;
+	int64_t now = clock_now(request->entry->clock);
+	uint64_t all = id_of(service->name);
+	uint32_t sharers;
+
+	if (!service->organisation_requests_per_s && !service->requests_per_s)
+		return true;
+	sharers = instances_alive(request->entry);
+	return limit_take(limits, now, id_mix(all, request->organisation),
+			  service->organisation_requests_per_s, sharers,
+			  retry_after) &&
+	       limit_take(limits, now, all, service->requests_per_s, sharers,
+			  retry_after);
+}
+
 void request_start(struct request *request)
 {
 	struct entry *entry = request->entry;
+	int64_t retry_after = 0;
 
 	if (entry->requests->active > entry->settings.requests_max) {
 		request_fail(request, RESULT_LIMITED, RETRY_SOON_USEC,
@@ -59,6 +93,12 @@
 	}
 	if (request->key && request_join_local(request))
 		return;
+	if (!request_allowed(request, &retry_after)) {
+		request_fail(request, RESULT_LIMITED, retry_after,
+			     "over the rate allowed to the organisation or the "
+			     "service");
+		return;
+	}
 	requests_count_request(request);
 	if (request->service.kind == SERVICE_PLAIN && !request->key) {
 		plain_run(request);
--- a/entry/requests.c
+++ b/entry/requests.c
@@ -5,6 +5,7 @@
 
 #include "common/hex.h"
 #include "common/log.h"
+#include "coord/limit.h"
 #include "coord/retry.h"
 #include "entry/plain.h"
 #include "entry/request.h"
@@ -28,6 +29,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&requests->kept);
 	requests->plain = plain_create(entry);
+	requests->limits = limits_create(0);
 	requests->late_pieces =
 		counter(entry, "jt_late_pieces_total",
 			"Pieces of answers dropped: out of turn or too late");
@@ -56,6 +58,7 @@
 		request_discard(request);
 	}
 	plain_destroy(requests->plain);
+	limits_destroy(requests->limits);
 	g_hash_table_unref(requests->by_id);
 	g_hash_table_unref(requests->by_key);
 	g_hash_table_unref(requests->budgets);
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -6,7 +6,7 @@
  *	argument and returns false, NULL or a negative number when it filled
  *	it. A NULL pointer is allowed and drops the detail. Codes are stable:
  *	a number is never given a second meaning. docs/ERRORS.md lists them,
- *	and tests/test_error.c checks that page against this header.
+ *	and tests/common/test_error.c checks that page against this header.
  */
 #ifndef COMMON_ERROR_H
 #define COMMON_ERROR_H
--- a/include/entry/request.h
+++ b/include/entry/request.h
@@ -134,7 +134,8 @@
 	GQueue kept;	    /* oldest first */
 	uint64_t kept_bytes;
 	uint64_t next;
-	uint32_t active;     /* not counting kept ones */
+	uint32_t active; /* not counting kept ones */
+	struct limits *limits;
 	GHashTable *budgets; /* service's name -> struct retry_budget */
 	struct plain *plain;
 	struct counter *late_pieces;
--- /dev/null
+++ b/tests/common/fuzz_frame.c
@@ -0,0 +1,127 @@
+/*
+ * Feeds bytes to a frame reader, whole and in pieces: both ways must deliver
+ * the same. With clang's -fsanitize=fuzzer and -DFUZZ_ENGINE this is a fuzz
+ * target; as a test it replays tests/common/seeds and seeded mutations.
+ */
+#include <glib.h>
+#include <stdint.h>
+#include <string.h>
+
+#include "common/frame.h"
+#include "common/id.h"
+
+#define MUTATIONS 5000
+
+struct digest {
+	uint64_t value;
+	uint64_t messages;
+};
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void digest_message(void *ctx, enum channel channel, const void *payload,
+			   size_t size)
+{
+	struct digest *digest = ctx;
+
+	digest->messages++;
+	digest->value = id_mix(digest->value, (uint64_t)channel);
+	digest->value = id_mix(digest->value, id_hash(payload, size));
+}
+
+/* Returns whether the bytes are sound; step 0 feeds them at once. */
+static bool feed(const uint8_t *data, size_t size, size_t step,
+		 struct digest *digest)
+{
+	struct frame_reader *reader =
+		frame_reader_create(digest_message, digest);
+	bool sound = true;
+
+	if (!step)
+		step = size + 1;
+	for (size_t i = 0; i < size && sound; i += step)
+		sound = frame_reader_feed(reader, data + i, MIN(step, size - i),
+					  NULL);
+	frame_reader_destroy(reader);
+	return sound;
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct digest whole = {0}, pieces = {0};
+	bool sound = feed(data, size, 0, &whole);
+
+	g_assert_cmpint(feed(data, size, 3, &pieces), ==, sound);
+	g_assert_cmpuint(whole.value, ==, pieces.value);
+	return 0;
+}
+
+#ifndef FUZZ_ENGINE
+static void mutate(GByteArray *bytes)
+{
+	int edits = g_test_rand_int_range(1, 6);
+
+	for (int i = 0; i < edits && bytes->len; i++) {
+		guint at = (guint)g_test_rand_int_range(0, (gint32)bytes->len);
+		guint8 byte = (guint8)g_test_rand_int_range(0, 256);
+
+		switch (g_test_rand_int_range(0, 4)) {
+		case 0:
+			bytes->data[at] = byte;
+			break;
+		case 1:
+			bytes->data[at] ^= (guint8)(1u << (byte & 7));
+			break;
+		case 2:
+			g_byte_array_remove_index(bytes, at);
+			break;
+		default:
+			g_byte_array_append(bytes, &byte, 1);
+			break;
+		}
+	}
+}
+
+static void test_seed(const void *data)
+{
+	struct digest digest = {0};
+	char *text = NULL;
+	gsize size = 0;
+
+	g_assert_true(g_file_get_contents(data, &text, &size, NULL));
+	feed((const uint8_t *)text, size, 0, &digest);
+	/* Seeds named bad-* deliver nothing, all others something. */
+	g_assert_cmpint(digest.messages != 0, ==,
+			strstr(data, "/bad-") == NULL);
+	for (int i = 0; i < MUTATIONS; i++) {
+		GByteArray *bytes = g_byte_array_new();
+
+		g_byte_array_append(bytes, (const guint8 *)text, (guint)size);
+		if (i)
+			mutate(bytes);
+		LLVMFuzzerTestOneInput(bytes->data, bytes->len);
+		g_byte_array_unref(bytes);
+	}
+	g_free(text);
+}
+
+int main(int argc, char **argv)
+{
+	const char *folder = SOURCE_ROOT "/tests/common/seeds";
+	const char *name;
+	GDir *dir;
+
+	g_test_init(&argc, &argv, NULL);
+	dir = g_dir_open(folder, 0, NULL);
+	g_assert_nonnull(dir);
+	while ((name = g_dir_read_name(dir))) {
+		char *test = g_strdup_printf("/fuzz/frame/%s", name);
+		char *path = g_build_filename(folder, name, NULL);
+
+		g_test_add_data_func_full(test, path, test_seed, g_free);
+		g_free(test);
+	}
+	g_dir_close(dir);
+	return g_test_run();
+}
+#endif
--- /dev/null
+++ b/tests/common/test_error.c
@@ -0,0 +1,99 @@
+/* The result codes, and docs/ERRORS.md against the header. */
+#include <glib.h>
+#include <string.h>
+
+#include "common/error.h"
+
+static const enum result_code codes[] = {
+#define X(name, number, label, outcome, status) name,
+	RESULT_CODES(X)
+#undef X
+};
+
+static char *doc_read(void)
+{
+	char *text = NULL;
+
+	g_assert_true(g_file_get_contents(SOURCE_ROOT "/docs/ERRORS.md", &text,
+					  NULL, NULL));
+	return text;
+}
+
+/* Counts lines that begin like a row with a number. */
+static size_t doc_rows(const char *text)
+{
+	size_t count = 0;
+
+	for (; text; text = strchr(text, '\n')) {
+		text += *text == '\n';
+		if (g_str_has_prefix(text, "| ") && g_ascii_isdigit(text[2]))
+			count++;
+	}
+	return count;
+}
+
+static void test_doc(void)
+{
+	char *text = doc_read();
+
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+		enum result_code code = codes[i];
+		char *row = g_strdup_printf("\n| %d | `%s` | `%s` | %d | ",
+					    (int)code, result_label(code),
+					    outcome_label(result_outcome(code)),
+					    result_status(code));
+
+		if (!strstr(text, row))
+			g_error("docs/ERRORS.md lacks: %s", row + 1);
+		g_free(row);
+	}
+	g_assert_cmpuint(doc_rows(text), ==, G_N_ELEMENTS(codes));
+	g_free(text);
+}
+
+/* A refusal with no effect may never be taken for a success. */
+static void test_codes(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(codes); i++) {
+		enum result_code code = codes[i];
+
+		g_assert_cmpstr(result_label(code), !=, "unknown");
+		if (code != RESULT_OK)
+			g_assert_cmpint(result_status(code), >=, 400);
+		for (size_t j = 0; j < i; j++) {
+			g_assert_cmpint(codes[j], !=, code);
+			g_assert_cmpstr(result_label(codes[j]), !=,
+					result_label(code));
+		}
+	}
+	g_assert_cmpstr(result_label((enum result_code)999), ==, "unknown");
+	g_assert_cmpint(result_outcome((enum result_code)999), ==,
+			OUTCOME_UNKNOWN);
+}
+
+static void test_text(void)
+{
+	char big[2 * ERROR_TEXT_MAX];
+	struct error err;
+
+	g_assert_false(error_set(&err, RESULT_IO, "port %d", 80));
+	g_assert_false(error_prefix(&err, "listen %s", "a"));
+	g_assert_cmpstr(err.text, ==, "listen a: port 80");
+	g_assert_cmpint(err.code, ==, RESULT_IO);
+	memset(big, 'x', sizeof(big) - 1);
+	big[sizeof(big) - 1] = '\0';
+	error_set(&err, RESULT_IO, "%s", big);
+	error_prefix(&err, "%s", big);
+	g_assert_cmpuint(strlen(err.text), ==, ERROR_TEXT_MAX - 1);
+	g_assert_false(error_set(NULL, RESULT_IO, "dropped"));
+	g_assert_false(error_prefix(NULL, "dropped"));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/error/doc", test_doc);
+	g_test_add_func("/error/codes", test_codes);
+	g_test_add_func("/error/text", test_text);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/common/test_log.c
@@ -0,0 +1,104 @@
+/* The text of log lines. */
+#include <glib.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "common/log.h"
+
+static const struct {
+	const char *name;
+	const char *value;
+	const char *text;
+} quoting[] = {
+	{"plain", "10.0.0.1:80", "10.0.0.1:80"},
+	{"empty", "", "\"\""},
+	{"null", NULL, "\"\""},
+	{"space", "a b", "\"a b\""},
+	{"quote", "a\"b", "\"a\\\"b\""},
+	{"backslash", "a\\b", "\"a\\\\b\""},
+	{"equals", "a=b", "\"a=b\""},
+	{"newline", "a\nevent=forged", "\"a\\nevent=forged\""},
+	{"tab", "a\tb", "\"a\\tb\""},
+	{"control", "\x1b[0m\x7f", "\"\\x1b[0m\\x7f\""},
+	{"utf8", "\xc3\xa5", "\xc3\xa5"},
+};
+
+static void test_quoting(void)
+{
+	log_setup(NULL, NULL, LOG_DEBUG);
+	for (size_t i = 0; i < G_N_ELEMENTS(quoting); i++) {
+		struct log_field fields[] = {LOG_S("k", quoting[i].value),
+					     {.kind = LOG_KIND_END}};
+		GString *line = g_string_new(NULL);
+		char *want = g_strdup_printf(
+			"<6>time=0 level=info event=e k=%s\n", quoting[i].text);
+
+		log_format(line, LOG_INFO, "e", fields);
+		g_test_message("%s", quoting[i].name);
+		g_assert_cmpstr(line->str, ==, want);
+		g_string_free(line, TRUE);
+		g_free(want);
+	}
+}
+
+static void test_line(void)
+{
+	struct clock *clock = clock_create(1700000000 * USEC_PER_SEC);
+	struct log_field fields[] = {
+		LOG_D("offset", -12),
+		LOG_X("id", 0xabcULL),
+		LOG_F("share", 0.25),
+		{.kind = LOG_KIND_END},
+	};
+	GString *line = g_string_new(NULL);
+
+	clock_advance(clock, 1500);
+	log_setup(clock, "entry", LOG_INFO);
+	log_format(line, LOG_ERR, "lease_lost", fields);
+	g_assert_cmpstr(line->str, ==,
+			"<3>time=1700000000.001500 level=err event=lease_lost "
+			"program=entry offset=-12 id=0000000000000abc "
+			"share=0.25\n");
+	log_setup(NULL, NULL, LOG_INFO);
+	g_string_free(line, TRUE);
+	clock_destroy(clock);
+}
+
+/* A line goes to standard error; one that is too verbose does not. */
+static void test_write(void)
+{
+	if (g_test_subprocess()) {
+		log_setup(NULL, "t", LOG_WARNING);
+		log_event(LOG_INFO, "quiet");
+		log_event(LOG_WARNING, "loud", LOG_D("n", 1));
+		return;
+	}
+	g_test_trap_subprocess(NULL, 0, 0);
+	g_test_trap_assert_passed();
+	g_test_trap_assert_stderr(
+		"<4>time=0 level=warning event=loud program=t n=1\n");
+	g_test_trap_assert_stderr_unmatched("*quiet*");
+}
+
+static void test_level(void)
+{
+	struct error err;
+	int level = -1;
+
+	g_assert_true(log_level_parse("notice", &level, &err));
+	g_assert_cmpint(level, ==, LOG_NOTICE);
+	g_assert_false(log_level_parse("loud", &level, &err));
+	g_assert_cmpint(err.code, ==, RESULT_BAD_SETTING);
+	g_assert_false(log_level_parse(NULL, &level, &err));
+	g_assert_cmpint(level, ==, LOG_NOTICE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/log/quoting", test_quoting);
+	g_test_add_func("/log/line", test_line);
+	g_test_add_func("/log/write", test_write);
+	g_test_add_func("/log/level", test_level);
+	return g_test_run();
+}
