coord: find out which instances live

The ledger's homes, the entry points' drain and the operators' view need to know which instances live, here and in other data centres, with few messages and without a service of its own.

Heartbeats go to three successors on the ring of hashed names and one random member; news rides on them and is pushed at once, each item a bounded number of times; a silent member is probed directly and through others before it is suspected, and again before it is held dead. A level within an incarnation refutes suspicion, only a new incarnation refutes death. Views are compared by a hash in each heartbeat and mended by exchanging the parts that differ. Two gateways for each pair of data centres exchange digests and judge whether the other is reachable.

--- /dev/null
+++ b/coord/codec.h
@@ -0,0 +1,29 @@
+/*
+ * codec.h - what every MessagePack decoder of this library needs
+ */
+#ifndef COORD_CODEC_H
+#define COORD_CODEC_H
+
+#include <msgpack.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Unpacks one whole object that fills data exactly. Refuses a header that
+ * declares more elements than there are bytes left, which msgpack-c would
+ * allocate for before it sees the end. The object lives until the zone is
+ * cleared, and points into data. */
+bool codec_unpack(msgpack_zone *zone, const void *data, size_t size,
+		  msgpack_object *object);
+/* Fills value when the object is an integer from 0 up to max. */
+bool codec_uint(const msgpack_object *object, uint64_t max, uint64_t *value);
+/* The elements when the object is an array of at least min of them. */
+const msgpack_object *codec_array(const msgpack_object *object, uint32_t min,
+				  uint32_t *count);
+/* Fills data and size when the object is a string or bytes up to max. */
+bool codec_bytes(const msgpack_object *object, size_t max, const char **data,
+		 size_t *size);
+
+void codec_pack_bytes(msgpack_packer *packer, const void *data, size_t size);
+
+#endif
--- /dev/null
+++ b/coord/member_digest.c
@@ -0,0 +1,221 @@
+#include "common/log.h"
+#include "member_private.h"
+
+static uint64_t gateway_of(const struct membership *m, const struct centre *of,
+			   const struct centre *to, uint32_t rank)
+{
+	return membership_home(m, of->name, id_mix(of->id, to->id), rank);
+}
+
+static int own_rank(const struct membership *m, const struct centre *c)
+{
+	for (uint32_t rank = 0; rank < 2; rank++) {
+		if (gateway_of(m, m->self->centre, c, rank) == m->self->view.id)
+			return (int)rank;
+	}
+	return -1;
+}
+
+static struct peer *centre_random(struct membership *m, const struct centre *c)
+{
+	struct peer *found = NULL;
+	int count = 0;
+
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct peer *p = m->peers->pdata[i];
+
+		if (p->centre != c || p->forgotten)
+			continue;
+		count++;
+		if (g_rand_int_range(m->rand, 0, count) == 0)
+			found = p;
+	}
+	return found;
+}
+
+static int64_t reach_limit(const struct membership *m)
+{
+	return m->settings.suspect_after + 2 * m->settings.digest;
+}
+
+static bool centre_heard(const struct membership *m, const struct centre *c)
+{
+	return c->raw && clock_now(m->clock) - c->heard <= reach_limit(m);
+}
+
+/* The two gateways over there in turn; anyone when they stay silent, since
+ * what we know of them may be old. */
+static struct peer *digest_target(struct membership *m, struct centre *c,
+				  int rank)
+{
+	uint32_t turn = c->round++;
+	uint64_t id;
+
+	if (centre_heard(m, c) || turn % 2 == 0) {
+		id = gateway_of(m, c, m->self->centre,
+				((uint32_t)rank + turn) % 2);
+		if (!id)
+			id = gateway_of(m, c, m->self->centre, 0);
+		if (id)
+			return peer_find(m, id);
+	}
+	return centre_random(m, c);
+}
+
+static void digest_send(struct membership *m, struct centre *c, int rank)
+{
+	struct peer *to = digest_target(m, c, rank);
+	uint32_t flags = WIRE_DIGEST;
+
+	if (!to)
+		return;
+	if (!to->confirmed) {
+		join_send(m, to);
+		return;
+	}
+	if (centre_heard(m, c))
+		flags |= WIRE_MUTUAL;
+	news_pack(m, to);
+	wire_send(m, to->view.id, WIRE_BEAT, flags, 0, 0);
+}
+
+static void reach_take(struct membership *m, struct centre *c, enum reach reach,
+		       uint64_t version)
+{
+	static const char *const labels[] = {"up", "suspect", "down"};
+
+	if (reach != c->reach)
+		log_event(LOG_NOTICE, "data_centre_reach",
+			  LOG_S("data_centre", c->name),
+			  LOG_S("reach", labels[reach]));
+	c->reach = reach;
+	c->version = version;
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct peer *p = m->peers->pdata[i];
+
+		if (p->centre != c)
+			continue;
+		if (reach == REACH_UP && p->forgotten &&
+		    p->level != LEVEL_DEAD) {
+			p->forgotten = false;
+			table_changed(m);
+		}
+		peer_refresh(m, p);
+	}
+	news_add(m, &c->news);
+}
+
+static void reach_judge(struct membership *m, struct centre *c)
+{
+	int64_t now = clock_now(m->clock);
+	int64_t silence = now - c->mutual;
+	enum reach reach = REACH_UP;
+
+	if (silence > reach_limit(m) + m->settings.dead_after)
+		reach = REACH_DOWN;
+	else if (silence > reach_limit(m))
+		reach = REACH_SUSPECT;
+	/* One that has just become gateway goes by what it was told. */
+	if (reach == REACH_SUSPECT && c->reach == REACH_DOWN)
+		reach = REACH_DOWN;
+	if (reach != c->reach) {
+		reach_take(m, c, reach, c->version + 1);
+	} else if (reach != REACH_UP && now - c->repeated > REPEAT_REACH_USEC) {
+		c->repeated = now;
+		news_add(m, &c->news);
+	}
+}
+
+static void digest_centre(struct membership *m, struct centre *c)
+{
+	int rank = own_rank(m, c);
+	int64_t now = clock_now(m->clock);
+
+	if (rank < 0) {
+		c->gateway = false;
+		return;
+	}
+	if (!c->gateway && c->reach == REACH_UP)
+		c->mutual = now;
+	c->gateway = true;
+	digest_send(m, c, rank);
+	if (centre_random(m, c))
+		reach_judge(m, c);
+}
+
+void digest_tick(struct timer *timer, void *ctx)
+{
+	struct membership *m = ctx;
+
+	timer_start(timer, m->settings.digest);
+	for (guint i = 0; i < m->centres->len; i++) {
+		struct centre *c = m->centres->pdata[i];
+
+		if (c != m->self->centre)
+			digest_centre(m, c);
+	}
+}
+
+void digest_push(struct membership *m)
+{
+	for (guint i = 0; i < m->centres->len; i++) {
+		struct centre *c = m->centres->pdata[i];
+
+		if (c->gateway && c->reach == REACH_UP)
+			digest_send(m, c, own_rank(m, c));
+	}
+}
+
+static void centre_sign(struct membership *m, struct centre *c, bool mutual)
+{
+	c->raw = true;
+	c->heard = clock_now(m->clock);
+	if (!mutual)
+		return;
+	c->mutual = c->heard;
+	if (c->reach != REACH_UP && own_rank(m, c) >= 0)
+		reach_take(m, c, REACH_UP, c->version + 1);
+}
+
+void digest_receive(struct membership *m, struct peer *from,
+		    const struct wire *wire)
+{
+	struct centre *c = from->centre;
+	bool mutual = wire->flags & WIRE_MUTUAL;
+
+	if (c == m->self->centre)
+		return;
+	centre_sign(m, c, mutual);
+	for (uint32_t rank = 0; rank < 2; rank++) {
+		uint64_t id = gateway_of(m, m->self->centre, c, rank);
+
+		if (!id || id == m->self->view.id)
+			continue;
+		wire_begin(m);
+		wire_send(m, id, WIRE_HEARD, 0, c->id, mutual);
+	}
+}
+
+void digest_heard(struct membership *m, const struct wire *wire)
+{
+	struct centre *c = centre_find(m, wire->a);
+
+	if (c && c != m->self->centre)
+		centre_sign(m, c, wire->b);
+}
+
+void reach_apply(struct membership *m, const struct item *item)
+{
+	struct centre *c = centre_find(m, item->id);
+
+	if (!c || c == m->self->centre)
+		return;
+	if (item->version < c->version) {
+		if (!c->news.linked)
+			news_add(m, &c->news);
+		return;
+	}
+	if (item->version == c->version && item->number >= c->reach)
+		return;
+	reach_take(m, c, item->number, item->version);
+}
--- /dev/null
+++ b/coord/member_private.h
@@ -0,0 +1,289 @@
+/*
+ * member_private.h - what the files of the membership share
+ */
+#ifndef COORD_MEMBER_PRIVATE_H
+#define COORD_MEMBER_PRIVATE_H
+
+#include <glib.h>
+#include <msgpack.h>
+
+#include "coord/member.h"
+
+/*
+ * A level orders what is said of one incarnation: even numbers say alive,
+ * odd ones suspect, and a member alone raises its own level to refute a
+ * suspicion. Dead is above all; only a new incarnation refutes it.
+ */
+#define LEVEL_DEAD UINT32_MAX
+#define LEVEL_SUSPECT 1u
+
+#define NEWS_BYTES_MAX 900u
+#define SYNC_BYTES_MAX 8192u
+#define FACTS_MAX 8192u
+#define FACT_BYTES_MAX 512u
+#define PEERS_MAX 4096u
+#define CENTRES_MAX 64u
+
+#define FACT_TTL_USEC (3600 * USEC_PER_SEC)
+#define FORGET_UNLISTED_USEC (60 * USEC_PER_SEC)
+#define FORGET_DEAD_USEC (3600 * USEC_PER_SEC)
+#define TOMBSTONE_USEC (600 * USEC_PER_SEC)
+#define SYNC_EVERY_USEC (1 * USEC_PER_SEC)
+#define PUSH_DELAY_USEC (50 * USEC_PER_MSEC)
+#define REPEAT_REACH_USEC (5 * USEC_PER_SEC)
+#define JOIN_BACKOFF_MAX_USEC (8 * USEC_PER_SEC)
+
+enum news_kind {
+	NEWS_MEMBER,
+	NEWS_FACT,
+	NEWS_REACH,
+};
+
+/* Part of what it tells about; linked while it has transmissions left. */
+struct news {
+	enum news_kind kind;
+	uint32_t left;
+	GList link;
+	bool linked;
+};
+
+/* How a whole data centre is seen from the own one. */
+enum reach {
+	REACH_UP,
+	REACH_SUSPECT,
+	REACH_DOWN,
+};
+
+struct centre {
+	struct news news; /* first: see news_centre() */
+	uint64_t id;
+	char name[MEMBER_NAME_MAX];
+	uint64_t hash; /* over its members, see table_hashes() */
+	enum reach reach;
+	uint64_t version; /* of reach */
+	int64_t heard;	  /* last digest from there at all */
+	int64_t mutual;	  /* last digest that said it hears us too */
+	int64_t repeated;
+	bool raw; /* heard is set */
+	bool gateway;
+	uint32_t round;
+};
+
+struct peer {
+	struct news news;   /* first: see news_peer() */
+	struct member view; /* what the embedder sees */
+	uint32_t level;
+	bool leaving;
+	bool confirmed; /* its state was told, not only its name by a list */
+	bool shown;	/* the embedder was told of it */
+	bool forgotten;
+	bool watched; /* it should send heartbeats to us */
+	bool named;   /* the news carries its names too */
+	bool assured; /* told us, since the last pause, that we live */
+	bool doubted; /* a probe is out since the last sign of life */
+	struct centre *centre;
+	int64_t heard;	/* last sign of life, or when it was first expected */
+	int64_t since;	/* when this level was learnt */
+	int64_t hinted; /* when the platform's list last named it */
+	int64_t asked;	/* when it was last sent a join */
+	int64_t noted;	/* when it was last told how it is seen */
+	uint32_t asks;
+};
+
+struct fact {
+	struct news news; /* first: see news_fact() */
+	uint64_t key;
+	uint64_t version;
+	int64_t set; /* at its origin, by the own clock */
+	size_t size;
+	unsigned char value[];
+};
+
+enum wire_kind {
+	WIRE_BEAT = 1,
+	WIRE_PING,  /* a: target, b: origin */
+	WIRE_ACK,   /* a: subject, b: origin, items: the subject's row */
+	WIRE_SYNC,  /* items: hashes */
+	WIRE_KEYS,  /* a: data centre, or 0 and fact keys; items: short rows */
+	WIRE_ROWS,  /* items: rows and facts */
+	WIRE_WANT,  /* a: 0 for members, 1 for facts, items: ids */
+	WIRE_HEARD, /* a: data centre, b: whether it hears us */
+	WIRE_KIND_MAX,
+};
+
+#define WIRE_LEAVING 1u
+#define WIRE_DIGEST 2u /* between data centres */
+#define WIRE_MUTUAL 4u /* the sender hears the receiver's data centre */
+#define WIRE_JOIN 8u   /* answer with the own row and hashes */
+/* The sender holds the receiver dead. a: how many of the data centre it
+ * holds alive, b: the lowest of their ids. */
+#define WIRE_BURIED 16u
+
+enum item_kind {
+	ITEM_ROW,   /* id, incarnation, level, leaving */
+	ITEM_NAMED, /* ... and name, data centre, addresses */
+	ITEM_FACT,  /* key, version, age in seconds, value */
+	ITEM_REACH, /* data centre, version, reach */
+	ITEM_HASH,  /* bucket, hash */
+	ITEM_KEY,   /* key, version */
+	ITEM_ID,    /* id */
+	ITEM_KIND_MAX,
+};
+
+struct text {
+	const char *data;
+	uint32_t size;
+};
+
+struct item {
+	enum item_kind kind;
+	uint64_t id;
+	uint64_t version; /* incarnation for rows */
+	uint64_t number;  /* level, age or reach */
+	bool leaving;
+	struct text names[4];
+	struct text value;
+};
+
+struct wire {
+	enum wire_kind kind;
+	uint64_t incarnation;
+	uint32_t level;
+	uint32_t flags;
+	uint64_t view; /* hash over all that the sender knows */
+	uint64_t a;
+	uint64_t b;
+	const msgpack_object *items;
+	uint32_t item_count;
+};
+
+struct membership {
+	struct clock *clock;
+	struct membership_settings settings;
+	struct transport transport;
+	struct membership_ops ops;
+	void *ctx;
+	GRand *rand;
+
+	struct peer *self;
+	GPtrArray *peers;   /* by id */
+	GPtrArray *centres; /* by id */
+	GPtrArray *ring;    /* own data centre's, not dead, by id */
+	GHashTable *index;  /* id -> peer */
+	GHashTable *facts;  /* key -> fact */
+	GQueue news;
+	GArray *unknown; /* ids whose names are to be asked for */
+	bool ring_stale;
+	bool hashes_stale;
+	uint64_t facts_hash;
+	uint64_t view_hash;
+	int64_t listed; /* when the platform's list last named anyone */
+	int64_t quiet_since;
+
+	struct timer beat;
+	struct timer digest;
+	struct timer push;
+	int64_t beaten;
+	int64_t sync_next;
+	int64_t swept;
+	double push_tokens;
+	int64_t push_filled;
+
+	bool doubtful; /* paused long: may be dead in others' eyes */
+	int64_t doubtful_since;
+	uint32_t assurances;
+
+	msgpack_sbuffer out;
+	msgpack_sbuffer items;
+	uint32_t item_count;
+	msgpack_zone zone;
+	struct membership_stats stats;
+};
+
+/* member_codec.c */
+bool wire_decode(struct membership *m, const void *data, size_t size,
+		 struct wire *wire);
+bool item_decode(const msgpack_object *object, struct item *item);
+void wire_begin(struct membership *m);
+/* Bytes of items packed since wire_begin(). */
+size_t wire_size(const struct membership *m);
+void wire_send(struct membership *m, uint64_t to, enum wire_kind kind,
+	       uint32_t flags, uint64_t a, uint64_t b);
+void pack_row(struct membership *m, const struct peer *p, bool named);
+void pack_fact(struct membership *m, const struct fact *fact);
+void pack_pair(struct membership *m, enum item_kind kind, uint64_t id,
+	       uint64_t version);
+void pack_reach(struct membership *m, const struct centre *c);
+void pack_id(struct membership *m, uint64_t id);
+
+/* member_table.c */
+struct peer *peer_find(const struct membership *m, uint64_t id);
+struct peer *peer_add(struct membership *m, const struct member *member);
+struct centre *centre_find(const struct membership *m, uint64_t id);
+struct centre *centre_named(struct membership *m, const char *name);
+bool peer_local(const struct membership *m, const struct peer *p);
+/* Not dead as far as its own data centre knows. */
+bool peer_living(const struct peer *p);
+/* Works out the state to be seen and tells the embedder of a change. */
+void peer_refresh(struct membership *m, struct peer *p);
+void peer_names(struct membership *m, struct peer *p,
+		const struct member *member);
+/* Takes a row when it is newer than what is known; false when the member is
+ * unknown and the row does not name it. */
+bool row_apply(struct membership *m, const struct item *row, bool news);
+void peer_level(struct membership *m, struct peer *p, uint32_t level);
+/* Takes an incarnation above all that others may hold. */
+void self_raise(struct membership *m, uint64_t above);
+void table_hashes(struct membership *m);
+void table_sweep(struct membership *m);
+void table_changed(struct membership *m);
+
+/* member_news.c */
+void news_add(struct membership *m, struct news *news);
+void news_remove(struct membership *m, struct news *news);
+/* Packs what fits; the peer addressed is told first how it is seen. */
+void news_pack(struct membership *m, const struct peer *to);
+void news_receive(struct membership *m, const struct peer *from,
+		  const struct wire *wire);
+void news_push(struct timer *timer, void *ctx);
+
+/* member_fact.c */
+bool fact_apply(struct membership *m, const struct item *item, bool news);
+void fact_free(void *data);
+void facts_sweep(struct membership *m);
+
+/* member_ring.c */
+void ring_beat(struct timer *timer, void *ctx);
+/* The members of the own data centre that are not dead, the own included. */
+GPtrArray *ring_members(struct membership *m);
+/* A random one of them other than the own and not, or NULL. */
+struct peer *ring_random(struct membership *m, const struct peer * not );
+void join_send(struct membership *m, struct peer *p);
+/* Tells a peer how it is seen when that is not as it says. */
+void note_send(struct membership *m, struct peer *p);
+
+/* member_probe.c */
+void probe_tick(struct membership *m);
+void probe_ping(struct membership *m, const struct wire *wire, uint64_t from);
+void probe_ack(struct membership *m, const struct wire *wire, uint64_t from);
+void probe_doubt(struct membership *m);
+void probe_assured(struct membership *m);
+
+/* member_sync.c */
+void sync_start(struct membership *m, uint64_t to);
+/* Starts an exchange when the sender's view differs and it is time. */
+void sync_check(struct membership *m, uint64_t from, const struct wire *wire);
+void sync_hashes(struct membership *m, uint64_t from, const struct wire *wire);
+void sync_keys(struct membership *m, uint64_t from, const struct wire *wire);
+void sync_want(struct membership *m, uint64_t from, const struct wire *wire);
+
+/* member_digest.c */
+void digest_tick(struct timer *timer, void *ctx);
+void digest_receive(struct membership *m, struct peer *from,
+		    const struct wire *wire);
+void digest_heard(struct membership *m, const struct wire *wire);
+void reach_apply(struct membership *m, const struct item *item);
+/* Sends pending news to other data centres that we are gateway to. */
+void digest_push(struct membership *m);
+
+#endif
--- /dev/null
+++ b/coord/member_probe.c
@@ -0,0 +1,191 @@
+#include "member_private.h"
+
+static void ping_send(struct membership *m, uint64_t to, uint64_t target,
+		      uint64_t origin)
+{
+	wire_begin(m);
+	wire_send(m, to, WIRE_PING, 0, target, origin);
+}
+
+/* Directly, and through a few others in case only our own way is cut. */
+static void probe_send(struct membership *m, struct peer *p)
+{
+	uint64_t own = m->self->view.id;
+	struct peer *last = p;
+
+	p->doubted = true;
+	ping_send(m, p->view.id, p->view.id, own);
+	for (uint32_t i = 0; i < m->settings.fanout; i++) {
+		struct peer *helper = ring_random(m, last);
+
+		if (!helper || helper == p)
+			continue;
+		ping_send(m, helper->view.id, p->view.id, own);
+		last = helper;
+	}
+}
+
+static void probe_watched(struct membership *m, struct peer *p, int64_t silence)
+{
+	bool doubted = p->doubted;
+
+	if (silence <= m->settings.suspect_after * 2 / 3)
+		return;
+	probe_send(m, p);
+	if (doubted && silence > m->settings.suspect_after)
+		peer_level(m, p, p->level | LEVEL_SUSPECT);
+}
+
+/* Those who watch it decide first; the others only when they have not. */
+static void probe_suspect(struct membership *m, struct peer *p, int64_t silence)
+{
+	int64_t suspected = clock_now(m->clock) - p->since;
+	int64_t limit = m->settings.dead_after;
+	bool doubted = p->doubted;
+
+	if (p->watched || suspected > limit)
+		probe_send(m, p);
+	if (!p->watched)
+		limit *= 2;
+	if (doubted && suspected > limit && silence > m->settings.suspect_after)
+		peer_level(m, p, LEVEL_DEAD);
+}
+
+static void doubt_tick(struct membership *m)
+{
+	if (!m->doubtful)
+		return;
+	if (clock_now(m->clock) - m->doubtful_since <= m->settings.dead_after) {
+		probe_doubt(m);
+		return;
+	}
+	if (m->assurances)
+		m->doubtful = false;
+	else
+		self_raise(m, 0);
+}
+
+void probe_tick(struct membership *m)
+{
+	int64_t now = clock_now(m->clock);
+
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct peer *p = m->peers->pdata[i];
+		int64_t silence = now - p->heard;
+
+		if (p == m->self || !peer_local(m, p) || !peer_living(p))
+			continue;
+		if (p->level & LEVEL_SUSPECT)
+			probe_suspect(m, p, silence);
+		else if (p->watched)
+			probe_watched(m, p, silence);
+	}
+	doubt_tick(m);
+}
+
+void probe_ping(struct membership *m, const struct wire *wire, uint64_t from)
+{
+	struct peer *target;
+
+	if (wire->a == m->self->view.id) {
+		news_pack(m, peer_find(m, from));
+		wire_send(m, from, WIRE_ACK, 0, wire->a, wire->b);
+		return;
+	}
+	target = peer_find(m, wire->a);
+	if (!target || wire->b != from || !peer_local(m, target))
+		return;
+	ping_send(m, target->view.id, wire->a, from);
+}
+
+static void ack_forward(struct membership *m, const struct wire *wire,
+			const struct peer *subject)
+{
+	wire_begin(m);
+	pack_row(m, subject, false);
+	wire_send(m, wire->b, WIRE_ACK, 0, wire->a, wire->b);
+}
+
+void probe_ack(struct membership *m, const struct wire *wire, uint64_t from)
+{
+	struct peer *subject = peer_find(m, wire->a);
+	struct item item;
+
+	if (!subject)
+		return;
+	if (wire->b != m->self->view.id) {
+		if (wire->a == from && peer_find(m, wire->b))
+			ack_forward(m, wire, subject);
+		return;
+	}
+	if (wire->a == from) {
+		if (m->doubtful && !subject->assured) {
+			subject->assured = true;
+			probe_assured(m);
+		}
+		return;
+	}
+	if (!wire->item_count || !item_decode(&wire->items[0], &item) ||
+	    item.id != wire->a || item.version < subject->view.incarnation)
+		return;
+	subject->heard = clock_now(m->clock);
+	subject->doubted = false;
+}
+
+/* The members that watch this one are the first to hold it dead, so they are
+ * the ones to ask. */
+void probe_doubt(struct membership *m)
+{
+	GPtrArray *ring = ring_members(m);
+	uint32_t asked = 0;
+	guint own;
+
+	if (!g_ptr_array_find(ring, m->self, &own))
+		return;
+	for (guint i = 1; i < ring->len && asked < m->settings.fanout; i++) {
+		struct peer *p = ring->pdata[(own + i) % ring->len];
+
+		ping_send(m, p->view.id, p->view.id, m->self->view.id);
+		asked++;
+	}
+}
+
+void probe_assured(struct membership *m)
+{
+	guint others = ring_members(m)->len - 1;
+
+	if (++m->assurances >= MIN(m->settings.fanout, others))
+		m->doubtful = false;
+}
+
+void membership_paused(struct membership *m, int64_t gap_us)
+{
+	int64_t now = clock_now(m->clock);
+
+	/* The silence was ours: all others get a new start. */
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct peer *p = m->peers->pdata[i];
+
+		p->heard = now;
+		p->assured = false;
+		if (p->level & LEVEL_SUSPECT && p->level != LEVEL_DEAD)
+			p->since = now;
+	}
+	for (guint i = 0; i < m->centres->len; i++) {
+		struct centre *c = m->centres->pdata[i];
+
+		c->heard = now;
+		c->mutual = now;
+	}
+	if (gap_us < m->settings.suspect_after || ring_members(m)->len < 2)
+		return;
+	m->doubtful = true;
+	m->doubtful_since = now;
+	m->assurances = 0;
+	probe_doubt(m);
+}
+
+bool membership_certain(const struct membership *m)
+{
+	return !m->doubtful;
+}
--- /dev/null
+++ b/coord/member_ring.c
@@ -0,0 +1,216 @@
+#include "member_private.h"
+
+GPtrArray *ring_members(struct membership *m)
+{
+	if (!m->ring_stale)
+		return m->ring;
+	m->ring_stale = false;
+	g_ptr_array_set_size(m->ring, 0);
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct peer *p = m->peers->pdata[i];
+
+		if (peer_local(m, p) && peer_living(p))
+			g_ptr_array_add(m->ring, p);
+	}
+	return m->ring;
+}
+
+struct peer *ring_random(struct membership *m, const struct peer * not )
+{
+	GPtrArray *ring = ring_members(m);
+	guint start;
+
+	if (ring->len < 2)
+		return NULL;
+	start = (guint)g_rand_int_range(m->rand, 0, (gint32)ring->len);
+	for (guint i = 0; i < ring->len; i++) {
+		struct peer *p = ring->pdata[(start + i) % ring->len];
+
+		if (p != m->self && p != not )
+			return p;
+	}
+	return NULL;
+}
+
+static bool peer_suspect(const struct peer *p)
+{
+	return p->level & LEVEL_SUSPECT;
+}
+
+static void beat_send(struct membership *m, const struct peer *to)
+{
+	news_pack(m, to);
+	wire_send(m, to->view.id, WIRE_BEAT, 0, 0, 0);
+}
+
+static guint ring_place(const GPtrArray *ring, const struct peer *p)
+{
+	for (guint i = 0; i < ring->len; i++) {
+		if (ring->pdata[i] == p)
+			return i;
+	}
+	return 0;
+}
+
+/* Suspects on the way get one too, so as to hear that they are doubted, but
+ * do not count: those after them take over the watch. */
+static void beat_successors(struct membership *m)
+{
+	GPtrArray *ring = ring_members(m);
+	guint own = ring_place(ring, m->self);
+	uint32_t sent = 0;
+
+	for (guint i = 1; i < ring->len && sent < m->settings.fanout; i++) {
+		struct peer *p = ring->pdata[(own + i) % ring->len];
+
+		beat_send(m, p);
+		if (!peer_suspect(p))
+			sent++;
+		if (i >= 3 * m->settings.fanout)
+			break;
+	}
+}
+
+/* One more to a random member carries news across the ring. */
+static void beat_random(struct membership *m)
+{
+	struct peer *p;
+
+	if (ring_members(m)->len <= m->settings.fanout + 1)
+		return;
+	p = ring_random(m, NULL);
+	if (p)
+		beat_send(m, p);
+}
+
+/* Which members should send heartbeats to this one: those before it, as far
+ * as the fanout reaches. */
+static void watch_update(struct membership *m)
+{
+	GPtrArray *ring = ring_members(m);
+	guint own = ring_place(ring, m->self);
+	int64_t now = clock_now(m->clock);
+	uint32_t between = 0;
+
+	for (guint i = 1; i < ring->len; i++) {
+		struct peer *p = ring->pdata[(own + ring->len - i) % ring->len];
+		bool watched = between < m->settings.fanout;
+
+		if (watched && !p->watched)
+			p->heard = MAX(p->heard, now);
+		p->watched = watched;
+		if (!peer_suspect(p))
+			between++;
+	}
+}
+
+void join_send(struct membership *m, struct peer *p)
+{
+	wire_begin(m);
+	pack_row(m, m->self, true);
+	if (p->confirmed)
+		pack_row(m, p, false);
+	p->asked = clock_now(m->clock);
+	p->asks++;
+	wire_send(m, p->view.id, WIRE_ROWS, WIRE_JOIN, 0, 0);
+}
+
+static bool join_due(const struct membership *m, const struct peer *p)
+{
+	int64_t wait = m->settings.heartbeat << MIN(p->asks, 5u);
+
+	return !p->asks || clock_now(m->clock) - p->asked >=
+				   MIN(wait, JOIN_BACKOFF_MAX_USEC);
+}
+
+/* Whom only a list names: own data centre first; others only while this one
+ * has nobody who could tell. */
+static void join_candidates(struct membership *m)
+{
+	bool alone = ring_members(m)->len < 2;
+	uint32_t sent = 0;
+
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct peer *p = m->peers->pdata[i];
+
+		if (p->confirmed || p->forgotten || p == m->self)
+			continue;
+		if (!peer_local(m, p) && !alone)
+			continue;
+		if (!join_due(m, p))
+			continue;
+		join_send(m, p);
+		if (++sent >= m->settings.fanout)
+			return;
+	}
+}
+
+static bool peer_buried(const struct membership *m, const struct peer *p)
+{
+	return peer_local(m, p) && p->level == LEVEL_DEAD && p->confirmed &&
+	       !p->forgotten;
+}
+
+/* After a cut within the data centre each side holds the other dead: all of
+ * one side together ask about one of the other each heartbeat. */
+static void join_buried(struct membership *m)
+{
+	guint members = ring_members(m)->len;
+	struct peer *found = NULL;
+	int count = 0;
+
+	if (members > 1 && g_rand_int_range(m->rand, 0, (gint32)members) != 0)
+		return;
+	for (guint i = 0; i < m->peers->len; i++) {
+		struct peer *p = m->peers->pdata[i];
+
+		if (!peer_buried(m, p))
+			continue;
+		count++;
+		if (g_rand_int_range(m->rand, 0, count) == 0)
+			found = p;
+	}
+	if (found)
+		join_send(m, found);
+}
+
+void note_send(struct membership *m, struct peer *p)
+{
+	GPtrArray *ring = ring_members(m);
+	int64_t now = clock_now(m->clock);
+	bool buried = p->level == LEVEL_DEAD;
+	const struct peer *lowest = ring->pdata[0];
+
+	if (now - p->noted < m->settings.heartbeat / 2 && p->noted)
+		return;
+	p->noted = now;
+	wire_begin(m);
+	pack_row(m, p, false);
+	wire_send(m, p->view.id, WIRE_BEAT, buried ? WIRE_BURIED : 0,
+		  buried ? ring->len : 0, buried ? lowest->view.id : 0);
+}
+
+void ring_beat(struct timer *timer, void *ctx)
+{
+	struct membership *m = ctx;
+	int64_t period = m->settings.heartbeat;
+	int64_t gap = clock_now(m->clock) - m->beaten;
+
+	m->beaten = clock_now(m->clock);
+	if (gap > m->settings.suspect_after)
+		membership_paused(m, gap);
+	timer_start(timer, period - period / 16 +
+				   g_rand_int_range(m->rand, 0,
+						    (gint32)(period / 8) + 1));
+	if (clock_now(m->clock) - m->swept >= USEC_PER_SEC) {
+		m->swept = clock_now(m->clock);
+		table_sweep(m);
+		facts_sweep(m);
+	}
+	watch_update(m);
+	probe_tick(m);
+	beat_successors(m);
+	beat_random(m);
+	join_candidates(m);
+	join_buried(m);
+}
--- a/include/coord/member.h
+++ b/include/coord/member.h
@@ -10,8 +10,20 @@
  *	addresses and is a hint: it brings in, it never takes out a peer that
  *	answers. A member that hears itself called dead raises its incarnation.
  *
+ *	A member named by a hint is shown as dead until something is heard of
+ *	it. A dead member that the list, still being read, has not named for a
+ *	minute is forgotten: membership_find() no longer returns it, and its
+ *	pointer is freed ten minutes later.
+ *
+ *	A data centre that cannot be reached is judged by the gateways and shown
+ *	as suspect, then dead, in this data centre only; its members come back
+ *	under their former incarnation when it is reached again. A rise of the
+ *	incarnation is shown as the death of the former one first.
+ *
  *	Facts are small values spread with the same messages, the newest version
- *	of each winning: "runner X is leaving", "cell C has N waiting".
+ *	of each winning: "runner X is leaving", "cell C has N waiting". A value
+ *	holds up to 512 bytes. A fact that is not set again within an hour is
+ *	dropped. At most 8,192 are kept; more are refused and logged.
  */
 #ifndef COORD_MEMBER_H
 #define COORD_MEMBER_H
@@ -50,7 +62,7 @@
 	int64_t suspect_after; /* default 1,500 ms */
 	int64_t dead_after;    /* after suspicion; default 1,500 ms */
 	int64_t digest;	       /* between data centres; default 1 s */
-	uint32_t fanout;       /* default 3 */
+	uint32_t fanout;       /* successors that get heartbeats; default 3 */
 	uint32_t seed;
 };
 
@@ -65,6 +77,16 @@
 	void (*refuted)(void *ctx, uint64_t incarnation);
 };
 
+struct membership_stats {
+	uint64_t sent;
+	uint64_t sent_bytes; /* payloads only: no frame, no TCP/IP headers */
+	uint64_t received;
+	uint64_t malformed; /* dropped */
+	uint64_t buried;    /* dropped: the sender is held dead */
+	uint64_t syncs;	    /* exchanges of whole views started */
+	uint64_t refuted;   /* incarnations raised */
+};
+
 struct membership;
 
 struct membership *membership_create(struct clock *clock,
@@ -85,6 +107,12 @@
 /* The own process stood still for gap_us: others may have buried it. */
 void membership_paused(struct membership *membership, int64_t gap_us);
 
+/* False after a long pause until a peer has told that this instance is held
+ * alive, or its incarnation was raised: answer nobody meanwhile. */
+bool membership_certain(const struct membership *membership);
+void membership_stats(const struct membership *membership,
+		      struct membership_stats *stats);
+
 const struct member *membership_self(const struct membership *membership);
 const struct member *membership_find(const struct membership *membership,
 				     uint64_t id);
