--- a/include/standin/engine_cache.h
+++ b/include/standin/engine_cache.h
@@ -3,9 +3,10 @@
  *
  * DESCRIPTION
  *	Holds the newest blocks of ENGINE_BLOCK_TOKENS tokens by their chained
- *	hashes and evicts the least recently used. Each change is an event that
- *	readers see lag_usec later; some are lost on the way (gap_percent of
- *	them, by the seed), and old ones are forgotten.
+ *	hashes and evicts the least recently used; of one prompt the last block
+ *	goes first, since the others are of use without it. Each change is an
+ *event that readers see lag_usec later; some are lost on the way (gap_percent
+ *of them, by the seed), and old ones are forgotten.
  */
 #ifndef STANDIN_ENGINE_CACHE_H
 #define STANDIN_ENGINE_CACHE_H
--- a/include/standin/engine_stream.h
+++ b/include/standin/engine_stream.h
@@ -43,6 +43,7 @@
 	bool fetched;	 /* the source has sent it all */
 	bool moved;	 /* our own link has carried it all */
 	bool started;	 /* both */
+	bool in_step;	 /* gets a token at the end of the present step */
 	bool done;	 /* all is computed */
 	struct transfer transfer;
 	struct timer hold_timer;
--- /dev/null
+++ b/standin/jtservice.c
@@ -0,0 +1,106 @@
+/* Stands in for a plain service; see docs/design/standins.md. */
+#include <argp.h>
+#include <stdlib.h>
+
+#include "standin/backend.h"
+#include "standin/service.h"
+
+struct settings {
+	const char *name;
+	const char *pool;
+	const char *data_centre;
+	const char *listen;
+	const char *platform;
+	int64_t work_usec;
+};
+
+static void service_told_to_leave(void *ctx)
+{
+	service_leave(ctx);
+}
+
+static bool service_finished(void *ctx)
+{
+	return service_idle(ctx);
+}
+
+static const struct backend_ops backend_ops = {
+	.leave = service_told_to_leave,
+	.idle = service_finished,
+};
+
+static const struct argp_option options[] = {
+	{"name", 'n', "NAME", 0, "name of the instance", 0},
+	{"pool", 'p', "NAME", 0, "its pool", 0},
+	{"data-centre", 'd', "NAME", 0, "its data centre", 0},
+	{"listen", 'l', "IP:PORT", 0, "own address; port 0 picks one", 0},
+	{"platform", 'P', "IP:PORT", 0, "register there", 0},
+	{"work-ms", 'w', "X", 0, "time that a call takes", 0},
+	{0},
+};
+
+static error_t option_parse(int key, char *arg, struct argp_state *state)
+{
+	struct settings *settings = state->input;
+	char *end;
+
+	switch (key) {
+	case 'n':
+		settings->name = arg;
+		return 0;
+	case 'p':
+		settings->pool = arg;
+		return 0;
+	case 'd':
+		settings->data_centre = arg;
+		return 0;
+	case 'l':
+		settings->listen = arg;
+		return 0;
+	case 'P':
+		settings->platform = arg;
+		return 0;
+	case 'w':
+		settings->work_usec =
+			(int64_t)(strtod(arg, &end) * USEC_PER_MSEC);
+		if (end == arg || *end || settings->work_usec < 0)
+			argp_error(state, "--work-ms: '%s' is no time", arg);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct argp argp = {
+		.options = options,
+		.parser = option_parse,
+		.doc = "Stands in for one plain service in tests.",
+	};
+	struct settings settings = {
+		.name = "service",
+		.pool = "pool",
+		.data_centre = "local",
+		.listen = "127.0.0.1:0",
+	};
+	struct registration_spec spec = {.kind = "server"};
+	struct standin_backend backend;
+	struct service *service;
+
+	argp_program_version = "jtservice " JT_VERSION;
+	argp_parse(&argp, argc, argv, 0, NULL, &settings);
+	if (!backend_open(&backend, "jtservice", settings.listen))
+		return EXIT_FAILURE;
+	service = service_create(backend.clock, backend.server,
+				 settings.work_usec);
+	spec.platform = settings.platform;
+	spec.name = settings.name;
+	spec.pool = settings.pool;
+	spec.data_centre = settings.data_centre;
+	backend_run(&backend, &spec, &backend_ops, service);
+	backend_close_server(&backend);
+	service_destroy(service);
+	backend_close(&backend);
+	return EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/standin/test_engine_faults.c
@@ -0,0 +1,409 @@
+/*
+ * The contract of an engine: every fault and every act of a caller at every
+ * step of a request's life, and what the ledgers must say afterwards.
+ *
+ * A caller sends one prompt of 1,000 tokens behind another's and asks for ten
+ * tokens of output. It goes on as long as it can: it fetches the result as
+ * soon as it is there and resumes a stream that was cut, once.
+ */
+#include <string.h>
+
+#include "common/table.h"
+#include "standin/engine_prefill.h"
+#include "standin/engine_stream.h"
+
+#define MS(n) ((n)*USEC_PER_MSEC)
+#define OUTPUT 10
+
+enum step {
+	STEP_WAITS,    /* the prompt, behind another */
+	STEP_COMPUTES, /* the prompt, half of it */
+	STEP_HELD,     /* its result; decode is asked for just after */
+	STEP_TRANSFER,
+	STEP_DECODES, /* some tokens are told */
+	STEP_UNREAD,  /* all is computed, the caller lost its connection */
+	STEPS,
+};
+
+static const int64_t step_at[STEPS] = {MS(50),	MS(150), MS(200),
+				       MS(250), MS(350), MS(600)};
+
+struct world {
+	struct clock *clock;
+	struct engine_model *p;
+	struct engine_model *d;
+	struct prefill *prefill; /* while its caller has no answer */
+	uint64_t result;
+	char name[ENGINE_NAME_SIZE];
+	struct fetch *fetch;
+	uint64_t stream;
+	bool resumed;
+	bool gone; /* the caller does nothing more */
+	/* What came of it. */
+	const char *refused;
+	uint32_t told;
+	bool ended;
+};
+
+static const struct stream_ops ops;
+
+static struct stream *stream_now(struct world *w)
+{
+	return table_get(w->d->streams, w->stream);
+}
+
+static void fetched(void *ctx, const struct engine_kv *kv)
+{
+	struct world *w = ctx;
+
+	w->fetch = NULL;
+	stream_fetched(stream_now(w), kv);
+}
+
+static void stream_went(void *ctx)
+{
+	struct world *w = ctx;
+
+	if (w->fetch)
+		fetch_cancel(w->fetch);
+	w->fetch = NULL;
+}
+
+static void refuse(struct world *w, enum engine_refusal refusal)
+{
+	static const char *const texts[] = {"", "leaving", "full", "role"};
+
+	w->refused = texts[refusal];
+	w->gone = true;
+}
+
+static const struct engine_job job = {
+	.request = 1,
+	.prompt_tokens = 1000,
+	.output_max = OUTPUT,
+};
+
+static void ask_prefill(struct world *w, const struct engine_job *asked,
+			prefill_fn fn)
+{
+	const struct engine_kv kv = {.length = UINT32_MAX};
+	enum engine_refusal refusal;
+
+	w->prefill = prefill_start(w->p, asked, &kv, NULL, 0, fn, w, &refusal);
+	if (!w->prefill)
+		refuse(w, refusal);
+}
+
+static void ask_decode(struct world *w)
+{
+	enum engine_refusal refusal;
+	struct stream *s = stream_reserve(w->d, &job, stream_went, w, &refusal);
+
+	if (!s) {
+		refuse(w, refusal);
+		prefill_cancel(w->p, w->result);
+		return;
+	}
+	w->stream = s->handle;
+	w->fetch = fetch_start(w->p, w->name, fetched, w);
+	stream_attach(s, 0, true, &ops, w);
+	if (!w->fetch)
+		stream_fail(s, "gone");
+}
+
+static void computed(void *ctx, const struct prefill *p)
+{
+	struct world *w = ctx;
+
+	w->prefill = NULL;
+	w->result = p->handle;
+	engine_name_write(w->p, 'p', p->handle, w->name);
+}
+
+static void other_computed(void *ctx, const struct prefill *p)
+{
+	prefill_cancel(p->model, p->handle);
+}
+
+static void started(void *ctx)
+{
+}
+
+static bool tokens(void *ctx, const struct stream *s, uint32_t from,
+		   uint32_t to)
+{
+	struct world *w = ctx;
+
+	g_assert_cmpuint(from, ==, w->told);
+	w->told = to;
+	return true;
+}
+
+static void ended(void *ctx, const char *reason, uint32_t count)
+{
+	struct world *w = ctx;
+
+	g_assert_cmpstr(reason, ==, "length");
+	g_assert_cmpuint(count, ==, OUTPUT);
+	w->ended = true;
+}
+
+static void cut(void *ctx, const char *text)
+{
+}
+
+static const struct stream_ops ops = {started, tokens, ended, cut};
+
+/* The events. */
+static void event_none(struct world *w)
+{
+}
+
+static void event_hang_up(struct world *w)
+{
+	struct stream *s = stream_now(w);
+
+	w->gone = true;
+	if (w->prefill)
+		prefill_cancel(w->p, w->prefill->handle);
+	if (s)
+		stream_detach(s, w);
+}
+
+/* Ends the work wherever it is, and asks for the same again. */
+static void event_cancel(struct world *w)
+{
+	w->gone = true;
+	for (int i = 0; i < 2; i++) {
+		struct stream *s = stream_now(w);
+
+		if (s)
+			stream_cancel(s);
+		prefill_cancel(w->p,
+			       w->prefill ? w->prefill->handle : w->result);
+		w->prefill = NULL;
+	}
+}
+
+static void fault_both(struct world *w, enum engine_fault fault, int64_t value)
+{
+	w->p->faults.faults[fault].value = value;
+	w->d->faults.faults[fault].value = value;
+}
+
+static void event_refuse(struct world *w)
+{
+	fault_both(w, ENGINE_REFUSE, 1);
+}
+
+static void event_leave(struct world *w)
+{
+	engine_leave(w->p);
+	engine_leave(w->d);
+}
+
+static void event_role(struct world *w)
+{
+	enum engine_role role = ENGINE_PREFILL;
+
+	engine_order(w->d, &role, NULL, 1);
+	role = ENGINE_DECODE;
+	engine_order(w->p, &role, NULL, 1);
+}
+
+static void event_stall(struct world *w)
+{
+	fault_both(w, ENGINE_STALL_TRANSFER, 1);
+}
+
+static void event_drop(struct world *w)
+{
+	w->d->faults.faults[ENGINE_DROP_STREAM] = (struct fault){4, 1};
+}
+
+static void event_lose(struct world *w)
+{
+	w->d->faults.faults[ENGINE_LOSE_STREAM] = (struct fault){4, 1};
+}
+
+static void event_slow(struct world *w)
+{
+	fault_both(w, ENGINE_SLOW, 3);
+}
+
+static void event_freeze(struct world *w)
+{
+	fault_both(w, ENGINE_FREEZE_REPORTS, 1);
+}
+
+/* The prefill engine is gone: what it held can never be fetched. */
+static void event_source_dies(struct world *w)
+{
+	struct stream *s = stream_now(w);
+
+	w->gone = true;
+	if (w->fetch)
+		stream_fail(s, "source");
+	prefill_cancel(w->p, w->prefill ? w->prefill->handle : w->result);
+}
+
+/* What a row expects at each step: wasted tokens / tokens told / decodes
+ * finished / pieces held at the end, and a refusal's reason. */
+static const struct {
+	const char *name;
+	void (*run)(struct world *w);
+	const char *expected[STEPS];
+} rows[] = {
+#define ALL(x)                                                                 \
+	{                                                                      \
+		x, x, x, x, x, x                                               \
+	}
+	{"none", event_none, ALL("0/10/1/0")},
+	{"freeze_reports", event_freeze, ALL("0/10/1/0")},
+	{"slow", event_slow, ALL("0/10/1/0")},
+	{"hang_up",
+	 event_hang_up,
+	 {"0/0/0/0", "500/0/0/0", "1000/0/0/0", "0/0/1/0", "0/2/1/0",
+	  "0/2/1/0"}},
+	{"cancel",
+	 event_cancel,
+	 {"0/0/0/0", "500/0/0/0", "1000/0/0/0", "1000/0/0/0", "0/2/0/0",
+	  "0/2/1/0"}},
+	{"refuse",
+	 event_refuse,
+	 {"1000/0/0/0 full", "1000/0/0/0 full", "1000/0/0/0 full", "0/10/1/0",
+	  "0/10/1/0", "0/10/1/0"}},
+	{"leave",
+	 event_leave,
+	 {"1000/0/0/0 leaving", "1000/0/0/0 leaving", "1000/0/0/0 leaving",
+	  "0/10/1/0", "0/10/1/0", "0/10/1/0"}},
+	{"role",
+	 event_role,
+	 {"1000/0/0/0 role", "1000/0/0/0 role", "1000/0/0/0 role", "0/10/1/0",
+	  "0/10/1/0", "0/10/1/0"}},
+	/* Held until somebody cancels: that is the fault. */
+	{"stall_transfer",
+	 event_stall,
+	 {"0/0/0/2", "0/0/0/2", "0/0/0/2", "0/10/1/0", "0/10/1/0", "0/10/1/0"}},
+	{"drop_stream", event_drop, ALL("0/10/1/0")},
+	{"lose_stream",
+	 event_lose,
+	 {"0/4/0/0", "0/4/0/0", "0/4/0/0", "0/4/0/0", "0/4/0/0", "0/6/1/0"}},
+	{"source_dies",
+	 event_source_dies,
+	 {"0/0/0/0", "500/0/0/0", "1000/0/0/0", "1000/0/0/0", "0/10/1/0",
+	  "0/10/1/0"}},
+};
+
+static const char *const step_names[STEPS] = {"waits",	  "computes", "held",
+					      "transfer", "decodes",  "unread"};
+
+static struct engine_model *engine_new(struct clock *clock,
+				       enum engine_role role)
+{
+	const struct engine_params params = {
+		.role = role,
+		.pieces = 4,
+		.piece_tokens = 1000,
+		.slots = 2,
+		.queue = 2,
+		.prefill_tokens_per_s = 10000,
+		.decode_tokens_per_s = 50,
+		.kv_bytes_per_token = 1000,
+		.link_bytes_per_s = 10e6,
+		.hold_usec = MS(800),
+		.resume_usec = MS(1000),
+		.report_lag_usec = MS(100),
+		.time_scale = 1,
+	};
+
+	return engine_create(clock, &params);
+}
+
+/* Runs to a step; the caller's acts that fall before it are done. */
+static void step_reach(struct world *w, enum step step)
+{
+	const struct engine_job other = {.request = 2, .prompt_tokens = 1000};
+	struct stream *s;
+
+	ask_prefill(w, &other, other_computed);
+	ask_prefill(w, &job, computed);
+	clock_advance(w->clock, MIN(step_at[step], MS(200)));
+	if (step > STEP_HELD)
+		ask_decode(w);
+	clock_advance(w->clock, MIN(step_at[step], MS(350)));
+	s = stream_now(w);
+	if (step == STEP_UNREAD)
+		stream_detach(s, w);
+	clock_advance(w->clock, step_at[step]);
+}
+
+/* Lets the caller go on, and everything left over grow old. */
+static void rest_run(struct world *w)
+{
+	int64_t now = clock_now(w->clock);
+	struct stream *s;
+
+	for (int64_t t = now; t < now + MS(5000); t += MS(10)) {
+		clock_advance(w->clock, t);
+		if (w->gone)
+			continue;
+		if (w->result && !w->stream)
+			ask_decode(w);
+		s = stream_now(w);
+		if (s && !s->ops && !w->resumed) {
+			w->resumed = true;
+			stream_attach(s, w->told, false, &ops, w);
+		}
+	}
+}
+
+static void row_test(size_t row, enum step step)
+{
+	struct world w = {.clock = clock_create(0)};
+	uint32_t held = 0;
+	struct request_tally *tally;
+	char *outcome;
+
+	w.p = engine_new(w.clock, ENGINE_PREFILL);
+	w.d = engine_new(w.clock, ENGINE_DECODE);
+	step_reach(&w, step);
+	rows[row].run(&w);
+	rest_run(&w);
+	tally = engine_tally(w.d, 1);
+	held = w.d->pieces_used;
+	/* The other prompt's tokens are always wasted. */
+	outcome = g_strdup_printf(
+		"%u/%u/%u/%u%s%s",
+		(unsigned int)w.p->ledger.wasted_tokens - 1000, w.told,
+		tally->finished, held, w.refused ? " " : "",
+		w.refused ? w.refused : "");
+	g_test_message("%s at %s", rows[row].name, step_names[step]);
+	g_assert_cmpstr(outcome, ==, rows[row].expected[step]);
+	g_assert_cmpint(w.ended, ==, w.told == OUTPUT);
+	g_free(outcome);
+	engine_destroy(w.d);
+	engine_destroy(w.p);
+	clock_destroy(w.clock);
+}
+
+static void test_cell(gconstpointer data)
+{
+	size_t cell = GPOINTER_TO_SIZE(data);
+
+	row_test(cell / STEPS, (enum step)(cell % STEPS));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows) * STEPS; i++) {
+		char *name = g_strdup_printf("/standin/engine/%s/%s",
+					     rows[i / STEPS].name,
+					     step_names[i % STEPS]);
+
+		g_test_add_data_func(name, GSIZE_TO_POINTER(i), test_cell);
+		g_free(name);
+	}
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/standin/test_http.c
@@ -0,0 +1,4 @@
+int main(void)
+{
+	return 0;
+}
