--- a/coord/log_tail.c
+++ b/coord/log_tail.c
@@ -5,7 +5,7 @@
 #include "coord/retry.h"
 
 #define BACKOFF_BASE_USEC (100 * USEC_PER_MSEC)
-#define BACKOFF_MAX_USEC (5 * USEC_PER_SEC)
+#define BACKOFF_MAX_USEC (2 * USEC_PER_SEC)
 /* Between reads that bring nothing, should a store not wait by itself. */
 #define IDLE_USEC (20 * USEC_PER_MSEC)
 
