load: refuse an empty workload file

libcyaml reports success and no data for an empty document, which then was read through a NULL pointer; load-load found it.

--- a/tests/load/test_load.c
+++ b/tests/load/test_load.c
@@ -78,7 +78,8 @@
 	{"version: 1\nrate: 5\nbursts: {factor: 2, share: 0.5, period_ms: "
 	 "10}\n" KIND,
 	 NULL},
-	{"", "No data"},
+	{"", "empty"},
+	{"# nothing\n", "empty"},
 	{"version: 1\nrate: 5\n", "kinds"},
 	{"version: 2\nrate: 5\n" KIND, "version is 2"},
 	{"version: 1\nrate: 0\n" KIND, "rate is not positive"},
