ctl: add jtctl, the operators' command

Operators need to check a file, put it in force as a whole, see who changed what, and read the same measures before and after a swap of policies.

Exit codes are small numbers by result code. Completions for bash, zsh and fish are written from the tables of commands and options.

--- /dev/null
+++ b/ctl/apply.c
@@ -0,0 +1,89 @@
+#include "ctl/apply.h"
+
+#include <glib.h>
+#include <inttypes.h>
+
+#include "ctl/admin.h"
+#include "ctl/file.h"
+#include "ctl/print.h"
+
+/* Appends who put the revision in force, as far as the audit trail tells. */
+static void stale_explain(struct ctl *ctl, const char *addresses, uint64_t base,
+			  struct error *err)
+{
+	json_t *history = admin_get(ctl, addresses, "/history", NULL);
+	json_int_t revision = answer_number(history, "revision");
+	json_t *change;
+	size_t i;
+
+	json_array_foreach (json_object_get(history, "changes"), i, change) {
+		g_autofree char *time =
+			print_time(answer_number(change, "unix_us"));
+
+		if (answer_number(change, "revision") != revision ||
+		    answer_number(change, "code") != RESULT_OK)
+			continue;
+		error_set(err, RESULT_STALE_REVISION,
+			  "the file is based on revision %" PRIu64
+			  ", but %s put revision %" JSON_INTEGER_FORMAT
+			  " in force at %s; look at jtctl diff, then apply "
+			  "again",
+			  base, answer_text(change, "author"), revision, time);
+	}
+	json_decref(history);
+}
+
+static bool base_find(struct ctl *ctl, const struct arguments *args,
+		      uint64_t *base, struct error *err)
+{
+	json_t *config;
+
+	*base = args->base;
+	if (args->has_base)
+		return true;
+	config = admin_get(ctl, args->admin, "/config", err);
+	if (!config)
+		return false;
+	*base = (uint64_t)answer_number(config, "revision");
+	json_decref(config);
+	return true;
+}
+
+static bool send_file(struct ctl *ctl, const struct arguments *args,
+		      const struct file *file, struct apply_result *result,
+		      struct error *err)
+{
+	const char *author = args->author ? args->author : "unknown";
+	g_autofree char *escaped = g_uri_escape_string(author, NULL, FALSE);
+	g_autofree char *path = g_strdup_printf(
+		"/config?base=%" PRIu64 "&author=%s", result->base, escaped);
+	struct admin_request request = {.method = "POST",
+					.path = path,
+					.body = file->data,
+					.body_size = file->size};
+	struct error cause = {0};
+	json_t *answer = admin_call(ctl, args->admin, &request, &cause);
+
+	if (!answer) {
+		if (cause.code == RESULT_STALE_REVISION)
+			stale_explain(ctl, args->admin, result->base, &cause);
+		return error_set(err, cause.code, "%s", cause.text);
+	}
+	result->revision = (uint64_t)answer_number(answer, "revision");
+	json_decref(answer);
+	return true;
+}
+
+bool apply_file(struct ctl *ctl, const struct arguments *args, const char *name,
+		struct apply_result *result, struct error *err)
+{
+	struct file file;
+	bool ok;
+
+	if (!file_read(&file, name, err))
+		return false;
+	ok = base_find(ctl, args, &result->base, err) &&
+	     send_file(ctl, args, &file, result, err);
+	file_clear(&file);
+	return ok;
+}
--- /dev/null
+++ b/ctl/command_status.c
@@ -0,0 +1,118 @@
+#include <glib.h>
+
+#include "ctl/admin.h"
+#include "ctl/command.h"
+#include "ctl/print.h"
+
+#define USEC_PER_SEC_REAL 1e6
+
+static double seconds(const json_t *object, const char *name)
+{
+	return (double)answer_number(object, name) / USEC_PER_SEC_REAL;
+}
+
+static bool flag(const json_t *object, const char *name)
+{
+	return json_is_true(json_object_get(object, name));
+}
+
+static void instance_print(FILE *out, const json_t *status)
+{
+	const json_t *self = json_object_get(status, "instance");
+	const json_t *platform = json_object_get(status, "platform");
+	double age = seconds(platform, "list_age_us");
+
+	fprintf(out, "instance %s in %s, version %s, up %.0f s%s\n",
+		answer_text(self, "name"), answer_text(self, "data_centre"),
+		answer_text(status, "version"), seconds(self, "uptime_us"),
+		flag(self, "draining") ? ", draining" : "");
+	fprintf(out, "revision %" JSON_INTEGER_FORMAT ", policy %s\n",
+		answer_number(status, "revision"),
+		answer_text(status, "policy"));
+	if (!flag(platform, "configured"))
+		fprintf(out, "platform: none configured\n");
+	else if (age < 0)
+		fprintf(out, "platform: its list was not read yet\n");
+	else
+		fprintf(out, "platform: list read %.1f s ago\n", age);
+}
+
+static void members_print(FILE *out, const json_t *members)
+{
+	struct columns *columns = columns_create(5);
+	json_t *member;
+	size_t i;
+
+	columns_add(columns, "MEMBER", "DATA CENTRE", "STATE", "PEER ADDRESS",
+		    "ADDRESS");
+	json_array_foreach (members, i, member)
+		columns_add(columns, answer_text(member, "name"),
+			    answer_text(member, "data_centre"),
+			    answer_text(member, "state"),
+			    answer_text(member, "peer_address"),
+			    answer_text(member, "address"));
+	fputc('\n', out);
+	columns_print(columns, out);
+}
+
+static void runners_print(FILE *out, const json_t *runners)
+{
+	struct columns *columns = columns_create(6);
+	json_t *runner;
+	size_t i;
+
+	columns_add(columns, "BACKEND SERVER", "POOL", "DATA CENTRE", "ADDRESS",
+		    "STATE", "HOME");
+	json_array_foreach (runners, i, runner)
+		columns_add(columns, answer_text(runner, "name"),
+			    answer_text(runner, "pool"),
+			    answer_text(runner, "data_centre"),
+			    answer_text(runner, "address"),
+			    flag(runner, "leaving")  ? "leaving"
+			    : flag(runner, "listed") ? "live"
+						     : "unlisted",
+			    flag(runner, "home") ? "here" : "");
+	fputc('\n', out);
+	columns_print(columns, out);
+}
+
+static void counts_print(FILE *out, const json_t *status)
+{
+	const json_t *ledger = json_object_get(status, "ledger");
+
+	fprintf(out,
+		"\nrequests in flight %zu, waiting %" JSON_INTEGER_FORMAT
+		", grants %" JSON_INTEGER_FORMAT
+		", grants held %" JSON_INTEGER_FORMAT
+		", records %" JSON_INTEGER_FORMAT "\n",
+		json_array_size(json_object_get(status, "requests")),
+		answer_number(ledger, "waiting"),
+		answer_number(ledger, "grants"), answer_number(ledger, "held"),
+		answer_number(ledger, "records"));
+}
+
+static bool run(struct ctl *ctl, const struct arguments *args,
+		struct error *err)
+{
+	json_t *status = admin_get(ctl, args->admin, "/status", err);
+
+	if (!status)
+		return false;
+	if (args->json) {
+		print_json(ctl->out, status);
+	} else {
+		instance_print(ctl->out, status);
+		members_print(ctl->out, json_object_get(status, "members"));
+		runners_print(ctl->out, json_object_get(status, "runners"));
+		counts_print(ctl->out, status);
+	}
+	json_decref(status);
+	return true;
+}
+
+const struct command command_status = {
+	.name = "status",
+	.summary = "Print what an instance knows of the site",
+	.args_doc = "",
+	.run = run,
+};
--- /dev/null
+++ b/ctl/command_validate.c
@@ -0,0 +1,125 @@
+#include <glib.h>
+
+#include "config/config.h"
+#include "ctl/admin.h"
+#include "ctl/command.h"
+#include "ctl/file.h"
+#include "ctl/print.h"
+
+static json_t *report_create(const char *name, const struct config *config)
+{
+	return json_pack(
+		"{s:s, s:s, s:i, s:i, s:i, s:s}", "file", name, "site",
+		config->site, "data_centres", (int)config->data_centre_count,
+		"pools", (int)config->pool_count, "services",
+		(int)config->service_count, "policy", config->policy.name);
+}
+
+static json_int_t runners_of(const json_t *status, const char *pool)
+{
+	json_int_t count = 0;
+	json_t *runner;
+	size_t i;
+
+	json_array_foreach (json_object_get(status, "runners"), i, runner)
+		count += g_str_equal(answer_text(runner, "pool"), pool);
+	return count;
+}
+
+/* Runners that the file would leave without a pool. */
+static json_int_t runners_left(const json_t *status,
+			       const struct config *config)
+{
+	json_int_t count = 0;
+	json_t *runner;
+	size_t i;
+
+	json_array_foreach (json_object_get(status, "runners"), i, runner)
+		count += config_pool(config, answer_text(runner, "pool")) ==
+			 NULL;
+	return count;
+}
+
+static bool remote_add(struct ctl *ctl, const struct arguments *args,
+		       const struct config *config, json_t *report,
+		       struct error *err)
+{
+	json_t *status = admin_get(ctl, args->admin, "/status", err);
+	json_t *counts = json_object();
+
+	if (!status) {
+		json_decref(counts);
+		return false;
+	}
+	for (size_t i = 0; i < config->pool_count; i++) {
+		const char *name = config->pools[i].name;
+
+		json_object_set_new(counts, name,
+				    json_integer(runners_of(status, name)));
+	}
+	json_object_set_new(report, "runners", counts);
+	json_object_set_new(report, "runners_without_pool",
+			    json_integer(runners_left(status, config)));
+	json_decref(status);
+	return true;
+}
+
+static void report_print(FILE *out, const json_t *report)
+{
+	json_t *runners = json_object_get(report, "runners");
+	const char *pool;
+	json_t *count;
+
+	fprintf(out,
+		"%s: valid: site %s, %" JSON_INTEGER_FORMAT
+		" data centres, %" JSON_INTEGER_FORMAT
+		" pools, %" JSON_INTEGER_FORMAT " services, policy %s\n",
+		answer_text(report, "file"), answer_text(report, "site"),
+		answer_number(report, "data_centres"),
+		answer_number(report, "pools"),
+		answer_number(report, "services"),
+		answer_text(report, "policy"));
+	if (!runners)
+		return;
+	json_object_foreach (runners, pool, count)
+		fprintf(out, "pool %s: %" JSON_INTEGER_FORMAT " runners\n",
+			pool, json_integer_value(count));
+	if (answer_number(report, "runners_without_pool") > 0)
+		fprintf(out,
+			"warning: %" JSON_INTEGER_FORMAT
+			" runners belong to pools that the file lacks\n",
+			answer_number(report, "runners_without_pool"));
+}
+
+static bool run(struct ctl *ctl, const struct arguments *args,
+		struct error *err)
+{
+	const char *name = args->operands[0];
+	struct file file;
+	json_t *report;
+	bool ok = true;
+
+	if (!file_read(&file, name, err))
+		return false;
+	report = report_create(name, file.config);
+	if (args->remote)
+		ok = remote_add(ctl, args, file.config, report, err);
+	if (ok && args->json)
+		print_json(ctl->out, report);
+	else if (ok)
+		report_print(ctl->out, report);
+	json_decref(report);
+	file_clear(&file);
+	return ok;
+}
+
+const struct command command_validate = {
+	.name = "validate",
+	.summary = "Check a file without applying it",
+	.args_doc = "FILE",
+	.options = OPTION_REMOTE,
+	.operand = OPERAND_FILE,
+	.operands_min = 1,
+	.operands_max = 1,
+	.run = run,
+};
--- /dev/null
+++ b/ctl/file.c
@@ -0,0 +1,42 @@
+#include "ctl/file.h"
+
+#include <glib.h>
+
+#include "config/config.h"
+#include "policy/policy.h"
+
+static bool policy_check(const struct config_policy *settings,
+			 struct error *err)
+{
+	const struct policy_ops *ops = policy_find(settings->name, err);
+	void *state;
+
+	if (!ops)
+		return false;
+	state = ops->create(settings, err);
+	if (!state)
+		return false;
+	ops->destroy(state);
+	return true;
+}
+
+bool file_read(struct file *file, const char *name, struct error *err)
+{
+	*file = (struct file){0};
+	if (!config_read(name, &file->data, &file->size, err))
+		return false;
+	file->config = config_parse(name, file->data, file->size, err);
+	if (file->config && policy_check(&file->config->policy, err))
+		return true;
+	if (file->config)
+		error_prefix(err, "%s", name);
+	file_clear(file);
+	return false;
+}
+
+void file_clear(struct file *file)
+{
+	config_destroy(file->config);
+	g_free(file->data);
+	*file = (struct file){0};
+}
--- /dev/null
+++ b/include/ctl/exit_code.h
@@ -0,0 +1,28 @@
+/*
+ * exit_code.h - one small number for each kind of result
+ *
+ * DESCRIPTION
+ *	Exit codes have eight bits, result codes have not. jtctl(1) lists them.
+ */
+#ifndef CTL_EXIT_CODE_H
+#define CTL_EXIT_CODE_H
+
+#include "common/error.h"
+
+enum exit_code {
+	EXIT_CODE_OK = 0,
+	EXIT_CODE_DIFFERS = 1, /* diff found a difference */
+	EXIT_CODE_USAGE = 2,
+	EXIT_CODE_BAD_CONFIG = 3,
+	EXIT_CODE_STALE_REVISION = 4,
+	EXIT_CODE_IO = 5,	/* a file, or no daemon reached */
+	EXIT_CODE_LOG_DOWN = 6, /* not applied */
+	EXIT_CODE_UNKNOWN = 7,	/* may have been applied or not */
+	EXIT_CODE_NO_CONFIG = 8,
+	EXIT_CODE_REFUSED = 9, /* any other refusal by the daemon */
+	EXIT_CODE_DEFECT = 70,
+};
+
+enum exit_code exit_code_of(enum result_code code);
+
+#endif
--- /dev/null
+++ b/include/ctl/print.h
@@ -0,0 +1,26 @@
+/*
+ * print.h - aligned columns, times and JSON on a stream
+ */
+#ifndef CTL_PRINT_H
+#define CTL_PRINT_H
+
+#include <jansson.h>
+#include <stdint.h>
+#include <stdio.h>
+
+struct columns;
+
+struct columns *columns_create(unsigned int width);
+/* Adds a row of width strings, which are copied. */
+#define columns_add(columns, ...)                                              \
+	columns_add_row(columns, (const char *const[]){__VA_ARGS__})
+void columns_add_row(struct columns *columns, const char *const *row);
+/* Prints all rows, two spaces between columns, and frees the columns. */
+void columns_print(struct columns *columns, FILE *out);
+
+/* "2026-01-31T12:00:00Z" of microseconds since 1970. */
+char *print_time(int64_t unix_us);
+/* One JSON value, indented, and a line's end. */
+void print_json(FILE *out, const json_t *json);
+
+#endif
--- /dev/null
+++ b/tests/ctl/fake_admin.h
@@ -0,0 +1,32 @@
+/* A daemon's admin address with scripted answers. */
+#ifndef TESTS_CTL_FAKE_ADMIN_H
+#define TESTS_CTL_FAKE_ADMIN_H
+
+#include <glib.h>
+
+#include "web/loop.h"
+#include "web/server.h"
+
+enum fake_mode {
+	FAKE_FINE,
+	FAKE_EMPTY,    /* no file was applied yet */
+	FAKE_STALE,    /* another operator was faster */
+	FAKE_BAD,      /* the daemon refuses the file */
+	FAKE_LOG_DOWN, /* the log has an outage */
+	FAKE_CUT,      /* the answer to an apply is lost */
+	FAKE_NOT_JSON,
+	FAKE_RESTART, /* measures start anew at each reading */
+};
+
+struct fake_admin {
+	enum fake_mode mode;
+	struct web_server *server;
+	GString *seen; /* "METHOD path?query bytes\n" each */
+	unsigned int readings;
+	char *content;
+};
+
+struct fake_admin *fake_admin_create(struct loop *loop, enum fake_mode mode);
+void fake_admin_destroy(struct fake_admin *fake);
+
+#endif
--- /dev/null
+++ b/tests/ctl/test_ctl.c
@@ -0,0 +1,290 @@
+/* Whole runs of jtctl against a scripted daemon, as golden files: what was
+ * printed, the exit code, and what the daemon saw. JT_GOLDEN_WRITE=1 writes
+ * the files anew. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "ctl/command.h"
+#include "ctl/completion.h"
+#include "ctl/ctl.h"
+#include "ctl/exit_code.h"
+#include "fake_admin.h"
+#include "policy/policy.h"
+#include "web/client.h"
+
+#define ROOT SOURCE_ROOT "/"
+#define TESTS ROOT "tests/ctl/"
+
+/* In the command line, BASE is a good file, CHANGED an edit of it, BAD a file
+ * with a fault, A and B saved reports, SAVED a file to write. */
+struct session {
+	const char *name;
+	enum fake_mode mode;
+	const char *command;
+};
+
+static const struct session sessions[] = {
+	{"validate", FAKE_FINE, "validate BASE"},
+	{"validate-json", FAKE_FINE, "validate --json BASE"},
+	{"validate-remote", FAKE_FINE, "validate --remote BASE"},
+	{"validate-bad", FAKE_FINE, "validate BAD"},
+	{"validate-bad-json", FAKE_FINE, "--json validate BAD"},
+	{"validate-policy", FAKE_FINE, "validate POLICY"},
+	{"validate-missing", FAKE_FINE, "validate /nowhere"},
+	{"apply", FAKE_FINE, "apply --author ana BASE"},
+	{"apply-base", FAKE_FINE, "apply --base 7 --author a&b BASE"},
+	{"apply-first", FAKE_EMPTY, "apply BASE"},
+	{"apply-json", FAKE_FINE, "apply --json BASE"},
+	{"apply-stale", FAKE_STALE, "apply --base 5 BASE"},
+	{"apply-bad", FAKE_FINE, "apply BAD"},
+	{"apply-refused", FAKE_BAD, "apply BASE"},
+	{"apply-log-down", FAKE_LOG_DOWN, "apply BASE"},
+	{"apply-cut", FAKE_CUT, "apply BASE"},
+	{"show", FAKE_FINE, "show"},
+	{"show-empty", FAKE_EMPTY, "show"},
+	{"diff", FAKE_FINE, "diff BASE CHANGED"},
+	{"diff-json", FAKE_FINE, "diff --json BASE CHANGED"},
+	{"diff-in-force", FAKE_FINE, "diff CHANGED"},
+	{"diff-same", FAKE_FINE, "diff BASE"},
+	{"diff-empty", FAKE_EMPTY, "diff BASE"},
+	{"history", FAKE_FINE, "history"},
+	{"history-json", FAKE_FINE, "history --json"},
+	{"status", FAKE_FINE, "status"},
+	{"status-next", FAKE_FINE, "status --admin 127.0.0.1:1,ADMIN"},
+	{"status-unreached", FAKE_FINE, "status --admin 127.0.0.1:1"},
+	{"status-not-json", FAKE_NOT_JSON, "status"},
+	{"measures", FAKE_FINE, "measures"},
+	{"measures-two", FAKE_FINE, "measures --admin ADMIN,ADMIN"},
+	{"measures-window", FAKE_FINE,
+	 "measures --window 0.001 --apply BASE --save SAVED"},
+	{"measures-restart", FAKE_RESTART, "measures --window 0.001"},
+	{"measures-files", FAKE_FINE, "measures A B"},
+	{"measures-file-bad", FAKE_FINE, "measures BASE"},
+	{"measures-apply", FAKE_FINE, "measures --apply BASE"},
+	{"help", FAKE_FINE, "--help"},
+	{"help-apply", FAKE_FINE, "apply --help"},
+	{"no-command", FAKE_FINE, ""},
+	{"unknown-command", FAKE_FINE, "remove"},
+	{"missing-file", FAKE_FINE, "apply"},
+	{"bad-base", FAKE_FINE, "apply --base x BASE"},
+	{"bad-window", FAKE_FINE, "measures --window 0"},
+	{"completions-other", FAKE_FINE, "completions tcsh"},
+};
+
+static const char *const words[][2] = {
+	{"BASE", ROOT "tests/config/base.yaml"},
+	{"CHANGED", TESTS "changed.yaml"},
+	{"BAD", TESTS "bad.yaml"},
+	{"POLICY", TESTS "policy.yaml"},
+	{"A", TESTS "before.json"},
+	{"B", TESTS "after.json"},
+};
+
+struct run {
+	struct clock *clock;
+	struct loop *loop;
+	struct fake_admin *fake;
+	char *saved;
+};
+
+static char *word_expand(const struct run *run, const char *word)
+{
+	const char *address = web_server_address(run->fake->server);
+	g_auto(GStrv) parts = NULL;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(words); i++) {
+		if (strcmp(words[i][0], word) == 0)
+			return g_strdup(words[i][1]);
+	}
+	if (strcmp(word, "SAVED") == 0)
+		return g_strdup(run->saved);
+	parts = g_strsplit(word, "ADMIN", -1);
+	return g_strjoinv(address, parts);
+}
+
+static char *replaced(char *text, const char *from, const char *to)
+{
+	g_auto(GStrv) parts = g_strsplit(text, from, -1);
+
+	g_free(text);
+	return g_strjoinv(to, parts);
+}
+
+static int ctl_call(struct run *run, const char *command, FILE *out)
+{
+	g_autofree char *line = g_strdup_printf("jtctl %s", command);
+	g_auto(GStrv) argv = g_strsplit(g_strchomp(line), " ", -1);
+	g_autofree char **arguments = NULL;
+	struct ctl ctl = {
+		.loop = run->loop,
+		.client = web_client_create(run->loop),
+		.out = out,
+		.err = out,
+		.admin = web_server_address(run->fake->server),
+	};
+	guint count = g_strv_length(argv);
+	int code;
+
+	for (guint i = 0; i < count; i++) {
+		char *word = argv[i];
+
+		argv[i] = word_expand(run, word);
+		g_free(word);
+	}
+	/* argp moves the words about. */
+	arguments = g_memdup2(argv, (count + 1) * sizeof(*argv));
+	code = ctl_run(&ctl, (int)count, arguments);
+	web_client_destroy(ctl.client);
+	return code;
+}
+
+static char *with_file(char *text, const char *file)
+{
+	g_autofree char *content = NULL;
+	char *whole;
+
+	g_assert_true(g_file_get_contents(file, &content, NULL, NULL));
+	whole = g_strconcat(text, content, NULL);
+	g_free(text);
+	return whole;
+}
+
+/* The whole session as text, without what differs between runs. */
+static char *session_run(const struct session *session)
+{
+	struct run run = {.clock = clock_create_system()};
+	char *text = NULL;
+	size_t size;
+	FILE *out = open_memstream(&text, &size);
+	int fd = g_file_open_tmp("jtctl-XXXXXX", &run.saved, NULL);
+	int code;
+
+	g_close(fd, NULL);
+	run.loop = loop_create(run.clock);
+	run.fake = fake_admin_create(run.loop, session->mode);
+	fprintf(out, "$ jtctl%s%s\n", *session->command ? " " : "",
+		session->command);
+	code = ctl_call(&run, session->command, out);
+	fprintf(out, "exit code %d\n%s", code, run.fake->seen->str);
+	fclose(out);
+	text = replaced(text, web_server_address(run.fake->server), "ADMIN");
+	text = replaced(text, SOURCE_ROOT "/", "");
+	if (strstr(session->command, "SAVED")) {
+		text = replaced(text, run.saved, "SAVED");
+		text = with_file(text, run.saved);
+	}
+	g_unlink(run.saved);
+	g_free(run.saved);
+	fake_admin_destroy(run.fake);
+	loop_destroy(run.loop);
+	clock_destroy(run.clock);
+	return text;
+}
+
+static void golden_compare(const char *path, const char *text)
+{
+	g_autofree char *expected = NULL;
+
+	if (g_getenv("JT_GOLDEN_WRITE"))
+		g_assert_true(g_file_set_contents(path, text, -1, NULL));
+	g_assert_true(g_file_get_contents(path, &expected, NULL, NULL));
+	g_assert_cmpstr(text, ==, expected);
+}
+
+static void test_session(gconstpointer data)
+{
+	const struct session *session = data;
+	g_autofree char *path =
+		g_strdup_printf(TESTS "golden/%s.txt", session->name);
+	g_autofree char *text = session_run(session);
+
+	golden_compare(path, text);
+}
+
+static void test_completions(void)
+{
+	static const char *const shells[] = {"bash", "fish", "zsh"};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(shells); i++) {
+		g_autofree char *path = g_strdup_printf(
+			ROOT "ctl/completions/jtctl.%s", shells[i]);
+		char *text = NULL;
+		size_t size;
+		FILE *out = open_memstream(&text, &size);
+
+		g_assert_true(completion_print(out, shells[i]));
+		fclose(out);
+		golden_compare(path, text);
+		free(text);
+	}
+}
+
+/* Not a golden file: the list grows with policy/. */
+static void test_policies(void)
+{
+	static const struct session text_session = {.command = "policies"};
+	static const struct session json_session = {.command =
+							    "policies --json"};
+	g_autofree char *text = session_run(&text_session);
+	g_autofree char *json = session_run(&json_session);
+	size_t count;
+	const struct policy_ops *const *policies = policy_all(&count);
+
+	g_assert_cmpuint(count, >, 1);
+	for (size_t i = 0; i < count; i++) {
+		g_autofree char *line =
+			g_strdup_printf("\n%s ", policies[i]->name);
+		g_autofree char *field =
+			g_strdup_printf("\"name\": \"%s\"", policies[i]->name);
+
+		g_assert_nonnull(strstr(text, line));
+		g_assert_nonnull(strstr(text, policies[i]->summary));
+		g_assert_nonnull(strstr(json, field));
+	}
+	g_assert_nonnull(strstr(json, "exit code 0"));
+}
+
+static void test_table(void)
+{
+	size_t count;
+	const struct command *const *commands = command_all(&count);
+
+	for (size_t i = 0; i < count; i++) {
+		g_assert_true(command_find(commands[i]->name) == commands[i]);
+		if (i > 0)
+			g_assert_cmpstr(commands[i - 1]->name, <,
+					commands[i]->name);
+	}
+	g_assert_null(command_find(""));
+}
+
+static void test_exit_codes(void)
+{
+#define X(name, number, label, outcome, status)                                \
+	g_assert_cmpint(exit_code_of(name), <, 256);                           \
+	g_assert_true((exit_code_of(name) == EXIT_CODE_OK) ==                  \
+		      ((name) == RESULT_OK));
+	RESULT_CODES(X)
+#undef X
+	g_assert_cmpint(exit_code_of(RESULT_QUEUE_FULL), ==, EXIT_CODE_REFUSED);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_unsetenv("ARGP_HELP_FMT");
+	for (size_t i = 0; i < G_N_ELEMENTS(sessions); i++) {
+		g_autofree char *path =
+			g_strdup_printf("/ctl/%s", sessions[i].name);
+
+		g_test_add_data_func(path, &sessions[i], test_session);
+	}
+	g_test_add_func("/ctl/completions", test_completions);
+	g_test_add_func("/ctl/policies", test_policies);
+	g_test_add_func("/ctl/table", test_table);
+	g_test_add_func("/ctl/exit-codes", test_exit_codes);
+	return g_test_run();
+}
