--- /dev/null
+++ b/entry/component_config.c
@@ -0,0 +1,169 @@
+/*
+ * component_config.c - the configuration fold, and what a new revision sets off
+ */
+#include "component_private.h"
+
+#include "common/log.h"
+#include "entry/entry.h"
+#include "entry/peers.h"
+#include "entry/platform.h"
+#include "entry/requests.h"
+#include "policy/policy.h"
+
+#define FILE_LABEL "config"
+
+static void ledger_take_config(struct entry *entry)
+{
+	struct error err;
+
+	if (!entry->ledger ||
+	    ledger_configure(entry->ledger, entry->config, &err))
+		return;
+	log_event(LOG_ERR, "configuration_refused_by_ledger",
+		  LOG_D("revision", entry->revision), LOG_D("code", err.code),
+		  LOG_S("reason", err.text));
+}
+
+void entry_configure(struct entry *entry, uint64_t revision,
+		     struct config *config)
+{
+	struct config *old = entry->config;
+
+	if (old && revision < entry->revision) {
+		config_destroy(config);
+		return;
+	}
+	entry->config = config;
+	entry->revision = revision;
+	gauge_get(entry->counters, "jt_config_revision",
+		  "Revision of the configuration in force", NULL)
+		->value = (int64_t)revision;
+	ledger_take_config(entry);
+	if (entry->requests)
+		requests_configured(entry->requests);
+	config_destroy(old);
+	log_event(LOG_NOTICE, "configuration_in_force",
+		  LOG_D("revision", revision),
+		  LOG_S("policy", config->policy.name));
+}
+
+/* The policy's own check of its parameters is part of the file's. */
+static bool policy_check(const struct config *config, struct error *err)
+{
+	const struct policy_ops *ops = policy_find(config->policy.name, err);
+	void *state;
+
+	if (!ops)
+		return false;
+	state = ops->create(&config->policy, err);
+	if (!state)
+		return false;
+	ops->destroy(state);
+	return true;
+}
+
+static struct config *content_parse(const void *data, size_t size,
+				    struct error *err)
+{
+	struct config *config = config_parse(FILE_LABEL, data, size, err);
+
+	if (!config || policy_check(config, err))
+		return config;
+	config_destroy(config);
+	return NULL;
+}
+
+static bool fold_check(void *ctx, const void *data, size_t size,
+		       struct error *err)
+{
+	struct config *config = content_parse(data, size, err);
+
+	config_destroy(config);
+	return config != NULL;
+}
+
+static void fold_changed(void *ctx, uint64_t revision, const void *data,
+			 size_t size)
+{
+	struct entry *entry = ctx;
+	struct error err;
+	struct config *config = content_parse(data, size, &err);
+
+	if (config) {
+		entry_configure(entry, revision, config);
+		return;
+	}
+	log_event(LOG_ERR, "configuration_unreadable",
+		  LOG_D("revision", revision), LOG_D("code", err.code),
+		  LOG_S("reason", err.text));
+}
+
+static void fold_audited(void *ctx, const struct fold_audit *audit)
+{
+	struct entry *entry = ctx;
+	bool accepted = audit->code == RESULT_OK;
+
+	counter_get(entry->counters, "jt_config_changes_total",
+		    "Configuration files read from the log",
+		    accepted ? "result=\"accepted\"" : "result=\"refused\"")
+		->value++;
+	log_event(LOG_NOTICE, "configuration_change",
+		  LOG_S("author", audit->author),
+		  LOG_D("revision", audit->offset), LOG_D("base", audit->base),
+		  LOG_S("result", result_label(audit->code)),
+		  LOG_S("reason", audit->reason),
+		  LOG_X("content_hash", audit->content_hash),
+		  LOG_D("size", audit->size), LOG_D("unix_us", audit->unix_us));
+}
+
+static void config_receive(void *ctx, uint64_t from, const void *data,
+			   size_t size)
+{
+	fold_receive(ctx, from, data, size);
+}
+
+static bool first_load(struct entry *entry, struct error *err)
+{
+	struct config *config;
+
+	if (!entry->settings.config_file || entry->config)
+		return true;
+	config = config_load(entry->settings.config_file, err);
+	if (!config)
+		return false;
+	if (!policy_check(config, err)) {
+		config_destroy(config);
+		return false;
+	}
+	entry_configure(entry, REVISION_NONE, config);
+	return true;
+}
+
+bool fold_component_start(void *ctx, struct error *err)
+{
+	static const struct fold_ops ops = {
+		.check = fold_check,
+		.changed = fold_changed,
+		.audit = fold_audited,
+	};
+	struct entry *entry = ctx;
+	struct transport transport = peers_transport(entry->peers);
+
+	if (!first_load(entry, err))
+		return false;
+	entry->fold = fold_create(entry->clock, entry->membership,
+				  platform_log(entry->platform), &transport,
+				  &ops, entry);
+	peers_on(entry->peers, CHANNEL_CONFIG, config_receive, entry->fold);
+	fold_start(entry->fold);
+	return true;
+}
+
+void fold_component_stop(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	peers_on(entry->peers, CHANNEL_CONFIG, NULL, NULL);
+	fold_destroy(entry->fold);
+	entry->fold = NULL;
+}
--- /dev/null
+++ b/entry/drain.c
@@ -0,0 +1,140 @@
+/*
+ * drain.c - graceful shutdown: announce, finish what runs, hand over, stop
+ */
+#include "common/log.h"
+#include "entry/entry.h"
+#include "entry/peers.h"
+#include "entry/platform.h"
+#include "entry/requests.h"
+
+/* How often the end of requests and of writing to peers is looked for. */
+#define CHECK_USEC (10 * USEC_PER_MSEC)
+/* Longest wait for what is still to be written to peers. */
+#define FLUSH_USEC (1 * USEC_PER_SEC)
+
+struct drain {
+	struct entry *entry;
+	struct timer close; /* ends the accepting of connections */
+	struct timer check;
+	struct timer limit;
+	int64_t started_at;
+	int64_t answered_at; /* -1 until all is answered */
+	bool closed;
+};
+
+static void drain_finish(struct drain *drain, const char *result)
+{
+	struct entry *entry = drain->entry;
+	uint32_t left = entry->requests ? requests_count(entry->requests) : 0;
+
+	timer_stop(&drain->close);
+	timer_stop(&drain->check);
+	timer_stop(&drain->limit);
+	log_event(
+		left ? LOG_WARNING : LOG_NOTICE, "drained",
+		LOG_S("result", result), LOG_D("requests_left", left),
+		LOG_D("took_us", clock_now(entry->clock) - drain->started_at));
+	loop_stop(entry->loop);
+}
+
+static bool drain_answered(const struct entry *entry)
+{
+	if (entry->requests && requests_count(entry->requests) > 0)
+		return false;
+	return !entry->server || web_server_pending(entry->server) == 0;
+}
+
+/* All is answered: what the answers told the peers is still to be written. */
+static bool drain_flushed(struct drain *drain)
+{
+	const struct entry *entry = drain->entry;
+	int64_t now = clock_now(entry->clock);
+
+	if (drain->answered_at < 0) {
+		drain->answered_at = now;
+		return false;
+	}
+	if (now - drain->answered_at >= FLUSH_USEC)
+		return true;
+	return !entry->peers || peers_flushed(entry->peers);
+}
+
+static void check_fire(struct timer *timer, void *ctx)
+{
+	struct drain *drain = ctx;
+
+	if (drain->closed && drain_answered(drain->entry) &&
+	    drain_flushed(drain)) {
+		drain_finish(drain, "complete");
+		return;
+	}
+	timer_start(timer, CHECK_USEC);
+}
+
+static void close_fire(struct timer *timer, void *ctx)
+{
+	struct drain *drain = ctx;
+
+	drain->closed = true;
+	if (drain->entry->server)
+		web_server_drain(drain->entry->server);
+	timer_start(&drain->check, 0);
+}
+
+static void limit_fire(struct timer *timer, void *ctx)
+{
+	drain_finish(ctx, "timed out");
+}
+
+static void drain_announce(struct entry *entry)
+{
+	if (entry->platform)
+		platform_leave(entry->platform);
+	if (entry->membership)
+		membership_leave(entry->membership);
+	if (entry->ledger)
+		ledger_drain(entry->ledger);
+}
+
+void entry_drain(struct entry *entry)
+{
+	struct drain *drain = entry->drain;
+
+	if (entry->draining)
+		return;
+	entry->draining = true;
+	drain->started_at = clock_now(entry->clock);
+	log_event(LOG_NOTICE, "draining",
+		  LOG_D("requests",
+			entry->requests ? requests_count(entry->requests) : 0));
+	drain_announce(entry);
+	timer_start(&drain->close, entry->settings.drain_delay_usec);
+	if (entry->settings.drain_usec > 0)
+		timer_start(&drain->limit, entry->settings.drain_usec);
+}
+
+void entry_drained(struct entry *entry)
+{
+	if (entry->draining && entry->drain->closed)
+		timer_start(&entry->drain->check, 0);
+}
+
+struct drain *drain_create(struct entry *entry)
+{
+	struct drain *drain = g_new0(struct drain, 1);
+
+	drain->entry = entry;
+	drain->answered_at = -1;
+	timer_init(&drain->close, entry->clock, close_fire, drain);
+	timer_init(&drain->check, entry->clock, check_fire, drain);
+	timer_init(&drain->limit, entry->clock, limit_fire, drain);
+	return drain;
+}
+
+void drain_destroy(struct drain *drain)
+{
+	timer_stop(&drain->close);
+	timer_stop(&drain->check);
+	timer_stop(&drain->limit);
+	g_free(drain);
+}
--- /dev/null
+++ b/entry/peer_greet.c
@@ -0,0 +1,131 @@
+/*
+ * peer_greet.c - what a hello leads to: which link to a peer is kept
+ */
+#include "peers_private.h"
+
+#include "common/error.h"
+#include "common/log.h"
+#include "entry/peer_hello.h"
+
+void hello_write(struct peers *peers, struct link *link)
+{
+	struct frame_writer *writer = frame_writer_create();
+	GByteArray *payload = g_byte_array_new();
+	GByteArray *frame = g_byte_array_new();
+
+	hello_encode(&peers->self, payload);
+	frame_writer_add(writer, CHANNEL_HELLO, payload->data, payload->len,
+			 NULL);
+	frame_writer_take(writer, frame);
+	link_write(link, &frame);
+	traffic_count(peers);
+	g_byte_array_free(frame, TRUE);
+	g_byte_array_free(payload, TRUE);
+	frame_writer_destroy(writer);
+}
+
+static void link_use(struct peers *peers, struct peer *peer, struct link *link)
+{
+	peer->link = link;
+	peer->attempts = 0;
+	timer_stop(&peer->backoff);
+	link_ready(link);
+	peers->linked->value = peers_links(peers);
+	peer_write(peer);
+}
+
+/* Whether an inbound link takes the place of the present one. */
+static bool link_better(const struct link *fresh, const struct link *present)
+{
+	if (present->state == LINK_CONNECTING)
+		return true;
+	return fresh->opener <= present->opener;
+}
+
+static void link_replace(struct peers *peers, struct peer *peer)
+{
+	struct link *present = peer->link;
+
+	if (present->state != LINK_READY) {
+		link_drop(peers, present);
+		return;
+	}
+	peer->link = NULL;
+	link_retire(present);
+}
+
+static void hello_inbound(struct peers *peers, struct peer *peer,
+			  struct link *link)
+{
+	struct link *present = peer->link;
+
+	if (present && !link_better(link, present)) {
+		/* A link that the other side has lost is found out by this. */
+		if (present->state == LINK_READY && !link_writing(present))
+			hello_write(peers, present);
+		link_drop(peers, link);
+		return;
+	}
+	if (present)
+		link_replace(peers, peer);
+	hello_write(peers, link);
+	link_use(peers, peer, link);
+}
+
+/* A new incarnation's first word ends the links of the former one. */
+static bool incarnation_take(struct peers *peers, struct peer *peer,
+			     const struct link *link,
+			     const struct member *member)
+{
+	if (member->incarnation < peer->incarnation)
+		return false;
+	if (member->incarnation > peer->incarnation && peer->link &&
+	    peer->link != link && peer->link->state == LINK_READY)
+		link_drop(peers, peer->link);
+	peer->incarnation = member->incarnation;
+	return true;
+}
+
+static bool hello_valid(struct peers *peers, const struct link *link,
+			const struct member *member)
+{
+	const char *reason = NULL;
+
+	if (member->id == peers->self.id)
+		reason = "own name";
+	else if (link->peer != 0 && link->peer != member->id)
+		reason = "another instance";
+	if (!reason)
+		return true;
+	log_event(LOG_WARNING, "peer_refused", LOG_S("peer", member->name),
+		  LOG_S("address", member->peer_address),
+		  LOG_S("reason", reason));
+	return false;
+}
+
+void hello_take(struct peers *peers, struct link *link, const void *payload,
+		size_t size)
+{
+	struct member member;
+
+	if (!hello_decode(&member, payload, size, NULL) ||
+	    !hello_valid(peers, link, &member)) {
+		link_refuse(peers, link);
+		return;
+	}
+	struct peer *peer = peer_get(peers, member.id);
+
+	if (!incarnation_take(peers, peer, link, &member)) {
+		link_refuse(peers, link);
+		return;
+	}
+	if (link->peer == 0) {
+		link->peer = member.id;
+		link->opener = member.id;
+		hello_inbound(peers, peer, link);
+	} else {
+		link_use(peers, peer, link);
+	}
+	if (peers->ops.hello)
+		peers->ops.hello(peers->ctx, &member);
+}
--- /dev/null
+++ b/entry/peers_private.h
@@ -0,0 +1,108 @@
+/*
+ * peers_private.h - what the files of peers share
+ */
+#ifndef ENTRY_PEERS_PRIVATE_H
+#define ENTRY_PEERS_PRIVATE_H
+
+#include <glib.h>
+
+#include "common/clock.h"
+#include "common/counter.h"
+#include "entry/peer_link.h"
+#include "entry/peers.h"
+#include "web/address.h"
+
+struct handler {
+	peers_receive_fn fn;
+	void *ctx;
+};
+
+struct peer {
+	struct peers *peers;
+	uint64_t id;
+	uint64_t incarnation;
+	struct link *link;
+	struct frame_writer *open; /* the frame being filled */
+	GByteArray *queue;	   /* closed frames */
+	struct timer flush;
+	struct timer backoff;
+	uint32_t attempts;
+};
+
+struct message {
+	enum channel channel;
+	size_t size;
+	unsigned char payload[];
+};
+
+/* Why messages were dropped. */
+enum drop {
+	DROP_FULL,
+	DROP_OVERSIZE,
+	DROP_UNREACHABLE,
+	DROP_UNKNOWN,
+	DROP_COUNT,
+};
+
+struct peers {
+	struct loop *loop;
+	struct clock *clock;
+	GRand *rand;
+	struct peers_settings settings;
+	struct peers_ops ops;
+	void *ctx;
+	struct member self;
+	h2o_socket_t *listener;
+	char address[ADDRESS_TEXT_MAX];
+	struct handler handlers[CHANNEL_MAX];
+	GHashTable *table; /* id to struct peer */
+	GHashTable *links; /* set of every open link */
+	GQueue local;	   /* struct message to the own instance */
+	struct loop_deferred deliver;
+	struct timer sweep;
+	struct link_traffic traffic;
+	struct counter *bytes_sent;
+	struct counter *bytes_received;
+	struct counter *writes;
+	struct counter *messages_sent;
+	struct counter *messages_received;
+	struct counter *connects;
+	struct counter *refused;
+	struct counter *linked;
+	struct counter *dropped[DROP_COUNT];
+};
+
+/* entry/peer_queue.c: what waits for one peer. */
+struct peer *peer_get(struct peers *peers, uint64_t id);
+void peer_free(void *data);
+bool peer_waiting(const struct peer *peer);
+/* Queues a message; false when it was dropped. */
+bool peer_add(struct peer *peer, enum channel channel, const void *payload,
+	      size_t size);
+void peer_drop_queue(struct peer *peer, enum drop reason);
+/* Writes what waits, when there is a link that can take it. */
+void peer_write(struct peer *peer);
+void peer_flush_later(struct peer *peer);
+void peer_backoff(struct peer *peer);
+void traffic_count(struct peers *peers);
+
+/* entry/peer_connect.c: links opened, read from and closed. */
+void peer_connect(struct peer *peer);
+void peers_accept(struct peers *peers, h2o_socket_t *socket);
+void peers_dispatch(struct peers *peers, uint64_t from, enum channel channel,
+		    const void *payload, size_t size);
+/* Takes the link out of the tables, then closes it. */
+void link_drop(struct peers *peers, struct link *link);
+/* As link_drop(), counted; the peer is tried again later. */
+void link_refuse(struct peers *peers, struct link *link);
+
+/* entry/peer_greet.c: what a hello leads to. */
+void hello_write(struct peers *peers, struct link *link);
+void hello_take(struct peers *peers, struct link *link, const void *payload,
+		size_t size);
+
+/* entry/peer_listen.c */
+/* Returns a listening socket, its address as bound in bound, or -1. */
+int peer_listen(const char *address, char *bound, struct error *err);
+
+#endif
--- /dev/null
+++ b/entry/platform_list.c
@@ -0,0 +1,289 @@
+/*
+ * platform_list.c - the platform's list of instances, the own entry included
+ */
+#include "platform_private.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "common/hex.h"
+#include "common/log.h"
+
+#define LIST_ANSWER_MAX (8u << 20)
+#define PUT_ANSWER_MAX 4096
+#define PATH_MAX_BYTES 256
+#define STATUS_OK 200
+
+static bool text_take(const json_t *item, const char *name, char *to,
+		      size_t size)
+{
+	const char *text = json_string_value(json_object_get(item, name));
+
+	return text && g_strlcpy(to, text, size) < size;
+}
+
+static uint64_t id_take(const json_t *item, const char *name)
+{
+	const char *text = json_string_value(json_object_get(item, name));
+	uint64_t id = 0;
+
+	if (text)
+		(void)hex_parse(text, strlen(text), &id);
+	return id;
+}
+
+static bool leaving_take(const json_t *item)
+{
+	const char *state = json_string_value(json_object_get(item, "state"));
+
+	return state && strcmp(state, "leaving") == 0;
+}
+
+static bool member_take(struct platform *platform, const json_t *item)
+{
+	struct platform_list *list = &platform->list;
+	struct member member = {.state = MEMBER_ALIVE};
+
+	if (!text_take(item, "name", member.name, sizeof(member.name)) ||
+	    !text_take(item, "data_centre", member.data_centre,
+		       sizeof(member.data_centre)) ||
+	    !text_take(item, "address", member.http_address,
+		       sizeof(member.http_address)) ||
+	    !text_take(item, "peer_address", member.peer_address,
+		       sizeof(member.peer_address)))
+		return false;
+	member.id = id_of(member.name);
+	member.incarnation = id_take(item, "incarnation");
+	if (leaving_take(item))
+		member.state = MEMBER_LEAVING;
+	if (strcmp(member.name, list->self.name) != 0) {
+		list->ops.member(list->ctx, &member);
+		return true;
+	}
+	if (member.incarnation == list->self.incarnation &&
+	    (member.state == MEMBER_LEAVING) == list->leaving)
+		list->seen = true;
+	return true;
+}
+
+static bool backend_take(struct platform *platform, const json_t *item)
+{
+	struct platform_list *list = &platform->list;
+	struct backend backend = {.listed = true};
+
+	if (!text_take(item, "name", backend.name, sizeof(backend.name)) ||
+	    !text_take(item, "pool", backend.pool, sizeof(backend.pool)) ||
+	    !text_take(item, "data_centre", backend.data_centre,
+		       sizeof(backend.data_centre)) ||
+	    !text_take(item, "address", backend.address,
+		       sizeof(backend.address)))
+		return false;
+	backend.id = id_of(backend.name);
+	backend.incarnation = id_take(item, "incarnation");
+	backend.leaving = leaving_take(item);
+	list->ops.backend(list->ctx, &backend);
+	return true;
+}
+
+static bool item_take(struct platform *platform, const json_t *item)
+{
+	const char *kind = json_string_value(json_object_get(item, "kind"));
+
+	if (!kind)
+		return false;
+	if (strcmp(kind, "entry") == 0)
+		return member_take(platform, item);
+	if (strcmp(kind, "runner") == 0 || strcmp(kind, "server") == 0)
+		return backend_take(platform, item);
+	return false;
+}
+
+static void put_done(void *ctx, const struct web_result *result, int status,
+		     const void *body, size_t size)
+{
+	struct platform *platform = ctx;
+
+	platform->list.put = NULL;
+	if (!result->ok || status != STATUS_OK)
+		log_event(LOG_NOTICE, "registration_failed",
+			  LOG_D("status", status),
+			  LOG_S("reason", result->text ? result->text : ""));
+}
+
+static char *self_print(const struct platform_list *list)
+{
+	char incarnation[HEX_ID_SIZE];
+
+	hex_id(incarnation, list->self.incarnation);
+	json_t *json = json_pack(
+		"{s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "name",
+		list->self.name, "kind", "entry", "pool", "", "data_centre",
+		list->self.data_centre, "address", list->self.address,
+		"peer_address", list->self.peer_address, "admin_address",
+		list->self.admin_address, "incarnation", incarnation, "state",
+		list->leaving ? "leaving" : "live");
+	char *text = json_dumps(json, JSON_COMPACT);
+
+	json_decref(json);
+	return text;
+}
+
+static void self_put(struct platform *platform)
+{
+	struct platform_list *list = &platform->list;
+	char path[PATH_MAX_BYTES];
+	char *body = self_print(list);
+
+	if (list->put)
+		web_call_cancel(list->put);
+	(void)snprintf(path, sizeof(path), "/instances/%s", list->self.name);
+	struct web_call_spec spec = {
+		.address = platform->address,
+		.method = "PUT",
+		.path = path,
+		.body = body,
+		.body_size = strlen(body),
+		.head_usec = platform->call_usec,
+		.idle_usec = platform->call_usec,
+	};
+
+	list->registrations->value++;
+	list->put = web_fetch(platform->client, &spec, PUT_ANSWER_MAX, put_done,
+			      platform);
+	free(body);
+}
+
+static void items_take(struct platform *platform, const json_t *items)
+{
+	struct platform_list *list = &platform->list;
+	const json_t *item;
+	size_t i;
+
+	list->seen = false;
+	json_array_foreach (items, i, item) {
+		if (!item_take(platform, item))
+			list->malformed->value++;
+	}
+	list->listed_at = clock_now(platform->clock);
+	list->ops.swept(list->ctx);
+	if (!list->seen)
+		self_put(platform);
+}
+
+static void read_done(void *ctx, const struct web_result *result, int status,
+		      const void *body, size_t size)
+{
+	struct platform *platform = ctx;
+	struct platform_list *list = &platform->list;
+	json_t *json = NULL;
+
+	list->read = NULL;
+	list->bytes->value += (int64_t)size;
+	if (result->ok && status == STATUS_OK)
+		json = json_loadb(body, size, 0, NULL);
+	const json_t *items = json_object_get(json, "instances");
+
+	if (json_is_array(items)) {
+		items_take(platform, items);
+	} else {
+		list->failures->value++;
+		log_event(LOG_NOTICE, "list_read_failed",
+			  LOG_D("status", status),
+			  LOG_S("reason", result->text ? result->text : ""));
+	}
+	json_decref(json);
+}
+
+/* A quarter of the period either way, so that instances spread out. */
+static int64_t list_delay(struct platform *platform)
+{
+	double share = g_rand_double_range(platform->rand, 0.75, 1.25);
+
+	return (int64_t)((double)platform->list_usec * share);
+}
+
+static void list_fire(struct timer *timer, void *ctx)
+{
+	struct platform *platform = ctx;
+	struct platform_list *list = &platform->list;
+	struct web_call_spec spec = {
+		.address = platform->address,
+		.method = "GET",
+		.path = "/instances",
+		.head_usec = platform->call_usec,
+		.idle_usec = platform->call_usec,
+	};
+
+	timer_start(timer, list_delay(platform));
+	if (list->read)
+		return;
+	list->reads->value++;
+	list->read = web_fetch(platform->client, &spec, LIST_ANSWER_MAX,
+			       read_done, platform);
+}
+
+void platform_list_init(struct platform *platform, struct counter_set *counters)
+{
+	struct platform_list *list = &platform->list;
+
+	list->listed_at = -1;
+	timer_init(&list->timer, platform->clock, list_fire, platform);
+	list->reads = counter_get(counters, "jt_list_reads_total",
+				  "Readings of the instance list", NULL);
+	list->failures =
+		counter_get(counters, "jt_list_read_failures_total",
+			    "Readings of the instance list that failed", NULL);
+	list->malformed =
+		counter_get(counters, "jt_list_malformed_total",
+			    "Entries of the list not understood", NULL);
+	list->registrations =
+		counter_get(counters, "jt_list_registrations_total",
+			    "Registrations of the own instance", NULL);
+	list->bytes = counter_get(counters, "jt_list_read_bytes_total",
+				  "Bytes of the instance list read", NULL);
+}
+
+void platform_list_start(struct platform *platform,
+			 const struct platform_self *self,
+			 const struct platform_list_ops *ops, void *ctx)
+{
+	struct platform_list *list = &platform->list;
+
+	list->self = *self;
+	list->ops = *ops;
+	list->ctx = ctx;
+	list->started = true;
+	if (!platform->address)
+		return;
+	self_put(platform);
+	timer_start(&list->timer, 0);
+}
+
+void platform_list_stop(struct platform *platform)
+{
+	struct platform_list *list = &platform->list;
+
+	list->started = false;
+	timer_stop(&list->timer);
+	if (list->read)
+		web_call_cancel(list->read);
+	if (list->put)
+		web_call_cancel(list->put);
+	list->read = NULL;
+	list->put = NULL;
+}
+
+void platform_leave(struct platform *platform)
+{
+	platform->list.leaving = true;
+	if (platform->list.started && platform->address)
+		self_put(platform);
+}
+
+int64_t platform_listed_at(const struct platform *platform)
+{
+	return platform->list.listed_at;
+}
--- /dev/null
+++ b/entry/platform_private.h
@@ -0,0 +1,50 @@
+/*
+ * platform_private.h - what the files of the platform's adapter share
+ */
+#ifndef ENTRY_PLATFORM_PRIVATE_H
+#define ENTRY_PLATFORM_PRIVATE_H
+
+#include "entry/platform.h"
+
+struct platform_list {
+	struct platform_self self;
+	struct platform_list_ops ops;
+	void *ctx;
+	struct timer timer;
+	struct web_call *read;
+	struct web_call *put;
+	bool started;
+	bool leaving;
+	bool seen; /* the own entry, as it should be, in this reading */
+	int64_t listed_at;
+	struct counter *reads;
+	struct counter *failures;
+	struct counter *malformed;
+	struct counter *registrations;
+	struct counter *bytes;
+};
+
+struct platform {
+	struct loop *loop;
+	struct clock *clock;
+	struct web_client *client;
+	GRand *rand;
+	char *address;
+	int64_t call_usec;
+	int64_t list_usec;
+	struct log_store store;
+	GHashTable *calls; /* set of struct log_call */
+	struct counter *appends;
+	struct counter *append_downs;
+	struct counter *append_unknowns;
+	struct counter *log_reads;
+	struct counter *log_read_failures;
+	struct platform_list list;
+};
+
+void platform_log_init(struct platform *platform, struct counter_set *counters);
+void platform_log_finish(struct platform *platform);
+void platform_list_init(struct platform *platform,
+			struct counter_set *counters);
+
+#endif
--- /dev/null
+++ b/entry/poller_read.c
@@ -0,0 +1,196 @@
+/*
+ * poller_read.c - asks one backend server for its reports and reads them
+ */
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "common/hex.h"
+#include "coord/ledger.h"
+#include "entry/directory.h"
+#include "entry/entry.h"
+#include "poller_private.h"
+
+#define CALL_USEC (1 * USEC_PER_SEC)
+#define ANSWER_MAX (1u << 20)
+#define PATH_MAX_BYTES 64
+#define STATUS_OK 200
+
+static uint64_t number_take(const json_t *json, const char *name)
+{
+	json_int_t value = json_integer_value(json_object_get(json, name));
+
+	return value > 0 ? (uint64_t)value : 0;
+}
+
+static uint64_t id_take(const json_t *json, const char *name)
+{
+	const char *text = json_string_value(json_object_get(json, name));
+	uint64_t id = 0;
+
+	if (text)
+		(void)hex_parse(text, strlen(text), &id);
+	return id;
+}
+
+static void load_take(struct target *target, const json_t *json)
+{
+	struct entry *entry = target->poller->entry;
+	struct ledger_report report = {
+		.runner = target->id,
+		.reachable = json_is_object(json),
+		.leaving = json_is_true(json_object_get(json, "leaving")),
+		.pieces_used = (uint32_t)number_take(json, "pieces_used"),
+		.running = (uint32_t)number_take(json, "running"),
+		.waiting = (uint32_t)number_take(json, "waiting"),
+		.queue_tokens = number_take(json, "queue_tokens"),
+		.tokens_per_s = json_number_value(
+			json_object_get(json, "tokens_per_s")),
+	};
+
+	if (report.leaving)
+		directory_leaving(entry->directory, target->id);
+	if (ledger_is_home(entry->ledger, target->id))
+		ledger_report(entry->ledger, &report);
+}
+
+static bool stream_take(const struct target *target, const json_t *item,
+			struct ledger_stream *stream)
+{
+	const char *name = json_string_value(json_object_get(item, "stream"));
+
+	if (!name || g_strlcpy(stream->stream, name, sizeof(stream->stream)) >=
+			     sizeof(stream->stream))
+		return false;
+	stream->runner = target->id;
+	stream->owner.instance = id_take(item, "owner");
+	stream->owner.incarnation = id_take(item, "incarnation");
+	stream->request = id_take(item, "request");
+	stream->attempt = (uint32_t)number_take(item, "attempt");
+	stream->pieces = (uint32_t)number_take(item, "pieces");
+	return true;
+}
+
+static void streams_take(struct target *target, const json_t *json)
+{
+	struct entry *entry = target->poller->entry;
+	const json_t *list = json_object_get(json, "streams");
+	size_t count = json_array_size(list);
+	size_t filled = 0;
+
+	if (!json_is_array(list) || !ledger_is_home(entry->ledger, target->id))
+		return;
+	struct ledger_stream *streams = g_new0(struct ledger_stream, count);
+
+	for (size_t i = 0; i < count; i++) {
+		if (stream_take(target, json_array_get(list, i),
+				&streams[filled]))
+			filled++;
+	}
+	ledger_streams(entry->ledger, target->id, streams, filled);
+	g_free(streams);
+}
+
+static void event_take(struct target *target, const json_t *item)
+{
+	uint64_t block = id_take(item, "block");
+	bool stored = json_is_true(json_object_get(item, "stored"));
+
+	ledger_cache_event(target->poller->entry->ledger, target->id, &block, 1,
+			   stored);
+}
+
+static void events_take(struct target *target, const json_t *json)
+{
+	const json_t *list = json_object_get(json, "events");
+	const json_t *item;
+	size_t i;
+
+	if (!json_is_array(list))
+		return;
+	target->events_from = number_take(json, "next");
+	if (json_is_true(json_object_get(json, "gap")))
+		target->poller->gaps->value++;
+	if (!ledger_is_home(target->poller->entry->ledger, target->id))
+		return;
+	json_array_foreach (list, i, item)
+		event_take(target, item);
+}
+
+static void report_take(struct report_call *call,
+			const struct web_result *result, int status,
+			const void *body, size_t size,
+			void (*take)(struct target *target, const json_t *json))
+{
+	json_t *json = NULL;
+
+	call->call = NULL;
+	if (result->ok && status == STATUS_OK)
+		json = json_loadb(body, size, 0, NULL);
+	if (!json)
+		call->target->poller->failures->value++;
+	take(call->target, json);
+	json_decref(json);
+}
+
+static void load_done(void *ctx, const struct web_result *result, int status,
+		      const void *body, size_t size)
+{
+	report_take(ctx, result, status, body, size, load_take);
+}
+
+static void streams_done(void *ctx, const struct web_result *result, int status,
+			 const void *body, size_t size)
+{
+	report_take(ctx, result, status, body, size, streams_take);
+}
+
+static void events_done(void *ctx, const struct web_result *result, int status,
+			const void *body, size_t size)
+{
+	report_take(ctx, result, status, body, size, events_take);
+}
+
+static void report_read(struct target *target, const char *address,
+			enum report report, const char *path, web_answer_fn fn)
+{
+	struct report_call *call = &target->calls[report];
+	struct web_call_spec spec = {
+		.address = address,
+		.method = "GET",
+		.path = path,
+		.head_usec = CALL_USEC,
+		.idle_usec = CALL_USEC,
+	};
+
+	if (call->call)
+		return;
+	target->poller->reads->value++;
+	call->target = target;
+	call->call = web_fetch(target->poller->entry->client, &spec, ANSWER_MAX,
+			       fn, call);
+}
+
+void target_read(struct target *target)
+{
+	const struct backend *backend =
+		directory_find(target->poller->entry->directory, target->id);
+	char path[PATH_MAX_BYTES];
+
+	if (!backend)
+		return;
+	if (target->role == POOL_PLAIN) {
+		report_read(target, backend->address, REPORT_LOAD, "/-/load",
+			    load_done);
+		return;
+	}
+	report_read(target, backend->address, REPORT_LOAD, "/load", load_done);
+	if (target->role == POOL_DECODE)
+		report_read(target, backend->address, REPORT_STREAMS,
+			    "/streams", streams_done);
+	(void)snprintf(path, sizeof(path), "/events?from=%" PRIu64,
+		       target->events_from);
+	report_read(target, backend->address, REPORT_EVENTS, path, events_done);
+}
--- a/include/entry/directory.h
+++ b/include/entry/directory.h
@@ -28,6 +28,9 @@
 	bool listed; /* still in the platform's list */
 };
 
+/* Called in a later turn after any number of changes. */
+typedef void (*directory_changed_fn)(void *ctx);
+
 struct directory *directory_create(struct entry *entry);
 void directory_destroy(struct directory *directory);
 const struct backend *directory_find(const struct directory *directory,
@@ -39,6 +42,11 @@
 void directory_put(struct directory *directory, const struct backend *backend);
 /* All entries of one reading were put: those not among them are unlisted. */
 void directory_swept(struct directory *directory);
+/* A fact spread by another instance; others than ours are passed over. */
+void directory_fact(struct directory *directory, uint64_t key,
+		    const void *value, size_t size);
+void directory_on_changed(struct directory *directory, directory_changed_fn fn,
+			  void *ctx);
 /* The server said, refused or was reported to be leaving: spread it. */
 void directory_leaving(struct directory *directory, uint64_t id);
 
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -3,9 +3,8 @@
  *
  * DESCRIPTION
  *	struct entry is made by entry/main.c. Its components are started in the
- *	order of the supervisor tree (entry/supervisor.c) and stopped in
- *reverse. A component reads the fields of those before it, never of those
- *after.
+ *	order of the supervisor tree (entry/component.c) and stopped in reverse.
+ *	A component reads the fields of those before it, never of those after.
  */
 #ifndef ENTRY_ENTRY_H
 #define ENTRY_ENTRY_H
@@ -20,6 +19,7 @@
 #include "coord/ledger.h"
 #include "coord/member.h"
 #include "entry/settings.h"
+#include "entry/supervisor.h"
 #include "web/client.h"
 #include "web/loop.h"
 #include "web/server.h"
@@ -31,6 +31,8 @@
 struct requests;  /* requests in flight */
 struct measures;  /* what operators compare */
 struct admin;	  /* operators' and balancer's endpoints */
+struct drain;	  /* graceful shutdown */
+struct supervisor;
 
 struct entry {
 	struct settings settings;
@@ -51,14 +53,31 @@
 	struct requests *requests;
 	struct admin *admin;
 	struct web_server *server;
-	const struct config *config; /* in force; NULL until there is one */
+	struct config *config; /* in force; NULL until there is one */
 	uint64_t revision;
 	bool draining;
+	struct drain *drain;
+	struct supervisor *supervisor;
+	uint64_t incarnation;	    /* microseconds since 1970 at the start */
+	enum result_code exit_code; /* RESULT_OK unless the process gave up */
 };
 
+/* The components in the order of the supervisor tree. */
+extern const struct component entry_components[];
+extern const size_t entry_component_count;
+
 /* Starts a graceful shutdown; the loop stops when all is answered. */
 void entry_drain(struct entry *entry);
 /* Called by requests when the last one has ended while draining. */
 void entry_drained(struct entry *entry);
 
+struct drain *drain_create(struct entry *entry);
+void drain_destroy(struct drain *drain);
+/* Puts a configuration into force, and takes it over; lower revisions than
+ * that in force are passed over. */
+void entry_configure(struct entry *entry, uint64_t revision,
+		     struct config *config);
+/* The process stood still for gap_usec. */
+void entry_paused(struct entry *entry, int64_t gap_usec);
+
 #endif
--- a/include/entry/settings.h
+++ b/include/entry/settings.h
@@ -5,6 +5,7 @@
  *	Each setting has a flag (--data-centre) and an environment variable
  *	(JT_DATA_CENTRE); the flag wins. Every value is checked; a bad one is
  *	refused at the start with RESULT_BAD_SETTING and the setting's name.
+ *	Flags give times in milliseconds; the fields hold microseconds.
  */
 #ifndef ENTRY_SETTINGS_H
 #define ENTRY_SETTINGS_H
@@ -33,17 +34,30 @@
 	int64_t settle_usec;
 	int64_t orphan_grace_usec;
 	int64_t coalesce_usec;
-	int64_t drain_usec; /* longest graceful shutdown; 0: no bound */
-	int64_t list_usec;  /* how often the platform's list is read */
-	int64_t poll_usec;  /* how often runners' reports are read */
+	int64_t drain_usec;	  /* longest graceful shutdown; 0: no bound */
+	int64_t drain_delay_usec; /* still accepting after draining is said */
+	int64_t list_usec;	  /* how often the platform's list is read */
+	int64_t poll_usec;	  /* how often runners' reports are read */
 	uint64_t body_bytes_max;
 	uint32_t connections_max;
 	uint32_t requests_max;	   /* in flight */
 	uint64_t replay_bytes_max; /* kept answers of keyed requests */
 };
 
-/* Reads environment and argv; exits by itself only for --help and --version. */
+/* Reads environment and argv; exits by itself only for --help and --version.
+ * Strings of settings point into argv, the environment, or live for ever. */
 bool settings_read(struct settings *settings, int argc, char **argv,
 		   struct error *err);
 
+/* A seed's three parts, copied out of "NAME@DATA_CENTRE@IP:port". */
+struct settings_seed {
+	char name[64];
+	char data_centre[64];
+	char address[64];
+};
+bool settings_seed_parse(struct settings_seed *seed, const char *text,
+			 struct error *err);
+/* Whether text is "IP:port", IPv6 in brackets. Port 0 only when zero_port. */
+bool settings_address_valid(const char *text, bool zero_port);
+
 #endif
--- /dev/null
+++ b/tests/entry/test_peers.c
@@ -0,0 +1,582 @@
+/* Two or three peers in one process over loopback, and raw sockets to them. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "common/error.h"
+#include "common/log.h"
+#include "coord/member.h"
+#include "entry/peer_hello.h"
+#include "entry/peers.h"
+#include "run.h"
+#include "web/address.h"
+
+#define SIDES 3
+#define COALESCE_USEC (2 * USEC_PER_MSEC)
+
+struct side {
+	struct world *world;
+	struct peers *peers;
+	struct counter_set *counters;
+	const char *name;
+	uint64_t id;
+	char address[64];
+	GString *got; /* "FROM:text " each */
+	int count;
+	int hellos;
+	int wanted;
+};
+
+struct world {
+	struct run run;
+	struct side sides[SIDES];
+	struct peers_settings settings;
+	/* What the address callback says instead, by id. */
+	uint64_t moved;
+	const char *moved_to;
+};
+
+static const char *side_address(void *ctx, uint64_t instance)
+{
+	const struct side *side = ctx;
+	const struct world *world = side->world;
+
+	if (world->moved == instance)
+		return world->moved_to;
+	for (int i = 0; i < SIDES; i++) {
+		if (world->sides[i].id == instance)
+			return world->sides[i].address;
+	}
+	return NULL;
+}
+
+static void side_hello(void *ctx, const struct member *peer)
+{
+	struct side *side = ctx;
+
+	side->hellos++;
+	g_assert_cmpuint(peer->id, ==, id_of(peer->name));
+}
+
+static void side_receive(void *ctx, uint64_t from, const void *data,
+			 size_t size)
+{
+	struct side *side = ctx;
+	const char *name = "?";
+
+	for (int i = 0; i < SIDES; i++) {
+		if (side->world->sides[i].id == from)
+			name = side->world->sides[i].name;
+	}
+	side->count++;
+	g_string_append_printf(side->got, "%s:%.*s ", name, (int)MIN(size, 20),
+			       (const char *)data);
+}
+
+static void side_start(struct world *world, int i, uint64_t incarnation)
+{
+	static const struct peers_ops ops = {
+		.address = side_address,
+		.hello = side_hello,
+	};
+	struct side *side = &world->sides[i];
+	struct peers_settings settings = world->settings;
+	struct error err;
+
+	settings.name = side->name;
+	settings.data_centre = "d1";
+	settings.listen = side->address[0] ? side->address : "127.0.0.1:0";
+	settings.incarnation = incarnation;
+	settings.seed = (uint32_t)i + 1;
+	side->peers = peers_create(world->run.loop, side->counters, &settings,
+				   &ops, side, &err);
+	g_assert_nonnull(side->peers);
+	g_strlcpy(side->address, peers_address(side->peers),
+		  sizeof(side->address));
+	peers_on(side->peers, CHANNEL_LEDGER, side_receive, side);
+}
+
+static void side_stop(struct world *world, int i)
+{
+	peers_destroy(world->sides[i].peers);
+	world->sides[i].peers = NULL;
+}
+
+static void world_setup(struct world *world,
+			const struct peers_settings *settings)
+{
+	static const char *const names[SIDES] = {"a", "b", "c"};
+
+	*world = (struct world){0};
+	run_setup(&world->run);
+	if (settings)
+		world->settings = *settings;
+	world->settings.coalesce_usec = COALESCE_USEC;
+	for (int i = 0; i < SIDES; i++) {
+		struct side *side = &world->sides[i];
+
+		side->world = world;
+		side->name = names[i];
+		side->id = id_of(names[i]);
+		side->got = g_string_new(NULL);
+		side->counters = counter_set_create();
+		side_start(world, i, 10);
+	}
+}
+
+static void world_teardown(struct world *world)
+{
+	for (int i = 0; i < SIDES; i++) {
+		side_stop(world, i);
+		g_string_free(world->sides[i].got, TRUE);
+		counter_set_destroy(world->sides[i].counters);
+	}
+	run_teardown(&world->run);
+}
+
+static int64_t counted(const struct side *side, const char *name,
+		       const char *labels)
+{
+	return counter_get(side->counters, name, "", labels)->value;
+}
+
+static void send_text(struct world *world, int from, int to, const char *text)
+{
+	peers_send(world->sides[from].peers, world->sides[to].id,
+		   CHANNEL_LEDGER, text, strlen(text));
+}
+
+static bool got_wanted(void *ctx)
+{
+	const struct side *side = ctx;
+
+	return side->count >= side->wanted;
+}
+
+static void wait_for(struct world *world, int i, int wanted)
+{
+	world->sides[i].wanted = wanted;
+	g_assert_true(run_until(&world->run, got_wanted, &world->sides[i]));
+	g_assert_cmpint(world->sides[i].count, ==, wanted);
+}
+
+static void test_exchange(void)
+{
+	struct world world;
+
+	world_setup(&world, NULL);
+	send_text(&world, 0, 1, "one");
+	send_text(&world, 0, 1, "two");
+	send_text(&world, 0, 1, "");
+	wait_for(&world, 1, 3);
+	g_assert_cmpstr(world.sides[1].got->str, ==, "a:one a:two a: ");
+	send_text(&world, 1, 0, "back");
+	wait_for(&world, 0, 1);
+	g_assert_cmpstr(world.sides[0].got->str, ==, "b:back ");
+	/* The hello and one frame for the three; the link serves both ways. */
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_writes_total", NULL),
+			==, 2);
+	g_assert_cmpint(
+		counted(&world.sides[1], "jt_peer_connects_total", NULL), ==,
+		0);
+	g_assert_cmpint(
+		counted(&world.sides[0], "jt_peer_sent_bytes_total", NULL), ==,
+		counted(&world.sides[1], "jt_peer_received_bytes_total", NULL));
+	g_assert_cmpint(world.sides[0].hellos, ==, 1);
+	g_assert_true(peers_flushed(world.sides[0].peers));
+	world_teardown(&world);
+}
+
+/* Messages of one coalescing time share a write, later ones do not. */
+static void test_coalesce(void)
+{
+	struct world world;
+
+	world_setup(&world, NULL);
+	send_text(&world, 0, 1, "first");
+	wait_for(&world, 1, 1);
+	int64_t before = counted(&world.sides[0], "jt_peer_writes_total", NULL);
+
+	for (int i = 0; i < 100; i++)
+		send_text(&world, 0, 1, "x");
+	g_assert_false(peers_flushed(world.sides[0].peers));
+	wait_for(&world, 1, 101);
+	send_text(&world, 0, 1, "y");
+	wait_for(&world, 1, 102);
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_writes_total", NULL),
+			==, before + 2);
+	world_teardown(&world);
+}
+
+static void test_self(void)
+{
+	struct world world;
+
+	world_setup(&world, NULL);
+	send_text(&world, 0, 0, "me");
+	send_text(&world, 0, 0, "again");
+	g_assert_cmpint(world.sides[0].count, ==, 0);
+	g_assert_false(peers_flushed(world.sides[0].peers));
+	wait_for(&world, 0, 2);
+	g_assert_cmpstr(world.sides[0].got->str, ==, "a:me a:again ");
+	g_assert_cmpint(
+		counted(&world.sides[0], "jt_peer_connects_total", NULL), ==,
+		0);
+	world_teardown(&world);
+}
+
+static void test_oversize(void)
+{
+	g_autofree char *large = g_malloc0(FRAME_MAX + 1);
+	struct world world;
+
+	world_setup(&world, NULL);
+	send_text(&world, 0, 1, "before");
+	peers_send(world.sides[0].peers, world.sides[1].id, CHANNEL_LEDGER,
+		   large, FRAME_MAX + 1);
+	/* Two that only fit into frames of their own. */
+	memset(large, 'L', FRAME_MAX);
+	for (int i = 0; i < 2; i++)
+		peers_send(world.sides[0].peers, world.sides[1].id,
+			   CHANNEL_LEDGER, large, FRAME_MAX / 2 + 100);
+	send_text(&world, 0, 1, "after");
+	wait_for(&world, 1, 4);
+	g_assert_true(
+		g_str_has_prefix(world.sides[1].got->str, "a:before a:LLLL"));
+	g_assert_true(g_str_has_suffix(world.sides[1].got->str, "a:after "));
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_dropped_total",
+				"reason=\"oversize\""),
+			==, 1);
+	world_teardown(&world);
+}
+
+/* Both sides open a link at once; nothing is lost, doubled or reordered, and
+ * one link is left. */
+static void test_both_connect(void)
+{
+	for (int round = 0; round < 40; round++) {
+		struct world world;
+		GString *want = g_string_new(NULL);
+
+		world_setup(&world, NULL);
+		for (int i = 0; i < 100; i++) {
+			g_autofree char *text = g_strdup_printf("%d", i);
+
+			send_text(&world, round % 2, !(round % 2), text);
+			send_text(&world, !(round % 2), round % 2, text);
+			g_string_append_printf(want, "b:%d ", i);
+			if (i == 50)
+				run_for(&world.run,
+					round * 100); /* microseconds */
+		}
+		wait_for(&world, 0, 100);
+		wait_for(&world, 1, 100);
+		run_for(&world.run, 20 * USEC_PER_MSEC);
+		g_assert_cmpint(world.sides[0].count, ==, 100);
+		g_assert_cmpint(world.sides[1].count, ==, 100);
+		g_assert_cmpstr(world.sides[0].got->str, ==, want->str);
+		g_assert_cmpuint(peers_links(world.sides[0].peers), ==, 1);
+		g_assert_cmpuint(peers_links(world.sides[1].peers), ==, 1);
+		g_string_free(want, TRUE);
+		world_teardown(&world);
+	}
+}
+
+static bool no_links(void *ctx)
+{
+	const struct world *world = ctx;
+
+	return peers_links(world->sides[0].peers) == 0;
+}
+
+static void test_restarted_peer(void)
+{
+	struct world world;
+
+	world_setup(&world, NULL);
+	send_text(&world, 0, 1, "old");
+	wait_for(&world, 1, 1);
+	side_stop(&world, 1);
+	g_assert_true(run_until(&world.run, no_links, &world));
+	side_start(&world, 1, 11);
+	send_text(&world, 0, 1, "new");
+	wait_for(&world, 1, 2);
+	g_assert_cmpstr(world.sides[1].got->str, ==, "a:old a:new ");
+	/* What claims to be the former incarnation is refused. */
+	side_stop(&world, 1);
+	g_assert_true(run_until(&world.run, no_links, &world));
+	side_start(&world, 1, 10);
+	send_text(&world, 0, 1, "stale");
+	send_text(&world, 1, 0, "stale");
+	run_for(&world.run, 100 * USEC_PER_MSEC);
+	g_assert_cmpint(world.sides[0].count, ==, 0);
+	g_assert_cmpint(world.sides[1].count, ==, 2);
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_refused_total", NULL),
+			>, 0);
+	world_teardown(&world);
+}
+
+/* An address that has passed to another instance: nothing reaches it. */
+static void test_address_moved(void)
+{
+	struct world world;
+
+	world_setup(&world, NULL);
+	world.moved = world.sides[1].id;
+	world.moved_to = world.sides[2].address;
+	send_text(&world, 0, 1, "for b");
+	run_for(&world.run, 50 * USEC_PER_MSEC);
+	g_assert_cmpint(world.sides[1].count, ==, 0);
+	g_assert_cmpint(world.sides[2].count, ==, 0);
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_refused_total", NULL),
+			>, 0);
+	world.moved = 0;
+	send_text(&world, 0, 1, "again");
+	wait_for(&world, 1, 1);
+	g_assert_cmpstr(world.sides[1].got->str, ==, "a:again ");
+	world_teardown(&world);
+}
+
+static void test_unreachable(void)
+{
+	struct world world;
+
+	world_setup(&world, NULL);
+	side_stop(&world, 1);
+	send_text(&world, 0, 1, "nobody");
+	peers_send(world.sides[0].peers, 4711, CHANNEL_LEDGER, "x", 1);
+	run_for(&world.run, 20 * USEC_PER_MSEC);
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_dropped_total",
+				"reason=\"unreachable\""),
+			==, 1);
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_dropped_total",
+				"reason=\"unknown\""),
+			==, 1);
+	side_start(&world, 1, 11);
+	send_text(&world, 0, 1, "somebody");
+	wait_for(&world, 1, 1);
+	g_assert_cmpstr(world.sides[1].got->str, ==, "a:somebody ");
+	world_teardown(&world);
+}
+
+static void test_queue_bound(void)
+{
+	struct peers_settings settings = {.queue_bytes_max = 1000};
+	char text[100];
+	struct world world;
+
+	memset(text, 'x', sizeof(text));
+	world_setup(&world, &settings);
+	for (int i = 0; i < 20; i++)
+		peers_send(world.sides[0].peers, world.sides[1].id,
+			   CHANNEL_LEDGER, text, sizeof(text));
+	int64_t dropped = counted(&world.sides[0], "jt_peer_dropped_total",
+				  "reason=\"full\"");
+
+	g_assert_cmpint(dropped, >, 10);
+	wait_for(&world, 1, 20 - (int)dropped);
+	world_teardown(&world);
+}
+
+static void test_idle(void)
+{
+	struct peers_settings settings = {.idle_usec = 20 * USEC_PER_MSEC};
+	struct world world;
+
+	world_setup(&world, &settings);
+	send_text(&world, 0, 1, "one");
+	wait_for(&world, 1, 1);
+	g_assert_cmpuint(peers_links(world.sides[0].peers), ==, 1);
+	g_assert_true(run_until(&world.run, no_links, &world));
+	send_text(&world, 1, 0, "two");
+	wait_for(&world, 0, 1);
+	world_teardown(&world);
+}
+
+/* Bytes from outside that are no link: the socket is closed, others live. */
+
+struct raw_case {
+	const char *name;
+	const char *bytes;
+	size_t size;
+};
+
+#define RAW(name, text)                                                        \
+	{                                                                      \
+		name, text, sizeof(text) - 1                                   \
+	}
+
+static const struct raw_case raw_cases[] = {
+	RAW("http", "GET / HTTP/1.1\r\nhost: x\r\n\r\n"),
+	RAW("empty-frame", "\0\0\0\0"),
+	RAW("huge-frame", "\x7f\xff\xff\xff"),
+	RAW("not-an-array", "\0\0\0\1\x01"),
+	RAW("odd-array", "\0\0\0\2\x91\x01"),
+	RAW("unknown-channel", "\0\0\0\5\x92\x63\xc4\x01x"),
+	RAW("message-before-hello", "\0\0\0\6\x92\x03\xc4\x02hi"),
+	RAW("hello-of-no-fields", "\0\0\0\5\x92\x01\xc4\x01\x90"),
+	RAW("hello-of-version-2", "\0\0\0\xf\x92\x01\xc4\xb\x95\x02\xa1z\x01"
+				  "\xa1"
+				  "d\xa2pa"),
+	RAW("hello-of-empty-name", "\0\0\0\xe\x92\x01\xc4\xa\x95\x01\xa0\x01"
+				   "\xa1"
+				   "d\xa2pa"),
+	RAW("hello-of-own-name", "\0\0\0\xf\x92\x01\xc4\xb\x95\x01\xa1"
+				 "a\x01\xa1"
+				 "d\xa2pa"),
+};
+
+struct raw {
+	int fd;
+	bool closed;
+};
+
+static bool raw_closed(void *ctx)
+{
+	struct raw *raw = ctx;
+	char bytes[256];
+	ssize_t got = recv(raw->fd, bytes, sizeof(bytes), MSG_DONTWAIT);
+
+	return got == 0 || (got < 0 && errno != EAGAIN);
+}
+
+static int raw_connect(const char *address)
+{
+	struct sockaddr_storage storage;
+	socklen_t size;
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_true(address_parse(address, &storage, &size, NULL));
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&storage, size), ==, 0);
+	return fd;
+}
+
+static void test_raw(gconstpointer data)
+{
+	const struct raw_case *row = data;
+	struct world world;
+
+	world_setup(&world, NULL);
+	send_text(&world, 1, 0, "one");
+	wait_for(&world, 0, 1);
+	struct raw raw = {.fd = raw_connect(world.sides[0].address)};
+
+	g_assert_cmpint(send(raw.fd, row->bytes, row->size, MSG_NOSIGNAL), ==,
+			(ssize_t)row->size);
+	g_assert_true(run_until(&world.run, raw_closed, &raw));
+	send_text(&world, 1, 0, "two");
+	wait_for(&world, 0, 2);
+	g_assert_cmpstr(world.sides[0].got->str, ==, "b:one b:two ");
+	close(raw.fd);
+	world_teardown(&world);
+}
+
+/* A socket that says nothing is closed after the time to connect. */
+static void test_silent(void)
+{
+	struct peers_settings settings = {.connect_usec = 20 * USEC_PER_MSEC};
+	struct world world;
+
+	world_setup(&world, &settings);
+	struct raw raw = {.fd = raw_connect(world.sides[0].address)};
+
+	g_assert_true(run_until(&world.run, raw_closed, &raw));
+	close(raw.fd);
+	world_teardown(&world);
+}
+
+/* Connections beyond the bound are closed at once. */
+static void test_links_bound(void)
+{
+	struct peers_settings settings = {.links_max = 2};
+	struct raw raws[3];
+	struct world world;
+
+	world_setup(&world, &settings);
+	for (int i = 0; i < 3; i++)
+		raws[i].fd = raw_connect(world.sides[0].address);
+	g_assert_true(run_until(&world.run, raw_closed, &raws[2]));
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_refused_total", NULL),
+			==, 1);
+	for (int i = 0; i < 3; i++)
+		close(raws[i].fd);
+	world_teardown(&world);
+}
+
+/* A message split over many segments, as slow senders make it. */
+static void test_fragments(void)
+{
+	static const char hello[] = "\0\0\0\x13\x92\x01\xc4\x0f\x95\x01\xa1"
+				    "c\x0b\xa1"
+				    "d\xa7"
+				    "1.1.1.1";
+	static const char message[] = "\0\0\0\6\x92\x03\xc4\x02hi";
+	struct world world;
+
+	world_setup(&world, NULL);
+	int fd = raw_connect(world.sides[0].address);
+
+	for (size_t i = 0; i < sizeof(hello) - 1; i++) {
+		g_assert_cmpint(send(fd, &hello[i], 1, MSG_NOSIGNAL), ==, 1);
+		run_for(&world.run, 0);
+	}
+	for (size_t i = 0; i < sizeof(message) - 1; i++) {
+		g_assert_cmpint(send(fd, &message[i], 1, MSG_NOSIGNAL), ==, 1);
+		run_for(&world.run, 0);
+	}
+	wait_for(&world, 0, 1);
+	g_assert_cmpstr(world.sides[0].got->str, ==, "c:hi ");
+	close(fd);
+	world_teardown(&world);
+}
+
+static void test_listen_error(void)
+{
+	struct peers_ops ops = {.address = side_address};
+	struct world world;
+	struct error err = {0};
+
+	world_setup(&world, NULL);
+	struct peers_settings settings = {
+		.name = "z",
+		.data_centre = "d1",
+		.listen = world.sides[0].address,
+	};
+
+	g_assert_null(peers_create(world.run.loop, world.run.counters,
+				   &settings, &ops, &world.sides[0], &err));
+	g_assert_cmpint(err.code, ==, RESULT_IO);
+	g_assert_nonnull(strstr(err.text, world.sides[0].address));
+	world_teardown(&world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, "test", LOG_EMERG);
+	g_test_add_func("/peers/exchange", test_exchange);
+	g_test_add_func("/peers/coalesce", test_coalesce);
+	g_test_add_func("/peers/self", test_self);
+	g_test_add_func("/peers/oversize", test_oversize);
+	g_test_add_func("/peers/both-connect", test_both_connect);
+	g_test_add_func("/peers/restarted-peer", test_restarted_peer);
+	g_test_add_func("/peers/address-moved", test_address_moved);
+	g_test_add_func("/peers/unreachable", test_unreachable);
+	g_test_add_func("/peers/queue-bound", test_queue_bound);
+	g_test_add_func("/peers/idle", test_idle);
+	g_test_add_func("/peers/silent", test_silent);
+	g_test_add_func("/peers/links-bound", test_links_bound);
+	g_test_add_func("/peers/fragments", test_fragments);
+	g_test_add_func("/peers/listen-error", test_listen_error);
+	for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++) {
+		g_autofree char *path =
+			g_strconcat("/peers/raw/", raw_cases[i].name, NULL);
+
+		g_test_add_data_func(path, &raw_cases[i], test_raw);
+	}
+	return g_test_run();
+}
--- a/web/address.c
+++ b/web/address.c
@@ -1,4 +1,4 @@
-#include "address.h"
+#include "web/address.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
