coord: add the ledger of grants, queue and request records

Instances share runners whose reports lag, so one home a cell has to queue, place and grant, and to know which keys run. Asks, grants and releases are idempotent and repeated until acknowledged. An announcement with an epoch tells a new home what each instance holds; it grants nothing until all live ones have announced or the settling time is over. A dead holder's stream may be adopted for a grace time, then it is cancelled until the engine confirms. The header gains ledger_adopt() and counters for handovers and bytes sent.

--- /dev/null
+++ b/coord/ledger_orphan.c
@@ -0,0 +1,209 @@
+#include "ledger_parts.h"
+
+#include <string.h>
+
+/* Listings without the stream before its absence is believed. */
+#define LISTINGS_MIN 2u
+
+void stray_destroy(void *data)
+{
+	struct stray *stray = data;
+
+	timer_stop(&stray->timer);
+	g_free(stray);
+}
+
+static struct grant *grant_of_stream(const struct cell *cell, uint32_t index,
+				     const struct ledger_stream *stream)
+{
+	struct tag tag = {.owner = stream->owner,
+			  .request = stream->request,
+			  .attempt = stream->attempt};
+
+	return grant_of_tag(cell, index, &tag);
+}
+
+/* A copied record may know the stream's request though no grant does. */
+static struct grant *grant_of_record(struct cell *cell, uint32_t index,
+				     const struct ledger_stream *stream)
+{
+	struct grant_entry entry = {.owner = stream->owner,
+				    .request = stream->request,
+				    .attempt = stream->attempt,
+				    .decode = runner_at(cell, index)->id,
+				    .pieces = stream->pieces};
+	GHashTableIter iter;
+	struct grant *grant;
+	void *value;
+
+	entry.tag.owner = stream->owner;
+	entry.tag.request = stream->request;
+	entry.tag.attempt = stream->attempt;
+	g_hash_table_iter_init(&iter, cell->records);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct record *record = value;
+
+		if (record->state != RECORD_RUNNING || record->grant != NULL ||
+		    record->waiting != NULL ||
+		    record->owner_request != stream->request ||
+		    !owner_equal(&record->owner, &stream->owner))
+			continue;
+		entry.key = record->key;
+		entry.fingerprint = record->fingerprint;
+		entry.service = record->service;
+		entry.idempotent = record->idempotent;
+		break;
+	}
+	if (entry.key == 0 ||
+	    grant_find(cell, &stream->owner, stream->request) != NULL)
+		return NULL;
+	grant = grant_from_entry(cell, &entry);
+	grant_learn_stream(grant, stream->stream);
+	if (!owner_alive(cell->ledger, &stream->owner))
+		grant_orphan(grant);
+	return grant;
+}
+
+static void stray_timer(struct timer *timer, void *ctx)
+{
+	struct stray *stray = ctx;
+	struct cell *cell = stray->cell;
+	struct ledger *ledger = cell->ledger;
+	const struct runner *runner = runner_at(cell, stray->runner);
+	char stream[LEDGER_STREAM_MAX];
+
+	if (!cell->settled ||
+	    grant_of_stream(cell, stray->runner, &stray->stream) != NULL) {
+		timer_start(timer, ledger->settings.orphan_grace);
+		return;
+	}
+	timer_start(timer, ledger->settings.cancel_repeat);
+	memcpy(stream, stray->stream.stream, sizeof(stream));
+	ledger->cancels++;
+	ledger->ops.cancel(ledger->ctx, runner->id, stream);
+}
+
+static void stray_seen(struct cell *cell, uint32_t index,
+		       const struct ledger_stream *stream)
+{
+	struct runner *runner = runner_at(cell, index);
+	struct stray *stray =
+		g_hash_table_lookup(runner->strays, stream->stream);
+
+	if (stray == NULL) {
+		stray = g_new0(struct stray, 1);
+		stray->cell = cell;
+		stray->runner = index;
+		stray->stream = *stream;
+		timer_init(&stray->timer, cell->ledger->clock, stray_timer,
+			   stray);
+		timer_start(&stray->timer, cell->ledger->settings.orphan_grace);
+		g_hash_table_insert(runner->strays, stray->stream.stream,
+				    stray);
+	}
+	stray->listed = true;
+}
+
+static gboolean stray_gone(void *key, void *value, void *ctx)
+{
+	struct stray *stray = value;
+	uint32_t *pieces = ctx;
+
+	if (!stray->listed)
+		return TRUE;
+	stray->listed = false;
+	*pieces += stray->stream.pieces;
+	return FALSE;
+}
+
+static void strays_sum(struct cell *cell, uint32_t index)
+{
+	struct runner *runner = runner_at(cell, index);
+	uint32_t before = runner->stray_pieces;
+	uint32_t pieces = 0;
+
+	g_hash_table_foreach_remove(runner->strays, stray_gone, &pieces);
+	runner->stray_pieces = pieces;
+	runner_refresh(cell, index);
+	if (pieces < before)
+		cell_wake(cell);
+}
+
+static bool listed_among(const struct grant *grant,
+			 const struct ledger_stream *streams, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (grant->tag.request == streams[i].request &&
+		    grant->tag.attempt == streams[i].attempt &&
+		    owner_equal(&grant->tag.owner, &streams[i].owner))
+			return true;
+	}
+	return false;
+}
+
+/* A closing grant whose stream is not listed any more, or never came, holds
+ * nothing; a request of its dead holder may still be on its way for a while. */
+static void close_unlisted(struct cell *cell, uint32_t index,
+			   const struct ledger_stream *streams, size_t count)
+{
+	struct runner *runner = runner_at(cell, index);
+	int64_t now = clock_now(cell->ledger->clock);
+	int64_t grace = cell->ledger->settings.orphan_grace;
+
+	for (guint i = runner->grants->len; i > 0; i--) {
+		struct grant *grant = g_ptr_array_index(runner->grants, i - 1);
+
+		if (grant->state != GRANT_CLOSING)
+			continue;
+		if (listed_among(grant, streams, count)) {
+			grant->listings = 0;
+			continue;
+		}
+		if (++grant->listings < LISTINGS_MIN ||
+		    now - grant->closing_since < grace)
+			continue;
+		grant_done_seen(grant);
+	}
+}
+
+void streams_listed(struct cell *cell, uint32_t index,
+		    const struct ledger_stream *streams, size_t count)
+{
+	struct runner *runner = runner_at(cell, index);
+
+	for (size_t i = 0; i < count; i++) {
+		struct grant *grant = grant_of_stream(cell, index, &streams[i]);
+
+		if (grant == NULL && cell->settled)
+			grant = grant_of_record(cell, index, &streams[i]);
+		if (grant != NULL)
+			grant_learn_stream(grant, streams[i].stream);
+		else
+			stray_seen(cell, index, &streams[i]);
+	}
+	runner->listed = true;
+	close_unlisted(cell, index, streams, count);
+	strays_sum(cell, index);
+}
+
+void stream_cancelled(struct cell *cell, uint32_t index, const char *stream)
+{
+	struct runner *runner = runner_at(cell, index);
+	struct stray *stray = g_hash_table_lookup(runner->strays, stream);
+
+	if (stray != NULL) {
+		runner->stray_pieces -= stray->stream.pieces;
+		g_hash_table_remove(runner->strays, stream);
+		runner_refresh(cell, index);
+		cell_wake(cell);
+	}
+	for (guint i = 0; i < runner->grants->len; i++) {
+		struct grant *grant = g_ptr_array_index(runner->grants, i);
+
+		if (grant->state != GRANT_CLOSING ||
+		    strcmp(grant->stream, stream) != 0)
+			continue;
+		grant_done_seen(grant);
+		return;
+	}
+}
--- /dev/null
+++ b/coord/ledger_runner.c
@@ -0,0 +1,322 @@
+#include "ledger_parts.h"
+
+#include <string.h>
+
+/* Observed rates are believed within this factor of the configured one. */
+#define RATE_FACTOR 4.0
+#define RATE_WEIGHT 0.2
+/* A report counts as newer than a grant when it arrives so much later. */
+#define REPORT_LAG_USEC (500 * USEC_PER_MSEC)
+
+struct policy_runner *runner_view(const struct cell *cell, uint32_t index)
+{
+	return &g_array_index(cell->view, struct policy_runner, index);
+}
+
+struct runner *runner_at(const struct cell *cell, uint32_t index)
+{
+	return g_ptr_array_index(cell->runners, index);
+}
+
+uint32_t runner_index(const struct cell *cell, uint64_t id)
+{
+	void *found = g_hash_table_lookup(cell->by_id, &id);
+
+	return found != NULL ? GPOINTER_TO_UINT(found) - 1 : RUNNER_NONE;
+}
+
+void runner_destroy(void *data)
+{
+	struct runner *runner = data;
+
+	g_ptr_array_free(runner->grants, TRUE);
+	g_hash_table_destroy(runner->strays);
+	g_free(runner->pool);
+	g_free(runner);
+}
+
+static uint32_t unknown_pieces(const struct runner *runner)
+{
+	if (runner->listed)
+		return runner->stray_pieces;
+	return runner->reported > runner->granted
+		       ? runner->reported - runner->granted
+		       : 0;
+}
+
+void runner_refresh(struct cell *cell, uint32_t index)
+{
+	struct policy_runner *view = runner_view(cell, index);
+	const struct runner *runner = runner_at(cell, index);
+
+	view->usable = runner->known && runner->reachable &&
+		       !runner->list_leaving && !runner->report_leaving &&
+		       view->reported_at > 0;
+	view->granted_pieces = runner->granted + unknown_pieces(runner);
+	view->granted_running = runner->grants->len;
+}
+
+static const struct config_pool *pool_of(const struct cell *cell,
+					 const struct runner *runner)
+{
+	if (cell->decode == NULL)
+		return NULL;
+	return strcmp(runner->pool, cell->decode_pool) == 0 ? cell->decode
+							    : cell->prefill;
+}
+
+static void runner_configure(struct cell *cell, uint32_t index)
+{
+	struct policy_runner *view = runner_view(cell, index);
+	const struct runner *runner = runner_at(cell, index);
+	const struct config_pool *pool = pool_of(cell, runner);
+
+	if (pool == NULL)
+		return;
+	view->role = pool->role;
+	view->pieces = pool->pieces;
+	view->slots = pool->slots;
+	if (view->prefill_tokens_per_s <= 0)
+		view->prefill_tokens_per_s = pool->prefill_tokens_per_s;
+	if (view->decode_tokens_per_s <= 0)
+		view->decode_tokens_per_s = pool->decode_tokens_per_s;
+	runner_refresh(cell, index);
+}
+
+void runners_configure(struct cell *cell)
+{
+	for (guint i = 0; i < cell->runners->len; i++)
+		runner_configure(cell, i);
+}
+
+/* A place of a runner that is gone and holds nothing, else a new one. */
+static uint32_t runner_place(struct cell *cell)
+{
+	struct policy_runner view = {.role = POOL_PLAIN};
+	struct runner *runner;
+
+	for (guint i = 0; i < cell->runners->len; i++) {
+		runner = runner_at(cell, i);
+		if (runner->known || runner->grants->len > 0)
+			continue;
+		g_hash_table_remove(cell->by_id, &runner->id);
+		g_hash_table_remove_all(runner->strays);
+		g_free(runner->pool);
+		runner->pool = NULL;
+		prefix_forget(cell->prefix, i);
+		*runner_view(cell, i) = view;
+		return i;
+	}
+	runner = g_new0(struct runner, 1);
+	runner->grants = g_ptr_array_new();
+	runner->strays = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       stray_destroy);
+	g_ptr_array_add(cell->runners, runner);
+	g_array_append_val(cell->view, view);
+	g_array_set_size(cell->depth, cell->runners->len);
+	return cell->runners->len - 1;
+}
+
+static void runner_add(struct cell *cell, const struct ledger_runner *entry)
+{
+	uint32_t index = runner_place(cell);
+	struct runner *runner = runner_at(cell, index);
+
+	runner->id = entry->id;
+	runner->pool = g_strdup(entry->pool);
+	runner->known = true;
+	runner->list_leaving = entry->leaving;
+	runner->report_leaving = false;
+	runner->reachable = true;
+	runner->listed = false;
+	runner->granted = 0;
+	runner->stray_pieces = 0;
+	runner->reported = 0;
+	runner_view(cell, index)->id = entry->id;
+	g_hash_table_insert(cell->by_id, &runner->id,
+			    GUINT_TO_POINTER(index + 1));
+	runner_configure(cell, index);
+}
+
+static bool entry_belongs(const struct cell *cell,
+			  const struct ledger_runner *entry)
+{
+	const struct member *self = membership_self(cell->ledger->membership);
+
+	if (entry->pool == NULL || entry->data_centre == NULL)
+		return false;
+	if (strcmp(entry->data_centre, self->data_centre) != 0)
+		return false;
+	return strcmp(entry->pool, cell->prefill_pool) == 0 ||
+	       strcmp(entry->pool, cell->decode_pool) == 0;
+}
+
+static bool entry_take(struct cell *cell, const struct ledger_runner *entry,
+		       GHashTable *seen)
+{
+	uint32_t index = runner_index(cell, entry->id);
+	struct runner *runner;
+	bool changed;
+
+	g_hash_table_add(seen, (void *)&entry->id);
+	if (index == RUNNER_NONE) {
+		runner_add(cell, entry);
+		return true;
+	}
+	runner = runner_at(cell, index);
+	changed = !runner->known || runner->list_leaving != entry->leaving;
+	runner->known = true;
+	runner->list_leaving = entry->leaving;
+	runner_refresh(cell, index);
+	return changed;
+}
+
+/* What it held is gone with it. */
+static void runner_lost(struct cell *cell, uint32_t index)
+{
+	struct runner *runner = runner_at(cell, index);
+
+	runner->known = false;
+	runner->reachable = false;
+	g_hash_table_remove_all(runner->strays);
+	runner->stray_pieces = 0;
+	runner_refresh(cell, index);
+	for (guint i = runner->grants->len; i > 0; i--) {
+		struct grant *grant = g_ptr_array_index(runner->grants, i - 1);
+
+		if (grant->state != GRANT_HELD)
+			grant_done_seen(grant);
+	}
+}
+
+bool runners_set(struct cell *cell, const struct ledger_runner *list,
+		 size_t count)
+{
+	GHashTable *seen = g_hash_table_new(g_int64_hash, g_int64_equal);
+	bool changed = false;
+
+	for (size_t i = 0; i < count; i++) {
+		if (entry_belongs(cell, &list[i]))
+			changed |= entry_take(cell, &list[i], seen);
+	}
+	for (guint i = 0; i < cell->runners->len; i++) {
+		struct runner *runner = runner_at(cell, i);
+
+		if (!runner->known || g_hash_table_contains(seen, &runner->id))
+			continue;
+		runner_lost(cell, i);
+		changed = true;
+	}
+	g_hash_table_destroy(seen);
+	return changed;
+}
+
+void runner_list_clear(struct ledger *ledger)
+{
+	for (guint i = 0; i < ledger->list->len; i++) {
+		struct ledger_runner *entry =
+			&g_array_index(ledger->list, struct ledger_runner, i);
+
+		g_free((char *)entry->pool);
+		g_free((char *)entry->data_centre);
+	}
+	g_array_set_size(ledger->list, 0);
+}
+
+void runner_list_set(struct ledger *ledger, const struct ledger_runner *list,
+		     size_t count)
+{
+	GArray *copies = g_array_new(FALSE, FALSE, sizeof(*list));
+
+	for (size_t i = 0; i < count; i++) {
+		struct ledger_runner copy = list[i];
+
+		copy.pool = g_strdup(list[i].pool);
+		copy.data_centre = g_strdup(list[i].data_centre);
+		g_array_append_val(copies, copy);
+	}
+	runner_list_clear(ledger);
+	g_array_free(ledger->list, TRUE);
+	ledger->list = copies;
+}
+
+static double observe(double old, double seen, double configured)
+{
+	seen = CLAMP(seen, configured / RATE_FACTOR, configured * RATE_FACTOR);
+	return old + RATE_WEIGHT * (seen - old);
+}
+
+static void observe_rate(const struct cell *cell, struct policy_runner *view,
+			 const struct ledger_report *report)
+{
+	bool busy = report->queue_tokens > 0 || report->running > 0;
+
+	if (!busy || report->tokens_per_s <= 0 || cell->decode == NULL)
+		return;
+	if (view->role == POOL_PREFILL)
+		view->prefill_tokens_per_s = observe(
+			view->prefill_tokens_per_s, report->tokens_per_s,
+			cell->prefill->prefill_tokens_per_s);
+	else if (view->role == POOL_DECODE)
+		view->decode_tokens_per_s =
+			observe(view->decode_tokens_per_s,
+				report->tokens_per_s / MAX(report->running, 1u),
+				cell->decode->decode_tokens_per_s);
+}
+
+/* A report that has seen all grants corrects the estimate both ways; one that
+ * may have missed some only upwards. */
+static void observe_queue(const struct runner *runner,
+			  struct policy_runner *view, int64_t now)
+{
+	int64_t until;
+
+	if (view->role != POOL_PREFILL || view->prefill_tokens_per_s <= 0)
+		return;
+	until = now +
+		(int64_t)((double)view->reported_queue_tokens /
+			  view->prefill_tokens_per_s * (double)USEC_PER_SEC);
+	if (now - runner->granted_last > REPORT_LAG_USEC ||
+	    until > view->busy_until)
+		view->busy_until = until;
+}
+
+void runner_report(struct cell *cell, uint32_t index,
+		   const struct ledger_report *report)
+{
+	struct policy_runner *view = runner_view(cell, index);
+	struct runner *runner = runner_at(cell, index);
+	int64_t now = clock_now(cell->ledger->clock);
+
+	runner->reachable = report->reachable;
+	runner->report_leaving = report->leaving;
+	if (report->reachable) {
+		runner->reported = report->pieces_used;
+		view->reported_at = MAX(now, 1);
+		view->reported_pieces = report->pieces_used;
+		view->reported_running = report->running;
+		view->reported_waiting = report->waiting;
+		view->reported_queue_tokens = report->queue_tokens;
+		observe_rate(cell, view, report);
+		observe_queue(runner, view, now);
+	}
+	runner_refresh(cell, index);
+}
+
+void runners_reset(struct cell *cell)
+{
+	for (guint i = 0; i < cell->runners->len; i++) {
+		struct runner *runner = runner_at(cell, i);
+		struct policy_runner *view = runner_view(cell, i);
+
+		g_hash_table_remove_all(runner->strays);
+		runner->stray_pieces = 0;
+		runner->listed = false;
+		runner->reported = 0;
+		view->reported_at = 0;
+		view->busy_until = 0;
+		view->link_until = 0;
+		runner_refresh(cell, i);
+		prefix_forget(cell->prefix, i);
+	}
+}
--- /dev/null
+++ b/coord/ledger_view.c
@@ -0,0 +1,352 @@
+#include "ledger_parts.h"
+
+#include <stdlib.h>
+
+/* How many requests a pass looks at, and how many of a class may wait before
+ * the rest of the class is left for later. */
+#define SCAN_MAX 64u
+#define SCAN_WAITS 4u
+#define HELD_MAX 64u
+/* A pass that ended early goes on in the next turn. */
+#define SCAN_AGAIN_USEC 0
+
+static uint32_t cached_blocks(void *ctx, uint32_t runner,
+			      const struct policy_request *request)
+{
+	struct cell *cell = ctx;
+
+	if (runner >= cell->depth->len)
+		return 0;
+	if (cell->depth_for != request) {
+		prefix_match(cell->prefix, request->blocks,
+			     request->block_count,
+			     (uint32_t *)(void *)cell->depth->data,
+			     cell->depth->len);
+		cell->depth_for = request;
+	}
+	return g_array_index(cell->depth, uint32_t, runner);
+}
+
+static double output_tokens(void *ctx, enum request_class class)
+{
+	const struct cell *cell = ctx;
+
+	return cell->hold_usec[class] / (double)USEC_PER_SEC *
+	       cell->decode->decode_tokens_per_s;
+}
+
+struct release_point {
+	int64_t at;
+	uint32_t pieces;
+};
+
+static int compare_release(const void *a, const void *b)
+{
+	const struct release_point *x = a;
+	const struct release_point *y = b;
+
+	return (x->at > y->at) - (x->at < y->at);
+}
+
+static int64_t pieces_free_at(void *ctx, uint32_t index, uint32_t pieces)
+{
+	const struct cell *cell = ctx;
+	const struct policy_runner *view = runner_view(cell, index);
+	const struct runner *runner = runner_at(cell, index);
+	struct release_point points[HELD_MAX];
+	int64_t now = clock_now(cell->ledger->clock);
+	uint32_t count = MIN(runner->grants->len, HELD_MAX);
+	uint64_t used = view->granted_pieces;
+
+	if (used + pieces <= view->pieces)
+		return now;
+	for (uint32_t i = 0; i < count; i++) {
+		const struct grant *grant =
+			g_ptr_array_index(runner->grants, i);
+
+		points[i].at = MAX(grant->expected_end, now);
+		points[i].pieces = grant->pieces;
+	}
+	qsort(points, count, sizeof(points[0]), compare_release);
+	for (uint32_t i = 0; i < count; i++) {
+		used -= points[i].pieces;
+		if (used + pieces <= view->pieces)
+			return points[i].at;
+	}
+	return CLOCK_NEVER;
+}
+
+void view_fill(struct cell *cell, struct policy_view *view)
+{
+	view->now = clock_now(cell->ledger->clock);
+	view->prefill_pool = cell->prefill;
+	view->decode_pool = cell->decode;
+	view->runners = (const struct policy_runner *)(void *)cell->view->data;
+	view->runner_count = cell->view->len;
+	view->waiting =
+		(uint32_t)(g_sequence_get_length(cell->lanes[CLASS_URGENT]) +
+			   g_sequence_get_length(
+				   cell->lanes[CLASS_DEFERRABLE]));
+	view->cached_blocks = cached_blocks;
+	view->output_tokens = output_tokens;
+	view->pieces_free_at = pieces_free_at;
+	view->ctx = cell;
+}
+
+static int64_t seconds(double value)
+{
+	return (int64_t)(CLAMP(value, 0, 1e6) * (double)USEC_PER_SEC);
+}
+
+static int64_t transfer_time(const struct cell *cell, uint32_t tokens)
+{
+	double bytes = (double)tokens * cell->prefill->kv_bytes_per_token;
+	uint64_t out = cell->prefill->link_bytes_per_s;
+	uint64_t in = cell->decode->link_bytes_per_s;
+	uint64_t rate = out != 0 && (in == 0 || out < in) ? out : in;
+
+	return rate != 0 ? seconds(bytes / (double)rate) : 0;
+}
+
+/* Books the work on prefill runner and links; returns when decode starts. */
+static int64_t book_work(struct cell *cell, const struct policy_request *need,
+			 const struct placement *placement)
+{
+	struct policy_runner *p = runner_view(cell, placement->prefill);
+	struct policy_runner *d = runner_view(cell, placement->decode);
+	int64_t now = clock_now(cell->ledger->clock);
+	uint32_t cached = PREFIX_BLOCK_TOKENS *
+			  cached_blocks(cell, placement->prefill, need);
+	uint32_t tokens =
+		need->prompt_tokens > cached ? need->prompt_tokens - cached : 0;
+	double rate = MAX(p->prefill_tokens_per_s, 1.0);
+	int64_t at;
+
+	p->busy_until = MAX(p->busy_until, now) + seconds(tokens / rate);
+	at = MAX(p->busy_until, MAX(p->link_until, d->link_until)) +
+	     transfer_time(cell, need->prompt_tokens);
+	p->link_until = at;
+	d->link_until = at;
+	runner_at(cell, placement->prefill)->granted_last = now;
+	for (uint32_t i = 0; i < need->block_count; i++)
+		prefix_store(cell->prefix, placement->prefill, need->blocks[i]);
+	cell->depth_for = NULL;
+	return at;
+}
+
+static int64_t decode_time(const struct cell *cell,
+			   const struct policy_request *need, uint32_t decode)
+{
+	double rate = MAX(runner_view(cell, decode)->decode_tokens_per_s, 1.0);
+	int64_t most = seconds(need->output_tokens_max / rate);
+
+	if (cell->hold_usec[need->class] <= 0)
+		return most;
+	return MIN(most, (int64_t)cell->hold_usec[need->class]);
+}
+
+/* Whatever a policy answers, what it reserves is never given twice. */
+static bool placement_valid(const struct cell *cell,
+			    const struct policy_request *need,
+			    const struct placement *placement)
+{
+	const struct policy_runner *decode;
+
+	if (placement->prefill >= cell->view->len ||
+	    placement->decode >= cell->view->len)
+		return false;
+	decode = runner_view(cell, placement->decode);
+	if (runner_view(cell, placement->prefill)->role != POOL_PREFILL ||
+	    decode->role != POOL_DECODE)
+		return false;
+	return !placement->reserve ||
+	       decode->granted_pieces + need->pieces <= decode->pieces;
+}
+
+static void start(struct cell *cell, struct waiting *waiting,
+		  const struct placement *placement)
+{
+	const struct policy_request *need = &waiting->need;
+	struct tag holder = waiting->holder;
+	int64_t end = book_work(cell, need, placement) +
+		      decode_time(cell, need, placement->decode);
+	struct grant *grant;
+
+	ask_grant(waiting, placement->prefill, placement->decode);
+	grant = grant_find(cell, &holder.owner, holder.request);
+	grant->expected_end = end;
+}
+
+/* Whether another usable runner of the role is there. */
+static bool other_usable(const struct cell *cell, uint32_t index)
+{
+	enum pool_role role = runner_view(cell, index)->role;
+
+	for (guint i = 0; i < cell->view->len; i++) {
+		const struct policy_runner *r = runner_view(cell, i);
+
+		if (i != index && r->usable && r->role == role)
+			return true;
+	}
+	return false;
+}
+
+/* Runners that failed the former attempt are shown as not usable. */
+static enum verdict place_avoiding(struct cell *cell, struct policy_view *view,
+				   struct waiting *waiting,
+				   struct placement *placement)
+{
+	struct ledger *ledger = cell->ledger;
+	uint32_t hidden[2] = {RUNNER_NONE, RUNNER_NONE};
+	enum verdict verdict;
+
+	for (int i = 0; i < 2; i++) {
+		uint32_t index = runner_index(cell, waiting->avoid[i]);
+
+		if (index == RUNNER_NONE || !runner_view(cell, index)->usable ||
+		    !other_usable(cell, index))
+			continue;
+		runner_view(cell, index)->usable = false;
+		hidden[i] = index;
+	}
+	verdict = ledger->policy->place(ledger->policy_state, view,
+					&waiting->need, placement);
+	for (int i = 0; i < 2; i++) {
+		if (hidden[i] != RUNNER_NONE)
+			runner_refresh(cell, hidden[i]);
+	}
+	return verdict;
+}
+
+struct pass {
+	struct cell *cell;
+	struct policy_view view;
+	GSequenceIter *at[CLASS_COUNT];
+	uint32_t waits[CLASS_COUNT];
+	int64_t again_at;
+};
+
+static struct waiting *lane_head(const struct pass *pass, int class)
+{
+	if (g_sequence_iter_is_end(pass->at[class]) ||
+	    pass->waits[class] >= SCAN_WAITS)
+		return NULL;
+	return g_sequence_get(pass->at[class]);
+}
+
+static int64_t rank_of(GSequenceIter *iter)
+{
+	const struct waiting *waiting = g_sequence_get(iter);
+
+	return waiting->rank;
+}
+
+/* Ranks may rise while requests wait: a head whose rank has risen goes back to
+ * its place, and the next one is looked at. */
+static struct waiting *fresh_head(struct pass *pass, int class)
+{
+	struct ledger *ledger = pass->cell->ledger;
+	struct waiting *head;
+
+	for (uint32_t i = 0; i < SCAN_MAX; i++) {
+		GSequenceIter *next;
+		int64_t rank;
+
+		head = lane_head(pass, class);
+		if (head == NULL)
+			return NULL;
+		rank = ledger->policy->rank(ledger->policy_state, &pass->view,
+					    &head->need);
+		if (rank <= head->rank) {
+			head->rank = rank;
+			return head;
+		}
+		next = g_sequence_iter_next(pass->at[class]);
+		if (g_sequence_iter_is_end(next) || rank_of(next) >= rank) {
+			head->rank = rank;
+			return head;
+		}
+		pass->at[class] = next;
+		lane_rank(pass->cell, head, rank);
+	}
+	return lane_head(pass, class);
+}
+
+static struct waiting *pass_next(struct pass *pass)
+{
+	struct waiting *best = NULL;
+
+	for (int class = 0; class < CLASS_COUNT; class ++) {
+		struct waiting *head = fresh_head(pass, class);
+
+		if (head != NULL && (best == NULL || head->rank < best->rank))
+			best = head;
+	}
+	return best;
+}
+
+static void pass_wait(struct pass *pass, int class,
+		      const struct placement *placement)
+{
+	struct cell *cell = pass->cell;
+
+	pass->waits[class]++;
+	pass->again_at = MIN(pass->again_at, placement->again_at);
+	if (placement->hold < cell->view->len)
+		runner_view(cell, placement->hold)->held = true;
+}
+
+static void pass_one(struct pass *pass, struct waiting *waiting)
+{
+	struct cell *cell = pass->cell;
+	int class = waiting->need.class;
+	struct placement placement = {.prefill = RUNNER_NONE,
+				      .decode = RUNNER_NONE,
+				      .again_at = CLOCK_NEVER,
+				      .hold = RUNNER_NONE,
+				      .code = RESULT_QUEUE_FULL};
+	enum verdict verdict;
+
+	pass->at[class] = g_sequence_iter_next(waiting->place);
+	verdict = place_avoiding(cell, &pass->view, waiting, &placement);
+	if (verdict == VERDICT_START &&
+	    placement_valid(cell, &waiting->need, &placement))
+		start(cell, waiting, &placement);
+	else if (verdict == VERDICT_REFUSE)
+		ask_refuse(waiting, placement.code,
+			   MAX(placement.retry_after,
+			       queue_time(cell, &waiting->need)));
+	else
+		pass_wait(pass, class, &placement);
+}
+
+static void pass_end(struct pass *pass)
+{
+	struct cell *cell = pass->cell;
+
+	for (guint i = 0; i < cell->view->len; i++)
+		runner_view(cell, i)->held = false;
+	if (pass->again_at != CLOCK_NEVER && !timer_running(&cell->scan))
+		timer_start(&cell->scan,
+			    MAX(pass->again_at - pass->view.now, 0));
+}
+
+void queue_scan(struct cell *cell)
+{
+	struct pass pass = {.cell = cell, .again_at = CLOCK_NEVER};
+	struct waiting *waiting;
+	uint32_t seen = 0;
+
+	if (!cell->is_home || !cell->settled || cell->decode == NULL)
+		return;
+	timer_stop(&cell->scan);
+	cell->depth_for = NULL;
+	view_fill(cell, &pass.view);
+	for (int class = 0; class < CLASS_COUNT; class ++)
+		pass.at[class] = g_sequence_get_begin_iter(cell->lanes[class]);
+	while (seen++ < SCAN_MAX && (waiting = pass_next(&pass)) != NULL)
+		pass_one(&pass, waiting);
+	if (seen > SCAN_MAX)
+		pass.again_at = pass.view.now + SCAN_AGAIN_USEC;
+	pass_end(&pass);
+}
--- a/include/coord/ledger.h
+++ b/include/coord/ledger.h
@@ -5,18 +5,22 @@
  *	A cell is the runners of one service's pools in one data centre. The
  *	member with the highest rendezvous weight for the cell is its home: it
  *	alone queues, places (through the policy in force) and grants. The
- *second highest is its replica and keeps a copy of the request records; when
- *the home goes, the replica is the next home. State is soft: after a change of
- *home each instance announces what it holds, and a new home grants only what
- *reports prove free until all live instances have announced or one settling
- *time has passed.
+ *	second highest is its replica and keeps a copy of the request records;
+ *	when the home goes, the replica is the next home. State is soft: after a
+ *	change of home each instance announces what it holds, and a new home
+ *	grants nothing until all live instances have announced or one settling
+ *	time has passed.
  *
  *	One round trip from an instance to the home finds out whether the
  *	request's key is known, reserves decode memory, and names the runners.
  *	Every grant ends by ledger_release(), or by the death of its holder.
  *
  *	Each module instance acts both as holder and as home; all traffic goes
- *	through the transport, the own instance included.
+ *	through the transport, the own instance included. Messages may be lost,
+ *	doubled, late or out of order: each is idempotent and is repeated until
+ *	it is acknowledged. docs/design/ledger.md has the protocol.
+ *
+ *	No callback is called from within a call of the holder's side.
  */
 #ifndef COORD_LEDGER_H
 #define COORD_LEDGER_H
@@ -174,6 +178,11 @@
 void ledger_again(struct ledger *ledger, uint64_t request, enum result_code why,
 		  uint32_t tokens_so_far);
 
+/* After a duplicate answer whose owner is dead: takes the running stream over.
+ * Answered by granted (decode is its runner, prefill is 0) or, when it was
+ * lost meanwhile, as by a new ask. Call it within twice orphan_grace. */
+void ledger_adopt(struct ledger *ledger, uint64_t request);
+
 /* Home's side. */
 bool ledger_is_home(const struct ledger *ledger, uint64_t runner);
 void ledger_report(struct ledger *ledger, const struct ledger_report *report);
@@ -181,9 +190,11 @@
 		    const struct ledger_stream *streams, size_t count);
 void ledger_cancelled(struct ledger *ledger, uint64_t runner,
 		      const char *stream, bool done);
+/* stored false with no blocks: events were lost, nothing is believed cached. */
 void ledger_cache_event(struct ledger *ledger, uint64_t runner,
 			const uint64_t *blocks, size_t count, bool stored);
-/* Hands queue, grants and records to the next homes before leaving. */
+/* Hands queue, grants and records to the next homes; call it after
+ * membership_leave(), and stay until ledger_stats() shows no handover left. */
 void ledger_drain(struct ledger *ledger);
 
 /* For the operators' view. */
@@ -194,6 +205,9 @@
 	uint32_t records;
 	uint32_t cells;
 	uint64_t cancels;
+	uint32_t handovers; /* announcements not yet acknowledged */
+	uint64_t sent_bytes;
+	uint64_t sent_messages;
 };
 void ledger_stats(const struct ledger *ledger, struct ledger_stats *stats);
 
--- /dev/null
+++ b/tests/ledger/members.c
@@ -0,0 +1,174 @@
+/* A stub of coord/member.h: what each instance believes of the others is set
+ * by the test, late and at different times. */
+#include "world.h"
+
+#include <string.h>
+
+struct membership {
+	struct world *world;
+	int self;
+	struct member view[INSTANCES_MAX];
+};
+
+struct news {
+	struct world *world;
+	int of;
+	int to;
+	uint64_t incarnation;
+	enum member_state state;
+};
+
+static void member_init(struct member *member, int index, uint64_t incarnation)
+{
+	memset(member, 0, sizeof(*member));
+	g_snprintf(member->name, sizeof(member->name), "instance-%d", index);
+	member->id = id_of(member->name);
+	member->incarnation = incarnation;
+	g_strlcpy(member->data_centre, "hall-a", sizeof(member->data_centre));
+}
+
+struct membership *members_create(struct world *world, int index)
+{
+	struct membership *membership = g_new0(struct membership, 1);
+
+	membership->world = world;
+	membership->self = index;
+	for (int i = 0; i < world->count; i++)
+		member_init(&membership->view[i], i, 1);
+	return membership;
+}
+
+void members_destroy(struct membership *membership)
+{
+	g_free(membership);
+}
+
+const struct member *membership_self(const struct membership *membership)
+{
+	return &membership->view[membership->self];
+}
+
+const struct member *membership_find(const struct membership *membership,
+				     uint64_t id)
+{
+	for (int i = 0; i < membership->world->count; i++) {
+		if (membership->view[i].id == id)
+			return &membership->view[i];
+	}
+	return NULL;
+}
+
+const struct member *membership_next(const struct membership *membership,
+				     uint32_t *cursor)
+{
+	if (*cursor >= (uint32_t)membership->world->count)
+		return NULL;
+	return &membership->view[(*cursor)++];
+}
+
+uint64_t membership_home(const struct membership *membership,
+			 const char *data_centre, uint64_t key, uint32_t rank)
+{
+	uint64_t passed = UINT64_MAX;
+	const struct member *best;
+
+	for (uint32_t r = 0; r <= rank; r++) {
+		uint64_t top = 0;
+
+		best = NULL;
+		for (int i = 0; i < membership->world->count; i++) {
+			const struct member *m = &membership->view[i];
+			uint64_t weight = id_mix(m->id, key);
+
+			if (m->state > MEMBER_SUSPECT || weight >= passed ||
+			    (best != NULL && weight <= top))
+				continue;
+			best = m;
+			top = weight;
+		}
+		passed = top;
+		if (best == NULL)
+			return 0;
+	}
+	return best->id;
+}
+
+void members_notify(struct instance *instance)
+{
+	struct membership *membership = instance->membership;
+
+	ledger_member(instance->ledger, membership_self(membership));
+}
+
+static void tell_one(void *data)
+{
+	struct news *news = data;
+	struct instance *instance = &news->world->instances[news->to];
+	struct member *member;
+
+	if (!instance->up)
+		return;
+	if (instance->paused) {
+		world_after(news->world, 50 * USEC_PER_MSEC, tell_one,
+			    g_memdup2(news, sizeof(*news)), g_free);
+		return;
+	}
+	member = &instance->membership->view[news->of];
+	if (news->incarnation < member->incarnation ||
+	    (news->incarnation == member->incarnation &&
+	     news->state < member->state))
+		return;
+	member->incarnation = news->incarnation;
+	member->state = news->state;
+	ledger_member(instance->ledger, member);
+}
+
+static uint64_t incarnation_of(struct world *world, int index)
+{
+	const struct instance *instance = &world->instances[index];
+
+	return instance->membership->view[index].incarnation;
+}
+
+void members_tell(struct world *world, int index, enum member_state state,
+		  int64_t delay_max)
+{
+	for (int i = 0; i < world->count; i++) {
+		struct news news = {.world = world,
+				    .of = index,
+				    .to = i,
+				    .incarnation = incarnation_of(world, index),
+				    .state = state};
+
+		if (i == index && state == MEMBER_DEAD)
+			continue;
+		world_after(world, world_range(world, 0, delay_max), tell_one,
+			    g_memdup2(&news, sizeof(news)), g_free);
+	}
+}
+
+uint64_t members_raise(struct world *world, int index)
+{
+	struct member *member =
+		&world->instances[index].membership->view[index];
+
+	member->state = MEMBER_ALIVE;
+	return ++member->incarnation;
+}
+
+bool members_held_dead(struct world *world, int index, uint64_t incarnation)
+{
+	for (int i = 0; i < world->count; i++) {
+		const struct instance *other = &world->instances[i];
+		const struct member *member;
+
+		if (other->membership == NULL)
+			continue;
+		member = &other->membership->view[index];
+		if (member->incarnation > incarnation ||
+		    (member->incarnation == incarnation &&
+		     member->state == MEMBER_DEAD))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/tests/ledger/world.h
@@ -0,0 +1,166 @@
+/*
+ * world.h - a few instances with a ledger each, over a link that misbehaves
+ *
+ * DESCRIPTION
+ *	Each instance has a paused clock of its own, so that it can stand still
+ *	while the others go on. Engines, link and membership are small fakes on
+ *	the world's clock. All choices come from one seeded generator.
+ */
+#ifndef TESTS_LEDGER_WORLD_H
+#define TESTS_LEDGER_WORLD_H
+
+#include <glib.h>
+
+#include "common/clock.h"
+#include "coord/ledger.h"
+
+#define INSTANCES_MAX 4
+#define ENGINES_MAX 4
+#define VIEWS 8
+
+enum job_state {
+	JOB_ASKED,
+	JOB_PREFILL,
+	JOB_DECODE,
+	JOB_CANCELLING,
+	JOB_DONE,
+	JOB_REFUSED,
+	JOB_DUPLICATE,
+	JOB_WITHDRAWN,
+	JOB_REVOKED,
+	JOB_LOST, /* its instance died */
+};
+
+/* A request of a caller at one instance. */
+struct job {
+	struct world *world;
+	struct instance *instance;
+	uint64_t request;
+	uint64_t incarnation; /* of the instance when it was asked */
+	uint64_t key;
+	enum request_class class;
+	enum job_state state;
+	uint32_t answers; /* granted at first, refused or duplicate */
+	uint32_t attempt;
+	uint32_t fail_times; /* attempts that the engine cuts */
+	int64_t asked_at;
+	int64_t answered_at;
+	int64_t work; /* microseconds of decode */
+	bool adopt;   /* takes over the stream of a dead owner */
+	bool adopted;
+	struct ledger_grant grant;
+	struct ledger_refusal refusal;
+	struct ledger_duplicate duplicate;
+	char stream[LEDGER_STREAM_MAX];
+	struct timer timer;
+};
+
+struct engine {
+	struct world *world;
+	uint64_t id;
+	enum pool_role role;
+	uint32_t pieces;
+	uint32_t used;
+	uint32_t most; /* highest use ever */
+	uint32_t refused;
+	uint32_t next_stream;
+	bool leaving;
+	bool deaf; /* cancels are lost */
+	GHashTable *streams;
+};
+
+struct instance {
+	struct world *world;
+	int index;
+	uint64_t id;
+	struct clock *clock;
+	struct membership *membership;
+	struct ledger *ledger;
+	bool up;
+	bool paused;
+	GQueue inbox; /* deliveries that wait while paused */
+	struct timer poll;
+};
+
+struct world {
+	struct clock *clock;
+	GRand *rand;
+	const struct config *config;
+	struct instance instances[INSTANCES_MAX];
+	int count;
+	struct engine engines[ENGINES_MAX];
+	int engine_count;
+	GPtrArray *jobs;
+	uint64_t next_request;
+	bool cut[INSTANCES_MAX][INSTANCES_MAX]; /* one way */
+	double lose;
+	double twice;
+	int64_t delay_max;
+	uint64_t messages;
+	uint64_t bytes;
+	uint64_t sent_to[VIEWS];
+	bool overlap_allowed; /* a holder was held dead while it ran on */
+	GPtrArray *events;
+	GString *broken; /* the first invariant that did not hold */
+};
+
+/* world.c */
+struct world *world_create(uint32_t seed, int instances,
+			   const struct config *config);
+void world_destroy(struct world *world);
+void world_run(struct world *world, int64_t usec);
+/* Calls fn once after delay on the world's clock. */
+void world_after(struct world *world, int64_t delay, void (*fn)(void *),
+		 void *ctx, GDestroyNotify destroy);
+void world_kill(struct world *world, int index);
+void world_restart(struct world *world, int index);
+void world_pause(struct world *world, int index);
+void world_wake(struct world *world, int index);
+void world_leave(struct world *world, int index);
+void world_cut(struct world *world, int a, int b, bool cut);
+void world_configure(struct world *world, const struct config *config);
+struct instance *world_home(struct world *world);
+int64_t world_range(struct world *world, int64_t low, int64_t high);
+bool world_chance(struct world *world, double p);
+void world_fail(struct world *world, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+const struct config *world_config(const char *policy, uint32_t queue_max);
+
+/* members.c: every instance's view of who lives. */
+struct membership *members_create(struct world *world, int index);
+void members_destroy(struct membership *membership);
+/* Tells all instances, each after a while of its own. */
+void members_tell(struct world *world, int index, enum member_state state,
+		  int64_t delay_max);
+uint64_t members_raise(struct world *world, int index);
+bool members_held_dead(struct world *world, int index, uint64_t incarnation);
+void members_notify(struct instance *instance);
+
+/* engine.c */
+void engine_init(struct world *world, int index, enum pool_role role,
+		 uint32_t pieces);
+void engine_clear(struct engine *engine);
+struct engine *engine_find(struct world *world, uint64_t id);
+/* False when it is full or leaving. */
+bool engine_open(struct engine *engine, const struct job *job, uint32_t pieces,
+		 char *stream);
+bool engine_has(const struct engine *engine, const char *stream);
+void engine_close(struct engine *engine, const char *stream);
+void engine_poll(struct instance *instance);
+void engine_cancel(struct instance *instance, uint64_t runner,
+		   const char *stream);
+
+/* app.c: what the daemon does with a request. */
+extern const struct ledger_ops app_ops;
+struct job *app_ask(struct world *world, int index, uint64_t key,
+		    enum request_class class, uint32_t tokens, int64_t work);
+void app_withdraw(struct job *job);
+void app_cancel(struct job *job);
+void app_instance_died(struct instance *instance);
+bool job_over(const struct job *job);
+
+/* invariants.c */
+void invariants_always(struct world *world);
+void invariants_end(struct world *world);
+
+#endif
