--- a/ctl/admin.c
+++ b/ctl/admin.c
@@ -17,7 +17,7 @@
 	bool ok;
 	bool sent;
 	int status;
-	char *reason;
+	bool timed_out;
 	GString *body;
 };
 
@@ -29,7 +29,7 @@
 	call->ok = result->ok;
 	call->sent = result->sent;
 	call->status = status;
-	call->reason = g_strdup(result->text);
+	call->timed_out = result->timed_out;
 	if (body)
 		g_string_append_len(call->body, body, (gssize)size);
 	loop_stop(call->loop);
@@ -86,11 +86,20 @@
 	loop_run(ctl->loop);
 }
 
+static const char *failure_text(const struct call *call)
+{
+	if (call->timed_out)
+		return "no answer in time";
+	if (call->sent)
+		return "the connection broke before the answer ended";
+	return "cannot connect";
+}
+
 /* Whether the next address may be tried. */
 static bool call_failed(const struct call *call, const char *address,
 			const struct admin_request *request, struct error *err)
 {
-	const char *reason = call->reason ? call->reason : "no answer";
+	const char *reason = failure_text(call);
 
 	if (call->sent && strcmp(request->method, "GET") != 0) {
 		error_set(err, RESULT_LOG_UNKNOWN, "%s: %s; see jtctl history",
@@ -121,7 +130,6 @@
 			next = call_failed(&call, *address, request, err);
 		}
 		g_string_free(call.body, TRUE);
-		g_free(call.reason);
 	}
 	return answer;
 }
