--- a/include/load/command.h
+++ b/include/load/command.h
@@ -7,6 +7,7 @@
 /* argv[0] is the command's name. */
 int command_run(int argc, char **argv);
 int command_compare(int argc, char **argv);
+int command_table(int argc, char **argv);
 int command_plot(int argc, char **argv);
 
 #endif
--- a/include/load/report.h
+++ b/include/load/report.h
@@ -17,6 +17,8 @@
 void report_print(const json_t *report, GString *out);
 /* A table of two reports: value before, value after, difference. */
 void report_compare(const json_t *a, const json_t *b, GString *out);
+/* A Markdown table: a row for each label and rate, medians over its reports. */
+void report_table(json_t *const *reports, size_t count, GString *out);
 /* An SVG: lines over the rate when reports of one label differ in it, else a
  * bar for each report. */
 void report_plot(json_t *const *reports, size_t count, GString *out);
--- a/load/command_report.c
+++ b/load/command_report.c
@@ -85,6 +85,57 @@
 	return ok;
 }
 
+static void reports_free(json_t **reports, int count)
+{
+	for (int i = 0; i < count; i++)
+		json_decref(reports[i]);
+	g_free(reports);
+}
+
+/* Reads all the files, or none. */
+static json_t **reports_read(char **files, int count, struct error *err)
+{
+	json_t **reports;
+
+	if (count < 1) {
+		error_set(err, RESULT_USAGE, "no report is named");
+		return NULL;
+	}
+	reports = g_new0(json_t *, (gsize)count);
+	for (int i = 0; i < count; i++) {
+		reports[i] = report_read(files[i], err);
+		if (reports[i] != NULL)
+			continue;
+		reports_free(reports, i);
+		return NULL;
+	}
+	return reports;
+}
+
+int command_table(int argc, char **argv)
+{
+	static const struct argp argp = {
+		.args_doc = "REPORT.json...",
+		.doc = "Prints the medians of reports of jtload run, a row for "
+		       "each label and rate",
+	};
+	struct error err = {0};
+	json_t **reports;
+	GString *out;
+	int first;
+
+	argp_parse(&argp, argc, argv, ARGP_NO_ARGS, &first, NULL);
+	reports = reports_read(argv + first, argc - first, &err);
+	if (reports == NULL)
+		return fail(&err);
+	out = g_string_new(NULL);
+	report_table(reports, (size_t)(argc - first), out);
+	fputs(out->str, stdout);
+	g_string_free(out, TRUE);
+	reports_free(reports, argc - first);
+	return EXIT_SUCCESS;
+}
+
 int command_plot(int argc, char **argv)
 {
 	static const struct argp_option options[] = {
@@ -100,19 +151,14 @@
 	struct plot_arguments arguments = {.out = "report.svg"};
 	struct error err = {0};
 	json_t **reports;
-	bool ok = true;
+	bool ok;
 
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
-	reports = g_new0(json_t *, (gsize)arguments.file_count);
-	for (int i = 0; ok && i < arguments.file_count; i++) {
-		reports[i] = report_read(arguments.files[i], &err);
-		ok = reports[i] != NULL;
-	}
-	if (ok)
-		ok = plot_write(arguments.out, reports,
-				(size_t)arguments.file_count, &err);
-	for (int i = 0; i < arguments.file_count; i++)
-		json_decref(reports[i]);
-	g_free(reports);
+	reports = reports_read(arguments.files, arguments.file_count, &err);
+	if (reports == NULL)
+		return fail(&err);
+	ok = plot_write(arguments.out, reports, (size_t)arguments.file_count,
+			&err);
+	reports_free(reports, arguments.file_count);
 	return ok ? EXIT_SUCCESS : fail(&err);
 }
--- a/load/main.c
+++ b/load/main.c
@@ -10,6 +10,7 @@
 } commands[] = {
 	{"run", command_run, "send calls and check every answer"},
 	{"compare", command_compare, "put two reports side by side"},
+	{"table", command_table, "medians of many reports, as Markdown"},
 	{"plot", command_plot, "draw reports as an SVG"},
 };
 
