entry, web: give functions of the same name in two libraries names of their own

Linking the daemon found peer_add (membership and peers) and request_create (web and entry) defined twice. Those of peers and web are renamed to peer_queue_add and web_request_create.

--- a/entry/peer_connect.c
+++ b/entry/peer_connect.c
@@ -27,7 +27,7 @@
 
 	peers->refused->value++;
 	if (peer && peer->link == link) {
-		peer_drop_queue(peer, DROP_UNREACHABLE);
+		peer_queue_drop(peer, DROP_UNREACHABLE);
 		peer_backoff(peer);
 	}
 	link_drop(peers, link);
@@ -88,7 +88,7 @@
 	if (!present)
 		return;
 	if (!reached)
-		peer_drop_queue(peer, DROP_UNREACHABLE);
+		peer_queue_drop(peer, DROP_UNREACHABLE);
 	peer_backoff(peer);
 }
 
@@ -111,7 +111,7 @@
 				 peers->settings.connect_usec, &link_ops, peers,
 				 &peers->traffic);
 	if (!link) {
-		peer_drop_queue(peer,
+		peer_queue_drop(peer,
 				address ? DROP_UNREACHABLE : DROP_UNKNOWN);
 		peer_backoff(peer);
 		return;
--- a/entry/peer_queue.c
+++ b/entry/peer_queue.c
@@ -18,7 +18,7 @@
 }
 
 /* Bytes are dropped, not messages: closed frames are not taken apart. */
-void peer_drop_queue(struct peer *peer, enum drop reason)
+void peer_queue_drop(struct peer *peer, enum drop reason)
 {
 	if (!peer_waiting(peer))
 		return;
@@ -96,8 +96,8 @@
 	g_free(peer);
 }
 
-bool peer_add(struct peer *peer, enum channel channel, const void *payload,
-	      size_t size)
+bool peer_queue_add(struct peer *peer, enum channel channel,
+		    const void *payload, size_t size)
 {
 	struct peers *peers = peer->peers;
 	size_t waiting = peer->queue->len + frame_writer_pending(peer->open);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -123,7 +123,7 @@
 	}
 	struct peer *peer = peer_get(peers, instance);
 
-	if (!peer_add(peer, channel, payload, size))
+	if (!peer_queue_add(peer, channel, payload, size))
 		return;
 	if (peer->link)
 		peer_flush_later(peer);
--- a/entry/peers_private.h
+++ b/entry/peers_private.h
@@ -77,9 +77,9 @@
 void peer_free(void *data);
 bool peer_waiting(const struct peer *peer);
 /* Queues a message; false when it was dropped. */
-bool peer_add(struct peer *peer, enum channel channel, const void *payload,
-	      size_t size);
-void peer_drop_queue(struct peer *peer, enum drop reason);
+bool peer_queue_add(struct peer *peer, enum channel channel,
+		    const void *payload, size_t size);
+void peer_queue_drop(struct peer *peer, enum drop reason);
 /* Writes what waits, when there is a link that can take it. */
 void peer_write(struct peer *peer);
 void peer_flush_later(struct peer *peer);
--- a/web/request.c
+++ b/web/request.c
@@ -84,8 +84,8 @@
 		g_byte_array_unref(request->flight);
 }
 
-struct web_request *request_create(struct web_server *server, struct loop *loop,
-				   h2o_req_t *req)
+struct web_request *web_request_create(struct web_server *server,
+				       struct loop *loop, h2o_req_t *req)
 {
 	struct web_request *request = h2o_mem_alloc_shared(
 		&req->pool, sizeof(*request), request_dispose);
--- a/web/request.h
+++ b/web/request.h
@@ -49,8 +49,8 @@
 	struct web_request *request; /* HTTP/1 only: the one that waits */
 };
 
-struct web_request *request_create(struct web_server *server, struct loop *loop,
-				   h2o_req_t *req);
+struct web_request *web_request_create(struct web_server *server,
+				       struct loop *loop, h2o_req_t *req);
 /* Tells the owner that the caller has gone, and cuts the answer off. */
 void request_hang_up(struct web_request *request);
 /* Hangs up when the caller has gone, or has taken nothing for idle_usec. */
--- a/web/server.c
+++ b/web/server.c
@@ -4,10 +4,10 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "web/address.h"
 #include "common/clock.h"
 #include "common/error.h"
 #include "request.h"
+#include "web/address.h"
 
 #ifdef __SANITIZE_ADDRESS__
 #include <sanitizer/lsan_interface.h>
@@ -85,7 +85,7 @@
 	const struct route *route;
 
 	loop_enter(server->loop);
-	request = request_create(server, server->loop, req);
+	request = web_request_create(server, server->loop, req);
 	route = route_find(server, web_request_path(request));
 	if (route)
 		route->fn(route->ctx, request);
