--- a/tests/web/world.c
+++ b/tests/web/world.c
@@ -135,7 +135,9 @@
 {
 	struct sockaddr_in peer = address_of(address);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int one = 1;
 
+	setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof(one));
 	g_assert_cmpint(connect(fd, (struct sockaddr *)&peer, sizeof(peer)), ==,
 			0);
 	return fd;
--- a/web/reply.c
+++ b/web/reply.c
@@ -129,7 +129,8 @@
 	if (request->opened && request->slice == 0 &&
 	    h2o_send_state_is_in_progress(state))
 		return;
-	if (state == H2O_SEND_STATE_ERROR)
+	if (state == H2O_SEND_STATE_ERROR ||
+	    request->req->conn->ctx->shutdown_requested)
 		request->req->http1_is_persistent = 0;
 	if (request->cut && !request->started)
 		head_cut(request);
