--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -272,6 +272,38 @@
 	g_assert_cmpint(exit_code_of(RESULT_QUEUE_FULL), ==, EXIT_CODE_REFUSED);
 }
 
+/* The row of the manual's table for an exit code, up to the next row. */
+static char *manual_row(const char *page, enum exit_code code)
+{
+	g_autofree char *start = g_strdup_printf("|  %d\n", (int)code);
+	const char *row = strstr(page, start);
+	const char *end;
+
+	g_assert_nonnull(row);
+	end = strpbrk(row + 1, "|#");
+	return g_strndup(row, end - row);
+}
+
+static void test_manual(void)
+{
+	g_autofree char *page = NULL;
+
+	g_assert_true(
+		g_file_get_contents(ROOT "ctl/jtctl.1.scd", &page, NULL, NULL));
+	for (int code = 0; code < 1000; code++) {
+		enum exit_code exit_code = exit_code_of(code);
+		g_autofree char *row = manual_row(page, exit_code);
+		g_autofree char *number = g_strdup_printf("\\b%d\\b", code);
+		const char *codes = strrchr(row, ':');
+
+		if (exit_code == EXIT_CODE_REFUSED)
+			g_assert_nonnull(strstr(codes, "all others"));
+		else
+			g_assert_true(
+				g_regex_match_simple(number, codes, 0, 0));
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -286,5 +318,6 @@
 	g_test_add_func("/ctl/policies", test_policies);
 	g_test_add_func("/ctl/table", test_table);
 	g_test_add_func("/ctl/exit-codes", test_exit_codes);
+	g_test_add_func("/ctl/manual", test_manual);
 	return g_test_run();
 }
