coord: test claims fault by fault and by 1,000 schedules

Eleven faults at four points of a claim, each with the code expected and what the other data centre then finds; 1,000 seeded schedules of six instances in two data centres (kills, pauses, cuts, log outages, lost answers, doubled and reordered messages), each checked against the log: per key at most one claim won, every answer true and in time.

An idle log left a new writer waiting for its first record, up to 10 s, before it took claims: a tail now waits for records only once it has reached the end.

--- a/coord/claim_writer.c
+++ b/coord/claim_writer.c
@@ -1,5 +1,6 @@
 #include "claim_writer.h"
 
+#include "claim_refusals.h"
 #include "claim_table.h"
 #include "common/log.h"
 #include "coord/claim.h"
@@ -47,6 +48,7 @@
 	void *ctx;
 	GRand *rand;
 	struct claim_table *table;
+	struct claim_refusals *refusals;
 	struct log_tail *tail;
 	GHashTable *waiting; /* claim id to struct waiting */
 	GArray *queue;	     /* struct queued */
@@ -95,11 +97,12 @@
 	struct waiting *waiting = ctx;
 	struct claim_writer *writer = waiting->writer;
 	const struct owner nobody = {0};
+	enum claim_reply_kind kind =
+		waiting->appends ? CLAIM_REPLY_UNDECIDED : CLAIM_REPLY_DOWN;
 
-	waiting_decide(waiting,
-		       waiting->appends ? CLAIM_REPLY_UNDECIDED
-					: CLAIM_REPLY_DOWN,
-		       &nobody);
+	claim_refusals_add(writer->refusals, clock_now(writer->clock),
+			   &waiting->claim.id, waiting->attempt, kind);
+	waiting_decide(waiting, kind, &nobody);
 	writer_rest(writer);
 }
 
@@ -374,6 +377,7 @@
 	writer->ctx = ctx;
 	writer->rand = g_rand_new_with_seed(seed);
 	writer->table = claim_table_create(keys_max);
+	writer->refusals = claim_refusals_create();
 	writer->tail = log_tail_create(clock, store, LOG_STREAM_CLAIMS, seed,
 				       &ops, writer);
 	writer->waiting = g_hash_table_new_full(claim_id_hash, claim_id_equal,
@@ -404,6 +408,7 @@
 	g_array_unref(writer->queue);
 	g_array_unref(writer->record.claims);
 	claim_table_destroy(writer->table);
+	claim_refusals_destroy(writer->refusals);
 	g_rand_free(writer->rand);
 	g_free(writer);
 }
@@ -444,23 +449,38 @@
 	return waiting;
 }
 
+/* Whether a claim that does not wait yet may be appended. */
+static bool writer_open(const struct claim_writer *writer)
+{
+	return writer->running && writer->caught_up &&
+	       claim_table_open(writer->table) &&
+	       g_hash_table_size(writer->waiting) < WAITING_MAX;
+}
+
 enum claim_reply_kind claim_writer_take(struct claim_writer *writer,
 					const struct claim *claim,
 					uint64_t attempt, int64_t patience_us,
 					struct owner *winner)
 {
+	struct waiting *waiting = waiting_find(writer, claim);
 	enum claim_reply_kind reply;
-	struct waiting *waiting;
 
-	if (!writer->running || !writer->caught_up)
-		return CLAIM_REPLY_ELSEWHERE;
-	waiting = waiting_find(writer, claim);
-	if (!waiting) {
-		if (writer_known(writer, claim, &reply, winner))
+	if (waiting) {
+		if (attempt <= waiting->attempt)
+			return CLAIM_REPLY_PENDING;
+	} else {
+		if (writer->caught_up &&
+		    writer_known(writer, claim, &reply, winner))
 			return reply;
-		if (!claim_table_open(writer->table) ||
-		    g_hash_table_size(writer->waiting) >= WAITING_MAX)
+		if (claim_refusals_find(writer->refusals, &claim->id, attempt,
+					&reply))
+			return reply;
+		if (!writer_open(writer)) {
+			claim_refusals_add(writer->refusals,
+					   clock_now(writer->clock), &claim->id,
+					   attempt, CLAIM_REPLY_ELSEWHERE);
 			return CLAIM_REPLY_ELSEWHERE;
+		}
 		waiting = waiting_add(writer, claim);
 	}
 	waiting->attempt = attempt;
--- a/coord/log_tail.c
+++ b/coord/log_tail.c
@@ -26,6 +26,7 @@
 	uint64_t position;
 	uint32_t failures;
 	bool running;
+	bool at_end; /* of the log, when last read */
 };
 
 static void tail_read(struct log_tail *tail);
@@ -77,6 +78,7 @@
 		tail->position = record->offset + 1;
 		tail->ops.record(tail->ctx, record);
 	}
+	tail->at_end = tail->position == page->next;
 	if (tail->running && tail->ops.page)
 		tail->ops.page(tail->ctx, page);
 }
@@ -124,8 +126,9 @@
 	read->tail = tail;
 	tail->read = read;
 	timer_start(&tail->timer, LOG_TAIL_WAIT_USEC + LOG_TAIL_LATE_USEC);
-	tail->store.read(tail->store.ctx, tail->stream, tail->position,
-			 LOG_TAIL_RECORDS, LOG_TAIL_WAIT_USEC, read_done, read);
+	tail->store.read(
+		tail->store.ctx, tail->stream, tail->position, LOG_TAIL_RECORDS,
+		tail->at_end ? LOG_TAIL_WAIT_USEC : 0, read_done, read);
 }
 
 static void tail_timer(struct timer *timer, void *ctx)
@@ -171,6 +174,7 @@
 	log_tail_stop(tail);
 	tail->position = from;
 	tail->failures = 0;
+	tail->at_end = false;
 	tail->running = true;
 	tail_read(tail);
 }
--- a/coord/retry.c
+++ b/coord/retry.c
@@ -31,5 +31,5 @@
 	while (attempt-- && full < max_us)
 		full = full > max_us / 2 ? max_us : full * 2;
 	full = MIN(full, max_us);
-	return full - (int64_t)(g_rand_double(rand) * (double)(full / 2));
+	return full - (int64_t)(g_rand_double(rand) * ((double)full / 2.0));
 }
--- a/include/coord/log_tail.h
+++ b/include/coord/log_tail.h
@@ -2,12 +2,15 @@
  * log_tail.h - follows one stream of the log from an offset on
  *
  * DESCRIPTION
- *	A tail keeps one long-poll read in flight, hands over each record once
- *	and in order, and goes on from the next offset. A failed read is tried
- *	again after a backoff with jitter (100 ms doubling to 2 s); one that is
- *	not answered is given up LOG_TAIL_LATE_USEC after its wait and its late
- *	answer is dropped. Records that retention dropped before they were read
- *	are reported as a gap, then the tail goes on at the first one kept.
+ *	A tail keeps one read in flight, hands over each record once and in
+ *	order, and goes on from the next offset. Reads wait for a record only
+ *	once the end was reached, so an idle stream is known to be read whole
+ *	at once. A failed read is tried again after a backoff with jitter
+ *	(100 ms doubling to 2 s); one that is not answered is given up
+ *	LOG_TAIL_LATE_USEC after its wait and its late answer is dropped.
+ *	Records that retention dropped before they were read are reported as a
+ *	gap, then the tail goes on at the first one kept. A page that leaves
+ *	out an offset counts as a failed read.
  *
  *	Within a callback the tail may be stopped, not destroyed.
  */
--- /dev/null
+++ b/tests/coord/fake_log.c
@@ -0,0 +1,255 @@
+#include "fake_log.h"
+
+#include <string.h>
+
+#define POLL_USEC (20 * USEC_PER_MSEC)
+
+struct append {
+	struct fake_log *log;
+	struct node *node;
+	char *stream;
+	GBytes *data;
+	struct timer timer;
+	log_append_fn fn;
+	void *fn_ctx;
+	enum result_code code;
+	uint64_t offset;
+	bool apply;
+	bool answer;
+};
+
+struct read {
+	struct fake_log *log;
+	struct node *node;
+	char *stream;
+	uint64_t from;
+	uint32_t max;
+	int64_t until;
+	struct timer timer;
+	log_read_fn fn;
+	void *fn_ctx;
+	enum result_code code;
+	GArray *records;
+	struct log_page page;
+};
+
+static int64_t log_delay(struct fake_log *log)
+{
+	return log->slow + world_draw(log->world, log->delay);
+}
+
+static void record_free(void *data)
+{
+	struct log_record *record = data;
+
+	g_free((void *)record->data);
+	g_free(record);
+}
+
+static void stream_free(void *data)
+{
+	g_ptr_array_free(data, TRUE);
+}
+
+static GPtrArray *stream_get(struct fake_log *log, const char *name)
+{
+	GPtrArray *stream = g_hash_table_lookup(log->streams, name);
+
+	if (stream)
+		return stream;
+	stream = g_ptr_array_new_with_free_func(record_free);
+	g_hash_table_insert(log->streams, g_strdup(name), stream);
+	return stream;
+}
+
+struct fake_log *fake_log_create(struct world *world)
+{
+	struct fake_log *log = g_new0(struct fake_log, 1);
+
+	log->world = world;
+	log->delay = 10 * USEC_PER_MSEC;
+	log->streams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					     stream_free);
+	return log;
+}
+
+void fake_log_destroy(struct fake_log *log)
+{
+	g_hash_table_destroy(log->streams);
+	g_free(log);
+}
+
+const GPtrArray *fake_log_records(struct fake_log *log, const char *stream)
+{
+	return stream_get(log, stream);
+}
+
+void fake_log_put(struct fake_log *log, const char *stream, const void *data,
+		  size_t size)
+{
+	GPtrArray *records = stream_get(log, stream);
+	struct log_record *record = g_new0(struct log_record, 1);
+
+	record->offset = records->len;
+	record->unix_us = clock_unix(log->world->clock);
+	record->data = g_memdup2(data, size);
+	record->size = size;
+	g_ptr_array_add(records, record);
+}
+
+static void append_free(void *data)
+{
+	struct append *append = data;
+
+	g_free(append->stream);
+	g_bytes_unref(append->data);
+	g_free(append);
+}
+
+static void append_answer(void *data)
+{
+	struct append *append = data;
+
+	append->fn(append->fn_ctx, append->code, append->offset);
+}
+
+static void append_arrived(struct timer *timer, void *ctx)
+{
+	struct append *append = ctx;
+	struct fake_log *log = append->log;
+
+	if (append->apply) {
+		append->offset = stream_get(log, append->stream)->len;
+		fake_log_put(log, append->stream,
+			     g_bytes_get_data(append->data, NULL),
+			     g_bytes_get_size(append->data));
+	}
+	if (append->answer)
+		world_post(append->node, log_delay(log), append_answer, append,
+			   append_free, true);
+	else
+		append_free(append);
+}
+
+static struct append *append_create(struct fake_log_client *client,
+				    const char *stream, const void *data,
+				    size_t size)
+{
+	struct append *append = g_new0(struct append, 1);
+
+	append->log = client->log;
+	append->node = client->node;
+	append->stream = g_strdup(stream);
+	append->data = g_bytes_new(data, size);
+	append->answer = true;
+	timer_init(&append->timer, client->log->world->clock, append_arrived,
+		   append);
+	return append;
+}
+
+static void log_append(void *ctx, const char *stream, const void *data,
+		       size_t size, log_append_fn fn, void *fn_ctx)
+{
+	struct fake_log_client *client = ctx;
+	struct fake_log *log = client->log;
+	struct append *append = append_create(client, stream, data, size);
+	struct append *late;
+
+	log->appends++;
+	append->fn = fn;
+	append->fn_ctx = fn_ctx;
+	append->apply = !log->outage;
+	append->code = log->outage ? RESULT_LOG_DOWN : RESULT_OK;
+	if (world_chance(log->world, log->lost_percent)) {
+		append->code = RESULT_LOG_UNKNOWN;
+		append->apply = append->apply && world_chance(log->world, 50);
+		if (!append->apply && world_chance(log->world, 50)) {
+			late = append_create(client, stream, data, size);
+			late->apply = true;
+			late->answer = false;
+			timer_start(&late->timer,
+				    world_draw(log->world, 2 * USEC_PER_SEC));
+		}
+	}
+	timer_start(&append->timer, log_delay(log));
+}
+
+static void read_free(void *data)
+{
+	struct read *read = data;
+
+	g_array_unref(read->records);
+	g_free(read->stream);
+	g_free(read);
+}
+
+static void read_answer(void *data)
+{
+	struct read *read = data;
+
+	read->fn(read->fn_ctx, read->code,
+		 read->code == RESULT_OK ? &read->page : NULL);
+}
+
+static void read_fill(struct read *read, const GPtrArray *records)
+{
+	struct fake_log *log = read->log;
+	int64_t oldest = clock_unix(log->world->clock) - log->retention;
+	uint64_t first = 0;
+
+	while (log->retention && first < records->len &&
+	       ((struct log_record *)records->pdata[first])->unix_us < oldest)
+		first++;
+	g_array_set_size(read->records, 0);
+	for (uint64_t i = MAX(first, read->from);
+	     i < records->len && read->records->len < read->max; i++)
+		g_array_append_vals(read->records, records->pdata[i], 1);
+	read->page = (struct log_page){
+		.first = first,
+		.next = records->len,
+		.records = (struct log_record *)(void *)read->records->data,
+		.count = read->records->len,
+	};
+}
+
+static void read_arrived(struct timer *timer, void *ctx)
+{
+	struct read *read = ctx;
+	struct fake_log *log = read->log;
+	const GPtrArray *records = stream_get(log, read->stream);
+
+	read->code = log->outage ? RESULT_LOG_DOWN : RESULT_OK;
+	read_fill(read, records);
+	if (read->code == RESULT_OK && !read->page.count &&
+	    clock_now(log->world->clock) < read->until) {
+		timer_start(&read->timer, POLL_USEC);
+		return;
+	}
+	world_post(read->node, log_delay(log), read_answer, read, read_free,
+		   true);
+}
+
+static void log_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
+		     int64_t wait_us, log_read_fn fn, void *fn_ctx)
+{
+	struct fake_log_client *client = ctx;
+	struct fake_log *log = client->log;
+	struct read *read = g_new0(struct read, 1);
+
+	read->log = log;
+	read->node = client->node;
+	read->stream = g_strdup(stream);
+	read->from = from;
+	read->max = max;
+	read->until = clock_now(log->world->clock) + wait_us;
+	read->fn = fn;
+	read->fn_ctx = fn_ctx;
+	read->records = g_array_new(FALSE, FALSE, sizeof(struct log_record));
+	timer_init(&read->timer, log->world->clock, read_arrived, read);
+	timer_start(&read->timer, log_delay(log));
+}
+
+struct log_store fake_log_store(struct fake_log_client *client)
+{
+	return (struct log_store){log_append, log_read, client};
+}
--- /dev/null
+++ b/tests/coord/test_claim.c
@@ -0,0 +1,338 @@
+/* Claims, fault by fault: what the one who asks is told, and what is then in
+ * the log. Instances 0 to 2 are in one data centre, 3 to 5 in the other. */
+#include <string.h>
+
+#include "claim_fleet.h"
+#include "common/log.h"
+
+#define KEY 77u
+#define TIMEOUT (3 * USEC_PER_SEC)
+
+static struct fleet *fleet_ready(uint32_t seed)
+{
+	struct fleet *fleet = fleet_create(seed);
+
+	for (uint32_t i = 0; i < FAKE_MEMBERS; i++)
+		fleet_start(fleet, i);
+	fleet_run(fleet, USEC_PER_SEC);
+	return fleet;
+}
+
+/* An instance of the first data centre that is no claim writer. */
+static uint32_t fleet_asker(const struct fleet *fleet)
+{
+	uint32_t i = 0;
+
+	while (i == fleet_writer(fleet, 0, 0) || i == fleet_writer(fleet, 0, 1))
+		i++;
+	return i;
+}
+
+static void writers_do(struct fleet *fleet, uint32_t at, bool both,
+		       void (*act)(struct fleet *fleet, uint32_t i))
+{
+	uint32_t first = fleet_writer(fleet, at, 0);
+	uint32_t second = fleet_writer(fleet, at, 1);
+
+	act(fleet, first);
+	if (both)
+		act(fleet, second);
+}
+
+static void instance_pause(struct fleet *fleet, uint32_t i)
+{
+	fleet->instances[i].node->paused = true;
+}
+
+/* When a fault strikes: before the claim is asked for, when it is on its way to
+ * the writer, when the writer has called the log, or when its record is in the
+ * log and not read back. */
+enum point {
+	POINT_BEFORE,
+	POINT_ASKED,
+	POINT_CALLED,
+	POINT_APPENDED,
+	POINT_COUNT,
+};
+
+enum fault {
+	FAULT_NONE,
+	FAULT_KILL_WRITER,
+	FAULT_KILL_WRITERS,
+	FAULT_PAUSE_WRITER,
+	FAULT_PAUSE_WRITERS,
+	FAULT_PAUSE_ASKER,
+	FAULT_CUT_ASKER,
+	FAULT_LOST_ANSWERS,
+	FAULT_SLOW_LOG,
+	FAULT_OUTAGE,
+	FAULT_DOUBLED,
+	FAULT_COUNT,
+};
+
+static void fault_strike(struct fleet *fleet, uint32_t asker, enum fault fault)
+{
+	switch (fault) {
+	case FAULT_KILL_WRITER:
+	case FAULT_KILL_WRITERS:
+		writers_do(fleet, asker, fault == FAULT_KILL_WRITERS,
+			   fleet_kill);
+		break;
+	case FAULT_PAUSE_WRITER:
+	case FAULT_PAUSE_WRITERS:
+		writers_do(fleet, asker, fault == FAULT_PAUSE_WRITERS,
+			   instance_pause);
+		break;
+	case FAULT_PAUSE_ASKER:
+		instance_pause(fleet, asker);
+		break;
+	case FAULT_CUT_ASKER:
+		fleet->cut |= 1u << asker;
+		break;
+	case FAULT_LOST_ANSWERS:
+		fleet->log->lost_percent = 100;
+		break;
+	case FAULT_SLOW_LOG:
+		fleet->log->slow = 5 * USEC_PER_SEC;
+		break;
+	case FAULT_OUTAGE:
+		fleet->log->outage = true;
+		break;
+	case FAULT_DOUBLED:
+		fleet->double_percent = 100;
+		break;
+	case FAULT_NONE:
+	case FAULT_COUNT:
+		break;
+	}
+}
+
+#define WON RESULT_OK
+#define DOWN RESULT_LOG_DOWN
+#define UNDECIDED RESULT_CLAIM_UNDECIDED
+
+/* The answer by fault and point. Where the log may not have taken the claim
+ * by chance of the lost answers, repeated appends make it certain. */
+static const struct {
+	const char *name;
+	enum result_code codes[POINT_COUNT];
+} expected[FAULT_COUNT] = {
+	[FAULT_NONE] = {"none", {WON, WON, WON, WON}},
+	[FAULT_KILL_WRITER] = {"kill the writer", {WON, WON, WON, WON}},
+	/* The third instance becomes the writer. */
+	[FAULT_KILL_WRITERS] = {"kill both writers", {WON, WON, WON, WON}},
+	[FAULT_PAUSE_WRITER] = {"pause the writer", {WON, WON, WON, WON}},
+	/* Asked, and no word from either: it may yet be appended. */
+	[FAULT_PAUSE_WRITERS] = {"pause both writers",
+				 {UNDECIDED, UNDECIDED, UNDECIDED, UNDECIDED}},
+	[FAULT_PAUSE_ASKER] = {"pause the asker past its time",
+			       {UNDECIDED, UNDECIDED, UNDECIDED, UNDECIDED}},
+	[FAULT_CUT_ASKER] = {"cut the asker off",
+			     {UNDECIDED, UNDECIDED, UNDECIDED, UNDECIDED}},
+	[FAULT_LOST_ANSWERS] = {"lose the log's answers", {WON, WON, WON, WON}},
+	[FAULT_SLOW_LOG] = {"slow log",
+			    {UNDECIDED, UNDECIDED, UNDECIDED, UNDECIDED}},
+	/* Appended before the outage, but not to be read back in it. */
+	[FAULT_OUTAGE] = {"log outage", {DOWN, DOWN, UNDECIDED, UNDECIDED}},
+	[FAULT_DOUBLED] = {"double every message", {WON, WON, WON, WON}},
+};
+
+static void run_until_appended(struct fleet *fleet)
+{
+	const GPtrArray *records =
+		fake_log_records(fleet->log, LOG_STREAM_CLAIMS);
+
+	for (int step = 0; step < 100 && !records->len; step++)
+		world_step(fleet->world);
+	g_assert_cmpuint(records->len, ==, 1);
+}
+
+static void case_run(enum fault fault, enum point point)
+{
+	struct fleet *fleet = fleet_ready(1);
+	uint32_t asker = fleet_asker(fleet);
+	struct take *take, *rival;
+
+	/* A read in flight must not bring the record within the same step. */
+	fleet->log->delay = 30 * USEC_PER_MSEC;
+	if (point == POINT_BEFORE)
+		fault_strike(fleet, asker, fault);
+	take = fleet_take(fleet, asker, KEY, TIMEOUT);
+	if (point == POINT_CALLED)
+		world_step(fleet->world);
+	if (point == POINT_APPENDED)
+		run_until_appended(fleet);
+	if (point != POINT_BEFORE)
+		fault_strike(fleet, asker, fault);
+	fleet_run(fleet, TIMEOUT + USEC_PER_SEC);
+	for (uint32_t i = 0; i < FAKE_MEMBERS; i++)
+		fleet->instances[i].node->paused = false;
+	fleet_run(fleet, USEC_PER_SEC);
+	g_assert_cmpint(take->answers, ==, 1);
+	g_assert_cmpint(take->code, ==, expected[fault].codes[point]);
+
+	/* Afterwards the other data centre finds the key as the log has it. */
+	fleet->log->outage = false;
+	fleet->log->lost_percent = 0;
+	fleet->log->slow = 0;
+	fleet_run(fleet, 25 * USEC_PER_SEC);
+	rival = fleet_take(fleet, 4, KEY, TIMEOUT);
+	fleet_run(fleet, TIMEOUT + USEC_PER_SEC);
+	g_assert_cmpint(rival->answers, ==, 1);
+	if (take->code == RESULT_OK)
+		g_assert_cmpint(rival->code, ==, RESULT_ALREADY_CLAIMED);
+	if (take->code == RESULT_LOG_DOWN)
+		g_assert_cmpint(rival->code, ==, RESULT_OK);
+	fleet_check(fleet);
+	fleet_destroy(fleet);
+}
+
+static void test_faults(void)
+{
+	for (int fault = 0; fault < FAULT_COUNT; fault++) {
+		for (int point = 0; point < POINT_COUNT; point++) {
+			g_test_message("%s, point %d", expected[fault].name,
+				       point);
+			case_run((enum fault)fault, (enum point)point);
+		}
+	}
+}
+
+/* Claims that come together share one append. */
+static void test_grouped(void)
+{
+	struct fleet *fleet = fleet_ready(2);
+	uint32_t asker = fleet_asker(fleet);
+	uint64_t former = fleet->log->appends;
+
+	for (uint64_t key = 1; key <= 1000; key++)
+		fleet_take(fleet, asker, key, TIMEOUT);
+	fleet_run(fleet, TIMEOUT);
+	g_assert_cmpint(fleet_check(fleet), ==, 1000);
+	g_assert_cmpuint(fleet->log->appends - former, <=, 2);
+	fleet_destroy(fleet);
+}
+
+/* Every group of writers appends 20 times a second at most. */
+static void test_append_rate(void)
+{
+	struct fleet *fleet = fleet_ready(3);
+	uint32_t asker = fleet_asker(fleet);
+	uint64_t former = fleet->log->appends;
+
+	for (uint64_t key = 1; key <= 1000; key++) {
+		fleet_take(fleet, asker, key, TIMEOUT);
+		world_step(fleet->world);
+	}
+	fleet_run(fleet, TIMEOUT);
+	g_assert_cmpint(fleet_check(fleet), ==, 1000);
+	g_assert_cmpuint(fleet->log->appends - former, <=, 105);
+	fleet_destroy(fleet);
+}
+
+/* A writer that starts knows what the log keeps; what retention has dropped
+ * before that is forgotten. */
+static void test_late_writers(void)
+{
+	for (int forget = 0; forget < 2; forget++) {
+		struct fleet *fleet = fleet_ready(4);
+		uint32_t asker = fleet_asker(fleet);
+		struct take *take = fleet_take(fleet, asker, KEY, TIMEOUT);
+
+		fleet_run(fleet, USEC_PER_SEC);
+		for (uint32_t i = 0; i < FAKE_MEMBERS; i++)
+			fleet_kill(fleet, i);
+		if (forget)
+			fleet->log->retention = USEC_PER_SEC;
+		fleet_run(fleet, 2 * USEC_PER_SEC);
+		for (uint32_t i = 0; i < FAKE_MEMBERS; i++)
+			fleet_start(fleet, i);
+		fleet_run(fleet, USEC_PER_SEC);
+		g_assert_cmpint(take->code, ==, RESULT_OK);
+		take = fleet_take(fleet, asker, KEY, TIMEOUT);
+		fleet_run(fleet, TIMEOUT);
+		g_assert_cmpint(take->code, ==,
+				forget ? RESULT_OK : RESULT_ALREADY_CLAIMED);
+		fleet_destroy(fleet);
+	}
+}
+
+/* A writer whose reading lags says nothing until it has read all. */
+static void test_behind(void)
+{
+	struct fleet *fleet = fleet_create(5);
+	struct take *take;
+
+	fleet->log->outage = true;
+	for (uint32_t i = 0; i < FAKE_MEMBERS; i++)
+		fleet_start(fleet, i);
+	take = fleet_take(fleet, 0, KEY, TIMEOUT);
+	fleet_run(fleet, TIMEOUT);
+	g_assert_cmpint(take->code, ==, RESULT_LOG_DOWN);
+	g_assert_cmpuint(fleet->log->appends, ==, 0);
+	fleet->log->outage = false;
+	fleet_run(fleet, 10 * USEC_PER_SEC);
+	take = fleet_take(fleet, 0, KEY, TIMEOUT);
+	fleet_run(fleet, TIMEOUT);
+	g_assert_cmpint(take->code, ==, RESULT_OK);
+	fleet_check(fleet);
+	fleet_destroy(fleet);
+}
+
+/* A request given twice is answered once; one with no time at all, soon. */
+static void test_bad_calls(void)
+{
+	struct fleet *fleet = fleet_ready(6);
+	struct take *take = fleet_take(fleet, 0, KEY, TIMEOUT);
+
+	claims_take(fleet->instances[0].claims, 1, KEY, TIMEOUT);
+	fleet_run(fleet, TIMEOUT);
+	g_assert_cmpint(take->answers, ==, 1);
+	take = fleet_take(fleet, 0, KEY + 1, -5);
+	g_assert_cmpint(take->answers, ==, 0);
+	fleet_run(fleet, USEC_PER_SEC);
+	g_assert_cmpint(take->answers, ==, 1);
+	g_assert_cmpint(take->code, ==, RESULT_LOG_DOWN);
+	fleet_check(fleet);
+	fleet_destroy(fleet);
+}
+
+/* Random bytes from peers and in the log neither crash nor decide. */
+static void test_garbage(void)
+{
+	struct fleet *fleet = fleet_ready(7);
+	struct claims *claims = fleet->instances[0].claims;
+	struct take *take;
+	uint8_t bytes[24];
+
+	for (int i = 0; i < 20000; i++) {
+		size_t size = (size_t)g_test_rand_int_range(0, sizeof(bytes));
+
+		for (size_t j = 0; j < size; j++)
+			bytes[j] = (uint8_t)g_test_rand_int_range(0, 256);
+		if (size && i % 2)
+			bytes[0] = 0x96 + (i / 2) % 2; /* ask or reply */
+		claims_receive(claims, fleet->members[1].id, bytes, size);
+		if (i % 100 == 0)
+			fake_log_put(fleet->log, LOG_STREAM_CLAIMS, bytes,
+				     size);
+	}
+	take = fleet_take(fleet, 0, KEY, TIMEOUT);
+	fleet_run(fleet, TIMEOUT);
+	g_assert_cmpint(take->code, ==, RESULT_OK);
+	fleet_destroy(fleet);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, NULL, LOG_CRIT);
+	g_test_add_func("/claim/faults", test_faults);
+	g_test_add_func("/claim/grouped", test_grouped);
+	g_test_add_func("/claim/append_rate", test_append_rate);
+	g_test_add_func("/claim/late_writers", test_late_writers);
+	g_test_add_func("/claim/behind", test_behind);
+	g_test_add_func("/claim/bad_calls", test_bad_calls);
+	g_test_add_func("/claim/garbage", test_garbage);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/coord/test_claim_schedules.c
@@ -0,0 +1,161 @@
+/*
+ * Random schedules of claims under faults: per key at most one claim is won,
+ * in two data centres with two claim writers each, and every answer is true.
+ * CLAIM_SEED runs one schedule, CLAIM_COUNT another number than 1,000.
+ */
+#include <stdlib.h>
+
+#include "claim_fleet.h"
+#include "common/log.h"
+
+#define KEYS 12
+#define STEPS 1200
+#define TIMEOUT (3 * USEC_PER_SEC)
+
+/* Faults a thousand steps. */
+struct faults {
+	int kills;
+	int pauses;
+	int outages;
+	int cuts;
+};
+
+static struct faults faults_draw(struct fleet *fleet, uint32_t seed)
+{
+	struct world *world = fleet->world;
+	struct faults faults = {0};
+
+	fleet->log->delay = 1 + world_draw(world, 60 * USEC_PER_MSEC);
+	if (seed % 8 == 0)
+		return faults;
+	fleet->link_delay = 1 + world_draw(world, 40 * USEC_PER_MSEC);
+	fleet->view_lag = 1 + world_draw(world, 3 * USEC_PER_SEC);
+	fleet->drop_percent = (int)world_draw(world, 20);
+	fleet->double_percent = (int)world_draw(world, 20);
+	fleet->log->lost_percent = (int)world_draw(world, 60);
+	faults.kills = (int)world_draw(world, 8);
+	faults.pauses = (int)world_draw(world, 8);
+	faults.outages = (int)world_draw(world, 3);
+	faults.cuts = (int)world_draw(world, 3);
+	return faults;
+}
+
+static bool strikes(struct world *world, int per_thousand)
+{
+	return g_rand_int_range(world->rand, 0, 1000) < per_thousand;
+}
+
+static void step_faults(struct fleet *fleet, const struct faults *faults)
+{
+	struct world *world = fleet->world;
+	uint32_t i = (uint32_t)world_draw(world, FAKE_MEMBERS);
+	struct instance *instance = &fleet->instances[i];
+
+	if (strikes(world, faults->kills) && instance->claims)
+		fleet_kill(fleet, i);
+	else if (strikes(world, 10) && !instance->claims)
+		fleet_start(fleet, i);
+	if (strikes(world, faults->pauses) && instance->claims)
+		instance->node->paused = true;
+	else if (strikes(world, 10))
+		instance->node->paused = false;
+	if (strikes(world, faults->outages))
+		fleet->log->outage = true;
+	else if (strikes(world, 10))
+		fleet->log->outage = false;
+	if (strikes(world, faults->cuts))
+		fleet->cut |= 1u << i;
+	else if (strikes(world, 10))
+		fleet->cut = 0;
+}
+
+static void step_takes(struct fleet *fleet)
+{
+	struct world *world = fleet->world;
+	uint32_t i = (uint32_t)world_draw(world, FAKE_MEMBERS);
+	struct instance *instance = &fleet->instances[i];
+	uint64_t key = 1 + (uint64_t)world_draw(world, KEYS);
+
+	if (strikes(world, 60) && instance->claims && !instance->node->paused)
+		fleet_take(fleet, i, key, TIMEOUT);
+}
+
+static void fleet_heal(struct fleet *fleet)
+{
+	fleet->drop_percent = 0;
+	fleet->log->lost_percent = 0;
+	fleet->log->outage = false;
+	fleet->cut = 0;
+	for (uint32_t i = 0; i < FAKE_MEMBERS; i++) {
+		fleet->instances[i].node->paused = false;
+		if (!fleet->instances[i].claims)
+			fleet_start(fleet, i);
+	}
+}
+
+/* In a schedule without faults nothing may stay undecided. */
+static void check_decided(const struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->takes->len; i++) {
+		const struct take *take = fleet->takes->pdata[i];
+
+		g_assert_true(take->code == RESULT_OK ||
+			      take->code == RESULT_ALREADY_CLAIMED);
+	}
+}
+
+static int schedule_run(uint32_t seed, bool *won)
+{
+	struct fleet *fleet = fleet_create(seed);
+	struct faults faults = faults_draw(fleet, seed);
+	int winners;
+
+	for (uint32_t i = 0; i < FAKE_MEMBERS; i++)
+		fleet_start(fleet, i);
+	for (int step = 0; step < STEPS; step++) {
+		step_faults(fleet, &faults);
+		step_takes(fleet);
+		world_step(fleet->world);
+	}
+	fleet_heal(fleet);
+	fleet_run(fleet, 2 * TIMEOUT);
+	if (seed % 8 == 0)
+		check_decided(fleet);
+	winners = fleet_check(fleet);
+	*won = winners > 0;
+	fleet_destroy(fleet);
+	return winners;
+}
+
+static uint32_t environment(const char *name, uint32_t otherwise)
+{
+	const char *text = getenv(name);
+
+	return text ? (uint32_t)g_ascii_strtoull(text, NULL, 10) : otherwise;
+}
+
+static void test_schedules(void)
+{
+	uint32_t first = environment("CLAIM_SEED", 0);
+	uint32_t count = environment("CLAIM_COUNT", first ? 1 : 1000);
+	int winners = 0, silent = 0;
+	bool won;
+
+	for (uint32_t seed = first; seed < first + count; seed++) {
+		g_test_message("seed %u", seed);
+		winners += schedule_run(seed, &won);
+		silent += !won;
+	}
+	g_test_message("%u schedules, %d claims won, none won in %d", count,
+		       winners, silent);
+	/* The faults must not be such that nothing is ever claimed. */
+	g_assert_cmpint(silent, <=, (int)count / 20);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, NULL, LOG_CRIT);
+	g_test_add_func("/claim/schedules", test_schedules);
+	return g_test_run();
+}
