--- a/tests/entry/test_platform.c
+++ b/tests/entry/test_platform.c
@@ -387,26 +387,33 @@
 	struct fake fake;
 
 	fake_setup(&fake, ANSWER);
-	fake.list =
-		"{\"instances\": [" SELF_ITEM(
-			"live") "," ITEM("entry", "e2",
-					 "\"peer_address\":\"2.2.2.2:2\","
-					 "\"incarnation\":"
-					 "\"0000000000000005\",\"state\":"
-					 "\"leaving\"") "," ITEM("runner", "r1",
-								 "\"pool\":"
-								 "\"p\","
-								 "\"incarnation"
-								 "\":"
-								 "\"00000000000"
-								 "00006\"") "," ITEM("server",
-										     "s1",
-										     "\"pool\":\"q\",\"state\":\"leaving\"") "," ITEM("moon",
-																      "x",
-																      "\"pool\":\"q\"") "," ITEM("runner",
-																				 "no-pool",
-																				 "\"state\":\"live\"") ", 17, null,"
-																						       "{\"name\": 3, \"kind\": \"entry\"}]}";
+	fake.list = "{\"instances\": [" SELF_ITEM("live") "," ITEM(
+		"entry", "e2",
+		"\"peer_address\":\"2.2.2.2:2\","
+		"\"incarnation\":"
+		"\"0000000000000005\",\"state\":"
+		"\"leaving\"") "," ITEM("runner", "r1",
+					"\"pool\":"
+					"\"p\","
+					"\"incarnation"
+					"\":"
+					"\"00000000000"
+					"00006\"") "," ITEM("server", "s1",
+							    "\"pool\":"
+							    "\"q\","
+							    "\"state\":"
+							    "\"leaving"
+							    "\"") "," ITEM("moo"
+									   "n",
+									   "x",
+									   "\"p"
+									   "ool"
+									   "\":"
+									   "\"q"
+									   "\"") "," ITEM("runner",
+											  "no-pool",
+											  "\"state\":\"live\"") ", 17, null,"
+														"{\"name\": 3, \"kind\": \"entry\"}]}";
 	platform_list_start(fake.platform, &self, &list_ops, &fake);
 	g_assert_cmpint(platform_listed_at(fake.platform), ==, -1);
 	g_assert_true(run_until(&fake.run, swept_once, &fake));
