ctl: leave out figures that no request had

Services without tokens showed a first token after 0.0 ms: the quantile of an empty histogram. jtctl measures now prints no latency whose count is 0, and no line that has a figure in neither report. A golden file has such a service.

--- a/ctl/report_print.c
+++ b/ctl/report_print.c
@@ -39,7 +39,13 @@
 {
 	const json_t *value = json_object_get(object, figure->field);
 
-	return figure->below ? json_object_get(value, figure->below) : value;
+	if (!figure->below)
+		return value;
+	/* No request had one: its quantiles say nothing. */
+	if (json_is_object(value) && json_object_get(value, "count") &&
+	    answer_number(value, "count") == 0)
+		return NULL;
+	return json_object_get(value, figure->below);
 }
 
 static char *figure_text(const json_t *value, const struct figure *figure)
@@ -79,6 +85,8 @@
 	g_autofree char *second = figure_text(new, figure);
 	g_autofree char *change = change_text(old, new, figure);
 
+	if (!old && !new)
+		return;
 	if (two)
 		columns_add(columns, group, figure->label, first, second,
 			    change);
