entry: count the holders of a link, and mend what the linter finds

The linter could not follow the flag that kept a link while its socket's callback ran, and reported uses after free; the link is now a counted box of GLib's, held for the length of the callback.

--- a/entry/measures.c
+++ b/entry/measures.c
@@ -217,16 +217,14 @@
 
 static json_t *prefill_json(const struct measures *measures)
 {
-	int64_t computed = measures->computed->value;
-	int64_t cached = measures->cached->value;
-	int64_t wasted = measures->wasted->value;
+	json_int_t computed = measures->computed->value;
+	json_int_t cached = measures->cached->value;
+	json_int_t wasted = measures->wasted->value;
 
 	return json_pack("{s:I, s:I, s:I, s:I, s:f}", "asked_tokens",
-			 (json_int_t)(computed + cached), "computed_tokens",
-			 (json_int_t)computed, "cached_tokens",
-			 (json_int_t)cached, "wasted_tokens",
-			 (json_int_t)wasted, "wasted_share",
-			 share(wasted, computed));
+			 computed + cached, "computed_tokens", computed,
+			 "cached_tokens", cached, "wasted_tokens", wasted,
+			 "wasted_share", share(wasted, computed));
 }
 
 void measures_print(const struct measures *measures, GString *out)
--- a/entry/peer_link.c
+++ b/entry/peer_link.c
@@ -15,12 +15,12 @@
 
 const char link_timed_out[] = "timed out";
 
-static void link_free(struct link *link)
+static void link_clear(gpointer data)
 {
-	timer_stop(&link->timeout);
+	struct link *link = data;
+
 	frame_reader_destroy(link->reader);
 	g_byte_array_free(link->out, TRUE);
-	g_free(link);
 }
 
 void link_close(struct link *link)
@@ -30,8 +30,7 @@
 	link->closed = true;
 	timer_stop(&link->timeout);
 	h2o_socket_close(link->socket);
-	if (!link->busy)
-		link_free(link);
+	g_rc_box_release_full(link, link_clear);
 }
 
 static void link_end(struct link *link, const char *reason)
@@ -98,15 +97,13 @@
 /* Timers that the clock fires on entry may close the link, so it is held. */
 static void link_enter(struct link *link)
 {
-	link->busy = true;
+	g_rc_box_acquire(link);
 	loop_enter(link->loop);
 }
 
 static void link_leave(struct link *link)
 {
-	link->busy = false;
-	if (link->closed)
-		link_free(link);
+	g_rc_box_release_full(link, link_clear);
 }
 
 static void on_read(h2o_socket_t *socket, const char *err)
@@ -180,7 +177,7 @@
 				const struct link_ops *ops, void *ctx,
 				struct link_traffic *traffic)
 {
-	struct link *link = g_new0(struct link, 1);
+	struct link *link = g_rc_box_new0(struct link);
 
 	link->loop = loop;
 	link->socket = socket;
--- a/include/entry/peer_link.h
+++ b/include/entry/peer_link.h
@@ -63,7 +63,6 @@
 	struct frame_reader *reader;
 	GByteArray *out;
 	bool writing;
-	bool busy; /* within a callback of the socket */
 	bool closed;
 	bool ended; /* the other side has ended its direction */
 	struct timer timeout;
--- a/tests/entry/test_peers.c
+++ b/tests/entry/test_peers.c
@@ -231,7 +231,7 @@
 
 static void test_oversize(void)
 {
-	g_autofree char *large = g_malloc0(FRAME_MAX + 1);
+	char *large = g_malloc0(FRAME_MAX + 1);
 	struct world world;
 
 	world_setup(&world, NULL);
@@ -243,6 +243,7 @@
 	for (int i = 0; i < 2; i++)
 		peers_send(world.sides[0].peers, world.sides[1].id,
 			   CHANNEL_LEDGER, large, FRAME_MAX / 2 + 100);
+	g_free(large);
 	send_text(&world, 0, 1, "after");
 	wait_for(&world, 1, 4);
 	g_assert_true(
--- a/tests/entry/test_supervisor.c
+++ b/tests/entry/test_supervisor.c
@@ -115,22 +115,24 @@
 {
 	struct error why = {.code = RESULT_IO, .text = "scripted"};
 	g_auto(GStrv) part = g_strsplit(text, ":", 3);
-	int i = part[1] ? part[1][0] - 'a' : 0;
+	const char *verb = part[0] ? part[0] : "";
+	const char *object = verb[0] && part[1] ? part[1] : "";
+	int i = object[0] - 'a';
 
-	if (strcmp(part[0], "start") == 0)
+	if (strcmp(verb, "start") == 0)
 		supervisor_start(world->supervisor);
-	else if (strcmp(part[0], "stop") == 0)
+	else if (strcmp(verb, "stop") == 0)
 		supervisor_stop(world->supervisor);
-	else if (strcmp(part[0], "fail") == 0)
-		supervisor_fail(world->supervisor, part[1], &why);
-	else if (strcmp(part[0], "break") == 0)
+	else if (strcmp(verb, "fail") == 0)
+		supervisor_fail(world->supervisor, object, &why);
+	else if (strcmp(verb, "break") == 0)
 		world->breaks[i] = atoi(part[2]);
-	else if (strcmp(part[0], "ruin") == 0)
+	else if (strcmp(verb, "ruin") == 0)
 		world->ruined[i] = true;
 	else
 		clock_advance(world->clock,
 			      clock_now(world->clock) +
-				      atoi(part[1]) * USEC_PER_MSEC);
+				      atoi(object) * USEC_PER_MSEC);
 }
 
 static void test_script(gconstpointer data)
