entry: learn the backend servers from a peer when the platform is down

An instance that starts in an outage of the platform had no servers to route to, although every other instance knew them. It now asks live members in turn until one answers. Health says starting until a configuration and one reading of the servers are there. The demo waits until each instance has them.

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -11,6 +11,7 @@
 #include "common/counter.h"
 #include "common/log.h"
 #include "coord/fold.h"
+#include "entry/directory.h"
 #include "entry/entry.h"
 #include "entry/measures.h"
 
@@ -94,6 +95,7 @@
 	if (admin->entry->draining)
 		state = "draining\n";
 	else if (!admin->entry->config ||
+		 !directory_known(admin->entry->directory) ||
 		 !supervisor_running(admin->entry->supervisor))
 		state = "starting\n";
 	int status = state[0] == 'r' ? STATUS_OK : STATUS_UNAVAILABLE;
--- a/entry/component_ledger.c
+++ b/entry/component_ledger.c
@@ -147,6 +147,8 @@
 	g_array_free(runners, TRUE);
 	if (entry->poller)
 		poller_refresh(entry->poller);
+	if (entry->requests)
+		requests_configured(entry->requests);
 }
 
 static void ledger_take_message(void *ctx, uint64_t from, const void *data,
--- a/entry/component_link.c
+++ b/entry/component_link.c
@@ -7,6 +7,8 @@
 
 #include "common/log.h"
 #include "entry/admin.h"
+#include "entry/directory.h"
+#include "entry/directory_sync.h"
 #include "entry/entry.h"
 #include "entry/peers.h"
 #include "entry/platform.h"
@@ -232,6 +234,7 @@
 	struct entry *entry = ctx;
 
 	entry->directory = directory_create(entry);
+	entry->directory_sync = directory_sync_create(entry);
 	return true;
 }
 
@@ -239,6 +242,8 @@
 {
 	struct entry *entry = ctx;
 
+	directory_sync_destroy(entry->directory_sync);
+	entry->directory_sync = NULL;
 	directory_destroy(entry->directory);
 	entry->directory = NULL;
 }
--- a/entry/directory.c
+++ b/entry/directory.c
@@ -252,6 +252,11 @@
 		item_leave(directory, id, incarnation, false);
 }
 
+bool directory_known(const struct directory *directory)
+{
+	return directory->reading > 0;
+}
+
 const struct backend *directory_find(const struct directory *directory,
 				     uint64_t id)
 {
--- a/entry/request_plain.c
+++ b/entry/request_plain.c
@@ -179,11 +179,12 @@
 {
 	const struct backend *backend =
 		directory_find(request->entry->directory, request->server);
+	static const char gone[] = "0.0.0.0:0"; /* unlisted long ago */
 	size_t count = request->headers->len / 2;
 	struct web_header *headers = g_new0(struct web_header, count + 1);
 	char id[HEX_ID_SIZE];
 	struct web_call_spec spec = {
-		.address = backend->address,
+		.address = backend ? backend->address : gone,
 		.method = request->method->str,
 		.path = request->path->str,
 		.headers = headers,
@@ -248,7 +249,7 @@
 		plain_start(request, server);
 		return;
 	}
-	if (!any) {
+	if (!any && directory_known(request->entry->directory)) {
 		request_fail(request, RESULT_NO_BACKEND, USEC_PER_SEC,
 			     "the service has no server to call");
 		return;
--- a/include/entry/directory.h
+++ b/include/entry/directory.h
@@ -47,6 +47,8 @@
 		    const void *value, size_t size);
 void directory_on_changed(struct directory *directory, directory_changed_fn fn,
 			  void *ctx);
+/* Whether one whole reading, of the list or of a peer, has been taken. */
+bool directory_known(const struct directory *directory);
 /* The server said, refused or was reported to be leaving: spread it. */
 void directory_leaving(struct directory *directory, uint64_t id);
 
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -24,6 +24,7 @@
 #include "web/loop.h"
 #include "web/server.h"
 
+struct directory_sync;
 struct directory; /* backend servers and their addresses */
 struct peers;	  /* links to other instances */
 struct platform;  /* log store and instance list */
@@ -45,6 +46,7 @@
 	struct peers *peers;
 	struct membership *membership;
 	struct directory *directory;
+	struct directory_sync *directory_sync;
 	struct fold *fold;
 	struct claims *claims;
 	struct ledger *ledger;
--- a/include/entry/requests.h
+++ b/include/entry/requests.h
@@ -23,7 +23,8 @@
 void requests_destroy(struct requests *requests);
 /* Registers the callers' paths on entry->server. */
 void requests_serve(struct requests *requests);
-/* The configuration changed; entry->config is the new one. */
+/* The configuration or the servers known have changed: what waits for a
+ * server may have one now. */
 void requests_configured(struct requests *requests);
 uint32_t requests_count(const struct requests *requests);
 
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -152,17 +152,25 @@
 	site_admin=${site_admins%%,*}
 }
 
+# site_knows ADMIN: has the configuration, and every backend server that was
+# started (the platform's list lags).
+site_knows() {
+	curl -s -f -o /dev/null "http://$1/health" || return 1
+	site_status=$(curl -s "http://$1/status")
+	echo "$site_status" | grep -q '"revision": *[1-9]' || return 1
+	[ "$(echo "$site_status" | grep -c '"listed": *true')" -eq \
+		"$(echo "$site_backend_names" | wc -w)" ]
+}
+
 # site_apply FILE: puts a configuration in force everywhere.
 site_apply() {
 	"$site_build/ctl/jtctl" --admin "$site_admin" apply "$1"
 	site_tries=0
 	for site_each in $(echo "$site_admins" | tr , ' '); do
-		until curl -s -f -o /dev/null "http://$site_each/health" &&
-			curl -s "http://$site_each/config" |
-			grep -q '"revision": *[1-9]'; do
+		until site_knows "$site_each"; do
 			site_tries=$((site_tries + 1))
 			if [ "$site_tries" -gt 100 ]; then
-				echo "$site_each has no configuration" >&2
+				echo "$site_each is not ready" >&2
 				return 1
 			fi
 			sleep 0.1
