entry, coord: accept no configuration that the ledger would refuse

The fold accepted a file on the strength of config_parse() and the policy's own check, while ledger_configure() could still refuse it (two services that share a decode pool but not the prefill pool): it would then have been the revision in force and yet not work, and the ledger would have kept a pointer into the configuration that was destroyed. ledger_check() makes that test callable, the fold's check includes it, and a configuration that the ledger refuses all the same leaves the former one whole.

--- a/coord/ledger_config.c
+++ b/coord/ledger_config.c
@@ -191,13 +191,17 @@
 	g_ptr_array_set_size(ledger->services, 0);
 }
 
-bool ledger_configure(struct ledger *ledger, const struct config *config,
-		      struct error *err)
+bool ledger_check(const struct config *config, struct error *err)
 {
 	if (config == NULL)
 		return error_set(err, RESULT_NO_CONFIG, "no configuration");
-	if (!pools_known(config, err) || !pools_disjoint(config, err) ||
-	    !policy_swap(ledger, config, err))
+	return pools_known(config, err) && pools_disjoint(config, err);
+}
+
+bool ledger_configure(struct ledger *ledger, const struct config *config,
+		      struct error *err)
+{
+	if (!ledger_check(config, err) || !policy_swap(ledger, config, err))
 		return false;
 	ledger->config = config;
 	unlink_services(ledger);
--- a/entry/component_config.c
+++ b/entry/component_config.c
@@ -12,16 +12,17 @@
 
 #define FILE_LABEL "config"
 
-static void ledger_take_config(struct entry *entry)
+/* The ledger keeps its former configuration when it refuses this one. */
+static bool ledger_accepts(struct entry *entry, uint64_t revision,
+			   const struct config *config)
 {
 	struct error err;
 
-	if (!entry->ledger ||
-	    ledger_configure(entry->ledger, entry->config, &err))
-		return;
-	log_event(LOG_ERR, "configuration_refused_by_ledger",
-		  LOG_D("revision", entry->revision), LOG_D("code", err.code),
-		  LOG_S("reason", err.text));
+	if (!entry->ledger || ledger_configure(entry->ledger, config, &err))
+		return true;
+	log_event(LOG_ERR, "configuration_refused", LOG_D("revision", revision),
+		  LOG_D("code", err.code), LOG_S("reason", err.text));
+	return false;
 }
 
 void entry_configure(struct entry *entry, uint64_t revision,
@@ -29,7 +30,8 @@
 {
 	struct config *old = entry->config;
 
-	if (old && revision < entry->revision) {
+	if ((old && revision < entry->revision) ||
+	    !ledger_accepts(entry, revision, config)) {
 		config_destroy(config);
 		return;
 	}
@@ -38,7 +40,6 @@
 	gauge_get(entry->counters, "jt_config_revision",
 		  "Revision of the configuration in force", NULL)
 		->value = (int64_t)revision;
-	ledger_take_config(entry);
 	if (entry->requests)
 		requests_configured(entry->requests);
 	config_destroy(old);
@@ -62,12 +63,17 @@
 	return true;
 }
 
+static bool meaning_check(const struct config *config, struct error *err)
+{
+	return ledger_check(config, err) && policy_check(config, err);
+}
+
 static struct config *content_parse(const void *data, size_t size,
 				    struct error *err)
 {
 	struct config *config = config_parse(FILE_LABEL, data, size, err);
 
-	if (!config || policy_check(config, err))
+	if (!config || meaning_check(config, err))
 		return config;
 	config_destroy(config);
 	return NULL;
@@ -131,7 +137,7 @@
 	config = config_load(entry->settings.config_file, err);
 	if (!config)
 		return false;
-	if (!policy_check(config, err)) {
+	if (!meaning_check(config, err)) {
 		config_destroy(config);
 		return false;
 	}
--- a/include/coord/ledger.h
+++ b/include/coord/ledger.h
@@ -154,6 +154,8 @@
 			     const struct transport *transport,
 			     const struct ledger_ops *ops, void *ctx);
 void ledger_destroy(struct ledger *ledger);
+/* Whether a ledger can work by this configuration; the same everywhere. */
+bool ledger_check(const struct config *config, struct error *err);
 /* The config in force; the pointer must live until the next call. */
 bool ledger_configure(struct ledger *ledger, const struct config *config,
 		      struct error *err);
