web, common: tell a process that stood still so before its timers fire

loop_enter() fired the timers due before it called the turn hook, so after a pause a request's timer could act on a grant that was already lost.

--- a/common/clock.c
+++ b/common/clock.c
@@ -78,25 +78,36 @@
 
 /* Timers started meanwhile wait for the next call, so that one that restarts
  * itself with no delay cannot hold the loop. */
-void clock_jump(struct clock *clock, int64_t now_us)
+void clock_fire_due(struct clock *clock)
 {
 	uint64_t orders = clock->orders;
 	struct timer *timer;
 
-	clock->now = MAX(clock->now, now_us);
 	while ((timer = clock_first(clock)) && timer->due <= clock->now &&
 	       timer->order < orders)
 		clock_fire(timer);
 }
 
-int64_t clock_follow(struct clock *clock)
+void clock_jump(struct clock *clock, int64_t now_us)
+{
+	clock->now = MAX(clock->now, now_us);
+	clock_fire_due(clock);
+}
+
+int64_t clock_step(struct clock *clock)
 {
 	int64_t now = system_time(CLOCK_BOOTTIME) - clock->system_zero;
-	int64_t gap = now - clock->now;
+	int64_t gap = MAX(now - clock->now, 0);
 
-	if (gap < 0)
-		gap = 0;
 	clock->unix_zero = system_time(CLOCK_REALTIME) - now;
-	clock_jump(clock, now);
+	clock->now += gap;
+	return gap;
+}
+
+int64_t clock_follow(struct clock *clock)
+{
+	int64_t gap = clock_step(clock);
+
+	clock_fire_due(clock);
 	return gap;
 }
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -54,6 +54,10 @@
 /* Jumps a system clock to the present, firing timers. Returns how far the
  * present had run ahead of the last call: a long gap tells a paused process. */
 int64_t clock_follow(struct clock *clock);
+/* The two halves of clock_follow(): moves without firing, and fires what is
+ * due. Between them a process that stood still can be told so. */
+int64_t clock_step(struct clock *clock);
+void clock_fire_due(struct clock *clock);
 
 void timer_init(struct timer *timer, struct clock *clock, timer_fn fn,
 		void *ctx);
--- a/include/web/loop.h
+++ b/include/web/loop.h
@@ -2,8 +2,8 @@
  * loop.h - the one loop of a process: h2o's event loop driven by our clock
  *
  * DESCRIPTION
- *	loop_run() turns until loop_stop(): it moves the clock, which fires the
- *	timers due, calls the turn hook, runs what was deferred, then waits for
+ *	loop_run() turns until loop_stop(): it moves the clock, calls the turn
+ *	hook, fires the timers due, runs what was deferred, then waits for
  *	sockets until the next timer. Signals are taken by a signalfd of the
  *	loop's own.
  *
--- a/web/loop.c
+++ b/web/loop.c
@@ -115,10 +115,11 @@
 	if (loop->entered)
 		return;
 	loop->entered = true;
-	gap = clock_follow(loop->clock) - loop->waited_usec;
+	gap = clock_step(loop->clock) - loop->waited_usec;
 	loop->waited_usec = 0;
 	if (loop->turn_fn)
 		loop->turn_fn(loop->turn_ctx, MAX(gap, 0));
+	clock_fire_due(loop->clock);
 }
 
 static int32_t wait_msec(struct loop *loop)
