--- a/ctl/arguments.c
+++ b/ctl/arguments.c
@@ -28,7 +28,7 @@
 	{"help", KEY_HELP, NULL, 0, "Print this help", -1},
 	{"version", KEY_VERSION, NULL, 0, "Print the version", -1},
 	{"remote", KEY_REMOTE, NULL, 0,
-	 "Compare with the runners that a daemon knows, too", 0},
+	 "Compare with the backend servers that a daemon knows, too", 0},
 	{"base", KEY_BASE, "REVISION", 0,
 	 "Revision that the file is based on, else the one in force", 0},
 	{"author", KEY_AUTHOR, "NAME", 0,
--- a/ctl/command_status.c
+++ b/ctl/command_status.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "ctl/admin.h"
 #include "ctl/command.h"
@@ -37,20 +38,44 @@
 		fprintf(out, "platform: list read %.1f s ago\n", age);
 }
 
+static int name_compare(const void *a, const void *b)
+{
+	json_t *const *left = a;
+	json_t *const *right = b;
+
+	return strcmp(answer_text(*left, "name"), answer_text(*right, "name"));
+}
+
+/* Borrowed entries of the list, by name. */
+static GPtrArray *sorted(const json_t *list)
+{
+	GPtrArray *entries = g_ptr_array_new();
+	json_t *entry;
+	size_t i;
+
+	json_array_foreach (list, i, entry)
+		g_ptr_array_add(entries, entry);
+	g_ptr_array_sort(entries, name_compare);
+	return entries;
+}
+
 static void members_print(FILE *out, const json_t *members)
 {
 	struct columns *columns = columns_create(5);
-	json_t *member;
-	size_t i;
+	GPtrArray *entries = sorted(members);
 
 	columns_add(columns, "MEMBER", "DATA CENTRE", "STATE", "PEER ADDRESS",
 		    "ADDRESS");
-	json_array_foreach (members, i, member)
+	for (guint i = 0; i < entries->len; i++) {
+		const json_t *member = entries->pdata[i];
+
 		columns_add(columns, answer_text(member, "name"),
 			    answer_text(member, "data_centre"),
 			    answer_text(member, "state"),
 			    answer_text(member, "peer_address"),
 			    answer_text(member, "address"));
+	}
+	g_ptr_array_free(entries, TRUE);
 	fputc('\n', out);
 	columns_print(columns, out);
 }
--- a/ctl/command_validate.c
+++ b/ctl/command_validate.c
@@ -15,7 +15,7 @@
 		(int)config->service_count, "policy", config->policy.name);
 }
 
-static json_int_t runners_of(const json_t *status, const char *pool)
+static json_int_t servers_of(const json_t *status, const char *pool)
 {
 	json_int_t count = 0;
 	json_t *runner;
@@ -26,8 +26,8 @@
 	return count;
 }
 
-/* Runners that the file would leave without a pool. */
-static json_int_t runners_left(const json_t *status,
+/* Backend servers that the file would leave without a pool. */
+static json_int_t servers_left(const json_t *status,
 			       const struct config *config)
 {
 	json_int_t count = 0;
@@ -55,18 +55,18 @@
 		const char *name = config->pools[i].name;
 
 		json_object_set_new(counts, name,
-				    json_integer(runners_of(status, name)));
+				    json_integer(servers_of(status, name)));
 	}
-	json_object_set_new(report, "runners", counts);
-	json_object_set_new(report, "runners_without_pool",
-			    json_integer(runners_left(status, config)));
+	json_object_set_new(report, "servers", counts);
+	json_object_set_new(report, "servers_without_pool",
+			    json_integer(servers_left(status, config)));
 	json_decref(status);
 	return true;
 }
 
 static void report_print(FILE *out, const json_t *report)
 {
-	json_t *runners = json_object_get(report, "runners");
+	json_t *servers = json_object_get(report, "servers");
 	const char *pool;
 	json_t *count;
 
@@ -79,16 +79,18 @@
 		answer_number(report, "pools"),
 		answer_number(report, "services"),
 		answer_text(report, "policy"));
-	if (!runners)
+	if (!servers)
 		return;
-	json_object_foreach (runners, pool, count)
-		fprintf(out, "pool %s: %" JSON_INTEGER_FORMAT " runners\n",
+	json_object_foreach (servers, pool, count)
+		fprintf(out,
+			"pool %s: %" JSON_INTEGER_FORMAT " backend servers\n",
 			pool, json_integer_value(count));
-	if (answer_number(report, "runners_without_pool") > 0)
+	if (answer_number(report, "servers_without_pool") > 0)
 		fprintf(out,
 			"warning: %" JSON_INTEGER_FORMAT
-			" runners belong to pools that the file lacks\n",
-			answer_number(report, "runners_without_pool"));
+			" backend servers belong to pools that the file "
+			"lacks\n",
+			answer_number(report, "servers_without_pool"));
 }
 
 static bool run(struct ctl *ctl, const struct arguments *args,
--- a/ctl/completions/jtctl.fish
+++ b/ctl/completions/jtctl.fish
@@ -18,7 +18,7 @@
 complete -c jtctl -l json -s j -d 'Print JSON'
 complete -c jtctl -l help -d 'Print this help'
 complete -c jtctl -l version -s V -d 'Print the version'
-complete -c jtctl -n '__fish_seen_subcommand_from validate' -l remote -s r -d 'Compare with the runners that a daemon knows, too'
+complete -c jtctl -n '__fish_seen_subcommand_from validate' -l remote -s r -d 'Compare with the backend servers that a daemon knows, too'
 complete -c jtctl -n '__fish_seen_subcommand_from apply' -l base -s b -x -d 'Revision that the file is based on, else the one in force'
 complete -c jtctl -n '__fish_seen_subcommand_from apply measures' -l author -x -d 'Name for the audit trail (JT_AUTHOR, else USER)'
 complete -c jtctl -n '__fish_seen_subcommand_from measures' -l window -s w -x -d 'Measure two windows of this length, one after the other'
--- a/ctl/completions/jtctl.zsh
+++ b/ctl/completions/jtctl.zsh
@@ -88,7 +88,7 @@
 			'--json[Print JSON]' \
 			'--help[Print this help]' \
 			'--version[Print the version]' \
-			'--remote[Compare with the runners that a daemon knows, too]' \
+			'--remote[Compare with the backend servers that a daemon knows, too]' \
 			'*:file:_files' ;;
 	esac
 }
