coord: take leases on the log

Orders to engines need one sender. A record of the stream "leases" is valid when its author had read every earlier record of its task, so readers that started at different offsets agree, and nothing depends on the answers to appends. Holders count their term from before the append, takers their wait from the turn after the reading.

The schedules found three faults on the way: a void record was repeated at once for every copy under way, which flooded the log (4,988 records in a minute); taken() was called by the clock of the turn in which a process that had stood still read an old record, after the next holder had begun; and whoever gave a task up and wanted it again did not wait for its own orders.

--- a/coord/claim.c
+++ b/coord/claim.c
@@ -38,7 +38,6 @@
 	bool taken;    /* the last writer asked has said that it has it */
 	uint32_t rank; /* of the writer to ask next */
 	int64_t patience_end;
-	int64_t deadline;
 	struct timer poll;
 	struct timer end;
 };
@@ -216,11 +215,7 @@
 
 	if (!ask || ask->claim.id.owner.incarnation != message->incarnation)
 		return;
-	/* This process stood still: what was decided in time is old by now. */
-	if (clock_now(claims->clock) >= ask->deadline)
-		ask_give_up(ask);
-	else
-		ask_reply(ask, from, message);
+	ask_reply(ask, from, message);
 }
 
 static void claims_reply(struct claims *claims, const struct claim_id *id,
@@ -369,10 +364,11 @@
 	ask->claim.key = key;
 	ask->claim.id.owner = (struct owner){self->id, self->incarnation};
 	ask->claim.id.request = request;
-	ask->deadline = now + timeout_us;
-	ask->patience_end = ask->deadline - MIN(MARGIN_USEC, timeout_us / 4);
+	ask->patience_end = now + timeout_us - MIN(MARGIN_USEC, timeout_us / 4);
 	timer_init(&ask->poll, claims->clock, ask_poll, ask);
 	timer_init(&ask->end, claims->clock, ask_end, ask);
+	/* Fires before an answer is looked at that came while this process
+	 * stood still: what was decided then may be old by now. */
 	timer_start(&ask->end, timeout_us);
 	g_hash_table_insert(claims->asks, &ask->claim.id.request, ask);
 	ask_send(ask);
--- /dev/null
+++ b/coord/lease.c
@@ -0,0 +1,418 @@
+#include "coord/lease.h"
+
+#include <glib.h>
+
+#include "common/log.h"
+#include "coord/log_tail.h"
+#include "coord/retry.h"
+#include "lease_fold.h"
+
+/* Leaves two repeats before the lease ends. */
+#define RENEW_USEC (LEASE_TERM_USEC / 3)
+#define RETRY_BASE_USEC (500 * USEC_PER_MSEC)
+#define VOID_BASE_USEC (100 * USEC_PER_MSEC)
+#define RETRY_MAX_USEC (4 * USEC_PER_SEC)
+/* How far back a reader that starts goes: what it does not see it waits out. */
+#define HISTORY_RECORDS 512u
+/* Tasks that are remembered before they are wanted. */
+#define TASKS_MAX 4096u
+#define ORDER_TIMEOUT_MAX (3600 * USEC_PER_SEC)
+
+struct lease {
+	struct leases *leases;
+	uint64_t task;
+	struct lease_state state;
+	bool wanted;
+	bool mine;  /* the last valid record is one of ours */
+	bool held;  /* taken() was called, and lost() was not since */
+	bool fresh; /* a record by others has been read in this turn */
+	uint64_t fence;
+	int64_t end;	  /* of our own lease */
+	int64_t read_at;  /* when the others' last record was read */
+	int64_t retry_at; /* when to append next */
+	int64_t sent;	  /* when the last append was called */
+	int64_t order_timeout;
+	uint32_t appends; /* since one of ours was read back */
+	struct timer timer;
+	struct timer end_timer;
+};
+
+struct leases {
+	struct clock *clock;
+	struct owner self;
+	struct log_store store;
+	struct lease_ops ops;
+	void *ctx;
+	GRand *rand;
+	struct log_tail *tail;
+	GHashTable *tasks; /* task to struct lease */
+	uint64_t known_from;
+	bool read_whole; /* the end was reached since the start */
+	bool crowded;	 /* tasks were left out of the table */
+};
+
+static bool self_is(const struct leases *leases, const struct owner *owner)
+{
+	return owner->instance == leases->self.instance &&
+	       owner->incarnation == leases->self.incarnation;
+}
+
+static void lease_lose(struct lease *lease)
+{
+	struct leases *leases = lease->leases;
+
+	timer_stop(&lease->end_timer);
+	if (!lease->held)
+		return;
+	lease->held = false;
+	log_event(LOG_NOTICE, "lease_lost", LOG_X("task", lease->task),
+		  LOG_D("fence", lease->fence));
+	leases->ops.lost(leases->ctx, lease->task);
+}
+
+/* Begins or ends the holding. It begins in the turn after the record was read:
+ * this process may have stood still between the beginning of that turn, which
+ * its clock shows, and the reading. */
+static void lease_end_timer(struct timer *timer, void *ctx)
+{
+	struct lease *lease = ctx;
+	struct leases *leases = lease->leases;
+	int64_t now = clock_now(leases->clock);
+
+	if (!lease->wanted || !lease->mine || now >= lease->end) {
+		lease_lose(lease);
+		return;
+	}
+	timer_start(&lease->end_timer, lease->end - now);
+	if (lease->held)
+		return;
+	lease->held = true;
+	log_event(LOG_NOTICE, "lease_taken", LOG_X("task", lease->task),
+		  LOG_D("fence", lease->fence));
+	leases->ops.taken(leases->ctx, lease->task, lease->fence);
+}
+
+/* The answer decides nothing: the record is read back, or repeated. */
+static void append_answered(void *ctx, enum result_code code, uint64_t offset)
+{
+}
+
+static void lease_append(struct lease *lease, enum lease_action action)
+{
+	struct leases *leases = lease->leases;
+	struct lease_record record = {
+		.task = lease->task,
+		.holder = leases->self,
+		.action = action,
+		.after = log_tail_position(leases->tail),
+		.fence = action == LEASE_TAKE ? 0 : lease->fence,
+		.sent = (uint64_t)clock_now(leases->clock),
+	};
+	msgpack_sbuffer buffer;
+
+	msgpack_sbuffer_init(&buffer);
+	lease_record_pack(&buffer, &record);
+	leases->store.append(leases->store.ctx, LOG_STREAM_LEASES, buffer.data,
+			     buffer.size, append_answered, NULL);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+static void lease_try(struct lease *lease, enum lease_action action)
+{
+	struct leases *leases = lease->leases;
+	int64_t delay = retry_backoff(leases->rand, lease->appends,
+				      RETRY_BASE_USEC, RETRY_MAX_USEC);
+
+	lease->appends++;
+	lease->sent = clock_now(leases->clock);
+	lease->retry_at = lease->sent + delay;
+	timer_start(&lease->timer, delay);
+	lease_append(lease, action);
+}
+
+/* How long after reading the others' last record the task is surely free. */
+static int64_t lease_wait(const struct lease *lease)
+{
+	int64_t orders = 0;
+
+	/* The order's timeout is true time; our clock may run fast. */
+	if (lease->order_timeout)
+		orders = lease->order_timeout + lease->order_timeout / 16 +
+			 LEASE_MARGIN_USEC;
+	if (lease->state.free)
+		return orders;
+	if (!lease->state.next && !lease->state.known_from)
+		return 0; /* it was never held */
+	return LEASE_TERM_USEC + LEASE_MARGIN_USEC + orders;
+}
+
+/* Does what is due, or starts the timer for when it is. */
+static void lease_work(struct lease *lease)
+{
+	struct leases *leases = lease->leases;
+	int64_t now = clock_now(leases->clock);
+	int64_t due = lease->retry_at;
+
+	if (!lease->wanted || !leases->read_whole || lease->fresh)
+		return;
+	if (!lease->mine)
+		due = MAX(due, lease->read_at + lease_wait(lease));
+	if (now < due)
+		timer_start(&lease->timer, due - now);
+	else
+		lease_try(lease, lease->mine ? LEASE_RENEW : LEASE_TAKE);
+}
+
+static void lease_timer(struct timer *timer, void *ctx)
+{
+	struct lease *lease = ctx;
+
+	if (lease->fresh)
+		lease->read_at = clock_now(timer->clock);
+	lease->fresh = false;
+	lease_work(lease);
+}
+
+/* The wait is counted from the next turn, for the same reason. */
+static void lease_refresh(struct lease *lease)
+{
+	lease->mine = false;
+	lease_lose(lease);
+	lease->fresh = true;
+	timer_start(&lease->timer, 0);
+}
+
+static void lease_extend(struct lease *lease, int64_t sent)
+{
+	int64_t end = sent + LEASE_TERM_USEC - LEASE_MARGIN_USEC;
+
+	lease->mine = true;
+	lease->fresh = false;
+	lease->end = MAX(lease->end, end);
+	lease->retry_at = sent + RENEW_USEC;
+	timer_start(&lease->end_timer, 0);
+	lease_work(lease);
+}
+
+/* A record of others came between. Only the last one that was sent is repeated,
+ * so that there is never more than one under way for each delay. */
+static void lease_again(struct lease *lease, int64_t sent)
+{
+	if (sent != lease->sent)
+		return;
+	lease->retry_at = clock_now(lease->leases->clock) +
+			  retry_backoff(lease->leases->rand, 0, VOID_BASE_USEC,
+					RETRY_MAX_USEC);
+	lease_work(lease);
+}
+
+/* One of our own records was read back. */
+static void lease_own(struct lease *lease, const struct lease_record *record,
+		      enum lease_verdict verdict, uint64_t offset)
+{
+	lease->appends = 0;
+	if (verdict == LEASE_VOID) {
+		lease_again(lease, (int64_t)record->sent);
+		return;
+	}
+	if (verdict == LEASE_UNCLEAR || record->action == LEASE_RELEASE ||
+	    (record->action == LEASE_RENEW && !lease->mine)) {
+		lease_refresh(lease);
+		return;
+	}
+	if (record->action == LEASE_TAKE) {
+		lease->fence = offset + 1;
+		lease->end = 0;
+	}
+	lease_extend(lease, (int64_t)record->sent);
+}
+
+static void lease_destroy(void *data)
+{
+	struct lease *lease = data;
+
+	timer_stop(&lease->timer);
+	timer_stop(&lease->end_timer);
+	g_free(lease);
+}
+
+static struct lease *lease_add(struct leases *leases, uint64_t task)
+{
+	struct lease *lease = g_new0(struct lease, 1);
+
+	lease->leases = leases;
+	lease->task = task;
+	lease->state.known_from = leases->crowded
+					  ? log_tail_position(leases->tail)
+					  : leases->known_from;
+	timer_init(&lease->timer, leases->clock, lease_timer, lease);
+	timer_init(&lease->end_timer, leases->clock, lease_end_timer, lease);
+	g_hash_table_insert(leases->tasks, &lease->task, lease);
+	lease_refresh(lease);
+	return lease;
+}
+
+static struct lease *lease_find(const struct leases *leases, uint64_t task)
+{
+	return g_hash_table_lookup(leases->tasks, &task);
+}
+
+static void tail_record(void *ctx, const struct log_record *log_record)
+{
+	struct leases *leases = ctx;
+	struct lease_record record;
+	enum lease_verdict verdict;
+	struct lease *lease;
+
+	if (!lease_record_unpack(&record, log_record->data, log_record->size)) {
+		log_event(LOG_WARNING, "lease_record_malformed",
+			  LOG_D("offset", log_record->offset));
+		return;
+	}
+	lease = lease_find(leases, record.task);
+	if (!lease && g_hash_table_size(leases->tasks) >= TASKS_MAX) {
+		leases->crowded = true;
+		return;
+	}
+	if (!lease)
+		lease = lease_add(leases, record.task);
+	verdict = lease_fold(&lease->state, &record, log_record->offset);
+	if (self_is(leases, &record.holder))
+		lease_own(lease, &record, verdict, log_record->offset);
+	else if (verdict != LEASE_VOID)
+		lease_refresh(lease);
+}
+
+/* Starts every wait anew; lost() may be called, which may want more tasks. */
+static void leases_refresh(struct leases *leases)
+{
+	GList *tasks = g_hash_table_get_values(leases->tasks);
+
+	for (GList *link = tasks; link; link = link->next)
+		lease_refresh(link->data);
+	g_list_free(tasks);
+}
+
+/* What came before first is unknown from now on. */
+static void leases_forget(struct leases *leases, uint64_t first)
+{
+	GHashTableIter iter;
+	void *value;
+
+	leases->known_from = first;
+	g_hash_table_iter_init(&iter, leases->tasks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct lease *lease = value;
+
+		lease->state.known_from = first;
+		lease->state.free = false;
+	}
+	leases_refresh(leases);
+}
+
+static void tail_gap(void *ctx, uint64_t expected, uint64_t first)
+{
+	leases_forget(ctx, first);
+}
+
+/* A long stream is not read whole: its end is enough, and a wait. */
+static void tail_page(void *ctx, const struct log_page *page)
+{
+	struct leases *leases = ctx;
+	uint64_t left = page->next - log_tail_position(leases->tail);
+
+	if (leases->read_whole)
+		return;
+	if (left > HISTORY_RECORDS) {
+		log_tail_start(leases->tail, page->next - HISTORY_RECORDS);
+		leases_forget(leases, page->next - HISTORY_RECORDS);
+		return;
+	}
+	if (left)
+		return;
+	leases->read_whole = true;
+	leases_refresh(leases);
+}
+
+struct leases *leases_create(struct clock *clock, const struct owner *self,
+			     const struct log_store *store,
+			     const struct lease_ops *ops, void *ctx)
+{
+	static const struct log_tail_ops tail_ops = {
+		.record = tail_record,
+		.gap = tail_gap,
+		.page = tail_page,
+	};
+	struct leases *leases = g_new0(struct leases, 1);
+	uint32_t seed = (uint32_t)id_mix(self->instance, self->incarnation);
+
+	leases->clock = clock;
+	leases->self = *self;
+	leases->store = *store;
+	leases->ops = *ops;
+	leases->ctx = ctx;
+	leases->rand = g_rand_new_with_seed(seed);
+	leases->tail = log_tail_create(clock, store, LOG_STREAM_LEASES, seed,
+				       &tail_ops, leases);
+	leases->tasks = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					      lease_destroy);
+	return leases;
+}
+
+void leases_destroy(struct leases *leases)
+{
+	if (!leases)
+		return;
+	log_tail_destroy(leases->tail);
+	g_hash_table_destroy(leases->tasks);
+	g_rand_free(leases->rand);
+	g_free(leases);
+}
+
+void lease_want(struct leases *leases, uint64_t task)
+{
+	lease_want_unfenced(leases, task, 0);
+}
+
+void lease_want_unfenced(struct leases *leases, uint64_t task,
+			 int64_t order_timeout_us)
+{
+	struct lease *lease = lease_find(leases, task);
+
+	if (!log_tail_running(leases->tail))
+		log_tail_start(leases->tail, 0);
+	if (!lease)
+		lease = lease_add(leases, task);
+	if (lease->wanted)
+		return;
+	lease->wanted = true;
+	lease->order_timeout = CLAMP(order_timeout_us, 0, ORDER_TIMEOUT_MAX);
+	lease_work(lease);
+}
+
+void lease_give_up(struct leases *leases, uint64_t task)
+{
+	struct lease *lease = lease_find(leases, task);
+	bool held;
+
+	if (!lease || !lease->wanted)
+		return;
+	held = lease_valid(leases, task, NULL);
+	lease->wanted = false;
+	lease->held = false;
+	lease_refresh(lease);
+	if (held)
+		lease_append(lease, LEASE_RELEASE);
+}
+
+bool lease_valid(const struct leases *leases, uint64_t task, uint64_t *fence)
+{
+	const struct lease *lease = lease_find(leases, task);
+
+	if (!lease || !lease->wanted || !lease->held ||
+	    clock_now(leases->clock) >= lease->end)
+		return false;
+	if (fence)
+		*fence = lease->fence;
+	return true;
+}
--- a/include/coord/lease.h
+++ b/include/coord/lease.h
@@ -3,12 +3,24 @@
  *
  * DESCRIPTION
  *	A lease names one holder for a task (an order to an engine, a role
- *	change). It is taken by appending to the stream "leases"; the first
- *	record after the former lease's end wins, and its offset plus one is the
- *	fencing number. A holder stops acting margin before its lease ends by
- *	its own clock; a taker waits term + margin after it first read the
- *	former record. Engines that check refuse an older number; for those that
- *	do not, the next holder waits out term + margin + order timeout.
+ *	change). It is taken by appending to the stream "leases": a record is
+ *	valid when its author had read every record of the task before it, and
+ *	its offset plus one is the fencing number. A holder stops acting
+ *	LEASE_MARGIN_USEC before its term ends, counted by its own clock from
+ *	before it called the log; a taker waits LEASE_TERM_USEC plus
+ *	LEASE_MARGIN_USEC after it first read the former record. Each clock may
+ *run wrong by a twentieth. The former holder may have stood still: engines that
+ *check refuse an order with an older number; for those that do not, the next
+ *holder also waits out the order's timeout.
+ *
+ *	An answer of the log decides nothing; records are read back, and
+ *	repeated when they are not. While the log is down, leases run out.
+ *
+ *	An order under a lease is to be sent in the turn of the loop in which
+ *	lease_valid() was asked.
+ *
+ * SEE ALSO
+ *	docs/design/leases.md; Gray and Cheriton, "Leases", SOSP 1989
  */
 #ifndef COORD_LEASE_H
 #define COORD_LEASE_H
@@ -39,6 +51,13 @@
 void leases_destroy(struct leases *leases);
 /* Keeps trying to take and renew the task's lease until given up. */
 void lease_want(struct leases *leases, uint64_t task);
+/* The same for an engine that does not check fencing numbers: an order takes
+ * effect within order_timeout_us of being sent, or not at all. */
+void lease_want_unfenced(struct leases *leases, uint64_t task,
+			 int64_t order_timeout_us);
+/* Ends it with no further call of lost(). The next holder does not wait for the
+ * term; where the engine does not check fencing numbers, it does wait for the
+ * order's timeout. */
 void lease_give_up(struct leases *leases, uint64_t task);
 /* Whether the lease is held now, by this process's own clock. */
 bool lease_valid(const struct leases *leases, uint64_t task, uint64_t *fence);
--- a/tests/coord/fake_log.c
+++ b/tests/coord/fake_log.c
@@ -204,6 +204,9 @@
 	for (uint64_t i = MAX(first, read->from);
 	     i < records->len && read->records->len < read->max; i++)
 		g_array_append_vals(read->records, records->pdata[i], 1);
+	if (read->records->len > 1 &&
+	    world_chance(log->world, log->hole_percent))
+		g_array_remove_index(read->records, 0);
 	read->page = (struct log_page){
 		.first = first,
 		.next = records->len,
--- a/tests/coord/fake_log.h
+++ b/tests/coord/fake_log.h
@@ -5,6 +5,7 @@
  *	Appends and reads take random times, so they overtake each other. An
  *	append whose answer is lost was applied, or will be much later, or
  *	never. In an outage nothing is taken. Retention drops old records.
+ *	A page with a hole breaks the contract of log_store.h.
  */
 #ifndef TESTS_FAKE_LOG_H
 #define TESTS_FAKE_LOG_H
@@ -18,6 +19,7 @@
 	int64_t delay;	     /* most that one way takes, besides slow */
 	int64_t slow;
 	int lost_percent; /* answers to appends that are lost */
+	int hole_percent; /* pages that leave out a record */
 	bool outage;
 	int64_t retention; /* 0: for ever */
 	uint64_t appends;  /* calls */
--- a/tests/coord/fake_world.c
+++ b/tests/coord/fake_world.c
@@ -99,6 +99,9 @@
 
 		if (!node->clock || node->paused)
 			continue;
+		if (node->inbox.length &&
+		    world_chance(world, world->stale_percent))
+			node_deliver(node);
 		clock_jump(node->clock, (int64_t)((double)age * node->rate));
 		node_deliver(node);
 	}
--- a/tests/coord/fake_world.h
+++ b/tests/coord/fake_world.h
@@ -33,6 +33,9 @@
 	struct clock *clock;
 	GRand *rand;
 	GPtrArray *nodes;
+	/* Times in a hundred that a node was stopped between its clock and its
+	 * sockets: it then reads them by an old clock when it wakes. */
+	int stale_percent;
 };
 
 struct world *world_create(uint32_t seed);
--- a/tests/coord/test_claim_schedules.c
+++ b/tests/coord/test_claim_schedules.c
@@ -33,6 +33,8 @@
 	fleet->drop_percent = (int)world_draw(world, 20);
 	fleet->double_percent = (int)world_draw(world, 20);
 	fleet->log->lost_percent = (int)world_draw(world, 60);
+	fleet->log->hole_percent = (int)world_draw(world, 20);
+	world->stale_percent = 50;
 	faults.kills = (int)world_draw(world, 8);
 	faults.pauses = (int)world_draw(world, 8);
 	faults.outages = (int)world_draw(world, 3);
@@ -84,6 +86,7 @@
 {
 	fleet->drop_percent = 0;
 	fleet->log->lost_percent = 0;
+	fleet->log->hole_percent = 0;
 	fleet->log->outage = false;
 	fleet->cut = 0;
 	for (uint32_t i = 0; i < FAKE_MEMBERS; i++) {
