web: tell a cut-off chunked answer, and test client and loop

A server that dies in a stream closes the connection, most likely after a whole chunk. h2o takes that for the end of the answer, so a cut-off stream of tokens would have looked whole. The client now fails such a call: where the empty chunk came the last read has bytes, where only the close came it has none.

--- /dev/null
+++ b/tests/web/test_client.c
@@ -0,0 +1,377 @@
+/* The client, against a scripted server and our own. */
+#include <errno.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "world.h"
+
+enum then {
+	THEN_KEEP,  /* the connection stays open */
+	THEN_CLOSE, /* once the answer is sent */
+	THEN_RESET,
+	THEN_AT_ONCE, /* closed before a byte of the request is read */
+};
+
+struct answer_case {
+	const char *name;
+	const char *method;
+	const char *answer; /* sent after the request's head was read */
+	enum then then;
+	bool ok;
+	bool timed_out;
+	int status;
+	const char *body;
+};
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+
+static const struct answer_case answer_cases[] = {
+	{"length", "GET", HEAD "content-length: 5\r\n\r\nhello", THEN_KEEP,
+	 true, false, 200, "hello"},
+	{"length, close", "GET",
+	 HEAD "connection: close\r\ncontent-length: 5\r\n\r\nhello", THEN_CLOSE,
+	 true, false, 200, "hello"},
+	{"empty", "GET", HEAD "content-length: 0\r\n\r\n", THEN_KEEP, true,
+	 false, 200, ""},
+	{"chunks", "POST",
+	 HEAD "transfer-encoding: chunked\r\n\r\n"
+	      "3\r\nhel\r\n2\r\nlo\r\n0\r\n\r\n",
+	 THEN_KEEP, true, false, 200, "hello"},
+	{"chunks, close", "GET",
+	 HEAD "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	 THEN_CLOSE, true, false, 200, "hello"},
+	{"until close", "GET", HEAD "\r\nhello", THEN_CLOSE, true, false, 200,
+	 "hello"},
+	{"head", "HEAD", HEAD "content-length: 5\r\n\r\n", THEN_KEEP, true,
+	 false, 200, ""},
+	{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", THEN_KEEP,
+	 true, false, 204, ""},
+	{"not modified", "GET",
+	 "HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n", THEN_KEEP,
+	 true, false, 304, ""},
+	{"continue", "POST",
+	 "HTTP/1.1 100 Continue\r\n\r\n" HEAD "content-length: 5\r\n\r\nhello",
+	 THEN_KEEP, true, false, 200, "hello"},
+	{"error status", "GET",
+	 "HTTP/1.1 503 Busy\r\ncontent-length: 2\r\n\r\nno", THEN_KEEP, true,
+	 false, 503, "no"},
+	{"closed at once", "GET", "", THEN_AT_ONCE, false, false, 0, ""},
+	{"closed unanswered", "GET", "", THEN_CLOSE, false, false, 0, ""},
+	{"reset unanswered", "GET", "", THEN_RESET, false, false, 0, ""},
+	{"closed in the head", "GET", "HTTP/1.1 200 O", THEN_CLOSE, false,
+	 false, 0, ""},
+	{"closed in the body", "GET", HEAD "content-length: 9\r\n\r\nhello",
+	 THEN_CLOSE, false, false, 200, "hello"},
+	{"closed in the chunks", "GET",
+	 HEAD "transfer-encoding: chunked\r\n\r\n5\r\nhello\r\n", THEN_CLOSE,
+	 false, false, 200, "hello"},
+	{"no answer", "GET", "nonsense\r\n\r\n", THEN_KEEP, false, false, 0,
+	 ""},
+	{"bad chunk", "GET", HEAD "transfer-encoding: chunked\r\n\r\nzz\r\n",
+	 THEN_KEEP, false, false, 200, ""},
+	{"no head in time", "GET", "HTTP/1.1 200 OK\r\n", THEN_KEEP, false,
+	 true, 0, ""},
+	{"no more body in time", "GET", HEAD "content-length: 9\r\n\r\nhello",
+	 THEN_KEEP, false, true, 200, "hello"},
+};
+
+struct script {
+	int listener;
+	char address[32];
+	int fd; /* -1 before a connection */
+	int accepted;
+	bool answered;
+};
+
+static void script_setup(struct script *script)
+{
+	memset(script, 0, sizeof(*script));
+	script->fd = -1;
+	script->listener = raw_listen(script->address, sizeof(script->address));
+}
+
+static void script_teardown(struct script *script)
+{
+	if (script->fd >= 0)
+		close(script->fd);
+	close(script->listener);
+}
+
+static void script_close(struct script *script, enum then then)
+{
+	static const struct linger hard = {.l_onoff = 1};
+
+	if (then == THEN_KEEP)
+		return;
+	if (then == THEN_RESET)
+		setsockopt(script->fd, SOL_SOCKET, SO_LINGER, &hard,
+			   sizeof(hard));
+	close(script->fd);
+	script->fd = -1;
+}
+
+/* Accepts, reads and answers what is there. */
+static void script_step(struct script *script, const char *answer,
+			enum then then)
+{
+	char buf[4096];
+	int fd = accept4(script->listener, NULL, NULL, SOCK_NONBLOCK);
+
+	if (fd >= 0) {
+		if (script->fd >= 0)
+			close(script->fd);
+		script->fd = fd;
+		script->accepted++;
+		if (then == THEN_AT_ONCE)
+			script_close(script, then);
+	}
+	if (script->fd < 0 || recv(script->fd, buf, sizeof(buf), 0) <= 0)
+		return;
+	script->answered = true;
+	raw_send(script->fd, answer, strlen(answer));
+	script_close(script, then);
+}
+
+/* Turns until the call is done; moves the clock only once answered. */
+static void script_run(struct world *world, struct script *script,
+		       const char *answer, enum then then)
+{
+	for (int i = 0; i < 5000 && !world->done; i++) {
+		script_step(script, answer, then);
+		world_turns(world, 1);
+		if (script->answered && i % 50 == 49)
+			clock_advance(world->clock,
+				      clock_now(world->clock) + USEC_PER_SEC);
+	}
+	g_assert_true(world->done);
+}
+
+static void test_answer(struct world *world, gconstpointer data)
+{
+	const struct answer_case *c = data;
+	struct script script;
+
+	script_setup(&script);
+	world_call(world, (struct web_call_spec){.address = script.address,
+						 .method = c->method,
+						 .head_usec = 10 * USEC_PER_SEC,
+						 .idle_usec = USEC_PER_SEC});
+	g_assert_false(world->done);
+	script_run(world, &script, c->answer, c->then);
+	g_assert_true(world->result.ok == c->ok);
+	g_assert_true(world->result.sent);
+	g_assert_true(world->result.timed_out == c->timed_out);
+	g_assert_true((world->result.text == NULL) == c->ok);
+	g_assert_cmpint(world->status, ==, c->status);
+	g_assert_cmpstr(world->body->str, ==, c->body);
+	script_teardown(&script);
+}
+
+/* Calls that fail before a byte can have been written. */
+static void test_unsent(struct world *world, gconstpointer data)
+{
+	static const struct web_header split = {{"x-a", 3}, {"b\r\nc: d", 7}};
+	char refused[32];
+	const struct web_call_spec specs[] = {
+		{.address = refused},
+		{.address = "nowhere"},
+		{.address = "127.0.0.1:99999"},
+		{.address = "localhost:80"},
+		{.address = "255.255.255.255:1"},
+		{.address = refused, .fresh = true},
+		{.method = "GET /"},
+		{.path = "/a b"},
+		{.path = "/\r\nx: y"},
+		{.headers = &split, .header_count = 1},
+	};
+
+	close(raw_listen(refused, sizeof(refused)));
+	for (size_t i = 0; i < G_N_ELEMENTS(specs); i++) {
+		world_call(world, specs[i]);
+		g_assert_false(world->done);
+		world_run(world, &world->done);
+		g_assert_false(world->result.ok);
+		g_assert_false(world->result.sent);
+		g_assert_nonnull(world->result.text);
+	}
+}
+
+/* A listener whose queue is full lets no connection be made. */
+static void test_connect_timeout(struct world *world, gconstpointer data)
+{
+	int fds[8];
+	char address[32];
+	int listener = raw_listen(address, sizeof(address));
+
+	listen(listener, 0);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		fds[i] = raw_connect_start(address);
+	world_turns(world, 10);
+	world_call(world, (struct web_call_spec){.address = address});
+	world_turns(world, 10);
+	g_assert_false(world->done);
+	clock_advance(world->clock, clock_now(world->clock) + 2 * USEC_PER_SEC);
+	g_assert_false(world->done);
+	clock_advance(world->clock, clock_now(world->clock) + 2 * USEC_PER_SEC);
+	g_assert_true(world->done);
+	g_assert_false(world->result.ok);
+	g_assert_false(world->result.sent);
+	g_assert_true(world->result.timed_out);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		close(fds[i]);
+	close(listener);
+}
+
+/* Which calls share a connection. */
+static void test_reuse(struct world *world, gconstpointer data)
+{
+	static const char answer[] = HEAD "content-length: 2\r\n\r\nok";
+	static const struct {
+		bool fresh;
+		enum then then;
+		int accepted; /* after it */
+	} steps[] = {
+		{false, THEN_KEEP, 1},	{false, THEN_KEEP, 1},
+		{true, THEN_KEEP, 2},	{true, THEN_KEEP, 3},
+		{false, THEN_CLOSE, 4}, {false, THEN_KEEP, 5},
+		{false, THEN_KEEP, 5},
+	};
+	struct script script;
+
+	script_setup(&script);
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		world_call(world,
+			   (struct web_call_spec){.address = script.address,
+						  .fresh = steps[i].fresh});
+		script_run(world, &script, answer, steps[i].then);
+		g_assert_true(world->result.ok);
+		g_assert_cmpint(script.accepted, ==, steps[i].accepted);
+	}
+	script_teardown(&script);
+}
+
+static void streamed(void *ctx, struct web_request *request)
+{
+	web_reply_start(request, 200, "text/plain");
+	web_reply_piece(request, "some", 4);
+}
+
+static void echo(void *ctx, struct web_request *request)
+{
+	struct web_text body = web_request_body(request);
+
+	web_reply(request, 200, NULL, body.data, body.size);
+}
+
+static void test_cancel(struct world *world, gconstpointer data)
+{
+	struct web_call *call;
+
+	web_server_handle(world->server, "/", streamed, NULL);
+	call = world_call(world, (struct web_call_spec){0});
+	web_call_cancel(call);
+	world_turns(world, 50);
+	g_assert_false(world->done);
+	g_assert_cmpint(world->status, ==, 0);
+	/* After its first piece, from inside the callback. */
+	call = world_call(world, (struct web_call_spec){0});
+	world->cancel = call;
+	for (int i = 0; i < 5000 && world->pieces == 0; i++)
+		world_turns(world, 1);
+	world_turns(world, 50);
+	g_assert_cmpstr(world->body->str, ==, "some");
+	g_assert_false(world->done);
+	/* The server saw the caller go. */
+	g_assert_cmpuint(web_server_pending(world->server), ==, 0);
+	/* In flight when the client is destroyed. */
+	world_call(world, (struct web_call_spec){0});
+	world_turns(world, 50);
+	g_assert_cmpstr(world->body->str, ==, "some");
+	g_assert_false(world->done);
+}
+
+static void test_big_request(struct world *world, gconstpointer data)
+{
+	char *body = g_strnfill(1 << 20, 'x');
+
+	web_server_handle(world->server, "/", echo, NULL);
+	world_call(world, (struct web_call_spec){.method = "POST",
+						 .body = body,
+						 .body_size = 1 << 20});
+	world_run(world, &world->done);
+	g_assert_true(world->result.ok);
+	g_assert_cmpstr(world->body->str, ==, body);
+	g_free(body);
+}
+
+struct fetched {
+	int done;
+	bool ok;
+	int status;
+	GString *body;
+};
+
+static void on_fetched(void *ctx, const struct web_result *result, int status,
+		       const void *body, size_t size)
+{
+	struct fetched *fetched = ctx;
+
+	fetched->done++;
+	fetched->ok = result->ok;
+	fetched->status = status;
+	fetched->body = g_string_new_len(body, (gssize)size);
+}
+
+static void test_fetch(struct world *world, gconstpointer data)
+{
+	static const struct {
+		size_t limit;
+		bool ok;
+	} cases[] = {{100, true}, {5, true}, {4, false}, {0, false}};
+	struct web_call_spec spec = {
+		.address = web_server_address(world->server),
+		.method = "POST",
+		.path = "/",
+		.body = "hello",
+		.body_size = 5,
+	};
+
+	web_server_handle(world->server, "/", echo, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fetched fetched = {0};
+
+		web_fetch(world->client, &spec, cases[i].limit, on_fetched,
+			  &fetched);
+		world_run(world, &fetched.done);
+		g_assert_true(fetched.ok == cases[i].ok);
+		g_assert_cmpint(fetched.status, ==, 200);
+		if (fetched.ok)
+			g_assert_cmpstr(fetched.body->str, ==, "hello");
+		g_string_free(fetched.body, TRUE);
+	}
+	web_call_cancel(web_fetch(world->client, &spec, 10, on_fetched, NULL));
+}
+
+#define TEST(name, fn)                                                         \
+	g_test_add("/web/client/" name, struct world, NULL, world_setup, fn,   \
+		   world_teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(answer_cases); i++) {
+		char *path = g_strdup_printf("/web/client/answer/%s",
+					     answer_cases[i].name);
+
+		g_test_add(path, struct world, &answer_cases[i], world_setup,
+			   test_answer, world_teardown);
+		g_free(path);
+	}
+	TEST("unsent", test_unsent);
+	TEST("connect-timeout", test_connect_timeout);
+	TEST("reuse", test_reuse);
+	TEST("cancel", test_cancel);
+	TEST("big-request", test_big_request);
+	TEST("fetch", test_fetch);
+	return g_test_run();
+}
--- a/tests/web/test_gone.c
+++ b/tests/web/test_gone.c
@@ -179,7 +179,7 @@
 {
 	const struct gone_case *c = data;
 	struct held held = {0};
-	struct caller caller;
+	struct caller caller = {.fd = -1};
 
 	web_server_handle(world->server, "/", hold, &held);
 	caller_open(&caller, world, c->version);
@@ -209,7 +209,7 @@
 {
 	int version = GPOINTER_TO_INT(data);
 	struct held held = {0};
-	struct caller caller;
+	struct caller caller = {.fd = -1};
 
 	web_server_handle(world->server, "/", hold, &held);
 	caller_open(&caller, world, version);
@@ -233,7 +233,7 @@
 {
 	int version = GPOINTER_TO_INT(data);
 	struct held held = {0};
-	struct caller caller;
+	struct caller caller = {.fd = -1};
 	GString *got;
 
 	web_server_handle(world->server, "/", hold, &held);
@@ -267,7 +267,7 @@
 {
 	int version = GPOINTER_TO_INT(data);
 	struct held held = {0};
-	struct caller caller;
+	struct caller caller = {.fd = -1};
 
 	web_server_handle(world->server, "/", hold, &held);
 	caller_open(&caller, world, version);
--- a/tests/web/world.c
+++ b/tests/web/world.c
@@ -143,6 +143,15 @@
 	return fd;
 }
 
+int raw_connect_start(const char *address)
+{
+	struct sockaddr_in peer = address_of(address);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+
+	connect(fd, (struct sockaddr *)&peer, sizeof(peer));
+	return fd;
+}
+
 void raw_send(int fd, const void *data, size_t size)
 {
 	g_assert_cmpint(send(fd, data, size, MSG_NOSIGNAL), ==, (ssize_t)size);
@@ -186,7 +195,7 @@
 {
 	struct sockaddr_in self = address_of(":0");
 	socklen_t len = sizeof(self);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 
 	g_assert_cmpint(bind(fd, (struct sockaddr *)&self, len), ==, 0);
 	g_assert_cmpint(listen(fd, 16), ==, 0);
--- a/tests/web/world.h
+++ b/tests/web/world.h
@@ -38,6 +38,8 @@
 
 /* Blocking only in connect, which loopback answers at once. */
 int raw_connect(const char *address);
+/* As raw_connect(), without waiting for the connection. */
+int raw_connect_start(const char *address);
 void raw_send(int fd, const void *data, size_t size);
 /* As raw_send(), turning the loop; what a closed socket takes not is lost. */
 void raw_push(struct world *world, int fd, const char *data, size_t size);
--- a/web/call.c
+++ b/web/call.c
@@ -115,6 +115,13 @@
 		shutdown(h2o_socket_get_fd(http->sock), SHUT_RDWR);
 }
 
+/* h2o 2.2 takes a connection closed after any whole chunk for the end of the
+ * body; the empty chunk that ends it would have been read just now. */
+static bool is_cut_off(const struct web_call *call)
+{
+	return call->chunked && call->http->sock->bytes_read == 0;
+}
+
 static void answer_end(struct web_call *call)
 {
 	if (call->fresh)
@@ -146,6 +153,8 @@
 		return -1;
 	}
 	input_take(call, http);
+	if (err && is_cut_off(call))
+		call->text = "the answer was cut off";
 	if (err) {
 		answer_end(call);
 		return 0;
@@ -184,6 +193,8 @@
 		return NULL;
 	}
 	call->answered = true;
+	call->chunked = h2o_find_header(&(h2o_headers_t){headers, count, count},
+					H2O_TOKEN_TRANSFER_ENCODING, -1) != -1;
 	if (call->ops.head && !call->cancelled)
 		head_report(call, status, headers, count);
 	if (err) {
--- a/web/call.h
+++ b/web/call.h
@@ -49,6 +49,7 @@
 	bool fresh;
 	bool connected;
 	bool answered; /* the head has arrived */
+	bool chunked;  /* its body ends with an empty chunk */
 	bool busy;
 	bool cancelled;
 	bool timed_out;
--- a/web/client.c
+++ b/web/client.c
@@ -2,8 +2,8 @@
 
 #include <string.h>
 
-#include "web/address.h"
 #include "call.h"
+#include "web/address.h"
 
 /* A kept connection idle for longer is closed: before the servers that we know
  * of would do it, so that a call rarely meets a connection just closed. */
