standin: test the HTTP faces in one loop

The model was tested, what is spoken over sockets was not. Two engines, a plain service and a fake platform run with their callers in one loop: refusals and malformed bodies as a table, a whole answer compared token by token, hang-ups before, during and after the prefill, resume and take-over, lost and late answers, a transfer that is given up and tried again, registration.

--- /dev/null
+++ b/tests/standin/test_http.c
@@ -0,0 +1,628 @@
+/*
+ * The HTTP faces of the stand-ins: two engines, a plain service and a platform
+ * that only takes entries, all with their callers in one loop on loopback.
+ */
+#include <string.h>
+#include <unistd.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "common/table.h"
+#include "standin/answer.h"
+#include "standin/engine_http.h"
+#include "standin/engine_prefill.h"
+#include "standin/engine_stream.h"
+#include "standin/register.h"
+#include "standin/service.h"
+#include "web/client.h"
+#include "web/loop.h"
+#include "web/server.h"
+
+#define JOB                                                                    \
+	"\"request\": \"00000000000000aa\", \"owner\": \"00000000000000bb\", " \
+	"\"incarnation\": \"00000000000000cc\""
+
+struct world {
+	struct clock *clock;
+	struct loop *loop;
+	struct web_client *client;
+	struct web_server *servers[4];
+	struct engine_model *p;
+	struct engine_model *d;
+	struct engine_http *faces[2];
+	struct service *service;
+	GString *entries; /* what the platform was told */
+	bool (*until)(struct world *world);
+	struct timer poll;
+	int ended; /* registration */
+};
+
+enum {
+	PREFILL,
+	DECODE,
+	SERVICE,
+	PLATFORM,
+};
+
+/* One call and what came of it. */
+struct call {
+	struct web_call *call;
+	int status;
+	GString *body;
+	bool done;
+	bool ok;
+};
+
+static void on_head(void *ctx, int status, const struct web_header *headers,
+		    size_t count)
+{
+	((struct call *)ctx)->status = status;
+}
+
+static void on_body(void *ctx, const void *data, size_t size)
+{
+	g_string_append_len(((struct call *)ctx)->body, data, (gssize)size);
+}
+
+static void on_done(void *ctx, const struct web_result *result)
+{
+	struct call *call = ctx;
+
+	call->done = true;
+	call->ok = result->ok;
+}
+
+static void call_start(struct world *w, struct call *call, int server,
+		       const char *method, const char *path, const char *body)
+{
+	static const struct web_call_ops ops = {on_head, on_body, on_done};
+	const struct web_header key = {{"idempotency-key", 15}, {"k", 1}};
+	struct web_call_spec spec = {
+		.address = web_server_address(w->servers[server]),
+		.method = method,
+		.path = path,
+		.headers = &key,
+		.header_count = 1,
+		.body = body ? body : "",
+		.body_size = body ? strlen(body) : 0,
+	};
+
+	*call = (struct call){.body = g_string_new(NULL)};
+	call->call = web_call(w->client, &spec, &ops, call);
+}
+
+static void call_free(struct call *call)
+{
+	g_string_free(call->body, TRUE);
+}
+
+static void poll_due(struct timer *timer, void *ctx)
+{
+	struct world *w = ctx;
+
+	if (w->until(w))
+		loop_stop(w->loop);
+	else
+		timer_start(timer, USEC_PER_MSEC);
+}
+
+static void run_until(struct world *w, bool (*until)(struct world *w))
+{
+	w->until = until;
+	timer_start(&w->poll, 0);
+	loop_run(w->loop);
+	g_assert_true(until(w));
+}
+
+/* A table row or a test waits for this one. */
+static struct call *awaited;
+
+static bool call_done(struct world *w)
+{
+	return awaited->done;
+}
+
+static void call_wait(struct world *w, struct call *call)
+{
+	awaited = call;
+	run_until(w, call_done);
+}
+
+/* Calls, and checks the status (0: cut off) and a part of the body. */
+static char *expect(struct world *w, int server, const char *method,
+		    const char *path, const char *body, int status,
+		    const char *part)
+{
+	struct call call;
+
+	call_start(w, &call, server, method, path, body);
+	call_wait(w, &call);
+	g_test_message("%s %s %s: %d %s", method, path, body ? body : "",
+		       call.status, call.body->str);
+	g_assert_cmpint(call.ok, ==, status != 0);
+	if (status)
+		g_assert_cmpint(call.status, ==, status);
+	if (part)
+		g_assert_nonnull(strstr(call.body->str, part));
+	return g_string_free(call.body, FALSE);
+}
+
+static void check(struct world *w, int server, const char *method,
+		  const char *path, const char *body, int status,
+		  const char *part)
+{
+	g_free(expect(w, server, method, path, body, status, part));
+}
+
+static void handle_entry(void *ctx, struct web_request *request)
+{
+	struct world *w = ctx;
+	struct web_text method = web_request_method(request);
+	struct web_text path = web_request_path(request);
+	struct web_text body = web_request_body(request);
+
+	g_string_append_printf(w->entries, "%.*s %.*s %.*s\n", (int)method.size,
+			       method.data, (int)path.size, path.data,
+			       (int)body.size, body.data);
+	web_reply(request, 200, NULL, "", 0);
+}
+
+static struct engine_model *engine_new(struct clock *clock,
+				       enum engine_role role)
+{
+	const struct engine_params params = {
+		.role = role,
+		.pieces = 100,
+		.piece_tokens = 1000,
+		.slots = 2,
+		.queue = 2,
+		.prefill_tokens_per_s = 1e6,
+		.decode_tokens_per_s = 2000,
+		.kv_bytes_per_token = 1000,
+		.link_bytes_per_s = 1e9,
+		.hold_usec = 30 * USEC_PER_SEC,
+		.checks_fencing = true,
+		.cache_blocks = 4,
+		.time_scale = 1,
+	};
+
+	return engine_create(clock, &params);
+}
+
+static void world_setup(struct world *w, gconstpointer data)
+{
+	static const struct web_limits limits = {
+		.body_bytes = 1 << 20,
+		.connections = 64,
+		.idle_usec = 30 * USEC_PER_SEC,
+		.request_usec = 30 * USEC_PER_SEC,
+	};
+
+	/* A test that hangs ends. */
+	alarm(60);
+	w->clock = clock_create_system();
+	w->loop = loop_create(w->clock);
+	timer_init(&w->poll, w->clock, poll_due, w);
+	w->client = web_client_create(w->loop);
+	for (size_t i = 0; i < G_N_ELEMENTS(w->servers); i++) {
+		w->servers[i] = web_server_create(w->loop, "127.0.0.1:0",
+						  &limits, NULL);
+		g_assert_nonnull(w->servers[i]);
+	}
+	w->p = engine_new(w->clock, ENGINE_PREFILL);
+	w->d = engine_new(w->clock, ENGINE_DECODE);
+	w->faces[0] = engine_http_create(w->p, w->servers[PREFILL], w->client);
+	w->faces[1] = engine_http_create(w->d, w->servers[DECODE], w->client);
+	w->service = service_create(w->clock, w->servers[SERVICE],
+				    1 * USEC_PER_MSEC);
+	w->entries = g_string_new(NULL);
+	web_server_handle(w->servers[PLATFORM], "/instances", handle_entry, w);
+}
+
+static void world_teardown(struct world *w, gconstpointer data)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(w->servers); i++)
+		web_server_destroy(w->servers[i]);
+	engine_destroy(w->p);
+	engine_destroy(w->d);
+	engine_http_destroy(w->faces[0]);
+	engine_http_destroy(w->faces[1]);
+	service_destroy(w->service);
+	web_client_destroy(w->client);
+	loop_destroy(w->loop);
+	clock_destroy(w->clock);
+	g_string_free(w->entries, TRUE);
+}
+
+/* In this order, each answered from the state that those before it left. */
+static const struct {
+	int server;
+	const char *method;
+	const char *path;
+	const char *body;
+	int status;
+	const char *part;
+} rows[] = {
+	{PREFILL, "POST", "/prefill", "", 400, "not a JSON object"},
+	{PREFILL, "POST", "/prefill", "[]", 400, "not a JSON object"},
+	{PREFILL, "POST", "/prefill", "{}", 400, "malformed prefill"},
+	{PREFILL, "POST", "/prefill", "{" JOB "}", 400, "malformed prefill"},
+	{PREFILL, "POST", "/prefill", "{" JOB ", \"prompt\": 5}", 400, NULL},
+	{PREFILL, "POST", "/prefill",
+	 "{" JOB ", \"prompt\": \"a\", \"prompt_tokens\": -1}", 400, NULL},
+	{PREFILL, "POST", "/prefill",
+	 "{" JOB ", \"prompt\": \"a\", \"blocks\": [\"x\"]}", 400, NULL},
+	{PREFILL, "POST", "/decode", "{" JOB "}", 400, "malformed decode"},
+	{PREFILL, "POST", "/decode",
+	 "{" JOB ", \"source\": \"a\", \"handle\": \"b\"}", 503, "\"role\""},
+	{DECODE, "POST", "/prefill", "{" JOB ", \"prompt\": \"a\"}", 503,
+	 "\"refused\":\"role\""},
+	{DECODE, "POST", "/decode",
+	 "{" JOB ", \"source\": \"127.0.0.1:1\", \"handle\": \"b\"}", 200,
+	 "{\"error\": \"the source does not answer\"}"},
+	{DECODE, "GET", "/streams/x?offset=0", NULL, 404, NULL},
+	{DECODE, "GET", "/streams", NULL, 200, "{\"streams\":[]}"},
+	{DECODE, "DELETE", "/streams/x", NULL, 200, "{\"freed\":0}"},
+	{PREFILL, "GET", "/handles/x", NULL, 404, NULL},
+	{PREFILL, "GET", "/handles", NULL, 404, NULL},
+	{PREFILL, "DELETE", "/handles/x", NULL, 200, "{\"dropped\":false}"},
+	{PREFILL, "POST", "/orders", "{}", 400, "malformed order"},
+	{PREFILL, "POST", "/orders", "{\"order\": \"role\"}", 400, NULL},
+	{PREFILL, "POST", "/orders",
+	 "{\"order\": \"load\", \"model\": \"m\", \"fence\": 5}", 200, "{}"},
+	{PREFILL, "POST", "/orders",
+	 "{\"order\": \"role\", \"role\": \"decode\", \"fence\": 4}", 409,
+	 NULL},
+	{PREFILL, "POST", "/faults",
+	 "{\"fault\": \"lose_answer\", \"times\": 1}", 200, NULL},
+	{PREFILL, "POST", "/orders",
+	 "{\"order\": \"load\", \"model\": \"n\", \"fence\": 6}", 0, NULL},
+	{PREFILL, "GET", "/ledger", NULL, 200,
+	 "\"fences\":[5,6],\"refused_fences\":1,\"loaded\":\"n\""},
+	{PREFILL, "GET", "/faults", NULL, 405, NULL},
+	{PREFILL, "POST", "/faults", "{\"fault\": \"x\"}", 400, "unknown"},
+	{PREFILL, "POST", "/faults", "{\"fault\": \"leaving\"}", 200, NULL},
+	{PREFILL, "POST", "/prefill", "{" JOB ", \"prompt\": \"a\"}", 503,
+	 "\"refused\":\"leaving\""},
+	{PREFILL, "GET", "/load", NULL, 200, "\"role\":\"prefill\""},
+	{SERVICE, "PUT", "/a/b?c", "text", 200,
+	 "{\"ran\":1,\"method\":\"PUT\",\"path\":\"/a/b\",\"body\":\"text\"}"},
+	{SERVICE, "POST", "/-/faults",
+	 "{\"fault\": \"lose_answer\", \"times\": 1}", 200, NULL},
+	{SERVICE, "PUT", "/a", NULL, 0, NULL},
+	{SERVICE, "POST", "/-/faults", "{\"fault\": \"fail\", \"times\": 1}",
+	 200, NULL},
+	{SERVICE, "PUT", "/a", NULL, 500, NULL},
+	{SERVICE, "POST", "/-/faults", "{\"fault\": \"refuse\", \"times\": 1}",
+	 200, NULL},
+	{SERVICE, "PUT", "/a", NULL, 503, "\"refused\":\"full\""},
+	{SERVICE, "POST", "/-/faults",
+	 "{\"fault\": \"late_answer\", \"value\": 5, \"times\": 1}", 200, NULL},
+	{SERVICE, "GET", "/", NULL, 200, "{\"ran\":4"},
+	{SERVICE, "GET", "/-/ledger", NULL, 200,
+	 "{\"runs\":4,\"keys\":{\"k\":4}}"},
+	{SERVICE, "POST", "/-/faults", "{\"fault\": \"leaving\"}", 200, NULL},
+	{SERVICE, "GET", "/", NULL, 503, "\"refused\":\"leaving\""},
+	{SERVICE, "GET", "/-/load", NULL, 200,
+	 "{\"leaving\":true,\"running\":0,\"age_ms\":0}"},
+};
+
+static void test_rows(struct world *w, gconstpointer data)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		check(w, rows[i].server, rows[i].method, rows[i].path,
+		      rows[i].body, rows[i].status, rows[i].part);
+}
+
+static char *prefill(struct world *w, const char *prompt)
+{
+	char *body = g_strdup_printf("{" JOB ", \"prompt\": \"%s\"}", prompt);
+	char *answer = expect(w, PREFILL, "POST", "/prefill", body, 200,
+			      "{\"handle\":\"p");
+	char **words = g_strsplit(answer, "\"", 5);
+	char *handle = g_strdup(words[3]);
+
+	g_strfreev(words);
+	g_free(answer);
+	g_free(body);
+	return handle;
+}
+
+/* Starts to decode up to max tokens, from an offset on. */
+static void decode(struct world *w, struct call *call, const char *handle,
+		   unsigned int max, unsigned int from)
+{
+	char *body = g_strdup_printf(
+		"{" JOB ", \"prompt_tokens\": 1, \"output_tokens_max\": %u, "
+		"\"output_from\": %u, \"source\": \"%s\", \"handle\": \"%s\"}",
+		max, from, web_server_address(w->servers[PREFILL]), handle);
+
+	call_start(w, call, DECODE, "POST", "/decode", body);
+	g_free(body);
+}
+
+static void lines_add(GString *lines, const char *prompt, uint32_t from,
+		      uint32_t to)
+{
+	char text[ANSWER_TOKEN_SIZE + 1];
+
+	for (uint32_t k = from; k < to; k++) {
+		answer_token(id_of(prompt), k, text);
+		g_string_append_printf(lines, "{\"o\": %u, \"t\": \"%s\"}\n", k,
+				       text);
+	}
+}
+
+static void test_whole(struct world *w, gconstpointer data)
+{
+	char *handle = prefill(w, "hello #130");
+	GString *lines = g_string_new("{\"started\": true}\n");
+	struct call call;
+
+	decode(w, &call, handle, 200, 3);
+	call_wait(w, &call);
+	lines_add(lines, "hello #130", 3, 130);
+	g_string_append(lines, "{\"end\": \"stop\", \"tokens\": 130}\n");
+	g_assert_true(g_str_has_prefix(call.body->str, "{\"stream\": \"s"));
+	g_assert_cmpstr(strchr(call.body->str, '\n') + 1, ==, lines->str);
+	check(w, DECODE, "GET", "/ledger", NULL, 200,
+	      "\"decodes\":1,\"tokens\":127");
+	check(w, PREFILL, "GET", "/ledger", NULL, 200, "\"wasted_tokens\":0");
+	call_free(&call);
+	g_string_free(lines, TRUE);
+	g_free(handle);
+}
+
+static bool computing(struct world *w)
+{
+	return w->p->computing != NULL;
+}
+
+static bool not_computing(struct world *w)
+{
+	return w->p->computing == NULL;
+}
+
+static void test_prefill_hang_up(struct world *w, gconstpointer data)
+{
+	struct call call;
+
+	call_start(w, &call, PREFILL, "POST", "/prefill",
+		   "{" JOB ", \"prompt\": \"@1000000000 x\"}");
+	run_until(w, computing);
+	web_call_cancel(call.call);
+	run_until(w, not_computing);
+	g_assert_cmpuint(table_count(w->p->prefills), ==, 0);
+	g_assert_cmpuint(engine_tally(w->p, 0xaa)->cancelled, ==, 1);
+	g_assert_cmpuint(w->p->ledger.wasted_tokens, ==,
+			 w->p->ledger.prefill_tokens);
+	call_free(&call);
+}
+
+static bool nothing_held(struct world *w)
+{
+	return table_count(w->p->prefills) == 0;
+}
+
+static bool result_held(struct world *w)
+{
+	return table_count(w->p->prefills) == 1 && !w->p->computing;
+}
+
+/* The answer is late and its caller leaves: nobody knows the result's name. */
+static void test_late_hang_up(struct world *w, gconstpointer data)
+{
+	struct call call;
+
+	check(w, PREFILL, "POST", "/faults",
+	      "{\"fault\": \"late_answer\", \"value\": 60000, \"times\": 1}",
+	      200, NULL);
+	call_start(w, &call, PREFILL, "POST", "/prefill",
+		   "{" JOB ", \"prompt\": \"a b\"}");
+	run_until(w, result_held);
+	web_call_cancel(call.call);
+	run_until(w, nothing_held);
+	g_assert_cmpuint(w->p->ledger.wasted_tokens, ==, 2);
+	call_free(&call);
+}
+
+static struct stream *only_stream(struct world *w)
+{
+	uint32_t cursor = 0;
+	uint64_t handle;
+
+	return table_next(w->d->streams, &cursor, &handle);
+}
+
+static bool stream_runs(struct world *w)
+{
+	struct stream *s = only_stream(w);
+
+	return s && s->offset >= 5;
+}
+
+static bool no_reader(struct world *w)
+{
+	return only_stream(w)->ops == NULL;
+}
+
+static void test_resume(struct world *w, gconstpointer data)
+{
+	char *handle = prefill(w, "long");
+	GString *lines = g_string_new(NULL);
+	struct call first;
+	struct call second;
+	char *path;
+	char *rest;
+
+	decode(w, &first, handle, 200, 0);
+	run_until(w, stream_runs);
+	web_call_cancel(first.call);
+	run_until(w, no_reader);
+	check(w, DECODE, "GET", "/streams", NULL, 200,
+	      "\"request\":\"00000000000000aa\",\"owner\":\"00000000000000bb\","
+	      "\"incarnation\":\"00000000000000cc\",\"attempt\":0,\"pieces\":"
+	      "1");
+	path = g_strdup_printf("/streams/%s?offset=2", only_stream(w)->name);
+	call_start(w, &second, DECODE, "GET", path, NULL);
+	rest = expect(w, DECODE, "GET", path, NULL, 200, NULL);
+	/* The newest reader has it all; the former one was cut off. */
+	call_wait(w, &second);
+	g_assert_false(second.ok);
+	lines_add(lines, "long", 2, 200);
+	g_string_append(lines, "{\"end\": \"length\", \"tokens\": 200}\n");
+	g_assert_cmpstr(rest, ==, lines->str);
+	check(w, DECODE, "GET", path, NULL, 404, NULL);
+	g_free(path);
+	g_free(rest);
+	g_free(handle);
+	g_string_free(lines, TRUE);
+	call_free(&first);
+	call_free(&second);
+}
+
+static void test_cancel(struct world *w, gconstpointer data)
+{
+	char *handle = prefill(w, "long");
+	struct call call;
+	char *path;
+
+	decode(w, &call, handle, 90000, 0);
+	run_until(w, stream_runs);
+	path = g_strdup_printf("/streams/%s", only_stream(w)->name);
+	check(w, DECODE, "POST", "/faults",
+	      "{\"fault\": \"lose_answer\", \"times\": 1}", 200, NULL);
+	check(w, DECODE, "DELETE", path, NULL, 0, NULL);
+	g_assert_cmpuint(w->d->pieces_used, ==, 0);
+	check(w, DECODE, "POST", "/faults",
+	      "{\"fault\": \"late_answer\", \"value\": 5, \"times\": 1}", 200,
+	      NULL);
+	check(w, DECODE, "DELETE", path, NULL, 200, "{\"freed\":0}");
+	call_wait(w, &call);
+	g_assert_false(call.ok);
+	call_free(&call);
+	g_free(path);
+	g_free(handle);
+}
+
+static bool fetch_runs(struct world *w)
+{
+	uint32_t cursor = 0;
+	uint64_t handle;
+	struct prefill *p = table_next(w->p->prefills, &cursor, &handle);
+
+	return p && p->fetches == 1;
+}
+
+static bool fetch_ended(struct world *w)
+{
+	return !fetch_runs(w);
+}
+
+/* A stalled transfer is given up: its source still holds the result. */
+static void test_transfer(struct world *w, gconstpointer data)
+{
+	char *handle = prefill(w, "@10 #2");
+	struct call call;
+	char *path;
+
+	check(w, PREFILL, "POST", "/faults",
+	      "{\"fault\": \"stall_transfer\", \"times\": 1}", 200, NULL);
+	decode(w, &call, handle, 10, 0);
+	run_until(w, fetch_runs);
+	path = g_strdup_printf("/streams/%s", only_stream(w)->name);
+	check(w, DECODE, "DELETE", path, NULL, 200, "{\"freed\":1}");
+	run_until(w, fetch_ended);
+	call_free(&call);
+	decode(w, &call, handle, 10, 0);
+	call_wait(w, &call);
+	g_assert_nonnull(strstr(call.body->str, "\"end\": \"stop\""));
+	g_assert_cmpuint(w->p->ledger.wasted_tokens, ==, 0);
+	call_free(&call);
+	/* Fetched: a third decode finds nothing. */
+	decode(w, &call, handle, 10, 0);
+	call_wait(w, &call);
+	g_assert_nonnull(strstr(call.body->str, "holds no such result"));
+	g_assert_cmpuint(w->d->pieces_used, ==, 0);
+	call_free(&call);
+	g_free(handle);
+	g_free(path);
+}
+
+static void registration_ended(void *ctx)
+{
+	((struct world *)ctx)->ended++;
+}
+
+static bool entry_live(struct world *w)
+{
+	return strstr(w->entries->str, "live") != NULL;
+}
+
+static bool entry_leaving(struct world *w)
+{
+	return strstr(w->entries->str, "leaving") != NULL;
+}
+
+static bool entry_ended(struct world *w)
+{
+	return w->ended > 0;
+}
+
+static void test_register(struct world *w, gconstpointer data)
+{
+	const struct registration_spec spec = {
+		.platform = web_server_address(w->servers[PLATFORM]),
+		.name = "r1",
+		.kind = "runner",
+		.pool = "pool",
+		.data_centre = "norte",
+		.address = "127.0.0.1:7",
+		.incarnation = 0xfe,
+	};
+	struct registration *registration =
+		registration_create(w->loop, w->client, &spec);
+
+	run_until(w, entry_live);
+	registration_leave(registration);
+	run_until(w, entry_leaving);
+	registration_end(registration, registration_ended, w);
+	run_until(w, entry_ended);
+	registration_destroy(registration);
+	g_assert_cmpint(w->ended, ==, 1);
+#define ENTRY                                                                  \
+	"PUT /instances/r1 {\"name\":\"r1\",\"kind\":\"runner\","              \
+	"\"pool\":\"pool\",\"data_centre\":\"norte\","                         \
+	"\"address\":\"127.0.0.1:7\",\"incarnation\":\"00000000000000fe\","    \
+	"\"state\":"
+	g_assert_cmpstr(w->entries->str, ==,
+			ENTRY "\"live\"}\n" ENTRY
+			      "\"leaving\"}\nDELETE /instances/r1 \n");
+}
+
+static const struct {
+	const char *name;
+	void (*run)(struct world *w, gconstpointer data);
+} tests[] = {
+	{"answers", test_rows},
+	{"whole", test_whole},
+	{"prefill_hang_up", test_prefill_hang_up},
+	{"late_hang_up", test_late_hang_up},
+	{"resume", test_resume},
+	{"cancel", test_cancel},
+	{"transfer", test_transfer},
+	{"register", test_register},
+};
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(tests); i++) {
+		char *path = g_strconcat("/standin/http/", tests[i].name, NULL);
+
+		g_test_add(path, struct world, NULL, world_setup, tests[i].run,
+			   world_teardown);
+		g_free(path);
+	}
+	return g_test_run();
+}
