entry: count the TCP segments of links to peers

Control bytes on the wire are payload and headers; the payload was counted, the segments were not. /metrics now asks the kernel (TCP_INFO) for the segments of each link, acknowledgements included, so that 66 bytes a segment can be added. test_peers checks that both directions are counted.

--- a/entry/peer_link.c
+++ b/entry/peer_link.c
@@ -23,10 +23,21 @@
 	g_byte_array_free(link->out, TRUE);
 }
 
+static void segments_count(struct link *link)
+{
+	uint64_t sent;
+	uint64_t received;
+
+	link_segments(link, &sent, &received);
+	link->traffic->segments_sent += sent;
+	link->traffic->segments_received += received;
+}
+
 void link_close(struct link *link)
 {
 	if (link->closed)
 		return;
+	segments_count(link);
 	link->closed = true;
 	timer_stop(&link->timeout);
 	h2o_socket_close(link->socket);
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -169,6 +169,27 @@
 	return ready;
 }
 
+void peers_measure(struct peers *peers)
+{
+	uint64_t all_sent = peers->traffic.segments_sent;
+	uint64_t all_received = peers->traffic.segments_received;
+	GHashTableIter iter;
+	void *key;
+
+	g_hash_table_iter_init(&iter, peers->links);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		uint64_t sent;
+		uint64_t received;
+
+		link_segments(key, &sent, &received);
+		all_sent += sent;
+		all_received += received;
+	}
+	peers->segments_sent->value = (int64_t)all_sent;
+	peers->segments_received->value = (int64_t)all_received;
+	traffic_count(peers);
+}
+
 bool peers_flushed(const struct peers *peers)
 {
 	GHashTableIter iter;
@@ -212,6 +233,14 @@
 					    "Bytes read from peers", NULL);
 	peers->writes = counter_get(set, "jt_peer_writes_total",
 				    "Writes to peers", NULL);
+	peers->segments_sent =
+		counter_get(set, "jt_peer_segments_total",
+			    "TCP segments, acknowledgements included",
+			    "direction=\"sent\"");
+	peers->segments_received =
+		counter_get(set, "jt_peer_segments_total",
+			    "TCP segments, acknowledgements included",
+			    "direction=\"received\"");
 	peers->messages_sent = counter_get(set, "jt_peer_sent_messages_total",
 					   "Messages for peers", NULL);
 	peers->messages_received =
--- a/entry/peers_private.h
+++ b/entry/peers_private.h
@@ -64,6 +64,8 @@
 	struct counter *bytes_sent;
 	struct counter *bytes_received;
 	struct counter *writes;
+	struct counter *segments_sent;
+	struct counter *segments_received;
 	struct counter *messages_sent;
 	struct counter *messages_received;
 	struct counter *connects;
--- a/include/entry/peer_link.h
+++ b/include/entry/peer_link.h
@@ -49,7 +49,9 @@
 struct link_traffic {
 	uint64_t bytes_sent;
 	uint64_t bytes_received;
-	uint64_t writes; /* about one segment each, or more when long */
+	uint64_t writes;
+	uint64_t segments_sent; /* of links closed, acknowledgements included */
+	uint64_t segments_received;
 };
 
 struct link {
@@ -83,6 +85,8 @@
 bool link_writing(const struct link *link);
 /* Takes the bytes of *queue, leaving it an empty array; not while writing. */
 void link_write(struct link *link, GByteArray **queue);
+/* Of a link that is open, acknowledgements included. */
+void link_segments(const struct link *link, uint64_t *sent, uint64_t *received);
 void link_retire(struct link *link);
 void link_close(struct link *link);
 
--- a/include/entry/peers.h
+++ b/include/entry/peers.h
@@ -80,6 +80,9 @@
 struct transport peers_transport(struct peers *peers);
 /* Whether nothing waits to be written to a peer that is linked. */
 bool peers_flushed(const struct peers *peers);
+/* Asks the kernel for the segments of all links and brings the counters up to
+ * date; for whoever prints them. */
+void peers_measure(struct peers *peers);
 /* Links that have seen both hellos. */
 uint32_t peers_links(const struct peers *peers);
 
--- a/tests/entry/test_peers.c
+++ b/tests/entry/test_peers.c
@@ -186,6 +186,14 @@
 	g_assert_cmpint(
 		counted(&world.sides[0], "jt_peer_sent_bytes_total", NULL), ==,
 		counted(&world.sides[1], "jt_peer_received_bytes_total", NULL));
+	/* Handshake, four writes, and what acknowledges them. */
+	peers_measure(world.sides[0].peers);
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_segments_total",
+				"direction=\"sent\""),
+			>=, 4);
+	g_assert_cmpint(counted(&world.sides[0], "jt_peer_segments_total",
+				"direction=\"received\""),
+			>=, 3);
 	g_assert_cmpint(world.sides[0].hellos, ==, 1);
 	g_assert_true(peers_flushed(world.sides[0].peers));
 	world_teardown(&world);
