--- /dev/null
+++ b/scripts/capacity_site.py
@@ -0,0 +1,210 @@
+"""Processes of a site on loopback, for scripts/capacity."""
+
+import json
+import os
+import re
+import signal
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+START_SECONDS = 10
+STOP_SECONDS = 15
+JOIN_SECONDS = 60
+TICKS = os.sysconf("SC_CLK_TCK")
+# Ethernet, IP and TCP with timestamps; loopback carries no Ethernet, but the
+# sites' networks do.
+SEGMENT_HEADER = 66
+
+
+def fetch(address, path, body=None, method=None):
+    """Returns status and body of one HTTP call."""
+    data = body.encode() if isinstance(body, str) else body
+    call = urllib.request.Request(f"http://{address}{path}", data=data,
+                                  method=method)
+    try:
+        with urllib.request.urlopen(call, timeout=15) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+
+
+class Process:
+    """One of our programs, its log in a file."""
+
+    def __init__(self, folder, name, command):
+        self.name = name
+        self.log = os.path.join(folder, f"{name}.log")
+        with open(self.log, "wb") as log:
+            self.child = subprocess.Popen(command, stdout=subprocess.DEVNULL,
+                                          stderr=log,
+                                          stdin=subprocess.DEVNULL)
+
+    def events(self, event):
+        """The log's lines of that event, as dictionaries."""
+        found = []
+        with open(self.log, encoding="utf-8", errors="replace") as log:
+            for line in log:
+                if f" event={event} " in line:
+                    found.append(dict(re.findall(r'(\w+)=("[^"]*"|\S+)',
+                                                 line)))
+        return found
+
+    def address(self, role=None):
+        """Waits for the address that it listens on."""
+        end = time.monotonic() + START_SECONDS
+        while time.monotonic() < end:
+            for line in self.events("listening"):
+                if role is None or line.get("role") == role:
+                    return line["address"]
+            if self.child.poll() is not None:
+                break
+            time.sleep(0.02)
+        raise RuntimeError(f"{self.name} does not listen; see {self.log}")
+
+    def cpu_seconds(self):
+        with open(f"/proc/{self.child.pid}/stat", encoding="ascii") as stat:
+            fields = stat.read().rpartition(")")[2].split()
+        return (int(fields[11]) + int(fields[12])) / TICKS
+
+    def memory(self):
+        """Resident and private bytes."""
+        with open(f"/proc/{self.child.pid}/status", encoding="ascii") as status:
+            found = dict(re.findall(r"^(\w+):\s+(\d+) kB", status.read(),
+                                    re.MULTILINE))
+        return int(found["VmRSS"]) * 1024, int(found["RssAnon"]) * 1024
+
+    def stop(self, number=signal.SIGTERM):
+        if self.child.poll() is None:
+            self.child.send_signal(number)
+
+    def wait(self):
+        try:
+            self.child.wait(STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            self.child.kill()
+            self.child.wait()
+
+
+class Entry(Process):
+    """An instance of jtentry."""
+
+    def __init__(self, folder, build, name, data_centre, platform, arguments):
+        super().__init__(folder, name, [
+            os.path.join(build, "entry", "jtentry"), f"--name={name}",
+            f"--data-centre={data_centre}", "--listen=127.0.0.1:0",
+            "--admin-listen=127.0.0.1:0", "--peer-listen=127.0.0.1:0",
+            f"--platform={platform}", "--drain-delay-ms=0",
+            "--drain-ms=2000"] + arguments)
+        self.data_centre = data_centre
+
+    def ready(self):
+        self.admin = self.address("admin")
+
+    def metrics(self):
+        """Counters by name; series of one name are added up, and kept apart
+        by their labels too."""
+        values = {}
+        for line in fetch(self.admin, "/metrics")[1].splitlines():
+            if line.startswith("#"):
+                continue
+            series, _, value = line.rpartition(" ")
+            name = series.split("{")[0]
+            values[series] = float(value)
+            if name != series:
+                values[name] = values.get(name, 0) + float(value)
+        return values
+
+    def status(self):
+        return json.loads(fetch(self.admin, "/status")[1])
+
+    def sample(self):
+        """What a window is measured by."""
+        values = self.metrics()
+        sent = values["jt_peer_sent_bytes_total"]
+        received = values["jt_peer_received_bytes_total"]
+        out = values['jt_peer_segments_total{direction="sent"}']
+        into = values['jt_peer_segments_total{direction="received"}']
+        return {
+            "cpu": self.cpu_seconds(),
+            "payload": sent + received,
+            "wire_sent": sent + SEGMENT_HEADER * out,
+            "wire_received": received + SEGMENT_HEADER * into,
+            "segments": out + into,
+            "messages": values["jt_peer_sent_messages_total"],
+            "list_bytes": values["jt_list_read_bytes_total"],
+            "polls": values["jt_poll_reads_total"],
+            "links": values["jt_peer_links"],
+            "polled": values["jt_polled_backends"],
+        }
+
+
+class Site:
+    """A platform and instances; ends all of them on leaving."""
+
+    def __init__(self, build, folder, arguments=()):
+        self.build = build
+        self.folder = folder
+        self.arguments = list(arguments)
+        self.entries = []
+        self.others = []
+
+    def __enter__(self):
+        self.platform = self.start("platform", [
+            os.path.join(self.build, "standin", "jtplatform"),
+            "--listen=127.0.0.1:0", "--append-rate=0", "--list-lag-ms=0"])
+        self.platform_address = self.platform.address()
+        return self
+
+    def __exit__(self, *_):
+        everything = self.entries + self.others
+        for process in everything:
+            process.stop()
+        for process in everything:
+            process.wait()
+
+    def start(self, name, command):
+        process = Process(self.folder, name, command)
+        self.others.append(process)
+        return process
+
+    def start_entries(self, count, data_centres):
+        """Starts instances over the data centres in turn; waits until each
+        knows all."""
+        for i in range(count):
+            self.entries.append(Entry(
+                self.folder, self.build, f"e{i:03d}",
+                f"dc{i % data_centres + 1}", self.platform_address,
+                self.arguments))
+        for entry in self.entries:
+            entry.ready()
+        return self.wait_for(lambda entry: self.alive(entry) == count)
+
+    @staticmethod
+    def alive(entry):
+        return sum(member["state"] == "alive"
+                   for member in entry.status()["members"])
+
+    def wait_for(self, holds):
+        """Seconds until the condition holds at each instance."""
+        start = time.monotonic()
+        for entry in self.entries:
+            while not holds(entry):
+                if time.monotonic() - start > JOIN_SECONDS:
+                    raise RuntimeError(f"{entry.name} does not get there")
+                time.sleep(0.1)
+        return time.monotonic() - start
+
+    def put(self, name, item):
+        """Registers what the platform's list is to show."""
+        fetch(self.platform_address, f"/instances/{name}",
+              json.dumps(item), "PUT")
+
+    def apply(self, base, content):
+        """Puts a file in force through the first instance; its revision."""
+        status, body = fetch(self.entries[0].admin,
+                             f"/config?base={base}&author=capacity", content)
+        if status != 200:
+            raise RuntimeError(f"apply: {status} {body}")
+        return json.loads(body)["revision"]
