common, config: keep error texts and files in UTF-8

A file whose refusal quotes a long name with letters beyond ASCII ended the daemon: the text was cut within a character at ERROR_TEXT_MAX, jansson refuses such a string, and the answer was made from a NULL. Every instance that was asked to apply the file went the same way. A file in UTF-16 would have been accepted, with content that no JSON answer can hold.

Ruled out: the log and the fold, which pass the bytes on unharmed.

error_set() and error_prefix() now put '?' for each byte that is not UTF-8, so that no text of an error can do this, whatever quotes it. The parser takes UTF-8 only. jtctl prints '?' for control characters in names and reasons, which could steer the operator's terminal.

--- a/common/error.c
+++ b/common/error.c
@@ -34,6 +34,18 @@
 	return &unknown;
 }
 
+/* Texts go into JSON, which takes UTF-8 only: what a caller sent may be none,
+ * and the cut at the text's end may split a character. */
+static void text_mend(char *text)
+{
+	const char *end;
+
+	while (!g_utf8_validate(text, -1, &end)) {
+		text = (char *)end;
+		*text++ = '?';
+	}
+}
+
 bool error_set(struct error *e, enum result_code code, const char *fmt, ...)
 {
 	va_list args;
@@ -44,6 +56,7 @@
 	va_start(args, fmt);
 	g_vsnprintf(e->text, sizeof(e->text), fmt, args);
 	va_end(args);
+	text_mend(e->text);
 	return false;
 }
 
@@ -62,6 +75,7 @@
 	snprintf(text + used, sizeof(text) - used, ": %s", e->text);
 	memcpy(e->text, text, sizeof(e->text) - 1);
 	e->text[sizeof(e->text) - 1] = '\0';
+	text_mend(e->text);
 	return false;
 }
 
--- a/config/outline.c
+++ b/config/outline.c
@@ -271,6 +271,9 @@
 		return NULL;
 	}
 	yaml_parser_set_input_string(&parser, data, size);
+	/* Else a byte order mark could make it UTF-16, which JSON cannot hold.
+	 */
+	yaml_parser_set_encoding(&parser, YAML_UTF8_ENCODING);
 	scan.path = g_string_new(NULL);
 	ok = scan_run(&scan, &parser);
 	g_string_free(scan.path, TRUE);
--- a/ctl/command_diff.c
+++ b/ctl/command_diff.c
@@ -24,20 +24,24 @@
 	return false;
 }
 
-static void changes_print(FILE *out, const GPtrArray *changes)
+static void change_print(FILE *out, const struct field_change *change)
 {
-	for (guint i = 0; i < changes->len; i++) {
-		const struct field_change *change = changes->pdata[i];
+	g_autofree char *path = print_safe(change->path);
+	g_autofree char *before = print_safe(change->before);
+	g_autofree char *after = print_safe(change->after);
 
-		if (!change->before)
-			fprintf(out, "+ %s: %s\n", change->path, change->after);
-		else if (!change->after)
-			fprintf(out, "- %s: %s\n", change->path,
-				change->before);
-		else
-			fprintf(out, "~ %s: %s -> %s\n", change->path,
-				change->before, change->after);
-	}
+	if (!change->before)
+		fprintf(out, "+ %s: %s\n", path, after);
+	else if (!change->after)
+		fprintf(out, "- %s: %s\n", path, before);
+	else
+		fprintf(out, "~ %s: %s -> %s\n", path, before, after);
+}
+
+static void changes_print(FILE *out, const GPtrArray *changes)
+{
+	for (guint i = 0; i < changes->len; i++)
+		change_print(out, changes->pdata[i]);
 }
 
 static void changes_print_json(FILE *out, const GPtrArray *changes)
--- a/ctl/ctl.c
+++ b/ctl/ctl.c
@@ -11,16 +11,17 @@
 static void error_report(const struct ctl *ctl, bool json,
 			 const struct error *err)
 {
+	g_autofree char *text = print_safe(err->text);
 	json_t *report;
 
 	if (!json) {
 		fprintf(ctl->err, "jtctl: %s: %s\n", result_label(err->code),
-			err->text);
+			text);
 		return;
 	}
 	report = json_pack("{s:{s:i, s:s, s:s, s:s}}", "error", "code",
 			   (int)err->code, "result", result_label(err->code),
-			   "message", err->text, "outcome",
+			   "message", text, "outcome",
 			   outcome_label(result_outcome(err->code)));
 	print_json(ctl->err, report);
 	json_decref(report);
--- a/ctl/print.c
+++ b/ctl/print.c
@@ -16,10 +16,25 @@
 	return columns;
 }
 
+char *print_safe(const char *text)
+{
+	char *safe = g_utf8_make_valid(text ? text : "", -1);
+	GString *out = g_string_new(NULL);
+
+	for (const char *c = safe; *c; c = g_utf8_next_char(c)) {
+		gunichar letter = g_utf8_get_char(c);
+
+		g_string_append_unichar(
+			out, g_unichar_iscntrl(letter) ? '?' : letter);
+	}
+	g_free(safe);
+	return g_string_free(out, FALSE);
+}
+
 void columns_add_row(struct columns *columns, const char *const *row)
 {
 	for (unsigned int i = 0; i < columns->width; i++)
-		g_ptr_array_add(columns->cells, g_strdup(row[i]));
+		g_ptr_array_add(columns->cells, print_safe(row[i]));
 }
 
 static const char *cell(const struct columns *columns, guint i)
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -82,8 +82,9 @@
 	char text[ERROR_TEXT_MAX];
 };
 
-/* Fills e when it is not NULL; always returns false, so callers can return it.
- */
+/* Fills e when it is not NULL; the text is cut at ERROR_TEXT_MAX and is always
+ * UTF-8, with '?' for each byte that is not. Always returns false, so that
+ * callers can return it. */
 bool error_set(struct error *e, enum result_code code, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
--- a/include/ctl/print.h
+++ b/include/ctl/print.h
@@ -18,6 +18,8 @@
 /* Prints all rows, two spaces between columns, and frees the columns. */
 void columns_print(struct columns *columns, FILE *out);
 
+/* A copy with '?' for control characters, which could steer a terminal. */
+char *print_safe(const char *text);
 /* "2026-01-31T12:00:00Z" of microseconds since 1970. */
 char *print_time(int64_t unix_us);
 /* One JSON value, indented, and a line's end. */
--- a/tests/common/test_error.c
+++ b/tests/common/test_error.c
@@ -71,6 +71,24 @@
 			OUTCOME_UNKNOWN);
 }
 
+/* A text that is cut within a character, or was none, stays UTF-8. */
+static void test_utf8(void)
+{
+	char big[2 * ERROR_TEXT_MAX] = "";
+	struct error err;
+
+	for (size_t i = 0; i < sizeof(big) / 2 - 1; i++)
+		g_strlcat(big, "\u00e9", sizeof(big));
+	error_set(&err, RESULT_IO, "%s", big);
+	g_assert_true(g_utf8_validate(err.text, -1, NULL));
+	g_assert_cmpuint(strlen(err.text), ==, ERROR_TEXT_MAX - 1);
+	g_assert_true(g_str_has_suffix(err.text, "\u00e9?"));
+	error_prefix(&err, "ab");
+	g_assert_true(g_utf8_validate(err.text, -1, NULL));
+	error_set(&err, RESULT_IO, "a\xff\xc3z");
+	g_assert_cmpstr(err.text, ==, "a??z");
+}
+
 static void test_text(void)
 {
 	char big[2 * ERROR_TEXT_MAX];
@@ -95,5 +113,6 @@
 	g_test_add_func("/error/doc", test_doc);
 	g_test_add_func("/error/codes", test_codes);
 	g_test_add_func("/error/text", test_text);
+	g_test_add_func("/error/utf8", test_utf8);
 	return g_test_run();
 }
--- a/tests/config/test_refusals.c
+++ b/tests/config/test_refusals.c
@@ -248,6 +248,12 @@
 	g_assert_null(config_parse("f", "site: \0", 7, &err));
 	g_assert_cmpstr(err.text, ==,
 			"f:1:7: control characters are not allowed");
+	/* "a" in UTF-16. */
+	g_assert_null(config_parse("f",
+				   "\xff\xfe"
+				   "a\0",
+				   4, &err));
+	g_assert_cmpstr(err.text, ==, "f:1:1: invalid leading UTF-8 octet");
 	g_assert_null(config_load("/nowhere/f", &err));
 	g_assert_cmpint(err.code, ==, RESULT_IO);
 	g_assert_cmpstr(err.text, ==, "/nowhere/f: No such file or directory");
--- a/tests/ctl/fake_admin.c
+++ b/tests/ctl/fake_admin.c
@@ -15,7 +15,7 @@
 	" \"reason\": \"\", \"size\": 1200},"
 	"{\"revision\": 6, \"base\": 4, \"unix_us\": 1764600060000000,"
 	" \"author\": \"luis\", \"code\": 103, \"result\": \"stale-revision\","
-	" \"reason\": \"based on 4, in force is 5\", \"size\": 1300},"
+	" \"reason\": \"based on 4, \\u001b in force is 5\", \"size\": 1300},"
 	"{\"revision\": 7, \"base\": 5, \"unix_us\": 1764600120000000,"
 	" \"author\": \"ana\", \"code\": 0, \"result\": \"ok\","
 	" \"reason\": \"\", \"size\": 1310}]}";
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -18,8 +18,8 @@
 #define ROOT SOURCE_ROOT "/"
 #define TESTS ROOT "tests/ctl/"
 
-/* In the command line, BASE is a good file, CHANGED an edit of it, BAD a file
- * with a fault, A and B saved reports, SAVED a file to write. */
+/* In the command line, BASE is a good file, CHANGED an edit of it, BAD and
+ * CONTROL files with faults, A and B saved reports, SAVED a file to write. */
 struct session {
 	const char *name;
 	enum fake_mode mode;
@@ -32,6 +32,8 @@
 	{"validate-remote", FAKE_FINE, "validate --remote BASE"},
 	{"validate-bad", FAKE_FINE, "validate BAD"},
 	{"validate-bad-json", FAKE_FINE, "--json validate BAD"},
+	{"validate-control", FAKE_FINE, "validate CONTROL"},
+	{"diff-control", FAKE_FINE, "diff BASE CONTROL"},
 	{"validate-policy", FAKE_FINE, "validate POLICY"},
 	{"validate-missing", FAKE_FINE, "validate /nowhere"},
 	{"apply", FAKE_FINE, "apply --author ana BASE"},
@@ -78,6 +80,7 @@
 	{"BASE", ROOT "tests/config/base.yaml"},
 	{"CHANGED", TESTS "changed.yaml"},
 	{"BAD", TESTS "bad.yaml"},
+	{"CONTROL", TESTS "control.yaml"},
 	{"POLICY", TESTS "policy.yaml"},
 	{"A", TESTS "before.json"},
 	{"B", TESTS "after.json"},
