ctl, entry: refuse an author whom the audit trail cannot show

A change by an author with bytes that are not UTF-8 was accepted and put in force, but GET /history left it out: its JSON could not be made.

A contract test of the admin address is still missing, and records that other programs append to the log are not checked for this.

--- a/ctl/apply.c
+++ b/ctl/apply.c
@@ -2,11 +2,14 @@
 
 #include <glib.h>
 #include <inttypes.h>
+#include <string.h>
 
 #include "ctl/admin.h"
 #include "ctl/file.h"
 #include "ctl/print.h"
 
+#define AUTHOR_MAX 63u
+
 /* Appends who put the revision in force, as far as the audit trail tells. */
 static void stale_explain(struct ctl *ctl, const char *addresses, uint64_t base,
 			  struct error *err)
@@ -74,13 +77,23 @@
 	return true;
 }
 
+/* What the audit trail can hold. */
+static bool author_check(const char *author, struct error *err)
+{
+	if (!author || (*author && strlen(author) <= AUTHOR_MAX &&
+			g_utf8_validate(author, -1, NULL)))
+		return true;
+	return error_set(err, RESULT_USAGE,
+			 "--author: not 1 to %u bytes of UTF-8", AUTHOR_MAX);
+}
+
 bool apply_file(struct ctl *ctl, const struct arguments *args, const char *name,
 		struct apply_result *result, struct error *err)
 {
 	struct file file;
 	bool ok;
 
-	if (!file_read(&file, name, err))
+	if (!author_check(args->author, err) || !file_read(&file, name, err))
 		return false;
 	ok = base_find(ctl, args, &result->base, err) &&
 	     send_file(ctl, args, &file, result, err);
--- a/entry/admin.c
+++ b/entry/admin.c
@@ -200,7 +200,7 @@
 
 	if (!base_parse(request, &base) ||
 	    !web_request_param(request, "author", author, sizeof(author)) ||
-	    author[0] == '\0') {
+	    author[0] == '\0' || !g_utf8_validate(author, -1, NULL)) {
 		reply_result(request, RESULT_BAD_REQUEST, 0,
 			     "base=N and author=NAME are needed");
 		return;
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -38,6 +38,10 @@
 	{"validate-missing", FAKE_FINE, "validate /nowhere"},
 	{"apply", FAKE_FINE, "apply --author ana BASE"},
 	{"apply-base", FAKE_FINE, "apply --base 7 --author a&b BASE"},
+	{"apply-author", FAKE_FINE,
+	 "apply --author "
+	 "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa "
+	 "BASE"},
 	{"apply-first", FAKE_EMPTY, "apply BASE"},
 	{"apply-json", FAKE_FINE, "apply --json BASE"},
 	{"apply-stale", FAKE_STALE, "apply --base 5 BASE"},
