--- /dev/null
+++ b/examples/embed.c
@@ -0,0 +1,186 @@
+/*
+ * embed.c - two instances that use the coordination library, in one process
+ *
+ * DESCRIPTION
+ *	What an embedder has to bring is a clock, a transport between instances
+ *	and the platform's log. Here the transport is a queue and the log an
+ *	array (memory_log.c); a daemon would put sockets in their place, and
+ *	call clock_follow() once a turn of its loop, not clock_advance().
+ *	The instances find each other, claim the same key, and one of them
+ *	takes a lease.
+ */
+#include <glib.h>
+#include <stdio.h>
+
+#include "common/clock.h"
+#include "common/log.h"
+#include "coord/claim.h"
+#include "coord/lease.h"
+#include "coord/member.h"
+#include "memory_log.h"
+
+#define INSTANCES 2
+#define RUN_USEC (5 * USEC_PER_SEC)
+#define BOOKING 42   /* the key of a request that may run once */
+#define LOAD_MODEL 7 /* a task that one instance at a time may do */
+
+struct instance {
+	struct member self;
+	struct membership *membership;
+	struct claims *claims;
+	struct leases *leases;
+};
+
+/* A message under way. */
+struct message {
+	struct instance *from;
+	uint64_t to;
+	enum channel channel;
+	GBytes *payload;
+};
+
+static struct clock *time_now;
+static struct instance instances[INSTANCES];
+static struct memory_log *records;
+static GQueue messages = G_QUEUE_INIT;
+
+/* The transport: never delivers within send(). */
+static void message_send(void *ctx, uint64_t to, enum channel channel,
+			 const void *payload, size_t size)
+{
+	struct message *message = g_new0(struct message, 1);
+
+	*message =
+		(struct message){ctx, to, channel, g_bytes_new(payload, size)};
+	g_queue_push_tail(&messages, message);
+}
+
+static void message_deliver(const struct message *message)
+{
+	uint64_t from = message->from->self.id;
+	size_t size;
+	const void *data = g_bytes_get_data(message->payload, &size);
+
+	for (int i = 0; i < INSTANCES; i++) {
+		if (instances[i].self.id != message->to)
+			continue;
+		if (message->channel == CHANNEL_MEMBER)
+			membership_receive(instances[i].membership, from, data,
+					   size);
+		else if (message->channel == CHANNEL_CLAIM)
+			claims_receive(instances[i].claims, from, data, size);
+	}
+}
+
+/* What the modules say. */
+static void member_changed(void *ctx, const struct member *member,
+			   const enum member_state *old)
+{
+	struct instance *instance = ctx;
+
+	if (instance->claims)
+		claims_member(instance->claims, member);
+}
+
+static void claim_answered(void *ctx, uint64_t request, enum result_code code,
+			   const struct owner *winner)
+{
+	const struct instance *instance = ctx;
+
+	printf("%s: request %d: %s\n", instance->self.name, (int)request,
+	       result_label(code));
+}
+
+static void lease_taken(void *ctx, uint64_t task, uint64_t fence)
+{
+	const struct instance *instance = ctx;
+
+	printf("%s: holds task %d, fencing number %d\n", instance->self.name,
+	       (int)task, (int)fence);
+}
+
+static void lease_lost(void *ctx, uint64_t task)
+{
+	const struct instance *instance = ctx;
+
+	printf("%s: lost task %d\n", instance->self.name, (int)task);
+}
+
+static void instance_create(struct instance *instance, const char *name)
+{
+	static const struct membership_ops member_ops = {
+		.changed = member_changed};
+	static const struct lease_ops lease_ops = {lease_taken, lease_lost};
+	const struct log_store store = memory_log_store(records);
+	struct transport transport = {message_send, instance};
+	struct member *self = &instance->self;
+
+	g_snprintf(self->name, sizeof(self->name), "%s", name);
+	g_snprintf(self->data_centre, sizeof(self->data_centre), "hall-a");
+	self->id = id_of(name);
+	self->incarnation = (uint64_t)clock_unix(time_now);
+	instance->membership = membership_create(
+		time_now, self, NULL, &transport, &member_ops, instance);
+	instance->claims = claims_create(time_now, instance->membership, &store,
+					 &transport, claim_answered, instance);
+	instance->leases = leases_create(
+		time_now, &(struct owner){self->id, self->incarnation}, &store,
+		&lease_ops, instance);
+}
+
+/* One turn a millisecond: messages first, then timers. */
+static void run(int64_t usec)
+{
+	int64_t end = clock_now(time_now) + usec;
+
+	while (clock_now(time_now) < end) {
+		struct message *message = g_queue_pop_head(&messages);
+
+		for (; message; message = g_queue_pop_head(&messages)) {
+			message_deliver(message);
+			g_bytes_unref(message->payload);
+			g_free(message);
+		}
+		clock_advance(time_now, clock_now(time_now) + USEC_PER_MSEC);
+	}
+}
+
+static void instances_destroy(void)
+{
+	for (int i = 0; i < INSTANCES; i++) {
+		leases_destroy(instances[i].leases);
+		claims_destroy(instances[i].claims);
+		membership_destroy(instances[i].membership);
+	}
+	run(USEC_PER_SEC); /* the log's last answers come to nobody */
+}
+
+int main(void)
+{
+	log_setup(NULL, "embed", LOG_ERR);
+	time_now = clock_create(1700000000 * USEC_PER_SEC);
+	records = memory_log_create(time_now);
+	instance_create(&instances[0], "first");
+	instance_create(&instances[1], "second");
+	/* The platform's list names one to the other. */
+	membership_hint(instances[0].membership, &instances[1].self);
+	for (int i = 0; i < INSTANCES; i++) {
+		membership_start(instances[i].membership);
+		claims_start(instances[i].claims);
+	}
+	run(RUN_USEC);
+
+	claims_take(instances[0].claims, 1, BOOKING, USEC_PER_SEC);
+	run(RUN_USEC);
+	claims_take(instances[1].claims, 2, BOOKING, USEC_PER_SEC);
+	lease_want(instances[0].leases, LOAD_MODEL);
+	run(RUN_USEC);
+	lease_want(instances[1].leases, LOAD_MODEL);
+	lease_give_up(instances[0].leases, LOAD_MODEL);
+	run(RUN_USEC);
+
+	instances_destroy();
+	memory_log_destroy(records);
+	clock_destroy(time_now);
+	return 0;
+}
--- /dev/null
+++ b/tests/coord/test_embed.c
@@ -0,0 +1,25 @@
+/* The worked example prints what its golden file says. */
+#include <glib.h>
+
+static void test_embed(void)
+{
+	char *argv[] = {EMBED_PROGRAM, NULL};
+	char *out = NULL, *want = NULL;
+	int status = -1;
+
+	g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL,
+				   NULL, &out, NULL, &status, NULL));
+	g_assert_cmpint(status, ==, 0);
+	g_assert_true(g_file_get_contents(SOURCE_ROOT "/examples/embed.golden",
+					  &want, NULL, NULL));
+	g_assert_cmpstr(out, ==, want);
+	g_free(want);
+	g_free(out);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/embed/golden", test_embed);
+	return g_test_run();
+}
