--- a/tests/common/test_unpack.c
+++ b/tests/common/test_unpack.c
@@ -125,10 +125,39 @@
 	}
 }
 
+/* The most address space that this process has had, in kilobytes. */
+static uint64_t address_space_peak(void)
+{
+	char *text = NULL;
+	const char *line;
+	uint64_t peak;
+
+	g_assert_true(
+		g_file_get_contents("/proc/self/status", &text, NULL, NULL));
+	line = strstr(text, "VmPeak:");
+	g_assert_nonnull(line);
+	peak = g_ascii_strtoull(line + strlen("VmPeak:"), NULL, 10);
+	g_free(text);
+	return peak;
+}
+
+/* Five bytes that ask for 1.6 GB get nothing. */
+static void test_allocates_nothing(void)
+{
+	uint64_t before = address_space_peak();
+	msgpack_unpacked result;
+
+	msgpack_unpacked_init(&result);
+	g_assert_false(message_unpack(&result, BYTES("\xdd\4\0\0\0"), NULL));
+	msgpack_unpacked_destroy(&result);
+	g_assert_cmpuint(address_space_peak() - before, <, 100000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/unpack/values", test_values);
 	g_test_add_func("/unpack/packed", test_packed);
+	g_test_add_func("/unpack/allocates_nothing", test_allocates_nothing);
 	return g_test_run();
 }
--- a/tests/coord/test_claim.c
+++ b/tests/coord/test_claim.c
@@ -2,6 +2,7 @@
  * the log. Instances 0 to 2 are in one data centre, 3 to 5 in the other. */
 #include <string.h>
 
+#include "claim_codec.h"
 #include "claim_fleet.h"
 #include "common/log.h"
 
@@ -279,6 +280,48 @@
 	fleet_destroy(fleet);
 }
 
+static void ask_deliver(struct fleet *fleet, uint32_t writer, uint64_t attempt)
+{
+	struct claim_message message = {
+		.kind = CLAIM_MESSAGE_ASK,
+		.request = 9,
+		.incarnation = 1,
+		.attempt = attempt,
+		.key = KEY,
+		.patience = 200 * USEC_PER_MSEC,
+	};
+	msgpack_sbuffer buffer;
+
+	msgpack_sbuffer_init(&buffer);
+	claim_message_pack(&buffer, &message);
+	claims_receive(fleet->instances[writer].claims, fleet->members[4].id,
+		       buffer.data, buffer.size);
+	msgpack_sbuffer_destroy(&buffer);
+}
+
+/* When a writer has said that nothing was appended, a late copy of the same
+ * ask must not make it untrue; a new ask is another matter. */
+static void test_late_copies(void)
+{
+	struct fleet *fleet = fleet_ready(8);
+	const GPtrArray *records =
+		fake_log_records(fleet->log, LOG_STREAM_CLAIMS);
+	uint32_t writer = fleet_writer(fleet, 0, 0);
+
+	fleet->log->outage = true;
+	ask_deliver(fleet, writer, 1);
+	fleet_run(fleet, USEC_PER_SEC);
+	fleet->log->outage = false;
+	fleet_run(fleet, 10 * USEC_PER_SEC);
+	ask_deliver(fleet, writer, 1);
+	fleet_run(fleet, USEC_PER_SEC);
+	g_assert_cmpuint(records->len, ==, 0);
+	ask_deliver(fleet, writer, 2);
+	fleet_run(fleet, USEC_PER_SEC);
+	g_assert_cmpuint(records->len, ==, 1);
+	fleet_destroy(fleet);
+}
+
 /* A request given twice is answered once; one with no time at all, soon. */
 static void test_bad_calls(void)
 {
@@ -332,6 +375,7 @@
 	g_test_add_func("/claim/append_rate", test_append_rate);
 	g_test_add_func("/claim/late_writers", test_late_writers);
 	g_test_add_func("/claim/behind", test_behind);
+	g_test_add_func("/claim/late_copies", test_late_copies);
 	g_test_add_func("/claim/bad_calls", test_bad_calls);
 	g_test_add_func("/claim/garbage", test_garbage);
 	return g_test_run();
--- /dev/null
+++ b/tests/coord/test_lease_schedules.c
@@ -0,0 +1,137 @@
+/*
+ * Random schedules of leases under faults, checked at every step as
+ * lease_trial.h says. LEASE_SEED runs one schedule, LEASE_COUNT another number
+ * than 1,000.
+ */
+#include <stdlib.h>
+
+#include "common/log.h"
+#include "lease_trial.h"
+
+#define STEPS 10000 /* 50 s */
+
+static bool strikes(struct world *world, double per_thousand)
+{
+	return g_rand_double(world->rand) * 1000.0 < per_thousand;
+}
+
+static void holder_faults(struct holder *holder, double rate)
+{
+	struct world *world = holder->trial->world;
+
+	if (!holder->leases) {
+		if (strikes(world, 2))
+			holder_start(holder);
+		return;
+	}
+	if (strikes(world, rate / 3)) {
+		holder_kill(holder);
+		return;
+	}
+	if (strikes(world, rate))
+		holder->node->paused = true;
+	else if (strikes(world, 0.5))
+		holder->node->paused = false;
+	if (holder->node->paused || !strikes(world, rate / 3))
+		return;
+	if (holder->wants)
+		holder_give_up(holder);
+	else
+		holder_want(holder);
+}
+
+static void trial_faults(struct trial *trial, double rate)
+{
+	for (uint32_t i = 0; i < HOLDERS; i++)
+		holder_faults(&trial->holders[i], rate);
+	if (strikes(trial->world, rate / 5))
+		trial->log->outage = true;
+	else if (strikes(trial->world, 0.5))
+		trial->log->outage = false;
+	if (strikes(trial->world, rate / 5))
+		trial->log->retention =
+			1 + world_draw(trial->world, 20 * USEC_PER_SEC);
+}
+
+/* Whoever wants the task takes it again once all is well. */
+static void trial_heal(struct trial *trial)
+{
+	trial->log->outage = false;
+	trial->log->delay = 10 * USEC_PER_MSEC;
+	trial->log->lost_percent = 0;
+	trial->log->retention = 0;
+	for (uint32_t i = 0; i < HOLDERS; i++) {
+		struct holder *holder = &trial->holders[i];
+
+		holder->node->paused = false;
+		if (!holder->leases)
+			holder_start(holder);
+		if (!holder->wants)
+			holder_want(holder);
+	}
+	trial_run(trial, 40 * USEC_PER_SEC);
+	g_assert_cmpint(trial_check(trial, NULL), ==, 1);
+}
+
+static int schedule_run(uint32_t seed, int64_t *refused)
+{
+	struct trial *trial = trial_create(seed);
+	struct world *world = trial->world;
+	double rate = g_rand_double_range(world->rand, 0.0, 1.0);
+	int taken;
+
+	trial->engine.checks = seed % 2;
+	trial->log->delay = 1 + world_draw(world, 400 * USEC_PER_MSEC);
+	if (seed % 4 == 0)
+		trial->log->delay = 4 * USEC_PER_SEC;
+	trial->log->lost_percent = (int)world_draw(world, 70);
+	world->stale_percent = 50;
+	for (uint32_t i = 0; i < HOLDERS; i++) {
+		trial->holders[i].node->rate =
+			g_rand_double_range(world->rand, 0.95, 1.05);
+		holder_start(&trial->holders[i]);
+	}
+	for (int step = 0; step < STEPS; step++) {
+		trial_faults(trial, rate);
+		trial_step(trial);
+	}
+	trial_heal(trial);
+	taken = trial->taken;
+	*refused += trial->engine.refused;
+	trial_destroy(trial);
+	return taken;
+}
+
+static uint32_t environment(const char *name, uint32_t otherwise)
+{
+	const char *text = getenv(name);
+
+	return text ? (uint32_t)g_ascii_strtoull(text, NULL, 10) : otherwise;
+}
+
+static void test_schedules(void)
+{
+	uint32_t first = environment("LEASE_SEED", 0);
+	uint32_t count = environment("LEASE_COUNT", first ? 1 : 1000);
+	int64_t refused = 0;
+	int taken = 0;
+
+	for (uint32_t seed = first; seed < first + count; seed++) {
+		g_test_message("seed %u", seed);
+		taken += schedule_run(seed, &refused);
+	}
+	g_test_message("%u schedules, %d times taken, %" G_GINT64_FORMAT
+		       " late orders refused",
+		       count, taken, refused);
+	/* The schedules must bring about what they are for. */
+	g_assert_cmpint(taken, >=, 2 * (int)count);
+	g_assert_cmpint(refused, >=, (int)count / 100);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, NULL, LOG_CRIT);
+	g_test_add_func("/lease_schedules/random", test_schedules);
+	return g_test_run();
+}
