coord: hold the ledger's contract at every point of a request's life

Each failure has to have a known end at each step, and a retry of the key has to meet what is true. An idempotent request that ended unknown leaves no record, so a retry runs.

--- a/coord/ledger.c
+++ b/coord/ledger.c
@@ -163,6 +163,8 @@
 		cell_rehome(cell);
 		if (reborn && cell->home == home && !cell->is_home)
 			announce_start(cell);
+		if (member->state == MEMBER_DEAD)
+			cell_member_died(cell, member);
 		if (cell->is_home && cell->settled)
 			home_bury(cell);
 		cell_settle_check(cell);
--- a/coord/ledger_cell.c
+++ b/coord/ledger_cell.c
@@ -166,6 +166,12 @@
 	       announcer->incarnation >= member->incarnation;
 }
 
+void cell_member_died(struct cell *cell, const struct member *member)
+{
+	if (cell->is_home && !heard(cell, member))
+		runners_doubt(cell);
+}
+
 void cell_settle_check(struct cell *cell)
 {
 	const struct member *member;
--- a/coord/ledger_grant.c
+++ b/coord/ledger_grant.c
@@ -220,6 +220,12 @@
 	}
 }
 
+void grant_end(struct grant *grant)
+{
+	grant_unhash(grant);
+	grant_close(grant, grant_unknown_state(grant));
+}
+
 void grant_learn_stream(struct grant *grant, const char *stream)
 {
 	struct record *record = grant->record;
--- a/coord/ledger_handover.c
+++ b/coord/ledger_handover.c
@@ -350,6 +350,10 @@
 			grant_find(cell, &name->owner, name->request);
 		struct record *record = grant->record;
 
+		if (grant->stream[0] != '\0') {
+			grant_end(grant);
+			continue;
+		}
 		grant_free(grant);
 		if (record != NULL)
 			record_end(record, RECORD_REMOVED);
--- a/coord/ledger_home.c
+++ b/coord/ledger_home.c
@@ -239,13 +239,6 @@
 		grant_close(grant, RECORD_REMOVED);
 }
 
-/* The request ended while it was asked for again, and the ask never came. */
-static void former_given_up(struct grant *grant)
-{
-	grant_unhash(grant);
-	grant_close(grant, grant_unknown_state(grant));
-}
-
 static void ask_take(struct cell *cell, const struct owner *owner,
 		     const struct ask *ask, struct service *service)
 {
@@ -260,6 +253,8 @@
 				waiting->holder.attempt);
 		return;
 	}
+	if (grant != NULL && grant->state != GRANT_HELD)
+		return;
 	if (grant != NULL && ask->attempt <= grant->holder.attempt) {
 		if (ask->attempt == grant->holder.attempt || grant->adopted)
 			grant_send(grant);
@@ -326,31 +321,36 @@
 {
 	if (reason == RELEASE_DONE)
 		return RECORD_DONE;
-	if (reason == RELEASE_FAILED)
-		return RECORD_FAILED;
-	if (reason == RELEASE_CANCELLED)
+	if (reason == RELEASE_FAILED || reason == RELEASE_CANCELLED)
 		return grant_unknown_state(grant);
 	return RECORD_REMOVED;
 }
 
+/* Whether the engine may hold a stream for it all the same: an adopted one ran
+ * before its new holder knew of it. */
+static bool may_run(const struct grant *grant, uint32_t reason)
+{
+	if (grant->decode == RUNNER_NONE)
+		return false;
+	if (reason == RELEASE_NOT_RUN || reason == RELEASE_WITHDRAWN)
+		return grant->stream[0] != '\0';
+	return reason == RELEASE_FAILED;
+}
+
 static void grant_released(struct grant *grant, uint32_t reason)
 {
 	struct record *record = grant->record;
 	uint32_t state = released_state(grant, reason);
 
-	if (grant->state == GRANT_CLOSING && reason == RELEASE_FAILED)
+	if (grant->state == GRANT_CLOSING && may_run(grant, reason))
 		return;
 	if (reason == RELEASE_DONE)
 		observe_hold(grant->cell, grant);
-	if (reason == RELEASE_FAILED && grant->decode != RUNNER_NONE) {
-		grant->record = NULL;
-		if (record != NULL)
-			record->grant = NULL;
-		grant_unhash(grant);
-		grant_close(grant, RECORD_REMOVED);
-	} else {
-		grant_free(grant);
+	if (may_run(grant, reason)) {
+		grant_end(grant);
+		return;
 	}
+	grant_free(grant);
 	if (record != NULL)
 		record_end(record, state);
 }
@@ -420,7 +420,7 @@
 	if (grant != NULL && grant->holder.attempt == attempt)
 		grant_released(grant, reason);
 	else if (grant != NULL && grant->holder.attempt < attempt)
-		former_given_up(grant);
+		grant_end(grant); /* the ask for the next never came */
 	else if (grant == NULL && key != 0)
 		record_released(cell, &owner, request, reason, key, fingerprint,
 				service);
--- a/coord/ledger_orphan.c
+++ b/coord/ledger_orphan.c
@@ -23,7 +23,8 @@
 	return grant_of_tag(cell, index, &tag);
 }
 
-/* A copied record may know the stream's request though no grant does. */
+/* A copied record may know the request of a dead owner's stream though no grant
+ * does. */
 static struct grant *grant_of_record(struct cell *cell, uint32_t index,
 				     const struct ledger_stream *stream)
 {
@@ -54,13 +55,12 @@
 		entry.idempotent = record->idempotent;
 		break;
 	}
-	if (entry.key == 0 ||
+	if (entry.key == 0 || owner_alive(cell->ledger, &stream->owner) ||
 	    grant_find(cell, &stream->owner, stream->request) != NULL)
 		return NULL;
 	grant = grant_from_entry(cell, &entry);
 	grant_learn_stream(grant, stream->stream);
-	if (!owner_alive(cell->ledger, &stream->owner))
-		grant_orphan(grant);
+	grant_orphan(grant);
 	return grant;
 }
 
--- a/coord/ledger_parts.h
+++ b/coord/ledger_parts.h
@@ -28,6 +28,8 @@
 void cell_rehome(struct cell *cell);
 /* Ends the settling when all live members were heard. */
 void cell_settle_check(struct cell *cell);
+/* A member died. What it held is unknown if it never announced it here. */
+void cell_member_died(struct cell *cell, const struct member *member);
 /* Lets the queue be looked at in the next turn. */
 void cell_wake(struct cell *cell);
 struct service *service_find(const struct ledger *ledger, uint32_t id);
@@ -50,6 +52,8 @@
 void runner_refresh(struct cell *cell, uint32_t index);
 void runner_report(struct cell *cell, uint32_t index,
 		   const struct ledger_report *report);
+/* Reports from before now prove nothing any more. */
+void runners_doubt(struct cell *cell);
 /* Forgets what only the home knows. */
 void runners_reset(struct cell *cell);
 void runner_destroy(void *runner);
@@ -74,6 +78,8 @@
 /* Ends it on the engine; its memory counts as held until that is known.
  * record_state is what the key's record becomes then. */
 void grant_close(struct grant *grant, uint32_t record_state);
+/* Its holder is done with it, and the engine may not be. */
+void grant_end(struct grant *grant);
 /* What its record becomes when nobody knows how it ended. */
 uint32_t grant_unknown_state(const struct grant *grant);
 void grant_learn_stream(struct grant *grant, const char *stream);
--- a/coord/ledger_runner.c
+++ b/coord/ledger_runner.c
@@ -305,6 +305,19 @@
 	runner_refresh(cell, index);
 }
 
+void runners_doubt(struct cell *cell)
+{
+	for (guint i = 0; i < cell->runners->len; i++) {
+		struct runner *runner = runner_at(cell, i);
+
+		runner->listed = false;
+		runner->skip_report = true;
+		runner->skip_listing = true;
+		runner_view(cell, i)->reported_at = 0;
+		runner_refresh(cell, i);
+	}
+}
+
 void runners_reset(struct cell *cell)
 {
 	for (guint i = 0; i < cell->runners->len; i++) {
--- a/coord/ledger_view.c
+++ b/coord/ledger_view.c
@@ -204,6 +204,7 @@
 		uint32_t index = runner_index(cell, waiting->avoid[i]);
 
 		if (index == RUNNER_NONE || !runner_view(cell, index)->usable ||
+		    view->now >= waiting->avoid_until ||
 		    !other_usable(cell, index))
 			continue;
 		runner_view(cell, index)->usable = false;
@@ -212,8 +213,11 @@
 	verdict = ledger->policy->place(ledger->policy_state, view,
 					&waiting->need, placement);
 	for (int i = 0; i < 2; i++) {
-		if (hidden[i] != RUNNER_NONE)
-			runner_refresh(cell, hidden[i]);
+		if (hidden[i] == RUNNER_NONE)
+			continue;
+		runner_refresh(cell, hidden[i]);
+		placement->again_at =
+			MIN(placement->again_at, waiting->avoid_until);
 	}
 	return verdict;
 }
--- a/tests/ledger/app.c
+++ b/tests/ledger/app.c
@@ -3,6 +3,7 @@
 
 #define PREFILL_USEC (20 * USEC_PER_MSEC)
 #define CANCEL_USEC (10 * USEC_PER_MSEC)
+#define WAKE_USEC (5 * USEC_PER_MSEC)
 
 static void job_timer(struct timer *timer, void *ctx);
 
@@ -30,36 +31,45 @@
 	job->state = state;
 }
 
-struct job *app_ask(struct world *world, int index, uint64_t key,
-		    enum request_class class, uint32_t tokens, int64_t work)
+static struct ledger_request request_of(struct instance *instance,
+					const struct spec *spec)
 {
-	struct instance *instance = &world->instances[index];
-	struct job *job = g_new0(struct job, 1);
-	struct ledger_request request = {
-		.request = ++world->next_request,
-		.service = "model",
-		.key = key,
-		.fingerprint = key * 3,
-		.idempotent = true,
-		.need = {.class = class,
-			 .arrived = clock_now(instance->clock),
-			 .deadline = CLOCK_NEVER,
+	uint32_t tokens = spec->tokens != 0 ? spec->tokens : 4000;
+	int64_t now = clock_now(instance->clock);
+
+	return (struct ledger_request){
+		.request = ++instance->world->next_request,
+		.service = spec->service != NULL ? spec->service : "model",
+		.key = spec->key,
+		.fingerprint = spec->fingerprint,
+		.idempotent = !spec->not_idempotent,
+		.need = {.class = spec->class,
+			 .arrived = now,
+			 .deadline = spec->timeout != 0 ? now + spec->timeout
+							: CLOCK_NEVER,
 			 .first_token_by = CLOCK_NEVER,
 			 .prompt_tokens = tokens / 2,
 			 .output_tokens_max = tokens - tokens / 2,
-			 .block_count = 1,
-			 .blocks = {key + 1}},
+			 .block_count = spec->block != 0,
+			 .blocks = {spec->block}},
 	};
+}
+
+struct job *app_ask(struct world *world, int index, const struct spec *spec)
+{
+	struct instance *instance = &world->instances[index];
+	struct job *job = g_new0(struct job, 1);
+	struct ledger_request request = request_of(instance, spec);
 
 	job->world = world;
 	job->instance = instance;
 	job->request = request.request;
 	job->incarnation = membership_self(instance->membership)->incarnation;
-	job->key = key;
-	job->class = class;
+	job->key = spec->key;
+	job->class = spec->class;
 	job->asked_at = clock_now(world->clock);
-	job->work = work;
-	timer_init(&job->timer, instance->clock, job_timer, job);
+	job->work = spec->work != 0 ? spec->work : 100 * USEC_PER_MSEC;
+	timer_init(&job->timer, world->clock, job_timer, job);
 	g_ptr_array_add(world->jobs, job);
 	ledger_ask(instance->ledger, &request);
 	return job;
@@ -194,7 +204,7 @@
 
 static void end_cancel(struct job *job, struct engine *engine)
 {
-	if (world_chance(job->world, job->world->lose)) {
+	if (engine->deaf || world_chance(job->world, job->world->lose)) {
 		timer_start(&job->timer, CANCEL_USEC);
 		return;
 	}
@@ -208,6 +218,10 @@
 	struct job *job = ctx;
 	struct engine *engine = engine_find(job->world, job->grant.decode);
 
+	if (job->instance->paused) {
+		timer_start(timer, WAKE_USEC);
+		return;
+	}
 	if (job->state == JOB_PREFILL && engine != NULL) {
 		start_decode(job, engine);
 	} else if (job->state == JOB_PREFILL) {
--- a/tests/ledger/test_path.c
+++ b/tests/ledger/test_path.c
@@ -24,7 +24,7 @@
 	struct job *job;
 
 	begin("reserve", 100);
-	job = app_ask(world, 0, 0, CLASS_URGENT, 4000, 100 * USEC_PER_MSEC);
+	job = app_ask(world, 0, &(struct spec){.key = 0});
 	world_run(world, 50 * USEC_PER_MSEC);
 	g_assert_cmpint(job->state, ==, JOB_DECODE);
 	g_assert_cmpuint(job->grant.pieces, ==, 2);
--- a/tests/ledger/test_schedules.c
+++ b/tests/ledger/test_schedules.c
@@ -50,17 +50,18 @@
 	struct act act = *(struct act *)data;
 	struct world *world = act.world;
 	struct instance *instance = &world->instances[act.index];
-	uint64_t key = world_chance(world, 0.4)
-			       ? (uint64_t)world_range(world, 1, 12)
-			       : 0;
-	enum request_class class =
-		world_chance(world, 0.5) ? CLASS_URGENT : CLASS_DEFERRABLE;
+	struct spec spec = {.class = world_chance(world, 0.5)
+					     ? CLASS_URGENT
+					     : CLASS_DEFERRABLE,
+			    .tokens = (uint32_t)world_range(world, 100, 16000),
+			    .work = world_range(world, 20, 400) * USEC_PER_MSEC,
+			    .block = (uint64_t)world_range(world, 1, 6)};
 
 	if (!instance->up || instance->paused)
 		return;
-	act.job = app_ask(world, act.index, key, class,
-			  (uint32_t)world_range(world, 100, 16000),
-			  world_range(world, 20, 400) * USEC_PER_MSEC);
+	if (world_chance(world, 0.4))
+		spec.key = (uint64_t)world_range(world, 1, 12);
+	act.job = app_ask(world, act.index, &spec);
 	act.job->adopt = world_chance(world, 0.5);
 	if (world_chance(world, 0.1))
 		act.job->fail_times = 1;
--- a/tests/ledger/world.h
+++ b/tests/ledger/world.h
@@ -30,6 +30,19 @@
 	JOB_LOST, /* its instance died */
 };
 
+/* What a caller asks for; zeros take the defaults. */
+struct spec {
+	const char *service; /* default "model" */
+	uint64_t key;
+	uint64_t fingerprint;
+	enum request_class class;
+	uint32_t tokens; /* default 4,000: two pieces */
+	int64_t work;	 /* of decode; default 100 ms */
+	int64_t timeout; /* to the deadline; 0: none */
+	uint64_t block;	 /* first block of the prompt; 0: none */
+	bool not_idempotent;
+};
+
 /* A request of a caller at one instance. */
 struct job {
 	struct world *world;
@@ -161,8 +174,7 @@
 
 /* app.c: what the daemon does with a request. */
 extern const struct ledger_ops app_ops;
-struct job *app_ask(struct world *world, int index, uint64_t key,
-		    enum request_class class, uint32_t tokens, int64_t work);
+struct job *app_ask(struct world *world, int index, const struct spec *spec);
 void app_withdraw(struct job *job);
 void app_cancel(struct job *job);
 void app_instance_died(struct instance *instance);
