ctl: notice the restart of any instance within a window

A window over several instances compared only the start of the first: when another one was started anew in between, its counts went below zero and into the sum. A report now keeps name and start of each instance, and a window is refused when any of them differs.

--- a/ctl/report.c
+++ b/ctl/report.c
@@ -135,6 +135,12 @@
 	return error_set(err, RESULT_IO, "%s: not a report of measures", name);
 }
 
+static json_t *instance_of(const json_t *report)
+{
+	return json_pack("{s:s, s:I}", "name", answer_text(report, "instance"),
+			 "since_us", answer_number(report, "since_us"));
+}
+
 json_t *report_fetch(struct ctl *ctl, const char *addresses, struct error *err)
 {
 	g_auto(GStrv) list = g_strsplit(addresses, ",", 0);
@@ -150,8 +156,7 @@
 			json_decref(instances);
 			return NULL;
 		}
-		json_array_append(instances,
-				  json_object_get(report, "instance"));
+		json_array_append_new(instances, instance_of(report));
 		if (!sum) {
 			sum = report;
 			continue;
@@ -186,13 +191,11 @@
 	return error_set(err, RESULT_IO, "%s: cannot be written", file);
 }
 
-/* The list is sorted alike only for the same instances. */
+/* Counts of an instance that was started anew began at zero again. */
 static bool same_run(const json_t *before, const json_t *after)
 {
 	return json_equal(json_object_get(before, "instances"),
-			  json_object_get(after, "instances")) &&
-	       answer_number(before, "since_us") ==
-		       answer_number(after, "since_us");
+			  json_object_get(after, "instances"));
 }
 
 json_t *report_window(const json_t *before, const json_t *after,
--- a/tests/ctl/fake_admin.c
+++ b/tests/ctl/fake_admin.c
@@ -104,9 +104,9 @@
 	struct fake_admin *fake = ctx;
 	unsigned int n = ++fake->readings;
 	g_autofree char *body = g_strdup_printf(
-		measures, fake->mode == FAKE_RESTART ? n : 0, n * 1500000,
-		n * 100, n * 95, n * 90, n * 950, n * 95, n * 5, n * 1000,
-		n * 800, n * 200, n * 16);
+		measures, fake->mode == FAKE_RESTART && n % 2 == 0 ? n : 0,
+		n * 1500000, n * 100, n * 95, n * 90, n * 950, n * 95, n * 5,
+		n * 1000, n * 800, n * 200, n * 16);
 
 	note(fake, request);
 	reply_text(request, 200, body);
--- a/tests/ctl/fake_admin.h
+++ b/tests/ctl/fake_admin.h
@@ -15,7 +15,7 @@
 	FAKE_LOG_DOWN, /* the log has an outage */
 	FAKE_CUT,      /* the answer to an apply is lost */
 	FAKE_NOT_JSON,
-	FAKE_RESTART, /* measures start anew at each reading */
+	FAKE_RESTART, /* started anew before each second reading */
 };
 
 struct fake_admin {
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -67,6 +67,8 @@
 	{"measures-window", FAKE_FINE,
 	 "measures --window 0.001 --apply BASE --save SAVED"},
 	{"measures-restart", FAKE_RESTART, "measures --window 0.001"},
+	{"measures-restart-second", FAKE_RESTART,
+	 "measures --admin ADMIN,ADMIN --window 0.001"},
 	{"measures-files", FAKE_FINE, "measures A B"},
 	{"measures-file-bad", FAKE_FINE, "measures BASE"},
 	{"measures-apply", FAKE_FINE, "measures --apply BASE"},
