coord: settle membership under seeded schedules

A thousand seeded schedules of kills, restarts, pauses, leaving, cuts one way and both, and a link that loses, doubles and reorders found three faults: a data centre whose instances were all leaving had no gateway and looked unreachable for ever; a gateway that had just started or woken held an unreachable data centre reachable until its own limit had passed, so the judgements swung; and a judgement whose news was lost stayed lost.

Leaving instances now speak for a data centre that has no others, only a digest makes a judgement better, and judgements are part of the hash that instances of a data centre compare.

--- a/coord/home.c
+++ b/coord/home.c
@@ -2,24 +2,22 @@
 
 #include "member_private.h"
 
-static bool home_candidate(const struct peer *p, const struct centre *c)
+static bool home_candidate(const struct peer *p, const struct centre *c,
+			   bool leaving)
 {
-	return p->centre == c && (p->view.state == MEMBER_ALIVE ||
-				  p->view.state == MEMBER_SUSPECT);
+	if (p->centre != c)
+		return false;
+	return p->view.state == MEMBER_ALIVE ||
+	       p->view.state == MEMBER_SUSPECT ||
+	       (leaving && p->view.state == MEMBER_LEAVING);
 }
 
-uint64_t membership_home(const struct membership *m, const char *data_centre,
-			 uint64_t key, uint32_t rank)
+uint64_t home_rank(const struct membership *m, const struct centre *c,
+		   uint64_t key, uint32_t rank, bool leaving)
 {
-	const struct centre *c;
 	uint64_t bound = UINT64_MAX;
 	uint64_t found = 0;
 
-	if (!m || !data_centre)
-		return 0;
-	c = centre_find(m, id_of(data_centre));
-	if (!c)
-		return 0;
 	for (uint32_t pass = 0; pass <= rank; pass++) {
 		uint64_t best = 0;
 
@@ -28,7 +26,7 @@
 			const struct peer *p = m->peers->pdata[i];
 			uint64_t weight = id_mix(key, p->view.id);
 
-			if (!home_candidate(p, c) || weight >= bound ||
+			if (!home_candidate(p, c, leaving) || weight >= bound ||
 			    (found && weight <= best))
 				continue;
 			best = weight;
@@ -40,3 +38,14 @@
 	}
 	return found;
 }
+
+uint64_t membership_home(const struct membership *m, const char *data_centre,
+			 uint64_t key, uint32_t rank)
+{
+	const struct centre *c;
+
+	if (!m || !data_centre)
+		return 0;
+	c = centre_find(m, id_of(data_centre));
+	return c ? home_rank(m, c, key, rank, false) : 0;
+}
--- a/coord/member_codec.c
+++ b/coord/member_codec.c
@@ -217,7 +217,6 @@
 {
 	msgpack_packer packer;
 
-	table_hashes(m);
 	msgpack_sbuffer_clear(&m->out);
 	msgpack_packer_init(&packer, &m->out, msgpack_sbuffer_write);
 	msgpack_pack_array(&packer, WIRE_FIELDS);
@@ -226,7 +225,7 @@
 	msgpack_pack_uint32(&packer, m->self->level);
 	msgpack_pack_uint32(&packer,
 			    flags | (m->self->leaving ? WIRE_LEAVING : 0));
-	msgpack_pack_uint64(&packer, m->view_hash);
+	msgpack_pack_uint64(&packer, view_with(m, to));
 	msgpack_pack_uint64(&packer, a);
 	msgpack_pack_uint64(&packer, b);
 	msgpack_pack_array(&packer, m->item_count);
--- a/coord/member_digest.c
+++ b/coord/member_digest.c
@@ -4,7 +4,13 @@
 static uint64_t gateway_of(const struct membership *m, const struct centre *of,
 			   const struct centre *to, uint32_t rank)
 {
-	return membership_home(m, of->name, id_mix(of->id, to->id), rank);
+	uint64_t key = id_mix(of->id, to->id);
+	uint64_t id = home_rank(m, of, key, rank, false);
+
+	/* When all are leaving they still have to speak for each other. */
+	if (!id && !home_rank(m, of, key, 0, false))
+		id = home_rank(m, of, key, rank, true);
+	return id;
 }
 
 static int own_rank(const struct membership *m, const struct centre *c)
@@ -90,6 +96,7 @@
 			  LOG_S("reach", labels[reach]));
 	c->reach = reach;
 	c->version = version;
+	m->hashes_stale = true;
 	for (guint i = 0; i < m->peers->len; i++) {
 		struct peer *p = m->peers->pdata[i];
 
@@ -115,15 +122,9 @@
 		reach = REACH_DOWN;
 	else if (silence > reach_limit(m))
 		reach = REACH_SUSPECT;
-	/* One that has just become gateway goes by what it was told. */
-	if (reach == REACH_SUSPECT && c->reach == REACH_DOWN)
-		reach = REACH_DOWN;
-	if (reach != c->reach) {
+	/* Only a digest makes it better, see centre_sign(). */
+	if (reach > c->reach)
 		reach_take(m, c, reach, c->version + 1);
-	} else if (reach != REACH_UP && now - c->repeated > REPEAT_REACH_USEC) {
-		c->repeated = now;
-		news_add(m, &c->news);
-	}
 }
 
 static void digest_centre(struct membership *m, struct centre *c)
@@ -135,7 +136,7 @@
 		c->gateway = false;
 		return;
 	}
-	if (!c->gateway && c->reach == REACH_UP)
+	if (!c->gateway)
 		c->mutual = now;
 	c->gateway = true;
 	digest_send(m, c, rank);
--- a/coord/member_private.h
+++ b/coord/member_private.h
@@ -30,7 +30,6 @@
 #define TOMBSTONE_USEC (600 * USEC_PER_SEC)
 #define SYNC_EVERY_USEC (1 * USEC_PER_SEC)
 #define PUSH_DELAY_USEC (50 * USEC_PER_MSEC)
-#define REPEAT_REACH_USEC (5 * USEC_PER_SEC)
 #define JOIN_BACKOFF_MAX_USEC (8 * USEC_PER_SEC)
 
 enum news_kind {
@@ -63,7 +62,6 @@
 	uint64_t version; /* of reach */
 	int64_t heard;	  /* last digest from there at all */
 	int64_t mutual;	  /* last digest that said it hears us too */
-	int64_t repeated;
 	bool raw; /* heard is set */
 	bool gateway;
 	uint32_t round;
@@ -177,6 +175,7 @@
 	bool hashes_stale;
 	uint64_t facts_hash;
 	uint64_t view_hash;
+	uint64_t reach_hash;
 	int64_t listed; /* when the platform's list last named anyone */
 	int64_t quiet_since;
 
@@ -200,6 +199,10 @@
 	struct membership_stats stats;
 };
 
+/* home.c */
+uint64_t home_rank(const struct membership *m, const struct centre *c,
+		   uint64_t key, uint32_t rank, bool leaving);
+
 /* member_codec.c */
 bool wire_decode(struct membership *m, const void *data, size_t size,
 		 struct wire *wire);
@@ -235,6 +238,8 @@
 /* Takes an incarnation above all that others may hold. */
 void self_raise(struct membership *m, uint64_t above);
 void table_hashes(struct membership *m);
+/* The hash over all that is common knowledge with that instance. */
+uint64_t view_with(struct membership *m, uint64_t id);
 void table_sweep(struct membership *m);
 void table_changed(struct membership *m);
 
--- a/coord/member_sync.c
+++ b/coord/member_sync.c
@@ -23,6 +23,7 @@
 
 void sync_start(struct membership *m, uint64_t to)
 {
+	const struct peer *p = peer_find(m, to);
 	uint64_t hashes[FACT_BUCKETS] = {0};
 
 	table_hashes(m);
@@ -34,6 +35,8 @@
 		const struct centre *c = m->centres->pdata[i];
 
 		pack_pair(m, ITEM_HASH, c->id, c->hash);
+		if (c->version && p && peer_local(m, p))
+			pack_reach(m, c);
 	}
 	m->stats.syncs++;
 	wire_send(m, to, WIRE_SYNC, 0, 0, 0);
@@ -44,8 +47,7 @@
 	int64_t now = clock_now(m->clock);
 	bool quiet = now - m->quiet_since > m->settings.heartbeat;
 
-	table_hashes(m);
-	if (wire->view == m->view_hash || now < m->sync_next)
+	if (wire->view == view_with(m, from) || now < m->sync_next)
 		return;
 	/* News still on its way explains the difference, for a while. */
 	if (!quiet && now < m->sync_next + 4 * SYNC_EVERY_USEC)
@@ -84,33 +86,40 @@
 	wire_send(m, to, WIRE_KEYS, 0, bucket, 0);
 }
 
+static void hash_compare(struct membership *m, uint64_t from,
+			 const struct item *item, const uint64_t *hashes)
+{
+	const struct centre *c;
+
+	if (item->id < FACT_BUCKETS) {
+		if (hashes[item->id] != item->version)
+			keys_facts(m, from, item->id);
+		return;
+	}
+	c = centre_find(m, item->id);
+	if (c && c->hash != item->version)
+		keys_members(m, from, c);
+	if (!c && item->version) {
+		wire_begin(m);
+		wire_send(m, from, WIRE_KEYS, 0, item->id, 0);
+	}
+}
+
 void sync_hashes(struct membership *m, uint64_t from, const struct wire *wire)
 {
+	const struct peer *p = peer_find(m, from);
 	uint64_t hashes[FACT_BUCKETS] = {0};
 	struct item item;
 
 	table_hashes(m);
 	facts_hashes(m, hashes);
 	for (uint32_t i = 0; i < wire->item_count; i++) {
-		const struct centre *c;
-
-		if (!item_decode(&wire->items[i], &item) ||
-		    item.kind != ITEM_HASH) {
+		if (!item_decode(&wire->items[i], &item))
 			m->stats.malformed++;
-			continue;
-		}
-		if (item.id < FACT_BUCKETS) {
-			if (hashes[item.id] != item.version)
-				keys_facts(m, from, item.id);
-			continue;
-		}
-		c = centre_find(m, item.id);
-		if (c && c->hash != item.version)
-			keys_members(m, from, c);
-		if (!c && item.version) {
-			wire_begin(m);
-			wire_send(m, from, WIRE_KEYS, 0, item.id, 0);
-		}
+		else if (item.kind == ITEM_HASH)
+			hash_compare(m, from, &item, hashes);
+		else if (item.kind == ITEM_REACH && p && peer_local(m, p))
+			reach_apply(m, &item);
 	}
 }
 
--- a/coord/member_table.c
+++ b/coord/member_table.c
@@ -319,14 +319,29 @@
 			p->centre->hash ^= peer_hash(p);
 	}
 	m->view_hash = m->facts_hash;
+	m->reach_hash = 0;
 	for (guint i = 0; i < m->centres->len; i++) {
 		const struct centre *c = m->centres->pdata[i];
+		uint64_t reach = c->version << 2 | c->reach;
 
 		if (c->hash)
 			m->view_hash ^= id_mix(c->id, c->hash);
+		if (c->version)
+			m->reach_hash ^= id_mix(c->id, reach);
 	}
 }
 
+/* How others are reached is shared within a data centre only. */
+uint64_t view_with(struct membership *m, uint64_t id)
+{
+	const struct peer *p = peer_find(m, id);
+
+	table_hashes(m);
+	if (!p || !peer_local(m, p))
+		return m->view_hash;
+	return m->view_hash ^ m->reach_hash;
+}
+
 static bool peer_unlisted(const struct membership *m, const struct peer *p,
 			  int64_t now)
 {
--- /dev/null
+++ b/tests/member/invariants.c
@@ -0,0 +1,384 @@
+#include "invariants.h"
+
+#include <string.h>
+
+#include "common/log.h"
+
+static char *seen_wrong(const struct node *node, const struct node *other)
+{
+	const struct member *m = node_view(node, other);
+	enum member_state want =
+		other->up ? other->leaving ? MEMBER_LEAVING : MEMBER_ALIVE
+			  : MEMBER_DEAD;
+
+	if (!m)
+		return other->up ? g_strdup_printf("%s does not know %s",
+						   node->self.name,
+						   other->self.name)
+				 : NULL;
+	if (m->state != want)
+		return g_strdup_printf("%s sees %s in state %d, not %d",
+				       node->self.name, other->self.name,
+				       m->state, want);
+	if (other->up && m->incarnation != other->self.incarnation)
+		return g_strdup_printf("%s sees %s at another incarnation",
+				       node->self.name, other->self.name);
+	return NULL;
+}
+
+static char *homes_differ(const struct node *a, const struct node *b)
+{
+	for (uint64_t key = 0; key < 8; key++) {
+		for (uint32_t rank = 0; rank < 3; rank++) {
+			const char *centre = b->self.data_centre;
+
+			if (membership_home(a->membership, centre, key, rank) !=
+			    membership_home(b->membership, centre, key, rank))
+				return g_strdup_printf(
+					"%s and %s differ on a home",
+					a->self.name, b->self.name);
+		}
+	}
+	return NULL;
+}
+
+static char *facts_old(const struct node *node, const struct truth *truth)
+{
+	for (int i = 0; truth && i < FACTS; i++) {
+		if (node->facts[i] != truth->facts[i])
+			return g_strdup_printf("%s has fact %d at another "
+					       "version",
+					       node->self.name, i);
+	}
+	return NULL;
+}
+
+static char *node_settled(struct world *w, const struct node *node,
+			  const struct truth *truth)
+{
+	char *problem = facts_old(node, truth);
+
+	for (int i = 0; i < w->count && !problem; i++) {
+		if (w->nodes[i] == node)
+			continue;
+		problem = seen_wrong(node, w->nodes[i]);
+		if (!problem && w->nodes[i]->up)
+			problem = homes_differ(node, w->nodes[i]);
+	}
+	if (!problem && !membership_certain(node->membership))
+		problem = g_strdup_printf("%s still doubts", node->self.name);
+	return problem;
+}
+
+char *members_settled(struct world *w, const struct truth *truth)
+{
+	for (int i = 0; i < w->count; i++) {
+		char *problem = NULL;
+
+		if (w->nodes[i]->up)
+			problem = node_settled(w, w->nodes[i], truth);
+		if (problem)
+			return problem;
+	}
+	return NULL;
+}
+
+char *members_true(struct world *w)
+{
+	for (int i = 0; i < w->count; i++) {
+		const struct node *node = w->nodes[i];
+
+		for (int j = 0; node->up && j < w->count; j++) {
+			const struct node *other = w->nodes[j];
+			const struct member *m = node_view(node, other);
+
+			if (m && m->incarnation > other->self.incarnation)
+				return g_strdup_printf(
+					"%s shows an incarnation that %s "
+					"never had",
+					node->self.name, other->self.name);
+		}
+	}
+	return NULL;
+}
+
+struct watch {
+	struct chronicle *chronicle;
+	uint64_t revision;
+};
+
+static void broken(struct chronicle *c, const struct node *node,
+		   const char *what, uint64_t number)
+{
+	if (!c->problem)
+		c->problem = g_strdup_printf("%s: %s %" G_GUINT64_FORMAT,
+					     node->self.name, what, number);
+}
+
+static bool fold_check(void *ctx, const void *data, size_t size,
+		       struct error *err)
+{
+	if (size >= 3 && !memcmp(data, "bad", 3))
+		return error_set(err, RESULT_BAD_CONFIG, "it says so");
+	return true;
+}
+
+static void fold_changed(void *ctx, uint64_t revision, const void *data,
+			 size_t size)
+{
+	struct node *node = ctx;
+	struct watch *watch = node->extra;
+
+	if (revision <= watch->revision)
+		broken(watch->chronicle, node, "went back to", revision);
+	if (fold_check(NULL, data, size, NULL) == false)
+		broken(watch->chronicle, node, "took a bad file at", revision);
+	watch->revision = revision;
+	watch->chronicle->took++;
+}
+
+static void fold_audited(void *ctx, const struct fold_audit *audit)
+{
+	struct node *node = ctx;
+	struct watch *watch = node->extra;
+	struct chronicle *c = watch->chronicle;
+	struct fold_audit *known =
+		g_hash_table_lookup(c->judged, &audit->offset);
+
+	if (known &&
+	    (known->code != audit->code || known->base != audit->base ||
+	     known->content_hash != audit->content_hash ||
+	     strcmp(known->author, audit->author)))
+		broken(c, node, "judged otherwise than another", audit->offset);
+	if (known)
+		return;
+	known = g_memdup2(audit, sizeof(*audit));
+	g_hash_table_insert(c->judged, &known->offset, known);
+}
+
+struct chronicle *chronicle_create(struct world *w)
+{
+	struct chronicle *c = g_new0(struct chronicle, 1);
+
+	c->world = w;
+	c->judged = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					  g_free);
+	c->attempts = g_ptr_array_new_with_free_func(g_free);
+	return c;
+}
+
+void chronicle_destroy(struct chronicle *c)
+{
+	g_hash_table_destroy(c->judged);
+	g_ptr_array_free(c->attempts, TRUE);
+	g_free(c->problem);
+	g_free(c);
+}
+
+void chronicle_start(struct chronicle *c, struct node *node)
+{
+	static const struct fold_ops ops = {
+		.check = fold_check,
+		.changed = fold_changed,
+		.audit = fold_audited,
+	};
+	const struct log_store store = fake_log_store(node->world->extra, node);
+	const struct transport transport = node_transport(node);
+	struct watch *watch = g_new0(struct watch, 1);
+
+	watch->chronicle = c;
+	node->extra = watch;
+	node->fold = fold_create(node->clock, node->membership, &store,
+				 &transport, &ops, node);
+}
+
+void chronicle_stop(struct node *node)
+{
+	struct watch *watch = node->extra;
+	const GPtrArray *attempts = watch->chronicle->attempts;
+
+	for (guint i = 0; i < attempts->len; i++) {
+		struct attempt *attempt = attempts->pdata[i];
+
+		if (attempt->by == node->index && !attempt->answered)
+			attempt->dropped = true;
+	}
+	fold_destroy(node->fold);
+	node->fold = NULL;
+	g_free(node->extra);
+	node->extra = NULL;
+}
+
+static void attempt_done(void *ctx, enum result_code code, uint64_t revision,
+			 const char *reason)
+{
+	struct attempt *attempt = ctx;
+
+	g_assert_false(attempt->answered);
+	attempt->answered = true;
+	attempt->code = code;
+	attempt->revision = revision;
+}
+
+struct attempt *chronicle_apply(struct chronicle *c, struct node *node,
+				uint64_t base, const char *content,
+				int64_t timeout)
+{
+	struct attempt *attempt = g_new0(struct attempt, 1);
+
+	attempt->base = base;
+	attempt->by = node->index;
+	attempt->deadline = clock_now(c->world->clock) + timeout;
+	g_strlcpy(attempt->content, content, sizeof(attempt->content));
+	g_ptr_array_add(c->attempts, attempt);
+	fold_apply(node->fold, base, node->self.name, content, strlen(content),
+		   timeout, attempt_done, attempt);
+	return attempt;
+}
+
+static gint audit_order(gconstpointer a, gconstpointer b)
+{
+	const struct fold_audit *x = a;
+	const struct fold_audit *y = b;
+
+	return x->offset < y->offset ? -1 : x->offset > y->offset;
+}
+
+/* Each accepted file is based on the one accepted before it: none was lost,
+ * and of those based on one revision exactly one won. */
+static char *chain_broken(struct chronicle *c)
+{
+	GList *all =
+		g_list_sort(g_hash_table_get_values(c->judged), audit_order);
+	uint64_t last = REVISION_NONE;
+	char *problem = NULL;
+
+	for (GList *l = all; l && !problem; l = l->next) {
+		const struct fold_audit *audit = l->data;
+
+		if (audit->code != RESULT_OK)
+			continue;
+		if (audit->base != last)
+			problem = g_strdup_printf(
+				"%" G_GUINT64_FORMAT " accepted on "
+				"%" G_GUINT64_FORMAT
+				" after %" G_GUINT64_FORMAT,
+				audit->offset, audit->base, last);
+		last = audit->offset;
+	}
+	g_list_free(all);
+	return problem;
+}
+
+static const struct fold_audit *accepted(struct chronicle *c,
+					 const struct attempt *attempt)
+{
+	uint64_t hash = id_hash(attempt->content, strlen(attempt->content));
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->judged);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct fold_audit *audit = value;
+
+		if (audit->code == RESULT_OK && audit->content_hash == hash)
+			return audit;
+	}
+	return NULL;
+}
+
+static char *attempt_wrong(struct chronicle *c, const struct attempt *attempt)
+{
+	const struct fold_audit *audit = accepted(c, attempt);
+	bool refused = attempt->answered && attempt->code != RESULT_OK &&
+		       attempt->code != RESULT_LOG_UNKNOWN;
+
+	if (audit && refused)
+		return g_strdup_printf("%s was answered %s and accepted",
+				       attempt->content,
+				       result_label(attempt->code));
+	if (!attempt->answered || attempt->code != RESULT_OK)
+		return NULL;
+	if (!audit)
+		return g_strdup_printf("%s was answered ok and not accepted",
+				       attempt->content);
+	if (attempt->revision < audit->offset)
+		return g_strdup_printf("%s was answered before it was in force",
+				       attempt->content);
+	return NULL;
+}
+
+char *chronicle_holds(struct chronicle *c)
+{
+	char *problem = c->problem ? g_strdup(c->problem) : chain_broken(c);
+
+	for (guint i = 0; i < c->attempts->len && !problem; i++)
+		problem = attempt_wrong(c, c->attempts->pdata[i]);
+	return problem;
+}
+
+static uint64_t last_accepted(struct chronicle *c)
+{
+	uint64_t last = REVISION_NONE;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, c->judged);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct fold_audit *audit = value;
+
+		if (audit->code == RESULT_OK)
+			last = MAX(last, audit->offset);
+	}
+	return last;
+}
+
+static char *histories_differ(const struct node *a, const struct node *b)
+{
+	const struct fold_audit *x;
+	const struct fold_audit *y;
+	size_t n = fold_history(a->fold, &x);
+	size_t m = fold_history(b->fold, &y);
+
+	if (!n || !m)
+		return NULL;
+	for (size_t i = 1; i <= MIN(n, m); i++) {
+		if (x[n - i].offset != y[m - i].offset)
+			return g_strdup_printf("%s and %s tell another history",
+					       a->self.name, b->self.name);
+	}
+	return NULL;
+}
+
+char *chronicle_settled(struct chronicle *c)
+{
+	uint64_t last = last_accepted(c);
+	const struct node *first = NULL;
+	char *problem = chronicle_holds(c);
+
+	for (int i = 0; i < c->world->count && !problem; i++) {
+		const struct node *node = c->world->nodes[i];
+
+		if (!node->up)
+			continue;
+		if (fold_revision(node->fold) != last)
+			problem = g_strdup_printf(
+				"%s has %" G_GUINT64_FORMAT
+				" in force, not %" G_GUINT64_FORMAT,
+				node->self.name, fold_revision(node->fold),
+				last);
+		if (!first)
+			first = node;
+		if (!problem)
+			problem = histories_differ(first, node);
+	}
+	for (guint i = 0; i < c->attempts->len && !problem; i++) {
+		const struct attempt *attempt = c->attempts->pdata[i];
+
+		if (!attempt->answered && !attempt->dropped &&
+		    clock_now(c->world->clock) > attempt->deadline)
+			problem = g_strdup_printf("%s was never answered",
+						  attempt->content);
+	}
+	return problem;
+}
--- /dev/null
+++ b/tests/member/world.c
@@ -0,0 +1,356 @@
+#include "world.h"
+
+#include <string.h>
+
+struct letter {
+	struct timer timer;
+	struct node *from;
+	struct node *to;
+	enum channel channel;
+	size_t size;
+	unsigned char data[];
+};
+
+static int64_t between(struct world *w, int64_t low, int64_t high)
+{
+	return low >= high ? low
+			   : g_rand_int_range(w->rand, (gint32)low,
+					      (gint32)high + 1);
+}
+
+static bool chance(struct world *w, int per_thousand)
+{
+	return per_thousand > 0 &&
+	       g_rand_int_range(w->rand, 0, 1000) < per_thousand;
+}
+
+static void letter_deliver(struct letter *letter)
+{
+	struct node *to = letter->to;
+
+	if (to->up && letter->channel == CHANNEL_MEMBER)
+		membership_receive(to->membership, letter->from->self.id,
+				   letter->data, letter->size);
+	if (to->up && letter->channel == CHANNEL_CONFIG && to->fold)
+		fold_receive(to->fold, letter->from->self.id, letter->data,
+			     letter->size);
+	g_free(letter);
+}
+
+static void letter_arrive(struct timer *timer, void *ctx)
+{
+	struct letter *letter = ctx;
+	struct node *to = letter->to;
+	struct world *w = to->world;
+
+	g_ptr_array_remove_fast(w->flying, letter);
+	if (!to->up || w->cut[letter->from->index][to->index]) {
+		g_free(letter);
+		return;
+	}
+	to->received_bytes += letter->size + WIRE_HEADERS;
+	if (to->paused)
+		g_queue_push_tail(&to->held, letter);
+	else
+		letter_deliver(letter);
+}
+
+static void letter_post(struct node *from, struct node *to,
+			enum channel channel, const void *data, size_t size)
+{
+	struct world *w = from->world;
+	struct letter *letter = g_malloc0(sizeof(*letter) + size);
+
+	letter->from = from;
+	letter->to = to;
+	letter->channel = channel;
+	letter->size = size;
+	memcpy(letter->data, data, size);
+	timer_init(&letter->timer, w->clock, letter_arrive, letter);
+	timer_start(&letter->timer, between(w, w->delay_min, w->delay_max));
+	g_ptr_array_add(w->flying, letter);
+}
+
+static void node_send(void *ctx, uint64_t instance, enum channel channel,
+		      const void *payload, size_t size)
+{
+	struct node *from = ctx;
+	struct world *w = from->world;
+
+	from->bytes += size + WIRE_HEADERS;
+	from->by_channel[channel] += size + WIRE_HEADERS;
+	from->messages++;
+	for (int i = 0; i < w->count; i++) {
+		struct node *to = w->nodes[i];
+
+		if (to->self.id != instance)
+			continue;
+		if (w->cut[from->index][i] || chance(w, w->drop))
+			return;
+		letter_post(from, to, channel, payload, size);
+		if (chance(w, w->twice))
+			letter_post(from, to, channel, payload, size);
+	}
+}
+
+static void node_changed(void *ctx, const struct member *member,
+			 const enum member_state *old)
+{
+	struct node *node = ctx;
+	struct world *w = node->world;
+
+	g_assert_true(!old || *old != member->state ||
+		      member->state == MEMBER_ALIVE);
+	for (int i = 0; i < w->count; i++) {
+		if (w->nodes[i]->self.id != member->id)
+			continue;
+		g_assert_cmpuint(member->incarnation, >=, node->highest[i]);
+		node->highest[i] = member->incarnation;
+	}
+	if (node->fold)
+		fold_member(node->fold, member);
+}
+
+static void node_fact(void *ctx, uint64_t key, uint64_t version,
+		      const void *value, size_t size)
+{
+	struct node *node = ctx;
+
+	g_assert_cmpuint(version, >, node->facts[key % 8]);
+	node->facts[key % 8] = version;
+}
+
+static void node_refuted(void *ctx, uint64_t incarnation)
+{
+	struct node *node = ctx;
+
+	g_assert_cmpuint(incarnation, >, node->self.incarnation);
+	node->self.incarnation = incarnation;
+	node->refuted++;
+}
+
+struct world *world_create(uint32_t seed)
+{
+	struct world *w = g_new0(struct world, 1);
+
+	w->seed = seed;
+	w->rand = g_rand_new_with_seed(seed);
+	w->clock = clock_create(UNIX_ZERO);
+	w->delay_min = 500;
+	w->delay_max = 3000;
+	w->flying = g_ptr_array_new();
+	return w;
+}
+
+static void held_clear(struct node *node)
+{
+	struct letter *letter;
+
+	while ((letter = g_queue_pop_head(&node->held)))
+		g_free(letter);
+}
+
+void world_destroy(struct world *w)
+{
+	for (int i = 0; i < w->count; i++) {
+		node_kill(w->nodes[i]);
+		g_free(w->nodes[i]);
+	}
+	for (guint i = 0; i < w->flying->len; i++) {
+		struct letter *letter = w->flying->pdata[i];
+
+		timer_stop(&letter->timer);
+		g_free(letter);
+	}
+	g_ptr_array_free(w->flying, TRUE);
+	clock_destroy(w->clock);
+	g_rand_free(w->rand);
+	g_free(w);
+}
+
+struct node *world_add(struct world *w, const char *data_centre)
+{
+	struct node *node = g_new0(struct node, 1);
+	struct member *self = &node->self;
+
+	g_assert_cmpint(w->count, <, WORLD_MAX);
+	node->world = w;
+	node->index = w->count;
+	g_queue_init(&node->held);
+	g_snprintf(self->name, sizeof(self->name), "entry-%03d", w->count);
+	g_strlcpy(self->data_centre, data_centre, sizeof(self->data_centre));
+	g_snprintf(self->peer_address, sizeof(self->peer_address),
+		   "10.20.%d.%d:7400", w->count / 200, w->count % 200 + 10);
+	g_snprintf(self->http_address, sizeof(self->http_address),
+		   "10.20.%d.%d:8400", w->count / 200, w->count % 200 + 10);
+	self->id = id_of(self->name);
+	w->nodes[w->count++] = node;
+	return node;
+}
+
+void world_fill(struct world *w, int centres, int each)
+{
+	for (int i = 0; i < centres; i++) {
+		char name[16];
+
+		g_snprintf(name, sizeof(name), "hall-%c", 'a' + i);
+		for (int j = 0; j < each; j++)
+			world_add(w, name);
+	}
+}
+
+struct transport node_transport(struct node *node)
+{
+	return (struct transport){.send = node_send, .ctx = node};
+}
+
+void node_start(struct node *node)
+{
+	static const struct membership_ops ops = {
+		.changed = node_changed,
+		.fact = node_fact,
+		.refuted = node_refuted,
+	};
+	const struct transport transport = node_transport(node);
+	struct world *w = node->world;
+	struct membership_settings settings = w->settings;
+
+	g_assert_false(node->up);
+	node->clock = clock_create(UNIX_ZERO);
+	clock_jump(node->clock, clock_now(w->clock));
+	settings.seed = w->seed;
+	node->self.incarnation = (uint64_t)clock_unix(w->clock);
+	node->membership = membership_create(node->clock, &node->self,
+					     &settings, &transport, &ops, node);
+	memset(node->highest, 0, sizeof(node->highest));
+	memset(node->facts, 0, sizeof(node->facts));
+	node->leaving = false;
+	node->up = true;
+	if (w->started)
+		w->started(node);
+	membership_start(node->membership);
+}
+
+void node_kill(struct node *node)
+{
+	if (!node->up)
+		return;
+	if (node->world->stopping)
+		node->world->stopping(node);
+	node->up = false;
+	node->paused = false;
+	held_clear(node);
+	membership_destroy(node->membership);
+	clock_destroy(node->clock);
+}
+
+void node_pause(struct node *node)
+{
+	if (node->paused || !node->up)
+		return;
+	node->paused = true;
+	node->paused_at = clock_now(node->world->clock);
+}
+
+void node_wake(struct node *node)
+{
+	int64_t now = clock_now(node->world->clock);
+	struct letter *letter;
+
+	if (!node->paused)
+		return;
+	node->paused = false;
+	clock_jump(node->clock, now);
+	membership_paused(node->membership, now - node->paused_at);
+	while ((letter = g_queue_pop_head(&node->held)))
+		letter_deliver(letter);
+}
+
+void node_hint(struct node *node)
+{
+	struct world *w = node->world;
+
+	for (int i = 0; i < w->count; i++) {
+		if (w->nodes[i]->up)
+			membership_hint(node->membership, &w->nodes[i]->self);
+	}
+}
+
+void world_start(struct world *w)
+{
+	for (int i = 0; i < w->count; i++)
+		node_start(w->nodes[i]);
+	for (int i = 0; i < w->count; i++)
+		node_hint(w->nodes[i]);
+}
+
+static int64_t world_next(const struct world *w)
+{
+	int64_t next = clock_next(w->clock);
+
+	for (int i = 0; i < w->count; i++) {
+		const struct node *node = w->nodes[i];
+
+		if (node->up && !node->paused)
+			next = MIN(next, clock_next(node->clock));
+	}
+	return next;
+}
+
+/* The link first, then the nodes in order: the same at each run. */
+static void world_step(struct world *w, int64_t now)
+{
+	for (int i = 0; i < w->count; i++) {
+		struct node *node = w->nodes[i];
+
+		if (node->up && !node->paused && clock_next(node->clock) > now)
+			clock_advance(node->clock, now);
+	}
+	clock_advance(w->clock, now);
+	for (int i = 0; i < w->count; i++) {
+		struct node *node = w->nodes[i];
+
+		if (node->up && !node->paused)
+			clock_advance(node->clock, now);
+	}
+}
+
+void world_run(struct world *w, int64_t usec)
+{
+	int64_t end = clock_now(w->clock) + usec;
+
+	while (world_next(w) <= end)
+		world_step(w, MAX(world_next(w), clock_now(w->clock)));
+	world_step(w, end);
+}
+
+bool node_in(const struct node *node, const char *data_centre)
+{
+	return !strcmp(node->self.data_centre, data_centre);
+}
+
+void world_part(struct world *w, const char *a, const char *b, bool cut)
+{
+	for (int i = 0; i < w->count; i++) {
+		for (int j = 0; j < w->count; j++) {
+			if (!node_in(w->nodes[i], a) ||
+			    !node_in(w->nodes[j], b))
+				continue;
+			w->cut[i][j] = cut;
+			w->cut[j][i] = cut;
+		}
+	}
+}
+
+void world_heal(struct world *w)
+{
+	memset(w->cut, 0, sizeof(w->cut));
+	w->drop = 0;
+	w->twice = 0;
+}
+
+const struct member *node_view(const struct node *node,
+			       const struct node *other)
+{
+	return membership_find(node->membership, other->self.id);
+}
