entry: let two instances of a data centre read the instance list

Every instance read the platform's whole list each second.

Now the two instances with the highest rendezvous weight read it and tell the others of the data centre what changed, by numbered changes; the others ask one of the two in ten periods for what they missed, read the list themselves when the readers' own is older than 30 periods, and once in 300 periods all the same. A list that has not changed is answered 304 by a platform that knows ETags; the stand-in does.

Ruled out: facts of membership for each server (600 facts in every full exchange), and ETags alone (every change would be sent whole to all 360).

--- a/entry/component_link.c
+++ b/entry/component_link.c
@@ -269,6 +269,13 @@
 	directory_swept(entry->directory);
 }
 
+static uint32_t list_every(void *ctx)
+{
+	const struct entry *entry = ctx;
+
+	return directory_sync_every(entry->directory_sync);
+}
+
 static bool seeds_hint(const struct entry *entry, struct error *err)
 {
 	for (unsigned int i = 0; i < entry->settings.seed_count; i++) {
@@ -296,6 +303,7 @@
 		.member = listed_member,
 		.backend = listed_backend,
 		.swept = listed_swept,
+		.every = list_every,
 	};
 	struct entry *entry = ctx;
 	struct platform_self self = {
--- a/entry/directory.c
+++ b/entry/directory.c
@@ -22,6 +22,7 @@
 	struct backend backend;
 	uint32_t reading;    /* the sweep that last named it */
 	int64_t unlisted_at; /* clock time */
+	uint64_t changed;    /* the number of its last change */
 };
 
 struct directory {
@@ -30,6 +31,8 @@
 	GHashTable *by_id;   /* id to struct item */
 	GHashTable *leaving; /* id to the highest incarnation said to leave */
 	uint32_t reading;
+	uint64_t changes;
+	uint64_t forgotten; /* highest change of an item that is gone */
 	struct timer notify;
 	directory_changed_fn changed;
 	void *ctx;
@@ -44,12 +47,18 @@
 		directory->changed(directory->ctx);
 }
 
-static void directory_touch(struct directory *directory)
+static void notify_later(struct directory *directory)
 {
 	if (!timer_running(&directory->notify))
 		timer_start(&directory->notify, 0);
 }
 
+static void item_changed(struct directory *directory, struct item *item)
+{
+	item->changed = ++directory->changes;
+	notify_later(directory);
+}
+
 static int item_compare(const void *a, const void *b)
 {
 	const struct item *const *left = a;
@@ -125,7 +134,7 @@
 		  LOG_S("backend", item->backend.name),
 		  LOG_S("pool", item->backend.pool),
 		  LOG_S("source", spread ? "own" : "peer"));
-	directory_touch(directory);
+	item_changed(directory, item);
 }
 
 static void item_insert(struct directory *directory,
@@ -142,7 +151,7 @@
 	log_event(LOG_INFO, "backend_listed", LOG_S("backend", backend->name),
 		  LOG_S("pool", backend->pool),
 		  LOG_S("address", backend->address));
-	directory_touch(directory);
+	item_changed(directory, item);
 }
 
 static bool backend_same(const struct backend *a, const struct backend *b)
@@ -163,10 +172,22 @@
 		return;
 	item->backend = *backend;
 	item->backend.leaving = left_before(directory, backend);
-	directory_touch(directory);
+	item_changed(directory, item);
 }
 
-void directory_put(struct directory *directory, const struct backend *backend)
+static void item_unlist(struct directory *directory, struct item *item)
+{
+	if (!item->backend.listed)
+		return;
+	item->backend.listed = false;
+	item->unlisted_at = clock_now(directory->entry->clock);
+	log_event(LOG_INFO, "backend_unlisted",
+		  LOG_S("backend", item->backend.name));
+	item_changed(directory, item);
+}
+
+static void backend_take(struct directory *directory,
+			 const struct backend *backend, bool spread)
 {
 	struct item *item = g_hash_table_lookup(directory->by_id, &backend->id);
 
@@ -175,18 +196,23 @@
 	else
 		item_insert(directory, backend);
 	if (backend->leaving)
-		item_leave(directory, backend->id, backend->incarnation, true);
+		item_leave(directory, backend->id, backend->incarnation,
+			   spread);
 }
 
-static void item_unlist(struct directory *directory, struct item *item)
+void directory_put(struct directory *directory, const struct backend *backend)
 {
-	if (!item->backend.listed)
-		return;
-	item->backend.listed = false;
-	item->unlisted_at = clock_now(directory->entry->clock);
-	log_event(LOG_INFO, "backend_unlisted",
-		  LOG_S("backend", item->backend.name));
-	directory_touch(directory);
+	backend_take(directory, backend, true);
+}
+
+void directory_learn(struct directory *directory, const struct backend *backend)
+{
+	struct item *item = g_hash_table_lookup(directory->by_id, &backend->id);
+
+	if (backend->listed)
+		backend_take(directory, backend, false);
+	else if (item && item->backend.incarnation <= backend->incarnation)
+		item_unlist(directory, item);
 }
 
 static void item_forget(struct directory *directory, struct item *item)
@@ -195,11 +221,17 @@
 
 	if (item->backend.listed || age < FORGET_USEC)
 		return;
+	directory->forgotten = MAX(directory->forgotten, item->changed);
 	g_hash_table_remove(directory->leaving, &item->backend.id);
 	g_hash_table_remove(directory->by_id, &item->backend.id);
 	g_ptr_array_remove(directory->items, item);
 }
 
+void directory_begin(struct directory *directory)
+{
+	directory->reading++;
+}
+
 void directory_swept(struct directory *directory)
 {
 	for (guint i = directory->items->len; i > 0; i--) {
@@ -276,13 +308,35 @@
 	return &item->backend;
 }
 
+uint64_t directory_changes(const struct directory *directory)
+{
+	return directory->changes;
+}
+
+bool directory_remembers(const struct directory *directory, uint64_t since)
+{
+	return since >= directory->forgotten;
+}
+
+const struct backend *directory_next_since(const struct directory *directory,
+					   uint32_t *cursor, uint64_t since)
+{
+	while (*cursor < directory->items->len) {
+		const struct item *item = directory->items->pdata[(*cursor)++];
+
+		if (item->changed > since)
+			return &item->backend;
+	}
+	return NULL;
+}
+
 void directory_on_changed(struct directory *directory, directory_changed_fn fn,
 			  void *ctx)
 {
 	directory->changed = fn;
 	directory->ctx = ctx;
 	if (fn)
-		directory_touch(directory);
+		notify_later(directory);
 }
 
 struct directory *directory_create(struct entry *entry)
--- a/entry/directory_sync.c
+++ b/entry/directory_sync.c
@@ -1,162 +1,292 @@
+/*
+ * directory_sync.c - the directory of one data centre, read by two
+ */
 #include "entry/directory_sync.h"
 
-#include <glib.h>
-#include <msgpack.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "common/log.h"
-#include "common/unpack.h"
 #include "entry/directory.h"
+#include "entry/directory_codec.h"
 #include "entry/entry.h"
 #include "entry/peers.h"
+#include "entry/platform.h"
 
-#define ASK_USEC (500 * USEC_PER_MSEC)
-#define FIELDS 6u
+#define READERS 2
+/* While nothing is known. */
+#define START_USEC (500 * USEC_PER_MSEC)
+/* In periods of the list: between asks, how old the readers' list may be, and
+ * how often it is read here all the same: when it is fresh, when it is not. */
+#define ASK_EVERY 10
+#define STALE_AFTER 30
+#define READ_FRESH 300
+#define READ_STALE 10
 
-enum sync_message {
-	SYNC_ASK = 1,
-	SYNC_LIST,
+/* What is known of one teller's numbers. */
+struct teller {
+	uint64_t id;
+	uint64_t epoch;
+	uint64_t until;
 };
 
 struct directory_sync {
 	struct entry *entry;
 	struct timer timer;
-	uint32_t asked; /* how many were asked: the next one's turn */
+	struct teller tellers[READERS];
+	uint32_t asked;	   /* how many were asked: the next one's turn */
+	uint32_t ticks;	   /* since the last ask */
+	uint64_t told;	   /* the last change that the others were told of */
+	bool reader;	   /* at the last tick */
+	int64_t listed_at; /* when a reader has read what is known here */
+	/* Of the message being taken. */
+	uint64_t from;
+	bool wanted; /* its backends are news here */
 };
 
-static void text_pack(msgpack_packer *packer, const char *text)
+static int64_t now_of(const struct directory_sync *sync)
 {
-	msgpack_pack_str(packer, strlen(text));
-	msgpack_pack_str_body(packer, text, strlen(text));
+	return clock_now(sync->entry->clock);
 }
 
-static void backend_pack(msgpack_packer *packer, const struct backend *backend)
+static uint64_t reader_id(const struct directory_sync *sync, uint32_t rank)
 {
-	msgpack_pack_array(packer, FIELDS);
-	text_pack(packer, backend->name);
-	text_pack(packer, backend->pool);
-	text_pack(packer, backend->data_centre);
-	text_pack(packer, backend->address);
-	msgpack_pack_uint64(packer, backend->incarnation);
-	if (backend->leaving)
-		msgpack_pack_true(packer);
-	else
-		msgpack_pack_false(packer);
+	const struct entry *entry = sync->entry;
+
+	return membership_home(entry->membership, entry->settings.data_centre,
+			       id_of("list"), rank);
 }
 
-static void ask_send(struct directory_sync *sync, uint64_t to)
+static bool is_reader(const struct directory_sync *sync)
 {
-	static const unsigned char ask[] = {0x91, SYNC_ASK};
+	uint64_t self = membership_self(sync->entry->membership)->id;
 
-	peers_send(sync->entry->peers, to, CHANNEL_DIRECTORY, ask, sizeof(ask));
+	for (uint32_t rank = 0; rank < READERS; rank++) {
+		if (reader_id(sync, rank) == self)
+			return true;
+	}
+	return false;
 }
 
-static uint32_t listed_count(const struct directory *directory)
+/* When this instance, by itself or through a reader, last knew the list. */
+static int64_t listed_at(const struct directory_sync *sync)
 {
-	const struct backend *backend;
-	uint32_t cursor = 0;
-	uint32_t count = 0;
+	const struct entry *entry = sync->entry;
+	int64_t own =
+		entry->platform ? platform_listed_at(entry->platform) : -1;
 
-	while ((backend = directory_next(directory, &cursor)))
-		count += backend->listed;
-	return count;
+	return MAX(own, sync->listed_at);
 }
 
-static void list_send(struct directory_sync *sync, uint64_t to)
+uint32_t directory_sync_every(const struct directory_sync *sync)
 {
-	const struct directory *directory = sync->entry->directory;
-	const struct backend *backend;
-	uint32_t cursor = 0;
-	msgpack_sbuffer buffer;
-	msgpack_packer packer;
-
-	msgpack_sbuffer_init(&buffer);
-	msgpack_packer_init(&packer, &buffer, msgpack_sbuffer_write);
-	msgpack_pack_array(&packer, 2);
-	msgpack_pack_uint8(&packer, SYNC_LIST);
-	msgpack_pack_array(&packer, listed_count(directory));
-	while ((backend = directory_next(directory, &cursor)))
-		if (backend->listed)
-			backend_pack(&packer, backend);
-	peers_send(sync->entry->peers, to, CHANNEL_DIRECTORY, buffer.data,
-		   buffer.size);
-	msgpack_sbuffer_destroy(&buffer);
-}
-
-static bool text_take(const msgpack_object *field, char *text, size_t size)
-{
-	if (field->type != MSGPACK_OBJECT_STR || !field->via.str.size ||
-	    field->via.str.size >= size)
-		return false;
-	memcpy(text, field->via.str.ptr, field->via.str.size);
-	text[field->via.str.size] = '\0';
-	return true;
-}
-
-static bool backend_take(const msgpack_object *item, struct backend *backend)
-{
-	const msgpack_object *field;
-
-	if (item->type != MSGPACK_OBJECT_ARRAY ||
-	    item->via.array.size != FIELDS)
-		return false;
-	field = item->via.array.ptr;
-	if (!text_take(&field[0], backend->name, sizeof(backend->name)) ||
-	    !text_take(&field[1], backend->pool, sizeof(backend->pool)) ||
-	    !text_take(&field[2], backend->data_centre,
-		       sizeof(backend->data_centre)) ||
-	    !text_take(&field[3], backend->address, sizeof(backend->address)) ||
-	    field[4].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    field[5].type != MSGPACK_OBJECT_BOOLEAN)
-		return false;
-	backend->id = id_of(backend->name);
-	backend->incarnation = field[4].via.u64;
-	backend->leaving = field[5].via.boolean;
-	backend->listed = true;
-	return true;
-}
-
-static void list_take(struct directory_sync *sync, const msgpack_object *list)
+	int64_t period = sync->entry->settings.list_usec;
+	int64_t at = listed_at(sync);
+
+	if (at < 0 || is_reader(sync))
+		return 1;
+	if (now_of(sync) - at > STALE_AFTER * period)
+		return READ_STALE;
+	return READ_FRESH;
+}
+
+/* Telling. */
+
+static uint64_t own_age_ms(const struct directory_sync *sync)
 {
-	struct directory *directory = sync->entry->directory;
+	int64_t at = listed_at(sync);
+
+	if (at < 0)
+		return DIRECTORY_AGE_NEVER;
+	return (uint64_t)((now_of(sync) - at) / USEC_PER_MSEC);
+}
+
+static GByteArray *news_since(const struct directory_sync *sync, uint64_t since,
+			      bool whole)
+{
+	const struct entry *entry = sync->entry;
+	GByteArray *bytes = g_byte_array_new();
+	struct directory_news news = {
+		.epoch = entry->incarnation,
+		.since = since,
+		.until = directory_changes(entry->directory),
+		.whole = whole,
+		.age_ms = own_age_ms(sync),
+	};
+
+	directory_news_encode(&news, entry->directory, bytes);
+	return bytes;
+}
+
+static void bytes_send(const struct directory_sync *sync, uint64_t to,
+		       const GByteArray *bytes)
+{
+	peers_send(sync->entry->peers, to, CHANNEL_DIRECTORY, bytes->data,
+		   bytes->len);
+}
+
+static void on_ask(void *ctx, const struct directory_ask *ask)
+{
+	struct directory_sync *sync = ctx;
+	const struct entry *entry = sync->entry;
+	bool whole = ask->epoch != entry->incarnation ||
+		     !directory_remembers(entry->directory, ask->since);
+	GByteArray *bytes;
+
+	if (!directory_known(entry->directory))
+		return;
+	bytes = news_since(sync, whole ? 0 : ask->since, whole);
+	bytes_send(sync, sync->from, bytes);
+	g_byte_array_unref(bytes);
+}
+
+static bool is_neighbour(const struct directory_sync *sync,
+			 const struct member *member)
+{
+	const struct member *self = membership_self(sync->entry->membership);
+
+	return member->id != self->id && member->state <= MEMBER_SUSPECT &&
+	       strcmp(member->data_centre, self->data_centre) == 0;
+}
+
+/* Tells the data centre what has changed since it was last told. */
+static void changes_tell(struct directory_sync *sync)
+{
+	struct entry *entry = sync->entry;
+	uint64_t until = directory_changes(entry->directory);
+	const struct member *member;
+	GByteArray *bytes;
+	uint32_t cursor = 0;
 
-	if (list->type != MSGPACK_OBJECT_ARRAY || directory_known(directory))
+	if (until == sync->told)
 		return;
-	for (uint32_t i = 0; i < list->via.array.size; i++) {
-		struct backend backend = {0};
+	bytes = news_since(sync, sync->told, false);
+	while ((member = membership_next(entry->membership, &cursor))) {
+		if (is_neighbour(sync, member))
+			bytes_send(sync, member->id, bytes);
+	}
+	g_byte_array_unref(bytes);
+	sync->told = until;
+}
+
+/* Learning. */
+
+static struct teller *teller_find(struct directory_sync *sync, uint64_t id)
+{
+	for (size_t i = 0; i < READERS; i++) {
+		if (sync->tellers[i].id == id)
+			return &sync->tellers[i];
+	}
+	return NULL;
+}
+
+/* A reader goes by its own reading; two of them may differ for a while, and
+ * would else undo each other's. */
+static void on_backend(void *ctx, const struct backend *backend)
+{
+	struct directory_sync *sync = ctx;
+
+	if (sync->wanted)
+		directory_learn(sync->entry->directory, backend);
+}
 
-		if (backend_take(&list->via.array.ptr[i], &backend))
-			directory_put(directory, &backend);
+static void freshness_take(struct directory_sync *sync, uint64_t age_ms)
+{
+	int64_t now = now_of(sync);
+
+	if (age_ms < (uint64_t)(now / USEC_PER_MSEC))
+		sync->listed_at = MAX(sync->listed_at,
+				      now - (int64_t)age_ms * USEC_PER_MSEC);
+}
+
+static void teller_take(struct directory_sync *sync,
+			const struct directory_news *news)
+{
+	struct teller *teller = teller_find(sync, sync->from);
+
+	if (!teller)
+		return;
+	if (news->whole) {
+		teller->epoch = news->epoch;
+		teller->until = news->until;
+	} else if (teller->epoch == news->epoch &&
+		   news->since <= teller->until) {
+		teller->until = MAX(teller->until, news->until);
 	}
+}
+
+static void on_news(void *ctx, const struct directory_news *news)
+{
+	struct directory_sync *sync = ctx;
+
+	if (sync->wanted && news->whole)
+		directory_begin(sync->entry->directory);
+}
+
+static void on_end(void *ctx, const struct directory_news *news)
+{
+	struct directory_sync *sync = ctx;
+	struct directory *directory = sync->entry->directory;
+
+	if (!sync->wanted)
+		return;
+	teller_take(sync, news);
+	freshness_take(sync, news->age_ms);
+	if (!news->whole)
+		return;
 	directory_swept(directory);
-	log_event(LOG_NOTICE, "directory_learnt",
-		  LOG_D("backends", listed_count(directory)));
+	log_event(LOG_INFO, "directory_learnt", LOG_X("peer", sync->from),
+		  LOG_D("changes", directory_changes(directory)));
 }
 
 static void sync_receive(void *ctx, uint64_t from, const void *data,
 			 size_t size)
 {
+	static const struct directory_codec_ops ops = {
+		.ask = on_ask,
+		.news = on_news,
+		.backend = on_backend,
+		.end = on_end,
+	};
 	struct directory_sync *sync = ctx;
-	msgpack_unpacked unpacked;
-	const msgpack_object *field;
-
-	msgpack_unpacked_init(&unpacked);
-	if (!message_unpack(&unpacked, data, size, NULL) ||
-	    unpacked.data.type != MSGPACK_OBJECT_ARRAY ||
-	    !unpacked.data.via.array.size) {
-		msgpack_unpacked_destroy(&unpacked);
+
+	sync->from = from;
+	sync->wanted =
+		!is_reader(sync) || !directory_known(sync->entry->directory);
+	if (!directory_decode(data, size, &ops, sync))
+		log_event(LOG_WARNING, "directory_message_malformed",
+			  LOG_X("peer", from));
+}
+
+/* Asking. */
+
+static void ask_send(const struct directory_sync *sync, uint64_t to,
+		     const struct teller *teller)
+{
+	struct directory_ask ask = {
+		.epoch = teller ? teller->epoch : 0,
+		.since = teller ? teller->until : 0,
+	};
+	GByteArray *bytes = g_byte_array_new();
+
+	directory_ask_encode(&ask, bytes);
+	bytes_send(sync, to, bytes);
+	g_byte_array_unref(bytes);
+}
+
+/* The two readers take turns; a new reader's numbers are not known yet. */
+static void reader_ask(struct directory_sync *sync)
+{
+	uint32_t rank = sync->asked++ % READERS;
+	uint64_t id = reader_id(sync, rank);
+	struct teller *teller = &sync->tellers[rank];
+
+	if (id == 0)
 		return;
-	}
-	field = unpacked.data.via.array.ptr;
-	if (field[0].type == MSGPACK_OBJECT_POSITIVE_INTEGER) {
-		if (field[0].via.u64 == SYNC_ASK &&
-		    directory_known(sync->entry->directory))
-			list_send(sync, from);
-		if (field[0].via.u64 == SYNC_LIST &&
-		    unpacked.data.via.array.size == 2)
-			list_take(sync, &field[1]);
-	}
-	msgpack_unpacked_destroy(&unpacked);
+	if (teller->id != id)
+		*teller = (struct teller){.id = id};
+	ask_send(sync, id, teller);
 }
 
 /* The live members take turns at being asked. */
@@ -169,27 +299,57 @@
 	uint32_t cursor = 0;
 	uint64_t id = 0;
 
-	while ((member = membership_next(members, &cursor)))
+	while ((member = membership_next(members, &cursor))) {
 		if (member != self && member->state == MEMBER_ALIVE)
 			g_array_append_val(alive, member->id);
-	if (alive->len)
+	}
+	if (alive->len > 0)
 		id = g_array_index(alive, uint64_t, sync->asked % alive->len);
 	g_array_free(alive, TRUE);
 	return id;
 }
 
+static void anyone_ask(struct directory_sync *sync)
+{
+	uint64_t id = next_member(sync);
+
+	sync->asked++;
+	if (id != 0)
+		ask_send(sync, id, NULL);
+}
+
+static void reader_tick(struct directory_sync *sync)
+{
+	/* What was known before the role was taken is no news. */
+	if (!sync->reader)
+		sync->told = directory_changes(sync->entry->directory);
+	changes_tell(sync);
+}
+
+static void other_tick(struct directory_sync *sync)
+{
+	if (++sync->ticks < ASK_EVERY)
+		return;
+	sync->ticks = 0;
+	reader_ask(sync);
+}
+
 static void sync_fire(struct timer *timer, void *ctx)
 {
 	struct directory_sync *sync = ctx;
-	uint64_t member;
+	bool reader = is_reader(sync);
 
-	if (directory_known(sync->entry->directory))
+	if (!directory_known(sync->entry->directory)) {
+		anyone_ask(sync);
+		timer_start(timer, START_USEC);
 		return;
-	member = next_member(sync);
-	sync->asked++;
-	if (member)
-		ask_send(sync, member);
-	timer_start(&sync->timer, ASK_USEC);
+	}
+	if (reader)
+		reader_tick(sync);
+	else
+		other_tick(sync);
+	sync->reader = reader;
+	timer_start(timer, sync->entry->settings.list_usec);
 }
 
 struct directory_sync *directory_sync_create(struct entry *entry)
@@ -197,9 +357,12 @@
 	struct directory_sync *sync = g_new0(struct directory_sync, 1);
 
 	sync->entry = entry;
+	sync->listed_at = -1;
+	/* Spreads the first asks of instances that start together. */
+	sync->ticks = (uint32_t)g_rand_int_range(entry->rand, 0, ASK_EVERY);
 	peers_on(entry->peers, CHANNEL_DIRECTORY, sync_receive, sync);
 	timer_init(&sync->timer, entry->clock, sync_fire, sync);
-	timer_start(&sync->timer, ASK_USEC);
+	timer_start(&sync->timer, START_USEC);
 	return sync;
 }
 
--- a/entry/platform.c
+++ b/entry/platform.c
@@ -32,7 +32,7 @@
 {
 	if (!platform)
 		return;
-	platform_list_stop(platform);
+	platform_list_finish(platform);
 	platform_log_finish(platform);
 	g_rand_free(platform->rand);
 	g_free(platform->address);
--- a/entry/platform_list.c
+++ b/entry/platform_list.c
@@ -16,6 +16,9 @@
 #define PUT_ANSWER_MAX 4096
 #define PATH_MAX_BYTES 256
 #define STATUS_OK 200
+#define STATUS_NOT_MODIFIED 304
+#define TAG_HEADER "etag"
+#define TAG_ASK_HEADER "if-none-match"
 
 static bool text_take(const json_t *item, const char *name, char *to,
 		      size_t size)
@@ -173,30 +176,85 @@
 		self_put(platform);
 }
 
-static void read_done(void *ctx, const struct web_result *result, int status,
-		      const void *body, size_t size)
+static void read_failed(struct platform_list *list, const char *reason)
 {
-	struct platform *platform = ctx;
-	struct platform_list *list = &platform->list;
-	json_t *json = NULL;
+	list->failures->value++;
+	log_event(LOG_NOTICE, "list_read_failed", LOG_D("status", list->status),
+		  LOG_S("reason", reason));
+}
 
-	list->read = NULL;
-	list->bytes->value += (int64_t)size;
-	if (result->ok && status == STATUS_OK)
-		json = json_loadb(body, size, 0, NULL);
+static void body_take(struct platform *platform)
+{
+	struct platform_list *list = &platform->list;
+	json_t *json = json_loadb((const char *)list->body->data,
+				  list->body->len, 0, NULL);
 	const json_t *items = json_object_get(json, "instances");
 
 	if (json_is_array(items)) {
+		g_free(list->tag);
+		list->tag = g_steal_pointer(&list->next_tag);
 		items_take(platform, items);
 	} else {
-		list->failures->value++;
-		log_event(LOG_NOTICE, "list_read_failed",
-			  LOG_D("status", status),
-			  LOG_S("reason", result->text ? result->text : ""));
+		read_failed(list, "malformed");
 	}
 	json_decref(json);
 }
 
+/* Nothing has changed but the time. */
+static void unchanged_take(struct platform *platform)
+{
+	struct platform_list *list = &platform->list;
+
+	list->listed_at = clock_now(platform->clock);
+	if (!list->seen)
+		self_put(platform);
+}
+
+static void on_head(void *ctx, int status, const struct web_header *headers,
+		    size_t count)
+{
+	struct platform *platform = ctx;
+	struct platform_list *list = &platform->list;
+
+	list->status = status;
+	for (size_t i = 0; i < count; i++) {
+		const struct web_header *header = &headers[i];
+
+		if (header->name.size == strlen(TAG_HEADER) &&
+		    memcmp(header->name.data, TAG_HEADER, header->name.size) ==
+			    0)
+			list->next_tag = g_strndup(header->value.data,
+						   header->value.size);
+	}
+}
+
+/* A body that is too long is cut, and then malformed. */
+static void on_body(void *ctx, const void *data, size_t size)
+{
+	struct platform *platform = ctx;
+	struct platform_list *list = &platform->list;
+
+	list->bytes->value += (int64_t)size;
+	if (list->body->len + size <= LIST_ANSWER_MAX)
+		g_byte_array_append(list->body, data, (guint)size);
+}
+
+static void on_done(void *ctx, const struct web_result *result)
+{
+	struct platform *platform = ctx;
+	struct platform_list *list = &platform->list;
+
+	list->read = NULL;
+	if (result->ok && list->status == STATUS_OK)
+		body_take(platform);
+	else if (result->ok && list->status == STATUS_NOT_MODIFIED && list->tag)
+		unchanged_take(platform);
+	else
+		read_failed(list, result->text ? result->text : "refused");
+	g_byte_array_set_size(list->body, 0);
+	g_clear_pointer(&list->next_tag, g_free);
+}
+
 /* A quarter of the period either way, so that instances spread out. */
 static int64_t list_delay(struct platform *platform)
 {
@@ -205,24 +263,44 @@
 	return (int64_t)((double)platform->list_usec * share);
 }
 
-static void list_fire(struct timer *timer, void *ctx)
+static void list_read(struct platform *platform)
 {
-	struct platform *platform = ctx;
+	static const struct web_call_ops ops = {
+		.head = on_head,
+		.body = on_body,
+		.done = on_done,
+	};
 	struct platform_list *list = &platform->list;
+	struct web_header tag = {
+		.name = {TAG_ASK_HEADER, strlen(TAG_ASK_HEADER)},
+		.value = {list->tag, list->tag ? strlen(list->tag) : 0},
+	};
 	struct web_call_spec spec = {
 		.address = platform->address,
 		.method = "GET",
 		.path = "/instances",
+		.headers = &tag,
+		.header_count = list->tag ? 1 : 0,
 		.head_usec = platform->call_usec,
 		.idle_usec = platform->call_usec,
 	};
 
+	list->reads->value++;
+	list->status = 0;
+	list->read = web_call(platform->client, &spec, &ops, platform);
+}
+
+static void list_fire(struct timer *timer, void *ctx)
+{
+	struct platform *platform = ctx;
+	struct platform_list *list = &platform->list;
+	uint32_t every = list->ops.every ? list->ops.every(list->ctx) : 1;
+
 	timer_start(timer, list_delay(platform));
-	if (list->read)
+	if (list->read || ++list->skipped < every)
 		return;
-	list->reads->value++;
-	list->read = web_fetch(platform->client, &spec, LIST_ANSWER_MAX,
-			       read_done, platform);
+	list->skipped = 0;
+	list_read(platform);
 }
 
 void platform_list_init(struct platform *platform, struct counter_set *counters)
@@ -230,6 +308,7 @@
 	struct platform_list *list = &platform->list;
 
 	list->listed_at = -1;
+	list->body = g_byte_array_new();
 	timer_init(&list->timer, platform->clock, list_fire, platform);
 	list->reads = counter_get(counters, "jt_list_reads_total",
 				  "Readings of the instance list", NULL);
@@ -274,6 +353,15 @@
 		web_call_cancel(list->put);
 	list->read = NULL;
 	list->put = NULL;
+	g_byte_array_set_size(list->body, 0);
+	g_clear_pointer(&list->next_tag, g_free);
+	g_clear_pointer(&list->tag, g_free);
+}
+
+void platform_list_finish(struct platform *platform)
+{
+	platform_list_stop(platform);
+	g_byte_array_unref(platform->list.body);
 }
 
 void platform_leave(struct platform *platform)
--- a/entry/platform_private.h
+++ b/entry/platform_private.h
@@ -16,6 +16,11 @@
 	bool started;
 	bool leaving;
 	bool seen; /* the own entry, as it should be, in this reading */
+	uint32_t skipped; /* periods without a reading */
+	int status;	  /* of the answer being read */
+	GByteArray *body;
+	char *tag;	/* of the last whole reading; NULL: none */
+	char *next_tag; /* of the answer being read */
 	int64_t listed_at;
 	struct counter *reads;
 	struct counter *failures;
@@ -46,5 +51,6 @@
 void platform_log_finish(struct platform *platform);
 void platform_list_init(struct platform *platform,
 			struct counter_set *counters);
+void platform_list_finish(struct platform *platform);
 
 #endif
--- a/include/entry/directory.h
+++ b/include/entry/directory.h
@@ -6,6 +6,9 @@
  *	instances. A server marked leaving from any sign stays so until the list
  *	shows it under a new incarnation. While the platform cannot be read, the
  *	last list holds.
+ *
+ *	Changes are numbered from 1 on, so that another instance can be told
+ *	what has changed since a number.
  */
 #ifndef ENTRY_DIRECTORY_H
 #define ENTRY_DIRECTORY_H
@@ -40,6 +43,11 @@
 				     uint32_t *cursor);
 /* One entry as read from the list or told by a peer. */
 void directory_put(struct directory *directory, const struct backend *backend);
+/* One entry as another instance has it, which may be unlisted by now. */
+void directory_learn(struct directory *directory,
+		     const struct backend *backend);
+/* A reading starts that may name less than was learnt since the last one. */
+void directory_begin(struct directory *directory);
 /* All entries of one reading were put: those not among them are unlisted. */
 void directory_swept(struct directory *directory);
 /* A fact spread by another instance; others than ours are passed over. */
@@ -47,6 +55,13 @@
 		    const void *value, size_t size);
 void directory_on_changed(struct directory *directory, directory_changed_fn fn,
 			  void *ctx);
+/* The number of the last change. */
+uint64_t directory_changes(const struct directory *directory);
+/* Whether what changed since then is still known; if not, all must be told. */
+bool directory_remembers(const struct directory *directory, uint64_t since);
+/* As directory_next(), over what has changed since. */
+const struct backend *directory_next_since(const struct directory *directory,
+					   uint32_t *cursor, uint64_t since);
 /* Whether one whole reading, of the list or of a peer, has been taken. */
 bool directory_known(const struct directory *directory);
 /* The server said, refused or was reported to be leaving: spread it. */
--- a/include/entry/platform.h
+++ b/include/entry/platform.h
@@ -10,6 +10,8 @@
  *	(RESULT_LOG_UNKNOWN: anything else that is no 200 with an offset).
  *	Nothing is sent again by the adapter.
  *
+ *	A list that the platform says is unchanged (ETag, 304) counts as read.
+ *
  *	Without an address every log call answers RESULT_LOG_DOWN in a later
  *	turn, and nothing is listed.
  */
@@ -58,6 +60,8 @@
 	void (*backend)(void *ctx, const struct backend *backend);
 	/* All of one reading was given. */
 	void (*swept)(void *ctx);
+	/* The list is to be read once in so many periods; NULL: each time. */
+	uint32_t (*every)(void *ctx);
 };
 
 /* The own entry in the list. */
--- a/standin/platform_answer.c
+++ b/standin/platform_answer.c
@@ -4,6 +4,8 @@
 
 #include "web/server.h"
 
+#define STATUS_NOT_MODIFIED 304
+
 struct answer {
 	struct platform *platform;
 	struct web_request *request;
@@ -42,7 +44,8 @@
 		answer_cut(request);
 		return;
 	}
-	web_reply(request, status, "application/json", body, strlen(body));
+	web_reply(request, status, "application/json", body,
+		  status == STATUS_NOT_MODIFIED ? 0 : strlen(body));
 }
 
 static void answer_free(struct answer *answer)
--- a/standin/platform_list.c
+++ b/standin/platform_list.c
@@ -1,5 +1,7 @@
 #include <string.h>
 
+#include "common/hex.h"
+#include "common/id.h"
 #include "standin/platform.h"
 #include "standin/reply.h"
 #include "web/server.h"
@@ -82,6 +84,24 @@
 	g_queue_push_tail(&list->changes, change);
 }
 
+/* A reader that has this very list already is not sent it again. */
+static void answer_tag(struct platform_list *list, struct web_request *request,
+		       json_t *body)
+{
+	struct web_text known = web_request_header(request, "if-none-match");
+	char *text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
+	char id[HEX_ID_SIZE];
+	char *tag = g_strdup_printf("\"%s\"",
+				    hex_id(id, id_hash(text, strlen(text))));
+	bool same = known.size == strlen(tag) &&
+		    memcmp(known.data, tag, known.size) == 0;
+
+	web_reply_header(request, "etag", tag);
+	platform_answer(list->platform, request, same ? 304 : 200, body, 0);
+	g_free(tag);
+	free(text);
+}
+
 static void list_answer(struct platform_list *list, struct web_request *request)
 {
 	json_t *array = json_array();
@@ -91,8 +111,7 @@
 	list_catch_up(list);
 	json_object_foreach (list->shown, name, instance)
 		json_array_append(array, instance);
-	platform_answer(list->platform, request, 200,
-			json_pack("{s:o}", "instances", array), 0);
+	answer_tag(list, request, json_pack("{s:o}", "instances", array));
 }
 
 static bool one_of(const json_t *value, const char *const *choices)
--- a/tests/entry/test_platform.c
+++ b/tests/entry/test_platform.c
@@ -28,7 +28,11 @@
 	int status;
 	const char *body;
 	const char *list; /* body of GET /instances */
-	GString *calls;	  /* "METHOD path body\n" */
+	const char *tag;  /* its ETag; NULL: none */
+	int unchanged;	  /* times that 304 was answered */
+	uint32_t every;	  /* what the list's reader is told; 0: nothing */
+	int reads;
+	GString *calls; /* "METHOD path body\n" */
 	int hung;
 	/* What came back. */
 	int answers;
@@ -78,15 +82,32 @@
 		  strlen(fake->body));
 }
 
+static bool list_known(const struct fake *fake,
+		       const struct web_request *request)
+{
+	struct web_text known = web_request_header(request, "if-none-match");
+
+	return fake->tag && known.size == strlen(fake->tag) &&
+	       memcmp(known.data, fake->tag, known.size) == 0;
+}
+
 static void on_instances(void *ctx, struct web_request *request)
 {
 	struct fake *fake = ctx;
 	const char *body = "{}";
 
-	if (web_request_method(request).data[0] == 'G')
-		body = fake->list;
-	else
+	if (web_request_method(request).data[0] != 'G') {
 		call_note(fake, request);
+	} else if (list_known(fake, request)) {
+		fake->unchanged++;
+		web_reply(request, 304, "application/json", "", 0);
+		return;
+	} else {
+		fake->reads++;
+		body = fake->list;
+		if (fake->tag)
+			web_reply_header(request, "etag", fake->tag);
+	}
 	web_reply(request, fake->status, "application/json", body,
 		  strlen(body));
 }
@@ -344,10 +365,18 @@
 	g_string_append(fake->listed, "swept\n");
 }
 
+static uint32_t on_every(void *ctx)
+{
+	const struct fake *fake = ctx;
+
+	return fake->every ? fake->every : 1;
+}
+
 static const struct platform_list_ops list_ops = {
 	.member = on_member,
 	.backend = on_backend,
 	.swept = on_swept,
+	.every = on_every,
 };
 
 static const struct platform_self self = {
@@ -444,6 +473,59 @@
 	fake_teardown(&fake);
 }
 
+static bool unchanged_thrice(void *ctx)
+{
+	return ((struct fake *)ctx)->unchanged > 2;
+}
+
+static bool read_twice(void *ctx)
+{
+	return ((struct fake *)ctx)->sweeps > 1;
+}
+
+/* A list that has not changed is not sent again, and counts as read. */
+static void test_list_unchanged(void)
+{
+	struct fake fake;
+
+	fake_setup(&fake, ANSWER);
+	fake.list = "{\"instances\": [" SELF_ITEM("live") "]}";
+	fake.tag = "\"one\"";
+	platform_list_start(fake.platform, &self, &list_ops, &fake);
+	g_assert_true(run_until(&fake.run, swept_once, &fake));
+	int64_t first = platform_listed_at(fake.platform);
+
+	g_assert_true(run_until(&fake.run, unchanged_thrice, &fake));
+	g_assert_cmpint(fake.sweeps, ==, 1);
+	g_assert_cmpint(fake.reads, ==, 1);
+	g_assert_cmpint(platform_listed_at(fake.platform), >, first);
+	g_assert_cmpstr(fake.calls->str, ==, SELF_PUT("live"));
+	g_assert_cmpint(
+		run_counter(&fake.run, "jt_list_read_failures_total", NULL), ==,
+		0);
+	fake.tag = "\"two\"";
+	g_assert_true(run_until(&fake.run, read_twice, &fake));
+	g_assert_cmpint(fake.sweeps, ==, 2);
+	fake_teardown(&fake);
+}
+
+/* What others read is read here less often, once it was read at all. */
+static void test_list_every(void)
+{
+	struct fake fake;
+
+	fake_setup(&fake, ANSWER);
+	fake.every = 1000;
+	fake.list = "{\"instances\": [" SELF_ITEM("live") "]}";
+	platform_list_start(fake.platform, &self, &list_ops, &fake);
+	run_for(&fake.run, 10 * LIST_USEC);
+	g_assert_cmpint(fake.reads, ==, 0);
+	fake.every = 2;
+	g_assert_true(run_until(&fake.run, swept_thrice, &fake));
+	g_assert_cmpint(fake.reads, ==, 3);
+	fake_teardown(&fake);
+}
+
 static bool put_twice(void *ctx)
 {
 	const char *first = strstr(((struct fake *)ctx)->calls->str, "PUT");
@@ -502,6 +584,8 @@
 	g_test_add_func("/platform/append/oversize", test_append_oversize);
 	g_test_add_func("/platform/destroy", test_destroy);
 	g_test_add_func("/platform/list", test_list);
+	g_test_add_func("/platform/list-unchanged", test_list_unchanged);
+	g_test_add_func("/platform/list-every", test_list_every);
 	g_test_add_func("/platform/list-faults", test_list_faults);
 	return g_test_run();
 }
