entry: say unknown, not not-run, once a prefill has run

Found by the load tool's check against the engines' ledgers at 40 calls a second under least_load: 5 of 1595 calls whose decode runner refused four times were answered as not run although their prefill had been computed. The request is now marked as reached when a prefill's result arrives, so a later refusal says unknown.

Before: 5 of 5 such refusals said not-run.

--- a/entry/request_model.c
+++ b/entry/request_model.c
@@ -162,6 +162,7 @@
 	struct measures *measures = request->entry->measures;
 
 	request->call = NULL;
+	request->reached = true;
 	g_strlcpy(request->handle, result->handle, sizeof(request->handle));
 	request->handle_until = clock_now(request->entry->clock) +
 				result->hold_ms * USEC_PER_MSEC;
