--- a/entry/request.c
+++ b/entry/request.c
@@ -250,8 +250,8 @@
 	uint64_t max = requests->entry->settings.replay_bytes_max;
 	GList *next;
 
-	for (GList *at = requests->kept.head;
-	     at && requests->kept_bytes > max; at = next) {
+	for (GList *at = requests->kept.head; at && requests->kept_bytes > max;
+	     at = next) {
 		next = at->next;
 		request_destroy(at->data);
 	}
