web: never let h2o free a socket before the callback that is due on it

Cause: a turn of h2o's loop frees closed sockets, then polls, then runs the callbacks that are due. A socket that our own timers used and closed between two turns (a call and its cancel) was freed first and called then; web_client ended with SIGSEGV on each run, valgrind showed the read of a freed block. Ruled out: the order of destruction in the test, which had to work as it is.

Change: before each turn the callbacks due are run by way of a timeout of h2o's, which passes over closed sockets; the same for the turns at the end.

Before: web_client fails on each run under MALLOC_PERTURB_.

--- a/include/web/loop.h
+++ b/include/web/loop.h
@@ -51,6 +51,9 @@
 void loop_defer(struct loop *loop, struct loop_deferred *node,
 		loop_deferred_fn fn, void *ctx);
 void loop_defer_cancel(struct loop_deferred *node);
+/* One turn of h2o's loop, safe for sockets that were closed outside of one.
+ * For use where loop_run() does not run; waits at most msec. */
+void loop_turn_h2o(struct loop *loop, int32_t msec);
 struct clock *loop_clock(struct loop *loop);
 h2o_loop_t *loop_h2o(struct loop *loop);
 
--- a/web/loop.c
+++ b/web/loop.c
@@ -23,6 +23,8 @@
 	struct loop_deferred deferred; /* head of a ring */
 	h2o_timeout_t soon;	       /* ends a turn of h2o's */
 	h2o_timeout_entry_t soon_entry;
+	h2o_timeout_t drain; /* see loop_turn_h2o() */
+	h2o_timeout_entry_t drain_entry;
 	GArray *watches;
 	sigset_t mask;
 	int signal_fd;
@@ -49,6 +51,24 @@
 	deferred_run(H2O_STRUCT_FROM_MEMBER(struct loop, soon_entry, entry));
 }
 
+static void on_drain(h2o_timeout_entry_t *entry)
+{
+}
+
+/*
+ * A turn of h2o's frees the sockets that were closed before it runs the
+ * callbacks that are due. A socket that was used and closed outside of a turn,
+ * say by a timer of ours that calls and one that cancels, would be freed first
+ * and called then. Running a timeout of h2o's runs the callbacks due, and
+ * passes over closed sockets.
+ */
+void loop_turn_h2o(struct loop *loop, int32_t msec)
+{
+	h2o_timeout_link(loop->h2o, &loop->drain, &loop->drain_entry);
+	h2o_timeout_run(loop->h2o, &loop->drain, h2o_now(loop->h2o));
+	h2o_evloop_run(loop->h2o, msec);
+}
+
 struct loop *loop_create(struct clock *clock)
 {
 	struct loop *loop = g_new0(struct loop, 1);
@@ -58,6 +78,8 @@
 	loop->clock = clock;
 	h2o_timeout_init(loop->h2o, &loop->soon, 0);
 	loop->soon_entry.cb = on_soon;
+	h2o_timeout_init(loop->h2o, &loop->drain, 0);
+	loop->drain_entry.cb = on_drain;
 	loop->deferred.prev = &loop->deferred;
 	loop->deferred.next = &loop->deferred;
 	loop->watches = g_array_new(FALSE, FALSE, sizeof(struct signal_watch));
@@ -74,9 +96,10 @@
 		h2o_socket_close(loop->signal_sock);
 	sigprocmask(SIG_UNBLOCK, &loop->mask, NULL);
 	/* Lets h2o free the sockets that were closed last. */
-	h2o_evloop_run(loop->h2o, 0);
+	loop_turn_h2o(loop, 0);
 	h2o_timeout_unlink(&loop->soon_entry);
 	h2o_timeout_dispose(loop->h2o, &loop->soon);
+	h2o_timeout_dispose(loop->h2o, &loop->drain);
 	h2o_evloop_destroy(loop->h2o);
 	g_array_free(loop->watches, TRUE);
 	g_free(loop);
@@ -150,7 +173,7 @@
 	msec = wait_msec(loop);
 	loop->waited_usec = msec * USEC_PER_MSEC;
 	loop->entered = false;
-	h2o_evloop_run(loop->h2o, msec);
+	loop_turn_h2o(loop, msec);
 }
 
 void loop_run(struct loop *loop)
--- a/web/server.c
+++ b/web/server.c
@@ -264,7 +264,7 @@
 		shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
 	}
 	for (int i = 0; i < CLOSE_TURNS && server->conns.length > 0; i++)
-		h2o_evloop_run(loop_h2o(server->loop), 0);
+		loop_turn_h2o(server->loop, 0);
 }
 
 static void context_dispose(h2o_context_t *context)
