--- a/entry/admin.c
+++ b/entry/admin.c
@@ -14,7 +14,6 @@
 #include "entry/directory.h"
 #include "entry/entry.h"
 #include "entry/measures.h"
-#include "entry/peers.h"
 
 #define APPLY_USEC (10 * USEC_PER_SEC)
 #define CONNECTIONS_MAX 256
@@ -111,7 +110,7 @@
 
 	if (!method_get(request))
 		return;
-	peers_measure(admin->entry->peers);
+	status_measure(admin->entry);
 	text = g_string_new(NULL);
 	counter_set_print(admin->entry->counters, text);
 	reply_string(request, TYPE_METRICS, text);
--- a/entry/status.c
+++ b/entry/status.c
@@ -202,6 +202,56 @@
 	json_append(out, json);
 }
 
+static void gauge_set(const struct entry *entry, const char *name,
+		      const char *help, const char *labels, uint64_t value)
+{
+	gauge_get(entry->counters, name, help, labels)->value = (int64_t)value;
+}
+
+static void members_measure(const struct entry *entry)
+{
+	uint64_t counts[MEMBER_DEAD + 1] = {0};
+	const struct member *member;
+	uint32_t cursor = 0;
+	char labels[64];
+
+	while ((member = membership_next(entry->membership, &cursor)))
+		counts[member->state]++;
+	for (int state = MEMBER_ALIVE; state <= MEMBER_DEAD; state++) {
+		(void)g_snprintf(labels, sizeof(labels), "state=\"%s\"",
+				 member_state_label(state));
+		gauge_set(entry, "jt_members", "Instances known, own included",
+			  labels, counts[state]);
+	}
+}
+
+void status_measure(const struct entry *entry)
+{
+	struct ledger_stats stats = {0};
+
+	ledger_stats(entry->ledger, &stats);
+	gauge_set(entry, "jt_requests_in_flight", "Requests not yet answered",
+		  NULL, requests_count(entry->requests));
+	gauge_set(entry, "jt_ledger_waiting",
+		  "Requests in the queues of cells at home here", NULL,
+		  stats.waiting);
+	gauge_set(entry, "jt_ledger_grants",
+		  "Grants given by cells at home here", NULL, stats.grants);
+	gauge_set(entry, "jt_ledger_held", "Grants held for requests here",
+		  NULL, stats.held);
+	gauge_set(entry, "jt_ledger_records",
+		  "Records of keyed requests, replicas included", NULL,
+		  stats.records);
+	gauge_set(entry, "jt_ledger_cells", "Cells at home here", NULL,
+		  stats.cells);
+	counter_get(entry->counters, "jt_ledger_cancels_total",
+		    "Ends of streams asked of runners by cells at home here",
+		    NULL)
+		->value = (int64_t)stats.cancels;
+	members_measure(entry);
+	peers_measure(entry->peers);
+}
+
 void history_print(const struct entry *entry, GString *out)
 {
 	json_append(out,
--- a/include/entry/admin.h
+++ b/include/entry/admin.h
@@ -27,5 +27,7 @@
 /* The JSON of GET /status and GET /history. */
 void status_print(const struct entry *entry, GString *out);
 void history_print(const struct entry *entry, GString *out);
+/* Brings the gauges that are worked out on demand up to date. */
+void status_measure(const struct entry *entry);
 
 #endif
