policy: refuse parameters that a policy does not know

A misspelt parameter had no effect and no message: the policy ran with its default, and whoever compared two files compared the same policy twice.

Each policy now names its parameters in a table with range, default and meaning. The daemon's check of a file, jtctl validate and jtctl apply refuse others and values out of range with the field's path, and jtctl policies prints the tables. The policies take their defaults from there. Two sessions of the control program hold the refusals, and the listing has to show each parameter's meaning.

--- a/coord/ledger_config.c
+++ b/coord/ledger_config.c
@@ -56,12 +56,13 @@
 static bool policy_swap(struct ledger *ledger, const struct config *config,
 			struct error *err)
 {
-	const struct policy_ops *ops = policy_find(config->policy.name, err);
+	const struct policy_ops *ops;
 	char *key;
 	void *state;
 
-	if (ops == NULL)
+	if (!policy_check(&config->policy, err))
 		return false;
+	ops = policy_find(config->policy.name, err);
 	key = policy_key(&config->policy);
 	if (g_strcmp0(key, ledger->policy_key) == 0) {
 		g_free(key);
--- a/ctl/file.c
+++ b/ctl/file.c
@@ -5,21 +5,6 @@
 #include "config/config.h"
 #include "policy/policy.h"
 
-static bool policy_check(const struct config_policy *settings,
-			 struct error *err)
-{
-	const struct policy_ops *ops = policy_find(settings->name, err);
-	void *state;
-
-	if (!ops)
-		return false;
-	state = ops->create(settings, err);
-	if (!state)
-		return false;
-	ops->destroy(state);
-	return true;
-}
-
 bool file_read(struct file *file, const char *name, struct error *err)
 {
 	*file = (struct file){0};
--- a/entry/component_config.c
+++ b/entry/component_config.c
@@ -48,24 +48,9 @@
 		  LOG_S("policy", config->policy.name));
 }
 
-/* The policy's own check of its parameters is part of the file's. */
-static bool policy_check(const struct config *config, struct error *err)
-{
-	const struct policy_ops *ops = policy_find(config->policy.name, err);
-	void *state;
-
-	if (!ops)
-		return false;
-	state = ops->create(&config->policy, err);
-	if (!state)
-		return false;
-	ops->destroy(state);
-	return true;
-}
-
 static bool meaning_check(const struct config *config, struct error *err)
 {
-	return ledger_check(config, err) && policy_check(config, err);
+	return ledger_check(config, err) && policy_check(&config->policy, err);
 }
 
 static struct config *content_parse(const void *data, size_t size,
--- a/include/policy/policy.h
+++ b/include/policy/policy.h
@@ -108,9 +108,20 @@
 	uint32_t hold;
 };
 
+/* A parameter that a policy knows; both ends of the range are allowed. */
+struct policy_param {
+	const char *name;
+	double min;
+	double max;
+	double fallback; /* when the file does not give it */
+	const char *help;
+};
+
 struct policy_ops {
 	const char *name;
 	const char *summary;
+	const struct policy_param *params;
+	size_t param_count;
 	void *(*create)(const struct config_policy *settings,
 			struct error *err);
 	void (*destroy)(void *state);
@@ -128,8 +139,12 @@
 const struct policy_ops *policy_find(const char *name, struct error *err);
 /* All policies, sorted by name. */
 const struct policy_ops *const *policy_all(size_t *count);
-/* A parameter's value, or fallback when the file does not give it. */
-double policy_param(const struct config_policy *settings, const char *name,
-		    double fallback);
+/* Whether the policy is known and takes all the parameters that are given, each
+ * within its range; the error names the field of the file. */
+bool policy_check(const struct config_policy *settings, struct error *err);
+/* The value of one of the policy's parameters, or its default when the file
+ * does not give it. */
+double policy_value(const struct policy_ops *ops,
+		    const struct config_policy *settings, const char *name);
 
 #endif
--- a/policy/reserve.c
+++ b/policy/reserve.c
@@ -7,11 +7,19 @@
 #include "place.h"
 #include "policies.h"
 
-#define AHEAD_MS_DEFAULT 20.0
-#define AGEING_MS_DEFAULT 5000.0
-#define SHARE_DEFAULT 0.1
-#define CREDIT_MAX_DEFAULT 32.0
-#define HOLD_MS_DEFAULT 250.0
+#define TIME_MS_MAX 3.6e6
+
+static const struct policy_param reserve_params[] = {
+	{"ahead_ms", 0, TIME_MS_MAX, 20,
+	 "a prefill starts so long before its runner is free"},
+	{"ageing_ms", 0, TIME_MS_MAX, 5000,
+	 "after this wait a deferrable request may be owed memory"},
+	{"hold_ms", 0, TIME_MS_MAX, 250,
+	 "after this wait a request holds a runner for itself"},
+	{"deferrable_share", 0.001, 1, 0.1,
+	 "share of urgent memory that deferrable requests are owed"},
+	{"credit_pieces", 1, 1e6, 32, "pieces of memory owed at most"},
+};
 
 /* Ranks: one band after the other, by time within each. */
 #define BAND ((int64_t)1 << 60)
@@ -35,33 +43,27 @@
 	int64_t transfer;
 };
 
-static int64_t ms(const struct config_policy *settings, const char *name,
-		  double fallback)
+static int64_t ms(const struct config_policy *settings, const char *name)
 {
-	double value = policy_param(settings, name, fallback);
-
-	return (int64_t)(value * (double)USEC_PER_MSEC);
+	return (int64_t)(policy_value(&policy_reserve, settings, name) *
+			 (double)USEC_PER_MSEC);
 }
 
 static void *reserve_create(const struct config_policy *settings,
 			    struct error *err)
 {
-	struct reserve *rs = g_new0(struct reserve, 1);
-
-	rs->ahead = ms(settings, "ahead_ms", AHEAD_MS_DEFAULT);
-	rs->ageing = ms(settings, "ageing_ms", AGEING_MS_DEFAULT);
-	rs->hold = ms(settings, "hold_ms", HOLD_MS_DEFAULT);
-	rs->share = policy_param(settings, "deferrable_share", SHARE_DEFAULT);
+	struct reserve *rs;
+
+	if (settings != NULL && !policy_check(settings, err))
+		return NULL;
+	rs = g_new0(struct reserve, 1);
+	rs->ahead = ms(settings, "ahead_ms");
+	rs->ageing = ms(settings, "ageing_ms");
+	rs->hold = ms(settings, "hold_ms");
+	rs->share = policy_value(&policy_reserve, settings, "deferrable_share");
 	rs->credit_max =
-		policy_param(settings, "credit_pieces", CREDIT_MAX_DEFAULT);
-	if (rs->share > 0 && rs->share <= 1 && rs->credit_max >= 1 &&
-	    rs->ahead >= 0 && rs->ageing >= 0 && rs->hold >= 0)
-		return rs;
-	g_free(rs);
-	error_set(err, RESULT_BAD_CONFIG,
-		  "policy.params: reserve needs times of 0 or more, 0 < "
-		  "deferrable_share <= 1 and credit_pieces >= 1");
-	return NULL;
+		policy_value(&policy_reserve, settings, "credit_pieces");
+	return rs;
 }
 
 static uint32_t uncached_tokens(const struct policy_view *view, uint32_t runner,
@@ -291,6 +293,8 @@
 const struct policy_ops policy_reserve = {
 	.name = "reserve",
 	.summary = "decode memory reserved before prefill starts",
+	.params = reserve_params,
+	.param_count = G_N_ELEMENTS(reserve_params),
 	.create = reserve_create,
 	.destroy = g_free,
 	.rank = reserve_rank,
--- a/policy/table.c
+++ b/policy/table.c
@@ -38,14 +38,54 @@
 	return policies;
 }
 
-double policy_param(const struct config_policy *settings, const char *name,
-		    double fallback)
+static const struct policy_param *param_find(const struct policy_ops *ops,
+					     const char *name)
 {
-	if (settings == NULL)
-		return fallback;
+	for (size_t i = 0; i < ops->param_count; i++) {
+		if (strcmp(ops->params[i].name, name) == 0)
+			return &ops->params[i];
+	}
+	return NULL;
+}
+
+static bool param_check(const struct policy_ops *ops,
+			const struct config_param *given, size_t index,
+			struct error *err)
+{
+	const struct policy_param *param = param_find(ops, given->name);
+
+	if (param == NULL)
+		return error_set(err, RESULT_BAD_CONFIG,
+				 "policy.parameters[%zu].name: policy \"%s\" "
+				 "has no parameter \"%s\"",
+				 index, ops->name, given->name);
+	if (given->value >= param->min && given->value <= param->max)
+		return true;
+	return error_set(err, RESULT_BAD_CONFIG,
+			 "policy.parameters[%zu].value: \"%s\" must be from "
+			 "%g to %g",
+			 index, param->name, param->min, param->max);
+}
+
+bool policy_check(const struct config_policy *settings, struct error *err)
+{
+	const struct policy_ops *ops = policy_find(settings->name, err);
+
+	if (ops == NULL)
+		return false;
 	for (size_t i = 0; i < settings->param_count; i++) {
+		if (!param_check(ops, &settings->params[i], i, err))
+			return false;
+	}
+	return true;
+}
+
+double policy_value(const struct policy_ops *ops,
+		    const struct config_policy *settings, const char *name)
+{
+	for (size_t i = 0; settings != NULL && i < settings->param_count; i++) {
 		if (strcmp(settings->params[i].name, name) == 0)
 			return settings->params[i].value;
 	}
-	return fallback;
+	return param_find(ops, name)->fallback;
 }
--- a/policy/two_choices.c
+++ b/policy/two_choices.c
@@ -5,7 +5,9 @@
 #include "place.h"
 #include "policies.h"
 
-#define SEED_DEFAULT 1
+static const struct policy_param two_choices_params[] = {
+	{"seed", 0, UINT32_MAX, 1, "of the draws; whole"},
+};
 
 struct two_choices {
 	GRand *rand;
@@ -14,9 +16,13 @@
 static void *two_choices_create(const struct config_policy *settings,
 				struct error *err)
 {
-	struct two_choices *tc = g_new0(struct two_choices, 1);
-	double seed = policy_param(settings, "seed", SEED_DEFAULT);
+	struct two_choices *tc;
+	double seed;
 
+	if (settings != NULL && !policy_check(settings, err))
+		return NULL;
+	tc = g_new0(struct two_choices, 1);
+	seed = policy_value(&policy_two_choices, settings, "seed");
 	tc->rand = g_rand_new_with_seed((guint32)(int64_t)seed);
 	return tc;
 }
@@ -75,6 +81,8 @@
 const struct policy_ops policy_two_choices = {
 	.name = "two_choices",
 	.summary = "two random choices on reported load",
+	.params = two_choices_params,
+	.param_count = G_N_ELEMENTS(two_choices_params),
 	.create = two_choices_create,
 	.destroy = two_choices_destroy,
 	.rank = place_rank_arrival,
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -35,6 +35,8 @@
 	{"validate-control", FAKE_FINE, "validate CONTROL"},
 	{"diff-control", FAKE_FINE, "diff BASE CONTROL"},
 	{"validate-policy", FAKE_FINE, "validate POLICY"},
+	{"validate-parameter", FAKE_FINE, "validate PARAMETER"},
+	{"validate-range", FAKE_FINE, "validate RANGE"},
 	{"validate-missing", FAKE_FINE, "validate /nowhere"},
 	{"apply", FAKE_FINE, "apply --author ana BASE"},
 	{"apply-base", FAKE_FINE, "apply --base 7 --author a&b BASE"},
@@ -88,6 +90,8 @@
 	{"BAD", TESTS "bad.yaml"},
 	{"CONTROL", TESTS "control.yaml"},
 	{"POLICY", TESTS "policy.yaml"},
+	{"PARAMETER", TESTS "parameter.yaml"},
+	{"RANGE", TESTS "range.yaml"},
 	{"A", TESTS "before.json"},
 	{"B", TESTS "after.json"},
 };
@@ -252,6 +256,12 @@
 		g_assert_nonnull(strstr(text, line));
 		g_assert_nonnull(strstr(text, policies[i]->summary));
 		g_assert_nonnull(strstr(json, field));
+		for (size_t k = 0; k < policies[i]->param_count; k++) {
+			const char *help = policies[i]->params[k].help;
+
+			g_assert_nonnull(strstr(text, help));
+			g_assert_nonnull(strstr(json, help));
+		}
 	}
 	g_assert_nonnull(strstr(json, "exit code 0"));
 }
