--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # A thin front on meson and ninja: see README.md for the commands.
 BUILD ?= build
 
-.PHONY: all setup check demo format lint sanitize capacity clean
+.PHONY: all setup check demo bench format lint sanitize capacity clean
 
 all: setup
 	ninja -C $(BUILD)
@@ -29,6 +29,9 @@
 	ninja -C $(BUILD)-asan
 	scripts/check $(BUILD)-asan
 
+bench: all
+	scripts/bench $(BUILD)
+
 capacity: all
 	scripts/capacity $(BUILD)
 
--- a/include/web/server.h
+++ b/include/web/server.h
@@ -87,7 +87,9 @@
 void web_request_on_gone(struct web_request *request, web_gone_fn fn,
 			 void *ctx);
 
-/* Adds an answer header; call before the answer starts. Strings are copied. */
+/* Adds an answer header; call before the answer starts. Strings are copied.
+ * Connection, Content-Length, Date, Server and Transfer-Encoding are the
+ * server's own and have no effect here. */
 void web_reply_header(struct web_request *request, const char *name,
 		      const char *value);
 /* Sends a whole answer and ends the request. The body is copied. */
--- a/tests/web/test_server.c
+++ b/tests/web/test_server.c
@@ -11,6 +11,8 @@
 
 	web_request_param(request, "x", value, sizeof(value));
 	web_reply_header(request, "X-Param", value);
+	web_reply_header(request, "Date", "today");
+	web_reply_header(request, "content-length", "77");
 	web_reply(request, 200, "text/plain", body.data, body.size);
 }
 
@@ -110,6 +112,9 @@
 	g_assert_cmpstr(world->body->str, ==, "hello");
 	g_assert_nonnull(strstr(world->heads->str, "x-param: a b\n"));
 	g_assert_nonnull(strstr(world->heads->str, "content-length: 5\n"));
+	/* What the server writes itself comes once. */
+	g_assert_null(strstr(world->heads->str, "today"));
+	g_assert_null(strstr(world->heads->str, "77"));
 }
 
 static void test_pieces(struct world *world, gconstpointer data)
--- a/web/reply.c
+++ b/web/reply.c
@@ -173,6 +173,20 @@
 	reply_end(request, true);
 }
 
+/* Headers that h2o writes itself; a second one would be wrong. */
+static bool is_own_header(const char *name)
+{
+	static const char *const names[] = {
+		"connection", "content-length",	   "date",
+		"server",     "transfer-encoding",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+		if (g_ascii_strcasecmp(name, names[i]) == 0)
+			return true;
+	return false;
+}
+
 void web_reply_header(struct web_request *request, const char *name,
 		      const char *value)
 {
@@ -180,7 +194,7 @@
 	h2o_iovec_t key;
 	h2o_iovec_t text;
 
-	if (request->started || request->ended)
+	if (request->started || request->ended || is_own_header(name))
 		return;
 	key = h2o_strdup(&req->pool, name, SIZE_MAX);
 	text = h2o_strdup(&req->pool, value, SIZE_MAX);
@@ -189,6 +203,15 @@
 			      1, NULL, text.base, text.len);
 }
 
+static bool has_no_body(const struct web_request *request)
+{
+	const h2o_iovec_t *method = &request->req->input.method;
+	int status = request->req->res.status;
+
+	return status == 204 || status == 304 ||
+	       h2o_memis(method->base, method->len, H2O_STRLIT("HEAD"));
+}
+
 static void head_set(struct web_request *request, int status, const char *type)
 {
 	h2o_req_t *req = request->req;
@@ -198,21 +221,13 @@
 	req->res.status = status;
 	req->res.reason = reason_of(status);
 	request->started = true;
-}
-
-static bool has_no_body(const struct web_request *request)
-{
-	const h2o_iovec_t *method = &request->req->input.method;
-	int status = request->req->res.status;
-
-	return status == 204 || status == 304 ||
-	       h2o_memis(method->base, method->len, H2O_STRLIT("HEAD"));
+	request->bodiless = has_no_body(request);
 }
 
 static void queue_add(struct web_request *request, const void *data,
 		      size_t size)
 {
-	if (size == 0 || has_no_body(request))
+	if (size == 0 || request->bodiless)
 		return;
 	if (!request->queue)
 		request->queue = g_byte_array_new();
--- a/web/request.h
+++ b/web/request.h
@@ -32,12 +32,13 @@
 	h2o_socket_t *sock; /* HTTP/1 only: watched for a hang-up */
 	struct web_header *headers;
 	bool watched;
-	bool started; /* the head is decided */
-	bool opened;  /* the head was given to h2o */
-	bool sending; /* h2o holds a slice */
-	bool ended;   /* the owner is done with it, or was told it is gone */
-	bool cut;     /* to be ended short */
-	bool final;   /* h2o has got the last of it */
+	bool started;  /* the head is decided */
+	bool bodiless; /* HEAD, or a status that has no body */
+	bool opened;   /* the head was given to h2o */
+	bool sending;  /* h2o holds a slice */
+	bool ended;    /* the owner is done with it, or was told it is gone */
+	bool cut;      /* to be ended short */
+	bool final;    /* h2o has got the last of it */
 };
 
 /* An accepted connection; found through its socket's close hook, since h2o
