--- a/entry/request_join.c
+++ b/entry/request_join.c
@@ -11,7 +11,6 @@
 #include "entry/request.h"
 
 #define JOIN_HEAD_USEC (120 * USEC_PER_SEC)
-#define JOIN_TRIES_MAX 50u
 
 static void key_mismatch(struct request *request)
 {
@@ -218,11 +217,6 @@
 			     "a request with this key failed before");
 		return;
 	}
-	if (++request->attempts > JOIN_TRIES_MAX) {
-		request_fail(request, RESULT_PEER_GONE, USEC_PER_SEC,
-			     "the answer of this key cannot be fetched");
-		return;
-	}
 	if (peer != membership_self(members)) {
 		request_join_peer(request, peer);
 		return;
--- a/entry/request_start.c
+++ b/entry/request_start.c
@@ -8,6 +8,7 @@
 #define CLAIM_TIMEOUT_USEC (3 * USEC_PER_SEC)
 #define RETRY_SOON_USEC USEC_PER_SEC
 #define ASK_AGAIN_USEC (100 * USEC_PER_MSEC)
+#define ASKS_MAX 10u
 
 static int64_t target_time(const struct request *request)
 {
@@ -45,6 +46,14 @@
 
 void request_ask_later(struct request *request)
 {
+	if (++request->attempts > ASKS_MAX) {
+		request_fail(request,
+			     request->idempotent ? RESULT_PEER_GONE
+						 : RESULT_ALREADY_CLAIMED,
+			     USEC_PER_SEC,
+			     "the answer of this key cannot be fetched");
+		return;
+	}
 	request->state = REQUEST_PAUSED;
 	timer_start(&request->timer, ASK_AGAIN_USEC);
 }
--- a/include/entry/request.h
+++ b/include/entry/request.h
@@ -249,7 +249,8 @@
 void request_join_cancel(struct request *request);
 void request_duplicate(struct request *request,
 		       const struct ledger_duplicate *duplicate);
-/* Asks the home again after a pause: the other run has just ended. */
+/* Asks the home again after a pause: the other run has just ended. Fails the
+ * request when that was of no use several times. */
 void request_ask_later(struct request *request);
 
 /* Other data centres (entry/request_forward.c): true when it was sent. */
