entry, web: ask connections to close from the first moment of a shutdown

The server asked connections to close only when it stopped listening. One that was idle then stayed open until the process ended, and a request that crossed the end was cut off. Answers now say "Connection: close" from SIGTERM on, while connections are still accepted (web_server_announce()), so that those in use are given up by their callers within the drain delay.

--- a/entry/drain.c
+++ b/entry/drain.c
@@ -94,6 +94,8 @@
 		membership_leave(entry->membership);
 	if (entry->ledger)
 		ledger_drain(entry->ledger);
+	if (entry->server)
+		web_server_announce(entry->server);
 }
 
 void entry_drain(struct entry *entry)
--- a/web/server.c
+++ b/web/server.c
@@ -237,12 +237,16 @@
 	server->listener = NULL;
 }
 
+void web_server_announce(struct web_server *server)
+{
+	if (server->listener)
+		h2o_context_request_shutdown(&server->context);
+}
+
 void web_server_drain(struct web_server *server)
 {
-	if (!server->listener)
-		return;
+	web_server_announce(server);
 	listener_close(server);
-	h2o_context_request_shutdown(&server->context);
 }
 
 unsigned int web_server_pending(const struct web_server *server)
