standin: keep an engine's rates when its loop turns late

The loop waits in whole milliseconds, and each step or prompt began when the one before was noticed to have ended. The clock's jump drives it in a script. The remaining tokens of a prompt no longer wrap when it ends late.

--- a/include/standin/engine_model.h
+++ b/include/standin/engine_model.h
@@ -22,6 +22,8 @@
 #define ENGINE_NAME_SIZE 48u
 #define ENGINE_MODEL_MAX 64u
 #define ENGINE_OBJECTS_MAX 65536u
+/* A loop that turns late makes up for at most this much. */
+#define ENGINE_BEHIND_MAX (100 * USEC_PER_MSEC)
 
 struct engine_cache;
 struct engine_link;
@@ -149,7 +151,8 @@
 	/* Decode. */
 	struct table *streams;
 	uint32_t pieces_used;
-	uint32_t batch; /* streams in the present step */
+	uint32_t batch;	  /* streams in the present step */
+	int64_t step_due; /* when the step should end */
 	struct timer step_timer;
 };
 
--- a/standin/engine_prefill.c
+++ b/standin/engine_prefill.c
@@ -38,8 +38,10 @@
 		result_remove(p);
 }
 
-static void compute_next(struct engine_model *model)
+/* Begins the next prompt, at the time when the one before should have ended. */
+static void compute_next(struct engine_model *model, int64_t from)
 {
+	int64_t now = clock_now(model->clock);
 	struct prefill *p = g_queue_pop_head(&model->waiting);
 	uint32_t found;
 	double usec;
@@ -51,14 +53,15 @@
 	p->cached = MIN(found * ENGINE_BLOCK_TOKENS, p->job.prompt_tokens - 1);
 	p->computed = p->job.prompt_tokens - p->cached;
 	p->state = PREFILL_COMPUTING;
-	p->began_at = clock_now(model->clock);
+	p->began_at = MAX(from, now - ENGINE_BEHIND_MAX);
 	usec = p->computed * engine_slowness(model) * USEC_PER_SEC /
 	       model->params.prefill_tokens_per_s;
 	p->takes_usec = (int64_t)ceil(usec);
 	model->pieces_used += engine_pieces(model, p->job.prompt_tokens);
 	model->ledger.prefills++;
 	engine_tally(model, p->job.request)->prefills++;
-	timer_start(&model->compute_timer, p->takes_usec);
+	timer_start(&model->compute_timer,
+		    MAX(p->began_at + p->takes_usec - now, 0));
 }
 
 /* Books what was computed and keeps the whole blocks in the prefix cache. */
@@ -83,22 +86,29 @@
 	compute_book(p, p->computed);
 	p->state = PREFILL_HELD;
 	timer_start(&p->hold_timer, model->params.hold_usec);
-	compute_next(model);
+	compute_next(model, p->began_at + p->takes_usec);
 	p->fn(p->ctx, p);
 }
 
+static uint32_t computed_so_far(const struct prefill *p)
+{
+	int64_t spent = clock_now(p->model->clock) - p->began_at;
+
+	if (spent >= p->takes_usec)
+		return p->computed;
+	return (uint32_t)((double)p->computed * spent / p->takes_usec);
+}
+
 /* A prompt that a caller gave up on: what was computed so far is wasted. */
 static void compute_abandon(struct prefill *p)
 {
 	struct engine_model *model = p->model;
-	int64_t spent = clock_now(model->clock) - p->began_at;
-	double part = p->takes_usec ? (double)spent / p->takes_usec : 1;
 
 	timer_stop(&model->compute_timer);
-	compute_book(p, (uint32_t)(p->computed * MIN(part, 1)));
+	compute_book(p, computed_so_far(p));
 	model->computing = NULL;
 	result_remove(p);
-	compute_next(model);
+	compute_next(model, clock_now(model->clock));
 }
 
 static uint32_t priority_of(const GList *l)
@@ -115,7 +125,7 @@
 		l = l->next;
 	g_queue_insert_before(&model->waiting, l, p);
 	if (!model->computing)
-		compute_next(model);
+		compute_next(model, clock_now(model->clock));
 }
 
 void prefill_setup(struct engine_model *model)
@@ -184,14 +194,8 @@
 uint64_t prefill_queue_tokens(const struct engine_model *model)
 {
 	const struct prefill *p = model->computing;
-	uint64_t tokens = 0;
-
-	if (p && p->takes_usec > 0) {
-		int64_t spent = clock_now(model->clock) - p->began_at;
+	uint64_t tokens = p ? p->computed - computed_so_far(p) : 0;
 
-		tokens = p->computed - (uint64_t)(p->computed * (double)spent /
-						  p->takes_usec);
-	}
 	for (GList *l = model->waiting.head; l; l = l->next)
 		tokens += ((struct prefill *)l->data)->job.prompt_tokens;
 	return tokens;
--- a/standin/engine_stream.c
+++ b/standin/engine_stream.c
@@ -114,10 +114,12 @@
 	stream_free(s, NULL);
 }
 
-/* Takes every stream that is ready into the next step. A step without any
- * still offers tokens to readers that were too slow to take them. */
-static void step_start(struct engine_model *model)
+/* Takes every stream that is ready into the next step, which begins at a given
+ * time. A step without any still offers tokens to readers that were too slow
+ * to take them. */
+static void step_start(struct engine_model *model, int64_t from)
 {
+	int64_t now = clock_now(model->clock);
 	bool unread = false;
 	uint32_t cursor = 0;
 	uint64_t handle;
@@ -131,10 +133,12 @@
 		model->batch += s->in_step;
 		unread |= s->started && s->ops && s->sent < s->offset;
 	}
-	if (model->batch > 0 || unread)
-		timer_start(&model->step_timer,
-			    (int64_t)ceil(USEC_PER_SEC /
-					  stream_rate(model, model->batch)));
+	if (model->batch == 0 && !unread)
+		return;
+	model->step_due =
+		MAX(from, now - ENGINE_BEHIND_MAX) +
+		(int64_t)ceil(USEC_PER_SEC / stream_rate(model, model->batch));
+	timer_start(&model->step_timer, MAX(model->step_due - now, 0));
 }
 
 static void stream_finish(struct stream *s)
@@ -144,9 +148,8 @@
 }
 
 /* One step of the batch: a token for each stream in it. */
-static void step_done(struct timer *timer, void *ctx)
+static void step_run(struct engine_model *model)
 {
-	struct engine_model *model = ctx;
 	uint32_t cursor = 0;
 	uint64_t handle;
 	struct stream *s;
@@ -160,7 +163,19 @@
 			stream_finish(s);
 		stream_deliver(s);
 	}
-	step_start(model);
+}
+
+/* A loop that turns late has several steps to make up for. */
+static void step_due(struct timer *timer, void *ctx)
+{
+	struct engine_model *model = ctx;
+	int64_t now = clock_now(model->clock);
+
+	do {
+		timer_stop(timer);
+		step_run(model);
+		step_start(model, model->step_due);
+	} while (timer_running(timer) && model->step_due <= now);
 }
 
 static void stream_begin(struct stream *s)
@@ -173,7 +188,7 @@
 	if (s->offset >= s->length)
 		stream_finish(s);
 	stream_deliver(s);
-	step_start(model);
+	step_start(model, clock_now(model->clock));
 }
 
 static void stream_moved(void *ctx)
@@ -199,7 +214,7 @@
 {
 	model->streams =
 		table_create(sizeof(struct stream), ENGINE_OBJECTS_MAX);
-	timer_init(&model->step_timer, model->clock, step_done, model);
+	timer_init(&model->step_timer, model->clock, step_due, model);
 }
 
 struct stream *stream_reserve(struct engine_model *model,
@@ -273,7 +288,7 @@
 	s->sent = offset;
 	s->delivered = 0;
 	stream_deliver(s);
-	step_start(model);
+	step_start(model, clock_now(model->clock));
 	return true;
 }
 
--- a/tests/standin/test_engine_sessions.c
+++ b/tests/standin/test_engine_sessions.c
@@ -366,21 +366,36 @@
 	engine_leave(engine_of(w, w->words[1]));
 }
 
-/* advance MS */
-static void run_advance(struct world *w)
+static void told_flush(struct world *w)
 {
-	double ms = g_ascii_strtod(w->words[1], NULL);
-	int64_t to = clock_now(w->clock) + (int64_t)(ms * USEC_PER_MSEC);
-	GList *items;
+	GList *items = g_list_sort(g_hash_table_get_keys(w->items),
+				   (GCompareFunc)strcmp);
 
-	clock_advance(w->clock, to);
-	items = g_list_sort(g_hash_table_get_keys(w->items),
-			    (GCompareFunc)strcmp);
 	for (GList *l = items; l; l = l->next)
 		tokens_flush(item_of(w, l->data));
 	g_list_free(items);
 }
 
+static int64_t target(const struct world *w)
+{
+	double ms = g_ascii_strtod(w->words[1], NULL);
+
+	return clock_now(w->clock) + (int64_t)(ms * USEC_PER_MSEC);
+}
+
+/* advance MS; jump MS: the loop turns no more until then */
+static void run_advance(struct world *w)
+{
+	clock_advance(w->clock, target(w));
+	told_flush(w);
+}
+
+static void run_jump(struct world *w)
+{
+	clock_jump(w->clock, target(w));
+	told_flush(w);
+}
+
 /* load ENGINE, ledger ENGINE, events ENGINE FROM */
 static void run_load(struct world *w)
 {
@@ -453,8 +468,8 @@
 	{"cancel", run_cancel, 2}, {"fault", run_fault, 5},
 	{"order", run_order, 3},   {"busy", run_busy, 3},
 	{"leave", run_leave, 2},   {"advance", run_advance, 2},
-	{"load", run_load, 2},	   {"ledger", run_ledger, 2},
-	{"events", run_events, 3},
+	{"jump", run_jump, 2},	   {"load", run_load, 2},
+	{"ledger", run_ledger, 2}, {"events", run_events, 3},
 };
 
 static void command_run(struct world *w, const char *line)
