--- a/coord/ledger_grant.c
+++ b/coord/ledger_grant.c
@@ -68,6 +68,7 @@
 		return;
 	runner = runner_at(cell, decode);
 	runner->granted += pieces;
+	runner->sorted = false;
 	g_ptr_array_add(runner->grants, grant);
 	runner_refresh(cell, decode);
 }
@@ -80,7 +81,7 @@
 		return;
 	runner = runner_at(grant->cell, grant->decode);
 	runner->granted -= grant->pieces;
-	g_ptr_array_remove_fast(runner->grants, grant);
+	g_ptr_array_remove(runner->grants, grant);
 	runner_refresh(grant->cell, grant->decode);
 	grant->decode = RUNNER_NONE;
 }
--- a/coord/ledger_types.h
+++ b/coord/ledger_types.h
@@ -180,6 +180,7 @@
 	uint32_t reported;
 	int64_t granted_last;
 	GPtrArray *grants;  /* of decode runners */
+	bool sorted;	    /* by when they are expected to end */
 	GHashTable *strays; /* by stream */
 };
 
--- a/coord/ledger_view.c
+++ b/coord/ledger_view.c
@@ -1,12 +1,9 @@
 #include "ledger_parts.h"
 
-#include <stdlib.h>
-
 /* How many requests a pass looks at, and how many of a class may wait before
  * the rest of the class is left for later. */
 #define SCAN_MAX 64u
 #define SCAN_WAITS 4u
-#define HELD_MAX 64u
 /* A pass that ended early goes on in the next turn. */
 #define SCAN_AGAIN_USEC 0
 
@@ -35,43 +32,35 @@
 	       cell->decode->decode_tokens_per_s;
 }
 
-struct release_point {
-	int64_t at;
-	uint32_t pieces;
-};
-
-static int compare_release(const void *a, const void *b)
+static int compare_end(const void *a, const void *b)
 {
-	const struct release_point *x = a;
-	const struct release_point *y = b;
+	const struct grant *x = *(struct grant *const *)a;
+	const struct grant *y = *(struct grant *const *)b;
 
-	return (x->at > y->at) - (x->at < y->at);
+	return (x->expected_end > y->expected_end) -
+	       (x->expected_end < y->expected_end);
 }
 
 static int64_t pieces_free_at(void *ctx, uint32_t index, uint32_t pieces)
 {
 	const struct cell *cell = ctx;
 	const struct policy_runner *view = runner_view(cell, index);
-	const struct runner *runner = runner_at(cell, index);
-	struct release_point points[HELD_MAX];
+	struct runner *runner = runner_at(cell, index);
 	int64_t now = clock_now(cell->ledger->clock);
-	uint32_t count = MIN(runner->grants->len, HELD_MAX);
 	uint64_t used = view->granted_pieces;
 
 	if (used + pieces <= view->pieces)
 		return now;
-	for (uint32_t i = 0; i < count; i++) {
+	if (!runner->sorted)
+		g_ptr_array_sort(runner->grants, compare_end);
+	runner->sorted = true;
+	for (guint i = 0; i < runner->grants->len; i++) {
 		const struct grant *grant =
 			g_ptr_array_index(runner->grants, i);
 
-		points[i].at = MAX(grant->expected_end, now);
-		points[i].pieces = grant->pieces;
-	}
-	qsort(points, count, sizeof(points[0]), compare_release);
-	for (uint32_t i = 0; i < count; i++) {
-		used -= points[i].pieces;
+		used -= grant->pieces;
 		if (used + pieces <= view->pieces)
-			return points[i].at;
+			return MAX(grant->expected_end, now);
 	}
 	return CLOCK_NEVER;
 }
@@ -175,6 +164,7 @@
 	ask_grant(waiting, placement->prefill, placement->decode);
 	grant = grant_find(cell, &holder.owner, holder.request);
 	grant->expected_end = end;
+	runner_at(cell, grant->decode)->sorted = false;
 }
 
 /* Whether another usable runner of the role is there. */
--- a/policy/reserve.c
+++ b/policy/reserve.c
@@ -21,6 +21,9 @@
 	{"credit_pieces", 1, 1e6, 32, "pieces of memory owed at most"},
 };
 
+/* Requests that hold a runner at once: the heads of the queues. */
+#define HOLDS_MAX 2u
+
 /* Ranks: one band after the other, by time within each. */
 #define BAND ((int64_t)1 << 60)
 #define BAND_OWED (-2 * BAND)
@@ -206,6 +209,15 @@
 	return best;
 }
 
+static uint32_t count_held(const struct policy_view *view)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < view->runner_count; i++)
+		count += view->runners[i].held;
+	return count;
+}
+
 /* The decode runner whose memory is expected to be free first. */
 static uint32_t choose_hold(const struct policy_view *view,
 			    const struct policy_request *request)
@@ -249,6 +261,8 @@
 		placement->again_at = request->arrived + rs->hold;
 		return VERDICT_WAIT;
 	}
+	if (count_held(view) >= HOLDS_MAX)
+		return VERDICT_WAIT;
 	placement->hold = choose_hold(view, request);
 	if (placement->hold == RUNNER_NONE)
 		placement->again_at = view->now + PLACE_RETRY_USEC;
--- a/tests/ledger/test_faults.c
+++ b/tests/ledger/test_faults.c
@@ -312,7 +312,7 @@
 		step_until(over);
 }
 
-static char end_of(const struct job *which)
+static int end_of(const struct job *which)
 {
 	switch (which->state) {
 	case JOB_DONE:
@@ -328,7 +328,7 @@
 	}
 }
 
-static char met_by(const struct job *retry)
+static int met_by(const struct job *retry)
 {
 	if (retry->state == JOB_DUPLICATE &&
 	    retry->duplicate.state == RECORD_DONE)
@@ -341,7 +341,7 @@
 static void run_cell(const struct row *row, enum stage stage)
 {
 	struct spec spec = {.key = KEY};
-	char expected = row->ends[stage];
+	int expected = (unsigned char)row->ends[stage];
 	bool soon = expected == 'L';
 	struct job *retry;
 
@@ -368,7 +368,7 @@
 		       stage, end_of(job), met_by(retry), world->broken->str);
 	g_assert_cmpstr(world->broken->str, ==, "");
 	g_assert_cmpint(end_of(job), ==, expected);
-	g_assert_cmpint(met_by(retry), ==, row->retries[stage]);
+	g_assert_cmpint(met_by(retry), ==, (unsigned char)row->retries[stage]);
 	world_destroy(world);
 }
 
