coord: settle the configuration's fold under seeded schedules

A thousand schedules of racing operators, a log that is out, cut off, slow, forgetful and loses answers or acts late, ending and standing instances and parted data centres found four faults:

- an instance that woke appended the file again from what it had read before its pause, and a new reader took that old revision as the base;
- a reader behind a gap took a record appended again for the base though records between its writing and the gap were lost to that reader;
- what a reader skipped stayed missing from its audit trail;
- two instances that both had raised their incarnation asked each other who they were without end, each refusing the other's question; an advert could likewise be answered with an advert for ever.

Only a reader with a fresh page appends again, a base must cover the gap, holes in the trail are asked for one peer after another, and a question is answered, never asked back. A bound on messages is now among the invariants.

--- a/coord/fold_again.c
+++ b/coord/fold_again.c
@@ -114,6 +114,9 @@
 {
 	int64_t now = clock_now(f->clock);
 
+	/* One that stood still may not have read what is in the log by now. */
+	if (now - f->log_read > LOG_TAIL_WAIT_USEC + LOG_TAIL_LATE_USEC)
+		return;
 	if (f->again || f->revision == REVISION_NONE || !f->known ||
 	    f->folded != f->revision || !fold_is_reader(f) ||
 	    !log_tail_running(f->tail) || log_tail_failures(f->tail) ||
--- a/coord/fold_audit.c
+++ b/coord/fold_audit.c
@@ -41,6 +41,15 @@
 		f->ops.audit(f->ctx, audit);
 }
 
+void audit_missed(struct fold *f, uint64_t until)
+{
+	if (!f->audit_hole)
+		f->audit_from = f->audit_next;
+	f->audit_until = MAX(f->audit_until, until);
+	f->audit_hole = true;
+	f->audit_asks = 0;
+}
+
 size_t fold_history(const struct fold *f, const struct fold_audit **entries)
 {
 	*entries = (const struct fold_audit *)(const void *)f->audits->data;
--- a/coord/fold_codec.c
+++ b/coord/fold_codec.c
@@ -81,14 +81,15 @@
 	codec_pack_bytes(&packer, record->content, record->size);
 }
 
-/* [kind, revision, audit_next, through, content or nil, audits]; the last
- * three in a state only. */
+/* [kind, revision, audit_next, through, content or nil, audits, hole]; the last
+ * four in a state only. */
 bool spread_decode(struct fold *f, const void *data, size_t size,
 		   struct spread *spread)
 {
 	const msgpack_object *fields;
 	msgpack_object object;
 	uint64_t kind;
+	uint64_t hole;
 	const char *content;
 	uint32_t count;
 
@@ -104,8 +105,11 @@
 	spread->kind = kind;
 	if (kind != SPREAD_STATE)
 		return kind != 0;
-	if (count < 6 || !codec_uint(&fields[3], UINT64_MAX, &spread->through))
+	if (count < 7 ||
+	    !codec_uint(&fields[3], UINT64_MAX, &spread->through) ||
+	    !codec_uint(&fields[6], 1, &hole))
 		return false;
+	spread->audit_hole = hole;
 	spread->has_content = fields[4].type != MSGPACK_OBJECT_NIL;
 	if (spread->has_content) {
 		if (!codec_bytes(&fields[4], FOLD_RECORD_MAX, &content,
--- a/coord/fold_log.c
+++ b/coord/fold_log.c
@@ -72,6 +72,9 @@
 {
 	if (f->known && record->revision < f->folded)
 		return;
+	/* Written by one that had not read what is gone for us too. */
+	if (!f->known && record->through < f->first)
+		return;
 	if (record->revision > f->revision) {
 		if (!again_usable(f, record))
 			return;
@@ -137,38 +140,41 @@
 	f->known = true;
 	f->folded = revision;
 	f->skip_until = through;
+	if (f->audit_hole)
+		audit_missed(f, through);
 	while ((p = g_queue_pop_head(&pending))) {
 		record_fold(f, p->offset, p->unix_us, p->data, p->size);
 		g_free(p);
 	}
 }
 
-static bool pending_base(struct fold *f, uint64_t *base)
+/* What a record is based on was in force once: the latest such revision from
+ * before the records left is the best guess. */
+static uint64_t pending_base(struct fold *f)
 {
+	uint64_t base = f->revision;
+
 	for (GList *l = f->pending.head; l; l = l->next) {
 		const struct fold_pending *p = l->data;
 		struct fold_record record;
 
-		if (!record_decode(f, p->data, p->size, &record))
-			continue;
-		*base = record.revision;
-		return true;
+		if (record_decode(f, p->data, p->size, &record) &&
+		    record.kind == RECORD_PROPOSAL &&
+		    record.revision <= f->first)
+			base = MAX(base, record.revision);
 	}
-	return false;
+	return base;
 }
 
 void fold_guess(struct fold *f)
 {
-	uint64_t base = REVISION_NONE;
+	uint64_t base;
 
 	if (f->known || !log_tail_running(f->tail) ||
 	    clock_now(f->clock) - f->unknown_since < FOLD_GUESS_USEC ||
 	    log_tail_position(f->tail) != f->log_next)
 		return;
-	if (f->revision != REVISION_NONE)
-		base = f->revision;
-	else
-		pending_base(f, &base);
+	base = pending_base(f);
 	log_event(LOG_WARNING, "config_base_lost", LOG_D("taken", base),
 		  LOG_D("first", f->first));
 	fold_resolve(f, base, f->first);
@@ -218,6 +224,7 @@
 	log_event(LOG_WARNING, "config_log_gap", LOG_D("expected", expected),
 		  LOG_D("first", first));
 	fold_pending_clear(f);
+	audit_missed(f, first);
 	f->known = false;
 	f->first = first;
 	f->skip_until = 0;
@@ -232,6 +239,7 @@
 
 	f->log_first = page->first;
 	f->log_next = page->next;
+	f->log_read = clock_now(f->clock);
 	fold_catch_up(f);
 	if (f->known && f->folded == f->revision)
 		f->through = MAX(f->through, position);
--- a/coord/fold_private.h
+++ b/coord/fold_private.h
@@ -63,6 +63,7 @@
 	size_t size;
 	const msgpack_object *audits;
 	uint32_t audit_count;
+	bool audit_hole;
 };
 
 struct apply {
@@ -116,6 +117,7 @@
 	int64_t kept_since; /* when it was read */
 	uint64_t log_first;
 	uint64_t log_next;
+	int64_t log_read; /* when the last page came */
 	int64_t reappend_after;
 	int64_t dropped_since; /* when it was seen to be gone; 0 if not */
 	int64_t again_next;
@@ -123,6 +125,10 @@
 
 	GArray *audits; /* struct fold_audit by offset */
 	uint64_t audit_next;
+	bool audit_hole;      /* some are missing that were judged elsewhere: */
+	uint64_t audit_from;  /* after this one, */
+	uint64_t audit_until; /* of records before this offset */
+	uint32_t audit_asks;
 
 	struct timer tick;
 	int64_t pulled;
@@ -175,6 +181,8 @@
 
 /* fold_audit.c */
 void audit_add(struct fold *f, const struct fold_audit *audit);
+/* Records were not judged here: their entries are to be had from peers. */
+void audit_missed(struct fold *f, uint64_t until);
 const struct fold_audit *audit_find(const struct fold *f, uint64_t offset);
 
 /* fold_apply.c */
--- a/coord/fold_spread.c
+++ b/coord/fold_spread.c
@@ -5,6 +5,8 @@
 #include "fold_private.h"
 
 #define CENTRES_MAX 64u
+/* After so many seconds what was missed is given up: nobody has it. */
+#define HOLE_ASKS 30u
 
 static void spread_send(struct fold *f, uint64_t to)
 {
@@ -20,7 +22,10 @@
 	msgpack_pack_array(packer, fields);
 	msgpack_pack_uint8(packer, kind);
 	msgpack_pack_uint64(packer, f->revision);
-	msgpack_pack_uint64(packer, f->audit_next);
+	if (kind == SPREAD_PULL && f->audit_hole)
+		msgpack_pack_uint64(packer, f->audit_from);
+	else
+		msgpack_pack_uint64(packer, f->audit_next);
 }
 
 static void advert_send(struct fold *f, uint64_t to)
@@ -90,15 +95,36 @@
 		advert_send(f, id);
 }
 
+/* Asks one after another, near and far, for what was missed. */
+static void hole_pull(struct fold *f, uint64_t near)
+{
+	const char *centres[CENTRES_MAX];
+	uint32_t ask = f->audit_asks++;
+	uint32_t count = far_centres(f, centres);
+	uint64_t id = near;
+
+	if (ask >= HOLE_ASKS) {
+		f->audit_hole = false;
+		return;
+	}
+	if (count && (!near || ask % 2))
+		id = membership_home(f->membership, centres[ask / 2 % count],
+				     fold_reader_key(), ask % 2);
+	if (id)
+		spread_pull(f, id);
+}
+
 void spread_tick(struct fold *f)
 {
 	const char *centres[CENTRES_MAX];
 	uint32_t turn = f->round++;
+	uint64_t near = 0;
 	uint32_t count;
-	uint64_t id;
 
-	if (peers_pick(f, &id, 1))
-		advert_send(f, id);
+	if (peers_pick(f, &near, 1))
+		advert_send(f, near);
+	if (f->audit_hole)
+		hole_pull(f, near);
 	if (!fold_is_reader(f))
 		return;
 	count = far_centres(f, centres);
@@ -138,14 +164,16 @@
 	spread_send(f, from);
 }
 
+/* Never both: two instances that each lack something would answer each other
+ * without end. */
 static void advert_receive(struct fold *f, uint64_t from,
 			   const struct spread *spread)
 {
 	if (spread->revision > f->revision ||
 	    spread->audit_next > f->audit_next)
 		spread_pull(f, from);
-	if (spread->revision < f->revision ||
-	    spread->audit_next < f->audit_next)
+	else if (spread->revision < f->revision ||
+		 spread->audit_next < f->audit_next)
 		advert_send(f, from);
 }
 
@@ -155,7 +183,7 @@
 	guint first = f->audits->len;
 	msgpack_packer packer;
 
-	spread_begin(f, &packer, SPREAD_STATE, 6);
+	spread_begin(f, &packer, SPREAD_STATE, 7);
 	msgpack_pack_uint64(&packer, f->through);
 	if (f->revision > spread->revision)
 		codec_pack_bytes(&packer, f->content, f->size);
@@ -169,6 +197,7 @@
 	for (guint i = first; i < f->audits->len; i++)
 		audit_pack(&packer,
 			   &g_array_index(f->audits, struct fold_audit, i));
+	msgpack_pack_uint8(&packer, f->audit_hole);
 	spread_send(f, from);
 }
 
@@ -192,15 +221,26 @@
 	return audit ? audit->author : "";
 }
 
-static void state_receive(struct fold *f, const struct spread *spread)
+static void state_audits(struct fold *f, const struct spread *spread)
 {
 	struct fold_audit audit;
 
-	f->pulling = false;
+	/* A hole is passed on with the rest, and closed by one that has none.
+	 */
+	if (spread->audit_hole && spread->audit_next > f->audit_next)
+		audit_missed(f, spread->through);
 	for (uint32_t i = 0; i < spread->audit_count; i++) {
 		if (audit_decode(&spread->audits[i], &audit))
 			audit_add(f, &audit);
 	}
+	if (!spread->audit_hole && spread->through >= f->audit_until)
+		f->audit_hole = false;
+}
+
+static void state_receive(struct fold *f, const struct spread *spread)
+{
+	f->pulling = false;
+	state_audits(f, spread);
 	if (spread->revision > f->revision && spread->has_content &&
 	    state_usable(f, spread))
 		fold_take(f, spread->revision,
--- a/coord/member.c
+++ b/coord/member.c
@@ -219,8 +219,22 @@
 	return peer_find(m, from);
 }
 
-static void sender_ask(struct membership *m, uint64_t from)
+static void self_send(struct membership *m, uint64_t to)
 {
+	wire_begin(m);
+	pack_row(m, m->self, true);
+	wire_send(m, to, WIRE_ROWS, 0, 0, 0);
+}
+
+/* Who is that? The question itself is answered, never asked back: two that do
+ * not know each other would ask without end. */
+static void sender_ask(struct membership *m, uint64_t from,
+		       const struct wire *wire)
+{
+	if (wire->kind == WIRE_WANT) {
+		self_send(m, from);
+		return;
+	}
 	wire_begin(m);
 	pack_id(m, from);
 	wire_send(m, from, WIRE_WANT, 0, 0, 0);
@@ -246,7 +260,7 @@
 		return false;
 	}
 	if (!row_apply(m, &row, true)) {
-		sender_ask(m, p->view.id);
+		sender_ask(m, p->view.id, wire);
 		return false;
 	}
 	p->heard = clock_now(m->clock);
@@ -279,9 +293,7 @@
 	news_receive(m, p, wire);
 	if (!(wire->flags & WIRE_JOIN))
 		return;
-	wire_begin(m);
-	pack_row(m, m->self, true);
-	wire_send(m, id, WIRE_ROWS, 0, 0, 0);
+	self_send(m, id);
 	sync_start(m, id);
 }
 
@@ -341,7 +353,7 @@
 	}
 	p = sender_find(m, from, &wire);
 	if (!p) {
-		sender_ask(m, from);
+		sender_ask(m, from, &wire);
 		return;
 	}
 	if (sender_check(m, p, &wire))
--- a/coord/member_private.h
+++ b/coord/member_private.h
@@ -62,7 +62,7 @@
 	uint64_t version; /* of reach */
 	int64_t heard;	  /* last digest from there at all */
 	int64_t mutual;	  /* last digest that said it hears us too */
-	bool raw; /* heard is set */
+	bool raw;	  /* heard is set */
 	bool gateway;
 	uint32_t round;
 };
--- a/tests/member/invariants.c
+++ b/tests/member/invariants.c
@@ -102,6 +102,24 @@
 	return NULL;
 }
 
+#define BURST 1000u
+#define RATE 60u
+
+char *traffic_bounded(struct world *w)
+{
+	int64_t seconds = clock_now(w->clock) / USEC_PER_SEC;
+
+	for (int i = 0; i < w->count; i++) {
+		const struct node *node = w->nodes[i];
+
+		if (node->messages > BURST + RATE * (uint64_t)seconds)
+			return g_strdup_printf("%s sent %" G_GUINT64_FORMAT
+					       " messages",
+					       node->self.name, node->messages);
+	}
+	return NULL;
+}
+
 struct watch {
 	struct chronicle *chronicle;
 	uint64_t revision;
--- a/tests/member/invariants.h
+++ b/tests/member/invariants.h
@@ -22,6 +22,10 @@
 /* At any time: nobody shows an incarnation that its owner never had. */
 char *members_true(struct world *world);
 
+/* No exchange feeds itself: what a node sent since its start stays within a
+ * burst and a rate. */
+char *traffic_bounded(struct world *world);
+
 /* One call of fold_apply(). */
 struct attempt {
 	uint64_t base;
--- a/tests/member/test_member_schedules.c
+++ b/tests/member/test_member_schedules.c
@@ -138,11 +138,12 @@
 static int64_t schedule(uint32_t seed)
 {
 	struct world *w = world_create(seed);
+	int centres = 1 + pick(w, 3);
 	int64_t settled;
 	int events;
 
 	truth = (struct truth){0};
-	world_fill(w, 1 + pick(w, 3), 2 + pick(w, 4));
+	world_fill(w, centres, 2 + pick(w, 4));
 	w->drop = pick(w, 150);
 	w->twice = pick(w, 100);
 	w->delay_max = 1000 + pick(w, 200000);
@@ -153,6 +154,7 @@
 		event(w);
 		world_run(w, pick(w, 2 * USEC_PER_SEC));
 		check(w, members_true(w));
+		check(w, traffic_bounded(w));
 	}
 	all_back(w);
 	/* Words of those that ended may still be on their way. */
