coord: decide how many runners prefill and how many decode

When the mix of prompts and answers moves, one role of a shared fleet runs out while the other idles.

role.h weighs the need of each role in runners and moves one when that lowers the higher use enough, with smoothing, patience, a rest after each move and never a role without a runner.

Nothing calls it yet.

--- /dev/null
+++ b/tests/role/model.h
@@ -0,0 +1,42 @@
+/*
+ * model.h - a cell as a queue: requests wait for decode memory, then for a
+ * prefill runner, then decode
+ */
+#ifndef TESTS_ROLE_MODEL_H
+#define TESTS_ROLE_MODEL_H
+
+#include "coord/role.h"
+
+#define MODEL_RUNNERS 14u
+
+enum controller {
+	CONTROL_NONE,
+	CONTROL_THRESHOLD,
+	CONTROL_REMEMBER,
+};
+
+struct mix {
+	double prompt; /* mean tokens */
+	double output;
+	double load; /* share of what the best split could serve */
+};
+
+struct scenario {
+	const char *name;
+	/* The mix at a second of the run; seeded ones change with the seed. */
+	struct mix (*mix)(int second, uint32_t seed);
+};
+
+struct outcome {
+	uint32_t requests;
+	uint32_t good; /* first token within five seconds */
+	uint32_t moves;
+	uint32_t returns; /* moves that undo the one before within 180 s */
+	int64_t closest;  /* the least time between the starts of two moves */
+	uint32_t fewest;  /* runners that any role ever had */
+};
+
+struct outcome model_run(const struct scenario *scenario,
+			 enum controller controller, uint32_t seed);
+
+#endif
