--- a/entry/peer_connect.c
+++ b/entry/peer_connect.c
@@ -54,6 +54,7 @@
 	struct peers *peers = ctx;
 
 	traffic_count(peers);
+	channel_count(peers, channel, size);
 	if (channel != CHANNEL_HELLO && link->state >= LINK_READY)
 		peers_dispatch(peers, link->peer, channel, payload, size);
 	else if (channel == CHANNEL_HELLO && link->state == LINK_OPEN)
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -125,6 +125,7 @@
 
 	if (!peer_queue_add(peer, channel, payload, size))
 		return;
+	channel_count(peers, channel, size);
 	if (peer->link)
 		peer_flush_later(peer);
 	else if (!timer_running(&peer->backoff))
@@ -137,6 +138,12 @@
 	peers_send(ctx, instance, channel, payload, size);
 }
 
+void channel_count(struct peers *peers, enum channel channel, size_t size)
+{
+	peers->channel_bytes[channel]->value += (int64_t)size;
+	peers->channel_messages[channel]->value++;
+}
+
 struct transport peers_transport(struct peers *peers)
 {
 	return (struct transport){.send = transport_send, .ctx = peers};
@@ -225,6 +232,27 @@
 		to->links_max = LINKS_MAX;
 }
 
+static void channels_fill(struct peers *peers, struct counter_set *set)
+{
+	static const char *const labels[CHANNEL_MAX] = {
+		[CHANNEL_HELLO] = "channel=\"hello\"",
+		[CHANNEL_MEMBER] = "channel=\"member\"",
+		[CHANNEL_LEDGER] = "channel=\"ledger\"",
+		[CHANNEL_CONFIG] = "channel=\"config\"",
+		[CHANNEL_CLAIM] = "channel=\"claim\"",
+		[CHANNEL_DIRECTORY] = "channel=\"directory\"",
+	};
+
+	for (int i = CHANNEL_HELLO; i < CHANNEL_MAX; i++) {
+		peers->channel_bytes[i] =
+			counter_get(set, "jt_peer_channel_bytes_total",
+				    "Payload to and from peers", labels[i]);
+		peers->channel_messages[i] =
+			counter_get(set, "jt_peer_channel_messages_total",
+				    "Messages to and from peers", labels[i]);
+	}
+}
+
 static void counters_fill(struct peers *peers, struct counter_set *set)
 {
 	peers->bytes_sent = counter_get(set, "jt_peer_sent_bytes_total",
@@ -251,6 +279,7 @@
 	peers->refused = counter_get(set, "jt_peer_refused_total",
 				     "Links refused", NULL);
 	peers->linked = gauge_get(set, "jt_peer_links", "Links in use", NULL);
+	channels_fill(peers, set);
 	for (int i = 0; i < DROP_COUNT; i++)
 		peers->dropped[i] = counter_get(
 			set, "jt_peer_dropped_total",
--- a/entry/peers_private.h
+++ b/entry/peers_private.h
@@ -68,6 +68,8 @@
 	struct counter *segments_received;
 	struct counter *messages_sent;
 	struct counter *messages_received;
+	struct counter *channel_bytes[CHANNEL_MAX]; /* payload, both ways */
+	struct counter *channel_messages[CHANNEL_MAX];
 	struct counter *connects;
 	struct counter *refused;
 	struct counter *linked;
@@ -90,6 +92,8 @@
 
 /* entry/peer_connect.c: links opened, read from and closed. */
 void peer_connect(struct peer *peer);
+/* Counts a message to or from a peer. */
+void channel_count(struct peers *peers, enum channel channel, size_t size);
 void peers_accept(struct peers *peers, h2o_socket_t *socket);
 void peers_dispatch(struct peers *peers, uint64_t from, enum channel channel,
 		    const void *payload, size_t size);
