web: follow the clock at the top of every turn

The clock stood still from the first callback after a wait until the next wait's end, so a timer started or due in a long turn came late by up to that turn, and the turn hook saw what callbacks had set only after one more wait. It is now followed at the top of each turn too.

--- a/include/web/loop.h
+++ b/include/web/loop.h
@@ -22,7 +22,8 @@
 struct loop;
 
 typedef void (*loop_signal_fn)(void *ctx, int signal);
-/* Called once a turn; gap_us is how far the present ran ahead since the last
+/* Called at the top of a turn, and before at the first callback after a wait.
+ * gap_us is how far the present ran ahead since the last
  * turn, less the time waited on purpose: large after SIGSTOP and SIGCONT. */
 typedef void (*loop_turn_fn)(void *ctx, int64_t gap_us);
 
--- a/tests/web/world.c
+++ b/tests/web/world.c
@@ -95,6 +95,7 @@
 	g_assert_false(world->done);
 	world->done = 1;
 	world->result = *result;
+	loop_stop(world->loop);
 }
 
 struct web_call *world_call(struct world *world, struct web_call_spec spec)
--- a/web/loop.c
+++ b/web/loop.c
@@ -167,6 +167,9 @@
 {
 	int32_t msec;
 
+	/* Also when a callback has entered: it may have taken long, and what
+	 * it set may be looked at by the hook. */
+	loop->entered = false;
 	loop_enter(loop);
 	deferred_run(loop);
 	h2o_timeout_unlink(&loop->soon_entry);
