--- a/coord/lease.c
+++ b/coord/lease.c
@@ -30,7 +30,6 @@
 	int64_t end;	  /* of our own lease */
 	int64_t read_at;  /* when the others' last record was read */
 	int64_t retry_at; /* when to append next */
-	int64_t sent;	  /* when the last append was called */
 	int64_t order_timeout;
 	uint32_t appends; /* since one of ours was read back */
 	struct timer timer;
@@ -124,8 +123,7 @@
 				      RETRY_BASE_USEC, RETRY_MAX_USEC);
 
 	lease->appends++;
-	lease->sent = clock_now(leases->clock);
-	lease->retry_at = lease->sent + delay;
+	lease->retry_at = clock_now(leases->clock) + delay;
 	timer_start(&lease->timer, delay);
 	lease_append(lease, action);
 }
@@ -194,15 +192,14 @@
 	lease_work(lease);
 }
 
-/* A record of others came between. Only the last one that was sent is repeated,
- * so that there is never more than one under way for each delay. */
-static void lease_again(struct lease *lease, int64_t sent)
+/* A record of others came between, and voided ours. */
+static void lease_again(struct lease *lease)
 {
-	if (sent != lease->sent)
-		return;
-	lease->retry_at = clock_now(lease->leases->clock) +
-			  retry_backoff(lease->leases->rand, 0, VOID_BASE_USEC,
-					RETRY_MAX_USEC);
+	struct leases *leases = lease->leases;
+
+	lease->retry_at =
+		clock_now(leases->clock) +
+		retry_backoff(leases->rand, 0, VOID_BASE_USEC, RETRY_MAX_USEC);
 	lease_work(lease);
 }
 
@@ -212,7 +209,7 @@
 {
 	lease->appends = 0;
 	if (verdict == LEASE_VOID) {
-		lease_again(lease, (int64_t)record->sent);
+		lease_again(lease);
 		return;
 	}
 	if (verdict == LEASE_UNCLEAR || record->action == LEASE_RELEASE ||
--- a/tests/coord/fake_log.c
+++ b/tests/coord/fake_log.c
@@ -20,7 +20,7 @@
 
 struct read {
 	struct fake_log *log;
-	struct node *node;
+	struct fake_log_client *client;
 	char *stream;
 	uint64_t from;
 	uint32_t max;
@@ -158,8 +158,8 @@
 	log->appends++;
 	append->fn = fn;
 	append->fn_ctx = fn_ctx;
-	append->apply = !log->outage;
-	append->code = log->outage ? RESULT_LOG_DOWN : RESULT_OK;
+	append->apply = !log->outage && !client->cut;
+	append->code = append->apply ? RESULT_OK : RESULT_LOG_DOWN;
 	if (world_chance(log->world, log->lost_percent)) {
 		append->code = RESULT_LOG_UNKNOWN;
 		append->apply = append->apply && world_chance(log->world, 50);
@@ -221,15 +221,16 @@
 	struct fake_log *log = read->log;
 	const GPtrArray *records = stream_get(log, read->stream);
 
-	read->code = log->outage ? RESULT_LOG_DOWN : RESULT_OK;
+	read->code =
+		log->outage || read->client->cut ? RESULT_LOG_DOWN : RESULT_OK;
 	read_fill(read, records);
 	if (read->code == RESULT_OK && !read->page.count &&
 	    clock_now(log->world->clock) < read->until) {
 		timer_start(&read->timer, POLL_USEC);
 		return;
 	}
-	world_post(read->node, log_delay(log), read_answer, read, read_free,
-		   true);
+	world_post(read->client->node, log_delay(log), read_answer, read,
+		   read_free, true);
 }
 
 static void log_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
@@ -240,7 +241,7 @@
 	struct read *read = g_new0(struct read, 1);
 
 	read->log = log;
-	read->node = client->node;
+	read->client = client;
 	read->stream = g_strdup(stream);
 	read->from = from;
 	read->max = max;
--- a/tests/coord/fake_log.h
+++ b/tests/coord/fake_log.h
@@ -29,6 +29,7 @@
 struct fake_log_client {
 	struct fake_log *log;
 	struct node *node;
+	bool cut; /* this node alone does not reach the log */
 };
 
 struct fake_log *fake_log_create(struct world *world);
--- a/tests/coord/lease_trial.c
+++ b/tests/coord/lease_trial.c
@@ -109,8 +109,8 @@
 
 		holder->trial = trial;
 		holder->node = world_add(trial->world);
-		holder->client =
-			(struct fake_log_client){trial->log, holder->node};
+		holder->client = (struct fake_log_client){trial->log,
+							  holder->node, false};
 	}
 	node_start(world_add(trial->world));
 	return trial;
--- a/tests/coord/test_claim_schedules.c
+++ b/tests/coord/test_claim_schedules.c
@@ -69,6 +69,10 @@
 		fleet->cut |= 1u << i;
 	else if (strikes(world, 10))
 		fleet->cut = 0;
+	if (strikes(world, faults->cuts))
+		instance->client.cut = true;
+	else if (strikes(world, 10))
+		instance->client.cut = false;
 }
 
 static void step_takes(struct fleet *fleet)
@@ -91,6 +95,7 @@
 	fleet->cut = 0;
 	for (uint32_t i = 0; i < FAKE_MEMBERS; i++) {
 		fleet->instances[i].node->paused = false;
+		fleet->instances[i].client.cut = false;
 		if (!fleet->instances[i].claims)
 			fleet_start(fleet, i);
 	}
--- a/tests/coord/test_lease.c
+++ b/tests/coord/test_lease.c
@@ -6,6 +6,7 @@
 enum fault {
 	FAULT_NONE,
 	FAULT_KILL,
+	FAULT_CUT,
 	FAULT_PAUSE,
 	FAULT_GIVE_UP,
 	FAULT_LOST_ANSWERS,
@@ -27,6 +28,9 @@
 	{"none, engine does not check", FAULT_NONE, 30, false, 0, 0},
 	{"killed", FAULT_KILL, 30, true, 7.0, 14.0},
 	{"killed, engine does not check", FAULT_KILL, 30, false, 14.0, 22.0},
+	{"cut off from the log", FAULT_CUT, 30, true, 7.0, 14.0},
+	{"cut off from the log, engine does not check", FAULT_CUT, 30, false,
+	 14.0, 22.0},
 	{"paused within the lease", FAULT_PAUSE, 4, true, 0, 0},
 	{"paused past the lease", FAULT_PAUSE, 30, true, 7.0, 14.0},
 	{"paused past the lease, engine does not check", FAULT_PAUSE, 30, false,
@@ -52,6 +56,9 @@
 		else
 			holder_start(holder);
 		break;
+	case FAULT_CUT:
+		holder->client.cut = on;
+		break;
 	case FAULT_PAUSE:
 		holder->node->paused = on;
 		break;
@@ -161,6 +168,69 @@
 	trial_destroy(trial);
 }
 
+/* A taker is stopped before it reads, by a clock of long ago, a renewal of a
+ * moment ago; that moment counts. The read that brings it must have been under
+ * way when the taker stopped, hence the different times. */
+static void stale_reading_run(int64_t offset)
+{
+	struct trial *trial = trial_create(15);
+	struct holder *holder = &trial->holders[0];
+	struct holder *taker = &trial->holders[1];
+
+	trial->engine.checks = true;
+	trial->world->stale_percent = 100;
+	holder_start(holder);
+	trial_run(trial, USEC_PER_SEC);
+	holder_start(taker);
+	trial_run(trial, 5 * USEC_PER_SEC + offset);
+	g_assert_true(lease_valid(holder->leases, TASK, NULL));
+	taker->node->paused = true;
+	holder->node->paused = true;
+	trial_run(trial, 3400 * USEC_PER_MSEC);
+	holder->node->paused = false;
+	trial_run(trial, 300 * USEC_PER_MSEC);
+	holder->client.cut = true;
+	trial_run(trial, 7500 * USEC_PER_MSEC);
+	taker->node->paused = false;
+	trial_run(trial, 500 * USEC_PER_MSEC);
+	g_assert_true(lease_valid(holder->leases, TASK, NULL));
+	trial_run(trial, 20 * USEC_PER_SEC);
+	g_assert_true(lease_valid(taker->leases, TASK, NULL));
+	trial_destroy(trial);
+}
+
+static void test_stale_reading(void)
+{
+	for (int64_t i = 0; i < 12; i++)
+		stale_reading_run(i * 350 * USEC_PER_MSEC);
+}
+
+/* Whoever reads its own take long after, by a clock of before, must not hold
+ * the task: the next holder has begun. */
+static void test_stale_take(void)
+{
+	struct trial *trial = trial_create(16);
+	struct holder *first = &trial->holders[0];
+	struct holder *second = &trial->holders[1];
+
+	trial->engine.checks = true;
+	trial->world->stale_percent = 100;
+	trial->log->slow = 100 * USEC_PER_MSEC;
+	holder_start(first);
+	while (!fake_log_records(trial->log, LOG_STREAM_LEASES)->len)
+		trial_step(trial);
+	first->node->paused = true;
+	g_assert_false(first->held);
+	holder_start(second);
+	trial_run(trial, 20 * USEC_PER_SEC);
+	g_assert_true(lease_valid(second->leases, TASK, NULL));
+	first->node->paused = false;
+	trial_run(trial, 20 * USEC_PER_SEC);
+	g_assert_true(lease_valid(second->leases, TASK, NULL));
+	g_assert_cmpint(trial->taken, ==, 1);
+	trial_destroy(trial);
+}
+
 struct fold_step {
 	uint64_t offset;
 	uint64_t after;
@@ -268,6 +338,8 @@
 	log_setup(NULL, NULL, LOG_CRIT);
 	g_test_add_func("/lease/faults", test_faults);
 	g_test_add_func("/lease/fenced", test_fenced);
+	g_test_add_func("/lease/stale_reading", test_stale_reading);
+	g_test_add_func("/lease/stale_take", test_stale_take);
 	g_test_add_func("/lease/fold", test_fold);
 	g_test_add_func("/lease/garbage", test_garbage);
 	g_test_add_func("/lease/bad_calls", test_bad_calls);
--- a/tests/coord/test_lease_schedules.c
+++ b/tests/coord/test_lease_schedules.c
@@ -28,6 +28,10 @@
 		holder_kill(holder);
 		return;
 	}
+	if (strikes(world, rate / 3))
+		holder->client.cut = true;
+	else if (strikes(world, 0.5))
+		holder->client.cut = false;
 	if (strikes(world, rate))
 		holder->node->paused = true;
 	else if (strikes(world, 0.5))
@@ -64,6 +68,7 @@
 		struct holder *holder = &trial->holders[i];
 
 		holder->node->paused = false;
+		holder->client.cut = false;
 		if (!holder->leases)
 			holder_start(holder);
 		if (!holder->wants)
@@ -82,8 +87,10 @@
 
 	trial->engine.checks = seed % 2;
 	trial->log->delay = 1 + world_draw(world, 400 * USEC_PER_MSEC);
-	if (seed % 4 == 0)
+	if (seed % 8 == 0)
 		trial->log->delay = 4 * USEC_PER_SEC;
+	if (seed % 8 < 4)
+		trial->log->delay = 1 + trial->log->delay / 40;
 	trial->log->lost_percent = (int)world_draw(world, 70);
 	world->stale_percent = 50;
 	for (uint32_t i = 0; i < HOLDERS; i++) {
--- a/tests/coord/test_retry.c
+++ b/tests/coord/test_retry.c
@@ -53,7 +53,7 @@
 	for (int i = 0; i < 10000; i++) {
 		retry_budget_request(&budget);
 		calls++;
-		while (retry_budget_take(&budget))
+		while (calls < 100000 && retry_budget_take(&budget))
 			calls++;
 	}
 	g_assert_cmpint(calls, >, 10900);
