standin: send the platform one entry call at a time

A call that was cancelled may still be read by the platform after the one that replaced it, since they come over two connections: an engine that had ended could stay listed as live or leaving for ever. A change now waits for the answer of the call that is out. Found by reading; tested with a leave and an end while the first call is out.

--- a/standin/register.c
+++ b/standin/register.c
@@ -20,11 +20,12 @@
 	json_t *entry;
 	struct timer timer;
 	struct web_call *call;
+	bool changed; /* while the call was out */
 	registration_fn ended;
 	void *ctx;
 };
 
-static void entry_put(struct registration *registration);
+static void entry_send(struct registration *registration);
 
 static void put_answered(void *ctx, const struct web_result *result, int status,
 			 const void *body, size_t size)
@@ -32,7 +33,10 @@
 	struct registration *registration = ctx;
 
 	registration->call = NULL;
-	timer_start(&registration->timer, REGISTER_USEC);
+	if (registration->changed)
+		entry_send(registration);
+	else
+		timer_start(&registration->timer, REGISTER_USEC);
 }
 
 static void delete_answered(void *ctx, const struct web_result *result,
@@ -61,23 +65,30 @@
 	};
 
 	timer_stop(&registration->timer);
-	if (registration->call)
-		web_call_cancel(registration->call);
 	registration->call = web_fetch(registration->client, &spec, ANSWER_MAX,
 				       fn, registration);
 }
 
-static void entry_put(struct registration *registration)
+/* One call at a time, so that the platform sees them in their order. */
+static void entry_send(struct registration *registration)
 {
-	char *body = json_dumps(registration->entry, JSON_COMPACT);
+	char *body;
 
+	registration->changed = registration->call != NULL;
+	if (registration->changed)
+		return;
+	if (registration->ended) {
+		entry_call(registration, "DELETE", "", delete_answered);
+		return;
+	}
+	body = json_dumps(registration->entry, JSON_COMPACT);
 	entry_call(registration, "PUT", body, put_answered);
 	free(body);
 }
 
 static void put_due(struct timer *timer, void *ctx)
 {
-	entry_put(ctx);
+	entry_send(ctx);
 }
 
 struct registration *registration_create(struct loop *loop,
@@ -97,7 +108,7 @@
 	timer_init(&registration->timer, loop_clock(loop), put_due,
 		   registration);
 	if (registration->platform)
-		entry_put(registration);
+		entry_send(registration);
 	return registration;
 }
 
@@ -119,7 +130,7 @@
 	json_object_set_new(registration->entry, "state",
 			    json_string("leaving"));
 	if (registration->platform)
-		entry_put(registration);
+		entry_send(registration);
 }
 
 void registration_end(struct registration *registration, registration_fn fn,
@@ -128,7 +139,7 @@
 	registration->ended = fn;
 	registration->ctx = ctx;
 	if (registration->platform)
-		entry_call(registration, "DELETE", "", delete_answered);
+		entry_send(registration);
 	else
 		fn(ctx);
 }
--- a/tests/standin/test_http.c
+++ b/tests/standin/test_http.c
@@ -598,6 +598,16 @@
 	g_assert_cmpstr(w->entries->str, ==,
 			ENTRY "\"live\"}\n" ENTRY
 			      "\"leaving\"}\nDELETE /instances/r1 \n");
+	/* What changes while a call is out waits, and only the last counts. */
+	g_string_truncate(w->entries, 0);
+	w->ended = 0;
+	registration = registration_create(w->loop, w->client, &spec);
+	registration_leave(registration);
+	registration_end(registration, registration_ended, w);
+	run_until(w, entry_ended);
+	registration_destroy(registration);
+	g_assert_cmpstr(w->entries->str, ==,
+			ENTRY "\"live\"}\nDELETE /instances/r1 \n");
 }
 
 static const struct {
