standin: close the gaps that mutations of the engine found

Two survived since the code had no effect and goes: a former reader cannot detach, and the cache marks blocks as used when they are stored.

--- a/include/standin/engine_cache.h
+++ b/include/standin/engine_cache.h
@@ -31,10 +31,10 @@
 					 uint32_t blocks, int64_t lag_usec,
 					 uint32_t gap_percent, uint32_t seed);
 void engine_cache_destroy(struct engine_cache *cache);
-/* How many of the first blocks are held; marks them as used. */
-uint32_t engine_cache_find(struct engine_cache *cache, const uint64_t *blocks,
-			   uint32_t count);
-/* Stores the blocks; lose drops their events. */
+/* How many of the first blocks are held. */
+uint32_t engine_cache_find(const struct engine_cache *cache,
+			   const uint64_t *blocks, uint32_t count);
+/* Stores the blocks, or marks them as used; lose drops their events. */
 void engine_cache_store(struct engine_cache *cache, const uint64_t *blocks,
 			uint32_t count, bool lose);
 /* Copies events numbered from on that are due; returns how many. next is the
--- a/include/standin/engine_stream.h
+++ b/include/standin/engine_stream.h
@@ -77,8 +77,8 @@
  * that the stream computes are asked for. May free the stream. */
 bool stream_attach(struct stream *stream, uint32_t offset, bool first,
 		   const struct stream_ops *ops, void *ctx);
-/* The reader is gone by itself; ctx tells it from a newer one. */
-void stream_detach(struct stream *stream, const void *ctx);
+/* The reader is gone by itself. One that was cut off has no part any more. */
+void stream_detach(struct stream *stream);
 /* Frees at once; returns the pieces. */
 uint32_t stream_cancel(struct stream *stream);
 /* Streams whose transfer is not done. */
--- a/standin/engine_cache.c
+++ b/standin/engine_cache.c
@@ -81,16 +81,14 @@
 	g_free(block);
 }
 
-uint32_t engine_cache_find(struct engine_cache *cache, const uint64_t *blocks,
-			   uint32_t count)
+uint32_t engine_cache_find(const struct engine_cache *cache,
+			   const uint64_t *blocks, uint32_t count)
 {
 	uint32_t found = 0;
 
 	while (found < count &&
 	       g_hash_table_contains(cache->held, &blocks[found]))
 		found++;
-	for (uint32_t i = found; i > 0; i--)
-		block_touch(cache, blocks[i - 1]);
 	return found;
 }
 
--- a/standin/engine_reader.c
+++ b/standin/engine_reader.c
@@ -115,7 +115,7 @@
 {
 	struct reader *reader = ctx;
 
-	stream_detach(reader->stream, reader);
+	stream_detach(reader->stream);
 	g_free(reader);
 }
 
--- a/standin/engine_stream.c
+++ b/standin/engine_stream.c
@@ -292,9 +292,9 @@
 	return true;
 }
 
-void stream_detach(struct stream *s, const void *ctx)
+void stream_detach(struct stream *s)
 {
-	if (s->ops && s->ctx == ctx)
+	if (s->ops)
 		reader_left(s);
 }
 
--- a/tests/standin/test_engine_faults.c
+++ b/tests/standin/test_engine_faults.c
@@ -167,7 +167,7 @@
 	if (w->prefill)
 		prefill_cancel(w->p, w->prefill->handle);
 	if (s)
-		stream_detach(s, w);
+		stream_detach(s);
 }
 
 /* Ends the work wherever it is, and asks for the same again. */
@@ -341,7 +341,7 @@
 	clock_advance(w->clock, MIN(step_at[step], MS(350)));
 	s = stream_now(w);
 	if (step == STEP_UNREAD)
-		stream_detach(s, w);
+		stream_detach(s);
 	clock_advance(w->clock, step_at[step]);
 }
 
--- a/tests/standin/test_engine_sessions.c
+++ b/tests/standin/test_engine_sessions.c
@@ -326,7 +326,7 @@
 
 	tokens_flush(item);
 	if (s)
-		stream_detach(s, item);
+		stream_detach(s);
 }
 
 static void run_cancel(struct world *w)
