entry: look only at the heads of the queues when a server is free

Cause: each answer of a plain server walked the whole queue of waiting calls, trying every one of them, although the first that found no server tells for all of its service. The figure in flight grew the cost of a call.

Change: a queue for each service; a free place goes to the first head that can use it, a service whose head cannot is passed over for that round; insertion looks from the end.

--- a/entry/plain.c
+++ b/entry/plain.c
@@ -20,12 +20,26 @@
 	struct circuit circuit;
 };
 
+/* What waits for a server of one service: struct request, urgent first. */
+struct plain_queue {
+	GQueue requests;
+	bool blocked; /* its first found no server in this round */
+};
+
 struct plain {
 	struct entry *entry;
 	GHashTable *servers; /* id -> struct plain_server */
-	GQueue waiting;	     /* struct request, urgent first */
+	GHashTable *queues;  /* service's name -> struct plain_queue */
 };
 
+static void queue_free(gpointer data)
+{
+	struct plain_queue *queue = data;
+
+	g_queue_clear(&queue->requests);
+	g_free(queue);
+}
+
 struct plain *plain_create(struct entry *entry)
 {
 	struct plain *plain = g_new0(struct plain, 1);
@@ -33,13 +47,14 @@
 	plain->entry = entry;
 	plain->servers = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 					       NULL, g_free);
-	g_queue_init(&plain->waiting);
+	plain->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					      queue_free);
 	return plain;
 }
 
 void plain_destroy(struct plain *plain)
 {
-	g_queue_clear(&plain->waiting);
+	g_hash_table_unref(plain->queues);
 	g_hash_table_unref(plain->servers);
 	g_free(plain);
 }
@@ -172,32 +187,42 @@
 	plain_wake(plain);
 }
 
-static int waiting_order(gconstpointer a, gconstpointer b, gpointer unused)
+static struct plain_queue *queue_get(struct plain *plain, const char *service)
 {
-	const struct request *x = a;
-	const struct request *y = b;
+	struct plain_queue *queue = g_hash_table_lookup(plain->queues, service);
 
-	if (x->class != y->class)
-		return x->class < y->class ? -1 : 1;
-	if (x->arrived != y->arrived)
-		return x->arrived < y->arrived ? -1 : 1;
-	return 0;
+	if (!queue) {
+		queue = g_new0(struct plain_queue, 1);
+		g_queue_init(&queue->requests);
+		g_hash_table_insert(plain->queues, g_strdup(service), queue);
+	}
+	return queue;
 }
 
-bool plain_wait(struct plain *plain, struct request *request)
+static bool goes_before(const struct request *a, const struct request *b)
 {
-	uint32_t waiting = 0;
+	if (a->class != b->class)
+		return a->class < b->class;
+	return a->arrived < b->arrived;
+}
 
-	for (GList *at = plain->waiting.head; at; at = at->next) {
-		const struct request *other = at->data;
+bool plain_wait(struct plain *plain, struct request *request)
+{
+	struct plain_queue *queue = queue_get(plain, request->service.name);
+	GQueue *requests = &queue->requests;
+	GList *at = requests->tail;
 
-		if (strcmp(other->service.name, request->service.name) == 0)
-			waiting++;
-	}
-	if (request->service.queue_max && waiting >= request->service.queue_max)
+	if (request->service.queue_max &&
+	    requests->length >= request->service.queue_max)
 		return false;
+	/* Most come last: look from the end. */
+	while (at && goes_before(request, at->data))
+		at = at->prev;
 	request->queued = true;
-	g_queue_insert_sorted(&plain->waiting, request, waiting_order, NULL);
+	if (at)
+		g_queue_insert_after(requests, at, request);
+	else
+		g_queue_push_head(requests, request);
 	return true;
 }
 
@@ -206,23 +231,56 @@
 	if (!request->queued)
 		return;
 	request->queued = false;
-	g_queue_remove(&plain->waiting, request);
+	g_queue_remove(&queue_get(plain, request->service.name)->requests,
+		       request);
+}
+
+/* The first of all queues whose first may still find a server. */
+static struct plain_queue *queue_next(struct plain *plain)
+{
+	struct plain_queue *best = NULL;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, plain->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct plain_queue *queue = value;
+
+		if (queue->blocked || !queue->requests.head)
+			continue;
+		if (!best || goes_before(queue->requests.head->data,
+					 best->requests.head->data))
+			best = queue;
+	}
+	return best;
+}
+
+static void queues_unblock(struct plain *plain)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, plain->queues);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		((struct plain_queue *)value)->blocked = false;
 }
 
 void plain_wake(struct plain *plain)
 {
-	GList *next;
+	struct plain_queue *queue;
 
-	for (GList *at = plain->waiting.head; at; at = next) {
-		struct request *request = at->data;
+	queues_unblock(plain);
+	while ((queue = queue_next(plain))) {
+		struct request *request = queue->requests.head->data;
 		bool any;
 		uint64_t id = plain_pick(plain, request, &any);
 
-		next = at->next;
-		if (!id)
+		if (!id) {
+			queue->blocked = true;
 			continue;
+		}
 		request->queued = false;
-		g_queue_delete_link(&plain->waiting, at);
+		g_queue_pop_head(&queue->requests);
 		plain_start(request, id);
 	}
 }
