load: draw targets by health, and retry what reached none

A balancer in front of the instances sends nothing to one that drains, so a load run without one blames the daemon for refused connections.

A call whose bytes reached no target is sent again like a keyed one whose connection broke.

--- a/include/load/call.h
+++ b/include/load/call.h
@@ -4,9 +4,10 @@
  * DESCRIPTION
  *	Sends the call to one of the targets and checks the answer as it
  *	comes. A refusal that says not-run and names a Retry-After is tried
- *	again after it, and a keyed call whose connection broke is tried again
- *	at another target, under the same key, at most as often as the kind
- *	allows. fn runs exactly once, unless call_drop() comes first.
+ *	again after it; a call that reached no target, and a keyed call whose
+ *	connection broke, is tried again at another target, under the same key;
+ *	all at most as often as the kind allows. fn runs exactly once, unless
+ *call_drop() comes first.
  */
 #ifndef LOAD_CALL_H
 #define LOAD_CALL_H
@@ -22,6 +23,7 @@
 
 struct clock;
 struct load_call;
+struct targets;
 struct web_client;
 
 enum call_verdict {
@@ -37,9 +39,7 @@
 struct call_env {
 	struct web_client *client;
 	struct clock *clock;
-	GRand *rand;
-	const char *const *targets; /* "IP:port" */
-	unsigned int target_count;
+	struct targets *targets;
 	int64_t timeout_usec;
 	bool retry; /* as often as the kind allows */
 };
--- a/include/load/run.h
+++ b/include/load/run.h
@@ -21,6 +21,7 @@
 	const char *label;
 	const char *const *targets;
 	unsigned int target_count;
+	const char *const *health; /* one for each target, or NULL */
 	const char *const *ledgers;
 	unsigned int ledger_count;
 	double rate;
--- a/load/call.c
+++ b/load/call.c
@@ -6,6 +6,7 @@
 
 #include "common/clock.h"
 #include "load/answer.h"
+#include "load/targets.h"
 #include "web/client.h"
 
 #define HEADERS_MAX 8
@@ -24,7 +25,7 @@
 	struct timer retry;
 	struct timer hang_up;
 	int64_t started;
-	unsigned int target;
+	const char *target;
 };
 
 static const char *const verdict_labels[CALL_VERDICTS] = {
@@ -91,14 +92,14 @@
 
 /* How long to wait before the next attempt, or -1 for none. */
 static int64_t retry_delay(const struct load_call *call,
-			   enum call_verdict verdict)
+			   enum call_verdict verdict, bool sent)
 {
 	const struct load_kind *kind = call->plan->kind;
 	const struct answer *answer = &call->answer;
 
 	if (!call->env.retry || call->result.attempts > kind->retries)
 		return -1;
-	if (verdict == CALL_BROKEN && kind->key)
+	if (verdict == CALL_BROKEN && (kind->key || !sent))
 		return BROKEN_RETRY_USEC;
 	if (verdict == CALL_REFUSED && answer->outcome == OUTCOME_NOT_RUN &&
 	    answer->retry_after >= 0)
@@ -111,7 +112,7 @@
 {
 	struct load_call *call = ctx;
 	enum call_verdict verdict = answer_verdict(&call->answer, result->ok);
-	int64_t delay = retry_delay(call, verdict);
+	int64_t delay = retry_delay(call, verdict, result->sent);
 	bool not_run = call->answer.outcome_told &&
 		       call->answer.outcome == OUTCOME_NOT_RUN;
 
@@ -197,7 +198,7 @@
 		   kind->deadline_ms > 0 ? deadline : NULL);
 	header_add(&list, "jt-idempotent",
 		   kind->non_idempotent ? "false" : NULL);
-	spec.address = call->env.targets[call->target];
+	spec.address = call->target;
 	spec.method = kind->method != NULL ? kind->method : "POST";
 	spec.path = kind->model != NULL ? MODEL_PATH : kind->path;
 	spec.headers = list.headers;
@@ -211,25 +212,13 @@
 	g_free(body);
 }
 
-/* Another target than the last, when there is one. */
-static void target_move(struct load_call *call)
-{
-	unsigned int others = call->env.target_count - 1;
-
-	if (others == 0)
-		return;
-	call->target += 1 + (unsigned int)g_rand_int_range(call->env.rand, 0,
-							   (int)others);
-	call->target %= call->env.target_count;
-}
-
 static void retry_due(struct timer *timer, void *ctx)
 {
 	struct load_call *call = ctx;
 
 	answer_clear(&call->answer);
 	answer_init(&call->answer, call->plan, call->env.clock);
-	target_move(call);
+	call->target = targets_draw(call->env.targets, call->target);
 	attempt_send(call);
 }
 
@@ -249,8 +238,7 @@
 	call->fn = fn;
 	call->ctx = ctx;
 	call->started = clock_now(env->clock);
-	call->target = (unsigned int)g_rand_int_range(env->rand, 0,
-						      (int)env->target_count);
+	call->target = targets_draw(env->targets, NULL);
 	timer_init(&call->retry, env->clock, retry_due, call);
 	timer_init(&call->hang_up, env->clock, hang_up_due, call);
 	if (plan->hang_up_usec > 0)
--- a/load/command_run.c
+++ b/load/command_run.c
@@ -23,6 +23,7 @@
 	OPTION_RATE = 'r',
 	OPTION_REPORT = 'o',
 	OPTION_LEDGERS = 256,
+	OPTION_HEALTH,
 	OPTION_DURATION,
 	OPTION_COUNT,
 	OPTION_SEED,
@@ -43,6 +44,7 @@
 	const char *report;
 	char **targets;
 	char **ledgers;
+	char **health;
 	struct load_bursts bursts;
 	bool seeded;
 };
@@ -53,6 +55,10 @@
 	 "Where calls go, spread over all", 0},
 	{"ledgers", OPTION_LEDGERS, "IP:PORT,...", 0,
 	 "Engines and plain services to compare with", 0},
+	{"health", OPTION_HEALTH, "IP:PORT,...", 0,
+	 "Admin addresses of the targets, in their order: as a balancer "
+	 "would, send no call to one whose health is not good",
+	 0},
 	{"rate", OPTION_RATE, "N", 0, "Calls a second, instead of the file's",
 	 0},
 	{"bursts", OPTION_BURSTS, "FACTOR,SHARE,MS", 0,
@@ -169,6 +175,9 @@
 	case OPTION_LEDGERS:
 		list_parse(arg, &arguments->ledgers);
 		return 0;
+	case OPTION_HEALTH:
+		list_parse(arg, &arguments->health);
+		return 0;
 	case OPTION_BURSTS:
 		bursts_parse(arg, &arguments->bursts, state);
 		return 0;
@@ -187,6 +196,11 @@
 	case ARGP_KEY_END:
 		if (arguments->workload == NULL || arguments->targets == NULL)
 			argp_error(state, "--workload and --target are needed");
+		if (arguments->health != NULL &&
+		    g_strv_length(arguments->health) !=
+			    g_strv_length(arguments->targets))
+			argp_error(state, "--health has not one address for "
+					  "each target");
 		return 0;
 	default:
 		return bound_parse(key, arg, state);
@@ -240,6 +254,7 @@
 		run->seed = (uint32_t)clock_unix(clock);
 	run->targets = (const char *const *)arguments->targets;
 	run->target_count = g_strv_length(arguments->targets);
+	run->health = (const char *const *)arguments->health;
 	run->ledgers = (const char *const *)arguments->ledgers;
 	if (arguments->ledgers != NULL)
 		run->ledger_count = g_strv_length(arguments->ledgers);
@@ -299,5 +314,6 @@
 	status = arguments_run(&arguments);
 	g_strfreev(arguments.targets);
 	g_strfreev(arguments.ledgers);
+	g_strfreev(arguments.health);
 	return status;
 }
--- a/load/run.c
+++ b/load/run.c
@@ -11,6 +11,7 @@
 #include "load/ledgers.h"
 #include "load/plan.h"
 #include "load/tally.h"
+#include "load/targets.h"
 #include "load/workload.h"
 #include "web/client.h"
 #include "web/loop.h"
@@ -32,8 +33,8 @@
 	struct loop *loop;
 	struct clock *clock;
 	struct web_client *client;
-	GRand *draws;	/* arrivals and plans: the same for the same seed */
-	GRand *targets; /* depends on the order of retries too */
+	GRand *draws; /* arrivals and plans: the same for the same seed */
+	struct targets *targets;
 	struct call_env env;
 	char name[32];
 	struct tally *kinds;
@@ -281,13 +282,13 @@
 	run->clock = loop_clock(loop);
 	run->client = web_client_create(loop);
 	run->draws = g_rand_new_with_seed(settings->seed);
-	run->targets = g_rand_new_with_seed(settings->seed + 1);
+	run->targets = targets_create(
+		run->client, run->clock, settings->targets, settings->health,
+		settings->target_count, settings->seed + 1);
 	run->env = (struct call_env){
 		.client = run->client,
 		.clock = run->clock,
-		.rand = run->targets,
-		.targets = settings->targets,
-		.target_count = settings->target_count,
+		.targets = run->targets,
 		.timeout_usec = settings->timeout_usec,
 		.retry = settings->retry,
 	};
@@ -324,7 +325,7 @@
 	g_hash_table_destroy(run->classes);
 	g_array_free(run->records, TRUE);
 	g_rand_free(run->draws);
-	g_rand_free(run->targets);
+	targets_destroy(run->targets);
 	web_client_destroy(run->client);
 	g_free(run);
 }
