--- a/entry/component_link.c
+++ b/entry/component_link.c
@@ -153,6 +153,9 @@
 		->value++;
 	if (entry->requests)
 		requests_refuted(entry->requests);
+	if (entry->ledger)
+		ledger_member(entry->ledger,
+			      membership_self(entry->membership));
 }
 
 void entry_paused(struct entry *entry, int64_t gap_usec)
--- a/entry/handler_answers.c
+++ b/entry/handler_answers.c
@@ -54,10 +54,9 @@
 		return;
 	}
 	reply = reply_attach(request, web, wants_stream(web));
-	if (request->state != REQUEST_KEPT) {
-		answer_catch_up(reply);
+	answer_catch_up(reply);
+	if (request->state != REQUEST_KEPT)
 		return;
-	}
 	answer_finish(reply);
 	reply_free(reply);
 }
--- a/entry/request_start.c
+++ b/entry/request_start.c
@@ -8,7 +8,8 @@
 #define CLAIM_TIMEOUT_USEC (3 * USEC_PER_SEC)
 #define RETRY_SOON_USEC USEC_PER_SEC
 #define ASK_AGAIN_USEC (100 * USEC_PER_MSEC)
-#define ASKS_MAX 10u
+/* Ten seconds: longer than it takes until an instance is known to be dead. */
+#define ASKS_MAX 100u
 
 static int64_t target_time(const struct request *request)
 {
