tests: add golden sessions of the daemon, and of its failures

scripts/demo waits until every instance has seen the backend servers: before that, bookings of the first second were refused with no-backend.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -140,6 +140,19 @@
 	fi
 }
 
+# Waits until instance NAME has seen N backend servers in the platform's list.
+site_lists() {
+	site_tries=0
+	until [ "$(grep -c 'event=backend_listed' "$site_dir/$1.log")" -ge "$2" ]; do
+		site_tries=$((site_tries + 1))
+		if [ "$site_tries" -gt "$site_wait_tenths" ]; then
+			echo "$1 does not know all backend servers" >&2
+			return 1
+		fi
+		sleep 0.1
+	done
+}
+
 # Collects the addresses of all that was started.
 site_ready() {
 	for site_each in $site_backend_names; do
@@ -150,6 +163,10 @@
 		site_admins="$site_admins${site_admins:+,}$(site_address "$site_each" admin)"
 	done
 	site_admin=${site_admins%%,*}
+	site_backends=$(echo "$site_backend_names" | wc -w)
+	for site_each in $site_entry_names; do
+		site_lists "$site_each" "$site_backends"
+	done
 }
 
 # site_knows ADMIN: has the configuration, and every backend server that was
--- a/tests/session/http.c
+++ b/tests/session/http.c
@@ -85,7 +85,7 @@
 	for (int i = 0; i < argc && count < HEADERS_MAX; i++) {
 		char *colon = strchr(argv[i], ':');
 
-		if (argv[i][0] == '{' || colon == NULL)
+		if (strchr("{@", argv[i][0]) != NULL || colon == NULL)
 			break;
 		headers[count++] = (struct web_header){
 			{argv[i], (size_t)(colon - argv[i])},
@@ -95,13 +95,29 @@
 	return count;
 }
 
+/* "@FILE" stands for what is in the file; NULL when it cannot be read. */
+static char *body_take(const char *text)
+{
+	char *body = NULL;
+
+	if (*text != '@')
+		return g_strdup(text);
+	g_file_get_contents(text + 1, &body, NULL, NULL);
+	return body;
+}
+
 bool http_call(struct session *session, int argc, char **argv)
 {
 	static const struct web_call_ops ops = {call_head, call_body,
 						call_done};
 	struct web_header headers[HEADERS_MAX];
-	struct web_call_spec spec = {.headers = headers};
+	struct web_call_spec spec = {
+		.headers = headers,
+		.head_usec = SESSION_BOUND_SEC * USEC_PER_SEC,
+		.idle_usec = SESSION_BOUND_SEC * USEC_PER_SEC,
+	};
 	struct call *call;
+	char *body;
 	int rest;
 
 	if (argc < 5)
@@ -112,8 +128,11 @@
 	spec.path = argv[4];
 	spec.header_count = headers_take(argc - 5, argv + 5, headers);
 	rest = 5 + (int)spec.header_count;
-	spec.body = rest < argc ? argv[rest] : "";
-	spec.body_size = strlen(spec.body);
+	body = body_take(rest < argc ? argv[rest] : "");
+	if (body == NULL)
+		return session_fail(session, "%s: cannot read", argv[rest]);
+	spec.body = body;
+	spec.body_size = strlen(body);
 	call = g_new0(struct call, 1);
 	call->session = session;
 	call->name = g_strdup(argv[1]);
@@ -121,6 +140,7 @@
 	call->body = g_string_new(NULL);
 	call->http = web_call(session->client, &spec, &ops, call);
 	g_hash_table_replace(session->calls, call->name, call);
+	g_free(body);
 	return true;
 }
 
@@ -172,7 +192,33 @@
 	return true;
 }
 
-/* answer NAME [text]: shows it whole, or of a stream only its text. */
+/* Text of the events together, however they were cut up, and what else came. */
+static void events_show(struct session *session, const char *body)
+{
+	GString *text = g_string_new("text: ");
+	char **lines = g_strsplit(body, "\n", -1);
+
+	for (char **line = lines; *line != NULL; line++) {
+		json_t *json = NULL;
+		json_t *choice;
+		const char *piece;
+
+		if (g_str_has_prefix(*line, "data: "))
+			json = json_loads(*line + strlen("data: "), 0, NULL);
+		choice = json_array_get(json_object_get(json, "choices"), 0);
+		piece = json_string_value(json_object_get(choice, "text"));
+		if (piece != NULL)
+			g_string_append(text, piece);
+		else if (**line != '\0')
+			g_string_append_printf(text, "\n%s", *line);
+		json_decref(json);
+	}
+	session_show(session, text->str);
+	g_strfreev(lines);
+	g_string_free(text, TRUE);
+}
+
+/* answer NAME [text]: shows it whole, or of a stream its text together. */
 bool http_answer(struct session *session, int argc, char **argv)
 {
 	struct call *call = call_find(session, argv[1]);
@@ -187,10 +233,41 @@
 	session_show(session, status);
 	g_free(status);
 	session_show(session, call->head->str);
-	session_show(session, call->body->str);
+	if (argc > 2 && strcmp(argv[2], "text") == 0)
+		events_show(session, call->body->str);
+	else
+		session_show(session, call->body->str);
 	return true;
 }
 
+static int text_compare(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* answers NAME...: their statuses and result codes, in no order. */
+bool http_answers(struct session *session, int argc, char **argv)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
+	bool ok = true;
+
+	for (int i = 1; ok && i < argc; i++) {
+		struct call *call = call_find(session, argv[i]);
+
+		ok = call != NULL && session_until(session, call_ended, call);
+		if (ok)
+			g_ptr_array_add(lines,
+					g_strdup_printf("status %d\n%s",
+							call->status,
+							call->head->str));
+	}
+	g_ptr_array_sort(lines, text_compare);
+	for (guint i = 0; i < lines->len; i++)
+		session_show(session, g_ptr_array_index(lines, i));
+	g_ptr_array_free(lines, TRUE);
+	return ok || session_fail(session, "not all are answered");
+}
+
 bool http_hang_up(struct session *session, int argc, char **argv)
 {
 	struct call *call = call_find(session, argv[1]);
@@ -328,3 +405,55 @@
 	json_decref(json);
 	return ok || session_fail(session, "%s is refused", argv[3]);
 }
+
+/* read NAME ADDRESS,... PATH QUERY: sets a variable to the sum. */
+bool http_read(struct session *session, int argc, char **argv)
+{
+	if (argc != 5)
+		return session_fail(session,
+				    "read NAME ADDRESS,... PATH QUERY");
+	g_hash_table_replace(
+		session->variables, g_strdup(argv[1]),
+		g_strdup_printf("%" G_GINT64_FORMAT,
+				sum_fetch(session, argv[2], argv[3], argv[4])));
+	return true;
+}
+
+/* All addresses answer with the same member, which is not missing. */
+static bool members_same(struct session *session, const char *addresses,
+			 const char *path, const char *member)
+{
+	char **list = g_strsplit(addresses, ",", -1);
+	json_t *first = NULL;
+	bool same = true;
+
+	for (char **address = list; same && *address != NULL; address++) {
+		json_t *json = fetch(session, "GET", *address, path, "");
+		json_t *value = json_object_get(json, member);
+
+		same = value != NULL &&
+		       (first == NULL || json_equal(first, value));
+		if (first == NULL)
+			first = json_incref(value);
+		json_decref(json);
+	}
+	json_decref(first);
+	g_strfreev(list);
+	return same;
+}
+
+/* same ADDRESS,... PATH MEMBER: until all answer with the same. */
+bool http_same(struct session *session, int argc, char **argv)
+{
+	int64_t end =
+		clock_now(session->clock) + SESSION_BOUND_SEC * USEC_PER_SEC;
+
+	if (argc != 4)
+		return session_fail(session, "same ADDRESS,... PATH MEMBER");
+	while (!members_same(session, argv[1], argv[2], argv[3])) {
+		if (clock_now(session->clock) > end)
+			return session_fail(session, "%s differs", argv[3]);
+		pause_between(session);
+	}
+	return true;
+}
--- a/tests/session/normal.c
+++ b/tests/session/normal.c
@@ -11,6 +11,9 @@
 	{"\\b(cmpl|chatcmpl)-[0-9a-f]{16}\\b", "\\1-<id>"},
 	{"\\b[0-9a-f]{16}\\b", "<id>"},
 	{"\"created\": ?\\d+", "\"created\":<time>"},
+	{"\"revision\": ?\\d+", "\"revision\":<revision>"},
+	{"based on \\d+, in force is \\d+",
+	 "based on <revision>, in force is <revision>"},
 	{"time=[0-9.]+", "time=<time>"},
 	{"\\b\\d{4}-\\d\\d-\\d\\dT[0-9:.]+Z", "<time>"},
 	{"(retry-after: )\\d+", "\\1<seconds>"},
@@ -24,9 +27,15 @@
 
 	g_hash_table_iter_init(&iter, session->variables);
 	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		char **parts = g_strsplit(text, value, -1);
-		char *with = g_strdup_printf("<%s>", (char *)name);
+		char **parts;
+		char *with;
 
+		/* Numbers and words stand for nothing but themselves. */
+		if (strpbrk(value, ":/") == NULL ||
+		    strpbrk(value, " ,") != NULL)
+			continue;
+		parts = g_strsplit(text, value, -1);
+		with = g_strdup_printf("<%s>", (char *)name);
 		g_free(text);
 		text = g_strjoinv(with, parts);
 		g_strfreev(parts);
--- a/tests/session/session.c
+++ b/tests/session/session.c
@@ -22,6 +22,8 @@
 	{"call", http_call},	    {"await", http_await},
 	{"answer", http_answer},    {"hang-up", http_hang_up},
 	{"poll", http_poll},	    {"set", http_set},
+	{"answers", http_answers},  {"read", http_read},
+	{"same", http_same},
 };
 
 static bool script_run(struct session *session, const char *file);
--- a/tests/session/session.h
+++ b/tests/session/session.h
@@ -16,7 +16,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define SESSION_BOUND_SEC 40
+#define SESSION_BOUND_SEC 30
 
 struct web_client;
 struct clock;
@@ -64,8 +64,11 @@
 bool http_call(struct session *session, int argc, char **argv);
 bool http_await(struct session *session, int argc, char **argv);
 bool http_answer(struct session *session, int argc, char **argv);
+bool http_answers(struct session *session, int argc, char **argv);
 bool http_hang_up(struct session *session, int argc, char **argv);
 bool http_poll(struct session *session, int argc, char **argv);
+bool http_read(struct session *session, int argc, char **argv);
+bool http_same(struct session *session, int argc, char **argv);
 bool http_set(struct session *session, int argc, char **argv);
 void process_free(void *process);
 void call_free(void *call);
