common, coord: measure messages in one place

codec_unpack() and message_unpack() each had a check of their own that lengths and counts fit. That of codec_unpack() looked at each header alone: 30 arrays within each other, in a message of 1 MiB, made msgpack-c ask for 960 MB of address space (VmPeak 6,308 to 989,468 kB).

--- a/common/unpack.c
+++ b/common/unpack.c
@@ -95,17 +95,18 @@
 }
 
 /* Each item takes a byte at least, so as many may be due as bytes are left. */
-static bool message_measure(const uint8_t *data, size_t size)
+bool message_measure(const void *data, size_t size)
 {
+	const uint8_t *at = data;
 	uint64_t due = 1;
 
 	while (due && due <= size) {
 		uint64_t holds;
 		size_t used;
 
-		if (!item_measure(data, size, &used, &holds))
+		if (!item_measure(at, size, &used, &holds))
 			return false;
-		data += used;
+		at += used;
 		size -= used;
 		due += holds - 1;
 	}
@@ -117,7 +118,7 @@
 {
 	size_t used = 0;
 
-	if (data && message_measure(data, size) &&
+	if (message_measure(data, size) &&
 	    msgpack_unpack_next(result, data, size, &used) ==
 		    MSGPACK_UNPACK_SUCCESS)
 		return true;
--- a/coord/codec.h
+++ b/coord/codec.h
@@ -9,9 +9,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Unpacks one whole object that fills data exactly. Refuses a header that
- * declares more elements than there are bytes left, which msgpack-c would
- * allocate for before it sees the end. The object lives until the zone is
+/* Unpacks one whole object that fills data exactly, measured before as
+ * common/unpack.h says. The object lives until the zone is
  * cleared, and points into data. */
 bool codec_unpack(msgpack_zone *zone, const void *data, size_t size,
 		  msgpack_object *object);
--- a/include/common/unpack.h
+++ b/include/common/unpack.h
@@ -17,6 +17,9 @@
 
 struct error;
 
+/* Whether data is exactly one value, all of whose lengths and counts together
+ * fit into it. */
+bool message_measure(const void *data, size_t size);
 /* Unpacks exactly one value that takes all of data. The caller has made result
  * with msgpack_unpacked_init() and destroys it; strings and binaries point into
  * data. False, with RESULT_BAD_MESSAGE, for anything else. */
--- a/tests/common/test_unpack.c
+++ b/tests/common/test_unpack.c
@@ -30,6 +30,8 @@
 	{"length cut", BYTES("\xdb\0\0"), false},
 	{"array within an array claims too much",
 	 BYTES("\x92\xdc\xff\xff\1\2\3"), false},
+	{"arrays within arrays claim together too much",
+	 BYTES("\x92\x94\1\2\3\x92\1"), false},
 	{"later element claims too much", BYTES("\x92\xc0\xdd\0\1\0\0\1"),
 	 false},
 	{"ext", BYTES("\xc7\2\1ab"), true},
@@ -141,16 +143,22 @@
 	return peak;
 }
 
-/* Five bytes that ask for 1.6 GB get nothing. */
+/* Five bytes ask for 1.6 GB; a megabyte of arrays within arrays, each of which
+ * alone would fit, asks for 0.9 GB. */
 static void test_allocates_nothing(void)
 {
-	uint64_t before = address_space_peak();
+	static char nested[1 << 20];
 	msgpack_unpacked result;
+	uint64_t before;
 
+	for (size_t i = 0; i < 30; i++)
+		memcpy(nested + 5 * i, "\xdd\0\x0f\0\0", 5);
 	msgpack_unpacked_init(&result);
+	before = address_space_peak();
 	g_assert_false(message_unpack(&result, BYTES("\xdd\4\0\0\0"), NULL));
-	msgpack_unpacked_destroy(&result);
+	g_assert_false(message_unpack(&result, nested, sizeof(nested), NULL));
 	g_assert_cmpuint(address_space_peak() - before, <, 100000);
+	msgpack_unpacked_destroy(&result);
 }
 
 int main(int argc, char **argv)
