--- a/scripts/capacity_site.py
+++ b/scripts/capacity_site.py
@@ -16,6 +16,7 @@
 # Ethernet, IP and TCP with timestamps; loopback carries no Ethernet, but the
 # sites' networks do.
 SEGMENT_HEADER = 66
+CHANNELS = ("member", "config", "claim", "ledger", "directory")
 
 
 def fetch(address, path, body=None, method=None):
@@ -126,12 +127,16 @@
         received = values["jt_peer_received_bytes_total"]
         out = values['jt_peer_segments_total{direction="sent"}']
         into = values['jt_peer_segments_total{direction="received"}']
-        return {
+        channels = {
+            channel: values[f'jt_peer_channel_bytes_total{{channel="{channel}"}}']
+            for channel in CHANNELS}
+        return channels | {
             "cpu": self.cpu_seconds(),
             "payload": sent + received,
             "wire_sent": sent + SEGMENT_HEADER * out,
             "wire_received": received + SEGMENT_HEADER * into,
             "segments": out + into,
+            "segments_sent": out,
             "messages": values["jt_peer_sent_messages_total"],
             "list_bytes": values["jt_list_read_bytes_total"],
             "polls": values["jt_poll_reads_total"],
