coord: order runners to change role under a lease

Role changes need one sender at a time, a runner that has finished, and an end to everything when the lease ends.

order.h keeps the lease of each cell that this instance is home to, lets role.h decide, withholds a runner from new work, and orders it with the fencing number once its grants have ended and it reports no work. A lost answer is followed by reading the role and a repeat; a refused number gives the lease up; a new holder orders each runner anew as it is. A runner to which an order may still be under way stays withheld for the order's timeout, and nothing else is begun while the list does not show a change. The ledger gains what that needs: the work that waits and arrives, the grants of a runner, withholding, and a runner that the list names in the cell's other pool.

--- a/coord/ledger.c
+++ b/coord/ledger.c
@@ -177,8 +177,8 @@
 		cell_rehome(g_ptr_array_index(ledger->cells, i));
 }
 
-static bool runner_lookup(const struct ledger *ledger, uint64_t runner,
-			  struct cell **cell, uint32_t *index)
+bool runner_lookup(const struct ledger *ledger, uint64_t runner,
+		   struct cell **cell, uint32_t *index)
 {
 	for (guint i = 0; i < ledger->cells->len; i++) {
 		*cell = g_ptr_array_index(ledger->cells, i);
--- a/coord/ledger_home.c
+++ b/coord/ledger_home.c
@@ -263,6 +263,8 @@
 	if (grant != NULL)
 		former_end(grant, ask->former_free, avoid);
 	waiting = ask_add(cell, owner, ask, service);
+	if (ask->attempt == 0 && !ask->adopt)
+		arrival_count(cell, &waiting->need);
 	memcpy(waiting->avoid, avoid, sizeof(avoid));
 	waiting->avoid_until = clock_now(cell->ledger->clock) + AVOID_USEC;
 	if (cell->settled) {
--- a/coord/ledger_parts.h
+++ b/coord/ledger_parts.h
@@ -46,6 +46,7 @@
 bool runners_set(struct cell *cell, const struct ledger_runner *list,
 		 size_t count);
 void runners_configure(struct cell *cell);
+void runner_configure(struct cell *cell, uint32_t index);
 void runner_list_clear(struct ledger *ledger);
 void runner_list_set(struct ledger *ledger, const struct ledger_runner *list,
 		     size_t count);
@@ -93,6 +94,16 @@
 struct grant *grant_of_tag(const struct cell *cell, uint32_t decode,
 			   const struct tag *tag);
 
+/* ledger.c: finds a runner that this is home to. */
+bool runner_lookup(const struct ledger *ledger, uint64_t runner,
+		   struct cell **cell, uint32_t *index);
+
+/* ledger_roles.c */
+void arrival_count(struct cell *cell, const struct policy_request *need);
+/* The runner is in the cell's other pool now: what was learnt of it in the
+ * former role holds no more. */
+void runner_repool(struct cell *cell, uint32_t index, const char *pool);
+
 /* ledger_record.c */
 struct record *record_find(const struct cell *cell, uint64_t key);
 /* NULL when the table is full of running ones. */
--- /dev/null
+++ b/coord/ledger_roles.c
@@ -0,0 +1,134 @@
+#include "ledger_parts.h"
+
+#include <math.h>
+
+/* The mean of answers that ended, or half the bound before there was one. */
+static double output_expected(const struct cell *cell,
+			      const struct policy_request *need)
+{
+	double most = need->output_tokens_max;
+	double held = cell->hold_usec[need->class];
+
+	if (held <= 0 || cell->decode == NULL)
+		return most / 2;
+	return fmin(most, held / (double)USEC_PER_SEC *
+				  cell->decode->decode_tokens_per_s);
+}
+
+static void work_add(struct ledger_work *work, const struct cell *cell,
+		     const struct policy_request *need)
+{
+	work->requests++;
+	work->prompt_tokens += need->prompt_tokens;
+	work->output_tokens += output_expected(cell, need);
+	work->pieces += need->pieces;
+}
+
+void arrival_count(struct cell *cell, const struct policy_request *need)
+{
+	work_add(&cell->arrived, cell, need);
+}
+
+void runner_repool(struct cell *cell, uint32_t index, const char *pool)
+{
+	struct policy_runner *view = runner_view(cell, index);
+	struct runner *runner = runner_at(cell, index);
+
+	g_free(runner->pool);
+	runner->pool = g_strdup(pool);
+	g_hash_table_remove_all(runner->strays);
+	runner->stray_pieces = 0;
+	runner->reported = 0;
+	runner->listed = false;
+	/* Answers to polls under way are of the former role. */
+	runner->skip_report = true;
+	runner->skip_listing = true;
+	view->reported_at = 0;
+	view->reported_pieces = 0;
+	view->reported_queue_tokens = 0;
+	view->busy_until = 0;
+	view->link_until = 0;
+	view->prefill_tokens_per_s = 0;
+	view->decode_tokens_per_s = 0;
+	prefix_forget(cell->prefix, index);
+	runner_configure(cell, index);
+}
+
+static void cell_fill(const struct cell *cell, struct ledger_cell *out)
+{
+	GHashTableIter iter;
+	void *value;
+
+	*out = (struct ledger_cell){
+		.id = cell->id,
+		.prefill = cell->prefill,
+		.decode = cell->decode,
+		.settled = cell->settled,
+		.runners =
+			(const struct policy_runner *)(void *)cell->view->data,
+		.runner_count = cell->view->len,
+		.arrived = cell->arrived,
+	};
+	g_hash_table_iter_init(&iter, cell->asks);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct waiting *waiting = value;
+
+		if (waiting->place != NULL)
+			work_add(&out->waiting, cell, &waiting->need);
+	}
+}
+
+bool ledger_cell_next(const struct ledger *ledger, uint32_t *cursor,
+		      struct ledger_cell *cell)
+{
+	while (*cursor < ledger->cells->len) {
+		const struct cell *next =
+			g_ptr_array_index(ledger->cells, (*cursor)++);
+
+		if (!next->is_home || next->decode == NULL ||
+		    next->prefill == NULL)
+			continue;
+		cell_fill(next, cell);
+		return true;
+	}
+	return false;
+}
+
+uint32_t ledger_runner_grants(const struct ledger *ledger, uint64_t runner)
+{
+	struct cell *cell;
+	uint32_t index;
+	uint32_t count = 0;
+	GHashTableIter iter;
+	void *value;
+
+	if (!runner_lookup(ledger, runner, &cell, &index))
+		return 0;
+	g_hash_table_iter_init(&iter, cell->grants);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct grant *grant = value;
+
+		count += grant->prefill == index || grant->decode == index;
+	}
+	/* Those that their holder is done with, and the engine may not be. */
+	for (guint i = 0; i < runner_at(cell, index)->grants->len; i++) {
+		const struct grant *grant =
+			g_ptr_array_index(runner_at(cell, index)->grants, i);
+
+		count += !grant->hashed;
+	}
+	return count;
+}
+
+void ledger_withhold(struct ledger *ledger, uint64_t runner, bool withheld)
+{
+	struct cell *cell;
+	uint32_t index;
+
+	if (!runner_lookup(ledger, runner, &cell, &index))
+		return;
+	runner_at(cell, index)->withheld = withheld;
+	runner_refresh(cell, index);
+	if (!withheld)
+		cell_wake(cell);
+}
--- a/coord/ledger_runner.c
+++ b/coord/ledger_runner.c
@@ -51,7 +51,7 @@
 
 	view->usable = runner->known && runner->reachable &&
 		       !runner->list_leaving && !runner->report_leaving &&
-		       view->reported_at > 0;
+		       !runner->withheld && view->reported_at > 0;
 	view->granted_pieces = runner->granted + unknown_pieces(runner);
 	view->granted_running = runner->grants->len;
 }
@@ -65,7 +65,7 @@
 							    : cell->prefill;
 }
 
-static void runner_configure(struct cell *cell, uint32_t index)
+void runner_configure(struct cell *cell, uint32_t index)
 {
 	struct policy_runner *view = runner_view(cell, index);
 	const struct runner *runner = runner_at(cell, index);
@@ -127,6 +127,7 @@
 	runner->known = true;
 	runner->list_leaving = entry->leaving;
 	runner->report_leaving = false;
+	runner->withheld = false;
 	runner->reachable = true;
 	runner->listed = false;
 	runner->granted = 0;
@@ -165,6 +166,10 @@
 	}
 	runner = runner_at(cell, index);
 	changed = !runner->known || runner->list_leaving != entry->leaving;
+	if (strcmp(runner->pool, entry->pool) != 0) {
+		runner_repool(cell, index, entry->pool);
+		changed = true;
+	}
 	runner->known = true;
 	runner->list_leaving = entry->leaving;
 	runner_refresh(cell, index);
@@ -326,6 +331,7 @@
 
 		g_hash_table_remove_all(runner->strays);
 		runner->stray_pieces = 0;
+		runner->withheld = false;
 		runner->listed = false;
 		runner->skip_report = cell->was_home;
 		runner->skip_listing = cell->was_home;
--- a/coord/ledger_types.h
+++ b/coord/ledger_types.h
@@ -169,6 +169,7 @@
 	bool known; /* in the platform's list */
 	bool list_leaving;
 	bool report_leaving;
+	bool withheld; /* gets no new work, by ledger_withhold() */
 	bool reachable;
 	bool listed; /* its streams were listed since this is the home */
 	/* The next report and listing may be answers to a poll from before this
@@ -240,6 +241,7 @@
 	GPtrArray *orphans; /* GBytes to announce after this was the home */
 	uint64_t waiting_pieces[CLASS_COUNT];
 	double hold_usec[CLASS_COUNT]; /* mean of late; 0 unknown */
+	struct ledger_work arrived;    /* since this is the home */
 
 	GArray *view;	    /* struct policy_runner */
 	GPtrArray *runners; /* struct runner */
--- a/coord/role.c
+++ b/coord/role.c
@@ -36,9 +36,9 @@
 	if (role->settings.dwell <= 0)
 		role->settings.dwell = ROLE_DWELL_USEC;
 	if (role->settings.smooth <= 0)
-		role->settings.smooth = ROLE_SMOOTH_USEC;
+		role->settings.smooth = role->settings.dwell / 3;
 	if (role->settings.patience <= 0)
-		role->settings.patience = ROLE_PATIENCE_USEC;
+		role->settings.patience = role->settings.dwell / 6;
 	if (sane(role->settings.busy) <= 0)
 		role->settings.busy = ROLE_BUSY;
 	if (sane(role->settings.gain) <= 0)
--- a/include/coord/ledger.h
+++ b/include/coord/ledger.h
@@ -126,6 +126,27 @@
 	bool leaving;
 };
 
+/* Requests of a cell and what they ask for, answers by their mean length. */
+struct ledger_work {
+	double requests;
+	double prompt_tokens;
+	double output_tokens;
+	double pieces;
+};
+
+/* A cell of runners that this instance is home to. */
+struct ledger_cell {
+	uint64_t id;
+	const struct config_pool *prefill;
+	const struct config_pool *decode;
+	bool settled;
+	/* Valid until the ledger is called again. */
+	const struct policy_runner *runners;
+	uint32_t runner_count;
+	struct ledger_work waiting;
+	struct ledger_work arrived; /* since this is the home */
+};
+
 struct ledger_ops {
 	/* Holder's side. */
 	void (*granted)(void *ctx, const struct ledger_grant *grant);
@@ -199,6 +220,16 @@
  * membership_leave(), and stay until ledger_stats() shows no handover left. */
 void ledger_drain(struct ledger *ledger);
 
+/* Roles of runners: coord/order.h. */
+/* Walks the cells of runners that this is home to; cursor starts at 0. */
+bool ledger_cell_next(const struct ledger *ledger, uint32_t *cursor,
+		      struct ledger_cell *cell);
+/* How many grants name the runner, for prefill or for decode. */
+uint32_t ledger_runner_grants(const struct ledger *ledger, uint64_t runner);
+/* The runner is given no new work until it is let go, or this is no longer
+ * home to it. */
+void ledger_withhold(struct ledger *ledger, uint64_t runner, bool withheld);
+
 /* For the operators' view. */
 struct ledger_stats {
 	uint32_t waiting;
--- a/include/coord/role.h
+++ b/include/coord/role.h
@@ -29,13 +29,13 @@
 #include "common/clock.h"
 
 #define ROLE_DWELL_USEC (60 * USEC_PER_SEC)
-#define ROLE_PATIENCE_USEC (10 * USEC_PER_SEC)
-#define ROLE_SMOOTH_USEC (20 * USEC_PER_SEC)
+#define ROLE_PATIENCE_USEC (ROLE_DWELL_USEC / 6)
 #define ROLE_CATCH_UP_SEC 30.0
 #define ROLE_BUSY 0.8
 #define ROLE_GAIN 0.1
 
-/* What is not given (0) takes the default. */
+/* What is not given (0) takes the default: a sixth of dwell for patience, a
+ * third for smooth. */
 struct role_settings {
 	int64_t dwell;	  /* microseconds from the end of a move to the next */
 	int64_t patience; /* microseconds that the reason must last */
--- /dev/null
+++ b/tests/order/test_order.c
@@ -0,0 +1,352 @@
+/* Orders under a lease, against engines, log and instances that fail. */
+#include <glib.h>
+
+#include "common/log.h"
+#include "world.h"
+
+#define SEC USEC_PER_SEC
+/* From the start to the first order, and a change from there. */
+#define BEFORE (2 * ROLE_DWELL_USEC)
+
+struct row {
+	const char *name;
+	bool checks_fencing;
+	void (*fault)(struct site_world *world); /* before it starts */
+	void (*later)(struct site_world *world); /* when a runner drains */
+	uint32_t changes;
+	uint64_t lost; /* at least, of the first instance */
+	uint64_t fenced;
+	uint64_t failures;
+};
+
+static void each(struct site_world *world, struct engine set)
+{
+	for (uint32_t i = 0; i < ENGINES; i++) {
+		set.role = world->engines[i].role;
+		set.listed = set.role;
+		world->engines[i] = set;
+	}
+}
+
+static void fault_lose_answers(struct site_world *world)
+{
+	each(world, (struct engine){.lose_answers = 2});
+}
+
+static void fault_lose_orders(struct site_world *world)
+{
+	each(world, (struct engine){.lose_orders = 2});
+}
+
+static void fault_old_fence(struct site_world *world)
+{
+	each(world, (struct engine){.fence = 1000000});
+}
+
+static void fault_ignores(struct site_world *world)
+{
+	each(world, (struct engine){.ignores = true});
+}
+
+static void fault_busy(struct site_world *world)
+{
+	each(world, (struct engine){.busy = true});
+}
+
+static void fault_list_stuck(struct site_world *world)
+{
+	world->list_stuck = true;
+}
+
+static void fault_log_slow(struct site_world *world)
+{
+	world->log->slow = 500 * USEC_PER_MSEC;
+}
+
+static void fault_answers_of_log(struct site_world *world)
+{
+	world->log->lost_percent = 30;
+}
+
+static void later_gone(struct site_world *world)
+{
+	for (uint32_t i = 0; i < ENGINES; i++)
+		world->engines[i].gone |= world->instances[0].withheld[i];
+}
+
+/* All others of the role that gives one go. */
+static void later_last(struct site_world *world)
+{
+	for (uint32_t i = 0; i < ENGINES; i++)
+		world->engines[i].gone |=
+			world->engines[i].role == POOL_DECODE &&
+			!world->instances[0].withheld[i];
+}
+
+static const struct row rows[] = {
+	{"plain", true, NULL, NULL, 2, 0, 0, 0},
+	{"plain-unfenced", false, NULL, NULL, 2, 0, 0, 0},
+	{"answer-lost", true, fault_lose_answers, NULL, 2, 2, 0, 0},
+	{"answer-lost-unfenced", false, fault_lose_answers, NULL, 2, 2, 0, 0},
+	{"order-lost", true, fault_lose_orders, NULL, 2, 2, 0, 0},
+	{"order-lost-unfenced", false, fault_lose_orders, NULL, 2, 2, 0, 0},
+	{"fence-refused", true, fault_old_fence, NULL, 0, 0, 1, 0},
+	{"ignores-orders", true, fault_ignores, NULL, 0, 0, 0, 1},
+	{"never-empty", true, fault_busy, NULL, 0, 0, 0, 1},
+	{"not-in-the-list", true, fault_list_stuck, NULL, 1, 0, 0, 1},
+	{"gone-while-draining", true, NULL, later_gone, 1, 0, 0, 1},
+	{"last-of-its-role", true, NULL, later_last, 0, 0, 0, 1},
+	{"log-slow", true, fault_log_slow, NULL, 2, 0, 0, 0},
+	{"log-loses-answers", true, fault_answers_of_log, NULL, 2, 0, 0, 0},
+};
+
+static bool draining(const struct site_world *world)
+{
+	return withheld_count(world) > 0;
+}
+
+static bool changed(const struct site_world *world)
+{
+	return world->changes > 0;
+}
+
+/* Prefill is short by two runners of six. */
+static struct site_world *start(bool checks_fencing, const struct row *row)
+{
+	struct site_world *world = site_world_create(1, checks_fencing);
+
+	world->need_prefill = 4.6;
+	world->need_decode = 0.8;
+	if (row && row->fault)
+		row->fault(world);
+	return world;
+}
+
+static void stats_check(const struct row *row, const struct orders_stats *stats)
+{
+	g_assert_cmpuint(stats->lost, >=, row->lost);
+	g_assert_cmpuint(stats->fenced > 0, ==, row->fenced > 0);
+	g_assert_cmpuint(stats->failures > 0, ==, row->failures > 0);
+	g_assert_cmpuint(stats->sent, >, 0);
+}
+
+static void test_row(gconstpointer data)
+{
+	const struct row *row = data;
+	struct site_world *world = start(row->checks_fencing, row);
+	struct orders_stats stats;
+
+	if (row->later) {
+		g_assert_true(site_world_until(world, BEFORE, draining));
+		row->later(world);
+	}
+	site_world_run(world, 900 * SEC);
+	orders_stats(world->instances[0].orders, &stats);
+	if (row->changes)
+		g_assert_cmpuint(world->changes, >=, row->changes);
+	else
+		g_assert_cmpuint(world->changes, ==, 0);
+	stats_check(row, &stats);
+	g_assert_cmpint(world->closest, >=, ROLE_DWELL_USEC);
+	site_world_destroy(world);
+}
+
+/* The mix turns round: a runner comes back, but not within the rest. */
+static void test_back(void)
+{
+	struct site_world *world = start(true, NULL);
+
+	g_assert_true(site_world_until(world, BEFORE, changed));
+	world->need_prefill = 0.8;
+	world->need_decode = 4.6;
+	site_world_run(world, 600 * SEC);
+	g_assert_cmpuint(engines_of(world, POOL_DECODE), >=, 4);
+	g_assert_cmpint(world->closest, >=, ROLE_DWELL_USEC);
+	site_world_destroy(world);
+}
+
+/* The holder stands still while it changes a runner; another becomes home and
+ * goes on. What the first still does when it wakes has no effect. */
+static void test_paused(gconstpointer data)
+{
+	bool checks_fencing = data != NULL;
+	struct site_world *world = start(checks_fencing, NULL);
+	struct orders_stats stats;
+
+	world->order_delay = ORDER_TIMEOUT_USEC;
+	g_assert_true(site_world_until(world, BEFORE, draining));
+	world->instances[0].node->paused = true;
+	world->home = 1;
+	site_world_run(world, 200 * SEC);
+	g_assert_cmpuint(world->changes, >, 0);
+	world->instances[0].node->paused = false;
+	site_world_run(world, 200 * SEC);
+	orders_stats(world->instances[1].orders, &stats);
+	g_assert_cmpuint(stats.changes, >, 0);
+	orders_stats(world->instances[0].orders, &stats);
+	g_assert_cmpuint(stats.leases, ==, 0);
+	for (uint32_t i = 0; i < ENGINES; i++)
+		g_assert_false(world->instances[0].withheld[i]);
+	g_assert_cmpint(world->closest, >=, ROLE_DWELL_USEC);
+	site_world_destroy(world);
+}
+
+/* It dies; what it had begun is dropped, and the next one goes on. */
+static void test_killed(gconstpointer data)
+{
+	struct site_world *world = start(data != NULL, NULL);
+
+	world->order_delay = ORDER_TIMEOUT_USEC;
+	g_assert_true(site_world_until(world, BEFORE, draining));
+	site_world_run(world, 6 * SEC);
+	instance_kill(&world->instances[0]);
+	world->home = 1;
+	site_world_run(world, 300 * SEC);
+	g_assert_cmpuint(world->changes, >=, 2);
+	site_world_destroy(world);
+}
+
+/* The home moves: the former one stops, and gives the lease back. */
+static void test_moved(void)
+{
+	struct site_world *world = start(true, NULL);
+	struct orders_stats stats;
+	int64_t moved;
+
+	g_assert_true(site_world_until(world, BEFORE, draining));
+	world->home = 1;
+	moved = clock_now(world->world->clock);
+	site_world_run(world, 2 * SEC);
+	orders_stats(world->instances[0].orders, &stats);
+	g_assert_cmpuint(stats.leases, ==, 0);
+	site_world_run(world, 3 * SEC);
+	orders_stats(world->instances[1].orders, &stats);
+	g_assert_cmpuint(stats.leases, ==, 1);
+	g_assert_cmpint(clock_now(world->world->clock) - moved, <, 10 * SEC);
+	site_world_destroy(world);
+}
+
+static void all_busy(struct site_world *world, bool busy)
+{
+	for (uint32_t i = 0; i < ENGINES; i++)
+		world->engines[i].busy = busy;
+}
+
+/* The lease runs out while a runner drains: it works again, and is not ordered
+ * when it is done. */
+static void test_lapsed(void)
+{
+	struct site_world *world = start(true, NULL);
+
+	g_assert_true(site_world_until(world, BEFORE, draining));
+	world->log->outage = true;
+	all_busy(world, true);
+	site_world_run(world, 15 * SEC);
+	g_assert_cmpuint(withheld_count(world), ==, 0);
+	all_busy(world, false);
+	site_world_run(world, 300 * SEC);
+	g_assert_cmpuint(world->changes, ==, 0);
+	world->log->outage = false;
+	site_world_run(world, 300 * SEC);
+	g_assert_cmpuint(world->changes, >, 0);
+	site_world_destroy(world);
+}
+
+/* Nothing is sent without a lease. */
+static void test_no_log(void)
+{
+	struct site_world *world = start(true, NULL);
+	struct orders_stats stats;
+
+	world->log->outage = true;
+	site_world_run(world, 300 * SEC);
+	orders_stats(world->instances[0].orders, &stats);
+	g_assert_cmpuint(stats.sent, ==, 0);
+	world->log->outage = false;
+	site_world_run(world, 300 * SEC);
+	g_assert_cmpuint(world->changes, >, 0);
+	site_world_destroy(world);
+}
+
+static void disturb(struct site_world *world)
+{
+	struct instance *one = &world->instances[world_draw(world->world, 2)];
+	struct engine *engine =
+		&world->engines[world_draw(world->world, ENGINES)];
+
+	switch (world_draw(world->world, 8)) {
+	case 0:
+		one->node->paused = one->orders && !one->node->paused;
+		break;
+	case 1:
+		if (one->orders)
+			instance_kill(one);
+		else
+			instance_start(one);
+		break;
+	case 2:
+		world->home = (uint32_t)world_draw(world->world, 2);
+		break;
+	case 3:
+		engine->lose_answers = 1;
+		break;
+	case 4:
+		engine->lose_orders = 1;
+		break;
+	case 5:
+		world->log->outage = !world->log->outage;
+		break;
+	case 6:
+		engine->busy = !engine->busy;
+		break;
+	default:
+		world->need_prefill = 5 - world->need_prefill;
+		world->need_decode = 5 - world->need_decode;
+	}
+}
+
+/* Faults by chance; the promises are checked at each step. */
+static void test_schedules(gconstpointer data)
+{
+	uint32_t changes = 0;
+
+	for (uint32_t seed = 1; seed <= 100; seed++) {
+		struct site_world *world =
+			site_world_create(seed, data != NULL);
+
+		world->need_prefill = 4.2;
+		world->need_decode = 0.8;
+		world->order_delay = ORDER_TIMEOUT_USEC;
+		for (int i = 0; i < 30; i++) {
+			site_world_run(world, 60 * SEC);
+			disturb(world);
+		}
+		changes += world->changes;
+		site_world_destroy(world);
+	}
+	g_test_message("%u changes", changes);
+	g_assert_cmpuint(changes, >, 150);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, "test", LOG_EMERG);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autofree char *path =
+			g_strconcat("/order/fault/", rows[i].name, NULL);
+
+		g_test_add_data_func(path, &rows[i], test_row);
+	}
+	g_test_add_func("/order/back", test_back);
+	g_test_add_data_func("/order/paused/fenced", "", test_paused);
+	g_test_add_data_func("/order/paused/unfenced", NULL, test_paused);
+	g_test_add_data_func("/order/killed/fenced", "", test_killed);
+	g_test_add_data_func("/order/killed/unfenced", NULL, test_killed);
+	g_test_add_func("/order/moved", test_moved);
+	g_test_add_func("/order/lapsed", test_lapsed);
+	g_test_add_func("/order/no-log", test_no_log);
+	g_test_add_data_func("/order/schedules/fenced", "", test_schedules);
+	g_test_add_data_func("/order/schedules/unfenced", NULL, test_schedules);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/order/world.h
@@ -0,0 +1,76 @@
+/*
+ * world.h - two instances that may order, and engines that take orders badly
+ *
+ * DESCRIPTION
+ *	The instance `home` has the cell; grants go to runners that it does not
+ *	withhold. At each step the promises are checked: one runner changes at a
+ *	time, only when it has no grant, no role is ever without a runner, and
+ *	no engine obeys an order that is out of date.
+ */
+#ifndef TESTS_ORDER_WORLD_H
+#define TESTS_ORDER_WORLD_H
+
+#include "../coord/fake_log.h"
+#include "../coord/fake_world.h"
+#include "coord/order.h"
+
+#define INSTANCES 2
+#define ENGINES 6u
+#define CELL 42
+
+struct engine {
+	enum pool_role role;
+	enum pool_role listed;
+	int64_t changed_at; /* true time */
+	uint64_t fence;
+	bool gone;
+	bool ignores;	      /* answers, but keeps its role */
+	bool busy;	      /* its grants never end */
+	uint32_t lose_orders; /* this many never arrive */
+	uint32_t lose_answers;
+	uint32_t grants;
+	int64_t grants_end;
+	uint32_t orders; /* that were obeyed */
+};
+
+struct instance {
+	struct site_world *world;
+	struct node *node;
+	struct fake_log_client client;
+	struct orders *orders;
+	uint64_t incarnation;
+	bool withheld[ENGINES];
+	int64_t reported[ENGINES];
+	struct order_runner view[ENGINES];
+	uint64_t call; /* the one that is not dropped */
+};
+
+struct site_world {
+	struct world *world;
+	struct fake_log *log;
+	struct node *engine_node;
+	struct instance instances[INSTANCES];
+	struct engine engines[ENGINES];
+	uint32_t home;
+	bool checks_fencing;
+	bool list_stuck;
+	int64_t order_delay; /* most that an order is under way */
+	double need_prefill; /* in runners */
+	double need_decode;
+	uint32_t changes;
+	int64_t last_change; /* true time */
+	int64_t closest;     /* time between two changes */
+};
+
+struct site_world *site_world_create(uint32_t seed, bool checks_fencing);
+void site_world_destroy(struct site_world *world);
+void instance_start(struct instance *instance);
+void instance_kill(struct instance *instance);
+void site_world_run(struct site_world *world, int64_t usec);
+/* Runs until the condition holds; false when it does not within the time. */
+bool site_world_until(struct site_world *world, int64_t usec,
+		      bool (*condition)(const struct site_world *world));
+uint32_t engines_of(const struct site_world *world, enum pool_role role);
+uint32_t withheld_count(const struct site_world *world);
+
+#endif
