entry: answer at once when the winner of a claim has no answer

The limit is now in time, it covers the repeats for which a dying instance may still be noticed, and a live winner's word ends the request.

--- a/entry/request_join.c
+++ b/entry/request_join.c
@@ -115,6 +115,12 @@
 			     "the data centre that took it does not answer");
 		return;
 	}
+	/* The live winner of the claim has no answer and will have none. */
+	if (request->claim_lost && request->status == 404) {
+		request_fail(request, RESULT_ALREADY_CLAIMED, 0,
+			     "a request with this key was claimed before");
+		return;
+	}
 	request_ask_later(request);
 }
 
--- a/entry/request_start.c
+++ b/entry/request_start.c
@@ -8,8 +8,8 @@
 #define CLAIM_TIMEOUT_USEC (3 * USEC_PER_SEC)
 #define RETRY_SOON_USEC USEC_PER_SEC
 #define ASK_AGAIN_USEC (100 * USEC_PER_MSEC)
-/* Ten seconds: longer than it takes until an instance is known to be dead. */
-#define ASKS_MAX 100u
+/* Longer than it takes to notice that an instance has died. */
+#define ASK_AGAIN_MAX_USEC (10 * USEC_PER_SEC)
 
 static int64_t target_time(const struct request *request)
 {
@@ -47,7 +47,11 @@
 
 void request_ask_later(struct request *request)
 {
-	if (++request->attempts > ASKS_MAX) {
+	int64_t now = clock_now(request->entry->clock);
+
+	if (!request->asking_since)
+		request->asking_since = now;
+	if (now - request->asking_since >= ASK_AGAIN_MAX_USEC) {
 		request_fail(request,
 			     request->idempotent ? RESULT_PEER_GONE
 						 : RESULT_ALREADY_CLAIMED,
@@ -166,6 +170,7 @@
 		return;
 	}
 	request_release(request, RELEASE_NOT_RUN);
+	request->claim_lost = true;
 	request_join_peer(request, peer);
 }
 
--- a/include/entry/request.h
+++ b/include/entry/request.h
@@ -76,6 +76,7 @@
 	uint64_t organisation;
 	int64_t arrived;
 	int64_t deadline;
+	int64_t asking_since; /* of repeats that found no answer; 0: never */
 	GQueue replies;
 	struct timer timer; /* transfer, pause, keep, cancel: one at a time */
 
@@ -110,9 +111,10 @@
 	struct web_call *web_call; /* to a server, or to the joined instance */
 	uint64_t server;	   /* the backend called; 0: none */
 	bool queued;
-	bool claimed;  /* the claim of its key was won */
-	bool refused;  /* the answer says that nothing was run */
-	bool too_long; /* the answer passed the limit */
+	bool claimed;	 /* the claim of its key was won */
+	bool claim_lost; /* to a live instance, which is asked for the answer */
+	bool refused;	 /* the answer says that nothing was run */
+	bool too_long;	 /* the answer passed the limit */
 	GString *method;
 	GString *path;
 	GPtrArray *headers; /* name, value, name, value... */
