--- a/tests/order/world.c
+++ b/tests/order/world.c
@@ -247,8 +247,10 @@
 
 		instance->world = world;
 		instance->node = world_add(world->world);
-		instance->client =
-			(struct fake_log_client){world->log, instance->node};
+		instance->client = (struct fake_log_client){
+			.log = world->log,
+			.node = instance->node,
+		};
 		instance_start(instance);
 	}
 	return world;
