standin: name roles and refusals in one place

The words prefill and decode were compared in four places and the refusals' labels stood in three. They are functions of the model now; reading an order is apart from acting on it; a piece of no tokens is refused at the start instead of being taken for one token.

--- a/include/standin/engine_model.h
+++ b/include/standin/engine_model.h
@@ -156,6 +156,11 @@
 	struct timer step_timer;
 };
 
+/* The words of the protocol. */
+const char *engine_role_name(enum engine_role role);
+bool engine_role_parse(const char *text, enum engine_role *role);
+const char *engine_refusal_name(enum engine_refusal refusal);
+
 /* Divides all times by params->time_scale and multiplies all rates by it. */
 void engine_params_scale(struct engine_params *params);
 
--- a/include/standin/engine_reader.h
+++ b/include/standin/engine_reader.h
@@ -25,7 +25,5 @@
 /* Continues a stream at the offset. */
 void reader_resume(struct stream *stream, uint32_t offset,
 		   struct web_request *request);
-/* The word for the answer's "refused". */
-const char *refusal_label(enum engine_refusal refusal);
 
 #endif
--- a/standin/engine_http.c
+++ b/standin/engine_http.c
@@ -163,7 +163,7 @@
 	}
 	g_free(waiter);
 	web_request_on_gone(request, NULL, NULL);
-	reply_refused(request, refusal_label(refusal));
+	reply_refused(request, engine_refusal_name(refusal));
 }
 
 static void handle_prefill(void *ctx, struct web_request *request)
@@ -290,32 +290,45 @@
 	reply_json(request, 200, json_pack("{s:b}", "dropped", dropped));
 }
 
+/* What POST /orders asks for; the strings are the body's. */
+struct order {
+	bool has_role;
+	enum engine_role role;
+	const char *loaded; /* NULL: stays */
+	uint64_t fence;
+};
+
+static bool order_read(json_t *root, struct order *order)
+{
+	const char *kind = NULL;
+	const char *role = NULL;
+	json_int_t fence = 0;
+
+	*order = (struct order){0};
+	if (json_unpack(root, "{s:s, s?s, s?s, s?I}", "order", &kind, "role",
+			&role, "model", &order->loaded, "fence", &fence) != 0)
+		return false;
+	order->fence = (uint64_t)fence;
+	if (strcmp(kind, "load") == 0)
+		return order->loaded != NULL;
+	order->loaded = NULL;
+	order->has_role = true;
+	return strcmp(kind, "role") == 0 && role &&
+	       engine_role_parse(role, &order->role);
+}
+
 static void handle_orders(void *ctx, struct web_request *request)
 {
 	struct engine_model *model = ((struct engine_http *)ctx)->model;
 	json_t *root = request_json(request);
-	const char *order = NULL;
-	const char *role = NULL;
-	const char *loaded = NULL;
-	json_int_t fence = 0;
-	enum engine_role value;
-	bool known;
+	struct order order;
 
 	if (!root)
 		return;
-	known = json_unpack(root, "{s:s, s?s, s?s, s?I}", "order", &order,
-			    "role", &role, "model", &loaded, "fence",
-			    &fence) == 0 &&
-		((strcmp(order, "load") == 0 && loaded) ||
-		 (strcmp(order, "role") == 0 && role &&
-		  (strcmp(role, "prefill") == 0 ||
-		   strcmp(role, "decode") == 0)));
-	value = role && strcmp(role, "decode") == 0 ? ENGINE_DECODE
-						    : ENGINE_PREFILL;
-	if (!known)
+	if (!order_read(root, &order))
 		reply_error(request, 400, "malformed order");
-	else if (!engine_order(model, *order == 'r' ? &value : NULL,
-			       *order == 'l' ? loaded : NULL, (uint64_t)fence))
+	else if (!engine_order(model, order.has_role ? &order.role : NULL,
+			       order.loaded, order.fence))
 		reply_error(request, 409, "a higher fence was seen");
 	else
 		action_answer(model, request, json_object(), false);
--- a/standin/engine_model.c
+++ b/standin/engine_model.c
@@ -36,6 +36,39 @@
 	params->event_lag_usec = (int64_t)(params->event_lag_usec / scale);
 }
 
+static const char *const role_names[] = {
+	[ENGINE_PREFILL] = "prefill",
+	[ENGINE_DECODE] = "decode",
+};
+
+const char *engine_role_name(enum engine_role role)
+{
+	return role_names[role];
+}
+
+bool engine_role_parse(const char *text, enum engine_role *role)
+{
+	for (unsigned int i = 0; i < G_N_ELEMENTS(role_names); i++) {
+		if (strcmp(text, role_names[i]) != 0)
+			continue;
+		*role = (enum engine_role)i;
+		return true;
+	}
+	return false;
+}
+
+const char *engine_refusal_name(enum engine_refusal refusal)
+{
+	static const char *const names[] = {
+		[ENGINE_ACCEPTED] = "",
+		[ENGINE_LEAVING] = "leaving",
+		[ENGINE_FULL] = "full",
+		[ENGINE_OTHER_ROLE] = "role",
+	};
+
+	return names[refusal];
+}
+
 static void report_take(struct engine_model *model)
 {
 	struct engine_report *report = &model->report;
--- a/standin/engine_reader.c
+++ b/standin/engine_reader.c
@@ -27,18 +27,6 @@
 	struct web_call *call;
 };
 
-const char *refusal_label(enum engine_refusal refusal)
-{
-	static const char *const labels[] = {
-		[ENGINE_ACCEPTED] = "",
-		[ENGINE_LEAVING] = "leaving",
-		[ENGINE_FULL] = "full",
-		[ENGINE_OTHER_ROLE] = "role",
-	};
-
-	return labels[refusal];
-}
-
 /* Lines are short: those below, with a stream's name at most. */
 static void reader_line(struct reader *reader, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
@@ -200,7 +188,7 @@
 	stream = stream_reserve(model, job, control_gone, control, &refusal);
 	if (!stream) {
 		g_free(control);
-		reply_refused(request, refusal_label(refusal));
+		reply_refused(request, engine_refusal_name(refusal));
 		return;
 	}
 	control->stream = stream;
--- a/standin/engine_report.c
+++ b/standin/engine_report.c
@@ -10,13 +10,13 @@
 json_t *report_load(const struct engine_model *model)
 {
 	const struct engine_report *report = engine_report(model);
-	const char *role = report->role == ENGINE_DECODE ? "decode" : "prefill";
 	int64_t age = clock_now(model->clock) - report->taken_at;
 
 	return json_pack("{s:s, s:b, s:I, s:I, s:I, s:I, s:I, s:f, s:I}",
-			 "role", role, "leaving", report->leaving,
-			 "pieces_used", (json_int_t)report->pieces_used,
-			 "pieces", (json_int_t)model->params.pieces, "running",
+			 "role", engine_role_name(report->role), "leaving",
+			 report->leaving, "pieces_used",
+			 (json_int_t)report->pieces_used, "pieces",
+			 (json_int_t)model->params.pieces, "running",
 			 (json_int_t)report->running, "waiting",
 			 (json_int_t)report->waiting, "queue_tokens",
 			 (json_int_t)report->queue_tokens, "tokens_per_s",
--- a/standin/engine_settings.c
+++ b/standin/engine_settings.c
@@ -12,6 +12,7 @@
 	SETTING_ROLE,
 	SETTING_FLAG,
 	SETTING_COUNT,
+	SETTING_SIZE, /* a count above 0 */
 	SETTING_RATE, /* a positive number */
 	SETTING_MS,
 };
@@ -35,7 +36,7 @@
 	{"platform", "IP:PORT", "register there", SETTING_TEXT, AT(platform)},
 	{"role", "ROLE", "prefill or decode", SETTING_ROLE, AT(params.role)},
 	{"pieces", "N", "memory in pieces", SETTING_COUNT, AT(params.pieces)},
-	{"piece-tokens", "N", "tokens a piece", SETTING_COUNT,
+	{"piece-tokens", "N", "tokens a piece", SETTING_SIZE,
 	 AT(params.piece_tokens)},
 	{"slots", "N", "decode streams at once", SETTING_COUNT,
 	 AT(params.slots)},
@@ -109,7 +110,8 @@
 	    number > 1e15)
 		argp_error(state, "--%s: '%s' is no number", setting->name,
 			   arg);
-	if (setting->kind == SETTING_RATE && number == 0)
+	if (number == 0 &&
+	    (setting->kind == SETTING_RATE || setting->kind == SETTING_SIZE))
 		argp_error(state, "--%s: must be above 0", setting->name);
 	if (setting->kind == SETTING_RATE)
 		*(double *)at = number;
@@ -122,18 +124,6 @@
 	return 0;
 }
 
-static error_t role_set(const char *arg, enum engine_role *role,
-			struct argp_state *state)
-{
-	if (strcmp(arg, "prefill") == 0)
-		*role = ENGINE_PREFILL;
-	else if (strcmp(arg, "decode") == 0)
-		*role = ENGINE_DECODE;
-	else
-		argp_error(state, "--role: prefill or decode");
-	return 0;
-}
-
 static error_t option_parse(int key, char *arg, struct argp_state *state)
 {
 	const struct setting *setting;
@@ -148,7 +138,9 @@
 		*(const char **)at = arg;
 		return 0;
 	case SETTING_ROLE:
-		return role_set(arg, at, state);
+		if (!engine_role_parse(arg, at))
+			argp_error(state, "--role: prefill or decode");
+		return 0;
 	case SETTING_FLAG:
 		*(bool *)at = true;
 		return 0;
@@ -176,7 +168,5 @@
 	argp_program_version = "jtengine " JT_VERSION;
 	*settings = defaults;
 	argp_parse(&argp, argc, argv, 0, NULL, settings);
-	if (settings->params.piece_tokens == 0)
-		settings->params.piece_tokens = 1;
 	engine_params_scale(&settings->params);
 }
--- a/tests/standin/test_engine_faults.c
+++ b/tests/standin/test_engine_faults.c
@@ -71,9 +71,7 @@
 
 static void refuse(struct world *w, enum engine_refusal refusal)
 {
-	static const char *const texts[] = {"", "leaving", "full", "role"};
-
-	w->refused = texts[refusal];
+	w->refused = engine_refusal_name(refusal);
 	w->gone = true;
 }
 
--- a/tests/standin/test_engine_sessions.c
+++ b/tests/standin/test_engine_sessions.c
@@ -186,20 +186,9 @@
 	stream_fetched(table_get(item->model->streams, item->handle), kv);
 }
 
-static const char *refusal_text(enum engine_refusal refusal)
-{
-	static const char *const texts[] = {"accepted", "leaving", "full",
-					    "role"};
-
-	return texts[refusal];
-}
-
 static void run_engine(struct world *w)
 {
-	const char *role = word(w, "role");
 	struct engine_params params = {
-		.role = g_str_equal(role, "decode") ? ENGINE_DECODE
-						    : ENGINE_PREFILL,
 		.pieces = (uint32_t)number(w, "pieces", 10),
 		.piece_tokens = (uint32_t)number(w, "piece_tokens", 1000),
 		.slots = (uint32_t)number(w, "slots", 4),
@@ -219,6 +208,7 @@
 		.seed = 7,
 	};
 
+	g_assert_true(engine_role_parse(word(w, "role"), &params.role));
 	engine_params_scale(&params);
 	g_hash_table_replace(w->engines, g_strdup(w->words[1]),
 			     engine_create(w->clock, &params));
@@ -258,7 +248,8 @@
 	if (p)
 		item->handle = p->handle;
 	else
-		print(w, "%s refused %s", item->name, refusal_text(refusal));
+		print(w, "%s refused %s", item->name,
+		      engine_refusal_name(refusal));
 }
 
 /* drop PREFILL */
@@ -281,7 +272,8 @@
 		stream_reserve(item->model, &job, gone, item, &refusal);
 
 	if (!s) {
-		print(w, "%s refused %s", item->name, refusal_text(refusal));
+		print(w, "%s refused %s", item->name,
+		      engine_refusal_name(refusal));
 		return;
 	}
 	item->handle = s->handle;
@@ -405,7 +397,7 @@
 	print(w,
 	      "%s load %s%s pieces %u running %u waiting %u queue %u rate %g "
 	      "age %d%s",
-	      w->words[1], r->role == ENGINE_DECODE ? "decode" : "prefill",
+	      w->words[1], engine_role_name(r->role),
 	      r->leaving ? " leaving" : "", r->pieces_used, r->running,
 	      r->waiting, (unsigned int)r->queue_tokens, r->tokens_per_s,
 	      (int)((clock_now(w->clock) - r->taken_at) / USEC_PER_MSEC),
