--- a/entry/peer_greet.c
+++ b/entry/peer_greet.c
@@ -86,37 +86,46 @@
 	return true;
 }
 
-static bool hello_valid(struct peers *peers, const struct link *link,
-			const struct member *member)
+static const char *hello_fault(const struct peers *peers,
+			       const struct link *link,
+			       const struct member *member)
 {
-	const char *reason = NULL;
-
 	if (member->id == peers->self.id)
-		reason = "own name";
-	else if (link->peer != 0 && link->peer != member->id)
-		reason = "another instance";
-	if (!reason)
-		return true;
+		return "own name";
+	if (link->peer != 0 && link->peer != member->id)
+		return "another instance";
+	return NULL;
+}
+
+static void hello_refuse(struct peers *peers, struct link *link,
+			 const struct member *member, const char *reason)
+{
 	log_event(LOG_WARNING, "peer_refused", LOG_S("peer", member->name),
 		  LOG_S("address", member->peer_address),
+		  LOG_D("incarnation", member->incarnation),
 		  LOG_S("reason", reason));
-	return false;
+	link_refuse(peers, link);
 }
 
 void hello_take(struct peers *peers, struct link *link, const void *payload,
 		size_t size)
 {
 	struct member member;
+	struct peer *peer;
+	const char *fault;
 
-	if (!hello_decode(&member, payload, size, NULL) ||
-	    !hello_valid(peers, link, &member)) {
+	if (!hello_decode(&member, payload, size, NULL)) {
 		link_refuse(peers, link);
 		return;
 	}
-	struct peer *peer = peer_get(peers, member.id);
-
+	fault = hello_fault(peers, link, &member);
+	if (fault) {
+		hello_refuse(peers, link, &member, fault);
+		return;
+	}
+	peer = peer_get(peers, member.id);
 	if (!incarnation_take(peers, peer, link, &member)) {
-		link_refuse(peers, link);
+		hello_refuse(peers, link, &member, "former incarnation");
 		return;
 	}
 	if (link->peer == 0) {
--- a/tests/session/normal.c
+++ b/tests/session/normal.c
@@ -17,6 +17,7 @@
 	{"time=[0-9.]+", "time=<time>"},
 	{"\\b\\d{4}-\\d\\d-\\d\\dT[0-9:.]+Z", "<time>"},
 	{"(retry-after: )\\d+", "\\1<seconds>"},
+	{"took_us=\\d+", "took_us=<usec>"},
 };
 
 static char *variables_replace(struct session *session, char *text)
