standin: lose and delay the answer to a cancel at every step

Only a cancel during decode had been tried with its answer lost. A table now takes lost and late answers during transfer, decode and when all is computed and unread. The streams of these tests are longer than what a late loop makes up for, so that a busy machine cannot end them early.

--- a/tests/standin/test_http.c
+++ b/tests/standin/test_http.c
@@ -22,6 +22,9 @@
 	"\"request\": \"00000000000000aa\", \"owner\": \"00000000000000bb\", " \
 	"\"incarnation\": \"00000000000000cc\""
 
+/* Tokens that take longer than a loop that stood still makes up for. */
+#define LONG 400
+
 struct world {
 	struct clock *clock;
 	struct loop *loop;
@@ -455,7 +458,7 @@
 	char *path;
 	char *rest;
 
-	decode(w, &first, handle, 200, 0);
+	decode(w, &first, handle, LONG, 0);
 	run_until(w, stream_runs);
 	web_call_cancel(first.call);
 	run_until(w, no_reader);
@@ -469,8 +472,8 @@
 	/* The newest reader has it all; the former one was cut off. */
 	call_wait(w, &second);
 	g_assert_false(second.ok);
-	lines_add(lines, "long", 2, 200);
-	g_string_append(lines, "{\"end\": \"length\", \"tokens\": 200}\n");
+	lines_add(lines, "long", 2, LONG);
+	g_string_append(lines, "{\"end\": \"length\", \"tokens\": 400}\n");
 	g_assert_cmpstr(rest, ==, lines->str);
 	check(w, DECODE, "GET", path, NULL, 404, NULL);
 	g_free(path);
@@ -481,37 +484,90 @@
 	call_free(&second);
 }
 
-static void test_cancel(struct world *w, gconstpointer data)
+static bool fetch_runs(struct world *w)
+{
+	const struct prefill *p;
+	uint32_t fetches = 0;
+	uint32_t cursor = 0;
+	uint64_t handle;
+
+	while ((p = table_next(w->p->prefills, &cursor, &handle)))
+		fetches += p->fetches;
+	return fetches == 1;
+}
+
+static bool stream_computed(struct world *w)
+{
+	return only_stream(w)->done;
+}
+
+static void decode_long(struct world *w, struct call *call, unsigned int max)
 {
 	char *handle = prefill(w, "long");
+
+	decode(w, call, handle, max, 0);
+	g_free(handle);
+}
+
+static void step_transfer(struct world *w, struct call *call)
+{
+	check(w, PREFILL, "POST", "/faults",
+	      "{\"fault\": \"stall_transfer\", \"times\": 1}", 200, NULL);
+	decode_long(w, call, 500);
+	run_until(w, fetch_runs);
+}
+
+static void step_decodes(struct world *w, struct call *call)
+{
+	decode_long(w, call, 90000);
+	run_until(w, stream_runs);
+}
+
+static void step_unread(struct world *w, struct call *call)
+{
+	decode_long(w, call, LONG);
+	run_until(w, stream_runs);
+	web_call_cancel(call->call);
+	call->done = true;
+	run_until(w, stream_computed);
+}
+
+/* A cancel acts at once at every step, whatever becomes of its answer. */
+static const struct {
+	void (*reach)(struct world *w, struct call *call);
+	const char *fault;
+	int status;
+} cancels[] = {
+	{step_transfer, "lose_answer", 0}, {step_transfer, "late_answer", 200},
+	{step_decodes, "lose_answer", 0},  {step_decodes, "late_answer", 200},
+	{step_unread, "lose_answer", 0},   {step_unread, "late_answer", 200},
+};
+
+static void cancel_test(struct world *w, size_t row)
+{
 	struct call call;
+	char *fault = g_strdup_printf(
+		"{\"fault\": \"%s\", \"value\": 5, \"times\": 1}",
+		cancels[row].fault);
 	char *path;
 
-	decode(w, &call, handle, 90000, 0);
-	run_until(w, stream_runs);
+	cancels[row].reach(w, &call);
 	path = g_strdup_printf("/streams/%s", only_stream(w)->name);
-	check(w, DECODE, "POST", "/faults",
-	      "{\"fault\": \"lose_answer\", \"times\": 1}", 200, NULL);
-	check(w, DECODE, "DELETE", path, NULL, 0, NULL);
+	check(w, DECODE, "POST", "/faults", fault, 200, NULL);
+	check(w, DECODE, "DELETE", path, NULL, cancels[row].status, NULL);
 	g_assert_cmpuint(w->d->pieces_used, ==, 0);
-	check(w, DECODE, "POST", "/faults",
-	      "{\"fault\": \"late_answer\", \"value\": 5, \"times\": 1}", 200,
-	      NULL);
 	check(w, DECODE, "DELETE", path, NULL, 200, "{\"freed\":0}");
 	call_wait(w, &call);
 	g_assert_false(call.ok);
 	call_free(&call);
 	g_free(path);
-	g_free(handle);
+	g_free(fault);
 }
 
-static bool fetch_runs(struct world *w)
+static void test_cancel(struct world *w, gconstpointer data)
 {
-	uint32_t cursor = 0;
-	uint64_t handle;
-	struct prefill *p = table_next(w->p->prefills, &cursor, &handle);
-
-	return p && p->fetches == 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(cancels); i++)
+		cancel_test(w, i);
 }
 
 static bool fetch_ended(struct world *w)
