entry: answer the log calls in flight when the platform ends

Every asker of the log keeps something for the answer that outlives it, and frees it by the answer.

The calls are now answered as unknown (append) or down (read). The test of the adapter's end asked for no answer at all, which was the fault; it now asks for exactly one, with its code, for each kind of call.

--- a/entry/platform_log.c
+++ b/entry/platform_log.c
@@ -255,19 +255,27 @@
 			    "Readings of the log that failed", NULL);
 }
 
-void platform_log_finish(struct platform *platform)
+/* Whoever asked has ended before the platform, and frees what it kept for the
+ * answer when that comes. */
+static void call_end(struct log_call *call)
 {
-	GHashTableIter iter;
-	void *key;
+	timer_stop(&call->later);
+	if (call->call)
+		web_call_cancel(call->call);
+	if (call->append)
+		call->append(call->ctx, RESULT_LOG_UNKNOWN, 0);
+	else
+		call->read(call->ctx, RESULT_LOG_DOWN, NULL);
+	g_free(call);
+}
 
-	g_hash_table_iter_init(&iter, platform->calls);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		struct log_call *call = key;
+void platform_log_finish(struct platform *platform)
+{
+	GList *calls = g_hash_table_get_keys(platform->calls);
 
-		timer_stop(&call->later);
-		if (call->call)
-			web_call_cancel(call->call);
-		g_free(call);
-	}
+	g_hash_table_remove_all(platform->calls);
+	for (GList *at = calls; at; at = at->next)
+		call_end(at->data);
+	g_list_free(calls);
 	g_hash_table_destroy(platform->calls);
 }
--- a/include/coord/log_store.h
+++ b/include/coord/log_store.h
@@ -6,8 +6,9 @@
  *	answers with the offset, or with RESULT_LOG_DOWN (surely not appended),
  *	or with RESULT_LOG_UNKNOWN (it may have been). read() answers with
  *	the records from an offset on and the first offset still kept. Answers
- *	come in a later turn, exactly once, unless cancelled by log_store
- *owner's end.
+ *	come in a later turn, exactly once; what is in flight when the store
+ *	ends is answered then, by RESULT_LOG_UNKNOWN or RESULT_LOG_DOWN, since
+ *	whoever asked frees by the answer what it kept for it.
  */
 #ifndef COORD_LOG_STORE_H
 #define COORD_LOG_STORE_H
--- a/tests/entry/test_platform.c
+++ b/tests/entry/test_platform.c
@@ -314,23 +314,34 @@
 	fake_teardown(&fake);
 }
 
-/* Destroying the adapter ends what is under way, without a callback. */
+/* Destroying the adapter ends what is under way: each call gets its one answer
+ * then, which frees what the caller kept for it. */
 static void test_destroy(void)
 {
-	const struct log_store *store;
-	struct fake fake;
-
-	fake_setup(&fake, HANG);
-	store = platform_log(fake.platform);
-	store->append(store->ctx, "claims", "x", 1, on_appended, &fake);
-	store->read(store->ctx, "claims", 0, 1, 0, on_page, &fake);
-	run_for(&fake.run, 5 * USEC_PER_MSEC);
-	platform_destroy(fake.platform);
-	fake.platform = NULL;
-	run_for(&fake.run, 2 * CALL_USEC);
-	g_assert_cmpint(fake.answers, ==, 0);
-	g_assert_cmpint(fake.hung, ==, 0);
-	fake_teardown(&fake);
+	for (int reads = 0; reads < 2; reads++) {
+		const struct log_store *store;
+		struct fake fake;
+
+		fake_setup(&fake, HANG);
+		store = platform_log(fake.platform);
+		if (reads)
+			store->read(store->ctx, "claims", 0, 1, 0, on_page,
+				    &fake);
+		else
+			store->append(store->ctx, "claims", "x", 1, on_appended,
+				      &fake);
+		run_for(&fake.run, 5 * USEC_PER_MSEC);
+		g_assert_cmpint(fake.answers, ==, 0);
+		platform_destroy(fake.platform);
+		fake.platform = NULL;
+		g_assert_cmpint(fake.answers, ==, 1);
+		g_assert_cmpint(fake.code, ==,
+				reads ? RESULT_LOG_DOWN : RESULT_LOG_UNKNOWN);
+		run_for(&fake.run, 2 * CALL_USEC);
+		g_assert_cmpint(fake.answers, ==, 1);
+		g_assert_cmpint(fake.hung, ==, 0);
+		fake_teardown(&fake);
+	}
 }
 
 /* The list. */
