entry: change the roles of runners by orders under a lease

Pools with swaps_role had no effect: nothing ordered a runner.

A component after the poller joins coord/order.h to the ledger, the directory and the engines: what waits and arrives (prompt tokens less those cached), the rates that the home observes, withholding, GET /load for the role and POST /orders with role, pool and fencing number. The stand-in of an engine is listed in the pool that the order names, under a new incarnation, so that an older entry learnt from a peer does not bring the former pool back.

--- a/coord/ledger_roles.c
+++ b/coord/ledger_roles.c
@@ -68,6 +68,7 @@
 			(const struct policy_runner *)(void *)cell->view->data,
 		.runner_count = cell->view->len,
 		.arrived = cell->arrived,
+		.cached_tokens = cell->cached_tokens,
 	};
 	g_hash_table_iter_init(&iter, cell->asks);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
--- a/coord/ledger_types.h
+++ b/coord/ledger_types.h
@@ -242,6 +242,7 @@
 	uint64_t waiting_pieces[CLASS_COUNT];
 	double hold_usec[CLASS_COUNT]; /* mean of late; 0 unknown */
 	struct ledger_work arrived;    /* since this is the home */
+	double cached_tokens;	       /* of granted prompts, likewise */
 
 	GArray *view;	    /* struct policy_runner */
 	GPtrArray *runners; /* struct runner */
--- a/coord/ledger_view.c
+++ b/coord/ledger_view.c
@@ -111,6 +111,7 @@
 	double rate = MAX(p->prefill_tokens_per_s, 1.0);
 	int64_t at;
 
+	cell->cached_tokens += need->prompt_tokens - tokens;
 	p->busy_until = MAX(p->busy_until, now) + seconds(tokens / rate);
 	at = MAX(p->busy_until, MAX(p->link_until, d->link_until)) +
 	     transfer_time(cell, need->prompt_tokens);
--- a/coord/order.c
+++ b/coord/order.c
@@ -278,6 +278,7 @@
 		.step = labels[site->step],
 		.runner = site->name,
 		.role = site->target,
+		.changes = site->changes,
 		.need_prefill = site->role.prefill,
 		.need_decode = site->role.decode,
 	};
--- a/coord/order_private.h
+++ b/coord/order_private.h
@@ -52,6 +52,7 @@
 	enum pool_role listed; /* when its change or assertion began */
 	enum pool_role target;
 	bool acknowledged; /* the last order was answered */
+	uint32_t changes;
 	uint32_t sends;
 	int64_t sent_at;
 	uint32_t failures;
--- a/coord/order_site.c
+++ b/coord/order_site.c
@@ -299,6 +299,7 @@
 		list_end(site);
 	} else if (runner->role == site->target) {
 		site->orders->stats.changes += !site->asserting;
+		site->changes += !site->asserting;
 		log_event(LOG_NOTICE, "role_changed", LOG_X("cell", site->cell),
 			  LOG_S("runner", site->name),
 			  LOG_S("role", role_label(site->target)),
--- a/entry/component.c
+++ b/entry/component.c
@@ -7,6 +7,7 @@
 #include "entry/admin.h"
 #include "entry/entry.h"
 #include "entry/measures.h"
+#include "entry/orders.h"
 #include "entry/requests.h"
 
 #define IDLE_USEC (60 * USEC_PER_SEC)
@@ -55,6 +56,22 @@
 	entry->server = NULL;
 }
 
+static bool orders_start(void *ctx, struct error *err)
+{
+	struct entry *entry = ctx;
+
+	entry->orders = entry_orders_create(entry);
+	return true;
+}
+
+static void orders_stop(void *ctx)
+{
+	struct entry *entry = ctx;
+
+	entry_orders_destroy(entry->orders);
+	entry->orders = NULL;
+}
+
 static bool measures_start(void *ctx, struct error *err)
 {
 	struct entry *entry = ctx;
@@ -118,6 +135,7 @@
 	{"claims", false, claims_component_start, claims_component_stop},
 	{"ledger", false, ledger_component_start, ledger_component_stop},
 	{"poller", true, poller_start, poller_stop},
+	{"orders", true, orders_start, orders_stop},
 	{"measures", false, measures_start, measures_stop},
 	{"requests", false, requests_start, requests_stop},
 	{"admin", false, admin_start, admin_stop},
--- a/entry/status.c
+++ b/entry/status.c
@@ -10,6 +10,7 @@
 #include "entry/admin.h"
 #include "entry/directory.h"
 #include "entry/entry.h"
+#include "entry/orders.h"
 #include "entry/peers.h"
 #include "entry/platform.h"
 #include "entry/requests.h"
@@ -195,6 +196,7 @@
 	json_object_set_new(json, "members", members_json(entry));
 	json_object_set_new(json, "pools", pools_json(entry));
 	json_object_set_new(json, "runners", runners_json(entry));
+	json_object_set_new(json, "roles", entry_orders_json(entry->orders));
 	json_object_set_new(json, "ledger", ledger_json(entry));
 	json_object_set_new(json, "requests", requests_json(entry));
 	json_object_set_new(json, "changes",
--- a/include/coord/ledger.h
+++ b/include/coord/ledger.h
@@ -145,6 +145,7 @@
 	uint32_t runner_count;
 	struct ledger_work waiting;
 	struct ledger_work arrived; /* since this is the home */
+	double cached_tokens;	    /* of granted prompts, not computed again */
 };
 
 struct ledger_ops {
--- a/include/coord/order.h
+++ b/include/coord/order.h
@@ -122,6 +122,7 @@
 	const char *step;   /* "idle", "assert", "drain", "order", "list" */
 	const char *runner; /* "" when idle */
 	enum pool_role role;
+	uint32_t changes;    /* of this instance */
 	double need_prefill; /* in runners */
 	double need_decode;
 };
--- a/include/entry/entry.h
+++ b/include/entry/entry.h
@@ -25,14 +25,15 @@
 #include "web/server.h"
 
 struct directory_sync;
-struct directory; /* backend servers and their addresses */
-struct peers;	  /* links to other instances */
-struct platform;  /* log store and instance list */
-struct poller;	  /* reads reports of the runners we are home to */
-struct requests;  /* requests in flight */
-struct measures;  /* what operators compare */
-struct admin;	  /* operators' and balancer's endpoints */
-struct drain;	  /* graceful shutdown */
+struct directory;    /* backend servers and their addresses */
+struct peers;	     /* links to other instances */
+struct platform;     /* log store and instance list */
+struct poller;	     /* reads reports of the runners we are home to */
+struct requests;     /* requests in flight */
+struct entry_orders; /* role changes of those runners */
+struct measures;     /* what operators compare */
+struct admin;	     /* operators' and balancer's endpoints */
+struct drain;	     /* graceful shutdown */
 struct supervisor;
 
 struct entry {
@@ -51,6 +52,7 @@
 	struct claims *claims;
 	struct ledger *ledger;
 	struct poller *poller;
+	struct entry_orders *orders;
 	struct measures *measures;
 	struct requests *requests;
 	struct admin *admin;
--- a/include/standin/engine_http.h
+++ b/include/standin/engine_http.h
@@ -14,6 +14,10 @@
 struct engine_http *engine_http_create(struct engine_model *model,
 				       struct web_server *server,
 				       struct web_client *client);
+/* A role order was taken that names the pool that the engine now belongs to. */
+typedef void (*engine_pool_fn)(void *ctx, const char *pool);
+void engine_http_on_pool(struct engine_http *http, engine_pool_fn fn,
+			 void *ctx);
 /* Destroy the server and the model first: both call back. */
 void engine_http_destroy(struct engine_http *http);
 
--- a/include/standin/register.h
+++ b/include/standin/register.h
@@ -34,6 +34,9 @@
 					 struct web_client *client,
 					 const struct registration_spec *spec);
 void registration_destroy(struct registration *registration);
+/* Moves the entry to another pool, under a new incarnation. */
+void registration_pool(struct registration *registration, const char *pool,
+		       uint64_t incarnation);
 /* Marks the entry as leaving, at once and from now on. */
 void registration_leave(struct registration *registration);
 /* Takes the entry out; fn is called once, also when that failed. */
--- a/standin/engine_http.c
+++ b/standin/engine_http.c
@@ -16,6 +16,8 @@
 struct engine_http {
 	struct engine_model *model;
 	struct web_client *client;
+	engine_pool_fn pool;
+	void *pool_ctx;
 };
 
 /* A caller that waits for a prefill or for a late answer. */
@@ -295,6 +297,7 @@
 	bool has_role;
 	enum engine_role role;
 	const char *loaded; /* NULL: stays */
+	const char *pool;   /* NULL: stays */
 	uint64_t fence;
 };
 
@@ -305,8 +308,9 @@
 	json_int_t fence = 0;
 
 	*order = (struct order){0};
-	if (json_unpack(root, "{s:s, s?s, s?s, s?I}", "order", &kind, "role",
-			&role, "model", &order->loaded, "fence", &fence) != 0)
+	if (json_unpack(root, "{s:s, s?s, s?s, s?s, s?I}", "order", &kind,
+			"role", &role, "pool", &order->pool, "model",
+			&order->loaded, "fence", &fence) != 0)
 		return false;
 	order->fence = (uint64_t)fence;
 	if (strcmp(kind, "load") == 0)
@@ -317,9 +321,18 @@
 	       engine_role_parse(role, &order->role);
 }
 
+static void order_answer(const struct engine_http *http,
+			 struct web_request *request, const char *pool)
+{
+	if (pool && http->pool)
+		http->pool(http->pool_ctx, pool);
+	action_answer(http->model, request, json_object(), false);
+}
+
 static void handle_orders(void *ctx, struct web_request *request)
 {
-	struct engine_model *model = ((struct engine_http *)ctx)->model;
+	const struct engine_http *http = ctx;
+	struct engine_model *model = http->model;
 	json_t *root = request_json(request);
 	struct order order;
 
@@ -331,7 +344,7 @@
 			       order.loaded, order.fence))
 		reply_error(request, 409, "a higher fence was seen");
 	else
-		action_answer(model, request, json_object(), false);
+		order_answer(http, request, order.has_role ? order.pool : NULL);
 	json_decref(root);
 }
 
@@ -391,6 +404,12 @@
 	return http;
 }
 
+void engine_http_on_pool(struct engine_http *http, engine_pool_fn fn, void *ctx)
+{
+	http->pool = fn;
+	http->pool_ctx = ctx;
+}
+
 void engine_http_destroy(struct engine_http *http)
 {
 	g_free(http);
--- a/standin/jtengine.c
+++ b/standin/jtengine.c
@@ -16,6 +16,14 @@
 	return engine_idle(ctx);
 }
 
+static void engine_moved(void *ctx, const char *pool)
+{
+	const struct standin_backend *backend = ctx;
+
+	registration_pool(backend->registration, pool,
+			  (uint64_t)clock_unix(backend->clock));
+}
+
 static const struct backend_ops backend_ops = {
 	.leave = engine_told_to_leave,
 	.idle = engine_finished,
@@ -34,6 +42,7 @@
 		return EXIT_FAILURE;
 	model = engine_create(backend.clock, &settings.params);
 	http = engine_http_create(model, backend.server, backend.client);
+	engine_http_on_pool(http, engine_moved, &backend);
 	spec.platform = settings.platform;
 	spec.name = settings.name;
 	spec.pool = settings.pool;
--- a/standin/register.c
+++ b/standin/register.c
@@ -125,6 +125,20 @@
 	g_free(registration);
 }
 
+void registration_pool(struct registration *registration, const char *pool,
+		       uint64_t incarnation)
+{
+	const json_t *known = json_object_get(registration->entry, "pool");
+
+	if (strcmp(json_string_value(known), pool) == 0)
+		return;
+	json_object_set_new(registration->entry, "pool", json_string(pool));
+	json_object_set_new(registration->entry, "incarnation",
+			    json_from_id(incarnation));
+	if (registration->platform)
+		entry_send(registration);
+}
+
 void registration_leave(struct registration *registration)
 {
 	json_object_set_new(registration->entry, "state",
