tests, scripts: hold what answers to orders mean, and make Arequipa's runners alike

The adapter decides by the answer whether an order may have taken effect; a table of 13 answers now holds that, against a fake engine. The script of Arequipa started prefill runners with less memory than the pool that they may change to says; all have the same now.

--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -195,20 +195,24 @@
 	done
 }
 
-# Sizes of Arequipa: lexllm has 14 runners, settle-api 3 servers.
+# Sizes of Arequipa: lexllm has 14 runners, settle-api 3 servers. Its runners
+# change their role, so all are made alike.
 site_arequipa() {
+	site_lex="--pieces 100 --slots 20 --link-bytes-per-s 5e9
+		--prefill-tokens-per-s 8000 --decode-tokens-per-s 40
+		--checks-fencing"
 	site_start_platform
 	for site_n in 1 2 3 4 5 6; do
+		# shellcheck disable=SC2086
 		site_start_engine "lex-p$site_n" lex-prefill \
 			"$(site_arequipa_dc "$site_n")" prefill \
-			--link-bytes-per-s 5e9 --prefill-tokens-per-s 8000 \
-			--checks-fencing
+			$site_lex
 	done
 	for site_n in 1 2 3 4 5 6 7 8; do
+		# shellcheck disable=SC2086
 		site_start_engine "lex-d$site_n" lex-decode \
 			"$(site_arequipa_dc "$site_n")" decode \
-			--pieces 100 --slots 20 --link-bytes-per-s 5e9 \
-			--decode-tokens-per-s 40 --checks-fencing
+			$site_lex
 	done
 	for site_n in 1 2 3; do
 		site_start_service "settle-$site_n" settle \
--- /dev/null
+++ b/tests/entry/test_engine_order.c
@@ -0,0 +1,201 @@
+/* What each answer of an engine to an order means, against a fake engine. */
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/log.h"
+#include "entry/engine_order.h"
+#include "entry/entry.h"
+#include "run.h"
+
+/* How the fake engine ends the call, beside a status. */
+enum {
+	CUT = 1,    /* in the middle of its answer */
+	ABSENT = 2, /* nothing listens */
+};
+
+struct row {
+	const char *name;
+	int status;
+	const char *body;
+	enum order_answer answer; /* of an order */
+	bool ok;		  /* of a reading */
+	enum pool_role role;
+};
+
+static const struct row rows[] = {
+	{"prefill", 200, "{\"role\": \"prefill\"}", ORDER_TAKEN, true,
+	 POOL_PREFILL},
+	{"decode", 200, "{\"role\": \"decode\"}", ORDER_TAKEN, true,
+	 POOL_DECODE},
+	{"other-role", 200, "{\"role\": \"idle\"}", ORDER_TAKEN, false, 0},
+	{"no-role", 200, "{}", ORDER_TAKEN, false, 0},
+	{"garbage", 200, "{", ORDER_TAKEN, false, 0},
+	{"fenced", 409, "{\"role\": \"decode\"}", ORDER_FENCED, false, 0},
+	{"malformed", 400, "{}", ORDER_REFUSED, false, 0},
+	{"no-orders-here", 404, "{}", ORDER_REFUSED, false, 0},
+	{"refused", 503, "{}", ORDER_REFUSED, false, 0},
+	{"failed", 500, "{}", ORDER_LOST, false, 0},
+	{"gateway", 502, "{}", ORDER_LOST, false, 0},
+	{"cut", CUT, "", ORDER_LOST, false, 0},
+	{"absent", ABSENT, "", ORDER_REFUSED, false, 0},
+};
+
+struct world {
+	struct run run;
+	struct entry entry;
+	struct web_server *server;
+	char *address;
+	const struct row *row;
+	GString *asked;
+	struct engine_role_call call;
+	bool ended;
+	bool ok;
+	enum pool_role role;
+	enum order_answer answer;
+};
+
+static void on_any(void *ctx, struct web_request *request)
+{
+	struct world *world = ctx;
+	struct web_text path = web_request_path(request);
+	struct web_text body = web_request_body(request);
+
+	g_string_append_printf(world->asked, "%.*s %.*s\n", (int)path.size,
+			       path.data, (int)body.size, body.data);
+	if (world->row->status != CUT) {
+		web_reply(request, world->row->status, "application/json",
+			  world->row->body, strlen(world->row->body));
+		return;
+	}
+	web_reply_start(request, 200, "application/json");
+	web_reply_piece(request, "{", 1);
+	web_reply_abort(request);
+}
+
+static void role_done(void *ctx, bool ok, enum pool_role role)
+{
+	struct world *world = ctx;
+
+	g_assert_false(world->ended);
+	world->ended = true;
+	world->ok = ok;
+	world->role = role;
+}
+
+static void order_done(void *ctx, enum order_answer answer)
+{
+	struct world *world = ctx;
+
+	g_assert_false(world->ended);
+	world->ended = true;
+	world->answer = answer;
+}
+
+static void world_setup(struct world *world, const struct row *row)
+{
+	static const struct web_limits limits = {
+		.body_bytes = 1024,
+		.connections = 16,
+		.idle_usec = 5 * USEC_PER_SEC,
+		.request_usec = 5 * USEC_PER_SEC,
+	};
+
+	*world = (struct world){.row = row};
+	run_setup(&world->run);
+	world->entry.client = web_client_create(world->run.loop);
+	world->asked = g_string_new(NULL);
+	world->server = web_server_create(world->run.loop, "127.0.0.1:0",
+					  &limits, NULL);
+	world->address = g_strdup(web_server_address(world->server));
+	web_server_handle(world->server, "/", on_any, world);
+	world->call = (struct engine_role_call){
+		.role = role_done,
+		.order = order_done,
+		.ctx = world,
+	};
+	if (row->status != ABSENT)
+		return;
+	web_server_destroy(world->server);
+	world->server = NULL;
+}
+
+static void world_teardown(struct world *world)
+{
+	web_client_destroy(world->entry.client);
+	web_server_destroy(world->server);
+	g_string_free(world->asked, TRUE);
+	g_free(world->address);
+	run_teardown(&world->run);
+}
+
+static bool ended(void *ctx)
+{
+	return ((const struct world *)ctx)->ended;
+}
+
+static void test_order(gconstpointer data)
+{
+	const struct row *row = data;
+	struct world world;
+
+	world_setup(&world, row);
+	engine_role_order(&world.entry, world.address, POOL_DECODE, "lex", 7,
+			  &world.call);
+	g_assert_true(run_until(&world.run, ended, &world));
+	g_assert_null(world.call.call);
+	g_assert_cmpint(world.answer, ==, row->answer);
+	if (row->status != ABSENT)
+		g_assert_cmpstr(world.asked->str, ==,
+				"/orders {\"order\":\"role\",\"role\":"
+				"\"decode\",\"pool\":\"lex\",\"fence\":7}\n");
+	world_teardown(&world);
+}
+
+static void test_read(gconstpointer data)
+{
+	const struct row *row = data;
+	struct world world;
+
+	world_setup(&world, row);
+	engine_role_read(&world.entry, world.address, &world.call);
+	g_assert_true(run_until(&world.run, ended, &world));
+	g_assert_null(world.call.call);
+	g_assert_cmpint(world.ok, ==, row->ok);
+	if (row->ok)
+		g_assert_cmpint(world.role, ==, row->role);
+	if (row->status != ABSENT)
+		g_assert_cmpstr(world.asked->str, ==, "/load \n");
+	world_teardown(&world);
+}
+
+/* After a cancel nothing is heard of it. */
+static void test_cancelled(void)
+{
+	struct world world;
+
+	world_setup(&world, &rows[0]);
+	engine_role_order(&world.entry, world.address, POOL_DECODE, "lex", 7,
+			  &world.call);
+	web_call_cancel(world.call.call);
+	run_for(&world.run, 50 * USEC_PER_MSEC);
+	g_assert_false(world.ended);
+	world_teardown(&world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, "test", LOG_EMERG);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autofree char *order =
+			g_strconcat("/engine-order/order/", rows[i].name, NULL);
+		g_autofree char *read =
+			g_strconcat("/engine-order/read/", rows[i].name, NULL);
+
+		g_test_add_data_func(order, &rows[i], test_order);
+		g_test_add_data_func(read, &rows[i], test_read);
+	}
+	g_test_add_func("/engine-order/cancelled", test_cancelled);
+	return g_test_run();
+}
--- a/tests/entry/test_settings.c
+++ b/tests/entry/test_settings.c
@@ -49,6 +49,8 @@
 	{"--drain-delay-ms=x", NULL,
 	 "--drain-delay-ms: 'x' is not a whole number"},
 	{"--list-ms=0", NULL, "--list-ms: 0 is not between 10 and 3600000"},
+	{"--role-dwell-ms=4999", NULL,
+	 "--role-dwell-ms: 4999 is not between 5000 and 3600000"},
 	{"--poll-ms=0x10", NULL, "--poll-ms: '0x10' is not a whole number"},
 	{"--body-bytes-max=1", NULL,
 	 "--body-bytes-max: 1 is not between 1024 and 1073741824"},
@@ -162,6 +164,7 @@
 	g_assert_cmpint(settings.heartbeat_usec, ==, 500 * USEC_PER_MSEC);
 	g_assert_cmpint(settings.coalesce_usec, ==, 2 * USEC_PER_MSEC);
 	g_assert_cmpint(settings.drain_usec, ==, 0);
+	g_assert_cmpint(settings.role_dwell_usec, ==, 60 * USEC_PER_SEC);
 	g_assert_cmpuint(settings.body_bytes_max, ==, 8u << 20);
 }
 
