load: count prefill repeated on another engine, and ask for a maximum

Two faults of measurement. Wasted prefill was the sum of what each engine knows, and missed a request whose result was fetched on one engine and then again on another: of the useful tokens of a request all but the largest part are now counted too.

Tested: eight pairs of ledgers before and after a run, the two bodies that a call may send, and the limits of the new field.

--- a/include/load/call.h
+++ b/include/load/call.h
@@ -41,6 +41,7 @@
 	struct clock *clock;
 	struct targets *targets;
 	int64_t timeout_usec;
+	bool exact; /* max_tokens is the length of the answer */
 	bool retry; /* as often as the kind allows */
 };
 
--- a/include/load/ledgers.h
+++ b/include/load/ledgers.h
@@ -30,6 +30,9 @@
 /* Sum over the engines of a field of a request's entry. */
 int64_t ledgers_request(const struct ledgers *ledgers, const char *id,
 			const char *field);
+/* Useful tokens of a request on all engines but the one that gives most, summed
+ * over the requests, since the first reading: they were computed again. */
+int64_t ledgers_repeated(const struct ledgers *ledgers);
 /* Runs under a key over the plain services. */
 int64_t ledgers_key(const struct ledgers *ledgers, const char *key);
 /* Streams that hold engine memory now. */
--- a/include/load/plan.h
+++ b/include/load/plan.h
@@ -19,6 +19,7 @@
 	uint64_t text_hash;
 	uint32_t prompt_tokens;
 	uint32_t output_tokens;
+	uint32_t max_tokens;  /* asked for: at least output_tokens */
 	int64_t hang_up_usec; /* after the start; 0: never */
 };
 
--- a/include/load/run.h
+++ b/include/load/run.h
@@ -34,6 +34,7 @@
 	int64_t drain_usec;
 	int64_t settle_usec;
 	bool retry; /* as often as the kinds allow */
+	bool exact; /* ask for just the length of the answer */
 	bool progress;
 };
 
--- a/include/load/workload.h
+++ b/include/load/workload.h
@@ -43,6 +43,7 @@
 	uint32_t retries;	/* of one call, under the same key */
 	uint32_t prefix_groups; /* prompts share one of so many beginnings */
 	uint32_t prefix_tokens; /* length of a shared beginning */
+	uint32_t max_tokens;	/* asked for; 0: the length of the answer */
 	struct load_range prompt_tokens;
 	struct load_range output_tokens;
 	struct load_targets targets;
--- a/load/call.c
+++ b/load/call.c
@@ -156,8 +156,9 @@
 	};
 }
 
-static char *body_make(const struct call_plan *plan)
+static char *body_make(const struct call_plan *plan, bool exact)
 {
+	uint32_t max_tokens = exact ? plan->output_tokens : plan->max_tokens;
 	json_t *json;
 	char *text;
 	char *body;
@@ -166,8 +167,7 @@
 		return g_strdup(plan->text);
 	json = json_pack("{s:s, s:s, s:I, s:b}", "model", plan->kind->model,
 			 "prompt", plan->text, "max_tokens",
-			 (json_int_t)plan->output_tokens, "stream",
-			 plan->kind->stream);
+			 (json_int_t)max_tokens, "stream", plan->kind->stream);
 	text = json_dumps(json, JSON_COMPACT);
 	body = g_strdup(text);
 	free(text);
@@ -187,7 +187,7 @@
 	struct header_list list = {0};
 	struct web_call_spec spec = {0};
 	char deadline[16];
-	char *body = body_make(plan);
+	char *body = body_make(plan, call->env.exact);
 
 	g_snprintf(deadline, sizeof(deadline), "%u", kind->deadline_ms);
 	header_add(&list, "content-type", "application/json");
--- a/load/command_run.c
+++ b/load/command_run.c
@@ -33,6 +33,7 @@
 	OPTION_DRAIN_MS,
 	OPTION_SETTLE_MS,
 	OPTION_NO_RETRY,
+	OPTION_EXACT,
 	OPTION_PROGRESS,
 	OPTION_LABEL,
 	OPTION_BURSTS,
@@ -76,6 +77,8 @@
 	{"settle-ms", OPTION_SETTLE_MS, "MS", 0,
 	 "Longest wait for engine memory to be free (5000)", 0},
 	{"no-retry", OPTION_NO_RETRY, NULL, 0, "Send every call once", 0},
+	{"exact", OPTION_EXACT, NULL, 0,
+	 "Ask for just as many tokens as the answer has", 0},
 	{"progress", OPTION_PROGRESS, NULL, 0,
 	 "Show progress also when it is no terminal", 0},
 	{"label", OPTION_LABEL, "TEXT", 0, "Name of the run in the report", 0},
@@ -184,6 +187,9 @@
 	case OPTION_NO_RETRY:
 		arguments->run.retry = false;
 		return 0;
+	case OPTION_EXACT:
+		arguments->run.exact = true;
+		return 0;
 	case OPTION_PROGRESS:
 		arguments->run.progress = true;
 		return 0;
--- a/load/ledgers.c
+++ b/load/ledgers.c
@@ -183,6 +183,52 @@
 	return sum;
 }
 
+/* Adds the useful tokens of an engine's requests to the sums, and raises the
+ * largest of each request. */
+static void useful_add(const json_t *engine, GHashTable *largest, int64_t *sum)
+{
+	const char *id;
+	json_t *request;
+
+	json_object_foreach (json_object_get(engine, "requests"), id, request) {
+		int64_t useful = field_of(request, "useful_tokens");
+		int64_t most =
+			GPOINTER_TO_INT(g_hash_table_lookup(largest, id));
+
+		*sum += useful;
+		if (useful > most)
+			g_hash_table_insert(largest, (void *)id,
+					    GINT_TO_POINTER((int)useful));
+	}
+}
+
+static int64_t repeated_at(const struct ledgers *ledgers, bool first)
+{
+	GHashTable *largest = g_hash_table_new(g_str_hash, g_str_equal);
+	int64_t repeated = 0;
+	GHashTableIter iter;
+	void *id;
+	void *most;
+
+	for (unsigned int i = 0; i < ledgers->count; i++) {
+		const struct ledger *ledger = &ledgers->ledgers[i];
+
+		if (ledger->last != NULL)
+			useful_add(first ? ledger->first : ledger->last,
+				   largest, &repeated);
+	}
+	g_hash_table_iter_init(&iter, largest);
+	while (g_hash_table_iter_next(&iter, &id, &most))
+		repeated -= GPOINTER_TO_INT(most);
+	g_hash_table_destroy(largest);
+	return repeated;
+}
+
+int64_t ledgers_repeated(const struct ledgers *ledgers)
+{
+	return repeated_at(ledgers, false) - repeated_at(ledgers, true);
+}
+
 int64_t ledgers_key(const struct ledgers *ledgers, const char *key)
 {
 	int64_t sum = 0;
--- a/load/plan.c
+++ b/load/plan.c
@@ -77,6 +77,7 @@
 			MAX(1, range_draw(rand, &kind->prompt_tokens));
 		plan->output_tokens =
 			MAX(1, range_draw(rand, &kind->output_tokens));
+		plan->max_tokens = MAX(plan->output_tokens, kind->max_tokens);
 		plan->text = prompt_make(rand, plan);
 	} else {
 		plan->text = g_strdup_printf("{\"ref\":\"%s\"}", plan->key);
--- a/load/run.c
+++ b/load/run.c
@@ -291,6 +291,7 @@
 		.targets = run->targets,
 		.timeout_usec = settings->timeout_usec,
 		.retry = settings->retry,
+		.exact = settings->exact,
 	};
 	/* Keys must differ between runs on one site, also of one seed. */
 	g_snprintf(run->name, sizeof(run->name), "%x-%" G_GINT64_MODIFIER "x",
@@ -355,7 +356,8 @@
 static json_t *prefill_json(const struct load_run *run)
 {
 	int64_t tokens = ledgers_sum(run->ledgers, "prefill_tokens");
-	int64_t wasted = ledgers_sum(run->ledgers, "wasted_tokens");
+	int64_t wasted = ledgers_sum(run->ledgers, "wasted_tokens") +
+			 ledgers_repeated(run->ledgers);
 	double percent = 100.0 * (double)wasted / (double)MAX(1, tokens);
 
 	return json_pack("{s:I, s:I, s:f}", "tokens", (json_int_t)tokens,
--- a/load/workload.c
+++ b/load/workload.c
@@ -55,6 +55,7 @@
 			 prefix_groups),
 	CYAML_FIELD_UINT("prefix_tokens", OPTIONAL, struct load_kind,
 			 prefix_tokens),
+	CYAML_FIELD_UINT("max_tokens", OPTIONAL, struct load_kind, max_tokens),
 	CYAML_FIELD_MAPPING("prompt_tokens", OPTIONAL, struct load_kind,
 			    prompt_tokens, range_fields),
 	CYAML_FIELD_MAPPING("output_tokens", OPTIONAL, struct load_kind,
@@ -145,6 +146,12 @@
 		return error_set(err, RESULT_BAD_CONFIG,
 				 "kind %s: output_tokens is missing",
 				 kind->name);
+	if (kind->max_tokens > 0 &&
+	    (kind->output_tokens.max == 0 ||
+	     kind->output_tokens.max > kind->max_tokens))
+		return error_set(err, RESULT_BAD_CONFIG,
+				 "kind %s: output_tokens may exceed max_tokens",
+				 kind->name);
 	return range_check(kind, "prompt_tokens", &kind->prompt_tokens, err) &&
 	       range_check(kind, "output_tokens", &kind->output_tokens, err);
 }
--- a/tests/load/test_check.c
+++ b/tests/load/test_check.c
@@ -6,6 +6,7 @@
 #include "common/error.h"
 #include "load/check.h"
 #include "load/ledgers.h"
+#include "load/targets.h"
 #include "web/client.h"
 #include "web/loop.h"
 #include "web/server.h"
@@ -18,6 +19,8 @@
 	struct web_server *service;
 	const char *engine_ledger;
 	const char *service_ledger;
+	const char *second_ledger; /* of the service's address */
+	json_int_t max_tokens;	   /* that the last call asked for */
 };
 
 static void ledger_reply(struct web_request *request, const char *ledger)
@@ -45,6 +48,13 @@
 	ledger_reply(request, world->service_ledger);
 }
 
+static void second_handle(void *ctx, struct web_request *request)
+{
+	const struct world *world = ctx;
+
+	ledger_reply(request, world->second_ledger);
+}
+
 static struct web_server *server_make(struct world *world)
 {
 	static const struct web_limits limits = {
@@ -70,6 +80,7 @@
 	web_server_handle(world->engine, "/ledger", engine_handle, world);
 	web_server_handle(world->engine, "/", none_handle, world);
 	web_server_handle(world->service, "/-/ledger", service_handle, world);
+	web_server_handle(world->service, "/ledger", second_handle, world);
 }
 
 static void world_close(struct world *world)
@@ -203,9 +214,125 @@
 	world_close(&world);
 }
 
+#define USEFUL(id, n) "\"" id "\": {\"useful_tokens\": " n "}"
+
+/* The ledgers of two engines before and after a run, and the tokens that were
+ * computed again: all that a request was given but the most on one engine. */
+static const struct {
+	const char *engines[2][2];
+	int64_t repeated;
+} repeats[] = {
+	{{{"", ""}, {"", ""}}, 0},
+	{{{"", USEFUL("a", "700")}, {"", ""}}, 0},
+	{{{"", USEFUL("a", "700")}, {"", USEFUL("b", "500")}}, 0},
+	{{{"", USEFUL("a", "700")}, {"", USEFUL("a", "500")}}, 500},
+	{{{"", USEFUL("a", "500")}, {"", USEFUL("a", "700")}}, 500},
+	{{{"", USEFUL("a", "500") ", " USEFUL("b", "90")},
+	  {"", USEFUL("a", "700") ", " USEFUL("b", "80")}},
+	 580},
+	{{{USEFUL("a", "500"), USEFUL("a", "500")},
+	  {USEFUL("a", "700"), USEFUL("a", "700") ", " USEFUL("b", "80")}},
+	 0},
+	{{{"", USEFUL("a", "500")}, {"", NULL}}, 0},
+};
+
+static void repeats_read(struct world *world, struct ledgers *ledgers,
+			 size_t row, int when)
+{
+	char *text[2];
+
+	for (int i = 0; i < 2; i++) {
+		const char *requests = repeats[row].engines[i][when];
+
+		text[i] = requests == NULL
+				  ? NULL
+				  : g_strdup_printf("{\"requests\": {%s}}",
+						    requests);
+	}
+	world->engine_ledger = text[0];
+	world->second_ledger = text[1];
+	ledgers_read(ledgers, ledgers_ready, world->loop);
+	loop_run(world->loop);
+	for (int i = 0; i < 2; i++)
+		g_free(text[i]);
+}
+
+static void test_repeated(void)
+{
+	struct world world = {0};
+
+	world_open(&world);
+	for (size_t row = 0; row < G_N_ELEMENTS(repeats); row++) {
+		const char *addresses[] = {web_server_address(world.engine),
+					   web_server_address(world.service)};
+		struct ledgers *ledgers =
+			ledgers_create(world.client, addresses, 2);
+
+		g_test_message("row %zu", row);
+		repeats_read(&world, ledgers, row, 0);
+		repeats_read(&world, ledgers, row, 1);
+		g_assert_cmpint(ledgers_repeated(ledgers), ==,
+				repeats[row].repeated);
+		ledgers_destroy(ledgers);
+	}
+	world_close(&world);
+}
+
+static void call_handle(void *ctx, struct web_request *request)
+{
+	struct world *world = ctx;
+	struct web_text body = web_request_body(request);
+	json_t *json = json_loadb(body.data, body.size, 0, NULL);
+
+	world->max_tokens =
+		json_integer_value(json_object_get(json, "max_tokens"));
+	json_decref(json);
+	web_reply(request, 503, "application/json", "{}", 2);
+}
+
+static void call_over(void *ctx, const struct call_plan *plan,
+		      const struct call_result *result)
+{
+	loop_stop(ctx);
+}
+
+/* What a call asks for, with and without knowing its answer's length. */
+static void test_exact(void)
+{
+	struct load_kind kind = {.name = "k", .model = "m"};
+	struct call_plan plan = {.kind = &kind,
+				 .text = "text",
+				 .output_tokens = 7,
+				 .max_tokens = 90};
+	struct world world = {0};
+	const char *address;
+	struct call_env env;
+
+	world_open(&world);
+	web_server_handle(world.engine, "/v1/completions", call_handle, &world);
+	address = web_server_address(world.engine);
+	env = (struct call_env){
+		.client = world.client,
+		.clock = world.clock,
+		.targets = targets_create(world.client, world.clock, &address,
+					  NULL, 1, 1),
+		.timeout_usec = 10 * USEC_PER_SEC,
+	};
+	for (int exact = 0; exact < 2; exact++) {
+		env.exact = exact;
+		call_start(&env, &plan, call_over, world.loop);
+		loop_run(world.loop);
+		g_assert_cmpint(world.max_tokens, ==, exact ? 7 : 90);
+	}
+	targets_destroy(env.targets);
+	world_close(&world);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/load/checks", test_checks);
+	g_test_add_func("/load/repeated", test_repeated);
+	g_test_add_func("/load/exact", test_exact);
 	return g_test_run();
 }
--- a/tests/load/test_load.c
+++ b/tests/load/test_load.c
@@ -94,6 +94,15 @@
 	 "no weight"},
 	{"version: 1\nrate: 5\nkinds: [{name: a, weight: 1, model: m}]",
 	 "output_tokens is missing"},
+	{"version: 1\nrate: 5\nkinds: [{name: a, weight: 1, model: m, "
+	 "max_tokens: 5, output_tokens: {median: 2, max: 6}}]",
+	 "may exceed max_tokens"},
+	{"version: 1\nrate: 5\nkinds: [{name: a, weight: 1, model: m, "
+	 "max_tokens: 5, output_tokens: {median: 2}}]",
+	 "may exceed max_tokens"},
+	{"version: 1\nrate: 5\nkinds: [{name: a, weight: 1, model: m, "
+	 "max_tokens: 5, output_tokens: {median: 2, max: 5}}]",
+	 NULL},
 	{"version: 1\nrate: 5\nkinds: [{name: a, weight: 1, path: /x, "
 	 "prompt_tokens: {median: 1, min: 3, max: 2}}]",
 	 "not a range"},
@@ -124,8 +133,9 @@
 
 static void test_samples(void)
 {
-	static const char *const samples[] = {"load-arequipa.yaml",
-					      "load-vestland.yaml"};
+	static const char *const samples[] = {
+		"load-arequipa.yaml", "load-arequipa-peak.yaml",
+		"load-vestland.yaml", "load-vestland-peak.yaml"};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(samples); i++) {
 		char *path = g_build_filename(SOURCE_ROOT, "examples",
@@ -182,7 +192,7 @@
 static void test_plans_repeat(void)
 {
 	char *path = g_build_filename(SOURCE_ROOT,
-				      "examples/load-arequipa.yaml", NULL);
+				      "examples/load-arequipa-peak.yaml", NULL);
 	struct workload *workload = workload_load(path, NULL);
 	GRand *a = g_rand_new_with_seed(5);
 	GRand *b = g_rand_new_with_seed(5);
@@ -200,6 +210,7 @@
 
 			g_assert_cmpint(p->output_tokens, >=, range->min);
 			g_assert_cmpint(p->output_tokens, <=, range->max);
+			g_assert_cmpint(p->max_tokens, ==, p->kind->max_tokens);
 		}
 		plan_destroy(p);
 		plan_destroy(q);
