--- a/tests/ledger/test_rehome.c
+++ b/tests/ledger/test_rehome.c
@@ -117,6 +117,34 @@
 	end();
 }
 
+/* A grant of the home's former life arrives when the memory is another's. */
+static void test_late_grant(void)
+{
+	struct spec spec = {.tokens = 16000, .class = CLASS_DEFERRABLE};
+	struct ledger_stats stats;
+
+	begin();
+	world->slow[home][other] = 600 * MSEC;
+	app_ask(world, other, &spec);
+	app_ask(world, other, &spec);
+	do {
+		world_run(world, 50);
+		ledger_stats(world->instances[home].ledger, &stats);
+	} while (stats.grants < 2);
+	members_raise(world, home);
+	members_notify(&world->instances[home]);
+	members_tell(world, home, MEMBER_ALIVE, 1);
+	spec.class = CLASS_URGENT;
+	spec.work = 800 * MSEC;
+	app_ask(world, next, &spec);
+	app_ask(world, next, &spec);
+	world_run(world, 500 * MSEC);
+	g_assert_cmpuint(world->engines[2].used, ==, 8);
+	world_run(world, 300 * MSEC);
+	world->slow[home][other] = 0;
+	end();
+}
+
 /* A holder that was cut off for so long that its key was given to another has
  * to stop. */
 static void test_conflict(void)
@@ -177,6 +205,7 @@
 			test_report_before_rebirth);
 	g_test_add_func("/ledger/rehome/report-before-death",
 			test_report_before_death);
+	g_test_add_func("/ledger/rehome/late-grant", test_late_grant);
 	g_test_add_func("/ledger/rehome/conflict", test_conflict);
 	g_test_add_func("/ledger/rehome/progress", test_progress);
 	return g_test_run();
--- a/tests/ledger/world.c
+++ b/tests/ledger/world.c
@@ -132,7 +132,9 @@
 		if (size > 0 && world_chance(world, world->garble))
 			delivery->data[world_range(world, 0, (int64_t)size)] ^=
 				(uint8_t)world_range(world, 1, 256);
-		world_after(world, world_range(world, 100, world->delay_max),
+		world_after(world,
+			    world->slow[from->index][to] +
+				    world_range(world, 100, world->delay_max),
 			    deliver, delivery, g_free);
 	}
 }
--- a/tests/ledger/world.h
+++ b/tests/ledger/world.h
@@ -108,6 +108,7 @@
 	GPtrArray *jobs;
 	uint64_t next_request;
 	bool cut[INSTANCES_MAX][INSTANCES_MAX]; /* one way */
+	int64_t slow[INSTANCES_MAX][INSTANCES_MAX];
 	double lose;
 	double twice;
 	double garble; /* flips a byte of the message */
