--- a/policy/reserve.c
+++ b/policy/reserve.c
@@ -40,12 +40,6 @@
 	double credit; /* pieces owed to deferrable work */
 };
 
-/* The fastest that the request can be served from a runner pair. */
-struct cost {
-	int64_t prefill;
-	int64_t transfer;
-};
-
 static int64_t ms(const struct config_policy *settings, const char *name)
 {
 	return (int64_t)(policy_value(&policy_reserve, settings, name) *
--- a/tests/ledger/test_path.c
+++ b/tests/ledger/test_path.c
@@ -430,8 +430,7 @@
 	world_run(world, 500 * MSEC);
 	retry = app_ask(world, (home + 2) % 3, &(struct spec){.key = 3});
 	retry->adopt = true;
-	while (retry->duplicate.request == 0)
-		world_run(world, 100);
+	world_until(world, retry->duplicate.request != 0);
 	app_withdraw(retry);
 	for (int i = 0; i < 4; i++)
 		app_ask(world, home, &(struct spec){.tokens = 16000});
--- a/tests/ledger/test_rehome.c
+++ b/tests/ledger/test_rehome.c
@@ -54,14 +54,14 @@
 
 	for (int i = 0; i < 2; i++)
 		jobs[i] = app_ask(world, index, &spec);
-	while (jobs[0]->state != JOB_PREFILL || jobs[1]->state != JOB_PREFILL)
-		world_run(world, 50);
+	world_until(world, jobs[0]->state == JOB_PREFILL &&
+				   jobs[1]->state == JOB_PREFILL);
 }
 
 static void wait_open(struct job *jobs[2])
 {
-	while (jobs[0]->state != JOB_DECODE || jobs[1]->state != JOB_DECODE)
-		world_run(world, 50);
+	world_until(world, jobs[0]->state == JOB_DECODE &&
+				   jobs[1]->state == JOB_DECODE);
 }
 
 /* Memory reserved by a living holder that has not announced it yet, and that no
@@ -117,20 +117,24 @@
 	end();
 }
 
+static uint32_t grants_given(void)
+{
+	struct ledger_stats stats;
+
+	ledger_stats(world->instances[home].ledger, &stats);
+	return stats.grants;
+}
+
 /* A grant of the home's former life arrives when the memory is another's. */
 static void test_late_grant(void)
 {
 	struct spec spec = {.tokens = 16000, .class = CLASS_DEFERRABLE};
-	struct ledger_stats stats;
 
 	begin();
 	world->slow[home][other] = 600 * MSEC;
 	app_ask(world, other, &spec);
 	app_ask(world, other, &spec);
-	do {
-		world_run(world, 50);
-		ledger_stats(world->instances[home].ledger, &stats);
-	} while (stats.grants < 2);
+	world_until(world, grants_given() == 2);
 	members_raise(world, home);
 	members_notify(&world->instances[home]);
 	members_tell(world, home, MEMBER_ALIVE, 1);
@@ -181,8 +185,7 @@
 	world->poll = 30 * USEC_PER_SEC;
 	world_run(world, 200 * MSEC);
 	first = app_ask(world, other, &spec);
-	while (first->state != JOB_DECODE)
-		world_run(world, 50);
+	world_until(world, first->state == JOB_DECODE);
 	world_run(world, 20 * MSEC);
 	world_kill(world, other);
 	world_run(world, 400 * MSEC);
--- a/tests/ledger/world.h
+++ b/tests/ledger/world.h
@@ -128,6 +128,13 @@
 			   uint32_t queue_max);
 void world_destroy(struct world *world);
 void world_run(struct world *world, int64_t usec);
+/* Runs until the condition holds, for five seconds at most. */
+#define world_until(world, condition)                                          \
+	do {                                                                   \
+		for (int i_ = 0; i_ < 100000 && !(condition); i_++)            \
+			world_run(world, 50);                                  \
+		g_assert_true(condition);                                      \
+	} while (0)
 /* Calls fn once after delay on the world's clock. */
 void world_after(struct world *world, int64_t delay, void (*fn)(void *),
 		 void *ctx, GDestroyNotify destroy);
