coord: count the memory that arriving requests need

An arriving request's pieces are worked out only when it is queued, so the mean size of requests was taken as none and the batch of a decode runner as all its slots. The counts now work them out.

--- a/coord/ledger_roles.c
+++ b/coord/ledger_roles.c
@@ -15,13 +15,24 @@
 				  cell->decode->decode_tokens_per_s);
 }
 
+/* The request's own figure is not yet set when it has just arrived. */
+static double pieces_of(const struct cell *cell,
+			const struct policy_request *need)
+{
+	double tokens = (double)need->prompt_tokens + need->output_tokens_max;
+
+	if (cell->decode == NULL || cell->decode->piece_tokens == 0)
+		return 0;
+	return ceil(tokens / cell->decode->piece_tokens);
+}
+
 static void work_add(struct ledger_work *work, const struct cell *cell,
 		     const struct policy_request *need)
 {
 	work->requests++;
 	work->prompt_tokens += need->prompt_tokens;
 	work->output_tokens += output_expected(cell, need);
-	work->pieces += need->pieces;
+	work->pieces += pieces_of(cell, need);
 }
 
 void arrival_count(struct cell *cell, const struct policy_request *need)
--- a/tests/order/test_order.c
+++ b/tests/order/test_order.c
@@ -1,5 +1,6 @@
 /* Orders under a lease, against engines, log and instances that fail. */
 #include <glib.h>
+#include <string.h>
 
 #include "common/log.h"
 #include "world.h"
@@ -191,6 +192,52 @@
 	site_world_destroy(world);
 }
 
+static bool ordering(const struct site_world *world)
+{
+	struct orders_status status;
+	uint32_t cursor = 0;
+
+	return orders_next(world->instances[0].orders, &cursor, &status) &&
+	       strcmp(status.step, "order") == 0;
+}
+
+/* An order is under way while the lease goes to another at once, since the
+ * engines check. The new holder's own order makes them refuse the late one. */
+static void test_late(void)
+{
+	struct site_world *world = start(true, NULL);
+	uint32_t refused = 0;
+
+	g_assert_true(site_world_until(world, BEFORE, ordering));
+	world->first_delay = 20 * SEC;
+	site_world_run(world, 1500 * USEC_PER_MSEC);
+	world->home = 1;
+	site_world_run(world, 30 * SEC);
+	for (uint32_t i = 0; i < ENGINES; i++)
+		refused += world->engines[i].refused;
+	g_assert_cmpuint(refused, >=, 1);
+	g_assert_cmpuint(world->changes, ==, 0);
+	site_world_destroy(world);
+}
+
+/* The list is behind when another takes over: it orders the engine as it is,
+ * not as it is listed. */
+static void test_takeover_behind(void)
+{
+	struct site_world *world = start(true, NULL);
+
+	world->list_stuck = true;
+	g_assert_true(site_world_until(world, BEFORE, changed));
+	site_world_run(world, 5 * SEC);
+	world->home = 1;
+	site_world_run(world, 30 * SEC);
+	g_assert_cmpuint(world->changes, ==, 1);
+	world->list_stuck = false;
+	site_world_run(world, 200 * SEC);
+	g_assert_cmpuint(world->changes, >, 1);
+	site_world_destroy(world);
+}
+
 /* It dies; what it had begun is dropped, and the next one goes on. */
 static void test_killed(gconstpointer data)
 {
@@ -343,6 +390,8 @@
 	g_test_add_data_func("/order/paused/unfenced", NULL, test_paused);
 	g_test_add_data_func("/order/killed/fenced", "", test_killed);
 	g_test_add_data_func("/order/killed/unfenced", NULL, test_killed);
+	g_test_add_func("/order/late", test_late);
+	g_test_add_func("/order/takeover-behind", test_takeover_behind);
 	g_test_add_func("/order/moved", test_moved);
 	g_test_add_func("/order/lapsed", test_lapsed);
 	g_test_add_func("/order/no-log", test_no_log);
--- a/tests/order/world.c
+++ b/tests/order/world.c
@@ -68,8 +68,10 @@
 				     struct engine *engine,
 				     const struct order *order, bool from_home)
 {
-	if (world->checks_fencing && order->fence < engine->fence)
+	if (world->checks_fencing && order->fence < engine->fence) {
+		engine->refused++;
 		return ORDER_FENCED;
+	}
 	/* One that does not check must never be given an old order. */
 	g_assert_cmpuint(order->fence, >=, engine->fence);
 	engine->fence = order->fence;
@@ -126,6 +128,8 @@
 		call->order = *order;
 	if (order && world->order_delay)
 		delay = world_draw(world->world, world->order_delay);
+	if (order && world->first_delay && instance == world->instances)
+		delay = world->first_delay;
 	world_post(world->engine_node, delay, call_arrived, call, g_free, true);
 }
 
--- a/tests/order/world.h
+++ b/tests/order/world.h
@@ -31,6 +31,7 @@
 	uint32_t grants;
 	int64_t grants_end;
 	uint32_t orders; /* that were obeyed */
+	uint32_t refused;
 };
 
 struct instance {
@@ -55,6 +56,7 @@
 	bool checks_fencing;
 	bool list_stuck;
 	int64_t order_delay; /* most that an order is under way */
+	int64_t first_delay; /* exactly, of the first instance's orders */
 	double need_prefill; /* in runners */
 	double need_decode;
 	uint32_t changes;
