all: satisfy the formatter and the linter

Comparisons with strcmp() are written out, the fake log takes a call out of its table before it answers it, and a connect in the web tests checks its result.

--- a/coord/fold_spread.c
+++ b/coord/fold_spread.c
@@ -78,7 +78,8 @@
 
 		if (!peer_usable(f, member, false))
 			continue;
-		while (i < count && strcmp(centres[i], member->data_centre))
+		while (i < count &&
+		       strcmp(centres[i], member->data_centre) != 0)
 			i++;
 		if (i == count)
 			centres[count++] = member->data_centre;
--- a/coord/member.c
+++ b/coord/member.c
@@ -142,8 +142,8 @@
 	p->hinted = m->listed;
 	if (p->view.state != MEMBER_DEAD)
 		return;
-	if (strcmp(p->view.peer_address, hint.peer_address) ||
-	    strcmp(p->view.http_address, hint.http_address)) {
+	if (strcmp(p->view.peer_address, hint.peer_address) != 0 ||
+	    strcmp(p->view.http_address, hint.http_address) != 0) {
 		peer_names(m, p, &hint);
 		p->asks = 0;
 	}
--- a/entry/platform_private.h
+++ b/entry/platform_private.h
@@ -15,7 +15,7 @@
 	struct web_call *put;
 	bool started;
 	bool leaving;
-	bool seen; /* the own entry, as it should be, in this reading */
+	bool seen;	  /* the own entry, as it should be, in this reading */
 	uint32_t skipped; /* periods without a reading */
 	int status;	  /* of the answer being read */
 	GByteArray *body;
--- a/include/web/server.h
+++ b/include/web/server.h
@@ -55,8 +55,8 @@
 struct web_server *web_server_create(struct loop *loop, const char *address,
 				     const struct web_limits *limits,
 				     struct error *err);
-/* Still accepts, but asks each connection to close: "Connection: close" with its
- * next answer, or GOAWAY. */
+/* Still accepts, but asks each connection to close: "Connection: close" with
+ * its next answer, or GOAWAY. */
 void web_server_announce(struct web_server *server);
 /* Stops listening, sends GOAWAY or "Connection: close" on what remains. */
 void web_server_drain(struct web_server *server);
--- a/tests/common/test_unpack.c
+++ b/tests/common/test_unpack.c
@@ -147,12 +147,13 @@
  * alone would fit, asks for 0.9 GB. */
 static void test_allocates_nothing(void)
 {
+	static const char header[] = {'\xdd', 0, '\x0f', 0, 0};
 	static char nested[1 << 20];
 	msgpack_unpacked result;
 	uint64_t before;
 
 	for (size_t i = 0; i < 30; i++)
-		memcpy(nested + 5 * i, "\xdd\0\x0f\0\0", 5);
+		memcpy(nested + sizeof(header) * i, header, sizeof(header));
 	msgpack_unpacked_init(&result);
 	before = address_space_peak();
 	g_assert_false(message_unpack(&result, BYTES("\xdd\4\0\0\0"), NULL));
--- a/tests/member/fake_log.c
+++ b/tests/member/fake_log.c
@@ -273,7 +273,7 @@
 void fake_log_destroy(struct fake_log *log)
 {
 	while (log->calls->len) {
-		struct call *call = log->calls->pdata[0];
+		struct call *call = g_ptr_array_steal_index_fast(log->calls, 0);
 
 		call->code = RESULT_LOG_UNKNOWN;
 		if (!call->silent && call->append)
--- a/tests/member/invariants.c
+++ b/tests/member/invariants.c
@@ -166,7 +166,7 @@
 	if (known &&
 	    (known->code != audit->code || known->base != audit->base ||
 	     known->content_hash != audit->content_hash ||
-	     strcmp(known->author, audit->author)))
+	     strcmp(known->author, audit->author) != 0))
 		broken(c, node, "judged otherwise than another", audit->offset);
 	if (known)
 		return;
--- a/tests/requests/test_paths.c
+++ b/tests/requests/test_paths.c
@@ -197,7 +197,7 @@
 		requests_revoked(requests, fakes.asked, fakes.attempt);
 	} else if (strcmp(verb, "refuted") == 0) {
 		/* Grants of plain services are kept: their calls go on. */
-		if (strcmp(callers[0].path, "/s/book"))
+		if (strcmp(callers[0].path, "/s/book") != 0)
 			fakes.grants = 0;
 		fakes.streams = 0;
 		requests_refuted(requests);
--- a/tests/web/world.c
+++ b/tests/web/world.c
@@ -149,7 +149,8 @@
 	struct sockaddr_in peer = address_of(address);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
 
-	connect(fd, (struct sockaddr *)&peer, sizeof(peer));
+	if (connect(fd, (struct sockaddr *)&peer, sizeof(peer)) != 0)
+		g_assert_cmpint(errno, ==, EINPROGRESS);
 	return fd;
 }
 
