coord: hand over records in a window, and look for unbacked ones in doubt only

An announcement sent all its chunks at once and again at each repeat: with 65,536 records, some 5 MB each time. Eight are on their way at once now, the next one follows each acknowledgement. A hand-over of 2,500 records over a link that loses a fifth of the messages is a test.

--- a/coord/ledger_handover.c
+++ b/coord/ledger_handover.c
@@ -5,6 +5,8 @@
 #define RESEND_USEC (60 * USEC_PER_MSEC)
 #define RESEND_MAX_USEC (1 * USEC_PER_SEC)
 #define RESEND_SHIFT_MAX 4u
+/* Chunks on their way at once. */
+#define CHUNK_WINDOW 8u
 
 /* Builds the chunks of an announcement. */
 struct builder {
@@ -121,12 +123,13 @@
 	message_send(ledger, cell->home);
 }
 
+/* Sends what was not acknowledged, so many chunks at a time. */
 static void announce_send(struct cell *cell)
 {
 	struct announce *announce = &cell->announce;
 	uint32_t shift = MIN(announce->tries, RESEND_SHIFT_MAX);
 
-	for (guint i = 0; i < announce->chunks->len; i++) {
+	for (guint i = 0; i < announce->sent; i++) {
 		if (g_ptr_array_index(announce->chunks, i) != NULL)
 			chunk_send(cell, i);
 	}
@@ -135,6 +138,15 @@
 		    MIN(RESEND_USEC << shift, RESEND_MAX_USEC));
 }
 
+static void announce_next(struct cell *cell)
+{
+	struct announce *announce = &cell->announce;
+
+	if (announce->sent < announce->chunks->len)
+		chunk_send(cell, announce->sent++);
+	announce->tries = 0;
+}
+
 static void announce_timer(struct timer *timer, void *ctx)
 {
 	announce_send(ctx);
@@ -165,6 +177,7 @@
 	announce->tries = 0;
 	build(cell, announce->chunks);
 	announce->missing = announce->chunks->len;
+	announce->sent = MIN(announce->missing, CHUNK_WINDOW);
 	announce_send(cell);
 }
 
@@ -184,8 +197,10 @@
 		return;
 	g_bytes_unref(g_ptr_array_index(announce->chunks, index));
 	announce->chunks->pdata[index] = NULL;
-	if (--announce->missing > 0)
+	if (--announce->missing > 0) {
+		announce_next(cell);
 		return;
+	}
 	announce_stop(cell);
 	g_ptr_array_set_size(cell->orphans, 0);
 	if (cell->home != ledger->self && cell->replica != ledger->self)
--- a/coord/ledger_home.c
+++ b/coord/ledger_home.c
@@ -151,6 +151,7 @@
 
 	timer_stop(&cell->settle);
 	cell->settled = true;
+	records_doubt(cell);
 	home_bury(cell);
 	adopt_records(cell);
 	fresh = cell->fresh;
--- a/coord/ledger_orphan.c
+++ b/coord/ledger_orphan.c
@@ -37,6 +37,8 @@
 	struct grant *grant;
 	void *value;
 
+	if (owner_alive(cell->ledger, &stream->owner))
+		return NULL;
 	entry.tag.owner = stream->owner;
 	entry.tag.request = stream->request;
 	entry.tag.attempt = stream->attempt;
@@ -55,7 +57,7 @@
 		entry.idempotent = record->idempotent;
 		break;
 	}
-	if (entry.key == 0 || owner_alive(cell->ledger, &stream->owner) ||
+	if (entry.key == 0 ||
 	    grant_find(cell, &stream->owner, stream->request) != NULL)
 		return NULL;
 	grant = grant_from_entry(cell, &entry);
--- a/coord/ledger_parts.h
+++ b/coord/ledger_parts.h
@@ -115,6 +115,8 @@
 		  uint64_t request);
 /* Looks again at the asks that waited for the record. */
 void record_unpark(struct record *record);
+/* Running records may have nobody behind them: looks for those for a while. */
+void records_doubt(struct cell *cell);
 void record_merge(struct cell *cell, const struct record *copy);
 void records_clear(struct cell *cell);
 void records_init(struct cell *cell);
--- a/coord/ledger_record.c
+++ b/coord/ledger_record.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #define EXPIRY_USEC (1 * USEC_PER_SEC)
+/* How much longer than they may wait for it records are looked through. */
+#define DOUBT_USEC (10 * USEC_PER_SEC)
 #define KEEP_DEFAULT_USEC (60 * USEC_PER_SEC)
 
 static void expire(struct timer *timer, void *ctx);
@@ -160,6 +162,17 @@
 	       record->cell->settled && now >= record->confirm_by;
 }
 
+void records_doubt(struct cell *cell)
+{
+	const struct ledger *ledger = cell->ledger;
+
+	cell->doubt_until = clock_now(ledger->clock) + DOUBT_USEC +
+			    ledger->settings.settle +
+			    ledger->settings.orphan_grace;
+	if (!timer_running(&cell->expiry))
+		timer_start(&cell->expiry, EXPIRY_USEC);
+}
+
 static void give_up_unbacked(struct cell *cell, int64_t now)
 {
 	GHashTableIter iter;
@@ -193,7 +206,8 @@
 	while ((record = g_queue_peek_head(&cell->ended)) != NULL &&
 	       record->expires <= now)
 		record_remove(record);
-	give_up_unbacked(cell, now);
+	if (now < cell->doubt_until)
+		give_up_unbacked(cell, now);
 	if (g_hash_table_size(cell->records) > 0)
 		timer_start(timer, EXPIRY_USEC);
 }
@@ -232,8 +246,10 @@
 		return;
 	copy_fields(record, copy);
 	record_touch(record);
-	if (record->state == RECORD_RUNNING)
+	if (record->state == RECORD_RUNNING) {
+		records_doubt(cell);
 		return;
+	}
 	record->expires = copy->expires;
 	record_queue_end(record);
 	record_unpark(record);
--- a/coord/ledger_types.h
+++ b/coord/ledger_types.h
@@ -200,6 +200,7 @@
 	uint32_t epoch;
 	GPtrArray *chunks; /* GBytes; NULL when acknowledged */
 	uint32_t missing;
+	uint32_t sent; /* so many chunks were sent, from the first on */
 	uint32_t tries;
 	struct timer timer;
 };
@@ -253,6 +254,7 @@
 	struct timer scan;
 
 	GHashTable *records;
+	int64_t doubt_until; /* copied records may have nobody behind them */
 	GQueue ended;
 	struct timer expiry;
 	struct replication replication;
--- a/tests/ledger/test_path.c
+++ b/tests/ledger/test_path.c
@@ -477,6 +477,40 @@
 	end();
 }
 
+/* More records than go into the chunks that are on their way at once. */
+static void test_drain_many(void)
+{
+	struct ledger_stats stats;
+	struct instance *home;
+	struct job *retry;
+
+	begin("reserve", 100);
+	home = world_home(world);
+	for (uint64_t key = 1; key <= 2500; key++) {
+		app_ask(world, home->index,
+			&(struct spec){.tokens = 100,
+				       .key = key,
+				       .prefill = MSEC,
+				       .work = MSEC});
+		world_run(world, 5 * MSEC);
+	}
+	world->lose = 0.2;
+	world_leave(world, home->index);
+	world_run(world, 8 * USEC_PER_SEC);
+	ledger_stats(home->ledger, &stats);
+	g_assert_cmpuint(stats.handovers, ==, 0);
+	world->lose = 0;
+	ledger_stats(world_home(world)->ledger, &stats);
+	g_assert_cmpuint(stats.records, ==, 2500);
+	for (uint64_t key = 1; key <= 2500; key += 249) {
+		retry = app_ask(world, (home->index + 1) % 3,
+				&(struct spec){.key = key});
+		world_run(world, 50 * MSEC);
+		g_assert_cmpint(retry->state, ==, JOB_DUPLICATE);
+	}
+	end();
+}
+
 static void test_drain(void)
 {
 	struct ledger_stats stats;
@@ -580,6 +614,7 @@
 	g_test_add_func("/ledger/path/leaving-runner", test_leaving_runner);
 	g_test_add_func("/ledger/path/records-bounded", test_records_bounded);
 	g_test_add_func("/ledger/path/drain", test_drain);
+	g_test_add_func("/ledger/path/drain-many", test_drain_many);
 	g_test_add_func("/ledger/path/garbled", test_garbled);
 	g_test_add_func("/ledger/path/bytes", test_bytes);
 	add_rows();
