--- a/tests/member/invariants.c
+++ b/tests/member/invariants.c
@@ -28,9 +28,13 @@
 
 static char *homes_differ(const struct node *a, const struct node *b)
 {
+	const struct world *w = a->world;
+
 	for (uint64_t key = 0; key < 8; key++) {
 		for (uint32_t rank = 0; rank < 3; rank++) {
-			const char *centre = b->self.data_centre;
+			const struct node *in =
+				w->nodes[(key * 5 + rank) % (uint64_t)w->count];
+			const char *centre = in->self.data_centre;
 
 			if (membership_home(a->membership, centre, key, rank) !=
 			    membership_home(b->membership, centre, key, rank))
@@ -59,11 +63,8 @@
 	char *problem = facts_old(node, truth);
 
 	for (int i = 0; i < w->count && !problem; i++) {
-		if (w->nodes[i] == node)
-			continue;
-		problem = seen_wrong(node, w->nodes[i]);
-		if (!problem && w->nodes[i]->up)
-			problem = homes_differ(node, w->nodes[i]);
+		if (w->nodes[i] != node)
+			problem = seen_wrong(node, w->nodes[i]);
 	}
 	if (!problem && !membership_certain(node->membership))
 		problem = g_strdup_printf("%s still doubts", node->self.name);
@@ -72,15 +73,21 @@
 
 char *members_settled(struct world *w, const struct truth *truth)
 {
-	for (int i = 0; i < w->count; i++) {
-		char *problem = NULL;
+	const struct node *last = NULL;
+	char *problem = NULL;
 
-		if (w->nodes[i]->up)
-			problem = node_settled(w, w->nodes[i], truth);
-		if (problem)
-			return problem;
+	for (int i = 0; i < w->count && !problem; i++) {
+		const struct node *node = w->nodes[i];
+
+		if (!node->up)
+			continue;
+		problem = node_settled(w, node, truth);
+		/* Each agrees with the one before, so all do. */
+		if (!problem && last)
+			problem = homes_differ(last, node);
+		last = node;
 	}
-	return NULL;
+	return problem;
 }
 
 char *members_true(struct world *w)
--- /dev/null
+++ b/tests/member/test_log_tail.c
@@ -0,0 +1,269 @@
+/*
+ * The contract of a tail: each record once and in order, whatever the store
+ * does. The store here answers by script.
+ */
+#include <glib.h>
+#include <string.h>
+
+#include "coord/log_tail.h"
+
+/* What the store does with one read. */
+enum act {
+	ACT_RECORDS, /* up to count records from the offset asked for */
+	ACT_FROM,    /* records from before the offset asked for, too */
+	ACT_DROPPED, /* all before first is gone */
+	ACT_EMPTY,
+	ACT_DOWN,
+	ACT_BAD_PAGE, /* next is before what was read already */
+	ACT_SILENT,   /* no answer ever */
+	ACT_LATE,     /* the answer comes after the tail gave up */
+	ACT_STOP,     /* the tail is stopped while the read is in flight */
+};
+
+struct step {
+	enum act act;
+	uint64_t count;
+};
+
+struct store {
+	struct clock *clock;
+	struct timer timer;
+	const struct step *steps;
+	size_t step_count;
+	size_t step;
+	struct log_tail *tail;
+	uint64_t from;
+	log_read_fn fn;
+	void *fn_ctx;
+	log_read_fn late_fn;
+	void *late_ctx;
+	int reads;
+	GString *trace;
+	bool stop_in_record;
+};
+
+static void answer(struct store *s, log_read_fn fn, void *ctx, uint64_t first,
+		   uint64_t from, uint64_t count)
+{
+	struct log_record records[8];
+	struct log_page page = {
+		.first = first,
+		.next = from + count,
+		.records = records,
+		.count = count,
+	};
+
+	for (uint64_t i = 0; i < count; i++)
+		records[i] = (struct log_record){.offset = from + i};
+	fn(ctx, RESULT_OK, &page);
+}
+
+static void store_act(struct timer *timer, void *ctx)
+{
+	struct store *s = ctx;
+	const struct step *step = &s->steps[s->step++];
+	log_read_fn fn = s->fn;
+	void *fn_ctx = s->fn_ctx;
+
+	s->fn = NULL;
+	switch (step->act) {
+	case ACT_RECORDS:
+		answer(s, fn, fn_ctx, 0, s->from, step->count);
+		break;
+	case ACT_FROM:
+		answer(s, fn, fn_ctx, 0, s->from - 1, step->count + 1);
+		break;
+	case ACT_DROPPED:
+		answer(s, fn, fn_ctx, s->from + 3, s->from + 3, step->count);
+		break;
+	case ACT_EMPTY:
+		answer(s, fn, fn_ctx, 0, s->from, 0);
+		break;
+	case ACT_DOWN:
+		fn(fn_ctx, RESULT_LOG_DOWN, NULL);
+		break;
+	case ACT_BAD_PAGE:
+		answer(s, fn, fn_ctx, 0, s->from - 1, 0);
+		break;
+	case ACT_SILENT:
+	case ACT_LATE:
+		s->late_fn = fn;
+		s->late_ctx = fn_ctx;
+		break;
+	case ACT_STOP:
+		log_tail_stop(s->tail);
+		g_string_append(s->trace, "stopped ");
+		answer(s, fn, fn_ctx, 0, s->from, 1);
+		break;
+	}
+}
+
+static void store_read(void *ctx, const char *stream, uint64_t from,
+		       uint32_t max, int64_t wait_us, log_read_fn fn,
+		       void *fn_ctx)
+{
+	struct store *s = ctx;
+
+	g_assert_null(s->fn);
+	g_assert_cmpstr(stream, ==, LOG_STREAM_CONFIG);
+	g_assert_cmpuint(max, ==, LOG_TAIL_RECORDS);
+	s->reads++;
+	s->from = from;
+	s->fn = fn;
+	s->fn_ctx = fn_ctx;
+	if (s->step < s->step_count)
+		timer_start(&s->timer, 1000);
+}
+
+static void tail_record(void *ctx, const struct log_record *record)
+{
+	struct store *s = ctx;
+
+	g_string_append_printf(s->trace, "%" G_GUINT64_FORMAT " ",
+			       record->offset);
+	if (s->stop_in_record)
+		log_tail_stop(s->tail);
+}
+
+static void tail_gap(void *ctx, uint64_t expected, uint64_t first)
+{
+	struct store *s = ctx;
+
+	g_string_append_printf(
+		s->trace, "gap:%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT " ",
+		expected, first);
+}
+
+static void tail_failed(void *ctx, enum result_code code)
+{
+	struct store *s = ctx;
+
+	g_string_append_printf(s->trace, "%s ", result_label(code));
+}
+
+struct row {
+	const char *name;
+	struct step steps[4];
+	size_t count;
+	bool stop_in_record;
+	const char *trace;
+	uint64_t position;
+	bool running;
+};
+
+static const struct row rows[] = {
+	{"in order",
+	 {{ACT_RECORDS, 2}, {ACT_RECORDS, 3}},
+	 2,
+	 false,
+	 "5 6 7 8 9 ",
+	 10,
+	 true},
+	{"nothing new",
+	 {{ACT_EMPTY, 0}, {ACT_RECORDS, 1}},
+	 2,
+	 false,
+	 "5 ",
+	 6,
+	 true},
+	{"the same again",
+	 {{ACT_RECORDS, 1}, {ACT_FROM, 1}},
+	 2,
+	 false,
+	 "5 6 ",
+	 7,
+	 true},
+	{"dropped",
+	 {{ACT_RECORDS, 1}, {ACT_DROPPED, 2}},
+	 2,
+	 false,
+	 "5 gap:6-9 9 10 ",
+	 11,
+	 true},
+	{"all dropped", {{ACT_DROPPED, 0}}, 1, false, "gap:5-8 ", 8, true},
+	{"down",
+	 {{ACT_RECORDS, 1}, {ACT_DOWN, 0}, {ACT_RECORDS, 1}},
+	 3,
+	 false,
+	 "5 log-down 6 ",
+	 7,
+	 true},
+	{"down twice",
+	 {{ACT_DOWN, 0}, {ACT_DOWN, 0}, {ACT_RECORDS, 1}},
+	 3,
+	 false,
+	 "log-down log-down 5 ",
+	 6,
+	 true},
+	{"backwards",
+	 {{ACT_BAD_PAGE, 0}, {ACT_RECORDS, 1}},
+	 2,
+	 false,
+	 "log-gap 5 ",
+	 6,
+	 true},
+	{"silent",
+	 {{ACT_SILENT, 0}, {ACT_RECORDS, 1}},
+	 2,
+	 false,
+	 "log-down 5 ",
+	 6,
+	 true},
+	{"late",
+	 {{ACT_LATE, 0}, {ACT_RECORDS, 2}},
+	 2,
+	 false,
+	 "log-down 5 6 ",
+	 7,
+	 true},
+	{"stopped in flight", {{ACT_STOP, 0}}, 1, false, "stopped ", 5, false},
+	{"stopped in a record", {{ACT_RECORDS, 3}}, 1, true, "5 ", 6, false},
+};
+
+static void test_row(gconstpointer data)
+{
+	static const struct log_tail_ops ops = {
+		.record = tail_record,
+		.gap = tail_gap,
+		.failed = tail_failed,
+	};
+	const struct row *row = data;
+	struct store s = {.steps = row->steps, .step_count = row->count};
+	struct log_store store = {.read = store_read, .ctx = &s};
+
+	s.clock = clock_create(0);
+	s.trace = g_string_new(NULL);
+	s.stop_in_record = row->stop_in_record;
+	timer_init(&s.timer, s.clock, store_act, &s);
+	s.tail = log_tail_create(s.clock, &store, LOG_STREAM_CONFIG, 1, &ops,
+				 &s);
+	log_tail_start(s.tail, 5);
+	/* Short of the time after which the read left open is given up. */
+	for (int i = 0; i < 60 && (s.step < row->count || i < 2); i++)
+		clock_advance(s.clock, clock_now(s.clock) + USEC_PER_SEC / 2);
+	if (s.late_fn) {
+		answer(&s, s.late_fn, s.late_ctx, 0, 5, 1);
+		g_assert_cmpint(s.reads, >=, 2);
+	}
+	g_assert_cmpstr(s.trace->str, ==, row->trace);
+	g_assert_cmpuint(log_tail_position(s.tail), ==, row->position);
+	g_assert_cmpint(log_tail_running(s.tail), ==, row->running);
+	g_assert_cmpuint(log_tail_failures(s.tail), ==, 0);
+	log_tail_destroy(s.tail);
+	if (s.fn)
+		s.fn(s.fn_ctx, RESULT_LOG_DOWN, NULL);
+	clock_destroy(s.clock);
+	g_string_free(s.trace, TRUE);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *path = g_strdup_printf("/log-tail/%s", rows[i].name);
+
+		g_test_add_data_func(path, &rows[i], test_row);
+		g_free(path);
+	}
+	return g_test_run();
+}
