standin: count an engine's limit of tokens from where it goes on

A request whose stream was lost after n tokens is prefilled again with those n as part of the prompt, and may still produce its limit less n; that is what the daemon asks for and reserves memory by.

--- a/standin/engine_stream.c
+++ b/standin/engine_stream.c
@@ -86,6 +86,12 @@
 	return (uint32_t)room;
 }
 
+/* What an earlier attempt produced is part of the prompt, not of the limit. */
+static uint64_t stream_limit(const struct stream *s)
+{
+	return (uint64_t)s->job.output_from + s->job.output_max;
+}
+
 /* Tells the reader all there is; may free the stream. */
 static void stream_deliver(struct stream *s)
 {
@@ -108,7 +114,7 @@
 	reader_fault(s, ENGINE_DROP_STREAM);
 	if (!s->ops || !s->done || s->sent < s->offset)
 		return;
-	s->ops->ended(s->ctx, s->length < s->job.output_max ? "stop" : "length",
+	s->ops->ended(s->ctx, s->length < stream_limit(s) ? "stop" : "length",
 		      s->length);
 	s->ops = NULL;
 	stream_free(s, NULL);
@@ -256,7 +262,7 @@
 {
 	s->fetched = true;
 	s->prompt = kv->prompt;
-	s->length = MIN(kv->length, s->job.output_max);
+	s->length = (uint32_t)MIN(kv->length, stream_limit(s));
 	stream_begin(s);
 }
 
