--- a/load/answer.c
+++ b/load/answer.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "common/log.h"
 
 #define BODY_MAX (16u << 20)
 #define EVENT_PREFIX "data: "
@@ -214,7 +215,24 @@
 	return CALL_REFUSED;
 }
 
-enum call_verdict answer_verdict(struct answer *answer, bool ok)
+/* The first words of an answer that is wrong, for whoever looks into it. */
+static void wrong_log(const struct answer *answer)
+{
+	char start[64];
+
+	g_strlcpy(start, answer->buffer->str, sizeof(start));
+	log_event(LOG_WARNING, "wrong_answer", LOG_S("key", answer->plan->key),
+		  LOG_S("kind", answer->plan->kind->name),
+		  LOG_S("request", answer->request_id),
+		  LOG_D("status", answer->status),
+		  LOG_D("events", answer->events),
+		  LOG_D("finished", answer->finished),
+		  LOG_D("tokens", answer->check.tokens),
+		  LOG_D("expected", answer->check.expected),
+		  LOG_S("rest", start));
+}
+
+static enum call_verdict verdict_find(struct answer *answer, bool ok)
 {
 	if (answer->status != 0 && answer->status != 200)
 		return ok ? refusal_verdict(answer) : CALL_BROKEN;
@@ -230,3 +248,12 @@
 		return CALL_BROKEN;
 	return text_check_whole(&answer->check) ? CALL_WHOLE : CALL_WRONG;
 }
+
+enum call_verdict answer_verdict(struct answer *answer, bool ok)
+{
+	enum call_verdict verdict = verdict_find(answer, ok);
+
+	if (verdict == CALL_WRONG)
+		wrong_log(answer);
+	return verdict;
+}
