tests: make each protection of role orders fail a test when it is off

New: an order under way when the lease lapses or goes to another where engines do not check, a process that stops while it reads a role, what an engine reports apart from its grants, how often each engine obeyed, and a home that comes back.

--- a/tests/order/test_order.c
+++ b/tests/order/test_order.c
@@ -15,7 +15,9 @@
 	void (*fault)(struct site_world *world); /* before it starts */
 	void (*later)(struct site_world *world); /* when a runner drains */
 	uint32_t changes;
-	uint64_t lost; /* at least, of the first instance */
+	uint32_t orders; /* that each engine obeyed, at least */
+	uint64_t sent;	 /* at least, by the first instance */
+	uint64_t lost;
 	uint64_t fenced;
 	uint64_t failures;
 };
@@ -85,20 +87,23 @@
 }
 
 static const struct row rows[] = {
-	{"plain", true, NULL, NULL, 2, 0, 0, 0},
-	{"plain-unfenced", false, NULL, NULL, 2, 0, 0, 0},
-	{"answer-lost", true, fault_lose_answers, NULL, 2, 2, 0, 0},
-	{"answer-lost-unfenced", false, fault_lose_answers, NULL, 2, 2, 0, 0},
-	{"order-lost", true, fault_lose_orders, NULL, 2, 2, 0, 0},
-	{"order-lost-unfenced", false, fault_lose_orders, NULL, 2, 2, 0, 0},
-	{"fence-refused", true, fault_old_fence, NULL, 0, 0, 1, 0},
-	{"ignores-orders", true, fault_ignores, NULL, 0, 0, 0, 1},
-	{"never-empty", true, fault_busy, NULL, 0, 0, 0, 1},
-	{"not-in-the-list", true, fault_list_stuck, NULL, 1, 0, 0, 1},
-	{"gone-while-draining", true, NULL, later_gone, 1, 0, 0, 1},
-	{"last-of-its-role", true, NULL, later_last, 0, 0, 0, 1},
-	{"log-slow", true, fault_log_slow, NULL, 2, 0, 0, 0},
-	{"log-loses-answers", true, fault_answers_of_log, NULL, 2, 0, 0, 0},
+	{"plain", true, NULL, NULL, 2, 1, 8, 0, 0, 0},
+	{"plain-unfenced", false, NULL, NULL, 2, 1, 8, 0, 0, 0},
+	{"answer-lost", true, fault_lose_answers, NULL, 2, 3, 20, 12, 0, 0},
+	{"answer-lost-unfenced", false, fault_lose_answers, NULL, 2, 3, 20, 12,
+	 0, 0},
+	{"order-lost", true, fault_lose_orders, NULL, 2, 1, 20, 12, 0, 0},
+	{"order-lost-unfenced", false, fault_lose_orders, NULL, 2, 1, 20, 12, 0,
+	 0},
+	{"fence-refused", true, fault_old_fence, NULL, 0, 0, 1, 0, 1, 0},
+	{"ignores-orders", true, fault_ignores, NULL, 0, 1, 16, 0, 0, 1},
+	{"never-empty", true, fault_busy, NULL, 0, 1, 6, 0, 0, 1},
+	{"not-in-the-list", true, fault_list_stuck, NULL, 1, 1, 7, 0, 0, 1},
+	{"gone-while-draining", true, NULL, later_gone, 1, 1, 7, 0, 0, 1},
+	{"last-of-its-role", true, NULL, later_last, 0, 1, 6, 0, 0, 1},
+	{"log-slow", true, fault_log_slow, NULL, 2, 1, 8, 0, 0, 0},
+	{"log-loses-answers", true, fault_answers_of_log, NULL, 2, 1, 8, 0, 0,
+	 0},
 };
 
 static bool draining(const struct site_world *world)
@@ -128,7 +133,7 @@
 	g_assert_cmpuint(stats->lost, >=, row->lost);
 	g_assert_cmpuint(stats->fenced > 0, ==, row->fenced > 0);
 	g_assert_cmpuint(stats->failures > 0, ==, row->failures > 0);
-	g_assert_cmpuint(stats->sent, >, 0);
+	g_assert_cmpuint(stats->sent, >=, row->sent);
 }
 
 static void test_row(gconstpointer data)
@@ -141,7 +146,9 @@
 		g_assert_true(site_world_until(world, BEFORE, draining));
 		row->later(world);
 	}
-	site_world_run(world, 900 * SEC);
+	site_world_run(world, (row->later ? 300 : 900) * SEC);
+	for (uint32_t i = 0; i < ENGINES; i++)
+		g_assert_cmpuint(world->engines[i].orders, >=, row->orders);
 	orders_stats(world->instances[0].orders, &stats);
 	if (row->changes)
 		g_assert_cmpuint(world->changes, >=, row->changes);
@@ -220,6 +227,47 @@
 	site_world_destroy(world);
 }
 
+/* Where they do not check, the next holder waits for it. */
+static void test_late_unfenced(void)
+{
+	struct site_world *world = start(false, NULL);
+
+	g_assert_true(site_world_until(world, BEFORE, ordering));
+	world->first_delay = ORDER_TIMEOUT_USEC - 50 * USEC_PER_MSEC;
+	site_world_run(world, 1500 * USEC_PER_MSEC);
+	world->home = 1;
+	site_world_run(world, 60 * SEC);
+	g_assert_cmpuint(world->changes, ==, 1);
+	for (uint32_t i = 0; i < ENGINES; i++)
+		g_assert_cmpuint(world->engines[i].orders, >=, 2);
+	site_world_destroy(world);
+}
+
+/* Stopped while the role is read, and another has the lease when it wakes: what
+ * it reads then, by an old clock, sends nothing. */
+static void test_stale(void)
+{
+	struct site_world *world = start(false, NULL);
+	struct orders_stats before, after;
+	uint64_t call;
+
+	g_assert_true(site_world_until(world, BEFORE, ordering));
+	call = world->instances[0].call;
+	while (world->instances[0].call == call)
+		site_world_run(world, WORLD_STEP_USEC);
+	orders_stats(world->instances[0].orders, &before);
+	world->world->stale_percent = 100;
+	world->instances[0].node->paused = true;
+	world->home = 1;
+	site_world_run(world, 60 * SEC);
+	world->instances[0].node->paused = false;
+	site_world_run(world, 10 * SEC);
+	orders_stats(world->instances[0].orders, &after);
+	g_assert_cmpuint(after.sent, ==, before.sent);
+	g_assert_cmpuint(after.leases, ==, 0);
+	site_world_destroy(world);
+}
+
 /* The list is behind when another takes over: it orders the engine as it is,
  * not as it is listed. */
 static void test_takeover_behind(void)
@@ -230,7 +278,7 @@
 	g_assert_true(site_world_until(world, BEFORE, changed));
 	site_world_run(world, 5 * SEC);
 	world->home = 1;
-	site_world_run(world, 30 * SEC);
+	site_world_run(world, 300 * SEC);
 	g_assert_cmpuint(world->changes, ==, 1);
 	world->list_stuck = false;
 	site_world_run(world, 200 * SEC);
@@ -299,14 +347,39 @@
 	site_world_destroy(world);
 }
 
-/* Nothing is sent without a lease. */
+/* The lease runs out while an order is under way: the runner gets no work until
+ * the order has arrived or never will. The lapse comes at some point of it. */
+static void test_lapsed_under_way(void)
+{
+	uint32_t changes = 0;
+
+	for (int64_t msec = 0; msec < 6000; msec += 200) {
+		struct site_world *world = start(true, NULL);
+
+		g_assert_true(site_world_until(world, BEFORE, draining));
+		world->first_delay = ORDER_TIMEOUT_USEC - 50 * USEC_PER_MSEC;
+		all_busy(world, true);
+		site_world_run(world, 10 * SEC);
+		world->log->outage = true;
+		site_world_run(world, msec * USEC_PER_MSEC);
+		all_busy(world, false);
+		site_world_run(world, 30 * SEC);
+		g_assert_cmpuint(withheld_count(world), ==, 0);
+		changes += world->changes;
+		site_world_destroy(world);
+	}
+	g_assert_cmpuint(changes, >, 0);
+	g_assert_cmpuint(changes, <, 30);
+}
+
+/* Nothing is begun or sent without a lease. */
 static void test_no_log(void)
 {
 	struct site_world *world = start(true, NULL);
 	struct orders_stats stats;
 
 	world->log->outage = true;
-	site_world_run(world, 300 * SEC);
+	g_assert_false(site_world_until(world, 300 * SEC, draining));
 	orders_stats(world->instances[0].orders, &stats);
 	g_assert_cmpuint(stats.sent, ==, 0);
 	world->log->outage = false;
@@ -391,6 +464,9 @@
 	g_test_add_data_func("/order/killed/fenced", "", test_killed);
 	g_test_add_data_func("/order/killed/unfenced", NULL, test_killed);
 	g_test_add_func("/order/late", test_late);
+	g_test_add_func("/order/late-unfenced", test_late_unfenced);
+	g_test_add_func("/order/stale", test_stale);
+	g_test_add_func("/order/lapsed-under-way", test_lapsed_under_way);
 	g_test_add_func("/order/takeover-behind", test_takeover_behind);
 	g_test_add_func("/order/moved", test_moved);
 	g_test_add_func("/order/lapsed", test_lapsed);
--- a/tests/order/world.c
+++ b/tests/order/world.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define LIST_LAG (1 * USEC_PER_SEC)
+#define WORK_LATE (3 * USEC_PER_SEC)
 #define GRANT_USEC (5 * USEC_PER_SEC)
 #define CALL_USEC (20 * USEC_PER_MSEC)
 
@@ -54,8 +55,10 @@
 		return;
 	/* The promises: finished first, and never the last. Only where another
 	 * has become home while the order was under way may there be work. */
-	if (from_home)
+	if (from_home) {
 		g_assert_cmpuint(engine->grants, ==, 0);
+		g_assert_cmpint(now, >=, engine->work_until);
+	}
 	g_assert_cmpuint(engines_of(world, engine->role), >, 1);
 	if (world->changes++)
 		world->closest = MIN(world->closest, now - world->last_change);
@@ -173,7 +176,8 @@
 		.name = names[i],
 		.role = engine->listed,
 		.usable = usable,
-		.empty = engine->grants == 0,
+		.empty = clock_now(instance->world->world->clock) >=
+			 engine->work_until,
 		.reported_at = instance->reported[i],
 		.grants = engine->grants,
 	};
@@ -307,6 +311,11 @@
 		return;
 	engine->grants = 1;
 	engine->grants_end = now + GRANT_USEC;
+	/* A prefill ends before its grant; a decode may be seen to end after.
+	 */
+	engine->work_until = engine->role == POOL_PREFILL
+				     ? now + GRANT_USEC / 2
+				     : engine->grants_end + WORK_LATE;
 }
 
 static void site_world_step(struct site_world *world)
--- a/tests/order/world.h
+++ b/tests/order/world.h
@@ -30,7 +30,8 @@
 	uint32_t lose_answers;
 	uint32_t grants;
 	int64_t grants_end;
-	uint32_t orders; /* that were obeyed */
+	int64_t work_until; /* what it reports */
+	uint32_t orders;    /* that were obeyed */
 	uint32_t refused;
 };
 
--- a/tests/role/test_ledger_roles.c
+++ b/tests/role/test_ledger_roles.c
@@ -93,18 +93,26 @@
 	end();
 }
 
-/* Another home knows nothing of it. */
+/* Another home knows nothing of it, nor does the first when it is home again.
+ */
 static void test_home_moves(void)
 {
-	struct instance *home;
+	struct instance *first, *home;
 
 	begin();
+	first = world_home(world);
+	world_kill(world, first->index);
+	world_run(world, 8 * USEC_PER_SEC);
 	home = world_home(world);
 	ledger_withhold(home->ledger, world->engines[2].id, true);
 	g_assert_cmpuint(usable_of(POOL_DECODE), ==, 1);
-	world_kill(world, home->index);
+	world_restart(world, first->index);
+	world_run(world, 8 * USEC_PER_SEC);
+	g_assert_true(world_home(world) == first);
+	g_assert_cmpuint(usable_of(POOL_DECODE), ==, 2);
+	world_kill(world, first->index);
 	world_run(world, 8 * USEC_PER_SEC);
-	g_assert_true(world_home(world) != home);
+	g_assert_true(world_home(world) == home);
 	g_assert_cmpuint(usable_of(POOL_DECODE), ==, 2);
 	end();
 }
--- a/tests/role/test_role.c
+++ b/tests/role/test_role.c
@@ -46,6 +46,10 @@
 	  .decode_backlog = -INFINITY,
 	  .prefill_tokens_per_s = -1},
 	 ROLE_STAY},
+	{"odd-beside-good",
+	 {LOAD(7, 7, 8, 3), .prefill_backlog = -1000, .memory_used = INFINITY,
+	  .decode_backlog = NAN},
+	 ROLE_TO_PREFILL},
 	{"many", {LOAD(UINT32_MAX, 2, 1, 4)}, ROLE_TO_DECODE},
 };
 
