--- a/tests/member/test_member_cost.c
+++ b/tests/member/test_member_cost.c
@@ -315,7 +315,7 @@
 		for (size_t j = 0; j < G_N_ELEMENTS(sizes); j++) {
 			bool large = sizes[j].centres * sizes[j].each > 100;
 			char *path = g_strdup_printf(
-				"/cost/%s/%s/%s", large ? "large" : "small",
+				"/cost/%s/%s-%s", large ? "large" : "small",
 				measures[i].name, sizes[j].name);
 
 			g_test_add_data_func(path, &sizes[j], measures[i].fn);
