tests: table the faults of membership and configuration

Schedules show that nothing breaks in the long run; what each fault does, and how soon it is mended, needs a row of its own. 23 rows hold membership to its contract (deaths, pauses, cuts of one link, one instance, half a data centre and whole ones, lists that lie, bytes that are wrong), 24 hold the fold (racers, lost and late answers, outages, a log that forgets, readers that end, foreign records).

--- /dev/null
+++ b/tests/member/test_fold.c
@@ -0,0 +1,543 @@
+/*
+ * The contract of the configuration's fold: one row a fault of the log, the
+ * link, the operators or an instance, on the paused clock.
+ */
+#include <string.h>
+
+#include "common/log.h"
+#include "invariants.h"
+
+#define SECONDS(n) ((n)*USEC_PER_SEC)
+
+struct run {
+	struct world *world;
+	struct fake_log *log;
+	struct chronicle *chronicle;
+	int64_t reappend;
+};
+
+static struct run run;
+
+static void started(struct node *node)
+{
+	chronicle_start(run.chronicle, node);
+	if (run.reappend)
+		fold_reappend_after(node->fold, run.reappend);
+	fold_start(node->fold);
+}
+
+static struct fold *fold(int i)
+{
+	return run.world->nodes[i]->fold;
+}
+
+static struct attempt *apply(int i, uint64_t base, const char *content)
+{
+	return chronicle_apply(run.chronicle, run.world->nodes[i], base,
+			       content, SECONDS(10));
+}
+
+static void pass(int64_t usec)
+{
+	world_run(run.world, usec);
+}
+
+static void answered(const struct attempt *attempt, enum result_code code)
+{
+	g_assert_true(attempt->answered);
+	g_assert_cmpstr(result_label(attempt->code), ==, result_label(code));
+}
+
+static void everywhere(uint64_t revision)
+{
+	for (int i = 0; i < run.world->count; i++) {
+		if (run.world->nodes[i]->up)
+			g_assert_cmpuint(fold_revision(fold(i)), ==, revision);
+	}
+}
+
+/* The first file, on which the rows build. */
+static uint64_t first(void)
+{
+	struct attempt *attempt = apply(0, REVISION_NONE, "first");
+
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+	everywhere(1);
+	return 1;
+}
+
+static void accepted(void)
+{
+	size_t size;
+
+	first();
+	g_assert_cmpstr(fold_content(fold(3), &size), ==, "first");
+	g_assert_cmpuint(size, ==, 5);
+}
+
+static void racers(void)
+{
+	uint64_t base = first();
+	struct attempt *attempts[4];
+	int won = 0;
+
+	for (int i = 0; i < 4; i++) {
+		char content[8];
+
+		g_snprintf(content, sizeof(content), "race%d", i);
+		attempts[i] = apply(i, base, content);
+	}
+	pass(SECONDS(2));
+	for (int i = 0; i < 4; i++) {
+		won += attempts[i]->code == RESULT_OK;
+		if (attempts[i]->code != RESULT_OK)
+			answered(attempts[i], RESULT_STALE_REVISION);
+	}
+	g_assert_cmpint(won, ==, 1);
+}
+
+static void stale(void)
+{
+	struct attempt *attempt;
+
+	first();
+	attempt = apply(2, REVISION_NONE, "late");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_STALE_REVISION);
+	everywhere(1);
+}
+
+static void bad(void)
+{
+	const struct fold_audit *audits;
+	struct attempt *attempt;
+	size_t count;
+
+	first();
+	attempt = apply(2, 1, "bad one");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_BAD_CONFIG);
+	everywhere(1);
+	count = fold_history(fold(0), &audits);
+	g_assert_cmpuint(count, ==, 2);
+	g_assert_cmpint(audits[1].code, ==, RESULT_BAD_CONFIG);
+	g_assert_cmpstr(audits[1].author, ==, "entry-002");
+	g_assert_cmpstr(audits[1].reason, ==, "it says so");
+}
+
+static void attempt_code(void *ctx, enum result_code code, uint64_t revision,
+			 const char *reason)
+{
+	*(enum result_code *)ctx = code;
+}
+
+static void too_large(void)
+{
+	enum result_code code = RESULT_OK;
+	char *content = g_malloc0(FOLD_RECORD_MAX);
+
+	fold_apply(fold(0), 0, "ann", content, FOLD_RECORD_MAX, SECONDS(5),
+		   attempt_code, &code);
+	fold_apply(fold(0), 0, NULL, NULL, 5, SECONDS(5), attempt_code, &code);
+	g_assert_cmpint(code, ==, RESULT_OK);
+	pass(SECONDS(1));
+	g_assert_cmpint(code, ==, RESULT_TOO_LARGE);
+	g_assert_cmpuint(run.log->appends, ==, 0);
+	g_free(content);
+}
+
+static void answer_lost(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->lose = 1000;
+	attempt = apply(1, 1, "second");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+	g_assert_cmpuint(run.log->appends, ==, 2);
+}
+
+/* The append that was given up happens after it was tried again. */
+static void append_late(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->late = 1000;
+	attempt = apply(1, 1, "second");
+	pass(SECONDS(1));
+	run.log->late = 0;
+	pass(SECONDS(6));
+	answered(attempt, RESULT_OK);
+	g_assert_cmpuint(run.log->appends, >, 2);
+	everywhere(2);
+}
+
+static void log_out(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->out = true;
+	attempt = apply(1, 1, "second");
+	pass(SECONDS(11));
+	answered(attempt, RESULT_LOG_DOWN);
+	run.log->out = false;
+	pass(SECONDS(8));
+	everywhere(1);
+	attempt = apply(1, 1, "third");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+}
+
+/* What is bad is called bad, though no log can take it. */
+static void log_out_and_bad(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->out = true;
+	attempt = apply(1, 1, "bad");
+	pass(SECONDS(11));
+	answered(attempt, RESULT_BAD_CONFIG);
+}
+
+static void log_silent(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->cut[1] = true;
+	attempt = apply(1, 1, "second");
+	pass(SECONDS(11));
+	answered(attempt, RESULT_LOG_UNKNOWN);
+	run.log->cut[1] = false;
+	pass(SECONDS(10));
+	everywhere(2);
+}
+
+static void outage_ends(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->out = true;
+	attempt = apply(1, 1, "second");
+	pass(SECONDS(5));
+	run.log->out = false;
+	pass(SECONDS(5));
+	answered(attempt, RESULT_OK);
+	everywhere(2);
+}
+
+static void new_in_outage(void)
+{
+	first();
+	run.log->out = true;
+	node_kill(run.world->nodes[2]);
+	pass(SECONDS(6));
+	node_start(run.world->nodes[2]);
+	node_hint(run.world->nodes[2]);
+	pass(SECONDS(3));
+	everywhere(1);
+}
+
+/* One data centre sees the log; the other learns from it alone. */
+static void log_cut_from_one_centre(void)
+{
+	struct attempt *attempt;
+
+	first();
+	for (int i = 0; i < run.world->count; i++) {
+		if (node_in(run.world->nodes[i], "hall-a"))
+			run.log->cut[i] = true;
+	}
+	attempt = apply(run.world->count - 1, 1, "second");
+	pass(SECONDS(5));
+	answered(attempt, RESULT_OK);
+	everywhere(2);
+}
+
+static void centres_part(void)
+{
+	struct attempt *attempt;
+
+	first();
+	world_part(run.world, "hall-a", "hall-b", true);
+	attempt = apply(0, 1, "second");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+	everywhere(2);
+}
+
+/* Cut off from the log and from the others: it serves what it has, and takes
+ * the higher revision afterwards. */
+static void cut_off_wholly(void)
+{
+	struct world *w = run.world;
+
+	first();
+	world_part(w, "hall-a", "hall-b", true);
+	for (int i = 0; i < w->count; i++)
+		run.log->cut[i] = node_in(w->nodes[i], "hall-a");
+	apply(w->count - 1, 1, "second");
+	pass(SECONDS(20));
+	g_assert_cmpuint(fold_revision(fold(0)), ==, 1);
+	g_assert_cmpuint(fold_revision(fold(w->count - 1)), ==, 2);
+	world_heal(w);
+	pass(SECONDS(5));
+	everywhere(2);
+}
+
+static uint64_t records_kept(void)
+{
+	return run.log->records->len - run.log->first;
+}
+
+/* The file outlives the log's memory of it many times over. */
+static void retention(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->keep = SECONDS(30);
+	pass(SECONDS(300));
+	g_assert_cmpuint(run.log->first, >, 0);
+	g_assert_cmpuint(records_kept(), >=, 1);
+	g_assert_cmpuint(run.log->appends, <=, 2 * 300 / 10);
+	for (int i = 0; i < run.world->count; i++)
+		node_kill(run.world->nodes[i]);
+	pass(SECONDS(5));
+	world_start(run.world);
+	pass(SECONDS(6));
+	everywhere(1);
+	attempt = apply(0, 1, "second");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+}
+
+/* The outage lasts longer than the log remembers. */
+static void retention_in_outage(void)
+{
+	struct attempt *attempt;
+
+	first();
+	run.log->keep = SECONDS(30);
+	run.log->out = true;
+	pass(SECONDS(100));
+	run.log->out = false;
+	pass(SECONDS(20));
+	everywhere(1);
+	g_assert_cmpuint(records_kept(), >=, 1);
+	attempt = apply(0, 1, "second");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+}
+
+static void readers_end(void)
+{
+	struct attempt *attempt = NULL;
+	int ended = 0;
+
+	first();
+	for (int i = 0; i < run.world->count; i++) {
+		if (!fold_reading(fold(i)))
+			continue;
+		node_kill(run.world->nodes[i]);
+		ended++;
+	}
+	g_assert_cmpint(ended, ==, 4);
+	pass(SECONDS(6));
+	for (int i = 0; i < run.world->count; i++) {
+		if (!run.world->nodes[i]->up)
+			continue;
+		attempt = apply(i, 1, "second");
+		break;
+	}
+	g_assert_nonnull(attempt);
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+	everywhere(2);
+}
+
+static void few_read(void)
+{
+	int reading = 0;
+
+	first();
+	for (int i = 0; i < run.world->count; i++)
+		reading += fold_reading(fold(i));
+	g_assert_cmpint(reading, ==, 4);
+}
+
+static void reader_stands(void)
+{
+	struct attempt *attempt;
+	struct node *reader = NULL;
+
+	first();
+	for (int i = 0; i < run.world->count && !reader; i++) {
+		if (fold_reading(fold(i)))
+			reader = run.world->nodes[i];
+	}
+	node_pause(reader);
+	attempt = apply((reader->index + 1) % run.world->count, 1, "second");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+	pass(SECONDS(60));
+	node_wake(reader);
+	pass(SECONDS(3));
+	everywhere(2);
+}
+
+static void records_foreign(void)
+{
+	struct attempt *attempt;
+
+	first();
+	fake_log_put(run.log, "\xc1", 1);
+	fake_log_put(run.log, "not ours", 8);
+	fake_log_put(run.log, "\x99\x01\x07", 3);
+	fake_log_put(run.log, "\xdd\xff\xff\xff\xff", 5);
+	attempt = apply(2, 1, "second");
+	pass(SECONDS(2));
+	answered(attempt, RESULT_OK);
+	everywhere(6);
+}
+
+static void messages_wrong(void)
+{
+	static const char *const texts[] = {
+		"",
+		"\xc1",
+		"\x93\x01\x05",
+		"\x90",
+		"\x93\x03\x05\x05",
+		"\xdd\xff\xff\xff\xff",
+		"\x93\x09\x01\x01",
+		"\x97\x03\x09\x09\x09\xc0\xc0\x00",
+	};
+
+	first();
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++)
+		fold_receive(fold(0), 1, texts[i], strlen(texts[i]));
+	for (int i = 0; i < 20000; i++) {
+		unsigned char bytes[24];
+
+		for (size_t j = 0; j < sizeof(bytes); j++)
+			bytes[j] = (unsigned char)g_rand_int(run.world->rand);
+		bytes[0] = i % 2 ? 0x97 : 0x93;
+		bytes[1] = (unsigned char)(1 + i % 3);
+		fold_receive(fold(0), 1, bytes, sizeof(bytes));
+	}
+	pass(SECONDS(2));
+	everywhere(1);
+}
+
+static void link_loses(void)
+{
+	struct attempt *attempt;
+
+	run.world->drop = 200;
+	run.world->twice = 200;
+	run.world->delay_max = SECONDS(1) / 10;
+	attempt = apply(0, 0, "first");
+	pass(SECONDS(5));
+	answered(attempt, RESULT_OK);
+	everywhere(1);
+}
+
+static void history_kept(void)
+{
+	const struct fold_audit *audits;
+	uint64_t base = 0;
+	size_t count;
+
+	for (int i = 0; i < FOLD_HISTORY_MAX + 20; i++) {
+		char content[16];
+		struct attempt *attempt;
+
+		g_snprintf(content, sizeof(content), "file%d", i);
+		attempt = apply(i % run.world->count, base, content);
+		pass(SECONDS(1) / 2);
+		answered(attempt, RESULT_OK);
+		base = attempt->revision;
+	}
+	pass(SECONDS(3));
+	count = fold_history(fold(1), &audits);
+	g_assert_cmpuint(count, ==, FOLD_HISTORY_MAX);
+	g_assert_cmpuint(audits[count - 1].offset, ==, base);
+}
+
+struct row {
+	const char *name;
+	int centres;
+	int each;
+	void (*fault)(void);
+	int64_t reappend;
+};
+
+static const struct row rows[] = {
+	{"a file is accepted", 2, 3, accepted, 0},
+	{"four race", 2, 3, racers, 0},
+	{"based on an old revision", 2, 3, stale, 0},
+	{"the file is bad", 2, 3, bad, 0},
+	{"the file is too large", 1, 2, too_large, 0},
+	{"the answer is lost", 2, 3, answer_lost, 0},
+	{"the append comes late", 2, 3, append_late, 0},
+	{"the log is out", 2, 3, log_out, 0},
+	{"the log is out and the file bad", 2, 3, log_out_and_bad, 0},
+	{"the log does not answer", 2, 3, log_silent, 0},
+	{"the outage ends in time", 2, 3, outage_ends, 0},
+	{"an instance starts in an outage", 2, 3, new_in_outage, 0},
+	{"one data centre lacks the log", 2, 3, log_cut_from_one_centre, 0},
+	{"data centres part", 2, 3, centres_part, 0},
+	{"cut off from log and others", 2, 3, cut_off_wholly, 0},
+	{"the log forgets", 2, 3, retention, SECONDS(10)},
+	{"the log forgets in an outage", 2, 3, retention_in_outage,
+	 SECONDS(10)},
+	{"all readers end", 2, 5, readers_end, 0},
+	{"few read", 2, 5, few_read, 0},
+	{"a reader stands still", 2, 3, reader_stands, 0},
+	{"records of others", 2, 3, records_foreign, 0},
+	{"messages are wrong", 2, 3, messages_wrong, 0},
+	{"the link loses a fifth", 2, 3, link_loses, 0},
+	{"a long history", 2, 3, history_kept, 0},
+};
+
+static void test_row(gconstpointer data)
+{
+	const struct row *row = data;
+	char *problem;
+
+	run.world = world_create(11);
+	run.log = fake_log_create(run.world);
+	run.chronicle = chronicle_create(run.world);
+	run.reappend = row->reappend;
+	run.world->started = started;
+	run.world->stopping = chronicle_stop;
+	world_fill(run.world, row->centres, row->each);
+	world_start(run.world);
+	pass(SECONDS(5));
+	row->fault();
+	problem = chronicle_holds(run.chronicle);
+	g_assert_cmpstr(problem, ==, NULL);
+	world_destroy(run.world);
+	fake_log_destroy(run.log);
+	chronicle_destroy(run.chronicle);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, "test", LOG_CRIT);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *path = g_strdup_printf("/fold/%s", rows[i].name);
+
+		g_test_add_data_func(path, &rows[i], test_row);
+		g_free(path);
+	}
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/member/test_member.c
@@ -0,0 +1,488 @@
+/*
+ * Membership's contract: one row a fault, run on the paused clock with a link
+ * that behaves unless the row says otherwise.
+ */
+#include <string.h>
+
+#include "common/log.h"
+#include "invariants.h"
+
+#define SECONDS(n) ((n)*USEC_PER_SEC)
+
+static void settle(struct world *w, int64_t limit)
+{
+	int64_t end = clock_now(w->clock) + limit;
+	char *problem;
+
+	while ((problem = members_settled(w, NULL))) {
+		if (clock_now(w->clock) >= end)
+			g_error("not settled: %s", problem);
+		g_free(problem);
+		world_run(w, USEC_PER_SEC / 10);
+	}
+}
+
+static enum member_state state(struct world *w, int node, int other)
+{
+	const struct member *m = node_view(w->nodes[node], w->nodes[other]);
+
+	g_assert_nonnull(m);
+	return m->state;
+}
+
+static uint64_t refuted(const struct world *w)
+{
+	uint64_t sum = 0;
+
+	for (int i = 0; i < w->count; i++)
+		sum += w->nodes[i]->refuted;
+	return sum;
+}
+
+static void run_quiet(struct world *w, int64_t usec)
+{
+	for (int64_t t = 0; t < usec; t += USEC_PER_SEC / 5) {
+		world_run(w, USEC_PER_SEC / 5);
+		for (int i = 0; i < w->count; i++) {
+			for (int j = 0; j < w->count; j++)
+				g_assert_cmpint(state(w, i, j), !=,
+						MEMBER_DEAD);
+		}
+	}
+}
+
+static void ends(struct world *w)
+{
+	node_kill(w->nodes[2]);
+	world_run(w, SECONDS(1));
+	g_assert_cmpint(state(w, 0, 2), ==, MEMBER_ALIVE);
+	world_run(w, SECONDS(4));
+	for (int i = 0; i < w->count; i++) {
+		if (i != 2)
+			g_assert_cmpint(state(w, i, 2), ==, MEMBER_DEAD);
+	}
+}
+
+static void stands_briefly(struct world *w)
+{
+	node_pause(w->nodes[2]);
+	world_run(w, SECONDS(1));
+	node_wake(w->nodes[2]);
+	g_assert_true(membership_certain(w->nodes[2]->membership));
+	run_quiet(w, SECONDS(6));
+	g_assert_cmpuint(refuted(w), ==, 0);
+}
+
+/* Longer than it takes to be suspected, not than to be held dead. */
+static void stands_for_a_while(struct world *w)
+{
+	node_pause(w->nodes[2]);
+	world_run(w, 2200 * USEC_PER_MSEC);
+	node_wake(w->nodes[2]);
+	g_assert_false(membership_certain(w->nodes[2]->membership));
+	world_run(w, SECONDS(1));
+	g_assert_true(membership_certain(w->nodes[2]->membership));
+	run_quiet(w, SECONDS(6));
+	g_assert_cmpuint(refuted(w), ==, 0);
+}
+
+static void stands_long(struct world *w)
+{
+	node_pause(w->nodes[2]);
+	world_run(w, SECONDS(7));
+	g_assert_cmpint(state(w, 0, 2), ==, MEMBER_DEAD);
+	node_wake(w->nodes[2]);
+	/* What had arrived meanwhile may have told it already. */
+	g_assert_true(!membership_certain(w->nodes[2]->membership) ||
+		      w->nodes[2]->refuted == 1);
+	settle(w, SECONDS(5));
+	g_assert_cmpuint(w->nodes[2]->refuted, ==, 1);
+	g_assert_cmpuint(refuted(w), ==, 1);
+}
+
+/* Nobody answers one that woke: it cannot know, so it starts anew. */
+static void stands_long_and_cut(struct world *w)
+{
+	node_pause(w->nodes[2]);
+	world_run(w, SECONDS(2));
+	for (int i = 0; i < w->count; i++)
+		w->cut[2][i] = w->cut[i][2] = true;
+	node_wake(w->nodes[2]);
+	world_run(w, SECONDS(1));
+	g_assert_false(membership_certain(w->nodes[2]->membership));
+	world_run(w, SECONDS(3));
+	g_assert_true(membership_certain(w->nodes[2]->membership));
+	g_assert_cmpuint(w->nodes[2]->refuted, >=, 1);
+}
+
+static void paused_alone(struct world *w)
+{
+	for (int i = 1; i < w->count; i++)
+		node_kill(w->nodes[i]);
+	world_run(w, SECONDS(10));
+	node_pause(w->nodes[0]);
+	world_run(w, SECONDS(10));
+	node_wake(w->nodes[0]);
+	g_assert_true(membership_certain(w->nodes[0]->membership));
+	g_assert_cmpuint(w->nodes[0]->refuted, ==, 0);
+}
+
+static void pair_cut(struct world *w)
+{
+	w->cut[0][1] = w->cut[1][0] = true;
+	run_quiet(w, SECONDS(20));
+	g_assert_cmpuint(refuted(w), ==, 0);
+}
+
+static void alone_cut(struct world *w)
+{
+	for (int i = 1; i < w->count; i++)
+		w->cut[0][i] = w->cut[i][0] = true;
+	world_run(w, SECONDS(12));
+	g_assert_cmpint(state(w, 0, 1), ==, MEMBER_DEAD);
+	g_assert_cmpint(state(w, 1, 0), ==, MEMBER_DEAD);
+	world_heal(w);
+	settle(w, SECONDS(10));
+	g_assert_cmpuint(w->nodes[0]->refuted, ==, 1);
+	g_assert_cmpuint(refuted(w), ==, 1);
+}
+
+static void halves_cut(struct world *w)
+{
+	for (int i = 0; i < w->count; i++) {
+		for (int j = 0; j < w->count; j++)
+			w->cut[i][j] = i % 2 != j % 2;
+	}
+	world_run(w, SECONDS(12));
+	world_heal(w);
+	settle(w, SECONDS(20));
+}
+
+static void centres_part(struct world *w)
+{
+	world_part(w, "hall-a", "hall-b", true);
+	world_run(w, SECONDS(8));
+	g_assert_cmpint(state(w, 0, 2), ==, MEMBER_DEAD);
+	g_assert_cmpint(state(w, 3, 1), ==, MEMBER_DEAD);
+	g_assert_cmpint(state(w, 0, 4), ==, MEMBER_ALIVE);
+	world_run(w, SECONDS(300));
+	world_heal(w);
+	settle(w, SECONDS(5));
+	g_assert_cmpuint(refuted(w), ==, 0);
+}
+
+static void centres_part_one_way(struct world *w)
+{
+	for (int i = 0; i < 2; i++) {
+		for (int j = 2; j < 4; j++)
+			w->cut[i][j] = true;
+	}
+	world_run(w, SECONDS(10));
+	g_assert_cmpint(state(w, 0, 2), ==, MEMBER_DEAD);
+	g_assert_cmpint(state(w, 2, 0), ==, MEMBER_DEAD);
+	world_heal(w);
+	settle(w, SECONDS(5));
+	g_assert_cmpuint(refuted(w), ==, 0);
+}
+
+/* All of one data centre replaced while it could not be reached. */
+static void replaced_behind_a_cut(struct world *w)
+{
+	world_part(w, "hall-a", "hall-b", true);
+	world_part(w, "hall-c", "hall-b", true);
+	world_run(w, SECONDS(10));
+	for (int i = 2; i < 4; i++) {
+		node_kill(w->nodes[i]);
+		world_run(w, SECONDS(6));
+		node_start(w->nodes[i]);
+		node_hint(w->nodes[i]);
+	}
+	world_run(w, SECONDS(6));
+	world_heal(w);
+	settle(w, SECONDS(10));
+}
+
+static void leaves(struct world *w)
+{
+	struct node *node = w->nodes[1];
+
+	membership_leave(node->membership);
+	node->leaving = true;
+	settle(w, SECONDS(2));
+	run_quiet(w, SECONDS(10));
+	for (uint64_t key = 0; key < 200; key++)
+		g_assert_cmpuint(membership_home(w->nodes[0]->membership,
+						 "hall-a", key, 0),
+				 !=, node->self.id);
+	node_kill(node);
+	world_run(w, SECONDS(6));
+	g_assert_cmpint(state(w, 0, 1), ==, MEMBER_DEAD);
+}
+
+/* A clock that was set back must not bring a former life to the fore. */
+static void older_incarnation(struct world *w)
+{
+	struct node *node = w->nodes[1];
+	uint64_t former = node->self.incarnation;
+
+	node_kill(node);
+	w->back = SECONDS(100);
+	node_start(node);
+	g_assert_cmpuint(node->self.incarnation, <, former);
+	node_hint(node);
+	settle(w, SECONDS(5));
+	g_assert_cmpuint(node->self.incarnation, >, former);
+	g_assert_cmpuint(node->refuted, ==, 1);
+}
+
+static void listed_but_never_there(struct world *w)
+{
+	struct member ghost = w->nodes[1]->self;
+
+	g_strlcpy(ghost.name, "ghost", sizeof(ghost.name));
+	membership_hint(w->nodes[0]->membership, &ghost);
+	for (int i = 0; i < 20; i++) {
+		world_run(w, SECONDS(1));
+		g_assert_cmpint(
+			membership_find(w->nodes[0]->membership, id_of("ghost"))
+				->state,
+			==, MEMBER_DEAD);
+	}
+	g_assert_null(membership_find(w->nodes[1]->membership, id_of("ghost")));
+}
+
+static void list_of(struct world *w, int node, int but)
+{
+	for (int i = 0; i < w->count; i++) {
+		if (i != but)
+			membership_hint(w->nodes[node]->membership,
+					&w->nodes[i]->self);
+	}
+}
+
+static void listed_no_more(struct world *w)
+{
+	for (int i = 0; i < 100; i++) {
+		list_of(w, 0, 1);
+		world_run(w, SECONDS(1));
+	}
+	g_assert_cmpint(state(w, 0, 1), ==, MEMBER_ALIVE);
+	node_kill(w->nodes[1]);
+	for (int i = 0; i < 100; i++) {
+		list_of(w, 0, 1);
+		world_run(w, SECONDS(1));
+	}
+	g_assert_null(node_view(w->nodes[0], w->nodes[1]));
+}
+
+static void list_is_out(struct world *w)
+{
+	node_kill(w->nodes[1]);
+	world_run(w, SECONDS(200));
+	g_assert_cmpint(state(w, 0, 1), ==, MEMBER_DEAD);
+	node_start(w->nodes[1]);
+	node_hint(w->nodes[1]);
+	settle(w, SECONDS(5));
+}
+
+static void link_loses(struct world *w)
+{
+	w->drop = 100;
+	w->twice = 100;
+	w->delay_max = 150 * USEC_PER_MSEC;
+	run_quiet(w, SECONDS(120));
+	g_assert_cmpuint(refuted(w), ==, 0);
+}
+
+static void gateways_end(struct world *w)
+{
+	for (int i = 0; i < w->count; i++) {
+		if (i % 4 < 2)
+			node_kill(w->nodes[i]);
+	}
+	settle(w, SECONDS(15));
+}
+
+/* Two that each know the other's former incarnation only. */
+static void both_reborn(struct world *w)
+{
+	for (int i = 0; i < 2; i++)
+		node_kill(w->nodes[i]);
+	for (int i = 0; i < 2; i++) {
+		node_start(w->nodes[i]);
+		node_hint(w->nodes[i]);
+	}
+	settle(w, SECONDS(5));
+	g_assert_null(traffic_bounded(w));
+}
+
+static void facts(struct world *w)
+{
+	static const char big[600];
+	struct node *node = w->nodes[1];
+
+	membership_fact_set(node->membership, 1, 7, "seven", 5);
+	membership_fact_set(node->membership, 1, 6, "six", 3);
+	membership_fact_set(node->membership, 2, 1, big, sizeof(big));
+	membership_fact_set(node->membership, 3, 1, NULL, 4);
+	world_run(w, SECONDS(3));
+	membership_fact_set(w->nodes[0]->membership, 1, 5, "five", 4);
+	world_run(w, SECONDS(3));
+	for (int i = 0; i < w->count; i++) {
+		if (i != 1)
+			g_assert_cmpuint(w->nodes[i]->facts[1], ==, 7);
+		g_assert_cmpuint(w->nodes[i]->facts[2], ==, 0);
+		g_assert_cmpuint(w->nodes[i]->facts[3], ==, 0);
+	}
+}
+
+/* Removing an instance moves only what it was home to. */
+static void homes(struct world *w)
+{
+	const struct membership *m = w->nodes[0]->membership;
+	uint64_t former[300];
+	int moved = 0;
+
+	for (uint64_t key = 0; key < 300; key++) {
+		former[key] = membership_home(m, "hall-a", key, 0);
+		g_assert_cmpuint(former[key], !=,
+				 membership_home(m, "hall-a", key, 1));
+	}
+	node_kill(w->nodes[1]);
+	world_run(w, SECONDS(6));
+	for (uint64_t key = 0; key < 300; key++) {
+		uint64_t home = membership_home(m, "hall-a", key, 0);
+
+		if (former[key] != w->nodes[1]->self.id)
+			g_assert_cmpuint(home, ==, former[key]);
+		else
+			moved++;
+	}
+	g_assert_cmpint(moved, >, 300 / 7 / 2);
+	g_assert_cmpuint(membership_home(m, "hall-a", 1, 6), ==, 0);
+	g_assert_cmpuint(membership_home(m, "nowhere", 1, 0), ==, 0);
+	g_assert_cmpuint(membership_home(m, NULL, 1, 0), ==, 0);
+}
+
+struct sample {
+	GByteArray *messages[64];
+	int count;
+	struct node *node;
+};
+
+static struct sample *sampling;
+
+static void sample_send(void *ctx, uint64_t instance, enum channel channel,
+			const void *payload, size_t size)
+{
+	if (sampling->count < 64) {
+		GByteArray *copy = g_byte_array_new();
+
+		g_byte_array_append(copy, payload, (guint)size);
+		sampling->messages[sampling->count++] = copy;
+	}
+}
+
+/* Real messages with bytes changed, cut or added. */
+static void bytes_wrong(struct world *w)
+{
+	const struct transport transport = {.send = sample_send};
+	struct sample sample = {.node = w->nodes[0]};
+	struct membership_stats before;
+	struct membership_stats after;
+	struct member self = w->nodes[1]->self;
+	struct membership *other;
+
+	sampling = &sample;
+	g_strlcpy(self.name, "sampled", sizeof(self.name));
+	other = membership_create(w->nodes[1]->clock, &self, NULL, &transport,
+				  NULL, NULL);
+	membership_start(other);
+	membership_hint(other, &w->nodes[0]->self);
+	membership_fact_set(other, 9, 1, "x", 1);
+	world_run(w, SECONDS(8));
+	membership_destroy(other);
+	g_assert_cmpint(sample.count, >, 2);
+	membership_stats(w->nodes[0]->membership, &before);
+	for (int i = 0; i < 20000; i++) {
+		const GByteArray *from = sample.messages[i % sample.count];
+		guint size = from->len;
+		guint8 *copy = g_memdup2(from->data, size);
+
+		for (int j = g_rand_int_range(w->rand, 0, 4); j >= 0; j--)
+			copy[g_rand_int_range(w->rand, 0, (gint32)size)] =
+				(guint8)g_rand_int(w->rand);
+		if (i % 3 == 0)
+			size = (guint)g_rand_int_range(w->rand, 0,
+						       (gint32)size);
+		membership_receive(w->nodes[0]->membership,
+				   w->nodes[i % 3]->self.id, copy, size);
+		g_free(copy);
+	}
+	membership_receive(w->nodes[0]->membership, 5, NULL, 0);
+	membership_stats(w->nodes[0]->membership, &after);
+	g_assert_cmpuint(after.malformed - before.malformed, >, 5000);
+	g_assert_cmpint(membership_self(w->nodes[0]->membership)->state, ==,
+			MEMBER_ALIVE);
+	for (int i = 0; i < sample.count; i++)
+		g_byte_array_free(sample.messages[i], TRUE);
+}
+
+struct row {
+	const char *name;
+	int centres;
+	int each;
+	void (*fault)(struct world *w);
+};
+
+static const struct row rows[] = {
+	{"an instance ends", 1, 7, ends},
+	{"it stands still briefly", 1, 7, stands_briefly},
+	{"it stands still for a while", 1, 7, stands_for_a_while},
+	{"it stands still long", 1, 7, stands_long},
+	{"it stands still and is cut off", 1, 7, stands_long_and_cut},
+	{"it stands still with nobody else", 1, 3, paused_alone},
+	{"two cannot reach each other", 1, 7, pair_cut},
+	{"one is cut off alone", 1, 7, alone_cut},
+	{"halves are cut off", 1, 6, halves_cut},
+	{"data centres part", 3, 2, centres_part},
+	{"data centres part one way", 3, 2, centres_part_one_way},
+	{"replaced behind a cut", 3, 2, replaced_behind_a_cut},
+	{"an instance leaves", 1, 7, leaves},
+	{"its incarnation goes back", 1, 7, older_incarnation},
+	{"the list names what is not there", 1, 3, listed_but_never_there},
+	{"the list names it no more", 1, 3, listed_no_more},
+	{"the list is out", 1, 3, list_is_out},
+	{"the link loses a tenth", 1, 20, link_loses},
+	{"both gateways end", 3, 4, gateways_end},
+	{"two start anew at once", 1, 4, both_reborn},
+	{"facts that are old or too large", 3, 2, facts},
+	{"homes after a death", 1, 6, homes},
+	{"bytes are wrong", 1, 3, bytes_wrong},
+};
+
+static void test_row(gconstpointer data)
+{
+	const struct row *row = data;
+	struct world *w = world_create(7);
+
+	world_fill(w, row->centres, row->each);
+	world_start(w);
+	settle(w, SECONDS(10));
+	world_run(w, SECONDS(2));
+	row->fault(w);
+	world_destroy(w);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, "test", LOG_ERR);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		char *path = g_strdup_printf("/member/%s", rows[i].name);
+
+		g_test_add_data_func(path, &rows[i], test_row);
+		g_free(path);
+	}
+	return g_test_run();
+}
--- a/tests/member/world.c
+++ b/tests/member/world.c
@@ -219,7 +219,7 @@
 	node->clock = clock_create(UNIX_ZERO);
 	clock_jump(node->clock, clock_now(w->clock));
 	settings.seed = w->seed;
-	node->self.incarnation = (uint64_t)clock_unix(w->clock);
+	node->self.incarnation = (uint64_t)(clock_unix(w->clock) - w->back);
 	node->membership = membership_create(node->clock, &node->self,
 					     &settings, &transport, &ops, node);
 	memset(node->highest, 0, sizeof(node->highest));
--- a/tests/member/world.h
+++ b/tests/member/world.h
@@ -55,6 +55,7 @@
 	bool cut[WORLD_MAX][WORLD_MAX]; /* one way */
 	struct membership_settings settings;
 	GPtrArray *flying;
+	int64_t back; /* how far wall clocks of starting nodes are behind */
 	/* Called when a node starts, and before it stops. */
 	void (*started)(struct node *node);
 	void (*stopping)(struct node *node);
