coord: count the age of a load report

Cause: a report says how many prompt tokens were queued when the runner took it, up to the reporting interval (300 ms at the stand-ins) before it is read. The home took the figure as of now, so each report put the end of the work in hand off by the report's age, and the runner stood idle for as long before the next prefill was granted: a third of the time of an average prompt.

Done: the daemon passes the age_ms of the report on, half a second when there is none, and the home counts from when the report was taken. A report counts as having seen a grant 100 ms after it.

Tested: what the poller passes on, with and without an age and with a negative one.

--- a/coord/ledger_runner.c
+++ b/coord/ledger_runner.c
@@ -6,7 +6,7 @@
 #define RATE_FACTOR 4.0
 #define RATE_WEIGHT 0.2
 /* A report counts as newer than a grant when it arrives so much later. */
-#define REPORT_LAG_USEC (500 * USEC_PER_MSEC)
+#define GRANT_TRAVEL_USEC (100 * USEC_PER_MSEC)
 
 struct policy_runner *runner_view(const struct cell *cell, uint32_t index)
 {
@@ -270,18 +270,18 @@
 }
 
 /* A report that has seen all grants corrects the estimate both ways; one that
- * may have missed some only upwards. */
+ * may have missed some only upwards. What it says was so when it was taken. */
 static void observe_queue(const struct runner *runner,
-			  struct policy_runner *view, int64_t now)
+			  struct policy_runner *view, int64_t taken)
 {
 	int64_t until;
 
 	if (view->role != POOL_PREFILL || view->prefill_tokens_per_s <= 0)
 		return;
-	until = now +
+	until = taken +
 		(int64_t)((double)view->reported_queue_tokens /
 			  view->prefill_tokens_per_s * (double)USEC_PER_SEC);
-	if (now - runner->granted_last > REPORT_LAG_USEC ||
+	if (taken - runner->granted_last > GRANT_TRAVEL_USEC ||
 	    until > view->busy_until)
 		view->busy_until = until;
 }
@@ -305,7 +305,7 @@
 		view->reported_waiting = report->waiting;
 		view->reported_queue_tokens = report->queue_tokens;
 		observe_rate(cell, view, report);
-		observe_queue(runner, view, now);
+		observe_queue(runner, view, now - report->age);
 	}
 	runner_refresh(cell, index);
 }
--- a/entry/poller_read.c
+++ b/entry/poller_read.c
@@ -13,7 +13,10 @@
 #include "entry/entry.h"
 #include "poller_private.h"
 
+/* Of a load report that does not tell its age. */
+#define AGE_UNKNOWN_USEC (500 * USEC_PER_MSEC)
 #define CALL_USEC (1 * USEC_PER_SEC)
+#define AGE_MS_MAX 3600000u
 #define ANSWER_MAX (1u << 20)
 #define PATH_MAX_BYTES 64
 #define STATUS_OK 200
@@ -35,6 +38,14 @@
 	return id;
 }
 
+static int64_t age_take(const json_t *json)
+{
+	if (!json_is_integer(json_object_get(json, "age_ms")))
+		return AGE_UNKNOWN_USEC;
+	return (int64_t)MIN(number_take(json, "age_ms"), AGE_MS_MAX) *
+	       USEC_PER_MSEC;
+}
+
 static void load_take(struct target *target, const json_t *json)
 {
 	struct entry *entry = target->poller->entry;
@@ -48,6 +59,7 @@
 		.queue_tokens = number_take(json, "queue_tokens"),
 		.tokens_per_s = json_number_value(
 			json_object_get(json, "tokens_per_s")),
+		.age = age_take(json),
 	};
 
 	if (report.leaving)
--- a/include/coord/ledger.h
+++ b/include/coord/ledger.h
@@ -106,6 +106,7 @@
 	uint32_t waiting;
 	uint64_t queue_tokens;
 	double tokens_per_s; /* of its role's work, of late; 0 unknown */
+	int64_t age;	     /* microseconds since the runner took it */
 };
 
 /* A stream that a runner lists as existing. */
--- a/tests/entry/fake_coord.c
+++ b/tests/entry/fake_coord.c
@@ -54,11 +54,13 @@
 {
 	g_string_append_printf(
 		fake_coord.events,
-		"report%s%s used=%u running=%u waiting=%u queue=%u rate=%.1f\n",
+		"report%s%s used=%u running=%u waiting=%u queue=%u rate=%.1f "
+		"age=%d\n",
 		report->reachable ? "" : " unreachable",
 		report->leaving ? " leaving" : "", report->pieces_used,
 		report->running, report->waiting,
-		(unsigned)report->queue_tokens, report->tokens_per_s);
+		(unsigned)report->queue_tokens, report->tokens_per_s,
+		(int)(report->age / USEC_PER_MSEC));
 }
 
 void ledger_streams(struct ledger *ledger, uint64_t runner,
--- a/tests/entry/test_poller.c
+++ b/tests/entry/test_poller.c
@@ -30,19 +30,23 @@
 	{"load", "lex-decode", true, false, "/load",
 	 "{\"role\":\"decode\",\"pieces_used\":5,\"pieces\":20,"
 	 "\"running\":3,\"waiting\":2,\"queue_tokens\":9,"
-	 "\"tokens_per_s\":1.5}",
-	 "report used=5 running=3 waiting=2 queue=9 rate=1.5\n", false},
+	 "\"tokens_per_s\":1.5,\"age_ms\":120}",
+	 "report used=5 running=3 waiting=2 queue=9 rate=1.5 age=120\n", false},
 	{"leaving", "lex-decode", true, false, "/load", "{\"leaving\":true}",
-	 "fact 1\nreport leaving used=0 running=0 waiting=0 queue=0 rate=0.0\n",
+	 "fact 1\nreport leaving used=0 running=0 waiting=0 queue=0 rate=0.0 "
+	 "age=500\n",
 	 true},
 	{"odd-load", "lex-decode", true, false, "/load",
-	 "{\"pieces_used\":-5,\"running\":\"x\",\"waiting\":null}",
-	 "report used=0 running=0 waiting=0 queue=0 rate=0.0\n", false},
+	 "{\"age_ms\":-5,\"pieces_used\":-5,\"running\":\"x\",\"waiting\":"
+	 "null}",
+	 "report used=0 running=0 waiting=0 queue=0 rate=0.0 age=0\n", false},
 	{"load-garbage", "lex-decode", true, false, "/load", "{",
-	 "report unreachable used=0 running=0 waiting=0 queue=0 rate=0.0\n",
+	 "report unreachable used=0 running=0 waiting=0 queue=0 rate=0.0 "
+	 "age=500\n",
 	 false},
 	{"load-array", "lex-decode", true, false, "/load", "[]",
-	 "report unreachable used=0 running=0 waiting=0 queue=0 rate=0.0\n",
+	 "report unreachable used=0 running=0 waiting=0 queue=0 rate=0.0 "
+	 "age=500\n",
 	 false},
 	{"streams", "lex-decode", true, false, "/streams",
 	 "{\"streams\":[{\"stream\":\"s1\",\"request\":\"00000000000000aa\","
@@ -54,7 +58,8 @@
 	 "{\"streams\":[]}", "streams 0\n", false},
 	{"prefill-has-no-streams", "lex-prefill", true, false, "/streams",
 	 "{\"streams\":[]}",
-	 "report unreachable used=0 running=0 waiting=0 queue=0 rate=0.0\n",
+	 "report unreachable used=0 running=0 waiting=0 queue=0 rate=0.0 "
+	 "age=500\n",
 	 false},
 	{"events", "lex-prefill", true, false, "/events",
 	 "{\"next\":7,\"gap\":true,\"events\":[{\"block\":"
@@ -67,7 +72,7 @@
 	{"server", "settle", false, true, "/-/load", "{\"leaving\":true}",
 	 "fact 1\n", true},
 	{"server-at-home", "settle", true, false, "/-/load", "{\"running\":4}",
-	 "report used=0 running=4 waiting=0 queue=0 rate=0.0\n", false},
+	 "report used=0 running=4 waiting=0 queue=0 rate=0.0 age=500\n", false},
 	{"server-of-another", "settle", false, false, "/-/load", "{}", NULL,
 	 false},
 };
