coord: free a prefill runner when its prompt is known to be computed

Cause: the home books a prefill with its expected time and corrects that only by the runner's next report. A prompt that was sooner done, because more of it was cached than the late cache events tell, left the runner idle until then.

Done: each prefill runner keeps what the prompts that are not known to be computed should take; the holder's message that the transfer has begun, which is sent for the key's record already, ends one, and so do releases. What a runner is believed to be busy then is at most what is left.

Tested: a request that waits for a runner whose report is 0, 300 and 600 ms old, and one behind a prompt that ends early, with a key and without.

--- a/coord/ledger_grant.c
+++ b/coord/ledger_grant.c
@@ -79,6 +79,7 @@
 
 	if (grant->decode == RUNNER_NONE)
 		return;
+	prefill_ended(grant);
 	runner = runner_at(grant->cell, grant->decode);
 	runner->granted -= grant->pieces;
 	g_ptr_array_remove(runner->grants, grant);
--- a/coord/ledger_home.c
+++ b/coord/ledger_home.c
@@ -449,6 +449,8 @@
 			home_revoke(ledger, &owner, request, attempt);
 		return;
 	}
+	prefill_ended(grant);
+	cell_wake(cell);
 	grant_learn_stream(grant, stream);
 	ack_add(ledger, from, incarnation, ACK_PROGRESS, request, attempt);
 }
--- a/coord/ledger_parts.h
+++ b/coord/ledger_parts.h
@@ -142,6 +142,13 @@
 void lanes_sort(struct cell *cell);
 int64_t queue_time(const struct cell *cell, const struct policy_request *need);
 
+/* ledger_prefill.c: when a prefill runner is expected to be free. */
+void prefill_book(struct grant *grant, int64_t time);
+/* The prompt of a grant is known to be computed, or given up. */
+void prefill_ended(struct grant *grant);
+void prefill_forget(struct cell *cell, uint32_t index);
+void prefill_observe(struct cell *cell, uint32_t index, int64_t taken);
+
 /* ledger_view.c: the policy's view, and a pass over the queue. */
 void queue_scan(struct cell *cell);
 void view_fill(struct cell *cell, struct policy_view *view);
--- a/coord/ledger_roles.c
+++ b/coord/ledger_roles.c
@@ -57,8 +57,7 @@
 	view->reported_at = 0;
 	view->reported_pieces = 0;
 	view->reported_queue_tokens = 0;
-	view->busy_until = 0;
-	view->link_until = 0;
+	prefill_forget(cell, index);
 	view->prefill_tokens_per_s = 0;
 	view->decode_tokens_per_s = 0;
 	prefix_forget(cell->prefix, index);
--- a/coord/ledger_runner.c
+++ b/coord/ledger_runner.c
@@ -5,8 +5,6 @@
 /* Observed rates are believed within this factor of the configured one. */
 #define RATE_FACTOR 4.0
 #define RATE_WEIGHT 0.2
-/* A report counts as newer than a grant when it arrives so much later. */
-#define GRANT_TRAVEL_USEC (100 * USEC_PER_MSEC)
 
 struct policy_runner *runner_view(const struct cell *cell, uint32_t index)
 {
@@ -104,6 +102,7 @@
 		g_free(runner->pool);
 		runner->pool = NULL;
 		prefix_forget(cell->prefix, i);
+		prefill_forget(cell, i);
 		*runner_view(cell, i) = view;
 		return i;
 	}
@@ -269,23 +268,6 @@
 				cell->decode->decode_tokens_per_s);
 }
 
-/* A report that has seen all grants corrects the estimate both ways; one that
- * may have missed some only upwards. What it says was so when it was taken. */
-static void observe_queue(const struct runner *runner,
-			  struct policy_runner *view, int64_t taken)
-{
-	int64_t until;
-
-	if (view->role != POOL_PREFILL || view->prefill_tokens_per_s <= 0)
-		return;
-	until = taken +
-		(int64_t)((double)view->reported_queue_tokens /
-			  view->prefill_tokens_per_s * (double)USEC_PER_SEC);
-	if (taken - runner->granted_last > GRANT_TRAVEL_USEC ||
-	    until > view->busy_until)
-		view->busy_until = until;
-}
-
 void runner_report(struct cell *cell, uint32_t index,
 		   const struct ledger_report *report)
 {
@@ -305,7 +287,7 @@
 		view->reported_waiting = report->waiting;
 		view->reported_queue_tokens = report->queue_tokens;
 		observe_rate(cell, view, report);
-		observe_queue(runner, view, now - report->age);
+		prefill_observe(cell, index, now - report->age);
 	}
 	runner_refresh(cell, index);
 }
@@ -337,8 +319,7 @@
 		runner->skip_listing = cell->was_home;
 		runner->reported = 0;
 		view->reported_at = 0;
-		view->busy_until = 0;
-		view->link_until = 0;
+		prefill_forget(cell, i);
 		runner_refresh(cell, i);
 		prefix_forget(cell->prefix, i);
 	}
--- a/coord/ledger_types.h
+++ b/coord/ledger_types.h
@@ -120,6 +120,8 @@
 	uint32_t listings; /* seen without it since it is closing */
 	int64_t granted_at;
 	int64_t expected_end;
+	uint64_t prefilling;  /* runner that computes its prompt, or 0 */
+	int64_t prefill_time; /* that this is expected to take */
 	int64_t closing_since;
 	uint32_t record_state; /* of the key when the grant is gone */
 	char stream[LEDGER_STREAM_MAX];
@@ -180,9 +182,11 @@
 	uint32_t stray_pieces;
 	uint32_t reported;
 	int64_t granted_last;
-	GPtrArray *grants;  /* of decode runners */
-	bool sorted;	    /* by when they are expected to end */
-	GHashTable *strays; /* by stream */
+	uint32_t prefilling;  /* prompts granted and not known as computed */
+	int64_t prefill_time; /* that these are expected to take */
+	GPtrArray *grants;    /* of decode runners */
+	bool sorted;	      /* by when they are expected to end */
+	GHashTable *strays;   /* by stream */
 };
 
 /* What a member has announced to this home. */
--- a/coord/ledger_view.c
+++ b/coord/ledger_view.c
@@ -97,9 +97,10 @@
 	return rate != 0 ? seconds(bytes / (double)rate) : 0;
 }
 
-/* Books the work on prefill runner and links; returns when decode starts. */
+/* Books the work on prefill runner and links; returns when decode starts, and
+ * how long the prefill takes. */
 static int64_t book_work(struct cell *cell, const struct policy_request *need,
-			 const struct placement *placement)
+			 const struct placement *placement, int64_t *takes)
 {
 	struct policy_runner *p = runner_view(cell, placement->prefill);
 	struct policy_runner *d = runner_view(cell, placement->decode);
@@ -112,7 +113,8 @@
 	int64_t at;
 
 	cell->cached_tokens += need->prompt_tokens - tokens;
-	p->busy_until = MAX(p->busy_until, now) + seconds(tokens / rate);
+	*takes = seconds(tokens / rate);
+	p->busy_until = MAX(p->busy_until, now) + *takes;
 	at = MAX(p->busy_until, MAX(p->link_until, d->link_until)) +
 	     transfer_time(cell, need->prompt_tokens);
 	p->link_until = at;
@@ -158,13 +160,15 @@
 {
 	const struct policy_request *need = &waiting->need;
 	struct tag holder = waiting->holder;
-	int64_t end = book_work(cell, need, placement) +
+	int64_t takes;
+	int64_t end = book_work(cell, need, placement, &takes) +
 		      decode_time(cell, need, placement->decode);
 	struct grant *grant;
 
 	ask_grant(waiting, placement->prefill, placement->decode);
 	grant = grant_find(cell, &holder.owner, holder.request);
 	grant->expected_end = end;
+	prefill_book(grant, takes);
 	runner_at(cell, grant->decode)->sorted = false;
 }
 
--- /dev/null
+++ b/tests/ledger/test_prefill.c
@@ -0,0 +1,102 @@
+/* When the home thinks that a prefill runner is free: it is told by reports,
+ * which are old when they are read, and by the holders of grants. */
+#include "world.h"
+
+#define MSEC USEC_PER_MSEC
+#define QUEUE 100000 /* tokens: half a second of the two runners' work */
+
+static struct world *world;
+
+static void begin(void)
+{
+	world = world_create(1, 3, "reserve", 100);
+	world_run(world, 500 * MSEC);
+	world->poll = 60 * USEC_PER_SEC;
+	world_run(world, 200 * MSEC);
+}
+
+static void end(void)
+{
+	world_run(world, 20 * USEC_PER_SEC);
+	invariants_end(world);
+	g_assert_cmpstr(world->broken->str, ==, "");
+	world_destroy(world);
+}
+
+/* Both prefill runners say that QUEUE tokens waited when they took it. */
+static void report(int64_t age)
+{
+	for (int i = 0; i < 2; i++) {
+		struct ledger_report queued = {.runner = world->engines[i].id,
+					       .reachable = true,
+					       .running = 1,
+					       .queue_tokens = QUEUE,
+					       .age = age};
+
+		g_assert_cmpint(world->engines[i].role, ==, POOL_PREFILL);
+		ledger_report(world_home(world)->ledger, &queued);
+	}
+}
+
+static const struct {
+	int64_t age;
+	int64_t waits;
+} ages[] = {{0, 480 * MSEC}, {300 * MSEC, 180 * MSEC}, {600 * MSEC, 0}};
+
+static void test_age(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(ages); i++) {
+		struct job *job;
+		int64_t waited;
+
+		begin();
+		report(ages[i].age);
+		job = app_ask(world, 0, &(struct spec){.key = 0});
+		world_run(world, USEC_PER_SEC);
+		g_assert_cmpuint(job->answers, ==, 1);
+		waited = job->answered_at - job->asked_at;
+		g_assert_cmpint(waited, >=, ages[i].waits);
+		g_assert_cmpint(waited, <, ages[i].waits + 20 * MSEC);
+		end();
+	}
+}
+
+/* The first request has the runner compute for 50 ms, whatever was expected;
+ * its holder's word frees the runner, and only the holder's of a key sends one.
+ */
+static const struct {
+	uint64_t key;
+	int64_t least;
+	int64_t most;
+} ends[] = {{7, 0, 80 * MSEC}, {0, 400 * MSEC, 600 * MSEC}};
+
+static void test_ended(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(ends); i++) {
+		struct spec first = {.key = ends[i].key,
+				     .prefill = 50 * MSEC,
+				     .work = 2 * USEC_PER_SEC};
+		struct job *job;
+		int64_t waited;
+
+		begin();
+		app_ask(world, 0, &first);
+		world_run(world, 20 * MSEC);
+		report(0);
+		job = app_ask(world, 1, &(struct spec){.key = 0});
+		world_run(world, USEC_PER_SEC);
+		g_assert_cmpuint(job->answers, ==, 1);
+		waited = job->answered_at - job->asked_at;
+		g_assert_cmpint(waited, >=, ends[i].least);
+		g_assert_cmpint(waited, <, ends[i].most);
+		end();
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/ledger/prefill/age", test_age);
+	g_test_add_func("/ledger/prefill/ended", test_ended);
+	return g_test_run();
+}
