--- a/tests/order/test_order.c
+++ b/tests/order/test_order.c
@@ -268,6 +268,24 @@
 	site_world_destroy(world);
 }
 
+/* An order whose answer was lost is given again, also when it took effect. */
+static void test_repeated(void)
+{
+	struct site_world *world = start(true, NULL);
+	uint32_t orders = 0;
+
+	g_assert_true(site_world_until(world, BEFORE, draining));
+	for (uint32_t i = 0; i < ENGINES; i++)
+		world->engines[i].lose_answers = 1;
+	g_assert_true(site_world_until(world, BEFORE, changed));
+	site_world_run(world, 10 * SEC);
+	for (uint32_t i = 0; i < ENGINES; i++)
+		orders += world->engines[i].orders;
+	/* One for each as it is, one lost and one answered. */
+	g_assert_cmpuint(orders, ==, ENGINES + 2);
+	site_world_destroy(world);
+}
+
 /* The list is behind when another takes over: it orders the engine as it is,
  * not as it is listed. */
 static void test_takeover_behind(void)
@@ -278,6 +296,8 @@
 	g_assert_true(site_world_until(world, BEFORE, changed));
 	site_world_run(world, 5 * SEC);
 	world->home = 1;
+	site_world_run(world, 20 * SEC);
+	g_assert_cmpuint(withheld_count(world), ==, 1);
 	site_world_run(world, 300 * SEC);
 	g_assert_cmpuint(world->changes, ==, 1);
 	world->list_stuck = false;
@@ -467,6 +487,7 @@
 	g_test_add_func("/order/late-unfenced", test_late_unfenced);
 	g_test_add_func("/order/stale", test_stale);
 	g_test_add_func("/order/lapsed-under-way", test_lapsed_under_way);
+	g_test_add_func("/order/repeated", test_repeated);
 	g_test_add_func("/order/takeover-behind", test_takeover_behind);
 	g_test_add_func("/order/moved", test_moved);
 	g_test_add_func("/order/lapsed", test_lapsed);
