entry: try other instances of the data centre that has the key

The instance that ran a request is often the one whose death makes the caller retry. A retry in another data centre was sent to one instance there, and when that was just the dead one, it was run again here: a second prefill.

Up to three instances are tried now, one after the other, as long as nothing reached one, or the request is idempotent. Only then it is asked for here.

Rows of the request side's paths with an attempt that was not sent have one more such attempt now.

--- a/entry/request_forward.c
+++ b/entry/request_forward.c
@@ -11,6 +11,8 @@
 #include "entry/request.h"
 
 #define FORWARD_HEAD_USEC (120 * USEC_PER_SEC)
+/* Instances of the other data centre that are tried. */
+#define FORWARD_TRIES 3u
 
 static bool header_is(const struct web_header *header, const char *name)
 {
@@ -52,7 +54,8 @@
 					const char *data_centre)
 {
 	const struct membership *members = request->entry->membership;
-	uint64_t id = membership_home(members, data_centre, request->id, 0);
+	uint64_t id = membership_home(members, data_centre, request->id,
+				      request->away_tries);
 
 	return id ? membership_find(members, id) : NULL;
 }
@@ -70,7 +73,7 @@
 		 (long long)(left > USEC_PER_MSEC ? left / USEC_PER_MSEC : 1));
 }
 
-bool request_forward(struct request *request, const char *data_centre)
+static bool forward_send(struct request *request, const char *data_centre)
 {
 	const struct member *member = member_pick(request, data_centre);
 	struct reply *reply =
@@ -83,7 +86,7 @@
 	char *method;
 	char *target;
 
-	if (!member || !reply || reply->started || request->forwarded)
+	if (!member || !reply || reply->started)
 		return false;
 	headers = g_new0(struct web_header,
 			 web_request_headers(reply->web, &unused) + 2);
@@ -109,7 +112,7 @@
 			     .fresh = !request->idempotent,
 		     });
 	request->forwarded = true;
-	request->away = true;
+	g_strlcpy(request->away, data_centre, sizeof(request->away));
 	request->entry->requests->forwards->value++;
 	log_event(LOG_INFO, "request_forwarded", LOG_X("request", request->id),
 		  LOG_S("data_centre", data_centre));
@@ -119,6 +122,22 @@
 	return true;
 }
 
+bool request_forward(struct request *request, const char *data_centre)
+{
+	request->away_tries = 0;
+	return !request->forwarded && forward_send(request, data_centre);
+}
+
+bool request_forward_again(struct request *request)
+{
+	char data_centre[MEMBER_NAME_MAX];
+
+	if (++request->away_tries >= FORWARD_TRIES)
+		return false;
+	g_strlcpy(data_centre, request->away, sizeof(data_centre));
+	return forward_send(request, data_centre);
+}
+
 /* A share of urgent work goes elsewhere when the own cell makes it wait and
  * another does not; any work goes when the own cell can serve none. */
 bool request_spill(struct request *request, bool refused)
--- a/entry/request_join.c
+++ b/entry/request_join.c
@@ -70,7 +70,7 @@
 	char *type_copy = NULL;
 
 	request->status = status;
-	if ((status == 404 && !request->away) || !reply)
+	if ((status == 404 && !request->away[0]) || !reply)
 		return;
 	for (size_t i = 0; i < count; i++) {
 		char *name =
@@ -98,18 +98,18 @@
 	struct request *request = ctx;
 	struct reply *reply = only_reply(request);
 
-	if ((request->status != 404 || request->away) && reply)
+	if ((request->status != 404 || request->away[0]) && reply)
 		web_reply_piece(reply->web, data, size);
 }
 
 /*
  * No answer came. The other data centre may have run it: only an idempotent
- * request, or one that was never sent, is tried here.
+ * request, or one that was never sent, is tried again, there and then here.
  */
 static void join_failed(struct request *request,
 			const struct web_result *result)
 {
-	if (request->away && result->sent && !request->idempotent) {
+	if (request->away[0] && result->sent && !request->idempotent) {
 		request->reached = true;
 		request_fail(request, RESULT_PEER_GONE, USEC_PER_SEC,
 			     "the data centre that took it does not answer");
@@ -121,6 +121,8 @@
 			     "a request with this key was claimed before");
 		return;
 	}
+	if (request->away[0] && request_forward_again(request))
+		return;
 	request_ask_later(request);
 }
 
@@ -155,7 +157,7 @@
 void request_pipe(struct request *request, const struct web_call_spec *spec)
 {
 	request->state = REQUEST_JOINING;
-	request->away = false;
+	request->away[0] = '\0';
 	request->status = 0;
 	request->web_call =
 		web_call(request->entry->client, spec, &join_ops, request);
--- a/include/entry/request.h
+++ b/include/entry/request.h
@@ -91,8 +91,11 @@
 	bool granted;	/* a grant is held and has yet to be released */
 	bool reached;	/* a byte may have reached a backend server */
 	bool forwarded; /* came from, or was sent to, another data centre */
-	bool away;	/* the call under way runs it in another data centre */
-	bool adopted;	/* taken over from an instance that died */
+	/* The data centre that the call under way runs it in, when another, and
+	 * how many of its instances have failed before. */
+	char away[MEMBER_NAME_MAX];
+	uint32_t away_tries;
+	bool adopted; /* taken over from an instance that died */
 	char handle[LEDGER_STREAM_MAX];
 	char stream[LEDGER_STREAM_MAX];
 	int64_t handle_until;
@@ -258,6 +261,8 @@
 
 /* Other data centres (entry/request_forward.c): true when it was sent. */
 bool request_forward(struct request *request, const char *data_centre);
+/* To the next instance there, after one that did not answer. */
+bool request_forward_again(struct request *request);
 /* refused: the own cell's home has just refused it, for want of room. */
 bool request_spill(struct request *request, bool refused);
 
--- a/tests/requests/fakes.c
+++ b/tests/requests/fakes.c
@@ -377,7 +377,7 @@
 uint64_t membership_home(const struct membership *membership,
 			 const char *data_centre, uint64_t key, uint32_t rank)
 {
-	return peer.id;
+	return rank < 2 ? peer.id : 0;
 }
 
 const void *membership_fact_find(const struct membership *membership,
