coord, policy: estimate prefill queues from reports by their age

A report of a prefill queue is as old as the runner's lag. Taken as of now it made a runner look busy for up to a request longer, or free too early, and a decode stream's reported rate was divided by the batch once more. Reports carry their age; the queue is counted from when it was taken, with what was granted since. A prefill also waits when its result would lie for more than half of its keeping time before the links are free. Since reports lag, memory counts as free only after a listing of the streams; a new home that was none before need not skip a poll for it any more.

--- a/bench/ledger.c
+++ b/bench/ledger.c
@@ -157,6 +157,7 @@
 	struct ledger_report report = {.runner = runner, .reachable = true};
 
 	ledger_report(bench->ledger, &report);
+	ledger_streams(bench->ledger, runner, NULL, 0);
 }
 
 static void add_runners(struct bench *bench)
--- a/coord/ledger.c
+++ b/coord/ledger.c
@@ -161,11 +161,12 @@
 	for (guint i = 0; i < ledger->cells->len; i++) {
 		struct cell *cell = g_ptr_array_index(ledger->cells, i);
 		uint64_t home = cell->home;
+		bool was_home = cell->is_home;
 
 		cell_rehome(cell);
 		if (reborn && cell->home == home && !cell->is_home)
 			announce_start(cell);
-		if (member->state == MEMBER_DEAD)
+		if (member->state == MEMBER_DEAD && was_home)
 			cell_member_died(cell, member);
 		if (cell->is_home && cell->settled)
 			home_bury(cell);
--- a/coord/ledger_orphan.c
+++ b/coord/ledger_orphan.c
@@ -187,6 +187,8 @@
 		else
 			stray_seen(cell, index, &streams[i]);
 	}
+	if (!runner->listed)
+		cell_wake(cell);
 	runner->listed = true;
 	close_unlisted(cell, index, streams, count);
 	strays_sum(cell, index);
--- a/coord/ledger_prefill.c
+++ b/coord/ledger_prefill.c
@@ -1,8 +1,22 @@
 /* When a prefill runner is expected to have computed what it was given. */
 #include "ledger_parts.h"
 
-/* A report counts as newer than a grant when it is taken so much later. */
-#define GRANT_TRAVEL_USEC (100 * USEC_PER_MSEC)
+/* Grants are remembered longer than any report is old. What was given just
+ * before a report's figures were taken had not reached the runner then. */
+#define GIVEN_USEC (10 * USEC_PER_SEC)
+#define GIVEN_SLACK_USEC (5 * USEC_PER_MSEC)
+
+static void given_add(GArray *given, int64_t now, int64_t time)
+{
+	struct given entry = {.at = now, .time = time};
+	guint old = 0;
+
+	while (old < given->len &&
+	       g_array_index(given, struct given, old).at < now - GIVEN_USEC)
+		old++;
+	g_array_remove_range(given, 0, old);
+	g_array_append_val(given, entry);
+}
 
 void prefill_book(struct grant *grant, int64_t time)
 {
@@ -12,6 +26,7 @@
 	grant->prefill_time = time;
 	runner->prefilling++;
 	runner->prefill_time += time;
+	given_add(runner->given, clock_now(grant->cell->ledger->clock), time);
 }
 
 /* What is left cannot take longer than it would from now on: the prompt may
@@ -47,22 +62,31 @@
 	view->link_until = 0;
 	runner->prefilling = 0;
 	runner->prefill_time = 0;
+	g_array_set_size(runner->given, 0);
 }
 
-/* A report that has seen all grants corrects the estimate both ways; one that
- * may have missed some only upwards. What it says was so when it was taken. */
+/* What was queued when the report was taken, and what was given since; that
+ * cannot take longer than all prompts that are not known to be computed. */
 void prefill_observe(struct cell *cell, uint32_t index, int64_t taken)
 {
 	struct policy_runner *view = runner_view(cell, index);
 	const struct runner *runner = runner_at(cell, index);
-	int64_t until;
+	int64_t now = clock_now(cell->ledger->clock);
+	int64_t queued, until;
 
 	if (view->role != POOL_PREFILL || view->prefill_tokens_per_s <= 0)
 		return;
-	until = taken +
-		(int64_t)((double)view->reported_queue_tokens /
-			  view->prefill_tokens_per_s * (double)USEC_PER_SEC);
-	if (taken - runner->granted_last > GRANT_TRAVEL_USEC ||
-	    until > view->busy_until)
-		view->busy_until = until;
+	queued = taken +
+		 (int64_t)((double)view->reported_queue_tokens /
+			   view->prefill_tokens_per_s * (double)USEC_PER_SEC);
+	until = queued;
+	for (guint i = 0; i < runner->given->len; i++) {
+		const struct given *given =
+			&g_array_index(runner->given, struct given, i);
+
+		if (given->at > taken - GIVEN_SLACK_USEC)
+			until = MAX(until, given->at) + given->time;
+	}
+	until = MIN(until, now + MAX(runner->prefill_time, 0));
+	view->busy_until = MAX(until, queued);
 }
--- a/coord/ledger_roles.c
+++ b/coord/ledger_roles.c
@@ -49,7 +49,6 @@
 	runner->pool = g_strdup(pool);
 	g_hash_table_remove_all(runner->strays);
 	runner->stray_pieces = 0;
-	runner->reported = 0;
 	runner->listed = false;
 	/* Answers to polls under way are of the former role. */
 	runner->skip_report = true;
--- a/coord/ledger_runner.c
+++ b/coord/ledger_runner.c
@@ -28,20 +28,12 @@
 	struct runner *runner = data;
 
 	g_ptr_array_free(runner->grants, TRUE);
+	g_array_free(runner->given, TRUE);
 	g_hash_table_destroy(runner->strays);
 	g_free(runner->pool);
 	g_free(runner);
 }
 
-static uint32_t unknown_pieces(const struct runner *runner)
-{
-	if (runner->listed)
-		return runner->stray_pieces;
-	return runner->reported > runner->granted
-		       ? runner->reported - runner->granted
-		       : 0;
-}
-
 void runner_refresh(struct cell *cell, uint32_t index)
 {
 	struct policy_runner *view = runner_view(cell, index);
@@ -49,8 +41,9 @@
 
 	view->usable = runner->known && runner->reachable &&
 		       !runner->list_leaving && !runner->report_leaving &&
-		       !runner->withheld && view->reported_at > 0;
-	view->granted_pieces = runner->granted + unknown_pieces(runner);
+		       !runner->withheld && view->reported_at > 0 &&
+		       (runner->listed || view->role != POOL_DECODE);
+	view->granted_pieces = runner->granted + runner->stray_pieces;
 	view->granted_running = runner->grants->len;
 }
 
@@ -108,6 +101,7 @@
 	}
 	runner = g_new0(struct runner, 1);
 	runner->grants = g_ptr_array_new();
+	runner->given = g_array_new(FALSE, FALSE, sizeof(struct given));
 	runner->strays = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					       stray_destroy);
 	g_ptr_array_add(cell->runners, runner);
@@ -131,7 +125,6 @@
 	runner->listed = false;
 	runner->granted = 0;
 	runner->stray_pieces = 0;
-	runner->reported = 0;
 	runner_view(cell, index)->id = entry->id;
 	g_hash_table_insert(cell->by_id, &runner->id,
 			    GUINT_TO_POINTER(index + 1));
@@ -263,8 +256,7 @@
 			cell->prefill->prefill_tokens_per_s);
 	else if (view->role == POOL_DECODE)
 		view->decode_tokens_per_s =
-			observe(view->decode_tokens_per_s,
-				report->tokens_per_s / MAX(report->running, 1u),
+			observe(view->decode_tokens_per_s, report->tokens_per_s,
 				cell->decode->decode_tokens_per_s);
 }
 
@@ -280,7 +272,6 @@
 	if (report->reachable && runner->skip_report) {
 		runner->skip_report = false;
 	} else if (report->reachable) {
-		runner->reported = report->pieces_used;
 		view->reported_at = MAX(now, 1);
 		view->reported_pieces = report->pieces_used;
 		view->reported_running = report->running;
@@ -317,7 +308,6 @@
 		runner->listed = false;
 		runner->skip_report = cell->was_home;
 		runner->skip_listing = cell->was_home;
-		runner->reported = 0;
 		view->reported_at = 0;
 		prefill_forget(cell, i);
 		runner_refresh(cell, i);
--- a/coord/ledger_types.h
+++ b/coord/ledger_types.h
@@ -166,6 +166,12 @@
 	struct timer timer;
 };
 
+/* A prompt that a prefill runner was given. */
+struct given {
+	int64_t at;
+	int64_t time; /* that it should take */
+};
+
 /* Beside the policy_runner of the same index. */
 struct runner {
 	uint64_t id;
@@ -182,10 +188,9 @@
 	bool skip_listing;
 	uint32_t granted;
 	uint32_t stray_pieces;
-	uint32_t reported;
-	int64_t granted_last;
 	uint32_t prefilling;  /* prompts granted and not known as computed */
 	int64_t prefill_time; /* that these are expected to take */
+	GArray *given;	      /* struct given of late, oldest first */
 	GPtrArray *grants;    /* of decode runners */
 	bool sorted;	      /* by when they are expected to end */
 	GHashTable *strays;   /* by stream */
--- a/coord/ledger_view.c
+++ b/coord/ledger_view.c
@@ -119,7 +119,6 @@
 	     transfer_time(cell, need->prompt_tokens);
 	p->link_until = at;
 	d->link_until = at;
-	runner_at(cell, placement->prefill)->granted_last = now;
 	for (uint32_t i = 0; i < need->block_count; i++)
 		prefix_store(cell->prefix, placement->prefill, need->blocks[i]);
 	cell->depth_for = NULL;
--- a/include/coord/ledger.h
+++ b/include/coord/ledger.h
@@ -103,7 +103,8 @@
 	RELEASE_FAILED,	   /* outcome unknown */
 };
 
-/* What a runner reports (polled by the cell's home through the embedder). */
+/* What a runner reports (polled by the cell's home through the embedder). A
+ * decode runner gets no work before its streams were listed as well. */
 struct ledger_report {
 	uint64_t runner;
 	bool reachable;
@@ -112,8 +113,10 @@
 	uint32_t running;
 	uint32_t waiting;
 	uint64_t queue_tokens;
-	double tokens_per_s; /* of its role's work, of late; 0 unknown */
-	int64_t age;	     /* microseconds since the runner took it */
+	/* While it works: of all prompts (prefill), of one stream (decode); 0
+	 * unknown. */
+	double tokens_per_s;
+	int64_t age; /* microseconds since the runner took it */
 };
 
 /* A stream that a runner lists as existing. */
--- a/policy/reserve.c
+++ b/policy/reserve.c
@@ -235,6 +235,25 @@
 	return best;
 }
 
+/* How long a prefill has to wait so that its result, of whose keeping time half
+ * is left for what the estimates miss, is still held when the links are free.
+ */
+static int64_t link_wait(const struct policy_view *view,
+			 const struct policy_request *request,
+			 const struct placement *placement)
+{
+	const struct policy_runner *p = &view->runners[placement->prefill];
+	const struct policy_runner *d = &view->runners[placement->decode];
+	int64_t keep = (int64_t)view->prefill_pool->hold_ms * USEC_PER_MSEC / 2;
+	int64_t ready = MAX(p->busy_until, view->now) +
+			prefill_time(view, placement->prefill, request);
+	int64_t wait = MAX(p->link_until, d->link_until) - ready - keep;
+
+	if (view->prefill_pool->hold_ms == 0)
+		return 0;
+	return MAX(wait, 0);
+}
+
 static enum verdict refuse(struct placement *placement, enum result_code code,
 			   int64_t retry_after)
 {
@@ -289,6 +308,12 @@
 		return wait_for_memory(rs, view, request, placement);
 	placement->prefill = choose_prefill(rs, view, request, &free_at);
 	if (placement->prefill != RUNNER_NONE) {
+		int64_t wait = link_wait(view, request, placement);
+
+		if (wait > 0) {
+			placement->again_at = view->now + wait;
+			return VERDICT_WAIT;
+		}
 		account(rs, view, request);
 		return VERDICT_START;
 	}
--- a/tests/ledger/engine.c
+++ b/tests/ledger/engine.c
@@ -128,6 +128,7 @@
 	answer->instance = instance;
 	answer->report.runner = engine->id;
 	answer->report.reachable = true;
+	answer->report.age = LAG_USEC;
 	answer->report.leaving = engine->leaving;
 	answer->report.pieces_used = engine->used;
 	answer->streams = g_new0(struct ledger_stream,
--- a/tests/ledger/test_path.c
+++ b/tests/ledger/test_path.c
@@ -388,6 +388,66 @@
 	end();
 }
 
+struct queue_row {
+	const char *name;
+	uint64_t tokens; /* 200,000 a second */
+	int64_t age;
+	int64_t wait; /* expected, less the 20 ms that a prefill starts ahead */
+	uint32_t given; /* tokens granted after the figures were taken */
+	double rate;	/* as reported 40 times before; 0: not */
+};
+
+static const struct queue_row queues[] = {
+	{"idle", 0, 0, 0, 0, 0},
+	{"busy", 100000, 0, 500 * MSEC, 0, 0},
+	{"aged", 100000, 400 * MSEC, 100 * MSEC, 0, 0},
+	{"past", 100000, 800 * MSEC, 0, 0, 0},
+	{"slower", 10000, 0, 200 * MSEC, 0, 50000},
+	{"given-since", 0, 800 * MSEC, 100 * MSEC, 6000, 50000},
+};
+
+static void report_prefill(const struct ledger_report *figures, int times)
+{
+	for (int i = 0; i < 2 * times; i++) {
+		struct ledger_report report = *figures;
+
+		report.runner = world->engines[i % 2].id;
+		ledger_report(world_home(world)->ledger, &report);
+	}
+}
+
+/* Reports of the prefill queue are corrected by their age, and by what was
+ * granted since; the rate follows what is reported while there is work. */
+static void test_prefill_queue(const void *data)
+{
+	const struct queue_row *row = data;
+	struct spec spec = {.tokens = 2 * row->given};
+	struct ledger_report report = {
+		.reachable = true, .running = 1, .tokens_per_s = row->rate};
+	struct job *job;
+	int64_t waited;
+
+	begin("reserve", 100);
+	world->poll = 30 * USEC_PER_SEC;
+	world_run(world, 200 * MSEC);
+	report_prefill(&report, 40);
+	for (int i = 0; row->given > 0 && i < 2; i++)
+		app_ask(world, i, &spec);
+	world_run(world, 10 * MSEC);
+	report.queue_tokens = row->tokens;
+	report.age = row->age;
+	report_prefill(&report, 1);
+	job = app_ask(world, 0, &(struct spec){.tokens = 200});
+	world_run(world, USEC_PER_SEC);
+	waited = job->answered_at - job->asked_at;
+	g_test_message("waited %ld ms", (long)(waited / MSEC));
+	g_assert_cmpint(waited, >=, MAX(row->wait - 35 * MSEC, 0));
+	g_assert_cmpint(waited, <=, row->wait + 15 * MSEC);
+	world->poll = 100 * MSEC;
+	world_run(world, 30 * USEC_PER_SEC);
+	end();
+}
+
 /* A stream that no grant is known for is cancelled after the grace time. */
 static void test_stray(void)
 {
@@ -591,6 +651,11 @@
 			   keys[i].name);
 		g_test_add_data_func(path, &keys[i], test_key);
 	}
+	for (size_t i = 0; i < G_N_ELEMENTS(queues); i++) {
+		g_snprintf(path, sizeof(path), "/ledger/path/prefill-queue-%s",
+			   queues[i].name);
+		g_test_add_data_func(path, &queues[i], test_prefill_queue);
+	}
 	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
 		g_snprintf(path, sizeof(path), "/ledger/path/at-once-%s",
 			   policies[i]);
--- a/tests/ledger/test_rehome.c
+++ b/tests/ledger/test_rehome.c
@@ -117,6 +117,31 @@
 	end();
 }
 
+/* Reports lag: memory is proved free by a listing of the streams only. */
+static void test_needs_listing(void)
+{
+	struct ledger_report report = {.reachable = true};
+	struct job *job;
+
+	begin();
+	world->poll = 30 * USEC_PER_SEC;
+	world_run(world, 200 * MSEC);
+	world_kill(world, home);
+	world_run(world, USEC_PER_SEC);
+	for (int i = 0; i < world->engine_count; i++) {
+		report.runner = world->engines[i].id;
+		ledger_report(world->instances[next].ledger, &report);
+	}
+	job = app_ask(world, other, &(struct spec){.tokens = 16000});
+	world_run(world, 300 * MSEC);
+	g_assert_cmpuint(job->answers, ==, 0);
+	world->poll = 100 * MSEC;
+	engine_poll(&world->instances[next]);
+	world_run(world, 100 * MSEC);
+	g_assert_cmpuint(job->answers, ==, 1);
+	end();
+}
+
 static uint32_t grants_given(void)
 {
 	struct ledger_stats stats;
@@ -208,6 +233,7 @@
 			test_report_before_rebirth);
 	g_test_add_func("/ledger/rehome/report-before-death",
 			test_report_before_death);
+	g_test_add_func("/ledger/rehome/needs-listing", test_needs_listing);
 	g_test_add_func("/ledger/rehome/late-grant", test_late_grant);
 	g_test_add_func("/ledger/rehome/conflict", test_conflict);
 	g_test_add_func("/ledger/rehome/progress", test_progress);
--- a/tests/policy/test_policy.c
+++ b/tests/policy/test_policy.c
@@ -16,9 +16,9 @@
 static struct policy_request request;
 static struct placement placement;
 
-static const struct config_pool prefill_pool = {.role = POOL_PREFILL,
-						.kv_bytes_per_token = 1000,
-						.link_bytes_per_s = 100000000};
+static struct config_pool prefill_pool = {.role = POOL_PREFILL,
+					  .kv_bytes_per_token = 1000,
+					  .link_bytes_per_s = 100000000};
 static const struct config_pool decode_pool = {
 	.role = POOL_DECODE, .pieces = 8, .piece_tokens = 2048};
 
@@ -253,6 +253,23 @@
 	end();
 }
 
+/* A result is kept for 400 ms: with half of that to spare, the prefill of 200
+ * ms ends when the link is free. */
+static void test_reserve_link(void)
+{
+	begin("reserve", NULL);
+	prefill_pool.hold_ms = 400;
+	runners[2].link_until = NOW + 300 * MSEC;
+	runners[3].usable = false;
+	g_assert_cmpint(place(), ==, VERDICT_START);
+	runners[2].link_until = NOW + 500 * MSEC;
+	g_assert_cmpint(place(), ==, VERDICT_WAIT);
+	g_assert_cmpint(placement.again_at, ==, NOW + 100 * MSEC);
+	prefill_pool.hold_ms = 0;
+	g_assert_cmpint(place(), ==, VERDICT_START);
+	end();
+}
+
 /* The transfer of 2,000,000 bytes takes 20 ms: sooner is certainly missed. */
 static void test_reserve_deadline(void)
 {
@@ -353,6 +370,7 @@
 	g_test_add_func("/policy/reserve/memory", test_reserve_memory);
 	g_test_add_func("/policy/reserve/slots", test_reserve_slots);
 	g_test_add_func("/policy/reserve/prefill", test_reserve_prefill);
+	g_test_add_func("/policy/reserve/link", test_reserve_link);
 	g_test_add_func("/policy/reserve/deadline", test_reserve_deadline);
 	g_test_add_func("/policy/reserve/rank", test_reserve_rank);
 	g_test_add_func("/policy/reserve/params", test_reserve_params);
