tests: list the runners' streams in the fake of the data centres

A poll now brings the listing too; no check was changed. Before: data-centres-keys and data-centres-level failed. After: 16 and 20 pass.

--- a/tests/data_centres/site.c
+++ b/tests/data_centres/site.c
@@ -364,8 +364,12 @@
 			.reachable = !(instance->site->down[centre] & 1u << i),
 		};
 
-		if (ledger_is_home(instance->ledger, report.runner))
-			ledger_report(instance->ledger, &report);
+		if (!ledger_is_home(instance->ledger, report.runner))
+			continue;
+		ledger_report(instance->ledger, &report);
+		if (report.reachable)
+			ledger_streams(instance->ledger, report.runner, NULL,
+				       0);
 	}
 	timer_start(timer, POLL_USEC);
 }
