--- a/include/load/call.h
+++ b/include/load/call.h
@@ -3,11 +3,11 @@
  *
  * DESCRIPTION
  *	Sends the call to one of the targets and checks the answer as it
- *	comes. A refusal that says not-run and names a Retry-After is tried
- *	again after it; a call that reached no target, and a keyed call whose
- *	connection broke, is tried again at another target, under the same key;
- *	all at most as often as the kind allows. fn runs exactly once, unless
- *call_drop() comes first.
+ *	comes. A refusal that names a Retry-After is tried again after it when
+ *	it says not-run or the call has a key. A call that reached no target,
+ *	and a keyed call whose connection broke, is tried again at another
+ *	target. All go under the same key, at most as often as the kind allows.
+ *	fn runs exactly once, unless call_drop() comes first.
  */
 #ifndef LOAD_CALL_H
 #define LOAD_CALL_H
--- a/load/call.c
+++ b/load/call.c
@@ -101,8 +101,8 @@
 		return -1;
 	if (verdict == CALL_BROKEN && (kind->key || !sent))
 		return BROKEN_RETRY_USEC;
-	if (verdict == CALL_REFUSED && answer->outcome == OUTCOME_NOT_RUN &&
-	    answer->retry_after >= 0)
+	if (verdict == CALL_REFUSED && answer->retry_after >= 0 &&
+	    (answer->outcome == OUTCOME_NOT_RUN || kind->key))
 		return MAX(answer->retry_after * USEC_PER_SEC,
 			   BROKEN_RETRY_USEC);
 	return -1;
