policy: wait only for links that are really full

Cause: reserve waited with a prefill until half of its result's keeping time before the links were expected to be free, and these were booked as busy until the last transfer granted would end. A transfer follows its prefill, so behind a long prompt an idle link looked taken for seconds, and urgent requests waited for it: their first token at 150% of Arequipa's capacity had grown.

Done: the view tells also when the link would be free had the transfers followed each other from their grants (link_free), which exceeds the keeping time only when transfers come faster than the link takes them; the wait goes by that.

--- a/coord/ledger_prefill.c
+++ b/coord/ledger_prefill.c
@@ -60,6 +60,7 @@
 
 	view->busy_until = 0;
 	view->link_until = 0;
+	view->link_free = 0;
 	runner->prefilling = 0;
 	runner->prefill_time = 0;
 	g_array_set_size(runner->given, 0);
--- a/coord/ledger_view.c
+++ b/coord/ledger_view.c
@@ -110,15 +110,17 @@
 	uint32_t tokens =
 		need->prompt_tokens > cached ? need->prompt_tokens - cached : 0;
 	double rate = MAX(p->prefill_tokens_per_s, 1.0);
+	int64_t transfer = transfer_time(cell, need->prompt_tokens);
 	int64_t at;
 
 	cell->cached_tokens += need->prompt_tokens - tokens;
 	*takes = seconds(tokens / rate);
 	p->busy_until = MAX(p->busy_until, now) + *takes;
-	at = MAX(p->busy_until, MAX(p->link_until, d->link_until)) +
-	     transfer_time(cell, need->prompt_tokens);
+	at = MAX(p->busy_until, MAX(p->link_until, d->link_until)) + transfer;
 	p->link_until = at;
 	d->link_until = at;
+	p->link_free = MAX(p->link_free, now) + transfer;
+	d->link_free = MAX(d->link_free, now) + transfer;
 	for (uint32_t i = 0; i < need->block_count; i++)
 		prefix_store(cell->prefix, placement->prefill, need->blocks[i]);
 	cell->depth_for = NULL;
--- a/include/policy/policy.h
+++ b/include/policy/policy.h
@@ -51,6 +51,10 @@
 	int64_t busy_until;
 	/* Link: when the transfers granted so far are expected to be done. */
 	int64_t link_until;
+	/* Link: when they would be done had each begun when it was granted or
+	 * when the one before ended. The link stands idle while prompts are
+	 * computed, so this is sooner. */
+	int64_t link_free;
 	double prefill_tokens_per_s; /* as observed, else as configured */
 	double decode_tokens_per_s;
 };
--- a/policy/reserve.c
+++ b/policy/reserve.c
@@ -247,7 +247,7 @@
 	int64_t keep = (int64_t)view->prefill_pool->hold_ms * USEC_PER_MSEC / 2;
 	int64_t ready = MAX(p->busy_until, view->now) +
 			prefill_time(view, placement->prefill, request);
-	int64_t wait = MAX(p->link_until, d->link_until) - ready - keep;
+	int64_t wait = MAX(p->link_free, d->link_free) - ready - keep;
 
 	if (view->prefill_pool->hold_ms == 0)
 		return 0;
