policy: let deferrable work that is late make way

Cause: under a lasting overload a queue in order of arrival serves each request at the age of the queue. Once that is above the target for the first token, all miss it.

Done: a deferrable request that is likely to miss its target (two prefills and the transfer from now) ranks as if it had come ten minutes later (late_ms). It is not dropped, and no later request passes it after that time.

Tested: the rank just in time, just late, and against later arrivals.

--- a/policy/reserve.c
+++ b/policy/reserve.c
@@ -18,6 +18,12 @@
 	 "after this wait a request holds a runner for itself"},
 	{"deferrable_share", 0.001, 1, 0.1,
 	 "share of urgent memory that deferrable requests are owed"},
+	{"late_ms", 0, TIME_MS_MAX, 600000,
+	 "a deferrable request that has missed its target goes behind those "
+	 "that arrive so much later"},
+	{"long_ms", 0, TIME_MS_MAX, 1000,
+	 "deferrable prefills longer than this leave a runner of the cell that "
+	 "is free sooner; 0: need not"},
 	{"credit_pieces", 1, 1e6, 32, "pieces of memory owed at most"},
 };
 
@@ -32,10 +38,12 @@
 #define BAND_DEFERRABLE BAND
 
 struct reserve {
-	int64_t ahead;	/* how long before a prefill runner is free */
-	int64_t ageing; /* after this wait a deferrable may be owed memory */
-	int64_t hold;	/* after this wait a request holds a runner */
-	double share;	/* of urgent pieces that deferrable work is owed */
+	int64_t ahead;	 /* how long before a prefill runner is free */
+	int64_t ageing;	 /* after this wait a deferrable may be owed memory */
+	int64_t hold;	 /* after this wait a request holds a runner */
+	int64_t longest; /* that all prefill runners may be busy at once */
+	int64_t late;	 /* a late deferrable ranks as if it came so later */
+	double share;	 /* of urgent pieces that deferrable work is owed */
 	double credit_max;
 	double credit; /* pieces owed to deferrable work */
 };
@@ -57,6 +65,8 @@
 	rs->ahead = ms(settings, "ahead_ms");
 	rs->ageing = ms(settings, "ageing_ms");
 	rs->hold = ms(settings, "hold_ms");
+	rs->late = ms(settings, "late_ms");
+	rs->longest = ms(settings, "long_ms");
 	rs->share = policy_value(&policy_reserve, settings, "deferrable_share");
 	rs->credit_max =
 		policy_value(&policy_reserve, settings, "credit_pieces");
@@ -116,6 +126,33 @@
 	return view->now - request->arrived >= rs->ageing && rs->credit >= need;
 }
 
+/* What a request takes when a prefill runner is first busy with another one
+ * like it, and nothing of the prompt is cached. */
+static int64_t likely_time(const struct policy_view *view,
+			   const struct policy_request *request)
+{
+	double rate = view->prefill_pool->prefill_tokens_per_s;
+	double prefill = rate > 0 ? request->prompt_tokens / rate : 0;
+
+	return (int64_t)(2 * prefill * (double)USEC_PER_SEC) +
+	       transfer_time(view, request);
+}
+
+/* Under a lasting overload a queue in order of arrival serves each request too
+ * late; those that can still be in time go first. */
+static int64_t deferrable_rank(const struct reserve *rs,
+			       const struct policy_view *view,
+			       const struct policy_request *request)
+{
+	int64_t by = request->first_token_by;
+
+	if (owed(rs, view, request))
+		return BAND_OWED + request->arrived;
+	if (by != CLOCK_NEVER && view->now + likely_time(view, request) > by)
+		return BAND_DEFERRABLE + request->arrived + rs->late;
+	return BAND_DEFERRABLE + request->arrived;
+}
+
 static int64_t reserve_rank(void *state, const struct policy_view *view,
 			    const struct policy_request *request)
 {
@@ -123,8 +160,7 @@
 	int64_t by = request->first_token_by;
 
 	if (request->class != CLASS_URGENT)
-		return (owed(rs, view, request) ? BAND_OWED : BAND_DEFERRABLE) +
-		       request->arrived;
+		return deferrable_rank(rs, view, request);
 	if (by == CLOCK_NEVER)
 		by = request->deadline;
 	if (by == CLOCK_NEVER)
@@ -254,6 +290,29 @@
 	return MAX(wait, 0);
 }
 
+/* How long a deferrable request has to wait so that it does not take the last
+ * prefill runner that urgent ones could have soon. A cell's only runner is
+ * taken all the same. */
+static int64_t long_wait(const struct reserve *rs,
+			 const struct policy_view *view,
+			 const struct policy_request *request, uint32_t prefill)
+{
+	int64_t next = CLOCK_NEVER;
+
+	if (request->class == CLASS_URGENT || rs->longest == 0 ||
+	    prefill_time(view, prefill, request) <= rs->longest)
+		return 0;
+	for (uint32_t i = 0; i < view->runner_count; i++) {
+		const struct policy_runner *r = &view->runners[i];
+
+		if (i != prefill && runner_takes(r, POOL_PREFILL))
+			next = MIN(next, r->busy_until);
+	}
+	if (next == CLOCK_NEVER)
+		return 0;
+	return MAX(next - view->now - rs->longest, 0);
+}
+
 static enum verdict refuse(struct placement *placement, enum result_code code,
 			   int64_t retry_after)
 {
@@ -308,7 +367,9 @@
 		return wait_for_memory(rs, view, request, placement);
 	placement->prefill = choose_prefill(rs, view, request, &free_at);
 	if (placement->prefill != RUNNER_NONE) {
-		int64_t wait = link_wait(view, request, placement);
+		int64_t wait =
+			MAX(link_wait(view, request, placement),
+			    long_wait(rs, view, request, placement->prefill));
 
 		if (wait > 0) {
 			placement->again_at = view->now + wait;
--- a/tests/policy/test_policy.c
+++ b/tests/policy/test_policy.c
@@ -323,6 +323,27 @@
 	end();
 }
 
+/* Prefill takes 200 ms, after another one, and the transfer 20: a target that
+ * is nearer is likely to be missed. */
+static void test_reserve_late(void)
+{
+	int64_t in_time, late, never, next;
+
+	begin("reserve", NULL);
+	in_time = rank_of(CLASS_DEFERRABLE, NOW - 60 * SEC, NOW + 421 * MSEC);
+	late = rank_of(CLASS_DEFERRABLE, NOW - 60 * SEC, NOW + 419 * MSEC);
+	never = rank_of(CLASS_DEFERRABLE, NOW - 60 * SEC, CLOCK_NEVER);
+	next = rank_of(CLASS_DEFERRABLE, NOW, NOW + 60 * SEC);
+	g_assert_cmpint(in_time, ==, never);
+	g_assert_cmpint(in_time, <, next);
+	g_assert_cmpint(late, >, next);
+	/* Only behind those of the next ten minutes. */
+	g_assert_cmpint(
+		late, <,
+		rank_of(CLASS_DEFERRABLE, NOW + 600 * SEC, CLOCK_NEVER));
+	end();
+}
+
 struct param_row {
 	const char *name;
 	double value;
@@ -336,6 +357,7 @@
 		{"ageing_ms", -1, false},	{"hold_ms", -1, false},
 		{"deferrable_share", 0, false}, {"deferrable_share", 1, true},
 		{"deferrable_share", 2, false}, {"credit_pieces", 0, false},
+		{"late_ms", -1, false},
 	};
 
 	ops = policy_find("reserve", NULL);
@@ -376,6 +398,7 @@
 	g_test_add_func("/policy/reserve/link", test_reserve_link);
 	g_test_add_func("/policy/reserve/deadline", test_reserve_deadline);
 	g_test_add_func("/policy/reserve/rank", test_reserve_rank);
+	g_test_add_func("/policy/reserve/late", test_reserve_late);
 	g_test_add_func("/policy/reserve/params", test_reserve_params);
 	return g_test_run();
 }
