policy: take out the rule for long prompts

It kept a deferrable prefill of more than a second from taking the last prefill runner of a cell that was free within a second, for the sake of urgent requests.

--- a/policy/reserve.c
+++ b/policy/reserve.c
@@ -21,9 +21,6 @@
 	{"late_ms", 0, TIME_MS_MAX, 600000,
 	 "a deferrable request that has missed its target goes behind those "
 	 "that arrive so much later"},
-	{"long_ms", 0, TIME_MS_MAX, 1000,
-	 "deferrable prefills longer than this leave a runner of the cell that "
-	 "is free sooner; 0: need not"},
 	{"credit_pieces", 1, 1e6, 32, "pieces of memory owed at most"},
 };
 
@@ -38,12 +35,11 @@
 #define BAND_DEFERRABLE BAND
 
 struct reserve {
-	int64_t ahead;	 /* how long before a prefill runner is free */
-	int64_t ageing;	 /* after this wait a deferrable may be owed memory */
-	int64_t hold;	 /* after this wait a request holds a runner */
-	int64_t longest; /* that all prefill runners may be busy at once */
-	int64_t late;	 /* a late deferrable ranks as if it came so later */
-	double share;	 /* of urgent pieces that deferrable work is owed */
+	int64_t ahead;	/* how long before a prefill runner is free */
+	int64_t ageing; /* after this wait a deferrable may be owed memory */
+	int64_t hold;	/* after this wait a request holds a runner */
+	int64_t late;	/* a late deferrable ranks as if it came so later */
+	double share;	/* of urgent pieces that deferrable work is owed */
 	double credit_max;
 	double credit; /* pieces owed to deferrable work */
 };
@@ -66,7 +62,6 @@
 	rs->ageing = ms(settings, "ageing_ms");
 	rs->hold = ms(settings, "hold_ms");
 	rs->late = ms(settings, "late_ms");
-	rs->longest = ms(settings, "long_ms");
 	rs->share = policy_value(&policy_reserve, settings, "deferrable_share");
 	rs->credit_max =
 		policy_value(&policy_reserve, settings, "credit_pieces");
@@ -290,29 +285,6 @@
 	return MAX(wait, 0);
 }
 
-/* How long a deferrable request has to wait so that it does not take the last
- * prefill runner that urgent ones could have soon. A cell's only runner is
- * taken all the same. */
-static int64_t long_wait(const struct reserve *rs,
-			 const struct policy_view *view,
-			 const struct policy_request *request, uint32_t prefill)
-{
-	int64_t next = CLOCK_NEVER;
-
-	if (request->class == CLASS_URGENT || rs->longest == 0 ||
-	    prefill_time(view, prefill, request) <= rs->longest)
-		return 0;
-	for (uint32_t i = 0; i < view->runner_count; i++) {
-		const struct policy_runner *r = &view->runners[i];
-
-		if (i != prefill && runner_takes(r, POOL_PREFILL))
-			next = MIN(next, r->busy_until);
-	}
-	if (next == CLOCK_NEVER)
-		return 0;
-	return MAX(next - view->now - rs->longest, 0);
-}
-
 static enum verdict refuse(struct placement *placement, enum result_code code,
 			   int64_t retry_after)
 {
@@ -367,9 +339,7 @@
 		return wait_for_memory(rs, view, request, placement);
 	placement->prefill = choose_prefill(rs, view, request, &free_at);
 	if (placement->prefill != RUNNER_NONE) {
-		int64_t wait =
-			MAX(link_wait(view, request, placement),
-			    long_wait(rs, view, request, placement->prefill));
+		int64_t wait = link_wait(view, request, placement);
 
 		if (wait > 0) {
 			placement->again_at = view->now + wait;
