load: take the middle of an even number of runs, and show token gaps

The median of two runs was the higher one. It is their mean now, and the table tells the 99th percentile of the gap between an urgent call's tokens, which shows when the machine, and not the policy, made calls miss their targets. Tested: two and three runs of a setting.

--- a/load/table.c
+++ b/load/table.c
@@ -19,6 +19,7 @@
 	{"goodput deferrable %", "deferrable", "goodput_percent", NULL},
 	{"urgent first token p50 ms", "urgent", "first_token_ms", "p50"},
 	{"urgent first token p99 ms", "urgent", "first_token_ms", "p99"},
+	{"urgent between tokens p99 ms", "urgent", "between_tokens_ms", "p99"},
 	{"deferrable total p50 s", "deferrable", "total_ms", "p50"},
 	{"wasted prefill %", NULL, "wasted_percent", NULL},
 	{"refused", NULL, "refused", NULL},
@@ -110,6 +111,16 @@
 	return (x > y) - (x < y);
 }
 
+static double value_median(const GArray *values)
+{
+	guint half = values->len / 2;
+	double upper = g_array_index(values, double, half);
+
+	if (values->len % 2 == 1)
+		return upper;
+	return (g_array_index(values, double, half - 1) + upper) / 2;
+}
+
 /* Median, and the range behind it when there are several runs. */
 static void cell_print(const struct column *column, const GPtrArray *reports,
 		       GString *out)
@@ -130,9 +141,7 @@
 	if (values->len == 0) {
 		g_string_append(out, " - |");
 	} else {
-		g_string_append_printf(
-			out, " %.2f",
-			g_array_index(values, double, values->len / 2));
+		g_string_append_printf(out, " %.2f", value_median(values));
 		if (values->len > 1)
 			g_string_append_printf(
 				out, " (%.2f–%.2f)",
