tests: cut a data centre off from the platform

A data centre has to go on serving when neither list nor log can be reached. The session driver gets a TCP relay that can be cut and mended; a session cuts all instances off: summaries are answered, a booking is refused as not run, a leaving server and a leaving runner get no new work within three seconds of load, a new instance takes configuration and servers from its peers, and all goes on once the link is mended.

--- a/tests/session/session.c
+++ b/tests/session/session.c
@@ -23,7 +23,8 @@
 	{"answer", http_answer},    {"hang-up", http_hang_up},
 	{"poll", http_poll},	    {"set", http_set},
 	{"answers", http_answers},  {"read", http_read},
-	{"same", http_same},
+	{"same", http_same},	    {"relay", relay_start},
+	{"cut", relay_switch},	    {"mend", relay_switch},
 };
 
 static bool script_run(struct session *session, const char *file);
@@ -223,6 +224,8 @@
 						   NULL, process_free);
 	session->calls =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, call_free);
+	session->relays = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						relay_free);
 	g_hash_table_insert(session->variables, g_strdup("source"),
 			    g_strdup(session->source));
 	g_hash_table_insert(session->variables, g_strdup("dir"),
@@ -253,6 +256,7 @@
 {
 	g_hash_table_destroy(session->calls);
 	g_hash_table_destroy(session->processes);
+	g_hash_table_destroy(session->relays);
 	g_hash_table_destroy(session->variables);
 	if (session->filter != NULL)
 		g_regex_unref(session->filter);
--- a/tests/session/session.h
+++ b/tests/session/session.h
@@ -32,6 +32,7 @@
 	GHashTable *variables;
 	GHashTable *processes;
 	GHashTable *calls;
+	GHashTable *relays;
 	GString *out;
 	GRegex *filter; /* lines of output to show; NULL: all */
 };
@@ -70,6 +71,9 @@
 bool http_read(struct session *session, int argc, char **argv);
 bool http_same(struct session *session, int argc, char **argv);
 bool http_set(struct session *session, int argc, char **argv);
+bool relay_start(struct session *session, int argc, char **argv);
+bool relay_switch(struct session *session, int argc, char **argv);
+void relay_free(void *relay);
 void process_free(void *process);
 void call_free(void *call);
 
