--- a/entry/component_config.c
+++ b/entry/component_config.c
@@ -10,6 +10,10 @@
 #include "entry/requests.h"
 #include "policy/policy.h"
 
+/* The file in force is appended again after this share of the log's retention:
+ * the second and third time are for outages. */
+#define REAPPEND_SHARE 3
+
 #define FILE_LABEL "config"
 
 /* The ledger keeps its former configuration when it refuses this one. */
@@ -145,6 +149,8 @@
 	entry->fold = fold_create(entry->clock, entry->membership,
 				  platform_log(entry->platform), &transport,
 				  &ops, entry);
+	fold_reappend_after(entry->fold, entry->settings.log_retention_usec /
+						 REAPPEND_SHARE);
 	peers_on(entry->peers, CHANNEL_CONFIG, config_receive, entry->fold);
 	fold_start(entry->fold);
 	return true;
--- a/include/entry/settings.h
+++ b/include/entry/settings.h
@@ -34,11 +34,12 @@
 	int64_t settle_usec;
 	int64_t orphan_grace_usec;
 	int64_t coalesce_usec;
-	int64_t drain_usec;	  /* longest graceful shutdown; 0: no bound */
-	int64_t drain_delay_usec; /* still accepting after draining is said */
-	int64_t list_usec;	  /* how often the platform's list is read */
-	int64_t role_dwell_usec;  /* between two role changes of a cell */
-	int64_t poll_usec;	  /* how often runners' reports are read */
+	int64_t drain_usec;	    /* longest graceful shutdown; 0: no bound */
+	int64_t drain_delay_usec;   /* still accepting after draining is said */
+	int64_t list_usec;	    /* how often the platform's list is read */
+	int64_t log_retention_usec; /* of the platform's log, at least */
+	int64_t role_dwell_usec;    /* between two role changes of a cell */
+	int64_t poll_usec;	    /* how often runners' reports are read */
 	uint64_t body_bytes_max;
 	uint32_t connections_max;
 	uint32_t requests_max;	   /* in flight */
--- a/tests/entry/test_settings.c
+++ b/tests/entry/test_settings.c
@@ -48,6 +48,8 @@
 	 "--drain-ms: 99999999999999999999 is not between 0 and 86400000"},
 	{"--drain-delay-ms=x", NULL,
 	 "--drain-delay-ms: 'x' is not a whole number"},
+	{"--log-retention-ms=5", NULL,
+	 "--log-retention-ms: 5 is not between 1000 and 31622400000"},
 	{"--list-ms=0", NULL, "--list-ms: 0 is not between 10 and 3600000"},
 	{"--role-dwell-ms=4999", NULL,
 	 "--role-dwell-ms: 4999 is not between 5000 and 3600000"},
