coord: count the grants of all runners in one pass

Each second the home counted each runner's grants on its own, by a walk over all grants: runners times grants steps, millions at 600 runners. One walk counts them all now.

--- a/coord/ledger_cell.c
+++ b/coord/ledger_cell.c
@@ -99,6 +99,7 @@
 	cell->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	cell->prefix = prefix_create();
 	cell->depth = g_array_new(FALSE, TRUE, sizeof(uint32_t));
+	cell->grant_counts = g_array_new(FALSE, TRUE, sizeof(uint32_t));
 	records_init(cell);
 	replica_init(cell);
 	announce_init(cell);
@@ -130,6 +131,7 @@
 	g_array_free(cell->view, TRUE);
 	prefix_destroy(cell->prefix);
 	g_array_free(cell->depth, TRUE);
+	g_array_free(cell->grant_counts, TRUE);
 	g_free(cell->prefill_pool);
 	g_free(cell->decode_pool);
 	g_free(cell);
--- a/coord/ledger_roles.c
+++ b/coord/ledger_roles.c
@@ -63,11 +63,46 @@
 	runner_configure(cell, index);
 }
 
+static void grant_count(const struct cell *cell, uint32_t index)
+{
+	if (index < cell->grant_counts->len)
+		g_array_index(cell->grant_counts, uint32_t, index)++;
+}
+
+static void grants_count(const struct cell *cell)
+{
+	GHashTableIter iter;
+	void *value;
+
+	g_array_set_size(cell->grant_counts, 0);
+	g_array_set_size(cell->grant_counts, cell->view->len);
+	g_hash_table_iter_init(&iter, cell->grants);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct grant *grant = value;
+
+		grant_count(cell, grant->prefill);
+		grant_count(cell, grant->decode);
+	}
+	/* Those that their holder is done with, and the engine may not be. */
+	for (guint i = 0; i < cell->runners->len; i++) {
+		const GPtrArray *grants = runner_at(cell, i)->grants;
+
+		for (guint k = 0; k < grants->len; k++) {
+			const struct grant *grant =
+				g_ptr_array_index(grants, k);
+
+			if (!grant->hashed)
+				grant_count(cell, i);
+		}
+	}
+}
+
 static void cell_fill(const struct cell *cell, struct ledger_cell *out)
 {
 	GHashTableIter iter;
 	void *value;
 
+	grants_count(cell);
 	*out = (struct ledger_cell){
 		.id = cell->id,
 		.prefill = cell->prefill,
@@ -75,6 +110,7 @@
 		.settled = cell->settled,
 		.runners =
 			(const struct policy_runner *)(void *)cell->view->data,
+		.grants = (const uint32_t *)(void *)cell->grant_counts->data,
 		.runner_count = cell->view->len,
 		.arrived = cell->arrived,
 		.cached_tokens = cell->cached_tokens,
@@ -104,32 +140,6 @@
 	return false;
 }
 
-uint32_t ledger_runner_grants(const struct ledger *ledger, uint64_t runner)
-{
-	struct cell *cell;
-	uint32_t index;
-	uint32_t count = 0;
-	GHashTableIter iter;
-	void *value;
-
-	if (!runner_lookup(ledger, runner, &cell, &index))
-		return 0;
-	g_hash_table_iter_init(&iter, cell->grants);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct grant *grant = value;
-
-		count += grant->prefill == index || grant->decode == index;
-	}
-	/* Those that their holder is done with, and the engine may not be. */
-	for (guint i = 0; i < runner_at(cell, index)->grants->len; i++) {
-		const struct grant *grant =
-			g_ptr_array_index(runner_at(cell, index)->grants, i);
-
-		count += !grant->hashed;
-	}
-	return count;
-}
-
 void ledger_withhold(struct ledger *ledger, uint64_t runner, bool withheld)
 {
 	struct cell *cell;
--- a/coord/ledger_types.h
+++ b/coord/ledger_types.h
@@ -282,6 +282,7 @@
 	uint64_t waiting_pieces[CLASS_COUNT];
 	double hold_usec[CLASS_COUNT]; /* mean of late; 0 unknown */
 	struct ledger_work arrived;    /* since this is the home */
+	GArray *grant_counts;	       /* by runner, as last counted */
 	double cached_tokens;	       /* of granted prompts, likewise */
 
 	GArray *view;	    /* struct policy_runner */
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -127,9 +127,8 @@
 
 static void runner_add(struct entry_orders *orders,
 		       const struct policy_runner *runner,
-		       const struct backend *backend)
+		       const struct backend *backend, uint32_t grants)
 {
-	const struct entry *entry = orders->entry;
 	struct order_runner out = {
 		.id = runner->id,
 		.name = backend->name,
@@ -140,7 +139,7 @@
 			 runner->reported_waiting == 0 &&
 			 runner->reported_queue_tokens == 0,
 		.reported_at = runner->reported_at,
-		.grants = ledger_runner_grants(entry->ledger, runner->id),
+		.grants = grants,
 	};
 
 	g_array_append_val(orders->runners, out);
@@ -211,7 +210,7 @@
 		if (!backend || !backend->listed || backend->leaving)
 			continue;
 		load_add(&out->load, &sums, runner, now);
-		runner_add(orders, runner, backend);
+		runner_add(orders, runner, backend, cell->grants[i]);
 	}
 	load_finish(&out->load, &sums, cell,
 		    batch_size(arrivals, cell->decode));
--- a/include/coord/ledger.h
+++ b/include/coord/ledger.h
@@ -153,6 +153,7 @@
 	bool settled;
 	/* Valid until the ledger is called again. */
 	const struct policy_runner *runners;
+	const uint32_t *grants; /* that name each runner, for either role */
 	uint32_t runner_count;
 	struct ledger_work waiting;
 	struct ledger_work arrived; /* since this is the home */
@@ -236,8 +237,6 @@
 /* Walks the cells of runners that this is home to; cursor starts at 0. */
 bool ledger_cell_next(const struct ledger *ledger, uint32_t *cursor,
 		      struct ledger_cell *cell);
-/* How many grants name the runner, for prefill or for decode. */
-uint32_t ledger_runner_grants(const struct ledger *ledger, uint64_t runner);
 /* The runner is given no new work until it is let go, or this is no longer
  * home to it. */
 void ledger_withhold(struct ledger *ledger, uint64_t runner, bool withheld);
