tests: compare golden files in one place

Five programs had each its own comparison with a golden file, two could not write theirs, and the variable to write one had three names.

tests/golden/ compares and, with JT_GOLDEN_WRITE set, writes; the sessions, the paths of a request, jtctl, the engine sessions, the counters and the worked example use it. A mismatch fails as before, and now always prints both texts whole.

--- a/tests/common/test_counter.c
+++ b/tests/common/test_counter.c
@@ -2,21 +2,11 @@
 #include <glib.h>
 
 #include "common/counter.h"
-
-static char *golden_read(const char *name)
-{
-	char *path = g_build_filename(SOURCE_ROOT "/tests/common", name, NULL);
-	char *text = NULL;
-
-	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-	g_free(path);
-	return text;
-}
+#include "golden.h"
 
 static void test_print(void)
 {
 	struct counter_set *set = counter_set_create();
-	char *want = golden_read("counter.golden");
 	GString *out = g_string_new(NULL);
 	struct histogram *histogram;
 	struct counter *counter;
@@ -34,9 +24,9 @@
 	histogram_add(histogram, 65);
 	histogram_add(histogram, INT64_C(1) << 40);
 	counter_set_print(set, out);
-	g_assert_cmpstr(out->str, ==, want);
+	g_assert_true(golden_same(SOURCE_ROOT "/tests/common/counter.golden",
+				  out->str));
 	g_string_free(out, TRUE);
-	g_free(want);
 	counter_set_destroy(set);
 }
 
--- a/tests/coord/test_embed.c
+++ b/tests/coord/test_embed.c
@@ -1,19 +1,18 @@
 /* The worked example prints what its golden file says. */
 #include <glib.h>
 
+#include "golden.h"
+
 static void test_embed(void)
 {
 	char *argv[] = {EMBED_PROGRAM, NULL};
-	char *out = NULL, *want = NULL;
+	char *out = NULL;
 	int status = -1;
 
 	g_assert_true(g_spawn_sync(NULL, argv, NULL, G_SPAWN_DEFAULT, NULL,
 				   NULL, &out, NULL, &status, NULL));
 	g_assert_cmpint(status, ==, 0);
-	g_assert_true(g_file_get_contents(SOURCE_ROOT "/examples/embed.golden",
-					  &want, NULL, NULL));
-	g_assert_cmpstr(out, ==, want);
-	g_free(want);
+	g_assert_true(golden_same(SOURCE_ROOT "/examples/embed.golden", out));
 	g_free(out);
 }
 
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -12,6 +12,7 @@
 #include "ctl/ctl.h"
 #include "ctl/exit_code.h"
 #include "fake_admin.h"
+#include "golden.h"
 #include "policy/policy.h"
 #include "web/client.h"
 
@@ -197,16 +198,6 @@
 	return text;
 }
 
-static void golden_compare(const char *path, const char *text)
-{
-	g_autofree char *expected = NULL;
-
-	if (g_getenv("JT_GOLDEN_WRITE"))
-		g_assert_true(g_file_set_contents(path, text, -1, NULL));
-	g_assert_true(g_file_get_contents(path, &expected, NULL, NULL));
-	g_assert_cmpstr(text, ==, expected);
-}
-
 static void test_session(gconstpointer data)
 {
 	const struct session *session = data;
@@ -214,7 +205,7 @@
 		g_strdup_printf(TESTS "golden/%s.txt", session->name);
 	g_autofree char *text = session_run(session);
 
-	golden_compare(path, text);
+	g_assert_true(golden_same(path, text));
 }
 
 static void test_completions(void)
@@ -230,7 +221,7 @@
 
 		g_assert_true(completion_print(out, shells[i]));
 		fclose(out);
-		golden_compare(path, text);
+		g_assert_true(golden_same(path, text));
 		free(text);
 	}
 }
--- a/tests/requests/test_paths.c
+++ b/tests/requests/test_paths.c
@@ -10,6 +10,7 @@
 
 #include "entry/request.h"
 #include "fakes.h"
+#include "golden.h"
 
 #define PATHS SOURCE_ROOT "/tests/requests/paths"
 
@@ -287,7 +288,6 @@
 static void test_paths(void)
 {
 	GString *out = g_string_new(NULL);
-	char *golden = NULL;
 	char *script;
 	char **rows;
 
@@ -296,15 +296,9 @@
 	for (int i = 0; rows[i]; i++)
 		if (rows[i][0] && rows[i][0] != '#')
 			row_run(rows[i], out);
-	if (g_getenv("PATHS_UPDATE"))
-		g_assert_true(g_file_set_contents(PATHS ".golden", out->str, -1,
-						  NULL));
-	g_assert_true(
-		g_file_get_contents(PATHS ".golden", &golden, NULL, NULL));
-	g_assert_cmpstr(out->str, ==, golden);
+	g_assert_true(golden_same(PATHS ".golden", out->str));
 	g_strfreev(rows);
 	g_free(script);
-	g_free(golden);
 	g_string_free(out, TRUE);
 }
 
--- a/tests/session/session.c
+++ b/tests/session/session.c
@@ -7,6 +7,7 @@
 
 #include "common/clock.h"
 #include "common/log.h"
+#include "golden.h"
 #include "web/client.h"
 #include "web/loop.h"
 
@@ -268,24 +269,13 @@
 	g_string_free(session->out, TRUE);
 }
 
-/* Golden files are rewritten when SESSION_UPDATE is set, for review. */
 static bool golden_compare(const struct session *session, const char *script)
 {
 	char *base = g_strndup(script, strlen(script) - strlen(".session"));
 	char *path = g_strdup_printf("%s/tests/session/%s.golden",
 				     session->source, base);
-	char *golden = NULL;
-	bool same;
-
-	if (g_getenv("SESSION_UPDATE") != NULL)
-		g_file_set_contents(path, session->out->str, -1, NULL);
-	g_file_get_contents(path, &golden, NULL, NULL);
-	same = g_strcmp0(golden, session->out->str) == 0;
-	if (!same)
-		fprintf(stderr, "--- expected\n%s--- got\n%s",
-			golden ? golden : "(no golden file)\n",
-			session->out->str);
-	g_free(golden);
+	bool same = golden_same(path, session->out->str);
+
 	g_free(path);
 	g_free(base);
 	return same;
--- a/tests/standin/test_engine_sessions.c
+++ b/tests/standin/test_engine_sessions.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "common/table.h"
+#include "golden.h"
 #include "standin/engine_cache.h"
 #include "standin/engine_prefill.h"
 #include "standin/engine_stream.h"
@@ -516,10 +517,7 @@
 
 	g_assert_true(g_file_get_contents(path, &script, NULL, NULL));
 	printed = script_run(script);
-	if (g_getenv("JT_GOLDEN_WRITE"))
-		g_assert_true(g_file_set_contents(path, printed, -1, NULL));
-	else
-		g_assert_cmpstr(printed, ==, script);
+	g_assert_true(golden_same(path, printed));
 	g_free(printed);
 	g_free(script);
 }
