tests, docs: part the site of several data centres in two files

The fake site had grown to 612 lines with two jobs: instances, runners and link on one hand, what becomes of a request on the other.

--- a/tests/data_centres/site.c
+++ b/tests/data_centres/site.c
@@ -1,4 +1,4 @@
-#include "site.h"
+#include "calls.h"
 
 #include <math.h>
 #include <string.h>
@@ -7,14 +7,12 @@
 #define POLL_USEC (100 * USEC_PER_MSEC)
 #define NEAR_USEC 200
 #define LINK_MS 1.5
-#define WORK_USEC (200 * USEC_PER_MSEC)
 /* Frame header, array, channel and the payload's own header; TCP/IP. */
 #define FRAME_BYTES (FRAME_HEADER + 4)
 #define SEGMENT_BYTES 66
 #define KEYS_TYPE 14
 
-static const char *const names[CENTRES_MAX] = {"a", "b", "c", "d",
-					       "e", "f", "g"};
+const char *const site_names[CENTRES_MAX] = {"a", "b", "c", "d", "e", "f", "g"};
 
 static const struct config_service services[] = {
 	{.name = "model",
@@ -40,8 +38,6 @@
 	struct job *job;
 };
 
-static void job_ask(struct job *job);
-
 static void event_free(void *data)
 {
 	struct event *event = data;
@@ -61,7 +57,7 @@
 		event->payload ? g_bytes_get_data(event->payload, &size) : NULL;
 
 	if (event->job)
-		job_ask(event->job);
+		calls_ask(event->job);
 	else if (to->up && event->channel == CHANNEL_MEMBER)
 		membership_receive(to->membership, event->from, data, size);
 	else if (to->up && event->channel == CHANNEL_LEDGER)
@@ -89,13 +85,18 @@
 	return LINK_MS;
 }
 
-static int64_t delay_of(const struct site *site, int from, int to)
+int64_t site_delay(const struct site *site, int from, int to)
 {
 	if (from == to)
 		return NEAR_USEC;
 	return (int64_t)(latency_of(site, from, to) * USEC_PER_MSEC);
 }
 
+void site_arrives(struct site *site, struct job *job, int64_t delay)
+{
+	event_add(site, delay)->job = job;
+}
+
 static struct instance *instance_of(struct site *site, uint64_t id)
 {
 	for (int c = 0; c < site->settings.centres; c++)
@@ -123,7 +124,7 @@
 	if (from->centre != to->centre &&
 	    (site->cut[from->centre] || site->cut[to->centre]))
 		return;
-	event = event_add(site, delay_of(site, from->centre, to->centre));
+	event = event_add(site, site_delay(site, from->centre, to->centre));
 	event->to = to;
 	event->from = from->id;
 	event->channel = channel;
@@ -139,218 +140,9 @@
 		ledger_member(instance->ledger, member);
 }
 
-/* Requests. */
-static struct job *job_find(const struct site *site, uint64_t request)
-{
-	g_assert_cmpuint(request, <=, site->jobs->len);
-	return g_ptr_array_index(site->jobs, request - 1);
-}
-
-static void job_finish(struct job *job, enum job_end end)
-{
-	g_assert_cmpint(job->end, ==, JOB_OPEN);
-	job->end = end;
-}
-
-static void job_release(struct timer *timer, void *ctx)
-{
-	struct job *job = ctx;
-	struct instance *at = &job->site->instances[job->centre][job->instance];
-
-	job_finish(job, JOB_DONE);
-	if (at->up)
-		ledger_release(at->ledger, job->request, RELEASE_DONE);
-}
-
-static void on_granted(void *ctx, const struct ledger_grant *grant)
-{
-	struct instance *instance = ctx;
-	struct site *site = instance->site;
-	struct job *job = job_find(site, grant->request);
-
-	g_assert_false(job->granted);
-	job->granted = true;
-	job->answers++;
-	job->waited = clock_now(site->clock) - job->asked_at;
-	site->runs++;
-	timer_start(&job->timer, job->work);
-}
-
-static int centre_of(const char *name)
-{
-	for (int i = 0; i < CENTRES_MAX; i++)
-		if (strcmp(names[i], name) == 0)
-			return i;
-	return -1;
-}
-
-/* On to a random instance of the data centre; false when none is reached. */
-static bool job_forward(struct job *job, int centre)
-{
-	struct site *site = job->site;
-	int from = job->centre;
-	int number = g_rand_int_range(site->rand, 0, site->settings.each);
-
-	if (site->cut[from] || site->cut[centre] ||
-	    !site->instances[centre][number].up || job->here)
-		return false;
-	job->here = true;
-	job->centre = centre;
-	job->instance = number;
-	event_add(site, delay_of(site, from, centre))->job = job;
-	return true;
-}
-
-/* As request_spill() of the daemon. */
-static bool job_spill(struct job *job, bool refused)
-{
-	struct site *site = job->site;
-	const struct instance *at =
-		&site->instances[job->centre][job->instance];
-	uint64_t key = job->key ? job->key : id_mix(job->request, 1);
-	const char *there;
-	uint32_t share;
-
-	ledger_level(at->ledger, services[0].name, &share);
-	if (site->settings.stay || job->here ||
-	    (!refused && !cell_load_leaves(share, job->class, key)))
-		return false;
-	if (refused || share >= CELL_LOAD_SHARES)
-		there = cell_load_choose(at->membership, &site->config,
-					 &services[0], CELL_FULL, key);
-	else
-		there = cell_load_spread(at->membership, &site->config,
-					 &services[0], key);
-	return there && job_forward(job, centre_of(there));
-}
-
-static void on_refused(void *ctx, const struct ledger_refusal *refusal)
-{
-	const struct instance *instance = ctx;
-	struct job *job = job_find(instance->site, refusal->request);
-
-	if (refusal->code == RESULT_QUEUE_FULL && job->follow &&
-	    job_spill(job, true))
-		return;
-	job->answers++;
-	job->code = refusal->code;
-	job_finish(job, JOB_REFUSED);
-}
-
-static void on_duplicate(void *ctx, const struct ledger_duplicate *duplicate)
-{
-	const struct instance *instance = ctx;
-	struct job *job = job_find(instance->site, duplicate->request);
-
-	if (duplicate->state != RECORD_ELSEWHERE) {
-		job->answers++;
-		job_finish(job, JOB_KNOWN);
-		return;
-	}
-	g_assert_false(job->here);
-	job->elsewhere = centre_of(duplicate->data_centre);
-	g_assert_cmpint(job->elsewhere, >=, 0);
-	g_assert_cmpint(job->elsewhere, !=, job->centre);
-	if (!job->follow) {
-		job->answers++;
-		job_finish(job, JOB_KNOWN);
-	} else if (!job_forward(job, job->elsewhere)) {
-		job->here = true;
-		job_ask(job);
-	}
-}
-
-static void on_revoked(void *ctx, uint64_t request, uint32_t attempt)
-{
-	const struct instance *instance = ctx;
-	struct job *job = job_find(instance->site, request);
-
-	timer_stop(&job->timer);
-	if (job->end == JOB_OPEN)
-		job_finish(job, JOB_REFUSED);
-}
-
-static void on_cancel(void *ctx, uint64_t runner, const char *stream)
-{
-}
-
-static void on_homes(void *ctx)
-{
-}
-
-static const struct ledger_ops ledger_ops = {
-	.granted = on_granted,
-	.refused = on_refused,
-	.duplicate = on_duplicate,
-	.revoked = on_revoked,
-	.cancel = on_cancel,
-	.homes = on_homes,
-};
-
-static void job_ask(struct job *job)
-{
-	struct instance *at = &job->site->instances[job->centre][job->instance];
-	struct ledger_request request = {
-		.request = job->request,
-		.service = services[0].name,
-		.key = job->key,
-		.fingerprint = 1,
-		.idempotent = true,
-		.here = job->here,
-		.need = {.class = job->class,
-			 .arrived = job->asked_at,
-			 .deadline = CLOCK_NEVER,
-			 .first_token_by = CLOCK_NEVER,
-			 .prompt_tokens = 1000,
-			 .output_tokens_max = 1000},
-	};
-
-	if (at->up)
-		ledger_ask(at->ledger, &request);
-}
-
-static struct job *job_create(struct site *site, int centre,
-			      const struct job *spec)
-{
-	struct job *job = g_memdup2(spec, sizeof(*spec));
-
-	job->site = site;
-	g_ptr_array_add(site->jobs, job);
-	job->request = site->jobs->len;
-	job->first = centre;
-	job->centre = centre;
-	job->elsewhere = -1;
-	job->asked_at = clock_now(site->clock);
-	job->work = job->work ? job->work : WORK_USEC;
-	timer_init(&job->timer, site->clock, job_release, job);
-	return job;
-}
-
-struct job *site_ask(struct site *site, int centre, const struct job *spec)
-{
-	struct job *job = job_create(site, centre, spec);
-
-	while (!site->instances[centre][job->instance].up)
-		job->instance++;
-	job_ask(job);
-	return job;
-}
-
-struct job *site_call(struct site *site, int centre, const struct job *spec)
-{
-	struct job *job = job_create(site, centre, spec);
-
-	job->instance = g_rand_int_range(site->rand, 0, site->settings.each);
-	job->follow = true;
-	if (!job_spill(job, false))
-		job_ask(job);
-	return job;
-}
-
-/* Instances and runners. */
 static uint64_t runner_id(int centre, int number)
 {
-	return id_mix(id_of(names[centre]), (uint64_t)number + 1);
+	return id_mix(id_of(site_names[centre]), (uint64_t)number + 1);
 }
 
 static void poll(struct timer *timer, void *ctx)
@@ -386,7 +178,7 @@
 		runners[count++] = (struct ledger_runner){
 			.id = runner_id(instance->centre, i),
 			.pool = i < RUNNERS / 2 ? "prefill" : "decode",
-			.data_centre = names[instance->centre]};
+			.data_centre = site_names[instance->centre]};
 	}
 	ledger_runners(instance->ledger, runners, count);
 }
@@ -424,11 +216,11 @@
 
 	own->queue_max = site->settings.queue_max;
 	for (int i = 0; i < count; i++) {
-		centres[i].name = names[i];
+		centres[i].name = site_names[i];
 		for (int j = 0; j < count; j++)
 			links[i * count + j] = (struct config_link){
-				.from = names[i],
-				.to = names[j],
+				.from = site_names[i],
+				.to = site_names[j],
 				.latency_ms = latency_of(site, i, j)};
 	}
 	*config = (struct config){.data_centres = centres,
@@ -446,10 +238,10 @@
 {
 	struct member member = {.incarnation = 1};
 
-	g_snprintf(member.name, sizeof(member.name), "%s%d", names[centre],
+	g_snprintf(member.name, sizeof(member.name), "%s%d", site_names[centre],
 		   number);
 	member.id = id_of(member.name);
-	g_strlcpy(member.data_centre, names[centre],
+	g_strlcpy(member.data_centre, site_names[centre],
 		  sizeof(member.data_centre));
 	return member;
 }
@@ -473,7 +265,7 @@
 						 &transport, &ops, instance);
 	instance->ledger =
 		ledger_create(site->clock, instance->membership, NULL,
-			      &transport, &ledger_ops, instance);
+			      &transport, &calls_ops, instance);
 	g_assert_true(ledger_configure(instance->ledger, &site->config, &err));
 	runners_tell(instance);
 	timer_init(&instance->poll, site->clock, poll, instance);
@@ -567,10 +359,10 @@
 struct instance *site_home(struct site *site, int centre)
 {
 	const struct instance *any = first_up(site, centre);
-	uint64_t cell = cell_id(&services[0], names[centre]);
+	uint64_t cell = cell_id(&services[0], site_names[centre]);
 
-	return instance_of(
-		site, membership_home(any->membership, names[centre], cell, 0));
+	return instance_of(site, membership_home(any->membership,
+						 site_names[centre], cell, 0));
 }
 
 enum cell_level site_level(struct site *site, int seen_from, int centre)
@@ -578,7 +370,7 @@
 	const struct instance *any = first_up(site, seen_from);
 
 	return cell_load_get(any->membership,
-			     cell_id(&services[0], names[centre]));
+			     cell_id(&services[0], site_names[centre]));
 }
 
 uint32_t site_share(struct site *site, int centre)
@@ -586,7 +378,7 @@
 	const struct instance *any = first_up(site, centre);
 
 	return cell_load_share(any->membership,
-			       cell_id(&services[0], names[centre]));
+			       cell_id(&services[0], site_names[centre]));
 }
 
 static void levels_watch(struct site *site)
