common: write the model text in one place

The stand-in engine and the load tool each made the tokens of the model text. common/model_text.c makes them now; standin/answer.c keeps what a prompt asks for, load/text.c the check of an answer. test_answer still compares each token with the formula of docs/PROTOCOLS.md.

--- /dev/null
+++ b/include/common/model_text.h
@@ -0,0 +1,20 @@
+/*
+ * model_text.h - the tokens of the answer that stand-in models give
+ *
+ * DESCRIPTION
+ *	"Model text" of docs/PROTOCOLS.md: token k is "w", the low 16 bits of
+ *	id_mix(prompt, k) in four hex digits, and a space, where prompt is
+ *	id_hash() of the whole prompt. So a reader can check that it got every
+ *	token once and in order.
+ */
+#ifndef COMMON_MODEL_TEXT_H
+#define COMMON_MODEL_TEXT_H
+
+#include <stdint.h>
+
+#define MODEL_TOKEN_SIZE 6u
+
+/* Writes the text of token k with a final NUL. */
+void model_token(uint64_t prompt, uint32_t k, char text[MODEL_TOKEN_SIZE + 1]);
+
+#endif
--- a/include/load/text.h
+++ b/include/load/text.h
@@ -1,5 +1,5 @@
 /*
- * text.h - the answer that the stand-in models give to a prompt
+ * text.h - checks the answer that the stand-in models give to a prompt
  *
  * DESCRIPTION
  *	"Model text" of docs/PROTOCOLS.md: token k of an answer is a function
@@ -13,8 +13,6 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define TEXT_TOKEN_MAX 8
-
 struct text_check {
 	uint64_t prompt; /* id_hash() of it */
 	uint32_t expected;
@@ -23,8 +21,6 @@
 	bool wrong;
 };
 
-/* Writes token k and a space; returns its length. */
-size_t text_token(uint64_t prompt, uint32_t k, char token[TEXT_TOKEN_MAX]);
 void text_check_init(struct text_check *check, uint64_t prompt,
 		     uint32_t expected);
 /* Takes the next bytes of the answer; returns how many tokens they ended. */
--- a/standin/answer.c
+++ b/standin/answer.c
@@ -3,20 +3,6 @@
 #include <stdbool.h>
 #include <string.h>
 
-#include "common/id.h"
-
-void answer_token(uint64_t prompt, uint32_t k, char text[ANSWER_TOKEN_SIZE + 1])
-{
-	static const char digits[] = "0123456789abcdef";
-	uint64_t bits = id_mix(prompt, k);
-
-	text[0] = 'w';
-	for (int i = 0; i < 4; i++)
-		text[1 + i] = digits[(bits >> (12 - 4 * i)) & 15];
-	text[5] = ' ';
-	text[6] = '\0';
-}
-
 /* Reads digits at the start of text; false when there are none. */
 static bool number_read(const char *text, size_t size, uint32_t *number)
 {
--- a/standin/engine_reader.c
+++ b/standin/engine_reader.c
@@ -3,7 +3,7 @@
 #include <jansson.h>
 #include <string.h>
 
-#include "standin/answer.h"
+#include "common/model_text.h"
 #include "standin/engine_stream.h"
 #include "standin/reply.h"
 #include "web/client.h"
@@ -50,14 +50,14 @@
 			  uint32_t to)
 {
 	struct reader *reader = ctx;
-	char text[ANSWER_TOKEN_SIZE + 1];
+	char text[MODEL_TOKEN_SIZE + 1];
 	char lines[64 * LINE_MAX_SIZE];
 	size_t used = 0;
 
 	if (web_reply_queued(reader->request) > QUEUED_MAX)
 		return false;
 	for (uint32_t k = from; k < to; k++) {
-		answer_token(stream->prompt, k, text);
+		model_token(stream->prompt, k, text);
 		used += (size_t)g_snprintf(lines + used, LINE_MAX_SIZE,
 					   "{\"o\": %u, \"t\": \"%s\"}\n", k,
 					   text);
--- a/tests/load/test_load.c
+++ b/tests/load/test_load.c
@@ -7,6 +7,7 @@
 #include "common/clock.h"
 #include "common/error.h"
 #include "common/id.h"
+#include "common/model_text.h"
 #include "load/answer.h"
 #include "load/arrival.h"
 #include "load/plan.h"
@@ -20,10 +21,10 @@
 static char *tokens_make(uint64_t prompt, const char *order)
 {
 	GString *text = g_string_new(NULL);
-	char token[TEXT_TOKEN_MAX];
+	char token[MODEL_TOKEN_SIZE + 1];
 
 	for (; *order != '\0'; order++) {
-		text_token(prompt, (uint32_t)(*order - '0'), token);
+		model_token(prompt, (uint32_t)(*order - '0'), token);
 		g_string_append(text, token);
 	}
 	return g_string_free(text, FALSE);
--- a/tests/standin/test_answer.c
+++ b/tests/standin/test_answer.c
@@ -3,6 +3,7 @@
 
 #include "common/error.h"
 #include "common/id.h"
+#include "common/model_text.h"
 #include "common/table.h"
 #include "standin/answer.h"
 #include "standin/engine_model.h"
@@ -43,11 +44,11 @@
 static void test_tokens(void)
 {
 	uint64_t prompt = id_hash("hello", 5);
-	char text[ANSWER_TOKEN_SIZE + 1];
+	char text[MODEL_TOKEN_SIZE + 1];
 	char *expected;
 
 	for (uint32_t k = 0; k < 1000; k++) {
-		answer_token(prompt, k, text);
+		model_token(prompt, k, text);
 		expected = g_strdup_printf(
 			"w%04x ", (unsigned int)(id_mix(prompt, k) & 0xffff));
 		g_assert_cmpstr(text, ==, expected);
--- a/tests/standin/test_http.c
+++ b/tests/standin/test_http.c
@@ -7,8 +7,8 @@
 
 #include "common/clock.h"
 #include "common/error.h"
+#include "common/model_text.h"
 #include "common/table.h"
-#include "standin/answer.h"
 #include "standin/engine_http.h"
 #include "standin/engine_prefill.h"
 #include "standin/engine_stream.h"
@@ -347,10 +347,10 @@
 static void lines_add(GString *lines, const char *prompt, uint32_t from,
 		      uint32_t to)
 {
-	char text[ANSWER_TOKEN_SIZE + 1];
+	char text[MODEL_TOKEN_SIZE + 1];
 
 	for (uint32_t k = from; k < to; k++) {
-		answer_token(id_of(prompt), k, text);
+		model_token(id_of(prompt), k, text);
 		g_string_append_printf(lines, "{\"o\": %u, \"t\": \"%s\"}\n", k,
 				       text);
 	}
