common, coord, entry: pack and unpack texts in one place

Four codecs had each a function that packs a text, two one that unpacks it and one that appends to a byte array; the claim and lease codecs read their records alike, and the ledger listed a cell's asks in two files.

One check became stricter: the directory's texts were cut at a NUL and are refused now, as those of a link's hello were. test_unpack has a row for each bound of unpack_text().

--- a/common/unpack.c
+++ b/common/unpack.c
@@ -1,6 +1,7 @@
 #include "common/unpack.h"
 
 #include <stdint.h>
+#include <string.h>
 
 #include "common/error.h"
 
@@ -125,3 +126,13 @@
 	return error_set(err, RESULT_BAD_MESSAGE,
 			 "%zu bytes are no one MessagePack value", size);
 }
+
+bool unpack_text(const msgpack_object *object, char *text, size_t size)
+{
+	if (object->type != MSGPACK_OBJECT_STR || object->via.str.size == 0 ||
+	    object->via.str.size >= size)
+		return false;
+	memcpy(text, object->via.str.ptr, object->via.str.size);
+	text[object->via.str.size] = '\0';
+	return strlen(text) == object->via.str.size;
+}
--- a/coord/claim_codec.c
+++ b/coord/claim_codec.c
@@ -49,17 +49,6 @@
 	}
 }
 
-/* Fills values when the object begins with count integers. */
-static bool read_numbers(const msgpack_object *elements, uint64_t *values,
-			 uint32_t count)
-{
-	for (uint32_t i = 0; i < count; i++) {
-		if (!codec_uint(&elements[i], UINT64_MAX, &values[i]))
-			return false;
-	}
-	return true;
-}
-
 static bool read_claims(GArray *claims, const msgpack_object *object)
 {
 	uint32_t count;
@@ -72,7 +61,7 @@
 		uint64_t values[CLAIM_FIELDS];
 		struct claim claim;
 
-		if (!read_numbers(elements + i, values, CLAIM_FIELDS))
+		if (!codec_uints(elements + i, CLAIM_FIELDS, values))
 			return false;
 		claim = (struct claim){
 			.key = values[0],
@@ -84,32 +73,28 @@
 	return true;
 }
 
-bool claim_record_unpack(struct claim_record *record, const void *data,
-			 size_t size)
+static bool read_record(void *out, const msgpack_object *object)
 {
+	struct claim_record *record = out;
 	uint64_t values[RECORD_FIELDS - 1];
-	const msgpack_object *elements;
-	msgpack_object object;
-	msgpack_zone zone;
 	uint32_t count;
-	bool sound = false;
-
-	msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
-	if (codec_unpack(&zone, data, size, &object)) {
-		elements = codec_array(&object, RECORD_FIELDS, &count);
-		sound = elements &&
-			read_numbers(elements, values, RECORD_FIELDS - 1) &&
-			read_claims(record->claims,
-				    &elements[RECORD_FIELDS - 1]);
-	}
-	msgpack_zone_destroy(&zone);
-	if (!sound)
+	const msgpack_object *elements =
+		codec_array(object, RECORD_FIELDS, &count);
+
+	if (!elements || !codec_uints(elements, RECORD_FIELDS - 1, values) ||
+	    !read_claims(record->claims, &elements[RECORD_FIELDS - 1]))
 		return false;
 	record->writer = (struct owner){values[0], values[1]};
 	record->sequence = values[2];
 	return true;
 }
 
+bool claim_record_unpack(struct claim_record *record, const void *data,
+			 size_t size)
+{
+	return codec_read(data, size, record, read_record);
+}
+
 void claim_message_pack(msgpack_sbuffer *out,
 			const struct claim_message *message)
 {
@@ -132,16 +117,16 @@
 	msgpack_pack_uint64(&packer, message->winner.incarnation);
 }
 
-static bool read_message(struct claim_message *message,
-			 const msgpack_object *object)
+static bool read_message(void *out, const msgpack_object *object)
 {
+	struct claim_message *message = out;
 	uint64_t values[REPLY_FIELDS] = {0};
 	uint32_t count;
 	const msgpack_object *elements =
 		codec_array(object, ASK_FIELDS, &count);
 
 	if (!elements ||
-	    !read_numbers(elements, values, MIN(count, REPLY_FIELDS)))
+	    !codec_uints(elements, MIN(count, REPLY_FIELDS), values))
 		return false;
 	*message = (struct claim_message){
 		.kind = (enum claim_message_kind)values[0],
@@ -165,13 +150,5 @@
 bool claim_message_unpack(struct claim_message *message, const void *data,
 			  size_t size)
 {
-	msgpack_object object;
-	msgpack_zone zone;
-	bool sound;
-
-	msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
-	sound = codec_unpack(&zone, data, size, &object) &&
-		read_message(message, &object);
-	msgpack_zone_destroy(&zone);
-	return sound;
+	return codec_read(data, size, message, read_message);
 }
--- a/coord/codec.c
+++ b/coord/codec.c
@@ -12,6 +12,19 @@
 		       MSGPACK_UNPACK_SUCCESS;
 }
 
+bool codec_read(const void *data, size_t size, void *out,
+		bool (*take)(void *out, const msgpack_object *object))
+{
+	msgpack_object object;
+	msgpack_zone zone;
+	bool sound;
+
+	msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
+	sound = codec_unpack(&zone, data, size, &object) && take(out, &object);
+	msgpack_zone_destroy(&zone);
+	return sound;
+}
+
 bool codec_uint(const msgpack_object *object, uint64_t max, uint64_t *value)
 {
 	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
@@ -21,6 +34,16 @@
 	return true;
 }
 
+bool codec_uints(const msgpack_object *elements, uint32_t count,
+		 uint64_t *values)
+{
+	for (uint32_t i = 0; i < count; i++) {
+		if (!codec_uint(&elements[i], UINT64_MAX, &values[i]))
+			return false;
+	}
+	return true;
+}
+
 const msgpack_object *codec_array(const msgpack_object *object, uint32_t min,
 				  uint32_t *count)
 {
--- a/coord/fold_codec.c
+++ b/coord/fold_codec.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "common/pack.h"
 #include "fold_private.h"
 
 /* A record is [format, kind, revision, through, instance, incarnation, number,
@@ -23,14 +24,6 @@
 	return true;
 }
 
-static void text_pack(msgpack_packer *packer, const char *text)
-{
-	size_t size = strlen(text);
-
-	msgpack_pack_str(packer, size);
-	msgpack_pack_str_body(packer, text, size);
-}
-
 bool record_decode(struct fold *f, const void *data, size_t size,
 		   struct fold_record *record)
 {
@@ -44,12 +37,8 @@
 	if (!codec_unpack(&f->record_zone, data, size, &object))
 		return false;
 	fields = codec_array(&object, RECORD_FIELDS, &count);
-	if (!fields)
+	if (!fields || !codec_uints(fields, G_N_ELEMENTS(values), values))
 		return false;
-	for (size_t i = 0; i < G_N_ELEMENTS(values); i++) {
-		if (!codec_uint(&fields[i], UINT64_MAX, &values[i]))
-			return false;
-	}
 	if (values[0] != RECORD_FORMAT || values[1] < RECORD_PROPOSAL ||
 	    values[1] > RECORD_AGAIN)
 		return false;
@@ -77,7 +66,7 @@
 	msgpack_pack_uint64(&packer, record->tag.instance);
 	msgpack_pack_uint64(&packer, record->tag.incarnation);
 	msgpack_pack_uint64(&packer, record->tag.number);
-	text_pack(&packer, record->author);
+	pack_text(&packer, record->author);
 	codec_pack_bytes(&packer, record->content, record->size);
 }
 
@@ -155,6 +144,6 @@
 	msgpack_pack_uint64(packer, (uint64_t)audit->code);
 	msgpack_pack_uint64(packer, audit->content_hash);
 	msgpack_pack_uint64(packer, audit->size);
-	text_pack(packer, audit->author);
-	text_pack(packer, audit->reason);
+	pack_text(packer, audit->author);
+	pack_text(packer, audit->reason);
 }
--- a/coord/lease_fold.c
+++ b/coord/lease_fold.c
@@ -23,20 +23,16 @@
 		msgpack_pack_uint64(&packer, values[i]);
 }
 
-static bool read_record(struct lease_record *record,
-			const msgpack_object *object)
+static bool read_record(void *out, const msgpack_object *object)
 {
+	struct lease_record *record = out;
 	uint64_t values[RECORD_FIELDS];
 	uint32_t count;
 	const msgpack_object *elements =
 		codec_array(object, RECORD_FIELDS, &count);
 
-	if (!elements)
+	if (!elements || !codec_uints(elements, RECORD_FIELDS, values))
 		return false;
-	for (uint32_t i = 0; i < RECORD_FIELDS; i++) {
-		if (!codec_uint(&elements[i], UINT64_MAX, &values[i]))
-			return false;
-	}
 	if (values[3] >= LEASE_ACTION_COUNT || values[6] > INT64_MAX / 2)
 		return false;
 	*record = (struct lease_record){
@@ -53,15 +49,7 @@
 bool lease_record_unpack(struct lease_record *record, const void *data,
 			 size_t size)
 {
-	msgpack_object object;
-	msgpack_zone zone;
-	bool sound;
-
-	msgpack_zone_init(&zone, MSGPACK_ZONE_CHUNK_SIZE);
-	sound = codec_unpack(&zone, data, size, &object) &&
-		read_record(record, &object);
-	msgpack_zone_destroy(&zone);
-	return sound;
+	return codec_read(data, size, record, read_record);
 }
 
 enum lease_verdict lease_fold(struct lease_state *state,
--- a/coord/ledger_cell.c
+++ b/coord/ledger_cell.c
@@ -142,6 +142,18 @@
 	queue_scan(ctx);
 }
 
+GPtrArray *cell_asks(const struct cell *cell)
+{
+	GPtrArray *list = g_ptr_array_new();
+	GHashTableIter iter;
+	void *value;
+
+	g_hash_table_iter_init(&iter, cell->asks);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		g_ptr_array_add(list, value);
+	return list;
+}
+
 void cell_wake(struct cell *cell)
 {
 	if (cell->is_home && cell->settled)
--- a/coord/ledger_codec.c
+++ b/coord/ledger_codec.c
@@ -84,14 +84,6 @@
 	msgpack_pack_bin_body(packer, data, size);
 }
 
-void pack_text(msgpack_packer *packer, const char *text)
-{
-	size_t size = strlen(text);
-
-	msgpack_pack_str(packer, size);
-	msgpack_pack_str_body(packer, text, size);
-}
-
 void pack_owner(msgpack_packer *packer, const struct owner *owner)
 {
 	pack_u(packer, owner->instance);
--- a/coord/ledger_codec.h
+++ b/coord/ledger_codec.h
@@ -8,6 +8,7 @@
 #ifndef COORD_LEDGER_CODEC_H
 #define COORD_LEDGER_CODEC_H
 
+#include "common/pack.h"
 #include "ledger_types.h"
 
 enum message_type {
@@ -53,7 +54,6 @@
 
 void pack_u(msgpack_packer *packer, uint64_t value);
 void pack_bin(msgpack_packer *packer, const void *data, size_t size);
-void pack_text(msgpack_packer *packer, const char *text);
 void pack_owner(msgpack_packer *packer, const struct owner *owner);
 
 /* Opens a message of so many fields after type and incarnation. */
--- a/coord/ledger_config.c
+++ b/coord/ledger_config.c
@@ -121,24 +121,12 @@
 	g_ptr_array_add(ledger->services, service);
 }
 
-static GPtrArray *asks_of(const struct cell *cell)
-{
-	GPtrArray *list = g_ptr_array_new();
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, cell->asks);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_ptr_array_add(list, value);
-	return list;
-}
-
 /* Waiting requests keep their place unless their service is gone or has other
  * pools; then their holders ask at the other cell. */
 static void relink_asks(struct cell *cell)
 {
 	struct ledger *ledger = cell->ledger;
-	GPtrArray *asks = asks_of(cell);
+	GPtrArray *asks = cell_asks(cell);
 
 	for (guint i = 0; i < asks->len; i++) {
 		struct waiting *waiting = g_ptr_array_index(asks, i);
--- a/coord/ledger_home.c
+++ b/coord/ledger_home.c
@@ -38,18 +38,6 @@
 	return list;
 }
 
-static GPtrArray *asks_of(const struct cell *cell)
-{
-	GPtrArray *list = g_ptr_array_new();
-	GHashTableIter iter;
-	void *value;
-
-	g_hash_table_iter_init(&iter, cell->asks);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		g_ptr_array_add(list, value);
-	return list;
-}
-
 /* What has no living holder is told to the next home by this instance. */
 static void keep_orphan(struct cell *cell, const struct grant *grant)
 {
@@ -69,7 +57,7 @@
 void home_stop(struct cell *cell)
 {
 	GPtrArray *grants = grants_of(cell);
-	GPtrArray *asks = asks_of(cell);
+	GPtrArray *asks = cell_asks(cell);
 
 	cell->is_home = false;
 	cell->was_home = true;
@@ -174,7 +162,7 @@
 /* Removing an ask may answer or queue others: so they are found by name. */
 static void bury_asks(struct cell *cell)
 {
-	GPtrArray *asks = asks_of(cell);
+	GPtrArray *asks = cell_asks(cell);
 	GArray *dead = g_array_new(FALSE, FALSE, sizeof(struct tag));
 
 	for (guint i = 0; i < asks->len; i++) {
--- a/coord/ledger_parts.h
+++ b/coord/ledger_parts.h
@@ -24,6 +24,8 @@
 struct cell *cell_find(const struct ledger *ledger, uint64_t id);
 uint64_t cell_id_of(struct ledger *ledger, const char *prefill_pool,
 		    const char *decode_pool);
+/* The cell's asks, struct waiting, in a list of the caller's own. */
+GPtrArray *cell_asks(const struct cell *cell);
 /* Takes up or lays down the roles that membership now gives. */
 void cell_rehome(struct cell *cell);
 /* Ends the settling when all live members were heard. */
--- a/coord/member_codec.c
+++ b/coord/member_codec.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "codec.h"
+#include "common/pack.h"
 #include "member_private.h"
 
 /*
@@ -147,14 +148,6 @@
 	m->item_count++;
 }
 
-static void pack_text(msgpack_packer *packer, const char *text)
-{
-	size_t size = strlen(text);
-
-	msgpack_pack_str(packer, size);
-	msgpack_pack_str_body(packer, text, size);
-}
-
 void pack_row(struct membership *m, const struct peer *p, bool named)
 {
 	msgpack_packer packer;
--- a/entry/directory_codec.c
+++ b/entry/directory_codec.c
@@ -3,11 +3,10 @@
  */
 #include "entry/directory_codec.h"
 
-#include <string.h>
-
 #include <msgpack.h>
 
 #include "common/id.h"
+#include "common/pack.h"
 #include "common/unpack.h"
 
 enum message {
@@ -19,20 +18,6 @@
 #define NEWS_FIELDS 7
 #define BACKEND_FIELDS 7
 
-static int bytes_append(void *out, const char *data, size_t size)
-{
-	g_byte_array_append(out, (const guint8 *)data, (guint)size);
-	return 0;
-}
-
-static void text_pack(msgpack_packer *packer, const char *text)
-{
-	size_t size = strlen(text);
-
-	msgpack_pack_str(packer, size);
-	msgpack_pack_str_body(packer, text, size);
-}
-
 static void bool_pack(msgpack_packer *packer, bool value)
 {
 	if (value)
@@ -45,7 +30,7 @@
 {
 	msgpack_packer packer;
 
-	msgpack_packer_init(&packer, out, bytes_append);
+	msgpack_packer_init(&packer, out, pack_append);
 	msgpack_pack_array(&packer, ASK_FIELDS);
 	msgpack_pack_uint8(&packer, MESSAGE_ASK);
 	msgpack_pack_uint64(&packer, ask->epoch);
@@ -69,10 +54,10 @@
 static void backend_pack(msgpack_packer *packer, const struct backend *backend)
 {
 	msgpack_pack_array(packer, BACKEND_FIELDS);
-	text_pack(packer, backend->name);
-	text_pack(packer, backend->pool);
-	text_pack(packer, backend->data_centre);
-	text_pack(packer, backend->address);
+	pack_text(packer, backend->name);
+	pack_text(packer, backend->pool);
+	pack_text(packer, backend->data_centre);
+	pack_text(packer, backend->address);
 	msgpack_pack_uint64(packer, backend->incarnation);
 	bool_pack(packer, backend->leaving);
 	bool_pack(packer, backend->listed);
@@ -96,7 +81,7 @@
 	msgpack_packer packer;
 	uint32_t cursor = 0;
 
-	msgpack_packer_init(&packer, out, bytes_append);
+	msgpack_packer_init(&packer, out, pack_append);
 	msgpack_pack_array(&packer, NEWS_FIELDS);
 	msgpack_pack_uint8(&packer, MESSAGE_NEWS);
 	msgpack_pack_uint64(&packer, news->epoch);
@@ -121,16 +106,6 @@
 	return field->type == MSGPACK_OBJECT_BOOLEAN;
 }
 
-static bool text_take(const msgpack_object *field, char *text, size_t size)
-{
-	if (field->type != MSGPACK_OBJECT_STR || field->via.str.size == 0 ||
-	    field->via.str.size >= size)
-		return false;
-	memcpy(text, field->via.str.ptr, field->via.str.size);
-	text[field->via.str.size] = '\0';
-	return true;
-}
-
 static bool backend_take(const msgpack_object *item, struct backend *backend)
 {
 	const msgpack_object *field = item->via.array.ptr;
@@ -138,11 +113,11 @@
 	if (item->type != MSGPACK_OBJECT_ARRAY ||
 	    item->via.array.size != BACKEND_FIELDS)
 		return false;
-	if (!text_take(&field[0], backend->name, sizeof(backend->name)) ||
-	    !text_take(&field[1], backend->pool, sizeof(backend->pool)) ||
-	    !text_take(&field[2], backend->data_centre,
-		       sizeof(backend->data_centre)) ||
-	    !text_take(&field[3], backend->address, sizeof(backend->address)))
+	if (!unpack_text(&field[0], backend->name, sizeof(backend->name)) ||
+	    !unpack_text(&field[1], backend->pool, sizeof(backend->pool)) ||
+	    !unpack_text(&field[2], backend->data_centre,
+			 sizeof(backend->data_centre)) ||
+	    !unpack_text(&field[3], backend->address, sizeof(backend->address)))
 		return false;
 	backend->id = id_of(backend->name);
 	return number_take(&field[4], &backend->incarnation) &&
--- a/include/common/unpack.h
+++ b/include/common/unpack.h
@@ -25,5 +25,8 @@
  * data. False, with RESULT_BAD_MESSAGE, for anything else. */
 bool message_unpack(msgpack_unpacked *result, const void *data, size_t size,
 		    struct error *err);
+/* Copies a string that is neither empty nor holds a NUL, when it and its final
+ * NUL fit into size. */
+bool unpack_text(const msgpack_object *object, char *text, size_t size);
 
 #endif
--- a/tests/common/test_unpack.c
+++ b/tests/common/test_unpack.c
@@ -127,6 +127,40 @@
 	}
 }
 
+/* Texts for a field of four bytes. */
+static const struct {
+	const char *name;
+	const char *data;
+	size_t size;
+	const char *text; /* NULL: refused */
+} texts[] = {
+	{"three letters", BYTES("\xa3xyz"), "xyz"},
+	{"one letter", BYTES("\xd9\1x"), "x"},
+	{"no room for the NUL", BYTES("\xa4wxyz"), NULL},
+	{"empty", BYTES("\xa0"), NULL},
+	{"with a NUL", BYTES("\xa3x\0z"), NULL},
+	{"bytes", BYTES("\xc4\1x"), NULL},
+	{"number", BYTES("\1"), NULL},
+};
+
+static void test_texts(void)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(texts); i++) {
+		msgpack_unpacked result;
+		char text[4] = "";
+
+		msgpack_unpacked_init(&result);
+		g_test_message("%s", texts[i].name);
+		g_assert_true(message_unpack(&result, texts[i].data,
+					     texts[i].size, NULL));
+		g_assert_cmpint(unpack_text(&result.data, text, sizeof(text)),
+				==, texts[i].text != NULL);
+		if (texts[i].text)
+			g_assert_cmpstr(text, ==, texts[i].text);
+		msgpack_unpacked_destroy(&result);
+	}
+}
+
 /* The most address space that this process has had, in kilobytes. */
 static uint64_t address_space_peak(void)
 {
@@ -166,6 +200,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/unpack/values", test_values);
+	g_test_add_func("/unpack/texts", test_texts);
 	g_test_add_func("/unpack/packed", test_packed);
 	g_test_add_func("/unpack/allocates_nothing", test_allocates_nothing);
 	return g_test_run();
