tests: let one queue of later calls carry what is under way

The ledger's world, and the world and the log of claims, leases and orders, each kept timers of their own for messages on the way.

tests/fake/later.c does that now; the world and the log that claims, leases and orders share moved beside it from tests/coord/.

--- a/tests/coord/fake_log.c
+++ b/tests/fake/fake_log.c
@@ -9,7 +9,6 @@
 	struct node *node;
 	char *stream;
 	GBytes *data;
-	struct timer timer;
 	log_append_fn fn;
 	void *fn_ctx;
 	enum result_code code;
@@ -25,7 +24,6 @@
 	uint64_t from;
 	uint32_t max;
 	int64_t until;
-	struct timer timer;
 	log_read_fn fn;
 	void *fn_ctx;
 	enum result_code code;
@@ -113,9 +111,9 @@
 	append->fn(append->fn_ctx, append->code, append->offset);
 }
 
-static void append_arrived(struct timer *timer, void *ctx)
+static void append_arrived(void *data)
 {
-	struct append *append = ctx;
+	struct append *append = data;
 	struct fake_log *log = append->log;
 
 	if (append->apply) {
@@ -142,8 +140,6 @@
 	append->stream = g_strdup(stream);
 	append->data = g_bytes_new(data, size);
 	append->answer = true;
-	timer_init(&append->timer, client->log->world->clock, append_arrived,
-		   append);
 	return append;
 }
 
@@ -167,11 +163,13 @@
 			late = append_create(client, stream, data, size);
 			late->apply = true;
 			late->answer = false;
-			timer_start(&late->timer,
-				    world_draw(log->world, 2 * USEC_PER_SEC));
+			later_call(log->world->later,
+				   world_draw(log->world, 2 * USEC_PER_SEC),
+				   append_arrived, late, NULL);
 		}
 	}
-	timer_start(&append->timer, log_delay(log));
+	later_call(log->world->later, log_delay(log), append_arrived, append,
+		   NULL);
 }
 
 static void read_free(void *data)
@@ -215,9 +213,9 @@
 	};
 }
 
-static void read_arrived(struct timer *timer, void *ctx)
+static void read_arrived(void *data)
 {
-	struct read *read = ctx;
+	struct read *read = data;
 	struct fake_log *log = read->log;
 	const GPtrArray *records = stream_get(log, read->stream);
 
@@ -226,7 +224,8 @@
 	read_fill(read, records);
 	if (read->code == RESULT_OK && !read->page.count &&
 	    clock_now(log->world->clock) < read->until) {
-		timer_start(&read->timer, POLL_USEC);
+		later_call(log->world->later, POLL_USEC, read_arrived, read,
+			   NULL);
 		return;
 	}
 	world_post(read->client->node, log_delay(log), read_answer, read,
@@ -249,8 +248,7 @@
 	read->fn = fn;
 	read->fn_ctx = fn_ctx;
 	read->records = g_array_new(FALSE, FALSE, sizeof(struct log_record));
-	timer_init(&read->timer, log->world->clock, read_arrived, read);
-	timer_start(&read->timer, log_delay(log));
+	later_call(log->world->later, log_delay(log), read_arrived, read, NULL);
 }
 
 struct log_store fake_log_store(struct fake_log_client *client)
--- a/tests/coord/fake_world.c
+++ b/tests/fake/fake_world.c
@@ -3,7 +3,6 @@
 struct post {
 	struct node *node;
 	uint64_t epoch;
-	struct timer timer;
 	void (*fn)(void *data);
 	void *data;
 	GDestroyNotify data_free;
@@ -15,6 +14,7 @@
 	struct world *world = g_new0(struct world, 1);
 
 	world->clock = clock_create(1700000000 * USEC_PER_SEC);
+	world->later = later_create(world->clock);
 	world->rand = g_rand_new_with_seed(seed);
 	world->nodes = g_ptr_array_new_with_free_func(g_free);
 	return world;
@@ -27,6 +27,7 @@
 		node_stop(world->nodes->pdata[i]);
 	while (clock_next(world->clock) != CLOCK_NEVER)
 		clock_advance(world->clock, clock_next(world->clock));
+	later_destroy(world->later);
 	clock_destroy(world->clock);
 	g_ptr_array_free(world->nodes, TRUE);
 	g_rand_free(world->rand);
@@ -80,9 +81,9 @@
 	node->clock = NULL;
 }
 
-static void post_due(struct timer *timer, void *ctx)
+static void post_due(void *data)
 {
-	struct post *post = ctx;
+	struct post *post = data;
 
 	if (post->node->paused)
 		g_queue_push_tail(&post->node->inbox, post);
@@ -128,6 +129,5 @@
 	post->data = data;
 	post->data_free = data_free;
 	post->always = always;
-	timer_init(&post->timer, node->world->clock, post_due, post);
-	timer_start(&post->timer, delay);
+	later_call(node->world->later, delay, post_due, post, NULL);
 }
--- a/tests/coord/fake_world.h
+++ b/tests/fake/fake_world.h
@@ -14,6 +14,7 @@
 #include <stdint.h>
 
 #include "common/clock.h"
+#include "later.h"
 
 #define WORLD_STEP_USEC (5 * USEC_PER_MSEC)
 
@@ -31,6 +32,7 @@
 
 struct world {
 	struct clock *clock;
+	struct later *later;
 	GRand *rand;
 	GPtrArray *nodes;
 	/* Times in a hundred that a node was stopped between its clock and its
--- a/tests/ledger/world.c
+++ b/tests/ledger/world.c
@@ -8,14 +8,6 @@
 #define DEAD_NEWS_USEC (300 * USEC_PER_MSEC)
 #define HEARTBEAT_USEC (200 * USEC_PER_MSEC)
 
-struct event {
-	struct world *world;
-	struct timer timer;
-	void (*fn)(void *ctx);
-	void *ctx;
-	GDestroyNotify destroy;
-};
-
 struct delivery {
 	struct instance *to;
 	uint64_t from;
@@ -47,36 +39,10 @@
 	va_end(args);
 }
 
-static void event_free(void *data)
-{
-	struct event *event = data;
-
-	timer_stop(&event->timer);
-	if (event->destroy != NULL)
-		event->destroy(event->ctx);
-	g_free(event);
-}
-
-static void event_fire(struct timer *timer, void *ctx)
-{
-	struct event *event = ctx;
-
-	event->fn(event->ctx);
-	g_ptr_array_remove_fast(event->world->events, event);
-}
-
 void world_after(struct world *world, int64_t delay, void (*fn)(void *),
 		 void *ctx, GDestroyNotify destroy)
 {
-	struct event *event = g_new0(struct event, 1);
-
-	event->world = world;
-	event->fn = fn;
-	event->ctx = ctx;
-	event->destroy = destroy;
-	timer_init(&event->timer, world->clock, event_fire, event);
-	g_ptr_array_add(world->events, event);
-	timer_start(&event->timer, delay);
+	later_call(world->later, delay, fn, ctx, destroy);
 }
 
 static int index_of(struct world *world, uint64_t id)
@@ -237,7 +203,7 @@
 	world->config = make_config(world, policy, queue_max);
 	world->count = instances;
 	world->jobs = g_ptr_array_new_with_free_func(g_free);
-	world->events = g_ptr_array_new_with_free_func(event_free);
+	world->later = later_create(world->clock);
 	world->broken = g_string_new(NULL);
 	world->delay_max = 3 * USEC_PER_MSEC;
 	world->poll = 100 * USEC_PER_MSEC;
@@ -281,7 +247,7 @@
 	for (guint i = 0; i < world->jobs->len; i++)
 		timer_stop(&((struct job *)g_ptr_array_index(world->jobs, i))
 				    ->timer);
-	g_ptr_array_free(world->events, TRUE);
+	later_destroy(world->later);
 	for (int i = 0; i < world->count; i++) {
 		struct instance *instance = &world->instances[i];
 
--- a/tests/ledger/world.h
+++ b/tests/ledger/world.h
@@ -13,6 +13,7 @@
 
 #include "common/clock.h"
 #include "coord/ledger.h"
+#include "later.h"
 
 #define INSTANCES_MAX 4
 #define ENGINES_MAX 4
@@ -119,7 +120,7 @@
 	uint32_t splits;
 	uint64_t messages;
 	uint64_t bytes;
-	GPtrArray *events;
+	struct later *later;
 	GString *broken; /* the first invariant that did not hold */
 };
 
--- a/tests/order/world.h
+++ b/tests/order/world.h
@@ -10,9 +10,9 @@
 #ifndef TESTS_ORDER_WORLD_H
 #define TESTS_ORDER_WORLD_H
 
-#include "../coord/fake_log.h"
-#include "../coord/fake_world.h"
 #include "coord/order.h"
+#include "fake_log.h"
+#include "fake_world.h"
 
 #define INSTANCES 2
 #define ENGINES 6u
