entry: send small messages of the ledger as datagrams

Messages of CHANNEL_LEDGER that fit into 1,200 bytes go over UDP between instances of one data centre, bound to the address of the peer listener. The hello hands over a random token for datagrams of its link; wrong tokens, unknown senders, over-long and malformed datagrams are dropped and counted.

What relies on order or on delivery was looked for in the ledger: an ask, a release or a progress waits until all chunks of an announcement are acknowledged, grants carry its epoch, and batches of records are sent one at a time with a number, so none overtakes what it depends on. Keys for other data centres are told once and never again; these go over TCP, as does everything between data centres. A refusal of a queued ask that is lost is made good by the asker's own poll after 10 s or by its deadline, as before.

--- a/entry/component_link.c
+++ b/entry/component_link.c
@@ -80,6 +80,7 @@
 		.incarnation = entry->incarnation,
 		.seed = g_rand_int(entry->rand),
 		.coalesce_usec = entry->settings.coalesce_usec,
+		.datagrams = entry->settings.peer_datagrams,
 	};
 
 	entry->peers = peers_create(entry->loop, entry->counters, &settings,
--- a/entry/peer_greet.c
+++ b/entry/peer_greet.c
@@ -3,6 +3,8 @@
  */
 #include "peers_private.h"
 
+#include <string.h>
+
 #include "common/error.h"
 #include "common/log.h"
 #include "entry/peer_hello.h"
@@ -13,7 +15,9 @@
 	GByteArray *payload = g_byte_array_new();
 	GByteArray *frame = g_byte_array_new();
 
-	hello_encode(&peers->self, payload);
+	if (link->token_in == 0)
+		link->token_in = datagram_token(peers);
+	hello_encode(&peers->self, link->token_in, payload);
 	frame_writer_add(writer, CHANNEL_HELLO, payload->data, payload->len,
 			 NULL);
 	frame_writer_take(writer, frame);
@@ -27,6 +31,7 @@
 static void link_use(struct peers *peers, struct peer *peer, struct link *link)
 {
 	peer->link = link;
+	datagram_reset(peer);
 	peer->attempts = 0;
 	timer_stop(&peer->backoff);
 	link_ready(link);
@@ -111,10 +116,11 @@
 		size_t size)
 {
 	struct member member;
+	uint64_t token;
 	struct peer *peer;
 	const char *fault;
 
-	if (!hello_decode(&member, payload, size, NULL)) {
+	if (!hello_decode(&member, &token, payload, size, NULL)) {
 		link_refuse(peers, link);
 		return;
 	}
@@ -123,6 +129,10 @@
 		hello_refuse(peers, link, &member, fault);
 		return;
 	}
+	/* Between data centres some messages are told once only, so they go
+	 * over the link. */
+	if (strcmp(member.data_centre, peers->self.data_centre) == 0)
+		link->token_out = token;
 	peer = peer_get(peers, member.id);
 	if (!incarnation_take(peers, peer, link, &member)) {
 		hello_refuse(peers, link, &member, "former incarnation");
--- a/entry/peer_hello.c
+++ b/entry/peer_hello.c
@@ -12,17 +12,19 @@
 #define HELLO_VERSION 1
 #define HELLO_FIELDS 5
 
-void hello_encode(const struct member *self, GByteArray *out)
+void hello_encode(const struct member *self, uint64_t token, GByteArray *out)
 {
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, pack_append);
-	msgpack_pack_array(&packer, HELLO_FIELDS);
+	msgpack_pack_array(&packer, HELLO_FIELDS + (token != 0));
 	msgpack_pack_uint64(&packer, HELLO_VERSION);
 	pack_text(&packer, self->name);
 	msgpack_pack_uint64(&packer, self->incarnation);
 	pack_text(&packer, self->data_centre);
 	pack_text(&packer, self->peer_address);
+	if (token != 0)
+		msgpack_pack_uint64(&packer, token);
 }
 
 static bool fields_take(struct member *peer, const msgpack_object_array *array)
@@ -44,8 +46,19 @@
 			   sizeof(peer->peer_address));
 }
 
-bool hello_decode(struct member *peer, const void *data, size_t size,
-		  struct error *err)
+/* What is no token is passed over, as any element added later. */
+static uint64_t token_take(const msgpack_object_array *array)
+{
+	const msgpack_object *field = &array->ptr[HELLO_FIELDS];
+
+	if (array->size <= HELLO_FIELDS ||
+	    field->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return 0;
+	return field->via.u64;
+}
+
+bool hello_decode(struct member *peer, uint64_t *token, const void *data,
+		  size_t size, struct error *err)
 {
 	msgpack_unpacked unpacked;
 	bool good;
@@ -55,6 +68,7 @@
 	good = message_unpack(&unpacked, data, size, NULL) &&
 	       unpacked.data.type == MSGPACK_OBJECT_ARRAY &&
 	       fields_take(peer, &unpacked.data.via.array);
+	*token = good ? token_take(&unpacked.data.via.array) : 0;
 	msgpack_unpacked_destroy(&unpacked);
 	if (!good)
 		return error_set(err, RESULT_BAD_MESSAGE, "malformed hello");
--- a/entry/peer_queue.c
+++ b/entry/peer_queue.c
@@ -14,7 +14,8 @@
 
 bool peer_waiting(const struct peer *peer)
 {
-	return peer->queue->len > 0 || frame_writer_pending(peer->open) > 0;
+	return peer->queue->len > 0 || frame_writer_pending(peer->open) > 0 ||
+	       peer->datagrams.messages > 0;
 }
 
 /* Bytes are dropped, not messages: closed frames are not taken apart. */
@@ -23,6 +24,8 @@
 	if (!peer_waiting(peer))
 		return;
 	frame_writer_take(peer->open, peer->queue);
+	frame_writer_take(peer->datagrams.open, peer->queue);
+	peer->datagrams.messages = 0;
 	g_byte_array_set_size(peer->queue, 0);
 	peer->peers->dropped[reason]->value++;
 }
@@ -40,7 +43,13 @@
 
 static void flush_fire(struct timer *timer, void *ctx)
 {
-	peer_write(ctx);
+	struct peer *peer = ctx;
+
+	datagram_flush(peer);
+	if (peer->link)
+		peer_write(peer);
+	else if (peer_waiting(peer) && !timer_running(&peer->backoff))
+		peer_connect(peer);
 }
 
 void peer_flush_later(struct peer *peer)
@@ -78,6 +87,7 @@
 	peer->peers = peers;
 	peer->id = id;
 	peer->open = frame_writer_create();
+	peer->datagrams.open = frame_writer_create();
 	peer->queue = g_byte_array_new();
 	timer_init(&peer->flush, peers->clock, flush_fire, peer);
 	timer_init(&peer->backoff, peers->clock, backoff_fire, peer);
@@ -92,6 +102,7 @@
 	timer_stop(&peer->flush);
 	timer_stop(&peer->backoff);
 	frame_writer_destroy(peer->open);
+	frame_writer_destroy(peer->datagrams.open);
 	g_byte_array_free(peer->queue, TRUE);
 	g_free(peer);
 }
--- a/entry/peers.c
+++ b/entry/peers.c
@@ -11,6 +11,8 @@
 #define IDLE_USEC (30 * USEC_PER_SEC)
 #define BACKOFF_USEC (50 * USEC_PER_MSEC)
 #define BACKOFF_MAX (2 * USEC_PER_SEC)
+#define PROVEN_USEC (5 * USEC_PER_SEC)
+#define ANSWER_USEC (1 * USEC_PER_SEC)
 #define QUEUE_BYTES_MAX (4u << 20)
 #define LINKS_MAX 1024
 
@@ -123,6 +125,11 @@
 	}
 	struct peer *peer = peer_get(peers, instance);
 
+	if (datagram_add(peer, channel, payload, size)) {
+		channel_count(peers, channel, size);
+		peer_flush_later(peer);
+		return;
+	}
 	if (!peer_queue_add(peer, channel, payload, size))
 		return;
 	channel_count(peers, channel, size);
@@ -226,6 +233,8 @@
 	to->idle_usec = default_usec(to->idle_usec, IDLE_USEC);
 	to->backoff_usec = default_usec(to->backoff_usec, BACKOFF_USEC);
 	to->backoff_max = default_usec(to->backoff_max, BACKOFF_MAX);
+	to->proven_usec = default_usec(to->proven_usec, PROVEN_USEC);
+	to->answer_usec = default_usec(to->answer_usec, ANSWER_USEC);
 	if (to->queue_bytes_max == 0)
 		to->queue_bytes_max = QUEUE_BYTES_MAX;
 	if (to->links_max == 0)
@@ -305,7 +314,9 @@
 			   struct error *err)
 {
 	char bound[ADDRESS_TEXT_MAX];
-	int fd = peer_listen(settings->listen, bound, err);
+	int datagrams = -1;
+	int fd = peer_listen(settings->listen, bound,
+			     settings->datagrams ? &datagrams : NULL, err);
 
 	if (fd < 0)
 		return NULL;
@@ -331,6 +342,7 @@
 						   H2O_SOCKET_FLAG_DONT_READ);
 	peers->listener->data = peers;
 	h2o_socket_read_start(peers->listener, on_accept);
+	datagrams_start(peers, counters, datagrams);
 	return peers;
 }
 
@@ -350,6 +362,7 @@
 		link_close(key);
 	g_hash_table_destroy(peers->links);
 	g_hash_table_destroy(peers->table);
+	datagrams_stop(peers);
 	g_queue_clear_full(&peers->local, g_free);
 	g_rand_free(peers->rand);
 	g_free(peers);
--- a/entry/peers_private.h
+++ b/entry/peers_private.h
@@ -5,6 +5,7 @@
 #define ENTRY_PEERS_PRIVATE_H
 
 #include <glib.h>
+#include <sys/socket.h>
 
 #include "common/clock.h"
 #include "common/counter.h"
@@ -17,6 +18,19 @@
 	void *ctx;
 };
 
+/* Datagrams to one peer. The times are those of the clock. */
+struct peer_datagrams {
+	struct frame_writer *open; /* probes and messages */
+	uint32_t messages;	   /* in open */
+	bool proven;		   /* a probe was answered */
+	bool asking;		   /* since asked, last tried */
+	int64_t asked;
+	int64_t tried;
+	int64_t heard;
+	struct sockaddr_storage to;
+	socklen_t to_size; /* 0 when not looked up on this link */
+};
+
 struct peer {
 	struct peers *peers;
 	uint64_t id;
@@ -24,6 +38,7 @@
 	struct link *link;
 	struct frame_writer *open; /* the frame being filled */
 	GByteArray *queue;	   /* closed frames */
+	struct peer_datagrams datagrams;
 	struct timer flush;
 	struct timer backoff;
 	uint32_t attempts;
@@ -44,6 +59,29 @@
 	DROP_COUNT,
 };
 
+/* Why datagrams were dropped; busy is the only one of the sender's side. */
+enum datagram_drop {
+	DATAGRAM_DROP_SIZE,
+	DATAGRAM_DROP_SENDER, /* unknown, or no link to it */
+	DATAGRAM_DROP_TOKEN,
+	DATAGRAM_DROP_MALFORMED,
+	DATAGRAM_DROP_CHANNEL,
+	DATAGRAM_DROP_BUSY,
+	DATAGRAM_DROP_COUNT,
+};
+
+struct datagrams {
+	h2o_socket_t *socket; /* NULL when none are used */
+	GByteArray *out;
+	struct counter *sent;
+	struct counter *received;
+	struct counter *bytes_sent;
+	struct counter *bytes_received;
+	struct counter *messages_sent;
+	struct counter *messages_received;
+	struct counter *dropped[DATAGRAM_DROP_COUNT];
+};
+
 struct peers {
 	struct loop *loop;
 	struct clock *clock;
@@ -61,6 +99,7 @@
 	struct loop_deferred deliver;
 	struct timer sweep;
 	struct link_traffic traffic;
+	struct datagrams datagrams;
 	struct counter *bytes_sent;
 	struct counter *bytes_received;
 	struct counter *writes;
@@ -107,8 +146,26 @@
 void hello_take(struct peers *peers, struct link *link, const void *payload,
 		size_t size);
 
+/* entry/peer_datagram.c */
+/* fd is a bound socket, or -1 for none. */
+void datagrams_start(struct peers *peers, struct counter_set *counters, int fd);
+void datagrams_stop(struct peers *peers);
+/* For the hello of a link; 0 when no datagrams are taken. */
+uint64_t datagram_token(const struct peers *peers);
+/* A link came into use. */
+void datagram_reset(struct peer *peer);
+/* Takes a message, to be sent at the flush; false when it is to go over the
+ * link. */
+bool datagram_add(struct peer *peer, enum channel channel, const void *payload,
+		  size_t size);
+/* Sends what waits; puts it into the queue when it cannot go so any more. */
+void datagram_flush(struct peer *peer);
+
 /* entry/peer_listen.c */
-/* Returns a listening socket, its address as bound in bound, or -1. */
-int peer_listen(const char *address, char *bound, struct error *err);
+/* Returns a listening socket, its address as bound in bound, or -1. With
+ * datagrams not NULL a socket for these at the same address is put there, or
+ * -1 when that is in use. */
+int peer_listen(const char *address, char *bound, int *datagrams,
+		struct error *err);
 
 #endif
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -31,6 +31,7 @@
 	KIND_U32,
 	KIND_U64,
 	KIND_MSEC,
+	KIND_BOOL,
 };
 
 struct setting {
@@ -81,6 +82,9 @@
 	 "how long a dead instance's streams may be resumed"},
 	{"coalesce-ms", "JT_COALESCE_MS", KIND_MSEC, FIELD(coalesce_usec), 0,
 	 1000, "2", false, "N", "how long a message may wait for company"},
+	{"peer-datagrams", "JT_PEER_DATAGRAMS", KIND_BOOL,
+	 FIELD(peer_datagrams), 0, 0, "yes", false, "yes|no",
+	 "small messages to other instances go as datagrams"},
 	{"drain-ms", "JT_DRAIN_MS", KIND_MSEC, FIELD(drain_usec), 0,
 	 24 * HOUR_MSEC, "0", false, "N",
 	 "longest graceful shutdown; 0 sets no bound"},
@@ -224,6 +228,15 @@
 	return true;
 }
 
+static bool bool_store(bool *field, const char *text, struct error *err)
+{
+	*field = strcmp(text, "yes") == 0;
+	if (!*field && strcmp(text, "no") != 0)
+		return error_set(err, RESULT_BAD_SETTING,
+				 "'%s' is neither yes nor no", text);
+	return true;
+}
+
 static bool value_store(const struct setting *setting,
 			struct settings *settings, const char *text,
 			struct error *err)
@@ -249,6 +262,8 @@
 				  err);
 	case KIND_SEED:
 		return seed_add(settings, text, err);
+	case KIND_BOOL:
+		return bool_store(field, text, err);
 	case KIND_LEVEL:
 		return log_level_parse(text, field, err);
 	default:
--- a/include/coord/transport.h
+++ b/include/coord/transport.h
@@ -3,7 +3,8 @@
  *
  * DESCRIPTION
  *	A module hands a message to the transport and forgets it: delivery is
- *	at most once, in order while a link lasts, and may be late or never. A
+ *	at most once, in order while a link lasts, and may be late or never;
+ *	messages of CHANNEL_LEDGER may be doubled and out of order. A
  *	message to the own instance is delivered in a later turn of the loop,
  *	never within send(). Receiving is by the module's own x_receive().
  */
--- a/include/entry/peer_link.h
+++ b/include/entry/peer_link.h
@@ -59,6 +59,9 @@
 	uint64_t peer;	 /* 0 on an inbound link before its hello */
 	uint64_t opener; /* who connected */
 	int64_t used;	 /* clock time of the last message either way */
+	/* Of datagrams from and to the peer; 0 for none. */
+	uint64_t token_in;
+	uint64_t token_out;
 	/* The rest is private to peer_link.c. */
 	struct loop *loop;
 	h2o_socket_t *socket;
--- a/include/entry/peers.h
+++ b/include/entry/peers.h
@@ -17,6 +17,12 @@
  *	yet. A hello of a higher incarnation replaces the link of a lower one.
  *	Links idle for idle_usec are closed; both sides read to the end first.
  *
+ *	With datagrams, messages of CHANNEL_LEDGER that fit into one go over UDP
+ *	from and to the address of the listening socket, while a link to a peer
+ *	of the same data centre is in use, its hello had a token, and probes are
+ *	answered; else over the link. They may be lost, doubled or reordered.
+ *	When the UDP port is in use by others, none are used and none taken.
+ *
  *	A message to the own instance is delivered in a later turn.
  */
 #ifndef ENTRY_PEERS_H
@@ -49,6 +55,9 @@
 	int64_t backoff_max;	/* default 2 s */
 	size_t queue_bytes_max; /* default 4 MiB for each peer */
 	uint32_t links_max;	/* default 1,024 */
+	int64_t proven_usec;	/* between two probes; default 5 s */
+	int64_t answer_usec;	/* to a probe's answer; default 1 s */
+	bool datagrams;		/* small messages of the ledger go so */
 };
 
 struct peers_ops {
--- a/include/entry/settings.h
+++ b/include/entry/settings.h
@@ -34,6 +34,7 @@
 	int64_t settle_usec;
 	int64_t orphan_grace_usec;
 	int64_t coalesce_usec;
+	bool peer_datagrams;
 	int64_t drain_usec;	    /* longest graceful shutdown; 0: no bound */
 	int64_t drain_delay_usec;   /* still accepting after draining is said */
 	int64_t list_usec;	    /* how often the platform's list is read */
--- a/scripts/capacity_site.py
+++ b/scripts/capacity_site.py
@@ -16,6 +16,7 @@
 # Ethernet, IP and TCP with timestamps; loopback carries no Ethernet, but the
 # sites' networks do.
 SEGMENT_HEADER = 66
+DATAGRAM_HEADER = 42
 CHANNELS = ("member", "config", "claim", "ledger", "directory")
 
 
@@ -123,8 +124,12 @@
     def sample(self):
         """What a window is measured by."""
         values = self.metrics()
-        sent = values["jt_peer_sent_bytes_total"]
-        received = values["jt_peer_received_bytes_total"]
+        grams_out = values['jt_peer_datagrams_total{direction="sent"}']
+        grams_in = values['jt_peer_datagrams_total{direction="received"}']
+        sent = (values["jt_peer_sent_bytes_total"]
+                + values['jt_peer_datagram_bytes_total{direction="sent"}'])
+        received = (values["jt_peer_received_bytes_total"]
+                    + values['jt_peer_datagram_bytes_total{direction="received"}'])
         out = values['jt_peer_segments_total{direction="sent"}']
         into = values['jt_peer_segments_total{direction="received"}']
         channels = {
@@ -133,10 +138,12 @@
         return channels | {
             "cpu": self.cpu_seconds(),
             "payload": sent + received,
-            "wire_sent": sent + SEGMENT_HEADER * out,
-            "wire_received": received + SEGMENT_HEADER * into,
-            "segments": out + into,
-            "segments_sent": out,
+            "wire_sent": sent + SEGMENT_HEADER * out
+            + DATAGRAM_HEADER * grams_out,
+            "wire_received": received + SEGMENT_HEADER * into
+            + DATAGRAM_HEADER * grams_in,
+            "segments": out + into + grams_out + grams_in,
+            "segments_sent": out + grams_out,
             "messages": values["jt_peer_sent_messages_total"],
             "list_bytes": values["jt_list_read_bytes_total"],
             "polls": values["jt_poll_reads_total"],
--- /dev/null
+++ b/tests/entry/fuzz_datagram.c
@@ -0,0 +1,128 @@
+/*
+ * Reads bytes as a datagram; what is taken must be the same when it is written
+ * and read again. With clang's -fsanitize=fuzzer and -DFUZZ_ENGINE this is a
+ * fuzz target; as a test it runs seeded mutations of sound ones.
+ */
+#include <glib.h>
+#include <stdint.h>
+
+#include "common/id.h"
+#include "entry/peer_datagram.h"
+
+#define MUTATIONS 20000
+
+struct digest {
+	struct frame_writer *writer;
+	uint64_t value;
+	uint64_t messages;
+};
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
+
+static void digest_message(void *ctx, enum channel channel, const void *payload,
+			   size_t size)
+{
+	struct digest *digest = ctx;
+
+	digest->messages++;
+	digest->value = id_mix(digest->value, (uint64_t)channel);
+	digest->value = id_mix(digest->value, id_hash(payload, size));
+	if (digest->writer)
+		g_assert_true(frame_writer_add(digest->writer, channel, payload,
+					       size, NULL));
+}
+
+int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size)
+{
+	struct digest first = {.writer = frame_writer_create()};
+	struct digest again = {0};
+	struct datagram datagram;
+	struct datagram copy;
+	GByteArray *out = g_byte_array_new();
+	bool sized = datagram_decode(&datagram, data, size, NULL);
+
+	g_assert_cmpint(sized, ==,
+			size > DATAGRAM_HEADER && size <= DATAGRAM_MAX);
+	if (sized && !datagram_read(&datagram, digest_message, &first, NULL))
+		g_assert_cmpuint(first.messages, ==, 0);
+	datagram_encode(sized ? datagram.sender : 0, sized ? datagram.token : 0,
+			first.writer, out);
+	g_assert_cmpint(out->len != 0, ==, first.messages != 0);
+	if (out->len != 0) {
+		g_assert_true(
+			datagram_decode(&copy, out->data, out->len, NULL));
+		g_assert_cmpuint(copy.sender, ==, datagram.sender);
+		g_assert_cmpuint(copy.token, ==, datagram.token);
+		g_assert_true(
+			datagram_read(&copy, digest_message, &again, NULL));
+		g_assert_cmpuint(again.value, ==, first.value);
+	}
+	g_byte_array_unref(out);
+	frame_writer_destroy(first.writer);
+	return 0;
+}
+
+#ifndef FUZZ_ENGINE
+static GByteArray *sound(int messages)
+{
+	struct frame_writer *writer = frame_writer_create();
+	GByteArray *out = g_byte_array_new();
+	char payload[60];
+
+	for (int i = 0; i < messages; i++) {
+		for (size_t n = 0; n < sizeof(payload); n++)
+			payload[n] = (char)g_test_rand_int_range(0, 256);
+		frame_writer_add(
+			writer, i % 3 ? CHANNEL_LEDGER : CHANNEL_HELLO, payload,
+			(size_t)g_test_rand_int_range(0, sizeof(payload)),
+			NULL);
+	}
+	datagram_encode(1, 2, writer, out);
+	frame_writer_destroy(writer);
+	return out;
+}
+
+static void mutate(GByteArray *bytes)
+{
+	int edits = g_test_rand_int_range(1, 4);
+
+	for (int i = 0; i < edits && bytes->len; i++) {
+		guint at = (guint)g_test_rand_int_range(0, (gint32)bytes->len);
+		guint8 byte = (guint8)g_test_rand_int_range(0, 256);
+
+		switch (g_test_rand_int_range(0, 4)) {
+		case 0:
+			bytes->data[at] = byte;
+			break;
+		case 1:
+			g_byte_array_set_size(bytes, at);
+			break;
+		case 2:
+			g_byte_array_remove_index(bytes, at);
+			break;
+		default:
+			g_byte_array_append(bytes, &byte, 1);
+			break;
+		}
+	}
+}
+
+static void test_mutations(void)
+{
+	for (int i = 0; i < MUTATIONS; i++) {
+		GByteArray *bytes = sound(g_test_rand_int_range(1, 16));
+
+		LLVMFuzzerTestOneInput(bytes->data, bytes->len);
+		mutate(bytes);
+		LLVMFuzzerTestOneInput(bytes->data, bytes->len);
+		g_byte_array_unref(bytes);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/fuzz/datagram", test_mutations);
+	return g_test_run();
+}
+#endif
--- /dev/null
+++ b/tests/entry/peers_world.h
@@ -0,0 +1,50 @@
+/* Three peers in one process over loopback. */
+#ifndef TESTS_ENTRY_PEERS_WORLD_H
+#define TESTS_ENTRY_PEERS_WORLD_H
+
+#include <glib.h>
+
+#include "common/counter.h"
+#include "entry/peers.h"
+#include "run.h"
+
+#define SIDES 3
+#define COALESCE_USEC (2 * USEC_PER_MSEC)
+
+struct side {
+	struct world *world;
+	struct peers *peers;
+	struct counter_set *counters;
+	const char *name;
+	uint64_t id;
+	char address[64];
+	GString *got; /* "FROM:text " each */
+	int count;
+	int hellos;
+	int wanted;
+};
+
+struct world {
+	struct run run;
+	struct side sides[SIDES];
+	struct peers_settings settings;
+	int apart; /* this side is in another data centre; 0 for none */
+	/* What the address callback says instead, by id. */
+	uint64_t moved;
+	const char *moved_to;
+};
+
+const char *side_address(void *ctx, uint64_t instance);
+void side_start(struct world *world, int i, uint64_t incarnation);
+void side_stop(struct world *world, int i);
+/* settings may be NULL. */
+void world_setup(struct world *world, const struct peers_settings *settings);
+void world_teardown(struct world *world);
+int64_t counted(const struct side *side, const char *name, const char *labels);
+void send_text(struct world *world, int from, int to, const char *text);
+/* Until side i has received as many messages, and no more. */
+void wait_for(struct world *world, int i, int wanted);
+/* Of side 0. */
+bool no_links(void *ctx);
+
+#endif
--- /dev/null
+++ b/tests/entry/test_peer_datagrams.c
@@ -0,0 +1,625 @@
+/* Datagrams between peers of one process, and from a peer that is played by
+ * the test with raw sockets. */
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "common/error.h"
+#include "common/id.h"
+#include "common/log.h"
+#include "entry/peer_datagram.h"
+#include "entry/peer_hello.h"
+#include "peers_world.h"
+#include "web/address.h"
+
+#define FAKE "fake"
+#define FAKE_TOKEN 77
+#define LARGEST 1173 /* payload of a message alone in a datagram */
+
+#define SENT "direction=\"sent\""
+#define RECEIVED "direction=\"received\""
+
+static const struct peers_settings with = {
+	.datagrams = true,
+	.answer_usec = 5 * USEC_PER_SEC,
+};
+
+static int64_t messages(const struct side *side, const char *direction)
+{
+	return counted(side, "jt_peer_datagram_messages_total", direction);
+}
+
+static int64_t dropped(const struct side *side, const char *reason)
+{
+	g_autofree char *label = g_strdup_printf("reason=\"%s\"", reason);
+
+	return counted(side, "jt_peer_datagram_dropped_total", label);
+}
+
+static int64_t dropped_all(const struct side *side)
+{
+	static const char *const reasons[] = {"size",	   "sender",  "token",
+					      "malformed", "channel", "busy"};
+	int64_t sum = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++)
+		sum += dropped(side, reasons[i]);
+	return sum;
+}
+
+static bool message_sent(void *ctx)
+{
+	return messages(ctx, SENT) > 0;
+}
+
+/* Sends from a to b until a message went as a datagram. */
+static void prove(struct world *world)
+{
+	struct side *a = &world->sides[0];
+
+	for (int i = 0; i < 20 && !message_sent(a); i++) {
+		send_text(world, 0, 1, "p");
+		run_for(&world->run, 20 * USEC_PER_MSEC);
+	}
+	g_assert_true(message_sent(a));
+	world->sides[1].count = 0;
+	g_string_truncate(world->sides[1].got, 0);
+}
+
+static void test_exchange(void)
+{
+	struct world world;
+	struct side *a = &world.sides[0];
+	struct side *b = &world.sides[1];
+
+	world_setup(&world, &with);
+	prove(&world);
+	int64_t before = messages(a, SENT);
+	int64_t writes = counted(a, "jt_peer_writes_total", NULL);
+	int64_t grams = counted(a, "jt_peer_datagrams_total", SENT);
+
+	send_text(&world, 0, 1, "one");
+	send_text(&world, 0, 1, "two");
+	g_assert_false(peers_flushed(a->peers));
+	wait_for(&world, 1, 2);
+	g_assert_true(peers_flushed(a->peers));
+	g_assert_cmpstr(b->got->str, ==, "a:one a:two ");
+	g_assert_cmpint(messages(a, SENT), ==, before + 2);
+	g_assert_cmpint(messages(b, RECEIVED), ==, before + 2);
+	g_assert_cmpint(counted(a, "jt_peer_datagrams_total", SENT), ==,
+			grams + 1);
+	g_assert_cmpint(counted(a, "jt_peer_datagram_bytes_total", SENT), ==,
+			counted(b, "jt_peer_datagram_bytes_total", RECEIVED));
+	g_assert_cmpint(counted(a, "jt_peer_writes_total", NULL), ==, writes);
+	g_assert_cmpint(dropped_all(a) + dropped_all(b), ==, 0);
+	world_teardown(&world);
+}
+
+/* What fits goes by datagram, one byte more over the link; both arrive. */
+static void test_sizes(void)
+{
+	static const struct {
+		size_t size;
+		int count;
+		int64_t messages;
+		int64_t grams; /* at most */
+	} rows[] = {
+		{LARGEST, 1, 1, 1}, {LARGEST + 1, 1, 0, 0}, {LARGEST, 5, 5, 5},
+		{100, 50, 50, 5},   {583, 4, 4, 2},	    {0, 300, 300, 3},
+		{100000, 3, 0, 0},
+	};
+	struct world world;
+	struct side *a = &world.sides[0];
+	char *text = g_malloc0(100000);
+
+	world_setup(&world, &with);
+	prove(&world);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		int64_t before = messages(a, SENT);
+		int64_t grams = counted(a, "jt_peer_datagrams_total", SENT);
+
+		world.sides[1].count = 0;
+		for (int n = 0; n < rows[i].count; n++)
+			peers_send(a->peers, world.sides[1].id, CHANNEL_LEDGER,
+				   text, rows[i].size);
+		wait_for(&world, 1, rows[i].count);
+		g_assert_cmpint(messages(a, SENT) - before, ==,
+				rows[i].messages);
+		g_assert_cmpint(counted(a, "jt_peer_datagrams_total", SENT) -
+					grams,
+				<=, rows[i].grams);
+	}
+	g_assert_cmpint(dropped_all(&world.sides[1]), ==, 0);
+	g_free(text);
+	world_teardown(&world);
+}
+
+static void test_other_channels(void)
+{
+	struct world world;
+	struct side *a = &world.sides[0];
+
+	world_setup(&world, &with);
+	prove(&world);
+	int64_t before = messages(a, SENT);
+
+	for (int channel = CHANNEL_MEMBER; channel < CHANNEL_MAX; channel++) {
+		if (channel != CHANNEL_LEDGER)
+			peers_send(a->peers, world.sides[1].id,
+				   (enum channel)channel, "x", 1);
+	}
+	int64_t bytes = counted(a, "jt_peer_sent_bytes_total", NULL);
+
+	run_for(&world.run, 20 * USEC_PER_MSEC);
+	g_assert_cmpint(messages(a, SENT), ==, before);
+	g_assert_cmpint(counted(a, "jt_peer_sent_bytes_total", NULL), >, bytes);
+	world_teardown(&world);
+}
+
+/* Without the setting, on either side, and to another data centre. */
+static void test_none(gconstpointer data)
+{
+	int row = GPOINTER_TO_INT(data);
+	struct world world;
+
+	world_setup(&world, row == 0 ? NULL : &with);
+	if (row == 1)
+		world.settings.datagrams = false;
+	if (row == 2)
+		world.apart = 1;
+	side_stop(&world, 1);
+	side_start(&world, 1, 11);
+	for (int i = 0; i < 5; i++) {
+		send_text(&world, 0, 1, "x");
+		send_text(&world, 1, 0, "y");
+		run_for(&world.run, 20 * USEC_PER_MSEC);
+	}
+	for (int i = 0; i < 2; i++) {
+		g_assert_cmpint(world.sides[i].count, ==, 5);
+		g_assert_cmpint(messages(&world.sides[i], SENT), ==, 0);
+	}
+	if (row < 2)
+		g_assert_cmpint(counted(&world.sides[0],
+					"jt_peer_datagrams_total", SENT),
+				==, 0);
+	world_teardown(&world);
+}
+
+/* What waits for a datagram when the link goes is sent by the next one. */
+static void test_link_lost(void)
+{
+	struct peers_settings settings = {.datagrams = true,
+					  .coalesce_usec = 100 * USEC_PER_MSEC};
+	struct world world;
+
+	world_setup(&world, &settings);
+	for (int i = 0; i < 20 && !message_sent(&world.sides[0]); i++) {
+		send_text(&world, 0, 1, "p");
+		run_for(&world.run, 150 * USEC_PER_MSEC);
+	}
+	g_assert_true(message_sent(&world.sides[0]));
+	int64_t before = messages(&world.sides[1], RECEIVED);
+
+	world.sides[1].count = 0;
+	send_text(&world, 0, 1, "late");
+	side_stop(&world, 1);
+	g_assert_true(run_until(&world.run, no_links, &world));
+	side_start(&world, 1, 11);
+	wait_for(&world, 1, 1);
+	g_assert_true(g_str_has_suffix(world.sides[1].got->str, "a:late "));
+	g_assert_cmpint(messages(&world.sides[1], RECEIVED), ==, before);
+	world_teardown(&world);
+}
+
+/* A port that is taken for datagrams by another: only links are used. */
+static void test_port_taken(void)
+{
+	struct world world;
+	struct sockaddr_storage storage;
+	socklen_t size;
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	world_setup(&world, &with);
+	side_stop(&world, 1);
+	g_assert_true(
+		address_parse(world.sides[1].address, &storage, &size, NULL));
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&storage, size), ==, 0);
+	side_start(&world, 1, 11);
+	for (int i = 0; i < 5; i++) {
+		send_text(&world, 0, 1, "x");
+		run_for(&world.run, 10 * USEC_PER_MSEC);
+	}
+	wait_for(&world, 1, 5);
+	g_assert_cmpint(
+		counted(&world.sides[0], "jt_peer_datagrams_total", SENT), ==,
+		0);
+	close(fd);
+	world_teardown(&world);
+}
+
+/* A peer of side 0 that is played here. */
+struct fake {
+	struct world *world;
+	struct frame_reader *reader;
+	int tcp;
+	int udp;
+	struct sockaddr_storage to;
+	socklen_t to_size;
+	char address[ADDRESS_TEXT_MAX];
+	uint64_t token; /* to side 0 */
+	bool answers;
+	int by_link;
+	int by_datagram;
+	int probes;
+};
+
+static void fake_send(struct fake *fake, const void *data, size_t size)
+{
+	g_assert_cmpint(sendto(fake->udp, data, size, 0,
+			       (struct sockaddr *)&fake->to, fake->to_size),
+			==, (ssize_t)size);
+}
+
+static void fake_message(struct fake *fake, uint64_t sender, uint64_t token,
+			 enum channel channel, const void *data, size_t size)
+{
+	struct frame_writer *writer = frame_writer_create();
+	GByteArray *out = g_byte_array_new();
+
+	frame_writer_add(writer, channel, data, size, NULL);
+	datagram_encode(sender, token, writer, out);
+	fake_send(fake, out->data, out->len);
+	g_byte_array_unref(out);
+	frame_writer_destroy(writer);
+}
+
+static void link_message(void *ctx, enum channel channel, const void *payload,
+			 size_t size)
+{
+	struct fake *fake = ctx;
+	struct member member;
+
+	if (channel == CHANNEL_HELLO)
+		g_assert_true(hello_decode(&member, &fake->token, payload, size,
+					   NULL));
+	else
+		fake->by_link++;
+}
+
+static void datagram_message(void *ctx, enum channel channel,
+			     const void *payload, size_t size)
+{
+	struct fake *fake = ctx;
+
+	if (channel != CHANNEL_HELLO) {
+		fake->by_datagram++;
+		return;
+	}
+	g_assert_cmpuint(size, ==, 1);
+	fake->probes++;
+	if (fake->answers)
+		fake_message(fake, id_of(FAKE), fake->token, CHANNEL_HELLO,
+			     "\1", 1);
+}
+
+static void fake_read(struct fake *fake)
+{
+	char data[2000];
+	struct datagram datagram;
+	ssize_t got;
+
+	got = recv(fake->tcp, data, sizeof(data), MSG_DONTWAIT);
+	if (got > 0)
+		g_assert_true(frame_reader_feed(fake->reader, data, (size_t)got,
+						NULL));
+	while ((got = recv(fake->udp, data, sizeof(data), MSG_DONTWAIT)) >= 0) {
+		g_assert_true(
+			datagram_decode(&datagram, data, (size_t)got, NULL));
+		g_assert_cmpuint(datagram.sender, ==, id_of("a"));
+		g_assert_cmpuint(datagram.token, ==, FAKE_TOKEN);
+		g_assert_true(
+			datagram_read(&datagram, datagram_message, fake, NULL));
+	}
+}
+
+static bool fake_linked(void *ctx)
+{
+	struct fake *fake = ctx;
+
+	fake_read(fake);
+	return fake->token != 0;
+}
+
+static void fake_connect(struct fake *fake, uint64_t incarnation)
+{
+	struct member self = {.incarnation = incarnation};
+	struct frame_writer *writer = frame_writer_create();
+	GByteArray *hello = g_byte_array_new();
+	GByteArray *frame = g_byte_array_new();
+
+	g_strlcpy(self.name, FAKE, sizeof(self.name));
+	g_strlcpy(self.data_centre, "d1", sizeof(self.data_centre));
+	g_strlcpy(self.peer_address, fake->address, sizeof(self.peer_address));
+	hello_encode(&self, FAKE_TOKEN, hello);
+	frame_writer_add(writer, CHANNEL_HELLO, hello->data, hello->len, NULL);
+	frame_writer_take(writer, frame);
+	fake->token = 0;
+	fake->reader = frame_reader_create(link_message, fake);
+	fake->tcp = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(
+		connect(fake->tcp, (struct sockaddr *)&fake->to, fake->to_size),
+		==, 0);
+	g_assert_cmpint(send(fake->tcp, frame->data, frame->len, MSG_NOSIGNAL),
+			==, (ssize_t)frame->len);
+	g_assert_true(run_until(&fake->world->run, fake_linked, fake));
+	g_byte_array_unref(frame);
+	g_byte_array_unref(hello);
+	frame_writer_destroy(writer);
+}
+
+static void fake_disconnect(struct fake *fake)
+{
+	close(fake->tcp);
+	frame_reader_destroy(fake->reader);
+}
+
+static void fake_setup(struct fake *fake, struct world *world)
+{
+	struct sockaddr_storage own;
+	socklen_t size;
+
+	*fake = (struct fake){.world = world};
+	g_assert_true(address_parse(world->sides[0].address, &fake->to,
+				    &fake->to_size, NULL));
+	g_assert_true(address_parse("127.0.0.1:0", &own, &size, NULL));
+	fake->udp = socket(AF_INET, SOCK_DGRAM, 0);
+	g_assert_cmpint(bind(fake->udp, (struct sockaddr *)&own, size), ==, 0);
+	g_assert_cmpint(getsockname(fake->udp, (struct sockaddr *)&own, &size),
+			==, 0);
+	address_print(&own, fake->address);
+	world->moved = id_of(FAKE);
+	world->moved_to = fake->address;
+	fake_connect(fake, 10);
+}
+
+static void fake_teardown(struct fake *fake)
+{
+	fake_disconnect(fake);
+	close(fake->udp);
+}
+
+struct fault {
+	const char *name;
+	const char *reason; /* NULL: taken */
+	bool own_sender;
+	bool own_token;
+	const char *body;
+	size_t size;
+	int taken;
+	int times;
+};
+
+#define BODY(text) text, sizeof(text) - 1
+
+static const char long_body[DATAGRAM_MAX - DATAGRAM_HEADER + 1] = {0};
+
+static const struct fault faults[] = {
+	{"good", NULL, true, true, BODY("\x92\x03\xc4\x02hi"), 1, 1},
+	{"two-messages", NULL, true, true,
+	 BODY("\x94\x03\xc4\x02hi\x03\xc4\x02ho"), 2, 1},
+	{"duplicate", NULL, true, true, BODY("\x92\x03\xc4\x02hi"), 2, 2},
+	{"wrong-token", "token", true, false, BODY("\x92\x03\xc4\x02hi"), 0, 1},
+	{"unknown-sender", "sender", false, true, BODY("\x92\x03\xc4\x02hi"), 0,
+	 1},
+	{"no-body", "size", true, true, BODY(""), 0, 1},
+	{"truncated", "malformed", true, true, BODY("\x92\x03\xc4\x02h"), 0, 1},
+	{"second-truncated", "malformed", true, true,
+	 BODY("\x94\x03\xc4\x02hi\x03\xc4\x02h"), 0, 1},
+	{"rest", "malformed", true, true, BODY("\x92\x03\xc4\x02hi!"), 0, 1},
+	{"over-long", "size", true, true, long_body, sizeof(long_body), 0, 1},
+	{"garbage", "malformed", true, true, BODY("GET / HTTP/1.1\r\n\r\n"), 0,
+	 1},
+	{"zeros", "malformed", true, true, long_body, sizeof(long_body) - 1, 0,
+	 1},
+	{"deep", "malformed", true, true,
+	 BODY("\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91\x91"), 0, 1},
+	{"huge-count", "malformed", true, true, BODY("\xdd\xff\xff\xff\xfe"), 0,
+	 1},
+	{"other-channel", "channel", true, true, BODY("\x92\x02\xc4\x02hi"), 0,
+	 1},
+	{"no-channel", "malformed", true, true, BODY("\x92\x63\xc4\x02hi"), 0,
+	 1},
+};
+
+static bool datagram_read_all(void *ctx)
+{
+	const struct side *side = ctx;
+
+	return counted(side, "jt_peer_datagrams_total", RECEIVED) >=
+	       side->wanted;
+}
+
+static void datagrams_wait(struct world *world, int wanted)
+{
+	world->sides[0].wanted = wanted;
+	g_assert_true(
+		run_until(&world->run, datagram_read_all, &world->sides[0]));
+}
+
+static void test_fault(gconstpointer data)
+{
+	const struct fault *row = data;
+	struct world world;
+	struct side *a = &world.sides[0];
+	struct fake fake;
+	uint64_t header[2];
+	GByteArray *bytes = g_byte_array_new();
+
+	world_setup(&world, &with);
+	fake_setup(&fake, &world);
+	header[0] = GUINT64_TO_BE(id_of(FAKE) ^ !row->own_sender);
+	header[1] = GUINT64_TO_BE(fake.token ^ !row->own_token);
+	g_byte_array_append(bytes, (const guint8 *)header, sizeof(header));
+	g_byte_array_append(bytes, (const guint8 *)row->body, (guint)row->size);
+	for (int i = 0; i < row->times; i++)
+		fake_send(&fake, bytes->data, bytes->len);
+	datagrams_wait(&world, row->times);
+	g_assert_cmpint(a->count, ==, row->taken);
+	g_assert_cmpint(dropped_all(a), ==, row->reason ? 1 : 0);
+	if (row->reason)
+		g_assert_cmpint(dropped(a, row->reason), ==, 1);
+	/* The link and the others live on. */
+	fake_message(&fake, id_of(FAKE), fake.token, CHANNEL_LEDGER, "ok", 2);
+	datagrams_wait(&world, row->times + 1);
+	g_assert_cmpint(a->count, ==, row->taken + 1);
+	g_assert_cmpuint(peers_links(a->peers), ==, 1);
+	g_byte_array_unref(bytes);
+	fake_teardown(&fake);
+	world_teardown(&world);
+}
+
+/* Datagrams shorter than the header, down to none. */
+static void test_short(void)
+{
+	static const char bytes[DATAGRAM_HEADER] = {0};
+	struct world world;
+	struct fake fake;
+
+	world_setup(&world, &with);
+	fake_setup(&fake, &world);
+	for (size_t size = 0; size <= DATAGRAM_HEADER; size++)
+		fake_send(&fake, bytes, size);
+	datagrams_wait(&world, DATAGRAM_HEADER + 1);
+	g_assert_cmpint(dropped(&world.sides[0], "size"), ==,
+			DATAGRAM_HEADER + 1);
+	fake_teardown(&fake);
+	world_teardown(&world);
+}
+
+/* A token ends with its link, also when the peer comes back. */
+static void test_old_token(void)
+{
+	struct world world;
+	struct side *a = &world.sides[0];
+	struct fake fake;
+
+	world_setup(&world, &with);
+	fake_setup(&fake, &world);
+	uint64_t old = fake.token;
+
+	fake_disconnect(&fake);
+	g_assert_true(run_until(&world.run, no_links, &world));
+	fake_message(&fake, id_of(FAKE), old, CHANNEL_LEDGER, "x", 1);
+	datagrams_wait(&world, 1);
+	g_assert_cmpint(dropped(a, "sender"), ==, 1);
+	fake_connect(&fake, 11);
+	g_assert_cmpuint(fake.token, !=, old);
+	fake_message(&fake, id_of(FAKE), old, CHANNEL_LEDGER, "x", 1);
+	datagrams_wait(&world, 2);
+	g_assert_cmpint(dropped(a, "token"), ==, 1);
+	g_assert_cmpint(a->count, ==, 0);
+	fake_teardown(&fake);
+	world_teardown(&world);
+}
+
+static void to_fake(struct fake *fake)
+{
+	peers_send(fake->world->sides[0].peers, id_of(FAKE), CHANNEL_LEDGER,
+		   "x", 1);
+	run_for(&fake->world->run, 10 * USEC_PER_MSEC);
+	fake_read(fake);
+	run_for(&fake->world->run, 10 * USEC_PER_MSEC);
+}
+
+/* A network that swallows datagrams, carries them, swallows them again. */
+static void test_lost(void)
+{
+	struct peers_settings settings = {
+		.datagrams = true,
+		.proven_usec = 100 * USEC_PER_MSEC,
+		.answer_usec = 200 * USEC_PER_MSEC,
+	};
+	struct world world;
+	struct fake fake;
+	int sent = 0;
+
+	world_setup(&world, &settings);
+	fake_setup(&fake, &world);
+	for (; sent < 20; sent++)
+		to_fake(&fake);
+	g_assert_cmpint(fake.by_datagram, ==, 0);
+	g_assert_cmpint(fake.by_link, ==, 20);
+	g_assert_cmpint(fake.probes, >=, 2);
+	fake.answers = true;
+	for (; sent < 200 && fake.by_datagram < 20; sent++)
+		to_fake(&fake);
+	g_assert_cmpint(fake.by_datagram, ==, 20);
+	/* A probe in a while only, and none is lost. */
+	g_assert_cmpint(fake.by_datagram + fake.by_link, ==, sent);
+	fake.answers = false;
+	int by_link = fake.by_link;
+
+	for (int i = 0; i < 200 && fake.by_link == by_link; i++)
+		to_fake(&fake);
+	g_assert_cmpint(fake.by_link, ==, by_link + 1);
+	int by_datagram = fake.by_datagram;
+
+	for (int i = 0; i < 5; i++)
+		to_fake(&fake);
+	g_assert_cmpint(fake.by_link, ==, by_link + 6);
+	g_assert_cmpint(fake.by_datagram, ==, by_datagram);
+	fake_teardown(&fake);
+	world_teardown(&world);
+}
+
+/* An answer that nobody asked for proves nothing; odd probes are passed over.
+ */
+static void test_unasked(void)
+{
+	struct world world;
+	struct fake fake;
+
+	world_setup(&world, &with);
+	fake_setup(&fake, &world);
+	fake_message(&fake, id_of(FAKE), fake.token, CHANNEL_HELLO, "\1", 1);
+	fake_message(&fake, id_of(FAKE), fake.token, CHANNEL_HELLO, "", 0);
+	fake_message(&fake, id_of(FAKE), fake.token, CHANNEL_HELLO, "\1\1", 2);
+	fake_message(&fake, id_of(FAKE), fake.token, CHANNEL_HELLO, "\2", 1);
+	datagrams_wait(&world, 4);
+	to_fake(&fake);
+	g_assert_cmpint(fake.by_link, ==, 1);
+	g_assert_cmpint(fake.by_datagram, ==, 0);
+	g_assert_cmpint(dropped_all(&world.sides[0]), ==, 0);
+	fake_teardown(&fake);
+	world_teardown(&world);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	log_setup(NULL, "test", LOG_EMERG);
+	g_test_add_func("/datagrams/exchange", test_exchange);
+	g_test_add_func("/datagrams/sizes", test_sizes);
+	g_test_add_func("/datagrams/other-channels", test_other_channels);
+	g_test_add_data_func("/datagrams/off", GINT_TO_POINTER(0), test_none);
+	g_test_add_data_func("/datagrams/off-there", GINT_TO_POINTER(1),
+			     test_none);
+	g_test_add_data_func("/datagrams/data-centres", GINT_TO_POINTER(2),
+			     test_none);
+	g_test_add_func("/datagrams/link-lost", test_link_lost);
+	g_test_add_func("/datagrams/port-taken", test_port_taken);
+	g_test_add_func("/datagrams/short", test_short);
+	g_test_add_func("/datagrams/old-token", test_old_token);
+	g_test_add_func("/datagrams/lost", test_lost);
+	g_test_add_func("/datagrams/unasked", test_unasked);
+	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
+		g_autofree char *path =
+			g_strconcat("/datagrams/fault/", faults[i].name, NULL);
+
+		g_test_add_data_func(path, &faults[i], test_fault);
+	}
+	return g_test_run();
+}
--- a/tests/entry/test_settings.c
+++ b/tests/entry/test_settings.c
@@ -44,6 +44,10 @@
 	 "--orphan-grace-ms: 60001 is not between 0 and 60000"},
 	{"--coalesce-ms=1001", NULL,
 	 "--coalesce-ms: 1001 is not between 0 and 1000"},
+	{"--peer-datagrams=maybe", NULL,
+	 "--peer-datagrams: 'maybe' is neither yes nor no"},
+	{"",
+	 "JT_PEER_DATAGRAMS=", "JT_PEER_DATAGRAMS: '' is neither yes nor no"},
 	{"--drain-ms=99999999999999999999", NULL,
 	 "--drain-ms: 99999999999999999999 is not between 0 and 86400000"},
 	{"--drain-delay-ms=x", NULL,
@@ -165,6 +169,7 @@
 	g_assert_cmpuint(settings.seed_count, ==, 0);
 	g_assert_cmpint(settings.heartbeat_usec, ==, 500 * USEC_PER_MSEC);
 	g_assert_cmpint(settings.coalesce_usec, ==, 2 * USEC_PER_MSEC);
+	g_assert_true(settings.peer_datagrams);
 	g_assert_cmpint(settings.drain_usec, ==, 0);
 	g_assert_cmpint(settings.role_dwell_usec, ==, 60 * USEC_PER_SEC);
 	g_assert_cmpuint(settings.body_bytes_max, ==, 8u << 20);
@@ -179,7 +184,10 @@
 	g_setenv("JT_LIST_MS", "88", TRUE);
 	g_setenv("JT_SEEDS", "a@b@1.2.3.4:5,c@d@[::1]:6", TRUE);
 	g_assert_true(args_read(&settings, "--name=n1 --data-centre=d1",
-				"--poll-ms=66 --listen=[::1]:0", &err));
+				"--poll-ms=66 --listen=[::1]:0 "
+				"--peer-datagrams=no",
+				&err));
+	g_assert_false(settings.peer_datagrams);
 	g_assert_cmpint(settings.poll_usec, ==, 66 * USEC_PER_MSEC);
 	g_assert_cmpint(settings.list_usec, ==, 88 * USEC_PER_MSEC);
 	g_assert_cmpstr(settings.listen, ==, "[::1]:0");
