tests: let membership and configuration use the one log of the tests

The tests of claims and those of membership and configuration had each a log with faults, and a way to keep what is under way.

The log in tests/fake/ has the faults of both now: answers lost, appends that come seconds later, refusals, nodes that are cut off or get no answer, outages, retention and holes. It takes its clock, its random numbers and the way to a node from its user; the world of membership uses it and the queue of later calls.

--- a/tests/coord/claim_fleet.c
+++ b/tests/coord/claim_fleet.c
@@ -138,7 +138,8 @@
 	struct fleet *fleet = g_new0(struct fleet, 1);
 
 	fleet->world = world_create(seed);
-	fleet->log = fake_log_create(fleet->world);
+	fleet->log = fake_log_create(fleet->world->clock, fleet->world->later,
+				     fleet->world->rand);
 	fleet->takes = g_ptr_array_new_with_free_func(g_free);
 	fleet->link_delay = 2 * USEC_PER_MSEC;
 	fleet->view_lag = 1;
@@ -154,6 +155,7 @@
 		instance->node = world_add(fleet->world);
 		instance->client.log = fleet->log;
 		instance->client.node = instance->node;
+		instance->client.post = node_post;
 	}
 	return fleet;
 }
--- a/tests/coord/claim_fleet.h
+++ b/tests/coord/claim_fleet.h
@@ -7,6 +7,7 @@
 #include "coord/claim.h"
 #include "fake_log.h"
 #include "fake_member.h"
+#include "fake_world.h"
 
 struct fleet;
 
--- a/tests/coord/lease_trial.c
+++ b/tests/coord/lease_trial.c
@@ -103,14 +103,15 @@
 	struct trial *trial = g_new0(struct trial, 1);
 
 	trial->world = world_create(seed);
-	trial->log = fake_log_create(trial->world);
+	trial->log = fake_log_create(trial->world->clock, trial->world->later,
+				     trial->world->rand);
 	for (uint32_t i = 0; i < HOLDERS; i++) {
 		struct holder *holder = &trial->holders[i];
 
 		holder->trial = trial;
 		holder->node = world_add(trial->world);
-		holder->client = (struct fake_log_client){trial->log,
-							  holder->node, false};
+		holder->client = (struct fake_log_client){
+			trial->log, node_post, holder->node, false, false};
 	}
 	node_start(world_add(trial->world));
 	return trial;
--- a/tests/coord/lease_trial.h
+++ b/tests/coord/lease_trial.h
@@ -13,6 +13,7 @@
 
 #include "coord/lease.h"
 #include "fake_log.h"
+#include "fake_world.h"
 
 #define HOLDERS 3u
 #define TASK 5u
--- a/tests/fake/fake_log.c
+++ b/tests/fake/fake_log.c
@@ -3,10 +3,12 @@
 #include <string.h>
 
 #define POLL_USEC (20 * USEC_PER_MSEC)
+#define SILENT_USEC (100 * USEC_PER_MSEC)
+#define LATE_USEC (3 * USEC_PER_SEC)
 
 struct append {
 	struct fake_log *log;
-	struct node *node;
+	struct fake_log_client *client;
 	char *stream;
 	GBytes *data;
 	log_append_fn fn;
@@ -31,9 +33,25 @@
 	struct log_page page;
 };
 
+static int64_t log_draw(struct fake_log *log, int64_t limit)
+{
+	return (int64_t)(g_rand_double(log->rand) * (double)limit);
+}
+
+static bool log_chance(struct fake_log *log, int percent)
+{
+	return g_rand_int_range(log->rand, 0, 100) < percent;
+}
+
+static bool log_strikes(struct fake_log *log, int per_thousand)
+{
+	return per_thousand > 0 &&
+	       g_rand_int_range(log->rand, 0, 1000) < per_thousand;
+}
+
 static int64_t log_delay(struct fake_log *log)
 {
-	return log->slow + world_draw(log->world, log->delay);
+	return log->slow + log_draw(log, log->delay);
 }
 
 static void record_free(void *data)
@@ -60,11 +78,14 @@
 	return stream;
 }
 
-struct fake_log *fake_log_create(struct world *world)
+struct fake_log *fake_log_create(struct clock *clock, struct later *later,
+				 GRand *rand)
 {
 	struct fake_log *log = g_new0(struct fake_log, 1);
 
-	log->world = world;
+	log->clock = clock;
+	log->later = later;
+	log->rand = rand;
 	log->delay = 10 * USEC_PER_MSEC;
 	log->streams = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
 					     stream_free);
@@ -82,6 +103,18 @@
 	return stream_get(log, stream);
 }
 
+uint64_t fake_log_first(struct fake_log *log, const char *stream)
+{
+	const GPtrArray *records = stream_get(log, stream);
+	int64_t oldest = clock_unix(log->clock) - log->retention;
+	uint64_t first = 0;
+
+	while (log->retention && first < records->len &&
+	       ((struct log_record *)records->pdata[first])->unix_us < oldest)
+		first++;
+	return first;
+}
+
 void fake_log_put(struct fake_log *log, const char *stream, const void *data,
 		  size_t size)
 {
@@ -89,7 +122,7 @@
 	struct log_record *record = g_new0(struct log_record, 1);
 
 	record->offset = records->len;
-	record->unix_us = clock_unix(log->world->clock);
+	record->unix_us = clock_unix(log->clock);
 	record->data = g_memdup2(data, size);
 	record->size = size;
 	g_ptr_array_add(records, record);
@@ -116,6 +149,16 @@
 	struct append *append = data;
 	struct fake_log *log = append->log;
 
+	if (append->client->silent && append->answer) {
+		later_call(log->later, SILENT_USEC, append_arrived, append,
+			   NULL);
+		return;
+	}
+	if (append->apply && log->outage && log->outage_at_arrival) {
+		append->apply = false;
+		if (append->code == RESULT_OK)
+			append->code = RESULT_LOG_DOWN;
+	}
 	if (append->apply) {
 		append->offset = stream_get(log, append->stream)->len;
 		fake_log_put(log, append->stream,
@@ -123,8 +166,8 @@
 			     g_bytes_get_size(append->data));
 	}
 	if (append->answer)
-		world_post(append->node, log_delay(log), append_answer, append,
-			   append_free, true);
+		append->client->post(append->client->node, log_delay(log),
+				     append_answer, append, append_free);
 	else
 		append_free(append);
 }
@@ -136,40 +179,64 @@
 	struct append *append = g_new0(struct append, 1);
 
 	append->log = client->log;
-	append->node = client->node;
+	append->client = client;
 	append->stream = g_strdup(stream);
 	append->data = g_bytes_new(data, size);
 	append->answer = true;
 	return append;
 }
 
+/* As if a copy of the append were still on its way for a while. */
+static void append_later(const struct append *append, int64_t delay)
+{
+	gsize size;
+	const void *data = g_bytes_get_data(append->data, &size);
+	struct append *late =
+		append_create(append->client, append->stream, data, size);
+
+	late->apply = true;
+	late->answer = false;
+	later_call(late->log->later, delay, append_arrived, late, NULL);
+}
+
+/* What becomes of an append that the log would take. */
+static void append_faults(struct append *append)
+{
+	struct fake_log *log = append->log;
+
+	if (log_strikes(log, log->refuse)) {
+		append->code = RESULT_LOG_DOWN;
+		append->apply = false;
+	} else if (log_strikes(log, log->late)) {
+		append->code = RESULT_LOG_UNKNOWN;
+		append->apply = false;
+		append_later(append, LATE_USEC);
+	} else if (log_strikes(log, log->lose)) {
+		append->code = RESULT_LOG_UNKNOWN;
+	}
+}
+
 static void log_append(void *ctx, const char *stream, const void *data,
 		       size_t size, log_append_fn fn, void *fn_ctx)
 {
 	struct fake_log_client *client = ctx;
 	struct fake_log *log = client->log;
 	struct append *append = append_create(client, stream, data, size);
-	struct append *late;
 
 	log->appends++;
 	append->fn = fn;
 	append->fn_ctx = fn_ctx;
 	append->apply = !log->outage && !client->cut;
 	append->code = append->apply ? RESULT_OK : RESULT_LOG_DOWN;
-	if (world_chance(log->world, log->lost_percent)) {
+	if (log_chance(log, log->lost_percent)) {
 		append->code = RESULT_LOG_UNKNOWN;
-		append->apply = append->apply && world_chance(log->world, 50);
-		if (!append->apply && world_chance(log->world, 50)) {
-			late = append_create(client, stream, data, size);
-			late->apply = true;
-			late->answer = false;
-			later_call(log->world->later,
-				   world_draw(log->world, 2 * USEC_PER_SEC),
-				   append_arrived, late, NULL);
-		}
+		append->apply = append->apply && log_chance(log, 50);
+		if (!append->apply && log_chance(log, 50))
+			append_later(append, log_draw(log, 2 * USEC_PER_SEC));
+	} else if (append->apply) {
+		append_faults(append);
 	}
-	later_call(log->world->later, log_delay(log), append_arrived, append,
-		   NULL);
+	later_call(log->later, log_delay(log), append_arrived, append, NULL);
 }
 
 static void read_free(void *data)
@@ -192,18 +259,13 @@
 static void read_fill(struct read *read, const GPtrArray *records)
 {
 	struct fake_log *log = read->log;
-	int64_t oldest = clock_unix(log->world->clock) - log->retention;
-	uint64_t first = 0;
+	uint64_t first = fake_log_first(log, read->stream);
 
-	while (log->retention && first < records->len &&
-	       ((struct log_record *)records->pdata[first])->unix_us < oldest)
-		first++;
 	g_array_set_size(read->records, 0);
 	for (uint64_t i = MAX(first, read->from);
 	     i < records->len && read->records->len < read->max; i++)
 		g_array_append_vals(read->records, records->pdata[i], 1);
-	if (read->records->len > 1 &&
-	    world_chance(log->world, log->hole_percent))
+	if (read->records->len > 1 && log_chance(log, log->hole_percent))
 		g_array_remove_index(read->records, 0);
 	read->page = (struct log_page){
 		.first = first,
@@ -219,17 +281,20 @@
 	struct fake_log *log = read->log;
 	const GPtrArray *records = stream_get(log, read->stream);
 
+	if (read->client->silent) {
+		later_call(log->later, SILENT_USEC, read_arrived, read, NULL);
+		return;
+	}
 	read->code =
 		log->outage || read->client->cut ? RESULT_LOG_DOWN : RESULT_OK;
 	read_fill(read, records);
 	if (read->code == RESULT_OK && !read->page.count &&
-	    clock_now(log->world->clock) < read->until) {
-		later_call(log->world->later, POLL_USEC, read_arrived, read,
-			   NULL);
+	    clock_now(log->clock) < read->until) {
+		later_call(log->later, POLL_USEC, read_arrived, read, NULL);
 		return;
 	}
-	world_post(read->client->node, log_delay(log), read_answer, read,
-		   read_free, true);
+	read->client->post(read->client->node, log_delay(log), read_answer,
+			   read, read_free);
 }
 
 static void log_read(void *ctx, const char *stream, uint64_t from, uint32_t max,
@@ -244,11 +309,11 @@
 	read->stream = g_strdup(stream);
 	read->from = from;
 	read->max = max;
-	read->until = clock_now(log->world->clock) + wait_us;
+	read->until = clock_now(log->clock) + wait_us;
 	read->fn = fn;
 	read->fn_ctx = fn_ctx;
 	read->records = g_array_new(FALSE, FALSE, sizeof(struct log_record));
-	later_call(log->world->later, log_delay(log), read_arrived, read, NULL);
+	later_call(log->later, log_delay(log), read_arrived, read, NULL);
 }
 
 struct log_store fake_log_store(struct fake_log_client *client)
--- a/tests/fake/fake_world.c
+++ b/tests/fake/fake_world.c
@@ -131,3 +131,9 @@
 	post->always = always;
 	later_call(node->world->later, delay, post_due, post, NULL);
 }
+
+void node_post(void *node, int64_t delay, void (*fn)(void *data), void *data,
+	       GDestroyNotify data_free)
+{
+	world_post(node, delay, fn, data, data_free, true);
+}
--- a/tests/fake/fake_world.h
+++ b/tests/fake/fake_world.h
@@ -55,5 +55,8 @@
  * the node has been stopped meanwhile, fn is called only if always is set. */
 void world_post(struct node *node, int64_t delay, void (*fn)(void *data),
 		void *data, GDestroyNotify data_free, bool always);
+/* As struct fake_log_client has it: always calls fn. */
+void node_post(void *node, int64_t delay, void (*fn)(void *data), void *data,
+	       GDestroyNotify data_free);
 
 #endif
--- a/tests/member/invariants.c
+++ b/tests/member/invariants.c
@@ -207,7 +207,7 @@
 		.changed = fold_changed,
 		.audit = fold_audited,
 	};
-	const struct log_store store = fake_log_store(node->world->extra, node);
+	const struct log_store store = fake_log_store(&node->client);
 	const struct transport transport = node_transport(node);
 	struct watch *watch = g_new0(struct watch, 1);
 
--- a/tests/member/invariants.h
+++ b/tests/member/invariants.h
@@ -6,7 +6,6 @@
 #ifndef TESTS_MEMBER_INVARIANTS_H
 #define TESTS_MEMBER_INVARIANTS_H
 
-#include "fake_log.h"
 #include "world.h"
 
 #define FACTS 4
--- a/tests/member/test_fold.c
+++ b/tests/member/test_fold.c
@@ -11,13 +11,22 @@
 
 struct run {
 	struct world *world;
-	struct fake_log *log;
 	struct chronicle *chronicle;
 	int64_t reappend;
 };
 
 static struct run run;
 
+static uint64_t records_all(void)
+{
+	return fake_log_records(run.world->log, LOG_STREAM_CONFIG)->len;
+}
+
+static uint64_t records_first(void)
+{
+	return fake_log_first(run.world->log, LOG_STREAM_CONFIG);
+}
+
 static void started(struct node *node)
 {
 	chronicle_start(run.chronicle, node);
@@ -143,7 +152,7 @@
 	g_assert_cmpint(code, ==, RESULT_OK);
 	pass(SECONDS(1));
 	g_assert_cmpint(code, ==, RESULT_TOO_LARGE);
-	g_assert_cmpuint(run.log->appends, ==, 0);
+	g_assert_cmpuint(records_all(), ==, 0);
 	g_free(content);
 }
 
@@ -152,11 +161,11 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->lose = 1000;
+	run.world->log->lose = 1000;
 	attempt = apply(1, 1, "second");
 	pass(SECONDS(2));
 	answered(attempt, RESULT_OK);
-	g_assert_cmpuint(run.log->appends, ==, 2);
+	g_assert_cmpuint(records_all(), ==, 2);
 }
 
 /* The append that was given up happens after it was tried again. */
@@ -165,13 +174,13 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->late = 1000;
+	run.world->log->late = 1000;
 	attempt = apply(1, 1, "second");
 	pass(SECONDS(1));
-	run.log->late = 0;
+	run.world->log->late = 0;
 	pass(SECONDS(6));
 	answered(attempt, RESULT_OK);
-	g_assert_cmpuint(run.log->appends, >, 2);
+	g_assert_cmpuint(records_all(), >, 2);
 	everywhere(2);
 }
 
@@ -180,11 +189,11 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->out = true;
+	run.world->log->outage = true;
 	attempt = apply(1, 1, "second");
 	pass(SECONDS(11));
 	answered(attempt, RESULT_LOG_DOWN);
-	run.log->out = false;
+	run.world->log->outage = false;
 	pass(SECONDS(8));
 	everywhere(1);
 	attempt = apply(1, 1, "third");
@@ -198,7 +207,7 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->out = true;
+	run.world->log->outage = true;
 	attempt = apply(1, 1, "bad");
 	pass(SECONDS(11));
 	answered(attempt, RESULT_BAD_CONFIG);
@@ -209,11 +218,11 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->cut[1] = true;
+	run.world->nodes[1]->client.silent = true;
 	attempt = apply(1, 1, "second");
 	pass(SECONDS(11));
 	answered(attempt, RESULT_LOG_UNKNOWN);
-	run.log->cut[1] = false;
+	run.world->nodes[1]->client.silent = false;
 	pass(SECONDS(10));
 	everywhere(2);
 }
@@ -223,10 +232,10 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->out = true;
+	run.world->log->outage = true;
 	attempt = apply(1, 1, "second");
 	pass(SECONDS(5));
-	run.log->out = false;
+	run.world->log->outage = false;
 	pass(SECONDS(5));
 	answered(attempt, RESULT_OK);
 	everywhere(2);
@@ -235,7 +244,7 @@
 static void new_in_outage(void)
 {
 	first();
-	run.log->out = true;
+	run.world->log->outage = true;
 	node_kill(run.world->nodes[2]);
 	pass(SECONDS(6));
 	node_start(run.world->nodes[2]);
@@ -252,7 +261,7 @@
 	first();
 	for (int i = 0; i < run.world->count; i++) {
 		if (node_in(run.world->nodes[i], "hall-a"))
-			run.log->cut[i] = true;
+			run.world->nodes[i]->client.silent = true;
 	}
 	attempt = apply(run.world->count - 1, 1, "second");
 	pass(SECONDS(5));
@@ -281,7 +290,8 @@
 	first();
 	world_part(w, "hall-a", "hall-b", true);
 	for (int i = 0; i < w->count; i++)
-		run.log->cut[i] = node_in(w->nodes[i], "hall-a");
+		run.world->nodes[i]->client.silent =
+			node_in(w->nodes[i], "hall-a");
 	apply(w->count - 1, 1, "second");
 	pass(SECONDS(20));
 	g_assert_cmpuint(fold_revision(fold(0)), ==, 1);
@@ -293,7 +303,7 @@
 
 static uint64_t records_kept(void)
 {
-	return run.log->records->len - run.log->first;
+	return records_all() - records_first();
 }
 
 /* The file outlives the log's memory of it many times over. */
@@ -302,11 +312,11 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->keep = SECONDS(30);
+	run.world->log->retention = SECONDS(30);
 	pass(SECONDS(300));
-	g_assert_cmpuint(run.log->first, >, 0);
+	g_assert_cmpuint(records_first(), >, 0);
 	g_assert_cmpuint(records_kept(), >=, 1);
-	g_assert_cmpuint(run.log->appends, <=, 2 * 300 / 10);
+	g_assert_cmpuint(records_all(), <=, 2 * 300 / 10);
 	for (int i = 0; i < run.world->count; i++)
 		node_kill(run.world->nodes[i]);
 	pass(SECONDS(5));
@@ -324,10 +334,10 @@
 	struct attempt *attempt;
 
 	first();
-	run.log->keep = SECONDS(30);
-	run.log->out = true;
+	run.world->log->retention = SECONDS(30);
+	run.world->log->outage = true;
 	pass(SECONDS(100));
-	run.log->out = false;
+	run.world->log->outage = false;
 	pass(SECONDS(20));
 	everywhere(1);
 	g_assert_cmpuint(records_kept(), >=, 1);
@@ -398,10 +408,11 @@
 	struct attempt *attempt;
 
 	first();
-	fake_log_put(run.log, "\xc1", 1);
-	fake_log_put(run.log, "not ours", 8);
-	fake_log_put(run.log, "\x99\x01\x07", 3);
-	fake_log_put(run.log, "\xdd\xff\xff\xff\xff", 5);
+	fake_log_put(run.world->log, LOG_STREAM_CONFIG, "\xc1", 1);
+	fake_log_put(run.world->log, LOG_STREAM_CONFIG, "not ours", 8);
+	fake_log_put(run.world->log, LOG_STREAM_CONFIG, "\x99\x01\x07", 3);
+	fake_log_put(run.world->log, LOG_STREAM_CONFIG, "\xdd\xff\xff\xff\xff",
+		     5);
 	attempt = apply(2, 1, "second");
 	pass(SECONDS(2));
 	answered(attempt, RESULT_OK);
@@ -514,7 +525,6 @@
 	char *problem;
 
 	run.world = world_create(11);
-	run.log = fake_log_create(run.world);
 	run.chronicle = chronicle_create(run.world);
 	run.reappend = row->reappend;
 	run.world->started = started;
@@ -526,7 +536,6 @@
 	problem = chronicle_holds(run.chronicle);
 	g_assert_cmpstr(problem, ==, NULL);
 	world_destroy(run.world);
-	fake_log_destroy(run.log);
 	chronicle_destroy(run.chronicle);
 }
 
--- a/tests/member/test_fold_schedules.c
+++ b/tests/member/test_fold_schedules.c
@@ -19,7 +19,6 @@
 
 struct run {
 	struct world *world;
-	struct fake_log *log;
 	struct chronicle *chronicle;
 	int files;
 	int64_t reappend;
@@ -60,12 +59,12 @@
 
 static void disturb_log(struct run *r)
 {
-	struct fake_log *log = r->log;
+	struct fake_log *log = r->world->log;
 	struct world *w = r->world;
 
 	switch (pick(w, 6)) {
 	case 0:
-		log->out = !log->out;
+		log->outage = !log->outage;
 		break;
 	case 1:
 		log->lose = pick(w, 500);
@@ -77,11 +76,12 @@
 		log->refuse = pick(w, 500);
 		break;
 	case 4:
-		log->cut[pick(w, w->count)] = true;
+		w->nodes[pick(w, w->count)]->client.silent = true;
 		break;
 	default:
-		memset(log->cut, 0, sizeof(log->cut));
-		log->out = false;
+		for (int i = 0; i < w->count; i++)
+			w->nodes[i]->client.silent = false;
+		log->outage = false;
 	}
 }
 
@@ -98,7 +98,7 @@
 		    fold_revision(other->fold) >= fold_revision(node->fold))
 			return false;
 	}
-	return r->log->keep;
+	return r->world->log->retention;
 }
 
 static void disturb_node(struct run *r)
@@ -161,13 +161,13 @@
 static void all_back(struct run *r)
 {
 	struct world *w = r->world;
-	struct fake_log *log = r->log;
+	struct fake_log *log = r->world->log;
 
 	world_heal(w);
-	log->out = false;
+	log->outage = false;
 	log->lose = log->late = log->refuse = 0;
-	memset(log->cut, 0, sizeof(log->cut));
 	for (int i = 0; i < w->count; i++) {
+		w->nodes[i]->client.silent = false;
 		node_wake(w->nodes[i]);
 		if (!w->nodes[i]->up)
 			node_start(w->nodes[i]);
@@ -206,7 +206,6 @@
 	int centres = 1 + pick(w, 3);
 
 	r->world = w;
-	r->log = fake_log_create(w);
 	r->chronicle = chronicle_create(w);
 	r->reappend = FOLD_REAPPEND_USEC;
 	w->started = started;
@@ -217,8 +216,8 @@
 	w->twice = pick(w, 100);
 	w->delay_max = 1000 + pick(w, 100000);
 	if (pick(w, 2)) {
-		r->log->keep = (6 + pick(w, 10)) * USEC_PER_SEC;
-		r->reappend = r->log->keep / 3;
+		r->world->log->retention = (6 + pick(w, 10)) * USEC_PER_SEC;
+		r->reappend = r->world->log->retention / 3;
 	}
 	return r;
 }
@@ -226,7 +225,6 @@
 static void run_destroy(struct run *r)
 {
 	world_destroy(r->world);
-	fake_log_destroy(r->log);
 	chronicle_destroy(r->chronicle);
 	g_free(r);
 }
--- a/tests/member/test_member_cost.c
+++ b/tests/member/test_member_cost.c
@@ -25,7 +25,6 @@
 
 struct run {
 	struct world *world;
-	struct fake_log *log;
 	struct chronicle *chronicle;
 };
 
@@ -42,7 +41,6 @@
 	struct world *w = world_create(SEED);
 
 	running.world = w;
-	running.log = fake_log_create(w);
 	running.chronicle = chronicle_create(w);
 	w->started = started;
 	w->stopping = chronicle_stop;
@@ -54,7 +52,6 @@
 static void run_destroy(void)
 {
 	world_destroy(running.world);
-	fake_log_destroy(running.log);
 	chronicle_destroy(running.chronicle);
 }
 
--- a/tests/member/world.c
+++ b/tests/member/world.c
@@ -2,8 +2,15 @@
 
 #include <string.h>
 
+/* What has arrived at a node, or is on its way to it. */
+struct post {
+	struct node *node;
+	void (*fn)(void *data);
+	void *data;
+	GDestroyNotify destroy;
+};
+
 struct letter {
-	struct timer timer;
 	struct node *from;
 	struct node *to;
 	enum channel channel;
@@ -24,9 +31,43 @@
 	       g_rand_int_range(w->rand, 0, 1000) < per_thousand;
 }
 
-static void letter_deliver(struct letter *letter)
+static void post_run(struct post *post)
 {
-	struct node *to = letter->to;
+	post->fn(post->data);
+	post->destroy(post->data);
+	g_free(post);
+}
+
+static void post_arrive(void *data)
+{
+	struct post *post = data;
+
+	if (post->node->paused)
+		g_queue_push_tail(&post->node->held, post);
+	else
+		post_run(post);
+}
+
+static struct post *post_create(struct node *node, void (*fn)(void *data),
+				void *data, GDestroyNotify destroy)
+{
+	struct post *post = g_new0(struct post, 1);
+
+	*post = (struct post){node, fn, data, destroy};
+	return post;
+}
+
+static void node_post(void *node, int64_t delay, void (*fn)(void *data),
+		      void *data, GDestroyNotify destroy)
+{
+	later_call(((struct node *)node)->world->later, delay, post_arrive,
+		   post_create(node, fn, data, destroy), NULL);
+}
+
+static void letter_deliver(void *data)
+{
+	const struct letter *letter = data;
+	const struct node *to = letter->to;
 
 	if (to->up && letter->channel == CHANNEL_MEMBER)
 		membership_receive(to->membership, letter->from->self.id,
@@ -34,25 +75,19 @@
 	if (to->up && letter->channel == CHANNEL_CONFIG && to->fold)
 		fold_receive(to->fold, letter->from->self.id, letter->data,
 			     letter->size);
-	g_free(letter);
 }
 
-static void letter_arrive(struct timer *timer, void *ctx)
+static void letter_arrive(void *data)
 {
-	struct letter *letter = ctx;
+	struct letter *letter = data;
 	struct node *to = letter->to;
-	struct world *w = to->world;
 
-	g_ptr_array_remove_fast(w->flying, letter);
-	if (!to->up || w->cut[letter->from->index][to->index]) {
+	if (!to->up || to->world->cut[letter->from->index][to->index]) {
 		g_free(letter);
 		return;
 	}
 	to->received_bytes += letter->size + WIRE_HEADERS;
-	if (to->paused)
-		g_queue_push_tail(&to->held, letter);
-	else
-		letter_deliver(letter);
+	post_arrive(post_create(to, letter_deliver, letter, g_free));
 }
 
 static void letter_post(struct node *from, struct node *to,
@@ -66,9 +101,8 @@
 	letter->channel = channel;
 	letter->size = size;
 	memcpy(letter->data, data, size);
-	timer_init(&letter->timer, w->clock, letter_arrive, letter);
-	timer_start(&letter->timer, between(w, w->delay_min, w->delay_max));
-	g_ptr_array_add(w->flying, letter);
+	later_call(w->later, between(w, w->delay_min, w->delay_max),
+		   letter_arrive, letter, NULL);
 }
 
 static void node_send(void *ctx, uint64_t instance, enum channel channel,
@@ -138,31 +172,35 @@
 	w->clock = clock_create(UNIX_ZERO);
 	w->delay_min = 500;
 	w->delay_max = 3000;
-	w->flying = g_ptr_array_new();
+	w->later = later_create(w->clock);
+	w->log = fake_log_create(w->clock, w->later, w->rand);
+	w->log->slow = 1 * USEC_PER_MSEC;
+	w->log->delay = 19 * USEC_PER_MSEC;
+	w->log->outage_at_arrival = true;
 	return w;
 }
 
-static void held_clear(struct node *node)
+static void held_deliver(struct node *node)
 {
-	struct letter *letter;
+	struct post *post;
 
-	while ((letter = g_queue_pop_head(&node->held)))
-		g_free(letter);
+	while ((post = g_queue_pop_head(&node->held)))
+		post_run(post);
 }
 
+/* Lets all that is under way arrive: the modules free what they made. */
 void world_destroy(struct world *w)
 {
 	for (int i = 0; i < w->count; i++) {
 		node_kill(w->nodes[i]);
-		g_free(w->nodes[i]);
-	}
-	for (guint i = 0; i < w->flying->len; i++) {
-		struct letter *letter = w->flying->pdata[i];
-
-		timer_stop(&letter->timer);
-		g_free(letter);
+		w->nodes[i]->client.silent = false;
 	}
-	g_ptr_array_free(w->flying, TRUE);
+	while (clock_next(w->clock) != CLOCK_NEVER)
+		clock_advance(w->clock, clock_next(w->clock));
+	for (int i = 0; i < w->count; i++)
+		g_free(w->nodes[i]);
+	fake_log_destroy(w->log);
+	later_destroy(w->later);
 	clock_destroy(w->clock);
 	g_rand_free(w->rand);
 	g_free(w);
@@ -177,6 +215,8 @@
 	node->world = w;
 	node->index = w->count;
 	g_queue_init(&node->held);
+	node->client = (struct fake_log_client){
+		.log = w->log, .post = node_post, .node = node};
 	g_snprintf(self->name, sizeof(self->name), "entry-%03d", w->count);
 	g_strlcpy(self->data_centre, data_centre, sizeof(self->data_centre));
 	g_snprintf(self->peer_address, sizeof(self->peer_address),
@@ -239,7 +279,7 @@
 		node->world->stopping(node);
 	node->up = false;
 	node->paused = false;
-	held_clear(node);
+	held_deliver(node);
 	membership_destroy(node->membership);
 	clock_destroy(node->clock);
 }
@@ -255,15 +295,13 @@
 void node_wake(struct node *node)
 {
 	int64_t now = clock_now(node->world->clock);
-	struct letter *letter;
 
 	if (!node->paused)
 		return;
 	node->paused = false;
 	clock_jump(node->clock, now);
 	membership_paused(node->membership, now - node->paused_at);
-	while ((letter = g_queue_pop_head(&node->held)))
-		letter_deliver(letter);
+	held_deliver(node);
 }
 
 void node_hint(struct node *node)
--- a/tests/member/world.h
+++ b/tests/member/world.h
@@ -11,6 +11,7 @@
 
 #include "coord/fold.h"
 #include "coord/member.h"
+#include "fake_log.h"
 
 #define WORLD_MAX 360
 /* Ethernet, IP and TCP with timestamps; then length, array, channel, bytes. */
@@ -29,7 +30,8 @@
 	bool up;
 	bool paused;
 	int64_t paused_at;
-	GQueue held; /* messages that wait for a paused node */
+	GQueue held; /* struct post: what waits for a paused node */
+	struct fake_log_client client;
 	uint64_t bytes;
 	uint64_t messages;
 	uint64_t received_bytes;
@@ -54,12 +56,12 @@
 	int twice;	   /* per thousand */
 	bool cut[WORLD_MAX][WORLD_MAX]; /* one way */
 	struct membership_settings settings;
-	GPtrArray *flying;
+	struct later *later;
+	struct fake_log *log;
 	int64_t back; /* how far wall clocks of starting nodes are behind */
 	/* Called when a node starts, and before it stops. */
 	void (*started)(struct node *node);
 	void (*stopping)(struct node *node);
-	void *extra;
 };
 
 struct world *world_create(uint32_t seed);
--- a/tests/order/world.c
+++ b/tests/order/world.c
@@ -242,7 +242,8 @@
 	struct site_world *world = g_new0(struct site_world, 1);
 
 	world->world = world_create(seed);
-	world->log = fake_log_create(world->world);
+	world->log = fake_log_create(world->world->clock, world->world->later,
+				     world->world->rand);
 	world->checks_fencing = checks_fencing;
 	world->closest = CLOCK_NEVER;
 	world->engine_node = world_add(world->world);
@@ -257,6 +258,7 @@
 		instance->node = world_add(world->world);
 		instance->client = (struct fake_log_client){
 			.log = world->log,
+			.post = node_post,
 			.node = instance->node,
 		};
 		instance_start(instance);
