--- a/load/command_run.c
+++ b/load/command_run.c
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "common/error.h"
 #include "common/log.h"
+#include "common/option.h"
 #include "load/command.h"
 #include "load/report.h"
 #include "load/run.h"
@@ -86,20 +87,9 @@
 	{0},
 };
 
-static double number_parse(const char *text, double max,
-			   struct argp_state *state)
-{
-	char *end;
-	double number = g_ascii_strtod(text, &end);
-
-	if (end == text || *end != '\0' || !(number >= 0 && number <= max))
-		argp_error(state, "not a number from 0 to %g: %s", max, text);
-	return number;
-}
-
 static int64_t msec_parse(const char *text, struct argp_state *state)
 {
-	return (int64_t)(number_parse(text, 1e9, state) * USEC_PER_MSEC);
+	return (int64_t)(option_number(text, 0, 1e9, state) * USEC_PER_MSEC);
 }
 
 static void list_parse(const char *text, char ***list)
@@ -115,9 +105,9 @@
 
 	if (g_strv_length(parts) != 3)
 		argp_error(state, "not FACTOR,SHARE,MS: %s", text);
-	bursts->factor = number_parse(parts[0], 1e6, state);
-	bursts->share = number_parse(parts[1], 1, state);
-	bursts->period_ms = (uint32_t)number_parse(parts[2], 1e9, state);
+	bursts->factor = option_number(parts[0], 0, 1e6, state);
+	bursts->share = option_number(parts[1], 0, 1, state);
+	bursts->period_ms = (uint32_t)option_number(parts[2], 0, 1e9, state);
 	g_strfreev(parts);
 	if (bursts->factor < 1 || bursts->factor * bursts->share > 1 ||
 	    bursts->share <= 0 || bursts->share >= 1 || !bursts->period_ms)
@@ -132,20 +122,20 @@
 
 	switch (key) {
 	case OPTION_RATE:
-		run->rate = number_parse(arg, 1e6, state);
+		run->rate = option_number(arg, 0, 1e6, state);
 		return 0;
 	case OPTION_DURATION:
 		run->duration_usec = msec_parse(arg, state) * 1000;
 		return 0;
 	case OPTION_COUNT:
-		run->count = (uint64_t)number_parse(arg, 1e9, state);
+		run->count = (uint64_t)option_number(arg, 0, 1e9, state);
 		return 0;
 	case OPTION_SEED:
-		run->seed = (uint32_t)number_parse(arg, UINT32_MAX, state);
+		run->seed = (uint32_t)option_number(arg, 0, UINT32_MAX, state);
 		arguments->seeded = true;
 		return 0;
 	case OPTION_HANG_UP:
-		run->hang_up_percent = number_parse(arg, 100, state);
+		run->hang_up_percent = option_number(arg, 0, 100, state);
 		return 0;
 	case OPTION_HANG_UP_MS:
 		run->hang_up_usec = msec_parse(arg, state);
--- a/standin/jtservice.c
+++ b/standin/jtservice.c
@@ -2,6 +2,7 @@
 #include <argp.h>
 #include <stdlib.h>
 
+#include "common/option.h"
 #include "standin/backend.h"
 #include "standin/service.h"
 
@@ -42,7 +43,6 @@
 static error_t option_parse(int key, char *arg, struct argp_state *state)
 {
 	struct settings *settings = state->input;
-	char *end;
 
 	switch (key) {
 	case 'n':
@@ -62,9 +62,8 @@
 		return 0;
 	case 'w':
 		settings->work_usec =
-			(int64_t)(strtod(arg, &end) * USEC_PER_MSEC);
-		if (end == arg || *end || settings->work_usec < 0)
-			argp_error(state, "--work-ms: '%s' is no time", arg);
+			(int64_t)(option_number(arg, 0, 1e9, state) *
+				  USEC_PER_MSEC);
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -1,17 +1,20 @@
 #include "standin/platform.h"
 
 #include <argp.h>
+#include <limits.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/error.h"
 #include "common/log.h"
+#include "common/option.h"
 #include "standin/reply.h"
 #include "web/loop.h"
 #include "web/server.h"
 
 #define PROGRAM "jtplatform"
+#define NUMBER_MAX 1e12
 
 const char *argp_program_version = PROGRAM " " JT_VERSION;
 
@@ -40,16 +43,6 @@
 	{0},
 };
 
-static int64_t number_parse(const char *text, struct argp_state *state)
-{
-	char *end;
-	int64_t number = g_ascii_strtoll(text, &end, 10);
-
-	if (end == text || *end != '\0' || number < 0)
-		argp_error(state, "not a number: %s", text);
-	return number;
-}
-
 static error_t option_parse(int key, char *arg, struct argp_state *state)
 {
 	struct platform_settings *settings = state->input;
@@ -59,23 +52,26 @@
 		settings->listen = arg;
 		return 0;
 	case OPTION_APPEND_RATE:
-		settings->append_rate = (unsigned int)number_parse(arg, state);
+		settings->append_rate =
+			(unsigned int)option_number(arg, 0, UINT_MAX, state);
 		return 0;
 	case OPTION_RETAIN_MS:
 		settings->retain_usec =
-			number_parse(arg, state) * USEC_PER_MSEC;
+			(int64_t)option_number(arg, 0, NUMBER_MAX, state) *
+			USEC_PER_MSEC;
 		return 0;
 	case OPTION_RETAIN_RECORDS:
-		settings->retain_records = (uint64_t)number_parse(arg, state);
+		settings->retain_records =
+			(uint64_t)option_number(arg, 0, NUMBER_MAX, state);
 		return 0;
 	case OPTION_LIST_LAG_MS:
 		settings->list_lag_usec =
-			number_parse(arg, state) * USEC_PER_MSEC;
+			(int64_t)option_number(arg, 0, NUMBER_MAX, state) *
+			USEC_PER_MSEC;
 		return 0;
 	case OPTION_WEIGHT_RATE:
-		settings->weight_rate = (double)number_parse(arg, state);
-		if (settings->weight_rate < 1)
-			argp_error(state, "the weight rate is at least 1");
+		settings->weight_rate =
+			option_number(arg, 1, NUMBER_MAX, state);
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
