--- a/tests/coord/test_claim_schedules.c
+++ b/tests/coord/test_claim_schedules.c
@@ -3,10 +3,9 @@
  * in two data centres with two claim writers each, and every answer is true.
  * CLAIM_SEED runs one schedule, CLAIM_COUNT another number than 1,000.
  */
-#include <stdlib.h>
-
 #include "claim_fleet.h"
 #include "common/log.h"
+#include "seeds.h"
 
 #define KEYS 12
 #define STEPS 1200
@@ -135,29 +134,23 @@
 	return winners;
 }
 
-static uint32_t environment(const char *name, uint32_t otherwise)
-{
-	const char *text = getenv(name);
-
-	return text ? (uint32_t)g_ascii_strtoull(text, NULL, 10) : otherwise;
-}
-
 static void test_schedules(void)
 {
-	uint32_t first = environment("CLAIM_SEED", 0);
-	uint32_t count = environment("CLAIM_COUNT", first ? 1 : 1000);
+	const struct seeds seeds = seeds_wanted("CLAIM");
 	int winners = 0, silent = 0;
 	bool won;
 
-	for (uint32_t seed = first; seed < first + count; seed++) {
+	for (uint32_t i = 0; i < seeds.count; i++) {
+		uint32_t seed = seeds.first + i;
+
 		g_test_message("seed %u", seed);
 		winners += schedule_run(seed, &won);
 		silent += !won;
 	}
-	g_test_message("%u schedules, %d claims won, none won in %d", count,
-		       winners, silent);
+	g_test_message("%u schedules, %d claims won, none won in %d",
+		       seeds.count, winners, silent);
 	/* The faults must not be such that nothing is ever claimed. */
-	g_assert_cmpint(silent, <=, (int)count / 20);
+	g_assert_cmpint(silent, <=, (int)seeds.count / 20);
 }
 
 int main(int argc, char **argv)
--- a/tests/coord/test_lease_schedules.c
+++ b/tests/coord/test_lease_schedules.c
@@ -3,10 +3,9 @@
  * lease_trial.h says. LEASE_SEED runs one schedule, LEASE_COUNT another number
  * than 1,000.
  */
-#include <stdlib.h>
-
 #include "common/log.h"
 #include "lease_trial.h"
+#include "seeds.h"
 
 #define STEPS 10000 /* 50 s */
 
@@ -109,30 +108,24 @@
 	return taken;
 }
 
-static uint32_t environment(const char *name, uint32_t otherwise)
-{
-	const char *text = getenv(name);
-
-	return text ? (uint32_t)g_ascii_strtoull(text, NULL, 10) : otherwise;
-}
-
 static void test_schedules(void)
 {
-	uint32_t first = environment("LEASE_SEED", 0);
-	uint32_t count = environment("LEASE_COUNT", first ? 1 : 1000);
+	const struct seeds seeds = seeds_wanted("LEASE");
 	int64_t refused = 0;
 	int taken = 0;
 
-	for (uint32_t seed = first; seed < first + count; seed++) {
+	for (uint32_t i = 0; i < seeds.count; i++) {
+		uint32_t seed = seeds.first + i;
+
 		g_test_message("seed %u", seed);
 		taken += schedule_run(seed, &refused);
 	}
 	g_test_message("%u schedules, %d times taken, %" G_GINT64_FORMAT
 		       " late orders refused",
-		       count, taken, refused);
+		       seeds.count, taken, refused);
 	/* The schedules must bring about what they are for. */
-	g_assert_cmpint(taken, >=, 2 * (int)count);
-	g_assert_cmpint(refused, >=, (int)count / 100);
+	g_assert_cmpint(taken, >=, 2 * (int)seeds.count);
+	g_assert_cmpint(refused, >=, (int)seeds.count / 100);
 }
 
 int main(int argc, char **argv)
