tests: make messages under way in one place

Five worlds had a struct of their own for a message on its way. They share the one of tests/fake/letter.h now, and the site of several data centres the queue of later calls.

--- a/tests/coord/claim_fleet.c
+++ b/tests/coord/claim_fleet.c
@@ -1,12 +1,7 @@
 #include "claim_fleet.h"
 
 #include "claim_codec.h"
-
-struct parcel {
-	struct instance *to;
-	uint64_t from;
-	GBytes *bytes;
-};
+#include "letter.h"
 
 struct news {
 	struct instance *to;
@@ -14,35 +9,26 @@
 	bool alive;
 };
 
-static void parcel_free(void *data)
-{
-	struct parcel *parcel = data;
-
-	g_bytes_unref(parcel->bytes);
-	g_free(parcel);
-}
-
-static void parcel_arrived(void *data)
+static void letter_arrived(void *data)
 {
-	struct parcel *parcel = data;
+	const struct letter *letter = data;
+	const struct instance *from = letter->from;
+	const struct instance *to = letter->to;
 
-	if (parcel->to->claims)
-		claims_receive(parcel->to->claims, parcel->from,
-			       g_bytes_get_data(parcel->bytes, NULL),
-			       g_bytes_get_size(parcel->bytes));
+	if (to->claims)
+		claims_receive(to->claims, from->membership.self.id,
+			       letter->data, letter->size);
 }
 
-static void parcel_send(struct instance *from, struct instance *to,
+static void letter_send(struct instance *from, struct instance *to,
 			const void *payload, size_t size)
 {
 	struct fleet *fleet = from->fleet;
-	struct parcel *parcel = g_new0(struct parcel, 1);
 
-	parcel->to = to;
-	parcel->from = from->membership.self.id;
-	parcel->bytes = g_bytes_new(payload, size);
 	world_post(to->node, world_draw(fleet->world, fleet->link_delay),
-		   parcel_arrived, parcel, parcel_free, false);
+		   letter_arrived,
+		   letter_create(from, to, CHANNEL_CLAIM, payload, size),
+		   g_free, false);
 }
 
 static void fleet_send(void *ctx, uint64_t id, enum channel channel,
@@ -63,9 +49,9 @@
 		return;
 	if (to != from && world_chance(fleet->world, fleet->drop_percent))
 		return;
-	parcel_send(from, to, payload, size);
+	letter_send(from, to, payload, size);
 	if (world_chance(fleet->world, fleet->double_percent))
-		parcel_send(from, to, payload, size);
+		letter_send(from, to, payload, size);
 }
 
 static void fleet_answered(void *ctx, uint64_t request, enum result_code code,
--- a/tests/data_centres/site.c
+++ b/tests/data_centres/site.c
@@ -27,53 +27,18 @@
 	return &services[0];
 }
 
-/* Something that happens later: a delivery, or a request that arrives. */
-struct event {
-	struct site *site;
-	struct timer timer;
-	struct instance *to;
-	uint64_t from;
-	enum channel channel;
-	GBytes *payload;
-	struct job *job;
-};
-
-static void event_free(void *data)
+static void letter_arrive(void *data)
 {
-	struct event *event = data;
-
-	timer_stop(&event->timer);
-	if (event->payload)
-		g_bytes_unref(event->payload);
-	g_free(event);
-}
-
-static void event_fire(struct timer *timer, void *ctx)
-{
-	struct event *event = ctx;
-	struct instance *to = event->to;
-	gsize size = 0;
-	const void *data =
-		event->payload ? g_bytes_get_data(event->payload, &size) : NULL;
-
-	if (event->job)
-		calls_ask(event->job);
-	else if (to->up && event->channel == CHANNEL_MEMBER)
-		membership_receive(to->membership, event->from, data, size);
-	else if (to->up && event->channel == CHANNEL_LEDGER)
-		ledger_receive(to->ledger, event->from, data, size);
-	g_ptr_array_remove_fast(event->site->events, event);
-}
-
-static struct event *event_add(struct site *site, int64_t delay)
-{
-	struct event *event = g_new0(struct event, 1);
-
-	event->site = site;
-	timer_init(&event->timer, site->clock, event_fire, event);
-	timer_start(&event->timer, delay);
-	g_ptr_array_add(site->events, event);
-	return event;
+	const struct letter *letter = data;
+	const struct instance *from = letter->from;
+	const struct instance *to = letter->to;
+
+	if (to->up && letter->channel == CHANNEL_MEMBER)
+		membership_receive(to->membership, from->id, letter->data,
+				   letter->size);
+	else if (to->up && letter->channel == CHANNEL_LEDGER)
+		ledger_receive(to->ledger, from->id, letter->data,
+			       letter->size);
 }
 
 static double latency_of(const struct site *site, int from, int to)
@@ -92,9 +57,14 @@
 	return (int64_t)(latency_of(site, from, to) * USEC_PER_MSEC);
 }
 
+static void job_arrive(void *data)
+{
+	calls_ask(data);
+}
+
 void site_arrives(struct site *site, struct job *job, int64_t delay)
 {
-	event_add(site, delay)->job = job;
+	later_call(site->later, delay, job_arrive, job, NULL);
 }
 
 static struct instance *instance_of(struct site *site, uint64_t id)
@@ -112,7 +82,6 @@
 	struct instance *from = ctx;
 	struct site *site = from->site;
 	struct instance *to = instance_of(site, id);
-	struct event *event;
 
 	if (!to)
 		return;
@@ -124,11 +93,9 @@
 	if (from->centre != to->centre &&
 	    (site->cut[from->centre] || site->cut[to->centre]))
 		return;
-	event = event_add(site, site_delay(site, from->centre, to->centre));
-	event->to = to;
-	event->from = from->id;
-	event->channel = channel;
-	event->payload = g_bytes_new(payload, size);
+	later_call(site->later, site_delay(site, from->centre, to->centre),
+		   letter_arrive,
+		   letter_create(from, to, channel, payload, size), g_free);
 }
 
 static void changed(void *ctx, const struct member *member,
@@ -295,7 +262,7 @@
 	site->clock = clock_create(USEC_PER_SEC);
 	site->rand = g_rand_new_with_seed(settings->seed);
 	site->jobs = g_ptr_array_new_with_free_func(g_free);
-	site->events = g_ptr_array_new_with_free_func(event_free);
+	site->later = later_create(site->clock);
 	config_fill(site);
 	for (int c = 0; c < settings->centres; c++)
 		for (int i = 0; i < settings->each; i++)
@@ -331,7 +298,7 @@
 		for (int i = 0; i < site->settings.each; i++)
 			if (site->instances[c][i].up)
 				site_kill(site, c, i);
-	g_ptr_array_free(site->events, TRUE);
+	later_destroy(site->later);
 	for (guint i = 0; i < site->jobs->len; i++)
 		timer_stop(&((struct job *)site->jobs->pdata[i])->timer);
 	g_ptr_array_free(site->jobs, TRUE);
--- a/tests/data_centres/site.h
+++ b/tests/data_centres/site.h
@@ -13,6 +13,8 @@
 
 #include "common/clock.h"
 #include "coord/ledger_level.h"
+#include "later.h"
+#include "letter.h"
 
 #define CENTRES_MAX 7
 #define EACH_MAX 3
@@ -76,7 +78,7 @@
 	uint32_t down[CENTRES_MAX]; /* bits of runners that do not answer */
 	uint32_t unlisted[CENTRES_MAX];
 	GPtrArray *jobs;
-	GPtrArray *events;
+	struct later *later;
 	uint64_t runs; /* grants */
 	/* What went between data centres for keys, with all headers. */
 	uint64_t key_messages;
--- /dev/null
+++ b/tests/fake/letter.h
@@ -0,0 +1,24 @@
+/*
+ * letter.h - a message of one instance to another that is on its way
+ */
+#ifndef TESTS_FAKE_LETTER_H
+#define TESTS_FAKE_LETTER_H
+
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/frame.h"
+
+struct letter {
+	void *from;
+	void *to;
+	enum channel channel;
+	size_t size;
+	uint8_t data[];
+};
+
+/* Copies the payload; freed with g_free(). */
+struct letter *letter_create(void *from, void *to, enum channel channel,
+			     const void *payload, size_t size);
+
+#endif
--- a/tests/ledger/world.c
+++ b/tests/ledger/world.c
@@ -8,13 +8,6 @@
 #define DEAD_NEWS_USEC (300 * USEC_PER_MSEC)
 #define HEARTBEAT_USEC (200 * USEC_PER_MSEC)
 
-struct delivery {
-	struct instance *to;
-	uint64_t from;
-	size_t size;
-	uint8_t data[];
-};
-
 int64_t world_range(struct world *world, int64_t low, int64_t high)
 {
 	return low +
@@ -56,18 +49,19 @@
 
 static void deliver(void *data)
 {
-	struct delivery *delivery = data;
-	struct instance *to = delivery->to;
+	const struct letter *letter = data;
+	const struct instance *from = letter->from;
+	struct instance *to = letter->to;
 
 	if (!to->up)
 		return;
 	if (to->paused)
-		g_queue_push_tail(&to->inbox,
-				  g_memdup2(delivery, sizeof(*delivery) +
-							      delivery->size));
+		g_queue_push_tail(
+			&to->inbox,
+			g_memdup2(letter, sizeof(*letter) + letter->size));
 	else
-		ledger_receive(to->ledger, delivery->from, delivery->data,
-			       delivery->size);
+		ledger_receive(to->ledger, from->id, letter->data,
+			       letter->size);
 }
 
 static void send(void *ctx, uint64_t instance, enum channel channel,
@@ -76,7 +70,7 @@
 	struct instance *from = ctx;
 	struct world *world = from->world;
 	int to = index_of(world, instance);
-	struct delivery *delivery;
+	struct letter *letter;
 	int copies = 1;
 
 	if (to < 0 || channel != CHANNEL_LEDGER)
@@ -90,18 +84,15 @@
 		copies += world_chance(world, world->twice);
 	}
 	while (copies-- > 0) {
-		delivery = g_malloc(sizeof(*delivery) + size);
-		delivery->to = &world->instances[to];
-		delivery->from = from->id;
-		delivery->size = size;
-		memcpy(delivery->data, payload, size);
+		letter = letter_create(from, &world->instances[to], channel,
+				       payload, size);
 		if (size > 0 && world_chance(world, world->garble))
-			delivery->data[world_range(world, 0, (int64_t)size)] ^=
+			letter->data[world_range(world, 0, (int64_t)size)] ^=
 				(uint8_t)world_range(world, 1, 256);
 		world_after(world,
 			    world->slow[from->index][to] +
 				    world_range(world, 100, world->delay_max),
-			    deliver, delivery, g_free);
+			    deliver, letter, g_free);
 	}
 }
 
@@ -346,15 +337,15 @@
 void world_wake(struct world *world, int index)
 {
 	struct instance *instance = &world->instances[index];
-	struct delivery *delivery;
+	struct letter *letter;
 
 	if (!instance->up || !instance->paused)
 		return;
 	instance->paused = false;
 	clock_advance(instance->clock, clock_now(world->clock));
-	while ((delivery = g_queue_pop_head(&instance->inbox)) != NULL) {
-		deliver(delivery);
-		g_free(delivery);
+	while ((letter = g_queue_pop_head(&instance->inbox)) != NULL) {
+		deliver(letter);
+		g_free(letter);
 	}
 	world_after(world, world_range(world, 0, HEARTBEAT_USEC), hear_of_death,
 		    instance, NULL);
--- a/tests/ledger/world.h
+++ b/tests/ledger/world.h
@@ -14,6 +14,7 @@
 #include "common/clock.h"
 #include "coord/ledger.h"
 #include "later.h"
+#include "letter.h"
 
 #define INSTANCES_MAX 4
 #define ENGINES_MAX 4
--- a/tests/limit/test_cell_load.c
+++ b/tests/limit/test_cell_load.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "coord/cell_load.h"
+#include "letter.h"
 
 #define NONE NULL
 
@@ -12,23 +13,17 @@
 static const char *const names[MEMBERS] = {"a1", "b1", "c1"};
 static const char *const places[MEMBERS] = {"a", "b", "c"};
 
-struct letter {
-	uint64_t from;
-	uint64_t to;
-	GBytes *bytes;
-};
-
 static GQueue letters = G_QUEUE_INIT;
 
 static void send_later(void *ctx, uint64_t instance, enum channel channel,
 		       const void *payload, size_t size)
 {
-	struct letter *letter = g_new0(struct letter, 1);
-
-	letter->from = id_of(ctx);
-	letter->to = instance;
-	letter->bytes = g_bytes_new(payload, size);
-	g_queue_push_tail(&letters, letter);
+	for (int i = 0; i < MEMBERS; i++)
+		if (id_of(names[i]) == instance)
+			g_queue_push_tail(&letters,
+					  letter_create(ctx, (void *)&names[i],
+							channel, payload,
+							size));
 }
 
 static const struct config_data_centre data_centres[] = {
@@ -81,14 +76,10 @@
 	struct letter *letter;
 
 	while ((letter = g_queue_pop_head(&letters))) {
-		size_t size;
-		const void *data = g_bytes_get_data(letter->bytes, &size);
-
-		for (int i = 0; i < MEMBERS; i++)
-			if (id_of(names[i]) == letter->to)
-				membership_receive(members[i], letter->from,
-						   data, size);
-		g_bytes_unref(letter->bytes);
+		const char *const *to = letter->to;
+
+		membership_receive(members[to - names], id_of(letter->from),
+				   letter->data, letter->size);
 		g_free(letter);
 	}
 }
--- a/tests/member/world.c
+++ b/tests/member/world.c
@@ -10,14 +10,6 @@
 	GDestroyNotify destroy;
 };
 
-struct letter {
-	struct node *from;
-	struct node *to;
-	enum channel channel;
-	size_t size;
-	unsigned char data[];
-};
-
 static int64_t between(struct world *w, int64_t low, int64_t high)
 {
 	return low >= high ? low
@@ -67,22 +59,24 @@
 static void letter_deliver(void *data)
 {
 	const struct letter *letter = data;
+	const struct node *from = letter->from;
 	const struct node *to = letter->to;
 
 	if (to->up && letter->channel == CHANNEL_MEMBER)
-		membership_receive(to->membership, letter->from->self.id,
-				   letter->data, letter->size);
+		membership_receive(to->membership, from->self.id, letter->data,
+				   letter->size);
 	if (to->up && letter->channel == CHANNEL_CONFIG && to->fold)
-		fold_receive(to->fold, letter->from->self.id, letter->data,
+		fold_receive(to->fold, from->self.id, letter->data,
 			     letter->size);
 }
 
 static void letter_arrive(void *data)
 {
 	struct letter *letter = data;
+	const struct node *from = letter->from;
 	struct node *to = letter->to;
 
-	if (!to->up || to->world->cut[letter->from->index][to->index]) {
+	if (!to->up || to->world->cut[from->index][to->index]) {
 		g_free(letter);
 		return;
 	}
@@ -94,15 +88,10 @@
 			enum channel channel, const void *data, size_t size)
 {
 	struct world *w = from->world;
-	struct letter *letter = g_malloc0(sizeof(*letter) + size);
 
-	letter->from = from;
-	letter->to = to;
-	letter->channel = channel;
-	letter->size = size;
-	memcpy(letter->data, data, size);
 	later_call(w->later, between(w, w->delay_min, w->delay_max),
-		   letter_arrive, letter, NULL);
+		   letter_arrive, letter_create(from, to, channel, data, size),
+		   NULL);
 }
 
 static void node_send(void *ctx, uint64_t instance, enum channel channel,
--- a/tests/member/world.h
+++ b/tests/member/world.h
@@ -12,6 +12,7 @@
 #include "coord/fold.h"
 #include "coord/member.h"
 #include "fake_log.h"
+#include "letter.h"
 
 #define WORLD_MAX 360
 /* Ethernet, IP and TCP with timestamps; then length, array, channel, bytes. */
