tests: add the tests of a table's rows in one place

ROWS_ADD() of tests/fake/rows.h does it for all tables whose rows begin with their name. The programs list the same tests by the same names before and after.

--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -14,6 +14,7 @@
 #include "fake_admin.h"
 #include "golden.h"
 #include "policy/policy.h"
+#include "rows.h"
 #include "web/client.h"
 
 #define ROOT SOURCE_ROOT "/"
@@ -318,12 +319,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_unsetenv("ARGP_HELP_FMT");
-	for (size_t i = 0; i < G_N_ELEMENTS(sessions); i++) {
-		g_autofree char *path =
-			g_strdup_printf("/ctl/%s", sessions[i].name);
-
-		g_test_add_data_func(path, &sessions[i], test_session);
-	}
+	ROWS_ADD("/ctl/", sessions, test_session);
 	g_test_add_func("/ctl/completions", test_completions);
 	g_test_add_func("/ctl/policies", test_policies);
 	g_test_add_func("/ctl/table", test_table);
--- a/tests/data_centres/test_keys.c
+++ b/tests/data_centres/test_keys.c
@@ -1,6 +1,7 @@
 /* A key that was run in one data centre is known in the others. */
 #include <msgpack.h>
 
+#include "rows.h"
 #include "site.h"
 
 #define MSEC USEC_PER_MSEC
@@ -261,12 +262,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(key_rows); i++) {
-		char *path = g_strdup_printf("/keys/%s", key_rows[i].name);
-
-		g_test_add_data_func(path, &key_rows[i], test_key);
-		g_free(path);
-	}
+	ROWS_ADD("/keys/", key_rows, test_key);
 	g_test_add_func("/keys/mistaken", test_mistaken);
 	g_test_add_func("/keys/once", test_once);
 	g_test_add_func("/keys/faults", test_faults);
--- a/tests/entry/test_directory.c
+++ b/tests/entry/test_directory.c
@@ -19,6 +19,7 @@
 #include "entry/directory.h"
 #include "entry/entry.h"
 #include "fake_coord.h"
+#include "rows.h"
 
 struct script {
 	const char *name;
@@ -223,12 +224,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
-		g_autofree char *path =
-			g_strconcat("/directory/", scripts[i].name, NULL);
-
-		g_test_add_data_func(path, &scripts[i], test_script);
-	}
+	ROWS_ADD("/directory/", scripts, test_script);
 	g_test_add_func("/directory/spread", test_spread);
 	g_test_add_func("/directory/told", test_told);
 	return g_test_run();
--- a/tests/entry/test_directory_sync.c
+++ b/tests/entry/test_directory_sync.c
@@ -23,6 +23,7 @@
 #include "entry/entry.h"
 #include "entry/peers.h"
 #include "entry/platform.h"
+#include "rows.h"
 
 #define NODES 4
 #define PERIOD_USEC (1 * USEC_PER_SEC)
@@ -367,12 +368,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
-		g_autofree char *path =
-			g_strconcat("/directory-sync/", scripts[i].name, NULL);
-
-		g_test_add_data_func(path, &scripts[i], test_script);
-	}
+	ROWS_ADD("/directory-sync/", scripts, test_script);
 	g_test_add_func("/directory-sync/malformed", test_malformed);
 	return g_test_run();
 }
--- a/tests/entry/test_drain.c
+++ b/tests/entry/test_drain.c
@@ -17,6 +17,7 @@
 #include "entry/peers.h"
 #include "entry/platform.h"
 #include "entry/requests.h"
+#include "rows.h"
 
 #define ANNOUNCED "0:list-leaves 0:members-leave 0:ledger-drains 0:closing "
 
@@ -182,11 +183,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
-		g_autofree char *path =
-			g_strconcat("/drain/", scripts[i].name, NULL);
-
-		g_test_add_data_func(path, &scripts[i], test_script);
-	}
+	ROWS_ADD("/drain/", scripts, test_script);
 	return g_test_run();
 }
--- a/tests/entry/test_engine_order.c
+++ b/tests/entry/test_engine_order.c
@@ -6,6 +6,7 @@
 #include "common/log.h"
 #include "entry/engine_order.h"
 #include "entry/entry.h"
+#include "rows.h"
 #include "run.h"
 
 /* How the fake engine ends the call, beside a status. */
@@ -187,15 +188,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		g_autofree char *order =
-			g_strconcat("/engine-order/order/", rows[i].name, NULL);
-		g_autofree char *read =
-			g_strconcat("/engine-order/read/", rows[i].name, NULL);
-
-		g_test_add_data_func(order, &rows[i], test_order);
-		g_test_add_data_func(read, &rows[i], test_read);
-	}
+	ROWS_ADD("/engine-order/order/", rows, test_order);
+	ROWS_ADD("/engine-order/read/", rows, test_read);
 	g_test_add_func("/engine-order/cancelled", test_cancelled);
 	return g_test_run();
 }
--- a/tests/entry/test_peer_datagrams.c
+++ b/tests/entry/test_peer_datagrams.c
@@ -13,6 +13,7 @@
 #include "entry/peer_datagram.h"
 #include "entry/peer_hello.h"
 #include "peers_world.h"
+#include "rows.h"
 #include "web/address.h"
 
 #define FAKE "fake"
@@ -615,11 +616,6 @@
 	g_test_add_func("/datagrams/old-token", test_old_token);
 	g_test_add_func("/datagrams/lost", test_lost);
 	g_test_add_func("/datagrams/unasked", test_unasked);
-	for (size_t i = 0; i < G_N_ELEMENTS(faults); i++) {
-		g_autofree char *path =
-			g_strconcat("/datagrams/fault/", faults[i].name, NULL);
-
-		g_test_add_data_func(path, &faults[i], test_fault);
-	}
+	ROWS_ADD("/datagrams/fault/", faults, test_fault);
 	return g_test_run();
 }
--- a/tests/entry/test_peers.c
+++ b/tests/entry/test_peers.c
@@ -13,6 +13,7 @@
 #include "entry/peer_hello.h"
 #include "entry/peers.h"
 #include "peers_world.h"
+#include "rows.h"
 #include "web/address.h"
 
 static void test_exchange(void)
@@ -425,11 +426,6 @@
 	g_test_add_func("/peers/links-bound", test_links_bound);
 	g_test_add_func("/peers/fragments", test_fragments);
 	g_test_add_func("/peers/listen-error", test_listen_error);
-	for (size_t i = 0; i < G_N_ELEMENTS(raw_cases); i++) {
-		g_autofree char *path =
-			g_strconcat("/peers/raw/", raw_cases[i].name, NULL);
-
-		g_test_add_data_func(path, &raw_cases[i], test_raw);
-	}
+	ROWS_ADD("/peers/raw/", raw_cases, test_raw);
 	return g_test_run();
 }
--- a/tests/entry/test_platform.c
+++ b/tests/entry/test_platform.c
@@ -5,6 +5,7 @@
 
 #include "common/log.h"
 #include "entry/platform.h"
+#include "rows.h"
 #include "run.h"
 #include "web/server.h"
 
@@ -580,18 +581,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(append_cases); i++) {
-		g_autofree char *path = g_strconcat("/platform/append/",
-						    append_cases[i].name, NULL);
-
-		g_test_add_data_func(path, &append_cases[i], test_append);
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS(read_cases); i++) {
-		g_autofree char *path = g_strconcat("/platform/read/",
-						    read_cases[i].name, NULL);
-
-		g_test_add_data_func(path, &read_cases[i], test_read);
-	}
+	ROWS_ADD("/platform/append/", append_cases, test_append);
+	ROWS_ADD("/platform/read/", read_cases, test_read);
 	g_test_add_func("/platform/append/oversize", test_append_oversize);
 	g_test_add_func("/platform/destroy", test_destroy);
 	g_test_add_func("/platform/list", test_list);
--- a/tests/entry/test_poller.c
+++ b/tests/entry/test_poller.c
@@ -8,6 +8,7 @@
 #include "entry/entry.h"
 #include "entry/poller.h"
 #include "fake_coord.h"
+#include "rows.h"
 #include "run.h"
 
 #define POLL_USEC (10 * USEC_PER_MSEC)
@@ -255,12 +256,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		g_autofree char *path =
-			g_strconcat("/poller/", rows[i].name, NULL);
-
-		g_test_add_data_func(path, &rows[i], test_row);
-	}
+	ROWS_ADD("/poller/", rows, test_row);
 	g_test_add_func("/poller/events-go-on", test_events_go_on);
 	g_test_add_func("/poller/absent", test_absent);
 	g_test_add_func("/poller/moved", test_moved);
--- a/tests/entry/test_supervisor.c
+++ b/tests/entry/test_supervisor.c
@@ -12,6 +12,7 @@
 
 #include "common/log.h"
 #include "entry/supervisor.h"
+#include "rows.h"
 
 struct script {
 	const char *name;
@@ -166,11 +167,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(scripts); i++) {
-		g_autofree char *path =
-			g_strconcat("/supervisor/", scripts[i].name, NULL);
-
-		g_test_add_data_func(path, &scripts[i], test_script);
-	}
+	ROWS_ADD("/supervisor/", scripts, test_script);
 	return g_test_run();
 }
--- a/tests/ledger/test_faults.c
+++ b/tests/ledger/test_faults.c
@@ -2,6 +2,7 @@
  * request. Each cell gives how the request ends, and what a retry of the same
  * key at another instance then meets. */
 #include "common/log.h"
+#include "rows.h"
 #include "world.h"
 
 enum stage {
@@ -382,12 +383,6 @@
 {
 	log_setup(NULL, "test", LOG_ERR);
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		char *path =
-			g_strdup_printf("/ledger/faults/%s", rows[i].fault);
-
-		g_test_add_data_func(path, &rows[i], test_row);
-		g_free(path);
-	}
+	ROWS_ADD("/ledger/faults/", rows, test_row);
 	return g_test_run();
 }
--- a/tests/ledger/test_path.c
+++ b/tests/ledger/test_path.c
@@ -3,6 +3,7 @@
 #include <msgpack.h>
 
 #include "common/log.h"
+#include "rows.h"
 #include "world.h"
 
 #define MSEC USEC_PER_MSEC
@@ -641,21 +642,9 @@
 					       "round_robin", "two_choices"};
 	char path[64];
 
-	for (size_t i = 0; i < G_N_ELEMENTS(refusals); i++) {
-		g_snprintf(path, sizeof(path), "/ledger/path/refuses-%s",
-			   refusals[i].name);
-		g_test_add_data_func(path, &refusals[i], test_refusal);
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS(keys); i++) {
-		g_snprintf(path, sizeof(path), "/ledger/path/key-%s",
-			   keys[i].name);
-		g_test_add_data_func(path, &keys[i], test_key);
-	}
-	for (size_t i = 0; i < G_N_ELEMENTS(queues); i++) {
-		g_snprintf(path, sizeof(path), "/ledger/path/prefill-queue-%s",
-			   queues[i].name);
-		g_test_add_data_func(path, &queues[i], test_prefill_queue);
-	}
+	ROWS_ADD("/ledger/path/refuses-", refusals, test_refusal);
+	ROWS_ADD("/ledger/path/key-", keys, test_key);
+	ROWS_ADD("/ledger/path/prefill-queue-", queues, test_prefill_queue);
 	for (size_t i = 0; i < G_N_ELEMENTS(policies); i++) {
 		g_snprintf(path, sizeof(path), "/ledger/path/at-once-%s",
 			   policies[i]);
--- a/tests/member/test_fold.c
+++ b/tests/member/test_fold.c
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "invariants.h"
+#include "rows.h"
 
 #define SECONDS(n) ((n)*USEC_PER_SEC)
 
@@ -543,11 +544,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_CRIT);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		char *path = g_strdup_printf("/fold/%s", rows[i].name);
-
-		g_test_add_data_func(path, &rows[i], test_row);
-		g_free(path);
-	}
+	ROWS_ADD("/fold/", rows, test_row);
 	return g_test_run();
 }
--- a/tests/member/test_log_tail.c
+++ b/tests/member/test_log_tail.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "coord/log_tail.h"
+#include "rows.h"
 
 /* What the store does with one read. */
 enum act {
@@ -259,11 +260,6 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		char *path = g_strdup_printf("/log-tail/%s", rows[i].name);
-
-		g_test_add_data_func(path, &rows[i], test_row);
-		g_free(path);
-	}
+	ROWS_ADD("/log-tail/", rows, test_row);
 	return g_test_run();
 }
--- a/tests/member/test_member.c
+++ b/tests/member/test_member.c
@@ -6,6 +6,7 @@
 
 #include "common/log.h"
 #include "invariants.h"
+#include "rows.h"
 
 /* Each row is run under so many. */
 #define SEEDS 5u
@@ -540,11 +541,6 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_ERR);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		char *path = g_strdup_printf("/member/%s", rows[i].name);
-
-		g_test_add_data_func(path, &rows[i], test_row);
-		g_free(path);
-	}
+	ROWS_ADD("/member/", rows, test_row);
 	return g_test_run();
 }
--- a/tests/order/test_order.c
+++ b/tests/order/test_order.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "rows.h"
 #include "world.h"
 
 #define SEC USEC_PER_SEC
@@ -472,12 +473,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_EMERG);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		g_autofree char *path =
-			g_strconcat("/order/fault/", rows[i].name, NULL);
-
-		g_test_add_data_func(path, &rows[i], test_row);
-	}
+	ROWS_ADD("/order/fault/", rows, test_row);
 	g_test_add_func("/order/back", test_back);
 	g_test_add_data_func("/order/paused/fenced", "", test_paused);
 	g_test_add_data_func("/order/paused/unfenced", NULL, test_paused);
--- a/tests/role/test_role.c
+++ b/tests/role/test_role.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #include "coord/role.h"
+#include "rows.h"
 
 #define TICK USEC_PER_SEC
 
@@ -162,12 +163,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
-	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
-		g_autofree char *path =
-			g_strconcat("/role/move/", rows[i].name, NULL);
-
-		g_test_add_data_func(path, &rows[i], test_row);
-	}
+	ROWS_ADD("/role/move/", rows, test_row);
 	g_test_add_func("/role/bursts", test_bursts);
 	g_test_add_func("/role/gap", test_gap);
 	g_test_add_func("/role/dwell", test_dwell);
