tests: mutate bytes in one place

The fuzz targets of frames and datagrams edited sound bytes alike. They share bytes_mutate() of tests/fake/, which makes the edits of both; the number of mutations and what is checked stay.

--- a/tests/common/fuzz_frame.c
+++ b/tests/common/fuzz_frame.c
@@ -57,30 +57,7 @@
 }
 
 #ifndef FUZZ_ENGINE
-static void mutate(GByteArray *bytes)
-{
-	int edits = g_test_rand_int_range(1, 6);
-
-	for (int i = 0; i < edits && bytes->len; i++) {
-		guint at = (guint)g_test_rand_int_range(0, (gint32)bytes->len);
-		guint8 byte = (guint8)g_test_rand_int_range(0, 256);
-
-		switch (g_test_rand_int_range(0, 4)) {
-		case 0:
-			bytes->data[at] = byte;
-			break;
-		case 1:
-			bytes->data[at] ^= (guint8)(1u << (byte & 7));
-			break;
-		case 2:
-			g_byte_array_remove_index(bytes, at);
-			break;
-		default:
-			g_byte_array_append(bytes, &byte, 1);
-			break;
-		}
-	}
-}
+#include "mutate.h"
 
 static void test_seed(const void *data)
 {
@@ -98,7 +75,7 @@
 
 		g_byte_array_append(bytes, (const guint8 *)text, (guint)size);
 		if (i)
-			mutate(bytes);
+			bytes_mutate(bytes, 5);
 		LLVMFuzzerTestOneInput(bytes->data, bytes->len);
 		g_byte_array_unref(bytes);
 	}
--- a/tests/entry/fuzz_datagram.c
+++ b/tests/entry/fuzz_datagram.c
@@ -63,6 +63,8 @@
 }
 
 #ifndef FUZZ_ENGINE
+#include "mutate.h"
+
 static GByteArray *sound(int messages)
 {
 	struct frame_writer *writer = frame_writer_create();
@@ -82,38 +84,13 @@
 	return out;
 }
 
-static void mutate(GByteArray *bytes)
-{
-	int edits = g_test_rand_int_range(1, 4);
-
-	for (int i = 0; i < edits && bytes->len; i++) {
-		guint at = (guint)g_test_rand_int_range(0, (gint32)bytes->len);
-		guint8 byte = (guint8)g_test_rand_int_range(0, 256);
-
-		switch (g_test_rand_int_range(0, 4)) {
-		case 0:
-			bytes->data[at] = byte;
-			break;
-		case 1:
-			g_byte_array_set_size(bytes, at);
-			break;
-		case 2:
-			g_byte_array_remove_index(bytes, at);
-			break;
-		default:
-			g_byte_array_append(bytes, &byte, 1);
-			break;
-		}
-	}
-}
-
 static void test_mutations(void)
 {
 	for (int i = 0; i < MUTATIONS; i++) {
 		GByteArray *bytes = sound(g_test_rand_int_range(1, 16));
 
 		LLVMFuzzerTestOneInput(bytes->data, bytes->len);
-		mutate(bytes);
+		bytes_mutate(bytes, 3);
 		LLVMFuzzerTestOneInput(bytes->data, bytes->len);
 		g_byte_array_unref(bytes);
 	}
