tests: end the ledger's worlds and open held requests in one place

Four programs checked a ledger's world at its end with the same lines: world_end() does it. Four tests of callers that go away opened their request alike: caller_hold() does it, and checks each time that the request arrived, which three of them did not.

--- a/tests/ledger/test_path.c
+++ b/tests/ledger/test_path.c
@@ -17,14 +17,6 @@
 	world_run(world, 500 * MSEC);
 }
 
-static void end(void)
-{
-	world_run(world, 20 * USEC_PER_SEC);
-	invariants_end(world);
-	g_assert_cmpstr(world->broken->str, ==, "");
-	world_destroy(world);
-}
-
 /* Fills all decode memory for a while. */
 static void fill(int64_t work)
 {
@@ -50,7 +42,7 @@
 		engine_has(engine_find(world, job->grant.decode), job->stream));
 	world_run(world, 200 * MSEC);
 	g_assert_cmpint(job->state, ==, JOB_DONE);
-	end();
+	world_end(world);
 }
 
 struct refusal_row {
@@ -124,7 +116,7 @@
 		g_assert_cmpint(job->refusal.retry_after, >=, USEC_PER_SEC);
 	for (int i = 0; i < world->count; i++)
 		world_cut(world, cut_one(), i, false);
-	end();
+	world_end(world);
 }
 
 static uint64_t cell_id(void)
@@ -187,7 +179,7 @@
 	receive_nonsense(world_home(world));
 	world_run(world, 10 * MSEC);
 	g_assert_cmpint(job->state, ==, JOB_REFUSED);
-	end();
+	world_end(world);
 }
 
 struct key_row {
@@ -283,7 +275,7 @@
 	}
 	if (row->meets == JOB_REFUSED)
 		g_assert_cmpint(second->refusal.code, ==, row->code);
-	end();
+	world_end(world);
 }
 
 /* Copies of the asks arrive after the requests were withdrawn, while memory is
@@ -308,7 +300,7 @@
 	for (int i = 0; i < 10; i++)
 		g_assert_cmpuint(jobs[i]->answers, ==, 0);
 	world->twice = 0;
-	end();
+	world_end(world);
 }
 
 /* The other runner is the fuller one, and is taken all the same. */
@@ -330,7 +322,7 @@
 	g_assert_cmpuint(job->grant.decode, !=, former);
 	world_run(world, 300 * MSEC);
 	g_assert_cmpint(job->state, ==, JOB_DONE);
-	end();
+	world_end(world);
 }
 
 static void test_urgent_first(void)
@@ -347,7 +339,7 @@
 	app_ask(world, 1, &(struct spec){.tokens = 16000});
 	world_run(world, 10 * USEC_PER_SEC);
 	g_assert_cmpint(urgent->answered_at, <, deferrable->answered_at);
-	end();
+	world_end(world);
 }
 
 /* Urgent work beyond what the runners can do must not starve a large request
@@ -373,7 +365,7 @@
 	g_test_message("waited %.1f s", (double)waited / 1e6);
 	g_assert_cmpint(waited, >, USEC_PER_SEC);
 	g_assert_cmpint(waited, <, 10 * USEC_PER_SEC);
-	end();
+	world_end(world);
 }
 
 static void test_baseline_grants_at_once(const void *policy)
@@ -386,7 +378,7 @@
 	world_run(world, 30 * MSEC);
 	for (int i = 0; i < 6; i++)
 		g_assert_cmpuint(jobs[i]->answers, ==, 1);
-	end();
+	world_end(world);
 }
 
 struct queue_row {
@@ -446,7 +438,7 @@
 	g_assert_cmpint(waited, <=, row->wait + 15 * MSEC);
 	world->poll = 100 * MSEC;
 	world_run(world, 30 * USEC_PER_SEC);
-	end();
+	world_end(world);
 }
 
 /* A stream that no grant is known for is cancelled after the grace time. */
@@ -468,7 +460,7 @@
 	g_assert_true(engine_has(engine, stream));
 	world_run(world, 2 * USEC_PER_SEC);
 	g_assert_false(engine_has(engine, stream));
-	end();
+	world_end(world);
 }
 
 /* A caller that hangs up while its request takes over a stream: the stream has
@@ -497,7 +489,7 @@
 		app_ask(world, home, &(struct spec){.tokens = 16000});
 	world_run(world, 3 * USEC_PER_SEC);
 	g_assert_false(engine_has(engine, first->stream));
-	end();
+	world_end(world);
 }
 
 static void test_leaving_runner(void)
@@ -512,7 +504,7 @@
 		g_assert_cmpuint(job->grant.decode, ==, world->engines[3].id);
 		g_assert_cmpuint(job->attempt, ==, 0);
 	}
-	end();
+	world_end(world);
 }
 
 static void test_records_bounded(void)
@@ -535,7 +527,7 @@
 		g_assert_cmpuint(stats.records, <=, 20);
 	}
 	g_assert_cmpint(last->state, ==, JOB_DONE);
-	end();
+	world_end(world);
 }
 
 /* More records than go into the chunks that are on their way at once. */
@@ -569,7 +561,7 @@
 		world_run(world, 50 * MSEC);
 		g_assert_cmpint(retry->state, ==, JOB_DUPLICATE);
 	}
-	end();
+	world_end(world);
 }
 
 static void test_drain(void)
@@ -594,7 +586,7 @@
 	world_run(world, 200 * MSEC);
 	g_assert_cmpint(retry->state, ==, JOB_DUPLICATE);
 	g_assert_cmpint(retry->duplicate.state, ==, RECORD_DONE);
-	end();
+	world_end(world);
 }
 
 /* Messages that make no sense are dropped, and do no lasting harm. */
@@ -633,7 +625,7 @@
 		       (unsigned long)bytes, (double)messages / 100);
 	g_assert_cmpuint(bytes, >, 0);
 	g_assert_cmpuint(bytes, <=, CYCLE_BYTES_MAX);
-	end();
+	world_end(world);
 }
 
 static void add_rows(void)
--- a/tests/ledger/test_prefill.c
+++ b/tests/ledger/test_prefill.c
@@ -15,14 +15,6 @@
 	world_run(world, 200 * MSEC);
 }
 
-static void end(void)
-{
-	world_run(world, 20 * USEC_PER_SEC);
-	invariants_end(world);
-	g_assert_cmpstr(world->broken->str, ==, "");
-	world_destroy(world);
-}
-
 /* Both prefill runners say that QUEUE tokens waited when they took it. */
 static void report(int64_t age)
 {
@@ -57,7 +49,7 @@
 		waited = job->answered_at - job->asked_at;
 		g_assert_cmpint(waited, >=, ages[i].waits);
 		g_assert_cmpint(waited, <, ages[i].waits + 20 * MSEC);
-		end();
+		world_end(world);
 	}
 }
 
@@ -89,7 +81,7 @@
 		waited = job->answered_at - job->asked_at;
 		g_assert_cmpint(waited, >=, ends[i].least);
 		g_assert_cmpint(waited, <, ends[i].most);
-		end();
+		world_end(world);
 	}
 }
 
--- a/tests/ledger/test_rehome.c
+++ b/tests/ledger/test_rehome.c
@@ -32,14 +32,6 @@
 	other = index_at(2);
 }
 
-static void end(void)
-{
-	world_run(world, 20 * USEC_PER_SEC);
-	invariants_end(world);
-	g_assert_cmpstr(world->broken->str, ==, "");
-	world_destroy(world);
-}
-
 static void cut_pair(bool cut)
 {
 	world_cut(world, next, other, cut);
@@ -79,7 +71,7 @@
 	world_run(world, 1300 * MSEC);
 	g_assert_cmpuint(asked[0]->answers + asked[1]->answers, ==, 0);
 	cut_pair(false);
-	end();
+	world_end(world);
 }
 
 /* A poll that was answered before the home's rebirth shows nothing of what it
@@ -96,7 +88,7 @@
 	members_notify(&world->instances[home]);
 	members_tell(world, home, MEMBER_ALIVE, 1);
 	app_ask(world, next, &(struct spec){.tokens = 16000});
-	end();
+	world_end(world);
 }
 
 /* Nor does one from before the death of a member that was not heard. */
@@ -114,7 +106,7 @@
 	wait_open(held);
 	world_kill(world, other);
 	members_tell(world, other, MEMBER_DEAD, 1);
-	end();
+	world_end(world);
 }
 
 /* Reports lag: memory is proved free by a listing of the streams only. */
@@ -139,7 +131,7 @@
 	engine_poll(&world->instances[next]);
 	world_run(world, 100 * MSEC);
 	g_assert_cmpuint(job->answers, ==, 1);
-	end();
+	world_end(world);
 }
 
 static uint32_t grants_given(void)
@@ -171,7 +163,7 @@
 	g_assert_cmpuint(world->engines[2].used, ==, 8);
 	world_run(world, 300 * MSEC);
 	world->slow[home][other] = 0;
-	end();
+	world_end(world);
 }
 
 /* A holder that was cut off for so long that its key was given to another has
@@ -197,7 +189,7 @@
 	g_assert_cmpint(first->state, ==, JOB_REVOKED);
 	world_run(world, 10 * USEC_PER_SEC);
 	g_assert_cmpint(second->state, ==, JOB_DONE);
-	end();
+	world_end(world);
 }
 
 /* The home knows a stream before any listing shows it. */
@@ -220,7 +212,7 @@
 	g_assert_true(retry->adopted);
 	world->poll = 100 * MSEC;
 	world_run(world, 30 * USEC_PER_SEC);
-	end();
+	world_end(world);
 }
 
 int main(int argc, char **argv)
--- a/tests/ledger/world.c
+++ b/tests/ledger/world.c
@@ -388,3 +388,11 @@
 	}
 	return NULL;
 }
+
+void world_end(struct world *world)
+{
+	world_run(world, 20 * USEC_PER_SEC);
+	invariants_end(world);
+	g_assert_cmpstr(world->broken->str, ==, "");
+	world_destroy(world);
+}
--- a/tests/ledger/world.h
+++ b/tests/ledger/world.h
@@ -129,6 +129,8 @@
 struct world *world_create(uint32_t seed, int instances, const char *policy,
 			   uint32_t queue_max);
 void world_destroy(struct world *world);
+/* Lets all come to rest, checks the invariants, and destroys it. */
+void world_end(struct world *world);
 void world_run(struct world *world, int64_t usec);
 /* Runs until the condition holds, for five seconds at most. */
 #define world_until(world, condition)                                          \
--- a/tests/role/test_ledger_roles.c
+++ b/tests/role/test_ledger_roles.c
@@ -13,14 +13,6 @@
 	world_run(world, 500 * MSEC);
 }
 
-static void end(void)
-{
-	world_run(world, 20 * USEC_PER_SEC);
-	invariants_end(world);
-	g_assert_cmpstr(world->broken->str, ==, "");
-	world_destroy(world);
-}
-
 static void cell_get(struct ledger_cell *cell)
 {
 	uint32_t cursor = 0;
@@ -101,7 +93,7 @@
 	world_run(world, 200 * MSEC);
 	g_assert_cmpint(third->state, ==, JOB_DONE);
 	g_assert_cmpuint(third->grant.decode, ==, decode);
-	end();
+	world_end(world);
 }
 
 /* Another home knows nothing of it, nor does the first when it is home again.
@@ -125,7 +117,7 @@
 	world_run(world, 8 * USEC_PER_SEC);
 	g_assert_true(world_home(world) == home);
 	g_assert_cmpuint(usable_of(POOL_DECODE), ==, 2);
-	end();
+	world_end(world);
 }
 
 static void test_unknown(void)
@@ -136,7 +128,7 @@
 	ledger = world_home(world)->ledger;
 	ledger_withhold(ledger, 12345, true);
 	g_assert_cmpuint(usable_of(POOL_DECODE), ==, 2);
-	end();
+	world_end(world);
 }
 
 static void list_put(uint64_t id, const char *pool)
@@ -178,7 +170,7 @@
 	list_put(id, "decode");
 	world_run(world, 2 * USEC_PER_SEC);
 	g_assert_cmpuint(usable_of(POOL_DECODE), ==, 2);
-	end();
+	world_end(world);
 }
 
 static void test_work(void)
@@ -201,7 +193,7 @@
 	g_assert_cmpfloat(cell.waiting.prompt_tokens, >, 0);
 	g_assert_cmpfloat(cell.waiting.prompt_tokens, <=, 4000);
 	g_assert_cmpfloat(cell.waiting.output_tokens, >, 0);
-	end();
+	world_end(world);
 }
 
 int main(int argc, char **argv)
--- a/tests/web/test_gone.c
+++ b/tests/web/test_gone.c
@@ -163,6 +163,19 @@
 		g_assert_cmpuint(web_reply_queued(held->request), >, 0);
 }
 
+/* Sends a request that arrives and is not answered. */
+static void caller_hold(struct caller *caller, struct world *world, int version,
+			const char *path, struct held *held)
+{
+	int arrived = held->arrived + 1;
+
+	web_server_handle(world->server, path, hold, held);
+	caller_open(caller, world, version);
+	for (int i = 0; i < 1000 && held->arrived < arrived; i++)
+		caller_turns(caller, world, 1);
+	g_assert_cmpint(held->arrived, ==, arrived);
+}
+
 /* Turns until the request is no more, moving the clock so that the server's
  * sweep runs. */
 static void pending_wait(struct world *world)
@@ -181,11 +194,7 @@
 	struct held held = {0};
 	struct caller caller = {.fd = -1};
 
-	web_server_handle(world->server, "/", hold, &held);
-	caller_open(&caller, world, c->version);
-	for (int i = 0; i < 1000 && !held.arrived; i++)
-		caller_turns(&caller, world, 1);
-	g_assert_cmpint(held.arrived, ==, 1);
+	caller_hold(&caller, world, c->version, "/", &held);
 	answer_to(&held, &caller, world, c->stage);
 	g_assert_cmpint(held.gone, ==, 0);
 	g_assert_cmpuint(web_server_pending(world->server), ==, 1);
@@ -195,11 +204,7 @@
 	g_assert_cmpint(held.arrived, ==, 1);
 	caller_close(&caller);
 	/* The server still serves. */
-	web_server_handle(world->server, "/x", hold, &held);
-	caller_open(&caller, world, c->version);
-	for (int i = 0; i < 1000 && held.arrived < 2; i++)
-		caller_turns(&caller, world, 1);
-	g_assert_cmpint(held.arrived, ==, 2);
+	caller_hold(&caller, world, c->version, "/x", &held);
 	caller_close(&caller);
 	pending_wait(world);
 }
@@ -211,10 +216,7 @@
 	struct held held = {0};
 	struct caller caller = {.fd = -1};
 
-	web_server_handle(world->server, "/", hold, &held);
-	caller_open(&caller, world, version);
-	for (int i = 0; i < 1000 && !held.arrived; i++)
-		caller_turns(&caller, world, 1);
+	caller_hold(&caller, world, version, "/", &held);
 	answer_to(&held, &caller, world, STAGE_BLOCKED);
 	for (int i = 0; i < 4; i++) {
 		clock_advance(world->clock,
@@ -236,10 +238,7 @@
 	struct caller caller = {.fd = -1};
 	GString *got;
 
-	web_server_handle(world->server, "/", hold, &held);
-	caller_open(&caller, world, version);
-	for (int i = 0; i < 1000 && !held.arrived; i++)
-		caller_turns(&caller, world, 1);
+	caller_hold(&caller, world, version, "/", &held);
 	web_server_drain(world->server);
 	caller_turns(&caller, world, 20);
 	/* The request in flight is answered, and the caller told to leave. */
@@ -269,10 +268,7 @@
 	struct held held = {0};
 	struct caller caller = {.fd = -1};
 
-	web_server_handle(world->server, "/", hold, &held);
-	caller_open(&caller, world, version);
-	for (int i = 0; i < 1000 && !held.arrived; i++)
-		caller_turns(&caller, world, 1);
+	caller_hold(&caller, world, version, "/", &held);
 	web_server_destroy(world->server);
 	world->server = NULL;
 	g_assert_cmpint(held.gone, ==, 1);
