entry: give back what a woken instance gave up

Cause: an instance that stood still gives up its model requests on waking, since a retry may be running elsewhere, but it did not tell the home.

Ruled out: releasing at once.

Change: what was given up is released as failed once the instance is certain that it is held alive; nothing is when it was held dead.

--- a/entry/component_link.c
+++ b/entry/component_link.c
@@ -172,7 +172,7 @@
 	if (entry->membership)
 		membership_paused(entry->membership, gap_usec);
 	if (entry->requests)
-		requests_refuted(entry->requests);
+		requests_paused(entry->requests);
 }
 
 static void self_fill(const struct entry *entry, struct member *self)
--- a/entry/requests.c
+++ b/entry/requests.c
@@ -11,6 +11,7 @@
 #include "entry/request.h"
 
 #define RETRY_TOKENS_MAX 100.0
+#define DOUBT_USEC (100 * USEC_PER_MSEC)
 
 static struct counter *counter(struct entry *entry, const char *name,
 			       const char *help)
@@ -18,6 +19,26 @@
 	return counter_get(entry->counters, name, help, NULL);
 }
 
+/*
+ * This process stood still. Its model requests were given up; what they held is
+ * given back unless others have held the instance dead: then the home has ended
+ * it, and a retry may be running on it.
+ */
+static void doubt_fire(struct timer *timer, void *ctx)
+{
+	struct requests *requests = ctx;
+
+	if (!membership_certain(requests->entry->membership)) {
+		timer_start(timer, DOUBT_USEC);
+		return;
+	}
+	for (guint i = 0; i < requests->doubtful->len; i++)
+		ledger_release(requests->entry->ledger,
+			       g_array_index(requests->doubtful, uint64_t, i),
+			       RELEASE_FAILED);
+	g_array_set_size(requests->doubtful, 0);
+}
+
 struct requests *requests_create(struct entry *entry)
 {
 	struct requests *requests = g_new0(struct requests, 1);
@@ -28,6 +49,8 @@
 	requests->budgets =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	g_queue_init(&requests->kept);
+	requests->doubtful = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	timer_init(&requests->doubt, entry->clock, doubt_fire, requests);
 	requests->plain = plain_create(entry);
 	requests->limits = limits_create(0);
 	requests->late_pieces =
@@ -59,6 +82,8 @@
 			break;
 		request_discard(request);
 	}
+	timer_stop(&requests->doubt);
+	g_array_free(requests->doubtful, TRUE);
 	plain_destroy(requests->plain);
 	limits_destroy(requests->limits);
 	g_hash_table_unref(requests->by_id);
@@ -198,11 +223,18 @@
 		request_claimed(request, code, winner);
 }
 
+void requests_refuted(struct requests *requests)
+{
+	requests_paused(requests);
+	timer_stop(&requests->doubt);
+	g_array_set_size(requests->doubtful, 0);
+}
+
 /*
- * Others held this instance dead: callers of model requests are cut off before
- * anything stale reaches them, since a retry may be running elsewhere.
+ * Callers of model requests are cut off before anything stale reaches them: a
+ * retry may be running elsewhere.
  */
-void requests_refuted(struct requests *requests)
+void requests_paused(struct requests *requests)
 {
 	GHashTableIter iter;
 	gpointer value;
@@ -219,10 +251,13 @@
 	for (unsigned int i = 0; i < lost->len; i++) {
 		struct request *request = lost->pdata[i];
 
+		g_array_append_val(requests->doubtful, request->id);
 		request->granted = false;
 		model_revoked(request);
 	}
 	g_ptr_array_unref(lost);
+	if (requests->doubtful->len)
+		timer_start(&requests->doubt, DOUBT_USEC);
 }
 
 static const char *const state_names[] = {
--- a/include/entry/request.h
+++ b/include/entry/request.h
@@ -141,7 +141,9 @@
 	GQueue kept;	    /* oldest first */
 	uint64_t kept_bytes;
 	uint64_t next;
-	uint32_t active; /* not counting kept ones */
+	uint32_t active;  /* not counting kept ones */
+	GArray *doubtful; /* ids given up after a pause, not given back yet */
+	struct timer doubt;
 	struct limits *limits;
 	GHashTable *budgets; /* service's name -> struct retry_budget */
 	struct plain *plain;
--- a/include/entry/requests.h
+++ b/include/entry/requests.h
@@ -40,7 +40,11 @@
 /* For claims_create(). */
 void requests_claimed(struct requests *requests, uint64_t request,
 		      enum result_code code, const struct owner *winner);
-/* The process stood still past its lease: what was held may be lost. */
+/* The process stood still past its lease: what was held may be lost. It is
+ * given up at once, and given back when no other instance has held this one
+ * dead. */
+void requests_paused(struct requests *requests);
+/* Others held this instance dead: what it held is lost. */
 void requests_refuted(struct requests *requests);
 /* Appends the requests in flight as a JSON array, for the operators' view. */
 void requests_print(const struct requests *requests, GString *out);
--- a/tests/requests/fakes.c
+++ b/tests/requests/fakes.c
@@ -374,6 +374,11 @@
 	return (*cursor)++ ? NULL : &self;
 }
 
+bool membership_certain(const struct membership *membership)
+{
+	return true;
+}
+
 uint64_t membership_home(const struct membership *membership,
 			 const char *data_centre, uint64_t key, uint32_t rank)
 {
--- a/tests/requests/test_paths.c
+++ b/tests/requests/test_paths.c
@@ -224,6 +224,9 @@
 			fakes.grants = 0;
 		fakes.streams = 0;
 		requests_refuted(requests);
+	} else if (strcmp(verb, "paused") == 0) {
+		fakes.streams = 0; /* the home ends what is released */
+		requests_paused(requests);
 	} else if (strcmp(verb, "claimed") == 0)
 		requests_claimed(requests, fakes.asked, code_of(words[1]),
 				 &other);
