--- a/include/standin/engine_settings.h
+++ b/include/standin/engine_settings.h
@@ -5,13 +5,11 @@
 #define STANDIN_ENGINE_SETTINGS_H
 
 #include "standin/engine_model.h"
+#include "standin/register.h"
 
 struct engine_settings {
-	const char *name;
-	const char *pool;
-	const char *data_centre;
+	struct registration_spec spec;
 	const char *listen;
-	const char *platform; /* NULL: none */
 	struct engine_params params;
 };
 
--- a/standin/engine_settings.c
+++ b/standin/engine_settings.c
@@ -27,13 +27,14 @@
 	enum setting_kind kind;
 	size_t offset;
 } table[] = {
-	{"name", "NAME", "name of the instance", SETTING_TEXT, AT(name)},
-	{"pool", "NAME", "its pool", SETTING_TEXT, AT(pool)},
+	{"name", "NAME", "name of the instance", SETTING_TEXT, AT(spec.name)},
+	{"pool", "NAME", "its pool", SETTING_TEXT, AT(spec.pool)},
 	{"data-centre", "NAME", "its data centre", SETTING_TEXT,
-	 AT(data_centre)},
+	 AT(spec.data_centre)},
 	{"listen", "IP:PORT", "own address; port 0 picks one", SETTING_TEXT,
 	 AT(listen)},
-	{"platform", "IP:PORT", "register there", SETTING_TEXT, AT(platform)},
+	{"platform", "IP:PORT", "register there", SETTING_TEXT,
+	 AT(spec.platform)},
 	{"role", "ROLE", "prefill or decode", SETTING_ROLE, AT(params.role)},
 	{"pieces", "N", "memory in pieces", SETTING_COUNT, AT(params.pieces)},
 	{"piece-tokens", "N", "tokens a piece", SETTING_SIZE,
@@ -73,9 +74,10 @@
 #define KEY_FIRST 256
 
 static const struct engine_settings defaults = {
-	.name = "engine",
-	.pool = "pool",
-	.data_centre = "local",
+	.spec = {.kind = "runner",
+		 .name = "engine",
+		 .pool = "pool",
+		 .data_centre = "local"},
 	.listen = "127.0.0.1:0",
 	.params =
 		{
--- a/standin/jtengine.c
+++ b/standin/jtengine.c
@@ -33,7 +33,6 @@
 {
 	struct engine_settings settings;
 	struct standin_backend backend;
-	struct registration_spec spec = {.kind = "runner"};
 	struct engine_model *model;
 	struct engine_http *http;
 
@@ -43,11 +42,7 @@
 	model = engine_create(backend.clock, &settings.params);
 	http = engine_http_create(model, backend.server, backend.client);
 	engine_http_on_pool(http, engine_moved, &backend);
-	spec.platform = settings.platform;
-	spec.name = settings.name;
-	spec.pool = settings.pool;
-	spec.data_centre = settings.data_centre;
-	backend_run(&backend, &spec, &backend_ops, model);
+	backend_run(&backend, &settings.spec, &backend_ops, model);
 	backend_close_server(&backend);
 	engine_destroy(model);
 	engine_http_destroy(http);
--- a/standin/jtservice.c
+++ b/standin/jtservice.c
@@ -7,11 +7,8 @@
 #include "standin/service.h"
 
 struct settings {
-	const char *name;
-	const char *pool;
-	const char *data_centre;
+	struct registration_spec spec;
 	const char *listen;
-	const char *platform;
 	int64_t work_usec;
 };
 
@@ -46,19 +43,19 @@
 
 	switch (key) {
 	case 'n':
-		settings->name = arg;
+		settings->spec.name = arg;
 		return 0;
 	case 'p':
-		settings->pool = arg;
+		settings->spec.pool = arg;
 		return 0;
 	case 'd':
-		settings->data_centre = arg;
+		settings->spec.data_centre = arg;
 		return 0;
 	case 'l':
 		settings->listen = arg;
 		return 0;
 	case 'P':
-		settings->platform = arg;
+		settings->spec.platform = arg;
 		return 0;
 	case 'w':
 		settings->work_usec =
@@ -78,12 +75,12 @@
 		.doc = "Stands in for one plain service in tests.",
 	};
 	struct settings settings = {
-		.name = "service",
-		.pool = "pool",
-		.data_centre = "local",
+		.spec = {.kind = "server",
+			 .name = "service",
+			 .pool = "pool",
+			 .data_centre = "local"},
 		.listen = "127.0.0.1:0",
 	};
-	struct registration_spec spec = {.kind = "server"};
 	struct standin_backend backend;
 	struct service *service;
 
@@ -93,11 +90,7 @@
 		return EXIT_FAILURE;
 	service = service_create(backend.clock, backend.server,
 				 settings.work_usec);
-	spec.platform = settings.platform;
-	spec.name = settings.name;
-	spec.pool = settings.pool;
-	spec.data_centre = settings.data_centre;
-	backend_run(&backend, &spec, &backend_ops, service);
+	backend_run(&backend, &settings.spec, &backend_ops, service);
 	backend_close_server(&backend);
 	service_destroy(service);
 	backend_close(&backend);
