coord, load: send pairs and read ledgers in one place

Three messages of the ledger are two numbers to an instance of one incarnation; message_send_pair() sends them. jtload read the answers of engines and services with the same lines. The ledger's tests print the same lines before and after.

--- a/coord/ledger_codec.c
+++ b/coord/ledger_codec.c
@@ -108,6 +108,17 @@
 			       ledger->buffer.data, ledger->buffer.size);
 }
 
+void message_send_pair(struct ledger *ledger, const struct owner *to,
+		       enum message_type type, uint64_t first, uint64_t second)
+{
+	msgpack_packer *packer =
+		message_begin(ledger, type, to->incarnation, 2);
+
+	pack_u(packer, first);
+	pack_u(packer, second);
+	message_send(ledger, to->instance);
+}
+
 /* Milliseconds from now, plus one; 0 stands for never. */
 static uint64_t due_pack(int64_t due, int64_t now)
 {
--- a/coord/ledger_codec.h
+++ b/coord/ledger_codec.h
@@ -60,6 +60,9 @@
 msgpack_packer *message_begin(struct ledger *ledger, enum message_type type,
 			      uint64_t incarnation, uint32_t fields);
 void message_send(struct ledger *ledger, uint64_t to);
+/* Sends a message of two numbers to an instance of that incarnation. */
+void message_send_pair(struct ledger *ledger, const struct owner *to,
+		       enum message_type type, uint64_t first, uint64_t second);
 
 /* An ask as it stands in the message. */
 struct ask {
--- a/coord/ledger_handover.c
+++ b/coord/ledger_handover.c
@@ -211,13 +211,10 @@
 void announce_unknown_send(struct cell *cell, uint64_t to, uint64_t incarnation,
 			   uint32_t epoch)
 {
-	struct ledger *ledger = cell->ledger;
-	msgpack_packer *packer =
-		message_begin(ledger, MESSAGE_UNKNOWN_EPOCH, incarnation, 2);
+	const struct owner owner = {to, incarnation};
 
-	pack_u(packer, cell->id);
-	pack_u(packer, epoch);
-	message_send(ledger, to);
+	message_send_pair(cell->ledger, &owner, MESSAGE_UNKNOWN_EPOCH, cell->id,
+			  epoch);
 }
 
 /* Epoch 0 asks whoever holds this instance for its home. */
--- a/coord/ledger_home.c
+++ b/coord/ledger_home.c
@@ -201,12 +201,7 @@
 void home_revoke(struct ledger *ledger, const struct owner *owner,
 		 uint64_t request, uint32_t attempt)
 {
-	msgpack_packer *packer =
-		message_begin(ledger, MESSAGE_REVOKE, owner->incarnation, 2);
-
-	pack_u(packer, request);
-	pack_u(packer, attempt);
-	message_send(ledger, owner->instance);
+	message_send_pair(ledger, owner, MESSAGE_REVOKE, request, attempt);
 }
 
 /* The former attempt has failed: its memory counts until the engine is known
--- a/coord/ledger_replica.c
+++ b/coord/ledger_replica.c
@@ -138,7 +138,6 @@
 	struct replication *rep;
 	uint32_t size;
 	const void *data = read_bin(reader, &size);
-	msgpack_packer *packer;
 
 	if (reader->bad || cell == NULL || cell->is_home || cell->home != from)
 		return;
@@ -151,10 +150,8 @@
 		rep->received = sequence;
 		entries_each(data, size, take_copy, cell);
 	}
-	packer = message_begin(ledger, MESSAGE_RECORDS_ACK, incarnation, 2);
-	pack_u(packer, cell->id);
-	pack_u(packer, sequence);
-	message_send(ledger, from);
+	message_send_pair(ledger, &owner, MESSAGE_RECORDS_ACK, cell->id,
+			  sequence);
 }
 
 void replica_receive_ack(struct ledger *ledger, uint64_t from,
--- a/load/ledgers.c
+++ b/load/ledgers.c
@@ -87,15 +87,23 @@
 		web_fetch(ledger->owner->client, &spec, LEDGER_MAX, fn, ledger);
 }
 
+/* What was answered to the ledger's call; NULL when that is no ledger. */
+static json_t *answer_read(struct ledger *ledger,
+			   const struct web_result *result, int status,
+			   const void *body, size_t size)
+{
+	ledger->call = NULL;
+	if (!result->ok || status != 200)
+		return NULL;
+	return json_loadb(body, size, 0, NULL);
+}
+
 static void engine_answered(void *ctx, const struct web_result *result,
 			    int status, const void *body, size_t size)
 {
 	struct ledger *ledger = ctx;
-	json_t *json = NULL;
+	json_t *json = answer_read(ledger, result, status, body, size);
 
-	ledger->call = NULL;
-	if (result->ok && status == 200)
-		json = json_loadb(body, size, 0, NULL);
 	if (json != NULL)
 		ledger->kind = LEDGER_ENGINE;
 	ledger_done(ledger, json);
@@ -105,11 +113,8 @@
 			     int status, const void *body, size_t size)
 {
 	struct ledger *ledger = ctx;
-	json_t *json = NULL;
+	json_t *json = answer_read(ledger, result, status, body, size);
 
-	ledger->call = NULL;
-	if (result->ok && status == 200)
-		json = json_loadb(body, size, 0, NULL);
 	if (json == NULL && ledger->kind != LEDGER_SERVICE) {
 		ledger_fetch(ledger, "/ledger", engine_answered);
 		return;
