entry: drop unused fields, and serve late replies in one place

Bringing a newly attached reply up to date stood twice, for repeats here and at another instance; both call reply_serve() now. Picking a plain server counted the live instances once for the near servers and again for the far ones; it counts once.

--- a/entry/handler_answers.c
+++ b/entry/handler_answers.c
@@ -29,7 +29,6 @@
 	struct requests *requests = ctx;
 	struct web_text path = web_request_path(web);
 	struct request *request;
-	struct reply *reply;
 	uint64_t fingerprint;
 	uint64_t key;
 
@@ -53,10 +52,5 @@
 			     "the key was used before with another request");
 		return;
 	}
-	reply = reply_attach(request, web, wants_stream(web));
-	answer_catch_up(reply);
-	if (request->state != REQUEST_KEPT)
-		return;
-	answer_finish(reply);
-	reply_free(reply);
+	reply_serve(reply_attach(request, web, wants_stream(web)));
 }
--- a/entry/plain.c
+++ b/entry/plain.c
@@ -126,13 +126,11 @@
 }
 
 static void choice_scan(struct plain *plain, const struct request *request,
-			bool here, struct choice *choice)
+			bool here, uint32_t share, struct choice *choice)
 {
 	struct entry *entry = plain->entry;
 	const struct backend *backend;
 	int64_t now = clock_now(entry->clock);
-	uint32_t count = sharers(plain);
-	uint32_t share = (request->service.concurrency + count - 1) / count;
 	uint32_t cursor = 0;
 
 	while ((backend = directory_next(entry->directory, &cursor))) {
@@ -152,12 +150,14 @@
 uint64_t plain_pick(struct plain *plain, const struct request *request,
 		    bool *any)
 {
+	uint32_t count = sharers(plain);
+	uint32_t share = (request->service.concurrency + count - 1) / count;
 	struct choice choice = {0};
 	const struct backend *best;
 
-	choice_scan(plain, request, true, &choice);
+	choice_scan(plain, request, true, share, &choice);
 	if (!choice.seen)
-		choice_scan(plain, request, false, &choice);
+		choice_scan(plain, request, false, share, &choice);
 	*any = choice.listed > 0;
 	best = choice.first;
 	if (!best)
--- a/entry/request.c
+++ b/entry/request.c
@@ -237,6 +237,15 @@
 	return reply;
 }
 
+void reply_serve(struct reply *reply)
+{
+	answer_catch_up(reply);
+	if (reply->request->state != REQUEST_KEPT)
+		return;
+	answer_finish(reply);
+	reply_free(reply);
+}
+
 void request_release(struct request *request, enum release_reason reason)
 {
 	if (!request->granted)
--- a/entry/request_join.c
+++ b/entry/request_join.c
@@ -27,11 +27,7 @@
 		g_queue_unlink(&from->replies, &reply->link);
 		reply->request = to;
 		g_queue_push_tail_link(&to->replies, &reply->link);
-		answer_catch_up(reply);
-		if (to->state != REQUEST_KEPT)
-			continue;
-		answer_finish(reply);
-		reply_free(reply);
+		reply_serve(reply);
 	}
 }
 
--- a/include/entry/request.h
+++ b/include/entry/request.h
@@ -70,8 +70,7 @@
 	enum request_class class;
 	bool idempotent;
 	bool chat;
-	bool include_head; /* chat: the first event names the role */
-	uint64_t key;	   /* 0: none */
+	uint64_t key; /* 0: none */
 	uint64_t fingerprint;
 	uint64_t organisation;
 	int64_t arrived;
@@ -102,7 +101,6 @@
 	uint32_t computed_tokens; /* by the prefill whose result is held */
 	uint32_t resumes;
 	uint32_t attempts;
-	uint32_t cancels;
 	enum result_code last_code;
 	GString *text; /* output so far */
 	uint32_t tokens;
@@ -129,8 +127,6 @@
 	GPtrArray *answer_headers; /* name, value, ... */
 	GString *answer_body;
 	bool complete;
-	enum result_code result;
-	char result_text[ERROR_TEXT_MAX];
 	GList kept_link;
 };
 
@@ -179,6 +175,9 @@
 /* Lets the budget of the request's service grow. */
 void requests_count_request(struct request *request);
 void reply_free(struct reply *reply);
+/* Brings a reply that was just attached up to date; one to a request that has
+ * been answered is finished and freed. */
+void reply_serve(struct reply *reply);
 struct reply *reply_attach(struct request *request, struct web_request *web,
 			   bool stream);
 /* Sets the unique id and enters the tables; call when the fields are filled. */
