--- a/common/log.c
+++ b/common/log.c
@@ -1,17 +1,34 @@
 #include "common/log.h"
 
+#include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <inttypes.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/error.h"
 
+/* Lines that wait for a reader, in bytes: a second of a busy instance's. */
+#define KEEP_BYTES ((size_t)256 << 10)
+/* Written in a second on average, and at most at once: 200 requests a second
+ * with two lines each take half of it. */
+#define BYTES_PER_SEC (128 << 10)
+#define BURST_BYTES (256 << 10)
+/* Lines of this level and below leave the second half of it to the others. */
+#define SPARE_LEVEL LOG_INFO
+
 static struct {
 	const struct clock *clock;
 	const char *program;
 	int level;
+	int fd;
+	GString *kept; /* NULL: lines go to standard error at once */
+	double budget; /* bytes that may be written now */
+	int64_t budget_at;
+	uint64_t dropped;
 } log_state = {.level = LOG_INFO};
 
 static const struct {
@@ -123,6 +140,71 @@
 	log_state.level = level;
 }
 
+void log_to(int fd)
+{
+	int flags = fcntl(fd, F_GETFL);
+
+	if (flags >= 0)
+		(void)fcntl(fd, F_SETFL, flags | O_NONBLOCK);
+	log_state.fd = fd;
+	log_state.budget = BURST_BYTES;
+	if (!log_state.kept)
+		log_state.kept = g_string_sized_new(4096);
+}
+
+void log_flush(void)
+{
+	GString *kept = log_state.kept;
+
+	while (kept && kept->len > 0) {
+		ssize_t n = write(log_state.fd, kept->str, kept->len);
+
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n <= 0)
+			return;
+		g_string_erase(kept, 0, n);
+	}
+}
+
+static void budget_refill(void)
+{
+	int64_t now = log_state.clock ? clock_now(log_state.clock) : 0;
+	double usec = (double)(now - log_state.budget_at);
+
+	log_state.budget += usec * BYTES_PER_SEC / (double)USEC_PER_SEC;
+	log_state.budget = MIN(log_state.budget, BURST_BYTES);
+	log_state.budget_at = now;
+}
+
+/* False when there is no room for a line of that level. */
+static bool room_take(int level, size_t size)
+{
+	double share = level >= SPARE_LEVEL ? 0.5 : 1.0;
+
+	budget_refill();
+	if ((double)(log_state.kept->len + size) > share * KEEP_BYTES ||
+	    log_state.budget - (double)size < (1.0 - share) * BURST_BYTES) {
+		log_state.dropped++;
+		return false;
+	}
+	log_state.budget -= (double)size;
+	return true;
+}
+
+static void line_keep(int level, const GString *line)
+{
+	uint64_t dropped = log_state.dropped;
+
+	if (!room_take(level, line->len))
+		return;
+	g_string_append_len(log_state.kept, line->str, (gssize)line->len);
+	if (dropped == 0)
+		return;
+	log_state.dropped = 0;
+	log_event(LOG_WARNING, "log_lines_dropped", LOG_D("lines", dropped));
+}
+
 void log_write(int level, const char *event, const struct log_field *fields)
 {
 	GString *line;
@@ -131,8 +213,12 @@
 		return;
 	line = g_string_sized_new(256);
 	log_format(line, level, event, fields);
-	fwrite(line->str, 1, line->len, stderr);
-	fflush(stderr);
+	if (log_state.kept) {
+		line_keep(level, line);
+	} else {
+		fwrite(line->str, 1, line->len, stderr);
+		fflush(stderr);
+	}
 	g_string_free(line, TRUE);
 }
 
--- /dev/null
+++ b/forward/answer.c
@@ -0,0 +1,94 @@
+/*
+ * answer.c - the answer of a server, kept until it is passed on
+ */
+#include "request.h"
+
+#include <string.h>
+
+/* Largest answer of a plain call that is kept: a sixteenth of the smallest
+ * instance's memory (110 MB). */
+#define ANSWER_BYTES_MAX (6u << 20)
+
+bool answer_take_head(struct request *request, const struct backend_head *head)
+{
+	struct answer *answer = &request->answer;
+
+	answer_clear(answer);
+	answer->head = *head;
+	answer->head.headers = NULL;
+	answer->has_head = true;
+	answer->names = g_ptr_array_new_with_free_func(g_free);
+	answer->values = g_ptr_array_new_with_free_func(g_free);
+	for (size_t i = 0; i < head->header_count; i++) {
+		const struct web_header *header = &head->headers[i];
+
+		g_ptr_array_add(answer->names, g_strndup(header->name.data,
+							 header->name.size));
+		g_ptr_array_add(answer->values, g_strndup(header->value.data,
+							  header->value.size));
+	}
+	return !head->mismatched;
+}
+
+void answer_take_body(struct request *request, const void *data, size_t size)
+{
+	struct answer *answer = &request->answer;
+
+	if (!answer->body)
+		answer->body = g_byte_array_new();
+	if (answer->body->len + size > ANSWER_BYTES_MAX) {
+		answer->too_large = true;
+		return;
+	}
+	g_byte_array_append(answer->body, data, (guint)size);
+}
+
+/* These tell a caller that its request did not run. */
+static bool status_promises(int status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+bool answer_may_pass(const struct answer *answer)
+{
+	return answer->has_head && answer->head.signed_by &&
+	       !answer->too_large &&
+	       (answer->head.not_run || !status_promises(answer->head.status));
+}
+
+void answer_clear(struct answer *answer)
+{
+	if (answer->names)
+		g_ptr_array_unref(answer->names);
+	if (answer->values)
+		g_ptr_array_unref(answer->values);
+	if (answer->body)
+		g_byte_array_unref(answer->body);
+	memset(answer, 0, sizeof(*answer));
+}
+
+static void headers_reply(struct request *request)
+{
+	struct answer *answer = &request->answer;
+
+	for (guint i = 0; answer->names && i < answer->names->len; i++)
+		web_reply_header(request->web, answer->names->pdata[i],
+				 answer->values->pdata[i]);
+}
+
+void request_reply_start(struct request *request)
+{
+	headers_reply(request);
+	web_reply_start(request->web, request->answer.head.status, NULL);
+	request->replied = true;
+	request->first_at = request_now(request);
+}
+
+void answer_send(struct request *request)
+{
+	GByteArray *body = request->answer.body;
+
+	headers_reply(request);
+	web_reply(request->web, request->answer.head.status, NULL,
+		  body ? body->data : NULL, body ? body->len : 0);
+}
--- /dev/null
+++ b/forward/budget.c
@@ -0,0 +1,103 @@
+#include "forward/budget.h"
+
+#include <glib.h>
+
+/* The window slides by one slice, so the sum may hold up to one slice more
+ * than the window: it errs towards fewer sends. */
+#define SLICES 10
+/* Part of the allowance that is used: requests are counted where they arrive
+ * and sends where they land, up to a transit time apart. */
+#define USED_PART 0.85
+
+struct slice {
+	uint32_t requests;
+	uint32_t sends;
+};
+
+struct budget {
+	uint64_t service;
+	int64_t at; /* number of the newest slice */
+	struct slice slices[SLICES + 1];
+};
+
+struct budgets {
+	struct budget_settings settings;
+	GHashTable *services; /* id to struct budget */
+};
+
+struct budgets *budgets_create(const struct budget_settings *settings)
+{
+	struct budgets *budgets = g_new0(struct budgets, 1);
+
+	budgets->settings = *settings;
+	budgets->services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  NULL, g_free);
+	return budgets;
+}
+
+void budgets_destroy(struct budgets *budgets)
+{
+	if (!budgets)
+		return;
+	g_hash_table_destroy(budgets->services);
+	g_free(budgets);
+}
+
+void budgets_configure(struct budgets *budgets,
+		       const struct budget_settings *settings)
+{
+	budgets->settings = *settings;
+}
+
+static struct budget *budget_get(struct budgets *budgets, uint64_t service)
+{
+	struct budget *budget =
+		g_hash_table_lookup(budgets->services, &service);
+
+	if (budget)
+		return budget;
+	budget = g_new0(struct budget, 1);
+	budget->service = service;
+	g_hash_table_insert(budgets->services, &budget->service, budget);
+	return budget;
+}
+
+/* Clears the slices that time has passed since the last call. */
+static struct slice *slice_now(struct budgets *budgets, struct budget *budget,
+			       int64_t now)
+{
+	int64_t at = now / MAX(budgets->settings.window_usec / SLICES, 1);
+	int64_t passed = MIN(at - budget->at, SLICES + 1);
+
+	for (int64_t i = 0; i < passed; i++)
+		budget->slices[(at - i) % (SLICES + 1)] = (struct slice){0};
+	budget->at = MAX(budget->at, at);
+	return &budget->slices[budget->at % (SLICES + 1)];
+}
+
+void budget_request(struct budgets *budgets, uint64_t service, int64_t now)
+{
+	slice_now(budgets, budget_get(budgets, service), now)->requests++;
+}
+
+bool budget_take(struct budgets *budgets, uint64_t service, int64_t now,
+		 uint32_t instances)
+{
+	const struct budget_settings *settings = &budgets->settings;
+	struct budget *budget = budget_get(budgets, service);
+	struct slice *slice = slice_now(budgets, budget, now);
+	double sends = 1.0;
+	double requests = 0.0;
+	double allowed;
+
+	for (int i = 0; i <= SLICES; i++) {
+		sends += budget->slices[i].sends;
+		requests += budget->slices[i].requests;
+	}
+	allowed = settings->ratio * requests +
+		  settings->slack / (double)MAX(instances, 1u);
+	if (sends > allowed * USED_PART)
+		return false;
+	slice->sends++;
+	return true;
+}
--- /dev/null
+++ b/forward/catalog.c
@@ -0,0 +1,154 @@
+#include "forward/catalog.h"
+
+#include <string.h>
+
+#include "common/id.h"
+
+/* Longest host that is looked up; the longest that DNS allows. */
+#define HOST_MAX 255
+/* Longest prefix that is looked up; a longer path matches by its beginning. */
+#define PREFIX_MAX 1024
+
+static void route_free(gpointer data)
+{
+	struct catalog_route *route = data;
+
+	g_free(route->name);
+	g_free(route->host);
+	g_free(route->prefix);
+	g_array_unref(route->shares);
+	g_free(route);
+}
+
+static void service_free(gpointer data)
+{
+	struct catalog_service *service = data;
+
+	g_free(service->name);
+	g_free(service->health_path);
+	g_free(service);
+}
+
+struct catalog *catalog_create(uint64_t version)
+{
+	struct catalog *catalog = g_new0(struct catalog, 1);
+
+	catalog->refs = 1;
+	catalog->version = version;
+	catalog->routes = g_ptr_array_new_with_free_func(route_free);
+	catalog->places =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	catalog->services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  NULL, service_free);
+	return catalog;
+}
+
+struct catalog *catalog_ref(struct catalog *catalog)
+{
+	catalog->refs++;
+	return catalog;
+}
+
+void catalog_unref(struct catalog *catalog)
+{
+	if (!catalog || --catalog->refs > 0)
+		return;
+	g_hash_table_destroy(catalog->places);
+	g_hash_table_destroy(catalog->services);
+	g_ptr_array_unref(catalog->routes);
+	g_free(catalog);
+}
+
+struct catalog_route *catalog_add_route(struct catalog *catalog)
+{
+	struct catalog_route *route = g_new0(struct catalog_route, 1);
+
+	route->shares = g_array_new(FALSE, FALSE, sizeof(struct route_share));
+	g_ptr_array_add(catalog->routes, route);
+	return route;
+}
+
+struct catalog_service *catalog_add_service(struct catalog *catalog,
+					    const char *name)
+{
+	struct catalog_service *service = g_new0(struct catalog_service, 1);
+
+	service->name = g_strdup(name);
+	service->id = id_of(name);
+	g_hash_table_replace(catalog->services, &service->id, service);
+	return service;
+}
+
+void catalog_seal(struct catalog *catalog)
+{
+	for (guint i = 0; i < catalog->routes->len; i++) {
+		struct catalog_route *route = catalog->routes->pdata[i];
+
+		g_hash_table_replace(
+			catalog->places,
+			g_strconcat(route->host, route->prefix, NULL), route);
+	}
+}
+
+/* The port and the case of a host do not matter; returns the size of what is
+ * left, 0 when it is no host that a route can have. */
+static size_t host_normalize(char *out, const char *host, size_t size)
+{
+	const char *colon = memchr(host, ':', size);
+
+	if (colon)
+		size = (size_t)(colon - host);
+	if (size > HOST_MAX)
+		return 0;
+	for (size_t i = 0; i < size; i++)
+		out[i] = g_ascii_tolower(host[i]);
+	return size;
+}
+
+const struct catalog_route *catalog_route(const struct catalog *catalog,
+					  const char *host, size_t host_size,
+					  const char *path, size_t path_size)
+{
+	char key[HOST_MAX + PREFIX_MAX + 1];
+	size_t base = host_normalize(key, host, host_size);
+
+	if (base == 0)
+		return NULL;
+	path_size = MIN(path_size, PREFIX_MAX);
+	memcpy(key + base, path, path_size);
+	for (size_t end = path_size; end > 0; end--) {
+		const struct catalog_route *route;
+
+		if (path[end - 1] != '/')
+			continue;
+		key[base + end] = '\0';
+		route = g_hash_table_lookup(catalog->places, key);
+		if (route)
+			return route;
+	}
+	return NULL;
+}
+
+const struct catalog_service *catalog_service(const struct catalog *catalog,
+					      uint64_t id)
+{
+	return g_hash_table_lookup(catalog->services, &id);
+}
+
+uint64_t route_choose(const struct catalog_route *route, double point)
+{
+	const struct route_share *shares =
+		(const struct route_share *)(void *)route->shares->data;
+	uint64_t total = 0;
+	double at;
+
+	for (guint i = 0; i < route->shares->len; i++)
+		total += shares[i].weight;
+	at = point * (double)total;
+	for (guint i = 0; i < route->shares->len; i++) {
+		if (at < (double)shares[i].weight)
+			return shares[i].service;
+		at -= (double)shares[i].weight;
+	}
+	return shares[0].service;
+}
--- /dev/null
+++ b/forward/events.c
@@ -0,0 +1,110 @@
+#include "forward/events.h"
+
+#include <string.h>
+
+void event_cutter_init(struct event_cutter *cutter)
+{
+	*cutter = (struct event_cutter){.rest = g_byte_array_new()};
+}
+
+void event_cutter_clear(struct event_cutter *cutter)
+{
+	if (cutter->rest)
+		g_byte_array_unref(cutter->rest);
+	cutter->rest = NULL;
+}
+
+/* "id: 12" or "id:12"; other ids are passed on but cannot be resumed after. */
+static void line_read(struct event_cutter *cutter, const char *line,
+		      size_t size)
+{
+	uint64_t id = 0;
+	size_t at = 3;
+
+	if (size < 4 || memcmp(line, "id:", 3) != 0)
+		return;
+	if (line[at] == ' ')
+		at++;
+	if (at == size)
+		return;
+	for (; at < size; at++) {
+		if (!g_ascii_isdigit(line[at]))
+			return;
+		id = id * 10 + (uint64_t)(line[at] - '0');
+	}
+	cutter->last_id = id;
+	cutter->has_id = true;
+}
+
+/* Size of the line at text without its end; *next is where the next begins.
+ * False when its end has not come. */
+static bool line_find(const char *text, size_t size, size_t *length,
+		      size_t *next)
+{
+	const char *end = memchr(text, '\n', size);
+
+	if (!end)
+		return false;
+	*length = (size_t)(end - text);
+	*next = *length + 1;
+	if (*length > 0 && text[*length - 1] == '\r')
+		--*length;
+	return true;
+}
+
+bool event_cutter_feed(struct event_cutter *cutter, const void *data,
+		       size_t size)
+{
+	if (cutter->rest->len - cutter->scanned + size > EVENT_BYTES_MAX)
+		return false;
+	g_byte_array_append(cutter->rest, data, (guint)size);
+	return true;
+}
+
+/* Walks the lines of an event; returns its size, 0 when it is not whole. */
+static size_t event_read(struct event_cutter *cutter, const char *text,
+			 size_t size)
+{
+	size_t at = 0;
+	size_t length;
+	size_t next;
+
+	while (line_find(text + at, size - at, &length, &next)) {
+		line_read(cutter, text + at, length);
+		at += next;
+		if (length == 0)
+			return at;
+	}
+	return 0;
+}
+
+size_t event_cutter_whole(struct event_cutter *cutter)
+{
+	const char *text = (const char *)cutter->rest->data;
+	uint64_t last_id = cutter->last_id;
+	bool has_id = cutter->has_id;
+	size_t size;
+
+	while ((size = event_read(cutter, text + cutter->scanned,
+				  cutter->rest->len - cutter->scanned)) > 0) {
+		cutter->scanned += size;
+		cutter->events++;
+		last_id = cutter->last_id;
+		has_id = cutter->has_id;
+	}
+	/* An id read from a part of an event does not count yet. */
+	cutter->last_id = last_id;
+	cutter->has_id = has_id;
+	return cutter->scanned;
+}
+
+void event_cutter_take(struct event_cutter *cutter, size_t size)
+{
+	g_byte_array_remove_range(cutter->rest, 0, (guint)size);
+	cutter->scanned -= size;
+}
+
+void event_cutter_drop(struct event_cutter *cutter)
+{
+	g_byte_array_set_size(cutter->rest, (guint)cutter->scanned);
+}
--- /dev/null
+++ b/forward/feed.c
@@ -0,0 +1,200 @@
+#include "forward/feed.h"
+
+#include <glib.h>
+
+#include "common/log.h"
+
+/* First pause after a failure, doubled up to the second: an outage ends for an
+ * instance within that time of its end, well inside the two seconds that a
+ * change may take to be followed. */
+#define RETRY_USEC (100 * USEC_PER_MSEC)
+#define RETRY_MAX_USEC (800 * USEC_PER_MSEC)
+
+/* Outlives the feed while an answer is due. */
+struct feed_call {
+	struct feed *feed; /* NULL: the answer is to be dropped */
+	bool snapshot;
+};
+
+struct feed {
+	struct clock *clock;
+	struct feed_store store;
+	struct feed_settings settings;
+	struct feed_ops ops;
+	void *ctx;
+	struct timer timer;
+	struct feed_call *call;
+	uint64_t next;
+	char *after; /* last key of the snapshot so far */
+	bool has_snapshot;
+	bool started_snapshot;
+	uint32_t failures;
+	int64_t fresh;
+};
+
+static void feed_next(struct feed *feed);
+
+static void on_timer(struct timer *timer, void *ctx)
+{
+	feed_next(ctx);
+}
+
+struct feed *feed_create(struct clock *clock, const struct feed_store *store,
+			 const struct feed_settings *settings,
+			 const struct feed_ops *ops, void *ctx)
+{
+	struct feed *feed = g_new0(struct feed, 1);
+
+	feed->clock = clock;
+	feed->store = *store;
+	feed->settings = *settings;
+	feed->ops = *ops;
+	feed->ctx = ctx;
+	feed->fresh = -1;
+	timer_init(&feed->timer, clock, on_timer, feed);
+	return feed;
+}
+
+void feed_destroy(struct feed *feed)
+{
+	if (!feed)
+		return;
+	timer_stop(&feed->timer);
+	if (feed->call)
+		feed->call->feed = NULL;
+	g_free(feed->after);
+	g_free(feed);
+}
+
+static void feed_failed(struct feed *feed)
+{
+	uint32_t doubled = MIN(feed->failures, 3u);
+
+	if (feed->failures++ == 0)
+		log_event(LOG_WARNING, "stream_lost",
+			  LOG_S("stream", feed->settings.stream),
+			  LOG_D("position", feed->next));
+	timer_start(&feed->timer, MIN(RETRY_USEC << doubled, RETRY_MAX_USEC));
+}
+
+static void feed_succeeded(struct feed *feed)
+{
+	if (feed->failures > 0)
+		log_event(LOG_NOTICE, "stream_regained",
+			  LOG_S("stream", feed->settings.stream),
+			  LOG_D("failures", feed->failures));
+	feed->failures = 0;
+	feed->fresh = clock_now(feed->clock);
+}
+
+static void records_hand_over(struct feed *feed, const struct feed_page *page)
+{
+	for (size_t i = 0; i < page->count; i++)
+		feed->ops.record(feed->ctx, &page->records[i]);
+}
+
+/* Pages are not read at one moment, so what changed since the first of them is
+ * read again from there. */
+static void snapshot_take(struct feed *feed, const struct feed_page *page)
+{
+	if (!feed->started_snapshot) {
+		feed->started_snapshot = true;
+		feed->next = page->next;
+		if (feed->ops.snapshot_begin)
+			feed->ops.snapshot_begin(feed->ctx);
+	}
+	records_hand_over(feed, page);
+	g_free(feed->after);
+	feed->after = g_strdup(page->more);
+	if (page->more) {
+		feed_next(feed);
+		return;
+	}
+	feed->has_snapshot = true;
+	if (feed->ops.snapshot_end)
+		feed->ops.snapshot_end(feed->ctx);
+	timer_start(&feed->timer, feed->settings.interval_usec);
+}
+
+static void snapshot_restart(struct feed *feed)
+{
+	feed->has_snapshot = false;
+	feed->started_snapshot = false;
+	g_free(feed->after);
+	feed->after = NULL;
+}
+
+static void records_take(struct feed *feed, const struct feed_page *page)
+{
+	if (page->gap) {
+		log_event(LOG_NOTICE, "stream_gap",
+			  LOG_S("stream", feed->settings.stream),
+			  LOG_D("position", feed->next));
+		snapshot_restart(feed);
+		feed_next(feed);
+		return;
+	}
+	records_hand_over(feed, page);
+	feed->next = page->next;
+	timer_start(&feed->timer, feed->settings.interval_usec);
+}
+
+static void on_page(void *ctx, enum result_code code,
+		    const struct feed_page *page)
+{
+	struct feed_call *call = ctx;
+	struct feed *feed = call->feed;
+	bool snapshot = call->snapshot;
+
+	g_free(call);
+	if (!feed)
+		return;
+	feed->call = NULL;
+	if (code != RESULT_OK) {
+		if (snapshot)
+			snapshot_restart(feed);
+		feed_failed(feed);
+		return;
+	}
+	feed_succeeded(feed);
+	if (snapshot)
+		snapshot_take(feed, page);
+	else
+		records_take(feed, page);
+}
+
+static void feed_next(struct feed *feed)
+{
+	struct feed_call *call;
+
+	if (feed->call)
+		return;
+	timer_stop(&feed->timer);
+	call = g_new0(struct feed_call, 1);
+	call->feed = feed;
+	call->snapshot = !feed->has_snapshot;
+	feed->call = call;
+	if (call->snapshot)
+		feed->store.snapshot(feed->store.ctx, feed->settings.stream,
+				     feed->after, on_page, call);
+	else
+		feed->store.read(feed->store.ctx, feed->settings.stream,
+				 feed->next, feed->settings.wait_usec, on_page,
+				 call);
+}
+
+void feed_start(struct feed *feed)
+{
+	feed_next(feed);
+}
+
+void feed_hurry(struct feed *feed)
+{
+	if (timer_running(&feed->timer))
+		feed_next(feed);
+}
+
+int64_t feed_fresh(const struct feed *feed)
+{
+	return feed->fresh;
+}
--- /dev/null
+++ b/forward/fleet.c
@@ -0,0 +1,242 @@
+#include "forward/fleet.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "common/id.h"
+#include "common/log.h"
+#include "common/table.h"
+
+#define BACKENDS_MAX 65536u
+/* Half-life of a failure. A server that is down is asked again after about as
+ * long as the platform needs to list it as gone (three heartbeats). */
+#define TROUBLE_HALF_USEC (2 * USEC_PER_SEC)
+/* What one success takes off: a server that fails half of its requests keeps
+ * about one failure on its count, a sound one comes to nothing within few. */
+#define TROUBLE_SUCCESS 0.75
+/* First pause after a connection failed, and the longest one: a crashed server
+ * costs each instance at most two connections a second. */
+#define AVOID_BASE_USEC (250 * USEC_PER_MSEC)
+#define AVOID_MAX_USEC (2 * USEC_PER_SEC)
+
+struct fleet {
+	struct clock *clock;
+	char *data_centre;
+	struct table *table;
+	GHashTable *keys;     /* key to struct backend */
+	GHashTable *services; /* id to GPtrArray of struct backend */
+	GPtrArray *all;
+};
+
+struct fleet *fleet_create(struct clock *clock, const char *data_centre)
+{
+	struct fleet *fleet = g_new0(struct fleet, 1);
+
+	fleet->clock = clock;
+	fleet->data_centre = g_strdup(data_centre);
+	fleet->table = table_create(sizeof(struct backend), BACKENDS_MAX);
+	fleet->keys = g_hash_table_new(g_int64_hash, g_int64_equal);
+	fleet->services =
+		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+				      (GDestroyNotify)g_ptr_array_unref);
+	fleet->all = g_ptr_array_new();
+	return fleet;
+}
+
+void fleet_destroy(struct fleet *fleet)
+{
+	if (!fleet)
+		return;
+	g_ptr_array_unref(fleet->all);
+	g_hash_table_destroy(fleet->services);
+	g_hash_table_destroy(fleet->keys);
+	table_destroy(fleet->table);
+	g_free(fleet->data_centre);
+	g_free(fleet);
+}
+
+static GPtrArray *service_list(struct fleet *fleet, uint64_t service)
+{
+	GPtrArray *list = g_hash_table_lookup(fleet->services, &service);
+	uint64_t *key;
+
+	if (list)
+		return list;
+	key = g_new(uint64_t, 1);
+	*key = service;
+	list = g_ptr_array_new();
+	g_hash_table_insert(fleet->services, key, list);
+	return list;
+}
+
+static void backend_log(const char *event, const struct backend *backend)
+{
+	static const char *const stages[] = {"none", "prefill", "decode"};
+
+	log_event(LOG_INFO, event, LOG_S("backend", backend->info.id),
+		  LOG_S("address", backend->info.address),
+		  LOG_S("data_centre", backend->info.data_centre),
+		  LOG_S("stage", stages[backend->info.stage]),
+		  LOG_D("leaving", backend->info.leaving));
+}
+
+static struct backend *backend_add(struct fleet *fleet,
+				   const struct backend_info *info)
+{
+	uint64_t handle;
+	struct backend *backend = table_add(fleet->table, &handle);
+
+	if (!backend) {
+		log_event(LOG_WARNING, "backend_table_full",
+			  LOG_S("backend", info->id));
+		return NULL;
+	}
+	backend->handle = handle;
+	backend->key = id_of(info->id);
+	backend->info = *info;
+	backend->near = strcmp(info->data_centre, fleet->data_centre) == 0;
+	backend->stage_since = clock_now(fleet->clock);
+	g_hash_table_insert(fleet->keys, &backend->key, backend);
+	g_ptr_array_add(service_list(fleet, info->service), backend);
+	g_ptr_array_add(fleet->all, backend);
+	backend_log("backend_added", backend);
+	return backend;
+}
+
+static void backend_update(struct fleet *fleet, struct backend *backend,
+			   const struct backend_info *info)
+{
+	bool changed = backend->info.leaving != info->leaving ||
+		       backend->info.stage != info->stage;
+
+	if (backend->info.service != info->service) {
+		g_ptr_array_remove_fast(
+			service_list(fleet, backend->info.service), backend);
+		g_ptr_array_add(service_list(fleet, info->service), backend);
+	}
+	if (backend->info.stage != info->stage)
+		backend->stage_since = clock_now(fleet->clock);
+	backend->info = *info;
+	if (changed)
+		backend_log("backend_changed", backend);
+}
+
+struct backend *fleet_put(struct fleet *fleet, const struct backend_info *info)
+{
+	struct backend *backend = fleet_find(fleet, id_of(info->id));
+
+	if (backend)
+		backend_update(fleet, backend, info);
+	else
+		backend = backend_add(fleet, info);
+	if (backend)
+		backend->listed = true;
+	return backend;
+}
+
+static void backend_drop(struct fleet *fleet, struct backend *backend)
+{
+	backend_log("backend_gone", backend);
+	g_hash_table_remove(fleet->keys, &backend->key);
+	g_ptr_array_remove_fast(service_list(fleet, backend->info.service),
+				backend);
+	g_ptr_array_remove_fast(fleet->all, backend);
+	table_remove(fleet->table, backend->handle);
+}
+
+void fleet_remove(struct fleet *fleet, const char *id)
+{
+	struct backend *backend = fleet_find(fleet, id_of(id));
+
+	if (backend)
+		backend_drop(fleet, backend);
+}
+
+void fleet_snapshot_begin(struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->all->len; i++) {
+		struct backend *backend = fleet->all->pdata[i];
+
+		backend->listed = false;
+	}
+}
+
+void fleet_snapshot_end(struct fleet *fleet)
+{
+	for (guint i = fleet->all->len; i > 0; i--) {
+		struct backend *backend = fleet->all->pdata[i - 1];
+
+		if (!backend->listed)
+			backend_drop(fleet, backend);
+	}
+}
+
+struct backend *fleet_get(const struct fleet *fleet, uint64_t handle)
+{
+	return table_get(fleet->table, handle);
+}
+
+struct backend *fleet_find(const struct fleet *fleet, uint64_t key)
+{
+	return g_hash_table_lookup(fleet->keys, &key);
+}
+
+const GPtrArray *fleet_service(const struct fleet *fleet, uint64_t service)
+{
+	return g_hash_table_lookup(fleet->services, &service);
+}
+
+const GPtrArray *fleet_all(const struct fleet *fleet)
+{
+	return fleet->all;
+}
+
+bool backend_usable(const struct backend *backend, int64_t now)
+{
+	return !backend->info.leaving && now >= backend->avoid_until;
+}
+
+uint32_t backend_requests(const struct backend *backend)
+{
+	return backend->own.requests + backend->peers.requests;
+}
+
+uint32_t backend_decode_tokens(const struct backend *backend)
+{
+	return backend->own.decode_tokens + backend->peers.decode_tokens;
+}
+
+uint32_t backend_prefill_tokens(const struct backend *backend)
+{
+	return backend->own.prefill_tokens + backend->peers.prefill_tokens;
+}
+
+double backend_trouble(const struct backend *backend, int64_t now)
+{
+	double age = (double)(now - backend->trouble_at);
+
+	return backend->trouble * exp2(-age / (double)TROUBLE_HALF_USEC);
+}
+
+void backend_succeeded(struct backend *backend, int64_t now)
+{
+	backend->trouble = backend_trouble(backend, now) * TROUBLE_SUCCESS;
+	backend->trouble_at = now;
+	backend->avoided = 0;
+}
+
+void backend_failed(struct backend *backend, int64_t now)
+{
+	backend->trouble = backend_trouble(backend, now) + 1.0;
+	backend->trouble_at = now;
+}
+
+void backend_unreachable(struct backend *backend, int64_t now)
+{
+	int64_t pause = AVOID_BASE_USEC << MIN(backend->avoided, 3u);
+
+	backend_failed(backend, now);
+	backend->avoided++;
+	backend->avoid_until = now + MIN(pause, AVOID_MAX_USEC);
+	backend_log("backend_unreachable", backend);
+}
--- /dev/null
+++ b/forward/forward.c
@@ -0,0 +1,144 @@
+#include "request.h"
+
+#include <math.h>
+
+#include "common/log.h"
+
+/* Requests under way at once: what fits the memory of a small instance at
+ * some 10 KiB each. */
+#define REQUESTS_MAX 4096u
+/* Demand is averaged over this time: longer than the swing of ordinary load
+ * within seconds, shorter than a change of role pays off in. */
+#define DEMAND_USEC (8 * USEC_PER_SEC)
+
+struct demand {
+	uint64_t service;
+	double tokens; /* decayed to at */
+	int64_t at;
+};
+
+static void on_pump(struct timer *timer, void *ctx)
+{
+	stream_pump(ctx);
+}
+
+static void counters_setup(struct forward *forward)
+{
+	struct counter_set *set = forward->parts.counters;
+
+	for (int i = 0; i < END_COUNT; i++) {
+		g_autofree char *labels =
+			g_strdup_printf("outcome=\"%s\"", request_end_name(i));
+
+		forward->ended[i] =
+			counter_get(set, "jt_requests_total",
+				    "Requests by their end", labels);
+	}
+	forward->whole_time = histogram_get(set, "jt_request_seconds",
+					    "Arrival to the end of the answer",
+					    "stage=\"whole\"");
+	forward->wait_time =
+		histogram_get(set, "jt_request_seconds", "", "stage=\"wait\"");
+	forward->prefill_time = histogram_get(set, "jt_request_seconds", "",
+					      "stage=\"prefill\"");
+	forward->first_time =
+		histogram_get(set, "jt_request_seconds", "", "stage=\"first\"");
+}
+
+struct forward *forward_create(const struct forward_parts *parts)
+{
+	struct forward *forward = g_new0(struct forward, 1);
+
+	forward->parts = *parts;
+	forward->requests = table_create(sizeof(struct request), REQUESTS_MAX);
+	forward->demand = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, g_free);
+	timer_init(&forward->pump, parts->clock, on_pump, forward);
+	counters_setup(forward);
+	return forward;
+}
+
+void forward_destroy(struct forward *forward)
+{
+	struct request *request;
+	uint32_t cursor = 0;
+	uint64_t handle;
+
+	if (!forward)
+		return;
+	while ((request = table_next(forward->requests, &cursor, &handle)))
+		request_break(request, "the process stops");
+	timer_stop(&forward->pump);
+	table_destroy(forward->requests);
+	g_hash_table_destroy(forward->demand);
+	catalog_unref(forward->catalog);
+	g_free(forward);
+}
+
+void forward_set_catalog(struct forward *forward, struct catalog *catalog)
+{
+	uint64_t old = forward->catalog ? forward->catalog->version : 0;
+
+	if (forward->catalog && catalog->version <= old) {
+		if (catalog->version < old)
+			log_event(LOG_NOTICE, "catalog_older",
+				  LOG_D("version", catalog->version),
+				  LOG_D("in_force", old));
+		return;
+	}
+	catalog_unref(forward->catalog);
+	forward->catalog = catalog_ref(catalog);
+	log_event(LOG_NOTICE, "catalog_in_force",
+		  LOG_D("version", catalog->version), LOG_D("before", old),
+		  LOG_D("routes", catalog->routes->len));
+}
+
+const struct catalog *forward_catalog(const struct forward *forward)
+{
+	return forward->catalog;
+}
+
+uint32_t forward_pending(const struct forward *forward)
+{
+	return table_count(forward->requests);
+}
+
+static double demand_decayed(const struct demand *demand, int64_t now)
+{
+	return demand->tokens *
+	       exp(-(double)(now - demand->at) / (double)DEMAND_USEC);
+}
+
+void demand_add(struct forward *forward, uint64_t service, uint32_t tokens)
+{
+	struct demand *demand = g_hash_table_lookup(forward->demand, &service);
+	int64_t now = clock_now(forward->parts.clock);
+
+	if (!demand) {
+		demand = g_new0(struct demand, 1);
+		demand->service = service;
+		demand->at = now;
+		g_hash_table_insert(forward->demand, &demand->service, demand);
+	}
+	demand->tokens = demand_decayed(demand, now) + tokens;
+	demand->at = now;
+}
+
+void forward_demand(const struct forward *forward, uint64_t service,
+		    struct forward_demand *out)
+{
+	struct demand *demand = g_hash_table_lookup(forward->demand, &service);
+
+	*out = (struct forward_demand){0};
+	if (demand)
+		out->prompt_tokens_per_s =
+			demand_decayed(demand,
+				       clock_now(forward->parts.clock)) /
+			((double)DEMAND_USEC / (double)USEC_PER_SEC);
+	for (GList *link = forward->waiting.head; link; link = link->next) {
+		const struct request *request = link->data;
+
+		if (request->service->id == service)
+			out->waiting++;
+	}
+}
--- /dev/null
+++ b/forward/node.c
@@ -0,0 +1,337 @@
+#include "node.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "common/log.h"
+
+#define PROGRAM "jtforward"
+/* Body and idle limits of callers until a catalog says otherwise; callers keep
+ * idle connections for four fifths of the latter. */
+#define BODY_BYTES_MAX (4u << 20)
+#define IDLE_USEC (20 * USEC_PER_SEC)
+#define SMALL_CONNECTIONS 64u
+/* A turn that comes so late tells that the process stood still. */
+#define STILL_USEC (1 * USEC_PER_SEC)
+/* Peers are heard of within this time of the start. */
+#define MEET_USEC (1 * USEC_PER_SEC)
+
+static bool is_ready(const struct node *node)
+{
+	return !node->draining && forward_catalog(node->forward) &&
+	       fleet_all(node->fleet)->len > 0;
+}
+
+static void on_health(void *ctx, struct web_request *request)
+{
+	bool ready = is_ready(ctx);
+
+	web_reply(request, ready ? 200 : 503, "text/plain",
+		  ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
+}
+
+static void on_metrics(void *ctx, struct web_request *request)
+{
+	struct node *node = ctx;
+	g_autoptr(GString) text = g_string_new(NULL);
+
+	counter_set_print(node->counters, text);
+	web_reply(request, 200, "text/plain; version=0.0.4", text->str,
+		  text->len);
+}
+
+static uint32_t instances_count(void *ctx)
+{
+	const struct node *node = ctx;
+
+	return gossip_instances(node->gossip);
+}
+
+static void word_fill(void *ctx, struct gossip_word *word)
+{
+	struct node *node = ctx;
+	const struct catalog *catalog = forward_catalog(node->forward);
+	GHashTableIter iter;
+	struct catalog_service *service;
+
+	*word = (struct gossip_word){.leaving = node->draining};
+	if (!catalog)
+		return;
+	word->version = catalog->version;
+	g_hash_table_iter_init(&iter, catalog->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
+		struct forward_demand demand;
+
+		forward_demand(node->forward, service->id, &demand);
+		word->demand += demand.prompt_tokens_per_s;
+		word->waiting += demand.waiting;
+	}
+}
+
+static void on_version(void *ctx, uint64_t version)
+{
+	struct node *node = ctx;
+	const struct catalog *catalog = forward_catalog(node->forward);
+
+	if (version > (catalog ? catalog->version : 0))
+		feed_hurry(node->config_feed);
+}
+
+static bool roles_decide(void *ctx)
+{
+	const struct node *node = ctx;
+
+	return !node->draining && clock_now(node->clock) >= MEET_USEC &&
+	       gossip_lowest(node->gossip);
+}
+
+static double roles_demand(void *ctx)
+{
+	const struct node *node = ctx;
+	struct gossip_word total;
+
+	gossip_total(node->gossip, &total);
+	return total.demand;
+}
+
+static const struct catalog *roles_catalog(void *ctx)
+{
+	const struct node *node = ctx;
+
+	return forward_catalog(node->forward);
+}
+
+static struct web_server *server_open(struct node *node, const char *address,
+				      uint32_t connections,
+				      web_handler_fn handler, void *ctx,
+				      struct error *err)
+{
+	struct web_limits limits = {
+		.body_bytes = BODY_BYTES_MAX,
+		.connections = connections,
+		.idle_usec = IDLE_USEC,
+		.request_usec = IDLE_USEC,
+	};
+	struct web_server *server =
+		web_server_create(node->loop, address, &limits, err);
+
+	if (server)
+		web_server_handle(server, "/", handler, ctx);
+	return server;
+}
+
+static void core_open(struct node *node)
+{
+	const struct budget_settings budget = {
+		.ratio = node->settings.retry_ratio,
+		.slack = node->settings.retry_slack,
+		.window_usec = (int64_t)(node->settings.retry_window_sec *
+					 (double)USEC_PER_SEC),
+	};
+	struct forward_parts parts = {
+		.clock = node->clock,
+		.loop = node->loop,
+		.counters = node->counters,
+		.rand = node->rand,
+		.backends = node->interface.backends,
+		.callers = node->interface.callers,
+		.instances = instances_count,
+		.instances_ctx = node,
+	};
+
+	node->budgets = budgets_create(&budget);
+	node->fleet = fleet_create(node->clock, node->settings.data_centre);
+	parts.fleet = node->fleet;
+	parts.budgets = node->budgets;
+	node->forward = forward_create(&parts);
+	node->malformed =
+		counter_get(node->counters, "jt_records_refused_total",
+			    "Records of the store that were refused", NULL);
+}
+
+static bool gossip_open(struct node *node, struct error *err)
+{
+	static const struct gossip_ops ops = {word_fill, on_version};
+	const struct gossip_settings settings = {
+		.name = node->settings.name,
+		.address = node->settings.gossip_listen,
+		.boot = node->boot,
+	};
+
+	node->gossip = gossip_create(node->loop, node->fleet, &settings, &ops,
+				     node, err);
+	return node->gossip != NULL;
+}
+
+static void roles_open(struct node *node)
+{
+	const struct roles_parts parts = {
+		.clock = node->clock,
+		.fleet = node->fleet,
+		.log = node->interface.log,
+		.backends = node->interface.backends,
+		.name = node->settings.name,
+		.boot = node->boot,
+		.ops = {roles_decide, roles_demand, roles_catalog},
+		.ctx = node,
+	};
+
+	node->roles = roles_create(&parts);
+}
+
+static bool node_open(struct node *node, struct error *err)
+{
+	const struct forward_settings *settings = &node->settings;
+
+	node->client = web_client_create(node->loop);
+	if (!node->factory->open(node->factory->ctx, node->client, settings,
+				 &node->interface))
+		return error_set(err, RESULT_IO, "the interface did not open");
+	core_open(node);
+	if (!gossip_open(node, err))
+		return false;
+	node->callers =
+		server_open(node, settings->listen, settings->connections_max,
+			    forward_take, node->forward, err);
+	if (!node->callers)
+		return false;
+	node->health = server_open(node, settings->health_listen,
+				   SMALL_CONNECTIONS, on_health, node, err);
+	if (!node->health)
+		return false;
+	node->admin = server_open(node, settings->admin_listen,
+				  SMALL_CONNECTIONS, on_metrics, node, err);
+	if (!node->admin)
+		return false;
+	roles_open(node);
+	node_feeds_start(node);
+	return true;
+}
+
+static void node_close(struct node *node)
+{
+	node_drain_stop(node);
+	roles_destroy(node->roles);
+	node_feeds_stop(node);
+	forward_destroy(node->forward);
+	web_server_destroy(node->admin);
+	web_server_destroy(node->health);
+	web_server_destroy(node->callers);
+	gossip_destroy(node->gossip);
+	node->factory->close(node->factory->ctx);
+	web_client_destroy(node->client);
+	fleet_destroy(node->fleet);
+	budgets_destroy(node->budgets);
+}
+
+static void settings_reload(struct node *node)
+{
+	struct forward_settings fresh;
+	struct error err;
+
+	if (!forward_settings_read(&fresh, node->file, node->argc, node->argv,
+				   &err)) {
+		log_event(LOG_ERR, "settings_kept", LOG_S("reason", err.text));
+		return;
+	}
+	/* Addresses and names hold for as long as the process runs. */
+	node->settings.retry_ratio = fresh.retry_ratio;
+	node->settings.retry_slack = fresh.retry_slack;
+	node->settings.retry_window_sec = fresh.retry_window_sec;
+	node->settings.grace_sec = fresh.grace_sec;
+	budgets_configure(
+		node->budgets,
+		&(struct budget_settings){
+			.ratio = fresh.retry_ratio,
+			.slack = fresh.retry_slack,
+			.window_usec = (int64_t)(fresh.retry_window_sec *
+						 (double)USEC_PER_SEC)});
+	log_setup(node->clock, PROGRAM, fresh.log_level);
+	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
+}
+
+static void on_signal(void *ctx, int signal)
+{
+	if (signal == SIGHUP)
+		settings_reload(ctx);
+	else
+		node_drain(ctx);
+}
+
+static void on_turn(void *ctx, int64_t gap_usec)
+{
+	if (gap_usec > STILL_USEC)
+		log_event(LOG_WARNING, "stood_still",
+			  LOG_D("ms", gap_usec / USEC_PER_MSEC));
+	log_flush();
+}
+
+static void node_setup(struct node *node)
+{
+	node->boot = (uint64_t)clock_unix(node->clock);
+	node->rand =
+		g_rand_new_with_seed((guint32)node->boot ^ (guint32)getpid());
+	node->counters = counter_set_create();
+	node->loop = loop_create(node->clock);
+	loop_on_signal(node->loop, SIGTERM, on_signal, node);
+	loop_on_signal(node->loop, SIGINT, on_signal, node);
+	loop_on_signal(node->loop, SIGHUP, on_signal, node);
+	loop_on_turn(node->loop, on_turn, node);
+}
+
+static void node_teardown(struct node *node)
+{
+	counter_set_destroy(node->counters);
+	loop_destroy(node->loop);
+	g_rand_free(node->rand);
+	clock_destroy(node->clock);
+}
+
+static void node_serve(struct node *node)
+{
+	struct error err;
+
+	log_event(LOG_NOTICE, "started", LOG_S("version", JT_VERSION),
+		  LOG_S("name", node->settings.name),
+		  LOG_S("data_centre", node->settings.data_centre),
+		  LOG_S("listen", node->settings.listen));
+	if (node_open(node, &err)) {
+		loop_run(node->loop);
+	} else {
+		log_event(LOG_ERR, "start_failed", LOG_D("code", err.code),
+			  LOG_S("reason", err.text));
+		node->status = EXIT_FAILURE;
+	}
+	node_close(node);
+	log_event(LOG_NOTICE, "stopped", LOG_D("status", node->status));
+	log_flush();
+}
+
+int node_run(const char *file, int argc, char **argv,
+	     const struct node_factory *factory)
+{
+	struct node node = {
+		.file = file,
+		.argc = argc,
+		.argv = argv,
+		.factory = factory,
+		.clock = clock_create_system(),
+	};
+	struct error err;
+
+	log_setup(node.clock, PROGRAM, LOG_INFO);
+	log_to(STDOUT_FILENO);
+	if (!forward_settings_read(&node.settings, file, argc, argv, &err)) {
+		log_event(LOG_ERR, "bad_setting", LOG_D("code", err.code),
+			  LOG_S("reason", err.text));
+		log_flush();
+		clock_destroy(node.clock);
+		return (int)err.code;
+	}
+	log_setup(node.clock, PROGRAM, node.settings.log_level);
+	node_setup(&node);
+	node_serve(&node);
+	node_teardown(&node);
+	return node.status;
+}
--- /dev/null
+++ b/forward/node_drain.c
@@ -0,0 +1,56 @@
+/*
+ * node_drain.c - a planned stop, which cuts off nothing
+ */
+#include "node.h"
+
+#include "common/log.h"
+
+/* The balancer asks once a second and takes an instance out after two misses;
+ * connections made before then are served. */
+#define ACCEPT_USEC (3 * USEC_PER_SEC)
+/* What is left of the grace time when the last streams are broken off. */
+#define RESERVE_SEC 0.6
+#define CHECK_USEC (100 * USEC_PER_MSEC)
+/* Lets the last answers leave the sockets. */
+#define LINGER_USEC (100 * USEC_PER_MSEC)
+
+static void on_check(struct timer *timer, void *ctx)
+{
+	struct node *node = ctx;
+	int64_t since = clock_now(node->clock) - node->drained_from;
+	int64_t longest = (int64_t)((node->settings.grace_sec - RESERVE_SEC) *
+				    (double)USEC_PER_SEC);
+	uint32_t pending = forward_pending(node->forward) +
+			   web_server_pending(node->callers);
+
+	if (since >= ACCEPT_USEC)
+		web_server_drain(node->callers);
+	if (since >= longest ||
+	    (since >= ACCEPT_USEC + LINGER_USEC && pending == 0)) {
+		log_event(LOG_NOTICE, "drained", LOG_D("pending", pending),
+			  LOG_D("after_ms", since / USEC_PER_MSEC));
+		loop_stop(node->loop);
+		return;
+	}
+	timer_start(timer, CHECK_USEC);
+}
+
+void node_drain(struct node *node)
+{
+	if (node->draining)
+		return;
+	node->draining = true;
+	node->drained_from = clock_now(node->clock);
+	log_event(LOG_NOTICE, "draining",
+		  LOG_D("pending", forward_pending(node->forward)));
+	web_server_announce(node->callers);
+	node_unregister(node);
+	timer_init(&node->drain_timer, node->clock, on_check, node);
+	timer_start(&node->drain_timer, CHECK_USEC);
+}
+
+void node_drain_stop(struct node *node)
+{
+	if (node->draining)
+		timer_stop(&node->drain_timer);
+}
--- /dev/null
+++ b/forward/place.c
@@ -0,0 +1,169 @@
+#include "forward/place.h"
+
+#include <float.h>
+#include <string.h>
+
+/* What another data centre costs a plain call, in shares of a server's slots:
+ * two crossings (3 ms) against calls of some 15 ms. */
+#define PLAIN_FAR 0.15
+/* The same for decoding, whose answer crosses once a token, and for prefill,
+ * whose result takes twice as long and costs twice as much between data
+ * centres: as much as half a prompt more in the queue. */
+#define DECODE_FAR 0.04
+#define PREFILL_FAR_TOKENS 1600.0
+/* One fresh failure weighs as much as a server half full. */
+#define TROUBLE_WEIGHT 0.5
+#define PREFILL_TROUBLE_TOKENS 4000.0
+/* Ties among servers in the same state are broken at random by this share, so
+ * that instances with the same view do not all choose alike. */
+#define JITTER 0.02
+
+void tried_add(struct tried *tried, uint64_t key)
+{
+	if (tried->count < PLACE_TRIED_MAX)
+		tried->keys[tried->count++] = key;
+}
+
+bool tried_has(const struct tried *tried, uint64_t key)
+{
+	for (uint32_t i = 0; tried && i < tried->count; i++)
+		if (tried->keys[i] == key)
+			return true;
+	return false;
+}
+
+static bool backend_fits(const struct place *place,
+			 const struct backend *backend)
+{
+	return backend_usable(backend, place->now) &&
+	       !tried_has(place->tried, backend->key);
+}
+
+static double jitter(const struct place *place)
+{
+	return g_rand_double(place->rand) * JITTER;
+}
+
+static double plain_cost(const struct place *place,
+			 const struct backend *backend)
+{
+	double slots = MAX(backend->info.slots, 1u);
+
+	return (double)backend_requests(backend) / slots +
+	       (backend->near ? 0.0 : PLAIN_FAR) +
+	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
+	       jitter(place);
+}
+
+struct backend *place_plain(const struct place *place)
+{
+	const GPtrArray *list = fleet_service(place->fleet, place->service);
+	struct backend *best = NULL;
+	double least = DBL_MAX;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		struct backend *backend = list->pdata[i];
+		double cost;
+
+		if (!backend_fits(place, backend))
+			continue;
+		cost = plain_cost(place, backend);
+		if (cost < least) {
+			least = cost;
+			best = backend;
+		}
+	}
+	return best;
+}
+
+static bool decode_has_room(const struct place *place,
+			    const struct backend *backend,
+			    const struct engine_traits *engine, uint32_t tokens)
+{
+	if (place->now < backend->full_until)
+		return false;
+	if (engine->slots > 0 && backend_requests(backend) >= engine->slots)
+		return false;
+	return (uint64_t)backend_decode_tokens(backend) + tokens <=
+	       engine->memory_tokens;
+}
+
+struct backend *place_decode(const struct place *place,
+			     const struct engine_traits *engine,
+			     uint32_t tokens)
+{
+	const GPtrArray *list = fleet_service(place->fleet, place->service);
+	struct backend *best = NULL;
+	double least = DBL_MAX;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		struct backend *backend = list->pdata[i];
+		double cost;
+
+		if (backend->info.stage != STAGE_DECODE ||
+		    !backend_fits(place, backend) ||
+		    !decode_has_room(place, backend, engine, tokens))
+			continue;
+		cost = (double)backend_decode_tokens(backend) /
+			       (double)MAX(engine->memory_tokens, 1) +
+		       (backend->near ? 0.0 : DECODE_FAR) +
+		       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
+		       jitter(place);
+		if (cost < least) {
+			least = cost;
+			best = backend;
+		}
+	}
+	return best;
+}
+
+static double prefill_cost(const struct place *place,
+			   const struct backend *backend,
+			   const struct backend *to)
+{
+	bool near =
+		strcmp(backend->info.data_centre, to->info.data_centre) == 0;
+
+	return (double)backend_prefill_tokens(backend) +
+	       (near ? 0.0 : PREFILL_FAR_TOKENS) +
+	       PREFILL_TROUBLE_TOKENS * backend_trouble(backend, place->now) +
+	       PREFILL_FAR_TOKENS * jitter(place);
+}
+
+struct backend *place_prefill(const struct place *place,
+			      const struct backend *to)
+{
+	const GPtrArray *list = fleet_service(place->fleet, place->service);
+	struct backend *best = NULL;
+	double least = DBL_MAX;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		struct backend *backend = list->pdata[i];
+		double cost;
+
+		if (backend->info.stage != STAGE_PREFILL ||
+		    !backend_fits(place, backend))
+			continue;
+		cost = prefill_cost(place, backend, to);
+		if (cost < least) {
+			least = cost;
+			best = backend;
+		}
+	}
+	return best;
+}
+
+uint32_t place_count(const struct place *place, enum backend_stage stage)
+{
+	const GPtrArray *list = fleet_service(place->fleet, place->service);
+	uint32_t count = 0;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct backend *backend = list->pdata[i];
+
+		if (backend->info.stage == stage &&
+		    backend_usable(backend, place->now))
+			count++;
+	}
+	return count;
+}
--- /dev/null
+++ b/forward/plain.c
@@ -0,0 +1,209 @@
+/*
+ * plain.c - a request that one server answers by itself
+ *
+ * DESCRIPTION
+ *	The whole answer is collected before any of it is passed on, so one that
+ *	breaks off can be replaced by a failure, or by another server's answer
+ *	where the request may run again.
+ */
+#include "request.h"
+
+#include "common/id.h"
+#include "common/log.h"
+
+/* A connection inside the site takes 1 to 5 ms; one that takes longer than
+ * this goes to a server or a data centre that cannot be reached. */
+#define CONNECT_USEC (150 * USEC_PER_MSEC)
+/* A repeatable request leaves a silent server after this many times its target,
+ * and no sooner than the second figure. */
+#define SILENCE_TARGETS 2
+#define SILENCE_MIN_USEC (150 * USEC_PER_MSEC)
+/* Another server may be free within about one call (15 ms). */
+#define RETRY_USEC (40 * USEC_PER_MSEC)
+/* Requests in a server's slots and queue, in multiples of its slots, beyond
+ * which a further one would be late or refused there. */
+#define QUEUE_SLOTS 5u
+
+static void plain_send(struct request *request);
+
+static struct backend *target_get(struct request *request)
+{
+	return fleet_find(request->forward->parts.fleet,
+			  id_of(request->target.id));
+}
+
+/* Tries another server, or ends the request as code and why say. */
+static void plain_again(struct request *request, enum result_code code,
+			const char *why)
+{
+	bool may = request->runs == 0 || request_repeatable(request);
+
+	if (may && request->runs < request->route->attempts &&
+	    request_left(request) > 0) {
+		struct place place;
+
+		request_place(request, &place);
+		if (place_plain(&place) && request_may_send(request)) {
+			plain_send(request);
+			return;
+		}
+	}
+	if (request->runs > 0 && code == RESULT_BACKEND_FAILED &&
+	    answer_may_pass(&request->answer))
+		request_relay(request);
+	else if (request->runs > 0)
+		request_fail(request, code, why);
+	else
+		request_refuse(request, code, RETRY_USEC);
+}
+
+static void plain_answered(struct request *request, struct backend *backend)
+{
+	const struct backend_head *head = &request->answer.head;
+	int64_t now = request_now(request);
+
+	if (head->status >= 500 || !answer_may_pass(&request->answer)) {
+		if (backend)
+			backend_failed(backend, now);
+		plain_again(request, RESULT_BACKEND_FAILED,
+			    "error or unsigned answer");
+		return;
+	}
+	if (backend)
+		backend_succeeded(backend, now);
+	request_relay(request);
+}
+
+static void plain_broken(struct request *request, struct backend *backend,
+			 const struct backend_end *end)
+{
+	log_event(LOG_NOTICE, "send_failed",
+		  LOG_S("request", request->caller.id),
+		  LOG_S("backend", request->target.id),
+		  LOG_D("connected", end->connected),
+		  LOG_D("not_run", end->not_run), LOG_S("why", end->text));
+	answer_clear(&request->answer);
+	if (backend && end->connected)
+		backend_failed(backend, request_now(request));
+	else if (backend)
+		backend_unreachable(backend, request_now(request));
+	if (end->not_run) {
+		request->runs--;
+		if (!end->connected)
+			request->sends--;
+	}
+	plain_again(request,
+		    request->runs == 0 ? RESULT_NO_BACKEND
+		    : end->timed_out   ? RESULT_BACKEND_TIMEOUT
+				       : RESULT_BACKEND_FAILED,
+		    end->text);
+}
+
+static void plain_not_run(struct request *request, struct backend *backend)
+{
+	log_event(LOG_INFO, "send_refused",
+		  LOG_S("request", request->caller.id),
+		  LOG_S("backend", request->target.id),
+		  LOG_D("status", request->answer.head.status),
+		  LOG_D("other", request->answer.head.other));
+	request->runs--;
+	if (backend && request->answer.head.other)
+		backend_unreachable(backend, request_now(request));
+	else if (backend)
+		backend_failed(backend, request_now(request));
+	answer_clear(&request->answer);
+	plain_again(request, RESULT_BACKEND_REFUSED, "server is full");
+}
+
+static void on_head(void *ctx, const struct backend_head *head)
+{
+	answer_take_head(ctx, head);
+}
+
+static void on_body(void *ctx, const void *data, size_t size)
+{
+	answer_take_body(ctx, data, size);
+}
+
+static void on_done(void *ctx, const struct backend_end *end)
+{
+	struct request *request = ctx;
+	struct answer *answer = &request->answer;
+	struct backend *backend = target_get(request);
+	struct backend_end spoilt = {.connected = true};
+
+	request->call = NULL;
+	charge_drop(request, &request->decode);
+	if (answer->has_head && !answer->head.mismatched &&
+	    answer->head.not_run) {
+		plain_not_run(request, backend);
+		return;
+	}
+	if (end->whole && !answer->head.mismatched && !answer->too_large) {
+		plain_answered(request, backend);
+		return;
+	}
+	spoilt.text = answer->too_large ? "answer too large"
+					: "answer to another request";
+	plain_broken(request, backend, end->whole ? &spoilt : end);
+}
+
+static int64_t head_limit(const struct request *request)
+{
+	int64_t left = request_left(request);
+	int64_t silence = MAX(request->route->target_usec * SILENCE_TARGETS,
+			      SILENCE_MIN_USEC);
+
+	if (!request_repeatable(request) ||
+	    request->runs + 1 >= request->route->attempts)
+		return left;
+	return MIN(left, silence);
+}
+
+static void plain_send(struct request *request)
+{
+	static const struct send_events events = {on_head, on_body, on_done};
+	static const struct backend_load load = {.requests = 1};
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	struct place place;
+	struct backend *backend;
+	struct send_spec spec = {
+		.kind = SEND_RUN,
+		.caller = &request->caller,
+		.left_usec = request_left(request),
+		.connect_usec = CONNECT_USEC,
+		.head_usec = head_limit(request),
+		.idle_usec = request_left(request),
+		.resumes = request->caller.resumes,
+		.resume_after = request->caller.resume_after,
+	};
+
+	request_place(request, &place);
+	backend = place_plain(&place);
+	request->target = backend->info;
+	spec.to = &request->target;
+	tried_add(&request->tried, backend->key);
+	charge_add(request, &request->decode, backend, &load);
+	request->sends++;
+	request->runs++;
+	request->placed_at = request_now(request);
+	request->call = ops->send(ops->ctx, &spec, &events, request);
+}
+
+void plain_start(struct request *request)
+{
+	struct place place;
+	struct backend *backend;
+
+	request_place(request, &place);
+	backend = place_plain(&place);
+	if (!backend) {
+		request_refuse(request, RESULT_NO_BACKEND, RETRY_USEC);
+		return;
+	}
+	if (backend_requests(backend) > backend->info.slots * QUEUE_SLOTS) {
+		request_refuse(request, RESULT_QUEUE_FULL, RETRY_USEC);
+		return;
+	}
+	plain_send(request);
+}
--- /dev/null
+++ b/forward/request.c
@@ -0,0 +1,334 @@
+#include "request.h"
+
+#include <stdio.h>
+
+#include "common/log.h"
+
+/* Least and longest time that a caller is told to wait: long enough for
+ * another instance to be chosen, short against a caller's limit. */
+#define RETRY_MIN_USEC (20 * USEC_PER_MSEC)
+#define RETRY_MAX_USEC (2 * USEC_PER_SEC)
+
+static const char *const end_names[END_COUNT] = {
+	[END_ANSWERED] = "answered", [END_REFUSED] = "refused",
+	[END_FAILED] = "failed",     [END_BROKEN] = "broken",
+	[END_GONE] = "gone",	     [END_DENIED] = "denied",
+};
+
+const char *request_end_name(enum request_end end)
+{
+	return end_names[end];
+}
+
+int64_t request_now(const struct request *request)
+{
+	return clock_now(request->forward->parts.clock);
+}
+
+int64_t request_left(const struct request *request)
+{
+	return MAX(request->limit - request_now(request), 0);
+}
+
+bool request_repeatable(const struct request *request)
+{
+	const struct catalog_route *route = request->route;
+
+	return route->kind == ROUTE_IDEMPOTENT ||
+	       (route->kind == ROUTE_STREAM && route->resumable);
+}
+
+void request_place(const struct request *request, struct place *place)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+
+	*place = (struct place){
+		.fleet = parts->fleet,
+		.now = clock_now(parts->clock),
+		.service = request->service->id,
+		.tried = &request->tried,
+		.rand = parts->rand,
+	};
+}
+
+bool request_may_send(struct request *request)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+
+	if (request->sends == 0 ||
+	    budget_take(parts->budgets, request->service->id,
+			clock_now(parts->clock),
+			parts->instances(parts->instances_ctx)))
+		return true;
+	log_event(LOG_NOTICE, "send_budget_spent",
+		  LOG_S("request", request->caller.id),
+		  LOG_D("sends", request->sends));
+	return false;
+}
+
+void charge_add(struct request *request, struct charge *charge,
+		struct backend *backend, const struct backend_load *load)
+{
+	charge_drop(request, charge);
+	charge->backend = backend->handle;
+	charge->load = *load;
+	backend->own.requests += load->requests;
+	backend->own.decode_tokens += load->decode_tokens;
+	backend->own.prefill_tokens += load->prefill_tokens;
+}
+
+void charge_drop(struct request *request, struct charge *charge)
+{
+	struct backend *backend =
+		fleet_get(request->forward->parts.fleet, charge->backend);
+
+	if (backend) {
+		backend->own.requests -= charge->load.requests;
+		backend->own.decode_tokens -= charge->load.decode_tokens;
+		backend->own.prefill_tokens -= charge->load.prefill_tokens;
+	}
+	*charge = (struct charge){.backend = HANDLE_NONE};
+}
+
+static int64_t since_msec(const struct request *request, int64_t at)
+{
+	return at ? (at - request->arrived) / USEC_PER_MSEC : -1;
+}
+
+static void end_log(const struct request *request, enum request_end end,
+		    int status, const char *why)
+{
+	log_event(end == END_ANSWERED ? LOG_INFO : LOG_NOTICE, "request_end",
+		  LOG_S("request", request->caller.id),
+		  LOG_S("outcome", end_names[end]), LOG_D("status", status),
+		  LOG_S("why", why),
+		  LOG_S("route", request->route ? request->route->name : ""),
+		  LOG_D("version",
+			request->catalog ? request->catalog->version : 0),
+		  LOG_S("backend", request->target.id),
+		  LOG_D("sends", request->sends), LOG_D("runs", request->runs),
+		  LOG_D("placed_ms", since_msec(request, request->placed_at)),
+		  LOG_D("prefilled_ms",
+			since_msec(request, request->prefilled_at)),
+		  LOG_D("first_ms", since_msec(request, request->first_at)),
+		  LOG_D("whole_ms", since_msec(request, request_now(request))));
+}
+
+/* Gives back all that servers keep for it. */
+static void resources_drop(struct request *request)
+{
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	struct backend *decode = fleet_get(request->forward->parts.fleet,
+					   request->decode.backend);
+
+	if (request->call)
+		web_call_cancel(request->call);
+	request->call = NULL;
+	if (request->hold[0] && decode)
+		ops->unreserve(ops->ctx, &decode->info, request->hold);
+	if (request->kv[0])
+		ops->free_result(ops->ctx, &request->kv_at, request->kv);
+	charge_drop(request, &request->prefill);
+	charge_drop(request, &request->decode);
+}
+
+static void request_destroy(struct request *request)
+{
+	struct forward *forward = request->forward;
+	bool engine =
+		request->service && request->service->engine.memory_tokens;
+
+	timer_stop(&request->timer);
+	stream_unwait(request);
+	resources_drop(request);
+	answer_clear(&request->answer);
+	event_cutter_clear(&request->cutter);
+	catalog_unref(request->catalog);
+	table_remove(forward->requests, request->handle);
+	if (engine && forward->waiting.length > 0)
+		timer_start(&forward->pump, 0);
+}
+
+static void request_end(struct request *request, enum request_end end,
+			int status, const char *why)
+{
+	struct forward *forward = request->forward;
+
+	forward->ended[end]->value++;
+	if (end == END_ANSWERED)
+		histogram_add(forward->whole_time,
+			      request_now(request) - request->arrived);
+	end_log(request, end, status, why);
+	request_destroy(request);
+}
+
+void request_relay(struct request *request)
+{
+	int status = request->answer.head.status;
+
+	answer_send(request);
+	request_end(request, END_ANSWERED, status, "whole");
+}
+
+static void error_reply(struct request *request, int status, const char *label,
+			int64_t retry_usec)
+{
+	char text[64];
+	int size;
+
+	if (retry_usec > 0) {
+		retry_usec = CLAMP(retry_usec, RETRY_MIN_USEC, RETRY_MAX_USEC);
+		(void)snprintf(text, sizeof(text), "%.3f",
+			       (double)retry_usec / (double)USEC_PER_SEC);
+		web_reply_header(request->web, "retry-after", text);
+	}
+	size = snprintf(text, sizeof(text), "%s\n", label);
+	web_reply(request->web, status, "text/plain", text, (size_t)size);
+}
+
+void request_refuse(struct request *request, enum result_code code,
+		    int64_t retry_usec)
+{
+	if (request->runs > 0) {
+		request_fail(request, RESULT_BACKEND_FAILED,
+			     result_label(code));
+		return;
+	}
+	error_reply(request, result_status(code), result_label(code),
+		    retry_usec);
+	request_end(request, END_REFUSED, result_status(code),
+		    result_label(code));
+}
+
+void request_fail(struct request *request, enum result_code code,
+		  const char *why)
+{
+	error_reply(request, result_status(code), result_label(code), 0);
+	request_end(request, END_FAILED, result_status(code), why);
+}
+
+void request_finish(struct request *request)
+{
+	web_reply_end(request->web);
+	request_end(request, END_ANSWERED, request->answer.head.status,
+		    "whole");
+}
+
+void request_break(struct request *request, const char *why)
+{
+	web_reply_abort(request->web);
+	request_end(request, END_BROKEN, request->answer.head.status, why);
+}
+
+static void request_deny(struct request *request, enum result_code code,
+			 const char *why)
+{
+	error_reply(request, result_status(code), result_label(code), 0);
+	request_end(request, END_DENIED, result_status(code), why);
+}
+
+static void on_gone(void *ctx)
+{
+	request_end(ctx, END_GONE, 0, "caller hung up");
+}
+
+static void on_limit(struct timer *timer, void *ctx)
+{
+	struct request *request = ctx;
+
+	if (request->replied)
+		request_break(request, "over its time limit");
+	else if (request->runs > 0)
+		request_fail(request, RESULT_BACKEND_TIMEOUT,
+			     "over its time limit");
+	else
+		request_refuse(request, RESULT_DEADLINE, RETRY_MIN_USEC);
+}
+
+static bool request_route(struct request *request)
+{
+	struct forward *forward = request->forward;
+	struct web_text host = web_request_authority(request->web);
+	struct web_text path = web_request_path(request->web);
+	uint64_t service;
+
+	request->route = catalog_route(request->catalog, host.data, host.size,
+				       path.data, path.size);
+	if (!request->route)
+		return false;
+	service = route_choose(request->route,
+			       g_rand_double(forward->parts.rand));
+	request->service = catalog_service(request->catalog, service);
+	return request->service != NULL;
+}
+
+static void limit_start(struct request *request)
+{
+	int64_t limit = request->route->timeout_usec;
+
+	if (request->caller.limit_usec > 0)
+		limit = MIN(limit, request->caller.limit_usec);
+	request->limit = request->arrived + limit;
+	timer_start(&request->timer, limit);
+}
+
+static struct request *request_create(struct forward *forward,
+				      struct web_request *web)
+{
+	uint64_t handle;
+	struct request *request = table_add(forward->requests, &handle);
+
+	if (!request)
+		return NULL;
+	request->forward = forward;
+	request->handle = handle;
+	request->link.data = request;
+	request->web = web;
+	request->arrived = clock_now(forward->parts.clock);
+	event_cutter_init(&request->cutter);
+	timer_init(&request->timer, forward->parts.clock, on_limit, request);
+	web_request_on_gone(web, on_gone, request);
+	return request;
+}
+
+static void request_start(struct request *request)
+{
+	struct forward *forward = request->forward;
+
+	budget_request(forward->parts.budgets, request->service->id,
+		       request->arrived);
+	limit_start(request);
+	if (request->service->engine.memory_tokens > 0 &&
+	    request->caller.prompt_tokens > 0)
+		stream_start(request);
+	else
+		plain_start(request);
+}
+
+void forward_take(void *ctx, struct web_request *web)
+{
+	struct forward *forward = ctx;
+	const struct caller_codec *codec = &forward->parts.callers;
+	struct request *request = request_create(forward, web);
+	struct error err;
+
+	if (!request) {
+		web_reply_header(web, "retry-after", "0.2");
+		web_reply(web, result_status(RESULT_QUEUE_FULL), "text/plain",
+			  "queue-full\n", 11);
+		return;
+	}
+	if (!codec->decode(codec->ctx, web, &request->caller, &err)) {
+		request_deny(request, RESULT_BAD_REQUEST, err.text);
+		return;
+	}
+	if (!forward->catalog) {
+		request_refuse(request, RESULT_NO_CONFIG, RETRY_MAX_USEC / 4);
+		return;
+	}
+	request->catalog = catalog_ref(forward->catalog);
+	if (request_route(request))
+		request_start(request);
+	else
+		request_deny(request, RESULT_NOT_FOUND, "no route");
+}
--- /dev/null
+++ b/forward/request.h
@@ -0,0 +1,142 @@
+/*
+ * request.h - a request under way, inside the forwarding core
+ *
+ * DESCRIPTION
+ *	request.c holds what all requests have in common: limits, the answer,
+ *	the end. plain.c and stream.c hold the two ways through; each moves the
+ *	request on from the callbacks of the one call it has under way.
+ */
+#ifndef FORWARD_REQUEST_H
+#define FORWARD_REQUEST_H
+
+#include "common/error.h"
+#include "common/table.h"
+#include "forward/events.h"
+#include "forward/forward.h"
+#include "forward/place.h"
+
+/* The answer of a server as far as it has come. */
+struct answer {
+	struct backend_head head;
+	bool has_head;
+	GPtrArray *names; /* of the headers to be passed back, copied */
+	GPtrArray *values;
+	GByteArray *body;
+	bool too_large;
+};
+
+/* A share of a server's load, to be given back. */
+struct charge {
+	uint64_t backend; /* handle; HANDLE_NONE: nothing is charged */
+	struct backend_load load;
+};
+
+struct request {
+	struct forward *forward;
+	uint64_t handle;
+	GList link; /* in the waiting list */
+	bool waiting;
+	struct web_request *web;
+	struct caller_request caller;
+	struct catalog *catalog;
+	const struct catalog_route *route;
+	const struct catalog_service *service;
+	int64_t arrived;
+	int64_t limit; /* when it is given up */
+	struct timer timer;
+	struct web_call *call;
+	struct answer answer;
+	struct tried tried;
+	uint32_t sends;	 /* that may have reached a server */
+	uint32_t runs;	 /* that may have begun to run */
+	uint32_t rounds; /* through placing, for streams */
+	bool prefilled;	 /* a first prefill was accepted */
+	bool replied;	 /* the head of an answer went to the caller */
+	struct charge decode;
+	struct charge prefill;
+	char hold[HOLD_MAX];
+	char kv[KV_HANDLE_MAX];
+	struct backend_info kv_at;  /* who keeps kv */
+	struct backend_info target; /* of the call under way or the last one */
+	struct event_cutter cutter;
+	/* For the log line at the end. */
+	int64_t placed_at;
+	int64_t prefilled_at;
+	int64_t first_at;
+};
+
+enum request_end {
+	END_ANSWERED, /* a server's whole answer */
+	END_REFUSED,  /* not run, and said so */
+	END_FAILED,   /* an error that promises nothing */
+	END_BROKEN,   /* cut off midway */
+	END_GONE,     /* the caller hung up */
+	END_DENIED,   /* no route, or malformed */
+	END_COUNT,
+};
+
+struct forward {
+	struct forward_parts parts;
+	struct catalog *catalog;
+	struct table *requests;
+	GQueue waiting; /* streams without decode memory, by arrival */
+	struct timer pump;
+	struct counter *ended[END_COUNT]; /* by enum request_end */
+	struct histogram *whole_time;
+	struct histogram *wait_time;
+	struct histogram *prefill_time;
+	struct histogram *first_time;
+	GHashTable *demand; /* service to struct demand */
+};
+
+int64_t request_now(const struct request *request);
+/* Until the request is given up; at least 0. */
+int64_t request_left(const struct request *request);
+/* Whether the fate of a run may be unknown and it may still run again. */
+bool request_repeatable(const struct request *request);
+void request_place(const struct request *request, struct place *place);
+/* Whether one more send may be made: the first is free, others take from the
+ * service's budget. */
+bool request_may_send(struct request *request);
+
+void charge_add(struct request *request, struct charge *charge,
+		struct backend *backend, const struct backend_load *load);
+void charge_drop(struct request *request, struct charge *charge);
+
+/* Copies an answer's head; false when it belongs to another request. */
+bool answer_take_head(struct request *request, const struct backend_head *head);
+void answer_take_body(struct request *request, const void *data, size_t size);
+/* Whether a whole answer may be passed on: it bears its author's mark, and its
+ * status says nothing untrue of a request that ran. */
+bool answer_may_pass(const struct answer *answer);
+void answer_clear(struct answer *answer);
+/* Sends the whole answer to the caller. */
+void answer_send(struct request *request);
+
+/* The ends; the request is no more after each. */
+/* Passes the whole answer on. */
+void request_relay(struct request *request);
+/* Says that it did not run, and when to come back; as failed if that is not
+ * sure. */
+void request_refuse(struct request *request, enum result_code code,
+		    int64_t retry_usec);
+void request_fail(struct request *request, enum result_code code,
+		  const char *why);
+/* Ends the stream that was passed on, whole or visibly cut off. */
+void request_finish(struct request *request);
+void request_break(struct request *request, const char *why);
+/* Starts passing on the answer whose head has come. */
+void request_reply_start(struct request *request);
+
+const char *request_end_name(enum request_end end);
+
+/* Of plain.c and stream.c. */
+void plain_start(struct request *request);
+void stream_start(struct request *request);
+/* Counts a prompt towards the demand for its service. */
+void demand_add(struct forward *forward, uint64_t service, uint32_t tokens);
+/* Sends waiting streams on as far as there is memory. */
+void stream_pump(struct forward *forward);
+void stream_unwait(struct request *request);
+
+#endif
--- /dev/null
+++ b/forward/roles.c
@@ -0,0 +1,315 @@
+#include "forward/roles.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "common/id.h"
+#include "common/log.h"
+#include "coord/lease.h"
+
+#define TICK_USEC (500 * USEC_PER_MSEC)
+/* Part of the runners that prefill while no demand is known: prompts of some
+ * 3,000 tokens and answers of some 70 take about four times as long to
+ * generate as to read. */
+#define PART_UNKNOWN 0.21
+/* Bursts of twice the mean rate are to be read without a queue. */
+#define ROLES_HEADROOM 2.4
+/* What a runner reads in a second, for the choice only. */
+#define CAPACITY_TOKENS 33000.0
+/* With fewer than this many prefill runners a single loss stops the service;
+ * where that many in all exist. */
+#define PREFILL_LEAST 2u
+#define TOTAL_FOR_LEAST 5u
+/* A change must be wanted so long once there is traffic: longer than a burst.
+ */
+#define ROLES_PATIENCE_USEC (12 * USEC_PER_SEC)
+/* The demand of the first seconds is not known yet. */
+#define DEMAND_LEAST 1000.0
+/* After the time that a change takes, its runner may be ordered again; covers
+ * orders that are carried out seconds late. */
+#define MOVE_EXTRA_USEC (14 * USEC_PER_SEC)
+/* An order is carried out within this time of being sent, or not at all. */
+#define ORDER_USEC (13 * USEC_PER_SEC)
+/* The list may not be whole right after the start. */
+#define SETTLE_USEC (1200 * USEC_PER_MSEC)
+
+struct move {
+	uint64_t key;
+	enum backend_stage stage;
+	int64_t until;
+};
+
+struct roles {
+	struct roles_parts parts;
+	struct leases *leases;
+	bool leasing;
+	uint64_t task;
+	struct timer timer;
+	int64_t started;
+	GHashTable *moves; /* key to struct move */
+	int64_t wanted_since;
+	int32_t wanted; /* direction at wanted_since */
+	bool ordering;	/* an order has not been answered */
+	uint64_t ordered;
+	bool destroyed;
+};
+
+uint32_t roles_want(uint32_t total, double rate, double capacity)
+{
+	double want = PART_UNKNOWN * (double)total;
+	uint32_t least = total >= TOTAL_FOR_LEAST ? PREFILL_LEAST : 1;
+
+	if (total < 2)
+		return 0;
+	if (rate > 0.0)
+		want = ceil(ROLES_HEADROOM * rate / capacity - 0.25);
+	return (uint32_t)CLAMP(round(want), (double)least, (double)total / 2.0);
+}
+
+/* What a runner does, or will once its order is carried out. */
+static enum backend_stage stage_of(struct roles *roles,
+				   const struct backend *backend)
+{
+	const struct move *move =
+		g_hash_table_lookup(roles->moves, &backend->key);
+
+	return move ? move->stage : backend->info.stage;
+}
+
+static gboolean move_over(gpointer key, gpointer value, gpointer data)
+{
+	const struct move *move = value;
+	const struct roles *roles = data;
+
+	return clock_now(roles->parts.clock) >= move->until;
+}
+
+/* The runner whose change parts the data centres least: one of the data centre
+ * that has most runners of that stage. */
+static struct backend *runner_choose(struct roles *roles, const GPtrArray *list,
+				     enum backend_stage from)
+{
+	int64_t now = clock_now(roles->parts.clock);
+	struct backend *best = NULL;
+	uint32_t most = 0;
+
+	for (guint i = 0; i < list->len; i++) {
+		struct backend *one = list->pdata[i];
+		uint32_t same = 0;
+
+		if (stage_of(roles, one) != from || !backend_usable(one, now) ||
+		    g_hash_table_contains(roles->moves, &one->key))
+			continue;
+		for (guint k = 0; k < list->len; k++) {
+			struct backend *other = list->pdata[k];
+
+			same += stage_of(roles, other) == from &&
+				strcmp(other->info.data_centre,
+				       one->info.data_centre) == 0;
+		}
+		if (same > most) {
+			most = same;
+			best = one;
+		}
+	}
+	return best;
+}
+
+static void on_ordered(void *ctx, enum order_result result)
+{
+	struct roles *roles = ctx;
+
+	if (roles->destroyed) {
+		g_free(roles);
+		return;
+	}
+	roles->ordering = false;
+	log_event(LOG_NOTICE, "role_order_answered", LOG_D("result", result));
+	/* Surely not carried out: the runner may be chosen again. */
+	if (result == ORDER_REFUSED)
+		g_hash_table_remove(roles->moves, &roles->ordered);
+}
+
+static void order_send(struct roles *roles, struct backend *backend,
+		       enum backend_stage stage,
+		       const struct catalog_service *service, uint64_t fence)
+{
+	const struct backend_ops *ops = &roles->parts.backends;
+	struct move *move = g_new0(struct move, 1);
+	struct stage_order order = {
+		.to = &backend->info,
+		.stage = stage,
+		.holder = roles->parts.name,
+		.fence = fence,
+	};
+
+	move->key = backend->key;
+	move->stage = stage;
+	move->until = clock_now(roles->parts.clock) +
+		      service->engine.switch_usec + MOVE_EXTRA_USEC;
+	g_hash_table_replace(roles->moves, &move->key, move);
+	roles->ordering = true;
+	roles->ordered = move->key;
+	log_event(LOG_NOTICE, "role_order", LOG_S("backend", backend->info.id),
+		  LOG_S("stage", stage == STAGE_DECODE ? "decode" : "prefill"),
+		  LOG_D("fence", fence));
+	ops->order(ops->ctx, &order, on_ordered, roles);
+}
+
+/* Positive: runners that are to become decode runners; negative: prefill. */
+static int32_t change_wanted(struct roles *roles, const GPtrArray *list)
+{
+	int64_t now = clock_now(roles->parts.clock);
+	double rate = roles->parts.ops.demand(roles->parts.ctx);
+	uint32_t prefill = 0;
+	uint32_t total = 0;
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct backend *backend = list->pdata[i];
+		enum backend_stage stage = stage_of(roles, backend);
+
+		if (stage == STAGE_NONE || !backend_usable(backend, now))
+			continue;
+		total++;
+		prefill += stage == STAGE_PREFILL;
+	}
+	if (total < 2)
+		return 0;
+	if (rate < DEMAND_LEAST)
+		rate = 0.0;
+	return (int32_t)prefill -
+	       (int32_t)roles_want(total, rate, CAPACITY_TOKENS);
+}
+
+/* Whether a change has been wanted for long enough. */
+static bool patient(struct roles *roles, int32_t change)
+{
+	int64_t now = clock_now(roles->parts.clock);
+	bool traffic =
+		roles->parts.ops.demand(roles->parts.ctx) >= DEMAND_LEAST;
+	int32_t direction = (change > 0) - (change < 0);
+
+	if (direction != roles->wanted) {
+		roles->wanted = direction;
+		roles->wanted_since = now;
+	}
+	if (direction == 0)
+		return false;
+	return !traffic || now - roles->wanted_since >= ROLES_PATIENCE_USEC;
+}
+
+static void lease_drop(struct roles *roles)
+{
+	if (!roles->leasing)
+		return;
+	lease_give_up(roles->leases, roles->task);
+	leases_destroy(roles->leases);
+	roles->leases = NULL;
+	roles->leasing = false;
+}
+
+static void on_taken(void *ctx, uint64_t task, uint64_t fence)
+{
+	log_event(LOG_NOTICE, "role_lease_taken", LOG_D("fence", fence));
+}
+
+static void on_lost(void *ctx, uint64_t task)
+{
+	log_event(LOG_NOTICE, "role_lease_lost");
+}
+
+static bool lease_get(struct roles *roles, uint64_t *fence)
+{
+	static const struct lease_ops ops = {on_taken, on_lost};
+	struct owner self = {id_of(roles->parts.name), roles->parts.boot};
+
+	if (!roles->leasing) {
+		roles->leases = leases_create(roles->parts.clock, &self,
+					      &roles->parts.log, &ops, roles);
+		lease_want_unfenced(roles->leases, roles->task, ORDER_USEC);
+		roles->leasing = true;
+	}
+	return lease_valid(roles->leases, roles->task, fence);
+}
+
+static bool service_tick(struct roles *roles,
+			 const struct catalog_service *service)
+{
+	const GPtrArray *list = fleet_service(roles->parts.fleet, service->id);
+	int32_t change;
+	struct backend *backend;
+	uint64_t fence;
+
+	if (!list || service->engine.memory_tokens == 0)
+		return false;
+	change = change_wanted(roles, list);
+	if (!patient(roles, change))
+		return false;
+	backend = runner_choose(roles, list,
+				change > 0 ? STAGE_PREFILL : STAGE_DECODE);
+	if (!backend)
+		return false;
+	if (!lease_get(roles, &fence) || roles->ordering)
+		return true;
+	order_send(roles, backend, change > 0 ? STAGE_DECODE : STAGE_PREFILL,
+		   service, fence);
+	roles->wanted_since = clock_now(roles->parts.clock);
+	return true;
+}
+
+static bool services_tick(struct roles *roles)
+{
+	const struct catalog *catalog =
+		roles->parts.ops.catalog(roles->parts.ctx);
+	GHashTableIter iter;
+	struct catalog_service *service;
+	bool busy = false;
+
+	if (!catalog)
+		return false;
+	g_hash_table_iter_init(&iter, catalog->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service))
+		busy |= service_tick(roles, service);
+	return busy;
+}
+
+static void on_tick(struct timer *timer, void *ctx)
+{
+	struct roles *roles = ctx;
+	int64_t now = clock_now(roles->parts.clock);
+
+	timer_start(timer, TICK_USEC);
+	g_hash_table_foreach_remove(roles->moves, move_over, roles);
+	if (now - roles->started < SETTLE_USEC)
+		return;
+	if (!roles->parts.ops.decides(roles->parts.ctx) ||
+	    !services_tick(roles))
+		lease_drop(roles);
+}
+
+struct roles *roles_create(const struct roles_parts *parts)
+{
+	struct roles *roles = g_new0(struct roles, 1);
+
+	roles->parts = *parts;
+	roles->task = id_of("roles");
+	roles->moves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					     g_free);
+	roles->started = clock_now(parts->clock);
+	timer_init(&roles->timer, parts->clock, on_tick, roles);
+	timer_start(&roles->timer, TICK_USEC);
+	return roles;
+}
+
+void roles_destroy(struct roles *roles)
+{
+	if (!roles)
+		return;
+	timer_stop(&roles->timer);
+	lease_drop(roles);
+	g_hash_table_destroy(roles->moves);
+	roles->destroyed = true;
+	/* Freed by the answer of the order that is under way. */
+	if (!roles->ordering)
+		g_free(roles);
+}
--- /dev/null
+++ b/forward/stream.c
@@ -0,0 +1,569 @@
+/*
+ * stream.c - a request of an engine service: reserve, prefill, decode, relay
+ *
+ * DESCRIPTION
+ *	waiting  ->  reserving  ->  prefill  ->  run  ->  relay
+ *
+ *	Decode memory is reserved at the server itself before the prompt is
+ *	read, so what is read has a place to go. A step that surely did not run
+ *	leads back to waiting. Once a run may have begun, only a resumable route
+ *	goes back, after the last event that was passed on.
+ */
+#include "request.h"
+
+#include <string.h>
+
+#include "common/id.h"
+#include "common/log.h"
+
+/* As for plain calls. */
+#define CONNECT_USEC (150 * USEC_PER_MSEC)
+/* How often waiting requests look for memory again; a runner frees some every
+ * few tens of milliseconds. */
+#define PUMP_USEC (15 * USEC_PER_MSEC)
+/* A server that refused a reservation is not asked again before. */
+#define FULL_USEC (40 * USEC_PER_MSEC)
+/* Reservations are kept for the time of a prefill in a long queue. */
+#define RESERVE_USEC (2 * USEC_PER_SEC)
+/* A prefill is given up after this time and this much for each prompt token
+ * ahead of it (runners read some 30 tokens a millisecond). */
+#define PREFILL_USEC (1200 * USEC_PER_MSEC)
+#define PREFILL_TOKEN_USEC 100
+/* A resumable stream leaves a server that is silent for this many pauses. */
+#define SILENT_GAPS 4
+#define SILENT_MIN_USEC (1200 * USEC_PER_MSEC)
+/* Share of the expected output that is reserved besides the prompt: the rest
+ * comes from what others free meanwhile. */
+#define OUTPUT_PART 0.5
+/* Requests waiting at an instance, and the part of their time that they may
+ * spend so; after that the rest would not suffice to answer them. */
+#define WAITING_MAX 512u
+#define WAIT_PART 0.6
+/* Rounds through placing that one request may make. */
+#define ROUNDS_MAX 4u
+/* Requests that can still meet their target go first: those that have used less
+ * than this part of it. */
+#define ON_TIME_PART 0.7
+/* What a refused caller is told: memory is freed within about this time. */
+#define RETRY_USEC (300 * USEC_PER_MSEC)
+
+static void run_send(struct request *request);
+static void prefill_send(struct request *request);
+
+static uint32_t tokens_needed(const struct request *request)
+{
+	const struct caller_request *caller = &request->caller;
+	uint32_t output = caller->output_max;
+
+	if (caller->output_expected > 0)
+		output = MIN(output, caller->output_expected * 2);
+	return caller->prompt_tokens + (uint32_t)(output * OUTPUT_PART);
+}
+
+static struct backend *decode_get(struct request *request)
+{
+	return fleet_get(request->forward->parts.fleet,
+			 request->decode.backend);
+}
+
+static struct backend *prefill_get(struct request *request)
+{
+	return fleet_get(request->forward->parts.fleet,
+			 request->prefill.backend);
+}
+
+void stream_unwait(struct request *request)
+{
+	if (!request->waiting)
+		return;
+	g_queue_unlink(&request->forward->waiting, &request->link);
+	request->waiting = false;
+}
+
+static void wait_begin(struct request *request)
+{
+	struct forward *forward = request->forward;
+
+	charge_drop(request, &request->prefill);
+	charge_drop(request, &request->decode);
+	request->waiting = true;
+	g_queue_push_tail_link(&forward->waiting, &request->link);
+	if (!timer_running(&forward->pump))
+		timer_start(&forward->pump, 0);
+}
+
+static void hold_drop(struct request *request)
+{
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	struct backend *decode = decode_get(request);
+
+	if (request->hold[0] && decode)
+		ops->unreserve(ops->ctx, &decode->info, request->hold);
+	request->hold[0] = '\0';
+}
+
+static void kv_drop(struct request *request)
+{
+	const struct backend_ops *ops = &request->forward->parts.backends;
+
+	if (request->kv[0])
+		ops->free_result(ops->ctx, &request->kv_at, request->kv);
+	request->kv[0] = '\0';
+}
+
+/* Back to placing, or the end when there is no way left. */
+static void stream_again(struct request *request, enum result_code code,
+			 const char *why)
+{
+	bool may = request->runs == 0 ||
+		   (request_repeatable(request) &&
+		    request->runs < request->route->attempts);
+
+	hold_drop(request);
+	kv_drop(request);
+	answer_clear(&request->answer);
+	if (may && request->rounds < ROUNDS_MAX && request_left(request) > 0) {
+		wait_begin(request);
+		return;
+	}
+	if (request->replied)
+		request_break(request, why);
+	else if (request->runs > 0)
+		request_fail(request, code, why);
+	else
+		request_refuse(request, code, RETRY_USEC);
+}
+
+static void failed_log(const struct request *request, const char *step,
+		       const struct backend_end *end)
+{
+	const struct answer *answer = &request->answer;
+
+	log_event(
+		LOG_NOTICE, "step_failed", LOG_S("request", request->caller.id),
+		LOG_S("step", step), LOG_S("backend", request->target.id),
+		LOG_D("status", answer->has_head ? answer->head.status : 0),
+		LOG_D("said_not_run", answer->has_head && answer->head.not_run),
+		LOG_D("connected", end->connected),
+		LOG_D("timed_out", end->timed_out), LOG_S("why", end->text));
+}
+
+/* Notes what a failed call tells about its server. */
+static void blame(struct request *request, struct backend *backend,
+		  const struct backend_end *end)
+{
+	const struct answer *answer = &request->answer;
+	int64_t now = request_now(request);
+
+	if (!backend)
+		return;
+	if (!end->connected || (answer->has_head && answer->head.other))
+		backend_unreachable(backend, now);
+	else if (!answer->has_head || !answer->head.not_run)
+		backend_failed(backend, now);
+}
+
+/* ---- run ---- */
+
+static bool answer_streams(const struct request *request)
+{
+	const struct backend_head *head = &request->answer.head;
+
+	return request->answer.has_head && head->status == 200 &&
+	       head->signed_by && !head->mismatched;
+}
+
+static void run_head(void *ctx, const struct backend_head *head)
+{
+	struct request *request = ctx;
+
+	/* A stream that goes on keeps the head of its first server. */
+	if (!request->replied) {
+		answer_take_head(request, head);
+		return;
+	}
+	request->answer.head.status = head->status;
+	request->answer.head.not_run = head->not_run;
+	request->answer.head.other = head->other;
+	request->answer.head.signed_by = head->signed_by;
+	request->answer.head.mismatched = head->mismatched;
+}
+
+static void run_events(struct request *request, const void *data, size_t size)
+{
+	struct event_cutter *cutter = &request->cutter;
+	size_t whole;
+
+	if (!event_cutter_feed(cutter, data, size)) {
+		request->answer.too_large = true;
+		return;
+	}
+	whole = event_cutter_whole(cutter);
+	if (whole == 0)
+		return;
+	if (!request->replied) {
+		request_reply_start(request);
+		histogram_add(request->forward->first_time,
+			      request->first_at - request->arrived);
+	}
+	web_reply_piece(request->web, cutter->rest->data, whole);
+	event_cutter_take(cutter, whole);
+}
+
+static void run_body(void *ctx, const void *data, size_t size)
+{
+	struct request *request = ctx;
+
+	/* The memory is the run's own now, and its result was fetched. */
+	if (answer_streams(request)) {
+		request->hold[0] = '\0';
+		request->kv[0] = '\0';
+		run_events(request, data, size);
+		return;
+	}
+	if (!request->replied)
+		answer_take_body(request, data, size);
+}
+
+static void run_refused(struct request *request, struct backend *backend)
+{
+	request->runs--;
+	if (backend && !request->answer.head.other)
+		backend->full_until = request_now(request) + FULL_USEC;
+	stream_again(request, RESULT_BACKEND_REFUSED, "server is full");
+}
+
+static void run_whole(struct request *request, struct backend *backend)
+{
+	int64_t now = request_now(request);
+
+	if (answer_streams(request) && !request->answer.too_large &&
+	    request->cutter.rest->len == 0 && request->replied) {
+		if (backend)
+			backend_succeeded(backend, now);
+		request_finish(request);
+		return;
+	}
+	if (backend)
+		backend_failed(backend, now);
+	event_cutter_drop(&request->cutter);
+	if (!request->replied && !answer_streams(request) &&
+	    answer_may_pass(&request->answer) && !request_repeatable(request))
+		request_relay(request);
+	else
+		stream_again(request, RESULT_BACKEND_FAILED,
+			     "error or unfinished answer");
+}
+
+static void run_done(void *ctx, const struct backend_end *end)
+{
+	struct request *request = ctx;
+	struct backend *backend = decode_get(request);
+	const struct answer *answer = &request->answer;
+
+	request->call = NULL;
+	if (end->whole && !answer->head.not_run) {
+		run_whole(request, backend);
+		return;
+	}
+	failed_log(request, "run", end);
+	blame(request, backend, end);
+	event_cutter_drop(&request->cutter);
+	if (answer->has_head && answer->head.not_run &&
+	    !answer->head.mismatched) {
+		run_refused(request, backend);
+		return;
+	}
+	if (end->not_run) {
+		request->runs--;
+		if (!end->connected)
+			request->sends--;
+	}
+	stream_again(request,
+		     request->runs == 0 ? RESULT_NO_BACKEND
+		     : end->timed_out	? RESULT_BACKEND_TIMEOUT
+					: RESULT_STREAM_LOST,
+		     end->text);
+}
+
+static int64_t silence_limit(const struct request *request)
+{
+	int64_t left = request_left(request);
+
+	if (!request_repeatable(request) ||
+	    request->runs + 1 >= request->route->attempts)
+		return left;
+	return MIN(left, MAX(SILENT_GAPS * request->route->gap_usec,
+			     SILENT_MIN_USEC));
+}
+
+static void run_send(struct request *request)
+{
+	static const struct send_events events = {run_head, run_body, run_done};
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	struct backend *decode = decode_get(request);
+	struct send_spec spec = {
+		.kind = SEND_RUN,
+		.caller = &request->caller,
+		.to = &request->target,
+		.left_usec = request_left(request),
+		.connect_usec = CONNECT_USEC,
+		.head_usec = silence_limit(request),
+		.idle_usec = silence_limit(request),
+		.kv_address = request->kv[0] ? request->kv_at.address : NULL,
+		.kv_handle = request->kv[0] ? request->kv : NULL,
+		.hold = request->hold[0] ? request->hold : NULL,
+		.resumes = request->caller.resumes,
+		.resume_after = request->caller.resume_after,
+	};
+
+	charge_drop(request, &request->prefill);
+	if (!decode || !backend_usable(decode, request_now(request)) ||
+	    !request_may_send(request)) {
+		stream_again(request, RESULT_RETRY_BUDGET,
+			     "server left, or no send left");
+		return;
+	}
+	if (request->replied && request->cutter.has_id) {
+		spec.resumes = true;
+		spec.resume_after = request->cutter.last_id;
+	}
+	request->target = decode->info;
+	request->sends++;
+	request->runs++;
+	request->call = ops->send(ops->ctx, &spec, &events, request);
+}
+
+/* ---- prefill ---- */
+
+static void prefill_head(void *ctx, const struct backend_head *head)
+{
+	answer_take_head(ctx, head);
+}
+
+static void prefill_body(void *ctx, const void *data, size_t size)
+{
+	answer_take_body(ctx, data, size);
+}
+
+static bool prefill_result(struct request *request)
+{
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	const struct answer *answer = &request->answer;
+
+	return answer->has_head && !answer->head.mismatched &&
+	       answer->head.status == 200 && answer->body &&
+	       ops->read_result(ops->ctx, answer->body->data, answer->body->len,
+				request->kv);
+}
+
+static void prefill_done(void *ctx, const struct backend_end *end)
+{
+	struct request *request = ctx;
+	struct backend *backend = prefill_get(request);
+	int64_t now = request_now(request);
+
+	request->call = NULL;
+	charge_drop(request, &request->prefill);
+	if (end->whole && prefill_result(request)) {
+		if (backend)
+			backend_succeeded(backend, now);
+		request->kv_at = request->target;
+		request->prefilled = true;
+		request->prefilled_at = now;
+		histogram_add(request->forward->prefill_time,
+			      now - request->placed_at);
+		answer_clear(&request->answer);
+		run_send(request);
+		return;
+	}
+	failed_log(request, "prefill", end);
+	blame(request, backend, end);
+	if (backend)
+		tried_add(&request->tried, backend->key);
+	answer_clear(&request->answer);
+	prefill_send(request);
+}
+
+/* Time for the prompts ahead and this one. */
+static int64_t prefill_limit(const struct request *request,
+			     const struct backend *backend)
+{
+	int64_t limit =
+		PREFILL_USEC +
+		(int64_t)backend_prefill_tokens(backend) * PREFILL_TOKEN_USEC;
+
+	return MIN(limit, request_left(request));
+}
+
+/* The first accepted prefill is free; each further send takes from the budget.
+ */
+static bool prefill_may_send(struct request *request)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+
+	if (request->rounds <= 1 && request->tried.count == 0)
+		return true;
+	return budget_take(parts->budgets, request->service->id,
+			   clock_now(parts->clock),
+			   parts->instances(parts->instances_ctx));
+}
+
+static void prefill_send(struct request *request)
+{
+	static const struct send_events events = {prefill_head, prefill_body,
+						  prefill_done};
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	struct backend_load load = {.prefill_tokens =
+					    request->caller.prompt_tokens};
+	struct backend *decode = decode_get(request);
+	struct backend *backend;
+	struct place place;
+	struct send_spec spec = {
+		.kind = SEND_PREFILL,
+		.caller = &request->caller,
+		.to = &request->target,
+		.left_usec = request_left(request),
+		.connect_usec = CONNECT_USEC,
+		.idle_usec = PREFILL_USEC,
+	};
+
+	if (!decode) {
+		stream_again(request, RESULT_NO_BACKEND, "server left");
+		return;
+	}
+	request_place(request, &place);
+	backend = place_prefill(&place, decode);
+	/* The decode server can read the prompt itself, slowly. */
+	if (!backend || !prefill_may_send(request)) {
+		run_send(request);
+		return;
+	}
+	spec.head_usec = prefill_limit(request, backend);
+	request->target = backend->info;
+	charge_add(request, &request->prefill, backend, &load);
+	request->call = ops->send(ops->ctx, &spec, &events, request);
+}
+
+/* ---- reserve ---- */
+
+static void reserved(struct request *request, const char *hold)
+{
+	g_strlcpy(request->hold, hold, sizeof(request->hold));
+	request->placed_at = request_now(request);
+	histogram_add(request->forward->wait_time,
+		      request->placed_at - request->arrived);
+	request->rounds++;
+	prefill_send(request);
+}
+
+static void on_reserved(void *ctx, enum reserve_result result, const char *hold)
+{
+	struct request *request = ctx;
+	struct backend *backend = decode_get(request);
+	int64_t now = request_now(request);
+
+	request->call = NULL;
+	if (result == RESERVE_OK) {
+		reserved(request, hold);
+		return;
+	}
+	if (backend && result == RESERVE_FULL)
+		backend->full_until = now + FULL_USEC;
+	else if (backend && result == RESERVE_UNREACHABLE)
+		backend_unreachable(backend, now);
+	else if (backend)
+		backend_failed(backend, now);
+	if (result == RESERVE_FAILED && backend)
+		backend->full_until = now + FULL_USEC;
+	wait_begin(request);
+}
+
+static bool reserve_start(struct request *request)
+{
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	const struct engine_traits *engine = &request->service->engine;
+	uint32_t tokens = tokens_needed(request);
+	struct backend_load load = {.requests = 1, .decode_tokens = tokens};
+	struct backend *backend;
+	struct place place;
+
+	request_place(request, &place);
+	place.tried = NULL;
+	backend = place_decode(&place, engine, tokens);
+	if (!backend)
+		return false;
+	stream_unwait(request);
+	charge_add(request, &request->decode, backend, &load);
+	request->target = backend->info;
+	request->call = ops->reserve(ops->ctx, &backend->info, tokens,
+				     MIN(RESERVE_USEC, engine->reserve_usec),
+				     on_reserved, request);
+	return true;
+}
+
+/* ---- waiting ---- */
+
+static bool on_time(const struct request *request, int64_t now)
+{
+	return (double)(now - request->arrived) <
+	       ON_TIME_PART * (double)request->route->target_usec;
+}
+
+static void waiting_pass(struct forward *forward, bool first)
+{
+	int64_t now = clock_now(forward->parts.clock);
+	GList *next;
+
+	for (GList *link = forward->waiting.head; link; link = next) {
+		struct request *request = link->data;
+
+		next = link->next;
+		if (on_time(request, now) == first && !reserve_start(request))
+			return;
+	}
+}
+
+static void waiting_expire(struct forward *forward)
+{
+	int64_t now = clock_now(forward->parts.clock);
+	GList *next;
+
+	for (GList *link = forward->waiting.head; link; link = next) {
+		struct request *request = link->data;
+		double part = (double)(now - request->arrived) /
+			      (double)(request->limit - request->arrived);
+
+		next = link->next;
+		if (part < WAIT_PART)
+			continue;
+		stream_unwait(request);
+		if (request->replied)
+			request_break(request, "no memory to go on");
+		else
+			request_refuse(request, RESULT_DEADLINE, RETRY_USEC);
+	}
+}
+
+void stream_pump(struct forward *forward)
+{
+	waiting_expire(forward);
+	waiting_pass(forward, true);
+	waiting_pass(forward, false);
+	if (forward->waiting.length > 0)
+		timer_start(&forward->pump, PUMP_USEC);
+}
+
+void stream_start(struct request *request)
+{
+	struct forward *forward = request->forward;
+
+	demand_add(forward, request->service->id,
+		   request->caller.prompt_tokens);
+	if (forward->waiting.length >= WAITING_MAX) {
+		request_refuse(request, RESULT_QUEUE_FULL, RETRY_USEC);
+		return;
+	}
+	if (!reserve_start(request))
+		wait_begin(request);
+}
--- a/include/common/log.h
+++ b/include/common/log.h
@@ -1,5 +1,5 @@
 /*
- * log.h - one line of key=value pairs an event, to standard error
+ * log.h - one line of key=value pairs an event
  *
  * DESCRIPTION
  *	A line is "<N>time=... level=... event=... key=value ...", N being the
@@ -7,6 +7,12 @@
  *	characters are quoted and escaped. The time is that of the clock given
  *	to log_setup(); lines before it carry time=0.
  *
+ *	Lines go to standard error at once, unless log_to() has chosen another
+ *	file: then they are kept and written by log_flush(), which never waits.
+ *	What is kept, and what is written a second, is bounded: when a reader
+ *	does not keep up, or there are too many lines, those of level info and
+ *	below go first, and a line log_lines_dropped counts them.
+ *
  *	log_event(LOG_INFO, "lease_renewed", LOG_S("holder", name),
  *		  LOG_D("offset", offset));
  */
@@ -55,6 +61,10 @@
 
 /* Sets the clock, the component's name and the most verbose level kept. */
 void log_setup(const struct clock *clock, const char *program, int level);
+/* Lines go to fd from now on, bounded; fd is made non-blocking. */
+void log_to(int fd);
+/* Writes what is kept as far as fd takes it. */
+void log_flush(void);
 void log_write(int level, const char *event, const struct log_field *fields);
 /* Appends the line that log_write() would print, with its newline. */
 void log_format(GString *out, int level, const char *event,
--- /dev/null
+++ b/include/forward/feed.h
@@ -0,0 +1,80 @@
+/*
+ * feed.h - follows a keyed stream of the platform's store
+ *
+ * DESCRIPTION
+ *	A keyed stream keeps the newest record of each key for ever and the
+ *	others for a while. A feed reads a snapshot of the newest records, then
+ *	what was appended since, and goes on so. Where records were dropped
+ *	before they were read it takes a snapshot again, so no change is missed
+ *	for good. It never takes a failure for an empty stream: while the store
+ *	does not answer, what was read last stays in force.
+ *
+ *	Reads wait for a record, or follow each other at an interval: a stream
+ *	in which each of many servers writes every second would answer each
+ *	waiting read at once.
+ */
+#ifndef FORWARD_FEED_H
+#define FORWARD_FEED_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+
+struct feed_record {
+	uint64_t offset;
+	const char *key;
+	const void *value; /* NULL: the key was dropped */
+	size_t size;
+};
+
+struct feed_page {
+	const struct feed_record *records;
+	size_t count;
+	uint64_t next;	  /* offset to go on from */
+	bool gap;	  /* records before the first kept one are gone */
+	const char *more; /* of a snapshot: its last key, when more follow */
+};
+
+/* code is RESULT_OK when page is given, RESULT_LOG_DOWN otherwise. */
+typedef void (*feed_page_fn)(void *ctx, enum result_code code,
+			     const struct feed_page *page);
+
+/* The store, as a feed needs it. Each call answers once, in a later turn. */
+struct feed_store {
+	void (*snapshot)(void *ctx, const char *stream, const char *after,
+			 feed_page_fn fn, void *fn_ctx);
+	void (*read)(void *ctx, const char *stream, uint64_t from,
+		     int64_t wait_usec, feed_page_fn fn, void *fn_ctx);
+	void *ctx;
+};
+
+/* What becomes of the records. Any but record may be NULL. */
+struct feed_ops {
+	void (*snapshot_begin)(void *ctx);
+	void (*snapshot_end)(void *ctx);
+	void (*record)(void *ctx, const struct feed_record *record);
+};
+
+struct feed_settings {
+	const char *stream;    /* must outlive the feed */
+	int64_t wait_usec;     /* that a read may wait for a record */
+	int64_t interval_usec; /* between reads; 0: one after the other */
+};
+
+struct feed;
+
+struct feed *feed_create(struct clock *clock, const struct feed_store *store,
+			 const struct feed_settings *settings,
+			 const struct feed_ops *ops, void *ctx);
+/* An answer that is still due is dropped when it comes. */
+void feed_destroy(struct feed *feed);
+void feed_start(struct feed *feed);
+/* Reads now instead of after the interval. */
+void feed_hurry(struct feed *feed);
+/* When the store last answered; -1 when it never did. */
+int64_t feed_fresh(const struct feed *feed);
+
+#endif
--- /dev/null
+++ b/include/forward/fleet.h
@@ -0,0 +1,98 @@
+/*
+ * fleet.h - the backend servers that requests are forwarded to
+ *
+ * DESCRIPTION
+ *	A table of backend servers by identity: each start of a server is a new
+ *	one, with its own id, even at an address used before. Handles go stale
+ *	when a server leaves the list, pointers with them.
+ *
+ *	Load is what instances have under way at a server: own, counted here,
+ *and that of the peers, set from what they announce (forward/gossip.h). A
+ *	server's trouble is a decaying count of failures; evidence that it
+ *cannot be reached keeps it from use for a while that doubles.
+ */
+#ifndef FORWARD_FLEET_H
+#define FORWARD_FLEET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+
+#define BACKEND_TEXT_MAX 64
+
+enum backend_stage {
+	STAGE_NONE,    /* a plain service's */
+	STAGE_PREFILL, /* computes KV caches */
+	STAGE_DECODE,  /* generates; can read a prompt too, slowly */
+};
+
+/* What the platform's list says of a backend server. */
+struct backend_info {
+	char id[BACKEND_TEXT_MAX];
+	char address[BACKEND_TEXT_MAX]; /* "IP:port" */
+	char data_centre[BACKEND_TEXT_MAX];
+	uint64_t service; /* id_of() its name */
+	enum backend_stage stage;
+	uint32_t slots;
+	bool leaving;
+};
+
+/* What is under way at a server. */
+struct backend_load {
+	uint32_t requests;
+	uint32_t decode_tokens;	 /* of KV cache, reserved or in use */
+	uint32_t prefill_tokens; /* of prompts sent and not yet computed */
+};
+
+struct backend {
+	struct backend_info info;
+	uint64_t handle;
+	uint64_t key; /* id_of(info.id) */
+	bool near;    /* in this instance's data centre */
+	struct backend_load own;
+	struct backend_load peers;
+	double trouble; /* failures, decayed to trouble_at */
+	int64_t trouble_at;
+	int64_t avoid_until; /* could not be reached */
+	uint32_t avoided;    /* times in a row */
+	int64_t full_until;  /* has just refused a reservation */
+	int64_t stage_since; /* when the list showed its stage first */
+	bool listed;	     /* seen in the snapshot being read */
+};
+
+struct fleet;
+
+struct fleet *fleet_create(struct clock *clock, const char *data_centre);
+void fleet_destroy(struct fleet *fleet);
+
+/* Adds a server or brings what is known of it up to date. */
+struct backend *fleet_put(struct fleet *fleet, const struct backend_info *info);
+void fleet_remove(struct fleet *fleet, const char *id);
+/* Around a snapshot of the whole list: servers not put meanwhile are gone. */
+void fleet_snapshot_begin(struct fleet *fleet);
+void fleet_snapshot_end(struct fleet *fleet);
+
+struct backend *fleet_get(const struct fleet *fleet, uint64_t handle);
+struct backend *fleet_find(const struct fleet *fleet, uint64_t key);
+/* Servers of a service, in no order; NULL when there is none. */
+const GPtrArray *fleet_service(const struct fleet *fleet, uint64_t service);
+/* All servers, struct backend. */
+const GPtrArray *fleet_all(const struct fleet *fleet);
+
+/* May a new request be sent there now? */
+bool backend_usable(const struct backend *backend, int64_t now);
+uint32_t backend_requests(const struct backend *backend);
+uint32_t backend_decode_tokens(const struct backend *backend);
+uint32_t backend_prefill_tokens(const struct backend *backend);
+/* Failures of late, each losing half of its weight in a few seconds. */
+double backend_trouble(const struct backend *backend, int64_t now);
+/* A request was answered well. */
+void backend_succeeded(struct backend *backend, int64_t now);
+/* It failed: broken off, silent, or with an error of the server's own. */
+void backend_failed(struct backend *backend, int64_t now);
+/* No connection to it came about. */
+void backend_unreachable(struct backend *backend, int64_t now);
+
+#endif
--- /dev/null
+++ b/include/forward/forward.h
@@ -0,0 +1,74 @@
+/*
+ * forward.h - takes callers' requests and has backend servers answer them
+ *
+ * DESCRIPTION
+ *	Each request is routed by the catalog in force at its arrival and ends
+ *	exactly once: with a server's whole answer, passed on unchanged; with a
+ *	refusal, which says that it did not run and when to come back; with a
+ *	failure that promises nothing; or because the caller hung up, when all
+ *	work for it is cancelled. Nothing is sent twice when it may have run,
+ *	unless its route allows that. A request is given up on at the route's
+ *	timeout or the caller's limit, whichever is first, and told so at once.
+ *
+ *	Requests of engine services reserve decode memory at a server, have
+ *their KV cache computed by a prefill server, and are then run by the decode
+ *	server, which fetches it. They wait here while no memory is free.
+ *
+ *	All times are in microseconds of the clock.
+ *
+ * SEE ALSO
+ *	docs/design/platform.md
+ */
+#ifndef FORWARD_FORWARD_H
+#define FORWARD_FORWARD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/counter.h"
+#include "forward/backend.h"
+#include "forward/budget.h"
+#include "forward/caller.h"
+#include "forward/catalog.h"
+#include "forward/fleet.h"
+#include "web/loop.h"
+
+struct forward;
+
+/* How many instances share the budgets now, this one included. */
+typedef uint32_t (*forward_instances_fn)(void *ctx);
+
+struct forward_parts {
+	struct clock *clock;
+	struct loop *loop;
+	struct fleet *fleet;
+	struct budgets *budgets;
+	struct counter_set *counters;
+	GRand *rand;
+	struct backend_ops backends;
+	struct caller_codec callers;
+	forward_instances_fn instances;
+	void *instances_ctx;
+};
+
+struct forward *forward_create(const struct forward_parts *parts);
+/* Ends what is under way without an answer. */
+void forward_destroy(struct forward *forward);
+/* Takes a reference; a lower version than that in force is passed over. */
+void forward_set_catalog(struct forward *forward, struct catalog *catalog);
+/* NULL until there is one. */
+const struct catalog *forward_catalog(const struct forward *forward);
+/* Handles one request: a web_handler_fn with the forward as context. */
+void forward_take(void *ctx, struct web_request *request);
+/* Requests not yet ended. */
+uint32_t forward_pending(const struct forward *forward);
+/* What was asked of a service of engines lately, for the choice of roles. */
+struct forward_demand {
+	double prompt_tokens_per_s;
+	uint32_t waiting; /* for decode memory, now */
+};
+void forward_demand(const struct forward *forward, uint64_t service,
+		    struct forward_demand *demand);
+
+#endif
--- /dev/null
+++ b/include/forward/gossip.h
@@ -0,0 +1,73 @@
+/*
+ * gossip.h - what instances tell each other of the load they put on servers
+ *
+ * DESCRIPTION
+ *	Each instance sends its share of the load of every backend server to its
+ *	peers in datagrams, several times a second while it changes. What is
+ *told is whole, so a lost datagram is made good by the next; what a peer told
+ *	is dropped GOSSIP_STALE_USEC after its last word. Nothing waits for a
+ *	peer. Peers are first learnt from the store, then from datagrams: from
+ *	their senders, and from the addresses that each carries.
+ *
+ *	With n peers a datagram goes to each every GOSSIP_USEC * max(1, n / 8),
+ *	so what an instance sends and reads is bounded at about 80 datagrams a
+ *	second each way.
+ */
+#ifndef FORWARD_GOSSIP_H
+#define FORWARD_GOSSIP_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "forward/fleet.h"
+
+#define GOSSIP_USEC (100 * USEC_PER_MSEC)
+/* Ten lost datagrams in a row, or five words of an idle peer. */
+#define GOSSIP_STALE_USEC (2500 * USEC_PER_MSEC)
+
+struct loop;
+struct gossip;
+
+struct gossip_settings {
+	const char *name;
+	const char *address; /* UDP, "IP:port" */
+	uint64_t boot;	     /* rises with each start */
+};
+
+/* What an instance tells besides loads. */
+struct gossip_word {
+	uint64_t version; /* of its catalog */
+	double demand;	  /* prompt tokens a second */
+	uint32_t waiting; /* requests without decode memory */
+	bool leaving;
+};
+
+struct gossip_ops {
+	/* What this instance has to tell now. */
+	void (*word)(void *ctx, struct gossip_word *word);
+	/* A peer has a catalog of that version. */
+	void (*version)(void *ctx, uint64_t version);
+};
+
+/* NULL with RESULT_IO when the address cannot be bound. */
+struct gossip *gossip_create(struct loop *loop, struct fleet *fleet,
+			     const struct gossip_settings *settings,
+			     const struct gossip_ops *ops, void *ctx,
+			     struct error *err);
+void gossip_destroy(struct gossip *gossip);
+/* A peer may be found there; own and known addresses are ignored. */
+void gossip_meet(struct gossip *gossip, const char *address);
+/* Instances that may share budgets with this one, which counts too: those heard
+ * of within the last half minute. */
+uint32_t gossip_instances(const struct gossip *gossip);
+/* Peers heard of lately. */
+uint32_t gossip_live(const struct gossip *gossip);
+/* Whether this instance has the lowest name of those live, itself included. */
+bool gossip_lowest(const struct gossip *gossip);
+/* What peers told, added up, and this instance's own word. */
+void gossip_total(const struct gossip *gossip, struct gossip_word *total);
+
+#endif
--- /dev/null
+++ b/include/forward/place.h
@@ -0,0 +1,50 @@
+/*
+ * place.h - which backend server a request goes to
+ *
+ * DESCRIPTION
+ *	Pure choices over the fleet's table: each picks the server of least cost
+ *	among those usable. Costs are in shares of a server's capacity; the
+ *	constants of place.c say what distance and trouble weigh against that.
+ *	A list of servers to leave out holds keys.
+ */
+#ifndef FORWARD_PLACE_H
+#define FORWARD_PLACE_H
+
+#include <glib.h>
+#include <stdint.h>
+
+#include "forward/catalog.h"
+#include "forward/fleet.h"
+
+#define PLACE_TRIED_MAX 8
+
+/* Servers that a request has met already. */
+struct tried {
+	uint64_t keys[PLACE_TRIED_MAX];
+	uint32_t count;
+};
+
+void tried_add(struct tried *tried, uint64_t key);
+bool tried_has(const struct tried *tried, uint64_t key);
+
+struct place {
+	const struct fleet *fleet;
+	int64_t now;
+	uint64_t service;
+	const struct tried *tried;
+	GRand *rand; /* breaks ties */
+};
+
+/* For a plain call. NULL when no server is usable. */
+struct backend *place_plain(const struct place *place);
+/* A decode server with room for tokens, by what is under way there. */
+struct backend *place_decode(const struct place *place,
+			     const struct engine_traits *engine,
+			     uint32_t tokens);
+/* A prefill server for a result that goes to the decode server to. */
+struct backend *place_prefill(const struct place *place,
+			      const struct backend *to);
+/* Usable servers of a stage. */
+uint32_t place_count(const struct place *place, enum backend_stage stage);
+
+#endif
--- /dev/null
+++ b/include/forward/roles.h
@@ -0,0 +1,58 @@
+/*
+ * roles.h - how many runners of a service prefill, how many decode
+ *
+ * DESCRIPTION
+ *	One instance decides, the one with the lowest name of those live, and it
+ *	orders only under a lease on the platform's log, whose offset fences the
+ *	order (coord/lease.h). It asks for the lease when a runner should change
+ *	and gives it up when none should, so a quiet site makes no calls for it.
+ *
+ *	The prefill runners wanted are those that read the prompts asked for at
+ *	ROLES_HEADROOM times the mean rate; while nothing was asked for yet, a
+ *	fixed part of all. A change must be wanted for ROLES_PATIENCE_USEC, and
+ *	one runner changes at a time unless no traffic has come yet.
+ *
+ * SEE ALSO
+ *	docs/design/roles.md; docs/design/platform.md
+ */
+#ifndef FORWARD_ROLES_H
+#define FORWARD_ROLES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "coord/log_store.h"
+#include "forward/backend.h"
+#include "forward/catalog.h"
+#include "forward/fleet.h"
+
+struct roles;
+
+struct roles_ops {
+	/* Whether this instance is the one that decides. */
+	bool (*decides)(void *ctx);
+	/* Prompt tokens a second asked for at all instances. */
+	double (*demand)(void *ctx);
+	const struct catalog *(*catalog)(void *ctx);
+};
+
+struct roles_parts {
+	struct clock *clock;
+	struct fleet *fleet;
+	struct log_store log;
+	struct backend_ops backends;
+	const char *name; /* of this instance: the holder of its orders */
+	uint64_t boot;
+	struct roles_ops ops;
+	void *ctx;
+};
+
+struct roles *roles_create(const struct roles_parts *parts);
+void roles_destroy(struct roles *roles);
+
+/* The number of prefill runners wanted of total. rate is the demand, capacity
+ * what one runner reads, both in tokens a second; rate 0: not known yet. */
+uint32_t roles_want(uint32_t total, double rate, double capacity);
+
+#endif
--- /dev/null
+++ b/include/platform/decode.h
@@ -0,0 +1,24 @@
+/*
+ * decode.h - the platform's configuration and list entries as our types
+ *
+ * DESCRIPTION
+ *	Both are JSON. A document that lacks something needed, or has a value
+ *	that makes no sense, is refused as a whole with RESULT_BAD_CONFIG and
+ *the path of the field; fields that are not known are passed over.
+ */
+#ifndef PLATFORM_DECODE_H
+#define PLATFORM_DECODE_H
+
+#include <stddef.h>
+
+#include "common/error.h"
+#include "forward/catalog.h"
+#include "forward/fleet.h"
+
+/* NULL when it is refused. */
+struct catalog *decode_catalog(const void *data, size_t size,
+			       struct error *err);
+bool decode_backend(const char *id, const void *data, size_t size,
+		    struct backend_info *info, struct error *err);
+
+#endif
--- a/include/web/client.h
+++ b/include/web/client.h
@@ -42,14 +42,16 @@
 struct web_call_spec {
 	const char *address; /* "IP:port" */
 	const char *method;
-	const char *path; /* with query */
+	const char *path;     /* with query */
+	struct web_text host; /* empty: the address */
 	const struct web_header
 		*headers; /* host and content-length are added */
 	size_t header_count;
 	const void *body; /* copied */
 	size_t body_size;
-	int64_t head_usec; /* time to the answer's head; 0 for the default */
-	int64_t idle_usec; /* time between pieces of the body; 0: default */
+	int64_t connect_usec; /* time to a connection; 0 for the default */
+	int64_t head_usec;    /* time to the answer's head; 0 for the default */
+	int64_t idle_usec;    /* time between pieces of the body; 0: default */
 	bool fresh; /* open a new connection, for calls that run at most once */
 };
 
@@ -60,6 +62,9 @@
 			  const struct web_call_spec *spec,
 			  const struct web_call_ops *ops, void *ctx);
 void web_call_cancel(struct web_call *call);
+/* Has data released when the call ends in any way, after its last callback. */
+void web_call_own(struct web_call *call, void *data,
+		  void (*release)(void *data));
 
 /* A call whose whole answer is collected, at most limit bytes. */
 typedef void (*web_answer_fn)(void *ctx, const struct web_result *result,
--- a/include/web/server.h
+++ b/include/web/server.h
@@ -74,6 +74,8 @@
 /* Path without the query; and the query, without '?', empty when none. */
 struct web_text web_request_path(const struct web_request *request);
 struct web_text web_request_query(const struct web_request *request);
+/* Path and query as they came. */
+struct web_text web_request_target(const struct web_request *request);
 struct web_text web_request_authority(const struct web_request *request);
 struct web_text web_request_body(const struct web_request *request);
 /* The first header of that lower-case name; size 0 and data NULL when none. */
--- a/web/call.c
+++ b/web/call.c
@@ -12,11 +12,14 @@
 {
 	timer_stop(&call->timer);
 	loop_defer_cancel(&call->fail);
+	loop_defer_cancel(&call->watch);
 	g_queue_unlink(&call->client->calls, &call->link);
 	if (call->request)
 		g_string_free(call->request, TRUE);
 	if (call->release)
 		call->release(call->ctx);
+	if (call->owned_release)
+		call->owned_release(call->owned);
 	g_free(call);
 }
 
@@ -74,7 +77,7 @@
 	if (call->busy)
 		since = 0;
 	if (!call->connected)
-		limit = MIN(limit, CONNECT_USEC);
+		limit = MIN(limit, call->connect_usec);
 	if (since < limit) {
 		timer_start(timer, limit - since);
 		return;
@@ -119,7 +122,31 @@
  * body; the empty chunk that ends it would have been read just now. */
 static bool is_cut_off(const struct web_call *call)
 {
-	return call->chunked && call->http->sock->bytes_read == 0;
+	return (call->chunked && call->http->sock->bytes_read == 0) ||
+	       call->reset;
+}
+
+/* h2o 2.2 takes any end of a connection for the end of a body without length,
+ * also a reset. */
+static void sock_read(h2o_socket_t *sock, const char *err)
+{
+	h2o_http1client_t *http = sock->data;
+	struct web_call *call = http->data;
+
+	call->reset = err && err != h2o_socket_error_closed;
+	call->h2o_reader(sock, err);
+}
+
+/* h2o sets its own reader after the head was reported. */
+static void sock_watch(void *ctx)
+{
+	struct web_call *call = ctx;
+	h2o_socket_t *sock = call->http ? call->http->sock : NULL;
+
+	if (!sock || !sock->_cb.read)
+		return;
+	call->h2o_reader = sock->_cb.read;
+	h2o_socket_read_start(sock, sock_read);
 }
 
 static void answer_end(struct web_call *call)
@@ -195,12 +222,16 @@
 	call->answered = true;
 	call->chunked = h2o_find_header(&(h2o_headers_t){headers, count, count},
 					H2O_TOKEN_TRANSFER_ENCODING, -1) != -1;
+	call->sized = h2o_find_header(&(h2o_headers_t){headers, count, count},
+				      H2O_TOKEN_CONTENT_LENGTH, -1) != -1;
 	if (call->ops.head && !call->cancelled)
 		head_report(call, status, headers, count);
 	if (err) {
 		answer_end(call);
 		return NULL;
 	}
+	if (!call->chunked && !call->sized)
+		loop_defer(call->client->loop, &call->watch, sock_watch, call);
 	/* The limit from now on is that between pieces. */
 	timer_start(&call->timer, call->idle_usec);
 	return busy_end(call) ? on_body : NULL;
@@ -238,6 +269,8 @@
 	g_queue_push_tail_link(&client->calls, &call->link);
 	call->ops = *ops;
 	call->ctx = ctx;
+	call->connect_usec =
+		spec->connect_usec > 0 ? spec->connect_usec : CONNECT_USEC;
 	call->head_usec = spec->head_usec > 0 ? spec->head_usec : HEAD_USEC;
 	call->idle_usec = spec->idle_usec > 0 ? spec->idle_usec : IDLE_USEC;
 	call->is_head = g_strcmp0(spec->method, "HEAD") == 0;
@@ -249,7 +282,7 @@
 void call_connect(struct web_call *call, h2o_socketpool_t *sockets)
 {
 	activity(call);
-	timer_start(&call->timer, MIN(call->head_usec, CONNECT_USEC));
+	timer_start(&call->timer, MIN(call->head_usec, call->connect_usec));
 	h2o_http1client_connect_with_pool(
 		&call->http, call, &call->client->context, sockets, on_connect);
 }
@@ -262,3 +295,10 @@
 	http_cancel(call);
 	call_destroy(call);
 }
+
+void web_call_own(struct web_call *call, void *data,
+		  void (*release)(void *data))
+{
+	call->owned = data;
+	call->owned_release = release;
+}
--- a/web/call.h
+++ b/web/call.h
@@ -36,11 +36,16 @@
 	GList link;
 	struct web_call_ops ops;
 	void *ctx;
-	void (*release)(void *ctx); /* may be NULL; frees ctx */
+	void (*release)(void *ctx);	   /* may be NULL; frees ctx */
+	void (*owned_release)(void *data); /* may be NULL */
+	void *owned;
 	GString *request;
 	h2o_iovec_t vec;
 	struct timer timer;
 	struct loop_deferred fail;
+	struct loop_deferred watch; /* sets the reader that sees resets */
+	h2o_socket_cb h2o_reader;
+	int64_t connect_usec;
 	int64_t head_usec;
 	int64_t idle_usec;
 	int64_t active; /* when bytes arrived last */
@@ -50,6 +55,8 @@
 	bool connected;
 	bool answered; /* the head has arrived */
 	bool chunked;  /* its body ends with an empty chunk */
+	bool sized;    /* its body's length was given */
+	bool reset;    /* the connection did not end in order */
 	bool busy;
 	bool cancelled;
 	bool timed_out;
--- a/web/client.c
+++ b/web/client.c
@@ -86,7 +86,8 @@
 static bool spec_is_clean(const struct web_call_spec *spec)
 {
 	if (!spec->address || !word_is_clean(spec->method) ||
-	    !word_is_clean(spec->path))
+	    !word_is_clean(spec->path) ||
+	    !text_is_clean(spec->host.data, spec->host.size))
 		return false;
 	for (size_t i = 0; i < spec->header_count; i++) {
 		const struct web_header *header = &spec->headers[i];
@@ -102,8 +103,14 @@
 {
 	GString *out = g_string_sized_new(256 + spec->body_size);
 
-	g_string_append_printf(out, "%s %s HTTP/1.1\r\nhost: %s\r\n",
-			       spec->method, spec->path, spec->address);
+	g_string_append_printf(out, "%s %s HTTP/1.1\r\nhost: ", spec->method,
+			       spec->path);
+	if (spec->host.size > 0)
+		g_string_append_len(out, spec->host.data,
+				    (gssize)spec->host.size);
+	else
+		g_string_append(out, spec->address);
+	g_string_append(out, "\r\n");
 	for (size_t i = 0; i < spec->header_count; i++) {
 		const struct web_header *header = &spec->headers[i];
 
--- a/web/request.c
+++ b/web/request.c
@@ -152,6 +152,11 @@
 	return query;
 }
 
+struct web_text web_request_target(const struct web_request *request)
+{
+	return text_of(request->req->input.path);
+}
+
 struct web_text web_request_authority(const struct web_request *request)
 {
 	return text_of(request->req->input.authority);
