web: end a cut-off answer with its connection, and check heads before h2o

Cause: h2o 2.2.5 ends a chunked answer that is cut off with a malformed chunk, takes the reset of a body without length for its end, and aborts the process (assertion !_can_keepalive) for a Content-Length that is no number. Ruled out: our own writes, the answer was whole up to the cut. Now the socket is shut down before h2o is told of the error, and our reader stands before h2o's.

Tests: tests/web/test_client.c, four malformed heads (the process aborted) and reset-body (was taken for whole).

--- a/tests/web/test_client.c
+++ b/tests/web/test_client.c
@@ -42,6 +42,15 @@
 	 THEN_CLOSE, true, false, 200, "hello"},
 	{"until close", "GET", HEAD "\r\nhello", THEN_CLOSE, true, false, 200,
 	 "hello"},
+	{"length that is none", "GET", HEAD "content-length: 5x\r\n\r\nhello",
+	 THEN_KEEP, false, false, 0, ""},
+	{"negative length", "GET", HEAD "Content-Length: -1\r\n\r\nhello",
+	 THEN_KEEP, false, false, 0, ""},
+	{"unknown encoding", "GET", HEAD "Transfer-Encoding: gzip\r\n\r\nhello",
+	 THEN_KEEP, false, false, 0, ""},
+	{"bad length after continue", "GET",
+	 "HTTP/1.1 100 Continue\r\n\r\n" HEAD "content-length: \r\n\r\n",
+	 THEN_KEEP, false, false, 0, ""},
 	{"head", "HEAD", HEAD "content-length: 5\r\n\r\n", THEN_KEEP, true,
 	 false, 200, ""},
 	{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", THEN_KEEP,
@@ -167,6 +176,27 @@
 	script_teardown(&script);
 }
 
+/* A body without length ends with its connection, but not by a reset. */
+static void test_reset_body(struct world *world, gconstpointer data)
+{
+	struct script script;
+
+	script_setup(&script);
+	world_call(world, (struct web_call_spec){.address = script.address,
+						 .fresh = true});
+	for (int i = 0; i < 5000 && world->body->len < 5; i++) {
+		script_step(&script, HEAD "\r\nhello", THEN_KEEP);
+		world_turns(world, 1);
+	}
+	g_assert_cmpstr(world->body->str, ==, "hello");
+	world_turns(world, 2);
+	script_close(&script, THEN_RESET);
+	world_run(world, &world->done);
+	g_assert_false(world->result.ok);
+	g_assert_nonnull(world->result.text);
+	script_teardown(&script);
+}
+
 /* Calls that fail before a byte can have been written. */
 static void test_unsent(struct world *world, gconstpointer data)
 {
@@ -367,6 +397,7 @@
 			   test_answer, world_teardown);
 		g_free(path);
 	}
+	TEST("reset-body", test_reset_body);
 	TEST("unsent", test_unsent);
 	TEST("connect-timeout", test_connect_timeout);
 	TEST("reuse", test_reuse);
--- a/web/call.c
+++ b/web/call.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "head.h"
+
 #define HEADERS_MAX 100
 #define CONNECT_USEC (3 * USEC_PER_SEC)
 #define HEAD_USEC (30 * USEC_PER_SEC)
@@ -134,19 +136,39 @@
 	struct web_call *call = http->data;
 
 	call->reset = err && err != h2o_socket_error_closed;
+	if (!call->answered && !err &&
+	    !head_is_sound(sock->input->bytes, sock->input->size)) {
+		call_fail(call, "the answer's length is malformed");
+		return;
+	}
 	call->h2o_reader(sock, err);
 }
 
-/* h2o sets its own reader after the head was reported. */
+static void sock_watch(void *ctx);
+
+static void sock_written(h2o_socket_t *sock, const char *err)
+{
+	h2o_http1client_t *http = sock->data;
+	struct web_call *call = http->data;
+
+	loop_defer(call->client->loop, &call->watch, sock_watch, call);
+	call->h2o_writer(sock, err);
+}
+
+/* h2o sets its own readers: once the request is written, and after the head
+ * was reported. */
 static void sock_watch(void *ctx)
 {
 	struct web_call *call = ctx;
 	h2o_socket_t *sock = call->http ? call->http->sock : NULL;
 
-	if (!sock || !sock->_cb.read)
-		return;
-	call->h2o_reader = sock->_cb.read;
-	h2o_socket_read_start(sock, sock_read);
+	if (sock && sock->_cb.read && sock->_cb.read != sock_read) {
+		call->h2o_reader = sock->_cb.read;
+		h2o_socket_read_start(sock, sock_read);
+	} else if (sock && sock->_cb.write && sock->_cb.write != sock_written) {
+		call->h2o_writer = sock->_cb.write;
+		sock->_cb.write = sock_written;
+	}
 }
 
 static void answer_end(struct web_call *call)
@@ -222,16 +244,13 @@
 	call->answered = true;
 	call->chunked = h2o_find_header(&(h2o_headers_t){headers, count, count},
 					H2O_TOKEN_TRANSFER_ENCODING, -1) != -1;
-	call->sized = h2o_find_header(&(h2o_headers_t){headers, count, count},
-				      H2O_TOKEN_CONTENT_LENGTH, -1) != -1;
 	if (call->ops.head && !call->cancelled)
 		head_report(call, status, headers, count);
 	if (err) {
 		answer_end(call);
 		return NULL;
 	}
-	if (!call->chunked && !call->sized)
-		loop_defer(call->client->loop, &call->watch, sock_watch, call);
+	loop_defer(call->client->loop, &call->watch, sock_watch, call);
 	/* The limit from now on is that between pieces. */
 	timer_start(&call->timer, call->idle_usec);
 	return busy_end(call) ? on_body : NULL;
@@ -255,6 +274,7 @@
 	*vecs = &call->vec;
 	*count = 1;
 	*is_head = call->is_head;
+	loop_defer(call->client->loop, &call->watch, sock_watch, call);
 	return on_head;
 }
 
--- a/web/call.h
+++ b/web/call.h
@@ -43,8 +43,9 @@
 	h2o_iovec_t vec;
 	struct timer timer;
 	struct loop_deferred fail;
-	struct loop_deferred watch; /* sets the reader that sees resets */
+	struct loop_deferred watch; /* puts our reader before h2o's */
 	h2o_socket_cb h2o_reader;
+	h2o_socket_cb h2o_writer;
 	int64_t connect_usec;
 	int64_t head_usec;
 	int64_t idle_usec;
@@ -55,7 +56,6 @@
 	bool connected;
 	bool answered; /* the head has arrived */
 	bool chunked;  /* its body ends with an empty chunk */
-	bool sized;    /* its body's length was given */
 	bool reset;    /* the connection did not end in order */
 	bool busy;
 	bool cancelled;
--- a/web/reply.c
+++ b/web/reply.c
@@ -97,13 +97,17 @@
 	h2o_send(req, &vec, request->slice > 0 ? 1 : 0, state);
 }
 
-/* An answer that is cut off before its head. */
-static void head_cut(struct web_request *request)
+/* h2o 2.2 would end a cut-off answer with a malformed chunk, or an answer that
+ * has no head yet with a whole one of its own. Below HTTP/2 it is to end with
+ * its connection and no further byte. */
+static void cut(struct web_request *request)
 {
 	h2o_res_t *res = &request->req->res;
 
-	res->status = 500;
-	res->reason = reason_of(500);
+	if (!request->started) {
+		res->status = 500;
+		res->reason = reason_of(500);
+	}
 	if (request->sock)
 		shutdown(h2o_socket_get_fd(request->sock), SHUT_RDWR);
 }
@@ -111,7 +115,8 @@
 static h2o_send_state_t slice_state(const struct web_request *request)
 {
 	if (!request->ended || queue_size(request) > 0 ||
-	    request->slice < flight_left(request))
+	    request->slice < flight_left(request) ||
+	    (request->cut && request->slice > 0))
 		return H2O_SEND_STATE_IN_PROGRESS;
 	return request->cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
 }
@@ -132,8 +137,8 @@
 	if (state == H2O_SEND_STATE_ERROR ||
 	    request->req->conn->ctx->shutdown_requested)
 		request->req->http1_is_persistent = 0;
-	if (request->cut && !request->started)
-		head_cut(request);
+	if (state == H2O_SEND_STATE_ERROR)
+		cut(request);
 	slice_send(request, state);
 }
 
