forward, web: refuse streams and close idle connections late in a drain

Ruled out: the listener, it was closed. After 2.8 s new streams are refused as not run, and HTTP/1 connections without a request are closed.

--- a/forward/node_drain.c
+++ b/forward/node_drain.c
@@ -7,7 +7,7 @@
 
 /* The balancer asks once a second and takes an instance out after two misses;
  * connections made before then are served. */
-#define ACCEPT_USEC (3 * USEC_PER_SEC)
+#define ACCEPT_USEC (2800 * USEC_PER_MSEC)
 /* What is left of the grace time when the last streams are broken off. */
 #define RESERVE_SEC 0.6
 #define CHECK_USEC (100 * USEC_PER_MSEC)
@@ -23,8 +23,10 @@
 	uint32_t pending = forward_pending(node->forward) +
 			   web_server_pending(node->callers);
 
-	if (since >= ACCEPT_USEC)
+	if (since >= ACCEPT_USEC) {
+		forward_drain(node->forward);
 		web_server_drain(node->callers);
+	}
 	if (since >= longest ||
 	    (since >= ACCEPT_USEC + LINGER_USEC && pending == 0)) {
 		log_event(LOG_NOTICE, "drained", LOG_D("pending", pending),
--- a/forward/request.h
+++ b/forward/request.h
@@ -81,6 +81,7 @@
 	struct table *requests;
 	GQueue waiting; /* streams without decode memory, by arrival */
 	struct timer pump;
+	bool draining;
 	struct counter *ended[END_COUNT]; /* by enum request_end */
 	struct histogram *whole_time;
 	struct histogram *wait_time;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -46,6 +46,8 @@
 #define ON_TIME_PART 0.7
 /* What a refused caller is told: memory is freed within about this time. */
 #define RETRY_USEC (300 * USEC_PER_MSEC)
+/* Another instance can take the request at once. */
+#define RETRY_ELSEWHERE_USEC (20 * USEC_PER_MSEC)
 
 static void run_send(struct request *request);
 static void prefill_send(struct request *request);
@@ -560,8 +562,12 @@
 
 	demand_add(forward, request->service->id,
 		   request->caller.prompt_tokens);
-	if (forward->waiting.length >= WAITING_MAX) {
-		request_refuse(request, RESULT_QUEUE_FULL, RETRY_USEC);
+	if (forward->draining || forward->waiting.length >= WAITING_MAX) {
+		request_refuse(request,
+			       forward->draining ? RESULT_DRAINING
+						 : RESULT_QUEUE_FULL,
+			       forward->draining ? RETRY_ELSEWHERE_USEC
+						 : RETRY_USEC);
 		return;
 	}
 	if (!reserve_start(request))
--- a/include/web/server.h
+++ b/include/web/server.h
@@ -58,7 +58,8 @@
 /* Still accepts, but asks each connection to close: "Connection: close" with
  * its next answer, or GOAWAY. */
 void web_server_announce(struct web_server *server);
-/* Stops listening, sends GOAWAY or "Connection: close" on what remains. */
+/* Stops listening, sends GOAWAY or "Connection: close" on what remains, and
+ * closes the HTTP/1 connections on which no request waits. */
 void web_server_drain(struct web_server *server);
 /* Requests not yet ended. */
 unsigned int web_server_pending(const struct web_server *server);
--- a/web/request.c
+++ b/web/request.c
@@ -50,6 +50,7 @@
 	request->sock = conn->callbacks->get_socket(conn);
 	owner = request->sock->on_close.data;
 	owner->request = request;
+	owner->http1 = true;
 	request->watched = true;
 	h2o_socket_dont_read(request->sock, 1);
 	h2o_socket_read_start(request->sock, sock_readable);
--- a/web/request.h
+++ b/web/request.h
@@ -48,6 +48,7 @@
 	h2o_socket_t *sock;
 	GList link;
 	struct web_request *request; /* HTTP/1 only: the one that waits */
+	bool http1;		     /* had an HTTP/1 request last */
 };
 
 struct web_request *web_request_create(struct web_server *server,
--- a/web/server.c
+++ b/web/server.c
@@ -243,10 +243,25 @@
 		h2o_context_request_shutdown(&server->context);
 }
 
+/* A caller that sends on a connection just then is told by its end that the
+ * request was not read. */
+static void conns_close_idle(struct web_server *server)
+{
+	for (GList *link = server->conns.head; link; link = link->next) {
+		struct web_conn *conn = link->data;
+
+		if (conn->http1 && !conn->request)
+			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+	}
+}
+
 void web_server_drain(struct web_server *server)
 {
+	if (!server->listener)
+		return;
 	web_server_announce(server);
 	listener_close(server);
+	conns_close_idle(server);
 }
 
 unsigned int web_server_pending(const struct web_server *server)
