forward: read the configuration anew after an outage, pass resumed streams on

Ruled out: the list's feed, it was back in time. The read now waits 1.8 s at most, and is made anew when the list's feed is back or a peer has a higher version. The golden paths showed that a stream that went on at another runner was broken off although the runner delivered it: the head of the second answer was not taken in.

Tests: tests/forward/ (paths with all calls written down, parts, feed/hurry, 'resume after an event' failed before).

--- a/forward/feed.c
+++ b/forward/feed.c
@@ -79,12 +79,17 @@
 
 static void feed_succeeded(struct feed *feed)
 {
-	if (feed->failures > 0)
-		log_event(LOG_NOTICE, "stream_regained",
-			  LOG_S("stream", feed->settings.stream),
-			  LOG_D("failures", feed->failures));
+	uint32_t failures = feed->failures;
+
 	feed->failures = 0;
 	feed->fresh = clock_now(feed->clock);
+	if (failures == 0)
+		return;
+	log_event(LOG_NOTICE, "stream_regained",
+		  LOG_S("stream", feed->settings.stream),
+		  LOG_D("failures", failures));
+	if (feed->ops.regained)
+		feed->ops.regained(feed->ctx);
 }
 
 static void records_hand_over(struct feed *feed, const struct feed_page *page)
@@ -190,8 +195,12 @@
 
 void feed_hurry(struct feed *feed)
 {
-	if (timer_running(&feed->timer))
-		feed_next(feed);
+	if (feed->call)
+		feed->call->feed = NULL;
+	feed->call = NULL;
+	if (!feed->has_snapshot)
+		snapshot_restart(feed);
+	feed_next(feed);
 }
 
 int64_t feed_fresh(const struct feed *feed)
--- a/forward/node.c
+++ b/forward/node.c
@@ -14,6 +14,9 @@
 #define SMALL_CONNECTIONS 64u
 /* A turn that comes so late tells that the process stood still. */
 #define STILL_USEC (1 * USEC_PER_SEC)
+/* A slow store takes some 240 ms; reading anew more often than this would never
+ * see its answer. */
+#define HURRY_USEC (600 * USEC_PER_MSEC)
 /* Peers are heard of within this time of the start. */
 #define MEET_USEC (1 * USEC_PER_SEC)
 
@@ -74,8 +77,11 @@
 	struct node *node = ctx;
 	const struct catalog *catalog = forward_catalog(node->forward);
 
-	if (version > (catalog ? catalog->version : 0))
-		feed_hurry(node->config_feed);
+	if (version <= (catalog ? catalog->version : 0) ||
+	    clock_now(node->clock) - node->hurried < HURRY_USEC)
+		return;
+	node->hurried = clock_now(node->clock);
+	feed_hurry(node->config_feed);
 }
 
 static bool roles_decide(void *ctx)
--- a/forward/node.h
+++ b/forward/node.h
@@ -37,6 +37,7 @@
 	uint64_t boot;
 	bool registered;
 	bool draining;
+	int64_t hurried; /* when a peer's word had the configuration read */
 	int64_t drained_from;
 	struct timer drain_timer;
 	struct timer register_timer;
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -9,8 +9,10 @@
 
 /* Where instances write their addresses, each under its name. */
 #define PEER_STREAM "instances"
-/* A waiting read: long, since each is a call that costs. */
-#define CONFIG_WAIT_USEC (20 * USEC_PER_SEC)
+/* A waiting read. Its answer may be lost when the store or the path to it
+ * fails, so it is given up soon enough to follow a change two seconds after it,
+ * once the store has been well for three. */
+#define CONFIG_WAIT_USEC (1800 * USEC_PER_MSEC)
 /* Peers meet through the store only at the start; this is how often one that
  * has been cut off since its start would still find a new one that way. */
 #define PEER_INTERVAL_USEC (20 * USEC_PER_SEC)
@@ -77,6 +79,14 @@
 	fleet_snapshot_end(node->fleet);
 }
 
+/* The waiting read of the configuration may have been lost meanwhile. */
+static void on_list_regained(void *ctx)
+{
+	struct node *node = ctx;
+
+	feed_hurry(node->config_feed);
+}
+
 static void on_peer(void *ctx, const struct feed_record *record)
 {
 	struct node *node = ctx;
@@ -133,7 +143,7 @@
 {
 	static const struct feed_ops config_ops = {.record = on_config};
 	static const struct feed_ops list_ops = {on_list_begin, on_list_end,
-						 on_backend};
+						 on_backend, on_list_regained};
 	static const struct feed_ops peer_ops = {.record = on_peer};
 	const struct feed_store *store = &node->interface.feeds;
 	const struct feed_settings config = {
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -184,6 +184,7 @@
 		answer_take_head(request, head);
 		return;
 	}
+	request->answer.has_head = true;
 	request->answer.head.status = head->status;
 	request->answer.head.not_run = head->not_run;
 	request->answer.head.other = head->other;
@@ -563,11 +564,10 @@
 	demand_add(forward, request->service->id,
 		   request->caller.prompt_tokens);
 	if (forward->draining || forward->waiting.length >= WAITING_MAX) {
-		request_refuse(request,
-			       forward->draining ? RESULT_DRAINING
-						 : RESULT_QUEUE_FULL,
-			       forward->draining ? RETRY_ELSEWHERE_USEC
-						 : RETRY_USEC);
+		request_refuse(
+			request,
+			forward->draining ? RESULT_DRAINING : RESULT_QUEUE_FULL,
+			forward->draining ? RETRY_ELSEWHERE_USEC : RETRY_USEC);
 		return;
 	}
 	if (!reserve_start(request))
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -56,6 +56,8 @@
 	void (*snapshot_begin)(void *ctx);
 	void (*snapshot_end)(void *ctx);
 	void (*record)(void *ctx, const struct feed_record *record);
+	/* The store answers again after it did not. */
+	void (*regained)(void *ctx);
 };
 
 struct feed_settings {
@@ -72,7 +74,8 @@
 /* An answer that is still due is dropped when it comes. */
 void feed_destroy(struct feed *feed);
 void feed_start(struct feed *feed);
-/* Reads now instead of after the interval. */
+/* Reads anew at once: instead of after the interval, or of waiting for an
+ * answer that may have been lost. */
 void feed_hurry(struct feed *feed);
 /* When the store last answered; -1 when it never did. */
 int64_t feed_fresh(const struct feed *feed);
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -59,8 +59,8 @@
 void forward_set_catalog(struct forward *forward, struct catalog *catalog);
 /* NULL until there is one. */
 const struct catalog *forward_catalog(const struct forward *forward);
-/* From now on requests that may take long are refused: they would not end before
- * the process has to. */
+/* From now on requests that may take long are refused: they would not end
+ * before the process has to. */
 void forward_drain(struct forward *forward);
 /* Handles one request: a web_handler_fn with the forward as context. */
 void forward_take(void *ctx, struct web_request *request);
--- /dev/null
+++ b/tests/forward/paths_world.c
@@ -0,0 +1,491 @@
+#include "paths_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "common/id.h"
+#include "forward/forward.h"
+
+#define SEED 7u
+#define INSTANCES 2u
+
+struct web_request {
+	const char *path;
+	web_gone_fn gone_fn;
+	void *gone_ctx;
+	bool ended;
+};
+
+enum call_state {
+	CALL_NONE,
+	CALL_SEND,
+	CALL_RESERVE,
+};
+
+static struct {
+	struct clock *clock;
+	struct fleet *fleet;
+	struct budgets *budgets;
+	struct counter_set *counters;
+	struct forward *forward;
+	GRand *rand;
+	GString *out;
+	struct web_request request;
+	enum call_state call;
+	struct send_events events;
+	reserve_fn reserve;
+	void *call_ctx;
+	const char *options; /* of the request taken */
+} world;
+
+static void say(const char *format, ...) G_GNUC_PRINTF(1, 2);
+static void say(const char *format, ...)
+{
+	va_list args;
+
+	va_start(args, format);
+	g_string_append(world.out, "  ");
+	g_string_append_vprintf(world.out, format, args);
+	g_string_append_c(world.out, '\n');
+	va_end(args);
+}
+
+/* ---- the web layer ---- */
+
+static struct web_text text_of(const char *text)
+{
+	return (struct web_text){text, strlen(text)};
+}
+
+struct web_text web_request_authority(const struct web_request *request)
+{
+	return text_of("Site.example:80");
+}
+
+struct web_text web_request_path(const struct web_request *request)
+{
+	return text_of(request->path);
+}
+
+void web_request_on_gone(struct web_request *request, web_gone_fn fn, void *ctx)
+{
+	request->gone_fn = fn;
+	request->gone_ctx = ctx;
+}
+
+void web_reply_header(struct web_request *request, const char *name,
+		      const char *value)
+{
+	say("header %s: %s", name, value);
+}
+
+void web_reply(struct web_request *request, int status, const char *type,
+	       const void *body, size_t size)
+{
+	say("reply %d %.*s", status, (int)size, (const char *)body);
+	request->ended = true;
+}
+
+void web_reply_start(struct web_request *request, int status, const char *type)
+{
+	say("start %d", status);
+}
+
+void web_reply_piece(struct web_request *request, const void *data, size_t size)
+{
+	g_autofree char *text = g_strndup(data, size);
+
+	say("piece %s", g_strdelimit(text, "\n", '|'));
+}
+
+void web_reply_end(struct web_request *request)
+{
+	say("end");
+	request->ended = true;
+}
+
+void web_reply_abort(struct web_request *request)
+{
+	say("abort");
+	request->ended = true;
+}
+
+void web_call_cancel(struct web_call *call)
+{
+	say("cancel");
+	world.call = CALL_NONE;
+}
+
+/* ---- the backend servers ---- */
+
+static struct web_call *fake_send(void *ctx, const struct send_spec *spec,
+				  const struct send_events *events,
+				  void *events_ctx)
+{
+	GString *line = g_string_new(NULL);
+
+	g_assert_cmpint(world.call, ==, CALL_NONE);
+	g_string_append_printf(line, "send %s %s left %d", spec->to->id,
+			       spec->kind == SEND_PREFILL ? "prefill" : "run",
+			       (int)(spec->left_usec / USEC_PER_MSEC));
+	if (spec->kv_handle)
+		g_string_append_printf(line, " kv %s/%s", spec->kv_address,
+				       spec->kv_handle);
+	if (spec->hold)
+		g_string_append_printf(line, " hold %s", spec->hold);
+	if (spec->resumes)
+		g_string_append_printf(line, " after %d",
+				       (int)spec->resume_after);
+	say("%s", line->str);
+	g_string_free(line, TRUE);
+	world.call = CALL_SEND;
+	world.events = *events;
+	world.call_ctx = events_ctx;
+	return (struct web_call *)&world.call;
+}
+
+static struct web_call *fake_reserve(void *ctx, const struct backend_info *to,
+				     uint32_t tokens, int64_t ttl_usec,
+				     reserve_fn fn, void *fn_ctx)
+{
+	g_assert_cmpint(world.call, ==, CALL_NONE);
+	say("reserve %s %u", to->id, tokens);
+	world.call = CALL_RESERVE;
+	world.reserve = fn;
+	world.call_ctx = fn_ctx;
+	return (struct web_call *)&world.call;
+}
+
+static void fake_unreserve(void *ctx, const struct backend_info *to,
+			   const char *hold)
+{
+	say("unreserve %s %s", to->id, hold);
+}
+
+static void fake_free_result(void *ctx, const struct backend_info *to,
+			     const char *kv_handle)
+{
+	say("free %s %s", to->id, kv_handle);
+}
+
+static bool fake_read_result(void *ctx, const void *body, size_t size,
+			     char kv_handle[KV_HANDLE_MAX])
+{
+	if (size == 0 || size >= KV_HANDLE_MAX)
+		return false;
+	memcpy(kv_handle, body, size);
+	kv_handle[size] = '\0';
+	return true;
+}
+
+static uint32_t instances(void *ctx)
+{
+	return INSTANCES;
+}
+
+static bool fake_decode(void *ctx, struct web_request *request,
+			struct caller_request *caller, struct error *err)
+{
+	*caller = (struct caller_request){.id = "r", .method = text_of("POST")};
+	if (strstr(world.options, "malformed"))
+		return error_set(err, RESULT_BAD_REQUEST, "malformed");
+	caller->limit_usec = 14 * USEC_PER_SEC;
+	if (strstr(world.options, "short"))
+		caller->limit_usec = 600 * USEC_PER_MSEC;
+	if (strcmp(request->path, "/plain/") == 0 ||
+	    strcmp(request->path, "/once/") == 0)
+		return true;
+	caller->prompt_tokens = 1000;
+	caller->output_max = 100;
+	caller->resumes = strstr(world.options, "from-5");
+	caller->resume_after = 5;
+	return true;
+}
+
+/* ---- the world ---- */
+
+static void server_put(const char *id, const char *service,
+		       enum backend_stage stage, const char *options)
+{
+	struct backend_info info = {
+		.service = id_of(service),
+		.stage = stage,
+		.slots = 2,
+		.leaving = strstr(options, "leaving"),
+	};
+
+	g_strlcpy(info.id, id, sizeof(info.id));
+	g_strlcpy(info.address, id, sizeof(info.address));
+	g_strlcpy(info.data_centre, id[1] == '1' ? "here" : "there",
+		  sizeof(info.data_centre));
+	fleet_put(world.fleet, &info);
+}
+
+static void server_step(const char *id, const char *options)
+{
+	if (strstr(options, "gone"))
+		fleet_remove(world.fleet, id);
+	else if (id[0] == 's')
+		server_put(id, "plain", STAGE_NONE, options);
+	else
+		server_put(id, "model",
+			   id[0] == 'p' ? STAGE_PREFILL : STAGE_DECODE,
+			   options);
+}
+
+static void route_add(struct catalog *catalog, const char *prefix,
+		      enum route_kind kind, const char *service, bool resumable)
+{
+	struct catalog_route *route = catalog_add_route(catalog);
+	struct route_share share = {id_of(service), 1};
+
+	route->name = g_strdup(prefix + 1);
+	route->host = g_strdup("site.example");
+	route->prefix = g_strdup(prefix);
+	route->kind = kind;
+	route->resumable = resumable;
+	route->timeout_usec = 10 * USEC_PER_SEC;
+	route->target_usec = 900 * USEC_PER_MSEC;
+	route->gap_usec = 300 * USEC_PER_MSEC;
+	route->attempts = 2;
+	g_array_append_val(route->shares, share);
+}
+
+static void catalog_set(uint64_t version)
+{
+	struct catalog *catalog = catalog_create(version);
+	struct catalog_service *service;
+
+	route_add(catalog, "/plain/", ROUTE_IDEMPOTENT, "plain", false);
+	route_add(catalog, "/once/", ROUTE_ONCE, "plain", false);
+	route_add(catalog, "/stream/", ROUTE_STREAM, "model", false);
+	route_add(catalog, "/resume/", ROUTE_STREAM, "model", true);
+	catalog_add_service(catalog, "plain");
+	service = catalog_add_service(catalog, "model");
+	service->engine = (struct engine_traits){
+		.slots = 2,
+		.memory_tokens = 2500,
+		.result_usec = 500 * USEC_PER_MSEC,
+		.reserve_usec = 2 * USEC_PER_SEC,
+	};
+	catalog_seal(catalog);
+	forward_set_catalog(world.forward, catalog);
+	catalog_unref(catalog);
+}
+
+static void world_open(void)
+{
+	const struct budget_settings budget = {
+		.ratio = 0.2,
+		.slack = 12,
+		.window_usec = 10 * USEC_PER_SEC,
+	};
+	struct forward_parts parts = {
+		.backends = {fake_send, fake_reserve, fake_unreserve,
+			     fake_free_result, NULL, fake_read_result, NULL},
+		.callers = {fake_decode, NULL},
+		.instances = instances,
+	};
+
+	memset(&world, 0, sizeof(world));
+	world.out = g_string_new(NULL);
+	world.clock = clock_create(0);
+	clock_advance(world.clock, 60 * USEC_PER_SEC);
+	world.rand = g_rand_new_with_seed(SEED);
+	world.fleet = fleet_create(world.clock, "here");
+	world.budgets = budgets_create(&budget);
+	world.counters = counter_set_create();
+	parts.clock = world.clock;
+	parts.fleet = world.fleet;
+	parts.budgets = world.budgets;
+	parts.counters = world.counters;
+	parts.rand = world.rand;
+	world.forward = forward_create(&parts);
+	catalog_set(3);
+	for (int i = 1; i <= 2; i++) {
+		char id[3] = {0, (char)('0' + i), 0};
+
+		for (const char *kind = "spd"; *kind; kind++) {
+			id[0] = *kind;
+			server_step(id, "");
+		}
+	}
+}
+
+static void world_close(void)
+{
+	forward_destroy(world.forward);
+	fleet_destroy(world.fleet);
+	budgets_destroy(world.budgets);
+	counter_set_destroy(world.counters);
+	g_rand_free(world.rand);
+	clock_destroy(world.clock);
+}
+
+/* ---- steps ---- */
+
+static void take_step(const char *options)
+{
+	static char path[64];
+
+	(void)snprintf(path, sizeof(path), "/%.*s/", (int)strcspn(options, " "),
+		       options);
+	world.options = options;
+	world.request = (struct web_request){.path = path};
+	forward_take(world.forward, &world.request);
+}
+
+/* A step that answers a call which is not under way shows in the output. */
+static bool called(enum call_state state)
+{
+	if (world.call != state)
+		say("(no such call under way)");
+	return world.call == state;
+}
+
+static void head_step(const char *options)
+{
+	static const struct web_header headers[] = {{{"x-a", 3}, {"1", 1}}};
+	struct backend_head head = {
+		.status = atoi(options),
+		.not_run = strstr(options, "not-run"),
+		.other = strstr(options, "other"),
+		.signed_by = strstr(options, "signed"),
+		.mismatched = strstr(options, "mismatched"),
+		.headers = headers,
+		.header_count = 1,
+	};
+
+	if (!called(CALL_SEND))
+		return;
+	world.events.head(world.call_ctx, &head);
+}
+
+static void body_step(const char *options)
+{
+	g_autofree char *text = g_strdup(options);
+
+	if (!called(CALL_SEND))
+		return;
+	g_strdelimit(text, "|", '\n');
+	world.events.body(world.call_ctx, text, strlen(text));
+}
+
+static void done_step(const char *options)
+{
+	struct backend_end end = {
+		.whole = options[0] == '\0',
+		.connected = !strstr(options, "unconnected"),
+		.timed_out = strstr(options, "late"),
+		.text = options,
+	};
+
+	if (!called(CALL_SEND))
+		return;
+	end.not_run = !end.connected;
+	world.call = CALL_NONE;
+	world.events.done(world.call_ctx, &end);
+}
+
+static void reserved_step(const char *options)
+{
+	enum reserve_result result = RESERVE_OK;
+
+	if (strcmp(options, "full") == 0)
+		result = RESERVE_FULL;
+	else if (strcmp(options, "unconnected") == 0)
+		result = RESERVE_UNREACHABLE;
+	else if (strcmp(options, "failed") == 0)
+		result = RESERVE_FAILED;
+	if (!called(CALL_RESERVE))
+		return;
+	world.call = CALL_NONE;
+	world.reserve(world.call_ctx, result,
+		      result == RESERVE_OK ? options : NULL);
+}
+
+static void gone_step(const char *options)
+{
+	world.request.gone_fn(world.request.gone_ctx);
+}
+
+static void wait_step(const char *options)
+{
+	clock_advance(world.clock,
+		      clock_now(world.clock) + atoi(options) * USEC_PER_MSEC);
+}
+
+static void version_step(const char *options)
+{
+	catalog_set((uint64_t)atoi(options));
+}
+
+static void servers_step(const char *options)
+{
+	g_autofree char *id = g_strndup(options, 2);
+
+	server_step(id, options + 2);
+}
+
+static void drain_step(const char *options)
+{
+	forward_drain(world.forward);
+}
+
+static const struct {
+	const char *name;
+	void (*fn)(const char *options);
+} step_table[] = {
+	{"take", take_step},	     {"head", head_step},
+	{"body", body_step},	     {"done", done_step},
+	{"reserved", reserved_step}, {"gone", gone_step},
+	{"wait", wait_step},	     {"version", version_step},
+	{"server", servers_step},    {"drain", drain_step},
+};
+
+static void step_run(char *step)
+{
+	char *options = strchr(step, ' ');
+
+	if (options)
+		*options++ = '\0';
+	for (size_t i = 0; i < G_N_ELEMENTS(step_table); i++) {
+		if (strcmp(step_table[i].name, step) != 0)
+			continue;
+		step_table[i].fn(options ? options : "");
+		return;
+	}
+	g_error("no step %s", step);
+}
+
+static void load_check(void)
+{
+	const GPtrArray *all = fleet_all(world.fleet);
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct backend *backend = all->pdata[i];
+
+		g_assert_cmpuint(backend->own.requests, ==, 0);
+		g_assert_cmpuint(backend->own.decode_tokens, ==, 0);
+		g_assert_cmpuint(backend->own.prefill_tokens, ==, 0);
+	}
+}
+
+GString *paths_run(const char *steps)
+{
+	g_auto(GStrv) list = g_strsplit(steps, ";", -1);
+
+	world_open();
+	for (int i = 0; list[i]; i++)
+		step_run(g_strstrip(list[i]));
+	/* What a request took is given back by its end. */
+	if (forward_pending(world.forward) == 0)
+		load_check();
+	else
+		say("(still under way)");
+	world_close();
+	return world.out;
+}
--- /dev/null
+++ b/tests/forward/test_feed.c
@@ -0,0 +1,207 @@
+/* A feed against a store that answers as the script says. */
+#include <glib.h>
+#include <string.h>
+
+#include "forward/feed.h"
+
+struct world {
+	struct clock *clock;
+	struct feed *feed;
+	GString *out;
+	/* The call under way; those before it were abandoned. */
+	feed_page_fn fn;
+	void *fn_ctx;
+	feed_page_fn abandoned;
+	void *abandoned_ctx;
+};
+
+static void call_note(struct world *world, feed_page_fn fn, void *fn_ctx)
+{
+	if (world->fn) {
+		world->abandoned = world->fn;
+		world->abandoned_ctx = world->fn_ctx;
+	}
+	world->fn = fn;
+	world->fn_ctx = fn_ctx;
+}
+
+static void on_snapshot_call(void *ctx, const char *stream, const char *after,
+			     feed_page_fn fn, void *fn_ctx)
+{
+	struct world *world = ctx;
+
+	g_string_append_printf(world->out, "snapshot(%s) ", after ? after : "");
+	call_note(world, fn, fn_ctx);
+}
+
+static void on_read_call(void *ctx, const char *stream, uint64_t from,
+			 int64_t wait_usec, feed_page_fn fn, void *fn_ctx)
+{
+	struct world *world = ctx;
+
+	g_string_append_printf(world->out, "read(%d) ", (int)from);
+	call_note(world, fn, fn_ctx);
+}
+
+static void on_begin(void *ctx)
+{
+	g_string_append(((struct world *)ctx)->out, "begin ");
+}
+
+static void on_end(void *ctx)
+{
+	g_string_append(((struct world *)ctx)->out, "end ");
+}
+
+static void on_record(void *ctx, const struct feed_record *record)
+{
+	g_string_append_printf(((struct world *)ctx)->out, "%s%s ", record->key,
+			       record->value ? "" : "-");
+}
+
+static void on_regained(void *ctx)
+{
+	g_string_append(((struct world *)ctx)->out, "regained ");
+}
+
+static void world_open(struct world *world, int64_t interval)
+{
+	static const struct feed_ops ops = {on_begin, on_end, on_record,
+					    on_regained};
+	const struct feed_store store = {on_snapshot_call, on_read_call, world};
+	const struct feed_settings settings = {
+		.stream = "s",
+		.wait_usec = USEC_PER_SEC,
+		.interval_usec = interval,
+	};
+
+	*world = (struct world){.out = g_string_new(NULL)};
+	world->clock = clock_create(0);
+	world->feed = feed_create(world->clock, &store, &settings, &ops, world);
+	feed_start(world->feed);
+}
+
+static void world_close(struct world *world, const char *expected)
+{
+	g_assert_cmpstr(world->out->str, ==, expected);
+	feed_destroy(world->feed);
+	clock_destroy(world->clock);
+	g_string_free(world->out, TRUE);
+}
+
+static void answer(struct world *world, enum result_code code,
+		   const struct feed_page *page)
+{
+	feed_page_fn fn = world->fn;
+
+	g_assert_nonnull(fn);
+	world->fn = NULL;
+	fn(world->fn_ctx, code, page);
+}
+
+static void page_answer(struct world *world, const char *keys, uint64_t next,
+			const char *more)
+{
+	struct feed_record records[8] = {0};
+	g_auto(GStrv) list = g_strsplit(keys, ",", -1);
+	struct feed_page page = {records, 0, next, false, more};
+
+	for (; keys[0] && list[page.count]; page.count++) {
+		char *key = list[page.count];
+		bool dropped = g_str_has_suffix(key, "-");
+
+		if (dropped)
+			key[strlen(key) - 1] = '\0';
+		records[page.count].key = key;
+		records[page.count].value = dropped ? NULL : "v";
+	}
+	answer(world, RESULT_OK, &page);
+}
+
+static void wait_msec(struct world *world, int64_t msec)
+{
+	clock_advance(world->clock,
+		      clock_now(world->clock) + msec * USEC_PER_MSEC);
+}
+
+static void test_pages(void)
+{
+	struct world world;
+
+	world_open(&world, 500 * USEC_PER_MSEC);
+	page_answer(&world, "a,b", 7, "b");
+	page_answer(&world, "c", 9, NULL);
+	wait_msec(&world, 500);
+	page_answer(&world, "d,a-", 9, NULL);
+	wait_msec(&world, 500);
+	/* The second page's end is not gone on from: what changed between the
+	 * two would be missed. */
+	world_close(&world, "snapshot() begin a b snapshot(b) c end read(7) "
+			    "d a- read(9) ");
+}
+
+static void test_gap(void)
+{
+	const struct feed_page gap = {.gap = true};
+	struct world world;
+
+	world_open(&world, 0);
+	page_answer(&world, "a", 7, NULL);
+	wait_msec(&world, 0);
+	answer(&world, RESULT_OK, &gap);
+	page_answer(&world, "b", 30, NULL);
+	wait_msec(&world, 0);
+	world_close(&world, "snapshot() begin a end read(7) snapshot() begin "
+			    "b end read(30) ");
+}
+
+static void test_outage(void)
+{
+	struct world world;
+
+	world_open(&world, 0);
+	page_answer(&world, "a,b", 7, "b");
+	answer(&world, RESULT_LOG_DOWN, NULL);
+	wait_msec(&world, 100);
+	answer(&world, RESULT_LOG_UNKNOWN, NULL);
+	wait_msec(&world, 200);
+	page_answer(&world, "a", 7, NULL);
+	wait_msec(&world, 0);
+	answer(&world, RESULT_LOG_DOWN, NULL);
+	wait_msec(&world, 100);
+	page_answer(&world, "", 7, NULL);
+	wait_msec(&world, 0);
+	/* Half a snapshot is begun again; half a list takes nothing away. */
+	world_close(&world, "snapshot() begin a b snapshot(b) snapshot() "
+			    "snapshot() regained begin a end read(7) read(7) "
+			    "regained read(7) ");
+}
+
+/* A waiting read whose answer was lost is not waited for, and its answer does
+ * no harm when it comes. */
+static void test_hurry(void)
+{
+	struct feed_record record = {.key = "late", .value = "v"};
+	struct feed_page late = {&record, 1, 8, false, NULL};
+	struct world world;
+
+	world_open(&world, 0);
+	page_answer(&world, "a", 7, NULL);
+	wait_msec(&world, 0);
+	feed_hurry(world.feed);
+	page_answer(&world, "b", 8, NULL);
+	world.abandoned(world.abandoned_ctx, RESULT_OK, &late);
+	wait_msec(&world, 0);
+	world_close(&world,
+		    "snapshot() begin a end read(7) read(7) b read(8) ");
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/feed/pages", test_pages);
+	g_test_add_func("/forward/feed/gap", test_gap);
+	g_test_add_func("/forward/feed/outage", test_outage);
+	g_test_add_func("/forward/feed/hurry", test_hurry);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/forward/test_parts.c
@@ -0,0 +1,362 @@
+/* The parts of the forwarding core, each by itself. */
+#include <glib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "common/id.h"
+#include "forward/budget.h"
+#include "forward/catalog.h"
+#include "forward/events.h"
+#include "forward/fleet.h"
+#include "forward/place.h"
+#include "forward/roles.h"
+
+#define SECOND USEC_PER_SEC
+
+/* ---- catalog ---- */
+
+static struct catalog_route *route_add(struct catalog *catalog,
+				       const char *host, const char *prefix)
+{
+	struct catalog_route *route = catalog_add_route(catalog);
+	struct route_share share = {id_of("a"), 1};
+
+	route->name = g_strconcat(host, prefix, NULL);
+	route->host = g_strdup(host);
+	route->prefix = g_strdup(prefix);
+	g_array_append_val(route->shares, share);
+	return route;
+}
+
+static const char *route_name(const struct catalog *catalog, const char *host,
+			      const char *path)
+{
+	const struct catalog_route *route =
+		catalog_route(catalog, host, strlen(host), path, strlen(path));
+
+	return route ? route->name : NULL;
+}
+
+static void test_routes(void)
+{
+	static const struct {
+		const char *host;
+		const char *path;
+		const char *name;
+	} rows[] = {
+		{"a.example", "/x/", "a.example/x/"},
+		{"A.Example:8080", "/x/1", "a.example/x/"},
+		{"a.example", "/x/y/z", "a.example/x/y/"},
+		{"a.example", "/x/yy", "a.example/x/"},
+		{"a.example", "/x", NULL},
+		{"a.example", "/", NULL},
+		{"a.example", "", NULL},
+		{"b.example", "/x/", "b.example/"},
+		{"b.example", "", NULL},
+		{"c.example", "/x/", NULL},
+		{"", "/x/", NULL},
+	};
+	struct catalog *catalog = catalog_create(1);
+	g_autofree char *far = g_strnfill(5000, 'x');
+
+	route_add(catalog, "a.example", "/x/");
+	route_add(catalog, "a.example", "/x/y/");
+	route_add(catalog, "b.example", "/");
+	catalog_seal(catalog);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_assert_cmpstr(route_name(catalog, rows[i].host, rows[i].path),
+				==, rows[i].name);
+	memcpy(far, "/x/", 3);
+	g_assert_cmpstr(route_name(catalog, "a.example", far), ==,
+			"a.example/x/");
+	g_assert_null(route_name(catalog, far, "/x/"));
+	catalog_unref(catalog);
+}
+
+static void test_split(void)
+{
+	struct catalog *catalog = catalog_create(1);
+	struct catalog_route *route = route_add(catalog, "h", "/");
+	struct route_share share = {id_of("b"), 3};
+
+	g_array_append_val(route->shares, share);
+	g_assert_cmpuint(route_choose(route, 0.0), ==, id_of("a"));
+	g_assert_cmpuint(route_choose(route, 0.24), ==, id_of("a"));
+	g_assert_cmpuint(route_choose(route, 0.26), ==, id_of("b"));
+	g_assert_cmpuint(route_choose(route, 0.999), ==, id_of("b"));
+	catalog_unref(catalog);
+}
+
+/* ---- events ---- */
+
+/* Whatever pieces the bytes come in, what comes out ends with whole events. */
+static void test_events(void)
+{
+	static const char text[] =
+		"id: 1\ndata: a\n\n:note\r\nid:22\r\ndata\r\n"
+		"\r\nid: x\ndata: c\n\nid: 40\nda";
+	const size_t whole = strlen(text) - strlen("id: 40\nda");
+
+	for (size_t step = 1; step <= strlen(text); step++) {
+		g_autoptr(GString) out = g_string_new(NULL);
+		struct event_cutter cutter;
+
+		event_cutter_init(&cutter);
+		for (size_t at = 0; at < strlen(text); at += step) {
+			size_t size = MIN(step, strlen(text) - at);
+			size_t n;
+
+			g_assert_true(
+				event_cutter_feed(&cutter, text + at, size));
+			n = event_cutter_whole(&cutter);
+			g_string_append_len(out,
+					    (const char *)cutter.rest->data,
+					    (gssize)n);
+			event_cutter_take(&cutter, n);
+		}
+		g_assert_cmpuint(out->len, ==, whole);
+		g_assert_true(memcmp(out->str, text, whole) == 0);
+		g_assert_cmpuint(cutter.events, ==, 3);
+		g_assert_cmpuint(cutter.last_id, ==, 22);
+		event_cutter_drop(&cutter);
+		g_assert_cmpuint(cutter.rest->len, ==, 0);
+		event_cutter_clear(&cutter);
+	}
+}
+
+static void test_event_too_large(void)
+{
+	g_autofree char *text = g_strnfill(EVENT_BYTES_MAX, 'x');
+	struct event_cutter cutter;
+
+	event_cutter_init(&cutter);
+	g_assert_true(event_cutter_feed(&cutter, text, EVENT_BYTES_MAX));
+	g_assert_false(event_cutter_feed(&cutter, "x", 1));
+	event_cutter_clear(&cutter);
+}
+
+/* ---- budget ---- */
+
+static uint32_t budget_drain(struct budgets *budgets, int64_t now,
+			     uint32_t instances)
+{
+	uint32_t taken = 0;
+
+	while (budget_take(budgets, 1, now, instances))
+		taken++;
+	return taken;
+}
+
+/* Over any window, all instances together stay within the allowance. */
+static void test_budget(void)
+{
+	const struct budget_settings settings = {0.2, 54, 10 * SECOND};
+	struct budgets *budgets = budgets_create(&settings);
+	uint32_t first = budget_drain(budgets, SECOND, 7);
+
+	g_assert_cmpuint(first, >=, 5);
+	g_assert_cmpuint(first * 7, <=, 54);
+	g_assert_cmpuint(budget_drain(budgets, 9 * SECOND, 7), ==, 0);
+	g_assert_cmpuint(budget_drain(budgets, 13 * SECOND, 7), ==, first);
+	for (int i = 0; i < 100; i++)
+		budget_request(budgets, 1, 13 * SECOND);
+	g_assert_cmpuint(budget_drain(budgets, 13 * SECOND, 7), <=, 20);
+	/* Other services have budgets of their own. */
+	g_assert_true(budget_take(budgets, 2, 13 * SECOND, 7));
+	budgets_destroy(budgets);
+}
+
+/* A seeded schedule against the rule itself, over every window. */
+static void test_budget_windows(void)
+{
+	const struct budget_settings settings = {0.2, 54, 10 * SECOND};
+	struct budgets *budgets = budgets_create(&settings);
+	g_autoptr(GArray) sends = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	GRand *rand = g_rand_new_with_seed(11);
+	int64_t now = 0;
+
+	for (int i = 0; i < 20000; i++) {
+		now += g_rand_int_range(rand, 0, 20000);
+		if (g_rand_boolean(rand))
+			budget_request(budgets, 1, now);
+		if (budget_take(budgets, 1, now, 7))
+			g_array_append_val(sends, now);
+	}
+	for (guint from = 0, i = 0; i < sends->len; i++) {
+		int64_t at = g_array_index(sends, int64_t, i);
+
+		while (g_array_index(sends, int64_t, from) <= at - 10 * SECOND)
+			from++;
+		/* 50 requests a second by chance: 100 of 500, and a seventh
+		 * of the slack. */
+		g_assert_cmpuint(i - from + 1, <=, 110 + 8);
+	}
+	g_rand_free(rand);
+	budgets_destroy(budgets);
+}
+
+/* ---- fleet and placing ---- */
+
+struct site {
+	struct clock *clock;
+	struct fleet *fleet;
+	struct place place;
+};
+
+static struct backend *site_add(struct site *site, const char *id,
+				enum backend_stage stage, const char *centre)
+{
+	struct backend_info info = {.service = 1, .stage = stage, .slots = 4};
+
+	g_strlcpy(info.id, id, sizeof(info.id));
+	g_strlcpy(info.address, "127.0.0.1:1", sizeof(info.address));
+	g_strlcpy(info.data_centre, centre, sizeof(info.data_centre));
+	return fleet_put(site->fleet, &info);
+}
+
+static void site_open(struct site *site)
+{
+	site->clock = clock_create(0);
+	clock_advance(site->clock, 100 * SECOND);
+	site->fleet = fleet_create(site->clock, "here");
+	site->place = (struct place){
+		.fleet = site->fleet,
+		.now = clock_now(site->clock),
+		.service = 1,
+		.rand = g_rand_new_with_seed(3),
+	};
+}
+
+static void site_close(struct site *site)
+{
+	fleet_destroy(site->fleet);
+	clock_destroy(site->clock);
+	g_rand_free(site->place.rand);
+}
+
+static void site_wait(struct site *site, int64_t usec)
+{
+	clock_advance(site->clock, clock_now(site->clock) + usec);
+	site->place.now = clock_now(site->clock);
+}
+
+static void test_place_plain(void)
+{
+	struct site site;
+	struct backend *near;
+	struct backend *far;
+
+	site_open(&site);
+	g_assert_null(place_plain(&site.place));
+	near = site_add(&site, "near", STAGE_NONE, "here");
+	far = site_add(&site, "far", STAGE_NONE, "there");
+	g_assert_true(place_plain(&site.place) == near);
+	near->own.requests = 2;
+	g_assert_true(place_plain(&site.place) == far);
+	far->peers.requests = 4;
+	g_assert_true(place_plain(&site.place) == near);
+	far->peers.requests = 0;
+	near->own.requests = 0;
+	backend_failed(near, site.place.now);
+	g_assert_true(place_plain(&site.place) == far);
+	site_wait(&site, 20 * SECOND);
+	g_assert_true(place_plain(&site.place) == near);
+	near->info.leaving = true;
+	backend_unreachable(far, site.place.now);
+	g_assert_null(place_plain(&site.place));
+	site_wait(&site, 3 * SECOND);
+	g_assert_true(place_plain(&site.place) == far);
+	site_close(&site);
+}
+
+static void test_place_engines(void)
+{
+	static const struct engine_traits engine = {.slots = 4,
+						    .memory_tokens = 1000};
+	struct site site;
+	struct backend *d1;
+	struct backend *d2;
+	struct backend *p1;
+	struct backend *p2;
+
+	site_open(&site);
+	d1 = site_add(&site, "d1", STAGE_DECODE, "here");
+	d2 = site_add(&site, "d2", STAGE_DECODE, "there");
+	p1 = site_add(&site, "p1", STAGE_PREFILL, "here");
+	p2 = site_add(&site, "p2", STAGE_PREFILL, "there");
+	g_assert_true(place_decode(&site.place, &engine, 500) == d1);
+	d1->own.decode_tokens = 501;
+	g_assert_true(place_decode(&site.place, &engine, 500) == d2);
+	d2->peers.requests = 4;
+	g_assert_null(place_decode(&site.place, &engine, 500));
+	d1->own.decode_tokens = 0;
+	d1->full_until = site.place.now + 1;
+	g_assert_null(place_decode(&site.place, &engine, 500));
+	/* The result stays within a data centre unless the queue is longer. */
+	g_assert_true(place_prefill(&site.place, d1) == p1);
+	g_assert_true(place_prefill(&site.place, d2) == p2);
+	p1->peers.prefill_tokens = 5000;
+	g_assert_true(place_prefill(&site.place, d1) == p2);
+	g_assert_cmpuint(place_count(&site.place, STAGE_PREFILL), ==, 2);
+	site_close(&site);
+}
+
+static void test_fleet(void)
+{
+	struct site site;
+	uint64_t handle;
+
+	site_open(&site);
+	handle = site_add(&site, "one", STAGE_NONE, "here")->handle;
+	site_add(&site, "two", STAGE_NONE, "here");
+	fleet_snapshot_begin(site.fleet);
+	site_add(&site, "two", STAGE_DECODE, "here");
+	fleet_snapshot_end(site.fleet);
+	g_assert_null(fleet_get(site.fleet, handle));
+	g_assert_null(fleet_find(site.fleet, id_of("one")));
+	g_assert_cmpuint(fleet_service(site.fleet, 1)->len, ==, 1);
+	/* The same id again is another start of a server. */
+	g_assert_true(site_add(&site, "one", STAGE_NONE, "here")->handle !=
+		      handle);
+	fleet_remove(site.fleet, "one");
+	fleet_remove(site.fleet, "one");
+	g_assert_cmpuint(fleet_all(site.fleet)->len, ==, 1);
+	site_close(&site);
+}
+
+/* ---- roles ---- */
+
+static void test_roles_want(void)
+{
+	static const struct {
+		uint32_t total;
+		double rate;
+		uint32_t want;
+	} rows[] = {
+		{0, 0, 0},     {1, 50000, 0},	{2, 0, 1},     {4, 0, 1},
+		{9, 0, 2},     {14, 0, 3},	{60, 0, 13},   {14, 42000, 3},
+		{14, 1000, 2}, {14, 500000, 7}, {9, 33000, 3}, {5, 500000, 2},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_assert_cmpuint(
+			roles_want(rows[i].total, rows[i].rate, 33000.0), ==,
+			rows[i].want);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/catalog/routes", test_routes);
+	g_test_add_func("/forward/catalog/split", test_split);
+	g_test_add_func("/forward/events/pieces", test_events);
+	g_test_add_func("/forward/events/too-large", test_event_too_large);
+	g_test_add_func("/forward/budget/allowance", test_budget);
+	g_test_add_func("/forward/budget/windows", test_budget_windows);
+	g_test_add_func("/forward/place/plain", test_place_plain);
+	g_test_add_func("/forward/place/engines", test_place_engines);
+	g_test_add_func("/forward/fleet/snapshot", test_fleet);
+	g_test_add_func("/forward/roles/want", test_roles_want);
+	return g_test_run();
+}
