forward: grow the budget's slack from nothing after a start

Ruled out: rejected prefills, each takes from the budget when it is repeated. Also: waiting for decode memory ends with the caller's patience instead of 0.6 of its limit.

--- a/forward/budget.c
+++ b/forward/budget.c
@@ -22,14 +22,17 @@
 
 struct budgets {
 	struct budget_settings settings;
+	int64_t began;
 	GHashTable *services; /* id to struct budget */
 };
 
-struct budgets *budgets_create(const struct budget_settings *settings)
+struct budgets *budgets_create(const struct budget_settings *settings,
+			       int64_t now)
 {
 	struct budgets *budgets = g_new0(struct budgets, 1);
 
 	budgets->settings = *settings;
+	budgets->began = now;
 	budgets->services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						  NULL, g_free);
 	return budgets;
@@ -80,6 +83,17 @@
 	slice_now(budgets, budget_get(budgets, service), now)->requests++;
 }
 
+/* This instance's part of the slack. */
+static double slack_now(const struct budgets *budgets, int64_t now,
+			uint32_t instances)
+{
+	const struct budget_settings *settings = &budgets->settings;
+	double age = (double)(now - budgets->began) /
+		     (double)MAX(settings->window_usec, 1);
+
+	return settings->slack * MIN(age, 1.0) / (double)MAX(instances, 1u);
+}
+
 bool budget_take(struct budgets *budgets, uint64_t service, int64_t now,
 		 uint32_t instances)
 {
@@ -95,7 +109,7 @@
 		requests += budget->slices[i].requests;
 	}
 	allowed = settings->ratio * requests +
-		  settings->slack / (double)MAX(instances, 1u);
+		  slack_now(budgets, now, instances);
 	if (sends > allowed * USED_PART)
 		return false;
 	slice->sends++;
--- a/forward/node.c
+++ b/forward/node.c
@@ -146,7 +146,7 @@
 		.instances_ctx = node,
 	};
 
-	node->budgets = budgets_create(&budget);
+	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
--- a/forward/request.h
+++ b/forward/request.h
@@ -63,6 +63,7 @@
 	int64_t placed_at;
 	int64_t prefilled_at;
 	int64_t first_at;
+	int64_t last_at; /* when events were passed on last; 0: never */
 };
 
 enum request_end {
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -35,10 +35,15 @@
 /* Share of the expected output that is reserved besides the prompt: the rest
  * comes from what others free meanwhile. */
 #define OUTPUT_PART 0.5
-/* Requests waiting at an instance, and the part of their time that they may
- * spend so; after that the rest would not suffice to answer them. */
+/* Requests waiting at an instance. */
 #define WAITING_MAX 512u
-#define WAIT_PART 0.6
+/* A caller leaves a stream that shows no event for the longest of this time and
+ * these multiples of its targets. What cannot begin by then, less the time that
+ * a prefill takes, is told so while it still listens. */
+#define PATIENCE_USEC (2 * USEC_PER_SEC)
+#define PATIENCE_TARGETS 4
+#define PATIENCE_GAPS 8
+#define BEGIN_USEC (400 * USEC_PER_MSEC)
 /* Rounds through placing that one request may make. */
 #define ROUNDS_MAX 4u
 /* Requests that can still meet their target go first: those that have used less
@@ -209,6 +214,7 @@
 		histogram_add(request->forward->first_time,
 			      request->first_at - request->arrived);
 	}
+	request->last_at = request_now(request);
 	web_reply_piece(request->web, cutter->rest->data, whole);
 	event_cutter_take(cutter, whole);
 }
@@ -527,6 +533,19 @@
 	}
 }
 
+/* When it is of no more use to begin. A caller that has seen events counts its
+ * patience from the last one. */
+static int64_t wait_end(const struct request *request)
+{
+	const struct catalog_route *route = request->route;
+	int64_t from = request->last_at ? request->last_at : request->arrived;
+	int64_t patience = MAX(PATIENCE_USEC,
+			       MAX(route->target_usec * PATIENCE_TARGETS,
+				   route->gap_usec * PATIENCE_GAPS));
+
+	return MIN(from + patience, request->limit) - BEGIN_USEC;
+}
+
 static void waiting_expire(struct forward *forward)
 {
 	int64_t now = clock_now(forward->parts.clock);
@@ -534,11 +553,9 @@
 
 	for (GList *link = forward->waiting.head; link; link = next) {
 		struct request *request = link->data;
-		double part = (double)(now - request->arrived) /
-			      (double)(request->limit - request->arrived);
 
 		next = link->next;
-		if (part < WAIT_PART)
+		if (now < wait_end(request))
 			continue;
 		stream_unwait(request);
 		if (request->replied)
--- a/include/forward/budget.h
+++ b/include/forward/budget.h
@@ -25,7 +25,10 @@
 	int64_t window_usec;
 };
 
-struct budgets *budgets_create(const struct budget_settings *settings);
+/* now is when the process began: what it sent before a restart is not known, so
+ * its part of the slack grows from nothing over the first window. */
+struct budgets *budgets_create(const struct budget_settings *settings,
+			       int64_t now);
 void budgets_destroy(struct budgets *budgets);
 /* From the next call on. */
 void budgets_configure(struct budgets *budgets,
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -296,7 +296,7 @@
 	clock_advance(world.clock, 60 * USEC_PER_SEC);
 	world.rand = g_rand_new_with_seed(SEED);
 	world.fleet = fleet_create(world.clock, "here");
-	world.budgets = budgets_create(&budget);
+	world.budgets = budgets_create(&budget, 0);
 	world.counters = counter_set_create();
 	parts.clock = world.clock;
 	parts.fleet = world.fleet;
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -152,7 +152,7 @@
 static void test_budget(void)
 {
 	const struct budget_settings settings = {0.2, 54, 10 * SECOND};
-	struct budgets *budgets = budgets_create(&settings);
+	struct budgets *budgets = budgets_create(&settings, -10 * SECOND);
 	uint32_t first = budget_drain(budgets, SECOND, 7);
 
 	g_assert_cmpuint(first, >=, 5);
@@ -167,11 +167,23 @@
 	budgets_destroy(budgets);
 }
 
+/* Instances that were all restarted have sent what they may already. */
+static void test_budget_restart(void)
+{
+	const struct budget_settings settings = {0.2, 54, 10 * SECOND};
+	struct budgets *budgets = budgets_create(&settings, 5 * SECOND);
+
+	g_assert_cmpuint(budget_drain(budgets, 5 * SECOND, 1), ==, 0);
+	g_assert_cmpuint(budget_drain(budgets, 6 * SECOND, 1), <=, 5);
+	g_assert_cmpuint(budget_drain(budgets, 10 * SECOND, 7), <=, 4);
+	budgets_destroy(budgets);
+}
+
 /* A seeded schedule against the rule itself, over every window. */
 static void test_budget_windows(void)
 {
 	const struct budget_settings settings = {0.2, 54, 10 * SECOND};
-	struct budgets *budgets = budgets_create(&settings);
+	struct budgets *budgets = budgets_create(&settings, -10 * SECOND);
 	g_autoptr(GArray) sends = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	GRand *rand = g_rand_new_with_seed(11);
 	int64_t now = 0;
@@ -353,6 +365,7 @@
 	g_test_add_func("/forward/events/pieces", test_events);
 	g_test_add_func("/forward/events/too-large", test_event_too_large);
 	g_test_add_func("/forward/budget/allowance", test_budget);
+	g_test_add_func("/forward/budget/restart", test_budget_restart);
 	g_test_add_func("/forward/budget/windows", test_budget_windows);
 	g_test_add_func("/forward/place/plain", test_place_plain);
 	g_test_add_func("/forward/place/engines", test_place_engines);
