forward: place the newest requests that can be on time first

Ruled out: the prefill queue, which took 230 ms. Now the newest that can meet their target go first (by the measured time from placing to the first event), the rest only get room for three like them.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -11,6 +11,9 @@
  * within seconds, shorter than a change of role pays off in. */
 #define DEMAND_USEC (8 * USEC_PER_SEC)
 
+/* From placing to the first event, until it was measured. */
+#define BEGIN_USEC (250.0 * (double)USEC_PER_MSEC)
+
 struct demand {
 	uint64_t service;
 	double tokens; /* decayed to at */
@@ -53,6 +56,7 @@
 	forward->requests = table_create(sizeof(struct request), REQUESTS_MAX);
 	forward->demand = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
+	forward->begin_usec = BEGIN_USEC;
 	timer_init(&forward->pump, parts->clock, on_pump, forward);
 	counters_setup(forward);
 	return forward;
--- a/forward/request.h
+++ b/forward/request.h
@@ -82,6 +82,7 @@
 	struct table *requests;
 	GQueue waiting; /* streams without decode memory, by arrival */
 	struct timer pump;
+	double begin_usec; /* mean time from placing to the first event */
 	bool draining;
 	struct counter *ended[END_COUNT]; /* by enum request_end */
 	struct histogram *whole_time;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -46,9 +46,14 @@
 #define BEGIN_USEC (400 * USEC_PER_MSEC)
 /* Rounds through placing that one request may make. */
 #define ROUNDS_MAX 4u
-/* Requests that can still meet their target go first: those that have used less
- * than this part of it. */
-#define ON_TIME_PART 0.7
+/* Requests that can still meet their target go first, the newest of them before
+ * the others: under lasting overload the first come would all be just too late.
+ * The rest are only given room that this many more like them would fit into. */
+#define LATE_ROOM 3u
+/* Weight of a new measurement in the mean time from placing to first event. */
+#define BEGIN_WEIGHT 0.1
+/* That time varies by about this much more. */
+#define BEGIN_MARGIN 1.3
 /* What a refused caller is told: memory is freed within about this time. */
 #define RETRY_USEC (300 * USEC_PER_MSEC)
 /* Another instance can take the request at once. */
@@ -197,6 +202,16 @@
 	request->answer.head.mismatched = head->mismatched;
 }
 
+static void begin_measure(struct request *request)
+{
+	struct forward *forward = request->forward;
+	double took = (double)(request->first_at - request->placed_at);
+
+	histogram_add(forward->first_time,
+		      request->first_at - request->arrived);
+	forward->begin_usec += BEGIN_WEIGHT * (took - forward->begin_usec);
+}
+
 static void run_events(struct request *request, const void *data, size_t size)
 {
 	struct event_cutter *cutter = &request->cutter;
@@ -211,8 +226,7 @@
 		return;
 	if (!request->replied) {
 		request_reply_start(request);
-		histogram_add(request->forward->first_time,
-			      request->first_at - request->arrived);
+		begin_measure(request);
 	}
 	request->last_at = request_now(request);
 	web_reply_piece(request->web, cutter->rest->data, whole);
@@ -488,7 +502,7 @@
 	wait_begin(request);
 }
 
-static bool reserve_start(struct request *request)
+static bool reserve_start(struct request *request, uint32_t room)
 {
 	const struct backend_ops *ops = &request->forward->parts.backends;
 	const struct engine_traits *engine = &request->service->engine;
@@ -499,7 +513,7 @@
 
 	request_place(request, &place);
 	place.tried = NULL;
-	backend = place_decode(&place, engine, tokens);
+	backend = place_decode(&place, engine, tokens * room);
 	if (!backend)
 		return false;
 	stream_unwait(request);
@@ -515,20 +529,23 @@
 
 static bool on_time(const struct request *request, int64_t now)
 {
-	return (double)(now - request->arrived) <
-	       ON_TIME_PART * (double)request->route->target_usec;
+	double begin = request->forward->begin_usec * BEGIN_MARGIN;
+
+	return (double)(now - request->arrived) + begin <
+	       (double)request->route->target_usec;
 }
 
-static void waiting_pass(struct forward *forward, bool first)
+static void waiting_pass(struct forward *forward, bool in_time)
 {
 	int64_t now = clock_now(forward->parts.clock);
 	GList *next;
 
-	for (GList *link = forward->waiting.head; link; link = next) {
+	for (GList *link = forward->waiting.tail; link; link = next) {
 		struct request *request = link->data;
 
-		next = link->next;
-		if (on_time(request, now) == first && !reserve_start(request))
+		next = link->prev;
+		if (on_time(request, now) == in_time &&
+		    !reserve_start(request, in_time ? 1 : LATE_ROOM))
 			return;
 	}
 }
@@ -587,6 +604,6 @@
 			forward->draining ? RETRY_ELSEWHERE_USEC : RETRY_USEC);
 		return;
 	}
-	if (!reserve_start(request))
+	if (!reserve_start(request, 1))
 		wait_begin(request);
 }
