forward: one request tries a server that could not be reached; leave when stranded

And an instance whose data centre was cut off without a plain server refused 290 calls that others could have served. Now one request tries, and an instance that hears of no other data centre and reaches no server of some service tells the balancer that it is not ready.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -19,6 +19,10 @@
 #define AVOID_BASE_USEC (250 * USEC_PER_MSEC)
 #define AVOID_MAX_USEC (2 * USEC_PER_SEC)
 
+/* A trial of a server that could not be reached is over by then: longer than
+ * callers of this module wait for a connection. */
+#define TRIAL_USEC (200 * USEC_PER_MSEC)
+
 struct fleet {
 	struct clock *clock;
 	char *data_centre;
@@ -191,6 +195,19 @@
 	return fleet->all;
 }
 
+bool fleet_reaches(const struct fleet *fleet, uint64_t service)
+{
+	const GPtrArray *list = fleet_service(fleet, service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct backend *backend = list->pdata[i];
+
+		if (!backend->info.leaving && backend->avoided == 0)
+			return true;
+	}
+	return !list || list->len == 0;
+}
+
 bool backend_usable(const struct backend *backend, int64_t now)
 {
 	return !backend->info.leaving && now >= backend->avoid_until;
@@ -218,11 +235,23 @@
 	return backend->trouble * exp2(-age / (double)TROUBLE_HALF_USEC);
 }
 
+void backend_try(struct backend *backend, int64_t now)
+{
+	if (backend->avoided > 0)
+		backend->avoid_until = now + TRIAL_USEC;
+}
+
+void backend_reached(struct backend *backend)
+{
+	backend->avoided = 0;
+	backend->avoid_until = 0;
+}
+
 void backend_succeeded(struct backend *backend, int64_t now)
 {
 	backend->trouble = backend_trouble(backend, now) * TROUBLE_SUCCESS;
 	backend->trouble_at = now;
-	backend->avoided = 0;
+	backend_reached(backend);
 }
 
 void backend_failed(struct backend *backend, int64_t now)
@@ -236,6 +265,10 @@
 	int64_t pause = AVOID_BASE_USEC << MIN(backend->avoided, 3u);
 
 	backend_failed(backend, now);
+	/* Of requests that were under way together only the first counts. */
+	if (backend->avoided > 0 && now < backend->avoid_until &&
+	    backend->avoid_until - now > TRIAL_USEC)
+		return;
 	backend->avoided++;
 	backend->avoid_until = now + MIN(pause, AVOID_MAX_USEC);
 	backend_log("backend_unreachable", backend);
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -25,6 +25,7 @@
 	struct sockaddr_storage to;
 	socklen_t to_size;
 	char name[BACKEND_TEXT_MAX]; /* empty until heard */
+	char data_centre[BACKEND_TEXT_MAX];
 	uint64_t boot;
 	uint64_t sequence;
 	int64_t met;
@@ -158,6 +159,8 @@
 		log_event(LOG_INFO, "peer_live", LOG_S("peer", message->name),
 			  LOG_S("address", from));
 	g_strlcpy(peer->name, message->name, sizeof(peer->name));
+	g_strlcpy(peer->data_centre, message->data_centre,
+		  sizeof(peer->data_centre));
 	peer->boot = message->boot;
 	peer->sequence = message->sequence;
 	peer->heard = gossip_now(gossip);
@@ -299,6 +302,8 @@
 	bool changed;
 
 	g_strlcpy(message.name, gossip->settings.name, sizeof(message.name));
+	g_strlcpy(message.data_centre, gossip->settings.data_centre,
+		  sizeof(message.data_centre));
 	gossip->ops.word(gossip->ctx, &message.word);
 	own_loads(gossip, message.loads);
 	addresses_add(gossip, &message);
@@ -414,6 +419,26 @@
 	return live;
 }
 
+bool gossip_parted(const struct gossip *gossip)
+{
+	int64_t now = gossip_now(gossip);
+	GHashTableIter iter;
+	struct peer *peer;
+	bool others = false;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->heard < 0 || peer->word.leaving ||
+		    strcmp(peer->data_centre,
+			   gossip->settings.data_centre) == 0)
+			continue;
+		if (now - peer->heard < GOSSIP_PARTED_USEC)
+			return false;
+		others = true;
+	}
+	return others;
+}
+
 bool gossip_lowest(const struct gossip *gossip)
 {
 	GHashTableIter iter;
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -6,7 +6,7 @@
 #include "common/pack.h"
 #include "common/unpack.h"
 
-#define FIELDS 10
+#define FIELDS 11
 #define LOAD_FIELDS 4
 
 static void load_pack(msgpack_packer *packer, const struct gossip_load *load)
@@ -27,6 +27,7 @@
 	msgpack_pack_array(&packer, FIELDS);
 	msgpack_pack_int(&packer, GOSSIP_FORMAT);
 	pack_text(&packer, message->name);
+	pack_text(&packer, message->data_centre);
 	msgpack_pack_uint64(&packer, message->boot);
 	msgpack_pack_uint64(&packer, message->sequence);
 	msgpack_pack_uint64(&packer, message->word.version);
@@ -117,18 +118,20 @@
 		return false;
 	if (!number_read(&fields[0], GOSSIP_FORMAT, &format) ||
 	    !unpack_text(&fields[1], message->name, sizeof(message->name)) ||
-	    !number_read(&fields[2], UINT64_MAX, &message->boot) ||
-	    !number_read(&fields[3], UINT64_MAX, &message->sequence) ||
-	    !number_read(&fields[4], UINT64_MAX, &message->word.version) ||
-	    !number_read(&fields[5], UINT32_MAX, &demand) ||
-	    !number_read(&fields[6], UINT32_MAX, &waiting) ||
-	    !number_read(&fields[7], 1, &leaving))
+	    !unpack_text(&fields[2], message->data_centre,
+			 sizeof(message->data_centre)) ||
+	    !number_read(&fields[3], UINT64_MAX, &message->boot) ||
+	    !number_read(&fields[4], UINT64_MAX, &message->sequence) ||
+	    !number_read(&fields[5], UINT64_MAX, &message->word.version) ||
+	    !number_read(&fields[6], UINT32_MAX, &demand) ||
+	    !number_read(&fields[7], UINT32_MAX, &waiting) ||
+	    !number_read(&fields[8], 1, &leaving))
 		return false;
 	message->word.demand = (double)demand;
 	message->word.waiting = (uint32_t)waiting;
 	message->word.leaving = leaving == 1;
-	return loads_read(&fields[8], message->loads) &&
-	       addresses_read(&fields[9], message);
+	return loads_read(&fields[9], message->loads) &&
+	       addresses_read(&fields[10], message);
 }
 
 bool gossip_decode(struct gossip_message *message, const void *data,
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -2,8 +2,8 @@
  * gossip_codec.h - the datagrams of gossip.h as MessagePack
  *
  * DESCRIPTION
- *	[format, name, boot, sequence, version, demand, waiting, leaving,
- *	 [[backend, requests, decode tokens, prefill tokens], ...],
+ *	[format, name, data centre, boot, sequence, version, demand, waiting,
+ *	 leaving, [[backend, requests, decode tokens, prefill tokens], ...],
  *	 [address, ...]]
  */
 #ifndef FORWARD_GOSSIP_CODEC_H
@@ -30,6 +30,7 @@
 
 struct gossip_message {
 	char name[BACKEND_TEXT_MAX];
+	char data_centre[BACKEND_TEXT_MAX];
 	uint64_t boot;
 	uint64_t sequence;
 	struct gossip_word word;
--- a/forward/node.c
+++ b/forward/node.c
@@ -20,10 +20,28 @@
 /* Peers are heard of within this time of the start. */
 #define MEET_USEC (1 * USEC_PER_SEC)
 
+/* Cut off from the other data centres, an instance serves what it can with the
+ * servers near it. When a service has none of them it can do better by sending
+ * callers to another data centre. */
+static bool is_stranded(const struct node *node)
+{
+	const struct catalog *catalog = forward_catalog(node->forward);
+	GHashTableIter iter;
+	uint64_t *id;
+
+	if (!gossip_parted(node->gossip))
+		return false;
+	g_hash_table_iter_init(&iter, catalog->services);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&id, NULL))
+		if (!fleet_reaches(node->fleet, *id))
+			return true;
+	return false;
+}
+
 static bool is_ready(const struct node *node)
 {
 	return !node->draining && forward_catalog(node->forward) &&
-	       fleet_all(node->fleet)->len > 0;
+	       fleet_all(node->fleet)->len > 0 && !is_stranded(node);
 }
 
 static void on_health(void *ctx, struct web_request *request)
@@ -161,6 +179,7 @@
 	static const struct gossip_ops ops = {word_fill, on_version};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
+		.data_centre = node->settings.data_centre,
 		.address = node->settings.gossip_listen,
 		.boot = node->boot,
 	};
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -428,6 +428,7 @@
 		return;
 	}
 	spec.head_usec = prefill_limit(request, backend);
+	backend_try(backend, place.now);
 	request->target = backend->info;
 	charge_add(request, &request->prefill, backend, &load);
 	request->call = ops->send(ops->ctx, &spec, &events, request);
@@ -452,6 +453,8 @@
 	int64_t now = request_now(request);
 
 	request->call = NULL;
+	if (backend && (result == RESERVE_OK || result == RESERVE_FULL))
+		backend_reached(backend);
 	if (result == RESERVE_OK) {
 		reserved(request, hold);
 		return;
@@ -487,6 +490,7 @@
 		return false;
 	stream_unwait(request);
 	charge_add(request, &request->decode, backend, &load);
+	backend_try(backend, place.now);
 	request->target = backend->info;
 	request->call = ops->reserve(ops->ctx, &backend->info, tokens,
 				     MIN(RESERVE_USEC, engine->reserve_usec),
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -28,11 +28,15 @@
 /* Ten lost datagrams in a row, or five words of an idle peer. */
 #define GOSSIP_STALE_USEC (2500 * USEC_PER_MSEC)
 
+/* Two words of an idle peer, and some. */
+#define GOSSIP_PARTED_USEC (1200 * USEC_PER_MSEC)
+
 struct loop;
 struct gossip;
 
 struct gossip_settings {
 	const char *name;
+	const char *data_centre;
 	const char *address; /* UDP, "IP:port" */
 	uint64_t boot;	     /* rises with each start */
 };
@@ -65,6 +69,9 @@
 uint32_t gossip_instances(const struct gossip *gossip);
 /* Peers heard of lately. */
 uint32_t gossip_live(const struct gossip *gossip);
+/* Whether there are peers in other data centres, and none of them was heard of
+ * for GOSSIP_PARTED_USEC: this data centre, or this instance, is cut off. */
+bool gossip_parted(const struct gossip *gossip);
 /* Whether this instance has the lowest name of those live, itself included. */
 bool gossip_lowest(const struct gossip *gossip);
 /* What peers told, added up, and this instance's own word. */
