forward: send callers elsewhere from a cut-off data centre with a queue

An instance that hears of no other data centre and has six requests waiting now tells the balancer that it is not ready.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -112,6 +112,11 @@
 	return table_count(forward->requests);
 }
 
+uint32_t forward_waiting(const struct forward *forward)
+{
+	return forward->waiting.length;
+}
+
 static double demand_decayed(const struct demand *demand, int64_t now)
 {
 	return demand->tokens *
--- a/forward/node.c
+++ b/forward/node.c
@@ -17,6 +17,9 @@
 /* A slow store takes some 240 ms; reading anew more often than this would never
  * see its answer. */
 #define HURRY_USEC (600 * USEC_PER_MSEC)
+/* Requests waiting for memory in a data centre that is cut off, from which on
+ * callers are better served elsewhere. */
+#define STRANDED_WAITING 6u
 /* Peers are heard of within this time of the start. */
 #define MEET_USEC (1 * USEC_PER_SEC)
 
@@ -31,6 +34,8 @@
 
 	if (!gossip_parted(node->gossip))
 		return false;
+	if (forward_waiting(node->forward) >= STRANDED_WAITING)
+		return true;
 	g_hash_table_iter_init(&iter, catalog->services);
 	while (g_hash_table_iter_next(&iter, (gpointer *)&id, NULL))
 		if (!fleet_reaches(node->fleet, *id))
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -66,6 +66,8 @@
 void forward_take(void *ctx, struct web_request *request);
 /* Requests not yet ended. */
 uint32_t forward_pending(const struct forward *forward);
+/* Of these, those that wait for decode memory. */
+uint32_t forward_waiting(const struct forward *forward);
 /* What was asked of a service of engines lately, for the choice of roles. */
 struct forward_demand {
 	double prompt_tokens_per_s;
