forward: let few instances read the store, and pass on what they read

A share now keeps a copy of each stream; instances tell in their gossip how far it was read, when, and when it changed last, so a peer knows that its own copy is as good or fetches it. Who reads follows from the rank among the live instances of a data centre.

--- a/forward/feed.c
+++ b/forward/feed.c
@@ -30,6 +30,7 @@
 	bool started_snapshot;
 	uint32_t failures;
 	int64_t fresh;
+	int64_t asked; /* when the read, or a snapshot's first page, was sent */
 };
 
 static void feed_next(struct feed *feed);
@@ -50,7 +51,7 @@
 	feed->settings = *settings;
 	feed->ops = *ops;
 	feed->ctx = ctx;
-	feed->fresh = -1;
+	feed->fresh = FEED_NEVER;
 	timer_init(&feed->timer, clock, on_timer, feed);
 	return feed;
 }
@@ -82,7 +83,6 @@
 	uint32_t failures = feed->failures;
 
 	feed->failures = 0;
-	feed->fresh = clock_now(feed->clock);
 	if (failures == 0)
 		return;
 	log_event(LOG_NOTICE, "stream_regained",
@@ -116,9 +116,9 @@
 		return;
 	}
 	feed->has_snapshot = true;
+	feed->fresh = feed->asked;
 	if (feed->ops.snapshot_end)
 		feed->ops.snapshot_end(feed->ctx);
-	timer_start(&feed->timer, feed->settings.interval_usec);
 }
 
 static void snapshot_restart(struct feed *feed)
@@ -141,7 +141,10 @@
 	}
 	records_hand_over(feed, page);
 	feed->next = page->next;
-	timer_start(&feed->timer, feed->settings.interval_usec);
+	if (page->next < page->end)
+		feed_next(feed);
+	else
+		feed->fresh = feed->asked;
 }
 
 static void on_page(void *ctx, enum result_code code,
@@ -179,6 +182,8 @@
 	call->feed = feed;
 	call->snapshot = !feed->has_snapshot;
 	feed->call = call;
+	if (!call->snapshot || !feed->started_snapshot)
+		feed->asked = clock_now(feed->clock);
 	if (call->snapshot)
 		feed->store.snapshot(feed->store.ctx, feed->settings.stream,
 				     feed->after, on_page, call);
@@ -188,21 +193,45 @@
 				 call);
 }
 
-void feed_start(struct feed *feed)
+void feed_poll(struct feed *feed)
 {
-	feed_next(feed);
+	if (!feed->call && !timer_running(&feed->timer))
+		feed_next(feed);
 }
 
-void feed_hurry(struct feed *feed)
+static void call_abandon(struct feed *feed)
 {
 	if (feed->call)
 		feed->call->feed = NULL;
 	feed->call = NULL;
+}
+
+void feed_hurry(struct feed *feed)
+{
+	call_abandon(feed);
 	if (!feed->has_snapshot)
 		snapshot_restart(feed);
 	feed_next(feed);
 }
 
+bool feed_advance(struct feed *feed, uint64_t next, int64_t fresh)
+{
+	if (feed->has_snapshot && next < feed->next)
+		return false;
+	if (!feed->has_snapshot || next > feed->next)
+		call_abandon(feed);
+	feed->has_snapshot = true;
+	feed->started_snapshot = true;
+	feed->next = next;
+	feed->fresh = MAX(feed->fresh, fresh);
+	return true;
+}
+
+uint64_t feed_position(const struct feed *feed)
+{
+	return feed->has_snapshot ? feed->next : 0;
+}
+
 int64_t feed_fresh(const struct feed *feed)
 {
 	return feed->fresh;
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -13,7 +13,7 @@
 /* Peers that are told at the base interval; more are told more seldom. */
 #define FULL_RATE_PEERS 8u
 /* A word is sent at least so often although nothing changed. */
-#define IDLE_USEC (500 * USEC_PER_MSEC)
+#define IDLE_USEC (300 * USEC_PER_MSEC)
 /* How often an address that does not answer is tried, and for how long. */
 #define TRY_USEC (1 * USEC_PER_SEC)
 #define FORGET_USEC (30 * USEC_PER_SEC)
@@ -143,6 +143,11 @@
 		peer_add(gossip, address);
 }
 
+static bool peer_near(const struct gossip *gossip, const struct peer *peer)
+{
+	return strcmp(peer->data_centre, gossip->settings.data_centre) == 0;
+}
+
 static void message_take(struct gossip *gossip, const char *from,
 			 const struct gossip_message *message)
 {
@@ -168,7 +173,8 @@
 	loads_apply(gossip, peer, message->loads);
 	for (uint32_t i = 0; i < message->address_count; i++)
 		gossip_meet(gossip, message->addresses[i]);
-	gossip->ops.version(gossip->ctx, message->word.version);
+	gossip->ops.heard(gossip->ctx, from, peer_near(gossip, peer),
+			  &message->word);
 }
 
 static void datagram_take(struct gossip *gossip,
@@ -429,8 +435,7 @@
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
 		if (peer->heard < 0 || peer->word.leaving ||
-		    strcmp(peer->data_centre,
-			   gossip->settings.data_centre) == 0)
+		    peer_near(gossip, peer))
 			continue;
 		if (now - peer->heard < GOSSIP_PARTED_USEC)
 			return false;
@@ -439,6 +444,19 @@
 	return others;
 }
 
+uint32_t gossip_rank(const struct gossip *gossip)
+{
+	GHashTableIter iter;
+	struct peer *peer;
+	uint32_t rank = 0;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		rank += peer_near(gossip, peer) && peer_live(gossip, peer) &&
+			strcmp(peer->name, gossip->settings.name) < 0;
+	return rank;
+}
+
 bool gossip_lowest(const struct gossip *gossip)
 {
 	GHashTableIter iter;
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -6,7 +6,8 @@
 #include "common/pack.h"
 #include "common/unpack.h"
 
-#define FIELDS 11
+#define FIELDS 12
+#define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
 
 static void load_pack(msgpack_packer *packer, const struct gossip_load *load)
@@ -18,6 +19,15 @@
 	msgpack_pack_uint32(packer, load->load.prefill_tokens);
 }
 
+static void share_word_pack(msgpack_packer *packer,
+			    const struct share_word *word)
+{
+	msgpack_pack_array(packer, SHARE_FIELDS);
+	msgpack_pack_uint64(packer, word->next);
+	msgpack_pack_uint64(packer, word->changed);
+	msgpack_pack_int64(packer, word->age_usec);
+}
+
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
 {
 	msgpack_packer packer;
@@ -34,6 +44,9 @@
 	msgpack_pack_uint64(&packer, (uint64_t)message->word.demand);
 	msgpack_pack_uint32(&packer, message->word.waiting);
 	msgpack_pack_uint8(&packer, message->word.leaving);
+	msgpack_pack_array(&packer, GOSSIP_SHARES);
+	for (int i = 0; i < GOSSIP_SHARES; i++)
+		share_word_pack(&packer, &message->word.shares[i]);
 	msgpack_pack_array(&packer, loads);
 	for (guint i = 0; i < loads; i++)
 		load_pack(&packer, &g_array_index(message->loads,
@@ -87,6 +100,38 @@
 	return true;
 }
 
+static bool share_word_read(const msgpack_object *object,
+			    struct share_word *word)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t age;
+
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size != SHARE_FIELDS ||
+	    !number_read(&fields[0], UINT64_MAX, &word->next) ||
+	    !number_read(&fields[1], UINT64_MAX, &word->changed))
+		return false;
+	word->age_usec = -1;
+	if (fields[2].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		return true;
+	if (!number_read(&fields[2], INT64_MAX / 2, &age))
+		return false;
+	word->age_usec = (int64_t)age;
+	return true;
+}
+
+static bool shares_read(const msgpack_object *object, struct gossip_word *word)
+{
+	if (object->type != MSGPACK_OBJECT_ARRAY ||
+	    object->via.array.size != GOSSIP_SHARES)
+		return false;
+	for (int i = 0; i < GOSSIP_SHARES; i++)
+		if (!share_word_read(&object->via.array.ptr[i],
+				     &word->shares[i]))
+			return false;
+	return true;
+}
+
 static bool addresses_read(const msgpack_object *object,
 			   struct gossip_message *message)
 {
@@ -130,8 +175,9 @@
 	message->word.demand = (double)demand;
 	message->word.waiting = (uint32_t)waiting;
 	message->word.leaving = leaving == 1;
-	return loads_read(&fields[9], message->loads) &&
-	       addresses_read(&fields[10], message);
+	return shares_read(&fields[9], &message->word) &&
+	       loads_read(&fields[10], message->loads) &&
+	       addresses_read(&fields[11], message);
 }
 
 bool gossip_decode(struct gossip_message *message, const void *data,
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -3,7 +3,8 @@
  *
  * DESCRIPTION
  *	[format, name, data centre, boot, sequence, version, demand, waiting,
- *	 leaving, [[backend, requests, decode tokens, prefill tokens], ...],
+ *	 leaving, [[next, changed, age in microseconds], ...],
+ *	 [[backend, requests, decode tokens, prefill tokens], ...],
  *	 [address, ...]]
  */
 #ifndef FORWARD_GOSSIP_CODEC_H
--- a/forward/node.c
+++ b/forward/node.c
@@ -82,6 +82,7 @@
 	struct catalog_service *service;
 
 	*word = (struct gossip_word){.leaving = node->draining};
+	node_shares_word(node, word);
 	if (!catalog)
 		return;
 	word->version = catalog->version;
@@ -95,16 +96,22 @@
 	}
 }
 
-static void on_version(void *ctx, uint64_t version)
+/* The first of a data centre reads the store itself; its waiting read may have
+ * been lost when others know of a later version. */
+static void on_heard(void *ctx, const char *address, bool near,
+		     const struct gossip_word *word)
 {
 	struct node *node = ctx;
 	const struct catalog *catalog = forward_catalog(node->forward);
 
-	if (version <= (catalog ? catalog->version : 0) ||
-	    clock_now(node->clock) - node->hurried < HURRY_USEC)
+	if (near)
+		node_shares_hear(node, address, word);
+	if (word->version <= (catalog ? catalog->version : 0) ||
+	    clock_now(node->clock) - node->hurried < HURRY_USEC ||
+	    gossip_rank(node->gossip) > 0)
 		return;
 	node->hurried = clock_now(node->clock);
-	feed_hurry(node->config_feed);
+	share_hurry(node->shares[STREAM_CONFIG].share);
 }
 
 static bool roles_decide(void *ctx)
@@ -181,7 +188,7 @@
 
 static bool gossip_open(struct node *node, struct error *err)
 {
-	static const struct gossip_ops ops = {word_fill, on_version};
+	static const struct gossip_ops ops = {word_fill, on_heard};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
 		.data_centre = node->settings.data_centre,
@@ -234,21 +241,24 @@
 				  SMALL_CONNECTIONS, on_metrics, node, err);
 	if (!node->admin)
 		return false;
+	web_server_handle(node->admin, SHARE_PATH, node_share_serve, node);
 	roles_open(node);
 	node_feeds_start(node);
 	return true;
 }
 
+/* The servers first: their last turns may still bring requests. */
 static void node_close(struct node *node)
 {
 	node_drain_stop(node);
-	roles_destroy(node->roles);
-	node_feeds_stop(node);
-	forward_destroy(node->forward);
-	web_server_destroy(node->admin);
-	web_server_destroy(node->health);
 	web_server_destroy(node->callers);
+	web_server_destroy(node->health);
+	web_server_destroy(node->admin);
+	roles_destroy(node->roles);
+	if (node->gossip)
+		node_feeds_stop(node);
 	gossip_destroy(node->gossip);
+	forward_destroy(node->forward);
 	node->factory->close(node->factory->ctx);
 	web_client_destroy(node->client);
 	fleet_destroy(node->fleet);
--- a/forward/node.h
+++ b/forward/node.h
@@ -11,6 +11,23 @@
 #include "forward/roles.h"
 #include "web/server.h"
 
+/* Where an instance serves its copies to others, by enum node_stream. */
+#define SHARE_PATH "/share/"
+
+enum node_stream {
+	STREAM_CONFIG,
+	STREAM_LIST,
+};
+
+/* One stream of the store that instances pass on to each other. */
+struct node_share {
+	struct node *node;
+	struct share *share;
+	struct timer fetch_timer;
+	struct web_call *fetch;
+	char from[BACKEND_TEXT_MAX]; /* who told of a newer copy last */
+};
+
 struct node {
 	struct forward_settings settings;
 	const char *file;
@@ -28,8 +45,8 @@
 	struct forward *forward;
 	struct gossip *gossip;
 	struct roles *roles;
-	struct feed *config_feed;
-	struct feed *list_feed;
+	struct node_share shares[GOSSIP_SHARES]; /* by enum node_stream */
+	struct timer share_timer;
 	struct feed *peer_feed;
 	struct web_server *callers;
 	struct web_server *health;
@@ -45,9 +62,16 @@
 	int status;
 };
 
-/* Of node_feeds.c: configuration, list and peers out of the store. */
+/* Of node_feeds.c: configuration, list and peers out of the store, and from and
+ * to the other instances. */
 void node_feeds_start(struct node *node);
 void node_feeds_stop(struct node *node);
+/* What this instance has to tell of its copies, and what a near peer told. */
+void node_shares_word(const struct node *node, struct gossip_word *word);
+void node_shares_hear(struct node *node, const char *address,
+		      const struct gossip_word *word);
+/* Answers a peer's request for a copy: a web_handler_fn. */
+void node_share_serve(void *ctx, struct web_request *request);
 /* Takes this instance out of the store's list of peers. */
 void node_unregister(struct node *node);
 
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -5,6 +5,7 @@
 
 #include <string.h>
 
+#include "common/id.h"
 #include "common/log.h"
 
 /* Where instances write their addresses, each under its name. */
@@ -12,10 +13,16 @@
 /* A waiting read. Its answer may be lost when the store or the path to it
  * fails, so it is given up soon enough to follow a change two seconds after it,
  * once the store has been well for three. */
-#define CONFIG_WAIT_USEC (1800 * USEC_PER_MSEC)
-/* Peers meet through the store only at the start; this is how often one that
- * has been cut off since its start would still find a new one that way. */
-#define PEER_INTERVAL_USEC (20 * USEC_PER_SEC)
+#define CONFIG_WAIT_USEC (700 * USEC_PER_MSEC)
+#define TICK_USEC (100 * USEC_PER_MSEC)
+/* A copy is fetched within a round trip; from one that does not answer in this
+ * time it is not waited for. */
+#define FETCH_USEC (300 * USEC_PER_MSEC)
+#define COPY_BYTES_MAX (8u << 20)
+/* So that not all fetch from the first that told: those who have it tell too.
+ */
+#define FETCH_SPREAD_USEC (5 * USEC_PER_MSEC)
+#define FETCH_SPREAD_MAX_USEC (150 * USEC_PER_MSEC)
 #define REGISTER_RETRY_USEC (500 * USEC_PER_MSEC)
 
 static void refused_log(struct node *node, const char *what, const char *key,
@@ -27,42 +34,46 @@
 		  LOG_S("reason", err->text));
 }
 
-static void on_config(void *ctx, const struct feed_record *record)
+static bool on_config(void *ctx, uint64_t offset, const char *key,
+		      const void *data, size_t size)
 {
 	struct node *node = ctx;
 	struct catalog *catalog;
 	struct error err;
 
-	if (strcmp(record->key, node->interface.config_key) != 0 ||
-	    !record->value)
-		return;
-	catalog = node->interface.decode_catalog(record->value, record->size,
-						 &err);
+	if (strcmp(key, node->interface.config_key) != 0 || !data)
+		return false;
+	catalog = node->interface.decode_catalog(data, size, &err);
 	if (!catalog) {
-		refused_log(node, "configuration", record->key, record->offset,
-			    &err);
-		return;
+		refused_log(node, "configuration", key, offset, &err);
+		return true;
 	}
 	forward_set_catalog(node->forward, catalog);
 	catalog_unref(catalog);
+	return true;
 }
 
-static void on_backend(void *ctx, const struct feed_record *record)
+/* Servers write every second or so; most of it changes nothing. */
+static bool on_backend(void *ctx, uint64_t offset, const char *key,
+		       const void *data, size_t size)
 {
 	struct node *node = ctx;
+	const struct backend *known = fleet_find(node->fleet, id_of(key));
 	struct backend_info info;
 	struct error err;
+	bool same;
 
-	if (!record->value) {
-		fleet_remove(node->fleet, record->key);
-		return;
+	if (!data) {
+		fleet_remove(node->fleet, key);
+		return known != NULL;
 	}
-	if (node->interface.decode_backend(record->key, record->value,
-					   record->size, &info, &err))
-		fleet_put(node->fleet, &info);
-	else
-		refused_log(node, "backend server", record->key, record->offset,
-			    &err);
+	if (!node->interface.decode_backend(key, data, size, &info, &err)) {
+		refused_log(node, "backend server", key, offset, &err);
+		return false;
+	}
+	same = known && memcmp(&known->info, &info, sizeof(info)) == 0;
+	fleet_put(node->fleet, &info);
+	return !same;
 }
 
 static void on_list_begin(void *ctx)
@@ -79,14 +90,98 @@
 	fleet_snapshot_end(node->fleet);
 }
 
-/* The waiting read of the configuration may have been lost meanwhile. */
-static void on_list_regained(void *ctx)
+/* ---- copies ---- */
+
+static void on_tick(struct timer *timer, void *ctx)
 {
 	struct node *node = ctx;
+	uint32_t rank = gossip_rank(node->gossip);
 
-	feed_hurry(node->config_feed);
+	timer_start(timer, TICK_USEC);
+	for (int i = 0; i < GOSSIP_SHARES; i++)
+		share_tick(node->shares[i].share, rank);
 }
 
+static void on_fetched(void *ctx, const struct web_result *result, int status,
+		       const void *body, size_t size)
+{
+	struct node_share *share = ctx;
+	struct error err;
+
+	share->fetch = NULL;
+	if (!result->ok || status != 200)
+		log_event(LOG_NOTICE, "copy_not_fetched",
+			  LOG_S("peer", share->from), LOG_D("status", status),
+			  LOG_S("reason", result->text));
+	else if (!share_unpack(share->share, body, size, &err))
+		log_event(LOG_WARNING, "copy_malformed",
+			  LOG_S("peer", share->from),
+			  LOG_S("reason", err.text));
+}
+
+static void on_fetch(struct timer *timer, void *ctx)
+{
+	struct node_share *share = ctx;
+	struct node *node = share->node;
+	g_autofree char *path =
+		g_strdup_printf(SHARE_PATH "%d", (int)(share - node->shares));
+	const struct web_call_spec spec = {
+		.address = share->from,
+		.method = "GET",
+		.path = path,
+		.connect_usec = FETCH_USEC,
+		.head_usec = FETCH_USEC,
+		.idle_usec = FETCH_USEC,
+	};
+
+	share->fetch = web_fetch(node->client, &spec, COPY_BYTES_MAX,
+				 on_fetched, share);
+}
+
+void node_shares_word(const struct node *node, struct gossip_word *word)
+{
+	for (int i = 0; i < GOSSIP_SHARES; i++)
+		share_word(node->shares[i].share, &word->shares[i]);
+}
+
+void node_shares_hear(struct node *node, const char *address,
+		      const struct gossip_word *word)
+{
+	int64_t spread = MIN(gossip_live(node->gossip) * FETCH_SPREAD_USEC,
+			     FETCH_SPREAD_MAX_USEC);
+
+	for (int i = 0; i < GOSSIP_SHARES; i++) {
+		struct node_share *share = &node->shares[i];
+
+		if (!share_hear(share->share, &word->shares[i]) || share->fetch)
+			continue;
+		g_strlcpy(share->from, address, sizeof(share->from));
+		if (!timer_running(&share->fetch_timer))
+			timer_start(&share->fetch_timer,
+				    (int64_t)(g_rand_double(node->rand) *
+					      (double)spread));
+	}
+}
+
+void node_share_serve(void *ctx, struct web_request *request)
+{
+	struct node *node = ctx;
+	struct web_text path = web_request_path(request);
+	size_t at = strlen(SHARE_PATH);
+	int i = path.size == at + 1 ? path.data[at] - '0' : -1;
+	g_autoptr(GByteArray) out = NULL;
+
+	if (i < 0 || i >= GOSSIP_SHARES) {
+		web_reply(request, 404, "text/plain", "no such copy\n", 13);
+		return;
+	}
+	out = g_byte_array_new();
+	share_pack(node->shares[i].share, out);
+	web_reply(request, 200, "application/msgpack", out->data, out->len);
+}
+
+/* ---- peers ---- */
+
 static void on_peer(void *ctx, const struct feed_record *record)
 {
 	struct node *node = ctx;
@@ -106,7 +201,7 @@
 		return;
 	node->registered = code == RESULT_OK;
 	if (node->registered)
-		feed_start(node->peer_feed);
+		feed_poll(node->peer_feed);
 	else
 		timer_start(&node->register_timer, REGISTER_RETRY_USEC);
 }
@@ -139,43 +234,54 @@
 	node->registered = false;
 }
 
+static void share_open(struct node *node, enum node_stream stream,
+		       const struct feed_settings *settings,
+		       const struct share_ops *ops)
+{
+	struct node_share *share = &node->shares[stream];
+
+	share->node = node;
+	share->share = share_create(node->clock, &node->interface.feeds,
+				    settings, ops, node);
+	timer_init(&share->fetch_timer, node->clock, on_fetch, share);
+}
+
 void node_feeds_start(struct node *node)
 {
-	static const struct feed_ops config_ops = {.record = on_config};
-	static const struct feed_ops list_ops = {on_list_begin, on_list_end,
-						 on_backend, on_list_regained};
+	static const struct share_ops config_ops = {.value = on_config};
+	static const struct share_ops list_ops = {on_list_begin, on_list_end,
+						  on_backend};
 	static const struct feed_ops peer_ops = {.record = on_peer};
-	const struct feed_store *store = &node->interface.feeds;
 	const struct feed_settings config = {
 		.stream = node->interface.config_stream,
 		.wait_usec = CONFIG_WAIT_USEC,
 	};
 	const struct feed_settings list = {
 		.stream = node->interface.list_stream,
-		.interval_usec = (int64_t)(node->settings.list_sec *
-					   (double)USEC_PER_SEC),
-	};
-	const struct feed_settings peers = {
-		.stream = PEER_STREAM,
-		.interval_usec = PEER_INTERVAL_USEC,
 	};
+	const struct feed_settings peers = {.stream = PEER_STREAM};
 
-	node->config_feed =
-		feed_create(node->clock, store, &config, &config_ops, node);
-	node->list_feed =
-		feed_create(node->clock, store, &list, &list_ops, node);
-	node->peer_feed =
-		feed_create(node->clock, store, &peers, &peer_ops, node);
+	share_open(node, STREAM_CONFIG, &config, &config_ops);
+	share_open(node, STREAM_LIST, &list, &list_ops);
+	node->peer_feed = feed_create(node->clock, &node->interface.feeds,
+				      &peers, &peer_ops, node);
 	timer_init(&node->register_timer, node->clock, on_register, node);
-	feed_start(node->config_feed);
-	feed_start(node->list_feed);
+	timer_init(&node->share_timer, node->clock, on_tick, node);
 	timer_start(&node->register_timer, 0);
+	timer_start(&node->share_timer, TICK_USEC);
 }
 
 void node_feeds_stop(struct node *node)
 {
 	timer_stop(&node->register_timer);
-	feed_destroy(node->config_feed);
-	feed_destroy(node->list_feed);
+	timer_stop(&node->share_timer);
+	for (int i = 0; i < GOSSIP_SHARES; i++) {
+		struct node_share *share = &node->shares[i];
+
+		timer_stop(&share->fetch_timer);
+		if (share->fetch)
+			web_call_cancel(share->fetch);
+		share_destroy(share->share);
+	}
 	feed_destroy(node->peer_feed);
 }
--- a/forward/place.c
+++ b/forward/place.c
@@ -8,7 +8,8 @@
 #define PLAIN_FAR 0.15
 /* The same for decoding: a stream that crosses is lost when its data centre is
  * cut off. 0.15 instead of 0.04 raised the mean worth of days with trouble from
- * 0.669 to 0.683 (Arequipa) and from 0.513 to 0.522 (Vestland); 0.35 did not. */
+ * 0.669 to 0.683 (Arequipa) and from 0.513 to 0.522 (Vestland); 0.35 did not.
+ */
 #define DECODE_FAR 0.15
 /* For prefill: the result takes twice as long and costs twice as much between
  * data centres, as much as half a prompt more in the queue. */
--- a/forward/settings.c
+++ b/forward/settings.c
@@ -71,8 +71,6 @@
 	 "time over which further sends are counted"},
 	{"grace-s", "JT_GRACE_S", KIND_REAL, FIELD(grace_sec), 1, 86400, "8",
 	 "S", "longest graceful shutdown"},
-	{"list-s", "JT_LIST_S", KIND_REAL, FIELD(list_sec), 0.05, 60, "0.8",
-	 "S", "time between readings of the list of backend servers"},
 	{"connections-max", "JT_CONNECTIONS_MAX", KIND_U32,
 	 FIELD(connections_max), 1, 1000000, "1500", "N",
 	 "connections of callers at once"},
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -482,7 +482,11 @@
 
 	request_place(request, &place);
 	place.tried = NULL;
-	backend = place_decode(&place, engine, tokens * room);
+	/* An empty server has room for any request that fits at all. */
+	backend =
+		place_decode(&place, engine,
+			     MAX(tokens, MIN(tokens * room,
+					     (uint32_t)engine->memory_tokens)));
 	if (!backend)
 		return false;
 	prefill = place_prefill(&place, backend);
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -9,9 +9,9 @@
  *	for good. It never takes a failure for an empty stream: while the store
  *	does not answer, what was read last stays in force.
  *
- *	Reads wait for a record, or follow each other at an interval: a stream
- *	in which each of many servers writes every second would answer each
- *	waiting read at once.
+ *	A feed reads when it is told to by feed_poll(); by itself it only
+ *repeats a read that failed and begins again after a gap. What was learnt in
+ *	another way (from a peer that read it) is told by feed_advance().
  */
 #ifndef FORWARD_FEED_H
 #define FORWARD_FEED_H
@@ -34,6 +34,7 @@
 	const struct feed_record *records;
 	size_t count;
 	uint64_t next;	  /* offset to go on from */
+	uint64_t end;	  /* of the stream when it was read */
 	bool gap;	  /* records before the first kept one are gone */
 	const char *more; /* of a snapshot: its last key, when more follow */
 };
@@ -61,9 +62,8 @@
 };
 
 struct feed_settings {
-	const char *stream;    /* must outlive the feed */
-	int64_t wait_usec;     /* that a read may wait for a record */
-	int64_t interval_usec; /* between reads; 0: one after the other */
+	const char *stream; /* must outlive the feed */
+	int64_t wait_usec;  /* that a read may wait for a record */
 };
 
 struct feed;
@@ -73,11 +73,21 @@
 			 const struct feed_ops *ops, void *ctx);
 /* An answer that is still due is dropped when it comes. */
 void feed_destroy(struct feed *feed);
-void feed_start(struct feed *feed);
-/* Reads anew at once: instead of after the interval, or of waiting for an
- * answer that may have been lost. */
+/* Reads what has come since, unless a read is under way or a failed one is to
+ * be repeated soon. */
+void feed_poll(struct feed *feed);
+/* Reads anew at once instead of waiting for an answer that may have been lost.
+ */
 void feed_hurry(struct feed *feed);
-/* When the store last answered; -1 when it never did. */
+/* What is known is as of next, and was all there was at the time fresh. An
+ * answer that is still due is dropped, as it is older. False, and nothing
+ * happens, when the feed is further already. */
+bool feed_advance(struct feed *feed, uint64_t next, int64_t fresh);
+/* Offset up to which records are known; 0 before the first snapshot. */
+uint64_t feed_position(const struct feed *feed);
+/* When what is known was last sure to be all there is: the sending of the last
+ * read that found the end. FEED_NEVER before the first. */
+#define FEED_NEVER INT64_MIN
 int64_t feed_fresh(const struct feed *feed);
 
 #endif
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -81,7 +81,8 @@
 /* All servers, struct backend. */
 const GPtrArray *fleet_all(const struct fleet *fleet);
 
-/* Whether a listed server of the service answers; also true when none is listed.
+/* Whether a listed server of the service answers; also true when none is
+ * listed.
  */
 bool fleet_reaches(const struct fleet *fleet, uint64_t service);
 /* May a new request be sent there now? */
@@ -91,8 +92,8 @@
 uint32_t backend_prefill_tokens(const struct backend *backend);
 /* Failures of late, each losing half of its weight in a few seconds. */
 double backend_trouble(const struct backend *backend, int64_t now);
-/* A request is about to be sent there. After it could not be reached one request
- * tries; the others pass it over until that one is answered or late. */
+/* A request is about to be sent there. After it could not be reached one
+ * request tries; the others pass it over until that one is answered or late. */
 void backend_try(struct backend *backend, int64_t now);
 /* It answered, whatever it said. */
 void backend_reached(struct backend *backend);
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -23,6 +23,7 @@
 #include "common/clock.h"
 #include "common/error.h"
 #include "forward/fleet.h"
+#include "forward/share.h"
 
 #define GOSSIP_USEC (100 * USEC_PER_MSEC)
 /* Ten lost datagrams in a row, or five words of an idle peer. */
@@ -31,6 +32,9 @@
 /* Two words of an idle peer, and some. */
 #define GOSSIP_PARTED_USEC (1200 * USEC_PER_MSEC)
 
+/* Streams whose copies are told of. */
+#define GOSSIP_SHARES 2
+
 struct loop;
 struct gossip;
 
@@ -47,13 +51,15 @@
 	double demand;	  /* prompt tokens a second */
 	uint32_t waiting; /* requests without decode memory */
 	bool leaving;
+	struct share_word shares[GOSSIP_SHARES];
 };
 
 struct gossip_ops {
 	/* What this instance has to tell now. */
 	void (*word)(void *ctx, struct gossip_word *word);
-	/* A peer has a catalog of that version. */
-	void (*version)(void *ctx, uint64_t version);
+	/* What a peer told; near: it is in the same data centre. */
+	void (*heard)(void *ctx, const char *address, bool near,
+		      const struct gossip_word *word);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -72,6 +78,8 @@
 /* Whether there are peers in other data centres, and none of them was heard of
  * for GOSSIP_PARTED_USEC: this data centre, or this instance, is cut off. */
 bool gossip_parted(const struct gossip *gossip);
+/* Live peers of the same data centre whose names come before this one's. */
+uint32_t gossip_rank(const struct gossip *gossip);
 /* Whether this instance has the lowest name of those live, itself included. */
 bool gossip_lowest(const struct gossip *gossip);
 /* What peers told, added up, and this instance's own word. */
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -36,7 +36,6 @@
 	double retry_slack;
 	double retry_window_sec;
 	double grace_sec; /* from SIGTERM to SIGKILL */
-	double list_sec;  /* between readings of the list of servers */
 	uint32_t connections_max;
 };
 
--- /dev/null
+++ b/include/forward/share.h
@@ -0,0 +1,71 @@
+/*
+ * share.h - what few instances read of the store, passed on to the others
+ *
+ * DESCRIPTION
+ *	A share keeps a copy of one keyed stream: the newest value of each key
+ *	that counts, and how far it has been read. Instances tell in their
+ *	gossip how far that is, how long ago it was sure, and the offset of the
+ *	last record that changed anything. From that a peer knows that its own
+ *	copy is as good, without a call, or fetches the copy from whoever told.
+ *
+ *	An instance reads the store when its copy has not been sure for longer
+ *	than its patience, which grows with its rank among the live instances of
+ *	its data centre: the first of them reads all the time, the next ones
+ *	begin when they do not hear from it. So no reader is elected, and one
+ *	that stops, is cut off or is refused by the store is made up for within
+ *	SHARE_PATIENCE_USEC + 2 * SHARE_RANK_USEC.
+ */
+#ifndef FORWARD_SHARE_H
+#define FORWARD_SHARE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "common/error.h"
+#include "forward/feed.h"
+
+/* The first instance of a data centre reads so often. A change is to be
+ * followed within two seconds everywhere. */
+#define SHARE_PATIENCE_USEC (700 * USEC_PER_MSEC)
+/* Each rank waits so much longer, up to twice: gossip of the first one comes
+ * every 300 ms at least. */
+#define SHARE_RANK_USEC (350 * USEC_PER_MSEC)
+
+struct share;
+
+/* What an instance tells of its copy. */
+struct share_word {
+	uint64_t next;	  /* records before it are known; 0: none */
+	uint64_t changed; /* just after the last one that changed anything */
+	int64_t age_usec; /* since the copy was sure; negative: never */
+};
+
+struct share_ops {
+	/* A whole copy is handed over between begin and end. */
+	void (*begin)(void *ctx);
+	void (*end)(void *ctx);
+	/* A value, or with NULL its end. False when it changes nothing. */
+	bool (*value)(void *ctx, uint64_t offset, const char *key,
+		      const void *data, size_t size);
+};
+
+struct share *share_create(struct clock *clock, const struct feed_store *store,
+			   const struct feed_settings *settings,
+			   const struct share_ops *ops, void *ctx);
+void share_destroy(struct share *share);
+/* To be called about every 100 ms: reads the store when it is time. */
+void share_tick(struct share *share, uint32_t rank);
+/* Reads the store now: what is known may be older than thought. */
+void share_hurry(struct share *share);
+void share_word(const struct share *share, struct share_word *word);
+/* Takes in what a peer told. True when its copy is to be fetched. */
+bool share_hear(struct share *share, const struct share_word *word);
+/* Appends the copy as MessagePack: [next, changed, age, [[key, value], ..]]. */
+void share_pack(const struct share *share, GByteArray *out);
+/* Takes a peer's copy; one that is older than ours is dropped. */
+bool share_unpack(struct share *share, const void *data, size_t size,
+		  struct error *err);
+
+#endif
--- /dev/null
+++ b/tests/forward/test_share.c
@@ -0,0 +1,285 @@
+/* Copies of a stream at several instances, and what they tell each other. */
+#include <glib.h>
+#include <string.h>
+
+#include "../../forward/gossip_codec.h"
+#include "common/error.h"
+#include "forward/share.h"
+
+struct copy {
+	struct clock *clock;
+	struct share *share;
+	GHashTable *values; /* as its owner sees them */
+	uint32_t calls;	    /* to the store */
+	feed_page_fn fn;
+	void *fn_ctx;
+};
+
+static void on_snapshot(void *ctx, const char *stream, const char *after,
+			feed_page_fn fn, void *fn_ctx)
+{
+	struct copy *copy = ctx;
+
+	copy->calls++;
+	copy->fn = fn;
+	copy->fn_ctx = fn_ctx;
+}
+
+static void on_read(void *ctx, const char *stream, uint64_t from,
+		    int64_t wait_usec, feed_page_fn fn, void *fn_ctx)
+{
+	on_snapshot(ctx, stream, NULL, fn, fn_ctx);
+}
+
+static void on_begin(void *ctx)
+{
+	g_hash_table_remove_all(((struct copy *)ctx)->values);
+}
+
+static bool on_value(void *ctx, uint64_t offset, const char *key,
+		     const void *data, size_t size)
+{
+	GHashTable *values = ((struct copy *)ctx)->values;
+	char *text = data ? g_strndup(data, size) : NULL;
+	bool same = g_strcmp0(g_hash_table_lookup(values, key), text) == 0;
+
+	if (text)
+		g_hash_table_replace(values, g_strdup(key), text);
+	else
+		g_hash_table_remove(values, key);
+	return !same;
+}
+
+static void copy_open(struct copy *copy, struct clock *clock)
+{
+	static const struct share_ops ops = {on_begin, NULL, on_value};
+	const struct feed_store store = {on_snapshot, on_read, copy};
+	const struct feed_settings settings = {.stream = "s"};
+
+	*copy = (struct copy){.clock = clock};
+	copy->values =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	copy->share = share_create(clock, &store, &settings, &ops, copy);
+}
+
+static void copy_close(struct copy *copy)
+{
+	share_destroy(copy->share);
+	g_hash_table_destroy(copy->values);
+}
+
+/* Answers a call to the store with one record, or none. */
+static void store_answer(struct copy *copy, const char *key, const char *value,
+			 uint64_t next)
+{
+	struct feed_record record = {next - 1, key, value,
+				     value ? strlen(value) : 0};
+	const struct feed_page page = {
+		.records = &record,
+		.count = key ? 1 : 0,
+		.next = next,
+		.end = next,
+	};
+	feed_page_fn fn = copy->fn;
+
+	g_assert_nonnull(fn);
+	copy->fn = NULL;
+	fn(copy->fn_ctx, RESULT_OK, &page);
+}
+
+static bool hear(struct copy *to, const struct copy *from)
+{
+	struct share_word word;
+
+	share_word(from->share, &word);
+	return share_hear(to->share, &word);
+}
+
+static void fetch(struct copy *to, const struct copy *from)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct error err;
+
+	share_pack(from->share, out);
+	g_assert_true(share_unpack(to->share, out->data, out->len, &err));
+}
+
+static void wait_msec(struct clock *clock, int64_t msec)
+{
+	clock_advance(clock, clock_now(clock) + msec * USEC_PER_MSEC);
+}
+
+/* One reads; the other has it without a call for as long as it hears. */
+static void test_pass_on(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy first;
+	struct copy second;
+
+	copy_open(&first, clock);
+	copy_open(&second, clock);
+	wait_msec(clock, 200);
+	share_tick(first.share, 0);
+	share_tick(second.share, 1);
+	g_assert_cmpuint(second.calls, ==, 0);
+	store_answer(&first, "k", "v1", 5);
+	g_assert_true(hear(&second, &first));
+	fetch(&second, &first);
+	g_assert_cmpstr(g_hash_table_lookup(second.values, "k"), ==, "v1");
+	for (int i = 0; i < 50; i++) {
+		wait_msec(clock, 100);
+		share_tick(first.share, 0);
+		/* The same value again: nothing to be fetched. */
+		if (first.fn)
+			store_answer(&first, "k", "v1", 6 + (uint64_t)i);
+		g_assert_false(hear(&second, &first));
+		share_tick(second.share, 1);
+	}
+	g_assert_cmpuint(second.calls, ==, 0);
+	g_assert_cmpuint(first.calls, <=, 9);
+	copy_close(&first);
+	copy_close(&second);
+	clock_destroy(clock);
+}
+
+/* A reader that is not heard of is made up for in time. */
+static void test_reader_gone(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy first;
+	struct copy second;
+
+	copy_open(&first, clock);
+	copy_open(&second, clock);
+	wait_msec(clock, 200);
+	share_tick(first.share, 0);
+	store_answer(&first, "k", "v1", 5);
+	hear(&second, &first);
+	fetch(&second, &first);
+	for (int i = 0; i < 14 && second.calls == 0; i++) {
+		wait_msec(clock, 100);
+		share_tick(second.share, 2);
+	}
+	g_assert_cmpuint(second.calls, ==, 1);
+	store_answer(&second, "k", "v2", 9);
+	/* What the first knows is older now, and is not taken. */
+	g_assert_false(hear(&second, &first));
+	fetch(&second, &first);
+	g_assert_cmpstr(g_hash_table_lookup(second.values, "k"), ==, "v2");
+	copy_close(&first);
+	copy_close(&second);
+	clock_destroy(clock);
+}
+
+/* Bytes that are no copy change nothing. */
+static void test_malformed(void)
+{
+	struct clock *clock = clock_create(0);
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	GRand *rand = g_rand_new_with_seed(5);
+	struct copy first;
+	struct copy second;
+	struct error err;
+
+	copy_open(&first, clock);
+	wait_msec(clock, 200);
+	share_tick(first.share, 0);
+	store_answer(&first, "k", "v1", 5);
+	share_pack(first.share, out);
+	for (int i = 0; i < 4000; i++) {
+		guint at = (guint)g_rand_int_range(rand, 0, (gint32)out->len);
+		guint8 kept = out->data[at];
+
+		copy_open(&second, clock);
+		out->data[at] = (guint8)g_rand_int_range(rand, 0, 256);
+		(void)share_unpack(
+			second.share, out->data,
+			(gsize)g_rand_int_range(rand, 0, (gint32)out->len + 1),
+			&err);
+		out->data[at] = kept;
+		copy_close(&second);
+	}
+	copy_close(&first);
+	g_rand_free(rand);
+	clock_destroy(clock);
+}
+
+/* ---- datagrams ---- */
+
+static void message_fill(struct gossip_message *message)
+{
+	struct gossip_load load = {7, {1, 2, 3}};
+
+	*message = (struct gossip_message){
+		.name = "a",
+		.data_centre = "here",
+		.boot = 5,
+		.sequence = 6,
+		.word = {.version = 9, .demand = 10, .waiting = 2},
+		.addresses = {"127.0.0.1:1"},
+		.address_count = 1,
+		.loads = g_array_new(FALSE, FALSE, sizeof(load)),
+	};
+	message->word.shares[0] = (struct share_word){4, 3, 1500};
+	message->word.shares[1] = (struct share_word){0, 0, -1};
+	g_array_append_val(message->loads, load);
+}
+
+static void test_datagram(void)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct gossip_message sent;
+	struct gossip_message got;
+	struct error err;
+
+	message_fill(&sent);
+	gossip_encode(&sent, out);
+	g_assert_true(gossip_decode(&got, out->data, out->len, &err));
+	g_assert_cmpstr(got.name, ==, "a");
+	g_assert_cmpstr(got.data_centre, ==, "here");
+	g_assert_cmpuint(got.word.version, ==, 9);
+	g_assert_cmpuint(got.word.shares[0].changed, ==, 3);
+	g_assert_cmpint(got.word.shares[1].age_usec, ==, -1);
+	g_assert_cmpuint(got.loads->len, ==, 1);
+	g_assert_cmpstr(got.addresses[0], ==, "127.0.0.1:1");
+	gossip_message_clear(&got);
+	for (guint size = 0; size < out->len; size++) {
+		g_assert_false(gossip_decode(&got, out->data, size, &err));
+		gossip_message_clear(&got);
+	}
+	gossip_message_clear(&sent);
+}
+
+static void test_datagram_fuzz(void)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	GRand *rand = g_rand_new_with_seed(9);
+	struct gossip_message sent;
+
+	message_fill(&sent);
+	gossip_encode(&sent, out);
+	for (int i = 0; i < 20000; i++) {
+		g_autofree guint8 *copy = g_memdup2(out->data, out->len);
+		struct gossip_message got;
+		struct error err;
+
+		for (int k = g_rand_int_range(rand, 1, 4); k > 0; k--)
+			copy[g_rand_int_range(rand, 0, (gint32)out->len)] =
+				(guint8)g_rand_int_range(rand, 0, 256);
+		(void)gossip_decode(&got, copy, out->len, &err);
+		gossip_message_clear(&got);
+	}
+	gossip_message_clear(&sent);
+	g_rand_free(rand);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/share/pass-on", test_pass_on);
+	g_test_add_func("/forward/share/reader-gone", test_reader_gone);
+	g_test_add_func("/forward/share/malformed", test_malformed);
+	g_test_add_func("/forward/gossip/datagram", test_datagram);
+	g_test_add_func("/forward/gossip/fuzz", test_datagram_fuzz);
+	return g_test_run();
+}
