forward: tell near peers more often, and count how old what they told is

Causes, on the grown sites (91 and 83 instances): loads were told every 1.1 s, so a server counted as full for up to a second after its requests had ended, while waiting requests asked for reservations 2,300 times a second; and the lease was given up after the first role order, so that the next waited 13 s. Near peers are told every 190 ms, what may have ended since is promised again, refusals of a server back off, and the lease is kept for 30 s.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -23,6 +23,11 @@
  * callers of this module wait for a connection. */
 #define TRIAL_USEC (200 * USEC_PER_MSEC)
 
+/* A server that refused a reservation is asked again after this time, doubled
+ * up to three times: it frees memory for a request about every 100 ms, and many
+ * instances ask. */
+#define FULL_USEC (40 * USEC_PER_MSEC)
+
 struct fleet {
 	struct clock *clock;
 	char *data_centre;
@@ -241,6 +246,17 @@
 		backend->avoid_until = now + TRIAL_USEC;
 }
 
+void backend_full(struct backend *backend, int64_t now)
+{
+	backend->full_until = now + (FULL_USEC << MIN(backend->fulls, 3u));
+	backend->fulls++;
+}
+
+void backend_granted(struct backend *backend)
+{
+	backend->fulls = 0;
+}
+
 void backend_reached(struct backend *backend)
 {
 	backend->avoided = 0;
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -10,8 +10,13 @@
 #include "web/address.h"
 #include "web/loop.h"
 
-/* Peers that are told at the base interval; more are told more seldom. */
-#define FULL_RATE_PEERS 8u
+/* Peers that are told at the base interval; more are told more seldom. Those of
+ * the same data centre share its servers and copies, and bytes to them cost
+ * nothing. */
+#define FULL_RATE_NEAR 16u
+#define FULL_RATE_FAR 8u
+/* Slowest telling, well before what was told is taken for stale. */
+#define SLOWEST_USEC (1 * USEC_PER_SEC)
 /* A word is sent at least so often although nothing changed. */
 #define IDLE_USEC (300 * USEC_PER_MSEC)
 /* How often an address that does not answer is tried, and for how long. */
@@ -51,6 +56,7 @@
 	int fd;
 	h2o_socket_t *socket;
 	GHashTable *peers; /* address to struct peer */
+	uint32_t near;	   /* of these, in the same data centre */
 	GArray *last;	   /* struct gossip_load, as sent last */
 	int64_t last_sent;
 	uint64_t sequence;
@@ -267,13 +273,21 @@
 	}
 }
 
+int64_t gossip_interval(const struct gossip *gossip, bool near)
+{
+	uint32_t peers = near ? gossip->near
+			      : g_hash_table_size(gossip->peers) - gossip->near;
+	uint32_t full = near ? FULL_RATE_NEAR : FULL_RATE_FAR;
+
+	return MIN(GOSSIP_USEC * (int64_t)MAX(peers / full, 1u), SLOWEST_USEC);
+}
+
 static bool peer_due(const struct gossip *gossip, const struct peer *peer,
 		     bool changed)
 {
 	int64_t now = gossip_now(gossip);
 	int64_t since = now - peer->told;
-	uint32_t peers = g_hash_table_size(gossip->peers);
-	int64_t every = GOSSIP_USEC * MAX(peers / FULL_RATE_PEERS, 1u);
+	int64_t every = gossip_interval(gossip, peer_near(gossip, peer));
 
 	if (!peer_live(gossip, peer))
 		return since >= TRY_USEC;
@@ -338,11 +352,23 @@
 	return TRUE;
 }
 
+static void near_count(struct gossip *gossip)
+{
+	GHashTableIter iter;
+	struct peer *peer;
+
+	gossip->near = 0;
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		gossip->near += peer_near(gossip, peer);
+}
+
 static void on_timer(struct timer *timer, void *ctx)
 {
 	struct gossip *gossip = ctx;
 
 	g_hash_table_foreach_remove(gossip->peers, peer_expire, gossip);
+	near_count(gossip);
 	words_send(gossip);
 	timer_start(timer, GOSSIP_USEC);
 }
--- a/forward/node.c
+++ b/forward/node.c
@@ -74,6 +74,13 @@
 	return gossip_instances(node->gossip);
 }
 
+static int64_t interval_get(void *ctx, bool near)
+{
+	const struct node *node = ctx;
+
+	return gossip_interval(node->gossip, near);
+}
+
 static void word_fill(void *ctx, struct gossip_word *word)
 {
 	struct node *node = ctx;
@@ -173,6 +180,7 @@
 		.backends = node->interface.backends,
 		.callers = node->interface.callers,
 		.instances = instances_count,
+		.interval = interval_get,
 		.instances_ctx = node,
 	};
 
--- a/forward/place.c
+++ b/forward/place.c
@@ -17,6 +17,10 @@
 /* One fresh failure weighs as much as a server half full. */
 #define TROUBLE_WEIGHT 0.5
 #define PREFILL_TROUBLE_TOKENS 4000.0
+/* How long a request keeps its decode memory on average, for what may have
+ * ended since a peer told of it; what is told so often is taken as it is. */
+#define RUN_USEC (3.5 * (double)USEC_PER_SEC)
+#define STALE_FREE_USEC (100 * USEC_PER_MSEC)
 /* Ties among servers in the same state are broken at random by this share, so
  * that instances with the same view do not all choose alike. */
 #define JITTER 0.02
@@ -79,6 +83,15 @@
 	return best;
 }
 
+/* What peers told is as old as their interval; as much as ends within that time
+ * may be promised more. The server refuses by itself what it has not. */
+static double promised(const struct place *place, const struct backend *backend)
+{
+	int64_t stale = backend->near ? place->stale_near : place->stale_far;
+
+	return 1.0 + (double)MAX(stale - STALE_FREE_USEC, 0) / RUN_USEC;
+}
+
 static bool decode_has_room(const struct place *place,
 			    const struct backend *backend,
 			    const struct engine_traits *engine, uint32_t tokens)
@@ -87,8 +100,8 @@
 		return false;
 	if (engine->slots > 0 && backend_requests(backend) >= engine->slots)
 		return false;
-	return (uint64_t)backend_decode_tokens(backend) + tokens <=
-	       engine->memory_tokens;
+	return (double)backend_decode_tokens(backend) + tokens <=
+	       (double)engine->memory_tokens * promised(place, backend);
 }
 
 struct backend *place_decode(const struct place *place,
--- a/forward/request.c
+++ b/forward/request.c
@@ -51,6 +51,8 @@
 		.service = request->service->id,
 		.tried = &request->tried,
 		.rand = parts->rand,
+		.stale_near = parts->interval(parts->instances_ctx, true),
+		.stale_far = parts->interval(parts->instances_ctx, false),
 	};
 }
 
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -30,6 +30,9 @@
 #define MOVE_EXTRA_USEC (14 * USEC_PER_SEC)
 /* An order is carried out within this time of being sent, or not at all. */
 #define ORDER_USEC (13 * USEC_PER_SEC)
+/* The lease is kept so long after an order: taking it anew would wait for what
+ * an earlier order may still do, and the list grows for seconds at a start. */
+#define LEASE_KEEP_USEC (30 * USEC_PER_SEC)
 /* The list may not be whole right after the start. */
 #define SETTLE_USEC (1200 * USEC_PER_MSEC)
 
@@ -43,6 +46,7 @@
 	struct roles_parts parts;
 	struct leases *leases;
 	bool leasing;
+	int64_t needed; /* when an order was last due */
 	uint64_t task;
 	struct timer timer;
 	int64_t started;
@@ -282,8 +286,11 @@
 	g_hash_table_foreach_remove(roles->moves, move_over, roles);
 	if (now - roles->started < SETTLE_USEC)
 		return;
-	if (!roles->parts.ops.decides(roles->parts.ctx) ||
-	    !services_tick(roles))
+	if (!roles->parts.ops.decides(roles->parts.ctx))
+		lease_drop(roles);
+	else if (services_tick(roles))
+		roles->needed = now;
+	else if (now - roles->needed >= LEASE_KEEP_USEC)
 		lease_drop(roles);
 }
 
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -18,8 +18,6 @@
 
 /* As for plain calls. */
 #define CONNECT_USEC (150 * USEC_PER_MSEC)
-/* A server that refused a reservation is not asked again before. */
-#define FULL_USEC (40 * USEC_PER_MSEC)
 /* Reservations are kept for the time of a prefill in a long queue. */
 #define RESERVE_USEC (2 * USEC_PER_SEC)
 /* A prefill is given up after this time and this much for each prompt token
@@ -217,7 +215,7 @@
 {
 	request->runs--;
 	if (backend && !request->answer.head.other)
-		backend->full_until = request_now(request) + FULL_USEC;
+		backend_full(backend, request_now(request));
 	stream_again(request, RESULT_BACKEND_REFUSED, "server is full");
 }
 
@@ -438,6 +436,10 @@
 
 static void reserved(struct request *request, const char *hold)
 {
+	struct backend *backend = decode_get(request);
+
+	if (backend)
+		backend_granted(backend);
 	g_strlcpy(request->hold, hold, sizeof(request->hold));
 	request->placed_at = request_now(request);
 	histogram_add(request->forward->wait_time,
@@ -460,13 +462,13 @@
 		return;
 	}
 	if (backend && result == RESERVE_FULL)
-		backend->full_until = now + FULL_USEC;
+		backend_full(backend, now);
 	else if (backend && result == RESERVE_UNREACHABLE)
 		backend_unreachable(backend, now);
 	else if (backend)
 		backend_failed(backend, now);
 	if (result == RESERVE_FAILED && backend)
-		backend->full_until = now + FULL_USEC;
+		backend_full(backend, now);
 	stream_wait(request);
 }
 
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -58,6 +58,7 @@
 	int64_t avoid_until; /* could not be reached */
 	uint32_t avoided;    /* times in a row */
 	int64_t full_until;  /* has just refused a reservation */
+	uint32_t fulls;	     /* refused in a row */
 	int64_t stage_since; /* when the list showed its stage first */
 	bool listed;	     /* seen in the snapshot being read */
 };
@@ -95,6 +96,9 @@
 /* A request is about to be sent there. After it could not be reached one
  * request tries; the others pass it over until that one is answered or late. */
 void backend_try(struct backend *backend, int64_t now);
+/* It has just refused, or granted, a reservation. */
+void backend_full(struct backend *backend, int64_t now);
+void backend_granted(struct backend *backend);
 /* It answered, whatever it said. */
 void backend_reached(struct backend *backend);
 /* A request was answered well. */
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -39,6 +39,9 @@
 /* How many instances share the budgets now, this one included. */
 typedef uint32_t (*forward_instances_fn)(void *ctx);
 
+/* How old the loads that instances tell may be, near and elsewhere. */
+typedef int64_t (*forward_interval_fn)(void *ctx, bool near);
+
 struct forward_parts {
 	struct clock *clock;
 	struct loop *loop;
@@ -49,6 +52,7 @@
 	struct backend_ops backends;
 	struct caller_codec callers;
 	forward_instances_fn instances;
+	forward_interval_fn interval;
 	void *instances_ctx;
 };
 
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -9,9 +9,11 @@
  *	peer. Peers are first learnt from the store, then from datagrams: from
  *	their senders, and from the addresses that each carries.
  *
- *	With n peers a datagram goes to each every GOSSIP_USEC * max(1, n / 8),
- *	so what an instance sends and reads is bounded at about 80 datagrams a
- *	second each way.
+ *	With n peers in a data centre a datagram goes to each of them every
+ *	GOSSIP_USEC * max(1, n / 16), and to n peers in others every
+ *	GOSSIP_USEC * max(1, n / 8), one second at the most: what an instance
+ *	sends and reads is bounded at about 240 datagrams a second each way, as
+ *	long as there are fewer than 80 peers in other data centres.
  */
 #ifndef FORWARD_GOSSIP_H
 #define FORWARD_GOSSIP_H
@@ -73,6 +75,9 @@
 /* Instances that may share budgets with this one, which counts too: those heard
  * of within the last half minute. */
 uint32_t gossip_instances(const struct gossip *gossip);
+/* How often peers in the same data centre, or in others, are told of loads that
+ * change; theirs are as old when they are used. */
+int64_t gossip_interval(const struct gossip *gossip, bool near);
 /* Peers heard of lately. */
 uint32_t gossip_live(const struct gossip *gossip);
 /* Whether there are peers in other data centres, and none of them was heard of
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -33,6 +33,9 @@
 	uint64_t service;
 	const struct tried *tried;
 	GRand *rand; /* breaks ties */
+	/* How old what peers told of loads may be, near and elsewhere. */
+	int64_t stale_near;
+	int64_t stale_far;
 };
 
 /* For a plain call. NULL when no server is usable. */
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -186,6 +186,11 @@
 	return INSTANCES;
 }
 
+static int64_t interval(void *ctx, bool near)
+{
+	return 0;
+}
+
 static bool fake_decode(void *ctx, struct web_request *request,
 			struct caller_request *caller, struct error *err)
 {
@@ -288,6 +293,7 @@
 			     fake_free_result, NULL, fake_read_result, NULL},
 		.callers = {fake_decode, NULL},
 		.instances = instances,
+		.interval = interval,
 	};
 
 	memset(&world, 0, sizeof(world));
