tests: a stand-in site, and sessions of the forwarding process against it

jtsite speaks the store, plain servers and engines as far as a forwarding process uses them, keeps a ledger of runs, holds and results, and fails as told. One peer address serves copies, gossip and metrics, so a port of 0 works.

--- a/forward/node.c
+++ b/forward/node.c
@@ -12,6 +12,8 @@
 #define BODY_BYTES_MAX (4u << 20)
 #define IDLE_USEC (20 * USEC_PER_SEC)
 #define SMALL_CONNECTIONS 64u
+/* All instances of a data centre may fetch a copy at once. */
+#define PEER_CONNECTIONS 256u
 /* A turn that comes so late tells that the process stood still. */
 #define STILL_USEC (1 * USEC_PER_SEC)
 /* A slow store takes some 240 ms; reading anew more often than this would never
@@ -200,7 +202,7 @@
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
 		.data_centre = node->settings.data_centre,
-		.address = node->settings.gossip_listen,
+		.address = web_server_address(node->peers_server),
 		.boot = node->boot,
 	};
 
@@ -225,6 +227,12 @@
 	node->roles = roles_create(&parts);
 }
 
+static void listening_log(const char *role, const struct web_server *server)
+{
+	log_event(LOG_NOTICE, "listening", LOG_S("role", role),
+		  LOG_S("address", web_server_address(server)));
+}
+
 static bool node_open(struct node *node, struct error *err)
 {
 	const struct forward_settings *settings = &node->settings;
@@ -234,8 +242,6 @@
 				 &node->interface))
 		return error_set(err, RESULT_IO, "the interface did not open");
 	core_open(node);
-	if (!gossip_open(node, err))
-		return false;
 	node->callers =
 		server_open(node, settings->listen, settings->connections_max,
 			    forward_take, node->forward, err);
@@ -245,13 +251,20 @@
 				   SMALL_CONNECTIONS, on_health, node, err);
 	if (!node->health)
 		return false;
-	node->admin = server_open(node, settings->admin_listen,
-				  SMALL_CONNECTIONS, on_metrics, node, err);
-	if (!node->admin)
+	node->peers_server =
+		server_open(node, settings->peer_listen, PEER_CONNECTIONS,
+			    on_metrics, node, err);
+	if (!node->peers_server)
+		return false;
+	web_server_handle(node->peers_server, SHARE_PATH, node_share_serve,
+			  node);
+	if (!gossip_open(node, err))
 		return false;
-	web_server_handle(node->admin, SHARE_PATH, node_share_serve, node);
 	roles_open(node);
 	node_feeds_start(node);
+	listening_log("callers", node->callers);
+	listening_log("health", node->health);
+	listening_log("peers", node->peers_server);
 	return true;
 }
 
@@ -261,7 +274,7 @@
 	node_drain_stop(node);
 	web_server_destroy(node->callers);
 	web_server_destroy(node->health);
-	web_server_destroy(node->admin);
+	web_server_destroy(node->peers_server);
 	roles_destroy(node->roles);
 	if (node->gossip)
 		node_feeds_stop(node);
--- a/forward/node.h
+++ b/forward/node.h
@@ -50,7 +50,7 @@
 	struct feed *peer_feed;
 	struct web_server *callers;
 	struct web_server *health;
-	struct web_server *admin;
+	struct web_server *peers_server; /* copies and metrics */
 	uint64_t boot;
 	bool registered;
 	bool draining;
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -212,9 +212,9 @@
 {
 	struct node *node = ctx;
 
-	node->interface.put(node->interface.ctx, PEER_STREAM,
-			    node->settings.name, node->settings.gossip_listen,
-			    on_registered, node);
+	node->interface.put(
+		node->interface.ctx, PEER_STREAM, node->settings.name,
+		web_server_address(node->peers_server), on_registered, node);
 }
 
 static void on_unregistered(void *ctx, enum result_code code)
--- a/forward/place.c
+++ b/forward/place.c
@@ -17,13 +17,15 @@
 /* One fresh failure weighs as much as a server half full. */
 #define TROUBLE_WEIGHT 0.5
 #define PREFILL_TROUBLE_TOKENS 4000.0
-/* How long a request keeps its decode memory on average, for what may have
- * ended since a peer told of it; what is told so often is taken as it is. */
-#define RUN_USEC (3.5 * (double)USEC_PER_SEC)
+/* A view that is not older than this is taken as it is. */
 #define STALE_FREE_USEC (100 * USEC_PER_MSEC)
 /* Ties among servers in the same state are broken at random by this share, so
  * that instances with the same view do not all choose alike. */
 #define JITTER 0.02
+/* How much larger that grows for each 100 ms that the view is older: by as much
+ * as arrives meanwhile, about half a prompt a prefill server. */
+#define STALE_JITTER 5.0
+#define PREFILL_JITTER_TOKENS 16000.0
 
 void tried_add(struct tried *tried, uint64_t key)
 {
@@ -46,9 +48,16 @@
 	       !tried_has(place->tried, backend->key);
 }
 
-static double jitter(const struct place *place)
+/* Instances with the same view choose alike until they hear of each other, so
+ * the older the view, the more is left to chance. */
+static double jitter(const struct place *place, const struct backend *backend)
 {
-	return g_rand_double(place->rand) * JITTER;
+	int64_t stale = backend->near ? place->stale_near : place->stale_far;
+	double more = (double)MAX(stale - STALE_FREE_USEC, 0) /
+		      (double)STALE_FREE_USEC;
+
+	return g_rand_double(place->rand) * JITTER *
+	       (1.0 + more * STALE_JITTER);
 }
 
 static double plain_cost(const struct place *place,
@@ -59,7 +68,7 @@
 	return (double)backend_requests(backend) / slots +
 	       (backend->near ? 0.0 : PLAIN_FAR) +
 	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
-	       jitter(place);
+	       jitter(place, backend);
 }
 
 struct backend *place_plain(const struct place *place)
@@ -83,15 +92,6 @@
 	return best;
 }
 
-/* What peers told is as old as their interval; as much as ends within that time
- * may be promised more. The server refuses by itself what it has not. */
-static double promised(const struct place *place, const struct backend *backend)
-{
-	int64_t stale = backend->near ? place->stale_near : place->stale_far;
-
-	return 1.0 + (double)MAX(stale - STALE_FREE_USEC, 0) / RUN_USEC;
-}
-
 static bool decode_has_room(const struct place *place,
 			    const struct backend *backend,
 			    const struct engine_traits *engine, uint32_t tokens)
@@ -100,8 +100,8 @@
 		return false;
 	if (engine->slots > 0 && backend_requests(backend) >= engine->slots)
 		return false;
-	return (double)backend_decode_tokens(backend) + tokens <=
-	       (double)engine->memory_tokens * promised(place, backend);
+	return (uint64_t)backend_decode_tokens(backend) + tokens <=
+	       engine->memory_tokens;
 }
 
 struct backend *place_decode(const struct place *place,
@@ -124,7 +124,7 @@
 			       (double)MAX(engine->memory_tokens, 1) +
 		       (backend->near ? 0.0 : DECODE_FAR) +
 		       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
-		       jitter(place);
+		       jitter(place, backend);
 		if (cost < least) {
 			least = cost;
 			best = backend;
@@ -143,7 +143,7 @@
 	return (double)backend_prefill_tokens(backend) +
 	       (near ? 0.0 : PREFILL_FAR_TOKENS) +
 	       PREFILL_TROUBLE_TOKENS * backend_trouble(backend, place->now) +
-	       PREFILL_FAR_TOKENS * jitter(place);
+	       PREFILL_JITTER_TOKENS * jitter(place, backend);
 }
 
 struct backend *place_prefill(const struct place *place,
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -28,8 +28,7 @@
 	char data_centre[FORWARD_TEXT_MAX];
 	char listen[FORWARD_TEXT_MAX];	      /* callers, "IP:port" */
 	char health_listen[FORWARD_TEXT_MAX]; /* the balancer */
-	char admin_listen[FORWARD_TEXT_MAX];  /* metrics */
-	char gossip_listen[FORWARD_TEXT_MAX]; /* other instances, UDP */
+	char peer_listen[FORWARD_TEXT_MAX];   /* other instances, metrics */
 	char platform[FORWARD_TEXT_MAX];      /* the platform's store */
 	int log_level;
 	double retry_ratio;
--- /dev/null
+++ b/tests/platform/site/site.h
@@ -0,0 +1,120 @@
+/*
+ * site.h - a stand-in for the users' platform: its store and its servers
+ *
+ * DESCRIPTION
+ *	One process with a store and a few backend servers on loopback. It
+ *speaks only what a forwarding process uses, and keeps a ledger of what ran, so
+ *	that a test can check the promises from the servers' side. Faults are
+ *set through its control address:
+ *
+ *	POST /site/fault   {"server": "d1", "fault": NAME, "count": N}
+ *	    reset (before the answer), error (500), busy (503, not run), silent,
+ *	    cut (after two events, or half a body), unsigned
+ *	POST /site/state   {"server": "d1", "state": "ready"|"draining"|"gone"}
+ *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/prefix/"}
+ *	POST /site/store   {"state": "up"|"down"|"forget"}
+ *	GET  /site/ledger  runs, repeats, outstanding holds and results
+ */
+#ifndef TESTS_PLATFORM_SITE_H
+#define TESTS_PLATFORM_SITE_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+#include "web/loop.h"
+#include "web/server.h"
+
+enum stage {
+	STAGE_PLAIN,
+	STAGE_PREFILL,
+	STAGE_DECODE,
+};
+
+enum fault {
+	FAULT_NONE,
+	FAULT_RESET,
+	FAULT_ERROR,
+	FAULT_BUSY,
+	FAULT_SILENT,
+	FAULT_CUT,
+	FAULT_UNSIGNED,
+	FAULT_COUNT,
+};
+
+struct site;
+
+struct server {
+	struct site *site;
+	char *name;
+	char *id;
+	enum stage stage;
+	struct web_server *web;
+	enum fault fault;
+	uint32_t fault_count;
+	bool draining;
+	bool gone;
+	uint64_t beats;
+	uint32_t running;
+};
+
+struct ledger {
+	GHashTable *runs; /* request id to number of runs */
+	uint32_t total;
+	uint32_t repeats;    /* runs of a request that had run */
+	uint32_t after_gone; /* arrivals at a server long after it left */
+	uint32_t prefills;
+	uint32_t holds; /* outstanding */
+	uint32_t results;
+	uint32_t orders;
+};
+
+struct record {
+	char *key;
+	char *value; /* NULL: dropped */
+};
+
+struct topic {
+	char *name;
+	GPtrArray *records; /* struct record */
+	uint64_t first;	    /* offset of records[0] */
+};
+
+struct site {
+	struct clock *clock;
+	struct loop *loop;
+	struct web_server *control;
+	GPtrArray *servers;
+	GHashTable *topics;
+	GHashTable *taken; /* holds and results by name, to when they end */
+	struct ledger ledger;
+	uint64_t names;
+	uint64_t version;
+	int64_t timeout_msec;
+	char *extra;
+	bool down;
+	int64_t event_usec;
+	uint32_t events;
+	struct timer beat;
+};
+
+/* site_store.c */
+void store_serve(struct site *site);
+void store_put(struct site *site, const char *topic, const char *key,
+	       const char *value);
+/* Forgets all but the newest record of each key. */
+void store_forget(struct site *site);
+
+/* site_server.c */
+struct server *server_open(struct site *site, const char *name,
+			   enum stage stage);
+void server_beat(struct server *server);
+
+/* site.c */
+char *site_name(struct site *site, const char *prefix);
+bool site_take(struct site *site, const char *name);
+void site_config(struct site *site);
+
+#endif
--- a/tests/session/process.c
+++ b/tests/session/process.c
@@ -21,13 +21,17 @@
 static const struct {
 	const char *name;
 	const char *path;
+	unsigned int roles; /* addresses that it listens on */
+	bool log_on_output;
 } programs[] = {
-	{"jtentry", "entry/jtentry"},
-	{"jtctl", "ctl/jtctl"},
-	{"jtload", "load/jtload"},
-	{"jtengine", "standin/jtengine"},
-	{"jtservice", "standin/jtservice"},
-	{"jtplatform", "standin/jtplatform"},
+	{"jtentry", "entry/jtentry", 3, false},
+	{"jtctl", "ctl/jtctl", 1, false},
+	{"jtload", "load/jtload", 1, false},
+	{"jtengine", "standin/jtengine", 1, false},
+	{"jtservice", "standin/jtservice", 1, false},
+	{"jtplatform", "standin/jtplatform", 1, false},
+	{"jtforward", "platform/jtforward", 3, true},
+	{"jtsite", "tests/platform/jtsite", 1, false},
 };
 
 static const struct {
@@ -38,6 +42,7 @@
 	{"KILL", SIGKILL},
 	{"STOP", SIGSTOP},
 	{"CONT", SIGCONT},
+	{"HUP", SIGHUP},
 };
 
 static char *program_path(const struct session *session, const char *name)
@@ -49,6 +54,14 @@
 	return g_find_program_in_path(name);
 }
 
+static bool logs_on_output(const char *program)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(programs); i++)
+		if (strcmp(programs[i].name, program) == 0)
+			return programs[i].log_on_output;
+	return false;
+}
+
 /* Runs in the child: it must not outlive the session. */
 static void child_setup(gpointer data)
 {
@@ -59,9 +72,10 @@
 			 char **argv)
 {
 	int flags = O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC;
-	int out = open(process->out, flags, 0600);
-	int log = open(process->log, flags, 0600);
 	char *program = argv[0];
+	bool on_output = logs_on_output(program);
+	int out = open(on_output ? process->log : process->out, flags, 0600);
+	int log = open(on_output ? process->out : process->log, flags, 0600);
 	GError *error = NULL;
 	gboolean ok;
 
@@ -196,8 +210,9 @@
 
 	if (argc < 3)
 		return session_fail(session, "start NAME PROGRAM ARG...");
-	if (strcmp(argv[2], "jtentry") == 0)
-		wait.expected = 3;
+	for (size_t i = 0; i < G_N_ELEMENTS(programs); i++)
+		if (strcmp(argv[2], programs[i].name) == 0)
+			wait.expected = programs[i].roles;
 	wait.process = process_create(session, argv[1], argv + 2);
 	if (wait.process == NULL)
 		return false;
