ctl, forward: tell from logs what became of a request

Each step of a request now has a line with the server chosen, the loads that decided it, and the age of the list; jtctl explain puts the lines of one request from many logs in order and names the cause of its end.

--- a/ctl/completions/jtctl.fish
+++ b/ctl/completions/jtctl.fish
@@ -6,6 +6,8 @@
 complete -c jtctl -n '__fish_seen_subcommand_from completions' -a 'bash zsh fish'
 complete -c jtctl -n __fish_use_subcommand -a diff -d 'Compare a file with the one in force, or two files'
 complete -c jtctl -n '__fish_seen_subcommand_from diff' -F
+complete -c jtctl -n __fish_use_subcommand -a explain -d 'Tell from logs what became of a request, and why'
+complete -c jtctl -n '__fish_seen_subcommand_from explain' -F
 complete -c jtctl -n __fish_use_subcommand -a history -d 'Print the audit trail of changes'
 complete -c jtctl -n __fish_use_subcommand -a measures -d 'Print goodput and wasted prefill, before and after'
 complete -c jtctl -n '__fish_seen_subcommand_from measures' -F
--- a/ctl/completions/jtctl.zsh
+++ b/ctl/completions/jtctl.zsh
@@ -6,6 +6,7 @@
 		'apply:Put a file in force, whole'
 		'completions:Print completions for bash, zsh or fish'
 		'diff:Compare a file with the one in force, or two files'
+		'explain:Tell from logs what became of a request, and why'
 		'history:Print the audit trail of changes'
 		'measures:Print goodput and wasted prefill, before and after'
 		'policies:List the routing policies that a file may name'
@@ -43,6 +44,13 @@
 			'--help[Print this help]' \
 			'--version[Print the version]' \
 			'*:file:_files' ;;
+	explain)
+		_arguments \
+			'--admin=[Admin address of a daemon (JT_ADMIN, else 127.0.0.1:8081)]:IP:' \
+			'--json[Print JSON]' \
+			'--help[Print this help]' \
+			'--version[Print the version]' \
+			'*:file:_files' ;;
 	history)
 		_arguments \
 			'--admin=[Admin address of a daemon (JT_ADMIN, else 127.0.0.1:8081)]:IP:' \
--- /dev/null
+++ b/ctl/explain.c
@@ -0,0 +1,182 @@
+#include "ctl/explain.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/error.h"
+
+#define LINE_MAX_BYTES 16384
+
+static void line_free(gpointer data)
+{
+	struct explain_line *line = data;
+
+	g_free(line->source);
+	g_free(line->text);
+	g_free(line);
+}
+
+void explanation_init(struct explanation *explanation)
+{
+	explanation->lines = g_ptr_array_new_with_free_func(line_free);
+	explanation->cause = NULL;
+}
+
+void explanation_clear(struct explanation *explanation)
+{
+	g_ptr_array_unref(explanation->lines);
+	g_free(explanation->cause);
+}
+
+char *explain_value(const char *line, const char *key)
+{
+	g_autofree char *mark = g_strdup_printf(" %s=", key);
+	const char *at = strstr(line, mark);
+	const char *end;
+
+	if (!at)
+		return NULL;
+	at += strlen(mark);
+	if (*at != '"')
+		return g_strndup(at, strcspn(at, " \r\n"));
+	for (end = ++at; *end && *end != '"'; end++)
+		if (*end == '\\' && end[1])
+			end++;
+	return g_strndup(at, (gsize)(end - at));
+}
+
+static void line_take(struct explanation *explanation, const char *request,
+		      const char *source, const char *text)
+{
+	const char *event = strstr(text, " event=");
+	g_autofree char *id = explain_value(text, "request");
+	const char *time = strstr(text, ">time=");
+	struct explain_line *line;
+
+	if (!event || !time || g_strcmp0(id, request) != 0)
+		return;
+	line = g_new0(struct explain_line, 1);
+	line->time = g_ascii_strtod(time + strlen(">time="), NULL);
+	line->source = g_path_get_basename(source);
+	line->text = g_strchomp(g_strdup(event + 1));
+	g_ptr_array_add(explanation->lines, line);
+}
+
+bool explanation_read(struct explanation *explanation, const char *request,
+		      const char *file, struct error *err)
+{
+	FILE *in = fopen(file, "re");
+	char text[LINE_MAX_BYTES];
+	bool good;
+
+	if (!in)
+		return error_set(err, RESULT_IO, "%s: cannot be read", file);
+	while (fgets(text, sizeof(text), in))
+		line_take(explanation, request, file, text);
+	good = !ferror(in);
+	fclose(in);
+	return good || error_set(err, RESULT_IO, "%s: reading failed", file);
+}
+
+static gint line_compare(gconstpointer a, gconstpointer b)
+{
+	const struct explain_line *x = *(struct explain_line *const *)a;
+	const struct explain_line *y = *(struct explain_line *const *)b;
+
+	return (x->time > y->time) - (x->time < y->time);
+}
+
+/* The newest line of an event; NULL when there is none. */
+static const char *last_of(const struct explanation *explanation,
+			   const char *event)
+{
+	g_autofree char *mark = g_strconcat("event=", event, " ", NULL);
+
+	for (guint i = explanation->lines->len; i > 0; i--) {
+		const struct explain_line *line =
+			explanation->lines->pdata[i - 1];
+
+		if (g_str_has_prefix(line->text, mark))
+			return line->text;
+	}
+	return NULL;
+}
+
+static const struct {
+	const char *outcome;
+	const char *text;
+} ends[] = {
+	{"answered", "a server answered it whole"},
+	{"refused", "it was refused and has not run"},
+	{"failed", "it failed, and may have run"},
+	{"broken", "its stream was broken off midway"},
+	{"gone", "its caller hung up"},
+	{"denied", "it is not for this site, or malformed"},
+};
+
+static const char *end_text(const char *outcome)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(ends); i++)
+		if (g_strcmp0(ends[i].outcome, outcome) == 0)
+			return ends[i].text;
+	return "it ended in a way that is not known here";
+}
+
+static void step_add(GString *cause, const char *line)
+{
+	g_autofree char *step = explain_value(line, "step");
+	g_autofree char *backend = explain_value(line, "backend");
+	g_autofree char *why = explain_value(line, "why");
+	g_autofree char *status = explain_value(line, "status");
+
+	g_string_append_printf(cause, "; before that %s at %s failed: %s",
+			       step ? step : "the call",
+			       backend ? backend : "a server",
+			       why && *why ? why : "no reason");
+	if (status && strcmp(status, "0") != 0)
+		g_string_append_printf(cause, " (status %s)", status);
+}
+
+static char *cause_name(const struct explanation *explanation)
+{
+	const char *end = last_of(explanation, "request_end");
+	const char *step = last_of(explanation, "step_failed");
+	GString *cause = g_string_new(NULL);
+
+	if (!step)
+		step = last_of(explanation, "send_failed");
+	if (!end) {
+		g_string_append(cause, "no process logged its end: the process "
+				       "died with it, or it is under way");
+	} else {
+		g_autofree char *outcome = explain_value(end, "outcome");
+		g_autofree char *why = explain_value(end, "why");
+		g_autofree char *status = explain_value(end, "status");
+		g_autofree char *backend = explain_value(end, "backend");
+		g_autofree char *whole = explain_value(end, "whole_ms");
+
+		g_string_append_printf(cause,
+				       "%s: %s (status %s, after %s ms, last "
+				       "server %s)",
+				       end_text(outcome), why ? why : "",
+				       status ? status : "?",
+				       whole ? whole : "?",
+				       backend && *backend ? backend : "none");
+	}
+	if (step)
+		step_add(cause, step);
+	return g_string_free(cause, FALSE);
+}
+
+bool explanation_finish(struct explanation *explanation, const char *request,
+			struct error *err)
+{
+	if (explanation->lines->len == 0)
+		return error_set(err, RESULT_NOT_FOUND,
+				 "no line of these logs names request %s",
+				 request);
+	g_ptr_array_sort(explanation->lines, line_compare);
+	explanation->cause = cause_name(explanation);
+	return true;
+}
--- a/forward/answer.c
+++ b/forward/answer.c
@@ -81,6 +81,7 @@
 	headers_reply(request);
 	web_reply_start(request->web, request->answer.head.status, NULL);
 	request->replied = true;
+	request->replied_status = request->answer.head.status;
 	request->first_at = request_now(request);
 }
 
--- a/forward/node.c
+++ b/forward/node.c
@@ -83,6 +83,15 @@
 	return gossip_interval(node->gossip, near);
 }
 
+static int64_t list_age_get(void *ctx)
+{
+	const struct node *node = ctx;
+	struct share_word word;
+
+	share_word(node->shares[STREAM_LIST].share, &word);
+	return word.age_usec;
+}
+
 static void word_fill(void *ctx, struct gossip_word *word)
 {
 	struct node *node = ctx;
@@ -183,6 +192,7 @@
 		.callers = node->interface.callers,
 		.instances = instances_count,
 		.interval = interval_get,
+		.list_age = list_age_get,
 		.instances_ctx = node,
 	};
 
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -181,6 +181,7 @@
 	request_place(request, &place);
 	backend = place_plain(&place);
 	backend_try(backend, place.now);
+	placed_log(request, "call", backend);
 	request->target = backend->info;
 	spec.to = &request->target;
 	tried_add(&request->tried, backend->key);
--- a/forward/request.c
+++ b/forward/request.c
@@ -71,6 +71,31 @@
 	return false;
 }
 
+static int64_t since_msec(const struct request *request, int64_t at)
+{
+	return at ? (at - request->arrived) / USEC_PER_MSEC : -1;
+}
+
+void placed_log(const struct request *request, const char *step,
+		const struct backend *backend)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+
+	log_event(LOG_INFO, "request_placed",
+		  LOG_S("request", request->caller.id), LOG_S("step", step),
+		  LOG_S("backend", backend->info.id),
+		  LOG_D("requests", backend_requests(backend)),
+		  LOG_D("decode_tokens", backend_decode_tokens(backend)),
+		  LOG_D("prefill_tokens", backend_prefill_tokens(backend)),
+		  LOG_F("trouble",
+			backend_trouble(backend, request_now(request))),
+		  LOG_D("list_age_ms",
+			parts->list_age(parts->instances_ctx) / USEC_PER_MSEC),
+		  LOG_D("version", request->catalog->version),
+		  LOG_D("after_ms", since_msec(request, request_now(request))),
+		  LOG_D("left_ms", request_left(request) / USEC_PER_MSEC));
+}
+
 void charge_add(struct request *request, struct charge *charge,
 		struct backend *backend, const struct backend_load *load)
 {
@@ -95,11 +120,6 @@
 	*charge = (struct charge){.backend = HANDLE_NONE};
 }
 
-static int64_t since_msec(const struct request *request, int64_t at)
-{
-	return at ? (at - request->arrived) / USEC_PER_MSEC : -1;
-}
-
 static void end_log(const struct request *request, enum request_end end,
 		    int status, const char *why)
 {
@@ -215,14 +235,13 @@
 void request_finish(struct request *request)
 {
 	web_reply_end(request->web);
-	request_end(request, END_ANSWERED, request->answer.head.status,
-		    "whole");
+	request_end(request, END_ANSWERED, request->replied_status, "whole");
 }
 
 void request_break(struct request *request, const char *why)
 {
 	web_reply_abort(request->web);
-	request_end(request, END_BROKEN, request->answer.head.status, why);
+	request_end(request, END_BROKEN, request->replied_status, why);
 }
 
 static void request_deny(struct request *request, enum result_code code,
--- a/forward/request.h
+++ b/forward/request.h
@@ -51,7 +51,8 @@
 	uint32_t runs;	 /* that may have begun to run */
 	uint32_t rounds; /* through placing, for streams */
 	bool prefilled;	 /* a first prefill was accepted */
-	bool replied;	 /* the head of an answer went to the caller */
+	int replied_status;
+	bool replied; /* the head of an answer went to the caller */
 	struct charge decode;
 	struct charge prefill;
 	char hold[HOLD_MAX];
@@ -102,6 +103,10 @@
  * service's budget. */
 bool request_may_send(struct request *request);
 
+/* Logs that a step of the request goes to a server, and what decided it. */
+void placed_log(const struct request *request, const char *step,
+		const struct backend *backend);
+
 void charge_add(struct request *request, struct charge *charge,
 		struct backend *backend, const struct backend_load *load);
 void charge_drop(struct request *request, struct charge *charge);
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -314,6 +314,7 @@
 		spec.resumes = true;
 		spec.resume_after = request->cutter.last_id;
 	}
+	placed_log(request, "run", decode);
 	request->target = decode->info;
 	request->sends++;
 	request->runs++;
@@ -427,6 +428,7 @@
 	}
 	spec.head_usec = prefill_limit(request, backend);
 	backend_try(backend, place.now);
+	placed_log(request, "prefill", backend);
 	request->target = backend->info;
 	charge_add(request, &request->prefill, backend, &load);
 	request->call = ops->send(ops->ctx, &spec, &events, request);
@@ -497,6 +499,7 @@
 	stream_unwait(request);
 	charge_add(request, &request->decode, backend, &load);
 	backend_try(backend, place.now);
+	placed_log(request, "reserve", backend);
 	request->target = backend->info;
 	request->call = ops->reserve(ops->ctx, &backend->info, tokens,
 				     MIN(RESERVE_USEC, engine->reserve_usec),
--- a/include/ctl/ctl.h
+++ b/include/ctl/ctl.h
@@ -16,7 +16,8 @@
 #include "common/error.h"
 
 #define CTL_ADMIN_DEFAULT "127.0.0.1:8081"
-#define CTL_OPERANDS_MAX 2
+/* A request and the logs of one data centre's instances. */
+#define CTL_OPERANDS_MAX 65
 
 struct loop;
 struct web_client;
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -42,6 +42,9 @@
 /* How old the loads that instances tell may be, near and elsewhere. */
 typedef int64_t (*forward_interval_fn)(void *ctx, bool near);
 
+/* How old the list of backend servers is; negative before the first. */
+typedef int64_t (*forward_age_fn)(void *ctx);
+
 struct forward_parts {
 	struct clock *clock;
 	struct loop *loop;
@@ -53,6 +56,7 @@
 	struct caller_codec callers;
 	forward_instances_fn instances;
 	forward_interval_fn interval;
+	forward_age_fn list_age;
 	void *instances_ctx;
 };
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -191,6 +191,11 @@
 	return 0;
 }
 
+static int64_t list_age(void *ctx)
+{
+	return 0;
+}
+
 static bool fake_decode(void *ctx, struct web_request *request,
 			struct caller_request *caller, struct error *err)
 {
@@ -294,6 +299,7 @@
 		.callers = {fake_decode, NULL},
 		.instances = instances,
 		.interval = interval,
+		.list_age = list_age,
 	};
 
 	memset(&world, 0, sizeof(world));
--- a/tests/session/normal.c
+++ b/tests/session/normal.c
@@ -18,6 +18,8 @@
 	{"\\b\\d{4}-\\d\\d-\\d\\dT[0-9:.]+Z", "<time>"},
 	{"(retry-after: )\\d+", "\\1<seconds>"},
 	{"took_us=\\d+", "took_us=<usec>"},
+	{"after \\d+ ms, last server i-[a-z]\\d",
+	 "after <ms> ms, last server <server>"},
 };
 
 static char *variables_replace(struct session *session, char *text)
