--- a/tests/common/test_log.c
+++ b/tests/common/test_log.c
@@ -1,5 +1,8 @@
 /* The text of log lines. */
+#include <fcntl.h>
 #include <glib.h>
+#include <string.h>
+#include <unistd.h>
 
 #include "common/clock.h"
 #include "common/error.h"
@@ -93,6 +96,64 @@
 	g_assert_cmpint(level, ==, LOG_NOTICE);
 }
 
+static char *pipe_read(int fd)
+{
+	GString *text = g_string_new(NULL);
+	char part[4096];
+	ssize_t n;
+
+	for (;;) {
+		log_flush();
+		n = read(fd, part, sizeof(part));
+		if (n <= 0)
+			return g_string_free(text, FALSE);
+		g_string_append_len(text, part, n);
+	}
+}
+
+static guint lines_count(const char *text, const char *mark)
+{
+	guint count = 0;
+
+	for (const char *at = text; (at = strstr(at, mark)); at++)
+		count++;
+	return count;
+}
+
+/* A reader that stops reading costs lines, those of level info first, and no
+ * time; what was left out is counted. */
+static void test_bounded(void)
+{
+	struct clock *clock = clock_create(0);
+	g_autofree char *text = NULL;
+	g_autofree char *later = NULL;
+	int fds[2];
+	int64_t left_out = 0;
+
+	g_assert_cmpint(pipe2(fds, O_NONBLOCK), ==, 0);
+	log_setup(clock, "p", LOG_INFO);
+	log_to(fds[1]);
+	for (int i = 0; i < 20000; i++)
+		log_event(LOG_INFO, "often", LOG_D("i", i));
+	for (int i = 0; i < 100; i++)
+		log_event(LOG_NOTICE, "failure", LOG_D("i", i));
+	text = pipe_read(fds[0]);
+	g_assert_cmpuint(strlen(text), <=, 600 << 10);
+	g_assert_cmpuint(lines_count(text, "event=failure"), ==, 100);
+	g_assert_cmpuint(lines_count(text, "event=often"), <, 20000);
+	left_out = 20000 - lines_count(text, "event=often");
+	g_assert_cmpint(
+		g_ascii_strtoll(strstr(text, " lines=") + strlen(" lines="),
+				NULL, 10),
+		==, left_out);
+	clock_advance(clock, 10 * USEC_PER_SEC);
+	log_event(LOG_INFO, "again");
+	later = pipe_read(fds[0]);
+	g_assert_cmpuint(lines_count(later, "event=again"), ==, 1);
+	log_setup(NULL, NULL, LOG_DEBUG);
+	clock_destroy(clock);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -100,5 +161,7 @@
 	g_test_add_func("/log/line", test_line);
 	g_test_add_func("/log/write", test_write);
 	g_test_add_func("/log/level", test_level);
+	/* Last: lines go to the pipe from then on. */
+	g_test_add_func("/log/bounded", test_bounded);
 	return g_test_run();
 }
--- /dev/null
+++ b/tests/forward/test_settings.c
@@ -0,0 +1,100 @@
+/* Settings out of a file, the environment and flags. */
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "../fake/rows.h"
+#include "common/error.h"
+#include "forward/settings.h"
+
+#define WHOLE                                                                  \
+	"name=a\ndata-centre=b\nlisten=127.0.0.1:1\n"                          \
+	"health-listen=127.0.0.1:2\npeer-listen=127.0.0.1:3\n"                 \
+	"platform=127.0.0.1:4\n"
+
+static bool file_read(struct forward_settings *settings, const char *text,
+		      int argc, char **argv, struct error *err)
+{
+	g_autofree char *name = NULL;
+	int fd = g_file_open_tmp("settings-XXXXXX", &name, NULL);
+	bool good;
+
+	g_assert_cmpint(fd, >=, 0);
+	close(fd);
+	g_assert_true(g_file_set_contents(name, text, -1, NULL));
+	good = forward_settings_read(settings, name, argc, argv, err);
+	g_unlink(name);
+	return good;
+}
+
+struct refused {
+	const char *name;
+	const char *text;
+	const char *reason;
+};
+
+static const struct refused rows[] = {
+	{"missing", "name=a\n", "data-centre"},
+	{"address", WHOLE "listen=nowhere\n", ":7: listen: 'nowhere'"},
+	{"number", WHOLE "\n# x\nretry-ratio=much\n", ":9: retry-ratio"},
+	{"range", WHOLE "grace-s=0\n", ":7: grace-s"},
+	{"level", WHOLE "log-level=loud\n", ":7: log-level"},
+	{"name", WHOLE "name=a b\n", ":7: name"},
+	{"line", WHOLE "retry\n", ":7: not NAME=VALUE"},
+};
+
+static void test_refused(gconstpointer data)
+{
+	static char *argv[] = {(char *)"jtforward", NULL};
+	const struct refused *row = data;
+	struct forward_settings settings = {.grace_sec = 5};
+	struct error err = {0};
+
+	g_assert_false(file_read(&settings, row->text, 1, argv, &err));
+	g_assert_cmpint(err.code, ==, RESULT_BAD_SETTING);
+	g_assert_nonnull(strstr(err.text, row->reason));
+	/* What was there before stays. */
+	g_assert_cmpfloat(settings.grace_sec, ==, 5);
+}
+
+static void test_order(void)
+{
+	static char *argv[] = {(char *)"jtforward", (char *)"--grace-s",
+			       (char *)"3", NULL};
+	struct forward_settings settings;
+	struct error err = {0};
+
+	g_setenv("JT_RETRY_SLACK", "17", TRUE);
+	g_assert_true(file_read(&settings,
+				WHOLE
+				"grace-s=9\nretry-slack=54\nretry-ratio=\n"
+				"unknown=1\n",
+				3, argv, &err));
+	g_unsetenv("JT_RETRY_SLACK");
+	g_assert_cmpstr(settings.name, ==, "a");
+	g_assert_cmpfloat(settings.grace_sec, ==, 3);
+	g_assert_cmpfloat(settings.retry_slack, ==, 17);
+	g_assert_cmpfloat(settings.retry_ratio, ==, 0.2);
+}
+
+static void test_no_file(void)
+{
+	static char *argv[] = {(char *)"jtforward", NULL};
+	struct forward_settings settings;
+	struct error err = {0};
+
+	g_assert_false(
+		forward_settings_read(&settings, "/nowhere/s", 1, argv, &err));
+	g_assert_nonnull(strstr(err.text, "/nowhere/s"));
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ROWS_ADD("/forward/settings/refused/", rows, test_refused);
+	g_test_add_func("/forward/settings/order", test_order);
+	g_test_add_func("/forward/settings/no-file", test_no_file);
+	return g_test_run();
+}
--- /dev/null
+++ b/tests/platform/test_decode.c
@@ -0,0 +1,292 @@
+/* What the platform says, decoded: tables of what is taken and what refused. */
+#include <glib.h>
+#include <string.h>
+
+#include "../fake/rows.h"
+#include "common/error.h"
+#include "common/id.h"
+#include "platform/caller.h"
+#include "platform/decode.h"
+#include "platform/runner.h"
+#include "platform/store.h"
+
+#define ROUTE                                                                  \
+	"{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/p/\","      \
+	"\"route_type\":\"streaming\",\"service\":\"s\"}"
+#define SERVICE "{\"name\":\"s\"}"
+#define CONFIG(routes, services)                                               \
+	"{\"version\":7,\"routes\":[" routes "],\"services\":[" services "]}"
+
+struct refused {
+	const char *name;
+	const char *text;
+	const char *reason; /* that the error has in it */
+};
+
+static const struct refused configs[] = {
+	{"no JSON", "{", "line 1"},
+	{"no object", "[]", "version"},
+	{"no version", "{\"routes\":[],\"services\":[]}", "version"},
+	{"text for version",
+	 "{\"version\":\"7\",\"routes\":[],\"services\":[]}", "version"},
+	{"no routes", "{\"version\":7,\"services\":[]}", "routes"},
+	{"no services", "{\"version\":7,\"routes\":[]}", "services"},
+	{"route without name",
+	 CONFIG("{\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\"}",
+		SERVICE),
+	 "routes[0].name"},
+	{"route without host",
+	 CONFIG(ROUTE ",{\"name\":\"r\",\"path_prefix\":\"/\","
+		      "\"route_type\":\"idempotent\",\"service\":\"s\"}",
+		SERVICE),
+	 "routes[1].host"},
+	{"prefix without slash",
+	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/p\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\"}",
+		SERVICE),
+	 "routes[0].path_prefix"},
+	{"no service",
+	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"route_type\":\"idempotent\"}",
+		SERVICE),
+	 "routes[0].service"},
+	{"empty split",
+	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"route_type\":\"idempotent\",\"traffic_split\":[]}",
+		SERVICE),
+	 "routes[0].traffic_split"},
+	{"negative time",
+	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\","
+		"\"timeout_ms\":-1}",
+		SERVICE),
+	 "routes[0].timeout_ms"},
+	{"text for a number",
+	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\","
+		"\"max_attempts\":\"2\"}",
+		SERVICE),
+	 "routes[0].max_attempts"},
+	{"service without name", CONFIG(ROUTE, "{}"), "services[0].name"},
+};
+
+static void test_config_refused(gconstpointer data)
+{
+	const struct refused *row = data;
+	struct error err = {0};
+
+	g_assert_null(decode_catalog(row->text, strlen(row->text), &err));
+	g_assert_cmpint(err.code, ==, RESULT_BAD_CONFIG);
+	g_assert_nonnull(strstr(err.text, row->reason));
+}
+
+static void test_config(void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":"
+		"\"A.example\",\"path_prefix\":\"/p/\",\"route_type\":"
+		"\"streaming\",\"timeout_ms\":14000,\"target_latency_ms\":900,"
+		"\"priority\":1,\"traffic_split\":[{\"service\":\"s\","
+		"\"weight\":90},{\"service\":\"t\",\"weight\":0}],"
+		"\"max_attempts\":2,\"sticky\":true,\"resumable\":true,"
+		"\"gap_aim_ms\":300,\"unknown\":{}}],\"services\":[{\"name\":"
+		"\"s\",\"health_path\":\"/h\",\"max_connections\":150,"
+		"\"engine\":{\"slots\":12,\"kv_tokens\":30222,"
+		"\"handle_ttl_s\":0.5,\"switch_s\":6.0,\"hold_ms\":2000.0}}],"
+		"\"limits\":{\"max_body_bytes\":1000}}";
+	struct error err = {0};
+	struct catalog *catalog = decode_catalog(text, strlen(text), &err);
+	const struct catalog_route *route;
+	const struct catalog_service *service;
+
+	g_assert_cmpstr(err.text, ==, "");
+	route = catalog_route(catalog, "a.EXAMPLE", 9, "/p/x", 4);
+	service = catalog_service(catalog, id_of("s"));
+	g_assert_cmpuint(catalog->version, ==, 7);
+	g_assert_cmpuint(catalog->limits.body_bytes, ==, 1000);
+	g_assert_cmpint(route->kind, ==, ROUTE_STREAM);
+	g_assert_true(route->resumable);
+	g_assert_cmpuint(route->shares->len, ==, 1);
+	g_assert_cmpint(route->timeout_usec, ==, 14 * USEC_PER_SEC);
+	g_assert_cmpint(route->gap_usec, ==, 300 * USEC_PER_MSEC);
+	g_assert_cmpuint(service->engine.memory_tokens, ==, 30222);
+	g_assert_cmpint(service->engine.result_usec, ==, USEC_PER_SEC / 2);
+	catalog_unref(catalog);
+}
+
+/* A kind that is not known is taken for the one that may not be repeated. */
+static void test_unknown_kind(void)
+{
+	static const char text[] =
+		CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		       "\"route_type\":\"new\",\"service\":\"s\"}",
+		       SERVICE);
+	struct error err;
+	struct catalog *catalog = decode_catalog(text, strlen(text), &err);
+
+	g_assert_cmpint(catalog_route(catalog, "h", 1, "/", 1)->kind, ==,
+			ROUTE_ONCE);
+	catalog_unref(catalog);
+}
+
+static const struct refused entries[] = {
+	{"no JSON", "x", "line 1"},
+	{"empty", "{}", "entry.service"},
+	{"no state", "{\"service\":\"s\"}", "entry.state"},
+	{"no address", "{\"service\":\"s\",\"state\":\"ready\"}",
+	 "entry.address"},
+	{"no data centre",
+	 "{\"service\":\"s\",\"state\":\"ready\",\"address\":\"1.2.3.4:5\"}",
+	 "entry.zone"},
+	{"address too long",
+	 "{\"service\":\"s\",\"state\":\"ready\",\"zone\":\"z\",\"address\":"
+	 "\"1234567890123456789012345678901234567890123456789012345678901234\""
+	 "}",
+	 "entry.address"},
+};
+
+static void test_entry_refused(gconstpointer data)
+{
+	const struct refused *row = data;
+	struct backend_info info;
+	struct error err = {0};
+
+	g_assert_false(
+		decode_backend("i", row->text, strlen(row->text), &info, &err));
+	g_assert_nonnull(strstr(err.text, row->reason));
+}
+
+static void test_entry(void)
+{
+	static const char text[] =
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		"\"slots\":12,\"state\":\"draining\",\"stage\":\"decode\"}";
+	struct backend_info info;
+	struct error err;
+
+	g_assert_true(decode_backend("i-1", text, strlen(text), &info, &err));
+	g_assert_cmpstr(info.id, ==, "i-1");
+	g_assert_cmpstr(info.data_centre, ==, "z");
+	g_assert_true(info.leaving);
+	g_assert_cmpint(info.stage, ==, STAGE_DECODE);
+	g_assert_cmpuint(info.slots, ==, 12);
+}
+
+/* ---- callers ---- */
+
+struct tokens {
+	const char *name;
+	const char *text;
+	bool good;
+	uint32_t prompt;
+	uint32_t output;
+};
+
+static const struct tokens token_rows[] = {
+	{"both", "1460,80", true, 1460, 80},
+	{"zero", "0,0", true, 0, 0},
+	{"one", "1460", false, 0, 0},
+	{"empty", "", false, 0, 0},
+	{"no first", ",80", false, 0, 0},
+	{"no second", "80,", false, 0, 0},
+	{"three", "1,2,3", false, 0, 0},
+	{"sign", "-1,2", false, 0, 0},
+	{"space", "1, 2", false, 0, 0},
+	{"too large", "99999999999999999999,2", false, 0, 0},
+};
+
+static void test_tokens(gconstpointer data)
+{
+	const struct tokens *row = data;
+	uint32_t prompt = 0;
+	uint32_t output = 0;
+
+	g_assert_true(platform_tokens_read(
+			      (struct web_text){row->text, strlen(row->text)},
+			      &prompt, &output) == row->good);
+	if (!row->good)
+		return;
+	g_assert_cmpuint(prompt, ==, row->prompt);
+	g_assert_cmpuint(output, ==, row->output);
+}
+
+/* ---- the store ---- */
+
+static void test_keyed(void)
+{
+	static const unsigned char bytes[] = {
+		0, 0, 0, 0, 0, 0,   0,	 9,   /* end */
+		0, 0, 0, 0, 0, 0,   0,	 3,   /* first kept */
+		0, 0, 0, 4, 1, 'k', 'v', 'w', /* a value */
+		0, 0, 0, 2, 1, 'k',	      /* its end */
+		0, 0, 0, 1, 0,		      /* no key: passed over */
+		0, 0, 0, 9, 1, 'c',	      /* cut short */
+	};
+	struct feed_page page;
+	struct error err;
+
+	g_assert_true(store_read_keyed(bytes, sizeof(bytes), 5, &page, &err));
+	g_assert_cmpuint(page.count, ==, 2);
+	g_assert_cmpuint(page.next, ==, 8);
+	g_assert_cmpuint(page.end, ==, 9);
+	g_assert_false(page.gap);
+	g_assert_cmpstr(page.records[0].key, ==, "k");
+	g_assert_cmpuint(page.records[0].offset, ==, 5);
+	g_assert_cmpmem(page.records[0].value, page.records[0].size, "vw", 2);
+	g_assert_null(page.records[1].value);
+	g_free((void *)page.records);
+	g_assert_true(store_read_keyed(bytes, sizeof(bytes), 2, &page, &err));
+	g_assert_true(page.gap);
+	g_free((void *)page.records);
+	g_assert_false(store_read_keyed(bytes, 15, 2, &page, &err));
+}
+
+/* ---- fuzz ---- */
+
+/* Seeded mutations of what is sound: nothing is read past its end. */
+static void test_fuzz(void)
+{
+	static const char *const seeds[] = {
+		CONFIG(ROUTE, SERVICE),
+		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
+		"\"slots\":12,\"state\":\"ready\",\"stage\":\"decode\"}",
+		"{\"handle\":\"3fa0\",\"tokens\":14,\"version\":1}",
+	};
+	GRand *rand = g_rand_new_with_seed(21);
+
+	for (int i = 0; i < 20000; i++) {
+		const char *seed = seeds[i % (int)G_N_ELEMENTS(seeds)];
+		size_t size = strlen(seed);
+		g_autofree char *text = g_memdup2(seed, size);
+		struct backend_info info;
+		struct feed_page page;
+		struct error err;
+		char handle[16];
+
+		for (int k = g_rand_int_range(rand, 0, 4); k > 0; k--)
+			text[g_rand_int_range(rand, 0, (gint32)size)] =
+				(char)g_rand_int_range(rand, 0, 256);
+		catalog_unref(decode_catalog(text, size, &err));
+		(void)decode_backend("i", text, size, &info, &err);
+		(void)runner_text_read(text, size, "handle", handle,
+				       sizeof(handle));
+		if (store_read_keyed(text, size, 0, &page, &err))
+			g_free((void *)page.records);
+	}
+	g_rand_free(rand);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ROWS_ADD("/platform/config/", configs, test_config_refused);
+	ROWS_ADD("/platform/entry/", entries, test_entry_refused);
+	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
+	g_test_add_func("/platform/config", test_config);
+	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
+	g_test_add_func("/platform/entry", test_entry);
+	g_test_add_func("/platform/keyed", test_keyed);
+	g_test_add_func("/platform/fuzz", test_fuzz);
+	return g_test_run();
+}
