forward: change roles within a band, and send a changing server nothing more

Roles now change only outside of 1.25 to 2.4 times the mean demand, and instances tell each other which server changes. Also: a cut-off answer whose head was not sent yet shows its head (session platform); logs of jtentry go to standard output, as those of all daemons; entry/platform*.c are entry/own_platform*.c.

Tests: forward/roles/change, fleet/changing, fleet/trial.

--- a/entry/component_link.c
+++ b/entry/component_link.c
@@ -11,7 +11,7 @@
 #include "entry/directory_sync.h"
 #include "entry/entry.h"
 #include "entry/peers.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 #include "entry/poller.h"
 #include "entry/requests.h"
 
--- a/entry/directory_sync.c
+++ b/entry/directory_sync.c
@@ -12,7 +12,7 @@
 #include "entry/directory_codec.h"
 #include "entry/entry.h"
 #include "entry/peers.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 
 #define READERS 2
 /* While nothing is known. */
--- a/entry/drain.c
+++ b/entry/drain.c
@@ -4,7 +4,7 @@
 #include "common/log.h"
 #include "entry/entry.h"
 #include "entry/peers.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 #include "entry/requests.h"
 
 /* How often the end of requests and of writing to peers is looked for. */
--- a/entry/main.c
+++ b/entry/main.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/resource.h>
+#include <unistd.h>
 
 #include "common/log.h"
 #include "entry/entry.h"
@@ -55,6 +56,7 @@
 static void on_turn(void *ctx, int64_t gap_usec)
 {
 	entry_paused(ctx, gap_usec);
+	log_flush();
 }
 
 static uint32_t seed_take(const struct entry *entry)
@@ -116,9 +118,11 @@
 	files_raise();
 	entry.clock = clock_create_system();
 	log_setup(entry.clock, PROGRAM, LOG_INFO);
+	log_to(STDOUT_FILENO);
 	if (!settings_read(&entry.settings, argc, argv, &err)) {
 		log_event(LOG_ERR, "bad_setting", LOG_D("code", err.code),
 			  LOG_S("reason", err.text));
+		log_flush();
 		clock_destroy(entry.clock);
 		return exit_status(err.code);
 	}
@@ -127,6 +131,7 @@
 	entry_run(&entry);
 	entry_teardown(&entry);
 	log_event(LOG_NOTICE, "stopped", LOG_D("code", entry.exit_code));
+	log_flush();
 	clock_destroy(entry.clock);
 	return exit_status(entry.exit_code);
 }
--- a/entry/orders.c
+++ b/entry/orders.c
@@ -12,7 +12,7 @@
 #include "entry/directory.h"
 #include "entry/engine_order.h"
 #include "entry/entry.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 
 /* Of the mean size of requests, a tick. */
 #define SIZE_WEIGHT 0.05
--- a/entry/platform.c
+++ b/entry/own_platform.c
@@ -1,9 +1,9 @@
 /*
  * platform.c - the adapter towards the platform, made of its two parts
  */
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 
-#include "platform_private.h"
+#include "own_platform_private.h"
 
 #define CALL_USEC (2 * USEC_PER_SEC)
 #define LIST_USEC (1 * USEC_PER_SEC)
--- a/entry/platform_list.c
+++ b/entry/own_platform_list.c
@@ -1,7 +1,7 @@
 /*
  * platform_list.c - the platform's list of instances, the own entry included
  */
-#include "platform_private.h"
+#include "own_platform_private.h"
 
 #include <stdio.h>
 #include <stdlib.h>
--- a/entry/platform_log.c
+++ b/entry/own_platform_log.c
@@ -1,7 +1,7 @@
 /*
  * platform_log.c - the append-only log over HTTP
  */
-#include "platform_private.h"
+#include "own_platform_private.h"
 
 #include <inttypes.h>
 #include <stdio.h>
--- a/entry/platform_private.h
+++ b/entry/own_platform_private.h
@@ -1,10 +1,10 @@
 /*
- * platform_private.h - what the files of the platform's adapter share
+ * own_platform_private.h - what the files of the platform's adapter share
  */
-#ifndef ENTRY_PLATFORM_PRIVATE_H
-#define ENTRY_PLATFORM_PRIVATE_H
+#ifndef ENTRY_OWN_PLATFORM_PRIVATE_H
+#define ENTRY_OWN_PLATFORM_PRIVATE_H
 
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 
 struct platform_list {
 	struct platform_self self;
--- a/entry/status.c
+++ b/entry/status.c
@@ -12,7 +12,7 @@
 #include "entry/entry.h"
 #include "entry/orders.h"
 #include "entry/peers.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 #include "entry/requests.h"
 
 #define CHANGES_SHOWN 10
--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -123,8 +123,10 @@
 			service_list(fleet, backend->info.service), backend);
 		g_ptr_array_add(service_list(fleet, info->service), backend);
 	}
-	if (backend->info.stage != info->stage)
+	if (backend->info.stage != info->stage) {
 		backend->stage_since = clock_now(fleet->clock);
+		backend->changing_until = 0;
+	}
 	backend->info = *info;
 	if (changed)
 		backend_log("backend_changed", backend);
@@ -215,7 +217,8 @@
 
 bool backend_usable(const struct backend *backend, int64_t now)
 {
-	return !backend->info.leaving && now >= backend->avoid_until;
+	return !backend->info.leaving && now >= backend->avoid_until &&
+	       now >= backend->changing_until;
 }
 
 uint32_t backend_requests(const struct backend *backend)
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -6,7 +6,7 @@
 #include "common/pack.h"
 #include "common/unpack.h"
 
-#define FIELDS 12
+#define FIELDS 13
 #define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
 
@@ -44,6 +44,7 @@
 	msgpack_pack_uint64(&packer, (uint64_t)message->word.demand);
 	msgpack_pack_uint32(&packer, message->word.waiting);
 	msgpack_pack_uint8(&packer, message->word.leaving);
+	msgpack_pack_uint64(&packer, message->word.changing);
 	msgpack_pack_array(&packer, GOSSIP_SHARES);
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_word_pack(&packer, &message->word.shares[i]);
@@ -170,14 +171,15 @@
 	    !number_read(&fields[5], UINT64_MAX, &message->word.version) ||
 	    !number_read(&fields[6], UINT32_MAX, &demand) ||
 	    !number_read(&fields[7], UINT32_MAX, &waiting) ||
-	    !number_read(&fields[8], 1, &leaving))
+	    !number_read(&fields[8], 1, &leaving) ||
+	    !number_read(&fields[9], UINT64_MAX, &message->word.changing))
 		return false;
 	message->word.demand = (double)demand;
 	message->word.waiting = (uint32_t)waiting;
 	message->word.leaving = leaving == 1;
-	return shares_read(&fields[9], &message->word) &&
-	       loads_read(&fields[10], message->loads) &&
-	       addresses_read(&fields[11], message);
+	return shares_read(&fields[10], &message->word) &&
+	       loads_read(&fields[11], message->loads) &&
+	       addresses_read(&fields[12], message);
 }
 
 bool gossip_decode(struct gossip_message *message, const void *data,
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -3,7 +3,7 @@
  *
  * DESCRIPTION
  *	[format, name, data centre, boot, sequence, version, demand, waiting,
- *	 leaving, [[next, changed, age in microseconds], ...],
+ *	 leaving, changing, [[next, changed, age in microseconds], ...],
  *	 [[backend, requests, decode tokens, prefill tokens], ...],
  *	 [address, ...]]
  */
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -12,8 +12,12 @@
  * 3,000 tokens and answers of some 70 take about four times as long to
  * generate as to read. */
 #define PART_UNKNOWN 0.21
-/* Bursts of twice the mean rate are to be read without a queue. */
-#define ROLES_HEADROOM 2.4
+/* More prefill runners than for this many times the mean rate stand idle also
+ * in bursts of twice that rate; fewer than for the second leave a queue that
+ * lasts. Between the two nothing is changed: a runner that changes serves
+ * neither role for some ten seconds. */
+#define HEADROOM_MOST 2.4
+#define HEADROOM_LEAST 1.25
 /* What a runner reads in a second, for the choice only. */
 #define CAPACITY_TOKENS 33000.0
 /* With fewer than this many prefill runners a single loss stops the service;
@@ -58,16 +62,29 @@
 	bool destroyed;
 };
 
-uint32_t roles_want(uint32_t total, double rate, double capacity)
+static uint32_t runners_for(uint32_t total, double rate, double capacity)
 {
-	double want = PART_UNKNOWN * (double)total;
 	uint32_t least = total >= TOTAL_FOR_LEAST ? PREFILL_LEAST : 1;
 
+	return (uint32_t)CLAMP(ceil(rate / capacity - 0.25), (double)least,
+			       floor((double)total / 2.0));
+}
+
+int32_t roles_change(uint32_t prefill, uint32_t total, double rate,
+		     double capacity)
+{
+	uint32_t most = runners_for(total, PART_UNKNOWN * total, 1.0);
+	uint32_t least = most;
+
 	if (total < 2)
 		return 0;
-	if (rate > 0.0)
-		want = ceil(ROLES_HEADROOM * rate / capacity - 0.25);
-	return (uint32_t)CLAMP(round(want), (double)least, (double)total / 2.0);
+	if (rate > 0.0) {
+		most = runners_for(total, rate * HEADROOM_MOST, capacity);
+		least = runners_for(total, rate * HEADROOM_LEAST, capacity);
+	}
+	if (prefill > most)
+		return (int32_t)(prefill - most);
+	return prefill < least ? -(int32_t)(least - prefill) : 0;
 }
 
 /* What a runner does, or will once its order is carried out. */
@@ -89,7 +106,7 @@
 }
 
 /* The runner whose change parts the data centres least: one of the data centre
- * that has most runners of that stage. */
+ * that has most runners of that stage, with the least to finish before. */
 static struct backend *runner_choose(struct roles *roles, const GPtrArray *list,
 				     enum backend_stage from)
 {
@@ -111,7 +128,9 @@
 				strcmp(other->info.data_centre,
 				       one->info.data_centre) == 0;
 		}
-		if (same > most) {
+		if (same > most ||
+		    (same == most &&
+		     backend_requests(one) < backend_requests(best))) {
 			most = same;
 			best = one;
 		}
@@ -119,6 +138,16 @@
 	return best;
 }
 
+static void move_undo(struct roles *roles)
+{
+	struct backend *backend =
+		fleet_find(roles->parts.fleet, roles->ordered);
+
+	if (backend)
+		backend->changing_until = 0;
+	g_hash_table_remove(roles->moves, &roles->ordered);
+}
+
 static void on_ordered(void *ctx, enum order_result result)
 {
 	struct roles *roles = ctx;
@@ -131,7 +160,7 @@
 	log_event(LOG_NOTICE, "role_order_answered", LOG_D("result", result));
 	/* Surely not carried out: the runner may be chosen again. */
 	if (result == ORDER_REFUSED)
-		g_hash_table_remove(roles->moves, &roles->ordered);
+		move_undo(roles);
 }
 
 static void order_send(struct roles *roles, struct backend *backend,
@@ -152,6 +181,7 @@
 	move->until = clock_now(roles->parts.clock) +
 		      service->engine.switch_usec + MOVE_EXTRA_USEC;
 	g_hash_table_replace(roles->moves, &move->key, move);
+	backend->changing_until = move->until;
 	roles->ordering = true;
 	roles->ordered = move->key;
 	log_event(LOG_NOTICE, "role_order", LOG_S("backend", backend->info.id),
@@ -177,12 +207,9 @@
 		total++;
 		prefill += stage == STAGE_PREFILL;
 	}
-	if (total < 2)
-		return 0;
 	if (rate < DEMAND_LEAST)
 		rate = 0.0;
-	return (int32_t)prefill -
-	       (int32_t)roles_want(total, rate, CAPACITY_TOKENS);
+	return roles_change(prefill, total, rate, CAPACITY_TOKENS);
 }
 
 /* Whether a change has been wanted for long enough. */
@@ -320,3 +347,8 @@
 	if (!roles->ordering)
 		g_free(roles);
 }
+
+uint64_t roles_moving(const struct roles *roles)
+{
+	return roles->ordered;
+}
--- a/include/entry/platform.h
+++ b/include/entry/own_platform.h
@@ -3,7 +3,7 @@
  *
  * DESCRIPTION
  *	Spoken as in docs/PROTOCOLS.md. To meet another platform, replace
- *	entry/platform.c, entry/platform_log.c and entry/platform_list.c.
+ *	entry/own_platform.c, entry/own_platform_log.c and entry/own_platform_list.c.
  *
  *	The log store tells apart what surely was not appended (RESULT_LOG_DOWN:
  *	429, 503, other 4xx, or no byte was written) from what may have been
@@ -15,8 +15,8 @@
  *	Without an address every log call answers RESULT_LOG_DOWN in a later
  *	turn, and nothing is listed.
  */
-#ifndef ENTRY_PLATFORM_H
-#define ENTRY_PLATFORM_H
+#ifndef ENTRY_OWN_PLATFORM_H
+#define ENTRY_OWN_PLATFORM_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -55,12 +55,13 @@
 	struct backend_load peers;
 	double trouble; /* failures, decayed to trouble_at */
 	int64_t trouble_at;
-	int64_t avoid_until; /* could not be reached */
-	uint32_t avoided;    /* times in a row */
-	int64_t full_until;  /* has just refused a reservation */
-	uint32_t fulls;	     /* refused in a row */
-	int64_t stage_since; /* when the list showed its stage first */
-	bool listed;	     /* seen in the snapshot being read */
+	int64_t avoid_until;	/* could not be reached */
+	uint32_t avoided;	/* times in a row */
+	int64_t full_until;	/* has just refused a reservation */
+	uint32_t fulls;		/* refused in a row */
+	int64_t changing_until; /* ordered to another role */
+	int64_t stage_since;	/* when the list showed its stage first */
+	bool listed;		/* seen in the snapshot being read */
 };
 
 struct fleet;
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -53,6 +53,7 @@
 	double demand;	  /* prompt tokens a second */
 	uint32_t waiting; /* requests without decode memory */
 	bool leaving;
+	uint64_t changing; /* key of a server ordered to another role, or 0 */
 	struct share_word shares[GOSSIP_SHARES];
 };
 
--- a/include/forward/roles.h
+++ b/include/forward/roles.h
@@ -8,9 +8,10 @@
  *	and gives it up when none should, so a quiet site makes no calls for it.
  *
  *	The prefill runners wanted are those that read the prompts asked for at
- *	ROLES_HEADROOM times the mean rate; while nothing was asked for yet, a
- *	fixed part of all. A change must be wanted for ROLES_PATIENCE_USEC, and
- *	one runner changes at a time unless no traffic has come yet.
+ *	1.25 to 2.4 times the mean rate; while nothing was asked for yet, a
+ *fixed part of all. A change must be wanted for twelve seconds once there is
+ *	traffic. Until the list shows a server in its new role, instances tell
+ *	each other to send it nothing more in the old one.
  *
  * SEE ALSO
  *	docs/design/roles.md; docs/design/platform.md
@@ -51,8 +52,12 @@
 struct roles *roles_create(const struct roles_parts *parts);
 void roles_destroy(struct roles *roles);
 
-/* The number of prefill runners wanted of total. rate is the demand, capacity
- * what one runner reads, both in tokens a second; rate 0: not known yet. */
-uint32_t roles_want(uint32_t total, double rate, double capacity);
+/* The server ordered last, by key; 0: none yet. */
+uint64_t roles_moving(const struct roles *roles);
+/* How many of the prefill runners are to become decode runners, or with a minus
+ * the other way. rate is the demand, capacity what one runner reads, both in
+ * tokens a second; rate 0: not known yet. */
+int32_t roles_change(uint32_t prefill, uint32_t total, double rate,
+		     double capacity);
 
 #endif
--- a/scripts/site.sh
+++ b/scripts/site.sh
@@ -34,8 +34,8 @@
 	site_name=$1
 	site_program=$2
 	shift 2
-	"$site_build/$site_program" "$@" </dev/null >"$site_dir/$site_name.out" \
-		2>"$site_dir/$site_name.log" &
+	"$site_build/$site_program" "$@" </dev/null \
+		>"$site_dir/$site_name.log" 2>&1 &
 	echo $! >"$site_dir/$site_name.pid"
 	site_pids="$! $site_pids"
 }
--- a/tests/entry/test_directory_sync.c
+++ b/tests/entry/test_directory_sync.c
@@ -22,7 +22,7 @@
 #include "entry/directory_sync.h"
 #include "entry/entry.h"
 #include "entry/peers.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 #include "rows.h"
 
 #define NODES 4
--- a/tests/entry/test_drain.c
+++ b/tests/entry/test_drain.c
@@ -15,7 +15,7 @@
 #include "common/log.h"
 #include "entry/entry.h"
 #include "entry/peers.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 #include "entry/requests.h"
 #include "rows.h"
 
--- a/tests/entry/test_platform.c
+++ b/tests/entry/test_own_platform.c
@@ -4,7 +4,7 @@
 #include <glib.h>
 
 #include "common/log.h"
-#include "entry/platform.h"
+#include "entry/own_platform.h"
 #include "rows.h"
 #include "run.h"
 #include "web/server.h"
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -339,22 +339,76 @@
 
 /* ---- roles ---- */
 
-static void test_roles_want(void)
+static void test_roles_change(void)
 {
 	static const struct {
+		uint32_t prefill;
 		uint32_t total;
 		double rate;
-		uint32_t want;
+		int32_t change;
 	} rows[] = {
-		{0, 0, 0},     {1, 50000, 0},	{2, 0, 1},     {4, 0, 1},
-		{9, 0, 2},     {14, 0, 3},	{60, 0, 13},   {14, 42000, 3},
-		{14, 1000, 2}, {14, 500000, 7}, {9, 33000, 3}, {5, 500000, 2},
+		/* Before any demand a fixed part. */
+		{0, 0, 0, 0},
+		{1, 1, 0, 0},
+		{1, 2, 0, 0},
+		{2, 4, 0, 1},
+		{3, 9, 0, 1},
+		{5, 14, 0, 2},
+		{17, 48, 0, 7},
+		{1, 14, 0, -2},
+		/* Nothing changes within the band. */
+		{2, 9, 33000, 0},
+		{3, 9, 33000, 0},
+		{3, 14, 42000, 0},
+		{2, 14, 42000, 0},
+		/* A demand that lasts moves runners, either way. */
+		{5, 14, 42000, 2},
+		{2, 9, 80000, -1},
+		{2, 14, 500000, -5},
+		{10, 48, 60000, 5},
+		/* One of the two stages never goes without. */
+		{2, 5, 500000, 0},
+		{1, 9, 1, -1},
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
-		g_assert_cmpuint(
-			roles_want(rows[i].total, rows[i].rate, 33000.0), ==,
-			rows[i].want);
+		g_assert_cmpint(roles_change(rows[i].prefill, rows[i].total,
+					     rows[i].rate, 33000.0),
+				==, rows[i].change);
+}
+
+/* A server that is ordered away gets nothing more, until it has changed. */
+static void test_changing(void)
+{
+	struct site site;
+	struct backend *d1;
+
+	site_open(&site);
+	d1 = site_add(&site, "d1", STAGE_DECODE, "here");
+	d1->changing_until = site.place.now + SECOND;
+	g_assert_false(backend_usable(d1, site.place.now));
+	site_add(&site, "d1", STAGE_PREFILL, "here");
+	g_assert_true(backend_usable(d1, site.place.now));
+	site_close(&site);
+}
+
+/* One request tries a server that could not be reached. */
+static void test_trial(void)
+{
+	struct site site;
+	struct backend *s1;
+
+	site_open(&site);
+	s1 = site_add(&site, "s1", STAGE_NONE, "here");
+	backend_unreachable(s1, site.place.now);
+	g_assert_null(place_plain(&site.place));
+	site_wait(&site, SECOND / 2);
+	g_assert_true(place_plain(&site.place) == s1);
+	backend_try(s1, site.place.now);
+	g_assert_null(place_plain(&site.place));
+	backend_reached(s1);
+	g_assert_true(place_plain(&site.place) == s1);
+	site_close(&site);
 }
 
 int main(int argc, char **argv)
@@ -370,6 +424,8 @@
 	g_test_add_func("/forward/place/plain", test_place_plain);
 	g_test_add_func("/forward/place/engines", test_place_engines);
 	g_test_add_func("/forward/fleet/snapshot", test_fleet);
-	g_test_add_func("/forward/roles/want", test_roles_want);
+	g_test_add_func("/forward/roles/change", test_roles_change);
+	g_test_add_func("/forward/fleet/changing", test_changing);
+	g_test_add_func("/forward/fleet/trial", test_trial);
 	return g_test_run();
 }
--- a/tests/session/process.c
+++ b/tests/session/process.c
@@ -24,7 +24,7 @@
 	unsigned int roles; /* addresses that it listens on */
 	bool log_on_output;
 } programs[] = {
-	{"jtentry", "entry/jtentry", 3, false},
+	{"jtentry", "entry/jtentry", 3, true},
 	{"jtctl", "ctl/jtctl", 1, false},
 	{"jtload", "load/jtload", 1, false},
 	{"jtengine", "standin/jtengine", 1, false},
--- a/web/reply.c
+++ b/web/reply.c
@@ -116,7 +116,8 @@
 {
 	if (!request->ended || queue_size(request) > 0 ||
 	    request->slice < flight_left(request) ||
-	    (request->cut && request->slice > 0))
+	    (request->cut &&
+	     (request->slice > 0 || (request->started && !request->opened))))
 		return H2O_SEND_STATE_IN_PROGRESS;
 	return request->cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
 }
