--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -24,7 +24,7 @@
 #define TRIAL_USEC (200 * USEC_PER_MSEC)
 
 /* A server that refused a reservation is asked again after this time, doubled
- * up to three times: it frees memory for a request about every 100 ms, and many
+ * once: it frees memory for a request about every 100 ms, and many
  * instances ask. */
 #define FULL_USEC (40 * USEC_PER_MSEC)
 
@@ -251,7 +251,7 @@
 
 void backend_full(struct backend *backend, int64_t now)
 {
-	backend->full_until = now + (FULL_USEC << MIN(backend->fulls, 3u));
+	backend->full_until = now + (FULL_USEC << MIN(backend->fulls, 1u));
 	backend->fulls++;
 }
 
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -190,30 +190,51 @@
 	ops->order(ops->ctx, &order, on_ordered, roles);
 }
 
-/* Positive: runners that are to become decode runners; negative: prefill. */
-static int32_t change_wanted(struct roles *roles, const GPtrArray *list)
+struct stages {
+	uint32_t prefill;
+	uint32_t total;
+};
+
+static struct stages stages_count(struct roles *roles, const GPtrArray *list)
 {
 	int64_t now = clock_now(roles->parts.clock);
-	double rate = roles->parts.ops.demand(roles->parts.ctx);
-	uint32_t prefill = 0;
-	uint32_t total = 0;
+	struct stages stages = {0};
 
 	for (guint i = 0; i < list->len; i++) {
 		const struct backend *backend = list->pdata[i];
 		enum backend_stage stage = stage_of(roles, backend);
 
-		if (stage == STAGE_NONE || !backend_usable(backend, now))
+		/* One that changes counts in its new role. */
+		if (stage == STAGE_NONE || backend->info.leaving ||
+		    now < backend->avoid_until)
 			continue;
-		total++;
-		prefill += stage == STAGE_PREFILL;
+		stages.total++;
+		stages.prefill += stage == STAGE_PREFILL;
 	}
+	return stages;
+}
+
+/* Positive: runners that are to become decode runners; negative: prefill. */
+static int32_t change_wanted(struct roles *roles, struct stages stages)
+{
+	double rate = roles->parts.ops.demand(roles->parts.ctx);
+
 	if (rate < DEMAND_LEAST)
 		rate = 0.0;
-	return roles_change(prefill, total, rate, CAPACITY_TOKENS);
+	return roles_change(stages.prefill, stages.total, rate,
+			    CAPACITY_TOKENS);
+}
+
+static bool is_short(struct stages stages)
+{
+	return stages.total >= TOTAL_FOR_LEAST &&
+	       (stages.prefill < PREFILL_LEAST ||
+		stages.prefill == stages.total);
 }
 
-/* Whether a change has been wanted for long enough. */
-static bool patient(struct roles *roles, int32_t change)
+/* Whether a change has been wanted for long enough: at once when a stage has
+ * fewer runners than one loss may leave, or while there is no traffic. */
+static bool patient(struct roles *roles, int32_t change, bool short_of)
 {
 	int64_t now = clock_now(roles->parts.clock);
 	bool traffic =
@@ -226,7 +247,8 @@
 	}
 	if (direction == 0)
 		return false;
-	return !traffic || now - roles->wanted_since >= ROLES_PATIENCE_USEC;
+	return !traffic || short_of ||
+	       now - roles->wanted_since >= ROLES_PATIENCE_USEC;
 }
 
 static void lease_drop(struct roles *roles)
@@ -267,14 +289,16 @@
 			 const struct catalog_service *service)
 {
 	const GPtrArray *list = fleet_service(roles->parts.fleet, service->id);
+	struct stages stages;
 	int32_t change;
 	struct backend *backend;
 	uint64_t fence;
 
 	if (!list || service->engine.memory_tokens == 0)
 		return false;
-	change = change_wanted(roles, list);
-	if (!patient(roles, change))
+	stages = stages_count(roles, list);
+	change = change_wanted(roles, stages);
+	if (!patient(roles, change, is_short(stages)))
 		return false;
 	backend = runner_choose(roles, list,
 				change > 0 ? STAGE_PREFILL : STAGE_DECODE);
