forward, platform: satisfy the linter

What clang-tidy found: a walk over calls that frees them, a comparison of structs by their bytes, a repeated branch, casts after sums.

--- a/entry/component_config.c
+++ b/entry/component_config.c
@@ -5,8 +5,8 @@
 
 #include "common/log.h"
 #include "entry/entry.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 #include "entry/requests.h"
 #include "policy/policy.h"
 
--- a/entry/component_ledger.c
+++ b/entry/component_ledger.c
@@ -6,8 +6,8 @@
 #include "entry/directory.h"
 #include "entry/engine.h"
 #include "entry/entry.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 #include "entry/poller.h"
 #include "entry/requests.h"
 
--- a/entry/component_link.c
+++ b/entry/component_link.c
@@ -10,8 +10,8 @@
 #include "entry/directory.h"
 #include "entry/directory_sync.h"
 #include "entry/entry.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 #include "entry/poller.h"
 #include "entry/requests.h"
 
--- a/entry/directory_sync.c
+++ b/entry/directory_sync.c
@@ -11,8 +11,8 @@
 #include "entry/directory.h"
 #include "entry/directory_codec.h"
 #include "entry/entry.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 
 #define READERS 2
 /* While nothing is known. */
--- a/entry/drain.c
+++ b/entry/drain.c
@@ -3,8 +3,8 @@
  */
 #include "common/log.h"
 #include "entry/entry.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 #include "entry/requests.h"
 
 /* How often the end of requests and of writing to peers is looked for. */
--- a/entry/status.c
+++ b/entry/status.c
@@ -11,8 +11,8 @@
 #include "entry/directory.h"
 #include "entry/entry.h"
 #include "entry/orders.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 #include "entry/requests.h"
 
 #define CHANGES_SHOWN 10
--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -37,6 +37,16 @@
 	GPtrArray *all;
 };
 
+bool backend_info_same(const struct backend_info *a,
+		       const struct backend_info *b)
+{
+	return strcmp(a->id, b->id) == 0 &&
+	       strcmp(a->address, b->address) == 0 &&
+	       strcmp(a->data_centre, b->data_centre) == 0 &&
+	       a->service == b->service && a->stage == b->stage &&
+	       a->slots == b->slots && a->leaving == b->leaving;
+}
+
 struct fleet *fleet_create(struct clock *clock, const char *data_centre)
 {
 	struct fleet *fleet = g_new0(struct fleet, 1);
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -71,7 +71,7 @@
 		refused_log(node, "backend server", key, offset, &err);
 		return false;
 	}
-	same = known && memcmp(&known->info, &info, sizeof(info)) == 0;
+	same = known && backend_info_same(&known->info, &info);
 	fleet_put(node->fleet, &info);
 	return !same;
 }
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -332,16 +332,16 @@
 {
 	struct roles *roles = ctx;
 	int64_t now = clock_now(roles->parts.clock);
+	bool decides;
 
 	timer_start(timer, TICK_USEC);
 	g_hash_table_foreach_remove(roles->moves, move_over, roles);
 	if (now - roles->started < SETTLE_USEC)
 		return;
-	if (!roles->parts.ops.decides(roles->parts.ctx))
-		lease_drop(roles);
-	else if (services_tick(roles))
+	decides = roles->parts.ops.decides(roles->parts.ctx);
+	if (decides && services_tick(roles))
 		roles->needed = now;
-	else if (now - roles->needed >= LEASE_KEEP_USEC)
+	if (!decides || now - roles->needed >= LEASE_KEEP_USEC)
 		lease_drop(roles);
 }
 
--- a/forward/share.c
+++ b/forward/share.c
@@ -182,11 +182,13 @@
 static bool copy_read(const msgpack_object *object, struct share_word *word,
 		      const msgpack_object **values)
 {
-	const msgpack_object *fields = object->via.array.ptr;
+	const msgpack_object *fields;
 
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != FIELDS ||
-	    fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.array.size != FIELDS)
+		return false;
+	fields = object->via.array.ptr;
+	if (fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
 	    fields[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
 	    fields[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
 	    fields[2].via.u64 > INT64_MAX / 2)
@@ -230,8 +232,9 @@
 		good = error_set(err, RESULT_BAD_MESSAGE,
 				 "no copy of the stream %s",
 				 share->settings.stream);
-	if (good && feed_advance(share->feed, word.next,
-				 clock_now(share->clock) - word.age_usec))
+	if (good && values &&
+	    feed_advance(share->feed, word.next,
+			 clock_now(share->clock) - word.age_usec))
 		copy_take(share, &word, values);
 	msgpack_unpacked_destroy(&unpacked);
 	return good;
--- a/include/entry/own_platform.h
+++ b/include/entry/own_platform.h
@@ -1,9 +1,11 @@
 /*
- * platform.h - the adapter towards the platform: log service and instance list
+ * own_platform.h - the adapter towards the platform: log service and instance
+ *list
  *
  * DESCRIPTION
- *	Spoken as in docs/PROTOCOLS.md. To meet another platform, replace
- *	entry/own_platform.c, entry/own_platform_log.c and entry/own_platform_list.c.
+ *	Spoken as in docs/PROTOCOLS.md, which is this project's own interface;
+ *	the users' platform is met by platform/. To meet yet another one in this
+ *	daemon, replace the files entry/own_platform*.c.
  *
  *	The log store tells apart what surely was not appended (RESULT_LOG_DOWN:
  *	429, 503, other 4xx, or no byte was written) from what may have been
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -66,6 +66,9 @@
 
 struct fleet;
 
+bool backend_info_same(const struct backend_info *a,
+		       const struct backend_info *b);
+
 struct fleet *fleet_create(struct clock *clock, const char *data_centre);
 void fleet_destroy(struct fleet *fleet);
 
--- a/tests/entry/test_directory_sync.c
+++ b/tests/entry/test_directory_sync.c
@@ -21,8 +21,8 @@
 #include "entry/directory_codec.h"
 #include "entry/directory_sync.h"
 #include "entry/entry.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 #include "rows.h"
 
 #define NODES 4
--- a/tests/entry/test_drain.c
+++ b/tests/entry/test_drain.c
@@ -14,8 +14,8 @@
 
 #include "common/log.h"
 #include "entry/entry.h"
-#include "entry/peers.h"
 #include "entry/own_platform.h"
+#include "entry/peers.h"
 #include "entry/requests.h"
 #include "rows.h"
 
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -58,7 +58,8 @@
 		{"", "/x/", NULL},
 	};
 	struct catalog *catalog = catalog_create(1);
-	g_autofree char *far = g_strnfill(5000, 'x');
+	g_autofree char *fill = g_strnfill(5000, 'x');
+	g_autofree char *far = g_strconcat("/x/", fill, NULL);
 
 	route_add(catalog, "a.example", "/x/");
 	route_add(catalog, "a.example", "/x/y/");
@@ -67,7 +68,6 @@
 	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
 		g_assert_cmpstr(route_name(catalog, rows[i].host, rows[i].path),
 				==, rows[i].name);
-	memcpy(far, "/x/", 3);
 	g_assert_cmpstr(route_name(catalog, "a.example", far), ==,
 			"a.example/x/");
 	g_assert_null(route_name(catalog, far, "/x/"));
--- a/tests/platform/site/site_store.c
+++ b/tests/platform/site/site_store.c
@@ -94,26 +94,27 @@
 static void on_newest(struct site *site, struct web_request *request,
 		      struct topic *topic)
 {
+	uint64_t end = topic->first + topic->records->len;
 	json_t *items = json_array();
 
 	for (guint i = 0; i < topic->records->len; i++) {
 		struct record *record = newest(topic, i);
+		uint64_t offset = topic->first + i;
 		char *value;
 
 		if (!record || !record->value)
 			continue;
 		value = g_base64_encode((const guchar *)record->value,
 					strlen(record->value));
-		json_array_append_new(
-			items, json_pack("{s:s, s:s, s:I}", "key", record->key,
-					 "value", value, "offset",
-					 (json_int_t)(topic->first + i)));
+		json_array_append_new(items,
+				      json_pack("{s:s, s:s, s:I}", "key",
+						record->key, "value", value,
+						"offset", (json_int_t)offset));
 		g_free(value);
 	}
 	json_reply(request, 200,
 		   json_pack("{s:o, s:b, s:I}", "items", items, "more_pages", 0,
-			     "end",
-			     (json_int_t)(topic->first + topic->records->len)));
+			     "end", (json_int_t)end));
 }
 
 static void number_add(GByteArray *out, uint64_t number, int bytes)
@@ -171,6 +172,7 @@
 {
 	struct web_text body = web_request_body(request);
 	uint64_t offset = topic->first + topic->records->len;
+	uint64_t end = offset + 1;
 	const char *data = body.data + 4;
 	size_t size = body.size - 4;
 	g_autofree char *key = NULL;
@@ -191,7 +193,7 @@
 	record_add(topic, key, value);
 	json_reply(request, 200,
 		   json_pack("{s:I, s:I}", "offset", (json_int_t)offset, "end",
-			     (json_int_t)(offset + 1)));
+			     (json_int_t)end));
 }
 
 static void on_store(void *ctx, struct web_request *request)
--- a/tests/session/process.c
+++ b/tests/session/process.c
@@ -38,11 +38,8 @@
 	const char *name;
 	int number;
 } signals[] = {
-	{"TERM", SIGTERM},
-	{"KILL", SIGKILL},
-	{"STOP", SIGSTOP},
-	{"CONT", SIGCONT},
-	{"HUP", SIGHUP},
+	{"TERM", SIGTERM}, {"KILL", SIGKILL}, {"STOP", SIGSTOP},
+	{"CONT", SIGCONT}, {"HUP", SIGHUP},
 };
 
 static char *program_path(const struct session *session, const char *name)
