forward: refuse early what the queue of all instances will not let in time

Ruled out: idle memory, all decode servers were full. Instances tell how many wait; once a request has waited for a fifth of its target and those ahead will take longer than it has left, it is refused, has not run, and its caller is told to come back in one to four seconds.

--- a/forward/node.c
+++ b/forward/node.c
@@ -198,6 +198,15 @@
 	return server;
 }
 
+static uint32_t waiting_get(void *ctx)
+{
+	const struct node *node = ctx;
+	struct gossip_word total;
+
+	gossip_total(node->gossip, &total);
+	return total.waiting;
+}
+
 static void core_open(struct node *node)
 {
 	const struct budget_settings budget = {
@@ -216,6 +225,7 @@
 		.instances = instances_count,
 		.interval = interval_get,
 		.list_age = list_age_get,
+		.waiting = waiting_get,
 		.instances_ctx = node,
 	};
 
--- a/forward/request.h
+++ b/forward/request.h
@@ -50,6 +50,7 @@
 	uint32_t sends;	 /* that may have reached a server */
 	uint32_t runs;	 /* that may have begun to run */
 	uint32_t rounds; /* through placing, for streams */
+	bool judged;	 /* looked at for an early refusal */
 	bool prefilled;	 /* a first prefill was accepted */
 	int replied_status;
 	bool replied; /* the head of an answer went to the caller */
@@ -147,6 +148,8 @@
 void stream_pump(struct forward *forward);
 void stream_wait(struct request *request);
 void stream_unwait(struct request *request);
+/* Decode memory that is reserved for it. */
+uint32_t stream_tokens(const struct request *request);
 bool stream_waiting_full(const struct forward *forward);
 /* Begins to reserve memory at a server with room for that many requests like
  * this one; false when there is none. */
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -45,7 +45,7 @@
 static void run_send(struct request *request);
 static void prefill_send(struct request *request);
 
-static uint32_t tokens_needed(const struct request *request)
+uint32_t stream_tokens(const struct request *request)
 {
 	const struct caller_request *caller = &request->caller;
 	uint32_t output = caller->output_max;
@@ -478,7 +478,7 @@
 {
 	const struct backend_ops *ops = &request->forward->parts.backends;
 	const struct engine_traits *engine = &request->service->engine;
-	uint32_t tokens = tokens_needed(request);
+	uint32_t tokens = stream_tokens(request);
 	struct backend_load load = {.requests = 1, .decode_tokens = tokens};
 	struct backend *backend;
 	struct backend *prefill;
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -22,6 +22,15 @@
 #define LATE_ROOM 3u
 /* That time varies by about this much more. */
 #define BEGIN_MARGIN 1.3
+/* A request that has waited for this part of its target and will hardly be
+ * placed in time is refused then: it has not run, and its caller comes back
+ * when the overload may be over. */
+#define EARLY_PART 0.2
+/* How long a request keeps its memory, on average. */
+#define RUN_SEC 3.5
+/* Bounds of what the caller is told then: bursts last a few seconds. */
+#define EARLY_RETRY_USEC (1 * USEC_PER_SEC)
+#define EARLY_RETRY_SPAN_USEC (3 * USEC_PER_SEC)
 /* What one is told that waited in vain: memory is freed within this time. */
 #define RETRY_USEC (300 * USEC_PER_MSEC)
 
@@ -73,6 +82,42 @@
 	}
 }
 
+/* How long those that wait at all instances will take to be placed. */
+static double queue_sec(const struct request *request)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+	const struct engine_traits *engine = &request->service->engine;
+	struct place place;
+	double places;
+
+	request_place(request, &place);
+	places = (double)place_count(&place, STAGE_DECODE) *
+		 (double)engine->memory_tokens /
+		 (double)MAX(stream_tokens(request), 1u);
+	return (double)parts->waiting(parts->instances_ctx) * RUN_SEC /
+	       MAX(places, 1.0);
+}
+
+static bool early_refuse(struct request *request, int64_t now)
+{
+	double age = (double)(now - request->arrived);
+	double target = (double)request->route->target_usec;
+	double left = (target - age - request->forward->begin_usec) /
+		      (double)USEC_PER_SEC;
+
+	if (request->rounds > 0 || request->judged || age < EARLY_PART * target)
+		return false;
+	request->judged = true;
+	if (queue_sec(request) < left)
+		return false;
+	request_refuse(
+		request, RESULT_QUEUE_FULL,
+		EARLY_RETRY_USEC +
+			(int64_t)(g_rand_double(request->forward->parts.rand) *
+				  (double)EARLY_RETRY_SPAN_USEC));
+	return true;
+}
+
 /* When it is of no more use to begin. A caller that has seen events counts its
  * patience from the last one. */
 static int64_t wait_end(const struct request *request)
@@ -95,7 +140,7 @@
 		struct request *request = link->data;
 
 		next = link->next;
-		if (now < wait_end(request))
+		if (early_refuse(request, now) || now < wait_end(request))
 			continue;
 		stream_unwait(request);
 		if (request->replied)
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -57,6 +57,7 @@
 	forward_instances_fn instances;
 	forward_interval_fn interval;
 	forward_age_fn list_age;
+	forward_instances_fn waiting; /* requests, at all instances */
 	void *instances_ctx;
 };
 
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -31,7 +31,7 @@
 #define SHARE_PATIENCE_USEC (700 * USEC_PER_MSEC)
 /* Each rank waits so much longer, up to twice: gossip of the first one comes
  * every 300 ms at least. */
-#define SHARE_RANK_USEC (350 * USEC_PER_MSEC)
+#define SHARE_RANK_USEC (450 * USEC_PER_MSEC)
 
 struct share;
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -39,6 +39,7 @@
 	reserve_fn reserve;
 	void *call_ctx;
 	const char *options; /* of the request taken */
+	uint32_t crowd;	     /* waiting at all instances */
 } world;
 
 static void say(const char *format, ...) G_GNUC_PRINTF(1, 2);
@@ -191,6 +192,12 @@
 	return 0;
 }
 
+/* At all instances: "crowd N" sets it. */
+static uint32_t waiting(void *ctx)
+{
+	return world.crowd;
+}
+
 static int64_t list_age(void *ctx)
 {
 	return 0;
@@ -300,6 +307,7 @@
 		.instances = instances,
 		.interval = interval,
 		.list_age = list_age,
+		.waiting = waiting,
 	};
 
 	memset(&world, 0, sizeof(world));
@@ -442,6 +450,11 @@
 	server_step(id, options + 2);
 }
 
+static void crowd_step(const char *options)
+{
+	world.crowd = (uint32_t)atoi(options);
+}
+
 static void drain_step(const char *options)
 {
 	forward_drain(world.forward);
@@ -456,6 +469,7 @@
 	{"reserved", reserved_step}, {"gone", gone_step},
 	{"wait", wait_step},	     {"version", version_step},
 	{"server", servers_step},    {"drain", drain_step},
+	{"crowd", crowd_step},
 };
 
 static void step_run(char *step)
