tests: a randomized soak of real processes under faults from outside

Three forwarding instances behind proxies, a stand-in site, callers of every kind; kills, pauses, planned stops, reloads, harmed connections, failing servers and store, in series and overlapping. Checked from what callers and the site's ledger see: nothing that may run once runs twice, a refusal is true, whole answers are whole and their own, nothing is held for nobody, all is served again afterwards.

--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -151,7 +151,17 @@
 	return *(int64_t *)value < clock_now(site->clock);
 }
 
-static json_t *ledger_print(struct site *site)
+/* How often the request "id" of the query has run. */
+static int runs_of(struct site *site, const struct web_request *request)
+{
+	char id[128] = "";
+
+	web_request_param(request, "id", id, sizeof(id));
+	return GPOINTER_TO_INT(g_hash_table_lookup(site->ledger.runs, id));
+}
+
+static json_t *ledger_print(struct site *site,
+			    const struct web_request *request)
 {
 	const struct ledger *ledger = &site->ledger;
 	uint32_t running = 0;
@@ -162,10 +172,11 @@
 		running += server->running;
 	}
 	g_hash_table_foreach_remove(site->taken, is_over, site);
-	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i}", "runs",
-			 (int)ledger->total, "repeats", (int)ledger->repeats,
-			 "prefills", (int)ledger->prefills, "orders",
-			 (int)ledger->orders, "running", (int)running, "held",
+	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "of_id",
+			 runs_of(site, request), "runs", (int)ledger->total,
+			 "repeats", (int)ledger->repeats, "prefills",
+			 (int)ledger->prefills, "orders", (int)ledger->orders,
+			 "running", (int)running, "held",
 			 (int)g_hash_table_size(site->taken));
 }
 
@@ -186,7 +197,7 @@
 	struct web_text body = web_request_body(request);
 	json_t *root =
 		json_loadb(body.data ? body.data : "", body.size, 0, NULL);
-	json_t *answer = ledger_print(site);
+	json_t *answer = ledger_print(site, request);
 	char *text = json_dumps(answer, JSON_COMPACT);
 	bool good = g_str_has_prefix(path.data, "/site/ledger");
 
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -13,7 +13,8 @@
  *	POST /site/state   {"server": "d1", "state": "ready"|"draining"|"gone"}
  *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/prefix/"}
  *	POST /site/store   {"state": "up"|"down"|"forget"}
- *	GET  /site/ledger  runs, repeats, outstanding holds and results
+ *	GET  /site/ledger?id=ID  runs of that request; all runs, repeats,
+ *outstanding holds and results
  */
 #ifndef TESTS_PLATFORM_SITE_H
 #define TESTS_PLATFORM_SITE_H
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -193,7 +193,9 @@
 	run->fault = fault;
 	run->stream = server->stage == STAGE_DECODE;
 	run->event = after ? strtoull(after, NULL, 10) : 0;
-	run_count(server, request);
+	/* A prompt that is read has not run. */
+	if (server->stage != STAGE_PREFILL)
+		run_count(server, request);
 	server->running++;
 	web_request_on_gone(request, on_gone, run);
 	timer_init(&run->timer, server->site->clock, on_timer, run);
--- /dev/null
+++ b/tests/soak/calls.c
@@ -0,0 +1,177 @@
+/* Callers of every kind, and what they and the site's ledger must agree on. */
+#include <jansson.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "soak.h"
+
+static const struct {
+	const char *method;
+	const char *path;
+	bool stream;
+	bool once;
+} kinds[KINDS] = {
+	[KIND_PLAIN] = {"GET", "/plain/x", false, false},
+	[KIND_ONCE] = {"POST", "/once/x", false, true},
+	[KIND_STREAM] = {"POST", "/stream/x", true, true},
+	[KIND_RESUME] = {"POST", "/resume/x", true, false},
+};
+
+void soak_fail(struct soak *soak, const char *format, ...)
+{
+	va_list args;
+
+	soak->failures++;
+	va_start(args, format);
+	printf("  broken: ");
+	vprintf(format, args);
+	printf("\n");
+	va_end(args);
+}
+
+static void on_head(void *ctx, int status, const struct web_header *headers,
+		    size_t count)
+{
+	struct call *call = ctx;
+
+	call->status = status;
+}
+
+static void on_body(void *ctx, const void *data, size_t size)
+{
+	struct call *call = ctx;
+
+	g_string_append_len(call->body, data, (gssize)size);
+}
+
+static void on_done(void *ctx, const struct web_result *result)
+{
+	struct call *call = ctx;
+
+	call->whole = result->ok;
+	call->done = true;
+	call->web = NULL;
+}
+
+static struct web_header header(const char *name, const char *value)
+{
+	return (struct web_header){{name, strlen(name)},
+				   {value, strlen(value)}};
+}
+
+void call_start(struct soak *soak, enum call_kind kind, int instance)
+{
+	static const struct web_call_ops ops = {on_head, on_body, on_done};
+	struct call *call = g_new0(struct call, 1);
+	struct web_header headers[3];
+	struct web_call_spec spec = {
+		.address = proxy_address(soak->instances[instance].callers),
+		.method = kinds[kind].method,
+		.path = kinds[kind].path,
+		.host = {"site.example", 12},
+		.headers = headers,
+		.header_count = 3,
+		.head_usec = 6 * USEC_PER_SEC,
+		.idle_usec = 6 * USEC_PER_SEC,
+		.fresh = g_rand_boolean(soak->rand),
+	};
+
+	call->soak = soak;
+	call->kind = kind;
+	call->body = g_string_new(NULL);
+	(void)g_snprintf(call->id, sizeof(call->id), "c%u", soak->calls->len);
+	headers[0] = header("request-id", call->id);
+	headers[1] = header("deadline-ms", "5000");
+	headers[2] =
+		header(kinds[kind].stream ? "token-count" : "x-none", "100,50");
+	g_ptr_array_add(soak->calls, call);
+	call->web = web_call(soak->client, &spec, &ops, call);
+}
+
+static void on_answer(void *ctx, const struct web_result *result, int status,
+		      const void *body, size_t size)
+{
+	json_t **answer = ctx;
+
+	*answer = json_loadb(body ? body : "", size, 0, NULL);
+	if (!*answer)
+		*answer = json_object();
+}
+
+int64_t site_call(struct soak *soak, const char *method, const char *path,
+		  const char *body, const char *name)
+{
+	struct web_call_spec spec = {
+		.address = soak->site_address,
+		.method = method,
+		.path = path,
+		.body = body,
+		.body_size = body ? strlen(body) : 0,
+	};
+	json_t *answer = NULL;
+	const json_t *value;
+	int64_t number = -1;
+
+	web_fetch(soak->client, &spec, 1 << 16, on_answer, &answer);
+	while (!answer)
+		soak_turn(soak, USEC_PER_MSEC);
+	value = name ? json_object_get(answer, name) : NULL;
+	if (json_is_integer(value))
+		number = json_integer_value(value);
+	json_decref(answer);
+	return number;
+}
+
+/* A whole answer is that of its own request, and nothing else. */
+static void answer_check(struct soak *soak, const struct call *call)
+{
+	g_autofree char *expected = NULL;
+
+	if (kinds[call->kind].stream) {
+		GString *text = g_string_new(NULL);
+
+		for (int i = 1; i <= EVENTS; i++)
+			g_string_append_printf(text, "id: %d\ndata: t%d\n\n", i,
+					       i);
+		expected = g_string_free(text, FALSE);
+	} else {
+		expected = g_strdup_printf("%s %s \n", kinds[call->kind].method,
+					   kinds[call->kind].path);
+	}
+	if (call->whole && strcmp(call->body->str, expected) != 0)
+		soak_fail(soak, "%s: not its whole answer: %s", call->id,
+			  call->body->str);
+	if (!call->whole && kinds[call->kind].stream &&
+	    strncmp(call->body->str, expected, call->body->len) != 0)
+		soak_fail(soak, "%s: pieces out of order: %s", call->id,
+			  call->body->str);
+}
+
+static void call_check(struct soak *soak, const struct call *call)
+{
+	g_autofree char *path = g_strdup_printf("/site/ledger?id=%s", call->id);
+	int64_t runs = site_call(soak, "GET", path, NULL, "of_id");
+
+	if (!call->done && !call->hung_up)
+		soak_fail(soak, "%s: never ended", call->id);
+	if (kinds[call->kind].once && runs > 1)
+		soak_fail(soak, "%s: ran %d times", call->id, (int)runs);
+	if ((call->status == 503 || call->status == 429) && runs > 0)
+		soak_fail(soak, "%s: refused as not run, and ran", call->id);
+	if (call->status == 404 || call->status == 400)
+		soak_fail(soak, "%s: denied with %d", call->id, call->status);
+	if (call->status == 200)
+		answer_check(soak, call);
+}
+
+void calls_check(struct soak *soak)
+{
+	for (guint i = 0; i < soak->calls->len; i++)
+		call_check(soak, soak->calls->pdata[i]);
+	if (site_call(soak, "GET", "/site/ledger", NULL, "running") != 0)
+		soak_fail(soak, "servers still work for nobody");
+	if (site_call(soak, "GET", "/site/ledger", NULL, "held") != 0)
+		soak_fail(soak, "engine memory is still held");
+}
--- /dev/null
+++ b/tests/soak/process.c
@@ -0,0 +1,184 @@
+/* Starting, watching and ending the processes of a run. */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "soak.h"
+
+#define RESTART_USEC (300 * USEC_PER_MSEC)
+
+static void child_setup(gpointer data)
+{
+	prctl(PR_SET_PDEATHSIG, SIGKILL);
+}
+
+static pid_t spawn(const struct soak *soak, char **argv, const char *name)
+{
+	g_autofree char *file =
+		g_strdup_printf("%s/%s.log", soak->folder, name);
+	FILE *out = fopen(file, "ae");
+	GError *error = NULL;
+	GPid pid = 0;
+
+	g_assert_nonnull(out);
+	g_spawn_async_with_fds(NULL, argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD,
+			       child_setup, NULL, &pid, -1, fileno(out),
+			       fileno(out), &error);
+	g_assert_no_error(error);
+	fclose(out);
+	return pid;
+}
+
+static int port_free(void)
+{
+	struct sockaddr_in own = {.sin_family = AF_INET};
+	socklen_t size = sizeof(own);
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&own, size), ==, 0);
+	getsockname(fd, (struct sockaddr *)&own, &size);
+	close(fd);
+	return ntohs(own.sin_port);
+}
+
+static char *site_listening(const struct soak *soak)
+{
+	g_autofree char *file = g_strdup_printf("%s/site.log", soak->folder);
+	g_autofree char *text = NULL;
+	const char *at;
+
+	if (!g_file_get_contents(file, &text, NULL, NULL))
+		return NULL;
+	at = strstr(text, "role=store address=");
+	if (!at || !strchr(at, '\n'))
+		return NULL;
+	at += strlen("role=store address=");
+	return g_strndup(at, strcspn(at, " \n"));
+}
+
+void instance_start(struct soak *soak, struct instance *instance)
+{
+	static const char *const flags[] = {"--listen", "--health-listen",
+					    "--peer-listen"};
+	char addresses[3][32];
+	char *argv[] = {
+		g_strdup_printf("%s/platform/jtforward", soak->build),
+		(char *)"--name",
+		instance->name,
+		(char *)"--data-centre",
+		(char *)"here",
+		(char *)"--platform",
+		(char *)proxy_address(instance->store),
+		(char *)"--retry-slack",
+		(char *)"1000",
+		(char *)flags[0],
+		addresses[0],
+		(char *)flags[1],
+		addresses[1],
+		(char *)flags[2],
+		addresses[2],
+		NULL,
+	};
+
+	for (int i = 0; i < 3; i++)
+		(void)g_snprintf(addresses[i], sizeof(addresses[i]),
+				 "127.0.0.1:%d", instance->ports[i]);
+	instance->pid = spawn(soak, argv, instance->name);
+	instance->stopping = false;
+	instance->wake_at = 0;
+	g_free(argv[0]);
+}
+
+void soak_start(struct soak *soak)
+{
+	char *argv[] = {
+		g_strdup_printf("%s/tests/platform/jtsite", soak->build),
+		(char *)"s1,s2,p1,p2,d1,d2",
+		(char *)"8",
+		(char *)"15",
+		NULL,
+	};
+
+	soak->site = spawn(soak, argv, "site");
+	g_free(argv[0]);
+	while (!(soak->site_address = site_listening(soak)))
+		g_usleep(10000);
+	for (int i = 0; i < INSTANCES; i++) {
+		struct instance *instance = &soak->instances[i];
+		char address[32];
+
+		(void)g_snprintf(instance->name, sizeof(instance->name), "f%d",
+				 i);
+		for (int k = 0; k < 3; k++)
+			instance->ports[k] = port_free();
+		(void)g_snprintf(address, sizeof(address), "127.0.0.1:%d",
+				 instance->ports[0]);
+		instance->callers = proxy_create(address);
+		instance->store = proxy_create(soak->site_address);
+		instance_start(soak, instance);
+	}
+}
+
+void instance_signal(struct instance *instance, int number)
+{
+	if (instance->pid > 0)
+		kill(instance->pid, number);
+}
+
+/* One that was not told to end must not have. */
+static void instance_ended(struct soak *soak, struct instance *instance,
+			   int status)
+{
+	bool killed = WIFSIGNALED(status) && WTERMSIG(status) == SIGKILL;
+	bool stopped = WIFEXITED(status) && WEXITSTATUS(status) == 0 &&
+		       instance->stopping;
+
+	if (!killed && !stopped)
+		soak_fail(soak, "%s ended by itself, wait status %d",
+			  instance->name, status);
+	instance->pid = 0;
+	instance->wake_at = 0;
+	instance->start_at = clock_now(soak->clock) + RESTART_USEC;
+}
+
+void instances_watch(struct soak *soak)
+{
+	int64_t now = clock_now(soak->clock);
+
+	for (int i = 0; i < INSTANCES; i++) {
+		struct instance *instance = &soak->instances[i];
+		int status;
+
+		if (instance->pid > 0 &&
+		    waitpid(instance->pid, &status, WNOHANG) == instance->pid)
+			instance_ended(soak, instance, status);
+		if (instance->pid == 0 && now >= instance->start_at)
+			instance_start(soak, instance);
+		if (instance->wake_at && now >= instance->wake_at) {
+			instance_signal(instance, SIGCONT);
+			instance->wake_at = 0;
+		}
+	}
+}
+
+static void process_end(pid_t pid)
+{
+	if (pid <= 0)
+		return;
+	kill(pid, SIGKILL);
+	while (waitpid(pid, NULL, 0) < 0 && errno == EINTR)
+		continue;
+}
+
+void soak_stop(struct soak *soak)
+{
+	for (int i = 0; i < INSTANCES; i++)
+		process_end(soak->instances[i].pid);
+	process_end(soak->site);
+}
--- /dev/null
+++ b/tests/soak/proxy.c
@@ -0,0 +1,173 @@
+#include "proxy.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define SLOW_USEC 100000
+#define POLL_MSEC 50
+
+struct proxy {
+	int listener;
+	char address[32];
+	struct sockaddr_in to;
+	gint mood;  /* atomic */
+	gint epoch; /* atomic; connections of an earlier one are reset */
+};
+
+struct pump {
+	struct proxy *proxy;
+	int from;
+	int to;
+	gboolean answers;
+	gint epoch;
+	gint *users; /* of the two sockets */
+};
+
+static void sock_reset(int fd)
+{
+	static const struct linger hard = {.l_onoff = 1};
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &hard, sizeof(hard));
+	shutdown(fd, SHUT_RDWR);
+}
+
+static gboolean passes(const struct pump *pump, enum proxy_mood mood)
+{
+	return mood != PROXY_SILENT &&
+	       !(mood == PROXY_ONE_WAY && pump->answers);
+}
+
+static void sent_all(int fd, const char *data, ssize_t size)
+{
+	while (size > 0) {
+		ssize_t n = send(fd, data, (size_t)size, MSG_NOSIGNAL);
+
+		if (n <= 0)
+			return;
+		data += n;
+		size -= n;
+	}
+}
+
+static void pump_run(struct pump *pump)
+{
+	struct pollfd pfd = {.fd = pump->from, .events = POLLIN};
+	char data[16384];
+
+	while (pump->epoch == g_atomic_int_get(&pump->proxy->epoch)) {
+		enum proxy_mood mood;
+		ssize_t n;
+
+		if (poll(&pfd, 1, POLL_MSEC) <= 0)
+			continue;
+		n = recv(pump->from, data, sizeof(data), 0);
+		mood = (enum proxy_mood)g_atomic_int_get(&pump->proxy->mood);
+		if (n <= 0 && passes(pump, mood)) {
+			shutdown(pump->to, SHUT_WR);
+			return;
+		}
+		if (n <= 0)
+			return;
+		if (mood == PROXY_SLOW)
+			g_usleep(SLOW_USEC);
+		if (passes(pump, mood))
+			sent_all(pump->to, data, n);
+	}
+	sock_reset(pump->from);
+	sock_reset(pump->to);
+}
+
+static gpointer pump_thread(gpointer data)
+{
+	struct pump *pump = data;
+
+	pump_run(pump);
+	if (g_atomic_int_dec_and_test(pump->users)) {
+		close(pump->from);
+		close(pump->to);
+		g_free(pump->users);
+	}
+	g_free(pump);
+	return NULL;
+}
+
+static void pump_start(struct proxy *proxy, int from, int to, gboolean answers,
+		       gint *users)
+{
+	struct pump *pump = g_new0(struct pump, 1);
+
+	*pump = (struct pump){
+		proxy, from, to, answers, g_atomic_int_get(&proxy->epoch),
+		users};
+	g_thread_unref(g_thread_new("pump", pump_thread, pump));
+}
+
+static void connection_start(struct proxy *proxy, int fd)
+{
+	int to = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	gint *users;
+
+	if (g_atomic_int_get(&proxy->mood) == PROXY_RESET ||
+	    connect(to, (struct sockaddr *)&proxy->to, sizeof(proxy->to)) !=
+		    0) {
+		sock_reset(fd);
+		close(fd);
+		close(to);
+		return;
+	}
+	users = g_new(gint, 1);
+	*users = 2;
+	pump_start(proxy, fd, to, FALSE, users);
+	pump_start(proxy, to, fd, TRUE, users);
+}
+
+static gpointer proxy_thread(gpointer data)
+{
+	struct proxy *proxy = data;
+
+	for (;;) {
+		int fd = accept4(proxy->listener, NULL, NULL, SOCK_CLOEXEC);
+
+		if (fd >= 0)
+			connection_start(proxy, fd);
+	}
+	return NULL;
+}
+
+struct proxy *proxy_create(const char *address)
+{
+	struct proxy *proxy = g_new0(struct proxy, 1);
+	struct sockaddr_in own = {.sin_family = AF_INET};
+	socklen_t size = sizeof(own);
+
+	proxy->to.sin_family = AF_INET;
+	proxy->to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	proxy->to.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1));
+	own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	proxy->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	g_assert_cmpint(bind(proxy->listener, (struct sockaddr *)&own, size),
+			==, 0);
+	g_assert_cmpint(listen(proxy->listener, 128), ==, 0);
+	getsockname(proxy->listener, (struct sockaddr *)&own, &size);
+	g_snprintf(proxy->address, sizeof(proxy->address), "127.0.0.1:%d",
+		   ntohs(own.sin_port));
+	g_thread_unref(g_thread_new("proxy", proxy_thread, proxy));
+	return proxy;
+}
+
+const char *proxy_address(const struct proxy *proxy)
+{
+	return proxy->address;
+}
+
+void proxy_set(struct proxy *proxy, enum proxy_mood mood)
+{
+	g_atomic_int_set(&proxy->mood, (gint)mood);
+	if (mood == PROXY_RESET)
+		g_atomic_int_inc(&proxy->epoch);
+}
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,101 @@
+/*
+ * soak.h - real processes, faults from outside them, promises checked
+ *
+ * DESCRIPTION
+ *	A run has a stand-in site and a few forwarding instances, each behind a
+ *	proxy towards its callers and one towards the store. Callers of every
+ *	kind call all the time; processes are killed, paused, stopped and
+ *	restarted, proxies harm connections, servers and the store fail. What
+ *	happens when follows from the seed; how the processes interleave does
+ *	not, so a seed that failed once may have to be run again and again.
+ */
+#ifndef TESTS_SOAK_SOAK_H
+#define TESTS_SOAK_SOAK_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/types.h>
+
+#include "common/clock.h"
+#include "proxy.h"
+#include "web/client.h"
+#include "web/loop.h"
+
+#define INSTANCES 3
+#define EVENTS 8
+
+enum call_kind {
+	KIND_PLAIN,
+	KIND_ONCE,
+	KIND_STREAM,
+	KIND_RESUME,
+	KINDS,
+};
+
+struct call {
+	struct soak *soak;
+	char id[32];
+	enum call_kind kind;
+	struct web_call *web;
+	int status;
+	GString *body;
+	bool whole;
+	bool done;
+	bool hung_up;
+};
+
+struct instance {
+	char name[8];
+	int ports[3]; /* callers, health, peers */
+	pid_t pid;    /* 0: not running */
+	int64_t start_at;
+	int64_t wake_at; /* paused until then; 0: running */
+	bool stopping;
+	struct proxy *callers;
+	struct proxy *store;
+};
+
+struct soak {
+	const char *build;
+	char *folder;
+	struct clock *clock;
+	struct loop *loop;
+	struct web_client *client;
+	GRand *rand;
+	pid_t site;
+	char *site_address;
+	struct instance instances[INSTANCES];
+	GPtrArray *calls;
+	uint64_t version;
+	uint32_t faults;
+	uint32_t failures;
+	int64_t end_at;
+	struct timer call_timer;
+	struct timer fault_timer;
+	struct timer watch_timer;
+};
+
+/* process.c */
+void soak_start(struct soak *soak);
+void soak_stop(struct soak *soak);
+void instance_start(struct soak *soak, struct instance *instance);
+/* Reaps what ended and starts it again; wakes what was paused. */
+void instances_watch(struct soak *soak);
+void instance_signal(struct instance *instance, int number);
+
+/* calls.c */
+void call_start(struct soak *soak, enum call_kind kind, int instance);
+/* Fails the run when a promise was broken. */
+void calls_check(struct soak *soak);
+void soak_fail(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
+/* A call to the site's control; the answer's number of that name, or -1. */
+int64_t site_call(struct soak *soak, const char *method, const char *path,
+		  const char *body, const char *name);
+void soak_turn(struct soak *soak, int64_t usec);
+
+/* faults.c */
+void fault_strike(struct soak *soak);
+void faults_heal(struct soak *soak);
+
+#endif
