--- a/forward/request.c
+++ b/forward/request.c
@@ -228,6 +228,9 @@
 void request_fail(struct request *request, enum result_code code,
 		  const char *why)
 {
+	/* What the last server refused another may have run. */
+	if (result_outcome(code) == OUTCOME_NOT_RUN)
+		code = RESULT_BACKEND_FAILED;
 	error_reply(request, result_status(code), result_label(code), 0);
 	request_end(request, END_FAILED, result_status(code), why);
 }
