--- /dev/null
+++ b/tests/forward/test_roles.c
@@ -0,0 +1,258 @@
+/* Who orders which runner to another role, and when. */
+#include <glib.h>
+#include <string.h>
+
+#include "../fake/fake_log.h"
+#include "../fake/later.h"
+#include "common/id.h"
+#include "forward/roles.h"
+
+#define SECOND USEC_PER_SEC
+#define DECIDERS 2
+
+struct site;
+
+struct decider {
+	struct site *site;
+	struct fleet *fleet;
+	struct roles *roles;
+	struct fake_log_client client;
+	bool decides;
+};
+
+struct site {
+	struct clock *clock;
+	struct later *later;
+	GRand *rand;
+	struct fake_log *log;
+	struct catalog *catalog;
+	struct decider deciders[DECIDERS];
+	double demand;
+	GString *orders; /* "0:p1>decode " each */
+	GArray *times;
+};
+
+static void on_post(void *node, int64_t delay, void (*fn)(void *data),
+		    void *data, GDestroyNotify destroy)
+{
+	struct decider *decider = node;
+
+	later_call(decider->site->later, delay, fn, data, destroy);
+}
+
+static bool decides(void *ctx)
+{
+	return ((struct decider *)ctx)->decides;
+}
+
+static double demand(void *ctx)
+{
+	return ((struct decider *)ctx)->site->demand;
+}
+
+static const struct catalog *catalog(void *ctx)
+{
+	return ((struct decider *)ctx)->site->catalog;
+}
+
+struct answer {
+	order_fn fn;
+	void *ctx;
+};
+
+static void answer_give(void *data)
+{
+	struct answer *answer = data;
+
+	answer->fn(answer->ctx, ORDER_ACCEPTED);
+}
+
+static void runner_put(struct site *site, const char *id,
+		       enum backend_stage stage)
+{
+	struct backend_info info = {
+		.service = id_of("model"), .stage = stage, .slots = 8};
+
+	g_strlcpy(info.id, id, sizeof(info.id));
+	g_strlcpy(info.data_centre, "here", sizeof(info.data_centre));
+	for (int i = 0; i < DECIDERS; i++)
+		fleet_put(site->deciders[i].fleet, &info);
+}
+
+static void on_order(void *ctx, const struct stage_order *order, order_fn fn,
+		     void *fn_ctx)
+{
+	struct decider *decider = ctx;
+	struct site *site = decider->site;
+	int64_t now = clock_now(site->clock);
+	struct answer *answer = g_new0(struct answer, 1);
+
+	answer->fn = fn;
+	answer->ctx = fn_ctx;
+	g_string_append_printf(
+		site->orders, "%s:%s>%s ", order->holder, order->to->id,
+		order->stage == STAGE_DECODE ? "decode" : "prefill");
+	g_array_append_val(site->times, now);
+	later_call(site->later, 5000, answer_give, answer, g_free);
+	runner_put(site, order->to->id, order->stage);
+}
+
+static void decider_open(struct site *site, int i)
+{
+	static const char *const names[DECIDERS] = {"a", "b"};
+	struct decider *decider = &site->deciders[i];
+	struct roles_parts parts = {
+		.clock = site->clock,
+		.name = names[i],
+		.boot = 1,
+		.ops = {decides, demand, catalog},
+		.ctx = decider,
+	};
+
+	decider->site = site;
+	decider->client = (struct fake_log_client){
+		.log = site->log, .post = on_post, .node = decider};
+	decider->fleet = fleet_create(site->clock, "here");
+	parts.fleet = decider->fleet;
+	parts.log = fake_log_store(&decider->client);
+	parts.backends.order = on_order;
+	parts.backends.ctx = decider;
+	decider->roles = roles_create(&parts);
+}
+
+static void site_open(struct site *site)
+{
+	struct catalog_service *service;
+
+	*site = (struct site){.orders = g_string_new(NULL)};
+	site->times = g_array_new(FALSE, FALSE, sizeof(int64_t));
+	site->clock = clock_create(0);
+	site->later = later_create(site->clock);
+	site->rand = g_rand_new_with_seed(4);
+	site->log = fake_log_create(site->clock, site->later, site->rand);
+	site->log->delay = 4 * USEC_PER_MSEC;
+	site->catalog = catalog_create(1);
+	service = catalog_add_service(site->catalog, "model");
+	service->engine = (struct engine_traits){
+		.slots = 8, .memory_tokens = 1000, .switch_usec = SECOND};
+	for (int i = 0; i < DECIDERS; i++)
+		decider_open(site, i);
+	site->deciders[0].decides = true;
+}
+
+static void site_close(struct site *site, const char *orders)
+{
+	g_assert_cmpstr(site->orders->str, ==, orders);
+	for (int i = 0; i < DECIDERS; i++) {
+		roles_destroy(site->deciders[i].roles);
+		fleet_destroy(site->deciders[i].fleet);
+	}
+	later_destroy(site->later);
+	fake_log_destroy(site->log);
+	catalog_unref(site->catalog);
+	g_rand_free(site->rand);
+	g_array_unref(site->times);
+	g_string_free(site->orders, TRUE);
+	clock_destroy(site->clock);
+}
+
+static void wait_usec(struct site *site, int64_t usec)
+{
+	clock_advance(site->clock, clock_now(site->clock) + usec);
+}
+
+static void runners_put(struct site *site, const char *ids)
+{
+	g_auto(GStrv) list = g_strsplit(ids, " ", -1);
+
+	for (int i = 0; list[i]; i++)
+		runner_put(site, list[i],
+			   list[i][0] == 'p' ? STAGE_PREFILL : STAGE_DECODE);
+}
+
+/* Before any traffic the split is put right within seconds. */
+static void test_start(void)
+{
+	struct site site;
+
+	site_open(&site);
+	runners_put(&site, "p1 p2 p3 p4 d1 d2 d3 d4 d5");
+	wait_usec(&site, 6 * SECOND);
+	site_close(&site, "a:p1>decode a:p2>decode ");
+}
+
+/* A demand that lasts moves a runner, a burst does not. */
+static void test_demand(void)
+{
+	struct site site;
+
+	site_open(&site);
+	site.demand = 33000;
+	runners_put(&site, "p1 p2 d1 d2 d3 d4 d5 d6 d7");
+	wait_usec(&site, 10 * SECOND);
+	site.demand = 90000;
+	wait_usec(&site, 8 * SECOND);
+	site.demand = 33000;
+	wait_usec(&site, 10 * SECOND);
+	g_assert_cmpstr(site.orders->str, ==, "");
+	site.demand = 90000;
+	wait_usec(&site, 20 * SECOND);
+	site_close(&site, "a:d1>prefill ");
+}
+
+/* A stage that one loss may leave without runners is helped at once. */
+static void test_short(void)
+{
+	struct site site;
+
+	site_open(&site);
+	site.demand = 33000;
+	runners_put(&site, "p1 d1 d2 d3 d4 d5 d6 d7");
+	wait_usec(&site, 5 * SECOND);
+	site_close(&site, "a:d1>prefill ");
+}
+
+/* The holder is lost: its successor orders, soon, and never within the time in
+ * which an order of the former may still arrive. */
+static void test_successor(void)
+{
+	struct site site;
+
+	site_open(&site);
+	site.demand = 33000;
+	runners_put(&site, "p1 d1 d2 d3 d4 d5 d6 d7");
+	wait_usec(&site, 4 * SECOND);
+	site.deciders[0].client.cut = true;
+	site.deciders[0].decides = false;
+	site.deciders[1].decides = true;
+	for (int i = 0; i < DECIDERS; i++)
+		fleet_remove(site.deciders[i].fleet, "p1");
+	wait_usec(&site, 10 * SECOND);
+	g_assert_cmpint(g_array_index(site.times, int64_t, 1) -
+				g_array_index(site.times, int64_t, 0),
+			>=, 3 * SECOND);
+	site_close(&site, "a:d1>prefill b:d7>prefill ");
+}
+
+/* While the log is down nobody orders anything. */
+static void test_log_down(void)
+{
+	struct site site;
+
+	site_open(&site);
+	site.log->outage = true;
+	runners_put(&site, "p1 p2 p3 p4 d1 d2 d3 d4 d5");
+	wait_usec(&site, 20 * SECOND);
+	site_close(&site, "");
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/roles/start", test_start);
+	g_test_add_func("/forward/roles/demand", test_demand);
+	g_test_add_func("/forward/roles/short", test_short);
+	g_test_add_func("/forward/roles/successor", test_successor);
+	g_test_add_func("/forward/roles/log-down", test_log_down);
+	return g_test_run();
+}
