forward: look at the settings file each second, and hold bodies to the limit

The file may change without a signal; a body over the limit of the configuration in force is answered 413 (golden path 'body too large'; it was forwarded before). Fields that nothing read are gone.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -114,7 +114,6 @@
 	backend->key = id_of(info->id);
 	backend->info = *info;
 	backend->near = strcmp(info->data_centre, fleet->data_centre) == 0;
-	backend->stage_since = clock_now(fleet->clock);
 	g_hash_table_insert(fleet->keys, &backend->key, backend);
 	g_ptr_array_add(service_list(fleet, info->service), backend);
 	g_ptr_array_add(fleet->all, backend);
@@ -133,10 +132,8 @@
 			service_list(fleet, backend->info.service), backend);
 		g_ptr_array_add(service_list(fleet, info->service), backend);
 	}
-	if (backend->info.stage != info->stage) {
-		backend->stage_since = clock_now(fleet->clock);
+	if (backend->info.stage != info->stage)
 		backend->changing_until = 0;
-	}
 	backend->info = *info;
 	if (changed)
 		backend_log("backend_changed", backend);
--- a/forward/node.c
+++ b/forward/node.c
@@ -2,6 +2,7 @@
 
 #include <signal.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include "common/log.h"
@@ -22,6 +23,8 @@
 /* Requests waiting for memory in a data centre that is cut off, from which on
  * callers are better served elsewhere. */
 #define STRANDED_WAITING 6u
+/* How often the settings file is looked at. */
+#define FILE_CHECK_USEC (1 * USEC_PER_SEC)
 /* Peers are heard of within this time of the start. */
 #define MEET_USEC (1 * USEC_PER_SEC)
 
@@ -270,6 +273,56 @@
 	node->roles = roles_create(&parts);
 }
 
+static void settings_reload(struct node *node)
+{
+	struct forward_settings fresh;
+	struct error err;
+
+	if (!forward_settings_read(&fresh, node->file, node->argc, node->argv,
+				   &err)) {
+		log_event(LOG_ERR, "settings_kept", LOG_S("reason", err.text));
+		return;
+	}
+	/* Addresses and names hold for as long as the process runs. */
+	node->settings.retry_ratio = fresh.retry_ratio;
+	node->settings.retry_slack = fresh.retry_slack;
+	node->settings.retry_window_sec = fresh.retry_window_sec;
+	node->settings.grace_sec = fresh.grace_sec;
+	budgets_configure(
+		node->budgets,
+		&(struct budget_settings){
+			.ratio = fresh.retry_ratio,
+			.slack = fresh.retry_slack,
+			.window_usec = (int64_t)(fresh.retry_window_sec *
+						 (double)USEC_PER_SEC)});
+	log_setup(node->clock, PROGRAM, fresh.log_level);
+	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
+}
+
+/* When the file was changed last; 0 when it cannot be told. */
+static int64_t file_time(const struct node *node)
+{
+	struct stat state;
+
+	if (!node->file || stat(node->file, &state) != 0)
+		return 0;
+	return state.st_mtim.tv_sec * USEC_PER_SEC +
+	       state.st_mtim.tv_nsec / 1000;
+}
+
+/* It may change without a signal. */
+static void on_file_check(struct timer *timer, void *ctx)
+{
+	struct node *node = ctx;
+	int64_t time = file_time(node);
+
+	timer_start(timer, FILE_CHECK_USEC);
+	if (time == 0 || time == node->file_read)
+		return;
+	node->file_read = time;
+	settings_reload(node);
+}
+
 static void listening_log(const char *role, const struct web_server *server)
 {
 	log_event(LOG_NOTICE, "listening", LOG_S("role", role),
@@ -305,6 +358,9 @@
 		return false;
 	roles_open(node);
 	node_feeds_start(node);
+	node->file_read = file_time(node);
+	timer_init(&node->file_timer, node->clock, on_file_check, node);
+	timer_start(&node->file_timer, FILE_CHECK_USEC);
 	listening_log("callers", node->callers);
 	listening_log("health", node->health);
 	listening_log("peers", node->peers_server);
@@ -315,6 +371,7 @@
 static void node_close(struct node *node)
 {
 	node_drain_stop(node);
+	timer_stop(&node->file_timer);
 	web_server_destroy(node->callers);
 	web_server_destroy(node->health);
 	web_server_destroy(node->peers_server);
@@ -329,38 +386,16 @@
 	budgets_destroy(node->budgets);
 }
 
-static void settings_reload(struct node *node)
+static void on_signal(void *ctx, int signal)
 {
-	struct forward_settings fresh;
-	struct error err;
+	struct node *node = ctx;
 
-	if (!forward_settings_read(&fresh, node->file, node->argc, node->argv,
-				   &err)) {
-		log_event(LOG_ERR, "settings_kept", LOG_S("reason", err.text));
-		return;
+	if (signal == SIGHUP) {
+		node->file_read = file_time(node);
+		settings_reload(node);
+	} else {
+		node_drain(node);
 	}
-	/* Addresses and names hold for as long as the process runs. */
-	node->settings.retry_ratio = fresh.retry_ratio;
-	node->settings.retry_slack = fresh.retry_slack;
-	node->settings.retry_window_sec = fresh.retry_window_sec;
-	node->settings.grace_sec = fresh.grace_sec;
-	budgets_configure(
-		node->budgets,
-		&(struct budget_settings){
-			.ratio = fresh.retry_ratio,
-			.slack = fresh.retry_slack,
-			.window_usec = (int64_t)(fresh.retry_window_sec *
-						 (double)USEC_PER_SEC)});
-	log_setup(node->clock, PROGRAM, fresh.log_level);
-	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
-}
-
-static void on_signal(void *ctx, int signal)
-{
-	if (signal == SIGHUP)
-		settings_reload(ctx);
-	else
-		node_drain(ctx);
 }
 
 static void on_turn(void *ctx, int64_t gap_usec)
--- a/forward/node.h
+++ b/forward/node.h
@@ -57,6 +57,8 @@
 	int64_t hurried; /* when a peer's word had the configuration read */
 	int64_t drained_from;
 	struct timer drain_timer;
+	struct timer file_timer;
+	int64_t file_read; /* time of the settings file that was read */
 	struct timer register_timer;
 	struct counter *malformed;
 	int status;
--- a/forward/request.c
+++ b/forward/request.c
@@ -354,8 +354,11 @@
 		return;
 	}
 	request->catalog = catalog_ref(forward->catalog);
-	if (request_route(request))
-		request_start(request);
-	else
+	if (!request_route(request))
 		request_deny(request, RESULT_NOT_FOUND, "no route");
+	else if (request->caller.body.size >
+		 request->catalog->limits.body_bytes)
+		request_deny(request, RESULT_TOO_LARGE, "body over the limit");
+	else
+		request_start(request);
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -51,7 +51,6 @@
 	uint32_t runs;	 /* that may have begun to run */
 	uint32_t rounds; /* through placing, for streams */
 	bool judged;	 /* looked at for an early refusal */
-	bool prefilled;	 /* a first prefill was accepted */
 	int replied_status;
 	bool replied; /* the head of an answer went to the caller */
 	struct charge decode;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -356,7 +356,6 @@
 		if (backend)
 			backend_succeeded(backend, now);
 		request->kv_at = request->target;
-		request->prefilled = true;
 		request->prefilled_at = now;
 		histogram_add(request->forward->prefill_time,
 			      now - request->placed_at);
--- a/include/forward/catalog.h
+++ b/include/forward/catalog.h
@@ -38,7 +38,6 @@
 	char *prefix;
 	enum route_kind kind;
 	bool resumable;	      /* a stream may go on at another backend server */
-	bool generates;	      /* its requests describe a prompt and an output */
 	int64_t timeout_usec; /* from the request's arrival to its end */
 	int64_t target_usec;  /* of the answer, or of a stream's first event */
 	int64_t gap_usec;     /* longest pause between events; 0: no target */
@@ -60,7 +59,6 @@
 	char *name;
 	uint64_t id; /* id_of(name) */
 	char *health_path;
-	uint32_t connections; /* that one backend server accepts; 0: any */
 	struct engine_traits engine;
 };
 
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -60,7 +60,6 @@
 	int64_t full_until;	/* has just refused a reservation */
 	uint32_t fulls;		/* refused in a row */
 	int64_t changing_until; /* ordered to another role */
-	int64_t stage_since;	/* when the list showed its stage first */
 	bool listed;		/* seen in the snapshot being read */
 };
 
--- a/include/forward/node.h
+++ b/include/forward/node.h
@@ -38,7 +38,6 @@
 	const char *config_stream;
 	const char *config_key;
 	const char *list_stream;
-	const char *health_path;
 	void *ctx;
 };
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -210,6 +210,8 @@
 	if (strstr(world.options, "malformed"))
 		return error_set(err, RESULT_BAD_REQUEST, "malformed");
 	caller->limit_usec = 14 * USEC_PER_SEC;
+	if (strstr(world.options, "large"))
+		caller->body = (struct web_text){world.options, 101};
 	if (strstr(world.options, "short"))
 		caller->limit_usec = 600 * USEC_PER_MSEC;
 	if (strcmp(request->path, "/plain/") == 0 ||
@@ -288,6 +290,7 @@
 		.result_usec = 500 * USEC_PER_MSEC,
 		.reserve_usec = 2 * USEC_PER_SEC,
 	};
+	catalog->limits.body_bytes = 100;
 	catalog_seal(catalog);
 	forward_set_catalog(world.forward, catalog);
 	catalog_unref(catalog);
