tests: give each run of the soak addresses of its own

Ruled out: jtforward, it said that the address was in use. Each run now has an address in 127/8 made of its pid.

--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -1,5 +1,4 @@
 /* Starting, watching and ending the processes of a run. */
-#include <arpa/inet.h>
 #include <errno.h>
 #include <signal.h>
 #include <stdio.h>
@@ -10,6 +9,9 @@
 
 #include "soak.h"
 
+/* Callers, health, peers. */
+#define ROLES 3
+#define FIRST_PORT 20001
 #define RESTART_USEC (300 * USEC_PER_MSEC)
 
 static void child_setup(gpointer data)
@@ -34,17 +36,15 @@
 	return pid;
 }
 
-static int port_free(void)
+/* An address that no other run has: several run at once, and a port that was
+ * free may be taken by a connection of another before it is listened on. */
+static void address_make(char *out, size_t size, int instance, int role)
 {
-	struct sockaddr_in own = {.sin_family = AF_INET};
-	socklen_t size = sizeof(own);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	g_assert_cmpint(bind(fd, (struct sockaddr *)&own, size), ==, 0);
-	getsockname(fd, (struct sockaddr *)&own, &size);
-	close(fd);
-	return ntohs(own.sin_port);
+	guint pid = (guint)getpid();
+
+	(void)g_snprintf(out, size, "127.%u.%u.%u:%d", 1 + (pid >> 16) % 250,
+			 (pid >> 8) % 256, pid % 256,
+			 FIRST_PORT + instance * ROLES + role);
 }
 
 static char *site_listening(const struct soak *soak)
@@ -66,7 +66,7 @@
 {
 	static const char *const flags[] = {"--listen", "--health-listen",
 					    "--peer-listen"};
-	char addresses[3][32];
+	char addresses[ROLES][32];
 	char *argv[] = {
 		g_strdup_printf("%s/platform/jtforward", soak->build),
 		(char *)"--name",
@@ -86,9 +86,9 @@
 		NULL,
 	};
 
-	for (int i = 0; i < 3; i++)
-		(void)g_snprintf(addresses[i], sizeof(addresses[i]),
-				 "127.0.0.1:%d", instance->ports[i]);
+	for (int i = 0; i < ROLES; i++)
+		address_make(addresses[i], sizeof(addresses[i]),
+			     (int)(instance - soak->instances), i);
 	instance->pid = spawn(soak, argv, instance->name);
 	instance->stopping = false;
 	instance->wake_at = 0;
@@ -115,10 +115,7 @@
 
 		(void)g_snprintf(instance->name, sizeof(instance->name), "f%d",
 				 i);
-		for (int k = 0; k < 3; k++)
-			instance->ports[k] = port_free();
-		(void)g_snprintf(address, sizeof(address), "127.0.0.1:%d",
-				 instance->ports[0]);
+		address_make(address, sizeof(address), i, 0);
 		instance->callers = proxy_create(address);
 		instance->store = proxy_create(soak->site_address);
 		instance_start(soak, instance);
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -144,9 +144,12 @@
 	struct proxy *proxy = g_new0(struct proxy, 1);
 	struct sockaddr_in own = {.sin_family = AF_INET};
 	socklen_t size = sizeof(own);
+	char host[32];
 
 	proxy->to.sin_family = AF_INET;
-	proxy->to.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_nonnull(memccpy(host, address, ':', sizeof(host)));
+	*strchr(host, ':') = '\0';
+	proxy->to.sin_addr.s_addr = inet_addr(host);
 	proxy->to.sin_port = htons((uint16_t)atoi(strchr(address, ':') + 1));
 	own.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	proxy->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -47,8 +47,7 @@
 
 struct instance {
 	char name[8];
-	int ports[3]; /* callers, health, peers */
-	pid_t pid;    /* 0: not running */
+	pid_t pid; /* 0: not running */
 	int64_t start_at;
 	int64_t wake_at; /* paused until then; 0: running */
 	bool stopping;
