--- a/forward/feed.c
+++ b/forward/feed.c
@@ -158,9 +158,9 @@
 	if (!feed)
 		return;
 	feed->call = NULL;
+	/* A snapshot goes on with the page that failed: what changes meanwhile
+	 * is read again from where it began. */
 	if (code != RESULT_OK) {
-		if (snapshot)
-			snapshot_restart(feed);
 		feed_failed(feed);
 		return;
 	}
@@ -209,8 +209,6 @@
 void feed_hurry(struct feed *feed)
 {
 	call_abandon(feed);
-	if (!feed->has_snapshot)
-		snapshot_restart(feed);
 	feed_next(feed);
 }
 
--- a/forward/node.h
+++ b/forward/node.h
@@ -52,6 +52,8 @@
 	struct web_server *health;
 	struct web_server *peers_server; /* copies and metrics */
 	uint64_t boot;
+	int64_t served_from; /* begin of the second of served_bytes */
+	size_t served_bytes;
 	bool registered;
 	bool draining;
 	int64_t hurried; /* when a peer's word had the configuration read */
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -3,6 +3,8 @@
  */
 #include "node.h"
 
+#include <inttypes.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "common/id.h"
@@ -19,6 +21,9 @@
  * time it is not waited for. */
 #define FETCH_USEC (300 * USEC_PER_MSEC)
 #define COPY_BYTES_MAX (8u << 20)
+/* What one instance hands out in a second: a tenth of the memory of a small
+ * one, half of a second of a slow link's (100 Mbit/s). */
+#define SERVE_BYTES_PER_SEC ((size_t)6 << 20)
 /* So that not all fetch from the first that told: those who have it tell too.
  */
 #define FETCH_SPREAD_USEC (5 * USEC_PER_MSEC)
@@ -123,8 +128,9 @@
 {
 	struct node_share *share = ctx;
 	struct node *node = share->node;
-	g_autofree char *path =
-		g_strdup_printf(SHARE_PATH "%d", (int)(share - node->shares));
+	g_autofree char *path = g_strdup_printf(SHARE_PATH "%d?from=%" PRIu64,
+						(int)(share - node->shares),
+						share_position(share->share));
 	const struct web_call_spec spec = {
 		.address = share->from,
 		.method = "GET",
@@ -163,6 +169,23 @@
 	}
 }
 
+/* A large copy asked for by all at once would fill memory and link; who is
+ * turned away has it from another or from the store. */
+static bool serve_may(struct node *node, size_t size)
+{
+	int64_t now = clock_now(node->clock);
+
+	if (now - node->served_from >= USEC_PER_SEC) {
+		node->served_from = now;
+		node->served_bytes = 0;
+	}
+	if (node->served_bytes > 0 &&
+	    node->served_bytes + size > SERVE_BYTES_PER_SEC)
+		return false;
+	node->served_bytes += size;
+	return true;
+}
+
 void node_share_serve(void *ctx, struct web_request *request)
 {
 	struct node *node = ctx;
@@ -170,13 +193,20 @@
 	size_t at = strlen(SHARE_PATH);
 	int i = path.size == at + 1 ? path.data[at] - '0' : -1;
 	g_autoptr(GByteArray) out = NULL;
+	char from[32] = "0";
 
 	if (i < 0 || i >= GOSSIP_SHARES) {
 		web_reply(request, 404, "text/plain", "no such copy\n", 13);
 		return;
 	}
+	web_request_param(request, "from", from, sizeof(from));
+	if (!serve_may(node, share_size(node->shares[i].share,
+					strtoull(from, NULL, 10)))) {
+		web_reply(request, 503, "text/plain", "busy\n", 5);
+		return;
+	}
 	out = g_byte_array_new();
-	share_pack(node->shares[i].share, out);
+	share_pack(node->shares[i].share, strtoull(from, NULL, 10), out);
 	web_reply(request, 200, "application/msgpack", out->data, out->len);
 }
 
--- a/forward/share.c
+++ b/forward/share.c
@@ -9,7 +9,10 @@
 #define RANK_MAX 2u
 /* Peers are found within this time of the start, if there are any. */
 #define START_USEC (150 * USEC_PER_MSEC)
-#define FIELDS 4
+#define FIELDS 6
+#define VALUE_FIELDS 3
+/* Dropped keys that are remembered, for peers that are not far behind. */
+#define DROPPED_MAX 1024u
 
 struct share {
 	struct clock *clock;
@@ -18,19 +21,72 @@
 	struct feed_settings settings;
 	struct share_ops ops;
 	void *ctx;
-	GHashTable *values; /* key to GBytes */
+	GHashTable *values; /* key to struct value */
+	GArray *dropped;    /* struct dropped, oldest first */
+	uint64_t floor;	    /* changes before it are not told apart */
 	uint64_t changed;
 };
 
+struct value {
+	GBytes *data;
+	uint64_t changed; /* offset of the record that changed it last */
+};
+
+struct dropped {
+	char *key;
+	uint64_t offset;
+};
+
+static void value_free(gpointer data)
+{
+	struct value *value = data;
+
+	g_bytes_unref(value->data);
+	g_free(value);
+}
+
+static void dropped_clear(gpointer data)
+{
+	struct dropped *dropped = data;
+
+	g_free(dropped->key);
+}
+
+static void drop_note(struct share *share, const char *key, uint64_t offset)
+{
+	struct dropped dropped = {g_strdup(key), offset};
+
+	if (share->dropped->len >= DROPPED_MAX) {
+		share->floor = g_array_index(share->dropped, struct dropped, 0)
+				       .offset +
+			       1;
+		g_array_remove_index(share->dropped, 0);
+	}
+	g_array_append_val(share->dropped, dropped);
+}
+
+static void value_set(struct share *share, const char *key, const void *data,
+		      size_t size, uint64_t changed)
+{
+	struct value *value = g_new0(struct value, 1);
+
+	value->data = g_bytes_new(data, size);
+	value->changed = changed;
+	g_hash_table_replace(share->values, g_strdup(key), value);
+}
+
 static void value_take(struct share *share, uint64_t offset, const char *key,
 		       const void *data, size_t size)
 {
-	if (!data)
-		g_hash_table_remove(share->values, key);
-	else
-		g_hash_table_replace(share->values, g_strdup(key),
-				     g_bytes_new(data, size));
-	if (share->ops.value(share->ctx, offset, key, data, size))
+	const struct value *known = g_hash_table_lookup(share->values, key);
+	bool changes = share->ops.value(share->ctx, offset, key, data, size);
+	uint64_t changed = changes || !known ? offset : known->changed;
+
+	if (data)
+		value_set(share, key, data, size, changed);
+	else if (g_hash_table_remove(share->values, key))
+		drop_note(share, key, offset);
+	if (changes)
 		share->changed = MAX(share->changed, offset + 1);
 }
 
@@ -45,6 +101,7 @@
 	struct share *share = ctx;
 
 	g_hash_table_remove_all(share->values);
+	g_array_set_size(share->dropped, 0);
 	if (share->ops.begin)
 		share->ops.begin(share->ctx);
 }
@@ -55,6 +112,7 @@
 	struct share *share = ctx;
 
 	share->changed = MAX(share->changed, feed_position(share->feed));
+	share->floor = share->changed;
 	if (share->ops.end)
 		share->ops.end(share->ctx);
 }
@@ -76,7 +134,9 @@
 	share->ops = *ops;
 	share->ctx = ctx;
 	share->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      (GDestroyNotify)g_bytes_unref);
+					      value_free);
+	share->dropped = g_array_new(FALSE, FALSE, sizeof(struct dropped));
+	g_array_set_clear_func(share->dropped, dropped_clear);
 	share->feed = feed_create(clock, store, settings, &feed_ops, share);
 	return share;
 }
@@ -87,6 +147,7 @@
 		return;
 	feed_destroy(share->feed);
 	g_hash_table_destroy(share->values);
+	g_array_unref(share->dropped);
 	g_free(share);
 }
 
@@ -134,13 +195,92 @@
 	return false;
 }
 
-void share_pack(const struct share *share, GByteArray *out)
+uint64_t share_position(const struct share *share)
 {
-	struct share_word word;
-	msgpack_packer packer;
+	return feed_position(share->feed);
+}
+
+/* Whether what changed since from can be told. */
+static bool has_since(const struct share *share, uint64_t from)
+{
+	return from > 0 && from >= share->floor;
+}
+
+static bool is_since(const struct value *value, uint64_t base)
+{
+	return base == 0 || value->changed >= base;
+}
+
+static uint32_t values_since(const struct share *share, uint64_t base)
+{
+	const struct value *value;
 	GHashTableIter iter;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, share->values);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&value))
+		count += is_since(value, base);
+	return count;
+}
+
+size_t share_size(const struct share *share, uint64_t from)
+{
+	uint64_t base = has_since(share, from) ? from : 0;
+	const struct value *value;
+	GHashTableIter iter;
+	size_t size = 0;
+
+	g_hash_table_iter_init(&iter, share->values);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&value))
+		size += is_since(value, base) ? g_bytes_get_size(value->data)
+					      : 0;
+	return size;
+}
+
+static void values_pack(const struct share *share, uint64_t base,
+			msgpack_packer *packer)
+{
+	const struct value *value;
 	const char *key;
-	GBytes *value;
+	GHashTableIter iter;
+
+	msgpack_pack_array(packer, values_since(share, base));
+	g_hash_table_iter_init(&iter, share->values);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&key,
+				      (gpointer *)&value)) {
+		gsize size;
+		const void *data = g_bytes_get_data(value->data, &size);
+
+		if (!is_since(value, base))
+			continue;
+		msgpack_pack_array(packer, VALUE_FIELDS);
+		pack_text(packer, key);
+		msgpack_pack_bin(packer, size);
+		msgpack_pack_bin_body(packer, data, size);
+		msgpack_pack_uint64(packer, value->changed);
+	}
+}
+
+static void dropped_pack(const struct share *share, uint64_t base,
+			 msgpack_packer *packer)
+{
+	guint first = share->dropped->len;
+
+	while (base > 0 && first > 0 &&
+	       g_array_index(share->dropped, struct dropped, first - 1)
+			       .offset >= base)
+		first--;
+	msgpack_pack_array(packer, share->dropped->len - first);
+	for (guint i = first; i < share->dropped->len; i++)
+		pack_text(packer,
+			  g_array_index(share->dropped, struct dropped, i).key);
+}
+
+void share_pack(const struct share *share, uint64_t from, GByteArray *out)
+{
+	uint64_t base = has_since(share, from) ? from : 0;
+	struct share_word word;
+	msgpack_packer packer;
 
 	share_word(share, &word);
 	msgpack_packer_init(&packer, out, pack_append);
@@ -148,39 +288,50 @@
 	msgpack_pack_uint64(&packer, word.next);
 	msgpack_pack_uint64(&packer, word.changed);
 	msgpack_pack_int64(&packer, word.age_usec);
-	msgpack_pack_array(&packer, g_hash_table_size(share->values));
-	g_hash_table_iter_init(&iter, share->values);
-	while (g_hash_table_iter_next(&iter, (gpointer *)&key,
-				      (gpointer *)&value)) {
-		gsize size;
-		const void *data = g_bytes_get_data(value, &size);
+	msgpack_pack_uint64(&packer, base);
+	values_pack(share, base, &packer);
+	dropped_pack(share, base, &packer);
+}
 
-		msgpack_pack_array(&packer, 2);
-		pack_text(&packer, key);
-		msgpack_pack_bin(&packer, size);
-		msgpack_pack_bin_body(&packer, data, size);
-	}
+static bool value_is_sound(const msgpack_object *item)
+{
+	const msgpack_object *fields = item->via.array.ptr;
+	char key[256];
+
+	return item->type == MSGPACK_OBJECT_ARRAY &&
+	       item->via.array.size == VALUE_FIELDS &&
+	       unpack_text(&fields[0], key, sizeof(key)) &&
+	       fields[1].type == MSGPACK_OBJECT_BIN &&
+	       fields[2].type == MSGPACK_OBJECT_POSITIVE_INTEGER;
 }
 
-static bool values_are_sound(const msgpack_object *list)
+static bool key_is_sound(const msgpack_object *item)
+{
+	char key[256];
+
+	return unpack_text(item, key, sizeof(key));
+}
+
+static bool list_is_sound(const msgpack_object *list,
+			  bool (*sound)(const msgpack_object *item))
 {
 	if (list->type != MSGPACK_OBJECT_ARRAY)
 		return false;
-	for (uint32_t i = 0; i < list->via.array.size; i++) {
-		const msgpack_object *item = &list->via.array.ptr[i];
-		char key[256];
-
-		if (item->type != MSGPACK_OBJECT_ARRAY ||
-		    item->via.array.size != 2 ||
-		    !unpack_text(&item->via.array.ptr[0], key, sizeof(key)) ||
-		    item->via.array.ptr[1].type != MSGPACK_OBJECT_BIN)
+	for (uint32_t i = 0; i < list->via.array.size; i++)
+		if (!sound(&list->via.array.ptr[i]))
 			return false;
-	}
 	return true;
 }
 
-static bool copy_read(const msgpack_object *object, struct share_word *word,
-		      const msgpack_object **values)
+/* What a peer packed; the lists point into the unpacked bytes. */
+struct copy {
+	struct share_word word;
+	uint64_t base;
+	const msgpack_object *values;
+	const msgpack_object *dropped;
+};
+
+static bool copy_read(const msgpack_object *object, struct copy *copy)
 {
 	const msgpack_object *fields;
 
@@ -188,54 +339,71 @@
 	    object->via.array.size != FIELDS)
 		return false;
 	fields = object->via.array.ptr;
-	if (fields[0].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    fields[1].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    fields[2].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    fields[2].via.u64 > INT64_MAX / 2)
-		return false;
-	word->next = fields[0].via.u64;
-	word->changed = fields[1].via.u64;
-	word->age_usec = (int64_t)fields[2].via.u64;
-	*values = &fields[3];
-	return word->next > 0 && values_are_sound(*values);
+	for (int i = 0; i < FIELDS - 2; i++)
+		if (fields[i].type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+		    fields[i].via.u64 > INT64_MAX / 2)
+			return false;
+	copy->word.next = fields[0].via.u64;
+	copy->word.changed = fields[1].via.u64;
+	copy->word.age_usec = (int64_t)fields[2].via.u64;
+	copy->base = fields[3].via.u64;
+	copy->values = &fields[4];
+	copy->dropped = &fields[5];
+	return copy->word.next > 0 &&
+	       list_is_sound(copy->values, value_is_sound) &&
+	       list_is_sound(copy->dropped, key_is_sound);
 }
 
-static void copy_take(struct share *share, const struct share_word *word,
-		      const msgpack_object *values)
+static void copy_take(struct share *share, const struct copy *copy)
 {
-	on_begin(share);
-	for (uint32_t i = 0; i < values->via.array.size; i++) {
-		const msgpack_object *item =
-			values->via.array.ptr[i].via.array.ptr;
-		char key[256];
+	const msgpack_object_array *values = &copy->values->via.array;
+	const msgpack_object_array *dropped = &copy->dropped->via.array;
+	char key[256];
+
+	if (copy->base == 0)
+		on_begin(share);
+	for (uint32_t i = 0; i < values->size; i++) {
+		const msgpack_object *item = values->ptr[i].via.array.ptr;
 
 		(void)unpack_text(&item[0], key, sizeof(key));
-		value_take(share, word->next - 1, key, item[1].via.bin.ptr,
+		value_take(share, item[2].via.u64, key, item[1].via.bin.ptr,
 			   item[1].via.bin.size);
 	}
-	if (share->ops.end)
-		share->ops.end(share->ctx);
-	share->changed = word->changed;
+	for (uint32_t i = 0; i < dropped->size; i++) {
+		(void)unpack_text(&dropped->ptr[i], key, sizeof(key));
+		value_take(share, copy->word.next - 1, key, NULL, 0);
+	}
+	if (copy->base == 0) {
+		share->floor = copy->word.next;
+		if (share->ops.end)
+			share->ops.end(share->ctx);
+	}
+	share->changed = copy->word.changed;
+}
+
+/* What changed since a base that we have not reached leaves a hole. */
+static bool copy_fits(const struct share *share, const struct copy *copy)
+{
+	return copy->base == 0 || copy->base <= feed_position(share->feed);
 }
 
 bool share_unpack(struct share *share, const void *data, size_t size,
 		  struct error *err)
 {
-	const msgpack_object *values = NULL;
-	struct share_word word = {0};
+	struct copy copy = {0};
 	msgpack_unpacked unpacked;
 	bool good;
 
 	msgpack_unpacked_init(&unpacked);
 	good = message_unpack(&unpacked, data, size, err);
-	if (good && !copy_read(&unpacked.data, &word, &values))
+	if (good && !copy_read(&unpacked.data, &copy))
 		good = error_set(err, RESULT_BAD_MESSAGE,
 				 "no copy of the stream %s",
 				 share->settings.stream);
-	if (good && values &&
-	    feed_advance(share->feed, word.next,
-			 clock_now(share->clock) - word.age_usec))
-		copy_take(share, &word, values);
+	if (good && copy.values && copy_fits(share, &copy) &&
+	    feed_advance(share->feed, copy.word.next,
+			 clock_now(share->clock) - copy.word.age_usec))
+		copy_take(share, &copy);
 	msgpack_unpacked_destroy(&unpacked);
 	return good;
 }
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -62,9 +62,17 @@
 void share_word(const struct share *share, struct share_word *word);
 /* Takes in what a peer told. True when its copy is to be fetched. */
 bool share_hear(struct share *share, const struct share_word *word);
-/* Appends the copy as MessagePack: [next, changed, age, [[key, value], ..]]. */
-void share_pack(const struct share *share, GByteArray *out);
-/* Takes a peer's copy; one that is older than ours is dropped. */
+/* Offset up to which records are known, for share_pack() at a peer. */
+uint64_t share_position(const struct share *share);
+/* Appends what has changed since from as MessagePack: [next, changed, age,
+ * base,
+ * [[key, value, offset], ...], [dropped key, ...]]. base is from, or 0 when all
+ * there is follows. */
+void share_pack(const struct share *share, uint64_t from, GByteArray *out);
+/* About how many bytes share_pack() would append for from. */
+size_t share_size(const struct share *share, uint64_t from);
+/* Takes what a peer packed; what is older than ours, or begins after it, is
+ * dropped. */
 bool share_unpack(struct share *share, const void *data, size_t size,
 		  struct error *err);
 
