common: read settings of both daemons through one table reader

entry/settings.c and forward/settings.c had the same reader of flags, variables and fallbacks; it is now common/setting.c, with the settings file of the latter, and address.c moved to common/ for it.

--- a/web/address.c
+++ b/common/address.c
@@ -1,4 +1,4 @@
-#include "web/address.h"
+#include "common/address.h"
 
 #include <arpa/inet.h>
 #include <glib.h>
--- /dev/null
+++ b/common/setting.c
@@ -0,0 +1,354 @@
+#include "common/setting.h"
+
+#include <argp.h>
+#include <errno.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "common/address.h"
+#include "common/clock.h"
+#include "common/log.h"
+
+#define NAME_MAX_BYTES 63
+#define FILE_BYTES_MAX (64u << 10)
+#define KEY_FIRST 256
+#define KEY_HELP '?'
+#define KEY_VERSION 'V'
+
+struct reading {
+	const struct setting_program *program;
+	void *target;
+	bool *given;
+	struct error *err;
+};
+
+bool setting_address_valid(const char *text, bool zero_port)
+{
+	struct sockaddr_storage address;
+	socklen_t size;
+
+	if (!address_parse(text, &address, &size, NULL))
+		return false;
+	return zero_port || !g_str_has_suffix(text, ":0");
+}
+
+bool setting_name_valid(const char *text)
+{
+	size_t size = strlen(text);
+
+	return size > 0 && size <= NAME_MAX_BYTES &&
+	       strspn(text, "abcdefghijklmnopqrstuvwxyz"
+			    "ABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789.-_") == size;
+}
+
+static bool whole_parse(const struct setting *setting, const char *text,
+			int64_t *value, struct error *err)
+{
+	char *end = NULL;
+
+	errno = 0;
+	*value = strtoll(text, &end, 10);
+	if (text[0] < '0' || text[0] > '9' || *end != '\0')
+		return error_set(err, RESULT_BAD_SETTING,
+				 "'%s' is not a whole number", text);
+	if (errno != 0 || (double)*value < setting->min ||
+	    (double)*value > setting->max)
+		return error_set(err, RESULT_BAD_SETTING,
+				 "%s is not between %.0f and %.0f", text,
+				 setting->min, setting->max);
+	return true;
+}
+
+static bool whole_store(const struct setting *setting, void *field,
+			const char *text, struct error *err)
+{
+	int64_t value;
+
+	if (!whole_parse(setting, text, &value, err))
+		return false;
+	if (setting->kind == SETTING_U32)
+		*(uint32_t *)field = (uint32_t)value;
+	else if (setting->kind == SETTING_U64)
+		*(uint64_t *)field = (uint64_t)value;
+	else
+		*(int64_t *)field = value * USEC_PER_MSEC;
+	return true;
+}
+
+static bool real_store(const struct setting *setting, double *field,
+		       const char *text, struct error *err)
+{
+	char *end;
+	double value = g_ascii_strtod(text, &end);
+
+	if (end == text || *end != '\0' ||
+	    !(value >= setting->min && value <= setting->max))
+		return error_set(err, RESULT_BAD_SETTING,
+				 "'%s' is not a number from %g to %g", text,
+				 setting->min, setting->max);
+	*field = value;
+	return true;
+}
+
+static bool text_store(const char **field, const char *text, bool valid,
+		       const char *what, struct error *err)
+{
+	if (!valid)
+		return error_set(err, RESULT_BAD_SETTING, "'%s' is not %s",
+				 text, what);
+	*field = text;
+	return true;
+}
+
+static bool bool_store(bool *field, const char *text, struct error *err)
+{
+	*field = strcmp(text, "yes") == 0;
+	if (!*field && strcmp(text, "no") != 0)
+		return error_set(err, RESULT_BAD_SETTING,
+				 "'%s' is neither yes nor no", text);
+	return true;
+}
+
+static bool value_store(const struct setting_program *program,
+			const struct setting *setting, void *target,
+			const char *text, struct error *err)
+{
+	void *field = (char *)target + setting->offset;
+
+	switch (setting->kind) {
+	case SETTING_NAME:
+		return text_store(field, text, setting_name_valid(text),
+				  "a name of 1 to 63 letters, digits, '.', "
+				  "'-' or '_'",
+				  err);
+	case SETTING_LISTEN:
+		return text_store(field, text,
+				  setting_address_valid(text, true),
+				  "an address IP:PORT", err);
+	case SETTING_ADDRESS:
+		return text_store(field, text,
+				  setting_address_valid(text, false),
+				  "an address IP:PORT", err);
+	case SETTING_PATH:
+		return text_store(field, text, text[0] != '\0', "a file name",
+				  err);
+	case SETTING_EACH:
+		return program->each(target, text, err);
+	case SETTING_BOOL:
+		return bool_store(field, text, err);
+	case SETTING_LEVEL:
+		return log_level_parse(text, field, err);
+	case SETTING_REAL:
+		return real_store(setting, field, text, err);
+	default:
+		return whole_store(setting, field, text, err);
+	}
+}
+
+static bool setting_apply(struct reading *reading, size_t at, const char *text,
+			  const char *source)
+{
+	const struct setting *setting = &reading->program->table[at];
+
+	reading->given[at] = true;
+	if (value_store(reading->program, setting, reading->target, text,
+			reading->err))
+		return true;
+	if (reading->err)
+		reading->err->code = RESULT_BAD_SETTING;
+	return error_prefix(reading->err, "%s", source);
+}
+
+/* One text of a variable or a line may hold several of what may be repeated;
+ * each is cut out and kept for ever. */
+static bool texts_apply(struct reading *reading, size_t at, const char *text,
+			const char *source)
+{
+	g_auto(GStrv) parts = NULL;
+
+	if (reading->program->table[at].kind != SETTING_EACH)
+		return setting_apply(reading, at, g_intern_string(text),
+				     source);
+	parts = g_strsplit(text, ",", -1);
+	for (char **part = parts; *part; part++)
+		if (!setting_apply(reading, at, g_intern_string(*part), source))
+			return false;
+	return true;
+}
+
+/* ---- flags ---- */
+
+static void help_print(const struct argp *argp, const char *name)
+{
+	argp_help(argp, stdout, ARGP_HELP_STD_HELP & ~ARGP_HELP_EXIT_OK,
+		  (char *)name);
+	exit(EXIT_SUCCESS);
+}
+
+static error_t option_parse(int key, char *arg, struct argp_state *state)
+{
+	struct reading *reading = state->input;
+	const struct setting_program *program = reading->program;
+	g_autofree char *source = NULL;
+
+	if (key == KEY_HELP)
+		help_print(state->root_argp, program->name);
+	if (key == KEY_VERSION) {
+		printf("%s %s\n", program->name, JT_VERSION);
+		exit(EXIT_SUCCESS);
+	}
+	if (key == ARGP_KEY_ARG) {
+		error_set(reading->err, RESULT_BAD_SETTING,
+			  "unexpected argument '%s'", arg);
+		return EINVAL;
+	}
+	if (key < KEY_FIRST || key >= KEY_FIRST + (int)program->count)
+		return ARGP_ERR_UNKNOWN;
+	source = g_strconcat("--", program->table[key - KEY_FIRST].flag, NULL);
+	return setting_apply(reading, (size_t)(key - KEY_FIRST), arg, source)
+		       ? 0
+		       : EINVAL;
+}
+
+static struct argp_option *options_create(const struct setting_program *program)
+{
+	struct argp_option *options =
+		g_new0(struct argp_option, program->count + 3);
+
+	for (size_t i = 0; i < program->count; i++) {
+		options[i].name = program->table[i].flag;
+		options[i].key = KEY_FIRST + (int)i;
+		options[i].arg = program->table[i].arg;
+		options[i].doc = program->table[i].help;
+	}
+	options[program->count].name = "help";
+	options[program->count].key = KEY_HELP;
+	options[program->count].doc = "print this text";
+	options[program->count + 1].name = "version";
+	options[program->count + 1].key = KEY_VERSION;
+	options[program->count + 1].doc = "print the version";
+	return options;
+}
+
+static bool flags_read(struct reading *reading, int argc, char **argv)
+{
+	g_autofree struct argp_option *options =
+		options_create(reading->program);
+	struct argp argp = {
+		.options = options,
+		.parser = option_parse,
+		.doc = reading->program->doc,
+	};
+	struct error *err = reading->err;
+
+	error_set(err, RESULT_BAD_SETTING,
+		  "unknown flag, or one without its value; see --help");
+	if (argp_parse(&argp, argc, argv,
+		       ARGP_NO_ERRS | ARGP_NO_HELP | ARGP_NO_EXIT, NULL,
+		       reading) != 0)
+		return false;
+	if (err)
+		*err = (struct error){.code = RESULT_OK};
+	return true;
+}
+
+/* ---- variables, file, fallbacks: each only for what is not given yet ---- */
+
+static bool variables_read(struct reading *reading)
+{
+	for (size_t i = 0; i < reading->program->count; i++) {
+		const char *variable = reading->program->table[i].variable;
+		const char *text = getenv(variable);
+
+		if (text && !reading->given[i] &&
+		    !texts_apply(reading, i, text, variable))
+			return false;
+	}
+	return true;
+}
+
+static bool line_apply(struct reading *reading, const bool *before,
+		       unsigned int number, char *line)
+{
+	const struct setting_program *program = reading->program;
+	g_autofree char *source = NULL;
+	char *value;
+
+	g_strstrip(line);
+	if (line[0] == '\0' || line[0] == '#')
+		return true;
+	value = strchr(line, '=');
+	if (!value)
+		return error_set(reading->err, RESULT_BAD_SETTING,
+				 "%s:%u: not NAME=VALUE: '%s'", program->file,
+				 number, line);
+	*value++ = '\0';
+	if (value[0] == '\0')
+		return true;
+	source = g_strdup_printf("%s:%u: %s", program->file, number, line);
+	for (size_t i = 0; i < program->count; i++)
+		if (strcmp(program->table[i].flag, line) == 0)
+			return before[i] ||
+			       texts_apply(reading, i, value, source);
+	log_event(LOG_NOTICE, "setting_unknown", LOG_S("file", program->file),
+		  LOG_D("line", number), LOG_S("name", line));
+	return true;
+}
+
+static bool file_read(struct reading *reading)
+{
+	const struct setting_program *program = reading->program;
+	g_autofree bool *before =
+		g_memdup2(reading->given, program->count * sizeof(bool));
+	g_autofree char *text = NULL;
+	g_auto(GStrv) lines = NULL;
+	GError *error = NULL;
+	gsize size;
+
+	if (!g_file_get_contents(program->file, &text, &size, &error)) {
+		error_set(reading->err, RESULT_IO, "%s", error->message);
+		g_error_free(error);
+		return false;
+	}
+	if (size > FILE_BYTES_MAX || strlen(text) != size)
+		return error_set(reading->err, RESULT_BAD_SETTING,
+				 "%s: not a text of at most %u bytes",
+				 program->file, FILE_BYTES_MAX);
+	lines = g_strsplit(text, "\n", -1);
+	for (unsigned int i = 0; lines[i]; i++)
+		if (!line_apply(reading, before, i + 1, lines[i]))
+			return false;
+	return true;
+}
+
+static bool rest_apply(struct reading *reading)
+{
+	for (size_t i = 0; i < reading->program->count; i++) {
+		const struct setting *setting = &reading->program->table[i];
+
+		if (reading->given[i])
+			continue;
+		if (setting->required)
+			return error_set(reading->err, RESULT_BAD_SETTING,
+					 "--%s (or %s) is missing",
+					 setting->flag, setting->variable);
+		if (setting->fallback &&
+		    !setting_apply(reading, i, setting->fallback,
+				   setting->flag))
+			return false;
+	}
+	return true;
+}
+
+bool settings_fill(const struct setting_program *program, void *target,
+		   int argc, char **argv, struct error *err)
+{
+	g_autofree bool *given = g_new0(bool, program->count);
+	struct reading reading = {program, target, given, err};
+
+	return flags_read(&reading, argc, argv) && variables_read(&reading) &&
+	       (!program->file || file_read(&reading)) && rest_apply(&reading);
+}
--- a/entry/peer_link.c
+++ b/entry/peer_link.c
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 
 #include "common/error.h"
-#include "web/address.h"
+#include "common/address.h"
 
 /* Unacknowledged data older than this ends a link. */
 #define USER_TIMEOUT_MSEC 3000
--- a/entry/peers_private.h
+++ b/entry/peers_private.h
@@ -11,7 +11,7 @@
 #include "common/counter.h"
 #include "entry/peer_link.h"
 #include "entry/peers.h"
-#include "web/address.h"
+#include "common/address.h"
 
 struct handler {
 	peers_receive_fn fn;
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -7,7 +7,7 @@
 
 #include "common/log.h"
 #include "gossip_codec.h"
-#include "web/address.h"
+#include "common/address.h"
 #include "web/loop.h"
 
 /* Peers that are told at the base interval; more are told more seldom. Those of
--- a/include/web/address.h
+++ b/include/common/address.h
@@ -4,8 +4,8 @@
  * DESCRIPTION
  *	IPv4 as "127.0.0.1:80", IPv6 as "[::1]:80". Names are not looked up.
  */
-#ifndef WEB_ADDRESS_H
-#define WEB_ADDRESS_H
+#ifndef COMMON_ADDRESS_H
+#define COMMON_ADDRESS_H
 
 #include <stdbool.h>
 #include <sys/socket.h>
--- a/include/entry/settings.h
+++ b/include/entry/settings.h
@@ -60,7 +60,5 @@
 };
 bool settings_seed_parse(struct settings_seed *seed, const char *text,
 			 struct error *err);
-/* Whether text is "IP:port", IPv6 in brackets. Port 0 only when zero_port. */
-bool settings_address_valid(const char *text, bool zero_port);
 
 #endif
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -2,16 +2,9 @@
  * settings.h - what a forwarding process is told: flags, environment, a file
  *
  * DESCRIPTION
- *	Each setting has a flag (--data-centre), an environment variable
- *	(JT_DATA_CENTRE) and a line of the settings file (data-centre=...);
- *flags go before variables, these before the file. Every value is checked; a
- *bad one is refused with RESULT_BAD_SETTING, and the error names the file and
- *	line, variable or flag. Empty values of the file count as not given, and
- *	names that are not known are passed over with a log line, so that a
- *newer file can be read.
- *
- *	The file may be read again while the process runs; a bad one leaves the
- *	settings as they were.
+ *	Through common/setting.h: flags go before environment variables, these
+ *	before the settings file. The file may be read again while the process
+ *runs; a bad one leaves the settings as they were.
  */
 #ifndef FORWARD_SETTINGS_H
 #define FORWARD_SETTINGS_H
@@ -21,15 +14,13 @@
 
 #include "common/error.h"
 
-#define FORWARD_TEXT_MAX 128
-
 struct forward_settings {
-	char name[FORWARD_TEXT_MAX];
-	char data_centre[FORWARD_TEXT_MAX];
-	char listen[FORWARD_TEXT_MAX];	      /* callers, "IP:port" */
-	char health_listen[FORWARD_TEXT_MAX]; /* the balancer */
-	char peer_listen[FORWARD_TEXT_MAX];   /* other instances, metrics */
-	char platform[FORWARD_TEXT_MAX];      /* the platform's store */
+	const char *name;
+	const char *data_centre;
+	const char *listen;	   /* callers, "IP:port" */
+	const char *health_listen; /* the balancer */
+	const char *peer_listen;   /* other instances, metrics */
+	const char *platform;	   /* the platform's store */
 	int log_level;
 	double retry_ratio;
 	double retry_slack;
--- a/tests/entry/test_peer_datagrams.c
+++ b/tests/entry/test_peer_datagrams.c
@@ -14,7 +14,7 @@
 #include "entry/peer_hello.h"
 #include "peers_world.h"
 #include "rows.h"
-#include "web/address.h"
+#include "common/address.h"
 
 #define FAKE "fake"
 #define FAKE_TOKEN 77
--- a/tests/entry/test_peers.c
+++ b/tests/entry/test_peers.c
@@ -14,7 +14,7 @@
 #include "entry/peers.h"
 #include "peers_world.h"
 #include "rows.h"
-#include "web/address.h"
+#include "common/address.h"
 
 static void test_exchange(void)
 {
--- a/web/client.c
+++ b/web/client.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "call.h"
-#include "web/address.h"
+#include "common/address.h"
 
 /* A kept connection idle for longer is closed: before the servers that we know
  * of would do it, so that a call rarely meets a connection just closed. */
--- a/web/server.c
+++ b/web/server.c
@@ -7,7 +7,7 @@
 #include "common/clock.h"
 #include "common/error.h"
 #include "request.h"
-#include "web/address.h"
+#include "common/address.h"
 
 #ifdef __SANITIZE_ADDRESS__
 #include <sanitizer/lsan_interface.h>
