--- a/include/common/setting.h
+++ b/include/common/setting.h
@@ -5,14 +5,15 @@
  *	Each setting has a flag (--data-centre), an environment variable
  *	(JT_DATA_CENTRE), and, for programs that read one, a line of a settings
  *	file (data-centre=...). Flags go before variables, these before the
- *file, and this before the fallback. Every value is checked; a bad one is
- *	refused with RESULT_BAD_SETTING, and the error names the file and line,
- *	variable or flag. Empty values of the file count as not given, and names
- *	that are not known there are passed over with a log line, so that a
- *newer file can be read.
+ *	file, and this before the fallback. Every value is checked; a bad one
+ *	is refused with RESULT_BAD_SETTING, and the error names the file and
+ *	line, variable or flag. Empty values of the file count as not given,
+ *	and names that are not known there are passed over with a log line, so
+ *	that a newer file can be read.
  *
  *	A field of the target is a const char * for texts, which point into
- *argv, the environment, or live for ever; and the type that the kind names.
+ *	argv, the environment, or live for ever; and the type that the kind
+ *	names.
  */
 #ifndef COMMON_SETTING_H
 #define COMMON_SETTING_H
--- a/include/forward/budget.h
+++ b/include/forward/budget.h
@@ -5,9 +5,9 @@
  *	All instances together may add ratio times the requests for a service
  *	plus slack sends in any window. No call is made to share that out: each
  *	instance uses the ratio of the requests that it took itself, and its
- *part of the slack, the slack divided by the instances that it counts. It
- *	counts an instance as live for long after the last word of it, so a cut
- *	only makes budgets smaller.
+ *	part of the slack, the slack divided by the instances that it counts.
+ *	It counts an instance as live for long after the last word of it, so a
+ *	cut only makes budgets smaller.
  *
  *	Cost: two additions a request; the window is kept in slices.
  */
--- a/include/forward/catalog.h
+++ b/include/forward/catalog.h
@@ -3,9 +3,9 @@
  *
  * DESCRIPTION
  *	A catalog is built once, by whoever decodes the operators'
- *configuration, and does not change afterwards; requests in flight hold a
- *reference to the one that they were routed by. Times are in microseconds,
- *versions are the operators' own and only rise.
+ *	configuration, and does not change afterwards; requests in flight hold
+ *	a reference to the one that they were routed by. Times are in
+ *	microseconds, versions are the operators' own and only rise.
  *
  *	Routes are found by host and by the longest prefix of the path. Prefixes
  *	begin and end with a slash, so each slash of a path gives one candidate
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -10,8 +10,9 @@
  *	does not answer, what was read last stays in force.
  *
  *	A feed reads when it is told to by feed_poll(); by itself it only
- *repeats a read that failed and begins again after a gap. What was learnt in
- *	another way (from a peer that read it) is told by feed_advance().
+ *	repeats a read that failed and begins again after a gap. What was
+ *	learnt in another way (from a peer that read it) is told by
+ *	feed_advance().
  */
 #ifndef FORWARD_FEED_H
 #define FORWARD_FEED_H
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -7,9 +7,9 @@
  *	when a server leaves the list, pointers with them.
  *
  *	Load is what instances have under way at a server: own, counted here,
- *and that of the peers, set from what they announce (forward/gossip.h). A
- *	server's trouble is a decaying count of failures; evidence that it
- *cannot be reached keeps it from use for a while that doubles.
+ *	and that of the peers, set from what they announce (forward/gossip.h).
+ *	A server's trouble is a decaying count of failures; evidence that it
+ *	cannot be reached keeps it from use for a while that doubles.
  */
 #ifndef FORWARD_FLEET_H
 #define FORWARD_FLEET_H
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -11,8 +11,9 @@
  *	timeout or the caller's limit, whichever is first, and told so at once.
  *
  *	Requests of engine services reserve decode memory at a server, have
- *their KV cache computed by a prefill server, and are then run by the decode
- *	server, which fetches it. They wait here while no memory is free.
+ *	their KV cache computed by a prefill server, and are then run by the
+ *	decode server, which fetches it. They wait here while no memory is
+ *	free.
  *
  *	All times are in microseconds of the clock.
  *
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -2,12 +2,13 @@
  * gossip.h - what instances tell each other of the load they put on servers
  *
  * DESCRIPTION
- *	Each instance sends its share of the load of every backend server to its
- *	peers in datagrams, several times a second while it changes. What is
- *told is whole, so a lost datagram is made good by the next; what a peer told
- *	is dropped GOSSIP_STALE_USEC after its last word. Nothing waits for a
- *	peer. Peers are first learnt from the store, then from datagrams: from
- *	their senders, and from the addresses that each carries.
+ *	Each instance sends its share of the load of every backend server to
+ *	its peers in datagrams, several times a second while it changes. What
+ *	is told is whole, so a lost datagram is made good by the next; what a
+ *	peer told is dropped GOSSIP_STALE_USEC after its last word. Nothing
+ *	waits for a peer. Peers are first learnt from the store, then from
+ *	datagrams: from their senders, and from the addresses that each
+ *	carries.
  *
  *	With n peers in a data centre a datagram goes to each of them every
  *	GOSSIP_USEC * max(1, n / 16), and to n peers in others every
--- a/include/forward/node.h
+++ b/include/forward/node.h
@@ -3,10 +3,11 @@
  *
  * DESCRIPTION
  *	Joins callers' server, fleet, feeds, gossip, roles and the forwarding
- *core for one outside interface, given as tables. It tells the balancer when it
- *	is ready, and drains on SIGTERM: it says that it is not ready, goes on
- *	taking what still comes until the balancer has seen that, finishes what
- *	is under way, and stops. SIGHUP reads the settings file again.
+ *	core for one outside interface, given as tables. It tells the balancer
+ *	when it is ready, and drains on SIGTERM: it says that it is not ready,
+ *	goes on taking what still comes until the balancer has seen that,
+ *	finishes what is under way, and stops. SIGHUP reads the settings file
+ *	again.
  */
 #ifndef FORWARD_NODE_H
 #define FORWARD_NODE_H
--- a/include/forward/roles.h
+++ b/include/forward/roles.h
@@ -9,9 +9,9 @@
  *
  *	The prefill runners wanted are those that read the prompts asked for at
  *	1.25 to 2.4 times the mean rate; while nothing was asked for yet, a
- *fixed part of all. A change must be wanted for half a minute once there is
- *	traffic. Until the list shows a server in its new role, instances tell
- *	each other to send it nothing more in the old one.
+ *	fixed part of all. A change must be wanted for half a minute once there
+ *	is traffic. Until the list shows a server in its new role, instances
+ *	tell each other to send it nothing more in the old one.
  *
  * SEE ALSO
  *	docs/design/roles.md; docs/design/platform.md
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -4,7 +4,7 @@
  * DESCRIPTION
  *	Through common/setting.h: flags go before environment variables, these
  *	before the settings file. The file may be read again while the process
- *runs; a bad one leaves the settings as they were.
+ *	runs; a bad one leaves the settings as they were.
  */
 #ifndef FORWARD_SETTINGS_H
 #define FORWARD_SETTINGS_H
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -4,7 +4,7 @@
  * DESCRIPTION
  *	Both are JSON. A document that lacks something needed, or has a value
  *	that makes no sense, is refused as a whole with RESULT_BAD_CONFIG and
- *the path of the field; fields that are not known are passed over.
+ *	the path of the field; fields that are not known are passed over.
  */
 #ifndef PLATFORM_DECODE_H
 #define PLATFORM_DECODE_H
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -3,18 +3,21 @@
  *
  * DESCRIPTION
  *	One process with a store and a few backend servers on loopback. It
- *speaks only what a forwarding process uses, and keeps a ledger of what ran, so
- *	that a test can check the promises from the servers' side. Faults are
- *set through its control address:
+ *	speaks only what a forwarding process uses, and keeps a ledger of what
+ *	ran, so that a test can check the promises from the servers' side.
+ *	Faults are set through its control address:
  *
- *	POST /site/fault   {"server": "d1", "fault": NAME, "count": N}
- *	    reset (before the answer), error (500), busy (503, not run), silent,
- *	    cut (after two events, or half a body), unsigned
- *	POST /site/state   {"server": "d1", "state": "ready"|"draining"|"gone"}
- *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/prefix/"}
- *	POST /site/store   {"state": "up"|"down"|"forget"}
- *	GET  /site/ledger?id=ID  runs of that request; all runs, repeats,
- *outstanding holds and results
+ *
+ *	POST /site/fault   {"server": "d1", "fault": NAME, "count": N}; reset
+ *			   (before the answer), error (500), busy (503, not
+ *			   run), silent, cut (midway), unsigned
+ *	POST /site/state   {"server": "d1", "state": "ready"}, or "draining",
+ *			   "gone"
+ *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/x/"}
+ *	POST /site/store   {"state": "up"}, or "down", "forget"
+ *	GET  /site/ledger?id=ID
+ *			   runs of that request; all runs, repeats, what is
+ *			   still held
  */
 #ifndef TESTS_PLATFORM_SITE_H
 #define TESTS_PLATFORM_SITE_H
--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -21,14 +21,14 @@
 
 void soak_fail(struct soak *soak, const char *format, ...)
 {
+	g_autofree char *text = NULL;
 	va_list args;
 
 	soak->failures++;
 	va_start(args, format);
-	printf("  broken: ");
-	vprintf(format, args);
-	printf("\n");
+	text = g_strdup_vprintf(format, args);
 	va_end(args);
+	printf("  broken: %s\n", text);
 }
 
 static void on_head(void *ctx, int status, const struct web_header *headers,
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -3,8 +3,8 @@
  *
  * DESCRIPTION
  *	One thread for each proxy and two for each connection, so that it goes
- *on whatever the programs between it do. Each mood holds for what passes from
- *	then on; PROXY_RESET also ends what is open.
+ *	on whatever the programs between it do. Each mood holds for what passes
+ *	from then on; PROXY_RESET also ends what is open.
  */
 #ifndef TESTS_SOAK_PROXY_H
 #define TESTS_SOAK_PROXY_H
