web: let a cut-off answer without a body show its head

Cause: since answers that are cut off end with their connection, one that is cut off before a byte of its body went out without its head, which h2o holds back until then (session platform: status 0 instead of 200, not whole). Ruled out: the caller of the session, strace shows the shutdown before the write.

--- a/web/reply.c
+++ b/web/reply.c
@@ -99,7 +99,9 @@
 
 /* h2o 2.2 would end a cut-off answer with a malformed chunk, or an answer that
  * has no head yet with a whole one of its own. Below HTTP/2 it is to end with
- * its connection and no further byte. */
+ * its connection and no further byte. Only a head that h2o holds back, as no
+ * byte of the body follows, still goes out with that chunk: without, the caller
+ * would not see the status. */
 static void cut(struct web_request *request)
 {
 	h2o_res_t *res = &request->req->res;
@@ -108,7 +110,7 @@
 		res->status = 500;
 		res->reason = reason_of(500);
 	}
-	if (request->sock)
+	if (request->sock && (request->opened || !request->started))
 		shutdown(h2o_socket_get_fd(request->sock), SHUT_RDWR);
 }
 
@@ -116,8 +118,7 @@
 {
 	if (!request->ended || queue_size(request) > 0 ||
 	    request->slice < flight_left(request) ||
-	    (request->cut &&
-	     (request->slice > 0 || (request->started && !request->opened))))
+	    (request->cut && request->slice > 0))
 		return H2O_SEND_STATE_IN_PROGRESS;
 	return request->cut ? H2O_SEND_STATE_ERROR : H2O_SEND_STATE_FINAL;
 }
