--- a/tests/forward/test_feed.c
+++ b/tests/forward/test_feed.c
@@ -84,6 +84,11 @@
 {
 	g_assert_cmpstr(world->out->str, ==, expected);
 	feed_destroy(world->feed);
+	/* The store answers also calls whose feed is gone. */
+	if (world->abandoned)
+		world->abandoned(world->abandoned_ctx, RESULT_LOG_DOWN, NULL);
+	if (world->fn)
+		world->fn(world->fn_ctx, RESULT_LOG_DOWN, NULL);
 	clock_destroy(world->clock);
 	g_string_free(world->out, TRUE);
 }
@@ -220,6 +225,7 @@
 	feed_hurry(world.feed);
 	page_answer(&world, "b", 8, NULL);
 	world.abandoned(world.abandoned_ctx, RESULT_OK, &late);
+	world.abandoned = NULL;
 	feed_poll(world.feed);
 	world_close(&world,
 		    "snapshot() begin a end read(7) read(7) b read(8) ");
--- a/tests/forward/test_roles.c
+++ b/tests/forward/test_roles.c
@@ -147,6 +147,8 @@
 		roles_destroy(site->deciders[i].roles);
 		fleet_destroy(site->deciders[i].fleet);
 	}
+	/* Answers under way arrive when nobody waits for them any more. */
+	clock_advance(site->clock, clock_now(site->clock) + SECOND);
 	later_destroy(site->later);
 	fake_log_destroy(site->log);
 	catalog_unref(site->catalog);
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -124,5 +124,8 @@
 	       soak.failures ? "FAILED" : "ok", soak.calls->len, soak.faults,
 	       soak.failures, soak.failures ? ", logs in " : "",
 	       soak.failures ? soak.folder : "");
+	g_rand_free(soak.rand);
+	g_free(soak.site_address);
+	g_free(soak.folder);
 	return soak.failures > 0;
 }
