--- a/forward/plain.c
+++ b/forward/plain.c
@@ -60,6 +60,11 @@
 	int64_t now = request_now(request);
 
 	if (head->status >= 500 || !answer_may_pass(&request->answer)) {
+		log_event(LOG_INFO, "send_failed",
+			  LOG_S("request", request->caller.id),
+			  LOG_S("backend", request->target.id),
+			  LOG_D("status", head->status),
+			  LOG_S("why", "error or unsigned answer"));
 		if (backend)
 			backend_failed(backend, now);
 		plain_again(request, RESULT_BACKEND_FAILED,
