--- a/common/log.c
+++ b/common/log.c
@@ -89,40 +89,56 @@
 	g_string_append_c(out, '"');
 }
 
+/* Numbers are written on the stack: g_string_append_printf() allocates for
+ * each, which was half of what a line cost. */
 static void append_field(GString *out, const struct log_field *field)
 {
-	g_string_append_printf(out, " %s=", field->key);
+	char text[32] = "";
+
+	g_string_append_c(out, ' ');
+	g_string_append(out, field->key);
+	g_string_append_c(out, '=');
 	switch (field->kind) {
 	case LOG_KIND_STRING:
 		append_text(out, field->text);
-		break;
+		return;
 	case LOG_KIND_INT:
-		g_string_append_printf(out, "%" PRId64, field->number);
+		(void)snprintf(text, sizeof(text), "%" PRId64, field->number);
 		break;
 	case LOG_KIND_HEX:
-		g_string_append_printf(out, "%016" PRIx64,
-				       (uint64_t)field->number);
+		(void)snprintf(text, sizeof(text), "%016" PRIx64,
+			       (uint64_t)field->number);
 		break;
 	case LOG_KIND_REAL:
-		g_string_append_printf(out, "%g", field->real);
+		(void)snprintf(text, sizeof(text), "%g", field->real);
 		break;
 	case LOG_KIND_END:
 		break;
 	}
+	g_string_append(out, text);
 }
 
-void log_format(GString *out, int level, const char *event,
-		const struct log_field *fields)
+static void append_start(GString *out, int level)
 {
 	int64_t now = log_state.clock ? clock_unix(log_state.clock) : 0;
+	char text[64];
 
-	g_string_append_printf(out, "<%d>time=", level);
 	if (now)
-		g_string_append_printf(out, "%" PRId64 ".%06" PRId64,
-				       now / USEC_PER_SEC, now % USEC_PER_SEC);
+		(void)snprintf(text, sizeof(text),
+			       "<%d>time=%" PRId64 ".%06" PRId64, level,
+			       now / USEC_PER_SEC, now % USEC_PER_SEC);
 	else
-		g_string_append_c(out, '0');
-	g_string_append_printf(out, " level=%s event=", level_name(level));
+		(void)snprintf(text, sizeof(text), "<%d>time=0", level);
+	g_string_append(out, text);
+	g_string_append(out, " level=");
+	g_string_append(out, level_name(level));
+	g_string_append(out, " event=");
+}
+
+void log_format(GString *out, int level, const char *event,
+		const struct log_field *fields)
+{
+	append_start(out, level);
 	append_text(out, event);
 	if (log_state.program) {
 		g_string_append(out, " program=");
