web: compare a text with a word in one place

The same five lines stood under four names in platform, entry, load and the site of the tests, and unnamed in six more places. web_text_is() serves all of them; behaviour is as it was, but for a text of no data, which is now no word anywhere (it could only have been compared with one that is never empty).

--- a/entry/admin.c
+++ b/entry/admin.c
@@ -70,10 +70,7 @@
 
 static bool method_is(const struct web_request *request, const char *method)
 {
-	struct web_text text = web_request_method(request);
-
-	return text.size == strlen(method) &&
-	       memcmp(text.data, method, text.size) == 0;
+	return web_text_is(web_request_method(request), method);
 }
 
 /* Answers by itself when the method is another. */
--- a/entry/own_platform_list.c
+++ b/entry/own_platform_list.c
@@ -220,9 +220,7 @@
 	for (size_t i = 0; i < count; i++) {
 		const struct web_header *header = &headers[i];
 
-		if (header->name.size == strlen(TAG_HEADER) &&
-		    memcmp(header->name.data, TAG_HEADER, header->name.size) ==
-			    0)
+		if (web_text_is(header->name, TAG_HEADER))
 			list->next_tag = g_strndup(header->value.data,
 						   header->value.size);
 	}
--- a/entry/request_forward.c
+++ b/entry/request_forward.c
@@ -14,12 +14,6 @@
 /* Instances of the other data centre that are tried. */
 #define FORWARD_TRIES 3u
 
-static bool header_is(const struct web_header *header, const char *name)
-{
-	return strlen(name) == header->name.size &&
-	       memcmp(name, header->name.data, header->name.size) == 0;
-}
-
 static struct web_text text_of(const char *text)
 {
 	return (struct web_text){.data = text, .size = strlen(text)};
@@ -36,8 +30,8 @@
 
 	for (size_t i = 0; i < count; i++) {
 		if (plain_header_dropped(from[i].name) ||
-		    header_is(&from[i], "jt-deadline-ms") ||
-		    header_is(&from[i], "jt-forwarded"))
+		    web_text_is(from[i].name, "jt-deadline-ms") ||
+		    web_text_is(from[i].name, "jt-forwarded"))
 			continue;
 		out[kept++] = from[i];
 	}
--- a/entry/request_parse.c
+++ b/entry/request_parse.c
@@ -30,12 +30,6 @@
 	return true;
 }
 
-static bool text_is(struct web_text text, const char *value)
-{
-	return text.size == strlen(value) &&
-	       memcmp(text.data, value, text.size) == 0;
-}
-
 static bool read_class(struct request *request, struct web_request *web,
 		       struct error *err)
 {
@@ -73,8 +67,8 @@
 	request->idempotent = request->service.idempotent;
 	if (!text.data)
 		return true;
-	request->idempotent = text_is(text, "true");
-	if (request->idempotent || text_is(text, "false"))
+	request->idempotent = web_text_is(text, "true");
+	if (request->idempotent || web_text_is(text, "false"))
 		return true;
 	return error_set(err, RESULT_BAD_REQUEST,
 			 "header jt-idempotent: expected true or false");
--- a/entry/request_plain.c
+++ b/entry/request_plain.c
@@ -55,10 +55,8 @@
 static bool header_is(const struct web_header *header, const char *name,
 		      const char *value)
 {
-	return strlen(name) == header->name.size &&
-	       memcmp(name, header->name.data, header->name.size) == 0 &&
-	       strlen(value) == header->value.size &&
-	       memcmp(value, header->value.data, header->value.size) == 0;
+	return web_text_is(header->name, name) &&
+	       web_text_is(header->value, value);
 }
 
 /* A refusal that says the call was not run. */
--- a/include/web/server.h
+++ b/include/web/server.h
@@ -25,6 +25,7 @@
 #include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
+#include <string.h>
 
 struct error;
 struct loop;
@@ -43,6 +44,13 @@
 	size_t size;
 };
 
+/* Whether the text is that word, to the letter; false for a text of no data. */
+static inline bool web_text_is(struct web_text text, const char *word)
+{
+	return text.data && text.size == strlen(word) &&
+	       memcmp(text.data, word, text.size) == 0;
+}
+
 struct web_header {
 	struct web_text name; /* lower case */
 	struct web_text value;
--- a/load/answer.c
+++ b/load/answer.c
@@ -31,12 +31,6 @@
 	g_array_free(answer->gaps, TRUE);
 }
 
-static bool text_is(struct web_text text, const char *other)
-{
-	return text.size == strlen(other) &&
-	       memcmp(text.data, other, text.size) == 0;
-}
-
 static bool outcome_parse(const char *text, enum outcome *outcome)
 {
 	for (int i = OUTCOME_NOT_RUN; text && i <= OUTCOME_RUN; i++) {
@@ -52,15 +46,15 @@
 {
 	char *value = g_strndup(header->value.data, header->value.size);
 
-	if (text_is(header->name, "jt-request-id"))
+	if (web_text_is(header->name, "jt-request-id"))
 		g_strlcpy(answer->request_id, value, CALL_ID_MAX);
-	else if (text_is(header->name, "jt-result"))
+	else if (web_text_is(header->name, "jt-result"))
 		answer->code = atoi(value);
-	else if (text_is(header->name, "retry-after"))
+	else if (web_text_is(header->name, "retry-after"))
 		answer->retry_after = atoi(value);
-	else if (text_is(header->name, "jt-outcome"))
+	else if (web_text_is(header->name, "jt-outcome"))
 		answer->outcome_told = outcome_parse(value, &answer->outcome);
-	else if (text_is(header->name, "content-type"))
+	else if (web_text_is(header->name, "content-type"))
 		answer->events = g_str_has_prefix(value, "text/event-stream");
 	g_free(value);
 }
--- a/standin/platform_list.c
+++ b/standin/platform_list.c
@@ -93,8 +93,7 @@
 	char id[HEX_ID_SIZE];
 	char *tag = g_strdup_printf("\"%s\"",
 				    hex_id(id, id_hash(text, strlen(text))));
-	bool same = known.size == strlen(tag) &&
-		    memcmp(known.data, tag, known.size) == 0;
+	bool same = web_text_is(known, tag);
 
 	web_reply_header(request, "etag", tag);
 	platform_answer(list->platform, request, same ? 304 : 200, body, 0);
--- a/standin/reply.c
+++ b/standin/reply.c
@@ -43,10 +43,7 @@
 
 bool request_is(const struct web_request *request, const char *method)
 {
-	struct web_text text = web_request_method(request);
-
-	return text.size == strlen(method) &&
-	       memcmp(text.data, method, text.size) == 0;
+	return web_text_is(web_request_method(request), method);
 }
 
 bool request_tail(const struct web_request *request, const char *prefix,
--- a/tests/entry/test_own_platform.c
+++ b/tests/entry/test_own_platform.c
@@ -88,8 +88,7 @@
 {
 	struct web_text known = web_request_header(request, "if-none-match");
 
-	return fake->tag && known.size == strlen(fake->tag) &&
-	       memcmp(known.data, fake->tag, known.size) == 0;
+	return fake->tag && web_text_is(known, fake->tag);
 }
 
 static void on_instances(void *ctx, struct web_request *request)
--- a/tests/entry/test_poller.c
+++ b/tests/entry/test_poller.c
@@ -93,8 +93,7 @@
 	struct web_text path = web_request_path(request);
 	struct web_text query = web_request_query(request);
 	const struct row *row = world->row;
-	bool known = path.size == strlen(row->path) &&
-		     memcmp(path.data, row->path, path.size) == 0;
+	bool known = web_text_is(path, row->path);
 	const char *body = known ? row->body : "{}";
 
 	world->count++;
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -202,8 +202,7 @@
 	bool good = g_str_has_prefix(path.data, "/site/ledger");
 
 	for (size_t i = 0; root && i < G_N_ELEMENTS(controls); i++)
-		if (path.size == strlen(controls[i].path) &&
-		    memcmp(path.data, controls[i].path, path.size) == 0)
+		if (web_text_is(path, controls[i].path))
 			good = controls[i].fn(site, root);
 	web_reply(request, good ? 200 : 400, "application/json", text,
 		  strlen(text));
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -46,12 +46,6 @@
 	store_put(server->site, "keyed.servers", server->id, value);
 }
 
-static bool text_is(struct web_text text, const char *word)
-{
-	return text.data && text.size == strlen(word) &&
-	       memcmp(text.data, word, text.size) == 0;
-}
-
 static char *header_copy(struct web_request *request, const char *name)
 {
 	struct web_text text = web_request_header(request, name);
@@ -240,7 +234,7 @@
 {
 	struct web_text id = web_request_header(request, "expect-instance");
 
-	if (!id.data || text_is(id, server->id))
+	if (!id.data || web_text_is(id, server->id))
 		return false;
 	web_reply_header(request, "instance-id", server->id);
 	refuse(request, 421, "another server\n");
@@ -260,12 +254,12 @@
 		refuse(request, 503, "busy\n");
 		return;
 	}
-	if (text_is(stage, "prefill") && server->stage == STAGE_PREFILL &&
+	if (web_text_is(stage, "prefill") && server->stage == STAGE_PREFILL &&
 	    fault == FAULT_NONE) {
 		result_reply(server, request);
 		return;
 	}
-	if ((server->stage == STAGE_PREFILL) != text_is(stage, "prefill")) {
+	if ((server->stage == STAGE_PREFILL) != web_text_is(stage, "prefill")) {
 		refuse(request, 421, "wrong stage\n");
 		return;
 	}
