forward: choose a server by least cost in one loop

The same walk over a service's servers stood three times, for plain calls, decode and prefill, with different costs. One that cannot take the request now costs NOT_FIT.

--- a/forward/place.c
+++ b/forward/place.c
@@ -26,6 +26,8 @@
  * as arrives meanwhile, about half a prompt a prefill server. */
 #define STALE_JITTER 5.0
 #define PREFILL_JITTER_TOKENS 16000.0
+/* The cost of a server that cannot take the request. */
+#define NOT_FIT DBL_MAX
 
 void tried_add(struct tried *tried, uint64_t key)
 {
@@ -33,7 +35,7 @@
 		tried->keys[tried->count++] = key;
 }
 
-bool tried_has(const struct tried *tried, uint64_t key)
+static bool tried_has(const struct tried *tried, uint64_t key)
 {
 	for (uint32_t i = 0; tried && i < tried->count; i++)
 		if (tried->keys[i] == key)
@@ -60,22 +62,16 @@
 	       (1.0 + more * STALE_JITTER);
 }
 
-static double plain_cost(const struct place *place,
-			 const struct backend *backend)
-{
-	double slots = MAX(backend->info.slots, 1u);
-
-	return (double)backend_requests(backend) / slots +
-	       (backend->near ? 0.0 : PLAIN_FAR) +
-	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
-	       jitter(place, backend);
-}
-
-struct backend *place_plain(const struct place *place)
+/* The usable server of least cost; NULL when all cost NOT_FIT. */
+static struct backend *
+place_least(const struct place *place,
+	    double (*cost_of)(const struct place *place,
+			      const struct backend *backend, const void *wish),
+	    const void *wish)
 {
 	const GPtrArray *list = fleet_service(place->fleet, place->service);
 	struct backend *best = NULL;
-	double least = DBL_MAX;
+	double least = NOT_FIT;
 
 	for (guint i = 0; list && i < list->len; i++) {
 		struct backend *backend = list->pdata[i];
@@ -83,7 +79,7 @@
 
 		if (!backend_fits(place, backend))
 			continue;
-		cost = plain_cost(place, backend);
+		cost = cost_of(place, backend, wish);
 		if (cost < least) {
 			least = cost;
 			best = backend;
@@ -92,54 +88,74 @@
 	return best;
 }
 
+static double plain_cost(const struct place *place,
+			 const struct backend *backend, const void *wish)
+{
+	double slots = MAX(backend->info.slots, 1u);
+
+	return (double)backend_requests(backend) / slots +
+	       (backend->near ? 0.0 : PLAIN_FAR) +
+	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
+	       jitter(place, backend);
+}
+
+struct backend *place_plain(const struct place *place)
+{
+	return place_least(place, plain_cost, NULL);
+}
+
+struct decode_wish {
+	const struct engine_traits *engine;
+	uint32_t tokens;
+};
+
 static bool decode_has_room(const struct place *place,
 			    const struct backend *backend,
-			    const struct engine_traits *engine, uint32_t tokens)
+			    const struct decode_wish *wish)
 {
+	const struct engine_traits *engine = wish->engine;
+
 	if (place->now < backend->full_until)
 		return false;
 	if (engine->slots > 0 && backend_requests(backend) >= engine->slots)
 		return false;
-	return (uint64_t)backend_decode_tokens(backend) + tokens <=
+	return (uint64_t)backend_decode_tokens(backend) + wish->tokens <=
 	       engine->memory_tokens;
 }
 
+static double decode_cost(const struct place *place,
+			  const struct backend *backend, const void *wish)
+{
+	const struct decode_wish *decode = wish;
+
+	if (backend->info.stage != STAGE_DECODE ||
+	    !decode_has_room(place, backend, decode))
+		return NOT_FIT;
+	return (double)backend_decode_tokens(backend) /
+		       (double)MAX(decode->engine->memory_tokens, 1) +
+	       (backend->near ? 0.0 : DECODE_FAR) +
+	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
+	       jitter(place, backend);
+}
+
 struct backend *place_decode(const struct place *place,
 			     const struct engine_traits *engine,
 			     uint32_t tokens)
 {
-	const GPtrArray *list = fleet_service(place->fleet, place->service);
-	struct backend *best = NULL;
-	double least = DBL_MAX;
+	const struct decode_wish wish = {engine, tokens};
 
-	for (guint i = 0; list && i < list->len; i++) {
-		struct backend *backend = list->pdata[i];
-		double cost;
-
-		if (backend->info.stage != STAGE_DECODE ||
-		    !backend_fits(place, backend) ||
-		    !decode_has_room(place, backend, engine, tokens))
-			continue;
-		cost = (double)backend_decode_tokens(backend) /
-			       (double)MAX(engine->memory_tokens, 1) +
-		       (backend->near ? 0.0 : DECODE_FAR) +
-		       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
-		       jitter(place, backend);
-		if (cost < least) {
-			least = cost;
-			best = backend;
-		}
-	}
-	return best;
+	return place_least(place, decode_cost, &wish);
 }
 
 static double prefill_cost(const struct place *place,
-			   const struct backend *backend,
-			   const struct backend *to)
+			   const struct backend *backend, const void *wish)
 {
+	const struct backend *to = wish;
 	bool near =
 		strcmp(backend->info.data_centre, to->info.data_centre) == 0;
 
+	if (backend->info.stage != STAGE_PREFILL)
+		return NOT_FIT;
 	return (double)backend_prefill_tokens(backend) +
 	       (near ? 0.0 : PREFILL_FAR_TOKENS) +
 	       PREFILL_TROUBLE_TOKENS * backend_trouble(backend, place->now) +
@@ -149,24 +165,7 @@
 struct backend *place_prefill(const struct place *place,
 			      const struct backend *to)
 {
-	const GPtrArray *list = fleet_service(place->fleet, place->service);
-	struct backend *best = NULL;
-	double least = DBL_MAX;
-
-	for (guint i = 0; list && i < list->len; i++) {
-		struct backend *backend = list->pdata[i];
-		double cost;
-
-		if (backend->info.stage != STAGE_PREFILL ||
-		    !backend_fits(place, backend))
-			continue;
-		cost = prefill_cost(place, backend, to);
-		if (cost < least) {
-			least = cost;
-			best = backend;
-		}
-	}
-	return best;
+	return place_least(place, prefill_cost, to);
 }
 
 uint32_t place_count(const struct place *place, enum backend_stage stage)
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -25,7 +25,6 @@
 };
 
 void tried_add(struct tried *tried, uint64_t key);
-bool tried_has(const struct tried *tried, uint64_t key);
 
 struct place {
 	const struct fleet *fleet;
