forward, platform: drop what nobody reads

The load that a server states in an answer was decoded for every answer and never used; the header is still kept from callers. The time of the last datagram was not written either.

--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -41,7 +41,6 @@
 	GHashTable *peers; /* address to struct peer */
 	uint32_t near;	   /* of these, in the same data centre */
 	GArray *last;	   /* struct gossip_load, as sent last */
-	int64_t last_sent;
 	uint64_t sequence;
 	uint32_t spread; /* which addresses to pass on next */
 	struct timer timer;
--- a/include/forward/backend.h
+++ b/include/forward/backend.h
@@ -53,13 +53,10 @@
 /* The head of an answer. */
 struct backend_head {
 	int status;
-	bool not_run;	  /* the server says that it did not run the request */
-	bool other;	  /* another server has that address now */
-	bool signed_by;	  /* bears the server's own mark of authorship */
-	bool mismatched;  /* belongs to another request */
-	uint32_t waiting; /* load the server reports with it, when has_load */
-	uint32_t running;
-	bool has_load;
+	bool not_run;	 /* the server says that it did not run the request */
+	bool other;	 /* another server has that address now */
+	bool signed_by;	 /* bears the server's own mark of authorship */
+	bool mismatched; /* belongs to another request */
 	/* To be passed back to the caller. */
 	const struct web_header *headers;
 	size_t header_count;
