forward: choose a plain call's server once, give back in one place

A plain call walked its servers twice and threw its dice twice, so the queue that was looked at need not have been that of the server it went to. Reserved memory and results were given back by two copies of the same code, sends that did not run were taken off the counts by two, and the retry budget was built from the settings by two.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -9,7 +9,7 @@
  * instance's memory (110 MB). */
 #define ANSWER_BYTES_MAX (6u << 20)
 
-bool answer_take_head(struct request *request, const struct backend_head *head)
+void answer_take_head(struct request *request, const struct backend_head *head)
 {
 	struct answer *answer = &request->answer;
 
@@ -27,7 +27,6 @@
 		g_ptr_array_add(answer->values, g_strndup(header->value.data,
 							  header->value.size));
 	}
-	return !head->mismatched;
 }
 
 void answer_take_body(struct request *request, const void *data, size_t size)
--- a/forward/node.c
+++ b/forward/node.c
@@ -8,8 +8,9 @@
 #include "common/log.h"
 
 #define PROGRAM "jtforward"
-/* Body and idle limits of callers until a catalog says otherwise; callers keep
- * idle connections for four fifths of the latter. */
+/* Most that a caller's body may hold and that its connection may idle; a
+ * catalog may only ask for smaller bodies. Callers keep idle connections for
+ * four fifths of that time. */
 #define BODY_BYTES_MAX (4u << 20)
 #define IDLE_USEC (20 * USEC_PER_SEC)
 #define SMALL_CONNECTIONS 64u
@@ -210,14 +211,19 @@
 	return total.waiting;
 }
 
-static void core_open(struct node *node)
+static struct budget_settings budget_of(const struct forward_settings *settings)
 {
-	const struct budget_settings budget = {
-		.ratio = node->settings.retry_ratio,
-		.slack = node->settings.retry_slack,
-		.window_usec = (int64_t)(node->settings.retry_window_sec *
+	return (struct budget_settings){
+		.ratio = settings->retry_ratio,
+		.slack = settings->retry_slack,
+		.window_usec = (int64_t)(settings->retry_window_sec *
 					 (double)USEC_PER_SEC),
 	};
+}
+
+static void core_open(struct node *node)
+{
+	const struct budget_settings budget = budget_of(&node->settings);
 	struct forward_parts parts = {
 		.clock = node->clock,
 		.loop = node->loop,
@@ -276,6 +282,7 @@
 static void settings_reload(struct node *node)
 {
 	struct forward_settings fresh;
+	struct budget_settings budget;
 	struct error err;
 
 	if (!forward_settings_read(&fresh, node->file, node->argc, node->argv,
@@ -288,13 +295,8 @@
 	node->settings.retry_slack = fresh.retry_slack;
 	node->settings.retry_window_sec = fresh.retry_window_sec;
 	node->settings.grace_sec = fresh.grace_sec;
-	budgets_configure(
-		node->budgets,
-		&(struct budget_settings){
-			.ratio = fresh.retry_ratio,
-			.slack = fresh.retry_slack,
-			.window_usec = (int64_t)(fresh.retry_window_sec *
-						 (double)USEC_PER_SEC)});
+	budget = budget_of(&node->settings);
+	budgets_configure(node->budgets, &budget);
 	log_setup(node->clock, PROGRAM, fresh.log_level);
 	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
 }
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -21,7 +21,7 @@
  * which a further one would be late or refused there. */
 #define QUEUE_SLOTS 5u
 
-static void plain_send(struct request *request);
+static void plain_send(struct request *request, struct backend *backend);
 
 static struct backend *target_get(struct request *request)
 {
@@ -29,6 +29,14 @@
 			  id_of(request->target.id));
 }
 
+static struct backend *server_choose(struct request *request)
+{
+	struct place place;
+
+	request_place(request, &place);
+	return place_plain(&place);
+}
+
 /* Tries another server, or ends the request as code and why say. */
 static void plain_again(struct request *request, enum result_code code,
 			const char *why)
@@ -37,11 +45,10 @@
 
 	if (may && request->runs < request->route->attempts &&
 	    request_left(request) > 0) {
-		struct place place;
+		struct backend *backend = server_choose(request);
 
-		request_place(request, &place);
-		if (place_plain(&place) && request_may_send(request)) {
-			plain_send(request);
+		if (backend && request_may_send(request)) {
+			plain_send(request, backend);
 			return;
 		}
 	}
@@ -89,11 +96,7 @@
 		backend_failed(backend, request_now(request));
 	else if (backend)
 		backend_unreachable(backend, request_now(request));
-	if (end->not_run) {
-		request->runs--;
-		if (!end->connected)
-			request->sends--;
-	}
+	request_uncount(request, end);
 	plain_again(request,
 		    request->runs == 0 ? RESULT_NO_BACKEND
 		    : end->timed_out   ? RESULT_BACKEND_TIMEOUT
@@ -162,13 +165,11 @@
 	return MIN(left, silence);
 }
 
-static void plain_send(struct request *request)
+static void plain_send(struct request *request, struct backend *backend)
 {
 	static const struct send_events events = {on_head, on_body, on_done};
 	static const struct backend_load load = {.requests = 1};
 	const struct backend_ops *ops = &request->forward->parts.backends;
-	struct place place;
-	struct backend *backend;
 	struct send_spec spec = {
 		.kind = SEND_RUN,
 		.caller = &request->caller,
@@ -180,9 +181,7 @@
 		.resume_after = request->caller.resume_after,
 	};
 
-	request_place(request, &place);
-	backend = place_plain(&place);
-	backend_try(backend, place.now);
+	backend_try(backend, request_now(request));
 	placed_log(request, "call", backend);
 	request->target = backend->info;
 	spec.to = &request->target;
@@ -196,11 +195,8 @@
 
 void plain_start(struct request *request)
 {
-	struct place place;
-	struct backend *backend;
+	struct backend *backend = server_choose(request);
 
-	request_place(request, &place);
-	backend = place_plain(&place);
 	if (!backend) {
 		request_refuse(request, RESULT_NO_BACKEND, RETRY_USEC);
 		return;
@@ -209,5 +205,5 @@
 		request_refuse(request, RESULT_QUEUE_FULL, RETRY_USEC);
 		return;
 	}
-	plain_send(request);
+	plain_send(request, backend);
 }
--- a/forward/request.c
+++ b/forward/request.c
@@ -56,14 +56,27 @@
 	};
 }
 
-bool request_may_send(struct request *request)
+bool request_take_send(struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
 
-	if (request->sends == 0 ||
-	    budget_take(parts->budgets, request->service->id,
-			clock_now(parts->clock),
-			parts->instances(parts->instances_ctx)))
+	return budget_take(parts->budgets, request->service->id,
+			   clock_now(parts->clock),
+			   parts->instances(parts->instances_ctx));
+}
+
+void request_uncount(struct request *request, const struct backend_end *end)
+{
+	if (!end->not_run)
+		return;
+	request->runs--;
+	if (!end->connected)
+		request->sends--;
+}
+
+bool request_may_send(struct request *request)
+{
+	if (request->sends == 0 || request_take_send(request))
 		return true;
 	log_event(LOG_NOTICE, "send_budget_spent",
 		  LOG_S("request", request->caller.id),
@@ -120,6 +133,20 @@
 	*charge = (struct charge){.backend = HANDLE_NONE};
 }
 
+void request_give_back(struct request *request)
+{
+	const struct backend_ops *ops = &request->forward->parts.backends;
+	struct backend *decode = fleet_get(request->forward->parts.fleet,
+					   request->decode.backend);
+
+	if (request->hold[0] && decode)
+		ops->unreserve(ops->ctx, &decode->info, request->hold);
+	if (request->kv[0])
+		ops->free_result(ops->ctx, &request->kv_at, request->kv);
+	request->hold[0] = '\0';
+	request->kv[0] = '\0';
+}
+
 static void end_log(const struct request *request, enum request_end end,
 		    int status, const char *why)
 {
@@ -142,17 +169,10 @@
 /* Gives back all that servers keep for it. */
 static void resources_drop(struct request *request)
 {
-	const struct backend_ops *ops = &request->forward->parts.backends;
-	struct backend *decode = fleet_get(request->forward->parts.fleet,
-					   request->decode.backend);
-
 	if (request->call)
 		web_call_cancel(request->call);
 	request->call = NULL;
-	if (request->hold[0] && decode)
-		ops->unreserve(ops->ctx, &decode->info, request->hold);
-	if (request->kv[0])
-		ops->free_result(ops->ctx, &request->kv_at, request->kv);
+	request_give_back(request);
 	charge_drop(request, &request->prefill);
 	charge_drop(request, &request->decode);
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -102,6 +102,13 @@
 /* Whether one more send may be made: the first is free, others take from the
  * service's budget. */
 bool request_may_send(struct request *request);
+/* Takes a send from that budget; false when none is left. */
+bool request_take_send(struct request *request);
+/* Takes a call that surely did not run off the runs, and off the sends when it
+ * reached no server. */
+void request_uncount(struct request *request, const struct backend_end *end);
+/* Gives the reserved memory and the result of a prefill back. */
+void request_give_back(struct request *request);
 
 /* Logs that a step of the request goes to a server, and what decided it. */
 void placed_log(const struct request *request, const char *step,
@@ -111,8 +118,8 @@
 		struct backend *backend, const struct backend_load *load);
 void charge_drop(struct request *request, struct charge *charge);
 
-/* Copies an answer's head; false when it belongs to another request. */
-bool answer_take_head(struct request *request, const struct backend_head *head);
+/* Copies an answer's head. */
+void answer_take_head(struct request *request, const struct backend_head *head);
 void answer_take_body(struct request *request, const void *data, size_t size);
 /* Whether a whole answer may be passed on: it bears its author's mark, and its
  * status says nothing untrue of a request that ran. */
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -59,25 +59,6 @@
 			 request->prefill.backend);
 }
 
-static void hold_drop(struct request *request)
-{
-	const struct backend_ops *ops = &request->forward->parts.backends;
-	struct backend *decode = stream_decode(request);
-
-	if (request->hold[0] && decode)
-		ops->unreserve(ops->ctx, &decode->info, request->hold);
-	request->hold[0] = '\0';
-}
-
-static void kv_drop(struct request *request)
-{
-	const struct backend_ops *ops = &request->forward->parts.backends;
-
-	if (request->kv[0])
-		ops->free_result(ops->ctx, &request->kv_at, request->kv);
-	request->kv[0] = '\0';
-}
-
 /* Back to placing, or the end when there is no way left. */
 void stream_again(struct request *request, enum result_code code,
 		  const char *why)
@@ -86,8 +67,7 @@
 		   (request_repeatable(request) &&
 		    request->runs < request->route->attempts);
 
-	hold_drop(request);
-	kv_drop(request);
+	request_give_back(request);
 	answer_clear(&request->answer);
 	if (may && request->rounds < ROUNDS_MAX && request_left(request) > 0) {
 		stream_wait(request);
@@ -195,13 +175,8 @@
  */
 static bool prefill_may_send(struct request *request)
 {
-	const struct forward_parts *parts = &request->forward->parts;
-
-	if (request->rounds <= 1 && request->tried.count == 0)
-		return true;
-	return budget_take(parts->budgets, request->service->id,
-			   clock_now(parts->clock),
-			   parts->instances(parts->instances_ctx));
+	return (request->rounds <= 1 && request->tried.count == 0) ||
+	       request_take_send(request);
 }
 
 static void prefill_send(struct request *request)
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -131,11 +131,7 @@
 		run_refused(request, backend);
 		return;
 	}
-	if (end->not_run) {
-		request->runs--;
-		if (!end->connected)
-			request->sends--;
-	}
+	request_uncount(request, end);
 	stream_again(request,
 		     request->runs == 0 ? RESULT_NO_BACKEND
 		     : end->timed_out	? RESULT_BACKEND_TIMEOUT
