forward: rest a server that refuses runs it reserved for, keep the result

Cause: a runner that changes its role, or whose results lapse at once, still grants reservations and reads prompts, but refuses the run.

Change: two refused runs in a row, of either the decode server or the one that read the prompt, and it rests for a second, then one request tries it. The result of the prefill is kept for the next run while it lives, so a refused run costs no second prefill.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -28,6 +28,13 @@
  * instances ask. */
 #define FULL_USEC (40 * USEC_PER_MSEC)
 
+/* A server that is changing its role, or whose results lapse at once, still
+ * grants reservations and reads prompts; only the run is refused. After this
+ * many in a row it rests, then one request tries it. Instances that have just
+ * started know of no change that was ordered before. */
+#define REFUSALS_MAX 2u
+#define REFUSED_REST_USEC (1 * USEC_PER_SEC)
+
 struct fleet {
 	struct clock *clock;
 	char *data_centre;
@@ -132,8 +139,10 @@
 			service_list(fleet, backend->info.service), backend);
 		g_ptr_array_add(service_list(fleet, info->service), backend);
 	}
-	if (backend->info.stage != info->stage)
+	if (backend->info.stage != info->stage) {
 		backend->changing_until = 0;
+		backend->refusals = 0;
+	}
 	backend->info = *info;
 	if (changed)
 		backend_log("backend_changed", backend);
@@ -254,6 +263,30 @@
 {
 	if (backend->avoided > 0)
 		backend->avoid_until = now + TRIAL_USEC;
+	if (backend_suspect(backend))
+		backend->changing_until = now + REFUSED_REST_USEC;
+}
+
+bool backend_suspect(const struct backend *backend)
+{
+	return backend->refusals >= REFUSALS_MAX;
+}
+
+void backend_began(struct backend *backend)
+{
+	if (backend_suspect(backend))
+		backend->changing_until = 0;
+	backend->refusals = 0;
+}
+
+void backend_run_refused(struct backend *backend, int64_t now)
+{
+	backend->refusals++;
+	if (!backend_suspect(backend))
+		return;
+	backend->changing_until =
+		MAX(backend->changing_until, now + REFUSED_REST_USEC);
+	backend_log("backend_refuses_runs", backend);
 }
 
 void backend_full(struct backend *backend, int64_t now)
--- a/forward/request.c
+++ b/forward/request.c
@@ -133,7 +133,7 @@
 	*charge = (struct charge){.backend = HANDLE_NONE};
 }
 
-void request_give_back(struct request *request)
+void request_drop_hold(struct request *request)
 {
 	const struct backend_ops *ops = &request->forward->parts.backends;
 	struct backend *decode = fleet_get(request->forward->parts.fleet,
@@ -141,9 +141,15 @@
 
 	if (request->hold[0] && decode)
 		ops->unreserve(ops->ctx, &decode->info, request->hold);
+	request->hold[0] = '\0';
+}
+
+void request_drop_result(struct request *request)
+{
+	const struct backend_ops *ops = &request->forward->parts.backends;
+
 	if (request->kv[0])
 		ops->free_result(ops->ctx, &request->kv_at, request->kv);
-	request->hold[0] = '\0';
 	request->kv[0] = '\0';
 }
 
@@ -172,7 +178,8 @@
 	if (request->call)
 		web_call_cancel(request->call);
 	request->call = NULL;
-	request_give_back(request);
+	request_drop_hold(request);
+	request_drop_result(request);
 	charge_drop(request, &request->prefill);
 	charge_drop(request, &request->decode);
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -51,6 +51,7 @@
 	uint32_t runs;	 /* that may have begun to run */
 	uint32_t rounds; /* through placing, for streams */
 	bool judged;	 /* looked at for an early refusal */
+	bool tries;	 /* a decode server that refused others lately */
 	int replied_status;
 	bool replied; /* the head of an answer went to the caller */
 	struct charge decode;
@@ -107,8 +108,9 @@
 /* Takes a call that surely did not run off the runs, and off the sends when it
  * reached no server. */
 void request_uncount(struct request *request, const struct backend_end *end);
-/* Gives the reserved memory and the result of a prefill back. */
-void request_give_back(struct request *request);
+/* Gives the reserved memory, or the result of a prefill, back. */
+void request_drop_hold(struct request *request);
+void request_drop_result(struct request *request);
 
 /* Logs that a step of the request goes to a server, and what decided it. */
 void placed_log(const struct request *request, const char *step,
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -18,6 +18,8 @@
 
 /* Reservations are kept for the time of a prefill in a long queue. */
 #define RESERVE_USEC (2 * USEC_PER_SEC)
+/* A result that is older than its time less this may lapse on the way. */
+#define RESULT_MARGIN_USEC (100 * USEC_PER_MSEC)
 /* A prefill is given up after this time and this much for each prompt token
  * ahead of it (runners read some 30 tokens a millisecond). */
 #define PREFILL_USEC (1200 * USEC_PER_MSEC)
@@ -67,7 +69,7 @@
 		   (request_repeatable(request) &&
 		    request->runs < request->route->attempts);
 
-	request_give_back(request);
+	request_drop_hold(request);
 	answer_clear(&request->answer);
 	if (may && request->rounds < ROUNDS_MAX && request_left(request) > 0) {
 		stream_wait(request);
@@ -219,6 +221,19 @@
 
 /* ---- reserve ---- */
 
+int64_t stream_reserve_usec(const struct request *request)
+{
+	return MIN(RESERVE_USEC, request->service->engine.reserve_usec);
+}
+
+static bool result_fresh(const struct request *request)
+{
+	return request->kv[0] &&
+	       request_now(request) - request->prefilled_at <
+		       request->service->engine.result_usec -
+			       RESULT_MARGIN_USEC;
+}
+
 static void reserved(struct request *request, const char *hold)
 {
 	struct backend *backend = stream_decode(request);
@@ -230,6 +245,12 @@
 	histogram_add(request->forward->wait_time,
 		      request->placed_at - request->arrived);
 	request->rounds++;
+	/* A result that a refused run has left is fetched by the next one. */
+	if (result_fresh(request)) {
+		stream_run(request);
+		return;
+	}
+	request->kv[0] = '\0';
 	prefill_send(request);
 }
 
@@ -283,10 +304,11 @@
 	charge_add(request, &request->decode, backend, &load);
 	backend_try(backend, place.now);
 	placed_log(request, "reserve", backend);
+	request->tries = backend_suspect(backend);
 	request->target = backend->info;
 	request->call = ops->reserve(ops->ctx, &backend->info, tokens,
-				     MIN(RESERVE_USEC, engine->reserve_usec),
-				     on_reserved, request);
+				     stream_reserve_usec(request), on_reserved,
+				     request);
 	return true;
 }
 
--- a/forward/stream.h
+++ b/forward/stream.h
@@ -13,6 +13,8 @@
 		  const char *why);
 void stream_failed_log(const struct request *request, const char *step,
 		       const struct backend_end *end);
+/* How long a reservation is kept. */
+int64_t stream_reserve_usec(const struct request *request);
 /* Notes what a failed call tells about its server. */
 void stream_blame(struct request *request, struct backend *backend,
 		  const struct backend_end *end);
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -3,6 +3,7 @@
  */
 #include "stream.h"
 
+#include "common/id.h"
 #include "common/log.h"
 
 /* A resumable stream leaves a server that is silent for this many pauses. */
@@ -67,14 +68,35 @@
 	event_cutter_take(cutter, whole);
 }
 
+/* Who read the prompt for this run; NULL when nobody did or it has left. */
+static struct backend *result_source(const struct request *request)
+{
+	if (!request->kv[0])
+		return NULL;
+	return fleet_find(request->forward->parts.fleet,
+			  id_of(request->kv_at.id));
+}
+
+/* The memory is the run's own now, and its result was fetched. */
+static void run_began(struct request *request)
+{
+	struct backend *decode = stream_decode(request);
+	struct backend *source = result_source(request);
+
+	if (decode)
+		backend_began(decode);
+	if (source)
+		backend_began(source);
+	request->hold[0] = '\0';
+	request->kv[0] = '\0';
+}
+
 static void run_body(void *ctx, const void *data, size_t size)
 {
 	struct request *request = ctx;
 
-	/* The memory is the run's own now, and its result was fetched. */
 	if (answer_streams(request)) {
-		request->hold[0] = '\0';
-		request->kv[0] = '\0';
+		run_began(request);
 		run_events(request, data, size);
 		return;
 	}
@@ -82,11 +104,35 @@
 		answer_take_body(request, data, size);
 }
 
+/* A run with memory reserved is refused by a server that changes its role, or
+ * because its result is gone. Which one it was shows when either takes part in
+ * further runs, so both are suspected, unless one already is. */
+static void refusal_blame(struct request *request, struct backend *decode)
+{
+	struct backend *source = result_source(request);
+	bool decode_known = decode && backend_suspect(decode);
+	bool source_known = source && backend_suspect(source);
+	int64_t now = request_now(request);
+
+	if (now - request->placed_at >= stream_reserve_usec(request))
+		return;
+	if (decode && !source_known)
+		backend_run_refused(decode, now);
+	if (source && !decode_known)
+		backend_run_refused(source, now);
+	if (source && backend_suspect(source))
+		request_drop_result(request);
+}
+
+/* The result of the prefill is kept: the next run may fetch it. */
 static void run_refused(struct request *request, struct backend *backend)
 {
 	request->runs--;
-	if (backend && !request->answer.head.other)
-		backend_full(backend, request_now(request));
+	if (!request->answer.head.other) {
+		if (backend)
+			backend_full(backend, request_now(request));
+		refusal_blame(request, backend);
+	}
 	stream_again(request, RESULT_BACKEND_REFUSED, "server is full");
 }
 
@@ -104,6 +150,7 @@
 	if (backend)
 		backend_failed(backend, now);
 	event_cutter_drop(&request->cutter);
+	request_drop_result(request);
 	if (!request->replied && !answer_streams(request) &&
 	    answer_may_pass(&request->answer) && !request_repeatable(request))
 		request_relay(request);
@@ -132,6 +179,8 @@
 		return;
 	}
 	request_uncount(request, end);
+	if (!end->not_run)
+		request_drop_result(request);
 	stream_again(request,
 		     request->runs == 0 ? RESULT_NO_BACKEND
 		     : end->timed_out	? RESULT_BACKEND_TIMEOUT
@@ -171,7 +220,9 @@
 	};
 
 	charge_drop(request, &request->prefill);
-	if (!decode || !backend_usable(decode, request_now(request)) ||
+	if (!decode ||
+	    (!request->tries &&
+	     !backend_usable(decode, request_now(request))) ||
 	    !request_may_send(request)) {
 		stream_again(request, RESULT_RETRY_BUDGET,
 			     "server left, or no send left");
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -59,7 +59,8 @@
 	uint32_t avoided;	/* times in a row */
 	int64_t full_until;	/* has just refused a reservation */
 	uint32_t fulls;		/* refused in a row */
-	int64_t changing_until; /* ordered to another role */
+	int64_t changing_until; /* ordered to another role, or seems so */
+	uint32_t refusals;	/* reserved or prepared runs refused in a row */
 	bool listed;		/* seen in the snapshot being read */
 };
 
@@ -102,6 +103,12 @@
 /* It has just refused, or granted, a reservation. */
 void backend_full(struct backend *backend, int64_t now);
 void backend_granted(struct backend *backend);
+/* A run that had a reservation, or a result to fetch, began there or with its
+ * result; or it was refused all the same: then the server may be changing its
+ * role, or have lost the result. Twice in a row, and it rests. */
+void backend_began(struct backend *backend);
+void backend_run_refused(struct backend *backend, int64_t now);
+bool backend_suspect(const struct backend *backend);
 /* It answered, whatever it said. */
 void backend_reached(struct backend *backend);
 /* A request was answered well. */
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -411,6 +411,39 @@
 	site_close(&site);
 }
 
+/* A server that grants reservations and then refuses the runs rests; one request
+ * tries it, and it is used again once a run has begun. */
+static void test_refusals(void)
+{
+	struct site site;
+	struct backend *one;
+
+	site_open(&site);
+	one = site_add(&site, "one", STAGE_DECODE, "here");
+	backend_run_refused(one, site.place.now);
+	backend_began(one);
+	backend_run_refused(one, site.place.now);
+	g_assert_false(backend_suspect(one));
+	g_assert_true(backend_usable(one, site.place.now));
+	backend_run_refused(one, site.place.now);
+	g_assert_true(backend_suspect(one));
+	g_assert_false(backend_usable(one, site.place.now));
+	backend_reached(one);
+	g_assert_false(backend_usable(one, site.place.now));
+	site_wait(&site, 1 * SECOND);
+	g_assert_true(backend_usable(one, site.place.now));
+	backend_try(one, site.place.now);
+	g_assert_false(backend_usable(one, site.place.now));
+	backend_began(one);
+	g_assert_true(backend_usable(one, site.place.now));
+	backend_run_refused(one, site.place.now);
+	backend_run_refused(one, site.place.now);
+	/* It is in its new role. */
+	site_add(&site, "one", STAGE_PREFILL, "here");
+	g_assert_true(backend_usable(one, site.place.now));
+	site_close(&site);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -427,5 +460,6 @@
 	g_test_add_func("/forward/roles/change", test_roles_change);
 	g_test_add_func("/forward/fleet/changing", test_changing);
 	g_test_add_func("/forward/fleet/trial", test_trial);
+	g_test_add_func("/forward/fleet/refusals", test_refusals);
 	return g_test_run();
 }
