forward: replace lost prefill runners within seconds

Three things kept the order back: a change had to be wanted for 30 s; the deciding instance (lowest name) was cut off from the store from 32 s; and the lease, given up when not needed, is taken 7.7 s after it is wanted, for what an earlier holder's orders may still do.

Change: when the mean demand of the last 30 s is 1.1 times what the prefill runners read, a change is due after 3 s; the deciding instance keeps the lease; instances tell in gossip when the store does not answer them, and one that reaches it decides. The demand of a young process is not taken for low.

--- a/forward/feed.c
+++ b/forward/feed.c
@@ -212,6 +212,11 @@
 	feed_next(feed);
 }
 
+bool feed_failing(const struct feed *feed)
+{
+	return feed->failures > 0;
+}
+
 bool feed_advance(struct feed *feed, uint64_t next, int64_t fresh)
 {
 	if (feed->has_snapshot && next < feed->next)
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -10,6 +10,8 @@
 /* Demand is averaged over this time: longer than the swing of ordinary load
  * within seconds, shorter than a change of role pays off in. */
 #define DEMAND_USEC (8 * USEC_PER_SEC)
+/* What came in the first second counts as a second's. */
+#define DEMAND_AGE_LEAST 0.125
 
 /* From placing to the first event, until it was measured. */
 #define BEGIN_USEC (250.0 * (double)USEC_PER_MSEC)
@@ -57,6 +59,7 @@
 	forward->demand = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
 	forward->begin_usec = BEGIN_USEC;
+	forward->began = clock_now(parts->clock);
 	timer_init(&forward->pump, parts->clock, on_pump, forward);
 	counters_setup(forward);
 	return forward;
@@ -138,17 +141,25 @@
 	demand->at = now;
 }
 
+/* The time that the decayed sum stands for: less while the process is young. */
+static double demand_sec(const struct forward *forward, int64_t now)
+{
+	double age = (double)(now - forward->began) / (double)DEMAND_USEC;
+
+	return (1.0 - exp(-MAX(age, DEMAND_AGE_LEAST))) * (double)DEMAND_USEC /
+	       (double)USEC_PER_SEC;
+}
+
 void forward_demand(const struct forward *forward, uint64_t service,
 		    struct forward_demand *out)
 {
 	struct demand *demand = g_hash_table_lookup(forward->demand, &service);
+	int64_t now = clock_now(forward->parts.clock);
 
 	*out = (struct forward_demand){0};
 	if (demand)
 		out->prompt_tokens_per_s =
-			demand_decayed(demand,
-				       clock_now(forward->parts.clock)) /
-			((double)DEMAND_USEC / (double)USEC_PER_SEC);
+			demand_decayed(demand, now) / demand_sec(forward, now);
 	for (GList *link = forward->waiting.head; link; link = link->next) {
 		const struct request *request = link->data;
 
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -9,6 +9,8 @@
 #define FIELDS 13
 #define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
+#define FLAG_LEAVING 1u
+#define FLAG_STORELESS 2u
 
 static void load_pack(msgpack_packer *packer, const struct gossip_load *load)
 {
@@ -43,7 +45,10 @@
 	msgpack_pack_uint64(&packer, message->word.version);
 	msgpack_pack_uint64(&packer, (uint64_t)message->word.demand);
 	msgpack_pack_uint32(&packer, message->word.waiting);
-	msgpack_pack_uint8(&packer, message->word.leaving);
+	msgpack_pack_uint8(
+		&packer,
+		(message->word.leaving ? FLAG_LEAVING : 0) |
+			(message->word.storeless ? FLAG_STORELESS : 0));
 	msgpack_pack_uint64(&packer, message->word.changing);
 	msgpack_pack_array(&packer, GOSSIP_SHARES);
 	for (int i = 0; i < GOSSIP_SHARES; i++)
@@ -157,7 +162,7 @@
 	uint64_t format;
 	uint64_t demand;
 	uint64_t waiting;
-	uint64_t leaving;
+	uint64_t flags;
 
 	if (object->type != MSGPACK_OBJECT_ARRAY ||
 	    object->via.array.size != FIELDS)
@@ -171,12 +176,13 @@
 	    !number_read(&fields[5], UINT64_MAX, &message->word.version) ||
 	    !number_read(&fields[6], UINT32_MAX, &demand) ||
 	    !number_read(&fields[7], UINT32_MAX, &waiting) ||
-	    !number_read(&fields[8], 1, &leaving) ||
+	    !number_read(&fields[8], FLAG_LEAVING | FLAG_STORELESS, &flags) ||
 	    !number_read(&fields[9], UINT64_MAX, &message->word.changing))
 		return false;
 	message->word.demand = (double)demand;
 	message->word.waiting = (uint32_t)waiting;
-	message->word.leaving = leaving == 1;
+	message->word.leaving = flags & FLAG_LEAVING;
+	message->word.storeless = flags & FLAG_STORELESS;
 	return shares_read(&fields[10], &message->word) &&
 	       loads_read(&fields[11], message->loads) &&
 	       addresses_read(&fields[12], message);
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -90,14 +90,20 @@
 
 bool gossip_lowest(const struct gossip *gossip)
 {
+	struct gossip_word own;
 	GHashTableIter iter;
 	struct peer *peer;
 
+	gossip->ops.word(gossip->ctx, &own);
 	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		if (gossip_peer_live(gossip, peer) &&
-		    strcmp(peer->name, gossip->settings.name) < 0)
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		int order = (int)peer->word.storeless - (int)own.storeless;
+
+		if (order == 0)
+			order = strcmp(peer->name, gossip->settings.name);
+		if (order < 0 && gossip_peer_live(gossip, peer))
 			return false;
+	}
 	return true;
 }
 
--- a/forward/node.c
+++ b/forward/node.c
@@ -107,6 +107,12 @@
 	return key;
 }
 
+static bool is_storeless(const struct node *node)
+{
+	return share_failing(node->shares[STREAM_LIST].share) ||
+	       share_failing(node->shares[STREAM_CONFIG].share);
+}
+
 static void word_fill(void *ctx, struct gossip_word *word)
 {
 	struct node *node = ctx;
@@ -114,7 +120,10 @@
 	GHashTableIter iter;
 	struct catalog_service *service;
 
-	*word = (struct gossip_word){.leaving = node->draining};
+	*word = (struct gossip_word){
+		.leaving = node->draining,
+		.storeless = is_storeless(node),
+	};
 	node_shares_word(node, word);
 	word->changing = changing_now(node);
 	if (!catalog)
--- a/forward/request.h
+++ b/forward/request.h
@@ -80,6 +80,7 @@
 
 struct forward {
 	struct forward_parts parts;
+	int64_t began;
 	struct catalog *catalog;
 	struct table *requests;
 	GQueue waiting; /* streams without decode memory, by arrival */
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -29,6 +29,17 @@
  * 0.005 less.
  */
 #define ROLES_PATIENCE_USEC (30 * USEC_PER_SEC)
+/* Prefill runners that cannot read even the mean demand leave a queue that only
+ * grows: then a change is due after this time, which covers servers that are
+ * missing from the list for two seconds after the store was away. */
+#define OVERLOAD_PATIENCE_USEC (3 * USEC_PER_SEC)
+/* That is so when the mean is this many times what they read; means of a few
+ * seconds with a burst among them are beyond 1.0 on a site that is well served.
+ */
+#define OVERLOAD 1.1
+/* The mean is taken over this time, and known once it has passed: a burst of
+ * twice the demand for five seconds raises it by a sixth. */
+#define MEAN_USEC (30 * USEC_PER_SEC)
 /* The demand of the first seconds is not known yet. */
 #define DEMAND_LEAST 1000.0
 /* After the time that a change takes, its runner may be ordered again; covers
@@ -42,9 +53,6 @@
  * order: 7.7 s; with the terms of the library it was 24 s, half a minute with
  * one prefill runner too few. Orders of two holders stay 3 s apart. */
 #define TERM_USEC (3 * USEC_PER_SEC)
-/* The lease is kept so long after an order: taking it anew would wait for what
- * an earlier order may still do, and the list grows for seconds at a start. */
-#define LEASE_KEEP_USEC (30 * USEC_PER_SEC)
 /* The list may not be whole right after the start. */
 #define SETTLE_USEC (1200 * USEC_PER_MSEC)
 
@@ -58,14 +66,16 @@
 	struct roles_parts parts;
 	struct leases *leases;
 	bool leasing;
-	int64_t needed; /* when an order was last due */
 	uint64_t task;
 	struct timer timer;
 	int64_t started;
 	GHashTable *moves; /* key to struct move */
 	int64_t wanted_since;
-	int32_t wanted; /* direction at wanted_since */
-	bool ordering;	/* an order has not been answered */
+	int32_t wanted;	 /* direction at wanted_since */
+	double mean_sum; /* demand of the ticks with traffic, decayed */
+	double mean_weight;
+	uint32_t mean_ticks;
+	bool ordering; /* an order has not been answered */
 	uint64_t ordered;
 	bool destroyed;
 };
@@ -222,6 +232,29 @@
 	return stages;
 }
 
+static void mean_update(struct roles *roles)
+{
+	double rate = roles->parts.ops.demand(roles->parts.ctx);
+	double kept = 1.0 - (double)TICK_USEC / (double)MEAN_USEC;
+
+	if (rate < DEMAND_LEAST)
+		return;
+	roles->mean_sum = roles->mean_sum * kept + rate;
+	roles->mean_weight = roles->mean_weight * kept + 1.0;
+	roles->mean_ticks++;
+}
+
+static double mean_demand(const struct roles *roles)
+{
+	return roles->mean_sum / MAX(roles->mean_weight, 1.0);
+}
+
+static bool is_overloaded(const struct roles *roles, struct stages stages)
+{
+	return roles->mean_ticks >= MEAN_USEC / TICK_USEC &&
+	       stages.prefill * CAPACITY_TOKENS * OVERLOAD < mean_demand(roles);
+}
+
 /* Positive: runners that are to become decode runners; negative: prefill. */
 static int32_t change_wanted(struct roles *roles, struct stages stages)
 {
@@ -240,23 +273,37 @@
 		stages.prefill == stages.total);
 }
 
-/* Whether a change has been wanted for long enough: at once when a stage has
- * fewer runners than one loss may leave, or while there is no traffic. */
-static bool patient(struct roles *roles, int32_t change, bool short_of)
+/* How long a change must have been wanted: not at all when a stage has fewer
+ * runners than one loss may leave, or while there is no traffic. */
+static int64_t patience(struct roles *roles, struct stages stages,
+			int32_t change)
+{
+	if (is_short(stages) ||
+	    roles->parts.ops.demand(roles->parts.ctx) < DEMAND_LEAST)
+		return 0;
+	if (change < 0 && is_overloaded(roles, stages))
+		return OVERLOAD_PATIENCE_USEC;
+	return ROLES_PATIENCE_USEC;
+}
+
+static bool is_due(struct roles *roles, struct stages stages, int32_t change)
 {
 	int64_t now = clock_now(roles->parts.clock);
-	bool traffic =
-		roles->parts.ops.demand(roles->parts.ctx) >= DEMAND_LEAST;
 	int32_t direction = (change > 0) - (change < 0);
 
 	if (direction != roles->wanted) {
 		roles->wanted = direction;
 		roles->wanted_since = now;
+		log_event(LOG_INFO, "role_change_wanted",
+			  LOG_D("to_decode", change),
+			  LOG_D("prefill", stages.prefill),
+			  LOG_D("runners", stages.total),
+			  LOG_D("demand", (int64_t)roles->parts.ops.demand(
+						  roles->parts.ctx)),
+			  LOG_D("mean_demand", (int64_t)mean_demand(roles)));
 	}
-	if (direction == 0)
-		return false;
-	return !traffic || short_of ||
-	       now - roles->wanted_since >= ROLES_PATIENCE_USEC;
+	return direction != 0 &&
+	       now - roles->wanted_since >= patience(roles, stages, change);
 }
 
 static void lease_drop(struct roles *roles)
@@ -279,22 +326,19 @@
 	log_event(LOG_NOTICE, "role_lease_lost");
 }
 
-static bool lease_get(struct roles *roles, uint64_t *fence)
+static void lease_begin(struct roles *roles)
 {
 	static const struct lease_ops ops = {on_taken, on_lost};
 	struct owner self = {id_of(roles->parts.name), roles->parts.boot};
 
-	if (!roles->leasing) {
-		roles->leases = leases_create(roles->parts.clock, &self,
-					      &roles->parts.log, &ops, roles);
-		leases_set_term(roles->leases, TERM_USEC);
-		lease_want_unfenced(roles->leases, roles->task, ORDER_USEC);
-		roles->leasing = true;
-	}
-	return lease_valid(roles->leases, roles->task, fence);
+	roles->leases = leases_create(roles->parts.clock, &self,
+				      &roles->parts.log, &ops, roles);
+	leases_set_term(roles->leases, TERM_USEC);
+	lease_want_unfenced(roles->leases, roles->task, ORDER_USEC);
+	roles->leasing = true;
 }
 
-static bool service_tick(struct roles *roles,
+static void service_tick(struct roles *roles,
 			 const struct catalog_service *service)
 {
 	const GPtrArray *list = fleet_service(roles->parts.fleet, service->id);
@@ -304,54 +348,59 @@
 	uint64_t fence;
 
 	if (!list || service->engine.memory_tokens == 0)
-		return false;
+		return;
 	stages = stages_count(roles, list);
 	change = change_wanted(roles, stages);
-	if (!patient(roles, change, is_short(stages)))
-		return false;
+	if (!is_due(roles, stages, change))
+		return;
 	backend = runner_choose(roles, list,
 				change > 0 ? STAGE_PREFILL : STAGE_DECODE);
 	if (!backend)
-		return false;
-	if (!lease_get(roles, &fence) || roles->ordering)
-		return true;
+		return;
+	if (!lease_valid(roles->leases, roles->task, &fence) || roles->ordering)
+		return;
 	order_send(roles, backend, change > 0 ? STAGE_DECODE : STAGE_PREFILL,
 		   service, fence);
-	roles->wanted_since = clock_now(roles->parts.clock);
-	return true;
+	/* Those that an overload calls for follow each other. */
+	stages.prefill += change < 0;
+	if (change > 0 || !is_overloaded(roles, stages))
+		roles->wanted_since = clock_now(roles->parts.clock);
 }
 
-static bool services_tick(struct roles *roles)
+static void services_tick(struct roles *roles)
 {
 	const struct catalog *catalog =
 		roles->parts.ops.catalog(roles->parts.ctx);
 	GHashTableIter iter;
 	struct catalog_service *service;
-	bool busy = false;
 
 	if (!catalog)
-		return false;
+		return;
 	g_hash_table_iter_init(&iter, catalog->services);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service))
-		busy |= service_tick(roles, service);
-	return busy;
+		service_tick(roles, service);
 }
 
 static void on_tick(struct timer *timer, void *ctx)
 {
 	struct roles *roles = ctx;
 	int64_t now = clock_now(roles->parts.clock);
-	bool decides;
 
 	timer_start(timer, TICK_USEC);
 	g_hash_table_foreach_remove(roles->moves, move_over, roles);
 	if (now - roles->started < SETTLE_USEC)
 		return;
-	decides = roles->parts.ops.decides(roles->parts.ctx);
-	if (decides && services_tick(roles))
-		roles->needed = now;
-	if (!decides || now - roles->needed >= LEASE_KEEP_USEC)
+	mean_update(roles);
+	/* Taking the lease waits for what orders of an earlier holder may still
+	 * do, 7.7 s, so it is held before an order is due: one call a second,
+	 * by one instance of the site. */
+	if (!roles->parts.ops.decides(roles->parts.ctx)) {
 		lease_drop(roles);
+		return;
+	}
+	if (!roles->leasing)
+		lease_begin(roles);
+	services_tick(roles);
 }
 
 struct roles *roles_create(const struct roles_parts *parts)
--- a/forward/share.c
+++ b/forward/share.c
@@ -117,6 +117,11 @@
 		share->ops.end(share->ctx);
 }
 
+bool share_failing(const struct share *share)
+{
+	return feed_failing(share->feed);
+}
+
 struct share *share_create(struct clock *clock, const struct feed_store *store,
 			   const struct feed_settings *settings,
 			   const struct share_ops *ops, void *ctx)
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -80,6 +80,8 @@
 /* Reads anew at once instead of waiting for an answer that may have been lost.
  */
 void feed_hurry(struct feed *feed);
+/* Whether the store has not answered the last reads. */
+bool feed_failing(const struct feed *feed);
 /* What is known is as of next, and was all there was at the time fresh. An
  * answer that is still due is dropped, as it is older. False, and nothing
  * happens, when the feed is further already. */
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -54,6 +54,7 @@
 	double demand;	  /* prompt tokens a second */
 	uint32_t waiting; /* requests without decode memory */
 	bool leaving;
+	bool storeless;	   /* the store does not answer it */
 	uint64_t changing; /* key of a server ordered to another role, or 0 */
 	struct share_word shares[GOSSIP_SHARES];
 };
@@ -87,7 +88,8 @@
 bool gossip_parted(const struct gossip *gossip);
 /* Live peers of the same data centre whose names come before this one's. */
 uint32_t gossip_rank(const struct gossip *gossip);
-/* Whether this instance has the lowest name of those live, itself included. */
+/* Whether this instance has the lowest name of those live, itself included;
+ * instances that reach the store come before those that do not. */
 bool gossip_lowest(const struct gossip *gossip);
 /* What peers told, added up, and this instance's own word. */
 void gossip_total(const struct gossip *gossip, struct gossip_word *total);
--- a/include/forward/roles.h
+++ b/include/forward/roles.h
@@ -2,16 +2,18 @@
  * roles.h - how many runners of a service prefill, how many decode
  *
  * DESCRIPTION
- *	One instance decides, the one with the lowest name of those live, and it
- *	orders only under a lease on the platform's log, whose offset fences the
- *	order (coord/lease.h). It asks for the lease when a runner should change
- *	and gives it up when none should, so a quiet site makes no calls for it.
+ *	One instance decides, the one with the lowest name of those live that
+ *	reach the store, and it orders only under a lease on the platform's log,
+ *	whose offset fences the order (coord/lease.h). It holds the lease as long
+ *	as it decides, since a new holder waits for what orders of the former may
+ *	still do.
  *
  *	The prefill runners wanted are those that read the prompts asked for at
  *	1.25 to 2.4 times the mean rate; while nothing was asked for yet, a
  *	fixed part of all. A change must be wanted for half a minute once there
- *	is traffic. Until the list shows a server in its new role, instances
- *	tell each other to send it nothing more in the old one.
+ *	is traffic, but for three seconds where runners were lost and those left
+ *	cannot read the mean demand. Until the list shows a server in its new
+ *	role, instances tell each other to send it nothing more in the old one.
  *
  * SEE ALSO
  *	docs/design/roles.md; docs/design/platform.md
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -59,6 +59,8 @@
 void share_tick(struct share *share, uint32_t rank);
 /* Reads the store now: what is known may be older than thought. */
 void share_hurry(struct share *share);
+/* Whether this instance reads the store and has no answer from it. */
+bool share_failing(const struct share *share);
 void share_word(const struct share *share, struct share_word *word);
 /* Takes in what a peer told. True when its copy is to be fetched. */
 bool share_hear(struct share *share, const struct share_word *word);
--- a/tests/forward/test_roles.c
+++ b/tests/forward/test_roles.c
@@ -214,6 +214,28 @@
 	site_close(&site, "a:d1>prefill ");
 }
 
+/* Prefill runners are lost, and those left cannot read the mean demand: others
+ * take their place within seconds, one after the other. */
+static void test_overload(void)
+{
+	struct site site;
+
+	site_open(&site);
+	site.demand = 130000;
+	runners_put(&site, "p1 p2 p3 p4 p5 d1 d2 d3 d4 d5 d6 d7 d8 d9");
+	wait_usec(&site, 40 * SECOND);
+	g_assert_cmpstr(site.orders->str, ==, "");
+	for (int i = 0; i < DECIDERS; i++) {
+		fleet_remove(site.deciders[i].fleet, "p1");
+		fleet_remove(site.deciders[i].fleet, "p2");
+		fleet_remove(site.deciders[i].fleet, "p3");
+	}
+	wait_usec(&site, 2 * SECOND);
+	g_assert_cmpstr(site.orders->str, ==, "");
+	wait_usec(&site, 8 * SECOND);
+	site_close(&site, "a:d9>prefill a:d8>prefill ");
+}
+
 /* The holder is lost: its successor orders, soon, and never within the time in
  * which an order of the former may still arrive. */
 static void test_successor(void)
@@ -254,6 +276,7 @@
 	g_test_add_func("/forward/roles/start", test_start);
 	g_test_add_func("/forward/roles/demand", test_demand);
 	g_test_add_func("/forward/roles/short", test_short);
+	g_test_add_func("/forward/roles/overload", test_overload);
 	g_test_add_func("/forward/roles/successor", test_successor);
 	g_test_add_func("/forward/roles/log-down", test_log_down);
 	return g_test_run();
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -264,6 +264,7 @@
 		.address_count = 1,
 		.loads = g_array_new(FALSE, FALSE, sizeof(load)),
 	};
+	message->word.storeless = true;
 	message->word.shares[0] = (struct share_word){4, 3, 1500};
 	message->word.shares[1] = (struct share_word){0, 0, -1};
 	g_array_append_val(message->loads, load);
@@ -282,6 +283,8 @@
 	g_assert_cmpstr(got.name, ==, "a");
 	g_assert_cmpstr(got.data_centre, ==, "here");
 	g_assert_cmpuint(got.word.version, ==, 9);
+	g_assert_true(got.word.storeless);
+	g_assert_false(got.word.leaving);
 	g_assert_cmpuint(got.word.shares[0].changed, ==, 3);
 	g_assert_cmpint(got.word.shares[1].age_usec, ==, -1);
 	g_assert_cmpuint(got.loads->len, ==, 1);
