--- a/forward/request.c
+++ b/forward/request.c
@@ -9,8 +9,8 @@
 #define RETRY_MIN_USEC (20 * USEC_PER_MSEC)
 #define RETRY_MAX_USEC (5 * USEC_PER_SEC)
 
-/* A process has the configuration within some 50 ms of its start, on large sites
- * where it is passed on within 250 ms. */
+/* A process has the configuration within some 50 ms of its start, on large
+ * sites where it is passed on within 250 ms. */
 #define NO_CONFIG_USEC (250 * USEC_PER_MSEC)
 
 static const char *const end_names[END_COUNT] = {
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -28,10 +28,10 @@
 #define EARLY_PART 0.2
 /* How long a request keeps its memory, on average. */
 #define RUN_SEC 3.5
-/* Bounds of what the caller is told then. Bursts last four to five seconds; with
- * one to four seconds a third more of the worth came back into the same burst
- * and was refused again, and the mean of days with trouble was 0.008 less at
- * Vestland, the same elsewhere. */
+/* Bounds of what the caller is told then. Bursts last four to five seconds;
+ * with one to four seconds a third more of the worth came back into the same
+ * burst and was refused again, and the mean of days with trouble was 0.008 less
+ * at Vestland, the same elsewhere. */
 #define EARLY_RETRY_USEC (2500 * USEC_PER_MSEC)
 #define EARLY_RETRY_SPAN_USEC (2 * USEC_PER_SEC)
 /* What one is told that waited in vain: memory is freed within this time. */
