forward: ask the store by rank at a start, never pass on an older version

Cause: at a start of all, each instance without a copy read the store itself after a second, whatever its rank: 300 instances and a list of 3,000 servers are 450 MB at once.

Change: without a copy, an instance of rank n waits n times 450 ms, at most ten of them; a value that was refused does not replace the one in the copy.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -82,7 +82,7 @@
 	g_free(forward);
 }
 
-void forward_set_catalog(struct forward *forward, struct catalog *catalog)
+bool forward_set_catalog(struct forward *forward, struct catalog *catalog)
 {
 	uint64_t old = forward->catalog ? forward->catalog->version : 0;
 
@@ -91,13 +91,14 @@
 			log_event(LOG_NOTICE, "catalog_older",
 				  LOG_D("version", catalog->version),
 				  LOG_D("in_force", old));
-		return;
+		return catalog->version == old;
 	}
 	catalog_unref(forward->catalog);
 	forward->catalog = catalog_ref(catalog);
 	log_event(LOG_NOTICE, "catalog_in_force",
 		  LOG_D("version", catalog->version), LOG_D("before", old),
 		  LOG_D("routes", catalog->routes->len));
+	return true;
 }
 
 const struct catalog *forward_catalog(const struct forward *forward)
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -39,28 +39,30 @@
 		  LOG_S("reason", err->text));
 }
 
-static bool on_config(void *ctx, uint64_t offset, const char *key,
-		      const void *data, size_t size)
+static enum share_effect on_config(void *ctx, uint64_t offset, const char *key,
+				   const void *data, size_t size)
 {
 	struct node *node = ctx;
 	struct catalog *catalog;
 	struct error err;
+	bool in_force;
 
 	if (strcmp(key, node->interface.config_key) != 0 || !data)
-		return false;
+		return SHARE_SAME;
 	catalog = node->interface.decode_catalog(data, size, &err);
 	if (!catalog) {
 		refused_log(node, "configuration", key, offset, &err);
-		return true;
+		return SHARE_CHANGED;
 	}
-	forward_set_catalog(node->forward, catalog);
+	in_force = forward_set_catalog(node->forward, catalog);
 	catalog_unref(catalog);
-	return true;
+	/* Nobody who starts later is to get an older version from us. */
+	return in_force ? SHARE_CHANGED : SHARE_REFUSED;
 }
 
 /* Servers write every second or so; most of it changes nothing. */
-static bool on_backend(void *ctx, uint64_t offset, const char *key,
-		       const void *data, size_t size)
+static enum share_effect on_backend(void *ctx, uint64_t offset, const char *key,
+				    const void *data, size_t size)
 {
 	struct node *node = ctx;
 	const struct backend *known = fleet_find(node->fleet, id_of(key));
@@ -70,15 +72,15 @@
 
 	if (!data) {
 		fleet_remove(node->fleet, key);
-		return known != NULL;
+		return known ? SHARE_CHANGED : SHARE_SAME;
 	}
 	if (!node->interface.decode_backend(key, data, size, &info, &err)) {
 		refused_log(node, "backend server", key, offset, &err);
-		return false;
+		return SHARE_SAME;
 	}
 	same = known && backend_info_same(&known->info, &info);
 	fleet_put(node->fleet, &info);
-	return !same;
+	return same ? SHARE_SAME : SHARE_CHANGED;
 }
 
 static void on_list_begin(void *ctx)
--- a/forward/share.c
+++ b/forward/share.c
@@ -7,6 +7,10 @@
 #include "common/unpack.h"
 
 #define RANK_MAX 2u
+/* The same while an instance has no copy at all. Where all have just started,
+ * copies spread to everybody within some three seconds; with 2 here 300
+ * instances read a list of 3,000 servers, 450 MB, out of the store at once. */
+#define START_RANK_MAX 10u
 /* Peers are found within this time of the start, if there are any. */
 #define START_USEC (150 * USEC_PER_MSEC)
 #define FIELDS 6
@@ -79,9 +83,13 @@
 		       const void *data, size_t size)
 {
 	const struct value *known = g_hash_table_lookup(share->values, key);
-	bool changes = share->ops.value(share->ctx, offset, key, data, size);
+	enum share_effect effect =
+		share->ops.value(share->ctx, offset, key, data, size);
+	bool changes = effect == SHARE_CHANGED;
 	uint64_t changed = changes || !known ? offset : known->changed;
 
+	if (effect == SHARE_REFUSED && known)
+		return;
 	if (data)
 		value_set(share, key, data, size, changed);
 	else if (g_hash_table_remove(share->values, key))
@@ -165,7 +173,8 @@
 void share_tick(struct share *share, uint32_t rank)
 {
 	int64_t fresh = feed_fresh(share->feed);
-	int64_t patience = (int64_t)MIN(rank, RANK_MAX) * SHARE_RANK_USEC;
+	uint32_t most = fresh == FEED_NEVER ? START_RANK_MAX : RANK_MAX;
+	int64_t patience = (int64_t)MIN(rank, most) * SHARE_RANK_USEC;
 
 	if (fresh == FEED_NEVER) {
 		fresh = share->began;
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -65,8 +65,9 @@
 struct forward *forward_create(const struct forward_parts *parts);
 /* Ends what is under way without an answer. */
 void forward_destroy(struct forward *forward);
-/* Takes a reference; a lower version than that in force is passed over. */
-void forward_set_catalog(struct forward *forward, struct catalog *catalog);
+/* Takes a reference. A lower version than that in force is passed over: false.
+ */
+bool forward_set_catalog(struct forward *forward, struct catalog *catalog);
 /* NULL until there is one. */
 const struct catalog *forward_catalog(const struct forward *forward);
 /* From now on requests that may take long are refused: they would not end
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -48,13 +48,20 @@
 	int64_t age_usec; /* since the copy was sure; negative: never */
 };
 
+/* What a record does to those who have the copy. */
+enum share_effect {
+	SHARE_SAME,    /* it says what was known */
+	SHARE_CHANGED, /* it is to be fetched */
+	SHARE_REFUSED, /* it is passed over: what was there before stays */
+};
+
 struct share_ops {
 	/* A whole copy is handed over between begin and end. */
 	void (*begin)(void *ctx);
 	void (*end)(void *ctx);
-	/* A value, or with NULL its end. False when it changes nothing. */
-	bool (*value)(void *ctx, uint64_t offset, const char *key,
-		      const void *data, size_t size);
+	/* A value, or with NULL its end. */
+	enum share_effect (*value)(void *ctx, uint64_t offset, const char *key,
+				   const void *data, size_t size);
 };
 
 struct share *share_create(struct clock *clock, const struct feed_store *store,
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -36,18 +36,23 @@
 	g_hash_table_remove_all(((struct copy *)ctx)->values);
 }
 
-static bool on_value(void *ctx, uint64_t offset, const char *key,
-		     const void *data, size_t size)
+/* "older" is refused, as a version that was overtaken is. */
+static enum share_effect on_value(void *ctx, uint64_t offset, const char *key,
+				  const void *data, size_t size)
 {
 	GHashTable *values = ((struct copy *)ctx)->values;
 	char *text = data ? g_strndup(data, size) : NULL;
 	bool same = g_strcmp0(g_hash_table_lookup(values, key), text) == 0;
 
+	if (text && strcmp(text, "older") == 0) {
+		g_free(text);
+		return SHARE_REFUSED;
+	}
 	if (text)
 		g_hash_table_replace(values, g_strdup(key), text);
 	else
 		g_hash_table_remove(values, key);
-	return !same;
+	return same ? SHARE_SAME : SHARE_CHANGED;
 }
 
 static void copy_open(struct copy *copy, struct clock *clock)
@@ -142,6 +147,27 @@
 	clock_destroy(clock);
 }
 
+/* Who comes later gets what is in force, not what was refused since. */
+static void test_refused(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy first;
+	struct copy second;
+
+	copy_open(&first, clock);
+	copy_open(&second, clock);
+	share_start(first.share, 0);
+	store_answer(&first, "k", "newer", 5);
+	wait_msec(clock, 800);
+	share_tick(first.share, 0);
+	store_answer(&first, "k", "older", 6);
+	fetch(&second, &first);
+	g_assert_cmpstr(g_hash_table_lookup(second.values, "k"), ==, "newer");
+	copy_close(&first);
+	copy_close(&second);
+	clock_destroy(clock);
+}
+
 /* After a start of all the first few by name read at once, the others when they
  * have heard of none for a while. */
 static void test_starters(void)
@@ -160,6 +186,16 @@
 	share_start(first.share, 0);
 	g_assert_cmpuint(first.calls, ==, 1);
 	g_assert_true(hear(&late, &first));
+	/* A copy that cannot be fetched is not waited for without end. */
+	wait_msec(clock, 2300);
+	share_tick(late.share, 5);
+	g_assert_cmpuint(late.calls, ==, 0);
+	wait_msec(clock, 2300);
+	share_tick(late.share, 200);
+	g_assert_cmpuint(late.calls, ==, 0);
+	wait_msec(clock, 100);
+	share_tick(late.share, 200);
+	g_assert_cmpuint(late.calls, ==, 1);
 	copy_close(&first);
 	copy_close(&late);
 	clock_destroy(clock);
@@ -346,6 +382,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/share/refused", test_refused);
 	g_test_add_func("/forward/share/starters", test_starters);
 	g_test_add_func("/forward/share/pass-on", test_pass_on);
 	g_test_add_func("/forward/share/since", test_since);
