forward: meet the others through seeds when the store is down

Cause: an instance that starts at a new address learns of the others from the store only.

Change: settings name a few other instances (--seed), met at the start.

--- a/forward/node.c
+++ b/forward/node.c
@@ -269,7 +269,12 @@
 
 	node->gossip = gossip_create(node->loop, node->fleet, &settings, &ops,
 				     node, err);
-	return node->gossip != NULL;
+	if (!node->gossip)
+		return false;
+	/* One that starts while the store is down learns from them. */
+	for (uint32_t i = 0; i < node->settings.seed_count; i++)
+		gossip_meet(node->gossip, node->settings.seeds[i]);
+	return true;
 }
 
 static void roles_open(struct node *node)
--- a/forward/settings.c
+++ b/forward/settings.c
@@ -26,6 +26,10 @@
 	 "address for other instances (TCP and UDP) and for metrics"},
 	{"platform", "JT_PLATFORM", SETTING_ADDRESS, FIELD(platform), 0, 0,
 	 NULL, true, "IP:PORT", "the platform's store"},
+	{"seed", "JT_SEEDS", SETTING_EACH, FIELD(seeds), 0, 0, NULL, false,
+	 "IP:PORT",
+	 "another instance's peer-listen, to meet the others without the "
+	 "platform's store; may be repeated"},
 	{"log-level", "JT_LOG_LEVEL", SETTING_LEVEL, FIELD(log_level), 0, 0,
 	 "info", false, "LEVEL", "err, warning, notice, info or debug"},
 	{"retry-ratio", "JT_RETRY_RATIO", SETTING_REAL, FIELD(retry_ratio), 0,
@@ -44,6 +48,20 @@
 	 "connections of callers at once"},
 };
 
+static bool seed_add(void *target, const char *text, struct error *err)
+{
+	struct forward_settings *settings = target;
+
+	if (!setting_address_valid(text, false))
+		return error_set(err, RESULT_BAD_SETTING, "'%s' is no IP:PORT",
+				 text);
+	if (settings->seed_count >= FORWARD_SEEDS_MAX)
+		return error_set(err, RESULT_BAD_SETTING, "more than %u",
+				 FORWARD_SEEDS_MAX);
+	settings->seeds[settings->seed_count++] = text;
+	return true;
+}
+
 bool forward_settings_read(struct forward_settings *settings, const char *file,
 			   int argc, char **argv, struct error *err)
 {
@@ -53,6 +71,7 @@
 		.file = file,
 		.table = table,
 		.count = G_N_ELEMENTS(table),
+		.each = seed_add,
 	};
 	struct forward_settings fresh = {0};
 
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -14,6 +14,8 @@
 
 #include "common/error.h"
 
+#define FORWARD_SEEDS_MAX 16u
+
 struct forward_settings {
 	const char *name;
 	const char *data_centre;
@@ -21,6 +23,9 @@
 	const char *health_listen; /* the balancer */
 	const char *peer_listen;   /* other instances, metrics */
 	const char *platform;	   /* the platform's store */
+	/* Other instances that may run, by peer_listen. */
+	const char *seeds[FORWARD_SEEDS_MAX];
+	uint32_t seed_count;
 	int log_level;
 	double retry_ratio;
 	double retry_slack;
--- a/tests/forward/test_settings.c
+++ b/tests/forward/test_settings.c
@@ -42,6 +42,7 @@
 	{"range", WHOLE "grace-s=0\n", ":7: grace-s"},
 	{"level", WHOLE "log-level=loud\n", ":7: log-level"},
 	{"name", WHOLE "name=a b\n", ":7: name"},
+	{"seed", WHOLE "seed=127.0.0.1:5,here\n", ":7: seed: 'here'"},
 	{"line", WHOLE "retry\n", ":7: not NAME=VALUE"},
 };
 
