--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -196,6 +196,7 @@
 	wait_msec(clock, 100);
 	share_tick(late.share, 200);
 	g_assert_cmpuint(late.calls, ==, 1);
+	store_answer(&late, "k", "v1", 5);
 	copy_close(&first);
 	copy_close(&late);
 	clock_destroy(clock);
