--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -19,12 +19,13 @@
 #define PEERS_MAX 2048u
 #define READ_MAX 64
 /* A change of load on a server of engines is told at once as long as datagrams
- * are left of this many a second, and this many saved up. Told only every 100 ms
- * near and 600 ms elsewhere, instances that place at the same time choose the
- * same server, which then preempts: with 83 instances the mean worth of days with
- * trouble was 0.323, now 0.494; with 7 it was 0.744 and 0.568, now 0.754 and
- * 0.571 (at most 240 a second: 0.433). A request changes load some five times, so
- * 83 instances with 36 requests a second tell 180 datagrams a second each. */
+ * are left of this many a second, and this many saved up. Told only every 100
+ * ms near and 600 ms elsewhere, instances that place at the same time choose
+ * the same server, which then preempts: with 83 instances the mean worth of
+ * days with trouble was 0.323, now 0.494; with 7 it was 0.744 and 0.568, now
+ * 0.754 and 0.571 (at most 240 a second: 0.433). A request changes load some
+ * five times, so 83 instances with 36 requests a second tell 180 datagrams a
+ * second each. */
 #define AT_ONCE_PER_SEC 600.0
 #define AT_ONCE_SAVED 1200.0
 /* Weight of a new measurement in the mean delay of telling. */
