ctl: count from logs what callers lost, and why

jtctl losses reads the logs of any number of instances and counts the requests that were not answered whole and in time by cause, route and second. The line of a request's end says for it whether the first event was late and whether the stream paused for longer than its route allows (two fields, 17 bytes a line).

--- a/ctl/completions/jtctl.bash
+++ b/ctl/completions/jtctl.bash
@@ -10,12 +10,13 @@
 		esac
 	done
 	case $command in
-	'') words="--admin --json --help --version apply completions diff explain history measures policies show status validate" ;;
+	'') words="--admin --json --help --version apply completions diff explain history losses measures policies show status validate" ;;
 	apply) words="--admin --json --help --version --base --author"; files=1 ;;
 	completions) words="--admin --json --help --version bash zsh fish"; files=0 ;;
 	diff) words="--admin --json --help --version"; files=1 ;;
 	explain) words="--admin --json --help --version"; files=1 ;;
 	history) words="--admin --json --help --version"; files=0 ;;
+	losses) words="--admin --json --help --version"; files=1 ;;
 	measures) words="--admin --json --help --version --author --window --save --apply"; files=1 ;;
 	policies) words="--admin --json --help --version"; files=0 ;;
 	show) words="--admin --json --help --version"; files=0 ;;
--- a/ctl/completions/jtctl.fish
+++ b/ctl/completions/jtctl.fish
@@ -9,6 +9,8 @@
 complete -c jtctl -n __fish_use_subcommand -a explain -d 'Tell from logs what became of a request, and why'
 complete -c jtctl -n '__fish_seen_subcommand_from explain' -F
 complete -c jtctl -n __fish_use_subcommand -a history -d 'Print the audit trail of changes'
+complete -c jtctl -n __fish_use_subcommand -a losses -d 'Count what callers lost, by cause, route and second'
+complete -c jtctl -n '__fish_seen_subcommand_from losses' -F
 complete -c jtctl -n __fish_use_subcommand -a measures -d 'Print goodput and wasted prefill, before and after'
 complete -c jtctl -n '__fish_seen_subcommand_from measures' -F
 complete -c jtctl -n __fish_use_subcommand -a policies -d 'List the routing policies that a file may name'
--- a/ctl/completions/jtctl.zsh
+++ b/ctl/completions/jtctl.zsh
@@ -8,6 +8,7 @@
 		'diff:Compare a file with the one in force, or two files'
 		'explain:Tell from logs what became of a request, and why'
 		'history:Print the audit trail of changes'
+		'losses:Count what callers lost, by cause, route and second'
 		'measures:Print goodput and wasted prefill, before and after'
 		'policies:List the routing policies that a file may name'
 		'show:Print the file in force'
@@ -58,6 +59,13 @@
 			'--help[Print this help]' \
 			'--version[Print the version]' \
 			&& return ;;
+	losses)
+		_arguments \
+			'--admin=[Admin address of a daemon (JT_ADMIN, else 127.0.0.1:8081)]:IP:' \
+			'--json[Print JSON]' \
+			'--help[Print this help]' \
+			'--version[Print the version]' \
+			'*:file:_files' ;;
 	measures)
 		_arguments \
 			'--admin=[Admin address of a daemon (JT_ADMIN, else 127.0.0.1:8081)]:IP:' \
--- /dev/null
+++ b/ctl/losses.c
@@ -0,0 +1,170 @@
+#include "ctl/losses.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/error.h"
+#include "ctl/explain.h"
+
+#define LINE_MAX_BYTES 16384
+
+static const char *const names[LOSS_COUNT] = {
+	[LOSS_NONE] = "none",
+	[LOSS_REFUSED_EARLY] = "refused-early",
+	[LOSS_REFUSED_LATE] = "refused-late",
+	[LOSS_REFUSED_OTHER] = "refused-other",
+	[LOSS_SERVER_ERROR] = "server-error",
+	[LOSS_SERVER_LOST] = "server-lost",
+	[LOSS_TIME_OVER] = "time-over",
+	[LOSS_CALLER_LEFT] = "caller-left",
+	[LOSS_PAUSED] = "paused",
+	[LOSS_WAITED] = "late-waited",
+	[LOSS_PREFILL_QUEUED] = "late-prefill",
+	[LOSS_BEGAN_LATE] = "late-begin",
+	[LOSS_ANSWERED_LATE] = "late-answer",
+	[LOSS_UNKNOWN] = "unknown",
+};
+
+const char *loss_name(enum loss loss)
+{
+	return names[loss];
+}
+
+void losses_init(struct losses *losses)
+{
+	*losses = (struct losses){
+		.routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						NULL),
+		.seconds = g_hash_table_new(g_direct_hash, g_direct_equal),
+	};
+}
+
+void losses_clear(struct losses *losses)
+{
+	g_hash_table_destroy(losses->routes);
+	g_hash_table_destroy(losses->seconds);
+}
+
+/* The number of a field; -1 when the line does not have it. */
+static int64_t number_of(const char *line, const char *key)
+{
+	g_autofree char *text = explain_value(line, key);
+
+	return text && *text ? g_ascii_strtoll(text, NULL, 10) : -1;
+}
+
+static enum loss refusal_of(const char *why)
+{
+	if (g_strcmp0(why, "queue-full") == 0)
+		return LOSS_REFUSED_EARLY;
+	if (g_strcmp0(why, "deadline") == 0)
+		return LOSS_REFUSED_LATE;
+	return LOSS_REFUSED_OTHER;
+}
+
+static bool is_time(const char *why)
+{
+	return why && (strstr(why, "time limit") || strstr(why, "timed out"));
+}
+
+/* Where most of the time until the first event of a late stream went. */
+static enum loss lateness_of(const char *line)
+{
+	int64_t placed = number_of(line, "placed_ms");
+	int64_t prefilled = number_of(line, "prefilled_ms");
+	int64_t first = number_of(line, "first_ms");
+
+	if (first < 0)
+		return LOSS_ANSWERED_LATE;
+	if (placed < 0)
+		return LOSS_UNKNOWN;
+	prefilled = MAX(prefilled, placed);
+	if (placed >= prefilled - placed && placed >= first - prefilled)
+		return LOSS_WAITED;
+	return prefilled - placed >= first - prefilled ? LOSS_PREFILL_QUEUED
+						       : LOSS_BEGAN_LATE;
+}
+
+static enum loss answered_of(const char *line)
+{
+	if (number_of(line, "status") >= 500)
+		return LOSS_SERVER_ERROR;
+	if (number_of(line, "late") == 1)
+		return lateness_of(line);
+	return number_of(line, "stalled") == 1 ? LOSS_PAUSED : LOSS_NONE;
+}
+
+enum loss loss_of(const char *line)
+{
+	g_autofree char *outcome = explain_value(line, "outcome");
+	g_autofree char *why = explain_value(line, "why");
+
+	if (g_strcmp0(outcome, "answered") == 0)
+		return answered_of(line);
+	if (g_strcmp0(outcome, "refused") == 0)
+		return refusal_of(why);
+	if (g_strcmp0(outcome, "gone") == 0)
+		return LOSS_CALLER_LEFT;
+	if (g_strcmp0(outcome, "failed") != 0 &&
+	    g_strcmp0(outcome, "broken") != 0)
+		return LOSS_UNKNOWN;
+	return is_time(why) ? LOSS_TIME_OVER : LOSS_SERVER_LOST;
+}
+
+static void count_add(GHashTable *table, gpointer key, gpointer owned)
+{
+	guint count = GPOINTER_TO_UINT(g_hash_table_lookup(table, key));
+
+	g_hash_table_replace(table, owned, GUINT_TO_POINTER(count + 1));
+}
+
+static void loss_add(struct losses *losses, enum loss loss, const char *route,
+		     double time)
+{
+	gpointer second =
+		GINT_TO_POINTER((gint)floor(time - losses->first));
+
+	losses->lost++;
+	losses->causes[loss]++;
+	count_add(losses->routes, (gpointer)route, g_strdup(route));
+	count_add(losses->seconds, second, second);
+}
+
+static void line_take(struct losses *losses, const char *text)
+{
+	const char *at = strstr(text, ">time=");
+	double time = at ? g_ascii_strtod(at + strlen(">time="), NULL) : 0.0;
+	g_autofree char *route = NULL;
+	enum loss loss;
+
+	if (!at)
+		return;
+	if (losses->first == 0.0)
+		losses->first = time;
+	if (!strstr(text, " event=request_end ") ||
+	    strstr(text, " outcome=denied "))
+		return;
+	losses->requests++;
+	loss = loss_of(text);
+	if (loss == LOSS_NONE)
+		return;
+	route = explain_value(text, "route");
+	loss_add(losses, loss, route && *route ? route : "-", time);
+}
+
+bool losses_read(struct losses *losses, const char *file, struct error *err)
+{
+	FILE *in = fopen(file, "re");
+	char text[LINE_MAX_BYTES];
+	bool good;
+
+	if (!in)
+		return error_set(err, RESULT_IO, "%s: cannot be read", file);
+	while (fgets(text, sizeof(text), in))
+		line_take(losses, text);
+	good = !ferror(in);
+	fclose(in);
+	return good || error_set(err, RESULT_IO, "%s: reading failed", file);
+}
--- a/forward/request.c
+++ b/forward/request.c
@@ -165,6 +165,16 @@
 	request->kv[0] = '\0';
 }
 
+/* Whether its first event, or its answer, came after its target. */
+static bool is_late(const struct request *request)
+{
+	int64_t at =
+		request->first_at ? request->first_at : request_now(request);
+
+	return request->route &&
+	       at - request->arrived > request->route->target_usec;
+}
+
 static void end_log(const struct request *request, enum request_end end,
 		    int status, const char *why)
 {
@@ -181,7 +191,9 @@
 		  LOG_D("prefilled_ms",
 			since_msec(request, request->prefilled_at)),
 		  LOG_D("first_ms", since_msec(request, request->first_at)),
-		  LOG_D("whole_ms", since_msec(request, request_now(request))));
+		  LOG_D("whole_ms", since_msec(request, request_now(request))),
+		  LOG_D("late", is_late(request)),
+		  LOG_D("stalled", request->stalled));
 }
 
 /* Gives back all that servers keep for it. */
--- a/forward/request.h
+++ b/forward/request.h
@@ -66,6 +66,7 @@
 	int64_t prefilled_at;
 	int64_t first_at;
 	int64_t last_at; /* when events were passed on last; 0: never */
+	bool stalled;	 /* paused for longer than its route allows */
 };
 
 enum request_end {
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -47,6 +47,16 @@
 	forward->begin_usec += BEGIN_WEIGHT * (took - forward->begin_usec);
 }
 
+/* A server that runs out of memory preempts a stream and reads it in again. */
+static void stall_notice(struct request *request)
+{
+	int64_t gap = request->route->gap_usec;
+
+	if (gap > 0 && request->last_at > 0 &&
+	    request_now(request) - request->last_at > gap)
+		request->stalled = true;
+}
+
 static void run_events(struct request *request, const void *data, size_t size)
 {
 	struct event_cutter *cutter = &request->cutter;
@@ -63,6 +73,7 @@
 		request_reply_start(request);
 		begin_measure(request);
 	}
+	stall_notice(request);
 	request->last_at = request_now(request);
 	web_reply_piece(request->web, cutter->rest->data, whole);
 	event_cutter_take(cutter, whole);
--- a/include/ctl/command.h
+++ b/include/ctl/command.h
@@ -45,6 +45,7 @@
 extern const struct command command_completions;
 extern const struct command command_diff;
 extern const struct command command_explain;
+extern const struct command command_losses;
 extern const struct command command_history;
 extern const struct command command_measures;
 extern const struct command command_policies;
--- a/include/ctl/ctl.h
+++ b/include/ctl/ctl.h
@@ -16,8 +16,8 @@
 #include "common/error.h"
 
 #define CTL_ADMIN_DEFAULT "127.0.0.1:8081"
-/* A request and the logs of one data centre's instances. */
-#define CTL_OPERANDS_MAX 65
+/* A request and the logs of a site of 360 instances, and some. */
+#define CTL_OPERANDS_MAX 401
 
 struct loop;
 struct web_client;
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -66,6 +66,10 @@
 	{"explain-nobody", FAKE_FINE, "explain r3 LOG"},
 	{"explain-no-file", FAKE_FINE, "explain r1 /nowhere"},
 	{"explain-no-log", FAKE_FINE, "explain r1"},
+	{"losses", FAKE_FINE, "losses LOSSES"},
+	{"losses-json", FAKE_FINE, "losses --json LOSSES"},
+	{"losses-no-file", FAKE_FINE, "losses LOSSES /nowhere"},
+	{"losses-no-log", FAKE_FINE, "losses"},
 	{"history", FAKE_FINE, "history"},
 	{"history-json", FAKE_FINE, "history --json"},
 	{"status", FAKE_FINE, "status"},
@@ -101,6 +105,7 @@
 	{"PARAMETER", TESTS "parameter.yaml"},
 	{"RANGE", TESTS "range.yaml"},
 	{"LOG", TESTS "one.log"},
+	{"LOSSES", TESTS "losses.log"},
 	{"A", TESTS "before.json"},
 	{"B", TESTS "after.json"},
 };
