web: reset connections that died without a word

Connections may go silent for good while new ones work. Calls to servers open a connection each, reads of the store are given up after 1.5 s and those of copies after 0.3 s, so none of these waits for long; but a run on a connection that died held decode memory until its limit, 14 s, and so did a caller's whose connection died. Keep-alive probes and a limit for unanswered data end both after 5 s, longer than a caller waits for a stream that shows nothing (3.6 s).

Test: web_silence.

--- /dev/null
+++ b/tests/web/test_silence.c
@@ -0,0 +1,54 @@
+/* What the kernel is told to do with connections that die without a word. */
+#include <glib.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "../../web/silence.h"
+
+static int option(int fd, int level, int name)
+{
+	socklen_t size = sizeof(int);
+	int value = -1;
+
+	g_assert_cmpint(getsockopt(fd, level, name, &value, &size), ==, 0);
+	return value;
+}
+
+/* Idle or with data under way, the connection ends within five seconds, and not
+ * before a caller's patience of 3.6 s. */
+static void test_options(void)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+	int idle;
+
+	silence_watch(fd);
+	g_assert_cmpint(option(fd, SOL_SOCKET, SO_KEEPALIVE), ==, 1);
+	idle = option(fd, IPPROTO_TCP, TCP_KEEPIDLE) +
+	       option(fd, IPPROTO_TCP, TCP_KEEPINTVL) *
+		       option(fd, IPPROTO_TCP, TCP_KEEPCNT);
+	g_assert_cmpint(idle, ==, 5);
+	g_assert_cmpint(option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT), ==, 5000);
+	close(fd);
+}
+
+/* A socket that does not take the options is logged, and goes on. */
+static void test_other_socket(void)
+{
+	int fds[2];
+
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_STREAM, 0, fds), ==, 0);
+	silence_watch(fds[0]);
+	g_assert_cmpint(write(fds[0], "x", 1), ==, 1);
+	close(fds[0]);
+	close(fds[1]);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/web/silence/options", test_options);
+	g_test_add_func("/web/silence/other-socket", test_other_socket);
+	return g_test_run();
+}
--- a/web/call.c
+++ b/web/call.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include "head.h"
+#include "silence.h"
 
 #define HEADERS_MAX 100
 #define CONNECT_USEC (3 * USEC_PER_SEC)
@@ -267,6 +268,7 @@
 		call_fail_later(call, err);
 		return NULL;
 	}
+	silence_watch(h2o_socket_get_fd(http->sock));
 	call->connected = true;
 	activity(call);
 	timer_start(&call->timer, call->head_usec);
--- a/web/server.c
+++ b/web/server.c
@@ -8,6 +8,7 @@
 #include "common/clock.h"
 #include "common/error.h"
 #include "request.h"
+#include "silence.h"
 
 #ifdef __SANITIZE_ADDRESS__
 #include <sanitizer/lsan_interface.h>
@@ -110,6 +111,7 @@
 		h2o_socket_close(sock);
 		return;
 	}
+	silence_watch(h2o_socket_get_fd(sock));
 	conn = g_new0(struct web_conn, 1);
 	conn->server = server;
 	conn->sock = sock;
--- /dev/null
+++ b/web/silence.c
@@ -0,0 +1,34 @@
+#include "silence.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#include "common/log.h"
+
+/* An idle connection is probed after the first figure, each second, so often.
+ * Together longer than the 3.6 s after which a caller leaves a stream that
+ * shows nothing, so no stream is reset that its caller still waits for. Without
+ * it a run on a connection that died held its memory until its limit, 14 s. */
+#define PROBE_AFTER_SEC 2
+#define PROBE_EVERY_SEC 1
+#define PROBES 3
+#define UNANSWERED_MSEC 5000
+
+static void option_set(int fd, int level, int name, int value)
+{
+	if (setsockopt(fd, level, name, &value, sizeof(value)) != 0)
+		log_event(LOG_WARNING, "socket_option_failed",
+			  LOG_D("option", name), LOG_S("why", strerror(errno)));
+}
+
+void silence_watch(int fd)
+{
+	option_set(fd, SOL_SOCKET, SO_KEEPALIVE, 1);
+	option_set(fd, IPPROTO_TCP, TCP_KEEPIDLE, PROBE_AFTER_SEC);
+	option_set(fd, IPPROTO_TCP, TCP_KEEPINTVL, PROBE_EVERY_SEC);
+	option_set(fd, IPPROTO_TCP, TCP_KEEPCNT, PROBES);
+	option_set(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, UNANSWERED_MSEC);
+}
