--- a/ctl/losses.c
+++ b/ctl/losses.c
@@ -123,8 +123,7 @@
 static void loss_add(struct losses *losses, enum loss loss, const char *route,
 		     double time)
 {
-	gpointer second =
-		GINT_TO_POINTER((gint)floor(time - losses->first));
+	gpointer second = GINT_TO_POINTER((gint)floor(time - losses->first));
 
 	losses->lost++;
 	losses->causes[loss]++;
