--- a/ctl/command_losses.c
+++ b/ctl/command_losses.c
@@ -1,3 +1,5 @@
+#include <string.h>
+
 #include <glib.h>
 #include <jansson.h>
 
@@ -27,15 +29,19 @@
 				  losses->causes[i]);
 }
 
-static void routes_print(FILE *out, const struct losses *losses)
+static char *route_name(gpointer key)
+{
+	return g_strdup(key);
+}
+
+static char *second_name(gpointer key)
 {
-	g_autoptr(GList) names = g_list_sort(
-		g_hash_table_get_keys(losses->routes), (GCompareFunc)g_strcmp0);
+	return g_strdup_printf("%d", GPOINTER_TO_INT(key));
+}
 
-	for (GList *link = names; link; link = link->next)
-		row_print(out, losses, "route", link->data,
-			  GPOINTER_TO_UINT(g_hash_table_lookup(losses->routes,
-							       link->data)));
+static gint route_compare(gconstpointer a, gconstpointer b)
+{
+	return strcmp(a, b);
 }
 
 static gint second_compare(gconstpointer a, gconstpointer b)
@@ -43,46 +49,32 @@
 	return GPOINTER_TO_INT(a) - GPOINTER_TO_INT(b);
 }
 
-static void seconds_print(FILE *out, const struct losses *losses)
+static void counts_print(FILE *out, const struct losses *losses,
+			 const char *kind, GHashTable *counts,
+			 char *(*name_of)(gpointer key), GCompareFunc compare)
 {
-	g_autoptr(GList) seconds = g_list_sort(
-		g_hash_table_get_keys(losses->seconds), second_compare);
+	g_autoptr(GList) keys =
+		g_list_sort(g_hash_table_get_keys(counts), compare);
 
-	for (GList *link = seconds; link; link = link->next) {
-		g_autofree char *name =
-			g_strdup_printf("%d", GPOINTER_TO_INT(link->data));
+	for (GList *link = keys; link; link = link->next) {
+		g_autofree char *name = name_of(link->data);
 
-		row_print(out, losses, "second", name,
-			  GPOINTER_TO_UINT(g_hash_table_lookup(losses->seconds,
-							       link->data)));
+		row_print(out, losses, kind, name,
+			  GPOINTER_TO_UINT(
+				  g_hash_table_lookup(counts, link->data)));
 	}
 }
 
-static json_t *routes_json(const struct losses *losses)
-{
-	json_t *object = json_object();
-	GHashTableIter iter;
-	gpointer name;
-	gpointer count;
-
-	g_hash_table_iter_init(&iter, losses->routes);
-	while (g_hash_table_iter_next(&iter, &name, &count))
-		json_object_set_new(object, name,
-				    json_integer(GPOINTER_TO_UINT(count)));
-	return object;
-}
-
-static json_t *seconds_json(const struct losses *losses)
+static json_t *counts_json(GHashTable *counts, char *(*name_of)(gpointer key))
 {
 	json_t *object = json_object();
 	GHashTableIter iter;
-	gpointer second;
+	gpointer key;
 	gpointer count;
 
-	g_hash_table_iter_init(&iter, losses->seconds);
-	while (g_hash_table_iter_next(&iter, &second, &count)) {
-		g_autofree char *name =
-			g_strdup_printf("%d", GPOINTER_TO_INT(second));
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &key, &count)) {
+		g_autofree char *name = name_of(key);
 
 		json_object_set_new(object, name,
 				    json_integer(GPOINTER_TO_UINT(count)));
@@ -100,8 +92,9 @@
 				    json_integer(losses->causes[i]));
 	root = json_pack("{s:i, s:i, s:o, s:o, s:o}", "requests",
 			 (int)losses->requests, "lost", (int)losses->lost,
-			 "causes", causes, "routes", routes_json(losses),
-			 "seconds", seconds_json(losses));
+			 "causes", causes, "routes",
+			 counts_json(losses->routes, route_name), "seconds",
+			 counts_json(losses->seconds, second_name));
 	print_json(out, root);
 	json_decref(root);
 }
@@ -124,8 +117,10 @@
 		fprintf(ctl->out, "%u of %u requests lost\n", losses.lost,
 			losses.requests);
 		causes_print(ctl->out, &losses);
-		routes_print(ctl->out, &losses);
-		seconds_print(ctl->out, &losses);
+		counts_print(ctl->out, &losses, "route", losses.routes,
+			     route_name, route_compare);
+		counts_print(ctl->out, &losses, "second", losses.seconds,
+			     second_name, second_compare);
 	}
 	losses_clear(&losses);
 	return true;
--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -1,12 +1,10 @@
 #include "ctl/explain.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "common/error.h"
-
-#define LINE_MAX_BYTES 16384
+#include "ctl/log_file.h"
 
 static void line_free(gpointer data)
 {
@@ -46,37 +44,36 @@
 	return g_strndup(at, (gsize)(end - at));
 }
 
-static void line_take(struct explanation *explanation, const char *request,
-		      const char *source, const char *text)
+/* The lines of one request are looked for in one file. */
+struct search {
+	struct explanation *explanation;
+	const char *request;
+	const char *file;
+};
+
+static void line_take(void *ctx, const char *text)
 {
+	const struct search *search = ctx;
 	const char *event = strstr(text, " event=");
 	g_autofree char *id = explain_value(text, "request");
 	const char *time = strstr(text, ">time=");
 	struct explain_line *line;
 
-	if (!event || !time || g_strcmp0(id, request) != 0)
+	if (!event || !time || g_strcmp0(id, search->request) != 0)
 		return;
 	line = g_new0(struct explain_line, 1);
 	line->time = g_ascii_strtod(time + strlen(">time="), NULL);
-	line->source = g_path_get_basename(source);
+	line->source = g_path_get_basename(search->file);
 	line->text = g_strchomp(g_strdup(event + 1));
-	g_ptr_array_add(explanation->lines, line);
+	g_ptr_array_add(search->explanation->lines, line);
 }
 
 bool explanation_read(struct explanation *explanation, const char *request,
 		      const char *file, struct error *err)
 {
-	FILE *in = fopen(file, "re");
-	char text[LINE_MAX_BYTES];
-	bool good;
-
-	if (!in)
-		return error_set(err, RESULT_IO, "%s: cannot be read", file);
-	while (fgets(text, sizeof(text), in))
-		line_take(explanation, request, file, text);
-	good = !ferror(in);
-	fclose(in);
-	return good || error_set(err, RESULT_IO, "%s: reading failed", file);
+	struct search search = {explanation, request, file};
+
+	return log_file_read(file, line_take, &search, err);
 }
 
 static gint line_compare(gconstpointer a, gconstpointer b)
--- a/ctl/losses.c
+++ b/ctl/losses.c
@@ -1,14 +1,11 @@
 #include "ctl/losses.h"
 
 #include <math.h>
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "common/error.h"
 #include "ctl/explain.h"
-
-#define LINE_MAX_BYTES 16384
+#include "ctl/log_file.h"
 
 static const char *const names[LOSS_COUNT] = {
 	[LOSS_NONE] = "none",
@@ -131,8 +128,9 @@
 	count_add(losses->seconds, second, second);
 }
 
-static void line_take(struct losses *losses, const char *text)
+static void line_take(void *ctx, const char *text)
 {
+	struct losses *losses = ctx;
 	const char *at = strstr(text, ">time=");
 	double time = at ? g_ascii_strtod(at + strlen(">time="), NULL) : 0.0;
 	g_autofree char *route = NULL;
@@ -155,15 +153,5 @@
 
 bool losses_read(struct losses *losses, const char *file, struct error *err)
 {
-	FILE *in = fopen(file, "re");
-	char text[LINE_MAX_BYTES];
-	bool good;
-
-	if (!in)
-		return error_set(err, RESULT_IO, "%s: cannot be read", file);
-	while (fgets(text, sizeof(text), in))
-		line_take(losses, text);
-	good = !ferror(in);
-	fclose(in);
-	return good || error_set(err, RESULT_IO, "%s: reading failed", file);
+	return log_file_read(file, line_take, losses, err);
 }
