--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -93,16 +93,14 @@
 	return rank;
 }
 
-bool gossip_lowest(const struct gossip *gossip)
+bool gossip_lowest(const struct gossip *gossip, bool storeless)
 {
-	struct gossip_word own;
 	GHashTableIter iter;
 	struct peer *peer;
 
-	gossip->ops.word(gossip->ctx, &own);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		int order = (int)peer->word.storeless - (int)own.storeless;
+		int order = (int)peer->word.storeless - (int)storeless;
 
 		if (order == 0)
 			order = strcmp(peer->name, gossip->settings.name);
--- a/forward/node.c
+++ b/forward/node.c
@@ -180,7 +180,7 @@
 	const struct node *node = ctx;
 
 	return !node->draining && clock_now(node->clock) >= MEET_USEC &&
-	       gossip_lowest(node->gossip);
+	       gossip_lowest(node->gossip, is_storeless(node));
 }
 
 static double roles_demand(void *ctx)
--- a/forward/request.h
+++ b/forward/request.h
@@ -51,7 +51,7 @@
 	uint32_t runs;	 /* that may have begun to run */
 	uint32_t rounds; /* through placing, for streams */
 	bool judged;	 /* looked at for an early refusal */
-	bool tries;	 /* a decode server that refused others lately */
+	bool on_trial;	 /* at a decode server that refused others lately */
 	int replied_status;
 	bool replied; /* the head of an answer went to the caller */
 	struct charge decode;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -322,7 +322,7 @@
 	charge_add(request, &request->decode, backend, &load);
 	backend_try(backend, place.now);
 	placed_log(request, "reserve", backend);
-	request->tries = backend_suspect(backend);
+	request->on_trial = backend_suspect(backend);
 	request->target = backend->info;
 	request->call = ops->reserve(
 		ops->ctx, &backend->info, reserved_tokens(request),
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -232,7 +232,7 @@
 
 	charge_drop(request, &request->prefill);
 	if (!decode ||
-	    (!request->tries &&
+	    (!request->on_trial &&
 	     !backend_usable(decode, request_now(request))) ||
 	    !request_may_send(request)) {
 		stream_again(request, RESULT_RETRY_BUDGET,
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -96,8 +96,9 @@
 /* Live peers of the same data centre whose names come before this one's. */
 uint32_t gossip_rank(const struct gossip *gossip);
 /* Whether this instance has the lowest name of those live, itself included;
- * instances that reach the store come before those that do not. */
-bool gossip_lowest(const struct gossip *gossip);
+ * instances that reach the store come before those that do not, as storeless
+ * says of this one. */
+bool gossip_lowest(const struct gossip *gossip, bool storeless);
 /* What peers told, added up, and this instance's own word. */
 void gossip_total(const struct gossip *gossip, struct gossip_word *total);
 
