--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -10,11 +10,16 @@
  *	datagrams: from their senders, and from the addresses that each
  *	carries.
  *
+ *	A load that changes on a server of engines is told to all peers in the
+ *	next turn, as long as an allowance of 600 datagrams a second lasts.
+ *	Beyond that, and for other changes, words go at intervals.
+ *
  *	With n peers in a data centre a datagram goes to each of them every
  *	GOSSIP_USEC * max(1, n / 16), and to n peers in others every
  *	GOSSIP_USEC * max(1, n / 8), one second at the most: what an instance
- *	sends and reads is bounded at about 240 datagrams a second each way, as
- *	long as there are fewer than 80 peers in other data centres.
+ *	sends and reads so is bounded at about 240 datagrams a second each way,
+ *	as long as there are fewer than 80 peers in other data centres; with the
+ *	allowance at 840.
  */
 #ifndef FORWARD_GOSSIP_H
 #define FORWARD_GOSSIP_H
@@ -79,7 +84,7 @@
  * of within the last half minute. */
 uint32_t gossip_instances(const struct gossip *gossip);
 /* How often peers in the same data centre, or in others, are told of loads that
- * change; theirs are as old when they are used. */
+ * change when the allowance is spent. */
 int64_t gossip_interval(const struct gossip *gossip, bool near);
 /* This instance's load on a server of engines has changed: peers are told at
  * once as long as its allowance of datagrams lasts, otherwise at the interval.
