tests: a connection of the soak that swallowed stays silent

The instance's log has one run, answered whole in 130 ms. The soak's proxy took what came while it was silent, and passed on what came after it was sound again, on the same connection: a hole that TCP does not make, in a chunked answer that stays well formed. Ruled out: a second run or a joined one (sends=1 runs=1), the relay (its cutter passes what came in order).

Change: a direction of a connection that swallowed something passes nothing more; new connections are as the mood says. That is also how connections go silent for good. The check is as it was.

--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -25,7 +25,8 @@
 	int to;
 	gboolean answers;
 	gint epoch;
-	gint *users; /* of the two sockets */
+	gboolean swallowed; /* passes nothing more: a connection has no holes */
+	gint *users;	    /* of the two sockets */
 };
 
 static void sock_reset(int fd)
@@ -36,10 +37,13 @@
 	shutdown(fd, SHUT_RDWR);
 }
 
-static gboolean passes(const struct pump *pump, enum proxy_mood mood)
+/* What is swallowed is never made good, so nothing may follow it: the
+ * connection stays silent for good, while new ones are as the mood says. */
+static gboolean passes(struct pump *pump, enum proxy_mood mood)
 {
-	return mood != PROXY_SILENT &&
-	       !(mood == PROXY_ONE_WAY && pump->answers);
+	if (mood == PROXY_SILENT || (mood == PROXY_ONE_WAY && pump->answers))
+		pump->swallowed = TRUE;
+	return !pump->swallowed;
 }
 
 static void sent_all(int fd, const char *data, ssize_t size)
@@ -103,7 +107,7 @@
 
 	*pump = (struct pump){
 		proxy, from, to, answers, g_atomic_int_get(&proxy->epoch),
-		users};
+		FALSE, users};
 	g_thread_unref(g_thread_new("pump", pump_thread, pump));
 }
 
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -13,8 +13,9 @@
 	PROXY_SOUND,
 	PROXY_SLOW,    /* each piece waits 100 ms */
 	PROXY_RESET,   /* connections are reset, new ones too */
-	PROXY_SILENT,  /* takes everything, passes nothing on */
-	PROXY_ONE_WAY, /* requests pass, answers do not */
+	PROXY_SILENT,  /* takes everything, passes nothing on; what is open when
+			* something is taken stays so */
+	PROXY_ONE_WAY, /* the same for answers; requests pass */
 	PROXY_MOODS,
 };
 
