--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -7,13 +7,6 @@
 /* How often waiting requests look for memory again; a runner frees some every
  * few tens of milliseconds. */
 #define PUMP_USEC (15 * USEC_PER_MSEC)
-/* A place that comes free is seen by all instances with waiting requests at
- * once, and each would take it. They look at random times instead, in a span
- * that is longer the more of them may wait, so that most hear of the first that
- * took it: that takes some 5 ms. With 83 instances the mean worth of days with
- * trouble was 0.477, now 0.507 (15 plays each); with 7 it is the same. */
-#define CLAIM_USEC (6 * USEC_PER_MSEC)
-#define PUMP_MOST_USEC (250 * USEC_PER_MSEC)
 /* Requests waiting at an instance. */
 #define WAITING_MAX 512u
 /* A caller leaves a stream that shows no event for the longest of this time and
@@ -47,34 +40,6 @@
 /* What one is told that waited in vain: memory is freed within this time. */
 #define RETRY_USEC (300 * USEC_PER_MSEC)
 
-int64_t waiting_pause(uint32_t waiting, uint32_t instances, double point)
-{
-	int64_t span = MIN(waiting, instances) * CLAIM_USEC;
-
-	if (span <= PUMP_USEC)
-		return PUMP_USEC;
-	return (int64_t)((0.5 + point) * (double)MIN(span, PUMP_MOST_USEC));
-}
-
-/* When waiting requests look again. */
-static int64_t pump_delay(const struct forward *forward)
-{
-	const struct forward_parts *parts = &forward->parts;
-
-	return waiting_pause(parts->waiting(parts->instances_ctx),
-			     parts->instances(parts->instances_ctx),
-			     g_rand_double(parts->rand));
-}
-
-/* When a request that has just begun to wait looks again: at once where few
- * others wait. */
-static int64_t pump_first(const struct forward *forward)
-{
-	int64_t delay = pump_delay(forward);
-
-	return delay <= PUMP_USEC ? 0 : delay;
-}
-
 void stream_unwait(struct request *request)
 {
 	if (!request->waiting)
@@ -92,7 +57,7 @@
 	request->waiting = true;
 	g_queue_push_tail_link(&forward->waiting, &request->link);
 	if (!timer_running(&forward->pump))
-		timer_start(&forward->pump, pump_first(forward));
+		timer_start(&forward->pump, 0);
 }
 
 bool stream_waiting_full(const struct forward *forward)
@@ -197,5 +162,5 @@
 	waiting_pass(forward, true);
 	waiting_pass(forward, false);
 	if (forward->waiting.length > 0)
-		timer_start(&forward->pump, pump_delay(forward));
+		timer_start(&forward->pump, PUMP_USEC);
 }
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -77,10 +77,6 @@
 /* From now on requests that may take long are refused: they would not end
  * before the process has to. */
 void forward_drain(struct forward *forward);
-/* How long, in microseconds, requests that wait for memory wait before they
- * look for it again: with so many waiting at so many instances, and a point in
- * [0, 1) drawn at random. */
-int64_t waiting_pause(uint32_t waiting, uint32_t instances, double point);
 /* Handles one request: a web_handler_fn with the forward as context. */
 void forward_take(void *ctx, struct web_request *request);
 /* Requests not yet ended. */
