--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -26,7 +26,7 @@
  * placed in time is refused then: it has not run, and its caller comes back
  * when the overload may be over. Within an eighth of the target its caller
  * loses little by having waited. Told at once, by the queue of one moment, too
- * many were refused: 0.557 against 0.568 at Vestland, mean worth of days with
+ * many were refused: 0.556 against 0.567 at Vestland, mean worth of days with
  * trouble. */
 #define EARLY_PART 0.1
 /* How long a request keeps its memory, on average. */
--- a/include/ctl/losses.h
+++ b/include/ctl/losses.h
@@ -21,8 +21,8 @@
 	LOSS_REFUSED_LATE,  /* it waited in vain */
 	LOSS_REFUSED_OTHER, /* no configuration, no server, the process stops */
 	LOSS_SERVER_ERROR,  /* a server's own error was passed on */
-	LOSS_SERVER_LOST,   /* a server broke off, or failed without an answer */
-	LOSS_TIME_OVER,	    /* its time limit came first */
+	LOSS_SERVER_LOST, /* a server broke off, or failed without an answer */
+	LOSS_TIME_OVER,	  /* its time limit came first */
 	LOSS_CALLER_LEFT,
 	LOSS_PAUSED,	     /* the stream paused for longer than allowed */
 	LOSS_WAITED,	     /* late: most of the time went into waiting */
@@ -37,7 +37,7 @@
 	uint32_t requests; /* ended, and allowed by a route */
 	uint32_t lost;
 	uint32_t causes[LOSS_COUNT];
-	GHashTable *routes; /* name to its count */
+	GHashTable *routes;  /* name to its count */
 	GHashTable *seconds; /* since the first line of all, to its count */
 	double first;	     /* time of that line; 0: none yet */
 };
--- a/tests/forward/test_views.c
+++ b/tests/forward/test_views.c
@@ -12,7 +12,8 @@
 #define HELD_USEC (3300 * USEC_PER_MSEC)
 #define STEP (1 * USEC_PER_MSEC)
 #define SECONDS 120
-/* Arrivals a second that fill the servers nearly: they hold 5 each, for 3.3 s. */
+/* Arrivals a second that fill the servers nearly: they hold 5 each, for 3.3 s.
+ */
 #define RATE 7.0
 
 /* A load that changed, to be heard by the others later. */
@@ -167,16 +168,17 @@
 	site_open(site, delay);
 	for (int64_t i = 0; i < SECONDS * USEC_PER_SEC / STEP; i++)
 		step(site);
-	g_test_message("words take %d ms: %u placed, %u found no room, %u where "
-		       "memory runs out",
-		       (int)(delay / USEC_PER_MSEC), site->placed, site->waits,
-		       site->overrun);
+	g_test_message(
+		"words take %d ms: %u placed, %u found no room, %u where "
+		"memory runs out",
+		(int)(delay / USEC_PER_MSEC), site->placed, site->waits,
+		site->overrun);
 	site_close(site);
 }
 
 /* Words that take 350 ms, the mean of near and far when loads are told at
- * intervals only: 164 of 845 requests are placed where memory will run out. With
- * words that take 3 ms: 3 of 780, and 69 more find no room and wait. */
+ * intervals only: 164 of 845 requests are placed where memory will run out.
+ * With words that take 3 ms: 3 of 780, and 69 more find no room and wait. */
 static void test_load(void)
 {
 	struct site late;
