--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -22,8 +22,9 @@
  * are left of this many a second, and this many saved up. Told only every 100
  * ms near and 600 ms elsewhere, instances that place at the same time choose
  * the same server, which then preempts: with 83 instances the mean worth of
- * days with trouble was 0.323, now 0.494; with 7 it was 0.744 and 0.568, now
- * 0.754 and 0.571 (at most 240 a second: 0.433). A request changes load some
+ * days with trouble was 0.344, now 0.477 (5 and 15 plays, no processor time
+ * charged); with 7 it was 0.744 and 0.568, now 0.754 and 0.571. With at most
+ * 240 a second it was 0.433 with 83 (5 plays). A request changes load some
  * five times, so 83 instances with 36 requests a second tell 180 datagrams a
  * second each. */
 #define AT_ONCE_PER_SEC 600.0
