forward, platform: tell the lives of a server apart, and take no entry of another writer

Cause: a server may start again under its id, and entries may be written by others.

An entry with a field missing, of another type, or with a state or stage that is not known names no server, is logged once a version and counted; the others hold.

Ruled out: dropping entries without a start everywhere; sites that tell none must be served.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -8,6 +8,8 @@
 #include "common/table.h"
 
 #define BACKENDS_MAX 65536u
+/* Ids whose latest life is remembered; beyond that, those not listed go. */
+#define LIVES_MAX 16384u
 /* Half-life of a failure. A server that is down is asked again after about as
  * long as the platform needs to list it as gone (three heartbeats). */
 #define TROUBLE_HALF_USEC (2 * USEC_PER_SEC)
@@ -40,18 +42,38 @@
 	char *data_centre;
 	struct table *table;
 	GHashTable *keys;     /* key to struct backend */
+	GHashTable *ids;      /* id to struct backend */
+	GHashTable *lives;    /* id to struct life */
 	GHashTable *services; /* id to GPtrArray of struct backend */
 	GPtrArray *all;
 };
 
+/* The latest one that was listed of an id. */
+struct life {
+	char id[BACKEND_TEXT_MAX];
+	int64_t born;
+};
+
+uint64_t backend_key(const struct backend_info *info)
+{
+	char text[BACKEND_TEXT_MAX + 24];
+
+	if (info->born == 0)
+		return id_of(info->id);
+	g_snprintf(text, sizeof(text), "%s %" G_GINT64_FORMAT, info->id,
+		   info->born);
+	return id_of(text);
+}
+
 bool backend_info_same(const struct backend_info *a,
 		       const struct backend_info *b)
 {
 	return strcmp(a->id, b->id) == 0 &&
 	       strcmp(a->address, b->address) == 0 &&
 	       strcmp(a->data_centre, b->data_centre) == 0 &&
-	       a->service == b->service && a->stage == b->stage &&
-	       a->slots == b->slots && a->leaving == b->leaving;
+	       a->born == b->born && a->service == b->service &&
+	       a->stage == b->stage && a->slots == b->slots &&
+	       a->leaving == b->leaving;
 }
 
 struct fleet *fleet_create(struct clock *clock, const char *data_centre)
@@ -62,6 +84,9 @@
 	fleet->data_centre = g_strdup(data_centre);
 	fleet->table = table_create(sizeof(struct backend), BACKENDS_MAX);
 	fleet->keys = g_hash_table_new(g_int64_hash, g_int64_equal);
+	fleet->ids = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->lives =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	fleet->services =
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
@@ -75,6 +100,8 @@
 		return;
 	g_ptr_array_unref(fleet->all);
 	g_hash_table_destroy(fleet->services);
+	g_hash_table_destroy(fleet->lives);
+	g_hash_table_destroy(fleet->ids);
 	g_hash_table_destroy(fleet->keys);
 	table_destroy(fleet->table);
 	g_free(fleet->data_centre);
@@ -103,6 +130,7 @@
 		  LOG_S("address", backend->info.address),
 		  LOG_S("data_centre", backend->info.data_centre),
 		  LOG_S("stage", stages[backend->info.stage]),
+		  LOG_D("born", backend->info.born),
 		  LOG_D("leaving", backend->info.leaving));
 }
 
@@ -118,10 +146,11 @@
 		return NULL;
 	}
 	backend->handle = handle;
-	backend->key = id_of(info->id);
+	backend->key = backend_key(info);
 	backend->info = *info;
 	backend->near = strcmp(info->data_centre, fleet->data_centre) == 0;
 	g_hash_table_insert(fleet->keys, &backend->key, backend);
+	g_hash_table_insert(fleet->ids, backend->info.id, backend);
 	g_ptr_array_add(service_list(fleet, info->service), backend);
 	g_ptr_array_add(fleet->all, backend);
 	backend_log("backend_added", backend);
@@ -148,32 +177,74 @@
 		backend_log("backend_changed", backend);
 }
 
+static void backend_drop(struct fleet *fleet, struct backend *backend)
+{
+	backend_log("backend_gone", backend);
+	g_hash_table_remove(fleet->keys, &backend->key);
+	g_hash_table_remove(fleet->ids, backend->info.id);
+	g_ptr_array_remove_fast(service_list(fleet, backend->info.service),
+				backend);
+	g_ptr_array_remove_fast(fleet->all, backend);
+	table_remove(fleet->table, backend->handle);
+}
+
+static gboolean life_unlisted(gpointer key, gpointer value, gpointer data)
+{
+	const struct fleet *fleet = data;
+
+	return !g_hash_table_contains(fleet->ids, key);
+}
+
+static void life_note(struct fleet *fleet, const struct backend_info *info)
+{
+	struct life *life = g_hash_table_lookup(fleet->lives, info->id);
+
+	if (info->born == 0)
+		return;
+	if (!life) {
+		if (g_hash_table_size(fleet->lives) >= LIVES_MAX)
+			g_hash_table_foreach_remove(fleet->lives, life_unlisted,
+						    fleet);
+		life = g_new0(struct life, 1);
+		g_strlcpy(life->id, info->id, sizeof(life->id));
+		g_hash_table_insert(fleet->lives, life->id, life);
+	}
+	life->born = info->born;
+}
+
+int64_t fleet_born(const struct fleet *fleet, const char *id)
+{
+	const struct life *life = g_hash_table_lookup(fleet->lives, id);
+
+	return life ? life->born : 0;
+}
+
 struct backend *fleet_put(struct fleet *fleet, const struct backend_info *info)
 {
-	struct backend *backend = fleet_find(fleet, id_of(info->id));
+	struct backend *backend = fleet_find_id(fleet, info->id);
 
+	if (info->born < fleet_born(fleet, info->id)) {
+		if (backend)
+			backend->listed = true;
+		return NULL;
+	}
+	if (backend && backend->info.born != info->born) {
+		backend_drop(fleet, backend);
+		backend = NULL;
+	}
 	if (backend)
 		backend_update(fleet, backend, info);
 	else
 		backend = backend_add(fleet, info);
+	life_note(fleet, info);
 	if (backend)
 		backend->listed = true;
 	return backend;
 }
 
-static void backend_drop(struct fleet *fleet, struct backend *backend)
-{
-	backend_log("backend_gone", backend);
-	g_hash_table_remove(fleet->keys, &backend->key);
-	g_ptr_array_remove_fast(service_list(fleet, backend->info.service),
-				backend);
-	g_ptr_array_remove_fast(fleet->all, backend);
-	table_remove(fleet->table, backend->handle);
-}
-
 void fleet_remove(struct fleet *fleet, const char *id)
 {
-	struct backend *backend = fleet_find(fleet, id_of(id));
+	struct backend *backend = fleet_find_id(fleet, id);
 
 	if (backend)
 		backend_drop(fleet, backend);
@@ -208,6 +279,11 @@
 	return g_hash_table_lookup(fleet->keys, &key);
 }
 
+struct backend *fleet_find_id(const struct fleet *fleet, const char *id)
+{
+	return g_hash_table_lookup(fleet->ids, id);
+}
+
 const GPtrArray *fleet_service(const struct fleet *fleet, uint64_t service)
 {
 	return g_hash_table_lookup(fleet->services, &service);
@@ -244,12 +320,14 @@
 
 uint32_t backend_decode_tokens(const struct backend *backend)
 {
-	return backend->own.decode_tokens + backend->peers.decode_tokens;
+	return backend->own.decode_tokens +
+	       backend->peers.decode_tokens;
 }
 
 uint32_t backend_prefill_tokens(const struct backend *backend)
 {
-	return backend->own.prefill_tokens + backend->peers.prefill_tokens;
+	return backend->own.prefill_tokens +
+	       backend->peers.prefill_tokens;
 }
 
 double backend_trouble(const struct backend *backend, int64_t now)
--- a/forward/node.h
+++ b/forward/node.h
@@ -64,6 +64,7 @@
 	int64_t file_read; /* time of the settings file that was read */
 	struct timer register_timer;
 	struct counter *malformed;
+	GHashTable *refused; /* key to hash of the value refused last */
 	int status;
 };
 
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -29,6 +29,25 @@
 #define FETCH_SPREAD_USEC (5 * USEC_PER_MSEC)
 #define FETCH_SPREAD_MAX_USEC (150 * USEC_PER_MSEC)
 #define REGISTER_RETRY_USEC (500 * USEC_PER_MSEC)
+/* Keys whose refused value is remembered, so that it is logged once. */
+#define REFUSED_MAX 1024u
+
+/* Whether this value of a key was refused before. Whoever writes broken ones
+ * may do so with each heartbeat. */
+static bool refused_before(struct node *node, const char *key, const void *data,
+			   size_t size)
+{
+	uint64_t hash = id_hash(data, size);
+	uint64_t *known = g_hash_table_lookup(node->refused, key);
+
+	if (known && *known == hash)
+		return true;
+	if (g_hash_table_size(node->refused) >= REFUSED_MAX)
+		g_hash_table_remove_all(node->refused);
+	g_hash_table_replace(node->refused, g_strdup(key),
+			     g_memdup2(&hash, sizeof(hash)));
+	return false;
+}
 
 static void refused_log(struct node *node, const char *what, const char *key,
 			uint64_t offset, const struct error *err)
@@ -60,12 +79,38 @@
 	return in_force ? SHARE_CHANGED : SHARE_REFUSED;
 }
 
+/* What somebody else wrote names no server, also where one was named. */
+static enum share_effect backend_refuse(struct node *node, uint64_t offset,
+					const struct feed_record *record,
+					const struct error *err)
+{
+	bool known = fleet_find_id(node->fleet, record->key);
+
+	if (!refused_before(node, record->key, record->value, record->size))
+		refused_log(node, "backend server", record->key, offset, err);
+	fleet_remove(node->fleet, record->key);
+	return known ? SHARE_CHANGED : SHARE_SAME;
+}
+
+static bool backend_read(struct node *node, const struct feed_record *record,
+			 struct backend_info *info, struct error *err)
+{
+	if (!node->interface.decode_backend(record->key, record->value,
+					    record->size, info, err))
+		return false;
+	if (info->born > 0 || fleet_born(node->fleet, record->key) == 0)
+		return true;
+	return error_set(err, RESULT_BAD_CONFIG,
+			 "no start told by a server that told one");
+}
+
 /* Servers write every second or so; most of it changes nothing. */
 static enum share_effect on_backend(void *ctx, uint64_t offset, const char *key,
 				    const void *data, size_t size)
 {
 	struct node *node = ctx;
-	const struct backend *known = fleet_find(node->fleet, id_of(key));
+	const struct feed_record record = {offset, key, data, size};
+	const struct backend *known = fleet_find_id(node->fleet, key);
 	struct backend_info info;
 	struct error err;
 	bool same;
@@ -74,12 +119,14 @@
 		fleet_remove(node->fleet, key);
 		return known ? SHARE_CHANGED : SHARE_SAME;
 	}
-	if (!node->interface.decode_backend(key, data, size, &info, &err)) {
-		refused_log(node, "backend server", key, offset, &err);
-		return SHARE_SAME;
-	}
+	if (!backend_read(node, &record, &info, &err))
+		return backend_refuse(node, offset, &record, &err);
 	same = known && backend_info_same(&known->info, &info);
-	fleet_put(node->fleet, &info);
+	if (!fleet_put(node->fleet, &info)) {
+		log_event(LOG_INFO, "entry_passed_over", LOG_S("backend", key),
+			  LOG_D("born", info.born), LOG_D("offset", offset));
+		return SHARE_REFUSED;
+	}
 	return same ? SHARE_SAME : SHARE_CHANGED;
 }
 
@@ -305,6 +352,8 @@
 	};
 	const struct feed_settings peers = {.stream = PEER_STREAM};
 
+	node->refused =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	share_open(node, STREAM_CONFIG, &config, &config_ops);
 	share_open(node, STREAM_LIST, &list, &list_ops);
 	node->peer_feed = feed_create(node->clock, &node->interface.feeds,
@@ -328,4 +377,5 @@
 		share_destroy(share->share);
 	}
 	feed_destroy(node->peer_feed);
+	g_hash_table_destroy(node->refused);
 }
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -8,7 +8,6 @@
  */
 #include "request.h"
 
-#include "common/id.h"
 #include "common/log.h"
 
 /* A repeatable request leaves a silent server after this many times its target,
@@ -26,7 +25,7 @@
 static struct backend *target_get(struct request *request)
 {
 	return fleet_find(request->forward->parts.fleet,
-			  id_of(request->target.id));
+			  backend_key(&request->target));
 }
 
 static struct backend *server_choose(struct request *request)
--- a/forward/share.c
+++ b/forward/share.c
@@ -32,6 +32,7 @@
 	struct share_ops ops;
 	void *ctx;
 	GHashTable *values; /* key to struct value */
+	GHashTable *before; /* values before the snapshot being read, or NULL */
 	GArray *dropped;    /* struct dropped, oldest first */
 	uint64_t floor;	    /* changes before it are not told apart */
 	uint64_t changed;
@@ -85,6 +86,19 @@
 	g_hash_table_replace(share->values, g_strdup(key), value);
 }
 
+/* Keeps what a key had before the snapshot that is being read. */
+static bool value_restore(struct share *share, const char *key)
+{
+	gpointer name;
+	gpointer value;
+
+	if (!share->before ||
+	    !g_hash_table_steal_extended(share->before, key, &name, &value))
+		return false;
+	g_hash_table_replace(share->values, name, value);
+	return true;
+}
+
 static void value_take(struct share *share, uint64_t offset, const char *key,
 		       const void *data, size_t size)
 {
@@ -94,7 +108,7 @@
 	bool changes = effect == SHARE_CHANGED;
 	uint64_t changed = changes || !known ? offset : known->changed;
 
-	if (effect == SHARE_REFUSED && known)
+	if (effect == SHARE_REFUSED && (known || value_restore(share, key)))
 		return;
 	if (data)
 		value_set(share, key, data, size, changed);
@@ -110,11 +124,29 @@
 		   record->size);
 }
 
+static GHashTable *values_create(void)
+{
+	return g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				     value_free);
+}
+
+static void before_drop(struct share *share)
+{
+	if (share->before)
+		g_hash_table_destroy(share->before);
+	share->before = NULL;
+}
+
 static void on_begin(void *ctx)
 {
 	struct share *share = ctx;
 
-	g_hash_table_remove_all(share->values);
+	/* One that was broken off has not replaced anything. */
+	if (share->before)
+		g_hash_table_destroy(share->values);
+	else
+		share->before = share->values;
+	share->values = values_create();
 	g_array_set_size(share->dropped, 0);
 	if (share->ops.begin)
 		share->ops.begin(share->ctx);
@@ -125,6 +157,7 @@
 {
 	struct share *share = ctx;
 
+	before_drop(share);
 	share->changed = MAX(share->changed, feed_position(share->feed));
 	share->floor = share->changed;
 	if (share->ops.end)
@@ -152,8 +185,7 @@
 	share->settings = *settings;
 	share->ops = *ops;
 	share->ctx = ctx;
-	share->values = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      value_free);
+	share->values = values_create();
 	share->dropped = g_array_new(FALSE, FALSE, sizeof(struct dropped));
 	g_array_set_clear_func(share->dropped, dropped_clear);
 	share->feed = feed_create(clock, store, settings, &feed_ops, share);
@@ -165,6 +197,7 @@
 	if (!share)
 		return;
 	feed_destroy(share->feed);
+	before_drop(share);
 	g_hash_table_destroy(share->values);
 	g_array_unref(share->dropped);
 	g_free(share);
@@ -401,6 +434,7 @@
 	}
 	if (copy->base == 0) {
 		share->floor = copy->word.next;
+		before_drop(share);
 		if (share->ops.end)
 			share->ops.end(share->ctx);
 	}
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -245,11 +245,21 @@
 	return MIN(RESERVE_USEC, request->service->engine.reserve_usec);
 }
 
+/* A server that has started again since keeps no result of its earlier life. */
+static bool result_outlived(const struct request *request)
+{
+	const struct fleet *fleet = request->forward->parts.fleet;
+	const struct backend *backend = fleet_find_id(fleet, request->kv_at.id);
+
+	return backend && backend->info.born != request->kv_at.born;
+}
+
 static bool result_fresh(const struct request *request)
 {
-	return request->kv[0] && request_now(request) - request->prefilled_at <
-					 request->service->engine.result_usec -
-						 RESULT_MARGIN_USEC;
+	return request->kv[0] && !result_outlived(request) &&
+	       request_now(request) - request->prefilled_at <
+		       request->service->engine.result_usec -
+			       RESULT_MARGIN_USEC;
 }
 
 static void reserved(struct request *request, const char *hold)
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -3,7 +3,6 @@
  */
 #include "stream.h"
 
-#include "common/id.h"
 #include "common/log.h"
 
 /* A resumable stream leaves a server that is silent for this many pauses. */
@@ -85,7 +84,7 @@
 	if (!request->kv[0])
 		return NULL;
 	return fleet_find(request->forward->parts.fleet,
-			  id_of(request->kv_at.id));
+			  backend_key(&request->kv_at));
 }
 
 /* The memory is the run's own now, and its result was fetched. */
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -2,9 +2,11 @@
  * fleet.h - the backend servers that requests are forwarded to
  *
  * DESCRIPTION
- *	A table of backend servers by identity: each start of a server is a new
- *	one, with its own id, even at an address used before. Handles go stale
- *	when a server leaves the list, pointers with them.
+ *	A table of backend servers by life: each start of a server is a new
+ *	one, also under the id or at the address of an earlier one. Handles go
+ *	stale when a server leaves the list or starts again, pointers with them,
+ *	so nothing that was under way at one life counts for the next. What is
+ *	said of a life after a later one was listed is passed over.
  *
  *	Load is what instances have under way at a server: own, counted here,
  *	and that of the peers, set from what they announce (forward/gossip.h).
@@ -33,6 +35,7 @@
 	char id[BACKEND_TEXT_MAX];
 	char address[BACKEND_TEXT_MAX]; /* "IP:port" */
 	char data_centre[BACKEND_TEXT_MAX];
+	int64_t born;	  /* start of this life, Unix milliseconds; 0: untold */
 	uint64_t service; /* id_of() its name */
 	enum backend_stage stage;
 	uint32_t slots;
@@ -49,7 +52,7 @@
 struct backend {
 	struct backend_info info;
 	uint64_t handle;
-	uint64_t key; /* id_of(info.id) */
+	uint64_t key; /* backend_key(&info) */
 	bool near;    /* in this instance's data centre */
 	struct backend_load own;
 	struct backend_load peers;
@@ -68,11 +71,15 @@
 
 bool backend_info_same(const struct backend_info *a,
 		       const struct backend_info *b);
+/* Names one life of a server, alike at all instances. */
+uint64_t backend_key(const struct backend_info *info);
 
 struct fleet *fleet_create(struct clock *clock, const char *data_centre);
 void fleet_destroy(struct fleet *fleet);
 
-/* Adds a server or brings what is known of it up to date. */
+/* Adds a server or brings what is known of it up to date. A later life takes
+ * the place of an earlier one. NULL when a later life was listed before, which
+ * stays as it is, or when the table is full. */
 struct backend *fleet_put(struct fleet *fleet, const struct backend_info *info);
 void fleet_remove(struct fleet *fleet, const char *id);
 /* Around a snapshot of the whole list: servers not put meanwhile are gone. */
@@ -80,7 +87,13 @@
 void fleet_snapshot_end(struct fleet *fleet);
 
 struct backend *fleet_get(const struct fleet *fleet, uint64_t handle);
+/* By backend_key(). */
 struct backend *fleet_find(const struct fleet *fleet, uint64_t key);
+/* The listed life of the server with that id. */
+struct backend *fleet_find_id(const struct fleet *fleet, const char *id);
+/* Start of the latest life that was ever listed of that id, Unix milliseconds;
+ * 0 when none was told. */
+int64_t fleet_born(const struct fleet *fleet, const char *id);
 /* Servers of a service, in no order; NULL when there is none. */
 const GPtrArray *fleet_service(const struct fleet *fleet, uint64_t service);
 /* All servers, struct backend. */
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -31,5 +31,9 @@
  * be freed with g_free(), keys are copied into it. */
 bool store_read_keyed(const void *data, size_t size, uint64_t from,
 		      struct feed_page *page, struct error *err);
+/* Calls fn with a page of a snapshot, without the items that are none; false,
+ * and fn is not called, when the answer is no page. Exposed for tests. */
+bool store_read_snapshot(const void *data, size_t size, feed_page_fn fn,
+			 void *ctx);
 
 #endif
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -337,6 +337,62 @@
 	site_close(&site);
 }
 
+static struct backend *life_put(struct site *site, int64_t born)
+{
+	struct backend_info info = {
+		.id = "one",
+		.address = "127.0.0.1:1",
+		.data_centre = "here",
+		.service = 1,
+		.slots = 4,
+		.born = born,
+	};
+
+	return fleet_put(site->fleet, &info);
+}
+
+/* A server that starts again under its id holds nothing of its earlier life,
+ * and what is said of that one does not bring it back. */
+static void test_fleet_lives(void)
+{
+	struct site site;
+	struct backend *backend;
+	uint64_t handle;
+	uint64_t key;
+
+	site_open(&site);
+	backend = life_put(&site, 5000);
+	handle = backend->handle;
+	key = backend->key;
+	backend->own.requests = 3;
+	backend->peers.decode_tokens = 9000;
+	backend_unreachable(backend, site.place.now);
+	backend_run_refused(backend, site.place.now);
+	backend = life_put(&site, 6000);
+	g_assert_null(fleet_get(site.fleet, handle));
+	g_assert_null(fleet_find(site.fleet, key));
+	g_assert_cmpuint(backend_requests(backend), ==, 0);
+	g_assert_cmpuint(backend_decode_tokens(backend), ==, 0);
+	g_assert_cmpuint(backend->refusals, ==, 0);
+	g_assert_true(backend_usable(backend, site.place.now));
+	g_assert_true(backend->key != key);
+	handle = backend->handle;
+	g_assert_null(life_put(&site, 5000));
+	g_assert_true(fleet_find_id(site.fleet, "one")->handle == handle);
+	/* A snapshot with the old entry does not take the server away. */
+	fleet_snapshot_begin(site.fleet);
+	g_assert_null(life_put(&site, 5000));
+	fleet_snapshot_end(site.fleet);
+	g_assert_true(fleet_find_id(site.fleet, "one")->handle == handle);
+	/* Nor does the earlier life return once the later one has left. */
+	fleet_remove(site.fleet, "one");
+	g_assert_null(life_put(&site, 5000));
+	g_assert_cmpuint(fleet_all(site.fleet)->len, ==, 0);
+	g_assert_nonnull(life_put(&site, 6000));
+	g_assert_cmpint(fleet_born(site.fleet, "one"), ==, 6000);
+	site_close(&site);
+}
+
 /* ---- roles ---- */
 
 static void test_roles_change(void)
@@ -458,6 +514,7 @@
 	g_test_add_func("/forward/place/engines", test_place_engines);
 	g_test_add_func("/forward/fleet/snapshot", test_fleet);
 	g_test_add_func("/forward/roles/change", test_roles_change);
+	g_test_add_func("/forward/fleet/lives", test_fleet_lives);
 	g_test_add_func("/forward/fleet/changing", test_changing);
 	g_test_add_func("/forward/fleet/trial", test_trial);
 	g_test_add_func("/forward/fleet/refusals", test_refusals);
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -92,6 +92,17 @@
 	fn(copy->fn_ctx, RESULT_OK, &page);
 }
 
+/* Answers that the records asked for are gone. */
+static void store_gap(struct copy *copy)
+{
+	const struct feed_page page = {.gap = true};
+	feed_page_fn fn = copy->fn;
+
+	g_assert_nonnull(fn);
+	copy->fn = NULL;
+	fn(copy->fn_ctx, RESULT_OK, &page);
+}
+
 static bool hear(struct copy *to, const struct copy *from)
 {
 	struct share_word word;
@@ -203,6 +214,28 @@
 	clock_destroy(clock);
 }
 
+/* The same where a whole snapshot brings what was overtaken. */
+static void test_refused_snapshot(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy first;
+	struct copy second;
+
+	copy_open(&first, clock);
+	copy_open(&second, clock);
+	share_start(first.share, 0);
+	store_answer(&first, "k", "newer", 5);
+	wait_msec(clock, 800);
+	share_tick(first.share, 0);
+	store_gap(&first);
+	store_answer(&first, "k", "older", 6);
+	fetch(&second, &first);
+	g_assert_cmpstr(g_hash_table_lookup(second.values, "k"), ==, "newer");
+	copy_close(&first);
+	copy_close(&second);
+	clock_destroy(clock);
+}
+
 /* After a start of all the first few by name read at once, the others when they
  * have heard of none for a while. */
 static void test_starters(void)
@@ -420,6 +453,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/forward/share/echo", test_echo);
 	g_test_add_func("/forward/share/refused", test_refused);
+	g_test_add_func("/forward/share/refused-snapshot",
+			test_refused_snapshot);
 	g_test_add_func("/forward/share/starters", test_starters);
 	g_test_add_func("/forward/share/pass-on", test_pass_on);
 	g_test_add_func("/forward/share/since", test_since);
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -114,7 +114,20 @@
 		return false;
 	server->draining = strcmp(text_of(root, "state"), "draining") == 0;
 	server->gone = strcmp(text_of(root, "state"), "gone") == 0;
-	server_beat(server);
+	server->mute = strcmp(text_of(root, "state"), "mute") == 0;
+	if (strcmp(text_of(root, "state"), "again") == 0) {
+		server->born++;
+		server->beats = 0;
+	}
+	if (!server->mute)
+		server_beat(server);
+	return true;
+}
+
+static bool entry_set(struct site *site, const json_t *root)
+{
+	store_put(site, "keyed.servers", text_of(root, "key"),
+		  text_of(root, "value"));
 	return true;
 }
 
@@ -184,9 +197,8 @@
 	const char *path;
 	bool (*fn)(struct site *site, const json_t *root);
 } controls[] = {
-	{"/site/fault", fault_set},
-	{"/site/state", state_set},
-	{"/site/config", config_set},
+	{"/site/fault", fault_set}, {"/site/state", state_set},
+	{"/site/entry", entry_set}, {"/site/config", config_set},
 	{"/site/store", store_set},
 };
 
@@ -218,7 +230,7 @@
 	for (guint i = 0; i < site->servers->len; i++) {
 		struct server *server = site->servers->pdata[i];
 
-		if (!server->gone)
+		if (!server->gone && !server->mute)
 			server_beat(server);
 	}
 	timer_start(timer, BEAT_USEC);
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -12,7 +12,9 @@
  *			   (before the answer), error (500), busy (503, not
  *			   run), silent, cut (midway), unsigned
  *	POST /site/state   {"server": "d1", "state": "ready"}, or "draining",
- *			   "gone"
+ *			   "gone", "mute" (writes no more to the store),
+ *			   "again" (ready, started anew under its id)
+ *	POST /site/entry   {"key": KEY, "value": TEXT}; as another writer's
  *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/x/"}
  *	POST /site/store   {"state": "up"}, or "down", "forget"
  *	GET  /site/ledger?id=ID
@@ -60,6 +62,8 @@
 	uint32_t fault_count;
 	bool draining;
 	bool gone;
+	bool mute;
+	int64_t born; /* Unix milliseconds; small, so that logs are alike */
 	uint64_t beats;
 	uint32_t running;
 };
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -1,4 +1,5 @@
 /* A backend server: plain, prefill or decode. */
+#include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +12,7 @@
 #define PREFILL_USEC (20 * USEC_PER_MSEC)
 #define HELD_USEC (2 * USEC_PER_SEC)
 #define RESULT_USEC (500 * USEC_PER_MSEC)
+#define FIRST_BORN 1000
 
 /* An answer on its way. */
 struct run {
@@ -35,13 +37,14 @@
 	}
 	value = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"here\","
-		"\"slots\":8,\"state\":\"%s\",%s%s%s\"sequence\":%d}",
+		"\"slots\":8,\"state\":\"%s\",%s%s%s\"born\":%" PRId64
+		",\"sequence\":%d}",
 		server->stage == STAGE_PLAIN ? "plain" : "model",
 		web_server_address(server->web),
 		server->draining ? "draining" : "ready",
 		server->stage == STAGE_PLAIN ? "" : "\"stage\":\"",
 		server->stage == STAGE_PLAIN ? "" : stage_names[server->stage],
-		server->stage == STAGE_PLAIN ? "" : "\",",
+		server->stage == STAGE_PLAIN ? "" : "\",", server->born,
 		(int)++server->beats);
 	store_put(server->site, "keyed.servers", server->id, value);
 }
@@ -330,6 +333,7 @@
 	server->name = g_strdup(name);
 	server->id = g_strdup_printf("i-%s", name);
 	server->stage = stage;
+	server->born = FIRST_BORN;
 	server->web =
 		web_server_create(site->loop, "127.0.0.1:0", &limits, &err);
 	g_assert_nonnull(server->web);
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -130,6 +130,10 @@
 	catalog_unref(catalog);
 }
 
+#define ENTRY(state, slots, more)                                              \
+	"{\"service\":\"s\",\"state\":\"" state "\",\"zone\":\"z\","           \
+	"\"address\":\"1.2.3.4:5\",\"slots\":" slots more "}"
+
 static const struct refused entries[] = {
 	{"no JSON", "x", "line 1"},
 	{"empty", "{}", "entry.service"},
@@ -144,6 +148,38 @@
 	 "\"1234567890123456789012345678901234567890123456789012345678901234\""
 	 "}",
 	 "entry.address"},
+	/* What another writer may have put there. */
+	{"text for all", "\"ready\"", "line 1"},
+	{"a list for all", "[]", "entry.service"},
+	{"number for service",
+	 "{\"service\":7,\"state\":\"ready\",\"zone\":\"z\","
+	 "\"address\":\"1.2.3.4:5\",\"slots\":8}",
+	 "entry.service"},
+	{"state of another name", ENTRY("ready2", "8", ""), "entry.state"},
+	{"slots as text", ENTRY("ready", "\"8\"", ""), "entry.slots"},
+	{"no slots", ENTRY("ready", "null", ""), "entry.slots"},
+	{"slots of 0", ENTRY("ready", "0", ""), "entry.slots"},
+	{"part of a slot", ENTRY("ready", "1.5", ""), "entry.slots"},
+	{"stage of another name", ENTRY("ready", "8", ",\"stage\":\"embed\""),
+	 "entry.stage"},
+	{"stage of another type", ENTRY("ready", "8", ",\"stage\":1"),
+	 "entry.stage"},
+	{"born as text", ENTRY("ready", "8", ",\"born\":\"17\""), "entry.born"},
+	{"born as a part", ENTRY("ready", "8", ",\"born\":17.5"), "entry.born"},
+	{"born never", ENTRY("ready", "8", ",\"born\":null"), "entry.born"},
+	{"born before all", ENTRY("ready", "8", ",\"born\":-1"), "entry.born"},
+	{"count as text", ENTRY("ready", "8", ",\"sequence\":\"4\""),
+	 "entry.sequence"},
+	{"version of another type", ENTRY("ready", "8", ",\"version\":[]"),
+	 "entry.version"},
+	{"models of another type", ENTRY("ready", "8", ",\"models\":{}"),
+	 "entry.models"},
+	{"cold as text", ENTRY("ready", "8", ",\"cold_remaining_ms\":\"0\""),
+	 "entry.cold_remaining_ms"},
+	{"no port",
+	 "{\"service\":\"s\",\"state\":\"ready\",\"zone\":\"z\","
+	 "\"address\":\"1.2.3.4\",\"slots\":8}",
+	 "entry.address"},
 };
 
 static void test_entry_refused(gconstpointer data)
@@ -161,7 +197,8 @@
 {
 	static const char text[] =
 		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
-		"\"slots\":12,\"state\":\"draining\",\"stage\":\"decode\"}";
+		"\"slots\":12,\"state\":\"draining\",\"stage\":\"decode\","
+		"\"born\":1764700000123,\"new\":[]}";
 	struct backend_info info;
 	struct error err;
 
@@ -171,6 +208,7 @@
 	g_assert_true(info.leaving);
 	g_assert_cmpint(info.stage, ==, STAGE_DECODE);
 	g_assert_cmpuint(info.slots, ==, 12);
+	g_assert_cmpint(info.born, ==, 1764700000123);
 }
 
 /* ---- callers ---- */
@@ -216,20 +254,22 @@
 static void test_keyed(void)
 {
 	static const unsigned char bytes[] = {
-		0, 0, 0, 0, 0, 0,   0,	 9,   /* end */
-		0, 0, 0, 0, 0, 0,   0,	 3,   /* first kept */
-		0, 0, 0, 4, 1, 'k', 'v', 'w', /* a value */
-		0, 0, 0, 2, 1, 'k',	      /* its end */
-		0, 0, 0, 1, 0,		      /* no key: passed over */
-		0, 0, 0, 9, 1, 'c',	      /* cut short */
+		0, 0, 0, 0, 0, 0,    0,	  11,	    /* end */
+		0, 0, 0, 0, 0, 0,    0,	  3,	    /* first kept */
+		0, 0, 0, 4, 1, 'k',  'v', 'w',	    /* a value */
+		0, 0, 0, 2, 1, 'k',		    /* its end */
+		0, 0, 0, 1, 0,			    /* no key: passed over */
+		0, 0, 0, 5, 3, 'k',  0,	  'x', 'v', /* a key with a NUL: too */
+		0, 0, 0, 3, 1, 0xff, 'v', /* one that is no text: too */
+		0, 0, 0, 9, 1, 'c',	  /* cut short */
 	};
 	struct feed_page page;
 	struct error err;
 
 	g_assert_true(store_read_keyed(bytes, sizeof(bytes), 5, &page, &err));
 	g_assert_cmpuint(page.count, ==, 2);
-	g_assert_cmpuint(page.next, ==, 8);
-	g_assert_cmpuint(page.end, ==, 9);
+	g_assert_cmpuint(page.next, ==, 10);
+	g_assert_cmpuint(page.end, ==, 11);
 	g_assert_false(page.gap);
 	g_assert_cmpstr(page.records[0].key, ==, "k");
 	g_assert_cmpuint(page.records[0].offset, ==, 5);
@@ -242,6 +282,70 @@
 	g_assert_false(store_read_keyed(bytes, 15, 2, &page, &err));
 }
 
+struct snapshot_seen {
+	uint32_t calls;
+	GString *keys;
+	char more[16];
+};
+
+static void on_snapshot(void *ctx, enum result_code code,
+			const struct feed_page *page)
+{
+	struct snapshot_seen *seen = ctx;
+
+	seen->calls++;
+	for (size_t i = 0; i < page->count; i++)
+		g_string_append_printf(seen->keys, "%s@%d ",
+				       page->records[i].key,
+				       (int)page->records[i].offset);
+	g_strlcpy(seen->more, page->more ? page->more : "", sizeof(seen->more));
+}
+
+struct snapshot_row {
+	const char *name;
+	const char *text;
+	const char *keys; /* NULL: no page */
+	const char *more;
+};
+
+#define ITEM(key, offset)                                                      \
+	"{\"key\":\"" key "\",\"value\":\"dg==\",\"offset\":" offset "}"
+#define PAGE(items, more) "{\"items\":[" items "],\"end\":9" more "}"
+
+static const struct snapshot_row snapshots[] = {
+	{"good", PAGE(ITEM("a", "1") "," ITEM("b", "2"), ""), "a@1 b@2 ", ""},
+	{"one is no object", PAGE("7," ITEM("b", "2"), ""), "b@2 ", ""},
+	{"one has no key", PAGE("{\"offset\":1}," ITEM("b", "2"), ""), "b@2 ",
+	 ""},
+	{"one has no offset", PAGE(ITEM("a", "\"x\"") "," ITEM("b", "2"), ""),
+	 "b@2 ", ""},
+	{"a key with a NUL",
+	 PAGE(ITEM("b\\u0000c", "1") "," ITEM("b", "2"), ""), "b@2 ", ""},
+	{"bytes that are no text",
+	 PAGE(ITEM("\xff", "1") "," ITEM("b", "2"), ""), "\xef\xbf\xbd@1 b@2 ",
+	 ""},
+	{"the last one is broken, and more follow",
+	 PAGE(ITEM("a", "1") "," ITEM("z", "null"), ",\"more_pages\":true"),
+	 "a@1 ", "z"},
+	{"no end", "{\"items\":[]}", NULL, ""},
+	{"no JSON", "{", NULL, ""},
+};
+
+/* An item that cannot be read hides none of the others. */
+static void test_snapshot(gconstpointer data)
+{
+	const struct snapshot_row *row = data;
+	struct snapshot_seen seen = {.keys = g_string_new(NULL)};
+
+	g_assert_true(store_read_snapshot(row->text, strlen(row->text),
+					  on_snapshot,
+					  &seen) == (row->keys != NULL));
+	g_assert_cmpuint(seen.calls, ==, row->keys ? 1 : 0);
+	g_assert_cmpstr(seen.keys->str, ==, row->keys ? row->keys : "");
+	g_assert_cmpstr(seen.more, ==, row->more);
+	g_string_free(seen.keys, TRUE);
+}
+
 /* ---- fuzz ---- */
 
 /* Seeded mutations of what is sound: nothing is read past its end. */
@@ -282,6 +386,7 @@
 	g_test_init(&argc, &argv, NULL);
 	ROWS_ADD("/platform/config/", configs, test_config_refused);
 	ROWS_ADD("/platform/entry/", entries, test_entry_refused);
+	ROWS_ADD("/platform/snapshot/", snapshots, test_snapshot);
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
