--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -313,21 +313,26 @@
 	       now >= backend->changing_until;
 }
 
+static uint32_t part_of(int64_t sum)
+{
+	return (uint32_t)CLAMP(sum, 0, UINT32_MAX / 2);
+}
+
 uint32_t backend_requests(const struct backend *backend)
 {
-	return backend->own.requests + backend->peers.requests;
+	return backend->own.requests + part_of(backend->peers.requests);
 }
 
 uint32_t backend_decode_tokens(const struct backend *backend)
 {
 	return backend->own.decode_tokens +
-	       backend->peers.decode_tokens;
+	       part_of(backend->peers.decode_tokens);
 }
 
 uint32_t backend_prefill_tokens(const struct backend *backend)
 {
 	return backend->own.prefill_tokens +
-	       backend->peers.prefill_tokens;
+	       part_of(backend->peers.prefill_tokens);
 }
 
 double backend_trouble(const struct backend *backend, int64_t now)
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "common/address.h"
+#include "common/id.h"
 #include "common/log.h"
 #include "gossip_codec.h"
 #include "gossip_private.h"
@@ -13,97 +14,124 @@
 
 /* A word is sent at least so often although nothing changed. */
 #define IDLE_USEC (300 * USEC_PER_MSEC)
-/* How often an address that does not answer is tried, and for how long. */
+/* How often an address that does not answer is tried. */
 #define TRY_USEC (1 * USEC_PER_SEC)
-#define FORGET_USEC (30 * USEC_PER_SEC)
-#define PEERS_MAX 2048u
+/* How often those elsewhere are told who lives in this data centre: well before
+ * who is not named any more is taken for gone. */
+#define ADDRESSES_USEC (1 * USEC_PER_SEC)
 #define READ_MAX 64
-/* A change of load on a server of engines is told at once as long as datagrams
- * are left of this many a second, and this many saved up. Told only every 100
- * ms near and 600 ms elsewhere, instances that place at the same time choose
- * the same server, which then preempts: with 83 instances the mean worth of
- * days with trouble was 0.344, now 0.477 (5 and 15 plays, no processor time
- * charged); with 7 it was 0.744 and 0.568, now 0.754 and 0.571. With at most
- * 240 a second it was 0.433 with 83 (5 plays). A request changes load some
- * five times, so 83 instances with 36 requests a second tell 180 datagrams a
- * second each. */
-#define AT_ONCE_PER_SEC 600.0
-#define AT_ONCE_SAVED 1200.0
+/* A change of load on a server of engines is told at once to the peers near,
+ * and to those of the server's data centre, as long as datagrams are left of
+ * this many a second, and this many saved up. Told only every 100 ms near and
+ * 600 ms elsewhere, instances that place at the same time choose the same
+ * server, which then preempts: with 83 instances the mean worth of days with
+ * trouble was 0.344, then 0.477 (5 and 15 plays, no processor time charged);
+ * with 7 it was 0.744 and 0.568, then 0.754 and 0.571. With at most 240 a
+ * second it was 0.433 with 83 (5 plays). A request changes load some five
+ * times, so 83 instances with 36 requests a second tell 180 datagrams a second
+ * each. */
+#define AT_ONCE_PER_SEC 450.0
+#define AT_ONCE_SAVED 900.0
+/* The same for the peers of all other data centres, who only use the server
+ * when theirs are full, and hear of it from their tellers soon. */
+#define AT_ONCE_FAR_PER_SEC 150.0
+#define AT_ONCE_FAR_SAVED 300.0
 /* Weight of a new measurement in the mean delay of telling. */
 #define DELAY_WEIGHT 0.05
 
-static void loads_take_off(struct gossip *gossip, struct peer *peer)
+/* ---- hearing ---- */
+
+/* Another start of the peer, or the next message of the same one. */
+static bool is_news(const struct peer *peer,
+		    const struct gossip_message *message)
 {
-	for (guint i = 0; i < peer->loads->len; i++) {
-		struct applied *applied =
-			&g_array_index(peer->loads, struct applied, i);
-		struct backend *backend =
-			fleet_get(gossip->fleet, applied->handle);
+	if (message->boot != peer->boot)
+		return message->boot > peer->boot &&
+		       message->kind != GOSSIP_CHANGES;
+	return message->sequence > peer->sequence;
+}
 
-		if (!backend)
-			continue;
-		backend->peers.requests -= applied->load.requests;
-		backend->peers.decode_tokens -= applied->load.decode_tokens;
-		backend->peers.prefill_tokens -= applied->load.prefill_tokens;
+/* An instance that told of itself. */
+static void own_take(struct gossip *gossip, struct peer *peer,
+		     const struct gossip_message *message)
+{
+	peer->word = message->word;
+	if (peer_near(gossip, peer)) {
+		loads_replace(gossip, peer->loads, message->loads);
+		gossip->centre_revision++;
 	}
-	g_array_set_size(peer->loads, 0);
+	for (guint i = 0; i < message->addresses->len; i++)
+		gossip_meet(gossip, g_array_index(message->addresses,
+						  struct gossip_address, i)
+					    .text);
 }
 
-static void loads_apply(struct gossip *gossip, struct peer *peer,
-			const GArray *loads)
+/* All that live in another data centre. */
+static void members_take(struct gossip *gossip,
+			 const struct gossip_message *message)
 {
-	loads_take_off(gossip, peer);
-	for (guint i = 0; i < loads->len; i++) {
-		const struct gossip_load *load =
-			&g_array_index(loads, struct gossip_load, i);
-		struct backend *backend =
-			fleet_find(gossip->fleet, load->backend);
-		struct applied applied = {.load = load->load};
-
-		if (!backend)
-			continue;
-		applied.handle = backend->handle;
-		backend->peers.requests += load->load.requests;
-		backend->peers.decode_tokens += load->load.decode_tokens;
-		backend->peers.prefill_tokens += load->load.prefill_tokens;
-		g_array_append_val(peer->loads, applied);
+	for (guint i = 0; i < message->addresses->len; i++) {
+		const char *address = g_array_index(message->addresses,
+						    struct gossip_address, i)
+					      .text;
+		struct peer *peer = g_hash_table_lookup(gossip->peers, address);
+
+		if (!peer)
+			peer = peer_add(gossip, address);
+		if (peer && !peer_near(gossip, peer))
+			peer_heard(gossip, peer, message->data_centre);
 	}
 }
 
-static void peer_free(gpointer data)
+static void centre_take(struct gossip *gossip, struct peer *peer,
+			const struct gossip_message *message)
 {
-	struct peer *peer = data;
+	struct centre *centre;
 
-	g_array_unref(peer->loads);
-	g_free(peer);
+	if (peer_near(gossip, peer))
+		return;
+	centre = centre_get(gossip, message->data_centre);
+	if (centre->heard == GOSSIP_NEVER ||
+	    gossip_now(gossip) - centre->heard >= GOSSIP_STALE_USEC)
+		log_event(LOG_NOTICE, "data_centre_heard",
+			  LOG_S("data_centre", centre->name),
+			  LOG_S("peer", message->name));
+	centre->heard = gossip_now(gossip);
+	centre->left = message->word.leaving && message->addresses->len == 0;
+	centre->total = message->word;
+	centre->first = message->first;
+	peer->word.leaving = message->word.leaving;
+	loads_replace(gossip, centre->loads, message->loads);
+	members_take(gossip, message);
 }
 
-static struct peer *peer_add(struct gossip *gossip, const char *address)
+static void changes_take(struct gossip *gossip, struct peer *peer,
+			 const struct gossip_message *message)
 {
-	struct peer *peer;
-	struct sockaddr_storage to;
-	socklen_t size;
-
-	if (g_hash_table_size(gossip->peers) >= PEERS_MAX ||
-	    strcmp(address, gossip->settings.address) == 0 ||
-	    !address_parse(address, &to, &size, NULL))
-		return NULL;
-	peer = g_new0(struct peer, 1);
-	g_strlcpy(peer->address, address, sizeof(peer->address));
-	peer->to = to;
-	peer->to_size = size;
-	peer->met = gossip_now(gossip);
-	peer->heard = -1;
-	peer->told = -TRY_USEC;
-	peer->loads = g_array_new(FALSE, FALSE, sizeof(struct applied));
-	g_hash_table_insert(gossip->peers, peer->address, peer);
-	return peer;
+	if (peer_near(gossip, peer)) {
+		loads_change(gossip, peer->loads, message->loads);
+		gossip->centre_revision++;
+	} else {
+		loads_change(gossip,
+			     centre_get(gossip, peer->data_centre)->loads,
+			     message->loads);
+	}
 }
 
-void gossip_meet(struct gossip *gossip, const char *address)
+static void word_take(struct gossip *gossip, struct peer *peer,
+		      const struct gossip_message *message)
 {
-	if (!g_hash_table_contains(gossip->peers, address))
-		peer_add(gossip, address);
+	if (!peer_live(gossip, peer) && !message->word.leaving)
+		log_event(LOG_INFO, "peer_live", LOG_S("peer", message->name),
+			  LOG_S("address", peer->address));
+	g_strlcpy(peer->name, message->name, sizeof(peer->name));
+	peer_heard(gossip, peer, message->data_centre);
+	if (message->kind == GOSSIP_OWN)
+		own_take(gossip, peer, message);
+	else
+		centre_take(gossip, peer, message);
+	gossip->ops.heard(gossip->ctx, peer->address, peer_near(gossip, peer),
+			  &message->word);
 }
 
 static void message_take(struct gossip *gossip, const char *from,
@@ -111,28 +139,18 @@
 {
 	struct peer *peer = g_hash_table_lookup(gossip->peers, from);
 
-	if (!peer)
+	if (!peer && message->kind != GOSSIP_CHANGES)
 		peer = peer_add(gossip, from);
-	if (!peer ||
-	    (message->boot == peer->boot &&
-	     message->sequence <= peer->sequence) ||
-	    message->boot < peer->boot)
+	if (!peer || !is_news(peer, message))
 		return;
-	if (!gossip_peer_live(gossip, peer) && !message->word.leaving)
-		log_event(LOG_INFO, "peer_live", LOG_S("peer", message->name),
-			  LOG_S("address", from));
-	g_strlcpy(peer->name, message->name, sizeof(peer->name));
-	g_strlcpy(peer->data_centre, message->data_centre,
-		  sizeof(peer->data_centre));
 	peer->boot = message->boot;
 	peer->sequence = message->sequence;
+	if (message->kind != GOSSIP_CHANGES) {
+		word_take(gossip, peer, message);
+		return;
+	}
 	peer->heard = gossip_now(gossip);
-	peer->word = message->word;
-	loads_apply(gossip, peer, message->loads);
-	for (uint32_t i = 0; i < message->address_count; i++)
-		gossip_meet(gossip, message->addresses[i]);
-	gossip->ops.heard(gossip->ctx, from, gossip_peer_near(gossip, peer),
-			  &message->word);
+	changes_take(gossip, peer, message);
 }
 
 static void datagram_take(struct gossip *gossip,
@@ -167,46 +185,28 @@
 
 		if (n < 0)
 			return;
+		gossip->traffic.received++;
+		gossip->traffic.received_bytes += (uint64_t)n;
 		datagram_take(gossip, &from, data, (size_t)n);
 	}
 }
 
-static void own_loads(const struct gossip *gossip, GArray *out)
-{
-	const GPtrArray *all = fleet_all(gossip->fleet);
-
-	for (guint i = 0; i < all->len; i++) {
-		const struct backend *backend = all->pdata[i];
-		struct gossip_load load = {backend->key, backend->own};
+/* ---- telling ---- */
 
-		if (load.load.requests || load.load.decode_tokens ||
-		    load.load.prefill_tokens)
-			g_array_append_val(out, load);
-	}
-}
-
-static bool loads_same(const GArray *a, const GArray *b)
+static void peer_send(struct gossip *gossip, const struct peer *peer,
+		      const GByteArray *out)
 {
-	if (a->len != b->len)
-		return false;
-	for (guint i = 0; i < a->len; i++) {
-		const struct gossip_load *x =
-			&g_array_index(a, struct gossip_load, i);
-		const struct gossip_load *y =
-			&g_array_index(b, struct gossip_load, i);
-
-		if (x->backend != y->backend ||
-		    x->load.requests != y->load.requests ||
-		    x->load.decode_tokens != y->load.decode_tokens ||
-		    x->load.prefill_tokens != y->load.prefill_tokens)
-			return false;
-	}
-	return true;
+	gossip->traffic.sent++;
+	gossip->traffic.sent_bytes += out->len;
+	/* What cannot be sent is made good by the next one. */
+	(void)sendto(gossip->fd, out->data, out->len,
+		     MSG_DONTWAIT | MSG_NOSIGNAL, (struct sockaddr *)&peer->to,
+		     peer->to_size);
 }
 
 /* One address rides along, another each time, so that an instance that could
  * not read the store learns of all peers from one. */
-static void addresses_add(struct gossip *gossip, struct gossip_message *message)
+static void address_add(struct gossip *gossip, struct gossip_message *message)
 {
 	GHashTableIter iter;
 	struct peer *peer;
@@ -216,163 +216,283 @@
 
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (at++ < start || !gossip_peer_live(gossip, peer))
+		if (at++ < start || !peer_live(gossip, peer))
 			continue;
-		g_strlcpy(message->addresses[0], peer->address,
-			  BACKEND_TEXT_MAX);
-		message->address_count = 1;
+		gossip_message_add(message, peer->address);
 		return;
 	}
 }
 
-static bool peer_due(const struct gossip *gossip, const struct peer *peer)
+static void message_begin(struct gossip *gossip, struct gossip_message *message,
+			  enum gossip_kind kind)
 {
-	int64_t now = gossip_now(gossip);
-	int64_t since = now - peer->told;
-	int64_t every = gossip_interval(gossip, gossip_peer_near(gossip, peer));
-	bool changed = peer->told_revision != gossip->revision;
+	gossip_message_init(message, kind);
+	message->boot = gossip->settings.boot;
+	message->sequence = ++gossip->sequence;
+	g_strlcpy(message->name, gossip->settings.name, sizeof(message->name));
+	g_strlcpy(message->data_centre, gossip->settings.data_centre,
+		  sizeof(message->data_centre));
+}
 
-	if (!gossip_peer_live(gossip, peer))
-		return since >= TRY_USEC;
-	return since >= (changed ? every : MAX(every, IDLE_USEC));
+static void last_replace(struct gossip *gossip, const GArray *loads)
+{
+	g_array_set_size(gossip->last, 0);
+	g_array_append_vals(gossip->last, loads->data, loads->len);
 }
 
-static void peer_tell(struct gossip *gossip, struct peer *peer,
-		      const GByteArray *out)
+static void loads_changed(struct gossip *gossip)
 {
-	int64_t now = gossip_now(gossip);
-	double *delay = gossip_peer_near(gossip, peer) ? &gossip->delay_near
-						       : &gossip->delay_far;
-
-	if (peer->told_revision != gossip->revision &&
-	    gossip_peer_live(gossip, peer))
-		*delay += DELAY_WEIGHT *
-			  ((double)(now - gossip->changed_at) - *delay);
-	peer->told = now;
-	peer->told_revision = gossip->revision;
-	/* What cannot be sent is made good by the next one. */
-	(void)sendto(gossip->fd, out->data, out->len,
-		     MSG_DONTWAIT | MSG_NOSIGNAL, (struct sockaddr *)&peer->to,
-		     peer->to_size);
+	gossip->revision++;
+	gossip->centre_revision++;
+	gossip->changed_at = gossip_now(gossip);
 }
 
-static void tell_due(struct gossip *gossip, const GByteArray *out)
+/* This instance's word, to be sent now. */
+static GByteArray *own_encode(struct gossip *gossip)
 {
-	GHashTableIter iter;
-	struct peer *peer;
+	g_autoptr(GArray) changes =
+		g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
+	GByteArray *out = g_byte_array_new();
+	struct gossip_message message;
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		if (peer_due(gossip, peer))
-			peer_tell(gossip, peer, out);
+	message_begin(gossip, &message, GOSSIP_OWN);
+	gossip->ops.word(gossip->ctx, &message.word);
+	g_strlcpy(message.first.name, message.name, sizeof(message.first.name));
+	loads_own(gossip, message.loads);
+	address_add(gossip, &message);
+	gossip_encode(&message, out);
+	loads_differ(gossip->last, message.loads, changes);
+	if (message.word.leaving || changes->len > 0)
+		loads_changed(gossip);
+	last_replace(gossip, message.loads);
+	gossip_message_clear(&message);
+	return out;
 }
 
-/* Takes datagrams to so many peers off the allowance, or none at all. */
-static bool allowance_take(struct gossip *gossip, uint32_t peers)
+static void members_add(const struct gossip *gossip,
+			struct gossip_message *message)
 {
-	int64_t now = gossip_now(gossip);
-	double more = (double)(now - gossip->allowance_at) /
-		      (double)USEC_PER_SEC * AT_ONCE_PER_SEC;
+	if (!message->word.leaving)
+		gossip_message_add(message, gossip->settings.address);
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
 
-	gossip->allowance = MIN(gossip->allowance + more, AT_ONCE_SAVED);
-	gossip->allowance_at = now;
-	if (gossip->allowance < (double)peers)
-		return false;
-	gossip->allowance -= (double)peers;
-	return true;
+		if (peer_live(gossip, peer))
+			gossip_message_add(message, peer->address);
+	}
+}
+
+/* What this instance knows of its data centre; with who lives there, if asked.
+ */
+static GByteArray *centre_encode(struct gossip *gossip, bool members)
+{
+	GByteArray *out = g_byte_array_new();
+	struct gossip_message message;
+
+	message_begin(gossip, &message, GOSSIP_CENTRE);
+	gossip_total_near(gossip, &message.word);
+	gossip_first_near(gossip, message.word.storeless, message.word.leaving,
+			  &message.first);
+	loads_own(gossip, message.loads);
+	loads_add_near(gossip, message.loads);
+	if (members)
+		members_add(gossip, &message);
+	gossip_encode(&message, out);
+	gossip_message_clear(&message);
+	return out;
+}
+
+static void delay_add(double *delay, int64_t usec)
+{
+	*delay += DELAY_WEIGHT * ((double)usec - *delay);
+}
+
+static bool near_due(const struct gossip *gossip, const struct peer *peer,
+		     int64_t every)
+{
+	if (peer->told == GOSSIP_NEVER)
+		return true;
+	if (!peer_live(gossip, peer))
+		every = TRY_USEC;
+	else if (peer->told_revision == gossip->revision)
+		every = MAX(every, IDLE_USEC);
+	return gossip_now(gossip) - peer->told >= every;
+}
+
+static void near_tell(struct gossip *gossip, const GByteArray *out)
+{
+	int64_t every = gossip_interval(gossip, true);
+
+	if (gossip->ops.reads(gossip->ctx))
+		every = MIN(every, IDLE_USEC);
+	for (guint i = 0; i < gossip->near->len; i++) {
+		struct peer *peer = gossip->near->pdata[i];
+
+		if (!near_due(gossip, peer, every))
+			continue;
+		peer->told = gossip_now(gossip);
+		peer->told_revision = gossip->revision;
+		peer_send(gossip, peer, out);
+	}
 }
 
-static void tell_at_once(struct gossip *gossip, const GByteArray *out,
-			 bool near)
+/* Whoever has not told where it lives, and whoever elsewhere has just told of
+ * itself, which it does only to those that it does not know. */
+static void strangers_tell(struct gossip *gossip, const GByteArray *out)
 {
-	uint32_t peers = near ? gossip->near
-			      : g_hash_table_size(gossip->peers) - gossip->near;
+	int64_t now = gossip_now(gossip);
 	GHashTableIter iter;
 	struct peer *peer;
 
-	if (!allowance_take(gossip, peers))
-		return;
 	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		if (gossip_peer_near(gossip, peer) == near &&
-		    gossip_peer_live(gossip, peer) &&
-		    peer->told_revision != gossip->revision)
-			peer_tell(gossip, peer, out);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->told != GOSSIP_NEVER &&
+		    (peer->data_centre[0] || now - peer->told < TRY_USEC))
+			continue;
+		peer->told = now;
+		peer_send(gossip, peer, out);
+	}
 }
 
-static void word_fill(struct gossip *gossip, struct gossip_message *message)
+static bool receiver_due(const struct gossip *gossip, const struct peer *peer)
 {
-	*message = (struct gossip_message){
-		.boot = gossip->settings.boot,
-		.sequence = ++gossip->sequence,
-		.loads = g_array_new(FALSE, TRUE, sizeof(struct gossip_load)),
-	};
-	g_strlcpy(message->name, gossip->settings.name, sizeof(message->name));
-	g_strlcpy(message->data_centre, gossip->settings.data_centre,
-		  sizeof(message->data_centre));
-	gossip->ops.word(gossip->ctx, &message->word);
-	own_loads(gossip, message->loads);
-	addresses_add(gossip, message);
+	int64_t every = gossip_interval(gossip, false);
+
+	if (peer->told_revision == gossip->centre_revision)
+		every = MAX(every, IDLE_USEC);
+	return peer->told == GOSSIP_NEVER ||
+	       gossip_now(gossip) - peer->told >= every;
 }
 
-/* The datagram to be sent now. */
-static GByteArray *word_encode(struct gossip *gossip)
+static void receivers_tell(struct gossip *gossip)
 {
-	GByteArray *out = g_byte_array_new();
-	struct gossip_message message;
+	g_autoptr(GByteArray) brief = NULL;
+	g_autoptr(GByteArray) whole = NULL;
+	int64_t now = gossip_now(gossip);
 
-	word_fill(gossip, &message);
-	gossip_encode(&message, out);
-	if (message.word.leaving || !loads_same(message.loads, gossip->last)) {
-		gossip->revision++;
-		gossip->changed_at = gossip_now(gossip);
+	for (guint i = 0; i < gossip->receivers->len; i++) {
+		struct peer *peer = gossip->receivers->pdata[i];
+		bool members = peer->told_addresses == GOSSIP_NEVER ||
+			       now - peer->told_addresses >= ADDRESSES_USEC;
+		GByteArray **out = members ? &whole : &brief;
+
+		if (!receiver_due(gossip, peer))
+			continue;
+		if (!*out)
+			*out = centre_encode(gossip, members);
+		if (members)
+			peer->told_addresses = now;
+		peer->told = now;
+		peer->told_revision = gossip->centre_revision;
+		peer_send(gossip, peer, *out);
 	}
-	g_array_unref(gossip->last);
-	gossip->last = message.loads;
-	return out;
 }
 
-static void on_soon(struct timer *timer, void *ctx)
+/* ---- telling at once ---- */
+
+/* Takes so many datagrams off, or none at all. */
+static bool allowance_take(struct gossip *gossip, struct allowance *allowance,
+			   uint32_t count)
 {
-	struct gossip *gossip = ctx;
-	g_autoptr(GByteArray) out = word_encode(gossip);
+	int64_t now = gossip_now(gossip);
+	double more = (double)(now - allowance->at) / (double)USEC_PER_SEC *
+		      allowance->per_sec;
 
-	tell_at_once(gossip, out, true);
-	tell_at_once(gossip, out, false);
+	allowance->left = MIN(allowance->left + more, allowance->most);
+	allowance->at = now;
+	if (allowance->left < (double)count)
+		return false;
+	allowance->left -= (double)count;
+	return true;
 }
 
-void gossip_load_changed(struct gossip *gossip)
+static void near_tell_at_once(struct gossip *gossip, const GByteArray *out)
 {
-	if (!timer_running(&gossip->soon))
-		timer_start(&gossip->soon, 0);
+	if (!allowance_take(gossip, &gossip->at_once, gossip->near->len)) {
+		delay_add(&gossip->delay_near, gossip_interval(gossip, true));
+		return;
+	}
+	delay_add(&gossip->delay_near, gossip_now(gossip) - gossip->changed_at);
+	for (guint i = 0; i < gossip->near->len; i++) {
+		struct peer *peer = gossip->near->pdata[i];
+
+		if (!peer_live(gossip, peer))
+			continue;
+		peer->told_revision = gossip->revision;
+		peer_send(gossip, peer, out);
+	}
 }
 
-static gboolean peer_expire(gpointer key, gpointer value, gpointer data)
+/* Whether a server of the data centre is among them. */
+static bool changes_concern(const struct gossip *gossip, const GArray *changes,
+			    const struct centre *centre)
 {
-	struct gossip *gossip = data;
-	struct peer *peer = value;
-	int64_t now = gossip_now(gossip);
+	for (guint i = 0; i < changes->len; i++) {
+		const struct backend *backend = fleet_find(
+			gossip->fleet,
+			g_array_index(changes, struct gossip_load, i).backend);
+
+		if (backend &&
+		    strcmp(backend->info.data_centre, centre->name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void centre_tell_at_once(struct gossip *gossip,
+				const struct centre *centre,
+				const GArray *changes, const GByteArray *out)
+{
+	struct allowance *allowance = changes_concern(gossip, changes, centre)
+					      ? &gossip->at_once
+					      : &gossip->at_once_far;
 
-	if (peer->heard >= 0 && now - peer->heard >= GOSSIP_STALE_USEC &&
-	    peer->loads->len > 0) {
-		log_event(LOG_INFO, "peer_silent", LOG_S("peer", peer->name));
-		loads_take_off(gossip, peer);
+	if (!allowance_take(gossip, allowance, centre->peers->len)) {
+		delay_add(&gossip->delay_far, gossip_interval(gossip, false));
+		return;
 	}
-	if (now - MAX(peer->heard, peer->met) < FORGET_USEC)
-		return FALSE;
-	loads_take_off(gossip, peer);
-	return TRUE;
+	delay_add(&gossip->delay_far, gossip_now(gossip) - gossip->changed_at);
+	for (guint i = 0; i < centre->peers->len; i++)
+		peer_send(gossip, centre->peers->pdata[i], out);
 }
 
-static void near_count(struct gossip *gossip)
+static void centres_tell_at_once(struct gossip *gossip, const GArray *changes,
+				 const GByteArray *out)
 {
+	struct centre *centre;
 	GHashTableIter iter;
-	struct peer *peer;
 
-	gossip->near = 0;
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		gossip->near += gossip_peer_near(gossip, peer);
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
+		if (centre_live(gossip, centre))
+			centre_tell_at_once(gossip, centre, changes, out);
+}
+
+static void on_soon(struct timer *timer, void *ctx)
+{
+	struct gossip *gossip = ctx;
+	g_autoptr(GArray) now =
+		g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct gossip_message message;
+
+	message_begin(gossip, &message, GOSSIP_CHANGES);
+	loads_own(gossip, now);
+	loads_differ(gossip->last, now, message.loads);
+	if (message.loads->len > 0) {
+		last_replace(gossip, now);
+		loads_changed(gossip);
+		gossip_encode(&message, out);
+		near_tell_at_once(gossip, out);
+		centres_tell_at_once(gossip, message.loads, out);
+	}
+	gossip_message_clear(&message);
+}
+
+void gossip_load_changed(struct gossip *gossip)
+{
+	if (!timer_running(&gossip->soon))
+		timer_start(&gossip->soon, 0);
 }
 
 static void on_timer(struct timer *timer, void *ctx)
@@ -380,10 +500,11 @@
 	struct gossip *gossip = ctx;
 	g_autoptr(GByteArray) out = NULL;
 
-	g_hash_table_foreach_remove(gossip->peers, peer_expire, gossip);
-	near_count(gossip);
-	out = word_encode(gossip);
-	tell_due(gossip, out);
+	peers_update(gossip);
+	out = own_encode(gossip);
+	near_tell(gossip, out);
+	strangers_tell(gossip, out);
+	receivers_tell(gossip);
 	timer_start(timer, GOSSIP_USEC);
 }
 
@@ -424,15 +545,24 @@
 	gossip->ops = *ops;
 	gossip->ctx = ctx;
 	gossip->fd = fd;
+	gossip->key = id_of(settings->address);
 	gossip->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
+	gossip->centres = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						centre_free);
+	gossip->near = g_ptr_array_new();
+	gossip->far = g_ptr_array_new();
+	gossip->receivers = g_ptr_array_new();
 	gossip->last = g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
 	gossip->socket = h2o_evloop_socket_create(loop_h2o(loop), fd,
 						  H2O_SOCKET_FLAG_DONT_READ);
 	gossip->socket->data = gossip;
 	h2o_socket_read_start(gossip->socket, on_readable);
-	gossip->allowance = AT_ONCE_SAVED;
-	gossip->allowance_at = gossip_now(gossip);
+	gossip->at_once = (struct allowance){AT_ONCE_PER_SEC, AT_ONCE_SAVED,
+					     AT_ONCE_SAVED, gossip_now(gossip)};
+	gossip->at_once_far =
+		(struct allowance){AT_ONCE_FAR_PER_SEC, AT_ONCE_FAR_SAVED,
+				   AT_ONCE_FAR_SAVED, gossip_now(gossip)};
 	gossip->delay_near = (double)GOSSIP_USEC;
 	gossip->delay_far = (double)GOSSIP_USEC;
 	timer_init(&gossip->soon, gossip->clock, on_soon, gossip);
@@ -449,7 +579,11 @@
 	timer_stop(&gossip->soon);
 	h2o_socket_read_stop(gossip->socket);
 	h2o_socket_close(gossip->socket);
+	g_ptr_array_unref(gossip->receivers);
+	g_ptr_array_unref(gossip->far);
+	g_ptr_array_unref(gossip->near);
 	g_hash_table_destroy(gossip->peers);
+	g_hash_table_destroy(gossip->centres);
 	g_array_unref(gossip->last);
 	g_free(gossip);
 }
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -1,24 +1,69 @@
 #include "gossip_codec.h"
 
+#include <arpa/inet.h>
 #include <msgpack.h>
+#include <netinet/in.h>
 
+#include "common/address.h"
 #include "common/error.h"
 #include "common/pack.h"
 #include "common/unpack.h"
 
-#define FIELDS 13
+#define CHANGES_FIELDS 5
+#define WORD_FIELDS 15
 #define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
 #define FLAG_LEAVING 1u
 #define FLAG_STORELESS 2u
+#define FLAG_FIRST_STORELESS 4u
+#define FLAGS_ALL (FLAG_LEAVING | FLAG_STORELESS | FLAG_FIRST_STORELESS)
+/* Largest load that is taken for one: tokens of all requests that a data centre
+ * may have at one server. */
+#define LOAD_MAX (1 << 30)
 
-static void load_pack(msgpack_packer *packer, const struct gossip_load *load)
+void gossip_message_init(struct gossip_message *message, enum gossip_kind kind)
 {
-	msgpack_pack_array(packer, LOAD_FIELDS);
-	msgpack_pack_uint64(packer, load->backend);
-	msgpack_pack_uint32(packer, load->load.requests);
-	msgpack_pack_uint32(packer, load->load.decode_tokens);
-	msgpack_pack_uint32(packer, load->load.prefill_tokens);
+	*message = (struct gossip_message){
+		.kind = kind,
+		.loads = g_array_new(FALSE, TRUE, sizeof(struct gossip_load)),
+		.addresses =
+			g_array_new(FALSE, TRUE, sizeof(struct gossip_address)),
+	};
+}
+
+void gossip_message_add(struct gossip_message *message, const char *address)
+{
+	struct gossip_address one;
+
+	g_strlcpy(one.text, address, sizeof(one.text));
+	g_array_append_val(message->addresses, one);
+}
+
+void gossip_message_clear(struct gossip_message *message)
+{
+	g_array_unref(message->loads);
+	g_array_unref(message->addresses);
+	message->loads = NULL;
+	message->addresses = NULL;
+}
+
+/* ---- encoding ---- */
+
+static void loads_pack(msgpack_packer *packer, const GArray *loads)
+{
+	guint count = MIN(loads->len, GOSSIP_LOADS_MAX);
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++) {
+		const struct gossip_load *load =
+			&g_array_index(loads, struct gossip_load, i);
+
+		msgpack_pack_array(packer, LOAD_FIELDS);
+		msgpack_pack_uint64(packer, load->backend);
+		msgpack_pack_int64(packer, load->load.requests);
+		msgpack_pack_int64(packer, load->load.decode_tokens);
+		msgpack_pack_int64(packer, load->load.prefill_tokens);
+	}
 }
 
 static void share_word_pack(msgpack_packer *packer,
@@ -30,38 +75,70 @@
 	msgpack_pack_int64(packer, word->age_usec);
 }
 
+static void address_pack(msgpack_packer *packer, const char *text)
+{
+	struct sockaddr_storage address;
+	const struct sockaddr_in *in = (const struct sockaddr_in *)&address;
+	socklen_t size;
+
+	if (address_parse(text, &address, &size, NULL) &&
+	    address.ss_family == AF_INET)
+		msgpack_pack_uint64(packer, (uint64_t)ntohl(in->sin_addr.s_addr)
+							    << 16 |
+						    ntohs(in->sin_port));
+	else
+		pack_text(packer, text);
+}
+
+static uint8_t flags_of(const struct gossip_message *message)
+{
+	return (message->word.leaving ? FLAG_LEAVING : 0) |
+	       (message->word.storeless ? FLAG_STORELESS : 0) |
+	       (message->first.storeless ? FLAG_FIRST_STORELESS : 0);
+}
+
+static void word_pack(msgpack_packer *packer,
+		      const struct gossip_message *message)
+{
+	const struct gossip_word *word = &message->word;
+	guint addresses = MIN(message->addresses->len, GOSSIP_ADDRESSES_MAX);
+
+	pack_text(packer, message->name);
+	pack_text(packer, message->data_centre);
+	msgpack_pack_uint64(packer, word->version);
+	msgpack_pack_uint64(packer, (uint64_t)word->demand);
+	msgpack_pack_uint32(packer, word->waiting);
+	msgpack_pack_uint8(packer, flags_of(message));
+	msgpack_pack_uint64(packer, word->changing);
+	msgpack_pack_array(packer, GOSSIP_SHARES);
+	for (int i = 0; i < GOSSIP_SHARES; i++)
+		share_word_pack(packer, &word->shares[i]);
+	pack_text(packer, message->first.name);
+	msgpack_pack_array(packer, addresses);
+	for (guint i = 0; i < addresses; i++)
+		address_pack(packer, g_array_index(message->addresses,
+						   struct gossip_address, i)
+					     .text);
+}
+
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
 {
+	bool changes = message->kind == GOSSIP_CHANGES;
 	msgpack_packer packer;
-	guint loads = MIN(message->loads->len, GOSSIP_LOADS_MAX);
 
 	msgpack_packer_init(&packer, out, pack_append);
-	msgpack_pack_array(&packer, FIELDS);
+	msgpack_pack_array(&packer, changes ? CHANGES_FIELDS : WORD_FIELDS);
 	msgpack_pack_int(&packer, GOSSIP_FORMAT);
-	pack_text(&packer, message->name);
-	pack_text(&packer, message->data_centre);
+	msgpack_pack_int(&packer, (int)message->kind);
 	msgpack_pack_uint64(&packer, message->boot);
 	msgpack_pack_uint64(&packer, message->sequence);
-	msgpack_pack_uint64(&packer, message->word.version);
-	msgpack_pack_uint64(&packer, (uint64_t)message->word.demand);
-	msgpack_pack_uint32(&packer, message->word.waiting);
-	msgpack_pack_uint8(
-		&packer,
-		(message->word.leaving ? FLAG_LEAVING : 0) |
-			(message->word.storeless ? FLAG_STORELESS : 0));
-	msgpack_pack_uint64(&packer, message->word.changing);
-	msgpack_pack_array(&packer, GOSSIP_SHARES);
-	for (int i = 0; i < GOSSIP_SHARES; i++)
-		share_word_pack(&packer, &message->word.shares[i]);
-	msgpack_pack_array(&packer, loads);
-	for (guint i = 0; i < loads; i++)
-		load_pack(&packer, &g_array_index(message->loads,
-						  struct gossip_load, i));
-	msgpack_pack_array(&packer, message->address_count);
-	for (uint32_t i = 0; i < message->address_count; i++)
-		pack_text(&packer, message->addresses[i]);
+	loads_pack(&packer, message->loads);
+	if (!changes)
+		word_pack(&packer, message);
 }
 
+/* ---- decoding ---- */
+
 static bool number_read(const msgpack_object *object, uint64_t max,
 			uint64_t *value)
 {
@@ -72,29 +149,46 @@
 	return true;
 }
 
+static bool sum_read(const msgpack_object *object, int64_t *value)
+{
+	if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+		*value = object->via.i64;
+		return object->via.i64 >= -LOAD_MAX;
+	}
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > LOAD_MAX)
+		return false;
+	*value = (int64_t)object->via.u64;
+	return true;
+}
+
+static bool is_array(const msgpack_object *object, uint32_t most)
+{
+	return object->type == MSGPACK_OBJECT_ARRAY &&
+	       object->via.array.size <= most;
+}
+
+static bool is_tuple(const msgpack_object *object, uint32_t fields)
+{
+	return is_array(object, fields) && object->via.array.size == fields;
+}
+
 static bool load_read(const msgpack_object *object, struct gossip_load *load)
 {
-	uint64_t values[LOAD_FIELDS];
+	const msgpack_object *fields;
 
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != LOAD_FIELDS)
+	if (!is_tuple(object, LOAD_FIELDS))
 		return false;
-	for (int i = 0; i < LOAD_FIELDS; i++)
-		if (!number_read(&object->via.array.ptr[i],
-				 i == 0 ? UINT64_MAX : UINT32_MAX / 4096,
-				 &values[i]))
-			return false;
-	load->backend = values[0];
-	load->load.requests = (uint32_t)values[1];
-	load->load.decode_tokens = (uint32_t)values[2];
-	load->load.prefill_tokens = (uint32_t)values[3];
-	return true;
+	fields = object->via.array.ptr;
+	return number_read(&fields[0], UINT64_MAX, &load->backend) &&
+	       sum_read(&fields[1], &load->load.requests) &&
+	       sum_read(&fields[2], &load->load.decode_tokens) &&
+	       sum_read(&fields[3], &load->load.prefill_tokens);
 }
 
 static bool loads_read(const msgpack_object *object, GArray *loads)
 {
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size > GOSSIP_LOADS_MAX)
+	if (!is_array(object, GOSSIP_LOADS_MAX))
 		return false;
 	for (uint32_t i = 0; i < object->via.array.size; i++) {
 		struct gossip_load load;
@@ -109,12 +203,13 @@
 static bool share_word_read(const msgpack_object *object,
 			    struct share_word *word)
 {
-	const msgpack_object *fields = object->via.array.ptr;
+	const msgpack_object *fields;
 	uint64_t age;
 
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != SHARE_FIELDS ||
-	    !number_read(&fields[0], UINT64_MAX, &word->next) ||
+	if (!is_tuple(object, SHARE_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &word->next) ||
 	    !number_read(&fields[1], UINT64_MAX, &word->changed))
 		return false;
 	word->age_usec = -1;
@@ -128,8 +223,7 @@
 
 static bool shares_read(const msgpack_object *object, struct gossip_word *word)
 {
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != GOSSIP_SHARES)
+	if (!is_tuple(object, GOSSIP_SHARES))
 		return false;
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		if (!share_word_read(&object->via.array.ptr[i],
@@ -138,54 +232,87 @@
 	return true;
 }
 
+static bool address_read(const msgpack_object *object,
+			 struct gossip_message *message)
+{
+	struct sockaddr_storage address = {.ss_family = AF_INET};
+	struct sockaddr_in *in = (struct sockaddr_in *)&address;
+	char text[ADDRESS_TEXT_MAX];
+	uint64_t number;
+
+	if (object->type == MSGPACK_OBJECT_STR) {
+		if (!unpack_text(object, text, sizeof(text)))
+			return false;
+	} else {
+		if (!number_read(object, ((uint64_t)1 << 48) - 1, &number))
+			return false;
+		in->sin_addr.s_addr = htonl((uint32_t)(number >> 16));
+		in->sin_port = htons((uint16_t)number);
+		address_print(&address, text);
+	}
+	gossip_message_add(message, text);
+	return true;
+}
+
 static bool addresses_read(const msgpack_object *object,
 			   struct gossip_message *message)
 {
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size > GOSSIP_ADDRESSES_MAX)
+	if (!is_array(object, GOSSIP_ADDRESSES_MAX))
 		return false;
-	for (uint32_t i = 0; i < object->via.array.size; i++) {
-		char *to = message->addresses[message->address_count];
-
-		if (!unpack_text(&object->via.array.ptr[i], to,
-				 BACKEND_TEXT_MAX))
+	for (uint32_t i = 0; i < object->via.array.size; i++)
+		if (!address_read(&object->via.array.ptr[i], message))
 			return false;
-		message->address_count++;
-	}
 	return true;
 }
 
-static bool message_read(const msgpack_object *object,
-			 struct gossip_message *message)
+static bool word_read(const msgpack_object *fields,
+		      struct gossip_message *message)
 {
-	const msgpack_object *fields = object->via.array.ptr;
-	uint64_t format;
 	uint64_t demand;
 	uint64_t waiting;
 	uint64_t flags;
 
-	if (object->type != MSGPACK_OBJECT_ARRAY ||
-	    object->via.array.size != FIELDS)
-		return false;
-	if (!number_read(&fields[0], GOSSIP_FORMAT, &format) ||
-	    !unpack_text(&fields[1], message->name, sizeof(message->name)) ||
-	    !unpack_text(&fields[2], message->data_centre,
+	if (!unpack_text(&fields[0], message->name, sizeof(message->name)) ||
+	    !unpack_text(&fields[1], message->data_centre,
 			 sizeof(message->data_centre)) ||
-	    !number_read(&fields[3], UINT64_MAX, &message->boot) ||
-	    !number_read(&fields[4], UINT64_MAX, &message->sequence) ||
-	    !number_read(&fields[5], UINT64_MAX, &message->word.version) ||
-	    !number_read(&fields[6], UINT32_MAX, &demand) ||
-	    !number_read(&fields[7], UINT32_MAX, &waiting) ||
-	    !number_read(&fields[8], FLAG_LEAVING | FLAG_STORELESS, &flags) ||
-	    !number_read(&fields[9], UINT64_MAX, &message->word.changing))
+	    !number_read(&fields[2], UINT64_MAX, &message->word.version) ||
+	    !number_read(&fields[3], UINT32_MAX, &demand) ||
+	    !number_read(&fields[4], UINT32_MAX, &waiting) ||
+	    !number_read(&fields[5], FLAGS_ALL, &flags) ||
+	    !number_read(&fields[6], UINT64_MAX, &message->word.changing))
 		return false;
 	message->word.demand = (double)demand;
 	message->word.waiting = (uint32_t)waiting;
 	message->word.leaving = flags & FLAG_LEAVING;
 	message->word.storeless = flags & FLAG_STORELESS;
-	return shares_read(&fields[10], &message->word) &&
-	       loads_read(&fields[11], message->loads) &&
-	       addresses_read(&fields[12], message);
+	message->first.storeless = flags & FLAG_FIRST_STORELESS;
+	return shares_read(&fields[7], &message->word) &&
+	       unpack_text(&fields[8], message->first.name,
+			   sizeof(message->first.name)) &&
+	       addresses_read(&fields[9], message);
+}
+
+static bool message_read(const msgpack_object *object,
+			 struct gossip_message *message)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t format;
+	uint64_t kind;
+
+	if (!is_array(object, WORD_FIELDS) ||
+	    object->via.array.size < CHANGES_FIELDS ||
+	    !number_read(&fields[0], GOSSIP_FORMAT, &format) ||
+	    format != GOSSIP_FORMAT ||
+	    !number_read(&fields[1], GOSSIP_CHANGES, &kind) ||
+	    !number_read(&fields[2], UINT64_MAX, &message->boot) ||
+	    !number_read(&fields[3], UINT64_MAX, &message->sequence) ||
+	    !loads_read(&fields[4], message->loads))
+		return false;
+	message->kind = (enum gossip_kind)kind;
+	if (message->kind == GOSSIP_CHANGES)
+		return object->via.array.size == CHANGES_FIELDS;
+	return object->via.array.size == WORD_FIELDS &&
+	       word_read(&fields[CHANGES_FIELDS], message);
 }
 
 bool gossip_decode(struct gossip_message *message, const void *data,
@@ -194,9 +321,7 @@
 	msgpack_unpacked unpacked;
 	bool good;
 
-	*message = (struct gossip_message){
-		.loads = g_array_new(FALSE, FALSE, sizeof(struct gossip_load)),
-	};
+	gossip_message_init(message, GOSSIP_OWN);
 	msgpack_unpacked_init(&unpacked);
 	good = message_unpack(&unpacked, data, size, err);
 	if (good && !message_read(&unpacked.data, message))
@@ -205,10 +330,3 @@
 	msgpack_unpacked_destroy(&unpacked);
 	return good;
 }
-
-void gossip_message_clear(struct gossip_message *message)
-{
-	if (message->loads)
-		g_array_unref(message->loads);
-	message->loads = NULL;
-}
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -2,10 +2,13 @@
  * gossip_codec.h - the datagrams of gossip.h as MessagePack
  *
  * DESCRIPTION
- *	[format, name, data centre, boot, sequence, version, demand, waiting,
- *	 leaving, changing, [[next, changed, age in microseconds], ...],
- *	 [[backend, requests, decode tokens, prefill tokens], ...],
- *	 [address, ...]]
+ *	A word, of an instance itself or of its data centre:
+ *	[format, kind, boot, sequence, [[backend, requests, decode tokens,
+ *	 prefill tokens], ...], name, data centre, version, demand, waiting,
+ *	 flags, changing, [[next, changed, age in microseconds], ...],
+ *	 first, [address, ...]]
+ *	Changes: [format, kind, boot, sequence, [[backend, ...], ...]]
+ *	An address of IPv4 is one number, any other a text.
  */
 #ifndef FORWARD_GOSSIP_CODEC_H
 #define FORWARD_GOSSIP_CODEC_H
@@ -17,32 +20,55 @@
 #include "forward/fleet.h"
 #include "forward/gossip.h"
 
-#define GOSSIP_FORMAT 1
+#define GOSSIP_FORMAT 2
 /* Fits a datagram on loopback and on links with jumbo frames; on others IP
  * fragments it. 600 servers with load take 14 KiB. */
 #define GOSSIP_BYTES_MAX (32u << 10)
 #define GOSSIP_LOADS_MAX 1024u
-#define GOSSIP_ADDRESSES_MAX 4u
+#define GOSSIP_ADDRESSES_MAX 1024u
+
+enum gossip_kind {
+	GOSSIP_OWN,	/* an instance's word, with its own loads */
+	GOSSIP_CENTRE,	/* with the loads of all its data centre */
+	GOSSIP_CHANGES, /* of its own loads since the last one */
+};
 
 struct gossip_load {
 	uint64_t backend; /* key */
-	struct backend_load load;
+	struct load_sum load;
+};
+
+/* What a data centre's lowest name is, for gossip_lowest(). */
+struct gossip_first {
+	char name[BACKEND_TEXT_MAX]; /* of those that reach the store, if any */
+	bool storeless;		     /* none does */
+};
+
+struct gossip_address {
+	char text[BACKEND_TEXT_MAX];
 };
 
 struct gossip_message {
-	char name[BACKEND_TEXT_MAX];
-	char data_centre[BACKEND_TEXT_MAX];
+	enum gossip_kind kind;
 	uint64_t boot;
 	uint64_t sequence;
-	struct gossip_word word;
 	GArray *loads; /* struct gossip_load */
-	char addresses[GOSSIP_ADDRESSES_MAX][BACKEND_TEXT_MAX];
-	uint32_t address_count;
+	/* What follows is empty in changes. */
+	char name[BACKEND_TEXT_MAX];
+	char data_centre[BACKEND_TEXT_MAX];
+	struct gossip_word word;
+	struct gossip_first first; /* of a data centre */
+	/* struct gossip_address: other instances; of a data centre all that
+	 * live there. */
+	GArray *addresses;
 };
 
+/* Makes the arrays; cleared with gossip_message_clear(). */
+void gossip_message_init(struct gossip_message *message, enum gossip_kind kind);
+void gossip_message_add(struct gossip_message *message, const char *address);
 /* out is a GByteArray. */
 void gossip_encode(const struct gossip_message *message, GByteArray *out);
-/* message->loads is made; to be freed by gossip_message_clear() in any case. */
+/* message is made; to be cleared in any case. */
 bool gossip_decode(struct gossip_message *message, const void *data,
 		   size_t size, struct error *err);
 void gossip_message_clear(struct gossip_message *message);
--- /dev/null
+++ b/forward/gossip_loads.c
@@ -0,0 +1,147 @@
+/*
+ * gossip_loads.c - loads of peers, added to the servers they name
+ */
+#include "gossip_private.h"
+
+static void sum_add(struct load_sum *sum, const struct load_sum *load,
+		    int64_t times)
+{
+	sum->requests += times * load->requests;
+	sum->decode_tokens += times * load->decode_tokens;
+	sum->prefill_tokens += times * load->prefill_tokens;
+}
+
+static bool sum_is_zero(const struct load_sum *sum)
+{
+	return !sum->requests && !sum->decode_tokens && !sum->prefill_tokens;
+}
+
+static void loads_take_off(struct gossip *gossip, GArray *applied)
+{
+	for (guint i = 0; i < applied->len; i++) {
+		const struct applied *one =
+			&g_array_index(applied, struct applied, i);
+		struct backend *backend = fleet_get(gossip->fleet, one->handle);
+
+		if (backend)
+			sum_add(&backend->peers, &one->load, -1);
+	}
+	g_array_set_size(applied, 0);
+}
+
+void loads_change(struct gossip *gossip, GArray *applied, const GArray *changes)
+{
+	for (guint i = 0; i < changes->len; i++) {
+		const struct gossip_load *load =
+			&g_array_index(changes, struct gossip_load, i);
+		struct backend *backend =
+			fleet_find(gossip->fleet, load->backend);
+		struct applied one = {.load = load->load};
+
+		if (!backend)
+			continue;
+		one.handle = backend->handle;
+		sum_add(&backend->peers, &one.load, 1);
+		g_array_append_val(applied, one);
+	}
+}
+
+void loads_replace(struct gossip *gossip, GArray *applied, const GArray *loads)
+{
+	loads_take_off(gossip, applied);
+	loads_change(gossip, applied, loads);
+}
+
+void loads_own(const struct gossip *gossip, GArray *out)
+{
+	const GPtrArray *all = fleet_all(gossip->fleet);
+
+	for (guint i = 0; i < all->len; i++) {
+		const struct backend *backend = all->pdata[i];
+		struct gossip_load load = {.backend = backend->key};
+
+		load.load.requests = backend->own.requests;
+		load.load.decode_tokens = backend->own.decode_tokens;
+		load.load.prefill_tokens = backend->own.prefill_tokens;
+		if (!sum_is_zero(&load.load))
+			g_array_append_val(out, load);
+	}
+}
+
+/* Adds a load to the list, which index finds by key. */
+static void list_add(GArray *list, GHashTable *index, uint64_t key,
+		     const struct load_sum *sum, int64_t times)
+{
+	gpointer at = g_hash_table_lookup(index, &key);
+	struct gossip_load *load;
+
+	if (!at) {
+		struct gossip_load fresh = {.backend = key};
+
+		g_array_append_val(list, fresh);
+		at = GUINT_TO_POINTER(list->len);
+		g_hash_table_insert(index, g_memdup2(&key, sizeof(key)), at);
+	}
+	load = &g_array_index(list, struct gossip_load,
+			      GPOINTER_TO_UINT(at) - 1);
+	sum_add(&load->load, sum, times);
+}
+
+static GHashTable *index_create(void)
+{
+	return g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+}
+
+static void list_add_all(GArray *list, GHashTable *index, const GArray *loads,
+			 int64_t times)
+{
+	for (guint i = 0; i < loads->len; i++) {
+		const struct gossip_load *load =
+			&g_array_index(loads, struct gossip_load, i);
+
+		list_add(list, index, load->backend, &load->load, times);
+	}
+}
+
+static void list_drop_zeroes(GArray *list)
+{
+	for (guint i = list->len; i > 0; i--)
+		if (sum_is_zero(&g_array_index(list, struct gossip_load, i - 1)
+					 .load))
+			g_array_remove_index_fast(list, i - 1);
+}
+
+void loads_add_near(const struct gossip *gossip, GArray *out)
+{
+	g_autoptr(GHashTable) index = index_create();
+	g_autoptr(GArray) own =
+		g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
+
+	g_array_append_vals(own, out->data, out->len);
+	g_array_set_size(out, 0);
+	list_add_all(out, index, own, 1);
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
+
+		for (guint k = 0; k < peer->loads->len; k++) {
+			const struct applied *one =
+				&g_array_index(peer->loads, struct applied, k);
+			const struct backend *backend =
+				fleet_get(gossip->fleet, one->handle);
+
+			if (backend)
+				list_add(out, index, backend->key, &one->load,
+					 1);
+		}
+	}
+	list_drop_zeroes(out);
+}
+
+void loads_differ(const GArray *before, const GArray *now, GArray *out)
+{
+	g_autoptr(GHashTable) index = index_create();
+
+	list_add_all(out, index, now, 1);
+	list_add_all(out, index, before, -1);
+	list_drop_zeroes(out);
+}
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -1,33 +1,55 @@
 /*
- * gossip_private.h - the peers, for gossip.c and gossip_view.c
+ * gossip_private.h - the peers, for the files of gossip
  */
 #ifndef FORWARD_GOSSIP_PRIVATE_H
 #define FORWARD_GOSSIP_PRIVATE_H
 
 #include "common/address.h"
 #include "forward/gossip.h"
+#include "gossip_codec.h"
 #include "web/loop.h"
 
 struct peer {
 	char address[ADDRESS_TEXT_MAX];
+	uint64_t key; /* id_of(address) */
 	struct sockaddr_storage to;
 	socklen_t to_size;
-	char name[BACKEND_TEXT_MAX]; /* empty until heard */
-	char data_centre[BACKEND_TEXT_MAX];
+	char name[BACKEND_TEXT_MAX];	    /* empty until it told */
+	char data_centre[BACKEND_TEXT_MAX]; /* empty until known */
 	uint64_t boot;
 	uint64_t sequence;
 	int64_t met;
-	int64_t heard; /* -1: never */
-	int64_t told;
-	uint64_t told_revision; /* of the loads */
-	struct gossip_word word;
-	GArray *loads; /* struct applied */
+	int64_t heard; /* of it; GOSSIP_NEVER */
+	int64_t told;  /* GOSSIP_NEVER */
+	int64_t told_addresses;
+	uint64_t told_revision;	 /* of own loads, or the data centre's */
+	struct gossip_word word; /* of a near peer */
+	GArray *loads;		 /* of a near peer, struct applied */
+};
+
+/* Another data centre, as the last of its instances to tell saw it. */
+struct centre {
+	char name[BACKEND_TEXT_MAX];
+	int64_t heard;
+	bool left; /* nobody is there any more */
+	struct gossip_word total;
+	struct gossip_first first;
+	GArray *loads;	  /* struct applied */
+	GPtrArray *peers; /* struct peer, those that live there */
 };
 
 /* A load that was added to a server, for taking it off again. */
 struct applied {
 	uint64_t handle;
-	struct backend_load load;
+	struct load_sum load;
+};
+
+/* Datagrams that may be sent at once. */
+struct allowance {
+	double per_sec;
+	double most;
+	double left;
+	int64_t at;
 };
 
 struct gossip {
@@ -39,13 +61,20 @@
 	void *ctx;
 	int fd;
 	h2o_socket_t *socket;
-	GHashTable *peers; /* address to struct peer */
-	uint32_t near;	   /* of these, in the same data centre */
-	GArray *last;	   /* struct gossip_load, as sent last */
-	uint64_t revision; /* of these, rises when they change */
+	uint64_t key;		  /* id_of() the own address */
+	GHashTable *peers;	  /* address to struct peer */
+	GHashTable *centres;	  /* name to struct centre */
+	GPtrArray *near;	  /* struct peer of the same data centre */
+	GPtrArray *far;		  /* struct peer of others */
+	GPtrArray *receivers;	  /* those of far that this instance tells */
+	uint64_t receivers_of;	  /* sum of the peers' keys that they follow */
+	GArray *last;		  /* struct gossip_load, as told last */
+	uint64_t revision;	  /* of these, rises when they change */
+	uint64_t centre_revision; /* of the loads of the data centre */
 	int64_t changed_at;
-	double allowance; /* datagrams that may be sent at once */
-	int64_t allowance_at;
+	struct allowance at_once;     /* to those that use the server */
+	struct allowance at_once_far; /* to others elsewhere */
+	struct gossip_traffic traffic;
 	double delay_near; /* mean time from a change to its telling, usec */
 	double delay_far;
 	struct timer soon; /* a change is told when it runs out */
@@ -54,10 +83,44 @@
 	struct timer timer;
 };
 
+#define GOSSIP_NEVER INT64_MIN
+
 int64_t gossip_now(const struct gossip *gossip);
+
+/* Of gossip_peers.c. */
+struct peer *peer_add(struct gossip *gossip, const char *address);
+void peer_free(gpointer data);
+void centre_free(gpointer data);
+struct centre *centre_get(struct gossip *gossip, const char *name);
+/* Of a peer that tells: data_centre is where it is. */
+void peer_heard(struct gossip *gossip, struct peer *peer,
+		const char *data_centre);
 /* Heard of lately, and not leaving. */
-bool gossip_peer_live(const struct gossip *gossip, const struct peer *peer);
-/* In the same data centre. */
-bool gossip_peer_near(const struct gossip *gossip, const struct peer *peer);
+bool peer_live(const struct gossip *gossip, const struct peer *peer);
+/* In the same data centre; also false when that is not known. */
+bool peer_near(const struct gossip *gossip, const struct peer *peer);
+bool centre_live(const struct gossip *gossip, const struct centre *centre);
+/* Drops what is too old, and sorts peers into near, far and receivers. */
+void peers_update(struct gossip *gossip);
+
+/* Of gossip_view.c. */
+/* The lowest name of this data centre. */
+void gossip_first_near(const struct gossip *gossip, bool storeless,
+		       bool leaving, struct gossip_first *first);
+/* What near peers told, added up with this instance's own word. */
+void gossip_total_near(const struct gossip *gossip, struct gossip_word *total);
+
+/* Of gossip_loads.c. */
+/* Takes off what a peer or data centre told, and counts loads in its place. */
+void loads_replace(struct gossip *gossip, GArray *applied, const GArray *loads);
+/* Counts differences besides what was told. */
+void loads_change(struct gossip *gossip, GArray *applied,
+		  const GArray *changes);
+/* Own loads, struct gossip_load. */
+void loads_own(const struct gossip *gossip, GArray *out);
+/* Adds those of near peers. */
+void loads_add_near(const struct gossip *gossip, GArray *out);
+/* What changed from before to now. */
+void loads_differ(const GArray *before, const GArray *now, GArray *out);
 
 #endif
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -5,37 +5,31 @@
 
 #include "gossip_private.h"
 
-/* Peers that are told at the base interval; more are told more seldom. Those of
- * the same data centre share its servers and copies, and bytes to them cost
- * nothing. */
-#define FULL_RATE_NEAR 16u
+/* Near peers that are told at the base interval; more are told more seldom, as
+ * changes of loads of engines go at once, and copies are heard of from the one
+ * that reads the store. */
+#define FULL_RATE_NEAR 6u
+/* The same for peers elsewhere, each told by two only. */
 #define FULL_RATE_FAR 8u
-/* Slowest telling, well before what was told is taken for stale. */
+/* Slowest telling, well before what was told is taken for stale; and of other
+ * data centres, whose loads are seen as old as that. */
 #define SLOWEST_USEC (1 * USEC_PER_SEC)
+#define SLOWEST_FAR_USEC (400 * USEC_PER_MSEC)
+/* A data centre that was silent for so long is not waited for any more. */
+#define GIVEN_UP_USEC (30 * USEC_PER_SEC)
 
 int64_t gossip_now(const struct gossip *gossip)
 {
 	return clock_now(gossip->clock);
 }
 
-bool gossip_peer_live(const struct gossip *gossip, const struct peer *peer)
-{
-	return peer->heard >= 0 && !peer->word.leaving &&
-	       gossip_now(gossip) - peer->heard < GOSSIP_STALE_USEC;
-}
-
-bool gossip_peer_near(const struct gossip *gossip, const struct peer *peer)
-{
-	return strcmp(peer->data_centre, gossip->settings.data_centre) == 0;
-}
-
 int64_t gossip_interval(const struct gossip *gossip, bool near)
 {
-	uint32_t peers = near ? gossip->near
-			      : g_hash_table_size(gossip->peers) - gossip->near;
+	uint32_t peers = near ? gossip->near->len : gossip->far->len;
 	uint32_t full = near ? FULL_RATE_NEAR : FULL_RATE_FAR;
 
-	return MIN(GOSSIP_USEC * (int64_t)MAX(peers / full, 1u), SLOWEST_USEC);
+	return MIN(GOSSIP_USEC * (int64_t)MAX(peers / full, 1u),
+		   near ? SLOWEST_USEC : SLOWEST_FAR_USEC);
 }
 
 int64_t gossip_delay(const struct gossip *gossip, bool near)
@@ -43,6 +37,11 @@
 	return (int64_t)(near ? gossip->delay_near : gossip->delay_far);
 }
 
+const struct gossip_traffic *gossip_traffic(const struct gossip *gossip)
+{
+	return &gossip->traffic;
+}
+
 uint32_t gossip_instances(const struct gossip *gossip)
 {
 	return g_hash_table_size(gossip->peers) + 1;
@@ -56,71 +55,132 @@
 
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		live += gossip_peer_live(gossip, peer);
+		live += peer_live(gossip, peer);
 	return live;
 }
 
 bool gossip_parted(const struct gossip *gossip)
 {
 	int64_t now = gossip_now(gossip);
+	struct centre *centre;
 	GHashTableIter iter;
-	struct peer *peer;
 	bool others = false;
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (peer->heard < 0 || peer->word.leaving ||
-		    gossip_peer_near(gossip, peer))
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre)) {
+		if (centre->heard == GOSSIP_NEVER || centre->left ||
+		    now - centre->heard >= GIVEN_UP_USEC)
 			continue;
-		if (now - peer->heard < GOSSIP_PARTED_USEC)
+		if (now - centre->heard < GOSSIP_PARTED_USEC)
 			return false;
 		others = true;
 	}
 	return others;
 }
 
-uint32_t gossip_rank(const struct gossip *gossip)
+static uint32_t near_rank(const struct gossip *gossip)
 {
-	GHashTableIter iter;
-	struct peer *peer;
 	uint32_t rank = 0;
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		rank += gossip_peer_near(gossip, peer) &&
-			gossip_peer_live(gossip, peer) &&
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
+
+		rank += peer_live(gossip, peer) &&
 			strcmp(peer->name, gossip->settings.name) < 0;
+	}
 	return rank;
 }
 
-bool gossip_lowest(const struct gossip *gossip, bool storeless)
+/* Whether another data centre comes before this one. */
+static bool is_after(const struct gossip *gossip)
 {
+	struct centre *centre;
 	GHashTableIter iter;
-	struct peer *peer;
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		int order = (int)peer->word.storeless - (int)storeless;
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
+		if (centre_live(gossip, centre) &&
+		    strcmp(centre->name, gossip->settings.data_centre) < 0)
+			return true;
+	return false;
+}
 
-		if (order == 0)
-			order = strcmp(peer->name, gossip->settings.name);
-		if (order < 0 && gossip_peer_live(gossip, peer))
-			return false;
+uint32_t gossip_rank(const struct gossip *gossip)
+{
+	return near_rank(gossip) + is_after(gossip);
+}
+
+static int first_compare(const struct gossip_first *a,
+			 const struct gossip_first *b)
+{
+	int order = (int)a->storeless - (int)b->storeless;
+
+	return order ? order : strcmp(a->name, b->name);
+}
+
+void gossip_first_near(const struct gossip *gossip, bool storeless,
+		       bool leaving, struct gossip_first *first)
+{
+	bool found = !leaving;
+
+	g_strlcpy(first->name, gossip->settings.name, sizeof(first->name));
+	first->storeless = storeless;
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
+		struct gossip_first one = {.storeless = peer->word.storeless};
+
+		if (!peer_live(gossip, peer))
+			continue;
+		g_strlcpy(one.name, peer->name, sizeof(one.name));
+		if (!found || first_compare(&one, first) < 0)
+			*first = one;
+		found = true;
 	}
-	return true;
 }
 
-void gossip_total(const struct gossip *gossip, struct gossip_word *total)
+bool gossip_lowest(const struct gossip *gossip, bool storeless)
 {
+	struct gossip_first first;
+	struct centre *centre;
 	GHashTableIter iter;
-	struct peer *peer;
 
+	gossip_first_near(gossip, storeless, false, &first);
+	if (strcmp(first.name, gossip->settings.name) != 0)
+		return false;
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
+		if (centre_live(gossip, centre) &&
+		    first_compare(&centre->first, &first) < 0)
+			return false;
+	return true;
+}
+
+void gossip_total_near(const struct gossip *gossip, struct gossip_word *total)
+{
 	gossip->ops.word(gossip->ctx, total);
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (!gossip_peer_live(gossip, peer))
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
+
+		if (!peer_live(gossip, peer))
 			continue;
 		total->demand += peer->word.demand;
 		total->waiting += peer->word.waiting;
+		if (total->changing == 0)
+			total->changing = peer->word.changing;
+	}
+}
+
+void gossip_total(const struct gossip *gossip, struct gossip_word *total)
+{
+	struct centre *centre;
+	GHashTableIter iter;
+
+	gossip_total_near(gossip, total);
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre)) {
+		if (!centre_live(gossip, centre))
+			continue;
+		total->demand += centre->total.demand;
+		total->waiting += centre->total.waiting;
 	}
 }
--- a/forward/node.c
+++ b/forward/node.c
@@ -164,8 +164,7 @@
 	struct node *node = ctx;
 	const struct catalog *catalog = forward_catalog(node->forward);
 
-	if (near)
-		node_shares_hear(node, address, word);
+	node_shares_hear(node, address, word);
 	changing_hear(node, word->changing);
 	if (word->version <= (catalog ? catalog->version : 0) ||
 	    clock_now(node->clock) - node->hurried < HURRY_USEC ||
@@ -175,6 +174,13 @@
 	share_hurry(node->shares[STREAM_CONFIG].share);
 }
 
+static bool reads_store(void *ctx)
+{
+	const struct node *node = ctx;
+
+	return gossip_rank(node->gossip) == 0;
+}
+
 static bool roles_decide(void *ctx)
 {
 	const struct node *node = ctx;
@@ -267,7 +273,7 @@
 
 static bool gossip_open(struct node *node, struct error *err)
 {
-	static const struct gossip_ops ops = {word_fill, on_heard};
+	static const struct gossip_ops ops = {word_fill, on_heard, reads_store};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
 		.data_centre = node->settings.data_centre,
--- a/forward/node.h
+++ b/forward/node.h
@@ -72,7 +72,7 @@
  * to the other instances. */
 void node_feeds_start(struct node *node);
 void node_feeds_stop(struct node *node);
-/* What this instance has to tell of its copies, and what a near peer told. */
+/* What this instance has to tell of its copies, and what a peer told. */
 void node_shares_word(const struct node *node, struct gossip_word *word);
 void node_shares_hear(struct node *node, const char *address,
 		      const struct gossip_word *word);
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -15,7 +15,7 @@
 /* A waiting read. Its answer may be lost when the store or the path to it
  * fails, so it is given up soon enough to follow a change two seconds after it,
  * once the store has been well for three. */
-#define CONFIG_WAIT_USEC (700 * USEC_PER_MSEC)
+#define CONFIG_WAIT_USEC (500 * USEC_PER_MSEC)
 #define TICK_USEC (100 * USEC_PER_MSEC)
 /* A copy is fetched within a round trip; from one that does not answer in this
  * time it is not waited for. */
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -49,13 +49,21 @@
 	uint32_t prefill_tokens; /* of prompts sent and not yet computed */
 };
 
+/* Sums and differences of the above. */
+struct load_sum {
+	int64_t requests;
+	int64_t decode_tokens;
+	int64_t prefill_tokens;
+};
+
 struct backend {
 	struct backend_info info;
 	uint64_t handle;
 	uint64_t key; /* backend_key(&info) */
 	bool near;    /* in this instance's data centre */
 	struct backend_load own;
-	struct backend_load peers;
+	/* Below zero while a difference lacks its base. */
+	struct load_sum peers;
 	double trouble; /* failures, decayed to trouble_at */
 	int64_t trouble_at;
 	int64_t avoid_until;	/* could not be reached */
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -2,24 +2,29 @@
  * gossip.h - what instances tell each other of the load they put on servers
  *
  * DESCRIPTION
- *	Each instance sends its share of the load of every backend server to
- *	its peers in datagrams, several times a second while it changes. What
- *	is told is whole, so a lost datagram is made good by the next; what a
- *	peer told is dropped GOSSIP_STALE_USEC after its last word. Nothing
- *	waits for a peer. Peers are first learnt from the store, then from
- *	datagrams: from their senders, and from the addresses that each
- *	carries.
+ *	An instance tells the peers in its data centre, in datagrams, what load
+ *	it puts on each backend server. Each instance is told of every other
+ *	data centre by two of that one's instances, chosen by rendezvous
+ *	hashing: its sums of load, and who lives there. So what an instance
+ *	sends and reads is bounded by its own data centre and the number of
+ *	data centres, not by all instances.
  *
- *	A load that changes on a server of engines is told to all peers in the
- *	next turn, as long as an allowance of 600 datagrams a second lasts.
- *	Beyond that, and for other changes, words go at intervals.
+ *	What is told is whole, so a lost datagram is made good by the next. In
+ *	between, a load that changes on a server of engines is told at once, as
+ *	a difference, to the peers near and to those of the server's data
+ *	centre, as long as an allowance of 450 datagrams a second lasts, and to
+ *	all others within one of 150.
  *
- *	With n peers in a data centre a datagram goes to each of them every
- *	GOSSIP_USEC * max(1, n / 16), and to n peers in others every
- *	GOSSIP_USEC * max(1, n / 8), one second at the most: what an instance
- *	sends and reads so is bounded at about 240 datagrams a second each way,
- *	as long as there are fewer than 80 peers in other data centres; with the
- *	allowance at 840.
+ *	What a peer or data centre told is dropped GOSSIP_STALE_USEC after its
+ *	last word. Nothing waits for a peer. Peers are first learnt from the
+ *	store, then from datagrams: from their senders, and from the addresses
+ *	that each carries.
+ *
+ *	With n peers in its data centre an instance sends each of them a word
+ *	every GOSSIP_USEC * max(1, n / 6), a second at the most, and every 300
+ *ms when it reads the store for others: at most 200 datagrams a second with
+ *	60. Elsewhere it tells about twice as many instances as there are other
+ *	data centres, every 100 to 400 ms.
  */
 #ifndef FORWARD_GOSSIP_H
 #define FORWARD_GOSSIP_H
@@ -64,12 +69,23 @@
 	struct share_word shares[GOSSIP_SHARES];
 };
 
+/* Datagrams since the start, and their bytes without headers. */
+struct gossip_traffic {
+	uint64_t sent;
+	uint64_t sent_bytes;
+	uint64_t received;
+	uint64_t received_bytes;
+};
+
 struct gossip_ops {
 	/* What this instance has to tell now. */
 	void (*word)(void *ctx, struct gossip_word *word);
 	/* What a peer told; near: it is in the same data centre. */
 	void (*heard)(void *ctx, const char *address, bool near,
 		      const struct gossip_word *word);
+	/* Whether this instance reads the store for others, who are to hear of
+	 * it more often. */
+	bool (*reads)(void *ctx);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -93,12 +109,15 @@
 /* How long a change has taken of late until peers near, or elsewhere, were told
  * of it, in microseconds: what they tell is about as old when it is used. */
 int64_t gossip_delay(const struct gossip *gossip, bool near);
+const struct gossip_traffic *gossip_traffic(const struct gossip *gossip);
 /* Peers heard of lately. */
 uint32_t gossip_live(const struct gossip *gossip);
 /* Whether there are peers in other data centres, and none of them was heard of
  * for GOSSIP_PARTED_USEC: this data centre, or this instance, is cut off. */
 bool gossip_parted(const struct gossip *gossip);
-/* Live peers of the same data centre whose names come before this one's. */
+/* Which instance this is among those that may read the store for others: live
+ * peers of the same data centre whose names come before this one's, and one
+ * more when another live data centre comes before this one. */
 uint32_t gossip_rank(const struct gossip *gossip);
 /* Whether this instance has the lowest name of those live, itself included;
  * instances that reach the store come before those that do not, as storeless
--- a/tests/forward/test_gossip.c
+++ b/tests/forward/test_gossip.c
@@ -17,7 +17,6 @@
 	struct fleet *fleets[PEERS];
 	struct gossip *gossips[PEERS];
 	char addresses[PEERS][32];
-	uint32_t words; /* heard, at all */
 };
 
 static void word(void *ctx, struct gossip_word *out)
@@ -28,9 +27,11 @@
 static void heard(void *ctx, const char *address, bool near,
 		  const struct gossip_word *from)
 {
-	struct site *site = ctx;
+}
 
-	site->words++;
+static bool reads(void *ctx)
+{
+	return false;
 }
 
 static void address_free(char out[32])
@@ -64,7 +65,7 @@
 
 static void site_open(struct site *site)
 {
-	static const struct gossip_ops ops = {word, heard};
+	static const struct gossip_ops ops = {word, heard, reads};
 	static const char *const names[PEERS] = {"n0", "n1", "n2"};
 
 	*site = (struct site){.clock = clock_create(0)};
@@ -132,23 +133,34 @@
 	site_close(&site);
 }
 
+static uint64_t sent_by_all(const struct site *site)
+{
+	uint64_t sent = 0;
+
+	for (int i = 0; i < PEERS; i++)
+		sent += gossip_traffic(site->gossips[i])->sent;
+	return sent;
+}
+
 /* A load that changes all the time does not send without bound: beyond the
  * allowance peers are told at the interval. */
 static void test_allowance(void)
 {
 	struct site site;
-	uint32_t before;
+	uint64_t before;
+	uint64_t sent;
 
 	site_open(&site);
-	before = site.words;
+	before = sent_by_all(&site);
 	for (uint32_t i = 0; i < 20000; i++) {
 		load_put(&site, i % 7);
 		turn(&site, USEC_PER_MSEC / 2);
 	}
 	/* Ten seconds, two peers: what was saved, 600 a second, and the regular
 	 * words of three instances. */
-	g_assert_cmpuint(site.words - before, <, 1200 + 6000 + 700);
-	g_assert_cmpuint(site.words - before, >, 5000);
+	sent = sent_by_all(&site) - before;
+	g_assert_cmpuint(sent, <, 1200 + 6000 + 700);
+	g_assert_cmpuint(sent, >, 5000);
 	site_close(&site);
 }
 
--- /dev/null
+++ b/tests/forward/test_gossip_site.c
@@ -0,0 +1,373 @@
+/* Hundreds of instances that tell each other of loads, on a paused clock. Each
+ * data centre has a loop of its own, so that one of them can stand still. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/id.h"
+#include "forward/gossip.h"
+#include "web/loop.h"
+
+#define CENTRES 5
+#define MOST 320
+
+struct instance {
+	struct site *site;
+	uint32_t centre;
+	char name[16];
+	char address[32];
+	struct fleet *fleet;
+	struct gossip *gossip;
+	uint64_t boot;
+};
+
+struct site {
+	struct clock *clock;
+	struct loop *loops[CENTRES];
+	bool still[CENTRES];
+	struct instance instances[MOST];
+	uint32_t count;
+};
+
+static const char *const centres[CENTRES] = {"a", "b", "c", "d", "e"};
+
+static void word(void *ctx, struct gossip_word *out)
+{
+	*out = (struct gossip_word){.version = 1, .demand = 100, .waiting = 1};
+}
+
+static void heard(void *ctx, const char *address, bool near,
+		  const struct gossip_word *from)
+{
+}
+
+static bool reads(void *ctx)
+{
+	const struct instance *instance = ctx;
+
+	return gossip_rank(instance->gossip) == 0;
+}
+
+static void address_free(char out[32])
+{
+	struct sockaddr_in address = {.sin_family = AF_INET};
+	socklen_t size = sizeof(address);
+	int fd = socket(AF_INET, SOCK_DGRAM, 0);
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
+	getsockname(fd, (struct sockaddr *)&address, &size);
+	g_snprintf(out, 32, "127.0.0.1:%d", ntohs(address.sin_port));
+	close(fd);
+}
+
+/* One server of engines in each data centre. */
+static struct backend *server(struct instance *instance, uint32_t centre)
+{
+	struct backend_info info = {
+		.service = 1, .stage = STAGE_DECODE, .slots = 8};
+
+	g_snprintf(info.id, sizeof(info.id), "d-%s", centres[centre]);
+	g_strlcpy(info.data_centre, centres[centre], sizeof(info.data_centre));
+	return fleet_put(instance->fleet, &info);
+}
+
+static void instance_start(struct instance *instance)
+{
+	static const struct gossip_ops ops = {word, heard, reads};
+	struct site *site = instance->site;
+	struct gossip_settings settings = {
+		.name = instance->name,
+		.data_centre = centres[instance->centre],
+		.address = instance->address,
+		.boot = ++instance->boot,
+	};
+	struct error err;
+
+	instance->fleet = fleet_create(site->clock, settings.data_centre);
+	for (uint32_t i = 0; i < CENTRES; i++)
+		server(instance, i);
+	instance->gossip =
+		gossip_create(site->loops[instance->centre], instance->fleet,
+			      &settings, &ops, instance, &err);
+	g_assert_nonnull(instance->gossip);
+}
+
+static void instance_stop(struct instance *instance)
+{
+	gossip_destroy(instance->gossip);
+	fleet_destroy(instance->fleet);
+	instance->gossip = NULL;
+}
+
+static void meet_all(struct site *site, struct instance *instance)
+{
+	for (uint32_t i = 0; i < site->count; i++)
+		gossip_meet(instance->gossip, site->instances[i].address);
+}
+
+static struct instance *instance_add(struct site *site)
+{
+	struct instance *instance = &site->instances[site->count];
+
+	instance->site = site;
+	instance->centre = site->count % CENTRES;
+	g_snprintf(instance->name, sizeof(instance->name), "%s%03u",
+		   centres[instance->centre], site->count);
+	address_free(instance->address);
+	site->count++;
+	instance_start(instance);
+	return instance;
+}
+
+static void turn(struct site *site, int64_t msec)
+{
+	for (int64_t i = 0; i < msec; i += 50) {
+		clock_advance(site->clock,
+			      clock_now(site->clock) + 50 * USEC_PER_MSEC);
+		for (int k = 0; k < 3 * CENTRES; k++)
+			if (!site->still[k % CENTRES])
+				loop_turn_h2o(site->loops[k % CENTRES], 0);
+	}
+}
+
+static struct site *site_open(uint32_t count)
+{
+	struct site *site = g_new0(struct site, 1);
+
+	site->clock = clock_create(0);
+	clock_advance(site->clock, 60 * USEC_PER_SEC);
+	for (int i = 0; i < CENTRES; i++) {
+		site->loops[i] = loop_create(site->clock);
+		/* Or its first datagram would set the clock. */
+		loop_enter(site->loops[i]);
+	}
+	for (uint32_t i = 0; i < count; i++)
+		instance_add(site);
+	for (uint32_t i = 0; i < count; i++)
+		meet_all(site, &site->instances[i]);
+	/* All start at once: some first words are lost in full sockets. */
+	turn(site, 3000);
+	return site;
+}
+
+static void site_close(struct site *site)
+{
+	for (uint32_t i = 0; i < site->count; i++)
+		if (site->instances[i].gossip)
+			instance_stop(&site->instances[i]);
+	for (int i = 0; i < CENTRES; i++)
+		loop_destroy(site->loops[i]);
+	clock_destroy(site->clock);
+	g_free(site);
+}
+
+/* The instance has requests at the server of a data centre. */
+static void load_put(struct instance *instance, uint32_t centre,
+		     uint32_t requests)
+{
+	struct backend *backend = server(instance, centre);
+
+	backend->own.requests = requests;
+	backend->own.decode_tokens = requests * 1000;
+	gossip_load_changed(instance->gossip);
+}
+
+/* Whether all see so many requests at the server of a data centre. */
+static uint32_t seen_by(struct site *site, uint32_t centre, uint32_t requests)
+{
+	uint32_t seen = 0;
+
+	for (uint32_t i = 0; i < site->count; i++) {
+		struct instance *instance = &site->instances[i];
+
+		seen += instance->gossip &&
+			backend_requests(server(instance, centre)) == requests;
+	}
+	return seen;
+}
+
+static uint32_t lowest_count(const struct site *site)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < site->count; i++)
+		count += site->instances[i].gossip &&
+			 !site->still[site->instances[i].centre] &&
+			 gossip_lowest(site->instances[i].gossip, false);
+	return count;
+}
+
+static void all_know_all(struct site *site)
+{
+	for (uint32_t i = 0; i < site->count; i++) {
+		const struct gossip *gossip = site->instances[i].gossip;
+		struct gossip_word total;
+
+		g_assert_cmpuint(gossip_live(gossip), ==, site->count - 1);
+		g_assert_cmpuint(gossip_instances(gossip), ==, site->count);
+		gossip_total(gossip, &total);
+		g_assert_cmpuint(total.waiting, ==, site->count);
+		g_assert_false(gossip_parted(gossip));
+	}
+	g_assert_cmpuint(lowest_count(site), ==, 1);
+}
+
+/* Everyone knows of everyone, of the sums of all and of each server's load. */
+static void test_views(void)
+{
+	struct site *site = site_open(300);
+
+	all_know_all(site);
+	for (uint32_t i = 0; i < site->count; i += 3)
+		load_put(&site->instances[i], i % CENTRES, 2);
+	turn(site, 1500);
+	for (uint32_t i = 0; i < CENTRES; i++)
+		g_assert_cmpuint(seen_by(site, i, 40), ==, site->count);
+	for (uint32_t i = 0; i < site->count; i += 3)
+		load_put(&site->instances[i], i % CENTRES, 0);
+	turn(site, 1500);
+	g_assert_cmpuint(seen_by(site, 0, 0), ==, site->count);
+	site_close(site);
+}
+
+/* A load on a server elsewhere is known there, and near, at once. */
+static void test_used_elsewhere(void)
+{
+	struct site *site = site_open(60);
+	struct instance *user = &site->instances[0];
+
+	load_put(user, 2, 3);
+	turn(site, 50);
+	for (uint32_t i = 0; i < site->count; i++) {
+		struct instance *instance = &site->instances[i];
+
+		if (instance->centre == user->centre || instance->centre == 2)
+			g_assert_cmpuint(backend_requests(server(instance, 2)),
+					 ==, 3);
+	}
+	turn(site, 1500);
+	g_assert_cmpuint(seen_by(site, 2, 3), ==, site->count);
+	site_close(site);
+}
+
+static uint64_t bytes_sent(const struct site *site)
+{
+	uint64_t bytes = 0;
+
+	for (uint32_t i = 0; i < site->count; i++)
+		bytes += gossip_traffic(site->instances[i].gossip)->sent_bytes;
+	return bytes;
+}
+
+/* Bytes a second of one instance, whose load does not change, on average. */
+static uint64_t idle_bytes(uint32_t count)
+{
+	struct site *site = site_open(count);
+	uint64_t before = bytes_sent(site);
+	uint64_t bytes;
+
+	turn(site, 10000);
+	bytes = (bytes_sent(site) - before) / 10 / count;
+	site_close(site);
+	return bytes;
+}
+
+/* What an instance sends grows with its own data centre up to 60 there at most:
+ * five times as many instances are told no more than three times as much. */
+static void test_bytes(void)
+{
+	uint64_t few = idle_bytes(60);
+	uint64_t many = idle_bytes(300);
+
+	g_test_message("%d bytes a second with 60 instances, %d with 300",
+		       (int)few, (int)many);
+	g_assert_cmpuint(many, <, 3 * few);
+	g_assert_cmpuint(many, <, 24000);
+}
+
+/* Instances that join by the dozen, and restart in turn, are known within three
+ * seconds, and no load of an earlier start is left. */
+static void test_joins(void)
+{
+	struct site *site = site_open(100);
+
+	for (int i = 0; i < 24; i++)
+		meet_all(site, instance_add(site));
+	turn(site, 3000);
+	all_know_all(site);
+	for (uint32_t i = 0; i < 12; i++) {
+		load_put(&site->instances[i], 1, 5);
+		turn(site, 50);
+		instance_stop(&site->instances[i]);
+		instance_start(&site->instances[i]);
+		meet_all(site, &site->instances[i]);
+		turn(site, 200);
+	}
+	turn(site, 3000);
+	all_know_all(site);
+	g_assert_cmpuint(seen_by(site, 1, 0), ==, site->count);
+	site_close(site);
+}
+
+/* Instances that are gone are not known after half a minute, and their loads
+ * after 2.5 s; meanwhile others tell in their place. */
+static void test_gone(void)
+{
+	struct site *site = site_open(100);
+
+	for (uint32_t i = 0; i < 40; i++) {
+		load_put(&site->instances[i], 1, 5);
+		turn(site, 50);
+		instance_stop(&site->instances[i]);
+	}
+	turn(site, 6000);
+	g_assert_cmpuint(seen_by(site, 1, 0), ==, 60);
+	g_assert_cmpuint(lowest_count(site), ==, 1);
+	load_put(&site->instances[99], 4, 7);
+	turn(site, 1500);
+	g_assert_cmpuint(seen_by(site, 4, 7), ==, 60);
+	turn(site, 32000);
+	for (uint32_t i = 40; i < 100; i++)
+		g_assert_cmpuint(gossip_instances(site->instances[i].gossip),
+				 ==, 60);
+	site_close(site);
+}
+
+/* A data centre that stands still for longer than instances are remembered is
+ * taken for cut off, and found again by itself. */
+static void test_still(void)
+{
+	struct site *site = site_open(100);
+
+	load_put(&site->instances[3], 3, 6);
+	turn(site, 1500);
+	site->still[3] = true;
+	turn(site, 7000);
+	for (uint32_t i = 0; i < site->count; i++)
+		if (site->instances[i].centre != 3)
+			g_assert_cmpuint(backend_requests(server(
+						 &site->instances[i], 3)),
+					 ==, 0);
+	g_assert_cmpuint(lowest_count(site), ==, 1);
+	turn(site, 33000);
+	site->still[3] = false;
+	turn(site, 3000);
+	all_know_all(site);
+	g_assert_cmpuint(seen_by(site, 3, 6), ==, site->count);
+	site_close(site);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/gossip/site/views", test_views);
+	g_test_add_func("/forward/gossip/site/used-elsewhere",
+			test_used_elsewhere);
+	g_test_add_func("/forward/gossip/site/bytes", test_bytes);
+	g_test_add_func("/forward/gossip/site/joins", test_joins);
+	g_test_add_func("/forward/gossip/site/gone", test_gone);
+	g_test_add_func("/forward/gossip/site/still", test_still);
+	return g_test_run();
+}
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -380,18 +380,18 @@
 
 static void message_fill(struct gossip_message *message)
 {
-	struct gossip_load load = {7, {1, 2, 3}};
-
-	*message = (struct gossip_message){
-		.name = "a",
-		.data_centre = "here",
-		.boot = 5,
-		.sequence = 6,
-		.word = {.version = 9, .demand = 10, .waiting = 2},
-		.addresses = {"127.0.0.1:1"},
-		.address_count = 1,
-		.loads = g_array_new(FALSE, FALSE, sizeof(load)),
-	};
+	struct gossip_load load = {7, {1, -2, 3}};
+
+	gossip_message_init(message, GOSSIP_CENTRE);
+	g_strlcpy(message->name, "a", sizeof(message->name));
+	g_strlcpy(message->data_centre, "here", sizeof(message->data_centre));
+	g_strlcpy(message->first.name, "b", sizeof(message->first.name));
+	message->boot = 5;
+	message->sequence = 6;
+	message->word =
+		(struct gossip_word){.version = 9, .demand = 10, .waiting = 2};
+	gossip_message_add(message, "127.0.0.1:1");
+	gossip_message_add(message, "[::1]:70");
 	message->word.storeless = true;
 	message->word.shares[0] = (struct share_word){4, 3, 1500};
 	message->word.shares[1] = (struct share_word){0, 0, -1};
@@ -416,7 +416,18 @@
 	g_assert_cmpuint(got.word.shares[0].changed, ==, 3);
 	g_assert_cmpint(got.word.shares[1].age_usec, ==, -1);
 	g_assert_cmpuint(got.loads->len, ==, 1);
-	g_assert_cmpstr(got.addresses[0], ==, "127.0.0.1:1");
+	g_assert_cmpint(got.kind, ==, GOSSIP_CENTRE);
+	g_assert_cmpstr(got.first.name, ==, "b");
+	g_assert_cmpint(g_array_index(got.loads, struct gossip_load, 0)
+				.load.decode_tokens,
+			==, -2);
+	g_assert_cmpuint(got.addresses->len, ==, 2);
+	g_assert_cmpstr(
+		g_array_index(got.addresses, struct gossip_address, 0).text, ==,
+		"127.0.0.1:1");
+	g_assert_cmpstr(
+		g_array_index(got.addresses, struct gossip_address, 1).text, ==,
+		"[::1]:70");
 	gossip_message_clear(&got);
 	for (guint size = 0; size < out->len; size++) {
 		g_assert_false(gossip_decode(&got, out->data, size, &err));
--- a/tests/forward/test_views.c
+++ b/tests/forward/test_views.c
@@ -69,12 +69,18 @@
 	clock_destroy(site->clock);
 }
 
-static void load_change(struct backend_load *load, int32_t change)
+static void own_change(struct backend_load *load, int32_t change)
 {
 	load->requests += (uint32_t)change;
 	load->decode_tokens += (uint32_t)change * TOKENS;
 }
 
+static void peers_change(struct load_sum *load, int32_t change)
+{
+	load->requests += change;
+	load->decode_tokens += (int64_t)change * TOKENS;
+}
+
 static void later(GQueue *queue, int64_t at, int from, int server,
 		  int32_t change)
 {
@@ -87,7 +93,7 @@
 /* The instance's own load, at once for itself and later for the others. */
 static void change(struct site *site, int instance, int server, int32_t by)
 {
-	load_change(&site->views[instance][server]->own, by);
+	own_change(&site->views[instance][server]->own, by);
 	site->requests[server] += (uint32_t)by;
 	later(&site->news, clock_now(site->clock) + site->delay, instance,
 	      server, by);
@@ -104,8 +110,8 @@
 {
 	for (int i = 0; i < INSTANCES; i++)
 		if (i != news->from)
-			load_change(&site->views[i][news->server]->peers,
-				    news->change);
+			peers_change(&site->views[i][news->server]->peers,
+				     news->change);
 }
 
 static int server_of(const struct site *site, int instance,
