forward: wait for the list of peers before the store is read, and pass on that a stream is empty

Until the first configuration is written its stream is empty, which was taken for not having read it, so each instance read it again (408 reads).

Now the start is counted from when the peers are listed (a second at most), and a copy of an empty stream is a copy.

Tests forward-share unlisted and empty fail before; the others of that file now list their peers first, as a process does.

--- a/forward/share.c
+++ b/forward/share.c
@@ -11,8 +11,12 @@
  * copies spread to everybody within some three seconds; with 2 here 300
  * instances read a list of 3,000 servers, 450 MB, out of the store at once. */
 #define START_RANK_MAX 10u
-/* Peers are found within this time of the start, if there are any. */
+/* Peers are heard of within this time of being listed, if there are any. */
 #define START_USEC (150 * USEC_PER_MSEC)
+/* So long the list of peers is waited for: 360 instances that start at once are
+ * listed one after the other, 2 ms each. Without it all of them read the store
+ * before they knew of each other, 690 calls with 295 instances. */
+#define LISTED_USEC (1 * USEC_PER_SEC)
 /* How much older than it says what a peer tells of its copy is taken to be: the
  * way, 1 ms between data centres, and the queue of a busy instance. Taken as
  * said, words that are told back and forth stay as young as they are: with 600
@@ -26,7 +30,8 @@
 
 struct share {
 	struct clock *clock;
-	int64_t began;
+	int64_t began; /* or the peers were listed */
+	bool listed;
 	struct feed *feed;
 	struct feed_settings settings;
 	struct share_ops ops;
@@ -205,6 +210,8 @@
 
 void share_start(struct share *share, uint32_t lower)
 {
+	share->listed = true;
+	share->began = clock_now(share->clock);
 	if (feed_fresh(share->feed) == FEED_NEVER && lower < SHARE_STARTERS)
 		feed_poll(share->feed);
 }
@@ -217,7 +224,7 @@
 
 	if (fresh == FEED_NEVER) {
 		fresh = share->began;
-		patience += START_USEC;
+		patience += share->listed ? START_USEC : LISTED_USEC;
 	} else if (rank > 0 || share->settings.wait_usec == 0) {
 		/* A read that waits is begun at once by the first. */
 		patience += SHARE_PATIENCE_USEC;
@@ -243,11 +250,10 @@
 
 bool share_hear(struct share *share, const struct share_word *word)
 {
-	uint64_t position = feed_position(share->feed);
-
-	if (word->next == 0 || word->age_usec < 0)
+	if (word->age_usec < 0)
 		return false;
-	if (position == 0 || word->changed > position)
+	if (feed_fresh(share->feed) == FEED_NEVER ||
+	    word->changed > feed_position(share->feed))
 		return true;
 	feed_advance(share->feed, word->next,
 		     clock_now(share->clock) - word->age_usec - HOP_USEC);
@@ -408,8 +414,7 @@
 	copy->base = fields[3].via.u64;
 	copy->values = &fields[4];
 	copy->dropped = &fields[5];
-	return copy->word.next > 0 &&
-	       list_is_sound(copy->values, value_is_sound) &&
+	return list_is_sound(copy->values, value_is_sound) &&
 	       list_is_sound(copy->dropped, key_is_sound);
 }
 
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -43,7 +43,7 @@
 
 /* What an instance tells of its copy. */
 struct share_word {
-	uint64_t next;	  /* records before it are known; 0: none */
+	uint64_t next;	  /* records before it are known */
 	uint64_t changed; /* just after the last one that changed anything */
 	int64_t age_usec; /* since the copy was sure; negative: never */
 };
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -55,7 +55,7 @@
 	return same ? SHARE_SAME : SHARE_CHANGED;
 }
 
-static void copy_open(struct copy *copy, struct clock *clock)
+static void copy_create(struct copy *copy, struct clock *clock)
 {
 	static const struct share_ops ops = {on_begin, NULL, on_value};
 	const struct feed_store store = {on_snapshot, on_read, copy};
@@ -67,6 +67,13 @@
 	copy->share = share_create(clock, &store, &settings, &ops, copy);
 }
 
+/* One that knows its peers, many of them with lower names. */
+static void copy_open(struct copy *copy, struct clock *clock)
+{
+	copy_create(copy, clock);
+	share_start(copy->share, SHARE_STARTERS);
+}
+
 static void copy_close(struct copy *copy)
 {
 	share_destroy(copy->share);
@@ -236,6 +243,47 @@
 	clock_destroy(clock);
 }
 
+/* Before it knows of peers an instance waits for the list of them: it may be
+ * one of hundreds that start. But not for long. */
+static void test_unlisted(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy copy;
+
+	copy_create(&copy, clock);
+	wait_msec(clock, 900);
+	share_tick(copy.share, 0);
+	g_assert_cmpuint(copy.calls, ==, 0);
+	wait_msec(clock, 100);
+	share_tick(copy.share, 0);
+	g_assert_cmpuint(copy.calls, ==, 1);
+	store_answer(&copy, "k", "v1", 6);
+	copy_close(&copy);
+	clock_destroy(clock);
+}
+
+/* That nothing was written yet is passed on too. */
+static void test_empty(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy first;
+	struct copy second;
+
+	copy_open(&first, clock);
+	copy_open(&second, clock);
+	share_start(first.share, 0);
+	store_answer(&first, NULL, NULL, 0);
+	g_assert_true(hear(&second, &first));
+	fetch(&second, &first);
+	g_assert_false(hear(&second, &first));
+	wait_msec(clock, 600);
+	share_tick(second.share, 1);
+	g_assert_cmpuint(second.calls, ==, 0);
+	copy_close(&first);
+	copy_close(&second);
+	clock_destroy(clock);
+}
+
 /* After a start of all the first few by name read at once, the others when they
  * have heard of none for a while. */
 static void test_starters(void)
@@ -463,6 +511,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/forward/share/echo", test_echo);
+	g_test_add_func("/forward/share/unlisted", test_unlisted);
+	g_test_add_func("/forward/share/empty", test_empty);
 	g_test_add_func("/forward/share/refused", test_refused);
 	g_test_add_func("/forward/share/refused-snapshot",
 			test_refused_snapshot);
