--- /dev/null
+++ b/forward/gossip_hear.c
@@ -0,0 +1,117 @@
+/*
+ * gossip_hear.c - what becomes of a datagram of a peer
+ */
+#include "common/log.h"
+#include "gossip_private.h"
+
+/* Another start of the peer, or the next message of the same one. */
+static bool is_news(const struct peer *peer,
+		    const struct gossip_message *message)
+{
+	if (message->boot != peer->boot)
+		return message->boot > peer->boot &&
+		       message->kind != GOSSIP_CHANGES;
+	return message->sequence > peer->sequence;
+}
+
+/* An instance that told of itself. */
+static void own_take(struct gossip *gossip, struct peer *peer,
+		     const struct gossip_message *message)
+{
+	peer->word = message->word;
+	if (peer_near(gossip, peer)) {
+		loads_replace(gossip, peer->loads, message->loads);
+		gossip->centre_revision++;
+	}
+	for (guint i = 0; i < message->addresses->len; i++)
+		gossip_meet(gossip, g_array_index(message->addresses,
+						  struct gossip_address, i)
+					    .text);
+}
+
+/* All that live in another data centre. */
+static void members_take(struct gossip *gossip,
+			 const struct gossip_message *message)
+{
+	for (guint i = 0; i < message->addresses->len; i++) {
+		const char *address = g_array_index(message->addresses,
+						    struct gossip_address, i)
+					      .text;
+		struct peer *peer = g_hash_table_lookup(gossip->peers, address);
+
+		if (!peer)
+			peer = peer_add(gossip, address);
+		if (peer && !peer_near(gossip, peer))
+			peer_heard(gossip, peer, message->data_centre);
+	}
+}
+
+static void centre_take(struct gossip *gossip, struct peer *peer,
+			const struct gossip_message *message)
+{
+	struct centre *centre;
+
+	if (peer_near(gossip, peer))
+		return;
+	centre = centre_get(gossip, message->data_centre);
+	if (centre->heard == GOSSIP_NEVER ||
+	    gossip_now(gossip) - centre->heard >= GOSSIP_STALE_USEC)
+		log_event(LOG_NOTICE, "data_centre_heard",
+			  LOG_S("data_centre", centre->name),
+			  LOG_S("peer", message->name));
+	centre->heard = gossip_now(gossip);
+	centre->left = message->word.leaving && message->addresses->len == 0;
+	centre->total = message->word;
+	centre->first = message->first;
+	peer->word.leaving = message->word.leaving;
+	loads_replace(gossip, centre->loads, message->loads);
+	members_take(gossip, message);
+}
+
+static void changes_take(struct gossip *gossip, struct peer *peer,
+			 const struct gossip_message *message)
+{
+	if (peer_near(gossip, peer)) {
+		loads_change(gossip, peer->loads, message->loads);
+		gossip->centre_revision++;
+	} else {
+		loads_change(gossip,
+			     centre_get(gossip, peer->data_centre)->loads,
+			     message->loads);
+	}
+}
+
+static void word_take(struct gossip *gossip, struct peer *peer,
+		      const struct gossip_message *message)
+{
+	if (!peer_live(gossip, peer) && !message->word.leaving)
+		log_event(LOG_INFO, "peer_live", LOG_S("peer", message->name),
+			  LOG_S("address", peer->address));
+	g_strlcpy(peer->name, message->name, sizeof(peer->name));
+	peer_heard(gossip, peer, message->data_centre);
+	if (message->kind == GOSSIP_OWN)
+		own_take(gossip, peer, message);
+	else
+		centre_take(gossip, peer, message);
+	gossip->ops.heard(gossip->ctx, peer->address, peer_near(gossip, peer),
+			  &message->word);
+}
+
+void gossip_hear(struct gossip *gossip, const char *from,
+		 const struct gossip_message *message)
+{
+	struct peer *peer = g_hash_table_lookup(gossip->peers, from);
+
+	if (!peer && message->kind != GOSSIP_CHANGES)
+		peer = peer_add(gossip, from);
+	if (!peer || !is_news(peer, message))
+		return;
+	peer->boot = message->boot;
+	peer->sequence = message->sequence;
+	if (message->kind != GOSSIP_CHANGES) {
+		word_take(gossip, peer, message);
+		return;
+	}
+	peer->heard = gossip_now(gossip);
+	changes_take(gossip, peer, message);
+}
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -103,6 +103,16 @@
 /* Drops what is too old, and sorts peers into near, far and receivers. */
 void peers_update(struct gossip *gossip);
 
+/* Of gossip_hear.c: takes in what came from an address. */
+void gossip_hear(struct gossip *gossip, const char *from,
+		 const struct gossip_message *message);
+
+/* Of gossip_tell.c. */
+/* Tells those whose time it is. */
+void gossip_tell_due(struct gossip *gossip);
+/* Tells of loads that have changed, as far as the allowances last. */
+void gossip_tell_changes(struct gossip *gossip);
+
 /* Of gossip_view.c. */
 /* The lowest name of this data centre. */
 void gossip_first_near(const struct gossip *gossip, bool storeless,
--- /dev/null
+++ b/forward/gossip_tell.c
@@ -0,0 +1,321 @@
+/*
+ * gossip_tell.c - whom this instance tells what, and when
+ */
+#include <string.h>
+#include <sys/socket.h>
+
+#include "gossip_private.h"
+
+/* A word is sent at least so often although nothing changed. */
+#define IDLE_USEC (300 * USEC_PER_MSEC)
+/* How often an address that does not answer is tried. */
+#define TRY_USEC (1 * USEC_PER_SEC)
+/* How often those elsewhere are told who lives in this data centre: well before
+ * who is not named any more is taken for gone. */
+#define ADDRESSES_USEC (1 * USEC_PER_SEC)
+/* Weight of a new measurement in the mean delay of telling. */
+#define DELAY_WEIGHT 0.05
+
+static void peer_send(struct gossip *gossip, const struct peer *peer,
+		      const GByteArray *out)
+{
+	gossip->traffic.sent++;
+	gossip->traffic.sent_bytes += out->len;
+	/* What cannot be sent is made good by the next one. */
+	(void)sendto(gossip->fd, out->data, out->len,
+		     MSG_DONTWAIT | MSG_NOSIGNAL, (struct sockaddr *)&peer->to,
+		     peer->to_size);
+}
+
+/* One address rides along, another each time, so that an instance that could
+ * not read the store learns of all peers from one. */
+static void address_add(struct gossip *gossip, struct gossip_message *message)
+{
+	GHashTableIter iter;
+	struct peer *peer;
+	uint32_t at = 0;
+	uint32_t size = MAX(g_hash_table_size(gossip->peers), 1u);
+	uint32_t start = gossip->spread++ % size;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (at++ < start || !peer_live(gossip, peer))
+			continue;
+		gossip_message_add(message, peer->address);
+		return;
+	}
+}
+
+static void message_begin(struct gossip *gossip, struct gossip_message *message,
+			  enum gossip_kind kind)
+{
+	gossip_message_init(message, kind);
+	message->boot = gossip->settings.boot;
+	message->sequence = ++gossip->sequence;
+	g_strlcpy(message->name, gossip->settings.name, sizeof(message->name));
+	g_strlcpy(message->data_centre, gossip->settings.data_centre,
+		  sizeof(message->data_centre));
+}
+
+static void last_replace(struct gossip *gossip, const GArray *loads)
+{
+	g_array_set_size(gossip->last, 0);
+	g_array_append_vals(gossip->last, loads->data, loads->len);
+}
+
+static void loads_changed(struct gossip *gossip)
+{
+	gossip->revision++;
+	gossip->centre_revision++;
+	gossip->changed_at = gossip_now(gossip);
+}
+
+/* This instance's word, to be sent now. */
+static GByteArray *own_encode(struct gossip *gossip)
+{
+	g_autoptr(GArray) changes =
+		g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
+	GByteArray *out = g_byte_array_new();
+	struct gossip_message message;
+
+	message_begin(gossip, &message, GOSSIP_OWN);
+	gossip->ops.word(gossip->ctx, &message.word);
+	g_strlcpy(message.first.name, message.name, sizeof(message.first.name));
+	loads_own(gossip, message.loads);
+	address_add(gossip, &message);
+	gossip_encode(&message, out);
+	loads_differ(gossip->last, message.loads, changes);
+	if (message.word.leaving || changes->len > 0)
+		loads_changed(gossip);
+	last_replace(gossip, message.loads);
+	gossip_message_clear(&message);
+	return out;
+}
+
+static void members_add(const struct gossip *gossip,
+			struct gossip_message *message)
+{
+	if (!message->word.leaving)
+		gossip_message_add(message, gossip->settings.address);
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
+
+		if (peer_live(gossip, peer))
+			gossip_message_add(message, peer->address);
+	}
+}
+
+/* What this instance knows of its data centre; with who lives there, if asked.
+ */
+static GByteArray *centre_encode(struct gossip *gossip, bool members)
+{
+	GByteArray *out = g_byte_array_new();
+	struct gossip_message message;
+
+	message_begin(gossip, &message, GOSSIP_CENTRE);
+	gossip_total_near(gossip, &message.word);
+	gossip_first_near(gossip, message.word.storeless, message.word.leaving,
+			  &message.first);
+	loads_own(gossip, message.loads);
+	loads_add_near(gossip, message.loads);
+	if (members)
+		members_add(gossip, &message);
+	gossip_encode(&message, out);
+	gossip_message_clear(&message);
+	return out;
+}
+
+static void delay_add(double *delay, int64_t usec)
+{
+	*delay += DELAY_WEIGHT * ((double)usec - *delay);
+}
+
+static bool near_due(const struct gossip *gossip, const struct peer *peer,
+		     int64_t every)
+{
+	if (peer->told == GOSSIP_NEVER)
+		return true;
+	if (!peer_live(gossip, peer))
+		every = TRY_USEC;
+	else if (peer->told_revision == gossip->revision)
+		every = MAX(every, IDLE_USEC);
+	return gossip_now(gossip) - peer->told >= every;
+}
+
+static void near_tell(struct gossip *gossip, const GByteArray *out)
+{
+	int64_t every = gossip_interval(gossip, true);
+
+	if (gossip->ops.reads(gossip->ctx))
+		every = MIN(every, IDLE_USEC);
+	for (guint i = 0; i < gossip->near->len; i++) {
+		struct peer *peer = gossip->near->pdata[i];
+
+		if (!near_due(gossip, peer, every))
+			continue;
+		peer->told = gossip_now(gossip);
+		peer->told_revision = gossip->revision;
+		peer_send(gossip, peer, out);
+	}
+}
+
+/* Whoever is not known to live anywhere. Its data centre's tellers hear of this
+ * instance so, and its own tells it in turn. */
+static void strangers_tell(struct gossip *gossip, const GByteArray *out)
+{
+	int64_t now = gossip_now(gossip);
+	GHashTableIter iter;
+	struct peer *peer;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->data_centre[0] ||
+		    (peer->told != GOSSIP_NEVER && now - peer->told < TRY_USEC))
+			continue;
+		peer->told = now;
+		peer_send(gossip, peer, out);
+	}
+}
+
+static bool receiver_due(const struct gossip *gossip, const struct peer *peer)
+{
+	int64_t every = gossip_interval(gossip, false);
+
+	if (peer->told_revision == gossip->centre_revision)
+		every = MAX(every, IDLE_USEC);
+	return peer->told == GOSSIP_NEVER ||
+	       gossip_now(gossip) - peer->told >= every;
+}
+
+static void receivers_tell(struct gossip *gossip)
+{
+	g_autoptr(GByteArray) brief = NULL;
+	g_autoptr(GByteArray) whole = NULL;
+	int64_t now = gossip_now(gossip);
+
+	for (guint i = 0; i < gossip->receivers->len; i++) {
+		struct peer *peer = gossip->receivers->pdata[i];
+		bool members = peer->told_addresses == GOSSIP_NEVER ||
+			       now - peer->told_addresses >= ADDRESSES_USEC;
+		GByteArray **out = members ? &whole : &brief;
+
+		if (!receiver_due(gossip, peer))
+			continue;
+		if (!*out)
+			*out = centre_encode(gossip, members);
+		if (members)
+			peer->told_addresses = now;
+		peer->told = now;
+		peer->told_revision = gossip->centre_revision;
+		peer_send(gossip, peer, *out);
+	}
+}
+
+void gossip_tell_due(struct gossip *gossip)
+{
+	g_autoptr(GByteArray) out = own_encode(gossip);
+
+	near_tell(gossip, out);
+	strangers_tell(gossip, out);
+	receivers_tell(gossip);
+}
+
+/* ---- telling at once ---- */
+
+/* Takes so many datagrams off, or none at all. */
+static bool allowance_take(struct gossip *gossip, struct allowance *allowance,
+			   uint32_t count)
+{
+	int64_t now = gossip_now(gossip);
+	double more = (double)(now - allowance->at) / (double)USEC_PER_SEC *
+		      allowance->per_sec;
+
+	allowance->left = MIN(allowance->left + more, allowance->most);
+	allowance->at = now;
+	if (allowance->left < (double)count)
+		return false;
+	allowance->left -= (double)count;
+	return true;
+}
+
+static void near_tell_at_once(struct gossip *gossip, const GByteArray *out)
+{
+	if (!allowance_take(gossip, &gossip->at_once, gossip->near->len)) {
+		delay_add(&gossip->delay_near, gossip_interval(gossip, true));
+		return;
+	}
+	delay_add(&gossip->delay_near, gossip_now(gossip) - gossip->changed_at);
+	for (guint i = 0; i < gossip->near->len; i++) {
+		struct peer *peer = gossip->near->pdata[i];
+
+		if (!peer_live(gossip, peer))
+			continue;
+		peer->told_revision = gossip->revision;
+		peer_send(gossip, peer, out);
+	}
+}
+
+/* Whether a server of the data centre is among them. */
+static bool changes_concern(const struct gossip *gossip, const GArray *changes,
+			    const struct centre *centre)
+{
+	for (guint i = 0; i < changes->len; i++) {
+		const struct backend *backend = fleet_find(
+			gossip->fleet,
+			g_array_index(changes, struct gossip_load, i).backend);
+
+		if (backend &&
+		    strcmp(backend->info.data_centre, centre->name) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void centre_tell_at_once(struct gossip *gossip,
+				const struct centre *centre,
+				const GArray *changes, const GByteArray *out)
+{
+	struct allowance *allowance = changes_concern(gossip, changes, centre)
+					      ? &gossip->at_once
+					      : &gossip->at_once_far;
+
+	if (!allowance_take(gossip, allowance, centre->peers->len)) {
+		delay_add(&gossip->delay_far, gossip_interval(gossip, false));
+		return;
+	}
+	delay_add(&gossip->delay_far, gossip_now(gossip) - gossip->changed_at);
+	for (guint i = 0; i < centre->peers->len; i++)
+		peer_send(gossip, centre->peers->pdata[i], out);
+}
+
+static void centres_tell_at_once(struct gossip *gossip, const GArray *changes,
+				 const GByteArray *out)
+{
+	struct centre *centre;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
+		if (centre_live(gossip, centre))
+			centre_tell_at_once(gossip, centre, changes, out);
+}
+
+void gossip_tell_changes(struct gossip *gossip)
+{
+	g_autoptr(GArray) now =
+		g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct gossip_message message;
+
+	message_begin(gossip, &message, GOSSIP_CHANGES);
+	loads_own(gossip, now);
+	loads_differ(gossip->last, now, message.loads);
+	if (message.loads->len > 0) {
+		last_replace(gossip, now);
+		loads_changed(gossip);
+		gossip_encode(&message, out);
+		near_tell_at_once(gossip, out);
+		centres_tell_at_once(gossip, message.loads, out);
+	}
+	gossip_message_clear(&message);
+}
--- a/forward/node.c
+++ b/forward/node.c
@@ -21,78 +21,11 @@
 /* A slow store takes some 240 ms; reading anew more often than this would never
  * see its answer. */
 #define HURRY_USEC (600 * USEC_PER_MSEC)
-/* Requests waiting for memory in a data centre that is cut off, from which on
- * callers are better served elsewhere. */
-#define STRANDED_WAITING 6u
 /* How often the settings file is looked at. */
 #define FILE_CHECK_USEC (1 * USEC_PER_SEC)
 /* Peers are heard of within this time of the start. */
 #define MEET_USEC (1 * USEC_PER_SEC)
 
-/* Cut off from the other data centres, an instance serves what it can with the
- * servers near it. When a service has none of them it can do better by sending
- * callers to another data centre. */
-static bool is_stranded(const struct node *node)
-{
-	const struct catalog *catalog = forward_catalog(node->forward);
-	GHashTableIter iter;
-	uint64_t *id;
-
-	if (!gossip_parted(node->gossip))
-		return false;
-	if (forward_waiting(node->forward) >= STRANDED_WAITING)
-		return true;
-	g_hash_table_iter_init(&iter, catalog->services);
-	while (g_hash_table_iter_next(&iter, (gpointer *)&id, NULL))
-		if (!fleet_reaches(node->fleet, *id))
-			return true;
-	return false;
-}
-
-static bool is_ready(const struct node *node)
-{
-	return !node->draining && forward_catalog(node->forward) &&
-	       fleet_all(node->fleet)->len > 0 && !is_stranded(node);
-}
-
-static void on_health(void *ctx, struct web_request *request)
-{
-	bool ready = is_ready(ctx);
-
-	web_reply(request, ready ? 200 : 503, "text/plain",
-		  ready ? "ready\n" : "not ready\n", ready ? 6 : 10);
-}
-
-static void traffic_count(struct node *node)
-{
-	const struct gossip_traffic *traffic = gossip_traffic(node->gossip);
-	struct counter_set *set = node->counters;
-
-	counter_get(set, "jt_datagrams_total", "Datagrams between instances",
-		    "way=\"sent\"")
-		->value = (int64_t)traffic->sent;
-	counter_get(set, "jt_datagrams_total", "Datagrams between instances",
-		    "way=\"received\"")
-		->value = (int64_t)traffic->received;
-	counter_get(set, "jt_datagram_bytes_total",
-		    "Their bytes, without headers", "way=\"sent\"")
-		->value = (int64_t)traffic->sent_bytes;
-	counter_get(set, "jt_datagram_bytes_total",
-		    "Their bytes, without headers", "way=\"received\"")
-		->value = (int64_t)traffic->received_bytes;
-}
-
-static void on_metrics(void *ctx, struct web_request *request)
-{
-	struct node *node = ctx;
-	g_autoptr(GString) text = g_string_new(NULL);
-
-	traffic_count(node);
-	counter_set_print(node->counters, text);
-	web_reply(request, 200, "text/plain; version=0.0.4", text->str,
-		  text->len);
-}
-
 static uint32_t instances_count(void *ctx)
 {
 	const struct node *node = ctx;
@@ -394,12 +327,12 @@
 	if (!node->callers)
 		return false;
 	node->health = server_open(node, settings->health_listen,
-				   SMALL_CONNECTIONS, on_health, node, err);
+				   SMALL_CONNECTIONS, node_health, node, err);
 	if (!node->health)
 		return false;
 	node->peers_server =
 		server_open(node, settings->peer_listen, PEER_CONNECTIONS,
-			    on_metrics, node, err);
+			    node_metrics, node, err);
 	if (!node->peers_server)
 		return false;
 	web_server_handle(node->peers_server, SHARE_PATH, node_share_serve,
--- a/forward/node.h
+++ b/forward/node.h
@@ -81,6 +81,10 @@
 /* Takes this instance out of the store's list of peers. */
 void node_unregister(struct node *node);
 
+/* Of node_health.c: web_handler_fn of the addresses for health and metrics. */
+void node_health(void *ctx, struct web_request *request);
+void node_metrics(void *ctx, struct web_request *request);
+
 /* Of node_drain.c. */
 void node_drain(struct node *node);
 void node_drain_stop(struct node *node);
