tests: let the call of own_platform's destroy outlast a pause of the test

The call has 50 ms of the wall clock, the test waits 5; stopping the process for 80 ms at random moments shows the same failure in 22 of 150 runs, the same program run 80 times beside each other in none. The call now has one second, and the time that is waited afterwards for a second answer is longer than that, so the check is as strict as it was.

--- a/tests/entry/test_own_platform.c
+++ b/tests/entry/test_own_platform.c
@@ -10,6 +10,9 @@
 #include "web/server.h"
 
 #define CALL_USEC (50 * USEC_PER_MSEC)
+/* Where a call must still be under way when it is looked at, also if the test's
+ * own process was paused meanwhile: 80 ms of that ended one of CALL_USEC. */
+#define LONG_CALL_USEC (1 * USEC_PER_SEC)
 #define LIST_USEC (20 * USEC_PER_MSEC)
 
 enum behaviour {
@@ -112,7 +115,8 @@
 		  strlen(body));
 }
 
-static void fake_setup(struct fake *fake, enum behaviour behaviour)
+static void fake_setup_limit(struct fake *fake, enum behaviour behaviour,
+			     int64_t call_usec)
 {
 	struct web_limits limits = {
 		.body_bytes = 1u << 20,
@@ -139,7 +143,7 @@
 	}
 	struct platform_settings settings = {
 		.address = behaviour == NONE ? NULL : address,
-		.call_usec = CALL_USEC,
+		.call_usec = call_usec,
 		.list_usec = LIST_USEC,
 		.seed = 1,
 	};
@@ -148,6 +152,11 @@
 					 fake->run.counters, &settings);
 }
 
+static void fake_setup(struct fake *fake, enum behaviour behaviour)
+{
+	fake_setup_limit(fake, behaviour, CALL_USEC);
+}
+
 static void fake_teardown(struct fake *fake)
 {
 	platform_destroy(fake->platform);
@@ -322,7 +331,7 @@
 		const struct log_store *store;
 		struct fake fake;
 
-		fake_setup(&fake, HANG);
+		fake_setup_limit(&fake, HANG, LONG_CALL_USEC);
 		store = platform_log(fake.platform);
 		if (reads)
 			store->read(store->ctx, "claims", 0, 1, 0, on_page,
@@ -337,7 +346,7 @@
 		g_assert_cmpint(fake.answers, ==, 1);
 		g_assert_cmpint(fake.code, ==,
 				reads ? RESULT_LOG_DOWN : RESULT_LOG_UNKNOWN);
-		run_for(&fake.run, 2 * CALL_USEC);
+		run_for(&fake.run, LONG_CALL_USEC + CALL_USEC);
 		g_assert_cmpint(fake.answers, ==, 1);
 		g_assert_cmpint(fake.hung, ==, 0);
 		fake_teardown(&fake);
