forward, tests: say once how loads are taken off and added up, and where a free address comes from

Read the change as a whole. Taking loads off went through replacing them by a static empty array, and a data centre's sum copied the caller's list to empty and fill it again; both are functions of their own now. Two tests had the same free loopback address, and one file opened and closed the same pair of copies in seven tests. No behaviour and no assertion changes. Left: the token bucket of coord/limit takes one request of a pair in a table, the allowance of datagrams takes many or none, so they stay apart.

--- a/forward/gossip_loads.c
+++ b/forward/gossip_loads.c
@@ -16,7 +16,7 @@
 	return !sum->requests && !sum->decode_tokens && !sum->prefill_tokens;
 }
 
-static void loads_take_off(struct gossip *gossip, GArray *applied)
+void loads_take_off(struct gossip *gossip, GArray *applied)
 {
 	for (guint i = 0; i < applied->len; i++) {
 		const struct applied *one =
@@ -111,28 +111,32 @@
 			g_array_remove_index_fast(list, i - 1);
 }
 
-void loads_add_near(const struct gossip *gossip, GArray *out)
+static void list_add_applied(const struct gossip *gossip, GArray *list,
+			     GHashTable *index, const GArray *applied)
+{
+	for (guint i = 0; i < applied->len; i++) {
+		const struct applied *one =
+			&g_array_index(applied, struct applied, i);
+		const struct backend *backend =
+			fleet_get(gossip->fleet, one->handle);
+
+		if (backend)
+			list_add(list, index, backend->key, &one->load, 1);
+	}
+}
+
+void loads_centre(const struct gossip *gossip, GArray *out)
 {
 	g_autoptr(GHashTable) index = index_create();
 	g_autoptr(GArray) own =
 		g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
 
-	g_array_append_vals(own, out->data, out->len);
-	g_array_set_size(out, 0);
+	loads_own(gossip, own);
 	list_add_all(out, index, own, 1);
 	for (guint i = 0; i < gossip->near->len; i++) {
 		const struct peer *peer = gossip->near->pdata[i];
 
-		for (guint k = 0; k < peer->loads->len; k++) {
-			const struct applied *one =
-				&g_array_index(peer->loads, struct applied, k);
-			const struct backend *backend =
-				fleet_get(gossip->fleet, one->handle);
-
-			if (backend)
-				list_add(out, index, backend->key, &one->load,
-					 1);
-		}
+		list_add_applied(gossip, out, index, peer->loads);
 	}
 	list_drop_zeroes(out);
 }
--- a/forward/gossip_peers.c
+++ b/forward/gossip_peers.c
@@ -104,7 +104,6 @@
 
 static void centres_expire(struct gossip *gossip)
 {
-	static const GArray none = {NULL, 0};
 	struct centre *centre;
 	GHashTableIter iter;
 
@@ -115,7 +114,7 @@
 			continue;
 		log_event(LOG_NOTICE, "data_centre_silent",
 			  LOG_S("data_centre", centre->name));
-		loads_replace(gossip, centre->loads, &none);
+		loads_take_off(gossip, centre->loads);
 	}
 }
 
@@ -131,19 +130,18 @@
 
 static gboolean peer_expire(gpointer key, gpointer value, gpointer data)
 {
-	static const GArray none = {NULL, 0};
 	struct gossip *gossip = data;
 	struct peer *peer = value;
 	int64_t now = gossip_now(gossip);
 
 	if (peer->loads->len > 0 && now - peer->heard >= GOSSIP_STALE_USEC) {
 		log_event(LOG_INFO, "peer_silent", LOG_S("peer", peer->name));
-		loads_replace(gossip, peer->loads, &none);
+		loads_take_off(gossip, peer->loads);
 	}
 	if (now - MAX(peer->heard, peer->met) < FORGET_USEC ||
 	    is_cut_off(gossip, peer))
 		return FALSE;
-	loads_replace(gossip, peer->loads, &none);
+	loads_take_off(gossip, peer->loads);
 	return TRUE;
 }
 
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -121,15 +121,17 @@
 void gossip_total_near(const struct gossip *gossip, struct gossip_word *total);
 
 /* Of gossip_loads.c. */
-/* Takes off what a peer or data centre told, and counts loads in its place. */
+/* Takes off what a peer or data centre told. */
+void loads_take_off(struct gossip *gossip, GArray *applied);
+/* The same, and counts loads in its place. */
 void loads_replace(struct gossip *gossip, GArray *applied, const GArray *loads);
 /* Counts differences besides what was told. */
 void loads_change(struct gossip *gossip, GArray *applied,
 		  const GArray *changes);
 /* Own loads, struct gossip_load. */
 void loads_own(const struct gossip *gossip, GArray *out);
-/* Adds those of near peers. */
-void loads_add_near(const struct gossip *gossip, GArray *out);
+/* The same with those of near peers added. */
+void loads_centre(const struct gossip *gossip, GArray *out);
 /* What changed from before to now. */
 void loads_differ(const GArray *before, const GArray *now, GArray *out);
 
--- a/forward/gossip_tell.c
+++ b/forward/gossip_tell.c
@@ -116,8 +116,7 @@
 	gossip_total_near(gossip, &message.word);
 	gossip_first_near(gossip, message.word.storeless, message.word.leaving,
 			  &message.first);
-	loads_own(gossip, message.loads);
-	loads_add_near(gossip, message.loads);
+	loads_centre(gossip, message.loads);
 	if (members)
 		members_add(gossip, &message);
 	gossip_encode(&message, out);
--- a/tests/forward/test_gossip.c
+++ b/tests/forward/test_gossip.c
@@ -1,10 +1,8 @@
 /* When peers are told of a load that changed. */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
+#include "address_free.h"
 #include "common/id.h"
 #include "forward/gossip.h"
 #include "web/loop.h"
@@ -16,7 +14,7 @@
 	struct loop *loop;
 	struct fleet *fleets[PEERS];
 	struct gossip *gossips[PEERS];
-	char addresses[PEERS][32];
+	char addresses[PEERS][ADDRESS_FREE_MAX];
 };
 
 static void word(void *ctx, struct gossip_word *out)
@@ -34,19 +32,6 @@
 	return false;
 }
 
-static void address_free(char out[32])
-{
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_DGRAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
-	getsockname(fd, (struct sockaddr *)&address, &size);
-	g_snprintf(out, 32, "127.0.0.1:%d", ntohs(address.sin_port));
-	close(fd);
-}
-
 static struct backend *server(struct site *site, int peer)
 {
 	struct backend_info info = {
--- a/tests/forward/test_gossip_site.c
+++ b/tests/forward/test_gossip_site.c
@@ -1,10 +1,8 @@
 /* Hundreds of instances that tell each other of loads, on a paused clock. Each
  * data centre has a loop of its own, so that one of them can stand still. */
-#include <arpa/inet.h>
 #include <glib.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
+#include "address_free.h"
 #include "common/id.h"
 #include "forward/gossip.h"
 #include "web/loop.h"
@@ -16,7 +14,7 @@
 	struct site *site;
 	uint32_t centre;
 	char name[16];
-	char address[32];
+	char address[ADDRESS_FREE_MAX];
 	struct fleet *fleet;
 	struct gossip *gossip;
 	uint64_t boot;
@@ -49,19 +47,6 @@
 	return gossip_rank(instance->gossip) == 0;
 }
 
-static void address_free(char out[32])
-{
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_DGRAM, 0);
-
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
-	getsockname(fd, (struct sockaddr *)&address, &size);
-	g_snprintf(out, 32, "127.0.0.1:%d", ntohs(address.sin_port));
-	close(fd);
-}
-
 /* One server of engines in each data centre. */
 static struct backend *server(struct instance *instance, uint32_t centre)
 {
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -74,6 +74,13 @@
 	share_start(copy->share, SHARE_STARTERS);
 }
 
+static void pair_open(struct copy *first, struct copy *second,
+		      struct clock *clock)
+{
+	copy_open(first, clock);
+	copy_open(second, clock);
+}
+
 static void tick(struct copy *copy, uint32_t rank)
 {
 	const struct share_place place = {.rank = rank};
@@ -87,6 +94,14 @@
 	g_hash_table_destroy(copy->values);
 }
 
+static void pair_close(struct copy *first, struct copy *second,
+		       struct clock *clock)
+{
+	copy_close(first);
+	copy_close(second);
+	clock_destroy(clock);
+}
+
 /* Answers a call to the store with one record, or none. */
 static void store_answer(struct copy *copy, const char *key, const char *value,
 			 uint64_t next)
@@ -154,8 +169,7 @@
 	struct copy first;
 	struct copy second;
 
-	copy_open(&first, clock);
-	copy_open(&second, clock);
+	pair_open(&first, &second, clock);
 	wait_msec(clock, 200);
 	tick(&first, 0);
 	tick(&second, 1);
@@ -175,9 +189,7 @@
 	}
 	g_assert_cmpuint(second.calls, ==, 0);
 	g_assert_cmpuint(first.calls, <=, 9);
-	copy_close(&first);
-	copy_close(&second);
-	clock_destroy(clock);
+	pair_close(&first, &second, clock);
 }
 
 /* Words that are told back and forth, a msec on the way each, make nothing look
@@ -190,8 +202,7 @@
 	struct copy first;
 	struct copy second;
 
-	copy_open(&first, clock);
-	copy_open(&second, clock);
+	pair_open(&first, &second, clock);
 	share_start(first.share, 0);
 	store_answer(&first, "k", "v1", 5);
 	fetch(&second, &first);
@@ -210,9 +221,7 @@
 	tick(&first, 0);
 	g_assert_cmpuint(first.calls, ==, 2);
 	store_answer(&first, "k", "v1", 6);
-	copy_close(&first);
-	copy_close(&second);
-	clock_destroy(clock);
+	pair_close(&first, &second, clock);
 }
 
 /* Who comes later gets what is in force, not what was refused since. */
@@ -222,8 +231,7 @@
 	struct copy first;
 	struct copy second;
 
-	copy_open(&first, clock);
-	copy_open(&second, clock);
+	pair_open(&first, &second, clock);
 	share_start(first.share, 0);
 	store_answer(&first, "k", "newer", 5);
 	wait_msec(clock, 800);
@@ -231,9 +239,7 @@
 	store_answer(&first, "k", "older", 6);
 	fetch(&second, &first);
 	g_assert_cmpstr(g_hash_table_lookup(second.values, "k"), ==, "newer");
-	copy_close(&first);
-	copy_close(&second);
-	clock_destroy(clock);
+	pair_close(&first, &second, clock);
 }
 
 /* The same where a whole snapshot brings what was overtaken. */
@@ -243,8 +249,7 @@
 	struct copy first;
 	struct copy second;
 
-	copy_open(&first, clock);
-	copy_open(&second, clock);
+	pair_open(&first, &second, clock);
 	share_start(first.share, 0);
 	store_answer(&first, "k", "newer", 5);
 	wait_msec(clock, 800);
@@ -253,9 +258,7 @@
 	store_answer(&first, "k", "older", 6);
 	fetch(&second, &first);
 	g_assert_cmpstr(g_hash_table_lookup(second.values, "k"), ==, "newer");
-	copy_close(&first);
-	copy_close(&second);
-	clock_destroy(clock);
+	pair_close(&first, &second, clock);
 }
 
 /* Fifty instances with copies that are too old, which a store that is busy
@@ -346,8 +349,7 @@
 	struct copy first;
 	struct copy second;
 
-	copy_open(&first, clock);
-	copy_open(&second, clock);
+	pair_open(&first, &second, clock);
 	share_start(first.share, 0);
 	store_answer(&first, NULL, NULL, 0);
 	g_assert_true(hear(&second, &first));
@@ -356,9 +358,7 @@
 	wait_msec(clock, 600);
 	tick(&second, 1);
 	g_assert_cmpuint(second.calls, ==, 0);
-	copy_close(&first);
-	copy_close(&second);
-	clock_destroy(clock);
+	pair_close(&first, &second, clock);
 }
 
 /* After a start of all the first few by name read at once, the others when they
@@ -410,8 +410,7 @@
 	struct copy third;
 	struct error err;
 
-	copy_open(&first, clock);
-	copy_open(&second, clock);
+	pair_open(&first, &second, clock);
 	copy_open(&third, clock);
 	wait_msec(clock, 200);
 	tick(&first, 0);
@@ -446,8 +445,7 @@
 	struct copy first;
 	struct copy second;
 
-	copy_open(&first, clock);
-	copy_open(&second, clock);
+	pair_open(&first, &second, clock);
 	wait_msec(clock, 200);
 	tick(&first, 0);
 	store_answer(&first, "k", "v1", 5);
@@ -463,9 +461,7 @@
 	g_assert_false(hear(&second, &first));
 	fetch(&second, &first);
 	g_assert_cmpstr(g_hash_table_lookup(second.values, "k"), ==, "v2");
-	copy_close(&first);
-	copy_close(&second);
-	clock_destroy(clock);
+	pair_close(&first, &second, clock);
 }
 
 /* Bytes that are no copy change nothing. */
