forward: say which work lost its connection, and whether the server has ended

A request that loses its connection to a server is logged with a hash of what makes it the same work as another (method, host, path, caller, body), and the server is asked for its health on a new connection: it has ended when nothing listens there, another life answers, or the list has dropped it; it has not when it answers. Requests lost at one life share one check.

Ruled out: telling an ended server by the failure itself. A reset, a cut link and a spoilt answer look the same from one connection ("the answer was cut off", "I/O error").

--- /dev/null
+++ b/forward/ended.h
@@ -0,0 +1,47 @@
+/*
+ * ended.h - whether a server that broke off a request has ended
+ *
+ * DESCRIPTION
+ *	A connection that is lost in the middle of a request may mean that the
+ *	server has ended, or only that the connection has: a reset, a cut link,
+ *	a spoilt answer. So the server is asked for its health on a new
+ *	connection. It has ended if nothing listens there any more, if another
+ *	life answers, or if the list has dropped it since. An answer clears it.
+ *	One that cannot be reached is asked again for ENDED_WATCH_USEC; if
+ *	nothing is sure by then, nothing is held against the request.
+ *
+ *	Requests lost at one life of a server share one check.
+ */
+#ifndef FORWARD_ENDED_H
+#define FORWARD_ENDED_H
+
+#include "coord/work.h"
+#include "forward/backend.h"
+#include "forward/fleet.h"
+
+/* A server that has fallen silent leaves the list three heartbeats, some four
+ * seconds, after its last one. */
+#define ENDED_WATCH_USEC (6 * USEC_PER_SEC)
+
+struct ended;
+
+/* The life of the server named by key ended while it ran the work. */
+typedef void (*ended_fn)(void *ctx, uint64_t key, const struct work_id *work);
+
+struct ended_parts {
+	struct clock *clock;
+	const struct fleet *fleet;
+	const struct backend_ops *backends; /* must outlive it */
+	ended_fn fn;
+	void *ctx;
+};
+
+struct ended *ended_create(const struct ended_parts *parts);
+/* Checks under way are given up. */
+void ended_destroy(struct ended *ended);
+/* A request of that work lost its connection to the server. health_path is the
+ * service's. */
+void ended_suspect(struct ended *ended, const struct backend_info *server,
+		   const char *health_path, const struct work_id *work);
+
+#endif
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -27,6 +27,15 @@
 	stream_pump(ctx);
 }
 
+static void on_server_ended(void *ctx, uint64_t key, const struct work_id *work)
+{
+	struct forward *forward = ctx;
+
+	forward->servers_ended->value++;
+	log_event(LOG_NOTICE, "server_ended", LOG_X("backend_key", key),
+		  LOG_X("work", work->high));
+}
+
 static void counters_setup(struct forward *forward)
 {
 	struct counter_set *set = forward->parts.counters;
@@ -39,6 +48,9 @@
 			counter_get(set, "jt_requests_total",
 				    "Requests by their end", labels);
 	}
+	forward->servers_ended =
+		counter_get(set, "jt_server_ends_total",
+			    "Requests under which a server ended", NULL);
 	forward->whole_time = histogram_get(set, "jt_request_seconds",
 					    "Arrival to the end of the answer",
 					    "stage=\"whole\"");
@@ -50,6 +62,19 @@
 		histogram_get(set, "jt_request_seconds", "", "stage=\"first\"");
 }
 
+static void ended_open(struct forward *forward)
+{
+	const struct ended_parts parts = {
+		.clock = forward->parts.clock,
+		.fleet = forward->parts.fleet,
+		.backends = &forward->parts.backends,
+		.fn = on_server_ended,
+		.ctx = forward,
+	};
+
+	forward->ended_servers = ended_create(&parts);
+}
+
 struct forward *forward_create(const struct forward_parts *parts)
 {
 	struct forward *forward = g_new0(struct forward, 1);
@@ -62,6 +87,7 @@
 	forward->began = clock_now(parts->clock);
 	timer_init(&forward->pump, parts->clock, on_pump, forward);
 	counters_setup(forward);
+	ended_open(forward);
 	return forward;
 }
 
@@ -76,6 +102,7 @@
 	while ((request = table_next(forward->requests, &cursor, &handle)))
 		request_break(request, "the process stops");
 	timer_stop(&forward->pump);
+	ended_destroy(forward->ended_servers);
 	table_destroy(forward->requests);
 	g_hash_table_destroy(forward->demand);
 	catalog_unref(forward->catalog);
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -149,6 +149,8 @@
 	}
 	spoilt.text = answer->too_large ? "answer too large"
 					: "answer to another request";
+	if (!end->whole)
+		request_lost(request, end);
 	plain_broken(request, backend, end->whole ? &spoilt : end);
 }
 
--- a/forward/request.h
+++ b/forward/request.h
@@ -11,6 +11,8 @@
 
 #include "common/error.h"
 #include "common/table.h"
+#include "coord/work.h"
+#include "ended.h"
 #include "forward/events.h"
 #include "forward/forward.h"
 #include "forward/place.h"
@@ -47,6 +49,8 @@
 	struct web_call *call;
 	struct answer answer;
 	struct tried tried;
+	struct work_id work; /* once request_work() was asked for it */
+	bool work_known;
 	uint32_t sends;	 /* that may have reached a server, and count as such */
 	bool paid;	 /* a prefill took from the budget and did not count */
 	uint32_t runs;	 /* that may have begun to run */
@@ -87,9 +91,11 @@
 	struct table *requests;
 	GQueue waiting; /* streams without decode memory, by arrival */
 	struct timer pump;
+	struct ended *ended_servers;
 	double begin_usec; /* mean time from placing to the first event */
 	bool draining;
 	struct counter *ended[END_COUNT]; /* by enum request_end */
+	struct counter *servers_ended;
 	struct histogram *whole_time;
 	struct histogram *wait_time;
 	struct histogram *prefill_time;
@@ -111,6 +117,10 @@
 /* Takes a call that surely did not run off the runs, and off the sends when it
  * reached no server. */
 void request_uncount(struct request *request, const struct backend_end *end);
+/* What it is the same work as; worked out when it is first asked for. */
+const struct work_id *request_work(struct request *request);
+/* A call that may have begun at the target has failed. */
+void request_lost(struct request *request, const struct backend_end *end);
 /* Gives the reserved memory, or the result of a prefill, back. */
 void request_drop_hold(struct request *request);
 void request_drop_result(struct request *request);
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -195,6 +195,7 @@
 	}
 	prefill_count(request, end);
 	stream_failed_log(request, "prefill", end);
+	request_lost(request, end);
 	stream_blame(request, backend, end);
 	if (backend)
 		tried_add(&request->tried, backend->key);
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -181,6 +181,7 @@
 		return;
 	}
 	stream_failed_log(request, "run", end);
+	request_lost(request, end);
 	stream_blame(request, backend, end);
 	event_cutter_drop(&request->cutter);
 	if (answer->has_head && answer->head.not_run &&
--- a/include/forward/backend.h
+++ b/include/forward/backend.h
@@ -102,6 +102,13 @@
 	uint64_t fence;
 };
 
+enum check_result {
+	CHECK_ALIVE,   /* that life of the server answers */
+	CHECK_ENDED,   /* nothing listens there, or another server */
+	CHECK_UNKNOWN, /* it cannot be reached, or does not answer */
+};
+typedef void (*check_fn)(void *ctx, enum check_result result);
+
 struct backend_ops {
 	struct web_call *(*send)(void *ctx, const struct send_spec *spec,
 				 const struct send_events *events,
@@ -116,6 +123,10 @@
 			    const char *kv_handle);
 	void (*order)(void *ctx, const struct stage_order *order, order_fn fn,
 		      void *fn_ctx);
+	/* Asks for its health, on a new connection. */
+	struct web_call *(*check)(void *ctx, const struct backend_info *to,
+				  const char *health_path, check_fn fn,
+				  void *fn_ctx);
 	/* The name of the result in a prefill's whole answer; false when it has
 	 * none. */
 	bool (*read_result)(void *ctx, const void *body, size_t size,
--- a/include/forward/caller.h
+++ b/include/forward/caller.h
@@ -30,6 +30,7 @@
 	struct web_text host;
 	struct web_text target; /* path and query */
 	struct web_text body;
+	struct web_text who; /* names the caller; empty when nothing does */
 	const struct web_header *headers; /* to be forwarded */
 	size_t header_count;
 };
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -38,6 +38,8 @@
 	struct send_events events;
 	reserve_fn reserve;
 	void *call_ctx;
+	check_fn check; /* under way, or NULL */
+	void *check_ctx;
 	const char *options; /* of the request taken */
 	uint32_t crowd;	     /* waiting at all instances */
 } world;
@@ -116,6 +118,11 @@
 
 void web_call_cancel(struct web_call *call)
 {
+	if (call == (struct web_call *)&world.check) {
+		say("cancel check");
+		world.check = NULL;
+		return;
+	}
 	say("cancel");
 	world.call = CALL_NONE;
 }
@@ -172,6 +179,17 @@
 	say("free %s %s", to->id, kv_handle);
 }
 
+/* Unanswered unless a step answers it. */
+static struct web_call *fake_check(void *ctx, const struct backend_info *to,
+				   const char *health_path, check_fn fn,
+				   void *fn_ctx)
+{
+	say("check %s", to->id);
+	world.check = fn;
+	world.check_ctx = fn_ctx;
+	return (struct web_call *)&world.check;
+}
+
 static bool fake_read_result(void *ctx, const void *body, size_t size,
 			     char kv_handle[KV_HANDLE_MAX])
 {
@@ -309,7 +327,8 @@
 	};
 	struct forward_parts parts = {
 		.backends = {fake_send, fake_reserve, fake_unreserve,
-			     fake_free_result, NULL, fake_read_result, NULL},
+			     fake_free_result, NULL, fake_check,
+			     fake_read_result, NULL},
 		.callers = {fake_decode, NULL},
 		.instances = instances,
 		.interval = interval,
@@ -435,6 +454,20 @@
 		      result == RESERVE_OK ? options : NULL);
 }
 
+static void checked_step(const char *options)
+{
+	check_fn fn = world.check;
+
+	world.check = NULL;
+	if (!fn)
+		say("(no such check under way)");
+	else
+		fn(world.check_ctx, strcmp(options, "alive") == 0 ? CHECK_ALIVE
+				    : strcmp(options, "ended") == 0
+					    ? CHECK_ENDED
+					    : CHECK_UNKNOWN);
+}
+
 static void gone_step(const char *options)
 {
 	world.request.gone_fn(world.request.gone_ctx);
@@ -486,6 +519,7 @@
 	{"wait", wait_step},	     {"version", version_step},
 	{"server", servers_step},    {"drain", drain_step},
 	{"crowd", crowd_step},	     {"spend", spend_step},
+	{"checked", checked_step},
 };
 
 static void step_run(char *step)
