--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -11,7 +11,7 @@
 #define BEAT_USEC (200 * USEC_PER_MSEC)
 
 static const char *const fault_names[FAULT_COUNT] = {
-	"none", "reset", "error", "busy", "silent", "cut", "unsigned",
+	"none", "reset", "error", "busy", "silent", "cut", "unsigned", "end",
 };
 
 char *site_name(struct site *site, const char *prefix)
@@ -119,7 +119,7 @@
 		server->born++;
 		server->beats = 0;
 	}
-	if (!server->mute)
+	if (server->web && !server->mute)
 		server_beat(server);
 	return true;
 }
@@ -185,12 +185,13 @@
 		running += server->running;
 	}
 	g_hash_table_foreach_remove(site->taken, is_over, site);
-	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "of_id",
+	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "of_id",
 			 runs_of(site, request), "runs", (int)ledger->total,
 			 "repeats", (int)ledger->repeats, "prefills",
 			 (int)ledger->prefills, "orders", (int)ledger->orders,
 			 "running", (int)running, "held",
-			 (int)g_hash_table_size(site->taken));
+			 (int)g_hash_table_size(site->taken), "ended",
+			 (int)ledger->ended);
 }
 
 static const struct {
@@ -230,7 +231,7 @@
 	for (guint i = 0; i < site->servers->len; i++) {
 		struct server *server = site->servers->pdata[i];
 
-		if (!server->gone && !server->mute)
+		if (server->web && !server->gone && !server->mute)
 			server_beat(server);
 	}
 	timer_start(timer, BEAT_USEC);
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -19,7 +19,11 @@
  *	POST /site/store   {"state": "up"}, or "down", "forget"
  *	GET  /site/ledger?id=ID
  *			   runs of that request; all runs, repeats, what is
- *			   still held
+ *			   still held, servers that ended
+ *
+ *	A request whose body holds ENDS_SERVER ends the server that begins to
+ *	run it, with all that runs there. The server is back after half a
+ *	second, at another address, in a new life.
  */
 #ifndef TESTS_PLATFORM_SITE_H
 #define TESTS_PLATFORM_SITE_H
@@ -33,6 +37,8 @@
 #include "web/loop.h"
 #include "web/server.h"
 
+#define ENDS_SERVER "ends the server"
+
 enum stage {
 	STAGE_PLAIN,
 	STAGE_PREFILL,
@@ -47,6 +53,7 @@
 	FAULT_SILENT,
 	FAULT_CUT,
 	FAULT_UNSIGNED,
+	FAULT_END, /* the server ends */
 	FAULT_COUNT,
 };
 
@@ -57,7 +64,8 @@
 	char *name;
 	char *id;
 	enum stage stage;
-	struct web_server *web;
+	struct web_server *web; /* NULL while it is down */
+	struct timer back;
 	enum fault fault;
 	uint32_t fault_count;
 	bool draining;
@@ -77,6 +85,7 @@
 	uint32_t holds; /* outstanding */
 	uint32_t results;
 	uint32_t orders;
+	uint32_t ended; /* servers */
 };
 
 struct record {
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -13,6 +13,7 @@
 #define HELD_USEC (2 * USEC_PER_SEC)
 #define RESULT_USEC (500 * USEC_PER_MSEC)
 #define FIRST_BORN 1000
+#define BACK_USEC (500 * USEC_PER_MSEC)
 
 /* An answer on its way. */
 struct run {
@@ -154,10 +155,27 @@
 	timer_start(&run->timer, site->event_usec);
 }
 
+/* Its connections go, and what ran there with them. */
+static void server_end(struct server *server)
+{
+	struct web_server *web = server->web;
+
+	log_event(LOG_INFO, "server_end", LOG_S("name", server->name),
+		  LOG_D("born", server->born));
+	server->site->ledger.ended++;
+	server->web = NULL;
+	timer_start(&server->back, BACK_USEC);
+	web_server_destroy(web);
+}
+
 static void on_timer(struct timer *timer, void *ctx)
 {
 	struct run *run = ctx;
 
+	if (run->fault == FAULT_END) {
+		server_end(run->server);
+		return;
+	}
 	if (run->fault == FAULT_RESET) {
 		web_reply_abort(run->request);
 		run_end(run);
@@ -244,6 +262,14 @@
 	return true;
 }
 
+static bool ends_server(struct web_request *request)
+{
+	struct web_text body = web_request_body(request);
+
+	return body.data &&
+	       g_strstr_len(body.data, (gssize)body.size, ENDS_SERVER);
+}
+
 static void on_call(void *ctx, struct web_request *request)
 {
 	struct server *server = ctx;
@@ -266,6 +292,8 @@
 		refuse(request, 421, "wrong stage\n");
 		return;
 	}
+	if (ends_server(request))
+		fault = FAULT_END;
 	if (server->stage != STAGE_DECODE || needs_take(server, request))
 		run_start(server, request, fault);
 }
@@ -317,8 +345,17 @@
 	}
 }
 
-struct server *server_open(struct site *site, const char *name,
-			   enum stage stage)
+static void on_health(void *ctx, struct web_request *request)
+{
+	struct server *server = ctx;
+
+	if (is_other(server, request))
+		return;
+	web_reply_header(request, "instance-id", server->id);
+	web_reply(request, 200, "text/plain", "well\n", 5);
+}
+
+static void server_listen(struct server *server)
 {
 	static const struct web_limits limits = {
 		.body_bytes = 1 << 20,
@@ -326,20 +363,39 @@
 		.idle_usec = 30 * USEC_PER_SEC,
 		.request_usec = 30 * USEC_PER_SEC,
 	};
-	struct server *server = g_new0(struct server, 1);
 	struct error err;
 
+	server->web = web_server_create(server->site->loop, "127.0.0.1:0",
+					&limits, &err);
+	g_assert_nonnull(server->web);
+	web_server_handle(server->web, "/", on_call, server);
+	web_server_handle(server->web, "/-/", on_engine, server);
+	web_server_handle(server->web, "/healthz", on_health, server);
+	log_event(LOG_INFO, "server_open", LOG_S("name", server->name),
+		  LOG_S("address", web_server_address(server->web)));
+}
+
+static void on_back(struct timer *timer, void *ctx)
+{
+	struct server *server = ctx;
+
+	server->born++;
+	server->beats = 0;
+	server_listen(server);
+	server_beat(server);
+}
+
+struct server *server_open(struct site *site, const char *name,
+			   enum stage stage)
+{
+	struct server *server = g_new0(struct server, 1);
+
 	server->site = site;
 	server->name = g_strdup(name);
 	server->id = g_strdup_printf("i-%s", name);
 	server->stage = stage;
 	server->born = FIRST_BORN;
-	server->web =
-		web_server_create(site->loop, "127.0.0.1:0", &limits, &err);
-	g_assert_nonnull(server->web);
-	web_server_handle(server->web, "/", on_call, server);
-	web_server_handle(server->web, "/-/", on_engine, server);
-	log_event(LOG_INFO, "server_open", LOG_S("name", name),
-		  LOG_S("address", web_server_address(server->web)));
+	timer_init(&server->back, site->clock, on_back, server);
+	server_listen(server);
 	return server;
 }
