coord, forward: keep requests from servers once three have ended under them

Cause: nothing connected the repeats of a request. An instance forgets a request at its end, and what it learns of the failure it notes against the server, whose next life is another one. So each repeat began at nought at every instance.

From three on it is refused, 503 quarantined, before each send of any kind. Instances tell each other at once and make good what was lost; the instance that decides writes what is held to the store's list of instances, which whoever starts reads anyway. A run that ends clears.

Ruled out: counting failures of an instance alone (seven instances, seven times as many servers); holding after two (a caller sends twice, so an innocent one may be lost twice); forgiving after a time (the next repeat ends the next server); blaming lost connections without asking the server (resets, cuts and spoilt answers look the same).

--- /dev/null
+++ b/coord/quarantine.c
@@ -0,0 +1,296 @@
+#include "coord/quarantine.h"
+
+#include <glib.h>
+
+#include "common/clock.h"
+
+/* Works that ran to their end lately: slots for marks, each taken over by the
+ * next one that falls on it. At 45 requests a second of an instance, the most
+ * seen, they last for over a minute. */
+#define PROOFS 4096u
+/* What ran to its end so long ago says nothing any more: the site may run other
+ * software by now. */
+#define PROOF_USEC (60 * USEC_PER_SEC)
+
+struct proof {
+	uint64_t mark;
+	int64_t at;
+	bool used;
+};
+
+struct item {
+	struct quarantine_entry entry;
+	GList link; /* in held or suspects */
+	bool held;
+};
+
+struct quarantine {
+	struct quarantine_settings settings;
+	GHashTable *items; /* work_id to struct item */
+	GQueue held;	   /* oldest first */
+	GQueue suspects;
+	struct proof proofs[PROOFS];
+	uint64_t turn; /* entries handed out so far */
+};
+
+struct quarantine *quarantine_create(const struct quarantine_settings *settings)
+{
+	struct quarantine *quarantine = g_new0(struct quarantine, 1);
+
+	quarantine->settings = *settings;
+	quarantine->items = g_hash_table_new_full(work_id_hash, work_id_equal,
+						  NULL, g_free);
+	return quarantine;
+}
+
+void quarantine_destroy(struct quarantine *quarantine)
+{
+	if (!quarantine)
+		return;
+	g_hash_table_destroy(quarantine->items);
+	g_free(quarantine);
+}
+
+void quarantine_configure(struct quarantine *quarantine, uint32_t ends)
+{
+	quarantine->settings.ends = ends;
+}
+
+bool quarantine_empty(const struct quarantine *quarantine)
+{
+	return g_hash_table_size(quarantine->items) == 0;
+}
+
+static struct item *item_find(const struct quarantine *quarantine,
+			      const struct work_id *work)
+{
+	return g_hash_table_lookup(quarantine->items, work);
+}
+
+bool quarantine_holds(const struct quarantine *quarantine,
+		      const struct work_id *work)
+{
+	const struct item *item = item_find(quarantine, work);
+
+	return item && item->held;
+}
+
+const struct quarantine_entry *
+quarantine_find(const struct quarantine *quarantine, const struct work_id *work)
+{
+	const struct item *item = item_find(quarantine, work);
+
+	return item ? &item->entry : NULL;
+}
+
+uint32_t quarantine_held(const struct quarantine *quarantine)
+{
+	return quarantine->held.length;
+}
+
+uint32_t quarantine_suspects(const struct quarantine *quarantine)
+{
+	return quarantine->suspects.length;
+}
+
+static GQueue *item_queue(struct quarantine *quarantine,
+			  const struct item *item)
+{
+	return item->held ? &quarantine->held : &quarantine->suspects;
+}
+
+static void item_drop(struct quarantine *quarantine, struct item *item)
+{
+	g_queue_unlink(item_queue(quarantine, item), &item->link);
+	g_hash_table_remove(quarantine->items, &item->entry.work);
+}
+
+static void oldest_drop(struct quarantine *quarantine, GQueue *queue,
+			uint32_t most)
+{
+	while (queue->length > most)
+		item_drop(quarantine, queue->head->data);
+}
+
+static struct item *item_get(struct quarantine *quarantine,
+			     const struct work_id *work)
+{
+	struct item *item = item_find(quarantine, work);
+
+	if (item)
+		return item;
+	item = g_new0(struct item, 1);
+	item->entry.work = *work;
+	item->link.data = item;
+	g_queue_push_tail_link(&quarantine->suspects, &item->link);
+	g_hash_table_insert(quarantine->items, &item->entry.work, item);
+	return item;
+}
+
+/* Puts it at the young end of the queue where it belongs now. */
+static void item_settle(struct quarantine *quarantine, struct item *item)
+{
+	const struct quarantine_settings *settings = &quarantine->settings;
+
+	g_queue_unlink(item_queue(quarantine, item), &item->link);
+	item->held = item->entry.count >= settings->ends;
+	g_queue_push_tail_link(item_queue(quarantine, item), &item->link);
+	oldest_drop(quarantine, &quarantine->suspects, settings->suspects_max);
+	oldest_drop(quarantine, &quarantine->held, settings->held_max);
+}
+
+/* Keeps the servers ascending, so that equal entries look alike. */
+static bool server_add(struct quarantine_entry *entry, uint64_t server)
+{
+	uint32_t at = 0;
+
+	while (at < entry->count && entry->servers[at] < server)
+		at++;
+	if (entry->count >= QUARANTINE_ENDS_MAX ||
+	    (at < entry->count && entry->servers[at] == server))
+		return false;
+	for (uint32_t i = entry->count; i > at; i--)
+		entry->servers[i] = entry->servers[i - 1];
+	entry->servers[at] = server;
+	entry->count++;
+	return true;
+}
+
+static struct proof *proof_slot(struct quarantine *quarantine, uint64_t mark)
+{
+	return &quarantine->proofs[mark % PROOFS];
+}
+
+void quarantine_prove(struct quarantine *quarantine, uint64_t mark, int64_t now)
+{
+	*proof_slot(quarantine, mark) = (struct proof){mark, now, true};
+}
+
+static bool is_proved(struct quarantine *quarantine, uint64_t mark, int64_t now)
+{
+	const struct proof *proof = proof_slot(quarantine, mark);
+
+	return proof->used && proof->mark == mark &&
+	       now - proof->at < PROOF_USEC;
+}
+
+bool quarantine_blame(struct quarantine *quarantine, const struct work_id *work,
+		      uint64_t mark, uint64_t server, int64_t now)
+{
+	struct item *item;
+
+	if (is_proved(quarantine, mark, now))
+		return false;
+	item = item_get(quarantine, work);
+	if (!server_add(&item->entry, server))
+		return false;
+	item_settle(quarantine, item);
+	return true;
+}
+
+bool quarantine_clear(struct quarantine *quarantine, const struct work_id *work)
+{
+	struct item *item = item_find(quarantine, work);
+
+	if (!item || item->entry.count == 0)
+		return false;
+	item->entry.epoch++;
+	item->entry.count = 0;
+	item_settle(quarantine, item);
+	return true;
+}
+
+static bool is_sound(const struct quarantine_entry *entry)
+{
+	return entry->count <= QUARANTINE_ENDS_MAX &&
+	       (entry->count > 0 || entry->epoch > 0);
+}
+
+/* What was said in an earlier epoch was cleared. */
+static bool epoch_follow(struct quarantine_entry *known, uint32_t epoch)
+{
+	if (epoch <= known->epoch)
+		return false;
+	known->epoch = epoch;
+	known->count = 0;
+	return true;
+}
+
+bool quarantine_merge(struct quarantine *quarantine,
+		      const struct quarantine_entry *entry)
+{
+	struct item *item;
+	bool news;
+
+	if (!is_sound(entry))
+		return false;
+	item = item_get(quarantine, &entry->work);
+	news = epoch_follow(&item->entry, entry->epoch);
+	if (entry->epoch == item->entry.epoch)
+		for (uint32_t i = 0; i < entry->count; i++)
+			news |= server_add(&item->entry, entry->servers[i]);
+	/* One that was dropped where it lasted is not to be dropped again. */
+	item->entry.stored |=
+		entry->stored && entry->count >= quarantine->settings.ends;
+	if (news)
+		item_settle(quarantine, item);
+	return news;
+}
+
+uint32_t quarantine_next(struct quarantine *quarantine,
+			 struct quarantine_entry *entries, uint32_t most)
+{
+	uint32_t size = g_hash_table_size(quarantine->items);
+	uint32_t count = MIN(size, most);
+	GHashTableIter iter;
+	struct item *item;
+	uint64_t at = 0;
+	uint64_t from;
+
+	if (count == 0)
+		return 0;
+	from = quarantine->turn % size;
+	quarantine->turn += count;
+	g_hash_table_iter_init(&iter, quarantine->items);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item)) {
+		uint64_t place = (at++ + size - from) % size;
+
+		if (place < count)
+			entries[place] = item->entry;
+	}
+	return count;
+}
+
+/* The oldest one of the queue whose mark is not as it should be. */
+static const struct item *unstored_find(const GQueue *queue, bool stored)
+{
+	for (const GList *link = queue->head; link; link = link->next) {
+		const struct item *item = link->data;
+
+		if (item->entry.stored != stored)
+			return item;
+	}
+	return NULL;
+}
+
+bool quarantine_unstored(const struct quarantine *quarantine,
+			 struct quarantine_entry *entry)
+{
+	const struct item *item = unstored_find(&quarantine->held, true);
+
+	if (!item)
+		item = unstored_find(&quarantine->suspects, false);
+	if (!item)
+		return false;
+	*entry = item->entry;
+	return true;
+}
+
+void quarantine_stored(struct quarantine *quarantine,
+		       const struct work_id *work, bool stored)
+{
+	struct item *item = item_find(quarantine, work);
+
+	if (item)
+		item->entry.stored = stored;
+}
--- a/coord/work.c
+++ b/coord/work.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <string.h>
+#include <xxhash.h>
 
 struct work_id work_id_of(const struct work_part *parts, size_t count)
 {
@@ -24,6 +25,16 @@
 	return id;
 }
 
+uint64_t work_mark_of(const struct work_part *parts, size_t count,
+		      uint64_t secret)
+{
+	uint64_t mark = secret;
+
+	for (size_t i = 0; i < count; i++)
+		mark = XXH3_64bits_withSeed(parts[i].data, parts[i].size, mark);
+	return mark;
+}
+
 bool work_id_same(const struct work_id *a, const struct work_id *b)
 {
 	return a->high == b->high && a->low == b->low;
--- a/forward/ended.c
+++ b/forward/ended.c
@@ -15,7 +15,7 @@
 	struct backend_info server;
 	uint64_t key;
 	char *health_path;
-	GArray *works; /* struct work_id, not yet judged */
+	GArray *works; /* struct lost_work, not yet judged */
 	struct web_call *call;
 	struct timer timer;
 	int64_t began;
@@ -73,8 +73,8 @@
 	const struct ended_parts *parts = &check->ended->parts;
 
 	for (guint i = 0; i < check->works->len; i++)
-		parts->fn(parts->ctx, check->key,
-			  &g_array_index(check->works, struct work_id, i));
+		parts->fn(parts->ctx, &check->server,
+			  &g_array_index(check->works, struct lost_work, i));
 	g_array_set_size(check->works, 0);
 }
 
@@ -149,7 +149,7 @@
 	check->server = *server;
 	check->key = key;
 	check->health_path = g_strdup(health_path);
-	check->works = g_array_new(FALSE, FALSE, sizeof(struct work_id));
+	check->works = g_array_new(FALSE, FALSE, sizeof(struct lost_work));
 	check->began = clock_now(ended->parts.clock);
 	timer_init(&check->timer, ended->parts.clock, on_timer, check);
 	g_hash_table_insert(ended->checks, &check->key, check);
@@ -158,7 +158,7 @@
 }
 
 void ended_suspect(struct ended *ended, const struct backend_info *server,
-		   const char *health_path, const struct work_id *work)
+		   const char *health_path, const struct lost_work *lost)
 {
 	uint64_t key = backend_key(server);
 	struct check *check = g_hash_table_lookup(ended->checks, &key);
@@ -171,7 +171,7 @@
 			  LOG_S("reason", "too many at once"));
 		return;
 	}
-	g_array_append_val(check->works, *work);
+	g_array_append_val(check->works, *lost);
 	if (check->sure)
 		works_report(check);
 }
--- a/forward/ended.h
+++ b/forward/ended.h
@@ -25,8 +25,15 @@
 
 struct ended;
 
-/* The life of the server named by key ended while it ran the work. */
-typedef void (*ended_fn)(void *ctx, uint64_t key, const struct work_id *work);
+/* A request as it is known to coord/quarantine.h. */
+struct lost_work {
+	struct work_id work;
+	uint64_t mark;
+};
+
+/* The life of the server ended while it ran the work. */
+typedef void (*ended_fn)(void *ctx, const struct backend_info *server,
+			 const struct lost_work *lost);
 
 struct ended_parts {
 	struct clock *clock;
@@ -42,6 +49,6 @@
 /* A request of that work lost its connection to the server. health_path is the
  * service's. */
 void ended_suspect(struct ended *ended, const struct backend_info *server,
-		   const char *health_path, const struct work_id *work);
+		   const char *health_path, const struct lost_work *lost);
 
 #endif
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -27,15 +27,6 @@
 	stream_pump(ctx);
 }
 
-static void on_server_ended(void *ctx, uint64_t key, const struct work_id *work)
-{
-	struct forward *forward = ctx;
-
-	forward->servers_ended->value++;
-	log_event(LOG_NOTICE, "server_ended", LOG_X("backend_key", key),
-		  LOG_X("work", work->high));
-}
-
 static void counters_setup(struct forward *forward)
 {
 	struct counter_set *set = forward->parts.counters;
@@ -51,6 +42,9 @@
 	forward->servers_ended =
 		counter_get(set, "jt_server_ends_total",
 			    "Requests under which a server ended", NULL);
+	forward->quarantined = counter_get(
+		set, "jt_quarantined_requests_total",
+		"Requests refused since servers ended under them", NULL);
 	forward->whole_time = histogram_get(set, "jt_request_seconds",
 					    "Arrival to the end of the answer",
 					    "stage=\"whole\"");
@@ -68,7 +62,7 @@
 		.clock = forward->parts.clock,
 		.fleet = forward->parts.fleet,
 		.backends = &forward->parts.backends,
-		.fn = on_server_ended,
+		.fn = quarantine_server_ended,
 		.ctx = forward,
 	};
 
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -10,6 +10,7 @@
 #include "common/unpack.h"
 
 #define CHANGES_FIELDS 5
+#define WORK_FIELDS 5
 #define WORD_FIELDS 15
 #define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
@@ -26,6 +27,8 @@
 	*message = (struct gossip_message){
 		.kind = kind,
 		.loads = g_array_new(FALSE, TRUE, sizeof(struct gossip_load)),
+		.works = g_array_new(FALSE, TRUE,
+				     sizeof(struct quarantine_entry)),
 		.addresses =
 			g_array_new(FALSE, TRUE, sizeof(struct gossip_address)),
 	};
@@ -43,7 +46,9 @@
 {
 	g_array_unref(message->loads);
 	g_array_unref(message->addresses);
+	g_array_unref(message->works);
 	message->loads = NULL;
+	message->works = NULL;
 	message->addresses = NULL;
 }
 
@@ -66,6 +71,29 @@
 	}
 }
 
+static void work_pack(msgpack_packer *packer,
+		      const struct quarantine_entry *entry)
+{
+	msgpack_pack_array(packer, WORK_FIELDS);
+	msgpack_pack_uint64(packer, entry->work.high);
+	msgpack_pack_uint64(packer, entry->work.low);
+	msgpack_pack_uint32(packer, entry->epoch);
+	msgpack_pack_uint8(packer, entry->stored);
+	msgpack_pack_array(packer, entry->count);
+	for (uint32_t i = 0; i < entry->count; i++)
+		msgpack_pack_uint64(packer, entry->servers[i]);
+}
+
+static void works_pack(msgpack_packer *packer, const GArray *works)
+{
+	guint count = MIN(works->len, GOSSIP_WORKS_MAX);
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++)
+		work_pack(packer,
+			  &g_array_index(works, struct quarantine_entry, i));
+}
+
 static void share_word_pack(msgpack_packer *packer,
 			    const struct share_word *word)
 {
@@ -123,17 +151,20 @@
 
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
 {
-	bool changes = message->kind == GOSSIP_CHANGES;
+	bool word = message->kind < GOSSIP_CHANGES;
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, pack_append);
-	msgpack_pack_array(&packer, changes ? CHANGES_FIELDS : WORD_FIELDS);
+	msgpack_pack_array(&packer, word ? WORD_FIELDS : CHANGES_FIELDS);
 	msgpack_pack_int(&packer, GOSSIP_FORMAT);
 	msgpack_pack_int(&packer, (int)message->kind);
 	msgpack_pack_uint64(&packer, message->boot);
 	msgpack_pack_uint64(&packer, message->sequence);
-	loads_pack(&packer, message->loads);
-	if (!changes)
+	if (message->kind == GOSSIP_WORKS)
+		works_pack(&packer, message->works);
+	else
+		loads_pack(&packer, message->loads);
+	if (word)
 		word_pack(&packer, message);
 }
 
@@ -200,6 +231,53 @@
 	return true;
 }
 
+static bool servers_read(const msgpack_object *object,
+			 struct quarantine_entry *entry)
+{
+	if (!is_array(object, QUARANTINE_ENDS_MAX))
+		return false;
+	entry->count = object->via.array.size;
+	for (uint32_t i = 0; i < entry->count; i++)
+		if (!number_read(&object->via.array.ptr[i], UINT64_MAX,
+				 &entry->servers[i]))
+			return false;
+	return true;
+}
+
+static bool work_read(const msgpack_object *object,
+		      struct quarantine_entry *entry)
+{
+	const msgpack_object *fields;
+	uint64_t epoch;
+	uint64_t stored;
+
+	if (!is_tuple(object, WORK_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &entry->work.high) ||
+	    !number_read(&fields[1], UINT64_MAX, &entry->work.low) ||
+	    !number_read(&fields[2], UINT32_MAX, &epoch) ||
+	    !number_read(&fields[3], 1, &stored))
+		return false;
+	entry->epoch = (uint32_t)epoch;
+	entry->stored = stored;
+	return servers_read(&fields[4], entry);
+}
+
+static bool works_read(const msgpack_object *object, GArray *works)
+{
+	if (!is_array(object, GOSSIP_WORKS_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		struct quarantine_entry entry = {0};
+
+		if (!work_read(&object->via.array.ptr[i], &entry))
+			return false;
+		g_array_append_val(works, entry);
+	}
+	return true;
+}
+
 static bool share_word_read(const msgpack_object *object,
 			    struct share_word *word)
 {
@@ -303,12 +381,16 @@
 	    object->via.array.size < CHANGES_FIELDS ||
 	    !number_read(&fields[0], GOSSIP_FORMAT, &format) ||
 	    format != GOSSIP_FORMAT ||
-	    !number_read(&fields[1], GOSSIP_CHANGES, &kind) ||
+	    !number_read(&fields[1], GOSSIP_WORKS, &kind) ||
 	    !number_read(&fields[2], UINT64_MAX, &message->boot) ||
-	    !number_read(&fields[3], UINT64_MAX, &message->sequence) ||
-	    !loads_read(&fields[4], message->loads))
+	    !number_read(&fields[3], UINT64_MAX, &message->sequence))
 		return false;
 	message->kind = (enum gossip_kind)kind;
+	if (message->kind == GOSSIP_WORKS)
+		return object->via.array.size == CHANGES_FIELDS &&
+		       works_read(&fields[4], message->works);
+	if (!loads_read(&fields[4], message->loads))
+		return false;
 	if (message->kind == GOSSIP_CHANGES)
 		return object->via.array.size == CHANGES_FIELDS;
 	return object->via.array.size == WORD_FIELDS &&
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -7,6 +7,8 @@
  *	 prefill tokens], ...], name, data centre, version, demand, waiting,
  *	 flags, changing, [[next, changed, age in microseconds], ...],
  *	 first, [address, ...]]
+ *	Works: [format, kind, boot, sequence, [[work, work, epoch, stored,
+ *	 [life of a server, ...]], ...]]
  *	Changes: [format, kind, boot, sequence, [[backend, ...], ...]]
  *	An address of IPv4 is one number, any other a text.
  */
@@ -26,11 +28,15 @@
 #define GOSSIP_BYTES_MAX (32u << 10)
 #define GOSSIP_LOADS_MAX 1024u
 #define GOSSIP_ADDRESSES_MAX 1024u
+/* Fit a datagram that is not cut into pieces (1,400 bytes) when each names
+ * three servers. */
+#define GOSSIP_WORKS_MAX 24u
 
 enum gossip_kind {
 	GOSSIP_OWN,	/* an instance's word, with its own loads */
 	GOSSIP_CENTRE,	/* with the loads of all its data centre */
 	GOSSIP_CHANGES, /* of its own loads since the last one */
+	GOSSIP_WORKS,	/* in the quarantine */
 };
 
 struct gossip_load {
@@ -53,6 +59,7 @@
 	uint64_t boot;
 	uint64_t sequence;
 	GArray *loads; /* struct gossip_load */
+	GArray *works; /* struct quarantine_entry, of GOSSIP_WORKS only */
 	/* What follows is empty in changes. */
 	char name[BACKEND_TEXT_MAX];
 	char data_centre[BACKEND_TEXT_MAX];
--- a/forward/gossip_hear.c
+++ b/forward/gossip_hear.c
@@ -102,6 +102,12 @@
 {
 	struct peer *peer = g_hash_table_lookup(gossip->peers, from);
 
+	/* Works are the same in whatever order they come. */
+	if (message->kind == GOSSIP_WORKS) {
+		gossip_works_hear(gossip, peer && peer_near(gossip, peer),
+				  message->works);
+		return;
+	}
 	if (!peer && message->kind != GOSSIP_CHANGES)
 		peer = peer_add(gossip, from);
 	if (!peer || !is_news(peer, message))
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -78,6 +78,11 @@
 	double delay_near; /* mean time from a change to its telling, usec */
 	double delay_far;
 	struct timer soon; /* a change is told when it runs out */
+	GArray *news_own;  /* struct quarantine_entry, found here */
+	GArray *news_near; /* heard from peers near */
+	struct timer works_soon;
+	struct timer works_timer;
+	uint32_t works_turn; /* which peer is told next */
 	uint64_t sequence;
 	uint32_t spread; /* which addresses to pass on next */
 	struct timer timer;
@@ -113,6 +118,17 @@
 /* Tells of loads that have changed, as far as the allowances last. */
 void gossip_tell_changes(struct gossip *gossip);
 
+void peer_send(struct gossip *gossip, const struct peer *peer,
+	       const GByteArray *out);
+void message_begin(struct gossip *gossip, struct gossip_message *message,
+		   enum gossip_kind kind);
+
+/* Of gossip_works.c. */
+void gossip_works_start(struct gossip *gossip);
+void gossip_works_stop(struct gossip *gossip);
+/* Takes in the works that a peer told. */
+void gossip_works_hear(struct gossip *gossip, bool near, const GArray *works);
+
 /* Of gossip_view.c. */
 /* The lowest name of this data centre. */
 void gossip_first_near(const struct gossip *gossip, bool storeless,
--- a/forward/gossip_tell.c
+++ b/forward/gossip_tell.c
@@ -16,8 +16,8 @@
 /* Weight of a new measurement in the mean delay of telling. */
 #define DELAY_WEIGHT 0.05
 
-static void peer_send(struct gossip *gossip, const struct peer *peer,
-		      const GByteArray *out)
+void peer_send(struct gossip *gossip, const struct peer *peer,
+	       const GByteArray *out)
 {
 	gossip->traffic.sent++;
 	gossip->traffic.sent_bytes += out->len;
@@ -46,8 +46,8 @@
 	}
 }
 
-static void message_begin(struct gossip *gossip, struct gossip_message *message,
-			  enum gossip_kind kind)
+void message_begin(struct gossip *gossip, struct gossip_message *message,
+		   enum gossip_kind kind)
 {
 	gossip_message_init(message, kind);
 	message->boot = gossip->settings.boot;
--- /dev/null
+++ b/forward/gossip_works.c
@@ -0,0 +1,129 @@
+/*
+ * gossip_works.c - which works end servers, told to all
+ */
+#include "gossip_private.h"
+
+static GByteArray *works_encode(struct gossip *gossip,
+				const struct quarantine_entry *entries,
+				guint count)
+{
+	GByteArray *out = g_byte_array_new();
+	struct gossip_message message;
+
+	message_begin(gossip, &message, GOSSIP_WORKS);
+	g_array_append_vals(message.works, entries, count);
+	gossip_encode(&message, out);
+	gossip_message_clear(&message);
+	return out;
+}
+
+static void peers_send(struct gossip *gossip, const GPtrArray *peers,
+		       const GByteArray *out)
+{
+	for (guint i = 0; i < peers->len; i++)
+		if (peer_live(gossip, peers->pdata[i]))
+			peer_send(gossip, peers->pdata[i], out);
+}
+
+static void news_tell(struct gossip *gossip, GArray *news, bool near)
+{
+	for (guint at = 0; at < news->len; at += GOSSIP_WORKS_MAX) {
+		g_autoptr(GByteArray) out = works_encode(
+			gossip,
+			&g_array_index(news, struct quarantine_entry, at),
+			MIN(news->len - at, GOSSIP_WORKS_MAX));
+
+		if (near)
+			peers_send(gossip, gossip->near, out);
+		peers_send(gossip, gossip->receivers, out);
+	}
+	g_array_set_size(news, 0);
+}
+
+static void on_soon(struct timer *timer, void *ctx)
+{
+	struct gossip *gossip = ctx;
+
+	news_tell(gossip, gossip->news_own, true);
+	news_tell(gossip, gossip->news_near, false);
+}
+
+static void news_add(struct gossip *gossip, GArray *news,
+		     const struct quarantine_entry *entry)
+{
+	g_array_append_val(news, *entry);
+	if (!timer_running(&gossip->works_soon))
+		timer_start(&gossip->works_soon, 0);
+}
+
+void gossip_work_changed(struct gossip *gossip,
+			 const struct quarantine_entry *entry)
+{
+	news_add(gossip, gossip->news_own, entry);
+}
+
+void gossip_works_hear(struct gossip *gossip, bool near, const GArray *works)
+{
+	for (guint i = 0; gossip->ops.work_heard && i < works->len; i++) {
+		const struct quarantine_entry *entry =
+			&g_array_index(works, struct quarantine_entry, i);
+
+		if (gossip->ops.work_heard(gossip->ctx, entry) && near)
+			news_add(gossip, gossip->news_near, entry);
+	}
+}
+
+/* Each live peer in its turn, wherever it is; NULL when there is none. */
+static const struct peer *peer_next(struct gossip *gossip)
+{
+	g_autoptr(GPtrArray) live = g_ptr_array_new();
+	GHashTableIter iter;
+	struct peer *peer;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		if (peer_live(gossip, peer))
+			g_ptr_array_add(live, peer);
+	return live->len > 0 ? live->pdata[gossip->works_turn++ % live->len]
+			     : NULL;
+}
+
+static void on_timer(struct timer *timer, void *ctx)
+{
+	struct gossip *gossip = ctx;
+	struct quarantine_entry entries[GOSSIP_WORKS_MAX];
+	const struct peer *peer;
+	uint32_t count;
+
+	timer_start(timer, GOSSIP_WORKS_USEC);
+	count = gossip->ops.works(gossip->ctx, entries, GOSSIP_WORKS_MAX);
+	peer = count > 0 ? peer_next(gossip) : NULL;
+	if (peer) {
+		g_autoptr(GByteArray) out =
+			works_encode(gossip, entries, count);
+
+		peer_send(gossip, peer, out);
+	}
+}
+
+void gossip_works_start(struct gossip *gossip)
+{
+	gossip->news_own =
+		g_array_new(FALSE, FALSE, sizeof(struct quarantine_entry));
+	gossip->news_near =
+		g_array_new(FALSE, FALSE, sizeof(struct quarantine_entry));
+	timer_init(&gossip->works_soon, gossip->clock, on_soon, gossip);
+	timer_init(&gossip->works_timer, gossip->clock, on_timer, gossip);
+	/* Not all begin with the same peer. */
+	gossip->works_turn = (uint32_t)gossip->key;
+	if (gossip->ops.works)
+		timer_start(&gossip->works_timer, GOSSIP_WORKS_USEC);
+}
+
+void gossip_works_stop(struct gossip *gossip)
+{
+	timer_stop(&gossip->works_soon);
+	timer_stop(&gossip->works_timer);
+	g_array_unref(gossip->news_own);
+	g_array_unref(gossip->news_near);
+}
--- a/forward/node.c
+++ b/forward/node.c
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <errno.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <sys/stat.h>
@@ -134,14 +135,17 @@
 	return gossip_rank(node->gossip) == 0;
 }
 
-static bool roles_decide(void *ctx)
+bool node_decides(const struct node *node)
 {
-	const struct node *node = ctx;
-
 	return !node->draining && clock_now(node->clock) >= MEET_USEC &&
 	       gossip_lowest(node->gossip, is_storeless(node));
 }
 
+static bool roles_decide(void *ctx)
+{
+	return node_decides(ctx);
+}
+
 static double roles_demand(void *ctx)
 {
 	const struct node *node = ctx;
@@ -196,6 +200,17 @@
 	};
 }
 
+static uint64_t secret_make(uint64_t boot)
+{
+	uint64_t secret;
+
+	if (getentropy(&secret, sizeof(secret)) == 0)
+		return secret;
+	log_event(LOG_WARNING, "no_entropy",
+		  LOG_S("reason", g_strerror(errno)));
+	return boot;
+}
+
 static void core_open(struct node *node)
 {
 	const struct budget_settings budget = budget_of(&node->settings);
@@ -204,6 +219,7 @@
 		.loop = node->loop,
 		.counters = node->counters,
 		.rand = node->rand,
+		.mark_secret = secret_make(node->boot),
 		.backends = node->interface.backends,
 		.callers = node->interface.callers,
 		.instances = instances_count,
@@ -211,13 +227,16 @@
 		.list_age = list_age_get,
 		.waiting = waiting_get,
 		.load_changed = load_changed,
+		.work_changed = node_work_changed,
 		.instances_ctx = node,
 	};
 
+	node->quarantine = node_quarantine_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
+	parts.quarantine = node->quarantine;
 	node->forward = forward_create(&parts);
 	node->malformed =
 		counter_get(node->counters, "jt_records_refused_total",
@@ -226,7 +245,8 @@
 
 static bool gossip_open(struct node *node, struct error *err)
 {
-	static const struct gossip_ops ops = {word_fill, on_heard, reads_store};
+	static const struct gossip_ops ops = {word_fill, on_heard, reads_store,
+					      node_work_heard, node_works};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
 		.data_centre = node->settings.data_centre,
@@ -276,8 +296,10 @@
 	node->settings.retry_slack = fresh.retry_slack;
 	node->settings.retry_window_sec = fresh.retry_window_sec;
 	node->settings.grace_sec = fresh.grace_sec;
+	node->settings.quarantine_ends = fresh.quarantine_ends;
 	budget = budget_of(&node->settings);
 	budgets_configure(node->budgets, &budget);
+	quarantine_configure(node->quarantine, node->settings.quarantine_ends);
 	log_setup(node->clock, PROGRAM, fresh.log_level);
 	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
 }
@@ -367,6 +389,7 @@
 	web_client_destroy(node->client);
 	fleet_destroy(node->fleet);
 	budgets_destroy(node->budgets);
+	quarantine_destroy(node->quarantine);
 }
 
 static void on_signal(void *ctx, int signal)
--- a/forward/node.h
+++ b/forward/node.h
@@ -11,6 +11,10 @@
 #include "forward/roles.h"
 #include "web/server.h"
 
+/* Where instances write their addresses, each under its name, and what works
+ * they hold: who starts reads it whole anyway. */
+#define PEER_STREAM "instances"
+
 /* Where an instance serves its copies to others, by enum node_stream. */
 #define SHARE_PATH "/share/"
 
@@ -28,6 +32,14 @@
 	char from[BACKEND_TEXT_MAX]; /* who told of a newer copy last */
 };
 
+/* The work that is being written to the store, one at a time. */
+struct node_storing {
+	struct work_id work;
+	bool held; /* written, or else dropped */
+	bool under_way;
+	int64_t again_at; /* when a write that failed is repeated */
+};
+
 struct node {
 	struct forward_settings settings;
 	const char *file;
@@ -42,6 +54,8 @@
 	struct web_client *client;
 	struct fleet *fleet;
 	struct budgets *budgets;
+	struct quarantine *quarantine;
+	struct node_storing storing;
 	struct forward *forward;
 	struct gossip *gossip;
 	struct roles *roles;
@@ -68,6 +82,10 @@
 	int status;
 };
 
+/* Whether this instance decides for the site: it has the lowest name of those
+ * that live, and has had the time to meet them. */
+bool node_decides(const struct node *node);
+
 /* Of node_feeds.c: configuration, list and peers out of the store, and from and
  * to the other instances. */
 void node_feeds_start(struct node *node);
@@ -81,6 +99,18 @@
 /* Takes this instance out of the store's list of peers. */
 void node_unregister(struct node *node);
 
+/* Of node_quarantine.c: works under which servers ended, to and from the other
+ * instances and the store. */
+struct quarantine *node_quarantine_create(const struct node *node);
+void node_work_changed(void *ctx, const struct work_id *work);
+bool node_work_heard(void *ctx, const struct quarantine_entry *entry);
+uint32_t node_works(void *ctx, struct quarantine_entry *entries, uint32_t most);
+/* Takes a record of the store's list of instances if it holds a work. */
+bool node_work_read(struct node *node, const struct feed_record *record);
+/* Writes what is held and not stored yet, if it is up to this instance. To be
+ * called about every 100 ms. */
+void node_works_store(struct node *node);
+
 /* Of node_health.c: web_handler_fn of the addresses for health and metrics. */
 void node_health(void *ctx, struct web_request *request);
 void node_metrics(void *ctx, struct web_request *request);
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -10,8 +10,6 @@
 #include "common/id.h"
 #include "common/log.h"
 
-/* Where instances write their addresses, each under its name. */
-#define PEER_STREAM "instances"
 /* A waiting read. Its answer may be lost when the store or the path to it
  * fails, so it is given up soon enough to follow a change two seconds after it,
  * once the store has been well for three. */
@@ -158,6 +156,7 @@
 	timer_start(timer, TICK_USEC);
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_tick(node->shares[i].share, &place);
+	node_works_store(node);
 }
 
 static void on_fetched(void *ctx, const struct web_result *result, int status,
@@ -270,7 +269,7 @@
 	struct node *node = ctx;
 	g_autofree char *address = NULL;
 
-	if (!record->value)
+	if (!record->value || node_work_read(node, record))
 		return;
 	node->peers_lower += strcmp(record->key, node->settings.name) < 0;
 	address = g_strndup(record->value, record->size);
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -46,6 +46,8 @@
 	    request_left(request) > 0) {
 		struct backend *backend = server_choose(request);
 
+		if (request_quarantine(request))
+			return;
 		if (backend && request_may_send(request)) {
 			plain_send(request, backend);
 			return;
@@ -65,6 +67,7 @@
 	const struct backend_head *head = &request->answer.head;
 	int64_t now = request_now(request);
 
+	request_outlived(request);
 	if (head->status >= 500 || !answer_may_pass(&request->answer)) {
 		log_event(LOG_INFO, "send_failed",
 			  LOG_S("request", request->caller.id),
--- a/forward/request.c
+++ b/forward/request.c
@@ -57,43 +57,6 @@
 	};
 }
 
-static struct work_part part_of(struct web_text text)
-{
-	return (struct work_part){text.data, text.size};
-}
-
-const struct work_id *request_work(struct request *request)
-{
-	const struct caller_request *caller = &request->caller;
-	const struct work_part parts[] = {
-		part_of(caller->method), part_of(caller->host),
-		part_of(caller->target), part_of(caller->who),
-		part_of(caller->body),
-	};
-
-	if (!request->work_known)
-		request->work = work_id_of(parts, G_N_ELEMENTS(parts));
-	request->work_known = true;
-	return &request->work;
-}
-
-void request_lost(struct request *request, const struct backend_end *end)
-{
-	const struct answer *answer = &request->answer;
-
-	/* A time-out is this side's own, and what was refused did not begin. */
-	if (end->whole || end->not_run || end->timed_out ||
-	    (answer->has_head && answer->head.not_run))
-		return;
-	log_event(LOG_NOTICE, "connection_lost",
-		  LOG_S("request", request->caller.id),
-		  LOG_X("work", request_work(request)->high),
-		  LOG_S("backend", request->target.id),
-		  LOG_D("born", request->target.born), LOG_S("why", end->text));
-	ended_suspect(request->forward->ended_servers, &request->target,
-		      request->service->health_path, request_work(request));
-}
-
 bool request_take_send(struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
@@ -415,6 +378,8 @@
 
 	budget_request(forward->parts.budgets, request->service->id,
 		       request->arrived);
+	if (request_quarantine(request))
+		return;
 	limit_start(request);
 	if (request->service->engine.memory_tokens > 0 &&
 	    request->caller.prompt_tokens > 0)
--- a/forward/request.h
+++ b/forward/request.h
@@ -11,7 +11,6 @@
 
 #include "common/error.h"
 #include "common/table.h"
-#include "coord/work.h"
 #include "ended.h"
 #include "forward/events.h"
 #include "forward/forward.h"
@@ -49,7 +48,7 @@
 	struct web_call *call;
 	struct answer answer;
 	struct tried tried;
-	struct work_id work; /* once request_work() was asked for it */
+	struct lost_work work; /* once request_work() was asked for it */
 	bool work_known;
 	uint32_t sends;	 /* that may have reached a server, and count as such */
 	bool paid;	 /* a prefill took from the budget and did not count */
@@ -96,6 +95,7 @@
 	bool draining;
 	struct counter *ended[END_COUNT]; /* by enum request_end */
 	struct counter *servers_ended;
+	struct counter *quarantined;
 	struct histogram *whole_time;
 	struct histogram *wait_time;
 	struct histogram *prefill_time;
@@ -117,10 +117,13 @@
 /* Takes a call that surely did not run off the runs, and off the sends when it
  * reached no server. */
 void request_uncount(struct request *request, const struct backend_end *end);
-/* What it is the same work as; worked out when it is first asked for. */
-const struct work_id *request_work(struct request *request);
 /* A call that may have begun at the target has failed. */
 void request_lost(struct request *request, const struct backend_end *end);
+/* The server has answered to the end: it has outlived the request. */
+void request_outlived(struct request *request);
+/* Ends it if servers ended under it, now or as it was sent before; true when it
+ * is no more. To be asked before each send. */
+bool request_quarantine(struct request *request);
 /* Gives the reserved memory, or the result of a prefill, back. */
 void request_drop_hold(struct request *request);
 void request_drop_result(struct request *request);
@@ -160,6 +163,10 @@
 
 const char *request_end_name(enum request_end end);
 
+/* Of suspect.c: an ended_fn with the forward as context. */
+void quarantine_server_ended(void *ctx, const struct backend_info *server,
+			     const struct lost_work *lost);
+
 /* Of plain.c, stream.c and waiting.c. */
 void plain_start(struct request *request);
 void stream_start(struct request *request);
--- a/forward/settings.c
+++ b/forward/settings.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "common/setting.h"
+#include "coord/quarantine.h"
 
 #define FIELD(f) offsetof(struct forward_settings, f)
 
@@ -46,6 +47,9 @@
 	{"connections-max", "JT_CONNECTIONS_MAX", SETTING_U32,
 	 FIELD(connections_max), 1, 1000000, "1500", false, "N",
 	 "connections of callers at once"},
+	{"quarantine-ends", "JT_QUARANTINE_ENDS", SETTING_U32,
+	 FIELD(quarantine_ends), 2, QUARANTINE_ENDS_MAX, "3", false, "N",
+	 "servers that ended under a request, from which on it is refused"},
 };
 
 static bool seed_add(void *target, const char *text, struct error *err)
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -246,6 +246,8 @@
 		.idle_usec = PREFILL_USEC,
 	};
 
+	if (request_quarantine(request))
+		return;
 	if (!decode) {
 		stream_again(request, RESULT_NO_BACKEND, "server left");
 		return;
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -154,6 +154,7 @@
 	    request->cutter.rest->len == 0 && request->replied) {
 		if (backend)
 			backend_succeeded(backend, now);
+		request_outlived(request);
 		request_finish(request);
 		return;
 	}
@@ -230,6 +231,8 @@
 		.resume_after = request->caller.resume_after,
 	};
 
+	if (request_quarantine(request))
+		return;
 	charge_drop(request, &request->prefill);
 	if (!decode ||
 	    (!request->on_trial &&
--- /dev/null
+++ b/forward/suspect.c
@@ -0,0 +1,123 @@
+/*
+ * suspect.c - requests under which servers end
+ *
+ * DESCRIPTION
+ *	A lost connection is traced to the server's end (ended.h), the end is
+ *	held against the work (coord/quarantine.h), and before each send it is
+ *	asked whether too much is. So repeats of one request, at whichever
+ *	instance, end three servers and not all of them.
+ */
+#include "request.h"
+
+#include "common/log.h"
+
+#define PARTS 5
+
+static void parts_fill(const struct caller_request *caller,
+		       struct work_part parts[PARTS])
+{
+	const struct web_text texts[PARTS] = {caller->method, caller->host,
+					      caller->target, caller->who,
+					      caller->body};
+
+	for (int i = 0; i < PARTS; i++)
+		parts[i] = (struct work_part){texts[i].data, texts[i].size};
+}
+
+static uint64_t request_mark(const struct request *request)
+{
+	struct work_part parts[PARTS];
+
+	parts_fill(&request->caller, parts);
+	return work_mark_of(parts, PARTS, request->forward->parts.mark_secret);
+}
+
+/* What it is the same work as; worked out when it is first asked for. */
+static const struct lost_work *request_work(struct request *request)
+{
+	struct work_part parts[PARTS];
+
+	if (request->work_known)
+		return &request->work;
+	parts_fill(&request->caller, parts);
+	request->work.work = work_id_of(parts, PARTS);
+	request->work.mark = request_mark(request);
+	request->work_known = true;
+	return &request->work;
+}
+
+void request_lost(struct request *request, const struct backend_end *end)
+{
+	const struct answer *answer = &request->answer;
+
+	/* A time-out is this side's own, and what was refused did not begin. */
+	if (end->whole || end->not_run || end->timed_out ||
+	    (answer->has_head && answer->head.not_run))
+		return;
+	log_event(LOG_NOTICE, "connection_lost",
+		  LOG_S("request", request->caller.id),
+		  LOG_X("work", request_work(request)->work.high),
+		  LOG_S("backend", request->target.id),
+		  LOG_D("born", request->target.born), LOG_S("why", end->text));
+	ended_suspect(request->forward->ended_servers, &request->target,
+		      request->service->health_path, request_work(request));
+}
+
+void quarantine_server_ended(void *ctx, const struct backend_info *server,
+			     const struct lost_work *lost)
+{
+	struct forward *forward = ctx;
+	const struct forward_parts *parts = &forward->parts;
+	bool news =
+		quarantine_blame(parts->quarantine, &lost->work, lost->mark,
+				 backend_key(server), clock_now(parts->clock));
+	const struct quarantine_entry *entry =
+		quarantine_find(parts->quarantine, &lost->work);
+
+	forward->servers_ended->value++;
+	log_event(LOG_NOTICE, "server_ended", LOG_S("backend", server->id),
+		  LOG_D("born", server->born), LOG_X("work", lost->work.high),
+		  LOG_D("servers", entry ? entry->count : 0),
+		  LOG_D("held",
+			quarantine_holds(parts->quarantine, &lost->work)));
+	if (news)
+		parts->work_changed(parts->instances_ctx, &lost->work);
+}
+
+void request_outlived(struct request *request)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+
+	quarantine_prove(parts->quarantine, request_mark(request),
+			 request_now(request));
+	if (quarantine_empty(parts->quarantine) ||
+	    !quarantine_clear(parts->quarantine, &request_work(request)->work))
+		return;
+	log_event(LOG_NOTICE, "work_cleared",
+		  LOG_S("request", request->caller.id),
+		  LOG_X("work", request_work(request)->work.high),
+		  LOG_S("backend", request->target.id));
+	parts->work_changed(parts->instances_ctx, &request_work(request)->work);
+}
+
+bool request_quarantine(struct request *request)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+	const struct quarantine_entry *entry;
+
+	if (quarantine_empty(parts->quarantine) ||
+	    !quarantine_holds(parts->quarantine, &request_work(request)->work))
+		return false;
+	entry = quarantine_find(parts->quarantine, &request->work.work);
+	request->forward->quarantined->value++;
+	log_event(LOG_NOTICE, "request_quarantined",
+		  LOG_S("request", request->caller.id),
+		  LOG_X("work", request->work.work.high),
+		  LOG_D("servers", entry->count), LOG_D("runs", request->runs));
+	/* To come back is of no use, so no time is said. */
+	if (request->replied)
+		request_break(request, result_label(RESULT_QUARANTINED));
+	else
+		request_refuse(request, RESULT_QUARANTINED, 0);
+	return true;
+}
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -82,6 +82,8 @@
 		struct request *request = link->data;
 
 		next = link->prev;
+		if (request_quarantine(request))
+			continue;
 		if (on_time(request, now) == in_time &&
 		    !stream_reserve(request, in_time ? 1 : LATE_ROOM))
 			return;
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -42,6 +42,7 @@
 	X(RESULT_CLAIM_UNDECIDED, 207, "claim-undecided", OUTCOME_NOT_RUN,     \
 	  503)                                                                 \
 	X(RESULT_RETRY_BUDGET, 208, "retry-budget", OUTCOME_NOT_RUN, 503)      \
+	X(RESULT_QUARANTINED, 209, "quarantined", OUTCOME_NOT_RUN, 503)        \
 	X(RESULT_BAD_REQUEST, 301, "bad-request", OUTCOME_NOT_RUN, 400)        \
 	X(RESULT_UNKNOWN_MODEL, 302, "unknown-model", OUTCOME_NOT_RUN, 404)    \
 	X(RESULT_NOT_FOUND, 303, "not-found", OUTCOME_NOT_RUN, 404)            \
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -15,6 +15,9 @@
  *	decode server, which fetches it. They wait here while no memory is
  *	free.
  *
+ *	A request under which servers have ended (coord/quarantine.h) is refused
+ *	before it reaches another one.
+ *
  *	All times are in microseconds of the clock.
  *
  * SEE ALSO
@@ -28,6 +31,7 @@
 #include <stdint.h>
 
 #include "common/counter.h"
+#include "coord/quarantine.h"
 #include "forward/backend.h"
 #include "forward/budget.h"
 #include "forward/caller.h"
@@ -49,13 +53,18 @@
 /* The load on a server of engines has changed. */
 typedef void (*forward_changed_fn)(void *ctx);
 
+/* Something new is known of a work in the quarantine. */
+typedef void (*forward_work_fn)(void *ctx, const struct work_id *work);
+
 struct forward_parts {
 	struct clock *clock;
 	struct loop *loop;
 	struct fleet *fleet;
 	struct budgets *budgets;
+	struct quarantine *quarantine;
 	struct counter_set *counters;
 	GRand *rand;
+	uint64_t mark_secret; /* for work_mark_of(); no caller knows it */
 	struct backend_ops backends;
 	struct caller_codec callers;
 	forward_instances_fn instances;
@@ -63,6 +72,7 @@
 	forward_age_fn list_age;
 	forward_instances_fn waiting; /* requests, at all instances */
 	forward_changed_fn load_changed;
+	forward_work_fn work_changed;
 	void *instances_ctx;
 };
 
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -15,6 +15,13 @@
  *	centre, as long as an allowance of 450 datagrams a second lasts, and to
  *	all others within one of 150.
  *
+ *	Works in the quarantine (coord/quarantine.h) go in datagrams of their
+ *	own. Who finds something new tells the peers near and its receivers
+ *	elsewhere; who hears it from a peer near tells its own receivers, so
+ *	two turns reach all. Lost datagrams, newcomers and healed cuts are made
+ *	good by one datagram to one peer each GOSSIP_WORKS_USEC, in turn. While
+ *	nothing is suspected nothing of this is sent.
+ *
  *	What a peer or data centre told is dropped GOSSIP_STALE_USEC after its
  *	last word. Nothing waits for a peer. Peers are first learnt from the
  *	store, then from datagrams: from their senders, and from the addresses
@@ -35,6 +42,7 @@
 
 #include "common/clock.h"
 #include "common/error.h"
+#include "coord/quarantine.h"
 #include "forward/fleet.h"
 #include "forward/share.h"
 
@@ -45,6 +53,11 @@
 /* Two words of an idle peer, and some. */
 #define GOSSIP_PARTED_USEC (1200 * USEC_PER_MSEC)
 
+/* With n instances each of them is told so by another one each 0.5 s, so one
+ * that was cut off knows all that matters well within the three seconds after
+ * which it counts as back. */
+#define GOSSIP_WORKS_USEC (500 * USEC_PER_MSEC)
+
 /* Streams whose copies are told of. */
 #define GOSSIP_SHARES 2
 
@@ -86,6 +99,12 @@
 	/* Whether this instance reads the store for others, who are to hear of
 	 * it more often. */
 	bool (*reads)(void *ctx);
+	/* A peer told of a work in the quarantine; true when that is news. NULL
+	 * where there is no quarantine. */
+	bool (*work_heard)(void *ctx, const struct quarantine_entry *entry);
+	/* The next ones to tell, at most so many; returns how many. */
+	uint32_t (*works)(void *ctx, struct quarantine_entry *entries,
+			  uint32_t most);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -106,6 +125,10 @@
  * once as long as its allowance of datagrams lasts, otherwise at the interval.
  */
 void gossip_load_changed(struct gossip *gossip);
+/* Something new is known of a work: this instance's own finding, so all are
+ * told at once. */
+void gossip_work_changed(struct gossip *gossip,
+			 const struct quarantine_entry *entry);
 /* How long a change has taken of late until peers near, or elsewhere, were told
  * of it, in microseconds: what they tell is about as old when it is used. */
 int64_t gossip_delay(const struct gossip *gossip, bool near);
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -32,6 +32,8 @@
 	double retry_window_sec;
 	double grace_sec; /* from SIGTERM to SIGKILL */
 	uint32_t connections_max;
+	/* Servers that ended under a request, from which on it is refused. */
+	uint32_t quarantine_ends;
 };
 
 /* Reads the file (NULL: none), the environment and argv. Exits by itself only
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -29,6 +29,7 @@
 	struct clock *clock;
 	struct fleet *fleet;
 	struct budgets *budgets;
+	struct quarantine *quarantine;
 	struct counter_set *counters;
 	struct forward *forward;
 	GRand *rand;
@@ -318,6 +319,15 @@
 {
 }
 
+static void work_changed(void *ctx, const struct work_id *work)
+{
+	const struct quarantine_entry *entry =
+		quarantine_find(world.quarantine, work);
+
+	say("work of %u servers, epoch %u%s", entry->count, entry->epoch,
+	    quarantine_holds(world.quarantine, work) ? ", held" : "");
+}
+
 static void world_open(void)
 {
 	const struct budget_settings budget = {
@@ -325,6 +335,11 @@
 		.slack = 12,
 		.window_usec = 10 * USEC_PER_SEC,
 	};
+	const struct quarantine_settings quarantine = {
+		.ends = 3,
+		.held_max = 8,
+		.suspects_max = 8,
+	};
 	struct forward_parts parts = {
 		.backends = {fake_send, fake_reserve, fake_unreserve,
 			     fake_free_result, NULL, fake_check,
@@ -335,6 +350,7 @@
 		.list_age = list_age,
 		.waiting = waiting,
 		.load_changed = load_changed,
+		.work_changed = work_changed,
 	};
 
 	memset(&world, 0, sizeof(world));
@@ -345,9 +361,11 @@
 	world.fleet = fleet_create(world.clock, "here");
 	world.budgets = budgets_create(&budget, 0);
 	world.counters = counter_set_create();
+	world.quarantine = quarantine_create(&quarantine);
 	parts.clock = world.clock;
 	parts.fleet = world.fleet;
 	parts.budgets = world.budgets;
+	parts.quarantine = world.quarantine;
 	parts.counters = world.counters;
 	parts.rand = world.rand;
 	world.forward = forward_create(&parts);
@@ -367,6 +385,7 @@
 	forward_destroy(world.forward);
 	fleet_destroy(world.fleet);
 	budgets_destroy(world.budgets);
+	quarantine_destroy(world.quarantine);
 	counter_set_destroy(world.counters);
 	g_rand_free(world.rand);
 	clock_destroy(world.clock);
--- a/tests/forward/test_gossip.c
+++ b/tests/forward/test_gossip.c
@@ -50,7 +50,8 @@
 
 static void site_open(struct site *site)
 {
-	static const struct gossip_ops ops = {word, heard, reads};
+	static const struct gossip_ops ops = {
+		.word = word, .heard = heard, .reads = reads};
 	static const char *const names[PEERS] = {"n0", "n1", "n2"};
 
 	*site = (struct site){.clock = clock_create(0)};
--- a/tests/forward/test_gossip_site.c
+++ b/tests/forward/test_gossip_site.c
@@ -60,7 +60,8 @@
 
 static void instance_start(struct instance *instance)
 {
-	static const struct gossip_ops ops = {word, heard, reads};
+	static const struct gossip_ops ops = {
+		.word = word, .heard = heard, .reads = reads};
 	struct site *site = instance->site;
 	struct gossip_settings settings = {
 		.name = instance->name,
