tests: the quarantine by itself, in each step of a request, and told among 7, 83 and 300

The world of instances on a paused clock moves from test_gossip_site.c to gossip_world.c, its tests unchanged.

--- a/tests/forward/fuzz_gossip.c
+++ b/tests/forward/fuzz_gossip.c
@@ -22,6 +22,10 @@
 	g_assert_cmpmem(
 		a->loads->data, a->loads->len * sizeof(struct gossip_load),
 		b->loads->data, b->loads->len * sizeof(struct gossip_load));
+	g_assert_cmpmem(a->works->data,
+			a->works->len * sizeof(struct quarantine_entry),
+			b->works->data,
+			b->works->len * sizeof(struct quarantine_entry));
 	g_assert_cmpstr(a->name, ==, b->name);
 	g_assert_cmpstr(a->first.name, ==, b->first.name);
 	g_assert_cmpuint(a->word.waiting, ==, b->word.waiting);
@@ -57,7 +61,7 @@
 	GByteArray *out = g_byte_array_new();
 	struct gossip_message message;
 
-	gossip_message_init(&message, (enum gossip_kind)(i % 3));
+	gossip_message_init(&message, (enum gossip_kind)(i % 4));
 	message.boot = 5;
 	message.sequence = (uint64_t)i;
 	g_strlcpy(message.name, "n1", sizeof(message.name));
@@ -69,6 +73,17 @@
 
 		g_array_append_val(message.loads, load);
 	}
+	for (int k = g_test_rand_int_range(0, 4); k > 0; k--) {
+		struct quarantine_entry entry = {
+			.work = {(uint64_t)k, 7},
+			.epoch = 1,
+			.count = 3,
+			.servers = {5, 6, UINT64_MAX},
+			.stored = k == 2,
+		};
+
+		g_array_append_val(message.works, entry);
+	}
 	gossip_message_add(&message, "127.0.0.1:70");
 	gossip_message_add(&message, "[::1]:7");
 	gossip_encode(&message, out);
--- /dev/null
+++ b/tests/forward/gossip_world.c
@@ -0,0 +1,163 @@
+#include "gossip_world.h"
+
+#include "common/id.h"
+
+const char *const centres[CENTRES] = {"a", "b", "c", "d", "e"};
+
+static void word(void *ctx, struct gossip_word *out)
+{
+	*out = (struct gossip_word){.version = 1, .demand = 100, .waiting = 1};
+}
+
+static void heard(void *ctx, const char *address, bool near,
+		  const struct gossip_word *from)
+{
+}
+
+static bool reads(void *ctx)
+{
+	const struct instance *instance = ctx;
+
+	return gossip_rank(instance->gossip) == 0;
+}
+
+static bool work_heard(void *ctx, const struct quarantine_entry *entry)
+{
+	const struct instance *instance = ctx;
+
+	return quarantine_merge(instance->quarantine, entry);
+}
+
+static uint32_t works(void *ctx, struct quarantine_entry *entries,
+		      uint32_t most)
+{
+	const struct instance *instance = ctx;
+
+	return quarantine_next(instance->quarantine, entries, most);
+}
+
+/* One server of engines in each data centre. */
+struct backend *server(struct instance *instance, uint32_t centre)
+{
+	struct backend_info info = {
+		.service = 1, .stage = STAGE_DECODE, .slots = 8};
+
+	g_snprintf(info.id, sizeof(info.id), "d-%s", centres[centre]);
+	g_strlcpy(info.data_centre, centres[centre], sizeof(info.data_centre));
+	return fleet_put(instance->fleet, &info);
+}
+
+void instance_start(struct instance *instance)
+{
+	static const struct gossip_ops ops = {
+		word, heard, reads, work_heard, works,
+	};
+	static const struct quarantine_settings quarantine = {3, 256, 256};
+	struct site *site = instance->site;
+	struct gossip_settings settings = {
+		.name = instance->name,
+		.data_centre = centres[instance->centre],
+		.address = instance->address,
+		.boot = ++instance->boot,
+	};
+	struct error err;
+
+	instance->quarantine = quarantine_create(&quarantine);
+	for (uint32_t i = 0; i < site->stored_count; i++)
+		quarantine_merge(instance->quarantine, &site->stored[i]);
+	instance->fleet = fleet_create(site->clock, settings.data_centre);
+	for (uint32_t i = 0; i < CENTRES; i++)
+		server(instance, i);
+	instance->gossip =
+		gossip_create(site->loops[instance->centre], instance->fleet,
+			      &settings, &ops, instance, &err);
+	g_assert_nonnull(instance->gossip);
+}
+
+void instance_stop(struct instance *instance)
+{
+	gossip_destroy(instance->gossip);
+	fleet_destroy(instance->fleet);
+	quarantine_destroy(instance->quarantine);
+	instance->gossip = NULL;
+}
+
+void meet_all(struct site *site, struct instance *instance)
+{
+	for (uint32_t i = 0; i < site->count; i++)
+		gossip_meet(instance->gossip, site->instances[i].address);
+}
+
+struct instance *instance_add(struct site *site)
+{
+	struct instance *instance = &site->instances[site->count];
+
+	instance->site = site;
+	instance->centre = site->count % CENTRES;
+	g_snprintf(instance->name, sizeof(instance->name), "%s%03u",
+		   centres[instance->centre], site->count);
+	address_free(instance->address);
+	site->count++;
+	instance_start(instance);
+	return instance;
+}
+
+static void works_store(struct site *site)
+{
+	for (uint32_t i = 0; i < site->count; i++) {
+		struct instance *instance = &site->instances[i];
+		struct quarantine_entry entry;
+
+		if (!instance->gossip || site->still[instance->centre] ||
+		    !quarantine_unstored(instance->quarantine, &entry) ||
+		    !gossip_lowest(instance->gossip, false))
+			continue;
+		entry.stored = true;
+		g_assert_cmpuint(site->stored_count, <, STORED_MOST);
+		site->stored[site->stored_count++] = entry;
+		quarantine_stored(instance->quarantine, &entry.work, true);
+	}
+}
+
+void turn(struct site *site, int64_t msec)
+{
+	for (int64_t i = 0; i < msec; i += 50) {
+		clock_advance(site->clock,
+			      clock_now(site->clock) + 50 * USEC_PER_MSEC);
+		for (int k = 0; k < 3 * CENTRES; k++)
+			if (!site->still[k % CENTRES])
+				loop_turn_h2o(site->loops[k % CENTRES], 0);
+		works_store(site);
+	}
+}
+
+struct site *site_open(uint32_t count)
+{
+	struct site *site = g_new0(struct site, 1);
+
+	site->clock = clock_create(0);
+	clock_advance(site->clock, 60 * USEC_PER_SEC);
+	for (int i = 0; i < CENTRES; i++) {
+		site->loops[i] = loop_create(site->clock);
+		/* Or its first datagram would set the clock. */
+		loop_enter(site->loops[i]);
+	}
+	for (uint32_t i = 0; i < count; i++)
+		instance_add(site);
+	for (uint32_t i = 0; i < count; i++)
+		meet_all(site, &site->instances[i]);
+	/* All start at once: some first words are lost in full sockets. */
+	turn(site, 3000);
+	return site;
+}
+
+void site_close(struct site *site)
+{
+	for (uint32_t i = 0; i < site->count; i++)
+		if (site->instances[i].gossip)
+			instance_stop(&site->instances[i]);
+	for (int i = 0; i < CENTRES; i++)
+		loop_destroy(site->loops[i]);
+	clock_destroy(site->clock);
+	g_free(site);
+}
--- /dev/null
+++ b/tests/forward/gossip_world.h
@@ -0,0 +1,60 @@
+/*
+ * gossip_world.h - hundreds of instances that tell each other, on a paused
+ *clock
+ *
+ * DESCRIPTION
+ *	Each data centre has a loop of its own, so that one of them can stand
+ *	still. Each instance sees one server of engines in each data centre, and
+ *	has a quarantine; what that holds is kept by a store that outlives the
+ *	instances, written by the one that decides.
+ */
+#ifndef TESTS_FORWARD_GOSSIP_WORLD_H
+#define TESTS_FORWARD_GOSSIP_WORLD_H
+
+#include <glib.h>
+
+#include "address_free.h"
+#include "coord/quarantine.h"
+#include "forward/gossip.h"
+#include "web/loop.h"
+
+#define CENTRES 5
+#define MOST 320
+#define STORED_MOST 64
+
+struct instance {
+	struct site *site;
+	uint32_t centre;
+	char name[16];
+	char address[ADDRESS_FREE_MAX];
+	struct fleet *fleet;
+	struct quarantine *quarantine;
+	struct gossip *gossip; /* NULL while it is stopped */
+	uint64_t boot;
+};
+
+struct site {
+	struct clock *clock;
+	struct loop *loops[CENTRES];
+	bool still[CENTRES];
+	struct instance instances[MOST];
+	uint32_t count;
+	struct quarantine_entry stored[STORED_MOST];
+	uint32_t stored_count;
+};
+
+extern const char *const centres[CENTRES];
+
+struct site *site_open(uint32_t count);
+void site_close(struct site *site);
+/* Time goes on, 50 ms a turn. */
+void turn(struct site *site, int64_t msec);
+struct instance *instance_add(struct site *site);
+void instance_start(struct instance *instance);
+void instance_stop(struct instance *instance);
+/* Tells it the addresses of all. */
+void meet_all(struct site *site, struct instance *instance);
+/* The server of engines of that data centre, as the instance sees it. */
+struct backend *server(struct instance *instance, uint32_t centre);
+
+#endif
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -487,6 +487,20 @@
 					    : CHECK_UNKNOWN);
 }
 
+/* The only work of this world, told by others. */
+static void hold_step(const char *options)
+{
+	const struct work_part parts[] = {
+		{"POST", 4}, {NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}};
+	const struct quarantine_entry entry = {
+		.work = work_id_of(parts, G_N_ELEMENTS(parts)),
+		.count = 3,
+		.servers = {1, 2, 3},
+	};
+
+	g_assert_true(quarantine_merge(world.quarantine, &entry));
+}
+
 static void gone_step(const char *options)
 {
 	world.request.gone_fn(world.request.gone_ctx);
@@ -538,7 +552,7 @@
 	{"wait", wait_step},	     {"version", version_step},
 	{"server", servers_step},    {"drain", drain_step},
 	{"crowd", crowd_step},	     {"spend", spend_step},
-	{"checked", checked_step},
+	{"checked", checked_step},   {"hold", hold_step},
 };
 
 static void step_run(char *step)
