--- a/forward/plain.c
+++ b/forward/plain.c
@@ -40,7 +40,8 @@
 static void plain_again(struct request *request, enum result_code code,
 			const char *why)
 {
-	bool may = request->runs == 0 || request_repeatable(request);
+	bool may = (request->runs == 0 || request_repeatable(request)) &&
+		   !request_suspected(request);
 
 	if (may && request->runs < request->route->attempts &&
 	    request_left(request) > 0) {
--- a/forward/request.h
+++ b/forward/request.h
@@ -50,6 +50,7 @@
 	struct tried tried;
 	struct lost_work work; /* once request_work() was asked for it */
 	bool work_known;
+	bool lost_connection; /* in the middle of a call */
 	uint32_t sends;	 /* that may have reached a server, and count as such */
 	bool paid;	 /* a prefill took from the budget and did not count */
 	uint32_t runs;	 /* that may have begun to run */
@@ -119,6 +120,11 @@
 void request_uncount(struct request *request, const struct backend_end *end);
 /* A call that may have begun at the target has failed. */
 void request_lost(struct request *request, const struct backend_end *end);
+/* Whether it lost a connection and servers are known to have ended under it
+ * before: its caller may send it again, this attempt is over. Sent on at once,
+ * before the server was asked, a work that is about to be held would end one
+ * more server with each attempt. */
+bool request_suspected(const struct request *request);
 /* The server has answered to the end: it has outlived the request. */
 void request_outlived(struct request *request);
 /* Ends it if servers ended under it, now or as it was sent before; true when it
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -92,9 +92,10 @@
 void stream_again(struct request *request, enum result_code code,
 		  const char *why)
 {
-	bool may = request->runs == 0 ||
-		   (request_repeatable(request) &&
-		    request->runs < request->route->attempts);
+	bool may = !request_suspected(request) &&
+		   (request->runs == 0 ||
+		    (request_repeatable(request) &&
+		     request->runs < request->route->attempts));
 
 	request_drop_hold(request);
 	answer_clear(&request->answer);
@@ -200,7 +201,10 @@
 	if (backend)
 		tried_add(&request->tried, backend->key);
 	answer_clear(&request->answer);
-	prefill_send(request);
+	if (request_suspected(request))
+		stream_again(request, RESULT_NO_BACKEND, end->text);
+	else
+		prefill_send(request);
 }
 
 /* Time for the prompts ahead and this one. */
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -54,6 +54,7 @@
 	if (end->whole || end->not_run || end->timed_out ||
 	    (answer->has_head && answer->head.not_run))
 		return;
+	request->lost_connection = true;
 	log_event(LOG_NOTICE, "connection_lost",
 		  LOG_S("request", request->caller.id),
 		  LOG_X("work", request_work(request)->work.high),
@@ -63,6 +64,17 @@
 		      request->service->health_path, request_work(request));
 }
 
+bool request_suspected(const struct request *request)
+{
+	const struct quarantine_entry *entry;
+
+	if (!request->lost_connection)
+		return false;
+	entry = quarantine_find(request->forward->parts.quarantine,
+				&request->work.work);
+	return entry && entry->count > 0;
+}
+
 void quarantine_server_ended(void *ctx, const struct backend_info *server,
 			     const struct lost_work *lost)
 {
--- a/tests/soak/faults.c
+++ b/tests/soak/faults.c
@@ -20,6 +20,7 @@
 
 static void kill_all(struct soak *soak)
 {
+	soak->all_killed++;
 	for (int i = 0; i < INSTANCES; i++)
 		instance_signal(&soak->instances[i], SIGKILL);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,4 +1,5 @@
-/* soak BUILD SEED [SECONDS]: one run; exit status 1 when a promise broke. */
+/* soak BUILD SEED [SECONDS [repeats]]: one run; exit status 1 when a promise
+ * broke. With "repeats" a caller sends again and again what ends servers. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -91,6 +92,8 @@
 	soak_turn(soak, USEC_PER_SEC);
 	soak->end_at = clock_now(soak->clock) + seconds * USEC_PER_SEC;
 	timer_start(&soak->call_timer, 0);
+	if (soak->repeating)
+		repeats_start(soak);
 	while (clock_now(soak->clock) < soak->end_at) {
 		soak_turn(soak, g_rand_int_range(soak->rand, 50, 500) *
 					USEC_PER_MSEC);
@@ -100,6 +103,8 @@
 	soak_turn(soak, SETTLE_USEC);
 	recovery_check(soak);
 	calls_check(soak);
+	if (soak->repeating)
+		repeats_check(soak);
 	timer_stop(&soak->watch_timer);
 	soak_stop(soak);
 }
@@ -110,6 +115,7 @@
 	uint32_t seed = argc > 2 ? (uint32_t)strtoul(argv[2], NULL, 10) : 1;
 	int seconds = argc > 3 ? atoi(argv[3]) : SECONDS;
 
+	soak.repeating = argc > 4 && strcmp(argv[4], "repeats") == 0;
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	soak.build = argc > 1 ? argv[1] : "build";
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,6 +24,8 @@
 
 #define INSTANCES 3
 #define EVENTS 8
+/* A body that ends the server, see tests/platform/site/site.h. */
+#define SOAK_ENDS_SERVER "ends the server"
 
 enum call_kind {
 	KIND_PLAIN,
@@ -73,6 +75,12 @@
 	struct timer call_timer;
 	struct timer fault_timer;
 	struct timer watch_timer;
+	/* Of a run with a caller whose request ends servers. */
+	bool repeating;
+	uint32_t repeats;
+	uint32_t repeats_refused;
+	uint32_t all_killed; /* times */
+	struct timer repeat_timer;
 };
 
 /* process.c */
@@ -93,6 +101,10 @@
 		  const char *body, const char *name);
 void soak_turn(struct soak *soak, int64_t usec);
 
+/* repeats.c */
+void repeats_start(struct soak *soak);
+void repeats_check(struct soak *soak);
+
 /* faults.c */
 void fault_strike(struct soak *soak);
 void faults_heal(struct soak *soak);
