--- a/ctl/command_explain.c
+++ b/ctl/command_explain.c
@@ -36,16 +36,30 @@
 	json_decref(root);
 }
 
+static bool files_read(struct explanation *explanation,
+		       const struct arguments *args, struct error *err)
+{
+	g_autofree char *work = NULL;
+
+	for (unsigned int i = 1; i < args->operand_count; i++)
+		if (!explanation_read(explanation, args->operands[0],
+				      args->operands[i], err))
+			return false;
+	work = explanation_work(explanation);
+	for (unsigned int i = 1; work && i < args->operand_count; i++)
+		if (!explanation_read_work(explanation, work, args->operands[i],
+					   err))
+			return false;
+	return true;
+}
+
 static bool run(struct ctl *ctl, const struct arguments *args,
 		struct error *err)
 {
 	struct explanation explanation;
 
 	explanation_init(&explanation);
-	for (unsigned int i = 1; i < args->operand_count; i++) {
-		if (explanation_read(&explanation, args->operands[0],
-				     args->operands[i], err))
-			continue;
+	if (!files_read(&explanation, args, err)) {
 		explanation_clear(&explanation);
 		return false;
 	}
--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -44,22 +44,37 @@
 	return g_strndup(at, (gsize)(end - at));
 }
 
-/* The lines of one request are looked for in one file. */
+/* The lines of one request, or of the ends of servers under one work, are
+ * looked for in one file. */
 struct search {
 	struct explanation *explanation;
 	const char *request;
+	const char *work;
 	const char *file;
 };
 
+static bool line_wanted(const struct search *search, const char *text,
+			const char *event)
+{
+	g_autofree char *id = explain_value(text, "request");
+	g_autofree char *work = NULL;
+
+	if (search->request)
+		return g_strcmp0(id, search->request) == 0;
+	if (!g_str_has_prefix(event, " event=server_ended "))
+		return false;
+	work = explain_value(text, "work");
+	return g_strcmp0(work, search->work) == 0;
+}
+
 static void line_take(void *ctx, const char *text)
 {
 	const struct search *search = ctx;
 	const char *event = strstr(text, " event=");
-	g_autofree char *id = explain_value(text, "request");
 	const char *time = strstr(text, ">time=");
 	struct explain_line *line;
 
-	if (!event || !time || g_strcmp0(id, search->request) != 0)
+	if (!event || !time || !line_wanted(search, text, event))
 		return;
 	line = g_new0(struct explain_line, 1);
 	line->time = g_ascii_strtod(time + strlen(">time="), NULL);
@@ -71,7 +86,29 @@
 bool explanation_read(struct explanation *explanation, const char *request,
 		      const char *file, struct error *err)
 {
-	struct search search = {explanation, request, file};
+	struct search search = {
+		.explanation = explanation, .request = request, .file = file};
+
+	return log_file_read(file, line_take, &search, err);
+}
+
+char *explanation_work(const struct explanation *explanation)
+{
+	for (guint i = 0; i < explanation->lines->len; i++) {
+		const struct explain_line *line = explanation->lines->pdata[i];
+		char *work = explain_value(line->text, "work");
+
+		if (work)
+			return work;
+	}
+	return NULL;
+}
+
+bool explanation_read_work(struct explanation *explanation, const char *work,
+			   const char *file, struct error *err)
+{
+	struct search search = {
+		.explanation = explanation, .work = work, .file = file};
 
 	return log_file_read(file, line_take, &search, err);
 }
@@ -135,6 +172,32 @@
 		g_string_append_printf(cause, " (status %s)", status);
 }
 
+/* The servers that ended under the same work, as far as the logs say. */
+static void servers_add(GString *cause, const struct explanation *explanation)
+{
+	g_autoptr(GHashTable) seen =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+
+	for (guint i = 0; i < explanation->lines->len; i++) {
+		const struct explain_line *line = explanation->lines->pdata[i];
+		g_autofree char *backend = explain_value(line->text, "backend");
+		g_autofree char *born = explain_value(line->text, "born");
+		char *life;
+
+		if (!g_str_has_prefix(line->text, "event=server_ended "))
+			continue;
+		life = g_strdup_printf("%s started at %s", backend, born);
+		if (!g_hash_table_add(seen, life))
+			continue;
+		g_string_append_printf(
+			cause, "%s%s",
+			g_hash_table_size(seen) == 1
+				? "; servers that ended under the same work: "
+				: ", ",
+			g_strcmp0(born, "0") == 0 ? backend : life);
+	}
+}
+
 static char *cause_name(const struct explanation *explanation)
 {
 	const char *end = last_of(explanation, "request_end");
@@ -163,6 +226,7 @@
 	}
 	if (step)
 		step_add(cause, step);
+	servers_add(cause, explanation);
 	return g_string_free(cause, FALSE);
 }
 
--- a/tests/ctl/test_ctl.c
+++ b/tests/ctl/test_ctl.c
@@ -63,6 +63,7 @@
 	{"explain", FAKE_FINE, "explain r1 LOG"},
 	{"explain-json", FAKE_FINE, "explain --json r1 LOG"},
 	{"explain-open", FAKE_FINE, "explain r2 LOG"},
+	{"explain-work", FAKE_FINE, "explain r9 LOG"},
 	{"explain-nobody", FAKE_FINE, "explain r3 LOG"},
 	{"explain-no-file", FAKE_FINE, "explain r1 /nowhere"},
 	{"explain-no-log", FAKE_FINE, "explain r1"},
