--- a/tests/forward/test_gossip_works.c
+++ b/tests/forward/test_gossip_works.c
@@ -209,6 +209,7 @@
 		if (!after)
 			turn(site, 10000);
 	}
+	g_assert_cmpuint(site->count, >, 0);
 	sum.sent /= site->count;
 	sum.sent_bytes /= site->count;
 	return sum;
