web, forward: what arrived while a process stood still goes before time-outs

Cause: after a suspension the first thing that ran were the timers that fell due meanwhile. After a gap of 0.2 s or more timers now fire a turn later, once all that is ready was read.

With it, seen on the paused clock: a reservation whose time was over by then is asked for again instead of reading a prompt for it, and a request whose target passed meanwhile is not refused as early while servers may be free.

Ruled out: longer time-outs (each stands for a failure of its own); a steady clock that stands still while suspended (leases would last longer than they do elsewhere).

--- a/common/clock.c
+++ b/common/clock.c
@@ -94,6 +94,11 @@
 	clock_fire_due(clock);
 }
 
+void clock_skip(struct clock *clock, int64_t now_us)
+{
+	clock->now = MAX(clock->now, now_us);
+}
+
 int64_t clock_step(struct clock *clock)
 {
 	int64_t now = system_time(CLOCK_BOOTTIME) - clock->system_zero;
--- a/forward/request.h
+++ b/forward/request.h
@@ -66,6 +66,7 @@
 	struct backend_info kv_at;  /* who keeps kv */
 	struct backend_info target; /* of the call under way or the last one */
 	struct event_cutter cutter;
+	int64_t asked_at; /* for the reservation under way */
 	/* For the log line at the end. */
 	int64_t placed_at;
 	int64_t prefilled_at;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -315,6 +315,13 @@
 	prefill_send(request);
 }
 
+/* The answer lay in the socket while this process stood still. Taken for good,
+ * the prompt was read in vain: the run is refused for want of the memory. */
+static bool is_lapsed(const struct request *request, int64_t now)
+{
+	return now - request->asked_at >= stream_reserve_usec(request);
+}
+
 static void on_reserved(void *ctx, enum reserve_result result, const char *hold)
 {
 	struct request *request = ctx;
@@ -324,6 +331,14 @@
 	request->call = NULL;
 	if (backend && (result == RESERVE_OK || result == RESERVE_FULL))
 		backend_reached(backend);
+	if (result == RESERVE_OK && is_lapsed(request, now)) {
+		log_event(LOG_NOTICE, "reservation_lapsed",
+			  LOG_S("request", request->caller.id),
+			  LOG_D("after_ms",
+				(now - request->asked_at) / USEC_PER_MSEC));
+		stream_wait(request);
+		return;
+	}
 	if (result == RESERVE_OK) {
 		reserved(request, hold);
 		return;
@@ -367,6 +382,7 @@
 	placed_log(request, "reserve", backend);
 	request->on_trial = backend_suspect(backend);
 	request->target = backend->info;
+	request->asked_at = place.now;
 	request->call = ops->reserve(
 		ops->ctx, &backend->info, reserved_tokens(request),
 		stream_reserve_usec(request), on_reserved, request);
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -113,7 +113,10 @@
 	double left = (target - age - request->forward->begin_usec) /
 		      (double)USEC_PER_SEC;
 
-	if (request->rounds > 0 || request->judged || age < EARLY_PART * target)
+	/* Nor is it early once the target has passed, as after the process
+	 * stood still: servers may be free. */
+	if (request->rounds > 0 || request->judged ||
+	    age < EARLY_PART * target || age >= target)
 		return false;
 	request->judged = true;
 	if (queue_sec(request) < left)
--- a/include/common/clock.h
+++ b/include/common/clock.h
@@ -51,6 +51,9 @@
 /* Moves to now_us at once and then fires what fell due on the way, in order:
  * what a process sees that stood still meanwhile. */
 void clock_jump(struct clock *clock, int64_t now_us);
+/* Moves to now_us without firing: what a process sees between waking up and
+ * clock_fire_due(). */
+void clock_skip(struct clock *clock, int64_t now_us);
 /* Jumps a system clock to the present, firing timers. Returns how far the
  * present had run ahead of the last call: a long gap tells a paused process. */
 int64_t clock_follow(struct clock *clock);
--- a/include/web/loop.h
+++ b/include/web/loop.h
@@ -10,7 +10,9 @@
  *	A callback that a socket wakes runs before the loop is back at its top,
  *	so it starts with loop_enter(): the first call after a wait moves the
  *	clock and calls the turn hook, so that a process that was stopped knows
- *	it before it takes new work.
+ *	it before it takes new work. After such a gap, of 0.2 s or more, timers
+ *	fire a turn later: what arrived meanwhile goes before the time-outs that
+ *	fell due meanwhile.
  */
 #ifndef WEB_LOOP_H
 #define WEB_LOOP_H
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -512,6 +512,19 @@
 		      clock_now(world.clock) + atoi(options) * USEC_PER_MSEC);
 }
 
+/* The process stands still; what comes next had arrived meanwhile. */
+static void still_step(const char *options)
+{
+	clock_skip(world.clock,
+		   clock_now(world.clock) + atoi(options) * USEC_PER_MSEC);
+}
+
+/* The timers that fell due meanwhile. */
+static void due_step(const char *options)
+{
+	clock_fire_due(world.clock);
+}
+
 static void version_step(const char *options)
 {
 	catalog_set((uint64_t)atoi(options));
@@ -553,6 +566,7 @@
 	{"server", servers_step},    {"drain", drain_step},
 	{"crowd", crowd_step},	     {"spend", spend_step},
 	{"checked", checked_step},   {"hold", hold_step},
+	{"still", still_step},	     {"due", due_step},
 };
 
 static void step_run(char *step)
--- a/web/loop.c
+++ b/web/loop.c
@@ -10,6 +10,12 @@
 
 /* Longest wait when no timer runs: signals and sockets end it earlier. */
 #define WAIT_MAX_MSEC 1000
+/* A gap that is none of ordinary load: an instance whose share of a core is
+ * used up gets it back within a tenth of a second. */
+#define LOOP_GAP_USEC (200 * USEC_PER_MSEC)
+/* The turn in which the gap is noticed may hold a part of what is ready, the
+ * next one holds all. */
+#define WOKEN_TURNS 2u
 
 struct signal_watch {
 	int signal;
@@ -31,8 +37,10 @@
 	h2o_socket_t *signal_sock;
 	loop_turn_fn turn_fn;
 	void *turn_ctx;
-	int64_t waited_usec; /* on purpose, since the clock was followed */
-	bool entered;	     /* the clock was followed since the last wait */
+	int64_t waited_usec;  /* on purpose, since the clock was followed */
+	bool entered;	      /* the clock was followed since the last wait */
+	uint32_t woken_turns; /* until timers fire, see timers_wait() */
+	bool fired;	      /* timers, since they had to wait */
 	bool running;
 };
 
@@ -131,6 +139,24 @@
 	node->next = NULL;
 }
 
+/* Whether timers wait: after a gap what has arrived meanwhile goes first. With
+ * the timers first a process that stood still for three seconds gave up streams
+ * whose events lay in its sockets, and had them run again elsewhere. */
+static bool timers_wait(struct loop *loop, int64_t gap)
+{
+	if (loop->woken_turns > 0)
+		return true;
+	/* Not twice in a row: turns that take long would hold them up for ever.
+	 */
+	if (gap >= LOOP_GAP_USEC && loop->fired) {
+		loop->woken_turns = WOKEN_TURNS;
+		loop->fired = false;
+		return true;
+	}
+	loop->fired = true;
+	return false;
+}
+
 void loop_enter(struct loop *loop)
 {
 	int64_t gap;
@@ -142,7 +168,8 @@
 	loop->waited_usec = 0;
 	if (loop->turn_fn)
 		loop->turn_fn(loop->turn_ctx, MAX(gap, 0));
-	clock_fire_due(loop->clock);
+	if (!timers_wait(loop, gap))
+		clock_fire_due(loop->clock);
 }
 
 static int32_t wait_msec(struct loop *loop)
@@ -167,6 +194,8 @@
 {
 	int32_t msec;
 
+	if (loop->woken_turns > 0)
+		loop->woken_turns--;
 	/* Also when a callback has entered: it may have taken long, and what
 	 * it set may be looked at by the hook. */
 	loop->entered = false;
