forward: what is held reaches a data centre that is cut off; a leaving server's end blames nobody

While it is cut off one of its instances reads the store's list of instances each second. A server that said that it leaves ends by itself, so streams that are cut off with it are not blamed; one whose next life is listed has ended, though that life answers under the same id.

--- a/forward/ended.c
+++ b/forward/ended.c
@@ -100,14 +100,27 @@
 	timer_start(&check->timer, ENDED_WATCH_USEC);
 }
 
+/* What the list says goes before an answer under the same id, which may be the
+ * next life's; and before none: who has left it and does not answer is gone. */
+static enum check_result check_judge(const struct check *check,
+				     enum check_result result)
+{
+	const struct fleet *fleet = check->ended->parts.fleet;
+
+	if (fleet_born(fleet, check->server.id) > check->server.born)
+		return CHECK_ENDED;
+	if (result == CHECK_UNKNOWN && !fleet_find(fleet, check->key))
+		return CHECK_ENDED;
+	return result;
+}
+
 static void on_checked(void *ctx, enum check_result result)
 {
 	struct check *check = ctx;
 	const struct ended_parts *parts = &check->ended->parts;
 
 	check->call = NULL;
-	if (result == CHECK_UNKNOWN && !fleet_find(parts->fleet, check->key))
-		result = CHECK_ENDED;
+	result = check_judge(check, result);
 	check_log(check, result);
 	if (result == CHECK_ENDED)
 		check_settle(check);
@@ -157,12 +170,22 @@
 	return check;
 }
 
+/* One that said so ends by itself, whatever runs there. */
+static bool is_leaving(const struct ended *ended, uint64_t key)
+{
+	const struct backend *backend = fleet_find(ended->parts.fleet, key);
+
+	return backend && backend->info.leaving;
+}
+
 void ended_suspect(struct ended *ended, const struct backend_info *server,
 		   const char *health_path, const struct lost_work *lost)
 {
 	uint64_t key = backend_key(server);
 	struct check *check = g_hash_table_lookup(ended->checks, &key);
 
+	if (is_leaving(ended, key))
+		return;
 	if (!check)
 		check = check_begin(ended, key, server, health_path);
 	if (!check || check->works->len >= WORKS_MAX) {
--- a/forward/ended.h
+++ b/forward/ended.h
@@ -6,7 +6,8 @@
  *	server has ended, or only that the connection has: a reset, a cut link,
  *	a spoilt answer. So the server is asked for its health on a new
  *	connection. It has ended if nothing listens there any more, if another
- *	life answers, or if the list has dropped it since. An answer clears it.
+ *	life answers or is listed, or if the list has dropped it and it does not
+ *	answer. An answer clears it, and so does that it was leaving anyway.
  *	One that cannot be reached is asked again for ENDED_WATCH_USEC; if
  *	nothing is sure by then, nothing is held against the request.
  *
--- a/forward/node.h
+++ b/forward/node.h
@@ -56,12 +56,14 @@
 	struct budgets *budgets;
 	struct quarantine *quarantine;
 	struct node_storing storing;
+	int64_t works_read; /* when the store was asked for them last */
 	struct forward *forward;
 	struct gossip *gossip;
 	struct roles *roles;
 	struct node_share shares[GOSSIP_SHARES]; /* by enum node_stream */
 	struct timer share_timer;
 	struct feed *peer_feed;
+	bool peers_listed;
 	uint32_t peers_lower; /* listed when it started, with lower names */
 	struct web_server *callers;
 	struct web_server *health;
@@ -107,9 +109,9 @@
 uint32_t node_works(void *ctx, struct quarantine_entry *entries, uint32_t most);
 /* Takes a record of the store's list of instances if it holds a work. */
 bool node_work_read(struct node *node, const struct feed_record *record);
-/* Writes what is held and not stored yet, if it is up to this instance. To be
- * called about every 100 ms. */
-void node_works_store(struct node *node);
+/* Writes what is held and not stored yet, and reads what others wrote, where it
+ * is up to this instance. To be called about every 100 ms. */
+void node_works_tick(struct node *node);
 
 /* Of node_health.c: web_handler_fn of the addresses for health and metrics. */
 void node_health(void *ctx, struct web_request *request);
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -156,7 +156,7 @@
 	timer_start(timer, TICK_USEC);
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_tick(node->shares[i].share, &place);
-	node_works_store(node);
+	node_works_tick(node);
 }
 
 static void on_fetched(void *ctx, const struct web_result *result, int status,
@@ -280,6 +280,9 @@
 {
 	struct node *node = ctx;
 
+	if (node->peers_listed)
+		return;
+	node->peers_listed = true;
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_start(node->shares[i].share, node->peers_lower);
 }
--- a/forward/node_quarantine.c
+++ b/forward/node_quarantine.c
@@ -6,7 +6,8 @@
  *	Instances tell each other at once (gossip.h). What is held outlasts them
  *	all in the store: the instance that decides for the site writes it, one
  *	record a work, and whoever starts reads it with the list of instances,
- *	so that costs no call more.
+ *	so that costs no call more. A data centre that is cut off from the
+ *	others reads it meanwhile.
  */
 #include "node.h"
 
@@ -24,6 +25,10 @@
 /* How long a write that failed is not repeated. */
 #define STORE_RETRY_USEC (500 * USEC_PER_MSEC)
 
+/* Well within the three seconds after which all are to know; five calls in a
+ * cut of five seconds, of one instance a data centre. */
+#define PARTED_READ_USEC (1 * USEC_PER_SEC)
+
 #define KEY_PREFIX "work "
 #define KEY_SIZE (sizeof(KEY_PREFIX) + 32)
 
@@ -157,7 +162,7 @@
 		  LOG_S("result", result_label(code)));
 }
 
-void node_works_store(struct node *node)
+static void works_store(struct node *node)
 {
 	struct node_storing *storing = &node->storing;
 	struct quarantine_entry entry;
@@ -176,3 +181,23 @@
 	node->interface.put(node->interface.ctx, PEER_STREAM, key,
 			    storing->held ? value : NULL, on_stored, node);
 }
+
+/* Cut off from the other data centres, but not from the store: what they hold
+ * is known by no other way. One instance of the data centre asks for its own.
+ */
+static void works_fetch(struct node *node)
+{
+	int64_t now = clock_now(node->clock);
+
+	if (now - node->works_read < PARTED_READ_USEC || !node->registered ||
+	    !gossip_parted(node->gossip) || gossip_rank(node->gossip) > 0)
+		return;
+	node->works_read = now;
+	feed_poll(node->peer_feed);
+}
+
+void node_works_tick(struct node *node)
+{
+	works_store(node);
+	works_fetch(node);
+}
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -126,7 +126,9 @@
 
 static bool entry_set(struct site *site, const json_t *root)
 {
-	store_put(site, "keyed.servers", text_of(root, "key"),
+	const char *topic = text_of(root, "topic");
+
+	store_put(site, *topic ? topic : "keyed.servers", text_of(root, "key"),
 		  text_of(root, "value"));
 	return true;
 }
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -14,7 +14,8 @@
  *	POST /site/state   {"server": "d1", "state": "ready"}, or "draining",
  *			   "gone", "mute" (writes no more to the store),
  *			   "again" (ready, started anew under its id)
- *	POST /site/entry   {"key": KEY, "value": TEXT}; as another writer's
+ *	POST /site/entry   {"key": KEY, "value": TEXT, "topic": NAME}; as
+ *			   another writer's; among the servers by default
  *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/x/"}
  *	POST /site/store   {"state": "up"}, or "down", "forget"
  *	GET  /site/ledger?id=ID
