coord, forward: what ran to its end where it comes again is held nowhere

Cause: instances that have just started do not know which works ran to their end before. An instance where a work ended within the last minute now clears it when it comes there, and tells all.

--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -156,19 +156,15 @@
 	return true;
 }
 
-static struct proof *proof_slot(struct quarantine *quarantine, uint64_t mark)
-{
-	return &quarantine->proofs[mark % PROOFS];
-}
-
 void quarantine_prove(struct quarantine *quarantine, uint64_t mark, int64_t now)
 {
-	*proof_slot(quarantine, mark) = (struct proof){mark, now, true};
+	quarantine->proofs[mark % PROOFS] = (struct proof){mark, now, true};
 }
 
-static bool is_proved(struct quarantine *quarantine, uint64_t mark, int64_t now)
+bool quarantine_proved(const struct quarantine *quarantine, uint64_t mark,
+		       int64_t now)
 {
-	const struct proof *proof = proof_slot(quarantine, mark);
+	const struct proof *proof = &quarantine->proofs[mark % PROOFS];
 
 	return proof->used && proof->mark == mark &&
 	       now - proof->at < PROOF_USEC;
@@ -179,7 +175,7 @@
 {
 	struct item *item;
 
-	if (is_proved(quarantine, mark, now))
+	if (quarantine_proved(quarantine, mark, now))
 		return false;
 	item = item_get(quarantine, work);
 	if (!server_add(&item->entry, server))
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -96,14 +96,11 @@
 		parts->work_changed(parts->instances_ctx, &lost->work);
 }
 
-void request_outlived(struct request *request)
+static void work_clear(struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
 
-	quarantine_prove(parts->quarantine, request_mark(request),
-			 request_now(request));
-	if (quarantine_empty(parts->quarantine) ||
-	    !quarantine_clear(parts->quarantine, &request_work(request)->work))
+	if (!quarantine_clear(parts->quarantine, &request_work(request)->work))
 		return;
 	log_event(LOG_NOTICE, "work_cleared",
 		  LOG_S("request", request->caller.id),
@@ -112,6 +109,16 @@
 	parts->work_changed(parts->instances_ctx, &request_work(request)->work);
 }
 
+void request_outlived(struct request *request)
+{
+	struct quarantine *quarantine = request->forward->parts.quarantine;
+
+	quarantine_prove(quarantine, request_mark(request),
+			 request_now(request));
+	if (!quarantine_empty(quarantine))
+		work_clear(request);
+}
+
 bool request_quarantine(struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
@@ -120,6 +127,12 @@
 	if (quarantine_empty(parts->quarantine) ||
 	    !quarantine_holds(parts->quarantine, &request_work(request)->work))
 		return false;
+	/* Held by instances that did not see it end well. */
+	if (quarantine_proved(parts->quarantine, request->work.mark,
+			      request_now(request))) {
+		work_clear(request);
+		return false;
+	}
 	entry = quarantine_find(parts->quarantine, &request->work.work);
 	request->forward->quarantined->value++;
 	log_event(LOG_NOTICE, "request_quarantined",
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -18,7 +18,9 @@
  *	one is lost twice at most; three is the least number that refuses none.
  *	What may be asked for by many at once, say a status page, could be lost
  *	at several servers in one moment; so a work that ran to its end lately
- *	is not blamed, and one that is suspected is cleared when it does.
+ *	is not blamed, and one that is suspected is cleared when it does, or
+ *	when it comes again to an instance where it did: those that have just
+ *	started do not know that it did, and blame it.
  *
  *	Time alone releases nothing that is held: the next repeat would end the
  *	next server. Suspects and held works are bounded apart, the oldest of
@@ -90,6 +92,9 @@
 /* The server that ran the work has outlived it. */
 void quarantine_prove(struct quarantine *quarantine, uint64_t mark,
 		      int64_t now);
+/* Whether it did so within the last minute, here. */
+bool quarantine_proved(const struct quarantine *quarantine, uint64_t mark,
+		       int64_t now);
 /* The same where the work may be suspected: true when it was, and is cleared.
  * A run that began before it was held clears it too: it does not end servers.
  */
--- a/tests/coord/test_quarantine.c
+++ b/tests/coord/test_quarantine.c
@@ -68,6 +68,9 @@
 	quarantine_prove(quarantine, 1, NOW);
 	end_servers(quarantine, 1, 3);
 	g_assert_true(quarantine_empty(quarantine));
+	g_assert_true(quarantine_proved(quarantine, 1, NOW));
+	g_assert_false(
+		quarantine_proved(quarantine, 1, NOW + 61 * USEC_PER_SEC));
 	g_assert_true(quarantine_blame(quarantine, &id, 1, 5,
 				       NOW + 61 * USEC_PER_SEC));
 	/* Another one is blamed although its mark falls on the same slot. */
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -42,7 +42,8 @@
 	check_fn check; /* under way, or NULL */
 	void *check_ctx;
 	const char *options; /* of the request taken */
-	uint32_t crowd;	     /* waiting at all instances */
+	uint32_t holds;
+	uint32_t crowd; /* waiting at all instances */
 } world;
 
 static void say(const char *format, ...) G_GNUC_PRINTF(1, 2);
@@ -494,10 +495,13 @@
 		{"POST", 4}, {NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}};
 	const struct quarantine_entry entry = {
 		.work = work_id_of(parts, G_N_ELEMENTS(parts)),
+		.epoch = ++world.holds,
 		.count = 3,
 		.servers = {1, 2, 3},
 	};
 
+	/* Later each time, so that what was cleared is held again. */
+	world.holds++;
 	g_assert_true(quarantine_merge(world.quarantine, &entry));
 }
 
