--- a/forward/node_health.c
+++ b/forward/node_health.c
@@ -60,12 +60,24 @@
 		->value = (int64_t)traffic->received_bytes;
 }
 
+static void quarantine_count(struct node *node)
+{
+	struct counter_set *set = node->counters;
+
+	gauge_get(set, "jt_quarantine_works", "Works under which servers ended",
+		  "state=\"held\"")
+		->value = (int64_t)quarantine_held(node->quarantine);
+	gauge_get(set, "jt_quarantine_works", "", "state=\"suspected\"")
+		->value = (int64_t)quarantine_suspects(node->quarantine);
+}
+
 void node_metrics(void *ctx, struct web_request *request)
 {
 	struct node *node = ctx;
 	g_autoptr(GString) text = g_string_new(NULL);
 
 	traffic_count(node);
+	quarantine_count(node);
 	counter_set_print(node->counters, text);
 	web_reply(request, 200, "text/plain; version=0.0.4", text->str,
 		  text->len);
--- a/forward/settings.c
+++ b/forward/settings.c
@@ -47,6 +47,8 @@
 	{"connections-max", "JT_CONNECTIONS_MAX", SETTING_U32,
 	 FIELD(connections_max), 1, 1000000, "1500", false, "N",
 	 "connections of callers at once"},
+	/* The least number that refuses no innocent request, see
+	 * coord/quarantine.h. */
 	{"quarantine-ends", "JT_QUARANTINE_ENDS", SETTING_U32,
 	 FIELD(quarantine_ends), 2, QUARANTINE_ENDS_MAX, "3", false, "N",
 	 "servers that ended under a request, from which on it is refused"},
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -48,8 +48,6 @@
 
 /* Ends that an entry can name. */
 #define QUARANTINE_ENDS_MAX 8u
-/* See above. */
-#define QUARANTINE_ENDS 3u
 
 struct quarantine;
 
