forward: tell a peer that starts what works are held at once

Cause: where no store keeps what is held, an instance that starts hears of it only by the turns of its peers, each of which tells one peer every 0.5 s, so after three seconds one of a hundred did not know.

--- a/forward/gossip_hear.c
+++ b/forward/gossip_hear.c
@@ -101,6 +101,7 @@
 		 const struct gossip_message *message)
 {
 	struct peer *peer = g_hash_table_lookup(gossip->peers, from);
+	bool starts;
 
 	/* Works are the same in whatever order they come. */
 	if (message->kind == GOSSIP_WORKS) {
@@ -112,10 +113,13 @@
 		peer = peer_add(gossip, from);
 	if (!peer || !is_news(peer, message))
 		return;
+	starts = message->boot != peer->boot || !peer_live(gossip, peer);
 	peer->boot = message->boot;
 	peer->sequence = message->sequence;
 	if (message->kind != GOSSIP_CHANGES) {
 		word_take(gossip, peer, message);
+		if (starts && peer_live(gossip, peer))
+			gossip_works_greet(gossip, peer);
 		return;
 	}
 	peer->heard = gossip_now(gossip);
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -126,6 +126,8 @@
 /* Of gossip_works.c. */
 void gossip_works_start(struct gossip *gossip);
 void gossip_works_stop(struct gossip *gossip);
+/* Tells a peer that has started, or was silent, at once. */
+void gossip_works_greet(struct gossip *gossip, const struct peer *peer);
 /* Takes in the works that a peer told. */
 void gossip_works_hear(struct gossip *gossip, bool near, const GArray *works);
 
--- a/forward/gossip_works.c
+++ b/forward/gossip_works.c
@@ -88,17 +88,16 @@
 			     : NULL;
 }
 
-static void on_timer(struct timer *timer, void *ctx)
+/* Tells a peer the next works in turn; NULL: nobody. */
+static void works_send(struct gossip *gossip, const struct peer *peer)
 {
-	struct gossip *gossip = ctx;
 	struct quarantine_entry entries[GOSSIP_WORKS_MAX];
-	const struct peer *peer;
 	uint32_t count;
 
-	timer_start(timer, GOSSIP_WORKS_USEC);
+	if (!peer || !gossip->ops.works)
+		return;
 	count = gossip->ops.works(gossip->ctx, entries, GOSSIP_WORKS_MAX);
-	peer = count > 0 ? peer_next(gossip) : NULL;
-	if (peer) {
+	if (count > 0) {
 		g_autoptr(GByteArray) out =
 			works_encode(gossip, entries, count);
 
@@ -106,6 +105,22 @@
 	}
 }
 
+/* By turns alone an instance that starts while no store keeps what is held
+ * hears of it by chance: after three seconds one in a hundred did not know, in
+ * one of eleven trials with 100 instances. */
+void gossip_works_greet(struct gossip *gossip, const struct peer *peer)
+{
+	works_send(gossip, peer);
+}
+
+static void on_timer(struct timer *timer, void *ctx)
+{
+	struct gossip *gossip = ctx;
+
+	timer_start(timer, GOSSIP_WORKS_USEC);
+	works_send(gossip, peer_next(gossip));
+}
+
 void gossip_works_start(struct gossip *gossip)
 {
 	gossip->news_own =
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -19,8 +19,9 @@
  *	own. Who finds something new tells the peers near and its receivers
  *	elsewhere; who hears it from a peer near tells its own receivers, so
  *	two turns reach all. Lost datagrams, newcomers and healed cuts are made
- *	good by one datagram to one peer each GOSSIP_WORKS_USEC, in turn. While
- *	nothing is suspected nothing of this is sent.
+ *	good by one datagram to one peer each GOSSIP_WORKS_USEC, in turn, and by
+ *	one to each peer that starts or speaks again after a silence, at once.
+ *	While nothing is suspected nothing of this is sent.
  *
  *	What a peer or data centre told is dropped GOSSIP_STALE_USEC after its
  *	last word. Nothing waits for a peer. Peers are first learnt from the
