coord: allotments kept over all instances, by three ways to share

The limit that stood gave each instance an equal part of an organisation's rate. Beside it shares that follow demand, and equal shares as before, for jtentry.

--- a/coord/limit.c
+++ b/coord/limit.c
@@ -1,92 +1,244 @@
 #include "coord/limit.h"
 
-#include <glib.h>
+#include <string.h>
 
 #include "common/clock.h"
+#include "limit_account.h"
 
-struct bucket {
-	uint64_t pair;
-	double tokens;
-	int64_t filled;
-	GList link;
-};
+/* Callers are told to come back within this time, however many wait: none of
+ * them waits longer. */
+#define BOOKED_USEC (5 * USEC_PER_SEC)
 
-struct limits {
-	GHashTable *buckets; /* pair -> struct bucket */
-	GQueue used;	     /* longest ago first */
-	uint32_t pairs_max;
+static const char *const policy_names[LIMIT_POLICY_COUNT] = {
+	[LIMIT_COUNTS] = "counts",
+	[LIMIT_DEMAND] = "demand",
+	[LIMIT_EQUAL] = "equal",
 };
 
-struct limits *limits_create(uint32_t pairs_max)
+bool limit_policy_find(const char *name, enum limit_policy *policy)
+{
+	for (int i = 0; i < LIMIT_POLICY_COUNT; i++) {
+		if (strcmp(name, policy_names[i]) != 0)
+			continue;
+		*policy = (enum limit_policy)i;
+		return true;
+	}
+	return false;
+}
+
+const char *limit_policy_name(enum limit_policy policy)
+{
+	return policy_names[policy];
+}
+
+struct limits *limits_create(const struct limit_settings *settings)
 {
 	struct limits *limits = g_new0(struct limits, 1);
 
-	limits->buckets = g_hash_table_new_full(g_int64_hash, g_int64_equal,
-						NULL, g_free);
-	limits->pairs_max = pairs_max ? pairs_max : LIMIT_PAIRS_MAX;
-	g_queue_init(&limits->used);
+	limits->policy = settings->policy;
+	limits->created = settings->now;
+	limits->joins = settings->joins;
+	limits->epochs = settings->epoch;
+	limits->accounts_max = settings->accounts_max ? settings->accounts_max
+						      : LIMIT_ACCOUNTS_MAX;
+	limits->accounts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 NULL, account_free);
+	g_queue_init(&limits->order);
 	return limits;
 }
 
 void limits_destroy(struct limits *limits)
 {
-	g_hash_table_unref(limits->buckets);
+	if (!limits)
+		return;
+	g_hash_table_unref(limits->accounts);
 	g_free(limits);
 }
 
+void limits_set_policy(struct limits *limits, enum limit_policy policy)
+{
+	limits->policy = policy;
+}
+
 uint32_t limits_count(const struct limits *limits)
 {
-	return g_hash_table_size(limits->buckets);
+	return g_hash_table_size(limits->accounts);
 }
 
 static void oldest_forget(struct limits *limits)
 {
-	struct bucket *bucket = limits->used.head->data;
+	struct limit_account *account = limits->order.head->data;
 
-	g_queue_unlink(&limits->used, &bucket->link);
-	g_hash_table_remove(limits->buckets, &bucket->pair);
+	g_queue_unlink(&limits->order, &account->link);
+	g_hash_table_remove(limits->accounts, &account->id);
 }
 
-static struct bucket *bucket_get(struct limits *limits, int64_t now,
-				 uint64_t pair, double size)
+struct limit_account *account_get(struct limits *limits, int64_t now,
+				  uint64_t id)
 {
-	struct bucket *bucket = g_hash_table_lookup(limits->buckets, &pair);
+	struct limit_account *account =
+		g_hash_table_lookup(limits->accounts, &id);
 
-	if (bucket) {
-		g_queue_unlink(&limits->used, &bucket->link);
-		g_queue_push_tail_link(&limits->used, &bucket->link);
-		return bucket;
+	if (account) {
+		g_queue_unlink(&limits->order, &account->link);
+		g_queue_push_tail_link(&limits->order, &account->link);
+		return account;
 	}
-	if (limits_count(limits) >= limits->pairs_max)
+	if (limits_count(limits) >= limits->accounts_max)
 		oldest_forget(limits);
-	bucket = g_new0(struct bucket, 1);
-	bucket->pair = pair;
-	bucket->tokens = size;
-	bucket->filled = now;
-	bucket->link.data = bucket;
-	g_queue_push_tail_link(&limits->used, &bucket->link);
-	g_hash_table_insert(limits->buckets, &bucket->pair, bucket);
-	return bucket;
+	account = g_new0(struct limit_account, 1);
+	account->id = id;
+	account->epoch = ++limits->epochs;
+	account->at = now;
+	account->demand_at = now;
+	account->asked_at = LIMIT_NEVER;
+	account->adopted_at = LIMIT_NEVER;
+	account->link.data = account;
+	g_queue_push_tail_link(&limits->order, &account->link);
+	g_hash_table_insert(limits->accounts, &account->id, account);
+	return account;
+}
+
+double limits_share(const struct limits *limits,
+		    const struct limit_account *account, int64_t now,
+		    uint32_t sharers)
+{
+	if (limits->policy == LIMIT_EQUAL)
+		return 1.0 / MAX(sharers, 1u);
+	if (limits->policy == LIMIT_DEMAND)
+		return account_part(account, now);
+	return 1.0;
+}
+
+/* What an account holds that nobody told of. */
+static double first_level(const struct limits *limits,
+			  const struct limit_account *account, int64_t now,
+			  double share)
+{
+	double sec = (double)(now - limits->created) / (double)USEC_PER_SEC;
+	double burst = account->allotment.burst;
+	double part = burst * LIMIT_START_PART + account->allotment.rate * sec;
+
+	if (!limits->joins)
+		return burst * share;
+	return MIN(part, burst) * share;
+}
+
+static void account_allot(struct limits *limits, struct limit_account *account,
+			  int64_t now, const struct limit_ask *ask,
+			  double share)
+{
+	account->allotment = ask->allotment;
+	if (!account->level_known)
+		account_begin(account, now,
+			      first_level(limits, account, now, share));
+	account->level = MIN(account->level, account->allotment.burst * share);
 }
 
-bool limit_take(struct limits *limits, int64_t now, uint64_t pair, double rate,
-		uint32_t instances, int64_t *retry_after)
+/* Callers are told to come back one after the other, as fast as there will be
+ * room for them. */
+static void refusal_fill(struct limit_account *account, int64_t now,
+			 double units, double pace,
+			 struct limit_refusal *refusal)
 {
-	double share = rate / (instances ? instances : 1);
-	double size = MAX(1.0, share * LIMIT_BURST_SEC);
-	struct bucket *bucket;
+	double sec = MAX(units - account->level, 0.0) / pace;
+	int64_t fits = now + (int64_t)(sec * (double)USEC_PER_SEC) + 1;
 
-	if (rate <= 0)
+	*refusal = (struct limit_refusal){
+		.level = account->level,
+		.age_usec = account_age(account, now),
+	};
+	if (units > account->allotment.burst)
+		return;
+	if (account->booked < fits)
+		account->booked = fits;
+	else
+		account->booked +=
+			(int64_t)(units / pace * (double)USEC_PER_SEC);
+	account->booked = MIN(account->booked, now + BOOKED_USEC);
+	refusal->retry_usec = account->booked - now;
+}
+
+/* A bucket of a part of the allotment may be smaller than one request; it is
+ * then taken from a full one. */
+static bool account_fits(const struct limits *limits,
+			 const struct limit_account *account, double units,
+			 double share)
+{
+	double whole = account->allotment.burst * share;
+
+	if (limits->policy != LIMIT_COUNTS && units <= account->allotment.burst)
+		units = MIN(units, whole);
+	return account->level >= units;
+}
+
+static void account_use(struct limits *limits, struct limit_account *account,
+			double units)
+{
+	account->level -= units;
+	account->used += units;
+	account->untold += units;
+	account->untold_sum += units;
+	limit_mark_urgent(limits, account);
+}
+
+static void account_wake(struct limits *limits, struct limit_account *account,
+			 int64_t now)
+{
+	if (account->asked_at != LIMIT_NEVER &&
+	    now - account->asked_at >= LIMIT_IDLE_USEC) {
+		account->epoch = ++limits->epochs;
+		account->used = 0.0;
+		account->used_near = 0.0;
+	}
+	account->asked_at = now;
+}
+
+bool limit_take(struct limits *limits, int64_t now, const struct limit_ask *ask,
+		struct limit_refusal *refusal)
+{
+	bool counts = limits->policy == LIMIT_COUNTS;
+	struct limit_account *account;
+	double share;
+
+	if (ask->allotment.rate <= 0.0)
 		return true;
-	bucket = bucket_get(limits, now, pair, size);
-	bucket->tokens += share * (double)(now - bucket->filled) / USEC_PER_SEC;
-	bucket->tokens = MIN(bucket->tokens, size);
-	bucket->filled = now;
-	if (bucket->tokens >= 1.0) {
-		bucket->tokens -= 1.0;
+	account = account_get(limits, now, ask->account);
+	account_wake(limits, account, now);
+	account_demand(account, now, ask->units);
+	share = limits_share(limits, account, now, ask->sharers);
+	account_allot(limits, account, now, ask, share);
+	account_advance(account, now, share, counts);
+	if (account_fits(limits, account, ask->units, share)) {
+		account_use(limits, account, ask->units);
 		return true;
 	}
-	*retry_after =
-		(int64_t)((1.0 - bucket->tokens) / share * USEC_PER_SEC) + 1;
+	refusal_fill(account, now, ask->units,
+		     account_pace(account, now, share, counts), refusal);
 	return false;
 }
+
+void limit_return(struct limits *limits, int64_t now, uint64_t id, double units)
+{
+	struct limit_account *account =
+		g_hash_table_lookup(limits->accounts, &id);
+
+	if (!account || !account->level_known)
+		return;
+	account->level = MIN(account->level + units, account->allotment.burst);
+	account->used -= units;
+	account->untold -= units;
+	account->untold_sum -= units;
+}
+
+double limit_level(struct limits *limits, int64_t now, uint64_t id)
+{
+	struct limit_account *account =
+		g_hash_table_lookup(limits->accounts, &id);
+
+	if (!account)
+		return 0.0;
+	if (limits->policy == LIMIT_COUNTS)
+		account_advance(account, now, 1.0, true);
+	return account->level;
+}
--- /dev/null
+++ b/coord/limit_account.h
@@ -0,0 +1,98 @@
+/*
+ * limit_account.h - one allotment, as an instance believes it
+ */
+#ifndef COORD_LIMIT_ACCOUNT_H
+#define COORD_LIMIT_ACCOUNT_H
+
+#include <glib.h>
+
+#include "coord/limit.h"
+
+#define LIMIT_NEVER INT64_MIN
+/* An account that was not asked for here or told of for so long is told no
+ * more: what it used is in no window any longer. Asked for again, it counts
+ * from 0, since others may have forgotten where it was. */
+#define LIMIT_IDLE_USEC (16 * USEC_PER_SEC)
+
+/* Somebody else's use of an account. */
+struct limit_peer {
+	struct limit_source source;
+	uint32_t epoch;
+	int64_t used; /* as told last */
+	int64_t base; /* up to where it is counted */
+	double demand;
+	double fair;	     /* its part of all demand when it was heard last */
+	double presumed;     /* taken off since it told last */
+	double to_give_back; /* of that, since the bucket was full last */
+	int64_t heard;
+	bool counts; /* of its group, it is the one that counts */
+};
+
+struct limit_account {
+	uint64_t id;
+	GList link; /* of the table, longest unused first */
+	int64_t asked_at;
+	struct limit_allotment allotment;
+	double level;
+	bool level_known;
+	int64_t adopted_at; /* when the level of another one was taken over */
+	int64_t at;	    /* up to when the level holds */
+	uint32_t epoch;
+	double used;	  /* here */
+	double used_near; /* by peers of the data centre, as told */
+	double demand;	  /* here, decayed up to demand_at */
+	int64_t demand_at;
+	int64_t booked; /* up to when callers were told to come back */
+	double untold;	/* used here since the last telling */
+	double untold_sum;
+	GArray *peers; /* struct limit_peer; NULL: none */
+};
+
+/* Brings the level up to now. share is the part of the allotment that the
+ * bucket is of, 1 for the whole. */
+void account_advance(struct limit_account *account, int64_t now, double share,
+		     bool counts);
+/* Notes that units were asked for. */
+void account_demand(struct limit_account *account, int64_t now, double units);
+/* Units a second asked for here lately. */
+double account_demand_here(const struct limit_account *account, int64_t now);
+/* The same of all that tell, and here. */
+double account_demand_all(const struct limit_account *account, int64_t now);
+/* Notes the part of that which a peer has just told of. */
+void account_note_part(const struct limit_account *account,
+		       struct limit_peer *peer, int64_t now);
+/* The part of that which came here; 0 to 1. */
+double account_part(const struct limit_account *account, int64_t now);
+/* How fast the level rises now, units a second; over 0. */
+double account_pace(const struct limit_account *account, int64_t now,
+		    double share, bool counts);
+/* Age of the oldest word counted on; -1: none. */
+int64_t account_age(const struct limit_account *account, int64_t now);
+/* Sets the level of a bucket that is not known yet. */
+void account_begin(struct limit_account *account, int64_t now, double level);
+void account_free(gpointer data);
+
+struct limits {
+	enum limit_policy policy;
+	uint32_t accounts_max;
+	int64_t created;
+	bool joins;
+	GHashTable *accounts; /* id to struct limit_account */
+	GQueue order;	      /* the same, longest unused first */
+	uint32_t epochs;
+	uint32_t turn[2]; /* which account is told next: own, sums */
+	bool urgent[2];
+};
+
+/* Of limit_tell.c: after units were used, here or near. */
+void limit_mark_urgent(struct limits *limits,
+		       const struct limit_account *account);
+
+/* The part of the allotment that this instance's bucket is of. */
+double limits_share(const struct limits *limits,
+		    const struct limit_account *account, int64_t now,
+		    uint32_t sharers);
+struct limit_account *account_get(struct limits *limits, int64_t now,
+				  uint64_t id);
+
+#endif
--- a/entry/request_start.c
+++ b/entry/request_start.c
@@ -7,6 +7,9 @@
 
 #define CLAIM_TIMEOUT_USEC (3 * USEC_PER_SEC)
 #define RETRY_SOON_USEC USEC_PER_SEC
+/* A rate's burst, in seconds of the rate: callers that start together after a
+ * pause are let in. */
+#define RATE_BURST_SEC 2.0
 #define ASK_AGAIN_USEC (100 * USEC_PER_MSEC)
 /* Longer than it takes to notice that an instance has died. */
 #define ASK_AGAIN_MAX_USEC (10 * USEC_PER_SEC)
@@ -77,23 +80,39 @@
 	return count;
 }
 
+static bool rate_allows(const struct request *request, uint64_t account,
+			double rate, uint32_t sharers, int64_t *retry_after)
+{
+	struct limit_refusal refusal;
+	const struct limit_ask ask = {
+		.account = account,
+		.allotment = {rate, MAX(rate * RATE_BURST_SEC, 1.0)},
+		.units = 1.0,
+		.sharers = sharers,
+	};
+
+	if (limit_take(request->entry->requests->limits,
+		       clock_now(request->entry->clock), &ask, &refusal))
+		return true;
+	*retry_after = refusal.retry_usec;
+	return false;
+}
+
 /* The rates of the organisation and of the whole service. */
 static bool request_allowed(const struct request *request, int64_t *retry_after)
 {
 	const struct config_service *service = &request->service;
-	struct limits *limits = request->entry->requests->limits;
-	int64_t now = clock_now(request->entry->clock);
 	uint64_t all = id_of(service->name);
 	uint32_t sharers;
 
 	if (!service->organisation_requests_per_s && !service->requests_per_s)
 		return true;
 	sharers = instances_alive(request->entry);
-	return limit_take(limits, now, id_mix(all, request->organisation),
-			  service->organisation_requests_per_s, sharers,
-			  retry_after) &&
-	       limit_take(limits, now, all, service->requests_per_s, sharers,
-			  retry_after);
+	return rate_allows(request, id_mix(all, request->organisation),
+			   service->organisation_requests_per_s, sharers,
+			   retry_after) &&
+	       rate_allows(request, all, service->requests_per_s, sharers,
+			   retry_after);
 }
 
 void request_start(struct request *request)
--- a/entry/requests.c
+++ b/entry/requests.c
@@ -41,6 +41,10 @@
 
 struct requests *requests_create(struct entry *entry)
 {
+	const struct limit_settings limits = {
+		.policy = LIMIT_EQUAL,
+		.now = clock_now(entry->clock),
+	};
 	struct requests *requests = g_new0(struct requests, 1);
 
 	requests->entry = entry;
@@ -52,7 +56,7 @@
 	requests->doubtful = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	timer_init(&requests->doubt, entry->clock, doubt_fire, requests);
 	requests->plain = plain_create(entry);
-	requests->limits = limits_create(0);
+	requests->limits = limits_create(&limits);
 	requests->late_pieces =
 		counter(entry, "jt_late_pieces_total",
 			"Pieces of answers dropped: out of turn or too late");
--- a/tests/limit/test_limit.c
+++ b/tests/limit/test_limit.c
@@ -4,6 +4,32 @@
 #include "common/clock.h"
 #include "coord/limit.h"
 
+static struct limits *limits_open(uint32_t accounts_max)
+{
+	const struct limit_settings settings = {.policy = LIMIT_EQUAL,
+						.accounts_max = accounts_max};
+
+	return limits_create(&settings);
+}
+
+/* One request of a rate whose burst is two seconds of it. */
+static bool rate_take(struct limits *limits, int64_t now, uint64_t account,
+		      double rate, uint32_t instances, int64_t *retry_after)
+{
+	const struct limit_ask ask = {
+		.account = account,
+		.allotment = {rate, MAX(rate * 2.0, 1.0)},
+		.units = 1.0,
+		.sharers = instances,
+	};
+	struct limit_refusal refusal;
+
+	if (limit_take(limits, now, &ask, &refusal))
+		return true;
+	*retry_after = refusal.retry_usec;
+	return false;
+}
+
 struct limit_case {
 	const char *name;
 	double rate;
@@ -24,15 +50,15 @@
 
 static uint32_t allowed_count(const struct limit_case *row)
 {
-	struct limits *limits = limits_create(16);
+	struct limits *limits = limits_open(16);
 	uint32_t allowed = 0;
 	int64_t after = 0;
 
 	for (uint32_t i = 0; i < row->requests; i++) {
 		int64_t now = row->span * i / row->requests;
 
-		if (limit_take(limits, now, 7, row->rate, row->instances,
-			       &after))
+		if (rate_take(limits, now, 7, row->rate, row->instances,
+			      &after))
 			allowed++;
 		else
 			g_assert_cmpint(after, >, 0);
@@ -55,40 +81,196 @@
 
 static void test_retry_after(void)
 {
-	struct limits *limits = limits_create(4);
+	struct limits *limits = limits_open(4);
 	int64_t after = 0;
 
-	while (limit_take(limits, 0, 1, 10, 1, &after))
+	while (rate_take(limits, 0, 1, 10, 1, &after))
 		continue;
-	g_assert_false(limit_take(limits, after - 2, 1, 10, 1, &after));
+	g_assert_false(rate_take(limits, after - 2, 1, 10, 1, &after));
 	g_assert_true(
-		limit_take(limits, 100 * USEC_PER_MSEC + 1, 1, 10, 1, &after));
+		rate_take(limits, 100 * USEC_PER_MSEC + 1, 1, 10, 1, &after));
 	limits_destroy(limits);
 }
 
 /* One organisation's overload takes nothing from another's rate. */
 static void test_apart(void)
 {
-	struct limits *limits = limits_create(4);
+	struct limits *limits = limits_open(4);
 	int64_t after = 0;
 
-	while (limit_take(limits, 0, 1, 10, 1, &after))
+	while (rate_take(limits, 0, 1, 10, 1, &after))
 		continue;
-	g_assert_true(limit_take(limits, 0, 2, 10, 1, &after));
+	g_assert_true(rate_take(limits, 0, 2, 10, 1, &after));
 	limits_destroy(limits);
 }
 
 static void test_bounded(void)
 {
-	struct limits *limits = limits_create(100);
+	struct limits *limits = limits_open(100);
 	int64_t after = 0;
 
 	for (uint64_t pair = 1; pair <= 12000; pair++)
-		g_assert_true(limit_take(limits, 0, pair, 10, 1, &after));
+		g_assert_true(rate_take(limits, 0, pair, 10, 1, &after));
 	g_assert_cmpuint(limits_count(limits), ==, 100);
 	limits_destroy(limits);
 }
 
+#define RATE 1000.0
+#define BURST 1000.0
+
+static bool units_take(struct limits *limits, int64_t now, double units,
+		       struct limit_refusal *refusal)
+{
+	const struct limit_ask ask = {
+		.account = 1, .allotment = {RATE, BURST}, .units = units};
+
+	return limit_take(limits, now, &ask, refusal);
+}
+
+static struct limits *counts_open(bool joins)
+{
+	const struct limit_settings settings = {.policy = LIMIT_COUNTS,
+						.joins = joins};
+
+	return limits_create(&settings);
+}
+
+static void test_too_large(void)
+{
+	struct limits *limits = counts_open(false);
+	struct limit_refusal refusal;
+
+	g_assert_false(units_take(limits, 0, BURST + 1, &refusal));
+	g_assert_cmpint(refusal.retry_usec, ==, 0);
+	g_assert_true(units_take(limits, 0, BURST, &refusal));
+	limits_destroy(limits);
+}
+
+/* Those who wait are told to come back one after the other. */
+static void test_in_order(void)
+{
+	struct limits *limits = counts_open(false);
+	struct limit_refusal refusal;
+	int64_t before = 0;
+
+	g_assert_true(units_take(limits, 0, BURST, &refusal));
+	for (int i = 0; i < 5; i++) {
+		g_assert_false(units_take(limits, 0, 500, &refusal));
+		g_assert_cmpint(refusal.retry_usec - before, >=,
+				500 * USEC_PER_MSEC);
+		before = refusal.retry_usec;
+	}
+	for (int i = 0; i < 50; i++)
+		g_assert_false(units_take(limits, 0, 500, &refusal));
+	g_assert_cmpint(refusal.retry_usec, <=, 5 * USEC_PER_SEC);
+	limits_destroy(limits);
+}
+
+/* What is given back may be used again, up to the burst. */
+static void test_return(void)
+{
+	struct limits *limits = counts_open(false);
+	struct limit_refusal refusal;
+
+	g_assert_true(units_take(limits, 0, BURST, &refusal));
+	g_assert_false(units_take(limits, 0, 1, &refusal));
+	limit_return(limits, 0, 1, 600);
+	g_assert_true(units_take(limits, 0, 600, &refusal));
+	limit_return(limits, 0, 1, 600);
+	limit_return(limits, 0, 1, 600);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), <=, BURST);
+	limits_destroy(limits);
+}
+
+/* Where all were stopped at once the use before is forgotten; a burst is not
+ * given out once more. */
+static void test_starts_low(void)
+{
+	struct limits *limits = counts_open(true);
+	struct limit_refusal refusal;
+
+	g_assert_true(units_take(limits, 0, BURST / 16, &refusal));
+	g_assert_false(units_take(limits, 0, BURST / 16, &refusal));
+	g_assert_true(units_take(limits, USEC_PER_SEC, BURST * 0.9, &refusal));
+	limits_destroy(limits);
+}
+
+static void hear(struct limits *limits, int64_t now, uint64_t id,
+		 uint64_t group, uint32_t epoch, int64_t used, int64_t level)
+{
+	const struct limit_allotment allotment = {RATE, BURST};
+	const struct limit_source source = {id, group};
+	const struct limit_entry entry = {
+		.account = 1, .epoch = epoch, .used = used, .level = level};
+
+	limit_hear(limits, now, &source, &entry, &allotment);
+}
+
+/* A word that comes twice counts once; of two that tell of one data centre one
+ * counts, and the other goes on when it falls silent. */
+static void test_heard_once(void)
+{
+	struct limits *limits = counts_open(false);
+	struct limit_refusal refusal;
+
+	g_assert_true(units_take(limits, 0, 1, &refusal));
+	hear(limits, 0, 7, 0, 1, 100, 0);
+	hear(limits, 0, 7, 0, 1, 100, 0);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, BURST - 101);
+	hear(limits, 0, 8, 99, 1, 200, 0);
+	hear(limits, 0, 9, 99, 1, 200, 0);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, BURST - 301);
+	hear(limits, 0, 9, 99, 1, 250, 0);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, BURST - 301);
+	/* Full again meanwhile. What was used since is within the part that
+	 * was presumed for the one that fell silent; more is taken off. */
+	limit_level(limits, 2 * USEC_PER_SEC, 1);
+	hear(limits, 2 * USEC_PER_SEC, 9, 99, 1, 260, 0);
+	g_assert_cmpfloat(limit_level(limits, 2 * USEC_PER_SEC, 1), ==, BURST);
+	hear(limits, 2 * USEC_PER_SEC, 9, 99, 1, 760, 0);
+	g_assert_cmpfloat(limit_level(limits, 2 * USEC_PER_SEC, 1), ==,
+			  BURST - 500);
+	limits_destroy(limits);
+}
+
+/* A source that started again counts from nought. */
+static void test_heard_restarted(void)
+{
+	struct limits *limits = counts_open(false);
+	struct limit_refusal refusal;
+
+	g_assert_true(units_take(limits, 0, 1, &refusal));
+	hear(limits, 0, 7, 0, 1, 500, 0);
+	hear(limits, 0, 7, 0, 2, 100, 0);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, BURST - 601);
+	limits_destroy(limits);
+}
+
+/* One that starts takes over what it is told, not what was used before. */
+static void test_takes_over(void)
+{
+	struct limits *limits = counts_open(true);
+
+	hear(limits, 0, 7, 0, 1, 123456, 300);
+	hear(limits, 0, 8, 0, 1, 55555, 310);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, 300);
+	hear(limits, 0, 8, 0, 1, 55600, 200);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, 255);
+	limits_destroy(limits);
+}
+
+static void test_policies(void)
+{
+	enum limit_policy policy;
+
+	for (int i = 0; i < LIMIT_POLICY_COUNT; i++) {
+		g_assert_true(limit_policy_find(
+			limit_policy_name((enum limit_policy)i), &policy));
+		g_assert_cmpint(policy, ==, i);
+	}
+	g_assert_false(limit_policy_find("none", &policy));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -96,5 +278,13 @@
 	g_test_add_func("/limit/retry_after", test_retry_after);
 	g_test_add_func("/limit/apart", test_apart);
 	g_test_add_func("/limit/bounded", test_bounded);
+	g_test_add_func("/limit/too-large", test_too_large);
+	g_test_add_func("/limit/in-order", test_in_order);
+	g_test_add_func("/limit/return", test_return);
+	g_test_add_func("/limit/starts-low", test_starts_low);
+	g_test_add_func("/limit/heard-once", test_heard_once);
+	g_test_add_func("/limit/heard-restarted", test_heard_restarted);
+	g_test_add_func("/limit/takes-over", test_takes_over);
+	g_test_add_func("/limit/policies", test_policies);
 	return g_test_run();
 }
