--- /dev/null
+++ b/forward/admit.c
@@ -0,0 +1,129 @@
+/*
+ * admit.c - who asks, and whether the allotment of its organisation has room
+ *
+ * DESCRIPTION
+ *	Both are settled when a request arrives, by the catalog in force then,
+ *	before any queue or reservation. A request that is under way or waits
+ *	when its key is taken away, or its allotment lowered, goes on: its time
+ *	limit bounds that, and whoever takes a key away is promised that no
+ *	request which comes later runs.
+ *
+ *	On a public route a known key still names its organisation, and counts;
+ *	any other caller is nobody.
+ */
+#include "request.h"
+
+#include "common/log.h"
+
+/* Organisations with counters of their own; all others share one. */
+#define COUNTED_MAX 64u
+
+static struct counter *organisation_counter(struct forward *forward,
+					    const char *name)
+{
+	g_autofree char *labels = NULL;
+
+	if (!g_hash_table_contains(forward->counted, name)) {
+		if (g_hash_table_size(forward->counted) >= COUNTED_MAX)
+			name = "(others)";
+		else
+			g_hash_table_add(forward->counted, g_strdup(name));
+	}
+	labels = g_strdup_printf("organisation=\"%s\"", name);
+	return counter_get(
+		forward->parts.counters, "jt_over_allotment_requests_total",
+		"Requests refused beyond an organisation's allotment", labels);
+}
+
+static bool key_check(struct request *request)
+{
+	const struct organisations *all = request->catalog->organisations;
+	struct caller_request *caller = &request->caller;
+
+	caller->hide_key = true;
+	request->organisation =
+		organisation_of_key(all, caller->key.data, caller->key.size);
+	if (request->organisation)
+		caller->organisation = request->organisation->name;
+	if (request->organisation || request->route->is_public)
+		return true;
+	request->forward->unknown_keys->value++;
+	request_deny(request, RESULT_UNKNOWN_KEY,
+		     caller->key.size ? "unknown key" : "no key");
+	return false;
+}
+
+static void refused_log(const struct request *request,
+			const struct limit_ask *ask,
+			const struct limit_refusal *refusal)
+{
+	log_event(LOG_INFO, "over_allotment",
+		  LOG_S("request", request->caller.id),
+		  LOG_S("organisation", request->organisation->name),
+		  LOG_F("units", ask->units), LOG_F("level", refusal->level),
+		  LOG_F("rate", ask->allotment.rate),
+		  LOG_F("burst", ask->allotment.burst),
+		  LOG_D("heard_age_ms",
+			refusal->age_usec < 0
+				? -1
+				: refusal->age_usec / USEC_PER_MSEC),
+		  LOG_D("retry_ms", refusal->retry_usec / USEC_PER_MSEC));
+}
+
+static bool allotment_take(struct request *request)
+{
+	const struct organisation *organisation = request->organisation;
+	const struct forward_parts *parts = &request->forward->parts;
+	const struct caller_request *caller = &request->caller;
+	struct limit_refusal refusal;
+	struct limit_ask ask = {
+		.account = organisation->id,
+		.allotment = organisation->allotment,
+		.units = organisation_units(organisation,
+					    (uint64_t)caller->prompt_tokens +
+						    caller->output_max),
+		.sharers = parts->instances(parts->instances_ctx),
+	};
+
+	if (ask.allotment.rate <= 0.0)
+		return true;
+	if (limit_take(parts->limits, request->arrived, &ask, &refusal)) {
+		request->units = ask.units;
+		parts->allotment_used(parts->instances_ctx);
+		return true;
+	}
+	organisation_counter(request->forward, organisation->name)->value++;
+	refused_log(request, &ask, &refusal);
+	request_refuse(request,
+		       refusal.retry_usec > 0 ? RESULT_OVER_ALLOTMENT
+					      : RESULT_ALLOTMENT_SMALL,
+		       refusal.retry_usec);
+	return false;
+}
+
+bool request_admit(struct request *request)
+{
+	if (!request->catalog->organisations)
+		return true;
+	if (!key_check(request))
+		return false;
+	return !request->organisation || allotment_take(request);
+}
+
+void request_unadmit(struct request *request)
+{
+	/* A prompt that was read counts, whatever came of it. */
+	if (request->units > 0.0 && request->runs == 0 &&
+	    request->prefilled_at == 0)
+		limit_return(request->forward->parts.limits,
+			     request_now(request), request->organisation->id,
+			     request->units);
+	request->units = 0.0;
+}
+
+uint32_t request_urgency(const struct request *request)
+{
+	if (request->organisation && request->organisation->has_priority)
+		return request->organisation->priority;
+	return request->route->priority;
+}
--- a/forward/catalog.c
+++ b/forward/catalog.c
@@ -56,6 +56,7 @@
 	g_hash_table_destroy(catalog->places);
 	g_hash_table_destroy(catalog->services);
 	g_ptr_array_unref(catalog->routes);
+	organisations_destroy(catalog->organisations);
 	g_free(catalog);
 }
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -45,6 +45,9 @@
 	forward->quarantined = counter_get(
 		set, "jt_quarantined_requests_total",
 		"Requests refused since servers ended under them", NULL);
+	forward->unknown_keys =
+		counter_get(set, "jt_unknown_keys_total",
+			    "Requests denied for want of a known key", NULL);
 	forward->whole_time = histogram_get(set, "jt_request_seconds",
 					    "Arrival to the end of the answer",
 					    "stage=\"whole\"");
@@ -77,6 +80,8 @@
 	forward->requests = table_create(sizeof(struct request), REQUESTS_MAX);
 	forward->demand = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						NULL, g_free);
+	forward->counted =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	forward->begin_usec = BEGIN_USEC;
 	forward->began = clock_now(parts->clock);
 	timer_init(&forward->pump, parts->clock, on_pump, forward);
@@ -99,6 +104,7 @@
 	ended_destroy(forward->ended_servers);
 	table_destroy(forward->requests);
 	g_hash_table_destroy(forward->demand);
+	g_hash_table_destroy(forward->counted);
 	catalog_unref(forward->catalog);
 	g_free(forward);
 }
@@ -118,7 +124,11 @@
 	forward->catalog = catalog_ref(catalog);
 	log_event(LOG_NOTICE, "catalog_in_force",
 		  LOG_D("version", catalog->version), LOG_D("before", old),
-		  LOG_D("routes", catalog->routes->len));
+		  LOG_D("routes", catalog->routes->len),
+		  LOG_D("organisations",
+			catalog->organisations
+				? organisations_count(catalog->organisations)
+				: 0));
 	return true;
 }
 
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -150,6 +150,7 @@
 	timer_init(&gossip->timer, gossip->clock, on_timer, gossip);
 	timer_start(&gossip->timer, 0);
 	gossip_works_start(gossip);
+	gossip_uses_start(gossip);
 	return gossip;
 }
 
@@ -160,6 +161,7 @@
 	timer_stop(&gossip->timer);
 	timer_stop(&gossip->soon);
 	gossip_works_stop(gossip);
+	gossip_uses_stop(gossip);
 	h2o_socket_read_stop(gossip->socket);
 	h2o_socket_close(gossip->socket);
 	g_ptr_array_unref(gossip->receivers);
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -11,9 +11,10 @@
 
 #define CHANGES_FIELDS 5
 #define WORK_FIELDS 5
-#define WORD_FIELDS 15
+#define WORD_FIELDS 16
 #define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
+#define USE_FIELDS 5
 #define FLAG_LEAVING 1u
 #define FLAG_STORELESS 2u
 #define FLAG_FIRST_STORELESS 4u
@@ -21,6 +22,8 @@
 /* Largest load that is taken for one: tokens of all requests that a data centre
  * may have at one server. */
 #define LOAD_MAX (1 << 30)
+/* Units of an allotment, many years at any rate. */
+#define USED_MAX ((int64_t)1 << 52)
 
 void gossip_message_init(struct gossip_message *message, enum gossip_kind kind)
 {
@@ -29,6 +32,7 @@
 		.loads = g_array_new(FALSE, TRUE, sizeof(struct gossip_load)),
 		.works = g_array_new(FALSE, TRUE,
 				     sizeof(struct quarantine_entry)),
+		.uses = g_array_new(FALSE, TRUE, sizeof(struct limit_entry)),
 		.addresses =
 			g_array_new(FALSE, TRUE, sizeof(struct gossip_address)),
 	};
@@ -47,6 +51,8 @@
 	g_array_unref(message->loads);
 	g_array_unref(message->addresses);
 	g_array_unref(message->works);
+	g_array_unref(message->uses);
+	message->uses = NULL;
 	message->loads = NULL;
 	message->works = NULL;
 	message->addresses = NULL;
@@ -94,6 +100,24 @@
 			  &g_array_index(works, struct quarantine_entry, i));
 }
 
+static void uses_pack(msgpack_packer *packer, const GArray *uses)
+{
+	guint count = MIN(uses->len, GOSSIP_USES_MAX);
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++) {
+		const struct limit_entry *use =
+			&g_array_index(uses, struct limit_entry, i);
+
+		msgpack_pack_array(packer, USE_FIELDS);
+		msgpack_pack_uint64(packer, use->account);
+		msgpack_pack_uint32(packer, use->epoch);
+		msgpack_pack_int64(packer, use->used);
+		msgpack_pack_uint32(packer, use->demand);
+		msgpack_pack_int64(packer, use->level);
+	}
+}
+
 static void share_word_pack(msgpack_packer *packer,
 			    const struct share_word *word)
 {
@@ -147,6 +171,7 @@
 		address_pack(packer, g_array_index(message->addresses,
 						   struct gossip_address, i)
 					     .text);
+	uses_pack(packer, message->uses);
 }
 
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
@@ -162,6 +187,8 @@
 	msgpack_pack_uint64(&packer, message->sequence);
 	if (message->kind == GOSSIP_WORKS)
 		works_pack(&packer, message->works);
+	else if (message->kind == GOSSIP_USES)
+		uses_pack(&packer, message->uses);
 	else
 		loads_pack(&packer, message->loads);
 	if (word)
@@ -180,14 +207,14 @@
 	return true;
 }
 
-static bool sum_read(const msgpack_object *object, int64_t *value)
+static bool sum_read(const msgpack_object *object, int64_t most, int64_t *value)
 {
 	if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
 		*value = object->via.i64;
-		return object->via.i64 >= -LOAD_MAX;
+		return object->via.i64 >= -most;
 	}
 	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
-	    object->via.u64 > LOAD_MAX)
+	    object->via.u64 > (uint64_t)most)
 		return false;
 	*value = (int64_t)object->via.u64;
 	return true;
@@ -212,9 +239,9 @@
 		return false;
 	fields = object->via.array.ptr;
 	return number_read(&fields[0], UINT64_MAX, &load->backend) &&
-	       sum_read(&fields[1], &load->load.requests) &&
-	       sum_read(&fields[2], &load->load.decode_tokens) &&
-	       sum_read(&fields[3], &load->load.prefill_tokens);
+	       sum_read(&fields[1], LOAD_MAX, &load->load.requests) &&
+	       sum_read(&fields[2], LOAD_MAX, &load->load.decode_tokens) &&
+	       sum_read(&fields[3], LOAD_MAX, &load->load.prefill_tokens);
 }
 
 static bool loads_read(const msgpack_object *object, GArray *loads)
@@ -278,6 +305,40 @@
 	return true;
 }
 
+static bool use_read(const msgpack_object *object, struct limit_entry *use)
+{
+	const msgpack_object *fields;
+	uint64_t epoch;
+	uint64_t demand;
+
+	if (!is_tuple(object, USE_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &use->account) ||
+	    !number_read(&fields[1], UINT32_MAX, &epoch) ||
+	    !sum_read(&fields[2], USED_MAX, &use->used) ||
+	    !number_read(&fields[3], UINT32_MAX, &demand) ||
+	    !sum_read(&fields[4], USED_MAX, &use->level))
+		return false;
+	use->epoch = (uint32_t)epoch;
+	use->demand = (uint32_t)demand;
+	return true;
+}
+
+static bool uses_read(const msgpack_object *object, GArray *uses)
+{
+	if (!is_array(object, GOSSIP_USES_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		struct limit_entry use;
+
+		if (!use_read(&object->via.array.ptr[i], &use))
+			return false;
+		g_array_append_val(uses, use);
+	}
+	return true;
+}
+
 static bool share_word_read(const msgpack_object *object,
 			    struct share_word *word)
 {
@@ -367,7 +428,8 @@
 	return shares_read(&fields[7], &message->word) &&
 	       unpack_text(&fields[8], message->first.name,
 			   sizeof(message->first.name)) &&
-	       addresses_read(&fields[9], message);
+	       addresses_read(&fields[9], message) &&
+	       uses_read(&fields[10], message->uses);
 }
 
 static bool message_read(const msgpack_object *object,
@@ -389,6 +451,9 @@
 	if (message->kind == GOSSIP_WORKS)
 		return object->via.array.size == CHANGES_FIELDS &&
 		       works_read(&fields[4], message->works);
+	if (message->kind == GOSSIP_USES)
+		return object->via.array.size == CHANGES_FIELDS &&
+		       uses_read(&fields[4], message->uses);
 	if (!loads_read(&fields[4], message->loads))
 		return false;
 	if (message->kind == GOSSIP_CHANGES)
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -6,7 +6,9 @@
  *	[format, kind, boot, sequence, [[backend, requests, decode tokens,
  *	 prefill tokens], ...], name, data centre, version, demand, waiting,
  *	 flags, changing, [[next, changed, age in microseconds], ...],
- *	 first, [address, ...]]
+ *	 first, [address, ...], [use, ...]]
+ *	Uses: [format, kind, boot, sequence, [[organisation, epoch, used,
+ *	 demand, level], ...]], of an instance or of its data centre
  *	Works: [format, kind, boot, sequence, [[work, work, epoch, stored,
  *	 [life of a server, ...]], ...]]
  *	Changes: [format, kind, boot, sequence, [[backend, ...], ...]]
@@ -22,7 +24,7 @@
 #include "forward/fleet.h"
 #include "forward/gossip.h"
 
-#define GOSSIP_FORMAT 2
+#define GOSSIP_FORMAT 3
 /* Fits a datagram on loopback and on links with jumbo frames; on others IP
  * fragments it. 600 servers with load take 14 KiB. */
 #define GOSSIP_BYTES_MAX (32u << 10)
@@ -32,10 +34,16 @@
  * three servers. */
 #define GOSSIP_WORKS_MAX 24u
 
+/* Organisations told in one datagram; others follow in turn. Fit one of 1,400
+ * bytes. */
+#define GOSSIP_USES_MAX 48u
+
 enum gossip_kind {
 	GOSSIP_OWN,	/* an instance's word, with its own loads */
 	GOSSIP_CENTRE,	/* with the loads of all its data centre */
 	GOSSIP_CHANGES, /* of its own loads since the last one */
+	GOSSIP_USES,	/* of allotments: its own to peers near, its data
+			   centre's to others */
 	GOSSIP_WORKS,	/* in the quarantine */
 };
 
@@ -60,6 +68,7 @@
 	uint64_t sequence;
 	GArray *loads; /* struct gossip_load */
 	GArray *works; /* struct quarantine_entry, of GOSSIP_WORKS only */
+	GArray *uses;  /* struct limit_entry, of words and GOSSIP_USES */
 	/* What follows is empty in changes. */
 	char name[BACKEND_TEXT_MAX];
 	char data_centre[BACKEND_TEXT_MAX];
--- a/forward/gossip_hear.c
+++ b/forward/gossip_hear.c
@@ -10,7 +10,7 @@
 {
 	if (message->boot != peer->boot)
 		return message->boot > peer->boot &&
-		       message->kind != GOSSIP_CHANGES;
+		       message->kind < GOSSIP_CHANGES;
 	return message->sequence > peer->sequence;
 }
 
@@ -93,6 +93,10 @@
 		own_take(gossip, peer, message);
 	else
 		centre_take(gossip, peer, message);
+	/* A word of oneself to somebody elsewhere, as a stranger tells it, is
+	 * no sum of its data centre. */
+	if (message->kind == GOSSIP_CENTRE || peer_near(gossip, peer))
+		gossip_uses_hear(gossip, peer, message->uses);
 	gossip->ops.heard(gossip->ctx, peer->address, peer_near(gossip, peer),
 			  &message->word);
 }
@@ -109,19 +113,22 @@
 				  message->works);
 		return;
 	}
-	if (!peer && message->kind != GOSSIP_CHANGES)
+	if (!peer && message->kind < GOSSIP_CHANGES)
 		peer = peer_add(gossip, from);
 	if (!peer || !is_news(peer, message))
 		return;
 	starts = message->boot != peer->boot || !peer_live(gossip, peer);
 	peer->boot = message->boot;
 	peer->sequence = message->sequence;
-	if (message->kind != GOSSIP_CHANGES) {
+	if (message->kind < GOSSIP_CHANGES) {
 		word_take(gossip, peer, message);
 		if (starts && peer_live(gossip, peer))
 			gossip_works_greet(gossip, peer);
 		return;
 	}
 	peer->heard = gossip_now(gossip);
-	changes_take(gossip, peer, message);
+	if (message->kind == GOSSIP_USES)
+		gossip_uses_hear(gossip, peer, message->uses);
+	else
+		changes_take(gossip, peer, message);
 }
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -83,6 +83,8 @@
 	struct timer works_soon;
 	struct timer works_timer;
 	uint32_t works_turn; /* which peer is told next */
+	struct timer uses_soon;
+	int64_t uses_told; /* apart from words */
 	uint64_t sequence;
 	uint32_t spread; /* which addresses to pass on next */
 	struct timer timer;
@@ -131,6 +133,15 @@
 /* Takes in the works that a peer told. */
 void gossip_works_hear(struct gossip *gossip, bool near, const GArray *works);
 
+/* Of gossip_uses.c. */
+void gossip_uses_start(struct gossip *gossip);
+void gossip_uses_stop(struct gossip *gossip);
+/* Adds what is used of allotments here, or with sums in the data centre. */
+void gossip_uses_add(struct gossip *gossip, bool sums, GArray *uses);
+/* Takes in what a peer told of them. */
+void gossip_uses_hear(struct gossip *gossip, const struct peer *peer,
+		      const GArray *uses);
+
 /* Of gossip_view.c. */
 /* The lowest name of this data centre. */
 void gossip_first_near(const struct gossip *gossip, bool storeless,
--- a/forward/gossip_tell.c
+++ b/forward/gossip_tell.c
@@ -83,6 +83,7 @@
 	g_strlcpy(message.first.name, message.name, sizeof(message.first.name));
 	loads_own(gossip, message.loads);
 	address_add(gossip, &message);
+	gossip_uses_add(gossip, false, message.uses);
 	gossip_encode(&message, out);
 	loads_differ(gossip->last, message.loads, changes);
 	if (message.word.leaving || changes->len > 0)
@@ -119,6 +120,7 @@
 	loads_centre(gossip, message.loads);
 	if (members)
 		members_add(gossip, &message);
+	gossip_uses_add(gossip, true, message.uses);
 	gossip_encode(&message, out);
 	gossip_message_clear(&message);
 	return out;
--- a/forward/node.c
+++ b/forward/node.c
@@ -228,15 +228,18 @@
 		.waiting = waiting_get,
 		.load_changed = load_changed,
 		.work_changed = node_work_changed,
+		.allotment_used = node_allotment_used,
 		.instances_ctx = node,
 	};
 
 	node->quarantine = node_quarantine_create(node);
+	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
 	parts.quarantine = node->quarantine;
+	parts.limits = node->limits;
 	node->forward = forward_create(&parts);
 	node->malformed =
 		counter_get(node->counters, "jt_records_refused_total",
@@ -245,8 +248,9 @@
 
 static bool gossip_open(struct node *node, struct error *err)
 {
-	static const struct gossip_ops ops = {word_fill, on_heard, reads_store,
-					      node_work_heard, node_works};
+	static const struct gossip_ops ops = {
+		word_fill,  on_heard,  reads_store,    node_work_heard,
+		node_works, node_uses, node_uses_told, node_use_heard};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
 		.data_centre = node->settings.data_centre,
@@ -299,7 +303,9 @@
 	node->settings.quarantine_ends = fresh.quarantine_ends;
 	budget = budget_of(&node->settings);
 	budgets_configure(node->budgets, &budget);
+	node->settings.limit_policy = fresh.limit_policy;
 	quarantine_configure(node->quarantine, node->settings.quarantine_ends);
+	limits_set_policy(node->limits, node->settings.limit_policy);
 	log_setup(node->clock, PROGRAM, fresh.log_level);
 	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
 }
@@ -390,6 +396,7 @@
 	fleet_destroy(node->fleet);
 	budgets_destroy(node->budgets);
 	quarantine_destroy(node->quarantine);
+	limits_destroy(node->limits);
 }
 
 static void on_signal(void *ctx, int signal)
--- a/forward/node.h
+++ b/forward/node.h
@@ -55,6 +55,7 @@
 	struct fleet *fleet;
 	struct budgets *budgets;
 	struct quarantine *quarantine;
+	struct limits *limits;
 	struct node_storing storing;
 	int64_t works_read; /* when the store was asked for them last */
 	struct forward *forward;
@@ -113,6 +114,15 @@
  * is up to this instance. To be called about every 100 ms. */
 void node_works_tick(struct node *node);
 
+/* Of node_limits.c: what is used of allotments, to and from the others. */
+struct limits *node_limits_create(const struct node *node);
+void node_allotment_used(void *ctx);
+uint32_t node_uses(void *ctx, bool sums, struct limit_entry *entries,
+		   uint32_t most);
+void node_uses_told(void *ctx);
+void node_use_heard(void *ctx, const struct limit_source *source,
+		    const struct limit_entry *entry);
+
 /* Of node_health.c: web_handler_fn of the addresses for health and metrics. */
 void node_health(void *ctx, struct web_request *request);
 void node_metrics(void *ctx, struct web_request *request);
--- /dev/null
+++ b/forward/node_limits.c
@@ -0,0 +1,61 @@
+/*
+ * node_limits.c - what is used of allotments, between this instance and others
+ */
+#include "node.h"
+
+#include <string.h>
+
+struct limits *node_limits_create(const struct node *node)
+{
+	const struct limit_settings settings = {
+		.policy = node->settings.limit_policy,
+		.now = clock_now(node->clock),
+		.epoch = (uint32_t)node->boot,
+		.joins = true,
+	};
+
+	return limits_create(&settings);
+}
+
+void node_allotment_used(void *ctx)
+{
+	struct node *node = ctx;
+
+	if (limit_urgent(node->limits))
+		gossip_uses_changed(node->gossip);
+}
+
+uint32_t node_uses(void *ctx, bool sums, struct limit_entry *entries,
+		   uint32_t most)
+{
+	struct node *node = ctx;
+
+	return limit_tell(node->limits, clock_now(node->clock), sums, entries,
+			  most);
+}
+
+void node_uses_told(void *ctx)
+{
+	struct node *node = ctx;
+
+	limit_told(node->limits);
+}
+
+/* Of organisations that the configuration in force does not have, nothing is
+ * kept. */
+void node_use_heard(void *ctx, const struct limit_source *source,
+		    const struct limit_entry *entry)
+{
+	struct node *node = ctx;
+	const struct catalog *catalog = forward_catalog(node->forward);
+	const struct organisation *organisation = NULL;
+
+	if (catalog && catalog->organisations)
+		organisation = organisation_find(catalog->organisations,
+						 entry->account);
+	if (!organisation || organisation->allotment.rate <= 0.0)
+		return;
+	limit_hear(node->limits, clock_now(node->clock), source, entry,
+		   &organisation->allotment);
+	node_allotment_used(node);
+}
--- a/forward/request.c
+++ b/forward/request.c
@@ -219,6 +219,7 @@
 
 	timer_stop(&request->timer);
 	stream_unwait(request);
+	request_unadmit(request);
 	resources_drop(request);
 	answer_clear(&request->answer);
 	event_cutter_clear(&request->cutter);
@@ -301,9 +302,13 @@
 	request_end(request, END_BROKEN, request->replied_status, why);
 }
 
-static void request_deny(struct request *request, enum result_code code,
-			 const char *why)
+void request_deny(struct request *request, enum result_code code,
+		  const char *why)
 {
+	const char *challenge = request->forward->parts.callers.challenge;
+
+	if (code == RESULT_UNKNOWN_KEY && challenge)
+		web_reply_header(request->web, "www-authenticate", challenge);
 	error_reply(request, result_status(code), result_label(code), 0);
 	request_end(request, END_DENIED, result_status(code), why);
 }
@@ -415,6 +420,6 @@
 	else if (request->caller.body.size >
 		 request->catalog->limits.body_bytes)
 		request_deny(request, RESULT_TOO_LARGE, "body over the limit");
-	else
+	else if (request_admit(request))
 		request_start(request);
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -42,6 +42,8 @@
 	struct catalog *catalog;
 	const struct catalog_route *route;
 	const struct catalog_service *service;
+	const struct organisation *organisation; /* NULL: nobody known */
+	double units;				 /* taken from its allotment */
 	int64_t arrived;
 	int64_t limit; /* when it is given up */
 	struct timer timer;
@@ -98,6 +100,8 @@
 	struct counter *ended[END_COUNT]; /* by enum request_end */
 	struct counter *servers_ended;
 	struct counter *quarantined;
+	struct counter *unknown_keys;
+	GHashTable *counted; /* organisations with counters of their own */
 	struct histogram *whole_time;
 	struct histogram *wait_time;
 	struct histogram *prefill_time;
@@ -131,6 +135,14 @@
 /* Ends it if servers ended under it, now or as it was sent before; true when it
  * is no more. To be asked before each send. */
 bool request_quarantine(struct request *request);
+/* Of admit.c. Settles who asks and takes from its allotment; false when that
+ * has ended the request. */
+bool request_admit(struct request *request);
+/* Gives back what a request took that has not run. */
+void request_unadmit(struct request *request);
+/* Its organisation's priority, or its route's; 0 is the highest. */
+uint32_t request_urgency(const struct request *request);
+
 /* Gives the reserved memory, or the result of a prefill, back. */
 void request_drop_hold(struct request *request);
 void request_drop_result(struct request *request);
@@ -162,6 +174,9 @@
 		    int64_t retry_usec);
 void request_fail(struct request *request, enum result_code code,
 		  const char *why);
+/* Says that it is not served, and will not be if it comes again as it is. */
+void request_deny(struct request *request, enum result_code code,
+		  const char *why);
 /* Ends the stream that was passed on, whole or visibly cut off. */
 void request_finish(struct request *request);
 void request_break(struct request *request, const char *why);
--- a/forward/settings.c
+++ b/forward/settings.c
@@ -52,6 +52,9 @@
 	{"quarantine-ends", "JT_QUARANTINE_ENDS", SETTING_U32,
 	 FIELD(quarantine_ends), 2, QUARANTINE_ENDS_MAX, "3", false, "N",
 	 "servers that ended under a request, from which on it is refused"},
+	{"limits", "JT_LIMITS", SETTING_NAME, FIELD(limits), 0, 0, "counts",
+	 false, "POLICY",
+	 "how instances share allotments: counts, demand or equal"},
 };
 
 static bool seed_add(void *target, const char *text, struct error *err)
@@ -83,6 +86,11 @@
 
 	if (!settings_fill(&program, &fresh, argc, argv, err))
 		return false;
+	if (!limit_policy_find(fresh.limits, &fresh.limit_policy))
+		return error_set(err, RESULT_BAD_SETTING,
+				 "limits: '%s' is none of counts, demand and "
+				 "equal",
+				 fresh.limits);
 	*settings = fresh;
 	return true;
 }
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -43,6 +43,9 @@
 	  503)                                                                 \
 	X(RESULT_RETRY_BUDGET, 208, "retry-budget", OUTCOME_NOT_RUN, 503)      \
 	X(RESULT_QUARANTINED, 209, "quarantined", OUTCOME_NOT_RUN, 503)        \
+	X(RESULT_OVER_ALLOTMENT, 210, "over-allotment", OUTCOME_NOT_RUN, 429)  \
+	X(RESULT_ALLOTMENT_SMALL, 211, "allotment-too-small", OUTCOME_NOT_RUN, \
+	  429)                                                                 \
 	X(RESULT_BAD_REQUEST, 301, "bad-request", OUTCOME_NOT_RUN, 400)        \
 	X(RESULT_UNKNOWN_MODEL, 302, "unknown-model", OUTCOME_NOT_RUN, 404)    \
 	X(RESULT_NOT_FOUND, 303, "not-found", OUTCOME_NOT_RUN, 404)            \
@@ -53,6 +56,7 @@
 	X(RESULT_ALREADY_RUN, 308, "already-run", OUTCOME_RUN, 409)            \
 	X(RESULT_ALREADY_CLAIMED, 309, "already-claimed", OUTCOME_UNKNOWN,     \
 	  409)                                                                 \
+	X(RESULT_UNKNOWN_KEY, 310, "unknown-key", OUTCOME_NOT_RUN, 401)        \
 	X(RESULT_BACKEND_FAILED, 401, "backend-failed", OUTCOME_UNKNOWN, 502)  \
 	X(RESULT_BACKEND_TIMEOUT, 402, "backend-timeout", OUTCOME_UNKNOWN,     \
 	  504)                                                                 \
--- a/include/forward/caller.h
+++ b/include/forward/caller.h
@@ -31,6 +31,11 @@
 	struct web_text target; /* path and query */
 	struct web_text body;
 	struct web_text who; /* names the caller; empty when nothing does */
+	struct web_text key; /* a secret: no log line may hold it */
+	/* Set by the core: whose key it is, for the backend server, or NULL,
+	 * and whether the key is kept from it. */
+	const char *organisation;
+	bool hide_key;
 	const struct web_header *headers; /* to be forwarded */
 	size_t header_count;
 };
@@ -40,6 +45,8 @@
 	/* False with RESULT_BAD_REQUEST when it cannot be forwarded. */
 	bool (*decode)(void *ctx, struct web_request *request,
 		       struct caller_request *caller, struct error *err);
+	/* Names the kind of key, for callers without one (RFC 9110, 11.6.1). */
+	const char *challenge;
 	void *ctx;
 };
 
--- a/include/forward/catalog.h
+++ b/include/forward/catalog.h
@@ -20,6 +20,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "forward/organisation.h"
+
 /* What may be done with a request of a route when its fate is not known. */
 enum route_kind {
 	ROUTE_IDEMPOTENT, /* may run more than once */
@@ -43,6 +45,7 @@
 	int64_t gap_usec;     /* longest pause between events; 0: no target */
 	uint32_t priority;    /* 0 is the highest */
 	uint32_t attempts;    /* most backend servers that may run it */
+	bool is_public;	      /* callers need no key */
 	GArray *shares;	      /* struct route_share, at least one */
 };
 
@@ -77,6 +80,8 @@
 	GPtrArray *routes;    /* struct catalog_route */
 	GHashTable *places;   /* host and prefix to struct catalog_route */
 	GHashTable *services; /* id to struct catalog_service */
+	/* NULL where callers are not told apart. */
+	struct organisations *organisations;
 };
 
 /* Starts with one reference, no route and no service. */
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -15,6 +15,10 @@
  *	decode server, which fetches it. They wait here while no memory is
  *	free.
  *
+ *	Where the catalog has organisations, a caller is known by its key, and
+ *	its organisation's allotment bounds what is taken: a request without a
+ *	known key, or beyond the allotment, is refused when it arrives.
+ *
  *	A request under which servers have ended (coord/quarantine.h) is refused
  *	before it reaches another one.
  *
@@ -31,6 +35,7 @@
 #include <stdint.h>
 
 #include "common/counter.h"
+#include "coord/limit.h"
 #include "coord/quarantine.h"
 #include "forward/backend.h"
 #include "forward/budget.h"
@@ -53,6 +58,9 @@
 /* The load on a server of engines has changed. */
 typedef void (*forward_changed_fn)(void *ctx);
 
+/* Some of an allotment was used. */
+typedef void (*forward_used_fn)(void *ctx);
+
 /* Something new is known of a work in the quarantine. */
 typedef void (*forward_work_fn)(void *ctx, const struct work_id *work);
 
@@ -62,6 +70,7 @@
 	struct fleet *fleet;
 	struct budgets *budgets;
 	struct quarantine *quarantine;
+	struct limits *limits;
 	struct counter_set *counters;
 	GRand *rand;
 	uint64_t mark_secret; /* for work_mark_of(); no caller knows it */
@@ -73,6 +82,7 @@
 	forward_instances_fn waiting; /* requests, at all instances */
 	forward_changed_fn load_changed;
 	forward_work_fn work_changed;
+	forward_used_fn allotment_used;
 	void *instances_ctx;
 };
 
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -23,6 +23,11 @@
  *	one to each peer that starts or speaks again after a silence, at once.
  *	While nothing is suspected nothing of this is sent.
  *
+ *	What is used of allotments (coord/limit.h) goes with the words: an
+ *	instance's own to peers near, its data centre's to its receivers. Where
+ *	much was used since, it is told in datagrams of its own, at most one to
+ *	each of them every GOSSIP_USES_USEC.
+ *
  *	What a peer or data centre told is dropped GOSSIP_STALE_USEC after its
  *	last word. Nothing waits for a peer. Peers are first learnt from the
  *	store, then from datagrams: from their senders, and from the addresses
@@ -43,6 +48,7 @@
 
 #include "common/clock.h"
 #include "common/error.h"
+#include "coord/limit.h"
 #include "coord/quarantine.h"
 #include "forward/fleet.h"
 #include "forward/share.h"
@@ -59,6 +65,11 @@
  * which it counts as back. */
 #define GOSSIP_WORKS_USEC (500 * USEC_PER_MSEC)
 
+/* So much of an allotment may be passed unheard of as is used within it: at
+ * eight times an allotment that has a burst of one second, 0.8 bursts, of which
+ * urgent tellings leave a part. */
+#define GOSSIP_USES_USEC (100 * USEC_PER_MSEC)
+
 /* Streams whose copies are told of. */
 #define GOSSIP_SHARES 2
 
@@ -106,6 +117,14 @@
 	/* The next ones to tell, at most so many; returns how many. */
 	uint32_t (*works)(void *ctx, struct quarantine_entry *entries,
 			  uint32_t most);
+	/* What is used of allotments, as limit_tell(), that all have
+	 * heard of it, as limit_told(), and what somebody told of it. NULL
+	 * where there are none. */
+	uint32_t (*uses)(void *ctx, bool sums, struct limit_entry *entries,
+			 uint32_t most);
+	void (*uses_told)(void *ctx);
+	void (*use_heard)(void *ctx, const struct limit_source *source,
+			  const struct limit_entry *entry);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -130,6 +149,8 @@
  * told at once. */
 void gossip_work_changed(struct gossip *gossip,
 			 const struct quarantine_entry *entry);
+/* So much of an allotment was used here that others should hear of it soon. */
+void gossip_uses_changed(struct gossip *gossip);
 /* How long a change has taken of late until peers near, or elsewhere, were told
  * of it, in microseconds: what they tell is about as old when it is used. */
 int64_t gossip_delay(const struct gossip *gossip, bool near);
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -13,6 +13,7 @@
 #include <stdint.h>
 
 #include "common/error.h"
+#include "coord/limit.h"
 
 #define FORWARD_SEEDS_MAX 16u
 
@@ -34,6 +35,8 @@
 	uint32_t connections_max;
 	/* Servers that ended under a request, from which on it is refused. */
 	uint32_t quarantine_ends;
+	const char *limits; /* name of limit_policy */
+	enum limit_policy limit_policy;
 };
 
 /* Reads the file (NULL: none), the environment and argv. Exits by itself only
--- a/tests/forward/fuzz_gossip.c
+++ b/tests/forward/fuzz_gossip.c
@@ -26,6 +26,17 @@
 			a->works->len * sizeof(struct quarantine_entry),
 			b->works->data,
 			b->works->len * sizeof(struct quarantine_entry));
+	g_assert_cmpuint(a->uses->len, ==, b->uses->len);
+	for (guint i = 0; i < a->uses->len; i++) {
+		const struct limit_entry *one =
+			&g_array_index(a->uses, struct limit_entry, i);
+		const struct limit_entry *other =
+			&g_array_index(b->uses, struct limit_entry, i);
+
+		g_assert_cmpuint(one->account, ==, other->account);
+		g_assert_cmpint(one->used, ==, other->used);
+		g_assert_cmpint(one->level, ==, other->level);
+	}
 	g_assert_cmpstr(a->name, ==, b->name);
 	g_assert_cmpstr(a->first.name, ==, b->first.name);
 	g_assert_cmpuint(a->word.waiting, ==, b->word.waiting);
@@ -61,7 +72,7 @@
 	GByteArray *out = g_byte_array_new();
 	struct gossip_message message;
 
-	gossip_message_init(&message, (enum gossip_kind)(i % 4));
+	gossip_message_init(&message, (enum gossip_kind)(i % 5));
 	message.boot = 5;
 	message.sequence = (uint64_t)i;
 	g_strlcpy(message.name, "n1", sizeof(message.name));
@@ -84,6 +95,11 @@
 
 		g_array_append_val(message.works, entry);
 	}
+	for (int k = g_test_rand_int_range(0, 4); k > 0; k--) {
+		struct limit_entry use = {(uint64_t)k, 3, -k, 70000, -9};
+
+		g_array_append_val(message.uses, use);
+	}
 	gossip_message_add(&message, "127.0.0.1:70");
 	gossip_message_add(&message, "[::1]:7");
 	gossip_encode(&message, out);
--- a/tests/forward/gossip_world.c
+++ b/tests/forward/gossip_world.c
@@ -50,7 +50,11 @@
 void instance_start(struct instance *instance)
 {
 	static const struct gossip_ops ops = {
-		word, heard, reads, work_heard, works,
+		.word = word,
+		.heard = heard,
+		.reads = reads,
+		.work_heard = work_heard,
+		.works = works,
 	};
 	static const struct quarantine_settings quarantine = {3, 256, 256};
 	struct site *site = instance->site;
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -30,6 +30,7 @@
 	struct fleet *fleet;
 	struct budgets *budgets;
 	struct quarantine *quarantine;
+	struct limits *limits;
 	struct counter_set *counters;
 	struct forward *forward;
 	GRand *rand;
@@ -141,6 +142,11 @@
 	g_string_append_printf(line, "send %s %s left %d", spec->to->id,
 			       spec->kind == SEND_PREFILL ? "prefill" : "run",
 			       (int)(spec->left_usec / USEC_PER_MSEC));
+	if (spec->caller->organisation)
+		g_string_append_printf(line, " for %s",
+				       spec->caller->organisation);
+	if (spec->caller->hide_key)
+		g_string_append(line, " keyless");
 	if (spec->kv_handle)
 		g_string_append_printf(line, " kv %s/%s", spec->kv_address,
 				       spec->kv_handle);
@@ -226,15 +232,21 @@
 static bool fake_decode(void *ctx, struct web_request *request,
 			struct caller_request *caller, struct error *err)
 {
+	const char *key;
+
 	*caller = (struct caller_request){.id = "r", .method = text_of("POST")};
 	if (strstr(world.options, "malformed"))
 		return error_set(err, RESULT_BAD_REQUEST, "malformed");
 	caller->limit_usec = 14 * USEC_PER_SEC;
+	key = strstr(world.options, "key-");
+	if (key)
+		caller->key = (struct web_text){key + 4, strcspn(key + 4, " ")};
 	if (strstr(world.options, "large"))
 		caller->body = (struct web_text){world.options, 101};
 	if (strstr(world.options, "short"))
 		caller->limit_usec = 600 * USEC_PER_MSEC;
 	if (strcmp(request->path, "/plain/") == 0 ||
+	    strcmp(request->path, "/open/") == 0 ||
 	    strcmp(request->path, "/once/") == 0)
 		return true;
 	caller->prompt_tokens = 1000;
@@ -293,7 +305,33 @@
 	g_array_append_val(route->shares, share);
 }
 
-static void catalog_set(uint64_t version)
+/* Key kN is that of organisation oN. The plain calls of o1 take 100 of an
+ * allotment of 250 at once, its streams 1,100; o2 has none. */
+static void organisations_add(struct catalog *catalog, const char *options)
+{
+	static const char *const names[] = {"o1", "o2"};
+	struct organisation *organisation;
+
+	catalog->organisations = organisations_create();
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		char key[] = {'k', names[i][1], '\0'};
+
+		organisation =
+			organisation_add(catalog->organisations, names[i]);
+		if (!strstr(options, "without") || !strstr(options, key))
+			organisation_add_key(catalog->organisations,
+					     organisation, key, 2);
+	}
+	organisation = (struct organisation *)organisation_find(
+		catalog->organisations, id_of(names[0]));
+	organisation->by_tokens = true;
+	organisation->plain_tokens = 100;
+	organisation->allotment = (struct limit_allotment){100, 250};
+	if (strstr(options, "large"))
+		organisation->allotment = (struct limit_allotment){1000, 2500};
+}
+
+static void catalog_set(uint64_t version, const char *organisations)
 {
 	struct catalog *catalog = catalog_create(version);
 	struct catalog_service *service;
@@ -310,6 +348,12 @@
 		.result_usec = 500 * USEC_PER_MSEC,
 		.reserve_usec = 2 * USEC_PER_SEC,
 	};
+	if (organisations) {
+		route_add(catalog, "/open/", ROUTE_ONCE, "plain", false);
+		((struct catalog_route *)catalog->routes->pdata[4])->is_public =
+			true;
+		organisations_add(catalog, organisations);
+	}
 	catalog->limits.body_bytes = 100;
 	catalog_seal(catalog);
 	forward_set_catalog(world.forward, catalog);
@@ -320,6 +364,10 @@
 {
 }
 
+static void allotment_used(void *ctx)
+{
+}
+
 static void work_changed(void *ctx, const struct work_id *work)
 {
 	const struct quarantine_entry *entry =
@@ -345,14 +393,16 @@
 		.backends = {fake_send, fake_reserve, fake_unreserve,
 			     fake_free_result, NULL, fake_check,
 			     fake_read_result, NULL},
-		.callers = {fake_decode, NULL},
+		.callers = {fake_decode, "Key", NULL},
 		.instances = instances,
 		.interval = interval,
 		.list_age = list_age,
 		.waiting = waiting,
 		.load_changed = load_changed,
 		.work_changed = work_changed,
+		.allotment_used = allotment_used,
 	};
+	const struct limit_settings limits = {.policy = LIMIT_COUNTS};
 
 	memset(&world, 0, sizeof(world));
 	world.out = g_string_new(NULL);
@@ -366,11 +416,13 @@
 	parts.clock = world.clock;
 	parts.fleet = world.fleet;
 	parts.budgets = world.budgets;
+	world.limits = limits_create(&limits);
 	parts.quarantine = world.quarantine;
+	parts.limits = world.limits;
 	parts.counters = world.counters;
 	parts.rand = world.rand;
 	world.forward = forward_create(&parts);
-	catalog_set(3);
+	catalog_set(3, NULL);
 	for (int i = 1; i <= 2; i++) {
 		char id[3] = {0, (char)('0' + i), 0};
 
@@ -387,6 +439,7 @@
 	fleet_destroy(world.fleet);
 	budgets_destroy(world.budgets);
 	quarantine_destroy(world.quarantine);
+	limits_destroy(world.limits);
 	counter_set_destroy(world.counters);
 	g_rand_free(world.rand);
 	clock_destroy(world.clock);
@@ -531,7 +584,12 @@
 
 static void version_step(const char *options)
 {
-	catalog_set((uint64_t)atoi(options));
+	catalog_set((uint64_t)atoi(options), NULL);
+}
+
+static void organisations_step(const char *options)
+{
+	catalog_set((uint64_t)atoi(options), options);
 }
 
 static void servers_step(const char *options)
@@ -563,14 +621,23 @@
 	const char *name;
 	void (*fn)(const char *options);
 } step_table[] = {
-	{"take", take_step},	     {"head", head_step},
-	{"body", body_step},	     {"done", done_step},
-	{"reserved", reserved_step}, {"gone", gone_step},
-	{"wait", wait_step},	     {"version", version_step},
-	{"server", servers_step},    {"drain", drain_step},
-	{"crowd", crowd_step},	     {"spend", spend_step},
-	{"checked", checked_step},   {"hold", hold_step},
-	{"still", still_step},	     {"due", due_step},
+	{"take", take_step},
+	{"head", head_step},
+	{"body", body_step},
+	{"done", done_step},
+	{"reserved", reserved_step},
+	{"gone", gone_step},
+	{"wait", wait_step},
+	{"version", version_step},
+	{"server", servers_step},
+	{"drain", drain_step},
+	{"crowd", crowd_step},
+	{"spend", spend_step},
+	{"checked", checked_step},
+	{"hold", hold_step},
+	{"still", still_step},
+	{"due", due_step},
+	{"organisations", organisations_step},
 };
 
 static void step_run(char *step)
--- a/tests/platform/fuzz_records.c
+++ b/tests/platform/fuzz_records.c
@@ -71,6 +71,10 @@
 	"\"traffic_split\":[{\"service\":\"s\",\"weight\":9}]}],"
 	"\"services\":[{\"name\":\"s\",\"engine\":{\"slots\":8,"
 	"\"kv_tokens\":10000}}],\"limits\":{\"max_body_bytes\":100}}",
+	"{\"version\":7,\"routes\":[],\"services\":[],\"tenants\":[{"
+	"\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":1,"
+	"\"unit\":\"token_count\",\"plain_tokens\":200,\"rate_per_s\":47000,"
+	"\"burst\":47000}]}",
 	"{\"items\":[{\"key\":\"i-1\",\"value\":\"e30=\",\"offset\":3},"
 	"{\"key\":\"i-2\",\"value\":\"dg==\",\"offset\":4}],\"end\":9,"
 	"\"more_pages\":true}",
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -38,13 +38,14 @@
 	json_array_append_new(
 		routes,
 		json_pack("{s:s, s:s, s:s, s:s, s:I, s:i, s:i, s:s, s:i, s:b, "
-			  "s:b, s:i}",
+			  "s:b, s:b, s:i}",
 			  "name", prefix, "host", "site.example", "path_prefix",
 			  prefix, "route_type", kind, "timeout_ms",
 			  (json_int_t)site->timeout_msec, "target_latency_ms",
 			  900, "priority", 1, "service", service,
 			  "max_attempts", 2, "sticky", stream, "resumable",
-			  resumable, "gap_aim_ms", 300));
+			  resumable, "public", strcmp(prefix, "/open/") == 0,
+			  "gap_aim_ms", 300));
 }
 
 void site_config(struct site *site)
@@ -67,6 +68,8 @@
 		"model", "health_path", "/healthz", "engine", "slots", 8,
 		"kv_tokens", 10000, "handle_ttl_s", 0.5, "switch_s", 0.1,
 		"hold_ms", 2000.0, "limits");
+	if (site->tenants)
+		json_object_set(root, "tenants", site->tenants);
 	text = json_dumps(root, JSON_COMPACT);
 	store_put(site, "keyed.op", "config", text);
 	free(text);
@@ -145,6 +148,8 @@
 	site->extra = json_object_get(root, "extra")
 			      ? g_strdup(text_of(root, "extra"))
 			      : NULL;
+	json_decref(site->tenants);
+	site->tenants = json_incref(json_object_get(root, "tenants"));
 	site_config(site);
 	return true;
 }
@@ -175,6 +180,15 @@
 	return GPOINTER_TO_INT(g_hash_table_lookup(site->ledger.runs, id));
 }
 
+/* Tokens that ran of the organisation "of" of the query. */
+static int units_of(struct site *site, const struct web_request *request)
+{
+	char name[128] = "";
+
+	web_request_param(request, "of", name, sizeof(name));
+	return GPOINTER_TO_INT(g_hash_table_lookup(site->ledger.units, name));
+}
+
 static json_t *ledger_print(struct site *site,
 			    const struct web_request *request)
 {
@@ -187,11 +201,14 @@
 		running += server->running;
 	}
 	g_hash_table_foreach_remove(site->taken, is_over, site);
-	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i}", "of_id",
-			 runs_of(site, request), "runs", (int)ledger->total,
-			 "repeats", (int)ledger->repeats, "prefills",
-			 (int)ledger->prefills, "orders", (int)ledger->orders,
-			 "running", (int)running, "held",
+	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
+			 "s:i}",
+			 "strangers", (int)ledger->strangers, "secrets",
+			 (int)ledger->secrets, "units", units_of(site, request),
+			 "of_id", runs_of(site, request), "runs",
+			 (int)ledger->total, "repeats", (int)ledger->repeats,
+			 "prefills", (int)ledger->prefills, "orders",
+			 (int)ledger->orders, "running", (int)running, "held",
 			 (int)g_hash_table_size(site->taken), "ended",
 			 (int)ledger->ended);
 }
@@ -275,6 +292,8 @@
 	site.topics = g_hash_table_new(g_str_hash, g_str_equal);
 	site.taken =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	site.ledger.units =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	site.ledger.runs =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	site.control =
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -16,7 +16,11 @@
  *			   "again" (ready, started anew under its id)
  *	POST /site/entry   {"key": KEY, "value": TEXT, "topic": NAME}; as
  *			   another writer's; among the servers by default
- *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/x/"}
+ *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/x/",
+ *			   "tenants": [...]}; the route /open/ is public.
+ *			   With tenants each request is to bear the name of
+ *			   the one that its id begins with, up to a dot, or
+ *			   none where that is "nobody"
  *	POST /site/store   {"state": "up"}, or "down", "forget"
  *	GET  /site/ledger?id=ID
  *			   runs of that request; all runs, repeats, what is
@@ -86,7 +90,10 @@
 	uint32_t holds; /* outstanding */
 	uint32_t results;
 	uint32_t orders;
-	uint32_t ended; /* servers */
+	uint32_t ended;	    /* servers */
+	uint32_t strangers; /* arrivals that name another organisation */
+	uint32_t secrets;   /* arrivals that bear a key */
+	GHashTable *units;  /* organisation to tokens that ran, as pointers */
 };
 
 struct record {
@@ -112,6 +119,7 @@
 	uint64_t version;
 	int64_t timeout_msec;
 	char *extra;
+	json_t *tenants; /* NULL: callers are not told apart */
 	bool down;
 	int64_t event_usec;
 	uint32_t events;
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -84,6 +84,44 @@
 	run_end(ctx);
 }
 
+/* Whose name a header holds that is like the organisation's: also in other
+ * spellings, which some servers take for the same. */
+static void organisation_judge(struct site *site, struct web_request *request)
+{
+	g_autofree char *id = header_copy(request, "request-id");
+	const struct web_header *headers;
+	size_t count = web_request_headers(request, &headers);
+	g_autofree char *expected = NULL;
+	uint32_t named = 0;
+
+	if (!site->tenants || !id)
+		return;
+	expected = g_strndup(id, strcspn(id, "."));
+	for (size_t i = 0; i < count; i++) {
+		site->ledger.secrets +=
+			web_text_is(headers[i].name, "authorization");
+		if (!web_text_is(headers[i].name, "tenant"))
+			continue;
+		named++;
+		site->ledger.strangers +=
+			!web_text_is(headers[i].value, expected);
+	}
+	site->ledger.strangers += named != (strcmp(expected, "nobody") != 0);
+}
+
+static void units_count(struct site *site, struct web_request *request)
+{
+	char *name = header_copy(request, "tenant");
+	g_autofree char *tokens = header_copy(request, "token-count");
+	const char *comma = tokens ? strchr(tokens, ',') : NULL;
+	int units = comma ? atoi(tokens) + atoi(comma + 1) : 0;
+
+	if (!name)
+		return;
+	units += GPOINTER_TO_INT(g_hash_table_lookup(site->ledger.units, name));
+	g_hash_table_replace(site->ledger.units, name, GINT_TO_POINTER(units));
+}
+
 static void run_count(struct server *server, struct web_request *request)
 {
 	struct ledger *ledger = &server->site->ledger;
@@ -209,8 +247,10 @@
 	run->stream = server->stage == STAGE_DECODE;
 	run->event = after ? strtoull(after, NULL, 10) : 0;
 	/* A prompt that is read has not run. */
-	if (server->stage != STAGE_PREFILL)
+	if (server->stage != STAGE_PREFILL) {
 		run_count(server, request);
+		units_count(server->site, request);
+	}
 	server->running++;
 	web_request_on_gone(request, on_gone, run);
 	timer_init(&run->timer, server->site->clock, on_timer, run);
@@ -278,6 +318,7 @@
 
 	if (is_other(server, request))
 		return;
+	organisation_judge(server->site, request);
 	fault = fault_take(server);
 	if (fault == FAULT_BUSY) {
 		refuse(request, 503, "busy\n");
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -14,6 +14,10 @@
 	"{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/p/\","      \
 	"\"route_type\":\"streaming\",\"service\":\"s\"}"
 #define SERVICE "{\"name\":\"s\"}"
+/* A version with this list of organisations. */
+#define TENANTS(list)                                                          \
+	"{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE         \
+	"],\"tenants\":" list "}"
 #define CONFIG(routes, services)                                               \
 	"{\"version\":7,\"routes\":[" routes "],\"services\":[" services "]}"
 
@@ -69,6 +73,35 @@
 		SERVICE),
 	 "routes[0].max_attempts"},
 	{"service without name", CONFIG(ROUTE, "{}"), "services[0].name"},
+	{"organisations, no list", TENANTS("{}"), "tenants: no list"},
+	{"organisation without name", TENANTS("[{\"api_keys\":[\"k\"]}]"),
+	 "tenants[0].name"},
+	{"organisation twice", TENANTS("[{\"name\":\"a\"},{\"name\":\"a\"}]"),
+	 "tenants[1].name: stands twice"},
+	{"name that no header holds", TENANTS("[{\"name\":\"a\\r\\nb: c\"}]"),
+	 "tenants[0].name"},
+	{"keys, no list", TENANTS("[{\"name\":\"a\",\"api_keys\":\"k\"}]"),
+	 "tenants[0].api_keys: no list"},
+	{"key, no text", TENANTS("[{\"name\":\"a\",\"api_keys\":[\"k\",7]}]"),
+	 "tenants[0].api_keys[1]: no text"},
+	{"key, empty", TENANTS("[{\"name\":\"a\",\"api_keys\":[\"\"]}]"),
+	 "tenants[0].api_keys[0]: no text"},
+	{"key twice, one organisation",
+	 TENANTS("[{\"name\":\"a\",\"api_keys\":[\"k\",\"k\"]}]"),
+	 "tenants[0].api_keys[1]: stands twice"},
+	{"key twice, two organisations",
+	 TENANTS("[{\"name\":\"a\",\"api_keys\":[\"k\"]},"
+		 "{\"name\":\"b\",\"api_keys\":[\"k\"]}]"),
+	 "tenants[1].api_keys[0]: stands twice"},
+	{"negative rate", TENANTS("[{\"name\":\"a\",\"rate_per_s\":-1}]"),
+	 "tenants[0].rate_per_s"},
+	{"text for a burst", TENANTS("[{\"name\":\"a\",\"burst\":\"9\"}]"),
+	 "tenants[0].burst"},
+	{"unknown unit", TENANTS("[{\"name\":\"a\",\"unit\":\"bytes\"}]"),
+	 "tenants[0].unit: not known"},
+	{"priority, no number",
+	 TENANTS("[{\"name\":\"a\",\"priority\":\"x\"}]"),
+	 "tenants[0].priority"},
 };
 
 static void test_config_refused(gconstpointer data)
@@ -211,6 +244,36 @@
 	g_assert_cmpint(info.born, ==, 1764700000123);
 }
 
+static void test_organisations(void)
+{
+	static const char text[] = TENANTS(
+		"[{\"name\":\"a\",\"api_keys\":[\"k1\",\"k2\"],\"priority\":0,"
+		"\"unit\":\"token_count\",\"plain_tokens\":200,"
+		"\"rate_per_s\":47000.5,\"burst\":1e5},"
+		"{\"name\":\"b\",\"api_keys\":[\"k3\"]}]");
+	struct error err = {0};
+	struct catalog *catalog = decode_catalog(text, strlen(text), &err);
+	const struct organisation *one;
+	const struct organisation *other;
+
+	g_assert_cmpstr(err.text, ==, "");
+	one = organisation_of_key(catalog->organisations, "k2", 2);
+	other = organisation_of_key(catalog->organisations, "k3", 2);
+	g_assert_cmpstr(one->name, ==, "a");
+	g_assert_true(one->has_priority);
+	g_assert_cmpuint(one->priority, ==, 0);
+	g_assert_cmpfloat(one->allotment.rate, ==, 47000.5);
+	g_assert_cmpfloat(one->allotment.burst, ==, 1e5);
+	g_assert_cmpfloat(organisation_units(one, 0), ==, 200);
+	g_assert_cmpfloat(organisation_units(one, 5070), ==, 5070);
+	g_assert_false(other->has_priority);
+	g_assert_cmpfloat(other->allotment.rate, ==, 0);
+	g_assert_cmpfloat(organisation_units(other, 5070), ==, 1);
+	g_assert_null(organisation_of_key(catalog->organisations, "k", 1));
+	g_assert_null(organisation_of_key(catalog->organisations, "", 0));
+	catalog_unref(catalog);
+}
+
 /* ---- callers ---- */
 
 struct tokens {
@@ -388,6 +451,7 @@
 	ROWS_ADD("/platform/entry/", entries, test_entry_refused);
 	ROWS_ADD("/platform/snapshot/", snapshots, test_snapshot);
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
+	g_test_add_func("/platform/organisations", test_organisations);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
 	g_test_add_func("/platform/entry", test_entry);
