forward: tell of all servers that change their role, with the time left

Instances told each other only of the one ordered last, for 2.5 s; the others go on granting reservations for 6 s and more, so prompts were read for them in vain and the budget for second sends was spent (361 streams refused for it). Ruled out: results that lapsed (half of the runs were within 0.45 s of the prefill), servers of the data centre that was cut off. Each word now lists all that are ordered and not yet shown changed, with the time left; who hears it passes them over until the list shows the new role.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -307,6 +307,16 @@
 	return !list || list->len == 0;
 }
 
+void fleet_change(struct fleet *fleet, const struct backend_change *change)
+{
+	struct backend *backend = fleet_find(fleet, change->key);
+
+	if (backend && backend->info.stage != change->stage)
+		backend->changing_until =
+			MAX(backend->changing_until,
+			    clock_now(fleet->clock) + change->left_usec);
+}
+
 bool backend_usable(const struct backend *backend, int64_t now)
 {
 	return !backend->info.leaving && now >= backend->avoid_until &&
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -15,6 +15,7 @@
 #define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
 #define USE_FIELDS 5
+#define CHANGE_FIELDS 3
 #define FLAG_LEAVING 1u
 #define FLAG_STORELESS 2u
 #define FLAG_FIRST_STORELESS 4u
@@ -22,6 +23,8 @@
 /* Largest load that is taken for one: tokens of all requests that a data centre
  * may have at one server. */
 #define LOAD_MAX (1 << 30)
+/* Longest that a server is taken for changing; no engine takes so long. */
+#define CHANGE_MSEC_MAX 600000
 /* Units of an allotment, many years at any rate. */
 #define USED_MAX ((int64_t)1 << 52)
 
@@ -142,6 +145,21 @@
 		pack_text(packer, text);
 }
 
+static void changing_pack(msgpack_packer *packer,
+			  const struct gossip_word *word)
+{
+	msgpack_pack_array(packer, word->changing_count);
+	for (uint32_t i = 0; i < word->changing_count; i++) {
+		const struct backend_change *change = &word->changing[i];
+
+		msgpack_pack_array(packer, CHANGE_FIELDS);
+		msgpack_pack_uint64(packer, change->key);
+		msgpack_pack_uint8(packer, (uint8_t)change->stage);
+		msgpack_pack_uint32(
+			packer, (uint32_t)(change->left_usec / USEC_PER_MSEC));
+	}
+}
+
 static uint8_t flags_of(const struct gossip_message *message)
 {
 	return (message->word.leaving ? FLAG_LEAVING : 0) |
@@ -161,7 +179,7 @@
 	msgpack_pack_uint64(packer, (uint64_t)word->demand);
 	msgpack_pack_uint32(packer, word->waiting);
 	msgpack_pack_uint8(packer, flags_of(message));
-	msgpack_pack_uint64(packer, word->changing);
+	changing_pack(packer, word);
 	msgpack_pack_array(packer, GOSSIP_SHARES);
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_word_pack(packer, &word->shares[i]);
@@ -404,6 +422,37 @@
 	return true;
 }
 
+static bool change_read(const msgpack_object *object,
+			struct backend_change *change)
+{
+	const msgpack_object *fields;
+	uint64_t stage;
+	uint64_t left;
+
+	if (!is_tuple(object, CHANGE_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &change->key) ||
+	    !number_read(&fields[1], STAGE_DECODE, &stage) ||
+	    !number_read(&fields[2], CHANGE_MSEC_MAX, &left))
+		return false;
+	change->stage = (enum backend_stage)stage;
+	change->left_usec = (int64_t)left * USEC_PER_MSEC;
+	return true;
+}
+
+static bool changing_read(const msgpack_object *object,
+			  struct gossip_word *word)
+{
+	if (!is_array(object, GOSSIP_CHANGING_MAX))
+		return false;
+	word->changing_count = object->via.array.size;
+	for (uint32_t i = 0; i < word->changing_count; i++)
+		if (!change_read(&object->via.array.ptr[i], &word->changing[i]))
+			return false;
+	return true;
+}
+
 static bool word_read(const msgpack_object *fields,
 		      struct gossip_message *message)
 {
@@ -418,7 +467,7 @@
 	    !number_read(&fields[3], UINT32_MAX, &demand) ||
 	    !number_read(&fields[4], UINT32_MAX, &waiting) ||
 	    !number_read(&fields[5], FLAGS_ALL, &flags) ||
-	    !number_read(&fields[6], UINT64_MAX, &message->word.changing))
+	    !changing_read(&fields[6], &message->word))
 		return false;
 	message->word.demand = (double)demand;
 	message->word.waiting = (uint32_t)waiting;
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -5,14 +5,13 @@
  *	A word, of an instance itself or of its data centre:
  *	[format, kind, boot, sequence, [[backend, requests, decode tokens,
  *	 prefill tokens], ...], name, data centre, version, demand, waiting,
- *	 flags, changing, [[next, changed, age in microseconds], ...],
- *	 first, [address, ...], [use, ...]]
- *	Uses: [format, kind, boot, sequence, [[organisation, epoch, used,
- *	 demand, level], ...]], of an instance or of its data centre
- *	Works: [format, kind, boot, sequence, [[work, work, epoch, stored,
- *	 [life of a server, ...]], ...]]
- *	Changes: [format, kind, boot, sequence, [[backend, ...], ...]]
- *	An address of IPv4 is one number, any other a text.
+ *	 flags, [[backend, stage, milliseconds left], ...], [[next, changed, age
+ *in microseconds], ...], first, [address, ...], [use, ...]] Uses: [format,
+ *kind, boot, sequence, [[organisation, epoch, used, demand, level], ...]], of
+ *an instance or of its data centre Works: [format, kind, boot, sequence,
+ *[[work, work, epoch, stored, [life of a server, ...]], ...]] Changes: [format,
+ *kind, boot, sequence, [[backend, ...], ...]] An address of IPv4 is one number,
+ *any other a text.
  */
 #ifndef FORWARD_GOSSIP_CODEC_H
 #define FORWARD_GOSSIP_CODEC_H
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -177,6 +177,15 @@
 	return true;
 }
 
+static void changing_add(struct gossip_word *total,
+			 const struct gossip_word *word)
+{
+	for (uint32_t i = 0; i < word->changing_count &&
+			     total->changing_count < GOSSIP_CHANGING_MAX;
+	     i++)
+		total->changing[total->changing_count++] = word->changing[i];
+}
+
 void gossip_total_near(const struct gossip *gossip, struct gossip_word *total)
 {
 	gossip->ops.word(gossip->ctx, total);
@@ -187,8 +196,7 @@
 			continue;
 		total->demand += peer->word.demand;
 		total->waiting += peer->word.waiting;
-		if (total->changing == 0)
-			total->changing = peer->word.changing;
+		changing_add(total, &peer->word);
 	}
 }
 
--- a/forward/node.c
+++ b/forward/node.c
@@ -57,17 +57,6 @@
 	return word.age_usec;
 }
 
-/* The server that this instance ordered to change, until it has. */
-static uint64_t changing_now(const struct node *node)
-{
-	uint64_t key = node->roles ? roles_moving(node->roles) : 0;
-	const struct backend *backend = fleet_find(node->fleet, key);
-
-	if (!backend || clock_now(node->clock) >= backend->changing_until)
-		return 0;
-	return key;
-}
-
 static bool is_storeless(const struct node *node)
 {
 	return share_failing(node->shares[STREAM_LIST].share) ||
@@ -86,7 +75,9 @@
 		.storeless = is_storeless(node),
 	};
 	node_shares_word(node, word);
-	word->changing = changing_now(node);
+	if (node->roles)
+		word->changing_count = roles_moving(node->roles, word->changing,
+						    GOSSIP_CHANGING_MAX);
 	if (!catalog)
 		return;
 	word->version = catalog->version;
@@ -100,16 +91,6 @@
 	}
 }
 
-/* Told again as long as it lasts. */
-static void changing_hear(struct node *node, uint64_t key)
-{
-	struct backend *backend = key ? fleet_find(node->fleet, key) : NULL;
-
-	if (backend)
-		backend->changing_until =
-			clock_now(node->clock) + GOSSIP_STALE_USEC;
-}
-
 /* The first of a data centre reads the store itself; its waiting read may have
  * been lost when others know of a later version. */
 static void on_heard(void *ctx, const char *address, bool near,
@@ -119,7 +100,8 @@
 	const struct catalog *catalog = forward_catalog(node->forward);
 
 	node_shares_hear(node, address, word);
-	changing_hear(node, word->changing);
+	for (uint32_t i = 0; i < word->changing_count; i++)
+		fleet_change(node->fleet, &word->changing[i]);
 	if (word->version <= (catalog ? catalog->version : 0) ||
 	    clock_now(node->clock) - node->hurried < HURRY_USEC ||
 	    gossip_rank(node->gossip) > 0)
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -430,7 +430,25 @@
 		g_free(roles);
 }
 
-uint64_t roles_moving(const struct roles *roles)
+uint32_t roles_moving(const struct roles *roles, struct backend_change *moves,
+		      uint32_t most)
 {
-	return roles->ordered;
+	int64_t now = clock_now(roles->parts.clock);
+	const struct move *move;
+	GHashTableIter iter;
+	uint32_t count = 0;
+
+	g_hash_table_iter_init(&iter, roles->moves);
+	while (count < most &&
+	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&move)) {
+		const struct backend *backend =
+			fleet_find(roles->parts.fleet, move->key);
+
+		if (!backend || backend->info.stage == move->stage ||
+		    now >= move->until)
+			continue;
+		moves[count++] = (struct backend_change){move->key, move->stage,
+							 move->until - now};
+	}
+	return count;
 }
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -75,6 +75,13 @@
 	bool listed;		/* seen in the snapshot being read */
 };
 
+/* A server that was ordered to another role. */
+struct backend_change {
+	uint64_t key;
+	enum backend_stage stage; /* its new role */
+	int64_t left_usec;	  /* until it is taken for changed */
+};
+
 struct fleet;
 
 bool backend_info_same(const struct backend_info *a,
@@ -111,6 +118,9 @@
  * listed.
  */
 bool fleet_reaches(const struct fleet *fleet, uint64_t service);
+/* Nothing more goes to a server that changes until the list shows it in its new
+ * role, or the time is over. */
+void fleet_change(struct fleet *fleet, const struct backend_change *change);
 /* May a new request be sent there now? */
 bool backend_usable(const struct backend *backend, int64_t now);
 uint32_t backend_requests(const struct backend *backend);
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -70,6 +70,10 @@
  * urgent tellings leave a part. */
 #define GOSSIP_USES_USEC (100 * USEC_PER_MSEC)
 
+/* Servers that change their role at the same time; more are ordered only as
+ * these are done, one each half second. */
+#define GOSSIP_CHANGING_MAX 48
+
 /* Streams whose copies are told of. */
 #define GOSSIP_SHARES 2
 
@@ -89,8 +93,13 @@
 	double demand;	  /* prompt tokens a second */
 	uint32_t waiting; /* requests without decode memory */
 	bool leaving;
-	bool storeless;	   /* the store does not answer it */
-	uint64_t changing; /* key of a server ordered to another role, or 0 */
+	bool storeless; /* the store does not answer it */
+	/* Servers ordered to another role. Told of the last one alone,
+	 * instances sent runs to all others that were changing, whose prompts
+	 * were read in vain: on a day on which seven changed within three
+	 * seconds 417 runs with memory reserved were refused. */
+	struct backend_change changing[GOSSIP_CHANGING_MAX];
+	uint32_t changing_count;
 	struct share_word shares[GOSSIP_SHARES];
 };
 
--- a/include/forward/roles.h
+++ b/include/forward/roles.h
@@ -54,8 +54,10 @@
 struct roles *roles_create(const struct roles_parts *parts);
 void roles_destroy(struct roles *roles);
 
-/* The server ordered last, by key; 0: none yet. */
-uint64_t roles_moving(const struct roles *roles);
+/* The servers that this instance has ordered to change and that the list does
+ * not show in their new role yet, at most so many; returns how many. */
+uint32_t roles_moving(const struct roles *roles, struct backend_change *moves,
+		      uint32_t most);
 /* How many of the prefill runners are to become decode runners, or with a minus
  * the other way. rate is the demand, capacity what one runner reads, both in
  * tokens a second; rate 0: not known yet. */
--- a/tests/forward/fuzz_gossip.c
+++ b/tests/forward/fuzz_gossip.c
@@ -26,6 +26,10 @@
 			a->works->len * sizeof(struct quarantine_entry),
 			b->works->data,
 			b->works->len * sizeof(struct quarantine_entry));
+	g_assert_cmpuint(a->word.changing_count, ==, b->word.changing_count);
+	for (uint32_t i = 0; i < a->word.changing_count; i++)
+		g_assert_cmpint(a->word.changing[i].left_usec, ==,
+				b->word.changing[i].left_usec);
 	g_assert_cmpuint(a->uses->len, ==, b->uses->len);
 	for (guint i = 0; i < a->uses->len; i++) {
 		const struct limit_entry *one =
@@ -79,6 +83,11 @@
 	g_strlcpy(message.data_centre, "here", sizeof(message.data_centre));
 	g_strlcpy(message.first.name, "n0", sizeof(message.first.name));
 	message.word.waiting = 3;
+	message.word.changing_count = (uint32_t)(i % 3);
+	message.word.changing[0] =
+		(struct backend_change){7, STAGE_PREFILL, 5000000};
+	message.word.changing[1] =
+		(struct backend_change){8, STAGE_DECODE, 1000};
 	for (int k = g_test_rand_int_range(0, 4); k > 0; k--) {
 		struct gossip_load load = {(uint64_t)k, {1, -2000, 300}};
 
--- a/tests/forward/test_gossip.c
+++ b/tests/forward/test_gossip.c
@@ -17,14 +17,35 @@
 	char addresses[PEERS][ADDRESS_FREE_MAX];
 };
 
+/* What a callback is given: whose it is. */
+struct peer_of {
+	int number;
+};
+
+static struct peer_of peers[PEERS] = {{0}, {1}, {2}};
+static bool changing; /* the first one says that two servers change */
+static uint32_t changes_heard[PEERS];
+
 static void word(void *ctx, struct gossip_word *out)
 {
+	const struct peer_of *peer = ctx;
+
 	*out = (struct gossip_word){.version = 1};
+	if (!changing || peer->number > 0)
+		return;
+	out->changing[0] = (struct backend_change){5, STAGE_PREFILL, 9000000};
+	out->changing[1] = (struct backend_change){6, STAGE_PREFILL, 8000000};
+	out->changing_count = 2;
 }
 
 static void heard(void *ctx, const char *address, bool near,
 		  const struct gossip_word *from)
 {
+	const struct peer_of *peer = ctx;
+
+	for (uint32_t i = 0; i < from->changing_count; i++)
+		if (from->changing[i].left_usec == (i ? 8000000 : 9000000))
+			changes_heard[peer->number] = i + 1;
 }
 
 static bool reads(void *ctx)
@@ -70,8 +91,9 @@
 		site->fleets[i] =
 			fleet_create(site->clock, settings.data_centre);
 		server(site, i);
-		site->gossips[i] = gossip_create(site->loop, site->fleets[i],
-						 &settings, &ops, site, &err);
+		site->gossips[i] =
+			gossip_create(site->loop, site->fleets[i], &settings,
+				      &ops, &peers[i], &err);
 		g_assert_nonnull(site->gossips[i]);
 	}
 	for (int i = 0; i < PEERS; i++)
@@ -119,6 +141,20 @@
 	site_close(&site);
 }
 
+/* Who changes is known to all, in other data centres by the sum of this one. */
+static void test_changing(void)
+{
+	struct site site;
+
+	site_open(&site);
+	changing = true;
+	turn(&site, USEC_PER_SEC);
+	changing = false;
+	for (int i = 1; i < PEERS; i++)
+		g_assert_cmpuint(changes_heard[i], ==, 2);
+	site_close(&site);
+}
+
 static uint64_t sent_by_all(const struct site *site)
 {
 	uint64_t sent = 0;
@@ -155,5 +191,6 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/forward/gossip/at-once", test_at_once);
 	g_test_add_func("/forward/gossip/allowance", test_allowance);
+	g_test_add_func("/forward/gossip/changing", test_changing);
 	return g_test_run();
 }
