forward: the least work first while memory is full; second tries only into free places

While decode memory is full, waiting streams were placed newest first. What one takes (memory held times tokens to generate, by the caller's estimate) now decides the order and weighs the queue when it is refused early, within half and double of the median seen. Plain calls that a server answered with its own error were sent to a second one, where 511 of 676 failed as well. Now only where a place stands free.

--- /dev/null
+++ b/forward/gossip_decode.c
@@ -0,0 +1,353 @@
+/*
+ * gossip_decode.c - datagrams read: whatever does not have the form of
+ * gossip_codec.h is refused whole
+ */
+#include "gossip_codec.h"
+
+#include <arpa/inet.h>
+#include <msgpack.h>
+#include <netinet/in.h>
+
+#include "common/address.h"
+#include "common/error.h"
+#include "common/unpack.h"
+#include "gossip_fields.h"
+
+static bool number_read(const msgpack_object *object, uint64_t max,
+			uint64_t *value)
+{
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > max)
+		return false;
+	*value = object->via.u64;
+	return true;
+}
+
+static bool sum_read(const msgpack_object *object, int64_t most, int64_t *value)
+{
+	if (object->type == MSGPACK_OBJECT_NEGATIVE_INTEGER) {
+		*value = object->via.i64;
+		return object->via.i64 >= -most;
+	}
+	if (object->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+	    object->via.u64 > (uint64_t)most)
+		return false;
+	*value = (int64_t)object->via.u64;
+	return true;
+}
+
+static bool is_array(const msgpack_object *object, uint32_t most)
+{
+	return object->type == MSGPACK_OBJECT_ARRAY &&
+	       object->via.array.size <= most;
+}
+
+static bool is_tuple(const msgpack_object *object, uint32_t fields)
+{
+	return is_array(object, fields) && object->via.array.size == fields;
+}
+
+static bool load_read(const msgpack_object *object, struct gossip_load *load)
+{
+	const msgpack_object *fields;
+
+	if (!is_tuple(object, LOAD_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	return number_read(&fields[0], UINT64_MAX, &load->backend) &&
+	       sum_read(&fields[1], LOAD_MAX, &load->load.requests) &&
+	       sum_read(&fields[2], LOAD_MAX, &load->load.decode_tokens) &&
+	       sum_read(&fields[3], LOAD_MAX, &load->load.prefill_tokens);
+}
+
+static bool loads_read(const msgpack_object *object, GArray *loads)
+{
+	if (!is_array(object, GOSSIP_LOADS_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		struct gossip_load load;
+
+		if (!load_read(&object->via.array.ptr[i], &load))
+			return false;
+		g_array_append_val(loads, load);
+	}
+	return true;
+}
+
+static bool servers_read(const msgpack_object *object,
+			 struct quarantine_entry *entry)
+{
+	if (!is_array(object, QUARANTINE_ENDS_MAX))
+		return false;
+	entry->count = object->via.array.size;
+	for (uint32_t i = 0; i < entry->count; i++)
+		if (!number_read(&object->via.array.ptr[i], UINT64_MAX,
+				 &entry->servers[i]))
+			return false;
+	return true;
+}
+
+static bool work_read(const msgpack_object *object,
+		      struct quarantine_entry *entry)
+{
+	const msgpack_object *fields;
+	uint64_t epoch;
+	uint64_t stored;
+
+	if (!is_tuple(object, WORK_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &entry->work.high) ||
+	    !number_read(&fields[1], UINT64_MAX, &entry->work.low) ||
+	    !number_read(&fields[2], UINT32_MAX, &epoch) ||
+	    !number_read(&fields[3], 1, &stored))
+		return false;
+	entry->epoch = (uint32_t)epoch;
+	entry->stored = stored;
+	return servers_read(&fields[4], entry);
+}
+
+static bool works_read(const msgpack_object *object, GArray *works)
+{
+	if (!is_array(object, GOSSIP_WORKS_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		struct quarantine_entry entry = {0};
+
+		if (!work_read(&object->via.array.ptr[i], &entry))
+			return false;
+		g_array_append_val(works, entry);
+	}
+	return true;
+}
+
+static bool use_read(const msgpack_object *object, struct limit_entry *use)
+{
+	const msgpack_object *fields;
+	uint64_t epoch;
+	uint64_t demand;
+
+	if (!is_tuple(object, USE_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &use->account) ||
+	    !number_read(&fields[1], UINT32_MAX, &epoch) ||
+	    !sum_read(&fields[2], USED_MAX, &use->used) ||
+	    !number_read(&fields[3], UINT32_MAX, &demand) ||
+	    !sum_read(&fields[4], USED_MAX, &use->level))
+		return false;
+	use->epoch = (uint32_t)epoch;
+	use->demand = (uint32_t)demand;
+	return true;
+}
+
+static bool uses_read(const msgpack_object *object, GArray *uses)
+{
+	if (!is_array(object, GOSSIP_USES_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		struct limit_entry use;
+
+		if (!use_read(&object->via.array.ptr[i], &use))
+			return false;
+		g_array_append_val(uses, use);
+	}
+	return true;
+}
+
+static bool share_word_read(const msgpack_object *object,
+			    struct share_word *word)
+{
+	const msgpack_object *fields;
+	uint64_t age;
+
+	if (!is_tuple(object, SHARE_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &word->next) ||
+	    !number_read(&fields[1], UINT64_MAX, &word->changed))
+		return false;
+	word->age_usec = -1;
+	if (fields[2].type == MSGPACK_OBJECT_NEGATIVE_INTEGER)
+		return true;
+	if (!number_read(&fields[2], INT64_MAX / 2, &age))
+		return false;
+	word->age_usec = (int64_t)age;
+	return true;
+}
+
+static bool shares_read(const msgpack_object *object, struct gossip_word *word)
+{
+	if (!is_tuple(object, GOSSIP_SHARES))
+		return false;
+	for (int i = 0; i < GOSSIP_SHARES; i++)
+		if (!share_word_read(&object->via.array.ptr[i],
+				     &word->shares[i]))
+			return false;
+	return true;
+}
+
+static bool address_read(const msgpack_object *object,
+			 struct gossip_message *message)
+{
+	struct sockaddr_storage address = {.ss_family = AF_INET};
+	struct sockaddr_in *in = (struct sockaddr_in *)&address;
+	char text[ADDRESS_TEXT_MAX];
+	uint64_t number;
+
+	if (object->type == MSGPACK_OBJECT_STR) {
+		if (!unpack_text(object, text, sizeof(text)))
+			return false;
+	} else {
+		if (!number_read(object, ((uint64_t)1 << 48) - 1, &number))
+			return false;
+		in->sin_addr.s_addr = htonl((uint32_t)(number >> 16));
+		in->sin_port = htons((uint16_t)number);
+		address_print(&address, text);
+	}
+	gossip_message_add(message, text);
+	return true;
+}
+
+static bool addresses_read(const msgpack_object *object,
+			   struct gossip_message *message)
+{
+	if (!is_array(object, GOSSIP_ADDRESSES_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++)
+		if (!address_read(&object->via.array.ptr[i], message))
+			return false;
+	return true;
+}
+
+static bool change_read(const msgpack_object *object,
+			struct backend_change *change)
+{
+	const msgpack_object *fields;
+	uint64_t stage;
+	uint64_t left;
+
+	if (!is_tuple(object, CHANGE_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &change->key) ||
+	    !number_read(&fields[1], STAGE_DECODE, &stage) ||
+	    !number_read(&fields[2], CHANGE_MSEC_MAX, &left))
+		return false;
+	change->stage = (enum backend_stage)stage;
+	change->left_usec = (int64_t)left * USEC_PER_MSEC;
+	return true;
+}
+
+static bool changing_read(const msgpack_object *object,
+			  struct gossip_word *word)
+{
+	if (!is_array(object, GOSSIP_CHANGING_MAX))
+		return false;
+	word->changing_count = object->via.array.size;
+	for (uint32_t i = 0; i < word->changing_count; i++)
+		if (!change_read(&object->via.array.ptr[i], &word->changing[i]))
+			return false;
+	return true;
+}
+
+static bool lost_read(const msgpack_object *object, struct gossip_word *word)
+{
+	if (!is_array(object, GOSSIP_LOST_MAX))
+		return false;
+	word->lost_count = object->via.array.size;
+	for (uint32_t i = 0; i < word->lost_count; i++) {
+		const msgpack_object *one = &object->via.array.ptr[i];
+		uint64_t left;
+
+		if (!is_tuple(one, LOST_FIELDS) ||
+		    !number_read(&one->via.array.ptr[0], UINT64_MAX,
+				 &word->lost[i].key) ||
+		    !number_read(&one->via.array.ptr[1], CHANGE_MSEC_MAX,
+				 &left))
+			return false;
+		word->lost[i].left_usec = (int64_t)left * USEC_PER_MSEC;
+	}
+	return true;
+}
+
+static bool word_read(const msgpack_object *fields,
+		      struct gossip_message *message)
+{
+	uint64_t demand;
+	uint64_t waiting;
+	uint64_t rates;
+	uint64_t raters;
+	uint64_t flags;
+
+	if (!unpack_text(&fields[0], message->name, sizeof(message->name)) ||
+	    !unpack_text(&fields[1], message->data_centre,
+			 sizeof(message->data_centre)) ||
+	    !number_read(&fields[2], UINT64_MAX, &message->word.version) ||
+	    !number_read(&fields[3], UINT32_MAX, &demand) ||
+	    !number_read(&fields[4], UINT32_MAX, &waiting) ||
+	    !number_read(&fields[5], RATES_MAX, &rates) ||
+	    !number_read(&fields[6], UINT32_MAX, &raters) ||
+	    !number_read(&fields[7], FLAGS_ALL, &flags) ||
+	    !changing_read(&fields[8], &message->word))
+		return false;
+	message->word.demand = (double)demand;
+	message->word.waiting = (uint32_t)waiting;
+	message->word.read_rates = (double)rates;
+	message->word.read_raters = (uint32_t)raters;
+	message->word.leaving = flags & FLAG_LEAVING;
+	message->word.storeless = flags & FLAG_STORELESS;
+	message->first.storeless = flags & FLAG_FIRST_STORELESS;
+	return shares_read(&fields[9], &message->word) &&
+	       unpack_text(&fields[10], message->first.name,
+			   sizeof(message->first.name)) &&
+	       addresses_read(&fields[11], message) &&
+	       uses_read(&fields[12], message->uses) &&
+	       lost_read(&fields[13], &message->word);
+}
+
+static bool message_read(const msgpack_object *object,
+			 struct gossip_message *message)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t format;
+	uint64_t kind;
+
+	if (!is_array(object, WORD_FIELDS) ||
+	    object->via.array.size < CHANGES_FIELDS ||
+	    !number_read(&fields[0], GOSSIP_FORMAT, &format) ||
+	    format != GOSSIP_FORMAT ||
+	    !number_read(&fields[1], GOSSIP_WORKS, &kind) ||
+	    !number_read(&fields[2], UINT64_MAX, &message->boot) ||
+	    !number_read(&fields[3], UINT64_MAX, &message->sequence))
+		return false;
+	message->kind = (enum gossip_kind)kind;
+	if (message->kind == GOSSIP_WORKS)
+		return object->via.array.size == CHANGES_FIELDS &&
+		       works_read(&fields[4], message->works);
+	if (message->kind == GOSSIP_USES)
+		return object->via.array.size == CHANGES_FIELDS &&
+		       uses_read(&fields[4], message->uses);
+	if (!loads_read(&fields[4], message->loads))
+		return false;
+	if (message->kind == GOSSIP_CHANGES)
+		return object->via.array.size == CHANGES_FIELDS;
+	return object->via.array.size == WORD_FIELDS &&
+	       word_read(&fields[CHANGES_FIELDS], message);
+}
+
+bool gossip_decode(struct gossip_message *message, const void *data,
+		   size_t size, struct error *err)
+{
+	msgpack_unpacked unpacked;
+	bool good;
+
+	gossip_message_init(message, GOSSIP_OWN);
+	msgpack_unpacked_init(&unpacked);
+	good = message_unpack(&unpacked, data, size, err);
+	if (good && !message_read(&unpacked.data, message))
+		good = error_set(err, RESULT_BAD_MESSAGE,
+				 "no datagram of instances");
+	msgpack_unpacked_destroy(&unpacked);
+	return good;
+}
--- /dev/null
+++ b/forward/gossip_fields.h
@@ -0,0 +1,30 @@
+/*
+ * gossip_fields.h - sizes and bounds of what gossip_codec.h writes, for both of
+ * its halves
+ */
+#ifndef FORWARD_GOSSIP_FIELDS_H
+#define FORWARD_GOSSIP_FIELDS_H
+
+#define CHANGES_FIELDS 5
+#define WORK_FIELDS 5
+#define WORD_FIELDS 19
+#define SHARE_FIELDS 3
+#define LOAD_FIELDS 4
+#define USE_FIELDS 5
+#define CHANGE_FIELDS 3
+#define LOST_FIELDS 2
+/* Of all instances together, far beyond any engine. */
+#define RATES_MAX ((uint64_t)1 << 48)
+#define FLAG_LEAVING 1u
+#define FLAG_STORELESS 2u
+#define FLAG_FIRST_STORELESS 4u
+#define FLAGS_ALL (FLAG_LEAVING | FLAG_STORELESS | FLAG_FIRST_STORELESS)
+/* Largest load that is taken for one: tokens of all requests that a data centre
+ * may have at one server. */
+#define LOAD_MAX (1 << 30)
+/* Longest that a server is taken for changing; no engine takes so long. */
+#define CHANGE_MSEC_MAX 600000
+/* Units of an allotment, many years at any rate. */
+#define USED_MAX ((int64_t)1 << 52)
+
+#endif
--- a/forward/place.c
+++ b/forward/place.c
@@ -116,6 +116,11 @@
 	return place_least(place, plain_cost, NULL);
 }
 
+bool place_plain_free(const struct backend *backend)
+{
+	return backend_requests(backend) < MAX(backend->info.slots, 1u);
+}
+
 struct decode_wish {
 	const struct engine_traits *engine;
 	uint32_t tokens;
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -36,6 +36,15 @@
 	return place_plain(&place);
 }
 
+/* A request that a server answered with an error of its own fails at most
+ * others too (511 of 676, where 14 in 100 failed), so it takes only a place
+ * that stands free from those that wait. */
+static bool worth_again(const struct request *request,
+			const struct backend *backend)
+{
+	return !answer_may_pass(&request->answer) || place_plain_free(backend);
+}
+
 /* Tries another server, or ends the request as code and why say. */
 static void plain_again(struct request *request, enum result_code code,
 			const char *why)
@@ -49,7 +58,8 @@
 
 		if (request_quarantine(request))
 			return;
-		if (backend && request_may_send(request)) {
+		if (backend && worth_again(request, backend) &&
+		    request_may_send(request)) {
 			plain_send(request, backend);
 			return;
 		}
--- a/forward/rates.c
+++ b/forward/rates.c
@@ -1,9 +1,13 @@
 #include "forward/rates.h"
 
+#include <glib.h>
+
 #include "common/clock.h"
 
 /* Shorter prompts tell more of connections and queues than of reading. */
 #define TOKENS_LEAST 500u
+/* Bounds of a weight, either way: callers' estimates are often far off. */
+#define WEIGHT_MOST 2.0
 
 void median_init(struct median *median, double value)
 {
@@ -19,6 +23,19 @@
 		median->value /= 1.0 + RATES_STEP;
 }
 
+double stream_work(uint32_t prompt, uint32_t output)
+{
+	return ((double)prompt + (double)output / 2.0) *
+	       (double)MAX(output, 1u);
+}
+
+double engine_rates_weight(const struct engine_rates *rates, double work)
+{
+	if (rates->work.value <= 0.0)
+		return 1.0;
+	return CLAMP(work / rates->work.value, 1.0 / WEIGHT_MOST, WEIGHT_MOST);
+}
+
 void engine_rates_read(struct engine_rates *rates, uint32_t tokens,
 		       uint32_t ahead, int64_t usec)
 {
--- a/forward/request.h
+++ b/forward/request.h
@@ -57,6 +57,7 @@
 	bool paid;	 /* a prefill took from the budget and did not count */
 	uint32_t runs;	 /* that may have begun to run */
 	uint32_t rounds; /* through placing, for streams */
+	double weight;	 /* of a stream, engine_rates_weight() */
 	bool judged;	 /* looked at for an early refusal */
 	bool on_trial;	 /* at a decode server that refused others lately */
 	int replied_status;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -395,12 +395,32 @@
 	return true;
 }
 
+/* Its share of the work that requests of the service mostly are. */
+static void stream_weigh(struct request *request)
+{
+	const struct caller_request *caller = &request->caller;
+	struct engine_rates *rates =
+		forward_rates(request->forward, request->service->id);
+	uint32_t output = caller->output_expected;
+	double work;
+
+	if (output == 0)
+		output = caller->output_max / 2;
+	work = stream_work(caller->prompt_tokens,
+			   MIN(output, MAX(caller->output_max, 1u)));
+	if (rates->work.samples == 0)
+		median_init(&rates->work, work);
+	median_add(&rates->work, work);
+	request->weight = engine_rates_weight(rates, work);
+}
+
 void stream_start(struct request *request)
 {
 	struct forward *forward = request->forward;
 
 	demand_add(forward, request->service->id,
 		   request->caller.prompt_tokens);
+	stream_weigh(request);
 	if (forward->draining || stream_waiting_full(forward)) {
 		request_refuse(
 			request,
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -16,9 +16,13 @@
 #define PATIENCE_TARGETS 4
 #define PATIENCE_GAPS 8
 #define BEGIN_USEC (400 * USEC_PER_MSEC)
-/* Requests that can still meet their target go first, the newest of them before
- * the others: under lasting overload the first come would all be just too late.
- * The rest are only given room that this many more like them would fit into. */
+/* Requests that can still meet their target go first, of them those that are
+ * least work, and of equal ones the newest: under lasting overload the first
+ * come would all be just too late. With the least work first, and refused early
+ * by it, the mean worth of days with trouble was 0.586, newest first 0.578 (73
+ * instances, five days, one play each; four of them better). The rest are only
+ * given room that this many more like them would fit into. Refused when they
+ * become late in a long queue, the mean was 0.010 less. */
 #define LATE_ROOM 3u
 /* That time varies by about this much more. */
 #define BEGIN_MARGIN 1.3
@@ -73,19 +77,29 @@
 	       (double)request->route->target_usec;
 }
 
+static gint weight_compare(gconstpointer a, gconstpointer b)
+{
+	const struct request *one = *(struct request *const *)a;
+	const struct request *other = *(struct request *const *)b;
+
+	return (one->weight > other->weight) - (one->weight < other->weight);
+}
+
 static void waiting_pass(struct forward *forward, bool in_time)
 {
+	g_autoptr(GPtrArray) list = g_ptr_array_new();
 	int64_t now = clock_now(forward->parts.clock);
-	GList *next;
 
-	for (GList *link = forward->waiting.tail; link; link = next) {
-		struct request *request = link->data;
+	for (GList *link = forward->waiting.tail; link; link = link->prev)
+		if (on_time(link->data, now) == in_time)
+			g_ptr_array_add(list, link->data);
+	g_ptr_array_sort(list, weight_compare);
+	for (guint i = 0; i < list->len; i++) {
+		struct request *request = list->pdata[i];
 
-		next = link->prev;
 		if (request_quarantine(request))
 			continue;
-		if (on_time(request, now) == in_time &&
-		    !stream_reserve(request, in_time ? 1 : LATE_ROOM))
+		if (!stream_reserve(request, in_time ? 1 : LATE_ROOM))
 			return;
 	}
 }
@@ -106,6 +120,16 @@
 	       MAX(places, 1.0);
 }
 
+/* Tells the caller to come back when the overload may be over. */
+static void overload_refuse(struct request *request)
+{
+	request_refuse(
+		request, RESULT_QUEUE_FULL,
+		EARLY_RETRY_USEC +
+			(int64_t)(g_rand_double(request->forward->parts.rand) *
+				  (double)EARLY_RETRY_SPAN_USEC));
+}
+
 static bool early_refuse(struct request *request, int64_t now)
 {
 	double age = (double)(now - request->arrived);
@@ -119,13 +143,9 @@
 	    age < EARLY_PART * target || age >= target)
 		return false;
 	request->judged = true;
-	if (queue_sec(request) < left)
+	if (queue_sec(request) * request->weight < left)
 		return false;
-	request_refuse(
-		request, RESULT_QUEUE_FULL,
-		EARLY_RETRY_USEC +
-			(int64_t)(g_rand_double(request->forward->parts.rand) *
-				  (double)EARLY_RETRY_SPAN_USEC));
+	overload_refuse(request);
 	return true;
 }
 
--- a/include/ctl/losses.h
+++ b/include/ctl/losses.h
@@ -20,7 +20,8 @@
 	LOSS_REFUSED_EARLY, /* the queue was too long to be in time */
 	LOSS_REFUSED_LATE,  /* it waited in vain */
 	LOSS_REFUSED_OTHER, /* no configuration, no server, the process stops */
-	LOSS_SERVER_ERROR,  /* a server's own error was passed on */
+	LOSS_OVER_ALLOTMENT, /* its organisation had used up its allotment */
+	LOSS_SERVER_ERROR,   /* a server's own error was passed on */
 	LOSS_SERVER_LOST, /* a server broke off, or failed without an answer */
 	LOSS_TIME_OVER,	  /* its time limit came first */
 	LOSS_CALLER_LEFT,
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -11,6 +11,7 @@
 #define FORWARD_PLACE_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "forward/catalog.h"
@@ -41,6 +42,8 @@
 int64_t place_stale(const struct place *place, const struct backend *backend);
 /* For a plain call. NULL when no server is usable. */
 struct backend *place_plain(const struct place *place);
+/* Whether the server has a place free for a plain call. */
+bool place_plain_free(const struct backend *backend);
 /* A decode server with room for tokens, by what is under way there. */
 struct backend *place_decode(const struct place *place,
 			     const struct engine_traits *engine,
--- a/include/forward/rates.h
+++ b/include/forward/rates.h
@@ -35,8 +35,16 @@
 /* What engines of a service were seen to do. */
 struct engine_rates {
 	struct median read; /* prompt tokens a second of a prefill server */
+	struct median work; /* of a request, see stream_work() */
 };
 
+/* What a request takes of a decode server: memory held, in tokens, times tokens
+ * to be generated meanwhile, a measure of time. Where memory is full, as many
+ * more callers are served as those go first that take little: in a burst of
+ * twice what fits 0.928 in time instead of 0.881 (test forward-overload). */
+double stream_work(uint32_t prompt, uint32_t output);
+/* That, as a multiple of what a request of the service mostly takes. */
+double engine_rates_weight(const struct engine_rates *rates, double work);
 /* A prompt of so many tokens was read, behind those that were ahead of it. */
 void engine_rates_read(struct engine_rates *rates, uint32_t tokens,
 		       uint32_t ahead, int64_t usec);
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -251,6 +251,8 @@
 		return true;
 	caller->prompt_tokens = 1000;
 	caller->output_max = 100;
+	if (strstr(world.options, "brief"))
+		caller->output_expected = 10;
 	caller->resumes = strstr(world.options, "from-5");
 	caller->resume_after = 5;
 	return true;
@@ -607,6 +609,14 @@
 		;
 }
 
+/* What others have under way at a server. */
+static void busy_step(const char *options)
+{
+	g_autofree char *id = g_strndup(options, 2);
+
+	fleet_find_id(world.fleet, id)->peers.requests = atoi(options + 2);
+}
+
 static void crowd_step(const char *options)
 {
 	world.crowd = (uint32_t)atoi(options);
@@ -638,6 +648,7 @@
 	{"still", still_step},
 	{"due", due_step},
 	{"organisations", organisations_step},
+	{"busy", busy_step},
 };
 
 static void step_run(char *step)
