--- a/ctl/losses.c
+++ b/ctl/losses.c
@@ -12,6 +12,7 @@
 	[LOSS_REFUSED_EARLY] = "refused-early",
 	[LOSS_REFUSED_LATE] = "refused-late",
 	[LOSS_REFUSED_OTHER] = "refused-other",
+	[LOSS_OVER_ALLOTMENT] = "over-allotment",
 	[LOSS_SERVER_ERROR] = "server-error",
 	[LOSS_SERVER_LOST] = "server-lost",
 	[LOSS_TIME_OVER] = "time-over",
@@ -58,6 +59,9 @@
 		return LOSS_REFUSED_EARLY;
 	if (g_strcmp0(why, "deadline") == 0)
 		return LOSS_REFUSED_LATE;
+	if (g_strcmp0(why, "over-allotment") == 0 ||
+	    g_strcmp0(why, "allotment-too-small") == 0)
+		return LOSS_OVER_ALLOTMENT;
 	return LOSS_REFUSED_OTHER;
 }
 
