tests: the soak plays callers of two organisations, one over its allotment, and callers that lie

The stand-in site judges the name that each arrival bears, keys that are shown, and what of an allotment ran. Kept seeds play as before: who calls is drawn apart.

--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -148,8 +148,10 @@
 	site->extra = json_object_get(root, "extra")
 			      ? g_strdup(text_of(root, "extra"))
 			      : NULL;
-	json_decref(site->tenants);
-	site->tenants = json_incref(json_object_get(root, "tenants"));
+	if (json_object_get(root, "tenants")) {
+		json_decref(site->tenants);
+		site->tenants = json_incref(json_object_get(root, "tenants"));
+	}
 	site_config(site);
 	return true;
 }
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -17,7 +17,8 @@
  *	POST /site/entry   {"key": KEY, "value": TEXT, "topic": NAME}; as
  *			   another writer's; among the servers by default
  *	POST /site/config  {"version": N, "timeout_ms": N, "extra": "/x/",
- *			   "tenants": [...]}; the route /open/ is public.
+ *			   "tenants": [...]}; the route /open/ is public;
+ *			   tenants stay as they are where none are given.
  *			   With tenants each request is to bear the name of
  *			   the one that its id begins with, up to a dot, or
  *			   none where that is "nobody"
--- /dev/null
+++ b/tests/soak/callers.c
@@ -0,0 +1,86 @@
+/* Organisations, their keys and allotments, and callers that lie. */
+#include <stdio.h>
+#include <string.h>
+
+#include "soak.h"
+
+/* Tokens of a stream here, and what beta may use: a sixth of what it asks. */
+#define RATE 300.0
+#define BURST 900.0
+/* A window may hold a tenth more, and what instances that were killed had not
+ * told yet. */
+#define OVER 1.1
+#define SLACK BURST
+
+#define ORGANISATIONS                                                          \
+	"{\"version\":%d,\"tenants\":["                                          \
+	"{\"name\":\"acme\",\"api_keys\":[\"ka\"]},"                             \
+	"{\"name\":\"beta\",\"api_keys\":[\"kb\"],\"unit\":\"token_count\","       \
+	"\"plain_tokens\":1,\"rate_per_s\":300,\"burst\":900}]}"
+
+static const struct {
+	const char *name;
+	const char *key;
+} callers[CALLERS] = {
+	[CALLER_ACME] = {"acme", "Token ka"},
+	[CALLER_BETA] = {"beta", "Token kb"},
+	[CALLER_LIAR] = {"liar", "Token kx"},
+	[CALLER_NOBODY] = {"nobody", NULL},
+};
+
+static struct web_header header(const char *name, const char *value)
+{
+	return (struct web_header){{name, strlen(name)},
+				   {value, strlen(value)}};
+}
+
+const char *caller_name(enum caller caller)
+{
+	return callers[caller].name;
+}
+
+size_t caller_headers(enum caller caller, struct web_header *headers)
+{
+	size_t count = 0;
+
+	if (callers[caller].key)
+		headers[count++] =
+			header("authorization", callers[caller].key);
+	if (caller != CALLER_ACME)
+		headers[count++] = header("tenant", "acme");
+	return count;
+}
+
+enum caller caller_draw(struct soak *soak)
+{
+	double point = g_rand_double(soak->callers);
+
+	if (point < 0.1)
+		return point < 0.05 ? CALLER_LIAR : CALLER_NOBODY;
+	return point < 0.5 ? CALLER_BETA : CALLER_ACME;
+}
+
+void callers_begin(struct soak *soak)
+{
+	g_autofree char *body =
+		g_strdup_printf(ORGANISATIONS, (int)++soak->version);
+
+	soak->began = clock_now(soak->clock);
+	site_call(soak, "POST", "/site/config", body, NULL);
+}
+
+void callers_check(struct soak *soak)
+{
+	double sec = (double)(clock_now(soak->clock) - soak->began) /
+		     (double)USEC_PER_SEC;
+	int64_t used =
+		site_call(soak, "GET", "/site/ledger?of=beta", NULL, "units");
+
+	if (site_call(soak, "GET", "/site/ledger", NULL, "strangers") != 0)
+		soak_fail(soak, "a server was told a wrong organisation");
+	if (site_call(soak, "GET", "/site/ledger", NULL, "secrets") != 0)
+		soak_fail(soak, "a server was shown a key");
+	if ((double)used > (RATE * sec + BURST) * OVER + SLACK)
+		soak_fail(soak, "beta used %d tokens in %.1f s", (int)used,
+			  sec);
+}
--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -61,18 +61,18 @@
 				   {value, strlen(value)}};
 }
 
-void call_start(struct soak *soak, enum call_kind kind, int instance)
+void call_start(struct soak *soak, enum call_kind kind, int instance,
+		enum caller caller)
 {
 	static const struct web_call_ops ops = {on_head, on_body, on_done};
 	struct call *call = g_new0(struct call, 1);
-	struct web_header headers[3];
+	struct web_header headers[5];
 	struct web_call_spec spec = {
 		.address = proxy_address(soak->instances[instance].callers),
 		.method = kinds[kind].method,
 		.path = kinds[kind].path,
 		.host = {"site.example", 12},
 		.headers = headers,
-		.header_count = 3,
 		.head_usec = 6 * USEC_PER_SEC,
 		.idle_usec = 6 * USEC_PER_SEC,
 		.fresh = g_rand_boolean(soak->rand),
@@ -80,12 +80,15 @@
 
 	call->soak = soak;
 	call->kind = kind;
+	call->caller = caller;
 	call->body = g_string_new(NULL);
-	(void)g_snprintf(call->id, sizeof(call->id), "c%u", soak->calls->len);
+	(void)g_snprintf(call->id, sizeof(call->id), "%s.c%u",
+			 caller_name(caller), soak->calls->len);
 	headers[0] = header("request-id", call->id);
 	headers[1] = header("deadline-ms", "5000");
 	headers[2] =
 		header(kinds[kind].stream ? "token-count" : "x-none", "100,50");
+	spec.header_count = 3 + caller_headers(caller, headers + 3);
 	g_ptr_array_add(soak->calls, call);
 	call->web = web_call(soak->client, &spec, &ops, call);
 }
@@ -149,6 +152,11 @@
 			  call->body->str);
 }
 
+static bool is_known(const struct call *call)
+{
+	return call->caller == CALLER_ACME || call->caller == CALLER_BETA;
+}
+
 static void call_check(struct soak *soak, const struct call *call)
 {
 	g_autofree char *path = g_strdup_printf("/site/ledger?id=%s", call->id);
@@ -162,6 +170,10 @@
 		soak_fail(soak, "%s: refused as not run, and ran", call->id);
 	if (call->status == 404 || call->status == 400)
 		soak_fail(soak, "%s: denied with %d", call->id, call->status);
+	if (is_known(call) && call->status == 401)
+		soak_fail(soak, "%s: denied with 401", call->id);
+	if (!is_known(call) && (runs > 0 || call->status == 200))
+		soak_fail(soak, "%s: ran without a known key", call->id);
 	if (call->status == 200)
 		answer_check(soak, call);
 }
@@ -174,4 +186,5 @@
 		soak_fail(soak, "servers still work for nobody");
 	if (site_call(soak, "GET", "/site/ledger", NULL, "held") != 0)
 		soak_fail(soak, "engine memory is still held");
+	callers_check(soak);
 }
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -109,6 +109,7 @@
 	g_free(argv[0]);
 	while (!(soak->site_address = site_listening(soak)))
 		g_usleep(10000);
+	callers_begin(soak);
 	for (int i = 0; i < INSTANCES; i++) {
 		struct instance *instance = &soak->instances[i];
 		char address[32];
--- a/tests/soak/repeats.c
+++ b/tests/soak/repeats.c
@@ -37,6 +37,7 @@
 		{{"request-id", 10}, {id, 0}},
 		{{"deadline-ms", 11}, {"5000", 4}},
 		{{"token-count", 11}, {"100,50", 6}},
+		{{"authorization", 13}, {"Token ka", 8}},
 	};
 	const struct web_call_spec spec = {
 		.address = proxy_address(instance->callers),
@@ -55,7 +56,7 @@
 	if (clock_now(soak->clock) >= soak->end_at)
 		return;
 	headers[0].value.size =
-		(size_t)snprintf(id, sizeof(id), "e%u", ++soak->repeats);
+		(size_t)snprintf(id, sizeof(id), "acme.e%u", ++soak->repeats);
 	web_fetch(soak->client, &spec, 1 << 16, on_answer, soak);
 	timer_start(timer, REPEAT_USEC);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -26,7 +26,8 @@
 	if (clock_now(soak->clock) >= soak->end_at)
 		return;
 	call_start(soak, (enum call_kind)g_rand_int_range(soak->rand, 0, KINDS),
-		   g_rand_int_range(soak->rand, 0, INSTANCES));
+		   g_rand_int_range(soak->rand, 0, INSTANCES),
+		   caller_draw(soak));
 	old = soak->calls->pdata[g_rand_int_range(soak->rand, 0,
 						  (gint32)soak->calls->len)];
 	if (old->web && g_rand_double(soak->rand) < HANG_UP_SHARE) {
@@ -71,7 +72,7 @@
 
 	for (int i = 0; i < INSTANCES; i++)
 		for (int kind = 0; kind < KINDS; kind++)
-			call_start(soak, (enum call_kind)kind, i);
+			call_start(soak, (enum call_kind)kind, i, CALLER_ACME);
 	soak_turn(soak, QUIET_USEC);
 	for (guint i = first; i < soak->calls->len; i++) {
 		const struct call *call = soak->calls->pdata[i];
@@ -124,6 +125,7 @@
 	soak.loop = loop_create(soak.clock);
 	soak.client = web_client_create(soak.loop);
 	soak.rand = g_rand_new_with_seed(seed);
+	soak.callers = g_rand_new_with_seed(seed + 1000000);
 	soak.calls = g_ptr_array_new();
 	soak_run(&soak, seconds);
 	printf("seed %u: %s, %u calls, %u faults, %u broken%s%s\n", seed,
@@ -131,6 +133,7 @@
 	       soak.failures, soak.failures ? ", logs in " : "",
 	       soak.failures ? soak.folder : "");
 	g_rand_free(soak.rand);
+	g_rand_free(soak.callers);
 	g_free(soak.site_address);
 	g_free(soak.folder);
 	return soak.failures > 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -35,9 +35,20 @@
 	KINDS,
 };
 
+/* Who calls: with a key of one of two organisations, the second of which asks
+ * for more than its allotment; or with none that is known. */
+enum caller {
+	CALLER_ACME,
+	CALLER_BETA,
+	CALLER_LIAR, /* a wrong key, and the name of an organisation */
+	CALLER_NOBODY,
+	CALLERS,
+};
+
 struct call {
 	struct soak *soak;
-	char id[32];
+	enum caller caller;
+	char id[40];
 	enum call_kind kind;
 	struct web_call *web;
 	int status;
@@ -64,6 +75,8 @@
 	struct loop *loop;
 	struct web_client *client;
 	GRand *rand;
+	GRand *callers; /* of its own: kept seeds play as they did */
+	int64_t began;
 	pid_t site;
 	char *site_address;
 	struct instance instances[INSTANCES];
@@ -91,8 +104,19 @@
 void instances_watch(struct soak *soak);
 void instance_signal(struct instance *instance, int number);
 
+/* callers.c */
+/* Has the site tell callers apart. */
+void callers_begin(struct soak *soak);
+/* Fills in what the caller shows of itself; returns how many headers. */
+size_t caller_headers(enum caller caller, struct web_header *headers);
+const char *caller_name(enum caller caller);
+/* Servers saw no key and no wrong name, and no allotment was passed. */
+void callers_check(struct soak *soak);
+
 /* calls.c */
-void call_start(struct soak *soak, enum call_kind kind, int instance);
+void call_start(struct soak *soak, enum call_kind kind, int instance,
+		enum caller caller);
+enum caller caller_draw(struct soak *soak);
 /* Fails the run when a promise was broken. */
 void calls_check(struct soak *soak);
 void soak_fail(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
