forward, platform: an organisation's priority before its route's

Where it has one, servers are told it with each send (0 to 9), and waiting streams are placed by it before the work they are; others by their route's priority, which was decoded and used nowhere. Never what a caller wrote. Test: paths (each send of an organisation with priority 2).

--- a/forward/admit.c
+++ b/forward/admit.c
@@ -17,6 +17,8 @@
 
 /* Organisations with counters of their own; all others share one. */
 #define COUNTED_MAX 64u
+/* The least urgent that a server tells apart. */
+#define URGENCY_LAST 9u
 
 static struct counter *organisation_counter(struct forward *forward,
 					    const char *name)
@@ -45,6 +47,9 @@
 		organisation_of_key(all, caller->key.data, caller->key.size);
 	if (request->organisation)
 		caller->organisation = request->organisation->name;
+	if (request->organisation && request->organisation->has_priority)
+		caller->urgency =
+			(int)MIN(request->organisation->priority, URGENCY_LAST);
 	if (request->organisation || request->route->is_public)
 		return true;
 	request->forward->unknown_keys->value++;
@@ -103,6 +108,7 @@
 
 bool request_admit(struct request *request)
 {
+	request->caller.urgency = -1;
 	if (!request->catalog->organisations)
 		return true;
 	if (!key_check(request))
@@ -123,7 +129,9 @@
 
 uint32_t request_urgency(const struct request *request)
 {
-	if (request->organisation && request->organisation->has_priority)
-		return request->organisation->priority;
+	const struct organisation *organisation = request->organisation;
+
+	if (organisation && organisation->has_priority)
+		return organisation->priority;
 	return request->route->priority;
 }
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -77,11 +77,14 @@
 	       (double)request->route->target_usec;
 }
 
-static gint weight_compare(gconstpointer a, gconstpointer b)
+/* The more urgent first, of equally urgent ones those that are less work. */
+static gint order_compare(gconstpointer a, gconstpointer b)
 {
 	const struct request *one = *(struct request *const *)a;
 	const struct request *other = *(struct request *const *)b;
 
+	if (request_urgency(one) != request_urgency(other))
+		return request_urgency(one) < request_urgency(other) ? -1 : 1;
 	return (one->weight > other->weight) - (one->weight < other->weight);
 }
 
@@ -93,7 +96,7 @@
 	for (GList *link = forward->waiting.tail; link; link = link->prev)
 		if (on_time(link->data, now) == in_time)
 			g_ptr_array_add(list, link->data);
-	g_ptr_array_sort(list, weight_compare);
+	g_ptr_array_sort(list, order_compare);
 	for (guint i = 0; i < list->len; i++) {
 		struct request *request = list->pdata[i];
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -147,6 +147,9 @@
 				       spec->caller->organisation);
 	if (spec->caller->hide_key)
 		g_string_append(line, " keyless");
+	if (spec->caller->urgency >= 0)
+		g_string_append_printf(line, " urgency %d",
+				       spec->caller->urgency);
 	if (spec->kv_handle)
 		g_string_append_printf(line, " kv %s/%s", spec->kv_address,
 				       spec->kv_handle);
@@ -327,6 +330,8 @@
 	organisation = (struct organisation *)organisation_find(
 		catalog->organisations, id_of(names[0]));
 	organisation->by_tokens = true;
+	organisation->has_priority = true;
+	organisation->priority = 2;
 	organisation->plain_tokens = 100;
 	organisation->allotment = (struct limit_allotment){100, 250};
 	if (strstr(options, "large"))
--- a/tests/soak/callers.c
+++ b/tests/soak/callers.c
@@ -13,9 +13,9 @@
 #define SLACK BURST
 
 #define ORGANISATIONS                                                          \
-	"{\"version\":%d,\"tenants\":["                                          \
-	"{\"name\":\"acme\",\"api_keys\":[\"ka\"]},"                             \
-	"{\"name\":\"beta\",\"api_keys\":[\"kb\"],\"unit\":\"token_count\","       \
+	"{\"version\":%d,\"tenants\":["                                        \
+	"{\"name\":\"acme\",\"api_keys\":[\"ka\"]},"                           \
+	"{\"name\":\"beta\",\"api_keys\":[\"kb\"],\"unit\":\"token_count\","   \
 	"\"plain_tokens\":1,\"rate_per_s\":300,\"burst\":900}]}"
 
 static const struct {
@@ -44,8 +44,7 @@
 	size_t count = 0;
 
 	if (callers[caller].key)
-		headers[count++] =
-			header("authorization", callers[caller].key);
+		headers[count++] = header("authorization", callers[caller].key);
 	if (caller != CALLER_ACME)
 		headers[count++] = header("tenant", "acme");
 	return count;
