--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -354,15 +354,19 @@
 	return count > 0 && is_cut_off(fleet, now) ? 0 : count;
 }
 
-void fleet_hear_lost(struct fleet *fleet, const struct backend_lost *lost)
+void fleet_hear_lost(struct fleet *fleet, uint64_t peer,
+		     const struct backend_lost *lost)
 {
 	struct backend *backend = fleet_find(fleet, lost->key);
+	int64_t now = clock_now(fleet->clock);
+	int64_t until = now + MIN(lost->left_usec, AVOID_MAX_USEC);
 
-	if (backend)
-		backend->avoid_until =
-			MAX(backend->avoid_until,
-			    clock_now(fleet->clock) +
-				    MIN(lost->left_usec, AVOID_MAX_USEC));
+	if (!backend)
+		return;
+	if (backend->lost_by != peer && now < backend->lost_until)
+		backend->avoid_until = MAX(backend->avoid_until, until);
+	backend->lost_by = peer;
+	backend->lost_until = until;
 }
 
 bool backend_usable(const struct backend *backend, int64_t now)
--- a/forward/node.c
+++ b/forward/node.c
@@ -6,6 +6,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "common/id.h"
 #include "common/log.h"
 
 #define PROGRAM "jtforward"
@@ -106,7 +107,7 @@
 	/* What those elsewhere reach says little of what is reached from here.
 	 */
 	for (uint32_t i = 0; near && i < word->lost_count; i++)
-		fleet_hear_lost(node->fleet, &word->lost[i]);
+		fleet_hear_lost(node->fleet, id_of(address), &word->lost[i]);
 	for (uint32_t i = 0; i < word->changing_count; i++)
 		fleet_change(node->fleet, &word->changing[i]);
 	if (word->version <= (catalog ? catalog->version : 0) ||
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -68,6 +68,8 @@
 	int64_t trouble_at;
 	int64_t avoid_until;	/* could not be reached */
 	uint32_t avoided;	/* times in a row */
+	uint64_t lost_by;	/* the peer that told last that it lost it */
+	int64_t lost_until;	/* when that peer will try again */
 	int64_t full_until;	/* has just refused a reservation */
 	uint32_t fulls;		/* refused in a row */
 	int64_t changing_until; /* ordered to another role, or seems so */
@@ -132,8 +134,11 @@
  * are among them: then it is more likely cut off itself. */
 uint32_t fleet_lost(const struct fleet *fleet, struct backend_lost *lost,
 		    uint32_t most);
-/* Passes over what a peer near could not reach; no trial is owed for it. */
-void fleet_hear_lost(struct fleet *fleet, const struct backend_lost *lost);
+/* Passes over what two peers near could not reach of late; no trial is owed for
+ * it. One alone may have lost only its own way there. peer is any number that
+ * tells them apart. */
+void fleet_hear_lost(struct fleet *fleet, uint64_t peer,
+		     const struct backend_lost *lost);
 /* May a new request be sent there now? */
 bool backend_usable(const struct backend *backend, int64_t now);
 uint32_t backend_requests(const struct backend *backend);
