forward, platform: an organisation's priority orders those that wait; engines are not told

Told to engines with each send, they preempt by it. So it is taken out again; the waiting line keeps the order.

--- a/forward/admit.c
+++ b/forward/admit.c
@@ -17,8 +17,6 @@
 
 /* Organisations with counters of their own; all others share one. */
 #define COUNTED_MAX 64u
-/* The least urgent that a server tells apart. */
-#define URGENCY_LAST 9u
 
 static struct counter *organisation_counter(struct forward *forward,
 					    const char *name)
@@ -47,9 +45,6 @@
 		organisation_of_key(all, caller->key.data, caller->key.size);
 	if (request->organisation)
 		caller->organisation = request->organisation->name;
-	if (request->organisation && request->organisation->has_priority)
-		caller->urgency =
-			(int)MIN(request->organisation->priority, URGENCY_LAST);
 	if (request->organisation || request->route->is_public)
 		return true;
 	request->forward->unknown_keys->value++;
@@ -108,7 +103,6 @@
 
 bool request_admit(struct request *request)
 {
-	request->caller.urgency = -1;
 	if (!request->catalog->organisations)
 		return true;
 	if (!key_check(request))
--- a/include/forward/caller.h
+++ b/include/forward/caller.h
@@ -36,8 +36,6 @@
 	 * and whether the key is kept from it. */
 	const char *organisation;
 	bool hide_key;
-	/* Its organisation's priority, 0 first; negative: it has none. */
-	int urgency;
 	const struct web_header *headers; /* to be forwarded */
 	size_t header_count;
 };
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -147,9 +147,6 @@
 				       spec->caller->organisation);
 	if (spec->caller->hide_key)
 		g_string_append(line, " keyless");
-	if (spec->caller->urgency >= 0)
-		g_string_append_printf(line, " urgency %d",
-				       spec->caller->urgency);
 	if (spec->kv_handle)
 		g_string_append_printf(line, " kv %s/%s", spec->kv_address,
 				       spec->kv_handle);
