--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -64,6 +64,7 @@
 	int64_t start_at;
 	int64_t wake_at; /* paused until then; 0: running */
 	bool stopping;
+	bool reloaded;	/* told to, in this life */
 	uint32_t lives; /* that were begun, and are to say so in the log */
 	struct proxy *callers;
 	struct proxy *store;
