--- a/tests/limit/test_limit_world.c
+++ b/tests/limit/test_limit_world.c
@@ -5,7 +5,11 @@
  *
  * The bounds are those of the users' sheet: a window may hold a tenth more than
  * the allotment, and what one instance after the other cannot know yet, here
- * 0.9 bursts; under the allotment next to nothing is refused.
+ * 0.9 bursts; under the allotment next to nothing is refused. Beyond it nine
+ * tenths are used. More than the allotment is asked for during a whole window:
+ * with seven of its eight seconds, one bucket that knows all and is asked by all
+ * admitted 0.904 to 0.988 of the allotment, and 5 of 2,000 seeds were below nine
+ * tenths for want of requests; with nine seconds it admits 0.985 or more.
  */
 #include <glib.h>
 
@@ -16,7 +20,7 @@
 
 enum story {
 	STORY_CALM,
-	STORY_HOT,	/* eight times the usual for six seconds */
+	STORY_HOT,	/* eight times the usual for nine seconds */
 	STORY_CUT_HOT,	/* the same, one data centre cut off meanwhile */
 	STORY_CUT,	/* usual load, one data centre cut off for a minute */
 	STORY_ALL_DIE,	/* hot, and all are stopped at once in the middle */
@@ -59,7 +63,7 @@
 	}
 	for (uint32_t i = 0; story == STORY_FREEZE && i < world->count; i += 3)
 		world->still_until[i] = world->now + 3 * USEC_PER_SEC;
-	world_run(world, story == STORY_CUT ? 57000 : 3000);
+	world_run(world, story == STORY_CUT ? 57000 : 5000);
 	world->centre_cut = -1;
 	world_run(world, 1000);
 	world->asked_part = USUAL;
