--- a/tests/limit/test_limit_world.c
+++ b/tests/limit/test_limit_world.c
@@ -7,9 +7,9 @@
  * the allotment, and what one instance after the other cannot know yet, here
  * 0.9 bursts; under the allotment next to nothing is refused. Beyond it nine
  * tenths are used. More than the allotment is asked for during a whole window:
- * with seven of its eight seconds, one bucket that knows all and is asked by all
- * admitted 0.904 to 0.988 of the allotment, and 5 of 2,000 seeds were below nine
- * tenths for want of requests; with nine seconds it admits 0.985 or more.
+ * with seven of its eight seconds, one bucket that knows all and is asked by
+ * all admitted 0.904 to 0.988 of the allotment, and 5 of 2,000 seeds were below
+ * nine tenths for want of requests; with nine seconds it admits 0.985 or more.
  */
 #include <glib.h>
 
