--- a/tests/limit/test_limit.c
+++ b/tests/limit/test_limit.c
@@ -4,6 +4,10 @@
 #include "common/clock.h"
 #include "coord/limit.h"
 
+/* Entries in a word between instances. */
+#define TOLD_MOST 48u
+#define TICKS 1000
+
 static struct limits *limits_open(uint32_t accounts_max)
 {
 	const struct limit_settings settings = {.policy = LIMIT_EQUAL,
@@ -271,6 +275,55 @@
 	g_assert_false(limit_policy_find("none", &policy));
 }
 
+/* What a tick costs an instance whose site has so many organisations, all
+ * asking: its turn of telling, and that of each instance it hears. Each word
+ * holds some of them and the rest take turns, so this bounds how old what is
+ * known of one may be. */
+static void cost_measure(uint32_t count)
+{
+	const struct limit_allotment allotment = {1000.0, 1000.0};
+	const struct limit_settings settings = {.policy = LIMIT_COUNTS};
+	const struct limit_source source = {.id = 7};
+	struct limits *limits = limits_create(&settings);
+	struct limit_entry entries[TOLD_MOST];
+	struct limit_refusal refusal;
+	int64_t began;
+	double tell;
+	double hear;
+	uint32_t told = 0;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct limit_ask ask = {i + 1, allotment, 10.0, 1};
+
+		g_assert_true(limit_take(limits, 1, &ask, &refusal));
+	}
+	began = g_get_monotonic_time();
+	for (int i = 0; i < TICKS; i++) {
+		told = limit_tell(limits, 1 + i, false, entries, TOLD_MOST);
+		limit_told(limits);
+	}
+	tell = (double)(g_get_monotonic_time() - began) / TICKS;
+	began = g_get_monotonic_time();
+	for (int i = 0; i < TICKS; i++)
+		for (uint32_t k = 0; k < told; k++)
+			limit_hear(limits, 2 + i, &source, &entries[k],
+				   &allotment);
+	hear = (double)(g_get_monotonic_time() - began) / TICKS;
+	g_test_message("%u organisations: %u told in a word, all in %u words; "
+		       "to tell one %.1f us, to hear one %.1f us",
+		       count, told, (count + told - 1) / told, tell, hear);
+	g_assert_cmpuint(told, ==, MIN(count, TOLD_MOST));
+	g_assert_cmpuint(limits_count(limits), ==, count);
+	limits_destroy(limits);
+}
+
+static void test_cost(void)
+{
+	cost_measure(16);
+	cost_measure(1000);
+	cost_measure(10000);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -286,5 +339,6 @@
 	g_test_add_func("/limit/heard-restarted", test_heard_restarted);
 	g_test_add_func("/limit/takes-over", test_takes_over);
 	g_test_add_func("/limit/policies", test_policies);
+	g_test_add_func("/limit/cost", test_cost);
 	return g_test_run();
 }
