--- a/coord/limit.c
+++ b/coord/limit.c
@@ -129,7 +129,7 @@
 
 	if (limits->met != LIMIT_NEVER)
 		until = MIN(until, limits->met + ALONE_USEC);
-	return limits->joins && now < until &&
+	return limits->joins && limits->policy == LIMIT_COUNTS && now < until &&
 	       account->adopted_at == LIMIT_NEVER;
 }
 
@@ -146,8 +146,9 @@
 {
 	double sec = (double)(now - limits->created) / (double)USEC_PER_SEC;
 	double burst = account->allotment.burst;
-	double part = burst * LIMIT_START_PART +
-		      account->allotment.rate * ALONE_PART * sec;
+	double fill = limits->policy == LIMIT_COUNTS ? ALONE_PART : 1.0;
+	double part =
+		burst * LIMIT_START_PART + account->allotment.rate * fill * sec;
 
 	if (!limits->joins)
 		return burst * share;
--- a/coord/limit_account.h
+++ b/coord/limit_account.h
@@ -37,7 +37,6 @@
 	bool level_known;
 	double fill;	    /* part of the rate that it rises by, while alone */
 	int64_t adopted_at; /* when the level of another one was taken over */
-	bool together;	    /* others that use it have started just now too */
 	int64_t at;	    /* up to when the level holds */
 	uint32_t epoch;
 	double used;	  /* here */
--- a/coord/limit_tell.c
+++ b/coord/limit_tell.c
@@ -276,17 +276,14 @@
 
 /* The level of a source goes before one that was only assumed, less what was
  * used here that the source has not heard of. One that has just started too
- * tells no level: all that it used counts from its start on, and from then on
- * the level here is no worse than its. */
+ * tells no level: all that it used since counts. */
 static void level_adopt(struct limits *limits, struct limit_account *account,
 			const struct limit_entry *entry, int64_t now)
 {
-	bool assumed = limits->joins && !account->together &&
-		       now - limits->created < ADOPTED_USEC &&
+	bool assumed = limits->joins && now - limits->created < ADOPTED_USEC &&
 		       account->adopted_at == LIMIT_NEVER;
 
 	if (entry->level == LIMIT_LEVEL_UNKNOWN) {
-		account->together = true;
 		if (!account->level_known)
 			account_begin(
 				account, now,
--- a/tests/limit/test_limit.c
+++ b/tests/limit/test_limit.c
@@ -254,6 +254,38 @@
 	limits_destroy(limits);
 }
 
+/* What others that have just started used counts; the level of one that was
+ * there before is taken over all the same, and all that it ever used does not
+ * count. */
+static void test_starts_together(void)
+{
+	struct limits *limits = counts_open(true);
+	struct limit_refusal refusal;
+
+	g_assert_true(units_take(limits, 0, 10, &refusal));
+	hear(limits, 0, 7, 0, 1, 30, LIMIT_LEVEL_UNKNOWN);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, BURST / 16 - 40);
+	hear(limits, 0, 8, 0, 1, 123456, 300);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, 290);
+	hear(limits, 0, 8, 0, 1, 123466, 290);
+	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, 280);
+	limits_destroy(limits);
+}
+
+/* Equal shares add up to the allotment whoever has started. */
+static void test_equal_starts(void)
+{
+	const struct limit_settings settings = {.policy = LIMIT_EQUAL,
+						.joins = true};
+	struct limits *limits = limits_create(&settings);
+	struct limit_refusal refusal;
+
+	g_assert_false(units_take(limits, 0, BURST / 2, &refusal));
+	g_assert_true(
+		units_take(limits, USEC_PER_SEC / 2, BURST / 2, &refusal));
+	limits_destroy(limits);
+}
+
 /* One that starts takes over what it is told, not what was used before. */
 static void test_takes_over(void)
 {
@@ -344,5 +376,7 @@
 	g_test_add_func("/limit/takes-over", test_takes_over);
 	g_test_add_func("/limit/policies", test_policies);
 	g_test_add_func("/limit/cost", test_cost);
+	g_test_add_func("/limit/starts-together", test_starts_together);
+	g_test_add_func("/limit/equal-starts", test_equal_starts);
 	return g_test_run();
 }
