--- a/forward/node.c
+++ b/forward/node.c
@@ -256,8 +256,7 @@
 	return true;
 }
 
-/* One address for both, TCP and UDP. Two test runs beside each other met where
- * one had the other's number for UDP. */
+/* Peers use one address for TCP and UDP. */
 static bool peers_open(struct node *node, struct error *err)
 {
 	const char *listen = node->settings.peer_listen;
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -52,8 +52,9 @@
 struct backend *place_prefill(const struct place *place,
 			      const struct backend *to);
 /* Who reads a prompt of so many tokens for the decode server to: a prefill
- * server, or NULL when it had better be read by to itself, since more than
- * most_ahead tokens wait at the best prefill server. */
+ * server, or NULL when the decode server had better read it itself, since more
+ * than most_ahead tokens wait at the best prefill server and it is done sooner.
+ */
 struct backend *place_reader(const struct place *place,
 			     const struct backend *to, uint32_t tokens,
 			     uint32_t most_ahead);
--- a/tests/forward/test_reading.c
+++ b/tests/forward/test_reading.c
@@ -4,7 +4,7 @@
  * that are left, and when decode servers read for themselves once these are
  * behind. The servers are those of fleet.h and place.h, with exact views.
  *
- * With all waiting 0.065 of those that came meanwhile were in time, with
+ * With all waiting 0.066 of those that came meanwhile were in time, with
  * decode servers reading 1.00; in calm times nobody reads for itself.
  */
 #include <glib.h>
