--- a/forward/stream.c
+++ b/forward/stream.c
@@ -39,9 +39,9 @@
  * waited, beyond 14,000 tokens, the few prefill servers that a crash of a third
  * of the engines left bound all: 0.468 and 0.530 of worth on two days of 73
  * instances and 44 engines, now 0.491 and 0.546; the mean of three other sites
- * was 0.669 and is 0.672 (no processor time charged). Read by decode servers from two and a
- * half prompts on, the first two were 0.498 and 0.550, but the three quiet days
- * 0.015 less. */
+ * was 0.669 and is 0.672 (no processor time charged). Read by decode servers
+ * from two and a half prompts on, the first two were 0.498 and 0.550, but the
+ * three quiet days 0.015 less. */
 #define PREFILL_QUEUE_PART 0.45
 /* Rounds through placing that one request may make. */
 #define ROUNDS_MAX 4u
