forward: list servers only for words that are sent, walk peers only for works there are

Found by reading the change again: each gossip_total (once for each request judged early, several times a tick of the roles) listed servers out of reach and changing and threw the lists away; twice a second all peers were walked for a work to tell although there was none, as the code before did not; one loop over live peers and one sum of words stood twice. No behaviour changes.

--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -122,6 +122,9 @@
 
 void peer_send(struct gossip *gossip, const struct peer *peer,
 	       const GByteArray *out);
+/* To those of them that live. */
+void peers_send(struct gossip *gossip, const GPtrArray *peers,
+		const GByteArray *out);
 void message_begin(struct gossip *gossip, struct gossip_message *message,
 		   enum gossip_kind kind);
 
@@ -148,6 +151,11 @@
 		       bool leaving, struct gossip_first *first);
 /* What near peers told, added up with this instance's own word. */
 void gossip_total_near(const struct gossip *gossip, struct gossip_word *total);
+/* Adds the servers that change their role and those out of reach, as this
+ * instance knows them; or the former as all near know them, for those
+ * elsewhere. */
+void gossip_servers_own(const struct gossip *gossip, struct gossip_word *word);
+void gossip_servers_near(const struct gossip *gossip, struct gossip_word *word);
 
 /* Of gossip_loads.c. */
 /* Takes off what a peer or data centre told. */
--- a/forward/gossip_tell.c
+++ b/forward/gossip_tell.c
@@ -27,6 +27,14 @@
 		     peer->to_size);
 }
 
+void peers_send(struct gossip *gossip, const GPtrArray *peers,
+		const GByteArray *out)
+{
+	for (guint i = 0; i < peers->len; i++)
+		if (peer_live(gossip, peers->pdata[i]))
+			peer_send(gossip, peers->pdata[i], out);
+}
+
 /* One address rides along, another each time, so that an instance that could
  * not read the store learns of all peers from one. */
 static void address_add(struct gossip *gossip, struct gossip_message *message)
@@ -80,6 +88,7 @@
 
 	message_begin(gossip, &message, GOSSIP_OWN);
 	gossip->ops.word(gossip->ctx, &message.word);
+	gossip_servers_own(gossip, &message.word);
 	g_strlcpy(message.first.name, message.name, sizeof(message.first.name));
 	loads_own(gossip, message.loads);
 	address_add(gossip, &message);
@@ -115,6 +124,7 @@
 
 	message_begin(gossip, &message, GOSSIP_CENTRE);
 	gossip_total_near(gossip, &message.word);
+	gossip_servers_near(gossip, &message.word);
 	gossip_first_near(gossip, message.word.storeless, message.word.leaving,
 			  &message.first);
 	loads_centre(gossip, message.loads);
--- a/forward/gossip_uses.c
+++ b/forward/gossip_uses.c
@@ -23,9 +23,8 @@
 	message_begin(gossip, &message, GOSSIP_USES);
 	gossip_uses_add(gossip, sums, message.uses);
 	gossip_encode(&message, out);
-	for (guint i = 0; message.uses->len > 0 && i < peers->len; i++)
-		if (peer_live(gossip, peers->pdata[i]))
-			peer_send(gossip, peers->pdata[i], out);
+	if (message.uses->len > 0)
+		peers_send(gossip, peers, out);
 	gossip_message_clear(&message);
 }
 
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -186,20 +186,41 @@
 		total->changing[total->changing_count++] = word->changing[i];
 }
 
+void gossip_servers_own(const struct gossip *gossip, struct gossip_word *word)
+{
+	if (gossip->ops.servers)
+		gossip->ops.servers(gossip->ctx, word);
+}
+
+void gossip_servers_near(const struct gossip *gossip, struct gossip_word *word)
+{
+	gossip_servers_own(gossip, word);
+	word->lost_count = 0;
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
+
+		if (peer_live(gossip, peer))
+			changing_add(word, &peer->word);
+	}
+}
+
+static void numbers_add(struct gossip_word *total,
+			const struct gossip_word *word)
+{
+	total->demand += word->demand;
+	total->waiting += word->waiting;
+	total->read_rates += word->read_rates;
+	total->read_raters += word->read_raters;
+}
+
 void gossip_total_near(const struct gossip *gossip, struct gossip_word *total)
 {
 	gossip->ops.word(gossip->ctx, total);
-	total->lost_count = 0;
 	for (guint i = 0; i < gossip->near->len; i++) {
 		const struct peer *peer = gossip->near->pdata[i];
 
-		if (!peer_live(gossip, peer))
-			continue;
-		total->demand += peer->word.demand;
-		total->waiting += peer->word.waiting;
-		total->read_rates += peer->word.read_rates;
-		total->read_raters += peer->word.read_raters;
-		changing_add(total, &peer->word);
+		if (peer_live(gossip, peer))
+			numbers_add(total, &peer->word);
 	}
 }
 
@@ -210,12 +231,7 @@
 
 	gossip_total_near(gossip, total);
 	g_hash_table_iter_init(&iter, gossip->centres);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre)) {
-		if (!centre_live(gossip, centre))
-			continue;
-		total->demand += centre->total.demand;
-		total->waiting += centre->total.waiting;
-		total->read_rates += centre->total.read_rates;
-		total->read_raters += centre->total.read_raters;
-	}
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
+		if (centre_live(gossip, centre))
+			numbers_add(total, &centre->total);
 }
--- a/forward/gossip_works.c
+++ b/forward/gossip_works.c
@@ -17,14 +17,6 @@
 	return out;
 }
 
-static void peers_send(struct gossip *gossip, const GPtrArray *peers,
-		       const GByteArray *out)
-{
-	for (guint i = 0; i < peers->len; i++)
-		if (peer_live(gossip, peers->pdata[i]))
-			peer_send(gossip, peers->pdata[i], out);
-}
-
 static void news_tell(struct gossip *gossip, GArray *news, bool near)
 {
 	for (guint at = 0; at < news->len; at += GOSSIP_WORKS_MAX) {
@@ -88,21 +80,20 @@
 			     : NULL;
 }
 
-/* Tells a peer the next works in turn; NULL: nobody. */
-static void works_send(struct gossip *gossip, const struct peer *peer)
+static uint32_t works_next(struct gossip *gossip,
+			   struct quarantine_entry entries[GOSSIP_WORKS_MAX])
 {
-	struct quarantine_entry entries[GOSSIP_WORKS_MAX];
-	uint32_t count;
+	if (!gossip->ops.works)
+		return 0;
+	return gossip->ops.works(gossip->ctx, entries, GOSSIP_WORKS_MAX);
+}
 
-	if (!peer || !gossip->ops.works)
-		return;
-	count = gossip->ops.works(gossip->ctx, entries, GOSSIP_WORKS_MAX);
-	if (count > 0) {
-		g_autoptr(GByteArray) out =
-			works_encode(gossip, entries, count);
+static void works_send(struct gossip *gossip, const struct peer *peer,
+		       const struct quarantine_entry *entries, uint32_t count)
+{
+	g_autoptr(GByteArray) out = works_encode(gossip, entries, count);
 
-		peer_send(gossip, peer, out);
-	}
+	peer_send(gossip, peer, out);
 }
 
 /* By turns alone an instance that starts while no store keeps what is held
@@ -110,15 +101,23 @@
  * one of eleven trials with 100 instances. */
 void gossip_works_greet(struct gossip *gossip, const struct peer *peer)
 {
-	works_send(gossip, peer);
+	struct quarantine_entry entries[GOSSIP_WORKS_MAX];
+	uint32_t count = works_next(gossip, entries);
+
+	if (count > 0)
+		works_send(gossip, peer, entries, count);
 }
 
 static void on_timer(struct timer *timer, void *ctx)
 {
 	struct gossip *gossip = ctx;
+	struct quarantine_entry entries[GOSSIP_WORKS_MAX];
+	uint32_t count = works_next(gossip, entries);
+	const struct peer *peer = count > 0 ? peer_next(gossip) : NULL;
 
 	timer_start(timer, GOSSIP_WORKS_USEC);
-	works_send(gossip, peer_next(gossip));
+	if (peer)
+		works_send(gossip, peer, entries, count);
 }
 
 void gossip_works_start(struct gossip *gossip)
--- a/forward/node.c
+++ b/forward/node.c
@@ -74,10 +74,6 @@
 		.storeless = is_storeless(node),
 	};
 	node_shares_word(node, word);
-	word->lost_count = fleet_lost(node->fleet, word->lost, GOSSIP_LOST_MAX);
-	if (node->roles)
-		word->changing_count = roles_moving(node->roles, word->changing,
-						    GOSSIP_CHANGING_MAX);
 	if (!catalog)
 		return;
 	word->version = catalog->version;
@@ -93,6 +89,16 @@
 	}
 }
 
+static void servers_fill(void *ctx, struct gossip_word *word)
+{
+	const struct node *node = ctx;
+
+	word->lost_count = fleet_lost(node->fleet, word->lost, GOSSIP_LOST_MAX);
+	if (node->roles)
+		word->changing_count = roles_moving(node->roles, word->changing,
+						    GOSSIP_CHANGING_MAX);
+}
+
 /* The first of a data centre reads the store itself; its waiting read may have
  * been lost when others know of a later version. */
 static void on_heard(void *ctx, const char *address, bool near,
@@ -237,8 +243,9 @@
 static bool gossip_open(struct node *node, struct error *err)
 {
 	static const struct gossip_ops ops = {
-		word_fill,  on_heard,  reads_store,    node_work_heard,
-		node_works, node_uses, node_uses_told, node_use_heard};
+		word_fill,	 on_heard,	 reads_store,
+		node_work_heard, node_works,	 node_uses,
+		node_uses_told,	 node_use_heard, servers_fill};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
 		.data_centre = node->settings.data_centre,
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -125,7 +125,7 @@
 };
 
 struct gossip_ops {
-	/* What this instance has to tell now. */
+	/* What this instance has to tell now, but for servers(). */
 	void (*word)(void *ctx, struct gossip_word *word);
 	/* What a peer told; near: it is in the same data centre. */
 	void (*heard)(void *ctx, const char *address, bool near,
@@ -147,6 +147,9 @@
 	void (*uses_told)(void *ctx);
 	void (*use_heard)(void *ctx, const struct limit_source *source,
 			  const struct limit_entry *entry);
+	/* Adds the servers that change their role and those out of reach, which
+	 * only words hold that are sent. NULL where none are told. */
+	void (*servers)(void *ctx, struct gossip_word *word);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
