--- a/coord/limit.c
+++ b/coord/limit.c
@@ -101,7 +101,6 @@
 	account->id = id;
 	account->epoch = ++limits->epochs;
 	account->at = now;
-	account->fill = 1.0;
 	account->demand_at = now;
 	account->asked_at = LIMIT_NEVER;
 	account->adopted_at = LIMIT_NEVER;
@@ -133,11 +132,17 @@
 	       account->adopted_at == LIMIT_NEVER;
 }
 
+double limits_rise(const struct limits *limits,
+		   const struct limit_account *account, int64_t now)
+{
+	return limits_alone(limits, account, now) ? ALONE_PART : 1.0;
+}
+
 void limits_advance(const struct limits *limits, struct limit_account *account,
 		    int64_t now, double share)
 {
-	account->fill = limits_alone(limits, account, now) ? ALONE_PART : 1.0;
-	account_advance(account, now, share, limits->policy == LIMIT_COUNTS);
+	account_advance(account, now, share, limits_rise(limits, account, now),
+			limits->policy == LIMIT_COUNTS);
 }
 
 double limits_first_level(const struct limits *limits,
@@ -228,9 +233,9 @@
 bool limit_take(struct limits *limits, int64_t now, const struct limit_ask *ask,
 		struct limit_refusal *refusal)
 {
-	bool counts = limits->policy == LIMIT_COUNTS;
 	struct limit_account *account;
 	double share;
+	double pace;
 
 	if (ask->allotment.rate <= 0.0)
 		return true;
@@ -244,8 +249,10 @@
 		account_use(limits, account, ask->units);
 		return true;
 	}
-	refusal_fill(account, now, ask->units,
-		     account_pace(account, now, share, counts), refusal);
+	pace = account_pace(account, now,
+			    share * limits_rise(limits, account, now),
+			    limits->policy == LIMIT_COUNTS);
+	refusal_fill(account, now, ask->units, pace, refusal);
 	return false;
 }
 
--- a/coord/limit_account.c
+++ b/coord/limit_account.c
@@ -86,13 +86,15 @@
 	return all > 0.0 ? account_demand_here(account, now) / all : 1.0;
 }
 
+static double demand_part(const struct limit_peer *peer, double all)
+{
+	return all > 0.0 ? peer->demand / all : 0.0;
+}
+
 void account_note_part(const struct limit_account *account,
 		       struct limit_peer *peer, int64_t now)
 {
-	double all = account_demand_all(account, now);
-	double part = all > 0.0 ? peer->demand / all : 0.0;
-
-	peer->fair = part;
+	peer->fair = demand_part(peer, account_demand_all(account, now));
 }
 
 static guint groups_count(const struct limit_account *account)
@@ -109,7 +111,7 @@
 static double peer_pace(const struct limit_account *account,
 			const struct limit_peer *peer, int64_t now, double all)
 {
-	double fair = all > 0.0 ? peer->demand / all : 0.0;
+	double fair = demand_part(peer, all);
 
 	if (!peer->counts || peer_gone(peer, now))
 		return 0.0;
@@ -137,7 +139,7 @@
 double account_pace(const struct limit_account *account, int64_t now,
 		    double share, bool counts)
 {
-	double pace = account->allotment.rate * share * account->fill;
+	double pace = account->allotment.rate * share;
 
 	if (counts)
 		pace -= peers_pace(account, now);
@@ -175,14 +177,14 @@
 }
 
 void account_advance(struct limit_account *account, int64_t now, double share,
-		     bool counts)
+		     double rise, bool counts)
 {
 	double sec = (double)(now - account->at) / (double)USEC_PER_SEC;
 
 	if (!account->level_known || sec <= 0.0)
 		return;
 	account->at = now;
-	account->level += account->allotment.rate * share * account->fill * sec;
+	account->level += account->allotment.rate * share * rise * sec;
 	if (counts)
 		account->level -= peers_presume(account, now, sec);
 	level_bound(account, share);
--- a/coord/limit_account.h
+++ b/coord/limit_account.h
@@ -35,7 +35,6 @@
 	struct limit_allotment allotment;
 	double level;
 	bool level_known;
-	double fill;	    /* part of the rate that it rises by, while alone */
 	int64_t adopted_at; /* when the level of another one was taken over */
 	int64_t at;	    /* up to when the level holds */
 	uint32_t epoch;
@@ -49,10 +48,10 @@
 	GArray *peers; /* struct limit_peer; NULL: none */
 };
 
-/* Brings the level up to now, as fast as fill says. share is the part of the
- * allotment that the bucket is of, 1 for the whole. */
+/* Brings the level up to now. share is the part of the allotment that the
+ * bucket is of, 1 for the whole, and rise the part of that one's rate. */
 void account_advance(struct limit_account *account, int64_t now, double share,
-		     bool counts);
+		     double rise, bool counts);
 /* Notes that units were asked for. */
 void account_demand(struct limit_account *account, int64_t now, double units);
 /* Units a second asked for here lately. */
@@ -90,9 +89,12 @@
 void limit_mark_urgent(struct limits *limits,
 		       const struct limit_account *account);
 
-/* Whether others may use it that could not tell yet. */
+/* Whether others may use it that could not tell yet, and the part of the rate
+ * that its level rises by. */
 bool limits_alone(const struct limits *limits,
 		  const struct limit_account *account, int64_t now);
+double limits_rise(const struct limits *limits,
+		   const struct limit_account *account, int64_t now);
 /* What an account holds that nobody told of. */
 double limits_first_level(const struct limits *limits,
 			  const struct limit_account *account, int64_t now,
--- a/coord/limit_tell.c
+++ b/coord/limit_tell.c
@@ -38,6 +38,13 @@
 	       (limits->urgent[false] || limits->urgent[true]);
 }
 
+static void level_advance(const struct limits *limits,
+			  struct limit_account *account, int64_t now)
+{
+	limits_advance(limits, account, now,
+		       limits_share(limits, account, now, 1));
+}
+
 /* ---- telling ---- */
 
 static double demand_near(const struct limit_account *account, int64_t now)
@@ -62,8 +69,7 @@
 
 	if (sums)
 		demand += demand_near(account, now);
-	limits_advance(limits, account, now,
-		       limits_share(limits, account, now, 1));
+	level_advance(limits, account, now);
 	*entry = (struct limit_entry){
 		.account = account->id,
 		.epoch = account->epoch,
@@ -312,8 +318,7 @@
 	account->allotment = *allotment;
 	if (limits->policy == LIMIT_COUNTS)
 		level_adopt(limits, account, entry, now);
-	limits_advance(limits, account, now,
-		       limits_share(limits, account, now, 1));
+	level_advance(limits, account, now);
 	peer_tell(peer, entry, is_past(account, peer, entry, now));
 	leader_choose(account, peer, now);
 	account_note_part(account, peer, now);
