forward: one way to read settings again; an organisation's counter is looked up once

The timer and SIGHUP share node_settings_reload(); the table of counted organisations holds their counters, instead of a name for which the counter was sought by its labels with each refusal; the bound of a prefill queue is worked out once a look.

--- a/forward/admit.c
+++ b/forward/admit.c
@@ -21,18 +21,20 @@
 static struct counter *organisation_counter(struct forward *forward,
 					    const char *name)
 {
+	struct counter *counter = g_hash_table_lookup(forward->counted, name);
 	g_autofree char *labels = NULL;
 
-	if (!g_hash_table_contains(forward->counted, name)) {
-		if (g_hash_table_size(forward->counted) >= COUNTED_MAX)
-			name = "(others)";
-		else
-			g_hash_table_add(forward->counted, g_strdup(name));
-	}
+	if (counter)
+		return counter;
+	if (g_hash_table_size(forward->counted) >= COUNTED_MAX)
+		name = "(others)";
 	labels = g_strdup_printf("organisation=\"%s\"", name);
-	return counter_get(
+	counter = counter_get(
 		forward->parts.counters, "jt_over_allotment_requests_total",
 		"Requests refused beyond an organisation's allotment", labels);
+	if (g_hash_table_size(forward->counted) < COUNTED_MAX)
+		g_hash_table_insert(forward->counted, g_strdup(name), counter);
+	return counter;
 }
 
 static bool key_check(struct request *request)
--- a/forward/node_settings.c
+++ b/forward/node_settings.c
@@ -20,12 +20,24 @@
 	};
 }
 
-static void settings_read(struct node *node)
+/* When the file was changed last; 0 when it cannot be told. */
+static int64_t file_time(const struct node *node)
+{
+	struct stat state;
+
+	if (!node->file || stat(node->file, &state) != 0)
+		return 0;
+	return state.st_mtim.tv_sec * USEC_PER_SEC +
+	       state.st_mtim.tv_nsec / 1000;
+}
+
+void node_settings_reload(struct node *node)
 {
 	struct forward_settings fresh;
 	struct budget_settings budget;
 	struct error err;
 
+	node->file_read = file_time(node);
 	if (!forward_settings_read(&fresh, node->file, node->argc, node->argv,
 				   &err)) {
 		log_event(LOG_ERR, "settings_kept", LOG_S("reason", err.text));
@@ -46,17 +58,6 @@
 	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
 }
 
-/* When the file was changed last; 0 when it cannot be told. */
-static int64_t file_time(const struct node *node)
-{
-	struct stat state;
-
-	if (!node->file || stat(node->file, &state) != 0)
-		return 0;
-	return state.st_mtim.tv_sec * USEC_PER_SEC +
-	       state.st_mtim.tv_nsec / 1000;
-}
-
 /* It may change without a signal. */
 static void on_file_check(struct timer *timer, void *ctx)
 {
@@ -64,16 +65,8 @@
 	int64_t time = file_time(node);
 
 	timer_start(timer, FILE_CHECK_USEC);
-	if (time == 0 || time == node->file_read)
-		return;
-	node->file_read = time;
-	settings_read(node);
-}
-
-void node_settings_reload(struct node *node)
-{
-	node->file_read = file_time(node);
-	settings_read(node);
+	if (time != 0 && time != node->file_read)
+		node_settings_reload(node);
 }
 
 void node_settings_watch(struct node *node)
--- a/forward/request.h
+++ b/forward/request.h
@@ -103,7 +103,7 @@
 	struct counter *servers_ended;
 	struct counter *quarantined;
 	struct counter *unknown_keys;
-	GHashTable *counted; /* organisations with counters of their own */
+	GHashTable *counted; /* organisation's name to its struct counter */
 	struct histogram *whole_time;
 	struct histogram *wait_time;
 	struct histogram *prefill_time;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -384,6 +384,7 @@
 	const struct backend_ops *ops = &request->forward->parts.backends;
 	const struct engine_traits *engine = &request->service->engine;
 	uint32_t tokens = stream_tokens(request);
+	uint32_t ahead = most_ahead(request);
 	struct backend_load load = {.requests = 1, .decode_tokens = tokens};
 	struct backend *backend;
 	struct backend *prefill;
@@ -399,8 +400,8 @@
 	if (!backend)
 		return false;
 	prefill = place_reader(&place, backend, request->caller.prompt_tokens,
-			       most_ahead(request));
-	if (prefill && backend_prefill_tokens(prefill) > most_ahead(request))
+			       ahead);
+	if (prefill && backend_prefill_tokens(prefill) > ahead)
 		return false;
 	stream_unwait(request);
 	charge_add(request, &request->decode, backend, &load);
