forward: whose turn it is and who is refused early, as code of its own; its test plays that code

test_overload had the order and the early refusal written again. Both now are forward/overload.h, pure, which waiting.c and the test call.

--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -2,6 +2,7 @@
  * waiting.c - streams that wait for decode memory: who is placed, who is
  * refused
  */
+#include "forward/overload.h"
 #include "request.h"
 
 /* How often waiting requests look for memory again; a runner frees some every
@@ -16,31 +17,10 @@
 #define PATIENCE_TARGETS 4
 #define PATIENCE_GAPS 8
 #define BEGIN_USEC (400 * USEC_PER_MSEC)
-/* Requests that can still meet their target go first, of them those that are
- * least work, and of equal ones the newest: under lasting overload the first
- * come would all be just too late. With the least work first, and refused early
- * by it, the mean worth of days with trouble was 0.586, newest first 0.578 (73
- * instances, five days, one play each; four of them better). The rest are only
- * given room that this many more like them would fit into. Refused when they
- * become late in a long queue, the mean was 0.010 less. */
+/* Requests that will be late are only given room that this many more like them
+ * would fit into. Refused when they become late in a long queue, the mean worth
+ * of days with trouble was 0.010 less. */
 #define LATE_ROOM 3u
-/* That time varies by about this much more. */
-#define BEGIN_MARGIN 1.3
-/* A request that has waited for this part of its target and will hardly be
- * placed in time is refused then: it has not run, and its caller comes back
- * when the overload may be over. Within an eighth of the target its caller
- * loses little by having waited. Told at once, by the queue of one moment, too
- * many were refused: 0.556 against 0.567 at Vestland, mean worth of days with
- * trouble. */
-#define EARLY_PART 0.1
-/* How long a request keeps its memory, on average. */
-#define RUN_SEC 3.5
-/* Bounds of what the caller is told then. Bursts last four to five seconds;
- * with one to four seconds a third more of the worth came back into the same
- * burst and was refused again, and the mean of days with trouble was 0.008 less
- * at Vestland, the same elsewhere. */
-#define EARLY_RETRY_USEC (2500 * USEC_PER_MSEC)
-#define EARLY_RETRY_SPAN_USEC (2 * USEC_PER_SEC)
 /* What one is told that waited in vain: memory is freed within this time. */
 #define RETRY_USEC (300 * USEC_PER_MSEC)
 
@@ -69,23 +49,31 @@
 	return forward->waiting.length >= WAITING_MAX;
 }
 
+static struct overload_caller caller_of(const struct request *request)
+{
+	return (struct overload_caller){
+		.arrived = request->arrived,
+		.target_usec = request->route->target_usec,
+		.urgency = request_urgency(request),
+		.weight = request->weight,
+	};
+}
+
 static bool on_time(const struct request *request, int64_t now)
 {
-	double begin = request->forward->begin_usec * BEGIN_MARGIN;
+	const struct overload_caller caller = caller_of(request);
 
-	return (double)(now - request->arrived) + begin <
-	       (double)request->route->target_usec;
+	return overload_on_time(&caller, now, request->forward->begin_usec);
 }
 
-/* The more urgent first, of equally urgent ones those that are less work. */
 static gint order_compare(gconstpointer a, gconstpointer b)
 {
-	const struct request *one = *(struct request *const *)a;
-	const struct request *other = *(struct request *const *)b;
+	const struct overload_caller one =
+		caller_of(*(struct request *const *)a);
+	const struct overload_caller other =
+		caller_of(*(struct request *const *)b);
 
-	if (request_urgency(one) != request_urgency(other))
-		return request_urgency(one) < request_urgency(other) ? -1 : 1;
-	return (one->weight > other->weight) - (one->weight < other->weight);
+	return overload_compare(&one, &other);
 }
 
 static void waiting_pass(struct forward *forward, bool in_time)
@@ -119,36 +107,22 @@
 	places = (double)place_count(&place, STAGE_DECODE) *
 		 (double)engine->memory_tokens /
 		 (double)MAX(stream_tokens(request), 1u);
-	return (double)parts->waiting(parts->instances_ctx) * RUN_SEC /
-	       MAX(places, 1.0);
-}
-
-/* Tells the caller to come back when the overload may be over. */
-static void overload_refuse(struct request *request)
-{
-	request_refuse(
-		request, RESULT_QUEUE_FULL,
-		EARLY_RETRY_USEC +
-			(int64_t)(g_rand_double(request->forward->parts.rand) *
-				  (double)EARLY_RETRY_SPAN_USEC));
+	return overload_queue_sec(parts->waiting(parts->instances_ctx), places);
 }
 
 static bool early_refuse(struct request *request, int64_t now)
 {
-	double age = (double)(now - request->arrived);
-	double target = (double)request->route->target_usec;
-	double left = (target - age - request->forward->begin_usec) /
-		      (double)USEC_PER_SEC;
+	const struct overload_caller caller = caller_of(request);
 
-	/* Nor is it early once the target has passed, as after the process
-	 * stood still: servers may be free. */
 	if (request->rounds > 0 || request->judged ||
-	    age < EARLY_PART * target || age >= target)
+	    !overload_is_due(&caller, now))
 		return false;
 	request->judged = true;
-	if (queue_sec(request) * request->weight < left)
+	if (!overload_too_long(&caller, now, request->forward->begin_usec,
+			       queue_sec(request)))
 		return false;
-	overload_refuse(request);
+	request_refuse(request, RESULT_QUEUE_FULL,
+		       overload_retry_usec(request->forward->parts.rand));
 	return true;
 }
 
--- a/tests/forward/test_overload.c
+++ b/tests/forward/test_overload.c
@@ -12,16 +12,16 @@
 #include <math.h>
 
 #include "common/clock.h"
+#include "forward/overload.h"
 #include "forward/rates.h"
 
 #define STEP_MSEC 15
 #define SERVERS 35.0
 #define MEMORY (44757.0 * SERVERS)
+#define TOKENS_EACH 6000.0
 #define TOKEN_MSEC 3.5
 #define TARGET_MSEC 900
 #define BEGIN_MSEC 250
-#define EARLY_MSEC 90
-#define RUN_SEC 3.5
 #define USUAL_PER_SEC 55.0
 #define BURST_PER_SEC 115.0
 #define BURST_FROM 10000
@@ -98,15 +98,25 @@
 	play->outcome.large_asked += is_large(&caller);
 }
 
-static gint least_compare(gconstpointer a, gconstpointer b)
+static struct overload_caller waits_as(const struct play *play,
+				       const struct caller *caller)
 {
-	const struct caller *one = a;
-	const struct caller *other = b;
+	return (struct overload_caller){
+		.arrived = caller->came * USEC_PER_MSEC,
+		.target_usec = TARGET_MSEC * USEC_PER_MSEC,
+		.weight = play->least_first ? caller->weight : 1.0,
+	};
+}
+
+static gint least_compare(gconstpointer a, gconstpointer b, gpointer play)
+{
+	const struct overload_caller one = waits_as(play, a);
+	const struct overload_caller other = waits_as(play, b);
 
-	return (one->weight > other->weight) - (one->weight < other->weight);
+	return overload_compare(&one, &other);
 }
 
-static gint newest_compare(gconstpointer a, gconstpointer b)
+static gint newest_compare(gconstpointer a, gconstpointer b, gpointer play)
 {
 	const struct caller *one = a;
 	const struct caller *other = b;
@@ -127,17 +137,18 @@
 
 static bool is_refused(struct play *play, struct caller *caller)
 {
-	int age = play->now - caller->came;
-	double places = MEMORY / 6000.0;
-	double queue = play->waiting->len * RUN_SEC / places;
-	double left = (TARGET_MSEC - age - BEGIN_MSEC) / 1000.0;
+	const struct overload_caller waits = waits_as(play, caller);
+	int64_t now = play->now * USEC_PER_MSEC;
+	double queue =
+		overload_queue_sec(play->waiting->len, MEMORY / TOKENS_EACH);
 
-	if (age >= TARGET_MSEC - BEGIN_MSEC)
+	if (play->now - caller->came >= TARGET_MSEC - BEGIN_MSEC)
 		return true;
-	if (caller->judged || age < EARLY_MSEC)
+	if (caller->judged || !overload_is_due(&waits, now))
 		return false;
 	caller->judged = true;
-	return queue * (play->least_first ? caller->weight : 1.0) >= left;
+	return overload_too_long(&waits, now,
+				 (double)BEGIN_MSEC * USEC_PER_MSEC, queue);
 }
 
 static void step(struct play *play)
@@ -155,8 +166,9 @@
 		if (is_refused(play,
 			       &g_array_index(play->waiting, struct caller, i)))
 			g_array_remove_index(play->waiting, i);
-	g_array_sort(play->waiting,
-		     play->least_first ? least_compare : newest_compare);
+	g_array_sort_with_data(
+		play->waiting,
+		play->least_first ? least_compare : newest_compare, play);
 	while (play->waiting->len > 0) {
 		struct caller first =
 			g_array_index(play->waiting, struct caller, 0);
