--- a/tests/limit/test_limit.c
+++ b/tests/limit/test_limit.c
@@ -203,6 +203,16 @@
 	limits_destroy(limits);
 }
 
+/* A full bucket, less one unit that was used here. */
+static struct limits *counts_used_one(void)
+{
+	struct limits *limits = counts_open(false);
+	struct limit_refusal refusal;
+
+	g_assert_true(units_take(limits, 0, 1, &refusal));
+	return limits;
+}
+
 static void hear(struct limits *limits, int64_t now, uint64_t id,
 		 uint64_t group, uint32_t epoch, int64_t used, int64_t level)
 {
@@ -218,10 +228,8 @@
  * counts, and the other goes on when it falls silent. */
 static void test_heard_once(void)
 {
-	struct limits *limits = counts_open(false);
-	struct limit_refusal refusal;
+	struct limits *limits = counts_used_one();
 
-	g_assert_true(units_take(limits, 0, 1, &refusal));
 	hear(limits, 0, 7, 0, 1, 100, 0);
 	hear(limits, 0, 7, 0, 1, 100, 0);
 	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, BURST - 101);
@@ -244,10 +252,8 @@
 /* A source that started again counts from nought. */
 static void test_heard_restarted(void)
 {
-	struct limits *limits = counts_open(false);
-	struct limit_refusal refusal;
+	struct limits *limits = counts_used_one();
 
-	g_assert_true(units_take(limits, 0, 1, &refusal));
 	hear(limits, 0, 7, 0, 1, 500, 0);
 	hear(limits, 0, 7, 0, 2, 100, 0);
 	g_assert_cmpfloat(limit_level(limits, 0, 1), ==, BURST - 601);
