platform, forward: note the limit that a server names, in logs and metrics

No line told whether an instance knew of the limit that a backend server names in its answers, so two explanations of the incident looked alike: that nobody notices it, and that each instance keeps to all of it.

Every answer of a server, also to reservations and orders, now tells what it says of the server; the limit is kept for that life of it and each change is logged (backend_limit) and counted (jt_limited_servers). Nothing is decided by it yet. Table of values that are taken and refused, and fuzz, in platform-decode.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -92,6 +92,7 @@
 	timer_init(&forward->pump, parts->clock, on_pump, forward);
 	counters_setup(forward);
 	ended_open(forward);
+	parts->backends.watch(parts->backends.ctx, pressure_signals, forward);
 	return forward;
 }
 
@@ -106,6 +107,7 @@
 	while ((request = table_next(forward->requests, &cursor, &handle)))
 		request_break(request, "the process stops");
 	timer_stop(&forward->pump);
+	forward->parts.backends.watch(forward->parts.backends.ctx, NULL, NULL);
 	ended_destroy(forward->ended_servers);
 	table_destroy(forward->requests);
 	g_hash_table_destroy(forward->demand);
--- a/forward/node.c
+++ b/forward/node.c
@@ -227,12 +227,14 @@
 	};
 
 	node->quarantine = node_quarantine_create(node);
+	node->backpressure = backpressure_create();
 	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
 	parts.quarantine = node->quarantine;
+	parts.backpressure = node->backpressure;
 	parts.limits = node->limits;
 	node->forward = forward_create(&parts);
 	node->malformed =
@@ -354,6 +356,7 @@
 	fleet_destroy(node->fleet);
 	budgets_destroy(node->budgets);
 	quarantine_destroy(node->quarantine);
+	backpressure_destroy(node->backpressure);
 	limits_destroy(node->limits);
 }
 
--- a/forward/node.h
+++ b/forward/node.h
@@ -55,6 +55,7 @@
 	struct fleet *fleet;
 	struct budgets *budgets;
 	struct quarantine *quarantine;
+	struct backpressure *backpressure;
 	struct limits *limits;
 	struct node_storing storing;
 	int64_t works_read; /* when the store was asked for them last */
--- a/forward/node_health.c
+++ b/forward/node_health.c
@@ -71,6 +71,14 @@
 		->value = (int64_t)quarantine_suspects(node->quarantine);
 }
 
+static void backpressure_count(struct node *node)
+{
+	gauge_get(node->counters, "jt_limited_servers",
+		  "Backend servers that name a limit of requests a second",
+		  NULL)
+		->value = (int64_t)backpressure_limited(node->backpressure);
+}
+
 void node_metrics(void *ctx, struct web_request *request)
 {
 	struct node *node = ctx;
@@ -78,6 +86,7 @@
 
 	traffic_count(node);
 	quarantine_count(node);
+	backpressure_count(node);
 	counter_set_print(node->counters, text);
 	web_reply(request, 200, "text/plain; version=0.0.4", text->str,
 		  text->len);
--- a/forward/request.h
+++ b/forward/request.h
@@ -189,6 +189,10 @@
 
 const char *request_end_name(enum request_end end);
 
+/* Of pressure.c: a signals_fn with the forward as context. */
+void pressure_signals(void *ctx, uint64_t server,
+		      const struct backpressure_signals *signals);
+
 /* Of suspect.c: an ended_fn with the forward as context. */
 void quarantine_server_ended(void *ctx, const struct backend_info *server,
 			     const struct lost_work *lost);
--- a/include/forward/backend.h
+++ b/include/forward/backend.h
@@ -18,6 +18,7 @@
 #include <stdint.h>
 
 #include "common/clock.h"
+#include "coord/backpressure.h"
 #include "forward/caller.h"
 #include "forward/fleet.h"
 #include "web/client.h"
@@ -109,7 +110,14 @@
 };
 typedef void (*check_fn)(void *ctx, enum check_result result);
 
+/* An answer of any kind came from a life of a server, named as by
+ * backend_key(). */
+typedef void (*signals_fn)(void *ctx, uint64_t server,
+			   const struct backpressure_signals *signals);
+
 struct backend_ops {
+	/* Has fn called with each answer's head from now on. */
+	void (*watch)(void *ctx, signals_fn fn, void *fn_ctx);
 	struct web_call *(*send)(void *ctx, const struct send_spec *spec,
 				 const struct send_events *events,
 				 void *events_ctx);
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -35,6 +35,7 @@
 #include <stdint.h>
 
 #include "common/counter.h"
+#include "coord/backpressure.h"
 #include "coord/limit.h"
 #include "coord/quarantine.h"
 #include "forward/backend.h"
@@ -71,6 +72,7 @@
 	struct fleet *fleet;
 	struct budgets *budgets;
 	struct quarantine *quarantine;
+	struct backpressure *backpressure;
 	struct limits *limits;
 	struct counter_set *counters;
 	GRand *rand;
--- a/include/web/client.h
+++ b/include/web/client.h
@@ -72,5 +72,11 @@
 struct web_call *web_fetch(struct web_client *client,
 			   const struct web_call_spec *spec, size_t limit,
 			   web_answer_fn fn, void *ctx);
+/* The same; head is called before, when the head has arrived. */
+typedef void (*web_head_fn)(void *ctx, int status,
+			    const struct web_header *headers, size_t count);
+struct web_call *web_fetch_head(struct web_client *client,
+				const struct web_call_spec *spec, size_t limit,
+				web_head_fn head, web_answer_fn fn, void *ctx);
 
 #endif
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -30,6 +30,7 @@
 	struct fleet *fleet;
 	struct budgets *budgets;
 	struct quarantine *quarantine;
+	struct backpressure *backpressure;
 	struct limits *limits;
 	struct counter_set *counters;
 	struct forward *forward;
@@ -40,6 +41,8 @@
 	struct send_events events;
 	reserve_fn reserve;
 	void *call_ctx;
+	signals_fn signals;
+	void *signals_ctx;
 	check_fn check; /* under way, or NULL */
 	void *check_ctx;
 	const char *options; /* of the request taken */
@@ -187,6 +190,12 @@
 	say("free %s %s", to->id, kv_handle);
 }
 
+static void fake_watch(void *ctx, signals_fn fn, void *fn_ctx)
+{
+	world.signals = fn;
+	world.signals_ctx = fn_ctx;
+}
+
 /* Unanswered unless a step answers it. */
 static struct web_call *fake_check(void *ctx, const struct backend_info *to,
 				   const char *health_path, check_fn fn,
@@ -394,8 +403,8 @@
 		.suspects_max = 8,
 	};
 	struct forward_parts parts = {
-		.backends = {fake_send, fake_reserve, fake_unreserve,
-			     fake_free_result, NULL, fake_check,
+		.backends = {fake_watch, fake_send, fake_reserve,
+			     fake_unreserve, fake_free_result, NULL, fake_check,
 			     fake_read_result, NULL},
 		.callers = {fake_decode, "Key", NULL},
 		.instances = instances,
@@ -422,6 +431,8 @@
 	parts.budgets = world.budgets;
 	world.limits = limits_create(&limits);
 	parts.quarantine = world.quarantine;
+	world.backpressure = backpressure_create();
+	parts.backpressure = world.backpressure;
 	parts.limits = world.limits;
 	parts.counters = world.counters;
 	parts.rand = world.rand;
@@ -443,6 +454,7 @@
 	fleet_destroy(world.fleet);
 	budgets_destroy(world.budgets);
 	quarantine_destroy(world.quarantine);
+	backpressure_destroy(world.backpressure);
 	limits_destroy(world.limits);
 	counter_set_destroy(world.counters);
 	g_rand_free(world.rand);
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -8,6 +8,7 @@
 #include "platform/caller.h"
 #include "platform/decode.h"
 #include "platform/runner.h"
+#include "platform/signals.h"
 #include "platform/store.h"
 
 #define ROUTE                                                                  \
@@ -409,6 +410,47 @@
 	g_string_free(seen.keys, TRUE);
 }
 
+/* ---- what an answer says of its server ---- */
+
+struct limit_row {
+	const char *name;
+	const char *value;
+	double limit; /* below 0: none is taken */
+};
+
+static const struct limit_row limit_rows[] = {
+	{"whole", "5", 5.0},
+	{"decimal", "8.9", 8.9},
+	{"none at all", "0", 0.0},
+	{"empty", "", -1.0},
+	{"negative", "-1", -1.0},
+	{"no number", "many", -1.0},
+	{"exponent", "1e3", -1.0},
+	{"not a number", "nan", -1.0},
+	{"endless", "inf", -1.0},
+	{"two points", "1.2.3", -1.0},
+	{"unit", "5/s", -1.0},
+	{"huge", "99999999999999999999999999999999", -1.0},
+	{"only a point", ".", -1.0},
+};
+
+static void test_limit(const void *data)
+{
+	const struct limit_row *row = data;
+	const struct web_header headers[] = {
+		{{"server-signature", 16}, {"s", 1}},
+		{{"server-limit", 12}, {row->value, strlen(row->value)}},
+	};
+	struct backpressure_signals signals;
+
+	platform_signals_read(headers, G_N_ELEMENTS(headers), &signals);
+	g_assert_cmpint(signals.limited, ==, row->limit >= 0.0);
+	if (signals.limited)
+		g_assert_cmpfloat(signals.limit, ==, row->limit);
+	platform_signals_read(headers, 1, &signals);
+	g_assert_false(signals.limited);
+}
+
 /* ---- fuzz ---- */
 
 /* Seeded mutations of what is sound: nothing is read past its end. */
@@ -438,6 +480,8 @@
 		(void)decode_backend("i", text, size, &info, &err);
 		(void)runner_text_read(text, size, "handle", handle,
 				       sizeof(handle));
+		(void)platform_decimal_read((struct web_text){text, size},
+					    &(double){0.0});
 		if (store_read_keyed(text, size, 0, &page, &err))
 			g_free((void *)page.records);
 	}
@@ -451,6 +495,7 @@
 	ROWS_ADD("/platform/entry/", entries, test_entry_refused);
 	ROWS_ADD("/platform/snapshot/", snapshots, test_snapshot);
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
+	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	g_test_add_func("/platform/organisations", test_organisations);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
--- a/web/fetch.c
+++ b/web/fetch.c
@@ -2,6 +2,7 @@
 
 struct fetch {
 	struct web_call *call;
+	web_head_fn head; /* may be NULL */
 	web_answer_fn fn;
 	void *ctx;
 	size_t limit;
@@ -23,6 +24,8 @@
 	struct fetch *fetch = ctx;
 
 	fetch->status = status;
+	if (fetch->head)
+		fetch->head(fetch->ctx, status, headers, count);
 }
 
 static void on_body(void *ctx, const void *data, size_t size)
@@ -44,13 +47,14 @@
 		  fetch->body->len);
 }
 
-struct web_call *web_fetch(struct web_client *client,
-			   const struct web_call_spec *spec, size_t limit,
-			   web_answer_fn fn, void *ctx)
+struct web_call *web_fetch_head(struct web_client *client,
+				const struct web_call_spec *spec, size_t limit,
+				web_head_fn head, web_answer_fn fn, void *ctx)
 {
 	static const struct web_call_ops ops = {on_head, on_body, on_done};
 	struct fetch *fetch = g_new0(struct fetch, 1);
 
+	fetch->head = head;
 	fetch->fn = fn;
 	fetch->ctx = ctx;
 	fetch->limit = MIN(limit, G_MAXINT);
@@ -59,3 +63,10 @@
 	fetch->call->release = fetch_release;
 	return fetch->call;
 }
+
+struct web_call *web_fetch(struct web_client *client,
+			   const struct web_call_spec *spec, size_t limit,
+			   web_answer_fn fn, void *ctx)
+{
+	return web_fetch_head(client, spec, limit, NULL, fn, ctx);
+}
