--- a/forward/pressure.c
+++ b/forward/pressure.c
@@ -11,12 +11,12 @@
 	const struct forward_parts *parts = &forward->parts;
 	const struct backend *backend = fleet_find(parts->fleet, server);
 
-	log_event(LOG_NOTICE, "backend_limit",
-		  LOG_S("backend", backend ? backend->info.id : ""),
-		  LOG_D("born", backend ? backend->info.born : 0),
-		  LOG_F("per_s",
-			backpressure_limit(parts->backpressure, server)),
-		  LOG_F("before", before), LOG_S("from", "answer"));
+	log_event(
+		LOG_NOTICE, "backend_limit",
+		LOG_S("backend", backend ? backend->info.id : ""),
+		LOG_D("born", backend ? backend->info.born : 0),
+		LOG_F("per_s", backpressure_limit(parts->backpressure, server)),
+		LOG_F("before", before), LOG_S("from", "answer"));
 }
 
 void pressure_signals(void *ctx, uint64_t server,
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -127,6 +127,16 @@
 	return true;
 }
 
+static bool limit_set(struct site *site, const json_t *root)
+{
+	struct server *server = server_find(site, text_of(root, "server"));
+
+	if (server)
+		asks_limit(server,
+			   json_number_value(json_object_get(root, "per_s")));
+	return server != NULL;
+}
+
 static bool entry_set(struct site *site, const json_t *root)
 {
 	const char *topic = text_of(root, "topic");
@@ -204,8 +214,9 @@
 	}
 	g_hash_table_foreach_remove(site->taken, is_over, site);
 	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
-			 "s:i}",
-			 "strangers", (int)ledger->strangers, "secrets",
+			 "s:i, s:i}",
+			 "over_limit", (int)ledger->over_limit, "strangers",
+			 (int)ledger->strangers, "secrets",
 			 (int)ledger->secrets, "units", units_of(site, request),
 			 "of_id", runs_of(site, request), "runs",
 			 (int)ledger->total, "repeats", (int)ledger->repeats,
@@ -221,7 +232,7 @@
 } controls[] = {
 	{"/site/fault", fault_set}, {"/site/state", state_set},
 	{"/site/entry", entry_set}, {"/site/config", config_set},
-	{"/site/store", store_set},
+	{"/site/store", store_set}, {"/site/limit", limit_set},
 };
 
 static void on_control(void *ctx, struct web_request *request)
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -23,6 +23,8 @@
  *			   the one that its id begins with, up to a dot, or
  *			   none where that is "nobody"
  *	POST /site/store   {"state": "up"}, or "down", "forget"
+ *	POST /site/limit   {"server": "s1", "per_s": N}: it names that many
+ *			   requests a second in its answers; none below 0
  *	GET  /site/ledger?id=ID
  *			   runs of that request; all runs, repeats, what is
  *			   still held, servers that ended
@@ -80,6 +82,9 @@
 	int64_t born; /* Unix milliseconds; small, so that logs are alike */
 	uint64_t beats;
 	uint32_t running;
+	double limit; /* requests a second that it names; below 0: none */
+	int64_t limited_at;
+	GArray *arrivals; /* int64_t, since the limit binds */
 };
 
 struct ledger {
@@ -91,10 +96,11 @@
 	uint32_t holds; /* outstanding */
 	uint32_t results;
 	uint32_t orders;
-	uint32_t ended;	    /* servers */
-	uint32_t strangers; /* arrivals that name another organisation */
-	uint32_t secrets;   /* arrivals that bear a key */
-	GHashTable *units;  /* organisation to tokens that ran, as pointers */
+	uint32_t ended;	     /* servers */
+	uint32_t strangers;  /* arrivals that name another organisation */
+	uint32_t secrets;    /* arrivals that bear a key */
+	uint32_t over_limit; /* arrivals beyond what a server's limit allows */
+	GHashTable *units;   /* organisation to tokens that ran, as pointers */
 };
 
 struct record {
@@ -139,6 +145,13 @@
 			   enum stage stage);
 void server_beat(struct server *server);
 
+/* site_asks.c */
+/* Adds what the server asks for to an answer. */
+void asks_tell(const struct server *server, struct web_request *request);
+void asks_limit(struct server *server, double limit);
+/* A request has arrived. */
+void asks_judge(struct server *server);
+
 /* site.c */
 char *site_name(struct site *site, const char *prefix);
 bool site_take(struct site *site, const char *name);
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -65,9 +65,12 @@
 		web_reply_header(request, "request-id", id);
 }
 
-static void refuse(struct web_request *request, int status, const char *text)
+static void refuse(const struct server *server, struct web_request *request,
+		   int status, const char *text)
 {
 	echo(request);
+	if (status != 421)
+		asks_tell(server, request);
 	web_reply_header(request, "not-executed", "1");
 	web_reply(request, status, "text/plain", text, strlen(text));
 }
@@ -136,6 +139,7 @@
 static void sign(struct run *run)
 {
 	echo(run->request);
+	asks_tell(run->server, run->request);
 	if (run->fault != FAULT_UNSIGNED)
 		web_reply_header(run->request, "server-signature",
 				 run->server->name);
@@ -270,6 +274,7 @@
 			  sizeof(int64_t)));
 	server->site->ledger.prefills++;
 	echo(request);
+	asks_tell(server, request);
 	web_reply(request, 200, "application/json", text, strlen(text));
 }
 
@@ -281,11 +286,11 @@
 	const char *slash = source ? strchr(source, '/') : NULL;
 
 	if (hold && !site_take(server->site, hold)) {
-		refuse(request, 503, "no such hold\n");
+		refuse(server, request, 503, "no such hold\n");
 		return false;
 	}
 	if (source && (!slash || !site_take(server->site, slash + 1))) {
-		refuse(request, 503, "no such result\n");
+		refuse(server, request, 503, "no such result\n");
 		return false;
 	}
 	return true;
@@ -298,7 +303,7 @@
 	if (!id.data || web_text_is(id, server->id))
 		return false;
 	web_reply_header(request, "instance-id", server->id);
-	refuse(request, 421, "another server\n");
+	refuse(server, request, 421, "another server\n");
 	return true;
 }
 
@@ -319,9 +324,10 @@
 	if (is_other(server, request))
 		return;
 	organisation_judge(server->site, request);
+	asks_judge(server);
 	fault = fault_take(server);
 	if (fault == FAULT_BUSY) {
-		refuse(request, 503, "busy\n");
+		refuse(server, request, 503, "busy\n");
 		return;
 	}
 	if (web_text_is(stage, "prefill") && server->stage == STAGE_PREFILL &&
@@ -330,7 +336,7 @@
 		return;
 	}
 	if ((server->stage == STAGE_PREFILL) != web_text_is(stage, "prefill")) {
-		refuse(request, 421, "wrong stage\n");
+		refuse(server, request, 421, "wrong stage\n");
 		return;
 	}
 	if (ends_server(request))
@@ -349,6 +355,7 @@
 		g_memdup2(
 			&(int64_t){clock_now(server->site->clock) + HELD_USEC},
 			sizeof(int64_t)));
+	asks_tell(server, request);
 	web_reply(request, 200, "application/json", text, strlen(text));
 }
 
@@ -393,6 +400,7 @@
 	if (is_other(server, request))
 		return;
 	web_reply_header(request, "instance-id", server->id);
+	asks_tell(server, request);
 	web_reply(request, 200, "text/plain", "well\n", 5);
 }
 
@@ -436,6 +444,8 @@
 	server->id = g_strdup_printf("i-%s", name);
 	server->stage = stage;
 	server->born = FIRST_BORN;
+	server->limit = -1.0;
+	server->arrivals = g_array_new(FALSE, FALSE, sizeof(int64_t));
 	timer_init(&server->back, site->clock, on_back, server);
 	server_listen(server);
 	return server;
