--- a/coord/backpressure.c
+++ b/coord/backpressure.c
@@ -2,14 +2,34 @@
 
 #include <glib.h>
 
+#include "common/clock.h"
+
+/* A server that takes nothing is asked this often all the same: only an answer
+ * shows that it takes requests again. */
+#define LEAST_PER_SEC 0.25
+/* Requests that a home may grant at once after a pause: those of this time, one
+ * at least. */
+#define BURST_SEC 0.5
+/* Nobody is told to ask later than this. */
+#define BOOKED_USEC (1 * USEC_PER_SEC)
+/* Every instance has heard by then what is told for so long. */
+#define TOLD_USEC (30 * USEC_PER_SEC)
+#define UNLISTED_USEC (60 * USEC_PER_SEC)
+
 struct item {
 	uint64_t server;
 	double limit;
 	int64_t named_at; /* when the answer that says so came */
+	bool counts;	  /* level holds */
+	double level;	  /* requests that may be granted now */
+	int64_t level_at;
+	int64_t booked; /* up to when others were told to ask again */
 };
 
 struct backpressure {
 	GHashTable *items; /* server to struct item */
+	uint32_t limited;
+	uint32_t turn; /* which fact is told next */
 };
 
 struct backpressure *backpressure_create(void)
@@ -48,12 +68,20 @@
 	return item;
 }
 
-static bool item_set(struct item *item, double limit, int64_t at)
+static bool is_limited(const struct item *item)
+{
+	return item->limit >= 0.0;
+}
+
+static bool item_set(struct backpressure *table, struct item *item,
+		     double limit, int64_t at)
 {
 	bool changed = item->limit < limit || item->limit > limit;
 
+	table->limited -= is_limited(item);
 	item->limit = limit;
 	item->named_at = at;
+	table->limited += is_limited(item);
 	return changed;
 }
 
@@ -65,30 +93,141 @@
 
 	if (signals->limited) {
 		item = item_get(table, server);
-		return item && item_set(item, signals->limit, now);
+		return item && item_set(table, item, signals->limit, now);
 	}
 	item = item_find(table, server);
-	if (!item || !signals->of_request ||
+	if (!item || !signals->of_request || !is_limited(item) ||
 	    now - item->named_at < BACKPRESSURE_SETTLE_USEC)
 		return false;
-	return item_set(item, BACKPRESSURE_UNLIMITED, now);
+	return item_set(table, item, BACKPRESSURE_UNLIMITED, now);
 }
 
-double backpressure_limit(const struct backpressure *table, uint64_t server)
+bool backpressure_hear(struct backpressure *table, int64_t now,
+		       const struct backpressure_fact *fact)
+{
+	int64_t at = now - fact->age_usec;
+	struct item *item = item_find(table, fact->server);
+
+	if (item && item->named_at >= at)
+		return false;
+	if (!item && fact->limit >= 0.0)
+		item = item_get(table, fact->server);
+	return item && item_set(table, item, fact->limit, at);
+}
+
+static void fact_fill(const struct item *item, int64_t now,
+		      struct backpressure_fact *fact)
+{
+	*fact = (struct backpressure_fact){
+		.server = item->server,
+		.limit = item->limit,
+		.age_usec = MAX(now - item->named_at, 0),
+	};
+}
+
+uint32_t backpressure_tell(struct backpressure *table, int64_t now,
+			   struct backpressure_fact *facts, uint32_t most)
+{
+	uint32_t all = g_hash_table_size(table->items);
+	uint32_t start = all > most ? table->turn % all : 0;
+	uint32_t count = 0;
+	uint32_t at = 0;
+	GHashTableIter iter;
+	struct item *item;
+
+	g_hash_table_iter_init(&iter, table->items);
+	while (count < most &&
+	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&item))
+		if (at++ >= start && now - item->named_at < TOLD_USEC)
+			fact_fill(item, now, &facts[count++]);
+	table->turn = at < all ? at : 0;
+	return count;
+}
+
+bool backpressure_find(const struct backpressure *table, int64_t now,
+		       uint64_t server, struct backpressure_fact *fact)
 {
 	const struct item *item = item_find(table, server);
 
+	if (item)
+		fact_fill(item, now, fact);
+	return item != NULL;
+}
+
+double backpressure_limit(const struct backpressure *table, uint64_t server)
+{
+	const struct item *item =
+		table->limited > 0 ? item_find(table, server) : NULL;
+
 	return item ? item->limit : BACKPRESSURE_UNLIMITED;
 }
 
 uint32_t backpressure_limited(const struct backpressure *table)
+{
+	return table->limited;
+}
+
+static double rate_of(const struct item *item)
+{
+	return MAX(item->limit, LEAST_PER_SEC);
+}
+
+static void level_advance(struct item *item, int64_t now)
+{
+	double sec = (double)(now - item->level_at) / (double)USEC_PER_SEC;
+	double most = MAX(rate_of(item) * BURST_SEC, 1.0);
+
+	if (item->counts)
+		item->level = MIN(item->level + rate_of(item) * sec, most);
+	item->counts = true;
+	item->level_at = now;
+}
+
+/* As fast as the bucket fills, each that asks is told a later time. */
+static int64_t book(struct item *item, int64_t now)
+{
+	double step = (double)USEC_PER_SEC / rate_of(item);
+	int64_t fits = now + (int64_t)((1.0 - item->level) * step) + 1;
+
+	if (item->booked < fits)
+		item->booked = fits;
+	else
+		item->booked += (int64_t)step;
+	item->booked = MIN(item->booked, now + BOOKED_USEC);
+	return item->booked - now;
+}
+
+bool backpressure_grant(struct backpressure *table, int64_t now,
+			uint64_t server, int64_t *retry_usec)
+{
+	struct item *item = item_find(table, server);
+
+	if (!item || !is_limited(item))
+		return true;
+	level_advance(item, now);
+	if (item->level >= 1.0) {
+		item->level -= 1.0;
+		return true;
+	}
+	*retry_usec = book(item, now);
+	return false;
+}
+
+void backpressure_prune(struct backpressure *table, int64_t now,
+			backpressure_lives_fn lives, void *ctx)
 {
 	GHashTableIter iter;
 	struct item *item;
-	uint32_t count = 0;
 
 	g_hash_table_iter_init(&iter, table->items);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item))
-		count += item->limit >= 0.0;
-	return count;
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item)) {
+		int64_t age = now - item->named_at;
+		bool ended = !is_limited(item) && age >= TOLD_USEC;
+		bool gone = age >= UNLISTED_USEC && !lives(ctx, item->server);
+
+		if (!ended && !gone)
+			continue;
+		table->limited -= is_limited(item);
+		g_hash_table_iter_remove(&iter);
+	}
 }
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -50,6 +50,9 @@
 	forward->quarantined = counter_get(
 		set, "jt_quarantined_requests_total",
 		"Requests refused since servers ended under them", NULL);
+	forward->permits_denied = counter_get(
+		set, "jt_permits_denied_total",
+		"Requests not sent to a server for its limit", NULL);
 	forward->unknown_keys =
 		counter_get(set, "jt_unknown_keys_total",
 			    "Requests denied for want of a known key", NULL);
@@ -92,7 +95,7 @@
 	timer_init(&forward->pump, parts->clock, on_pump, forward);
 	counters_setup(forward);
 	ended_open(forward);
-	parts->backends.watch(parts->backends.ctx, pressure_signals, forward);
+	parts->backends.watch(parts->backends.ctx, permit_signals, forward);
 	return forward;
 }
 
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -17,6 +17,8 @@
 		.works = g_array_new(FALSE, TRUE,
 				     sizeof(struct quarantine_entry)),
 		.uses = g_array_new(FALSE, TRUE, sizeof(struct limit_entry)),
+		.facts = g_array_new(FALSE, TRUE,
+				     sizeof(struct backpressure_fact)),
 		.addresses =
 			g_array_new(FALSE, TRUE, sizeof(struct gossip_address)),
 	};
@@ -36,6 +38,8 @@
 	g_array_unref(message->addresses);
 	g_array_unref(message->works);
 	g_array_unref(message->uses);
+	g_array_unref(message->facts);
+	message->facts = NULL;
 	message->uses = NULL;
 	message->loads = NULL;
 	message->works = NULL;
@@ -100,6 +104,46 @@
 	}
 }
 
+static void fact_pack(msgpack_packer *packer,
+		      const struct backpressure_fact *fact)
+{
+	int64_t parts =
+		fact->limit < 0.0 ? -1 : (int64_t)(fact->limit * LIMIT_PARTS);
+
+	msgpack_pack_array(packer, FACT_FIELDS);
+	msgpack_pack_uint64(packer, fact->server);
+	msgpack_pack_int64(packer, MIN(parts, LIMIT_PARTS_MAX));
+	msgpack_pack_uint64(packer, (uint64_t)MAX(fact->age_usec, 0));
+}
+
+static void facts_pack(msgpack_packer *packer, const GArray *facts)
+{
+	guint count = MIN(facts->len, GOSSIP_FACTS_MAX);
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++)
+		fact_pack(packer,
+			  &g_array_index(facts, struct backpressure_fact, i));
+}
+
+static void ask_pack(msgpack_packer *packer, const struct permit_ask *ask)
+{
+	msgpack_pack_array(packer, ASK_FIELDS);
+	msgpack_pack_uint64(packer, ask->id);
+	fact_pack(packer, &ask->fact);
+}
+
+static void answer_pack(msgpack_packer *packer,
+			const struct permit_answer *answer)
+{
+	msgpack_pack_array(packer, ANSWER_FIELDS);
+	msgpack_pack_uint64(packer, answer->id);
+	msgpack_pack_uint64(packer, answer->server);
+	msgpack_pack_uint8(packer, answer->granted);
+	msgpack_pack_int64(packer,
+			   CLAMP(answer->retry_usec, 0, RETRY_USEC_MAX));
+}
+
 static void share_word_pack(msgpack_packer *packer,
 			    const struct share_word *word)
 {
@@ -183,6 +227,7 @@
 					     .text);
 	uses_pack(packer, message->uses);
 	lost_pack(packer, word);
+	facts_pack(packer, message->facts);
 }
 
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
@@ -200,6 +245,10 @@
 		works_pack(&packer, message->works);
 	else if (message->kind == GOSSIP_USES)
 		uses_pack(&packer, message->uses);
+	else if (message->kind == GOSSIP_ASK)
+		ask_pack(&packer, &message->ask);
+	else if (message->kind == GOSSIP_ANSWER)
+		answer_pack(&packer, &message->answer);
 	else
 		loads_pack(&packer, message->loads);
 	if (word)
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -8,7 +8,11 @@
  *	 read rates, read raters,
  *	 flags, [[backend, stage, milliseconds left], ...], [[next, changed, age
  *in microseconds], ...], first, [address, ...], [use, ...],
- *	 [[backend, milliseconds left], ...]] Uses: [format,
+ *	 [[backend, milliseconds left], ...], [fact, ...]]
+ *	A fact is [backend, thousandths of a request a second or -1, age in
+ *	microseconds]. Ask: [format, kind, boot, sequence, [id, fact]]. Answer:
+ *	[format, kind, boot, sequence, [id, backend, granted, microseconds]].
+ *	Uses: [format,
  *kind, boot, sequence, [[organisation, epoch, used, demand, level], ...]], of
  *an instance or of its data centre Works: [format, kind, boot, sequence,
  *[[work, work, epoch, stored, [life of a server, ...]], ...]] Changes: [format,
@@ -25,7 +29,7 @@
 #include "forward/fleet.h"
 #include "forward/gossip.h"
 
-#define GOSSIP_FORMAT 3
+#define GOSSIP_FORMAT 4
 /* Fits a datagram on loopback and on links with jumbo frames; on others IP
  * fragments it. 600 servers with load take 14 KiB. */
 #define GOSSIP_BYTES_MAX (32u << 10)
@@ -45,6 +49,8 @@
 	GOSSIP_CHANGES, /* of its own loads since the last one */
 	GOSSIP_USES,	/* of allotments: its own to peers near, its data
 			   centre's to others */
+	GOSSIP_ASK,	/* for a permit */
+	GOSSIP_ANSWER,	/* to that */
 	GOSSIP_WORKS,	/* in the quarantine */
 };
 
@@ -70,6 +76,8 @@
 	GArray *loads; /* struct gossip_load */
 	GArray *works; /* struct quarantine_entry, of GOSSIP_WORKS only */
 	GArray *uses;  /* struct limit_entry, of words and GOSSIP_USES */
+	struct permit_ask ask;	     /* of GOSSIP_ASK only */
+	struct permit_answer answer; /* of GOSSIP_ANSWER only */
 	/* What follows is empty in changes. */
 	char name[BACKEND_TEXT_MAX];
 	char data_centre[BACKEND_TEXT_MAX];
@@ -78,6 +86,7 @@
 	/* struct gossip_address: other instances; of a data centre all that
 	 * live there. */
 	GArray *addresses;
+	GArray *facts; /* struct backpressure_fact */
 };
 
 /* Makes the arrays; cleared with gossip_message_clear(). */
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -155,6 +155,67 @@
 	return true;
 }
 
+static bool fact_read(const msgpack_object *object,
+		      struct backpressure_fact *fact)
+{
+	const msgpack_object *fields;
+	int64_t parts;
+	uint64_t age;
+
+	if (!is_tuple(object, FACT_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &fact->server) ||
+	    !sum_read(&fields[1], LIMIT_PARTS_MAX, &parts) || parts < -1 ||
+	    !number_read(&fields[2], FACT_AGE_USEC_MAX, &age))
+		return false;
+	fact->limit = parts < 0 ? BACKPRESSURE_UNLIMITED
+				: (double)parts / LIMIT_PARTS;
+	fact->age_usec = (int64_t)age;
+	return true;
+}
+
+static bool facts_read(const msgpack_object *object, GArray *facts)
+{
+	if (!is_array(object, GOSSIP_FACTS_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		struct backpressure_fact fact;
+
+		if (!fact_read(&object->via.array.ptr[i], &fact))
+			return false;
+		g_array_append_val(facts, fact);
+	}
+	return true;
+}
+
+static bool ask_read(const msgpack_object *object, struct permit_ask *ask)
+{
+	return is_tuple(object, ASK_FIELDS) &&
+	       number_read(&object->via.array.ptr[0], UINT64_MAX, &ask->id) &&
+	       fact_read(&object->via.array.ptr[1], &ask->fact);
+}
+
+static bool answer_read(const msgpack_object *object,
+			struct permit_answer *answer)
+{
+	const msgpack_object *fields;
+	uint64_t granted;
+	uint64_t retry;
+
+	if (!is_tuple(object, ANSWER_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!number_read(&fields[0], UINT64_MAX, &answer->id) ||
+	    !number_read(&fields[1], UINT64_MAX, &answer->server) ||
+	    !number_read(&fields[2], 1, &granted) ||
+	    !number_read(&fields[3], RETRY_USEC_MAX, &retry))
+		return false;
+	answer->granted = granted;
+	answer->retry_usec = (int64_t)retry;
+	return true;
+}
+
 static bool share_word_read(const msgpack_object *object,
 			    struct share_word *word)
 {
@@ -303,7 +364,26 @@
 			   sizeof(message->first.name)) &&
 	       addresses_read(&fields[11], message) &&
 	       uses_read(&fields[12], message->uses) &&
-	       lost_read(&fields[13], &message->word);
+	       lost_read(&fields[13], &message->word) &&
+	       facts_read(&fields[14], message->facts);
+}
+
+/* What follows the head of messages that are no words and hold no loads. */
+static bool short_read(const msgpack_object *body,
+		       struct gossip_message *message)
+{
+	switch (message->kind) {
+	case GOSSIP_WORKS:
+		return works_read(body, message->works);
+	case GOSSIP_USES:
+		return uses_read(body, message->uses);
+	case GOSSIP_ASK:
+		return ask_read(body, &message->ask);
+	case GOSSIP_ANSWER:
+		return answer_read(body, &message->answer);
+	default:
+		return false;
+	}
 }
 
 static bool message_read(const msgpack_object *object,
@@ -322,12 +402,9 @@
 	    !number_read(&fields[3], UINT64_MAX, &message->sequence))
 		return false;
 	message->kind = (enum gossip_kind)kind;
-	if (message->kind == GOSSIP_WORKS)
-		return object->via.array.size == CHANGES_FIELDS &&
-		       works_read(&fields[4], message->works);
-	if (message->kind == GOSSIP_USES)
+	if (message->kind > GOSSIP_CHANGES)
 		return object->via.array.size == CHANGES_FIELDS &&
-		       uses_read(&fields[4], message->uses);
+		       short_read(&fields[4], message);
 	if (!loads_read(&fields[4], message->loads))
 		return false;
 	if (message->kind == GOSSIP_CHANGES)
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -7,7 +7,17 @@
 
 #define CHANGES_FIELDS 5
 #define WORK_FIELDS 5
-#define WORD_FIELDS 19
+#define WORD_FIELDS 20
+#define FACT_FIELDS 3
+#define ASK_FIELDS 2
+#define ANSWER_FIELDS 4
+/* Thousandths in one, as limits are written. */
+#define LIMIT_PARTS 1000
+/* No server takes so many thousandths of a request a second. */
+#define LIMIT_PARTS_MAX ((int64_t)1 << 40)
+#define FACT_AGE_USEC_MAX ((uint64_t)1 << 50)
+/* Longest that an asker is told to wait. */
+#define RETRY_USEC_MAX 60000000
 #define SHARE_FIELDS 3
 #define LOAD_FIELDS 4
 #define USE_FIELDS 5
--- a/forward/gossip_hear.c
+++ b/forward/gossip_hear.c
@@ -93,6 +93,7 @@
 		own_take(gossip, peer, message);
 	else
 		centre_take(gossip, peer, message);
+	gossip_facts_hear(gossip, message->facts);
 	/* A word of oneself to somebody elsewhere, as a stranger tells it, is
 	 * no sum of its data centre. */
 	if (message->kind == GOSSIP_CENTRE || peer_near(gossip, peer))
@@ -101,6 +102,11 @@
 			  &message->word);
 }
 
+static bool is_permit(const struct gossip_message *message)
+{
+	return message->kind == GOSSIP_ASK || message->kind == GOSSIP_ANSWER;
+}
+
 void gossip_hear(struct gossip *gossip, const char *from,
 		 const struct gossip_message *message)
 {
@@ -113,8 +119,14 @@
 				  message->works);
 		return;
 	}
-	if (!peer && message->kind < GOSSIP_CHANGES)
+	if (!peer && (message->kind < GOSSIP_CHANGES || is_permit(message)))
 		peer = peer_add(gossip, from);
+	/* They answer each other, by their numbers: of an instance elsewhere
+	 * nothing else may have come yet. */
+	if (peer && is_permit(message)) {
+		gossip_permit_hear(gossip, peer, message);
+		return;
+	}
 	if (!peer || !is_news(peer, message))
 		return;
 	starts = message->boot != peer->boot || !peer_live(gossip, peer);
--- /dev/null
+++ b/forward/gossip_permits.c
@@ -0,0 +1,138 @@
+/*
+ * gossip_permits.c - what servers ask for, told to all, and the home of each
+ * server that names a limit, which is asked for each request
+ */
+#include <string.h>
+
+#include "common/id.h"
+#include "gossip_private.h"
+
+void gossip_facts_add(struct gossip *gossip, GArray *facts)
+{
+	struct backpressure_fact some[GOSSIP_FACTS_MAX];
+	uint32_t count;
+
+	if (!gossip->ops.facts)
+		return;
+	count = gossip->ops.facts(gossip->ctx, some, GOSSIP_FACTS_MAX);
+	g_array_append_vals(facts, some, count);
+}
+
+void gossip_facts_hear(struct gossip *gossip, const GArray *facts)
+{
+	for (guint i = 0; gossip->ops.fact_heard && i < facts->len; i++)
+		gossip->ops.fact_heard(
+			gossip->ctx,
+			&g_array_index(facts, struct backpressure_fact, i));
+}
+
+/* ---- the home of a server ---- */
+
+/* The best of those looked at so far. */
+struct home {
+	uint64_t server;
+	uint64_t best;
+	const struct peer *peer; /* NULL: this instance */
+	bool found;
+};
+
+static void home_offer(struct home *home, uint64_t key, const struct peer *peer)
+{
+	uint64_t value = id_mix(home->server, key);
+
+	if (home->found && value <= home->best)
+		return;
+	home->best = value;
+	home->peer = peer;
+	home->found = true;
+}
+
+static void home_offer_peers(const struct gossip *gossip, struct home *home,
+			     const GPtrArray *peers)
+{
+	for (guint i = 0; i < peers->len; i++) {
+		const struct peer *peer = peers->pdata[i];
+
+		if (peer_live(gossip, peer))
+			home_offer(home, peer->key, peer);
+	}
+}
+
+static struct home home_find(const struct gossip *gossip, uint64_t server,
+			     const char *data_centre, bool may_be)
+{
+	const struct centre *centre =
+		g_hash_table_lookup(gossip->centres, data_centre);
+	struct home home = {.server = server};
+	bool near = strcmp(data_centre, gossip->settings.data_centre) == 0;
+
+	if (near && may_be)
+		home_offer(&home, gossip->key, NULL);
+	if (near)
+		home_offer_peers(gossip, &home, gossip->near);
+	else if (centre)
+		home_offer_peers(gossip, &home, centre->peers);
+	if (home.found)
+		return home;
+	if (may_be)
+		home_offer(&home, gossip->key, NULL);
+	home_offer_peers(gossip, &home, gossip->near);
+	home_offer_peers(gossip, &home, gossip->far);
+	return home;
+}
+
+bool gossip_is_home(const struct gossip *gossip, uint64_t server,
+		    const char *data_centre, bool may_be)
+{
+	return !home_find(gossip, server, data_centre, may_be).peer;
+}
+
+/* ---- asking it ---- */
+
+static void message_send(struct gossip *gossip, struct gossip_message *message,
+			 const struct peer *peer)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+
+	gossip_encode(message, out);
+	peer_send(gossip, peer, out);
+	gossip_message_clear(message);
+}
+
+bool gossip_ask(struct gossip *gossip, const struct permit_ask *ask,
+		const char *data_centre, bool may_be)
+{
+	struct home home =
+		home_find(gossip, ask->fact.server, data_centre, may_be);
+	struct gossip_message message;
+
+	if (!home.peer)
+		return false;
+	message_begin(gossip, &message, GOSSIP_ASK);
+	message.ask = *ask;
+	message_send(gossip, &message, home.peer);
+	return true;
+}
+
+static void ask_hear(struct gossip *gossip, const struct peer *peer,
+		     const struct permit_ask *ask)
+{
+	struct gossip_message message;
+
+	if (!gossip->ops.permit_asked)
+		return;
+	message_begin(gossip, &message, GOSSIP_ANSWER);
+	message.answer.id = ask->id;
+	message.answer.server = ask->fact.server;
+	gossip->ops.permit_asked(gossip->ctx, ask, &message.answer);
+	message_send(gossip, &message, peer);
+}
+
+void gossip_permit_hear(struct gossip *gossip, const struct peer *peer,
+			const struct gossip_message *message)
+{
+	if (message->kind == GOSSIP_ASK)
+		ask_hear(gossip, peer, &message->ask);
+	else if (gossip->ops.permit_answered)
+		gossip->ops.permit_answered(gossip->ctx, &message->answer);
+}
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -145,6 +145,15 @@
 void gossip_uses_hear(struct gossip *gossip, const struct peer *peer,
 		      const GArray *uses);
 
+/* Of gossip_permits.c. */
+/* Adds what servers ask for. */
+void gossip_facts_add(struct gossip *gossip, GArray *facts);
+/* Takes in what a peer told of them. */
+void gossip_facts_hear(struct gossip *gossip, const GArray *facts);
+/* Answers a peer that asks, or takes its answer. */
+void gossip_permit_hear(struct gossip *gossip, const struct peer *peer,
+			const struct gossip_message *message);
+
 /* Of gossip_view.c. */
 /* The lowest name of this data centre. */
 void gossip_first_near(const struct gossip *gossip, bool storeless,
--- a/forward/gossip_tell.c
+++ b/forward/gossip_tell.c
@@ -93,6 +93,7 @@
 	loads_own(gossip, message.loads);
 	address_add(gossip, &message);
 	gossip_uses_add(gossip, false, message.uses);
+	gossip_facts_add(gossip, message.facts);
 	gossip_encode(&message, out);
 	loads_differ(gossip->last, message.loads, changes);
 	if (message.word.leaving || changes->len > 0)
@@ -131,6 +132,7 @@
 	if (members)
 		members_add(gossip, &message);
 	gossip_uses_add(gossip, true, message.uses);
+	gossip_facts_add(gossip, message.facts);
 	gossip_encode(&message, out);
 	gossip_message_clear(&message);
 	return out;
--- a/forward/node.c
+++ b/forward/node.c
@@ -223,6 +223,7 @@
 		.load_changed = load_changed,
 		.work_changed = node_work_changed,
 		.allotment_used = node_allotment_used,
+		.permit = node_permit,
 		.instances_ctx = node,
 	};
 
@@ -245,9 +246,20 @@
 static bool gossip_open(struct node *node, struct error *err)
 {
 	static const struct gossip_ops ops = {
-		word_fill,	 on_heard,	 reads_store,
-		node_work_heard, node_works,	 node_uses,
-		node_uses_told,	 node_use_heard, servers_fill};
+		.word = word_fill,
+		.heard = on_heard,
+		.reads = reads_store,
+		.work_heard = node_work_heard,
+		.works = node_works,
+		.uses = node_uses,
+		.uses_told = node_uses_told,
+		.use_heard = node_use_heard,
+		.servers = servers_fill,
+		.facts = node_facts,
+		.fact_heard = node_fact_heard,
+		.permit_asked = node_permit_asked,
+		.permit_answered = node_permit_answered,
+	};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
 		.data_centre = node->settings.data_centre,
--- a/forward/node.h
+++ b/forward/node.h
@@ -56,6 +56,7 @@
 	struct budgets *budgets;
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
+	int64_t pruned_at;
 	struct limits *limits;
 	struct node_storing storing;
 	int64_t works_read; /* when the store was asked for them last */
@@ -126,6 +127,18 @@
 void node_use_heard(void *ctx, const struct limit_source *source,
 		    const struct limit_entry *entry);
 
+/* Of node_permits.c: what servers ask for, and permits to send to those that
+ * name a limit, to and from the others. */
+enum permit node_permit(void *ctx, const struct backend *backend, uint64_t id,
+			int64_t *retry_usec);
+void node_permit_asked(void *ctx, const struct permit_ask *ask,
+		       struct permit_answer *answer);
+void node_permit_answered(void *ctx, const struct permit_answer *answer);
+void node_fact_heard(void *ctx, const struct backpressure_fact *fact);
+uint32_t node_facts(void *ctx, struct backpressure_fact *facts, uint32_t most);
+/* Forgets servers that are gone. To be called about every 100 ms. */
+void node_permits_tick(struct node *node);
+
 /* Of node_health.c: web_handler_fn of the addresses for health and metrics. */
 void node_health(void *ctx, struct web_request *request);
 void node_metrics(void *ctx, struct web_request *request);
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -157,6 +157,7 @@
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_tick(node->shares[i].share, &place);
 	node_works_tick(node);
+	node_permits_tick(node);
 }
 
 static void on_fetched(void *ctx, const struct web_result *result, int status,
--- /dev/null
+++ b/forward/node_permits.c
@@ -0,0 +1,104 @@
+/*
+ * node_permits.c - what servers ask for, and permits, to and from the other
+ * instances
+ */
+#include "node.h"
+
+/* An instance that starts knows the others by then. */
+#define MEET_USEC (1 * USEC_PER_SEC)
+/* When one asks again that believes the wrong instance to be home: views agree
+ * within a few messages. */
+#define MISTAKEN_USEC (100 * USEC_PER_MSEC)
+/* What was told was said so much before, at least. */
+#define WAY_USEC (1 * USEC_PER_MSEC)
+#define PRUNE_USEC (1 * USEC_PER_SEC)
+
+/* One that leaves is nobody's home. */
+static bool may_be_home(const struct node *node)
+{
+	return !node->draining;
+}
+
+static bool grant(struct node *node, uint64_t server, int64_t *retry_usec)
+{
+	if (clock_now(node->clock) < MEET_USEC) {
+		*retry_usec = MEET_USEC - clock_now(node->clock);
+		return false;
+	}
+	return backpressure_grant(node->backpressure, clock_now(node->clock),
+				  server, retry_usec);
+}
+
+enum permit node_permit(void *ctx, const struct backend *backend, uint64_t id,
+			int64_t *retry_usec)
+{
+	struct node *node = ctx;
+	struct permit_ask ask = {.id = id};
+
+	if (!backpressure_find(node->backpressure, clock_now(node->clock),
+			       backend->key, &ask.fact))
+		return PERMIT_GRANTED;
+	if (gossip_ask(node->gossip, &ask, backend->info.data_centre,
+		       may_be_home(node)))
+		return PERMIT_ASKED;
+	return grant(node, backend->key, retry_usec) ? PERMIT_GRANTED
+						     : PERMIT_DENIED;
+}
+
+void node_permit_asked(void *ctx, const struct permit_ask *ask,
+		       struct permit_answer *answer)
+{
+	struct node *node = ctx;
+	const struct backend *backend =
+		fleet_find(node->fleet, ask->fact.server);
+
+	node_fact_heard(node, &ask->fact);
+	answer->retry_usec = MISTAKEN_USEC;
+	answer->granted =
+		backend &&
+		gossip_is_home(node->gossip, backend->key,
+			       backend->info.data_centre, may_be_home(node)) &&
+		grant(node, backend->key, &answer->retry_usec);
+}
+
+void node_permit_answered(void *ctx, const struct permit_answer *answer)
+{
+	const struct node *node = ctx;
+
+	forward_permit(node->forward, answer->id, answer->server,
+		       answer->granted, answer->retry_usec);
+}
+
+void node_fact_heard(void *ctx, const struct backpressure_fact *fact)
+{
+	const struct node *node = ctx;
+	struct backpressure_fact heard = *fact;
+
+	heard.age_usec += WAY_USEC;
+	forward_fact(node->forward, &heard);
+}
+
+uint32_t node_facts(void *ctx, struct backpressure_fact *facts, uint32_t most)
+{
+	const struct node *node = ctx;
+
+	return backpressure_tell(node->backpressure, clock_now(node->clock),
+				 facts, most);
+}
+
+static bool server_lives(void *ctx, uint64_t server)
+{
+	const struct node *node = ctx;
+
+	return fleet_find(node->fleet, server) != NULL;
+}
+
+void node_permits_tick(struct node *node)
+{
+	int64_t now = clock_now(node->clock);
+
+	if (now - node->pruned_at < PRUNE_USEC)
+		return;
+	node->pruned_at = now;
+	backpressure_prune(node->backpressure, now, server_lives, node);
+}
--- a/forward/place.c
+++ b/forward/place.c
@@ -36,6 +36,10 @@
 /* A decode server reads a prompt itself at half the speed, between the tokens
  * of those that run there. */
 #define OWN_READ_COST 2.0
+/* A server that names a limit is in need: others are used first until they are
+ * about half full. */
+#define LIMITED_PART 0.5
+#define PREFILL_LIMITED_TOKENS 4000.0
 /* The cost of a server that cannot take the request. */
 #define NOT_FIT DBL_MAX
 
@@ -53,11 +57,19 @@
 	return false;
 }
 
+static bool is_limited(const struct place *place, const struct backend *backend)
+{
+	return place->backpressure &&
+	       backpressure_limit(place->backpressure, backend->key) >= 0.0;
+}
+
 static bool backend_fits(const struct place *place,
 			 const struct backend *backend)
 {
 	return backend_usable(backend, place->now) &&
-	       !tried_has(place->tried, backend->key);
+	       place->now >= backend->closed_until &&
+	       !tried_has(place->tried, backend->key) &&
+	       !(place->unlimited && is_limited(place, backend));
 }
 
 int64_t place_stale(const struct place *place, const struct backend *backend)
@@ -110,10 +122,27 @@
 
 	return (double)backend_requests(backend) / slots +
 	       (backend->near ? 0.0 : PLAIN_FAR) +
+	       (is_limited(place, backend) ? LIMITED_PART : 0.0) +
 	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
 	       jitter(place, backend);
 }
 
+int64_t place_opens(const struct place *place)
+{
+	const GPtrArray *list = fleet_service(place->fleet, place->service);
+	int64_t first = 0;
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct backend *backend = list->pdata[i];
+
+		if (backend_usable(backend, place->now) &&
+		    backend->closed_until > place->now &&
+		    (first == 0 || backend->closed_until < first))
+			first = backend->closed_until;
+	}
+	return first;
+}
+
 struct backend *place_plain(const struct place *place)
 {
 	return place_least(place, plain_cost, NULL);
@@ -170,6 +199,7 @@
 			backend_prefill_tokens(backend)) /
 		       (double)MAX(decode->engine->memory_tokens, 1) +
 	       (backend->near ? 0.0 : DECODE_FAR) +
+	       (is_limited(place, backend) ? LIMITED_PART : 0.0) +
 	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
 	       jitter(place, backend);
 }
@@ -194,6 +224,7 @@
 		return NOT_FIT;
 	return (double)backend_prefill_tokens(backend) +
 	       (near ? 0.0 : PREFILL_FAR_TOKENS) +
+	       (is_limited(place, backend) ? PREFILL_LIMITED_TOKENS : 0.0) +
 	       PREFILL_TROUBLE_TOKENS * backend_trouble(backend, place->now) +
 	       PREFILL_JITTER_TOKENS * jitter(place, backend);
 }
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -20,6 +20,9 @@
  * which a further one would be late or refused there. */
 #define QUEUE_SLOTS 5u
 
+/* Homes of limited servers that are asked for one call. */
+#define ASKS_MAX 4u
+
 static void plain_send(struct request *request, struct backend *backend);
 
 static struct backend *target_get(struct request *request)
@@ -28,11 +31,14 @@
 			  backend_key(&request->target));
 }
 
-static struct backend *server_choose(struct request *request)
+/* Only the first try goes to a server that names a limit: one in need is not
+ * sent what failed elsewhere. */
+static struct backend *server_choose(struct request *request, bool first)
 {
 	struct place place;
 
 	request_place(request, &place);
+	place.unlimited = !first;
 	return place_plain(&place);
 }
 
@@ -54,7 +60,7 @@
 
 	if (may && request->runs < request->route->attempts &&
 	    request_left(request) > 0) {
-		struct backend *backend = server_choose(request);
+		struct backend *backend = server_choose(request, false);
 
 		if (request_quarantine(request))
 			return;
@@ -208,17 +214,50 @@
 	request->call = ops->send(ops->ctx, &spec, &events, request);
 }
 
-void plain_start(struct request *request)
+static void plain_unplaced(struct request *request)
 {
-	struct backend *backend = server_choose(request);
+	struct place place;
+	int64_t opens;
 
-	if (!backend) {
+	request_place(request, &place);
+	opens = place_opens(&place);
+	if (opens > 0)
+		request_refuse(request, RESULT_SERVERS_LIMITED,
+			       opens - place.now);
+	else
 		request_refuse(request, RESULT_NO_BACKEND, RETRY_USEC);
-		return;
+}
+
+void plain_start(struct request *request)
+{
+	enum permit permit = PERMIT_DENIED;
+	struct backend *backend;
+
+	while (permit == PERMIT_DENIED) {
+		backend = request->asks < ASKS_MAX
+				  ? server_choose(request, true)
+				  : NULL;
+		if (!backend) {
+			plain_unplaced(request);
+			return;
+		}
+		if (backend_requests(backend) >
+		    backend->info.slots * QUEUE_SLOTS) {
+			request_refuse(request, RESULT_QUEUE_FULL, RETRY_USEC);
+			return;
+		}
+		permit = request_permit(request, backend, PERMIT_STEP_CALL);
 	}
-	if (backend_requests(backend) > backend->info.slots * QUEUE_SLOTS) {
-		request_refuse(request, RESULT_QUEUE_FULL, RETRY_USEC);
+	if (permit == PERMIT_GRANTED)
+		plain_send(request, backend);
+}
+
+void plain_permitted(struct request *request, struct backend *backend)
+{
+	if (request_quarantine(request))
 		return;
-	}
-	plain_send(request, backend);
+	if (backend)
+		plain_send(request, backend);
+	else
+		plain_start(request);
 }
--- a/forward/request.c
+++ b/forward/request.c
@@ -51,6 +51,7 @@
 		.now = clock_now(parts->clock),
 		.service = request->service->id,
 		.tried = &request->tried,
+		.backpressure = parts->backpressure,
 		.rand = parts->rand,
 		.stale_near = parts->interval(parts->instances_ctx, true),
 		.stale_far = parts->interval(parts->instances_ctx, false),
@@ -205,6 +206,7 @@
 	if (request->call)
 		web_call_cancel(request->call);
 	request->call = NULL;
+	permit_forget(request);
 	request_drop_hold(request);
 	request_drop_result(request);
 	charge_drop(request, &request->prefill);
@@ -373,6 +375,8 @@
 	request->arrived = clock_now(forward->parts.clock);
 	event_cutter_init(&request->cutter);
 	timer_init(&request->timer, forward->parts.clock, on_limit, request);
+	timer_init(&request->permit_timer, forward->parts.clock,
+		   permit_unanswered, request);
 	web_request_on_gone(web, on_gone, request);
 	return request;
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -32,6 +32,14 @@
 	struct backend_load load;
 };
 
+/* What a request has asked for a permit for. */
+enum permit_step {
+	PERMIT_STEP_NONE,
+	PERMIT_STEP_CALL,    /* a plain call */
+	PERMIT_STEP_RESERVE, /* a reservation and the run after it */
+	PERMIT_STEP_PREFILL,
+};
+
 struct request {
 	struct forward *forward;
 	uint64_t handle;
@@ -48,6 +56,10 @@
 	int64_t limit; /* when it is given up */
 	struct timer timer;
 	struct web_call *call;
+	enum permit_step permit_step;
+	uint64_t permit_from; /* key of the server */
+	struct timer permit_timer;
+	uint32_t asks; /* for a permit so far */
 	struct answer answer;
 	struct tried tried;
 	struct lost_work work; /* once request_work() was asked for it */
@@ -102,6 +114,7 @@
 	struct counter *ended[END_COUNT]; /* by enum request_end */
 	struct counter *servers_ended;
 	struct counter *quarantined;
+	struct counter *permits_denied;
 	struct counter *unknown_keys;
 	GHashTable *counted; /* organisation's name to its struct counter */
 	struct histogram *whole_time;
@@ -189,9 +202,22 @@
 
 const char *request_end_name(enum request_end end);
 
-/* Of pressure.c: a signals_fn with the forward as context. */
-void pressure_signals(void *ctx, uint64_t server,
-		      const struct backpressure_signals *signals);
+/* Of permit.c. */
+/* A signals_fn with the forward as context. */
+void permit_signals(void *ctx, uint64_t server,
+		    const struct backpressure_signals *signals);
+/* Whether the server may be sent the request now. PERMIT_ASKED: the step's
+ * function below is called later, with the server or NULL. Denied, the server
+ * is closed for a while (fleet.h). */
+enum permit request_permit(struct request *request, struct backend *backend,
+			   enum permit_step step);
+/* Nobody waits for the answer any more. */
+void permit_forget(struct request *request);
+/* The timer of a request that asks. */
+void permit_unanswered(struct timer *timer, void *ctx);
+void plain_permitted(struct request *request, struct backend *backend);
+void stream_permitted(struct request *request, struct backend *backend);
+void prefill_permitted(struct request *request, struct backend *backend);
 
 /* Of suspect.c: an ended_fn with the forward as context. */
 void quarantine_server_ended(void *ctx, const struct backend_info *server,
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -50,7 +50,7 @@
 /* Another instance can take the request at once. */
 #define RETRY_ELSEWHERE_USEC (20 * USEC_PER_MSEC)
 
-static void prefill_send(struct request *request);
+static void prefill_place(struct request *request);
 
 /* A part of the output, as far as the caller's estimate tells it. */
 static uint32_t output_part(const struct request *request, double part)
@@ -215,7 +215,7 @@
 	if (request_suspected(request))
 		stream_again(request, RESULT_NO_BACKEND, end->text);
 	else
-		prefill_send(request);
+		prefill_place(request);
 }
 
 /* Tokens that may be ahead of it at a prefill server, by how fast these were
@@ -254,16 +254,14 @@
 	return true;
 }
 
-static void prefill_send(struct request *request)
+static void prefill_send(struct request *request, struct backend *backend)
 {
 	static const struct send_events events = {prefill_head, prefill_body,
 						  prefill_done};
 	const struct backend_ops *ops = &request->forward->parts.backends;
 	struct backend_load load = {.prefill_tokens =
 					    request->caller.prompt_tokens};
-	struct backend *decode = stream_decode(request);
-	struct backend *backend;
-	struct place place;
+	int64_t now = request_now(request);
 	struct send_spec spec = {
 		.kind = SEND_PREFILL,
 		.caller = &request->caller,
@@ -275,27 +273,55 @@
 
 	if (request_quarantine(request))
 		return;
-	if (!decode) {
-		stream_again(request, RESULT_NO_BACKEND, "server left");
-		return;
-	}
-	request_place(request, &place);
-	backend = place_reader(&place, decode, load.prefill_tokens,
-			       most_ahead(request));
-	if (!backend || !prefill_may_send(request)) {
+	if (!prefill_may_send(request)) {
 		stream_run(request);
 		return;
 	}
 	spec.head_usec = prefill_limit(request, backend);
-	backend_try(backend, place.now);
+	backend_try(backend, now);
 	placed_log(request, "prefill", backend);
 	request->target = backend->info;
-	request->asked_at = place.now;
+	request->asked_at = now;
 	request->ahead = backend_prefill_tokens(backend);
 	charge_add(request, &request->prefill, backend, &load);
 	request->call = ops->send(ops->ctx, &spec, &events, request);
 }
 
+static void prefill_place(struct request *request)
+{
+	enum permit permit = PERMIT_DENIED;
+	struct backend *backend = NULL;
+	struct backend *decode;
+	struct place place;
+
+	while (permit == PERMIT_DENIED) {
+		decode = stream_decode(request);
+		if (!decode) {
+			stream_again(request, RESULT_NO_BACKEND, "server left");
+			return;
+		}
+		request_place(request, &place);
+		backend = place_reader(&place, decode,
+				       request->caller.prompt_tokens,
+				       most_ahead(request));
+		if (!backend) {
+			stream_run(request);
+			return;
+		}
+		permit = request_permit(request, backend, PERMIT_STEP_PREFILL);
+	}
+	if (permit == PERMIT_GRANTED)
+		prefill_send(request, backend);
+}
+
+void prefill_permitted(struct request *request, struct backend *backend)
+{
+	if (backend && stream_decode(request))
+		prefill_send(request, backend);
+	else
+		prefill_place(request);
+}
+
 /* ---- reserve ---- */
 
 int64_t stream_reserve_usec(const struct request *request)
@@ -337,7 +363,7 @@
 		return;
 	}
 	request->kv[0] = '\0';
-	prefill_send(request);
+	prefill_place(request);
 }
 
 /* The answer lay in the socket while this process stood still. Taken for good,
@@ -379,13 +405,24 @@
 	stream_wait(request);
 }
 
-bool stream_reserve(struct request *request, uint32_t room)
+static void reserve_call(struct request *request, struct backend *backend)
 {
 	const struct backend_ops *ops = &request->forward->parts.backends;
+
+	request->asked_at = request_now(request);
+	backend_try(backend, request->asked_at);
+	request->call = ops->reserve(
+		ops->ctx, &backend->info, reserved_tokens(request),
+		stream_reserve_usec(request), on_reserved, request);
+}
+
+/* A server with room for so many requests like this one, whose prompt can be
+ * read in time; NULL when there is none. */
+static struct backend *decode_choose(struct request *request, uint32_t room)
+{
 	const struct engine_traits *engine = &request->service->engine;
 	uint32_t tokens = stream_tokens(request);
 	uint32_t ahead = most_ahead(request);
-	struct backend_load load = {.requests = 1, .decode_tokens = tokens};
 	struct backend *backend;
 	struct backend *prefill;
 	struct place place;
@@ -398,24 +435,49 @@
 			     MAX(tokens, MIN(tokens * room,
 					     (uint32_t)engine->memory_tokens)));
 	if (!backend)
-		return false;
+		return NULL;
 	prefill = place_reader(&place, backend, request->caller.prompt_tokens,
 			       ahead);
 	if (prefill && backend_prefill_tokens(prefill) > ahead)
-		return false;
+		return NULL;
+	return backend;
+}
+
+bool stream_reserve(struct request *request, uint32_t room)
+{
+	const struct backend_load load = {
+		.requests = 1,
+		.decode_tokens = stream_tokens(request),
+	};
+	enum permit permit = PERMIT_DENIED;
+	struct backend *backend = NULL;
+
+	while (permit == PERMIT_DENIED) {
+		backend = decode_choose(request, room);
+		if (!backend)
+			return false;
+		permit = request_permit(request, backend, PERMIT_STEP_RESERVE);
+	}
 	stream_unwait(request);
 	charge_add(request, &request->decode, backend, &load);
-	backend_try(backend, place.now);
 	placed_log(request, "reserve", backend);
 	request->on_trial = backend_suspect(backend);
 	request->target = backend->info;
-	request->asked_at = place.now;
-	request->call = ops->reserve(
-		ops->ctx, &backend->info, reserved_tokens(request),
-		stream_reserve_usec(request), on_reserved, request);
+	if (permit == PERMIT_GRANTED)
+		reserve_call(request, backend);
 	return true;
 }
 
+void stream_permitted(struct request *request, struct backend *backend)
+{
+	if (request_quarantine(request))
+		return;
+	if (backend)
+		reserve_call(request, backend);
+	else
+		stream_wait(request);
+}
+
 /* Its share of the work that requests of the service mostly are. */
 static void stream_weigh(struct request *request)
 {
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -46,6 +46,8 @@
 	X(RESULT_OVER_ALLOTMENT, 210, "over-allotment", OUTCOME_NOT_RUN, 429)  \
 	X(RESULT_ALLOTMENT_SMALL, 211, "allotment-too-small", OUTCOME_NOT_RUN, \
 	  429)                                                                 \
+	X(RESULT_SERVERS_LIMITED, 212, "servers-limited", OUTCOME_NOT_RUN,     \
+	  503)                                                                 \
 	X(RESULT_BAD_REQUEST, 301, "bad-request", OUTCOME_NOT_RUN, 400)        \
 	X(RESULT_UNKNOWN_MODEL, 302, "unknown-model", OUTCOME_NOT_RUN, 404)    \
 	X(RESULT_NOT_FOUND, 303, "not-found", OUTCOME_NOT_RUN, 404)            \
--- a/include/coord/backpressure.h
+++ b/include/coord/backpressure.h
@@ -11,13 +11,22 @@
  *	the last one that named it is BACKPRESSURE_SETTLE_USEC old. Of what
  *	instances tell, the younger goes before the older.
  *
+ *	backpressure_grant() is asked for each request by one instance for all,
+ *	the home of the server: a token bucket that fills at the limit. It is
+ *	empty when an instance begins to count, so that a home that moves, or
+ *	starts again, adds nothing. Which instance that is, and how the others
+ *	ask it, is the embedder's matter; whoever may not be asked grants
+ *	nothing.
+ *
  *	Servers are named by a number that differs for each life. No network and
  *	no clock of its own; times are in microseconds of the caller's clock.
  *	Cost: one look-up a request while any limit is known, none otherwise.
  *
  * RETURN VALUE
  *	backpressure_answer() and backpressure_hear() are true when the limit of
- *	the server is another one than before.
+ *	the server is another one than before. backpressure_grant() is true when
+ *	one request may be sent; otherwise retry_usec says when to ask again,
+ *	later for each that is told so.
  */
 #ifndef COORD_BACKPRESSURE_H
 #define COORD_BACKPRESSURE_H
@@ -54,9 +63,29 @@
 bool backpressure_answer(struct backpressure *table, int64_t now,
 			 uint64_t server,
 			 const struct backpressure_signals *signals);
+/* Takes in what another instance told. */
+bool backpressure_hear(struct backpressure *table, int64_t now,
+		       const struct backpressure_fact *fact);
+/* Fills facts that others may not know, in turn when there are more than most;
+ * returns how many. */
+uint32_t backpressure_tell(struct backpressure *table, int64_t now,
+			   struct backpressure_fact *facts, uint32_t most);
+/* What is known of a server; false when nothing is. */
+bool backpressure_find(const struct backpressure *table, int64_t now,
+		       uint64_t server, struct backpressure_fact *fact);
 /* Requests a second, or BACKPRESSURE_UNLIMITED. */
 double backpressure_limit(const struct backpressure *table, uint64_t server);
 /* Servers that name a limit. */
 uint32_t backpressure_limited(const struct backpressure *table);
 
+/* Takes one request off what the server takes. */
+bool backpressure_grant(struct backpressure *table, int64_t now,
+			uint64_t server, int64_t *retry_usec);
+
+/* Drops what nobody needs any more: ended limits, and those of servers that
+ * lives() does not know and that nobody was told of for a minute. */
+typedef bool (*backpressure_lives_fn)(void *ctx, uint64_t server);
+void backpressure_prune(struct backpressure *table, int64_t now,
+			backpressure_lives_fn lives, void *ctx);
+
 #endif
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -73,6 +73,7 @@
 	int64_t full_until;	/* has just refused a reservation */
 	uint32_t fulls;		/* refused in a row */
 	int64_t changing_until; /* ordered to another role, or seems so */
+	int64_t closed_until;	/* its limit leaves no request before then */
 	uint32_t refusals;	/* reserved or prepared runs refused in a row */
 	bool listed;		/* seen in the snapshot being read */
 };
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -66,6 +66,16 @@
 /* Something new is known of a work in the quarantine. */
 typedef void (*forward_work_fn)(void *ctx, const struct work_id *work);
 
+/* Whether one request may be sent to a server that names a limit. */
+enum permit {
+	PERMIT_GRANTED,
+	PERMIT_DENIED, /* retry_usec says when to ask again */
+	PERMIT_ASKED,  /* forward_permit() is called with the answer, if any */
+};
+typedef enum permit (*forward_permit_fn)(void *ctx,
+					 const struct backend *backend,
+					 uint64_t id, int64_t *retry_usec);
+
 struct forward_parts {
 	struct clock *clock;
 	struct loop *loop;
@@ -86,6 +96,7 @@
 	forward_changed_fn load_changed;
 	forward_work_fn work_changed;
 	forward_used_fn allotment_used;
+	forward_permit_fn permit;
 	void *instances_ctx;
 };
 
@@ -102,6 +113,13 @@
 void forward_drain(struct forward *forward);
 /* Handles one request: a web_handler_fn with the forward as context. */
 void forward_take(void *ctx, struct web_request *request);
+/* Another instance told what a server asks for. */
+void forward_fact(struct forward *forward,
+		  const struct backpressure_fact *fact);
+/* The answer to what was asked for under that id; an answer that comes late, or
+ * that nobody waits for, is passed over. */
+void forward_permit(struct forward *forward, uint64_t id, uint64_t server,
+		    bool granted, int64_t retry_usec);
 /* Requests not yet ended. */
 uint32_t forward_pending(const struct forward *forward);
 /* Of these, those that wait for decode memory. */
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -28,6 +28,14 @@
  *	much was used since, it is told in datagrams of its own, at most one to
  *	each of them every GOSSIP_USES_USEC.
  *
+ *	What servers ask for (coord/backpressure.h) goes with the words, of
+ *	instances and of data centres alike. For each server that names a limit
+ *	one instance, its home, counts the requests of all: the live one of the
+ *	server's data centre that rendezvous hashing gives, or of all where none
+ *	lives there. Another instance asks it for each request, in one datagram
+ *	each way; an answer that is lost is for the asker to wait out. Instances
+ *	that disagree on who is home are told no.
+ *
  *	What a peer or data centre told is dropped GOSSIP_STALE_USEC after its
  *	last word. Nothing waits for a peer. Peers are first learnt from the
  *	store, then from datagrams: from their senders, and from the addresses
@@ -48,6 +56,7 @@
 
 #include "common/clock.h"
 #include "common/error.h"
+#include "coord/backpressure.h"
 #include "coord/limit.h"
 #include "coord/quarantine.h"
 #include "forward/fleet.h"
@@ -77,6 +86,9 @@
 /* Servers told of as out of reach; 500 bytes. */
 #define GOSSIP_LOST_MAX 48
 
+/* Facts about servers in one word; others follow in turn. */
+#define GOSSIP_FACTS_MAX 48
+
 /* Streams whose copies are told of. */
 #define GOSSIP_SHARES 2
 
@@ -116,6 +128,19 @@
 	uint32_t lost_count;
 };
 
+/* Whether one request may be sent to a server that names a limit. */
+struct permit_ask {
+	uint64_t id; /* the asker's */
+	struct backpressure_fact fact;
+};
+
+struct permit_answer {
+	uint64_t id;
+	uint64_t server;
+	bool granted;
+	int64_t retry_usec; /* when to ask again, if not granted */
+};
+
 /* Datagrams since the start, and their bytes without headers. */
 struct gossip_traffic {
 	uint64_t sent;
@@ -150,6 +175,17 @@
 	/* Adds the servers that change their role and those out of reach, which
 	 * only words hold that are sent. NULL where none are told. */
 	void (*servers)(void *ctx, struct gossip_word *word);
+	/* What servers ask for, as backpressure_tell(), and what somebody told
+	 * of it. NULL where nothing is told. */
+	uint32_t (*facts)(void *ctx, struct backpressure_fact *facts,
+			  uint32_t most);
+	void (*fact_heard)(void *ctx, const struct backpressure_fact *fact);
+	/* Somebody asks; fills granted and retry_usec. NULL where nobody is
+	 * granted anything. */
+	void (*permit_asked)(void *ctx, const struct permit_ask *ask,
+			     struct permit_answer *answer);
+	/* What this instance had asked is answered. */
+	void (*permit_answered)(void *ctx, const struct permit_answer *answer);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -176,6 +212,13 @@
 			 const struct quarantine_entry *entry);
 /* So much of an allotment was used here that others should hear of it soon. */
 void gossip_uses_changed(struct gossip *gossip);
+/* Whether this instance is the server's home, which it is not if it may not be
+ * (it leaves) and another one lives. */
+bool gossip_is_home(const struct gossip *gossip, uint64_t server,
+		    const char *data_centre, bool may_be);
+/* Asks the server's home; false when this instance is the home itself. */
+bool gossip_ask(struct gossip *gossip, const struct permit_ask *ask,
+		const char *data_centre, bool may_be);
 /* How long a change has taken of late until peers near, or elsewhere, were told
  * of it, in microseconds: what they tell is about as old when it is used. */
 int64_t gossip_delay(const struct gossip *gossip, bool near);
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -14,6 +14,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "coord/backpressure.h"
 #include "forward/catalog.h"
 #include "forward/fleet.h"
 
@@ -32,7 +33,9 @@
 	int64_t now;
 	uint64_t service;
 	const struct tried *tried;
-	GRand *rand; /* breaks ties */
+	const struct backpressure *backpressure; /* NULL: no limits */
+	bool unlimited; /* only servers that name no limit */
+	GRand *rand;	/* breaks ties */
 	/* How old what peers told of loads may be, near and elsewhere. */
 	int64_t stale_near;
 	int64_t stale_far;
@@ -42,6 +45,9 @@
 int64_t place_stale(const struct place *place, const struct backend *backend);
 /* For a plain call. NULL when no server is usable. */
 struct backend *place_plain(const struct place *place);
+/* When the first server of the service that would be chosen but for its limit
+ * may be asked for again; 0 when there is none. */
+int64_t place_opens(const struct place *place);
 /* Whether the server has a place free for a plain call. */
 bool place_plain_free(const struct backend *backend);
 /* A decode server with room for tokens, by what is under way there. */
--- a/tests/forward/gossip_world.c
+++ b/tests/forward/gossip_world.c
@@ -36,6 +36,68 @@
 	return quarantine_next(instance->quarantine, entries, most);
 }
 
+static uint32_t facts(void *ctx, struct backpressure_fact *out, uint32_t most)
+{
+	const struct instance *instance = ctx;
+
+	return backpressure_tell(instance->backpressure,
+				 clock_now(instance->site->clock), out, most);
+}
+
+static void fact_heard(void *ctx, const struct backpressure_fact *fact)
+{
+	const struct instance *instance = ctx;
+
+	backpressure_hear(instance->backpressure,
+			  clock_now(instance->site->clock), fact);
+}
+
+static bool grant(struct instance *instance, uint64_t key, int64_t *retry)
+{
+	int64_t now = clock_now(instance->site->clock);
+
+	return now - instance->started >= USEC_PER_SEC &&
+	       backpressure_grant(instance->backpressure, now, key, retry);
+}
+
+static void permit_asked(void *ctx, const struct permit_ask *ask,
+			 struct permit_answer *answer)
+{
+	struct instance *instance = ctx;
+	const struct backend *backend =
+		fleet_find(instance->fleet, ask->fact.server);
+
+	fact_heard(ctx, &ask->fact);
+	answer->granted =
+		gossip_is_home(instance->gossip, ask->fact.server,
+			       backend->info.data_centre, true) &&
+		grant(instance, ask->fact.server, &answer->retry_usec);
+}
+
+static void permit_answered(void *ctx, const struct permit_answer *answer)
+{
+	struct instance *instance = ctx;
+
+	if (answer->granted)
+		instance->site->granted(instance, answer->server);
+}
+
+bool permit(struct instance *instance, uint32_t centre)
+{
+	uint64_t key = server(instance, centre)->key;
+	struct permit_ask ask = {.id = 1};
+	int64_t retry;
+
+	if (backpressure_limit(instance->backpressure, key) < 0.0 ||
+	    !backpressure_find(instance->backpressure,
+			       clock_now(instance->site->clock), key,
+			       &ask.fact))
+		return true;
+	if (gossip_ask(instance->gossip, &ask, centres[centre], true))
+		return false;
+	return grant(instance, key, &retry);
+}
+
 /* One server of engines in each data centre. */
 struct backend *server(struct instance *instance, uint32_t centre)
 {
@@ -55,6 +117,10 @@
 		.reads = reads,
 		.work_heard = work_heard,
 		.works = works,
+		.facts = facts,
+		.fact_heard = fact_heard,
+		.permit_asked = permit_asked,
+		.permit_answered = permit_answered,
 	};
 	static const struct quarantine_settings quarantine = {3, 256, 256};
 	struct site *site = instance->site;
@@ -67,6 +133,8 @@
 	struct error err;
 
 	instance->quarantine = quarantine_create(&quarantine);
+	instance->backpressure = backpressure_create();
+	instance->started = clock_now(site->clock);
 	for (uint32_t i = 0; i < site->stored_count; i++)
 		quarantine_merge(instance->quarantine, &site->stored[i]);
 	instance->fleet = fleet_create(site->clock, settings.data_centre);
@@ -83,6 +151,7 @@
 	gossip_destroy(instance->gossip);
 	fleet_destroy(instance->fleet);
 	quarantine_destroy(instance->quarantine);
+	backpressure_destroy(instance->backpressure);
 	instance->gossip = NULL;
 }
 
--- a/tests/forward/gossip_world.h
+++ b/tests/forward/gossip_world.h
@@ -6,7 +6,8 @@
  *	Each data centre has a loop of its own, so that one of them can stand
  *	still. Each instance sees one server of engines in each data centre, and
  *	has a quarantine; what that holds is kept by a store that outlives the
- *	instances, written by the one that decides.
+ *	instances, written by the one that decides. What servers ask for is
+ *	told, and permits are granted as by the real process.
  */
 #ifndef TESTS_FORWARD_GOSSIP_WORLD_H
 #define TESTS_FORWARD_GOSSIP_WORLD_H
@@ -29,12 +30,19 @@
 	char address[ADDRESS_FREE_MAX];
 	struct fleet *fleet;
 	struct quarantine *quarantine;
+	struct backpressure *backpressure;
+	int64_t started;
 	struct gossip *gossip; /* NULL while it is stopped */
 	uint64_t boot;
 };
 
+/* Called when an instance was granted a permit by its home. */
+typedef void (*site_granted_fn)(struct instance *instance, uint64_t server);
+
 struct site {
 	struct clock *clock;
+	site_granted_fn granted;
+	void *story;
 	struct loop *loops[CENTRES];
 	bool still[CENTRES];
 	struct instance instances[MOST];
@@ -54,6 +62,8 @@
 void instance_stop(struct instance *instance);
 /* Tells it the addresses of all. */
 void meet_all(struct site *site, struct instance *instance);
+/* Asks for a permit as a request would: true when it is granted at once. */
+bool permit(struct instance *instance, uint32_t centre);
 /* The server of engines of that data centre, as the instance sees it. */
 struct backend *server(struct instance *instance, uint32_t centre);
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -41,6 +41,9 @@
 	struct send_events events;
 	reserve_fn reserve;
 	void *call_ctx;
+	bool home; /* this instance counts for all */
+	uint64_t permit_id;
+	uint64_t permit_server;
 	signals_fn signals;
 	void *signals_ctx;
 	check_fn check; /* under way, or NULL */
@@ -381,6 +384,23 @@
 {
 }
 
+/* The answer comes by a step. */
+static enum permit fake_permit(void *ctx, const struct backend *backend,
+			       uint64_t id, int64_t *retry_usec)
+{
+	if (world.home) {
+		bool granted = backpressure_grant(world.backpressure,
+						  clock_now(world.clock),
+						  backend->key, retry_usec);
+
+		return granted ? PERMIT_GRANTED : PERMIT_DENIED;
+	}
+	say("ask for %s", backend->info.id);
+	world.permit_id = id;
+	world.permit_server = backend->key;
+	return PERMIT_ASKED;
+}
+
 static void work_changed(void *ctx, const struct work_id *work)
 {
 	const struct quarantine_entry *entry =
@@ -414,6 +434,7 @@
 		.load_changed = load_changed,
 		.work_changed = work_changed,
 		.allotment_used = allotment_used,
+		.permit = fake_permit,
 	};
 	const struct limit_settings limits = {.policy = LIMIT_COUNTS};
 
@@ -631,6 +652,34 @@
 	fleet_find_id(world.fleet, id)->peers.requests = atoi(options + 2);
 }
 
+/* An answer of the server says so: "limit s1 4", or "limit s1 none". */
+static void limit_step(const char *options)
+{
+	g_autofree char *id = g_strndup(options, 2);
+	struct backpressure_signals signals = {
+		.limited = !strstr(options, "none"),
+		.limit = atof(options + 2),
+		.of_request = true,
+	};
+
+	world.signals(world.signals_ctx, fleet_find_id(world.fleet, id)->key,
+		      &signals);
+}
+
+static void home_step(const char *options)
+{
+	world.home = true;
+}
+
+/* The home answers: "permit granted", or "permit 200" (ask again then). */
+static void permit_step(const char *options)
+{
+	bool granted = strcmp(options, "granted") == 0;
+
+	forward_permit(world.forward, world.permit_id, world.permit_server,
+		       granted, atoi(options) * USEC_PER_MSEC);
+}
+
 static void crowd_step(const char *options)
 {
 	world.crowd = (uint32_t)atoi(options);
@@ -663,6 +712,9 @@
 	{"due", due_step},
 	{"organisations", organisations_step},
 	{"busy", busy_step},
+	{"limit", limit_step},
+	{"home", home_step},
+	{"permit", permit_step},
 };
 
 static void step_run(char *step)
--- a/tests/platform/site/site_asks.c
+++ b/tests/platform/site/site_asks.c
@@ -2,7 +2,8 @@
 #include "site.h"
 
 #define CONTACT_USEC (3 * USEC_PER_SEC)
-#define WINDOW_USEC (4 * USEC_PER_SEC)
+#define WINDOW_SEC 4
+#define WINDOW_USEC (WINDOW_SEC * USEC_PER_SEC)
 #define OVER_PART 1.5
 #define OVER_REQUESTS 5.0
 
@@ -35,9 +36,7 @@
 void asks_judge(struct server *server)
 {
 	int64_t now = clock_now(server->site->clock);
-	double allowed = server->limit * OVER_PART *
-				 (double)(WINDOW_USEC / USEC_PER_SEC) +
-			 OVER_REQUESTS;
+	double allowed = server->limit * OVER_PART * WINDOW_SEC + OVER_REQUESTS;
 
 	if (server->limit < 0.0 || now - server->limited_at < CONTACT_USEC)
 		return;
