platform, forward: note that a server leaves or asks for rest, in logs

Two more things that a server says of itself were read nowhere, and no line told what an answer had said: that it leaves, and how long it wants nothing more after it turned a request away (Retry-After with 503, seconds, parts of them or a date, five minutes at most).

They are kept beside the limit, for a life of a server, and logged once when they begin (backend_leaves, backend_rests). Leaving goes with the gossip. Nothing is decided by them yet. Tables of values that are taken and refused in platform-decode, fuzz of both.

--- a/coord/backpressure.c
+++ b/coord/backpressure.c
@@ -15,13 +15,18 @@
 /* Every instance has heard by then what is told for so long. */
 #define TOLD_USEC (30 * USEC_PER_SEC)
 #define UNLISTED_USEC (60 * USEC_PER_SEC)
+/* When a limit was named that never was. */
+#define NEVER (INT64_MIN / 4)
 
 struct item {
 	uint64_t server;
 	double limit;
-	int64_t named_at; /* when the answer that says so came */
-	bool counts;	  /* level holds */
-	double level;	  /* requests that may be granted now */
+	int64_t named_at; /* when the answer that says so came; or NEVER */
+	bool leaving;
+	int64_t leaving_at; /* when it said so last */
+	int64_t rests_until;
+	bool counts;  /* level holds */
+	double level; /* requests that may be granted now */
 	int64_t level_at;
 	int64_t booked; /* up to when others were told to ask again */
 };
@@ -64,6 +69,7 @@
 	item = g_new0(struct item, 1);
 	item->server = server;
 	item->limit = BACKPRESSURE_UNLIMITED;
+	item->named_at = NEVER;
 	g_hash_table_insert(table->items, &item->server, item);
 	return item;
 }
@@ -85,34 +91,80 @@
 	return changed;
 }
 
-bool backpressure_answer(struct backpressure *table, int64_t now,
-			 uint64_t server,
-			 const struct backpressure_signals *signals)
+static unsigned int limit_answer(struct backpressure *table, struct item *item,
+				 int64_t now,
+				 const struct backpressure_signals *signals)
 {
-	struct item *item;
+	bool changed = false;
+
+	if (signals->limited)
+		changed = item_set(table, item, signals->limit, now);
+	else if (signals->of_request && is_limited(item) &&
+		 now - item->named_at >= BACKPRESSURE_SETTLE_USEC)
+		changed = item_set(table, item, BACKPRESSURE_UNLIMITED, now);
+	return changed ? BACKPRESSURE_LIMIT : 0;
+}
 
-	if (signals->limited) {
-		item = item_get(table, server);
-		return item && item_set(table, item, signals->limit, now);
-	}
-	item = item_find(table, server);
-	if (!item || !signals->of_request || !is_limited(item) ||
-	    now - item->named_at < BACKPRESSURE_SETTLE_USEC)
-		return false;
-	return item_set(table, item, BACKPRESSURE_UNLIMITED, now);
+static unsigned int leaving_set(struct item *item, int64_t now)
+{
+	bool changed = !item->leaving;
+
+	item->leaving = true;
+	item->leaving_at = now;
+	return changed ? BACKPRESSURE_LEAVING : 0;
+}
+
+static unsigned int rest_set(struct item *item, int64_t until)
+{
+	if (until <= item->rests_until)
+		return 0;
+	item->rests_until = until;
+	return BACKPRESSURE_REST;
 }
 
-bool backpressure_hear(struct backpressure *table, int64_t now,
-		       const struct backpressure_fact *fact)
+unsigned int backpressure_answer(struct backpressure *table, int64_t now,
+				 uint64_t server,
+				 const struct backpressure_signals *signals)
 {
+	bool says =
+		signals->limited || signals->leaving || signals->rest_usec > 0;
+	struct item *item =
+		says ? item_get(table, server) : item_find(table, server);
+	unsigned int changed;
+
+	if (!item)
+		return 0;
+	changed = limit_answer(table, item, now, signals);
+	if (signals->leaving)
+		changed |= leaving_set(item, now);
+	if (signals->rest_usec > 0)
+		changed |= rest_set(item, now + signals->rest_usec);
+	return changed;
+}
+
+unsigned int backpressure_hear(struct backpressure *table, int64_t now,
+			       const struct backpressure_fact *fact)
+{
+	bool says = fact->leaving || fact->limit >= 0.0;
+	struct item *item = says ? item_get(table, fact->server)
+				 : item_find(table, fact->server);
 	int64_t at = now - fact->age_usec;
-	struct item *item = item_find(table, fact->server);
+	unsigned int changed = 0;
+
+	if (!item)
+		return 0;
+	if (fact->leaving && !item->leaving)
+		changed |= leaving_set(item, now);
+	if (at > item->named_at && item_set(table, item, fact->limit, at))
+		changed |= BACKPRESSURE_LIMIT;
+	return changed;
+}
 
-	if (item && item->named_at >= at)
-		return false;
-	if (!item && fact->limit >= 0.0)
-		item = item_get(table, fact->server);
-	return item && item_set(table, item, fact->limit, at);
+/* Whether others may not know of it yet. */
+static bool is_told(const struct item *item, int64_t now)
+{
+	return now - item->named_at < TOLD_USEC ||
+	       (item->leaving && now - item->leaving_at < TOLD_USEC);
 }
 
 static void fact_fill(const struct item *item, int64_t now,
@@ -122,6 +174,7 @@
 		.server = item->server,
 		.limit = item->limit,
 		.age_usec = MAX(now - item->named_at, 0),
+		.leaving = item->leaving,
 	};
 }
 
@@ -138,7 +191,7 @@
 	g_hash_table_iter_init(&iter, table->items);
 	while (count < most &&
 	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&item))
-		if (at++ >= start && now - item->named_at < TOLD_USEC)
+		if (at++ >= start && is_told(item, now))
 			fact_fill(item, now, &facts[count++]);
 	table->turn = at < all ? at : 0;
 	return count;
@@ -162,6 +215,20 @@
 	return item ? item->limit : BACKPRESSURE_UNLIMITED;
 }
 
+bool backpressure_leaving(const struct backpressure *table, uint64_t server)
+{
+	const struct item *item = item_find(table, server);
+
+	return item && item->leaving;
+}
+
+int64_t backpressure_rest(const struct backpressure *table, uint64_t server)
+{
+	const struct item *item = item_find(table, server);
+
+	return item ? item->rests_until : 0;
+}
+
 uint32_t backpressure_limited(const struct backpressure *table)
 {
 	return table->limited;
@@ -213,6 +280,20 @@
 	return false;
 }
 
+/* Whether nothing is known of it that still holds. */
+static bool is_spent(const struct item *item, int64_t now)
+{
+	return !is_limited(item) && !item->leaving && !is_told(item, now) &&
+	       now >= item->rests_until;
+}
+
+static bool is_old(const struct item *item, int64_t now)
+{
+	return now - item->named_at >= UNLISTED_USEC &&
+	       now - item->leaving_at >= UNLISTED_USEC &&
+	       now >= item->rests_until;
+}
+
 void backpressure_prune(struct backpressure *table, int64_t now,
 			backpressure_lives_fn lives, void *ctx)
 {
@@ -221,11 +302,8 @@
 
 	g_hash_table_iter_init(&iter, table->items);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&item)) {
-		int64_t age = now - item->named_at;
-		bool ended = !is_limited(item) && age >= TOLD_USEC;
-		bool gone = age >= UNLISTED_USEC && !lives(ctx, item->server);
-
-		if (!ended && !gone)
+		if (!is_spent(item, now) &&
+		    !(is_old(item, now) && !lives(ctx, item->server)))
 			continue;
 		table->limited -= is_limited(item);
 		g_hash_table_iter_remove(&iter);
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -113,7 +113,9 @@
 	msgpack_pack_array(packer, FACT_FIELDS);
 	msgpack_pack_uint64(packer, fact->server);
 	msgpack_pack_int64(packer, MIN(parts, LIMIT_PARTS_MAX));
-	msgpack_pack_uint64(packer, (uint64_t)MAX(fact->age_usec, 0));
+	msgpack_pack_uint64(packer, MIN((uint64_t)MAX(fact->age_usec, 0),
+					FACT_AGE_USEC_MAX));
+	msgpack_pack_uint8(packer, fact->leaving);
 }
 
 static void facts_pack(msgpack_packer *packer, const GArray *facts)
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -160,6 +160,7 @@
 {
 	const msgpack_object *fields;
 	int64_t parts;
+	uint64_t leaving;
 	uint64_t age;
 
 	if (!is_tuple(object, FACT_FIELDS))
@@ -167,11 +168,13 @@
 	fields = object->via.array.ptr;
 	if (!number_read(&fields[0], UINT64_MAX, &fact->server) ||
 	    !sum_read(&fields[1], LIMIT_PARTS_MAX, &parts) || parts < -1 ||
-	    !number_read(&fields[2], FACT_AGE_USEC_MAX, &age))
+	    !number_read(&fields[2], FACT_AGE_USEC_MAX, &age) ||
+	    !number_read(&fields[3], 1, &leaving))
 		return false;
 	fact->limit = parts < 0 ? BACKPRESSURE_UNLIMITED
 				: (double)parts / LIMIT_PARTS;
 	fact->age_usec = (int64_t)age;
+	fact->leaving = leaving;
 	return true;
 }
 
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -8,7 +8,7 @@
 #define CHANGES_FIELDS 5
 #define WORK_FIELDS 5
 #define WORD_FIELDS 20
-#define FACT_FIELDS 3
+#define FACT_FIELDS 4
 #define ASK_FIELDS 2
 #define ANSWER_FIELDS 4
 /* Thousandths in one, as limits are written. */
--- a/forward/node.c
+++ b/forward/node.c
@@ -326,8 +326,8 @@
 	const struct forward_settings *settings = &node->settings;
 
 	node->client = web_client_create(node->loop);
-	if (!node->factory->open(node->factory->ctx, node->client, settings,
-				 &node->interface))
+	if (!node->factory->open(node->factory->ctx, node->client, node->clock,
+				 settings, &node->interface))
 		return error_set(err, RESULT_IO, "the interface did not open");
 	core_open(node);
 	node->callers =
--- a/forward/permit.c
+++ b/forward/permit.c
@@ -22,18 +22,56 @@
 /* How long a server whose home does not answer is passed over. */
 #define SILENT_USEC (200 * USEC_PER_MSEC)
 
-static void limit_log(const struct forward *forward, uint64_t server,
-		      double before, const char *from)
+static void limit_log(const struct forward *forward,
+		      const struct backend *backend, double before,
+		      const char *from)
+{
+	const struct backpressure *table = forward->parts.backpressure;
+
+	log_event(LOG_NOTICE, "backend_limit",
+		  LOG_S("backend", backend->info.id),
+		  LOG_D("born", backend->info.born),
+		  LOG_F("per_s", backpressure_limit(table, backend->key)),
+		  LOG_F("before", before), LOG_S("from", from));
+}
+
+static void leaving_log(const struct backend *backend, const char *from)
+{
+	log_event(LOG_NOTICE, "backend_leaves",
+		  LOG_S("backend", backend->info.id),
+		  LOG_D("born", backend->info.born),
+		  LOG_D("listed_leaving", backend->info.leaving),
+		  LOG_S("from", from));
+}
+
+static void rest_log(const struct forward *forward,
+		     const struct backend *backend)
 {
 	const struct forward_parts *parts = &forward->parts;
-	const struct backend *backend = fleet_find(parts->fleet, server);
+	int64_t until = backpressure_rest(parts->backpressure, backend->key);
 
 	log_event(
-		LOG_NOTICE, "backend_limit",
-		LOG_S("backend", backend ? backend->info.id : ""),
-		LOG_D("born", backend ? backend->info.born : 0),
-		LOG_F("per_s", backpressure_limit(parts->backpressure, server)),
-		LOG_F("before", before), LOG_S("from", from));
+		LOG_NOTICE, "backend_rests", LOG_S("backend", backend->info.id),
+		LOG_D("born", backend->info.born),
+		LOG_D("ms", (until - clock_now(parts->clock)) / USEC_PER_MSEC));
+}
+
+/* Of lives that are not listed nothing is logged: they are gone, or not known
+ * yet. */
+static void changes_log(const struct forward *forward, uint64_t server,
+			unsigned int changed, double before, const char *from)
+{
+	const struct backend *backend =
+		fleet_find(forward->parts.fleet, server);
+
+	if (!backend)
+		return;
+	if (changed & BACKPRESSURE_LIMIT)
+		limit_log(forward, backend, before, from);
+	if (changed & BACKPRESSURE_LEAVING)
+		leaving_log(backend, from);
+	if (changed & BACKPRESSURE_REST)
+		rest_log(forward, backend);
 }
 
 void permit_signals(void *ctx, uint64_t server,
@@ -42,20 +80,20 @@
 	struct forward *forward = ctx;
 	const struct forward_parts *parts = &forward->parts;
 	double before = backpressure_limit(parts->backpressure, server);
+	unsigned int changed = backpressure_answer(
+		parts->backpressure, clock_now(parts->clock), server, signals);
 
-	if (backpressure_answer(parts->backpressure, clock_now(parts->clock),
-				server, signals))
-		limit_log(forward, server, before, "answer");
+	changes_log(forward, server, changed, before, "answer");
 }
 
 void forward_fact(struct forward *forward, const struct backpressure_fact *fact)
 {
 	const struct forward_parts *parts = &forward->parts;
 	double before = backpressure_limit(parts->backpressure, fact->server);
+	unsigned int changed = backpressure_hear(parts->backpressure,
+						 clock_now(parts->clock), fact);
 
-	if (backpressure_hear(parts->backpressure, clock_now(parts->clock),
-			      fact))
-		limit_log(forward, fact->server, before, "peer");
+	changes_log(forward, fact->server, changed, before, "peer");
 }
 
 static void denied_log(const struct request *request,
--- a/include/forward/node.h
+++ b/include/forward/node.h
@@ -45,6 +45,7 @@
 /* Builds the interface on the node's client, and ends it. */
 struct node_factory {
 	bool (*open)(void *ctx, struct web_client *client,
+		     const struct clock *clock,
 		     const struct forward_settings *settings,
 		     struct node_interface *interface);
 	void (*close)(void *ctx);
--- a/include/platform/runner.h
+++ b/include/platform/runner.h
@@ -14,8 +14,9 @@
 
 struct runners;
 
-/* client must outlive it. */
-struct runners *runners_create(struct web_client *client);
+/* client and clock must outlive it. */
+struct runners *runners_create(struct web_client *client,
+			       const struct clock *clock);
 /* Calls under way must have been cancelled, but for those nobody waits for. */
 void runners_destroy(struct runners *runners);
 struct backend_ops runners_ops(struct runners *runners);
--- a/include/platform/signals.h
+++ b/include/platform/signals.h
@@ -1,5 +1,12 @@
 /*
  * signals.h - what an answer says of the server itself, by its headers
+ *
+ * DESCRIPTION
+ *	A limit is a decimal number of requests a second. A server that turns a
+ *	request away with 503 may say how long it wants nothing more, in
+ *	seconds, also in parts, or as a date (RFC 9110, 10.2.3); that of another
+ *	status is for callers. More than SIGNALS_REST_MAX_USEC is taken for
+ *that. A value that makes no sense is logged and passed over.
  */
 #ifndef PLATFORM_SIGNALS_H
 #define PLATFORM_SIGNALS_H
@@ -7,8 +14,16 @@
 #include "coord/backpressure.h"
 #include "web/server.h"
 
-/* A value that makes no sense is logged and passed over. */
-void platform_signals_read(const struct web_header *headers, size_t count,
+#define SIGNALS_REST_MAX_USEC INT64_C(300000000)
+
+struct signals_answer {
+	int status;
+	int64_t unix_usec; /* when it came */
+	const struct web_header *headers;
+	size_t count;
+};
+
+void platform_signals_read(const struct signals_answer *answer,
 			   struct backpressure_signals *signals);
 /* "8.9": a decimal number, at least 0; exposed for tests. */
 bool platform_decimal_read(struct web_text text, double *number);
--- a/tests/coord/test_backpressure.c
+++ b/tests/coord/test_backpressure.c
@@ -26,11 +26,17 @@
 	g_assert_cmpfloat(backpressure_limit(table, SERVER), ==, 5.0);
 	g_assert_cmpuint(backpressure_limited(table), ==, 1);
 	/* One that overtook another ends nothing, nor does a reservation. */
-	g_assert_false(backpressure_answer(table, BACKPRESSURE_SETTLE_USEC - 1,
-					   SERVER, &none));
-	g_assert_false(backpressure_answer(table, USEC_PER_SEC, SERVER, &call));
-	g_assert_false(backpressure_answer(table, USEC_PER_SEC, OTHER, &none));
-	g_assert_true(backpressure_answer(table, USEC_PER_SEC, SERVER, &none));
+	g_assert_cmpuint(0, ==,
+			 backpressure_answer(table,
+					     BACKPRESSURE_SETTLE_USEC - 1,
+					     SERVER, &none));
+	g_assert_cmpuint(
+		0, ==, backpressure_answer(table, USEC_PER_SEC, SERVER, &call));
+	g_assert_cmpuint(
+		0, ==, backpressure_answer(table, USEC_PER_SEC, OTHER, &none));
+	g_assert_cmpuint(
+		BACKPRESSURE_LIMIT, ==,
+		backpressure_answer(table, USEC_PER_SEC, SERVER, &none));
 	g_assert_cmpfloat(backpressure_limit(table, SERVER), <, 0.0);
 	g_assert_cmpuint(backpressure_limited(table), ==, 0);
 	backpressure_destroy(table);
@@ -39,24 +45,28 @@
 static void test_younger_goes_first(void)
 {
 	struct backpressure *table = backpressure_create();
-	struct backpressure_fact fact = {SERVER, 3.0, USEC_PER_SEC};
+	struct backpressure_fact fact = {SERVER, 3.0, USEC_PER_SEC, false};
 	struct backpressure_fact known;
 
 	named(table, 10 * USEC_PER_SEC, 5.0);
-	g_assert_false(backpressure_hear(table, 10 * USEC_PER_SEC, &fact));
+	g_assert_cmpuint(0, ==,
+			 backpressure_hear(table, 10 * USEC_PER_SEC, &fact));
 	fact.age_usec = 1000;
-	g_assert_true(backpressure_hear(table, 11 * USEC_PER_SEC, &fact));
+	g_assert_cmpuint(BACKPRESSURE_LIMIT, ==,
+			 backpressure_hear(table, 11 * USEC_PER_SEC, &fact));
 	g_assert_cmpfloat(backpressure_limit(table, SERVER), ==, 3.0);
 	fact.limit = BACKPRESSURE_UNLIMITED;
 	fact.age_usec = 0;
-	g_assert_true(backpressure_hear(table, 12 * USEC_PER_SEC, &fact));
+	g_assert_cmpuint(BACKPRESSURE_LIMIT, ==,
+			 backpressure_hear(table, 12 * USEC_PER_SEC, &fact));
 	/* That it ended is told too, or an older message would bring it back.
 	 */
 	g_assert_cmpuint(backpressure_tell(table, 12 * USEC_PER_SEC, &known, 1),
 			 ==, 1);
 	g_assert_cmpfloat(known.limit, <, 0.0);
 	fact.server = OTHER;
-	g_assert_false(backpressure_hear(table, 12 * USEC_PER_SEC, &fact));
+	g_assert_cmpuint(0, ==,
+			 backpressure_hear(table, 12 * USEC_PER_SEC, &fact));
 	backpressure_destroy(table);
 }
 
@@ -113,7 +123,7 @@
 static void test_forgets(void)
 {
 	struct backpressure *table = backpressure_create();
-	const struct backpressure_fact other = {OTHER, 2.0, 0};
+	const struct backpressure_fact other = {OTHER, 2.0, 0, false};
 	struct backpressure_fact facts[4];
 	uint64_t listed = SERVER;
 	int64_t now = 61 * USEC_PER_SEC;
@@ -133,6 +143,49 @@
 	backpressure_destroy(table);
 }
 
+static void test_leaving_is_for_good(void)
+{
+	struct backpressure *here = backpressure_create();
+	struct backpressure *there = backpressure_create();
+	const struct backpressure_signals leaves = {.leaving = true};
+	struct backpressure_fact fact;
+
+	g_assert_cmpuint(backpressure_answer(here, 1, SERVER, &leaves), ==,
+			 BACKPRESSURE_LEAVING);
+	g_assert_cmpuint(backpressure_answer(here, 2, SERVER, &leaves), ==, 0);
+	g_assert_cmpuint(backpressure_answer(here, USEC_PER_SEC, SERVER, &none),
+			 ==, 0);
+	g_assert_true(backpressure_leaving(here, SERVER));
+	g_assert_false(backpressure_leaving(here, OTHER));
+	/* Others hear of it, which says nothing of its limit. */
+	g_assert_cmpuint(backpressure_tell(here, 3, &fact, 1), ==, 1);
+	named(there, 1, 5.0);
+	g_assert_cmpuint(backpressure_hear(there, 4, &fact), ==,
+			 BACKPRESSURE_LEAVING);
+	g_assert_true(backpressure_leaving(there, SERVER));
+	g_assert_cmpfloat(backpressure_limit(there, SERVER), ==, 5.0);
+	backpressure_destroy(here);
+	backpressure_destroy(there);
+}
+
+static void test_longest_rest_holds(void)
+{
+	struct backpressure *table = backpressure_create();
+	struct backpressure_signals rest = {.rest_usec = 3 * USEC_PER_SEC};
+	struct backpressure_fact fact;
+
+	g_assert_cmpint(backpressure_rest(table, SERVER), ==, 0);
+	g_assert_cmpuint(backpressure_answer(table, 10, SERVER, &rest), ==,
+			 BACKPRESSURE_REST);
+	rest.rest_usec = USEC_PER_SEC;
+	g_assert_cmpuint(backpressure_answer(table, 20, SERVER, &rest), ==, 0);
+	g_assert_cmpint(backpressure_rest(table, SERVER), ==,
+			10 + 3 * USEC_PER_SEC);
+	/* It is between the two alone. */
+	g_assert_cmpuint(backpressure_tell(table, 20, &fact, 1), ==, 0);
+	backpressure_destroy(table);
+}
+
 static void test_tells_in_turn(void)
 {
 	struct backpressure *table = backpressure_create();
@@ -140,7 +193,7 @@
 	guint seen[100] = {0};
 
 	for (uint64_t i = 0; i < 100; i++) {
-		const struct backpressure_fact fact = {i, 1.0, 0};
+		const struct backpressure_fact fact = {i, 1.0, 0, false};
 
 		backpressure_hear(table, 1, &fact);
 	}
@@ -167,6 +220,10 @@
 	g_test_add_func("/coord/backpressure/takes-nothing",
 			test_takes_nothing);
 	g_test_add_func("/coord/backpressure/forgets", test_forgets);
+	g_test_add_func("/coord/backpressure/leaving-is-for-good",
+			test_leaving_is_for_good);
+	g_test_add_func("/coord/backpressure/longest-rest-holds",
+			test_longest_rest_holds);
 	g_test_add_func("/coord/backpressure/tells-in-turn",
 			test_tells_in_turn);
 	return g_test_run();
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -434,21 +434,85 @@
 	{"only a point", ".", -1.0},
 };
 
-static void test_limit(const void *data)
+/* Came at 08:49:37 of the date in the rows. */
+#define CAME_UNIX_SEC INT64_C(784111777)
+
+static void signals_read(int status, const char *name, const char *value,
+			 struct backpressure_signals *signals)
 {
-	const struct limit_row *row = data;
 	const struct web_header headers[] = {
 		{{"server-signature", 16}, {"s", 1}},
-		{{"server-limit", 12}, {row->value, strlen(row->value)}},
+		{{name, strlen(name)}, {value, strlen(value)}},
+	};
+	const struct signals_answer answer = {
+		.status = status,
+		.unix_usec = CAME_UNIX_SEC * USEC_PER_SEC,
+		.headers = headers,
+		.count = G_N_ELEMENTS(headers),
 	};
+
+	platform_signals_read(&answer, signals);
+}
+
+static void test_limit(const void *data)
+{
+	const struct limit_row *row = data;
 	struct backpressure_signals signals;
 
-	platform_signals_read(headers, G_N_ELEMENTS(headers), &signals);
+	signals_read(200, "server-limit", row->value, &signals);
 	g_assert_cmpint(signals.limited, ==, row->limit >= 0.0);
 	if (signals.limited)
 		g_assert_cmpfloat(signals.limit, ==, row->limit);
-	platform_signals_read(headers, 1, &signals);
-	g_assert_false(signals.limited);
+	g_assert_false(signals.leaving);
+	g_assert_cmpint(signals.rest_usec, ==, 0);
+}
+
+struct rest_row {
+	const char *name;
+	int status;
+	const char *value;
+	int64_t msec;
+};
+
+static const struct rest_row rest_rows[] = {
+	{"seconds", 503, "3", 3000},
+	{"parts", 503, "0.25", 250},
+	{"nothing", 503, "0", 0},
+	{"date", 503, "Sun, 06 Nov 1994 08:49:41 GMT", 4000},
+	{"date gone by", 503, "Sun, 06 Nov 1994 08:49:30 GMT", 0},
+	{"date far off", 503, "Sun, 06 Nov 2094 08:49:37 GMT", 300000},
+	{"no date", 503, "Sun, 06 Nov 1994", 0},
+	{"other zone", 503, "Sun, 06 Nov 1994 08:49:41 CET", 0},
+	{"huge", 503, "99999999999", 300000},
+	{"negative", 503, "-3", 0},
+	{"no number", 503, "soon", 0},
+	{"not a number", 503, "nan", 0},
+	{"empty", 503, "", 0},
+	{"for the caller", 429, "3", 0},
+	{"after a success", 200, "3", 0},
+};
+
+static void test_rest(const void *data)
+{
+	const struct rest_row *row = data;
+	struct backpressure_signals signals;
+
+	signals_read(row->status, "retry-after", row->value, &signals);
+	g_assert_cmpint(signals.rest_usec, ==, row->msec * USEC_PER_MSEC);
+}
+
+static void test_leaving(void)
+{
+	struct backpressure_signals signals;
+
+	signals_read(200, "server-leaving", "1", &signals);
+	g_assert_true(signals.leaving);
+	signals_read(503, "server-leaving", "1", &signals);
+	g_assert_true(signals.leaving);
+	signals_read(200, "server-leaving", "0", &signals);
+	g_assert_false(signals.leaving);
+	signals_read(200, "server-leaving", "", &signals);
+	g_assert_false(signals.leaving);
 }
 
 /* ---- fuzz ---- */
@@ -467,8 +531,9 @@
 	for (int i = 0; i < 20000; i++) {
 		const char *seed = seeds[i % (int)G_N_ELEMENTS(seeds)];
 		size_t size = strlen(seed);
-		g_autofree char *text = g_memdup2(seed, size);
+		g_autofree char *text = g_strndup(seed, size);
 		struct backend_info info;
+		struct backpressure_signals signals;
 		struct feed_page page;
 		struct error err;
 		char handle[16];
@@ -480,8 +545,8 @@
 		(void)decode_backend("i", text, size, &info, &err);
 		(void)runner_text_read(text, size, "handle", handle,
 				       sizeof(handle));
-		(void)platform_decimal_read((struct web_text){text, size},
-					    &(double){0.0});
+		signals_read(503, i % 2 ? "retry-after" : "server-limit", text,
+			     &signals);
 		if (store_read_keyed(text, size, 0, &page, &err))
 			g_free((void *)page.records);
 	}
@@ -496,6 +561,8 @@
 	ROWS_ADD("/platform/snapshot/", snapshots, test_snapshot);
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
+	ROWS_ADD("/platform/rest/", rest_rows, test_rest);
+	g_test_add_func("/platform/leaving", test_leaving);
 	g_test_add_func("/platform/organisations", test_organisations);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
