tests: servers that leave or ask for rest are sent more requests, known to fail

The stand-in's servers say that they leave, or turn requests away and ask for rest, and judge what reaches them.

--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -137,6 +137,25 @@
 	return server != NULL;
 }
 
+static bool leaving_set(struct site *site, const json_t *root)
+{
+	struct server *server = server_find(site, text_of(root, "server"));
+
+	if (server)
+		server->says_leaving = true;
+	return server != NULL;
+}
+
+static bool rest_set(struct site *site, const json_t *root)
+{
+	struct server *server = server_find(site, text_of(root, "server"));
+
+	if (server)
+		server->rest_sec =
+			json_number_value(json_object_get(root, "sec"));
+	return server != NULL;
+}
+
 static bool entry_set(struct site *site, const json_t *root)
 {
 	const char *topic = text_of(root, "topic");
@@ -213,26 +232,28 @@
 		running += server->running;
 	}
 	g_hash_table_foreach_remove(site->taken, is_over, site);
-	return json_pack("{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
-			 "s:i, s:i}",
-			 "over_limit", (int)ledger->over_limit, "strangers",
-			 (int)ledger->strangers, "secrets",
-			 (int)ledger->secrets, "units", units_of(site, request),
-			 "of_id", runs_of(site, request), "runs",
-			 (int)ledger->total, "repeats", (int)ledger->repeats,
-			 "prefills", (int)ledger->prefills, "orders",
-			 (int)ledger->orders, "running", (int)running, "held",
-			 (int)g_hash_table_size(site->taken), "ended",
-			 (int)ledger->ended);
+	return json_pack(
+		"{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
+		"s:i, s:i, s:i, s:i}",
+		"after_leaving", (int)ledger->after_leaving, "in_rest",
+		(int)ledger->in_rest, "over_limit", (int)ledger->over_limit,
+		"strangers", (int)ledger->strangers, "secrets",
+		(int)ledger->secrets, "units", units_of(site, request), "of_id",
+		runs_of(site, request), "runs", (int)ledger->total, "repeats",
+		(int)ledger->repeats, "prefills", (int)ledger->prefills,
+		"orders", (int)ledger->orders, "running", (int)running, "held",
+		(int)g_hash_table_size(site->taken), "ended",
+		(int)ledger->ended);
 }
 
 static const struct {
 	const char *path;
 	bool (*fn)(struct site *site, const json_t *root);
 } controls[] = {
-	{"/site/fault", fault_set}, {"/site/state", state_set},
-	{"/site/entry", entry_set}, {"/site/config", config_set},
-	{"/site/store", store_set}, {"/site/limit", limit_set},
+	{"/site/fault", fault_set},	{"/site/state", state_set},
+	{"/site/entry", entry_set},	{"/site/config", config_set},
+	{"/site/store", store_set},	{"/site/limit", limit_set},
+	{"/site/leaving", leaving_set}, {"/site/rest", rest_set},
 };
 
 static void on_control(void *ctx, struct web_request *request)
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -25,6 +25,11 @@
  *	POST /site/store   {"state": "up"}, or "down", "forget"
  *	POST /site/limit   {"server": "s1", "per_s": N}: it names that many
  *			   requests a second in its answers; none below 0
+ *	POST /site/leaving {"server": "s1"}: it says in its answers that it
+ *			   leaves; its entry stays as it is
+ *	POST /site/rest	   {"server": "p1", "sec": N}: it turns all requests
+ *			   away and asks for so much rest; none at 0. Judged
+ *			   as if there were one instance
  *	GET  /site/ledger?id=ID
  *			   runs of that request; all runs, repeats, what is
  *			   still held, servers that ended
@@ -85,6 +90,12 @@
 	double limit; /* requests a second that it names; below 0: none */
 	int64_t limited_at;
 	GArray *arrivals; /* int64_t, since the limit binds */
+	bool says_leaving;
+	int64_t said_leaving_at; /* first; 0: not yet */
+	double rest_sec;	 /* that it asks for; 0: none */
+	int64_t rest_from;
+	int64_t rests_until;
+	uint32_t rest_arrivals;
 };
 
 struct ledger {
@@ -100,7 +111,9 @@
 	uint32_t strangers;  /* arrivals that name another organisation */
 	uint32_t secrets;    /* arrivals that bear a key */
 	uint32_t over_limit; /* arrivals beyond what a server's limit allows */
-	GHashTable *units;   /* organisation to tokens that ran, as pointers */
+	uint32_t after_leaving; /* arrivals long after a server said that */
+	uint32_t in_rest;	/* arrivals at servers that rest */
+	GHashTable *units; /* organisation to tokens that ran, as pointers */
 };
 
 struct record {
@@ -147,7 +160,9 @@
 
 /* site_asks.c */
 /* Adds what the server asks for to an answer. */
-void asks_tell(const struct server *server, struct web_request *request);
+void asks_tell(struct server *server, struct web_request *request);
+/* Adds that it wants rest. */
+void asks_rest(struct server *server, struct web_request *request);
 void asks_limit(struct server *server, double limit);
 /* A request has arrived. */
 void asks_judge(struct server *server);
--- a/tests/platform/site/site_asks.c
+++ b/tests/platform/site/site_asks.c
@@ -7,14 +7,41 @@
 #define OVER_PART 1.5
 #define OVER_REQUESTS 5.0
 
-void asks_tell(const struct server *server, struct web_request *request)
+#define DRAIN_USEC (2 * USEC_PER_SEC)
+/* What is on its way when a server asks for rest arrives within this time; and
+ * so many may come later. */
+#define REST_BEGINS_USEC (500 * USEC_PER_MSEC)
+#define REST_REQUESTS 2u
+
+void asks_tell(struct server *server, struct web_request *request)
+{
+	char text[32];
+
+	if (server->limit >= 0.0) {
+		g_ascii_formatd(text, sizeof(text), "%.1f", server->limit);
+		web_reply_header(request, "server-limit", text);
+	}
+	if (server->says_leaving) {
+		web_reply_header(request, "server-leaving", "1");
+		if (server->said_leaving_at == 0)
+			server->said_leaving_at =
+				clock_now(server->site->clock);
+	}
+}
+
+void asks_rest(struct server *server, struct web_request *request)
 {
+	int64_t now = clock_now(server->site->clock);
 	char text[32];
 
-	if (server->limit < 0.0)
+	g_ascii_formatd(text, sizeof(text), "%.2f", server->rest_sec);
+	web_reply_header(request, "retry-after", text);
+	if (now < server->rests_until)
 		return;
-	g_ascii_formatd(text, sizeof(text), "%.1f", server->limit);
-	web_reply_header(request, "server-limit", text);
+	server->rest_from = now + REST_BEGINS_USEC;
+	server->rests_until =
+		now + (int64_t)(server->rest_sec * (double)USEC_PER_SEC);
+	server->rest_arrivals = 0;
 }
 
 void asks_limit(struct server *server, double limit)
@@ -33,9 +60,8 @@
 	return server->arrivals->len;
 }
 
-void asks_judge(struct server *server)
+static void limit_judge(struct server *server, int64_t now)
 {
-	int64_t now = clock_now(server->site->clock);
 	double allowed = server->limit * OVER_PART * WINDOW_SEC + OVER_REQUESTS;
 
 	if (server->limit < 0.0 || now - server->limited_at < CONTACT_USEC)
@@ -44,3 +70,16 @@
 	if ((double)window_count(server, now) > allowed)
 		server->site->ledger.over_limit++;
 }
+
+void asks_judge(struct server *server)
+{
+	int64_t now = clock_now(server->site->clock);
+
+	limit_judge(server, now);
+	if (server->said_leaving_at != 0 &&
+	    now - server->said_leaving_at > DRAIN_USEC)
+		server->site->ledger.after_leaving++;
+	if (now >= server->rest_from && now < server->rests_until &&
+	    ++server->rest_arrivals > REST_REQUESTS)
+		server->site->ledger.in_rest++;
+}
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -65,7 +65,7 @@
 		web_reply_header(request, "request-id", id);
 }
 
-static void refuse(const struct server *server, struct web_request *request,
+static void refuse(struct server *server, struct web_request *request,
 		   int status, const char *text)
 {
 	echo(request);
@@ -325,6 +325,11 @@
 		return;
 	organisation_judge(server->site, request);
 	asks_judge(server);
+	if (server->rest_sec > 0.0) {
+		asks_rest(server, request);
+		refuse(server, request, 503, "resting\n");
+		return;
+	}
 	fault = fault_take(server);
 	if (fault == FAULT_BUSY) {
 		refuse(server, request, 503, "busy\n");
