forward: a server that says in its answers that it leaves gets no more requests

While the store was down callers' requests went on to a server that was about to stop; one of them was cut off and answered 504. Seen 2.1 and 2.2 s after an answer had said so, where two seconds are allowed.

Cause: that a server leaves was known from the store's list alone. Class: as with limits, a condition that is said where nobody listens.

What answers say now counts beside the list, for that life of the server, however often the list drops it and brings it back, at all instances that the gossip reaches: no new calls, reservations, prompts or orders. What runs there goes on, and its end is held against no request.

--- a/forward/ended.c
+++ b/forward/ended.c
@@ -175,7 +175,7 @@
 {
 	const struct backend *backend = fleet_find(ended->parts.fleet, key);
 
-	return backend && backend->info.leaving;
+	return backend && backend_leaving(backend);
 }
 
 void ended_suspect(struct ended *ended, const struct backend_info *server,
--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -40,6 +40,7 @@
 struct fleet {
 	struct clock *clock;
 	char *data_centre;
+	const struct backpressure *pressure; /* NULL: answers say nothing */
 	struct table *table;
 	GHashTable *keys;     /* key to struct backend */
 	GHashTable *ids;      /* id to struct backend */
@@ -134,6 +135,26 @@
 		  LOG_D("leaving", backend->info.leaving));
 }
 
+static void backend_heed(const struct fleet *fleet, struct backend *backend)
+{
+	if (fleet->pressure)
+		backend->says_leaving =
+			backpressure_leaving(fleet->pressure, backend->key);
+}
+
+void fleet_follow(struct fleet *fleet, const struct backpressure *table)
+{
+	fleet->pressure = table;
+}
+
+void fleet_heed(struct fleet *fleet, uint64_t key)
+{
+	struct backend *backend = fleet_find(fleet, key);
+
+	if (backend)
+		backend_heed(fleet, backend);
+}
+
 static struct backend *backend_add(struct fleet *fleet,
 				   const struct backend_info *info)
 {
@@ -149,6 +170,7 @@
 	backend->key = backend_key(info);
 	backend->info = *info;
 	backend->near = strcmp(info->data_centre, fleet->data_centre) == 0;
+	backend_heed(fleet, backend);
 	g_hash_table_insert(fleet->keys, &backend->key, backend);
 	g_hash_table_insert(fleet->ids, backend->info.id, backend);
 	g_ptr_array_add(service_list(fleet, info->service), backend);
@@ -301,7 +323,7 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct backend *backend = list->pdata[i];
 
-		if (!backend->info.leaving && backend->avoided == 0)
+		if (!backend_leaving(backend) && backend->avoided == 0)
 			return true;
 	}
 	return !list || list->len == 0;
@@ -320,7 +342,7 @@
 static bool is_lost(const struct backend *backend, int64_t now)
 {
 	return backend->avoided > 0 && now < backend->avoid_until &&
-	       !backend->info.leaving;
+	       !backend_leaving(backend);
 }
 
 /* Whether half of the servers near cannot be reached. */
@@ -369,9 +391,14 @@
 	backend->lost_until = until;
 }
 
+bool backend_leaving(const struct backend *backend)
+{
+	return backend->info.leaving || backend->says_leaving;
+}
+
 bool backend_usable(const struct backend *backend, int64_t now)
 {
-	return !backend->info.leaving && now >= backend->avoid_until &&
+	return !backend_leaving(backend) && now >= backend->avoid_until &&
 	       now >= backend->changing_until;
 }
 
--- a/forward/node.c
+++ b/forward/node.c
@@ -232,6 +232,7 @@
 	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
+	fleet_follow(node->fleet, node->backpressure);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
 	parts.quarantine = node->quarantine;
--- a/forward/permit.c
+++ b/forward/permit.c
@@ -58,14 +58,15 @@
 
 /* Of lives that are not listed nothing is logged: they are gone, or not known
  * yet. */
-static void changes_log(const struct forward *forward, uint64_t server,
-			unsigned int changed, double before, const char *from)
+static void changes_take(const struct forward *forward, uint64_t server,
+			 unsigned int changed, double before, const char *from)
 {
 	const struct backend *backend =
 		fleet_find(forward->parts.fleet, server);
 
-	if (!backend)
+	if (!backend || !changed)
 		return;
+	fleet_heed(forward->parts.fleet, server);
 	if (changed & BACKPRESSURE_LIMIT)
 		limit_log(forward, backend, before, from);
 	if (changed & BACKPRESSURE_LEAVING)
@@ -83,7 +84,7 @@
 	unsigned int changed = backpressure_answer(
 		parts->backpressure, clock_now(parts->clock), server, signals);
 
-	changes_log(forward, server, changed, before, "answer");
+	changes_take(forward, server, changed, before, "answer");
 }
 
 void forward_fact(struct forward *forward, const struct backpressure_fact *fact)
@@ -93,7 +94,7 @@
 	unsigned int changed = backpressure_hear(parts->backpressure,
 						 clock_now(parts->clock), fact);
 
-	changes_log(forward, fact->server, changed, before, "peer");
+	changes_take(forward, fact->server, changed, before, "peer");
 }
 
 static void denied_log(const struct request *request,
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 
 #include "common/clock.h"
+#include "coord/backpressure.h"
 
 #define BACKEND_TEXT_MAX 64
 
@@ -75,6 +76,7 @@
 	int64_t changing_until; /* ordered to another role, or seems so */
 	int64_t closed_until;	/* its limit leaves no request before then */
 	uint32_t refusals;	/* reserved or prepared runs refused in a row */
+	bool says_leaving;	/* in its answers, whatever the list says */
 	bool listed;		/* seen in the snapshot being read */
 };
 
@@ -101,6 +103,12 @@
 struct fleet *fleet_create(struct clock *clock, const char *data_centre);
 void fleet_destroy(struct fleet *fleet);
 
+/* What answers said of servers holds for them however often the list drops and
+ * brings back the same life. The table must outlive the fleet. */
+void fleet_follow(struct fleet *fleet, const struct backpressure *table);
+/* What the table says of that life has changed. */
+void fleet_heed(struct fleet *fleet, uint64_t key);
+
 /* Adds a server or brings what is known of it up to date. A later life takes
  * the place of an earlier one. NULL when a later life was listed before, which
  * stays as it is, or when the table is full. */
@@ -140,6 +148,8 @@
  * tells them apart. */
 void fleet_hear_lost(struct fleet *fleet, uint64_t peer,
 		     const struct backend_lost *lost);
+/* By the list, or by its own answers. */
+bool backend_leaving(const struct backend *backend);
 /* May a new request be sent there now? */
 bool backend_usable(const struct backend *backend, int64_t now);
 uint32_t backend_requests(const struct backend *backend);
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -454,6 +454,7 @@
 	parts.quarantine = world.quarantine;
 	world.backpressure = backpressure_create();
 	parts.backpressure = world.backpressure;
+	fleet_follow(world.fleet, world.backpressure);
 	parts.limits = world.limits;
 	parts.counters = world.counters;
 	parts.rand = world.rand;
@@ -666,6 +667,15 @@
 		      &signals);
 }
 
+/* An answer of the server says that it leaves. */
+static void leaves_step(const char *options)
+{
+	const struct backpressure_signals signals = {.leaving = true};
+
+	world.signals(world.signals_ctx,
+		      fleet_find_id(world.fleet, options)->key, &signals);
+}
+
 static void home_step(const char *options)
 {
 	world.home = true;
@@ -714,6 +724,7 @@
 	{"busy", busy_step},
 	{"limit", limit_step},
 	{"home", home_step},
+	{"leaves", leaves_step},
 	{"permit", permit_step},
 };
 
