forward: a server that asks for rest is sent nothing for so long

A model server turned requests away and asked for three seconds of rest. The same instance sent it three and four more in that time, each refused within 2 ms; as refused prompts count as retries, the budget was spent and callers were refused (503 retry-budget): over a tenth of the summaries at second 30.

Cause: the answer's Retry-After was not read, and a refusal that says not run is held against nobody, so a server with nothing under way was the cheapest choice each time.

It is passed over from the answer until the longest time that it named: calls, reservations, prompts, runs, orders of roles and health checks. If no server is left callers are refused at once with the time at which the first one takes a request again; a stream waits only if that is in time.

--- a/forward/ended.c
+++ b/forward/ended.c
@@ -131,9 +131,18 @@
 		timer_start(&check->timer, AGAIN_USEC);
 }
 
+/* A server that rests is asked afterwards. */
 static void check_ask(struct check *check)
 {
-	const struct backend_ops *ops = check->ended->parts.backends;
+	const struct ended_parts *parts = &check->ended->parts;
+	const struct backend_ops *ops = parts->backends;
+	const struct backend *backend = fleet_find(parts->fleet, check->key);
+	int64_t now = clock_now(parts->clock);
+
+	if (backend && now < backend->rests_until) {
+		timer_start(&check->timer, backend->rests_until - now);
+		return;
+	}
 
 	check->call = ops->check(ops->ctx, &check->server, check->health_path,
 				 on_checked, check);
--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -137,9 +137,11 @@
 
 static void backend_heed(const struct fleet *fleet, struct backend *backend)
 {
-	if (fleet->pressure)
-		backend->says_leaving =
-			backpressure_leaving(fleet->pressure, backend->key);
+	if (!fleet->pressure)
+		return;
+	backend->says_leaving =
+		backpressure_leaving(fleet->pressure, backend->key);
+	backend->rests_until = backpressure_rest(fleet->pressure, backend->key);
 }
 
 void fleet_follow(struct fleet *fleet, const struct backpressure *table)
@@ -396,12 +398,24 @@
 	return backend->info.leaving || backend->says_leaving;
 }
 
-bool backend_usable(const struct backend *backend, int64_t now)
+static bool is_up(const struct backend *backend, int64_t now)
 {
 	return !backend_leaving(backend) && now >= backend->avoid_until &&
 	       now >= backend->changing_until;
 }
 
+bool backend_usable(const struct backend *backend, int64_t now)
+{
+	return is_up(backend, now) && now >= backend->rests_until;
+}
+
+int64_t backend_opens(const struct backend *backend, int64_t now)
+{
+	if (!is_up(backend, now))
+		return -1;
+	return MAX(now, MAX(backend->rests_until, backend->closed_until));
+}
+
 static uint32_t part_of(int64_t sum)
 {
 	return (uint32_t)CLAMP(sum, 0, UINT32_MAX / 2);
--- a/forward/place.c
+++ b/forward/place.c
@@ -127,18 +127,21 @@
 	       jitter(place, backend);
 }
 
-int64_t place_opens(const struct place *place)
+int64_t place_opens(const struct place *place, enum backend_stage stage)
 {
 	const GPtrArray *list = fleet_service(place->fleet, place->service);
 	int64_t first = 0;
 
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct backend *backend = list->pdata[i];
+		int64_t opens = backend_opens(backend, place->now);
 
-		if (backend_usable(backend, place->now) &&
-		    backend->closed_until > place->now &&
-		    (first == 0 || backend->closed_until < first))
-			first = backend->closed_until;
+		if (opens < 0 || backend->info.stage != stage)
+			continue;
+		if (opens == place->now)
+			return 0;
+		if (first == 0 || opens < first)
+			first = opens;
 	}
 	return first;
 }
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -216,14 +216,10 @@
 
 static void plain_unplaced(struct request *request)
 {
-	struct place place;
-	int64_t opens;
+	int64_t opens = request_opens(request, STAGE_NONE);
 
-	request_place(request, &place);
-	opens = place_opens(&place);
 	if (opens > 0)
-		request_refuse(request, RESULT_SERVERS_LIMITED,
-			       opens - place.now);
+		request_refuse_closed(request, opens);
 	else
 		request_refuse(request, RESULT_NO_BACKEND, RETRY_USEC);
 }
--- a/forward/request.c
+++ b/forward/request.c
@@ -58,6 +58,14 @@
 	};
 }
 
+int64_t request_opens(const struct request *request, enum backend_stage stage)
+{
+	struct place place;
+
+	request_place(request, &place);
+	return place_opens(&place, stage);
+}
+
 bool request_take_send(struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
@@ -282,6 +290,12 @@
 		    result_label(code));
 }
 
+void request_refuse_closed(struct request *request, int64_t opens)
+{
+	request_refuse(request, RESULT_SERVERS_LIMITED,
+		       opens - request_now(request));
+}
+
 void request_fail(struct request *request, enum result_code code,
 		  const char *why)
 {
--- a/forward/request.h
+++ b/forward/request.h
@@ -130,6 +130,8 @@
 /* Whether the fate of a run may be unknown and it may still run again. */
 bool request_repeatable(const struct request *request);
 void request_place(const struct request *request, struct place *place);
+/* place_opens() for the request. */
+int64_t request_opens(const struct request *request, enum backend_stage stage);
 /* Whether one more send may be made: the first is free, others take from the
  * service's budget. */
 bool request_may_send(struct request *request);
@@ -189,6 +191,9 @@
  * sure. */
 void request_refuse(struct request *request, enum result_code code,
 		    int64_t retry_usec);
+/* All servers that could take it have asked for less, or for nothing, until
+ * then. */
+void request_refuse_closed(struct request *request, int64_t opens);
 void request_fail(struct request *request, enum result_code code,
 		  const char *why);
 /* Says that it is not served, and will not be if it comes again as it is. */
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -139,6 +139,21 @@
 	return MIN(from + patience, request->limit) - BEGIN_USEC;
 }
 
+/* Whether no server will take it before it is of no more use. */
+static bool closed_refuse(struct request *request)
+{
+	int64_t opens;
+
+	if (request->replied)
+		return false;
+	opens = request_opens(request, STAGE_DECODE);
+	if (opens <= wait_end(request))
+		return false;
+	stream_unwait(request);
+	request_refuse_closed(request, opens);
+	return true;
+}
+
 static void waiting_expire(struct forward *forward)
 {
 	int64_t now = clock_now(forward->parts.clock);
@@ -148,7 +163,8 @@
 		struct request *request = link->data;
 
 		next = link->next;
-		if (early_refuse(request, now) || now < wait_end(request))
+		if (early_refuse(request, now) || closed_refuse(request) ||
+		    now < wait_end(request))
 			continue;
 		stream_unwait(request);
 		if (request->replied)
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -77,6 +77,7 @@
 	int64_t closed_until;	/* its limit leaves no request before then */
 	uint32_t refusals;	/* reserved or prepared runs refused in a row */
 	bool says_leaving;	/* in its answers, whatever the list says */
+	int64_t rests_until;	/* it wants nothing from here before then */
 	bool listed;		/* seen in the snapshot being read */
 };
 
@@ -152,6 +153,9 @@
 bool backend_leaving(const struct backend *backend);
 /* May a new request be sent there now? */
 bool backend_usable(const struct backend *backend, int64_t now);
+/* When a request may be sent there by what it asked for: now or later; -1 when
+ * it leaves or cannot be reached. */
+int64_t backend_opens(const struct backend *backend, int64_t now);
 uint32_t backend_requests(const struct backend *backend);
 uint32_t backend_decode_tokens(const struct backend *backend);
 uint32_t backend_prefill_tokens(const struct backend *backend);
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -45,9 +45,10 @@
 int64_t place_stale(const struct place *place, const struct backend *backend);
 /* For a plain call. NULL when no server is usable. */
 struct backend *place_plain(const struct place *place);
-/* When the first server of the service that would be chosen but for its limit
- * may be asked for again; 0 when there is none. */
-int64_t place_opens(const struct place *place);
+/* When the first server of a stage may be sent a request, if those that could
+ * take one all asked for less or for nothing; 0 when one may be now, or none
+ * can be reached. */
+int64_t place_opens(const struct place *place, enum backend_stage stage);
 /* Whether the server has a place free for a plain call. */
 bool place_plain_free(const struct backend *backend);
 /* A decode server with room for tokens, by what is under way there. */
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -676,6 +676,18 @@
 		      fleet_find_id(world.fleet, options)->key, &signals);
 }
 
+/* An answer of the server asks for rest: "rest s1 3000". */
+static void rest_step(const char *options)
+{
+	g_autofree char *id = g_strndup(options, 2);
+	const struct backpressure_signals signals = {
+		.rest_usec = atoi(options + 2) * USEC_PER_MSEC,
+	};
+
+	world.signals(world.signals_ctx, fleet_find_id(world.fleet, id)->key,
+		      &signals);
+}
+
 static void home_step(const char *options)
 {
 	world.home = true;
@@ -725,6 +737,7 @@
 	{"limit", limit_step},
 	{"home", home_step},
 	{"leaves", leaves_step},
+	{"rest", rest_step},
 	{"permit", permit_step},
 };
 
