forward: callers that are told to wait for a server come back over 200 ms

All callers that find no server were told the same moment, when the first one takes a request again, and would come back together. Each is now told up to 200 ms later, at random.

--- a/forward/request.c
+++ b/forward/request.c
@@ -13,6 +13,9 @@
  * sites where it is passed on within 250 ms. */
 #define NO_CONFIG_USEC (250 * USEC_PER_MSEC)
 
+/* Callers that wait for the same server come back over this time. */
+#define RETURN_SPREAD_USEC (200 * USEC_PER_MSEC)
+
 static const char *const end_names[END_COUNT] = {
 	[END_ANSWERED] = "answered", [END_REFUSED] = "refused",
 	[END_FAILED] = "failed",     [END_BROKEN] = "broken",
@@ -292,8 +295,11 @@
 
 void request_refuse_closed(struct request *request, int64_t opens)
 {
+	double spread = g_rand_double(request->forward->parts.rand) *
+			(double)RETURN_SPREAD_USEC;
+
 	request_refuse(request, RESULT_SERVERS_LIMITED,
-		       opens - request_now(request));
+		       opens - request_now(request) + (int64_t)spread);
 }
 
 void request_fail(struct request *request, enum result_code code,
