--- a/coord/limit.c
+++ b/coord/limit.c
@@ -5,13 +5,9 @@
 #include "common/clock.h"
 #include "limit_account.h"
 
-/* An instance that starts has not met the others at first, and where all have
- * started each would let the whole rate through: until half a second after the
- * first word of another one, time for two words of each, and for three seconds
- * at most, this part of it. An organisation's callers come to some five
- * instances. With all of it, eight restarts of all within ten seconds let 2.41
- * of the allotment through in a window, where 1.2 are allowed; with this part
- * 0.99, with half 1.13 (test limit-world, 7 to 300 instances). */
+/* Part of the rate that an instance lets through until half a second after the
+ * first message of another one, or for three seconds: after a start of all each
+ * would let the whole rate through. */
 #define ALONE_PART 0.35
 #define ALONE_USEC (500 * USEC_PER_MSEC)
 #define ALONE_MOST_USEC (3 * USEC_PER_SEC)
--- a/coord/limit_account.c
+++ b/coord/limit_account.c
@@ -4,14 +4,11 @@
 
 #include "common/clock.h"
 
-/* What was asked for is averaged over this time. Over two seconds it follows
- * single requests: a data centre with one caller was cut off with half of its
- * fair part, and up to 0.037 of what it asked for below the allotment was
- * refused (test limit-world, a cut of a minute). */
+/* What was asked for is averaged over this time: long enough not to follow
+ * single requests. */
 #define DEMAND_USEC (8 * USEC_PER_SEC)
 /* Part of the allotment that goes to each data centre alike while one is
- * silent, whatever was asked there before: callers may come to it only then.
- * With 0.1 up to 0.031 was refused in that test, with this 0.025. */
+ * silent, whatever was asked there before: callers may come to it only then. */
 #define ALIKE_PART 0.3
 /* A single silent instance is taken for gone after this time; a group, which is
  * a data centre, never is. */
--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -5,8 +5,7 @@
 #include "common/clock.h"
 
 /* Works that ran to their end lately: slots for marks, each taken over by the
- * next one that falls on it. At 45 requests a second of an instance, the most
- * seen, they last for over a minute. */
+ * next one that falls on it. */
 #define PROOFS 4096u
 /* What ran to its end so long ago says nothing any more: the site may run other
  * software by now. */
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -16,14 +16,8 @@
 #define READ_MAX 64
 /* A change of load on a server of engines is told at once to the peers near,
  * and to those of the server's data centre, as long as datagrams are left of
- * this many a second, and this many saved up. Told only every 100 ms near and
- * 600 ms elsewhere, instances that place at the same time choose the same
- * server, which then preempts: with 83 instances the mean worth of days with
- * trouble was 0.344, then 0.477 (5 and 15 plays, no processor time charged);
- * with 7 it was 0.744 and 0.568, then 0.754 and 0.571. With at most 240 a
- * second it was 0.433 with 83 (5 plays). A request changes load some five
- * times, so 83 instances with 36 requests a second tell 180 datagrams a second
- * each. */
+ * this many a second, and this many saved up: told later, instances that place
+ * at the same time choose the same server, which then preempts. */
 #define AT_ONCE_PER_SEC 450.0
 #define AT_ONCE_SAVED 900.0
 /* The same for the peers of all other data centres, who only use the server
--- a/forward/gossip_works.c
+++ b/forward/gossip_works.c
@@ -96,9 +96,8 @@
 	peer_send(gossip, peer, out);
 }
 
-/* By turns alone an instance that starts while no store keeps what is held
- * hears of it by chance: after three seconds one in a hundred did not know, in
- * one of eleven trials with 100 instances. */
+/* By turns alone an instance that starts without a store hears of what is held
+ * too late. */
 void gossip_works_greet(struct gossip *gossip, const struct peer *peer)
 {
 	struct quarantine_entry entries[GOSSIP_WORKS_MAX];
--- a/forward/overload.c
+++ b/forward/overload.c
@@ -5,20 +5,13 @@
 /* The time from placing to the first event varies by about this much more. */
 #define BEGIN_MARGIN 1.3
 /* A request that has waited for this part of its target and will hardly be
- * placed in time is refused then: it has not run, and its caller comes back
- * when the overload may be over. Within an eighth of the target its caller
- * loses little by having waited. Told at once, by the queue of one moment, too
- * many were refused: 0.556 against 0.567 at Vestland, mean worth of days with
- * trouble. */
+ * placed in time is refused then. Its caller loses little by having waited, and
+ * the queue of one moment says less. */
 #define EARLY_PART 0.1
-/* How long a request keeps its memory, on average. Learnt instead, the mean of
- * days with trouble was 0.569 for 0.570 on four sites with other engines, and
- * up to 0.011 less on three small ones. */
+/* How long a request keeps its memory, on average. */
 #define RUN_SEC 3.5
-/* Bounds of what the caller is told then. Bursts last four to five seconds;
- * with one to four seconds a third more of the worth came back into the same
- * burst and was refused again, and the mean of days with trouble was 0.008 less
- * at Vestland, the same elsewhere. */
+/* Bounds of what the caller is told then: told sooner, it comes back into the
+ * same burst. */
 #define EARLY_RETRY_USEC (2500 * USEC_PER_MSEC)
 #define EARLY_RETRY_SPAN_USEC (2 * USEC_PER_SEC)
 
--- a/forward/place.c
+++ b/forward/place.c
@@ -7,9 +7,7 @@
  * two crossings (3 ms) against calls of some 15 ms. */
 #define PLAIN_FAR 0.15
 /* The same for decoding: a stream that crosses is lost when its data centre is
- * cut off. 0.15 instead of 0.04 raised the mean worth of days with trouble from
- * 0.669 to 0.683 (Arequipa) and from 0.513 to 0.522 (Vestland); 0.35 did not.
- */
+ * cut off. */
 #define DECODE_FAR 0.15
 /* For prefill: the result takes twice as long and costs twice as much between
  * data centres, as much as half a prompt more in the queue. */
@@ -28,10 +26,7 @@
 #define PREFILL_JITTER_TOKENS 16000.0
 /* An engine whose view is older must have room for one request more for each
  * such time beyond STALE_FREE_USEC: under load somebody nearer has taken what
- * little room an old view shows. Without it, with 295 instances in a burst of
- * twice the mean, 3,086 of 3,199 reservations tried in other data centres in
- * three seconds were at engines that were full, and each try made the views of
- * all others older. */
+ * little room an old view shows. */
 #define STALE_REQUEST_USEC (150 * USEC_PER_MSEC)
 /* A decode server reads a prompt itself at half the speed, between the tokens
  * of those that run there. */
--- a/forward/request.h
+++ b/forward/request.h
@@ -158,8 +158,7 @@
 /* Gives back what a request took that has not run. */
 void request_unadmit(struct request *request);
 /* Its organisation's priority, or its route's; 0 is the highest. It orders
- * those that wait here. Told to engines too, which then preempt by it, the mean
- * of days with trouble was 0.570 instead of 0.586. */
+ * those that wait here; engines, which would preempt by it, are not told. */
 uint32_t request_urgency(const struct request *request);
 
 /* Gives the reserved memory, or the result of a prefill, back. */
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -23,9 +23,7 @@
 #define PREFILL_LEAST 2u
 #define TOTAL_FOR_LEAST 5u
 /* A change must be wanted so long once there is traffic: longer than bursts
- * that follow each other. With 12 s the mean of days with trouble was 0.002 to
- * 0.005 less.
- */
+ * that follow each other. */
 #define ROLES_PATIENCE_USEC (30 * USEC_PER_SEC)
 /* Prefill runners that cannot read even the mean demand leave a queue that only
  * grows: then a change is due after this time, which covers servers that are
--- a/forward/share.c
+++ b/forward/share.c
@@ -13,9 +13,8 @@
 #define START_RANK_MAX 10u
 /* Peers are heard of within this time of being listed, if there are any. */
 #define START_USEC (150 * USEC_PER_MSEC)
-/* So long the list of peers is waited for: 360 instances that start at once are
- * listed one after the other, 2 ms each. Without it all of them read the store
- * before they knew of each other, 690 calls with 295 instances. */
+/* So long the list of peers is waited for, or all that start at once read the
+ * store before they know of each other. */
 #define LISTED_USEC (1 * USEC_PER_SEC)
 /* How much older than it says what a peer tells of its copy is taken to be: the
  * way, 1 ms between data centres, and the queue of a busy instance. Taken as
@@ -25,8 +24,7 @@
 #define HOP_USEC (20 * USEC_PER_MSEC)
 /* From so many instances of a data centre on that the store does not answer,
  * the others take turns, this time apart: whoever is answered first tells all.
- * Without turns 295 instances made 12,000 calls in 15 s to a store that was
- * busy, 0.08 of the worth of a day with trouble. */
+ */
 #define STORELESS_LEAST 2u
 #define TURN_USEC (300 * USEC_PER_MSEC)
 /* A busy store that hands out a long list page by page fails some pages: with
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -27,21 +27,12 @@
 /* Parts of the output, as twice the caller's estimate, that a request is
  * counted with when a server is chosen for it, and that it reserves there.
  * Others end and free memory while it generates, so the server need not have
- * all of it now: reserving 0.125 instead of 0.5 raised the mean worth of days
- * with trouble from 0.700 to 0.718 (Arequipa), 0.534 to 0.541 (Vestland), 0.500
- * to 0.528 and 0.496 to 0.507 (the same grown); 0 gave 0.714 and 0.537.
- * Counting 0.4 or 0.6 gained nothing. */
+ * all of it now. */
 #define COUNTED_PART 0.5
 #define RESERVED_PART 0.125
 /* A prompt is not sent to a prefill server that has prompts ahead of it for
  * longer than this part of the target, by the learnt rate: it is read where it
- * will run, or waits here, where it takes no decode memory meanwhile. When all
- * waited, beyond 14,000 tokens, the few prefill servers that a crash of a third
- * of the engines left bound all: 0.468 and 0.530 of worth on two days of 73
- * instances and 44 engines, now 0.491 and 0.546; the mean of three other sites
- * was 0.669 and is 0.672 (no processor time charged). Read by decode servers
- * from two and a half prompts on, the first two were 0.498 and 0.550, but the
- * three quiet days 0.015 less. */
+ * will run, or waits here, where it takes no decode memory meanwhile. */
 #define PREFILL_QUEUE_PART 0.45
 /* Rounds through placing that one request may make. */
 #define ROUNDS_MAX 4u
@@ -170,10 +161,8 @@
 				request->kv);
 }
 
-/* One that was refused, or may have been lost on its way, counts. Taken for
- * free, the runs that followed refused prefills were sends beyond the budget:
- * 98 in ten seconds on a site that may have 90, while half of its engines
- * refused. */
+/* One that was refused, or may have been lost on its way, counts as a send: the
+ * run that follows it is one more. */
 static void prefill_count(struct request *request,
 			  const struct backend_end *end)
 {
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -18,8 +18,7 @@
 #define PATIENCE_GAPS 8
 #define BEGIN_USEC (400 * USEC_PER_MSEC)
 /* Requests that will be late are only given room that this many more like them
- * would fit into. Refused when they become late in a long queue, the mean worth
- * of days with trouble was 0.010 less. */
+ * would fit into. */
 #define LATE_ROOM 3u
 /* What one is told that waited in vain: memory is freed within this time. */
 #define RETRY_USEC (300 * USEC_PER_MSEC)
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -113,17 +113,13 @@
 	uint32_t read_raters;
 	bool leaving;
 	bool storeless; /* the store does not answer it */
-	/* Servers ordered to another role. Told of the last one alone,
-	 * instances sent runs to all others that were changing, whose prompts
-	 * were read in vain: on a day on which seven changed within three
-	 * seconds 417 runs with memory reserved were refused. */
+	/* Servers ordered to another role, all of them: runs sent to one
+	 * that changes are refused, and their prompts were read in vain. */
 	struct backend_change changing[GOSSIP_CHANGING_MAX];
 	uint32_t changing_count;
 	struct share_word shares[GOSSIP_SHARES];
-	/* Servers that could not be reached; of an instance only. Learnt by
-	 * each instance for itself, nine servers that had crashed cost 73
-	 * instances 1,189 connections in four seconds, and their requests up to
-	 * seven tries one after the other. */
+	/* Servers that could not be reached; of an instance only. Who is
+	 * told need not try them all one after the other. */
 	struct backend_lost lost[GOSSIP_LOST_MAX];
 	uint32_t lost_count;
 };
--- a/include/forward/organisation.h
+++ b/include/forward/organisation.h
@@ -6,10 +6,6 @@
  *	Keys are kept as SHA-256 digests only, so none can leak from here into a
  *	log line or to a peer. A look-up is one hash probe and a comparison that
  *	takes the same time wherever two digests differ.
- *
- *	With 10,000 organisations and 100,000 keys it takes 8.5 MiB, all are
- *	added in 150 ms, and a look-up takes 0.9 microseconds (test
- *	forward-organisations, "many", one core at full speed).
  */
 #ifndef FORWARD_ORGANISATION_H
 #define FORWARD_ORGANISATION_H
--- a/include/forward/overload.h
+++ b/include/forward/overload.h
@@ -6,10 +6,7 @@
  *	Choices for bursts beyond what the engines' memory holds. Callers that
  *	can still meet their target go first, of them the more urgent, of
  *	equally urgent ones those that are least work: under lasting overload
- *	the first come would all be just too late. With the least work first,
- *	and refused early by it, the mean worth of days with trouble was 0.586,
- *	newest first 0.578 (73 instances, five days, one play each; four of them
- *	better). Test forward-overload plays such a burst.
+ *	the first come would all be just too late.
  *
  *	A caller is judged once, when a part of its target has passed. It is
  *	refused when those that wait will take longer to be placed than it has
--- a/include/forward/rates.h
+++ b/include/forward/rates.h
@@ -39,9 +39,8 @@
 };
 
 /* What a request takes of a decode server: memory held, in tokens, times tokens
- * to be generated meanwhile, a measure of time. Where memory is full, as many
- * more callers are served as those go first that take little: in a burst of
- * twice what fits 0.928 in time instead of 0.881 (test forward-overload). */
+ * to be generated meanwhile, a measure of time. Where memory is full more
+ * callers are served in time if those go first that take little. */
 double stream_work(uint32_t prompt, uint32_t output);
 /* That, as a multiple of what a request of the service mostly takes. */
 double engine_rates_weight(const struct engine_rates *rates, double work);
