--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -121,6 +121,7 @@
 	if (strcmp(text_of(root, "state"), "again") == 0) {
 		server->born++;
 		server->beats = 0;
+		asks_clear(server);
 	}
 	if (server->web && !server->mute)
 		server_beat(server);
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -164,6 +164,8 @@
 /* Adds that it wants rest. */
 void asks_rest(struct server *server, struct web_request *request);
 void asks_limit(struct server *server, double limit);
+/* A new life asks for nothing. */
+void asks_clear(struct server *server);
 /* A request has arrived. */
 void asks_judge(struct server *server);
 
--- a/tests/platform/site/site_asks.c
+++ b/tests/platform/site/site_asks.c
@@ -83,3 +83,12 @@
 	    ++server->rest_arrivals > REST_REQUESTS)
 		server->site->ledger.in_rest++;
 }
+
+void asks_clear(struct server *server)
+{
+	asks_limit(server, -1.0);
+	server->says_leaving = false;
+	server->said_leaving_at = 0;
+	server->rest_sec = 0.0;
+	server->rests_until = 0;
+}
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -435,6 +435,7 @@
 
 	server->born++;
 	server->beats = 0;
+	asks_clear(server);
 	server_listen(server);
 	server_beat(server);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,5 +1,7 @@
-/* soak BUILD SEED [SECONDS [repeats]]: one run; exit status 1 when a promise
- * broke. With "repeats" a caller sends again and again what ends servers. */
+/* soak BUILD SEED [SECONDS [repeats|asks]]: one run; exit status 1 when a
+ * promise broke. With "repeats" a caller sends again and again what ends
+ * servers, with "asks" servers name limits, ask for rest and say that they
+ * leave. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -95,14 +97,20 @@
 	timer_start(&soak->call_timer, 0);
 	if (soak->repeating)
 		repeats_start(soak);
+	if (soak->asking)
+		asks_start(soak);
 	while (clock_now(soak->clock) < soak->end_at) {
 		soak_turn(soak, g_rand_int_range(soak->rand, 50, 500) *
 					USEC_PER_MSEC);
 		fault_strike(soak);
 	}
 	faults_heal(soak);
+	if (soak->asking)
+		asks_heal(soak);
 	soak_turn(soak, SETTLE_USEC);
 	recovery_check(soak);
+	if (soak->asking)
+		asks_check(soak);
 	calls_check(soak);
 	if (soak->repeating)
 		repeats_check(soak);
@@ -117,6 +125,7 @@
 	int seconds = argc > 3 ? atoi(argv[3]) : SECONDS;
 
 	soak.repeating = argc > 4 && strcmp(argv[4], "repeats") == 0;
+	soak.asking = argc > 4 && strcmp(argv[4], "asks") == 0;
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	soak.build = argc > 1 ? argv[1] : "build";
@@ -126,6 +135,7 @@
 	soak.client = web_client_create(soak.loop);
 	soak.rand = g_rand_new_with_seed(seed);
 	soak.callers = g_rand_new_with_seed(seed + 1000000);
+	soak.asks = g_rand_new_with_seed(seed + 2000000);
 	soak.calls = g_ptr_array_new();
 	soak_run(&soak, seconds);
 	printf("seed %u: %s, %u calls, %u faults, %u broken%s%s\n", seed,
@@ -134,6 +144,7 @@
 	       soak.failures ? soak.folder : "");
 	g_rand_free(soak.rand);
 	g_rand_free(soak.callers);
+	g_rand_free(soak.asks);
 	g_free(soak.site_address);
 	g_free(soak.folder);
 	return soak.failures > 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -96,6 +96,10 @@
 	uint32_t repeats_refused;
 	uint32_t all_killed; /* times */
 	struct timer repeat_timer;
+	/* Of a run with servers that ask for less. */
+	bool asking;
+	GRand *asks;
+	struct timer ask_timer;
 };
 
 /* process.c */
@@ -131,6 +135,12 @@
 void repeats_start(struct soak *soak);
 void repeats_check(struct soak *soak);
 
+/* asks.c */
+void asks_start(struct soak *soak);
+/* No server asks for anything any more. */
+void asks_heal(struct soak *soak);
+void asks_check(struct soak *soak);
+
 /* faults.c */
 void fault_strike(struct soak *soak);
 void faults_heal(struct soak *soak);
