--- a/forward/stream.c
+++ b/forward/stream.c
@@ -171,6 +171,21 @@
 		request->sends++;
 }
 
+/* One that refuses all has nothing under way, so it would look like the best
+ * choice for each next prompt. */
+static void prefill_blame(struct request *request, struct backend *backend,
+			  const struct backend_end *end)
+{
+	const struct answer *answer = &request->answer;
+
+	stream_blame(request, backend, end);
+	if (!backend)
+		return;
+	tried_add(&request->tried, backend->key);
+	if (answer->has_head && answer->head.not_run && !answer->head.other)
+		backend_run_refused(backend, request_now(request));
+}
+
 static void prefill_done(void *ctx, const struct backend_end *end)
 {
 	struct request *request = ctx;
@@ -197,9 +212,7 @@
 	prefill_count(request, end);
 	stream_failed_log(request, "prefill", end);
 	request_lost(request, end);
-	stream_blame(request, backend, end);
-	if (backend)
-		tried_add(&request->tried, backend->key);
+	prefill_blame(request, backend, end);
 	answer_clear(&request->answer);
 	if (request_suspected(request))
 		stream_again(request, RESULT_NO_BACKEND, end->text);
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -171,7 +171,8 @@
 void backend_granted(struct backend *backend);
 /* A run that had a reservation, or a result to fetch, began there or with its
  * result; or it was refused all the same: then the server may be changing its
- * role, or have lost the result. Twice in a row, and it rests. */
+ * role, or have lost the result. So was a prompt refused. Twice in a row, and
+ * it is passed over for a while. */
 void backend_began(struct backend *backend);
 void backend_run_refused(struct backend *backend, int64_t now);
 bool backend_suspect(const struct backend *backend);
