forward: early refusal counts a limited engine by what its limit lets come

A queue was reckoned by the memory of all decode servers, so callers waited in a line that a limited engine would not shorten, and were refused late when they could have been told at once. Such an engine now counts for as many places as its limit fills in the time that a request holds its memory.

--- a/forward/overload.c
+++ b/forward/overload.c
@@ -32,6 +32,12 @@
 	return (one->weight > other->weight) - (one->weight < other->weight);
 }
 
+double overload_places(double memory_places, double limit)
+{
+	return limit < 0.0 ? memory_places
+			   : MIN(memory_places, limit * RUN_SEC);
+}
+
 double overload_queue_sec(uint32_t waiting, double places)
 {
 	return (double)waiting * RUN_SEC / MAX(places, 1.0);
--- a/forward/place.c
+++ b/forward/place.c
@@ -3,6 +3,8 @@
 #include <float.h>
 #include <string.h>
 
+#include "forward/overload.h"
+
 /* What another data centre costs a plain call, in shares of a server's slots:
  * two crossings (3 ms) against calls of some 15 ms. */
 #define PLAIN_FAR 0.15
@@ -52,10 +54,16 @@
 	return false;
 }
 
+static double limit_of(const struct place *place, const struct backend *backend)
+{
+	if (!place->backpressure)
+		return BACKPRESSURE_UNLIMITED;
+	return backpressure_limit(place->backpressure, backend->key);
+}
+
 static bool is_limited(const struct place *place, const struct backend *backend)
 {
-	return place->backpressure &&
-	       backpressure_limit(place->backpressure, backend->key) >= 0.0;
+	return limit_of(place, backend) >= 0.0;
 }
 
 static bool backend_fits(const struct place *place,
@@ -247,17 +255,19 @@
 	return apart;
 }
 
-uint32_t place_count(const struct place *place, enum backend_stage stage)
+double place_decode_places(const struct place *place,
+			   const struct engine_traits *engine, uint32_t tokens)
 {
 	const GPtrArray *list = fleet_service(place->fleet, place->service);
-	uint32_t count = 0;
+	double each = (double)engine->memory_tokens / (double)MAX(tokens, 1u);
+	double sum = 0.0;
 
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct backend *backend = list->pdata[i];
 
-		if (backend->info.stage == stage &&
+		if (backend->info.stage == STAGE_DECODE &&
 		    backend_usable(backend, place->now))
-			count++;
+			sum += overload_places(each, limit_of(place, backend));
 	}
-	return count;
+	return sum;
 }
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -98,14 +98,12 @@
 static double queue_sec(const struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
-	const struct engine_traits *engine = &request->service->engine;
 	struct place place;
 	double places;
 
 	request_place(request, &place);
-	places = (double)place_count(&place, STAGE_DECODE) *
-		 (double)engine->memory_tokens /
-		 (double)MAX(stream_tokens(request), 1u);
+	places = place_decode_places(&place, &request->service->engine,
+				     stream_tokens(request));
 	return overload_queue_sec(parts->waiting(parts->instances_ctx), places);
 }
 
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -65,7 +65,9 @@
 struct backend *place_reader(const struct place *place,
 			     const struct backend *to, uint32_t tokens,
 			     uint32_t most_ahead);
-/* Usable servers of a stage. */
-uint32_t place_count(const struct place *place, enum backend_stage stage);
+/* Requests of so many tokens that the usable decode servers hold at a time, as
+ * far as their limits let them come. */
+double place_decode_places(const struct place *place,
+			   const struct engine_traits *engine, uint32_t tokens);
 
 #endif
