tests: each test process of gossip has a loopback address of its own

forward-gossip-site failed once beside all other tests: an instance of a world of 100 knew 256 others. Its log names peers c282 and e294 of a world of 300, which forward-gossip-permits played at the same time: ports that stopped instances give back were taken by the other test's instances, and the two worlds met.

--- a/coord/backpressure.c
+++ b/coord/backpressure.c
@@ -4,18 +4,17 @@
 
 #include "common/clock.h"
 
-/* A server that takes nothing is asked this often all the same: only an answer
- * shows that it takes requests again. */
+/* Least rate, also for a limit of 0: only an answer can show that the limit has
+ * ended. */
 #define LEAST_PER_SEC 0.25
-/* Requests that a home may grant at once after a pause: those of this time, one
- * at least. */
+/* Capacity of the bucket in seconds of the limit; at least one request. */
 #define BURST_SEC 0.5
-/* Nobody is told to ask later than this. */
+/* Longest time until an instance that was denied asks again. */
 #define BOOKED_USEC (1 * USEC_PER_SEC)
-/* Every instance has heard by then what is told for so long. */
+/* Facts are told for this long after the answer they are from. */
 #define TOLD_USEC (30 * USEC_PER_SEC)
 #define UNLISTED_USEC (60 * USEC_PER_SEC)
-/* When a limit was named that never was. */
+/* named_at while no limit was ever named. */
 #define NEVER (INT64_MIN / 4)
 
 struct item {
@@ -24,17 +23,17 @@
 	int64_t named_at; /* when the answer that says so came; or NEVER */
 	bool leaving;
 	int64_t leaving_at; /* when it said so last */
-	int64_t rests_until;
-	bool counts;  /* level holds */
-	double level; /* requests that may be granted now */
+	int64_t backoff_until;
+	bool counting; /* level is valid */
+	double level;  /* tokens at level_at */
 	int64_t level_at;
-	int64_t booked; /* up to when others were told to ask again */
+	int64_t booked; /* latest time that an instance was told to ask again */
 };
 
 struct backpressure {
 	GHashTable *items; /* server to struct item */
 	uint32_t limited;
-	uint32_t turn; /* which fact is told next */
+	uint32_t turn; /* index of the fact to be told next */
 };
 
 struct backpressure *backpressure_create(void)
@@ -114,20 +113,20 @@
 	return changed ? BACKPRESSURE_LEAVING : 0;
 }
 
-static unsigned int rest_set(struct item *item, int64_t until)
+static unsigned int backoff_set(struct item *item, int64_t until)
 {
-	if (until <= item->rests_until)
+	if (until <= item->backoff_until)
 		return 0;
-	item->rests_until = until;
-	return BACKPRESSURE_REST;
+	item->backoff_until = until;
+	return BACKPRESSURE_BACKOFF;
 }
 
 unsigned int backpressure_answer(struct backpressure *table, int64_t now,
 				 uint64_t server,
 				 const struct backpressure_signals *signals)
 {
-	bool says =
-		signals->limited || signals->leaving || signals->rest_usec > 0;
+	bool says = signals->limited || signals->leaving ||
+		    signals->backoff_usec > 0;
 	struct item *item =
 		says ? item_get(table, server) : item_find(table, server);
 	unsigned int changed;
@@ -137,8 +136,8 @@
 	changed = limit_answer(table, item, now, signals);
 	if (signals->leaving)
 		changed |= leaving_set(item, now);
-	if (signals->rest_usec > 0)
-		changed |= rest_set(item, now + signals->rest_usec);
+	if (signals->backoff_usec > 0)
+		changed |= backoff_set(item, now + signals->backoff_usec);
 	return changed;
 }
 
@@ -160,7 +159,7 @@
 	return changed;
 }
 
-/* Whether others may not know of it yet. */
+/* Whether other instances may not know it yet. */
 static bool is_told(const struct item *item, int64_t now)
 {
 	return now - item->named_at < TOLD_USEC ||
@@ -222,11 +221,11 @@
 	return item && item->leaving;
 }
 
-int64_t backpressure_rest(const struct backpressure *table, uint64_t server)
+int64_t backpressure_backoff(const struct backpressure *table, uint64_t server)
 {
 	const struct item *item = item_find(table, server);
 
-	return item ? item->rests_until : 0;
+	return item ? item->backoff_until : 0;
 }
 
 uint32_t backpressure_limited(const struct backpressure *table)
@@ -244,13 +243,13 @@
 	double sec = (double)(now - item->level_at) / (double)USEC_PER_SEC;
 	double most = MAX(rate_of(item) * BURST_SEC, 1.0);
 
-	if (item->counts)
+	if (item->counting)
 		item->level = MIN(item->level + rate_of(item) * sec, most);
-	item->counts = true;
+	item->counting = true;
 	item->level_at = now;
 }
 
-/* As fast as the bucket fills, each that asks is told a later time. */
+/* Spreads those that were denied at the rate at which the bucket fills. */
 static int64_t book(struct item *item, int64_t now)
 {
 	double step = (double)USEC_PER_SEC / rate_of(item);
@@ -280,18 +279,18 @@
 	return false;
 }
 
-/* Whether nothing is known of it that still holds. */
+/* Whether no fact about the server is valid any more. */
 static bool is_spent(const struct item *item, int64_t now)
 {
 	return !is_limited(item) && !item->leaving && !is_told(item, now) &&
-	       now >= item->rests_until;
+	       now >= item->backoff_until;
 }
 
 static bool is_old(const struct item *item, int64_t now)
 {
 	return now - item->named_at >= UNLISTED_USEC &&
 	       now - item->leaving_at >= UNLISTED_USEC &&
-	       now >= item->rests_until;
+	       now >= item->backoff_until;
 }
 
 void backpressure_prune(struct backpressure *table, int64_t now,
--- a/forward/ended.c
+++ b/forward/ended.c
@@ -131,7 +131,7 @@
 		timer_start(&check->timer, AGAIN_USEC);
 }
 
-/* A server that rests is asked afterwards. */
+/* Waits for the end of the server's backoff. */
 static void check_ask(struct check *check)
 {
 	const struct ended_parts *parts = &check->ended->parts;
@@ -139,8 +139,8 @@
 	const struct backend *backend = fleet_find(parts->fleet, check->key);
 	int64_t now = clock_now(parts->clock);
 
-	if (backend && now < backend->rests_until) {
-		timer_start(&check->timer, backend->rests_until - now);
+	if (backend && now < backend->backoff_until) {
+		timer_start(&check->timer, backend->backoff_until - now);
 		return;
 	}
 
--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -135,26 +135,29 @@
 		  LOG_D("leaving", backend->info.leaving));
 }
 
-static void backend_heed(const struct fleet *fleet, struct backend *backend)
+static void backend_sync_answers(const struct fleet *fleet,
+				 struct backend *backend)
 {
 	if (!fleet->pressure)
 		return;
-	backend->says_leaving =
+	backend->leaving_by_answer =
 		backpressure_leaving(fleet->pressure, backend->key);
-	backend->rests_until = backpressure_rest(fleet->pressure, backend->key);
+	backend->backoff_until =
+		backpressure_backoff(fleet->pressure, backend->key);
 }
 
-void fleet_follow(struct fleet *fleet, const struct backpressure *table)
+void fleet_set_backpressure(struct fleet *fleet,
+			    const struct backpressure *table)
 {
 	fleet->pressure = table;
 }
 
-void fleet_heed(struct fleet *fleet, uint64_t key)
+void fleet_answers_changed(struct fleet *fleet, uint64_t key)
 {
 	struct backend *backend = fleet_find(fleet, key);
 
 	if (backend)
-		backend_heed(fleet, backend);
+		backend_sync_answers(fleet, backend);
 }
 
 static struct backend *backend_add(struct fleet *fleet,
@@ -172,7 +175,7 @@
 	backend->key = backend_key(info);
 	backend->info = *info;
 	backend->near = strcmp(info->data_centre, fleet->data_centre) == 0;
-	backend_heed(fleet, backend);
+	backend_sync_answers(fleet, backend);
 	g_hash_table_insert(fleet->keys, &backend->key, backend);
 	g_hash_table_insert(fleet->ids, backend->info.id, backend);
 	g_ptr_array_add(service_list(fleet, info->service), backend);
@@ -395,7 +398,7 @@
 
 bool backend_leaving(const struct backend *backend)
 {
-	return backend->info.leaving || backend->says_leaving;
+	return backend->info.leaving || backend->leaving_by_answer;
 }
 
 static bool is_up(const struct backend *backend, int64_t now)
@@ -406,14 +409,14 @@
 
 bool backend_usable(const struct backend *backend, int64_t now)
 {
-	return is_up(backend, now) && now >= backend->rests_until;
+	return is_up(backend, now) && now >= backend->backoff_until;
 }
 
-int64_t backend_opens(const struct backend *backend, int64_t now)
+int64_t backend_available_at(const struct backend *backend, int64_t now)
 {
 	if (!is_up(backend, now))
 		return -1;
-	return MAX(now, MAX(backend->rests_until, backend->closed_until));
+	return MAX(now, MAX(backend->backoff_until, backend->limited_until));
 }
 
 static uint32_t part_of(int64_t sum)
--- a/forward/gossip_permits.c
+++ b/forward/gossip_permits.c
@@ -1,6 +1,6 @@
 /*
- * gossip_permits.c - what servers ask for, told to all, and the home of each
- * server that names a limit, which is asked for each request
+ * gossip_permits.c - facts about servers in messages, the home of a server, and
+ * the messages that ask it for permits
  */
 #include <string.h>
 
@@ -28,10 +28,10 @@
 
 /* ---- the home of a server ---- */
 
-/* The best of those looked at so far. */
+/* The candidate with the highest hash so far. */
 struct home {
 	uint64_t server;
-	uint64_t best;
+	uint64_t hash;
 	const struct peer *peer; /* NULL: this instance */
 	bool found;
 };
@@ -40,9 +40,9 @@
 {
 	uint64_t value = id_mix(home->server, key);
 
-	if (home->found && value <= home->best)
+	if (home->found && value <= home->hash)
 		return;
-	home->best = value;
+	home->hash = value;
 	home->peer = peer;
 	home->found = true;
 }
@@ -87,7 +87,7 @@
 	return !home_find(gossip, server, data_centre, may_be).peer;
 }
 
-/* ---- asking it ---- */
+/* ---- permits ---- */
 
 static void message_send(struct gossip *gossip, struct gossip_message *message,
 			 const struct peer *peer)
--- a/forward/node.c
+++ b/forward/node.c
@@ -23,8 +23,6 @@
 #define HURRY_USEC (600 * USEC_PER_MSEC)
 /* The number that a TCP socket got for port 0 may be taken for UDP. */
 #define PEER_PORT_TRIES 8
-/* Peers are heard of within this time of the start. */
-#define MEET_USEC (1 * USEC_PER_SEC)
 
 static uint32_t instances_count(void *ctx)
 {
@@ -131,7 +129,7 @@
 
 bool node_decides(const struct node *node)
 {
-	return !node->draining && clock_now(node->clock) >= MEET_USEC &&
+	return !node->draining && clock_now(node->clock) >= NODE_MEET_USEC &&
 	       gossip_lowest(node->gossip, is_storeless(node));
 }
 
@@ -232,7 +230,7 @@
 	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
-	fleet_follow(node->fleet, node->backpressure);
+	fleet_set_backpressure(node->fleet, node->backpressure);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
 	parts.quarantine = node->quarantine;
--- a/forward/node.h
+++ b/forward/node.h
@@ -89,6 +89,9 @@
 
 #define PROGRAM "jtforward"
 
+/* Peers are heard of within this time of the start. */
+#define NODE_MEET_USEC (1 * USEC_PER_SEC)
+
 /* Whether this instance decides for the site: it has the lowest name of those
  * that live, and has had the time to meet them. */
 bool node_decides(const struct node *node);
@@ -127,8 +130,7 @@
 void node_use_heard(void *ctx, const struct limit_source *source,
 		    const struct limit_entry *entry);
 
-/* Of node_permits.c: what servers ask for, and permits to send to those that
- * name a limit, to and from the others. */
+/* Of node_permits.c: backpressure and permits, from and to the gossip. */
 enum permit node_permit(void *ctx, const struct backend *backend, uint64_t id,
 			int64_t *retry_usec);
 void node_permit_asked(void *ctx, const struct permit_ask *ask,
@@ -136,7 +138,7 @@
 void node_permit_answered(void *ctx, const struct permit_answer *answer);
 void node_fact_heard(void *ctx, const struct backpressure_fact *fact);
 uint32_t node_facts(void *ctx, struct backpressure_fact *facts, uint32_t most);
-/* Forgets servers that are gone. To be called about every 100 ms. */
+/* Drops expired facts. To be called about every 100 ms. */
 void node_permits_tick(struct node *node);
 
 /* Of node_health.c: web_handler_fn of the addresses for health and metrics. */
--- a/forward/node_permits.c
+++ b/forward/node_permits.c
@@ -1,19 +1,16 @@
 /*
- * node_permits.c - what servers ask for, and permits, to and from the other
- * instances
+ * node_permits.c - connects backpressure and permits with the gossip
  */
 #include "node.h"
 
-/* An instance that starts knows the others by then. */
-#define MEET_USEC (1 * USEC_PER_SEC)
-/* When one asks again that believes the wrong instance to be home: views agree
- * within a few messages. */
-#define MISTAKEN_USEC (100 * USEC_PER_MSEC)
-/* What was told was said so much before, at least. */
-#define WAY_USEC (1 * USEC_PER_MSEC)
+/* When an instance asks again that took this one for the home by mistake: views
+ * converge within a few messages. */
+#define WRONG_HOME_USEC (100 * USEC_PER_MSEC)
+/* Least time that a message has taken. */
+#define TRANSIT_USEC (1 * USEC_PER_MSEC)
 #define PRUNE_USEC (1 * USEC_PER_SEC)
 
-/* One that leaves is nobody's home. */
+/* An instance that is stopping hands its homes to others. */
 static bool may_be_home(const struct node *node)
 {
 	return !node->draining;
@@ -21,8 +18,8 @@
 
 static bool grant(struct node *node, uint64_t server, int64_t *retry_usec)
 {
-	if (clock_now(node->clock) < MEET_USEC) {
-		*retry_usec = MEET_USEC - clock_now(node->clock);
+	if (clock_now(node->clock) < NODE_MEET_USEC) {
+		*retry_usec = NODE_MEET_USEC - clock_now(node->clock);
 		return false;
 	}
 	return backpressure_grant(node->backpressure, clock_now(node->clock),
@@ -53,7 +50,7 @@
 		fleet_find(node->fleet, ask->fact.server);
 
 	node_fact_heard(node, &ask->fact);
-	answer->retry_usec = MISTAKEN_USEC;
+	answer->retry_usec = WRONG_HOME_USEC;
 	answer->granted =
 		backend &&
 		gossip_is_home(node->gossip, backend->key,
@@ -74,7 +71,7 @@
 	const struct node *node = ctx;
 	struct backpressure_fact heard = *fact;
 
-	heard.age_usec += WAY_USEC;
+	heard.age_usec += TRANSIT_USEC;
 	forward_fact(node->forward, &heard);
 }
 
--- a/forward/permit.c
+++ b/forward/permit.c
@@ -1,25 +1,23 @@
 /*
- * permit.c - whether a request may be sent to a server that names a limit
+ * permit.c - permission to send a request to a server with a limit
  *
  * DESCRIPTION
- *	The limit holds for all instances together, so one of them, the server's
- *	home, is asked for each request that has begun or is to be read there.
- *	Calls about a request (reservations, results, health, orders) do not
- *	count: a reservation goes out once its request has its permit, and what
- *	is given back must not wait.
+ *	A limit holds for all instances together, so one of them, the server's
+ *	home, is asked before each run and each prefill. Reservations do not
+ *	need a permit of their own, since each is followed by one run at most;
+ *	nor do health checks, orders, and calls that give something back.
  *
- *	While an answer is awaited the request is neither sent nor in the queue.
- *	Whatever the answer, the step that asked goes on: with the permit, or by
- *	choosing another server.
+ *	While a request waits for an answer it is neither sent nor queued. After
+ *	the answer the step that asked goes on, with the permit or by choosing
+ *	another server.
  */
 #include "request.h"
 
 #include "common/log.h"
 
-/* A home answers within a round trip, also between data centres; one that does
- * not may be gone, and is noticed by then by nobody else. */
+/* Timeout for an answer, well above a round trip between data centres. */
 #define ANSWER_USEC (40 * USEC_PER_MSEC)
-/* How long a server whose home does not answer is passed over. */
+/* How long a server is avoided after its home has not answered. */
 #define SILENT_USEC (200 * USEC_PER_MSEC)
 
 static void limit_log(const struct forward *forward,
@@ -44,35 +42,35 @@
 		  LOG_S("from", from));
 }
 
-static void rest_log(const struct forward *forward,
-		     const struct backend *backend)
+static void backoff_log(const struct forward *forward,
+			const struct backend *backend)
 {
 	const struct forward_parts *parts = &forward->parts;
-	int64_t until = backpressure_rest(parts->backpressure, backend->key);
+	int64_t until = backpressure_backoff(parts->backpressure, backend->key);
 
 	log_event(
-		LOG_NOTICE, "backend_rests", LOG_S("backend", backend->info.id),
+		LOG_NOTICE, "backend_backoff",
+		LOG_S("backend", backend->info.id),
 		LOG_D("born", backend->info.born),
 		LOG_D("ms", (until - clock_now(parts->clock)) / USEC_PER_MSEC));
 }
 
-/* Of lives that are not listed nothing is logged: they are gone, or not known
- * yet. */
-static void changes_take(const struct forward *forward, uint64_t server,
-			 unsigned int changed, double before, const char *from)
+/* Lives that are not listed are gone, or not known yet. */
+static void changes_apply(const struct forward *forward, uint64_t server,
+			  unsigned int changed, double before, const char *from)
 {
 	const struct backend *backend =
 		fleet_find(forward->parts.fleet, server);
 
 	if (!backend || !changed)
 		return;
-	fleet_heed(forward->parts.fleet, server);
+	fleet_answers_changed(forward->parts.fleet, server);
 	if (changed & BACKPRESSURE_LIMIT)
 		limit_log(forward, backend, before, from);
 	if (changed & BACKPRESSURE_LEAVING)
 		leaving_log(backend, from);
-	if (changed & BACKPRESSURE_REST)
-		rest_log(forward, backend);
+	if (changed & BACKPRESSURE_BACKOFF)
+		backoff_log(forward, backend);
 }
 
 void permit_signals(void *ctx, uint64_t server,
@@ -84,7 +82,7 @@
 	unsigned int changed = backpressure_answer(
 		parts->backpressure, clock_now(parts->clock), server, signals);
 
-	changes_take(forward, server, changed, before, "answer");
+	changes_apply(forward, server, changed, before, "answer");
 }
 
 void forward_fact(struct forward *forward, const struct backpressure_fact *fact)
@@ -94,7 +92,7 @@
 	unsigned int changed = backpressure_hear(parts->backpressure,
 						 clock_now(parts->clock), fact);
 
-	changes_take(forward, fact->server, changed, before, "peer");
+	changes_apply(forward, fact->server, changed, before, "peer");
 }
 
 static void denied_log(const struct request *request,
@@ -111,10 +109,10 @@
 		  LOG_S("why", why));
 }
 
-static void deny(const struct request *request, struct backend *backend,
-		 int64_t retry_usec, const char *why)
+static void permit_deny(const struct request *request, struct backend *backend,
+			int64_t retry_usec, const char *why)
 {
-	backend->closed_until = request_now(request) + MAX(retry_usec, 1);
+	backend->limited_until = request_now(request) + MAX(retry_usec, 1);
 	request->forward->permits_denied->value++;
 	denied_log(request, backend, retry_usec, why);
 }
@@ -131,7 +129,7 @@
 	permit = parts->permit(parts->instances_ctx, backend, request->handle,
 			       &retry_usec);
 	if (permit == PERMIT_DENIED)
-		deny(request, backend, retry_usec, "limit");
+		permit_deny(request, backend, retry_usec, "limit");
 	if (permit != PERMIT_ASKED)
 		return permit;
 	request->asks++;
@@ -147,7 +145,8 @@
 	request->permit_step = PERMIT_STEP_NONE;
 }
 
-/* The server that was asked for; NULL when it may not be used any more. */
+/* The server that a permit was asked for; NULL when it is not usable any more.
+ */
 static struct backend *permit_backend(const struct request *request)
 {
 	struct backend *backend =
@@ -185,7 +184,7 @@
 	struct backend *backend = permit_backend(request);
 
 	if (backend)
-		deny(request, backend, SILENT_USEC, "home is silent");
+		permit_deny(request, backend, SILENT_USEC, "home is silent");
 	permit_settle(request, false);
 }
 
@@ -199,6 +198,6 @@
 	    request->permit_from != server)
 		return;
 	if (backend && !granted)
-		deny(request, backend, retry_usec, "limit");
+		permit_deny(request, backend, retry_usec, "limit");
 	permit_settle(request, granted);
 }
--- a/forward/place.c
+++ b/forward/place.c
@@ -33,7 +33,7 @@
 /* A decode server reads a prompt itself at half the speed, between the tokens
  * of those that run there. */
 #define OWN_READ_COST 2.0
-/* A server that names a limit is in need: others are used first until they are
+/* A server with a limit is overloaded: others are used first until they are
  * about half full. */
 #define LIMITED_PART 0.5
 #define PREFILL_LIMITED_TOKENS 4000.0
@@ -70,7 +70,7 @@
 			 const struct backend *backend)
 {
 	return backend_usable(backend, place->now) &&
-	       place->now >= backend->closed_until &&
+	       place->now >= backend->limited_until &&
 	       !tried_has(place->tried, backend->key) &&
 	       !(place->unlimited && is_limited(place, backend));
 }
@@ -130,14 +130,14 @@
 	       jitter(place, backend);
 }
 
-int64_t place_opens(const struct place *place, enum backend_stage stage)
+int64_t place_available_at(const struct place *place, enum backend_stage stage)
 {
 	const GPtrArray *list = fleet_service(place->fleet, place->service);
 	int64_t first = 0;
 
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct backend *backend = list->pdata[i];
-		int64_t opens = backend_opens(backend, place->now);
+		int64_t opens = backend_available_at(backend, place->now);
 
 		if (opens < 0 || backend->info.stage != stage)
 			continue;
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -20,8 +20,8 @@
  * which a further one would be late or refused there. */
 #define QUEUE_SLOTS 5u
 
-/* Homes of limited servers that are asked for one call. */
-#define ASKS_MAX 4u
+/* Permits that are asked for one call. */
+#define PERMIT_ASKS_MAX 4u
 
 static void plain_send(struct request *request, struct backend *backend);
 
@@ -31,8 +31,7 @@
 			  backend_key(&request->target));
 }
 
-/* Only the first try goes to a server that names a limit: one in need is not
- * sent what failed elsewhere. */
+/* Retries do not go to servers with a limit, which are overloaded. */
 static struct backend *server_choose(struct request *request, bool first)
 {
 	struct place place;
@@ -214,12 +213,12 @@
 	request->call = ops->send(ops->ctx, &spec, &events, request);
 }
 
-static void plain_unplaced(struct request *request)
+static void plain_refuse(struct request *request)
 {
-	int64_t opens = request_opens(request, STAGE_NONE);
+	int64_t opens = request_available_at(request, STAGE_NONE);
 
 	if (opens > 0)
-		request_refuse_closed(request, opens);
+		request_refuse_until(request, opens);
 	else
 		request_refuse(request, RESULT_NO_BACKEND, RETRY_USEC);
 }
@@ -230,11 +229,11 @@
 	struct backend *backend;
 
 	while (permit == PERMIT_DENIED) {
-		backend = request->asks < ASKS_MAX
+		backend = request->asks < PERMIT_ASKS_MAX
 				  ? server_choose(request, true)
 				  : NULL;
 		if (!backend) {
-			plain_unplaced(request);
+			plain_refuse(request);
 			return;
 		}
 		if (backend_requests(backend) >
--- a/forward/request.c
+++ b/forward/request.c
@@ -13,7 +13,7 @@
  * sites where it is passed on within 250 ms. */
 #define NO_CONFIG_USEC (250 * USEC_PER_MSEC)
 
-/* Callers that wait for the same server come back over this time. */
+/* Jitter for callers that wait for the same server. */
 #define RETURN_SPREAD_USEC (200 * USEC_PER_MSEC)
 
 static const char *const end_names[END_COUNT] = {
@@ -61,12 +61,13 @@
 	};
 }
 
-int64_t request_opens(const struct request *request, enum backend_stage stage)
+int64_t request_available_at(const struct request *request,
+			     enum backend_stage stage)
 {
 	struct place place;
 
 	request_place(request, &place);
-	return place_opens(&place, stage);
+	return place_available_at(&place, stage);
 }
 
 bool request_take_send(struct request *request)
@@ -293,7 +294,7 @@
 		    result_label(code));
 }
 
-void request_refuse_closed(struct request *request, int64_t opens)
+void request_refuse_until(struct request *request, int64_t opens)
 {
 	double spread = g_rand_double(request->forward->parts.rand) *
 			(double)RETURN_SPREAD_USEC;
--- a/forward/request.h
+++ b/forward/request.h
@@ -130,8 +130,9 @@
 /* Whether the fate of a run may be unknown and it may still run again. */
 bool request_repeatable(const struct request *request);
 void request_place(const struct request *request, struct place *place);
-/* place_opens() for the request. */
-int64_t request_opens(const struct request *request, enum backend_stage stage);
+/* place_available_at() of the request's service. */
+int64_t request_available_at(const struct request *request,
+			     enum backend_stage stage);
 /* Whether one more send may be made: the first is free, others take from the
  * service's budget. */
 bool request_may_send(struct request *request);
@@ -190,9 +191,8 @@
  * sure. */
 void request_refuse(struct request *request, enum result_code code,
 		    int64_t retry_usec);
-/* All servers that could take it have asked for less, or for nothing, until
- * then. */
-void request_refuse_closed(struct request *request, int64_t opens);
+/* Backoffs and limits keep it from all servers until then. */
+void request_refuse_until(struct request *request, int64_t opens);
 void request_fail(struct request *request, enum result_code code,
 		  const char *why);
 /* Says that it is not served, and will not be if it comes again as it is. */
@@ -210,9 +210,9 @@
 /* A signals_fn with the forward as context. */
 void permit_signals(void *ctx, uint64_t server,
 		    const struct backpressure_signals *signals);
-/* Whether the server may be sent the request now. PERMIT_ASKED: the step's
- * function below is called later, with the server or NULL. Denied, the server
- * is closed for a while (fleet.h). */
+/* Whether the request may be sent to the server now. With PERMIT_ASKED the
+ * function of the step below is called later, with the server or NULL. After
+ * PERMIT_DENIED the server is avoided until limited_until. */
 enum permit request_permit(struct request *request, struct backend *backend,
 			   enum permit_step step);
 /* Nobody waits for the answer any more. */
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -136,18 +136,18 @@
 	return MIN(from + patience, request->limit) - BEGIN_USEC;
 }
 
-/* Whether no server will take it before it is of no more use. */
-static bool closed_refuse(struct request *request)
+/* Refuses a request at once that no server can take in time. */
+static bool unavailable_refuse(struct request *request)
 {
 	int64_t opens;
 
 	if (request->replied)
 		return false;
-	opens = request_opens(request, STAGE_DECODE);
+	opens = request_available_at(request, STAGE_DECODE);
 	if (opens <= wait_end(request))
 		return false;
 	stream_unwait(request);
-	request_refuse_closed(request, opens);
+	request_refuse_until(request, opens);
 	return true;
 }
 
@@ -160,7 +160,7 @@
 		struct request *request = link->data;
 
 		next = link->next;
-		if (early_refuse(request, now) || closed_refuse(request) ||
+		if (early_refuse(request, now) || unavailable_refuse(request) ||
 		    now < wait_end(request))
 			continue;
 		stream_unwait(request);
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -74,10 +74,10 @@
 	int64_t full_until;	/* has just refused a reservation */
 	uint32_t fulls;		/* refused in a row */
 	int64_t changing_until; /* ordered to another role, or seems so */
-	int64_t closed_until;	/* its limit leaves no request before then */
+	int64_t limited_until;	/* a permit was denied */
 	uint32_t refusals;	/* reserved or prepared runs refused in a row */
-	bool says_leaving;	/* in its answers, whatever the list says */
-	int64_t rests_until;	/* it wants nothing from here before then */
+	bool leaving_by_answer; /* said so itself, whatever the list says */
+	int64_t backoff_until;	/* asked for by the server */
 	bool listed;		/* seen in the snapshot being read */
 };
 
@@ -104,11 +104,12 @@
 struct fleet *fleet_create(struct clock *clock, const char *data_centre);
 void fleet_destroy(struct fleet *fleet);
 
-/* What answers said of servers holds for them however often the list drops and
- * brings back the same life. The table must outlive the fleet. */
-void fleet_follow(struct fleet *fleet, const struct backpressure *table);
-/* What the table says of that life has changed. */
-void fleet_heed(struct fleet *fleet, uint64_t key);
+/* Takes leaving and backoff of servers from the table, also when the list drops
+ * a life and adds it again. The table must outlive the fleet. */
+void fleet_set_backpressure(struct fleet *fleet,
+			    const struct backpressure *table);
+/* The table has changed for that server. */
+void fleet_answers_changed(struct fleet *fleet, uint64_t key);
 
 /* Adds a server or brings what is known of it up to date. A later life takes
  * the place of an earlier one. NULL when a later life was listed before, which
@@ -149,13 +150,13 @@
  * tells them apart. */
 void fleet_hear_lost(struct fleet *fleet, uint64_t peer,
 		     const struct backend_lost *lost);
-/* By the list, or by its own answers. */
+/* According to the list or to its own answers. */
 bool backend_leaving(const struct backend *backend);
 /* May a new request be sent there now? */
 bool backend_usable(const struct backend *backend, int64_t now);
-/* When a request may be sent there by what it asked for: now or later; -1 when
- * it leaves or cannot be reached. */
-int64_t backend_opens(const struct backend *backend, int64_t now);
+/* When its backoff and limit let a request be sent: now or later; -1 when it is
+ * leaving or cannot be reached. */
+int64_t backend_available_at(const struct backend *backend, int64_t now);
 uint32_t backend_requests(const struct backend *backend);
 uint32_t backend_decode_tokens(const struct backend *backend);
 uint32_t backend_prefill_tokens(const struct backend *backend);
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -66,7 +66,7 @@
 /* Something new is known of a work in the quarantine. */
 typedef void (*forward_work_fn)(void *ctx, const struct work_id *work);
 
-/* Whether one request may be sent to a server that names a limit. */
+/* Permission to send one request to a server with a limit. */
 enum permit {
 	PERMIT_GRANTED,
 	PERMIT_DENIED, /* retry_usec says when to ask again */
@@ -113,11 +113,11 @@
 void forward_drain(struct forward *forward);
 /* Handles one request: a web_handler_fn with the forward as context. */
 void forward_take(void *ctx, struct web_request *request);
-/* Another instance told what a server asks for. */
+/* Takes in a fact that another instance told. */
 void forward_fact(struct forward *forward,
 		  const struct backpressure_fact *fact);
-/* The answer to what was asked for under that id; an answer that comes late, or
- * that nobody waits for, is passed over. */
+/* The answer to a permit that was asked for with that id; late answers are
+ * ignored. */
 void forward_permit(struct forward *forward, uint64_t id, uint64_t server,
 		    bool granted, int64_t retry_usec);
 /* Requests not yet ended. */
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -28,13 +28,12 @@
  *	much was used since, it is told in datagrams of its own, at most one to
  *	each of them every GOSSIP_USES_USEC.
  *
- *	What servers ask for (coord/backpressure.h) goes with the words, of
- *	instances and of data centres alike. For each server that names a limit
- *	one instance, its home, counts the requests of all: the live one of the
- *	server's data centre that rendezvous hashing gives, or of all where none
- *	lives there. Another instance asks it for each request, in one datagram
- *	each way; an answer that is lost is for the asker to wait out. Instances
- *	that disagree on who is home are told no.
+ *	Facts of coord/backpressure.h are part of the periodic messages of
+ *	instances and of data centres. The home of a server with a limit is the
+ *	live instance of the server's data centre that rendezvous hashing gives,
+ *	or of all data centres where none lives there. Other instances ask it
+ *	for each permit, one datagram each way; a lost one is a timeout for the
+ *	asker. An instance that is not the home by its own view denies.
  *
  *	What a peer or data centre told is dropped GOSSIP_STALE_USEC after its
  *	last word. Nothing waits for a peer. Peers are first learnt from the
@@ -86,7 +85,7 @@
 /* Servers told of as out of reach; 500 bytes. */
 #define GOSSIP_LOST_MAX 48
 
-/* Facts about servers in one word; others follow in turn. */
+/* Facts in one message; others follow in the next. */
 #define GOSSIP_FACTS_MAX 48
 
 /* Streams whose copies are told of. */
@@ -124,9 +123,9 @@
 	uint32_t lost_count;
 };
 
-/* Whether one request may be sent to a server that names a limit. */
+/* A request for a permit to send one request to a server with a limit. */
 struct permit_ask {
-	uint64_t id; /* the asker's */
+	uint64_t id; /* chosen by the asker, returned in the answer */
 	struct backpressure_fact fact;
 };
 
@@ -171,16 +170,15 @@
 	/* Adds the servers that change their role and those out of reach, which
 	 * only words hold that are sent. NULL where none are told. */
 	void (*servers)(void *ctx, struct gossip_word *word);
-	/* What servers ask for, as backpressure_tell(), and what somebody told
-	 * of it. NULL where nothing is told. */
+	/* Facts as of backpressure_tell(), and one that a peer told. NULL where
+	 * nothing is told. */
 	uint32_t (*facts)(void *ctx, struct backpressure_fact *facts,
 			  uint32_t most);
 	void (*fact_heard)(void *ctx, const struct backpressure_fact *fact);
-	/* Somebody asks; fills granted and retry_usec. NULL where nobody is
-	 * granted anything. */
+	/* A peer asks; fills in granted and retry_usec. NULL: no answers. */
 	void (*permit_asked)(void *ctx, const struct permit_ask *ask,
 			     struct permit_answer *answer);
-	/* What this instance had asked is answered. */
+	/* The answer to a permit that this instance asked for. */
 	void (*permit_answered)(void *ctx, const struct permit_answer *answer);
 };
 
@@ -208,11 +206,11 @@
 			 const struct quarantine_entry *entry);
 /* So much of an allotment was used here that others should hear of it soon. */
 void gossip_uses_changed(struct gossip *gossip);
-/* Whether this instance is the server's home, which it is not if it may not be
- * (it leaves) and another one lives. */
+/* Whether this instance is the server's home. An instance with may_be false is
+ * no candidate. */
 bool gossip_is_home(const struct gossip *gossip, uint64_t server,
 		    const char *data_centre, bool may_be);
-/* Asks the server's home; false when this instance is the home itself. */
+/* Sends ask to the server's home; false when that is this instance. */
 bool gossip_ask(struct gossip *gossip, const struct permit_ask *ask,
 		const char *data_centre, bool may_be);
 /* How long a change has taken of late until peers near, or elsewhere, were told
--- a/include/forward/overload.h
+++ b/include/forward/overload.h
@@ -37,8 +37,8 @@
 /* Below zero when one goes before the other. */
 int overload_compare(const struct overload_caller *one,
 		     const struct overload_caller *other);
-/* Places of a server with memory for so many requests, of which it takes no
- * more than limit a second; below 0: no limit. */
+/* Requests that a server runs at a time, with memory for memory_places of them
+ * and a limit of requests a second; below 0: no limit. */
 double overload_places(double memory_places, double limit);
 /* How long so many that wait will take to be placed, where so many fit at a
  * time. */
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -34,7 +34,7 @@
 	uint64_t service;
 	const struct tried *tried;
 	const struct backpressure *backpressure; /* NULL: no limits */
-	bool unlimited; /* only servers that name no limit */
+	bool unlimited; /* only servers without a limit */
 	GRand *rand;	/* breaks ties */
 	/* How old what peers told of loads may be, near and elsewhere. */
 	int64_t stale_near;
@@ -48,7 +48,7 @@
 /* When the first server of a stage may be sent a request, if those that could
  * take one all asked for less or for nothing; 0 when one may be now, or none
  * can be reached. */
-int64_t place_opens(const struct place *place, enum backend_stage stage);
+int64_t place_available_at(const struct place *place, enum backend_stage stage);
 /* Whether the server has a place free for a plain call. */
 bool place_plain_free(const struct backend *backend);
 /* A decode server with room for tokens, by what is under way there. */
@@ -65,8 +65,8 @@
 struct backend *place_reader(const struct place *place,
 			     const struct backend *to, uint32_t tokens,
 			     uint32_t most_ahead);
-/* Requests of so many tokens that the usable decode servers hold at a time, as
- * far as their limits let them come. */
+/* Requests of so many tokens that the usable decode servers can run at a time,
+ * given their memory and their limits. */
 double place_decode_places(const struct place *place,
 			   const struct engine_traits *engine, uint32_t tokens);
 
--- a/include/platform/signals.h
+++ b/include/platform/signals.h
@@ -2,11 +2,10 @@
  * signals.h - what an answer says of the server itself, by its headers
  *
  * DESCRIPTION
- *	A limit is a decimal number of requests a second. A server that turns a
- *	request away with 503 may say how long it wants nothing more, in
- *	seconds, also in parts, or as a date (RFC 9110, 10.2.3); that of another
- *	status is for callers. More than SIGNALS_REST_MAX_USEC is taken for
- *that. A value that makes no sense is logged and passed over.
+ *	A limit is a decimal number of requests a second. Retry-After of a 503
+ *	asks for a backoff, in seconds, also fractions, or as a date (RFC 9110,
+ *	10.2.3), of SIGNALS_BACKOFF_MAX_USEC at most; with any other status it
+ *	is for callers. Malformed values are logged and ignored.
  */
 #ifndef PLATFORM_SIGNALS_H
 #define PLATFORM_SIGNALS_H
@@ -14,7 +13,7 @@
 #include "coord/backpressure.h"
 #include "web/server.h"
 
-#define SIGNALS_REST_MAX_USEC INT64_C(300000000)
+#define SIGNALS_BACKOFF_MAX_USEC INT64_C(300000000)
 
 struct signals_answer {
 	int status;
--- a/tests/coord/test_backpressure.c
+++ b/tests/coord/test_backpressure.c
@@ -171,15 +171,15 @@
 static void test_longest_rest_holds(void)
 {
 	struct backpressure *table = backpressure_create();
-	struct backpressure_signals rest = {.rest_usec = 3 * USEC_PER_SEC};
+	struct backpressure_signals rest = {.backoff_usec = 3 * USEC_PER_SEC};
 	struct backpressure_fact fact;
 
-	g_assert_cmpint(backpressure_rest(table, SERVER), ==, 0);
+	g_assert_cmpint(backpressure_backoff(table, SERVER), ==, 0);
 	g_assert_cmpuint(backpressure_answer(table, 10, SERVER, &rest), ==,
-			 BACKPRESSURE_REST);
-	rest.rest_usec = USEC_PER_SEC;
+			 BACKPRESSURE_BACKOFF);
+	rest.backoff_usec = USEC_PER_SEC;
 	g_assert_cmpuint(backpressure_answer(table, 20, SERVER, &rest), ==, 0);
-	g_assert_cmpint(backpressure_rest(table, SERVER), ==,
+	g_assert_cmpint(backpressure_backoff(table, SERVER), ==,
 			10 + 3 * USEC_PER_SEC);
 	/* It is between the two alone. */
 	g_assert_cmpuint(backpressure_tell(table, 20, &fact, 1), ==, 0);
--- a/tests/fake/address_free.c
+++ b/tests/fake/address_free.c
@@ -6,16 +6,27 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Each process has a loopback address of its own: ports that one test gives
+ * back would be taken by another, whose instances would then meet those of the
+ * first.
+ */
+static uint32_t own_loopback(void)
+{
+	return (127u << 24) | (1u << 22) | ((uint32_t)getpid() & 0x3fffffu);
+}
+
 void address_free(char out[ADDRESS_FREE_MAX])
 {
+	char host[INET_ADDRSTRLEN];
 	struct sockaddr_in address = {.sin_family = AF_INET};
 	socklen_t size = sizeof(address);
 	int fd = socket(AF_INET, SOCK_DGRAM, 0);
 
-	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_addr.s_addr = htonl(own_loopback());
 	g_assert_cmpint(bind(fd, (struct sockaddr *)&address, size), ==, 0);
 	getsockname(fd, (struct sockaddr *)&address, &size);
-	g_snprintf(out, ADDRESS_FREE_MAX, "127.0.0.1:%d",
+	inet_ntop(AF_INET, &address.sin_addr, host, sizeof(host));
+	g_snprintf(out, ADDRESS_FREE_MAX, "%s:%d", host,
 		   ntohs(address.sin_port));
 	close(fd);
 }
--- a/tests/fake/address_free.h
+++ b/tests/fake/address_free.h
@@ -6,7 +6,7 @@
 
 #define ADDRESS_FREE_MAX 32
 
-/* For datagrams, as "127.0.0.1:PORT". */
+/* For datagrams, as "own loopback address:PORT". */
 void address_free(char out[ADDRESS_FREE_MAX]);
 
 #endif
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -454,7 +454,7 @@
 	parts.quarantine = world.quarantine;
 	world.backpressure = backpressure_create();
 	parts.backpressure = world.backpressure;
-	fleet_follow(world.fleet, world.backpressure);
+	fleet_set_backpressure(world.fleet, world.backpressure);
 	parts.limits = world.limits;
 	parts.counters = world.counters;
 	parts.rand = world.rand;
@@ -676,12 +676,12 @@
 		      fleet_find_id(world.fleet, options)->key, &signals);
 }
 
-/* An answer of the server asks for rest: "rest s1 3000". */
-static void rest_step(const char *options)
+/* An answer of the server asks for a backoff: "backoff s1 3000". */
+static void backoff_step(const char *options)
 {
 	g_autofree char *id = g_strndup(options, 2);
 	const struct backpressure_signals signals = {
-		.rest_usec = atoi(options + 2) * USEC_PER_MSEC,
+		.backoff_usec = atoi(options + 2) * USEC_PER_MSEC,
 	};
 
 	world.signals(world.signals_ctx, fleet_find_id(world.fleet, id)->key,
@@ -737,7 +737,7 @@
 	{"limit", limit_step},
 	{"home", home_step},
 	{"leaves", leaves_step},
-	{"rest", rest_step},
+	{"backoff", backoff_step},
 	{"permit", permit_step},
 };
 
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -340,7 +340,7 @@
 	backpressure_answer(table, 1, d1->key, &limit);
 	g_assert_cmpfloat(place_decode_places(&site.place, &engine, 1000), ==,
 			  13.5);
-	d1->rests_until = site.place.now + 1;
+	d1->backoff_until = site.place.now + 1;
 	g_assert_cmpfloat(place_decode_places(&site.place, &engine, 1000), ==,
 			  10.0);
 	backpressure_destroy(table);
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -143,16 +143,16 @@
 	struct server *server = server_find(site, text_of(root, "server"));
 
 	if (server)
-		server->says_leaving = true;
+		server->leaving_by_answer = true;
 	return server != NULL;
 }
 
-static bool rest_set(struct site *site, const json_t *root)
+static bool backoff_set(struct site *site, const json_t *root)
 {
 	struct server *server = server_find(site, text_of(root, "server"));
 
 	if (server)
-		server->rest_sec =
+		server->backoff_sec =
 			json_number_value(json_object_get(root, "sec"));
 	return server != NULL;
 }
@@ -236,8 +236,8 @@
 	return json_pack(
 		"{s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, s:i, "
 		"s:i, s:i, s:i, s:i}",
-		"after_leaving", (int)ledger->after_leaving, "in_rest",
-		(int)ledger->in_rest, "over_limit", (int)ledger->over_limit,
+		"after_leaving", (int)ledger->after_leaving, "in_backoff",
+		(int)ledger->in_backoff, "over_limit", (int)ledger->over_limit,
 		"strangers", (int)ledger->strangers, "secrets",
 		(int)ledger->secrets, "units", units_of(site, request), "of_id",
 		runs_of(site, request), "runs", (int)ledger->total, "repeats",
@@ -254,7 +254,7 @@
 	{"/site/fault", fault_set},	{"/site/state", state_set},
 	{"/site/entry", entry_set},	{"/site/config", config_set},
 	{"/site/store", store_set},	{"/site/limit", limit_set},
-	{"/site/leaving", leaving_set}, {"/site/rest", rest_set},
+	{"/site/leaving", leaving_set}, {"/site/backoff", backoff_set},
 };
 
 static void on_control(void *ctx, struct web_request *request)
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -27,12 +27,10 @@
  *			   requests a second in its answers; none below 0
  *	POST /site/leaving {"server": "s1"}: it says in its answers that it
  *			   leaves; its entry stays as it is
- *	POST /site/rest	   {"server": "p1", "sec": N}: it turns all requests
- *			   away and asks for so much rest; none at 0. Judged
- *			   as if there were one instance
- *	GET  /site/ledger?id=ID
- *			   runs of that request; all runs, repeats, what is
- *			   still held, servers that ended
+ *	POST /site/backoff	   {"server": "p1", "sec": N}: it turns all
+ *requests away and asks for so much rest; none at 0. Judged as if there were
+ *one instance GET  /site/ledger?id=ID runs of that request; all runs, repeats,
+ *what is still held, servers that ended
  *
  *	A request whose body holds ENDS_SERVER ends the server that begins to
  *	run it, with all that runs there. The server is back after half a
@@ -90,12 +88,12 @@
 	double limit; /* requests a second that it names; below 0: none */
 	int64_t limited_at;
 	GArray *arrivals; /* int64_t, since the limit binds */
-	bool says_leaving;
+	bool leaving_by_answer;
 	int64_t said_leaving_at; /* first; 0: not yet */
-	double rest_sec;	 /* that it asks for; 0: none */
-	int64_t rest_from;
-	int64_t rests_until;
-	uint32_t rest_arrivals;
+	double backoff_sec;	 /* that it asks for; 0: none */
+	int64_t backoff_from;
+	int64_t backoff_until;
+	uint32_t backoff_arrivals;
 };
 
 struct ledger {
@@ -112,7 +110,7 @@
 	uint32_t secrets;    /* arrivals that bear a key */
 	uint32_t over_limit; /* arrivals beyond what a server's limit allows */
 	uint32_t after_leaving; /* arrivals long after a server said that */
-	uint32_t in_rest;	/* arrivals at servers that rest */
+	uint32_t in_backoff;	/* arrivals at servers in backoff */
 	GHashTable *units; /* organisation to tokens that ran, as pointers */
 };
 
@@ -162,7 +160,7 @@
 /* Adds what the server asks for to an answer. */
 void asks_tell(struct server *server, struct web_request *request);
 /* Adds that it wants rest. */
-void asks_rest(struct server *server, struct web_request *request);
+void asks_backoff(struct server *server, struct web_request *request);
 void asks_limit(struct server *server, double limit);
 /* A new life asks for nothing. */
 void asks_clear(struct server *server);
--- a/tests/platform/site/site_asks.c
+++ b/tests/platform/site/site_asks.c
@@ -8,10 +8,10 @@
 #define OVER_REQUESTS 5.0
 
 #define DRAIN_USEC (2 * USEC_PER_SEC)
-/* What is on its way when a server asks for rest arrives within this time; and
- * so many may come later. */
-#define REST_BEGINS_USEC (500 * USEC_PER_MSEC)
-#define REST_REQUESTS 2u
+/* What is on its way when a server asks for a backoff arrives within this time;
+ * and so many may come later. */
+#define BACKOFF_BEGINS_USEC (500 * USEC_PER_MSEC)
+#define BACKOFF_REQUESTS 2u
 
 void asks_tell(struct server *server, struct web_request *request)
 {
@@ -21,7 +21,7 @@
 		g_ascii_formatd(text, sizeof(text), "%.1f", server->limit);
 		web_reply_header(request, "server-limit", text);
 	}
-	if (server->says_leaving) {
+	if (server->leaving_by_answer) {
 		web_reply_header(request, "server-leaving", "1");
 		if (server->said_leaving_at == 0)
 			server->said_leaving_at =
@@ -29,19 +29,19 @@
 	}
 }
 
-void asks_rest(struct server *server, struct web_request *request)
+void asks_backoff(struct server *server, struct web_request *request)
 {
 	int64_t now = clock_now(server->site->clock);
 	char text[32];
 
-	g_ascii_formatd(text, sizeof(text), "%.2f", server->rest_sec);
+	g_ascii_formatd(text, sizeof(text), "%.2f", server->backoff_sec);
 	web_reply_header(request, "retry-after", text);
-	if (now < server->rests_until)
+	if (now < server->backoff_until)
 		return;
-	server->rest_from = now + REST_BEGINS_USEC;
-	server->rests_until =
-		now + (int64_t)(server->rest_sec * (double)USEC_PER_SEC);
-	server->rest_arrivals = 0;
+	server->backoff_from = now + BACKOFF_BEGINS_USEC;
+	server->backoff_until =
+		now + (int64_t)(server->backoff_sec * (double)USEC_PER_SEC);
+	server->backoff_arrivals = 0;
 }
 
 void asks_limit(struct server *server, double limit)
@@ -79,16 +79,16 @@
 	if (server->said_leaving_at != 0 &&
 	    now - server->said_leaving_at > DRAIN_USEC)
 		server->site->ledger.after_leaving++;
-	if (now >= server->rest_from && now < server->rests_until &&
-	    ++server->rest_arrivals > REST_REQUESTS)
-		server->site->ledger.in_rest++;
+	if (now >= server->backoff_from && now < server->backoff_until &&
+	    ++server->backoff_arrivals > BACKOFF_REQUESTS)
+		server->site->ledger.in_backoff++;
 }
 
 void asks_clear(struct server *server)
 {
 	asks_limit(server, -1.0);
-	server->says_leaving = false;
+	server->leaving_by_answer = false;
 	server->said_leaving_at = 0;
-	server->rest_sec = 0.0;
-	server->rests_until = 0;
+	server->backoff_sec = 0.0;
+	server->backoff_until = 0;
 }
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -325,8 +325,8 @@
 		return;
 	organisation_judge(server->site, request);
 	asks_judge(server);
-	if (server->rest_sec > 0.0) {
-		asks_rest(server, request);
+	if (server->backoff_sec > 0.0) {
+		asks_backoff(server, request);
 		refuse(server, request, 503, "resting\n");
 		return;
 	}
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -464,7 +464,7 @@
 	if (signals.limited)
 		g_assert_cmpfloat(signals.limit, ==, row->limit);
 	g_assert_false(signals.leaving);
-	g_assert_cmpint(signals.rest_usec, ==, 0);
+	g_assert_cmpint(signals.backoff_usec, ==, 0);
 }
 
 struct rest_row {
@@ -498,7 +498,7 @@
 	struct backpressure_signals signals;
 
 	signals_read(row->status, "retry-after", row->value, &signals);
-	g_assert_cmpint(signals.rest_usec, ==, row->msec * USEC_PER_MSEC);
+	g_assert_cmpint(signals.backoff_usec, ==, row->msec * USEC_PER_MSEC);
 }
 
 static void test_leaving(void)
--- a/tests/soak/asks.c
+++ b/tests/soak/asks.c
@@ -18,12 +18,12 @@
 	site_call(soak, "POST", "/site/limit", body, NULL);
 }
 
-static void rest_set(struct soak *soak, const char *server, double sec)
+static void backoff_set(struct soak *soak, const char *server, double sec)
 {
 	g_autofree char *body = g_strdup_printf(
 		"{\"server\":\"%s\",\"sec\":%.2f}", server, sec);
 
-	site_call(soak, "POST", "/site/rest", body, NULL);
+	site_call(soak, "POST", "/site/backoff", body, NULL);
 }
 
 static void leaving_set(struct soak *soak, const char *server)
@@ -58,8 +58,8 @@
 		limit_set(soak, server, -1.0);
 		break;
 	case 2:
-		rest_set(soak, server,
-			 g_rand_int_range(soak->asks, 0, 4) / 2.0);
+		backoff_set(soak, server,
+			    g_rand_int_range(soak->asks, 0, 4) / 2.0);
 		break;
 	case 3:
 		leaving_set(soak, server);
@@ -81,7 +81,7 @@
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
 		limit_set(soak, servers[i], -1.0);
-		rest_set(soak, servers[i], 0.0);
+		backoff_set(soak, servers[i], 0.0);
 		start_again(soak, servers[i]);
 	}
 }
