forward, platform: evacuate a data centre

The operator's request to send nothing more to the servers of a data centre was not read at all. Servers of an evacuated data centre are withdrawn: no calls, reservations, prompts, resumes, retries, orders of roles, and their places leave what early refusal and the choice of roles count. What runs there ends in peace.

Ruled out: to list such servers as leaving, which an older entry would take back.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -47,6 +47,12 @@
 	GHashTable *lives;    /* id to struct life */
 	GHashTable *services; /* id to GPtrArray of struct backend */
 	GPtrArray *all;
+	GHashTable *evacuated; /* data centre to struct evacuation */
+	GHashTable *regions;   /* data centre to the region's name */
+};
+
+struct evacuation {
+	bool listed; /* in the list being read */
 };
 
 /* The latest one that was listed of an id. */
@@ -92,6 +98,10 @@
 		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
 				      (GDestroyNotify)g_ptr_array_unref);
 	fleet->all = g_ptr_array_new();
+	fleet->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->regions =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return fleet;
 }
 
@@ -100,6 +110,8 @@
 	if (!fleet)
 		return;
 	g_ptr_array_unref(fleet->all);
+	g_hash_table_destroy(fleet->regions);
+	g_hash_table_destroy(fleet->evacuated);
 	g_hash_table_destroy(fleet->services);
 	g_hash_table_destroy(fleet->lives);
 	g_hash_table_destroy(fleet->ids);
@@ -160,6 +172,17 @@
 		backend_sync_answers(fleet, backend);
 }
 
+static void backend_sync_centre(const struct fleet *fleet,
+				struct backend *backend)
+{
+	const char *centre = backend->info.data_centre;
+	const char *region = g_hash_table_lookup(fleet->regions, centre);
+
+	backend->region = region ? id_of(region) : 0;
+	backend->near = strcmp(centre, fleet->data_centre) == 0;
+	backend->evacuated = g_hash_table_contains(fleet->evacuated, centre);
+}
+
 static struct backend *backend_add(struct fleet *fleet,
 				   const struct backend_info *info)
 {
@@ -174,7 +197,7 @@
 	backend->handle = handle;
 	backend->key = backend_key(info);
 	backend->info = *info;
-	backend->near = strcmp(info->data_centre, fleet->data_centre) == 0;
+	backend_sync_centre(fleet, backend);
 	backend_sync_answers(fleet, backend);
 	g_hash_table_insert(fleet->keys, &backend->key, backend);
 	g_hash_table_insert(fleet->ids, backend->info.id, backend);
@@ -200,6 +223,7 @@
 		backend->refusals = 0;
 	}
 	backend->info = *info;
+	backend_sync_centre(fleet, backend);
 	if (changed)
 		backend_log("backend_changed", backend);
 }
@@ -296,6 +320,79 @@
 	}
 }
 
+/* ---- data centres ---- */
+
+static void centres_sync(struct fleet *fleet)
+{
+	for (guint i = 0; i < fleet->all->len; i++)
+		backend_sync_centre(fleet, fleet->all->pdata[i]);
+}
+
+void fleet_set_region(struct fleet *fleet, const char *data_centre,
+		      const char *region)
+{
+	g_hash_table_replace(fleet->regions, g_strdup(data_centre),
+			     g_strdup(region));
+	centres_sync(fleet);
+}
+
+static void evacuation_log(const char *event, const char *data_centre)
+{
+	log_event(LOG_NOTICE, event, LOG_S("data_centre", data_centre));
+}
+
+bool fleet_evacuate(struct fleet *fleet, const char *data_centre,
+		    bool evacuated)
+{
+	struct evacuation *known =
+		g_hash_table_lookup(fleet->evacuated, data_centre);
+
+	if (known)
+		known->listed = true;
+	if (evacuated == (known != NULL))
+		return false;
+	evacuation_log(evacuated ? "data_centre_evacuated"
+				 : "data_centre_taken_back",
+		       data_centre);
+	if (evacuated) {
+		known = g_new0(struct evacuation, 1);
+		known->listed = true;
+		g_hash_table_insert(fleet->evacuated, g_strdup(data_centre),
+				    known);
+	} else {
+		g_hash_table_remove(fleet->evacuated, data_centre);
+	}
+	centres_sync(fleet);
+	return true;
+}
+
+void fleet_evacuations_begin(struct fleet *fleet)
+{
+	struct evacuation *evacuation;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, fleet->evacuated);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&evacuation))
+		evacuation->listed = false;
+}
+
+void fleet_evacuations_end(struct fleet *fleet)
+{
+	const struct evacuation *evacuation;
+	const char *data_centre;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, fleet->evacuated);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&data_centre,
+				      (gpointer *)&evacuation)) {
+		if (evacuation->listed)
+			continue;
+		evacuation_log("data_centre_taken_back", data_centre);
+		g_hash_table_iter_remove(&iter);
+	}
+	centres_sync(fleet);
+}
+
 struct backend *fleet_get(const struct fleet *fleet, uint64_t handle)
 {
 	return table_get(fleet->table, handle);
@@ -328,7 +425,7 @@
 	for (guint i = 0; list && i < list->len; i++) {
 		const struct backend *backend = list->pdata[i];
 
-		if (!backend_leaving(backend) && backend->avoided == 0)
+		if (!backend_withdrawn(backend) && backend->avoided == 0)
 			return true;
 	}
 	return !list || list->len == 0;
@@ -401,9 +498,14 @@
 	return backend->info.leaving || backend->leaving_by_answer;
 }
 
+bool backend_withdrawn(const struct backend *backend)
+{
+	return backend_leaving(backend) || backend->evacuated;
+}
+
 static bool is_up(const struct backend *backend, int64_t now)
 {
-	return !backend_leaving(backend) && now >= backend->avoid_until &&
+	return !backend_withdrawn(backend) && now >= backend->avoid_until &&
 	       now >= backend->changing_until;
 }
 
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -60,10 +60,15 @@
 				   const void *data, size_t size)
 {
 	struct node *node = ctx;
+	char centre[BACKEND_TEXT_MAX];
 	struct catalog *catalog;
 	struct error err;
 	bool in_force;
 
+	if (node->interface.decode_evacuation(key, centre))
+		return fleet_evacuate(node->fleet, centre, data != NULL)
+			       ? SHARE_CHANGED
+			       : SHARE_SAME;
 	if (strcmp(key, node->interface.config_key) != 0 || !data)
 		return SHARE_SAME;
 	catalog = node->interface.decode_catalog(data, size, &err);
@@ -128,6 +133,20 @@
 	return same ? SHARE_SAME : SHARE_CHANGED;
 }
 
+static void on_config_begin(void *ctx)
+{
+	struct node *node = ctx;
+
+	fleet_evacuations_begin(node->fleet);
+}
+
+static void on_config_end(void *ctx)
+{
+	struct node *node = ctx;
+
+	fleet_evacuations_end(node->fleet);
+}
+
 static void on_list_begin(void *ctx)
 {
 	struct node *node = ctx;
@@ -343,7 +362,8 @@
 
 void node_feeds_start(struct node *node)
 {
-	static const struct share_ops config_ops = {.value = on_config};
+	static const struct share_ops config_ops = {on_config_begin,
+						    on_config_end, on_config};
 	static const struct share_ops list_ops = {on_list_begin, on_list_end,
 						  on_backend};
 	static const struct feed_ops peer_ops = {
--- a/forward/roles.c
+++ b/forward/roles.c
@@ -219,7 +219,7 @@
 		enum backend_stage stage = stage_of(roles, backend);
 
 		/* One that changes counts in its new role. */
-		if (stage == STAGE_NONE || backend_leaving(backend) ||
+		if (stage == STAGE_NONE || backend_withdrawn(backend) ||
 		    now < backend->avoid_until)
 			continue;
 		stages.total++;
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -62,6 +62,8 @@
 	uint64_t handle;
 	uint64_t key; /* backend_key(&info) */
 	bool near;    /* in this instance's data centre */
+	bool evacuated;
+	uint64_t region; /* id_of() its name; 0: not known */
 	struct backend_load own;
 	/* Below zero while a difference lacks its base. */
 	struct load_sum peers;
@@ -120,6 +122,20 @@
 void fleet_snapshot_begin(struct fleet *fleet);
 void fleet_snapshot_end(struct fleet *fleet);
 
+/* The region of a data centre. */
+void fleet_set_region(struct fleet *fleet, const char *data_centre,
+		      const char *region);
+
+/* Nothing new is sent to the servers of an evacuated data centre, also to those
+ * that are listed later, until it is taken back. Returns whether that is news.
+ */
+bool fleet_evacuate(struct fleet *fleet, const char *data_centre,
+		    bool evacuated);
+/* Around the whole list of evacuated data centres: those that fleet_evacuate()
+ * does not name meanwhile are taken back. */
+void fleet_evacuations_begin(struct fleet *fleet);
+void fleet_evacuations_end(struct fleet *fleet);
+
 struct backend *fleet_get(const struct fleet *fleet, uint64_t handle);
 /* By backend_key(). */
 struct backend *fleet_find(const struct fleet *fleet, uint64_t key);
@@ -152,10 +168,12 @@
 		     const struct backend_lost *lost);
 /* According to the list or to its own answers. */
 bool backend_leaving(const struct backend *backend);
+/* It is leaving, or its data centre is evacuated. */
+bool backend_withdrawn(const struct backend *backend);
 /* May a new request be sent there now? */
 bool backend_usable(const struct backend *backend, int64_t now);
 /* When its backoff and limit let a request be sent: now or later; -1 when it is
- * leaving or cannot be reached. */
+ * withdrawn or cannot be reached. */
 int64_t backend_available_at(const struct backend *backend, int64_t now);
 uint32_t backend_requests(const struct backend *backend);
 uint32_t backend_decode_tokens(const struct backend *backend);
--- a/include/forward/node.h
+++ b/include/forward/node.h
@@ -36,6 +36,10 @@
 					  struct error *err);
 	bool (*decode_backend)(const char *id, const void *data, size_t size,
 			       struct backend_info *info, struct error *err);
+	/* Whether a key of the stream of configurations tells, for as long as
+	 * it has a value, that a data centre is evacuated; and which. */
+	bool (*decode_evacuation)(const char *key,
+				  char data_centre[BACKEND_TEXT_MAX]);
 	const char *config_stream;
 	const char *config_key;
 	const char *list_stream;
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -20,5 +20,8 @@
 			       struct error *err);
 bool decode_backend(const char *id, const void *data, size_t size,
 		    struct backend_info *info, struct error *err);
+/* Whether the key, beside that of the configuration, evacuates a data centre;
+ * and which. */
+bool decode_evacuation(const char *key, char data_centre[BACKEND_TEXT_MAX]);
 
 #endif
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -707,6 +707,14 @@
 	world.crowd = (uint32_t)atoi(options);
 }
 
+/* "evacuate here", "evacuate there back". */
+static void evacuate_step(const char *options)
+{
+	g_autofree char *centre = g_strndup(options, strcspn(options, " "));
+
+	fleet_evacuate(world.fleet, centre, !strstr(options, "back"));
+}
+
 static void drain_step(const char *options)
 {
 	forward_drain(world.forward);
@@ -739,6 +747,7 @@
 	{"leaves", leaves_step},
 	{"backoff", backoff_step},
 	{"permit", permit_step},
+	{"evacuate", evacuate_step},
 };
 
 static void step_run(char *step)
--- /dev/null
+++ b/tests/forward/test_evacuation.c
@@ -0,0 +1,143 @@
+/* Nothing new goes to the servers of an evacuated data centre. */
+#include <glib.h>
+#include <string.h>
+
+#include "common/clock.h"
+#include "forward/fleet.h"
+#include "forward/place.h"
+
+#define SERVICE 1u
+
+struct site {
+	struct clock *clock;
+	struct fleet *fleet;
+	struct place place;
+};
+
+static struct backend *server_add(struct site *site, const char *id,
+				  enum backend_stage stage, const char *centre)
+{
+	struct backend_info info = {
+		.service = SERVICE, .stage = stage, .slots = 4};
+
+	g_strlcpy(info.id, id, sizeof(info.id));
+	g_strlcpy(info.address, "127.0.0.1:1", sizeof(info.address));
+	g_strlcpy(info.data_centre, centre, sizeof(info.data_centre));
+	return fleet_put(site->fleet, &info);
+}
+
+static void site_open(struct site *site)
+{
+	site->clock = clock_create(0);
+	clock_advance(site->clock, 100 * USEC_PER_SEC);
+	site->fleet = fleet_create(site->clock, "here");
+	site->place = (struct place){
+		.fleet = site->fleet,
+		.now = clock_now(site->clock),
+		.service = SERVICE,
+		.rand = g_rand_new_with_seed(3),
+	};
+}
+
+static void site_close(struct site *site)
+{
+	fleet_destroy(site->fleet);
+	clock_destroy(site->clock);
+	g_rand_free(site->place.rand);
+}
+
+static void test_plain(void)
+{
+	struct site site;
+	struct backend *near;
+	struct backend *far;
+
+	site_open(&site);
+	near = server_add(&site, "near", STAGE_NONE, "here");
+	far = server_add(&site, "far", STAGE_NONE, "there");
+	g_assert_true(fleet_evacuate(site.fleet, "here", true));
+	g_assert_false(fleet_evacuate(site.fleet, "here", true));
+	g_assert_true(place_plain(&site.place) == far);
+	g_assert_false(backend_usable(near, site.place.now));
+	g_assert_cmpint(backend_available_at(near, site.place.now), ==, -1);
+	g_assert_true(fleet_evacuate(site.fleet, "there", true));
+	g_assert_null(place_plain(&site.place));
+	g_assert_false(fleet_reaches(site.fleet, SERVICE));
+	g_assert_true(fleet_evacuate(site.fleet, "here", false));
+	g_assert_false(fleet_evacuate(site.fleet, "here", false));
+	g_assert_true(place_plain(&site.place) == near);
+	site_close(&site);
+}
+
+static void test_engines(void)
+{
+	static const struct engine_traits engine = {.slots = 4,
+						    .memory_tokens = 1000};
+	struct site site;
+	struct backend *d2;
+	struct backend *p2;
+
+	site_open(&site);
+	server_add(&site, "d1", STAGE_DECODE, "here");
+	server_add(&site, "p1", STAGE_PREFILL, "here");
+	d2 = server_add(&site, "d2", STAGE_DECODE, "there");
+	p2 = server_add(&site, "p2", STAGE_PREFILL, "there");
+	g_assert_cmpfloat(place_decode_places(&site.place, &engine, 500), ==,
+			  4.0);
+	fleet_evacuate(site.fleet, "here", true);
+	g_assert_true(place_decode(&site.place, &engine, 500) == d2);
+	g_assert_true(place_prefill(&site.place, d2) == p2);
+	g_assert_cmpfloat(place_decode_places(&site.place, &engine, 500), ==,
+			  2.0);
+	site_close(&site);
+}
+
+/* Servers that are listed later, or move, are withdrawn as well. */
+static void test_listed_later(void)
+{
+	struct site site;
+	struct backend *server;
+
+	site_open(&site);
+	fleet_evacuate(site.fleet, "there", true);
+	server = server_add(&site, "s", STAGE_NONE, "there");
+	g_assert_true(backend_withdrawn(server));
+	g_assert_false(backend_leaving(server));
+	server = server_add(&site, "s", STAGE_NONE, "here");
+	g_assert_false(backend_withdrawn(server));
+	server = server_add(&site, "s", STAGE_NONE, "there");
+	g_assert_true(backend_withdrawn(server));
+	site_close(&site);
+}
+
+/* A whole list says what holds; one that is broken off takes nothing back. */
+static void test_whole_list(void)
+{
+	struct site site;
+	struct backend *one;
+	struct backend *two;
+
+	site_open(&site);
+	one = server_add(&site, "one", STAGE_NONE, "here");
+	two = server_add(&site, "two", STAGE_NONE, "there");
+	fleet_evacuate(site.fleet, "here", true);
+	fleet_evacuate(site.fleet, "there", true);
+	fleet_evacuations_begin(site.fleet);
+	g_assert_true(backend_withdrawn(one));
+	fleet_evacuations_begin(site.fleet);
+	g_assert_false(fleet_evacuate(site.fleet, "there", true));
+	fleet_evacuations_end(site.fleet);
+	g_assert_false(backend_withdrawn(one));
+	g_assert_true(backend_withdrawn(two));
+	site_close(&site);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/evacuation/plain", test_plain);
+	g_test_add_func("/forward/evacuation/engines", test_engines);
+	g_test_add_func("/forward/evacuation/listed-later", test_listed_later);
+	g_test_add_func("/forward/evacuation/whole-list", test_whole_list);
+	return g_test_run();
+}
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -244,6 +244,36 @@
 	g_assert_cmpuint(info.slots, ==, 12);
 	g_assert_cmpint(info.born, ==, 1764700000123);
 }
+struct evacuation {
+	const char *name;
+	const char *key;
+	const char *data_centre; /* NULL: evacuates none */
+};
+
+static const struct evacuation evacuation_rows[] = {
+	{"one", "evacuate/north-a", "north-a"},
+	{"no data centre", "evacuate/", NULL},
+	{"no slash", "evacuate", NULL},
+	{"configuration", "config", NULL},
+	{"other", "evacuated/north-a", NULL},
+	{"empty", "", NULL},
+	{"too long",
+	 "evacuate/"
+	 "0123456789012345678901234567890123456789012345678901234567890123",
+	 NULL},
+};
+
+static void test_evacuation(gconstpointer data)
+{
+	const struct evacuation *row = data;
+	char data_centre[BACKEND_TEXT_MAX];
+
+	g_assert_cmpint(decode_evacuation(row->key, data_centre), ==,
+			row->data_centre != NULL);
+	if (row->data_centre)
+		g_assert_cmpstr(data_centre, ==, row->data_centre);
+
+}
 
 static void test_organisations(void)
 {
@@ -559,6 +589,7 @@
 	ROWS_ADD("/platform/config/", configs, test_config_refused);
 	ROWS_ADD("/platform/entry/", entries, test_entry_refused);
 	ROWS_ADD("/platform/snapshot/", snapshots, test_snapshot);
+	ROWS_ADD("/platform/evacuation/", evacuation_rows, test_evacuation);
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/rest/", rest_rows, test_rest);
