forward, platform: keep requests to the regions that they allow

`allowed_regions` of a route and of an organisation were not read. A request that no listed server may have is refused at once.

An empty list restricts nothing. A server whose region is not known may have no restricted request. The paths of the test fail without the check in backend_fits().

--- a/common/setting.c
+++ b/common/setting.c
@@ -136,7 +136,7 @@
 		return text_store(field, text, text[0] != '\0', "a file name",
 				  err);
 	case SETTING_EACH:
-		return program->each(target, text, err);
+		return program->each(target, setting->flag, text, err);
 	case SETTING_BOOL:
 		return bool_store(field, text, err);
 	case SETTING_LEVEL:
--- a/entry/settings.c
+++ b/entry/settings.c
@@ -43,7 +43,8 @@
 			 "'%s' is not NAME@DATA_CENTRE@IP:PORT", text);
 }
 
-static bool seed_add(void *target, const char *text, struct error *err)
+static bool seed_add(void *target, const char *flag, const char *text,
+		     struct error *err)
 {
 	struct settings *settings = target;
 	struct settings_seed seed;
--- a/forward/catalog.c
+++ b/forward/catalog.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/id.h"
+#include "forward/regions.h"
 
 /* Longest host that is looked up; the longest that DNS allows. */
 #define HOST_MAX 255
@@ -17,6 +18,7 @@
 	g_free(route->host);
 	g_free(route->prefix);
 	g_array_unref(route->shares);
+	region_set_destroy(route->regions);
 	g_free(route);
 }
 
--- a/forward/node.c
+++ b/forward/node.c
@@ -203,6 +203,15 @@
 	return boot;
 }
 
+static void regions_set(struct node *node)
+{
+	const struct forward_settings *settings = &node->settings;
+
+	for (uint32_t i = 0; i < settings->region_count; i++)
+		fleet_set_region(node->fleet, settings->regions[i].data_centre,
+				 settings->regions[i].region);
+}
+
 static void core_open(struct node *node)
 {
 	const struct budget_settings budget = node_budget(&node->settings);
@@ -231,6 +240,7 @@
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
 	fleet_set_backpressure(node->fleet, node->backpressure);
+	regions_set(node);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
 	parts.quarantine = node->quarantine;
--- a/forward/organisation.c
+++ b/forward/organisation.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "common/id.h"
+#include "forward/regions.h"
 
 #define DIGEST_SIZE 32
 
@@ -50,6 +51,7 @@
 {
 	struct organisation *organisation = data;
 
+	region_set_destroy(organisation->regions);
 	g_free(organisation->name);
 	g_free(organisation);
 }
--- a/forward/place.c
+++ b/forward/place.c
@@ -70,6 +70,7 @@
 			 const struct backend *backend)
 {
 	return backend_usable(backend, place->now) &&
+	       regions_allow(&place->regions, backend->region) &&
 	       place->now >= backend->limited_until &&
 	       !tried_has(place->tried, backend->key) &&
 	       !(place->unlimited && is_limited(place, backend));
@@ -139,7 +140,8 @@
 		const struct backend *backend = list->pdata[i];
 		int64_t opens = backend_available_at(backend, place->now);
 
-		if (opens < 0 || backend->info.stage != stage)
+		if (opens < 0 || backend->info.stage != stage ||
+		    !regions_allow(&place->regions, backend->region))
 			continue;
 		if (opens == place->now)
 			return 0;
@@ -149,6 +151,21 @@
 	return first;
 }
 
+bool place_served(const struct place *place, enum backend_stage stage)
+{
+	const GPtrArray *list = fleet_service(place->fleet, place->service);
+
+	for (guint i = 0; list && i < list->len; i++) {
+		const struct backend *backend = list->pdata[i];
+
+		if (backend->info.stage == stage &&
+		    !backend_withdrawn(backend) &&
+		    regions_allow(&place->regions, backend->region))
+			return true;
+	}
+	return false;
+}
+
 struct backend *place_plain(const struct place *place)
 {
 	return place_least(place, plain_cost, NULL);
@@ -266,6 +283,7 @@
 		const struct backend *backend = list->pdata[i];
 
 		if (backend->info.stage == STAGE_DECODE &&
+		    regions_allow(&place->regions, backend->region) &&
 		    backend_usable(backend, place->now))
 			sum += overload_places(each, limit_of(place, backend));
 	}
--- a/forward/request.c
+++ b/forward/request.c
@@ -48,6 +48,7 @@
 void request_place(const struct request *request, struct place *place)
 {
 	const struct forward_parts *parts = &request->forward->parts;
+	const struct organisation *organisation = request->organisation;
 
 	*place = (struct place){
 		.fleet = parts->fleet,
@@ -55,6 +56,8 @@
 		.service = request->service->id,
 		.tried = &request->tried,
 		.backpressure = parts->backpressure,
+		.regions = {request->route->regions,
+			    organisation ? organisation->regions : NULL},
 		.rand = parts->rand,
 		.stale_near = parts->interval(parts->instances_ctx, true),
 		.stale_far = parts->interval(parts->instances_ctx, false),
--- a/forward/settings.c
+++ b/forward/settings.c
@@ -4,6 +4,7 @@
 #include "forward/settings.h"
 
 #include <stddef.h>
+#include <string.h>
 
 #include <glib.h>
 
@@ -31,6 +32,9 @@
 	 "IP:PORT",
 	 "another instance's peer-listen, to meet the others without the "
 	 "platform's store; may be repeated"},
+	{"region", "JT_REGIONS", SETTING_EACH, FIELD(regions), 0, 0, NULL,
+	 false, "DATA-CENTRE:REGION",
+	 "the region of a data centre; may be repeated"},
 	{"log-level", "JT_LOG_LEVEL", SETTING_LEVEL, FIELD(log_level), 0, 0,
 	 "info", false, "LEVEL", "err, warning, notice, info or debug"},
 	{"retry-ratio", "JT_RETRY_RATIO", SETTING_REAL, FIELD(retry_ratio), 0,
@@ -57,10 +61,9 @@
 	 "how instances share allotments: counts, demand or equal"},
 };
 
-static bool seed_add(void *target, const char *text, struct error *err)
+static bool seed_add(struct forward_settings *settings, const char *text,
+		     struct error *err)
 {
-	struct forward_settings *settings = target;
-
 	if (!setting_address_valid(text, false))
 		return error_set(err, RESULT_BAD_SETTING, "'%s' is no IP:PORT",
 				 text);
@@ -71,6 +74,33 @@
 	return true;
 }
 
+static bool region_add(struct forward_settings *settings, const char *text,
+		       struct error *err)
+{
+	g_auto(GStrv) parts = g_strsplit(text, ":", -1);
+	struct centre_region *region;
+
+	if (g_strv_length(parts) != 2 || !setting_name_valid(parts[0]) ||
+	    !setting_name_valid(parts[1]))
+		return error_set(err, RESULT_BAD_SETTING,
+				 "'%s' is no DATA-CENTRE:REGION", text);
+	if (settings->region_count >= FORWARD_CENTRES_MAX)
+		return error_set(err, RESULT_BAD_SETTING, "more than %u",
+				 FORWARD_CENTRES_MAX);
+	region = &settings->regions[settings->region_count++];
+	region->data_centre = g_intern_string(parts[0]);
+	region->region = g_intern_string(parts[1]);
+	return true;
+}
+
+static bool text_add(void *target, const char *flag, const char *text,
+		     struct error *err)
+{
+	if (strcmp(flag, "region") == 0)
+		return region_add(target, text, err);
+	return seed_add(target, text, err);
+}
+
 bool forward_settings_read(struct forward_settings *settings, const char *file,
 			   int argc, char **argv, struct error *err)
 {
@@ -80,7 +110,7 @@
 		.file = file,
 		.table = table,
 		.count = G_N_ELEMENTS(table),
-		.each = seed_add,
+		.each = text_add,
 	};
 	struct forward_settings fresh = {0};
 
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -499,6 +499,16 @@
 	request->weight = engine_rates_weight(rates, work);
 }
 
+/* Whether it may only be served where no server is. */
+static bool regions_unserved(const struct request *request)
+{
+	struct place place;
+
+	request_place(request, &place);
+	return regions_limited(&place.regions) &&
+	       !place_served(&place, STAGE_DECODE);
+}
+
 void stream_start(struct request *request)
 {
 	struct forward *forward = request->forward;
@@ -513,6 +523,10 @@
 			forward->draining ? RETRY_ELSEWHERE_USEC : RETRY_USEC);
 		return;
 	}
+	if (regions_unserved(request)) {
+		request_refuse(request, RESULT_NO_BACKEND, RETRY_USEC);
+		return;
+	}
 	if (!stream_reserve(request, 1))
 		stream_wait(request);
 }
--- a/include/common/setting.h
+++ b/include/common/setting.h
@@ -57,8 +57,10 @@
 	const char *file; /* settings file, or NULL */
 	const struct setting *table;
 	size_t count;
-	/* Takes each text of SETTING_EACH; NULL where there is none. */
-	bool (*each)(void *target, const char *text, struct error *err);
+	/* Takes each text of a setting of SETTING_EACH, named by its flag; NULL
+	 * where there is none. */
+	bool (*each)(void *target, const char *flag, const char *text,
+		     struct error *err);
 };
 
 /* Fills target, which must be zeroed. Exits by itself only for --help and
--- a/include/forward/catalog.h
+++ b/include/forward/catalog.h
@@ -47,6 +47,7 @@
 	uint32_t attempts;    /* most backend servers that may run it */
 	bool is_public;	      /* callers need no key */
 	GArray *shares;	      /* struct route_share, at least one */
+	GArray *regions;      /* region_set, or NULL */
 };
 
 /* What a service's engines are like; zero tokens: it has no engines. */
--- a/include/forward/organisation.h
+++ b/include/forward/organisation.h
@@ -25,6 +25,7 @@
 	struct limit_allotment allotment;
 	bool by_tokens;	     /* units are tokens, else requests */
 	double plain_tokens; /* of a request that tells no tokens */
+	GArray *regions;     /* region_set, or NULL */
 };
 
 struct organisations;
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -17,6 +17,7 @@
 #include "coord/backpressure.h"
 #include "forward/catalog.h"
 #include "forward/fleet.h"
+#include "forward/regions.h"
 
 #define PLACE_TRIED_MAX 8
 
@@ -35,7 +36,8 @@
 	const struct tried *tried;
 	const struct backpressure *backpressure; /* NULL: no limits */
 	bool unlimited; /* only servers without a limit */
-	GRand *rand;	/* breaks ties */
+	struct region_limits regions;
+	GRand *rand; /* breaks ties */
 	/* How old what peers told of loads may be, near and elsewhere. */
 	int64_t stale_near;
 	int64_t stale_far;
@@ -43,6 +45,9 @@
 
 /* How old the view of the server's load may be. */
 int64_t place_stale(const struct place *place, const struct backend *backend);
+/* Whether a server of the stage is listed that may have the request, if it can
+ * be reached and has room. */
+bool place_served(const struct place *place, enum backend_stage stage);
 /* For a plain call. NULL when no server is usable. */
 struct backend *place_plain(const struct place *place);
 /* When the first server of a stage may be sent a request, if those that could
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -16,6 +16,13 @@
 #include "coord/limit.h"
 
 #define FORWARD_SEEDS_MAX 16u
+#define FORWARD_CENTRES_MAX 64u
+
+/* Where a data centre lies. */
+struct centre_region {
+	const char *data_centre;
+	const char *region;
+};
 
 struct forward_settings {
 	const char *name;
@@ -27,6 +34,8 @@
 	/* Other instances that may run, by peer_listen. */
 	const char *seeds[FORWARD_SEEDS_MAX];
 	uint32_t seed_count;
+	struct centre_region regions[FORWARD_CENTRES_MAX];
+	uint32_t region_count;
 	int log_level;
 	double retry_ratio;
 	double retry_slack;
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -8,6 +8,7 @@
 #include "common/error.h"
 #include "common/id.h"
 #include "forward/forward.h"
+#include "forward/regions.h"
 
 #define SEED 7u
 #define INSTANCES 2u
@@ -51,6 +52,7 @@
 	const char *options; /* of the request taken */
 	uint32_t holds;
 	uint32_t crowd; /* waiting at all instances */
+	const char *region; /* that the routes of the next version allow */
 } world;
 
 static void say(const char *format, ...) G_GNUC_PRINTF(1, 2);
@@ -317,6 +319,8 @@
 	route->gap_usec = 300 * USEC_PER_MSEC;
 	route->attempts = 2;
 	g_array_append_val(route->shares, share);
+	if (world.region)
+		route->regions = region_set_add(NULL, world.region);
 }
 
 /* Key kN is that of organisation oN. The plain calls of o1 take 100 of an
@@ -343,6 +347,8 @@
 	organisation->priority = 2;
 	organisation->plain_tokens = 100;
 	organisation->allotment = (struct limit_allotment){100, 250};
+	if (strstr(options, "restricted"))
+		organisation->regions = region_set_add(NULL, "south");
 	if (strstr(options, "large"))
 		organisation->allotment = (struct limit_allotment){1000, 2500};
 }
@@ -455,6 +461,8 @@
 	world.backpressure = backpressure_create();
 	parts.backpressure = world.backpressure;
 	fleet_set_backpressure(world.fleet, world.backpressure);
+	fleet_set_region(world.fleet, "here", "north");
+	fleet_set_region(world.fleet, "there", "south");
 	parts.limits = world.limits;
 	parts.counters = world.counters;
 	parts.rand = world.rand;
@@ -620,8 +628,12 @@
 	clock_fire_due(world.clock);
 }
 
+/* "version 4", "version 4 north": its routes allow that region only. */
 static void version_step(const char *options)
 {
+	const char *region = strchr(options, ' ');
+
+	world.region = region ? region + 1 : NULL;
 	catalog_set((uint64_t)atoi(options), NULL);
 }
 
--- a/tests/forward/test_settings.c
+++ b/tests/forward/test_settings.c
@@ -43,6 +43,8 @@
 	{"level", WHOLE "log-level=loud\n", ":7: log-level"},
 	{"name", WHOLE "name=a b\n", ":7: name"},
 	{"seed", WHOLE "seed=127.0.0.1:5,here\n", ":7: seed: 'here'"},
+	{"region", WHOLE "region=a:b,c\n", ":7: region: 'c'"},
+	{"region of a space", WHOLE "region=a:b c\n", ":7: region: 'a:b c'"},
 	{"line", WHOLE "retry\n", ":7: not NAME=VALUE"},
 };
 
@@ -71,13 +73,16 @@
 	g_assert_true(file_read(&settings,
 				WHOLE
 				"grace-s=9\nretry-slack=54\nretry-ratio=\n"
-				"unknown=1\n",
+				"unknown=1\nregion=x-1:north,x-2:south\n",
 				3, argv, &err));
 	g_unsetenv("JT_RETRY_SLACK");
 	g_assert_cmpstr(settings.name, ==, "a");
 	g_assert_cmpfloat(settings.grace_sec, ==, 3);
 	g_assert_cmpfloat(settings.retry_slack, ==, 17);
 	g_assert_cmpfloat(settings.retry_ratio, ==, 0.2);
+	g_assert_cmpuint(settings.region_count, ==, 2);
+	g_assert_cmpstr(settings.regions[1].data_centre, ==, "x-2");
+	g_assert_cmpstr(settings.regions[1].region, ==, "south");
 }
 
 static void test_no_file(void)
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -5,6 +5,7 @@
 #include "../fake/rows.h"
 #include "common/error.h"
 #include "common/id.h"
+#include "forward/regions.h"
 #include "platform/caller.h"
 #include "platform/decode.h"
 #include "platform/runner.h"
@@ -56,6 +57,21 @@
 		"\"route_type\":\"idempotent\"}",
 		SERVICE),
 	 "routes[0].service"},
+	{"regions that are no list",
+	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\","
+		"\"allowed_regions\":\"north\"}",
+		SERVICE),
+	 "routes[0].allowed_regions: no list"},
+	{"region that is no text",
+	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\","
+		"\"allowed_regions\":[\"north\",7]}",
+		SERVICE),
+	 "routes[0].allowed_regions[1]: no text"},
+	{"organisation's regions that are no list",
+	 TENANTS("[{\"name\":\"a\",\"allowed_regions\":{}}]"),
+	 "tenants[0].allowed_regions: no list"},
 	{"empty split",
 	 CONFIG("{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\","
 		"\"route_type\":\"idempotent\",\"traffic_split\":[]}",
@@ -272,7 +288,38 @@
 			row->data_centre != NULL);
 	if (row->data_centre)
 		g_assert_cmpstr(data_centre, ==, row->data_centre);
+}
+
+static void test_regions(void)
+{
+	static const char text[] =
+		"{\"version\":7,\"routes\":["
+		"{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/a/\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\","
+		"\"allowed_regions\":[\"north\",\"east\"]},"
+		"{\"name\":\"q\",\"host\":\"h\",\"path_prefix\":\"/b/\","
+		"\"route_type\":\"idempotent\",\"service\":\"s\","
+		"\"allowed_regions\":[]}],\"services\":[" SERVICE
+		"],\"tenants\":[{\"name\":\"a\",\"api_keys\":[\"k\"],"
+		"\"allowed_regions\":[\"north\",\"west\"]}]}";
+	struct error err = {0};
+	struct catalog *catalog = decode_catalog(text, strlen(text), &err);
+	const struct region_limits any = {NULL, NULL};
+	struct region_limits limits;
 
+	g_assert_cmpstr(err.text, ==, "");
+	limits.of_route = catalog_route(catalog, "h", 1, "/a/", 3)->regions;
+	limits.of_organisation =
+		organisation_of_key(catalog->organisations, "k", 1)->regions;
+	g_assert_null(catalog_route(catalog, "h", 1, "/b/", 3)->regions);
+	g_assert_true(regions_limited(&limits));
+	g_assert_true(regions_allow(&limits, id_of("north")));
+	g_assert_false(regions_allow(&limits, id_of("east")));
+	g_assert_false(regions_allow(&limits, id_of("west")));
+	g_assert_false(regions_allow(&limits, 0));
+	g_assert_false(regions_limited(&any));
+	g_assert_true(regions_allow(&any, 0));
+	catalog_unref(catalog);
 }
 
 static void test_organisations(void)
@@ -594,6 +641,7 @@
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/rest/", rest_rows, test_rest);
 	g_test_add_func("/platform/leaving", test_leaving);
+	g_test_add_func("/platform/regions", test_regions);
 	g_test_add_func("/platform/organisations", test_organisations);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
