coord, forward, platform: send a cold server no more than it bears

`cold_remaining_ms` of entries and `Cold-Ms` of health answers tell how long a server stays cold, `cold_per_s` of its service what it bears meanwhile. That is a limit of requests a second over all instances, so the permits of limited servers serve it: the home of a cold server grants half of what the server bears, as two instances may take themselves for the home for a moment. A home that has not heard of the cold hears it from who asks.

Ruled out: equal shares (at 68 instances 0.4 requests a second each) and telling it in gossip, where each hop would prolong it.

--- a/coord/backpressure.c
+++ b/coord/backpressure.c
@@ -24,8 +24,10 @@
 	bool leaving;
 	int64_t leaving_at; /* when it said so last */
 	int64_t backoff_until;
-	bool counting; /* level is valid */
-	double level;  /* tokens at level_at */
+	int64_t cold_until;
+	double cold_limit; /* until then */
+	bool counting;	   /* level is valid */
+	double level;	   /* tokens at level_at */
 	int64_t level_at;
 	int64_t booked; /* latest time that an instance was told to ask again */
 };
@@ -78,6 +80,20 @@
 	return item->limit >= 0.0;
 }
 
+static bool is_cold(const struct item *item, int64_t now)
+{
+	return now < item->cold_until;
+}
+
+/* The one that is enforced. */
+static double limit_at(const struct item *item, int64_t now)
+{
+	if (!is_cold(item, now))
+		return item->limit;
+	return is_limited(item) ? MIN(item->limit, item->cold_limit)
+				: item->cold_limit;
+}
+
 static bool item_set(struct backpressure *table, struct item *item,
 		     double limit, int64_t at)
 {
@@ -144,7 +160,7 @@
 unsigned int backpressure_hear(struct backpressure *table, int64_t now,
 			       const struct backpressure_fact *fact)
 {
-	bool says = fact->leaving || fact->limit >= 0.0;
+	bool says = fact->leaving || fact->limit >= 0.0 || fact->cold_usec > 0;
 	struct item *item = says ? item_get(table, fact->server)
 				 : item_find(table, fact->server);
 	int64_t at = now - fact->age_usec;
@@ -152,6 +168,10 @@
 
 	if (!item)
 		return 0;
+	if (fact->cold_usec > 0 && !is_cold(item, now)) {
+		item->cold_until = now + fact->cold_usec;
+		item->cold_limit = fact->cold_limit;
+	}
 	if (fact->leaving && !item->leaving)
 		changed |= leaving_set(item, now);
 	if (at > item->named_at && item_set(table, item, fact->limit, at))
@@ -159,6 +179,17 @@
 	return changed;
 }
 
+void backpressure_cold(struct backpressure *table, int64_t until,
+		       uint64_t server, double limit)
+{
+	struct item *item = item_get(table, server);
+
+	if (!item || until <= item->cold_until)
+		return;
+	item->cold_until = until;
+	item->cold_limit = limit;
+}
+
 /* Whether other instances may not know it yet. */
 static bool is_told(const struct item *item, int64_t now)
 {
@@ -201,9 +232,14 @@
 {
 	const struct item *item = item_find(table, server);
 
-	if (item)
-		fact_fill(item, now, fact);
-	return item != NULL;
+	if (!item)
+		return false;
+	fact_fill(item, now, fact);
+	if (is_cold(item, now)) {
+		fact->cold_usec = item->cold_until - now;
+		fact->cold_limit = item->cold_limit;
+	}
+	return true;
 }
 
 double backpressure_limit(const struct backpressure *table, uint64_t server)
@@ -233,18 +269,19 @@
 	return table->limited;
 }
 
-static double rate_of(const struct item *item)
+static double rate_of(const struct item *item, int64_t now)
 {
-	return MAX(item->limit, LEAST_PER_SEC);
+	return MAX(limit_at(item, now), LEAST_PER_SEC);
 }
 
 static void level_advance(struct item *item, int64_t now)
 {
 	double sec = (double)(now - item->level_at) / (double)USEC_PER_SEC;
-	double most = MAX(rate_of(item) * BURST_SEC, 1.0);
+	double rate = rate_of(item, now);
+	double most = MAX(rate * BURST_SEC, 1.0);
 
 	if (item->counting)
-		item->level = MIN(item->level + rate_of(item) * sec, most);
+		item->level = MIN(item->level + rate * sec, most);
 	item->counting = true;
 	item->level_at = now;
 }
@@ -252,7 +289,7 @@
 /* Spreads those that were denied at the rate at which the bucket fills. */
 static int64_t book(struct item *item, int64_t now)
 {
-	double step = (double)USEC_PER_SEC / rate_of(item);
+	double step = (double)USEC_PER_SEC / rate_of(item, now);
 	int64_t fits = now + (int64_t)((1.0 - item->level) * step) + 1;
 
 	if (item->booked < fits)
@@ -268,7 +305,7 @@
 {
 	struct item *item = item_find(table, server);
 
-	if (!item || !is_limited(item))
+	if (!item || limit_at(item, now) < 0.0)
 		return true;
 	level_advance(item, now);
 	if (item->level >= 1.0) {
@@ -282,8 +319,8 @@
 /* Whether no fact about the server is valid any more. */
 static bool is_spent(const struct item *item, int64_t now)
 {
-	return !is_limited(item) && !item->leaving && !is_told(item, now) &&
-	       now >= item->backoff_until;
+	return !is_limited(item) && !is_cold(item, now) && !item->leaving &&
+	       !is_told(item, now) && now >= item->backoff_until;
 }
 
 static bool is_old(const struct item *item, int64_t now)
--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -37,6 +37,9 @@
 #define REFUSALS_MAX 2u
 #define REFUSED_REST_USEC (1 * USEC_PER_SEC)
 
+/* What a server says of its being cold comes by several ways, up to so late. */
+#define COLD_NEWS_USEC (300 * USEC_PER_MSEC)
+
 struct fleet {
 	struct clock *clock;
 	char *data_centre;
@@ -521,6 +524,25 @@
 	return MAX(now, MAX(backend->backoff_until, backend->limited_until));
 }
 
+bool backend_set_cold(struct backend *backend, int64_t now, int64_t left_usec)
+{
+	int64_t until = now + left_usec;
+	bool news = until > MAX(backend->cold_until, now) + COLD_NEWS_USEC;
+
+	if (news)
+		log_event(LOG_NOTICE, "backend_cold",
+			  LOG_S("backend", backend->info.id),
+			  LOG_D("born", backend->info.born),
+			  LOG_D("ms", left_usec / USEC_PER_MSEC));
+	backend->cold_until = MAX(backend->cold_until, until);
+	return news;
+}
+
+bool backend_cold(const struct backend *backend, int64_t now)
+{
+	return now < backend->cold_until;
+}
+
 static uint32_t part_of(int64_t sum)
 {
 	return (uint32_t)CLAMP(sum, 0, UINT32_MAX / 2);
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -160,7 +160,9 @@
 {
 	const msgpack_object *fields;
 	int64_t parts;
+	int64_t cold_parts;
 	uint64_t leaving;
+	uint64_t cold;
 	uint64_t age;
 
 	if (!is_tuple(object, FACT_FIELDS))
@@ -169,12 +171,17 @@
 	if (!number_read(&fields[0], UINT64_MAX, &fact->server) ||
 	    !sum_read(&fields[1], LIMIT_PARTS_MAX, &parts) || parts < -1 ||
 	    !number_read(&fields[2], FACT_AGE_USEC_MAX, &age) ||
-	    !number_read(&fields[3], 1, &leaving))
+	    !number_read(&fields[3], 1, &leaving) ||
+	    !number_read(&fields[4], COLD_USEC_MAX, &cold) ||
+	    !sum_read(&fields[5], LIMIT_PARTS_MAX, &cold_parts) ||
+	    cold_parts < 0)
 		return false;
 	fact->limit = parts < 0 ? BACKPRESSURE_UNLIMITED
 				: (double)parts / LIMIT_PARTS;
 	fact->age_usec = (int64_t)age;
 	fact->leaving = leaving;
+	fact->cold_usec = (int64_t)cold;
+	fact->cold_limit = (double)cold_parts / LIMIT_PARTS;
 	return true;
 }
 
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -115,6 +115,7 @@
 	const struct feed_record record = {offset, key, data, size};
 	const struct backend *known = fleet_find_id(node->fleet, key);
 	struct backend_info info;
+	struct backend *put;
 	struct error err;
 	bool same;
 
@@ -125,11 +126,14 @@
 	if (!backend_read(node, &record, &info, &err))
 		return backend_refuse(node, offset, &record, &err);
 	same = known && backend_info_same(&known->info, &info);
-	if (!fleet_put(node->fleet, &info)) {
+	put = fleet_put(node->fleet, &info);
+	if (!put) {
 		log_event(LOG_INFO, "entry_passed_over", LOG_S("backend", key),
 			  LOG_D("born", info.born), LOG_D("offset", offset));
 		return SHARE_REFUSED;
 	}
+	if (backend_set_cold(put, clock_now(node->clock), info.cold_usec))
+		return SHARE_CHANGED;
 	return same ? SHARE_SAME : SHARE_CHANGED;
 }
 
--- a/forward/permit.c
+++ b/forward/permit.c
@@ -73,6 +73,16 @@
 		backoff_log(forward, backend);
 }
 
+static void cold_apply(const struct forward *forward, uint64_t server,
+		       int64_t left_usec)
+{
+	struct backend *backend = fleet_find(forward->parts.fleet, server);
+
+	if (backend && left_usec > 0)
+		(void)backend_set_cold(backend, clock_now(forward->parts.clock),
+				       left_usec);
+}
+
 void permit_signals(void *ctx, uint64_t server,
 		    const struct backpressure_signals *signals)
 {
@@ -83,6 +93,7 @@
 		parts->backpressure, clock_now(parts->clock), server, signals);
 
 	changes_apply(forward, server, changed, before, "answer");
+	cold_apply(forward, server, signals->cold_usec);
 }
 
 void forward_fact(struct forward *forward, const struct backpressure_fact *fact)
@@ -117,6 +128,20 @@
 	denied_log(request, backend, retry_usec, why);
 }
 
+/* The home may not know yet that the server is cold: it is told with the
+ * request for a permit. */
+static bool is_limited(const struct request *request,
+		       const struct backend *backend)
+{
+	struct backpressure *table = request->forward->parts.backpressure;
+	double cold = request_cold_limit(request);
+
+	if (cold <= 0.0 || !backend_cold(backend, request_now(request)))
+		return backpressure_limit(table, backend->key) >= 0.0;
+	backpressure_cold(table, backend->cold_until, backend->key, cold);
+	return true;
+}
+
 enum permit request_permit(struct request *request, struct backend *backend,
 			   enum permit_step step)
 {
@@ -124,7 +149,7 @@
 	int64_t retry_usec = 0;
 	enum permit permit;
 
-	if (backpressure_limit(parts->backpressure, backend->key) < 0.0)
+	if (!is_limited(request, backend))
 		return PERMIT_GRANTED;
 	permit = parts->permit(parts->instances_ctx, backend, request->handle,
 			       &retry_usec);
--- a/forward/place.c
+++ b/forward/place.c
@@ -56,9 +56,13 @@
 
 static double limit_of(const struct place *place, const struct backend *backend)
 {
-	if (!place->backpressure)
-		return BACKPRESSURE_UNLIMITED;
-	return backpressure_limit(place->backpressure, backend->key);
+	double limit = BACKPRESSURE_UNLIMITED;
+
+	if (place->backpressure)
+		limit = backpressure_limit(place->backpressure, backend->key);
+	if (place->cold_limit <= 0.0 || !backend_cold(backend, place->now))
+		return limit;
+	return limit < 0.0 ? place->cold_limit : MIN(limit, place->cold_limit);
 }
 
 static bool is_limited(const struct place *place, const struct backend *backend)
--- a/forward/request.c
+++ b/forward/request.c
@@ -13,6 +13,10 @@
  * sites where it is passed on within 250 ms. */
 #define NO_CONFIG_USEC (250 * USEC_PER_MSEC)
 
+/* Part of what a cold server bears that it is sent: for a moment two instances
+ * may both take themselves for its home. */
+#define COLD_PART 0.5
+
 /* Jitter for callers that wait for the same server. */
 #define RETURN_SPREAD_USEC (200 * USEC_PER_MSEC)
 
@@ -45,6 +49,11 @@
 	       (route->kind == ROUTE_STREAM && route->resumable);
 }
 
+double request_cold_limit(const struct request *request)
+{
+	return request->service->cold_per_sec * COLD_PART;
+}
+
 void request_place(const struct request *request, struct place *place)
 {
 	const struct forward_parts *parts = &request->forward->parts;
@@ -56,6 +65,7 @@
 		.service = request->service->id,
 		.tried = &request->tried,
 		.backpressure = parts->backpressure,
+		.cold_limit = request_cold_limit(request),
 		.regions = {request->route->regions,
 			    organisation ? organisation->regions : NULL},
 		.rand = parts->rand,
--- a/forward/request.h
+++ b/forward/request.h
@@ -130,6 +130,8 @@
 /* Whether the fate of a run may be unknown and it may still run again. */
 bool request_repeatable(const struct request *request);
 void request_place(const struct request *request, struct place *place);
+/* Requests a second that a cold server of its service is sent; 0: any. */
+double request_cold_limit(const struct request *request);
 /* place_available_at() of the request's service. */
 int64_t request_available_at(const struct request *request,
 			     enum backend_stage stage);
--- a/include/coord/backpressure.h
+++ b/include/coord/backpressure.h
@@ -10,9 +10,10 @@
  *	instance.
  *
  *	Answers arrive out of order, so an answer without a limit ends it only
- *	BACKPRESSURE_SETTLE_USEC after the last one that named it. Of two facts
- *	about a limit the newer one wins. Leaving is final. Of several backoffs
- *	the one that ends last counts.
+ *	BACKPRESSURE_SETTLE_USEC after the last one that named it. A server that
+ *	is cold has a limit too, for as long as it is; the lower one counts. Of
+ *	two facts about a limit the newer one wins. Leaving is final. Of several
+ *backoffs the one that ends last counts.
  *
  *	A limit is enforced by one instance, the server's home, which the others
  *	ask before each request: backpressure_grant() is a token bucket that
@@ -52,6 +53,7 @@
 	int64_t backoff_usec; /* it wants nothing from this instance; 0: not
 			       * said
 			       */
+	int64_t cold_usec;    /* how long it stays cold; 0: not said */
 	/* The answer is to a request and would have named a limit. */
 	bool of_request;
 };
@@ -62,6 +64,10 @@
 	double limit;	  /* requests a second, or BACKPRESSURE_UNLIMITED */
 	int64_t age_usec; /* of the limit */
 	bool leaving;
+	/* How long it stays cold, and its limit meanwhile; 0: not cold. Only
+	 * told with a request for a permit. */
+	int64_t cold_usec;
+	double cold_limit;
 };
 
 enum backpressure_change {
@@ -80,14 +86,18 @@
 /* Takes in what another instance told. */
 unsigned int backpressure_hear(struct backpressure *table, int64_t now,
 			       const struct backpressure_fact *fact);
+/* The server is cold until then, with that limit, unless it is known to be so
+ * for longer. */
+void backpressure_cold(struct backpressure *table, int64_t until,
+		       uint64_t server, double limit);
 /* Fills in facts that other instances may not know, a further part at each call
  * when there are more than most; returns how many. */
 uint32_t backpressure_tell(struct backpressure *table, int64_t now,
 			   struct backpressure_fact *facts, uint32_t most);
-/* What is known of a server; false when nothing is. */
+/* What is known of a server, also that it is cold; false when nothing is. */
 bool backpressure_find(const struct backpressure *table, int64_t now,
 		       uint64_t server, struct backpressure_fact *fact);
-/* Requests a second, or BACKPRESSURE_UNLIMITED. */
+/* Requests a second that it has named, or BACKPRESSURE_UNLIMITED. */
 double backpressure_limit(const struct backpressure *table, uint64_t server);
 bool backpressure_leaving(const struct backpressure *table, uint64_t server);
 /* Until when this instance is to back off; 0: not at all. */
--- a/include/forward/catalog.h
+++ b/include/forward/catalog.h
@@ -63,6 +63,7 @@
 	char *name;
 	uint64_t id; /* id_of(name) */
 	char *health_path;
+	double cold_per_sec; /* requests that a cold server bears; 0: any */
 	struct engine_traits engine;
 };
 
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -41,6 +41,7 @@
 	enum backend_stage stage;
 	uint32_t slots;
 	bool leaving;
+	int64_t cold_usec; /* it stayed cold for, when it said so */
 };
 
 /* What is under way at a server. */
@@ -80,6 +81,7 @@
 	uint32_t refusals;	/* reserved or prepared runs refused in a row */
 	bool leaving_by_answer; /* said so itself, whatever the list says */
 	int64_t backoff_until;	/* asked for by the server */
+	int64_t cold_until;	/* slow, and crashes under more than a little */
 	bool listed;		/* seen in the snapshot being read */
 };
 
@@ -98,6 +100,7 @@
 
 struct fleet;
 
+/* Whether both say the same, but for how long the server stays cold. */
 bool backend_info_same(const struct backend_info *a,
 		       const struct backend_info *b);
 /* Names one life of a server, alike at all instances. */
@@ -170,6 +173,10 @@
 bool backend_leaving(const struct backend *backend);
 /* It is leaving, or its data centre is evacuated. */
 bool backend_withdrawn(const struct backend *backend);
+/* The server has just said that it stays cold for so long. True when that is
+ * longer than was known by more than messages differ. */
+bool backend_set_cold(struct backend *backend, int64_t now, int64_t left_usec);
+bool backend_cold(const struct backend *backend, int64_t now);
 /* May a new request be sent there now? */
 bool backend_usable(const struct backend *backend, int64_t now);
 /* When its backoff and limit let a request be sent: now or later; -1 when it is
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -35,6 +35,8 @@
 	uint64_t service;
 	const struct tried *tried;
 	const struct backpressure *backpressure; /* NULL: no limits */
+	/* Requests a second that a cold server is sent; 0: any. */
+	double cold_limit;
 	bool unlimited; /* only servers without a limit */
 	struct region_limits regions;
 	GRand *rand; /* breaks ties */
--- a/tests/coord/test_backpressure.c
+++ b/tests/coord/test_backpressure.c
@@ -45,7 +45,8 @@
 static void test_younger_goes_first(void)
 {
 	struct backpressure *table = backpressure_create();
-	struct backpressure_fact fact = {SERVER, 3.0, USEC_PER_SEC, false};
+	struct backpressure_fact fact = {
+		.server = SERVER, .limit = 3.0, .age_usec = USEC_PER_SEC};
 	struct backpressure_fact known;
 
 	named(table, 10 * USEC_PER_SEC, 5.0);
@@ -123,7 +124,7 @@
 static void test_forgets(void)
 {
 	struct backpressure *table = backpressure_create();
-	const struct backpressure_fact other = {OTHER, 2.0, 0, false};
+	const struct backpressure_fact other = {.server = OTHER, .limit = 2.0};
 	struct backpressure_fact facts[4];
 	uint64_t listed = SERVER;
 	int64_t now = 61 * USEC_PER_SEC;
@@ -193,7 +194,8 @@
 	guint seen[100] = {0};
 
 	for (uint64_t i = 0; i < 100; i++) {
-		const struct backpressure_fact fact = {i, 1.0, 0, false};
+		const struct backpressure_fact fact = {.server = i,
+						       .limit = 1.0};
 
 		backpressure_hear(table, 1, &fact);
 	}
@@ -208,6 +210,50 @@
 	backpressure_destroy(table);
 }
 
+static void test_cold_is_a_limit(void)
+{
+	struct backpressure *table = backpressure_create();
+	int64_t now = 0;
+
+	backpressure_cold(table, 3 * USEC_PER_SEC, SERVER, 10.0);
+	g_assert_cmpuint(granted(table, &now, USEC_PER_SEC), <=, 10);
+	g_assert_cmpuint(granted(table, &now, USEC_PER_SEC), ==, 10);
+	/* What was said before ends no sooner by a shorter time. */
+	backpressure_cold(table, now + 1, SERVER, 1.0);
+	g_assert_cmpuint(granted(table, &now, USEC_PER_SEC), ==, 10);
+	g_assert_cmpuint(granted(table, &now, USEC_PER_SEC), ==, 200);
+	/* The lower limit counts, and what it has named is still known. */
+	named(table, now, 4.0);
+	backpressure_cold(table, now + 30 * USEC_PER_SEC, SERVER, 10.0);
+	g_assert_cmpfloat(backpressure_limit(table, SERVER), ==, 4.0);
+	g_assert_cmpuint(granted(table, &now, 10 * USEC_PER_SEC), <=, 42);
+	backpressure_destroy(table);
+}
+
+/* The home of a server hears that it is cold from who asks for a permit. */
+static void test_cold_is_asked_with(void)
+{
+	struct backpressure *here = backpressure_create();
+	struct backpressure *home = backpressure_create();
+	struct backpressure_fact fact;
+	int64_t now = 0;
+
+	backpressure_cold(here, 3 * USEC_PER_SEC, SERVER, 10.0);
+	g_assert_cmpuint(backpressure_tell(here, 0, &fact, 1), ==, 0);
+	g_assert_true(backpressure_find(here, USEC_PER_SEC, SERVER, &fact));
+	g_assert_cmpint(fact.cold_usec, ==, 2 * USEC_PER_SEC);
+	backpressure_hear(home, 0, &fact);
+	g_assert_cmpuint(granted(home, &now, USEC_PER_SEC), <=, 10);
+	/* Heard again it lasts no longer, or it would never end. */
+	backpressure_hear(home, now, &fact);
+	now = 2 * USEC_PER_SEC;
+	g_assert_cmpuint(granted(home, &now, USEC_PER_SEC), ==, 200);
+	backpressure_prune(home, now, lives, &(uint64_t){SERVER});
+	g_assert_false(backpressure_find(home, now, SERVER, &fact));
+	backpressure_destroy(here);
+	backpressure_destroy(home);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -224,6 +270,10 @@
 			test_leaving_is_for_good);
 	g_test_add_func("/coord/backpressure/longest-rest-holds",
 			test_longest_rest_holds);
+	g_test_add_func("/coord/backpressure/cold-is-a-limit",
+			test_cold_is_a_limit);
+	g_test_add_func("/coord/backpressure/cold-is-asked-with",
+			test_cold_is_asked_with);
 	g_test_add_func("/coord/backpressure/tells-in-turn",
 			test_tells_in_turn);
 	return g_test_run();
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -12,6 +12,8 @@
 
 #define SEED 7u
 #define INSTANCES 2u
+/* That a cold server bears. */
+#define COLD_PER_SEC 20.0
 
 struct web_request {
 	const char *path;
@@ -362,8 +364,10 @@
 	route_add(catalog, "/once/", ROUTE_ONCE, "plain", false);
 	route_add(catalog, "/stream/", ROUTE_STREAM, "model", false);
 	route_add(catalog, "/resume/", ROUTE_STREAM, "model", true);
-	catalog_add_service(catalog, "plain");
+	service = catalog_add_service(catalog, "plain");
+	service->cold_per_sec = COLD_PER_SEC;
 	service = catalog_add_service(catalog, "model");
+	service->cold_per_sec = COLD_PER_SEC;
 	service->engine = (struct engine_traits){
 		.slots = 2,
 		.memory_tokens = 2500,
@@ -700,6 +704,18 @@
 		      &signals);
 }
 
+/* The server has said that it stays cold: "cold s1 3000". */
+static void cold_step(const char *options)
+{
+	g_autofree char *id = g_strndup(options, 2);
+	const struct backpressure_signals signals = {
+		.cold_usec = atoi(options + 2) * USEC_PER_MSEC,
+	};
+
+	world.signals(world.signals_ctx, fleet_find_id(world.fleet, id)->key,
+		      &signals);
+}
+
 static void home_step(const char *options)
 {
 	world.home = true;
@@ -760,6 +776,7 @@
 	{"backoff", backoff_step},
 	{"permit", permit_step},
 	{"evacuate", evacuate_step},
+	{"cold", cold_step},
 };
 
 static void step_run(char *step)
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -248,7 +248,7 @@
 	static const char text[] =
 		"{\"service\":\"s\",\"address\":\"1.2.3.4:5\",\"zone\":\"z\","
 		"\"slots\":12,\"state\":\"draining\",\"stage\":\"decode\","
-		"\"born\":1764700000123,\"new\":[]}";
+		"\"born\":1764700000123,\"cold_remaining_ms\":1500,\"new\":[]}";
 	struct backend_info info;
 	struct error err;
 
@@ -259,7 +259,9 @@
 	g_assert_cmpint(info.stage, ==, STAGE_DECODE);
 	g_assert_cmpuint(info.slots, ==, 12);
 	g_assert_cmpint(info.born, ==, 1764700000123);
+	g_assert_cmpint(info.cold_usec, ==, 1500 * USEC_PER_MSEC);
 }
+
 struct evacuation {
 	const char *name;
 	const char *key;
@@ -578,6 +580,20 @@
 	g_assert_cmpint(signals.backoff_usec, ==, row->msec * USEC_PER_MSEC);
 }
 
+static void test_cold(void)
+{
+	struct backpressure_signals signals;
+
+	signals_read(200, "cold-ms", "2500", &signals);
+	g_assert_cmpint(signals.cold_usec, ==, 2500 * USEC_PER_MSEC);
+	signals_read(503, "cold-ms", "0.5", &signals);
+	g_assert_cmpint(signals.cold_usec, ==, 500);
+	signals_read(200, "cold-ms", "soon", &signals);
+	g_assert_cmpint(signals.cold_usec, ==, 0);
+	signals_read(200, "cold-ms", "999999999999", &signals);
+	g_assert_cmpint(signals.cold_usec, ==, SIGNALS_COLD_MAX_USEC);
+}
+
 static void test_leaving(void)
 {
 	struct backpressure_signals signals;
@@ -641,6 +657,7 @@
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/rest/", rest_rows, test_rest);
 	g_test_add_func("/platform/leaving", test_leaving);
+	g_test_add_func("/platform/cold", test_cold);
 	g_test_add_func("/platform/regions", test_regions);
 	g_test_add_func("/platform/organisations", test_organisations);
 	g_test_add_func("/platform/config", test_config);
