forward: cut off streams whose callers read too slowly

What a caller had not read was kept without a bound. One that leaves more than 1 MiB is cut off; while all together leave more than 16 MiB, the one that leaves most is.

--- a/forward/request.c
+++ b/forward/request.c
@@ -245,6 +245,7 @@
 		request->service && request->service->engine.memory_tokens;
 
 	timer_stop(&request->timer);
+	request_unread_drop(request);
 	stream_unwait(request);
 	request_unadmit(request);
 	resources_drop(request);
--- a/forward/request.h
+++ b/forward/request.h
@@ -88,6 +88,7 @@
 	int64_t prefilled_at;
 	int64_t first_at;
 	int64_t last_at; /* when events were passed on last; 0: never */
+	size_t unread;	 /* bytes that its caller had not read by then */
 	bool stalled;	 /* paused for longer than its route allows */
 };
 
@@ -111,6 +112,7 @@
 	struct ended *ended_servers;
 	double begin_usec; /* mean time from placing to the first event */
 	bool draining;
+	size_t unread;			  /* of all requests */
 	struct counter *ended[END_COUNT]; /* by enum request_end */
 	struct counter *servers_ended;
 	struct counter *quarantined;
@@ -225,6 +227,11 @@
 void stream_permitted(struct request *request, struct backend *backend);
 void prefill_permitted(struct request *request, struct backend *backend);
 
+/* Of unread.c. Notes what its caller has not read yet; false when that has
+ * ended the request. */
+bool request_unread_check(struct request *request);
+void request_unread_drop(struct request *request);
+
 /* Of suspect.c: an ended_fn with the forward as context. */
 void quarantine_server_ended(void *ctx, const struct backend_info *server,
 			     const struct lost_work *lost);
--- /dev/null
+++ b/forward/unread.c
@@ -0,0 +1,70 @@
+/*
+ * unread.c - streams whose callers read too slowly
+ *
+ * DESCRIPTION
+ *	What callers have not read yet is held in memory. One that has left more
+ *	than UNREAD_MAX is cut off; while all together have left more than
+ *	UNREAD_ALL_MAX, the one that has left most is. A caller can tell that
+ *	its stream is not whole, and a server is never slowed down by one.
+ */
+#include "request.h"
+
+#include "common/log.h"
+
+#define UNREAD_MAX ((size_t)1 << 20)
+#define UNREAD_ALL_MAX ((size_t)16 << 20)
+
+static void unread_set(struct request *request, size_t size)
+{
+	request->forward->unread += size - request->unread;
+	request->unread = size;
+}
+
+/* The one that has left most; what is noted of the others may be old. */
+static struct request *slowest_find(struct forward *forward)
+{
+	struct request *slowest = NULL;
+	struct request *request;
+	uint32_t cursor = 0;
+	uint64_t handle;
+
+	while ((request = table_next(forward->requests, &cursor, &handle))) {
+		if (request->unread == 0)
+			continue;
+		unread_set(request, web_reply_queued(request->web));
+		if (!slowest || request->unread > slowest->unread)
+			slowest = request;
+	}
+	return slowest;
+}
+
+static void cut_off(struct request *request)
+{
+	log_event(LOG_NOTICE, "caller_reads_slowly",
+		  LOG_S("request", request->caller.id),
+		  LOG_D("unread", request->unread),
+		  LOG_D("unread_all", request->forward->unread));
+	request_break(request, "its caller reads too slowly");
+}
+
+bool request_unread_check(struct request *request)
+{
+	struct forward *forward = request->forward;
+	struct request *slowest = NULL;
+
+	unread_set(request, web_reply_queued(request->web));
+	if (request->unread > UNREAD_MAX)
+		slowest = request;
+	else if (forward->unread > UNREAD_ALL_MAX)
+		slowest = slowest_find(forward);
+	if (!slowest || (slowest != request &&
+			 forward->unread <= UNREAD_ALL_MAX))
+		return true;
+	cut_off(slowest);
+	return slowest != request;
+}
+
+void request_unread_drop(struct request *request)
+{
+	unread_set(request, 0);
+}
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -53,7 +53,8 @@
 	void *check_ctx;
 	const char *options; /* of the request taken */
 	uint32_t holds;
-	uint32_t crowd; /* waiting at all instances */
+	uint32_t crowd;	    /* waiting at all instances */
+	size_t unread;	    /* by the caller */
 	const char *region; /* that the routes of the next version allow */
 } world;
 
@@ -117,6 +118,11 @@
 	say("piece %s", g_strdelimit(text, "\n", '|'));
 }
 
+size_t web_reply_queued(const struct web_request *request)
+{
+	return world.unread;
+}
+
 void web_reply_end(struct web_request *request)
 {
 	say("end");
@@ -743,6 +749,11 @@
 	fleet_evacuate(world.fleet, centre, !strstr(options, "back"));
 }
 
+static void unread_step(const char *options)
+{
+	world.unread = (size_t)atoi(options);
+}
+
 static void drain_step(const char *options)
 {
 	forward_drain(world.forward);
@@ -777,6 +788,7 @@
 	{"permit", permit_step},
 	{"evacuate", evacuate_step},
 	{"cold", cold_step},
+	{"unread", unread_step},
 };
 
 static void step_run(char *step)
