--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -48,10 +48,24 @@
 	GHashTable *keys;     /* key to struct backend */
 	GHashTable *ids;      /* id to struct backend */
 	GHashTable *lives;    /* id to struct life */
-	GHashTable *services; /* id to GPtrArray of struct backend */
+	GHashTable *services; /* id to struct service */
 	GPtrArray *all;
+	GPtrArray *charged;
+	GPtrArray *avoided;    /* and some that were reached since */
+	uint32_t near;	       /* servers in this data centre */
 	GHashTable *evacuated; /* data centre to struct evacuation */
 	GHashTable *regions;   /* data centre to the region's name */
+	uint32_t group;
+	uint32_t groups;
+};
+
+/* The servers of a service. */
+struct service {
+	uint64_t id;
+	GPtrArray *all;
+	/* By stage, and whether they are of this instance's group. */
+	GPtrArray *sets[STAGE_COUNT][2];
+	bool sorted; /* into the sets */
 };
 
 struct evacuation {
@@ -86,21 +100,34 @@
 	       a->leaving == b->leaving;
 }
 
+static void service_free(gpointer data)
+{
+	struct service *service = data;
+
+	for (int i = 0; i < STAGE_COUNT; i++)
+		for (int ours = 0; ours < 2; ours++)
+			g_ptr_array_unref(service->sets[i][ours]);
+	g_ptr_array_unref(service->all);
+	g_free(service);
+}
+
 struct fleet *fleet_create(struct clock *clock, const char *data_centre)
 {
 	struct fleet *fleet = g_new0(struct fleet, 1);
 
 	fleet->clock = clock;
 	fleet->data_centre = g_strdup(data_centre);
+	fleet->groups = 1;
 	fleet->table = table_create(sizeof(struct backend), BACKENDS_MAX);
 	fleet->keys = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->ids = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->lives =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	fleet->services =
-		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-				      (GDestroyNotify)g_ptr_array_unref);
+	fleet->services = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						NULL, service_free);
 	fleet->all = g_ptr_array_new();
+	fleet->charged = g_ptr_array_new();
+	fleet->avoided = g_ptr_array_new();
 	fleet->evacuated =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->regions =
@@ -113,6 +140,8 @@
 	if (!fleet)
 		return;
 	g_ptr_array_unref(fleet->all);
+	g_ptr_array_unref(fleet->charged);
+	g_ptr_array_unref(fleet->avoided);
 	g_hash_table_destroy(fleet->regions);
 	g_hash_table_destroy(fleet->evacuated);
 	g_hash_table_destroy(fleet->services);
@@ -124,18 +153,51 @@
 	g_free(fleet);
 }
 
-static GPtrArray *service_list(struct fleet *fleet, uint64_t service)
+static struct service *service_get(struct fleet *fleet, uint64_t id)
 {
-	GPtrArray *list = g_hash_table_lookup(fleet->services, &service);
-	uint64_t *key;
+	struct service *service = g_hash_table_lookup(fleet->services, &id);
 
-	if (list)
-		return list;
-	key = g_new(uint64_t, 1);
-	*key = service;
-	list = g_ptr_array_new();
-	g_hash_table_insert(fleet->services, key, list);
-	return list;
+	if (service)
+		return service;
+	service = g_new0(struct service, 1);
+	service->id = id;
+	service->all = g_ptr_array_new();
+	for (int i = 0; i < STAGE_COUNT; i++)
+		for (int ours = 0; ours < 2; ours++)
+			service->sets[i][ours] = g_ptr_array_new();
+	g_hash_table_insert(fleet->services, &service->id, service);
+	return service;
+}
+
+static void service_add(struct fleet *fleet, struct backend *backend)
+{
+	struct service *service = service_get(fleet, backend->info.service);
+
+	service->sorted = false;
+	g_ptr_array_add(service->all, backend);
+}
+
+static void service_remove(struct fleet *fleet, struct backend *backend)
+{
+	struct service *service = service_get(fleet, backend->info.service);
+
+	service->sorted = false;
+	g_ptr_array_remove_fast(service->all, backend);
+}
+
+static void service_sort(struct service *service)
+{
+	for (int i = 0; i < STAGE_COUNT; i++)
+		for (int ours = 0; ours < 2; ours++)
+			g_ptr_array_set_size(service->sets[i][ours], 0);
+	for (guint i = 0; i < service->all->len; i++) {
+		struct backend *backend = service->all->pdata[i];
+
+		g_ptr_array_add(
+			service->sets[backend->info.stage][backend->ours],
+			backend);
+	}
+	service->sorted = true;
 }
 
 static void backend_log(const char *event, const struct backend *backend)
@@ -175,14 +237,17 @@
 		backend_sync_answers(fleet, backend);
 }
 
-static void backend_sync_centre(const struct fleet *fleet,
-				struct backend *backend)
+static void backend_sync_centre(struct fleet *fleet, struct backend *backend)
 {
 	const char *centre = backend->info.data_centre;
 	const char *region = g_hash_table_lookup(fleet->regions, centre);
 
 	backend->region = region ? id_of(region) : 0;
+	fleet->near -= backend->near;
 	backend->near = strcmp(centre, fleet->data_centre) == 0;
+	fleet->near += backend->near;
+	backend->ours =
+		backend->near && backend->key % fleet->groups == fleet->group;
 	backend->evacuated = g_hash_table_contains(fleet->evacuated, centre);
 }
 
@@ -198,13 +263,14 @@
 		return NULL;
 	}
 	backend->handle = handle;
+	backend->fleet = fleet;
 	backend->key = backend_key(info);
 	backend->info = *info;
 	backend_sync_centre(fleet, backend);
 	backend_sync_answers(fleet, backend);
 	g_hash_table_insert(fleet->keys, &backend->key, backend);
 	g_hash_table_insert(fleet->ids, backend->info.id, backend);
-	g_ptr_array_add(service_list(fleet, info->service), backend);
+	service_add(fleet, backend);
 	g_ptr_array_add(fleet->all, backend);
 	backend_log("backend_added", backend);
 	return backend;
@@ -215,18 +281,19 @@
 {
 	bool changed = backend->info.leaving != info->leaving ||
 		       backend->info.stage != info->stage;
+	bool moves = backend->info.service != info->service;
 
-	if (backend->info.service != info->service) {
-		g_ptr_array_remove_fast(
-			service_list(fleet, backend->info.service), backend);
-		g_ptr_array_add(service_list(fleet, info->service), backend);
-	}
+	if (moves)
+		service_remove(fleet, backend);
 	if (backend->info.stage != info->stage) {
 		backend->changing_until = 0;
 		backend->refusals = 0;
 	}
 	backend->info = *info;
+	if (moves)
+		service_add(fleet, backend);
 	backend_sync_centre(fleet, backend);
+	service_get(fleet, info->service)->sorted = false;
 	if (changed)
 		backend_log("backend_changed", backend);
 }
@@ -236,9 +303,13 @@
 	backend_log("backend_gone", backend);
 	g_hash_table_remove(fleet->keys, &backend->key);
 	g_hash_table_remove(fleet->ids, backend->info.id);
-	g_ptr_array_remove_fast(service_list(fleet, backend->info.service),
-				backend);
+	service_remove(fleet, backend);
 	g_ptr_array_remove_fast(fleet->all, backend);
+	if (backend->charged)
+		g_ptr_array_remove_fast(fleet->charged, backend);
+	if (backend->avoid_listed)
+		g_ptr_array_remove_fast(fleet->avoided, backend);
+	fleet->near -= backend->near;
 	table_remove(fleet->table, backend->handle);
 }
 
@@ -327,8 +398,21 @@
 
 static void centres_sync(struct fleet *fleet)
 {
+	GHashTableIter iter;
+	struct service *service;
+
 	for (guint i = 0; i < fleet->all->len; i++)
 		backend_sync_centre(fleet, fleet->all->pdata[i]);
+	g_hash_table_iter_init(&iter, fleet->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service))
+		service->sorted = false;
+}
+
+void fleet_set_group(struct fleet *fleet, uint32_t index, uint32_t count)
+{
+	fleet->group = index;
+	fleet->groups = count;
+	centres_sync(fleet);
 }
 
 void fleet_set_region(struct fleet *fleet, const char *data_centre,
@@ -413,7 +497,20 @@
 
 const GPtrArray *fleet_service(const struct fleet *fleet, uint64_t service)
 {
-	return g_hash_table_lookup(fleet->services, &service);
+	const struct service *found =
+		g_hash_table_lookup(fleet->services, &service);
+
+	return found ? found->all : NULL;
+}
+
+const GPtrArray *fleet_stage(struct fleet *fleet, uint64_t service,
+			     enum backend_stage stage, bool ours)
+{
+	struct service *found = service_get(fleet, service);
+
+	if (!found->sorted)
+		service_sort(found);
+	return found->sets[stage][ours];
 }
 
 const GPtrArray *fleet_all(const struct fleet *fleet)
@@ -421,6 +518,40 @@
 	return fleet->all;
 }
 
+static bool is_charged(const struct backend *backend)
+{
+	const struct backend_load *own = &backend->own;
+
+	return own->requests || own->decode_tokens || own->prefill_tokens;
+}
+
+const GPtrArray *fleet_charged(struct fleet *fleet)
+{
+	for (guint i = fleet->charged->len; i > 0; i--) {
+		struct backend *backend = fleet->charged->pdata[i - 1];
+
+		if (is_charged(backend))
+			continue;
+		backend->charged = false;
+		g_ptr_array_remove_index_fast(fleet->charged, i - 1);
+	}
+	return fleet->charged;
+}
+
+void backend_charge(struct backend *backend, const struct backend_load *load,
+		    int times)
+{
+	struct backend_load *own = &backend->own;
+
+	own->requests += (uint32_t)times * load->requests;
+	own->decode_tokens += (uint32_t)times * load->decode_tokens;
+	own->prefill_tokens += (uint32_t)times * load->prefill_tokens;
+	if (backend->charged)
+		return;
+	backend->charged = true;
+	g_ptr_array_add(backend->fleet->charged, backend);
+}
+
 bool fleet_reaches(const struct fleet *fleet, uint64_t service)
 {
 	const GPtrArray *list = fleet_service(fleet, service);
@@ -453,26 +584,37 @@
 /* Whether half of the servers near cannot be reached. */
 static bool is_cut_off(const struct fleet *fleet, int64_t now)
 {
-	uint32_t near = 0;
 	uint32_t lost = 0;
 
-	for (guint i = 0; i < fleet->all->len; i++) {
-		const struct backend *backend = fleet->all->pdata[i];
+	for (guint i = 0; i < fleet->avoided->len; i++) {
+		const struct backend *backend = fleet->avoided->pdata[i];
 
-		near += backend->near;
 		lost += backend->near && is_lost(backend, now);
 	}
-	return lost * 2 >= MAX(near, 1u);
+	return lost * 2 >= MAX(fleet->near, 1u);
+}
+
+static void reached_drop(struct fleet *fleet)
+{
+	for (guint i = fleet->avoided->len; i > 0; i--) {
+		struct backend *backend = fleet->avoided->pdata[i - 1];
+
+		if (backend->avoided > 0)
+			continue;
+		backend->avoid_listed = false;
+		g_ptr_array_remove_index_fast(fleet->avoided, i - 1);
+	}
 }
 
-uint32_t fleet_lost(const struct fleet *fleet, struct backend_lost *lost,
+uint32_t fleet_lost(struct fleet *fleet, struct backend_lost *lost,
 		    uint32_t most)
 {
 	int64_t now = clock_now(fleet->clock);
 	uint32_t count = 0;
 
-	for (guint i = 0; i < fleet->all->len && count < most; i++) {
-		const struct backend *backend = fleet->all->pdata[i];
+	reached_drop(fleet);
+	for (guint i = 0; i < fleet->avoided->len && count < most; i++) {
+		const struct backend *backend = fleet->avoided->pdata[i];
 
 		if (is_lost(backend, now))
 			lost[count++] = (struct backend_lost){
@@ -644,6 +786,9 @@
 	    backend->avoid_until - now > TRIAL_USEC)
 		return;
 	backend->avoided++;
+	if (!backend->avoid_listed)
+		g_ptr_array_add(backend->fleet->avoided, backend);
+	backend->avoid_listed = true;
 	backend->avoid_until = now + MIN(pause, AVOID_MAX_USEC);
 	backend_log("backend_unreachable", backend);
 }
--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -121,6 +121,9 @@
 	gossip->ctx = ctx;
 	gossip->fd = fd;
 	gossip->key = id_of(settings->address);
+	gossip->groups = 1;
+	gossip->updated = GOSSIP_NEVER / 2;
+	g_strlcpy(gossip->group, settings->data_centre, sizeof(gossip->group));
 	gossip->peers =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, peer_free);
 	gossip->centres = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -215,7 +215,7 @@
 	guint addresses = MIN(message->addresses->len, GOSSIP_ADDRESSES_MAX);
 
 	pack_text(packer, message->name);
-	pack_text(packer, message->data_centre);
+	pack_text(packer, message->group);
 	msgpack_pack_uint64(packer, word->version);
 	msgpack_pack_uint64(packer, (uint64_t)word->demand);
 	msgpack_pack_uint32(packer, word->waiting);
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -4,7 +4,7 @@
  * DESCRIPTION
  *	A word, of an instance itself or of its data centre:
  *	[format, kind, boot, sequence, [[backend, requests, decode tokens,
- *	 prefill tokens], ...], name, data centre, version, demand, waiting,
+ *	 prefill tokens], ...], name, group, version, demand, waiting,
  *	 read rates, read raters,
  *	 flags, [[backend, stage, milliseconds left], ...], [[next, changed, age
  *in microseconds], ...], first, [address, ...], [use, ...],
@@ -54,6 +54,9 @@
 	GOSSIP_WORKS,	/* in the quarantine */
 };
 
+/* A data centre's name, and which group of it. */
+#define GOSSIP_GROUP_MAX (BACKEND_TEXT_MAX + 16)
+
 struct gossip_load {
 	uint64_t backend; /* key */
 	struct load_sum load;
@@ -80,7 +83,7 @@
 	struct permit_answer answer; /* of GOSSIP_ANSWER only */
 	/* What follows is empty in changes. */
 	char name[BACKEND_TEXT_MAX];
-	char data_centre[BACKEND_TEXT_MAX];
+	char group[GOSSIP_GROUP_MAX]; /* of the sender */
 	struct gossip_word word;
 	struct gossip_first first; /* of a data centre */
 	/* struct gossip_address: other instances; of a data centre all that
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -352,8 +352,7 @@
 	uint64_t flags;
 
 	if (!unpack_text(&fields[0], message->name, sizeof(message->name)) ||
-	    !unpack_text(&fields[1], message->data_centre,
-			 sizeof(message->data_centre)) ||
+	    !unpack_text(&fields[1], message->group, sizeof(message->group)) ||
 	    !number_read(&fields[2], UINT64_MAX, &message->word.version) ||
 	    !number_read(&fields[3], UINT32_MAX, &demand) ||
 	    !number_read(&fields[4], UINT32_MAX, &waiting) ||
--- a/forward/gossip_hear.c
+++ b/forward/gossip_hear.c
@@ -18,15 +18,19 @@
 static void own_take(struct gossip *gossip, struct peer *peer,
 		     const struct gossip_message *message)
 {
-	peer->word = message->word;
+	peer->leaving = message->word.leaving;
 	if (peer_near(gossip, peer)) {
+		g_free(peer->word);
+		peer->word = g_memdup2(&message->word, sizeof(message->word));
 		loads_replace(gossip, peer->loads, message->loads);
 		gossip->centre_revision++;
 	}
 	for (guint i = 0; i < message->addresses->len; i++)
-		gossip_meet(gossip, g_array_index(message->addresses,
-						  struct gossip_address, i)
-					    .text);
+		gossip_meet(gossip,
+			    g_array_index(message->addresses,
+					  struct gossip_address, i)
+				    .text,
+			    NULL);
 }
 
 /* All that live in another data centre. */
@@ -42,7 +46,7 @@
 		if (!peer)
 			peer = peer_add(gossip, address);
 		if (peer && !peer_near(gossip, peer))
-			peer_heard(gossip, peer, message->data_centre);
+			peer_heard(gossip, peer, message->group);
 	}
 }
 
@@ -53,7 +57,7 @@
 
 	if (peer_near(gossip, peer))
 		return;
-	centre = centre_get(gossip, message->data_centre);
+	centre = centre_get(gossip, message->group);
 	if (centre->heard == GOSSIP_NEVER ||
 	    gossip_now(gossip) - centre->heard >= GOSSIP_STALE_USEC)
 		log_event(LOG_NOTICE, "data_centre_heard",
@@ -63,7 +67,7 @@
 	centre->left = message->word.leaving && message->addresses->len == 0;
 	centre->total = message->word;
 	centre->first = message->first;
-	peer->word.leaving = message->word.leaving;
+	peer->leaving = message->word.leaving;
 	loads_replace(gossip, centre->loads, message->loads);
 	members_take(gossip, message);
 }
@@ -75,8 +79,7 @@
 		loads_change(gossip, peer->loads, message->loads);
 		gossip->centre_revision++;
 	} else {
-		loads_change(gossip,
-			     centre_get(gossip, peer->data_centre)->loads,
+		loads_change(gossip, centre_get(gossip, peer->group)->loads,
 			     message->loads);
 	}
 }
@@ -88,7 +91,7 @@
 		log_event(LOG_INFO, "peer_live", LOG_S("peer", message->name),
 			  LOG_S("address", peer->address));
 	g_strlcpy(peer->name, message->name, sizeof(peer->name));
-	peer_heard(gossip, peer, message->data_centre);
+	peer_heard(gossip, peer, message->group);
 	if (message->kind == GOSSIP_OWN)
 		own_take(gossip, peer, message);
 	else
--- a/forward/gossip_loads.c
+++ b/forward/gossip_loads.c
@@ -54,10 +54,10 @@
 
 void loads_own(const struct gossip *gossip, GArray *out)
 {
-	const GPtrArray *all = fleet_all(gossip->fleet);
+	const GPtrArray *charged = fleet_charged(gossip->fleet);
 
-	for (guint i = 0; i < all->len; i++) {
-		const struct backend *backend = all->pdata[i];
+	for (guint i = 0; i < charged->len; i++) {
+		const struct backend *backend = charged->pdata[i];
 		struct gossip_load load = {.backend = backend->key};
 
 		load.load.requests = backend->own.requests;
--- a/forward/gossip_peers.c
+++ b/forward/gossip_peers.c
@@ -9,7 +9,10 @@
 
 /* For how long a peer that is not heard of stays known. */
 #define FORGET_USEC (30 * USEC_PER_SEC)
-#define PEERS_MAX 2048u
+#define PEERS_MAX 4096u
+/* Peers that peers_update() goes through in a tick, on average. */
+#define PEERS_PER_TICK 200u
+#define UPDATE_MAX_USEC (1 * USEC_PER_SEC)
 /* Instances of a data centre that tell one elsewhere: the loss of one of them
  * leaves no gap. */
 #define TELLERS 2u
@@ -19,6 +22,7 @@
 	struct peer *peer = data;
 
 	g_array_unref(peer->loads);
+	g_free(peer->word);
 	g_free(peer);
 }
 
@@ -46,27 +50,54 @@
 	return peer;
 }
 
-void gossip_meet(struct gossip *gossip, const char *address)
+void gossip_meet(struct gossip *gossip, const char *address,
+		 const char *data_centre)
 {
+	struct peer *peer = NULL;
+
 	if (!g_hash_table_contains(gossip->peers, address))
-		peer_add(gossip, address);
+		peer = peer_add(gossip, address);
+	/* Until it tells its group. */
+	if (peer && data_centre)
+		group_print(peer->group, data_centre, gossip->groups,
+			    peer->key);
+}
+
+/* The group of a peer that has not told it yet follows the number of groups. */
+static void group_guess(const struct gossip *gossip, struct peer *peer)
+{
+	g_autofree char *data_centre = NULL;
+
+	if (peer->heard != GOSSIP_NEVER || !peer->group[0])
+		return;
+	data_centre = g_strndup(peer->group, strcspn(peer->group, "/"));
+	group_print(peer->group, data_centre, gossip->groups, peer->key);
 }
 
 bool peer_near(const struct gossip *gossip, const struct peer *peer)
 {
-	return strcmp(peer->data_centre, gossip->settings.data_centre) == 0;
+	return strcmp(peer->group, gossip->group) == 0;
 }
 
 bool peer_live(const struct gossip *gossip, const struct peer *peer)
 {
-	return peer->heard != GOSSIP_NEVER && !peer->word.leaving &&
-	       gossip_now(gossip) - peer->heard < GOSSIP_STALE_USEC;
+	int64_t stale = peer_near(gossip, peer) ? GOSSIP_STALE_USEC
+						: gossip_members_stale(gossip);
+
+	return peer->heard != GOSSIP_NEVER && !peer->leaving &&
+	       gossip_now(gossip) - peer->heard < stale;
 }
 
-void peer_heard(struct gossip *gossip, struct peer *peer,
-		const char *data_centre)
+const struct gossip_word *peer_word(const struct peer *peer)
 {
-	g_strlcpy(peer->data_centre, data_centre, sizeof(peer->data_centre));
+	static const struct gossip_word none;
+
+	return peer->word ? peer->word : &none;
+}
+
+void peer_heard(struct gossip *gossip, struct peer *peer, const char *group)
+{
+	g_strlcpy(peer->group, group, sizeof(peer->group));
 	peer->heard = gossip_now(gossip);
 }
 
@@ -99,33 +130,50 @@
 bool centre_live(const struct gossip *gossip, const struct centre *centre)
 {
 	return centre->heard != GOSSIP_NEVER && !centre->left &&
-	       gossip_now(gossip) - centre->heard < GOSSIP_STALE_USEC;
+	       gossip_now(gossip) - centre->heard < gossip_stale(gossip);
 }
 
 static void centres_expire(struct gossip *gossip)
 {
 	struct centre *centre;
 	GHashTableIter iter;
+	uint32_t live = 0;
 
 	g_hash_table_iter_init(&iter, gossip->centres);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre)) {
+		bool is_live = centre_live(gossip, centre);
+
 		g_ptr_array_set_size(centre->peers, 0);
-		if (centre_live(gossip, centre) || centre->loads->len == 0)
+		live += is_live;
+		if (is_live || centre->loads->len == 0)
 			continue;
 		log_event(LOG_NOTICE, "data_centre_silent",
 			  LOG_S("data_centre", centre->name));
 		loads_take_off(gossip, centre->loads);
 	}
+	gossip->centres_live = live;
 }
 
 /* ---- peers in order ---- */
 
 /* While a whole data centre is silent its instances stay known, so that they
  * are told again once it is back. */
-static bool is_cut_off(struct gossip *gossip, const struct peer *peer)
+static bool is_cut_off(const struct gossip *gossip, const struct peer *peer)
 {
-	return peer->data_centre[0] && !peer_near(gossip, peer) &&
-	       !centre_live(gossip, centre_get(gossip, peer->data_centre));
+	g_autofree char *data_centre =
+		g_strndup(peer->group, strcspn(peer->group, "/"));
+	const struct centre *centre;
+	GHashTableIter iter;
+
+	if (!peer->group[0] ||
+	    group_within(peer->group, gossip->settings.data_centre))
+		return false;
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
+		if (group_within(centre->name, data_centre) &&
+		    centre_live(gossip, centre))
+			return false;
+	return true;
 }
 
 static gboolean peer_expire(gpointer key, gpointer value, gpointer data)
@@ -154,17 +202,20 @@
 	g_ptr_array_set_size(gossip->far, 0);
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (!peer->data_centre[0])
+		group_guess(gossip, peer);
+		if (!peer->group[0])
 			continue;
 		if (peer_near(gossip, peer)) {
 			g_ptr_array_add(gossip->near, peer);
 			continue;
 		}
 		g_ptr_array_add(gossip->far, peer);
+		/* Its own group tells of it now. */
+		loads_take_off(gossip, peer->loads);
+		g_clear_pointer(&peer->word, g_free);
 		if (peer_live(gossip, peer))
-			g_ptr_array_add(
-				centre_get(gossip, peer->data_centre)->peers,
-				peer);
+			g_ptr_array_add(centre_get(gossip, peer->group)->peers,
+					peer);
 	}
 }
 
@@ -213,10 +264,32 @@
 					gossip->far->pdata[i]);
 }
 
+static uint32_t live_count(const struct gossip *gossip)
+{
+	GHashTableIter iter;
+	struct peer *peer;
+	uint32_t live = 0;
+
+	g_hash_table_iter_init(&iter, gossip->peers);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
+		live += peer_live(gossip, peer);
+	return live;
+}
+
 void peers_update(struct gossip *gossip)
 {
+	int64_t every = GOSSIP_USEC *
+			(g_hash_table_size(gossip->peers) / PEERS_PER_TICK);
+	int64_t now = gossip_now(gossip);
+
+	if (now - gossip->updated < MIN(every, UPDATE_MAX_USEC))
+		return;
+	gossip->updated = now;
 	centres_expire(gossip);
 	g_hash_table_foreach_remove(gossip->peers, peer_expire, gossip);
+	groups_update(gossip);
 	peers_sort(gossip);
 	receivers_choose(gossip);
+	gossip->live = live_count(gossip);
+	gossip->rank = gossip_rank_find(gossip);
 }
--- a/forward/gossip_permits.c
+++ b/forward/gossip_permits.c
@@ -2,8 +2,6 @@
  * gossip_permits.c - facts about servers in messages, the home of a server, and
  * the messages that ask it for permits
  */
-#include <string.h>
-
 #include "common/id.h"
 #include "gossip_private.h"
 
@@ -61,17 +59,19 @@
 static struct home home_find(const struct gossip *gossip, uint64_t server,
 			     const char *data_centre, bool may_be)
 {
-	const struct centre *centre =
-		g_hash_table_lookup(gossip->centres, data_centre);
+	bool here = group_within(gossip->group, data_centre);
 	struct home home = {.server = server};
-	bool near = strcmp(data_centre, gossip->settings.data_centre) == 0;
+	const struct centre *centre;
+	GHashTableIter iter;
 
-	if (near && may_be)
+	if (here && may_be)
 		home_offer(&home, gossip->key, NULL);
-	if (near)
+	if (here)
 		home_offer_peers(gossip, &home, gossip->near);
-	else if (centre)
-		home_offer_peers(gossip, &home, centre->peers);
+	g_hash_table_iter_init(&iter, gossip->centres);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
+		if (group_within(centre->name, data_centre))
+			home_offer_peers(gossip, &home, centre->peers);
 	if (home.found)
 		return home;
 	if (may_be)
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -14,22 +14,25 @@
 	uint64_t key; /* id_of(address) */
 	struct sockaddr_storage to;
 	socklen_t to_size;
-	char name[BACKEND_TEXT_MAX];	    /* empty until it told */
-	char data_centre[BACKEND_TEXT_MAX]; /* empty until known */
+	char name[BACKEND_TEXT_MAX];  /* empty until it told */
+	char group[GOSSIP_GROUP_MAX]; /* empty until known */
 	uint64_t boot;
 	uint64_t sequence;
 	int64_t met;
 	int64_t heard; /* of it; GOSSIP_NEVER */
 	int64_t told;  /* GOSSIP_NEVER */
 	int64_t told_addresses;
-	uint64_t told_revision;	 /* of own loads, or the data centre's */
-	struct gossip_word word; /* of a near peer */
-	GArray *loads;		 /* of a near peer, struct applied */
+	uint64_t told_revision; /* of own loads, or the data centre's */
+	bool leaving;
+	/* Told by a near peer last, or NULL. */
+	struct gossip_word *word;
+	GArray *loads; /* of a near peer, struct applied */
 };
 
-/* Another data centre, as the last of its instances to tell saw it. */
+/* Another group of instances, a data centre's only one or a part of a large
+ * one, as the last of its instances to tell saw it. */
 struct centre {
-	char name[BACKEND_TEXT_MAX];
+	char name[GOSSIP_GROUP_MAX];
 	int64_t heard;
 	bool left; /* nobody is there any more */
 	struct gossip_word total;
@@ -61,10 +64,16 @@
 	void *ctx;
 	int fd;
 	h2o_socket_t *socket;
-	uint64_t key;		  /* id_of() the own address */
-	GHashTable *peers;	  /* address to struct peer */
-	GHashTable *centres;	  /* name to struct centre */
-	GPtrArray *near;	  /* struct peer of the same data centre */
+	uint64_t key;	     /* id_of() the own address */
+	GHashTable *peers;   /* address to struct peer */
+	GHashTable *centres; /* name to struct centre */
+	char group[GOSSIP_GROUP_MAX];
+	uint32_t groups;	  /* that the data centre consists of */
+	int64_t updated;	  /* when peers_update() went through them */
+	uint32_t live;		  /* peers, as of then */
+	uint32_t centres_live;	  /* other groups, likewise */
+	uint32_t rank;		  /* gossip_rank(), likewise */
+	GPtrArray *near;	  /* struct peer of the same group */
 	GPtrArray *far;		  /* struct peer of others */
 	GPtrArray *receivers;	  /* those of far that this instance tells */
 	uint64_t receivers_of;	  /* sum of the peers' keys that they follow */
@@ -99,17 +108,34 @@
 void peer_free(gpointer data);
 void centre_free(gpointer data);
 struct centre *centre_get(struct gossip *gossip, const char *name);
-/* Of a peer that tells: data_centre is where it is. */
-void peer_heard(struct gossip *gossip, struct peer *peer,
-		const char *data_centre);
+/* Of a peer that tells: group is where it is. */
+void peer_heard(struct gossip *gossip, struct peer *peer, const char *group);
 /* Heard of lately, and not leaving. */
 bool peer_live(const struct gossip *gossip, const struct peer *peer);
-/* In the same data centre; also false when that is not known. */
+/* In the same group; also false when its group is not known. */
 bool peer_near(const struct gossip *gossip, const struct peer *peer);
 bool centre_live(const struct gossip *gossip, const struct centre *centre);
-/* Drops what is too old, and sorts peers into near, far and receivers. */
+/* What a near peer told last; all zero when it has told nothing yet. */
+const struct gossip_word *peer_word(const struct peer *peer);
+/* Drops what is too old, and sorts peers into near, far and receivers; with
+ * many peers not at each call. */
 void peers_update(struct gossip *gossip);
 
+/* Of gossip_groups.c. */
+/* How many groups so many instances of a data centre form, now that they form
+ * so many. */
+uint32_t groups_for(uint32_t groups, uint32_t instances);
+/* The name of the group of an instance or a server with that key. */
+void group_print(char group[GOSSIP_GROUP_MAX], const char *data_centre,
+		 uint32_t count, uint64_t key);
+/* Whether the group is of that data centre; whether it is all of one. */
+bool group_within(const char *group, const char *data_centre);
+bool group_is_whole(const char *group);
+/* Whether the server with that key is one of the group's. */
+bool group_serves(const char *group, const char *data_centre, uint64_t key);
+/* Follows the number of instances. */
+void groups_update(struct gossip *gossip);
+
 /* Of gossip_hear.c: takes in what came from an address. */
 void gossip_hear(struct gossip *gossip, const char *from,
 		 const struct gossip_message *message);
@@ -155,6 +181,12 @@
 			const struct gossip_message *message);
 
 /* Of gossip_view.c. */
+/* How long what another group told counts, and who it said lives there. */
+int64_t gossip_stale(const struct gossip *gossip);
+int64_t gossip_members_stale(const struct gossip *gossip);
+/* How often others are told who lives in this group. */
+int64_t gossip_members_interval(const struct gossip *gossip);
+uint32_t gossip_rank_find(const struct gossip *gossip);
 /* The lowest name of this data centre. */
 void gossip_first_near(const struct gossip *gossip, bool storeless,
 		       bool leaving, struct gossip_first *first);
--- a/forward/gossip_tell.c
+++ b/forward/gossip_tell.c
@@ -10,9 +10,10 @@
 #define IDLE_USEC (300 * USEC_PER_MSEC)
 /* How often an address that does not answer is tried. */
 #define TRY_USEC (1 * USEC_PER_SEC)
-/* How often those elsewhere are told who lives in this data centre: well before
- * who is not named any more is taken for gone. */
-#define ADDRESSES_USEC (1 * USEC_PER_SEC)
+/* Strangers told at a time; each tells in turn who else is near. */
+#define STRANGERS_MOST 64u
+/* Peers that are looked at for one that lives. */
+#define ADDRESS_TRIES 16u
 /* Weight of a new measurement in the mean delay of telling. */
 #define DELAY_WEIGHT 0.05
 
@@ -39,15 +40,16 @@
  * not read the store learns of all peers from one. */
 static void address_add(struct gossip *gossip, struct gossip_message *message)
 {
-	GHashTableIter iter;
-	struct peer *peer;
-	uint32_t at = 0;
-	uint32_t size = MAX(g_hash_table_size(gossip->peers), 1u);
-	uint32_t start = gossip->spread++ % size;
+	guint size = gossip->near->len + gossip->far->len;
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (at++ < start || !peer_live(gossip, peer))
+	for (guint i = 0; i < MIN(size, ADDRESS_TRIES); i++) {
+		guint at = gossip->spread++ % size;
+		const struct peer *peer =
+			at < gossip->near->len
+				? gossip->near->pdata[at]
+				: gossip->far->pdata[at - gossip->near->len];
+
+		if (!peer_live(gossip, peer))
 			continue;
 		gossip_message_add(message, peer->address);
 		return;
@@ -61,8 +63,7 @@
 	message->boot = gossip->settings.boot;
 	message->sequence = ++gossip->sequence;
 	g_strlcpy(message->name, gossip->settings.name, sizeof(message->name));
-	g_strlcpy(message->data_centre, gossip->settings.data_centre,
-		  sizeof(message->data_centre));
+	g_strlcpy(message->group, gossip->group, sizeof(message->group));
 }
 
 static void last_replace(struct gossip *gossip, const GArray *loads)
@@ -177,16 +178,19 @@
 static void strangers_tell(struct gossip *gossip, const GByteArray *out)
 {
 	int64_t now = gossip_now(gossip);
+	uint32_t left = STRANGERS_MOST;
 	GHashTableIter iter;
 	struct peer *peer;
 
 	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
-		if (peer->data_centre[0] ||
+	while (left > 0 &&
+	       g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		if (peer->group[0] ||
 		    (peer->told != GOSSIP_NEVER && now - peer->told < TRY_USEC))
 			continue;
 		peer->told = now;
 		peer_send(gossip, peer, out);
+		left--;
 	}
 }
 
@@ -209,7 +213,8 @@
 	for (guint i = 0; i < gossip->receivers->len; i++) {
 		struct peer *peer = gossip->receivers->pdata[i];
 		bool members = peer->told_addresses == GOSSIP_NEVER ||
-			       now - peer->told_addresses >= ADDRESSES_USEC;
+			       now - peer->told_addresses >=
+				       gossip_members_interval(gossip);
 		GByteArray **out = members ? &whole : &brief;
 
 		if (!receiver_due(gossip, peer))
@@ -229,7 +234,8 @@
 	g_autoptr(GByteArray) out = own_encode(gossip);
 
 	near_tell(gossip, out);
-	strangers_tell(gossip, out);
+	if (gossip->updated == gossip_now(gossip))
+		strangers_tell(gossip, out);
 	receivers_tell(gossip);
 }
 
@@ -278,7 +284,8 @@
 			g_array_index(changes, struct gossip_load, i).backend);
 
 		if (backend &&
-		    strcmp(backend->info.data_centre, centre->name) == 0)
+		    group_serves(centre->name, backend->info.data_centre,
+				 backend->key))
 			return true;
 	}
 	return false;
@@ -288,10 +295,13 @@
 				const struct centre *centre,
 				const GArray *changes, const GByteArray *out)
 {
-	struct allowance *allowance = changes_concern(gossip, changes, centre)
-					      ? &gossip->at_once
-					      : &gossip->at_once_far;
+	bool concerns = changes_concern(gossip, changes, centre);
+	struct allowance *allowance =
+		concerns ? &gossip->at_once : &gossip->at_once_far;
 
+	/* Where there are many groups their own servers are plenty. */
+	if (!concerns && !group_is_whole(centre->name))
+		return;
 	if (!allowance_take(gossip, allowance, centre->peers->len)) {
 		delay_add(&gossip->delay_far, gossip_interval(gossip, false));
 		return;
--- a/forward/gossip_uses.c
+++ b/forward/gossip_uses.c
@@ -52,7 +52,7 @@
 {
 	const struct limit_source source = {
 		.id = peer->key,
-		.group = peer_near(gossip, peer) ? 0 : id_of(peer->data_centre),
+		.group = peer_near(gossip, peer) ? 0 : id_of(peer->group),
 	};
 
 	for (guint i = 0; gossip->ops.use_heard && i < uses->len; i++)
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -15,6 +15,13 @@
  * data centres, whose loads are seen as old as that. */
 #define SLOWEST_USEC (1 * USEC_PER_SEC)
 #define SLOWEST_FAR_USEC (400 * USEC_PER_MSEC)
+/* Each other group's tellers take so much of the time, so that the messages
+ * that come in a second do not grow with the groups. */
+#define GROUP_SHARE_USEC (50 * USEC_PER_MSEC)
+/* Those elsewhere are told so often who lives in this group where it is a whole
+ * data centre, and with each so many messages otherwise. */
+#define MEMBERS_USEC (1 * USEC_PER_SEC)
+#define MEMBERS_MESSAGES 4
 /* A data centre that was silent for so long is not waited for any more. */
 #define GIVEN_UP_USEC (30 * USEC_PER_SEC)
 
@@ -28,8 +35,30 @@
 	uint32_t peers = near ? gossip->near->len : gossip->far->len;
 	uint32_t full = near ? FULL_RATE_NEAR : FULL_RATE_FAR;
 
-	return MIN(GOSSIP_USEC * (int64_t)MAX(peers / full, 1u),
-		   near ? SLOWEST_USEC : SLOWEST_FAR_USEC);
+	int64_t every = MIN(GOSSIP_USEC * (int64_t)MAX(peers / full, 1u),
+			    near ? SLOWEST_USEC : SLOWEST_FAR_USEC);
+
+	if (near)
+		return every;
+	return MAX(every, gossip->centres_live * GROUP_SHARE_USEC);
+}
+
+int64_t gossip_stale(const struct gossip *gossip)
+{
+	return MAX(GOSSIP_STALE_USEC, gossip_interval(gossip, false) * 5 / 2);
+}
+
+int64_t gossip_members_interval(const struct gossip *gossip)
+{
+	if (gossip->groups == 1)
+		return MEMBERS_USEC;
+	return MAX(gossip_interval(gossip, false) * MEMBERS_MESSAGES,
+		   MEMBERS_USEC);
+}
+
+int64_t gossip_members_stale(const struct gossip *gossip)
+{
+	return MAX(GOSSIP_STALE_USEC, gossip_members_interval(gossip) * 5 / 2);
 }
 
 int64_t gossip_delay(const struct gossip *gossip, bool near)
@@ -49,18 +78,25 @@
 
 uint32_t gossip_live(const struct gossip *gossip)
 {
-	GHashTableIter iter;
-	struct peer *peer;
-	uint32_t live = 0;
+	return gossip->live;
+}
+
+bool gossip_grouped(const struct gossip *gossip)
+{
+	return gossip->groups > 1;
+}
+
+bool gossip_here(const struct gossip *gossip, const char *address)
+{
+	const struct peer *peer = g_hash_table_lookup(gossip->peers, address);
 
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		live += peer_live(gossip, peer);
-	return live;
+	return peer && group_within(peer->group, gossip->settings.data_centre);
 }
 
 bool gossip_parted(const struct gossip *gossip)
 {
+	int64_t parted =
+		MAX(GOSSIP_PARTED_USEC, gossip_interval(gossip, false) * 3);
 	int64_t now = gossip_now(gossip);
 	struct centre *centre;
 	GHashTableIter iter;
@@ -69,9 +105,10 @@
 	g_hash_table_iter_init(&iter, gossip->centres);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre)) {
 		if (centre->heard == GOSSIP_NEVER || centre->left ||
+		    group_within(centre->name, gossip->settings.data_centre) ||
 		    now - centre->heard >= GIVEN_UP_USEC)
 			continue;
-		if (now - centre->heard < GOSSIP_PARTED_USEC)
+		if (now - centre->heard < parted)
 			return false;
 		others = true;
 	}
@@ -107,8 +144,9 @@
 	for (guint i = 0; i < gossip->near->len; i++) {
 		const struct peer *peer = gossip->near->pdata[i];
 
-		count += peer_live(gossip, peer) && peer->word.storeless &&
-			 copies_old(&peer->word, usec);
+		count += peer_live(gossip, peer) &&
+			 peer_word(peer)->storeless &&
+			 copies_old(peer_word(peer), usec);
 	}
 	return count;
 }
@@ -122,16 +160,21 @@
 	g_hash_table_iter_init(&iter, gossip->centres);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
 		if (centre_live(gossip, centre) &&
-		    strcmp(centre->name, gossip->settings.data_centre) < 0)
+		    strcmp(centre->name, gossip->group) < 0)
 			return true;
 	return false;
 }
 
-uint32_t gossip_rank(const struct gossip *gossip)
+uint32_t gossip_rank_find(const struct gossip *gossip)
 {
 	return near_rank(gossip) + is_after(gossip);
 }
 
+uint32_t gossip_rank(const struct gossip *gossip)
+{
+	return gossip->rank;
+}
+
 static int first_compare(const struct gossip_first *a,
 			 const struct gossip_first *b)
 {
@@ -149,7 +192,8 @@
 	first->storeless = storeless;
 	for (guint i = 0; i < gossip->near->len; i++) {
 		const struct peer *peer = gossip->near->pdata[i];
-		struct gossip_first one = {.storeless = peer->word.storeless};
+		struct gossip_first one = {.storeless =
+						   peer_word(peer)->storeless};
 
 		if (!peer_live(gossip, peer))
 			continue;
@@ -200,7 +244,7 @@
 		const struct peer *peer = gossip->near->pdata[i];
 
 		if (peer_live(gossip, peer))
-			changing_add(word, &peer->word);
+			changing_add(word, peer_word(peer));
 	}
 }
 
@@ -220,7 +264,7 @@
 		const struct peer *peer = gossip->near->pdata[i];
 
 		if (peer_live(gossip, peer))
-			numbers_add(total, &peer->word);
+			numbers_add(total, peer_word(peer));
 	}
 }
 
--- a/forward/node.c
+++ b/forward/node.c
@@ -282,7 +282,7 @@
 		return false;
 	/* One that starts while the store is down learns from them. */
 	for (uint32_t i = 0; i < node->settings.seed_count; i++)
-		gossip_meet(node->gossip, node->settings.seeds[i]);
+		gossip_meet(node->gossip, node->settings.seeds[i], NULL);
 	return true;
 }
 
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -10,6 +10,7 @@
 #include "common/id.h"
 #include "common/log.h"
 
+#include "common/setting.h"
 /* A waiting read. Its answer may be lost when the store or the path to it
  * fails, so it is given up soon enough to follow a change two seconds after it,
  * once the store has been well for three. */
@@ -291,13 +292,19 @@
 static void on_peer(void *ctx, const struct feed_record *record)
 {
 	struct node *node = ctx;
-	g_autofree char *address = NULL;
+	g_autofree char *text = NULL;
+	char *data_centre;
 
 	if (!record->value || node_work_read(node, record))
 		return;
 	node->peers_lower += strcmp(record->key, node->settings.name) < 0;
-	address = g_strndup(record->value, record->size);
-	gossip_meet(node->gossip, address);
+	text = g_strndup(record->value, record->size);
+	data_centre = strchr(text, ' ');
+	if (data_centre)
+		*data_centre++ = '\0';
+	if (data_centre && !setting_name_valid(data_centre))
+		data_centre = NULL;
+	gossip_meet(node->gossip, text, data_centre);
 }
 
 static void on_peers_listed(void *ctx)
@@ -330,9 +337,8 @@
 {
 	struct node *node = ctx;
 
-	node->interface.put(
-		node->interface.ctx, PEER_STREAM, node->settings.name,
-		web_server_address(node->peers_server), on_registered, node);
+	node->interface.put(node->interface.ctx, PEER_STREAM,
+			    node->settings.name, value, on_registered, node);
 }
 
 static void on_unregistered(void *ctx, enum result_code code)
@@ -378,6 +384,9 @@
 		.stream = node->interface.config_stream,
 		.wait_usec = CONFIG_WAIT_USEC,
 	};
+	g_autofree char *value =
+		g_strdup_printf("%s %s", web_server_address(node->peers_server),
+				node->settings.data_centre);
 	const struct feed_settings list = {
 		.stream = node->interface.list_stream,
 	};
--- a/forward/request.c
+++ b/forward/request.c
@@ -154,9 +154,7 @@
 	charge_drop(request, charge);
 	charge->backend = backend->handle;
 	charge->load = *load;
-	backend->own.requests += load->requests;
-	backend->own.decode_tokens += load->decode_tokens;
-	backend->own.prefill_tokens += load->prefill_tokens;
+	backend_charge(backend, load, 1);
 	charge_changed(request, charge);
 }
 
@@ -166,9 +164,7 @@
 		fleet_get(request->forward->parts.fleet, charge->backend);
 
 	if (backend) {
-		backend->own.requests -= charge->load.requests;
-		backend->own.decode_tokens -= charge->load.decode_tokens;
-		backend->own.prefill_tokens -= charge->load.prefill_tokens;
+		backend_charge(backend, &charge->load, -1);
 		charge_changed(request, charge);
 	}
 	*charge = (struct charge){.backend = HANDLE_NONE};
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -29,6 +29,7 @@
 	STAGE_NONE,    /* a plain service's */
 	STAGE_PREFILL, /* computes KV caches */
 	STAGE_DECODE,  /* generates; can read a prompt too, slowly */
+	STAGE_COUNT,
 };
 
 /* What the platform's list says of a backend server. */
@@ -60,18 +61,22 @@
 
 struct backend {
 	struct backend_info info;
+	struct fleet *fleet;
 	uint64_t handle;
 	uint64_t key; /* backend_key(&info) */
 	bool near;    /* in this instance's data centre */
+	bool ours;    /* and of this instance's group */
 	bool evacuated;
-	uint64_t region; /* id_of() its name; 0: not known */
-	struct backend_load own;
+	uint64_t region;	 /* id_of() its name; 0: not known */
+	struct backend_load own; /* changed by backend_charge() */
+	bool charged;		 /* in fleet_charged() */
 	/* Below zero while a difference lacks its base. */
 	struct load_sum peers;
 	double trouble; /* failures, decayed to trouble_at */
 	int64_t trouble_at;
 	int64_t avoid_until;	/* could not be reached */
 	uint32_t avoided;	/* times in a row */
+	bool avoid_listed;	/* among those that were not reached */
 	uint64_t lost_by;	/* the peer that told last that it lost it */
 	int64_t lost_until;	/* when that peer will try again */
 	int64_t full_until;	/* has just refused a reservation */
@@ -125,6 +130,9 @@
 void fleet_snapshot_begin(struct fleet *fleet);
 void fleet_snapshot_end(struct fleet *fleet);
 
+/* The instances of the data centre form so many groups, and this one is of that
+ * index; servers are parted among the groups by their keys. One at first. */
+void fleet_set_group(struct fleet *fleet, uint32_t index, uint32_t count);
 /* The region of a data centre. */
 void fleet_set_region(struct fleet *fleet, const char *data_centre,
 		      const char *region);
@@ -149,8 +157,14 @@
 int64_t fleet_born(const struct fleet *fleet, const char *id);
 /* Servers of a service, in no order; NULL when there is none. */
 const GPtrArray *fleet_service(const struct fleet *fleet, uint64_t service);
+/* Those of a stage, of this instance's group or all others, in no order. */
+const GPtrArray *fleet_stage(struct fleet *fleet, uint64_t service,
+			     enum backend_stage stage, bool ours);
 /* All servers, struct backend. */
 const GPtrArray *fleet_all(const struct fleet *fleet);
+/* Those that this instance has something under way at, struct backend; also
+ * some where that has ended. */
+const GPtrArray *fleet_charged(struct fleet *fleet);
 
 /* Whether a listed server of the service answers; also true when none is
  * listed.
@@ -162,7 +176,7 @@
 /* The servers that this instance itself could not reach and passes over now, at
  * most so many; returns how many. None while half of those of its data centre
  * are among them: then it is more likely cut off itself. */
-uint32_t fleet_lost(const struct fleet *fleet, struct backend_lost *lost,
+uint32_t fleet_lost(struct fleet *fleet, struct backend_lost *lost,
 		    uint32_t most);
 /* Passes over what two peers near could not reach of late; no trial is owed for
  * it. One alone may have lost only its own way there. peer is any number that
@@ -187,6 +201,9 @@
 uint32_t backend_prefill_tokens(const struct backend *backend);
 /* Failures of late, each losing half of its weight in a few seconds. */
 double backend_trouble(const struct backend *backend, int64_t now);
+/* Adds so many times the load to what this instance has under way there. */
+void backend_charge(struct backend *backend, const struct backend_load *load,
+		    int times);
 /* A request is about to be sent there. After it could not be reached one
  * request tries; the others pass it over until that one is answered or late. */
 void backend_try(struct backend *backend, int64_t now);
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -188,8 +188,10 @@
 			     const struct gossip_ops *ops, void *ctx,
 			     struct error *err);
 void gossip_destroy(struct gossip *gossip);
-/* A peer may be found there; own and known addresses are ignored. */
-void gossip_meet(struct gossip *gossip, const char *address);
+/* A peer may be found there, in that data centre or, with NULL, anywhere; own
+ * and known addresses are ignored. */
+void gossip_meet(struct gossip *gossip, const char *address,
+		 const char *data_centre);
 /* Instances that may share budgets with this one, which counts too: those heard
  * of within the last half minute. */
 uint32_t gossip_instances(const struct gossip *gossip);
@@ -217,6 +219,10 @@
  * of it, in microseconds: what they tell is about as old when it is used. */
 int64_t gossip_delay(const struct gossip *gossip, bool near);
 const struct gossip_traffic *gossip_traffic(const struct gossip *gossip);
+/* Whether the data centre is so large that its instances form groups. */
+bool gossip_grouped(const struct gossip *gossip);
+/* Whether the peer of that address is in this data centre. */
+bool gossip_here(const struct gossip *gossip, const char *address);
 /* Peers heard of lately. */
 uint32_t gossip_live(const struct gossip *gossip);
 /* Whether there are peers in other data centres, and none of them was heard of
--- a/tests/forward/fuzz_gossip.c
+++ b/tests/forward/fuzz_gossip.c
@@ -80,7 +80,7 @@
 	message.boot = 5;
 	message.sequence = (uint64_t)i;
 	g_strlcpy(message.name, "n1", sizeof(message.name));
-	g_strlcpy(message.data_centre, "here", sizeof(message.data_centre));
+	g_strlcpy(message.group, "here", sizeof(message.group));
 	g_strlcpy(message.first.name, "n0", sizeof(message.first.name));
 	message.word.waiting = 3;
 	message.word.changing_count = (uint32_t)(i % 3);
--- a/tests/forward/gossip_world.c
+++ b/tests/forward/gossip_world.c
@@ -158,7 +158,8 @@
 void meet_all(struct site *site, struct instance *instance)
 {
 	for (uint32_t i = 0; i < site->count; i++)
-		gossip_meet(instance->gossip, site->instances[i].address);
+		gossip_meet(instance->gossip, site->instances[i].address,
+			    centres[site->instances[i].centre]);
 }
 
 struct instance *instance_add(struct site *site)
--- a/tests/forward/gossip_world.h
+++ b/tests/forward/gossip_world.h
@@ -20,7 +20,7 @@
 #include "web/loop.h"
 
 #define CENTRES 5
-#define MOST 320
+#define MOST 1024
 #define STORED_MOST 64
 
 struct instance {
--- a/tests/forward/test_gossip.c
+++ b/tests/forward/test_gossip.c
@@ -98,7 +98,7 @@
 	}
 	for (int i = 0; i < PEERS; i++)
 		for (int k = 0; k < PEERS; k++)
-			gossip_meet(site->gossips[i], site->addresses[k]);
+			gossip_meet(site->gossips[i], site->addresses[k], NULL);
 	turn(site, USEC_PER_SEC);
 	g_assert_cmpuint(gossip_live(site->gossips[0]), ==, PEERS - 1);
 }
@@ -117,8 +117,10 @@
 {
 	struct backend *backend = server(site, 0);
 
-	backend->own.requests = requests;
-	backend->own.decode_tokens = requests * 1000;
+	struct backend_load load = {requests, requests * 1000, 0};
+
+	backend_charge(backend, &backend->own, -1);
+	backend_charge(backend, &load, 1);
 	gossip_load_changed(site->gossips[0]);
 }
 
--- /dev/null
+++ b/tests/forward/test_gossip_fleet.c
@@ -0,0 +1,118 @@
+/* A thousand instances in groups: what each knows, and what that costs it. */
+#include <glib.h>
+
+#include "gossip_world.h"
+
+#define FLEET 985u
+/* An instance is told this often at the most, whatever the size of the site. */
+#define HEARD_PER_SEC_MOST 160u
+#define BYTES_PER_SEC_MOST 40000u
+
+static uint64_t received(const struct site *site)
+{
+	uint64_t count = 0;
+
+	for (uint32_t i = 0; i < site->count; i++)
+		count += gossip_traffic(site->instances[i].gossip)->received;
+	return count;
+}
+
+static uint64_t received_bytes(const struct site *site)
+{
+	uint64_t bytes = 0;
+
+	for (uint32_t i = 0; i < site->count; i++)
+		bytes += gossip_traffic(site->instances[i].gossip)
+				 ->received_bytes;
+	return bytes;
+}
+
+static void load_put(struct instance *instance, uint32_t centre,
+		     uint32_t requests)
+{
+	struct backend *backend = server(instance, centre);
+	struct backend_load load = {requests, requests * 1000, 0};
+
+	backend_charge(backend, &backend->own, -1);
+	backend_charge(backend, &load, 1);
+	gossip_load_changed(instance->gossip);
+}
+
+static uint32_t lowest_count(const struct site *site)
+{
+	uint32_t count = 0;
+
+	for (uint32_t i = 0; i < site->count; i++)
+		count += site->instances[i].gossip &&
+			 gossip_lowest(site->instances[i].gossip, false);
+	return count;
+}
+
+static void all_know_all(const struct site *site, uint32_t count)
+{
+	for (uint32_t i = 0; i < site->count; i++) {
+		const struct gossip *gossip = site->instances[i].gossip;
+		struct gossip_word total;
+
+		if (!gossip)
+			continue;
+		g_assert_true(gossip_grouped(gossip));
+		g_assert_false(gossip_parted(gossip));
+		gossip_total(gossip, &total);
+		g_assert_cmpuint(total.waiting, ==, count);
+	}
+	g_assert_cmpuint(lowest_count(site), ==, 1);
+}
+
+static uint32_t seen_by(struct site *site, uint32_t centre, uint32_t requests)
+{
+	uint32_t seen = 0;
+
+	for (uint32_t i = 0; i < site->count; i++) {
+		struct instance *instance = &site->instances[i];
+
+		seen += instance->gossip &&
+			backend_requests(server(instance, centre)) == requests;
+	}
+	return seen;
+}
+
+static void test_fleet(void)
+{
+	struct site *site = site_open(FLEET);
+	uint64_t count;
+	uint64_t bytes;
+
+	turn(site, 3000);
+	all_know_all(site, FLEET);
+	/* A load is known to all within two rounds of the groups. */
+	load_put(&site->instances[0], 0, 3);
+	turn(site, 2500);
+	g_assert_cmpuint(seen_by(site, 0, 3), ==, FLEET);
+	load_put(&site->instances[0], 0, 0);
+	count = received(site);
+	bytes = received_bytes(site);
+	turn(site, 2000);
+	count = (received(site) - count) / 2 / FLEET;
+	bytes = (received_bytes(site) - bytes) / 2 / FLEET;
+	g_test_message("%d datagrams and %d bytes a second", (int)count,
+		       (int)bytes);
+	g_assert_cmpuint(count, <=, HEARD_PER_SEC_MOST);
+	g_assert_cmpuint(bytes, <=, BYTES_PER_SEC_MOST);
+	/* A tenth are gone, among them the lowest of all. */
+	load_put(&site->instances[0], 0, 7);
+	turn(site, 1500);
+	for (uint32_t i = 0; i < FLEET / 10; i++)
+		instance_stop(&site->instances[i]);
+	turn(site, 6000);
+	g_assert_cmpuint(seen_by(site, 0, 0), ==, FLEET - FLEET / 10);
+	all_know_all(site, FLEET - FLEET / 10);
+	site_close(site);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/gossip/fleet", test_fleet);
+	return g_test_run();
+}
--- a/tests/forward/test_gossip_site.c
+++ b/tests/forward/test_gossip_site.c
@@ -9,8 +9,10 @@
 {
 	struct backend *backend = server(instance, centre);
 
-	backend->own.requests = requests;
-	backend->own.decode_tokens = requests * 1000;
+	struct backend_load load = {requests, requests * 1000, 0};
+
+	backend_charge(backend, &backend->own, -1);
+	backend_charge(backend, &load, 1);
 	gossip_load_changed(instance->gossip);
 }
 
