forward: of many servers a sample is looked at for a choice

Each choice went through all servers of a service, 9,625 of them, and a stream makes four. Of 200 requests in a row none finds more than one other at its server, and all go to the group; the only server with room is still found. Up to 512 servers all are looked at, as before.

--- a/forward/place.c
+++ b/forward/place.c
@@ -14,6 +14,8 @@
 /* For prefill: the result takes twice as long and costs twice as much between
  * data centres, as much as half a prompt more in the queue. */
 #define PREFILL_FAR_TOKENS 1600.0
+/* A server of another group of the data centre: its load is known late. */
+#define GROUP_FAR 0.05
 /* One fresh failure weighs as much as a server half full. */
 #define TROUBLE_WEIGHT 0.5
 #define PREFILL_TROUBLE_TOKENS 4000.0
@@ -37,6 +39,10 @@
  * about half full. */
 #define LIMITED_PART 0.5
 #define PREFILL_LIMITED_TOKENS 4000.0
+/* Servers of a service that are all looked at; of more than these, so many. */
+#define SCAN_MOST 512u
+#define SAMPLE_OURS 48u
+#define SAMPLE_OTHERS 16u
 /* The cost of a server that cannot take the request. */
 #define NOT_FIT DBL_MAX
 
@@ -82,7 +88,7 @@
 
 int64_t place_stale(const struct place *place, const struct backend *backend)
 {
-	return backend->near ? place->stale_near : place->stale_far;
+	return backend->ours ? place->stale_near : place->stale_far;
 }
 
 /* Instances with the same view choose alike until they hear of each other, so
@@ -97,30 +103,74 @@
 	       (1.0 + more * STALE_JITTER);
 }
 
-/* The usable server of least cost; NULL when all cost NOT_FIT. */
-static struct backend *
-place_least(const struct place *place,
-	    double (*cost_of)(const struct place *place,
-			      const struct backend *backend, const void *wish),
-	    const void *wish)
+typedef double (*cost_fn)(const struct place *place,
+			  const struct backend *backend, const void *wish);
+
+/* The best server so far. */
+struct choice {
+	const struct place *place;
+	cost_fn cost_of;
+	const void *wish;
+	struct backend *best;
+	double least;
+};
+
+static void choice_offer(struct choice *choice, struct backend *backend)
 {
-	const GPtrArray *list = fleet_service(place->fleet, place->service);
-	struct backend *best = NULL;
-	double least = NOT_FIT;
+	const struct place *place = choice->place;
+	double cost;
+
+	if (place->visits)
+		(*place->visits)++;
+	if (!backend_fits(place, backend))
+		return;
+	cost = choice->cost_of(place, backend, choice->wish);
+	if (cost >= choice->least)
+		return;
+	choice->least = cost;
+	choice->best = backend;
+}
 
-	for (guint i = 0; list && i < list->len; i++) {
-		struct backend *backend = list->pdata[i];
-		double cost;
+static void choice_sample(struct choice *choice, const GPtrArray *list,
+			  uint32_t count)
+{
+	GRand *rand = choice->place->rand;
 
-		if (!backend_fits(place, backend))
-			continue;
-		cost = cost_of(place, backend, wish);
-		if (cost < least) {
-			least = cost;
-			best = backend;
-		}
+	for (uint32_t i = 0; list->len > 0 && i < count; i++)
+		choice_offer(choice, list->pdata[g_rand_int_range(
+					     rand, 0, (gint32)list->len)]);
+}
+
+/* The usable server of the stage of least cost; NULL when all cost NOT_FIT. */
+static struct backend *place_least(const struct place *place,
+				   enum backend_stage stage, cost_fn cost_of,
+				   const void *wish)
+{
+	const GPtrArray *list = fleet_service(place->fleet, place->service);
+	struct choice choice = {place, cost_of, wish, NULL, NOT_FIT};
+
+	if (list && list->len > SCAN_MOST) {
+		choice_sample(
+			&choice,
+			fleet_stage(place->fleet, place->service, stage, true),
+			SAMPLE_OURS);
+		choice_sample(
+			&choice,
+			fleet_stage(place->fleet, place->service, stage, false),
+			SAMPLE_OTHERS);
 	}
-	return best;
+	if (choice.best)
+		return choice.best;
+	for (guint i = 0; list && i < list->len; i++)
+		choice_offer(&choice, list->pdata[i]);
+	return choice.best;
+}
+
+static double distance(const struct backend *backend, double far)
+{
+	if (backend->near)
+		return backend->ours ? 0.0 : GROUP_FAR;
+	return far;
 }
 
 static double plain_cost(const struct place *place,
@@ -129,7 +179,7 @@
 	double slots = MAX(backend->info.slots, 1u);
 
 	return (double)backend_requests(backend) / slots +
-	       (backend->near ? 0.0 : PLAIN_FAR) +
+	       distance(backend, PLAIN_FAR) +
 	       (is_limited(place, backend) ? LIMITED_PART : 0.0) +
 	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
 	       jitter(place, backend);
@@ -172,7 +222,7 @@
 
 struct backend *place_plain(const struct place *place)
 {
-	return place_least(place, plain_cost, NULL);
+	return place_least(place, STAGE_NONE, plain_cost, NULL);
 }
 
 bool place_plain_free(const struct backend *backend)
@@ -225,7 +275,7 @@
 	return (double)(backend_decode_tokens(backend) +
 			backend_prefill_tokens(backend)) /
 		       (double)MAX(decode->engine->memory_tokens, 1) +
-	       (backend->near ? 0.0 : DECODE_FAR) +
+	       distance(backend, DECODE_FAR) +
 	       (is_limited(place, backend) ? LIMITED_PART : 0.0) +
 	       TROUBLE_WEIGHT * backend_trouble(backend, place->now) +
 	       jitter(place, backend);
@@ -237,7 +287,7 @@
 {
 	const struct decode_wish wish = {engine, tokens};
 
-	return place_least(place, decode_cost, &wish);
+	return place_least(place, STAGE_DECODE, decode_cost, &wish);
 }
 
 static double prefill_cost(const struct place *place,
@@ -259,7 +309,7 @@
 struct backend *place_prefill(const struct place *place,
 			      const struct backend *to)
 {
-	return place_least(place, prefill_cost, to);
+	return place_least(place, STAGE_PREFILL, prefill_cost, to);
 }
 
 struct backend *place_reader(const struct place *place,
--- a/forward/unread.c
+++ b/forward/unread.c
@@ -57,8 +57,8 @@
 		slowest = request;
 	else if (forward->unread > UNREAD_ALL_MAX)
 		slowest = slowest_find(forward);
-	if (!slowest || (slowest != request &&
-			 forward->unread <= UNREAD_ALL_MAX))
+	if (!slowest ||
+	    (slowest != request && forward->unread <= UNREAD_ALL_MAX))
 		return true;
 	cut_off(slowest);
 	return slowest != request;
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -5,6 +5,8 @@
  *	Pure choices over the fleet's table: each picks the server of least cost
  *	among those usable. Costs are in shares of a server's capacity; the
  *	constants of place.c say what distance and trouble weigh against that.
+ *	Of many servers a sample is looked at, most of it of the instance's own
+ *	group, and all of them only when none of the sample will do.
  *	A list of servers to leave out holds keys.
  */
 #ifndef FORWARD_PLACE_H
@@ -30,7 +32,7 @@
 void tried_add(struct tried *tried, uint64_t key);
 
 struct place {
-	const struct fleet *fleet;
+	struct fleet *fleet;
 	int64_t now;
 	uint64_t service;
 	const struct tried *tried;
@@ -39,7 +41,8 @@
 	double cold_limit;
 	bool unlimited; /* only servers without a limit */
 	struct region_limits regions;
-	GRand *rand; /* breaks ties */
+	GRand *rand;	  /* breaks ties */
+	uint32_t *visits; /* counts the servers that are looked at; or NULL */
 	/* How old what peers told of loads may be, near and elsewhere. */
 	int64_t stale_near;
 	int64_t stale_far;
