--- a/common/compress.c
+++ b/common/compress.c
@@ -15,7 +15,7 @@
 void message_compress(GByteArray *message, size_t least)
 {
 	uLongf size = compressBound(message->len);
-	g_autofree Bytef *out = NULL;
+	Bytef *out;
 
 	if (message->len < least)
 		return;
@@ -24,10 +24,12 @@
 	    Z_OK) {
 		log_event(LOG_WARNING, "compression_failed",
 			  LOG_D("bytes", message->len));
+		g_free(out);
 		return;
 	}
 	g_byte_array_set_size(message, 0);
 	g_byte_array_append(message, out, (guint)size);
+	g_free(out);
 }
 
 static bool stream_expand(z_stream *stream, GByteArray *out, size_t most)
--- a/forward/gossip_groups.c
+++ b/forward/gossip_groups.c
@@ -1,5 +1,6 @@
 /*
- * gossip_groups.c - the groups of instances that a large data centre consists of
+ * gossip_groups.c - the groups of instances that a large data centre consists
+ *of
  *
  * DESCRIPTION
  *	A data centre of up to GROUP_MOST instances is one group and has its
@@ -17,6 +18,8 @@
 
 #define GROUP_MOST 96u
 #define GROUP_LEAST 32u
+/* Beyond any data centre; what a peer says of more is malformed. */
+#define GROUPS_MOST 65536
 /* No instance name or data centre holds it. */
 #define GROUP_MARK '/'
 
@@ -32,12 +35,12 @@
 void group_print(char group[GOSSIP_GROUP_MAX], const char *data_centre,
 		 uint32_t count, uint64_t key)
 {
-	if (count == 1)
+	if (count <= 1)
 		g_strlcpy(group, data_centre, GOSSIP_GROUP_MAX);
 	else
 		(void)snprintf(group, GOSSIP_GROUP_MAX, "%s%c%u.%u",
-			       data_centre, GROUP_MARK,
-			       (uint32_t)(key % count), count);
+			       data_centre, GROUP_MARK, (uint32_t)(key % count),
+			       count);
 }
 
 bool group_within(const char *group, const char *data_centre)
@@ -64,7 +67,7 @@
 		return false;
 	point = mark ? strchr(mark, '.') : NULL;
 	count = point ? strtol(point + 1, NULL, 10) : 1;
-	if (count < 1)
+	if (count < 1 || count > GROUPS_MOST)
 		return false;
 	group_print(own, data_centre, (uint32_t)count, key);
 	return strcmp(own, group) == 0;
@@ -78,8 +81,8 @@
 
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		count += group_within(peer->group,
-				      gossip->settings.data_centre);
+		count +=
+			group_within(peer->group, gossip->settings.data_centre);
 	return count;
 }
 
@@ -88,8 +91,8 @@
 {
 	struct centre *centre;
 
-	group_print(gossip->group, gossip->settings.data_centre,
-		    gossip->groups, gossip->key);
+	group_print(gossip->group, gossip->settings.data_centre, gossip->groups,
+		    gossip->key);
 	centre = g_hash_table_lookup(gossip->centres, gossip->group);
 	if (centre) {
 		loads_take_off(gossip, centre->loads);
--- a/forward/gossip_peers.c
+++ b/forward/gossip_peers.c
@@ -212,7 +212,8 @@
 		g_ptr_array_add(gossip->far, peer);
 		/* Its own group tells of it now. */
 		loads_take_off(gossip, peer->loads);
-		g_clear_pointer(&peer->word, g_free);
+		g_free(peer->word);
+		peer->word = NULL;
 		if (peer_live(gossip, peer))
 			g_ptr_array_add(centre_get(gossip, peer->group)->peers,
 					peer);
--- a/forward/node.h
+++ b/forward/node.h
@@ -12,8 +12,7 @@
 #include "web/server.h"
 
 /* Where instances write their addresses and data centres, each under its name,
- * and what works
- * they hold: who starts reads it whole anyway. */
+ * and what works they hold: who starts reads it whole anyway. */
 #define PEER_STREAM "instances"
 
 /* Where an instance serves its copies to others, by enum node_stream. */
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -2,6 +2,11 @@
  * gossip.h - what instances tell each other of the load they put on servers
  *
  * DESCRIPTION
+ *	A data centre of more than 96 instances consists of groups, each of
+ *	which does what is said of a data centre here. Loads that change are
+ *	told at once to the instance's group and to the server's only, and who
+ *	lives in a group with each fourth of its sums.
+ *
  *	An instance tells the peers in its data centre, in datagrams, what load
  *	it puts on each backend server. Each instance is told of every other
  *	data centre by two of that one's instances, chosen by rendezvous
--- a/tests/forward/test_gossip_works.c
+++ b/tests/forward/test_gossip_works.c
@@ -192,8 +192,8 @@
 	site_close(site);
 }
 
-/* Sent by one instance in twelve seconds, on average: a multiple of the time from
- * one list of members to the next. */
+/* Sent by one instance in twelve seconds, on average: a multiple of the time
+ * from one list of members to the next. */
 static struct gossip_traffic traffic(struct site *site)
 {
 	struct gossip_traffic sum = {0};
--- a/tests/forward/test_groups.c
+++ b/tests/forward/test_groups.c
@@ -12,11 +12,16 @@
 };
 
 static const struct size sizes[] = {
-	{"none", 1, 0, 1},	     {"one", 1, 1, 1},
-	{"whole", 1, 96, 1},	     {"parted", 1, 97, 2},
-	{"fleet", 1, 197, 4},	     {"twice the fleet", 1, 394, 8},
-	{"large fleet", 4, 4000, 64}, {"some gone", 4, 130, 4},
-	{"many gone", 4, 127, 2},    {"nearly all gone", 4, 10, 1},
+	{"none", 1, 0, 1},
+	{"one", 1, 1, 1},
+	{"whole", 1, 96, 1},
+	{"parted", 1, 97, 2},
+	{"fleet", 1, 197, 4},
+	{"twice the fleet", 1, 394, 8},
+	{"large fleet", 4, 4000, 64},
+	{"some gone", 4, 130, 4},
+	{"many gone", 4, 127, 2},
+	{"nearly all gone", 4, 10, 1},
 	{"back", 2, 193, 4},
 };
 
@@ -56,6 +61,7 @@
 	g_assert_true(group_within("north/", "north"));
 	g_assert_false(group_serves("north/1.0", "north", 1));
 	g_assert_false(group_serves("north/1.-4", "north", 1));
+	g_assert_false(group_serves("north/1.4294967296", "north", 1));
 	g_assert_false(group_serves("north/x.y", "north", 1));
 	g_assert_false(group_serves("/1.4", "north", 1));
 }
--- a/tests/forward/test_size.c
+++ b/tests/forward/test_size.c
@@ -132,8 +132,7 @@
 
 	site_open(&site, 10000);
 	for (uint32_t i = 0; i < 3; i++) {
-		struct backend *one =
-			fleet_all(site.fleet)->pdata[i * CENTRES];
+		struct backend *one = fleet_all(site.fleet)->pdata[i * CENTRES];
 
 		backend_charge(one, &load, 1);
 		backend_unreachable(one, site.place.now);
