--- a/tests/forward/gossip_world.h
+++ b/tests/forward/gossip_world.h
@@ -66,5 +66,11 @@
 bool permit(struct instance *instance, uint32_t centre);
 /* The server of engines of that data centre, as the instance sees it. */
 struct backend *server(struct instance *instance, uint32_t centre);
+/* The instance has that many requests at the server of a data centre. */
+void load_put(struct instance *instance, uint32_t centre, uint32_t requests);
+/* How many see so many requests at the server of a data centre. */
+uint32_t seen_by(struct site *site, uint32_t centre, uint32_t requests);
+/* How many of those that do not stand still take themselves for the lowest. */
+uint32_t lowest_count(const struct site *site);
 
 #endif
--- a/tests/forward/test_gossip_fleet.c
+++ b/tests/forward/test_gossip_fleet.c
@@ -27,27 +27,6 @@
 	return bytes;
 }
 
-static void load_put(struct instance *instance, uint32_t centre,
-		     uint32_t requests)
-{
-	struct backend *backend = server(instance, centre);
-	struct backend_load load = {requests, requests * 1000, 0};
-
-	backend_charge(backend, &backend->own, -1);
-	backend_charge(backend, &load, 1);
-	gossip_load_changed(instance->gossip);
-}
-
-static uint32_t lowest_count(const struct site *site)
-{
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < site->count; i++)
-		count += site->instances[i].gossip &&
-			 gossip_lowest(site->instances[i].gossip, false);
-	return count;
-}
-
 static void all_know_all(const struct site *site, uint32_t count)
 {
 	for (uint32_t i = 0; i < site->count; i++) {
@@ -64,19 +43,6 @@
 	g_assert_cmpuint(lowest_count(site), ==, 1);
 }
 
-static uint32_t seen_by(struct site *site, uint32_t centre, uint32_t requests)
-{
-	uint32_t seen = 0;
-
-	for (uint32_t i = 0; i < site->count; i++) {
-		struct instance *instance = &site->instances[i];
-
-		seen += instance->gossip &&
-			backend_requests(server(instance, centre)) == requests;
-	}
-	return seen;
-}
-
 static void test_fleet(void)
 {
 	struct site *site = site_open(FLEET);
--- a/tests/forward/test_gossip_site.c
+++ b/tests/forward/test_gossip_site.c
@@ -3,44 +3,6 @@
 
 #include "gossip_world.h"
 
-/* The instance has requests at the server of a data centre. */
-static void load_put(struct instance *instance, uint32_t centre,
-		     uint32_t requests)
-{
-	struct backend *backend = server(instance, centre);
-
-	struct backend_load load = {requests, requests * 1000, 0};
-
-	backend_charge(backend, &backend->own, -1);
-	backend_charge(backend, &load, 1);
-	gossip_load_changed(instance->gossip);
-}
-
-/* Whether all see so many requests at the server of a data centre. */
-static uint32_t seen_by(struct site *site, uint32_t centre, uint32_t requests)
-{
-	uint32_t seen = 0;
-
-	for (uint32_t i = 0; i < site->count; i++) {
-		struct instance *instance = &site->instances[i];
-
-		seen += instance->gossip &&
-			backend_requests(server(instance, centre)) == requests;
-	}
-	return seen;
-}
-
-static uint32_t lowest_count(const struct site *site)
-{
-	uint32_t count = 0;
-
-	for (uint32_t i = 0; i < site->count; i++)
-		count += site->instances[i].gossip &&
-			 !site->still[site->instances[i].centre] &&
-			 gossip_lowest(site->instances[i].gossip, false);
-	return count;
-}
-
 static void all_know_all(struct site *site)
 {
 	for (uint32_t i = 0; i < site->count; i++) {
