forward: a first copy that peers have is waited for, also when it takes seconds

A whole copy may take 3 s now. While peers tell of a copy, an instance without one does not read the store, for 8 s after its start at the most, and where there are groups it asks the store a fourth as soon. Test: forward-share, offered.

--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -17,9 +17,12 @@
  * once the store has been well for three. */
 #define CONFIG_WAIT_USEC (500 * USEC_PER_MSEC)
 #define TICK_USEC (100 * USEC_PER_MSEC)
-/* A copy is fetched within a round trip; from one that does not answer in this
- * time it is not waited for. */
+/* Changes are fetched within a round trip; from one that does not answer in
+ * this time they are not waited for. */
 #define FETCH_USEC (300 * USEC_PER_MSEC)
+/* A whole copy of a large list takes a small instance longer to compress, and
+ * its link longer to carry. */
+#define FETCH_WHOLE_USEC (3 * USEC_PER_SEC)
 #define COPY_BYTES_MAX (32u << 20)
 /* Smaller copies are sent as they are. */
 #define COMPRESS_LEAST (4u << 10)
@@ -237,13 +240,14 @@
 	g_autofree char *path = g_strdup_printf(SHARE_PATH "%d?from=%" PRIu64,
 						(int)(share - node->shares),
 						share_position(share->share));
+	bool whole = share_position(share->share) == 0;
 	const struct web_call_spec spec = {
 		.address = share->from,
 		.method = "GET",
 		.path = path,
 		.connect_usec = FETCH_USEC,
-		.head_usec = FETCH_USEC,
-		.idle_usec = FETCH_USEC,
+		.head_usec = whole ? FETCH_WHOLE_USEC : FETCH_USEC,
+		.idle_usec = whole ? FETCH_WHOLE_USEC : FETCH_USEC,
 	};
 
 	share->fetch = web_fetch(node->client, &spec, COPY_BYTES_MAX,
@@ -284,6 +288,7 @@
 			share->far_since = 0;
 			continue;
 		}
+		share_offered(share->share);
 		if (share->fetch || is_better_near(share, address))
 			continue;
 		g_strlcpy(share->from, address, sizeof(share->from));
--- a/forward/share.c
+++ b/forward/share.c
@@ -11,6 +11,12 @@
  * copies spread to everybody within some three seconds; with 2 here 300
  * instances read a list of 3,000 servers, 450 MB, out of the store at once. */
 #define START_RANK_MAX 10u
+/* How much longer each rank waits then where copies pass between groups. */
+#define START_GROUPED 4
+/* A copy that a peer has told of is on its way for so long at the most; and at
+ * a start it is waited for no longer than the second. */
+#define OFFER_USEC (3 * USEC_PER_SEC)
+#define OFFERS_USEC (8 * USEC_PER_SEC)
 /* Peers are heard of within this time of being listed, if there are any. */
 #define START_USEC (150 * USEC_PER_MSEC)
 /* So long the list of peers is waited for, or all that start at once read the
@@ -38,7 +44,8 @@
 
 struct share {
 	struct clock *clock;
-	int64_t began; /* or the peers were listed */
+	int64_t began;	 /* or the peers were listed */
+	int64_t offered; /* when a peer told of a copy last */
 	bool listed;
 	struct feed *feed;
 	struct feed_settings settings;
@@ -262,6 +269,21 @@
 	return place->storeless;
 }
 
+void share_offered(struct share *share)
+{
+	share->offered = clock_now(share->clock);
+}
+
+/* Whether a first copy is about to come from a peer. */
+static bool is_coming(const struct share *share)
+{
+	int64_t now = clock_now(share->clock);
+
+	return feed_fresh(share->feed) == FEED_NEVER && share->offered > 0 &&
+	       now - share->offered < OFFER_USEC &&
+	       now - share->began < OFFERS_USEC;
+}
+
 void share_tick(struct share *share, const struct share_place *place)
 {
 	int64_t fresh = feed_fresh(share->feed);
@@ -275,12 +297,13 @@
 	if (fresh == FEED_NEVER) {
 		fresh = share->began;
 		patience += share->listed ? START_USEC : LISTED_USEC;
+		patience *= place->delay_usec > 0 ? START_GROUPED : 1;
 	} else if (rank > 0 || share->settings.wait_usec == 0) {
 		/* A read that waits is begun at once by the first. */
 		patience += SHARE_PATIENCE_USEC;
 		patience += rank > 0 ? place->delay_usec : 0;
 	}
-	if (clock_now(share->clock) - fresh >= patience)
+	if (clock_now(share->clock) - fresh >= patience && !is_coming(share))
 		feed_poll(share->feed);
 }
 
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -87,6 +87,9 @@
 
 /* To be called about every 100 ms: reads the store when it is time. */
 void share_tick(struct share *share, const struct share_place *place);
+/* A peer has a copy that is to be fetched: an instance without any does not
+ * read the store meanwhile. */
+void share_offered(struct share *share);
 /* Reads the store now: what is known may be older than thought. */
 void share_hurry(struct share *share);
 /* Whether this instance reads the store and has no answer from it. */
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -278,6 +278,31 @@
 	pair_close(&first, &second, clock);
 }
 
+/* An instance without a copy does not read the store while peers tell of one,
+ * but not for ever. */
+static void test_offered(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy first;
+	struct copy second;
+	int waited = 0;
+
+	pair_open(&first, &second, clock);
+	wait_msec(clock, 200);
+	tick(&first, 0);
+	store_answer(&first, "a", "1", 10);
+	while (second.calls == 0 && waited < 20000) {
+		if (hear(&second, &first))
+			share_offered(second.share);
+		tick(&second, 1);
+		wait_msec(clock, 100);
+		waited += 100;
+	}
+	g_assert_cmpint(waited, >, 7000);
+	g_assert_cmpint(waited, <, 9000);
+	pair_close(&first, &second, clock);
+}
+
 /* One reads; the other has it without a call for as long as it hears. */
 static void test_pass_on(void)
 {
@@ -699,6 +724,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/share/offered", test_offered);
 	g_test_add_func("/forward/share/repeats", test_repeats);
 	g_test_add_func("/forward/share/few-changes", test_few_changes);
 	g_test_add_func("/forward/share/many-changes", test_many_changes);
