--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -300,6 +300,7 @@
 	}
 	g_assert_cmpint(waited, >, 7000);
 	g_assert_cmpint(waited, <, 9000);
+	store_fail(&second);
 	pair_close(&first, &second, clock);
 }
 
