--- a/web/call.c
+++ b/web/call.c
@@ -195,13 +195,8 @@
 {
 	struct web_call *call = http->data;
 
-	/* h2o 2.2 may report a failed write and then the end of the same
-	 * connection. */
-	if (!call)
-		return -1;
 	busy_begin(call);
 	if (err && err != h2o_http1client_error_is_eos) {
-		http->data = NULL;
 		call->http = NULL;
 		call->text = err;
 		call_done(call, false);
@@ -240,12 +235,8 @@
 {
 	struct web_call *call = http->data;
 
-	/* A second report, as above. */
-	if (!call)
-		return NULL;
 	busy_begin(call);
 	if (err && err != h2o_http1client_error_is_eos) {
-		http->data = NULL;
 		call->http = NULL;
 		call->text = err;
 		call_done(call, false);
