forward, coord, platform: what a second reading of the groups, copies and limits found

Behaviour stays as it is, but for the bound of a copy (below).

- Peers that live are counted while peers are sorted, not in a pass of their own.
- Groups of one data centre are compared by group_beside(), without a copy of a name.
- A server is sorted anew among those of its service when its stage or data centre changes, not with each entry that is not a mere heartbeat.
- One bound for how long a server is cold by what it says once, in place of three.
- request_unread_note() returned what nobody asked for.
- The position of a copy is asked once for a fetch; node_feeds.c has no copy_take() beside that of share.c.
- COPY_BYTES_MAX is 8 MiB again, which it need not have left: 20,000 servers of 260 bytes are 5.2 MB.
- gossip_codec.h tells the two fields that facts have since servers are cold.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -282,6 +282,8 @@
 	bool changed = backend->info.leaving != info->leaving ||
 		       backend->info.stage != info->stage;
 	bool moves = backend->info.service != info->service;
+	bool sorts = backend->info.stage != info->stage ||
+		     strcmp(backend->info.data_centre, info->data_centre) != 0;
 
 	if (moves)
 		service_remove(fleet, backend);
@@ -292,8 +294,10 @@
 	backend->info = *info;
 	if (moves)
 		service_add(fleet, backend);
-	backend_sync_centre(fleet, backend);
-	service_get(fleet, info->service)->sorted = false;
+	if (sorts) {
+		backend_sync_centre(fleet, backend);
+		service_get(fleet, info->service)->sorted = false;
+	}
 	if (changed)
 		backend_log("backend_changed", backend);
 }
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -116,8 +116,9 @@
 	msgpack_pack_uint64(packer, MIN((uint64_t)MAX(fact->age_usec, 0),
 					FACT_AGE_USEC_MAX));
 	msgpack_pack_uint8(packer, fact->leaving);
-	msgpack_pack_uint64(
-		packer, MIN((uint64_t)MAX(fact->cold_usec, 0), COLD_USEC_MAX));
+	msgpack_pack_uint64(packer,
+			    (uint64_t)CLAMP(fact->cold_usec, 0,
+					    BACKPRESSURE_COLD_MAX_USEC));
 	msgpack_pack_int64(packer,
 			   MIN((int64_t)(fact->cold_limit * LIMIT_PARTS),
 			       LIMIT_PARTS_MAX));
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -10,11 +10,12 @@
  *in microseconds], ...], first, [address, ...], [use, ...],
  *	 [[backend, milliseconds left], ...], [fact, ...]]
  *	A fact is [backend, thousandths of a request a second or -1, age of
- *	that in microseconds, leaving]. Ask: [format, kind, boot, sequence, [id,
- *fact]]. Answer: [format, kind, boot, sequence, [id, backend, granted,
- *microseconds]]. Uses: [format, kind, boot, sequence, [[organisation, epoch,
- *used, demand, level], ...]], of an instance or of its data centre Works:
- *[format, kind, boot, sequence,
+ *	that in microseconds, leaving, microseconds that it stays cold,
+ *	thousandths of a request a second meanwhile]. Ask: [format, kind, boot,
+ *sequence, [id, fact]]. Answer: [format, kind, boot, sequence, [id, backend,
+ *granted, microseconds]]. Uses: [format, kind, boot, sequence, [[organisation,
+ *epoch, used, demand, level], ...]], of an instance or of its data centre
+ *Works: [format, kind, boot, sequence,
  *[[work, work, epoch, stored, [life of a server, ...]], ...]] Changes: [format,
  *kind, boot, sequence, [[backend, ...], ...]] An address of IPv4 is one number,
  *any other a text.
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -172,7 +172,7 @@
 	    !sum_read(&fields[1], LIMIT_PARTS_MAX, &parts) || parts < -1 ||
 	    !number_read(&fields[2], FACT_AGE_USEC_MAX, &age) ||
 	    !number_read(&fields[3], 1, &leaving) ||
-	    !number_read(&fields[4], COLD_USEC_MAX, &cold) ||
+	    !number_read(&fields[4], BACKPRESSURE_COLD_MAX_USEC, &cold) ||
 	    !sum_read(&fields[5], LIMIT_PARTS_MAX, &cold_parts) ||
 	    cold_parts < 0)
 		return false;
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -16,8 +16,6 @@
 /* No server takes so many thousandths of a request a second. */
 #define LIMIT_PARTS_MAX ((int64_t)1 << 40)
 #define FACT_AGE_USEC_MAX ((uint64_t)1 << 50)
-/* Longest that a server stays cold. */
-#define COLD_USEC_MAX ((uint64_t)600000000)
 /* Longest that an asker is told to wait. */
 #define RETRY_USEC_MAX 60000000
 #define SHARE_FIELDS 3
--- a/forward/gossip_groups.c
+++ b/forward/gossip_groups.c
@@ -1,6 +1,5 @@
 /*
- * gossip_groups.c - the groups of instances that a large data centre consists
- *of
+ * gossip_groups.c - the groups of instances of a large data centre
  *
  * DESCRIPTION
  *	A data centre of up to GROUP_MOST instances is one group and has its
@@ -43,12 +42,17 @@
 			       count);
 }
 
-bool group_within(const char *group, const char *data_centre)
+bool group_beside(const char *group, const char *other)
 {
 	size_t size = strcspn(group, "/");
 
-	return strlen(data_centre) == size &&
-	       memcmp(group, data_centre, size) == 0;
+	return strcspn(other, "/") == size && memcmp(group, other, size) == 0;
+}
+
+bool group_within(const char *group, const char *data_centre)
+{
+	return !strchr(data_centre, GROUP_MARK) &&
+	       group_beside(group, data_centre);
 }
 
 bool group_is_whole(const char *group)
@@ -104,8 +108,7 @@
 
 void groups_update(struct gossip *gossip)
 {
-	uint32_t groups =
-		groups_for(MAX(gossip->groups, 1u), instances_here(gossip));
+	uint32_t groups = groups_for(gossip->groups, instances_here(gossip));
 
 	if (groups == gossip->groups)
 		return;
--- a/forward/gossip_peers.c
+++ b/forward/gossip_peers.c
@@ -66,11 +66,12 @@
 /* The group of a peer that has not told it yet follows the number of groups. */
 static void group_guess(const struct gossip *gossip, struct peer *peer)
 {
-	g_autofree char *data_centre = NULL;
+	char data_centre[GOSSIP_GROUP_MAX];
 
 	if (peer->heard != GOSSIP_NEVER || !peer->group[0])
 		return;
-	data_centre = g_strndup(peer->group, strcspn(peer->group, "/"));
+	g_strlcpy(data_centre, peer->group, sizeof(data_centre));
+	data_centre[strcspn(data_centre, "/")] = '\0';
 	group_print(peer->group, data_centre, gossip->groups, peer->key);
 }
 
@@ -160,17 +161,14 @@
  * are told again once it is back. */
 static bool is_cut_off(const struct gossip *gossip, const struct peer *peer)
 {
-	g_autofree char *data_centre =
-		g_strndup(peer->group, strcspn(peer->group, "/"));
 	const struct centre *centre;
 	GHashTableIter iter;
 
-	if (!peer->group[0] ||
-	    group_within(peer->group, gossip->settings.data_centre))
+	if (!peer->group[0] || group_beside(peer->group, gossip->group))
 		return false;
 	g_hash_table_iter_init(&iter, gossip->centres);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
-		if (group_within(centre->name, data_centre) &&
+		if (group_beside(centre->name, peer->group) &&
 		    centre_live(gossip, centre))
 			return false;
 	return true;
@@ -200,8 +198,12 @@
 
 	g_ptr_array_set_size(gossip->near, 0);
 	g_ptr_array_set_size(gossip->far, 0);
+	gossip->live = 0;
 	g_hash_table_iter_init(&iter, gossip->peers);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer)) {
+		bool live = peer_live(gossip, peer);
+
+		gossip->live += live;
 		group_guess(gossip, peer);
 		if (!peer->group[0])
 			continue;
@@ -214,7 +216,7 @@
 		loads_take_off(gossip, peer->loads);
 		g_free(peer->word);
 		peer->word = NULL;
-		if (peer_live(gossip, peer))
+		if (live)
 			g_ptr_array_add(centre_get(gossip, peer->group)->peers,
 					peer);
 	}
@@ -265,18 +267,6 @@
 					gossip->far->pdata[i]);
 }
 
-static uint32_t live_count(const struct gossip *gossip)
-{
-	GHashTableIter iter;
-	struct peer *peer;
-	uint32_t live = 0;
-
-	g_hash_table_iter_init(&iter, gossip->peers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&peer))
-		live += peer_live(gossip, peer);
-	return live;
-}
-
 void peers_update(struct gossip *gossip)
 {
 	int64_t every = GOSSIP_USEC *
@@ -291,6 +281,5 @@
 	groups_update(gossip);
 	peers_sort(gossip);
 	receivers_choose(gossip);
-	gossip->live = live_count(gossip);
 	gossip->rank = gossip_rank_find(gossip);
 }
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -131,6 +131,8 @@
 /* Whether the group is of that data centre; whether it is all of one. */
 bool group_within(const char *group, const char *data_centre);
 bool group_is_whole(const char *group);
+/* Whether both are of one data centre. */
+bool group_beside(const char *group, const char *other);
 /* Whether the server with that key is one of the group's. */
 bool group_serves(const char *group, const char *data_centre, uint64_t key);
 /* Follows the number of instances. */
@@ -186,6 +188,7 @@
 int64_t gossip_members_stale(const struct gossip *gossip);
 /* How often others are told who lives in this group. */
 int64_t gossip_members_interval(const struct gossip *gossip);
+/* gossip_rank(), computed anew. */
 uint32_t gossip_rank_find(const struct gossip *gossip);
 /* The lowest name of this data centre. */
 void gossip_first_near(const struct gossip *gossip, bool storeless,
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -23,7 +23,7 @@
 /* A whole copy of a large list takes a small instance longer to compress, and
  * its link longer to carry. */
 #define FETCH_WHOLE_USEC (3 * USEC_PER_SEC)
-#define COPY_BYTES_MAX (32u << 20)
+#define COPY_BYTES_MAX (8u << 20)
 /* Smaller copies are sent as they are. */
 #define COMPRESS_LEAST (4u << 10)
 /* What one instance hands out in a second: a tenth of the memory of a small
@@ -206,8 +206,8 @@
 	node_permits_tick(node);
 }
 
-static bool copy_take(struct node_share *share, const void *body, size_t size,
-		      struct error *err)
+static bool copy_unpack(struct node_share *share, const void *body, size_t size,
+			struct error *err)
 {
 	g_autoptr(GByteArray) whole =
 		message_expand(body, size, COPY_BYTES_MAX, err);
@@ -227,7 +227,7 @@
 		log_event(LOG_NOTICE, "copy_not_fetched",
 			  LOG_S("peer", share->from), LOG_D("status", status),
 			  LOG_S("reason", result->text));
-	else if (!copy_take(share, body, size, &err))
+	else if (!copy_unpack(share, body, size, &err))
 		log_event(LOG_WARNING, "copy_malformed",
 			  LOG_S("peer", share->from),
 			  LOG_S("reason", err.text));
@@ -237,17 +237,18 @@
 {
 	struct node_share *share = ctx;
 	struct node *node = share->node;
-	g_autofree char *path = g_strdup_printf(SHARE_PATH "%d?from=%" PRIu64,
-						(int)(share - node->shares),
-						share_position(share->share));
-	bool whole = share_position(share->share) == 0;
+	uint64_t from = share_position(share->share);
+	int64_t limit = from > 0 ? FETCH_USEC : FETCH_WHOLE_USEC;
+	g_autofree char *path =
+		g_strdup_printf(SHARE_PATH "%d?from=%" PRIu64,
+				(int)(share - node->shares), from);
 	const struct web_call_spec spec = {
 		.address = share->from,
 		.method = "GET",
 		.path = path,
 		.connect_usec = FETCH_USEC,
-		.head_usec = whole ? FETCH_WHOLE_USEC : FETCH_USEC,
-		.idle_usec = whole ? FETCH_WHOLE_USEC : FETCH_USEC,
+		.head_usec = limit,
+		.idle_usec = limit,
 	};
 
 	share->fetch = web_fetch(node->client, &spec, COPY_BYTES_MAX,
--- a/forward/request.h
+++ b/forward/request.h
@@ -227,9 +227,9 @@
 void stream_permitted(struct request *request, struct backend *backend);
 void prefill_permitted(struct request *request, struct backend *backend);
 
-/* Of unread.c. Notes what its caller has not read yet; false when that has
- * ended the request. */
-bool request_unread_check(struct request *request);
+/* Of unread.c. Notes what its caller has not read yet, which may end it or
+ * another request. */
+void request_unread_note(struct request *request);
 void request_unread_drop(struct request *request);
 
 /* Of suspect.c: an ended_fn with the forward as context. */
--- a/forward/share.c
+++ b/forward/share.c
@@ -143,24 +143,22 @@
 {
 	const struct value *known = g_hash_table_lookup(share->values, key);
 	enum share_effect effect;
-	uint64_t changed;
-	bool changes;
+	bool is_new;
 
 	if (data && known && is_repeated(share, known, data, size))
 		return;
 	effect = share->ops.value(share->ctx, offset, key, data, size);
-	changes = effect == SHARE_CHANGED;
-	changed = changes || !known ? offset : known->changed;
-
 	if (effect == SHARE_REFUSED && (known || value_restore(share, key)))
 		return;
-	if (changed == offset || !data)
+	is_new = effect == SHARE_CHANGED || !known;
+	if (is_new || !data)
 		change_note(share, key, offset);
 	if (data)
-		value_set(share, key, data, size, changed);
+		value_set(share, key, data, size,
+			  is_new ? offset : known->changed);
 	else
 		g_hash_table_remove(share->values, key);
-	if (changes)
+	if (effect == SHARE_CHANGED)
 		share->changed = MAX(share->changed, offset + 1);
 }
 
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -76,7 +76,7 @@
 	request->last_at = request_now(request);
 	web_reply_piece(request->web, cutter->rest->data, whole);
 	event_cutter_take(cutter, whole);
-	(void)request_unread_check(request);
+	request_unread_note(request);
 }
 
 /* Who read the prompt for this run; NULL when nobody did or it has left. */
--- a/forward/unread.c
+++ b/forward/unread.c
@@ -47,21 +47,22 @@
 	request_break(request, "its caller reads too slowly");
 }
 
-bool request_unread_check(struct request *request)
+void request_unread_note(struct request *request)
 {
 	struct forward *forward = request->forward;
-	struct request *slowest = NULL;
+	struct request *slowest;
 
 	unread_set(request, web_reply_queued(request->web));
-	if (request->unread > UNREAD_MAX)
-		slowest = request;
-	else if (forward->unread > UNREAD_ALL_MAX)
-		slowest = slowest_find(forward);
-	if (!slowest ||
-	    (slowest != request && forward->unread <= UNREAD_ALL_MAX))
-		return true;
-	cut_off(slowest);
-	return slowest != request;
+	if (request->unread > UNREAD_MAX) {
+		cut_off(request);
+		return;
+	}
+	if (forward->unread <= UNREAD_ALL_MAX)
+		return;
+	/* It also brings up to date what is noted of the others. */
+	slowest = slowest_find(forward);
+	if (slowest && forward->unread > UNREAD_ALL_MAX)
+		cut_off(slowest);
 }
 
 void request_unread_drop(struct request *request)
--- a/include/coord/backpressure.h
+++ b/include/coord/backpressure.h
@@ -40,6 +40,8 @@
 
 #define BACKPRESSURE_SETTLE_USEC 250000
 #define BACKPRESSURE_SERVERS_MAX 4096u
+/* Longest that a server is taken for cold by what it says once. */
+#define BACKPRESSURE_COLD_MAX_USEC INT64_C(600000000)
 /* The limit of a server that names none. */
 #define BACKPRESSURE_UNLIMITED (-1.0)
 
--- a/include/platform/signals.h
+++ b/include/platform/signals.h
@@ -14,7 +14,6 @@
 #include "web/server.h"
 
 #define SIGNALS_BACKOFF_MAX_USEC INT64_C(300000000)
-#define SIGNALS_COLD_MAX_USEC INT64_C(600000000)
 
 struct signals_answer {
 	int status;
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -629,7 +629,7 @@
 	signals_read(200, "cold-ms", "soon", &signals);
 	g_assert_cmpint(signals.cold_usec, ==, 0);
 	signals_read(200, "cold-ms", "999999999999", &signals);
-	g_assert_cmpint(signals.cold_usec, ==, SIGNALS_COLD_MAX_USEC);
+	g_assert_cmpint(signals.cold_usec, ==, BACKPRESSURE_COLD_MAX_USEC);
 }
 
 static void test_leaving(void)
