--- a/tests/forward/test_evacuation.c
+++ b/tests/forward/test_evacuation.c
@@ -1,50 +1,7 @@
 /* Nothing new goes to the servers of an evacuated data centre. */
 #include <glib.h>
-#include <string.h>
 
-#include "common/clock.h"
-#include "forward/fleet.h"
-#include "forward/place.h"
-
-#define SERVICE 1u
-
-struct site {
-	struct clock *clock;
-	struct fleet *fleet;
-	struct place place;
-};
-
-static struct backend *server_add(struct site *site, const char *id,
-				  enum backend_stage stage, const char *centre)
-{
-	struct backend_info info = {
-		.service = SERVICE, .stage = stage, .slots = 4};
-
-	g_strlcpy(info.id, id, sizeof(info.id));
-	g_strlcpy(info.address, "127.0.0.1:1", sizeof(info.address));
-	g_strlcpy(info.data_centre, centre, sizeof(info.data_centre));
-	return fleet_put(site->fleet, &info);
-}
-
-static void site_open(struct site *site)
-{
-	site->clock = clock_create(0);
-	clock_advance(site->clock, 100 * USEC_PER_SEC);
-	site->fleet = fleet_create(site->clock, "here");
-	site->place = (struct place){
-		.fleet = site->fleet,
-		.now = clock_now(site->clock),
-		.service = SERVICE,
-		.rand = g_rand_new_with_seed(3),
-	};
-}
-
-static void site_close(struct site *site)
-{
-	fleet_destroy(site->fleet);
-	clock_destroy(site->clock);
-	g_rand_free(site->place.rand);
-}
+#include "place_site.h"
 
 static void test_plain(void)
 {
@@ -53,8 +10,8 @@
 	struct backend *far;
 
 	site_open(&site);
-	near = server_add(&site, "near", STAGE_NONE, "here");
-	far = server_add(&site, "far", STAGE_NONE, "there");
+	near = site_add(&site, "near", STAGE_NONE, "here");
+	far = site_add(&site, "far", STAGE_NONE, "there");
 	g_assert_true(fleet_evacuate(site.fleet, "here", true));
 	g_assert_false(fleet_evacuate(site.fleet, "here", true));
 	g_assert_true(place_plain(&site.place) == far);
@@ -62,7 +19,7 @@
 	g_assert_cmpint(backend_available_at(near, site.place.now), ==, -1);
 	g_assert_true(fleet_evacuate(site.fleet, "there", true));
 	g_assert_null(place_plain(&site.place));
-	g_assert_false(fleet_reaches(site.fleet, SERVICE));
+	g_assert_false(fleet_reaches(site.fleet, SITE_SERVICE));
 	g_assert_true(fleet_evacuate(site.fleet, "here", false));
 	g_assert_false(fleet_evacuate(site.fleet, "here", false));
 	g_assert_true(place_plain(&site.place) == near);
@@ -78,10 +35,10 @@
 	struct backend *p2;
 
 	site_open(&site);
-	server_add(&site, "d1", STAGE_DECODE, "here");
-	server_add(&site, "p1", STAGE_PREFILL, "here");
-	d2 = server_add(&site, "d2", STAGE_DECODE, "there");
-	p2 = server_add(&site, "p2", STAGE_PREFILL, "there");
+	site_add(&site, "d1", STAGE_DECODE, "here");
+	site_add(&site, "p1", STAGE_PREFILL, "here");
+	d2 = site_add(&site, "d2", STAGE_DECODE, "there");
+	p2 = site_add(&site, "p2", STAGE_PREFILL, "there");
 	g_assert_cmpfloat(place_decode_places(&site.place, &engine, 500), ==,
 			  4.0);
 	fleet_evacuate(site.fleet, "here", true);
@@ -100,12 +57,12 @@
 
 	site_open(&site);
 	fleet_evacuate(site.fleet, "there", true);
-	server = server_add(&site, "s", STAGE_NONE, "there");
+	server = site_add(&site, "s", STAGE_NONE, "there");
 	g_assert_true(backend_withdrawn(server));
 	g_assert_false(backend_leaving(server));
-	server = server_add(&site, "s", STAGE_NONE, "here");
+	server = site_add(&site, "s", STAGE_NONE, "here");
 	g_assert_false(backend_withdrawn(server));
-	server = server_add(&site, "s", STAGE_NONE, "there");
+	server = site_add(&site, "s", STAGE_NONE, "there");
 	g_assert_true(backend_withdrawn(server));
 	site_close(&site);
 }
@@ -118,8 +75,8 @@
 	struct backend *two;
 
 	site_open(&site);
-	one = server_add(&site, "one", STAGE_NONE, "here");
-	two = server_add(&site, "two", STAGE_NONE, "there");
+	one = site_add(&site, "one", STAGE_NONE, "here");
+	two = site_add(&site, "two", STAGE_NONE, "there");
 	fleet_evacuate(site.fleet, "here", true);
 	fleet_evacuate(site.fleet, "there", true);
 	fleet_evacuations_begin(site.fleet);
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -11,6 +11,7 @@
 #include "forward/fleet.h"
 #include "forward/place.h"
 #include "forward/roles.h"
+#include "place_site.h"
 
 #define SECOND USEC_PER_SEC
 
@@ -210,49 +211,6 @@
 
 /* ---- fleet and placing ---- */
 
-struct site {
-	struct clock *clock;
-	struct fleet *fleet;
-	struct place place;
-};
-
-static struct backend *site_add(struct site *site, const char *id,
-				enum backend_stage stage, const char *centre)
-{
-	struct backend_info info = {.service = 1, .stage = stage, .slots = 4};
-
-	g_strlcpy(info.id, id, sizeof(info.id));
-	g_strlcpy(info.address, "127.0.0.1:1", sizeof(info.address));
-	g_strlcpy(info.data_centre, centre, sizeof(info.data_centre));
-	return fleet_put(site->fleet, &info);
-}
-
-static void site_open(struct site *site)
-{
-	site->clock = clock_create(0);
-	clock_advance(site->clock, 100 * SECOND);
-	site->fleet = fleet_create(site->clock, "here");
-	site->place = (struct place){
-		.fleet = site->fleet,
-		.now = clock_now(site->clock),
-		.service = 1,
-		.rand = g_rand_new_with_seed(3),
-	};
-}
-
-static void site_close(struct site *site)
-{
-	fleet_destroy(site->fleet);
-	clock_destroy(site->clock);
-	g_rand_free(site->place.rand);
-}
-
-static void site_wait(struct site *site, int64_t usec)
-{
-	clock_advance(site->clock, clock_now(site->clock) + usec);
-	site->place.now = clock_now(site->clock);
-}
-
 static void test_place_plain(void)
 {
 	struct site site;
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -162,6 +162,19 @@
 	clock_advance(clock, clock_now(clock) + msec * USEC_PER_MSEC);
 }
 
+/* The first has read one value, the second nothing yet. */
+static struct clock *pair_read(struct copy *first, struct copy *second,
+			       const char *value, uint64_t next)
+{
+	struct clock *clock = clock_create(0);
+
+	pair_open(first, second, clock);
+	wait_msec(clock, 200);
+	tick(first, 0);
+	store_answer(first, "a", value, next);
+	return clock;
+}
+
 static guint valued; /* values that were handed over */
 
 static enum share_effect on_counted(void *ctx, uint64_t offset, const char *key,
@@ -215,15 +228,12 @@
 /* What a peer fetches grows with what has changed, not with what there is. */
 static void test_few_changes(void)
 {
-	struct clock *clock = clock_create(0);
+	struct clock *clock;
 	g_autoptr(GByteArray) out = g_byte_array_new();
 	struct copy first;
 	struct copy second;
 
-	pair_open(&first, &second, clock);
-	wait_msec(clock, 200);
-	tick(&first, 0);
-	store_answer(&first, "k0", "v", 1);
+	clock = pair_read(&first, &second, "v", 1);
 	for (int i = 1; i < 3000; i++) {
 		g_autofree char *key = g_strdup_printf("k%d", i);
 
@@ -253,14 +263,11 @@
 /* Who is further behind than changes are remembered gets the whole copy. */
 static void test_many_changes(void)
 {
-	struct clock *clock = clock_create(0);
+	struct clock *clock;
 	struct copy first;
 	struct copy second;
 
-	pair_open(&first, &second, clock);
-	wait_msec(clock, 200);
-	tick(&first, 0);
-	store_answer(&first, "a", "0", 1);
+	clock = pair_read(&first, &second, "0", 1);
 	fetch(&second, &first);
 	for (int i = 1; i < 6000; i++) {
 		g_autofree char *value = g_strdup_printf("%d", i);
@@ -282,15 +289,12 @@
  * but not for ever. */
 static void test_offered(void)
 {
-	struct clock *clock = clock_create(0);
+	struct clock *clock;
 	struct copy first;
 	struct copy second;
 	int waited = 0;
 
-	pair_open(&first, &second, clock);
-	wait_msec(clock, 200);
-	tick(&first, 0);
-	store_answer(&first, "a", "1", 10);
+	clock = pair_read(&first, &second, "1", 10);
 	while (second.calls == 0 && waited < 20000) {
 		if (hear(&second, &first))
 			share_offered(second.share);
