forward: a broken entry makes no server cold for longer than ten minutes

Entries were bounded by a thousand million seconds, answers by ten minutes; the longest that was said holds. backend_set_cold() bounds both. The test failed before.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -672,7 +672,7 @@
 
 bool backend_set_cold(struct backend *backend, int64_t now, int64_t left_usec)
 {
-	int64_t until = now + left_usec;
+	int64_t until = now + MIN(left_usec, BACKPRESSURE_COLD_MAX_USEC);
 	bool news = until > MAX(backend->cold_until, now) + COLD_NEWS_USEC;
 
 	if (news)
--- a/tests/forward/test_parts.c
+++ b/tests/forward/test_parts.c
@@ -491,6 +491,27 @@
 	site_close(&site);
 }
 
+/* Whoever writes broken entries makes no server cold for ever. */
+static void test_cold(void)
+{
+	struct site site;
+	struct backend *one;
+
+	site_open(&site);
+	one = site_add(&site, "one", STAGE_NONE, "here");
+	g_assert_false(backend_set_cold(one, site.place.now, 0));
+	g_assert_false(backend_cold(one, site.place.now));
+	g_assert_true(backend_set_cold(one, site.place.now, 3 * SECOND));
+	g_assert_false(backend_set_cold(one, site.place.now, 3 * SECOND));
+	g_assert_true(backend_cold(one, site.place.now));
+	site_wait(&site, 3 * SECOND);
+	g_assert_false(backend_cold(one, site.place.now));
+	g_assert_true(backend_set_cold(one, site.place.now, INT64_C(1) << 50));
+	site_wait(&site, BACKPRESSURE_COLD_MAX_USEC);
+	g_assert_false(backend_cold(one, site.place.now));
+	site_close(&site);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -511,5 +532,6 @@
 	g_test_add_func("/forward/fleet/changing", test_changing);
 	g_test_add_func("/forward/fleet/trial", test_trial);
 	g_test_add_func("/forward/fleet/refusals", test_refusals);
+	g_test_add_func("/forward/fleet/cold", test_cold);
 	return g_test_run();
 }
