forward: a line tells when an instance begins to read the store for others, and why

Of the hypotheses on a late configuration the first needs rank, refused peers and age of the copy at the moment of a read; no line had them. One line when an instance begins, none while it goes on. What an instance's place is, is now computed by gossip_place(), so that a world of instances without a process can ask for it too; no change of logic.

--- a/forward/feed.c
+++ b/forward/feed.c
@@ -209,10 +209,12 @@
 				 call);
 }
 
-void feed_poll(struct feed *feed)
+bool feed_poll(struct feed *feed)
 {
-	if (!feed->call && !timer_running(&feed->timer))
-		feed_next(feed);
+	if (feed->call || timer_running(&feed->timer))
+		return false;
+	feed_next(feed);
+	return true;
 }
 
 static void call_abandon(struct feed *feed)
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -137,7 +137,8 @@
 	return false;
 }
 
-uint32_t gossip_storeless(const struct gossip *gossip, int64_t usec)
+/* Live near peers that the store does not answer and whose copies are old. */
+static uint32_t storeless_count(const struct gossip *gossip, int64_t usec)
 {
 	uint32_t count = 0;
 
@@ -175,6 +176,17 @@
 	return gossip->rank;
 }
 
+void gossip_place(const struct gossip *gossip, struct share_place *place)
+{
+	*place = (struct share_place){
+		.rank = gossip->rank,
+		.storeless = storeless_count(gossip, SHARE_PATIENCE_USEC),
+		.delay_usec = gossip_grouped(gossip)
+				      ? gossip_interval(gossip, false)
+				      : 0,
+	};
+}
+
 static int first_compare(const struct gossip_first *a,
 			 const struct gossip_first *b)
 {
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -190,16 +190,10 @@
 static void on_tick(struct timer *timer, void *ctx)
 {
 	struct node *node = ctx;
-	const struct share_place place = {
-		.rank = gossip_rank(node->gossip),
-		.storeless =
-			gossip_storeless(node->gossip, SHARE_PATIENCE_USEC),
-		.delay_usec = gossip_grouped(node->gossip)
-				      ? gossip_interval(node->gossip, false)
-				      : 0,
-	};
+	struct share_place place;
 
 	timer_start(timer, TICK_USEC);
+	gossip_place(node->gossip, &place);
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_tick(node->shares[i].share, &place);
 	node_works_tick(node);
--- a/forward/share.c
+++ b/forward/share.c
@@ -36,6 +36,8 @@
 /* A busy store that hands out a long list page by page fails some pages: with
  * as many turns as instances, 300 that started at once served after 30 s. */
 #define TURNS_WITHOUT_COPY 4u
+/* Reads no further apart are those of one reader. */
+#define READ_PAUSE_USEC (1 * USEC_PER_SEC)
 #define FIELDS 6
 #define VALUE_FIELDS 3
 /* Changes that are remembered, for peers that are not far behind; to others the
@@ -46,6 +48,7 @@
 	struct clock *clock;
 	int64_t began;	 /* or the peers were listed */
 	int64_t offered; /* when a peer told of a copy last */
+	int64_t read;	 /* when this instance read the store last; 0: never */
 	bool listed;
 	struct feed *feed;
 	struct feed_settings settings;
@@ -282,6 +285,23 @@
 	       now - share->began < OFFERS_USEC;
 }
 
+/* Once, when this instance begins to read for others. */
+static void read_log(struct share *share, const struct share_place *place,
+		     int64_t fresh, int64_t patience)
+{
+	int64_t now = clock_now(share->clock);
+	bool goes_on = share->read > 0 && now - share->read < READ_PAUSE_USEC;
+
+	share->read = now;
+	if (!goes_on)
+		log_event(LOG_INFO, "store_read_begun",
+			  LOG_S("stream", share->settings.stream),
+			  LOG_D("rank", place->rank),
+			  LOG_D("storeless", place->storeless),
+			  LOG_D("age_ms", (now - fresh) / USEC_PER_MSEC),
+			  LOG_D("patience_ms", patience / USEC_PER_MSEC));
+}
+
 void share_tick(struct share *share, const struct share_place *place)
 {
 	int64_t fresh = feed_fresh(share->feed);
@@ -301,8 +321,9 @@
 		patience += SHARE_PATIENCE_USEC;
 		patience += rank > 0 ? place->delay_usec : 0;
 	}
-	if (clock_now(share->clock) - fresh >= patience && !is_coming(share))
-		feed_poll(share->feed);
+	if (clock_now(share->clock) - fresh >= patience && !is_coming(share) &&
+	    feed_poll(share->feed))
+		read_log(share, place, fresh, patience);
 }
 
 void share_hurry(struct share *share)
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -75,8 +75,8 @@
 /* An answer that is still due is dropped when it comes. */
 void feed_destroy(struct feed *feed);
 /* Reads what has come since, unless a read is under way or a failed one is to
- * be repeated soon. */
-void feed_poll(struct feed *feed);
+ * be repeated soon; returns whether it does. */
+bool feed_poll(struct feed *feed);
 /* Reads anew at once instead of waiting for an answer that may have been lost.
  */
 void feed_hurry(struct feed *feed);
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -237,9 +237,8 @@
  * peers of the same data centre whose names come before this one's, and one
  * more when another live data centre comes before this one. */
 uint32_t gossip_rank(const struct gossip *gossip);
-/* Live peers of the same data centre that the store does not answer and that
- * have not heard either what it holds, for so long. */
-uint32_t gossip_storeless(const struct gossip *gossip, int64_t usec);
+/* Where this instance stands among those that may read the store for others. */
+void gossip_place(const struct gossip *gossip, struct share_place *place);
 /* Whether this instance has the lowest name of those live, itself included;
  * instances that reach the store come before those that do not, as storeless
  * says of this one. */
