tests: instances that the store answers wait for those that it refuses (fails)

World of 30 connected instances with real gossip on a paused clock; the store refuses the first 24 by name.

--- /dev/null
+++ b/tests/forward/copies_world.c
@@ -0,0 +1,279 @@
+#include "copies_world.h"
+
+#include <string.h>
+
+#define STEP_MSEC 50
+#define TICK_MSEC 100
+#define WAIT_USEC (500 * USEC_PER_MSEC)
+#define FETCH_USEC (100 * USEC_PER_MSEC)
+
+static int64_t now_of(const struct copies *copies)
+{
+	return clock_now(copies->site->clock);
+}
+
+static void call_begin(struct copy_share *own, uint64_t from, int64_t wait,
+		       bool snapshot, feed_page_fn fn, void *ctx)
+{
+	struct copies *copies = own->copies;
+
+	copies->calls++;
+	own->call = (struct copy_call){
+		.fn = fn,
+		.ctx = ctx,
+		.from = from,
+		.due = now_of(copies) + MAX(wait, copies->answer_usec),
+		.snapshot = snapshot,
+	};
+}
+
+static void on_snapshot(void *ctx, const char *stream, const char *after,
+			feed_page_fn fn, void *fn_ctx)
+{
+	call_begin(ctx, 0, 0, true, fn, fn_ctx);
+}
+
+static void on_read(void *ctx, const char *stream, uint64_t from,
+		    int64_t wait_usec, feed_page_fn fn, void *fn_ctx)
+{
+	call_begin(ctx, from, wait_usec, false, fn, fn_ctx);
+}
+
+static void call_answer(struct copy_share *own)
+{
+	const struct copies *copies = own->copies;
+	struct copy_call call = own->call;
+	struct feed_record record = {
+		.offset = copies->next - 1,
+		.key = "k",
+		.value = &copies->next,
+		.size = sizeof(copies->next),
+	};
+	const struct feed_page page = {
+		.records = &record,
+		.count = call.snapshot || call.from < copies->next,
+		.next = copies->next,
+		.end = copies->next,
+	};
+
+	own->call.fn = NULL;
+	call.fn(call.ctx, RESULT_OK, &page);
+}
+
+static void call_refuse(struct copy_share *own)
+{
+	struct copy_call call = own->call;
+
+	own->copies->refusals++;
+	own->call.fn = NULL;
+	call.fn(call.ctx, RESULT_LOG_DOWN, NULL);
+}
+
+static void call_turn(struct copy_share *own)
+{
+	const struct copies *copies = own->copies;
+	const struct copy_call *call = &own->call;
+	bool news = call->snapshot || call->from < copies->next;
+
+	if (!call->fn)
+		return;
+	if (copies->refused[own->owner])
+		call_refuse(own);
+	else if (now_of(copies) >= call->due ||
+		 (news && copies->answer_usec == 0))
+		call_answer(own);
+}
+
+static enum share_effect on_value(void *ctx, uint64_t offset, const char *key,
+				  const void *data, size_t size)
+{
+	struct copy_share *own = ctx;
+	uint64_t version;
+
+	g_assert_cmpuint(size, ==, sizeof(version));
+	memcpy(&version, data, size);
+	if (version <= own->version)
+		return version == own->version ? SHARE_SAME : SHARE_REFUSED;
+	own->version = version;
+	return SHARE_CHANGED;
+}
+
+static void word_add(void *ctx, const struct instance *instance,
+		     struct gossip_word *word)
+{
+	struct copies *copies = ctx;
+	uint32_t i = (uint32_t)(instance - copies->site->instances);
+
+	for (int k = 0; k < COPY_STREAMS; k++) {
+		const struct share *share = copies->shares[i][k].share;
+
+		share_word(share, &word->shares[k]);
+		word->storeless = word->storeless || share_failing(share);
+	}
+}
+
+static uint32_t instance_at(const struct copies *copies, const char *address)
+{
+	for (uint32_t i = 0; i < copies->site->count; i++)
+		if (strcmp(copies->site->instances[i].address, address) == 0)
+			return i;
+	g_assert_not_reached();
+}
+
+static void on_heard(void *ctx, const struct instance *instance,
+		     const char *address, const struct gossip_word *word)
+{
+	struct copies *copies = ctx;
+	uint32_t i = (uint32_t)(instance - copies->site->instances);
+
+	for (int k = 0; k < COPY_STREAMS; k++) {
+		struct copy_share *own = &copies->shares[i][k];
+
+		if (!share_hear(own->share, &word->shares[k]))
+			continue;
+		share_offered(own->share);
+		if (own->fetch_at != 0)
+			continue;
+		own->fetch_at = now_of(copies) + FETCH_USEC;
+		own->fetch_from = instance_at(copies, address);
+	}
+}
+
+bool copies_has(const struct copies *copies, uint32_t i)
+{
+	const struct instance *instance = &copies->site->instances[i];
+
+	return instance->gossip && instance->centre < copies->centres;
+}
+
+static void fetch_turn(struct copy_share *own)
+{
+	struct copies *copies = own->copies;
+	const struct copy_share *from =
+		&copies->shares[own->fetch_from][own->stream];
+	g_autoptr(GByteArray) out = NULL;
+	struct error err;
+
+	if (own->fetch_at == 0 || now_of(copies) < own->fetch_at)
+		return;
+	own->fetch_at = 0;
+	if (!copies_has(copies, own->fetch_from))
+		return;
+	out = g_byte_array_new();
+	share_pack(from->share, share_position(own->share), out);
+	g_assert_true(share_unpack(own->share, out->data, out->len, &err));
+}
+
+static void instance_turn(struct copies *copies, uint32_t i)
+{
+	int64_t step = now_of(copies) / (STEP_MSEC * USEC_PER_MSEC);
+	bool ticks = (step + i) % (TICK_MSEC / STEP_MSEC) == 0;
+	struct share_place place;
+
+	gossip_place(copies->site->instances[i].gossip, &place);
+	for (int k = 0; k < COPY_STREAMS; k++) {
+		struct copy_share *own = &copies->shares[i][k];
+
+		call_turn(own);
+		fetch_turn(own);
+		if (ticks)
+			share_tick(own->share, &place);
+	}
+}
+
+void copies_run(struct copies *copies, int64_t msec)
+{
+	for (int64_t at = 0; at < msec; at += STEP_MSEC) {
+		turn(copies->site, STEP_MSEC);
+		for (uint32_t i = 0; i < copies->site->count; i++)
+			if (copies_has(copies, i))
+				instance_turn(copies, i);
+	}
+}
+
+void copies_publish(struct copies *copies)
+{
+	copies->next++;
+	copies->published = now_of(copies);
+}
+
+uint32_t copies_late(const struct copies *copies)
+{
+	uint32_t late = 0;
+
+	for (uint32_t i = 0; i < copies->site->count; i++)
+		late += copies_has(copies, i) &&
+			copies->shares[i][0].version != copies->next;
+	return late;
+}
+
+int64_t copies_spread(struct copies *copies, int64_t most)
+{
+	int64_t waited = 0;
+
+	copies_publish(copies);
+	while (waited < most && copies_late(copies) > 0) {
+		copies_run(copies, STEP_MSEC);
+		waited += STEP_MSEC;
+	}
+	return waited;
+}
+
+static void shares_open(struct copies *copies, uint32_t i)
+{
+	static const struct share_ops ops = {NULL, NULL, on_value, NULL};
+	static const struct feed_settings settings[COPY_STREAMS] = {
+		{.stream = "configuration", .wait_usec = WAIT_USEC},
+		{.stream = "list"},
+	};
+
+	for (uint32_t k = 0; k < COPY_STREAMS; k++) {
+		struct copy_share *own = &copies->shares[i][k];
+		const struct feed_store store = {on_snapshot, on_read, own};
+
+		own->copies = copies;
+		own->owner = i;
+		own->stream = k;
+		own->share = share_create(copies->site->clock, &store,
+					  &settings[k], &ops, own);
+		share_start(own->share, i);
+	}
+}
+
+struct copies *copies_open(uint32_t count, uint32_t connected)
+{
+	struct copies *copies = g_new0(struct copies, 1);
+
+	copies->site = site_open(count);
+	copies->centres = CENTRES;
+	copies->next = 1;
+	for (uint32_t i = 0; i < count; i++)
+		shares_open(copies, i);
+	copies->site->word = word_add;
+	copies->site->heard = on_heard;
+	copies->site->story = copies;
+	copies_run(copies, 6000);
+	g_assert_cmpuint(copies_late(copies), ==, 0);
+	for (uint32_t i = connected; i < CENTRES; i++)
+		copies->site->still[i] = true;
+	copies->centres = connected;
+	copies_run(copies, 4000);
+	copies->calls = 0;
+	copies->refusals = 0;
+	return copies;
+}
+
+void copies_close(struct copies *copies)
+{
+	for (uint32_t i = 0; i < copies->site->count; i++)
+		for (int k = 0; k < COPY_STREAMS; k++) {
+			struct copy_share *own = &copies->shares[i][k];
+
+			/* Calls outlive their share. */
+			share_destroy(own->share);
+			if (own->call.fn)
+				call_refuse(own);
+		}
+	site_close(copies->site);
+	g_free(copies);
+}
--- a/tests/forward/gossip_world.c
+++ b/tests/forward/gossip_world.c
@@ -6,12 +6,21 @@
 
 static void word(void *ctx, struct gossip_word *out)
 {
+	const struct instance *instance = ctx;
+
 	*out = (struct gossip_word){.version = 1, .demand = 100, .waiting = 1};
+	if (instance->site->word)
+		instance->site->word(instance->site->story, instance, out);
 }
 
 static void heard(void *ctx, const char *address, bool near,
 		  const struct gossip_word *from)
 {
+	const struct instance *instance = ctx;
+
+	if (instance->site->heard)
+		instance->site->heard(instance->site->story, instance, address,
+				      from);
 }
 
 static bool reads(void *ctx)
--- /dev/null
+++ b/tests/forward/test_copies.c
@@ -0,0 +1,48 @@
+/* How soon all instances have what the store holds, while it refuses many. */
+#include <glib.h>
+
+#include "copies_world.h"
+
+/* A change is to be followed within two seconds everywhere. */
+#define FOLLOWED_MSEC 2000
+#define MOST_MSEC 20000
+
+/* The store refuses all but the last so many of the first data centre. */
+static void refuse_all_but_last(struct copies *copies, uint32_t answered)
+{
+	uint32_t left = answered;
+
+	for (uint32_t i = copies->site->count; i-- > 0;) {
+		copies->refused[i] = left == 0;
+		left -= left > 0 && copies_has(copies, i);
+	}
+}
+
+static void spread_check(struct copies *copies)
+{
+	int64_t took = copies_spread(copies, MOST_MSEC);
+
+	g_test_message("in force everywhere after %d ms", (int)took);
+	g_assert_cmpint(took, <=, FOLLOWED_MSEC);
+}
+
+/* The instances that the store answers come last by name. */
+static void test_answered_wait_for_refused(void)
+{
+	struct copies *copies = copies_open(150, 1);
+
+	refuse_all_but_last(copies, 6);
+	for (int i = 0; i < 8; i++) {
+		copies_run(copies, 1500 + 170 * i);
+		spread_check(copies);
+	}
+	copies_close(copies);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/copies/answered-wait-for-refused",
+			test_answered_wait_for_refused);
+	return g_test_run();
+}
