soak: what servers ask for is set without turning the loop inside a callback

Cause: on_ask(), a timer, made site_call(), which turns the loop until the answer is there. The clock fires timers from loop_enter(), which busy_begin() calls, so the loop was turned inside on_head() of a call; the connection was dispatched again in there, with an error, the call ended, and the outer on_head() went on with it. The web client is not at fault: nothing of the product turns the loop in a callback.

--- a/tests/soak/asks.c
+++ b/tests/soak/asks.c
@@ -15,7 +15,7 @@
 	g_autofree char *body = g_strdup_printf(
 		"{\"server\":\"%s\",\"per_s\":%.1f}", server, limit);
 
-	site_call(soak, "POST", "/site/limit", body, NULL);
+	site_tell(soak, "/site/limit", body);
 }
 
 static void backoff_set(struct soak *soak, const char *server, double sec)
@@ -23,14 +23,14 @@
 	g_autofree char *body = g_strdup_printf(
 		"{\"server\":\"%s\",\"sec\":%.2f}", server, sec);
 
-	site_call(soak, "POST", "/site/backoff", body, NULL);
+	site_tell(soak, "/site/backoff", body);
 }
 
 static void leaving_set(struct soak *soak, const char *server)
 {
 	g_autofree char *body = g_strdup_printf("{\"server\":\"%s\"}", server);
 
-	site_call(soak, "POST", "/site/leaving", body, NULL);
+	site_tell(soak, "/site/leaving", body);
 }
 
 /* Begins a new life, which asks for nothing. */
@@ -39,7 +39,7 @@
 	g_autofree char *body = g_strdup_printf(
 		"{\"server\":\"%s\",\"state\":\"again\"}", server);
 
-	site_call(soak, "POST", "/site/state", body, NULL);
+	site_tell(soak, "/site/state", body);
 }
 
 static void on_ask(struct timer *timer, void *ctx)
@@ -79,11 +79,13 @@
 
 void asks_heal(struct soak *soak)
 {
+	site_tell_end(soak);
 	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++) {
 		limit_set(soak, servers[i], -1.0);
 		backoff_set(soak, servers[i], 0.0);
 		start_again(soak, servers[i]);
 	}
+	site_tell_end(soak);
 }
 
 static int64_t broken(struct soak *soak)
@@ -103,6 +105,7 @@
 	limit_set(soak, "s2", 6.0);
 	limit_set(soak, "d1", 2.0);
 	leaving_set(soak, "p1");
+	site_tell_end(soak);
 	soak->end_at = clock_now(soak->clock) + CONTACT_USEC + CALM_USEC;
 	timer_start(&soak->call_timer, 0);
 	soak_turn(soak, CONTACT_USEC);
--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -103,6 +103,34 @@
 		*answer = json_object();
 }
 
+static void on_told(void *ctx, const struct web_result *result, int status,
+		    const void *body, size_t size)
+{
+	struct soak *soak = ctx;
+
+	soak->telling--;
+}
+
+void site_tell(struct soak *soak, const char *path, const char *body)
+{
+	const struct web_call_spec spec = {
+		.address = soak->site_address,
+		.method = "POST",
+		.path = path,
+		.body = body,
+		.body_size = strlen(body),
+	};
+
+	soak->telling++;
+	web_fetch(soak->client, &spec, 1 << 16, on_told, soak);
+}
+
+void site_tell_end(struct soak *soak)
+{
+	while (soak->telling > 0)
+		soak_turn(soak, USEC_PER_MSEC);
+}
+
 int64_t site_call(struct soak *soak, const char *method, const char *path,
 		  const char *body, const char *name)
 {
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -61,10 +61,14 @@
 {
 	struct timer end;
 
+	/* A callback may be using what a turn within it would free. */
+	g_assert_false(soak->turning);
+	soak->turning = true;
 	timer_init(&end, soak->clock, on_turn_end, soak);
 	timer_start(&end, usec);
 	loop_run(soak->loop);
 	timer_stop(&end);
+	soak->turning = false;
 }
 
 /* Every instance serves every kind again, with the version that came last. */
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -100,6 +100,8 @@
 	bool asking;
 	GRand *asks;
 	struct timer ask_timer;
+	uint32_t telling; /* calls of site_tell() not answered yet */
+	bool turning;	  /* the loop runs */
 };
 
 /* process.c */
@@ -126,7 +128,13 @@
 /* Fails the run when a promise was broken. */
 void calls_check(struct soak *soak);
 void soak_fail(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
-/* A call to the site's control; the answer's number of that name, or -1. */
+/* Tells the site's control, without waiting for its answer: also from a timer.
+ */
+void site_tell(struct soak *soak, const char *path, const char *body);
+/* Until all that was told is answered. */
+void site_tell_end(struct soak *soak);
+/* A call to the site's control; the answer's number of that name, or -1. It
+ * turns the loop, so no callback of the loop may make it. */
 int64_t site_call(struct soak *soak, const char *method, const char *path,
 		  const char *body, const char *name);
 void soak_turn(struct soak *soak, int64_t usec);
