forward: an instance that the store answers waits for none that it refuses

Cause: an instance's patience before it reads the store grew by 300 ms for each live peer with a lower name, once two or more near were refused. So those that the store answers waited for those that it does not: 3.4 s between two reads of the only one that was known to be answered, and 7.1 s in a world of 30 of which the last six by name are answered.

Instances that the store refuses now come last in the order of readers, also between data centres; turns are waited for only between reads that failed while the copy was old, spread by chance, so each instance asks once within 1.6 s of its copy being old, also one that was refused earlier. Who is refused and has copies from a peer asks again each 5 s (0.8 s before), which keeps the flag true.

Ruled out: lost answers (refusals come within 5 ms), copies that look younger than they are (instances do read at that time).

--- a/forward/feed.c
+++ b/forward/feed.c
@@ -29,7 +29,7 @@
 	bool has_snapshot;
 	bool started_snapshot;
 	uint32_t failures;
-	int64_t pause; /* least, after a failure */
+	int64_t failed; /* when the last read failed */
 	int64_t fresh;
 	int64_t asked; /* when the read, or a snapshot's first page, was sent */
 };
@@ -68,16 +68,22 @@
 	g_free(feed);
 }
 
-static void feed_failed(struct feed *feed)
+int64_t feed_backoff(const struct feed *feed)
 {
-	uint32_t doubled = MIN(feed->failures, 3u);
-	int64_t pause = MIN(RETRY_USEC << doubled, RETRY_MAX_USEC);
+	uint32_t doubled = MIN(MAX(feed->failures, 1u) - 1, 3u);
+
+	return MIN(RETRY_USEC << doubled, RETRY_MAX_USEC);
+}
 
+static void feed_failed(struct feed *feed)
+{
+	feed->failed = clock_now(feed->clock);
 	if (feed->failures++ == 0)
 		log_event(LOG_WARNING, "stream_lost",
 			  LOG_S("stream", feed->settings.stream),
 			  LOG_D("position", feed->next));
-	timer_start(&feed->timer, MAX(pause, feed->pause));
+	if (!feed->settings.on_demand)
+		timer_start(&feed->timer, feed_backoff(feed));
 }
 
 static void feed_succeeded(struct feed *feed)
@@ -230,9 +236,9 @@
 	feed_next(feed);
 }
 
-void feed_set_pause(struct feed *feed, int64_t usec)
+int64_t feed_failed_at(const struct feed *feed)
 {
-	feed->pause = usec;
+	return feed->failed;
 }
 
 bool feed_failing(const struct feed *feed)
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -73,6 +73,7 @@
 	uint32_t live;		  /* peers, as of then */
 	uint32_t centres_live;	  /* other groups, likewise */
 	uint32_t rank;		  /* gossip_rank(), likewise */
+	bool storeless;		  /* of the own word, as told last */
 	GPtrArray *near;	  /* struct peer of the same group */
 	GPtrArray *far;		  /* struct peer of others */
 	GPtrArray *receivers;	  /* those of far that this instance tells */
--- a/forward/gossip_tell.c
+++ b/forward/gossip_tell.c
@@ -89,6 +89,7 @@
 
 	message_begin(gossip, &message, GOSSIP_OWN);
 	gossip->ops.word(gossip->ctx, &message.word);
+	gossip->storeless = message.word.storeless;
 	gossip_servers_own(gossip, &message.word);
 	g_strlcpy(message.first.name, message.name, sizeof(message.first.name));
 	loads_own(gossip, message.loads);
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -115,15 +115,34 @@
 	return others;
 }
 
+static int first_compare(const struct gossip_first *a,
+			 const struct gossip_first *b)
+{
+	int order = (int)a->storeless - (int)b->storeless;
+
+	return order ? order : strcmp(a->name, b->name);
+}
+
+static struct gossip_first peer_as_first(const struct peer *peer)
+{
+	struct gossip_first first = {.storeless = peer_word(peer)->storeless};
+
+	g_strlcpy(first.name, peer->name, sizeof(first.name));
+	return first;
+}
+
 static uint32_t near_rank(const struct gossip *gossip)
 {
+	struct gossip_first own = {.storeless = gossip->storeless};
 	uint32_t rank = 0;
 
+	g_strlcpy(own.name, gossip->settings.name, sizeof(own.name));
 	for (guint i = 0; i < gossip->near->len; i++) {
 		const struct peer *peer = gossip->near->pdata[i];
+		struct gossip_first one = peer_as_first(peer);
 
 		rank += peer_live(gossip, peer) &&
-			strcmp(peer->name, gossip->settings.name) < 0;
+			first_compare(&one, &own) < 0;
 	}
 	return rank;
 }
@@ -152,16 +171,18 @@
 	return count;
 }
 
-/* Whether another data centre comes before this one. */
+/* Whether the first of another data centre comes before that of this one. */
 static bool is_after(const struct gossip *gossip)
 {
+	struct gossip_first first;
 	struct centre *centre;
 	GHashTableIter iter;
 
+	gossip_first_near(gossip, gossip->storeless, false, &first);
 	g_hash_table_iter_init(&iter, gossip->centres);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&centre))
 		if (centre_live(gossip, centre) &&
-		    strcmp(centre->name, gossip->group) < 0)
+		    first_compare(&centre->first, &first) < 0)
 			return true;
 	return false;
 }
@@ -187,14 +208,6 @@
 	};
 }
 
-static int first_compare(const struct gossip_first *a,
-			 const struct gossip_first *b)
-{
-	int order = (int)a->storeless - (int)b->storeless;
-
-	return order ? order : strcmp(a->name, b->name);
-}
-
 void gossip_first_near(const struct gossip *gossip, bool storeless,
 		       bool leaving, struct gossip_first *first)
 {
@@ -204,12 +217,10 @@
 	first->storeless = storeless;
 	for (guint i = 0; i < gossip->near->len; i++) {
 		const struct peer *peer = gossip->near->pdata[i];
-		struct gossip_first one = {.storeless =
-						   peer_word(peer)->storeless};
+		struct gossip_first one = peer_as_first(peer);
 
 		if (!peer_live(gossip, peer))
 			continue;
-		g_strlcpy(one.name, peer->name, sizeof(one.name));
 		if (!found || first_compare(&one, first) < 0)
 			*first = one;
 		found = true;
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -435,9 +435,11 @@
 	const struct feed_settings config = {
 		.stream = node->interface.config_stream,
 		.wait_usec = CONFIG_WAIT_USEC,
+		.seed = id_of(node->settings.name),
 	};
 	const struct feed_settings list = {
 		.stream = node->interface.list_stream,
+		.seed = id_of(node->settings.name),
 	};
 	const struct feed_settings peers = {.stream = PEER_STREAM};
 
--- a/forward/share.c
+++ b/forward/share.c
@@ -2,12 +2,14 @@
 
 #include <msgpack.h>
 
+#include "common/id.h"
 #include "common/log.h"
 #include "common/pack.h"
 #include "common/unpack.h"
 
 #define RANK_MAX 2u
-/* The same while an instance has no copy at all. Where all have just started,
+/* Ranks that wait the longer while an instance has no copy at all. Where all
+ * have just started,
  * copies spread to everybody within some three seconds; with 2 here 300
  * instances read a list of 3,000 servers, 450 MB, out of the store at once. */
 #define START_RANK_MAX 10u
@@ -33,6 +35,9 @@
  */
 #define STORELESS_LEAST 2u
 #define TURN_USEC (300 * USEC_PER_MSEC)
+/* How often an instance that the store refuses, and that has a copy from a
+ * peer, asks whether it still does. */
+#define PROBE_USEC (5 * USEC_PER_SEC)
 /* A busy store that hands out a long list page by page fails some pages: with
  * as many turns as instances, 300 that started at once served after 30 s. */
 #define TURNS_WITHOUT_COPY 4u
@@ -230,12 +235,14 @@
 	share->clock = clock;
 	share->began = clock_now(clock);
 	share->settings = *settings;
+	share->settings.on_demand = true;
 	share->ops = *ops;
 	share->ctx = ctx;
 	share->values = values_create();
 	share->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
 	g_array_set_clear_func(share->changes, change_clear);
-	share->feed = feed_create(clock, store, settings, &feed_ops, share);
+	share->feed =
+		feed_create(clock, store, &share->settings, &feed_ops, share);
 	return share;
 }
 
@@ -258,16 +265,25 @@
 		feed_poll(share->feed);
 }
 
-/* How many take turns with an instance while the store answers none of those
- * near that asked; one without a copy cannot serve, so it waits for few. */
-static uint32_t turns_of(const struct share *share,
-			 const struct share_place *place)
+static bool has_copy(const struct share *share)
 {
-	if (place->storeless < STORELESS_LEAST)
-		return 0;
-	if (feed_fresh(share->feed) == FEED_NEVER)
-		return MIN(place->storeless, TURNS_WITHOUT_COPY);
-	return place->storeless;
+	return feed_fresh(share->feed) != FEED_NEVER;
+}
+
+/* Since when the copy is not sure; without one, since peers are known. */
+static int64_t fresh_since(const struct share *share)
+{
+	return has_copy(share) ? feed_fresh(share->feed) : share->began;
+}
+
+static int64_t start_patience(const struct share *share,
+			      const struct share_place *place)
+{
+	int64_t patience =
+		(int64_t)MIN(place->rank, START_RANK_MAX) * SHARE_RANK_USEC +
+		(share->listed ? START_USEC : LISTED_USEC);
+
+	return patience * (place->delay_usec > 0 ? START_GROUPED : 1);
 }
 
 void share_offered(struct share *share)
@@ -287,7 +303,7 @@
 
 /* Once, when this instance begins to read for others. */
 static void read_log(struct share *share, const struct share_place *place,
-		     int64_t fresh, int64_t patience)
+		     int64_t patience)
 {
 	int64_t now = clock_now(share->clock);
 	bool goes_on = share->read > 0 && now - share->read < READ_PAUSE_USEC;
@@ -298,32 +314,68 @@
 			  LOG_S("stream", share->settings.stream),
 			  LOG_D("rank", place->rank),
 			  LOG_D("storeless", place->storeless),
-			  LOG_D("age_ms", (now - fresh) / USEC_PER_MSEC),
+			  LOG_D("age_ms",
+				(now - fresh_since(share)) / USEC_PER_MSEC),
 			  LOG_D("patience_ms", patience / USEC_PER_MSEC));
 }
 
+/* How long an instance waits for others to read the store. */
+static int64_t patience_of(const struct share *share,
+			   const struct share_place *place)
+{
+	if (!has_copy(share))
+		return start_patience(share, place);
+	if (place->rank > 0)
+		return SHARE_PATIENCE_USEC + place->delay_usec +
+		       (int64_t)MIN(place->rank, RANK_MAX) * SHARE_RANK_USEC;
+	/* A read that waits is begun at once by the first. */
+	return share->settings.wait_usec > 0 ? 0 : SHARE_PATIENCE_USEC;
+}
+
+/* Between reads that failed. */
+static int64_t retry_pause(const struct share *share,
+			   const struct share_place *place, bool is_old)
+{
+	uint32_t turns = place->storeless;
+	int64_t old_at = feed_fresh(share->feed) + SHARE_PATIENCE_USEC;
+
+	if (!has_copy(share))
+		turns = MIN(turns, TURNS_WITHOUT_COPY);
+	else if (!is_old)
+		return PROBE_USEC;
+	else if (feed_failed_at(share->feed) < old_at)
+		return 0;
+	return place->storeless < STORELESS_LEAST ? 0 : turns * TURN_USEC;
+}
+
+/* Instances that were refused at the same moment do not come again together. */
+static int64_t pause_spread(const struct share *share, int64_t pause)
+{
+	uint64_t hash = id_mix(share->settings.seed,
+			       (uint64_t)feed_failed_at(share->feed));
+
+	return pause / 2 + (int64_t)(hash % (uint64_t)(pause + 1));
+}
+
+/* Whether a read that failed may be repeated. */
+static bool may_retry(const struct share *share,
+		      const struct share_place *place, bool is_old)
+{
+	int64_t pause = pause_spread(share, retry_pause(share, place, is_old));
+
+	return clock_now(share->clock) - feed_failed_at(share->feed) >=
+	       MAX(pause, feed_backoff(share->feed));
+}
+
 void share_tick(struct share *share, const struct share_place *place)
 {
-	int64_t fresh = feed_fresh(share->feed);
-	uint32_t rank = place->rank;
-	uint32_t most = fresh == FEED_NEVER ? START_RANK_MAX : RANK_MAX;
-	uint32_t turns = turns_of(share, place);
-	int64_t patience = (int64_t)MIN(rank, most) * SHARE_RANK_USEC +
-			   (int64_t)MIN(rank, turns) * TURN_USEC;
-
-	feed_set_pause(share->feed, (int64_t)turns * TURN_USEC);
-	if (fresh == FEED_NEVER) {
-		fresh = share->began;
-		patience += share->listed ? START_USEC : LISTED_USEC;
-		patience *= place->delay_usec > 0 ? START_GROUPED : 1;
-	} else if (rank > 0 || share->settings.wait_usec == 0) {
-		/* A read that waits is begun at once by the first. */
-		patience += SHARE_PATIENCE_USEC;
-		patience += rank > 0 ? place->delay_usec : 0;
-	}
-	if (clock_now(share->clock) - fresh >= patience && !is_coming(share) &&
-	    feed_poll(share->feed))
-		read_log(share, place, fresh, patience);
+	int64_t patience = patience_of(share, place);
+	bool is_old = clock_now(share->clock) - fresh_since(share) >= patience;
+	bool is_due =
+		share_failing(share) ? may_retry(share, place, is_old) : is_old;
+
+	if (is_due && !is_coming(share) && feed_poll(share->feed))
+		read_log(share, place, patience);
 }
 
 void share_hurry(struct share *share)
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -65,6 +65,8 @@
 struct feed_settings {
 	const char *stream; /* must outlive the feed */
 	int64_t wait_usec;  /* that a read may wait for a record */
+	bool on_demand;	    /* a failed read is repeated by feed_poll() only */
+	uint64_t seed;	    /* of the instance, for what is spread by chance */
 };
 
 struct feed;
@@ -74,15 +76,17 @@
 			 const struct feed_ops *ops, void *ctx);
 /* An answer that is still due is dropped when it comes. */
 void feed_destroy(struct feed *feed);
-/* Reads what has come since, unless a read is under way or a failed one is to
- * be repeated soon; returns whether it does. */
+/* Reads what has come since, unless a read is under way or a failed one is
+ * repeated by itself soon; returns whether it does. */
 bool feed_poll(struct feed *feed);
 /* Reads anew at once instead of waiting for an answer that may have been lost.
  */
 void feed_hurry(struct feed *feed);
-/* How long a read that failed is not repeated at the least, besides the pause
- * that doubles with each failure; 0: no longer than that. */
-void feed_set_pause(struct feed *feed, int64_t usec);
+/* How long a read that failed is not to be repeated; doubles with each failure
+ * in a row. */
+int64_t feed_backoff(const struct feed *feed);
+/* When the last read failed, while feed_failing(). */
+int64_t feed_failed_at(const struct feed *feed);
 /* Whether the store has not answered the last reads. */
 bool feed_failing(const struct feed *feed);
 /* What is known is as of next, and was all there was at the time fresh. An
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -233,9 +233,10 @@
 /* Whether there are peers in other data centres, and none of them was heard of
  * for GOSSIP_PARTED_USEC: this data centre, or this instance, is cut off. */
 bool gossip_parted(const struct gossip *gossip);
-/* Which instance this is among those that may read the store for others: live
- * peers of the same data centre whose names come before this one's, and one
- * more when another live data centre comes before this one. */
+/* Which instance this is among those that may read the store for others: how
+ * many live peers of the same data centre come before it, and one more when the
+ * first of another live data centre does. Those that the store does not answer
+ * come after all others, and each kind is in the order of names. */
 uint32_t gossip_rank(const struct gossip *gossip);
 /* Where this instance stands among those that may read the store for others. */
 void gossip_place(const struct gossip *gossip, struct share_place *place);
--- a/tests/forward/copies_world.c
+++ b/tests/forward/copies_world.c
@@ -222,9 +222,9 @@
 static void shares_open(struct copies *copies, uint32_t i)
 {
 	static const struct share_ops ops = {NULL, NULL, on_value, NULL};
-	static const struct feed_settings settings[COPY_STREAMS] = {
-		{.stream = "configuration", .wait_usec = WAIT_USEC},
-		{.stream = "list"},
+	const struct feed_settings settings[COPY_STREAMS] = {
+		{.stream = "configuration", .wait_usec = WAIT_USEC, .seed = i},
+		{.stream = "list", .seed = i},
 	};
 
 	for (uint32_t k = 0; k < COPY_STREAMS; k++) {
--- a/tests/forward/test_copies.c
+++ b/tests/forward/test_copies.c
@@ -6,6 +6,7 @@
 /* A change is to be followed within two seconds everywhere. */
 #define FOLLOWED_MSEC 2000
 #define MOST_MSEC 20000
+#define SEEDS 3
 
 /* The store refuses all but the last so many of the first data centre. */
 static void refuse_all_but_last(struct copies *copies, uint32_t answered)
@@ -39,10 +40,46 @@
 	copies_close(copies);
 }
 
+/* Others are refused each few seconds, all but one in five. */
+static void refused_draw(struct copies *copies, GRand *rand)
+{
+	bool none = true;
+
+	for (uint32_t i = 0; i < copies->site->count; i++) {
+		copies->refused[i] = g_rand_double(rand) < 0.8;
+		none = none && (copies->refused[i] || !copies_has(copies, i));
+	}
+	if (none)
+		copies->refused[0] = false;
+}
+
+/* Which instances are refused changes at any moment. */
+static void test_others_are_refused(void)
+{
+	for (guint32 seed = 1; seed <= SEEDS; seed++) {
+		struct copies *copies = copies_open(150, 1);
+		GRand *rand = g_rand_new_with_seed(seed);
+
+		g_test_message("seed %u", seed);
+		for (int i = 0; i < 6; i++) {
+			refused_draw(copies, rand);
+			for (int k = g_rand_int_range(rand, 1, 4); k > 0; k--) {
+				copies_run(copies,
+					   g_rand_int_range(rand, 0, 1500));
+				spread_check(copies);
+			}
+		}
+		g_rand_free(rand);
+		copies_close(copies);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/forward/copies/answered-wait-for-refused",
 			test_answered_wait_for_refused);
+	g_test_add_func("/forward/copies/others-are-refused",
+			test_others_are_refused);
 	return g_test_run();
 }
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -426,7 +426,8 @@
 	for (int step = 0; step < 150; step++) {
 		wait_msec(clock, 100);
 		for (uint32_t i = 0; i < 50; i++) {
-			const struct share_place place = {i, failing, 0};
+			const struct share_place place = {.rank = i,
+							  .storeless = failing};
 
 			share_tick(copies[i].share, &place);
 			if (copies[i].fn)
