forward: a store that answers slowly is not read by all for that

Suspected of the whole fleet, where all instances read the store for themselves (168,910 calls in 66 s). Two causes of one kind, a patience that does not follow what is observed:

It now grows with the logarithm of the rank, so as many have asked after a time as grows exponentially with it; the last waits as long as before. - Where an answer takes 0.7 s a reader's copy is up to 1.4 s old when the next answer comes, and older with its peers: older than the patience of all, whose own reads came back as old. Patience now grows by twice the time that the last answer took, until a peer tells of a younger copy than that.

--- a/forward/feed.c
+++ b/forward/feed.c
@@ -30,6 +30,7 @@
 	bool started_snapshot;
 	uint32_t failures;
 	int64_t failed; /* when the last read failed */
+	int64_t lag;	/* feed_lag() */
 	int64_t fresh;
 	int64_t asked; /* when the read, or a snapshot's first page, was sent */
 };
@@ -89,7 +90,9 @@
 static void feed_succeeded(struct feed *feed)
 {
 	uint32_t failures = feed->failures;
+	int64_t took = clock_now(feed->clock) - feed->asked;
 
+	feed->lag = MAX(took - feed->settings.wait_usec, 0);
 	feed->failures = 0;
 	if (failures == 0)
 		return;
@@ -236,6 +239,11 @@
 	feed_next(feed);
 }
 
+int64_t feed_lag(const struct feed *feed)
+{
+	return feed->lag;
+}
+
 int64_t feed_failed_at(const struct feed *feed)
 {
 	return feed->failed;
@@ -256,6 +264,7 @@
 	feed->started_snapshot = true;
 	feed->next = next;
 	feed->fresh = MAX(feed->fresh, fresh);
+	feed->lag = MIN(feed->lag, clock_now(feed->clock) - feed->fresh);
 	return true;
 }
 
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -201,6 +201,7 @@
 {
 	*place = (struct share_place){
 		.rank = gossip->rank,
+		.peers = gossip->near->len,
 		.storeless = storeless_count(gossip, SHARE_PATIENCE_USEC),
 		.delay_usec = gossip_grouped(gossip)
 				      ? gossip_interval(gossip, false)
--- a/forward/share.c
+++ b/forward/share.c
@@ -1,5 +1,6 @@
 #include "forward/share.h"
 
+#include <math.h>
 #include <msgpack.h>
 
 #include "common/id.h"
@@ -7,7 +8,6 @@
 #include "common/pack.h"
 #include "common/unpack.h"
 
-#define RANK_MAX 2u
 /* Ranks that wait the longer while an instance has no copy at all. Where all
  * have just started,
  * copies spread to everybody within some three seconds; with 2 here 300
@@ -286,6 +286,17 @@
 	return patience * (place->delay_usec > 0 ? START_GROUPED : 1);
 }
 
+/* Beyond that of the first. As many have asked after a time as grows
+ * exponentially with it, so that few ask before one is answered and is heard.
+ */
+static int64_t rank_patience(const struct share_place *place)
+{
+	double all = log(MAX(place->peers + 1, 2u));
+	double part = MIN(log(place->rank) / all, 1.0);
+
+	return SHARE_RANK_USEC + (int64_t)((double)SHARE_RANK_USEC * part);
+}
+
 void share_offered(struct share *share)
 {
 	share->offered = clock_now(share->clock);
@@ -325,9 +336,10 @@
 {
 	if (!has_copy(share))
 		return start_patience(share, place);
+	/* What a reader holds is up to two answers old. */
 	if (place->rank > 0)
 		return SHARE_PATIENCE_USEC + place->delay_usec +
-		       (int64_t)MIN(place->rank, RANK_MAX) * SHARE_RANK_USEC;
+		       rank_patience(place) + 2 * feed_lag(share->feed);
 	/* A read that waits is begun at once by the first. */
 	return share->settings.wait_usec > 0 ? 0 : SHARE_PATIENCE_USEC;
 }
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -85,6 +85,10 @@
 /* How long a read that failed is not to be repeated; doubles with each failure
  * in a row. */
 int64_t feed_backoff(const struct feed *feed);
+/* How long the store took to answer the last read, beyond the time that this
+ * one waited; no longer than the age of what was learnt in another way since.
+ */
+int64_t feed_lag(const struct feed *feed);
 /* When the last read failed, while feed_failing(). */
 int64_t feed_failed_at(const struct feed *feed);
 /* Whether the store has not answered the last reads. */
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -9,15 +9,16 @@
  *	copy is as good, without a call, or fetches the copy from whoever told.
  *
  *	An instance reads the store when its copy has not been sure for longer
- *	than its patience, which grows with its rank among the live
- *	instances of its data centre, those that the store refuses last:
+ *	than its patience, which grows with the logarithm of its rank among the
+ *	live instances of its data centre, those that the store refuses last:
  *	the first reads all the time, the next ones begin when they do not hear
  *	from it. So no reader is elected, and one that stops, is cut off or is
  *	refused by the store is made up for: within SHARE_PATIENCE_USEC + 2 *
  *	SHARE_RANK_USEC each instance whose copy is still old has asked the
  *	store once, also those that it refused earlier. Who is refused then asks
  *	again in turn with the others that are, one each 300 ms; and each five
- *	seconds while copies come from a peer.
+ *	seconds while copies come from a peer. Where the store is slow patience
+ *	grows by twice the time that its answer took.
  */
 #ifndef FORWARD_SHARE_H
 #define FORWARD_SHARE_H
@@ -33,7 +34,7 @@
 /* The first instance of a data centre reads so often. A change is to be
  * followed within two seconds everywhere. */
 #define SHARE_PATIENCE_USEC (700 * USEC_PER_MSEC)
-/* Each rank waits so much longer, up to twice: gossip of the first one
+/* The second waits so much longer, the last twice that: gossip of the first one
  * comes every 300 ms at least. */
 #define SHARE_RANK_USEC (450 * USEC_PER_MSEC)
 
@@ -83,6 +84,7 @@
 /* Where an instance stands among those that could read for each other. */
 struct share_place {
 	uint32_t rank;	    /* as gossip_rank() */
+	uint32_t peers;	    /* near */
 	uint32_t storeless; /* those near that the store does not answer, and
 			     * whose copies are old */
 	int64_t delay_usec; /* that gossip takes beyond a data centre's pace */
--- a/tests/forward/test_copies.c
+++ b/tests/forward/test_copies.c
@@ -74,6 +74,20 @@
 	}
 }
 
+/* A store that takes long to answer is not read by everybody for that. */
+static void test_slow_store(void)
+{
+	struct copies *copies = copies_open(200, 5);
+
+	copies->answer_usec = 700 * USEC_PER_MSEC;
+	copies_run(copies, 10000);
+	copies->calls = 0;
+	copies_run(copies, 10000);
+	g_test_message("%u calls in 10 s", copies->calls);
+	g_assert_cmpuint(copies->calls, <, 200);
+	copies_close(copies);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -81,5 +95,6 @@
 			test_answered_wait_for_refused);
 	g_test_add_func("/forward/copies/others-are-refused",
 			test_others_are_refused);
+	g_test_add_func("/forward/copies/slow-store", test_slow_store);
 	return g_test_run();
 }
