forward: of hundreds that start at once few read the store before they have heard of peers

Suspected of the whole fleet by reading: with 985 peers an instance goes through them 400 ms after they were listed for the first time. Until then it has no peer near, takes itself for the first of its group and asks the store 150 ms after the list came. So do all: 985 lists of 4 MB are 50 s of what the store hands out.

Peers that were listed are gone through in the next turn, and as long as most of those near have told nothing, for one second at the most, an instance without a copy waits as the last rank does. Who starts alone among many hears them within that second, and asks after it where nobody is left.

--- a/forward/gossip_peers.c
+++ b/forward/gossip_peers.c
@@ -63,6 +63,11 @@
 			    peer->key);
 }
 
+void gossip_listed(struct gossip *gossip)
+{
+	gossip->updated = GOSSIP_NEVER / 2;
+}
+
 /* The group of a peer that has not told it yet follows the number of groups. */
 static void group_guess(const struct gossip *gossip, struct peer *peer)
 {
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -197,11 +197,24 @@
 	return gossip->rank;
 }
 
+static uint32_t unheard_count(const struct gossip *gossip)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < gossip->near->len; i++) {
+		const struct peer *peer = gossip->near->pdata[i];
+
+		count += peer->heard == GOSSIP_NEVER;
+	}
+	return count;
+}
+
 void gossip_place(const struct gossip *gossip, struct share_place *place)
 {
 	*place = (struct share_place){
 		.rank = gossip->rank,
 		.peers = gossip->near->len,
+		.unheard = unheard_count(gossip),
 		.storeless = storeless_count(gossip, SHARE_PATIENCE_USEC),
 		.delay_usec = gossip_grouped(gossip)
 				      ? gossip_interval(gossip, false)
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -363,6 +363,7 @@
 	if (node->peers_listed)
 		return;
 	node->peers_listed = true;
+	gossip_listed(node->gossip);
 	for (int i = 0; i < GOSSIP_SHARES; i++)
 		share_start(node->shares[i].share, node->peers_lower);
 }
--- a/forward/share.c
+++ b/forward/share.c
@@ -276,12 +276,22 @@
 	return has_copy(share) ? feed_fresh(share->feed) : share->began;
 }
 
+/* No rank is known before peers are heard of, and all may have just started. */
+static uint32_t start_rank(const struct share *share,
+			   const struct share_place *place)
+{
+	bool is_early = clock_now(share->clock) - share->began < LISTED_USEC;
+
+	if (is_early && place->unheard > place->peers / 2)
+		return START_RANK_MAX;
+	return MIN(place->rank, START_RANK_MAX);
+}
+
 static int64_t start_patience(const struct share *share,
 			      const struct share_place *place)
 {
-	int64_t patience =
-		(int64_t)MIN(place->rank, START_RANK_MAX) * SHARE_RANK_USEC +
-		(share->listed ? START_USEC : LISTED_USEC);
+	int64_t patience = (int64_t)start_rank(share, place) * SHARE_RANK_USEC +
+			   (share->listed ? START_USEC : LISTED_USEC);
 
 	return patience * (place->delay_usec > 0 ? START_GROUPED : 1);
 }
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -85,6 +85,7 @@
 struct share_place {
 	uint32_t rank;	    /* as gossip_rank() */
 	uint32_t peers;	    /* near */
+	uint32_t unheard;   /* those that have told nothing yet */
 	uint32_t storeless; /* those near that the store does not answer, and
 			     * whose copies are old */
 	int64_t delay_usec; /* that gossip takes beyond a data centre's pace */
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -542,6 +542,28 @@
 	clock_destroy(clock);
 }
 
+/* One of hundreds that start at once has heard of no peer yet. */
+static void test_start_of_all(void)
+{
+	const struct share_place place = {.peers = 196, .unheard = 196};
+	struct clock *clock = clock_create(0);
+	struct copy copy;
+
+	copy_create(&copy, clock);
+	share_start(copy.share, 500);
+	for (int step = 0; step < 9; step++) {
+		wait_msec(clock, 100);
+		share_tick(copy.share, &place);
+	}
+	g_assert_cmpuint(copy.calls, ==, 0);
+	wait_msec(clock, 100);
+	share_tick(copy.share, &place);
+	g_assert_cmpuint(copy.calls, ==, 1);
+	store_answer(&copy, "k", "v1", 6);
+	copy_close(&copy);
+	clock_destroy(clock);
+}
+
 /* Who is not far behind gets only what changed, drops included. */
 static void test_since(void)
 {
@@ -744,6 +766,7 @@
 	g_test_add_func("/forward/share/refused-snapshot",
 			test_refused_snapshot);
 	g_test_add_func("/forward/share/starters", test_starters);
+	g_test_add_func("/forward/share/start-of-all", test_start_of_all);
 	g_test_add_func("/forward/share/pass-on", test_pass_on);
 	g_test_add_func("/forward/share/since", test_since);
 	g_test_add_func("/forward/share/reader-gone", test_reader_gone);
