coord: readers of the log that it refuses leave reading to others

The cause of the late configuration, sought elsewhere: who reads for the others was chosen without a look at whom the store answers. In the coordination library the two instances of a data centre with the highest rendezvous weight read the log, whatever it says to them. Where it refuses both, and the data centre is cut off from the others, no version came into force there any more.

An instance whose reads fail three times in a row tells so in a membership fact and is passed over for 10 s; as many more read as are passed over, so that those that are answered are found in a few rounds. Where all are refused the first two go on asking, so an outage costs as much as before.

Test member-fold, "all readers are refused": 14 of 15 instances refused, the version was in force nowhere there after 7 s (nor ever), now it is. The world of these tests told facts apart by their key modulo 8, which took two keys for one; it now checks each key's versions for itself, which is stricter.

--- a/coord/fold.c
+++ b/coord/fold.c
@@ -5,23 +5,6 @@
 #include "common/log.h"
 #include "fold_private.h"
 
-uint64_t fold_reader_key(void)
-{
-	return id_of("log-config");
-}
-
-bool fold_is_reader(const struct fold *f)
-{
-	const struct member *self = membership_self(f->membership);
-
-	for (uint32_t rank = 0; rank < 2; rank++) {
-		if (membership_home(f->membership, self->data_centre,
-				    fold_reader_key(), rank) == self->id)
-			return true;
-	}
-	return false;
-}
-
 struct fold_tag fold_tag_next(struct fold *f)
 {
 	const struct member *self = membership_self(f->membership);
@@ -84,6 +67,7 @@
 	struct fold *f = ctx;
 
 	timer_start(timer, FOLD_TICK_USEC);
+	fold_refused_update(f);
 	fold_tail_update(f);
 	fold_guess(f);
 	fold_again_check(f);
--- a/coord/fold_private.h
+++ b/coord/fold_private.h
@@ -130,6 +130,10 @@
 	uint64_t audit_until; /* of records before this offset */
 	uint32_t audit_asks;
 
+	/* Told of this instance. */
+	bool refused;
+	int64_t refused_at;
+
 	struct timer tick;
 	int64_t pulled;
 	bool pulling;
@@ -153,16 +157,20 @@
 bool audit_decode(const msgpack_object *object, struct fold_audit *audit);
 void audit_pack(msgpack_packer *packer, const struct fold_audit *audit);
 
-/* fold.c */
+/* fold_reader.c */
 uint64_t fold_reader_key(void);
+/* Whether this instance is one of the readers of its data centre. */
+bool fold_is_reader(const struct fold *f);
+/* Tells the others when the log refuses this instance, or may answer again. */
+void fold_refused_update(struct fold *f);
+
+/* fold.c */
 void fold_take(struct fold *f, uint64_t revision, const char *author,
 	       const void *content, size_t size);
 /* Reads the log exactly while it is this instance's part, or it must wait for
  * what it appended itself. */
 void fold_tail_update(struct fold *f);
 struct fold_tag fold_tag_next(struct fold *f);
-/* Whether this instance is one of the readers of its data centre. */
-bool fold_is_reader(const struct fold *f);
 
 /* fold_log.c */
 extern const struct log_tail_ops fold_tail_ops;
--- a/include/coord/fold.h
+++ b/include/coord/fold.h
@@ -11,10 +11,12 @@
  *	instance. Instances pass (revision, content) on to each other.
  *
  *	The two instances of a data centre with the highest rendezvous weight
- *	read the log; the others learn from them: a change is told to a few
- *	peers at once, and each tells one peer a second what it has; content is
- *	fetched by whoever lacks it. Readers also tell other data centres, which
- *	matters to one that is cut off from the log.
+ *	read the log. One whose reads fail three times in a row tells so in a
+ *	membership fact and leaves it to others for ten seconds; as many more
+ *	read meanwhile as are refused. All others learn from them: a change is
+ *told to a few peers at once, and each tells one peer a second what it has;
+ *content is fetched by whoever lacks it. Readers also tell other data centres,
+ *which matters to one that is cut off from the log.
  *
  *	A reader that starts after retention dropped the record in force goes by
  *	the next one appended again, or by what a peer has; when neither is to
--- a/tests/member/test_fold.c
+++ b/tests/member/test_fold.c
@@ -373,6 +373,33 @@
 	everywhere(2);
 }
 
+/* The log answers one instance of the first data centre, no reader, and all of
+ * the second, which is cut off from it. */
+static void readers_refused(void)
+{
+	struct node *answered_one = NULL;
+
+	first();
+	world_part(run.world, run.world->nodes[0]->self.data_centre,
+		   run.world->nodes[run.world->count - 1]->self.data_centre,
+		   true);
+	for (int i = 0; i < run.world->count; i++) {
+		struct node *node = run.world->nodes[i];
+
+		if (!node_in(node, run.world->nodes[0]->self.data_centre))
+			continue;
+		if (!answered_one && !fold_reading(fold(i)))
+			answered_one = node;
+		else
+			node->client.cut = true;
+	}
+	g_assert_nonnull(answered_one);
+	pass(SECONDS(10));
+	apply(run.world->count - 1, 1, "second");
+	pass(SECONDS(7));
+	everywhere(2);
+}
+
 static void few_read(void)
 {
 	int reading = 0;
@@ -512,6 +539,7 @@
 	{"the log forgets in an outage", 2, 3, retention_in_outage,
 	 SECONDS(10)},
 	{"all readers end", 2, 5, readers_end, 0},
+	{"all readers are refused", 2, 15, readers_refused, 0},
 	{"few read", 2, 5, few_read, 0},
 	{"a reader stands still", 2, 3, reader_stands, 0},
 	{"records of others", 2, 3, records_foreign, 0},
--- a/tests/member/world.c
+++ b/tests/member/world.c
@@ -138,9 +138,18 @@
 		      const void *value, size_t size)
 {
 	struct node *node = ctx;
+	const uint64_t *known;
 
-	g_assert_cmpuint(version, >, node->facts[key % 8]);
-	node->facts[key % 8] = version;
+	if (key < G_N_ELEMENTS(node->facts)) {
+		g_assert_cmpuint(version, >, node->facts[key]);
+		node->facts[key] = version;
+		return;
+	}
+	known = g_hash_table_lookup(node->other_facts, &key);
+	if (known)
+		g_assert_cmpuint(version, >, *known);
+	g_hash_table_replace(node->other_facts, g_memdup2(&key, sizeof(key)),
+			     g_memdup2(&version, sizeof(version)));
 }
 
 static void node_refuted(void *ctx, uint64_t incarnation)
@@ -186,8 +195,10 @@
 	}
 	while (clock_next(w->clock) != CLOCK_NEVER)
 		clock_advance(w->clock, clock_next(w->clock));
-	for (int i = 0; i < w->count; i++)
+	for (int i = 0; i < w->count; i++) {
+		g_hash_table_unref(w->nodes[i]->other_facts);
 		g_free(w->nodes[i]);
+	}
 	fake_log_destroy(w->log);
 	later_destroy(w->later);
 	clock_destroy(w->clock);
@@ -200,6 +211,8 @@
 	struct node *node = g_new0(struct node, 1);
 	struct member *self = &node->self;
 
+	node->other_facts = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						  g_free, g_free);
 	g_assert_cmpint(w->count, <, WORLD_MAX);
 	node->world = w;
 	node->index = w->count;
@@ -253,6 +266,7 @@
 					     &settings, &transport, &ops, node);
 	memset(node->highest, 0, sizeof(node->highest));
 	memset(node->facts, 0, sizeof(node->facts));
+	g_hash_table_remove_all(node->other_facts);
 	node->leaving = false;
 	node->up = true;
 	if (w->started)
--- a/tests/member/world.h
+++ b/tests/member/world.h
@@ -40,7 +40,8 @@
 	/* What its membership told it. */
 	uint64_t refuted;
 	uint64_t highest[WORLD_MAX]; /* incarnation seen of each node */
-	uint64_t facts[8]; /* newest version of the fact with that key */
+	uint64_t facts[8];	 /* newest version of the fact with that key */
+	GHashTable *other_facts; /* the same of keys beyond those */
 	bool leaving;
 	void *extra;
 };
