forward: who reads the store next is decided in a file of its own

share.c kept copies and decided who reads; the decision now has its own header and takes the state and the time, so a table tests it without store and peers (forward-reader, 18 rows). Behaviour stays: forward-share, forward-copies and forward-feed pass unchanged but for the names.

--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -209,13 +209,13 @@
 	return count;
 }
 
-void gossip_place(const struct gossip *gossip, struct share_place *place)
+void gossip_place(const struct gossip *gossip, struct reader_place *place)
 {
-	*place = (struct share_place){
+	*place = (struct reader_place){
 		.rank = gossip->rank,
 		.peers = gossip->near->len,
 		.unheard = unheard_count(gossip),
-		.storeless = storeless_count(gossip, SHARE_PATIENCE_USEC),
+		.storeless = storeless_count(gossip, READER_PATIENCE_USEC),
 		.delay_usec = gossip_grouped(gossip)
 				      ? gossip_interval(gossip, false)
 				      : 0,
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -190,7 +190,7 @@
 static void on_tick(struct timer *timer, void *ctx)
 {
 	struct node *node = ctx;
-	struct share_place place;
+	struct reader_place place;
 
 	timer_start(timer, TICK_USEC);
 	gossip_place(node->gossip, &place);
--- /dev/null
+++ b/forward/reader.c
@@ -0,0 +1,107 @@
+#include "forward/reader.h"
+
+#include <math.h>
+
+#include <glib.h>
+
+#include "common/id.h"
+
+/* Most ranks that wait the longer while an instance has no copy: copies reach
+ * all within some three seconds of a start of all. */
+#define START_RANK_MAX 10u
+/* How much longer each rank waits then where copies pass between groups. */
+#define START_GROUPED 4
+/* Peers are heard of within this time of being listed, if there are any. */
+#define START_USEC (150 * USEC_PER_MSEC)
+/* So long the list of peers, and a word of them, is waited for. */
+#define LISTED_USEC (1 * USEC_PER_SEC)
+/* From so many instances near on that the store refuses they take turns, so far
+ * apart. */
+#define STORELESS_LEAST 2u
+#define TURN_USEC (300 * USEC_PER_MSEC)
+/* One without a copy cannot serve, and waits for few turns. */
+#define TURNS_WITHOUT_COPY 4u
+/* How often an instance that the store refuses, and that has a copy from a
+ * peer, asks whether it still does. */
+#define PROBE_USEC (5 * USEC_PER_SEC)
+
+/* No rank is known before peers are heard of, and all may have just started. */
+static uint32_t start_rank(const struct reader_state *state,
+			   const struct reader_place *place, int64_t now)
+{
+	bool is_early = now - state->fresh < LISTED_USEC;
+
+	if (is_early && place->unheard > place->peers / 2)
+		return START_RANK_MAX;
+	return MIN(place->rank, START_RANK_MAX);
+}
+
+static int64_t start_patience(const struct reader_state *state,
+			      const struct reader_place *place, int64_t now)
+{
+	int64_t patience =
+		(int64_t)start_rank(state, place, now) * READER_RANK_USEC +
+		(state->listed ? START_USEC : LISTED_USEC);
+
+	return patience * (place->delay_usec > 0 ? START_GROUPED : 1);
+}
+
+/* Beyond that of the first. As many have asked after a time as grows
+ * exponentially with it, so that few ask before one is answered and is heard.
+ */
+static int64_t rank_patience(const struct reader_place *place)
+{
+	double all = log(MAX(place->peers + 1, 2u));
+	double part = MIN(log(place->rank) / all, 1.0);
+
+	return READER_RANK_USEC + (int64_t)((double)READER_RANK_USEC * part);
+}
+
+int64_t reader_patience(const struct reader_state *state,
+			const struct reader_place *place, int64_t now)
+{
+	if (!state->has_copy)
+		return start_patience(state, place, now);
+	/* What a reader holds is up to two answers old. */
+	if (place->rank > 0)
+		return READER_PATIENCE_USEC + place->delay_usec +
+		       rank_patience(place) + 2 * state->lag;
+	/* A read that waits is begun at once by the first. */
+	return state->waits ? 0 : READER_PATIENCE_USEC;
+}
+
+/* Between reads that failed. */
+static int64_t retry_pause(const struct reader_state *state,
+			   const struct reader_place *place, bool is_old)
+{
+	uint32_t turns = place->storeless;
+
+	if (!state->has_copy)
+		turns = MIN(turns, TURNS_WITHOUT_COPY);
+	else if (!is_old)
+		return PROBE_USEC;
+	else if (state->failed < state->fresh + READER_PATIENCE_USEC)
+		return 0;
+	return place->storeless < STORELESS_LEAST ? 0 : turns * TURN_USEC;
+}
+
+/* Instances that were refused at the same moment do not come again together. */
+static int64_t pause_spread(const struct reader_state *state, int64_t pause)
+{
+	uint64_t hash = id_mix(state->seed, (uint64_t)state->failed);
+
+	return pause / 2 + (int64_t)(hash % (uint64_t)(pause + 1));
+}
+
+bool reader_is_due(const struct reader_state *state,
+		   const struct reader_place *place, int64_t now)
+{
+	int64_t patience = reader_patience(state, place, now);
+	bool is_old = now - state->fresh >= patience;
+	int64_t pause;
+
+	if (!state->failing)
+		return is_old;
+	pause = pause_spread(state, retry_pause(state, place, is_old));
+	return now - state->failed >= MAX(pause, state->backoff);
+}
--- a/forward/share.c
+++ b/forward/share.c
@@ -1,46 +1,19 @@
 #include "forward/share.h"
 
-#include <math.h>
 #include <msgpack.h>
 
-#include "common/id.h"
 #include "common/log.h"
 #include "common/pack.h"
 #include "common/unpack.h"
 
-/* Ranks that wait the longer while an instance has no copy at all. Where all
- * have just started,
- * copies spread to everybody within some three seconds; with 2 here 300
- * instances read a list of 3,000 servers, 450 MB, out of the store at once. */
-#define START_RANK_MAX 10u
-/* How much longer each rank waits then where copies pass between groups. */
-#define START_GROUPED 4
 /* A copy that a peer has told of is on its way for so long at the most; and at
  * a start it is waited for no longer than the second. */
 #define OFFER_USEC (3 * USEC_PER_SEC)
 #define OFFERS_USEC (8 * USEC_PER_SEC)
-/* Peers are heard of within this time of being listed, if there are any. */
-#define START_USEC (150 * USEC_PER_MSEC)
-/* So long the list of peers is waited for, or all that start at once read the
- * store before they know of each other. */
-#define LISTED_USEC (1 * USEC_PER_SEC)
 /* How much older than it says what a peer tells of its copy is taken to be: the
- * way, 1 ms between data centres, and the queue of a busy instance. Taken as
- * said, words that are told back and forth stay as young as they are: with 600
- * a second a copy looked 0.7 s old after 3.4 s, nobody read the store, and a
- * server that left got a request 3.2 s later. */
+ * way, and the queue of a busy instance. Words that are told back and forth
+ * would stay as young as they are. */
 #define HOP_USEC (20 * USEC_PER_MSEC)
-/* From so many instances of a data centre on that the store does not answer,
- * the others take turns, this time apart: whoever is answered first tells all.
- */
-#define STORELESS_LEAST 2u
-#define TURN_USEC (300 * USEC_PER_MSEC)
-/* How often an instance that the store refuses, and that has a copy from a
- * peer, asks whether it still does. */
-#define PROBE_USEC (5 * USEC_PER_SEC)
-/* A busy store that hands out a long list page by page fails some pages: with
- * as many turns as instances, 300 that started at once served after 30 s. */
-#define TURNS_WITHOUT_COPY 4u
 /* Reads no further apart are those of one reader. */
 #define READ_PAUSE_USEC (1 * USEC_PER_SEC)
 #define FIELDS 6
@@ -257,54 +230,17 @@
 	g_free(share);
 }
 
-void share_start(struct share *share, uint32_t lower)
-{
-	share->listed = true;
-	share->began = clock_now(share->clock);
-	if (feed_fresh(share->feed) == FEED_NEVER && lower < SHARE_STARTERS)
-		feed_poll(share->feed);
-}
-
 static bool has_copy(const struct share *share)
 {
 	return feed_fresh(share->feed) != FEED_NEVER;
 }
 
-/* Since when the copy is not sure; without one, since peers are known. */
-static int64_t fresh_since(const struct share *share)
-{
-	return has_copy(share) ? feed_fresh(share->feed) : share->began;
-}
-
-/* No rank is known before peers are heard of, and all may have just started. */
-static uint32_t start_rank(const struct share *share,
-			   const struct share_place *place)
-{
-	bool is_early = clock_now(share->clock) - share->began < LISTED_USEC;
-
-	if (is_early && place->unheard > place->peers / 2)
-		return START_RANK_MAX;
-	return MIN(place->rank, START_RANK_MAX);
-}
-
-static int64_t start_patience(const struct share *share,
-			      const struct share_place *place)
-{
-	int64_t patience = (int64_t)start_rank(share, place) * SHARE_RANK_USEC +
-			   (share->listed ? START_USEC : LISTED_USEC);
-
-	return patience * (place->delay_usec > 0 ? START_GROUPED : 1);
-}
-
-/* Beyond that of the first. As many have asked after a time as grows
- * exponentially with it, so that few ask before one is answered and is heard.
- */
-static int64_t rank_patience(const struct share_place *place)
+void share_start(struct share *share, uint32_t lower)
 {
-	double all = log(MAX(place->peers + 1, 2u));
-	double part = MIN(log(place->rank) / all, 1.0);
-
-	return SHARE_RANK_USEC + (int64_t)((double)SHARE_RANK_USEC * part);
+	share->listed = true;
+	share->began = clock_now(share->clock);
+	if (!has_copy(share) && lower < SHARE_STARTERS)
+		feed_poll(share->feed);
 }
 
 void share_offered(struct share *share)
@@ -317,16 +253,33 @@
 {
 	int64_t now = clock_now(share->clock);
 
-	return feed_fresh(share->feed) == FEED_NEVER && share->offered > 0 &&
+	return !has_copy(share) && share->offered > 0 &&
 	       now - share->offered < OFFER_USEC &&
 	       now - share->began < OFFERS_USEC;
 }
 
+static struct reader_state reader_state(const struct share *share)
+{
+	return (struct reader_state){
+		.has_copy = has_copy(share),
+		.fresh = has_copy(share) ? feed_fresh(share->feed)
+					 : share->began,
+		.listed = share->listed,
+		.waits = share->settings.wait_usec > 0,
+		.lag = feed_lag(share->feed),
+		.failing = feed_failing(share->feed),
+		.failed = feed_failed_at(share->feed),
+		.backoff = feed_backoff(share->feed),
+		.seed = share->settings.seed,
+	};
+}
+
 /* Once, when this instance begins to read for others. */
-static void read_log(struct share *share, const struct share_place *place,
-		     int64_t patience)
+static void read_log(struct share *share, const struct reader_state *state,
+		     const struct reader_place *place)
 {
 	int64_t now = clock_now(share->clock);
+	int64_t patience = reader_patience(state, place, now);
 	bool goes_on = share->read > 0 && now - share->read < READ_PAUSE_USEC;
 
 	share->read = now;
@@ -335,69 +288,17 @@
 			  LOG_S("stream", share->settings.stream),
 			  LOG_D("rank", place->rank),
 			  LOG_D("storeless", place->storeless),
-			  LOG_D("age_ms",
-				(now - fresh_since(share)) / USEC_PER_MSEC),
+			  LOG_D("age_ms", (now - state->fresh) / USEC_PER_MSEC),
 			  LOG_D("patience_ms", patience / USEC_PER_MSEC));
 }
 
-/* How long an instance waits for others to read the store. */
-static int64_t patience_of(const struct share *share,
-			   const struct share_place *place)
-{
-	if (!has_copy(share))
-		return start_patience(share, place);
-	/* What a reader holds is up to two answers old. */
-	if (place->rank > 0)
-		return SHARE_PATIENCE_USEC + place->delay_usec +
-		       rank_patience(place) + 2 * feed_lag(share->feed);
-	/* A read that waits is begun at once by the first. */
-	return share->settings.wait_usec > 0 ? 0 : SHARE_PATIENCE_USEC;
-}
-
-/* Between reads that failed. */
-static int64_t retry_pause(const struct share *share,
-			   const struct share_place *place, bool is_old)
-{
-	uint32_t turns = place->storeless;
-	int64_t old_at = feed_fresh(share->feed) + SHARE_PATIENCE_USEC;
-
-	if (!has_copy(share))
-		turns = MIN(turns, TURNS_WITHOUT_COPY);
-	else if (!is_old)
-		return PROBE_USEC;
-	else if (feed_failed_at(share->feed) < old_at)
-		return 0;
-	return place->storeless < STORELESS_LEAST ? 0 : turns * TURN_USEC;
-}
-
-/* Instances that were refused at the same moment do not come again together. */
-static int64_t pause_spread(const struct share *share, int64_t pause)
-{
-	uint64_t hash = id_mix(share->settings.seed,
-			       (uint64_t)feed_failed_at(share->feed));
-
-	return pause / 2 + (int64_t)(hash % (uint64_t)(pause + 1));
-}
-
-/* Whether a read that failed may be repeated. */
-static bool may_retry(const struct share *share,
-		      const struct share_place *place, bool is_old)
-{
-	int64_t pause = pause_spread(share, retry_pause(share, place, is_old));
-
-	return clock_now(share->clock) - feed_failed_at(share->feed) >=
-	       MAX(pause, feed_backoff(share->feed));
-}
-
-void share_tick(struct share *share, const struct share_place *place)
+void share_tick(struct share *share, const struct reader_place *place)
 {
-	int64_t patience = patience_of(share, place);
-	bool is_old = clock_now(share->clock) - fresh_since(share) >= patience;
-	bool is_due =
-		share_failing(share) ? may_retry(share, place, is_old) : is_old;
+	struct reader_state state = reader_state(share);
 
-	if (is_due && !is_coming(share) && feed_poll(share->feed))
-		read_log(share, place, patience);
+	if (reader_is_due(&state, place, clock_now(share->clock)) &&
+	    !is_coming(share) && feed_poll(share->feed))
+		read_log(share, &state, place);
 }
 
 void share_hurry(struct share *share)
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -241,7 +241,7 @@
  * come after all others, and each kind is in the order of names. */
 uint32_t gossip_rank(const struct gossip *gossip);
 /* Where this instance stands among those that may read the store for others. */
-void gossip_place(const struct gossip *gossip, struct share_place *place);
+void gossip_place(const struct gossip *gossip, struct reader_place *place);
 /* Whether this instance has the lowest name of those live, itself included;
  * instances that reach the store come before those that do not, as storeless
  * says of this one. */
--- a/include/forward/share.h
+++ b/include/forward/share.h
@@ -8,17 +8,7 @@
  *	last record that changed anything. From that a peer knows that its own
  *	copy is as good, without a call, or fetches the copy from whoever told.
  *
- *	An instance reads the store when its copy has not been sure for longer
- *	than its patience, which grows with the logarithm of its rank among the
- *	live instances of its data centre, those that the store refuses last:
- *	the first reads all the time, the next ones begin when they do not hear
- *	from it. So no reader is elected, and one that stops, is cut off or is
- *	refused by the store is made up for: within SHARE_PATIENCE_USEC + 2 *
- *	SHARE_RANK_USEC each instance whose copy is still old has asked the
- *	store once, also those that it refused earlier. Who is refused then asks
- *	again in turn with the others that are, one each 300 ms; and each five
- *	seconds while copies come from a peer. Where the store is slow patience
- *	grows by twice the time that its answer took.
+ *	Which instance reads the store, and when, is decided by reader.h.
  */
 #ifndef FORWARD_SHARE_H
 #define FORWARD_SHARE_H
@@ -30,13 +20,7 @@
 #include "common/clock.h"
 #include "common/error.h"
 #include "forward/feed.h"
-
-/* The first instance of a data centre reads so often. A change is to be
- * followed within two seconds everywhere. */
-#define SHARE_PATIENCE_USEC (700 * USEC_PER_MSEC)
-/* The second waits so much longer, the last twice that: gossip of the first one
- * comes every 300 ms at least. */
-#define SHARE_RANK_USEC (450 * USEC_PER_MSEC)
+#include "forward/reader.h"
 
 /* After a start of all instances the first word of a peer comes after 100 ms,
  * and a copy from it later still. So many read the store before that, two calls
@@ -81,18 +65,8 @@
  * the first SHARE_STARTERS by name read the store at once. lower is how many
  * listed names come before this instance's. */
 void share_start(struct share *share, uint32_t lower);
-/* Where an instance stands among those that could read for each other. */
-struct share_place {
-	uint32_t rank;	    /* as gossip_rank() */
-	uint32_t peers;	    /* near */
-	uint32_t unheard;   /* those that have told nothing yet */
-	uint32_t storeless; /* those near that the store does not answer, and
-			     * whose copies are old */
-	int64_t delay_usec; /* that gossip takes beyond a data centre's pace */
-};
-
 /* To be called about every 100 ms: reads the store when it is time. */
-void share_tick(struct share *share, const struct share_place *place);
+void share_tick(struct share *share, const struct reader_place *place);
 /* A peer has a copy that is to be fetched: an instance without any does not
  * read the store meanwhile. */
 void share_offered(struct share *share);
--- a/tests/forward/copies_world.c
+++ b/tests/forward/copies_world.c
@@ -168,7 +168,7 @@
 {
 	int64_t step = now_of(copies) / (STEP_MSEC * USEC_PER_MSEC);
 	bool ticks = (step + i) % (TICK_MSEC / STEP_MSEC) == 0;
-	struct share_place place;
+	struct reader_place place;
 
 	gossip_place(copies->site->instances[i].gossip, &place);
 	for (int k = 0; k < COPY_STREAMS; k++) {
--- /dev/null
+++ b/tests/forward/test_reader.c
@@ -0,0 +1,92 @@
+/* When an instance reads the store, by what it knows of itself and its peers. */
+#include <glib.h>
+
+#include "forward/reader.h"
+#include "rows.h"
+
+#define MSEC(n) ((n)*USEC_PER_MSEC)
+#define NOW MSEC(100000)
+#define NEVER -1
+
+/* A copy, or the start, and a failed read so long ago, in msec. */
+struct row {
+	const char *name;
+	struct reader_place place;
+	int age;
+	int failed; /* NEVER: reads do not fail */
+	int lag;
+	bool has_copy;
+	bool waits;
+	bool due;
+};
+
+static const struct row rows[] = {
+	{"the first reads all the time", {.rank = 0, .peers = 29}, 0, NEVER, 0,
+	 true, true, true},
+	{"the first reads a stream that has no waiting reads each 700 ms",
+	 {.rank = 0, .peers = 29}, 690, NEVER, 0, true, false, false},
+	{"the second hears from the first", {.rank = 1, .peers = 29}, 1140,
+	 NEVER, 0, true, true, false},
+	{"the second does not hear from the first", {.rank = 1, .peers = 29},
+	 1150, NEVER, 0, true, true, true},
+	{"the last lets others ask first", {.rank = 29, .peers = 29}, 1580,
+	 NEVER, 0, true, true, false},
+	{"the last asks in time", {.rank = 29, .peers = 29}, 1600, NEVER, 0,
+	 true, true, true},
+	{"refused peers are not waited for",
+	 {.rank = 5, .peers = 29, .storeless = 24}, 1600, NEVER, 0, true, true,
+	 true},
+	{"refused before its copy was old, it asks like others",
+	 {.rank = 29, .peers = 29, .storeless = 24}, 1600, 1500, 0, true, true,
+	 true},
+	{"refused since, it waits for its turn",
+	 {.rank = 29, .peers = 29, .storeless = 24}, 4000, 2000, 0, true, true,
+	 false},
+	{"refused since, its turn has come",
+	 {.rank = 29, .peers = 29, .storeless = 24}, 20000, 10800, 0, true,
+	 true, true},
+	{"refused alone, it asks after the backoff", {.rank = 1, .peers = 1},
+	 4000, 200, 0, true, true, true},
+	{"refused while others read, it leaves it to them",
+	 {.rank = 29, .peers = 29}, 300, 2400, 0, true, true, false},
+	{"refused while others read, it asks now and then",
+	 {.rank = 29, .peers = 29}, 300, 7500, 0, true, true, true},
+	{"answers that take long are waited for", {.rank = 29, .peers = 29},
+	 2900, NEVER, 700, true, true, false},
+	{"without a copy, the first asks once peers are listed",
+	 {.rank = 0, .peers = 29}, 150, NEVER, 0, false, true, true},
+	{"without a copy, no peer heard of yet",
+	 {.rank = 0, .peers = 196, .unheard = 196}, 990, NEVER, 0, false, true,
+	 false},
+	{"without a copy, no peer is heard of any more",
+	 {.rank = 0, .peers = 196, .unheard = 196}, 1000, NEVER, 0, false,
+	 true, true},
+	{"without a copy, refused: few turns",
+	 {.rank = 29, .peers = 29, .storeless = 24}, 9000, 1800, 0, false, true,
+	 true},
+};
+
+static void test_row(gconstpointer data)
+{
+	const struct row *row = data;
+	const struct reader_state state = {
+		.has_copy = row->has_copy,
+		.fresh = NOW - MSEC(row->age),
+		.listed = true,
+		.waits = row->waits,
+		.lag = MSEC(row->lag),
+		.failing = row->failed != NEVER,
+		.failed = NOW - MSEC(row->failed),
+		.backoff = MSEC(100),
+		.seed = 7,
+	};
+
+	g_assert_cmpint(reader_is_due(&state, &row->place, NOW), ==, row->due);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	ROWS_ADD("/forward/reader/", rows, test_row);
+	return g_test_run();
+}
--- a/tests/forward/test_share.c
+++ b/tests/forward/test_share.c
@@ -83,7 +83,7 @@
 
 static void tick(struct copy *copy, uint32_t rank)
 {
-	const struct share_place place = {.rank = rank};
+	const struct reader_place place = {.rank = rank};
 
 	share_tick(copy->share, &place);
 }
@@ -426,8 +426,8 @@
 	for (int step = 0; step < 150; step++) {
 		wait_msec(clock, 100);
 		for (uint32_t i = 0; i < 50; i++) {
-			const struct share_place place = {.rank = i,
-							  .storeless = failing};
+			const struct reader_place place = {
+				.rank = i, .storeless = failing};
 
 			share_tick(copies[i].share, &place);
 			if (copies[i].fn)
@@ -452,7 +452,7 @@
 static void test_turns_without_copy(void)
 {
 	struct clock *clock = clock_create(0);
-	const struct share_place place = {.rank = 40, .storeless = 50};
+	const struct reader_place place = {.rank = 40, .storeless = 50};
 	struct copy copy;
 
 	copy_open(&copy, clock);
@@ -545,7 +545,7 @@
 /* One of hundreds that start at once has heard of no peer yet. */
 static void test_start_of_all(void)
 {
-	const struct share_place place = {.peers = 196, .unheard = 196};
+	const struct reader_place place = {.peers = 196, .unheard = 196};
 	struct clock *clock = clock_create(0);
 	struct copy copy;
 
