forward: a peer that has told nothing itself is not the first of its group

Found in the logs of a start of the whole fleet: 515 datagrams of 120 instances refused as "no datagram of instances" between the third and the eighth second. Those instances were silent to their receivers meanwhile.

Cause: who lives in another group is known by addresses only, without names. When the number of groups changes such a peer may be of the own group at once; with its empty name it came before all others, so the sums of the group named nobody as their first, which receivers refuse as malformed, and each instance's rank was too large. A peer is a candidate once it has told its name.

Test forward-groups, nameless-first: first was "" before.

--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -123,6 +123,12 @@
 	return order ? order : strcmp(a->name, b->name);
 }
 
+/* One that only others have told of has no name yet. */
+static bool is_candidate(const struct gossip *gossip, const struct peer *peer)
+{
+	return peer_live(gossip, peer) && peer->name[0];
+}
+
 static struct gossip_first peer_as_first(const struct peer *peer)
 {
 	struct gossip_first first = {.storeless = peer_word(peer)->storeless};
@@ -141,7 +147,7 @@
 		const struct peer *peer = gossip->near->pdata[i];
 		struct gossip_first one = peer_as_first(peer);
 
-		rank += peer_live(gossip, peer) &&
+		rank += is_candidate(gossip, peer) &&
 			first_compare(&one, &own) < 0;
 	}
 	return rank;
@@ -233,7 +239,7 @@
 		const struct peer *peer = gossip->near->pdata[i];
 		struct gossip_first one = peer_as_first(peer);
 
-		if (!peer_live(gossip, peer))
+		if (!is_candidate(gossip, peer))
 			continue;
 		if (!found || first_compare(&one, first) < 0)
 			*first = one;
--- a/tests/forward/test_groups.c
+++ b/tests/forward/test_groups.c
@@ -3,6 +3,7 @@
 
 #include "../../forward/gossip_private.h"
 #include "../fake/rows.h"
+#include "address_free.h"
 
 struct size {
 	const char *name;
@@ -66,6 +67,36 @@
 	g_assert_false(group_serves("/1.4", "north", 1));
 }
 
+/* A peer that another group told of, and that has told nothing itself, is of
+ * the own group after the groups changed. */
+static void test_nameless_first(void)
+{
+	char address[ADDRESS_FREE_MAX];
+	struct gossip_settings settings = {
+		.name = "b", .data_centre = "here", .address = address};
+	struct clock *clock = clock_create(0);
+	struct loop *loop = loop_create(clock);
+	struct fleet *fleet = fleet_create(clock, "here");
+	struct gossip_first first;
+	struct gossip *gossip;
+	struct error err;
+
+	address_free(address);
+	gossip = gossip_create(loop, fleet, &settings,
+			       &(struct gossip_ops){.word = NULL}, NULL, &err);
+	g_assert_nonnull(gossip);
+	peer_heard(gossip, peer_add(gossip, "127.0.0.1:9"), "here");
+	peers_update(gossip);
+	g_assert_cmpuint(gossip->near->len, ==, 1);
+	gossip_first_near(gossip, false, false, &first);
+	g_assert_cmpstr(first.name, ==, "b");
+	g_assert_cmpuint(gossip_rank(gossip), ==, 0);
+	gossip_destroy(gossip);
+	fleet_destroy(fleet);
+	loop_destroy(loop);
+	clock_destroy(clock);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -73,5 +104,6 @@
 	g_test_add_func("/forward/groups/names", test_names);
 	g_test_add_func("/forward/groups/malformed-names",
 			test_malformed_names);
+	g_test_add_func("/forward/groups/nameless-first", test_nameless_first);
 	return g_test_run();
 }
