forward: the time over which instances ask the store grows with all that are known

With the list of instances read in turns, a start of the whole fleet still ended in a store that answers nobody: from the third second on some 1,900 instances a second began to read, 256 kB of heartbeats each. Their patience counted peers near, and who has not read the list knows few of these, so each took itself for the second.

The last of a data centre waits 2 ms longer for each known instance of all data centres (985: 3.2 s in all, and the time between groups; below 225 as before), who has not read the list draws its part of that time by chance, with the exponential distribution that the ranks have otherwise, and reads that failed are repeated no sooner than after that time.

--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -221,6 +221,7 @@
 		.rank = gossip->rank,
 		.peers = gossip->near->len,
 		.unheard = unheard_count(gossip),
+		.instances = gossip_instances(gossip),
 		.storeless = storeless_count(gossip, READER_PATIENCE_USEC),
 		.delay_usec = gossip_grouped(gossip)
 				      ? gossip_interval(gossip, false)
--- a/forward/reader.c
+++ b/forward/reader.c
@@ -15,6 +15,9 @@
 #define START_USEC (150 * USEC_PER_MSEC)
 /* So long the list of peers, and a word of them, is waited for. */
 #define LISTED_USEC (1 * USEC_PER_SEC)
+/* Each instance that is known widens the time over which all ask, and that
+ * between reads that failed: the store answers thousands a second. */
+#define INSTANCE_USEC (2 * USEC_PER_MSEC)
 /* From so many instances near on that the store refuses they take turns, so far
  * apart. */
 #define STORELESS_LEAST 2u
@@ -49,15 +52,36 @@
 	return patience * (place->delay_usec > 0 ? START_GROUPED : 1);
 }
 
-/* Beyond that of the first. As many have asked after a time as grows
- * exponentially with it, so that few ask before one is answered and is heard.
- */
-static int64_t rank_patience(const struct reader_place *place)
+/* In [0, 1): which part of a time an instance waits where it does not know who
+ * else waits. As many have waited it out as grows exponentially with it. */
+static double drawn_part(const struct reader_state *state,
+			 const struct reader_place *place)
+{
+	double scale = log((double)place->instances + 1.0) + 1.0;
+	uint64_t hash = id_mix(state->seed, (uint64_t)state->fresh);
+	double drawn = (double)(hash >> 32) / (double)UINT32_MAX;
+
+	return log1p(drawn * expm1(scale)) / scale;
+}
+
+/* The same by rank, which is known once peers are. */
+static double ranked_part(const struct reader_place *place)
 {
 	double all = log(MAX(place->peers + 1, 2u));
-	double part = MIN(log(place->rank) / all, 1.0);
 
-	return READER_RANK_USEC + (int64_t)((double)READER_RANK_USEC * part);
+	return MIN(log(place->rank) / all, 1.0);
+}
+
+/* Beyond that of the first. */
+static int64_t rank_patience(const struct reader_state *state,
+			     const struct reader_place *place)
+{
+	int64_t most = MAX(READER_RANK_USEC,
+			   (int64_t)place->instances * INSTANCE_USEC);
+	double part =
+		state->listed ? ranked_part(place) : drawn_part(state, place);
+
+	return READER_RANK_USEC + (int64_t)((double)most * part);
 }
 
 int64_t reader_patience(const struct reader_state *state,
@@ -68,7 +92,7 @@
 	/* What a reader holds is up to two answers old. */
 	if (place->rank > 0)
 		return READER_PATIENCE_USEC + place->delay_usec +
-		       rank_patience(place) + 2 * state->lag;
+		       rank_patience(state, place) + 2 * state->lag;
 	/* A read that waits is begun at once by the first. */
 	return state->waits ? 0 : READER_PATIENCE_USEC;
 }
@@ -85,7 +109,9 @@
 		return PROBE_USEC;
 	else if (state->failed < state->fresh + READER_PATIENCE_USEC)
 		return 0;
-	return place->storeless < STORELESS_LEAST ? 0 : turns * TURN_USEC;
+	turns = place->storeless < STORELESS_LEAST ? 0 : turns;
+	return MAX(turns * TURN_USEC,
+		   (int64_t)place->instances * INSTANCE_USEC);
 }
 
 /* Instances that were refused at the same moment do not come again together. */
--- a/include/forward/reader.h
+++ b/include/forward/reader.h
@@ -10,6 +10,8 @@
  *	is cut off or is refused by the store is made up for: within
  *	READER_PATIENCE_USEC + 2 * READER_RANK_USEC each instance whose copy is
  *	still old has asked the store once, also those that it refused earlier.
+ *	From 225 instances on the second READER_RANK_USEC is 2 ms for each of
+ *	them.
  *	Who is refused then asks again in turn with the others that are, one
  *	each 300 ms; and each five seconds while copies come from a peer. Where
  *	the store is slow patience grows by twice the time that its answer took.
@@ -36,6 +38,7 @@
 	uint32_t rank;	    /* as gossip_rank() */
 	uint32_t peers;	    /* near */
 	uint32_t unheard;   /* those that have told nothing yet */
+	uint32_t instances; /* known in all data centres */
 	uint32_t storeless; /* those near that the store does not answer, and
 			     * whose copies are old */
 	int64_t delay_usec; /* that gossip takes beyond a data centre's pace */
--- a/tests/forward/test_list_start.c
+++ b/tests/forward/test_list_start.c
@@ -177,8 +177,8 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	log_setup(NULL, "test", LOG_CRIT);
-	g_test_add_data_func("/forward/list-start/ends-7",
-			     GUINT_TO_POINTER(7), test_ends);
+	g_test_add_data_func("/forward/list-start/ends-7", GUINT_TO_POINTER(7),
+			     test_ends);
 	g_test_add_data_func("/forward/list-start/ends-985",
 			     GUINT_TO_POINTER(985), test_ends);
 	g_test_add_data_func("/forward/list-start/ends-1970",
