forward: nobody is the first reader before peers are listed, and lists that fail pause twice as long

Rank 0 counts once peers are listed, and a pause for the list is at least as long as it was tried before, where any peer is known, and counts all that are known. Tests: forward-reader, unlisted and list-fails.

--- a/forward/node.h
+++ b/forward/node.h
@@ -77,6 +77,7 @@
 	int64_t served_from; /* begin of the second of served_bytes */
 	size_t served_bytes;
 	bool registered;
+	int64_t registered_at;
 	bool draining;
 	int64_t hurried; /* when a peer's word had the configuration read */
 	int64_t drained_from;
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -190,13 +190,14 @@
 static void list_tick(struct node *node)
 {
 	const struct reader_state state = {
+		.fresh = node->registered_at,
 		.failing = feed_failing(node->peer_feed),
 		.failed = feed_failed_at(node->peer_feed),
 		.backoff = feed_backoff(node->peer_feed),
 		.seed = id_of(node->settings.name),
 	};
 
-	if (reader_list_is_due(&state, gossip_live(node->gossip),
+	if (reader_list_is_due(&state, gossip_instances(node->gossip) - 1,
 			       clock_now(node->clock)))
 		feed_poll(node->peer_feed);
 }
@@ -390,10 +391,12 @@
 	if (node->draining)
 		return;
 	node->registered = code == RESULT_OK;
-	if (node->registered)
+	if (node->registered) {
+		node->registered_at = clock_now(node->clock);
 		feed_poll(node->peer_feed);
-	else
+	} else {
 		timer_start(&node->register_timer, REGISTER_RETRY_USEC);
+	}
 }
 
 /* Written before the others are read, so of two that start together at least
--- a/forward/reader.c
+++ b/forward/reader.c
@@ -89,8 +89,9 @@
 {
 	if (!state->has_copy)
 		return start_patience(state, place, now);
-	/* What a reader holds is up to two answers old. */
-	if (place->rank > 0)
+	/* No rank is sure before peers are known. What a reader holds is up to
+	 * two answers old. */
+	if (place->rank > 0 || !state->listed)
 		return READER_PATIENCE_USEC + place->delay_usec +
 		       rank_patience(state, place) + 2 * state->lag;
 	/* A read that waits is begun at once by the first. */
@@ -138,8 +139,13 @@
 bool reader_list_is_due(const struct reader_state *state, uint32_t peers,
 			int64_t now)
 {
-	int64_t pause = pause_spread(state, (int64_t)peers * LIST_TURN_USEC);
+	int64_t pause = 0;
 
+	/* Doubles, as the store may be kept busy by others that ask for it. */
+	if (peers > 0)
+		pause = MAX((int64_t)peers * LIST_TURN_USEC,
+			    state->failed - state->fresh);
 	return state->failing &&
-	       now - state->failed >= MAX(pause, state->backoff);
+	       now - state->failed >=
+		       MAX(pause_spread(state, pause), state->backoff);
 }
--- a/include/forward/reader.h
+++ b/include/forward/reader.h
@@ -63,8 +63,10 @@
 /* Whether it is to read now. */
 bool reader_is_due(const struct reader_state *state,
 		   const struct reader_place *place, int64_t now);
-/* Whether an instance that could not read the list of instances, and has heard
- * of so many peers, is to try again: all together some 50 times a second. */
+/* Whether an instance that could not read the list of instances, and knows so
+ * many peers, is to try again: all together some 50 times a second at the most.
+ * fresh is when it read it first; of the rest only what concerns failed reads
+ * counts. */
 bool reader_list_is_due(const struct reader_state *state, uint32_t peers,
 			int64_t now);
 
--- a/tests/forward/test_reader.c
+++ b/tests/forward/test_reader.c
@@ -210,9 +210,38 @@
 	g_assert_cmpint(reader_is_due(&state, &row->place, NOW), ==, row->due);
 }
 
+/* Before peers are listed a rank of 0 says little. */
+static void test_unlisted(void)
+{
+	const struct reader_place place = {.peers = 3, .instances = 1000};
+	struct reader_state state = {
+		.has_copy = true, .fresh = NOW - MSEC(1140), .waits = true};
+
+	g_assert_false(reader_is_due(&state, &place, NOW));
+	state.fresh = NOW - MSEC(3200);
+	g_assert_true(reader_is_due(&state, &place, NOW));
+}
+
+/* Each time that the list of instances fails the pause doubles. */
+static void test_list_fails(void)
+{
+	struct reader_state state = {
+		.fresh = NOW - MSEC(9000),
+		.failing = true,
+		.failed = NOW - MSEC(2900),
+		.backoff = MSEC(800),
+	};
+
+	g_assert_true(reader_list_is_due(&state, 0, NOW));
+	g_assert_false(reader_list_is_due(&state, 1, NOW));
+	g_assert_true(reader_list_is_due(&state, 1, NOW + MSEC(6300)));
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	ROWS_ADD("/forward/reader/", rows, test_row);
+	g_test_add_func("/forward/reader/unlisted", test_unlisted);
+	g_test_add_func("/forward/reader/list-fails", test_list_fails);
 	return g_test_run();
 }
