--- a/forward/reader.c
+++ b/forward/reader.c
@@ -91,7 +91,7 @@
 		return start_patience(state, place, now);
 	/* No rank is sure before peers are known. What a reader holds is up to
 	 * two answers old. */
-	if (place->rank > 0 || !state->listed)
+	if (place->rank > 0 || (!state->listed && place->instances > 1))
 		return READER_PATIENCE_USEC + place->delay_usec +
 		       rank_patience(state, place) + 2 * state->lag;
 	/* A read that waits is begun at once by the first. */
