forward: who could not read the list of instances leaves reading to others

The store does not answer them, or they would have the list; as long as they have a copy they wait as the last rank without a copy does, and the drawn time beside that. forward-reader unlisted holds it.

--- a/forward/reader.c
+++ b/forward/reader.c
@@ -72,16 +72,18 @@
 	return MIN(log(place->rank) / all, 1.0);
 }
 
-/* Beyond that of the first. */
+/* Beyond that of the first. Who could not read the list of instances is not
+ * answered by the store, and knows few of those that ask with it. */
 static int64_t rank_patience(const struct reader_state *state,
 			     const struct reader_place *place)
 {
 	int64_t most = MAX(READER_RANK_USEC,
 			   (int64_t)place->instances * INSTANCE_USEC);
-	double part =
-		state->listed ? ranked_part(place) : drawn_part(state, place);
 
-	return READER_RANK_USEC + (int64_t)((double)most * part);
+	if (!state->listed)
+		return START_RANK_MAX * READER_RANK_USEC +
+		       (int64_t)((double)most * drawn_part(state, place));
+	return READER_RANK_USEC + (int64_t)((double)most * ranked_part(place));
 }
 
 int64_t reader_patience(const struct reader_state *state,
