soak: the last calls of a run with servers that ask for less are waited for

Traced in the logs: c1032 was placed 0.2 s before the instances were stopped, and answered whole 0.13 s later. asks_check() ends with calls that have just begun, and calls_check() followed at once; it now comes after the time that a call may take, as in recovery_check().

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -113,8 +113,11 @@
 		asks_heal(soak);
 	soak_turn(soak, SETTLE_USEC);
 	recovery_check(soak);
-	if (soak->asking)
+	if (soak->asking) {
 		asks_check(soak);
+		/* The last calls are still under way. */
+		soak_turn(soak, QUIET_USEC);
+	}
 	calls_check(soak);
 	if (soak->repeating)
 		repeats_check(soak);
