forward: after an outage for all the first that were refused ask again at once

Cause: the store is silent for all from 31 to 33.8 s, so all are refused at the same moment; since turns were drawn by chance between a half and one and a half of 300 ms for each that is refused, nobody of 30 asked for the next 4.5 s. Turns are now slots of 300 ms in the order of ranks, from the moment on at which copies are old, so somebody asks in each slot from the first on.

--- a/forward/reader.c
+++ b/forward/reader.c
@@ -100,42 +100,55 @@
 	return state->waits ? 0 : READER_PATIENCE_USEC;
 }
 
-/* Between reads that failed. */
-static int64_t retry_pause(const struct reader_state *state,
-			   const struct reader_place *place, bool is_old)
+/* Instances that were refused at the same moment do not come again together. */
+static int64_t pause_spread(const struct reader_state *state, int64_t pause)
+{
+	uint64_t hash = id_mix(state->seed, (uint64_t)state->failed);
+
+	return pause / 2 + (int64_t)(hash % (uint64_t)(pause + 1));
+}
+
+/* Instances that are refused ask one after the other, in the order of ranks. */
+static bool is_turn(const struct reader_state *state,
+		    const struct reader_place *place, int64_t now)
 {
-	uint32_t turns = place->storeless;
+	int64_t old_at =
+		state->fresh + READER_PATIENCE_USEC + 2 * READER_RANK_USEC;
+	uint32_t turns = place->storeless + 1;
 
+	if (place->storeless < STORELESS_LEAST)
+		return true;
 	if (!state->has_copy)
 		turns = MIN(turns, TURNS_WITHOUT_COPY);
-	else if (!is_old)
-		return PROBE_USEC;
-	else if (state->failed < state->fresh + READER_PATIENCE_USEC)
-		return 0;
-	turns = place->storeless < STORELESS_LEAST ? 0 : turns;
-	return MAX(turns * TURN_USEC,
-		   (int64_t)place->instances * INSTANCE_USEC);
+	return MAX(now - old_at, 0) / TURN_USEC % turns == place->rank % turns;
 }
 
-/* Instances that were refused at the same moment do not come again together. */
-static int64_t pause_spread(const struct reader_state *state, int64_t pause)
+/* Whether a read that failed may be repeated. */
+static bool may_retry(const struct reader_state *state,
+		      const struct reader_place *place, int64_t now,
+		      bool is_old)
 {
-	uint64_t hash = id_mix(state->seed, (uint64_t)state->failed);
-
-	return pause / 2 + (int64_t)(hash % (uint64_t)(pause + 1));
+	int64_t least = (int64_t)place->instances * INSTANCE_USEC;
+	int64_t since = now - state->failed;
+	bool once = state->failed < state->fresh + READER_PATIENCE_USEC;
+
+	if (since < state->backoff)
+		return false;
+	if (state->has_copy && !is_old)
+		return since >= pause_spread(state, PROBE_USEC);
+	if (state->has_copy && once)
+		return true;
+	return since >= MAX(TURN_USEC,
+			    (int64_t)place->instances * INSTANCE_USEC) &&
+	       is_turn(state, place, now);
 }
 
 bool reader_is_due(const struct reader_state *state,
 		   const struct reader_place *place, int64_t now)
 {
-	int64_t patience = reader_patience(state, place, now);
-	bool is_old = now - state->fresh >= patience;
-	int64_t pause;
-
-	if (!state->failing)
-		return is_old;
-	pause = pause_spread(state, retry_pause(state, place, is_old));
-	return now - state->failed >= MAX(pause, state->backoff);
+	bool is_old = now - state->fresh >= reader_patience(state, place, now);
+
+	return state->failing ? may_retry(state, place, now, is_old) : is_old;
 }
 
 bool reader_list_is_due(const struct reader_state *state, uint32_t peers,
--- a/tests/forward/test_copies.c
+++ b/tests/forward/test_copies.c
@@ -74,6 +74,27 @@
 	}
 }
 
+static void refused_set(struct copies *copies, bool refused)
+{
+	for (uint32_t i = 0; i < copies->site->count; i++)
+		copies->refused[i] = refused;
+}
+
+/* The store answers nobody for a while, and then everybody. */
+static void test_after_outage(void)
+{
+	struct copies *copies = copies_open(150, 1);
+
+	for (int msec = 2000; msec <= 14000; msec += 3000) {
+		refused_set(copies, true);
+		copies_run(copies, msec);
+		refused_set(copies, false);
+		spread_check(copies);
+		copies_run(copies, 3000);
+	}
+	copies_close(copies);
+}
+
 /* A store that takes long to answer is not read by everybody for that. */
 static void test_slow_store(void)
 {
@@ -95,6 +116,7 @@
 			test_answered_wait_for_refused);
 	g_test_add_func("/forward/copies/others-are-refused",
 			test_others_are_refused);
+	g_test_add_func("/forward/copies/after-outage", test_after_outage);
 	g_test_add_func("/forward/copies/slow-store", test_slow_store);
 	return g_test_run();
 }
