--- a/forward/reader.c
+++ b/forward/reader.c
@@ -116,8 +116,6 @@
 		state->fresh + READER_PATIENCE_USEC + 2 * READER_RANK_USEC;
 	uint32_t turns = place->storeless + 1;
 
-	if (place->storeless < STORELESS_LEAST)
-		return true;
 	if (!state->has_copy)
 		turns = MIN(turns, TURNS_WITHOUT_COPY);
 	return MAX(now - old_at, 0) / TURN_USEC % turns == place->rank % turns;
@@ -138,9 +136,9 @@
 		return since >= pause_spread(state, PROBE_USEC);
 	if (state->has_copy && once)
 		return true;
-	return since >= MAX(TURN_USEC,
-			    (int64_t)place->instances * INSTANCE_USEC) &&
-	       is_turn(state, place, now);
+	if (place->storeless < STORELESS_LEAST)
+		return since >= least;
+	return since >= MAX(TURN_USEC, least) && is_turn(state, place, now);
 }
 
 bool reader_is_due(const struct reader_state *state,
