forward: what is reachable in a file of its own

Connections to servers, their backoff and the reports of peers are in fleet_reach.c now. No change of behaviour.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -1,4 +1,4 @@
-#include "forward/fleet.h"
+#include "fleet_private.h"
 
 #include <math.h>
 #include <string.h>
@@ -18,14 +18,6 @@
  * its requests keeps a score of about 1, a healthy one decays to 0 within a few
  * requests. */
 #define FAILURE_SUCCESS_FACTOR 0.75
-/* First and longest backoff after a failed connection: a crashed server costs
- * each instance at most two connections a second. */
-#define AVOID_BASE_USEC (250 * USEC_PER_MSEC)
-#define AVOID_MAX_USEC (2 * USEC_PER_SEC)
-
-/* Time-out of a half-open probe, longer than BACKEND_CONNECT_USEC. */
-#define PROBE_TIMEOUT_USEC (200 * USEC_PER_MSEC)
-
 /* Backoff after a refused reservation, doubled once: a server frees memory for
  * a request about every 100 ms, and many instances compete for it. */
 #define FULL_RETRY_USEC (40 * USEC_PER_MSEC)
@@ -42,25 +34,6 @@
  * that arrive by different paths. */
 #define COLD_SKEW_USEC (300 * USEC_PER_MSEC)
 
-struct fleet {
-	struct clock *clock;
-	char *data_centre;
-	const struct backpressure *pressure; /* NULL: no backpressure */
-	struct table *table;
-	GHashTable *keys;	  /* key to struct backend */
-	GHashTable *ids;	  /* id to struct backend */
-	GHashTable *incarnations; /* id to struct incarnation */
-	GHashTable *services;	  /* id to struct service */
-	GPtrArray *all;
-	GPtrArray *charged;
-	GPtrArray *avoided; /* unreachable, or reached since the last prune */
-	uint32_t local;	    /* servers in this data centre */
-	GHashTable *evacuated; /* data centre to struct evacuation */
-	GHashTable *regions;   /* data centre to the region's name */
-	uint32_t group;
-	uint32_t groups;
-};
-
 /* The servers of a service. */
 struct service {
 	uint64_t id;
@@ -202,7 +175,7 @@
 	service->sorted = true;
 }
 
-static void backend_log(const char *event, const struct backend *backend)
+void backend_log(const char *event, const struct backend *backend)
 {
 	static const char *const stages[] = {"none", "prefill", "decode"};
 
@@ -565,20 +538,6 @@
 	g_ptr_array_add(backend->fleet->charged, backend);
 }
 
-bool fleet_service_reachable(const struct fleet *fleet, uint64_t service)
-{
-	const GPtrArray *list = fleet_service(fleet, service);
-
-	for (guint i = 0; list && i < list->len; i++) {
-		const struct backend *backend = list->pdata[i];
-
-		if (!backend_withdrawn(backend) &&
-		    backend->connect_failures == 0)
-			return true;
-	}
-	return !list || list->len == 0;
-}
-
 void fleet_set_changing(struct fleet *fleet,
 			const struct backend_change *change)
 {
@@ -590,72 +549,6 @@
 			    clock_now(fleet->clock) + change->left_usec);
 }
 
-static bool is_unreachable(const struct backend *backend, int64_t now)
-{
-	return backend->connect_failures > 0 && now < backend->avoid_until &&
-	       !backend_leaving(backend);
-}
-
-/* Whether at least half of the local servers are unreachable. Then this
- * instance is more likely partitioned than the servers down. */
-static bool is_likely_partitioned(const struct fleet *fleet, int64_t now)
-{
-	uint32_t unreachable = 0;
-
-	for (guint i = 0; i < fleet->avoided->len; i++) {
-		const struct backend *backend = fleet->avoided->pdata[i];
-
-		unreachable += backend->local && is_unreachable(backend, now);
-	}
-	return unreachable * 2 >= MAX(fleet->local, 1u);
-}
-
-static void avoided_prune(struct fleet *fleet)
-{
-	for (guint i = fleet->avoided->len; i > 0; i--) {
-		struct backend *backend = fleet->avoided->pdata[i - 1];
-
-		if (backend->connect_failures > 0)
-			continue;
-		backend->avoid_listed = false;
-		g_ptr_array_remove_index_fast(fleet->avoided, i - 1);
-	}
-}
-
-uint32_t fleet_unreachable(struct fleet *fleet,
-			   struct unreachable_backend *unreachable,
-			   uint32_t max)
-{
-	int64_t now = clock_now(fleet->clock);
-	uint32_t count = 0;
-
-	avoided_prune(fleet);
-	for (guint i = 0; i < fleet->avoided->len && count < max; i++) {
-		const struct backend *backend = fleet->avoided->pdata[i];
-
-		if (is_unreachable(backend, now))
-			unreachable[count++] = (struct unreachable_backend){
-				backend->key, backend->avoid_until - now};
-	}
-	return count > 0 && is_likely_partitioned(fleet, now) ? 0 : count;
-}
-
-void fleet_merge_unreachable(struct fleet *fleet, uint64_t peer,
-			     const struct unreachable_backend *unreachable)
-{
-	struct backend *backend = fleet_find(fleet, unreachable->key);
-	int64_t now = clock_now(fleet->clock);
-	int64_t until = now + MIN(unreachable->left_usec, AVOID_MAX_USEC);
-
-	if (!backend)
-		return;
-	if (backend->unreachable_reporter != peer &&
-	    now < backend->unreachable_until)
-		backend->avoid_until = MAX(backend->avoid_until, until);
-	backend->unreachable_reporter = peer;
-	backend->unreachable_until = until;
-}
-
 bool backend_leaving(const struct backend *backend)
 {
 	return backend->info.leaving || backend->leaving_reported;
@@ -735,8 +628,7 @@
 
 void backend_claim_probe(struct backend *backend, int64_t now)
 {
-	if (backend->connect_failures > 0)
-		backend->avoid_until = now + PROBE_TIMEOUT_USEC;
+	path_claim_probe(backend, now);
 	if (backend_refusing(backend))
 		backend->changing_until = now + REFUSED_PAUSE_USEC;
 }
@@ -777,12 +669,6 @@
 	backend->full_count = 0;
 }
 
-void backend_reached(struct backend *backend)
-{
-	backend->connect_failures = 0;
-	backend->avoid_until = 0;
-}
-
 void backend_succeeded(struct backend *backend, int64_t now)
 {
 	backend->failure_score =
@@ -796,20 +682,3 @@
 	backend->failure_score = backend_failure_score(backend, now) + 1.0;
 	backend->failure_score_at = now;
 }
-
-void backend_unreachable(struct backend *backend, int64_t now)
-{
-	int64_t pause = AVOID_BASE_USEC << MIN(backend->connect_failures, 3u);
-
-	backend_failed(backend, now);
-	/* Requests that fail together count as one failed connection. */
-	if (backend->connect_failures > 0 && now < backend->avoid_until &&
-	    backend->avoid_until - now > PROBE_TIMEOUT_USEC)
-		return;
-	backend->connect_failures++;
-	if (!backend->avoid_listed)
-		g_ptr_array_add(backend->fleet->avoided, backend);
-	backend->avoid_listed = true;
-	backend->avoid_until = now + MIN(pause, AVOID_MAX_USEC);
-	backend_log("backend_unreachable", backend);
-}
--- /dev/null
+++ b/forward/fleet_private.h
@@ -0,0 +1,32 @@
+/*
+ * fleet_private.h - state of a fleet, shared by fleet.c and fleet_reach.c
+ */
+#ifndef FORWARD_FLEET_PRIVATE_H
+#define FORWARD_FLEET_PRIVATE_H
+
+#include "forward/fleet.h"
+
+struct fleet {
+	struct clock *clock;
+	char *data_centre;
+	const struct backpressure *pressure; /* NULL: no backpressure */
+	struct table *table;
+	GHashTable *keys;	  /* key to struct backend */
+	GHashTable *ids;	  /* id to struct backend */
+	GHashTable *incarnations; /* id to struct incarnation */
+	GHashTable *services;	  /* id to struct service */
+	GPtrArray *all;
+	GPtrArray *charged;
+	GPtrArray *avoided; /* unreachable, or reached since the last prune */
+	uint32_t local;	    /* servers in this data centre */
+	GHashTable *evacuated; /* data centre to struct evacuation */
+	GHashTable *regions;   /* data centre to the region's name */
+	uint32_t group;
+	uint32_t groups;
+};
+
+void backend_log(const char *event, const struct backend *backend);
+/* The part of backend_claim_probe() that concerns connections. */
+void path_claim_probe(struct backend *backend, int64_t now);
+
+#endif
