--- a/forward/fleet_private.h
+++ b/forward/fleet_private.h
@@ -19,6 +19,11 @@
 	GPtrArray *charged;
 	GPtrArray *avoided; /* unreachable, or reached since the last prune */
 	uint32_t local;	    /* servers in this data centre */
+	/* Servers that no connection could be made to since the last one that
+	 * could be made to any server. */
+	uint32_t lost;
+	uint64_t lost_epoch;   /* number of such periods so far */
+	int64_t lost_since;    /* time of the first failure; 0: none */
 	GHashTable *evacuated; /* data centre to struct evacuation */
 	GHashTable *regions;   /* data centre to the region's name */
 	uint32_t group;
--- a/forward/fleet_reach.c
+++ b/forward/fleet_reach.c
@@ -3,6 +3,8 @@
  */
 #include "fleet_private.h"
 
+#include "common/log.h"
+
 /* First and longest backoff after a failed connection: a crashed server costs
  * each instance at most two connections a second. */
 #define AVOID_BASE_USEC (250 * USEC_PER_MSEC)
@@ -11,6 +13,48 @@
 /* Time-out of a half-open probe, longer than BACKEND_CONNECT_USEC. */
 #define PROBE_TIMEOUT_USEC (200 * USEC_PER_MSEC)
 
+/* Servers lost in a row from which on an instance counts as cut off. A failure
+ * domain that goes down with fewer is not taken for that. */
+#define CUT_OFF_SERVERS 3u
+
+bool fleet_cut_off(const struct fleet *fleet)
+{
+	return fleet->lost > 0 &&
+	       fleet->lost >= MIN(CUT_OFF_SERVERS, fleet->all->len);
+}
+
+static void cut_off_log(const struct fleet *fleet, const char *event)
+{
+	log_event(LOG_NOTICE, event, LOG_D("failed", fleet->lost),
+		  LOG_D("listed", fleet->all->len),
+		  LOG_D("ms", (clock_now(fleet->clock) - fleet->lost_since) /
+				      USEC_PER_MSEC));
+}
+
+static void lost_count(struct backend *backend, int64_t now)
+{
+	struct fleet *fleet = backend->fleet;
+	bool was_cut_off = fleet_cut_off(fleet);
+
+	if (fleet->lost == 0) {
+		fleet->lost_since = now;
+		fleet->lost_epoch++;
+	}
+	if (backend->lost_epoch == fleet->lost_epoch)
+		return;
+	backend->lost_epoch = fleet->lost_epoch;
+	fleet->lost++;
+	if (!was_cut_off && fleet_cut_off(fleet))
+		cut_off_log(fleet, "servers_lost");
+}
+
+static void lost_reset(struct fleet *fleet)
+{
+	if (fleet_cut_off(fleet))
+		cut_off_log(fleet, "servers_reached");
+	fleet->lost = 0;
+}
+
 bool fleet_service_reachable(const struct fleet *fleet, uint64_t service)
 {
 	const GPtrArray *list = fleet_service(fleet, service);
@@ -75,6 +119,19 @@
 	return count > 0 && is_likely_partitioned(fleet, now) ? 0 : count;
 }
 
+/* Once for each backoff that the reports begin. */
+static void reported_log(const struct backend *backend, uint64_t peer,
+			 int64_t now, int64_t until)
+{
+	if (now < backend->avoid_until)
+		return;
+	log_event(LOG_NOTICE, "backend_reported_unreachable",
+		  LOG_S("backend", backend->info.id), LOG_X("peer", peer),
+		  LOG_X("peer_before", backend->unreachable_reporter),
+		  LOG_D("own_failures", backend->connect_failures),
+		  LOG_D("ms", (until - now) / USEC_PER_MSEC));
+}
+
 void fleet_merge_unreachable(struct fleet *fleet, uint64_t peer,
 			     const struct unreachable_backend *unreachable)
 {
@@ -85,8 +142,10 @@
 	if (!backend)
 		return;
 	if (backend->unreachable_reporter != peer &&
-	    now < backend->unreachable_until)
+	    now < backend->unreachable_until) {
+		reported_log(backend, peer, now, until);
 		backend->avoid_until = MAX(backend->avoid_until, until);
+	}
 	backend->unreachable_reporter = peer;
 	backend->unreachable_until = until;
 }
@@ -99,6 +158,7 @@
 
 void backend_reached(struct backend *backend)
 {
+	lost_reset(backend->fleet);
 	backend->connect_failures = 0;
 	backend->avoid_until = 0;
 }
@@ -108,6 +168,7 @@
 	int64_t pause = AVOID_BASE_USEC << MIN(backend->connect_failures, 3u);
 
 	backend_failed(backend, now);
+	lost_count(backend, now);
 	/* Requests that fail together count as one failed connection. */
 	if (backend->connect_failures > 0 && now < backend->avoid_until &&
 	    backend->avoid_until - now > PROBE_TIMEOUT_USEC)
--- a/forward/node_health.c
+++ b/forward/node_health.c
@@ -79,6 +79,13 @@
 		->value = (int64_t)backpressure_limited(node->backpressure);
 }
 
+static void reach_count(struct node *node)
+{
+	gauge_get(node->counters, "jt_cut_off",
+		  "1 while no backend server can be connected to", NULL)
+		->value = fleet_cut_off(node->fleet);
+}
+
 void node_metrics(void *ctx, struct web_request *request)
 {
 	struct node *node = ctx;
@@ -87,6 +94,7 @@
 	traffic_count(node);
 	quarantine_count(node);
 	backpressure_count(node);
+	reach_count(node);
 	counter_set_print(node->counters, text);
 	web_reply(request, 200, "text/plain; version=0.0.4", text->str,
 		  text->len);
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -78,6 +78,7 @@
 	int64_t avoid_until;	   /* end of the backoff while unreachable */
 	uint32_t connect_failures; /* consecutive */
 	bool avoid_listed;	   /* in the fleet's avoided list */
+	uint64_t lost_epoch;	   /* the fleet's at its last failure */
 	uint64_t unreachable_reporter; /* last peer that reported it */
 	int64_t unreachable_until;     /* when that peer retries */
 	int64_t full_until;	       /* backoff after a refused reservation */
@@ -186,6 +187,9 @@
  * have lost only its own path. peer is any number that identifies the peer. */
 void fleet_merge_unreachable(struct fleet *fleet, uint64_t peer,
 			     const struct unreachable_backend *unreachable);
+/* Whether this instance is likely cut off from all servers: it failed to
+ * connect to several in a row and to none since. */
+bool fleet_cut_off(const struct fleet *fleet);
 /* According to the list or to the server's own answers. */
 bool backend_leaving(const struct backend *backend);
 /* Whether the server is leaving, or its data centre is evacuated. */
