forward: failing tests for instances that reach no server

A world of 7, 83 and 300 instances on a paused clock: some, a whole data centre, or most of them lose their links to all servers, with connections that are reset, hang, or go on while new ones are refused. Their callers are served 0 of some hundred first attempts from three seconds on. One or two requests are blamed for servers that are well. A unit test: an instance that has tried only the three servers of one service reports them to its neighbours.

--- /dev/null
+++ b/tests/forward/reach_world.c
@@ -0,0 +1,758 @@
+#include "reach_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/error.h"
+#include "common/id.h"
+#include "forward/forward.h"
+
+#define CONNECT_USEC (1 * USEC_PER_MSEC)
+#define PLAIN_USEC (15 * USEC_PER_MSEC)
+#define PREFILL_USEC (60 * USEC_PER_MSEC)
+#define FIRST_EVENT_USEC (20 * USEC_PER_MSEC)
+#define STREAM_USEC (300 * USEC_PER_MSEC)
+#define REPORT_USEC (300 * USEC_PER_MSEC)
+/* Requests per second at an instance. */
+#define RATE 12
+/* One of so many is a stream. */
+#define STREAM_EVERY 8
+#define REPORTS_MAX 48u
+#define MEMORY_TOKENS 30000u
+
+struct record {
+	uint32_t instance;
+	bool once;
+	bool cut_off; /* its instance, when it was sent */
+	uint32_t runs;
+	uint32_t answers;
+	int status; /* 0: broken off */
+};
+
+struct web_request {
+	struct reach_world *world;
+	uint32_t number;
+	char path[16];
+	char id[16];
+};
+
+struct instance {
+	struct reach_world *world;
+	uint32_t number;
+	char centre[4];
+	enum cut cut;
+	uint32_t cut_every; /* 0: from all servers */
+	struct fleet *fleet;
+	struct budgets *budgets;
+	struct quarantine *quarantine;
+	struct backpressure *backpressure;
+	struct limits *limits;
+	struct counter_set *counters;
+	struct forward *forward;
+};
+
+struct server {
+	struct backend_info info;
+	bool crashed;
+};
+
+enum call_kind { CALL_SEND, CALL_RESERVE, CALL_CHECK };
+
+struct call {
+	GList link;
+	struct instance *from;
+	struct server *to;
+	enum call_kind kind;
+	enum send_kind send;
+	struct record *record;
+	struct send_events events;
+	reserve_fn reserve;
+	check_fn check;
+	void *ctx;
+	int64_t head_usec;
+	int64_t connect_usec;
+	bool connected;
+	bool lost;   /* its connection */
+	bool silent; /* lost without a reset: the call times out */
+	bool streams;
+	struct timer timer;
+};
+
+struct reach_world {
+	struct clock *clock;
+	GRand *rand;
+	struct catalog *catalog;
+	uint32_t instance_count;
+	struct instance *instances;
+	uint32_t server_count;
+	struct server *servers;
+	GPtrArray *requests; /* struct web_request, by number */
+	GPtrArray *records;  /* struct record, by number */
+	GQueue calls;
+	struct timer arrivals;
+	struct timer reports;
+	uint32_t blamed;
+};
+
+/* ---- the network ---- */
+
+static bool is_cut(const struct instance *instance, const struct server *server)
+{
+	const struct reach_world *world = instance->world;
+
+	if (instance->cut == CUT_NONE)
+		return false;
+	return instance->cut_every == 0 ||
+	       (uint32_t)(server - world->servers) % instance->cut_every != 0;
+}
+
+static void call_free(struct call *call)
+{
+	timer_stop(&call->timer);
+	g_queue_unlink(&call->from->world->calls, &call->link);
+	g_free(call);
+}
+
+static void send_end(struct call *call, bool complete, bool timed_out)
+{
+	const struct backend_end end = {
+		.complete = complete,
+		.not_run = !call->connected,
+		.connected = call->connected,
+		.timed_out = timed_out,
+		.text = complete ? "whole" : "lost",
+	};
+	struct send_events events = call->events;
+	void *ctx = call->ctx;
+
+	call_free(call);
+	events.done(ctx, &end);
+}
+
+static void call_fail(struct call *call, bool timed_out)
+{
+	reserve_fn reserve = call->reserve;
+	check_fn check = call->check;
+	bool connected = call->connected;
+	void *ctx = call->ctx;
+
+	switch (call->kind) {
+	case CALL_SEND:
+		send_end(call, false, timed_out);
+		break;
+	case CALL_RESERVE:
+		call_free(call);
+		reserve(ctx, connected ? RESERVE_FAILED : RESERVE_UNREACHABLE,
+			NULL);
+		break;
+	case CALL_CHECK:
+		call_free(call);
+		check(ctx, connected || timed_out ? CHECK_UNKNOWN
+						  : CHECK_CRASHED);
+		break;
+	}
+}
+
+static void send_answer(struct call *call)
+{
+	const struct backend_head head = {.status = 200, .is_signed = true};
+
+	call->events.head(call->ctx, &head);
+	call->events.body(call->ctx, "id: 1\ndata: x\n\n", 15);
+	if (call->streams) {
+		call->streams = false;
+		timer_start(&call->timer, STREAM_USEC);
+		return;
+	}
+	send_end(call, true, false);
+}
+
+static void call_answer(struct call *call)
+{
+	reserve_fn reserve = call->reserve;
+	check_fn check = call->check;
+	void *ctx = call->ctx;
+
+	switch (call->kind) {
+	case CALL_SEND:
+		if (call->streams || call->send == SEND_PREFILL ||
+		    call->to->info.stage == STAGE_NONE)
+			send_answer(call);
+		else
+			send_end(call, true, false);
+		break;
+	case CALL_RESERVE:
+		call_free(call);
+		reserve(ctx, RESERVE_OK, "h");
+		break;
+	case CALL_CHECK:
+		call_free(call);
+		check(ctx, CHECK_ALIVE);
+		break;
+	}
+}
+
+static int64_t call_duration(const struct call *call)
+{
+	if (call->kind != CALL_SEND)
+		return CONNECT_USEC;
+	if (call->to->info.stage == STAGE_NONE)
+		return PLAIN_USEC;
+	return call->send == SEND_PREFILL ? PREFILL_USEC : FIRST_EVENT_USEC;
+}
+
+static void call_connect(struct call *call)
+{
+	if (call->to->crashed) {
+		call_fail(call, false);
+		return;
+	}
+	call->connected = true;
+	if (call->record && call->send == SEND_RUN)
+		call->record->runs++;
+	timer_start(&call->timer, call_duration(call));
+}
+
+static void on_call(struct timer *timer, void *ctx)
+{
+	struct call *call = ctx;
+
+	if (call->lost || (call->connected && call->to->crashed))
+		call_fail(call, call->silent);
+	else if (call->connected)
+		call_answer(call);
+	else if (is_cut(call->from, call->to))
+		call_fail(call, false);
+	else
+		call_connect(call);
+}
+
+static struct call *call_create(struct instance *from, uint64_t key,
+				enum call_kind kind, void *ctx)
+{
+	struct reach_world *world = from->world;
+	struct call *call = g_new0(struct call, 1);
+
+	for (uint32_t i = 0; i < world->server_count; i++)
+		if (backend_key(&world->servers[i].info) == key)
+			call->to = &world->servers[i];
+	call->link.data = call;
+	call->from = from;
+	call->kind = kind;
+	call->ctx = ctx;
+	call->connect_usec = BACKEND_CONNECT_USEC;
+	call->head_usec = 250 * USEC_PER_MSEC;
+	g_queue_push_tail_link(&world->calls, &call->link);
+	timer_init(&call->timer, world->clock, on_call, call);
+	return call;
+}
+
+static struct web_call *call_start(struct call *call)
+{
+	call->silent = call->lost = call->from->cut == CUT_SILENT &&
+				    is_cut(call->from, call->to);
+	timer_start(&call->timer,
+		    call->lost ? call->connect_usec : CONNECT_USEC);
+	return (struct web_call *)call;
+}
+
+void web_call_cancel(struct web_call *call)
+{
+	call_free((struct call *)call);
+}
+
+/* ---- backend_ops ---- */
+
+static struct web_call *world_send(void *ctx, const struct send_spec *spec,
+				   const struct send_events *events,
+				   void *events_ctx)
+{
+	struct instance *from = ctx;
+	struct call *call = call_create(from, backend_key(spec->to), CALL_SEND,
+					events_ctx);
+
+	call->send = spec->kind;
+	call->events = *events;
+	call->record = from->world->records->pdata[atoi(spec->caller->id)];
+	call->head_usec = spec->head_usec;
+	call->connect_usec = spec->connect_usec;
+	call->streams = spec->kind == SEND_RUN &&
+			call->to->info.stage == STAGE_DECODE;
+	return call_start(call);
+}
+
+static struct web_call *world_reserve(void *ctx, const struct backend_info *to,
+				      uint32_t tokens, int64_t ttl_usec,
+				      reserve_fn fn, void *fn_ctx)
+{
+	struct call *call =
+		call_create(ctx, backend_key(to), CALL_RESERVE, fn_ctx);
+
+	call->reserve = fn;
+	return call_start(call);
+}
+
+static struct web_call *world_check(void *ctx, const struct backend_info *to,
+				    const char *health_path, check_fn fn,
+				    void *fn_ctx)
+{
+	struct call *call =
+		call_create(ctx, backend_key(to), CALL_CHECK, fn_ctx);
+
+	call->check = fn;
+	return call_start(call);
+}
+
+static void world_release(void *ctx, const struct backend_info *to,
+			  const char *name)
+{
+}
+
+static void world_watch(void *ctx, signals_fn fn, void *fn_ctx)
+{
+}
+
+static bool world_read_result(void *ctx, const void *body, size_t size,
+			      char kv_handle[KV_HANDLE_MAX])
+{
+	g_strlcpy(kv_handle, "k", KV_HANDLE_MAX);
+	return true;
+}
+
+/* ---- the web layer ---- */
+
+static struct web_text text_of(const char *text)
+{
+	return (struct web_text){text, strlen(text)};
+}
+
+struct web_text web_request_authority(const struct web_request *request)
+{
+	return text_of("site.example");
+}
+
+struct web_text web_request_path(const struct web_request *request)
+{
+	return text_of(request->path);
+}
+
+void web_request_on_gone(struct web_request *request, web_gone_fn fn, void *ctx)
+{
+}
+
+void web_reply_header(struct web_request *request, const char *name,
+		      const char *value)
+{
+}
+
+static struct record *record_of(const struct web_request *request)
+{
+	return request->world->records->pdata[request->number];
+}
+
+void web_reply(struct web_request *request, int status, const char *type,
+	       const void *body, size_t size)
+{
+	record_of(request)->status = status;
+	record_of(request)->answers++;
+}
+
+void web_reply_start(struct web_request *request, int status, const char *type)
+{
+	record_of(request)->status = status;
+}
+
+void web_reply_piece(struct web_request *request, const void *data, size_t size)
+{
+}
+
+size_t web_reply_queued(const struct web_request *request)
+{
+	return 0;
+}
+
+void web_reply_end(struct web_request *request)
+{
+	record_of(request)->answers++;
+}
+
+void web_reply_abort(struct web_request *request)
+{
+	record_of(request)->status = 0;
+	record_of(request)->answers++;
+}
+
+/* ---- callers ---- */
+
+static bool world_decode(void *ctx, struct web_request *request,
+			 struct caller_request *caller, struct error *err)
+{
+	*caller = (struct caller_request){
+		.method = text_of("POST"),
+		.target = text_of(request->path),
+		.body = text_of(request->id),
+		.limit_usec = 600 * USEC_PER_MSEC,
+	};
+	g_strlcpy(caller->id, request->id, sizeof(caller->id));
+	if (strcmp(request->path, "/stream/") != 0)
+		return true;
+	caller->limit_usec = 14 * USEC_PER_SEC;
+	caller->prompt_tokens = 3000;
+	caller->output_max = 72;
+	return true;
+}
+
+static const char *path_draw(struct reach_world *world)
+{
+	if (g_rand_int_range(world->rand, 0, STREAM_EVERY) == 0)
+		return "/stream/";
+	return g_rand_boolean(world->rand) ? "/plain/" : "/once/";
+}
+
+static void request_send(struct reach_world *world)
+{
+	struct instance *to = &world->instances[g_rand_int_range(
+		world->rand, 0, (gint32)world->instance_count)];
+	struct web_request *request = g_new0(struct web_request, 1);
+	struct record *record = g_new0(struct record, 1);
+
+	request->world = world;
+	request->number = world->records->len;
+	g_strlcpy(request->path, path_draw(world), sizeof(request->path));
+	(void)snprintf(request->id, sizeof(request->id), "%u", request->number);
+	record->instance = to->number;
+	record->once = strcmp(request->path, "/plain/") != 0;
+	record->cut_off = to->cut != CUT_NONE;
+	g_ptr_array_add(world->requests, request);
+	g_ptr_array_add(world->records, record);
+	forward_handle_request(to->forward, request);
+}
+
+static void on_arrival(struct timer *timer, void *ctx)
+{
+	struct reach_world *world = ctx;
+	double gap = (double)USEC_PER_SEC / RATE / world->instance_count;
+
+	request_send(world);
+	timer_start(timer, (int64_t)(g_rand_double(world->rand) * 2.0 * gap));
+}
+
+/* Instances of a data centre report unreachable servers to each other. */
+static void on_reports(struct timer *timer, void *ctx)
+{
+	struct reach_world *world = ctx;
+	struct unreachable_backend reports[REPORTS_MAX];
+
+	for (uint32_t i = 0; i < world->instance_count; i++) {
+		uint32_t count = fleet_unreachable(world->instances[i].fleet,
+						   reports, REPORTS_MAX);
+
+		for (uint32_t j = i % CENTRES; j < world->instance_count;
+		     j += CENTRES)
+			for (uint32_t k = 0; j != i && k < count; k++)
+				fleet_merge_unreachable(
+					world->instances[j].fleet, i + 1,
+					&reports[k]);
+	}
+	timer_start(timer, REPORT_USEC);
+}
+
+/* ---- instances and servers ---- */
+
+static uint32_t count_get(void *ctx)
+{
+	const struct instance *instance = ctx;
+
+	return instance->world->instance_count;
+}
+
+static int64_t interval_get(void *ctx, bool local)
+{
+	return 0;
+}
+
+static int64_t age_get(void *ctx)
+{
+	return 0;
+}
+
+static uint32_t waiting_get(void *ctx)
+{
+	return 0;
+}
+
+static void load_changed(void *ctx)
+{
+}
+
+static void quarantine_changed(void *ctx,
+			       const struct request_fingerprint *fingerprint)
+{
+	struct instance *instance = ctx;
+
+	instance->world->blamed++;
+}
+
+static enum permit permit_get(void *ctx, const struct backend *backend,
+			      uint64_t id, int64_t *retry_usec)
+{
+	return PERMIT_GRANTED;
+}
+
+static void route_add(struct catalog *catalog, const char *prefix,
+		      enum route_kind kind, const char *service)
+{
+	struct catalog_route *route = catalog_add_route(catalog);
+	struct route_share share = {id_of(service), 1};
+
+	route->name = g_strdup(prefix + 1);
+	route->host = g_strdup("site.example");
+	route->prefix = g_strdup(prefix);
+	route->kind = kind;
+	route->timeout_usec = 10 * USEC_PER_SEC;
+	route->target_usec = (kind == ROUTE_STREAM ? 900 : 100) * USEC_PER_MSEC;
+	route->gap_usec = 300 * USEC_PER_MSEC;
+	route->attempts = 2;
+	g_array_append_val(route->shares, share);
+}
+
+static struct catalog *world_catalog(void)
+{
+	struct catalog *catalog = catalog_create(1);
+
+	route_add(catalog, "/plain/", ROUTE_IDEMPOTENT, "plain");
+	route_add(catalog, "/once/", ROUTE_ONCE, "plain");
+	route_add(catalog, "/stream/", ROUTE_STREAM, "model");
+	catalog_add_service(catalog, "plain");
+	catalog_add_service(catalog, "model")->engine = (struct engine_traits){
+		.slots = 12,
+		.memory_tokens = MEMORY_TOKENS,
+		.result_usec = 800 * USEC_PER_MSEC,
+		.reserve_usec = 2 * USEC_PER_SEC,
+	};
+	catalog->limits.body_bytes = 100;
+	catalog_index_routes(catalog);
+	return catalog;
+}
+
+static void instance_open(struct reach_world *world, uint32_t i)
+{
+	static const struct budget_settings budget = {
+		.ratio = 0.2, .slack = 54, .window_usec = 10 * USEC_PER_SEC};
+	static const struct quarantine_settings quarantine = {
+		.crash_threshold = 3, .held_max = 4096, .suspects_max = 4096};
+	static const struct limit_settings limits = {.policy = LIMIT_COUNTS};
+	struct instance *instance = &world->instances[i];
+	struct forward_parts parts = {
+		.clock = world->clock,
+		.rand = world->rand,
+		.backends = {world_watch, world_send, world_reserve,
+			     world_release, world_release, NULL, world_check,
+			     world_read_result, instance},
+		.callers = {world_decode, "Key", NULL},
+		.instances = count_get,
+		.interval = interval_get,
+		.list_age = age_get,
+		.waiting = waiting_get,
+		.load_changed = load_changed,
+		.quarantine_changed = quarantine_changed,
+		.allotment_used = load_changed,
+		.permit = permit_get,
+		.callbacks_ctx = instance,
+	};
+
+	instance->world = world;
+	instance->number = i;
+	(void)snprintf(instance->centre, sizeof(instance->centre), "c%u",
+		       i % CENTRES);
+	parts.fleet = instance->fleet =
+		fleet_create(world->clock, instance->centre);
+	parts.budgets = instance->budgets = budgets_create(&budget, 0);
+	parts.quarantine = instance->quarantine =
+		quarantine_create(&quarantine);
+	parts.backpressure = instance->backpressure = backpressure_create();
+	parts.limits = instance->limits = limits_create(&limits);
+	parts.counters = instance->counters = counter_set_create();
+	fleet_set_backpressure(instance->fleet, instance->backpressure);
+	instance->forward = forward_create(&parts);
+	forward_set_catalog(instance->forward, world->catalog);
+	for (uint32_t j = 0; j < world->server_count; j++)
+		fleet_put(instance->fleet, &world->servers[j].info);
+}
+
+static void instance_close(struct instance *instance)
+{
+	forward_destroy(instance->forward);
+	fleet_destroy(instance->fleet);
+	budgets_destroy(instance->budgets);
+	quarantine_destroy(instance->quarantine);
+	backpressure_destroy(instance->backpressure);
+	limits_destroy(instance->limits);
+	counter_set_destroy(instance->counters);
+}
+
+/* One plain server and one prefill server for three instances, three at least,
+ * and three times as many decode servers, spread over the data centres. */
+static void servers_open(struct reach_world *world)
+{
+	uint32_t each = MAX(world->instance_count / 3, CENTRES);
+
+	world->server_count = each * 5;
+	world->servers = g_new0(struct server, world->server_count);
+	for (uint32_t i = 0; i < world->server_count; i++) {
+		struct backend_info *info = &world->servers[i].info;
+
+		info->stage = i < each	     ? STAGE_NONE
+			      : i < each * 2 ? STAGE_PREFILL
+					     : STAGE_DECODE;
+		info->slots = info->stage == STAGE_NONE ? 6 : 12;
+		info->service = id_of(info->stage == STAGE_NONE ? "plain"
+								: "model");
+		(void)snprintf(info->id, sizeof(info->id), "s%u", i);
+		(void)snprintf(info->address, sizeof(info->address), "s%u", i);
+		(void)snprintf(info->data_centre, sizeof(info->data_centre),
+			       "c%u", i % CENTRES);
+	}
+}
+
+struct reach_world *reach_world_create(uint32_t instances, guint32 seed)
+{
+	struct reach_world *world = g_new0(struct reach_world, 1);
+
+	world->clock = clock_create(0);
+	clock_advance(world->clock, 60 * USEC_PER_SEC);
+	world->rand = g_rand_new_with_seed(seed);
+	world->catalog = world_catalog();
+	world->requests = g_ptr_array_new_with_free_func(g_free);
+	world->records = g_ptr_array_new_with_free_func(g_free);
+	world->instance_count = instances;
+	world->instances = g_new0(struct instance, instances);
+	servers_open(world);
+	for (uint32_t i = 0; i < instances; i++)
+		instance_open(world, i);
+	timer_init(&world->arrivals, world->clock, on_arrival, world);
+	timer_init(&world->reports, world->clock, on_reports, world);
+	timer_start(&world->arrivals, 0);
+	timer_start(&world->reports, REPORT_USEC);
+	return world;
+}
+
+void reach_world_destroy(struct reach_world *world)
+{
+	timer_stop(&world->arrivals);
+	timer_stop(&world->reports);
+	for (uint32_t i = 0; i < world->instance_count; i++)
+		instance_close(&world->instances[i]);
+	while (world->calls.head)
+		call_free(world->calls.head->data);
+	catalog_unref(world->catalog);
+	g_ptr_array_unref(world->requests);
+	g_ptr_array_unref(world->records);
+	g_free(world->instances);
+	g_free(world->servers);
+	g_rand_free(world->rand);
+	clock_destroy(world->clock);
+	g_free(world);
+}
+
+void reach_world_run(struct reach_world *world, int64_t msec)
+{
+	clock_advance(world->clock,
+		      clock_now(world->clock) + msec * USEC_PER_MSEC);
+}
+
+void reach_world_end(struct reach_world *world, int64_t msec)
+{
+	timer_stop(&world->arrivals);
+	reach_world_run(world, msec);
+}
+
+/* The open connections of an instance whose links are cut. */
+static void calls_cut(struct reach_world *world, struct instance *instance)
+{
+	GList *next;
+
+	for (GList *link = world->calls.head; link; link = next) {
+		struct call *call = link->data;
+
+		next = link->next;
+		if (call->from != instance || !call->connected ||
+		    !is_cut(instance, call->to) ||
+		    instance->cut == CUT_ONLY_NEW)
+			continue;
+		call->lost = true;
+		call->silent = instance->cut == CUT_SILENT;
+		timer_start(&call->timer, instance->cut == CUT_SILENT
+						  ? call->head_usec
+						  : 0);
+	}
+}
+
+void reach_world_cut_some(struct reach_world *world, uint32_t instance,
+			  enum cut cut, uint32_t every)
+{
+	world->instances[instance].cut = cut;
+	world->instances[instance].cut_every = every;
+	if (cut != CUT_NONE)
+		calls_cut(world, &world->instances[instance]);
+}
+
+void reach_world_cut(struct reach_world *world, uint32_t instance, enum cut cut)
+{
+	reach_world_cut_some(world, instance, cut, 0);
+}
+
+void reach_world_crash(struct reach_world *world, uint32_t server)
+{
+	GList *next;
+
+	world->servers[server].crashed = true;
+	for (GList *link = world->calls.head; link; link = next) {
+		struct call *call = link->data;
+
+		next = link->next;
+		if (call->to == &world->servers[server] && call->connected)
+			timer_start(&call->timer, 0);
+	}
+}
+
+uint32_t reach_world_sent(const struct reach_world *world)
+{
+	return world->records->len;
+}
+
+void reach_world_tally(const struct reach_world *world, uint32_t begin,
+		       uint32_t end, struct tally *cut_off,
+		       struct tally *others)
+{
+	*cut_off = *others = (struct tally){0};
+	for (uint32_t i = begin; i < end; i++) {
+		const struct record *record = world->records->pdata[i];
+		struct tally *tally = record->cut_off ? cut_off : others;
+
+		tally->sent++;
+		tally->served += record->status == 200 && record->answers == 1;
+	}
+}
+
+uint32_t reach_world_broken(const struct reach_world *world)
+{
+	uint32_t broken = 0;
+
+	for (guint i = 0; i < world->records->len; i++) {
+		const struct record *record = world->records->pdata[i];
+		bool denies_run =
+			record->status == 503 || record->status == 429;
+
+		broken += record->answers != 1 ||
+			  (record->once && record->runs > 1) ||
+			  (denies_run && record->runs > 0);
+	}
+	return broken;
+}
+
+uint32_t reach_world_blamed(const struct reach_world *world)
+{
+	return world->blamed;
+}
--- /dev/null
+++ b/tests/forward/reach_world.h
@@ -0,0 +1,68 @@
+/*
+ * reach_world.h - instances that lose their links to the backend servers, on a
+ * paused clock
+ *
+ * DESCRIPTION
+ *	Each instance has a forwarding core and a view of the servers of its
+ *	own; the network between instances and servers is simulated. Callers
+ *	send plain calls, half of them non-idempotent, and streams, to random
+ *	instances at a steady rate. Three data centres; instances and servers
+ *	are assigned to them in turn.
+ */
+#ifndef TESTS_FORWARD_REACH_WORLD_H
+#define TESTS_FORWARD_REACH_WORLD_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "common/clock.h"
+
+#define CENTRES 3u
+
+/* What happens to the connections of an instance that is cut off. */
+enum cut {
+	CUT_NONE,
+	CUT_RESET,     /* open ones are reset, new ones refused */
+	CUT_SILENT,    /* open ones hang, new ones time out */
+	CUT_ONLY_NEW,  /* open ones go on, new ones are refused */
+	CUT_MODES,
+};
+
+/* First attempts at a group of instances. */
+struct tally {
+	uint32_t sent;
+	uint32_t served;
+};
+
+struct reach_world;
+
+struct reach_world *reach_world_create(uint32_t instances, guint32 seed);
+void reach_world_destroy(struct reach_world *world);
+void reach_world_run(struct reach_world *world, int64_t msec);
+/* Cuts the instance off from all servers, or, with CUT_NONE, restores its
+ * links. */
+void reach_world_cut(struct reach_world *world, uint32_t instance,
+		     enum cut cut);
+/* Cuts the instance off from some of the servers only: those of which the
+ * server's number modulo every is not 0. */
+void reach_world_cut_some(struct reach_world *world, uint32_t instance,
+			  enum cut cut, uint32_t every);
+/* Crashes the server with all that runs there, for good. */
+void reach_world_crash(struct reach_world *world, uint32_t server);
+/* Number of requests sent so far. */
+uint32_t reach_world_sent(const struct reach_world *world);
+/* Counts the requests from one number to another, those at instances that were
+ * cut off apart. */
+void reach_world_tally(const struct reach_world *world, uint32_t begin,
+		       uint32_t end, struct tally *cut_off,
+		       struct tally *others);
+/* Ends the arrivals and runs until all requests can have ended. */
+void reach_world_end(struct reach_world *world, int64_t msec);
+/* Requests that were not answered once, ran twice though they may not, or ran
+ * though their answer says that they did not. */
+uint32_t reach_world_broken(const struct reach_world *world);
+/* Crashes of servers that were recorded against a request. */
+uint32_t reach_world_blamed(const struct reach_world *world);
+
+#endif
--- a/tests/forward/test_lost.c
+++ b/tests/forward/test_lost.c
@@ -124,6 +124,27 @@
 	site_close(&site);
 }
 
+/* An instance that has lost its links to all servers, and has noticed it at the
+ * three of one service only, reports none. */
+static void test_cut_off(void)
+{
+	struct site site;
+
+	site_open(&site);
+	for (int i = 0; i < 12; i++) {
+		g_autofree char *id = g_strdup_printf("m%d", i);
+
+		server_put(site.sender, id, "here");
+		server_put(site.receiver, id, "here");
+	}
+	mark_unreachable(&site, "n0");
+	mark_unreachable(&site, "n1");
+	mark_unreachable(&site, "f0");
+	g_assert_cmpuint(send_reports(&site, 2), ==, 0);
+	g_assert_true(usable(&site, "n0"));
+	site_close(&site);
+}
+
 /* A report may claim any time; the server is avoided no longer than one that
  * this instance itself could not reach. */
 static void test_bounded(void)
@@ -150,6 +171,7 @@
 	g_test_add_func("/forward/lost/peers-avoid", test_peers_avoid);
 	g_test_add_func("/forward/lost/single-report", test_single_report);
 	g_test_add_func("/forward/lost/partitioned", test_partitioned);
+	g_test_add_func("/forward/lost/cut-off", test_cut_off);
 	g_test_add_func("/forward/lost/bounded", test_bounded);
 	return g_test_run();
 }
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -423,7 +423,7 @@
 	};
 	struct error err;
 
-	server->web = web_server_create(server->site->loop, "127.0.0.1:0",
+	server->web = web_server_create(server->site->loop, "127.0.0.2:0",
 					&limits, &err);
 	g_assert_nonnull(server->web);
 	web_server_handle(server->web, "/", on_call, server);
--- a/tests/session/normal.c
+++ b/tests/session/normal.c
@@ -7,7 +7,7 @@
 	const char *pattern;
 	const char *replacement;
 } rules[] = {
-	{"127\\.0\\.0\\.1:\\d+", "<address>"},
+	{"127\\.0\\.0\\.[12]:\\d+", "<address>"},
 	{"\\b(cmpl|chatcmpl)-[0-9a-f]{16}\\b", "\\1-<id>"},
 	{"\\b[0-9a-f]{16}\\b", "<id>"},
 	{"\"created\": ?\\d+", "\"created\":<time>"},
--- a/tests/session/process.c
+++ b/tests/session/process.c
@@ -31,6 +31,7 @@
 	{"jtservice", "standin/jtservice", 1, false},
 	{"jtplatform", "standin/jtplatform", 1, false},
 	{"jtforward", "platform/jtforward", 3, true},
+	{"jtforward-links", "tests/session/jtforward-links", 3, true},
 	{"jtsite", "tests/platform/jtsite", 1, false},
 };
 
--- a/tests/session/session.c
+++ b/tests/session/session.c
@@ -13,6 +13,8 @@
 
 #define CONDITION_POLL_USEC (5 * USEC_PER_MSEC)
 
+static bool file_write(struct session *session, int argc, char **argv);
+
 static const struct step {
 	const char *name;
 	bool (*run)(struct session *session, int argc, char **argv);
@@ -26,6 +28,7 @@
 	{"answers", http_answers},  {"read", http_read},
 	{"same", http_same},	    {"relay", relay_start},
 	{"cut", relay_switch},	    {"mend", relay_switch},
+	{"write", file_write},
 };
 
 static bool script_run(struct session *session, const char *file);
@@ -129,6 +132,17 @@
 	return session_fail(session, "no such step");
 }
 
+/* write NAME TEXT: replaces the file NAME in the folder of the run. */
+static bool file_write(struct session *session, int argc, char **argv)
+{
+	char *path = argc == 3 ? g_build_filename(session->dir, argv[1], NULL)
+			       : NULL;
+	bool ok = path && g_file_set_contents(path, argv[2], -1, NULL);
+
+	g_free(path);
+	return ok || session_fail(session, "write NAME TEXT");
+}
+
 static bool filter_set(struct session *session, const char *pattern)
 {
 	if (session->filter != NULL)
