web: calls whose connection is opened through another server

A call may name a relay: the client asks it for an upgrade (RFC 9110, 7.8) to a path, the relay connects to the server and joins the two connections. Nothing of the request is sent before the relay has said that it is connected, so a relay that is gone, paused or refused leaves the call as not sent. Bytes pass unchanged, with back-pressure; a reset of the server's connection is passed on as a reset.

Not used by any program yet. Tests: the whole table of answers of the client again through a relay; relays that refuse, are gone, silent, or no relay; cancelled calls; one that stops during an answer.

--- a/include/web/client.h
+++ b/include/web/client.h
@@ -6,6 +6,8 @@
  *	head once, body any number of times, then done exactly once unless
  *	web_call_cancel() came first. No callback runs before web_call()
  *	returns, nor after done or a cancel. Cancelling closes the connection.
+ *	With a relay the request is sent only after the relay has reported
+ *	that it is connected to the server; connect_usec covers both steps.
  *	The client never retries: a call on a pooled connection that the server
  *	has closed fails with sent = true, unless no byte was written.
  */
@@ -26,6 +28,9 @@
 	bool ok;   /* the whole answer arrived */
 	bool sent; /* at least one byte may have reached the server */
 	bool timed_out;
+	/* Of a call through a relay: the status of the relay's answer, 101 when
+	 * it has joined the connections; 0: no answer, or no relay. */
+	int relay_status;
 	const char *text; /* reason when not ok */
 };
 
@@ -52,6 +57,11 @@
 	int64_t head_usec;    /* time to the answer's head; 0: default */
 	int64_t idle_usec;    /* time between pieces of the body; 0: default */
 	bool fresh; /* open a new connection, for calls that run at most once */
+	/* "IP:port" of a server that opens the connection on behalf of this
+	 * client, and the path to request it there (web/relay.h); NULL: connect
+	 * directly. Such a connection is always a new one. */
+	const char *relay;
+	const char *relay_path;
 };
 
 struct web_client *web_client_create(struct loop *loop);
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -57,7 +57,11 @@
 	bool crashed;
 };
 
-enum call_kind { CALL_SEND, CALL_RESERVE, CALL_CHECK };
+enum call_kind {
+	CALL_SEND,
+	CALL_RESERVE,
+	CALL_CHECK
+};
 
 struct call {
 	GList link;
@@ -148,8 +152,8 @@
 		break;
 	case CALL_CHECK:
 		call_free(call);
-		check(ctx, connected || timed_out ? CHECK_UNKNOWN
-						  : CHECK_CRASHED);
+		check(ctx,
+		      connected || timed_out ? CHECK_UNKNOWN : CHECK_CRASHED);
 		break;
 	}
 }
@@ -250,8 +254,8 @@
 
 static struct web_call *call_start(struct call *call)
 {
-	call->silent = call->lost = call->from->cut == CUT_SILENT &&
-				    is_cut(call->from, call->to);
+	call->silent = call->lost =
+		call->from->cut == CUT_SILENT && is_cut(call->from, call->to);
 	timer_start(&call->timer,
 		    call->lost ? call->connect_usec : CONNECT_USEC);
 	return (struct web_call *)call;
@@ -269,16 +273,16 @@
 				   void *events_ctx)
 {
 	struct instance *from = ctx;
-	struct call *call = call_create(from, backend_key(spec->to), CALL_SEND,
-					events_ctx);
+	struct call *call =
+		call_create(from, backend_key(spec->to), CALL_SEND, events_ctx);
 
 	call->send = spec->kind;
 	call->events = *events;
 	call->record = from->world->records->pdata[atoi(spec->caller->id)];
 	call->head_usec = spec->head_usec;
 	call->connect_usec = spec->connect_usec;
-	call->streams = spec->kind == SEND_RUN &&
-			call->to->info.stage == STAGE_DECODE;
+	call->streams =
+		spec->kind == SEND_RUN && call->to->info.stage == STAGE_DECODE;
 	return call_start(call);
 }
 
@@ -607,8 +611,8 @@
 			      : i < each * 2 ? STAGE_PREFILL
 					     : STAGE_DECODE;
 		info->slots = info->stage == STAGE_NONE ? 6 : 12;
-		info->service = id_of(info->stage == STAGE_NONE ? "plain"
-								: "model");
+		info->service =
+			id_of(info->stage == STAGE_NONE ? "plain" : "model");
 		(void)snprintf(info->id, sizeof(info->id), "s%u", i);
 		(void)snprintf(info->address, sizeof(info->address), "s%u", i);
 		(void)snprintf(info->data_centre, sizeof(info->data_centre),
@@ -683,9 +687,8 @@
 			continue;
 		call->lost = true;
 		call->silent = instance->cut == CUT_SILENT;
-		timer_start(&call->timer, instance->cut == CUT_SILENT
-						  ? call->head_usec
-						  : 0);
+		timer_start(&call->timer,
+			    instance->cut == CUT_SILENT ? call->head_usec : 0);
 	}
 }
 
--- a/tests/forward/reach_world.h
+++ b/tests/forward/reach_world.h
@@ -23,9 +23,9 @@
 /* What happens to the connections of an instance that is cut off. */
 enum cut {
 	CUT_NONE,
-	CUT_RESET,     /* open ones are reset, new ones refused */
-	CUT_SILENT,    /* open ones hang, new ones time out */
-	CUT_ONLY_NEW,  /* open ones go on, new ones are refused */
+	CUT_RESET,    /* open ones are reset, new ones refused */
+	CUT_SILENT,   /* open ones hang, new ones time out */
+	CUT_ONLY_NEW, /* open ones go on, new ones are refused */
 	CUT_MODES,
 };
 
--- a/tests/session/links.c
+++ b/tests/session/links.c
@@ -77,8 +77,8 @@
 	struct sockaddr_in closed;
 
 	if (!real)
-		real = (int (*)(int, const struct sockaddr *,
-				socklen_t))dlsym(RTLD_NEXT, "connect");
+		real = (int (*)(int, const struct sockaddr *, socklen_t))dlsym(
+			RTLD_NEXT, "connect");
 	if (!is_server(address))
 		return real(fd, address, size);
 	if (mode_is("silent"))
--- a/tests/web/test_client.c
+++ b/tests/web/test_client.c
@@ -3,6 +3,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#include "relay_handler.h"
 #include "world.h"
 
 enum conn_end {
@@ -155,16 +156,21 @@
 	g_assert_true(world->done);
 }
 
-static void test_answer(struct world *world, gconstpointer data)
+/* relay: "IP:port" of the relay, or NULL. */
+static void answer_check(struct world *world, const struct answer_case *c,
+			 const char *relay)
 {
-	const struct answer_case *c = data;
+	g_autofree char *path = NULL;
 	struct script script;
 
 	script_setup(&script);
+	path = g_strconcat("/", script.address, NULL);
 	world_call(world, (struct web_call_spec){.address = script.address,
 						 .method = c->method,
 						 .head_usec = 10 * USEC_PER_SEC,
-						 .idle_usec = USEC_PER_SEC});
+						 .idle_usec = USEC_PER_SEC,
+						 .relay = relay,
+						 .relay_path = path});
 	g_assert_false(world->done);
 	script_run(world, &script, c->answer, c->end);
 	g_assert_true(world->result.ok == c->ok);
@@ -176,6 +182,21 @@
 	script_teardown(&script);
 }
 
+static void test_answer(struct world *world, gconstpointer data)
+{
+	answer_check(world, data, NULL);
+}
+
+/* A call through a relay ends as a direct one does. */
+static void test_relayed_answer(struct world *world, gconstpointer data)
+{
+	struct relay_handler relay;
+
+	relay_handler_setup(&relay, world);
+	answer_check(world, data, web_server_address(world->server));
+	relay_handler_teardown(&relay, world);
+}
+
 /* A body without length ends when its connection closes; a reset is an error.
  */
 static void test_reset_body(struct world *world, gconstpointer data)
@@ -397,6 +418,11 @@
 		g_test_add(path, struct world, &answer_cases[i], world_setup,
 			   test_answer, world_teardown);
 		g_free(path);
+		path = g_strdup_printf("/web/client/relayed/%s",
+				       answer_cases[i].name);
+		g_test_add(path, struct world, &answer_cases[i], world_setup,
+			   test_relayed_answer, world_teardown);
+		g_free(path);
 	}
 	TEST("reset-body", test_reset_body);
 	TEST("unsent", test_unsent);
--- /dev/null
+++ b/tests/web/test_relay.c
@@ -0,0 +1,215 @@
+/* Calls through a relay: failures of its own, cancelled calls, large bodies. */
+#include <unistd.h>
+
+#include "relay_handler.h"
+
+#define BODY_BYTES ((size_t)1 << 20)
+
+struct site {
+	struct world world; /* the caller's client, and the relay */
+	struct relay_handler handler;
+	struct web_server *backend;
+	char path[64];
+	char *backend_address;
+	int arrived;
+	struct web_request *pending;
+};
+
+static void site_setup(struct site *site, gconstpointer data)
+{
+	static const struct web_limits limits = {
+		.body_bytes = BODY_BYTES,
+		.connections = 8,
+		.idle_usec = 5 * USEC_PER_SEC,
+		.request_usec = 5 * USEC_PER_SEC,
+	};
+	struct error err = {0};
+
+	world_setup(&site->world, data);
+	relay_handler_setup(&site->handler, &site->world);
+	site->backend = web_server_create(site->world.loop, "127.0.0.1:0",
+					  &limits, &err);
+	g_assert_cmpstr(err.text, ==, "");
+	site->backend_address = g_strdup(web_server_address(site->backend));
+	(void)g_snprintf(site->path, sizeof(site->path), "/%s",
+			 site->backend_address);
+}
+
+static void site_teardown(struct site *site, gconstpointer data)
+{
+	relay_handler_teardown(&site->handler, &site->world);
+	web_server_destroy(site->backend);
+	g_free(site->backend_address);
+	world_teardown(&site->world, data);
+}
+
+static struct web_call *site_call(struct site *site, struct web_call_spec spec)
+{
+	spec.address = site->backend_address;
+	if (!spec.relay)
+		spec.relay = web_server_address(site->world.server);
+	spec.relay_path = site->path;
+	return world_call(&site->world, spec);
+}
+
+static void echo(void *ctx, struct web_request *request)
+{
+	struct web_text body = web_request_body(request);
+
+	web_reply(request, 200, NULL, body.data, body.size);
+}
+
+static void on_gone(void *ctx)
+{
+	struct site *site = ctx;
+
+	site->pending = NULL;
+}
+
+/* Starts an answer and leaves it open. */
+static void begin(void *ctx, struct web_request *request)
+{
+	struct site *site = ctx;
+
+	site->arrived++;
+	site->pending = request;
+	web_request_on_gone(request, on_gone, site);
+	web_reply_start(request, 200, "text/plain");
+	web_reply_piece(request, "some", 4);
+}
+
+static void test_large(struct site *site, gconstpointer data)
+{
+	g_autofree char *body = g_strnfill(BODY_BYTES, 'x');
+
+	web_server_handle(site->backend, "/", echo, NULL);
+	site_call(site, (struct web_call_spec){.method = "POST",
+					       .body = body,
+					       .body_size = BODY_BYTES});
+	world_run(&site->world, &site->world.done);
+	g_assert_true(site->world.result.ok);
+	g_assert_cmpint(site->world.result.relay_status, ==, 101);
+	g_assert_cmpstr(site->world.body->str, ==, body);
+}
+
+static void not_sent_check(const struct site *site, int status)
+{
+	g_assert_false(site->world.result.ok);
+	g_assert_false(site->world.result.sent);
+	g_assert_cmpint(site->world.result.relay_status, ==, status);
+}
+
+/* The relay cannot connect to the server. */
+static void test_refused(struct site *site, gconstpointer data)
+{
+	web_server_destroy(site->backend);
+	site->backend = NULL;
+	site_call(site, (struct web_call_spec){0});
+	world_run(&site->world, &site->world.done);
+	not_sent_check(site, 502);
+}
+
+static void test_no_relay(struct site *site, gconstpointer data)
+{
+	char address[32];
+
+	close(raw_listen(address, sizeof(address)));
+	site_call(site, (struct web_call_spec){.relay = address});
+	world_run(&site->world, &site->world.done);
+	not_sent_check(site, 0);
+	site_call(site, (struct web_call_spec){.relay = "nowhere"});
+	world_run(&site->world, &site->world.done);
+	not_sent_check(site, 0);
+}
+
+/* A paused relay: its kernel accepts the connection, but nobody answers. */
+static void test_silent_relay(struct site *site, gconstpointer data)
+{
+	char address[32];
+	int listener = raw_listen(address, sizeof(address));
+
+	site_call(site, (struct web_call_spec){
+				.relay = address,
+				.connect_usec = 150 * USEC_PER_MSEC});
+	world_run(&site->world, &site->world.done);
+	not_sent_check(site, 0);
+	g_assert_true(site->world.result.timed_out);
+	close(listener);
+}
+
+/* A server that is no relay answers. */
+static void test_other_server(struct site *site, gconstpointer data)
+{
+	web_server_handle(site->backend, "/", echo, NULL);
+	site_call(site, (struct web_call_spec){.relay = site->backend_address});
+	world_run(&site->world, &site->world.done);
+	not_sent_check(site, 200);
+}
+
+/* The server notices at once that the caller has cancelled. */
+static void test_cancel(struct site *site, gconstpointer data)
+{
+	struct web_call *call;
+
+	web_server_handle(site->backend, "/", begin, site);
+	call = site_call(site, (struct web_call_spec){0});
+	world_run(&site->world, &site->arrived);
+	world_iterate(&site->world, 20);
+	g_assert_cmpuint(web_relays_count(site->handler.relays), ==, 1);
+	web_call_cancel(call);
+	world_iterate(&site->world, 20);
+	g_assert_null(site->pending);
+	g_assert_cmpuint(web_relays_count(site->handler.relays), ==, 0);
+	g_assert_false(site->world.done);
+}
+
+/* Cancelled at each iteration until the answer begins. */
+static void test_cancel_early(struct site *site, gconstpointer data)
+{
+	web_server_handle(site->backend, "/", begin, site);
+	for (int i = 0; i < 30; i++) {
+		struct web_call *call =
+			site_call(site, (struct web_call_spec){0});
+
+		world_iterate(&site->world, i);
+		web_call_cancel(call);
+		world_iterate(&site->world, 20);
+		g_assert_null(site->pending);
+		g_assert_cmpuint(web_relays_count(site->handler.relays), ==, 0);
+	}
+	g_assert_cmpint(site->arrived, >, 0);
+}
+
+/* The relay's process stops: the call fails, and the server notices. */
+static void test_relay_stops(struct site *site, gconstpointer data)
+{
+	web_server_handle(site->backend, "/", begin, site);
+	site_call(site, (struct web_call_spec){0});
+	world_run(&site->world, &site->arrived);
+	world_iterate(&site->world, 20);
+	relay_handler_teardown(&site->handler, &site->world);
+	world_run(&site->world, &site->world.done);
+	g_assert_false(site->world.result.ok);
+	g_assert_true(site->world.result.sent);
+	world_iterate(&site->world, 20);
+	g_assert_null(site->pending);
+	site->handler.relays = NULL;
+}
+
+#define TEST(name, fn)                                                         \
+	g_test_add("/web/relay/" name, struct site, NULL, site_setup, fn,      \
+		   site_teardown)
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	TEST("large", test_large);
+	TEST("refused", test_refused);
+	TEST("no-relay", test_no_relay);
+	TEST("silent-relay", test_silent_relay);
+	TEST("other-server", test_other_server);
+	TEST("cancel", test_cancel);
+	TEST("cancel-early", test_cancel_early);
+	TEST("relay-stops", test_relay_stops);
+	return g_test_run();
+}
--- a/web/call.c
+++ b/web/call.c
@@ -16,6 +16,11 @@
 	timer_stop(&call->timer);
 	loop_defer_cancel(&call->fail);
 	loop_defer_cancel(&call->wrap);
+	loop_defer_cancel(&call->joined);
+	if (call->tunnel_sock)
+		h2o_socket_close(call->tunnel_sock);
+	if (call->tunnel)
+		g_string_free(call->tunnel, TRUE);
 	g_queue_unlink(&call->client->calls, &call->link);
 	if (call->request)
 		g_string_free(call->request, TRUE);
@@ -26,12 +31,13 @@
 	g_free(call);
 }
 
-static void call_done(struct web_call *call, bool ok)
+void call_done(struct web_call *call, bool ok)
 {
 	const struct web_result result = {
 		.ok = ok,
 		.sent = call->is_connected,
 		.timed_out = call->timed_out,
+		.relay_status = call->relay_status,
 		.text = ok ? NULL : call->text,
 	};
 
@@ -305,10 +311,14 @@
 	return call;
 }
 
-void call_connect(struct web_call *call, h2o_socketpool_t *sockets)
+void call_timer_start(struct web_call *call)
 {
 	activity_record(call);
 	timer_start(&call->timer, MIN(call->head_usec, call->connect_usec));
+}
+
+void call_connect(struct web_call *call, h2o_socketpool_t *sockets)
+{
 	h2o_http1client_connect_with_pool(
 		&call->http, call, &call->client->context, sockets, on_connect);
 }
--- a/web/call.h
+++ b/web/call.h
@@ -44,6 +44,13 @@
 	struct timer timer;
 	struct loop_deferred fail;
 	struct loop_deferred wrap; /* wraps h2o's socket callbacks */
+	/* With a relay only: its request, the pool of the server's address, and
+	 * the connection that the relay has joined with the server's. */
+	GString *tunnel;
+	h2o_socketpool_t *sockets;
+	h2o_socket_t *tunnel_sock;
+	struct loop_deferred joined;
+	int relay_status; /* of the relay's answer; 0: none */
 	h2o_socket_cb h2o_read_cb;
 	h2o_socket_cb h2o_write_cb;
 	int64_t connect_usec;
@@ -66,7 +73,14 @@
 struct web_call *call_create(struct web_client *client,
 			     const struct web_call_spec *spec,
 			     const struct web_call_ops *ops, void *ctx);
+/* Starts the timer for connecting. */
+void call_timer_start(struct web_call *call);
 void call_connect(struct web_call *call, h2o_socketpool_t *sockets);
+/* Connects to the relay, and through it to the server. */
+void tunnel_connect(struct web_call *call, const struct web_call_spec *spec,
+		    h2o_socketpool_t *relay, h2o_socketpool_t *sockets);
+/* Reports the result and frees the call. */
+void call_done(struct web_call *call, bool ok);
 /* Fails the call now, or when its running callback returns. */
 void call_fail(struct web_call *call, const char *text);
 /* As call_fail(), but defers done to the end of the event loop's iteration. */
--- a/web/client.c
+++ b/web/client.c
@@ -88,6 +88,7 @@
 {
 	if (!spec->address || !token_is_valid(spec->method) ||
 	    !token_is_valid(spec->path) ||
+	    (spec->relay && !token_is_valid(spec->relay_path)) ||
 	    !text_is_valid(spec->host.data, spec->host.size))
 		return false;
 	for (size_t i = 0; i < spec->header_count; i++) {
@@ -150,6 +151,17 @@
 		return call;
 	}
 	call->request = request_print(spec);
+	if (spec->relay) {
+		struct pool *relay = pool_get(client, spec->relay);
+
+		if (relay)
+			tunnel_connect(call, spec, &relay->fresh, &pool->fresh);
+		else
+			call_fail_later(call, "the relay's address is not of "
+					      "the form IP:port");
+		return call;
+	}
+	call_timer_start(call);
 	call_connect(call, spec->fresh ? &pool->fresh : &pool->keepalive);
 	return call;
 }
