forward: a lost link is no evidence that a server crashed

Two more such cuts and innocent requests are refused for good.

Cause: a health check that is refused was taken for the end of the server, by the instance whose own link was lost.

A refused check is repeated through another instance now, which answers 'refused' only after it has connected to another server. Without another instance it counts unless other servers cannot be connected to, either.

--- a/forward/crash_detector.c
+++ b/forward/crash_detector.c
@@ -1,4 +1,4 @@
-#include "crash_detector.h"
+#include "request.h"
 
 #include "common/log.h"
 
@@ -19,6 +19,7 @@
 	char *health_path;
 	GArray *requests; /* struct request_identity, not yet reported */
 	struct web_call *call;
+	char relay[ADDRESS_TEXT_MAX]; /* of the last call; empty: direct */
 	struct timer timer;
 	int64_t started_at;
 	bool crashed;
@@ -92,6 +93,7 @@
 		  LOG_S("backend", check->server.id),
 		  LOG_D("born", check->server.started_ms),
 		  LOG_S("result", result_names[result]),
+		  LOG_S("relay", check->relay),
 		  LOG_D("requests", check->requests->len),
 		  LOG_D("after_ms",
 			(clock_now(parts->clock) - check->started_at) /
@@ -122,6 +124,31 @@
 	return result;
 }
 
+static void check_call(struct check *check);
+
+/* Repeats a check that was refused through another instance, since a lost link
+ * refuses connections, too; false when no instance is available. */
+static bool check_relay(struct check *check)
+{
+	const struct crash_detector_parts *parts = &check->detector->parts;
+
+	if (check->relay[0] ||
+	    !parts->relay_choose(parts->ctx, &check->server, check->relay))
+		return false;
+	check_call(check);
+	return true;
+}
+
+/* Without another instance to ask, a refused connection counts unless those to
+ * other servers fail as well. */
+static bool is_crash(const struct check *check, enum check_result result)
+{
+	return result == CHECK_REPLACED ||
+	       (result == CHECK_REFUSED &&
+		(check->relay[0] ||
+		 !fleet_links_lost(check->detector->parts.fleet)));
+}
+
 static void on_checked(void *ctx, enum check_result result)
 {
 	struct check *check = ctx;
@@ -130,7 +157,9 @@
 	check->call = NULL;
 	result = check_apply_list(check, result);
 	check_log(check, result);
-	if (result == CHECK_REPLACED || result == CHECK_REFUSED)
+	if (result == CHECK_REFUSED && check_relay(check))
+		return;
+	if (is_crash(check, result))
 		check_set_crashed(check);
 	else if (result == CHECK_ALIVE ||
 		 clock_now(parts->clock) - check->started_at >=
@@ -140,22 +169,28 @@
 		timer_start(&check->timer, CHECK_RETRY_USEC);
 }
 
+static void check_call(struct check *check)
+{
+	const struct backend_ops *ops = check->detector->parts.backends;
+	const struct backend_link link = link_of(&check->server, check->relay);
+
+	check->call = ops->check(ops->ctx, &link, check->health_path,
+				 on_checked, check);
+}
+
 /* Sends the check, after the end of the server's backoff. */
 static void check_send(struct check *check)
 {
 	const struct crash_detector_parts *parts = &check->detector->parts;
-	const struct backend_ops *ops = parts->backends;
 	const struct backend *backend = fleet_find(parts->fleet, check->key);
-	const struct backend_link link = {.to = &check->server};
 	int64_t now = clock_now(parts->clock);
 
 	if (backend && now < backend->backoff_until) {
 		timer_start(&check->timer, backend->backoff_until - now);
 		return;
 	}
-
-	check->call = ops->check(ops->ctx, &link, check->health_path,
-				 on_checked, check);
+	check->relay[0] = '\0';
+	check_call(check);
 }
 
 static void on_timer(struct timer *timer, void *ctx)
--- a/forward/crash_detector.h
+++ b/forward/crash_detector.h
@@ -5,10 +5,11 @@
  *	A connection lost in the middle of a request may mean that the server
  *	has crashed, or only that the connection failed: a reset, a network
  *	partition, a corrupt answer. The detector sends a health check on a new
- *	connection. The server has crashed if nothing listens at its address, if
- *	another incarnation answers or is listed, or if the list has dropped it
- *	and it does not answer. It has not if it answers, and a server that was
- *	leaving is not checked. A check without a result is repeated for
+ *	connection, and again through another instance if that is refused. The
+ *	server has crashed if nothing listens at its address as seen from there,
+ *	if another incarnation answers or is listed, or if the list has dropped
+ *	it and it does not answer. It has not if it answers, and a server that
+ *	was leaving is not checked. A check without a result is repeated for
  *	CRASH_WATCH_USEC; after that nothing is reported.
  *
  *	Requests lost at one incarnation of a server share one check.
@@ -16,6 +17,7 @@
 #ifndef FORWARD_CRASH_DETECTOR_H
 #define FORWARD_CRASH_DETECTOR_H
 
+#include "common/address.h"
 #include "coord/fingerprint.h"
 #include "forward/backend.h"
 #include "forward/fleet.h"
@@ -41,6 +43,9 @@
 	const struct fleet *fleet;
 	const struct backend_ops *backends; /* must outlive the detector */
 	crash_fn fn;
+	/* As relay_choose of struct forward_parts. */
+	bool (*relay_choose)(void *ctx, const struct backend_info *to,
+			     char relay[ADDRESS_TEXT_MAX]);
 	void *ctx;
 };
 
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -69,6 +69,15 @@
 		histogram_get(set, "jt_request_seconds", "", "stage=\"first\"");
 }
 
+static bool relay_choose(void *ctx, const struct backend_info *to,
+			 char relay[ADDRESS_TEXT_MAX])
+{
+	const struct forward *forward = ctx;
+	const struct forward_parts *parts = &forward->parts;
+
+	return parts->relay_choose(parts->callbacks_ctx, to, relay);
+}
+
 static void crash_detector_open(struct forward *forward)
 {
 	const struct crash_detector_parts parts = {
@@ -76,6 +85,7 @@
 		.fleet = forward->parts.fleet,
 		.backends = &forward->parts.backends,
 		.fn = quarantine_server_crashed,
+		.relay_choose = relay_choose,
 		.ctx = forward,
 	};
 
--- a/forward/gossip_relays.c
+++ b/forward/gossip_relays.c
@@ -49,8 +49,7 @@
 
 bool gossip_choose_relay(const struct gossip *gossip, const char *data_centre,
 			 bool (*usable)(void *ctx, const char *address),
-			 void *ctx, GRand *rand,
-			 char address[ADDRESS_TEXT_MAX])
+			 void *ctx, GRand *rand, char address[ADDRESS_TEXT_MAX])
 {
 	struct relay_choice choice = {
 		.usable = usable, .ctx = ctx, .rand = rand};
--- a/forward/node_relays.c
+++ b/forward/node_relays.c
@@ -33,9 +33,8 @@
 {
 	char relay[ADDRESS_TEXT_MAX];
 
-	fleet_set_relays(node->fleet,
-			 gossip_choose_relay(node->gossip,
-					     node->settings.data_centre,
-					     is_usable, node, node->rand,
-					     relay));
+	fleet_set_relays(
+		node->fleet,
+		gossip_choose_relay(node->gossip, node->settings.data_centre,
+				    is_usable, node, node->rand, relay));
 }
--- a/forward/path.c
+++ b/forward/path.c
@@ -33,8 +33,8 @@
 	return link_of(to, relay);
 }
 
-void path_connected(const struct forward *forward, const struct backend_info *to,
-		    const char *relay)
+void path_connected(const struct forward *forward,
+		    const struct backend_info *to, const char *relay)
 {
 	const struct forward_parts *parts = &forward->parts;
 	struct backend *backend = fleet_find(parts->fleet, backend_key(to));
--- a/forward/prober.c
+++ b/forward/prober.c
@@ -19,8 +19,7 @@
 	const struct forward_parts *parts = &prober->forward->parts;
 	struct backend *backend =
 		fleet_find(parts->fleet, backend_key(&prober->server));
-	bool connected =
-		result != CHECK_REFUSED && result != CHECK_UNREACHABLE;
+	bool connected = result != CHECK_REFUSED && result != CHECK_UNREACHABLE;
 
 	prober->call = NULL;
 	if (backend && connected)
--- a/forward/relay_peers.c
+++ b/forward/relay_peers.c
@@ -25,8 +25,8 @@
 	struct relay_peers *peers = g_new0(struct relay_peers, 1);
 
 	peers->clock = clock;
-	peers->failed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					      g_free);
+	peers->failed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return peers;
 }
 
@@ -61,8 +61,8 @@
 	if (now < peer->avoid_until)
 		return;
 	peer->avoid_until =
-		now + MIN(AVOID_BASE_USEC << MIN(peer->failures, 3u),
-			  AVOID_MAX_USEC);
+		now +
+		MIN(AVOID_BASE_USEC << MIN(peer->failures, 3u), AVOID_MAX_USEC);
 	peer->failures++;
 	log_event(LOG_INFO, "relay_avoided", LOG_S("relay", address),
 		  LOG_D("failures", peer->failures));
