forward: instances that lost their links report no servers as unreachable

In the record an instance that reached all servers refused 25 calls in three seconds with 503 no-backend, without an attempt of its own.

Cause (third hypothesis): two neighbours that were cut off reported the three plain servers, which they alone could not reach, and two reports are believed. The guard, half of the local servers unreachable, does not apply to an instance that has tried those of one service only.

--- a/forward/fleet_reach.c
+++ b/forward/fleet_reach.c
@@ -150,7 +150,7 @@
 	uint32_t count = 0;
 
 	avoided_prune(fleet);
-	if (is_likely_partitioned(fleet, now))
+	if (fleet_links_lost(fleet) || is_likely_partitioned(fleet, now))
 		return 0;
 	for (guint i = 0; i < fleet->avoided->len && count < max; i++) {
 		const struct backend *backend = fleet->avoided->pdata[i];
