web: a relayed call that times out within its own callback is not used afterwards

Cause: the first socket callback after a wait advances the clock and fires the timers that are due (loop_enter()); the callback of the relay's answer did not mark its call as busy before, so its own time-out freed it under it. The same in web_connect(). Found by putting each call on a page of its own, protected once it is freed. Class: a callback that may free its own context.

Both are marked busy now, as other callbacks of calls are.

web_relay stalled: heap-use-after-free in tunnel.c and, with that mended, in connect.c before; clean now under the address sanitizer.

--- a/tests/web/relay_handler.c
+++ b/tests/web/relay_handler.c
@@ -37,8 +37,9 @@
 	g_assert_true(web_relay_requested(request));
 	handler->request = request;
 	web_request_on_gone(request, on_gone, handler);
-	handler->connect = web_connect(handler->loop, address, CONNECT_USEC,
-				       on_connected, handler);
+	handler->connect =
+		web_connect(handler->loop, address, handler->connect_usec,
+			    on_connected, handler);
 }
 
 void relay_handler_setup(struct relay_handler *handler, struct world *world)
@@ -46,6 +47,7 @@
 	*handler = (struct relay_handler){
 		.loop = world->loop,
 		.relays = web_relays_create(world->loop),
+		.connect_usec = CONNECT_USEC,
 	};
 	web_server_handle(world->server, "/", on_request, handler);
 }
--- a/tests/web/relay_handler.h
+++ b/tests/web/relay_handler.h
@@ -11,6 +11,7 @@
 	struct web_relays *relays;
 	struct web_request *request; /* being connected for, or NULL */
 	struct web_connect *connect;
+	int64_t connect_usec; /* time-out */
 	int joined;
 };
 
--- a/tests/web/test_relay.c
+++ b/tests/web/test_relay.c
@@ -4,6 +4,7 @@
 #include "relay_handler.h"
 
 #define BODY_BYTES ((size_t)1 << 20)
+#define STALL_USEC (3 * USEC_PER_MSEC)
 
 struct site {
 	struct world world; /* the caller's client, and the relay */
@@ -180,6 +181,36 @@
 	g_assert_cmpint(site->arrived, >, 0);
 }
 
+static void on_stall(struct timer *timer, void *ctx)
+{
+	g_usleep(STALL_USEC);
+	timer_start(timer, 0);
+}
+
+/* The process is stalled in each iteration of the loop, before it reads its
+ * sockets, so that each time-out expires just before a callback of its call. */
+static void test_stalled(struct site *site, gconstpointer data)
+{
+	struct timer stall;
+
+	web_server_handle(site->backend, "/", echo, NULL);
+	timer_init(&stall, site->world.clock, on_stall, NULL);
+	timer_start(&stall, 0);
+	for (int64_t msec = 1; msec < 80; msec++) {
+		site->handler.connect_usec = msec * USEC_PER_MSEC;
+		site_call(site,
+			  (struct web_call_spec){.connect_usec = USEC_PER_SEC});
+		world_run(&site->world, &site->world.done);
+		site->handler.connect_usec = USEC_PER_SEC;
+		site_call(site, (struct web_call_spec){
+					.connect_usec = msec * USEC_PER_MSEC});
+		world_run(&site->world, &site->world.done);
+		g_assert_true(site->world.result.ok ||
+			      site->world.result.timed_out);
+	}
+	timer_stop(&stall);
+}
+
 /* The relay's process stops: the call fails, and the server notices. */
 static void test_relay_stops(struct site *site, gconstpointer data)
 {
@@ -211,5 +242,6 @@
 	TEST("cancel", test_cancel);
 	TEST("cancel-early", test_cancel_early);
 	TEST("relay-stops", test_relay_stops);
+	TEST("stalled", test_stalled);
 	return g_test_run();
 }
--- a/web/call.c
+++ b/web/call.c
@@ -101,16 +101,14 @@
 	call->last_active = clock_now(loop_clock(call->client->loop));
 }
 
-static void busy_begin(struct web_call *call)
+void call_enter(struct web_call *call)
 {
 	call->busy = true;
 	loop_enter(call->client->loop);
 	activity_record(call);
 }
 
-/* False when the call was cancelled or failed in its callback and is now freed;
- * h2o then closes the connection. */
-static bool busy_end(struct web_call *call)
+bool call_leave(struct web_call *call)
 {
 	call->busy = false;
 	if (!call->cancelled && !call->text)
@@ -201,7 +199,7 @@
 {
 	struct web_call *call = http->data;
 
-	busy_begin(call);
+	call_enter(call);
 	if (err && err != h2o_http1client_error_is_eos) {
 		call->http = NULL;
 		call->text = err;
@@ -215,7 +213,7 @@
 		answer_end(call);
 		return 0;
 	}
-	return busy_end(call) ? 0 : -1;
+	return call_leave(call) ? 0 : -1;
 }
 
 static void head_report(struct web_call *call, int status,
@@ -241,7 +239,7 @@
 {
 	struct web_call *call = http->data;
 
-	busy_begin(call);
+	call_enter(call);
 	if (err && err != h2o_http1client_error_is_eos) {
 		call->http = NULL;
 		call->text = err;
@@ -261,7 +259,7 @@
 	loop_defer(call->client->loop, &call->wrap, sock_wrap, call);
 	/* From here on idle_usec applies. */
 	timer_start(&call->timer, call->idle_usec);
-	return busy_end(call) ? on_body : NULL;
+	return call_leave(call) ? on_body : NULL;
 }
 
 static h2o_http1client_head_cb on_connect(h2o_http1client_t *http,
@@ -306,7 +304,7 @@
 	call->idle_usec = spec->idle_usec > 0 ? spec->idle_usec
 					      : IDLE_TIMEOUT_DEFAULT_USEC;
 	call->is_head = g_strcmp0(spec->method, "HEAD") == 0;
-	call->fresh = spec->fresh;
+	call->fresh = spec->fresh || spec->relay;
 	timer_init(&call->timer, loop_clock(client->loop), on_timer, call);
 	return call;
 }
--- a/web/call.h
+++ b/web/call.h
@@ -81,6 +81,11 @@
 		    h2o_socketpool_t *relay, h2o_socketpool_t *sockets);
 /* Reports the result and frees the call. */
 void call_done(struct web_call *call, bool ok);
+/* Enclose each callback of h2o: in between the call is busy. call_leave() frees
+ * a call that was cancelled or failed meanwhile, and returns false then; h2o
+ * has to close the connection. */
+void call_enter(struct web_call *call);
+bool call_leave(struct web_call *call);
 /* Fails the call now, or when its running callback returns. */
 void call_fail(struct web_call *call, const char *text);
 /* As call_fail(), but defers done to the end of the event loop's iteration. */
--- a/web/client.c
+++ b/web/client.c
@@ -101,6 +101,12 @@
 	return true;
 }
 
+/* Whether the call closes its connection. */
+static bool spec_is_fresh(const struct web_call_spec *spec)
+{
+	return spec->fresh || spec->relay;
+}
+
 static GString *request_print(const struct web_call_spec *spec)
 {
 	GString *out = g_string_sized_new(256 + spec->body_size);
@@ -123,7 +129,7 @@
 				    (gssize)header->value.size);
 		g_string_append(out, "\r\n");
 	}
-	if (spec->fresh)
+	if (spec_is_fresh(spec))
 		g_string_append(out, "connection: close\r\n");
 	if (spec->body_size > 0 || (strcmp(spec->method, "GET") != 0 &&
 				    strcmp(spec->method, "HEAD") != 0))
--- a/web/connect.c
+++ b/web/connect.c
@@ -15,6 +15,8 @@
 	struct loop_deferred fail;
 	web_connect_fn fn;
 	void *ctx;
+	bool busy; /* in a callback of h2o */
+	bool cancelled;
 };
 
 static void connect_free(struct web_connect *connect)
@@ -46,7 +48,15 @@
 {
 	struct web_connect *connect = sock->data;
 
+	timer_stop(&connect->timer);
+	/* Timers that are due may cancel the attempt. */
+	connect->busy = true;
 	loop_enter(connect->loop);
+	connect->busy = false;
+	if (connect->cancelled) {
+		web_connect_cancel(connect);
+		return;
+	}
 	if (err) {
 		h2o_socket_close(sock);
 		connect_end(connect, WEB_CONNECT_REFUSED, NULL);
@@ -88,6 +98,9 @@
 
 void web_connect_cancel(struct web_connect *connect)
 {
+	connect->cancelled = true;
+	if (connect->busy)
+		return;
 	if (connect->sock)
 		h2o_socket_close(connect->sock);
 	connect_free(connect);
--- a/web/relay.c
+++ b/web/relay.c
@@ -172,6 +172,7 @@
 	g_queue_push_tail_link(&relays->list, &relay->link);
 	request_unwatch(request);
 	request->ended = true;
+	request->final_sent = true;
 	req->res.status = 101;
 	req->res.reason = "Switching Protocols";
 	h2o_add_header_by_str(&req->pool, &req->res.headers,
--- a/web/tunnel.c
+++ b/web/tunnel.c
@@ -5,13 +5,6 @@
 #include "keepalive.h"
 #include "web/relay.h"
 
-static void tunnel_fail(struct web_call *call, const char *text)
-{
-	call->http = NULL;
-	call->text = text;
-	call_done(call, false);
-}
-
 /* Gives the connection to the pool of the server's address, from which h2o
  * takes it for the call. */
 static void on_joined(void *ctx)
@@ -26,7 +19,7 @@
 	sock->on_close.data = pool;
 	__sync_add_and_fetch(&pool->_shared.count, 1);
 	if (h2o_socketpool_return(pool, sock) != 0) {
-		tunnel_fail(call, "the relayed connection cannot be used");
+		call_fail(call, "the relayed connection cannot be used");
 		return;
 	}
 	call_connect(call, pool);
@@ -39,20 +32,20 @@
 {
 	struct web_call *call = http->data;
 
-	loop_enter(call->client->loop);
-	if (err && err != h2o_http1client_error_is_eos) {
-		tunnel_fail(call, "the relay does not answer");
-		return NULL;
-	}
-	call->relay_status = status;
-	if (status != 101) {
-		tunnel_fail(call, "the relay does not connect");
-		return NULL;
-	}
+	call_enter(call);
 	call->http = NULL;
-	call->tunnel_sock = h2o_http1client_steal_socket(http);
-	h2o_buffer_consume(&call->tunnel_sock->input, (size_t)rlen);
-	loop_defer(call->client->loop, &call->joined, on_joined, call);
+	if (err && err != h2o_http1client_error_is_eos)
+		call->text = "the relay does not answer";
+	else
+		call->relay_status = status;
+	if (call->relay_status == 101) {
+		call->tunnel_sock = h2o_http1client_steal_socket(http);
+		h2o_buffer_consume(&call->tunnel_sock->input, (size_t)rlen);
+		loop_defer(call->client->loop, &call->joined, on_joined, call);
+	} else if (!call->text) {
+		call->text = "the relay does not connect";
+	}
+	(void)call_leave(call);
 	return NULL;
 }
 
