forward: relays are remembered for each server, and vouch only for what they have checked

Instances that lose different links: each of six loses the links to most engines. An instance that failed for one server was avoided as a relay for all, so after a second none was left; and one that waited for a connection of its own answered after its caller had given up.

A relay answers at once what it knows to be lost, and checks its own links while it still waits. A request no longer makes an attempt on a path in backoff when no relay is left.

--- a/forward/fleet_reach.c
+++ b/forward/fleet_reach.c
@@ -27,6 +27,9 @@
  * this fraction of those listed. */
 #define LINKS_LOST_FRACTION 0.25
 
+/* Relays without a link to a server after which it rests. */
+#define RELAY_LINKS_LOST_MAX 3u
+
 bool fleet_links_lost(const struct fleet *fleet)
 {
 	uint32_t lost = 0;
@@ -80,6 +83,16 @@
 	fleet->relays = available;
 }
 
+/* With relays at hand, checks find out when the path is back. */
+bool backend_link_lost(const struct backend *backend)
+{
+	const struct fleet *fleet = backend->fleet;
+
+	return backend->direct.failures > 0 &&
+	       (fleet->relays ||
+		clock_now(fleet->clock) < backend->direct.avoid_until);
+}
+
 enum backend_path backend_path(const struct backend *backend, int64_t now)
 {
 	const struct fleet *fleet = backend->fleet;
@@ -244,6 +257,7 @@
 
 void backend_relay_reached(struct backend *backend)
 {
+	backend->relay_links_lost = 0;
 	backend->relayed = (struct path_state){0};
 }
 
@@ -284,3 +298,12 @@
 	if (path_fail(&backend->relayed, now))
 		backend_log("backend_unreachable_relayed", backend);
 }
+
+void backend_relay_link_lost(struct backend *backend, int64_t now)
+{
+	if (++backend->relay_links_lost < RELAY_LINKS_LOST_MAX)
+		return;
+	backend->relay_links_lost = 0;
+	if (path_fail(&backend->relayed, now))
+		backend_log("backend_unreachable_relayed", backend);
+}
--- a/forward/node.h
+++ b/forward/node.h
@@ -159,7 +159,8 @@
 /* node_relays.c: instances that connect to servers for each other. */
 bool node_relay_choose(void *ctx, const struct backend_info *to,
 		       char relay[ADDRESS_TEXT_MAX]);
-void node_relay_result(void *ctx, const char *relay, bool ok);
+void node_relay_result(void *ctx, const char *relay, uint64_t server,
+		       enum relay_failure failure);
 /* Updates whether relays are available. Called about every 100 ms. */
 void node_relays_tick(struct node *node);
 
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -34,14 +34,14 @@
 			  backend_key(&request->target));
 }
 
-/* A retry avoids servers with a rate limit, which are overloaded. Servers that
- * could not be connected to come last, on another path. */
-static struct backend *server_choose(struct request *request, bool first)
+/* Servers that could not be connected to come last, on another path. */
+static struct backend *server_find(const struct request *request, bool first)
 {
 	struct backend *backend;
 	struct place place;
 
 	request_place(request, &place);
+	/* A retry avoids servers with a rate limit, which are overloaded. */
 	place.unlimited = !first;
 	place.unconnected = &request->unconnected;
 	backend = place_plain(&place);
@@ -51,6 +51,15 @@
 	return place_plain(&place);
 }
 
+static struct backend *server_choose(struct request *request, bool first)
+{
+	struct backend *backend = server_find(request, first);
+
+	while (backend && !request_choose_path(request, backend))
+		backend = server_find(request, first);
+	return backend;
+}
+
 /* A request that a server answered with an error mostly fails at other servers
  * too, so its retry only takes a free slot and never delays waiting requests.
  */
@@ -117,7 +126,7 @@
 			      const struct backend_end *end)
 {
 	request_unconnected(request, end);
-	if (request->relay[0] && !end->relay_failed)
+	if (request->relay[0] && end->relay_failure == RELAY_OK)
 		return;
 	tried_remove(&request->tried, backend_key(&request->target));
 	tried_add(&request->unconnected, backend_key(&request->target));
@@ -154,7 +163,7 @@
 	request->runs--;
 	if (request->answer.head.other_server)
 		path_failed(request->forward, &request->target, request->relay,
-			    false);
+			    RELAY_OK);
 	else if (backend)
 		backend_failed(backend, request_now(request));
 	answer_clear(&request->answer);
--- a/forward/relay_server.c
+++ b/forward/relay_server.c
@@ -13,8 +13,11 @@
 #define RELAYS_MAX 384u
 /* Shorter than the time-out of the instance that asks. */
 #define CONNECT_USEC (100 * USEC_PER_MSEC)
+/* A connection inside the site takes 1 to 5 ms. If it takes this long, the own
+ * links are checked at the same time, so that the answer is not late. */
+#define CHECK_DELAY_USEC (30 * USEC_PER_MSEC)
 /* Servers tried in search of one for the check of the own links. */
-#define CHECK_TRIES 4
+#define CHECK_TRIES 16u
 
 struct relay_server {
 	struct loop *loop;
@@ -27,15 +30,24 @@
 	bool draining;
 };
 
+/* A connection to another server, which tells whether the own links work. */
+struct links_check {
+	struct web_connect *connect;
+	uint64_t key; /* of the other server */
+	bool done;
+	bool connected;
+};
+
 /* A request until its connection is made or refused. */
 struct attempt {
 	struct relay_server *server;
 	GList link;
 	struct web_request *request;
-	struct web_connect *connect;
-	uint64_t key;	  /* of the server that is connected to */
-	uint64_t checked; /* of the server for the check of the own links */
-	enum relay_status status; /* of the answer when the check succeeds */
+	struct web_connect *connect; /* NULL once it has failed */
+	uint64_t key;		     /* of the server that is connected to */
+	enum relay_status status;    /* if the own links work */
+	struct links_check check;
+	struct timer check_timer;
 };
 
 void relay_path_print(uint64_t server, char path[RELAY_PATH_MAX])
@@ -63,8 +75,11 @@
 
 static void attempt_free(struct attempt *attempt)
 {
+	timer_stop(&attempt->check_timer);
 	if (attempt->connect)
 		web_connect_cancel(attempt->connect);
+	if (attempt->check.connect)
+		web_connect_cancel(attempt->check.connect);
 	g_queue_unlink(&attempt->server->attempts, &attempt->link);
 	g_free(attempt);
 }
@@ -126,32 +141,18 @@
 				    clock_now(loop_clock(server->loop)));
 }
 
-static void on_checked(void *ctx, enum web_connect_result result,
-		       struct web_connection *connection)
-{
-	struct attempt *attempt = ctx;
-
-	attempt->connect = NULL;
-	if (connection) {
-		web_connection_close(connection);
-		connected_record(attempt->server, attempt->checked);
-		attempt_refuse(attempt, attempt->status);
-		return;
-	}
-	unconnected_record(attempt->server, attempt->checked);
-	attempt_refuse(attempt, RELAY_UNAVAILABLE);
-}
-
 /* Another server that this instance should be able to connect to; NULL when
  * none was found. */
 static const struct backend *other_server(const struct attempt *attempt)
 {
 	const struct relay_server *server = attempt->server;
 	const GPtrArray *all = fleet_all(server->fleet);
+	guint start = (guint)g_rand_int_range(server->rand, 0,
+					      (gint32)MAX(all->len, 1));
 
-	for (int i = 0; all->len > 1 && i < CHECK_TRIES; i++) {
-		const struct backend *backend = all->pdata[g_rand_int_range(
-			server->rand, 0, (gint32)all->len)];
+	for (guint i = 0; i < MIN(all->len, CHECK_TRIES); i++) {
+		const struct backend *backend =
+			all->pdata[(start + i) % all->len];
 
 		if (backend->key != attempt->key &&
 		    backend->direct.failures == 0 &&
@@ -161,23 +162,58 @@
 	return NULL;
 }
 
-/* A refused connection may also mean that this instance has lost its own links,
+/* Answers once both the connection has failed and the own links are checked. */
+static void attempt_settle(struct attempt *attempt)
+{
+	bool vouched = attempt->check.connected &&
+		       !fleet_links_lost(attempt->server->fleet);
+
+	if (!attempt->connect && attempt->check.done)
+		attempt_refuse(attempt,
+			       vouched ? attempt->status : RELAY_NO_LINK);
+}
+
+static void on_checked(void *ctx, enum web_connect_result result,
+		       struct web_connection *connection)
+{
+	struct attempt *attempt = ctx;
+	struct links_check *check = &attempt->check;
+
+	check->connect = NULL;
+	check->done = true;
+	check->connected = connection != NULL;
+	if (connection) {
+		web_connection_close(connection);
+		connected_record(attempt->server, check->key);
+	} else {
+		unconnected_record(attempt->server, check->key);
+	}
+	attempt_settle(attempt);
+}
+
+/* A failed connection may also mean that this instance has lost its own links,
  * which a connection to another server tells apart. */
-static void links_check(struct attempt *attempt, enum relay_status status)
+static void links_check_start(struct attempt *attempt)
 {
 	const struct backend *backend = other_server(attempt);
 
-	if (!backend || fleet_links_lost(attempt->server->fleet)) {
-		attempt_refuse(attempt, RELAY_UNAVAILABLE);
+	if (attempt->check.connect || attempt->check.done)
+		return;
+	if (!backend) {
+		attempt->check.done = true;
 		return;
 	}
-	attempt->status = status;
-	attempt->checked = backend->key;
-	attempt->connect =
+	attempt->check.key = backend->key;
+	attempt->check.connect =
 		web_connect(attempt->server->loop, backend->info.address,
 			    CONNECT_USEC, on_checked, attempt);
 }
 
+static void on_check_timer(struct timer *timer, void *ctx)
+{
+	links_check_start(ctx);
+}
+
 static void on_connected(void *ctx, enum web_connect_result result,
 			 struct web_connection *connection)
 {
@@ -187,9 +223,11 @@
 	attempt->connect = NULL;
 	if (!connection) {
 		unconnected_record(server, attempt->key);
-		links_check(attempt, result == WEB_CONNECT_REFUSED
-					     ? RELAY_REFUSED
-					     : RELAY_TIMED_OUT);
+		attempt->status = result == WEB_CONNECT_REFUSED
+					  ? RELAY_REFUSED
+					  : RELAY_TIMED_OUT;
+		links_check_start(attempt);
+		attempt_settle(attempt);
 		return;
 	}
 	connected_record(server, attempt->key);
@@ -232,6 +270,9 @@
 	attempt->key = backend->key;
 	g_queue_push_tail_link(&server->attempts, &attempt->link);
 	web_request_on_gone(request, on_gone, attempt);
+	timer_init(&attempt->check_timer, loop_clock(server->loop),
+		   on_check_timer, attempt);
+	timer_start(&attempt->check_timer, CHECK_DELAY_USEC);
 	attempt->connect = web_connect(server->loop, backend->info.address,
 				       CONNECT_USEC, on_connected, attempt);
 }
@@ -241,11 +282,12 @@
 	struct relay_server *server = ctx;
 	const struct backend *backend = request_server(server, request);
 
-	if (!backend || !web_relay_requested(request))
-		request_refuse(server, request, RELAY_UNKNOWN);
-	else if (server->draining || fleet_cut_off(server->fleet) ||
-		 relay_server_count(server) >= RELAYS_MAX)
+	if (server->draining || fleet_cut_off(server->fleet) ||
+	    relay_server_count(server) >= RELAYS_MAX)
 		request_refuse(server, request, RELAY_UNAVAILABLE);
+	else if (!backend || !web_relay_requested(request) ||
+		 backend_link_lost(backend))
+		request_refuse(server, request, RELAY_NO_LINK);
 	else
 		attempt_start(server, backend, request);
 }
--- a/forward/request.c
+++ b/forward/request.c
@@ -101,10 +101,14 @@
 		request->sends--;
 }
 
+bool request_choose_path(struct request *request, struct backend *backend)
+{
+	return path_choose(request->forward, backend, request->relay);
+}
+
 struct backend_link request_link(struct request *request,
 				 const struct backend *backend)
 {
-	path_choose(request->forward, backend, request->relay);
 	request->target = backend->info;
 	return link_of(&request->target, request->relay);
 }
@@ -116,9 +120,9 @@
 
 void request_unconnected(struct request *request, const struct backend_end *end)
 {
-	request->relay_failures += end->relay_failed;
+	request->relay_failures += end->relay_failure != RELAY_OK;
 	path_failed(request->forward, &request->target, request->relay,
-		    end->relay_failed);
+		    end->relay_failure);
 }
 
 bool request_may_send(struct request *request)
--- a/forward/request.h
+++ b/forward/request.h
@@ -154,7 +154,9 @@
 /* Takes a call that did not run from the count of runs and, if it did not
  * connect, also from the count of sends. */
 void request_uncount(struct request *request, const struct backend_end *end);
-/* Sets the target and the relay of the next call, and returns both. */
+/* Chooses the path of the next call; false when there is none. */
+bool request_choose_path(struct request *request, struct backend *backend);
+/* Sets the target of the next call and returns it with the chosen path. */
 struct backend_link request_link(struct request *request,
 				 const struct backend *backend);
 /* Records that the current call has connected. */
@@ -232,8 +234,9 @@
 
 const char *request_end_name(enum request_end end);
 
-/* path.c: a relay is an address, or empty for none. */
-void path_choose(const struct forward *forward, const struct backend *backend,
+/* path.c: a relay is an address, or empty for none. path_choose() returns false
+ * when only relays could reach the server and there is none. */
+bool path_choose(const struct forward *forward, struct backend *backend,
 		 char relay[ADDRESS_TEXT_MAX]);
 struct backend_link link_of(const struct backend_info *to, const char *relay);
 /* Chooses the path to a server that may not be listed any more. */
@@ -244,7 +247,7 @@
 void path_connected(const struct forward *forward,
 		    const struct backend_info *to, const char *relay);
 void path_failed(const struct forward *forward, const struct backend_info *to,
-		 const char *relay, bool relay_failed);
+		 const char *relay, enum relay_failure failure);
 
 /* permit.c */
 /* A signals_fn with the forward as context. */
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -135,7 +135,7 @@
 		request_unconnected(request, end);
 	else if (answer->has_head && answer->head.other_server)
 		path_failed(request->forward, &request->target, request->relay,
-			    false);
+			    RELAY_OK);
 	else if (backend && (!answer->has_head || !answer->head.not_run))
 		backend_failed(backend, request_now(request));
 }
@@ -316,6 +316,8 @@
 			stream_run(request);
 			return;
 		}
+		if (!request_choose_path(request, backend))
+			continue;
 		permit = request_permit(request, backend, PERMIT_STEP_PREFILL);
 	}
 	if (permit == PERMIT_GRANTED)
@@ -406,9 +408,12 @@
 		reserved(request, hold);
 		return;
 	}
-	if (result == RESERVE_UNREACHABLE || result == RESERVE_RELAY_FAILED)
+	if (result == RESERVE_UNREACHABLE || result == RESERVE_RELAY_LINK ||
+	    result == RESERVE_RELAY_PEER)
 		path_failed(request->forward, &request->target, request->relay,
-			    result == RESERVE_RELAY_FAILED);
+			    result == RESERVE_RELAY_LINK   ? RELAY_LINK
+			    : result == RESERVE_RELAY_PEER ? RELAY_PEER
+							   : RELAY_OK);
 	else if (backend && result == RESERVE_FULL)
 		stream_record_full(request, backend);
 	else if (backend)
@@ -471,6 +476,8 @@
 		backend = decode_choose(request, room);
 		if (!backend)
 			return false;
+		if (!request_choose_path(request, backend))
+			continue;
 		permit = request_permit(request, backend, PERMIT_STEP_RESERVE);
 	}
 	stream_dequeue(request);
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -258,6 +258,7 @@
 	if (!decode ||
 	    (!request->is_probe &&
 	     !backend_usable(decode, request_now(request))) ||
+	    !request_choose_path(request, decode) ||
 	    !request_may_send(request)) {
 		stream_retry(
 			request, RESULT_RETRY_BUDGET,
--- a/include/forward/backend.h
+++ b/include/forward/backend.h
@@ -38,6 +38,13 @@
 	const char *relay;
 };
 
+/* Why a call through a relay was not connected. */
+enum relay_failure {
+	RELAY_OK,   /* it was, or nobody can connect to the server */
+	RELAY_LINK, /* the relay has lost its own link to the server */
+	RELAY_PEER, /* the relay is gone, busy, stopping, or cut off */
+};
+
 enum send_kind {
 	SEND_RUN,     /* run the whole request, or resume it */
 	SEND_PREFILL, /* only compute its KV cache */
@@ -76,9 +83,7 @@
 	bool complete;	/* head and body arrived in full */
 	bool not_run;	/* no byte can have reached the server */
 	bool connected; /* a connection was made */
-	/* Not connected because the relay failed, or may have lost its own
-	 * links. */
-	bool relay_failed;
+	enum relay_failure relay_failure;
 	bool timed_out;
 	const char *text; /* reason when not complete */
 };
@@ -91,10 +96,11 @@
 
 enum reserve_result {
 	RESERVE_OK,
-	RESERVE_FULL,	      /* no free slot or memory */
-	RESERVE_UNREACHABLE,  /* no connection */
-	RESERVE_RELAY_FAILED, /* as backend_end.relay_failed */
-	RESERVE_FAILED,	      /* any other error; the memory may be reserved */
+	RESERVE_FULL,	     /* no free slot or memory */
+	RESERVE_UNREACHABLE, /* no connection */
+	RESERVE_RELAY_LINK,  /* as RELAY_LINK */
+	RESERVE_RELAY_PEER,  /* as RELAY_PEER */
+	RESERVE_FAILED,	     /* any other error; the memory may be reserved */
 };
 
 /* hold is the name of the reservation when result is RESERVE_OK. */
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -95,6 +95,7 @@
 	int64_t failure_score_at;
 	struct path_state direct;
 	struct path_state relayed;
+	uint32_t relay_links_lost;     /* consecutive, of different relays */
 	bool avoid_listed;	       /* in the fleet's avoided list */
 	uint64_t lost_epoch;	       /* the fleet's at its last failure */
 	uint64_t unreachable_reporter; /* last peer that reported it */
@@ -226,6 +227,8 @@
  * this extends the known time by more than the skew between reports. */
 bool backend_set_cold(struct backend *backend, int64_t now, int64_t left_usec);
 bool backend_cold(const struct backend *backend, int64_t now);
+/* Whether the direct path is known to be lost. */
+bool backend_link_lost(const struct backend *backend);
 /* How to connect to the server now. */
 enum backend_path backend_path(const struct backend *backend, int64_t now);
 /* Whether a new request may be sent there now. */
@@ -272,5 +275,8 @@
  * the server's health. */
 void backend_probe_failed(struct backend *backend, int64_t now);
 void backend_relay_unreachable(struct backend *backend, int64_t now);
+/* One relay has lost its own link to the server. After several such, the server
+ * counts as unreachable by relays for a while. */
+void backend_relay_link_lost(struct backend *backend, int64_t now);
 
 #endif
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -85,9 +85,10 @@
 typedef bool (*forward_relay_fn)(void *ctx, const struct backend_info *to,
 				 char relay[ADDRESS_TEXT_MAX]);
 
-/* Whether the instance has connected, or has told that the server cannot be
- * connected to, or has failed. */
-typedef void (*forward_relay_result_fn)(void *ctx, const char *relay, bool ok);
+/* What the instance has done when it was asked to connect to the server. */
+typedef void (*forward_relay_result_fn)(void *ctx, const char *relay,
+					uint64_t server,
+					enum relay_failure failure);
 
 struct forward_parts {
 	struct clock *clock;
--- a/include/forward/relay.h
+++ b/include/forward/relay.h
@@ -20,13 +20,14 @@
 
 enum relay_status {
 	/* The server refused the connection, or did not reply in time. Said
-	 * only by an instance that has connected to another server after
-	 * that. */
+	 * only by an instance that has connected to another server since it
+	 * began to try. */
 	RELAY_REFUSED = 502,
 	RELAY_TIMED_OUT = 504,
-	/* The instance does not know the server. */
-	RELAY_UNKNOWN = 404,
-	/* The instance is busy, stopping, or may have lost its own links. */
+	/* The instance does not know the server, or has lost its own link to
+	 * it, or cannot tell. */
+	RELAY_NO_LINK = 404,
+	/* The instance is busy, stopping, or cut off. */
 	RELAY_UNAVAILABLE = 503,
 };
 
