web: a test that no connection's keep-alive probes and user time-out differ

TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their count, and some libraries set one by themselves. Nothing was wrong; h2o sets none. The test fails when one of them is left out of keepalive_enable() or the two values differ.

--- a/tests/web/test_relay.c
+++ b/tests/web/test_relay.c
@@ -1,9 +1,13 @@
 /* Calls through a relay: failures of its own, cancelled calls, large bodies. */
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "relay_handler.h"
 
 #define BODY_BYTES ((size_t)1 << 20)
+#define FDS_MAX 256
 #define STALL_USEC (3 * USEC_PER_MSEC)
 
 struct site {
@@ -227,6 +231,46 @@
 	site->handler.relays = NULL;
 }
 
+static int option(int fd, int level, int name)
+{
+	socklen_t size = sizeof(int);
+	int value = -1;
+
+	g_assert_cmpint(getsockopt(fd, level, name, &value, &size), ==, 0);
+	return value;
+}
+
+/* TCP_USER_TIMEOUT also decides when keep-alive probes give up, whatever their
+ * number, so on no connection may the two differ. */
+static void test_keepalive(struct site *site, gconstpointer data)
+{
+	int connections = 0;
+
+	web_server_handle(site->backend, "/", begin, site);
+	site_call(site, (struct web_call_spec){0});
+	world_run(&site->world, &site->arrived);
+	world_iterate(&site->world, 20);
+	for (int fd = 0; fd < FDS_MAX; fd++) {
+		struct sockaddr_storage peer;
+		socklen_t size = sizeof(peer);
+		int probes_sec;
+
+		if (getpeername(fd, (struct sockaddr *)&peer, &size) != 0 ||
+		    peer.ss_family != AF_INET)
+			continue;
+		connections++;
+		g_assert_cmpint(option(fd, SOL_SOCKET, SO_KEEPALIVE), ==, 1);
+		probes_sec = option(fd, IPPROTO_TCP, TCP_KEEPIDLE) +
+			     option(fd, IPPROTO_TCP, TCP_KEEPINTVL) *
+				     option(fd, IPPROTO_TCP, TCP_KEEPCNT);
+		g_assert_cmpint(option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT), ==,
+				probes_sec * 1000);
+	}
+	/* Both ends of the caller's connection to the relay, and of the
+	 * relay's to the server. */
+	g_assert_cmpint(connections, ==, 4);
+}
+
 #define TEST(name, fn)                                                         \
 	g_test_add("/web/relay/" name, struct site, NULL, site_setup, fn,      \
 		   site_teardown)
@@ -243,5 +287,6 @@
 	TEST("cancel-early", test_cancel_early);
 	TEST("relay-stops", test_relay_stops);
 	TEST("stalled", test_stalled);
+	TEST("keepalive", test_keepalive);
 	return g_test_run();
 }
