forward: a stream stays with a server that is silent for a second or two

A sound server may fall silent for a second or so and go on. A resumable stream was given up after 1.2 s and run again elsewhere: its prompt read twice, a retry spent, for an answer that was late either way.

The server's idle time-out is two seconds now, and ends early enough for the stream to be resumed before its caller gives up.

--- a/forward/request.h
+++ b/forward/request.h
@@ -286,6 +286,8 @@
 /* Expires waiting streams and places those for which memory is free. */
 void stream_pump(struct forward *forward);
 void stream_enqueue(struct request *request);
+/* Time after which the caller of a stream without events gives up. */
+int64_t stream_caller_timeout(const struct request *request);
 void stream_dequeue(struct request *request);
 /* Decode memory charged for the request, in tokens. */
 uint32_t stream_tokens(const struct request *request);
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -6,9 +6,12 @@
 #include "common/log.h"
 
 /* Idle timeout of a resumable stream's server, in multiples of the route's gap
- * between events, and its lower bound. */
+ * between events, and its lower bound: a healthy server may be silent for a
+ * second or so. */
 #define IDLE_TIMEOUT_GAPS 4
-#define IDLE_TIMEOUT_MIN_USEC (1200 * USEC_PER_MSEC)
+#define IDLE_TIMEOUT_MIN_USEC (2 * USEC_PER_SEC)
+/* Time to resume the stream elsewhere before its caller gives up. */
+#define RESUME_USEC (800 * USEC_PER_MSEC)
 /* Weight of a new sample in the mean time from reservation to first event. */
 #define FIRST_EVENT_WEIGHT 0.1
 
@@ -228,8 +231,9 @@
 	if (!request_repeatable(request) ||
 	    request->runs + 1 >= request->route->attempts)
 		return left;
-	return MIN(left, MAX(IDLE_TIMEOUT_GAPS * request->route->gap_usec,
-			     IDLE_TIMEOUT_MIN_USEC));
+	return MIN(MIN(left, stream_caller_timeout(request) - RESUME_USEC),
+		   MAX(IDLE_TIMEOUT_GAPS * request->route->gap_usec,
+		       IDLE_TIMEOUT_MIN_USEC));
 }
 
 void stream_run(struct request *request)
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -126,17 +126,23 @@
 	return true;
 }
 
+int64_t stream_caller_timeout(const struct request *request)
+{
+	const struct catalog_route *route = request->route;
+
+	return MAX(CALLER_TIMEOUT_USEC,
+		   MAX(route->target_usec * CALLER_TIMEOUT_TARGETS,
+		       route->gap_usec * CALLER_TIMEOUT_GAPS));
+}
+
 /* The time after which placing the request is of no use. The timeout of a
  * caller that has received events counts from the last event. */
 static int64_t wait_deadline(const struct request *request)
 {
-	const struct catalog_route *route = request->route;
 	int64_t from = request->last_at ? request->last_at : request->arrived;
-	int64_t timeout = MAX(CALLER_TIMEOUT_USEC,
-			      MAX(route->target_usec * CALLER_TIMEOUT_TARGETS,
-				  route->gap_usec * CALLER_TIMEOUT_GAPS));
 
-	return MIN(from + timeout, request->deadline) - PREFILL_USEC;
+	return MIN(from + stream_caller_timeout(request), request->deadline) -
+	       PREFILL_USEC;
 }
 
 /* Refuses a request for which no server will be available before its deadline.
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -28,6 +28,7 @@
 struct record {
 	uint32_t instance;
 	bool once;
+	bool streams;
 	bool cut_off; /* its instance, when it was sent */
 	uint32_t runs;
 	uint32_t answers;
@@ -60,6 +61,7 @@
 struct server {
 	struct backend_info info;
 	bool crashed;
+	int64_t silent_until;
 };
 
 enum call_kind {
@@ -81,6 +83,7 @@
 	check_fn check;
 	void *ctx;
 	int64_t head_usec;
+	int64_t idle_usec;
 	int64_t connect_usec;
 	bool connected;
 	enum relay_failure relay_failure;
@@ -88,6 +91,7 @@
 	bool lost;	   /* its connection */
 	bool silent;	   /* lost without a reset: the call times out */
 	bool streams;
+	bool has_head;
 	struct timer timer;
 };
 
@@ -181,6 +185,7 @@
 {
 	const struct backend_head head = {.status = 200, .is_signed = true};
 
+	call->has_head = true;
 	call->events.head(call->ctx, &head);
 	call->events.body(call->ctx, "id: 1\ndata: x\n\n", 15);
 	if (call->streams) {
@@ -218,6 +223,10 @@
 
 static int64_t call_duration(const struct call *call)
 {
+	int64_t now = clock_now(call->from->world->clock);
+
+	if (now < call->to->silent_until)
+		return call->to->silent_until - now;
 	if (call->kind != CALL_SEND)
 		return CONNECT_USEC;
 	if (call->to->info.stage == STAGE_NONE)
@@ -225,6 +234,15 @@
 	return call->send == SEND_PREFILL ? PREFILL_USEC : FIRST_EVENT_USEC;
 }
 
+/* The next answer, or the time-out if that comes first. */
+static void answer_schedule(struct call *call, int64_t usec)
+{
+	int64_t limit = call->has_head ? call->idle_usec : call->head_usec;
+
+	call->lost = call->silent = usec > limit;
+	timer_start(&call->timer, MIN(usec, limit));
+}
+
 static void call_connect(struct call *call)
 {
 	if (call->to->crashed) {
@@ -234,7 +252,7 @@
 	call->connected = true;
 	if (call->record && call->send == SEND_RUN)
 		call->record->runs++;
-	timer_start(&call->timer, call_duration(call));
+	answer_schedule(call, call_duration(call));
 }
 
 /* Whether the instance connects to another server when it is asked whether its
@@ -346,6 +364,7 @@
 	call->events = *events;
 	call->record = from->world->records->pdata[atoi(spec->caller->id)];
 	call->head_usec = spec->head_usec;
+	call->idle_usec = spec->idle_usec;
 	call->connect_usec = spec->connect_usec;
 	call->streams =
 		spec->kind == SEND_RUN && call->to->info.stage == STAGE_DECODE;
@@ -456,6 +475,11 @@
 
 /* ---- callers ---- */
 
+static bool is_stream(const char *path)
+{
+	return strcmp(path, "/stream/") == 0 || strcmp(path, "/resume/") == 0;
+}
+
 static bool world_decode(void *ctx, struct web_request *request,
 			 struct caller_request *caller, struct error *err)
 {
@@ -466,7 +490,7 @@
 		.limit_usec = 600 * USEC_PER_MSEC,
 	};
 	g_strlcpy(caller->id, request->id, sizeof(caller->id));
-	if (strcmp(request->path, "/stream/") != 0)
+	if (!is_stream(request->path))
 		return true;
 	caller->limit_usec = 14 * USEC_PER_SEC;
 	caller->prompt_tokens = 3000;
@@ -477,7 +501,7 @@
 static const char *path_draw(struct reach_world *world)
 {
 	if (g_rand_int_range(world->rand, 0, STREAM_EVERY) == 0)
-		return "/stream/";
+		return g_rand_boolean(world->rand) ? "/stream/" : "/resume/";
 	return g_rand_boolean(world->rand) ? "/plain/" : "/once/";
 }
 
@@ -493,7 +517,9 @@
 	g_strlcpy(request->path, path_draw(world), sizeof(request->path));
 	(void)snprintf(request->id, sizeof(request->id), "%u", request->number);
 	record->instance = to->number;
-	record->once = strcmp(request->path, "/plain/") != 0;
+	record->once = strcmp(request->path, "/once/") == 0 ||
+		       strcmp(request->path, "/stream/") == 0;
+	record->streams = is_stream(request->path);
 	record->cut_off = to->cut != CUT_NONE;
 	g_ptr_array_add(world->requests, request);
 	g_ptr_array_add(world->records, record);
@@ -657,6 +683,8 @@
 	route_add(catalog, "/plain/", ROUTE_IDEMPOTENT, "plain");
 	route_add(catalog, "/once/", ROUTE_ONCE, "plain");
 	route_add(catalog, "/stream/", ROUTE_STREAM, "model");
+	route_add(catalog, "/resume/", ROUTE_STREAM, "model");
+	((struct catalog_route *)catalog->routes->pdata[3])->resumable = true;
 	catalog_add_service(catalog, "plain");
 	catalog_add_service(catalog, "model")->engine = (struct engine_traits){
 		.slots = 12,
@@ -842,6 +870,37 @@
 	reach_world_cut_some(world, instance, cut, 0);
 }
 
+uint32_t reach_world_servers(const struct reach_world *world)
+{
+	return world->server_count;
+}
+
+void reach_world_silence(struct reach_world *world, uint32_t server,
+			 int64_t msec)
+{
+	struct server *silent = &world->servers[server];
+
+	silent->silent_until = clock_now(world->clock) + msec * USEC_PER_MSEC;
+	for (GList *link = world->calls.head; link; link = link->next) {
+		struct call *call = link->data;
+
+		if (call->to == silent && call->connected)
+			answer_schedule(call, msec * USEC_PER_MSEC);
+	}
+}
+
+uint32_t reach_world_repeated_streams(const struct reach_world *world)
+{
+	uint32_t repeated = 0;
+
+	for (guint i = 0; i < world->records->len; i++) {
+		const struct record *record = world->records->pdata[i];
+
+		repeated += record->streams && record->runs > 1;
+	}
+	return repeated;
+}
+
 void reach_world_crash(struct reach_world *world, uint32_t server)
 {
 	GList *next;
--- a/tests/forward/reach_world.h
+++ b/tests/forward/reach_world.h
@@ -48,6 +48,13 @@
  * and the next instance other ones. */
 void reach_world_cut_some(struct reach_world *world, uint32_t instance,
 			  enum cut cut, uint32_t every);
+/* The server answers nothing for that time, and goes on afterwards. */
+void reach_world_silence(struct reach_world *world, uint32_t server,
+			 int64_t msec);
+/* Streams that were run more than once. */
+uint32_t reach_world_repeated_streams(const struct reach_world *world);
+/* Number of servers; the last ones are decode servers. */
+uint32_t reach_world_servers(const struct reach_world *world);
 /* Crashes the server with all that runs there, for good. */
 void reach_world_crash(struct reach_world *world, uint32_t server);
 /* Number of requests sent so far. */
--- a/tests/forward/test_reach.c
+++ b/tests/forward/test_reach.c
@@ -12,6 +12,7 @@
 #define CONTACT_MSEC 3000
 #define CUT_MSEC 8000
 #define STEADY_MSEC 3000
+#define SILENCE_MSEC 1500
 /* Requests that are served have ended after this time. */
 #define ANSWER_MSEC 1000
 /* Longest limit of a caller. */
@@ -169,6 +170,37 @@
 	reach_world_destroy(world);
 }
 
+/* A sound server may fall silent for a second or so: streams there go on, no
+ * request is blamed, and it gets work again soon after. */
+static void test_silence(void)
+{
+	struct reach_world *world =
+		reach_world_create(7, (guint32)g_test_rand_int());
+	uint32_t begin;
+	struct tally cut_off;
+	struct tally others;
+
+	reach_world_run(world, STEADY_MSEC);
+	for (int i = 0; i < 12; i++) {
+		uint32_t servers = reach_world_servers(world);
+
+		reach_world_silence(world, servers - 1 - (uint32_t)i % 9,
+				    SILENCE_MSEC);
+		reach_world_run(world, SILENCE_MSEC + 500);
+	}
+	g_assert_cmpuint(reach_world_repeated_streams(world), ==, 0);
+	g_assert_cmpuint(reach_world_blamed(world), ==, 0);
+	begin = reach_world_sent(world);
+	reach_world_run(world, STEADY_MSEC);
+	reach_world_tally(world, begin, reach_world_sent(world), &cut_off,
+			  &others);
+	g_assert_cmpuint(others.sent - others.served, <=,
+			 10 + others.sent / 50);
+	reach_world_end(world, END_MSEC);
+	g_assert_cmpuint(reach_world_broken(world), ==, 0);
+	reach_world_destroy(world);
+}
+
 int main(int argc, char **argv)
 {
 	struct clock *clock = clock_create(0);
@@ -187,6 +219,7 @@
 			     test_promises);
 	g_test_add_data_func("/forward/reach/promises/83", GUINT_TO_POINTER(83),
 			     test_promises);
+	g_test_add_func("/forward/reach/silence", test_silence);
 	g_test_add_func("/forward/reach/blame", test_blame);
 	status = g_test_run();
 	clock_destroy(clock);
--- a/tests/forward/test_relay_server.c
+++ b/tests/forward/test_relay_server.c
@@ -112,10 +112,10 @@
 	site->loop = loop_create(site->clock);
 	loop_on_iteration(site->loop, on_iteration, site);
 	site->client = web_client_create(site->loop);
-	site->server = web_server_create(site->loop, "127.0.0.1:0", &limits,
-					 &err);
-	site->peers = web_server_create(site->loop, "127.0.0.1:0", &limits,
-					&err);
+	site->server =
+		web_server_create(site->loop, "127.0.0.1:0", &limits, &err);
+	site->peers =
+		web_server_create(site->loop, "127.0.0.1:0", &limits, &err);
 	web_server_handle(site->server, "/", hello, NULL);
 	site->fleet = fleet_create(site->clock, "here");
 	site->counters = counter_set_create();
@@ -173,8 +173,7 @@
 {
 	call(site, id);
 	loop_run(site->loop);
-	g_assert_true(site->result.sent ==
-		      (site->result.relay_status == 101));
+	g_assert_true(site->result.sent == (site->result.relay_status == 101));
 	return site->result.relay_status;
 }
 
@@ -263,8 +262,8 @@
 		refused_put(site, "refused");
 		server_put(site, "silent", site->silent_address);
 		pending = call(site, ids[g_test_rand_int_range(0, 3)]);
-		for (int j = g_test_rand_int_range(0, 200); j > 0 && !site->done;
-		     j--) {
+		for (int j = g_test_rand_int_range(0, 200);
+		     j > 0 && !site->done; j--) {
 			loop_run_h2o(site->loop, 1);
 			clock_follow(site->clock);
 		}
