--- a/forward/relay_server.c
+++ b/forward/relay_server.c
@@ -86,10 +86,12 @@
 
 void relay_server_destroy(struct relay_server *server)
 {
+	struct attempt *attempt;
+
 	if (!server)
 		return;
-	while (server->attempts.head)
-		attempt_free(server->attempts.head->data);
+	while ((attempt = g_queue_peek_head(&server->attempts)))
+		attempt_free(attempt);
 	web_relays_destroy(server->relays);
 	g_free(server);
 }
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -807,13 +807,15 @@
 
 void reach_world_destroy(struct reach_world *world)
 {
+	struct call *call;
+
 	timer_stop(&world->arrivals);
 	timer_stop(&world->reports);
 	timer_stop(&world->ticks);
 	for (uint32_t i = 0; i < world->instance_count; i++)
 		instance_close(&world->instances[i]);
-	while (world->calls.head)
-		call_free(world->calls.head->data);
+	while ((call = g_queue_peek_head(&world->calls)))
+		call_free(call);
 	catalog_unref(world->catalog);
 	g_ptr_array_unref(world->requests);
 	g_ptr_array_unref(world->records);
--- a/tests/session/links.c
+++ b/tests/session/links.c
@@ -16,6 +16,7 @@
 #include <netinet/in.h>
 #include <pthread.h>
 #include <stdbool.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -62,13 +63,15 @@
 		.sin_family = AF_INET,
 		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
 	};
-	bind(fd, (struct sockaddr *)&silent_address, size);
-	listen(fd, 0);
+	if (bind(fd, (struct sockaddr *)&silent_address, size) != 0 ||
+	    listen(fd, 0) != 0)
+		abort();
 	getsockname(fd, (struct sockaddr *)&silent_address, &size);
 	for (int i = 0; i < 4; i++)
-		real(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK,
-			    0),
-		     (struct sockaddr *)&silent_address, size);
+		(void)real(socket(AF_INET,
+				  SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK,
+				  0),
+			   (struct sockaddr *)&silent_address, size);
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t size)
@@ -94,7 +97,7 @@
 static void open_connections_close(void)
 {
 	for (int fd = 0; fd < FDS_MAX; fd++) {
-		struct sockaddr_storage peer;
+		struct sockaddr_storage peer = {0};
 		socklen_t size = sizeof(peer);
 
 		if (getpeername(fd, (struct sockaddr *)&peer, &size) == 0 &&
--- a/tests/web/test_relay.c
+++ b/tests/web/test_relay.c
@@ -251,7 +251,7 @@
 	world_run(&site->world, &site->arrived);
 	world_iterate(&site->world, 20);
 	for (int fd = 0; fd < FDS_MAX; fd++) {
-		struct sockaddr_storage peer;
+		struct sockaddr_storage peer = {0};
 		socklen_t size = sizeof(peer);
 		int probes_sec;
 
--- a/web/relay.c
+++ b/web/relay.c
@@ -45,10 +45,12 @@
 
 void web_relays_destroy(struct web_relays *relays)
 {
+	struct relay *relay;
+
 	if (!relays)
 		return;
-	while (relays->list.head)
-		relay_close(relays->list.head->data);
+	while ((relay = g_queue_peek_head(&relays->list)))
+		relay_close(relay);
 	g_free(relays);
 }
 
