forward: the log tells software versions and which stream a request resumes

The hypotheses of the incident with streams of two versions cannot be told apart from the logs: they name neither the version of a server nor the stream that a request continues.

request_placed and backend_added have software=, and stream_resumed names the stream. The version of an entry was only checked for its type before; it is part of what an instance knows of a server now, and compared in full.

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -71,8 +71,8 @@
 	       strcmp(a->address, b->address) == 0 &&
 	       strcmp(a->data_centre, b->data_centre) == 0 &&
 	       a->started_ms == b->started_ms && a->service == b->service &&
-	       a->stage == b->stage && a->slots == b->slots &&
-	       a->leaving == b->leaving;
+	       a->software == b->software && a->stage == b->stage &&
+	       a->slots == b->slots && a->leaving == b->leaving;
 }
 
 static void service_free(gpointer data)
@@ -183,6 +183,7 @@
 		  LOG_S("address", backend->info.address),
 		  LOG_S("data_centre", backend->info.data_centre),
 		  LOG_S("stage", stages[backend->info.stage]),
+		  LOG_S("software", backend->info.software_name),
 		  LOG_D("born", backend->info.started_ms),
 		  LOG_D("leaving", backend->info.leaving));
 }
@@ -255,6 +256,7 @@
 			   const struct backend_info *info)
 {
 	bool changed = backend->info.leaving != info->leaving ||
+		       backend->info.software != info->software ||
 		       backend->info.stage != info->stage;
 	bool service_changed = backend->info.service != info->service;
 	bool set_changed =
--- a/forward/request.c
+++ b/forward/request.c
@@ -151,6 +151,7 @@
 	log_event(LOG_INFO, "request_placed",
 		  LOG_S("request", request->caller.id), LOG_S("step", step),
 		  LOG_S("backend", backend->info.id),
+		  LOG_S("software", backend->info.software_name),
 		  LOG_S("relay", request->relay),
 		  LOG_D("requests", backend_requests(backend)),
 		  LOG_D("decode_tokens", backend_decode_tokens(backend)),
@@ -454,6 +455,12 @@
 
 	budget_request(forward->parts.budgets, request->service->id,
 		       request->arrived);
+	if (request->caller.resumes)
+		log_event(
+			LOG_INFO, "stream_resumed",
+			LOG_S("request", request->caller.id),
+			LOG_S("stream", request->caller.stream),
+			LOG_D("after", (int64_t)request->caller.resume_after));
 	if (request_quarantine(request))
 		return;
 	deadline_start(request);
--- a/include/forward/caller.h
+++ b/include/forward/caller.h
@@ -25,7 +25,10 @@
 	uint32_t output_max;	  /* maximum of generated tokens */
 	uint32_t output_expected; /* the caller's estimate; 0: none */
 	bool resumes;		  /* resumes a stream */
-	uint64_t resume_after;	  /* id of the last event received */
+	/* With resumes: id of the attempt that received the stream's first
+	 * event; empty if not given. */
+	char stream[CALLER_ID_MAX];
+	uint64_t resume_after; /* id of the last event received */
 	struct web_text method;
 	struct web_text host;
 	struct web_text target; /* path and query */
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -45,6 +45,11 @@
 	int64_t started_ms; /* start of this incarnation, Unix time; 0: unknown
 			     */
 	uint64_t service;   /* id_of() its name */
+	/* Version of its software: events of two versions do not form one
+	 * stream. The name may be truncated; the other is id_of() the full
+	 * name, or of the empty one if the platform lists none. */
+	char software_name[BACKEND_TEXT_MAX];
+	uint64_t software;
 	enum backend_stage stage;
 	uint32_t slots;
 	bool leaving;
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -244,6 +244,40 @@
 	g_assert_nonnull(strstr(err.text, row->reason));
 }
 
+static void software_decode(const char *version, struct backend_info *info)
+{
+	g_autofree char *text = g_strdup_printf(
+		ENTRY("ready", "8", "%s%s%s"), version ? ",\"version\":\"" : "",
+		version ? version : "", version ? "\"" : "");
+	struct error err;
+
+	g_assert_true(decode_backend("i-1", text, strlen(text), info, &err));
+}
+
+static void test_software(void)
+{
+	char first[120];
+	char second[120];
+	struct backend_info a;
+	struct backend_info b;
+
+	memset(first, 'v', sizeof(first));
+	first[sizeof(first) - 1] = '\0';
+	memcpy(second, first, sizeof(first));
+	second[sizeof(second) - 2] = 'w';
+	software_decode(first, &a);
+	software_decode(second, &b);
+	g_assert_cmpuint(a.software, !=, b.software);
+	software_decode("1", &a);
+	software_decode("2", &b);
+	g_assert_cmpuint(a.software, !=, b.software);
+	g_assert_cmpstr(a.software_name, ==, "1");
+	g_assert_false(backend_info_same(&a, &b));
+	software_decode(NULL, &a);
+	software_decode("", &b);
+	g_assert_cmpuint(a.software, ==, b.software);
+}
+
 static void test_entry(void)
 {
 	static const char text[] =
@@ -704,6 +738,7 @@
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
 	g_test_add_func("/platform/entry", test_entry);
+	g_test_add_func("/platform/software", test_software);
 	g_test_add_func("/platform/keyed", test_keyed);
 	g_test_add_func("/platform/fuzz", test_fuzz);
 	return g_test_run();
