forward: a failing test for streams of two versions

World of 7, 83 and 300 instances with servers of two or three software versions and callers that resume broken streams at other instances.

--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -15,7 +15,11 @@
 #define PLAIN_USEC (15 * USEC_PER_MSEC)
 #define PREFILL_USEC (60 * USEC_PER_MSEC)
 #define FIRST_EVENT_USEC (20 * USEC_PER_MSEC)
-#define STREAM_USEC (300 * USEC_PER_MSEC)
+#define EVENT_USEC (100 * USEC_PER_MSEC)
+#define EVENTS 4u
+/* After this time a caller resumes a stream that was broken off or refused. */
+#define RESUME_USEC (20 * USEC_PER_MSEC)
+#define ATTEMPTS_MAX 3u
 #define REPORT_USEC (300 * USEC_PER_MSEC)
 #define TICK_USEC (100 * USEC_PER_MSEC)
 /* Requests per second at an instance. */
@@ -24,8 +28,12 @@
 #define STREAM_EVERY 8
 #define REPORTS_MAX 48u
 #define MEMORY_TOKENS 30000u
+/* An instance is in touch this long after its start. */
+#define CONTACT_USEC (3 * USEC_PER_SEC)
 
 struct record {
+	struct reach_world *world;
+	uint32_t number;
 	uint32_t instance;
 	bool once;
 	bool streams;
@@ -33,6 +41,17 @@
 	uint32_t runs;
 	uint32_t answers;
 	int status; /* 0: broken off */
+	/* A resumable stream, over the attempts of its caller. */
+	bool resumable;
+	bool resumed;
+	bool in_touch; /* its instance, when it was sent */
+	uint32_t attempts;
+	uint32_t stream; /* number of the attempt with the first event */
+	uint32_t before; /* last event received by earlier attempts */
+	uint32_t last;	 /* last event received; 0: none */
+	uint64_t software;
+	bool joined; /* has events of two versions, or one out of order */
+	struct timer timer;
 };
 
 struct web_request {
@@ -40,6 +59,9 @@
 	uint32_t number;
 	char path[16];
 	char id[16];
+	web_gone_fn gone;
+	void *gone_ctx;
+	bool ended;
 };
 
 struct instance {
@@ -48,6 +70,8 @@
 	char centre[4];
 	enum cut cut;
 	uint32_t cut_every; /* 0: from all servers */
+	bool stopped;
+	int64_t started_at;
 	struct fleet *fleet;
 	struct relay_peers *relay_peers;
 	struct budgets *budgets;
@@ -91,6 +115,7 @@
 	bool lost;	   /* its connection */
 	bool silent;	   /* lost without a reset: the call times out */
 	bool streams;
+	uint32_t event; /* the next one of a stream */
 	bool has_head;
 	struct timer timer;
 };
@@ -110,6 +135,7 @@
 	struct timer reports;
 	struct timer ticks;
 	uint32_t blamed;
+	uint32_t versions;
 };
 
 /* ---- the network ---- */
@@ -184,16 +210,20 @@
 static void send_answer(struct call *call)
 {
 	const struct backend_head head = {.status = 200, .is_signed = true};
+	char event[64];
 
-	call->has_head = true;
-	call->events.head(call->ctx, &head);
-	call->events.body(call->ctx, "id: 1\ndata: x\n\n", 15);
-	if (call->streams) {
-		call->streams = false;
-		timer_start(&call->timer, STREAM_USEC);
-		return;
+	if (!call->has_head) {
+		call->has_head = true;
+		call->events.head(call->ctx, &head);
 	}
-	send_end(call, true, false);
+	(void)snprintf(event, sizeof(event), "id: %u\ndata: %u\n\n",
+		       call->event++,
+		       (uint32_t)(call->to - call->from->world->servers));
+	call->events.body(call->ctx, event, strlen(event));
+	if (call->streams && call->event <= EVENTS)
+		timer_start(&call->timer, EVENT_USEC);
+	else
+		send_end(call, true, false);
 }
 
 static void call_answer(struct call *call)
@@ -204,11 +234,7 @@
 
 	switch (call->kind) {
 	case CALL_SEND:
-		if (call->streams || call->send == SEND_PREFILL ||
-		    call->to->info.stage == STAGE_NONE)
-			send_answer(call);
-		else
-			send_end(call, true, false);
+		send_answer(call);
 		break;
 	case CALL_RESERVE:
 		call_free(call);
@@ -368,6 +394,7 @@
 	call->connect_usec = spec->connect_usec;
 	call->streams =
 		spec->kind == SEND_RUN && call->to->info.stage == STAGE_DECODE;
+	call->event = spec->resumes ? (uint32_t)spec->resume_after + 1 : 1;
 	return call_start(call, spec->link.relay);
 }
 
@@ -429,6 +456,8 @@
 
 void web_request_on_gone(struct web_request *request, web_gone_fn fn, void *ctx)
 {
+	request->gone = fn;
+	request->gone_ctx = ctx;
 }
 
 void web_reply_header(struct web_request *request, const char *name,
@@ -441,11 +470,23 @@
 	return request->world->records->pdata[request->number];
 }
 
+/* The caller resumes a stream that has begun, at another instance. */
+static void caller_lost(struct web_request *request)
+{
+	struct record *record = record_of(request);
+
+	request->ended = true;
+	if (record->resumable && record->last > 0 && record->last < EVENTS &&
+	    record->attempts < ATTEMPTS_MAX)
+		timer_start(&record->timer, RESUME_USEC);
+}
+
 void web_reply(struct web_request *request, int status, const char *type,
 	       const void *body, size_t size)
 {
 	record_of(request)->status = status;
 	record_of(request)->answers++;
+	caller_lost(request);
 }
 
 void web_reply_start(struct web_request *request, int status, const char *type)
@@ -453,8 +494,28 @@
 	record_of(request)->status = status;
 }
 
+static void event_receive(struct record *record, uint32_t event,
+			  uint32_t server)
+{
+	uint64_t software = record->world->servers[server].info.software;
+
+	if (record->last == 0) {
+		record->software = software;
+		record->stream = record->number;
+	}
+	record->joined |=
+		software != record->software || event != record->last + 1;
+	record->last = event;
+}
+
 void web_reply_piece(struct web_request *request, const void *data, size_t size)
 {
+	g_autofree char *text = g_strndup(data, size);
+	uint32_t event;
+	uint32_t server;
+
+	if (sscanf(text, "id: %u\ndata: %u", &event, &server) == 2)
+		event_receive(record_of(request), event, server);
 }
 
 size_t web_reply_queued(const struct web_request *request)
@@ -465,12 +526,14 @@
 void web_reply_end(struct web_request *request)
 {
 	record_of(request)->answers++;
+	request->ended = true;
 }
 
 void web_reply_abort(struct web_request *request)
 {
 	record_of(request)->status = 0;
 	record_of(request)->answers++;
+	caller_lost(request);
 }
 
 /* ---- callers ---- */
@@ -495,6 +558,11 @@
 	caller->limit_usec = 14 * USEC_PER_SEC;
 	caller->prompt_tokens = 3000;
 	caller->output_max = 72;
+	caller->resumes = record_of(request)->resumed;
+	caller->resume_after = record_of(request)->before;
+	if (caller->resumes)
+		(void)snprintf(caller->stream, sizeof(caller->stream), "%u",
+			       record_of(request)->stream);
 	return true;
 }
 
@@ -505,33 +573,76 @@
 	return g_rand_boolean(world->rand) ? "/plain/" : "/once/";
 }
 
-static void request_send(struct reach_world *world)
+static struct instance *instance_draw(struct reach_world *world)
+{
+	struct instance *instance;
+
+	do
+		instance = &world->instances[g_rand_int_range(
+			world->rand, 0, (gint32)world->instance_count)];
+	while (instance->stopped);
+	return instance;
+}
+
+static void on_resume(struct timer *timer, void *ctx);
+
+static struct record *record_create(struct reach_world *world,
+				    const struct instance *to, const char *path)
 {
-	struct instance *to = &world->instances[g_rand_int_range(
-		world->rand, 0, (gint32)world->instance_count)];
-	struct web_request *request = g_new0(struct web_request, 1);
 	struct record *record = g_new0(struct record, 1);
 
-	request->world = world;
-	request->number = world->records->len;
-	g_strlcpy(request->path, path_draw(world), sizeof(request->path));
-	(void)snprintf(request->id, sizeof(request->id), "%u", request->number);
+	record->world = world;
+	record->number = world->records->len;
 	record->instance = to->number;
-	record->once = strcmp(request->path, "/once/") == 0 ||
-		       strcmp(request->path, "/stream/") == 0;
-	record->streams = is_stream(request->path);
+	record->once =
+		strcmp(path, "/once/") == 0 || strcmp(path, "/stream/") == 0;
+	record->streams = is_stream(path);
+	record->resumable = strcmp(path, "/resume/") == 0;
 	record->cut_off = to->cut != CUT_NONE;
-	g_ptr_array_add(world->requests, request);
+	record->in_touch =
+		clock_now(world->clock) - to->started_at >= CONTACT_USEC;
+	record->attempts = 1;
+	timer_init(&record->timer, world->clock, on_resume, record);
 	g_ptr_array_add(world->records, record);
+	return record;
+}
+
+static void request_send(struct reach_world *world, struct record *record,
+			 struct instance *to, const char *path)
+{
+	struct web_request *request = g_new0(struct web_request, 1);
+
+	request->world = world;
+	request->number = record->number;
+	g_strlcpy(request->path, path, sizeof(request->path));
+	(void)snprintf(request->id, sizeof(request->id), "%u", request->number);
+	g_ptr_array_add(world->requests, request);
 	forward_handle_request(to->forward, request);
 }
 
+static void on_resume(struct timer *timer, void *ctx)
+{
+	const struct record *before = ctx;
+	struct reach_world *world = before->world;
+	struct instance *to = instance_draw(world);
+	struct record *record = record_create(world, to, "/resume/");
+
+	record->resumed = true;
+	record->attempts = before->attempts + 1;
+	record->stream = before->stream;
+	record->before = record->last = before->last;
+	record->software = before->software;
+	request_send(world, record, to, "/resume/");
+}
+
 static void on_arrival(struct timer *timer, void *ctx)
 {
 	struct reach_world *world = ctx;
 	double gap = (double)USEC_PER_SEC / RATE / world->instance_count;
+	struct instance *to = instance_draw(world);
+	const char *path = path_draw(world);
 
-	request_send(world);
+	request_send(world, record_create(world, to, path), to, path);
 	timer_start(timer, (int64_t)(g_rand_double(world->rand) * 2.0 * gap));
 }
 
@@ -542,12 +653,19 @@
 	struct unreachable_backend reports[REPORTS_MAX];
 
 	for (uint32_t i = 0; i < world->instance_count; i++) {
-		uint32_t count = fleet_unreachable(world->instances[i].fleet,
-						   reports, REPORTS_MAX);
+		uint32_t count;
+
+		if (world->instances[i].stopped)
+			continue;
+		count = fleet_unreachable(world->instances[i].fleet, reports,
+					  REPORTS_MAX);
 
 		for (uint32_t j = i % CENTRES; j < world->instance_count;
 		     j += CENTRES)
-			for (uint32_t k = 0; j != i && k < count; k++)
+			for (uint32_t k = 0;
+			     j != i && !world->instances[j].stopped &&
+			     k < count;
+			     k++)
 				fleet_merge_unreachable(
 					world->instances[j].fleet, i + 1,
 					&reports[k]);
@@ -621,7 +739,7 @@
 		char address[ADDRESS_TEXT_MAX];
 
 		(void)snprintf(address, sizeof(address), "%u", other->number);
-		if (other == instance ||
+		if (other == instance || other->stopped ||
 		    (local && fleet_links_lost(other->fleet)) ||
 		    !relay_peers_usable(instance->relay_peers, address,
 					backend_key(to)))
@@ -653,6 +771,8 @@
 		struct instance *instance = &world->instances[i];
 		const struct backend_info *to = &world->servers[0].info;
 
+		if (instance->stopped)
+			continue;
 		fleet_set_relays(instance->fleet,
 				 relay_choose(instance, to, relay));
 	}
@@ -727,6 +847,8 @@
 
 	instance->world = world;
 	instance->number = i;
+	instance->stopped = false;
+	instance->started_at = clock_now(world->clock);
 	(void)snprintf(instance->centre, sizeof(instance->centre), "c%u",
 		       i % CENTRES);
 	parts.fleet = instance->fleet =
@@ -747,6 +869,9 @@
 
 static void instance_close(struct instance *instance)
 {
+	if (instance->stopped)
+		return;
+	instance->stopped = true;
 	forward_destroy(instance->forward);
 	relay_peers_destroy(instance->relay_peers);
 	fleet_destroy(instance->fleet);
@@ -778,10 +903,27 @@
 		(void)snprintf(info->address, sizeof(info->address), "s%u", i);
 		(void)snprintf(info->data_centre, sizeof(info->data_centre),
 			       "c%u", i % CENTRES);
+		(void)snprintf(info->software_name, sizeof(info->software_name),
+			       "v%u", i / CENTRES % world->versions);
+		info->software = id_of(info->software_name);
 	}
 }
 
+static void record_free(gpointer data)
+{
+	struct record *record = data;
+
+	timer_stop(&record->timer);
+	g_free(record);
+}
+
 struct reach_world *reach_world_create(uint32_t instances, guint32 seed)
+{
+	return reach_world_create_versions(instances, seed, 1);
+}
+
+struct reach_world *reach_world_create_versions(uint32_t instances,
+						guint32 seed, uint32_t versions)
 {
 	struct reach_world *world = g_new0(struct reach_world, 1);
 
@@ -790,7 +932,8 @@
 	world->rand = g_rand_new_with_seed(seed);
 	world->catalog = world_catalog();
 	world->requests = g_ptr_array_new_with_free_func(g_free);
-	world->records = g_ptr_array_new_with_free_func(g_free);
+	world->records = g_ptr_array_new_with_free_func(record_free);
+	world->versions = versions;
 	world->instance_count = instances;
 	world->instances = g_new0(struct instance, instances);
 	servers_open(world);
@@ -903,6 +1046,11 @@
 	return repeated;
 }
 
+void reach_world_restart(struct reach_world *world, uint32_t server)
+{
+	world->servers[server].crashed = false;
+}
+
 void reach_world_crash(struct reach_world *world, uint32_t server)
 {
 	GList *next;
@@ -956,3 +1104,57 @@
 {
 	return world->blamed;
 }
+
+void reach_world_reset_callers(struct reach_world *world, double share)
+{
+	guint count = world->requests->len;
+
+	for (guint i = 0; i < count; i++) {
+		struct web_request *request = world->requests->pdata[i];
+
+		if (request->ended || !record_of(request)->resumable ||
+		    g_rand_double(world->rand) >= share)
+			continue;
+		record_of(request)->answers++;
+		caller_lost(request);
+		request->gone(request->gone_ctx);
+	}
+}
+
+void reach_world_stop(struct reach_world *world, uint32_t instance)
+{
+	instance_close(&world->instances[instance]);
+}
+
+void reach_world_start(struct reach_world *world, uint32_t instance)
+{
+	instance_open(world, instance);
+}
+
+uint32_t reach_world_joined(const struct reach_world *world)
+{
+	uint32_t joined = 0;
+
+	for (guint i = 0; i < world->records->len; i++) {
+		const struct record *record = world->records->pdata[i];
+
+		joined += record->joined;
+	}
+	return joined;
+}
+
+void reach_world_resumed(const struct reach_world *world, uint32_t begin,
+			 uint32_t end, struct tally *fresh,
+			 struct tally *resumed)
+{
+	*fresh = *resumed = (struct tally){0};
+	for (uint32_t i = begin; i < end; i++) {
+		const struct record *record = world->records->pdata[i];
+		struct tally *tally = record->resumed ? resumed : fresh;
+
+		if (!record->resumable || !record->in_touch)
+			continue;
+		tally->sent++;
+		tally->served += record->last > record->before;
+	}
+}
