forward: a stream goes on only at the software version that began it

Cause: no decision knew versions. A request that resumes a stream was placed like a new one (first hypothesis; all cases of the record are such requests), and so was a run that an instance resumed itself (second; forward-versions server-crashes shows it alone). The third, another incarnation at the address, is ruled out: such runs are answered 421. Class: two things are joined without asking whether they fit.

The version of a stream's first event binds each choice after it. Which one it is, is kept by the instance and by homes, up to three instances of the data centre and three of the site by rendezvous hashing, and asked there when a caller resumes.

Streams that have begun are placed before new ones, as only a part of the servers can continue them; one that no listed server can continue ends at once (one row of forward-paths changes by that: a stream whose region has no other server is broken off instead of waiting).

--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -34,15 +34,6 @@
  * that arrive by different paths. */
 #define COLD_SKEW_USEC (300 * USEC_PER_MSEC)
 
-/* The servers of a service. */
-struct service {
-	uint64_t id;
-	GPtrArray *all;
-	/* By stage, and by whether the server is in this instance's group. */
-	GPtrArray *sets[STAGE_COUNT][2];
-	bool sorted; /* whether sets is up to date */
-};
-
 struct evacuation {
 	bool listed; /* in the snapshot being read */
 };
@@ -83,6 +74,7 @@
 		for (int in_group = 0; in_group < 2; in_group++)
 			g_ptr_array_unref(service->sets[i][in_group]);
 	g_ptr_array_unref(service->all);
+	g_array_unref(service->past_software);
 	g_free(service);
 }
 
@@ -93,6 +85,7 @@
 	fleet->clock = clock;
 	fleet->data_centre = g_strdup(data_centre);
 	fleet->groups = 1;
+	fleet->complete_since = INT64_MAX;
 	fleet->table = table_create(sizeof(struct backend), BACKENDS_MAX);
 	fleet->keys = g_hash_table_new(g_int64_hash, g_int64_equal);
 	fleet->ids = g_hash_table_new(g_str_hash, g_str_equal);
@@ -137,6 +130,7 @@
 	service = g_new0(struct service, 1);
 	service->id = id;
 	service->all = g_ptr_array_new();
+	service->past_software = past_software_create();
 	for (int i = 0; i < STAGE_COUNT; i++)
 		for (int in_group = 0; in_group < 2; in_group++)
 			service->sets[i][in_group] = g_ptr_array_new();
@@ -158,6 +152,7 @@
 
 	service->sorted = false;
 	g_ptr_array_remove_fast(service->all, backend);
+	service_record_software(fleet, service, backend->info.software);
 }
 
 static void service_sort(struct service *service)
@@ -265,6 +260,10 @@
 
 	if (service_changed)
 		service_remove(fleet, backend);
+	else if (backend->info.software != info->software)
+		service_record_software(fleet,
+					service_get(fleet, info->service),
+					backend->info.software);
 	if (backend->info.stage != info->stage) {
 		backend->changing_until = 0;
 		backend->refusals = 0;
@@ -380,6 +379,8 @@
 		if (!backend->listed)
 			backend_drop(fleet, backend);
 	}
+	fleet->complete_since =
+		MIN(fleet->complete_since, clock_now(fleet->clock));
 }
 
 /* ---- data centres ---- */
--- a/forward/fleet_private.h
+++ b/forward/fleet_private.h
@@ -29,8 +29,25 @@
 	GHashTable *regions;   /* data centre to the region's name */
 	uint32_t group;
 	uint32_t groups;
+	int64_t complete_since; /* first complete list; INT64_MAX: none yet */
 };
 
+/* The servers of a service. */
+struct service {
+	uint64_t id;
+	GPtrArray *all;
+	/* By stage, and by whether the server is in this instance's group. */
+	GPtrArray *sets[STAGE_COUNT][2];
+	bool sorted;	       /* whether sets is up to date */
+	GArray *past_software; /* struct past_software */
+};
+
+/* Functions of fleet_software.c. */
+/* Records that a server is no longer listed with its software version. */
+void service_record_software(const struct fleet *fleet, struct service *service,
+			     uint64_t software);
+GArray *past_software_create(void);
+
 void backend_log(const char *event, const struct backend *backend);
 /* The part of backend_claim_probe() that concerns connections. */
 void path_claim_probe(struct backend *backend, int64_t now);
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -154,6 +154,36 @@
 			   CLAMP(answer->retry_usec, 0, RETRY_USEC_MAX));
 }
 
+static void origin_pack(msgpack_packer *packer,
+			const struct gossip_origin *origin)
+{
+	msgpack_pack_array(packer, ORIGIN_FIELDS);
+	msgpack_pack_uint64(packer, origin->stream);
+	msgpack_pack_uint64(packer, origin->software);
+}
+
+static void origin_query_pack(msgpack_packer *packer,
+			      const struct origin_query *query)
+{
+	msgpack_pack_array(packer, ORIGIN_QUERY_FIELDS);
+	msgpack_pack_uint64(packer, query->id);
+	msgpack_pack_uint64(packer, query->stream);
+	msgpack_pack_uint64(packer, query->service);
+	msgpack_pack_uint64(packer, MIN((uint64_t)MAX(query->window_usec, 0),
+					ORIGIN_WINDOW_USEC_MAX));
+}
+
+static void origin_answer_pack(msgpack_packer *packer,
+			       const struct gossip_message *message)
+{
+	msgpack_pack_array(packer, ORIGIN_ANSWER_FIELDS);
+	msgpack_pack_uint64(packer, message->origin_query.id);
+	msgpack_pack_uint64(packer, message->origin_query.stream);
+	msgpack_pack_uint64(packer, message->origin_answer.software);
+	msgpack_pack_uint64(packer, message->origin_answer.sole);
+	msgpack_pack_uint8(packer, message->origin_answer.mixed);
+}
+
 static void mirror_status_pack(msgpack_packer *packer,
 			       const struct mirror_status *status)
 {
@@ -266,6 +296,12 @@
 		permit_request_pack(&packer, &message->request);
 	else if (message->kind == GOSSIP_PERMIT_ANSWER)
 		permit_answer_pack(&packer, &message->answer);
+	else if (message->kind == GOSSIP_ORIGIN)
+		origin_pack(&packer, &message->origin);
+	else if (message->kind == GOSSIP_ORIGIN_QUERY)
+		origin_query_pack(&packer, &message->origin_query);
+	else if (message->kind == GOSSIP_ORIGIN_ANSWER)
+		origin_answer_pack(&packer, message);
 	else
 		loads_pack(&packer, message->loads);
 	if (is_summary)
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -17,6 +17,9 @@
  *	Usage: [usage, ...], of an instance or of its data centre
  *	Permit request: [id, fact]
  *	Permit answer: [id, backend, granted, microseconds]
+ *	Origin: [stream, version]
+ *	Origin query: [id, stream, service, window in microseconds]
+ *	Origin answer: [id, stream, version or 0, only version or 0, mixed]
  *	Quarantine: [[high, low, epoch, stored, [incarnation, ...]], ...], with
  *	the two halves of a request fingerprint and the incarnations of servers
  *	that crashed
@@ -59,6 +62,10 @@
 	GOSSIP_PERMIT_REQUEST,
 	GOSSIP_PERMIT_ANSWER,
 	GOSSIP_QUARANTINE, /* entries of the quarantine */
+	GOSSIP_ORIGIN,	   /* the version that began a stream */
+	GOSSIP_ORIGIN_QUERY,
+	GOSSIP_ORIGIN_ANSWER,
+	GOSSIP_UNKNOWN, /* of a later release; ignored */
 };
 
 /* Name of a data centre, with the index and number of its groups. */
@@ -90,6 +97,11 @@
 	GArray *usage; /* struct limit_entry, for summaries and GOSSIP_USAGE */
 	struct permit_request request; /* for GOSSIP_PERMIT_REQUEST only */
 	struct permit_answer answer;   /* for GOSSIP_PERMIT_ANSWER only */
+	struct gossip_origin origin;   /* for GOSSIP_ORIGIN only */
+	/* For GOSSIP_ORIGIN_QUERY, and with its id and stream for
+	 * GOSSIP_ORIGIN_ANSWER. */
+	struct origin_query origin_query;
+	struct origin_answer origin_answer; /* for GOSSIP_ORIGIN_ANSWER only */
 	/* The following fields are set in summaries only. */
 	char name[BACKEND_TEXT_MAX];
 	char group[GOSSIP_GROUP_MAX]; /* of the sender */
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -329,6 +329,51 @@
 	return true;
 }
 
+static bool origin_read(const msgpack_object *object,
+			struct gossip_origin *origin)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+
+	return is_tuple(object, ORIGIN_FIELDS) &&
+	       unsigned_read(&fields[0], UINT64_MAX, &origin->stream) &&
+	       unsigned_read(&fields[1], UINT64_MAX, &origin->software);
+}
+
+static bool origin_query_read(const msgpack_object *object,
+			      struct origin_query *query)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t window;
+
+	if (!is_tuple(object, ORIGIN_QUERY_FIELDS) ||
+	    !unsigned_read(&fields[0], UINT64_MAX, &query->id) ||
+	    !unsigned_read(&fields[1], UINT64_MAX, &query->stream) ||
+	    !unsigned_read(&fields[2], UINT64_MAX, &query->service) ||
+	    !unsigned_read(&fields[3], ORIGIN_WINDOW_USEC_MAX, &window))
+		return false;
+	query->window_usec = (int64_t)window;
+	return true;
+}
+
+static bool origin_answer_read(const msgpack_object *object,
+			       struct gossip_message *message)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	struct origin_answer *answer = &message->origin_answer;
+	uint64_t mixed;
+
+	if (!is_tuple(object, ORIGIN_ANSWER_FIELDS) ||
+	    !unsigned_read(&fields[0], UINT64_MAX, &message->origin_query.id) ||
+	    !unsigned_read(&fields[1], UINT64_MAX,
+			   &message->origin_query.stream) ||
+	    !unsigned_read(&fields[2], UINT64_MAX, &answer->software) ||
+	    !unsigned_read(&fields[3], UINT64_MAX, &answer->sole) ||
+	    !unsigned_read(&fields[4], 1, &mixed))
+		return false;
+	answer->mixed = mixed;
+	return true;
+}
+
 static bool unreachable_read(const msgpack_object *object,
 			     struct gossip_summary *summary)
 {
@@ -401,8 +446,14 @@
 		return permit_request_read(body, &message->request);
 	case GOSSIP_PERMIT_ANSWER:
 		return permit_answer_read(body, &message->answer);
+	case GOSSIP_ORIGIN:
+		return origin_read(body, &message->origin);
+	case GOSSIP_ORIGIN_QUERY:
+		return origin_query_read(body, &message->origin_query);
+	case GOSSIP_ORIGIN_ANSWER:
+		return origin_answer_read(body, message);
 	default:
-		return false;
+		return message->kind == GOSSIP_UNKNOWN;
 	}
 }
 
@@ -417,11 +468,11 @@
 	    object->via.array.size < CHANGES_FIELDS ||
 	    !unsigned_read(&fields[0], GOSSIP_FORMAT, &format) ||
 	    format != GOSSIP_FORMAT ||
-	    !unsigned_read(&fields[1], GOSSIP_QUARANTINE, &kind) ||
+	    !unsigned_read(&fields[1], KIND_MAX, &kind) ||
 	    !unsigned_read(&fields[2], UINT64_MAX, &message->boot) ||
 	    !unsigned_read(&fields[3], UINT64_MAX, &message->sequence))
 		return false;
-	message->kind = (enum gossip_kind)kind;
+	message->kind = (enum gossip_kind)MIN(kind, GOSSIP_UNKNOWN);
 	if (message->kind > GOSSIP_CHANGES)
 		return object->via.array.size == CHANGES_FIELDS &&
 		       body_read(&fields[4], message);
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -5,12 +5,19 @@
 #ifndef FORWARD_GOSSIP_FIELDS_H
 #define FORWARD_GOSSIP_FIELDS_H
 
+/* Kinds up to this one may come from a later release. */
+#define KIND_MAX 255
 #define CHANGES_FIELDS 5
 #define QUARANTINE_FIELDS 5
 #define SUMMARY_FIELDS 20
 #define FACT_FIELDS 6
 #define PERMIT_REQUEST_FIELDS 2
 #define PERMIT_ANSWER_FIELDS 4
+#define ORIGIN_FIELDS 2
+#define ORIGIN_QUERY_FIELDS 4
+#define ORIGIN_ANSWER_FIELDS 5
+/* Far longer than any stream. */
+#define ORIGIN_WINDOW_USEC_MAX ((uint64_t)1 << 40)
 /* Limits are encoded in thousandths. */
 #define LIMIT_SCALE 1000
 /* More thousandths of a request a second than any server takes. */
--- a/forward/gossip_permits.c
+++ b/forward/gossip_permits.c
@@ -90,8 +90,8 @@
 
 /* ---- permits ---- */
 
-static void message_send(struct gossip *gossip, struct gossip_message *message,
-			 const struct peer *peer)
+void message_send(struct gossip *gossip, struct gossip_message *message,
+		  const struct peer *peer)
 {
 	g_autoptr(GByteArray) out = g_byte_array_new();
 
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -189,6 +189,15 @@
 void gossip_permit_receive(struct gossip *gossip, const struct peer *peer,
 			   const struct gossip_message *message);
 
+/* Encodes the message, sends it to the peer and clears it. */
+void message_send(struct gossip *gossip, struct gossip_message *message,
+		  const struct peer *peer);
+
+/* Functions of gossip_origins.c. */
+/* Handles a record, a query or an answer. */
+void gossip_origin_receive(struct gossip *gossip, const struct peer *peer,
+			   const struct gossip_message *message);
+
 /* Functions of gossip_view.c. */
 /* Time after which the summary of another group expires, and the addresses of
  * its instances. */
--- a/forward/gossip_receive.c
+++ b/forward/gossip_receive.c
@@ -113,12 +113,21 @@
 	       message->kind == GOSSIP_PERMIT_ANSWER;
 }
 
+static bool is_origin(const struct gossip_message *message)
+{
+	return message->kind == GOSSIP_ORIGIN ||
+	       message->kind == GOSSIP_ORIGIN_QUERY ||
+	       message->kind == GOSSIP_ORIGIN_ANSWER;
+}
+
 void gossip_receive(struct gossip *gossip, const char *from,
 		    const struct gossip_message *message)
 {
 	struct peer *peer = g_hash_table_lookup(gossip->peers, from);
 	bool starts;
 
+	if (message->kind == GOSSIP_UNKNOWN)
+		return;
 	/* Entries can be merged in any order. */
 	if (message->kind == GOSSIP_QUARANTINE) {
 		gossip_quarantine_receive(gossip,
@@ -126,7 +135,8 @@
 					  message->quarantine);
 		return;
 	}
-	if (!peer && (message->kind < GOSSIP_CHANGES || is_permit(message)))
+	if (!peer && (message->kind < GOSSIP_CHANGES || is_permit(message) ||
+		      is_origin(message)))
 		peer = peer_add(gossip, from);
 	/* Requests and answers match by id. A remote instance may have sent
 	 * nothing else yet. */
@@ -134,6 +144,10 @@
 		gossip_permit_receive(gossip, peer, message);
 		return;
 	}
+	if (peer && is_origin(message)) {
+		gossip_origin_receive(gossip, peer, message);
+		return;
+	}
 	if (!peer || !is_newer(peer, message))
 		return;
 	starts = message->boot != peer->boot || !peer_live(gossip, peer);
--- a/forward/node.c
+++ b/forward/node.c
@@ -18,6 +18,8 @@
 /* All instances of a data centre may fetch a mirror at once, and some may have
  * calls relayed. */
 #define PEER_CONNECTIONS 768u
+/* Streams whose version is kept, at about 80 bytes each. */
+#define ORIGINS_MAX 65536u
 /* An event loop iteration this late means that the process was stalled. */
 #define STALL_USEC (1 * USEC_PER_SEC)
 /* Least time between refreshes of the configuration. A slow store answers after
@@ -244,11 +246,14 @@
 		.permit = node_permit,
 		.relay_choose = node_relay_choose,
 		.relay_result = node_relay_result,
+		.origin_began = node_origin_began,
+		.origin_ask = node_origin_ask,
 		.callbacks_ctx = node,
 	};
 
 	node->quarantine = node_quarantine_create(node);
 	node->backpressure = backpressure_create();
+	node->origins = origins_create(node->clock, ORIGINS_MAX);
 	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	node->fleet = fleet_create(node->clock, node->settings.data_centre);
@@ -262,6 +267,7 @@
 	parts.quarantine = node->quarantine;
 	parts.backpressure = node->backpressure;
 	parts.limits = node->limits;
+	parts.origins = node->origins;
 	node->forward = forward_create(&parts);
 	node->malformed =
 		counter_get(node->counters, "jt_records_refused_total",
@@ -284,6 +290,9 @@
 		.fact_received = node_fact_received,
 		.permit_requested = node_permit_requested,
 		.permit_answered = node_permit_answered,
+		.origin_received = node_origin_received,
+		.origin_queried = node_origin_queried,
+		.origin_answered = node_origin_answered,
 	};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
@@ -400,6 +409,7 @@
 	quarantine_destroy(node->quarantine);
 	backpressure_destroy(node->backpressure);
 	limits_destroy(node->limits);
+	origins_destroy(node->origins);
 }
 
 static void on_signal(void *ctx, int signal)
--- a/forward/node.h
+++ b/forward/node.h
@@ -64,6 +64,7 @@
 	struct budgets *budgets;
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
+	struct origins *origins;
 	int64_t pruned_at;
 	struct limits *limits;
 	struct quarantine_write quarantine_write;
@@ -156,6 +157,15 @@
 /* Drops expired facts. Called about every 100 ms. */
 void node_permits_tick(struct node *node);
 
+/* node_origins.c: versions that began streams, to and from other instances. */
+void node_origin_began(void *ctx, uint64_t stream, uint64_t software);
+uint32_t node_origin_ask(void *ctx, const struct origin_query *query);
+void node_origin_received(void *ctx, const struct gossip_origin *origin);
+void node_origin_queried(void *ctx, const struct origin_query *query,
+			 struct origin_answer *answer);
+void node_origin_answered(void *ctx, const struct origin_query *query,
+			  const struct origin_answer *answer);
+
 /* node_relays.c: instances that connect to servers for each other. */
 bool node_relay_choose(void *ctx, const struct backend_info *to,
 		       char relay[ADDRESS_TEXT_MAX]);
--- a/forward/place.c
+++ b/forward/place.c
@@ -91,11 +91,20 @@
 	return limit_of(place, backend) >= 0.0;
 }
 
+static bool software_allowed(const struct place *place,
+			     const struct backend *backend)
+{
+	return place->software == 0 ||
+	       backend->info.software == place->software ||
+	       backend->info.stage == STAGE_PREFILL;
+}
+
 static bool backend_allowed(const struct place *place,
 			    const struct backend *backend)
 {
 	return backend_usable(backend, place->now) &&
 	       regions_allow(&place->regions, backend->region) &&
+	       software_allowed(place, backend) &&
 	       place->now >= backend->limited_until &&
 	       !tried_has(place->tried, backend->key) &&
 	       !tried_has(place->unconnected, backend->key) &&
@@ -219,6 +228,7 @@
 			backend_available_at(backend, place->now);
 
 		if (available_at < 0 || backend->info.stage != stage ||
+		    !software_allowed(place, backend) ||
 		    !regions_allow(&place->regions, backend->region))
 			continue;
 		if (available_at == place->now)
@@ -238,6 +248,7 @@
 
 		if (backend->info.stage == stage &&
 		    !backend_withdrawn(backend) &&
+		    software_allowed(place, backend) &&
 		    regions_allow(&place->regions, backend->region))
 			return true;
 	}
@@ -366,6 +377,7 @@
 		const struct backend *backend = list->pdata[i];
 
 		if (backend->info.stage == STAGE_DECODE &&
+		    software_allowed(place, backend) &&
 		    regions_allow(&place->regions, backend->region) &&
 		    backend_usable(backend, place->now))
 			capacity += overload_concurrency(
--- a/forward/request.c
+++ b/forward/request.c
@@ -68,6 +68,7 @@
 		.cold_limit = request_cold_limit(request),
 		.regions = {request->route->regions,
 			    organisation ? organisation->regions : NULL},
+		.software = request->software,
 		.rand = parts->rand,
 		.stale_local = parts->interval(parts->callbacks_ctx, true),
 		.stale_remote = parts->interval(parts->callbacks_ctx, false),
@@ -278,6 +279,7 @@
 		request->service && request->service->engine.memory_tokens;
 
 	timer_stop(&request->timer);
+	timer_stop(&request->resume_timer);
 	request_unread_clear(request);
 	stream_dequeue(request);
 	request_refund(request);
@@ -296,6 +298,8 @@
 	struct forward *forward = request->forward;
 
 	forward->outcomes[end]->value++;
+	if (end == END_BROKEN || end == END_CALLER_GONE)
+		resume_record(request, true);
 	if (end == END_ANSWERED)
 		histogram_add(forward->whole_time,
 			      request_now(request) - request->arrived);
@@ -307,6 +311,9 @@
 {
 	int status = request->answer.head.status;
 
+	if (status == 200 && !request->software)
+		request->software = request->target.software;
+	resume_record(request, true);
 	answer_send(request);
 	request_end(request, END_ANSWERED, status, "whole");
 }
@@ -445,6 +452,8 @@
 	timer_init(&request->timer, forward->parts.clock, on_timeout, request);
 	timer_init(&request->permit_timer, forward->parts.clock,
 		   permit_timed_out, request);
+	timer_init(&request->resume_timer, forward->parts.clock,
+		   resume_timed_out, request);
 	web_request_on_gone(web, on_caller_gone, request);
 	return request;
 }
@@ -455,15 +464,14 @@
 
 	budget_request(forward->parts.budgets, request->service->id,
 		       request->arrived);
-	if (request->caller.resumes)
-		log_event(
-			LOG_INFO, "stream_resumed",
-			LOG_S("request", request->caller.id),
-			LOG_S("stream", request->caller.stream),
-			LOG_D("after", (int64_t)request->caller.resume_after));
 	if (request_quarantine(request))
 		return;
 	deadline_start(request);
+	resume_start(request);
+}
+
+void request_serve(struct request *request)
+{
 	if (request->service->engine.memory_tokens > 0 &&
 	    request->caller.prompt_tokens > 0)
 		stream_start(request);
--- a/forward/request.h
+++ b/forward/request.h
@@ -42,6 +42,9 @@
 	PERMIT_STEP_PREFILL,
 };
 
+/* Own answer, and those of the homes of a stream. */
+#define RESUME_ANSWERS_MAX (1u + 2u * ORIGIN_HOMES)
+
 struct request {
 	struct forward *forward;
 	uint64_t handle;
@@ -75,9 +78,16 @@
 	bool send_prepaid;    /* a prefill has already taken the run's send from
 				 the budget */
 	uint32_t runs;	      /* calls that may have begun to run */
-	uint32_t reservations; /* granted so far, for streams */
-	double weight;	       /* for streams: engine_rates_weight() */
-	bool checked_early;    /* the check for an early refusal is done */
+	uint32_t reservations;	/* granted so far, for streams */
+	uint64_t stream;	/* id_of() the attempt that began the stream */
+	uint64_t software;	/* version that continues the stream; 0: any */
+	int64_t origin_sent_at; /* last origin_began(); 0: never */
+	struct timer resume_timer; /* runs while other instances are asked */
+	struct origin_answer answers[RESUME_ANSWERS_MAX];
+	uint32_t answer_count;
+	uint32_t answers_awaited;
+	double weight;	    /* for streams: engine_rates_weight() */
+	bool checked_early; /* the check for an early refusal is done */
 	bool is_probe; /* the run is at a decode server that has refused other
 			  runs */
 	int replied_status;
@@ -276,6 +286,18 @@
 void quarantine_server_crashed(void *ctx, const struct backend_info *server,
 			       const struct request_identity *lost);
 
+/* resume.c: finds the version that a resumed stream goes on at, then calls
+ * request_serve() or refuses the request. */
+void resume_start(struct request *request);
+/* Timeout of the other instances. */
+void resume_timed_out(struct timer *timer, void *ctx);
+/* To be called before events are passed on to the caller, and when a stream
+ * ends early: records the version that has begun it. */
+void resume_record(struct request *request, bool at_once);
+/* Whether no server is left that could continue the stream. */
+bool resume_is_unserved(const struct request *request);
+void request_serve(struct request *request);
+
 /* plain.c, stream.c and waiting.c */
 void plain_start(struct request *request);
 void stream_start(struct request *request);
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -76,9 +76,12 @@
 	if (whole == 0)
 		return;
 	if (!request->replied) {
+		if (!request->software)
+			request->software = request->target.software;
 		request_reply_start(request);
 		first_event_measure(request);
 	}
+	resume_record(request, false);
 	stall_check(request);
 	request->last_at = request_now(request);
 	web_reply_piece(request->web, cutter->rest->data, whole);
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -67,13 +67,22 @@
 				     request->forward->first_event_usec);
 }
 
+static bool goes_first(const struct request *request, int64_t now)
+{
+	return request->software || meets_target(request, now);
+}
+
+/* Streams that have begun go before new ones: only a part of the servers can
+ * continue them. */
 static gint order_compare(gconstpointer a, gconstpointer b)
 {
-	const struct overload_caller one =
-		caller_of(*(struct request *const *)a);
-	const struct overload_caller other =
-		caller_of(*(struct request *const *)b);
+	const struct request *first = *(struct request *const *)a;
+	const struct request *second = *(struct request *const *)b;
+	const struct overload_caller one = caller_of(first);
+	const struct overload_caller other = caller_of(second);
 
+	if ((first->software != 0) != (second->software != 0))
+		return first->software ? -1 : 1;
 	return overload_compare(&one, &other);
 }
 
@@ -83,7 +92,7 @@
 	int64_t now = clock_now(forward->parts.clock);
 
 	for (GList *link = forward->waiting.tail; link; link = link->prev)
-		if (meets_target(link->data, now) == in_time)
+		if (goes_first(link->data, now) == in_time)
 			g_ptr_array_add(list, link->data);
 	g_ptr_array_sort(list, order_compare);
 	for (guint i = 0; i < list->len; i++) {
@@ -91,7 +100,8 @@
 
 		if (request_quarantine(request))
 			continue;
-		if (!stream_reserve(request, in_time ? 1 : LATE_ROOM_FACTOR))
+		if (!stream_reserve(request, in_time ? 1 : LATE_ROOM_FACTOR) &&
+		    !request->software)
 			return;
 	}
 }
@@ -113,8 +123,8 @@
 {
 	const struct overload_caller caller = caller_of(request);
 
-	if (request->reservations > 0 || request->checked_early ||
-	    !overload_check_due(&caller, now))
+	if (request->reservations > 0 || request->software ||
+	    request->checked_early || !overload_check_due(&caller, now))
 		return false;
 	request->checked_early = true;
 	if (!overload_misses_target(&caller, now,
@@ -161,6 +171,19 @@
 	return true;
 }
 
+/* Ends a stream that no listed server can continue. */
+static bool unserved_end(struct request *request)
+{
+	if (!resume_is_unserved(request))
+		return false;
+	stream_dequeue(request);
+	if (request->replied)
+		request_abort(request, "no server of the stream's version");
+	else
+		request_refuse(request, RESULT_NO_BACKEND, RETRY_AFTER_USEC);
+	return true;
+}
+
 static void waiting_expire(struct forward *forward)
 {
 	int64_t now = clock_now(forward->parts.clock);
@@ -170,8 +193,8 @@
 		struct request *request = link->data;
 
 		next = link->next;
-		if (early_refuse(request, now) || unavailable_refuse(request) ||
-		    now < wait_deadline(request))
+		if (unserved_end(request) || early_refuse(request, now) ||
+		    unavailable_refuse(request) || now < wait_deadline(request))
 			continue;
 		stream_dequeue(request);
 		if (request->replied)
--- a/include/common/error.h
+++ b/include/common/error.h
@@ -49,6 +49,7 @@
 	  429)                                                                 \
 	X(RESULT_SERVERS_LIMITED, 212, "servers-limited", OUTCOME_NOT_RUN,     \
 	  503)                                                                 \
+	X(RESULT_STREAM_UNKNOWN, 213, "stream-unknown", OUTCOME_NOT_RUN, 503)  \
 	X(RESULT_BAD_REQUEST, 301, "bad-request", OUTCOME_NOT_RUN, 400)        \
 	X(RESULT_UNKNOWN_MODEL, 302, "unknown-model", OUTCOME_NOT_RUN, 404)    \
 	X(RESULT_NOT_FOUND, 303, "not-found", OUTCOME_NOT_RUN, 404)            \
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -189,6 +189,12 @@
  * others. */
 const GPtrArray *fleet_stage(struct fleet *fleet, uint64_t service,
 			     enum backend_stage stage, bool in_group);
+/* The only software version that servers of the service were listed with since
+ * then; 0 when there were several, which sets mixed, or when no complete list
+ * is that old. If none of the servers states a version, the list may be newer.
+ */
+uint64_t fleet_sole_software(const struct fleet *fleet, uint64_t service,
+			     int64_t since, bool *mixed);
 /* All servers, struct backend. */
 const GPtrArray *fleet_all(const struct fleet *fleet);
 /* Servers at which this instance has load in flight, struct backend. */
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -44,6 +44,7 @@
 #include "forward/caller.h"
 #include "forward/catalog.h"
 #include "forward/fleet.h"
+#include "forward/origins.h"
 #include "forward/rates.h"
 #include "web/loop.h"
 
@@ -90,6 +91,16 @@
 					uint64_t server,
 					enum relay_failure failure);
 
+/* A stream of this instance was begun by that software version, or still is in
+ * progress: passes it on to the stream's homes. */
+typedef void (*forward_origin_fn)(void *ctx, uint64_t stream,
+				  uint64_t software);
+
+/* Asks the homes of a stream; returns the number of instances asked, each of
+ * which may answer by forward_origin_answered(). */
+typedef uint32_t (*forward_origin_ask_fn)(void *ctx,
+					  const struct origin_query *query);
+
 struct forward_parts {
 	struct clock *clock;
 	struct loop *loop;
@@ -98,6 +109,7 @@
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
 	struct limits *limits;
+	struct origins *origins;
 	struct counter_set *counters;
 	GRand *rand;
 	uint64_t
@@ -114,6 +126,8 @@
 	forward_permit_fn permit;
 	forward_relay_fn relay_choose;
 	forward_relay_result_fn relay_result;
+	forward_origin_fn origin_began;
+	forward_origin_ask_fn origin_ask;
 	void *callbacks_ctx;
 };
 
@@ -136,6 +150,15 @@
 /* The answer to the permit request with that id; late answers are ignored. */
 void forward_permit_answered(struct forward *forward, uint64_t id,
 			     uint64_t server, bool granted, int64_t retry_usec);
+/* What this instance knows of the stream. */
+void forward_origin_answer(const struct forward *forward,
+			   const struct origin_query *query,
+			   struct origin_answer *answer);
+/* The answer of one instance to the query with that id; late answers are
+ * ignored. */
+void forward_origin_answered(struct forward *forward, uint64_t id,
+			     uint64_t stream,
+			     const struct origin_answer *answer);
 /* Requests in progress. */
 uint32_t forward_pending(const struct forward *forward);
 /* The number of these that wait for decode memory. */
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -43,6 +43,11 @@
  *	permit from it, one datagram each way; a lost one is a timeout for the
  *	requester. An instance that is not the home by its own view denies.
  *
+ *	The homes of a stream (forward/origins.h) are the live instances that
+ *	rendezvous hashing gives for this data centre and for the site, up to
+ *	three each. A record is sent to them in one datagram each, and so is a
+ *	query; each answers for itself. Nothing is repeated here.
+ *
  *	State of a peer or data centre expires GOSSIP_STALE_USEC after its last
  *	summary. Nothing waits for a peer. Peers are first read from the store,
  *	then learnt from the senders of datagrams and from the addresses in
@@ -69,6 +74,7 @@
 #include "coord/quarantine.h"
 #include "forward/fleet.h"
 #include "forward/mirror.h"
+#include "forward/origins.h"
 
 #define GOSSIP_INTERVAL_USEC (100 * USEC_PER_MSEC)
 /* Covers ten lost datagrams in a row, or five summaries of an idle peer. */
@@ -155,6 +161,12 @@
 	uint64_t received_bytes;
 };
 
+/* The software version that began a stream. */
+struct gossip_origin {
+	uint64_t stream;
+	uint64_t software;
+};
+
 struct gossip_ops {
 	/* Fills in this instance's state, except for what servers() adds. */
 	void (*summary)(void *ctx, struct gossip_summary *summary);
@@ -195,6 +207,13 @@
 				 struct permit_answer *answer);
 	/* The answer to a permit request of this instance. */
 	void (*permit_answered)(void *ctx, const struct permit_answer *answer);
+	/* A peer has begun a stream of which this instance is a home, asks for
+	 * one, or answers a query of this instance. NULL: none. */
+	void (*origin_received)(void *ctx, const struct gossip_origin *origin);
+	void (*origin_queried)(void *ctx, const struct origin_query *query,
+			       struct origin_answer *answer);
+	void (*origin_answered)(void *ctx, const struct origin_query *query,
+				const struct origin_answer *answer);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -235,6 +254,12 @@
 bool gossip_request_permit(struct gossip *gossip,
 			   const struct permit_request *request,
 			   const char *data_centre, bool eligible);
+/* Sends the record to the homes of the stream, one datagram each. */
+void gossip_origin_send(struct gossip *gossip,
+			const struct gossip_origin *origin);
+/* Asks the homes of the stream; returns how many were asked. */
+uint32_t gossip_origin_ask(struct gossip *gossip,
+			   const struct origin_query *query);
 /* Recent mean delay, in microseconds, until a load change was sent to local or
  * remote peers. Received loads are about as old. */
 int64_t gossip_delay(const struct gossip *gossip, bool local);
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -43,6 +43,9 @@
 	double cold_limit;
 	bool unlimited; /* only servers without a rate limit */
 	struct region_limits regions;
+	/* Version of the software that runs the request; 0: any. A prefill may
+	 * be of another version. */
+	uint64_t software;
 	GRand *rand;	  /* breaks ties */
 	uint32_t *visits; /* counts the servers examined, or NULL */
 	/* Maximum age of the load of servers in this instance's group, and of
--- a/tests/forward/gossip_world.c
+++ b/tests/forward/gossip_world.c
@@ -92,6 +92,31 @@
 		instance->site->granted(instance, answer->server);
 }
 
+static void origin_received(void *ctx, const struct gossip_origin *origin)
+{
+	const struct instance *instance = ctx;
+
+	origins_put(instance->origins, origin->stream, origin->software);
+}
+
+static void origin_queried(void *ctx, const struct origin_query *query,
+			   struct origin_answer *answer)
+{
+	const struct instance *instance = ctx;
+
+	answer->software = origins_get(instance->origins, query->stream);
+}
+
+static void origin_answered(void *ctx, const struct origin_query *query,
+			    const struct origin_answer *answer)
+{
+	struct instance *instance = ctx;
+
+	instance->answers++;
+	if (answer->software)
+		instance->software = answer->software;
+}
+
 bool permit(struct instance *instance, uint32_t centre)
 {
 	uint64_t key = server(instance, centre)->key;
@@ -131,6 +156,9 @@
 		.fact_received = fact_received,
 		.permit_requested = permit_requested,
 		.permit_answered = permit_answered,
+		.origin_received = origin_received,
+		.origin_queried = origin_queried,
+		.origin_answered = origin_answered,
 	};
 	static const struct quarantine_settings quarantine = {3, 256, 256};
 	struct site *site = instance->site;
@@ -144,6 +172,7 @@
 
 	instance->quarantine = quarantine_create(&quarantine);
 	instance->backpressure = backpressure_create();
+	instance->origins = origins_create(site->clock, STORED_MAX);
 	instance->started = clock_now(site->clock);
 	for (uint32_t i = 0; i < site->stored_count; i++)
 		quarantine_merge(instance->quarantine, &site->stored[i]);
@@ -162,6 +191,7 @@
 	fleet_destroy(instance->fleet);
 	quarantine_destroy(instance->quarantine);
 	backpressure_destroy(instance->backpressure);
+	origins_destroy(instance->origins);
 	instance->gossip = NULL;
 }
 
--- a/tests/forward/gossip_world.h
+++ b/tests/forward/gossip_world.h
@@ -30,6 +30,9 @@
 	struct fleet *fleet;
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
+	struct origins *origins;
+	uint32_t answers;  /* to queries for the versions of streams */
+	uint64_t software; /* the last version in them */
 	int64_t started;
 	struct gossip *gossip; /* NULL while it is stopped */
 	uint64_t boot;
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -35,6 +35,9 @@
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
 	struct limits *limits;
+	struct origins *origins;
+	uint32_t homes;
+	struct origin_query query;
 	struct counter_set *counters;
 	struct forward *forward;
 	GRand *rand;
@@ -289,6 +292,8 @@
 		caller->output_expected = 10;
 	caller->resumes = strstr(world.options, "from-5");
 	caller->resume_after = 5;
+	if (strstr(world.options, "named"))
+		g_strlcpy(caller->stream, "first", sizeof(caller->stream));
 	return true;
 }
 
@@ -307,13 +312,47 @@
 		    failure == RELAY_LINK ? " for that server" : "");
 }
 
+static const char *const versions[] = {"v1", "v2"};
+
+static const char *version_name(uint64_t software)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++)
+		if (software == id_of(versions[i]))
+			return versions[i];
+	return "none";
+}
+
+/* Streams without versions are not reported. */
+static void origin_began(void *ctx, uint64_t stream, uint64_t software)
+{
+	if (software != id_of(""))
+		say("record %s", version_name(software));
+}
+
+static uint32_t origin_ask(void *ctx, const struct origin_query *query)
+{
+	world.query = *query;
+	if (world.homes > 0)
+		say("ask %u", world.homes);
+	return world.homes;
+}
+
 /* ---- the world ---- */
 
+static const char *version_of(const char *options)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(versions); i++)
+		if (strstr(options, versions[i]))
+			return versions[i];
+	return "";
+}
+
 static void server_put(const char *id, const char *service,
 		       enum backend_stage stage, const char *options)
 {
 	struct backend_info info = {
 		.service = id_of(service),
+		.software = id_of(version_of(options)),
 		.stage = stage,
 		.slots = 2,
 		.leaving = strstr(options, "leaving"),
@@ -481,6 +520,8 @@
 		.permit = fake_permit,
 		.relay_choose = relay_choose,
 		.relay_result = relay_result,
+		.origin_began = origin_began,
+		.origin_ask = origin_ask,
 	};
 	const struct limit_settings limits = {.policy = LIMIT_COUNTS};
 
@@ -497,6 +538,7 @@
 	parts.fleet = world.fleet;
 	parts.budgets = world.budgets;
 	world.limits = limits_create(&limits);
+	world.origins = origins_create(world.clock, 64);
 	parts.quarantine = world.quarantine;
 	world.backpressure = backpressure_create();
 	parts.backpressure = world.backpressure;
@@ -504,6 +546,7 @@
 	fleet_set_region(world.fleet, "here", "north");
 	fleet_set_region(world.fleet, "there", "south");
 	parts.limits = world.limits;
+	parts.origins = world.origins;
 	parts.counters = world.counters;
 	parts.rand = world.rand;
 	world.forward = forward_create(&parts);
@@ -526,6 +569,7 @@
 	quarantine_destroy(world.quarantine);
 	backpressure_destroy(world.backpressure);
 	limits_destroy(world.limits);
+	origins_destroy(world.origins);
 	counter_set_destroy(world.counters);
 	g_rand_free(world.rand);
 	clock_destroy(world.clock);
@@ -707,6 +751,29 @@
 	catalog_set((uint64_t)atoi(options), options);
 }
 
+/* That many other instances are the homes of the stream. */
+static void homes_step(const char *options)
+{
+	world.homes = (uint32_t)atoi(options);
+}
+
+/* One of them answers: "origin v1", "origin only v1", "origin mixed" or "origin
+ * unknown". */
+static void origin_step(const char *options)
+{
+	bool only = strstr(options, "only");
+	uint64_t software =
+		version_of(options)[0] ? id_of(version_of(options)) : 0;
+	const struct origin_answer answer = {
+		.software = only ? 0 : software,
+		.sole = only ? software : 0,
+		.mixed = strstr(options, "mixed"),
+	};
+
+	forward_origin_answered(world.forward, world.query.id,
+				world.query.stream, &answer);
+}
+
 static void servers_step(const char *options)
 {
 	g_autofree char *id = g_strndup(options, 2);
@@ -824,6 +891,7 @@
 	{"reserved", reserved_step}, {"gone", gone_step},
 	{"wait", wait_step},	     {"version", version_step},
 	{"server", servers_step},    {"drain", drain_step},
+	{"homes", homes_step},	     {"origin", origin_step},
 	{"crowd", crowd_step},	     {"spend", spend_step},
 	{"checked", checked_step},   {"relay", relay_step},
 	{"hold", hold_step},	     {"still", still_step},
--- a/tests/forward/reach_world.h
+++ b/tests/forward/reach_world.h
@@ -80,6 +80,8 @@
 /* Breaks off a share of the resumable streams at the callers, who resume them
  * at other instances. */
 void reach_world_reset_callers(struct reach_world *world, double share);
+/* Partitions the instances of the first data centre from all others. */
+void reach_world_part(struct reach_world *world, bool parted);
 /* Kills the instance, and starts it again without what it knew. */
 void reach_world_stop(struct reach_world *world, uint32_t instance);
 void reach_world_start(struct reach_world *world, uint32_t instance);
--- a/tests/forward/test_versions.c
+++ b/tests/forward/test_versions.c
@@ -60,6 +60,20 @@
 	stop_every(world, scenario, 3);
 }
 
+/* One instance of the partitioned data centre is killed, too. */
+static void part_centre(struct reach_world *world,
+			const struct scenario *scenario)
+{
+	reach_world_part(world, true);
+	reach_world_run(world, STEADY_MSEC);
+	reach_world_reset_callers(world, 0.7);
+	reach_world_stop(world, CENTRES);
+	reach_world_run(world, RESTART_MSEC);
+	reach_world_start(world, CENTRES);
+	reach_world_run(world, STEADY_MSEC);
+	reach_world_part(world, false);
+}
+
 /* The callers resume when all instances are back. */
 static void stop_all(struct reach_world *world, const struct scenario *scenario)
 {
@@ -109,6 +123,9 @@
 	{"third-stops-7", 7, 2, stop_third, 8, true},
 	{"third-stops-83", 83, 3, stop_third, 3, true},
 	{"third-stops-300", 300, 3, stop_third, 2, true},
+	{"partitioned-7", 7, 2, part_centre, 3, true},
+	{"partitioned-83", 83, 3, part_centre, 1, true},
+	{"partitioned-300", 300, 3, part_centre, 1, true},
 	{"all-stop-7", 7, 2, stop_all, 6, false},
 	{"all-stop-83", 83, 3, stop_all, 2, false},
 	{"all-stop-300", 300, 3, stop_all, 1, false},
