forward: resumed streams of a service with one version go on soon after a start

The window for which a single version must be shown is now what the caller's time left allows, the homes are asked for it too, and an old list counts as long as the instance is not partitioned from those that may have a newer one.

--- a/forward/node.c
+++ b/forward/node.c
@@ -18,6 +18,8 @@
 /* All instances of a data centre may fetch a mirror at once, and some may have
  * calls relayed. */
 #define PEER_CONNECTIONS 768u
+/* A list of servers this old shows all that are in use. */
+#define LIST_FRESH_USEC (1 * USEC_PER_SEC)
 /* Streams whose version is kept, at about 80 bytes each. */
 #define ORIGINS_MAX 65536u
 /* An event loop iteration this late means that the process was stalled. */
@@ -59,6 +61,15 @@
 	return status.age_usec;
 }
 
+static bool list_is_current(void *ctx)
+{
+	const struct node *node = ctx;
+	int64_t age = list_age_get(ctx);
+
+	return age >= 0 &&
+	       (age <= LIST_FRESH_USEC || !gossip_partitioned(node->gossip));
+}
+
 static bool is_store_unreachable(const struct node *node)
 {
 	return mirror_failing(node->mirrors[STREAM_LIST].mirror) ||
@@ -239,6 +250,7 @@
 		.instances = instances_count,
 		.interval = interval_get,
 		.list_age = list_age_get,
+		.list_current = list_is_current,
 		.waiting = waiting_get,
 		.load_changed = load_changed,
 		.quarantine_changed = node_quarantine_changed,
--- a/forward/origins.c
+++ b/forward/origins.c
@@ -110,8 +110,8 @@
 
 		if (answer->software)
 			return answer->software;
-		mixed |= answer->mixed || (sole && answer->sole &&
-					   answer->sole != sole);
+		mixed |= answer->mixed ||
+			 (sole && answer->sole && answer->sole != sole);
 		if (answer->sole)
 			sole = answer->sole;
 	}
--- a/forward/resume.c
+++ b/forward/resume.c
@@ -11,14 +11,22 @@
 /* Retry-After: other instances know no more, unless this one is cut off. */
 #define RETRY_AFTER_USEC (20 * USEC_PER_MSEC)
 
+/* The time within which the stream began: the limit of its caller is taken to
+ * be no more than two attempts at the route's timeout. */
+static int64_t age_max(const struct request *request)
+{
+	int64_t timeout = request->route->timeout_usec;
+
+	return MAX(2 * timeout - request->caller.limit_usec, timeout);
+}
+
 static struct origin_query query_of(const struct request *request)
 {
 	return (struct origin_query){
 		.id = request->handle,
 		.stream = request->stream,
 		.service = request->service->id,
-		.window_usec = MAX(ORIGIN_KEEP_USEC,
-				   2 * request->route->timeout_usec),
+		.window_usec = age_max(request),
 	};
 }
 
@@ -27,13 +35,12 @@
 			   struct origin_answer *answer)
 {
 	const struct forward_parts *parts = &forward->parts;
-	int64_t age = parts->list_age(parts->callbacks_ctx);
 
 	answer->software = origins_get(parts->origins, query->stream);
 	answer->sole = fleet_sole_software(
 		parts->fleet, query->service,
 		clock_now(parts->clock) - query->window_usec, &answer->mixed);
-	if (age < 0 || age > ORIGIN_LIST_AGE_USEC)
+	if (!parts->list_current(parts->callbacks_ctx))
 		answer->sole = 0;
 }
 
@@ -63,6 +70,17 @@
 			       RETRY_AFTER_USEC);
 }
 
+/* A caller that does not name the stream can only be helped by what the homes
+ * know of the versions. */
+static bool asks_homes(const struct request *request)
+{
+	const struct origin_answer *own = &request->answers[0];
+
+	if (request->caller.stream[0])
+		return !own->software;
+	return !own->sole && !own->mixed;
+}
+
 void resume_start(struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
@@ -78,7 +96,7 @@
 	query = query_of(request);
 	forward_origin_answer(request->forward, &query, &request->answers[0]);
 	request->answer_count = 1;
-	if (!request->answers[0].software && caller->stream[0])
+	if (asks_homes(request))
 		request->answers_awaited =
 			parts->origin_ask(parts->callbacks_ctx, &query);
 	if (request->answers_awaited > 0)
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -60,6 +60,10 @@
 /* Age of the list of backend servers; negative before the first. */
 typedef int64_t (*forward_age_fn)(void *ctx);
 
+/* Whether other instances can have used no server that this list does not show:
+ * it is fresh, or newer ones would have arrived from them. */
+typedef bool (*forward_current_fn)(void *ctx);
+
 /* The load of an engine server has changed. */
 typedef void (*forward_load_fn)(void *ctx);
 
@@ -119,6 +123,7 @@
 	forward_instances_fn instances;
 	forward_interval_fn interval;
 	forward_age_fn list_age;
+	forward_current_fn list_current;
 	forward_instances_fn waiting; /* waiting requests at all instances */
 	forward_load_fn load_changed;
 	forward_quarantine_fn quarantine_changed;
--- a/include/forward/origins.h
+++ b/include/forward/origins.h
@@ -40,8 +40,6 @@
 #define ORIGIN_KEEP_USEC (60 * USEC_PER_SEC)
 /* Interval at which the record of an open stream is sent again. */
 #define ORIGIN_REFRESH_USEC (2 * USEC_PER_SEC)
-/* A list of servers this old shows all versions in use. */
-#define ORIGIN_LIST_AGE_USEC (1 * USEC_PER_SEC)
 
 struct origins;
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -266,6 +266,11 @@
 	return 0;
 }
 
+static bool list_current(void *ctx)
+{
+	return true;
+}
+
 static bool fake_decode(void *ctx, struct web_request *request,
 			struct caller_request *caller, struct error *err)
 {
@@ -513,6 +518,7 @@
 		.instances = instances,
 		.interval = interval,
 		.list_age = list_age,
+		.list_current = list_current,
 		.waiting = waiting,
 		.load_changed = load_changed,
 		.quarantine_changed = quarantine_changed,
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -721,6 +721,13 @@
 	return 0;
 }
 
+static bool list_current(void *ctx)
+{
+	const struct instance *instance = ctx;
+
+	return !instance->world->parted || instance->number % CENTRES != 0;
+}
+
 static uint32_t waiting_get(void *ctx)
 {
 	return 0;
@@ -960,6 +967,7 @@
 		.instances = count_get,
 		.interval = interval_get,
 		.list_age = age_get,
+		.list_current = list_current,
 		.waiting = waiting_get,
 		.load_changed = load_changed,
 		.quarantine_changed = quarantine_changed,
--- a/tests/forward/test_gossip_origins.c
+++ b/tests/forward/test_gossip_origins.c
@@ -55,8 +55,8 @@
 
 	for (uint64_t stream = 1;
 	     stream <= MIN(STREAMS, SITE_STREAMS / site->count); stream++) {
-		uint32_t first = (uint32_t)g_test_rand_int_range(
-			0, (gint32)site->count);
+		uint32_t first =
+			(uint32_t)g_test_rand_int_range(0, (gint32)site->count);
 
 		record_send(&site->instances[first], stream);
 		site_advance(site, ANSWER_MSEC);
--- a/tests/forward/test_origins.c
+++ b/tests/forward/test_origins.c
@@ -38,7 +38,9 @@
 	{"nobody knows", {{0}, {0}, {0}}, 0},
 	{"one knows", {{0}, {7, 0, false}, {0}}, 7},
 	{"one knows, others saw several", {{0, 0, true}, {7, 0, true}, {0}}, 7},
-	{"all saw one version", {{0, 7, false}, {0, 7, false}, {0, 7, false}}, 7},
+	{"all saw one version",
+	 {{0, 7, false}, {0, 7, false}, {0, 7, false}},
+	 7},
 	{"one saw one version, others are new", {{0}, {0, 7, false}, {0}}, 7},
 	{"one saw several", {{0, 7, false}, {0, 0, true}, {0}}, 0},
 	{"they saw different ones", {{0, 7, false}, {0, 8, false}, {0}}, 0},
@@ -50,9 +52,9 @@
 		const struct decision *row = &decisions[i];
 
 		g_test_message("%s", row->name);
-		g_assert_cmpuint(origin_decide(row->answers,
-					       G_N_ELEMENTS(row->answers)),
-				 ==, row->software);
+		g_assert_cmpuint(
+			origin_decide(row->answers, G_N_ELEMENTS(row->answers)),
+			==, row->software);
 	}
 }
 
