forward: a change of roles leaves two decode servers of each software version

A stream goes on only at its version, so a version whose decode servers are ordered to prefill breaks off all of its streams.

Runners whose version keeps two other decode runners are chosen first; the choice among those is as before, and so it is where all have one version. forward-roles version-kept: d1 of v1 was chosen before, d3 of v2 now.

--- a/forward/roles.c
+++ b/forward/roles.c
@@ -22,6 +22,9 @@
  * of at least TOTAL_FOR_PREFILL_MIN runners. */
 #define PREFILL_MIN 2u
 #define TOTAL_FOR_PREFILL_MIN 5u
+/* Decode runners of a software version that a change should leave: only these
+ * continue the streams of the version. */
+#define VERSION_DECODE_MIN 2u
 /* A change must be wanted for this long once there is traffic. It is longer
  * than a series of bursts. */
 #define CHANGE_DELAY_USEC (30 * USEC_PER_SEC)
@@ -142,6 +145,33 @@
 	return counts;
 }
 
+/* Other runners of that stage that can continue the streams of this one. */
+static uint32_t same_software(struct roles *roles, const GPtrArray *list,
+			      const struct backend *backend,
+			      enum backend_stage stage)
+{
+	uint32_t count = 0;
+
+	for (guint i = 0; i < list->len; i++) {
+		const struct backend *other = list->pdata[i];
+
+		count += other != backend && !backend_withdrawn(other) &&
+			 other->info.software == backend->info.software &&
+			 stage_of(roles, other) == stage;
+	}
+	return count;
+}
+
+/* Whether the change leaves enough decode runners of the runner's version for
+ * the streams that it has begun. */
+static bool keeps_version(struct roles *roles, const GPtrArray *list,
+			  const struct backend *backend,
+			  enum backend_stage from)
+{
+	return from != STAGE_DECODE ||
+	       same_software(roles, list, backend, from) >= VERSION_DECODE_MIN;
+}
+
 /* The runner whose change keeps the data centres most balanced: one from the
  * data centre with most runners of that stage and, among those, the one with
  * the fewest requests. */
@@ -151,20 +181,25 @@
 	g_autoptr(GHashTable) counts = centres_count(roles, list, from);
 	int64_t now = clock_now(roles->parts.clock);
 	struct backend *best = NULL;
+	bool best_keeps = false;
 	uint32_t most = 0;
 
 	for (guint i = 0; i < list->len; i++) {
 		struct backend *one = list->pdata[i];
 		uint32_t same;
+		bool keeps;
 
 		if (stage_of(roles, one) != from || !backend_usable(one, now) ||
 		    g_hash_table_contains(roles->moves, &one->key))
 			continue;
 		same = GPOINTER_TO_UINT(
 			g_hash_table_lookup(counts, one->info.data_centre));
-		if (same > most ||
-		    (same == most &&
-		     backend_requests(one) < backend_requests(best))) {
+		keeps = keeps_version(roles, list, one, from);
+		if (best && keeps != best_keeps ? keeps
+		    : same != most
+			    ? same > most
+			    : backend_requests(one) < backend_requests(best)) {
+			best_keeps = keeps;
 			most = same;
 			best = one;
 		}
--- a/tests/forward/test_roles.c
+++ b/tests/forward/test_roles.c
@@ -75,11 +75,15 @@
 	answer->fn(answer->ctx, ORDER_ACCEPTED);
 }
 
-static void runner_put(struct site *site, const char *id,
-		       enum backend_stage stage)
+static void runner_put_version(struct site *site, const char *id,
+			       enum backend_stage stage, const char *version)
 {
 	struct backend_info info = {
-		.service = id_of("model"), .stage = stage, .slots = 8};
+		.service = id_of("model"),
+		.software = id_of(version),
+		.stage = stage,
+		.slots = 8,
+	};
 
 	g_strlcpy(info.id, id, sizeof(info.id));
 	g_strlcpy(info.data_centre, "here", sizeof(info.data_centre));
@@ -87,6 +91,12 @@
 		fleet_put(site->deciders[i].fleet, &info);
 }
 
+static void runner_put(struct site *site, const char *id,
+		       enum backend_stage stage)
+{
+	runner_put_version(site, id, stage, "");
+}
+
 static void on_order(void *ctx, const struct stage_order *order, order_fn fn,
 		     void *fn_ctx)
 {
@@ -226,6 +236,23 @@
 	site_close(&site, "a:d1>prefill ");
 }
 
+/* The last decode runners of a version are not taken from its streams. */
+static void test_version_kept(void)
+{
+	struct site site;
+
+	site_open(&site);
+	site.demand = 33000;
+	runner_put_version(&site, "p1", STAGE_PREFILL, "v2");
+	runner_put_version(&site, "d1", STAGE_DECODE, "v1");
+	runner_put_version(&site, "d2", STAGE_DECODE, "v1");
+	runner_put_version(&site, "d3", STAGE_DECODE, "v2");
+	runner_put_version(&site, "d4", STAGE_DECODE, "v2");
+	runner_put_version(&site, "d5", STAGE_DECODE, "v2");
+	wait_usec(&site, 5 * SECOND);
+	site_close(&site, "a:d3>prefill ");
+}
+
 /* Prefill runners are lost, and the remaining ones cannot process the mean
  * demand: others replace them within seconds, one after the other. */
 static void test_overload(void)
@@ -354,6 +381,7 @@
 	g_test_add_func("/forward/roles/fast-engines", test_fast_engines);
 	g_test_add_func("/forward/roles/pending-changes", test_pending_changes);
 	g_test_add_func("/forward/roles/no-spare", test_no_spare);
+	g_test_add_func("/forward/roles/version-kept", test_version_kept);
 	g_test_add_func("/forward/roles/overload", test_overload);
 	g_test_add_func("/forward/roles/successor", test_successor);
 	g_test_add_func("/forward/roles/log-down", test_log_down);
