--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -109,12 +109,25 @@
 	return false;
 }
 
+static void version_set(struct server *server, const json_t *root)
+{
+	if (json_object_get(root, "version")) {
+		g_strlcpy(server->version, text_of(root, "version"),
+			  VERSION_MAX);
+		memcpy(server->next_version, server->version, VERSION_MAX);
+	}
+	if (json_object_get(root, "next_version"))
+		g_strlcpy(server->next_version, text_of(root, "next_version"),
+			  VERSION_MAX);
+}
+
 static bool state_set(struct site *site, const json_t *root)
 {
 	struct server *server = server_find(site, text_of(root, "server"));
 
 	if (!server)
 		return false;
+	version_set(server, root);
 	server->draining = strcmp(text_of(root, "state"), "draining") == 0;
 	server->gone = strcmp(text_of(root, "state"), "gone") == 0;
 	server->mute = strcmp(text_of(root, "state"), "mute") == 0;
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -13,7 +13,9 @@
  *			   unsigned
  *	POST /site/state   {"server": "d1", "state": "ready"}, or "draining",
  *			   "gone", "mute" (stops writing to the store), "again"
- *			   (ready, restarted with the same id)
+ *			   (ready, restarted with the same id). With "version"
+ *			   it states that software version, and its events name
+ *			   it; with "next_version" after its next crash
  *	POST /site/entry   {"key": KEY, "value": TEXT, "topic": NAME}: writes a
  *			   record as another writer would; topic is
  *			   keyed.servers by default
@@ -52,6 +54,7 @@
 #include "web/loop.h"
 #include "web/server.h"
 
+#define VERSION_MAX 16
 #define ENDS_SERVER "ends the server"
 
 enum stage {
@@ -68,7 +71,7 @@
 	FAULT_SILENT,
 	FAULT_CUT,
 	FAULT_UNSIGNED,
-	FAULT_CRASH, /* the server crashes */
+	FAULT_CRASH, /* on a request: the server crashes */
 	FAULT_COUNT,
 };
 
@@ -86,6 +89,10 @@
 	bool draining;
 	bool gone;
 	bool mute;
+	/* Its software, part of each event; empty: not stated. The other is
+	 * that of its next start. */
+	char version[VERSION_MAX];
+	char next_version[VERSION_MAX];
 	int64_t started_ms; /* small, so that logs are reproducible */
 	uint64_t heartbeats;
 	uint32_t running;
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -24,6 +24,7 @@
 	uint64_t event; /* last one sent */
 	bool stream;
 	bool started;
+	char version[VERSION_MAX]; /* that has begun it */
 };
 
 static const char *const stage_names[] = {"none", "prefill", "decode"};
@@ -38,14 +39,16 @@
 	}
 	value = g_strdup_printf(
 		"{\"service\":\"%s\",\"address\":\"%s\",\"zone\":\"here\","
-		"\"slots\":8,\"state\":\"%s\",%s%s%s\"born\":%" PRId64
+		"\"slots\":8,\"state\":\"%s\",%s%s%s%s%s%s\"born\":%" PRId64
 		",\"sequence\":%d}",
 		server->stage == STAGE_PLAIN ? "plain" : "model",
 		web_server_address(server->web),
 		server->draining ? "draining" : "ready",
 		server->stage == STAGE_PLAIN ? "" : "\"stage\":\"",
 		server->stage == STAGE_PLAIN ? "" : stage_names[server->stage],
-		server->stage == STAGE_PLAIN ? "" : "\",", server->started_ms,
+		server->stage == STAGE_PLAIN ? "" : "\",",
+		server->version[0] ? "\"version\":\"" : "", server->version,
+		server->version[0] ? "\"," : "", server->started_ms,
 		(int)++server->heartbeats);
 	store_put(server->site, "keyed.servers", server->id, value);
 }
@@ -192,8 +195,9 @@
 		return;
 	}
 	run->event++;
-	size = snprintf(text, sizeof(text), "id: %d\ndata: t%d\n\n",
-			(int)run->event, (int)run->event);
+	size = snprintf(text, sizeof(text), "id: %d\ndata: t%d%s%s\n\n",
+			(int)run->event, (int)run->event,
+			run->version[0] ? "." : "", run->version);
 	web_reply_piece(run->request, text, (size_t)size);
 	timer_start(&run->timer, site->event_usec);
 }
@@ -251,6 +255,7 @@
 	run->fault = fault;
 	run->stream = server->stage == STAGE_DECODE;
 	run->event = after ? strtoull(after, NULL, 10) : 0;
+	memcpy(run->version, server->version, sizeof(run->version));
 	/* A prefill does not count as a run. */
 	if (server->stage != STAGE_PREFILL) {
 		run_count(server, request);
@@ -439,6 +444,7 @@
 
 	server->started_ms++;
 	server->heartbeats = 0;
+	memcpy(server->version, server->next_version, sizeof(server->version));
 	signals_reset(server);
 	server_listen(server);
 	server_heartbeat(server);
--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -62,12 +62,32 @@
 				   {value, strlen(value)}};
 }
 
-void call_start(struct soak *soak, enum call_kind kind, int instance,
-		enum caller caller)
+uint32_t call_events(const struct call *call)
+{
+	uint32_t events = 0;
+
+	for (const char *at = call->body->str; (at = strstr(at, "\n\n")); at++)
+		events++;
+	return events;
+}
+
+const char *call_version(const struct call *call)
+{
+	static char version[8];
+	const char *at = strchr(call->body->str, '.');
+
+	g_strlcpy(version, at ? at + 1 : "", sizeof(version));
+	version[strcspn(version, "\n")] = '\0';
+	return version;
+}
+
+static void call_send(struct soak *soak, enum call_kind kind, int instance,
+		      enum caller caller, const struct call *before)
 {
 	static const struct web_call_ops ops = {on_head, on_body, on_done};
 	struct call *call = g_new0(struct call, 1);
-	struct web_header headers[5];
+	struct web_header headers[7];
+	char after[16];
 	struct web_call_spec spec = {
 		.address = proxy_address(soak->instances[instance].callers),
 		.method = kinds[kind].method,
@@ -90,10 +110,29 @@
 	headers[2] =
 		header(kinds[kind].stream ? "token-count" : "x-none", "100,50");
 	spec.header_count = 3 + caller_headers(caller, headers + 3);
+	if (before) {
+		call->before = before->before ? before->before : before;
+		call->after = before->after + call_events(before);
+		(void)snprintf(after, sizeof(after), "%u", call->after);
+		headers[spec.header_count++] = header("last-event-id", after);
+		headers[spec.header_count++] =
+			header("resumes", call->before->id);
+	}
 	g_ptr_array_add(soak->calls, call);
 	call->web = web_call(soak->client, &spec, &ops, call);
 }
 
+void call_start(struct soak *soak, enum call_kind kind, int instance,
+		enum caller caller)
+{
+	call_send(soak, kind, instance, caller, NULL);
+}
+
+void call_resume(struct soak *soak, const struct call *before, int instance)
+{
+	call_send(soak, before->kind, instance, before->caller, before);
+}
+
 static void on_answer(void *ctx, const struct web_result *result, int status,
 		      const void *body, size_t size)
 {
@@ -164,10 +203,12 @@
 
 	if (kinds[call->kind].stream) {
 		GString *text = g_string_new(NULL);
+		const char *version = call_version(call);
 
-		for (int i = 1; i <= STREAM_EVENTS; i++)
-			g_string_append_printf(text, "id: %d\ndata: t%d\n\n", i,
-					       i);
+		for (int i = (int)call->after + 1; i <= STREAM_EVENTS; i++)
+			g_string_append_printf(
+				text, "id: %d\ndata: t%d%s%s\n\n", i, i,
+				version[0] ? "." : "", version);
 		expected = g_string_free(text, FALSE);
 	} else {
 		expected = g_strdup_printf("%s %s \n", kinds[call->kind].method,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -58,6 +58,11 @@
 	bool complete;
 	bool done;
 	bool hung_up;
+	/* The attempt with the first event of the stream that this one resumes,
+	 * or NULL, and the last event received before. */
+	const struct call *before;
+	uint32_t after;
+	bool resumed; /* by a later attempt */
 };
 
 struct instance {
@@ -103,6 +108,11 @@
 	bool backpressure_enabled;
 	GRand *backpressure_rand;
 	struct timer backpressure_timer;
+	/* For runs with servers of several software versions. */
+	bool versions_enabled;
+	GRand *version_rand;
+	struct timer change_timer;
+	struct timer resume_timer;
 	uint32_t posts_pending; /* calls of site_post() without an answer */
 	bool loop_running;
 };
@@ -130,6 +140,11 @@
 void call_start(struct soak *soak, enum call_kind kind, int instance,
 		enum caller caller);
 enum caller caller_draw(struct soak *soak);
+/* Resumes a broken stream at that instance. */
+void call_resume(struct soak *soak, const struct call *before, int instance);
+/* Whole events received, and the version in the first of them. */
+uint32_t call_events(const struct call *call);
+const char *call_version(const struct call *call);
 /* Fails the run when a guarantee was violated. */
 void calls_check(struct soak *soak);
 void soak_fail(struct soak *soak, const char *format, ...) G_GNUC_PRINTF(2, 3);
@@ -149,6 +164,10 @@
 void repeats_start(struct soak *soak);
 void repeats_check(struct soak *soak);
 
+/* versions.c */
+void versions_start(struct soak *soak);
+void versions_check(struct soak *soak);
+
 /* asks.c */
 void backpressure_start(struct soak *soak);
 /* Removes the limits and backoffs of all servers and restarts them. */
