tests: a store that comes back from an old copy in a new era, failing

The platform's stand-in keeps a copy and goes back to it, with Store-Era in all its answers; the world of copies between instances has such a store, too.

--- a/tests/forward/copies_world.c
+++ b/tests/forward/copies_world.c
@@ -39,21 +39,34 @@
 	call_begin(ctx, from, wait_usec, false, fn, fn_ctx);
 }
 
+/* The end of the log, as an interface to a store would give it. */
+static uint64_t position_of(const struct copies *copies)
+{
+	return copies->next;
+}
+
+/* Whether the store answers a read from there with 410. */
+static bool has_gap(const struct copies *copies, uint64_t from)
+{
+	return from > position_of(copies);
+}
+
 static void call_answer(struct copy_mirror *own)
 {
 	const struct copies *copies = own->copies;
 	struct copy_call call = own->call;
 	struct feed_record record = {
-		.offset = copies->next - 1,
+		.offset = position_of(copies) - 1,
 		.key = "k",
-		.value = &copies->next,
-		.size = sizeof(copies->next),
+		.value = &copies->version,
+		.size = sizeof(copies->version),
 	};
 	const struct feed_page page = {
 		.records = &record,
-		.count = call.snapshot || call.from < copies->next,
-		.next = copies->next,
-		.end = copies->next,
+		.count = call.snapshot || call.from < position_of(copies),
+		.next = position_of(copies),
+		.end = position_of(copies),
+		.gap = !call.snapshot && has_gap(copies, call.from),
 	};
 
 	own->call.fn = NULL;
@@ -73,7 +86,8 @@
 {
 	const struct copies *copies = own->copies;
 	const struct copy_call *call = &own->call;
-	bool has_new_records = call->snapshot || call->from < copies->next;
+	bool has_new_records =
+		call->snapshot || call->from != position_of(copies);
 
 	if (!call->fn)
 		return;
@@ -197,16 +211,24 @@
 void copies_publish(struct copies *copies)
 {
 	copies->next++;
+	copies->version++;
 	copies->published_at = now_of(copies);
 }
 
+void copies_restore(struct copies *copies, uint64_t lost)
+{
+	copies->era++;
+	copies->next -= lost;
+	copies->next++;
+}
+
 uint32_t copies_outdated(const struct copies *copies)
 {
 	uint32_t late = 0;
 
 	for (uint32_t i = 0; i < copies->site->count; i++)
 		late += copies_is_active(copies, i) &&
-			copies->mirrors[i][0].version != copies->next;
+			copies->mirrors[i][0].version != copies->version;
 	return late;
 }
 
@@ -249,7 +271,9 @@
 
 	copies->site = site_open(count);
 	copies->centres = CENTRES;
+	copies->era = 1;
 	copies->next = 1;
+	copies->version = 1;
 	for (uint32_t i = 0; i < count; i++)
 		mirrors_open(copies, i);
 	copies->site->summary = summary_add;
--- a/tests/forward/copies_world.h
+++ b/tests/forward/copies_world.h
@@ -40,7 +40,9 @@
 struct copies {
 	struct site *site;
 	uint32_t centres; /* data centres that are not cut off */
-	uint64_t next;	  /* offset of both streams, and version of the first */
+	uint64_t era;	  /* of the store */
+	uint64_t next;	  /* offset of both streams */
+	uint64_t version; /* the newest one in the store */
 	int64_t published_at;
 	bool refused[INSTANCES_MAX];
 	int64_t answer_usec; /* time that the store takes to answer */
@@ -58,6 +60,9 @@
 /* Advances the clock, in steps of 50 ms. */
 void copies_run(struct copies *copies, int64_t msec);
 void copies_publish(struct copies *copies);
+/* The store comes back in a new era without the last records. The operator
+ * writes the newest version again. */
+void copies_restore(struct copies *copies, uint64_t lost);
 /* Number of active instances without the newest version. */
 uint32_t copies_outdated(const struct copies *copies);
 /* Publishes a version and runs until all active instances have it, for at most
--- a/tests/forward/test_copies.c
+++ b/tests/forward/test_copies.c
@@ -8,6 +8,8 @@
 #define PROPAGATION_MSEC 2000
 #define TIMEOUT_MSEC 20000
 #define SEEDS 3
+/* Records that the store has lost when it comes back from a copy. */
+#define LOST 4
 
 /* Makes the store refuse all but the last instances of the first data centre.
  */
@@ -112,6 +114,34 @@
 	copies_close(copies);
 }
 
+/* The store comes back from an old copy, twice, and versions follow while its
+ * log grows past its old end. */
+static void test_restored(gconstpointer data)
+{
+	struct copies *copies = copies_open(GPOINTER_TO_UINT(data), CENTRES);
+
+	for (int i = 0; i < 2; i++) {
+		for (int k = 0; k < 6; k++) {
+			propagation_check(copies);
+			copies_run(copies, 300);
+		}
+		refused_set(copies, true);
+		copies_run(copies, 1500);
+		copies_restore(copies, LOST);
+		/* The second time its log is as long as before. */
+		for (int k = 1; i == 1 && k < LOST; k++)
+			copies_publish(copies);
+		refused_set(copies, false);
+		copies_run(copies, PROPAGATION_MSEC);
+		g_assert_cmpuint(copies_outdated(copies), ==, 0);
+		for (int k = 0; k < 6; k++) {
+			copies_run(copies, 400);
+			propagation_check(copies);
+		}
+	}
+	copies_close(copies);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -119,5 +149,11 @@
 	g_test_add_func("/forward/copies/refused-change", test_refused_change);
 	g_test_add_func("/forward/copies/after-outage", test_after_outage);
 	g_test_add_func("/forward/copies/slow-store", test_slow_store);
+	g_test_add_data_func("/forward/copies/restored/7", GUINT_TO_POINTER(7),
+			     test_restored);
+	g_test_add_data_func("/forward/copies/restored/83",
+			     GUINT_TO_POINTER(83), test_restored);
+	g_test_add_data_func("/forward/copies/restored/300",
+			     GUINT_TO_POINTER(300), test_restored);
 	return g_test_run();
 }
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -203,7 +203,14 @@
 {
 	const char *state = text_of(root, "state");
 
-	site->down = strcmp(state, "down") == 0;
+	if (strcmp(state, "copy") == 0) {
+		store_copy(site);
+	} else if (strcmp(state, "restore") == 0) {
+		store_restore(site);
+		site_config(site);
+	} else {
+		site->down = strcmp(state, "down") == 0;
+	}
 	if (strcmp(state, "forget") == 0)
 		store_forget(site);
 	return true;
@@ -328,7 +335,7 @@
 		.idle_usec = 30 * USEC_PER_SEC,
 		.request_usec = 30 * USEC_PER_SEC,
 	};
-	struct site site = {.version = 3, .timeout_msec = 10000};
+	struct site site = {.version = 3, .timeout_msec = 10000, .era = 1};
 	struct error err;
 
 	site.clock = clock_create_system();
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -25,7 +25,10 @@
  *			   each request must carry the name of the tenant that
  *			   its id begins with, up to a dot, or none if that
  *			   name is "nobody"
- *	POST /site/store   {"state": "up"}, or "down", "forget"
+ *	POST /site/store   {"state": "up"}, or "down", "forget", "copy" (keeps
+ *			   a copy), "restore" (comes back from that copy in a
+ *			   new era; what was written since is lost, but for the
+ *			   configuration and what servers write again)
  *	POST /site/limit   {"server": "s1", "per_s": N}: its answers announce a
  *			   limit of N requests per second; none if negative
  *	POST /site/leaving {"server": "s1"}: its answers announce that it is
@@ -150,6 +153,8 @@
 	char *extra;
 	json_t *tenants; /* NULL: callers are not authenticated */
 	bool down;
+	uint64_t era;
+	GHashTable *copy; /* name to struct topic, or NULL */
 	int64_t event_usec;
 	uint32_t events;
 	struct timer heartbeat;
@@ -161,6 +166,9 @@
 	       const char *value);
 /* Drops all but the newest record of each key. */
 void store_forget(struct site *site);
+/* Keeps a copy, and goes back to it. */
+void store_copy(struct site *site);
+void store_restore(struct site *site);
 
 /* site_server.c */
 struct server *server_open(struct site *site, const char *name,
--- a/tests/platform/site/site_store.c
+++ b/tests/platform/site/site_store.c
@@ -82,6 +82,55 @@
 	}
 }
 
+static void topic_free(gpointer data)
+{
+	struct topic *topic = data;
+
+	g_ptr_array_unref(topic->records);
+	g_free(topic->name);
+	g_free(topic);
+}
+
+static GHashTable *topics_copy(GHashTable *topics)
+{
+	GHashTable *copy = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+						 topic_free);
+	const struct topic *topic;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, topics);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&topic)) {
+		struct topic *same = g_new0(struct topic, 1);
+
+		same->name = g_strdup(topic->name);
+		same->first = topic->first;
+		same->records = g_ptr_array_new_with_free_func(record_free);
+		for (guint i = 0; i < topic->records->len; i++) {
+			const struct record *record = topic->records->pdata[i];
+
+			record_add(same, record->key, record->value);
+		}
+		g_hash_table_insert(copy, same->name, same);
+	}
+	return copy;
+}
+
+void store_copy(struct site *site)
+{
+	if (site->copy)
+		g_hash_table_unref(site->copy);
+	site->copy = topics_copy(site->topics);
+}
+
+void store_restore(struct site *site)
+{
+	if (!site->copy)
+		return;
+	g_hash_table_unref(site->topics);
+	site->topics = topics_copy(site->copy);
+	site->era++;
+}
+
 static void json_reply(struct web_request *request, int status, json_t *root)
 {
 	char *text = json_dumps(root, JSON_COMPACT);
@@ -153,7 +202,7 @@
 
 	web_request_param(request, "from", text, sizeof(text));
 	from = strtoull(text, NULL, 10);
-	if (from < topic->first) {
+	if (from < topic->first || from > end) {
 		json_reply(
 			request, 410,
 			json_pack("{s:I}", "first", (json_int_t)topic->first));
@@ -201,8 +250,11 @@
 	struct site *site = ctx;
 	struct web_text path = web_request_path(request);
 	char name[128] = "";
+	char era[24];
 	struct topic *topic;
 
+	(void)g_snprintf(era, sizeof(era), "%" G_GUINT64_FORMAT, site->era);
+	web_reply_header(request, "store-era", era);
 	if (site->down) {
 		web_reply(request, 503, NULL, "down\n", 5);
 		return;
--- a/tests/soak/versions.c
+++ b/tests/soak/versions.c
@@ -1,5 +1,5 @@
-/* Servers of several software versions that change at restarts, and callers that
- * resume streams which were broken off. */
+/* Servers of several software versions that change at restarts, and callers
+ * that resume streams which were broken off. */
 #include <stdio.h>
 #include <string.h>
 
@@ -21,7 +21,8 @@
 	site_post(soak, "/site/state", state);
 }
 
-/* The next request crashes the server, which comes back with another version. */
+/* The next request crashes the server, which comes back with another version.
+ */
 static void on_change(struct timer *timer, void *ctx)
 {
 	struct soak *soak = ctx;
