forward: positions of the store hold within an era

Cause (first and second hypothesis, both shown by the record): a position was an offset alone. The instance that had read the new log had the lower one, took its peers' copies for newer, and was back at the old one, 55 times in 5.6 s; and once the new log had grown past the old position, what lay before it was never seen (version 32). The third, late answers, is not in the record, but nothing ruled them out: they count as failed now. Class: a number that means something only in its context is compared outside of it.

Era and offset are one number now, the era above, so all comparisons are right, also those of copies between instances and of fencing numbers; platform/store.c alone translates.

--- a/coord/log_tail.c
+++ b/coord/log_tail.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 
+#include "common/position.h"
 #include "coord/retry.h"
 
 #define BACKOFF_BASE_USEC (100 * USEC_PER_MSEC)
@@ -63,6 +64,10 @@
 
 static void tail_page(struct log_tail *tail, const struct log_page *page)
 {
+	/* Nothing is missing at the beginning of a log, in whatever era. */
+	if (tail->position == 0 && position_offset(page->first) == 0)
+		tail->position = page->first;
+
 	if (page->first > tail->position) {
 		uint64_t expected = tail->position;
 
--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -20,6 +20,7 @@
 	struct quarantine_entry entry;
 	GList link; /* in held or suspects */
 	bool held;
+	bool store_lost; /* to be written to the store again */
 };
 
 struct quarantine {
@@ -270,7 +271,7 @@
 	for (const GList *link = queue->head; link; link = link->next) {
 		const struct item *item = link->data;
 
-		if (item->entry.stored != stored)
+		if (item->entry.stored != stored || item->store_lost)
 			return item;
 	}
 	return NULL;
@@ -295,6 +296,20 @@
 {
 	struct item *item = item_find(quarantine, fingerprint);
 
-	if (item)
-		item->entry.stored = stored;
+	if (!item)
+		return;
+	item->entry.stored = stored;
+	item->store_lost = false;
+}
+
+/* Not in the entry's own flag, which peers would set again. */
+void quarantine_store_lost(struct quarantine *quarantine)
+{
+	for (GList *link = quarantine->held.head; link; link = link->next)
+		((struct item *)link->data)->store_lost = true;
+	for (GList *link = quarantine->suspects.head; link; link = link->next) {
+		struct item *item = link->data;
+
+		item->store_lost = item->entry.epoch > 0;
+	}
 }
--- a/forward/feed.c
+++ b/forward/feed.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "common/log.h"
+#include "common/position.h"
 
 /* First and longest pause after a failed read; it doubles with each failure. An
  * instance follows the end of an outage within RETRY_MAX_USEC, well inside the
@@ -83,7 +84,8 @@
 	if (feed->failures++ == 0)
 		log_event(LOG_WARNING, "stream_lost",
 			  LOG_S("stream", feed->settings.stream),
-			  LOG_D("position", feed->next));
+			  LOG_D("era", position_era(feed->next)),
+			  LOG_D("position", position_offset(feed->next)));
 	if (!feed->settings.on_demand)
 		timer_start(&feed->timer, feed_backoff(feed));
 }
@@ -110,10 +112,29 @@
 		feed->ops.record(feed->ctx, &page->records[i]);
 }
 
+static void snapshot_restart(struct feed *feed)
+{
+	feed->has_snapshot = false;
+	feed->snapshot_started = false;
+	g_free(feed->after);
+	feed->after = NULL;
+}
+
 /* The pages of a snapshot are read at different times, so changes since the
  * first page are read afterwards, from its offset on. */
 static void snapshot_apply(struct feed *feed, const struct feed_page *page)
 {
+	if (position_era(page->next) < position_era(feed->next)) {
+		feed_failed(feed);
+		return;
+	}
+	/* The store has come back from a copy between two pages. */
+	if (feed->snapshot_started &&
+	    position_era(page->next) > position_era(feed->next)) {
+		snapshot_restart(feed);
+		feed_next(feed);
+		return;
+	}
 	if (!feed->snapshot_started) {
 		feed->snapshot_started = true;
 		feed->next = page->next;
@@ -133,14 +154,6 @@
 		feed->ops.snapshot_end(feed->ctx);
 }
 
-static void snapshot_restart(struct feed *feed)
-{
-	feed->has_snapshot = false;
-	feed->snapshot_started = false;
-	g_free(feed->after);
-	feed->after = NULL;
-}
-
 /* The time at which the answer of the store shows the known records to be
  * complete: when the read was sent, or wait_usec later for a long poll that
  * returned no records. If such a poll counted from its sending, copies would
@@ -161,7 +174,8 @@
 	if (page->gap) {
 		log_event(LOG_NOTICE, "stream_gap",
 			  LOG_S("stream", feed->settings.stream),
-			  LOG_D("position", feed->next));
+			  LOG_D("era", position_era(feed->next)),
+			  LOG_D("position", position_offset(feed->next)));
 		snapshot_restart(feed);
 		feed_next(feed);
 		return;
@@ -277,6 +291,11 @@
 	return feed->has_snapshot ? feed->next : 0;
 }
 
+uint64_t feed_era(const struct feed *feed)
+{
+	return position_era(feed->next);
+}
+
 int64_t feed_synced_at(const struct feed *feed)
 {
 	return feed->synced_at;
--- a/forward/mirror.c
+++ b/forward/mirror.c
@@ -4,6 +4,7 @@
 
 #include "common/log.h"
 #include "common/pack.h"
+#include "common/position.h"
 #include "common/unpack.h"
 
 /* An instance without a copy waits this long for one that a peer has announced,
@@ -24,6 +25,15 @@
  * whole copy. */
 #define CHANGES_MAX 4096u
 
+/* After the store has come back from an older copy, its snapshots are merged
+ * with what was known before for this long. By then all writers have written
+ * again. */
+#define MERGE_USEC (3 * USEC_PER_SEC)
+/* Dropped values are remembered for this long, and at most so many: a copy of
+ * the store may still have them. */
+#define DROPPED_USEC (60 * USEC_PER_SEC)
+#define DROPPED_MAX 4096u
+
 struct mirror {
 	struct clock *clock;
 	int64_t started_at;	  /* the start, or when the peers were listed */
@@ -39,6 +49,17 @@
 	GArray *changes;      /* struct change, by offset */
 	uint64_t delta_floor; /* deltas are possible from this offset on */
 	uint64_t changed;
+	uint64_t era;
+	int64_t merge_until; /* 0: never */
+	GHashTable *dropped; /* key to struct dropped */
+	/* Keys that the store's copy lacks, until they are written again. */
+	GHashTable *unconfirmed;
+};
+
+/* The last value of a key that was dropped. */
+struct dropped {
+	GBytes *data;
+	int64_t at;
 };
 
 struct value {
@@ -60,6 +81,14 @@
 	g_free(value);
 }
 
+static void dropped_free(gpointer data)
+{
+	struct dropped *dropped = data;
+
+	g_bytes_unref(dropped->data);
+	g_free(dropped);
+}
+
 static void change_clear(gpointer data)
 {
 	struct change *change = data;
@@ -113,6 +142,93 @@
 	return true;
 }
 
+static gboolean is_forgotten(gpointer key, gpointer value, gpointer data)
+{
+	const struct dropped *dropped = value;
+	const int64_t *now = data;
+
+	return *now - dropped->at >= DROPPED_USEC;
+}
+
+static void dropped_add(struct mirror *mirror, const char *key,
+			const struct value *value)
+{
+	struct dropped *dropped;
+	int64_t now = clock_now(mirror->clock);
+
+	if (!mirror->ops.newer)
+		return;
+	if (g_hash_table_size(mirror->dropped) >= DROPPED_MAX)
+		g_hash_table_foreach_remove(mirror->dropped, is_forgotten,
+					    &now);
+	if (g_hash_table_size(mirror->dropped) >= DROPPED_MAX)
+		return;
+	dropped = g_new0(struct dropped, 1);
+	dropped->data = g_bytes_ref(value->data);
+	dropped->at = now;
+	g_hash_table_replace(mirror->dropped, g_strdup(key), dropped);
+}
+
+static bool is_newer(const struct mirror *mirror, GBytes *before,
+		     const void *data, size_t size)
+{
+	gsize old_size;
+	const void *old = g_bytes_get_data(before, &old_size);
+
+	return mirror->ops.newer(mirror->ctx, old, old_size, data, size);
+}
+
+static bool is_merging(const struct mirror *mirror)
+{
+	return mirror->previous &&
+	       clock_now(mirror->clock) < mirror->merge_until;
+}
+
+static void value_deliver(struct mirror *mirror, const char *key)
+{
+	const struct value *value = g_hash_table_lookup(mirror->values, key);
+	gsize size;
+	const void *data = g_bytes_get_data(value->data, &size);
+
+	(void)mirror->ops.value(mirror->ctx, value->changed, key, data, size);
+}
+
+/* Whether a value of a snapshot is no newer than the one known before, which
+ * then stays, or than one that was dropped. */
+static bool value_merge(struct mirror *mirror, const char *key,
+			const void *data, size_t size)
+{
+	const struct value *before = g_hash_table_lookup(mirror->previous, key);
+	const struct dropped *dropped =
+		g_hash_table_lookup(mirror->dropped, key);
+
+	if (!mirror->ops.newer || !data)
+		return false;
+	if (before && !is_newer(mirror, before->data, data, size)) {
+		(void)value_restore(mirror, key);
+		value_deliver(mirror, key);
+		return true;
+	}
+	return !before && dropped &&
+	       !is_newer(mirror, dropped->data, data, size);
+}
+
+/* Keeps what a snapshot lacks until its writers had time to write again. */
+static void missing_keep(struct mirror *mirror)
+{
+	g_autoptr(GList) keys = g_hash_table_get_keys(mirror->previous);
+
+	for (GList *link = keys; link; link = link->next) {
+		g_autofree char *key = g_strdup(link->data);
+
+		if (g_hash_table_contains(mirror->values, key))
+			continue;
+		(void)value_restore(mirror, key);
+		value_deliver(mirror, key);
+		g_hash_table_add(mirror->unconfirmed, g_steal_pointer(&key));
+	}
+}
+
 static bool is_repeated(const struct mirror *mirror, const struct value *known,
 			const void *data, size_t size)
 {
@@ -129,12 +245,22 @@
 	const struct value *known = g_hash_table_lookup(mirror->values, key);
 	enum mirror_effect effect;
 	bool is_change;
+	bool is_confirmed;
 
-	if (data && known && is_repeated(mirror, known, data, size))
+	if (is_merging(mirror) && value_merge(mirror, key, data, size))
+		return;
+	is_confirmed = g_hash_table_remove(mirror->unconfirmed, key);
+	if (!data && known)
+		dropped_add(mirror, key, known);
+	if (data && known && !is_confirmed &&
+	    is_repeated(mirror, known, data, size))
 		return;
 	effect = mirror->ops.value(mirror->ctx, offset, key, data, size);
 	if (effect == MIRROR_REJECTED && (known || value_restore(mirror, key)))
 		return;
+	/* Peers keep the key only if they learn that it was written again. */
+	if (is_confirmed && effect == MIRROR_UNCHANGED)
+		effect = MIRROR_CHANGED;
 	is_change = effect == MIRROR_CHANGED || !known;
 	if (is_change || !data)
 		change_add(mirror, key, offset);
@@ -178,6 +304,15 @@
 		mirror->previous = mirror->values;
 	mirror->values = values_create();
 	g_array_set_size(mirror->changes, 0);
+	if (feed_era(mirror->feed) > mirror->era &&
+	    g_hash_table_size(mirror->previous) > 0) {
+		mirror->merge_until = clock_now(mirror->clock) + MERGE_USEC;
+		log_event(LOG_NOTICE, "store_restored",
+			  LOG_S("stream", mirror->settings.stream),
+			  LOG_D("era", feed_era(mirror->feed)),
+			  LOG_D("before", mirror->era));
+	}
+	mirror->era = feed_era(mirror->feed);
 	if (mirror->ops.begin)
 		mirror->ops.begin(mirror->ctx);
 }
@@ -188,6 +323,8 @@
 {
 	struct mirror *mirror = ctx;
 
+	if (is_merging(mirror))
+		missing_keep(mirror);
 	previous_drop(mirror);
 	mirror->changed = MAX(mirror->changed, feed_position(mirror->feed));
 	mirror->delta_floor = mirror->changed;
@@ -219,6 +356,10 @@
 	mirror->ops = *ops;
 	mirror->ctx = ctx;
 	mirror->values = values_create();
+	mirror->dropped = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+						dropped_free);
+	mirror->unconfirmed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	mirror->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
 	g_array_set_clear_func(mirror->changes, change_clear);
 	mirror->feed =
@@ -233,6 +374,8 @@
 	feed_destroy(mirror->feed);
 	previous_drop(mirror);
 	g_hash_table_destroy(mirror->values);
+	g_hash_table_destroy(mirror->dropped);
+	g_hash_table_destroy(mirror->unconfirmed);
 	g_array_unref(mirror->changes);
 	g_free(mirror);
 }
@@ -302,10 +445,30 @@
 			  LOG_D("patience_ms", bound / USEC_PER_MSEC));
 }
 
+/* Drops what was not written again, once a copy shows it that was complete
+ * after the time allowed. */
+static void unconfirmed_drop(struct mirror *mirror)
+{
+	g_autoptr(GList) keys = NULL;
+
+	if (g_hash_table_size(mirror->unconfirmed) == 0 ||
+	    feed_synced_at(mirror->feed) < mirror->merge_until)
+		return;
+	keys = g_hash_table_get_keys(mirror->unconfirmed);
+	for (GList *link = keys; link; link = link->next) {
+		g_autofree char *key = g_strdup(link->data);
+
+		value_apply(mirror, feed_position(mirror->feed) - 1, key, NULL,
+			    0);
+	}
+}
+
 void mirror_tick(struct mirror *mirror, const struct reader_place *place)
 {
 	struct reader_state state = reader_state(mirror);
 
+	unconfirmed_drop(mirror);
+
 	if (reader_is_due(&state, place, clock_now(mirror->clock)) &&
 	    !is_fetching(mirror) && feed_poll(mirror->feed))
 		read_log(mirror, &state, place);
@@ -551,6 +714,8 @@
 		value_apply(mirror, copy->status.next - 1, key, NULL, 0);
 	}
 	if (copy->base == 0) {
+		if (is_merging(mirror))
+			missing_keep(mirror);
 		mirror->delta_floor = copy->status.next;
 		previous_drop(mirror);
 		if (mirror->ops.end)
--- a/forward/node.h
+++ b/forward/node.h
@@ -36,6 +36,7 @@
 	struct timer fetch_timer;
 	struct web_call *fetch;
 	char from[BACKEND_TEXT_MAX]; /* peer to fetch from */
+	bool whole;		     /* fetch the whole copy, not changes */
 	/* Start of newer copies at remote instances only; 0: none. */
 	int64_t remote_since;
 };
@@ -85,6 +86,7 @@
 	uint64_t boot;
 	int64_t served_since; /* start of the second that served_bytes counts */
 	size_t served_bytes;
+	uint64_t era; /* of the store, as this instance has written to it */
 	bool registered;
 	int64_t registered_at;
 	bool draining;
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -11,6 +11,7 @@
 #include "common/compress.h"
 #include "common/id.h"
 #include "common/log.h"
+#include "common/position.h"
 #include "common/setting.h"
 
 /* Timeout of a waiting read, whose answer is lost when the store or the network
@@ -39,6 +40,9 @@
 #define REMOTE_FETCHERS 2u
 #define REMOTE_FETCH_DELAY_USEC (800 * USEC_PER_MSEC)
 #define REGISTER_RETRY_USEC (500 * USEC_PER_MSEC)
+/* All instances register again when the store has lost them: one in this time.
+ * The store takes 400 writes a second. */
+#define REGISTER_SPREAD_USEC (5 * USEC_PER_MSEC)
 /* Keys whose last refused value is remembered, so that it is logged once. */
 #define REFUSED_MAX 1024u
 
@@ -175,6 +179,14 @@
 	return node->interface.backend_repeats(before, before_size, data, size);
 }
 
+static bool on_backend_newer(void *ctx, const void *before, size_t before_size,
+			     const void *data, size_t size)
+{
+	const struct node *node = ctx;
+
+	return node->interface.backend_newer(before, before_size, data, size);
+}
+
 static void on_list_begin(void *ctx)
 {
 	struct node *node = ctx;
@@ -206,12 +218,39 @@
 		feed_poll(node->peer_feed);
 }
 
+static uint64_t era_known(const struct node *node)
+{
+	uint64_t era = 0;
+
+	for (int i = 0; i < GOSSIP_MIRRORS; i++)
+		era = MAX(era, position_era(mirror_position(
+				       node->mirrors[i].mirror)));
+	return era;
+}
+
+/* Writes again what this instance has written to the store, which may have lost
+ * it, once it has come back from an older copy. */
+static void era_check(struct node *node)
+{
+	uint64_t before = node->era;
+	double spread = (double)gossip_instances(node->gossip) *
+			(double)REGISTER_SPREAD_USEC;
+
+	node->era = MAX(node->era, era_known(node));
+	if (before == 0 || node->era == before || node->draining)
+		return;
+	quarantine_store_lost(node->quarantine);
+	timer_start(&node->register_timer,
+		    (int64_t)(g_rand_double(node->rand) * spread));
+}
+
 static void on_tick(struct timer *timer, void *ctx)
 {
 	struct node *node = ctx;
 	struct reader_place place;
 
 	timer_start(timer, TICK_USEC);
+	era_check(node);
 	gossip_place(node->gossip, &place);
 	for (int i = 0; i < GOSSIP_MIRRORS; i++)
 		mirror_tick(node->mirrors[i].mirror, &place);
@@ -252,7 +291,7 @@
 {
 	struct node_mirror *mirror = ctx;
 	struct node *node = mirror->node;
-	uint64_t from = mirror_position(mirror->mirror);
+	uint64_t from = mirror->whole ? 0 : mirror_position(mirror->mirror);
 	int64_t limit =
 		from > 0 ? FETCH_TIMEOUT_USEC : FETCH_WHOLE_TIMEOUT_USEC;
 	g_autofree char *path =
@@ -267,6 +306,7 @@
 		.idle_usec = limit,
 	};
 
+	mirror->whole = false;
 	mirror->fetch = web_fetch(node->client, &spec, MIRROR_BYTES_MAX,
 				  on_fetched, mirror);
 }
@@ -294,6 +334,19 @@
 	return now - mirror->remote_since < REMOTE_FETCH_DELAY_USEC;
 }
 
+/* Whether a peer has a later configuration in force though its copy reaches no
+ * further: the store has come back with an older one. */
+static bool is_older_config(const struct node *node, enum node_stream stream,
+			    const struct gossip_summary *summary)
+{
+	const struct catalog *catalog = forward_catalog(node->forward);
+	uint64_t position = mirror_position(node->mirrors[stream].mirror);
+
+	return stream == STREAM_CONFIG && catalog &&
+	       summary->version > catalog->version &&
+	       summary->mirrors[stream].next >= position;
+}
+
 void node_mirrors_merge(struct node *node, const char *address,
 			const struct gossip_summary *summary)
 {
@@ -306,8 +359,12 @@
 
 		if (!mirror_merge_status(mirror->mirror,
 					 &summary->mirrors[i])) {
-			mirror->remote_since = 0;
-			continue;
+			mirror->whole = is_older_config(
+				node, (enum node_stream)i, summary);
+			if (!mirror->whole) {
+				mirror->remote_since = 0;
+				continue;
+			}
 		}
 		mirror_fetch_pending(mirror->mirror);
 		if (mirror->fetch || local_may_serve(mirror, address))
@@ -402,6 +459,7 @@
 		return;
 	node->registered = code == RESULT_OK;
 	if (node->registered) {
+		log_event(LOG_INFO, "registered", LOG_D("era", node->era));
 		node->registered_at = clock_now(node->clock);
 		feed_poll(node->peer_feed);
 	} else {
@@ -454,9 +512,10 @@
 void node_feeds_start(struct node *node)
 {
 	static const struct mirror_ops config_ops = {
-		on_config_begin, on_config_end, on_config, NULL};
+		on_config_begin, on_config_end, on_config, NULL, NULL};
 	static const struct mirror_ops list_ops = {
-		on_list_begin, on_list_end, on_backend, on_backend_repeats};
+		on_list_begin, on_list_end, on_backend, on_backend_repeats,
+		on_backend_newer};
 	static const struct feed_ops peer_ops = {
 		.snapshot_end = on_peers_listed,
 		.record = on_peer,
--- a/include/coord/log_store.h
+++ b/include/coord/log_store.h
@@ -3,13 +3,15 @@
  *
  * DESCRIPTION
  *	The embedder implements the functions. Offsets increase by one per
- *	record. append() answers with the offset, or with RESULT_LOG_DOWN
- *	(certainly not appended), or with RESULT_LOG_UNKNOWN (possibly
- *	appended). read() answers with the records from an offset on and the
- *	first offset still kept. Each call is answered exactly once, in a later
- *	iteration of the event loop. Calls in flight when the store is destroyed
- *	are answered then with RESULT_LOG_UNKNOWN or RESULT_LOG_DOWN, since the
- *	caller frees its context on the answer.
+ *	record. If the store can come back from an older copy, they are
+ *	positions (common/position.h): a read from one of an earlier era is
+ *	answered with the first offset of the log of now, which is a gap.
+ *append() answers with the offset, or with RESULT_LOG_DOWN (certainly not
+ *appended), or with RESULT_LOG_UNKNOWN (possibly appended). read() answers with
+ *the records from an offset on and the first offset still kept. Each call is
+ *answered exactly once, in a later iteration of the event loop. Calls in flight
+ *when the store is destroyed are answered then with RESULT_LOG_UNKNOWN or
+ *RESULT_LOG_DOWN, since the caller frees its context on the answer.
  */
 #ifndef COORD_LOG_STORE_H
 #define COORD_LOG_STORE_H
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -119,6 +119,9 @@
  * is no longer held; returns false when there is none. */
 bool quarantine_unstored(const struct quarantine *quarantine,
 			 struct quarantine_entry *entry);
+/* To be called when the store may have lost what was written to it: entries
+ * that are held, and those that were cleared, count as not stored. */
+void quarantine_store_lost(struct quarantine *quarantine);
 /* Notes that the entry was written to the store or deleted from it. */
 void quarantine_stored(struct quarantine *quarantine,
 		       const struct request_fingerprint *fingerprint,
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -9,6 +9,10 @@
  *	lost for good. A failed read is never taken for an empty stream: while
  *	the store does not answer, the last state read remains in force.
  *
+ *	Offsets are positions (common/position.h). When the store has come back
+ *	from an older copy, a feed reads a snapshot of the new era; answers of
+ *	an earlier one that arrive later count as failed reads.
+ *
  *	A feed reads when feed_poll() is called. On its own it only retries a
  *	failed read, unless on_demand is set, and starts again after a gap.
  *	feed_advance() sets a state that was learnt from a peer instead.
@@ -101,6 +105,8 @@
 /* Offset up to which records are known; 0 before the first snapshot is
  * complete. */
 uint64_t feed_position(const struct feed *feed);
+/* Era of the snapshot in progress, or of the last one. */
+uint64_t feed_era(const struct feed *feed);
 /* When the known records were last sure to be all there are: the time of the
  * last read that reached the end of the stream. FEED_NEVER before the first. */
 #define FEED_NEVER INT64_MIN
--- a/include/forward/mirror.h
+++ b/include/forward/mirror.h
@@ -11,6 +11,13 @@
  *	own copy is current, without a call. Otherwise it fetches the copy, or
  *	the changes since its own, from the instance that announced it.
  *
+ *	Offsets are positions (common/position.h), so a copy of a later era of
+ *	the store is newer than any of an earlier one. Snapshots of a new era
+ *	are merged with the copy for some seconds, because the store may have
+ *	come back with values that are older than these: the newer value of a
+ *	key stays, what was dropped stays dropped unless it was written since,
+ *	and what is missing is kept until its writer had time to write it again.
+ *
  *	reader.h decides which instances read the store, and when.
  */
 #ifndef FORWARD_MIRROR_H
@@ -35,8 +42,8 @@
 
 /* State of its copy that an instance announces to its peers. */
 struct mirror_status {
-	uint64_t next;	  /* offset up to which records are known */
-	uint64_t changed; /* offset just after the last record that changed
+	uint64_t next;	  /* position up to which records are known */
+	uint64_t changed; /* position just after the last record that changed
 			     anything */
 	int64_t age_usec; /* since the copy was known to be complete; negative:
 			     it never was */
@@ -61,6 +68,11 @@
 	 */
 	bool (*repeats)(void *ctx, const void *before, size_t before_size,
 			const void *data, size_t size);
+	/* Whether a value was written after the previous one of its key. NULL
+	 * where values do not tell: then the store's is taken, unless value()
+	 * rejects it. */
+	bool (*newer)(void *ctx, const void *before, size_t before_size,
+		      const void *data, size_t size);
 };
 
 struct mirror *mirror_create(struct clock *clock,
@@ -88,7 +100,7 @@
  * fetched. */
 bool mirror_merge_status(struct mirror *mirror,
 			 const struct mirror_status *status);
-/* Offset up to which records are known, to be passed to mirror_encode() at a
+/* Position up to which records are known, to be passed to mirror_encode() at a
  * peer. */
 uint64_t mirror_position(const struct mirror *mirror);
 /* Appends the changes since offset from as MessagePack: [next, changed, age,
--- a/include/forward/node.h
+++ b/include/forward/node.h
@@ -40,6 +40,9 @@
 	/* Whether two entries differ at most in their count of heartbeats. */
 	bool (*backend_repeats)(const void *before, size_t before_size,
 				const void *data, size_t size);
+	/* Whether an entry was written after another of the same server. */
+	bool (*backend_newer)(const void *before, size_t before_size,
+			      const void *data, size_t size);
 	/* Whether a key of the configuration stream marks a data centre as
 	 * evacuated while it has a value; sets data_centre. */
 	bool (*decode_evacuation)(const char *key,
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -21,6 +21,10 @@
 bool decode_backend(const char *id, const void *data, size_t size,
 		    struct backend_info *info, struct error *err);
 /* Whether the entries differ at most in the heartbeat number. */
+/* Whether an entry was written after another of the same server, by its start
+ * and heartbeat. False for one without a heartbeat. */
+bool decode_backend_newer(const void *before, size_t before_size,
+			  const void *data, size_t size);
 bool decode_backend_repeats(const void *before, size_t before_size,
 			    const void *data, size_t size);
 /* Whether a key of the configuration stream orders the evacuation of a data
--- a/include/platform/store.h
+++ b/include/platform/store.h
@@ -30,9 +30,10 @@
  * copies of the keys and is freed with g_free(). */
 bool store_read_keyed(const void *data, size_t size, uint64_t from,
 		      struct feed_page *page, struct error *err);
-/* Calls fn with a page of a snapshot, leaving out malformed items. Returns
- * false without calling fn if the answer is not a page. Exposed for tests. */
-bool store_read_snapshot(const void *data, size_t size, feed_page_fn fn,
-			 void *ctx);
+/* Calls fn with a page of a snapshot of that era, leaving out malformed items.
+ * Returns false without calling fn if the answer is not a page. Exposed for
+ * tests. */
+bool store_read_snapshot(const void *data, size_t size, uint64_t era,
+			 feed_page_fn fn, void *ctx);
 
 #endif
--- a/tests/coord/test_lease.c
+++ b/tests/coord/test_lease.c
@@ -207,6 +207,43 @@
 		stale_clock_run(i * 350 * USEC_PER_MSEC);
 }
 
+/* The log comes back from an old copy: the record by which the holder took the
+ * task, or those of later holders, are lost and their offsets are given out
+ * again. trial_step() checks that no two hold it at once and that fencing
+ * numbers rise. */
+static void restored_run(int64_t age_usec, bool partitioned)
+{
+	struct trial *trial = trial_create(17);
+	uint32_t first;
+	uint64_t fence;
+
+	trial->engine.checks_fencing = true;
+	trial->log->era = 1;
+	for (uint32_t i = 0; i < HOLDERS; i++)
+		holder_start(&trial->holders[i]);
+	trial_run(trial, 5 * USEC_PER_SEC);
+	g_assert_cmpint(trial_check_holders(trial, &first), ==, 1);
+	for (int i = 0; i < 3; i++) {
+		fence = trial->fence;
+		trial->holders[first].client.partitioned = partitioned;
+		fake_log_restore(trial->log, age_usec);
+		trial_run(trial, 30 * USEC_PER_SEC);
+		trial->holders[first].client.partitioned = false;
+		trial_run(trial, 10 * USEC_PER_SEC);
+		g_assert_cmpint(trial_check_holders(trial, &first), ==, 1);
+		g_assert_cmpuint(trial->fence, >, fence);
+	}
+	trial_destroy(trial);
+}
+
+static void test_restored(void)
+{
+	for (int64_t age = 1; age <= 32; age *= 2) {
+		restored_run(age * USEC_PER_SEC, false);
+		restored_run(age * USEC_PER_SEC, true);
+	}
+}
+
 /* An instance is paused before it reads back its own take and reads it with a
  * clock that is behind. It must not hold the task, as another has taken it. */
 static void test_stale_clock_take(void)
@@ -340,6 +377,7 @@
 	log_setup(NULL, NULL, LOG_CRIT);
 	g_test_add_func("/lease/faults", test_faults);
 	g_test_add_func("/lease/fenced", test_fenced);
+	g_test_add_func("/lease/restored", test_restored);
 	g_test_add_func("/lease/stale_reading", test_stale_clock_renewal);
 	g_test_add_func("/lease/stale_take", test_stale_clock_take);
 	g_test_add_func("/lease/fold", test_fold);
--- a/tests/coord/test_quarantine.c
+++ b/tests/coord/test_quarantine.c
@@ -138,6 +138,36 @@
 }
 
 /* A held request is written to the store once, and deleted once cleared. */
+/* The store has lost its last writes: what is held, or was cleared, is written
+ * again, whatever peers say of it. */
+static void test_store_lost(void)
+{
+	struct quarantine *quarantine = quarantine_create(&small);
+	struct request_fingerprint first = fingerprint_make(1);
+	struct request_fingerprint second = fingerprint_make(2);
+	struct quarantine_entry entry;
+
+	crash_servers(quarantine, 1, 3);
+	crash_servers(quarantine, 2, 3);
+	quarantine_stored(quarantine, &first, true);
+	quarantine_stored(quarantine, &second, true);
+	g_assert_true(quarantine_clear(quarantine, &second));
+	quarantine_stored(quarantine, &second, false);
+	g_assert_false(quarantine_unstored(quarantine, &entry));
+	quarantine_store_lost(quarantine);
+	entry = *quarantine_find(quarantine, &first);
+	entry.stored = true;
+	quarantine_merge(quarantine, &entry);
+	g_assert_true(quarantine_unstored(quarantine, &entry));
+	g_assert_true(fingerprint_same(&entry.fingerprint, &first));
+	quarantine_stored(quarantine, &first, true);
+	g_assert_true(quarantine_unstored(quarantine, &entry));
+	g_assert_true(fingerprint_same(&entry.fingerprint, &second));
+	quarantine_stored(quarantine, &second, false);
+	g_assert_false(quarantine_unstored(quarantine, &entry));
+	quarantine_destroy(quarantine);
+}
+
 static void test_stored(void)
 {
 	struct quarantine *quarantine = quarantine_create(&small);
@@ -266,6 +296,7 @@
 	g_test_add_func("/quarantine/bounds", test_bounds);
 	g_test_add_func("/quarantine/malformed", test_malformed);
 	g_test_add_func("/quarantine/stored", test_stored);
+	g_test_add_func("/quarantine/store-lost", test_store_lost);
 	g_test_add_func("/quarantine/next", test_next);
 	g_test_add_func("/quarantine/converges", test_converges);
 	g_test_add_func("/quarantine/identity", test_identity);
--- a/tests/fake/fake_log.c
+++ b/tests/fake/fake_log.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "common/position.h"
+
 #define POLL_USEC (20 * USEC_PER_MSEC)
 #define SILENT_RECHECK_USEC (100 * USEC_PER_MSEC)
 #define LATE_APPLY_USEC (3 * USEC_PER_SEC)
@@ -128,6 +130,21 @@
 	g_ptr_array_add(records, record);
 }
 
+void fake_log_restore(struct fake_log *log, int64_t age_usec)
+{
+	int64_t copied_at = clock_unix(log->clock) - age_usec;
+	GHashTableIter iter;
+	GPtrArray *records;
+
+	g_hash_table_iter_init(&iter, log->streams);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&records))
+		while (records->len > 0 &&
+		       ((struct log_record *)records->pdata[records->len - 1])
+				       ->unix_us > copied_at)
+			g_ptr_array_remove_index(records, records->len - 1);
+	log->era++;
+}
+
 static void append_free(void *data)
 {
 	struct append *append = data;
@@ -160,7 +177,8 @@
 			append->code = RESULT_LOG_DOWN;
 	}
 	if (append->apply) {
-		append->offset = stream_get(log, append->stream)->len;
+		append->offset = position_make(
+			log->era, stream_get(log, append->stream)->len);
 		fake_log_put(log, append->stream,
 			     g_bytes_get_data(append->data, NULL),
 			     g_bytes_get_size(append->data));
@@ -260,23 +278,40 @@
 		 read->code == RESULT_OK ? &read->page : NULL);
 }
 
+/* A read from a position of another era is answered with the beginning of the
+ * log, or, beyond its end, too. */
+static bool is_replaced(const struct read *read, const GPtrArray *records)
+{
+	return read->from > 0 && (position_era(read->from) != read->log->era ||
+				  position_offset(read->from) > records->len);
+}
+
 static void read_fill(struct read *read, const GPtrArray *records)
 {
 	struct fake_log *log = read->log;
 	uint64_t first = fake_log_first(log, read->stream);
+	uint64_t from = position_offset(read->from);
 
 	g_array_set_size(read->records, 0);
-	for (uint64_t i = MAX(first, read->from);
-	     i < records->len && read->records->len < read->max; i++)
-		g_array_append_vals(read->records, records->pdata[i], 1);
-	if (read->records->len > 1 && log_chance(log, log->hole_percent))
-		g_array_remove_index(read->records, 0);
 	read->page = (struct log_page){
-		.first = first,
-		.next = records->len,
-		.records = (struct log_record *)(void *)read->records->data,
-		.count = read->records->len,
+		.first = position_make(log->era, first),
+		.next = position_make(log->era, first),
 	};
+	if (is_replaced(read, records))
+		return;
+	for (uint64_t i = MAX(first, from);
+	     i < records->len && read->records->len < read->max; i++) {
+		struct log_record record =
+			*(struct log_record *)records->pdata[i];
+
+		record.offset = position_make(log->era, i);
+		g_array_append_val(read->records, record);
+	}
+	if (read->records->len > 1 && log_chance(log, log->hole_percent))
+		g_array_remove_index(read->records, 0);
+	read->page.next = position_make(log->era, records->len);
+	read->page.records = (struct log_record *)(void *)read->records->data;
+	read->page.count = read->records->len;
 }
 
 static void read_arrived(void *data)
@@ -294,6 +329,7 @@
 							      : RESULT_OK;
 	read_fill(read, records);
 	if (read->code == RESULT_OK && !read->page.count &&
+	    !is_replaced(read, records) &&
 	    clock_now(log->clock) < read->until) {
 		call_queue_add(log->call_queue, POLL_USEC, read_arrived, read,
 			       NULL);
--- a/tests/fake/fake_log.h
+++ b/tests/fake/fake_log.h
@@ -31,6 +31,7 @@
 	bool outage_at_arrival; /* also fails appends sent before the outage */
 	int64_t retention;	/* 0: unlimited */
 	uint64_t appends;	/* number of append calls */
+	uint64_t era;		/* of the offsets, which are positions */
 };
 
 /* One node's access to the log; must live as long as the log. */
@@ -53,6 +54,8 @@
 const GPtrArray *fake_log_records(struct fake_log *log, const char *stream);
 /* Returns the offset of the oldest record within the retention. */
 uint64_t fake_log_first(struct fake_log *log, const char *stream);
+/* Comes back from a copy of that age in the next era. */
+void fake_log_restore(struct fake_log *log, int64_t age_usec);
 /* Appends without delay, for a record of another writer. */
 void fake_log_put(struct fake_log *log, const char *stream, const void *data,
 		  size_t size);
--- a/tests/forward/copies_world.c
+++ b/tests/forward/copies_world.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "common/position.h"
+
 #define STEP_MSEC 50
 #define TICK_MSEC 100
 #define WAIT_USEC (500 * USEC_PER_MSEC)
@@ -42,13 +44,13 @@
 /* The end of the log, as an interface to a store would give it. */
 static uint64_t position_of(const struct copies *copies)
 {
-	return copies->next;
+	return position_make(copies->era, copies->next);
 }
 
 /* Whether the store answers a read from there with 410. */
 static bool has_gap(const struct copies *copies, uint64_t from)
 {
-	return from > position_of(copies);
+	return position_era(from) != copies->era || from > position_of(copies);
 }
 
 static void call_answer(struct copy_mirror *own)
@@ -246,7 +248,7 @@
 
 static void mirrors_open(struct copies *copies, uint32_t i)
 {
-	static const struct mirror_ops ops = {NULL, NULL, on_value, NULL};
+	static const struct mirror_ops ops = {.value = on_value};
 	const struct feed_settings settings[COPY_STREAMS] = {
 		{.stream = "configuration", .wait_usec = WAIT_USEC, .seed = i},
 		{.stream = "list", .seed = i},
--- a/tests/forward/test_mirror.c
+++ b/tests/forward/test_mirror.c
@@ -58,7 +58,8 @@
 
 static void copy_create(struct copy *copy, struct clock *clock)
 {
-	static const struct mirror_ops ops = {on_begin, NULL, on_value, NULL};
+	static const struct mirror_ops ops = {.begin = on_begin,
+					      .value = on_value};
 	const struct feed_store store = {on_snapshot, on_read, copy};
 	const struct feed_settings settings = {.stream = "s"};
 
@@ -200,7 +201,7 @@
 static void test_repeats(void)
 {
 	static const struct mirror_ops ops = {on_begin, NULL, on_value_counted,
-					      on_repeats};
+					      on_repeats, NULL};
 	struct clock *clock = clock_create(0);
 	struct copy copy;
 
--- a/tests/platform/fuzz_records.c
+++ b/tests/platform/fuzz_records.c
@@ -45,7 +45,7 @@
 		entry_check(&info);
 	catalog_unref(decode_catalog(data, size, &err));
 	(void)runner_text_read(data, size, "handle", handle, sizeof(handle));
-	(void)store_read_snapshot(data, size, page_check, NULL);
+	(void)store_read_snapshot(data, size, 0, page_check, NULL);
 	if (store_read_keyed(data, size, 0, &page, &err)) {
 		page_check(NULL, RESULT_OK, &page);
 		g_free((void *)page.records);
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -5,6 +5,7 @@
 #include "../fake/rows.h"
 #include "common/error.h"
 #include "common/id.h"
+#include "common/position.h"
 #include "forward/regions.h"
 #include "platform/caller.h"
 #include "platform/decode.h"
@@ -278,6 +279,69 @@
 	g_assert_cmpuint(a.software, ==, b.software);
 }
 
+static void test_newer(void)
+{
+	static const struct {
+		const char *before;
+		const char *after;
+		bool newer;
+	} rows[] = {
+		{ENTRY("ready", "8", ",\"sequence\":4"),
+		 ENTRY("ready", "8", ",\"sequence\":5"), true},
+		{ENTRY("ready", "8", ",\"sequence\":5"),
+		 ENTRY("draining", "8", ",\"sequence\":5"), false},
+		{ENTRY("draining", "8", ",\"sequence\":15"),
+		 ENTRY("ready", "8", ",\"sequence\":9"), false},
+		/* A later start counts its heartbeats from the beginning. */
+		{ENTRY("ready", "8", ",\"born\":7,\"sequence\":15"),
+		 ENTRY("ready", "8", ",\"born\":8,\"sequence\":1"), true},
+		{ENTRY("ready", "8", ",\"born\":8,\"sequence\":1"),
+		 ENTRY("ready", "8", ",\"born\":7,\"sequence\":15"), false},
+		{"{not JSON", ENTRY("ready", "8", ",\"sequence\":1"), true},
+		{ENTRY("ready", "8", ",\"sequence\":1"), "{not JSON", false},
+		{ENTRY("ready", "8", ",\"sequence\":1"),
+		 ENTRY("ready", "8", ""), false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_assert_cmpint(decode_backend_newer(
+					rows[i].before, strlen(rows[i].before),
+					rows[i].after, strlen(rows[i].after)),
+				==, rows[i].newer);
+}
+
+static void on_era_page(void *ctx, enum result_code code,
+			const struct feed_page *page)
+{
+	*(struct feed_page *)ctx = *page;
+	g_assert_cmpuint(page->records[0].offset, ==, position_make(3, 6));
+}
+
+/* Offsets become positions of the answer's era. */
+static void test_positions(void)
+{
+	static const char snapshot[] =
+		"{\"items\":[{\"key\":\"k\",\"value\":\"dg==\",\"offset\":6}],"
+		"\"more_pages\":false,\"end\":9}";
+	static const unsigned char read[] = {0, 0, 0, 0, 0, 0,	 0,  7,
+					     0, 0, 0, 0, 0, 0,	 0,  2,
+					     0, 0, 0, 3, 1, 'k', 'v'};
+	struct feed_page page;
+	struct error err;
+
+	g_assert_true(store_read_snapshot(snapshot, strlen(snapshot), 3,
+					  on_era_page, &page));
+	g_assert_cmpuint(page.next, ==, position_make(3, 9));
+	g_assert_true(store_read_keyed(read, sizeof(read), position_make(3, 6),
+				       &page, &err));
+	g_assert_false(page.gap);
+	g_assert_cmpuint(page.next, ==, position_make(3, 7));
+	g_assert_cmpuint(page.end, ==, position_make(3, 7));
+	g_assert_cmpuint(page.records[0].offset, ==, position_make(3, 6));
+	g_free((void *)page.records);
+	g_assert_cmpuint(position_make(3, 0), >, position_make(2, 1 << 30));
+}
+
 static void test_entry(void)
 {
 	static const char text[] =
@@ -553,7 +617,7 @@
 	const struct snapshot_row *row = data;
 	struct snapshot_seen seen = {.keys = g_string_new(NULL)};
 
-	g_assert_true(store_read_snapshot(row->text, strlen(row->text),
+	g_assert_true(store_read_snapshot(row->text, strlen(row->text), 0,
 					  on_snapshot,
 					  &seen) == (row->keys != NULL));
 	g_assert_cmpuint(seen.calls, ==, row->keys ? 1 : 0);
@@ -739,6 +803,8 @@
 	g_test_add_func("/platform/unknown-kind", test_unknown_kind);
 	g_test_add_func("/platform/entry", test_entry);
 	g_test_add_func("/platform/software", test_software);
+	g_test_add_func("/platform/newer", test_newer);
+	g_test_add_func("/platform/positions", test_positions);
 	g_test_add_func("/platform/keyed", test_keyed);
 	g_test_add_func("/platform/fuzz", test_fuzz);
 	return g_test_run();
