--- a/tests/forward/test_eras.c
+++ b/tests/forward/test_eras.c
@@ -45,8 +45,8 @@
 {
 	struct copy *copy = ctx;
 
-	copy->listed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					     NULL);
+	copy->listed =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
 static gboolean is_unlisted(gpointer key, gpointer value, gpointer data)
@@ -68,8 +68,8 @@
 {
 	struct copy *copy = ctx;
 	char *text = data ? g_strndup(data, size) : NULL;
-	bool same = g_strcmp0(g_hash_table_lookup(copy->values, key), text) ==
-		    0;
+	bool same =
+		g_strcmp0(g_hash_table_lookup(copy->values, key), text) == 0;
 
 	if (copy->listed)
 		g_hash_table_add(copy->listed, g_strdup(key));
@@ -217,8 +217,7 @@
 	values_check(&copy, "a=5 leaving, b=6 ready, c=7 ready");
 	read_restored(&copy, "a=4 ready, b=8 leaving, d=9 ready, e=1 ready",
 		      position_make(2, 8));
-	values_check(&copy,
-		     "a=5 leaving, b=8 leaving, c=7 ready, e=1 ready");
+	values_check(&copy, "a=5 leaving, b=8 leaving, c=7 ready, e=1 ready");
 	/* A server that was away for a moment writes again. */
 	read_store(&copy, "d=10 ready, a=6 leaving", position_make(2, 10));
 	values_check(&copy, "a=6 leaving, b=8 leaving, c=7 ready, d=10 ready, "
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,8 +1,9 @@
-/* soak BUILD SEED [SECONDS [repeats|asks|versions]]: one run; exit status 1
- * when a guarantee was violated. With "repeats" a caller repeats a request that
- * crashes servers, with "asks" servers announce rate limits, request backoffs
- * and announce that they are leaving, with "versions" servers restart with
- * other software versions and callers resume streams. */
+/* soak BUILD SEED [SECONDS [repeats|asks|versions|drills]]: one run; exit
+ * status 1 when a guarantee was violated. With "repeats" a caller repeats a
+ * request that crashes servers, with "asks" servers announce rate limits,
+ * request backoffs and announce that they are leaving, with "versions" servers
+ * restart with other software versions and callers resume streams, with
+ * "drills" the store comes back from old copies. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -107,6 +108,8 @@
 		backpressure_start(soak);
 	if (soak->versions_enabled)
 		versions_start(soak);
+	if (soak->drills_enabled)
+		drills_start(soak);
 	while (clock_now(soak->clock) < soak->end_at) {
 		soak_loop_run(soak, g_rand_int_range(soak->rand, 50, 500) *
 					    USEC_PER_MSEC);
@@ -127,6 +130,8 @@
 		repeats_check(soak);
 	if (soak->versions_enabled)
 		versions_check(soak);
+	if (soak->drills_enabled)
+		drills_check(soak);
 	timer_stop(&soak->watch_timer);
 	soak_stop(soak);
 }
@@ -139,6 +144,7 @@
 
 	soak.repeats_enabled = argc > 4 && strcmp(argv[4], "repeats") == 0;
 	soak.versions_enabled = argc > 4 && strcmp(argv[4], "versions") == 0;
+	soak.drills_enabled = argc > 4 && strcmp(argv[4], "drills") == 0;
 	soak.backpressure_enabled = argc > 4 && strcmp(argv[4], "asks") == 0;
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
@@ -151,6 +157,7 @@
 	soak.caller_rand = g_rand_new_with_seed(seed + 1000000);
 	soak.backpressure_rand = g_rand_new_with_seed(seed + 2000000);
 	soak.version_rand = g_rand_new_with_seed(seed + 3000000);
+	soak.drill_rand = g_rand_new_with_seed(seed + 4000000);
 	soak.calls = g_ptr_array_new();
 	soak_run(&soak, seconds);
 	printf("seed %u: %s, %u calls, %u faults, %u broken%s%s\n", seed,
@@ -161,6 +168,7 @@
 	g_rand_free(soak.caller_rand);
 	g_rand_free(soak.backpressure_rand);
 	g_rand_free(soak.version_rand);
+	g_rand_free(soak.drill_rand);
 	g_free(soak.site_address);
 	g_free(soak.folder);
 	return soak.failures > 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -113,6 +113,11 @@
 	GRand *version_rand;
 	struct timer change_timer;
 	struct timer resume_timer;
+	/* For runs with a store that comes back from old copies. */
+	bool drills_enabled;
+	GRand *drill_rand;
+	uint32_t drills; /* steps */
+	struct timer drill_timer;
 	uint32_t posts_pending; /* calls of site_post() without an answer */
 	bool loop_running;
 };
@@ -168,6 +173,10 @@
 void versions_start(struct soak *soak);
 void versions_check(struct soak *soak);
 
+/* drills.c */
+void drills_start(struct soak *soak);
+void drills_check(struct soak *soak);
+
 /* asks.c */
 void backpressure_start(struct soak *soak);
 /* Removes the limits and backoffs of all servers and restarts them. */
