forward: datagrams of a later release are understood as far as they are known

A summary with one flag more was refused as a whole, so instances of two releases could not share their state (docs/design/reach.md).

Further fields of a summary, flags and kinds are ignored. forward-releases holds the bytes of the release before: this one reads them, and sends the same.

--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -24,6 +24,9 @@
  *	the two halves of a request fingerprint and the incarnations of servers
  *	that crashed
  *
+ *	Kinds that are not known, further fields of a summary and further flags
+ *	are ignored.
+ *
  *	A usage is [organisation, epoch, used, demand, level]. A fact is
  *	[backend, limit or -1, age of the limit in microseconds, leaving,
  *	microseconds left of a cold start, limit during the cold start], with
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -412,7 +412,7 @@
 	    !unsigned_read(&fields[4], UINT32_MAX, &waiting) ||
 	    !unsigned_read(&fields[5], PREFILL_RATES_MAX, &rates) ||
 	    !unsigned_read(&fields[6], UINT32_MAX, &rate_count) ||
-	    !unsigned_read(&fields[7], FLAGS_ALL, &flags) ||
+	    !unsigned_read(&fields[7], UINT32_MAX, &flags) ||
 	    !changing_read(&fields[8], &message->summary))
 		return false;
 	message->summary.demand = (double)demand;
@@ -464,7 +464,7 @@
 	uint64_t format;
 	uint64_t kind;
 
-	if (!is_array(object, SUMMARY_FIELDS) ||
+	if (!is_array(object, FIELDS_MAX) ||
 	    object->via.array.size < CHANGES_FIELDS ||
 	    !unsigned_read(&fields[0], GOSSIP_FORMAT, &format) ||
 	    format != GOSSIP_FORMAT ||
@@ -480,7 +480,7 @@
 		return false;
 	if (message->kind == GOSSIP_CHANGES)
 		return object->via.array.size == CHANGES_FIELDS;
-	return object->via.array.size == SUMMARY_FIELDS &&
+	return object->via.array.size >= SUMMARY_FIELDS &&
 	       summary_read(&fields[CHANGES_FIELDS], message);
 }
 
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -7,6 +7,8 @@
 
 /* Kinds up to this one may come from a later release. */
 #define KIND_MAX 255
+/* Further fields of a summary may, too. */
+#define FIELDS_MAX 64
 #define CHANGES_FIELDS 5
 #define QUARANTINE_FIELDS 5
 #define SUMMARY_FIELDS 20
@@ -36,9 +38,6 @@
 #define FLAG_STORE_UNREACHABLE 2u
 #define FLAG_LOWEST_STORE_UNREACHABLE 4u
 #define FLAG_LINKS_LOST 8u
-#define FLAGS_ALL                                                              \
-	(FLAG_LEAVING | FLAG_STORE_UNREACHABLE |                               \
-	 FLAG_LOWEST_STORE_UNREACHABLE | FLAG_LINKS_LOST)
 /* Largest valid load: tokens of all requests that a data centre may have at one
  * server. */
 #define LOAD_MAX (1 << 30)
--- /dev/null
+++ b/tests/forward/test_releases.c
@@ -0,0 +1,102 @@
+/* Datagrams between instances of different releases. */
+#include <glib.h>
+
+#include "../../forward/gossip_codec.h"
+#include "common/error.h"
+
+/* Offset of its flags. */
+#define FLAGS_AT 30
+
+/* A summary as the release before sends it. */
+static const guint8 summary_before[] = {
+	0xdc, 0x00, 0x14, 0x04, 0x00, 0x05, 0x06, 0x91, 0x94, 0x07,
+	0x01, 0xcd, 0x07, 0xd0, 0xcd, 0x01, 0x2c, 0xa2, 0x6e, 0x31,
+	0xa4, 0x68, 0x65, 0x72, 0x65, 0x09, 0x00, 0x03, 0x00, 0x00,
+	0x08, 0x90, 0x92, 0x93, 0x0a, 0x08, 0xcd, 0x4e, 0x20, 0x93,
+	0x1e, 0x1e, 0xff, 0xa2, 0x6e, 0x30, 0x91, 0xcf, 0x00, 0x00,
+	0x7f, 0x00, 0x00, 0x01, 0x00, 0x46, 0x90, 0x90, 0x90,
+};
+
+static void message_fill(struct gossip_message *message)
+{
+	struct gossip_load load = {7, {1, 2000, 300}};
+
+	gossip_message_init(message, GOSSIP_INSTANCE_SUMMARY);
+	message->boot = 5;
+	message->sequence = 6;
+	g_strlcpy(message->name, "n1", sizeof(message->name));
+	g_strlcpy(message->group, "here", sizeof(message->group));
+	g_strlcpy(message->lowest.name, "n0", sizeof(message->lowest.name));
+	message->summary.version = 9;
+	message->summary.waiting = 3;
+	message->summary.links_lost = true;
+	message->summary.mirrors[0] = (struct mirror_status){10, 8, 20000};
+	message->summary.mirrors[1] = (struct mirror_status){30, 30, -1};
+	g_array_append_val(message->loads, load);
+	gossip_message_add(message, "127.0.0.1:70");
+}
+
+static void summary_check(const guint8 *data, size_t size)
+{
+	struct gossip_message message;
+	struct error err;
+
+	g_assert_true(gossip_decode(&message, data, size, &err));
+	g_assert_cmpint(message.kind, ==, GOSSIP_INSTANCE_SUMMARY);
+	g_assert_cmpstr(message.name, ==, "n1");
+	g_assert_cmpuint(message.summary.version, ==, 9);
+	g_assert_cmpuint(message.summary.mirrors[0].next, ==, 10);
+	g_assert_true(message.summary.links_lost);
+	g_assert_cmpuint(message.loads->len, ==, 1);
+	g_assert_cmpuint(message.addresses->len, ==, 1);
+	gossip_message_clear(&message);
+}
+
+/* What this release sends is what the one before reads, and it reads what that
+ * one sends. */
+static void test_before(void)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct gossip_message message;
+
+	summary_check(summary_before, sizeof(summary_before));
+	message_fill(&message);
+	gossip_encode(&message, out);
+	gossip_message_clear(&message);
+	g_assert_cmpmem(out->data, out->len, summary_before,
+			sizeof(summary_before));
+}
+
+/* Fields, flags and kinds of a later release are ignored. */
+static void test_after(void)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	static const guint8 field = 0x2a;
+	struct gossip_message message;
+	struct error err;
+
+	g_byte_array_append(out, summary_before, sizeof(summary_before));
+	out->data[2]++;
+	g_byte_array_append(out, &field, 1);
+	summary_check(out->data, out->len);
+	g_byte_array_set_size(out, 0);
+	g_byte_array_append(out, summary_before, sizeof(summary_before));
+	g_assert_cmpuint(out->data[FLAGS_AT], ==, 0x08);
+	out->data[FLAGS_AT] |= 0x40;
+	summary_check(out->data, out->len);
+	/* [4, kind 20, 5, 6, [1, 2, 3]] */
+	g_byte_array_set_size(out, 0);
+	g_byte_array_append(
+		out, (const guint8[]){0x95, 4, 20, 5, 6, 0x93, 1, 2, 3}, 9);
+	g_assert_true(gossip_decode(&message, out->data, out->len, &err));
+	g_assert_cmpint(message.kind, ==, GOSSIP_UNKNOWN);
+	gossip_message_clear(&message);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/releases/before", test_before);
+	g_test_add_func("/forward/releases/after", test_after);
+	return g_test_run();
+}
--- a/tests/soak/drills.c
+++ b/tests/soak/drills.c
@@ -33,10 +33,10 @@
 	if (clock_now(soak->clock) >= soak->end_at)
 		return;
 	site_post(soak, "/site/store", body);
-	timer_start(timer, g_rand_int_range(soak->drill_rand,
-					    steps[step].wait_min,
-					    steps[step].wait_max) *
-				   USEC_PER_MSEC);
+	timer_start(timer,
+		    g_rand_int_range(soak->drill_rand, steps[step].wait_min,
+				     steps[step].wait_max) *
+			    USEC_PER_MSEC);
 }
 
 void drills_start(struct soak *soak)
