forward: the merge of a store's older copy is a decision of its own

mirror.c had grown by which value is taken, what was dropped and what is missing. forward/merge.c decides that without a clock or the network; behaviour is as before (forward-eras, forward-mirror, forward-copies-restored).

--- a/forward/mirror.c
+++ b/forward/mirror.c
@@ -6,6 +6,7 @@
 #include "common/pack.h"
 #include "common/position.h"
 #include "common/unpack.h"
+#include "forward/merge.h"
 
 /* An instance without a copy waits this long for one that a peer has announced,
  * and at most FETCH_WAIT_MAX_USEC after its start, before it reads the store
@@ -25,15 +26,6 @@
  * whole copy. */
 #define CHANGES_MAX 4096u
 
-/* After the store has come back from an older copy, its snapshots are merged
- * with what was known before for this long. By then all writers have written
- * again. */
-#define MERGE_USEC (3 * USEC_PER_SEC)
-/* Dropped values are remembered for this long, and at most so many: a copy of
- * the store may still have them. */
-#define DROPPED_USEC (60 * USEC_PER_SEC)
-#define DROPPED_MAX 4096u
-
 struct mirror {
 	struct clock *clock;
 	int64_t started_at;	  /* the start, or when the peers were listed */
@@ -50,16 +42,7 @@
 	uint64_t delta_floor; /* deltas are possible from this offset on */
 	uint64_t changed;
 	uint64_t era;
-	int64_t merge_until; /* 0: never */
-	GHashTable *dropped; /* key to struct dropped */
-	/* Keys that the store's copy lacks, until they are written again. */
-	GHashTable *unconfirmed;
-};
-
-/* The last value of a key that was dropped. */
-struct dropped {
-	GBytes *data;
-	int64_t at;
+	struct merge *merge;
 };
 
 struct value {
@@ -81,14 +64,6 @@
 	g_free(value);
 }
 
-static void dropped_free(gpointer data)
-{
-	struct dropped *dropped = data;
-
-	g_bytes_unref(dropped->data);
-	g_free(dropped);
-}
-
 static void change_clear(gpointer data)
 {
 	struct change *change = data;
@@ -142,77 +117,26 @@
 	return true;
 }
 
-static gboolean is_forgotten(gpointer key, gpointer value, gpointer data)
-{
-	const struct dropped *dropped = value;
-	const int64_t *now = data;
-
-	return *now - dropped->at >= DROPPED_USEC;
-}
-
-static void dropped_add(struct mirror *mirror, const char *key,
-			const struct value *value)
-{
-	struct dropped *dropped;
-	int64_t now = clock_now(mirror->clock);
-
-	if (!mirror->ops.newer)
-		return;
-	if (g_hash_table_size(mirror->dropped) >= DROPPED_MAX)
-		g_hash_table_foreach_remove(mirror->dropped, is_forgotten,
-					    &now);
-	if (g_hash_table_size(mirror->dropped) >= DROPPED_MAX)
-		return;
-	dropped = g_new0(struct dropped, 1);
-	dropped->data = g_bytes_ref(value->data);
-	dropped->at = now;
-	g_hash_table_replace(mirror->dropped, g_strdup(key), dropped);
-}
-
-static bool is_newer(const struct mirror *mirror, GBytes *before,
-		     const void *data, size_t size)
-{
-	gsize old_size;
-	const void *old = g_bytes_get_data(before, &old_size);
-
-	return mirror->ops.newer(mirror->ctx, old, old_size, data, size);
-}
-
 static bool is_merging(const struct mirror *mirror)
 {
 	return mirror->previous &&
-	       clock_now(mirror->clock) < mirror->merge_until;
+	       merge_active(mirror->merge, clock_now(mirror->clock));
 }
 
-static void value_deliver(struct mirror *mirror, const char *key)
+/* Keeps the value that a key had before the snapshot in progress. */
+static void value_keep(struct mirror *mirror, const char *key)
 {
-	const struct value *value = g_hash_table_lookup(mirror->values, key);
+	const struct value *value;
+	const void *data;
 	gsize size;
-	const void *data = g_bytes_get_data(value->data, &size);
 
+	if (!value_restore(mirror, key))
+		return;
+	value = g_hash_table_lookup(mirror->values, key);
+	data = g_bytes_get_data(value->data, &size);
 	(void)mirror->ops.value(mirror->ctx, value->changed, key, data, size);
 }
 
-/* Whether a value of a snapshot is no newer than the one known before, which
- * then stays, or than one that was dropped. */
-static bool value_merge(struct mirror *mirror, const char *key,
-			const void *data, size_t size)
-{
-	const struct value *before = g_hash_table_lookup(mirror->previous, key);
-	const struct dropped *dropped =
-		g_hash_table_lookup(mirror->dropped, key);
-
-	if (!mirror->ops.newer || !data)
-		return false;
-	if (before && !is_newer(mirror, before->data, data, size)) {
-		(void)value_restore(mirror, key);
-		value_deliver(mirror, key);
-		return true;
-	}
-	return !before && dropped &&
-	       !is_newer(mirror, dropped->data, data, size);
-}
-
 /* Keeps what a snapshot lacks until its writers had time to write again. */
 static void missing_keep(struct mirror *mirror)
 {
@@ -223,12 +147,25 @@
 
 		if (g_hash_table_contains(mirror->values, key))
 			continue;
-		(void)value_restore(mirror, key);
-		value_deliver(mirror, key);
-		g_hash_table_add(mirror->unconfirmed, g_steal_pointer(&key));
+		value_keep(mirror, key);
+		merge_missing(mirror->merge, key);
 	}
 }
 
+/* Whether a value of the snapshot in progress is taken; if not, the one known
+ * before stays, or none. */
+static bool snapshot_takes(struct mirror *mirror, const char *key,
+			   const void *data, size_t size)
+{
+	const struct value *before = g_hash_table_lookup(mirror->previous, key);
+
+	if (!data || merge_takes(mirror->merge, key,
+				 before ? before->data : NULL, data, size))
+		return true;
+	value_keep(mirror, key);
+	return false;
+}
+
 static bool is_repeated(const struct mirror *mirror, const struct value *known,
 			const void *data, size_t size)
 {
@@ -247,11 +184,12 @@
 	bool is_change;
 	bool is_confirmed;
 
-	if (is_merging(mirror) && value_merge(mirror, key, data, size))
+	if (is_merging(mirror) && !snapshot_takes(mirror, key, data, size))
 		return;
-	is_confirmed = g_hash_table_remove(mirror->unconfirmed, key);
+	is_confirmed = merge_written(mirror->merge, key);
 	if (!data && known)
-		dropped_add(mirror, key, known);
+		merge_dropped(mirror->merge, key, known->data,
+			      clock_now(mirror->clock));
 	if (data && known && !is_confirmed &&
 	    is_repeated(mirror, known, data, size))
 		return;
@@ -306,7 +244,7 @@
 	g_array_set_size(mirror->changes, 0);
 	if (feed_era(mirror->feed) > mirror->era &&
 	    g_hash_table_size(mirror->previous) > 0) {
-		mirror->merge_until = clock_now(mirror->clock) + MERGE_USEC;
+		merge_start(mirror->merge, clock_now(mirror->clock));
 		log_event(LOG_NOTICE, "store_restored",
 			  LOG_S("stream", mirror->settings.stream),
 			  LOG_D("era", feed_era(mirror->feed)),
@@ -356,10 +294,7 @@
 	mirror->ops = *ops;
 	mirror->ctx = ctx;
 	mirror->values = values_create();
-	mirror->dropped = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-						dropped_free);
-	mirror->unconfirmed =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	mirror->merge = merge_create(ops->newer, ctx);
 	mirror->changes = g_array_new(FALSE, FALSE, sizeof(struct change));
 	g_array_set_clear_func(mirror->changes, change_clear);
 	mirror->feed =
@@ -374,8 +309,7 @@
 	feed_destroy(mirror->feed);
 	previous_drop(mirror);
 	g_hash_table_destroy(mirror->values);
-	g_hash_table_destroy(mirror->dropped);
-	g_hash_table_destroy(mirror->unconfirmed);
+	merge_destroy(mirror->merge);
 	g_array_unref(mirror->changes);
 	g_free(mirror);
 }
@@ -445,29 +379,23 @@
 			  LOG_D("patience_ms", bound / USEC_PER_MSEC));
 }
 
-/* Drops what was not written again, once a copy shows it that was complete
- * after the time allowed. */
-static void unconfirmed_drop(struct mirror *mirror)
+/* Drops what was not written again since a snapshot lacked it. */
+static void overdue_drop(struct mirror *mirror)
 {
-	g_autoptr(GList) keys = NULL;
+	GList *keys =
+		merge_overdue(mirror->merge, feed_synced_at(mirror->feed));
 
-	if (g_hash_table_size(mirror->unconfirmed) == 0 ||
-	    feed_synced_at(mirror->feed) < mirror->merge_until)
-		return;
-	keys = g_hash_table_get_keys(mirror->unconfirmed);
-	for (GList *link = keys; link; link = link->next) {
-		g_autofree char *key = g_strdup(link->data);
-
-		value_apply(mirror, feed_position(mirror->feed) - 1, key, NULL,
-			    0);
-	}
+	for (GList *link = keys; link; link = link->next)
+		value_apply(mirror, feed_position(mirror->feed) - 1, link->data,
+			    NULL, 0);
+	g_list_free_full(keys, g_free);
 }
 
 void mirror_tick(struct mirror *mirror, const struct reader_place *place)
 {
 	struct reader_state state = reader_state(mirror);
 
-	unconfirmed_drop(mirror);
+	overdue_drop(mirror);
 
 	if (reader_is_due(&state, place, clock_now(mirror->clock)) &&
 	    !is_fetching(mirror) && feed_poll(mirror->feed))
