forward: a store's first era is known, and its older configuration is not taken

Found by reading the change: a store whose first era is 0 was taken for one that states none, so its first return from a copy made no instance register again, and a log that was empty in that era was followed without a gap, so two instances could hold a lease.

--- a/coord/log_tail.c
+++ b/coord/log_tail.c
@@ -64,8 +64,10 @@
 
 static void tail_page(struct log_tail *tail, const struct log_page *page)
 {
-	/* Nothing is missing at the beginning of a log, in whatever era. */
-	if (tail->position == 0 && position_offset(page->first) == 0)
+	/* Before the first read nothing is missing at the beginning of a log,
+	 * in whatever era. */
+	if (tail->position == 0 && !tail->at_end &&
+	    position_offset(page->first) == 0)
 		tail->position = page->first;
 
 	if (page->first > tail->position) {
--- a/forward/node.h
+++ b/forward/node.h
@@ -87,6 +87,7 @@
 	int64_t served_since; /* start of the second that served_bytes counts */
 	size_t served_bytes;
 	uint64_t era; /* of the store, as this instance has written to it */
+	bool era_known;
 	bool registered;
 	int64_t registered_at;
 	bool draining;
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -218,26 +218,36 @@
 		feed_poll(node->peer_feed);
 }
 
-static uint64_t era_known(const struct node *node)
+/* The latest era that a copy shows; false without a copy. */
+static bool era_find(const struct node *node, uint64_t *era)
 {
-	uint64_t era = 0;
+	bool found = false;
 
-	for (int i = 0; i < GOSSIP_MIRRORS; i++)
-		era = MAX(era, position_era(mirror_position(
-				       node->mirrors[i].mirror)));
-	return era;
+	*era = 0;
+	for (int i = 0; i < GOSSIP_MIRRORS; i++) {
+		struct mirror_status status;
+
+		mirror_status(node->mirrors[i].mirror, &status);
+		found |= status.age_usec >= 0;
+		*era = MAX(*era, position_era(status.next));
+	}
+	return found;
 }
 
 /* Writes again what this instance has written to the store, which may have lost
  * it, once it has come back from an older copy. */
 static void era_check(struct node *node)
 {
-	uint64_t before = node->era;
 	double spread = (double)gossip_instances(node->gossip) *
 			(double)REGISTER_SPREAD_USEC;
+	bool is_first = !node->era_known;
+	uint64_t era;
 
-	node->era = MAX(node->era, era_known(node));
-	if (before == 0 || node->era == before || node->draining)
+	if (!era_find(node, &era) || (!is_first && era <= node->era))
+		return;
+	node->era = era;
+	node->era_known = true;
+	if (is_first || node->draining)
 		return;
 	quarantine_store_lost(node->quarantine);
 	timer_start(&node->register_timer,
@@ -356,15 +366,15 @@
 
 	for (int i = 0; i < GOSSIP_MIRRORS; i++) {
 		struct node_mirror *mirror = &node->mirrors[i];
-
-		if (!mirror_merge_status(mirror->mirror,
-					 &summary->mirrors[i])) {
-			mirror->whole = is_older_config(
-				node, (enum node_stream)i, summary);
-			if (!mirror->whole) {
-				mirror->remote_since = 0;
-				continue;
-			}
+		bool is_behind = mirror_merge_status(mirror->mirror,
+						     &summary->mirrors[i]);
+
+		if (!is_behind &&
+		    is_older_config(node, (enum node_stream)i, summary))
+			is_behind = mirror->whole = true;
+		if (!is_behind) {
+			mirror->remote_since = 0;
+			continue;
 		}
 		mirror_fetch_pending(mirror->mirror);
 		if (mirror->fetch || local_may_serve(mirror, address))
--- a/tests/member/test_log_tail.c
+++ b/tests/member/test_log_tail.c
@@ -5,6 +5,7 @@
 #include <glib.h>
 #include <string.h>
 
+#include "common/position.h"
 #include "coord/log_tail.h"
 #include "rows.h"
 
@@ -18,6 +19,7 @@
 	STORE_BAD_PAGE, /* next is before the requested offset */
 	STORE_SILENT,	/* no answer */
 	STORE_LATE,	/* the answer arrives after the timeout */
+	STORE_ERA,	/* one record, the first of the log of era count */
 	STORE_STOP,	/* the tail is stopped while the read is in flight */
 };
 
@@ -77,6 +79,10 @@
 	case STORE_DROPPED:
 		answer(s, fn, fn_ctx, s->from + 3, s->from + 3, step->count);
 		break;
+	case STORE_ERA:
+		answer(s, fn, fn_ctx, position_make(step->count, 0),
+		       position_make(step->count, 0), 1);
+		break;
 	case STORE_EMPTY:
 		answer(s, fn, fn_ctx, 0, s->from, 0);
 		break;
@@ -150,6 +156,7 @@
 	const char *trace;
 	uint64_t position;
 	bool running;
+	bool from_start; /* of the log, instead of from 5 */
 };
 
 static const struct row rows[] = {
@@ -159,78 +166,120 @@
 	 false,
 	 "5 6 7 8 9 ",
 	 10,
-	 true},
+	 true,
+	 false},
 	{"an empty page",
 	 {{STORE_EMPTY, 0}, {STORE_RECORDS, 1}},
 	 2,
 	 false,
 	 "5 ",
 	 6,
-	 true},
+	 true,
+	 false},
 	{"a record twice",
 	 {{STORE_RECORDS, 1}, {STORE_OVERLAP, 1}},
 	 2,
 	 false,
 	 "5 6 ",
 	 7,
-	 true},
+	 true,
+	 false},
 	{"records dropped",
 	 {{STORE_RECORDS, 1}, {STORE_DROPPED, 2}},
 	 2,
 	 false,
 	 "5 gap:6-9 9 10 ",
 	 11,
-	 true},
+	 true,
+	 false},
 	{"all records dropped",
 	 {{STORE_DROPPED, 0}},
 	 1,
 	 false,
 	 "gap:5-8 ",
 	 8,
-	 true},
+	 true,
+	 false},
 	{"the log is down",
 	 {{STORE_RECORDS, 1}, {STORE_DOWN, 0}, {STORE_RECORDS, 1}},
 	 3,
 	 false,
 	 "5 log-down 6 ",
 	 7,
-	 true},
+	 true,
+	 false},
 	{"the log is down twice",
 	 {{STORE_DOWN, 0}, {STORE_DOWN, 0}, {STORE_RECORDS, 1}},
 	 3,
 	 false,
 	 "log-down log-down 5 ",
 	 6,
-	 true},
+	 true,
+	 false},
 	{"a page with a lower end",
 	 {{STORE_BAD_PAGE, 0}, {STORE_RECORDS, 1}},
 	 2,
 	 false,
 	 "log-gap 5 ",
 	 6,
-	 true},
+	 true,
+	 false},
 	{"no answer",
 	 {{STORE_SILENT, 0}, {STORE_RECORDS, 1}},
 	 2,
 	 false,
 	 "log-down 5 ",
 	 6,
-	 true},
+	 true,
+	 false},
 	{"a late answer",
 	 {{STORE_LATE, 0}, {STORE_RECORDS, 2}},
 	 2,
 	 false,
 	 "log-down 5 6 ",
 	 7,
-	 true},
+	 true,
+	 false},
 	{"stopped in flight",
 	 {{STORE_STOP, 0}},
 	 1,
 	 false,
 	 "stopped ",
 	 5,
+	 false,
+	 false},
+	{"stopped in a record",
+	 {{STORE_RECORDS, 3}},
+	 1,
+	 true,
+	 "5 ",
+	 6,
+	 false,
 	 false},
-	{"stopped in a record", {{STORE_RECORDS, 3}}, 1, true, "5 ", 6, false},
+	{"the start of a log of a later era",
+	 {{STORE_ERA, 1}},
+	 1,
+	 false,
+	 "1099511627776 ",
+	 ((uint64_t)1 << POSITION_OFFSET_BITS) + 1,
+	 true,
+	 true},
+	{"an empty log that is replaced",
+	 {{STORE_EMPTY, 0}, {STORE_ERA, 1}},
+	 2,
+	 false,
+	 "gap:0-1099511627776 1099511627776 ",
+	 ((uint64_t)1 << POSITION_OFFSET_BITS) + 1,
+	 true,
+	 true},
+	{"a log that is replaced by a shorter one",
+	 {{STORE_RECORDS, 3}, {STORE_ERA, 1}},
+	 2,
+	 false,
+	 "0 1 2 gap:3-1099511627776 1099511627776 ",
+	 ((uint64_t)1 << POSITION_OFFSET_BITS) + 1,
+	 true,
+	 true},
 };
 
 static void test_row(gconstpointer data)
@@ -250,7 +299,7 @@
 	timer_init(&s.timer, s.clock, store_act, &s);
 	s.tail = log_tail_create(s.clock, &store, LOG_STREAM_CONFIG, 1, &ops,
 				 &s);
-	log_tail_start(s.tail, 5);
+	log_tail_start(s.tail, row->from_start ? 0 : 5);
 	/* Ends before the last read, which gets no answer, times out. */
 	for (int i = 0; i < 60 && (s.step < row->count || i < 2); i++)
 		clock_advance(s.clock, clock_now(s.clock) + USEC_PER_SEC / 2);
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -207,7 +207,8 @@
 		store_copy(site);
 	} else if (strcmp(state, "restore") == 0) {
 		store_restore(site);
-		site_config(site);
+		if (!json_is_true(json_object_get(root, "unwritten")))
+			site_config(site);
 	} else {
 		site->down = strcmp(state, "down") == 0;
 	}
@@ -335,7 +336,7 @@
 		.idle_usec = 30 * USEC_PER_SEC,
 		.request_usec = 30 * USEC_PER_SEC,
 	};
-	struct site site = {.version = 3, .timeout_msec = 10000, .era = 1};
+	struct site site = {.version = 3, .timeout_msec = 10000};
 	struct error err;
 
 	site.clock = clock_create_system();
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -28,7 +28,8 @@
  *	POST /site/store   {"state": "up"}, or "down", "forget", "copy" (keeps
  *			   a copy), "restore" (comes back from that copy in a
  *			   new era; what was written since is lost, but for the
- *			   configuration and what servers write again)
+ *			   configuration, unless "unwritten" is true, and what
+ *			   servers write again)
  *	POST /site/limit   {"server": "s1", "per_s": N}: its answers announce a
  *			   limit of N requests per second; none if negative
  *	POST /site/leaving {"server": "s1"}: its answers announce that it is
