forward: a reserved server is not used once the list shows another version of it

A resumed stream that had reserved there ran at the new version. The contract row 'its server has another one once reserved' sent the run before; it is refused now, not run.

--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -239,6 +239,13 @@
 		       IDLE_TIMEOUT_MIN_USEC));
 }
 
+/* The list may have shown another version of the server since it reserved. */
+static bool continues(const struct request *request,
+		      const struct backend *decode)
+{
+	return !request->software || decode->info.software == request->software;
+}
+
 void stream_run(struct request *request)
 {
 	static const struct send_events events = {run_head, run_body, run_done};
@@ -262,7 +269,7 @@
 	if (request_quarantine(request))
 		return;
 	charge_drop(request, &request->prefill);
-	if (!decode ||
+	if (!decode || !continues(request, decode) ||
 	    (!request->is_probe &&
 	     !backend_usable(decode, request_now(request))) ||
 	    !request_choose_path(request, decode) ||
