forward: streams that have begun go first only where there are several versions

Their reason is that only a part of the servers can continue them, which does not hold where all servers have one version.

--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -67,13 +67,28 @@
 				     request->forward->first_event_usec);
 }
 
+/* Whether only a part of the servers can continue the stream. */
+static bool is_confined(const struct request *request)
+{
+	const GPtrArray *servers = fleet_service(request->forward->parts.fleet,
+						 request->service->id);
+
+	for (guint i = 0; request->software && servers && i < servers->len;
+	     i++) {
+		const struct backend *backend = servers->pdata[i];
+
+		if (backend->info.software != request->software)
+			return true;
+	}
+	return false;
+}
+
 static bool goes_first(const struct request *request, int64_t now)
 {
-	return request->software || meets_target(request, now);
+	return is_confined(request) || meets_target(request, now);
 }
 
-/* Streams that have begun go before new ones: only a part of the servers can
- * continue them. */
+/* Streams that only a part of the servers can continue go before others. */
 static gint order_compare(gconstpointer a, gconstpointer b)
 {
 	const struct request *first = *(struct request *const *)a;
@@ -81,8 +96,8 @@
 	const struct overload_caller one = caller_of(first);
 	const struct overload_caller other = caller_of(second);
 
-	if ((first->software != 0) != (second->software != 0))
-		return first->software ? -1 : 1;
+	if (is_confined(first) != is_confined(second))
+		return is_confined(first) ? -1 : 1;
 	return overload_compare(&one, &other);
 }
 
@@ -101,7 +116,7 @@
 		if (request_quarantine(request))
 			continue;
 		if (!stream_reserve(request, in_time ? 1 : LATE_ROOM_FACTOR) &&
-		    !request->software)
+		    !is_confined(request))
 			return;
 	}
 }
@@ -123,7 +138,7 @@
 {
 	const struct overload_caller caller = caller_of(request);
 
-	if (request->reservations > 0 || request->software ||
+	if (request->reservations > 0 || is_confined(request) ||
 	    request->checked_early || !overload_check_due(&caller, now))
 		return false;
 	request->checked_early = true;
