--- a/coord/lease.c
+++ b/coord/lease.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "common/log.h"
+#include "common/position.h"
 #include "coord/log_tail.h"
 #include "coord/retry.h"
 #include "lease_fold.h"
@@ -267,7 +268,7 @@
 
 	if (!lease_record_unpack(&record, log_record->data, log_record->size)) {
 		log_event(LOG_WARNING, "lease_record_malformed",
-			  LOG_D("offset", log_record->offset));
+			  LOG_D("offset", position_offset(log_record->offset)));
 		return;
 	}
 	lease = lease_find(leases, record.task);
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -68,7 +68,7 @@
 {
 	node->malformed->value++;
 	log_event(LOG_WARNING, "record_refused", LOG_S("what", what),
-		  LOG_S("key", key), LOG_D("offset", offset),
+		  LOG_S("key", key), LOG_D("offset", position_offset(offset)),
 		  LOG_S("reason", err->text));
 }
 
@@ -148,7 +148,7 @@
 	if (!put) {
 		log_event(LOG_INFO, "entry_passed_over", LOG_S("backend", key),
 			  LOG_D("born", info.started_ms),
-			  LOG_D("offset", offset));
+			  LOG_D("offset", position_offset(offset)));
 		return MIRROR_REJECTED;
 	}
 	if (backend_set_cold(put, clock_now(node->clock), info.cold_usec))
--- a/forward/node_quarantine.c
+++ b/forward/node_quarantine.c
@@ -17,6 +17,7 @@
 #include <string.h>
 
 #include "common/log.h"
+#include "common/position.h"
 
 /* Maximum numbers of requests in quarantine and of suspects, 2 MiB in total. A
  * request is quarantined after three crashes, so 12,000 crashes are needed to
@@ -146,7 +147,7 @@
 	    !value_read(record, &entry))
 		log_event(LOG_WARNING, "work_malformed",
 			  LOG_S("key", record->key),
-			  LOG_D("offset", record->offset));
+			  LOG_D("offset", position_offset(record->offset)));
 	else if (quarantine_merge(node->quarantine, &entry))
 		received_log(node, "store", &entry.fingerprint);
 	return true;
--- a/forward/request.h
+++ b/forward/request.h
@@ -296,6 +296,8 @@
 void resume_record(struct request *request, bool at_once);
 /* Whether no server is left that could continue the stream. */
 bool resume_is_unserved(const struct request *request);
+/* Starts a request that may be sent to any server, or whose version is known.
+ */
 void request_serve(struct request *request);
 
 /* plain.c, stream.c and waiting.c */
