forward: crashed servers are no evidence about the links of an instance

A refused check is repeated through another instance, which answers only once it has connected to another server. For that it chose servers that had crashed, those that it knew of included; and from three crashed servers of eleven on it took its own links for lost. The crash then counts only when the server is listed again, 1.0 to 1.5 s later, and each of the requests in between ends another server.

Now a server that is known to have crashed, by a check or by the quarantine entries of a peer, neither counts as a lost link nor is chosen; one that refuses and is not known is followed by others, two of three decide.

Tests: relay_server other-crashed and known-crashed fail before (404 for 502) and pass now; most-lost passes with both.

--- a/forward/fleet_reach.c
+++ b/forward/fleet_reach.c
@@ -40,7 +40,7 @@
 		const struct backend *backend = fleet->avoided->pdata[i];
 
 		lost += backend->direct.failures > 0 &&
-			backend->relayed.failures == 0;
+			backend->relayed.failures == 0 && !backend->crashed;
 	}
 	return lost >= CUT_OFF_SERVERS &&
 	       lost >= fleet->all->len * LINKS_LOST_FRACTION;
@@ -59,6 +59,8 @@
 	struct fleet *fleet = backend->fleet;
 	bool was_cut_off = fleet_cut_off(fleet);
 
+	if (backend->crashed)
+		return;
 	if (fleet->lost == 0) {
 		fleet->lost_since = now;
 		fleet->lost_epoch++;
@@ -248,9 +250,15 @@
 		path->avoid_until = now + PROBE_TIMEOUT_USEC;
 }
 
+void backend_set_crashed(struct backend *backend)
+{
+	backend->crashed = true;
+}
+
 void backend_reached(struct backend *backend)
 {
 	lost_reset(backend->fleet);
+	backend->crashed = false;
 	backend->direct = (struct path_state){0};
 	backend->reported_until = 0;
 }
@@ -258,6 +266,7 @@
 void backend_relay_reached(struct backend *backend)
 {
 	backend->relay_links_lost = 0;
+	backend->crashed = false;
 	backend->relayed = (struct path_state){0};
 }
 
--- a/forward/node_quarantine.c
+++ b/forward/node_quarantine.c
@@ -70,12 +70,25 @@
 		LOG_D("held", quarantine_holds(node->quarantine, fingerprint)));
 }
 
+static void servers_set_crashed(const struct node *node,
+				const struct quarantine_entry *entry)
+{
+	for (uint32_t i = 0; i < entry->count; i++) {
+		struct backend *backend =
+			fleet_find(node->fleet, entry->servers[i]);
+
+		if (backend)
+			backend_set_crashed(backend);
+	}
+}
+
 bool node_quarantine_received(void *ctx, const struct quarantine_entry *entry)
 {
 	struct node *node = ctx;
 
 	if (!quarantine_merge(node->quarantine, entry))
 		return false;
+	servers_set_crashed(node, entry);
 	received_log(node, "peer", &entry->fingerprint);
 	return true;
 }
--- a/forward/relay_server.c
+++ b/forward/relay_server.c
@@ -16,8 +16,11 @@
 /* A connection inside the site takes 1 to 5 ms. If it takes this long, the own
  * links are checked at the same time, so that the answer is not late. */
 #define CHECK_DELAY_USEC (30 * USEC_PER_MSEC)
-/* Servers tried in search of one for the check of the own links. */
+/* Servers considered in search of one for the check of the own links. */
 #define CHECK_TRIES 16u
+/* Servers connected to in that check, of which a majority must be reached: one
+ * alone may have just crashed. */
+#define CHECK_SERVERS_MAX 3u
 
 struct relay_server {
 	struct loop *loop;
@@ -30,12 +33,14 @@
 	bool draining;
 };
 
-/* A connection to another server, which tells whether the own links work. */
+/* Connections to other servers, one after the other, which tell whether the own
+ * links work. */
 struct links_check {
 	struct web_connect *connect;
 	uint64_t key; /* of the other server */
+	uint32_t refused;
+	uint32_t connected;
 	bool done;
-	bool connected;
 };
 
 /* A request until its connection is made or refused. */
@@ -157,6 +162,7 @@
 			all->pdata[(start + i) % all->len];
 
 		if (backend->key != attempt->key &&
+		    backend->key != attempt->check.key && !backend->crashed &&
 		    backend->direct.failures == 0 &&
 		    !backend_withdrawn(backend))
 			return backend;
@@ -167,7 +173,7 @@
 /* Answers once both the connection has failed and the own links are checked. */
 static void attempt_settle(struct attempt *attempt)
 {
-	bool vouched = attempt->check.connected &&
+	bool vouched = attempt->check.connected > attempt->check.refused &&
 		       !fleet_links_lost(attempt->server->fleet);
 
 	if (!attempt->connect && attempt->check.done)
@@ -175,6 +181,36 @@
 			       vouched ? attempt->status : RELAY_NO_LINK);
 }
 
+static void on_checked(void *ctx, enum web_connect_result result,
+		       struct web_connection *connection);
+
+static bool is_majority(uint32_t count)
+{
+	return count > CHECK_SERVERS_MAX / 2;
+}
+
+/* A connection that hangs leaves no time for another. */
+static bool links_check_settled(const struct links_check *check,
+				enum web_connect_result result)
+{
+	return result == WEB_CONNECT_TIMED_OUT || is_majority(check->refused) ||
+	       check->connected > check->refused;
+}
+
+static void links_check_next(struct attempt *attempt)
+{
+	const struct backend *backend = other_server(attempt);
+
+	if (!backend) {
+		attempt->check.done = true;
+		return;
+	}
+	attempt->check.key = backend->key;
+	attempt->check.connect =
+		web_connect(attempt->server->loop, backend->info.address,
+			    CONNECT_USEC, on_checked, attempt);
+}
+
 static void on_checked(void *ctx, enum web_connect_result result,
 		       struct web_connection *connection)
 {
@@ -182,33 +218,27 @@
 	struct links_check *check = &attempt->check;
 
 	check->connect = NULL;
-	check->done = true;
-	check->connected = connection != NULL;
 	if (connection) {
 		web_connection_close(connection);
 		connected_record(attempt->server, check->key);
+		check->connected++;
 	} else {
 		unconnected_record(attempt->server, check->key);
+		check->refused++;
 	}
+	if (links_check_settled(check, result))
+		check->done = true;
+	else
+		links_check_next(attempt);
 	attempt_settle(attempt);
 }
 
 /* A failed connection may also mean that this instance has lost its own links,
- * which a connection to another server tells apart. */
+ * which connections to other servers tell apart. */
 static void links_check_start(struct attempt *attempt)
 {
-	const struct backend *backend = other_server(attempt);
-
-	if (attempt->check.connect || attempt->check.done)
-		return;
-	if (!backend) {
-		attempt->check.done = true;
-		return;
-	}
-	attempt->check.key = backend->key;
-	attempt->check.connect =
-		web_connect(attempt->server->loop, backend->info.address,
-			    CONNECT_USEC, on_checked, attempt);
+	if (!attempt->check.connect && !attempt->check.done)
+		links_check_next(attempt);
 }
 
 static void on_check_timer(struct timer *timer, void *ctx)
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -87,12 +87,15 @@
 {
 	struct forward *forward = ctx;
 	const struct forward_parts *parts = &forward->parts;
+	struct backend *backend = fleet_find(parts->fleet, backend_key(server));
 	bool changed = quarantine_record_crash(
 		parts->quarantine, &identity->fingerprint, identity->keyed_hash,
 		backend_key(server), clock_now(parts->clock));
 	const struct quarantine_entry *entry =
 		quarantine_find(parts->quarantine, &identity->fingerprint);
 
+	if (backend)
+		backend_set_crashed(backend);
 	forward->servers_crashed->value++;
 	log_event(LOG_NOTICE, "server_ended", LOG_S("backend", server->id),
 		  LOG_D("born", server->started_ms),
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -103,6 +103,7 @@
 	uint32_t relay_links_lost;     /* consecutive, of different relays */
 	bool avoid_listed;	       /* in the fleet's avoided list */
 	uint64_t lost_epoch;	       /* the fleet's at its last failure */
+	bool crashed;		       /* reported, and not reached since */
 	uint64_t unreachable_reporter; /* last peer that reported it */
 	int64_t unreachable_until;     /* when that peer retries */
 	int64_t reported_until;	       /* avoided, as two peers reported it */
@@ -227,8 +228,8 @@
  * connect to several in a row and to none since. */
 bool fleet_cut_off(const struct fleet *fleet);
 /* Whether it is cut off, or has lost its direct paths to many servers that, as
- * far as known, other instances still reach. What it cannot connect to is then
- * no evidence about servers. */
+ * far as known, have not crashed and other instances still reach. What it
+ * cannot connect to is then no evidence about servers. */
 bool fleet_links_lost(const struct fleet *fleet);
 /* According to the list or to the server's own answers. */
 bool backend_leaving(const struct backend *backend);
@@ -273,6 +274,9 @@
 void backend_run_refused(struct backend *backend, int64_t now);
 /* Whether it has refused that many. */
 bool backend_refusing(const struct backend *backend);
+/* The server has crashed: that it cannot be connected to says nothing of this
+ * instance's links, until a connection is made. */
+void backend_set_crashed(struct backend *backend);
 /* A connection to the server was made, directly or by a relay. */
 void backend_reached(struct backend *backend);
 void backend_relay_reached(struct backend *backend);
--- a/tests/forward/test_relay_server.c
+++ b/tests/forward/test_relay_server.c
@@ -31,6 +31,7 @@
 	char silent_address[32];
 	struct web_result result;
 	int status;
+	int vouched;
 	bool done;
 };
 
@@ -208,6 +209,60 @@
 	g_assert_cmpuint(relay_server_count(site->relays), ==, 0);
 }
 
+static void server_forget(struct site *site, const char *id)
+{
+	fleet_remove(site->fleet, id);
+}
+
+/* One of the other servers has just crashed, which is not known yet. */
+static void test_other_crashed(struct site *site, gconstpointer data)
+{
+	up_put(site, "up0");
+	up_put(site, "up1");
+	for (int i = 0; i < 40; i++) {
+		refused_put(site, "other");
+		refused_put(site, "refused");
+		g_assert_cmpint(relay_status(site, "refused"), ==,
+				RELAY_REFUSED);
+		server_forget(site, "other");
+		server_forget(site, "refused");
+	}
+}
+
+/* Crashed servers, though many, are no evidence about its links. */
+static void test_known_crashed(struct site *site, gconstpointer data)
+{
+	up_put(site, "up");
+	for (int i = 0; i < 5; i++) {
+		g_autofree char *id = g_strdup_printf("crashed%d", i);
+
+		refused_put(site, id);
+		backend_set_crashed(fleet_find_id(site->fleet, id));
+		g_assert_cmpint(relay_status(site, id), ==, RELAY_REFUSED);
+	}
+	g_assert_false(fleet_links_lost(site->fleet));
+	refused_put(site, "refused");
+	g_assert_cmpint(relay_status(site, "refused"), ==, RELAY_REFUSED);
+}
+
+/* It reaches one server of four, whichever it tries first. */
+static void test_most_lost(struct site *site, gconstpointer data)
+{
+	up_put(site, "up");
+	for (int i = 0; i < 40; i++) {
+		refused_put(site, "other0");
+		refused_put(site, "other1");
+		refused_put(site, "refused");
+		if (relay_status(site, "refused") == RELAY_REFUSED)
+			site->vouched++;
+		server_forget(site, "other0");
+		server_forget(site, "other1");
+		server_forget(site, "refused");
+	}
+	/* A third: those where the reached one is tried first. */
+	g_assert_cmpint(site->vouched, <, 28);
+}
+
 /* It cannot connect to the other server, either. */
 static void test_not_vouched(struct site *site, gconstpointer data)
 {
@@ -288,6 +343,9 @@
 	g_test_init(&argc, &argv, NULL);
 	TEST("up", test_up);
 	TEST("vouched", test_vouched);
+	TEST("other-crashed", test_other_crashed);
+	TEST("known-crashed", test_known_crashed);
+	TEST("most-lost", test_most_lost);
 	TEST("not-vouched", test_not_vouched);
 	TEST("not-relayed", test_not_relayed);
 	TEST("cut-off", test_cut_off);
