platform, forward: the log names the parts of a prompt that lost its server

The names of the parts that requests share are read from the header, and connection_lost lists the first eight of them: whether requests that lose their servers have one part in common could not be seen.

forward-platform decode: rows for the names, and the bound of 32.

--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -14,6 +14,9 @@
 
 #define PART_COUNT 5
 
+#define LOGGED_PARTS_MAX 8u
+#define LOGGED_PART_SIZE_MAX 16u
+
 static void parts_fill(const struct caller_request *caller,
 		       struct fingerprint_part parts[PART_COUNT])
 {
@@ -49,10 +52,27 @@
 	return &request->identity;
 }
 
+/* The names of the prompt's parts, for the log. */
+static char *parts_print(const struct caller_request *caller)
+{
+	GString *text = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < MIN(caller->part_count, LOGGED_PARTS_MAX);
+	     i++) {
+		if (i > 0)
+			g_string_append_c(text, ',');
+		g_string_append_len(text, caller->parts[i].data,
+				    (gssize)MIN(caller->parts[i].size,
+						LOGGED_PART_SIZE_MAX));
+	}
+	return g_string_free(text, FALSE);
+}
+
 void request_connection_lost(struct request *request,
 			     const struct backend_end *end)
 {
 	const struct answer *answer = &request->answer;
+	g_autofree char *parts = NULL;
 
 	/* A time-out is decided by this instance, and a refused request did not
 	 * run. */
@@ -60,8 +80,9 @@
 	    (answer->has_head && answer->head.not_run))
 		return;
 	request->lost_connection = true;
+	parts = parts_print(&request->caller);
 	log_event(LOG_NOTICE, "connection_lost",
-		  LOG_S("request", request->caller.id),
+		  LOG_S("request", request->caller.id), LOG_S("parts", parts),
 		  LOG_X("work", request_identify(request)->fingerprint.high),
 		  LOG_S("backend", request->target.id),
 		  LOG_D("born", request->target.started_ms),
--- a/include/forward/caller.h
+++ b/include/forward/caller.h
@@ -18,13 +18,21 @@
 
 struct error;
 
+/* Parts of a prompt that are looked at. */
+#define PROMPT_PARTS_MAX 32u
+
 struct caller_request {
 	char id[CALLER_ID_MAX];	  /* unique to an attempt of the caller */
 	int64_t limit_usec;	  /* the caller's time-out; 0: not given */
 	uint32_t prompt_tokens;	  /* 0: no prompt */
 	uint32_t output_max;	  /* maximum of generated tokens */
 	uint32_t output_expected; /* the caller's estimate; 0: none */
-	bool resumes;		  /* resumes a stream */
+	/* Names of the parts of the prompt, in order, that other requests may
+	 * have too; not of the last, which belongs to this request or its
+	 * session. */
+	struct web_text parts[PROMPT_PARTS_MAX];
+	uint32_t part_count;
+	bool resumes; /* resumes a stream */
 	/* With resumes: id of the attempt that received the stream's first
 	 * event; empty if not given. */
 	char stream[CALLER_ID_MAX];
--- a/include/platform/caller.h
+++ b/include/platform/caller.h
@@ -17,5 +17,10 @@
 /* Reads "1460,80": tokens of the prompt, maximum tokens of the output. */
 bool platform_tokens_read(struct web_text text, uint32_t *prompt,
 			  uint32_t *output_max);
+/* Reads "5c1e07a2:800,91bd3f06:410,e4402b7d:250", the parts of a prompt as
+ * ID:TOKENS, into the IDs of all but the last one; those behind
+ * PROMPT_PARTS_MAX and empty ones are left out. Returns their count. */
+uint32_t platform_parts_read(struct web_text text,
+			     struct web_text parts[PROMPT_PARTS_MAX]);
 
 #endif
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -529,6 +529,52 @@
 	g_assert_cmpuint(output, ==, row->output);
 }
 
+struct prompt {
+	const char *name;
+	const char *text;
+	const char *parts; /* separated by spaces */
+};
+
+static const struct prompt prompts[] = {
+	{"three", "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
+	 "5c1e07a2 91bd3f06"},
+	{"one", "5c1e07a2:800", ""},
+	{"empty", "", ""},
+	{"without tokens", "a,b,c", "a b"},
+	{"last is empty", "a:1,b:2,", "a b"},
+	{"empty parts", ",:1,,a:1,b:1", "a"},
+};
+
+static void test_prompt(gconstpointer data)
+{
+	const struct prompt *row = data;
+	struct web_text parts[PROMPT_PARTS_MAX];
+	uint32_t count = platform_parts_read(
+		(struct web_text){row->text, strlen(row->text)}, parts);
+	g_autoptr(GString) joined = g_string_new(NULL);
+
+	for (uint32_t i = 0; i < count; i++) {
+		if (i > 0)
+			g_string_append_c(joined, ' ');
+		g_string_append_len(joined, parts[i].data,
+				    (gssize)parts[i].size);
+	}
+	g_assert_cmpstr(joined->str, ==, row->parts);
+}
+
+static void test_prompt_bounded(void)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	struct web_text parts[PROMPT_PARTS_MAX];
+
+	for (uint32_t i = 0; i < 2 * PROMPT_PARTS_MAX; i++)
+		g_string_append_printf(text, "%x:1,", i);
+	g_assert_cmpuint(
+		platform_parts_read((struct web_text){text->str, text->len},
+				    parts),
+		==, PROMPT_PARTS_MAX);
+}
+
 /* ---- the store ---- */
 
 static void test_keyed(void)
@@ -793,6 +839,8 @@
 	ROWS_ADD("/platform/repeat/", repeat_rows, test_repeat);
 	ROWS_ADD("/platform/evacuation/", evacuation_rows, test_evacuation);
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
+	ROWS_ADD("/platform/prompt/", prompts, test_prompt);
+	g_test_add_func("/platform/prompt/bounded", test_prompt_bounded);
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/backoff/", backoff_rows, test_backoff);
 	g_test_add_func("/platform/leaving", test_leaving);
