--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -42,9 +42,10 @@
  *			   outstanding reservations and results, and crashed
  *			   servers
  *
- *	A request whose body contains ENDS_SERVER crashes the server that begins
- *	to run it, with all requests in progress there. The server restarts
- *	after half a second at another address, as a new incarnation.
+ *	A request whose body contains ENDS_SERVER, or whose prompt has the part
+ *	ENDS_SERVER_PART and further ones, crashes the server that begins to run
+ *	it, with all requests in progress there; a prefill does not. The server
+ *	restarts after half a second at another address, as a new incarnation.
  */
 #ifndef TESTS_PLATFORM_SITE_H
 #define TESTS_PLATFORM_SITE_H
@@ -60,6 +61,7 @@
 
 #define VERSION_MAX 16
 #define ENDS_SERVER "ends the server"
+#define ENDS_SERVER_PART "dead"
 
 enum stage {
 	STAGE_PLAIN,
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -318,9 +318,12 @@
 static bool ends_server(struct web_request *request)
 {
 	struct web_text body = web_request_body(request);
+	struct web_text prompt = web_request_header(request, "prefix-hash");
 
-	return body.data &&
-	       g_strstr_len(body.data, (gssize)body.size, ENDS_SERVER);
+	return (body.data &&
+		g_strstr_len(body.data, (gssize)body.size, ENDS_SERVER)) ||
+	       (prompt.data && g_strstr_len(prompt.data, (gssize)prompt.size,
+					    ENDS_SERVER_PART ":"));
 }
 
 static void on_call(void *ctx, struct web_request *request)
