forward, coord: crashes count against each part of a prompt

What callers saw: engines crash one after the other under requests that have one part of their prompts in common, and the streams beside them break.

Cause: the quarantine knew a request by its whole content.

Crashes are recorded against the parts that requests share, too, and a held part holds each request of that caller and service that has it.

The store of the gossip world marked cleared entries as stored; it deletes them now, as the platform does.

--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -84,6 +84,44 @@
 	return item ? &item->entry : NULL;
 }
 
+/* Whether b has all servers of a; both are ascending. */
+static bool servers_within(const struct quarantine_entry *a,
+			   const struct quarantine_entry *b)
+{
+	uint32_t at = 0;
+
+	for (uint32_t i = 0; i < a->count; i++) {
+		while (at < b->count && b->servers[at] < a->servers[i])
+			at++;
+		if (at == b->count || b->servers[at] != a->servers[i])
+			return false;
+	}
+	return true;
+}
+
+bool quarantine_explained(
+	const struct quarantine *quarantine,
+	const struct request_fingerprint *fingerprint,
+	bool (*may)(const void *ctx,
+		    const struct request_fingerprint *fingerprint),
+	const void *ctx)
+{
+	const struct item *item = item_find(quarantine, fingerprint);
+
+	if (!item || !item->held)
+		return false;
+	for (const GList *link = quarantine->held.head; link;
+	     link = link->next) {
+		const struct item *other = link->data;
+
+		if (other != item &&
+		    servers_within(&item->entry, &other->entry) &&
+		    may(ctx, &other->entry.fingerprint))
+			return true;
+	}
+	return false;
+}
+
 uint32_t quarantine_held(const struct quarantine *quarantine)
 {
 	return quarantine->held.length;
--- /dev/null
+++ b/coord/suspects.c
@@ -0,0 +1,101 @@
+#include "coord/suspects.h"
+
+#include <glib.h>
+
+void suspects_add(struct suspects *suspects, struct suspect suspect)
+{
+	if (suspects->count < SUSPECTS_MAX)
+		suspects->items[suspects->count++] = suspect;
+}
+
+void suspects_record_crash(struct quarantine *quarantine,
+			   const struct suspects *suspects, uint64_t server,
+			   int64_t now, suspect_changed_fn fn, void *ctx)
+{
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		const struct suspect *suspect = &suspects->items[i];
+
+		if (quarantine_record_crash(quarantine, &suspect->fingerprint,
+					    suspect->keyed_hash, server, now))
+			fn(ctx, &suspect->fingerprint);
+	}
+}
+
+void suspects_record_success(struct quarantine *quarantine,
+			     const struct suspects *suspects, int64_t now)
+{
+	for (uint32_t i = 0; i < suspects->count; i++)
+		quarantine_record_success(
+			quarantine, suspects->items[i].keyed_hash, now);
+}
+
+void suspects_clear(struct quarantine *quarantine,
+		    const struct suspects *suspects, suspect_changed_fn fn,
+		    void *ctx)
+{
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		const struct request_fingerprint *fingerprint =
+			&suspects->items[i].fingerprint;
+
+		if (quarantine_clear(quarantine, fingerprint))
+			fn(ctx, fingerprint);
+	}
+}
+
+static bool has_suspect(const struct suspects *suspects,
+			const struct request_fingerprint *fingerprint)
+{
+	for (uint32_t i = 0; i < suspects->count; i++)
+		if (fingerprint_same(&suspects->items[i].fingerprint,
+				     fingerprint))
+			return true;
+	return false;
+}
+
+static bool is_other(const void *ctx,
+		     const struct request_fingerprint *fingerprint)
+{
+	return !has_suspect(ctx, fingerprint);
+}
+
+const struct quarantine_entry *
+suspects_find_held(struct quarantine *quarantine,
+		   const struct suspects *suspects, int64_t now,
+		   suspect_changed_fn fn, void *ctx)
+{
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		const struct suspect *suspect = &suspects->items[i];
+		const struct request_fingerprint *fingerprint =
+			&suspect->fingerprint;
+
+		if (!quarantine_holds(quarantine, fingerprint))
+			continue;
+		if (quarantine_has_succeeded(quarantine, suspect->keyed_hash,
+					     now)) {
+			quarantine_clear(quarantine, fingerprint);
+			fn(ctx, fingerprint);
+			continue;
+		}
+		/* Repeats of a request need no other cause. */
+		if (i == 0 || !quarantine_explained(quarantine, fingerprint,
+						    is_other, suspects))
+			return quarantine_find(quarantine, fingerprint);
+	}
+	return NULL;
+}
+
+bool suspects_crashed(const struct quarantine *quarantine,
+		      const struct suspects *suspects, int64_t now)
+{
+	for (uint32_t i = 0; i < suspects->count; i++) {
+		const struct suspect *suspect = &suspects->items[i];
+		const struct quarantine_entry *entry =
+			quarantine_find(quarantine, &suspect->fingerprint);
+
+		if (entry && entry->count > 0 &&
+		    !quarantine_has_succeeded(quarantine, suspect->keyed_hash,
+					      now))
+			return true;
+	}
+	return false;
+}
--- a/forward/crash_detector.c
+++ b/forward/crash_detector.c
@@ -17,7 +17,7 @@
 	struct backend_info server;
 	uint64_t key;
 	char *health_path;
-	GArray *requests; /* struct request_identity, not yet reported */
+	GArray *requests; /* struct suspects, not yet reported */
 	struct web_call *call;
 	char relay[ADDRESS_TEXT_MAX]; /* of the last call; empty: direct */
 	struct timer timer;
@@ -80,8 +80,7 @@
 
 	for (guint i = 0; i < check->requests->len; i++)
 		parts->fn(parts->ctx, &check->server,
-			  &g_array_index(check->requests,
-					 struct request_identity, i));
+			  &g_array_index(check->requests, struct suspects, i));
 	g_array_set_size(check->requests, 0);
 }
 
@@ -216,8 +215,7 @@
 	check->server = *server;
 	check->key = key;
 	check->health_path = g_strdup(health_path);
-	check->requests =
-		g_array_new(FALSE, FALSE, sizeof(struct request_identity));
+	check->requests = g_array_new(FALSE, FALSE, sizeof(struct suspects));
 	check->started_at = clock_now(detector->parts.clock);
 	timer_init(&check->timer, detector->parts.clock, on_timer, check);
 	g_hash_table_insert(detector->checks, &check->key, check);
@@ -236,7 +234,7 @@
 void crash_detector_check(struct crash_detector *detector,
 			  const struct backend_info *server,
 			  const char *health_path,
-			  const struct request_identity *identity)
+			  const struct suspects *suspects)
 {
 	uint64_t key = backend_key(server);
 	struct check *check = g_hash_table_lookup(detector->checks, &key);
@@ -251,7 +249,7 @@
 			  LOG_S("reason", "too many checks or requests"));
 		return;
 	}
-	g_array_append_val(check->requests, *identity);
+	g_array_append_val(check->requests, *suspects);
 	if (check->crashed)
 		crashes_report(check);
 }
--- a/forward/crash_detector.h
+++ b/forward/crash_detector.h
@@ -18,7 +18,7 @@
 #define FORWARD_CRASH_DETECTOR_H
 
 #include "common/address.h"
-#include "coord/fingerprint.h"
+#include "coord/suspects.h"
 #include "forward/backend.h"
 #include "forward/fleet.h"
 
@@ -28,15 +28,9 @@
 
 struct crash_detector;
 
-/* A request as coord/quarantine.h identifies it. */
-struct request_identity {
-	struct request_fingerprint fingerprint;
-	uint64_t keyed_hash;
-};
-
-/* The incarnation of the server crashed while it ran the request. */
+/* The incarnation of the server crashed while it ran a request. */
 typedef void (*crash_fn)(void *ctx, const struct backend_info *server,
-			 const struct request_identity *identity);
+			 const struct suspects *suspects);
 
 struct crash_detector_parts {
 	struct clock *clock;
@@ -58,6 +52,6 @@
 void crash_detector_check(struct crash_detector *detector,
 			  const struct backend_info *server,
 			  const char *health_path,
-			  const struct request_identity *identity);
+			  const struct suspects *suspects);
 
 #endif
--- a/forward/request.h
+++ b/forward/request.h
@@ -71,8 +71,8 @@
 	char relay[ADDRESS_TEXT_MAX]; /* of the current or last call; empty:
 					 none */
 	uint32_t relay_failures;
-	struct request_identity identity; /* set by request_identify() */
-	bool identity_known;
+	struct suspects suspects; /* set by request_suspects() */
+	bool suspects_known;
 	bool lost_connection; /* during a call */
 	uint32_t sends;	      /* calls counted against the retry budget */
 	bool send_prepaid;    /* a prefill has already taken the run's send from
@@ -182,10 +182,11 @@
  * before. It is not retried then: a retry sent before the crash detector has
  * checked the server could crash one more server with each attempt. The caller
  * may send it again. */
-bool request_is_suspect(const struct request *request);
+bool request_is_suspect(struct request *request);
 /* Records that a server answered the request without a crash. */
 void request_record_success(struct request *request);
-/* Ends the request if its fingerprint is in quarantine; true when it did.
+/* Ends the request if it or a part of its prompt is in quarantine; true when it
+ * did.
  * Called before each send. */
 bool request_quarantine(struct request *request);
 /* admit.c: identifies the caller's organisation and takes from its allotment;
@@ -284,7 +285,7 @@
 
 /* suspect.c: a crash_fn with the forward as context. */
 void quarantine_server_crashed(void *ctx, const struct backend_info *server,
-			       const struct request_identity *lost);
+			       const struct suspects *suspects);
 
 /* resume.c: finds the version that a resumed stream goes on at, then calls
  * request_serve() or refuses the request. */
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -3,53 +3,96 @@
  *
  * DESCRIPTION
  *	When a request loses its connection, crash_detector.h checks whether the
- *	server has crashed. Each crash is recorded against the fingerprint of
- *	the request (coord/quarantine.h), and before each send the quarantine is
- *	consulted. So repeats of one request, at any instance, crash three
- *	servers and not all of them.
+ *	server has crashed. Each crash is recorded against
+ *	the request and against the parts of its prompt (coord/suspects.h), and
+ *	before each send the quarantine is consulted. So repeats of one request,
+ *	or requests with one part, at any instance, crash a few servers and not
+ *	all of them.
  */
 #include "request.h"
 
-#include "common/log.h"
+#include <string.h>
 
-#define PART_COUNT 5
+#include "common/log.h"
 
 #define LOGGED_PARTS_MAX 8u
 #define LOGGED_PART_SIZE_MAX 16u
 
-static void parts_fill(const struct caller_request *caller,
-		       struct fingerprint_part parts[PART_COUNT])
+static struct fingerprint_part part_of(struct web_text text)
+{
+	return (struct fingerprint_part){text.data, text.size};
+}
+
+static struct suspect suspect_make(const struct request *request,
+				   const struct fingerprint_part *parts,
+				   size_t count, bool fingerprint)
+{
+	struct suspect suspect = {
+		.keyed_hash = keyed_hash_of(
+			parts, count,
+			request->forward->parts.keyed_hash_secret),
+	};
+
+	if (fingerprint)
+		suspect.fingerprint = fingerprint_of(parts, count);
+	return suspect;
+}
+
+static struct suspect suspect_whole(const struct request *request,
+				    bool fingerprint)
+{
+	const struct caller_request *caller = &request->caller;
+	const struct fingerprint_part parts[] = {
+		part_of(caller->method), part_of(caller->host),
+		part_of(caller->target), part_of(caller->identity),
+		part_of(caller->body)};
+
+	return suspect_make(request, parts, G_N_ELEMENTS(parts), fingerprint);
+}
+
+/* An organisation has one name and several keys. */
+static struct suspect suspect_part(const struct request *request,
+				   struct web_text name, bool fingerprint)
 {
-	const struct web_text texts[PART_COUNT] = {
-		caller->method, caller->host, caller->target, caller->identity,
-		caller->body};
+	const char *organisation =
+		request->organisation ? request->organisation->name : "";
+	const struct web_text identity = request->organisation
+						 ? (struct web_text){0}
+						 : request->caller.identity;
+	const uint64_t service = GUINT64_TO_LE(request->service->id);
+	const struct fingerprint_part parts[] = {
+		{&service, sizeof(service)},
+		{organisation, strlen(organisation)},
+		part_of(identity),
+		part_of(name)};
 
-	for (int i = 0; i < PART_COUNT; i++)
-		parts[i] =
-			(struct fingerprint_part){texts[i].data, texts[i].size};
+	return suspect_make(request, parts, G_N_ELEMENTS(parts), fingerprint);
 }
 
-static uint64_t request_keyed_hash(const struct request *request)
+static void suspects_fill(const struct request *request, bool fingerprints,
+			  struct suspects *suspects)
 {
-	struct fingerprint_part parts[PART_COUNT];
+	const struct caller_request *caller = &request->caller;
 
-	parts_fill(&request->caller, parts);
-	return keyed_hash_of(parts, PART_COUNT,
-			     request->forward->parts.keyed_hash_secret);
+	suspects->count = 0;
+	suspects_add(suspects, suspect_whole(request, fingerprints));
+	for (uint32_t i = 0; i < caller->part_count; i++)
+		suspects_add(suspects, suspect_part(request, caller->parts[i],
+						    fingerprints));
 }
 
-/* Computes the identity on first use. */
-static const struct request_identity *request_identify(struct request *request)
+/* Computes them on first use. */
+static const struct suspects *request_suspects(struct request *request)
 {
-	struct fingerprint_part parts[PART_COUNT];
+	if (!request->suspects_known)
+		suspects_fill(request, true, &request->suspects);
+	request->suspects_known = true;
+	return &request->suspects;
+}
 
-	if (request->identity_known)
-		return &request->identity;
-	parts_fill(&request->caller, parts);
-	request->identity.fingerprint = fingerprint_of(parts, PART_COUNT);
-	request->identity.keyed_hash = request_keyed_hash(request);
-	request->identity_known = true;
-	return &request->identity;
+static uint64_t request_work(struct request *request)
+{
+	return request_suspects(request)->items[0].fingerprint.high;
 }
 
 /* The names of the prompt's parts, for the log. */
@@ -73,6 +116,7 @@
 {
 	const struct answer *answer = &request->answer;
 	g_autofree char *parts = NULL;
+	struct suspects suspects;
 
 	/* A time-out is decided by this instance, and a refused request did not
 	 * run. */
@@ -83,101 +127,131 @@
 	parts = parts_print(&request->caller);
 	log_event(LOG_NOTICE, "connection_lost",
 		  LOG_S("request", request->caller.id), LOG_S("parts", parts),
-		  LOG_X("work", request_identify(request)->fingerprint.high),
+		  LOG_X("work", request_work(request)),
 		  LOG_S("backend", request->target.id),
 		  LOG_D("born", request->target.started_ms),
 		  LOG_S("why", end->text));
+	suspects = *request_suspects(request);
+	/* A part crashes the server when the answer begins. */
+	if (request->replied)
+		suspects.count = 1;
 	crash_detector_check(request->forward->crash_detector, &request->target,
-			     request->service->health_path,
-			     request_identify(request));
+			     request->service->health_path, &suspects);
 }
 
-bool request_is_suspect(const struct request *request)
+bool request_is_suspect(struct request *request)
 {
-	const struct quarantine_entry *entry;
+	return request->lost_connection &&
+	       suspects_crashed(request->forward->parts.quarantine,
+				request_suspects(request),
+				request_now(request));
+}
 
-	if (!request->lost_connection)
-		return false;
-	entry = quarantine_find(request->forward->parts.quarantine,
-				&request->identity.fingerprint);
-	return entry && entry->count > 0;
+/* The crash of a server that is being recorded. */
+struct crash {
+	struct forward *forward;
+	const struct backend_info *server;
+	const struct suspects *suspects;
+};
+
+static void crash_log(const struct crash *crash,
+		      const struct request_fingerprint *fingerprint,
+		      const char *kind)
+{
+	const struct quarantine *quarantine = crash->forward->parts.quarantine;
+	const struct quarantine_entry *entry =
+		quarantine_find(quarantine, fingerprint);
+
+	log_event(LOG_NOTICE, "server_ended",
+		  LOG_S("backend", crash->server->id),
+		  LOG_D("born", crash->server->started_ms),
+		  LOG_X("work", fingerprint->high),
+		  LOG_D("servers", entry ? entry->count : 0),
+		  LOG_D("held", quarantine_holds(quarantine, fingerprint)),
+		  LOG_S("kind", kind));
+}
+
+static void entry_changed(void *ctx,
+			  const struct request_fingerprint *fingerprint)
+{
+	const struct forward *forward = ctx;
+
+	forward->parts.quarantine_changed(forward->parts.callbacks_ctx,
+					  fingerprint);
+}
+
+static void crash_recorded(void *ctx,
+			   const struct request_fingerprint *fingerprint)
+{
+	const struct crash *crash = ctx;
+
+	if (!fingerprint_same(fingerprint,
+			      &crash->suspects->items[0].fingerprint))
+		crash_log(crash, fingerprint, "part");
+	entry_changed(crash->forward, fingerprint);
 }
 
 void quarantine_server_crashed(void *ctx, const struct backend_info *server,
-			       const struct request_identity *identity)
+			       const struct suspects *suspects)
 {
-	struct forward *forward = ctx;
-	const struct forward_parts *parts = &forward->parts;
+	struct crash crash = {ctx, server, suspects};
+	const struct forward_parts *parts = &crash.forward->parts;
 	struct backend *backend = fleet_find(parts->fleet, backend_key(server));
-	bool changed = quarantine_record_crash(
-		parts->quarantine, &identity->fingerprint, identity->keyed_hash,
-		backend_key(server), clock_now(parts->clock));
-	const struct quarantine_entry *entry =
-		quarantine_find(parts->quarantine, &identity->fingerprint);
 
 	if (backend)
 		backend_set_crashed(backend);
-	forward->servers_crashed->value++;
-	log_event(LOG_NOTICE, "server_ended", LOG_S("backend", server->id),
-		  LOG_D("born", server->started_ms),
-		  LOG_X("work", identity->fingerprint.high),
-		  LOG_D("servers", entry ? entry->count : 0),
-		  LOG_D("held", quarantine_holds(parts->quarantine,
-						 &identity->fingerprint)));
-	if (changed)
-		parts->quarantine_changed(parts->callbacks_ctx,
-					  &identity->fingerprint);
+	crash.forward->servers_crashed->value++;
+	suspects_record_crash(parts->quarantine, suspects, backend_key(server),
+			      clock_now(parts->clock), crash_recorded, &crash);
+	crash_log(&crash, &suspects->items[0].fingerprint, "request");
 }
 
-static void request_clear_quarantine(struct request *request)
+static void entry_cleared(void *ctx,
+			  const struct request_fingerprint *fingerprint)
 {
-	const struct forward_parts *parts = &request->forward->parts;
+	struct request *request = ctx;
 
-	if (!quarantine_clear(parts->quarantine,
-			      &request_identify(request)->fingerprint))
-		return;
 	log_event(LOG_NOTICE, "work_cleared",
 		  LOG_S("request", request->caller.id),
-		  LOG_X("work", request_identify(request)->fingerprint.high),
+		  LOG_X("work", fingerprint->high),
 		  LOG_S("backend", request->target.id));
-	parts->quarantine_changed(parts->callbacks_ctx,
-				  &request_identify(request)->fingerprint);
+	entry_changed(request->forward, fingerprint);
 }
 
 void request_record_success(struct request *request)
 {
-	struct quarantine *quarantine = request->forward->parts.quarantine;
+	const struct forward_parts *parts = &request->forward->parts;
+	struct suspects hashes;
 
-	quarantine_record_success(quarantine, request_keyed_hash(request),
-				  request_now(request));
-	if (!quarantine_empty(quarantine))
-		request_clear_quarantine(request);
+	suspects_fill(request, false, &hashes);
+	suspects_record_success(parts->quarantine, &hashes,
+				request_now(request));
+	if (!quarantine_empty(parts->quarantine))
+		suspects_clear(parts->quarantine, request_suspects(request),
+			       entry_cleared, request);
 }
 
 bool request_quarantine(struct request *request)
 {
-	const struct forward_parts *parts = &request->forward->parts;
+	struct forward *forward = request->forward;
+	struct quarantine *quarantine = forward->parts.quarantine;
 	const struct quarantine_entry *entry;
+	bool whole;
 
-	if (quarantine_empty(parts->quarantine) ||
-	    !quarantine_holds(parts->quarantine,
-			      &request_identify(request)->fingerprint))
+	if (quarantine_empty(quarantine))
 		return false;
-	/* The entry comes from instances that do not know that the request has
-	 * succeeded here. */
-	if (quarantine_has_succeeded(parts->quarantine,
-				     request->identity.keyed_hash,
-				     request_now(request))) {
-		request_clear_quarantine(request);
+	entry = suspects_find_held(quarantine, request_suspects(request),
+				   request_now(request), entry_cleared,
+				   request);
+	if (!entry)
 		return false;
-	}
-	entry = quarantine_find(parts->quarantine,
-				&request->identity.fingerprint);
-	request->forward->quarantined->value++;
+	whole = entry->fingerprint.high == request_work(request);
+	forward->quarantined->value++;
 	log_event(LOG_NOTICE, "request_quarantined",
 		  LOG_S("request", request->caller.id),
-		  LOG_X("work", request->identity.fingerprint.high),
-		  LOG_D("servers", entry->count), LOG_D("runs", request->runs));
+		  LOG_X("work", entry->fingerprint.high),
+		  LOG_D("servers", entry->count), LOG_D("runs", request->runs),
+		  LOG_S("kind", whole ? "request" : "part"));
 	/* A retry would be refused as well, so no retry time is given. */
 	if (request->replied)
 		request_abort(request, result_label(RESULT_QUARANTINED));
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -87,6 +87,14 @@
 const struct quarantine_entry *
 quarantine_find(const struct quarantine *quarantine,
 		const struct request_fingerprint *fingerprint);
+/* Whether another held entry, one that may() returns true for, has all of the
+ * servers of this one, so that it accounts for the crashes. */
+bool quarantine_explained(
+	const struct quarantine *quarantine,
+	const struct request_fingerprint *fingerprint,
+	bool (*may)(const void *ctx,
+		    const struct request_fingerprint *fingerprint),
+	const void *ctx);
 uint32_t quarantine_held(const struct quarantine *quarantine);
 uint32_t quarantine_suspects(const struct quarantine *quarantine);
 
--- /dev/null
+++ b/include/coord/suspects.h
@@ -0,0 +1,71 @@
+/*
+ * suspects.h - what the crash of a server is blamed on
+ *
+ * DESCRIPTION
+ *	The crash of a server may be caused by a request that it ran, whose
+ *	repeats then crash further servers, or by one part of the request's
+ *	prompt, which other requests have too. So a crash is recorded in the
+ *	quarantine (coord/quarantine.h) against the request as a whole and,
+ *	unless its answer had begun, against each of the parts that it shares
+ *	with others.
+ *
+ *	Sound parts occur in the same requests as the one that crashes servers.
+ *	Those in common use have succeeded within the last minute and are not
+ *	recorded. The others are told apart by the servers that crashed: a held
+ *	part does not hold a request if another held entry, one that the request
+ *	does not have, accounts for all of its crashes.
+ *
+ *	A part is identified by its name together with the service and the
+ *	caller, so no caller can have the parts of another one held.
+ */
+#ifndef COORD_SUSPECTS_H
+#define COORD_SUSPECTS_H
+
+#include "coord/quarantine.h"
+
+/* The request and the parts of its prompt. */
+#define SUSPECTS_MAX 33u
+
+struct suspect {
+	struct request_fingerprint fingerprint;
+	uint64_t keyed_hash;
+};
+
+/* The request as a whole is the first one. */
+struct suspects {
+	struct suspect items[SUSPECTS_MAX];
+	uint32_t count;
+};
+
+/* The entry of the quarantine has changed and is to be announced. */
+typedef void (*suspect_changed_fn)(
+	void *ctx, const struct request_fingerprint *fingerprint);
+
+/* Drops those beyond SUSPECTS_MAX. */
+void suspects_add(struct suspects *suspects, struct suspect suspect);
+
+/* A server process crashed while it ran the request. */
+void suspects_record_crash(struct quarantine *quarantine,
+			   const struct suspects *suspects, uint64_t server,
+			   int64_t now, suspect_changed_fn fn, void *ctx);
+/* The request ended and its server is still alive. Only the keyed hashes are
+ * used. */
+void suspects_record_success(struct quarantine *quarantine,
+			     const struct suspects *suspects, int64_t now);
+/* Clears their entries after a success. */
+void suspects_clear(struct quarantine *quarantine,
+		    const struct suspects *suspects, suspect_changed_fn fn,
+		    void *ctx);
+/* The entry for which the request is to be refused, or NULL. Clears held
+ * entries of suspects that have succeeded here within the last minute: they
+ * come from instances that do not know it. */
+const struct quarantine_entry *
+suspects_find_held(struct quarantine *quarantine,
+		   const struct suspects *suspects, int64_t now,
+		   suspect_changed_fn fn, void *ctx);
+/* Whether any of them is known to have crashed servers and has not succeeded
+ * here within the last minute. */
+bool suspects_crashed(const struct quarantine *quarantine,
+		      const struct suspects *suspects, int64_t now);
+
+#endif
--- /dev/null
+++ b/tests/coord/test_suspects.c
@@ -0,0 +1,152 @@
+/* Which requests are refused after crashes with parts of prompts in common. */
+#include <glib.h>
+
+#include "common/clock.h"
+#include "coord/suspects.h"
+
+#define NOW (100 * USEC_PER_SEC)
+
+static struct quarantine *quarantine_open(void)
+{
+	static const struct quarantine_settings settings = {3, 16, 64};
+
+	return quarantine_create(&settings);
+}
+
+static void on_changed(void *ctx, const struct request_fingerprint *fingerprint)
+{
+	uint32_t *count = ctx;
+
+	(*count)++;
+}
+
+/* Each letter of the text is a suspect; the first is the request itself. */
+static struct suspects suspects_of(const char *text)
+{
+	struct suspects suspects = {0};
+
+	for (const char *c = text; *c; c++)
+		suspects_add(&suspects,
+			     (struct suspect){{(uint64_t)*c, (uint64_t)*c},
+					      (uint64_t)*c});
+	return suspects;
+}
+
+static void crash(struct quarantine *quarantine, const char *text,
+		  uint64_t server)
+{
+	const struct suspects suspects = suspects_of(text);
+	uint32_t changed = 0;
+
+	suspects_record_crash(quarantine, &suspects, server, NOW, on_changed,
+			      &changed);
+}
+
+static void succeed(struct quarantine *quarantine, const char *text)
+{
+	const struct suspects suspects = suspects_of(text);
+	uint32_t changed = 0;
+
+	suspects_record_success(quarantine, &suspects, NOW);
+	suspects_clear(quarantine, &suspects, on_changed, &changed);
+}
+
+/* The suspect that a request is refused for; 0: it is not refused. */
+static char held(struct quarantine *quarantine, const char *text)
+{
+	const struct suspects suspects = suspects_of(text);
+	const struct quarantine_entry *entry;
+	uint32_t changed = 0;
+
+	entry = suspects_find_held(quarantine, &suspects, NOW, on_changed,
+				   &changed);
+	return entry ? (char)entry->fingerprint.high : '\0';
+}
+
+struct row {
+	const char *name;
+	/* Requests that crashed servers, one each, separated by spaces. */
+	const char *crashes;
+	const char *successes; /* before them */
+	const char *request;
+	char held;
+};
+
+static const struct row rows[] = {
+	{"two crashes", "1ag 2ag", "", "3ag", '\0'},
+	{"three crashes", "1ag 2bg 3cg", "", "4dg", 'g'},
+	{"without the part", "1ag 2bg 3cg", "", "4ab", '\0'},
+	{"always with a sound one", "1ag 2ag 3ag", "", "4a", '\0'},
+	{"both of them", "1ag 2ag 3ag", "", "4ag", 'a'},
+	{"the other alone", "1ag 2ag 3ag", "", "4g", '\0'},
+	{"the other alone, crashed too", "1ag 2ag 3ag 4g", "", "5g", 'g'},
+	{"sound one after that", "1ag 2ag 3ag 4g", "", "5a", '\0'},
+	{"sound one in use", "1ag 2ag 3ag", "7a", "4ag", 'g'},
+	{"the same request", "1ab 1ab 1ab", "", "1ab", '1'},
+	{"its parts elsewhere", "1ab 1ab 1ab", "", "2ab", '\0'},
+	{"more crashes than the other", "1ag 2ag 3ag 4a", "", "5a", 'a'},
+};
+
+static void test_row(gconstpointer data)
+{
+	const struct row *row = data;
+	struct quarantine *quarantine = quarantine_open();
+	g_auto(GStrv) crashes = g_strsplit(row->crashes, " ", -1);
+
+	if (*row->successes)
+		succeed(quarantine, row->successes);
+	for (uint64_t i = 0; crashes[i]; i++)
+		crash(quarantine, crashes[i], i);
+	g_assert_cmpint(held(quarantine, row->request), ==, row->held);
+	quarantine_destroy(quarantine);
+}
+
+/* A success clears all parts of the request, held ones too. */
+static void test_success(void)
+{
+	struct quarantine *quarantine = quarantine_open();
+
+	crash(quarantine, "1ag", 1);
+	crash(quarantine, "2ag", 2);
+	crash(quarantine, "3ag", 3);
+	succeed(quarantine, "4ag");
+	g_assert_cmpint(held(quarantine, "5ag"), ==, '\0');
+	g_assert_cmpuint(quarantine_held(quarantine), ==, 0);
+	quarantine_destroy(quarantine);
+}
+
+static void test_crashed(void)
+{
+	struct quarantine *quarantine = quarantine_open();
+	const struct suspects part = suspects_of("2a");
+	const struct suspects other = suspects_of("3b");
+
+	crash(quarantine, "1a", 1);
+	g_assert_true(suspects_crashed(quarantine, &part, NOW));
+	g_assert_false(suspects_crashed(quarantine, &other, NOW));
+	quarantine_destroy(quarantine);
+}
+
+static void test_bounded(void)
+{
+	struct suspects suspects = {0};
+
+	for (uint32_t i = 0; i < 2 * SUSPECTS_MAX; i++)
+		suspects_add(&suspects, (struct suspect){{i, i}, i});
+	g_assert_cmpuint(suspects.count, ==, SUSPECTS_MAX);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autofree char *path =
+			g_strconcat("/coord/suspects/", rows[i].name, NULL);
+
+		g_test_add_data_func(path, &rows[i], test_row);
+	}
+	g_test_add_func("/coord/suspects/success", test_success);
+	g_test_add_func("/coord/suspects/crashed", test_crashed);
+	g_test_add_func("/coord/suspects/bounded", test_bounded);
+	return g_test_run();
+}
--- a/tests/forward/gossip_world.c
+++ b/tests/forward/gossip_world.c
@@ -216,21 +216,51 @@
 	return instance;
 }
 
+static struct quarantine_entry *
+stored_find(struct site *site, const struct request_fingerprint *fingerprint)
+{
+	for (uint32_t i = 0; i < site->stored_count; i++)
+		if (fingerprint_same(&site->stored[i].fingerprint, fingerprint))
+			return &site->stored[i];
+	return NULL;
+}
+
+/* Writes the record of a held entry, or deletes that of a cleared one. */
+static void stored_put(struct site *site, const struct quarantine_entry *entry,
+		       bool held)
+{
+	struct quarantine_entry *stored =
+		stored_find(site, &entry->fingerprint);
+
+	if (!held) {
+		if (stored)
+			*stored = site->stored[--site->stored_count];
+		return;
+	}
+	if (!stored) {
+		g_assert_cmpuint(site->stored_count, <, STORED_MAX);
+		stored = &site->stored[site->stored_count++];
+	}
+	*stored = *entry;
+	stored->stored = true;
+}
+
 static void quarantine_store(struct site *site)
 {
 	for (uint32_t i = 0; i < site->count; i++) {
 		struct instance *instance = &site->instances[i];
 		struct quarantine_entry entry;
+		bool held;
 
 		if (!instance->gossip || site->paused[instance->centre] ||
 		    !quarantine_unstored(instance->quarantine, &entry) ||
 		    !gossip_is_lowest(instance->gossip, false))
 			continue;
-		entry.stored = true;
-		g_assert_cmpuint(site->stored_count, <, STORED_MAX);
-		site->stored[site->stored_count++] = entry;
+		held = quarantine_holds(instance->quarantine,
+					&entry.fingerprint);
+		stored_put(site, &entry, held);
 		quarantine_stored(instance->quarantine, &entry.fingerprint,
-				  true);
+				  held);
 	}
 }
 
