coord: one in 32 requests with a held part is let through as a trial

Cause: nothing but a success clears a held part, and nothing of it is sent. A part that a caller has in all of its requests may be held by mistake, when three servers crash together while it has just started; then the caller is refused for good. A held request has the same rule, but it is one request.

--- a/coord/suspects.c
+++ b/coord/suspects.c
@@ -2,6 +2,10 @@
 
 #include <glib.h>
 
+/* A held part is tried again by one request in so many; twice as many with each
+ * server that has crashed. */
+#define TRIAL_INTERVAL 4u
+
 void suspects_add(struct suspects *suspects, struct suspect suspect)
 {
 	if (suspects->count < SUSPECTS_MAX)
@@ -25,8 +29,8 @@
 			     const struct suspects *suspects, int64_t now)
 {
 	for (uint32_t i = 0; i < suspects->count; i++)
-		quarantine_record_success(
-			quarantine, suspects->items[i].keyed_hash, now);
+		quarantine_record_success(quarantine,
+					  suspects->items[i].keyed_hash, now);
 }
 
 void suspects_clear(struct quarantine *quarantine,
@@ -58,6 +62,16 @@
 	return !has_suspect(ctx, fingerprint);
 }
 
+/* Chosen by the keyed hash, so that a request is a trial in all of its steps
+ * and callers cannot make one. */
+static bool is_trial(const struct suspects *suspects,
+		     const struct quarantine_entry *entry)
+{
+	uint64_t interval = (uint64_t)TRIAL_INTERVAL << entry->count;
+
+	return suspects->items[0].keyed_hash % interval == 0;
+}
+
 const struct quarantine_entry *
 suspects_find_held(struct quarantine *quarantine,
 		   const struct suspects *suspects, int64_t now,
@@ -67,6 +81,7 @@
 		const struct suspect *suspect = &suspects->items[i];
 		const struct request_fingerprint *fingerprint =
 			&suspect->fingerprint;
+		const struct quarantine_entry *entry;
 
 		if (!quarantine_holds(quarantine, fingerprint))
 			continue;
@@ -76,10 +91,12 @@
 			fn(ctx, fingerprint);
 			continue;
 		}
+		entry = quarantine_find(quarantine, fingerprint);
 		/* Repeats of a request need no other cause. */
-		if (i == 0 || !quarantine_explained(quarantine, fingerprint,
-						    is_other, suspects))
-			return quarantine_find(quarantine, fingerprint);
+		if (i == 0 || (!is_trial(suspects, entry) &&
+			       !quarantine_explained(quarantine, fingerprint,
+						     is_other, suspects)))
+			return entry;
 	}
 	return NULL;
 }
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -15,6 +15,10 @@
  *	part does not hold a request if another held entry, one that the request
  *	does not have, accounts for all of its crashes.
  *
+ *	A held part, unlike a held request, may be a common one of which no run
+ *	is left that could clear it. So a few requests are let through as
+ *trials: one in 32 after three crashes, half as many after each further one.
+ *
  *	A part is identified by its name together with the service and the
  *	caller, so no caller can have the parts of another one held.
  */
--- a/tests/coord/test_suspects.c
+++ b/tests/coord/test_suspects.c
@@ -84,6 +84,10 @@
 	{"sound one in use", "1ag 2ag 3ag", "7a", "4ag", 'g'},
 	{"the same request", "1ab 1ab 1ab", "", "1ab", '1'},
 	{"its parts elsewhere", "1ab 1ab 1ab", "", "2ab", '\0'},
+	/* The low bits of the first letter say which request is a trial. */
+	{"trial", "1ag 2bg 3cg", "", "`dg", '\0'},
+	{"fewer trials after more crashes", "1ag 2bg 3cg 4dg", "", "`eg", 'g'},
+	{"no trial of a request", "`ab `ab `ab", "", "`ab", '`'},
 	{"more crashes than the other", "1ag 2ag 3ag 4a", "", "5a", 'a'},
 };
 
