--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -3,11 +3,10 @@
  *
  * DESCRIPTION
  *	When a request loses its connection, crash_detector.h checks whether the
- *	server has crashed. Each crash is recorded against
- *	the request and against the parts of its prompt (coord/suspects.h), and
- *	before each send the quarantine is consulted. So repeats of one request,
- *	or requests with one part, at any instance, crash a few servers and not
- *	all of them.
+ *	server has crashed. Each crash is recorded against the request and
+ *	against the parts of its prompt (coord/suspects.h), and before each send
+ *	the quarantine is consulted. So repeats of one request, or requests with
+ *	one part, at any instance, crash a few servers and not all of them.
  */
 #include "request.h"
 
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -19,8 +19,7 @@
  *
  *	A held part, unlike a held request, may be a common one of which no run
  *	is left that could clear it. So a few requests with it are trials in any
- *	case: one in 32 after three crashes, half as many after each further
- *one.
+ *	case: one in 32 after three crashes, half as many after each other one.
  *
  *	A part is identified by its name together with the service and the
  *	caller, so no caller can have the parts of another one held.
@@ -42,8 +41,8 @@
 struct suspects {
 	struct suspect items[SUSPECTS_MAX];
 	uint32_t count;
-	uint64_t
-		attempt; /* keyed hash of the attempt's id; decides on trials */
+	/* Keyed hash of the attempt's id: which attempts are trials. */
+	uint64_t attempt;
 };
 
 /* The entry of the quarantine has changed and is to be announced. */
