--- a/include/forward/relay.h
+++ b/include/forward/relay.h
@@ -21,7 +21,7 @@
 enum relay_status {
 	/* The server refused the connection, or did not reply in time. Said
 	 * only by an instance that has connected to another server since it
-	 * began to try. */
+	 * began to try, or to two of three if the first refused. */
 	RELAY_REFUSED = 502,
 	RELAY_TIMED_OUT = 504,
 	/* The instance does not know the server, or has lost its own link to
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,9 +1,10 @@
 /* soak BUILD SEED [SECONDS [repeats|parts|asks|versions|drills]]: one run; exit
  * status 1 when a guarantee was violated. With "repeats" a caller repeats a
- * request that crashes servers, with "asks" servers announce rate limits,
- * request backoffs and announce that they are leaving, with "versions" servers
- * restart with other software versions and callers resume streams, with
- * "drills" the store comes back from old copies. */
+ * request that crashes servers, with "parts" its requests have only a part of
+ * their prompts in common, with "asks" servers announce rate limits, request
+ * backoffs and announce that they are leaving, with "versions" servers restart
+ * with other software versions and callers resume streams, with "drills" the
+ * store comes back from old copies. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
