--- a/tests/coord/test_suspects.c
+++ b/tests/coord/test_suspects.c
@@ -52,7 +52,7 @@
 }
 
 /* The suspect that a request is refused for; 0: it is not refused. */
-static char held(struct quarantine *quarantine, const char *text)
+static unsigned char held(struct quarantine *quarantine, const char *text)
 {
 	const struct suspects suspects = suspects_of(text);
 	const struct quarantine_entry *entry;
@@ -60,7 +60,7 @@
 
 	entry = suspects_find_held(quarantine, &suspects, NOW, on_changed,
 				   &changed);
-	return entry ? (char)entry->fingerprint.high : '\0';
+	return entry ? (unsigned char)entry->fingerprint.high : '\0';
 }
 
 struct row {
@@ -70,7 +70,7 @@
 	const char *crashes;
 	const char *successes; /* before them */
 	const char *request;
-	char held;
+	unsigned char held;
 };
 
 static const struct row rows[] = {
@@ -116,7 +116,7 @@
 		for (char **request = requests; *request; request++)
 			crash(quarantine, *request, i);
 	}
-	g_assert_cmpint(held(quarantine, row->request), ==, row->held);
+	g_assert_cmpuint(held(quarantine, row->request), ==, row->held);
 	quarantine_destroy(quarantine);
 }
 
@@ -129,7 +129,7 @@
 	crash(quarantine, "2ag", 2);
 	crash(quarantine, "3ag", 3);
 	succeed(quarantine, "4ag");
-	g_assert_cmpint(held(quarantine, "5ag"), ==, '\0');
+	g_assert_cmpuint(held(quarantine, "5ag"), ==, '\0');
 	g_assert_cmpuint(quarantine_held(quarantine), ==, 0);
 	quarantine_destroy(quarantine);
 }
--- a/tests/forward/test_gossip_parts.c
+++ b/tests/forward/test_gossip_parts.c
@@ -91,7 +91,7 @@
 	part_add(&suspects, number);
 	part_add(&suspects, PART_FIRST);
 	part_add(&suspects,
-		 (uint64_t)(PART_COMMON + g_test_rand_int_range(0, 3)));
+		 PART_COMMON + (uint64_t)g_test_rand_int_range(0, 3));
 	if (rare)
 		part_add(&suspects, PART_RARE);
 	if (deadly)
