coord, forward: held requests that are let through are probes, as elsewhere

The term of the rest of the code, no figure in the header, and the bound of suspects has a name of its own: node_quarantine.c has another SUSPECTS_MAX.

--- a/coord/suspects.c
+++ b/coord/suspects.c
@@ -4,13 +4,13 @@
 
 /* A held part is tried again by one request in so many; twice as many with each
  * server that has crashed. */
-#define PART_TRIAL_INTERVAL 4u
+#define PART_PROBE_INTERVAL 4u
 /* The same of a held request that is as likely as others to be the cause. */
-#define REQUEST_TRIAL_INTERVAL 8u
+#define REQUEST_PROBE_INTERVAL 8u
 
 void suspects_add(struct suspects *suspects, struct suspect suspect)
 {
-	if (suspects->count < SUSPECTS_MAX)
+	if (suspects->count < REQUEST_SUSPECTS_MAX)
 		suspects->items[suspects->count++] = suspect;
 }
 
@@ -66,7 +66,7 @@
 
 /* The verdict is the same in all steps of an attempt, and callers cannot choose
  * it. */
-static bool is_trial(const struct suspects *suspects, uint64_t interval)
+static bool is_probe(const struct suspects *suspects, uint64_t interval)
 {
 	return suspects->attempt % interval == 0;
 }
@@ -76,15 +76,15 @@
 		       enum quarantine_explanation explanation)
 {
 	return explanation == EXPLAINED_NOT &&
-	       !is_trial(suspects,
-			 (uint64_t)PART_TRIAL_INTERVAL << entry->count);
+	       !is_probe(suspects,
+			 (uint64_t)PART_PROBE_INTERVAL << entry->count);
 }
 
 static bool request_holds(const struct suspects *suspects,
 			  enum quarantine_explanation explanation)
 {
 	if (explanation == EXPLAINED_AS_WELL)
-		return !is_trial(suspects, REQUEST_TRIAL_INTERVAL);
+		return !is_probe(suspects, REQUEST_PROBE_INTERVAL);
 	return explanation == EXPLAINED_NOT;
 }
 
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -17,6 +17,9 @@
 #define LOGGED_PARTS_MAX 8u
 #define LOGGED_PART_SIZE_MAX 16u
 
+_Static_assert(REQUEST_SUSPECTS_MAX == 1 + PROMPT_PARTS_MAX,
+	       "a request has one suspect more than parts");
+
 static struct fingerprint_part part_of(struct web_text text)
 {
 	return (struct fingerprint_part){text.data, text.size};
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -15,11 +15,12 @@
  *	told apart by the servers that crashed: a held entry does not hold a
  *	request if other held entries, none of them of the request, account for
  *	its crashes and have more of them. If they have as many, a part does not
- *	hold the request, and a few requests are let through as trials.
+ *	hold the request, and a few requests are let through as half-open
+ *	probes.
  *
  *	A held part, unlike a held request, may be a common one of which no run
- *	is left that could clear it. So a few requests with it are trials in any
- *	case: one in 32 after three crashes, half as many after each other one.
+ *	is left that could clear it. So a few requests with it are probes in any
+ *	case, fewer after each further crash.
  *
  *	A part is identified by its name together with the service and the
  *	caller, so no caller can have the parts of another one held.
@@ -30,7 +31,7 @@
 #include "coord/quarantine.h"
 
 /* The request and the parts of its prompt. */
-#define SUSPECTS_MAX 33u
+#define REQUEST_SUSPECTS_MAX 33u
 
 struct suspect {
 	struct request_fingerprint fingerprint;
@@ -39,9 +40,9 @@
 
 /* The request as a whole is the first one. */
 struct suspects {
-	struct suspect items[SUSPECTS_MAX];
+	struct suspect items[REQUEST_SUSPECTS_MAX];
 	uint32_t count;
-	/* Keyed hash of the attempt's id: which attempts are trials. */
+	/* Keyed hash of the attempt's id: which attempts are probes. */
 	uint64_t attempt;
 };
 
@@ -49,7 +50,7 @@
 typedef void (*suspect_changed_fn)(
 	void *ctx, const struct request_fingerprint *fingerprint);
 
-/* Drops those beyond SUSPECTS_MAX. */
+/* Drops those beyond REQUEST_SUSPECTS_MAX. */
 void suspects_add(struct suspects *suspects, struct suspect suspect);
 
 /* A server process crashed while it ran the request. */
--- a/tests/coord/test_suspects.c
+++ b/tests/coord/test_suspects.c
@@ -85,13 +85,13 @@
 	{"sound one in use", "1ag 2ag 3ag", "7a", "4ag", 'g'},
 	{"the same request", "1ab 1ab 1ab", "", "1ab", '1'},
 	{"its parts elsewhere", "1ab 1ab 1ab", "", "2ab", '\0'},
-	/* The low bits of the first letter say which request is a trial. */
-	{"trial", "1ag 2bg 3cg", "", "`dg", '\0'},
-	{"fewer trials after more crashes", "1ag 2bg 3cg 4dg", "", "`eg", 'g'},
-	{"no trial of a request", "`ab `ab `ab", "", "`ab", '`'},
+	/* The low bits of the first letter say which request is a probe. */
+	{"probe", "1ag 2bg 3cg", "", "`dg", '\0'},
+	{"fewer probes after more crashes", "1ag 2bg 3cg 4dg", "", "`eg", 'g'},
+	{"no probe of a request", "`ab `ab `ab", "", "`ab", '`'},
 	{"request beside a part", "1ag+2 3bg+2 4cg+2 5dg", "", "2", '\0'},
 	{"as often as the part", "1ag+2 3bg+2 4cg+2", "", "2", '2'},
-	{"as often as the part, trial", "1ag+8 3bg+8 4cg+8", "", "8", '\0'},
+	{"as often as the part, probe", "1ag+8 3bg+8 4cg+8", "", "8", '\0'},
 	{"request beside two parts", "1ag+2 3bh+2 4cg 5ch 6dg+2 7dh 9eg 0eh",
 	 "", "2", '\0'},
 	{"request beside a request", "1+2 1+2 1+2 1", "", "2", '\0'},
@@ -150,9 +150,9 @@
 {
 	struct suspects suspects = {0};
 
-	for (uint32_t i = 0; i < 2 * SUSPECTS_MAX; i++)
+	for (uint32_t i = 0; i < 2 * REQUEST_SUSPECTS_MAX; i++)
 		suspects_add(&suspects, (struct suspect){{i, i}, i});
-	g_assert_cmpuint(suspects.count, ==, SUSPECTS_MAX);
+	g_assert_cmpuint(suspects.count, ==, REQUEST_SUSPECTS_MAX);
 }
 
 int main(int argc, char **argv)
