--- a/tests/forward/test_relay_server.c
+++ b/tests/forward/test_relay_server.c
@@ -214,6 +214,24 @@
 	fleet_remove(site->fleet, id);
 }
 
+/* Asked whether a server has crashed, it does not answer from its own lost link
+ * to the server: all instances that were connected to a crashed one lost it. */
+static void test_crash_confirmed(struct site *site, gconstpointer data)
+{
+	char path[RELAY_PATH_MAX];
+	g_autofree char *query = NULL;
+
+	up_put(site, "up");
+	refused_put(site, "refused");
+	backend_unreachable(fleet_find_id(site->fleet, "refused"),
+			    clock_now(site->clock));
+	relay_path_print(fleet_find_id(site->fleet, "refused")->key, path);
+	query = g_strconcat(path, "?confirm", NULL);
+	call_path(site, query);
+	loop_run(site->loop);
+	g_assert_cmpint(site->result.relay_status, ==, RELAY_REFUSED);
+}
+
 /* One of the other servers has just crashed, which is not known yet. */
 static void test_other_crashed(struct site *site, gconstpointer data)
 {
@@ -343,6 +361,7 @@
 	g_test_init(&argc, &argv, NULL);
 	TEST("up", test_up);
 	TEST("vouched", test_vouched);
+	TEST("crash-confirmed", test_crash_confirmed);
 	TEST("other-crashed", test_other_crashed);
 	TEST("known-crashed", test_known_crashed);
 	TEST("most-lost", test_most_lost);
--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -11,7 +11,8 @@
 #define HEARTBEAT_USEC (200 * USEC_PER_MSEC)
 
 static const char *const fault_names[FAULT_COUNT] = {
-	"none", "reset", "error", "busy", "silent", "cut", "unsigned", "end",
+	"none", "reset",    "error", "busy",	  "silent",
+	"cut",	"unsigned", "end",   "end-later",
 };
 
 char *site_name(struct site *site, const char *prefix)
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -43,9 +43,12 @@
  *			   servers
  *
  *	A request whose body contains ENDS_SERVER, or whose prompt has the part
- *	ENDS_SERVER_PART and further ones, crashes the server that begins to run
- *	it, with all requests in progress there; a prefill does not. The server
- *	restarts after half a second at another address, as a new incarnation.
+ *	ENDS_SERVER_PART, crashes the server that begins to run it, with all
+ *	requests in progress there; a prefill does not. One with the part
+ *	ENDS_SERVER_LATER_PART does so when its second event has been sent, one
+ *	with ENDS_SERVER_VERSION_PART only at servers of ENDS_SERVER_VERSION.
+ *	The server restarts after half a second at another address, as a new
+ *	incarnation.
  */
 #ifndef TESTS_PLATFORM_SITE_H
 #define TESTS_PLATFORM_SITE_H
@@ -62,6 +65,9 @@
 #define VERSION_MAX 16
 #define ENDS_SERVER "ends the server"
 #define ENDS_SERVER_PART "dead"
+#define ENDS_SERVER_LATER_PART "dead2"
+#define ENDS_SERVER_VERSION_PART "deadv2"
+#define ENDS_SERVER_VERSION "v2"
 
 enum stage {
 	STAGE_PLAIN,
@@ -77,7 +83,8 @@
 	FAULT_SILENT,
 	FAULT_CUT,
 	FAULT_UNSIGNED,
-	FAULT_CRASH, /* on a request: the server crashes */
+	FAULT_CRASH,	   /* on a request: the server crashes */
+	FAULT_CRASH_LATER, /* the same, after two events */
 	FAULT_COUNT,
 };
 
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -172,6 +172,19 @@
 	run_end(run);
 }
 
+/* Crashes the server: its connections close and its requests are lost. */
+static void server_crash(struct server *server)
+{
+	struct web_server *web = server->web;
+
+	log_event(LOG_INFO, "server_end", LOG_S("name", server->name),
+		  LOG_D("born", server->started_ms));
+	server->site->ledger.crashed++;
+	server->web = NULL;
+	timer_start(&server->restart, RESTART_USEC);
+	web_server_destroy(web);
+}
+
 static void event_send(struct run *run)
 {
 	struct site *site = run->server->site;
@@ -189,6 +202,10 @@
 		run_end(run);
 		return;
 	}
+	if (run->fault == FAULT_CRASH_LATER && run->event >= 2) {
+		server_crash(run->server);
+		return;
+	}
 	if (run->event >= site->events) {
 		web_reply_end(run->request);
 		run_end(run);
@@ -202,19 +219,6 @@
 	timer_start(&run->timer, site->event_usec);
 }
 
-/* Crashes the server: its connections close and its requests are lost. */
-static void server_crash(struct server *server)
-{
-	struct web_server *web = server->web;
-
-	log_event(LOG_INFO, "server_end", LOG_S("name", server->name),
-		  LOG_D("born", server->started_ms));
-	server->site->ledger.crashed++;
-	server->web = NULL;
-	timer_start(&server->restart, RESTART_USEC);
-	web_server_destroy(web);
-}
-
 static void on_timer(struct timer *timer, void *ctx)
 {
 	struct run *run = ctx;
@@ -315,15 +319,26 @@
 	return true;
 }
 
-static bool ends_server(struct web_request *request)
+static bool text_contains(struct web_text text, const char *needle)
+{
+	return text.data && g_strstr_len(text.data, (gssize)text.size, needle);
+}
+
+/* FAULT_NONE unless the request crashes the server. */
+static enum fault request_fault(const struct server *server,
+				struct web_request *request)
 {
-	struct web_text body = web_request_body(request);
 	struct web_text prompt = web_request_header(request, "prefix-hash");
 
-	return (body.data &&
-		g_strstr_len(body.data, (gssize)body.size, ENDS_SERVER)) ||
-	       (prompt.data && g_strstr_len(prompt.data, (gssize)prompt.size,
-					    ENDS_SERVER_PART ":"));
+	if (text_contains(web_request_body(request), ENDS_SERVER) ||
+	    text_contains(prompt, ENDS_SERVER_PART ":"))
+		return FAULT_CRASH;
+	if (text_contains(prompt, ENDS_SERVER_VERSION_PART ":") &&
+	    strcmp(server->version, ENDS_SERVER_VERSION) == 0)
+		return FAULT_CRASH;
+	if (text_contains(prompt, ENDS_SERVER_LATER_PART ":"))
+		return FAULT_CRASH_LATER;
+	return FAULT_NONE;
 }
 
 static void on_call(void *ctx, struct web_request *request)
@@ -355,8 +370,8 @@
 		refuse(server, request, 421, "wrong stage\n");
 		return;
 	}
-	if (ends_server(request))
-		fault = FAULT_CRASH;
+	if (request_fault(server, request) != FAULT_NONE)
+		fault = request_fault(server, request);
 	if (server->stage != STAGE_DECODE ||
 	    decode_inputs_take(server, request))
 		run_start(server, request, fault);
