forward: an instance that has lost a server too confirms that it has crashed

Callers saw requests with one bad part of their prompts crash one engine more than needed, and requests beside them lost. A crash is recorded once a refused health check was refused through a second instance as well. That one answered "no link" at once if it had lost its own connection to the server, which all instances that were connected to a crashed server have. So the more instances noticed a crash, the fewer confirmed it; when the engine was back after three seconds the check found it alive, and the crash counted against nothing.

The other conditions stand: the relay answers for the server only if it has connected to others and its links are not lost.

The stand-in of the reach world answers as the real relay does; it confirmed crashes whatever the relay had lost, which is why its tests passed.

--- a/forward/relay_server.c
+++ b/forward/relay_server.c
@@ -55,9 +55,10 @@
 	struct timer check_timer;
 };
 
-void relay_path_print(uint64_t server, char path[RELAY_PATH_MAX])
+void relay_path_print(uint64_t server, bool confirm, char path[RELAY_PATH_MAX])
 {
-	(void)snprintf(path, RELAY_PATH_MAX, RELAY_PATH "%016" PRIx64, server);
+	(void)snprintf(path, RELAY_PATH_MAX, RELAY_PATH "%016" PRIx64 "%s",
+		       server, confirm ? "?" RELAY_CONFIRM : "");
 }
 
 struct relay_server *relay_server_create(struct loop *loop, struct fleet *fleet,
@@ -313,12 +314,13 @@
 {
 	struct relay_server *server = ctx;
 	const struct backend *backend = request_server(server, request);
+	bool confirm = web_text_is(web_request_query(request), RELAY_CONFIRM);
 
 	if (server->draining || fleet_cut_off(server->fleet) ||
 	    relay_server_count(server) >= RELAYS_MAX)
 		request_refuse(server, request, RELAY_UNAVAILABLE);
 	else if (!backend || !web_relay_requested(request) ||
-		 backend_link_lost(backend))
+		 (!confirm && backend_link_lost(backend)))
 		request_refuse(server, request, RELAY_NO_LINK);
 	else
 		attempt_start(server, backend, request);
--- a/include/forward/relay.h
+++ b/include/forward/relay.h
@@ -13,9 +13,14 @@
 #ifndef FORWARD_RELAY_H
 #define FORWARD_RELAY_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #define RELAY_PATH "/relay/"
+/* The query of a request that is to confirm whether the server has crashed. It
+ * is tried also when the relay has lost its own connection to the server, as
+ * all that were connected to a crashed server have. */
+#define RELAY_CONFIRM "confirm"
 #define RELAY_PATH_MAX 32
 
 enum relay_status {
@@ -25,12 +30,12 @@
 	RELAY_REFUSED = 502,
 	RELAY_TIMED_OUT = 504,
 	/* The instance does not know the server, or has lost its own link to
-	 * it, or cannot tell. */
+	 * it and was not asked to confirm, or cannot tell. */
 	RELAY_NO_LINK = 404,
 	/* The instance is busy, stopping, or cut off. */
 	RELAY_UNAVAILABLE = 503,
 };
 
-void relay_path_print(uint64_t server, char path[RELAY_PATH_MAX]);
+void relay_path_print(uint64_t server, bool confirm, char path[RELAY_PATH_MAX]);
 
 #endif
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -324,15 +324,20 @@
 	struct backend *backend =
 		fleet_find(relay->fleet, backend_key(&call->to->info));
 
+	if (!fleet_cut_off(relay->fleet) && call->kind != CALL_CHECK &&
+	    backend_link_lost(backend)) {
+		call->relay_failure = RELAY_LINK;
+		call_fail(call, false);
+		return;
+	}
 	if (!fleet_cut_off(relay->fleet) && !call->to->crashed &&
 	    !is_cut(relay, call->to)) {
 		backend_reached(backend);
 		call_connect(call);
 		return;
 	}
-	if (!fleet_cut_off(relay->fleet) && !backend_link_lost(backend) &&
-	    is_cut(relay, call->to) && relay->cut == CUT_SILENT &&
-	    !call->relay_waited) {
+	if (!fleet_cut_off(relay->fleet) && is_cut(relay, call->to) &&
+	    relay->cut == CUT_SILENT && !call->relay_waited) {
 		call->relay_waited = true;
 		timer_start(&call->timer, RELAY_CONNECT_USEC);
 		return;
--- a/tests/forward/test_relay_server.c
+++ b/tests/forward/test_relay_server.c
@@ -165,7 +165,7 @@
 	const struct backend *backend = fleet_find_id(site->fleet, id);
 	char path[RELAY_PATH_MAX];
 
-	relay_path_print(backend->key, path);
+	relay_path_print(backend->key, false, path);
 	return call_path(site, path);
 }
 
@@ -219,15 +219,14 @@
 static void test_crash_confirmed(struct site *site, gconstpointer data)
 {
 	char path[RELAY_PATH_MAX];
-	g_autofree char *query = NULL;
 
 	up_put(site, "up");
 	refused_put(site, "refused");
 	backend_unreachable(fleet_find_id(site->fleet, "refused"),
 			    clock_now(site->clock));
-	relay_path_print(fleet_find_id(site->fleet, "refused")->key, path);
-	query = g_strconcat(path, "?confirm", NULL);
-	call_path(site, query);
+	relay_path_print(fleet_find_id(site->fleet, "refused")->key, true,
+			 path);
+	call_path(site, path);
 	loop_run(site->loop);
 	g_assert_cmpint(site->result.relay_status, ==, RELAY_REFUSED);
 }
