coord: a flood of suspects evicts no request that crashed more servers

A crash blames up to 128 requests and 32 parts of each, the table of suspects has 4,096 places, and the oldest were evicted first. Two crashes beside many requests with many parts pushed out a part with two crashes before its third, so it began again at zero. Now the oldest is evicted of those with the number of crashes that most suspects have.

--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -18,7 +18,8 @@
 
 struct item {
 	struct quarantine_entry entry;
-	GList link; /* in held or suspects */
+	GList link; /* in queue */
+	GQueue *queue;
 	bool held;
 	bool store_lost; /* to be written to the store again */
 };
@@ -27,7 +28,7 @@
 	struct quarantine_settings settings;
 	GHashTable *items; /* request_fingerprint to struct item */
 	GQueue held;	   /* oldest first */
-	GQueue suspects;
+	GQueue suspects[QUARANTINE_CRASHES_MAX]; /* by number of crashes */
 	struct recent_success successes[SUCCESS_SLOTS];
 	uint64_t exported; /* entries returned by quarantine_next() so far */
 };
@@ -152,26 +153,43 @@
 
 uint32_t quarantine_suspects(const struct quarantine *quarantine)
 {
-	return quarantine->suspects.length;
+	return g_hash_table_size(quarantine->items) - quarantine->held.length;
 }
 
-static GQueue *item_queue(struct quarantine *quarantine,
-			  const struct item *item)
+static void item_queue(struct quarantine *quarantine, struct item *item)
 {
-	return item->held ? &quarantine->held : &quarantine->suspects;
+	uint32_t count = MIN(item->entry.count, QUARANTINE_CRASHES_MAX - 1);
+
+	item->queue =
+		item->held ? &quarantine->held : &quarantine->suspects[count];
+	g_queue_push_tail_link(item->queue, &item->link);
 }
 
 static void item_drop(struct quarantine *quarantine, struct item *item)
 {
-	g_queue_unlink(item_queue(quarantine, item), &item->link);
+	g_queue_unlink(item->queue, &item->link);
 	g_hash_table_remove(quarantine->items, &item->entry.fingerprint);
 }
 
-static void queue_trim(struct quarantine *quarantine, GQueue *queue,
-		       uint32_t max)
+/* Those with the number of crashes that most suspects have. */
+static GQueue *suspects_longest(struct quarantine *quarantine)
 {
-	while (queue->length > max)
-		item_drop(quarantine, queue->head->data);
+	GQueue *longest = &quarantine->suspects[0];
+
+	for (uint32_t i = 1; i < G_N_ELEMENTS(quarantine->suspects); i++)
+		if (quarantine->suspects[i].length > longest->length)
+			longest = &quarantine->suspects[i];
+	return longest;
+}
+
+static void queues_trim(struct quarantine *quarantine)
+{
+	const struct quarantine_settings *settings = &quarantine->settings;
+
+	while (quarantine_suspects(quarantine) > settings->suspects_max)
+		item_drop(quarantine, suspects_longest(quarantine)->head->data);
+	while (quarantine->held.length > settings->held_max)
+		item_drop(quarantine, quarantine->held.head->data);
 }
 
 static struct item *item_get(struct quarantine *quarantine,
@@ -184,7 +202,7 @@
 	item = g_new0(struct item, 1);
 	item->entry.fingerprint = *fingerprint;
 	item->link.data = item;
-	g_queue_push_tail_link(&quarantine->suspects, &item->link);
+	item_queue(quarantine, item);
 	g_hash_table_insert(quarantine->items, &item->entry.fingerprint, item);
 	return item;
 }
@@ -192,13 +210,10 @@
 /* Moves it to the tail of the queue that matches its crash count. */
 static void item_requeue(struct quarantine *quarantine, struct item *item)
 {
-	const struct quarantine_settings *settings = &quarantine->settings;
-
-	g_queue_unlink(item_queue(quarantine, item), &item->link);
-	item->held = item->entry.count >= settings->crash_threshold;
-	g_queue_push_tail_link(item_queue(quarantine, item), &item->link);
-	queue_trim(quarantine, &quarantine->suspects, settings->suspects_max);
-	queue_trim(quarantine, &quarantine->held, settings->held_max);
+	g_queue_unlink(item->queue, &item->link);
+	item->held = item->entry.count >= quarantine->settings.crash_threshold;
+	item_queue(quarantine, item);
+	queues_trim(quarantine);
 }
 
 /* Keeps the servers ascending, so that equal entries have equal bytes. */
@@ -343,8 +358,9 @@
 {
 	const struct item *item = unstored_find(&quarantine->held, true);
 
-	if (!item)
-		item = unstored_find(&quarantine->suspects, false);
+	for (uint32_t i = 0; !item && i < G_N_ELEMENTS(quarantine->suspects);
+	     i++)
+		item = unstored_find(&quarantine->suspects[i], false);
 	if (!item)
 		return false;
 	*entry = item->entry;
@@ -368,9 +384,11 @@
 {
 	for (GList *link = quarantine->held.head; link; link = link->next)
 		((struct item *)link->data)->store_lost = true;
-	for (GList *link = quarantine->suspects.head; link; link = link->next) {
-		struct item *item = link->data;
+	for (uint32_t i = 0; i < G_N_ELEMENTS(quarantine->suspects); i++)
+		for (GList *link = quarantine->suspects[i].head; link;
+		     link = link->next) {
+			struct item *item = link->data;
 
-		item->store_lost = item->entry.epoch > 0;
-	}
+			item->store_lost = item->entry.epoch > 0;
+		}
 }
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -30,8 +30,9 @@
  *
  *	A held request is not released by time: its next repeat would crash the
  *	next server. Suspects and held requests have separate bounds, and the
- *	oldest of each are evicted first, so a flood of suspects evicts no held
- *	request.
+ *	oldest of each are evicted first, of suspects those with the number of
+ *	crashes that most of them have. So a flood of suspects evicts neither a
+ *	held request nor one that has crashed more servers than they have.
  *
  *	Instances exchange their entries (quarantine_next(),
  *	quarantine_merge()). In whatever order and however often they do, they
