coord: the share of probes grows with time, not with requests

A held part let one in 32 of its requests through as a probe, one in 64 after the next crash and one in 1,024 from the eighth on, for ever.

Now the share begins at one in 4,096 and doubles every two seconds after the last crash; each crash halves it and makes it grow half as fast. The next probe then comes after about as long whatever the rate and the number of instances, and each instance decides from the entry and its own clock. Weighed: one probe a period by one instance (of 300, that one may not see the next request for minutes), and a share by the number of instances (slower by that number where the caller uses one of them).

--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -20,6 +20,7 @@
 	struct quarantine_entry entry;
 	GList link; /* in queue */
 	GQueue *queue;
+	int64_t changed_at; /* when the last crash became known here */
 	bool held;
 	bool store_lost; /* to be written to the store again */
 };
@@ -85,6 +86,14 @@
 	return item ? &item->entry : NULL;
 }
 
+int64_t quarantine_changed_at(const struct quarantine *quarantine,
+			      const struct request_fingerprint *fingerprint)
+{
+	const struct item *item = item_find(quarantine, fingerprint);
+
+	return item ? item->changed_at : 0;
+}
+
 /* The servers of a, as bits, that b has too; both are ascending. */
 static uint32_t servers_shared(const struct quarantine_entry *a,
 			       const struct quarantine_entry *b)
@@ -261,6 +270,7 @@
 	item = item_get(quarantine, fingerprint);
 	if (!server_add(&item->entry, server))
 		return false;
+	item->changed_at = now;
 	item_requeue(quarantine, item);
 	return true;
 }
@@ -295,7 +305,7 @@
 }
 
 bool quarantine_merge(struct quarantine *quarantine,
-		      const struct quarantine_entry *entry)
+		      const struct quarantine_entry *entry, int64_t now)
 {
 	struct item *item;
 	bool changed;
@@ -312,9 +322,11 @@
 	item->entry.stored |=
 		entry->stored &&
 		entry->count >= quarantine->settings.crash_threshold;
-	if (changed)
-		item_requeue(quarantine, item);
-	return changed;
+	if (!changed)
+		return false;
+	item->changed_at = now;
+	item_requeue(quarantine, item);
+	return true;
 }
 
 uint32_t quarantine_next(struct quarantine *quarantine,
--- a/coord/suspects.c
+++ b/coord/suspects.c
@@ -2,10 +2,17 @@
 
 #include <glib.h>
 
-/* A held part is tried again by one request in so many; twice as many with each
- * server that has crashed. */
-#define PART_PROBE_INTERVAL 4u
-/* The same of a held request that is as likely as others to be the cause. */
+#include "common/clock.h"
+
+/* The share of the requests with a held part that are probes begins at 2^-12,
+ * with three crashes, and doubles every two seconds after the last one, so that
+ * the next probe depends little on the rate of requests and on how many
+ * instances share them. With each crash it begins at half of that and grows
+ * half as fast. */
+#define PART_PROBE_BITS 9u
+#define PART_PROBE_DOUBLING_USEC (250 * USEC_PER_MSEC)
+/* One in so many of the requests that is as likely as others to be the cause is
+ * a probe. */
 #define REQUEST_PROBE_INTERVAL 8u
 
 void suspects_add(struct suspects *suspects, struct suspect suspect)
@@ -64,20 +71,29 @@
 	return !has_suspect(ctx, fingerprint);
 }
 
-/* The verdict is the same in all steps of an attempt, and callers cannot choose
- * it. */
+/* Callers cannot choose the hash of an attempt. A probe stays one in all of its
+ * steps unless another server crashes meanwhile. */
 static bool is_probe(const struct suspects *suspects, uint64_t interval)
 {
 	return suspects->attempt % interval == 0;
 }
 
+static uint64_t part_probe_interval(const struct quarantine_entry *entry,
+				    int64_t age)
+{
+	int64_t doublings =
+		MAX(age, 0) / (PART_PROBE_DOUBLING_USEC << entry->count);
+	int64_t bits = (int64_t)(PART_PROBE_BITS + entry->count) - doublings;
+
+	return (uint64_t)1 << MAX(bits, 0);
+}
+
 static bool part_holds(const struct suspects *suspects,
-		       const struct quarantine_entry *entry,
+		       const struct quarantine_entry *entry, int64_t age,
 		       enum quarantine_explanation explanation)
 {
 	return explanation == EXPLAINED_NOT &&
-	       !is_probe(suspects,
-			 (uint64_t)PART_PROBE_INTERVAL << entry->count);
+	       !is_probe(suspects, part_probe_interval(entry, age));
 }
 
 static bool request_holds(const struct suspects *suspects,
@@ -112,7 +128,10 @@
 		explanation = quarantine_explain(quarantine, fingerprint,
 						 is_other, suspects);
 		if (i == 0 ? request_holds(suspects, explanation)
-			   : part_holds(suspects, entry, explanation))
+			   : part_holds(suspects, entry,
+					now - quarantine_changed_at(
+						      quarantine, fingerprint),
+					explanation))
 			return entry;
 	}
 	return NULL;
--- a/forward/node_quarantine.c
+++ b/forward/node_quarantine.c
@@ -86,7 +86,7 @@
 {
 	struct node *node = ctx;
 
-	if (!quarantine_merge(node->quarantine, entry))
+	if (!quarantine_merge(node->quarantine, entry, clock_now(node->clock)))
 		return false;
 	servers_set_crashed(node, entry);
 	received_log(node, "peer", &entry->fingerprint);
@@ -161,7 +161,8 @@
 		log_event(LOG_WARNING, "work_malformed",
 			  LOG_S("key", record->key),
 			  LOG_D("offset", position_offset(record->offset)));
-	else if (quarantine_merge(node->quarantine, &entry))
+	else if (quarantine_merge(node->quarantine, &entry,
+				  clock_now(node->clock)))
 		received_log(node, "store", &entry.fingerprint);
 	return true;
 }
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -91,6 +91,9 @@
 const struct quarantine_entry *
 quarantine_find(const struct quarantine *quarantine,
 		const struct request_fingerprint *fingerprint);
+/* When the entry's last crash became known here; 0 when there is no entry. */
+int64_t quarantine_changed_at(const struct quarantine *quarantine,
+			      const struct request_fingerprint *fingerprint);
 /* Whether other held entries, those that may() returns true for, account for
  * the crashes of a held one: without the servers that are also theirs, it has
  * fewer than quarantine_settings.crash_threshold. */
@@ -128,7 +131,7 @@
  * has changed. Drops an entry with too many servers, or with neither servers
  * nor an epoch. */
 bool quarantine_merge(struct quarantine *quarantine,
-		      const struct quarantine_entry *entry);
+		      const struct quarantine_entry *entry, int64_t now);
 /* Copies at most max entries, from where the last call stopped; returns how
  * many. */
 uint32_t quarantine_next(struct quarantine *quarantine,
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -19,8 +19,9 @@
  *	probes.
  *
  *	A held part, unlike a held request, may be a common one of which no run
- *	is left that could clear it. So a few requests with it are probes in any
- *	case, fewer after each further crash.
+ *	is left that could clear it. So a growing share of the requests with it
+ *	are probes in any case, until one clears it or crashes another server;
+ *	after each crash the next probe comes about twice as late.
  *
  *	A part is identified by its name together with the service and the
  *	caller, so no caller can have the parts of another one held.
