platform: the last part of a prompt is looked at, too

Requests of one session share the last part of their prompts.

Cost, weighed: one more suspect for each request that loses its server, which is as short-lived as the request as a whole, and one more recent success. The table of successes has 8,192 places (192 KiB) instead of 4,096, so that those of common parts are pushed out no more often than before.

The rows of the decoder that expected the last part to be left out expect it now.

--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -6,7 +6,7 @@
 
 /* Requests that succeeded recently, in slots by keyed hash. A new one replaces
  * the previous one in its slot. */
-#define SUCCESS_SLOTS 4096u
+#define SUCCESS_SLOTS 8192u
 /* Older successes are ignored: the servers may run other software by now. */
 #define SUCCESS_VALID_USEC (60 * USEC_PER_SEC)
 
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -44,7 +44,7 @@
  *	The module has no network and no clock; all times are in microseconds of
  *	the caller's clock. Cost: one lookup a request while anything is suspect
  *	or held, otherwise only the keyed hash; 112 bytes an entry plus the
- *	overhead of GLib's tables, and 96 KiB for recent successes.
+ *	overhead of GLib's tables, and 192 KiB for recent successes.
  */
 #ifndef COORD_QUARANTINE_H
 #define COORD_QUARANTINE_H
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -6,8 +6,8 @@
  *	repeats then crash further servers, or by one part of the request's
  *	prompt, which other requests have too. So a crash is recorded in the
  *	quarantine (coord/quarantine.h) against the request as a whole and,
- *	unless its answer had begun, against each of the parts that it shares
- *	with others.
+ *	unless its answer had begun, against each of its parts, which others may
+ *	share.
  *
  *	Sound parts occur in the same requests as the one that crashes servers,
  *	and sound requests run beside those that do. Those in common use have
--- a/include/forward/caller.h
+++ b/include/forward/caller.h
@@ -27,9 +27,8 @@
 	uint32_t prompt_tokens;	  /* 0: no prompt */
 	uint32_t output_max;	  /* maximum of generated tokens */
 	uint32_t output_expected; /* the caller's estimate; 0: none */
-	/* Names of the parts of the prompt, in order, that other requests may
-	 * have too; not of the last, which belongs to this request or its
-	 * session. */
+	/* Names of the parts of the prompt, in order. Other requests may have
+	 * them too, the last one those of the same session. */
 	struct web_text parts[PROMPT_PARTS_MAX];
 	uint32_t part_count;
 	bool resumes; /* resumes a stream */
--- a/tests/coord/test_quarantine.c
+++ b/tests/coord/test_quarantine.c
@@ -77,8 +77,8 @@
 					      NOW + 61 * USEC_PER_SEC));
 	/* A crash of another request in the same slot is recorded. */
 	quarantine_record_success(quarantine, 2, NOW);
-	crash_servers(quarantine, 2 + 4096, 3);
-	g_assert_true(holds(quarantine, 2 + 4096));
+	crash_servers(quarantine, 2 + 8192, 3);
+	g_assert_true(holds(quarantine, 2 + 8192));
 	quarantine_destroy(quarantine);
 }
 
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -537,12 +537,12 @@
 
 static const struct prompt prompts[] = {
 	{"three", "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
-	 "5c1e07a2 91bd3f06"},
-	{"one", "5c1e07a2:800", ""},
+	 "5c1e07a2 91bd3f06 e4402b7d"},
+	{"one", "5c1e07a2:800", "5c1e07a2"},
 	{"empty", "", ""},
-	{"without tokens", "a,b,c", "a b"},
+	{"without tokens", "a,b,c", "a b c"},
 	{"last is empty", "a:1,b:2,", "a b"},
-	{"empty parts", ",:1,,a:1,b:1", "a"},
+	{"empty parts", ",:1,,a:1,b:1", "a b"},
 };
 
 static void test_prompt(gconstpointer data)
