coord, forward: crashes in the middle of answers count against parts

Callers saw one engine after the other crash under requests with one part in common, each some tokens into its answer: 14 of 15, none held.

All that ran beside the cause is lost in the middle of an answer, so this is weaker evidence. It is counted apart, in an entry of its own for each part (a bit of the fingerprint), and holds from the fifth crash on instead of the third. Weighed: the same count for both (rare sound parts beside three crashes would be held until the cause is), one count with weights (another field of the message, which older instances refuse), the position in the answer (differs from engine to engine). What accounts for crashes compares how far each entry is beyond what holds it. Streams that can go on are not held back by such crashes until the part is held: many lose their server so.

Fixtures of fingerprints have even numbers now, as real ones; no expectation changed.

--- a/coord/fingerprint.c
+++ b/coord/fingerprint.c
@@ -23,9 +23,17 @@
 	g_checksum_get_digest(sum, digest, &size);
 	g_checksum_free(sum);
 	memcpy(&id, digest, sizeof(id));
+	id.low &= ~(uint64_t)FINGERPRINT_BEGUN;
 	return id;
 }
 
+struct request_fingerprint
+fingerprint_begun(const struct request_fingerprint *id)
+{
+	return (struct request_fingerprint){id->high,
+					    id->low | FINGERPRINT_BEGUN};
+}
+
 uint64_t keyed_hash_of(const struct fingerprint_part *parts, size_t count,
 		       uint64_t secret)
 {
--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -10,6 +10,11 @@
 /* Older successes are ignored: the servers may run other software by now. */
 #define SUCCESS_VALID_USEC (60 * USEC_PER_SEC)
 
+/* More crashes that it takes when the answers had begun: all requests that run
+ * beside the cause are lost so, not only the few whose answer begins just then.
+ */
+#define BEGUN_CRASHES_MORE 2u
+
 struct recent_success {
 	uint64_t hash;
 	int64_t at;
@@ -58,6 +63,25 @@
 	quarantine->settings.crash_threshold = crash_threshold;
 }
 
+/* Crashes from which an entry is held. */
+static uint32_t entry_threshold(const struct quarantine *quarantine,
+				const struct quarantine_entry *entry)
+{
+	uint32_t threshold = quarantine->settings.crash_threshold;
+
+	if (entry->fingerprint.low & FINGERPRINT_BEGUN)
+		threshold += BEGUN_CRASHES_MORE;
+	return MIN(threshold, QUARANTINE_CRASHES_MAX);
+}
+
+uint32_t quarantine_excess(const struct quarantine *quarantine,
+			   const struct quarantine_entry *entry)
+{
+	uint32_t threshold = entry_threshold(quarantine, entry);
+
+	return entry->count - MIN(entry->count, threshold);
+}
+
 bool quarantine_empty(const struct quarantine *quarantine)
 {
 	return g_hash_table_size(quarantine->items) == 0;
@@ -118,7 +142,7 @@
 
 	for (uint32_t i = 0; i < entry->count; i++)
 		own -= shared >> i & 1;
-	return own < quarantine->settings.crash_threshold;
+	return own < entry_threshold(quarantine, entry);
 }
 
 enum quarantine_explanation
@@ -131,21 +155,23 @@
 	const struct item *item = item_find(quarantine, fingerprint);
 	uint32_t as_well = 0;
 	uint32_t better = 0;
+	uint32_t excess;
 
 	if (!item || !item->held)
 		return EXPLAINED_NOT;
+	excess = quarantine_excess(quarantine, &item->entry);
 	for (const GList *link = quarantine->held.head; link;
 	     link = link->next) {
 		const struct quarantine_entry *other =
 			&((const struct item *)link->data)->entry;
+		uint32_t other_excess = quarantine_excess(quarantine, other);
 		uint32_t shared = servers_shared(&item->entry, other);
 
 		if (other == &item->entry || shared == 0 ||
-		    other->count < item->entry.count ||
-		    !may(ctx, &other->fingerprint))
+		    other_excess < excess || !may(ctx, &other->fingerprint))
 			continue;
 		as_well |= shared;
-		if (other->count > item->entry.count)
+		if (other_excess > excess)
 			better |= shared;
 	}
 	if (is_accounted(quarantine, &item->entry, better))
@@ -220,7 +246,8 @@
 static void item_requeue(struct quarantine *quarantine, struct item *item)
 {
 	g_queue_unlink(item->queue, &item->link);
-	item->held = item->entry.count >= quarantine->settings.crash_threshold;
+	item->held =
+		item->entry.count >= entry_threshold(quarantine, &item->entry);
 	item_queue(quarantine, item);
 	queues_trim(quarantine);
 }
@@ -321,7 +348,7 @@
 	 * store. */
 	item->entry.stored |=
 		entry->stored &&
-		entry->count >= quarantine->settings.crash_threshold;
+		entry->count >= entry_threshold(quarantine, entry);
 	if (!changed)
 		return false;
 	item->changed_at = now;
--- a/coord/suspects.c
+++ b/coord/suspects.c
@@ -4,13 +4,12 @@
 
 #include "common/clock.h"
 
-/* The share of the requests with a held part that are probes begins at 2^-12,
- * with three crashes, and doubles every two seconds after the last one, so that
- * the next probe depends little on the rate of requests and on how many
- * instances share them. With each crash it begins at half of that and grows
- * half as fast. */
-#define PART_PROBE_BITS 9u
-#define PART_PROBE_DOUBLING_USEC (250 * USEC_PER_MSEC)
+/* The share of the requests with a held part that are probes begins at 2^-12
+ * and doubles every two seconds after the last crash, so that the next probe
+ * depends little on the rate of requests and on how many instances share them.
+ * With each further crash it begins at half of that and grows half as fast. */
+#define PART_PROBE_BITS 12u
+#define PART_PROBE_DOUBLING_USEC (2 * USEC_PER_SEC)
 /* One in so many of the requests that is as likely as others to be the cause is
  * a probe. */
 #define REQUEST_PROBE_INTERVAL 8u
@@ -21,16 +20,28 @@
 		suspects->items[suspects->count++] = suspect;
 }
 
+/* What crashes of requests in that state count against: a request as a whole
+ * is the cause of its own crashes whether its answer had begun or not. */
+static struct request_fingerprint
+suspect_fingerprint(const struct suspects *suspects, uint32_t i, bool begun)
+{
+	const struct request_fingerprint *id = &suspects->items[i].fingerprint;
+
+	return begun && i > 0 ? fingerprint_begun(id) : *id;
+}
+
 void suspects_record_crash(struct quarantine *quarantine,
 			   const struct suspects *suspects, uint64_t server,
 			   int64_t now, suspect_changed_fn fn, void *ctx)
 {
 	for (uint32_t i = 0; i < suspects->count; i++) {
-		const struct suspect *suspect = &suspects->items[i];
+		const struct request_fingerprint id =
+			suspect_fingerprint(suspects, i, suspects->begun);
 
-		if (quarantine_record_crash(quarantine, &suspect->fingerprint,
-					    suspect->keyed_hash, server, now))
-			fn(ctx, &suspect->fingerprint);
+		if (quarantine_record_crash(quarantine, &id,
+					    suspects->items[i].keyed_hash,
+					    server, now))
+			fn(ctx, &id);
 	}
 }
 
@@ -42,25 +53,37 @@
 					  suspects->items[i].keyed_hash, now);
 }
 
+static void suspect_clear(struct quarantine *quarantine,
+			  const struct request_fingerprint *id,
+			  suspect_changed_fn fn, void *ctx)
+{
+	if (quarantine_clear(quarantine, id))
+		fn(ctx, id);
+}
+
 void suspects_clear(struct quarantine *quarantine,
 		    const struct suspects *suspects, suspect_changed_fn fn,
 		    void *ctx)
 {
 	for (uint32_t i = 0; i < suspects->count; i++) {
-		const struct request_fingerprint *fingerprint =
+		const struct request_fingerprint *id =
 			&suspects->items[i].fingerprint;
+		const struct request_fingerprint begun = fingerprint_begun(id);
 
-		if (quarantine_clear(quarantine, fingerprint))
-			fn(ctx, fingerprint);
+		suspect_clear(quarantine, id, fn, ctx);
+		suspect_clear(quarantine, &begun, fn, ctx);
 	}
 }
 
 static bool has_suspect(const struct suspects *suspects,
 			const struct request_fingerprint *fingerprint)
 {
+	const struct request_fingerprint id = {
+		fingerprint->high,
+		fingerprint->low & ~(uint64_t)FINGERPRINT_BEGUN};
+
 	for (uint32_t i = 0; i < suspects->count; i++)
-		if (fingerprint_same(&suspects->items[i].fingerprint,
-				     fingerprint))
+		if (fingerprint_same(&suspects->items[i].fingerprint, &id))
 			return true;
 	return false;
 }
@@ -78,24 +101,19 @@
 	return suspects->attempt % interval == 0;
 }
 
-static uint64_t part_probe_interval(const struct quarantine_entry *entry,
-				    int64_t age)
+static uint64_t part_probe_interval(const struct quarantine *quarantine,
+				    const struct quarantine_entry *entry,
+				    int64_t now)
 {
-	int64_t doublings =
-		MAX(age, 0) / (PART_PROBE_DOUBLING_USEC << entry->count);
-	int64_t bits = (int64_t)(PART_PROBE_BITS + entry->count) - doublings;
+	uint32_t excess = quarantine_excess(quarantine, entry);
+	int64_t age =
+		now - quarantine_changed_at(quarantine, &entry->fingerprint);
+	int64_t doublings = MAX(age, 0) / (PART_PROBE_DOUBLING_USEC << excess);
+	int64_t bits = (int64_t)(PART_PROBE_BITS + excess) - doublings;
 
 	return (uint64_t)1 << MAX(bits, 0);
 }
 
-static bool part_holds(const struct suspects *suspects,
-		       const struct quarantine_entry *entry, int64_t age,
-		       enum quarantine_explanation explanation)
-{
-	return explanation == EXPLAINED_NOT &&
-	       !is_probe(suspects, part_probe_interval(entry, age));
-}
-
 static bool request_holds(const struct suspects *suspects,
 			  enum quarantine_explanation explanation)
 {
@@ -104,39 +122,55 @@
 	return explanation == EXPLAINED_NOT;
 }
 
-const struct quarantine_entry *
-suspects_find_held(struct quarantine *quarantine,
-		   const struct suspects *suspects, int64_t now,
-		   suspect_changed_fn fn, void *ctx)
+/* Whether the request is refused for that entry, which holds it unless other
+ * entries account for its crashes. */
+static bool entry_refuses(const struct quarantine *quarantine,
+			  const struct suspects *suspects,
+			  const struct quarantine_entry *entry, bool is_part,
+			  int64_t now)
 {
-	for (uint32_t i = 0; i < suspects->count; i++) {
-		const struct suspect *suspect = &suspects->items[i];
-		const struct request_fingerprint *fingerprint =
-			&suspect->fingerprint;
+	enum quarantine_explanation explanation = quarantine_explain(
+		quarantine, &entry->fingerprint, is_other, suspects);
+
+	if (!is_part)
+		return request_holds(suspects, explanation);
+	return explanation == EXPLAINED_NOT &&
+	       !is_probe(suspects, part_probe_interval(quarantine, entry, now));
+}
+
+static const struct quarantine_entry *
+find_held(struct quarantine *quarantine, const struct suspects *suspects,
+	  bool begun, int64_t now, suspect_changed_fn fn, void *ctx)
+{
+	for (uint32_t i = begun ? 1 : 0; i < suspects->count; i++) {
+		const struct request_fingerprint id =
+			suspect_fingerprint(suspects, i, begun);
 		const struct quarantine_entry *entry =
-			quarantine_find(quarantine, fingerprint);
-		enum quarantine_explanation explanation;
+			quarantine_find(quarantine, &id);
 
-		if (!quarantine_holds(quarantine, fingerprint))
-			continue;
-		if (quarantine_has_succeeded(quarantine, suspect->keyed_hash,
-					     now)) {
-			quarantine_clear(quarantine, fingerprint);
-			fn(ctx, fingerprint);
+		if (!quarantine_holds(quarantine, &id))
 			continue;
-		}
-		explanation = quarantine_explain(quarantine, fingerprint,
-						 is_other, suspects);
-		if (i == 0 ? request_holds(suspects, explanation)
-			   : part_holds(suspects, entry,
-					now - quarantine_changed_at(
-						      quarantine, fingerprint),
-					explanation))
+		if (quarantine_has_succeeded(
+			    quarantine, suspects->items[i].keyed_hash, now))
+			suspect_clear(quarantine, &id, fn, ctx);
+		else if (entry_refuses(quarantine, suspects, entry, i > 0, now))
 			return entry;
 	}
 	return NULL;
 }
 
+const struct quarantine_entry *
+suspects_find_held(struct quarantine *quarantine,
+		   const struct suspects *suspects, int64_t now,
+		   suspect_changed_fn fn, void *ctx)
+{
+	const struct quarantine_entry *entry =
+		find_held(quarantine, suspects, false, now, fn, ctx);
+
+	return entry ? entry
+		     : find_held(quarantine, suspects, true, now, fn, ctx);
+}
+
 bool suspects_crashed(const struct quarantine *quarantine,
 		      const struct suspects *suspects, int64_t now)
 {
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -137,9 +137,7 @@
 		  LOG_D("born", request->target.started_ms),
 		  LOG_S("why", end->text));
 	suspects = *request_suspects(request);
-	/* A part crashes the server when the answer begins. */
-	if (request->replied)
-		suspects.count = 1;
+	suspects.begun = request->replied;
 	crash_detector_check(request->forward->crash_detector, &request->target,
 			     request->service->health_path, &suspects);
 }
--- a/include/coord/fingerprint.h
+++ b/include/coord/fingerprint.h
@@ -4,7 +4,7 @@
  * DESCRIPTION
  *	A caller that repeats a request gives it a new id, so requests are
  *	compared by content: method, host, path and query, caller, and body. The
- *	fingerprint is 128 bits of SHA-256 over these parts, each preceded by
+ *	fingerprint is 127 bits of SHA-256 over these parts, each preceded by
  *	its length, so no caller can forge a request that has the fingerprint of
  *	another one.
  *
@@ -20,6 +20,10 @@
 #include <stddef.h>
 #include <stdint.h>
 
+/* Bit of struct request_fingerprint.low, 0 in what fingerprint_of() returns:
+ * the same subject, as to crashes after the answer had begun. */
+#define FINGERPRINT_BEGUN 1u
+
 struct request_fingerprint {
 	uint64_t high;
 	uint64_t low;
@@ -35,6 +39,9 @@
 /* secret: the key, random per process. */
 uint64_t keyed_hash_of(const struct fingerprint_part *parts, size_t count,
 		       uint64_t secret);
+/* The same with FINGERPRINT_BEGUN. */
+struct request_fingerprint
+fingerprint_begun(const struct request_fingerprint *id);
 bool fingerprint_same(const struct request_fingerprint *a,
 		      const struct request_fingerprint *b);
 /* For hash tables whose keys are struct request_fingerprint. */
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -28,6 +28,10 @@
  *	Requests that ran beside the cause at three servers are told apart from
  *	it by quarantine_explain(); coord/suspects.h decides with it.
  *
+ *	An entry with FINGERPRINT_BEGUN counts crashes after the answer had
+ *	begun. All that ran beside the cause is lost so, and it takes two
+ *	crashes more.
+ *
  *	A held request is not released by time: its next repeat would crash the
  *	next server. Suspects and held requests have separate bounds, and the
  *	oldest of each are evicted first, of suspects those with the number of
@@ -91,16 +95,19 @@
 const struct quarantine_entry *
 quarantine_find(const struct quarantine *quarantine,
 		const struct request_fingerprint *fingerprint);
+/* Crashes beyond those from which the entry is held. */
+uint32_t quarantine_excess(const struct quarantine *quarantine,
+			   const struct quarantine_entry *entry);
 /* When the entry's last crash became known here; 0 when there is no entry. */
 int64_t quarantine_changed_at(const struct quarantine *quarantine,
 			      const struct request_fingerprint *fingerprint);
 /* Whether other held entries, those that may() returns true for, account for
- * the crashes of a held one: without the servers that are also theirs, it has
- * fewer than quarantine_settings.crash_threshold. */
+ * the crashes of a held one: without the servers that are also theirs, it would
+ * not be held. */
 enum quarantine_explanation {
 	EXPLAINED_NOT,
-	EXPLAINED_AS_WELL, /* by entries with at least as many servers */
-	EXPLAINED_BETTER,  /* by entries with more servers */
+	EXPLAINED_AS_WELL, /* by entries with at least as much excess */
+	EXPLAINED_BETTER,  /* by entries with more excess */
 };
 enum quarantine_explanation
 quarantine_explain(const struct quarantine *quarantine,
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -5,9 +5,9 @@
  *	The crash of a server may be caused by a request that it ran, whose
  *	repeats then crash further servers, or by one part of the request's
  *	prompt, which other requests have too. So a crash is recorded in the
- *	quarantine (coord/quarantine.h) against the request as a whole and,
- *	unless its answer had begun, against each of its parts, which others may
- *	share.
+ *	quarantine (coord/quarantine.h) against the request as a whole and
+ *	against each of its parts, which others may share; for parts, crashes
+ *	after the answer had begun are counted apart, and it takes more of them.
  *
  *	Sound parts occur in the same requests as the one that crashes servers,
  *	and sound requests run beside those that do. Those in common use have
@@ -43,6 +43,7 @@
 struct suspects {
 	struct suspect items[REQUEST_SUSPECTS_MAX];
 	uint32_t count;
+	bool begun; /* the answer had begun when the server crashed */
 	/* Keyed hash of the attempt's id: which attempts are probes. */
 	uint64_t attempt;
 };
@@ -73,8 +74,8 @@
 suspects_find_held(struct quarantine *quarantine,
 		   const struct suspects *suspects, int64_t now,
 		   suspect_changed_fn fn, void *ctx);
-/* Whether any of them is known to have crashed servers and has not succeeded
- * here within the last minute. */
+/* Whether any of them is known to have crashed servers, parts before the answer
+ * began, and has not succeeded here within the last minute. */
 bool suspects_crashed(const struct quarantine *quarantine,
 		      const struct suspects *suspects, int64_t now);
 
--- a/tests/coord/test_probes.c
+++ b/tests/coord/test_probes.c
@@ -63,7 +63,8 @@
 {
 	struct suspects suspects = {.attempt = id_mix(number, 0)};
 
-	suspects_add(&suspects, (struct suspect){{number, number}, number});
+	suspects_add(&suspects,
+		     (struct suspect){{number, number << 1}, number});
 	suspects_add(&suspects, (struct suspect){{2, 2}, 2});
 	return suspects;
 }
--- a/tests/coord/test_quarantine.c
+++ b/tests/coord/test_quarantine.c
@@ -16,7 +16,7 @@
 
 static struct request_fingerprint fingerprint_make(uint64_t n)
 {
-	return (struct request_fingerprint){n, n};
+	return (struct request_fingerprint){n, n << 1};
 }
 
 /* Records crashes of count different servers that ran request n. */
@@ -228,7 +228,7 @@
 		g_assert_cmpuint(quarantine_next(quarantine, entries, 4), ==,
 				 4);
 		for (int k = 0; k < 4; k++)
-			seen[entries[k].fingerprint.low] = true;
+			seen[entries[k].fingerprint.high] = true;
 	}
 	for (int n = 1; n <= 20; n++)
 		g_assert_true(seen[n]);
--- a/tests/coord/test_suspects.c
+++ b/tests/coord/test_suspects.c
@@ -20,14 +20,17 @@
 	(*count)++;
 }
 
-/* Each letter of the text is a suspect; the first is the request itself. */
+/* Each letter of the text is a suspect; the first is the request itself. "!"
+ * before them: the answer had begun. */
 static struct suspects suspects_of(const char *text)
 {
-	struct suspects suspects = {.attempt = (uint64_t)*text};
+	bool begun = *text == '!';
+	struct suspects suspects = {.attempt = (uint64_t)text[begun],
+				    .begun = begun};
 
-	for (const char *c = text; *c; c++)
+	for (const char *c = text + begun; *c; c++)
 		suspects_add(&suspects,
-			     (struct suspect){{(uint64_t)*c, (uint64_t)*c},
+			     (struct suspect){{(uint64_t)*c, (uint64_t)*c << 1},
 					      (uint64_t)*c});
 	return suspects;
 }
@@ -97,6 +100,19 @@
 	{"beside a part, thrice alone", "1ag+2 3bg 4cg 2 2 5dg 2", "", "2",
 	 '2'},
 	{"more crashes than the other", "1ag 2ag 3ag 4a", "", "5a", 'a'},
+	{"begun, four crashes", "!1ag !2bg !3cg !4dg", "", "6fg", '\0'},
+	{"begun, five crashes", "!1ag !2bg !3cg !4dg !5eg", "", "6fg", 'g'},
+	{"begun, in use", "!1ag !2bg !3cg !4dg !5eg", "7g", "6fg", '\0'},
+	{"two, and four begun", "1ag 2bg !3cg !4dg !5eg !6fg", "", "7hg", '\0'},
+	{"begun beside a part", "1ag+!2x 3bg+!4x 5cg+!6x !7x !8x", "", "9x",
+	 '\0'},
+	{"begun beside a part, and five",
+	 "1ag+!2x 3bg+!4x 5cg+!6x !x !x !x !x !x", "", "9x", 'x'},
+	{"part beside those begun", "!1ag+2x !3bg+4x !5cg+6x !7dg !8eg", "",
+	 "9x", '\0'},
+	{"always with a sound one, begun", "!1ag !2ag !3ag !4ag !5ag", "", "6a",
+	 '\0'},
+	{"the request, begun", "!1 !1 !1", "", "1", '1'},
 };
 
 static void test_row(gconstpointer data)
@@ -199,6 +215,9 @@
 	crash(quarantine, "1a", 1);
 	g_assert_true(suspects_crashed(quarantine, &part, NOW));
 	g_assert_false(suspects_crashed(quarantine, &other, NOW));
+	/* So many lose their server in the middle of an answer. */
+	crash(quarantine, "!4b", 2);
+	g_assert_false(suspects_crashed(quarantine, &other, NOW));
 	quarantine_destroy(quarantine);
 }
 
--- a/tests/forward/test_gossip_parts.c
+++ b/tests/forward/test_gossip_parts.c
@@ -78,7 +78,7 @@
 
 static void part_add(struct suspects *suspects, uint64_t name)
 {
-	suspects_add(suspects, (struct suspect){{name, name}, name});
+	suspects_add(suspects, (struct suspect){{name, name << 1}, name});
 }
 
 static struct suspects request_make(struct scenario *scenario, bool deadly,
--- a/tests/forward/test_gossip_works.c
+++ b/tests/forward/test_gossip_works.c
@@ -87,7 +87,7 @@
 {
 	return (struct scenario){
 		.site = site_open(count),
-		.fingerprint = {fingerprint, fingerprint},
+		.fingerprint = {fingerprint, fingerprint << 1},
 	};
 }
 
