coord, forward: a verdict holds for one version of the servers' software

Crashes and successes are recorded for the request or part together with the version of the server now, and a held request is kept from the versions that it is held at: servers of others serve it, and it is refused only where none is listed that may run it. A new version of the software begins without verdicts. Weighed: a success that takes away one crash instead of all (every second one crashing never adds up to three), a share of crashes among all runs (the same for a sound part beside a bad one), entries that list versions (another field, which older instances refuse).

An instance of an older release forms other fingerprints, so during an upgrade old and new ones each find a bad part for themselves; entries of the old ones in the store stay without effect.

--- a/coord/fingerprint.c
+++ b/coord/fingerprint.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <xxhash.h>
 
+#include "common/id.h"
+
 struct request_fingerprint fingerprint_of(const struct fingerprint_part *parts,
 					  size_t count)
 {
@@ -27,6 +29,14 @@
 	return id;
 }
 
+struct request_fingerprint fingerprint_at(const struct request_fingerprint *id,
+					  uint64_t software)
+{
+	return (struct request_fingerprint){
+		id->high,
+		id_mix(id->low, software) & ~(uint64_t)FINGERPRINT_BEGUN};
+}
+
 struct request_fingerprint
 fingerprint_begun(const struct request_fingerprint *id)
 {
--- a/coord/suspects.c
+++ b/coord/suspects.c
@@ -3,6 +3,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "common/id.h"
 
 /* The share of the requests with a held part that are probes begins at 2^-12
  * and doubles every two seconds after the last crash, so that the next probe
@@ -20,6 +21,20 @@
 		suspects->items[suspects->count++] = suspect;
 }
 
+struct suspects suspects_at(const struct suspects *suspects, uint64_t software)
+{
+	struct suspects at = *suspects;
+
+	for (uint32_t i = 0; i < at.count; i++) {
+		struct suspect *suspect = &at.items[i];
+
+		suspect->fingerprint =
+			fingerprint_at(&suspect->fingerprint, software);
+		suspect->keyed_hash = id_mix(suspect->keyed_hash, software);
+	}
+	return at;
+}
+
 /* What crashes of requests in that state count against: a request as a whole
  * is the cause of its own crashes whether its answer had begun or not. */
 static struct request_fingerprint
--- a/forward/fleet_software.c
+++ b/forward/fleet_software.c
@@ -73,3 +73,21 @@
 		return 0;
 	return sole == id_of("") || fleet->complete_since <= since ? sole : 0;
 }
+
+uint32_t fleet_software(const struct fleet *fleet, uint64_t service,
+			uint64_t *software, uint32_t max)
+{
+	const GPtrArray *servers = fleet_service(fleet, service);
+	uint32_t count = 0;
+
+	for (guint i = 0; servers && i < servers->len; i++) {
+		const struct backend *backend = servers->pdata[i];
+		uint32_t at = 0;
+
+		while (at < count && software[at] != backend->info.software)
+			at++;
+		if (at == count && count < max)
+			software[count++] = backend->info.software;
+	}
+	return count;
+}
--- a/forward/place.c
+++ b/forward/place.c
@@ -91,12 +91,22 @@
 	return limit_of(place, backend) >= 0.0;
 }
 
+bool barred_has(const struct barred *barred, uint64_t software)
+{
+	for (uint32_t i = 0; barred && i < barred->count; i++)
+		if (barred->software[i] == software)
+			return true;
+	return false;
+}
+
 static bool software_allowed(const struct place *place,
 			     const struct backend *backend)
 {
-	return place->software == 0 ||
-	       backend->info.software == place->software ||
-	       backend->info.stage == STAGE_PREFILL;
+	if (backend->info.stage == STAGE_PREFILL)
+		return true;
+	return (place->software == 0 ||
+		backend->info.software == place->software) &&
+	       !barred_has(place->barred, backend->info.software);
 }
 
 static bool backend_allowed(const struct place *place,
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -285,7 +285,7 @@
 {
 	if (request_quarantine(request))
 		return;
-	if (backend)
+	if (backend && !barred_has(&request->barred, backend->info.software))
 		plain_send(request, backend);
 	else
 		plain_start(request);
--- a/forward/request.c
+++ b/forward/request.c
@@ -69,6 +69,7 @@
 		.regions = {request->route->regions,
 			    organisation ? organisation->regions : NULL},
 		.software = request->software,
+		.barred = &request->barred,
 		.rand = parts->rand,
 		.stale_local = parts->interval(parts->callbacks_ctx, true),
 		.stale_remote = parts->interval(parts->callbacks_ctx, false),
@@ -470,10 +471,17 @@
 	resume_start(request);
 }
 
+enum backend_stage request_stage(const struct request *request)
+{
+	return request->service->engine.memory_tokens > 0 &&
+			       request->caller.prompt_tokens > 0
+		       ? STAGE_DECODE
+		       : STAGE_NONE;
+}
+
 void request_serve(struct request *request)
 {
-	if (request->service->engine.memory_tokens > 0 &&
-	    request->caller.prompt_tokens > 0)
+	if (request_stage(request) == STAGE_DECODE)
 		stream_start(request);
 	else
 		plain_start(request);
--- a/forward/request.h
+++ b/forward/request.h
@@ -71,6 +71,7 @@
 	char relay[ADDRESS_TEXT_MAX]; /* of the current or last call; empty:
 					 none */
 	uint32_t relay_failures;
+	struct barred barred;	  /* set by request_quarantine() */
 	struct suspects suspects; /* set by request_suspects() */
 	bool suspects_known;
 	bool lost_connection; /* during a call */
@@ -185,9 +186,9 @@
 bool request_is_suspect(struct request *request);
 /* Records that a server answered the request without a crash. */
 void request_record_success(struct request *request);
-/* Ends the request if it or a part of its prompt is in quarantine; true when it
- * did.
- * Called before each send. */
+/* Bars the software versions at whose servers the request, or a part of its
+ * prompt, is in quarantine. Ends the request if no other servers are listed;
+ * true when it did. Called before each send. */
 bool request_quarantine(struct request *request);
 /* admit.c: identifies the caller's organisation and takes from its allotment;
  * false when that has ended the request. */
@@ -300,6 +301,8 @@
 /* Starts a request that may be sent to any server, or whose version is known.
  */
 void request_serve(struct request *request);
+/* Of the servers that run it. */
+enum backend_stage request_stage(const struct request *request);
 
 /* plain.c, stream.c and waiting.c */
 void plain_start(struct request *request);
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -494,7 +494,7 @@
 {
 	if (request_quarantine(request))
 		return;
-	if (backend)
+	if (backend && !barred_has(&request->barred, backend->info.software))
 		reserve_call(request, backend);
 	else
 		stream_enqueue(request);
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -239,11 +239,14 @@
 		       IDLE_TIMEOUT_MIN_USEC));
 }
 
-/* The list may have shown another version of the server since it reserved. */
-static bool continues(const struct request *request,
-		      const struct backend *decode)
+/* The list may have shown another version of the server since it reserved, or
+ * that version may have been barred. */
+static bool may_run(const struct request *request, const struct backend *decode)
 {
-	return !request->software || decode->info.software == request->software;
+	uint64_t software = decode->info.software;
+
+	return (!request->software || software == request->software) &&
+	       !barred_has(&request->barred, software);
 }
 
 void stream_run(struct request *request)
@@ -269,7 +272,7 @@
 	if (request_quarantine(request))
 		return;
 	charge_drop(request, &request->prefill);
-	if (!decode || !continues(request, decode) ||
+	if (!decode || !may_run(request, decode) ||
 	    (!request->is_probe &&
 	     !backend_usable(decode, request_now(request))) ||
 	    !request_choose_path(request, decode) ||
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -136,7 +136,8 @@
 		  LOG_S("backend", request->target.id),
 		  LOG_D("born", request->target.started_ms),
 		  LOG_S("why", end->text));
-	suspects = *request_suspects(request);
+	suspects = suspects_at(request_suspects(request),
+			       request->target.software);
 	suspects.begun = request->replied;
 	crash_detector_check(request->forward->crash_detector, &request->target,
 			     request->service->health_path, &suspects);
@@ -144,9 +145,13 @@
 
 bool request_is_suspect(struct request *request)
 {
-	return request->lost_connection &&
-	       suspects_crashed(request->forward->parts.quarantine,
-				request_suspects(request),
+	struct suspects suspects;
+
+	if (!request->lost_connection)
+		return false;
+	suspects = suspects_at(request_suspects(request),
+			       request->target.software);
+	return suspects_crashed(request->forward->parts.quarantine, &suspects,
 				request_now(request));
 }
 
@@ -224,32 +229,58 @@
 void request_record_success(struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
-	struct suspects hashes;
+	uint64_t software = request->target.software;
+	struct suspects suspects;
 
-	suspects_fill(request, false, &hashes);
-	suspects_record_success(parts->quarantine, &hashes,
+	suspects_fill(request, false, &suspects);
+	suspects = suspects_at(&suspects, software);
+	suspects_record_success(parts->quarantine, &suspects,
 				request_now(request));
-	if (!quarantine_empty(parts->quarantine))
-		suspects_clear(parts->quarantine, request_suspects(request),
-			       entry_cleared, request);
+	if (quarantine_empty(parts->quarantine))
+		return;
+	suspects = suspects_at(request_suspects(request), software);
+	suspects_clear(parts->quarantine, &suspects, entry_cleared, request);
 }
 
-bool request_quarantine(struct request *request)
+/* The entry for which the request is refused at servers of that version. */
+static const struct quarantine_entry *held_at(struct request *request,
+					      uint64_t software)
 {
-	struct forward *forward = request->forward;
-	struct quarantine *quarantine = forward->parts.quarantine;
-	const struct quarantine_entry *entry;
-	bool whole;
+	const struct suspects suspects =
+		suspects_at(request_suspects(request), software);
 
-	if (quarantine_empty(quarantine))
-		return false;
-	entry = suspects_find_held(quarantine, request_suspects(request),
-				   request_now(request), entry_cleared,
-				   request);
-	if (!entry)
-		return false;
-	whole = entry->fingerprint.high == request_work(request);
-	forward->quarantined->value++;
+	return suspects_find_held(request->forward->parts.quarantine, &suspects,
+				  request_now(request), entry_cleared, request);
+}
+
+/* Bars the software versions that the request must not run at. Returns the last
+ * entry for which it is, or NULL. */
+static const struct quarantine_entry *versions_bar(struct request *request)
+{
+	uint64_t software[PLACE_BARRED_MAX];
+	uint32_t count = fleet_software(request->forward->parts.fleet,
+					request->service->id, software,
+					PLACE_BARRED_MAX);
+	const struct quarantine_entry *held = NULL;
+
+	for (uint32_t i = 0; i < count; i++) {
+		const struct quarantine_entry *entry =
+			held_at(request, software[i]);
+
+		if (!entry)
+			continue;
+		held = entry;
+		request->barred.software[request->barred.count++] = software[i];
+	}
+	return held;
+}
+
+static void quarantined_refuse(struct request *request,
+			       const struct quarantine_entry *entry)
+{
+	bool whole = entry->fingerprint.high == request_work(request);
+
+	request->forward->quarantined->value++;
 	log_event(LOG_NOTICE, "request_quarantined",
 		  LOG_S("request", request->caller.id),
 		  LOG_X("work", entry->fingerprint.high),
@@ -260,5 +291,22 @@
 		request_abort(request, result_label(RESULT_QUARANTINED));
 	else
 		request_refuse(request, RESULT_QUARANTINED, 0);
+}
+
+bool request_quarantine(struct request *request)
+{
+	const struct quarantine_entry *entry;
+	struct place place;
+
+	request->barred.count = 0;
+	if (quarantine_empty(request->forward->parts.quarantine))
+		return false;
+	entry = versions_bar(request);
+	if (!entry)
+		return false;
+	request_place(request, &place);
+	if (place_has_server(&place, request_stage(request)))
+		return false;
+	quarantined_refuse(request, entry);
 	return true;
 }
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -116,7 +116,7 @@
 		if (request_quarantine(request))
 			continue;
 		if (!stream_reserve(request, in_time ? 1 : LATE_ROOM_FACTOR) &&
-		    !is_confined(request))
+		    !is_confined(request) && request->barred.count == 0)
 			return;
 	}
 }
--- a/include/coord/fingerprint.h
+++ b/include/coord/fingerprint.h
@@ -39,6 +39,9 @@
 /* secret: the key, random per process. */
 uint64_t keyed_hash_of(const struct fingerprint_part *parts, size_t count,
 		       uint64_t secret);
+/* The same as to servers with that version of their software. */
+struct request_fingerprint fingerprint_at(const struct request_fingerprint *id,
+					  uint64_t software);
 /* The same with FINGERPRINT_BEGUN. */
 struct request_fingerprint
 fingerprint_begun(const struct request_fingerprint *id);
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -24,7 +24,10 @@
  *	after each crash the next probe comes about twice as late.
  *
  *	A part is identified by its name together with the service and the
- *	caller, so no caller can have the parts of another one held.
+ *	caller, so no caller can have the parts of another one held. A request
+ *	or part may crash servers of one software version only, so each version
+ *	has entries of its own (suspects_at()), and a new version begins without
+ *	any.
  */
 #ifndef COORD_SUSPECTS_H
 #define COORD_SUSPECTS_H
@@ -55,6 +58,9 @@
 /* Drops those beyond REQUEST_SUSPECTS_MAX. */
 void suspects_add(struct suspects *suspects, struct suspect suspect);
 
+/* What is known of them as to servers with that version of their software. A
+ * crash or success at one version is none at another. */
+struct suspects suspects_at(const struct suspects *suspects, uint64_t software);
 /* A server process crashed while it ran the request. */
 void suspects_record_crash(struct quarantine *quarantine,
 			   const struct suspects *suspects, uint64_t server,
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -196,6 +196,10 @@
  */
 uint64_t fleet_sole_software(const struct fleet *fleet, uint64_t service,
 			     int64_t since, bool *mixed);
+/* The software versions that servers of the service are listed with, at most
+ * max; returns how many. */
+uint32_t fleet_software(const struct fleet *fleet, uint64_t service,
+			uint64_t *software, uint32_t max);
 /* All servers, struct backend. */
 const GPtrArray *fleet_all(const struct fleet *fleet);
 /* Servers at which this instance has load in flight, struct backend. */
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -32,6 +32,16 @@
 void tried_add(struct tried *tried, uint64_t key);
 void tried_remove(struct tried *tried, uint64_t key);
 
+/* Software versions whose servers must not run a request. */
+#define PLACE_BARRED_MAX 8u
+
+struct barred {
+	uint64_t software[PLACE_BARRED_MAX];
+	uint32_t count;
+};
+
+bool barred_has(const struct barred *barred, uint64_t software);
+
 struct place {
 	struct fleet *fleet;
 	int64_t now;
@@ -46,8 +56,9 @@
 	/* Version of the software that runs the request; 0: any. A prefill may
 	 * be of another version. */
 	uint64_t software;
-	GRand *rand;	  /* breaks ties */
-	uint32_t *visits; /* counts the servers examined, or NULL */
+	const struct barred *barred; /* NULL: none */
+	GRand *rand;		     /* breaks ties */
+	uint32_t *visits;	     /* counts the servers examined, or NULL */
 	/* Maximum age of the load of servers in this instance's group, and of
 	 * others. */
 	int64_t stale_local;
--- a/tests/coord/test_suspects.c
+++ b/tests/coord/test_suspects.c
@@ -221,6 +221,35 @@
 	quarantine_destroy(quarantine);
 }
 
+/* Crashes at one software version say nothing of another. */
+static void test_software(void)
+{
+	static const char *const requests[] = {"1ag", "2bg", "3cg"};
+	struct quarantine *quarantine = quarantine_open();
+	const struct suspects request = suspects_of("4dg");
+	uint32_t changed = 0;
+
+	for (uint64_t server = 0; server < 3; server++) {
+		const struct suspects crashed = suspects_of(requests[server]);
+		const struct suspects at_one = suspects_at(&crashed, 1);
+		const struct suspects at_two = suspects_at(&crashed, 2);
+
+		suspects_record_crash(quarantine, &at_one, server, NOW,
+				      on_changed, &changed);
+		suspects_record_success(quarantine, &at_two, NOW);
+		suspects_clear(quarantine, &at_two, on_changed, &changed);
+	}
+	for (uint64_t software = 1; software <= 3; software++) {
+		const struct suspects at = suspects_at(&request, software);
+
+		g_assert_true(
+			(software == 1) ==
+			(suspects_find_held(quarantine, &at, NOW, on_changed,
+					    &changed) != NULL));
+	}
+	quarantine_destroy(quarantine);
+}
+
 static void test_bounded(void)
 {
 	struct suspects suspects = {0};
@@ -248,6 +277,7 @@
 	g_test_add_func("/coord/suspects/probe-request", test_probe_request);
 	g_test_add_func("/coord/suspects/success", test_success);
 	g_test_add_func("/coord/suspects/crashed", test_crashed);
+	g_test_add_func("/coord/suspects/software", test_software);
 	g_test_add_func("/coord/suspects/bounded", test_bounded);
 	return g_test_run();
 }
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -706,8 +706,10 @@
 {
 	const struct fingerprint_part parts[] = {
 		{"POST", 4}, {NULL, 0}, {NULL, 0}, {NULL, 0}, {NULL, 0}};
+	const struct request_fingerprint id =
+		fingerprint_of(parts, G_N_ELEMENTS(parts));
 	const struct quarantine_entry entry = {
-		.fingerprint = fingerprint_of(parts, G_N_ELEMENTS(parts)),
+		.fingerprint = fingerprint_at(&id, id_of(version_of(options))),
 		.epoch = ++world.holds,
 		.count = 3,
 		.servers = {1, 2, 3},
