coord, platform: parts after the 32nd of a prompt are one suspect together

A part that stood behind 40 others crashed 15 of 15 engines and was never held, and a caller could put 32 parts of its own making first. Requests with more than 32 parts have one suspect more now, the same in all such requests of the caller: from the third crash on these are refused, until one of them succeeds.

Weighed: all parts (1,000 suspects of one request would push others out of the table), more of them (only moves the limit), a choice by hash (callers can find names that hide the part), and refusing prompts of so many parts (sound ones exist). Left: a bad part after the 32nd of some prompts while other prompts of the caller, as long, succeed every minute.

--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -17,8 +17,8 @@
 #define LOGGED_PARTS_MAX 8u
 #define LOGGED_PART_SIZE_MAX 16u
 
-_Static_assert(REQUEST_SUSPECTS_MAX == 1 + PROMPT_PARTS_MAX,
-	       "a request has one suspect more than parts");
+_Static_assert(REQUEST_SUSPECTS_MAX == 2 + PROMPT_PARTS_MAX,
+	       "the request, its parts, and those that are not looked at");
 
 static struct fingerprint_part part_of(struct web_text text)
 {
@@ -84,6 +84,12 @@
 	for (uint32_t i = 0; i < caller->part_count; i++)
 		suspects_add(suspects, suspect_part(request, caller->parts[i],
 						    fingerprints));
+	/* Parts that are not looked at are one suspect in all such requests of
+	 * the caller. No part has an empty name. */
+	if (caller->has_more_parts)
+		suspects_add(suspects,
+			     suspect_part(request, (struct web_text){0},
+					  fingerprints));
 }
 
 /* Computes them on first use. */
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -34,8 +34,8 @@
 
 #include "coord/quarantine.h"
 
-/* The request and the parts of its prompt. */
-#define REQUEST_SUSPECTS_MAX 33u
+/* The request, 32 parts of its prompt, and all further ones together. */
+#define REQUEST_SUSPECTS_MAX 34u
 
 struct suspect {
 	struct request_fingerprint fingerprint;
--- a/include/forward/caller.h
+++ b/include/forward/caller.h
@@ -31,7 +31,8 @@
 	 * them too, the last one those of the same session. */
 	struct web_text parts[PROMPT_PARTS_MAX];
 	uint32_t part_count;
-	bool resumes; /* resumes a stream */
+	bool has_more_parts; /* than PROMPT_PARTS_MAX */
+	bool resumes;	     /* resumes a stream */
 	/* With resumes: id of the attempt that received the stream's first
 	 * event; empty if not given. */
 	char stream[CALLER_ID_MAX];
--- a/include/platform/caller.h
+++ b/include/platform/caller.h
@@ -18,9 +18,10 @@
 bool platform_tokens_read(struct web_text text, uint32_t *prompt,
 			  uint32_t *output_max);
 /* Reads "5c1e07a2:800,91bd3f06:410,e4402b7d:250", the parts of a prompt as
- * ID:TOKENS, into the IDs; those behind PROMPT_PARTS_MAX and empty ones are
- * left out. Returns their count. */
+ * ID:TOKENS, into the IDs, without empty ones. Reads at most PROMPT_PARTS_MAX;
+ * *has_more tells whether there are more. Returns their count. */
 uint32_t platform_parts_read(struct web_text text,
-			     struct web_text parts[PROMPT_PARTS_MAX]);
+			     struct web_text parts[PROMPT_PARTS_MAX],
+			     bool *has_more);
 
 #endif
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -549,8 +549,10 @@
 {
 	const struct prompt *row = data;
 	struct web_text parts[PROMPT_PARTS_MAX];
+	bool has_more = true;
 	uint32_t count = platform_parts_read(
-		(struct web_text){row->text, strlen(row->text)}, parts);
+		(struct web_text){row->text, strlen(row->text)}, parts,
+		&has_more);
 	g_autoptr(GString) joined = g_string_new(NULL);
 
 	for (uint32_t i = 0; i < count; i++) {
@@ -560,6 +562,7 @@
 				    (gssize)parts[i].size);
 	}
 	g_assert_cmpstr(joined->str, ==, row->parts);
+	g_assert_false(has_more);
 }
 
 static void test_prompt_bounded(void)
@@ -567,12 +570,17 @@
 	g_autoptr(GString) text = g_string_new(NULL);
 	struct web_text parts[PROMPT_PARTS_MAX];
 
-	for (uint32_t i = 0; i < 2 * PROMPT_PARTS_MAX; i++)
-		g_string_append_printf(text, "%x:1,", i);
-	g_assert_cmpuint(
-		platform_parts_read((struct web_text){text->str, text->len},
-				    parts),
-		==, PROMPT_PARTS_MAX);
+	for (uint32_t i = 1; i <= 2 * PROMPT_PARTS_MAX; i++) {
+		bool has_more;
+
+		g_string_append_printf(text, "%s%x:1", i > 1 ? "," : "", i);
+		g_assert_cmpuint(
+			platform_parts_read(
+				(struct web_text){text->str, text->len}, parts,
+				&has_more),
+			==, MIN(i, PROMPT_PARTS_MAX));
+		g_assert_cmpint(has_more, ==, i > PROMPT_PARTS_MAX);
+	}
 }
 
 /* ---- the store ---- */
