forward: a server that starts again during the check has crashed

A refused check that no other instance could confirm was repeated, and dropped as soon as something answered at the address.

A server that refused an earlier check and answers now is watched in the list for the rest of the check's time: it has crashed if the list drops it. Another request that it breaks off meanwhile is checked anew, at once. A relay that reaches the server right after a refused direct check shows a lost link, as before.

--- a/forward/crash_detector.c
+++ b/forward/crash_detector.c
@@ -22,6 +22,8 @@
 	char relay[ADDRESS_TEXT_MAX]; /* of the last call; empty: direct */
 	struct timer timer;
 	int64_t started_at;
+	bool refused;  /* it did not listen at an earlier check */
+	bool answered; /* now: it, or another one at its address */
 	bool crashed;
 };
 
@@ -148,24 +150,36 @@
 		 !fleet_links_lost(check->detector->parts.fleet)));
 }
 
+static bool is_over(const struct check *check)
+{
+	const struct clock *clock = check->detector->parts.clock;
+
+	return clock_now(clock) - check->started_at >= CRASH_WATCH_USEC;
+}
+
+static void check_repeat(struct check *check, enum check_result result)
+{
+	/* Only a refused check is repeated through another instance. */
+	check->refused |= result == CHECK_REFUSED || check->relay[0];
+	timer_start(&check->timer, CHECK_RETRY_USEC);
+}
+
 static void on_checked(void *ctx, enum check_result result)
 {
 	struct check *check = ctx;
-	const struct crash_detector_parts *parts = &check->detector->parts;
 
 	check->call = NULL;
 	result = check_apply_list(check, result);
 	check_log(check, result);
+	check->answered = check->refused && result == CHECK_ALIVE;
 	if (result == CHECK_REFUSED && check_relay(check))
 		return;
 	if (is_crash(check, result))
 		check_set_crashed(check);
-	else if (result == CHECK_ALIVE ||
-		 clock_now(parts->clock) - check->started_at >=
-			 CRASH_WATCH_USEC)
+	else if ((result == CHECK_ALIVE && !check->answered) || is_over(check))
 		check_drop(check);
 	else
-		timer_start(&check->timer, CHECK_RETRY_USEC);
+		check_repeat(check, result);
 }
 
 static void check_call(struct check *check)
@@ -192,11 +206,27 @@
 	check_call(check);
 }
 
+/* A server that did not listen and answers now has either started again, which
+ * the list will show, or could not be reached for a moment. */
+static void check_watch_list(struct check *check)
+{
+	check->answered = !is_over(check) &&
+			  fleet_find(check->detector->parts.fleet, check->key);
+	if (check->answered)
+		timer_start(&check->timer, CHECK_RETRY_USEC);
+	else if (is_over(check))
+		check_drop(check);
+	else
+		check_set_crashed(check);
+}
+
 static void on_timer(struct timer *timer, void *ctx)
 {
 	struct check *check = ctx;
 
-	if (check->crashed)
+	if (check->answered)
+		check_watch_list(check);
+	else if (check->crashed)
 		check_drop(check);
 	else
 		check_send(check);
@@ -223,6 +253,15 @@
 	return check;
 }
 
+/* It has broken off another request since it answered. */
+static void check_restart(struct check *check)
+{
+	check->answered = false;
+	check->started_at = clock_now(check->detector->parts.clock);
+	timer_stop(&check->timer);
+	check_send(check);
+}
+
 /* A leaving server stops by itself, whatever runs there. */
 static bool is_leaving(const struct crash_detector *detector, uint64_t key)
 {
@@ -252,4 +291,6 @@
 	g_array_append_val(check->requests, *suspects);
 	if (check->crashed)
 		crashes_report(check);
+	else if (check->answered)
+		check_restart(check);
 }
