tests/soak: the mode parts has five forms

By seed: in the middle of the prompt, as the last part, in the middle of the answer, from two organisations by turns, behind 40 other parts.

--- a/tests/soak/repeats.c
+++ b/tests/soak/repeats.c
@@ -27,6 +27,42 @@
  * that may reach servers. */
 #define CRASHED_BY_PART_MAX (5u + 3u)
 
+/* Prompts with a part that crashes servers: the texts before and behind a part
+ * that belongs to the request alone. */
+struct part_form {
+	const char *before;
+	const char *behind;
+	bool many;   /* 40 parts of the request's own come first */
+	bool others; /* from two organisations by turns */
+};
+
+static const struct part_form part_forms[] = {
+	{SOAK_FIRST_PART "," SOAK_CRASH_PART ",", "", false, false},
+	{SOAK_FIRST_PART ",", "," SOAK_CRASH_PART, false, false},
+	{SOAK_FIRST_PART "," SOAK_CRASH_LATER_PART ",", "", false, false},
+	{SOAK_FIRST_PART "," SOAK_CRASH_PART ",", "", false, true},
+	{SOAK_FIRST_PART ",", "," SOAK_CRASH_PART ",last:5", true, false},
+};
+
+/* The first form is that of seed 7003. */
+static const struct part_form *form_of(const struct soak *soak)
+{
+	return &part_forms[(soak->part_form + 2) % G_N_ELEMENTS(part_forms)];
+}
+
+#define OWN_PARTS 40
+
+static char *prompt_print(const struct soak *soak)
+{
+	const struct part_form *form = form_of(soak);
+	GString *text = g_string_new(form->before);
+
+	for (int i = 0; form->many && i < OWN_PARTS; i++)
+		g_string_append_printf(text, "f%u.%d:1,", soak->repeats, i);
+	g_string_append_printf(text, "e%u:10%s", soak->repeats, form->behind);
+	return g_string_free(text, FALSE);
+}
+
 static void on_answer(void *ctx, const struct web_result *result, int status,
 		      const void *body, size_t size)
 {
@@ -43,14 +79,16 @@
 	struct soak *soak = ctx;
 	const struct instance *instance =
 		&soak->instances[soak->repeats % INSTANCES];
+	g_autofree char *prompt = NULL;
+	bool is_beta = soak->parts_enabled && form_of(soak)->others &&
+		       soak->repeats % 2 == 1;
 	char id[32];
-	char prompt[64];
 	struct web_header headers[] = {
 		{{"request-id", 10}, {id, 0}},
 		{{"deadline-ms", 11}, {"5000", 4}},
 		{{"token-count", 11}, {"100,50", 6}},
-		{{"authorization", 13}, {"Token ka", 8}},
-		{{"prefix-hash", 11}, {prompt, 0}},
+		{{"authorization", 13}, {is_beta ? "Token kb" : "Token ka", 8}},
+		{{"prefix-hash", 11}, {NULL, 0}},
 	};
 	const struct web_call_spec spec = {
 		.address = proxy_address(instance->callers),
@@ -74,10 +112,10 @@
 		return;
 	memset(id, 0, sizeof(id));
 	headers[0].value.size =
-		(size_t)snprintf(id, sizeof(id), "acme.e%u", ++soak->repeats);
-	headers[4].value.size = (size_t)snprintf(
-		prompt, sizeof(prompt),
-		SOAK_FIRST_PART "," SOAK_CRASH_PART ",e%u:10", soak->repeats);
+		(size_t)snprintf(id, sizeof(id), "%s.e%u",
+				 is_beta ? "beta" : "acme", ++soak->repeats);
+	prompt = prompt_print(soak);
+	headers[4].value = (struct web_text){prompt, strlen(prompt)};
 	web_fetch(soak->client, &spec, 1 << 16, on_answer, soak);
 	timer_start(timer, REPEAT_INTERVAL_USEC);
 }
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -144,6 +144,7 @@
 	int seconds = argc > 3 ? atoi(argv[3]) : DEFAULT_DURATION_SEC;
 
 	soak.parts_enabled = argc > 4 && strcmp(argv[4], "parts") == 0;
+	soak.part_form = seed;
 	soak.repeats_enabled = soak.parts_enabled ||
 			       (argc > 4 && strcmp(argv[4], "repeats") == 0);
 	soak.versions_enabled = argc > 4 && strcmp(argv[4], "versions") == 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -30,6 +30,7 @@
 #define SOAK_CRASH_BODY "ends the server"
 /* A part of prompts that does the same, and one that sound ones have too. */
 #define SOAK_CRASH_PART "dead:30"
+#define SOAK_CRASH_LATER_PART "dead2:30"
 #define SOAK_FIRST_PART "aa:60"
 
 enum call_kind {
@@ -104,6 +105,7 @@
 	/* For runs with a caller whose request crashes servers. */
 	bool repeats_enabled;
 	bool parts_enabled; /* only a part of their prompts is the same */
+	uint32_t part_form; /* of their prompts, see repeats.c */
 	uint32_t repeats;
 	uint32_t repeats_refused;
 	uint32_t all_killed; /* times that all instances were killed at once */
