coord: the crashes of a subject are collected once

Each look at an entry went over all entries of its subject, and over those before each of them, so a part that thousands of callers have would have cost the square of their number with each request. The servers of a subject are collected when they are first asked for after a change, and at most 48 are compared.

--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -15,7 +15,8 @@
  */
 #define BEGUN_CRASHES_MORE 2u
 
-/* Servers of a subject that are compared with those of others. */
+/* Servers of a subject that are compared with those of others; bits of one
+ * number. */
 #define SUBJECT_SERVERS_MAX 48u
 
 struct recent_success {
@@ -24,10 +25,20 @@
 	bool used;
 };
 
+/* Servers that crashed under entries of a subject. */
+struct server_set {
+	uint64_t servers[SUBJECT_SERVERS_MAX];
+	uint32_t count;
+	uint64_t repeated; /* bits of those in several entries */
+	bool complete;	   /* no entry was full */
+};
+
 /* Entries with the same struct request_fingerprint.high. */
 struct subject {
 	uint64_t high;
 	GQueue items; /* struct item */
+	/* Without and with FINGERPRINT_BEGUN; NULL: to be collected. */
+	struct server_set *crashed[2];
 };
 
 struct item {
@@ -51,6 +62,18 @@
 	uint64_t exported; /* entries returned by quarantine_next() so far */
 };
 
+static void subject_changed(struct subject *subject)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(subject->crashed); i++)
+		g_clear_pointer(&subject->crashed[i], g_free);
+}
+
+static void subject_free(gpointer data)
+{
+	subject_changed(data);
+	g_free(data);
+}
+
 struct quarantine *quarantine_create(const struct quarantine_settings *settings)
 {
 	struct quarantine *quarantine = g_new0(struct quarantine, 1);
@@ -59,7 +82,7 @@
 	quarantine->items = g_hash_table_new_full(
 		fingerprint_hash, fingerprint_equal, NULL, g_free);
 	quarantine->subjects = g_hash_table_new_full(
-		g_int64_hash, g_int64_equal, NULL, g_free);
+		g_int64_hash, g_int64_equal, NULL, subject_free);
 	return quarantine;
 }
 
@@ -117,31 +140,57 @@
 	return item ? &item->entry : NULL;
 }
 
-static bool has_server(const struct quarantine_entry *entry, uint64_t server)
+static bool is_begun(const struct item *item)
+{
+	return item->entry.fingerprint.low & FINGERPRINT_BEGUN;
+}
+
+/* The bit of the server; 0 if it is not in the set. */
+static uint64_t set_bit(const struct server_set *set, uint64_t server)
 {
+	for (uint32_t i = 0; i < set->count; i++)
+		if (set->servers[i] == server)
+			return (uint64_t)1 << i;
+	return 0;
+}
+
+static uint64_t set_bits(const struct server_set *set,
+			 const struct quarantine_entry *entry)
+{
+	uint64_t bits = 0;
+
 	for (uint32_t i = 0; i < entry->count; i++)
-		if (entry->servers[i] == server)
-			return true;
-	return false;
+		bits |= set_bit(set, entry->servers[i]);
+	return bits;
 }
 
-static bool is_begun(const struct item *item)
+static void set_add(struct server_set *set,
+		    const struct quarantine_entry *entry)
 {
-	return item->entry.fingerprint.low & FINGERPRINT_BEGUN;
+	set->complete &= entry->count < QUARANTINE_CRASHES_MAX;
+	set->repeated |= set_bits(set, entry);
+	for (uint32_t i = 0; i < entry->count; i++)
+		if (set->count < SUBJECT_SERVERS_MAX &&
+		    !set_bit(set, entry->servers[i]))
+			set->servers[set->count++] = entry->servers[i];
 }
 
-/* Whether the server is in one of the subject's entries before this one. */
-static bool is_counted(const struct item *item, uint64_t server)
+static const struct server_set *subject_crashed(const struct item *item)
 {
-	for (const GList *link = item->subject_link.prev; link;
-	     link = link->prev) {
+	struct server_set **set = &item->subject->crashed[is_begun(item)];
+
+	if (*set)
+		return *set;
+	*set = g_new0(struct server_set, 1);
+	(*set)->complete = true;
+	for (const GList *link = item->subject->items.head; link;
+	     link = link->next) {
 		const struct item *other = link->data;
 
-		if (is_begun(other) == is_begun(item) &&
-		    has_server(&other->entry, server))
-			return true;
+		if (is_begun(other) == is_begun(item))
+			set_add(*set, &other->entry);
 	}
-	return false;
+	return *set;
 }
 
 /* Servers that crashed under the subject, whoever the caller was and whatever
@@ -149,20 +198,12 @@
  * that it does not list, the others would seem to be the cause. */
 static uint32_t subject_crashes(const struct item *item)
 {
-	uint32_t crashes = 0;
-
-	for (const GList *link = item->subject->items.head; link;
-	     link = link->next) {
-		const struct item *other = link->data;
+	const struct server_set *set;
 
-		if (is_begun(other) != is_begun(item))
-			continue;
-		if (other->entry.count >= QUARANTINE_CRASHES_MAX)
-			return 0;
-		for (uint32_t i = 0; i < other->entry.count; i++)
-			crashes += !is_counted(other, other->entry.servers[i]);
-	}
-	return crashes;
+	if (item->subject->items.length == 1)
+		return item->entry.count;
+	set = subject_crashed(item);
+	return set->complete ? set->count : 0;
 }
 
 /* How many more crashes the entry, or all of its subject, has than it takes to
@@ -198,7 +239,6 @@
 			struct quarantine_verdict *verdict)
 {
 	const struct item *item = item_find(quarantine, fingerprint);
-
 	int32_t excess = item ? item_excess(quarantine, item) : -1;
 
 	if (excess < 0)
@@ -210,80 +250,42 @@
 	return true;
 }
 
-/* Servers that crashed under a subject, as bits of one number. */
-struct subject_servers {
-	uint64_t servers[SUBJECT_SERVERS_MAX];
-	uint32_t count;
-	bool complete;
-};
-
-/* The bits of the entry's servers. */
-static uint64_t servers_of(const struct subject_servers *set,
-			   const struct quarantine_entry *entry)
-{
-	uint64_t bits = 0;
-
-	for (uint32_t i = 0; i < set->count; i++)
-		if (has_server(entry, set->servers[i]))
-			bits |= (uint64_t)1 << i;
-	return bits;
-}
-
-static void subject_collect(const struct item *item,
-			    struct subject_servers *set)
+static uint32_t bits_count(uint64_t bits)
 {
-	set->count = 0;
-	set->complete = subject_crashes(item) > 0;
-	for (uint32_t i = 0; i < item->entry.count; i++)
-		set->servers[set->count++] = item->entry.servers[i];
-	for (const GList *link = item->subject->items.head; link;
-	     link = link->next) {
-		const struct item *other = link->data;
-
-		for (uint32_t i = 0; other != item && i < other->entry.count &&
-				     set->count < SUBJECT_SERVERS_MAX;
-		     i++)
-			if (is_begun(other) == is_begun(item) &&
-			    !is_counted(other, other->entry.servers[i]) &&
-			    !has_server(&item->entry, other->entry.servers[i]))
-				set->servers[set->count++] =
-					other->entry.servers[i];
-	}
+	return (uint32_t)__builtin_popcountll(bits);
 }
 
-/* The servers that other callers' entries of the subject have, too: which of
- * them was the cause there is not known. */
-static uint64_t subject_shared(const struct item *item,
-			       const struct subject_servers *set)
+/* The item's servers first, so that none of them is left out. */
+static struct server_set item_servers(const struct item *item)
 {
-	uint64_t shared = 0;
+	const struct server_set *crashed = subject_crashed(item);
+	struct server_set set = {.complete = crashed->complete};
 
-	for (const GList *link = item->subject->items.head; link;
-	     link = link->next) {
-		const struct item *other = link->data;
+	for (uint32_t i = 0; i < item->entry.count; i++) {
+		uint64_t server = item->entry.servers[i];
 
-		if (other != item && is_begun(other) == is_begun(item))
-			shared |= servers_of(set, &other->entry);
+		set.servers[set.count] = server;
+		if (set_bit(crashed, server) & crashed->repeated)
+			set.repeated |= (uint64_t)1 << set.count;
+		set.count++;
 	}
-	return shared;
-}
-
-static uint32_t bits_count(uint64_t bits)
-{
-	return (uint32_t)__builtin_popcountll(bits);
+	for (uint32_t i = 0; i < crashed->count; i++)
+		if (set.count < SUBJECT_SERVERS_MAX &&
+		    !set_bit(&set, crashed->servers[i]))
+			set.servers[set.count++] = crashed->servers[i];
+	return set;
 }
 
 /* Whether the item would refuse requests without the servers that other
- * subjects account for. */
+ * subjects account for. Where several entries of the subject have a server, it
+ * is not known which of them was the cause. */
 static bool refuses_without(const struct quarantine *quarantine,
 			    const struct item *item,
-			    const struct subject_servers *set,
-			    uint64_t accounted)
+			    const struct server_set *set, uint64_t accounted)
 {
 	uint32_t threshold = entry_threshold(quarantine, &item->entry);
-	uint64_t own = servers_of(set, &item->entry) & ~accounted &
-		       ~subject_shared(item, set);
 	uint64_t all = (((uint64_t)1 << set->count) - 1) & ~accounted;
+	uint64_t own = set_bits(set, &item->entry) & all & ~set->repeated;
 
 	return bits_count(own) >= threshold ||
 	       (own && set->complete && bits_count(all) >= threshold);
@@ -299,7 +301,7 @@
 {
 	const struct item *item = item_find(quarantine, fingerprint);
 	const struct item *other;
-	struct subject_servers set;
+	struct server_set set;
 	GHashTableIter iter;
 	uint64_t as_well = 0;
 	uint64_t better = 0;
@@ -307,10 +309,10 @@
 
 	if (excess < 0)
 		return EXPLAINED_NOT;
-	subject_collect(item, &set);
+	set = item_servers(item);
 	g_hash_table_iter_init(&iter, quarantine->items);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&other)) {
-		uint64_t shared = servers_of(&set, &other->entry);
+		uint64_t shared = set_bits(&set, &other->entry);
 		int32_t other_excess;
 
 		if (other->subject == item->subject || shared == 0 ||
@@ -362,6 +364,7 @@
 	}
 	item->subject_link.data = item;
 	g_queue_push_tail_link(&item->subject->items, &item->subject_link);
+	subject_changed(item->subject);
 }
 
 static void subject_remove(struct quarantine *quarantine, struct item *item)
@@ -369,6 +372,7 @@
 	struct subject *subject = item->subject;
 
 	g_queue_unlink(&subject->items, &item->subject_link);
+	subject_changed(subject);
 	if (subject->items.length == 0)
 		g_hash_table_remove(quarantine->subjects, &subject->high);
 }
@@ -420,6 +424,7 @@
 /* Moves it to the tail of the queue that matches its crash count. */
 static void item_requeue(struct quarantine *quarantine, struct item *item)
 {
+	subject_changed(item->subject);
 	g_queue_unlink(item->queue, &item->link);
 	item->held =
 		item->entry.count >= entry_threshold(quarantine, &item->entry);
--- a/include/coord/quarantine.h
+++ b/include/coord/quarantine.h
@@ -52,8 +52,9 @@
  *
  *	The module has no network and no clock; all times are in microseconds of
  *	the caller's clock. Cost: one lookup a request while anything is suspect
- *	or held, otherwise only the keyed hash; 112 bytes an entry plus the
- *	overhead of GLib's tables, and 192 KiB for recent successes.
+ *	or held, otherwise only the keyed hash; a look at all entries for each
+ *	one that may refuse a request; 112 bytes an entry plus some 200 for
+ *	lists and GLib's tables, and 192 KiB for recent successes.
  */
 #ifndef COORD_QUARANTINE_H
 #define COORD_QUARANTINE_H
@@ -93,13 +94,14 @@
 
 /* When true there are no entries, so no fingerprint needs to be looked up. */
 bool quarantine_empty(const struct quarantine *quarantine);
-/* Whether the request is to be refused. */
+/* Whether the entry is held by its own crashes. */
 bool quarantine_holds(const struct quarantine *quarantine,
 		      const struct request_fingerprint *fingerprint);
 /* NULL when there is no entry. */
 const struct quarantine_entry *
 quarantine_find(const struct quarantine *quarantine,
 		const struct request_fingerprint *fingerprint);
+
 /* Why requests are refused. */
 struct quarantine_verdict {
 	const struct quarantine_entry *entry;
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -12,11 +12,11 @@
  *	Sound parts occur in the same requests as the one that crashes servers,
  *	and sound requests run beside those that do. Those in common use have
  *	succeeded within the last minute and are not recorded. The others are
- *	told apart by the servers that crashed: a held entry does not hold a
- *	request if other held entries, none of them of the request, account for
- *	its crashes and have more of them. If they have as many, a part does not
- *	hold the request, and a few requests are let through as half-open
- *	probes.
+ *	told apart by the servers that crashed: an entry does not refuse a
+ *	request if others, about something that the request does not have,
+ *	account for its crashes and have more of them. If they have as many, a
+ *	part does not refuse the request, and a few requests are let through as
+ *	half-open probes.
  *
  *	A held part, unlike a held request, may be a common one of which no run
  *	is left that could clear it. So a growing share of the requests with it
