--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -15,6 +15,8 @@
  */
 #define BEGUN_CRASHES_MORE 2u
 
+/* Entries of a subject without and with FINGERPRINT_BEGUN. */
+#define SUBJECT_KINDS 2u
 /* Servers of a subject that are compared with those of others; bits of one
  * number. */
 #define SUBJECT_SERVERS_MAX 48u
@@ -37,8 +39,8 @@
 struct subject {
 	uint64_t high;
 	GQueue items; /* struct item */
-	/* Without and with FINGERPRINT_BEGUN; NULL: to be collected. */
-	struct server_set *crashed[2];
+	/* By is_begun(); NULL: to be collected. */
+	struct server_set *crashed[SUBJECT_KINDS];
 };
 
 struct item {
@@ -64,7 +66,7 @@
 
 static void subject_changed(struct subject *subject)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(subject->crashed); i++)
+	for (size_t i = 0; i < SUBJECT_KINDS; i++)
 		g_clear_pointer(&subject->crashed[i], g_free);
 }
 
--- a/tests/coord/test_blame.c
+++ b/tests/coord/test_blame.c
@@ -105,6 +105,11 @@
 	return world;
 }
 
+static uint32_t version_of(const struct world *world, uint32_t server)
+{
+	return world->versions > 1 ? server % world->versions : 0;
+}
+
 static void world_close(struct world *world)
 {
 	for (uint32_t i = 0; i < world->count; i++)
@@ -171,7 +176,7 @@
 	for (uint32_t i = 0; i < SERVERS; i++) {
 		uint32_t server = (start + i) % SERVERS;
 
-		if (!refused[server % world->versions])
+		if (!refused[version_of(world, server)])
 			return server;
 	}
 	return SERVERS;
@@ -182,7 +187,7 @@
 {
 	return request->effect == CRASHES || request->effect == CRASHES_LATER ||
 	       (request->effect == CRASHES_VERSION &&
-		server % world->versions == 0);
+		version_of(world, server) == 0);
 }
 
 static bool request_send(struct world *world, const struct request *request)
@@ -221,7 +226,7 @@
 static void run_lost(struct world *world, const struct run *run)
 {
 	struct suspects suspects =
-		suspects_at(&run->suspects, run->server % world->versions);
+		suspects_at(&run->suspects, version_of(world, run->server));
 
 	suspects.begun = world->step > run->start_step + BEGIN_STEPS;
 	world->at = run->instance;
@@ -249,7 +254,7 @@
 static void run_succeed(struct world *world, const struct run *run)
 {
 	const struct suspects suspects =
-		suspects_at(&run->suspects, run->server % world->versions);
+		suspects_at(&run->suspects, version_of(world, run->server));
 	struct quarantine *quarantine = world->instances[run->instance];
 
 	world->at = run->instance;
