--- a/coord/quarantine.c
+++ b/coord/quarantine.c
@@ -66,8 +66,10 @@
 
 static void subject_changed(struct subject *subject)
 {
-	for (size_t i = 0; i < SUBJECT_KINDS; i++)
-		g_clear_pointer(&subject->crashed[i], g_free);
+	for (uint32_t i = 0; i < SUBJECT_KINDS; i++) {
+		g_free(subject->crashed[i]);
+		subject->crashed[i] = NULL;
+	}
 }
 
 static void subject_free(gpointer data)
--- a/tests/coord/test_blame.c
+++ b/tests/coord/test_blame.c
@@ -164,7 +164,7 @@
 			      const struct suspects *suspects)
 {
 	uint32_t start = (uint32_t)g_test_rand_int_range(0, SERVERS);
-	bool refused[VERSIONS_MAX];
+	bool refused[VERSIONS_MAX] = {false};
 
 	for (uint32_t version = 0; version < world->versions; version++) {
 		const struct suspects at = suspects_at(suspects, version);
