forward: the prompt of a held request is not read at the version either

A part may crash servers as they read the prompt. A request that was kept from a version could still have its prompt read there: with one version of prefill servers and another of decode servers each such request crashed one.

--- a/forward/place.c
+++ b/forward/place.c
@@ -102,10 +102,9 @@
 static bool software_allowed(const struct place *place,
 			     const struct backend *backend)
 {
-	if (backend->info.stage == STAGE_PREFILL)
-		return true;
 	return (place->software == 0 ||
-		backend->info.software == place->software) &&
+		backend->info.software == place->software ||
+		backend->info.stage == STAGE_PREFILL) &&
 	       !barred_has(place->barred, backend->info.software);
 }
 
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -32,7 +32,8 @@
 void tried_add(struct tried *tried, uint64_t key);
 void tried_remove(struct tried *tried, uint64_t key);
 
-/* Software versions whose servers must not run a request. */
+/* Software versions whose servers must neither run a request nor read its
+ * prompt. */
 #define PLACE_BARRED_MAX 8u
 
 struct barred {
