--- a/tests/coord/test_blame.c
+++ b/tests/coord/test_blame.c
@@ -359,32 +359,31 @@
 	world_check(world, name);
 }
 
+static void spells_check(const char *name, uint32_t callers, enum effect effect)
+{
+	spell_check(name, 7, callers, effect);
+	spell_check(name, 83, callers, effect);
+	spell_check(name, 300, callers, effect);
+}
+
 static void test_beginning(void)
 {
-	spell_check("as the answer begins", 7, 1, CRASHES);
-	spell_check("as the answer begins", 83, 1, CRASHES);
-	spell_check("as the answer begins", 300, 1, CRASHES);
+	spells_check("as the answer begins", 1, CRASHES);
 }
 
 static void test_begun(void)
 {
-	spell_check("in the middle", 7, 1, CRASHES_LATER);
-	spell_check("in the middle", 83, 1, CRASHES_LATER);
-	spell_check("in the middle", 300, 1, CRASHES_LATER);
+	spells_check("in the middle", 1, CRASHES_LATER);
 }
 
 static void test_callers(void)
 {
-	spell_check("six callers", 7, 6, CRASHES);
-	spell_check("six callers", 83, 6, CRASHES);
-	spell_check("six callers", 300, 6, CRASHES);
+	spells_check("six callers", 6, CRASHES);
 }
 
 static void test_version(void)
 {
-	spell_check("one version", 7, 1, CRASHES_VERSION);
-	spell_check("one version", 83, 1, CRASHES_VERSION);
-	spell_check("one version", 300, 1, CRASHES_VERSION);
+	spells_check("one version", 1, CRASHES_VERSION);
 }
 
 /* A caller with several keys sends another caller's part with one of its own
