forward: the entry that a request is refused for is copied

Looking at the next software version may clear entries and drop others from the quarantine, among them the one found for the version before. And a comment that the formatter had broken.

--- a/forward/crash_detector.h
+++ b/forward/crash_detector.h
@@ -11,8 +11,8 @@
  *	it and it does not answer. It has not if it answers, and a server that
  *	was leaving is not checked. A check without a result is repeated for
  *	CRASH_WATCH_USEC; after that nothing is reported. A server that refused
- *a check and answers the next has crashed if the list drops it by then: another
- *incarnation answers at its address.
+ *	a check and answers the next has crashed if the list drops it by then:
+ *	another incarnation answers at its address.
  *
  *	Requests lost at one incarnation of a server share one check.
  */
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -268,15 +268,14 @@
 				  request_now(request), entry_cleared, request);
 }
 
-/* Bars the software versions that the request must not run at. Returns the last
- * entry for which it is, or NULL. */
-static const struct quarantine_entry *versions_bar(struct request *request)
+/* Bars the software versions that the request must not run at; *held is the
+ * last entry for that. */
+static bool versions_bar(struct request *request, struct quarantine_entry *held)
 {
 	uint64_t software[PLACE_BARRED_MAX];
 	uint32_t count = fleet_software(request->forward->parts.fleet,
 					request->service->id, software,
 					PLACE_BARRED_MAX);
-	const struct quarantine_entry *held = NULL;
 
 	for (uint32_t i = 0; i < count; i++) {
 		const struct quarantine_entry *entry =
@@ -284,10 +283,11 @@
 
 		if (!entry)
 			continue;
-		held = entry;
+		/* The next version may drop it from the quarantine. */
+		*held = *entry;
 		request->barred.software[request->barred.count++] = software[i];
 	}
-	return held;
+	return request->barred.count > 0;
 }
 
 static void quarantined_refuse(struct request *request,
@@ -310,18 +310,17 @@
 
 bool request_quarantine(struct request *request)
 {
-	const struct quarantine_entry *entry;
+	struct quarantine_entry held = {0};
 	struct place place;
 
 	request->barred.count = 0;
 	if (quarantine_empty(request->forward->parts.quarantine))
 		return false;
-	entry = versions_bar(request);
-	if (!entry)
+	if (!versions_bar(request, &held))
 		return false;
 	request_place(request, &place);
 	if (place_has_server(&place, request_stage(request)))
 		return false;
-	quarantined_refuse(request, entry);
+	quarantined_refuse(request, &held);
 	return true;
 }
