forward: how long a silent server is watched follows the list's heartbeat

A crash that no other instance confirms counts once the list drops the server. It was watched for six seconds: five heartbeats of the sites that were known, 1.2 s each. The fleet's servers renew their entries every 3 s and are dropped after nine, so a server that fell silent there, or that nobody could confirm, never counted: a rule about all sites drawn from one.

The platform states the heartbeat in its settings; heartbeat-ms takes it, and the watch is five of them. Nothing changes where it is 1.2 s.

--- a/forward/crash_detector.c
+++ b/forward/crash_detector.c
@@ -71,6 +71,12 @@
 	g_free(detector);
 }
 
+/* How long a check without a result is repeated. */
+static int64_t watch_usec(const struct check *check)
+{
+	return fleet_unlisting_usec(check->detector->parts.fleet);
+}
+
 static void check_drop(struct check *check)
 {
 	g_hash_table_remove(check->detector->checks, &check->key);
@@ -101,13 +107,13 @@
 				USEC_PER_MSEC));
 }
 
-/* The check is kept for CRASH_WATCH_USEC: further requests may notice the lost
+/* The check is kept for a while: further requests may notice the lost
  * connection later. */
 static void check_set_crashed(struct check *check)
 {
 	check->crashed = true;
 	crashes_report(check);
-	timer_start(&check->timer, CRASH_WATCH_USEC);
+	timer_start(&check->timer, watch_usec(check));
 }
 
 /* The list takes precedence: an answer under the same id may come from a later
@@ -154,7 +160,7 @@
 {
 	const struct clock *clock = check->detector->parts.clock;
 
-	return clock_now(clock) - check->started_at >= CRASH_WATCH_USEC;
+	return clock_now(clock) - check->started_at >= watch_usec(check);
 }
 
 static void check_repeat(struct check *check, enum check_result result)
--- a/forward/crash_detector.h
+++ b/forward/crash_detector.h
@@ -10,9 +10,9 @@
  *	if another incarnation answers or is listed, or if the list has dropped
  *	it and it does not answer. It has not if it answers, and a server that
  *	was leaving is not checked. A check without a result is repeated for
- *	CRASH_WATCH_USEC; after that nothing is reported. A server that refused
- *	a check and answers the next has crashed if the list drops it by then:
- *	another incarnation answers at its address.
+ *	fleet_unlisting_usec(); after that nothing is reported. A server that
+ *	refused a check and answers the next has crashed if the list drops it by
+ *then: another incarnation answers at its address.
  *
  *	Requests lost at one incarnation of a server share one check.
  */
@@ -24,10 +24,6 @@
 #include "forward/backend.h"
 #include "forward/fleet.h"
 
-/* Longer than the platform takes to unlist a silent server: three heartbeats,
- * about four seconds, after its last one. */
-#define CRASH_WATCH_USEC (6 * USEC_PER_SEC)
-
 struct crash_detector;
 
 /* The incarnation of the server crashed while it ran a request. */
--- a/forward/fleet.c
+++ b/forward/fleet.c
@@ -8,6 +8,10 @@
 #include "common/table.h"
 
 #define BACKENDS_MAX 65536u
+#define HEARTBEAT_USEC (1200 * USEC_PER_MSEC)
+/* Heartbeats from the last one until the list shows that the server is gone: it
+ * is dropped after three, and the list lags. */
+#define UNLISTING_HEARTBEATS 5
 /* Ids whose latest incarnation is kept; beyond that, unlisted ids are evicted.
  */
 #define INCARNATIONS_MAX 16384u
@@ -84,6 +88,7 @@
 
 	fleet->clock = clock;
 	fleet->data_centre = g_strdup(data_centre);
+	fleet->heartbeat_usec = HEARTBEAT_USEC;
 	fleet->groups = 1;
 	fleet->complete_since = INT64_MAX;
 	fleet->table = table_create(sizeof(struct backend), BACKENDS_MAX);
@@ -412,6 +417,16 @@
 	centres_sync(fleet);
 }
 
+void fleet_set_heartbeat(struct fleet *fleet, int64_t heartbeat_usec)
+{
+	fleet->heartbeat_usec = heartbeat_usec;
+}
+
+int64_t fleet_unlisting_usec(const struct fleet *fleet)
+{
+	return UNLISTING_HEARTBEATS * fleet->heartbeat_usec;
+}
+
 static void evacuation_log(const char *event, const char *data_centre)
 {
 	log_event(LOG_NOTICE, event, LOG_S("data_centre", data_centre));
--- a/forward/fleet_private.h
+++ b/forward/fleet_private.h
@@ -9,6 +9,7 @@
 struct fleet {
 	struct clock *clock;
 	char *data_centre;
+	int64_t heartbeat_usec;
 	const struct backpressure *pressure; /* NULL: no backpressure */
 	struct table *table;
 	GHashTable *keys;	  /* key to struct backend */
--- a/forward/node.c
+++ b/forward/node.c
@@ -227,10 +227,12 @@
 	return boot;
 }
 
-static void regions_set(struct node *node)
+static void fleet_open(struct node *node)
 {
 	const struct forward_settings *settings = &node->settings;
 
+	node->fleet = fleet_create(node->clock, settings->data_centre);
+	fleet_set_heartbeat(node->fleet, settings->heartbeat_usec);
 	for (uint32_t i = 0; i < settings->region_count; i++)
 		fleet_set_region(node->fleet, settings->regions[i].data_centre,
 				 settings->regions[i].region);
@@ -268,12 +270,11 @@
 	node->origins = origins_create(node->clock, ORIGINS_MAX);
 	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
-	node->fleet = fleet_create(node->clock, node->settings.data_centre);
+	fleet_open(node);
 	fleet_set_backpressure(node->fleet, node->backpressure);
 	node->relay_peers = relay_peers_create(node->clock);
 	node->relay_server = relay_server_create(node->loop, node->fleet,
 						 node->counters, node->rand);
-	regions_set(node);
 	parts.fleet = node->fleet;
 	parts.budgets = node->budgets;
 	parts.quarantine = node->quarantine;
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -165,6 +165,10 @@
 /* The region of a data centre. */
 void fleet_set_region(struct fleet *fleet, const char *data_centre,
 		      const char *region);
+/* How often servers renew their entries; 1.2 s until it is set. */
+void fleet_set_heartbeat(struct fleet *fleet, int64_t heartbeat_usec);
+/* Time by which the list has dropped a server that is silent. */
+int64_t fleet_unlisting_usec(const struct fleet *fleet);
 
 /* Starts or ends the evacuation of a data centre. Nothing new is sent to its
  * servers meanwhile, including those listed later. Returns whether this changed
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -44,7 +44,8 @@
 	uint32_t connections_max;
 	/* Crashed servers after which a request is refused. */
 	uint32_t quarantine_crashes;
-	const char *limits; /* name of limit_policy */
+	int64_t heartbeat_usec; /* of backend servers, in the list */
+	const char *limits;	/* name of limit_policy */
 	enum limit_policy limit_policy;
 };
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -855,6 +855,11 @@
 		      &signals);
 }
 
+static void heartbeat_step(const char *options)
+{
+	fleet_set_heartbeat(world.fleet, atoi(options) * USEC_PER_MSEC);
+}
+
 static void home_step(const char *options)
 {
 	world.home = true;
@@ -911,7 +916,7 @@
 	{"home", home_step},	     {"leaves", leaves_step},
 	{"backoff", backoff_step},   {"permit", permit_step},
 	{"evacuate", evacuate_step}, {"cold", cold_step},
-	{"unread", unread_step},
+	{"unread", unread_step},     {"heartbeat", heartbeat_step},
 };
 
 static void step_run(char *step)
--- a/tests/forward/test_settings.c
+++ b/tests/forward/test_settings.c
@@ -6,6 +6,7 @@
 #include <unistd.h>
 
 #include "../fake/rows.h"
+#include "common/clock.h"
 #include "common/error.h"
 #include "forward/settings.h"
 
@@ -40,6 +41,7 @@
 	{"address", WHOLE "listen=nowhere\n", ":7: listen: 'nowhere'"},
 	{"number", WHOLE "\n# x\nretry-ratio=much\n", ":9: retry-ratio"},
 	{"range", WHOLE "grace-s=0\n", ":7: grace-s"},
+	{"heartbeat", WHOLE "heartbeat-ms=0\n", ":7: heartbeat-ms"},
 	{"level", WHOLE "log-level=loud\n", ":7: log-level"},
 	{"name", WHOLE "name=a b\n", ":7: name"},
 	{"seed", WHOLE "seed=127.0.0.1:5,here\n", ":7: seed: 'here'"},
@@ -70,16 +72,18 @@
 	struct error err = {0};
 
 	g_setenv("JT_RETRY_SLACK", "17", TRUE);
-	g_assert_true(file_read(&settings,
-				WHOLE
-				"grace-s=9\nretry-slack=54\nretry-ratio=\n"
-				"unknown=1\nregion=x-1:north,x-2:south\n",
-				3, argv, &err));
+	g_assert_true(file_read(
+		&settings,
+		WHOLE
+		"grace-s=9\nretry-slack=54\nretry-ratio=\n"
+		"heartbeat-ms=3000\nunknown=1\nregion=x-1:north,x-2:south\n",
+		3, argv, &err));
 	g_unsetenv("JT_RETRY_SLACK");
 	g_assert_cmpstr(settings.name, ==, "a");
 	g_assert_cmpfloat(settings.grace_sec, ==, 3);
 	g_assert_cmpfloat(settings.retry_slack, ==, 17);
 	g_assert_cmpfloat(settings.retry_ratio, ==, 0.2);
+	g_assert_cmpint(settings.heartbeat_usec, ==, 3 * USEC_PER_SEC);
 	g_assert_cmpuint(settings.region_count, ==, 2);
 	g_assert_cmpstr(settings.regions[1].data_centre, ==, "x-2");
 	g_assert_cmpstr(settings.regions[1].region, ==, "south");
