forward: a server that leaves after a lost link has not crashed

A server that refused an earlier check and answers now is watched in the list. If it then left by a planned stop, its requests were blamed as for a crash. The watch ends now when the server is leaving, as a check is not begun for one that is.

--- a/forward/crash_detector.c
+++ b/forward/crash_detector.c
@@ -216,14 +216,17 @@
  * the list will show, or could not be reached for a moment. */
 static void check_watch_list(struct check *check)
 {
-	check->answered = !is_over(check) &&
-			  fleet_find(check->detector->parts.fleet, check->key);
-	if (check->answered)
-		timer_start(&check->timer, CHECK_RETRY_USEC);
-	else if (is_over(check))
+	const struct backend *backend =
+		fleet_find(check->detector->parts.fleet, check->key);
+
+	if (is_over(check) || (backend && backend_leaving(backend))) {
 		check_drop(check);
-	else
+	} else if (backend) {
+		timer_start(&check->timer, CHECK_RETRY_USEC);
+	} else {
+		check->answered = false;
 		check_set_crashed(check);
+	}
 }
 
 static void on_timer(struct timer *timer, void *ctx)
