--- a/include/coord/fingerprint.h
+++ b/include/coord/fingerprint.h
@@ -20,8 +20,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Bit of struct request_fingerprint.low, 0 in what fingerprint_of() returns:
- * the same subject, as to crashes after the answer had begun. */
+/* Bit of struct request_fingerprint.low, 0 in what fingerprint_of() returns. It
+ * marks crashes after the answer had begun, which are counted apart. */
 #define FINGERPRINT_BEGUN 1u
 
 struct request_fingerprint {
@@ -39,10 +39,10 @@
 /* secret: the key, random per process. */
 uint64_t keyed_hash_of(const struct fingerprint_part *parts, size_t count,
 		       uint64_t secret);
-/* The same as to servers with that version of their software. */
+/* The fingerprint for servers with that version of their software. */
 struct request_fingerprint fingerprint_at(const struct request_fingerprint *id,
 					  uint64_t software);
-/* The same with FINGERPRINT_BEGUN. */
+/* The fingerprint with FINGERPRINT_BEGUN. */
 struct request_fingerprint
 fingerprint_begun(const struct request_fingerprint *id);
 bool fingerprint_same(const struct request_fingerprint *a,
--- a/include/coord/suspects.h
+++ b/include/coord/suspects.h
@@ -60,8 +60,8 @@
 /* Drops those beyond REQUEST_SUSPECTS_MAX. */
 void suspects_add(struct suspects *suspects, struct suspect suspect);
 
-/* What is known of them as to servers with that version of their software. A
- * crash or success at one version is none at another. */
+/* The suspects for servers with that version of their software: a crash or
+ * success at one version is none at another. */
 struct suspects suspects_at(const struct suspects *suspects, uint64_t software);
 /* A server process crashed while it ran the request. */
 void suspects_record_crash(struct quarantine *quarantine,
