--- a/tests/coord/test_blame.c
+++ b/tests/coord/test_blame.c
@@ -42,6 +42,7 @@
 	SOUND,
 	CRASHES, /* as its answer begins */
 	CRASHES_LATER,
+	CRASHES_HALF,	 /* as CRASHES, at every second server */
 	CRASHES_VERSION, /* as CRASHES, at servers of version 0 */
 };
 
@@ -186,6 +187,7 @@
 			    const struct request *request, uint32_t server)
 {
 	return request->effect == CRASHES || request->effect == CRASHES_LATER ||
+	       (request->effect == CRASHES_HALF && server % 2 == 0) ||
 	       (request->effect == CRASHES_VERSION &&
 		version_of(world, server) == 0);
 }
@@ -386,6 +388,12 @@
 	spells_check("one version", 1, CRASHES_VERSION);
 }
 
+/* Servers of one version, of which every second crashes. */
+static void test_half(void)
+{
+	spells_check("half of the servers", 1, CRASHES_HALF);
+}
+
 /* A caller with several keys sends another caller's part with one of its own
  * that crashes servers. */
 static void attack_check(uint32_t count)
@@ -467,6 +475,7 @@
 	g_test_add_func("/coord/blame/begun", test_begun);
 	g_test_add_func("/coord/blame/callers", test_callers);
 	g_test_add_func("/coord/blame/version", test_version);
+	g_test_add_func("/coord/blame/half", test_half);
 	g_test_add_func("/coord/blame/attack", test_attack);
 	g_test_add_func("/coord/blame/probes", test_probes);
 	return g_test_run();
