sched: a library for decisions under load, and what servers state of theirs

Servers' own loads were recognised and dropped. They are decoded once, in platform/, and reach the core with each answer; nothing uses them yet. A catalog knows whether its routes rank streams of one service.

--- a/forward/catalog.c
+++ b/forward/catalog.c
@@ -83,14 +83,43 @@
 	return service;
 }
 
+static uint64_t first_service(const struct catalog_route *route)
+{
+	return route->shares->len > 0
+		       ? g_array_index(route->shares, struct route_share, 0)
+				 .service
+		       : 0;
+}
+
+/* Keeps the priority of the first route seen of each service. */
+static void ranked_update(struct catalog *catalog, GHashTable *priorities,
+			  struct catalog_route *route)
+{
+	uint64_t service = first_service(route);
+	gpointer known;
+
+	if (route->kind != ROUTE_STREAM || service == 0)
+		return;
+	if (!g_hash_table_lookup_extended(
+		    priorities, GSIZE_TO_POINTER((gsize)service), NULL, &known))
+		g_hash_table_insert(priorities,
+				    GSIZE_TO_POINTER((gsize)service),
+				    GUINT_TO_POINTER(route->priority));
+	else if (GPOINTER_TO_UINT(known) != route->priority)
+		catalog->ranked = true;
+}
+
 void catalog_index_routes(struct catalog *catalog)
 {
+	g_autoptr(GHashTable) priorities = g_hash_table_new(NULL, NULL);
+
 	for (guint i = 0; i < catalog->routes->len; i++) {
 		struct catalog_route *route = catalog->routes->pdata[i];
 
 		g_hash_table_replace(
 			catalog->by_prefix,
 			g_strconcat(route->host, route->prefix, NULL), route);
+		ranked_update(catalog, priorities, route);
 	}
 }
 
--- a/include/forward/backend.h
+++ b/include/forward/backend.h
@@ -21,6 +21,7 @@
 #include "coord/backpressure.h"
 #include "forward/caller.h"
 #include "forward/fleet.h"
+#include "sched/server_load.h"
 #include "web/client.h"
 
 /* Connection time-out. A connection inside the site takes 1 to 5 ms; beyond
@@ -71,9 +72,10 @@
 struct backend_head {
 	int status;
 	bool not_run; /* the server reports that it did not run the request */
-	bool other_server; /* another server answers at the address */
-	bool is_signed;	   /* carries the server's signature */
-	bool mismatched;   /* answers another request */
+	bool other_server;	 /* another server answers at the address */
+	bool is_signed;		 /* carries the server's signature */
+	bool mismatched;	 /* answers another request */
+	struct server_load load; /* as the server states it */
 	/* Passed back to the caller. */
 	const struct web_header *headers;
 	size_t header_count;
--- a/include/forward/catalog.h
+++ b/include/forward/catalog.h
@@ -85,6 +85,9 @@
 	GPtrArray *routes;     /* struct catalog_route */
 	GHashTable *by_prefix; /* host and prefix to struct catalog_route */
 	GHashTable *services;  /* id to struct catalog_service */
+	/* Two routes of streams whose first service is the same differ in
+	 * priority: callers of different urgency compete for its servers. */
+	bool ranked;
 	/* NULL when callers are not identified. */
 	struct organisations *organisations;
 };
--- a/include/platform/signals.h
+++ b/include/platform/signals.h
@@ -12,6 +12,7 @@
 #define PLATFORM_SIGNALS_H
 
 #include "coord/backpressure.h"
+#include "sched/server_load.h"
 #include "web/server.h"
 
 #define SIGNALS_BACKOFF_MAX_USEC INT64_C(300000000)
@@ -25,6 +26,9 @@
 
 void platform_signals_read(const struct signals_answer *answer,
 			   struct backpressure_signals *signals);
+/* Reads the load that a server states: running, waiting, slots and, if stated,
+ * its pace in percent, separated by commas. Sets known. */
+bool platform_load_read(struct web_text text, struct server_load *load);
 /* Reads a non-negative decimal number as "8.9"; exposed for tests. */
 bool platform_decimal_read(struct web_text text, double *number);
 
