--- a/forward/node.c
+++ b/forward/node.c
@@ -268,6 +268,7 @@
 	node->quarantine = node_quarantine_create(node);
 	node->backpressure = backpressure_create();
 	node->origins = origins_create(node->clock, ORIGINS_MAX);
+	node->speeds = speeds_create();
 	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	fleet_open(node);
@@ -281,6 +282,7 @@
 	parts.backpressure = node->backpressure;
 	parts.limits = node->limits;
 	parts.origins = node->origins;
+	parts.speeds = node->speeds;
 	node->forward = forward_create(&parts);
 	node->malformed =
 		counter_get(node->counters, "jt_records_refused_total",
@@ -423,6 +425,7 @@
 	backpressure_destroy(node->backpressure);
 	limits_destroy(node->limits);
 	origins_destroy(node->origins);
+	speeds_destroy(node->speeds);
 }
 
 static void on_signal(void *ctx, int signal)
--- a/forward/node.h
+++ b/forward/node.h
@@ -66,6 +66,7 @@
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
 	struct origins *origins;
+	struct speeds *speeds;
 	int64_t pruned_at;
 	struct limits *limits;
 	struct quarantine_write quarantine_write;
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -46,6 +46,7 @@
 #include "forward/fleet.h"
 #include "forward/origins.h"
 #include "forward/rates.h"
+#include "sched/speed.h"
 #include "web/loop.h"
 
 struct forward;
@@ -114,6 +115,7 @@
 	struct backpressure *backpressure;
 	struct limits *limits;
 	struct origins *origins;
+	struct speeds *speeds; /* NULL: all servers take the usual time */
 	struct counter_set *counters;
 	GRand *rand;
 	uint64_t
