sched: estimate of servers' speeds, their exchange, and what requests show of them

Servers of one service differ in speed by several times and slow down for moments, and nothing tells. Factors follow from the pace that servers state, from times seen, and from entries of other instances in summaries, within 950 bytes a second; nothing changes until a server states a pace.

--- a/forward/gossip.c
+++ b/forward/gossip.c
@@ -149,6 +149,7 @@
 		   gossip);
 	timer_init(&gossip->timer, gossip->clock, on_interval_timer, gossip);
 	timer_start(&gossip->timer, 0);
+	gossip_speeds_start(gossip);
 	gossip_quarantine_start(gossip);
 	gossip_usage_start(gossip);
 	return gossip;
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -19,6 +19,7 @@
 		.usage = g_array_new(FALSE, TRUE, sizeof(struct limit_entry)),
 		.facts = g_array_new(FALSE, TRUE,
 				     sizeof(struct backpressure_fact)),
+		.speeds = g_array_new(FALSE, TRUE, sizeof(struct speed_entry)),
 		.addresses =
 			g_array_new(FALSE, TRUE, sizeof(struct gossip_address)),
 	};
@@ -39,6 +40,8 @@
 	g_array_unref(message->quarantine);
 	g_array_unref(message->usage);
 	g_array_unref(message->facts);
+	g_array_unref(message->speeds);
+	message->speeds = NULL;
 	message->facts = NULL;
 	message->usage = NULL;
 	message->loads = NULL;
@@ -135,6 +138,29 @@
 			  &g_array_index(facts, struct backpressure_fact, i));
 }
 
+static void speeds_pack(msgpack_packer *packer, const GArray *speeds)
+{
+	guint count = MIN(speeds->len, SPEED_ENTRIES_MAX);
+
+	msgpack_pack_array(packer, count);
+	for (guint i = 0; i < count; i++) {
+		const struct speed_entry *entry =
+			&g_array_index(speeds, struct speed_entry, i);
+
+		msgpack_pack_array(packer, SPEED_FIELDS);
+		msgpack_pack_uint64(packer, entry->server);
+		msgpack_pack_uint32(packer, entry->percent);
+		msgpack_pack_uint32(packer, entry->weight);
+		msgpack_pack_uint32(packer, entry->age_msec);
+	}
+}
+
+/* Trailing fields without content are left out. */
+static uint32_t summary_fields(const struct gossip_message *message)
+{
+	return message->speeds->len > 0 ? SUMMARY_SPEEDS + 1 : SUMMARY_FIELDS;
+}
+
 static void permit_request_pack(msgpack_packer *packer,
 				const struct permit_request *request)
 {
@@ -274,6 +300,8 @@
 	usage_pack(packer, message->usage);
 	unreachable_pack(packer, summary);
 	facts_pack(packer, message->facts);
+	if (summary_fields(message) > SUMMARY_SPEEDS)
+		speeds_pack(packer, message->speeds);
 }
 
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
@@ -282,8 +310,8 @@
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, pack_append);
-	msgpack_pack_array(&packer,
-			   is_summary ? SUMMARY_FIELDS : CHANGES_FIELDS);
+	msgpack_pack_array(&packer, is_summary ? summary_fields(message)
+					       : CHANGES_FIELDS);
 	msgpack_pack_int(&packer, GOSSIP_FORMAT);
 	msgpack_pack_int(&packer, (int)message->kind);
 	msgpack_pack_uint64(&packer, message->boot);
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -11,7 +11,7 @@
  *	flags, [[backend, stage, milliseconds left], ...],
  *	[[next, changed, age in microseconds], ...], name of the lowest
  *	instance, [address, ...], [usage, ...],
- *	[[backend, milliseconds left], ...], [fact, ...]
+ *	[[backend, milliseconds left], ...], [fact, ...], [speed, ...]
  *
  *	Changes: [[backend, requests, decode tokens, prefill tokens], ...]
  *	Usage: [usage, ...], of an instance or of its data centre
@@ -31,7 +31,9 @@
  *	[backend, limit or -1, age of the limit in microseconds, leaving,
  *	microseconds left of a cold start, limit during the cold start], with
  *	limits in thousandths of a request a second. An address of IPv4 is one
- *	number, any other a text.
+ *	number, any other a text. A speed is [backend, time factor in percent,
+ *	weight in samples, age in milliseconds]; the field is left out while
+ *	there is none.
  */
 #ifndef FORWARD_GOSSIP_CODEC_H
 #define FORWARD_GOSSIP_CODEC_H
@@ -114,7 +116,8 @@
 	/* struct gossip_address: some other instances; in a group summary all
 	 * of the group, if any. */
 	GArray *addresses;
-	GArray *facts; /* struct backpressure_fact */
+	GArray *facts;	/* struct backpressure_fact */
+	GArray *speeds; /* struct speed_entry */
 };
 
 /* Creates the arrays; to be freed with gossip_message_clear(). */
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -202,6 +202,44 @@
 	return true;
 }
 
+static bool speed_read(const msgpack_object *object, struct speed_entry *entry)
+{
+	const msgpack_object *fields;
+	uint64_t percent;
+	uint64_t weight;
+	uint64_t age;
+
+	if (!is_tuple(object, SPEED_FIELDS))
+		return false;
+	fields = object->via.array.ptr;
+	if (!unsigned_read(&fields[0], UINT64_MAX, &entry->server) ||
+	    !unsigned_read(&fields[1], SPEED_PERCENT_MAX, &percent) ||
+	    percent < SPEED_PERCENT_MIN ||
+	    !unsigned_read(&fields[2], SPEED_WEIGHT_MAX, &weight) ||
+	    weight == 0 ||
+	    !unsigned_read(&fields[3], SPEED_AGE_MAX_USEC / USEC_PER_MSEC,
+			   &age))
+		return false;
+	entry->percent = (uint32_t)percent;
+	entry->weight = (uint32_t)weight;
+	entry->age_msec = (uint32_t)age;
+	return true;
+}
+
+static bool speeds_read(const msgpack_object *object, GArray *speeds)
+{
+	if (!is_array(object, SPEED_ENTRIES_MAX))
+		return false;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		struct speed_entry entry = {0};
+
+		if (!speed_read(&object->via.array.ptr[i], &entry))
+			return false;
+		g_array_append_val(speeds, entry);
+	}
+	return true;
+}
+
 static bool permit_request_read(const msgpack_object *object,
 				struct permit_request *request)
 {
@@ -481,7 +519,9 @@
 	if (message->kind == GOSSIP_CHANGES)
 		return object->via.array.size == CHANGES_FIELDS;
 	return object->via.array.size >= SUMMARY_FIELDS &&
-	       summary_read(&fields[CHANGES_FIELDS], message);
+	       summary_read(&fields[CHANGES_FIELDS], message) &&
+	       (object->via.array.size <= SUMMARY_SPEEDS ||
+		speeds_read(&fields[SUMMARY_SPEEDS], message->speeds));
 }
 
 bool gossip_decode(struct gossip_message *message, const void *data,
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -12,6 +12,9 @@
 #define CHANGES_FIELDS 5
 #define QUARANTINE_FIELDS 5
 #define SUMMARY_FIELDS 20
+/* Index of a further field of a summary, which earlier releases do not send. */
+#define SUMMARY_SPEEDS 20
+#define SPEED_FIELDS 4
 #define FACT_FIELDS 6
 #define PERMIT_REQUEST_FIELDS 2
 #define PERMIT_ANSWER_FIELDS 4
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -23,6 +23,8 @@
 	int64_t sent_at;   /* or GOSSIP_NEVER */
 	int64_t addresses_sent_at;
 	uint64_t sent_revision; /* of the loads that were sent last */
+	int64_t started_at;	/* or back after a silence */
+	uint64_t speeds_cursor; /* of the speeds sent to it since then */
 	bool leaving;
 	/* The last one of a local peer, or NULL. */
 	struct gossip_summary *summary;
@@ -55,6 +57,15 @@
 	int64_t updated_at;
 };
 
+/* Speeds of servers that each summary carries until all peers have received
+ * one. */
+struct speed_batch {
+	struct speed_entry entries[SPEED_ENTRIES_MAX];
+	uint32_t count;
+	int64_t made_at;
+	struct token_bucket bytes;
+};
+
 struct gossip {
 	struct loop *loop;
 	struct clock *clock;
@@ -86,6 +97,8 @@
 	 * other data centres. */
 	struct token_bucket changes_bucket;
 	struct token_bucket changes_bucket_remote;
+	struct speed_batch speeds;	 /* to the local peers */
+	struct speed_batch speeds_group; /* to the receivers */
 	struct gossip_traffic traffic;
 	double delay_local; /* mean time from a change to its sending, usec */
 	double delay_remote;
@@ -189,6 +202,20 @@
 void gossip_permit_receive(struct gossip *gossip, const struct peer *peer,
 			   const struct gossip_message *message);
 
+/* Functions of gossip_speeds.c. */
+void gossip_speeds_start(struct gossip *gossip);
+/* Adds the current batch of speeds, local or of the group. */
+void gossip_speeds_add(struct gossip *gossip, bool group, GArray *speeds);
+/* Adds the next speeds for a local peer that has started; false when there are
+ * none. */
+bool gossip_speeds_add_next(struct gossip *gossip, struct peer *peer,
+			    GArray *speeds);
+/* Accounts for the batch in that many datagrams. */
+void gossip_speeds_sent(struct gossip *gossip, bool group, uint64_t datagrams);
+/* Merges the speeds received from a peer. */
+void gossip_speeds_receive(struct gossip *gossip, bool local,
+			   const GArray *speeds);
+
 /* Encodes the message, sends it to the peer and clears it. */
 void message_send(struct gossip *gossip, struct gossip_message *message,
 		  const struct peer *peer);
--- a/forward/gossip_receive.c
+++ b/forward/gossip_receive.c
@@ -98,6 +98,8 @@
 	else
 		group_summary_apply(gossip, peer, message);
 	gossip_facts_receive(gossip, message->facts);
+	gossip_speeds_receive(gossip, peer_is_local(gossip, peer),
+			      message->speeds);
 	/* An instance sends its own summary to peers whose group it does not
 	 * know. Its usage is not the total of its data centre. */
 	if (message->kind == GOSSIP_GROUP_SUMMARY ||
@@ -153,6 +155,10 @@
 	starts = message->boot != peer->boot || !peer_live(gossip, peer);
 	peer->boot = message->boot;
 	peer->sequence = message->sequence;
+	if (starts) {
+		peer->started_at = gossip_now(gossip);
+		peer->speeds_cursor = 0;
+	}
 	if (message->kind < GOSSIP_CHANGES) {
 		summary_apply(gossip, peer, message);
 		if (starts && peer_live(gossip, peer))
--- a/forward/gossip_send.c
+++ b/forward/gossip_send.c
@@ -82,8 +82,10 @@
 	gossip->changed_at = gossip_now(gossip);
 }
 
-/* Encodes the current summary of this instance. */
-static GByteArray *instance_summary_encode(struct gossip *gossip)
+/* Encodes the current summary of this instance, with those speeds of servers or
+ * with the current batch. */
+static GByteArray *instance_summary_encode(struct gossip *gossip,
+					   const GArray *speeds)
 {
 	g_autoptr(GArray) changes =
 		g_array_new(FALSE, TRUE, sizeof(struct gossip_load));
@@ -100,6 +102,10 @@
 	address_add(gossip, &message);
 	gossip_usage_add(gossip, false, message.usage);
 	gossip_facts_add(gossip, message.facts);
+	if (speeds)
+		g_array_append_vals(message.speeds, speeds->data, speeds->len);
+	else
+		gossip_speeds_add(gossip, false, message.speeds);
 	gossip_encode(&message, out);
 	loads_diff(gossip->sent_loads, message.loads, changes);
 	if (message.summary.leaving || changes->len > 0)
@@ -139,6 +145,7 @@
 		members_add(gossip, &message);
 	gossip_usage_add(gossip, true, message.usage);
 	gossip_facts_add(gossip, message.facts);
+	gossip_speeds_add(gossip, true, message.speeds);
 	gossip_encode(&message, out);
 	gossip_message_clear(&message);
 	return out;
@@ -161,6 +168,20 @@
 	return gossip_now(gossip) - peer->sent_at >= interval;
 }
 
+/* Sends the summary to a local peer; if the peer has started, with further
+ * speeds of servers. */
+static void local_send_one(struct gossip *gossip, struct peer *peer,
+			   const GByteArray *out)
+{
+	g_autoptr(GArray) speeds =
+		g_array_new(FALSE, TRUE, sizeof(struct speed_entry));
+	g_autoptr(GByteArray) own = NULL;
+
+	if (gossip_speeds_add_next(gossip, peer, speeds))
+		own = instance_summary_encode(gossip, speeds);
+	peer_send(gossip, peer, own ? own : out);
+}
+
 static void local_send(struct gossip *gossip, const GByteArray *out)
 {
 	int64_t interval = gossip_interval(gossip, true);
@@ -174,7 +195,7 @@
 			continue;
 		peer->sent_at = gossip_now(gossip);
 		peer->sent_revision = gossip->revision;
-		peer_send(gossip, peer, out);
+		local_send_one(gossip, peer, out);
 	}
 }
 
@@ -237,12 +258,16 @@
 
 void gossip_send_due(struct gossip *gossip)
 {
-	g_autoptr(GByteArray) out = instance_summary_encode(gossip);
+	g_autoptr(GByteArray) out = instance_summary_encode(gossip, NULL);
+	uint64_t before = gossip->traffic.sent;
 
 	local_send(gossip, out);
 	if (gossip->updated_at == gossip_now(gossip))
 		unknown_peers_send(gossip, out);
+	gossip_speeds_sent(gossip, false, gossip->traffic.sent - before);
+	before = gossip->traffic.sent;
 	receivers_send(gossip);
+	gossip_speeds_sent(gossip, true, gossip->traffic.sent - before);
 }
 
 /* ---- load changes ---- */
--- a/forward/node.c
+++ b/forward/node.c
@@ -268,7 +268,7 @@
 	node->quarantine = node_quarantine_create(node);
 	node->backpressure = backpressure_create();
 	node->origins = origins_create(node->clock, ORIGINS_MAX);
-	node->speeds = speeds_create();
+	node->speeds = node_speeds_create(node);
 	node->limits = node_limits_create(node);
 	node->budgets = budgets_create(&budget, clock_now(node->clock));
 	fleet_open(node);
@@ -303,6 +303,9 @@
 		.servers = servers_fill,
 		.facts = node_facts,
 		.fact_received = node_fact_received,
+		.speeds = node_speeds,
+		.speeds_next = node_speeds_next,
+		.speed_received = node_speed_received,
 		.permit_requested = node_permit_requested,
 		.permit_answered = node_permit_answered,
 		.origin_received = node_origin_received,
--- a/forward/node.h
+++ b/forward/node.h
@@ -161,6 +161,15 @@
 /* Drops expired facts. Called about every 100 ms. */
 void node_permits_tick(struct node *node);
 
+/* node_speeds.c: speeds of servers, to and from other instances. */
+struct speeds *node_speeds_create(struct node *node);
+uint32_t node_speeds(void *ctx, bool group, struct speed_entry *entries,
+		     uint32_t max);
+uint32_t node_speeds_next(void *ctx, uint64_t *cursor,
+			  struct speed_entry *entries, uint32_t max);
+void node_speed_received(void *ctx, const struct speed_entry *entry);
+void node_speeds_count(const struct node *node);
+
 /* node_origins.c: versions that began streams, to and from other instances. */
 void node_origin_began(void *ctx, uint64_t stream, uint64_t software);
 uint32_t node_origin_ask(void *ctx, const struct origin_query *query);
--- a/forward/node_health.c
+++ b/forward/node_health.c
@@ -95,6 +95,7 @@
 	quarantine_count(node);
 	backpressure_count(node);
 	reach_count(node);
+	node_speeds_count(node);
 	counter_set_print(node->counters, text);
 	web_reply(request, 200, "text/plain; version=0.0.4", text->str,
 		  text->len);
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -173,6 +173,7 @@
 static void on_head(void *ctx, const struct backend_head *head)
 {
 	request_connected(ctx);
+	request_stated(ctx, head);
 	answer_set_head(ctx, head);
 }
 
--- a/forward/rates.c
+++ b/forward/rates.c
@@ -38,10 +38,15 @@
 	return CLAMP(cost / rates->cost.value, 1.0 / WEIGHT_MAX, WEIGHT_MAX);
 }
 
+bool engine_rates_measures(uint32_t tokens)
+{
+	return tokens >= TOKENS_MIN;
+}
+
 void engine_rates_add_prefill(struct engine_rates *rates, uint32_t tokens,
 			      uint32_t ahead, int64_t usec)
 {
-	if (tokens < TOKENS_MIN || usec <= 0)
+	if (!engine_rates_measures(tokens) || usec <= 0)
 		return;
 	median_add(&rates->prefill, ((double)tokens + (double)ahead) *
 					    (double)USEC_PER_SEC /
--- a/forward/request.h
+++ b/forward/request.h
@@ -304,6 +304,13 @@
 /* Of the servers that run it. */
 enum backend_stage request_stage(const struct request *request);
 
+/* speeds.c: records the pace that the target of the current call states, the
+ * time of a prefill there, and that of a complete stream. */
+void request_stated(const struct request *request,
+		    const struct backend_head *head);
+void prefill_measured(const struct request *request, int64_t usec);
+void stream_measured(const struct request *request);
+
 /* plain.c, stream.c and waiting.c */
 void plain_start(struct request *request);
 void stream_start(struct request *request);
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -145,6 +145,7 @@
 static void prefill_head(void *ctx, const struct backend_head *head)
 {
 	request_connected(ctx);
+	request_stated(ctx, head);
 	answer_set_head(ctx, head);
 }
 
@@ -204,10 +205,7 @@
 			backend_succeeded(backend, now);
 		request->kv_source = request->target;
 		request->prefilled_at = now;
-		engine_rates_add_prefill(
-			forward_rates(request->forward, request->service->id),
-			request->caller.prompt_tokens, request->tokens_ahead,
-			now - request->step_started_at);
+		prefill_measured(request, now - request->step_started_at);
 		histogram_add(request->forward->prefill_time,
 			      now - request->placed_at);
 		answer_clear(&request->answer);
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -28,6 +28,7 @@
 	struct request *request = ctx;
 
 	request_connected(request);
+	request_stated(request, head);
 	/* A resumed stream keeps the head sent by its first server. */
 	if (!request->replied) {
 		answer_set_head(request, head);
@@ -182,6 +183,7 @@
 		if (backend)
 			backend_succeeded(backend, now);
 		request_record_success(request);
+		stream_measured(request);
 		request_finish(request);
 		return;
 	}
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -48,6 +48,10 @@
  *	three each. A record is sent to them in one datagram each, and so is a
  *	query; each answers for itself. Nothing is repeated here.
  *
+ *	Speeds of servers (sched/speed.h) are part of the summaries while
+ *	servers state them, within GOSSIP_SPEED_BYTES_PER_SEC. A peer that
+ *	starts is sent all that are known.
+ *
  *	State of a peer or data centre expires GOSSIP_STALE_USEC after its last
  *	summary. Nothing waits for a peer. Peers are first read from the store,
  *	then learnt from the senders of datagrams and from the addresses in
@@ -75,6 +79,7 @@
 #include "forward/fleet.h"
 #include "forward/mirror.h"
 #include "forward/origins.h"
+#include "sched/speed.h"
 
 #define GOSSIP_INTERVAL_USEC (100 * USEC_PER_MSEC)
 /* Covers ten lost datagrams in a row, or five summaries of an idle peer. */
@@ -103,6 +108,12 @@
 /* Facts in one message; the next message holds further ones. */
 #define GOSSIP_FACTS_MAX 48
 
+/* Bytes a second that an instance spends on the speeds of servers, over all
+ * datagrams; so many summaries are sent that one entry in each takes most of
+ * it. A share of it is for other data centres. */
+#define GOSSIP_SPEED_BYTES_PER_SEC 950.0
+#define GOSSIP_SPEED_REMOTE_SHARE 0.35
+
 /* Mirrored streams whose status is part of a summary. */
 #define GOSSIP_MIRRORS 2
 
@@ -200,6 +211,14 @@
 	uint32_t (*facts)(void *ctx, struct backpressure_fact *facts,
 			  uint32_t max);
 	void (*fact_received)(void *ctx, const struct backpressure_fact *fact);
+	/* Speeds of servers to send, as speeds_export() or, with group,
+	 * speeds_export_group(); the next ones for a peer that has started, as
+	 * speeds_export_next(); and one received from a peer. NULL: none. */
+	uint32_t (*speeds)(void *ctx, bool group, struct speed_entry *entries,
+			   uint32_t max);
+	uint32_t (*speeds_next)(void *ctx, uint64_t *cursor,
+				struct speed_entry *entries, uint32_t max);
+	void (*speed_received)(void *ctx, const struct speed_entry *entry);
 	/* A peer requests a permit; fills in granted and retry_usec. NULL:
 	 * requests are not answered. */
 	void (*permit_requested)(void *ctx,
--- a/include/forward/rates.h
+++ b/include/forward/rates.h
@@ -14,6 +14,7 @@
 #ifndef FORWARD_RATES_H
 #define FORWARD_RATES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Relative step by which one sample moves the estimate. */
@@ -36,6 +37,7 @@
 struct engine_rates {
 	struct median prefill; /* prompt tokens a second of a prefill server */
 	struct median cost;    /* of a request, as stream_cost() */
+	struct median event;   /* microseconds between events of a stream */
 };
 
 /* Cost of a request at a decode server: the memory that it holds, in tokens,
@@ -45,6 +47,8 @@
 /* The cost as a multiple of the median request of the service, bounded by 1/2
  * and 2. */
 double engine_rates_weight(const struct engine_rates *rates, double cost);
+/* Whether the time of a prompt of this many tokens measures the rate. */
+bool engine_rates_measures(uint32_t tokens);
 /* Adds a sample: a prompt of this many tokens was prefilled in usec, behind
  * ahead tokens that were queued before it. */
 void engine_rates_add_prefill(struct engine_rates *rates, uint32_t tokens,
--- a/include/sched/speed.h
+++ b/include/sched/speed.h
@@ -31,13 +31,16 @@
 
 #define SPEED_FACTOR_MIN 0.25
 #define SPEED_FACTOR_MAX 4.0
+#define SPEED_PERCENT_MIN 25u
+#define SPEED_PERCENT_MAX 400u
 /* Servers kept, at about 200 bytes each. */
 #define SPEED_SERVERS_MAX 1024u
 /* Samples within the half-life after which the seen factor is a lower bound. */
 #define SPEED_SEEN_ENOUGH 4.0
 /* Entries in one message. */
 #define SPEED_ENTRIES_MAX 6u
-/* Oldest entry that is sent or accepted; it has lost 7/8 of its weight. */
+/* Oldest entry that is sent or accepted; it has lost 7/8 of its weight. For as
+ * long after a server has stated a pace the estimates are used. */
 #define SPEED_AGE_MAX_USEC INT64_C(30000000)
 /* Largest weight of an entry, in samples. */
 #define SPEED_WEIGHT_MAX 100u
@@ -48,27 +51,59 @@
 	uint32_t percent;  /* time factor */
 	uint32_t weight;   /* samples, 1 to SPEED_WEIGHT_MAX */
 	uint32_t age_msec; /* of the last sample */
+	bool remote;	   /* from another data centre; not on the wire */
 };
 
+/* A change of a factor, with its sources: the mean of each and the number of
+ * samples, decayed. A source without samples has weight 0. */
+struct speed_source {
+	double factor;
+	double weight;
+};
+struct speed_change {
+	uint64_t server;
+	double before;
+	double factor;
+	struct speed_source seen;
+	struct speed_source stated;
+	struct speed_source peers;
+};
+typedef void (*speed_changed_fn)(void *ctx, const struct speed_change *change);
+
 struct speeds;
 
 struct speeds *speeds_create(void);
 void speeds_destroy(struct speeds *speeds);
+/* Calls fn when the factor of a server differs by a quarter from the one that
+ * was reported last, at most once a second for each server. */
+void speeds_on_change(struct speeds *speeds, speed_changed_fn fn, void *ctx);
 /* Work took usec where the median of its service is usual_usec. */
 void speeds_seen(struct speeds *speeds, uint64_t server, int64_t now,
 		 double usec, double usual_usec);
 /* The server has stated the factor with an answer. */
 void speeds_stated(struct speeds *speeds, uint64_t server, int64_t now,
 		   double factor);
-/* An entry of another instance. An older one than is known is ignored. */
+/* An entry of another instance. It is ignored unless its last sample is at
+ * least 100 ms newer than that of the entry before, so that samples which are
+ * sent again, or by a second sender, count once. */
 void speeds_merge(struct speeds *speeds, int64_t now,
 		  const struct speed_entry *entry);
 /* What this instance has itself seen or was told by servers, newest first: up
- * to max entries that have changed by over a tenth since they were last
- * exported, or were last exported over two seconds ago. Returns their number.
- */
+ * to max entries that differ by over a tenth from what this data centre was
+ * last told, by this instance or another, or that it was told over two seconds
+ * ago. Returns their number. */
 uint32_t speeds_export(struct speeds *speeds, int64_t now,
 		       struct speed_entry *entries, uint32_t max);
+/* The same for other data centres, with what instances of this one have sent.
+ */
+uint32_t speeds_export_group(struct speeds *speeds, int64_t now,
+			     struct speed_entry *entries, uint32_t max);
+/* All that is known, also of others, for an instance that has started: in the
+ * order of a hash with the seed, the next ones after the cursor, which begins
+ * at 0 and is moved. */
+uint32_t speeds_export_next(const struct speeds *speeds, int64_t now,
+			    uint64_t seed, uint64_t *cursor,
+			    struct speed_entry *entries, uint32_t max);
 /* The expected factor over the next second or so, for long work: streams and
  * prefills. */
 double speeds_factor(const struct speeds *speeds, uint64_t server, int64_t now);
