--- a/tests/forward/gossip_world.c
+++ b/tests/forward/gossip_world.c
@@ -118,6 +118,33 @@
 		instance->software = answer->software;
 }
 
+static uint32_t speeds_to_send(void *ctx, bool group,
+			       struct speed_entry *entries, uint32_t max)
+{
+	const struct instance *instance = ctx;
+	int64_t now = clock_now(instance->site->clock);
+
+	return group ? speeds_export_group(instance->speeds, now, entries, max)
+		     : speeds_export(instance->speeds, now, entries, max);
+}
+
+static uint32_t speeds_next(void *ctx, uint64_t *cursor,
+			    struct speed_entry *entries, uint32_t max)
+{
+	const struct instance *instance = ctx;
+
+	return speeds_export_next(instance->speeds,
+				  clock_now(instance->site->clock),
+				  id_of(instance->name), cursor, entries, max);
+}
+
+static void speed_received(void *ctx, const struct speed_entry *entry)
+{
+	const struct instance *instance = ctx;
+
+	speeds_merge(instance->speeds, clock_now(instance->site->clock), entry);
+}
+
 bool permit(struct instance *instance, uint32_t centre)
 {
 	uint64_t key = server(instance, centre)->key;
@@ -155,6 +182,9 @@
 		.quarantine_next = quarantine_entries,
 		.facts = facts,
 		.fact_received = fact_received,
+		.speeds = speeds_to_send,
+		.speeds_next = speeds_next,
+		.speed_received = speed_received,
 		.permit_requested = permit_requested,
 		.permit_answered = permit_answered,
 		.origin_received = origin_received,
@@ -174,6 +204,7 @@
 	instance->quarantine = quarantine_create(&quarantine);
 	instance->backpressure = backpressure_create();
 	instance->origins = origins_create(site->clock, STORED_MAX);
+	instance->speeds = speeds_create();
 	instance->started = clock_now(site->clock);
 	for (uint32_t i = 0; i < site->stored_count; i++)
 		quarantine_merge(instance->quarantine, &site->stored[i],
@@ -194,6 +225,7 @@
 	quarantine_destroy(instance->quarantine);
 	backpressure_destroy(instance->backpressure);
 	origins_destroy(instance->origins);
+	speeds_destroy(instance->speeds);
 	instance->gossip = NULL;
 }
 
--- a/tests/forward/gossip_world.h
+++ b/tests/forward/gossip_world.h
@@ -31,6 +31,7 @@
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
 	struct origins *origins;
+	struct speeds *speeds; /* without a server that states one, at first */
 	uint32_t answers;  /* to queries for the versions of streams */
 	uint64_t software; /* the last version in them */
 	int64_t started;
--- a/tests/forward/test_releases.c
+++ b/tests/forward/test_releases.c
@@ -70,12 +70,15 @@
 static void test_after(void)
 {
 	g_autoptr(GByteArray) out = g_byte_array_new();
+	static const guint8 no_speeds = 0x90;
 	static const guint8 field = 0x2a;
 	struct gossip_message message;
 	struct error err;
 
+	/* After the speeds of servers, none of them. */
 	g_byte_array_append(out, summary_before, sizeof(summary_before));
-	out->data[2]++;
+	out->data[2] += 2;
+	g_byte_array_append(out, &no_speeds, 1);
 	g_byte_array_append(out, &field, 1);
 	summary_check(out->data, out->len);
 	g_byte_array_set_size(out, 0);
@@ -92,10 +95,94 @@
 	gossip_message_clear(&message);
 }
 
+/* Speeds of servers reach the receiver as they were sent; a summary without
+ * them, as releases before send it, has none. */
+static void test_speeds(void)
+{
+	static const struct speed_entry entries[] = {
+		{.server = 7, .percent = 55, .weight = 1, .age_msec = 0},
+		{.server = UINT64_MAX,
+		 .percent = SPEED_PERCENT_MAX,
+		 .weight = SPEED_WEIGHT_MAX,
+		 .age_msec = 30000},
+	};
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct gossip_message message;
+	struct error err;
+
+	message_fill(&message);
+	g_array_append_vals(message.speeds, entries, G_N_ELEMENTS(entries));
+	gossip_encode(&message, out);
+	gossip_message_clear(&message);
+	summary_check(out->data, out->len);
+	g_assert_true(gossip_decode(&message, out->data, out->len, &err));
+	g_assert_cmpuint(message.speeds->len, ==, G_N_ELEMENTS(entries));
+	for (guint i = 0; i < message.speeds->len; i++) {
+		const struct speed_entry *entry =
+			&g_array_index(message.speeds, struct speed_entry, i);
+
+		g_assert_cmpuint(entry->server, ==, entries[i].server);
+		g_assert_cmpuint(entry->percent, ==, entries[i].percent);
+		g_assert_cmpuint(entry->weight, ==, entries[i].weight);
+		g_assert_cmpuint(entry->age_msec, ==, entries[i].age_msec);
+	}
+	gossip_message_clear(&message);
+	g_assert_true(gossip_decode(&message, summary_before,
+				    sizeof(summary_before), &err));
+	g_assert_cmpuint(message.speeds->len, ==, 0);
+	gossip_message_clear(&message);
+}
+
+/* A faulty peer's speeds must not be read in part: the datagram is rejected. */
+static void test_speeds_malformed(void)
+{
+	/* Each is the field that follows the summary of the release before. */
+	static const struct {
+		const char *what;
+		guint8 bytes[16];
+		gsize size;
+	} rows[] = {
+		{"not an array", {0x2a}, 1},
+		{"entry not an array", {0x91, 0x2a}, 2},
+		{"three figures", {0x91, 0x93, 7, 55, 1}, 5},
+		{"five figures", {0x91, 0x95, 7, 55, 1, 0, 0}, 7},
+		{"no time", {0x91, 0x94, 7, 0, 1, 0}, 6},
+		{"24 percent", {0x91, 0x94, 7, 24, 1, 0}, 6},
+		{"401 percent", {0x91, 0x94, 7, 0xcd, 0x01, 0x91, 1, 0}, 8},
+		{"no weight", {0x91, 0x94, 7, 55, 0, 0}, 6},
+		{"weight 101", {0x91, 0x94, 7, 55, 101, 0}, 6},
+		{"30,001 ms", {0x91, 0x94, 7, 55, 1, 0xcd, 0x75, 0x31}, 8},
+		{"negative age", {0x91, 0x94, 7, 55, 1, 0xff}, 6},
+		{"negative server", {0x91, 0x94, 0xff, 55, 1, 0}, 6},
+		{"text", {0x91, 0x94, 7, 0xa1, 'x', 1, 0}, 7},
+		{"seven entries", {0x97}, 1},
+	};
+	static const guint8 entry[] = {0x94, 7, 55, 1, 0};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_autoptr(GByteArray) out = g_byte_array_new();
+		struct gossip_message message;
+		struct error err;
+
+		g_byte_array_append(out, summary_before,
+				    sizeof(summary_before));
+		out->data[2]++;
+		g_byte_array_append(out, rows[i].bytes, (guint)rows[i].size);
+		for (int k = 0; rows[i].bytes[0] == 0x97 && k < 7; k++)
+			g_byte_array_append(out, entry, sizeof(entry));
+		if (gossip_decode(&message, out->data, out->len, &err))
+			g_error("accepted: %s", rows[i].what);
+		gossip_message_clear(&message);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/forward/releases/before", test_before);
 	g_test_add_func("/forward/releases/after", test_after);
+	g_test_add_func("/forward/releases/speeds", test_speeds);
+	g_test_add_func("/forward/releases/speeds-malformed",
+			test_speeds_malformed);
 	return g_test_run();
 }
