forward: place requests by the time that their load takes

Placement counts requests and tokens, so a server of half the speed gets the same share as others. Where servers state their pace, load at a server now counts as the time that it takes there. Without speeds the costs and the random draws are unchanged.

--- a/forward/place.c
+++ b/forward/place.c
@@ -213,17 +213,39 @@
 	return backend_path(backend, place->now) == PATH_RELAYED;
 }
 
+/* Time that streams and prompts take at the server, as a multiple of the usual
+ * time. Load known and unknown (jitter) is multiplied by it, so that servers
+ * are filled until each needs as long for its load and the request. */
+static double time_factor(const struct place *place,
+			  const struct backend *backend)
+{
+	return place->speeds
+		       ? speeds_factor(place->speeds, backend->key, place->now)
+		       : 1.0;
+}
+
+/* Load of the request itself. Where all servers are equally fast it changes no
+ * choice, and is left out. */
+static uint32_t own_load(const struct place *place, uint32_t load)
+{
+	return place->speeds ? load : 0;
+}
+
 static double plain_cost(const struct place *place,
 			 const struct backend *backend, const void *arg)
 {
 	double slots = MAX(backend->info.slots, 1u);
+	double factor = place->speeds ? speeds_now(place->speeds, backend->key,
+						   place->now)
+				      : 1.0;
+	uint32_t requests = backend_requests(backend) + own_load(place, 1);
 
-	return (double)backend_requests(backend) / slots +
+	return factor * (double)requests / slots +
 	       distance_cost(backend, PLAIN_REMOTE_COST) +
 	       (is_relayed(place, backend) ? RELAY_COST : 0.0) +
 	       (is_limited(place, backend) ? LIMITED_COST : 0.0) +
 	       FAILURE_COST * backend_failure_score(backend, place->now) +
-	       jitter(place, backend);
+	       factor * jitter(place, backend);
 }
 
 int64_t place_available_at(const struct place *place, enum backend_stage stage)
@@ -313,18 +335,22 @@
 			  const struct backend *backend, const void *arg)
 {
 	const struct decode_request *request = arg;
+	double factor;
 
 	if (backend->info.stage != STAGE_DECODE ||
 	    !decode_has_room(place, backend, request))
 		return COST_UNUSABLE;
-	return (double)(backend_decode_tokens(backend) +
-			backend_prefill_tokens(backend)) /
+	factor = time_factor(place, backend);
+	return factor *
+		       (double)(backend_decode_tokens(backend) +
+				backend_prefill_tokens(backend) +
+				own_load(place, request->tokens)) /
 		       (double)MAX(request->engine->memory_tokens, 1) +
 	       distance_cost(backend, DECODE_REMOTE_COST) +
 	       (is_relayed(place, backend) ? RELAY_COST : 0.0) +
 	       (is_limited(place, backend) ? LIMITED_COST : 0.0) +
 	       FAILURE_COST * backend_failure_score(backend, place->now) +
-	       jitter(place, backend);
+	       factor * jitter(place, backend);
 }
 
 struct backend *place_decode(const struct place *place,
@@ -336,40 +362,65 @@
 	return place_cheapest(place, STAGE_DECODE, decode_cost, &request);
 }
 
+struct prefill_request {
+	const struct backend *decode;
+	uint32_t tokens; /* of the prompt */
+};
+
 static double prefill_cost(const struct place *place,
 			   const struct backend *backend, const void *arg)
 {
-	const struct backend *decode = arg;
+	const struct prefill_request *request = arg;
 	bool local = strcmp(backend->info.data_centre,
-			    decode->info.data_centre) == 0;
+			    request->decode->info.data_centre) == 0;
+	double factor;
 
 	if (backend->info.stage != STAGE_PREFILL)
 		return COST_UNUSABLE;
-	return (double)backend_prefill_tokens(backend) +
+	factor = time_factor(place, backend);
+	return factor * (double)(backend_prefill_tokens(backend) +
+				 own_load(place, request->tokens)) +
 	       (local ? 0.0 : PREFILL_REMOTE_TOKENS) +
 	       (is_relayed(place, backend) ? PREFILL_RELAY_TOKENS : 0.0) +
 	       (is_limited(place, backend) ? PREFILL_LIMITED_TOKENS : 0.0) +
 	       PREFILL_FAILURE_TOKENS *
 		       backend_failure_score(backend, place->now) +
-	       PREFILL_JITTER_TOKENS * jitter(place, backend);
+	       PREFILL_JITTER_TOKENS * factor * jitter(place, backend);
+}
+
+static struct backend *prefill_choose(const struct place *place,
+				      const struct backend *decode,
+				      uint32_t tokens)
+{
+	const struct prefill_request request = {decode, tokens};
+
+	return place_cheapest(place, STAGE_PREFILL, prefill_cost, &request);
 }
 
 struct backend *place_prefill(const struct place *place,
 			      const struct backend *decode)
 {
-	return place_cheapest(place, STAGE_PREFILL, prefill_cost, decode);
+	return prefill_choose(place, decode, 0);
+}
+
+uint32_t place_prompt_ahead(const struct place *place,
+			    const struct backend *prefill)
+{
+	return (uint32_t)((double)backend_prefill_tokens(prefill) *
+			  time_factor(place, prefill));
 }
 
 struct backend *place_prompt(const struct place *place,
 			     const struct backend *decode, uint32_t tokens,
 			     uint32_t max_ahead)
 {
-	struct backend *prefill = place_prefill(place, decode);
-	uint32_t ahead = prefill ? backend_prefill_tokens(prefill) : 0;
-	double own = OWN_PREFILL_COST *
+	struct backend *prefill = prefill_choose(place, decode, tokens);
+	uint32_t ahead = prefill ? place_prompt_ahead(place, prefill) : 0;
+	double own = OWN_PREFILL_COST * time_factor(place, decode) *
 		     ((double)backend_prefill_tokens(decode) + (double)tokens);
 
-	if (ahead > max_ahead && own < (double)ahead + (double)tokens)
+	if (ahead > max_ahead &&
+	    own < (double)ahead + time_factor(place, prefill) * (double)tokens)
 		return NULL;
 	return prefill;
 }
@@ -390,7 +441,8 @@
 		    regions_allow(&place->regions, backend->region) &&
 		    backend_usable(backend, place->now))
 			capacity += overload_concurrency(
-				each, limit_of(place, backend));
+				each / time_factor(place, backend),
+				limit_of(place, backend));
 	}
 	return capacity;
 }
--- a/forward/request.c
+++ b/forward/request.c
@@ -54,6 +54,15 @@
 	return request->service->cold_per_sec * COLD_FRACTION;
 }
 
+/* NULL: no server states its pace, so all count as equally fast. */
+static const struct speeds *active_speeds(const struct forward_parts *parts)
+{
+	if (!parts->speeds ||
+	    !speeds_active(parts->speeds, clock_now(parts->clock)))
+		return NULL;
+	return parts->speeds;
+}
+
 void request_place(const struct request *request, struct place *place)
 {
 	const struct forward_parts *parts = &request->forward->parts;
@@ -70,6 +79,7 @@
 			    organisation ? organisation->regions : NULL},
 		.software = request->software,
 		.barred = &request->barred,
+		.speeds = active_speeds(parts),
 		.rand = parts->rand,
 		.stale_local = parts->interval(parts->callbacks_ctx, true),
 		.stale_remote = parts->interval(parts->callbacks_ctx, false),
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -458,7 +458,7 @@
 		return NULL;
 	prefill = place_prompt(&place, backend, request->caller.prompt_tokens,
 			       ahead);
-	if (prefill && backend_prefill_tokens(prefill) > ahead)
+	if (prefill && place_prompt_ahead(&place, prefill) > ahead)
 		return NULL;
 	return backend;
 }
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -7,6 +7,12 @@
  *	in prompt tokens; the constants of place.c weigh distance and failures
  *	against load. A large service is sampled, mostly from the instance's
  *	own group, and scanned in full only when no sampled server is usable.
+ *
+ *	With speeds, load at a server is multiplied by the time that work takes
+ *	there relative to the usual time, and includes the request itself.
+ *	Costs are then the expected time until the server has done all of it, in
+ *	the same units. For servers of unequal speed, from 0.6 of their
+ *	capacity up to overload.
  */
 #ifndef FORWARD_PLACE_H
 #define FORWARD_PLACE_H
@@ -19,6 +25,7 @@
 #include "forward/catalog.h"
 #include "forward/fleet.h"
 #include "forward/regions.h"
+#include "sched/speed.h"
 
 #define PLACE_TRIED_MAX 8
 
@@ -58,8 +65,11 @@
 	 * be of another version. */
 	uint64_t software;
 	const struct barred *barred; /* NULL: none */
-	GRand *rand;		     /* breaks ties */
-	uint32_t *visits;	     /* counts the servers examined, or NULL */
+	/* Costs count as the time that the load takes at the server's speed.
+	 * NULL: as if all servers were equally fast. */
+	const struct speeds *speeds;
+	GRand *rand;	  /* breaks ties */
+	uint32_t *visits; /* counts the servers examined, or NULL */
 	/* Maximum age of the load of servers in this instance's group, and of
 	 * others. */
 	int64_t stale_local;
@@ -94,6 +104,10 @@
 struct backend *place_prompt(const struct place *place,
 			     const struct backend *decode, uint32_t tokens,
 			     uint32_t max_ahead);
+/* Prompt tokens queued at the server, as the number that a server of usual
+ * speed processes in the same time. */
+uint32_t place_prompt_ahead(const struct place *place,
+			    const struct backend *prefill);
 /* Requests of that many tokens that the usable decode servers can run at a
  * time, within their memory and rate limits. */
 double place_decode_capacity(const struct place *place,
