--- a/tests/forward/test_uneven.c
+++ b/tests/forward/test_uneven.c
@@ -5,7 +5,9 @@
  * overloaded. All figures are printed; docs/design/placing.md discusses them.
  */
 #include <math.h>
+#include <string.h>
 
+#include "place_site.h"
 #include "uneven_world.h"
 
 #define SEEDS 4u
@@ -231,9 +233,44 @@
 				in_time(WAY_TWO, sizes[i], demands[k], false));
 }
 
+/* The server that finishes first is chosen, not the one with the least load. */
+static void test_time(void)
+{
+	uint64_t keys[3];
+	struct speeds speeds = {.keys = keys, .mean = {2.0, 0.5, 1.0}};
+	struct backend *slow;
+	struct backend *fast;
+	struct backend *decode;
+	struct site site;
+
+	site_open(&site);
+	slow = site_add(&site, "slow", STAGE_PREFILL, "here");
+	fast = site_add(&site, "fast", STAGE_PREFILL, "here");
+	decode = site_add(&site, "decode", STAGE_DECODE, "here");
+	keys[0] = slow->key;
+	keys[1] = fast->key;
+	keys[2] = decode->key;
+	memcpy(speeds.stated, speeds.mean, sizeof(speeds.stated));
+	slow->own.prefill_tokens = 3000;
+	fast->own.prefill_tokens = 9000;
+	g_assert_true(place_prompt(&site.place, decode, 3000, 4000) == slow);
+	site.place.speeds = &speeds;
+	g_assert_true(place_prompt(&site.place, decode, 3000, 4000) == fast);
+	g_assert_cmpuint(place_prompt_ahead(&site.place, fast), ==, 4500);
+	/* It reads the prompt itself in 2 x 3,000, not sooner than 6,000; if
+	 * it is fast itself, it does. */
+	g_assert_nonnull(place_prompt(&site.place, decode, 3000, 4000));
+	speeds.mean[2] = speeds.stated[2] = 0.5;
+	g_assert_null(place_prompt(&site.place, decode, 3000, 4000));
+	/* Short of the allowed queue it does not. */
+	g_assert_true(place_prompt(&site.place, decode, 3000, 5000) == fast);
+	site_close(&site);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/uneven/time", test_time);
 	g_test_add_func("/forward/uneven/uneven", test_uneven);
 	g_test_add_func("/forward/uneven/alike", test_alike);
 	if (g_test_slow())
