web: the client bounds what a server may send

h2o 2.2.5 reads a socket until it is empty and has no limit for a head, so a server that sends without end kept a call until its time-outs, and each piece started these anew.

The client now reads at most 32 KiB in one callback. A head has at most 32 KiB and one second from its first byte, so a long poll may still wait 30 s for it. The framing of chunks has a bound and is no progress. A call may give a time for its body. Such a call ends with rejected = true and its connection is closed. A relay reads with the same limit.

tests/web/test_endless.c with the client before this change: 20 of its 33 rows do not end within 5 s (status line, header line, header name, informational heads, chunk extension, trailers and four drips, each directly and through a relay). With it all end.

--- a/include/web/client.h
+++ b/include/web/client.h
@@ -10,6 +10,13 @@
  *	that it is connected to the server; connect_usec covers both steps.
  *	The client never retries: a call on a pooled connection that the server
  *	has closed fails with sent = true, unless no byte was written.
+ *
+ *	Answers are bounded: a head, with the informational ones before it, is
+ *	at most WEB_HEAD_BYTES_MAX bytes long and arrives within
+ *	WEB_HEAD_RECEIVE_USEC of its first byte; the framing of chunks is at
+ *	most WEB_FRAME_BYTES_MAX bytes and 16 times the body so far, and does
+ *	not count as progress for idle_usec. A call beyond a bound fails with
+ *	rejected = true, and its connection is closed at once.
  */
 #ifndef WEB_CLIENT_H
 #define WEB_CLIENT_H
@@ -23,11 +30,21 @@
 struct web_client;
 struct web_call;
 
+/* Heads of known backend servers have less than 2 KB. With 200 heads at once
+ * this is 6.4 MB. */
+#define WEB_HEAD_BYTES_MAX ((size_t)32 << 10)
+/* Servers send a head in one piece; this covers retransmissions. */
+#define WEB_HEAD_RECEIVE_USEC INT64_C(1000000)
+#define WEB_FRAME_BYTES_MAX ((size_t)16 << 10)
+
 /* How a call ended. */
 struct web_result {
 	bool ok;   /* the whole answer arrived */
 	bool sent; /* at least one byte may have reached the server */
 	bool timed_out;
+	/* The server sent more, or for longer, than an answer may: see
+	 * web_call(). Its connection was closed by this side. */
+	bool rejected;
 	/* Of a call through a relay: the status of the relay's answer, 101 when
 	 * it has joined the connections; 0: no answer, or no relay. */
 	int relay_status;
@@ -56,6 +73,8 @@
 	int64_t connect_usec; /* time to connect; 0: default */
 	int64_t head_usec;    /* time to the answer's head; 0: default */
 	int64_t idle_usec;    /* time between pieces of the body; 0: default */
+	int64_t body_usec;    /* time from the head to the end of the body, for
+				 answers that are short; 0: no limit */
 	bool fresh; /* open a new connection, for calls that run at most once */
 	/* "IP:port" of a server that opens the connection on behalf of this
 	 * client, and the path to request it there (web/relay.h); NULL: connect
--- /dev/null
+++ b/tests/web/test_endless.c
@@ -0,0 +1,176 @@
+/* Servers that send without end. Guards against an answer that fills memory or
+ * keeps its connection for ever, in each part of an answer. */
+#include <string.h>
+
+#include "endless.h"
+#include "relay_handler.h"
+#include "world.h"
+
+#define HEAD "HTTP/1.1 200 OK\r\n"
+#define CHUNKED HEAD "transfer-encoding: chunked\r\n\r\n"
+#define ANSWER_BYTES_MAX 65536
+#define BODY_USEC (500 * USEC_PER_MSEC)
+/* A call has to end within this time, although its time-outs are longer. The
+ * bounds are one second; the rest is for a busy machine. */
+#define END_USEC (5 * USEC_PER_SEC)
+#define TIMEOUT_USEC (60 * USEC_PER_SEC)
+
+struct endless_case {
+	const char *name;
+	struct endless_answer answer;
+	int status; /* reported before the call failed; 0: none */
+	bool timed_out;
+};
+
+static const struct endless_case cases[] = {
+	{"status line", {"HTTP/1.1 200 ", "aaaa", false}, 0, false},
+	{"no status line", {"", "aaaa", false}, 0, false},
+	{"header line", {HEAD "x-a: ", "aaaa", false}, 0, false},
+	{"header name", {HEAD, "aaaa", false}, 0, false},
+	{"headers", {HEAD, "x-a: b\r\n", false}, 0, false},
+	{"informational heads",
+	 {"", "HTTP/1.1 102 Processing\r\n\r\n", false},
+	 0,
+	 false},
+	{"body with length",
+	 {HEAD "content-length: 999999999999\r\n\r\n", "aaaa", false},
+	 200,
+	 false},
+	{"body without length", {HEAD "\r\n", "aaaa", false}, 200, false},
+	{"chunks", {CHUNKED, "4\r\naaaa\r\n", false}, 200, false},
+	{"chunk size", {CHUNKED, "0000", false}, 200, false},
+	{"chunk extension", {CHUNKED "4;", "aaaa", false}, 200, false},
+	{"trailers", {CHUNKED "0\r\n", "x-a: b\r\n", false}, 200, false},
+	{"drip in the status line", {"HTTP/1.1 200 ", "aaaa", true}, 0, true},
+	{"drip in the headers", {HEAD, "x-a: b\r\n", true}, 0, true},
+	{"drip in the body", {HEAD "\r\n", "aaaa", true}, 200, true},
+	{"drip in a chunk extension", {CHUNKED "4;", "aaaa", true}, 200, true},
+};
+
+struct fetched {
+	struct world *world;
+	int done;
+	int status;
+	bool too_late;
+	struct web_result result;
+};
+
+static void on_answer(void *ctx, const struct web_result *result, int status,
+		      const void *body, size_t size)
+{
+	struct fetched *fetched = ctx;
+
+	fetched->done = 1;
+	fetched->status = status;
+	fetched->result = *result;
+	g_assert_cmpuint(size, <=, ANSWER_BYTES_MAX);
+	loop_stop(fetched->world->loop);
+}
+
+static void on_late(struct timer *timer, void *ctx)
+{
+	struct fetched *fetched = ctx;
+
+	fetched->too_late = true;
+	fetched->done = 1;
+	loop_stop(fetched->world->loop);
+}
+
+static void case_check(struct world *world, const struct endless_case *c,
+		       const char *relay)
+{
+	struct fetched fetched = {.world = world};
+	g_autofree char *path = NULL;
+	struct web_call_spec spec = {
+		.method = "GET",
+		.path = "/",
+		.head_usec = TIMEOUT_USEC,
+		.idle_usec = TIMEOUT_USEC,
+		.body_usec = BODY_USEC,
+		.relay = relay,
+	};
+	struct endless endless;
+	struct timer late;
+
+	endless_start(&endless, &c->answer);
+	path = g_strconcat("/", endless.address, NULL);
+	spec.address = endless.address;
+	spec.relay_path = path;
+	web_fetch(world->client, &spec, ANSWER_BYTES_MAX, on_answer, &fetched);
+	timer_init(&late, world->clock, on_late, &fetched);
+	timer_start(&late, END_USEC);
+	world_run(world, &fetched.done);
+	timer_stop(&late);
+	g_assert_false(fetched.too_late);
+	g_assert_false(fetched.result.ok);
+	g_assert_true(fetched.result.sent);
+	g_assert_cmpint(fetched.status, ==, c->status);
+	g_assert_true(fetched.result.timed_out == c->timed_out);
+	/* The connection was closed, and is not used again. */
+	while (g_atomic_int_get(&endless.closed) == 0)
+		world_iterate(world, 1);
+	g_assert_cmpint(g_atomic_int_get(&endless.open), ==, 1);
+	endless_stop(&endless);
+}
+
+static void test_direct(struct world *world, gconstpointer data)
+{
+	case_check(world, data, NULL);
+}
+
+static void test_relayed(struct world *world, gconstpointer data)
+{
+	struct relay_handler relay;
+
+	relay_handler_setup(&relay, world);
+	case_check(world, data, web_server_address(world->server));
+	relay_handler_teardown(&relay, world);
+}
+
+/* A relay itself that sends without end instead of connecting: the request was
+ * not sent. */
+static void test_relay_head(struct world *world, gconstpointer data)
+{
+	static const struct endless_answer answer = {HEAD, "x-a: b\r\n", false};
+	struct fetched fetched = {.world = world};
+	struct endless endless;
+	const struct web_call_spec spec = {
+		.address = "127.0.0.1:9",
+		.method = "GET",
+		.path = "/",
+		.connect_usec = TIMEOUT_USEC,
+		.relay = endless.address,
+		.relay_path = "/",
+	};
+	struct timer late;
+
+	endless_start(&endless, &answer);
+	web_fetch(world->client, &spec, ANSWER_BYTES_MAX, on_answer, &fetched);
+	timer_init(&late, world->clock, on_late, &fetched);
+	timer_start(&late, END_USEC);
+	world_run(world, &fetched.done);
+	timer_stop(&late);
+	g_assert_false(fetched.too_late);
+	g_assert_false(fetched.result.ok);
+	g_assert_false(fetched.result.sent);
+	endless_stop(&endless);
+}
+
+int main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_autofree char *direct = g_strconcat("/web/endless/direct/",
+						      cases[i].name, NULL);
+		g_autofree char *relayed = g_strconcat("/web/endless/relayed/",
+						       cases[i].name, NULL);
+
+		g_test_add(direct, struct world, &cases[i], world_setup,
+			   test_direct, world_teardown);
+		g_test_add(relayed, struct world, &cases[i], world_setup,
+			   test_relayed, world_teardown);
+	}
+	g_test_add("/web/endless/relay", struct world, NULL, world_setup,
+		   test_relay_head, world_teardown);
+	return g_test_run();
+}
--- a/web/call.c
+++ b/web/call.c
@@ -4,12 +4,16 @@
 #include <sys/socket.h>
 
 #include "head.h"
+#include "input.h"
 #include "keepalive.h"
 
 #define HEADERS_MAX 100
 #define CONNECT_TIMEOUT_DEFAULT_USEC (3 * USEC_PER_SEC)
 #define HEAD_TIMEOUT_DEFAULT_USEC (30 * USEC_PER_SEC)
 #define IDLE_TIMEOUT_DEFAULT_USEC (30 * USEC_PER_SEC)
+/* Framing of a chunk with one byte is five bytes, up to about 90 with an
+ * extension. */
+#define FRAME_RATIO 16
 
 static void call_destroy(struct web_call *call)
 {
@@ -37,6 +41,7 @@
 		.ok = ok,
 		.sent = call->is_connected,
 		.timed_out = call->timed_out,
+		.rejected = call->rejected && call->is_connected,
 		.relay_status = call->relay_status,
 		.text = ok ? NULL : call->text,
 	};
@@ -75,23 +80,55 @@
 	loop_defer(call->client->loop, &call->fail, on_fail, call);
 }
 
+/* Fails the call since its answer exceeds a bound. */
+static void call_reject(struct web_call *call, const char *text)
+{
+	call->rejected = true;
+	call_fail(call, text);
+}
+
+/* Whether a part of a head has arrived. */
+static bool head_is_arriving(const struct web_call *call)
+{
+	return !call->has_head && call->head_bytes > 0 && call->http &&
+	       call->http->sock && call->http->sock->input->size > 0;
+}
+
+/* Time until the part of the answer that is arriving must be complete, apart
+ * from the time-outs for silent servers. */
+static int64_t receive_left(const struct web_call *call, int64_t now)
+{
+	if (head_is_arriving(call))
+		return call->head_began + WEB_HEAD_RECEIVE_USEC - now;
+	if (call->has_head && call->body_usec > 0)
+		return call->head_at + call->body_usec - now;
+	return INT64_MAX;
+}
+
 static void on_timer(struct timer *timer, void *ctx)
 {
 	struct web_call *call = ctx;
+	int64_t now = clock_now(loop_clock(call->client->loop));
 	int64_t limit = call->has_head ? call->idle_usec : call->head_usec;
-	int64_t since =
-		clock_now(loop_clock(call->client->loop)) - call->last_active;
+	int64_t since = now - call->last_active;
+	int64_t left = receive_left(call, now);
 
 	/* One of the call's callbacks runs, so bytes have just arrived. */
 	if (call->busy)
 		since = 0;
 	if (!call->is_connected)
 		limit = MIN(limit, call->connect_usec);
-	if (since < limit) {
-		timer_start(timer, limit - since);
+	if (since < limit && (left > 0 || call->busy)) {
+		timer_start(timer, MIN(limit - since, MAX(left, 1)));
 		return;
 	}
 	call->timed_out = true;
+	if (since < limit) {
+		call_reject(call, call->has_head
+					  ? "the answer does not end in time"
+					  : "the head does not end in time");
+		return;
+	}
 	call_fail(call, call->is_connected ? "no answer in time"
 					   : "no connection in time");
 }
@@ -133,6 +170,61 @@
 	       call->was_reset;
 }
 
+/* Advances the clock; false when that has ended the call. */
+static bool sock_enter(struct web_call *call)
+{
+	call->busy = true;
+	loop_enter(call->client->loop);
+	call->busy = false;
+	if (!call->cancelled && !call->text)
+		return true;
+	http_cancel(call);
+	call_done(call, false);
+	return false;
+}
+
+/* Marks the call as rejected; the read callback fails it. */
+static const char *read_reject(struct web_call *call, const char *text)
+{
+	call->rejected = true;
+	call->text = text;
+	return NULL;
+}
+
+static const char *head_read(struct web_call *call, h2o_socket_t *sock)
+{
+	bool begins = sock->input->size == 0;
+	const char *err;
+
+	if (call->head_bytes >= WEB_HEAD_BYTES_MAX)
+		return read_reject(call, "the head is too large");
+	err = input_read(sock, WEB_HEAD_BYTES_MAX - call->head_bytes);
+	call->head_bytes += sock->bytes_read;
+	if (begins && sock->bytes_read > 0) {
+		int64_t now = clock_now(loop_clock(call->client->loop));
+		int64_t left = call->last_active + call->head_usec - now;
+
+		call->head_began = now;
+		if (call->is_connected)
+			timer_start(&call->timer,
+				    CLAMP(left, 1, WEB_HEAD_RECEIVE_USEC));
+	}
+	return err;
+}
+
+static const char *body_read(struct web_call *call, h2o_socket_t *sock)
+{
+	const char *err;
+
+	if (call->body_read >
+	    WEB_FRAME_BYTES_MAX + FRAME_RATIO * call->body_bytes)
+		return read_reject(call,
+				   "the framing of the body is too large");
+	err = input_read(sock, INPUT_READ_MAX);
+	call->body_read += sock->bytes_read;
+	return err;
+}
+
 /* h2o 2.2 treats any end of the connection, also a reset, as the end of a body
  * without length. */
 static void sock_read(h2o_socket_t *sock, const char *err)
@@ -140,6 +232,17 @@
 	h2o_http1client_t *http = sock->data;
 	struct web_call *call = http->data;
 
+	if (!sock_enter(call))
+		return;
+	if (!err)
+		err = call->has_head ? body_read(call, sock)
+				     : head_read(call, sock);
+	if (call->rejected) {
+		call_fail(call, call->text);
+		return;
+	}
+	if (!err && sock->bytes_read == 0)
+		return;
 	call->was_reset = err && err != h2o_socket_error_closed;
 	if (!call->has_head && !err &&
 	    !head_is_valid(sock->input->bytes, sock->input->size)) {
@@ -156,7 +259,7 @@
 	h2o_http1client_t *http = sock->data;
 	struct web_call *call = http->data;
 
-	loop_defer(call->client->loop, &call->wrap, sock_wrap, call);
+	call_wrap_later(call);
 	call->h2o_write_cb(sock, err);
 }
 
@@ -169,6 +272,7 @@
 
 	if (sock && sock->_cb.read && sock->_cb.read != sock_read) {
 		call->h2o_read_cb = sock->_cb.read;
+		input_own(sock);
 		h2o_socket_read_start(sock, sock_read);
 	} else if (sock && sock->_cb.write && sock->_cb.write != sock_written) {
 		call->h2o_write_cb = sock->_cb.write;
@@ -176,6 +280,11 @@
 	}
 }
 
+void call_wrap_later(struct web_call *call)
+{
+	loop_defer(call->client->loop, &call->wrap, sock_wrap, call);
+}
+
 static void answer_end(struct web_call *call)
 {
 	if (call->fresh)
@@ -190,6 +299,7 @@
 
 	if (!input || input->size == 0)
 		return;
+	call->body_bytes += input->size;
 	if (call->ops.body && !call->cancelled && !call->text)
 		call->ops.body(call->ctx, input->bytes, input->size);
 	h2o_buffer_consume(&http->sock->input, http->sock->input->size);
@@ -198,6 +308,8 @@
 static int on_body(h2o_http1client_t *http, const char *err)
 {
 	struct web_call *call = http->data;
+	size_t body_bytes = call->body_bytes;
+	int64_t last_active = call->last_active;
 
 	call_enter(call);
 	if (err && err != h2o_http1client_error_is_eos) {
@@ -207,6 +319,9 @@
 		return -1;
 	}
 	input_take(call, http);
+	/* The framing of chunks alone is no progress. */
+	if (call->body_bytes == body_bytes)
+		call->last_active = last_active;
 	if (err && is_truncated(call))
 		call->text = "the answer was cut off";
 	if (err) {
@@ -247,6 +362,7 @@
 		return NULL;
 	}
 	call->has_head = true;
+	call->head_at = call->last_active;
 	call->is_chunked =
 		h2o_find_header(&(h2o_headers_t){headers, count, count},
 				H2O_TOKEN_TRANSFER_ENCODING, -1) != -1;
@@ -256,9 +372,11 @@
 		answer_end(call);
 		return NULL;
 	}
-	loop_defer(call->client->loop, &call->wrap, sock_wrap, call);
-	/* From here on idle_usec applies. */
-	timer_start(&call->timer, call->idle_usec);
+	call_wrap_later(call);
+	/* From here on idle_usec and body_usec apply. */
+	timer_start(&call->timer,
+		    call->body_usec > 0 ? MIN(call->idle_usec, call->body_usec)
+					: call->idle_usec);
 	return call_leave(call) ? on_body : NULL;
 }
 
@@ -281,7 +399,7 @@
 	*vecs = &call->vec;
 	*count = 1;
 	*is_head = call->is_head;
-	loop_defer(call->client->loop, &call->wrap, sock_wrap, call);
+	call_wrap_later(call);
 	return on_head;
 }
 
@@ -303,6 +421,7 @@
 					      : HEAD_TIMEOUT_DEFAULT_USEC;
 	call->idle_usec = spec->idle_usec > 0 ? spec->idle_usec
 					      : IDLE_TIMEOUT_DEFAULT_USEC;
+	call->body_usec = spec->body_usec;
 	call->is_head = g_strcmp0(spec->method, "HEAD") == 0;
 	call->fresh = spec->fresh || spec->relay;
 	timer_init(&call->timer, loop_clock(client->loop), on_timer, call);
--- a/web/call.h
+++ b/web/call.h
@@ -56,7 +56,14 @@
 	int64_t connect_usec;
 	int64_t head_usec;
 	int64_t idle_usec;
-	int64_t last_active; /* when it began, connected or last got bytes */
+	int64_t body_usec;   /* from the head to the end; 0: no limit */
+	int64_t last_active; /* when it began, connected or last got bytes of
+				the head or body */
+	int64_t head_began;  /* first byte of the head that is arriving */
+	int64_t head_at;     /* when the head was complete */
+	size_t head_bytes;   /* read before the head was complete */
+	size_t body_read;    /* read after that, with the framing of chunks */
+	size_t body_bytes;   /* of the body itself */
 	const char *text;
 	bool is_head;
 	bool fresh;
@@ -67,6 +74,7 @@
 	bool busy;
 	bool cancelled;
 	bool timed_out;
+	bool rejected; /* the answer exceeded a bound */
 };
 
 /* Creates and links a call without connecting. */
@@ -76,6 +84,9 @@
 /* Starts the timer for connecting. */
 void call_timer_start(struct web_call *call);
 void call_connect(struct web_call *call, h2o_socketpool_t *sockets);
+/* Bounds what is read from the connection; called each time that h2o sets its
+ * callbacks. */
+void call_wrap_later(struct web_call *call);
 /* Connects to the relay, and through it to the server. */
 void tunnel_connect(struct web_call *call, const struct web_call_spec *spec,
 		    h2o_socketpool_t *relay, h2o_socketpool_t *sockets);
--- a/web/relay.c
+++ b/web/relay.c
@@ -4,6 +4,7 @@
 #include <h2o/http1.h>
 #include <sys/socket.h>
 
+#include "input.h"
 #include "request.h"
 
 enum side {
@@ -132,6 +133,8 @@
 	enum side from = side_of(relay, sock);
 
 	loop_enter(relay->relays->loop);
+	if (!err)
+		err = input_read(sock, INPUT_READ_MAX);
 	if (err && from == CALLER) {
 		relay_close(relay);
 		return;
@@ -157,6 +160,8 @@
 	h2o_buffer_consume(&sock->input, request_size);
 	sock->data = relay;
 	relay->socks[SERVER]->data = relay;
+	input_own(sock);
+	input_own(relay->socks[SERVER]);
 	h2o_socket_read_start(relay->socks[SERVER], on_readable);
 	h2o_socket_read_start(sock, on_readable);
 	input_pass(relay, CALLER);
--- a/web/tunnel.c
+++ b/web/tunnel.c
@@ -14,6 +14,7 @@
 	h2o_socketpool_t *pool = call->sockets;
 
 	call->tunnel_sock = NULL;
+	call->head_bytes = 0;
 	sock->on_close.cb(sock->on_close.data);
 	sock->on_close.cb = NULL;
 	sock->on_close.data = pool;
@@ -65,6 +66,7 @@
 	*vecs = &call->vec;
 	*count = 1;
 	*is_head = 0;
+	call_wrap_later(call);
 	return on_head;
 }
 
