forward: answers of all requests together are bounded

A plain answer beyond 6 MiB or an event beyond 256 KiB was cut off in memory, but its call went on until the request's time limit, its server was not counted as failed, and 200 answers of just under 6 MiB took 1.2 GB.

forward/received.c counts what all requests buffer of servers' answers. Its connection is closed, its server has failed, and the caller gets 502, or another server's answer where the request may run again. Such an end is no lost connection for the crash detector.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -5,9 +5,8 @@
 
 #include <string.h>
 
-/* Largest buffered answer: a sixteenth of the memory of the smallest instance
- * (110 MB). */
-#define ANSWER_BYTES_MAX (6u << 20)
+/* Two allocations and two pointers. */
+#define HEADER_OVERHEAD 48
 
 void answer_set_head(struct request *request, const struct backend_head *head)
 {
@@ -17,11 +16,14 @@
 	answer->head = *head;
 	answer->head.headers = NULL;
 	answer->has_head = true;
+	answer->head_bytes = 0;
 	answer->names = g_ptr_array_new_with_free_func(g_free);
 	answer->values = g_ptr_array_new_with_free_func(g_free);
 	for (size_t i = 0; i < head->header_count; i++) {
 		const struct web_header *header = &head->headers[i];
 
+		answer->head_bytes += header->name.size + header->value.size +
+				      HEADER_OVERHEAD;
 		g_ptr_array_add(answer->names, g_strndup(header->name.data,
 							 header->name.size));
 		g_ptr_array_add(answer->values, g_strndup(header->value.data,
@@ -29,17 +31,28 @@
 	}
 }
 
-void answer_append_body(struct request *request, const void *data, size_t size)
+void answer_append_body(struct request *request, const void *data, size_t size,
+			size_t max)
 {
 	struct answer *answer = &request->answer;
 
 	if (!answer->body)
 		answer->body = g_byte_array_new();
-	if (answer->body->len + size > ANSWER_BYTES_MAX) {
+	if (answer->body->len + size > max)
 		answer->too_large = true;
-		return;
-	}
-	g_byte_array_append(answer->body, data, (guint)size);
+	else
+		g_byte_array_append(answer->body, data, (guint)size);
+	request_received_update(request);
+}
+
+void answer_drop_body(struct request *request, size_t size)
+{
+	struct answer *answer = &request->answer;
+
+	answer->dropped += size;
+	if (answer->dropped > ANSWER_BYTES_MAX)
+		answer->too_large = true;
+	request_received_update(request);
 }
 
 /* Statuses that mean to a caller that its request did not run. */
--- a/forward/crash_detector.c
+++ b/forward/crash_detector.c
@@ -38,6 +38,7 @@
 	[CHECK_SILENT] = "silent",
 	[CHECK_REFUSED] = "refused",
 	[CHECK_UNREACHABLE] = "unreachable",
+	[CHECK_REJECTED] = "rejected",
 };
 
 static void check_free(gpointer data)
--- a/forward/events.c
+++ b/forward/events.c
@@ -2,6 +2,11 @@
 
 #include <string.h>
 
+/* A buffer that was larger is freed once it is empty, since arrays never
+ * shrink.
+ */
+#define REST_KEPT_MAX (4u << 10)
+
 void event_cutter_init(struct event_cutter *cutter)
 {
 	*cutter = (struct event_cutter){.rest = g_byte_array_new()};
@@ -101,8 +106,14 @@
 
 void event_cutter_consume(struct event_cutter *cutter, size_t size)
 {
+	bool was_large = cutter->rest->len > REST_KEPT_MAX;
+
 	g_byte_array_remove_range(cutter->rest, 0, (guint)size);
 	cutter->scanned -= size;
+	if (was_large && cutter->rest->len == 0) {
+		g_byte_array_unref(cutter->rest);
+		cutter->rest = g_byte_array_new();
+	}
 }
 
 void event_cutter_drop(struct event_cutter *cutter)
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -49,6 +49,13 @@
 	forward->servers_crashed =
 		counter_get(set, "jt_server_ends_total",
 			    "Requests under which a server ended", NULL);
+	forward->answers_rejected = counter_get(
+		set, "jt_answers_rejected_total",
+		"Answers of servers given up since they exceeded a bound",
+		NULL);
+	forward->answer_bytes =
+		gauge_get(set, "jt_answer_bytes",
+			  "Memory of servers' answers in progress", NULL);
 	forward->quarantined = counter_get(
 		set, "jt_quarantined_requests_total",
 		"Requests refused since servers ended under them", NULL);
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -148,6 +148,7 @@
 	request_uncount(request, end);
 	plain_retry(request,
 		    request->runs == 0 ? RESULT_NO_BACKEND
+		    : end->rejected    ? RESULT_BACKEND_FAILED
 		    : end->timed_out   ? RESULT_BACKEND_TIMEOUT
 				       : RESULT_BACKEND_FAILED,
 		    end->text);
@@ -174,11 +175,12 @@
 {
 	request_connected(ctx);
 	answer_set_head(ctx, head);
+	request_received_update(ctx);
 }
 
 static void on_body(void *ctx, const void *data, size_t size)
 {
-	answer_append_body(ctx, data, size);
+	answer_append_body(ctx, data, size, ANSWER_BYTES_MAX);
 }
 
 static void on_done(void *ctx, const struct backend_end *end)
@@ -189,6 +191,7 @@
 	struct backend_end rejected = {.connected = true};
 
 	request->call = NULL;
+	request_received_end(request, end);
 	charge_drop(request, &request->decode);
 	if (answer->has_head && !answer->head.mismatched &&
 	    answer->head.not_run) {
@@ -243,6 +246,7 @@
 	request->sends++;
 	request->runs++;
 	request->placed_at = request_now(request);
+	request->call_done = events.done;
 	request->call = ops->send(ops->ctx, &spec, &events, request);
 }
 
--- a/forward/prober.c
+++ b/forward/prober.c
@@ -26,6 +26,8 @@
 		backend_reached(backend);
 	else if (backend)
 		backend_probe_failed(backend, clock_now(parts->clock));
+	if (backend && result == CHECK_REJECTED)
+		backend_failed(backend, clock_now(parts->clock));
 	timer_start(&prober->timer, connected ? 0 : PROBE_INTERVAL_USEC);
 }
 
--- a/forward/request.c
+++ b/forward/request.c
@@ -282,6 +282,7 @@
 	timer_stop(&request->timer);
 	timer_stop(&request->resume_timer);
 	request_unread_clear(request);
+	request_received_clear(request);
 	stream_dequeue(request);
 	request_refund(request);
 	resources_drop(request);
--- a/forward/request.h
+++ b/forward/request.h
@@ -18,6 +18,10 @@
 #include "forward/place.h"
 #include "prober.h"
 
+/* Largest buffered answer: a sixteenth of the memory of the smallest instance
+ * (110 MB). */
+#define ANSWER_BYTES_MAX ((size_t)6 << 20)
+
 /* The part of a server's answer received so far. */
 struct answer {
 	struct backend_head head;
@@ -25,6 +29,8 @@
 	GPtrArray *names; /* copies of the headers to relay */
 	GPtrArray *values;
 	GByteArray *body;
+	size_t head_bytes; /* of names and values */
+	size_t dropped;	   /* bytes of the body that were not kept */
 	bool too_large;
 };
 
@@ -61,6 +67,8 @@
 	int64_t deadline; /* time of the request's timeout */
 	struct timer timer;
 	struct web_call *call;
+	/* Ends the step of a call made by backend_ops.send. */
+	void (*call_done)(void *ctx, const struct backend_end *end);
 	enum permit_step permit_step;
 	uint64_t permit_server; /* key of the server to send to */
 	struct timer permit_timer;
@@ -108,6 +116,7 @@
 	int64_t first_at;
 	int64_t last_at; /* when events were last relayed; 0: never */
 	size_t unread;	 /* bytes not yet read by the caller at that time */
+	size_t received; /* bytes buffered of servers' answers */
 	bool stalled;	 /* a gap between events exceeded the route's limit */
 };
 
@@ -133,8 +142,11 @@
 	double first_event_usec; /* mean time from reservation to first event */
 	bool draining;
 	size_t unread;			     /* sum over all requests */
+	size_t received;		     /* sum over all requests */
 	struct counter *outcomes[END_COUNT]; /* by enum request_end */
 	struct counter *servers_crashed;
+	struct counter *answers_rejected;
+	struct counter *answer_bytes; /* gauge of received */
 	struct counter *quarantined;
 	struct counter *permits_denied;
 	struct counter *unknown_keys;
@@ -214,7 +226,11 @@
 
 /* Copies an answer's head. */
 void answer_set_head(struct request *request, const struct backend_head *head);
-void answer_append_body(struct request *request, const void *data, size_t size);
+/* Appends to a body of at most max bytes; as request_received_update(). */
+void answer_append_body(struct request *request, const void *data, size_t size,
+			size_t max);
+/* Counts a part of a body that is not kept; as request_received_update(). */
+void answer_drop_body(struct request *request, size_t size);
 /* Whether a complete answer may be relayed: it is signed by its server, and its
  * status does not deny a run that took place. */
 bool answer_may_pass(const struct answer *answer);
@@ -284,6 +300,15 @@
 void request_unread_update(struct request *request);
 void request_unread_clear(struct request *request);
 
+/* received.c: updates the bytes buffered of the request's answer. If the answer
+ * is too large, or those of all requests are and it is the largest, its call
+ * ends as failed, which may end the request; no use of it may follow. */
+void request_received_update(struct request *request);
+void request_received_clear(struct request *request);
+/* To be called when a call has ended: counts an answer beyond a bound. */
+void request_received_end(const struct request *request,
+			  const struct backend_end *end);
+
 /* suspect.c: a crash_fn with the forward as context. */
 void quarantine_server_crashed(void *ctx, const struct backend_info *server,
 			       const struct suspects *suspects);
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -38,6 +38,8 @@
 #define PREFILL_QUEUE_FRACTION 0.45
 /* Reservations that one request may be granted. */
 #define RESERVATIONS_MAX 4u
+/* The answer of a prefill names its result in under 200 bytes. */
+#define PREFILL_ANSWER_BYTES_MAX ((size_t)64 << 10)
 /* Retry-After when memory is short: some is freed within about this time. */
 #define RETRY_AFTER_USEC (300 * USEC_PER_MSEC)
 /* Retry-After while draining: another instance can take the request at once. */
@@ -136,7 +138,8 @@
 	else if (answer->has_head && answer->head.other_server)
 		path_failed(request->forward, &request->target, request->relay,
 			    RELAY_OK);
-	else if (backend && (!answer->has_head || !answer->head.not_run))
+	else if (backend &&
+		 (end->rejected || !answer->has_head || !answer->head.not_run))
 		backend_failed(backend, request_now(request));
 }
 
@@ -146,11 +149,12 @@
 {
 	request_connected(ctx);
 	answer_set_head(ctx, head);
+	request_received_update(ctx);
 }
 
 static void prefill_body(void *ctx, const void *data, size_t size)
 {
-	answer_append_body(ctx, data, size);
+	answer_append_body(ctx, data, size, PREFILL_ANSWER_BYTES_MAX);
 }
 
 static bool prefill_result(struct request *request)
@@ -198,6 +202,7 @@
 	int64_t now = request_now(request);
 
 	request->call = NULL;
+	request_received_end(request, end);
 	charge_drop(request, &request->prefill);
 	if (end->complete && prefill_result(request)) {
 		if (backend)
@@ -291,6 +296,7 @@
 	request->step_started_at = now;
 	request->tokens_ahead = backend_prefill_tokens(backend);
 	charge_add(request, &request->prefill, backend, &load);
+	request->call_done = events.done;
 	request->call = ops->send(ops->ctx, &spec, &events, request);
 }
 
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -31,9 +31,11 @@
 	/* A resumed stream keeps the head sent by its first server. */
 	if (!request->replied) {
 		answer_set_head(request, head);
+		request_received_update(request);
 		return;
 	}
 	request->answer.has_head = true;
+	request->answer.dropped = 0;
 	request->answer.head.status = head->status;
 	request->answer.head.not_run = head->not_run;
 	request->answer.head.other_server = head->other_server;
@@ -70,11 +72,14 @@
 
 	if (!event_cutter_feed(cutter, data, size)) {
 		request->answer.too_large = true;
+		request_received_update(request);
 		return;
 	}
 	whole = event_cutter_complete_bytes(cutter);
-	if (whole == 0)
+	if (whole == 0) {
+		request_received_update(request);
 		return;
+	}
 	if (!request->replied) {
 		if (!request->software)
 			request->software = request->target.software;
@@ -136,8 +141,10 @@
 		run_events(request, data, size);
 		return;
 	}
-	if (!request->replied)
-		answer_append_body(request, data, size);
+	if (request->replied)
+		answer_drop_body(request, size);
+	else
+		answer_append_body(request, data, size, ANSWER_BYTES_MAX);
 }
 
 /* A run with reserved memory is refused if the decode server changes its role
@@ -204,6 +211,7 @@
 	const struct answer *answer = &request->answer;
 
 	request->call = NULL;
+	request_received_end(request, end);
 	if (end->complete && !answer->head.not_run) {
 		run_whole(request, backend);
 		return;
@@ -222,6 +230,7 @@
 		request_drop_result(request);
 	stream_retry(request,
 		     request->runs == 0 ? RESULT_NO_BACKEND
+		     : end->rejected	? RESULT_STREAM_LOST
 		     : end->timed_out	? RESULT_BACKEND_TIMEOUT
 					: RESULT_STREAM_LOST,
 		     end->text);
@@ -291,5 +300,6 @@
 	own_prefill_charge(request, decode);
 	request->sends++;
 	request->runs++;
+	request->call_done = events.done;
 	request->call = ops->send(ops->ctx, &spec, &events, request);
 }
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -138,9 +138,9 @@
 	g_autofree char *parts = NULL;
 	struct suspects suspects;
 
-	/* A time-out is decided by this instance, and a refused request did not
-	 * run. */
-	if (end->complete || end->not_run || end->timed_out ||
+	/* A time-out or a rejection is decided by this instance, and a refused
+	 * request did not run. */
+	if (end->complete || end->not_run || end->timed_out || end->rejected ||
 	    (answer->has_head && answer->head.not_run))
 		return;
 	request->lost_connection = true;
--- a/include/forward/backend.h
+++ b/include/forward/backend.h
@@ -87,6 +87,7 @@
 	bool connected; /* a connection was made */
 	enum relay_failure relay_failure;
 	bool timed_out;
+	bool rejected;	  /* the answer exceeded a bound */
 	const char *text; /* reason when not complete */
 };
 
@@ -130,6 +131,7 @@
 	CHECK_SILENT,	   /* connected, but no answer in time */
 	CHECK_REFUSED,	   /* nothing listens there; a lost link looks alike */
 	CHECK_UNREACHABLE, /* no connection in time, or the relay failed */
+	CHECK_REJECTED,	   /* connected, but its answer exceeded a bound */
 };
 typedef void (*check_fn)(void *ctx, enum check_result result);
 
--- a/include/web/client.h
+++ b/include/web/client.h
@@ -94,7 +94,7 @@
 void web_call_attach(struct web_call *call, void *data,
 		     void (*release)(void *data));
 
-/* Collects the whole answer; fails when it exceeds limit bytes. */
+/* Collects the whole answer; fails as rejected when it exceeds limit bytes. */
 typedef void (*web_answer_fn)(void *ctx, const struct web_result *result,
 			      int status, const void *body, size_t size);
 struct web_call *web_fetch(struct web_client *client,
--- a/tests/web/endless.c
+++ b/tests/web/endless.c
@@ -36,9 +36,9 @@
 	return block;
 }
 
-static void pieces_send(int fd, const struct endless_answer *answer)
+static void pieces_send(int fd, const struct endless_answer *answer,
+			const GString *block)
 {
-	GString *block = block_create(answer->piece);
 	size_t at = 0;
 
 	while (answer->drips) {
@@ -48,18 +48,26 @@
 	}
 	while (!answer->drips && send_all(fd, block->str, block->len))
 		;
-	g_string_free(block, TRUE);
 }
 
 static gpointer conn_run(gpointer data)
 {
 	struct conn *conn = data;
 	const struct endless_answer *answer = &conn->endless->answer;
+	const char *honest = NULL;
 	char request[4096];
-
-	if (recv(conn->fd, request, sizeof(request), 0) > 0 &&
-	    send_all(conn->fd, answer->begin, strlen(answer->begin)))
-		pieces_send(conn->fd, answer);
+	ssize_t size = recv(conn->fd, request, sizeof(request) - 1, 0);
+
+	request[MAX(size, 0)] = '\0';
+	for (int i = 0; i < ENDLESS_HONEST_MAX; i++)
+		if (answer->honest[i].request &&
+		    strstr(request, answer->honest[i].request))
+			honest = answer->honest[i].answer;
+	if (size > 0 && honest)
+		send_all(conn->fd, honest, strlen(honest));
+	else if (size > 0 &&
+		 send_all(conn->fd, answer->begin, strlen(answer->begin)))
+		pieces_send(conn->fd, answer, conn->endless->block);
 	close(conn->fd);
 	g_atomic_int_inc(&conn->endless->closed);
 	g_free(conn);
@@ -89,6 +97,7 @@
 
 	memset(endless, 0, sizeof(*endless));
 	endless->answer = *answer;
+	endless->block = block_create(answer->piece);
 	addr.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
 	endless->listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 	g_assert_cmpint(bind(endless->listener, (struct sockaddr *)&addr, size),
@@ -108,4 +117,5 @@
 	while (g_atomic_int_get(&endless->closed) <
 	       g_atomic_int_get(&endless->open))
 		g_usleep(1000);
+	g_string_free(endless->block, TRUE);
 }
--- a/tests/web/test_endless.c
+++ b/tests/web/test_endless.c
@@ -23,28 +23,50 @@
 };
 
 static const struct endless_case cases[] = {
-	{"status line", {"HTTP/1.1 200 ", "aaaa", false}, 0, false},
-	{"no status line", {"", "aaaa", false}, 0, false},
-	{"header line", {HEAD "x-a: ", "aaaa", false}, 0, false},
-	{"header name", {HEAD, "aaaa", false}, 0, false},
-	{"headers", {HEAD, "x-a: b\r\n", false}, 0, false},
+	{"status line", {.begin = "HTTP/1.1 200 ", .piece = "aaaa"}, 0, false},
+	{"no status line", {.begin = "", .piece = "aaaa"}, 0, false},
+	{"header line", {.begin = HEAD "x-a: ", .piece = "aaaa"}, 0, false},
+	{"header name", {.begin = HEAD, .piece = "aaaa"}, 0, false},
+	{"headers", {.begin = HEAD, .piece = "x-a: b\r\n"}, 0, false},
 	{"informational heads",
-	 {"", "HTTP/1.1 102 Processing\r\n\r\n", false},
+	 {.begin = "", .piece = "HTTP/1.1 102 Processing\r\n\r\n"},
 	 0,
 	 false},
 	{"body with length",
-	 {HEAD "content-length: 999999999999\r\n\r\n", "aaaa", false},
+	 {.begin = HEAD "content-length: 999999999999\r\n\r\n",
+	  .piece = "aaaa"},
 	 200,
 	 false},
-	{"body without length", {HEAD "\r\n", "aaaa", false}, 200, false},
-	{"chunks", {CHUNKED, "4\r\naaaa\r\n", false}, 200, false},
-	{"chunk size", {CHUNKED, "0000", false}, 200, false},
-	{"chunk extension", {CHUNKED "4;", "aaaa", false}, 200, false},
-	{"trailers", {CHUNKED "0\r\n", "x-a: b\r\n", false}, 200, false},
-	{"drip in the status line", {"HTTP/1.1 200 ", "aaaa", true}, 0, true},
-	{"drip in the headers", {HEAD, "x-a: b\r\n", true}, 0, true},
-	{"drip in the body", {HEAD "\r\n", "aaaa", true}, 200, true},
-	{"drip in a chunk extension", {CHUNKED "4;", "aaaa", true}, 200, true},
+	{"body without length",
+	 {.begin = HEAD "\r\n", .piece = "aaaa"},
+	 200,
+	 false},
+	{"chunks", {.begin = CHUNKED, .piece = "4\r\naaaa\r\n"}, 200, false},
+	{"chunk size", {.begin = CHUNKED, .piece = "0000"}, 200, false},
+	{"chunk extension",
+	 {.begin = CHUNKED "4;", .piece = "aaaa"},
+	 200,
+	 false},
+	{"trailers",
+	 {.begin = CHUNKED "0\r\n", .piece = "x-a: b\r\n"},
+	 200,
+	 false},
+	{"drip in the status line",
+	 {.begin = "HTTP/1.1 200 ", .piece = "aaaa", .drips = true},
+	 0,
+	 true},
+	{"drip in the headers",
+	 {.begin = HEAD, .piece = "x-a: b\r\n", .drips = true},
+	 0,
+	 true},
+	{"drip in the body",
+	 {.begin = HEAD "\r\n", .piece = "aaaa", .drips = true},
+	 200,
+	 true},
+	{"drip in a chunk extension",
+	 {.begin = CHUNKED "4;", .piece = "aaaa", .drips = true},
+	 200,
+	 true},
 };
 
 struct fetched {
@@ -131,7 +153,8 @@
  * not sent. */
 static void test_relay_head(struct world *world, gconstpointer data)
 {
-	static const struct endless_answer answer = {HEAD, "x-a: b\r\n", false};
+	static const struct endless_answer answer = {.begin = HEAD,
+						     .piece = "x-a: b\r\n"};
 	struct fetched fetched = {.world = world};
 	struct endless endless;
 	const struct web_call_spec spec = {
--- a/web/call.c
+++ b/web/call.c
@@ -80,8 +80,7 @@
 	loop_defer(call->client->loop, &call->fail, on_fail, call);
 }
 
-/* Fails the call since its answer exceeds a bound. */
-static void call_reject(struct web_call *call, const char *text)
+void call_reject(struct web_call *call, const char *text)
 {
 	call->rejected = true;
 	call_fail(call, text);
--- a/web/call.h
+++ b/web/call.h
@@ -99,6 +99,8 @@
 bool call_leave(struct web_call *call);
 /* Fails the call now, or when its running callback returns. */
 void call_fail(struct web_call *call, const char *text);
+/* As call_fail(), since the answer exceeds a bound. */
+void call_reject(struct web_call *call, const char *text);
 /* As call_fail(), but defers done to the end of the event loop's iteration. */
 void call_fail_later(struct web_call *call, const char *text);
 #endif
--- a/web/fetch.c
+++ b/web/fetch.c
@@ -33,7 +33,7 @@
 	struct fetch *fetch = ctx;
 
 	if (size > fetch->limit - fetch->body->len) {
-		call_fail(fetch->call, "the answer is too large");
+		call_reject(fetch->call, "the answer is too large");
 		return;
 	}
 	g_byte_array_append(fetch->body, data, (guint)size);
--- a/web/input.c
+++ b/web/input.c
@@ -19,8 +19,8 @@
 
 	sock->bytes_read = 0;
 	while (sock->bytes_read < max) {
-		h2o_iovec_t room = h2o_buffer_reserve(
-			&sock->input, MIN(RESERVE_BYTES, max));
+		h2o_iovec_t room = h2o_buffer_reserve(&sock->input,
+						      MIN(RESERVE_BYTES, max));
 		size_t size = MIN(room.len, max - sock->bytes_read);
 		ssize_t got;
 
