--- a/tests/forward/test_endless.c
+++ b/tests/forward/test_endless.c
@@ -11,8 +11,8 @@
 #include "common/error.h"
 #include "common/id.h"
 #include "forward/forward.h"
-#include "forward/relay_server.h"
 #include "forward/relay.h"
+#include "forward/relay_server.h"
 #include "platform/caller.h"
 #include "platform/runner.h"
 #include "web/client.h"
@@ -328,8 +328,8 @@
 			  site->relays);
 	site->runners = runners_create(site->client, site->clock);
 	site->runner_ops = runners_ops(site->runners);
-	site->budgets = budgets_create(
-		&budget, clock_now(site->clock) - budget.window_usec);
+	site->budgets = budgets_create(&budget, clock_now(site->clock) -
+							budget.window_usec);
 	site->quarantine = quarantine_create(&quarantine);
 	site->backpressure = backpressure_create();
 	fleet_set_backpressure(site->fleet, site->backpressure);
@@ -422,8 +422,7 @@
 		.path = path,
 		.host = {"site.example", 12},
 		.headers = headers,
-		.header_count =
-			g_str_has_prefix(path, "/stream") ? 3 : 2,
+		.header_count = g_str_has_prefix(path, "/stream") ? 3 : 2,
 		.body = "{}",
 		.body_size = 2,
 		.head_usec = TIMEOUT_USEC,
@@ -445,8 +444,16 @@
 };
 
 static const struct place_case cases[] = {
-	{"plain/head", "/once/a", STAGE_NONE, {.begin = HEAD "x: ", .piece = "aaaa"}, 502},
-	{"plain/body", "/once/a", STAGE_NONE, {.begin = HEAD "\r\n", .piece = "aaaa"}, 502},
+	{"plain/head",
+	 "/once/a",
+	 STAGE_NONE,
+	 {.begin = HEAD "x: ", .piece = "aaaa"},
+	 502},
+	{"plain/body",
+	 "/once/a",
+	 STAGE_NONE,
+	 {.begin = HEAD "\r\n", .piece = "aaaa"},
+	 502},
 	{"plain/drip in the head",
 	 "/once/a",
 	 STAGE_NONE,
@@ -457,13 +464,21 @@
 	 STAGE_NONE,
 	 {.begin = "HTTP/1.1 500 No\r\n\r\n", .piece = "aaaa"},
 	 502},
-	{"plain/repeatable", "/plain/a", STAGE_NONE, {.begin = HEAD "\r\n", .piece = "aaaa"}, 502},
+	{"plain/repeatable",
+	 "/plain/a",
+	 STAGE_NONE,
+	 {.begin = HEAD "\r\n", .piece = "aaaa"},
+	 502},
 	{"reservation/head",
 	 "/stream/a",
 	 STAGE_DECODE,
 	 {.begin = HEAD "x: ", .piece = "aaaa"},
 	 503},
-	{"reservation/body", "/stream/a", STAGE_DECODE, {.begin = HEAD "\r\n", .piece = "aaaa"}, 503},
+	{"reservation/body",
+	 "/stream/a",
+	 STAGE_DECODE,
+	 {.begin = HEAD "\r\n", .piece = "aaaa"},
+	 503},
 	{"reservation/drip in the body",
 	 "/stream/a",
 	 STAGE_DECODE,
@@ -472,22 +487,30 @@
 	{"run/head",
 	 "/stream/a",
 	 STAGE_DECODE,
-	 {.begin = HEAD "x: ", .piece = "aaaa", .honest = {{"hold-take", HOLD}}},
+	 {.begin = HEAD "x: ",
+	  .piece = "aaaa",
+	  .honest = {{"hold-take", HOLD}}},
 	 502},
 	{"run/first event",
 	 "/stream/a",
 	 STAGE_DECODE,
-	 {.begin = HEAD EVENTS "data: ", .piece = "aaaa", .honest = {{"hold-take", HOLD}}},
+	 {.begin = HEAD EVENTS "data: ",
+	  .piece = "aaaa",
+	  .honest = {{"hold-take", HOLD}}},
 	 502},
 	{"run/second event",
 	 "/stream/a",
 	 STAGE_DECODE,
-	 {.begin = HEAD EVENTS "id: 1\ndata: a\n\ndata: ", .piece = "aaaa", .honest = {{"hold-take", HOLD}}},
+	 {.begin = HEAD EVENTS "id: 1\ndata: a\n\ndata: ",
+	  .piece = "aaaa",
+	  .honest = {{"hold-take", HOLD}}},
 	 0},
 	{"run/error body",
 	 "/stream/a",
 	 STAGE_DECODE,
-	 {.begin = "HTTP/1.1 500 No\r\n\r\n", .piece = "aaaa", .honest = {{"hold-take", HOLD}}},
+	 {.begin = "HTTP/1.1 500 No\r\n\r\n",
+	  .piece = "aaaa",
+	  .honest = {{"hold-take", HOLD}}},
 	 502},
 	{"prefill/head",
 	 "/stream/a",
@@ -580,7 +603,8 @@
 	struct endless endless;
 
 	endless_start(&endless, answer);
-	link.to = &server_add(site, "faulty", STAGE_NONE, endless.address)->info;
+	link.to =
+		&server_add(site, "faulty", STAGE_NONE, endless.address)->info;
 	link.relay = NULL;
 	site->awaited = 1;
 	site->runner_ops.check(site->runner_ops.ctx, &link, "/health",
@@ -605,7 +629,8 @@
 	struct stage_order to = order;
 
 	endless_start(&endless, data);
-	to.to = &server_add(site, "faulty", STAGE_DECODE, endless.address)->info;
+	to.to = &server_add(site, "faulty", STAGE_DECODE, endless.address)
+			 ->info;
 	site->awaited = 1;
 	site->runner_ops.order(site->runner_ops.ctx, &to, on_ordered, site);
 	site_run(site);
@@ -623,12 +648,20 @@
 };
 
 static const struct crowd_case crowds[] = {
-	{"plain bodies", "/once/a", STAGE_NONE, {.begin = HEAD "\r\n", .piece = "aaaa"}},
-	{"heads", "/once/a", STAGE_NONE, {.begin = HEAD, .piece = "x: aaaaaaaaaaaa\r\n"}},
+	{"plain bodies",
+	 "/once/a",
+	 STAGE_NONE,
+	 {.begin = HEAD "\r\n", .piece = "aaaa"}},
+	{"heads",
+	 "/once/a",
+	 STAGE_NONE,
+	 {.begin = HEAD, .piece = "x: aaaaaaaaaaaa\r\n"}},
 	{"events",
 	 "/stream/a",
 	 STAGE_DECODE,
-	 {.begin = HEAD EVENTS "data: ", .piece = "aaaa", .honest = {{"hold-take", HOLD}}}},
+	 {.begin = HEAD EVENTS "data: ",
+	  .piece = "aaaa",
+	  .honest = {{"hold-take", HOLD}}}},
 };
 
 static void crowd_check(struct site *site, const struct crowd_case *c)
--- a/tests/web/test_endless.c
+++ b/tests/web/test_endless.c
@@ -1,6 +1,8 @@
 /* Servers that send without end. Guards against an answer that fills memory or
  * keeps its connection for ever, in each part of an answer. */
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "endless.h"
 #include "relay_handler.h"
@@ -179,6 +181,43 @@
 	endless_stop(&endless);
 }
 
+/* Servers that are slow and honest keep their time-outs: a long poll waits for
+ * its head, also after an informational one, and a body has pauses. */
+static void test_slow(struct world *world, gconstpointer data)
+{
+	static const char *const pieces[] = {"HTTP/1.1 100 Continue\r\n\r\n",
+					     HEAD "content-length: 6\r\n\r\n",
+					     "ab", "cd", "ef"};
+	char address[32];
+	int listener = raw_listen(address, sizeof(address));
+	int fd = -1;
+
+	world_call(world, (struct web_call_spec){
+				  .address = address,
+				  .head_usec = 30 * USEC_PER_SEC,
+				  .idle_usec = 30 * USEC_PER_SEC,
+			  });
+	while (fd < 0) {
+		world_iterate(world, 1);
+		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(pieces); i++) {
+		int64_t pause = i < 2 ? 14 : 29;
+
+		world_iterate(world, 20);
+		clock_advance(world->clock,
+			      clock_now(world->clock) + pause * USEC_PER_SEC);
+		g_assert_false(world->done);
+		raw_send(fd, pieces[i], strlen(pieces[i]));
+		world_iterate(world, 20);
+	}
+	g_assert_true(world->done);
+	g_assert_true(world->result.ok);
+	g_assert_cmpstr(world->body->str, ==, "abcdef");
+	close(fd);
+	close(listener);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -195,5 +234,7 @@
 	}
 	g_test_add("/web/endless/relay", struct world, NULL, world_setup,
 		   test_relay_head, world_teardown);
+	g_test_add("/web/endless/slow", struct world, NULL, world_setup,
+		   test_slow, world_teardown);
 	return g_test_run();
 }
