forward: plain calls ask a dispatcher for the next free slot

Each instance chose a server by loads announced every 1 to 1.5 s, so calls queued at one server while another had a free slot. A call now asks the live instance that rendezvous hashing of the service gives, which grants slots of all its servers from one queue (sched/dispatch.h). Without an answer in time it is placed as before. The setting plain-queue is off, on or auto.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -108,6 +108,7 @@
 	counters_setup(forward);
 	crash_detector_open(forward);
 	forward->prober = prober_create(forward);
+	forward->dispatched = dispatched_create(forward);
 	parts->backends.watch(parts->backends.ctx, permit_signals, forward);
 	return forward;
 }
@@ -127,6 +128,7 @@
 	prober_destroy(forward->prober);
 	crash_detector_destroy(forward->crash_detector);
 	table_destroy(forward->requests);
+	dispatched_destroy(forward->dispatched);
 	g_hash_table_destroy(forward->demand);
 	g_hash_table_destroy(forward->organisation_counters);
 	catalog_unref(forward->catalog);
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -184,6 +184,58 @@
 	msgpack_pack_uint8(packer, message->origin_answer.mixed);
 }
 
+static uint64_t call_usec(int64_t usec)
+{
+	return MIN((uint64_t)MAX(usec, 0), CALL_USEC_MAX);
+}
+
+static void call_request_pack(msgpack_packer *packer,
+			      const struct call_request *request)
+{
+	const struct dispatch_call *call = &request->call;
+	uint32_t count = MIN(call->avoid_count, DISPATCH_AVOID_MAX);
+
+	msgpack_pack_array(packer, CALL_REQUEST_FIELDS);
+	msgpack_pack_uint64(packer, call->id);
+	msgpack_pack_uint64(packer, request->service);
+	msgpack_pack_uint32(packer, call->urgency);
+	msgpack_pack_uint64(packer, call->organisation);
+	msgpack_pack_uint64(packer, call_usec(call->target_usec));
+	msgpack_pack_uint64(packer, call_usec(call->limit_usec));
+	msgpack_pack_array(packer, count);
+	for (uint32_t i = 0; i < count; i++)
+		msgpack_pack_uint64(packer, call->avoid[i]);
+}
+
+static void call_answer_pack(msgpack_packer *packer,
+			     const struct call_answer *answer)
+{
+	msgpack_pack_array(packer, CALL_ANSWER_FIELDS);
+	msgpack_pack_uint64(packer, answer->id);
+	msgpack_pack_uint64(packer, answer->service);
+	msgpack_pack_uint8(packer, (uint8_t)answer->result);
+	msgpack_pack_uint64(packer, answer->server);
+	msgpack_pack_uint64(packer, call_usec(answer->usec));
+}
+
+static void call_done_pack(msgpack_packer *packer, const struct call_done *done)
+{
+	const struct server_load *load = &done->end.load;
+	double pace = CLAMP(load->pace, 0.0, SERVER_LOAD_PACE_MAX);
+
+	msgpack_pack_array(packer, CALL_DONE_FIELDS);
+	msgpack_pack_uint64(packer, done->end.id);
+	msgpack_pack_uint64(packer, done->service);
+	msgpack_pack_uint64(packer, done->server);
+	msgpack_pack_uint64(packer, call_usec(done->end.usec));
+	msgpack_pack_uint32(packer, load->known ? load->running : 0);
+	msgpack_pack_uint32(packer, load->known ? load->waiting : 0);
+	msgpack_pack_uint32(packer, load->known ? load->slots : 0);
+	msgpack_pack_uint32(packer,
+			    load->known ? (uint32_t)(pace * 100.0 + 0.5) : 0);
+	msgpack_pack_uint8(packer, done->end.refused);
+}
+
 static void mirror_status_pack(msgpack_packer *packer,
 			       const struct mirror_status *status)
 {
@@ -302,6 +354,12 @@
 		origin_query_pack(&packer, &message->origin_query);
 	else if (message->kind == GOSSIP_ORIGIN_ANSWER)
 		origin_answer_pack(&packer, message);
+	else if (message->kind == GOSSIP_CALL_REQUEST)
+		call_request_pack(&packer, &message->call_request);
+	else if (message->kind == GOSSIP_CALL_ANSWER)
+		call_answer_pack(&packer, &message->call_answer);
+	else if (message->kind == GOSSIP_CALL_DONE)
+		call_done_pack(&packer, &message->call_done);
 	else
 		loads_pack(&packer, message->loads);
 	if (is_summary)
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -24,6 +24,12 @@
  *	the two halves of a request fingerprint and the incarnations of servers
  *	that crashed
  *
+ *	Call request: [id, service, urgency, organisation, microseconds until
+ *	the target, microseconds until the caller's limit, [backend, ...]]
+ *	Call answer: [id, service, result, backend or 0, microseconds]
+ *	Call done: [id, service, backend or 0, microseconds at the backend,
+ *	running, waiting, slots or 0, pace in percent or 0, refused]
+ *
  *	Kinds that are not known, further fields of a summary and further flags
  *	are ignored.
  *
@@ -68,6 +74,9 @@
 	GOSSIP_ORIGIN,	   /* the version that began a stream */
 	GOSSIP_ORIGIN_QUERY,
 	GOSSIP_ORIGIN_ANSWER,
+	GOSSIP_CALL_REQUEST = 10,
+	GOSSIP_CALL_ANSWER = 11,
+	GOSSIP_CALL_DONE = 12,
 	GOSSIP_UNKNOWN, /* of a later release; ignored */
 };
 
@@ -105,6 +114,9 @@
 	 * GOSSIP_ORIGIN_ANSWER. */
 	struct origin_query origin_query;
 	struct origin_answer origin_answer; /* for GOSSIP_ORIGIN_ANSWER only */
+	struct call_request call_request;   /* for GOSSIP_CALL_REQUEST only */
+	struct call_answer call_answer;	    /* for GOSSIP_CALL_ANSWER only */
+	struct call_done call_done;	    /* for GOSSIP_CALL_DONE only */
 	/* The following fields are set in summaries only. */
 	char name[BACKEND_TEXT_MAX];
 	char group[GOSSIP_GROUP_MAX]; /* of the sender */
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -374,6 +374,106 @@
 	return true;
 }
 
+static bool call_avoid_read(const msgpack_object *object,
+			    struct dispatch_call *call)
+{
+	if (!is_array(object, DISPATCH_AVOID_MAX))
+		return false;
+	call->avoid_count = object->via.array.size;
+	for (uint32_t i = 0; i < call->avoid_count; i++)
+		if (!unsigned_read(&object->via.array.ptr[i], UINT64_MAX,
+				   &call->avoid[i]))
+			return false;
+	return true;
+}
+
+static bool call_request_read(const msgpack_object *object,
+			      struct call_request *request)
+{
+	struct dispatch_call *call = &request->call;
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t urgency;
+	uint64_t target;
+	uint64_t limit;
+
+	if (!is_tuple(object, CALL_REQUEST_FIELDS) ||
+	    !unsigned_read(&fields[0], UINT64_MAX, &call->id) ||
+	    !unsigned_read(&fields[1], UINT64_MAX, &request->service) ||
+	    !unsigned_read(&fields[2], UINT32_MAX, &urgency) ||
+	    !unsigned_read(&fields[3], UINT64_MAX, &call->organisation) ||
+	    !unsigned_read(&fields[4], CALL_USEC_MAX, &target) ||
+	    !unsigned_read(&fields[5], CALL_USEC_MAX, &limit))
+		return false;
+	call->urgency = (uint32_t)urgency;
+	call->target_usec = (int64_t)target;
+	call->limit_usec = (int64_t)limit;
+	return call_avoid_read(&fields[6], call);
+}
+
+static bool call_answer_read(const msgpack_object *object,
+			     struct call_answer *answer)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t result;
+	uint64_t usec;
+
+	if (!is_tuple(object, CALL_ANSWER_FIELDS) ||
+	    !unsigned_read(&fields[0], UINT64_MAX, &answer->id) ||
+	    !unsigned_read(&fields[1], UINT64_MAX, &answer->service) ||
+	    !unsigned_read(&fields[2], CALL_QUEUED, &result) ||
+	    !unsigned_read(&fields[3], UINT64_MAX, &answer->server) ||
+	    !unsigned_read(&fields[4], CALL_USEC_MAX, &usec))
+		return false;
+	answer->result = (enum call_result)result;
+	answer->usec = (int64_t)usec;
+	return answer->result != CALL_GRANTED || answer->server != 0;
+}
+
+/* Slots of 0: the server has stated nothing, so the other figures are 0. */
+static bool call_load_read(const msgpack_object *fields,
+			   struct server_load *load)
+{
+	uint64_t running;
+	uint64_t waiting;
+	uint64_t slots;
+	uint64_t pace;
+
+	if (!unsigned_read(&fields[0], SERVER_LOAD_REQUESTS_MAX, &running) ||
+	    !unsigned_read(&fields[1], SERVER_LOAD_REQUESTS_MAX, &waiting) ||
+	    !unsigned_read(&fields[2], SERVER_LOAD_REQUESTS_MAX, &slots) ||
+	    !unsigned_read(&fields[3], (uint64_t)SERVER_LOAD_PACE_MAX * 100,
+			   &pace))
+		return false;
+	*load = (struct server_load){
+		.known = slots > 0,
+		.running = (uint32_t)running,
+		.waiting = (uint32_t)waiting,
+		.slots = (uint32_t)slots,
+		.pace = (double)pace / 100.0,
+	};
+	return load->known ? server_load_valid(load)
+			   : running + waiting + pace == 0;
+}
+
+static bool call_done_read(const msgpack_object *object, struct call_done *done)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t usec;
+	uint64_t refused;
+
+	if (!is_tuple(object, CALL_DONE_FIELDS) ||
+	    !unsigned_read(&fields[0], UINT64_MAX, &done->end.id) ||
+	    !unsigned_read(&fields[1], UINT64_MAX, &done->service) ||
+	    !unsigned_read(&fields[2], UINT64_MAX, &done->server) ||
+	    !unsigned_read(&fields[3], CALL_USEC_MAX, &usec) ||
+	    !call_load_read(&fields[4], &done->end.load) ||
+	    !unsigned_read(&fields[8], 1, &refused))
+		return false;
+	done->end.usec = (int64_t)usec;
+	done->end.refused = refused;
+	return true;
+}
+
 static bool unreachable_read(const msgpack_object *object,
 			     struct gossip_summary *summary)
 {
@@ -452,6 +552,12 @@
 		return origin_query_read(body, &message->origin_query);
 	case GOSSIP_ORIGIN_ANSWER:
 		return origin_answer_read(body, message);
+	case GOSSIP_CALL_REQUEST:
+		return call_request_read(body, &message->call_request);
+	case GOSSIP_CALL_ANSWER:
+		return call_answer_read(body, &message->call_answer);
+	case GOSSIP_CALL_DONE:
+		return call_done_read(body, &message->call_done);
 	default:
 		return message->kind == GOSSIP_UNKNOWN;
 	}
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -18,6 +18,11 @@
 #define ORIGIN_FIELDS 2
 #define ORIGIN_QUERY_FIELDS 4
 #define ORIGIN_ANSWER_FIELDS 5
+#define CALL_REQUEST_FIELDS 7
+#define CALL_ANSWER_FIELDS 5
+#define CALL_DONE_FIELDS 9
+/* Longer than any plain call. */
+#define CALL_USEC_MAX ((uint64_t)1 << 40)
 /* Far longer than any stream. */
 #define ORIGIN_WINDOW_USEC_MAX ((uint64_t)1 << 40)
 /* Limits are encoded in thousandths. */
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -193,6 +193,11 @@
 void message_send(struct gossip *gossip, struct gossip_message *message,
 		  const struct peer *peer);
 
+/* Functions of gossip_calls.c. */
+/* Handles a call's request, answer or end. */
+void gossip_call_receive(struct gossip *gossip, const struct peer *peer,
+			 const struct gossip_message *message);
+
 /* Functions of gossip_origins.c. */
 /* Handles a record, a query or an answer. */
 void gossip_origin_receive(struct gossip *gossip, const struct peer *peer,
--- a/forward/gossip_receive.c
+++ b/forward/gossip_receive.c
@@ -120,6 +120,13 @@
 	       message->kind == GOSSIP_ORIGIN_ANSWER;
 }
 
+static bool is_call(const struct gossip_message *message)
+{
+	return message->kind == GOSSIP_CALL_REQUEST ||
+	       message->kind == GOSSIP_CALL_ANSWER ||
+	       message->kind == GOSSIP_CALL_DONE;
+}
+
 void gossip_receive(struct gossip *gossip, const char *from,
 		    const struct gossip_message *message)
 {
@@ -148,6 +155,13 @@
 		gossip_origin_receive(gossip, peer, message);
 		return;
 	}
+	if (is_call(message)) {
+		if (!peer)
+			peer = peer_add(gossip, from);
+		if (peer)
+			gossip_call_receive(gossip, peer, message);
+		return;
+	}
 	if (!peer || !is_newer(peer, message))
 		return;
 	starts = message->boot != peer->boot || !peer_live(gossip, peer);
--- a/forward/node.c
+++ b/forward/node.c
@@ -262,6 +262,9 @@
 		.relay_result = node_relay_result,
 		.origin_began = node_origin_began,
 		.origin_ask = node_origin_ask,
+		.plain_queue = node->settings.plain_queue,
+		.call_request = node_call_request,
+		.call_done = node_call_done,
 		.callbacks_ctx = node,
 	};
 
@@ -282,6 +285,7 @@
 	parts.limits = node->limits;
 	parts.origins = node->origins;
 	node->forward = forward_create(&parts);
+	node_dispatch_open(node);
 	node->malformed =
 		counter_get(node->counters, "jt_records_refused_total",
 			    "Records of the store that were refused", NULL);
@@ -306,6 +310,9 @@
 		.origin_received = node_origin_received,
 		.origin_queried = node_origin_queried,
 		.origin_answered = node_origin_answered,
+		.call_requested = node_call_requested,
+		.call_answered = node_call_answered,
+		.call_ended = node_call_ended,
 	};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
@@ -413,6 +420,7 @@
 	if (node->gossip)
 		node_feeds_stop(node);
 	forward_destroy(node->forward);
+	node_dispatch_close(node);
 	relay_peers_destroy(node->relay_peers);
 	gossip_destroy(node->gossip);
 	node->factory->close(node->factory->ctx);
--- a/forward/node.h
+++ b/forward/node.h
@@ -66,6 +66,7 @@
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
 	struct origins *origins;
+	struct node_dispatch *dispatch;
 	int64_t pruned_at;
 	struct limits *limits;
 	struct quarantine_write quarantine_write;
@@ -169,6 +170,21 @@
 void node_origin_answered(void *ctx, const struct origin_query *query,
 			  const struct origin_answer *answer);
 
+/* node_dispatch.c: plain calls that wait for a server, here or at another
+ * instance. */
+void node_dispatch_open(struct node *node);
+void node_dispatch_close(struct node *node);
+bool node_call_request(void *ctx, const struct call_request *request,
+		       uint64_t *dispatcher);
+void node_call_done(void *ctx, uint64_t dispatcher,
+		    const struct call_done *done);
+void node_call_requested(void *ctx, uint64_t from,
+			 const struct call_request *request,
+			 struct call_answer *answer);
+void node_call_answered(void *ctx, uint64_t from,
+			const struct call_answer *answer);
+void node_call_ended(void *ctx, uint64_t from, const struct call_done *done);
+
 /* node_relays.c: instances that connect to servers for each other. */
 bool node_relay_choose(void *ctx, const struct backend_info *to,
 		       char relay[ADDRESS_TEXT_MAX]);
--- a/forward/place.c
+++ b/forward/place.c
@@ -120,6 +120,11 @@
 	       !(place->unlimited && is_limited(place, backend));
 }
 
+bool place_allows(const struct place *place, const struct backend *backend)
+{
+	return backend_allowed(place, backend);
+}
+
 int64_t place_staleness(const struct place *place,
 			const struct backend *backend)
 {
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -190,6 +190,7 @@
 
 	request->call = NULL;
 	charge_drop(request, &request->decode);
+	dispatched_end(request, end);
 	if (answer->has_head && !answer->head.mismatched &&
 	    answer->head.not_run) {
 		plain_not_run(request, backend);
@@ -256,11 +257,41 @@
 		request_refuse(request, RESULT_NO_BACKEND, RETRY_AFTER_USEC);
 }
 
+/* The dispatcher does not know what this instance and the request may use. */
+static bool grant_usable(struct request *request, struct backend *backend)
+{
+	struct place place;
+
+	if (!backend)
+		return false;
+	request_place(request, &place);
+	place.unconnected = &request->unconnected;
+	return place_allows(&place, backend) &&
+	       request_choose_path(request, backend);
+}
+
+void plain_granted(struct request *request, struct backend *backend)
+{
+	enum permit permit = PERMIT_DENIED;
+
+	if (request_quarantine(request))
+		return;
+	if (grant_usable(request, backend) &&
+	    request->permit_attempts < PERMIT_ATTEMPTS_MAX)
+		permit = request_permit(request, backend, PERMIT_STEP_CALL);
+	if (permit == PERMIT_GRANTED)
+		plain_send(request, backend);
+	else if (permit == PERMIT_DENIED)
+		plain_start(request);
+}
+
 void plain_start(struct request *request)
 {
 	enum permit permit = PERMIT_DENIED;
 	struct backend *backend;
 
+	if (dispatched_start(request))
+		return;
 	while (permit == PERMIT_DENIED) {
 		backend = request->permit_attempts < PERMIT_ATTEMPTS_MAX
 				  ? server_choose(request, true)
--- a/forward/request.c
+++ b/forward/request.c
@@ -267,6 +267,7 @@
 		web_call_cancel(request->call);
 	request->call = NULL;
 	permit_cancel(request);
+	dispatched_drop(request);
 	request_drop_hold(request);
 	request_drop_result(request);
 	charge_drop(request, &request->prefill);
@@ -455,6 +456,7 @@
 		   permit_timed_out, request);
 	timer_init(&request->resume_timer, forward->parts.clock,
 		   resume_timed_out, request);
+	dispatched_init(request);
 	web_request_on_gone(web, on_caller_gone, request);
 	return request;
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -42,6 +42,18 @@
 	PERMIT_STEP_PREFILL,
 };
 
+/* A question to the dispatcher, or its grant. */
+struct dispatched {
+	uint64_t ask; /* its id; 0: none */
+	uint64_t dispatcher;
+	uint64_t server; /* granted; 0: the answer is awaited */
+	int64_t asked_at;
+	struct timer timer;
+	uint32_t asks; /* so far */
+	uint64_t avoid[DISPATCH_AVOID_MAX];
+	uint32_t avoid_count;
+};
+
 /* Own answer, and those of the homes of a stream. */
 #define RESUME_ANSWERS_MAX (1u + 2u * ORIGIN_HOMES)
 
@@ -65,6 +77,7 @@
 	uint64_t permit_server; /* key of the server to send to */
 	struct timer permit_timer;
 	uint32_t permit_attempts;
+	struct dispatched dispatched;
 	struct answer answer;
 	struct tried tried;
 	struct tried unconnected; /* directly; relays may still reach them */
@@ -130,6 +143,7 @@
 	struct timer pump;
 	struct crash_detector *crash_detector;
 	struct prober *prober;
+	struct dispatched_services *dispatched;
 	double first_event_usec; /* mean time from reservation to first event */
 	bool draining;
 	size_t unread;			     /* sum over all requests */
@@ -279,6 +293,24 @@
 void stream_permitted(struct request *request, struct backend *backend);
 void prefill_permitted(struct request *request, struct backend *backend);
 
+/* dispatched.c: plain calls that a dispatcher grants a server. */
+struct dispatched_services *dispatched_create(struct forward *forward);
+void dispatched_destroy(struct dispatched_services *services);
+void dispatched_init(struct request *request);
+/* Asks the dispatcher; false when the call is to be placed without it. After a
+ * grant that could not be used, returns it and asks once more. Afterwards
+ * plain_granted() or plain_start() is called, or the request is refused. */
+bool dispatched_start(struct request *request);
+/* Tells the dispatcher that the current call has ended. */
+void dispatched_end(struct request *request, const struct backend_end *end);
+/* Returns an unused grant, or takes the question back. */
+void dispatched_drop(struct request *request);
+/* Notes what a server has stated. */
+void dispatched_note(const struct request *request,
+		     const struct server_load *load);
+/* plain.c: the server granted. */
+void plain_granted(struct request *request, struct backend *backend);
+
 /* unread.c: updates the bytes not yet read by the caller. Above a limit this
  * ends the request, or the one with the most unread bytes. */
 void request_unread_update(struct request *request);
--- a/forward/settings.c
+++ b/forward/settings.c
@@ -62,8 +62,28 @@
 	{"limits", "JT_LIMITS", SETTING_NAME, FIELD(limits), 0, 0, "counts",
 	 false, "POLICY",
 	 "how instances share allotments: counts, demand or equal"},
+	{"plain-queue", "JT_PLAIN_QUEUE", SETTING_NAME, FIELD(plain_queue_name),
+	 0, 0, "auto", false, "WHEN",
+	 "one queue for the plain calls of a service: off, on or auto"},
 };
 
+static bool plain_queue_find(const char *name, enum plain_queue *queue)
+{
+	static const char *const names[] = {
+		[PLAIN_QUEUE_OFF] = "off",
+		[PLAIN_QUEUE_ON] = "on",
+		[PLAIN_QUEUE_AUTO] = "auto",
+	};
+
+	for (unsigned int i = 0; i < G_N_ELEMENTS(names); i++) {
+		if (strcmp(name, names[i]) != 0)
+			continue;
+		*queue = (enum plain_queue)i;
+		return true;
+	}
+	return false;
+}
+
 static bool seed_add(struct forward_settings *settings, const char *text,
 		     struct error *err)
 {
@@ -123,6 +143,10 @@
 		return error_set(err, RESULT_BAD_SETTING,
 				 "limits: '%s' is not counts, demand or equal",
 				 fresh.limits);
+	if (!plain_queue_find(fresh.plain_queue_name, &fresh.plain_queue))
+		return error_set(err, RESULT_BAD_SETTING,
+				 "plain-queue: '%s' is not off, on or auto",
+				 fresh.plain_queue_name);
 	*settings = fresh;
 	return true;
 }
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -42,6 +42,7 @@
 #include "forward/backend.h"
 #include "forward/budget.h"
 #include "forward/caller.h"
+#include "forward/calls.h"
 #include "forward/catalog.h"
 #include "forward/fleet.h"
 #include "forward/origins.h"
@@ -105,6 +106,17 @@
 typedef uint32_t (*forward_origin_ask_fn)(void *ctx,
 					  const struct origin_query *query);
 
+/* Asks the dispatcher of the service, and sets the number that identifies it.
+ * The answer comes by forward_call_answered(), in a later iteration of the
+ * event loop. False when it cannot be asked. */
+typedef bool (*forward_call_request_fn)(void *ctx,
+					const struct call_request *request,
+					uint64_t *dispatcher);
+
+/* Tells the dispatcher of the end of a call, or of a wait. */
+typedef void (*forward_call_done_fn)(void *ctx, uint64_t dispatcher,
+				     const struct call_done *done);
+
 struct forward_parts {
 	struct clock *clock;
 	struct loop *loop;
@@ -133,6 +145,9 @@
 	forward_relay_result_fn relay_result;
 	forward_origin_fn origin_began;
 	forward_origin_ask_fn origin_ask;
+	enum plain_queue plain_queue;
+	forward_call_request_fn call_request; /* NULL: no dispatchers */
+	forward_call_done_fn call_done;
 	void *callbacks_ctx;
 };
 
@@ -155,6 +170,9 @@
 /* The answer to the permit request with that id; late answers are ignored. */
 void forward_permit_answered(struct forward *forward, uint64_t id,
 			     uint64_t server, bool granted, int64_t retry_usec);
+/* The answer of a dispatcher. A late grant is returned to it. */
+void forward_call_answered(struct forward *forward, uint64_t dispatcher,
+			   const struct call_answer *answer);
 /* What this instance knows of the stream. */
 void forward_origin_answer(const struct forward *forward,
 			   const struct origin_query *query,
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -48,6 +48,11 @@
  *	three each. A record is sent to them in one datagram each, and so is a
  *	query; each answers for itself. Nothing is repeated here.
  *
+ *	The dispatcher of a plain service (sched/dispatch.h) is a live instance
+ *	of any data centre. A plain call asks it for a server in one datagram,
+ *	is answered in one, or in two if it had to queue, and its end is sent
+ *	to the dispatcher twice.
+ *
  *	State of a peer or data centre expires GOSSIP_STALE_USEC after its last
  *	summary. Nothing waits for a peer. Peers are first read from the store,
  *	then learnt from the senders of datagrams and from the addresses in
@@ -72,6 +77,7 @@
 #include "coord/backpressure.h"
 #include "coord/limit.h"
 #include "coord/quarantine.h"
+#include "forward/calls.h"
 #include "forward/fleet.h"
 #include "forward/mirror.h"
 #include "forward/origins.h"
@@ -214,6 +220,17 @@
 			       struct origin_answer *answer);
 	void (*origin_answered)(void *ctx, const struct origin_query *query,
 				const struct origin_answer *answer);
+	/* A peer, which from identifies, asks for a server for a plain call;
+	 * fills in the answer. NULL: calls are not answered. */
+	void (*call_requested)(void *ctx, uint64_t from,
+			       const struct call_request *request,
+			       struct call_answer *answer);
+	/* The answer to a call of this instance. */
+	void (*call_answered)(void *ctx, uint64_t from,
+			      const struct call_answer *answer);
+	/* A call of a peer has ended. */
+	void (*call_ended)(void *ctx, uint64_t from,
+			   const struct call_done *done);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -260,6 +277,18 @@
 /* Asks the homes of the stream; returns how many were asked. */
 uint32_t gossip_origin_ask(struct gossip *gossip,
 			   const struct origin_query *query);
+/* The dispatcher of a plain service: the live instance of all data centres that
+ * rendezvous hashing gives. Returns its key, 0 for this instance. With eligible
+ * false this instance is not considered; it is returned when it is alone. */
+uint64_t gossip_dispatcher(const struct gossip *gossip, uint64_t service,
+			   bool eligible);
+/* Send to a peer by its key; false when it is not known any more. */
+bool gossip_call_request(struct gossip *gossip, uint64_t peer,
+			 const struct call_request *request);
+bool gossip_call_answer(struct gossip *gossip, uint64_t peer,
+			const struct call_answer *answer);
+bool gossip_call_done(struct gossip *gossip, uint64_t peer,
+		      const struct call_done *done);
 /* Recent mean delay, in microseconds, until a load change was sent to local or
  * remote peers. Received loads are about as old. */
 int64_t gossip_delay(const struct gossip *gossip, bool local);
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -66,6 +66,8 @@
 	int64_t stale_remote;
 };
 
+/* Whether the request may be sent to the server now. */
+bool place_allows(const struct place *place, const struct backend *backend);
 /* Maximum age of the known load of the server. */
 int64_t place_staleness(const struct place *place,
 			const struct backend *backend);
--- a/include/forward/settings.h
+++ b/include/forward/settings.h
@@ -14,6 +14,7 @@
 
 #include "common/error.h"
 #include "coord/limit.h"
+#include "forward/calls.h"
 
 #define FORWARD_SEEDS_MAX 16u
 #define FORWARD_CENTRES_MAX 64u
@@ -47,6 +48,8 @@
 	int64_t heartbeat_usec; /* of backend servers, in the list */
 	const char *limits;	/* name of limit_policy */
 	enum limit_policy limit_policy;
+	const char *plain_queue_name; /* off, on or auto */
+	enum plain_queue plain_queue;
 };
 
 /* Reads the file (NULL: none), the environment and argv. Exits the process only
--- a/tests/sched/dispatch_model.c
+++ b/tests/sched/dispatch_model.c
@@ -539,7 +539,8 @@
 				model, 1.0 / (per_usec * model->setup->demand)),
 			call_arrives, NULL, 0);
 	call->id = (uint64_t)model->calls->len << 1;
-	call->instance = (uint32_t)g_rand_int_range(model->arrivals, 0, INSTANCES);
+	call->instance =
+		(uint32_t)g_rand_int_range(model->arrivals, 0, INSTANCES);
 	call->arrived = now_of(model);
 	call->target_usec = g_rand_boolean(model->arrivals) ? 150000 : 200000;
 	g_ptr_array_add(model->calls, call);
