--- a/forward/dispatched.c
+++ b/forward/dispatched.c
@@ -72,6 +72,11 @@
 	g_free(services);
 }
 
+void forward_set_plain_queue(struct forward *forward, enum plain_queue queue)
+{
+	forward->parts.plain_queue = queue;
+}
+
 static struct dispatched_service *service_get(const struct request *request)
 {
 	GHashTable *services = request->forward->dispatched->services;
--- a/forward/node_settings.c
+++ b/forward/node_settings.c
@@ -55,6 +55,8 @@
 	quarantine_configure(node->quarantine,
 			     node->settings.quarantine_crashes);
 	limits_set_policy(node->limits, node->settings.limit_policy);
+	node->settings.plain_queue = fresh.plain_queue;
+	forward_set_plain_queue(node->forward, fresh.plain_queue);
 	log_setup(node->clock, PROGRAM, fresh.log_level);
 	log_event(LOG_NOTICE, "settings_read", LOG_S("file", node->file));
 }
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -157,6 +157,8 @@
 /* Takes a reference. False when the version is lower than that in force; the
  * catalog is ignored then. */
 bool forward_set_catalog(struct forward *forward, struct catalog *catalog);
+/* Replaces the part plain_queue; requests in progress are not affected. */
+void forward_set_plain_queue(struct forward *forward, enum plain_queue queue);
 /* The catalog in force; NULL before the first. */
 const struct catalog *forward_catalog(const struct forward *forward);
 /* From now on streams are refused, as they might not end before the process
--- a/tests/forward/fuzz_gossip.c
+++ b/tests/forward/fuzz_gossip.c
@@ -42,6 +42,16 @@
 		g_assert_cmpint(one->used, ==, other->used);
 		g_assert_cmpint(one->level, ==, other->level);
 	}
+	g_assert_cmpuint(a->call_request.call.avoid_count, ==,
+			 b->call_request.call.avoid_count);
+	g_assert_cmpint(a->call_request.call.target_usec, ==,
+			b->call_request.call.target_usec);
+	g_assert_cmpuint(a->call_answer.server, ==, b->call_answer.server);
+	g_assert_cmpint(a->call_answer.result, ==, b->call_answer.result);
+	g_assert_cmpuint(a->call_done.end.load.waiting, ==,
+			 b->call_done.end.load.waiting);
+	g_assert_cmpfloat(a->call_done.end.load.pace, ==,
+			  b->call_done.end.load.pace);
 	g_assert_cmpstr(a->name, ==, b->name);
 	g_assert_cmpstr(a->lowest.name, ==, b->lowest.name);
 	g_assert_cmpuint(a->summary.waiting, ==, b->summary.waiting);
@@ -78,7 +88,7 @@
 	GByteArray *out = g_byte_array_new();
 	struct gossip_message message;
 
-	gossip_message_init(&message, (enum gossip_kind)(i % 5));
+	gossip_message_init(&message, (enum gossip_kind)(i % GOSSIP_UNKNOWN));
 	message.boot = 5;
 	message.sequence = (uint64_t)i;
 	g_strlcpy(message.name, "n1", sizeof(message.name));
@@ -90,6 +100,24 @@
 		(struct backend_change){7, STAGE_PREFILL, 5000000};
 	message.summary.changing[1] =
 		(struct backend_change){8, STAGE_DECODE, 1000};
+	message.call_request = (struct call_request){
+		.service = 4,
+		.call = {.id = 3,
+			 .urgency = 1,
+			 .target_usec = 150000,
+			 .limit_usec = 1500000,
+			 .avoid = {8, 9},
+			 .avoid_count = (uint32_t)(i % 3)},
+	};
+	message.call_answer =
+		(struct call_answer){3, 4, CALL_GRANTED, UINT64_MAX, 20000};
+	message.call_done = (struct call_done){
+		.service = 4,
+		.server = 8,
+		.end = {.id = 3,
+			.usec = 30000,
+			.load = {i % 2 == 0, 5, 1, 6, 2.5}},
+	};
 	for (int k = g_test_rand_int_range(0, 4); k > 0; k--) {
 		struct gossip_load load = {(uint64_t)k, {1, -2000, 300}};
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -50,6 +50,8 @@
 	bool home; /* this instance is the home of all servers */
 	uint64_t permit_id;
 	uint64_t permit_server;
+	struct call_request ask; /* the last one */
+	bool deaf;		 /* the dispatcher cannot be asked */
 	signals_fn signals;
 	void *signals_ctx;
 	check_fn check; /* of the pending check, or NULL */
@@ -488,6 +490,34 @@
 	return PERMIT_PENDING;
 }
 
+/* Steps give the answers. */
+static bool fake_call_request(void *ctx, const struct call_request *request,
+			      uint64_t *dispatcher)
+{
+	const struct dispatch_call *call = &request->call;
+
+	if (world.deaf)
+		return false;
+	/* Ids differ by process, so they are not printed. */
+	say("ask the dispatcher, %d of %d ms left, avoid %u",
+	    (int)(call->target_usec / USEC_PER_MSEC),
+	    (int)(call->limit_usec / USEC_PER_MSEC), call->avoid_count);
+	world.ask = *request;
+	*dispatcher = 5;
+	return true;
+}
+
+static void fake_call_done(void *ctx, uint64_t dispatcher,
+			   const struct call_done *done)
+{
+	const struct backend *backend = fleet_find(world.fleet, done->server);
+
+	say("done at %s, %d ms%s%s", backend ? backend->info.id : "none",
+	    (int)(done->end.usec / USEC_PER_MSEC),
+	    done->end.refused ? ", refused" : "",
+	    done->end.load.known ? ", with load" : "");
+}
+
 static void quarantine_changed(void *ctx,
 			       const struct request_fingerprint *work)
 {
@@ -528,6 +558,8 @@
 		.relay_result = relay_result,
 		.origin_began = origin_began,
 		.origin_ask = origin_ask,
+		.call_request = fake_call_request,
+		.call_done = fake_call_done,
 	};
 	const struct limit_settings limits = {.policy = LIMIT_COUNTS};
 
@@ -611,6 +643,10 @@
 		.other_server = strstr(options, "other"),
 		.is_signed = strstr(options, "signed"),
 		.mismatched = strstr(options, "mismatched"),
+		.load = {.known = strstr(options, "paced"),
+			 .running = 1,
+			 .slots = 6,
+			 .pace = 1.0},
 		.headers = headers,
 		.header_count = 1,
 	};
@@ -875,6 +911,38 @@
 				atoi(options) * USEC_PER_MSEC);
 }
 
+/* "queue off|on|auto|deaf" */
+static void queue_step(const char *options)
+{
+	world.deaf = strcmp(options, "deaf") == 0;
+	forward_set_plain_queue(
+		world.forward, strcmp(options, "off") == 0    ? PLAIN_QUEUE_OFF
+			       : strcmp(options, "auto") == 0 ? PLAIN_QUEUE_AUTO
+							      : PLAIN_QUEUE_ON);
+}
+
+/* The dispatcher's answer to the last question: "granted ID", "refused MSEC",
+ * "queued" or "returned". */
+static void dispatch_step(const char *options)
+{
+	struct call_answer answer = {
+		.id = world.ask.call.id,
+		.service = world.ask.service,
+		.result = CALL_NOT_DISPATCHER,
+	};
+
+	if (g_str_has_prefix(options, "granted ")) {
+		answer.result = CALL_GRANTED;
+		answer.server = fleet_find_id(world.fleet, options + 8)->key;
+	} else if (g_str_has_prefix(options, "refused ")) {
+		answer.result = CALL_REFUSED;
+		answer.usec = atoi(options + 8) * USEC_PER_MSEC;
+	} else if (strcmp(options, "queued") == 0) {
+		answer.result = CALL_QUEUED;
+	}
+	forward_call_answered(world.forward, 5, &answer);
+}
+
 static void crowd_step(const char *options)
 {
 	world.crowd = (uint32_t)atoi(options);
@@ -916,6 +984,7 @@
 	{"home", home_step},	     {"leaves", leaves_step},
 	{"backoff", backoff_step},   {"permit", permit_step},
 	{"evacuate", evacuate_step}, {"cold", cold_step},
+	{"queue", queue_step},	     {"dispatch", dispatch_step},
 	{"unread", unread_step},     {"heartbeat", heartbeat_step},
 };
 
