--- a/tests/sched/dispatch_model_calls.c
+++ b/tests/sched/dispatch_model_calls.c
@@ -120,28 +120,19 @@
 {
 	struct model *model = event->model;
 	struct dispatcher *dispatcher = &model->dispatchers[event->index];
-	const struct call *call = event->call;
-	int64_t now = model_now(model);
+	const struct dispatch_call *request = &event->request;
 	struct dispatch_answer answer;
-	struct dispatch_call request = {
-		.from = call->instance,
-		.id = event->end.id,
-		.target_usec = call->target_usec - (now - call->arrived),
-		.limit_usec = LIMIT_USEC - (now - call->arrived),
-	};
 
 	if (dispatcher->dead || model_postpone(event))
 		return;
 	if (dispatcher->draining) {
-		answer_from(model, event->index, request.id, NULL, true);
+		answer_from(model, event->index, request->id, NULL, true);
 		return;
 	}
-	for (uint32_t i = 0; i < SERVERS; i++)
-		if (call->tried & 1u << i)
-			request.avoid[request.avoid_count++] = i + 1;
 	model_servers(model, dispatcher->dispatch);
-	(void)dispatch_request(dispatcher->dispatch, now, &request, &answer);
-	answer_from(model, event->index, request.id, &answer, false);
+	(void)dispatch_request(dispatcher->dispatch, model_now(model), request,
+			       &answer);
+	answer_from(model, event->index, request->id, &answer, false);
 }
 
 static uint32_t dispatcher_of(const struct model *model, uint32_t instance)
@@ -171,5 +162,14 @@
 	event = model_event(model,
 			    model_way(model, call->dispatcher, call->instance),
 			    request_arrives, call, call->dispatcher);
-	event->end.id = call->id;
+	event->request = (struct dispatch_call){
+		.from = call->instance,
+		.id = call->id,
+		.target_usec = left,
+		.limit_usec = left + LIMIT_USEC - call->target_usec,
+	};
+	for (uint32_t i = 0; i < SERVERS; i++)
+		if (call->tried & 1u << i)
+			event->request.avoid[event->request.avoid_count++] =
+				i + 1;
 }
