--- a/tests/sched/dispatch_model.h
+++ b/tests/sched/dispatch_model.h
@@ -26,8 +26,17 @@
 	FAULT_CALLERS_KILLED, /* ten instances end with the grants they hold */
 };
 
+/* How an instance places a call without a dispatcher. */
+enum model_view {
+	VIEW_STALE,   /* least load, by counts 1 to 1.5 s old plus own ones */
+	VIEW_AT_ONCE, /* by counts without delay, the bound of announcing all */
+	VIEW_TWO,     /* two servers at random, the better one by stale counts
+		       */
+};
+
 struct model_setup {
-	bool dispatched; /* else as without a dispatcher */
+	bool dispatched;
+	enum model_view view;
 	enum model_fault fault;
 	double demand; /* of capacity */
 	int64_t usec;
--- a/tests/sched/dispatch_model_servers.c
+++ b/tests/sched/dispatch_model_servers.c
@@ -219,7 +219,9 @@
 
 	for (uint32_t i = 0; i < INSTANCES; i++)
 		if (i != instance && !model->instances[i].dead)
-			sum += model->instances[i].told[server];
+			sum += model->setup->view == VIEW_AT_ONCE
+				       ? model->instances[i].own[server]
+				       : model->instances[i].told[server];
 	return sum;
 }
 
@@ -227,13 +229,18 @@
 {
 	double least = G_MAXDOUBLE;
 	uint32_t best = SERVERS;
+	uint32_t skipped = SERVERS;
+
+	/* Two of three at random are all but one. */
+	if (model->setup->view == VIEW_TWO && call->tried == 0)
+		skipped = (uint32_t)g_rand_int_range(model->rand, 0, SERVERS);
 
 	for (uint32_t i = 0; i < SERVERS; i++) {
 		double load = load_seen(model, call->instance, i) / SLOTS +
 			      g_rand_double_range(model->rand, 0.0, 0.02);
 
-		if (model->servers[i].withdrawn || call->tried & 1u << i ||
-		    load >= least)
+		if (i == skipped || model->servers[i].withdrawn ||
+		    call->tried & 1u << i || load >= least)
 			continue;
 		least = load;
 		best = i;
--- a/tests/sched/test_dispatch.c
+++ b/tests/sched/test_dispatch.c
@@ -30,13 +30,15 @@
 	sum->leftover += one->leftover;
 }
 
-static void run(bool dispatched, enum model_fault fault, double demand,
-		struct model_result *sum)
+static void view_run(bool dispatched, enum model_view view,
+		     enum model_fault fault, double demand,
+		     struct model_result *sum)
 {
 	*sum = (struct model_result){0};
 	for (uint32_t seed = 1; seed <= SEEDS; seed++) {
 		const struct model_setup setup = {
 			.dispatched = dispatched,
+			.view = view,
 			.fault = fault,
 			.demand = demand,
 			.usec = RUN_USEC,
@@ -47,15 +49,41 @@
 		model_run(&setup, &one);
 		result_add(sum, &one);
 	}
-	g_test_message("%s, fault %d, demand %.1f: calls %u, in time %.4f, "
-		       "late %.4f, refused %.4f, gone %.4f; sends refused "
-		       "%.4f; runs %u",
-		       dispatched ? "dispatched" : "direct", (int)fault, demand,
-		       sum->calls, part(sum->in_time, sum->calls),
-		       part(sum->late, sum->calls),
-		       part(sum->refused, sum->calls),
-		       part(sum->gone, sum->calls),
-		       part(sum->sends_refused, sum->sends), sum->runs_max);
+	g_test_message(
+		"%s, view %d, fault %d, demand %.1f: calls %u, in time %.4f, "
+		"late %.4f, refused %.4f, gone %.4f; sends refused "
+		"%.4f; runs %u",
+		dispatched ? "dispatched" : "direct", (int)view, (int)fault,
+		demand, sum->calls, part(sum->in_time, sum->calls),
+		part(sum->late, sum->calls), part(sum->refused, sum->calls),
+		part(sum->gone, sum->calls),
+		part(sum->sends_refused, sum->sends), sum->runs_max);
+}
+
+static void run(bool dispatched, enum model_fault fault, double demand,
+		struct model_result *sum)
+{
+	view_run(dispatched, VIEW_STALE, fault, demand, sum);
+}
+
+/* Guards against a dispatcher that costs more than it gives: announcing each
+ * load at once, without delay, must not have fewer late calls. */
+static void test_views(void)
+{
+	static const double demands[] = {0.9, 1.3};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(demands); i++) {
+		struct model_result dispatched;
+
+		run(true, FAULT_NONE, demands[i], &dispatched);
+		for (int view = VIEW_STALE; view <= VIEW_TWO; view++) {
+			struct model_result direct;
+
+			view_run(false, (enum model_view)view, FAULT_NONE,
+				 demands[i], &direct);
+			g_assert_cmpuint(dispatched.late, <=, direct.late);
+		}
+	}
 }
 
 /* At least half of the late calls are gone and servers refuse hardly any send,
@@ -118,6 +146,7 @@
 			     test_load);
 	g_test_add_data_func("/sched/dispatch/load/above", &demands[1],
 			     test_load);
+	g_test_add_func("/sched/dispatch/views", test_views);
 	for (int i = FAULT_KILLED; i <= FAULT_CALLERS_KILLED; i++) {
 		g_autofree char *path =
 			g_strdup_printf("/sched/dispatch/fault/%s", faults[i]);
