sched: the capacity of all servers is computed once per pass

With hundreds of servers and a backlog each end of a call cost a scan of all servers for each waiting call.

--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -135,11 +135,13 @@
 	g_free(waiting);
 }
 
-static void waiting_refuse(struct dispatch *dispatch, int64_t now, guint index)
+static void waiting_refuse(struct dispatch *dispatch,
+			   const struct dispatch_capacity *capacity,
+			   guint index)
 {
 	struct dispatch_answer answer = {
 		.result = DISPATCH_REFUSED,
-		.usec = dispatch_retry(dispatch, now),
+		.usec = dispatch_retry(dispatch, capacity),
 	};
 
 	waiting_answer(dispatch, index, &answer);
@@ -147,14 +149,14 @@
 
 /* Whether the call can be in time with that many before it, and its caller
  * waits as long. */
-static bool waiting_in_time(const struct dispatch *dispatch, int64_t now,
-			    const struct dispatch_waiting *waiting,
+static bool waiting_in_time(const struct dispatch_capacity *capacity,
+			    int64_t now, const struct dispatch_waiting *waiting,
 			    uint32_t before)
 {
-	double wait = dispatch_wait(dispatch, now, before);
+	double wait = dispatch_wait(capacity, before);
 
 	return (double)now + wait <= (double)waiting->leave_at &&
-	       dispatch_in_time(dispatch, now, wait, waiting->target_at - now);
+	       dispatch_in_time(capacity, wait, waiting->target_at - now);
 }
 
 /* Grants a server to the call. One that would be late there, but not at a
@@ -188,21 +190,28 @@
  * longer be in time behind the calls before it. */
 static void queue_serve(struct dispatch *dispatch, int64_t now)
 {
+	struct dispatch_capacity capacity;
 	guint i = 0;
 
+	if (dispatch->queue->len == 0)
+		return;
 	queue_sort(dispatch, now);
+	dispatch_capacity_of(dispatch, now, &capacity);
 	while (i < dispatch->queue->len) {
 		const struct dispatch_waiting *waiting =
 			dispatch->queue->pdata[i];
 		struct dispatch_answer answer = {0};
 
-		if (waiting_grant(dispatch, now, waiting,
-				  dispatch->queue->len == 1, &answer))
+		if (capacity.free > 0 &&
+		    waiting_grant(dispatch, now, waiting,
+				  dispatch->queue->len == 1, &answer)) {
 			waiting_answer(dispatch, i, &answer);
-		else if (!waiting_in_time(dispatch, now, waiting, i))
-			waiting_refuse(dispatch, now, i);
-		else
+			dispatch_capacity_of(dispatch, now, &capacity);
+		} else if (!waiting_in_time(&capacity, now, waiting, i)) {
+			waiting_refuse(dispatch, &capacity, i);
+		} else {
 			i++;
+		}
 	}
 }
 
@@ -259,6 +268,7 @@
 				      const struct dispatch_call *call,
 				      struct dispatch_answer *answer)
 {
+	struct dispatch_capacity capacity;
 	struct dispatch_waiting *waiting;
 	uint32_t before;
 
@@ -266,20 +276,21 @@
 		return answer->result;
 	waiting = waiting_create(dispatch, now, call);
 	before = queued_before(dispatch, waiting);
-	if ((before == 0 || dispatch_wait(dispatch, now, before) <= 0.0) &&
+	dispatch_capacity_of(dispatch, now, &capacity);
+	if (before < capacity.free &&
 	    waiting_grant(dispatch, now, waiting, dispatch->queue->len == 0,
 			  answer)) {
 		g_free(waiting);
 		return answer->result;
 	}
 	if (dispatch->queue->len >= DISPATCH_QUEUE_MAX ||
-	    !waiting_in_time(dispatch, now, waiting, before)) {
+	    !waiting_in_time(&capacity, now, waiting, before)) {
 		answer->result = DISPATCH_REFUSED;
-		answer->usec = dispatch_retry(dispatch, now);
+		answer->usec = dispatch_retry(dispatch, &capacity);
 		g_free(waiting);
 		return answer->result;
 	}
-	answer->usec = (int64_t)dispatch_wait(dispatch, now, before);
+	answer->usec = (int64_t)dispatch_wait(&capacity, before);
 	g_ptr_array_add(dispatch->queue, waiting);
 	dispatch->sorted = false;
 	return answer->result;
--- a/sched/dispatch_choice.c
+++ b/sched/dispatch_choice.c
@@ -11,6 +11,10 @@
  * servers change theirs several times a second. */
 #define PACE_HALF_LIFE_USEC 300e3
 
+/* Longest drain time that a retry delay is computed from: no server may be
+ * usable. */
+#define RETRY_MAX_USEC 500e3
+
 double dispatch_pace(const struct dispatch_server *server, int64_t now)
 {
 	double age = (double)MAX(now - server->paced_at, 0);
@@ -89,74 +93,51 @@
 	return best;
 }
 
-/* Calls that the usable servers complete per microsecond. */
-static double drain_rate(const struct dispatch *dispatch, int64_t now)
+void dispatch_capacity_of(const struct dispatch *dispatch, int64_t now,
+			  struct dispatch_capacity *capacity)
 {
 	const struct dispatch_server *server;
+	double fastest = DBL_MAX;
 	GHashTableIter iter;
-	double rate = 0.0;
 
+	*capacity = (struct dispatch_capacity){.run_usec = DBL_MAX};
 	g_hash_table_iter_init(&iter, dispatch->servers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&server))
-		if (server->usable)
-			rate += server->slots / (dispatch->mean_usec *
-						 dispatch_pace(server, now));
-	return rate;
-}
-
-/* Free places of usable servers. */
-static uint32_t free_places(const struct dispatch *dispatch, int64_t now)
-{
-	const struct dispatch_server *server;
-	GHashTableIter iter;
-	uint32_t sum = 0;
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&server)) {
+		double pace = dispatch_pace(server, now);
 
-	g_hash_table_iter_init(&iter, dispatch->servers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&server))
+		if (!server->usable)
+			continue;
+		capacity->rate += server->slots / (dispatch->mean_usec * pace);
 		if (has_place(server, now))
-			sum += server->slots + DISPATCH_EXTRA -
-			       in_progress(server, now);
-	return sum;
+			capacity->free += server->slots + DISPATCH_EXTRA -
+					  in_progress(server, now);
+		fastest = MIN(fastest, pace);
+	}
+	if (fastest < DBL_MAX)
+		capacity->run_usec = fastest * dispatch->mean_usec;
 }
 
-double dispatch_wait(const struct dispatch *dispatch, int64_t now,
-		     uint32_t before)
+double dispatch_wait(const struct dispatch_capacity *capacity, uint32_t before)
 {
-	uint32_t free = free_places(dispatch, now);
-	double rate = drain_rate(dispatch, now);
-
-	if (before < free)
+	if (before < capacity->free)
 		return 0.0;
-	return rate > 0.0 ? (double)(before - free + 1) / rate : DBL_MAX;
-}
-
-/* The run at the fastest server: a call is refused for want of time only when
- * no server could complete it. */
-static double run_usec(const struct dispatch *dispatch, int64_t now)
-{
-	const struct dispatch_server *server;
-	GHashTableIter iter;
-	double pace = DBL_MAX;
-
-	g_hash_table_iter_init(&iter, dispatch->servers);
-	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&server))
-		if (server->usable)
-			pace = MIN(pace, dispatch_pace(server, now));
-	return pace < DBL_MAX ? pace * dispatch->mean_usec : DBL_MAX;
+	return capacity->rate > 0.0
+		       ? (double)(before - capacity->free + 1) / capacity->rate
+		       : DBL_MAX;
 }
 
-bool dispatch_in_time(const struct dispatch *dispatch, int64_t now,
+bool dispatch_in_time(const struct dispatch_capacity *capacity,
 		      double wait_usec, int64_t left_usec)
 {
-	return wait_usec + run_usec(dispatch, now) + DISPATCH_TRANSIT_USEC <=
+	return wait_usec + capacity->run_usec + DISPATCH_TRANSIT_USEC <=
 	       (double)left_usec;
 }
 
-int64_t dispatch_retry(const struct dispatch *dispatch, int64_t now)
+int64_t dispatch_retry(const struct dispatch *dispatch,
+		       const struct dispatch_capacity *capacity)
 {
-	double drain = dispatch_wait(dispatch, now, dispatch->queue->len);
+	double drain = dispatch_wait(capacity, dispatch->queue->len);
 
-	drain = MIN(MAX(drain, dispatch->mean_usec),
-		    (double)DISPATCH_LEASE_MIN_USEC);
+	drain = MIN(MAX(drain, dispatch->mean_usec), RETRY_MAX_USEC);
 	return (int64_t)(drain * (1.0 + dispatch->ops.random(dispatch->ctx)));
 }
--- a/sched/dispatch_private.h
+++ b/sched/dispatch_private.h
@@ -53,6 +53,13 @@
 	bool sorted;
 };
 
+/* All usable servers together. */
+struct dispatch_capacity {
+	uint32_t free;	 /* places */
+	double rate;	 /* calls completed per microsecond */
+	double run_usec; /* of a call at the fastest one */
+};
+
 /* Time that a call takes besides its wait and its run: the ways between
  * instance, dispatcher and server. */
 #define DISPATCH_TRANSIT_USEC 4000.0
@@ -71,15 +78,17 @@
 					const struct dispatch_call *call,
 					bool late,
 					struct dispatch_terms *terms);
+void dispatch_capacity_of(const struct dispatch *dispatch, int64_t now,
+			  struct dispatch_capacity *capacity);
 /* Expected wait, in microseconds, of a call that has that many before it. */
-double dispatch_wait(const struct dispatch *dispatch, int64_t now,
-		     uint32_t before);
-/* Whether a call with that wait and that much time left is in time; the run is
- * taken to be at a server of the usual pace of the service. */
-bool dispatch_in_time(const struct dispatch *dispatch, int64_t now,
+double dispatch_wait(const struct dispatch_capacity *capacity, uint32_t before);
+/* Whether a call with that wait and that much time left can be in time at any
+ * server. */
+bool dispatch_in_time(const struct dispatch_capacity *capacity,
 		      double wait_usec, int64_t left_usec);
 /* Retry delay of a refused call. */
-int64_t dispatch_retry(const struct dispatch *dispatch, int64_t now);
+int64_t dispatch_retry(const struct dispatch *dispatch,
+		       const struct dispatch_capacity *capacity);
 
 /* dispatch_grant.c */
 /* Adds a grant, by the terms in the answer, and completes the answer. */
