sched: room claims, so that urgent streams are served first at all instances

Each instance queues its own streams, so freed memory went to the instance that looked first, and urgent streams lost it to deferrable ones. Where the catalog ranks streams, they are now ordered by urgency, then by the priority of the route, then by work; early refusal counts only those that go before; and an instance claims room for its first waiting stream, which requests of lower rank leave free at all instances.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -58,6 +58,14 @@
 	forward->unknown_keys =
 		counter_get(set, "jt_unknown_keys_total",
 			    "Requests denied for want of a known key", NULL);
+	forward->room_claims =
+		counter_get(set, "jt_room_claims_total",
+			    "Claims for decode memory, renewals and "
+			    "withdrawals, sent to all instances",
+			    NULL);
+	forward->room_claims_unsent =
+		counter_get(set, "jt_room_claims_unsent_total",
+			    "Those not sent for the limit of their rate", NULL);
 	forward->whole_time = histogram_get(set, "jt_request_seconds",
 					    "Arrival to the end of the answer",
 					    "stage=\"whole\"");
@@ -104,6 +112,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	forward->first_event_usec = FIRST_EVENT_USEC;
 	forward->started_at = clock_now(parts->clock);
+	forward->room.request = HANDLE_NONE;
 	timer_init(&forward->pump, parts->clock, on_pump, forward);
 	counters_setup(forward);
 	crash_detector_open(forward);
@@ -146,6 +155,7 @@
 	}
 	catalog_unref(forward->catalog);
 	forward->catalog = catalog_ref(catalog);
+	room_levels_update(forward);
 	log_event(LOG_NOTICE, "catalog_in_force",
 		  LOG_D("version", catalog->version), LOG_D("before", old),
 		  LOG_D("routes", catalog->routes->len),
@@ -176,6 +186,18 @@
 	return forward->waiting.length;
 }
 
+bool forward_waiting_ranks(const struct forward *forward,
+			   uint32_t counts[PRECEDENCE_RANKS])
+{
+	if (!room_ranked(forward))
+		return false;
+	for (uint32_t i = 0; i < PRECEDENCE_RANKS; i++)
+		counts[i] = 0;
+	for (GList *link = forward->waiting.head; link; link = link->next)
+		counts[room_rank(link->data)]++;
+	return true;
+}
+
 static double demand_decayed(const struct demand *demand, int64_t now)
 {
 	return demand->tokens *
--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -236,6 +236,34 @@
 	}
 }
 
+static void claim_pack(msgpack_packer *packer, const struct room_claim *claim)
+{
+	msgpack_pack_array(packer, ROOM_CLAIM_FIELDS);
+	msgpack_pack_uint64(packer, claim->request);
+	msgpack_pack_uint32(packer, claim->rank);
+	msgpack_pack_uint64(packer, claim->server);
+	msgpack_pack_uint32(packer, claim->tokens);
+	msgpack_pack_int64(packer, claim->usec / USEC_PER_MSEC);
+}
+
+/* The field before the ranks is not used. */
+static void ranks_pack(msgpack_packer *packer,
+		       const struct gossip_summary *summary)
+{
+	msgpack_pack_array(packer, 0);
+	msgpack_pack_array(packer, PRECEDENCE_RANKS);
+	for (uint32_t i = 0; i < PRECEDENCE_RANKS; i++)
+		msgpack_pack_uint32(packer, MIN(summary->waiting_ranked[i],
+						RANK_WAITING_MAX));
+}
+
+static uint32_t fields_of(const struct gossip_message *message)
+{
+	if (message->kind >= GOSSIP_CHANGES)
+		return CHANGES_FIELDS;
+	return message->summary.ranked ? RANKED_SUMMARY_FIELDS : SUMMARY_FIELDS;
+}
+
 static uint8_t flags_of(const struct gossip_message *message)
 {
 	return (message->summary.leaving ? FLAG_LEAVING : 0) |
@@ -274,6 +302,8 @@
 	usage_pack(packer, message->usage);
 	unreachable_pack(packer, summary);
 	facts_pack(packer, message->facts);
+	if (summary->ranked)
+		ranks_pack(packer, summary);
 }
 
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
@@ -282,8 +312,7 @@
 	msgpack_packer packer;
 
 	msgpack_packer_init(&packer, out, pack_append);
-	msgpack_pack_array(&packer,
-			   is_summary ? SUMMARY_FIELDS : CHANGES_FIELDS);
+	msgpack_pack_array(&packer, fields_of(message));
 	msgpack_pack_int(&packer, GOSSIP_FORMAT);
 	msgpack_pack_int(&packer, (int)message->kind);
 	msgpack_pack_uint64(&packer, message->boot);
@@ -302,6 +331,8 @@
 		origin_query_pack(&packer, &message->origin_query);
 	else if (message->kind == GOSSIP_ORIGIN_ANSWER)
 		origin_answer_pack(&packer, message);
+	else if (message->kind == GOSSIP_ROOM_CLAIM)
+		claim_pack(&packer, &message->claim);
 	else
 		loads_pack(&packer, message->loads);
 	if (is_summary)
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -12,6 +12,7 @@
  *	[[next, changed, age in microseconds], ...], name of the lowest
  *	instance, [address, ...], [usage, ...],
  *	[[backend, milliseconds left], ...], [fact, ...]
+ *	and, where streams are ranked, [], [waiting requests of a rank, ...]
  *
  *	Changes: [[backend, requests, decode tokens, prefill tokens], ...]
  *	Usage: [usage, ...], of an instance or of its data centre
@@ -20,6 +21,7 @@
  *	Origin: [stream, version]
  *	Origin query: [id, stream, service, window in microseconds]
  *	Origin answer: [id, stream, version or 0, only version or 0, mixed]
+ *	Room claim: [request id, rank, server, tokens, milliseconds]
  *	Quarantine: [[high, low, epoch, stored, [incarnation, ...]], ...], with
  *	the two halves of a request fingerprint and the incarnations of servers
  *	that crashed
@@ -68,7 +70,8 @@
 	GOSSIP_ORIGIN,	   /* the version that began a stream */
 	GOSSIP_ORIGIN_QUERY,
 	GOSSIP_ORIGIN_ANSWER,
-	GOSSIP_UNKNOWN, /* of a later release; ignored */
+	GOSSIP_ROOM_CLAIM = 13, /* of memory at a server */
+	GOSSIP_UNKNOWN,		/* of a later release; ignored */
 };
 
 /* Name of a data centre, with the index and number of its groups. */
@@ -105,6 +108,7 @@
 	 * GOSSIP_ORIGIN_ANSWER. */
 	struct origin_query origin_query;
 	struct origin_answer origin_answer; /* for GOSSIP_ORIGIN_ANSWER only */
+	struct room_claim claim;	    /* for GOSSIP_ROOM_CLAIM only */
 	/* The following fields are set in summaries only. */
 	char name[BACKEND_TEXT_MAX];
 	char group[GOSSIP_GROUP_MAX]; /* of the sender */
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -374,6 +374,44 @@
 	return true;
 }
 
+static bool claim_read(const msgpack_object *object, struct room_claim *claim)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t tokens;
+	uint64_t rank;
+	uint64_t msec;
+
+	if (!is_tuple(object, ROOM_CLAIM_FIELDS) ||
+	    !unsigned_read(&fields[0], UINT64_MAX, &claim->request) ||
+	    !unsigned_read(&fields[1], PRECEDENCE_RANKS - 1, &rank) ||
+	    !unsigned_read(&fields[2], UINT64_MAX, &claim->server) ||
+	    !unsigned_read(&fields[3], LOAD_MAX, &tokens) ||
+	    !unsigned_read(&fields[4], UINT32_MAX, &msec))
+		return false;
+	claim->rank = (uint32_t)rank;
+	claim->tokens = (uint32_t)tokens;
+	claim->usec = (int64_t)msec * USEC_PER_MSEC;
+	return true;
+}
+
+/* The last field of a summary; releases that have no ranks leave it out. */
+static bool ranks_read(const msgpack_object *object,
+		       struct gossip_summary *summary)
+{
+	if (!is_array(object, PRECEDENCE_RANKS))
+		return false;
+	summary->ranked = object->via.array.size > 0;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		uint64_t waiting;
+
+		if (!unsigned_read(&object->via.array.ptr[i], RANK_WAITING_MAX,
+				   &waiting))
+			return false;
+		summary->waiting_ranked[i] = (uint32_t)waiting;
+	}
+	return true;
+}
+
 static bool unreachable_read(const msgpack_object *object,
 			     struct gossip_summary *summary)
 {
@@ -452,6 +490,8 @@
 		return origin_query_read(body, &message->origin_query);
 	case GOSSIP_ORIGIN_ANSWER:
 		return origin_answer_read(body, message);
+	case GOSSIP_ROOM_CLAIM:
+		return claim_read(body, &message->claim);
 	default:
 		return message->kind == GOSSIP_UNKNOWN;
 	}
@@ -472,6 +512,8 @@
 	    !unsigned_read(&fields[2], UINT64_MAX, &message->boot) ||
 	    !unsigned_read(&fields[3], UINT64_MAX, &message->sequence))
 		return false;
+	if (kind >= KIND_RESERVED_FIRST && kind <= KIND_RESERVED_LAST)
+		kind = GOSSIP_UNKNOWN;
 	message->kind = (enum gossip_kind)MIN(kind, GOSSIP_UNKNOWN);
 	if (message->kind > GOSSIP_CHANGES)
 		return object->via.array.size == CHANGES_FIELDS &&
@@ -481,7 +523,9 @@
 	if (message->kind == GOSSIP_CHANGES)
 		return object->via.array.size == CHANGES_FIELDS;
 	return object->via.array.size >= SUMMARY_FIELDS &&
-	       summary_read(&fields[CHANGES_FIELDS], message);
+	       summary_read(&fields[CHANGES_FIELDS], message) &&
+	       (object->via.array.size <= RANKS_AT ||
+		ranks_read(&fields[RANKS_AT], &message->summary));
 }
 
 bool gossip_decode(struct gossip_message *message, const void *data,
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -12,6 +12,15 @@
 #define CHANGES_FIELDS 5
 #define QUARANTINE_FIELDS 5
 #define SUMMARY_FIELDS 20
+/* With the waiting requests by rank; their position. */
+#define RANKED_SUMMARY_FIELDS 22
+#define RANKS_AT 21
+/* Far more requests than wait at all instances of a data centre. */
+#define RANK_WAITING_MAX (1u << 24)
+#define ROOM_CLAIM_FIELDS 5
+/* Kinds without a use in this release. */
+#define KIND_RESERVED_FIRST 10
+#define KIND_RESERVED_LAST 12
 #define FACT_FIELDS 6
 #define PERMIT_REQUEST_FIELDS 2
 #define PERMIT_ANSWER_FIELDS 4
--- a/forward/gossip_private.h
+++ b/forward/gossip_private.h
@@ -198,6 +198,11 @@
 void gossip_origin_receive(struct gossip *gossip, const struct peer *peer,
 			   const struct gossip_message *message);
 
+/* Functions of gossip_claims.c. */
+/* Handles a claim of a peer. */
+void gossip_claim_receive(struct gossip *gossip, const struct peer *peer,
+			  const struct room_claim *claim);
+
 /* Functions of gossip_view.c. */
 /* Time after which the summary of another group expires, and the addresses of
  * its instances. */
--- a/forward/gossip_receive.c
+++ b/forward/gossip_receive.c
@@ -135,6 +135,12 @@
 					  message->quarantine);
 		return;
 	}
+	/* An unknown instance cannot claim. */
+	if (message->kind == GOSSIP_ROOM_CLAIM) {
+		if (peer)
+			gossip_claim_receive(gossip, peer, &message->claim);
+		return;
+	}
 	if (!peer && (message->kind < GOSSIP_CHANGES || is_permit(message) ||
 		      is_origin(message)))
 		peer = peer_add(gossip, from);
--- a/forward/gossip_view.c
+++ b/forward/gossip_view.c
@@ -305,6 +305,15 @@
 	}
 }
 
+static void ranks_add(struct gossip_summary *total,
+		      const struct gossip_summary *summary)
+{
+	if (!summary->ranked)
+		total->waiting_ranked[0] += summary->waiting;
+	for (uint32_t i = 0; summary->ranked && i < PRECEDENCE_RANKS; i++)
+		total->waiting_ranked[i] += summary->waiting_ranked[i];
+}
+
 static void totals_add(struct gossip_summary *total,
 		       const struct gossip_summary *summary)
 {
@@ -312,6 +321,7 @@
 	total->waiting += summary->waiting;
 	total->prefill_rates += summary->prefill_rates;
 	total->prefill_rate_count += summary->prefill_rate_count;
+	ranks_add(total, summary);
 }
 
 void gossip_total_local(const struct gossip *gossip,
--- a/forward/node.c
+++ b/forward/node.c
@@ -92,6 +92,8 @@
 	if (!catalog)
 		return;
 	summary->version = catalog->version;
+	summary->ranked =
+		forward_waiting_ranks(node->forward, summary->waiting_ranked);
 	g_hash_table_iter_init(&iter, catalog->services);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
 		struct forward_demand demand;
@@ -126,6 +128,7 @@
 	const struct catalog *catalog = forward_catalog(node->forward);
 
 	node_mirrors_merge(node, address, summary);
+	node_ranks_received(node, summary);
 	/* A server that a remote instance cannot reach may be reachable from
 	 * here, so only local reports are merged. */
 	for (uint32_t i = 0; local && i < summary->unreachable_count; i++)
@@ -262,6 +265,8 @@
 		.relay_result = node_relay_result,
 		.origin_began = node_origin_began,
 		.origin_ask = node_origin_ask,
+		.waiting_ranked = node_waiting_ranked,
+		.room_claim = node_room_claim,
 		.callbacks_ctx = node,
 	};
 
@@ -281,6 +286,8 @@
 	parts.backpressure = node->backpressure;
 	parts.limits = node->limits;
 	parts.origins = node->origins;
+	node_claims_open(node);
+	parts.precedence = node->precedence;
 	node->forward = forward_create(&parts);
 	node->malformed =
 		counter_get(node->counters, "jt_records_refused_total",
@@ -306,6 +313,7 @@
 		.origin_received = node_origin_received,
 		.origin_queried = node_origin_queried,
 		.origin_answered = node_origin_answered,
+		.claim_received = node_claim_received,
 	};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
@@ -423,6 +431,7 @@
 	backpressure_destroy(node->backpressure);
 	limits_destroy(node->limits);
 	origins_destroy(node->origins);
+	precedence_destroy(node->precedence);
 }
 
 static void on_signal(void *ctx, int signal)
--- a/forward/node.h
+++ b/forward/node.h
@@ -66,6 +66,10 @@
 	struct quarantine *quarantine;
 	struct backpressure *backpressure;
 	struct origins *origins;
+	struct precedence *precedence;
+	struct counter *claims_received;
+	struct counter *claims_dropped;
+	struct counter *claim_datagrams;
 	int64_t pruned_at;
 	struct limits *limits;
 	struct quarantine_write quarantine_write;
@@ -169,6 +173,16 @@
 void node_origin_answered(void *ctx, const struct origin_query *query,
 			  const struct origin_answer *answer);
 
+/* node_claims.c: claims of decode memory, to and from other instances, and the
+ * numbers of waiting requests by rank. */
+void node_claims_open(struct node *node);
+void node_room_claim(void *ctx, const struct room_claim *claim);
+void node_claim_received(void *ctx, uint64_t from,
+			 const struct room_claim *claim);
+uint32_t node_waiting_ranked(void *ctx, uint32_t rank);
+void node_ranks_received(struct node *node,
+			 const struct gossip_summary *summary);
+
 /* node_relays.c: instances that connect to servers for each other. */
 bool node_relay_choose(void *ctx, const struct backend_info *to,
 		       char relay[ADDRESS_TEXT_MAX]);
--- a/forward/organisation.c
+++ b/forward/organisation.c
@@ -110,6 +110,19 @@
 	return g_hash_table_size(all->by_id);
 }
 
+void organisations_each(const struct organisations *all,
+			void (*fn)(void *ctx,
+				   const struct organisation *organisation),
+			void *ctx)
+{
+	const struct organisation *organisation;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, all->by_id);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&organisation))
+		fn(ctx, organisation);
+}
+
 const struct organisation *organisation_of_key(const struct organisations *all,
 					       const char *key, size_t size)
 {
--- a/forward/place.c
+++ b/forward/place.c
@@ -120,6 +120,11 @@
 	       !(place->unlimited && is_limited(place, backend));
 }
 
+bool place_allows(const struct place *place, const struct backend *backend)
+{
+	return backend_allowed(place, backend);
+}
+
 int64_t place_staleness(const struct place *place,
 			const struct backend *backend)
 {
@@ -290,6 +295,16 @@
 	       (double)STALE_REQUEST_USEC;
 }
 
+/* Room that requests of higher precedence have claimed at the server. */
+static struct precedence_room claimed_room(const struct place *place,
+					   const struct backend *backend)
+{
+	if (!place->precedence)
+		return (struct precedence_room){0, 0};
+	return precedence_claimed(place->precedence, place->now, backend->key,
+				  place->rank, place->due);
+}
+
 static bool decode_has_room(const struct place *place,
 			    const struct backend *backend,
 			    const struct decode_request *request)
@@ -297,7 +312,8 @@
 	const struct engine_traits *engine = request->engine;
 	double unseen = unseen_requests(place, backend);
 	uint64_t needed = (uint64_t)(request->tokens * (1.0 + unseen));
-	uint32_t requests = backend_requests(backend);
+	const struct precedence_room claimed = claimed_room(place, backend);
+	uint32_t requests = backend_requests(backend) + claimed.requests;
 
 	if (place->now < backend->full_until)
 		return false;
@@ -306,7 +322,21 @@
 		return false;
 	/* An apparently empty server may take any request that fits at all. */
 	needed = MIN(needed, MAX(engine->memory_tokens, request->tokens));
-	return backend_decode_tokens(backend) + needed <= engine->memory_tokens;
+	return (uint64_t)backend_decode_tokens(backend) + needed +
+		       claimed.tokens <=
+	       engine->memory_tokens;
+}
+
+/* Claimed memory counts as used where other servers have room: a small urgent
+ * request would otherwise take the room that is kept for a large one. */
+static uint32_t contended_tokens(const struct place *place,
+				 const struct backend *backend)
+{
+	return place->precedence
+		       ? precedence_contended(place->precedence, place->now,
+					      backend->key, place->rank,
+					      place->request)
+		       : 0;
 }
 
 static double decode_cost(const struct place *place,
@@ -317,8 +347,9 @@
 	if (backend->info.stage != STAGE_DECODE ||
 	    !decode_has_room(place, backend, request))
 		return COST_UNUSABLE;
-	return (double)(backend_decode_tokens(backend) +
-			backend_prefill_tokens(backend)) /
+	return ((double)(backend_decode_tokens(backend) +
+			 backend_prefill_tokens(backend)) +
+		(double)contended_tokens(place, backend)) /
 		       (double)MAX(request->engine->memory_tokens, 1) +
 	       distance_cost(backend, DECODE_REMOTE_COST) +
 	       (is_relayed(place, backend) ? RELAY_COST : 0.0) +
--- a/forward/request.h
+++ b/forward/request.h
@@ -15,6 +15,7 @@
 #include "crash_detector.h"
 #include "forward/events.h"
 #include "forward/forward.h"
+#include "forward/overload.h"
 #include "forward/place.h"
 #include "prober.h"
 
@@ -121,6 +122,15 @@
 	END_COUNT,
 };
 
+/* The claims of this instance, for its first waiting request. */
+struct room {
+	uint64_t request; /* handle; HANDLE_NONE: no claim */
+	uint32_t rank;
+	uint64_t servers[PRECEDENCE_SERVERS_MAX]; /* keys */
+	uint32_t count;
+	int64_t sent_at;
+};
+
 struct forward {
 	struct forward_parts parts;
 	int64_t started_at;
@@ -131,6 +141,10 @@
 	struct crash_detector *crash_detector;
 	struct prober *prober;
 	double first_event_usec; /* mean time from reservation to first event */
+	struct precedence_levels levels; /* of the catalog in force */
+	struct room room;
+	struct counter *room_claims;
+	struct counter *room_claims_unsent;
 	bool draining;
 	size_t unread;			     /* sum over all requests */
 	struct counter *outcomes[END_COUNT]; /* by enum request_end */
@@ -304,6 +318,21 @@
 /* Of the servers that run it. */
 enum backend_stage request_stage(const struct request *request);
 
+/* room.c: claims of memory for the first waiting request, where the catalog in
+ * force is ranked. */
+bool room_ranked(const struct forward *forward);
+/* Takes the ranks from the catalog in force. */
+void room_levels_update(struct forward *forward);
+uint32_t room_rank(const struct request *request);
+/* Makes placing respect the claims of others. */
+void room_place(const struct request *request, struct place *place);
+/* Records that a request of this rank was received. */
+void room_seen(const struct request *request);
+/* Claims room for the request, which cannot be placed, or renews the claims. */
+void room_claim(struct request *request);
+/* Withdraws the claims of the request, if any. */
+void room_withdraw(struct request *request);
+
 /* plain.c, stream.c and waiting.c */
 void plain_start(struct request *request);
 void stream_start(struct request *request);
@@ -319,6 +348,8 @@
 void stream_dequeue(struct request *request);
 /* Decode memory charged for the request, in tokens. */
 uint32_t stream_tokens(const struct request *request);
+/* The request as overload.h has it. */
+struct overload_caller stream_caller(const struct request *request);
 bool stream_waiting_full(const struct forward *forward);
 /* Starts a reservation at a server with room for that many requests of this
  * size; false when there is none. */
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -449,6 +449,7 @@
 
 	request_place(request, &place);
 	place.tried = NULL;
+	room_place(request, &place);
 	/* An idle server is suitable for any request that fits its memory. */
 	backend =
 		place_decode(&place, engine,
@@ -536,6 +537,7 @@
 	demand_add(forward, request->service->id,
 		   request->caller.prompt_tokens);
 	stream_weigh(request);
+	room_seen(request);
 	if (forward->draining || stream_waiting_full(forward)) {
 		request_refuse(request,
 			       forward->draining ? RESULT_DRAINING
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -30,6 +30,7 @@
 		return;
 	g_queue_unlink(&request->forward->waiting, &request->link);
 	request->waiting = false;
+	room_withdraw(request);
 }
 
 void stream_enqueue(struct request *request)
@@ -49,19 +50,22 @@
 	return forward->waiting.length >= WAITING_MAX;
 }
 
-static struct overload_caller caller_of(const struct request *request)
+struct overload_caller stream_caller(const struct request *request)
 {
+	bool ranked = room_ranked(request->forward);
+
 	return (struct overload_caller){
 		.arrived = request->arrived,
 		.target_usec = request->route->target_usec,
 		.urgency = request_urgency(request),
+		.priority = ranked ? request->route->priority : 0,
 		.weight = request->weight,
 	};
 }
 
 static bool meets_target(const struct request *request, int64_t now)
 {
-	const struct overload_caller caller = caller_of(request);
+	const struct overload_caller caller = stream_caller(request);
 
 	return overload_meets_target(&caller, now,
 				     request->forward->first_event_usec);
@@ -93,8 +97,8 @@
 {
 	const struct request *first = *(struct request *const *)a;
 	const struct request *second = *(struct request *const *)b;
-	const struct overload_caller one = caller_of(first);
-	const struct overload_caller other = caller_of(second);
+	const struct overload_caller one = stream_caller(first);
+	const struct overload_caller other = stream_caller(second);
 
 	if (is_confined(first) != is_confined(second))
 		return is_confined(first) ? -1 : 1;
@@ -105,6 +109,9 @@
 {
 	g_autoptr(GPtrArray) list = g_ptr_array_new();
 	int64_t now = clock_now(forward->parts.clock);
+	uint32_t blocked_rank = 0;
+	bool blocked = false;
+	bool claimed = false;
 
 	for (GList *link = forward->waiting.tail; link; link = link->prev)
 		if (goes_first(link->data, now) == in_time)
@@ -113,30 +120,53 @@
 	for (guint i = 0; i < list->len; i++) {
 		struct request *request = list->pdata[i];
 
+		if (blocked && !is_confined(request) &&
+		    room_rank(request) <= blocked_rank)
+			continue;
 		if (request_quarantine(request))
 			continue;
-		if (!stream_reserve(request, in_time ? 1 : LATE_ROOM_FACTOR) &&
-		    !is_confined(request) && request->barred.count == 0)
+		if (stream_reserve(request, in_time ? 1 : LATE_ROOM_FACTOR))
+			continue;
+		if (in_time && !claimed) {
+			room_claim(request);
+			claimed = true;
+		}
+		if (is_confined(request) || request->barred.count > 0)
+			continue;
+		if (!room_ranked(forward))
 			return;
+		/* Where memory is claimed for it, others may use the rest. */
+		blocked = true;
+		blocked_rank = room_rank(request);
 	}
 }
 
+/* Requests that are served before this one, at all instances. */
+static uint32_t waiting_before(const struct request *request)
+{
+	const struct forward_parts *parts = &request->forward->parts;
+
+	if (room_ranked(request->forward) && parts->waiting_ranked)
+		return parts->waiting_ranked(parts->callbacks_ctx,
+					     room_rank(request));
+	return parts->waiting(parts->callbacks_ctx);
+}
+
 /* Seconds until the requests that wait at all instances are placed. */
 static double queue_sec(const struct request *request)
 {
-	const struct forward_parts *parts = &request->forward->parts;
 	struct place place;
 	double places;
 
 	request_place(request, &place);
 	places = place_decode_capacity(&place, &request->service->engine,
 				       stream_tokens(request));
-	return overload_queue_sec(parts->waiting(parts->callbacks_ctx), places);
+	return overload_queue_sec(waiting_before(request), places);
 }
 
 static bool early_refuse(struct request *request, int64_t now)
 {
-	const struct overload_caller caller = caller_of(request);
+	const struct overload_caller caller = stream_caller(request);
 
 	if (request->reservations > 0 || is_confined(request) ||
 	    request->checked_early || !overload_check_due(&caller, now))
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -46,6 +46,7 @@
 #include "forward/fleet.h"
 #include "forward/origins.h"
 #include "forward/rates.h"
+#include "sched/precedence.h"
 #include "web/loop.h"
 
 struct forward;
@@ -105,6 +106,12 @@
 typedef uint32_t (*forward_origin_ask_fn)(void *ctx,
 					  const struct origin_query *query);
 
+/* Requests of that rank or a higher one that wait at all instances. */
+typedef uint32_t (*forward_ranked_fn)(void *ctx, uint32_t rank);
+
+/* Sends the claim to all live instances. */
+typedef void (*forward_claim_fn)(void *ctx, const struct room_claim *claim);
+
 struct forward_parts {
 	struct clock *clock;
 	struct loop *loop;
@@ -133,6 +140,11 @@
 	forward_relay_result_fn relay_result;
 	forward_origin_fn origin_began;
 	forward_origin_ask_fn origin_ask;
+	/* For catalogs that are ranked; NULL: no claims, and waiting() counts.
+	 */
+	struct precedence *precedence;
+	forward_ranked_fn waiting_ranked;
+	forward_claim_fn room_claim;
 	void *callbacks_ctx;
 };
 
@@ -168,6 +180,9 @@
 uint32_t forward_pending(const struct forward *forward);
 /* The number of these that wait for decode memory. */
 uint32_t forward_waiting(const struct forward *forward);
+/* Their numbers by rank; false when the catalog in force is not ranked. */
+bool forward_waiting_ranks(const struct forward *forward,
+			   uint32_t counts[PRECEDENCE_RANKS]);
 /* Recent demand for an engine service, for the choice of roles. */
 struct forward_demand {
 	double prompt_tokens_per_s;
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -48,6 +48,12 @@
  *	three each. A record is sent to them in one datagram each, and so is a
  *	query; each answers for itself. Nothing is repeated here.
  *
+ *	Claims of decode memory (sched/precedence.h) are sent to all live
+ *	instances, one datagram each, at most PRECEDENCE_SENDS_MAX claims a
+ *	second. They match by instance, request and server, so their order
+ *	does not matter; a lost one is made up for by the next renewal, and a
+ *	lost withdrawal by the expiry of the claim.
+ *
  *	State of a peer or data centre expires GOSSIP_STALE_USEC after its last
  *	summary. Nothing waits for a peer. Peers are first read from the store,
  *	then learnt from the senders of datagrams and from the addresses in
@@ -75,6 +81,7 @@
 #include "forward/fleet.h"
 #include "forward/mirror.h"
 #include "forward/origins.h"
+#include "sched/precedence.h"
 
 #define GOSSIP_INTERVAL_USEC (100 * USEC_PER_MSEC)
 /* Covers ten lost datagrams in a row, or five summaries of an idle peer. */
@@ -122,6 +129,11 @@
 	uint64_t version; /* of its catalog */
 	double demand;	  /* prompt tokens a second */
 	uint32_t waiting; /* requests without decode memory */
+	/* The same by rank, where streams are ranked. In a total, waiting
+	 * requests of instances that state no ranks count as rank 0: they yield
+	 * to none. */
+	bool ranked;
+	uint32_t waiting_ranked[PRECEDENCE_RANKS];
 	/* Prompt tokens a second that prefill servers process: the sum over the
 	 * instances that measured a rate, and the number of these instances. */
 	double prefill_rates;
@@ -214,6 +226,10 @@
 			       struct origin_answer *answer);
 	void (*origin_answered)(void *ctx, const struct origin_query *query,
 				const struct origin_answer *answer);
+	/* A peer, given by the hash of its address, has claimed room at a
+	 * server. NULL: claims are ignored. */
+	void (*claim_received)(void *ctx, uint64_t from,
+			       const struct room_claim *claim);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -260,6 +276,9 @@
 /* Asks the homes of the stream; returns how many were asked. */
 uint32_t gossip_origin_ask(struct gossip *gossip,
 			   const struct origin_query *query);
+/* Sends the claim to all live instances; returns their number. */
+uint32_t gossip_claim_send(struct gossip *gossip,
+			   const struct room_claim *claim);
 /* Recent mean delay, in microseconds, until a load change was sent to local or
  * remote peers. Received loads are about as old. */
 int64_t gossip_delay(const struct gossip *gossip, bool local);
--- a/include/forward/organisation.h
+++ b/include/forward/organisation.h
@@ -40,6 +40,11 @@
 			  struct organisation *organisation, const char *key,
 			  size_t size);
 uint32_t organisations_count(const struct organisations *all);
+/* Calls fn with each organisation, in any order. */
+void organisations_each(const struct organisations *all,
+			void (*fn)(void *ctx,
+				   const struct organisation *organisation),
+			void *ctx);
 /* The organisation that has the key; NULL when none has. */
 const struct organisation *organisation_of_key(const struct organisations *all,
 					       const char *key, size_t size);
--- a/include/forward/overload.h
+++ b/include/forward/overload.h
@@ -3,8 +3,9 @@
  *
  * DESCRIPTION
  *	For bursts that exceed the memory of the engines. Callers that can still
- *	meet their target go first; among them the more urgent, and among
- *	equally urgent ones the cheapest. Placing in order of arrival would, in
+ *	meet their target go first; among them the more urgent, then those of
+ *	the higher priority of route where routes are ranked, and among equal
+ *	ones the cheapest. Placing in order of arrival would, in
  *	a lasting overload, serve every caller slightly too late.
  *
  *	A caller is checked once, when a part of its target has passed. It is
@@ -22,10 +23,14 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/* One renewal of a claim for room (sched/precedence.h). */
+#define OVERLOAD_DUE_USEC INT64_C(100000)
+
 struct overload_caller {
 	int64_t arrived;
 	int64_t target_usec; /* from arrival to the first event */
 	uint32_t urgency;    /* 0 is the highest */
+	uint32_t priority;   /* among equally urgent ones; 0 is the highest */
 	double weight;	     /* relative cost, as engine_rates_weight() */
 };
 
@@ -50,6 +55,15 @@
  * length. */
 bool overload_misses_target(const struct overload_caller *caller, int64_t now,
 			    double first_event_usec, double queue_sec);
+/* Whether the caller meets its target if it is placed now, but not if it waits
+ * for OVERLOAD_DUE_USEC more. */
+bool overload_is_due(const struct overload_caller *caller, int64_t now,
+		     double first_event_usec);
+/* Retry time for a caller that is refused early, where streams are ranked: the
+ * queue before it and a random part of the same length. left_usec is the time
+ * until the caller gives up. */
+int64_t overload_retry_drained_usec(GRand *rand, double queue_sec,
+				    int64_t left_usec);
 /* Retry time for a caller that is refused early. */
 int64_t overload_retry_usec(GRand *rand);
 
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -19,6 +19,7 @@
 #include "forward/catalog.h"
 #include "forward/fleet.h"
 #include "forward/regions.h"
+#include "sched/precedence.h"
 
 #define PLACE_TRIED_MAX 8
 
@@ -60,6 +61,13 @@
 	const struct barred *barred; /* NULL: none */
 	GRand *rand;		     /* breaks ties */
 	uint32_t *visits;	     /* counts the servers examined, or NULL */
+	/* Claims for decode memory that requests of lower precedence leave
+	 * free, and rank and state of this request (sched/precedence.h); NULL:
+	 * none. */
+	const struct precedence *precedence;
+	uint32_t rank;
+	uint64_t request; /* in claims of this instance */
+	bool due;
 	/* Maximum age of the load of servers in this instance's group, and of
 	 * others. */
 	int64_t stale_local;
@@ -72,6 +80,8 @@
 /* Whether a server of the stage is listed that the request's regions allow and
  * that is not withdrawn; it may be unreachable or full. */
 bool place_has_server(const struct place *place, enum backend_stage stage);
+/* Whether the request may be sent to the server now, whatever its load. */
+bool place_allows(const struct place *place, const struct backend *backend);
 /* A server for a plain call; NULL when none is usable. */
 struct backend *place_plain(const struct place *place);
 /* The time at which the first server of a stage may be sent a request, when
