--- a/tests/forward/test_releases.c
+++ b/tests/forward/test_releases.c
@@ -92,10 +92,99 @@
 	gossip_message_clear(&message);
 }
 
+/* Where streams are ranked, a summary has two fields more. Receivers that do
+ * not know them, or get none, must read the rest. */
+static void test_ranked(void)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct gossip_message message;
+	struct error err;
+
+	message_fill(&message);
+	message.summary.ranked = true;
+	message.summary.waiting_ranked[1] = 3;
+	gossip_encode(&message, out);
+	gossip_message_clear(&message);
+	g_assert_cmpuint(out->data[2], ==, 22);
+	g_assert_cmpmem(out->data + 3, sizeof(summary_before) - 3,
+			summary_before + 3, sizeof(summary_before) - 3);
+	summary_check(out->data, out->len);
+	g_assert_true(gossip_decode(&message, out->data, out->len, &err));
+	g_assert_true(message.summary.ranked);
+	g_assert_cmpuint(message.summary.waiting_ranked[1], ==, 3);
+	g_assert_cmpuint(message.summary.waiting_ranked[0], ==, 0);
+	gossip_message_clear(&message);
+	g_assert_true(gossip_decode(&message, summary_before,
+				    sizeof(summary_before), &err));
+	g_assert_false(message.summary.ranked);
+	gossip_message_clear(&message);
+	/* More ranks than there are. */
+	out->data[sizeof(summary_before) + 1]++;
+	g_byte_array_append(out, (const guint8[]){0}, 1);
+	g_assert_false(gossip_decode(&message, out->data, out->len, &err));
+	gossip_message_clear(&message);
+}
+
+static bool claim_decode(const guint8 *body, size_t size,
+			 struct gossip_message *message)
+{
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct error err;
+
+	g_byte_array_append(out, (const guint8[]){0x95, 4, 13, 5, 6}, 5);
+	g_byte_array_append(out, body, (guint)size);
+	return gossip_decode(message, out->data, out->len, &err);
+}
+
+/* The kind of a claim is 13 on the wire, whatever comes before it. A claim of
+ * a rank that does not exist must be rejected: it indexes tables. */
+static void test_claim(void)
+{
+	static const guint8 body[] = {0x95, 7, 2, 50, 100, 90};
+	static const guint8 bad_rank[] = {0x95, 7, 8, 50, 100, 90};
+	static const guint8 negative[] = {0x95, 7, 2, 50, 0xff, 90};
+	static const guint8 cut[] = {0x94, 7, 2, 50, 100};
+	static const guint8 number[] = {7};
+	g_autoptr(GByteArray) out = g_byte_array_new();
+	struct gossip_message message;
+	struct error err;
+
+	g_assert_true(claim_decode(body, sizeof(body), &message));
+	g_assert_cmpint(message.kind, ==, GOSSIP_ROOM_CLAIM);
+	g_assert_cmpuint(message.claim.request, ==, 7);
+	g_assert_cmpuint(message.claim.rank, ==, 2);
+	g_assert_cmpuint(message.claim.server, ==, 50);
+	g_assert_cmpuint(message.claim.tokens, ==, 100);
+	g_assert_cmpint(message.claim.usec, ==, 90000);
+	gossip_encode(&message, out);
+	gossip_message_clear(&message);
+	g_assert_cmpmem(out->data + 5, out->len - 5, body, sizeof(body));
+	g_assert_cmpuint(out->data[2], ==, 13);
+	g_assert_false(claim_decode(bad_rank, sizeof(bad_rank), &message));
+	gossip_message_clear(&message);
+	g_assert_false(claim_decode(negative, sizeof(negative), &message));
+	gossip_message_clear(&message);
+	g_assert_false(claim_decode(cut, sizeof(cut), &message));
+	gossip_message_clear(&message);
+	g_assert_false(claim_decode(number, sizeof(number), &message));
+	gossip_message_clear(&message);
+	/* Kinds that other releases may use. */
+	for (guint8 kind = 10; kind <= 12; kind++) {
+		const guint8 other[] = {0x95, 4, kind, 5, 6, 0x91, 1};
+
+		g_assert_true(
+			gossip_decode(&message, other, sizeof(other), &err));
+		g_assert_cmpint(message.kind, ==, GOSSIP_UNKNOWN);
+		gossip_message_clear(&message);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/forward/releases/before", test_before);
 	g_test_add_func("/forward/releases/after", test_after);
+	g_test_add_func("/forward/releases/ranked", test_ranked);
+	g_test_add_func("/forward/releases/claim", test_claim);
 	return g_test_run();
 }
