--- a/sched/precedence.c
+++ b/sched/precedence.c
@@ -5,7 +5,7 @@
 
 /* A rank that was not seen for this long holds no request that could yield. */
 #define SEEN_USEC INT64_C(1000000)
-/* Chains of claims by server. */
+/* Chains of claims by server, and by instance. */
 #define CHAINS 256u
 #define NONE UINT16_MAX
 /* Claims per second and at once; together PRECEDENCE_SENDS_MAX in any second.
@@ -19,13 +19,16 @@
 	uint64_t from;
 	int64_t first_at; /* when the claim was received first */
 	int64_t until;
-	uint16_t next; /* in the chain */
+	uint16_t next;	    /* in the chain of the server, or unused */
+	uint16_t next_from; /* in the chain of the instance */
 	bool used;
 };
 
 struct precedence {
 	struct entry entries[PRECEDENCE_CLAIMS_MAX];
 	uint16_t chains[CHAINS];
+	uint16_t sources[CHAINS];
+	uint16_t unused;
 	uint32_t used;
 	int64_t pruned_at;
 	int64_t seen_at[PRECEDENCE_RANKS];
@@ -39,6 +42,11 @@
 	struct precedence *precedence = g_new0(struct precedence, 1);
 
 	memset(precedence->chains, 0xff, sizeof(precedence->chains));
+	memset(precedence->sources, 0xff, sizeof(precedence->sources));
+	for (uint32_t i = 0; i < PRECEDENCE_CLAIMS_MAX; i++)
+		precedence->entries[i].next =
+			i + 1 < PRECEDENCE_CLAIMS_MAX ? (uint16_t)(i + 1)
+						      : NONE;
 	for (uint32_t i = 0; i < PRECEDENCE_RANKS; i++)
 		precedence->seen_at[i] = NEVER;
 	precedence->sends = SENDS_BURST;
@@ -56,6 +64,11 @@
 	return &precedence->chains[server % CHAINS];
 }
 
+static uint16_t *source_of(struct precedence *precedence, uint64_t from)
+{
+	return &precedence->sources[from % CHAINS];
+}
+
 static void entry_remove(struct precedence *precedence, struct entry *entry)
 {
 	uint16_t at = (uint16_t)(entry - precedence->entries);
@@ -64,7 +77,13 @@
 	while (*link != at)
 		link = &precedence->entries[*link].next;
 	*link = entry->next;
+	link = source_of(precedence, entry->from);
+	while (*link != at)
+		link = &precedence->entries[*link].next_from;
+	*link = entry->next_from;
 	entry->used = false;
+	entry->next = precedence->unused;
+	precedence->unused = at;
 	precedence->used--;
 }
 
@@ -103,33 +122,35 @@
  * replaces its own. */
 static struct entry *entry_place(struct precedence *precedence, uint64_t from)
 {
+	uint16_t at = *source_of(precedence, from);
 	struct entry *oldest = NULL;
-	struct entry *unused = NULL;
 	uint32_t count = 0;
 
-	for (uint32_t i = 0; i < PRECEDENCE_CLAIMS_MAX; i++) {
-		struct entry *entry = &precedence->entries[i];
+	for (; at != NONE; at = precedence->entries[at].next_from) {
+		struct entry *entry = &precedence->entries[at];
 
-		if (!entry->used) {
-			unused = unused ? unused : entry;
-		} else if (entry->from == from) {
-			count++;
-			if (!oldest || entry->until < oldest->until)
-				oldest = entry;
-		}
+		if (entry->from != from)
+			continue;
+		count++;
+		if (!oldest || entry->until < oldest->until)
+			oldest = entry;
 	}
-	if (count < PRECEDENCE_SOURCE_MAX)
-		return unused;
-	entry_remove(precedence, oldest);
-	return oldest;
+	if (count >= PRECEDENCE_SOURCE_MAX)
+		entry_remove(precedence, oldest);
+	if (precedence->unused == NONE)
+		return NULL;
+	at = precedence->unused;
+	precedence->unused = precedence->entries[at].next;
+	return &precedence->entries[at];
 }
 
 void precedence_claim(struct precedence *precedence, int64_t now,
 		      const struct room_claim *claim, uint64_t from)
 {
 	uint16_t *chain = chain_of(precedence, claim->server);
-	struct entry *entry;
+	uint16_t *source = source_of(precedence, from);
 	int64_t first_at = now;
+	struct entry *entry;
 
 	prune(precedence, now);
 	entry = entry_find(precedence, claim, from);
@@ -139,8 +160,7 @@
 	}
 	if (claim->usec <= 0 || claim->rank >= PRECEDENCE_RANKS)
 		return;
-	if (!entry)
-		entry = entry_place(precedence, from);
+	entry = entry_place(precedence, from);
 	if (!entry) {
 		precedence->dropped++;
 		return;
@@ -151,9 +171,11 @@
 		.first_at = first_at,
 		.until = now + MIN(claim->usec, PRECEDENCE_CLAIM_USEC),
 		.next = *chain,
+		.next_from = *source,
 		.used = true,
 	};
 	*chain = (uint16_t)(entry - precedence->entries);
+	*source = *chain;
 	precedence->used++;
 }
 
--- a/tests/sched/precedence_model.c
+++ b/tests/sched/precedence_model.c
@@ -372,25 +372,30 @@
 	g_array_append_val(world->returns, caller);
 }
 
+static double queue_sec(const struct world *world, const struct node *node,
+			const struct caller *caller)
+{
+	double places = world->engines * (double)MEMORY / caller->tokens;
+
+	return overload_queue_sec(waiting_before(world, node, caller->rank),
+				  places);
+}
+
 static bool drop(struct world *world, const struct node *node,
 		 struct caller *caller)
 {
-	const struct overload_caller waits = overload_of(world, caller);
+	struct overload_caller waits = overload_of(world, caller);
 	int64_t now = world->now * USEC_PER_MSEC;
-	double places = world->engines * (double)MEMORY / caller->tokens;
-	double queue = overload_queue_sec(
-		waiting_before(world, node, caller->rank), places);
-	struct overload_caller weighed = waits;
+	bool late = !overload_meets_target(&waits, now, FIRST_MSEC * 1000.0);
+	double queue;
 
-	weighed.weight = caller->weight;
-	if (!overload_meets_target(&waits, now, FIRST_MSEC * 1000.0)) {
-		refuse(world, *caller, queue);
-		return true;
-	}
-	if (caller->checked || !overload_check_due(&waits, now))
+	if (!late && (caller->checked || !overload_check_due(&waits, now)))
 		return false;
 	caller->checked = true;
-	if (!overload_misses_target(&weighed, now, FIRST_MSEC * 1000.0, queue))
+	queue = queue_sec(world, node, caller);
+	waits.weight = caller->weight;
+	if (!late && !overload_misses_target(&waits, now, FIRST_MSEC * 1000.0,
+					     queue))
 		return false;
 	refuse(world, *caller, queue);
 	return true;
