--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -158,6 +158,8 @@
 /* Trailing fields without content are left out. */
 static uint32_t summary_fields(const struct gossip_message *message)
 {
+	if (message->summary.ranked)
+		return SUMMARY_RANKS + 1;
 	return message->speeds->len > 0 ? SUMMARY_SPEEDS + 1 : SUMMARY_FIELDS;
 }
 
@@ -314,6 +316,26 @@
 	}
 }
 
+static void claim_pack(msgpack_packer *packer, const struct room_claim *claim)
+{
+	msgpack_pack_array(packer, ROOM_CLAIM_FIELDS);
+	msgpack_pack_uint64(packer, claim->request);
+	msgpack_pack_uint32(packer, claim->rank);
+	msgpack_pack_uint64(packer, claim->server);
+	msgpack_pack_uint32(packer, claim->tokens);
+	msgpack_pack_int64(packer, claim->usec / USEC_PER_MSEC);
+}
+
+/* The field before the ranks is not used. */
+static void ranks_pack(msgpack_packer *packer,
+		       const struct gossip_summary *summary)
+{
+	msgpack_pack_array(packer, PRECEDENCE_RANKS);
+	for (uint32_t i = 0; i < PRECEDENCE_RANKS; i++)
+		msgpack_pack_uint32(packer, MIN(summary->waiting_ranked[i],
+						RANK_WAITING_MAX));
+}
+
 static uint8_t flags_of(const struct gossip_message *message)
 {
 	return (message->summary.leaving ? FLAG_LEAVING : 0) |
@@ -354,6 +376,8 @@
 	facts_pack(packer, message->facts);
 	if (summary_fields(message) > SUMMARY_SPEEDS)
 		speeds_pack(packer, message->speeds);
+	if (summary_fields(message) > SUMMARY_RANKS)
+		ranks_pack(packer, summary);
 }
 
 void gossip_encode(const struct gossip_message *message, GByteArray *out)
@@ -388,6 +412,8 @@
 		call_answer_pack(&packer, &message->call_answer);
 	else if (message->kind == GOSSIP_CALL_DONE)
 		call_done_pack(&packer, &message->call_done);
+	else if (message->kind == GOSSIP_ROOM_CLAIM)
+		claim_pack(&packer, &message->claim);
 	else
 		loads_pack(&packer, message->loads);
 	if (is_summary)
--- a/forward/gossip_codec.h
+++ b/forward/gossip_codec.h
@@ -11,7 +11,9 @@
  *	flags, [[backend, stage, milliseconds left], ...],
  *	[[next, changed, age in microseconds], ...], name of the lowest
  *	instance, [address, ...], [usage, ...],
- *	[[backend, milliseconds left], ...], [fact, ...], [speed, ...]
+ *	[[backend, milliseconds left], ...], [fact, ...], [speed, ...],
+ *	[waiting requests of a rank, ...] or [] if streams are not ranked;
+ *	the last two are left out if empty
  *
  *	Changes: [[backend, requests, decode tokens, prefill tokens], ...]
  *	Usage: [usage, ...], of an instance or of its data centre
@@ -20,6 +22,7 @@
  *	Origin: [stream, version]
  *	Origin query: [id, stream, service, window in microseconds]
  *	Origin answer: [id, stream, version or 0, only version or 0, mixed]
+ *	Room claim: [request id, rank, server, tokens, milliseconds]
  *	Quarantine: [[high, low, epoch, stored, [incarnation, ...]], ...], with
  *	the two halves of a request fingerprint and the incarnations of servers
  *	that crashed
@@ -79,7 +82,8 @@
 	GOSSIP_CALL_REQUEST = 10,
 	GOSSIP_CALL_ANSWER = 11,
 	GOSSIP_CALL_DONE = 12,
-	GOSSIP_UNKNOWN, /* of a later release; ignored */
+	GOSSIP_ROOM_CLAIM = 13, /* of memory at a server */
+	GOSSIP_UNKNOWN,		/* of a later release; ignored */
 };
 
 /* Name of a data centre, with the index and number of its groups. */
@@ -119,6 +123,7 @@
 	struct call_request call_request;   /* for GOSSIP_CALL_REQUEST only */
 	struct call_answer call_answer;	    /* for GOSSIP_CALL_ANSWER only */
 	struct call_done call_done;	    /* for GOSSIP_CALL_DONE only */
+	struct room_claim claim;	    /* for GOSSIP_ROOM_CLAIM only */
 	/* The following fields are set in summaries only. */
 	char name[BACKEND_TEXT_MAX];
 	char group[GOSSIP_GROUP_MAX]; /* of the sender */
--- a/forward/gossip_decode.c
+++ b/forward/gossip_decode.c
@@ -512,6 +512,44 @@
 	return true;
 }
 
+static bool claim_read(const msgpack_object *object, struct room_claim *claim)
+{
+	const msgpack_object *fields = object->via.array.ptr;
+	uint64_t tokens;
+	uint64_t rank;
+	uint64_t msec;
+
+	if (!is_tuple(object, ROOM_CLAIM_FIELDS) ||
+	    !unsigned_read(&fields[0], UINT64_MAX, &claim->request) ||
+	    !unsigned_read(&fields[1], PRECEDENCE_RANKS - 1, &rank) ||
+	    !unsigned_read(&fields[2], UINT64_MAX, &claim->server) ||
+	    !unsigned_read(&fields[3], LOAD_MAX, &tokens) ||
+	    !unsigned_read(&fields[4], UINT32_MAX, &msec))
+		return false;
+	claim->rank = (uint32_t)rank;
+	claim->tokens = (uint32_t)tokens;
+	claim->usec = (int64_t)msec * USEC_PER_MSEC;
+	return true;
+}
+
+/* The last field of a summary; releases that have no ranks leave it out. */
+static bool ranks_read(const msgpack_object *object,
+		       struct gossip_summary *summary)
+{
+	if (!is_array(object, PRECEDENCE_RANKS))
+		return false;
+	summary->ranked = object->via.array.size > 0;
+	for (uint32_t i = 0; i < object->via.array.size; i++) {
+		uint64_t waiting;
+
+		if (!unsigned_read(&object->via.array.ptr[i], RANK_WAITING_MAX,
+				   &waiting))
+			return false;
+		summary->waiting_ranked[i] = (uint32_t)waiting;
+	}
+	return true;
+}
+
 static bool unreachable_read(const msgpack_object *object,
 			     struct gossip_summary *summary)
 {
@@ -596,6 +634,8 @@
 		return call_answer_read(body, &message->call_answer);
 	case GOSSIP_CALL_DONE:
 		return call_done_read(body, &message->call_done);
+	case GOSSIP_ROOM_CLAIM:
+		return claim_read(body, &message->claim);
 	default:
 		return message->kind == GOSSIP_UNKNOWN;
 	}
@@ -627,7 +667,9 @@
 	return object->via.array.size >= SUMMARY_FIELDS &&
 	       summary_read(&fields[CHANGES_FIELDS], message) &&
 	       (object->via.array.size <= SUMMARY_SPEEDS ||
-		speeds_read(&fields[SUMMARY_SPEEDS], message->speeds));
+		speeds_read(&fields[SUMMARY_SPEEDS], message->speeds)) &&
+	       (object->via.array.size <= SUMMARY_RANKS ||
+		ranks_read(&fields[SUMMARY_RANKS], &message->summary));
 }
 
 bool gossip_decode(struct gossip_message *message, const void *data,
--- a/forward/gossip_fields.h
+++ b/forward/gossip_fields.h
@@ -12,9 +12,14 @@
 #define CHANGES_FIELDS 5
 #define QUARANTINE_FIELDS 5
 #define SUMMARY_FIELDS 20
-/* Index of a further field of a summary, which earlier releases do not send. */
+/* Indexes of further fields of a summary, which earlier releases do not send.
+ */
 #define SUMMARY_SPEEDS 20
+#define SUMMARY_RANKS 21
 #define SPEED_FIELDS 4
+/* Far more requests than wait at all instances of a data centre. */
+#define RANK_WAITING_MAX (1u << 24)
+#define ROOM_CLAIM_FIELDS 5
 #define FACT_FIELDS 6
 #define PERMIT_REQUEST_FIELDS 2
 #define PERMIT_ANSWER_FIELDS 4
--- a/forward/node.c
+++ b/forward/node.c
@@ -92,6 +92,8 @@
 	if (!catalog)
 		return;
 	summary->version = catalog->version;
+	summary->ranked =
+		forward_waiting_ranks(node->forward, summary->waiting_ranked);
 	g_hash_table_iter_init(&iter, catalog->services);
 	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service)) {
 		struct forward_demand demand;
@@ -126,6 +128,7 @@
 	const struct catalog *catalog = forward_catalog(node->forward);
 
 	node_mirrors_merge(node, address, summary);
+	node_ranks_received(node, summary);
 	/* A server that a remote instance cannot reach may be reachable from
 	 * here, so only local reports are merged. */
 	for (uint32_t i = 0; local && i < summary->unreachable_count; i++)
@@ -265,6 +268,8 @@
 		.plain_queue = node->settings.plain_queue,
 		.call_request = node_call_request,
 		.call_done = node_call_done,
+		.waiting_ranked = node_waiting_ranked,
+		.room_claim = node_room_claim,
 		.callbacks_ctx = node,
 	};
 
@@ -286,6 +291,8 @@
 	parts.limits = node->limits;
 	parts.origins = node->origins;
 	parts.speeds = node->speeds;
+	node_claims_open(node);
+	parts.precedence = node->precedence;
 	node->forward = forward_create(&parts);
 	node_dispatch_open(node);
 	node->malformed =
@@ -318,6 +325,7 @@
 		.call_requested = node_call_requested,
 		.call_answered = node_call_answered,
 		.call_ended = node_call_ended,
+		.claim_received = node_claim_received,
 	};
 	const struct gossip_settings settings = {
 		.name = node->settings.name,
@@ -437,6 +445,7 @@
 	limits_destroy(node->limits);
 	origins_destroy(node->origins);
 	speeds_destroy(node->speeds);
+	precedence_destroy(node->precedence);
 }
 
 static void on_signal(void *ctx, int signal)
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -48,6 +48,7 @@
 #include "forward/origins.h"
 #include "forward/rates.h"
 #include "sched/speed.h"
+#include "sched/precedence.h"
 #include "web/loop.h"
 
 struct forward;
@@ -117,6 +118,11 @@
 /* Tells the dispatcher of the end of a call, or of a wait. */
 typedef void (*forward_call_done_fn)(void *ctx, uint64_t dispatcher,
 				     const struct call_done *done);
+/* Requests of that rank or a higher one that wait at all instances. */
+typedef uint32_t (*forward_ranked_fn)(void *ctx, uint32_t rank);
+
+/* Sends the claim to all live instances. */
+typedef void (*forward_claim_fn)(void *ctx, const struct room_claim *claim);
 
 struct forward_parts {
 	struct clock *clock;
@@ -150,6 +156,11 @@
 	enum plain_queue plain_queue;
 	forward_call_request_fn call_request; /* NULL: no dispatchers */
 	forward_call_done_fn call_done;
+	/* For catalogs that are ranked; NULL: no claims, and waiting() counts.
+	 */
+	struct precedence *precedence;
+	forward_ranked_fn waiting_ranked;
+	forward_claim_fn room_claim;
 	void *callbacks_ctx;
 };
 
@@ -190,6 +201,9 @@
 uint32_t forward_pending(const struct forward *forward);
 /* The number of these that wait for decode memory. */
 uint32_t forward_waiting(const struct forward *forward);
+/* Their numbers by rank; false when the catalog in force is not ranked. */
+bool forward_waiting_ranks(const struct forward *forward,
+			   uint32_t counts[PRECEDENCE_RANKS]);
 /* Recent demand for an engine service, for the choice of roles. */
 struct forward_demand {
 	double prompt_tokens_per_s;
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -55,6 +55,11 @@
  *	of any data centre. A plain call asks it for a server in one datagram,
  *	is answered in one, or in two if it had to queue, and its end is sent
  *	to the dispatcher twice.
+ *	Claims of decode memory (sched/precedence.h) are sent to all live
+ *	instances, one datagram each, at most PRECEDENCE_SENDS_MAX claims a
+ *	second. They match by instance, request and server, so their order
+ *	does not matter; a lost one is made up for by the next renewal, and a
+ *	lost withdrawal by the expiry of the claim.
  *
  *	State of a peer or data centre expires GOSSIP_STALE_USEC after its last
  *	summary. Nothing waits for a peer. Peers are first read from the store,
@@ -85,6 +90,7 @@
 #include "forward/mirror.h"
 #include "forward/origins.h"
 #include "sched/speed.h"
+#include "sched/precedence.h"
 
 #define GOSSIP_INTERVAL_USEC (100 * USEC_PER_MSEC)
 /* Covers ten lost datagrams in a row, or five summaries of an idle peer. */
@@ -139,6 +145,11 @@
 	uint64_t version; /* of its catalog */
 	double demand;	  /* prompt tokens a second */
 	uint32_t waiting; /* requests without decode memory */
+	/* The same by rank, where streams are ranked. In a total, waiting
+	 * requests of instances that state no ranks count as rank 0: they yield
+	 * to none. */
+	bool ranked;
+	uint32_t waiting_ranked[PRECEDENCE_RANKS];
 	/* Prompt tokens a second that prefill servers process: the sum over the
 	 * instances that measured a rate, and the number of these instances. */
 	double prefill_rates;
@@ -250,6 +261,10 @@
 	/* A call of a peer has ended. */
 	void (*call_ended)(void *ctx, uint64_t from,
 			   const struct call_done *done);
+	/* A peer, given by the hash of its address, has claimed room at a
+	 * server. NULL: claims are ignored. */
+	void (*claim_received)(void *ctx, uint64_t from,
+			       const struct room_claim *claim);
 };
 
 /* NULL with RESULT_IO when the address cannot be bound. */
@@ -308,6 +323,9 @@
 			const struct call_answer *answer);
 bool gossip_call_done(struct gossip *gossip, uint64_t peer,
 		      const struct call_done *done);
+/* Sends the claim to all live instances; returns their number. */
+uint32_t gossip_claim_send(struct gossip *gossip,
+			   const struct room_claim *claim);
 /* Recent mean delay, in microseconds, until a load change was sent to local or
  * remote peers. Received loads are about as old. */
 int64_t gossip_delay(const struct gossip *gossip, bool local);
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -25,6 +25,7 @@
 #include "forward/catalog.h"
 #include "forward/fleet.h"
 #include "forward/regions.h"
+#include "sched/precedence.h"
 #include "sched/speed.h"
 
 #define PLACE_TRIED_MAX 8
@@ -70,6 +71,13 @@
 	const struct speeds *speeds;
 	GRand *rand;	  /* breaks ties */
 	uint32_t *visits; /* counts the servers examined, or NULL */
+	/* Claims for decode memory that requests of lower precedence leave
+	 * free, and rank and state of this request (sched/precedence.h); NULL:
+	 * none. */
+	const struct precedence *precedence;
+	uint32_t rank;
+	uint64_t request; /* in claims of this instance */
+	bool due;
 	/* Maximum age of the load of servers in this instance's group, and of
 	 * others. */
 	int64_t stale_local;
