ctl, forward: jtctl where explains where a request would go

Asks an instance, which makes the same choices as for a real request on one that is not sent: place.c records each server that it considers, its cost or what bars it.

--- a/ctl/command.c
+++ b/ctl/command.c
@@ -9,7 +9,7 @@
 	&command_apply,	   &command_completions, &command_diff,
 	&command_explain,  &command_history,	 &command_losses,
 	&command_measures, &command_policies,	 &command_show,
-	&command_status,   &command_validate,
+	&command_status,   &command_validate,	 &command_where,
 };
 
 static int compare(const void *key, const void *entry)
--- a/ctl/completions/jtctl.bash
+++ b/ctl/completions/jtctl.bash
@@ -10,7 +10,7 @@
 		esac
 	done
 	case $command in
-	'') words="--admin --json --help --version apply completions diff explain history losses measures policies show status validate" ;;
+	'') words="--admin --json --help --version apply completions diff explain history losses measures policies show status validate where" ;;
 	apply) words="--admin --json --help --version --base --author"; files=1 ;;
 	completions) words="--admin --json --help --version bash zsh fish"; files=0 ;;
 	diff) words="--admin --json --help --version"; files=1 ;;
@@ -22,6 +22,7 @@
 	show) words="--admin --json --help --version"; files=0 ;;
 	status) words="--admin --json --help --version"; files=0 ;;
 	validate) words="--admin --json --help --version --remote"; files=1 ;;
+	where) words="--admin --json --help --version"; files=0 ;;
 	esac
 	COMPREPLY=($(compgen -W "$words" -- "$cur"))
 	if [ "$files" = 1 ]; then
--- a/ctl/completions/jtctl.fish
+++ b/ctl/completions/jtctl.fish
@@ -18,6 +18,7 @@
 complete -c jtctl -n __fish_use_subcommand -a status -d 'Print what an instance knows of the site'
 complete -c jtctl -n __fish_use_subcommand -a validate -d 'Check a file without applying it'
 complete -c jtctl -n '__fish_seen_subcommand_from validate' -F
+complete -c jtctl -n __fish_use_subcommand -a where -d 'Explain where a request would go now, without sending it'
 complete -c jtctl -l admin -s a -x -d 'Admin address of a daemon (JT_ADMIN, else 127.0.0.1:8081)'
 complete -c jtctl -l json -s j -d 'Print JSON'
 complete -c jtctl -l help -d 'Print this help'
--- a/ctl/completions/jtctl.zsh
+++ b/ctl/completions/jtctl.zsh
@@ -14,6 +14,7 @@
 		'show:Print the file in force'
 		'status:Print what an instance knows of the site'
 		'validate:Check a file without applying it'
+		'where:Explain where a request would go now, without sending it'
 	)
 	if ((CURRENT == 2)); then
 		_describe command commands
@@ -106,6 +107,13 @@
 			'--version[Print the version]' \
 			'--remote[Compare with the backend servers that a daemon knows, too]' \
 			'*:file:_files' ;;
+	where)
+		_arguments \
+			'--admin=[Admin address of a daemon (JT_ADMIN, else 127.0.0.1:8081)]:IP:' \
+			'--json[Print JSON]' \
+			'--help[Print this help]' \
+			'--version[Print the version]' \
+			&& return ;;
 	esac
 }
 _jtctl "$@"
--- a/forward/node.c
+++ b/forward/node.c
@@ -337,6 +337,8 @@
 			return false;
 		web_server_handle(node->peers_server, MIRROR_PATH,
 				  node_mirror_serve, node);
+		web_server_handle(node->peers_server, WHERE_PATH, node_where,
+				  node);
 		web_server_handle(node->peers_server, RELAY_PATH,
 				  relay_server_handle, node->relay_server);
 		if (gossip_open(node, err))
--- a/forward/node.h
+++ b/forward/node.h
@@ -181,6 +181,10 @@
 void node_health(void *ctx, struct web_request *request);
 void node_metrics(void *ctx, struct web_request *request);
 
+/* node_where.c: a web_handler_fn for WHERE_PATH. */
+#define WHERE_PATH "/where"
+void node_where(void *ctx, struct web_request *request);
+
 /* node_settings.c */
 struct budget_settings node_budget(const struct forward_settings *settings);
 /* Reads the file, the environment and the flags again; keeps the settings in
--- a/forward/place.c
+++ b/forward/place.c
@@ -108,16 +108,23 @@
 	       !barred_has(place->barred, backend->info.software);
 }
 
-static bool backend_allowed(const struct place *place,
-			    const struct backend *backend)
+static enum place_bar backend_bar(const struct place *place,
+				  const struct backend *backend)
 {
-	return backend_usable(backend, place->now) &&
-	       regions_allow(&place->regions, backend->region) &&
-	       software_allowed(place, backend) &&
-	       place->now >= backend->limited_until &&
-	       !tried_has(place->tried, backend->key) &&
-	       !tried_has(place->unconnected, backend->key) &&
-	       !(place->unlimited && is_limited(place, backend));
+	if (!backend_usable(backend, place->now))
+		return PLACE_NOT_USABLE;
+	if (!regions_allow(&place->regions, backend->region))
+		return PLACE_REGION;
+	if (!software_allowed(place, backend))
+		return PLACE_SOFTWARE;
+	if (place->now < backend->limited_until)
+		return PLACE_NO_PERMIT;
+	if (tried_has(place->tried, backend->key) ||
+	    tried_has(place->unconnected, backend->key))
+		return PLACE_TRIED;
+	if (place->unlimited && is_limited(place, backend))
+		return PLACE_LIMITED;
+	return PLACE_ALLOWED;
 }
 
 int64_t place_staleness(const struct place *place,
@@ -153,13 +160,16 @@
 static void choice_offer(struct choice *choice, struct backend *backend)
 {
 	const struct place *place = choice->place;
-	double cost;
+	enum place_bar bar = backend_bar(place, backend);
+	double cost = COST_UNUSABLE;
 
 	if (place->visits)
 		(*place->visits)++;
-	if (!backend_allowed(place, backend))
-		return;
-	cost = choice->cost_of(place, backend, choice->arg);
+	if (bar == PLACE_ALLOWED)
+		cost = choice->cost_of(place, backend, choice->arg);
+	place_report_add(place->report,
+			 &(struct place_candidate){backend, bar,
+						   cost < COST_UNUSABLE, cost});
 	if (cost >= choice->lowest_cost)
 		return;
 	choice->lowest_cost = cost;
@@ -183,7 +193,9 @@
 {
 	const GPtrArray *list = fleet_service(place->fleet, place->service);
 	struct choice choice = {place, cost_of, arg, NULL, COST_UNUSABLE};
+	bool sampled;
 
+	place_report_begin(place->report, stage);
 	if (list && list->len > SCAN_MAX) {
 		choice_sample(
 			&choice,
@@ -194,10 +206,10 @@
 			fleet_stage(place->fleet, place->service, stage, false),
 			SAMPLE_OTHERS);
 	}
-	if (choice.best)
-		return choice.best;
-	for (guint i = 0; list && i < list->len; i++)
+	sampled = choice.best != NULL;
+	for (guint i = 0; !sampled && list && i < list->len; i++)
 		choice_offer(&choice, list->pdata[i]);
+	place_report_chosen(place->report, choice.best);
 	return choice.best;
 }
 
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -34,8 +34,7 @@
 			  backend_key(&request->target));
 }
 
-/* Servers that could not be connected to come last, on another path. */
-static struct backend *server_find(const struct request *request, bool first)
+struct backend *plain_choose(const struct request *request, bool first)
 {
 	struct backend *backend;
 	struct place place;
@@ -53,10 +52,10 @@
 
 static struct backend *server_choose(struct request *request, bool first)
 {
-	struct backend *backend = server_find(request, first);
+	struct backend *backend = plain_choose(request, first);
 
 	while (backend && !request_choose_path(request, backend))
-		backend = server_find(request, first);
+		backend = plain_choose(request, first);
 	return backend;
 }
 
--- a/forward/request.c
+++ b/forward/request.c
@@ -70,7 +70,8 @@
 			    organisation ? organisation->regions : NULL},
 		.software = request->software,
 		.barred = &request->barred,
-		.rand = parts->rand,
+		.rand = request->report ? request->report->rand : parts->rand,
+		.report = request->report,
 		.stale_local = parts->interval(parts->callbacks_ctx, true),
 		.stale_remote = parts->interval(parts->callbacks_ctx, false),
 	};
--- a/forward/request.h
+++ b/forward/request.h
@@ -109,6 +109,9 @@
 	int64_t last_at; /* when events were last relayed; 0: never */
 	size_t unread;	 /* bytes not yet read by the caller at that time */
 	bool stalled;	 /* a gap between events exceeded the route's limit */
+	/* Records the choices of a request that is only explained; else NULL.
+	 */
+	struct place_report *report;
 };
 
 enum request_end {
@@ -306,6 +309,9 @@
 
 /* plain.c, stream.c and waiting.c */
 void plain_start(struct request *request);
+/* A server for the first or a further send; NULL when there is none. Servers
+ * that could not be connected to come last, on another path. */
+struct backend *plain_choose(const struct request *request, bool first);
 void stream_start(struct request *request);
 /* Adds a prompt to the demand for its service. */
 void demand_add(struct forward *forward, uint64_t service, uint32_t tokens);
@@ -320,6 +326,9 @@
 /* Decode memory charged for the request, in tokens. */
 uint32_t stream_tokens(const struct request *request);
 bool stream_waiting_full(const struct forward *forward);
+/* A server with room for that many requests of this size, if the prefill queue
+ * is short enough; NULL when there is none. */
+struct backend *stream_choose(struct request *request, uint32_t room);
 /* Starts a reservation at a server with room for that many requests of this
  * size; false when there is none. */
 bool stream_reserve(struct request *request, uint32_t room);
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -436,9 +436,7 @@
 				     request);
 }
 
-/* A server with room for that many requests of this size, if the prefill queue
- * is short enough; NULL when there is none. */
-static struct backend *decode_choose(struct request *request, uint32_t room)
+struct backend *stream_choose(struct request *request, uint32_t room)
 {
 	const struct engine_traits *engine = &request->service->engine;
 	uint32_t tokens = stream_tokens(request);
@@ -473,7 +471,7 @@
 	struct backend *backend = NULL;
 
 	while (permit == PERMIT_DENIED) {
-		backend = decode_choose(request, room);
+		backend = stream_choose(request, room);
 		if (!backend)
 			return false;
 		if (!request_choose_path(request, backend))
--- a/include/ctl/command.h
+++ b/include/ctl/command.h
@@ -52,6 +52,7 @@
 extern const struct command command_show;
 extern const struct command command_status;
 extern const struct command command_validate;
+extern const struct command command_where;
 
 /* NULL when no command has that name. */
 const struct command *command_find(const char *name);
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -43,6 +43,50 @@
 
 bool barred_has(const struct barred *barred, uint64_t software);
 
+/* Why a server is not considered. */
+enum place_bar {
+	PLACE_ALLOWED,
+	PLACE_NOT_USABLE, /* draining, evacuated, unreachable or in backoff */
+	PLACE_REGION,	  /* not allowed by route or organisation */
+	PLACE_SOFTWARE,	  /* another version, or in quarantine there */
+	PLACE_NO_PERMIT,  /* a permit was denied */
+	PLACE_TRIED,
+	PLACE_LIMITED, /* has a rate limit, and this is a retry */
+	PLACE_BARS,
+};
+
+const char *place_bar_name(enum place_bar bar);
+
+/* A server that was considered. */
+struct place_candidate {
+	const struct backend *backend;
+	enum place_bar bar;
+	bool suitable; /* allowed, and of the stage and with room */
+	double cost;   /* if suitable */
+};
+
+/* One choice: the servers that were considered, and the chosen one or NULL. */
+struct place_step {
+	enum backend_stage stage;
+	GArray *candidates; /* struct place_candidate */
+	const struct backend *chosen;
+};
+
+/* Records choices for an explanation. */
+struct place_report {
+	GRand *rand;   /* a copy: real choices stay as they are */
+	GArray *steps; /* struct place_step */
+};
+
+struct place_report *place_report_create(GRand *rand);
+void place_report_destroy(struct place_report *report);
+/* For the functions below that choose; a NULL report records nothing. */
+void place_report_begin(struct place_report *report, enum backend_stage stage);
+void place_report_add(struct place_report *report,
+		      const struct place_candidate *candidate);
+void place_report_chosen(struct place_report *report,
+			 const struct backend *chosen);
+
 struct place {
 	struct fleet *fleet;
 	int64_t now;
@@ -64,6 +108,7 @@
 	 * others. */
 	int64_t stale_local;
 	int64_t stale_remote;
+	struct place_report *report; /* records the choices, or NULL */
 };
 
 /* Maximum age of the known load of the server. */
--- a/include/sched/server_load.h
+++ b/include/sched/server_load.h
@@ -23,7 +23,7 @@
 	uint32_t running; /* requests */
 	uint32_t waiting; /* requests */
 	uint32_t slots;	  /* requests that run at a time */
-	double pace;	  /* time that work takes now; 1.0: usual, 0: not stated */
+	double pace; /* time that work takes now; 1.0: usual, 0: not stated */
 };
 
 bool server_load_valid(const struct server_load *load);
