--- a/ctl/command_where.c
+++ b/ctl/command_where.c
@@ -67,10 +67,11 @@
 		const json_t *load = json_object_get(candidate, "load");
 		const json_t *cost = json_object_get(candidate, "cost");
 		g_autofree char *text =
-			cost ? g_strdup_printf("%.3f", json_real_value(cost))
+			cost ? g_strdup_printf("%10.3f", json_real_value(cost))
 			     : g_strdup("");
-		g_autofree char *requests = g_strdup_printf(
-			"%" JSON_INTEGER_FORMAT, object_number(load, "requests"));
+		g_autofree char *requests =
+			g_strdup_printf("%" JSON_INTEGER_FORMAT,
+					object_number(load, "requests"));
 		g_autofree char *tokens = g_strdup_printf(
 			"%" JSON_INTEGER_FORMAT,
 			object_number(load, "decode_tokens") +
--- a/forward/node_where.c
+++ b/forward/node_where.c
@@ -30,9 +30,8 @@
 static void error_answer(struct web_request *request, const struct error *err)
 {
 	g_autofree char *message = g_strescape(err->text, NULL);
-	g_autofree char *text =
-		g_strdup_printf("{\"code\": %d, \"error\": \"%s\"}\n",
-				(int)err->code, message);
+	g_autofree char *text = g_strdup_printf(
+		"{\"code\": %d, \"error\": \"%s\"}\n", (int)err->code, message);
 
 	web_reply(request, result_status(err->code), "application/json", text,
 		  strlen(text));
--- a/forward/where.c
+++ b/forward/where.c
@@ -115,16 +115,14 @@
 	json_t *steps = json_array();
 	struct place place;
 
-	request->report =
-		place_report_create(request->forward->parts.rand);
+	request->report = place_report_create(request->forward->parts.rand);
 	backend = server_choose(request);
 	request_place(request, &place);
 	for (guint i = 0; i < request->report->steps->len; i++)
 		json_array_append_new(
-			steps,
-			step_pack(&place,
-				  &g_array_index(request->report->steps,
-						 struct place_step, i)));
+			steps, step_pack(&place,
+					 &g_array_index(request->report->steps,
+							struct place_step, i)));
 	place_report_destroy(request->report);
 	request->report = NULL;
 	return json_pack("{s:s, s:I, s:s, s:s?, s:o, s:o}", "service",
