--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -47,8 +47,8 @@
 #include "forward/fleet.h"
 #include "forward/origins.h"
 #include "forward/rates.h"
-#include "sched/speed.h"
 #include "sched/precedence.h"
+#include "sched/speed.h"
 #include "web/loop.h"
 
 struct forward;
--- a/include/forward/gossip.h
+++ b/include/forward/gossip.h
@@ -89,8 +89,8 @@
 #include "forward/fleet.h"
 #include "forward/mirror.h"
 #include "forward/origins.h"
-#include "sched/speed.h"
 #include "sched/precedence.h"
+#include "sched/speed.h"
 
 #define GOSSIP_INTERVAL_USEC (100 * USEC_PER_MSEC)
 /* Covers ten lost datagrams in a row, or five summaries of an idle peer. */
--- a/tests/forward/test_releases.c
+++ b/tests/forward/test_releases.c
@@ -70,15 +70,16 @@
 static void test_after(void)
 {
 	g_autoptr(GByteArray) out = g_byte_array_new();
-	static const guint8 no_speeds = 0x90;
+	static const guint8 none[] = {0x90, 0x90};
 	static const guint8 field = 0x2a;
 	struct gossip_message message;
 	struct error err;
 
-	/* After the speeds of servers, none of them. */
+	/* After the speeds of servers and the waiting requests by rank, none of
+	 * them. */
 	g_byte_array_append(out, summary_before, sizeof(summary_before));
-	out->data[2] += 2;
-	g_byte_array_append(out, &no_speeds, 1);
+	out->data[2] += 3;
+	g_byte_array_append(out, none, sizeof(none));
 	g_byte_array_append(out, &field, 1);
 	summary_check(out->data, out->len);
 	g_byte_array_set_size(out, 0);
--- a/tests/sched/precedence_model.c
+++ b/tests/sched/precedence_model.c
@@ -394,8 +394,8 @@
 	caller->checked = true;
 	queue = queue_sec(world, node, caller);
 	waits.weight = caller->weight;
-	if (!late && !overload_misses_target(&waits, now, FIRST_MSEC * 1000.0,
-					     queue))
+	if (!late &&
+	    !overload_misses_target(&waits, now, FIRST_MSEC * 1000.0, queue))
 		return false;
 	refuse(world, *caller, queue);
 	return true;
