--- a/tests/forward/gossip_world.h
+++ b/tests/forward/gossip_world.h
@@ -32,8 +32,8 @@
 	struct backpressure *backpressure;
 	struct origins *origins;
 	struct speeds *speeds; /* without a server that states one, at first */
-	uint32_t answers;  /* to queries for the versions of streams */
-	uint64_t software; /* the last version in them */
+	uint32_t answers;      /* to queries for the versions of streams */
+	uint64_t software;     /* the last version in them */
 	int64_t started;
 	struct gossip *gossip; /* NULL while it is stopped */
 	uint64_t boot;
