--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -51,6 +51,7 @@
 	uint64_t permit_id;
 	uint64_t permit_server;
 	struct call_request ask; /* the last one */
+	bool ranked;		 /* the next version */
 	bool deaf;		 /* the dispatcher cannot be asked */
 	signals_fn signals;
 	void *signals_ctx;
@@ -461,6 +462,7 @@
 	}
 	catalog->limits.body_bytes = 100;
 	catalog_index_routes(catalog);
+	catalog->ranked |= world.ranked;
 	forward_set_catalog(world.forward, catalog);
 	catalog_unref(catalog);
 }
@@ -911,14 +913,16 @@
 				atoi(options) * USEC_PER_MSEC);
 }
 
-/* "queue off|on|auto|deaf" */
+/* "queue off|on|auto|deaf|ranked" */
 static void queue_step(const char *options)
 {
 	world.deaf = strcmp(options, "deaf") == 0;
-	forward_set_plain_queue(
-		world.forward, strcmp(options, "off") == 0    ? PLAIN_QUEUE_OFF
-			       : strcmp(options, "auto") == 0 ? PLAIN_QUEUE_AUTO
-							      : PLAIN_QUEUE_ON);
+	world.ranked = strcmp(options, "ranked") == 0;
+	forward_set_plain_queue(world.forward,
+				strcmp(options, "off") == 0 ? PLAIN_QUEUE_OFF
+				: strcmp(options, "auto") == 0 || world.ranked
+					? PLAIN_QUEUE_AUTO
+					: PLAIN_QUEUE_ON);
 }
 
 /* The dispatcher's answer to the last question: "granted ID", "refused MSEC",
--- a/tests/forward/test_settings.c
+++ b/tests/forward/test_settings.c
@@ -47,6 +47,8 @@
 	{"seed", WHOLE "seed=127.0.0.1:5,here\n", ":7: seed: 'here'"},
 	{"region", WHOLE "region=a:b,c\n", ":7: region: 'c'"},
 	{"region of a space", WHOLE "region=a:b c\n", ":7: region: 'a:b c'"},
+	{"plain queue", WHOLE "plain-queue=maybe\n",
+	 "plain-queue: 'maybe' is not off, on or auto"},
 	{"line", WHOLE "retry\n", ":7: not NAME=VALUE"},
 };
 
@@ -72,13 +74,14 @@
 	struct error err = {0};
 
 	g_setenv("JT_RETRY_SLACK", "17", TRUE);
-	g_assert_true(file_read(
-		&settings,
-		WHOLE
-		"grace-s=9\nretry-slack=54\nretry-ratio=\n"
-		"heartbeat-ms=3000\nunknown=1\nregion=x-1:north,x-2:south\n",
-		3, argv, &err));
+	g_assert_true(file_read(&settings,
+				WHOLE
+				"grace-s=9\nretry-slack=54\nretry-ratio=\n"
+				"heartbeat-ms=3000\nunknown=1\nplain-queue="
+				"on\nregion=x-1:north,x-2:south\n",
+				3, argv, &err));
 	g_unsetenv("JT_RETRY_SLACK");
+	g_assert_cmpint(settings.plain_queue, ==, PLAIN_QUEUE_ON);
 	g_assert_cmpstr(settings.name, ==, "a");
 	g_assert_cmpfloat(settings.grace_sec, ==, 3);
 	g_assert_cmpfloat(settings.retry_slack, ==, 17);
