--- a/tests/web/test_endless.c
+++ b/tests/web/test_endless.c
@@ -10,6 +10,7 @@
 
 #define HEAD "HTTP/1.1 200 OK\r\n"
 #define CHUNKED HEAD "transfer-encoding: chunked\r\n\r\n"
+#define SIX_BYTES "HTTP/1.1 200 OK\r\ncontent-length: 6\r\n\r\n"
 #define ANSWER_BYTES_MAX 65536
 #define BODY_USEC (500 * USEC_PER_MSEC)
 /* A call has to end within this time, although its time-outs are longer. The
@@ -186,8 +187,7 @@
 static void test_slow(struct world *world, gconstpointer data)
 {
 	static const char *const pieces[] = {"HTTP/1.1 100 Continue\r\n\r\n",
-					     HEAD "content-length: 6\r\n\r\n",
-					     "ab", "cd", "ef"};
+					     SIX_BYTES, "ab", "cd", "ef"};
 	char address[32];
 	int listener = raw_listen(address, sizeof(address));
 	int fd = -1;
