--- a/ctl/command_where.c
+++ b/ctl/command_where.c
@@ -97,6 +97,9 @@
 		object_text(service, "service"),
 		object_number(service, "weight"),
 		object_text(service, "verdict"), *server ? " to " : "", server);
+	if (json_is_true(json_object_get(service, "dispatched")))
+		fprintf(out, "unless the dispatcher of the service grants "
+			     "another server\n");
 	fprintf(out,
 		"waiting here %" JSON_INTEGER_FORMAT
 		", at all instances %" JSON_INTEGER_FORMAT "\n",
--- a/forward/dispatched.c
+++ b/forward/dispatched.c
@@ -100,7 +100,7 @@
 	service_get(request)->stated_until = request_now(request) + STATED_USEC;
 }
 
-static bool is_dispatched(const struct request *request)
+bool request_is_dispatched(const struct request *request)
 {
 	const struct forward_parts *parts = &request->forward->parts;
 
@@ -258,8 +258,8 @@
 
 	grant_return(request);
 	if (request->sends > 0 || request->runs > 0 ||
-	    request->dispatched.asks >= ASKS_MAX || !is_dispatched(request) ||
-	    target_left(request) <= 0 ||
+	    request->dispatched.asks >= ASKS_MAX ||
+	    !request_is_dispatched(request) || target_left(request) <= 0 ||
 	    !patience_may_ask(&service_get(request)->patience,
 			      request_now(request)))
 		return false;
--- a/forward/request.h
+++ b/forward/request.h
@@ -330,6 +330,8 @@
 struct dispatched_services *dispatched_create(struct forward *forward);
 void dispatched_destroy(struct dispatched_services *services);
 void dispatched_init(struct request *request);
+/* Whether the first send of a plain call asks the dispatcher of its service. */
+bool request_is_dispatched(const struct request *request);
 /* Asks the dispatcher; false when the call is to be placed without it. After a
  * grant that could not be used, returns it and asks once more. Afterwards
  * plain_granted() or plain_start() is called, or the request is refused. */
--- a/forward/where.c
+++ b/forward/where.c
@@ -125,8 +125,11 @@
 							struct place_step, i)));
 	place_report_destroy(request->report);
 	request->report = NULL;
-	return json_pack("{s:s, s:I, s:s, s:s?, s:o, s:o}", "service",
+	return json_pack("{s:s, s:I, s:b, s:s, s:s?, s:o, s:o}", "service",
 			 request->service->name, "weight", (json_int_t)weight,
+			 "dispatched",
+			 request_stage(request) == STAGE_NONE &&
+				 request_is_dispatched(request),
 			 "verdict", verdict(request, backend), "server",
 			 backend ? backend->info.id : NULL, "queue",
 			 queue_pack(request), "steps", steps);
--- a/include/forward/where.h
+++ b/include/forward/where.h
@@ -12,6 +12,10 @@
  *	were considered, with the terms of their cost, or the reason why they
  *	are barred. Costs are those of forward/place.h; times are milliseconds.
  *
+ *	A plain call of a dispatched service is granted its server by the
+ *	dispatcher (sched/dispatch.h). The answer then names the server that
+ *	this instance would choose without it, and says so.
+ *
  *	An instance answers by what it knows. Another one may know other loads.
  */
 #ifndef FORWARD_WHERE_H
