--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -84,6 +84,8 @@
 		addresses[1],
 		(char *)flags[2],
 		addresses[2],
+		(char *)"--plain-queue",
+		(char *)(soak->dispatch_enabled ? "on" : "auto"),
 		NULL,
 	};
 
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -149,6 +149,7 @@
 			       (argc > 4 && strcmp(argv[4], "repeats") == 0);
 	soak.versions_enabled = argc > 4 && strcmp(argv[4], "versions") == 0;
 	soak.drills_enabled = argc > 4 && strcmp(argv[4], "drills") == 0;
+	soak.dispatch_enabled = argc > 4 && strcmp(argv[4], "dispatch") == 0;
 	soak.backpressure_enabled = argc > 4 && strcmp(argv[4], "asks") == 0;
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -121,6 +121,8 @@
 	struct timer resume_timer;
 	/* For runs with a store that comes back from old copies. */
 	bool drills_enabled;
+	bool dispatch_enabled; /* a dispatcher grants plain calls their servers
+				*/
 	GRand *drill_rand;
 	uint32_t drills; /* steps */
 	struct timer drill_timer;
