--- a/tests/forward/test_gossip_speeds.c
+++ b/tests/forward/test_gossip_speeds.c
@@ -190,12 +190,14 @@
 	site_close(site);
 }
 
+#define INACTIVE_INSTANCES 3u
+
 /* Where no server states a pace, summaries are as before. */
 static void test_inactive(void)
 {
-	struct site *site = world_open(3, 1);
-	g_autofree double *before = g_new0(double, site->count);
-	g_autofree double *after = g_new0(double, site->count);
+	struct site *site = world_open(INACTIVE_INSTANCES, 1);
+	double before[INACTIVE_INSTANCES] = {0};
+	double after[INACTIVE_INSTANCES] = {0};
 
 	bytes_measure(site, NULL, 10, before);
 	for (uint32_t i = 0; i < site->count; i++)
--- a/tests/sched/precedence_model.c
+++ b/tests/sched/precedence_model.c
@@ -716,9 +716,11 @@
 	flood(world);
 	runs_end(world);
 	returns_arrive(world);
-	for (; expected > 0.0; expected -= 1.0)
+	while (expected > 0.0) {
 		if (g_rand_double(world->rand) < expected)
 			caller_arrive(world);
+		expected -= 1.0;
+	}
 	for (uint32_t i = 0; i < world->count; i++) {
 		struct node *node = &world->nodes[i];
 		int every = world->count == 1 ? 1 : PUMP_MSEC;
