--- a/sched/dispatch.c
+++ b/sched/dispatch.c
@@ -108,6 +108,10 @@
 		return one->call.urgency < other->call.urgency ? -1 : 1;
 	if (one->recent < other->recent || one->recent > other->recent)
 		return one->recent < other->recent ? -1 : 1;
+	/* In order of arrival, calls with a short target would be refused for
+	 * those with a longer one that could still wait. */
+	if (one->leave_at != other->leave_at)
+		return one->leave_at < other->leave_at ? -1 : 1;
 	return one->order < other->order ? -1 : 1;
 }
 
