--- a/include/sched/dispatch.h
+++ b/include/sched/dispatch.h
@@ -10,9 +10,9 @@
  *	A server has at most its slots plus DISPATCH_EXTRA calls outstanding,
  *	that is, granted and not done. The next free slot goes to the call of
  *	the highest urgency (the lowest number); among these, to the
- *	organisation with the fewest recent grants; then in order of arrival.
- *	The server is the one with the earliest expected completion, see struct
- *	dispatch_terms.
+ *	organisation with the fewest recent grants; then to the call that can
+ *	wait least. The server is the one with the earliest expected completion,
+ *	see struct dispatch_terms.
  *
  *	A call that cannot complete by its target, given the calls queued before
  *	it, is refused as soon as that is certain. If no other call waits, one
