--- a/tests/sched/test_dispatch_queue.c
+++ b/tests/sched/test_dispatch_queue.c
@@ -264,10 +264,33 @@
 	unit_close(dispatch, &log);
 }
 
+/* Guards against calls with a short target that are refused for earlier ones
+ * which could still wait. */
+static void test_targets(void)
+{
+	struct log log;
+	struct dispatch *dispatch = unit_open(&log, 1, 1);
+
+	g_assert_cmpint(ask(dispatch, NOW, 1, 1, 0, 150000), ==,
+			DISPATCH_GRANTED);
+	g_assert_cmpint(ask(dispatch, NOW, 2, 1, 0, 150000), ==,
+			DISPATCH_GRANTED);
+	g_assert_cmpint(ask(dispatch, NOW, 3, 1, 0, 200000), ==,
+			DISPATCH_WAITING);
+	g_assert_cmpint(ask(dispatch, NOW + 1000, 4, 1, 0, 150000), ==,
+			DISPATCH_WAITING);
+	end(dispatch, NOW + 2000, 1, NULL);
+	log_expect(&log, "4@1 ");
+	end(dispatch, NOW + 3000, 2, NULL);
+	log_expect(&log, "3@1 ");
+	unit_close(dispatch, &log);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/sched/dispatch-queue/order", test_order);
+	g_test_add_func("/sched/dispatch-queue/targets", test_targets);
 	g_test_add_func("/sched/dispatch-queue/lease", test_lease);
 	g_test_add_func("/sched/dispatch-queue/refused", test_refused);
 	g_test_add_func("/sched/dispatch-queue/others", test_others);
