--- a/tests/forward/test_endless.c
+++ b/tests/forward/test_endless.c
@@ -689,9 +689,10 @@
 		       (double)grown / (1 << 20),
 		       (double)site->resident_max / (double)INSTANCE_BYTES,
 		       site->statuses[502], CROWD, site->statuses[503]);
-	/* Sanitizers keep freed memory. */
-	if (!g_getenv("ASAN_OPTIONS"))
-		g_assert_cmpuint(site->resident_max, <=, INSTANCE_BYTES);
+#ifndef __SANITIZE_ADDRESS__
+	/* The sanitizer keeps freed memory, so this says nothing there. */
+	g_assert_cmpuint(site->resident_max, <=, INSTANCE_BYTES);
+#endif
 	endless_stop(&endless);
 }
 
--- a/tests/sched/dispatch_model.c
+++ b/tests/sched/dispatch_model.c
@@ -162,11 +162,12 @@
 	}
 	for (uint32_t i = 0; i < SERVERS; i++)
 		g_queue_clear(&model->servers[i].queue);
+	/* Resets the timers of the events, so it comes before them. */
+	clock_destroy(model->clock);
 	g_ptr_array_unref(model->calls);
 	g_ptr_array_unref(model->events);
 	g_rand_free(model->rand);
 	g_rand_free(model->arrivals);
-	clock_destroy(model->clock);
 }
 
 void model_run(const struct model_setup *setup, struct model_result *result)
