--- a/tests/forward/uneven_world.c
+++ b/tests/forward/uneven_world.c
@@ -224,6 +224,27 @@
 	}
 }
 
+static void sim_close(struct sim *sim)
+{
+	for (uint32_t i = 0; i < sim->count; i++) {
+		g_queue_clear_full(&sim->instances[i].waiting, g_free);
+		fleet_destroy(sim->instances[i].fleet);
+	}
+	for (uint32_t i = 0; i < SERVERS; i++) {
+		g_queue_clear_full(&sim->servers[i].prompts, g_free);
+		g_ptr_array_set_free_func(sim->servers[i].runs, g_free);
+		g_ptr_array_unref(sim->servers[i].runs);
+	}
+	for (uint32_t i = 0; i < CENTRES; i++)
+		g_free(sim->speeds[i]);
+	g_free(sim->actual);
+	g_free(sim->instances);
+	clock_destroy(sim->clock);
+	g_rand_free(sim->rand);
+	g_rand_free(sim->arrival);
+	g_free(sim);
+}
+
 /* Part of the streams whose first event was in time. */
 double sim_run(enum way way, uint32_t count, double demand, bool alike,
 	       uint32_t seed)
@@ -259,11 +280,6 @@
 			server_step(sim, i);
 	}
 	result = sim->in_time / (double)MAX(sim->asked, 1);
-	/* The process ends after the test; streams are left to it. */
-	for (uint32_t i = 0; i < count; i++)
-		fleet_destroy(sim->instances[i].fleet);
-	clock_destroy(sim->clock);
-	g_rand_free(sim->rand);
-	g_rand_free(sim->arrival);
+	sim_close(sim);
 	return result;
 }
