--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,7 +6,7 @@
 
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "standin"))
-from standin import Runner, Site, read_body, read_head  # noqa: E402
+from standin import read_body, read_head, run_case, Runner, Site  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CHANNELS = 12  # kept open, all at one front
@@ -102,4 +102,4 @@
         site.end()
 
 
-sys.exit(main())
+sys.exit(run_case(main))
--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import resource
 import signal
 import socket
 import struct
@@ -15,6 +16,7 @@
 import tempfile
 import threading
 import time
+import traceback
 
 STARTED = time.monotonic()
 LEAD_S = 10  # the fronts run before traffic starts
@@ -335,6 +337,19 @@
         return sock.getsockname()[1]
 
 
+def no_core():
+    resource.setrlimit(resource.RLIMIT_CORE, (0, 0))
+
+
+def run_case(main):
+    """The exit status of a script: that of main, or 2 if it could not run."""
+    try:
+        return main()
+    except Exception:  # noqa: BLE001
+        traceback.print_exc()
+        return 2
+
+
 class Site:
     """A store, runners, and processes started as deploy/system.toml says."""
 
@@ -374,7 +389,8 @@
             log = open(os.path.join(self.temporary.name, "front-%d.log" % i), "w")
             environment = {"PATH": os.environ["PATH"], "JACINTHTRESTLE_NODE_FILE": path}
             self.processes.append(subprocess.Popen(["target/platform/jtforward"], cwd=ROOT, env=environment,
-                                                   stdin=subprocess.DEVNULL, stdout=log, stderr=log))
+                                                   stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                                                   preexec_fn=no_core))
             self.fronts.append((listen, health))
 
     def wait_ready(self, limit_s=15):
