web: one parser for the heads of answers

What callers saw: a server that answers with "Transfer-Encoding: Chunked" ended the instance that read the answer (SIGABRT).

Cause: head_is_valid() checked a head, and h2o's client then parsed the same bytes again. h2o 2.2.5 marks a connection as reusable before it reads the framing, and its path for errors asserts that it is not, so any head that the check accepts and h2o refuses ends the process. The check ignored case and trimmed whitespace; h2o does neither.

Evidence: the assertion named by the case (on_error_before_head). New rows of web_client, run on, end with the same assertion: "coding in capitals", "coding with a space after it", "coding repeated in capitals", "coding identity in capitals", "length with a space after it".

Change: web/head.c is the only parser. h2o gets a head that is printed from what was parsed (status, framing, "connection: close"), so it never sees a field of the server. Answers that are valid in any form now reach the caller.

--- /dev/null
+++ b/tests/web/script.c
@@ -0,0 +1,49 @@
+#include "script.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "world.h"
+
+void script_setup(struct script *script)
+{
+	memset(script, 0, sizeof(*script));
+	script->fd = -1;
+	script->listener = raw_listen(script->address, sizeof(script->address));
+}
+
+void script_teardown(struct script *script)
+{
+	if (script->fd >= 0)
+		close(script->fd);
+	close(script->listener);
+}
+
+void script_close(struct script *script, enum conn_end end)
+{
+	static const struct linger abortive = {.l_onoff = 1};
+
+	if (end == CONN_KEEP)
+		return;
+	if (end == CONN_RESET)
+		setsockopt(script->fd, SOL_SOCKET, SO_LINGER, &abortive,
+			   sizeof(abortive));
+	close(script->fd);
+	script->fd = -1;
+}
+
+bool script_receive(struct script *script, enum conn_end end)
+{
+	char buf[4096];
+	int fd = accept4(script->listener, NULL, NULL, SOCK_NONBLOCK);
+
+	if (fd >= 0) {
+		if (script->fd >= 0)
+			close(script->fd);
+		script->fd = fd;
+		script->accepted++;
+		if (end == CONN_CLOSE_UNREAD)
+			script_close(script, end);
+	}
+	return script->fd >= 0 && recv(script->fd, buf, sizeof(buf), 0) > 0;
+}
--- a/tests/web/test_client.c
+++ b/tests/web/test_client.c
@@ -1,18 +1,11 @@
 /* The client, against a scripted server and against web_server. */
-#include <errno.h>
 #include <string.h>
 #include <unistd.h>
 
 #include "relay_handler.h"
+#include "script.h"
 #include "world.h"
 
-enum conn_end {
-	CONN_KEEP,  /* the connection stays open */
-	CONN_CLOSE, /* once the answer is sent */
-	CONN_RESET,
-	CONN_CLOSE_UNREAD, /* closes before reading the request */
-};
-
 struct answer_case {
 	const char *name;
 	const char *method;
@@ -52,6 +45,44 @@
 	{"bad length after continue", "GET",
 	 "HTTP/1.1 100 Continue\r\n\r\n" HEAD "content-length: \r\n\r\n",
 	 CONN_KEEP, false, false, 0, ""},
+	{"coding in capitals", "GET",
+	 HEAD "Transfer-Encoding: Chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	 CONN_KEEP, true, false, 200, "hello"},
+	{"coding with a space after it", "GET",
+	 HEAD "Transfer-Encoding: chunked \r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	 CONN_KEEP, true, false, 200, "hello"},
+	{"coding on a folded line", "GET",
+	 HEAD "Transfer-Encoding:\r\n chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+	 CONN_KEEP, true, false, 200, "hello"},
+	{"coding repeated in capitals", "GET",
+	 HEAD "transfer-encoding: chunked\nTransfer-Encoding: Chunked\n\n"
+	      "5\r\nhello\r\n0\r\n\r\n",
+	 CONN_KEEP, true, false, 200, "hello"},
+	{"coding identity in capitals", "GET",
+	 HEAD "Transfer-Encoding: Identity\r\n\r\nhello", CONN_CLOSE, true,
+	 false, 200, "hello"},
+	{"parameter of a coding", "GET",
+	 HEAD "Transfer-Encoding: chunked;q=1\r\n\r\n0\r\n\r\n", CONN_KEEP,
+	 false, false, 0, ""},
+	{"length with a space after it", "GET",
+	 HEAD "Content-Length: 5 \r\n\r\nhello", CONN_KEEP, true, false, 200,
+	 "hello"},
+	{"equal lengths", "GET",
+	 HEAD "Content-Length: 5, 5\r\nContent-Length:5\r\n\r\nhello",
+	 CONN_KEEP, true, false, 200, "hello"},
+	{"two lengths", "GET",
+	 HEAD "content-length: 5\r\ncontent-length: 4\r\n\r\nhello", CONN_KEEP,
+	 false, false, 0, ""},
+	{"chunks and a length", "GET",
+	 HEAD "transfer-encoding: chunked\r\ncontent-length: 99\r\n\r\n"
+	      "5\r\nhello\r\n0\r\n\r\n",
+	 CONN_KEEP, true, false, 200, "hello"},
+	{"length of 20 digits", "GET",
+	 HEAD "content-length: 99999999999999999999\r\n\r\nhello", CONN_KEEP,
+	 false, false, 0, ""},
+	{"control character", "GET",
+	 HEAD "x-a: \001\r\ncontent-length: 5\r\n\r\nhello", CONN_KEEP, false,
+	 false, 0, ""},
 	{"head", "HEAD", HEAD "content-length: 5\r\n\r\n", CONN_KEEP, true,
 	 false, 200, ""},
 	{"no content", "GET", "HTTP/1.1 204 No Content\r\n\r\n", CONN_KEEP,
@@ -85,57 +116,11 @@
 	 CONN_KEEP, false, true, 200, "hello"},
 };
 
-struct script {
-	int listener;
-	char address[32];
-	int fd; /* -1 before a connection */
-	int accepted;
-	bool answered;
-};
-
-static void script_setup(struct script *script)
-{
-	memset(script, 0, sizeof(*script));
-	script->fd = -1;
-	script->listener = raw_listen(script->address, sizeof(script->address));
-}
-
-static void script_teardown(struct script *script)
-{
-	if (script->fd >= 0)
-		close(script->fd);
-	close(script->listener);
-}
-
-static void script_close(struct script *script, enum conn_end end)
-{
-	static const struct linger abortive = {.l_onoff = 1};
-
-	if (end == CONN_KEEP)
-		return;
-	if (end == CONN_RESET)
-		setsockopt(script->fd, SOL_SOCKET, SO_LINGER, &abortive,
-			   sizeof(abortive));
-	close(script->fd);
-	script->fd = -1;
-}
-
 /* Accepts a pending connection, and answers a request that has arrived. */
 static void script_step(struct script *script, const char *answer,
 			enum conn_end end)
 {
-	char buf[4096];
-	int fd = accept4(script->listener, NULL, NULL, SOCK_NONBLOCK);
-
-	if (fd >= 0) {
-		if (script->fd >= 0)
-			close(script->fd);
-		script->fd = fd;
-		script->accepted++;
-		if (end == CONN_CLOSE_UNREAD)
-			script_close(script, end);
-	}
-	if (script->fd < 0 || recv(script->fd, buf, sizeof(buf), 0) <= 0)
+	if (!script_receive(script, end))
 		return;
 	script->answered = true;
 	raw_send(script->fd, answer, strlen(answer));
--- a/web/call.c
+++ b/web/call.c
@@ -3,11 +3,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#include "head.h"
 #include "input.h"
 #include "keepalive.h"
 
-#define HEADERS_MAX 100
 #define CONNECT_TIMEOUT_DEFAULT_USEC (3 * USEC_PER_SEC)
 #define HEAD_TIMEOUT_DEFAULT_USEC (30 * USEC_PER_SEC)
 #define IDLE_TIMEOUT_DEFAULT_USEC (30 * USEC_PER_SEC)
@@ -28,6 +26,7 @@
 	g_queue_unlink(&call->client->calls, &call->link);
 	if (call->request)
 		g_string_free(call->request, TRUE);
+	head_clear(&call->head);
 	if (call->release)
 		call->release(call->ctx);
 	if (call->owned_release)
@@ -190,7 +189,7 @@
 	return NULL;
 }
 
-static const char *head_read(struct web_call *call, h2o_socket_t *sock)
+static const char *head_receive(struct web_call *call, h2o_socket_t *sock)
 {
 	bool begins = sock->input->size == 0;
 	const char *err;
@@ -211,7 +210,7 @@
 	return err;
 }
 
-static const char *body_read(struct web_call *call, h2o_socket_t *sock)
+static const char *body_receive(struct web_call *call, h2o_socket_t *sock)
 {
 	const char *err;
 
@@ -224,6 +223,45 @@
 	return err;
 }
 
+/* Replaces the first size bytes of the input with the head for h2o. */
+static bool head_replace(struct web_call *call, h2o_socket_t *sock, size_t size)
+{
+	g_autoptr(GString) text = head_print(&call->head);
+	size_t rest = sock->input->size - size;
+	h2o_buffer_t *input;
+
+	if (text->len > size &&
+	    !h2o_buffer_reserve(&sock->input, text->len - size).base)
+		return false;
+	input = sock->input;
+	memmove(input->bytes + text->len, input->bytes + size, rest);
+	memcpy(input->bytes, text->str, text->len);
+	input->size = text->len + rest;
+	return true;
+}
+
+/* Parses the input up to the final head; false when it is incomplete, or the
+ * call has failed. */
+static bool head_take(struct web_call *call, h2o_socket_t *sock)
+{
+	struct head *head = &call->head;
+	enum head_result result;
+
+	while ((result = head_read(head, sock->input->bytes,
+				   sock->input->size)) == HEAD_INFORMATIONAL) {
+		h2o_buffer_consume(&sock->input, head->size);
+		head_clear(head);
+	}
+	if (result == HEAD_INVALID)
+		call_fail(call, head->text_invalid);
+	if (result != HEAD_COMPLETE)
+		return false;
+	if (head_replace(call, sock, head->size))
+		return true;
+	call_fail(call, h2o_socket_error_out_of_memory);
+	return false;
+}
+
 /* h2o 2.2 treats any end of the connection, also a reset, as the end of a body
  * without length. */
 static void sock_read(h2o_socket_t *sock, const char *err)
@@ -234,8 +272,8 @@
 	if (!sock_enter(call))
 		return;
 	if (!err)
-		err = call->has_head ? body_read(call, sock)
-				     : head_read(call, sock);
+		err = call->has_head ? body_receive(call, sock)
+				     : head_receive(call, sock);
 	if (call->rejected) {
 		call_fail(call, call->text);
 		return;
@@ -243,11 +281,8 @@
 	if (!err && sock->bytes_read == 0)
 		return;
 	call->was_reset = err && err != h2o_socket_error_closed;
-	if (!call->has_head && !err &&
-	    !head_is_valid(sock->input->bytes, sock->input->size)) {
-		call_fail(call, "invalid content-length or transfer-encoding");
+	if (!call->has_head && !err && !head_take(call, sock))
 		return;
-	}
 	call->h2o_read_cb(sock, err);
 }
 
@@ -330,20 +365,13 @@
 	return call_leave(call) ? 0 : -1;
 }
 
-static void head_report(struct web_call *call, int status,
-			const h2o_header_t *headers, size_t count)
+static void head_report(struct web_call *call)
 {
-	struct web_header list[HEADERS_MAX];
-
-	count = MIN(count, HEADERS_MAX);
-	for (size_t i = 0; i < count; i++) {
-		const h2o_iovec_t *name = headers[i].name;
-		const h2o_iovec_t *value = &headers[i].value;
+	g_autofree struct web_header *headers = NULL;
+	size_t count;
 
-		list[i].name = (struct web_text){name->base, name->len};
-		list[i].value = (struct web_text){value->base, value->len};
-	}
-	call->ops.head(call->ctx, status, list, count);
+	headers = head_headers(&call->head, &count);
+	call->ops.head(call->ctx, call->head.status, headers, count);
 }
 
 static h2o_http1client_body_cb on_head(h2o_http1client_t *http, const char *err,
@@ -362,11 +390,10 @@
 	}
 	call->has_head = true;
 	call->head_at = call->last_active;
-	call->is_chunked =
-		h2o_find_header(&(h2o_headers_t){headers, count, count},
-				H2O_TOKEN_TRANSFER_ENCODING, -1) != -1;
+	call->is_chunked = call->head.framing == FRAMING_CHUNKED;
 	if (call->ops.head && !call->cancelled)
-		head_report(call, status, headers, count);
+		head_report(call);
+	head_clear(&call->head);
 	if (err) {
 		answer_end(call);
 		return NULL;
--- a/web/call.h
+++ b/web/call.h
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "common/clock.h"
+#include "head.h"
 #include "web/client.h"
 #include "web/loop.h"
 
@@ -53,6 +54,7 @@
 	int relay_status; /* of the relay's answer; 0: none */
 	h2o_socket_cb h2o_read_cb;
 	h2o_socket_cb h2o_write_cb;
+	struct head head; /* of the answer that is arriving */
 	int64_t connect_usec;
 	int64_t head_usec;
 	int64_t idle_usec;
--- a/web/tunnel.c
+++ b/web/tunnel.c
@@ -15,6 +15,7 @@
 
 	call->tunnel_sock = NULL;
 	call->head_bytes = 0;
+	head_clear(&call->head);
 	sock->on_close.cb(sock->on_close.data);
 	sock->on_close.cb = NULL;
 	sock->on_close.data = pool;
