--- a/tests/web/script.c
+++ b/tests/web/script.c
@@ -34,7 +34,7 @@
 
 bool script_receive(struct script *script, enum conn_end end)
 {
-	char buf[4096];
+	ssize_t size = 0;
 	int fd = accept4(script->listener, NULL, NULL, SOCK_NONBLOCK);
 
 	if (fd >= 0) {
@@ -45,5 +45,9 @@
 		if (end == CONN_CLOSE_UNREAD)
 			script_close(script, end);
 	}
-	return script->fd >= 0 && recv(script->fd, buf, sizeof(buf), 0) > 0;
+	if (script->fd >= 0)
+		size = recv(script->fd, script->request,
+			    sizeof(script->request) - 1, 0);
+	script->request[MAX(size, 0)] = '\0';
+	return size > 0;
 }
--- a/tests/web/script.h
+++ b/tests/web/script.h
@@ -19,6 +19,7 @@
 	int fd; /* -1 before a connection */
 	int accepted;
 	bool answered;
+	char request[16384]; /* what was read last, as a string */
 };
 
 void script_setup(struct script *script);
