forward: a stream is not continued with a run that began anew

What callers saw: a stream broke off after event 8, the next server disregarded Last-Event-Id, and the caller got events 1 to 8, then 1 to 20, as one complete answer.

Cause: the ids of a continuation were recorded and never compared with the last one relayed.

Change: event_cutter knows after which id a server was to go on. The first event that does not ends the call as rejected; the server has failed and is not chosen again for this stream. Another one resumes it, or the stream visibly breaks off (502 if nothing was relayed).

Why it works: no event of such a run reaches the caller, so two runs are never joined. Leaving out the events that the caller has was weighed and not done: the second run is another one from its first event on.

--- a/forward/events.c
+++ b/forward/events.c
@@ -19,14 +19,31 @@
 	cutter->rest = NULL;
 }
 
+void event_cutter_begin(struct event_cutter *cutter, bool resumes,
+			uint64_t after)
+{
+	cutter->resumes = resumes;
+	cutter->after = after;
+	cutter->is_numbered = false;
+	cutter->began_anew = false;
+}
+
+struct event {
+	size_t size;
+	uint64_t id;
+	bool has_id;
+	bool has_data;
+};
+
 /* Parses "id: 12" or "id:12". Other ids are relayed, but a stream cannot be
  * resumed after them. */
-static void line_parse(struct event_cutter *cutter, const char *line,
-		       size_t size)
+static void line_parse(struct event *event, const char *line, size_t size)
 {
 	uint64_t id = 0;
 	size_t at = 3;
 
+	if (size >= 4 && memcmp(line, "data", 4) == 0)
+		event->has_data = true;
 	if (size < 4 || memcmp(line, "id:", 3) != 0)
 		return;
 	if (line[at] == ' ')
@@ -38,8 +55,8 @@
 			return;
 		id = id * 10 + (uint64_t)(line[at] - '0');
 	}
-	cutter->last_id = id;
-	cutter->has_id = true;
+	event->id = id;
+	event->has_id = true;
 }
 
 /* Sets *length to the line's size without its line end, *next to the offset of
@@ -67,40 +84,54 @@
 	return true;
 }
 
-/* Parses the lines of one event; returns its size, 0 when it is incomplete. */
-static size_t event_parse(struct event_cutter *cutter, const char *text,
-			  size_t size)
+/* Parses the lines of one event; false when it is incomplete. */
+static bool event_parse(struct event *event, const char *text, size_t size)
 {
-	size_t at = 0;
 	size_t length;
 	size_t next;
 
-	while (line_find(text + at, size - at, &length, &next)) {
-		line_parse(cutter, text + at, length);
-		at += next;
+	*event = (struct event){.size = 0};
+	while (line_find(text + event->size, size - event->size, &length,
+			 &next)) {
+		line_parse(event, text + event->size, length);
+		event->size += next;
 		if (length == 0)
-			return at;
+			return true;
 	}
-	return 0;
+	return false;
+}
+
+/* Whether the event may follow what was relayed before. Comments and the like
+ * have neither an id nor data. */
+static bool event_follows(const struct event_cutter *cutter,
+			  const struct event *event)
+{
+	if (!cutter->resumes)
+		return true;
+	if (event->has_id)
+		return event->id > cutter->after;
+	return !event->has_data || cutter->is_numbered;
 }
 
 size_t event_cutter_complete_bytes(struct event_cutter *cutter)
 {
 	const char *text = (const char *)cutter->rest->data;
-	uint64_t last_id = cutter->last_id;
-	bool has_id = cutter->has_id;
-	size_t size;
-
-	while ((size = event_parse(cutter, text + cutter->scanned,
-				   cutter->rest->len - cutter->scanned)) > 0) {
-		cutter->scanned += size;
+	struct event event;
+
+	while (event_parse(&event, text + cutter->scanned,
+			   cutter->rest->len - cutter->scanned)) {
+		if (!event_follows(cutter, &event)) {
+			cutter->began_anew = true;
+			break;
+		}
+		cutter->scanned += event.size;
 		cutter->events++;
-		last_id = cutter->last_id;
-		has_id = cutter->has_id;
+		if (!event.has_id)
+			continue;
+		cutter->last_id = event.id;
+		cutter->has_id = true;
+		cutter->is_numbered = true;
 	}
-	/* Discards the id of an incomplete event. */
-	cutter->last_id = last_id;
-	cutter->has_id = has_id;
 	return cutter->scanned;
 }
 
@@ -119,4 +150,5 @@
 void event_cutter_drop(struct event_cutter *cutter)
 {
 	g_byte_array_set_size(cutter->rest, (guint)cutter->scanned);
+	cutter->began_anew = false;
 }
--- a/forward/received.c
+++ b/forward/received.c
@@ -3,6 +3,7 @@
  *
  * DESCRIPTION
  *	Answers are buffered until they are complete, events until they are.
+ *	An answer that cannot be used is given up as it arrives.
  *	Beyond RECEIVED_TOTAL_MAX bytes of all requests, the call with the most
  *	is given up: its connection is closed, its server has failed, and its
  *	request is retried or ends as after any failed call.
@@ -86,6 +87,10 @@
 		answer_reject(request, "answer too large");
 		return;
 	}
+	if (request->cutter.began_anew) {
+		answer_reject(request, "stream began anew");
+		return;
+	}
 	if (forward->received <= RECEIVED_TOTAL_MAX)
 		return;
 	/* The recorded total may be out of date; the search refreshes it. */
--- a/forward/request.h
+++ b/forward/request.h
@@ -111,6 +111,8 @@
 	uint32_t answers_awaited;
 	double weight;	    /* for streams: engine_rates_weight() */
 	bool checked_early; /* the check for an early refusal is done */
+	/* Decode servers that began a stream anew instead of resuming it. */
+	struct tried began_anew;
 	bool is_probe; /* the run is at a decode server that has refused other
 			  runs */
 	int replied_status;
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -450,7 +450,7 @@
 	struct place place;
 
 	request_place(request, &place);
-	place.tried = NULL;
+	place.tried = &request->began_anew;
 	room_place(request, &place);
 	/* An idle server is suitable for any request that fits its memory. */
 	backend =
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -66,21 +66,10 @@
 		request->stalled = true;
 }
 
-static void run_events(struct request *request, const void *data, size_t size)
+static void events_relay(struct request *request, size_t size)
 {
 	struct event_cutter *cutter = &request->cutter;
-	size_t whole;
 
-	if (!event_cutter_feed(cutter, data, size)) {
-		request->answer.too_large = true;
-		request_received_update(request);
-		return;
-	}
-	whole = event_cutter_complete_bytes(cutter);
-	if (whole == 0) {
-		request_received_update(request);
-		return;
-	}
 	if (!request->replied) {
 		if (!request->software)
 			request->software = request->target.software;
@@ -90,9 +79,27 @@
 	resume_record(request, false);
 	stall_check(request);
 	request->last_at = request_now(request);
-	web_reply_piece(request->web, cutter->rest->data, whole);
-	event_cutter_consume(cutter, whole);
-	request_unread_update(request);
+	web_reply_piece(request->web, cutter->rest->data, size);
+	event_cutter_consume(cutter, size);
+}
+
+static void run_events(struct request *request, const void *data, size_t size)
+{
+	struct event_cutter *cutter = &request->cutter;
+	size_t whole;
+
+	if (!event_cutter_feed(cutter, data, size)) {
+		request->answer.too_large = true;
+		request_received_update(request);
+		return;
+	}
+	whole = event_cutter_complete_bytes(cutter);
+	if (whole > 0)
+		events_relay(request, whole);
+	if (whole == 0 || cutter->began_anew)
+		request_received_update(request);
+	else
+		request_unread_update(request);
 }
 
 /* The server that prefilled for this run; NULL when there is none or it is no
@@ -221,6 +228,8 @@
 	stream_failed_log(request, "run", end);
 	request_connection_lost(request, end);
 	stream_record_failure(request, backend, end);
+	if (backend && request->cutter.began_anew)
+		tried_add(&request->began_anew, backend->key);
 	event_cutter_drop(&request->cutter);
 	if (answer->has_head && answer->head.not_run &&
 	    !answer->head.mismatched) {
@@ -297,6 +306,7 @@
 		spec.resumes = true;
 		spec.resume_after = request->cutter.last_id;
 	}
+	event_cutter_begin(&request->cutter, spec.resumes, spec.resume_after);
 	spec.link = request_link(request, decode);
 	placed_log(request, "run", decode);
 	own_prefill_charge(request, decode);
