forward: a stream is not resumed after an event without an id

What callers saw: the last event before a stream broke off had no id, or one that is no number, and came again from the server that resumed the stream; with no number so far all events came again.

Cause: has_id meant "there has been an id", so the position of such a stream was taken for that of the last number, or for its beginning.

Change: the position is at the beginning, after a number, or nowhere; nowhere means that the stream breaks off.

--- a/forward/events.c
+++ b/forward/events.c
@@ -113,6 +113,18 @@
 	return !event->has_data || cutter->is_numbered;
 }
 
+static void event_record(struct event_cutter *cutter, const struct event *event)
+{
+	cutter->events++;
+	if (event->has_id) {
+		cutter->position = EVENTS_NUMBERED;
+		cutter->last_id = event->id;
+		cutter->is_numbered = true;
+	} else if (event->has_data) {
+		cutter->position = EVENTS_UNNUMBERED;
+	}
+}
+
 size_t event_cutter_complete_bytes(struct event_cutter *cutter)
 {
 	const char *text = (const char *)cutter->rest->data;
@@ -125,12 +137,7 @@
 			break;
 		}
 		cutter->scanned += event.size;
-		cutter->events++;
-		if (!event.has_id)
-			continue;
-		cutter->last_id = event.id;
-		cutter->has_id = true;
-		cutter->is_numbered = true;
+		event_record(cutter, &event);
 	}
 	return cutter->scanned;
 }
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -95,6 +95,7 @@
 		  const char *why)
 {
 	bool may_retry = !request_is_suspect(request) &&
+			 request->cutter.position != EVENTS_UNNUMBERED &&
 			 (request->runs == 0 ||
 			  (request_repeatable(request) &&
 			   request->runs < request->route->attempts));
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -302,7 +302,7 @@
 			"decode server not usable, or retry budget exhausted");
 		return;
 	}
-	if (request->replied && request->cutter.has_id) {
+	if (request->cutter.position == EVENTS_NUMBERED) {
 		spec.resumes = true;
 		spec.resume_after = request->cutter.last_id;
 	}
--- a/include/forward/events.h
+++ b/include/forward/events.h
@@ -24,11 +24,18 @@
 /* Largest incomplete event that is buffered. */
 #define EVENT_BYTES_MAX (256u << 10)
 
+/* Where another server can continue. */
+enum event_position {
+	EVENTS_NONE,	   /* at the beginning: no data was relayed */
+	EVENTS_NUMBERED,   /* after the event last_id */
+	EVENTS_UNNUMBERED, /* nowhere: the last event has no usable id */
+};
+
 struct event_cutter {
 	GByteArray *rest; /* unsent bytes, from an event boundary on */
 	size_t scanned;	  /* bytes of complete events at the start of rest */
-	uint64_t last_id; /* of the last complete event; valid if has_id */
-	bool has_id;
+	enum event_position position; /* of the last complete event */
+	uint64_t last_id;
 	uint64_t events; /* complete events so far */
 	bool resumes;	 /* the server goes on after that event */
 	uint64_t after;
