web: a request whose end is not certain is refused

What callers saw: a request with Content-Length and Transfer-Encoding, or with two lengths, was answered with 200, and the rest of its body was run as a second request that no caller had sent.

Cause: h2o's server takes the last Transfer-Encoding or the first Content-Length, and keeps all of these fields from the handler.

Change: web/head.c, the parser of the heads of answers, reads the head of each HTTP/1 request again, which h2o keeps at the start of the input. If the end of the body is not certain, the answer is 400 and the connection is closed.

Why it works: nothing after such a request is read any more. Two equal lengths are still served.

--- a/tests/web/test_server.c
+++ b/tests/web/test_server.c
@@ -178,6 +178,9 @@
 	g_assert_cmpint(world->status, ==, 404);
 }
 
+/* Served only when the request before it certainly ends before it. */
+#define SMUGGLED "GET /?x=end HTTP/1.1\r\nhost: a\r\n\r\n"
+
 /* Raw requests, and what the answer contains. */
 struct wire_case {
 	const char *name;
@@ -213,6 +216,22 @@
 	{"no request", "nonsense\r\n\r\n", 0, "400 Bad Request", NULL, NULL},
 	{"bad length", "POST / HTTP/1.1\r\ncontent-length: x\r\n\r\n", 0,
 	 "400 Invalid Request", NULL, "200 OK"},
+	{"request after a length and chunks",
+	 "POST / HTTP/1.1\r\ncontent-length: 80\r\nhost: a\r\n"
+	 "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" SMUGGLED,
+	 0, NULL, "400 Bad Request", "x-param: end"},
+	{"request after the first of two lengths",
+	 "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+	 "Content-Length: 80\r\n\r\nabc" SMUGGLED,
+	 0, NULL, "400 Bad Request", "x-param: end"},
+	{"request after chunks of another coding",
+	 "POST / HTTP/1.1\r\nhost: a\r\ntransfer-encoding: gzip\r\n"
+	 "transfer-encoding: chunked\r\n\r\n0\r\n\r\n" SMUGGLED,
+	 0, NULL, "400 Bad Request", "x-param: end"},
+	{"request after two equal lengths",
+	 "\r\nPOST / HTTP/1.1\r\nhost: a\r\ncontent-length: 3\r\n"
+	 "content-length: 3\r\n\r\nabc" SMUGGLED,
+	 0, "x-param: end", "200 OK", "400"},
 	{"header lookup",
 	 "GET /headers HTTP/1.1\r\nhost: a\r\nX-One: 1\r\nx-two: b c\r\n\r\n",
 	 0, "one 1", "x-one=1;x-two=b c;", NULL},
--- a/web/head.c
+++ b/web/head.c
@@ -248,7 +248,8 @@
 {
 	guint count = head->fields ? head->fields->len : 0;
 
-	if (head->status < 200 && head->status != STATUS_SWITCHING)
+	if (!head->is_request && head->status < 200 &&
+	    head->status != STATUS_SWITCHING)
 		return HEAD_INFORMATIONAL;
 	for (guint i = 0; i < count; i++) {
 		const struct web_header header = header_of(head, i);
@@ -269,6 +270,15 @@
 	return HEAD_COMPLETE;
 }
 
+/* h2o has read the start line of a request, and skips an empty line before
+ * it. */
+static enum head_result start_line_read(struct head *head, struct web_text line)
+{
+	head->has_start_line = !head->is_request || line.size > 0;
+	return head->is_request ? HEAD_INCOMPLETE
+				: status_line_read(head, line);
+}
+
 /* Whether an incomplete line may still become a status line. */
 static bool status_line_begins(const char *data, size_t size)
 {
@@ -287,7 +297,7 @@
 
 		if (!end) {
 			head->scanned = line.size;
-			if (head->size == 0 &&
+			if (!head->has_start_line && !head->is_request &&
 			    !status_line_begins(line.data, line.size))
 				return head_invalid(head,
 						    "no HTTP/1 status line");
@@ -296,8 +306,8 @@
 		line.size = (size_t)(end - line.data);
 		if (line.size > 0 && end[-1] == '\r')
 			line.size--;
-		if (head->size == 0)
-			result = status_line_read(head, line);
+		if (!head->has_start_line)
+			result = start_line_read(head, line);
 		else if (line.size == 0)
 			result = head_end(head);
 		else
@@ -336,6 +346,16 @@
 	return out;
 }
 
+bool head_request_is_framed(const char *data, size_t size)
+{
+	struct head head = {.is_request = true};
+	bool is_framed = head_read(&head, data, size) == HEAD_COMPLETE &&
+			 !(head.has_coding && head.has_length);
+
+	head_clear(&head);
+	return is_framed;
+}
+
 void head_clear(struct head *head)
 {
 	if (head->text)
--- a/web/head.h
+++ b/web/head.h
@@ -1,5 +1,5 @@
 /*
- * head.h - reader of an answer's head
+ * head.h - reader of the heads of answers, and of the framing of requests
  *
  * DESCRIPTION
  *	The only parser of answers' heads. h2o's client parses a head that
@@ -46,7 +46,9 @@
 	uint64_t length;
 	bool has_coding;
 	bool has_length;
-	bool closes;		  /* the connection cannot be reused */
+	bool closes; /* the connection cannot be reused */
+	bool is_request;
+	bool has_start_line;
 	const char *text_invalid; /* reason for HEAD_INVALID */
 };
 
@@ -60,6 +62,11 @@
 struct web_header *head_headers(const struct head *head, size_t *count);
 /* Writes the head for h2o. */
 GString *head_print(const struct head *head);
+/* Whether the framing of a request is certain. Its complete head, which h2o has
+ * accepted, is at the start of data. False for what h2o reads by one of several
+ * lengths: a length and a transfer coding, lengths that differ, and codings
+ * other than chunked. */
+bool head_request_is_framed(const char *data, size_t size);
 /* Frees the fields and zeroes the struct. */
 void head_clear(struct head *head);
 
--- a/web/request.c
+++ b/web/request.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "common/clock.h"
+#include "head.h"
 
 static struct web_text text_of(h2o_iovec_t vec)
 {
@@ -103,6 +104,17 @@
 	return request;
 }
 
+/* h2o keeps the head at the start of the input until the answer is sent. */
+bool request_is_framed(const struct web_request *request)
+{
+	const h2o_buffer_t *input;
+
+	if (!request->sock)
+		return true;
+	input = request->sock->input;
+	return head_request_is_framed(input->bytes, input->size);
+}
+
 void request_hang_up(struct web_request *request)
 {
 	request_unwatch(request);
--- a/web/request.h
+++ b/web/request.h
@@ -54,6 +54,9 @@
 
 struct web_request *web_request_create(struct web_server *server,
 				       struct loop *loop, h2o_req_t *req);
+/* Whether the end of an HTTP/1 request is certain; if not, what follows it on
+ * the connection may be a part of its body. */
+bool request_is_framed(const struct web_request *request);
 /* Runs the gone hook and truncates the answer. */
 void request_hang_up(struct web_request *request);
 /* Hangs up if the caller has disconnected or has read nothing for idle_usec. */
--- a/web/server.c
+++ b/web/server.c
@@ -79,6 +79,15 @@
 	return NULL;
 }
 
+/* The connection is not read any further. */
+static void request_reject(struct web_request *request)
+{
+	static const char text[] = "ambiguous length\n";
+
+	request->req->http1_is_persistent = 0;
+	web_reply(request, 400, "text/plain", text, sizeof(text) - 1);
+}
+
 static int on_request(h2o_handler_t *handler, h2o_req_t *req)
 {
 	struct web_server *server = ((struct web_handler *)handler)->server;
@@ -88,7 +97,9 @@
 	loop_enter(server->loop);
 	request = web_request_create(server, server->loop, req);
 	route = route_find(server, web_request_path(request));
-	if (route)
+	if (!request_is_framed(request))
+		request_reject(request);
+	else if (route)
 		route->fn(route->ctx, request);
 	else
 		web_reply(request, 404, "text/plain", "not found\n", 10);
