--- a/web/head.c
+++ b/web/head.c
@@ -55,7 +55,7 @@
 	return false;
 }
 
-/* Also bounded by the signed type, which callers of the client may use. */
+/* At most INT64_MAX, so that sums of sizes do not overflow. */
 static bool length_parse(struct web_text text, uint64_t *length)
 {
 	*length = 0;
