--- a/web/head.h
+++ b/web/head.h
@@ -24,7 +24,7 @@
 #include "web/server.h"
 
 enum head_result {
-	HEAD_INCOMPLETE, /* valid so far */
+	HEAD_INCOMPLETE,    /* valid so far */
 	HEAD_INFORMATIONAL, /* complete, and the final head follows */
 	HEAD_COMPLETE,
 	HEAD_INVALID,
