forward: a stream that no server is left for ends at once

What callers saw: since servers that began a stream anew are not chosen again, a stream with further attempts waited for another server until its time was over, also when none was listed.

Cause: only servers of another version counted as unable to continue a stream.

Change: place_has_server() leaves out the servers that are tried, which here are those that began the stream anew; the two other callers pass none. The reason in the log names no version any more.

--- a/forward/place.c
+++ b/forward/place.c
@@ -296,6 +296,7 @@
 
 		if (backend->info.stage == stage &&
 		    !backend_withdrawn(backend) &&
+		    !tried_has(place->tried, backend->key) &&
 		    software_allowed(place, backend) &&
 		    regions_allow(&place->regions, backend->region))
 			return true;
--- a/forward/resume.c
+++ b/forward/resume.c
@@ -149,9 +149,10 @@
 {
 	struct place place;
 
-	if (!request->software)
+	if (!request->software && request->began_anew.count == 0)
 		return false;
 	request_place(request, &place);
+	place.tried = &request->began_anew;
 	return !place_has_server(&place,
 				 request->service->engine.memory_tokens > 0
 					 ? STAGE_DECODE
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -529,6 +529,7 @@
 	struct place place;
 
 	request_place(request, &place);
+	place.tried = NULL;
 	return regions_limited(&place.regions) &&
 	       !place_has_server(&place, STAGE_DECODE);
 }
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -319,6 +319,7 @@
 	if (!versions_bar(request, &held))
 		return false;
 	request_place(request, &place);
+	place.tried = NULL;
 	if (place_has_server(&place, request_stage(request)))
 		return false;
 	quarantined_refuse(request, &held);
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -223,7 +223,7 @@
 		return false;
 	stream_dequeue(request);
 	if (request->replied)
-		request_abort(request, "no server of the stream's version");
+		request_abort(request, "no server left for the stream");
 	else
 		request_refuse(request, RESULT_NO_BACKEND, RETRY_AFTER_USEC);
 	return true;
--- a/include/forward/place.h
+++ b/include/forward/place.h
@@ -135,7 +135,7 @@
 int64_t place_staleness(const struct place *place,
 			const struct backend *backend);
 /* Whether a server of the stage is listed that the request's regions allow and
- * that is not withdrawn; it may be unreachable or full. */
+ * that is neither withdrawn nor tried; it may be unreachable or full. */
 bool place_has_server(const struct place *place, enum backend_stage stage);
 /* A server for a plain call; NULL when none is usable. */
 struct backend *place_plain(const struct place *place);
