web: bound on the bodies of requests in sum

What callers saw: 75 requests with bodies of 4 MB within three seconds took an instance over its memory (110 MB), and the platform killed it. More than three small calls that servers had run were never answered.

Cause: only one body and the number of connections were bounded. h2o stores a body before the handler gets the request, so bodies that arrive side by side took memory as fast as callers sent.

A request that does not fit gets 503 and Retry-After before its body has arrived; the rest is read and dropped, so that the caller gets the answer.

Why it works: what is announced counts, not what has arrived, so a burst is never admitted beyond the memory for it.

Not mended: bodies over HTTP/2 are counted once they are complete.

--- a/entry/component.c
+++ b/entry/component.c
@@ -10,6 +10,8 @@
 #include "entry/orders.h"
 #include "entry/requests.h"
 
+/* Each body is copied when it is sent to a server, so they take twice this. */
+#define BODIES_BYTES_MAX ((size_t)64 << 20)
 #define CONNECTION_IDLE_USEC (60 * USEC_PER_SEC)
 #define REQUEST_READ_USEC (30 * USEC_PER_SEC)
 
@@ -34,6 +36,7 @@
 	struct entry *entry = ctx;
 	struct web_limits limits = {
 		.body_bytes = entry->settings.body_bytes_max,
+		.bodies_bytes = BODIES_BYTES_MAX,
 		.connections = entry->settings.connections_max,
 		.idle_usec = CONNECTION_IDLE_USEC,
 		.request_usec = REQUEST_READ_USEC,
--- a/include/web/loop.h
+++ b/include/web/loop.h
@@ -38,6 +38,14 @@
 };
 typedef void (*loop_deferred_fn)(void *ctx);
 
+/* Fields private. */
+struct loop_observer {
+	struct loop_observer *prev;
+	struct loop_observer *next;
+	loop_deferred_fn fn;
+	void *ctx;
+};
+
 struct loop *loop_create(struct clock *clock);
 void loop_destroy(struct loop *loop);
 void loop_run(struct loop *loop);
@@ -45,6 +53,11 @@
 void loop_on_signal(struct loop *loop, int signal, loop_signal_fn fn,
 		    void *ctx);
 void loop_on_iteration(struct loop *loop, loop_iteration_fn fn, void *ctx);
+/* Calls fn in each iteration before the loop waits, until loop_observe_end().
+ * The node is embedded in its owner and zeroed before its first use. */
+void loop_observe(struct loop *loop, struct loop_observer *node,
+		  loop_deferred_fn fn, void *ctx);
+void loop_observe_end(struct loop_observer *node);
 /* Advances the clock, calls the iteration hook and fires due timers; only the
  * first call after each wait has an effect. The server and the client call it
  * before their callbacks. */
--- a/include/web/server.h
+++ b/include/web/server.h
@@ -14,6 +14,8 @@
  *	struct web_limits limits body size, connections and slow callers; h2o
  *	limits header size. A request that exceeds a limit gets a 4xx; over
  *	HTTP/2, a body that is too large resets its stream with REFUSED_STREAM.
+ *	A request whose body does not fit in bodies_bytes beside those of the
+ *	others gets a 503 with Retry-After, and no handler gets it.
  *	A connection over the limit is closed immediately. On HTTP/1, the
  *	longer of idle_usec and request_usec applies to both. A caller that
  *	reads no byte of its answer for idle_usec, or shuts down its sending
@@ -34,6 +36,7 @@
 
 struct web_limits {
 	size_t body_bytes;
+	size_t bodies_bytes; /* of all large bodies; 0: no bound */
 	unsigned int connections;
 	int64_t idle_usec;    /* keep-alive connection without a request */
 	int64_t request_usec; /* from the first byte to the complete request */
--- a/tests/web/test_relay.c
+++ b/tests/web/test_relay.c
@@ -24,6 +24,7 @@
 {
 	static const struct web_limits limits = {
 		.body_bytes = BODY_BYTES,
+		.bodies_bytes = 4 * BODY_BYTES,
 		.connections = 8,
 		.idle_usec = 5 * USEC_PER_SEC,
 		.request_usec = 5 * USEC_PER_SEC,
--- a/web/head.c
+++ b/web/head.c
@@ -356,6 +356,18 @@
 	return is_framed;
 }
 
+bool head_request_size(const char *data, size_t size, uint64_t *total)
+{
+	struct head head = {.is_request = true};
+	enum head_result result = head_read(&head, data, size);
+
+	*total = UINT64_MAX;
+	if (result == HEAD_COMPLETE && !head.has_coding)
+		*total = head.size + head.length;
+	head_clear(&head);
+	return result != HEAD_INCOMPLETE;
+}
+
 void head_clear(struct head *head)
 {
 	if (head->text)
--- a/web/head.h
+++ b/web/head.h
@@ -67,6 +67,9 @@
  * lengths: a length and a transfer coding, lengths that differ, and codings
  * other than chunked. */
 bool head_request_is_framed(const char *data, size_t size);
+/* The size of an HTTP/1 request with its head, which is at the start of data;
+ * UINT64_MAX when the head does not tell. False when the head is incomplete. */
+bool head_request_size(const char *data, size_t size, uint64_t *total);
 /* Frees the fields and zeroes the struct. */
 void head_clear(struct head *head);
 
--- a/web/loop.c
+++ b/web/loop.c
@@ -29,7 +29,8 @@
 	struct loop_deferred deferred;	/* head of a circular list */
 	h2o_timeout_t deferred_timeout; /* makes h2o call deferred_run() */
 	h2o_timeout_entry_t deferred_entry;
-	h2o_timeout_t drain; /* see loop_run_h2o() */
+	struct loop_observer observers; /* head of the ring */
+	h2o_timeout_t drain;		/* see loop_run_h2o() */
 	h2o_timeout_entry_t drain_entry;
 	GArray *watches;
 	sigset_t mask;
@@ -60,6 +61,18 @@
 		H2O_STRUCT_FROM_MEMBER(struct loop, deferred_entry, entry));
 }
 
+/* An observer must not end another one. */
+static void observers_run(struct loop *loop)
+{
+	struct loop_observer *next;
+
+	for (struct loop_observer *node = loop->observers.next;
+	     node != &loop->observers; node = next) {
+		next = node->next;
+		node->fn(node->ctx);
+	}
+}
+
 static void on_drain(h2o_timeout_entry_t *entry)
 {
 }
@@ -70,6 +83,7 @@
  * pending callbacks first and skips closed sockets. */
 void loop_run_h2o(struct loop *loop, int32_t msec)
 {
+	observers_run(loop);
 	h2o_timeout_link(loop->h2o, &loop->drain, &loop->drain_entry);
 	h2o_timeout_run(loop->h2o, &loop->drain, h2o_now(loop->h2o));
 	h2o_evloop_run(loop->h2o, msec);
@@ -88,6 +102,8 @@
 	loop->drain_entry.cb = on_drain;
 	loop->deferred.prev = &loop->deferred;
 	loop->deferred.next = &loop->deferred;
+	loop->observers.prev = &loop->observers;
+	loop->observers.next = &loop->observers;
 	loop->watches = g_array_new(FALSE, FALSE, sizeof(struct signal_watch));
 	sigemptyset(&loop->mask);
 	loop->signal_fd = -1;
@@ -271,6 +287,26 @@
 	loop->iteration_ctx = ctx;
 }
 
+void loop_observe(struct loop *loop, struct loop_observer *node,
+		  loop_deferred_fn fn, void *ctx)
+{
+	node->fn = fn;
+	node->ctx = ctx;
+	node->prev = loop->observers.prev;
+	node->next = &loop->observers;
+	node->prev->next = node;
+	node->next->prev = node;
+}
+
+void loop_observe_end(struct loop_observer *node)
+{
+	if (!node->next)
+		return;
+	node->prev->next = node->next;
+	node->next->prev = node->prev;
+	node->next = NULL;
+}
+
 struct clock *loop_clock(struct loop *loop)
 {
 	return loop->clock;
--- a/web/request.c
+++ b/web/request.c
@@ -81,6 +81,7 @@
 	owner_notify_gone(request);
 	loop_defer_cancel(&request->flush);
 	server_request_remove(request->server, &request->link);
+	bodies_release(request->bodies, &request->reserved);
 	if (request->queue)
 		g_byte_array_unref(request->queue);
 	if (request->in_flight)
@@ -88,7 +89,8 @@
 }
 
 struct web_request *web_request_create(struct web_server *server,
-				       struct loop *loop, h2o_req_t *req)
+				       struct loop *loop, struct bodies *bodies,
+				       h2o_req_t *req)
 {
 	struct web_request *request = h2o_mem_alloc_shared(
 		&req->pool, sizeof(*request), request_dispose);
@@ -98,12 +100,18 @@
 	request->req = req;
 	request->server = server;
 	request->loop = loop;
+	request->bodies = bodies;
 	request->link.data = request;
 	server_request_add(server, &request->link);
 	watch_start(request);
 	return request;
 }
 
+struct web_conn *request_conn(const struct web_request *request)
+{
+	return request->sock ? request->sock->on_close.data : NULL;
+}
+
 /* h2o keeps the head at the start of the input until the answer is sent. */
 bool request_is_framed(const struct web_request *request)
 {
--- a/web/request.h
+++ b/web/request.h
@@ -13,6 +13,7 @@
 
 #include <glib.h>
 
+#include "bodies.h"
 #include "web/loop.h"
 #include "web/server.h"
 
@@ -32,6 +33,8 @@
 	int64_t sending_since; /* when the slice was passed to h2o */
 	h2o_socket_t *sock;    /* HTTP/1 only: watched for a disconnect */
 	struct web_header *headers;
+	struct bodies *bodies;
+	size_t reserved; /* in bodies */
 	bool watched;
 	bool started;	 /* status and headers are set */
 	bool no_body;	 /* HEAD, or a status without a body */
@@ -50,10 +53,16 @@
 	GList link;
 	struct web_request *request; /* HTTP/1 only: the pending one */
 	bool http1;		     /* has had an HTTP/1 request */
+	size_t reserved;	     /* for the body that is arriving */
+	uint64_t unread;	     /* bytes of a refused body */
+	h2o_socket_cb h2o_read_cb;   /* set while h2o receives on HTTP/1 */
 };
 
 struct web_request *web_request_create(struct web_server *server,
-				       struct loop *loop, h2o_req_t *req);
+				       struct loop *loop, struct bodies *bodies,
+				       h2o_req_t *req);
+/* The connection of an HTTP/1 request; NULL for HTTP/2. */
+struct web_conn *request_conn(const struct web_request *request);
 /* Whether the end of an HTTP/1 request is certain; if not, what follows it on
  * the connection may be a part of its body. */
 bool request_is_framed(const struct web_request *request);
--- a/web/server.c
+++ b/web/server.c
@@ -38,6 +38,7 @@
 	GArray *routes; /* longest prefix first */
 	GQueue conns;
 	GQueue requests;
+	struct bodies bodies;
 	struct timer sweep;
 };
 
@@ -95,9 +96,12 @@
 	const struct route *route;
 
 	loop_enter(server->loop);
-	request = web_request_create(server, server->loop, req);
+	request =
+		web_request_create(server, server->loop, &server->bodies, req);
 	route = route_find(server, web_request_path(request));
-	if (!request_is_framed(request))
+	if (!bodies_admit(&server->bodies, request, request_conn(request)))
+		bodies_refuse(request);
+	else if (!request_is_framed(request))
 		request_reject(request);
 	else if (route)
 		route->fn(route->ctx, request);
@@ -111,6 +115,7 @@
 	struct web_conn *conn = data;
 
 	g_queue_unlink(&conn->server->conns, &conn->link);
+	bodies_release(&conn->server->bodies, &conn->reserved);
 	g_free(conn);
 }
 
@@ -131,6 +136,7 @@
 	sock->on_close.cb = conn_closed;
 	sock->on_close.data = conn;
 	h2o_accept(&server->accept, sock);
+	conn->h2o_read_cb = sock->_cb.read;
 }
 
 static void on_accept(h2o_socket_t *listener, const char *err)
@@ -236,6 +242,7 @@
 						    H2O_SOCKET_FLAG_DONT_READ);
 	server->listener->data = server;
 	h2o_socket_read_start(server->listener, on_accept);
+	bodies_init(&server->bodies, loop, limits, &server->conns);
 	timer_init(&server->sweep, loop_clock(loop), on_sweep, server);
 	timer_start(&server->sweep, SWEEP_INTERVAL_USEC);
 	return server;
@@ -314,6 +321,7 @@
 	if (!server)
 		return;
 	timer_stop(&server->sweep);
+	bodies_clear(&server->bodies);
 	listener_close(server);
 	conns_close(server);
 	/* h2o would still use the context for remaining connections. */
