--- a/tests/web/test_bodies.c
+++ b/tests/web/test_bodies.c
@@ -47,24 +47,28 @@
 	 "send d 20000; wait; read d; rest a; rest b; rest c; read a; read b; "
 	 "read c",
 	 "d 503, a 200+, b 200+, c 200+"},
-	{"at once", "open a 1000000; open b 1000000; open c 1000000; "
-		    "open d 1000000; open e 1000000; send a 20000; send b 20000; "
-		    "send c 20000; send d 20000; send e 20000; wait; read d; "
-		    "read e; rest a; read a",
+	{"at once",
+	 "open a 1000000; open b 1000000; open c 1000000; "
+	 "open d 1000000; open e 1000000; send a 20000; send b 20000; "
+	 "send c 20000; send d 20000; send e 20000; wait; read d; "
+	 "read e; rest a; read a",
 	 "d 503, e 503, a 200+"},
 	{"the rest of a refused body is read, and room is found later",
 	 "open a 1000000; open b 1000000; open c 1000000; open d 1000000; "
-	 "send a 20000; send b 20000; send c 20000; send d 20000; wait; rest d; "
+	 "send a 20000; send b 20000; send c 20000; send d 20000; wait; rest "
+	 "d; "
 	 "read d; rest a; read a; open e 1000000; send e 20000; wait; rest e; "
 	 "read e",
 	 "d 503, a 200+, e 200+"},
 	{"a body that waits for its answer is counted",
-	 "hold; open a 1000000; rest a; open b 1000000; rest b; open c 1000000; "
+	 "hold; open a 1000000; rest a; open b 1000000; rest b; open c "
+	 "1000000; "
 	 "rest c; wait; open d 1000000; send d 20000; wait; read d; answer; "
 	 "read a; read b; read c; open e 1000000; rest e; read e",
 	 "d 503, a 200+, b 200+, c 200+, e 200+"},
 	{"bodies that arrive within one check",
-	 "hold; open a 1000000; open b 1000000; open c 1000000; rest a; rest b; "
+	 "hold; open a 1000000; open b 1000000; open c 1000000; rest a; rest "
+	 "b; "
 	 "rest c; open d 1000000; rest d; read d; answer; read a",
 	 "d 503+, a 200+"},
 	{"callers that disconnect leave their room",
@@ -75,7 +79,8 @@
 	 "d 200+, e 200+"},
 	{"refused callers that disconnect",
 	 "open a 1000000; open b 1000000; open c 1000000; open d 1000000; "
-	 "send a 20000; send b 20000; send c 20000; send d 20000; wait; close d; "
+	 "send a 20000; send b 20000; send c 20000; send d 20000; wait; close "
+	 "d; "
 	 "wait; rest a; read a",
 	 "a 200+"},
 	{"chunks take the size of the largest body",
--- a/web/bodies.c
+++ b/web/bodies.c
@@ -40,9 +40,9 @@
 	*reserved = 0;
 }
 
-bool bodies_admit(struct bodies *bodies, struct web_request *request,
-		  struct web_conn *conn)
+bool bodies_admit(struct bodies *bodies, struct web_request *request)
 {
+	struct web_conn *conn = request_conn(request);
 	size_t size = request->req->entity.len;
 	bool is_reserved = conn && conn->reserved > 0;
 
@@ -95,10 +95,10 @@
 	h2o_socket_read_start(sock, on_unread);
 }
 
-/* Whether h2o is receiving a body that is not reserved yet. The read callback is
- * another one while a request is handled, on HTTP/2 and in a tunnel. h2o sets
- * it again after "100 Continue", so a connection cannot be refused before that
- * is written. */
+/* Whether h2o is receiving a body that is not reserved yet. The read callback
+ * is another one while a request is handled, on HTTP/2 and in a tunnel. h2o
+ * sets it again after "100 Continue", so a connection cannot be refused before
+ * that is written. */
 static bool conn_is_unreserved(const struct web_conn *conn)
 {
 	const h2o_socket_t *sock = conn->sock;
--- a/web/bodies.h
+++ b/web/bodies.h
@@ -23,7 +23,6 @@
 /* Bytes of input, with the head, that are not counted. */
 #define BODY_SMALL_MAX ((size_t)16 << 10)
 
-struct web_conn;
 struct web_request;
 
 struct bodies {
@@ -40,9 +39,8 @@
 		 const struct web_limits *limits, const GQueue *conns);
 void bodies_clear(struct bodies *bodies);
 /* Reserves the body of a complete request, in place of what its connection has
- * reserved for it; false when it does not fit. conn is NULL for HTTP/2. */
-bool bodies_admit(struct bodies *bodies, struct web_request *request,
-		  struct web_conn *conn);
+ * reserved for it; false when it does not fit. */
+bool bodies_admit(struct bodies *bodies, struct web_request *request);
 /* Answers a request that was not admitted. */
 void bodies_refuse(struct web_request *request);
 /* Releases a reservation, and sets it to 0. */
--- a/web/server.c
+++ b/web/server.c
@@ -99,7 +99,7 @@
 	request =
 		web_request_create(server, server->loop, &server->bodies, req);
 	route = route_find(server, web_request_path(request));
-	if (!bodies_admit(&server->bodies, request, request_conn(request)))
+	if (!bodies_admit(&server->bodies, request))
 		bodies_refuse(request);
 	else if (!request_is_framed(request))
 		request_reject(request);
