--- a/tests/platform/site/site.c
+++ b/tests/platform/site/site.c
@@ -132,6 +132,7 @@
 	server->draining = strcmp(text_of(root, "state"), "draining") == 0;
 	server->gone = strcmp(text_of(root, "state"), "gone") == 0;
 	server->mute = strcmp(text_of(root, "state"), "mute") == 0;
+	server->unframed = json_is_true(json_object_get(root, "unframed"));
 	if (strcmp(text_of(root, "state"), "again") == 0) {
 		server->started_ms++;
 		server->heartbeats = 0;
--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -10,12 +10,15 @@
  *	POST /site/fault   {"server": "d1", "fault": NAME, "count": N}: reset
  *			   (before the answer), error (500), busy (503, not
  *			   run), silent, cut (in the middle of the answer),
- *			   unsigned
+ *			   unsigned, end (the server crashes before the answer),
+ *			   end-later (in the middle of it)
  *	POST /site/state   {"server": "d1", "state": "ready"}, or "draining",
  *			   "gone", "mute" (stops writing to the store), "again"
  *			   (ready, restarted with the same id). With "version"
  *			   it states that software version, and its events name
- *			   it; with "next_version" after its next crash
+ *			   it; with "next_version" after its next crash; with
+ *			   "unframed" its answers have no length and end with
+ *			   the connection
  *	POST /site/entry   {"key": KEY, "value": TEXT, "topic": NAME}: writes a
  *			   record as another writer would; topic is
  *			   keyed.servers by default
@@ -102,6 +105,7 @@
 	bool draining;
 	bool gone;
 	bool mute;
+	bool unframed; /* bodies have no length and end with the connection */
 	/* Its software, part of each event; empty: not stated. The other is
 	 * that of its next start. */
 	char version[VERSION_MAX];
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../../../web/request.h"
 #include "common/error.h"
 #include "common/log.h"
 #include "site.h"
@@ -140,9 +141,22 @@
 	g_hash_table_replace(ledger->runs, id, GUINT_TO_POINTER(runs + 1));
 }
 
+/* Ends the body with the connection. */
+static void answer_unframe(struct web_request *request)
+{
+	h2o_req_t *req = request->req;
+
+	req->http1_is_persistent = 0;
+	h2o_add_header(&req->pool, &req->res.headers,
+		       H2O_TOKEN_TRANSFER_ENCODING, NULL,
+		       H2O_STRLIT("identity"));
+}
+
 static void sign(struct run *run)
 {
 	echo(run->request);
+	if (run->server->unframed)
+		answer_unframe(run->request);
 	signals_add_headers(run->server, run->request);
 	if (run->fault != FAULT_UNSIGNED)
 		web_reply_header(run->request, "server-signature",
@@ -166,6 +180,16 @@
 		web_reply_start(run->request, 200, "text/plain");
 		web_reply_piece(run->request, text, strlen(text) / 2);
 		web_reply_abort(run->request);
+	} else if (run->fault == FAULT_CRASH_LATER) {
+		web_reply_start(run->request, 200, "text/plain");
+		web_reply_piece(run->request, text, strlen(text) / 2);
+		run->fault = FAULT_CRASH;
+		timer_start(&run->timer, PLAIN_USEC);
+		return;
+	} else if (run->server->unframed) {
+		web_reply_start(run->request, 200, "text/plain");
+		web_reply_piece(run->request, text, strlen(text));
+		web_reply_end(run->request);
 	} else {
 		web_reply(run->request, 200, "text/plain", text, strlen(text));
 	}
