web, forward: what ended the body of an answer is logged

The logs of streams that end early cannot tell how the server framed the body, whether a relay was in between, and how many events were passed on. web_result says what ended the body: its length, its last chunk, or its connection. The line answer_unframed names each answer that ended with its connection, with relay, events and last id; request_end has the events; a counter, jt_answers_unframed_total. No decision changes.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -49,6 +49,9 @@
 	forward->servers_crashed =
 		counter_get(set, "jt_server_ends_total",
 			    "Requests under which a server ended", NULL);
+	forward->answers_unframed = counter_get(
+		set, "jt_answers_unframed_total",
+		"Answers of servers that ended with their connection", "");
 	forward->answers_rejected = counter_get(
 		set, "jt_answers_rejected_total",
 		"Answers of servers given up since they exceeded a bound",
--- a/forward/received.c
+++ b/forward/received.c
@@ -104,9 +104,23 @@
 	received_set(request, 0);
 }
 
+static void unframed_log(const struct request *request)
+{
+	request->forward->answers_unframed->value++;
+	log_event(LOG_INFO, "answer_unframed",
+		  LOG_S("request", request->caller.id),
+		  LOG_S("backend", request->target.id),
+		  LOG_S("relay", request->relay),
+		  LOG_D("status", request->answer.head.status),
+		  LOG_D("events", (int64_t)request->cutter.events),
+		  LOG_D("last_id", (int64_t)request->cutter.last_id));
+}
+
 void request_received_end(const struct request *request,
 			  const struct backend_end *end)
 {
+	if (end->unframed)
+		unframed_log(request);
 	if (!end->rejected)
 		return;
 	request->forward->answers_rejected->value++;
--- a/forward/request.c
+++ b/forward/request.c
@@ -267,6 +267,7 @@
 			since_msec(request, request->prefilled_at)),
 		  LOG_D("first_ms", since_msec(request, request->first_at)),
 		  LOG_D("whole_ms", since_msec(request, request_now(request))),
+		  LOG_D("events", (int64_t)request->cutter.events),
 		  LOG_D("late", is_late(request)),
 		  LOG_D("stalled", request->stalled));
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -179,6 +179,7 @@
 	struct counter *outcomes[END_COUNT]; /* by enum request_end */
 	struct counter *servers_crashed;
 	struct counter *answers_rejected;
+	struct counter *answers_unframed;
 	struct counter *answer_bytes; /* gauge of received */
 	struct counter *quarantined;
 	struct counter *permits_denied;
--- a/include/forward/backend.h
+++ b/include/forward/backend.h
@@ -88,6 +88,8 @@
 	enum relay_failure relay_failure;
 	bool timed_out;
 	bool rejected;	  /* the answer exceeded a bound */
+	bool unframed;	  /* complete only if the server did not end: the body
+			     had no length and ended with its connection */
 	const char *text; /* reason when not complete */
 };
 
--- a/include/web/client.h
+++ b/include/web/client.h
@@ -37,6 +37,14 @@
 #define WEB_HEAD_RECEIVE_USEC INT64_C(1000000)
 #define WEB_FRAME_BYTES_MAX ((size_t)16 << 10)
 
+/* What ended the body of a whole answer. */
+enum web_body_end {
+	WEB_BODY_SIZED,	 /* its length, or it has none */
+	WEB_BODY_CHUNKS, /* the last chunk */
+	WEB_BODY_CLOSED, /* its connection, in order: the kernel closes the
+			    connections of a process that was killed alike */
+};
+
 /* How a call ended. */
 struct web_result {
 	bool ok;   /* the whole answer arrived */
@@ -48,7 +56,8 @@
 	/* Of a call through a relay: the status of the relay's answer, 101 when
 	 * it has joined the connections; 0: no answer, or no relay. */
 	int relay_status;
-	const char *text; /* reason when not ok */
+	enum web_body_end body_end; /* when ok */
+	const char *text;	    /* reason when not ok */
 };
 
 struct web_call_ops {
--- a/web/call.c
+++ b/web/call.c
@@ -42,6 +42,7 @@
 		.timed_out = call->timed_out,
 		.rejected = call->rejected && call->is_connected,
 		.relay_status = call->relay_status,
+		.body_end = call->body_end,
 		.text = ok ? NULL : call->text,
 	};
 
@@ -164,7 +165,8 @@
  * proper end the terminating empty chunk was read just now. */
 static bool is_truncated(const struct web_call *call)
 {
-	return (call->is_chunked && call->http->sock->bytes_read == 0) ||
+	return (call->body_end == WEB_BODY_CHUNKS &&
+		call->http->sock->bytes_read == 0) ||
 	       call->was_reset;
 }
 
@@ -365,6 +367,14 @@
 	return call_leave(call) ? 0 : -1;
 }
 
+static enum web_body_end body_end_of(const struct head *head, bool has_body)
+{
+	if (!has_body || head->framing == FRAMING_LENGTH)
+		return WEB_BODY_SIZED;
+	return head->framing == FRAMING_CHUNKED ? WEB_BODY_CHUNKS
+						: WEB_BODY_CLOSED;
+}
+
 static void head_report(struct web_call *call)
 {
 	g_autofree struct web_header *headers = NULL;
@@ -390,7 +400,7 @@
 	}
 	call->has_head = true;
 	call->head_at = call->last_active;
-	call->is_chunked = call->head.framing == FRAMING_CHUNKED;
+	call->body_end = body_end_of(&call->head, !err);
 	if (call->ops.head && !call->cancelled)
 		head_report(call);
 	head_clear(&call->head);
--- a/web/call.h
+++ b/web/call.h
@@ -70,9 +70,9 @@
 	bool is_head;
 	bool fresh;
 	bool is_connected;
-	bool has_head;	 /* the head has arrived */
-	bool is_chunked; /* the body is in chunked encoding */
-	bool was_reset;	 /* the connection ended with an error */
+	enum web_body_end body_end; /* that the head announces */
+	bool has_head;		    /* the head has arrived */
+	bool was_reset;		    /* the connection ended with an error */
 	bool busy;
 	bool cancelled;
 	bool timed_out;
