forward: an answer that ends with its connection is checked

Cause: an answer without a length ends with its connection. The kernel closes the connections of a process that is killed in the same way, with FIN, so a cut-off answer looked complete. Class: the end of a process is taken for the end of its message.

New rows of forward-paths.

Change: an answer that ended with its connection counts as complete only when a health check on the same path shows that the same incarnation still runs. Refused or answered by another server: the call has failed, as after a reset. Silent or unreachable: asked again until the request's limit, since a server may be paused. A server in backoff is asked after it.

Why it works: a process that was killed no longer listens; the kernel has closed its listener with its connections.

--- a/forward/catalog.c
+++ b/forward/catalog.c
@@ -168,6 +168,11 @@
 	return g_hash_table_lookup(catalog->services, &id);
 }
 
+const char *catalog_health_path(const struct catalog_service *service)
+{
+	return service && service->health_path ? service->health_path : "/";
+}
+
 uint64_t route_choose(const struct catalog_route *route, double point)
 {
 	const struct route_share *shares =
--- a/forward/plain.c
+++ b/forward/plain.c
@@ -192,6 +192,8 @@
 
 	request->call = NULL;
 	request_received_end(request, end);
+	if (request_confirm(request, end))
+		return;
 	charge_drop(request, &request->decode);
 	dispatched_end(request, end);
 	if (answer->has_head && !answer->head.mismatched &&
--- a/forward/prober.c
+++ b/forward/prober.c
@@ -4,7 +4,6 @@
 
 /* Pause between checks. */
 #define PROBE_INTERVAL_USEC (250 * USEC_PER_MSEC)
-#define HEALTH_PATH_DEFAULT "/"
 
 struct prober {
 	struct forward *forward;
@@ -37,8 +36,7 @@
 		forward->catalog ? catalog_service(forward->catalog, service)
 				 : NULL;
 
-	return found && found->health_path ? found->health_path
-					   : HEALTH_PATH_DEFAULT;
+	return catalog_health_path(found);
 }
 
 static void on_timer(struct timer *timer, void *ctx)
--- a/forward/request.c
+++ b/forward/request.c
@@ -294,6 +294,7 @@
 
 	timer_stop(&request->timer);
 	timer_stop(&request->resume_timer);
+	timer_stop(&request->confirm_timer);
 	request_unread_clear(request);
 	request_received_clear(request);
 	stream_dequeue(request);
@@ -469,6 +470,8 @@
 		   permit_timed_out, request);
 	timer_init(&request->resume_timer, forward->parts.clock,
 		   resume_timed_out, request);
+	timer_init(&request->confirm_timer, forward->parts.clock,
+		   confirm_timed_out, request);
 	dispatched_init(request);
 	web_request_on_gone(web, on_caller_gone, request);
 	return request;
--- a/forward/request.h
+++ b/forward/request.h
@@ -82,6 +82,7 @@
 	struct web_call *call;
 	/* Ends the step of a call made by backend_ops.send. */
 	void (*call_done)(void *ctx, const struct backend_end *end);
+	struct timer confirm_timer; /* until the server is checked again */
 	enum permit_step permit_step;
 	uint64_t permit_server; /* key of the server to send to */
 	struct timer permit_timer;
@@ -225,6 +226,11 @@
  * detection for the server. */
 void request_connection_lost(struct request *request,
 			     const struct backend_end *end);
+/* Begins to check whether the server of a complete answer that ended with its
+ * connection still runs; false when there is nothing to check. call_done() is
+ * called again with the result. */
+bool request_confirm(struct request *request, const struct backend_end *end);
+void confirm_timed_out(struct timer *timer, void *ctx);
 /* Whether the request lost a connection and is known to have crashed servers
  * before. It is not retried then: a retry sent before the crash detector has
  * checked the server could crash one more server with each attempt. The caller
--- a/forward/stream_run.c
+++ b/forward/stream_run.c
@@ -221,6 +221,8 @@
 
 	request->call = NULL;
 	request_received_end(request, end);
+	if (request_confirm(request, end))
+		return;
 	if (end->complete && !answer->head.not_run) {
 		run_whole(request, backend);
 		return;
--- a/forward/suspect.c
+++ b/forward/suspect.c
@@ -155,7 +155,7 @@
 			       request->target.software);
 	suspects.begun = request->replied;
 	crash_detector_check(request->forward->crash_detector, &request->target,
-			     request->service->health_path, &suspects);
+			     catalog_health_path(request->service), &suspects);
 }
 
 bool request_is_suspect(struct request *request)
--- a/include/forward/catalog.h
+++ b/include/forward/catalog.h
@@ -111,6 +111,8 @@
 					  const char *path, size_t path_size);
 const struct catalog_service *catalog_service(const struct catalog *catalog,
 					      uint64_t id);
+/* Path of the service's health checks, "/" if it names none or is NULL. */
+const char *catalog_health_path(const struct catalog_service *service);
 /* Chooses a service by weight; point is in [0, 1). */
 uint64_t route_choose(const struct catalog_route *route, double point);
 
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -680,7 +680,9 @@
 static void done_step(const char *options)
 {
 	struct backend_end end = {
-		.complete = options[0] == '\0',
+		.complete =
+			options[0] == '\0' || strcmp(options, "unframed") == 0,
+		.unframed = strcmp(options, "unframed") == 0,
 		.connected = !strstr(options, "unconnected"),
 		.timed_out = strstr(options, "late"),
 		.relay_failure = strstr(options, "relay")  ? RELAY_PEER
