web: a relay that ends resets its callers

Cause: a relay closed its connections in order whenever it ended, and so does the kernel for a process that is killed; besides, web_server_destroy() shut the joined connections down as if they were its own. The instance at the other end takes an orderly close for that of the server.

Change: from the join on the caller's connection is set to be reset when it is closed (SO_LINGER with no time); only the server's orderly close, after all bytes were passed on, takes that back. The server no longer owns a joined connection.

Why it works: the kernel applies the option to whatever closes the socket, also the end of the process, so an orderly close is always the server's.

--- a/forward/confirm.c
+++ b/forward/confirm.c
@@ -59,8 +59,8 @@
 	if (result == CHECK_SILENT || result == CHECK_UNREACHABLE)
 		timer_start(&request->confirm_timer, RETRY_USEC);
 	else
-		confirm_end(request, result == CHECK_ALIVE ||
-					     result == CHECK_REJECTED);
+		confirm_end(request,
+			    result == CHECK_ALIVE || result == CHECK_REJECTED);
 }
 
 static void check_send(struct request *request)
@@ -70,8 +70,8 @@
 		link_of(&request->target, request->relay);
 
 	request->call = ops->check(ops->ctx, &link,
-				   catalog_health_path(request->service), on_checked,
-				   request);
+				   catalog_health_path(request->service),
+				   on_checked, request);
 }
 
 void confirm_timed_out(struct timer *timer, void *ctx)
--- a/include/web/relay.h
+++ b/include/web/relay.h
@@ -7,7 +7,9 @@
  *	the bytes of the caller's connection and of the given one pass both ways
  *	unchanged, with back-pressure. When the caller closes, both are closed.
  *	When the other end closes, the bytes received are passed on first, and a
- *	reset is passed on as a reset.
+ *	reset is passed on as a reset. The caller's connection is reset also
+ *	when the relay ends for another reason, or its process does, so that an
+ *	orderly close is always that of the other end.
  */
 #ifndef WEB_RELAY_H
 #define WEB_RELAY_H
--- a/tests/web/test_relay.c
+++ b/tests/web/test_relay.c
@@ -232,6 +232,63 @@
 	site->handler.relays = NULL;
 }
 
+/* Sends half of an answer without a length through the relay; returns the
+ * server's socket. */
+static int unframed_begin(struct site *site)
+{
+	static const char half[] = "HTTP/1.1 200 OK\r\n\r\nhal";
+	char address[32];
+	char path[64];
+	int listener = raw_listen(address, sizeof(address));
+	int fd = -1;
+
+	(void)g_snprintf(path, sizeof(path), "/%s", address);
+	world_call(&site->world,
+		   (struct web_call_spec){
+			   .address = address,
+			   .path = "/",
+			   .fresh = true,
+			   .relay = web_server_address(site->world.server),
+			   .relay_path = path,
+		   });
+	for (int i = 0; i < 1000 && fd < 0; i++) {
+		world_iterate(&site->world, 1);
+		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+	}
+	g_assert_cmpint(fd, >=, 0);
+	close(listener);
+	g_string_free(raw_read_until(&site->world, fd, "\r\n\r\n"), TRUE);
+	raw_send(fd, half, sizeof(half) - 1);
+	while (site->world.body->len < 3)
+		world_iterate(&site->world, 1);
+	return fd;
+}
+
+/* The server's orderly close is passed on. */
+static void test_unframed(struct site *site, gconstpointer data)
+{
+	int fd = unframed_begin(site);
+
+	raw_send(fd, "f", 1);
+	close(fd);
+	world_run(&site->world, &site->world.done);
+	g_assert_true(site->world.result.ok);
+	g_assert_cmpint(site->world.result.body_end, ==, WEB_BODY_CLOSED);
+	g_assert_cmpstr(site->world.body->str, ==, "half");
+}
+
+/* The relay's process stops: its close is not the server's. */
+static void test_unframed_relay_stops(struct site *site, gconstpointer data)
+{
+	int fd = unframed_begin(site);
+
+	relay_handler_teardown(&site->handler, &site->world);
+	world_run(&site->world, &site->world.done);
+	g_assert_false(site->world.result.ok);
+	site->handler.relays = NULL;
+	close(fd);
+}
+
 static int option(int fd, int level, int name)
 {
 	socklen_t size = sizeof(int);
@@ -287,6 +344,8 @@
 	TEST("cancel", test_cancel);
 	TEST("cancel-early", test_cancel_early);
 	TEST("relay-stops", test_relay_stops);
+	TEST("unframed", test_unframed);
+	TEST("unframed-relay-stops", test_unframed_relay_stops);
 	TEST("stalled", test_stalled);
 	TEST("keepalive", test_keepalive);
 	return g_test_run();
--- a/web/relay.c
+++ b/web/relay.c
@@ -2,9 +2,9 @@
 
 #include <h2o.h>
 #include <h2o/http1.h>
-#include <sys/socket.h>
 
 #include "input.h"
+#include "linger.h"
 #include "request.h"
 
 enum side {
@@ -78,19 +78,11 @@
 	return relay->socks[SERVER] == sock ? SERVER : CALLER;
 }
 
-/* Closes with a reset, so that a truncated answer does not look complete. */
-static void reset_on_close(h2o_socket_t *sock)
-{
-	const struct linger linger = {.l_onoff = 1};
-
-	setsockopt(h2o_socket_get_fd(sock), SOL_SOCKET, SO_LINGER, &linger,
-		   sizeof(linger));
-}
-
+/* The server has closed the connection and all that it sent was passed on. */
 static void relay_end(struct relay *relay)
 {
-	if (relay->server_reset)
-		reset_on_close(relay->socks[CALLER]);
+	if (!relay->server_reset)
+		linger_reset(h2o_socket_get_fd(relay->socks[CALLER]), false);
 	relay_close(relay);
 }
 
@@ -158,8 +150,12 @@
 		return;
 	}
 	h2o_buffer_consume(&sock->input, request_size);
+	/* The server must no longer close it. */
+	sock->on_close.cb(sock->on_close.data);
+	sock->on_close.cb = NULL;
 	sock->data = relay;
 	relay->socks[SERVER]->data = relay;
+	linger_reset(h2o_socket_get_fd(sock), true);
 	input_own(sock);
 	input_own(relay->socks[SERVER]);
 	h2o_socket_read_start(relay->socks[SERVER], on_readable);
