web: an answer to HTTP/1.0 that is cut off is reset

What callers saw: callers of HTTP/1.0, whose answers end with the connection, got a stream that was broken off, or over its time limit, as a complete one.

Cause: web_reply_abort() shut the connection down in order. Over HTTP/1.1 the last chunk is missing then; over HTTP/1.0 nothing is.

Evidence: web_server unframed and unframed-stop failed before (0, an orderly close, in place of ECONNRESET).

Change: while such an answer is sent, the connection is set to be reset when it is closed, also by the end of the process; the last slice takes that back. It is not shut down before it is closed.

Why it works: a reset is the only sign of an incomplete body that HTTP/1.0 has.

--- a/tests/web/test_server.c
+++ b/tests/web/test_server.c
@@ -1,5 +1,7 @@
 /* The server: complete and streamed answers, routes, limits and pipelining. */
+#include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "h2.h"
@@ -58,6 +60,13 @@
 	web_reply_abort(request);
 }
 
+/* Leaves the answer open. */
+static void reply_opened(void *ctx, struct web_request *request)
+{
+	web_reply_start(request, 200, "text/plain");
+	web_reply_piece(request, "some", 4);
+}
+
 static void reply_aborted(void *ctx, struct web_request *request)
 {
 	web_reply_abort(request);
@@ -278,6 +287,57 @@
 	g_free(zeroes);
 }
 
+/* Reads until the connection ends; returns 0 for an orderly close, or the
+ * error. */
+static int end_read(struct world *world, int fd)
+{
+	char data[4096];
+	ssize_t n;
+
+	do {
+		world_iterate(world, 1);
+		n = recv(fd, data, sizeof(data), MSG_DONTWAIT);
+	} while (n > 0 || (n < 0 && errno == EAGAIN));
+	return n < 0 ? errno : 0;
+}
+
+/* To a caller of HTTP/1.0 only a reset shows that an answer was cut off. */
+static void test_unframed(struct world *world, gconstpointer data)
+{
+	static const struct {
+		const char *request;
+		int end;
+	} cases[] = {
+		{"GET /pieces HTTP/1.0\r\n\r\n", 0},
+		{"GET /cut HTTP/1.0\r\n\r\n", ECONNRESET},
+		{"GET /cut HTTP/1.1\r\nhost: a\r\n\r\n", 0},
+	};
+
+	handle_all(world);
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		int fd = raw_connect(web_server_address(world->server));
+
+		raw_send(fd, cases[i].request, strlen(cases[i].request));
+		g_assert_cmpint(end_read(world, fd), ==, cases[i].end);
+		close(fd);
+	}
+}
+
+/* The same when the server is destroyed in the middle of the answer. */
+static void test_unframed_stop(struct world *world, gconstpointer data)
+{
+	static const char request[] = "GET /open HTTP/1.0\r\n\r\n";
+	int fd = raw_connect(web_server_address(world->server));
+
+	web_server_handle(world->server, "/open", reply_opened, NULL);
+	raw_send(fd, request, sizeof(request) - 1);
+	g_string_free(raw_read_until(world, fd, "some"), TRUE);
+	web_server_destroy(world->server);
+	world->server = NULL;
+	g_assert_cmpint(end_read(world, fd), ==, ECONNRESET);
+	close(fd);
+}
+
 static void test_h2(struct world *world, gconstpointer data)
 {
 	static const struct {
@@ -395,6 +455,8 @@
 	TEST("routes", test_routes);
 	TEST("no-route", test_no_route);
 	TEST("wire", test_wire);
+	TEST("unframed", test_unframed);
+	TEST("unframed-stop", test_unframed_stop);
 	TEST("h2", test_h2);
 	TEST("upgrade", test_upgrade);
 	TEST("connections", test_connections);
--- a/web/reply.c
+++ b/web/reply.c
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include "common/clock.h"
+#include "linger.h"
 
 /* Largest write passed to h2o, so that a slow caller's progress is visible. */
 #define SLICE_BYTES_MAX ((size_t)128 * 1024)
@@ -76,6 +77,14 @@
 	request->queue = sent;
 }
 
+bool reply_ends_with_connection(const struct web_request *request)
+{
+	const h2o_req_t *req = request->req;
+
+	return request->sock && req->version < 0x101 && !request->no_body &&
+	       req->res.content_length == SIZE_MAX;
+}
+
 /* The request must not be used afterwards: h2o may have freed it. */
 static void slice_send(struct web_request *request, h2o_send_state_t state)
 {
@@ -95,6 +104,9 @@
 		request->head_sent = true;
 		h2o_start_response(req, &request->generator);
 	}
+	if (reply_ends_with_connection(request))
+		linger_reset(h2o_socket_get_fd(request->sock),
+			     state != H2O_SEND_STATE_FINAL);
 	h2o_send(req, &vec, request->slice > 0 ? 1 : 0, state);
 }
 
@@ -111,7 +123,8 @@
 		res->status = 500;
 		res->reason = reason_of(500);
 	}
-	if (request->sock && (request->head_sent || !request->started))
+	if (request->sock && (request->head_sent || !request->started) &&
+	    !reply_ends_with_connection(request))
 		shutdown(h2o_socket_get_fd(request->sock), SHUT_RDWR);
 }
 
@@ -176,7 +189,8 @@
 	if (request->in_flight)
 		request->offset = request->in_flight->len - request->slice;
 	/* Ends a write that is blocked because the caller does not read. */
-	if (request->sock && !request->final_sent)
+	if (request->sock && !request->final_sent &&
+	    (request->sending || !reply_ends_with_connection(request)))
 		shutdown(h2o_socket_get_fd(request->sock), SHUT_RDWR);
 	reply_end(request, true);
 }
--- a/web/request.h
+++ b/web/request.h
@@ -80,6 +80,9 @@
 
 /* In reply.c. reply_drop() truncates the answer and drops queued data. */
 void reply_drop(struct web_request *request);
+/* Whether only the end of the connection ends the body, as for callers of
+ * HTTP/1.0. */
+bool reply_ends_with_connection(const struct web_request *request);
 void reply_proceed(h2o_generator_t *generator, h2o_req_t *req);
 
 #endif
--- a/web/server.c
+++ b/web/server.c
@@ -300,7 +300,10 @@
 	for (GList *link = server->conns.head; link; link = link->next) {
 		struct web_conn *conn = link->data;
 
-		shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+		/* An orderly close would complete such an answer. */
+		if (!conn->request ||
+		    !reply_ends_with_connection(conn->request))
+			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
 	}
 	for (int i = 0; i < CLOSE_ITERATIONS && server->conns.length > 0; i++)
 		loop_run_h2o(server->loop, 0);
