web: a reset that follows the last bytes of a read is not lost

What callers saw: an answer without a length that its server resets could end as complete.

Cause: input_read() read again when a read had filled its buffer and, having got bytes, dropped the error of the second read. The kernel reports an error of a connection once; the next read returns 0, which is an orderly close. It takes an answer whose last part has just the size of the buffer. Class: an error is taken by a call whose result is not looked at.

--- a/tests/web/test_relay.c
+++ b/tests/web/test_relay.c
@@ -6,6 +6,8 @@
 
 #include "relay_handler.h"
 
+/* A read of the client when little has arrived. */
+#define READ_BYTES ((size_t)4096)
 #define BODY_BYTES ((size_t)1 << 20)
 #define FDS_MAX 256
 #define STALL_USEC (3 * USEC_PER_MSEC)
@@ -277,6 +279,39 @@
 	g_assert_cmpstr(site->world.body->str, ==, "half");
 }
 
+/* A reset that arrives together with the last bytes of a read is not lost. */
+static void test_unframed_reset(struct site *site, gconstpointer data)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+	static const struct linger reset = {.l_onoff = 1};
+	g_autofree char *text = g_strnfill(3 * READ_BYTES, 'x');
+
+	memcpy(text, head, sizeof(head) - 1);
+	for (size_t size = READ_BYTES - 32; size < 3 * READ_BYTES; size++) {
+		char address[32];
+		int listener = raw_listen(address, sizeof(address));
+		int fd;
+
+		site->world.done = 0;
+		world_call(&site->world,
+			   (struct web_call_spec){.address = address,
+						  .path = "/",
+						  .fresh = true});
+		while ((fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK)) < 0)
+			world_iterate(&site->world, 1);
+		close(listener);
+		g_string_free(raw_read_until(&site->world, fd, "\r\n\r\n"),
+			      TRUE);
+		raw_send(fd, text, size);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(fd);
+		world_run(&site->world, &site->world.done);
+		g_assert_false(site->world.result.ok);
+		if (size % READ_BYTES == 32)
+			size += READ_BYTES - 64;
+	}
+}
+
 /* The relay's process stops: its close is not the server's. */
 static void test_unframed_relay_stops(struct site *site, gconstpointer data)
 {
@@ -345,6 +380,7 @@
 	TEST("cancel-early", test_cancel_early);
 	TEST("relay-stops", test_relay_stops);
 	TEST("unframed", test_unframed);
+	TEST("unframed-reset", test_unframed_reset);
 	TEST("unframed-relay-stops", test_unframed_relay_stops);
 	TEST("stalled", test_stalled);
 	TEST("keepalive", test_keepalive);
