forward: a server that accepts connections counts as running

A server that sends whole answers without a length but does not answer health checks kept its callers waiting until their time limit: forward-endless failed (prefill, whose honest server answers nothing else).

--- a/forward/confirm.c
+++ b/forward/confirm.c
@@ -5,8 +5,9 @@
  *	A body without a length ends with its connection. The kernel closes the
  *	connections of a process that was killed in the same way, so the answer
  *	counts as complete only once the server is known to run: it is asked for
- *	its health on the same path. A server that does not answer is asked
- *	again until the request's timeout, since it may only be busy or paused.
+ *	its health on the same path. One that cannot be reached is asked again
+ *	until the request's timeout. One that accepts two connections in a row
+ *	without an answer still listens: it is busy or paused.
  */
 #include "request.h"
 
@@ -56,6 +57,9 @@
 		  LOG_S("backend", request->target.id),
 		  LOG_S("relay", request->relay),
 		  LOG_S("result", result_names[result]));
+	if (result == CHECK_SILENT && request->confirm_silent)
+		result = CHECK_ALIVE;
+	request->confirm_silent = result == CHECK_SILENT;
 	if (result == CHECK_SILENT || result == CHECK_UNREACHABLE)
 		timer_start(&request->confirm_timer, RETRY_USEC);
 	else
@@ -86,6 +90,7 @@
 
 	if (!end->complete || !end->unframed)
 		return false;
+	request->confirm_silent = false;
 	backend = fleet_find(request->forward->parts.fleet,
 			     backend_key(&request->target));
 	if (backend && now < backend->backoff_until)
--- a/forward/request.h
+++ b/forward/request.h
@@ -83,6 +83,7 @@
 	/* Ends the step of a call made by backend_ops.send. */
 	void (*call_done)(void *ctx, const struct backend_end *end);
 	struct timer confirm_timer; /* until the server is checked again */
+	bool confirm_silent;	    /* its last check was silent */
 	enum permit_step permit_step;
 	uint64_t permit_server; /* key of the server to send to */
 	struct timer permit_timer;
