web: calls do not ask for the end of their connection

"connection: close" in a request invites a server to leave out the length of the body; then only the end of the connection tells its end, and that of a process looks alike. Calls that are alone on their connection no longer ask for it: this side closes the connection after the answer, as before. h2o is told so by the head that it gets, and does not keep the connection.

--- a/web/call.c
+++ b/web/call.c
@@ -258,6 +258,8 @@
 		call_fail(call, head->text_invalid);
 	if (result != HEAD_COMPLETE)
 		return false;
+	/* h2o closes the connection instead of keeping it. */
+	head->closes |= call->fresh;
 	if (head_replace(call, sock, head->size))
 		return true;
 	call_fail(call, h2o_socket_error_out_of_memory);
--- a/web/client.c
+++ b/web/client.c
@@ -101,12 +101,9 @@
 	return true;
 }
 
-/* Whether the call closes its connection. */
-static bool spec_is_fresh(const struct web_call_spec *spec)
-{
-	return spec->fresh || spec->relay;
-}
-
+/* Without "connection: close", also where this side closes the connection after
+ * the answer: it would invite the server to leave out the length of the body.
+ */
 static GString *request_print(const struct web_call_spec *spec)
 {
 	GString *out = g_string_sized_new(256 + spec->body_size);
@@ -129,8 +126,6 @@
 				    (gssize)header->value.size);
 		g_string_append(out, "\r\n");
 	}
-	if (spec_is_fresh(spec))
-		g_string_append(out, "connection: close\r\n");
 	if (spec->body_size > 0 || (strcmp(spec->method, "GET") != 0 &&
 				    strcmp(spec->method, "HEAD") != 0))
 		g_string_append_printf(out, "content-length: %zu\r\n",
