gossip: an encoder does not exceed the ranges of the decoder

Callers saw nothing at once, but the other instances lost sight of an instance: they refused its datagrams as malformed, and heard neither its loads nor that it is alive.

Cause: the decoder refuses a whole datagram with a number out of its range, while the encoder wrote what it was given. Such a number comes from one odd value elsewhere: a service of the configuration with a huge kv_tokens (so that requests of 2e9 tokens are charged) or switch_s, a limit announced by a server of 1e30 (the cast of which is undefined; it saturates on arm64 and becomes negative on x86-64), a validity beyond 32 bits.

The new test encodes messages with extreme numbers; before, the first of them was refused.

The encoder clamps each number to the range that the decoder accepts, before any cast.

--- a/forward/gossip_codec.c
+++ b/forward/gossip_codec.c
@@ -49,6 +49,23 @@
 	message->addresses = NULL;
 }
 
+/* The receiver refuses a datagram with a number out of its range as a whole, so
+ * numbers that come from a configuration, a caller or a server are clamped. */
+static int64_t clamp_signed(int64_t number, int64_t max)
+{
+	return CLAMP(number, -max, max);
+}
+
+static uint64_t clamp_real(double number, uint64_t max)
+{
+	return (uint64_t)CLAMP(number, 0.0, (double)max);
+}
+
+static uint32_t clamp_msec(int64_t usec, uint32_t max)
+{
+	return (uint32_t)CLAMP(usec / USEC_PER_MSEC, 0, (int64_t)max);
+}
+
 static void loads_pack(msgpack_packer *packer, const GArray *loads)
 {
 	guint count = MIN(loads->len, GOSSIP_LOADS_MAX);
@@ -60,9 +77,14 @@
 
 		msgpack_pack_array(packer, LOAD_FIELDS);
 		msgpack_pack_uint64(packer, load->backend);
-		msgpack_pack_int64(packer, load->load.requests);
-		msgpack_pack_int64(packer, load->load.decode_tokens);
-		msgpack_pack_int64(packer, load->load.prefill_tokens);
+		msgpack_pack_int64(packer,
+				   clamp_signed(load->load.requests, LOAD_MAX));
+		msgpack_pack_int64(
+			packer,
+			clamp_signed(load->load.decode_tokens, LOAD_MAX));
+		msgpack_pack_int64(
+			packer,
+			clamp_signed(load->load.prefill_tokens, LOAD_MAX));
 	}
 }
 
@@ -102,30 +124,33 @@
 		msgpack_pack_array(packer, USAGE_FIELDS);
 		msgpack_pack_uint64(packer, entry->account);
 		msgpack_pack_uint32(packer, entry->epoch);
-		msgpack_pack_int64(packer, entry->used);
+		msgpack_pack_int64(packer, clamp_signed(entry->used, USED_MAX));
 		msgpack_pack_uint32(packer, entry->demand);
-		msgpack_pack_int64(packer, entry->level);
+		msgpack_pack_int64(packer,
+				   clamp_signed(entry->level, USED_MAX));
 	}
 }
 
+static int64_t limit_scale(double limit)
+{
+	return (int64_t)clamp_real(limit * LIMIT_SCALE, LIMIT_SCALED_MAX);
+}
+
 static void fact_pack(msgpack_packer *packer,
 		      const struct backpressure_fact *fact)
 {
-	int64_t scaled =
-		fact->limit < 0.0 ? -1 : (int64_t)(fact->limit * LIMIT_SCALE);
+	int64_t scaled = fact->limit < 0.0 ? -1 : limit_scale(fact->limit);
 
 	msgpack_pack_array(packer, FACT_FIELDS);
 	msgpack_pack_uint64(packer, fact->server);
-	msgpack_pack_int64(packer, MIN(scaled, LIMIT_SCALED_MAX));
+	msgpack_pack_int64(packer, scaled);
 	msgpack_pack_uint64(packer, MIN((uint64_t)MAX(fact->age_usec, 0),
 					FACT_AGE_USEC_MAX));
 	msgpack_pack_uint8(packer, fact->leaving);
 	msgpack_pack_uint64(packer,
 			    (uint64_t)CLAMP(fact->cold_usec, 0,
 					    BACKPRESSURE_COLD_MAX_USEC));
-	msgpack_pack_int64(packer,
-			   MIN((int64_t)(fact->cold_limit * LIMIT_SCALE),
-			       LIMIT_SCALED_MAX));
+	msgpack_pack_int64(packer, limit_scale(fact->cold_limit));
 }
 
 static void facts_pack(msgpack_packer *packer, const GArray *facts)
@@ -299,7 +324,7 @@
 		msgpack_pack_uint64(packer, change->key);
 		msgpack_pack_uint8(packer, (uint8_t)change->stage);
 		msgpack_pack_uint32(
-			packer, (uint32_t)(change->left_usec / USEC_PER_MSEC));
+			packer, clamp_msec(change->left_usec, CHANGE_MSEC_MAX));
 	}
 }
 
@@ -311,8 +336,8 @@
 		msgpack_pack_array(packer, UNREACHABLE_FIELDS);
 		msgpack_pack_uint64(packer, summary->unreachable[i].key);
 		msgpack_pack_uint32(
-			packer, (uint32_t)(summary->unreachable[i].left_usec /
-					   USEC_PER_MSEC));
+			packer, clamp_msec(summary->unreachable[i].left_usec,
+					   CHANGE_MSEC_MAX));
 	}
 }
 
@@ -322,8 +347,8 @@
 	msgpack_pack_uint64(packer, claim->request);
 	msgpack_pack_uint32(packer, claim->rank);
 	msgpack_pack_uint64(packer, claim->server);
-	msgpack_pack_uint32(packer, claim->tokens);
-	msgpack_pack_int64(packer, claim->usec / USEC_PER_MSEC);
+	msgpack_pack_uint32(packer, MIN(claim->tokens, LOAD_MAX));
+	msgpack_pack_uint32(packer, clamp_msec(claim->usec, UINT32_MAX));
 }
 
 /* The field before the ranks is not used. */
@@ -356,9 +381,10 @@
 	pack_text(packer, message->name);
 	pack_text(packer, message->group);
 	msgpack_pack_uint64(packer, summary->version);
-	msgpack_pack_uint64(packer, (uint64_t)summary->demand);
+	msgpack_pack_uint64(packer, clamp_real(summary->demand, UINT32_MAX));
 	msgpack_pack_uint32(packer, summary->waiting);
-	msgpack_pack_uint64(packer, (uint64_t)summary->prefill_rates);
+	msgpack_pack_uint64(
+		packer, clamp_real(summary->prefill_rates, PREFILL_RATES_MAX));
 	msgpack_pack_uint32(packer, summary->prefill_rate_count);
 	msgpack_pack_uint8(packer, flags_of(message));
 	changing_pack(packer, summary);
--- a/tests/forward/fuzz_gossip.c
+++ b/tests/forward/fuzz_gossip.c
@@ -158,10 +158,74 @@
 	}
 }
 
+static int64_t extreme_number(void)
+{
+	static const int64_t numbers[] = {
+		0,	   -1,	      INT32_MAX,     UINT32_MAX,
+		INT64_MAX, INT64_MIN, INT64_MAX / 2, (int64_t)1 << 40};
+
+	return numbers[g_test_rand_int_range(0, G_N_ELEMENTS(numbers))];
+}
+
+static void numbers_fill(struct gossip_message *message)
+{
+	struct gossip_load load = {
+		1, {extreme_number(), extreme_number(), extreme_number()}};
+	struct limit_entry usage = {1, 2, extreme_number(), 3,
+				    extreme_number()};
+	struct backpressure_fact fact = {
+		.server = 1,
+		.limit = (double)extreme_number() * 1e20,
+		.age_usec = extreme_number(),
+		.cold_usec = extreme_number(),
+		.cold_limit = (double)extreme_number() * 1e20,
+	};
+
+	g_array_append_val(message->loads, load);
+	g_array_append_val(message->usage, usage);
+	g_array_append_val(message->facts, fact);
+	message->summary.demand = (double)extreme_number() * 1e20;
+	message->summary.prefill_rates = (double)extreme_number() * 1e20;
+	message->summary.changing[0].left_usec = extreme_number();
+	message->summary.changing_count = 1;
+	message->summary.unreachable[0].left_usec = extreme_number();
+	message->summary.unreachable_count = 1;
+	message->claim.tokens = (uint32_t)extreme_number();
+	message->claim.usec = extreme_number();
+	message->call_request.call.target_usec = extreme_number();
+	message->answer.retry_usec = extreme_number();
+	message->request.fact = fact;
+}
+
+/* An instance with an extreme number must not be refused by its peers. */
+static void test_extreme_numbers(void)
+{
+	for (int i = 0; i < 2000; i++) {
+		g_autoptr(GByteArray) out = g_byte_array_new();
+		struct gossip_message message;
+		struct gossip_message read;
+		struct error err;
+
+		gossip_message_init(&message,
+				    (enum gossip_kind)(i % GOSSIP_UNKNOWN));
+		g_strlcpy(message.name, "n1", sizeof(message.name));
+		g_strlcpy(message.group, "here", sizeof(message.group));
+		g_strlcpy(message.lowest.name, "n0",
+			  sizeof(message.lowest.name));
+		message.call_answer.server = 8;
+		numbers_fill(&message);
+		gossip_encode(&message, out);
+		g_assert_true(gossip_decode(&read, out->data, out->len, &err));
+		gossip_message_clear(&read);
+		gossip_message_clear(&message);
+	}
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/fuzz/gossip", test_mutations);
+	g_test_add_func("/fuzz/gossip/extreme-numbers", test_extreme_numbers);
 	return g_test_run();
 }
 #endif
