forward: an invalid configuration does not replace the valid one of peers

Callers of an instance that started after an invalid configuration got 503 until the next valid one, though all other instances served them.

Cause: the copy of the configuration that instances give to each other took the invalid record in place of the valid one, so an instance that started had nothing to put in force. One that had read the invalid record itself never asked a peer either: it compared versions only with one in force.

An invalid configuration is now rejected as an older one is: the copy keeps the valid one. An instance without a configuration fetches the whole copy of a peer that has one in force. Remaining: with no peer left, an instance has none until the next valid one.

--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -88,13 +88,14 @@
 	if (strcmp(key, node->interface.config_key) != 0 || !data)
 		return MIRROR_UNCHANGED;
 	catalog = node->interface.decode_catalog(data, size, &err);
+	/* Peers that start later must get the version in force here, and
+	 * neither an older nor an invalid one. */
 	if (!catalog) {
 		refused_log(node, "configuration", key, offset, &err);
-		return MIRROR_CHANGED;
+		return MIRROR_REJECTED;
 	}
 	in_force = forward_set_catalog(node->forward, catalog);
 	catalog_unref(catalog);
-	/* Peers that start later must not get an older version from here. */
 	return in_force ? MIRROR_CHANGED : MIRROR_REJECTED;
 }
 
@@ -345,15 +346,16 @@
 }
 
 /* Whether a peer has a later configuration in force though its copy reaches no
- * further: the store has come back with an older one. */
+ * further: the store has come back with an older one, or its newest one is
+ * invalid. */
 static bool is_older_config(const struct node *node, enum node_stream stream,
 			    const struct gossip_summary *summary)
 {
 	const struct catalog *catalog = forward_catalog(node->forward);
+	uint64_t version = catalog ? catalog->version : 0;
 	uint64_t position = mirror_position(node->mirrors[stream].mirror);
 
-	return stream == STREAM_CONFIG && catalog &&
-	       summary->version > catalog->version &&
+	return stream == STREAM_CONFIG && summary->version > version &&
 	       summary->mirrors[stream].next >= position;
 }
 
