platform: entries that no server can have written are refused

Callers saw requests refused (queue full) or sent to servers that cannot be connected to, as long as such an entry stood in the list.

Cause: the decoder of entries took port 0, any number of slots (2^31 times the queue factor is 0 in 32 bits, so the server looked full with its first request; 2^40 became 2^32-1), and ids with line breaks or other control characters. An id is sent as a header: with a line break each request to that server failed before it was sent and was counted as a failed connection, which with three such entries makes an instance take its own links for lost.

Ports beyond 16 bits and negative ones were refused already, and are rows now.

Such an entry is refused with the field's name, like other malformed ones.

--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -185,6 +185,10 @@
 	"{\"service\":\"s\",\"state\":\"" state "\",\"zone\":\"z\","           \
 	"\"address\":\"1.2.3.4:5\",\"slots\":" slots more "}"
 
+#define ENTRY_AT(address)                                                      \
+	"{\"service\":\"s\",\"state\":\"ready\",\"zone\":\"z\",\"slots\":8,"   \
+	"\"address\":\"" address "\"}"
+
 static const struct refused entries[] = {
 	{"no JSON", "x", "line 1"},
 	{"empty", "{}", "entry.service"},
@@ -211,6 +215,10 @@
 	{"no slots", ENTRY("ready", "null", ""), "entry.slots"},
 	{"slots of 0", ENTRY("ready", "0", ""), "entry.slots"},
 	{"fraction of a slot", ENTRY("ready", "1.5", ""), "entry.slots"},
+	{"slots beyond 32 bits", ENTRY("ready", "1099511627776", ""),
+	 "entry.slots"},
+	{"slots whose multiples exceed 32 bits",
+	 ENTRY("ready", "2147483648", ""), "entry.slots"},
 	{"unknown stage", ENTRY("ready", "8", ",\"stage\":\"embed\""),
 	 "entry.stage"},
 	{"stage of another type", ENTRY("ready", "8", ",\"stage\":1"),
@@ -232,6 +240,11 @@
 	 "{\"service\":\"s\",\"state\":\"ready\",\"zone\":\"z\","
 	 "\"address\":\"1.2.3.4\",\"slots\":8}",
 	 "entry.address"},
+	{"port 0", ENTRY_AT("1.2.3.4:0"), "entry.address"},
+	{"port 0 of IPv6", ENTRY_AT("[::1]:0"), "entry.address"},
+	{"port beyond 16 bits", ENTRY_AT("1.2.3.4:65536"), "entry.address"},
+	{"port far beyond", ENTRY_AT("1.2.3.4:99999999999"), "entry.address"},
+	{"negative port", ENTRY_AT("1.2.3.4:-1"), "entry.address"},
 };
 
 static void test_entry_refused(gconstpointer data)
@@ -245,6 +258,22 @@
 	g_assert_nonnull(strstr(err.text, row->reason));
 }
 
+/* An id that no header can carry would fail all requests to the server. */
+static void test_unsendable_id(void)
+{
+	static const char *const ids[] = {"i-1\r\nx: y", "i\t1", "i\x7f"};
+	static const char entry[] = ENTRY("ready", "8", "");
+	struct backend_info info;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		struct error err;
+
+		g_assert_false(decode_backend(ids[i], entry, strlen(entry),
+					      &info, &err));
+		g_assert_nonnull(strstr(err.text, "server id"));
+	}
+}
+
 static void software_decode(const char *version, struct backend_info *info)
 {
 	g_autofree char *text = g_strdup_printf(
@@ -849,6 +878,7 @@
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
 	ROWS_ADD("/platform/prompt/", prompts, test_prompt);
 	g_test_add_func("/platform/prompt/bounded", test_prompt_bounded);
+	g_test_add_func("/platform/entry/unsendable-id", test_unsendable_id);
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/backoff/", backoff_rows, test_backoff);
 	g_test_add_func("/platform/leaving", test_leaving);
