platform: health paths and memory of a configuration are bounded

Callers saw nothing at first. After a lost connection, servers that were alive counted as not listening: a check of them failed before it was sent.

Cause: a health path with a space, a control character or no slash was put in force, and no request line can carry it, so that each check ended as refused. Where no other instance can be asked, that counts as a crash; elsewhere the check is repeated, and a path that was lost is never found again. A memory of 1e12 tokens let requests be charged beyond the 32 bits of sums.

Evidence: with the path '/a b' and one reset answer of each of two servers, their checks read refused and unreachable, again and again (alive with /healthz). Five new tests failed before.

--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -17,6 +17,7 @@
 	"{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/p/\","      \
 	"\"route_type\":\"streaming\",\"service\":\"s\"}"
 #define SERVICE "{\"name\":\"s\"}"
+#define HEALTH(path) "{\"name\":\"s\",\"health_path\":" path "}"
 /* A configuration with this list of organisations. */
 #define TENANTS(list)                                                          \
 	"{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE         \
@@ -91,6 +92,14 @@
 		SERVICE),
 	 "routes[0].max_attempts"},
 	{"service without name", CONFIG(ROUTE, "{}"), "services[0].name"},
+	{"health path without slash", CONFIG(ROUTE, HEALTH("\"healthz\"")),
+	 "services[0].health_path"},
+	{"health path with a space", CONFIG(ROUTE, HEALTH("\"/a b\"")),
+	 "services[0].health_path"},
+	{"health path with a line break",
+	 CONFIG(ROUTE, HEALTH("\"/a\\r\\nx: y\"")), "services[0].health_path"},
+	{"health path of another type", CONFIG(ROUTE, HEALTH("7")),
+	 "services[0].health_path"},
 	{"organisations, no list", TENANTS("{}"), "tenants: not a list"},
 	{"organisation without name", TENANTS("[{\"api_keys\":[\"k\"]}]"),
 	 "tenants[0].name"},
@@ -166,6 +175,21 @@
 	catalog_unref(catalog);
 }
 
+/* Sums of tokens have 32 bits. */
+static void test_large_memory(void)
+{
+	static const char text[] = CONFIG(
+		ROUTE, "{\"name\":\"s\",\"engine\":{\"kv_tokens\":1e12}}");
+	struct error err;
+	struct catalog *catalog = decode_catalog(text, strlen(text), &err);
+	const struct catalog_service *service;
+
+	g_assert_nonnull(catalog);
+	service = catalog_service(catalog, id_of("s"));
+	g_assert_cmpuint(service->engine.memory_tokens, <=, UINT32_MAX / 2);
+	catalog_unref(catalog);
+}
+
 /* An unknown route type is decoded as one that must not be retried. */
 static void test_unknown_kind(void)
 {
@@ -878,6 +902,7 @@
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
 	ROWS_ADD("/platform/prompt/", prompts, test_prompt);
 	g_test_add_func("/platform/prompt/bounded", test_prompt_bounded);
+	g_test_add_func("/platform/config/large-memory", test_large_memory);
 	g_test_add_func("/platform/entry/unsendable-id", test_unsendable_id);
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/backoff/", backoff_rows, test_backoff);
