forward: an entry with a start in the future does not hide its server

Callers lost a server for good, at every instance that had read the entry, until the instances restarted.

Cause: of entries under one id the one with the latest start wins, and the latest start known is kept. One odd entry with a start of 9e18 ms therefore made every later entry of the real server look old: each heartbeat was passed over, and the odd entry's address stayed.

Now it is refused, and the next heartbeat of the server takes effect.

--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -43,6 +43,8 @@
 /* All instances register again when the store has lost them: one in this time.
  * The store takes 400 writes a second. */
 #define REGISTER_SPREAD_USEC (5 * USEC_PER_MSEC)
+/* Clocks of servers may be ahead of ours by less than this. */
+#define START_AHEAD_MAX_USEC (24 * 60 * 60 * USEC_PER_SEC)
 /* Keys whose last refused value is remembered, so that it is logged once. */
 #define REFUSED_MAX 1024u
 
@@ -115,9 +117,16 @@
 static bool backend_read(struct node *node, const struct feed_record *record,
 			 struct backend_info *info, struct error *err)
 {
+	int64_t latest_ms = (clock_unix(node->clock) + START_AHEAD_MAX_USEC) /
+			    USEC_PER_MSEC;
+
 	if (!node->interface.decode_backend(record->key, record->value,
 					    record->size, info, err))
 		return false;
+	/* It would make all later entries of the server look old. */
+	if (info->started_ms > latest_ms)
+		return error_set(err, RESULT_BAD_CONFIG,
+				 "entry has a start time in the future");
 	if (info->started_ms > 0 ||
 	    fleet_started_ms(node->fleet, record->key) == 0)
 		return true;
