--- a/forward/feed.c
+++ b/forward/feed.c
@@ -124,6 +124,9 @@
  * first page are read afterwards, from its offset on. */
 static void snapshot_apply(struct feed *feed, const struct feed_page *page)
 {
+	bool is_repeated =
+		page->more && g_strcmp0(page->more, feed->after) == 0;
+
 	if (position_era(page->next) < position_era(feed->next)) {
 		feed_failed(feed);
 		return;
@@ -144,10 +147,16 @@
 	records_deliver(feed, page);
 	g_free(feed->after);
 	feed->after = g_strdup(page->more);
-	if (page->more) {
+	if (page->more && !is_repeated) {
 		feed_next(feed);
 		return;
 	}
+	/* The store does not find the key, so the next page would be the same.
+	 * What is on later pages comes with its next change. */
+	if (is_repeated)
+		log_event(LOG_WARNING, "snapshot_page_repeated",
+			  LOG_S("stream", feed->settings.stream),
+			  LOG_S("key", page->more));
 	feed->has_snapshot = true;
 	feed->synced_at = feed->sent_at;
 	if (feed->ops.snapshot_end)
--- a/tests/forward/test_feed.c
+++ b/tests/forward/test_feed.c
@@ -133,6 +133,21 @@
 		      clock_now(world->clock) + msec * USEC_PER_MSEC);
 }
 
+/* A key that the store does not take back, such as one that is not UTF-8. */
+static void test_repeated_page(void)
+{
+	struct world world;
+
+	world_open(&world);
+	page_answer(&world, "a,b", 7, "b");
+	page_answer(&world, "c,\xef\xbf\xbd", 8, "\xef\xbf\xbd");
+	page_answer(&world, "\xef\xbf\xbd", 8, "\xef\xbf\xbd");
+	g_assert_null(world.fn);
+	feed_poll(world.feed);
+	world_close(&world, "snapshot() begin a b snapshot(b) c \xef\xbf\xbd "
+			    "snapshot(\xef\xbf\xbd) \xef\xbf\xbd end read(7) ");
+}
+
 /* A long poll without records is as of the end of its wait. A read that was
  * answered sooner, or with a record, is as of its sending. */
 static void test_synced_at(void)
@@ -283,6 +298,7 @@
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/forward/feed/repeated-page", test_repeated_page);
 	g_test_add_func("/forward/feed/synced-at", test_synced_at);
 	g_test_add_func("/forward/feed/pages", test_pages);
 	g_test_add_func("/forward/feed/partial-page", test_partial_page);
