forward: reservations too short for their answers are not taken one after the other

Callers of streams got 503 at the end of their time, and the servers were asked for a reservation hundreds of times for each of these requests.

Cause: with a hold_ms of 0, or none, in the configuration of a service each reservation has ended when its answer arrives. The request then asked for the next one at once, until its limit.

Where reservations are shorter than 100 ms, one that has lapsed counts as a refusal: the server is not asked again, by any request, before the usual pause. Lapses for another reason, such as a stopped process, are handled as before. Open: these requests still wait for their limit.

--- a/forward/stream.c
+++ b/forward/stream.c
@@ -36,6 +36,9 @@
  * decode server computes the prefill, or the request waits here, where it holds
  * no decode memory. */
 #define PREFILL_QUEUE_FRACTION 0.45
+/* A shorter reservation may end before its answer arrives, each time. Without a
+ * pause the request would take one after the other. */
+#define SHORT_RESERVATION_USEC (100 * USEC_PER_MSEC)
 /* Reservations that one request may be granted. */
 #define RESERVATIONS_MAX 4u
 /* The answer of a prefill names its result in under 200 bytes. */
@@ -406,6 +409,9 @@
 			  LOG_S("request", request->caller.id),
 			  LOG_D("after_ms", (now - request->step_started_at) /
 						    USEC_PER_MSEC));
+		if (backend &&
+		    stream_reserve_usec(request) < SHORT_RESERVATION_USEC)
+			stream_record_full(request, backend);
 		stream_enqueue(request);
 		return;
 	}
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -47,6 +47,7 @@
 	enum call_state call;
 	struct send_events events;
 	reserve_fn reserve;
+	int64_t reserve_usec; /* longest reservation */
 	void *call_ctx;
 	bool home; /* this instance is the home of all servers */
 	uint64_t permit_id;
@@ -453,7 +454,7 @@
 		.slots = 2,
 		.memory_tokens = 2500,
 		.result_usec = 500 * USEC_PER_MSEC,
-		.reserve_usec = 2 * USEC_PER_SEC,
+		.reserve_usec = world.reserve_usec,
 	};
 	if (organisations) {
 		route_add(catalog, "/open/", ROUTE_ONCE, "plain", false);
@@ -569,6 +570,7 @@
 	memset(&world, 0, sizeof(world));
 	world.out = g_string_new(NULL);
 	world.clock = clock_create(0);
+	world.reserve_usec = 2 * USEC_PER_SEC;
 	clock_advance(world.clock, 60 * USEC_PER_SEC);
 	world.rand = g_rand_new_with_seed(SEED);
 	world.fleet = fleet_create(world.clock, "here");
@@ -984,6 +986,11 @@
 	    speeds_now(world.speeds, backend->key, now));
 }
 
+static void ttl_step(const char *options)
+{
+	world.reserve_usec = atoi(options) * USEC_PER_MSEC;
+}
+
 static void drain_step(const char *options)
 {
 	forward_drain(world.forward);
@@ -995,23 +1002,41 @@
 	const char *name;
 	void (*fn)(const char *options);
 } step_table[] = {
-	{"take", take_step},	     {"head", head_step},
-	{"body", body_step},	     {"done", done_step},
-	{"reserved", reserved_step}, {"gone", gone_step},
-	{"wait", wait_step},	     {"version", version_step},
-	{"server", servers_step},    {"drain", drain_step},
-	{"homes", homes_step},	     {"origin", origin_step},
-	{"crowd", crowd_step},	     {"spend", spend_step},
-	{"checked", checked_step},   {"relay", relay_step},
-	{"hold", hold_step},	     {"still", still_step},
-	{"due", due_step},	     {"organisations", organisations_step},
-	{"busy", busy_step},	     {"limit", limit_step},
-	{"home", home_step},	     {"leaves", leaves_step},
-	{"backoff", backoff_step},   {"permit", permit_step},
-	{"evacuate", evacuate_step}, {"cold", cold_step},
-	{"queue", queue_step},	     {"dispatch", dispatch_step},
-	{"unread", unread_step},     {"heartbeat", heartbeat_step},
-	{"speed", speed_step},	     {"streams", streams_step},
+	{"take", take_step},
+	{"head", head_step},
+	{"body", body_step},
+	{"done", done_step},
+	{"reserved", reserved_step},
+	{"gone", gone_step},
+	{"wait", wait_step},
+	{"version", version_step},
+	{"server", servers_step},
+	{"drain", drain_step},
+	{"homes", homes_step},
+	{"origin", origin_step},
+	{"crowd", crowd_step},
+	{"spend", spend_step},
+	{"checked", checked_step},
+	{"relay", relay_step},
+	{"hold", hold_step},
+	{"still", still_step},
+	{"due", due_step},
+	{"organisations", organisations_step},
+	{"busy", busy_step},
+	{"limit", limit_step},
+	{"home", home_step},
+	{"leaves", leaves_step},
+	{"backoff", backoff_step},
+	{"permit", permit_step},
+	{"evacuate", evacuate_step},
+	{"cold", cold_step},
+	{"queue", queue_step},
+	{"dispatch", dispatch_step},
+	{"ttl", ttl_step},
+	{"unread", unread_step},
+	{"heartbeat", heartbeat_step},
+	{"speed", speed_step},
+	{"streams", streams_step},
 };
 
 static void step_run(char *step);
