platform: an offset out of range does not show as another era

Not seen from callers. One answer of the store with a negative or very large offset would have stopped an instance from following the store: a position holds the era above the offset, so such an offset made a later era, and each sound answer after that one looked outdated.

Cause: offsets of answers were put into positions without a check.

Not tried with real processes.

--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -669,6 +669,18 @@
 	g_assert_false(store_read_keyed(bytes, 15, 2, &page, &err));
 }
 
+/* Offsets beyond those of an era would show as another era. */
+static void test_offset_of_another_era(void)
+{
+	static const unsigned char end[16] = {0, 0, 1};
+	static const unsigned char first[16] = {0, 0, 0, 0, 0, 0, 0, 0, 0x80};
+	struct feed_page page;
+	struct error err;
+
+	g_assert_false(store_read_keyed(end, sizeof(end), 0, &page, &err));
+	g_assert_false(store_read_keyed(first, sizeof(first), 0, &page, &err));
+}
+
 struct snapshot_seen {
 	uint32_t calls;
 	GString *keys;
@@ -714,7 +726,19 @@
 	{"the last one is broken, and more follow",
 	 PAGE(ITEM("a", "1") "," ITEM("z", "null"), ",\"more_pages\":true"),
 	 "a@1 ", "z"},
+	{"a negative offset", PAGE(ITEM("a", "-1") "," ITEM("b", "2"), ""),
+	 "b@2 ", ""},
+	{"an offset of another era",
+	 PAGE(ITEM("a", "1099511627776") "," ITEM("b", "2"), ""), "b@2 ", ""},
 	{"no end", "{\"items\":[]}", NULL, ""},
+	{"a negative end", "{\"items\":[],\"end\":-1}", NULL, ""},
+	{"an end of another era", "{\"items\":[],\"end\":1099511627776}", NULL,
+	 ""},
+	{"an end as a fraction", "{\"items\":[],\"end\":1.5}", NULL, ""},
+	{"items that are no list", "{\"items\":{},\"end\":9}", NULL, ""},
+	{"more without a key", PAGE("", ",\"more_pages\":true"), "", ""},
+	{"malformed base64",
+	 PAGE("{\"key\":\"a\",\"value\":\"%%\",\"offset\":1}", ""), "a@1 ", ""},
 	{"no JSON", "{", NULL, ""},
 };
 
@@ -903,6 +927,8 @@
 	ROWS_ADD("/platform/prompt/", prompts, test_prompt);
 	g_test_add_func("/platform/prompt/bounded", test_prompt_bounded);
 	g_test_add_func("/platform/config/large-memory", test_large_memory);
+	g_test_add_func("/platform/offset-of-another-era",
+			test_offset_of_another_era);
 	g_test_add_func("/platform/entry/unsendable-id", test_unsendable_id);
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/backoff/", backoff_rows, test_backoff);
