--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -17,6 +17,7 @@
 	"{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/p/\","      \
 	"\"route_type\":\"streaming\",\"service\":\"s\"}"
 #define SERVICE "{\"name\":\"s\"}"
+#define HEALTH(path) "{\"name\":\"s\",\"health_path\":" path "}"
 /* A configuration with this list of organisations. */
 #define TENANTS(list)                                                          \
 	"{\"version\":7,\"routes\":[" ROUTE "],\"services\":[" SERVICE         \
@@ -91,6 +92,14 @@
 		SERVICE),
 	 "routes[0].max_attempts"},
 	{"service without name", CONFIG(ROUTE, "{}"), "services[0].name"},
+	{"health path without slash", CONFIG(ROUTE, HEALTH("\"healthz\"")),
+	 "services[0].health_path"},
+	{"health path with a space", CONFIG(ROUTE, HEALTH("\"/a b\"")),
+	 "services[0].health_path"},
+	{"health path with a line break",
+	 CONFIG(ROUTE, HEALTH("\"/a\\r\\nx: y\"")), "services[0].health_path"},
+	{"health path of another type", CONFIG(ROUTE, HEALTH("7")),
+	 "services[0].health_path"},
 	{"organisations, no list", TENANTS("{}"), "tenants: not a list"},
 	{"organisation without name", TENANTS("[{\"api_keys\":[\"k\"]}]"),
 	 "tenants[0].name"},
@@ -166,6 +175,21 @@
 	catalog_unref(catalog);
 }
 
+/* Sums of tokens have 32 bits. */
+static void test_large_memory(void)
+{
+	static const char text[] = CONFIG(
+		ROUTE, "{\"name\":\"s\",\"engine\":{\"kv_tokens\":1e12}}");
+	struct error err;
+	struct catalog *catalog = decode_catalog(text, strlen(text), &err);
+	const struct catalog_service *service;
+
+	g_assert_nonnull(catalog);
+	service = catalog_service(catalog, id_of("s"));
+	g_assert_cmpuint(service->engine.memory_tokens, <=, UINT32_MAX / 2);
+	catalog_unref(catalog);
+}
+
 /* An unknown route type is decoded as one that must not be retried. */
 static void test_unknown_kind(void)
 {
@@ -185,6 +209,10 @@
 	"{\"service\":\"s\",\"state\":\"" state "\",\"zone\":\"z\","           \
 	"\"address\":\"1.2.3.4:5\",\"slots\":" slots more "}"
 
+#define ENTRY_AT(address)                                                      \
+	"{\"service\":\"s\",\"state\":\"ready\",\"zone\":\"z\",\"slots\":8,"   \
+	"\"address\":\"" address "\"}"
+
 static const struct refused entries[] = {
 	{"no JSON", "x", "line 1"},
 	{"empty", "{}", "entry.service"},
@@ -211,6 +239,10 @@
 	{"no slots", ENTRY("ready", "null", ""), "entry.slots"},
 	{"slots of 0", ENTRY("ready", "0", ""), "entry.slots"},
 	{"fraction of a slot", ENTRY("ready", "1.5", ""), "entry.slots"},
+	{"slots beyond 32 bits", ENTRY("ready", "1099511627776", ""),
+	 "entry.slots"},
+	{"slots whose multiples exceed 32 bits",
+	 ENTRY("ready", "2147483648", ""), "entry.slots"},
 	{"unknown stage", ENTRY("ready", "8", ",\"stage\":\"embed\""),
 	 "entry.stage"},
 	{"stage of another type", ENTRY("ready", "8", ",\"stage\":1"),
@@ -232,6 +264,11 @@
 	 "{\"service\":\"s\",\"state\":\"ready\",\"zone\":\"z\","
 	 "\"address\":\"1.2.3.4\",\"slots\":8}",
 	 "entry.address"},
+	{"port 0", ENTRY_AT("1.2.3.4:0"), "entry.address"},
+	{"port 0 of IPv6", ENTRY_AT("[::1]:0"), "entry.address"},
+	{"port beyond 16 bits", ENTRY_AT("1.2.3.4:65536"), "entry.address"},
+	{"port far beyond", ENTRY_AT("1.2.3.4:99999999999"), "entry.address"},
+	{"negative port", ENTRY_AT("1.2.3.4:-1"), "entry.address"},
 };
 
 static void test_entry_refused(gconstpointer data)
@@ -245,6 +282,22 @@
 	g_assert_nonnull(strstr(err.text, row->reason));
 }
 
+/* An id that no header can carry would fail all requests to the server. */
+static void test_unsendable_id(void)
+{
+	static const char *const ids[] = {"i-1\r\nx: y", "i\t1", "i\x7f"};
+	static const char entry[] = ENTRY("ready", "8", "");
+	struct backend_info info;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(ids); i++) {
+		struct error err;
+
+		g_assert_false(decode_backend(ids[i], entry, strlen(entry),
+					      &info, &err));
+		g_assert_nonnull(strstr(err.text, "server id"));
+	}
+}
+
 static void software_decode(const char *version, struct backend_info *info)
 {
 	g_autofree char *text = g_strdup_printf(
@@ -616,6 +669,18 @@
 	g_assert_false(store_read_keyed(bytes, 15, 2, &page, &err));
 }
 
+/* Offsets beyond those of an era would show as another era. */
+static void test_offset_of_another_era(void)
+{
+	static const unsigned char end[16] = {0, 0, 1};
+	static const unsigned char first[16] = {0, 0, 0, 0, 0, 0, 0, 0, 0x80};
+	struct feed_page page;
+	struct error err;
+
+	g_assert_false(store_read_keyed(end, sizeof(end), 0, &page, &err));
+	g_assert_false(store_read_keyed(first, sizeof(first), 0, &page, &err));
+}
+
 struct snapshot_seen {
 	uint32_t calls;
 	GString *keys;
@@ -661,7 +726,19 @@
 	{"the last one is broken, and more follow",
 	 PAGE(ITEM("a", "1") "," ITEM("z", "null"), ",\"more_pages\":true"),
 	 "a@1 ", "z"},
+	{"a negative offset", PAGE(ITEM("a", "-1") "," ITEM("b", "2"), ""),
+	 "b@2 ", ""},
+	{"an offset of another era",
+	 PAGE(ITEM("a", "1099511627776") "," ITEM("b", "2"), ""), "b@2 ", ""},
 	{"no end", "{\"items\":[]}", NULL, ""},
+	{"a negative end", "{\"items\":[],\"end\":-1}", NULL, ""},
+	{"an end of another era", "{\"items\":[],\"end\":1099511627776}", NULL,
+	 ""},
+	{"an end as a fraction", "{\"items\":[],\"end\":1.5}", NULL, ""},
+	{"items that are no list", "{\"items\":{},\"end\":9}", NULL, ""},
+	{"more without a key", PAGE("", ",\"more_pages\":true"), "", ""},
+	{"malformed base64",
+	 PAGE("{\"key\":\"a\",\"value\":\"%%\",\"offset\":1}", ""), "a@1 ", ""},
 	{"no JSON", "{", NULL, ""},
 };
 
@@ -849,6 +926,10 @@
 	ROWS_ADD("/platform/tokens/", token_rows, test_tokens);
 	ROWS_ADD("/platform/prompt/", prompts, test_prompt);
 	g_test_add_func("/platform/prompt/bounded", test_prompt_bounded);
+	g_test_add_func("/platform/config/large-memory", test_large_memory);
+	g_test_add_func("/platform/offset-of-another-era",
+			test_offset_of_another_era);
+	g_test_add_func("/platform/entry/unsendable-id", test_unsendable_id);
 	ROWS_ADD("/platform/limit/", limit_rows, test_limit);
 	ROWS_ADD("/platform/backoff/", backoff_rows, test_backoff);
 	g_test_add_func("/platform/leaving", test_leaving);
