forward: an old list is no evidence of a single software version

Callers saw the rest of their text from another version of the servers: an instance that stood still, or was cut off from the store, while servers of a new version joined took streams that had begun there for streams of the old one. So did an instance that relied on such a home.

Cause: a stream that nobody knows, or whose caller does not name it, goes on where the list shows one version. The list counted as current at any age, unless all other data centres were silent: always on a site with one data centre, for 1.2 s after a partition, and where the peer that had newer ones was dead. A caller that does not name the stream was not checked with others at all.

Platforms whose servers state no version are not affected.

paths.txt: the instance of "a home has seen only one" never had a complete list, and relied on the home alone; it now has one, and the row without one stays, refused. test_feed and test_mirror name the callbacks that they set.

--- a/forward/feed.c
+++ b/forward/feed.c
@@ -152,6 +152,8 @@
 	feed->synced_at = feed->sent_at;
 	if (feed->ops.snapshot_end)
 		feed->ops.snapshot_end(feed->ctx);
+	if (feed->ops.synced)
+		feed->ops.synced(feed->ctx);
 }
 
 /* The time at which the answer of the store shows the known records to be
@@ -182,10 +184,13 @@
 	}
 	records_deliver(feed, page);
 	feed->next = page->next;
-	if (page->next < page->end)
+	if (page->next < page->end) {
 		feed_next(feed);
-	else
-		feed->synced_at = end_seen_at(feed, page);
+		return;
+	}
+	feed->synced_at = end_seen_at(feed, page);
+	if (feed->ops.synced)
+		feed->ops.synced(feed->ctx);
 }
 
 static void on_page(void *ctx, enum result_code code,
--- a/forward/fleet_software.c
+++ b/forward/fleet_software.c
@@ -74,6 +74,11 @@
 	return sole == id_of("") || fleet->complete_since <= since ? sole : 0;
 }
 
+int64_t fleet_complete_since(const struct fleet *fleet)
+{
+	return fleet->complete_since;
+}
+
 uint32_t fleet_software(const struct fleet *fleet, uint64_t service,
 			uint64_t *software, uint32_t max)
 {
--- a/forward/mirror.c
+++ b/forward/mirror.c
@@ -270,6 +270,14 @@
 		mirror->ops.end(mirror->ctx);
 }
 
+static void on_synced(void *ctx)
+{
+	struct mirror *mirror = ctx;
+
+	if (mirror->ops.synced)
+		mirror->ops.synced(mirror->ctx);
+}
+
 bool mirror_failing(const struct mirror *mirror)
 {
 	return feed_failing(mirror->feed);
@@ -284,6 +292,7 @@
 		.snapshot_begin = on_begin,
 		.snapshot_end = on_end,
 		.record = on_record,
+		.synced = on_synced,
 	};
 	struct mirror *mirror = g_new0(struct mirror, 1);
 
@@ -407,6 +416,11 @@
 	feed_restart(mirror->feed);
 }
 
+void mirror_poll(struct mirror *mirror)
+{
+	feed_poll(mirror->feed);
+}
+
 void mirror_status(const struct mirror *mirror, struct mirror_status *status)
 {
 	int64_t synced_at = feed_synced_at(mirror->feed);
@@ -426,9 +440,10 @@
 	if (feed_synced_at(mirror->feed) == FEED_NEVER ||
 	    status->changed > feed_position(mirror->feed))
 		return true;
-	feed_advance(mirror->feed, status->next,
-		     clock_now(mirror->clock) - status->age_usec -
-			     STATUS_DELAY_USEC);
+	if (feed_advance(mirror->feed, status->next,
+			 clock_now(mirror->clock) - status->age_usec -
+				 STATUS_DELAY_USEC))
+		on_synced(mirror);
 	return false;
 }
 
@@ -650,6 +665,7 @@
 			mirror->ops.end(mirror->ctx);
 	}
 	mirror->changed = copy->status.changed;
+	on_synced(mirror);
 }
 
 /* A delta whose base is beyond our position would leave a gap. */
--- a/forward/node.c
+++ b/forward/node.c
@@ -20,8 +20,6 @@
 /* All instances of a data centre may fetch a mirror at once, and some may have
  * calls relayed. */
 #define PEER_CONNECTIONS 768u
-/* A list of servers this old shows all that are in use. */
-#define LIST_FRESH_USEC (1 * USEC_PER_SEC)
 /* Streams whose version is kept, at about 80 bytes each. */
 #define ORIGINS_MAX 65536u
 /* An event loop iteration this late means that the process was stalled. */
@@ -63,13 +61,15 @@
 	return status.age_usec;
 }
 
-static bool list_is_current(void *ctx)
+static bool list_read(void *ctx)
 {
 	const struct node *node = ctx;
-	int64_t age = list_age_get(ctx);
+	struct mirror *mirror = node->mirrors[STREAM_LIST].mirror;
 
-	return age >= 0 &&
-	       (age <= LIST_FRESH_USEC || !gossip_partitioned(node->gossip));
+	if (mirror_failing(mirror))
+		return false;
+	mirror_poll(mirror);
+	return true;
 }
 
 static bool is_store_unreachable(const struct node *node)
@@ -258,7 +258,7 @@
 		.instances = instances_count,
 		.interval = interval_get,
 		.list_age = list_age_get,
-		.list_current = list_is_current,
+		.list_read = list_read,
 		.waiting = waiting_get,
 		.load_changed = load_changed,
 		.quarantine_changed = node_quarantine_changed,
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -201,6 +201,13 @@
 	fleet_snapshot_end(node->fleet);
 }
 
+static void on_list_synced(void *ctx)
+{
+	const struct node *node = ctx;
+
+	forward_list_synced(node->forward);
+}
+
 /* ---- mirrors ---- */
 
 static void list_tick(struct node *node)
@@ -522,10 +529,18 @@
 void node_feeds_start(struct node *node)
 {
 	static const struct mirror_ops config_ops = {
-		on_config_begin, on_config_end, on_config, NULL, NULL};
+		.begin = on_config_begin,
+		.end = on_config_end,
+		.value = on_config,
+	};
 	static const struct mirror_ops list_ops = {
-		on_list_begin, on_list_end, on_backend, on_backend_repeats,
-		on_backend_newer};
+		.begin = on_list_begin,
+		.end = on_list_end,
+		.value = on_backend,
+		.repeats = on_backend_repeats,
+		.newer = on_backend_newer,
+		.synced = on_list_synced,
+	};
 	static const struct feed_ops peer_ops = {
 		.snapshot_end = on_peers_listed,
 		.record = on_peer,
--- a/forward/request.h
+++ b/forward/request.h
@@ -109,8 +109,12 @@
 	struct origin_answer answers[RESUME_ANSWERS_MAX];
 	uint32_t answer_count;
 	uint32_t answers_awaited;
-	double weight;	    /* for streams: engine_rates_weight() */
-	bool checked_early; /* the check for an early refusal is done */
+	int64_t resumed_at;   /* when the stream was resumed here */
+	bool list_awaited;    /* a read of the list since then */
+	bool list_sufficient; /* followed for as long as the stream may be old
+			       */
+	double weight;	      /* for streams: engine_rates_weight() */
+	bool checked_early;   /* the check for an early refusal is done */
 	/* Decode servers that began a stream anew instead of resuming it. */
 	struct tried began_anew;
 	bool is_probe; /* the run is at a decode server that has refused other
@@ -189,6 +193,7 @@
 	struct histogram *prefill_time;
 	struct histogram *first_time;
 	GHashTable *demand; /* service to struct demand */
+	bool list_awaited;  /* by a request that resumes a stream */
 };
 
 int64_t request_now(const struct request *request);
--- a/include/forward/feed.h
+++ b/include/forward/feed.h
@@ -63,6 +63,8 @@
 	void (*snapshot_begin)(void *ctx);
 	void (*snapshot_end)(void *ctx);
 	void (*record)(void *ctx, const struct feed_record *record);
+	/* A read has reached the end of the stream. */
+	void (*synced)(void *ctx);
 	/* The store answers again after an outage. */
 	void (*recovered)(void *ctx);
 };
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -200,6 +200,8 @@
  */
 uint64_t fleet_sole_software(const struct fleet *fleet, uint64_t service,
 			     int64_t since, bool *mixed);
+/* Since when complete lists were known; INT64_MAX before the first. */
+int64_t fleet_complete_since(const struct fleet *fleet);
 /* The software versions that servers of the service are listed with, at most
  * max; returns how many. */
 uint32_t fleet_software(const struct fleet *fleet, uint64_t service,
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -63,9 +63,9 @@
 /* Age of the list of backend servers; negative before the first. */
 typedef int64_t (*forward_age_fn)(void *ctx);
 
-/* Whether other instances can have used no server that this list does not show:
- * it is fresh, or newer ones would have arrived from them. */
-typedef bool (*forward_current_fn)(void *ctx);
+/* Reads the list of backend servers again, unless it is being read;
+ * forward_list_synced() follows. False when the store does not answer. */
+typedef bool (*forward_read_fn)(void *ctx);
 
 /* The load of an engine server has changed. */
 typedef void (*forward_load_fn)(void *ctx);
@@ -143,7 +143,7 @@
 	forward_instances_fn instances;
 	forward_interval_fn interval;
 	forward_age_fn list_age;
-	forward_current_fn list_current;
+	forward_read_fn list_read;
 	forward_instances_fn waiting; /* waiting requests at all instances */
 	forward_load_fn load_changed;
 	forward_quarantine_fn quarantine_changed;
@@ -197,6 +197,8 @@
 void forward_origin_answered(struct forward *forward, uint64_t id,
 			     uint64_t stream,
 			     const struct origin_answer *answer);
+/* The list of backend servers is known to be complete up to a later time. */
+void forward_list_synced(struct forward *forward);
 /* Requests in progress. */
 uint32_t forward_pending(const struct forward *forward);
 /* The number of these that wait for decode memory. */
--- a/include/forward/mirror.h
+++ b/include/forward/mirror.h
@@ -73,6 +73,8 @@
 	 * rejects it. */
 	bool (*newer)(void *ctx, const void *before, size_t before_size,
 		      const void *data, size_t size);
+	/* The copy is known to be complete up to a later time. May be NULL. */
+	void (*synced)(void *ctx);
 };
 
 struct mirror *mirror_create(struct clock *clock,
@@ -93,6 +95,8 @@
 void mirror_fetch_pending(struct mirror *mirror);
 /* Reads the store now, because the copy may be older than assumed. */
 void mirror_refresh(struct mirror *mirror);
+/* Reads the changes since the last read, unless a read is in progress. */
+void mirror_poll(struct mirror *mirror);
 /* Whether the last read of the store failed. */
 bool mirror_failing(const struct mirror *mirror);
 void mirror_status(const struct mirror *mirror, struct mirror_status *status);
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -37,6 +37,7 @@
 	struct limits *limits;
 	struct origins *origins;
 	struct speeds *speeds;
+	int64_t list_age_usec;
 	uint32_t homes;
 	struct origin_query query;
 	struct counter_set *counters;
@@ -267,11 +268,12 @@
 
 static int64_t list_age(void *ctx)
 {
-	return 0;
+	return world.list_age_usec;
 }
 
-static bool list_current(void *ctx)
+static bool list_read(void *ctx)
 {
+	say("read list");
 	return true;
 }
 
@@ -551,7 +553,7 @@
 		.instances = instances,
 		.interval = interval,
 		.list_age = list_age,
-		.list_current = list_current,
+		.list_read = list_read,
 		.waiting = waiting,
 		.load_changed = load_changed,
 		.quarantine_changed = quarantine_changed,
@@ -832,6 +834,38 @@
 				world.query.stream, &answer);
 }
 
+/* The list is complete now: "listed", or was that long ago: "listed 1000". */
+static void listed_step(const char *options)
+{
+	const GPtrArray *all = fleet_all(world.fleet);
+
+	world.list_age_usec = atoi(options) * USEC_PER_MSEC;
+	fleet_snapshot_begin(world.fleet);
+	for (guint i = 0; i < all->len; i++) {
+		const struct backend *backend = all->pdata[i];
+		const struct backend_info info = backend->info;
+
+		fleet_put(world.fleet, &info);
+	}
+	fleet_snapshot_end(world.fleet);
+	forward_list_synced(world.forward);
+}
+
+/* Another instance asks for a stream that began within that time. */
+static void asked_step(const char *options)
+{
+	const struct origin_query query = {
+		.stream = 1,
+		.service = id_of("model"),
+		.window_usec = atoi(options) * USEC_PER_MSEC,
+	};
+	struct origin_answer answer;
+
+	forward_origin_answer(world.forward, &query, &answer);
+	say("answer sole %s, mixed %d",
+	    answer.sole ? version_name(answer.sole) : "unknown", answer.mixed);
+}
+
 static void servers_step(const char *options)
 {
 	g_autofree char *id = g_strndup(options, 2);
@@ -1001,6 +1035,7 @@
 	{"wait", wait_step},	     {"version", version_step},
 	{"server", servers_step},    {"drain", drain_step},
 	{"homes", homes_step},	     {"origin", origin_step},
+	{"listed", listed_step},     {"asked", asked_step},
 	{"crowd", crowd_step},	     {"spend", spend_step},
 	{"checked", checked_step},   {"relay", relay_step},
 	{"hold", hold_step},	     {"still", still_step},
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -159,6 +159,7 @@
 	uint32_t versions;
 	GQueue messages;
 	bool parted; /* the first data centre is partitioned from the others */
+	int64_t parted_at;
 };
 
 /* ---- the network ---- */
@@ -721,16 +722,24 @@
 	return 0;
 }
 
-static int64_t age_get(void *ctx)
+static bool is_parted(const struct instance *instance)
 {
-	return 0;
+	return instance->world->parted && instance->number % CENTRES == 0;
 }
 
-static bool list_current(void *ctx)
+/* The store is on the other side of a partition. */
+static int64_t list_age(void *ctx)
 {
 	const struct instance *instance = ctx;
+	const struct reach_world *world = instance->world;
 
-	return !instance->world->parted || instance->number % CENTRES != 0;
+	return is_parted(instance) ? clock_now(world->clock) - world->parted_at
+				   : 0;
+}
+
+static bool list_read(void *ctx)
+{
+	return !is_parted(ctx);
 }
 
 static uint32_t waiting_get(void *ctx)
@@ -971,8 +980,8 @@
 		.callers = {world_decode, "Key", NULL},
 		.instances = count_get,
 		.interval = interval_get,
-		.list_age = age_get,
-		.list_current = list_current,
+		.list_age = list_age,
+		.list_read = list_read,
 		.waiting = waiting_get,
 		.load_changed = load_changed,
 		.quarantine_changed = quarantine_changed,
@@ -1310,4 +1319,5 @@
 void reach_world_part(struct reach_world *world, bool parted)
 {
 	world->parted = parted;
+	world->parted_at = clock_now(world->clock);
 }
--- a/tests/forward/test_endless.c
+++ b/tests/forward/test_endless.c
@@ -90,7 +90,7 @@
 	return 0;
 }
 
-static bool list_current(void *ctx)
+static bool list_read(void *ctx)
 {
 	return true;
 }
@@ -274,7 +274,7 @@
 		.instances = instances,
 		.interval = interval,
 		.list_age = list_age,
-		.list_current = list_current,
+		.list_read = list_read,
 		.waiting = waiting,
 		.load_changed = ignore,
 		.quarantine_changed = quarantine_changed,
--- a/tests/forward/test_feed.c
+++ b/tests/forward/test_feed.c
@@ -66,8 +66,12 @@
 
 static void world_open(struct world *world)
 {
-	static const struct feed_ops ops = {on_begin, on_end, on_record,
-					    on_recovered};
+	static const struct feed_ops ops = {
+		.snapshot_begin = on_begin,
+		.snapshot_end = on_end,
+		.record = on_record,
+		.recovered = on_recovered,
+	};
 	const struct feed_store store = {on_snapshot_call, on_read_call, world};
 	const struct feed_settings settings = {
 		.stream = "s",
--- a/tests/forward/test_mirror.c
+++ b/tests/forward/test_mirror.c
@@ -200,8 +200,11 @@
 /* Values that repeat the previous one are not delivered, but count as read. */
 static void test_repeats(void)
 {
-	static const struct mirror_ops ops = {on_begin, NULL, on_value_counted,
-					      on_repeats, NULL};
+	static const struct mirror_ops ops = {
+		.begin = on_begin,
+		.value = on_value_counted,
+		.repeats = on_repeats,
+	};
 	struct clock *clock = clock_create(0);
 	struct copy copy;
 
