forward: a resumed stream may be older than two attempts at its route

Callers saw a text joined from two versions after all instances had been killed: their streams had begun at the old version, whose servers had left meanwhile, and an instance that had only seen the new one continued them.

Cause: the instance goes on if it has seen one version for as long as the stream may last, which was taken from the timeout of the route alone: two attempts less the time that the caller has left. A caller whose own limit is longer, or whose route had a longer timeout when the stream began, resumes an older one. Now callers are taken to wait 30 s, two attempts, or twice what they have left, whichever is longest.

--- a/forward/resume.c
+++ b/forward/resume.c
@@ -10,17 +10,23 @@
 #define ANSWER_TIMEOUT_USEC (120 * USEC_PER_MSEC)
 /* Retry-After: other instances know no more, unless this one is cut off. */
 #define RETRY_AFTER_USEC (20 * USEC_PER_MSEC)
+#define CALLER_LIMIT_USEC (30 * USEC_PER_SEC)
 /* An instance that follows the list learns within this time whether it has
  * changed. */
 #define LIST_FRESH_USEC (2 * USEC_PER_SEC)
 
-/* The time within which the stream began: the limit of its caller is taken to
- * be no more than two attempts at the route's timeout. */
+/* The time within which the stream began. Callers are taken to wait no longer
+ * than CALLER_LIMIT_USEC, two attempts at the route's timeout, or twice the
+ * time that they have left. The timeout may have been longer when the stream
+ * began.
+ */
 static int64_t age_max(const struct request *request)
 {
 	int64_t timeout = request->route->timeout_usec;
+	int64_t left = request->caller.limit_usec;
+	int64_t waited = MAX(2 * timeout, CALLER_LIMIT_USEC) - left;
 
-	return MAX(2 * timeout - request->caller.limit_usec, timeout);
+	return MAX(waited, MAX(timeout, left));
 }
 
 static struct origin_query query_of(const struct request *request)
