forward: servers listed and dropped while a list was not followed are noticed

Callers saw the rest of their text from another version: servers of a new version joined and left again while an instance was cut off from the store. It learnt of that from a peer, and continued the streams of these servers at the old version.

Cause: changes from a peer name a dropped key, a whole copy not even that. The instance had never heard of the server, so its list showed one version, and it counted the list as followed since its start. Now the mirror tells when it may have missed keys, and the time for which one version is shown begins anew.

--- a/forward/fleet_private.h
+++ b/forward/fleet_private.h
@@ -30,7 +30,7 @@
 	GHashTable *regions;   /* data centre to the region's name */
 	uint32_t group;
 	uint32_t groups;
-	int64_t complete_since; /* first complete list; INT64_MAX: none yet */
+	int64_t complete_since; /* followed since; INT64_MAX: no list yet */
 };
 
 /* The servers of a service. */
--- a/forward/fleet_software.c
+++ b/forward/fleet_software.c
@@ -74,6 +74,12 @@
 	return sole == id_of("") || fleet->complete_since <= since ? sole : 0;
 }
 
+void fleet_list_missed(struct fleet *fleet)
+{
+	if (fleet->complete_since != INT64_MAX)
+		fleet->complete_since = clock_now(fleet->clock);
+}
+
 int64_t fleet_complete_since(const struct fleet *fleet)
 {
 	return fleet->complete_since;
--- a/forward/mirror.c
+++ b/forward/mirror.c
@@ -1,6 +1,7 @@
 #include "forward/mirror.h"
 
 #include <msgpack.h>
+#include <string.h>
 
 #include "common/log.h"
 #include "common/pack.h"
@@ -20,6 +21,10 @@
 /* Reads that follow each other within this time belong to one period of
  * reading, which is logged once. */
 #define READ_BREAK_USEC (1 * USEC_PER_SEC)
+/* A whole copy does not show what was written and dropped since the previous
+ * one. Nothing is, within this time: servers that leave are listed for longer.
+ */
+#define WHOLE_COPY_GAP_USEC (2 * USEC_PER_SEC)
 #define COPY_FIELDS 6
 #define VALUE_FIELDS 3
 /* Number of changes kept for peers that are slightly behind. Others receive the
@@ -31,6 +36,7 @@
 	int64_t started_at;	  /* the start, or when the peers were listed */
 	int64_t fetch_offered_at; /* when a peer last announced a newer copy */
 	int64_t read_at;	  /* last read of the store; 0: never */
+	int64_t synced_at;	  /* feed_synced_at() at the last on_synced() */
 	bool peers_listed;
 	struct feed *feed;
 	struct feed_settings settings;
@@ -255,6 +261,33 @@
 		mirror->ops.begin(mirror->ctx);
 }
 
+static void changes_missed(struct mirror *mirror)
+{
+	log_event(LOG_NOTICE, "changes_missed",
+		  LOG_S("stream", mirror->settings.stream));
+	if (mirror->ops.missed)
+		mirror->ops.missed(mirror->ctx);
+}
+
+static void whole_copy_check(struct mirror *mirror)
+{
+	if (mirror->synced_at != FEED_NEVER &&
+	    feed_synced_at(mirror->feed) - mirror->synced_at >
+		    WHOLE_COPY_GAP_USEC)
+		changes_missed(mirror);
+}
+
+/* Whether the key is known, or was until it was dropped. */
+static bool key_was_known(const struct mirror *mirror, const char *key)
+{
+	if (g_hash_table_contains(mirror->values, key))
+		return true;
+	for (guint i = mirror->changes->len; i > 0; i--)
+		if (strcmp(change_at(mirror, i - 1)->key, key) == 0)
+			return true;
+	return false;
+}
+
 /* Keys missing from the snapshot have been dropped at unknown offsets, so no
  * deltas are possible from before its end. */
 static void on_end(void *ctx)
@@ -264,6 +297,7 @@
 	if (is_merging(mirror))
 		missing_keep(mirror);
 	previous_drop(mirror);
+	whole_copy_check(mirror);
 	mirror->changed = MAX(mirror->changed, feed_position(mirror->feed));
 	mirror->delta_floor = mirror->changed;
 	if (mirror->ops.end)
@@ -274,6 +308,7 @@
 {
 	struct mirror *mirror = ctx;
 
+	mirror->synced_at = feed_synced_at(mirror->feed);
 	if (mirror->ops.synced)
 		mirror->ops.synced(mirror->ctx);
 }
@@ -298,6 +333,7 @@
 
 	mirror->clock = clock;
 	mirror->started_at = clock_now(clock);
+	mirror->synced_at = FEED_NEVER;
 	mirror->settings = *settings;
 	mirror->settings.on_demand = true;
 	mirror->ops = *ops;
@@ -637,6 +673,19 @@
 	       list_is_valid(copy->dropped, key_is_valid);
 }
 
+static bool has_missed_keys(const struct mirror *mirror,
+			    const msgpack_object_array *dropped)
+{
+	char key[256];
+
+	for (uint32_t i = 0; i < dropped->size; i++) {
+		(void)unpack_text(&dropped->ptr[i], key, sizeof(key));
+		if (!key_was_known(mirror, key))
+			return true;
+	}
+	return false;
+}
+
 static void copy_apply(struct mirror *mirror, const struct copy *copy)
 {
 	const msgpack_object_array *values = &copy->values->via.array;
@@ -645,6 +694,8 @@
 
 	if (copy->base == 0)
 		on_begin(mirror);
+	else if (has_missed_keys(mirror, dropped))
+		changes_missed(mirror);
 	for (uint32_t i = 0; i < values->size; i++) {
 		const msgpack_object *item = values->ptr[i].via.array.ptr;
 
@@ -661,6 +712,7 @@
 			missing_keep(mirror);
 		mirror->delta_floor = copy->status.next;
 		previous_drop(mirror);
+		whole_copy_check(mirror);
 		if (mirror->ops.end)
 			mirror->ops.end(mirror->ctx);
 	}
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -208,6 +208,13 @@
 	forward_list_synced(node->forward);
 }
 
+static void on_list_missed(void *ctx)
+{
+	const struct node *node = ctx;
+
+	fleet_list_missed(node->fleet);
+}
+
 /* ---- mirrors ---- */
 
 static void list_tick(struct node *node)
@@ -540,6 +547,7 @@
 		.repeats = on_backend_repeats,
 		.newer = on_backend_newer,
 		.synced = on_list_synced,
+		.missed = on_list_missed,
 	};
 	static const struct feed_ops peer_ops = {
 		.snapshot_end = on_peers_listed,
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -200,7 +200,9 @@
  */
 uint64_t fleet_sole_software(const struct fleet *fleet, uint64_t service,
 			     int64_t since, bool *mixed);
-/* Since when complete lists were known; INT64_MAX before the first. */
+/* Servers may have been listed in the meantime that were not put. */
+void fleet_list_missed(struct fleet *fleet);
+/* Since when the list has been followed; INT64_MAX before it was complete. */
 int64_t fleet_complete_since(const struct fleet *fleet);
 /* The software versions that servers of the service are listed with, at most
  * max; returns how many. */
--- a/include/forward/mirror.h
+++ b/include/forward/mirror.h
@@ -75,6 +75,9 @@
 		      const void *data, size_t size);
 	/* The copy is known to be complete up to a later time. May be NULL. */
 	void (*synced)(void *ctx);
+	/* Keys were written and dropped without being delivered, or may have
+	 * been: the copy was not followed. May be NULL. */
+	void (*missed)(void *ctx);
 };
 
 struct mirror *mirror_create(struct clock *clock,
--- a/tests/forward/test_mirror.c
+++ b/tests/forward/test_mirror.c
@@ -12,6 +12,7 @@
 	struct mirror *mirror;
 	GHashTable *values; /* as delivered to its owner */
 	uint32_t calls;	    /* to the store */
+	uint32_t missed;
 	feed_page_fn fn;
 	void *fn_ctx;
 };
@@ -56,10 +57,15 @@
 	return same ? MIRROR_UNCHANGED : MIRROR_CHANGED;
 }
 
+static void on_missed(void *ctx)
+{
+	((struct copy *)ctx)->missed++;
+}
+
 static void copy_create(struct copy *copy, struct clock *clock)
 {
-	static const struct mirror_ops ops = {.begin = on_begin,
-					      .value = on_value};
+	static const struct mirror_ops ops = {
+		.begin = on_begin, .value = on_value, .missed = on_missed};
 	const struct feed_store store = {on_snapshot, on_read, copy};
 	const struct feed_settings settings = {.stream = "s"};
 
@@ -762,6 +768,51 @@
 	g_rand_free(rand);
 }
 
+static void record_read(struct copy *copy, const char *key, const char *value,
+			uint64_t next)
+{
+	wait_msec(copy->clock, 1000);
+	tick(copy, 0);
+	store_answer(copy, key, value, next);
+}
+
+/* Keys that were written and dropped between two copies are noticed. */
+static void test_missed(void)
+{
+	struct clock *clock;
+	struct copy first;
+	struct copy second;
+
+	clock = pair_read(&first, &second, "v", 1);
+	fetch(&second, &first);
+	record_read(&first, "a", "v", 2);
+	fetch(&second, &first);
+	record_read(&first, "a", NULL, 3);
+	fetch(&second, &first);
+	g_assert_cmpuint(second.missed, ==, 0);
+	record_read(&first, "b", "v", 4);
+	record_read(&first, "b", NULL, 5);
+	fetch(&second, &first);
+	g_assert_cmpuint(second.missed, ==, 1);
+	g_assert_cmpuint(first.missed, ==, 0);
+	/* A whole copy, soon after the last one and later. */
+	wait_msec(clock, 1000);
+	tick(&first, 0);
+	store_gap(&first);
+	store_answer(&first, "c", "v", 9);
+	fetch(&second, &first);
+	g_assert_cmpuint(first.missed, ==, 0);
+	g_assert_cmpuint(second.missed, ==, 1);
+	wait_msec(clock, 5000);
+	tick(&first, 0);
+	store_gap(&first);
+	store_answer(&first, "c", "v", 19);
+	fetch(&second, &first);
+	g_assert_cmpuint(first.missed, ==, 1);
+	g_assert_cmpuint(second.missed, ==, 2);
+	pair_close(&first, &second, clock);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -775,6 +826,7 @@
 			test_retry_slots_without_copy);
 	g_test_add_func("/forward/mirror/unlisted", test_unlisted);
 	g_test_add_func("/forward/mirror/empty", test_empty);
+	g_test_add_func("/forward/mirror/missed", test_missed);
 	g_test_add_func("/forward/mirror/rejected", test_rejected);
 	g_test_add_func("/forward/mirror/rejected-snapshot",
 			test_rejected_snapshot);
--- a/tests/forward/test_origins.c
+++ b/tests/forward/test_origins.c
@@ -123,6 +123,11 @@
 	fleet_put(fleet, &second);
 	g_assert_cmpuint(sole(fleet, 300), ==, 0);
 	g_assert_cmpuint(sole(fleet, 301), ==, id_of("v2"));
+	/* Others may have been listed in the meantime. */
+	clock_advance(clock, 400);
+	fleet_list_missed(fleet);
+	g_assert_cmpuint(sole(fleet, 399), ==, 0);
+	g_assert_cmpuint(sole(fleet, 400), ==, id_of("v2"));
 	fleet_destroy(fleet);
 	/* A platform without versions. */
 	fleet = fleet_create(clock, "here");
