forward: servers without a version are one version beside others that state one

Callers saw a text joined from servers that state a version and ones that state none: after the loss of all instances the latter were the only ones left of their service, and the instance took this for a platform without versions, whose streams go on however new its list is.

Now a platform has no versions only if no server of any service was listed with one; otherwise none is a version like the others, and has to be shown for the whole time.

--- a/forward/fleet_software.c
+++ b/forward/fleet_software.c
@@ -49,6 +49,35 @@
 		*sole = software;
 }
 
+static bool service_states_software(const struct service *service)
+{
+	for (guint i = 0; i < service->all->len; i++) {
+		const struct backend *backend = service->all->pdata[i];
+
+		if (backend->info.software != id_of(""))
+			return true;
+	}
+	for (guint i = 0; i < service->past_software->len; i++)
+		if (g_array_index(service->past_software, struct past_software,
+				  i)
+			    .software != id_of(""))
+			return true;
+	return false;
+}
+
+/* Whether a server of any service was ever listed with a version. */
+static bool fleet_states_software(const struct fleet *fleet)
+{
+	const struct service *service;
+	GHashTableIter iter;
+
+	g_hash_table_iter_init(&iter, fleet->services);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&service))
+		if (service_states_software(service))
+			return true;
+	return false;
+}
+
 uint64_t fleet_sole_software(const struct fleet *fleet, uint64_t service,
 			     int64_t since, bool *mixed)
 {
@@ -71,7 +100,9 @@
 	}
 	if (*mixed)
 		return 0;
-	return sole == id_of("") || fleet->complete_since <= since ? sole : 0;
+	if (fleet->complete_since <= since)
+		return sole;
+	return sole == id_of("") && !fleet_states_software(fleet) ? sole : 0;
 }
 
 void fleet_list_missed(struct fleet *fleet)
--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -196,7 +196,8 @@
 			     enum backend_stage stage, bool in_group);
 /* The only software version that servers of the service were listed with since
  * then; 0 when there were several, which sets mixed, or when no complete list
- * is that old. If none of the servers states a version, the list may be newer.
+ * is that old. If no server of any service was listed with a version, the list
+ * may be newer.
  */
 uint64_t fleet_sole_software(const struct fleet *fleet, uint64_t service,
 			     int64_t since, bool *mixed);
--- a/tests/forward/test_origins.c
+++ b/tests/forward/test_origins.c
@@ -133,6 +133,11 @@
 	fleet = fleet_create(clock, "here");
 	fleet_put(fleet, &plain);
 	g_assert_cmpuint(sole(fleet, 0), ==, id_of(""));
+	/* One where servers of another service state them. */
+	g_strlcpy(second.id, "s2", sizeof(second.id));
+	second.service = 2;
+	fleet_put(fleet, &second);
+	g_assert_cmpuint(sole(fleet, 0), ==, 0);
 	fleet_destroy(fleet);
 	clock_destroy(clock);
 }
