--- a/include/forward/fleet.h
+++ b/include/forward/fleet.h
@@ -196,10 +196,15 @@
 			     enum backend_stage stage, bool in_group);
 /* The only software version that servers of the service were listed with since
  * then; 0 when there were several, which sets mixed, or when no complete list
- * is that old. If none of the servers states a version, the list may be newer.
+ * is that old. If no server of any service was listed with a version, the list
+ * may be newer.
  */
 uint64_t fleet_sole_software(const struct fleet *fleet, uint64_t service,
 			     int64_t since, bool *mixed);
+/* Servers may have been listed in the meantime that were not put. */
+void fleet_list_missed(struct fleet *fleet);
+/* Since when the list has been followed; INT64_MAX before it was complete. */
+int64_t fleet_complete_since(const struct fleet *fleet);
 /* The software versions that servers of the service are listed with, at most
  * max; returns how many. */
 uint32_t fleet_software(const struct fleet *fleet, uint64_t service,
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -37,6 +37,7 @@
 	struct limits *limits;
 	struct origins *origins;
 	struct speeds *speeds;
+	int64_t list_age_usec;
 	uint32_t homes;
 	struct origin_query query;
 	struct counter_set *counters;
@@ -268,11 +269,12 @@
 
 static int64_t list_age(void *ctx)
 {
-	return 0;
+	return world.list_age_usec;
 }
 
-static bool list_current(void *ctx)
+static bool list_read(void *ctx)
 {
+	say("read list");
 	return true;
 }
 
@@ -552,7 +554,7 @@
 		.instances = instances,
 		.interval = interval,
 		.list_age = list_age,
-		.list_current = list_current,
+		.list_read = list_read,
 		.waiting = waiting,
 		.load_changed = load_changed,
 		.quarantine_changed = quarantine_changed,
@@ -836,6 +838,38 @@
 				world.query.stream, &answer);
 }
 
+/* The list is complete now: "listed", or was that long ago: "listed 1000". */
+static void listed_step(const char *options)
+{
+	const GPtrArray *all = fleet_all(world.fleet);
+
+	world.list_age_usec = atoi(options) * USEC_PER_MSEC;
+	fleet_snapshot_begin(world.fleet);
+	for (guint i = 0; i < all->len; i++) {
+		const struct backend *backend = all->pdata[i];
+		const struct backend_info info = backend->info;
+
+		fleet_put(world.fleet, &info);
+	}
+	fleet_snapshot_end(world.fleet);
+	forward_list_synced(world.forward);
+}
+
+/* Another instance asks for a stream that began within that time. */
+static void asked_step(const char *options)
+{
+	const struct origin_query query = {
+		.stream = 1,
+		.service = id_of("model"),
+		.window_usec = atoi(options) * USEC_PER_MSEC,
+	};
+	struct origin_answer answer;
+
+	forward_origin_answer(world.forward, &query, &answer);
+	say("answer sole %s, mixed %d",
+	    answer.sole ? version_name(answer.sole) : "unknown", answer.mixed);
+}
+
 static void servers_step(const char *options)
 {
 	g_autofree char *id = g_strndup(options, 2);
@@ -1004,41 +1038,25 @@
 	const char *name;
 	void (*fn)(const char *options);
 } step_table[] = {
-	{"take", take_step},
-	{"head", head_step},
-	{"body", body_step},
-	{"done", done_step},
-	{"reserved", reserved_step},
-	{"gone", gone_step},
-	{"wait", wait_step},
-	{"version", version_step},
-	{"server", servers_step},
-	{"drain", drain_step},
-	{"homes", homes_step},
-	{"origin", origin_step},
-	{"crowd", crowd_step},
-	{"spend", spend_step},
-	{"checked", checked_step},
-	{"relay", relay_step},
-	{"hold", hold_step},
-	{"still", still_step},
-	{"due", due_step},
-	{"organisations", organisations_step},
-	{"busy", busy_step},
-	{"limit", limit_step},
-	{"home", home_step},
-	{"leaves", leaves_step},
-	{"backoff", backoff_step},
-	{"permit", permit_step},
-	{"evacuate", evacuate_step},
-	{"cold", cold_step},
-	{"queue", queue_step},
-	{"dispatch", dispatch_step},
+	{"take", take_step},	     {"head", head_step},
+	{"body", body_step},	     {"done", done_step},
+	{"reserved", reserved_step}, {"gone", gone_step},
+	{"wait", wait_step},	     {"version", version_step},
+	{"server", servers_step},    {"drain", drain_step},
+	{"homes", homes_step},	     {"origin", origin_step},
+	{"listed", listed_step},     {"asked", asked_step},
+	{"crowd", crowd_step},	     {"spend", spend_step},
+	{"checked", checked_step},   {"relay", relay_step},
+	{"hold", hold_step},	     {"still", still_step},
+	{"due", due_step},	     {"organisations", organisations_step},
+	{"busy", busy_step},	     {"limit", limit_step},
+	{"home", home_step},	     {"leaves", leaves_step},
+	{"backoff", backoff_step},   {"permit", permit_step},
+	{"evacuate", evacuate_step}, {"cold", cold_step},
+	{"queue", queue_step},	     {"dispatch", dispatch_step},
+	{"unread", unread_step},     {"heartbeat", heartbeat_step},
+	{"speed", speed_step},	     {"streams", streams_step},
 	{"ttl", ttl_step},
-	{"unread", unread_step},
-	{"heartbeat", heartbeat_step},
-	{"speed", speed_step},
-	{"streams", streams_step},
 };
 
 static void step_run(char *step);
--- a/tests/forward/test_origins.c
+++ b/tests/forward/test_origins.c
@@ -123,11 +123,21 @@
 	fleet_put(fleet, &second);
 	g_assert_cmpuint(sole(fleet, 300), ==, 0);
 	g_assert_cmpuint(sole(fleet, 301), ==, id_of("v2"));
+	/* Others may have been listed in the meantime. */
+	clock_advance(clock, 400);
+	fleet_list_missed(fleet);
+	g_assert_cmpuint(sole(fleet, 399), ==, 0);
+	g_assert_cmpuint(sole(fleet, 400), ==, id_of("v2"));
 	fleet_destroy(fleet);
 	/* A platform without versions. */
 	fleet = fleet_create(clock, "here");
 	fleet_put(fleet, &plain);
 	g_assert_cmpuint(sole(fleet, 0), ==, id_of(""));
+	/* One where servers of another service state them. */
+	g_strlcpy(second.id, "s2", sizeof(second.id));
+	second.service = 2;
+	fleet_put(fleet, &second);
+	g_assert_cmpuint(sole(fleet, 0), ==, 0);
 	fleet_destroy(fleet);
 	clock_destroy(clock);
 }
