--- a/tests/web/test_server.c
+++ b/tests/web/test_server.c
@@ -1,4 +1,6 @@
 /* The server: complete and streamed answers, routes, limits and pipelining. */
+#include <netinet/in.h>
+#include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -338,6 +340,64 @@
 	close(fd);
 }
 
+static void last_slice(void *ctx, struct web_request *request)
+{
+	const size_t *size = ctx;
+	g_autofree char *text = g_strnfill(*size, 'x');
+
+	web_reply_start(request, 200, "text/plain");
+	web_reply_piece(request, text, *size);
+	web_reply_end(request);
+}
+
+/* Closes the server's socket as the kernel does when a process ends. */
+static void server_side_close(int caller)
+{
+	struct sockaddr_in own = {0};
+	socklen_t size = sizeof(own);
+
+	getsockname(caller, (struct sockaddr *)&own, &size);
+	for (int fd = 0; fd < 256; fd++) {
+		struct sockaddr_in peer = {0};
+
+		size = sizeof(peer);
+		if (getpeername(fd, (struct sockaddr *)&peer, &size) == 0 &&
+		    peer.sin_port == own.sin_port)
+			close(fd);
+	}
+}
+
+/* The same when the process is killed while the last slice is sent. */
+static void test_unframed_last_slice(struct world *world, gconstpointer data)
+{
+	static const char request[] = "GET /last HTTP/1.0\r\n\r\n";
+	size_t size = 0;
+	size_t got = 0;
+	int end = ECONNRESET;
+
+	web_server_handle(world->server, "/last", last_slice, &size);
+	for (size = 64 << 10; size < 8 << 20 && end != 0; size += 64 << 10) {
+		int fd = raw_connect(web_server_address(world->server));
+		char bytes[65536];
+		ssize_t n;
+
+		raw_send(fd, request, sizeof(request) - 1);
+		world_iterate(world, 30);
+		if (web_server_pending(world->server) == 0) {
+			close(fd);
+			continue;
+		}
+		server_side_close(fd);
+		got = 0;
+		while ((n = recv(fd, bytes, sizeof(bytes), 0)) > 0)
+			got += (size_t)n;
+		end = n < 0 ? errno : 0;
+		g_test_message("size %zu got %zu end %d", size, got, end);
+		g_assert_true(end != 0 || got >= size);
+		close(fd);
+	}
+}
+
 static void test_h2(struct world *world, gconstpointer data)
 {
 	static const struct {
@@ -457,6 +517,7 @@
 	TEST("wire", test_wire);
 	TEST("unframed", test_unframed);
 	TEST("unframed-stop", test_unframed_stop);
+	TEST("unframed-last-slice", test_unframed_last_slice);
 	TEST("h2", test_h2);
 	TEST("upgrade", test_upgrade);
 	TEST("connections", test_connections);
