tests/session: jtforward-links takes its signals as jtforward does

A run that sent SIGHUP or SIGTERM to jtforward-links saw the process end by the signal (wait status 1 and 15, 5 times in two runs of the soak): the thread that watches the file was created before forward_main() blocks the signals that it reads, so the kernel gave them to that thread, with the default action. Sessions only kill such an instance so far.

--- a/tests/session/links.c
+++ b/tests/session/links.c
@@ -15,6 +15,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <pthread.h>
+#include <signal.h>
 #include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
@@ -124,12 +125,18 @@
 int main(int argc, char **argv)
 {
 	pthread_t thread;
+	sigset_t all;
+	sigset_t before;
 
 	if (argc < 2)
 		return 2;
 	links_file = argv[1];
 	argv[1] = argv[0];
 	silent_listen();
+	/* The thread must not take the signals that forward_main() blocks. */
+	sigfillset(&all);
+	pthread_sigmask(SIG_SETMASK, &all, &before);
 	pthread_create(&thread, NULL, links_watch, NULL);
+	pthread_sigmask(SIG_SETMASK, &before, NULL);
 	return forward_main(argc - 1, argv + 1);
 }
