tests/platform: a cut answer without a length ends with a reset

The fault cut ended an answer without a length like a whole one, from a server that goes on: nothing could tell them apart, so no check of whole answers could use both. Such a server resets the connection now. An answer keeps the framing that it began with when the server's changes meanwhile.

--- a/tests/platform/site/site.h
+++ b/tests/platform/site/site.h
@@ -200,6 +200,13 @@
 /* Checks an arriving request against the announced signals. */
 void signals_check(struct server *server);
 
+/* site_answer.c */
+/* Omits the length of the answer; its body ends with the connection. */
+void answer_unframe(struct web_request *request);
+/* Breaks off an answer. One that is unframed ends with a reset, without which
+ * it would look whole. */
+void answer_cut(struct web_request *request, bool unframed);
+
 /* site.c */
 char *site_name(struct site *site, const char *prefix);
 bool site_take(struct site *site, const char *name);
--- a/tests/platform/site/site_server.c
+++ b/tests/platform/site/site_server.c
@@ -4,13 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "../../../web/request.h"
 #include "common/error.h"
 #include "common/log.h"
 #include "site.h"
 
 #define PLAIN_USEC (5 * USEC_PER_MSEC)
-#define PREFILL_USEC (20 * USEC_PER_MSEC)
 #define RESERVATION_TTL_USEC (2 * USEC_PER_SEC)
 #define RESULT_TTL_USEC (500 * USEC_PER_MSEC)
 #define FIRST_STARTED_MS 1000
@@ -25,6 +23,7 @@
 	uint64_t event; /* last one sent */
 	bool stream;
 	bool started;
+	bool unframed;		   /* its answer */
 	char version[VERSION_MAX]; /* that has begun it */
 };
 
@@ -141,21 +140,11 @@
 	g_hash_table_replace(ledger->runs, id, GUINT_TO_POINTER(runs + 1));
 }
 
-/* Ends the body with the connection. */
-static void answer_unframe(struct web_request *request)
-{
-	h2o_req_t *req = request->req;
-
-	req->http1_is_persistent = 0;
-	h2o_add_header(&req->pool, &req->res.headers,
-		       H2O_TOKEN_TRANSFER_ENCODING, NULL,
-		       H2O_STRLIT("identity"));
-}
-
 static void sign(struct run *run)
 {
 	echo(run->request);
-	if (run->server->unframed)
+	run->unframed = run->server->unframed;
+	if (run->unframed)
 		answer_unframe(run->request);
 	signals_add_headers(run->server, run->request);
 	if (run->fault != FAULT_UNSIGNED)
@@ -179,14 +168,14 @@
 	} else if (run->fault == FAULT_CUT) {
 		web_reply_start(run->request, 200, "text/plain");
 		web_reply_piece(run->request, text, strlen(text) / 2);
-		web_reply_abort(run->request);
+		answer_cut(run->request, run->unframed);
 	} else if (run->fault == FAULT_CRASH_LATER) {
 		web_reply_start(run->request, 200, "text/plain");
 		web_reply_piece(run->request, text, strlen(text) / 2);
 		run->fault = FAULT_CRASH;
 		timer_start(&run->timer, PLAIN_USEC);
 		return;
-	} else if (run->server->unframed) {
+	} else if (run->unframed) {
 		web_reply_start(run->request, 200, "text/plain");
 		web_reply_piece(run->request, text, strlen(text));
 		web_reply_end(run->request);
@@ -222,7 +211,7 @@
 	}
 	if (run->fault == FAULT_CUT && run->event >= 2) {
 		web_reply_piece(run->request, "id: 9", 5);
-		web_reply_abort(run->request);
+		answer_cut(run->request, run->unframed);
 		run_end(run);
 		return;
 	}
