tests/soak: answers with and without a length while servers crash

Callers of real processes got streams that ended as complete before their last event, and plain answers that were not whole. No mode of the soak could find this: its servers framed all answers and never closed a connection in order in the middle of one. In the mode framing servers change between answers with a length and without, and crash in the middle of answers; instances are killed, stopped and paused one by one and all at once, one instance reaches the servers only through the others most of the time, links and time limits change, and callers keep their connections. Each request has its own target, so a plain answer shows whose it is and crashes are not attributed to one repeated request. At the end all kinds are served again, with all servers without a length.

--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -92,12 +92,12 @@
 	struct web_call_spec spec = {
 		.address = proxy_address(soak->instances[instance].callers),
 		.method = kinds[kind].method,
-		.path = kinds[kind].path,
+		.path = call->path,
 		.host = {"site.example", 12},
 		.headers = headers,
 		.head_usec = 6 * USEC_PER_SEC,
 		.idle_usec = 6 * USEC_PER_SEC,
-		.fresh = g_rand_boolean(soak->rand),
+		.fresh = g_rand_boolean(soak->rand) && !soak->framing_enabled,
 	};
 
 	call->soak = soak;
@@ -106,6 +106,10 @@
 	call->body = g_string_new(NULL);
 	(void)g_snprintf(call->id, sizeof(call->id), "%s.c%u",
 			 caller_name(caller), soak->calls->len);
+	/* Crashes are not attributed to one repeated request. */
+	(void)g_snprintf(call->path, sizeof(call->path),
+			 soak->framing_enabled ? "%s?%u" : "%s",
+			 kinds[kind].path, soak->calls->len);
 	headers[0] = header("request-id", call->id);
 	headers[1] = header("deadline-ms", "5000");
 	headers[2] =
@@ -219,7 +223,7 @@
 		expected = g_string_free(text, FALSE);
 	} else {
 		expected = g_strdup_printf("%s %s \n", kinds[call->kind].method,
-					   kinds[call->kind].path);
+					   call->path);
 	}
 	if (call->complete && strcmp(call->body->str, expected) != 0)
 		soak_fail(soak, "%s: not its whole answer: %s", call->id,
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -68,8 +68,15 @@
 	static const char *const flags[] = {"--listen", "--health-listen",
 					    "--peer-listen"};
 	char addresses[ROLES][32];
+	bool is_cut_off = framing_is_cut_off(soak, instance);
+	g_autofree char *links = framing_links_file(soak);
+	g_autofree char *program =
+		g_strdup_printf(is_cut_off ? "%s/tests/session/jtforward-links"
+					   : "%s/platform/jtforward",
+				soak->build);
 	char *argv[] = {
-		g_strdup_printf("%s/platform/jtforward", soak->build),
+		program,
+		links,
 		(char *)"--name",
 		instance->name,
 		(char *)"--data-centre",
@@ -92,12 +99,13 @@
 	for (int i = 0; i < ROLES; i++)
 		address_make(addresses[i], sizeof(addresses[i]),
 			     (int)(instance - soak->instances), i);
+	if (!is_cut_off)
+		memmove(argv + 1, argv + 2, sizeof(argv) - 2 * sizeof(*argv));
 	instance->pid = spawn(soak, argv, instance->name);
 	instance->starts++;
 	instance->stopping = false;
 	instance->reloaded = false;
 	instance->wake_at = 0;
-	g_free(argv[0]);
 }
 
 void soak_start(struct soak *soak)
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,10 +1,12 @@
-/* soak BUILD SEED [SECONDS [repeats|parts|asks|versions|drills]]: one run; exit
+/* soak BUILD SEED [SECONDS [repeats|parts|asks|versions|drills|
+ * framing]]: one run; exit
  * status 1 when a guarantee was violated. With "repeats" a caller repeats a
  * request that crashes servers, with "parts" its requests have only a part of
  * their prompts in common, with "asks" servers announce rate limits, request
  * backoffs and announce that they are leaving, with "versions" servers restart
  * with other software versions and callers resume streams, with "drills" the
- * store comes back from old copies. */
+ * store comes back from old copies, with "framing" servers answer with and
+ * without a length and crash in the middle of answers. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -111,6 +113,8 @@
 		versions_start(soak);
 	if (soak->drills_enabled)
 		drills_start(soak);
+	if (soak->framing_enabled)
+		framing_start(soak);
 	while (clock_now(soak->clock) < soak->end_at) {
 		soak_loop_run(soak, g_rand_int_range(soak->rand, 50, 500) *
 					    USEC_PER_MSEC);
@@ -119,8 +123,14 @@
 	faults_clear(soak);
 	if (soak->backpressure_enabled)
 		backpressure_clear(soak);
+	if (soak->framing_enabled)
+		framing_clear(soak);
 	soak_loop_run(soak, SETTLE_USEC);
 	recovery_check(soak);
+	if (soak->framing_enabled) {
+		framing_remove(soak);
+		recovery_check(soak);
+	}
 	if (soak->backpressure_enabled) {
 		backpressure_check(soak);
 		/* The last calls are still in progress. */
@@ -133,6 +143,8 @@
 		versions_check(soak);
 	if (soak->drills_enabled)
 		drills_check(soak);
+	if (soak->framing_enabled)
+		framing_print(soak);
 	timer_stop(&soak->watch_timer);
 	soak_stop(soak);
 }
@@ -150,6 +162,7 @@
 	soak.versions_enabled = argc > 4 && strcmp(argv[4], "versions") == 0;
 	soak.drills_enabled = argc > 4 && strcmp(argv[4], "drills") == 0;
 	soak.dispatch_enabled = argc > 4 && strcmp(argv[4], "dispatch") == 0;
+	soak.framing_enabled = argc > 4 && strcmp(argv[4], "framing") == 0;
 	soak.backpressure_enabled = argc > 4 && strcmp(argv[4], "asks") == 0;
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
@@ -163,6 +176,7 @@
 	soak.backpressure_rand = g_rand_new_with_seed(seed + 2000000);
 	soak.version_rand = g_rand_new_with_seed(seed + 3000000);
 	soak.drill_rand = g_rand_new_with_seed(seed + 4000000);
+	soak.framing_rand = g_rand_new_with_seed(seed + 5000000);
 	soak.calls = g_ptr_array_new();
 	soak_run(&soak, seconds);
 	printf("seed %u: %s, %u calls, %u faults, %u broken%s%s\n", seed,
@@ -174,6 +188,7 @@
 	g_rand_free(soak.backpressure_rand);
 	g_rand_free(soak.version_rand);
 	g_rand_free(soak.drill_rand);
+	g_rand_free(soak.framing_rand);
 	g_free(soak.site_address);
 	g_free(soak.folder);
 	return soak.failures > 0;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -55,6 +55,7 @@
 	struct soak *soak;
 	enum caller caller;
 	char id[40];
+	char path[24];
 	enum call_kind kind;
 	struct web_call *web;
 	int status;
@@ -126,6 +127,10 @@
 	GRand *drill_rand;
 	uint32_t drills; /* steps */
 	struct timer drill_timer;
+	/* For runs with servers that change the framing of their answers. */
+	bool framing_enabled;
+	GRand *framing_rand;
+	struct timer framing_timer;
 	uint32_t posts_pending; /* calls of site_post() without an answer */
 	bool loop_running;
 };
@@ -185,6 +190,18 @@
 void drills_start(struct soak *soak);
 void drills_check(struct soak *soak);
 
+/* framing.c */
+void framing_start(struct soak *soak);
+/* Restores links and time limits. */
+void framing_clear(struct soak *soak);
+/* All servers answer without a length. */
+void framing_remove(struct soak *soak);
+void framing_print(struct soak *soak);
+/* An instance whose links to the servers are cut as the file says. */
+bool framing_is_cut_off(const struct soak *soak,
+			const struct instance *instance);
+char *framing_links_file(const struct soak *soak);
+
 /* asks.c */
 void backpressure_start(struct soak *soak);
 /* Removes the limits and backoffs of all servers and restarts them. */
