tests/soak: servers have their versions before instances start

The mode versions named the first versions to servers that ran already, just as the calls began. A version belongs to a start, so no real server changes it while it runs. The versions are set before the first instance starts; the check stays as it is.

--- a/tests/soak/framing.c
+++ b/tests/soak/framing.c
@@ -122,9 +122,9 @@
 }
 
 static void (*const changes[])(struct soak *soak) = {
-	framing_change, framing_change, server_crash, server_crash,
-	server_crash,	signal_send,	signal_send,  links_change,
-	timeout_change,
+	framing_change, framing_change, server_crash,
+	server_crash,	server_crash,	signal_send,
+	signal_send,	links_change,	timeout_change,
 };
 
 static void on_change(struct timer *timer, void *ctx)
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -123,6 +123,8 @@
 	while (!(soak->site_address = site_listening(soak)))
 		g_usleep(10000);
 	organisations_configure(soak);
+	if (soak->versions_enabled)
+		versions_set(soak);
 	for (int i = 0; i < INSTANCES; i++) {
 		struct instance *instance = &soak->instances[i];
 		char address[32];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -183,6 +183,8 @@
 void repeats_check(struct soak *soak);
 
 /* versions.c */
+/* Sets the versions of the first starts. */
+void versions_set(struct soak *soak);
 void versions_start(struct soak *soak);
 void versions_check(struct soak *soak);
 
--- a/tests/soak/versions.c
+++ b/tests/soak/versions.c
@@ -59,7 +59,7 @@
 	timer_start(timer, RESUME_INTERVAL_USEC);
 }
 
-void versions_start(struct soak *soak)
+void versions_set(struct soak *soak)
 {
 	for (size_t i = 0; i < G_N_ELEMENTS(decoders); i++) {
 		g_autofree char *state = g_strdup_printf(
@@ -69,6 +69,11 @@
 
 		site_post(soak, "/site/state", state);
 	}
+	site_post_wait(soak);
+}
+
+void versions_start(struct soak *soak)
+{
 	timer_init(&soak->change_timer, soak->clock, on_change, soak);
 	timer_init(&soak->resume_timer, soak->clock, on_resume, soak);
 	timer_start(&soak->change_timer, CHANGE_INTERVAL_USEC);
