tests/soak: servers crash in the mode versions

The mode asked for the fault "crash", which the stand-in does not know (it is "end") and answers with 400, which nobody reads: no server crashed, so none came back with another version.

--- a/tests/soak/versions.c
+++ b/tests/soak/versions.c
@@ -27,7 +27,7 @@
 {
 	struct soak *soak = ctx;
 	g_autofree char *crash = g_strdup_printf(
-		"{\"server\":\"%s\",\"fault\":\"crash\",\"count\":1}",
+		"{\"server\":\"%s\",\"fault\":\"end\",\"count\":1}",
 		decoders[g_rand_int_range(soak->version_rand, 0,
 					  G_N_ELEMENTS(decoders))]);
 
