--- a/tests/soak/calls.c
+++ b/tests/soak/calls.c
@@ -160,6 +160,8 @@
 	struct soak *soak = ctx;
 
 	soak->posts_pending--;
+	if (result->ok && status != 200)
+		soak_fail(soak, "a control call is answered with %d", status);
 }
 
 void site_post(struct soak *soak, const char *path, const char *body)
