--- a/tests/soak/framing.c
+++ b/tests/soak/framing.c
@@ -14,12 +14,16 @@
 /* Share of the signals that all instances get at once. */
 #define ALL_SHARE 0.15
 
-static const char *const servers[] = {"s1", "s2", "p1", "p2", "d1", "d2"};
+#define CUT_OFF_EVERY 3 /* instances */
+
+static const char stages[] = {'s', 'p', 'd'};
+#define SERVERS ((int)G_N_ELEMENTS(stages) * SERVERS_A_STAGE)
 
 bool framing_is_cut_off(const struct soak *soak,
 			const struct instance *instance)
 {
-	return soak->framing_enabled && instance == &soak->instances[0];
+	return soak->framing_enabled &&
+	       (instance - soak->instances) % CUT_OFF_EVERY == 0;
 }
 
 char *framing_links_file(const struct soak *soak)
@@ -52,10 +56,20 @@
 	site_post(soak, "/site/state", body);
 }
 
+/* The name is valid until the next call. */
+static const char *server_name(int index)
+{
+	static char name[8];
+
+	(void)g_snprintf(name, sizeof(name), "%c%d",
+			 stages[index / SERVERS_A_STAGE],
+			 index % SERVERS_A_STAGE + 1);
+	return name;
+}
+
 static const char *server_pick(struct soak *soak)
 {
-	return servers[g_rand_int_range(soak->framing_rand, 0,
-					G_N_ELEMENTS(servers))];
+	return server_name(g_rand_int_range(soak->framing_rand, 0, SERVERS));
 }
 
 static void framing_change(struct soak *soak)
@@ -65,15 +79,20 @@
 	framing_set(soak, server, g_rand_boolean(soak->framing_rand));
 }
 
-static void server_crash(struct soak *soak)
+static void fault_set(struct soak *soak, const char *server, const char *fault)
 {
 	g_autofree char *body = g_strdup_printf(
-		"{\"server\":\"%s\",\"fault\":\"end-later\",\"count\":1}",
-		server_pick(soak));
+		"{\"server\":\"%s\",\"fault\":\"%s\",\"count\":1}", server,
+		fault);
 
 	site_post(soak, "/site/fault", body);
 }
 
+static void server_crash(struct soak *soak)
+{
+	fault_set(soak, server_pick(soak), "end-later");
+}
+
 static void timeout_set(struct soak *soak, int timeout_msec)
 {
 	g_autofree char *body = NULL;
@@ -152,13 +171,15 @@
 	site_post_wait(soak);
 	links_set(soak, "");
 	timeout_set(soak, TIMEOUT_MAX_MSEC);
+	for (int i = 0; i < SERVERS; i++)
+		fault_set(soak, server_name(i), "none");
 	site_post_wait(soak);
 }
 
 void framing_remove(struct soak *soak)
 {
-	for (size_t i = 0; i < G_N_ELEMENTS(servers); i++)
-		framing_set(soak, servers[i], true);
+	for (int i = 0; i < SERVERS; i++)
+		framing_set(soak, server_name(i), true);
 	site_post_wait(soak);
 }
 
--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -108,11 +108,24 @@
 	instance->wake_at = 0;
 }
 
+static char *server_names(void)
+{
+	GString *names = g_string_new(NULL);
+
+	for (const char *stage = "spd"; *stage; stage++)
+		for (int i = 1; i <= SERVERS_A_STAGE; i++)
+			g_string_append_printf(names, "%s%c%d",
+					       names->len ? "," : "", *stage,
+					       i);
+	return g_string_free(names, FALSE);
+}
+
 void soak_start(struct soak *soak)
 {
+	g_autofree char *names = server_names();
 	char *argv[] = {
 		g_strdup_printf("%s/tests/platform/jtsite", soak->build),
-		(char *)"s1,s2,p1,p2,d1,d2",
+		names,
 		(char *)"8",
 		(char *)"15",
 		NULL,
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,7 +24,11 @@
 #include "web/client.h"
 #include "web/loop.h"
 
+/* soak-large has more of both. */
+#ifndef INSTANCES
 #define INSTANCES 3
+#define SERVERS_A_STAGE 2
+#endif
 #define STREAM_EVENTS 8
 /* Body of a request that crashes its server, see tests/platform/site/site.h. */
 #define SOAK_CRASH_BODY "ends the server"
@@ -194,12 +198,12 @@
 
 /* framing.c */
 void framing_start(struct soak *soak);
-/* Restores links and time limits. */
+/* Restores links and time limits, and ends faults. */
 void framing_clear(struct soak *soak);
 /* All servers answer without a length. */
 void framing_remove(struct soak *soak);
 void framing_print(struct soak *soak);
-/* An instance whose links to the servers are cut as the file says. */
+/* Whether the instance's links to the servers are cut as the file says. */
 bool framing_is_cut_off(const struct soak *soak,
 			const struct instance *instance);
 char *framing_links_file(const struct soak *soak);
