--- a/tests/web/test_relay.c
+++ b/tests/web/test_relay.c
@@ -6,6 +6,8 @@
 
 #include "relay_handler.h"
 
+/* A read of the client when little has arrived. */
+#define READ_BYTES ((size_t)4096)
 #define BODY_BYTES ((size_t)1 << 20)
 #define FDS_MAX 256
 #define STALL_USEC (3 * USEC_PER_MSEC)
@@ -232,6 +234,96 @@
 	site->handler.relays = NULL;
 }
 
+/* Sends half of an answer without a length through the relay; returns the
+ * server's socket. */
+static int unframed_begin(struct site *site)
+{
+	static const char half[] = "HTTP/1.1 200 OK\r\n\r\nhal";
+	char address[32];
+	char path[64];
+	int listener = raw_listen(address, sizeof(address));
+	int fd = -1;
+
+	(void)g_snprintf(path, sizeof(path), "/%s", address);
+	world_call(&site->world,
+		   (struct web_call_spec){
+			   .address = address,
+			   .path = "/",
+			   .fresh = true,
+			   .relay = web_server_address(site->world.server),
+			   .relay_path = path,
+		   });
+	for (int i = 0; i < 1000 && fd < 0; i++) {
+		world_iterate(&site->world, 1);
+		fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK);
+	}
+	g_assert_cmpint(fd, >=, 0);
+	close(listener);
+	g_string_free(raw_read_until(&site->world, fd, "\r\n\r\n"), TRUE);
+	raw_send(fd, half, sizeof(half) - 1);
+	while (site->world.body->len < 3)
+		world_iterate(&site->world, 1);
+	return fd;
+}
+
+/* The server's orderly close is passed on. */
+static void test_unframed(struct site *site, gconstpointer data)
+{
+	int fd = unframed_begin(site);
+
+	raw_send(fd, "f", 1);
+	close(fd);
+	world_run(&site->world, &site->world.done);
+	g_assert_true(site->world.result.ok);
+	g_assert_cmpint(site->world.result.body_end, ==, WEB_BODY_CLOSED);
+	g_assert_cmpstr(site->world.body->str, ==, "half");
+}
+
+/* A reset that arrives together with the last bytes of a read is not lost. */
+static void test_unframed_reset(struct site *site, gconstpointer data)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n\r\n";
+	static const struct linger reset = {.l_onoff = 1};
+	g_autofree char *text = g_strnfill(3 * READ_BYTES, 'x');
+
+	memcpy(text, head, sizeof(head) - 1);
+	for (size_t size = READ_BYTES - 32; size < 3 * READ_BYTES; size++) {
+		char address[32];
+		int listener = raw_listen(address, sizeof(address));
+		int fd;
+
+		site->world.done = 0;
+		world_call(&site->world,
+			   (struct web_call_spec){.address = address,
+						  .path = "/",
+						  .fresh = true});
+		while ((fd = accept4(listener, NULL, NULL, SOCK_NONBLOCK)) < 0)
+			world_iterate(&site->world, 1);
+		close(listener);
+		g_string_free(raw_read_until(&site->world, fd, "\r\n\r\n"),
+			      TRUE);
+		raw_send(fd, text, size);
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+		close(fd);
+		world_run(&site->world, &site->world.done);
+		g_assert_false(site->world.result.ok);
+		if (size % READ_BYTES == 32)
+			size += READ_BYTES - 64;
+	}
+}
+
+/* The relay's process stops: its close is not the server's. */
+static void test_unframed_relay_stops(struct site *site, gconstpointer data)
+{
+	int fd = unframed_begin(site);
+
+	relay_handler_teardown(&site->handler, &site->world);
+	world_run(&site->world, &site->world.done);
+	g_assert_false(site->world.result.ok);
+	site->handler.relays = NULL;
+	close(fd);
+}
+
 static int option(int fd, int level, int name)
 {
 	socklen_t size = sizeof(int);
@@ -287,6 +379,9 @@
 	TEST("cancel", test_cancel);
 	TEST("cancel-early", test_cancel_early);
 	TEST("relay-stops", test_relay_stops);
+	TEST("unframed", test_unframed);
+	TEST("unframed-reset", test_unframed_reset);
+	TEST("unframed-relay-stops", test_unframed_relay_stops);
 	TEST("stalled", test_stalled);
 	TEST("keepalive", test_keepalive);
 	return g_test_run();
