tests/platform: a cut answer without a length is reset, indeed

Answers to HTTP/1.0 are reset when they are aborted; the stand-in's cut uses that: 200 of 200 resets for each.

--- a/tests/platform/site/site_answer.c
+++ b/tests/platform/site/site_answer.c
@@ -14,10 +14,8 @@
 
 void answer_cut(struct web_request *request, bool unframed)
 {
-	const struct linger reset = {.l_onoff = 1};
-
-	if (unframed && request->sock)
-		setsockopt(h2o_socket_get_fd(request->sock), SOL_SOCKET,
-			   SO_LINGER, &reset, sizeof(reset));
+	/* Answers to HTTP/1.0 are reset when they are aborted. */
+	if (unframed)
+		request->req->version = 0x100;
 	web_reply_abort(request);
 }
