--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -43,6 +43,8 @@
 /* All instances register again when the store has lost them: one in this time.
  * The store takes 400 writes a second. */
 #define REGISTER_SPREAD_USEC (5 * USEC_PER_MSEC)
+/* Clocks of servers may be ahead of ours by less than this. */
+#define START_AHEAD_MAX_USEC (24 * 60 * 60 * USEC_PER_SEC)
 /* Keys whose last refused value is remembered, so that it is logged once. */
 #define REFUSED_MAX 1024u
 
@@ -88,13 +90,14 @@
 	if (strcmp(key, node->interface.config_key) != 0 || !data)
 		return MIRROR_UNCHANGED;
 	catalog = node->interface.decode_catalog(data, size, &err);
+	/* Peers that start later must get the version in force here, and
+	 * neither an older nor an invalid one. */
 	if (!catalog) {
 		refused_log(node, "configuration", key, offset, &err);
-		return MIRROR_CHANGED;
+		return MIRROR_REJECTED;
 	}
 	in_force = forward_set_catalog(node->forward, catalog);
 	catalog_unref(catalog);
-	/* Peers that start later must not get an older version from here. */
 	return in_force ? MIRROR_CHANGED : MIRROR_REJECTED;
 }
 
@@ -114,9 +117,16 @@
 static bool backend_read(struct node *node, const struct feed_record *record,
 			 struct backend_info *info, struct error *err)
 {
+	int64_t latest_ms = (clock_unix(node->clock) + START_AHEAD_MAX_USEC) /
+			    USEC_PER_MSEC;
+
 	if (!node->interface.decode_backend(record->key, record->value,
 					    record->size, info, err))
 		return false;
+	/* It would make all later entries of the server look old. */
+	if (info->started_ms > latest_ms)
+		return error_set(err, RESULT_BAD_CONFIG,
+				 "entry has a start time in the future");
 	if (info->started_ms > 0 ||
 	    fleet_started_ms(node->fleet, record->key) == 0)
 		return true;
@@ -345,15 +355,16 @@
 }
 
 /* Whether a peer has a later configuration in force though its copy reaches no
- * further: the store has come back with an older one. */
+ * further: the store has come back with an older one, or its newest one is
+ * invalid. */
 static bool is_older_config(const struct node *node, enum node_stream stream,
 			    const struct gossip_summary *summary)
 {
 	const struct catalog *catalog = forward_catalog(node->forward);
+	uint64_t version = catalog ? catalog->version : 0;
 	uint64_t position = mirror_position(node->mirrors[stream].mirror);
 
-	return stream == STREAM_CONFIG && catalog &&
-	       summary->version > catalog->version &&
+	return stream == STREAM_CONFIG && summary->version > version &&
 	       summary->mirrors[stream].next >= position;
 }
 
