--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -68,8 +68,15 @@
 	static const char *const flags[] = {"--listen", "--health-listen",
 					    "--peer-listen"};
 	char addresses[ROLES][32];
+	bool is_cut_off = framing_is_cut_off(soak, instance);
+	g_autofree char *links = framing_links_file(soak);
+	g_autofree char *program =
+		g_strdup_printf(is_cut_off ? "%s/tests/session/jtforward-links"
+					   : "%s/platform/jtforward",
+				soak->build);
 	char *argv[] = {
-		g_strdup_printf("%s/platform/jtforward", soak->build),
+		program,
+		links,
 		(char *)"--name",
 		instance->name,
 		(char *)"--data-centre",
@@ -92,19 +99,33 @@
 	for (int i = 0; i < ROLES; i++)
 		address_make(addresses[i], sizeof(addresses[i]),
 			     (int)(instance - soak->instances), i);
+	if (!is_cut_off)
+		memmove(argv + 1, argv + 2, sizeof(argv) - 2 * sizeof(*argv));
 	instance->pid = spawn(soak, argv, instance->name);
 	instance->starts++;
 	instance->stopping = false;
 	instance->reloaded = false;
 	instance->wake_at = 0;
-	g_free(argv[0]);
+}
+
+static char *server_names(void)
+{
+	GString *names = g_string_new(NULL);
+
+	for (const char *stage = "spd"; *stage; stage++)
+		for (int i = 1; i <= SERVERS_A_STAGE; i++)
+			g_string_append_printf(names, "%s%c%d",
+					       names->len ? "," : "", *stage,
+					       i);
+	return g_string_free(names, FALSE);
 }
 
 void soak_start(struct soak *soak)
 {
+	g_autofree char *names = server_names();
 	char *argv[] = {
 		g_strdup_printf("%s/tests/platform/jtsite", soak->build),
-		(char *)"s1,s2,p1,p2,d1,d2",
+		names,
 		(char *)"8",
 		(char *)"15",
 		NULL,
@@ -115,6 +136,8 @@
 	while (!(soak->site_address = site_listening(soak)))
 		g_usleep(10000);
 	organisations_configure(soak);
+	if (soak->versions_enabled)
+		versions_set(soak);
 	for (int i = 0; i < INSTANCES; i++) {
 		struct instance *instance = &soak->instances[i];
 		char address[32];
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -24,7 +24,11 @@
 #include "web/client.h"
 #include "web/loop.h"
 
+/* soak-large has more of both. */
+#ifndef INSTANCES
 #define INSTANCES 3
+#define SERVERS_A_STAGE 2
+#endif
 #define STREAM_EVENTS 8
 /* Body of a request that crashes its server, see tests/platform/site/site.h. */
 #define SOAK_CRASH_BODY "ends the server"
@@ -55,6 +59,7 @@
 	struct soak *soak;
 	enum caller caller;
 	char id[40];
+	char path[24];
 	enum call_kind kind;
 	struct web_call *web;
 	int status;
@@ -126,6 +131,10 @@
 	GRand *drill_rand;
 	uint32_t drills; /* steps */
 	struct timer drill_timer;
+	/* For runs with servers that change the framing of their answers. */
+	bool framing_enabled;
+	GRand *framing_rand;
+	struct timer framing_timer;
 	uint32_t posts_pending; /* calls of site_post() without an answer */
 	bool loop_running;
 };
@@ -178,6 +187,8 @@
 void repeats_check(struct soak *soak);
 
 /* versions.c */
+/* Sets the versions of the first starts. */
+void versions_set(struct soak *soak);
 void versions_start(struct soak *soak);
 void versions_check(struct soak *soak);
 
@@ -185,6 +196,18 @@
 void drills_start(struct soak *soak);
 void drills_check(struct soak *soak);
 
+/* framing.c */
+void framing_start(struct soak *soak);
+/* Restores links and time limits, and ends faults. */
+void framing_clear(struct soak *soak);
+/* All servers answer without a length. */
+void framing_remove(struct soak *soak);
+void framing_print(struct soak *soak);
+/* Whether the instance's links to the servers are cut as the file says. */
+bool framing_is_cut_off(const struct soak *soak,
+			const struct instance *instance);
+char *framing_links_file(const struct soak *soak);
+
 /* asks.c */
 void backpressure_start(struct soak *soak);
 /* Removes the limits and backoffs of all servers and restarts them. */
