--- a/review/standin-2/site.c
+++ b/review/standin-2/site.c
@@ -844,6 +844,20 @@
 		fclose(file);
 }
 
+/* For scripts that are ended before they have run to their end. */
+static void nodes_kill(void)
+{
+	for (int i = 0; i < node_count; i++)
+		if (nodes[i].pid > 0)
+			kill(nodes[i].pid, SIGKILL);
+}
+
+static void on_ended(int number)
+{
+	nodes_kill();
+	_exit(VERDICT_NOT_RUN);
+}
+
 void site_open(const char *folder)
 {
 	char path[TEXT_MAX];
@@ -851,6 +865,9 @@
 
 	clock_gettime(CLOCK_MONOTONIC, &started_at);
 	signal(SIGPIPE, SIG_IGN);
+	signal(SIGTERM, on_ended);
+	signal(SIGINT, on_ended);
+	atexit(nodes_kill);
 	snprintf(path, sizeof(path), "%s/record.txt", folder);
 	record_file = fopen(path, "w");
 	snprintf(folder_path, sizeof(folder_path), "%s/jt-review-XXXXXX",
