web: no request is read from a connection that is closed

Cause: idle connections were closed with shutdown(), after which h2o still reads what the kernel has received and the request is handled as any other. A request that is being parsed when the timer of the shutdown fires counted as none. When a server is destroyed, the same ran requests, over HTTP/2 too.

Why it works: a connection is idle only if neither h2o nor the kernel holds bytes of it, and an idle one is closed, so that nothing is read of it later. Requests that have arrived are answered with "Connection: close". A server that is being destroyed hands no request to a handler.

--- a/include/web/server.h
+++ b/include/web/server.h
@@ -70,11 +70,13 @@
  * close" in its next answer, or GOAWAY. */
 void web_server_announce_shutdown(struct web_server *server);
 /* Stops listening, sends GOAWAY or "Connection: close" on open connections, and
- * closes HTTP/1 connections that have no request pending. */
+ * closes HTTP/1 connections that wait for another request: those that have sent
+ * none by now at once, the others after their answers. */
 void web_server_drain(struct web_server *server);
 /* Requests not yet ended. */
 unsigned int web_server_pending(const struct web_server *server);
-/* Closes every connection immediately. */
+/* Closes every connection immediately. Requests that were not read yet are not
+ * handled. */
 void web_server_destroy(struct web_server *server);
 /* "IP:port" as bound. */
 const char *web_server_address(const struct web_server *server);
--- a/tests/web/h2.c
+++ b/tests/web/h2.c
@@ -116,15 +116,22 @@
 				  NGHTTP2_CANCEL);
 }
 
-/* True when bytes were received. */
-static bool exchange(struct h2 *h2)
+void h2_send(struct h2 *h2)
 {
 	const uint8_t *out;
-	uint8_t buf[16384];
 	ssize_t n;
 
 	while ((n = nghttp2_session_mem_send(h2->session, &out)) > 0)
 		send(h2->fd, out, (size_t)n, MSG_NOSIGNAL);
+}
+
+/* True when bytes were received. */
+static bool exchange(struct h2 *h2)
+{
+	uint8_t buf[16384];
+	ssize_t n;
+
+	h2_send(h2);
 	n = recv(h2->fd, buf, sizeof(buf), MSG_DONTWAIT);
 	if (n > 0)
 		nghttp2_session_mem_recv(h2->session, buf, (size_t)n);
--- a/tests/web/h2.h
+++ b/tests/web/h2.h
@@ -23,6 +23,8 @@
 int32_t h2_request(struct h2 *h2, const char *method, const char *path,
 		   size_t size);
 void h2_reset(struct h2 *h2, int32_t stream);
+/* Sends what is pending without running the loop. */
+void h2_send(struct h2 *h2);
 /* Sends, receives and runs the loop until *goal is at least count. */
 void h2_run(struct world *world, struct h2 *h2, const int *goal, int count);
 void h2_iterate(struct world *world, struct h2 *h2, int iterations);
--- a/web/server.c
+++ b/web/server.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "common/address.h"
@@ -40,6 +41,7 @@
 	GQueue requests;
 	struct bodies bodies;
 	struct timer sweep;
+	bool closing; /* requests get no answer any more */
 };
 
 struct web_handler {
@@ -99,7 +101,9 @@
 	request =
 		web_request_create(server, server->loop, &server->bodies, req);
 	route = route_find(server, web_request_path(request));
-	if (!bodies_admit(&server->bodies, request))
+	if (server->closing)
+		request_hang_up(request);
+	else if (!bodies_admit(&server->bodies, request))
 		bodies_refuse(request);
 	else if (!request_is_framed(request))
 		request_reject(request);
@@ -263,15 +267,31 @@
 		h2o_context_request_shutdown(&server->context);
 }
 
-/* A caller that sends a request at the same moment sees the connection close
- * without an answer, and so knows that the request was not read. */
+/* Whether the caller has sent nothing that is not answered. */
+static bool conn_is_idle(const struct web_conn *conn)
+{
+	char byte;
+
+	if (!conn->http1 || conn->request || conn->sock->input->size > 0 ||
+	    conn->sock->_cb.read != conn->h2o_read_cb)
+		return false;
+	return recv(h2o_socket_get_fd(conn->sock), &byte, 1,
+		    MSG_PEEK | MSG_DONTWAIT) <= 0;
+}
+
+/* After shutdown() h2o would still read what the kernel has received, and
+ * requests would run that cannot be answered. What arrives after close() is not
+ * read. */
 static void conns_close_idle(struct web_server *server)
 {
-	for (GList *link = server->conns.head; link; link = link->next) {
+	GList *next;
+
+	for (GList *link = server->conns.head; link; link = next) {
 		struct web_conn *conn = link->data;
 
-		if (conn->http1 && !conn->request)
-			shutdown(h2o_socket_get_fd(conn->sock), SHUT_RDWR);
+		next = link->next;
+		if (conn_is_idle(conn))
+			conn->h2o_read_cb(conn->sock, h2o_socket_error_closed);
 	}
 }
 
@@ -293,6 +313,8 @@
 {
 	GList *next;
 
+	server->closing = true;
+	conns_close_idle(server);
 	for (GList *link = server->requests.head; link; link = next) {
 		next = link->next;
 		request_hang_up(link->data);
