forward: each request is answered before the process stops

Cause: forward_drain() only refused new streams. Those that waited kept their deadline of four times the target, which may be later than the end of the process, and what was in progress then was left to the closing of the connections.

Evidence: the log of the stopped instance has outcome=gone for these requests at the moment of the stop, and no refusal.

Why it works: the end of the process is a deadline of each request. A waiting stream is refused when it would not end by then, by the measured time between events, and at the end each request that is left gets 503 if it has not run, 504 if it may have.

--- a/forward/forward.c
+++ b/forward/forward.c
@@ -183,11 +183,6 @@
 	return forward->catalog;
 }
 
-void forward_drain(struct forward *forward)
-{
-	forward->draining = true;
-}
-
 uint32_t forward_pending(const struct forward *forward)
 {
 	return table_count(forward->requests);
--- a/forward/node_drain.c
+++ b/forward/node_drain.c
@@ -8,33 +8,64 @@
 /* How long new connections are accepted: the balancer checks once a second and
  * removes an instance after two failed checks. */
 #define ACCEPT_USEC (2800 * USEC_PER_MSEC)
-/* Time before the end of the grace period at which remaining streams are
- * aborted. */
-#define ABORT_MARGIN_SEC 0.6
+/* Time before the end of the grace period at which the process ends. */
+#define STOP_MARGIN_SEC 0.6
 #define CHECK_INTERVAL_USEC (100 * USEC_PER_MSEC)
 /* Time for the last answers to leave the sockets. */
 #define LINGER_USEC (100 * USEC_PER_MSEC)
 
+/* When requests that are still in progress are ended. */
+static int64_t requests_end_at(const struct node *node)
+{
+	double sec = node->settings.grace_sec - STOP_MARGIN_SEC;
+
+	return node->drain_started_at + (int64_t)(sec * (double)USEC_PER_SEC) -
+	       LINGER_USEC;
+}
+
+static uint32_t pending_count(const struct node *node)
+{
+	return forward_pending(node->forward) +
+	       web_server_pending(node->callers) +
+	       relay_server_count(node->relay_server);
+}
+
+static void drain_finish(struct node *node, uint32_t pending)
+{
+	log_event(LOG_NOTICE, "drained", LOG_D("pending", pending),
+		  LOG_D("after_ms",
+			(clock_now(node->clock) - node->drain_started_at) /
+				USEC_PER_MSEC));
+	loop_stop(node->loop);
+}
+
+static void on_linger(struct timer *timer, void *ctx)
+{
+	struct node *node = ctx;
+
+	drain_finish(node, node->drain_pending);
+}
+
 static void on_check(struct timer *timer, void *ctx)
 {
 	struct node *node = ctx;
-	int64_t since = clock_now(node->clock) - node->drain_started_at;
-	int64_t longest =
-		(int64_t)((node->settings.grace_sec - ABORT_MARGIN_SEC) *
-			  (double)USEC_PER_SEC);
-	uint32_t pending = forward_pending(node->forward) +
-			   web_server_pending(node->callers) +
-			   relay_server_count(node->relay_server);
-
-	if (since >= ACCEPT_USEC) {
-		forward_drain(node->forward);
+	int64_t now = clock_now(node->clock);
+	int64_t end_at = requests_end_at(node);
+	int64_t close_at = MIN(node->drain_started_at + ACCEPT_USEC, end_at);
+
+	if (now >= close_at) {
+		forward_drain(node->forward, end_at);
 		web_server_drain(node->callers);
 	}
-	if (since >= longest ||
-	    (since >= ACCEPT_USEC + LINGER_USEC && pending == 0)) {
-		log_event(LOG_NOTICE, "drained", LOG_D("pending", pending),
-			  LOG_D("after_ms", since / USEC_PER_MSEC));
-		loop_stop(node->loop);
+	if (now >= end_at) {
+		node->drain_pending = pending_count(node);
+		forward_stop(node->forward);
+		timer_init(timer, node->clock, on_linger, node);
+		timer_start(timer, LINGER_USEC);
+		return;
+	}
+	if (now >= close_at + LINGER_USEC && pending_count(node) == 0) {
+		drain_finish(node, 0);
 		return;
 	}
 	timer_start(timer, CHECK_INTERVAL_USEC);
--- a/forward/request.c
+++ b/forward/request.c
@@ -486,7 +486,8 @@
 	if (request_quarantine(request))
 		return;
 	deadline_start(request);
-	resume_start(request);
+	if (!drain_refuse_new(request))
+		resume_start(request);
 }
 
 enum backend_stage request_stage(const struct request *request)
--- a/forward/request.h
+++ b/forward/request.h
@@ -180,8 +180,9 @@
 	struct counter *room_claims;
 	struct counter *room_claims_unsent;
 	bool draining;
-	size_t unread;			     /* sum over all requests */
-	size_t received;		     /* sum over all requests */
+	int64_t drain_until; /* when requests in progress are ended */
+	size_t unread;	     /* sum over all requests */
+	size_t received;     /* sum over all requests */
 	struct counter *outcomes[END_COUNT]; /* by enum request_end */
 	struct counter *servers_crashed;
 	struct counter *answers_rejected;
@@ -416,6 +417,11 @@
 /* Withdraws the claims of the request, if any. */
 void room_withdraw(struct request *request);
 
+/* drain.c, while the instance drains: refuses a stream that waits and would not
+ * end in time, or a new one; true when it did. */
+bool drain_refuse_waiting(struct request *request);
+bool drain_refuse_new(struct request *request);
+
 /* plain.c, stream.c and waiting.c */
 void plain_start(struct request *request);
 /* A server for the first or a further send; NULL when there is none. Servers
--- a/forward/stream.c
+++ b/forward/stream.c
@@ -45,8 +45,6 @@
 #define PREFILL_ANSWER_BYTES_MAX ((size_t)64 << 10)
 /* Retry-After when memory is short: some is freed within about this time. */
 #define RETRY_AFTER_USEC (300 * USEC_PER_MSEC)
-/* Retry-After while draining: another instance can take the request at once. */
-#define DRAIN_RETRY_AFTER_USEC (20 * USEC_PER_MSEC)
 
 static void prefill_place(struct request *request);
 
@@ -548,12 +546,8 @@
 		   request->caller.prompt_tokens);
 	stream_weigh(request);
 	room_seen(request);
-	if (forward->draining || stream_waiting_full(forward)) {
-		request_refuse(request,
-			       forward->draining ? RESULT_DRAINING
-						 : RESULT_QUEUE_FULL,
-			       forward->draining ? DRAIN_RETRY_AFTER_USEC
-						 : RETRY_AFTER_USEC);
+	if (stream_waiting_full(forward)) {
+		request_refuse(request, RESULT_QUEUE_FULL, RETRY_AFTER_USEC);
 		return;
 	}
 	if (regions_unserved(request)) {
--- a/forward/waiting.c
+++ b/forward/waiting.c
@@ -238,8 +238,9 @@
 		struct request *request = link->data;
 
 		next = link->next;
-		if (unserved_end(request) || early_refuse(request, now) ||
-		    unavailable_refuse(request) || now < wait_deadline(request))
+		if (unserved_end(request) || drain_refuse_waiting(request) ||
+		    early_refuse(request, now) || unavailable_refuse(request) ||
+		    now < wait_deadline(request))
 			continue;
 		stream_dequeue(request);
 		if (request->replied)
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -175,8 +175,12 @@
 /* The catalog in force; NULL before the first. */
 const struct catalog *forward_catalog(const struct forward *forward);
 /* From now on streams are refused, as they might not end before the process
- * has to. */
-void forward_drain(struct forward *forward);
+ * has to, and so are those that wait and would not end by that time. */
+void forward_drain(struct forward *forward, int64_t until);
+/* Ends all requests in progress: those that have not run are refused, the
+ * others fail, or are aborted in the middle of their answers. The answers leave
+ * in the next iterations of the event loop. */
+void forward_stop(struct forward *forward);
 /* A web_handler_fn with the forward as context. */
 void forward_handle_request(void *ctx, struct web_request *request);
 /* Merges a fact received from another instance. */
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -1029,7 +1029,14 @@
 
 static void drain_step(const char *options)
 {
-	forward_drain(world.forward);
+	int64_t now = clock_now(world.clock);
+
+	forward_drain(world.forward, now + atoi(options) * USEC_PER_MSEC);
+}
+
+static void stop_step(const char *options)
+{
+	forward_stop(world.forward);
 }
 
 static void streams_step(const char *options);
@@ -1056,7 +1063,7 @@
 	{"queue", queue_step},	     {"dispatch", dispatch_step},
 	{"unread", unread_step},     {"heartbeat", heartbeat_step},
 	{"speed", speed_step},	     {"streams", streams_step},
-	{"ttl", ttl_step},
+	{"stop", stop_step},	     {"ttl", ttl_step},
 };
 
 static void step_run(char *step);
