forward: a report that the store carries out late is ignored

Cause: the last record of a server's key was taken for its newest report. A write that got no answer may be carried out seconds later, after newer ones. The count of heartbeats was compared only while the store came back from an older copy.

Evidence: the logs of both instances have backend_changed leaving=0 for a record with a lower count than that of the one before.

Why it works: a valid entry that the same start of a server has written before the known one is ignored, in whole copies too and after the server was dropped. Entries that only repeat the known one now take its place, so the newest count is known.

--- a/forward/merge.c
+++ b/forward/merge.c
@@ -82,6 +82,15 @@
 	g_hash_table_replace(merge->dropped, g_strdup(key), dropped);
 }
 
+GBytes *merge_dropped_since(const struct merge *merge, const char *key,
+			    int64_t since)
+{
+	const struct dropped *dropped =
+		g_hash_table_lookup(merge->dropped, key);
+
+	return dropped && dropped->at > since ? dropped->value : NULL;
+}
+
 bool merge_takes(const struct merge *merge, const char *key, GBytes *before,
 		 const void *data, size_t size)
 {
--- a/forward/mirror.c
+++ b/forward/mirror.c
@@ -25,6 +25,9 @@
  * one. Nothing is, within this time: servers that leave are listed for longer.
  */
 #define WHOLE_COPY_GAP_USEC (2 * USEC_PER_SEC)
+/* The store carries out writes at most this late. A writer whose values seem
+ * older than that has started again. */
+#define LATE_USEC (10 * USEC_PER_SEC)
 #define COPY_FIELDS 6
 #define VALUE_FIELDS 3
 /* Number of changes kept for peers that are slightly behind. Others receive the
@@ -53,7 +56,8 @@
 
 struct value {
 	GBytes *data;
-	uint64_t changed; /* offset of the last record that changed it */
+	uint64_t changed;   /* offset of the last record that changed it */
+	int64_t written_at; /* when the last record of it was received */
 };
 
 /* A changed key. It may have changed again since, or have been dropped. */
@@ -107,6 +111,7 @@
 
 	value->data = g_bytes_new(data, size);
 	value->changed = changed;
+	value->written_at = clock_now(mirror->clock);
 	g_hash_table_replace(mirror->values, g_strdup(key), value);
 }
 
@@ -182,23 +187,68 @@
 	       mirror->ops.repeats(mirror->ctx, old, before, data, size);
 }
 
+/* The content is the same, but it tells when it was written. */
+static void value_renew(const struct mirror *mirror, struct value *known,
+			const void *data, size_t size)
+{
+	g_bytes_unref(known->data);
+	known->data = g_bytes_new(data, size);
+	known->written_at = clock_now(mirror->clock);
+}
+
+/* The value of the key that was received last, unless that is long ago. */
+static GBytes *recent_value(const struct mirror *mirror, const char *key)
+{
+	int64_t since = clock_now(mirror->clock) - LATE_USEC;
+	const struct value *value = g_hash_table_lookup(mirror->values, key);
+
+	if (!value && mirror->previous)
+		value = g_hash_table_lookup(mirror->previous, key);
+	if (value)
+		return value->written_at > since ? value->data : NULL;
+	return merge_dropped_since(mirror->merge, key, since);
+}
+
+static bool is_outdated(const struct mirror *mirror, const char *key,
+			const void *data, size_t size)
+{
+	GBytes *before =
+		mirror->ops.outdated ? recent_value(mirror, key) : NULL;
+	gsize before_size;
+	const void *old;
+
+	if (!data || !before)
+		return false;
+	old = g_bytes_get_data(before, &before_size);
+	return mirror->ops.outdated(mirror->ctx, key, old, before_size, data,
+				    size);
+}
+
 static void value_apply(struct mirror *mirror, uint64_t offset, const char *key,
 			const void *data, size_t size)
 {
-	const struct value *known = g_hash_table_lookup(mirror->values, key);
+	struct value *known = g_hash_table_lookup(mirror->values, key);
 	enum mirror_effect effect;
 	bool is_change;
 	bool is_confirmed;
 
 	if (is_merging(mirror) && !snapshot_takes(mirror, key, data, size))
 		return;
+	if (is_outdated(mirror, key, data, size)) {
+		log_event(LOG_NOTICE, "record_late", LOG_S("key", key),
+			  LOG_D("offset", position_offset(offset)));
+		value_keep(mirror, key);
+		return;
+	}
 	is_confirmed = merge_written(mirror->merge, key);
 	if (!data && known)
 		merge_dropped(mirror->merge, key, known->data,
 			      clock_now(mirror->clock));
 	if (data && known && !is_confirmed &&
-	    is_repeated(mirror, known, data, size))
+	    is_repeated(mirror, known, data, size)) {
+		value_renew(mirror, known, data, size);
 		return;
+	}
 	effect = mirror->ops.value(mirror->ctx, offset, key, data, size);
 	if (effect == MIRROR_REJECTED && (known || value_restore(mirror, key)))
 		return;
--- a/forward/node_feeds.c
+++ b/forward/node_feeds.c
@@ -197,6 +197,20 @@
 	return node->interface.backend_newer(before, before_size, data, size);
 }
 
+/* An invalid entry is of another writer, so its number does not count. */
+static bool on_backend_outdated(void *ctx, const char *key, const void *before,
+				size_t before_size, const void *data,
+				size_t size)
+{
+	const struct node *node = ctx;
+	struct backend_info info;
+	struct error err;
+
+	return node->interface.backend_outdated(before, before_size, data,
+						size) &&
+	       node->interface.decode_backend(key, data, size, &info, &err);
+}
+
 static void on_list_begin(void *ctx)
 {
 	struct node *node = ctx;
@@ -557,6 +571,7 @@
 		.value = on_backend,
 		.repeats = on_backend_repeats,
 		.newer = on_backend_newer,
+		.outdated = on_backend_outdated,
 		.synced = on_list_synced,
 		.missed = on_list_missed,
 	};
--- a/include/forward/merge.h
+++ b/include/forward/merge.h
@@ -44,6 +44,10 @@
 /* A key with that value was dropped. It is remembered for a minute. */
 void merge_dropped(struct merge *merge, const char *key, GBytes *value,
 		   int64_t now);
+/* The value with which the key was dropped after that time; NULL if it was not.
+ */
+GBytes *merge_dropped_since(const struct merge *merge, const char *key,
+			    int64_t since);
 /* Whether the value of a copy is taken. before is the value known before, or
  * NULL. */
 bool merge_takes(const struct merge *merge, const char *key, GBytes *before,
--- a/include/forward/mirror.h
+++ b/include/forward/mirror.h
@@ -63,9 +63,8 @@
 	/* A new value of the key; data is NULL when the key was dropped. */
 	enum mirror_effect (*value)(void *ctx, uint64_t offset, const char *key,
 				    const void *data, size_t size);
-	/* Whether a value has the same content as the previous one, which is
-	 * then kept and not delivered again. NULL where no cheap test exists.
-	 */
+	/* Whether a value has the same content as the previous one. It is not
+	 * delivered then. NULL where no cheap test exists. */
 	bool (*repeats)(void *ctx, const void *before, size_t before_size,
 			const void *data, size_t size);
 	/* Whether a value was written after the previous one of its key. NULL
@@ -73,6 +72,12 @@
 	 * rejects it. */
 	bool (*newer)(void *ctx, const void *before, size_t before_size,
 		      const void *data, size_t size);
+	/* Whether a value is valid and was written by the same writer before
+	 * the previous one of its key. The store may carry out a write seconds
+	 * late, after newer ones; such a value is ignored. NULL where values do
+	 * not tell. */
+	bool (*outdated)(void *ctx, const char *key, const void *before,
+			 size_t before_size, const void *data, size_t size);
 	/* The copy is known to be complete up to a later time. May be NULL. */
 	void (*synced)(void *ctx);
 	/* Keys were written and dropped without being delivered, or may have
--- a/include/forward/node.h
+++ b/include/forward/node.h
@@ -43,6 +43,10 @@
 	/* Whether an entry was written after another of the same server. */
 	bool (*backend_newer)(const void *before, size_t before_size,
 			      const void *data, size_t size);
+	/* Whether it was written before the other one. False if the entries do
+	 * not tell. */
+	bool (*backend_outdated)(const void *before, size_t before_size,
+				 const void *data, size_t size);
 	/* Whether a key of the configuration stream marks a data centre as
 	 * evacuated while it has a value; sets data_centre. */
 	bool (*decode_evacuation)(const char *key,
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -20,11 +20,15 @@
 			       struct error *err);
 bool decode_backend(const char *id, const void *data, size_t size,
 		    struct backend_info *info, struct error *err);
-/* Whether the entries differ at most in the heartbeat number. */
 /* Whether an entry was written after another of the same server, by its start
  * and heartbeat. False for one without a heartbeat. */
 bool decode_backend_newer(const void *before, size_t before_size,
 			  const void *data, size_t size);
+/* Whether it was written before the other one, by a server with the same start.
+ * False if one of them has no heartbeat. */
+bool decode_backend_outdated(const void *before, size_t before_size,
+			     const void *data, size_t size);
+/* Whether the entries differ at most in the heartbeat number. */
 bool decode_backend_repeats(const void *before, size_t before_size,
 			    const void *data, size_t size);
 /* Whether a key of the configuration stream orders the evacuation of a data
--- a/tests/forward/test_mirror.c
+++ b/tests/forward/test_mirror.c
@@ -238,6 +238,84 @@
 	clock_destroy(clock);
 }
 
+/* The first byte counts the writes. */
+static bool on_outdated(void *ctx, const char *key, const void *before,
+			size_t before_size, const void *data, size_t size)
+{
+	return *(const char *)data < *(const char *)before;
+}
+
+static bool on_newer(void *ctx, const void *before, size_t before_size,
+		     const void *data, size_t size)
+{
+	return *(const char *)data > *(const char *)before;
+}
+
+static void late_open(struct copy *copy, struct clock *clock)
+{
+	static const struct mirror_ops ops = {
+		.begin = on_begin,
+		.value = on_value,
+		.repeats = on_repeats,
+		.newer = on_newer,
+		.outdated = on_outdated,
+	};
+	const struct feed_store store = {on_snapshot, on_read, copy};
+	const struct feed_settings settings = {.stream = "s"};
+
+	copy_create(copy, clock);
+	mirror_destroy(copy->mirror);
+	copy->mirror = mirror_create(clock, &store, &settings, &ops, copy);
+	mirror_start(copy->mirror, 0);
+}
+
+static void late_read(struct copy *copy, int64_t after_msec, const char *value,
+		      uint64_t next)
+{
+	wait_msec(copy->clock, after_msec);
+	tick(copy, 0);
+	store_answer(copy, "a", value, next);
+}
+
+/* Guards against a write that the store carries out late, after newer ones of
+ * the same writer. */
+static void test_late(void)
+{
+	struct clock *clock = clock_create(0);
+	struct copy first;
+	struct copy second;
+
+	late_open(&first, clock);
+	late_open(&second, clock);
+	store_answer(&first, "a", "1ready", 10);
+	fetch(&second, &first);
+	late_read(&first, 1000, "3ready", 11);
+	late_read(&first, 1000, "5leaving", 12);
+	fetch(&second, &first);
+	late_read(&first, 2500, "4ready", 13);
+	g_assert_cmpstr(g_hash_table_lookup(first.values, "a"), ==, "5leaving");
+	g_assert_false(status_receive(&second, &first));
+	/* In a whole copy of the store. */
+	wait_msec(clock, 1000);
+	tick(&first, 0);
+	store_gap(&first);
+	store_answer(&first, "a", "4ready", 14);
+	g_assert_cmpstr(g_hash_table_lookup(first.values, "a"), ==, "5leaving");
+	/* After a repeat, and after the key was dropped. */
+	late_read(&first, 1000, "6leaving", 15);
+	late_read(&first, 1000, NULL, 16);
+	late_read(&first, 2000, "5leaving", 17);
+	late_read(&first, 1000, "4ready", 18);
+	g_assert_null(g_hash_table_lookup(first.values, "a"));
+	late_read(&first, 1000, "7ready", 19);
+	g_assert_cmpstr(g_hash_table_lookup(first.values, "a"), ==, "7ready");
+	/* A writer that has started again counts from the beginning. */
+	late_read(&first, 10000, "1ready", 20);
+	late_read(&first, 1000, "2leaving", 21);
+	g_assert_cmpstr(g_hash_table_lookup(first.values, "a"), ==, "2leaving");
+	pair_close(&first, &second, clock);
+}
+
 /* The size of a fetch depends on the number of changes, not on the size of the
  * copy. */
 static void test_few_changes(void)
@@ -818,6 +896,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/forward/mirror/fetch-pending", test_fetch_pending);
 	g_test_add_func("/forward/mirror/repeats", test_repeats);
+	g_test_add_func("/forward/mirror/late", test_late);
 	g_test_add_func("/forward/mirror/few-changes", test_few_changes);
 	g_test_add_func("/forward/mirror/many-changes", test_many_changes);
 	g_test_add_func("/forward/mirror/exchanged-ages", test_exchanged_ages);
--- a/tests/platform/test_decode.c
+++ b/tests/platform/test_decode.c
@@ -363,6 +363,48 @@
 				==, rows[i].newer);
 }
 
+static void test_outdated(void)
+{
+	static const struct {
+		const char *before;
+		const char *after;
+		bool outdated;
+	} rows[] = {
+		{ENTRY("draining", "8", ",\"sequence\":8"),
+		 ENTRY("ready", "8", ",\"sequence\":5"), true},
+		{ENTRY("ready", "8", ",\"sequence\":5"),
+		 ENTRY("draining", "8", ",\"sequence\":8"), false},
+		{ENTRY("draining", "8", ",\"sequence\":8"),
+		 ENTRY("ready", "8", ",\"sequence\":8"), false},
+		/* Entries that differ in their number only. */
+		{ENTRY("ready", "8", ",\"sequence\":8"),
+		 ENTRY("ready", "8", ",\"sequence\":5"), true},
+		{ENTRY("ready", "8", ",\"sequence\":10"),
+		 ENTRY("ready", "8", ",\"sequence\":9"), true},
+		{ENTRY("ready", "8", ",\"sequence\":9"),
+		 ENTRY("ready", "8", ",\"sequence\":10"), false},
+		{ENTRY("ready", "8", ",\"sequence\":9"),
+		 ENTRY("ready", "8", ",\"sequence\":9"), false},
+		/* Another start counts on its own. */
+		{ENTRY("draining", "8", ",\"born\":7,\"sequence\":15"),
+		 ENTRY("ready", "8", ",\"born\":8,\"sequence\":1"), false},
+		{ENTRY("draining", "8", ",\"born\":8,\"sequence\":15"),
+		 ENTRY("ready", "8", ",\"born\":7,\"sequence\":1"), false},
+		{ENTRY("draining", "8", ",\"sequence\":8"),
+		 ENTRY("ready", "8", ""), false},
+		{ENTRY("draining", "8", ""),
+		 ENTRY("ready", "8", ",\"sequence\":5"), false},
+		{ENTRY("draining", "8", ",\"sequence\":8"), "{not JSON", false},
+		{"{not JSON", ENTRY("ready", "8", ",\"sequence\":5"), false},
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+		g_assert_cmpint(decode_backend_outdated(
+					rows[i].before, strlen(rows[i].before),
+					rows[i].after, strlen(rows[i].after)),
+				==, rows[i].outdated);
+}
+
 static void on_era_page(void *ctx, enum result_code code,
 			const struct feed_page *page)
 {
@@ -941,6 +983,7 @@
 	g_test_add_func("/platform/entry", test_entry);
 	g_test_add_func("/platform/software", test_software);
 	g_test_add_func("/platform/newer", test_newer);
+	g_test_add_func("/platform/outdated", test_outdated);
 	g_test_add_func("/platform/positions", test_positions);
 	g_test_add_func("/platform/keyed", test_keyed);
 	g_test_add_func("/platform/fuzz", test_fuzz);
