forward: calls that come late in a planned stop are refused

Callers saw (reported by operators): requests that came late in the grace period were passed on and cut off at its end without an answer, also non-idempotent ones.

Cause: while an instance drains, new streams were refused, but plain calls were served whatever their timeout.

Why it works: the time at which the process ends requests is known, so a call whose timeout ends later is refused at once, not run; one that ends before is served. A request that has arrived in part when idle connections are closed is decided when it is whole (web_server drain-half-read). docs/design/draining.md has the order of a stop.

--- a/forward/drain.c
+++ b/forward/drain.c
@@ -49,8 +49,11 @@
 
 bool drain_refuse_new(struct request *request)
 {
-	if (!request->forward->draining ||
-	    request_stage(request) != STAGE_DECODE)
+	const struct forward *forward = request->forward;
+
+	if (!forward->draining ||
+	    (request_stage(request) != STAGE_DECODE &&
+	     request->deadline <= forward->drain_until))
 		return false;
 	request_refuse(request, RESULT_DRAINING, RETRY_AFTER_USEC);
 	return true;
--- a/forward/request.h
+++ b/forward/request.h
@@ -418,7 +418,8 @@
 void room_withdraw(struct request *request);
 
 /* drain.c, while the instance drains: refuses a stream that waits and would not
- * end in time, or a new one; true when it did. */
+ * end in time, or a new request that is a stream or might not be answered by
+ * then; true when it did. */
 bool drain_refuse_waiting(struct request *request);
 bool drain_refuse_new(struct request *request);
 
--- a/include/forward/forward.h
+++ b/include/forward/forward.h
@@ -174,8 +174,9 @@
 void forward_set_plain_queue(struct forward *forward, enum plain_queue queue);
 /* The catalog in force; NULL before the first. */
 const struct catalog *forward_catalog(const struct forward *forward);
-/* From now on streams are refused, as they might not end before the process
- * has to, and so are those that wait and would not end by that time. */
+/* The process ends the requests in progress at that time. From now on new
+ * requests that may take longer are refused: streams, and calls whose timeout
+ * ends later. So are streams that wait and would not end by then. */
 void forward_drain(struct forward *forward, int64_t until);
 /* Ends all requests in progress: those that have not run are refused, the
  * others fail, or are aborted in the middle of their answers. The answers leave
--- a/tests/web/test_server.c
+++ b/tests/web/test_server.c
@@ -440,6 +440,36 @@
 	close(fd);
 }
 
+/* A request that has arrived in part when the shutdown begins is answered when
+ * the rest has come, on a new connection and on a kept one. */
+static void test_drain_half_read(struct world *world, gconstpointer data)
+{
+	static const char half[] = "GET /counted HTTP/1.1\r\n";
+	static const char rest[] = "host: a\r\n\r\n";
+	int fds[2] = {raw_connect(web_server_address(world->server)),
+		      raw_connect(web_server_address(world->server))};
+	int count = 0;
+
+	web_server_handle(world->server, "/counted", counted, &count);
+	raw_send(fds[1], COUNTED, strlen(COUNTED));
+	g_string_free(raw_read_until(world, fds[1], "counted\n"), TRUE);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
+		raw_send(fds[i], half, sizeof(half) - 1);
+	world_iterate(world, 10);
+	web_server_drain(world->server);
+	world_iterate(world, 10);
+	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
+		GString *got;
+
+		raw_send(fds[i], rest, sizeof(rest) - 1);
+		got = raw_read_until(world, fds[i], NULL);
+		g_assert_nonnull(strstr(got->str, "Connection: close"));
+		g_assert_true(g_str_has_suffix(got->str, "counted\n"));
+		g_string_free(got, TRUE);
+		close(fds[i]);
+	}
+}
+
 struct late_drain {
 	struct world *world;
 	struct timer timer;
@@ -658,6 +688,7 @@
 	TEST("unframed-stop", test_unframed_stop);
 	TEST("unframed-last-slice", test_unframed_last_slice);
 	TEST("drain-unread", test_drain_unread);
+	TEST("drain-half-read", test_drain_half_read);
 	TEST("drain-in-request", test_drain_in_request);
 	TEST("drain-answer", test_drain_answer);
 	TEST("destroy-unread", test_destroy_unread);
