web: statuses that no answer can have are refused

Callers saw: statuses such as 600 or 999 of a faulty server, and 101 with a body, as answers (a report of operators names 000, which was refused before).

Cause: the parser of heads had no upper bound for the status, and took 101 as final although no switch of protocols had been asked for.

Evidence: rows "status 600", "status 999" and "switching unasked" of web_client failed before; "status 000", "status 099", "status of four digits" and "highest status" passed.

Why it works: such a head is invalid, so the call fails as one that may have run.

--- a/web/call.c
+++ b/web/call.c
@@ -12,6 +12,7 @@
 /* Framing of a chunk with one byte is five bytes, up to about 90 with an
  * extension. */
 #define FRAME_RATIO 16
+#define STATUS_SWITCHING 101
 
 static void call_destroy(struct web_call *call)
 {
@@ -242,6 +243,14 @@
 	return true;
 }
 
+/* Only relays are asked to switch protocols. */
+static bool is_switch_unasked(const struct web_call *call)
+{
+	bool asks_relay = call->tunnel && call->relay_status == 0;
+
+	return call->head.status == STATUS_SWITCHING && !asks_relay;
+}
+
 /* Parses the input up to the final head; false when it is incomplete, or the
  * call has failed. */
 static bool head_take(struct web_call *call, h2o_socket_t *sock)
@@ -258,6 +267,10 @@
 		call_fail(call, head->text_invalid);
 	if (result != HEAD_COMPLETE)
 		return false;
+	if (is_switch_unasked(call)) {
+		call_fail(call, "the server switches protocols unasked");
+		return false;
+	}
 	/* h2o closes the connection instead of keeping it. */
 	head->closes |= call->fresh;
 	if (head_replace(call, sock, head->size))
--- a/web/head.c
+++ b/web/head.c
@@ -6,6 +6,7 @@
 /* "HTTP/1.1 200" */
 #define STATUS_LINE_MIN 12
 #define STATUS_SWITCHING 101
+#define STATUS_MAX 599
 
 /* Offsets into the text, which moves while it grows. */
 struct head_field {
@@ -144,7 +145,7 @@
 			return head_invalid(head, "no status");
 		head->status = head->status * 10 + (digits[i] - '0');
 	}
-	if (head->status < 100 ||
+	if (head->status < 100 || head->status > STATUS_MAX ||
 	    (line.size > STATUS_LINE_MIN && digits[3] != ' '))
 		return head_invalid(head, "no status");
 	head->closes = line.data[prefix] == '0';
