web: an answer without a length to an unfinished upload is not complete

Callers saw (reported by operators): a part of an answer as the whole, from a server that answered a long upload at once, without a length, and then reset the connection.

Cause: the orderly end of a connection ended such an answer, whether the server had received the request or not. A reset at once was noticed; one after an orderly end of the server's side was not.

Evidence: web_client upload failed before where the server ends its side in order, with and without a reset after it; with a reset at once it passed. Without the change in web/relay.c the relayed case of 16 KB fails.

Why it works: the kernel tells how much of the request the peer has not received. If that is not nothing when the connection ends, the answer is incomplete, and a relay resets its caller's connection.

--- a/web/call.c
+++ b/web/call.c
@@ -5,6 +5,7 @@
 
 #include "input.h"
 #include "keepalive.h"
+#include "unsent.h"
 
 #define CONNECT_TIMEOUT_DEFAULT_USEC (3 * USEC_PER_SEC)
 #define HEAD_TIMEOUT_DEFAULT_USEC (30 * USEC_PER_SEC)
@@ -162,12 +163,19 @@
 		shutdown(h2o_socket_get_fd(http->sock), SHUT_RDWR);
 }
 
+/* Whether the server has closed before it had received the request. */
+static bool is_request_unsent(const struct web_call *call)
+{
+	return unsent_bytes(h2o_socket_get_fd(call->http->sock)) > 0;
+}
+
 /* h2o 2.2 treats a close after any complete chunk as the end of the body. At a
  * proper end the terminating empty chunk was read just now. */
 static bool is_truncated(const struct web_call *call)
 {
 	return (call->body_end == WEB_BODY_CHUNKS &&
 		call->http->sock->bytes_read == 0) ||
+	       (call->body_end == WEB_BODY_CLOSED && is_request_unsent(call)) ||
 	       call->was_reset;
 }
 
--- a/web/relay.c
+++ b/web/relay.c
@@ -6,6 +6,7 @@
 #include "input.h"
 #include "linger.h"
 #include "request.h"
+#include "unsent.h"
 
 enum side {
 	CALLER,
@@ -78,10 +79,19 @@
 	return relay->socks[SERVER] == sock ? SERVER : CALLER;
 }
 
-/* The server has closed the connection and all that it sent was passed on. */
+/* Whether the server has received all that the caller has sent. */
+static bool is_delivered(const struct relay *relay)
+{
+	return relay->in_flight[SERVER] == 0 &&
+	       unsent_bytes(h2o_socket_get_fd(relay->socks[SERVER])) == 0;
+}
+
+/* The server has closed the connection and all that it sent was passed on. A
+ * server that has not received the request may have ended in the middle of its
+ * answer. */
 static void relay_end(struct relay *relay)
 {
-	if (!relay->server_reset)
+	if (!relay->server_reset && is_delivered(relay))
 		linger_reset(h2o_socket_get_fd(relay->socks[CALLER]), false);
 	relay_close(relay);
 }
