--- a/tests/web/test_client.c
+++ b/tests/web/test_client.c
@@ -194,6 +194,43 @@
 	answer_check(world, data, NULL);
 }
 
+static void head_cut_check(struct world *world, const char *head, size_t size,
+			   enum conn_end end, const char *relay)
+{
+	g_autofree char *part = g_strndup(head, size);
+	const struct answer_case c = {part,  "GET", part, end,
+				      false, false, 0,	  ""};
+
+	answer_check(world, &c, relay);
+}
+
+/* Guards against an answer whose connection ends in the middle of its head and
+ * that is taken for a whole one. */
+static void test_head_cuts(struct world *world, gconstpointer data)
+{
+	static const char *const heads[] = {
+		HEAD "content-length: 0\r\n\r\n",
+		HEAD "content-length: 10\r\n\r\n",
+		HEAD "transfer-encoding: chunked\r\n\r\n",
+		HEAD "content-type: text/plain\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\n" HEAD "x-a: b\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\n\r\n",
+	};
+	const char *address = web_server_address(world->server);
+	struct relay_handler relay;
+
+	relay_handler_setup(&relay, world);
+	for (size_t i = 0; i < G_N_ELEMENTS(heads); i++) {
+		for (size_t size = 1; size < strlen(heads[i]); size++) {
+			head_cut_check(world, heads[i], size, CONN_CLOSE, NULL);
+			head_cut_check(world, heads[i], size, CONN_RESET, NULL);
+			head_cut_check(world, heads[i], size, CONN_CLOSE,
+				       address);
+		}
+	}
+	relay_handler_teardown(&relay, world);
+}
+
 /* A call through a relay ends as a direct one does. */
 static void test_relayed_answer(struct world *world, gconstpointer data)
 {
@@ -545,6 +582,7 @@
 	TEST("cancel", test_cancel);
 	TEST("big-request", test_big_request);
 	TEST("upload", test_upload);
+	TEST("head-cuts", test_head_cuts);
 	TEST("fetch", test_fetch);
 	return g_test_run();
 }
