forward: no answer to another request is relayed

Cause: an answer with another id is buffered like an error, and run_whole() relayed a complete, signed one. Plain calls and prefills checked the id for themselves.

Why it works: answer_may_pass(), which every path asks before it relays a buffered answer, refuses one to another request.

--- a/forward/answer.c
+++ b/forward/answer.c
@@ -63,8 +63,8 @@
 
 bool answer_may_pass(const struct answer *answer)
 {
-	return answer->has_head && answer->head.is_signed &&
-	       !answer->too_large &&
+	return answer->has_head && !answer->head.mismatched &&
+	       answer->head.is_signed && !answer->too_large &&
 	       (answer->head.not_run ||
 		!status_denies_run(answer->head.status));
 }
--- a/forward/request.h
+++ b/forward/request.h
@@ -278,8 +278,8 @@
 			size_t max);
 /* Counts a part of a body that is not kept; as request_received_update(). */
 void answer_drop_body(struct request *request, size_t size);
-/* Whether a complete answer may be relayed: it is signed by its server, and its
- * status does not deny a run that took place. */
+/* Whether a complete answer may be relayed: it is one to this request, signed
+ * by its server, and its status does not deny a run that took place. */
 bool answer_may_pass(const struct answer *answer);
 void answer_clear(struct answer *answer);
 /* Sends the complete answer to the caller. */
