web: complete answers that callers have not read are bounded

Cause: a complete plain answer ends its request, and its body, which the server then keeps for the caller, was counted nowhere.

Why it works: answers over 16 KiB that callers have not read take 12 MiB at most. Beyond that, those of callers that had ten seconds are truncated; if there are none, the next such answer becomes a 502, as its request has run.

--- a/forward/node.c
+++ b/forward/node.c
@@ -15,6 +15,8 @@
 #define BODY_BYTES_MAX (4u << 20)
 /* Each body is copied when it is sent to a server, so they take twice this. */
 #define BODIES_BYTES_MAX (24u << 20)
+/* Two plain answers of the largest size. */
+#define REPLIES_BYTES_MAX (12u << 20)
 #define IDLE_TIMEOUT_USEC (20 * USEC_PER_SEC)
 #define HEALTH_CONNECTIONS 64u
 /* All instances of a data centre may fetch a mirror at once, and some may have
@@ -201,6 +203,7 @@
 	struct web_limits limits = {
 		.body_bytes = BODY_BYTES_MAX,
 		.bodies_bytes = BODIES_BYTES_MAX,
+		.replies_bytes = REPLIES_BYTES_MAX,
 		.connections = connections,
 		.idle_usec = IDLE_TIMEOUT_USEC,
 		.request_usec = IDLE_TIMEOUT_USEC,
--- a/forward/request.c
+++ b/forward/request.c
@@ -326,7 +326,13 @@
 void request_relay(struct request *request)
 {
 	int status = request->answer.head.status;
+	const GByteArray *body = request->answer.body;
 
+	if (body && !web_reply_fits(request->web, body->len)) {
+		request_fail(request, RESULT_BACKEND_FAILED,
+			     "callers have not read earlier answers");
+		return;
+	}
 	if (status == 200 && !request->software)
 		request->software = request->target.software;
 	resume_record(request, true);
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -37,6 +37,7 @@
 	struct limits *limits;
 	struct origins *origins;
 	struct speeds *speeds;
+	bool unread_full; /* no more complete answers are kept */
 	int64_t list_age_usec;
 	uint32_t homes;
 	struct origin_query query;
@@ -109,6 +110,11 @@
 	say("header %s: %s", name, value);
 }
 
+bool web_reply_fits(struct web_request *request, size_t size)
+{
+	return !world.unread_full;
+}
+
 void web_reply(struct web_request *request, int status, const char *type,
 	       const void *body, size_t size)
 {
@@ -1034,6 +1040,11 @@
 	forward_drain(world.forward, now + atoi(options) * USEC_PER_MSEC);
 }
 
+static void unread_full_step(const char *options)
+{
+	world.unread_full = true;
+}
+
 static void stop_step(const char *options)
 {
 	forward_stop(world.forward);
@@ -1063,7 +1074,8 @@
 	{"queue", queue_step},	     {"dispatch", dispatch_step},
 	{"unread", unread_step},     {"heartbeat", heartbeat_step},
 	{"speed", speed_step},	     {"streams", streams_step},
-	{"stop", stop_step},	     {"ttl", ttl_step},
+	{"stop", stop_step},	     {"unread-full", unread_full_step},
+	{"ttl", ttl_step},
 };
 
 static void step_run(char *step);
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -510,6 +510,11 @@
 		timer_start(&record->timer, RESUME_USEC);
 }
 
+bool web_reply_fits(struct web_request *request, size_t size)
+{
+	return true;
+}
+
 void web_reply(struct web_request *request, int status, const char *type,
 	       const void *body, size_t size)
 {
--- a/tests/web/world.c
+++ b/tests/web/world.c
@@ -22,6 +22,7 @@
 	static const struct web_limits limits = {
 		.body_bytes = 1 << 20,
 		.bodies_bytes = 16 << 20,
+		.replies_bytes = 20 << 20,
 		.connections = 64,
 		.idle_usec = 5 * USEC_PER_SEC,
 		.request_usec = 5 * USEC_PER_SEC,
--- a/web/reply.c
+++ b/web/reply.c
@@ -77,6 +77,14 @@
 	request->queue = sent;
 }
 
+size_t reply_kept(const struct web_request *request)
+{
+	if (!request->ended || request->truncated)
+		return 0;
+	return (request->in_flight ? request->in_flight->len : 0) +
+	       queue_size(request);
+}
+
 bool reply_ends_with_connection(const struct web_request *request)
 {
 	const h2o_req_t *req = request->req;
@@ -178,6 +186,7 @@
 static void reply_end(struct web_request *request, bool truncated)
 {
 	request->ended = true;
+	request->ended_at = clock_now(loop_clock(request->loop));
 	request->truncated = truncated;
 	flush_defer(request);
 }
--- a/web/request.h
+++ b/web/request.h
@@ -31,6 +31,7 @@
 	size_t offset;
 	size_t slice;	       /* bytes that h2o is sending */
 	int64_t sending_since; /* when the slice was passed to h2o */
+	int64_t ended_at;      /* by the owner */
 	h2o_socket_t *sock;    /* HTTP/1 only: watched for a disconnect */
 	struct web_header *headers;
 	struct bodies *bodies;
@@ -78,7 +79,9 @@
 void server_request_add(struct web_server *server, GList *link);
 void server_request_remove(struct web_server *server, GList *link);
 
-/* In reply.c. reply_drop() truncates the answer and drops queued data. */
+/* In reply.c. reply_kept() is the memory of an answer that is complete and not
+ * yet sent, else 0. reply_drop() truncates the answer and drops queued data. */
+size_t reply_kept(const struct web_request *request);
 void reply_drop(struct web_request *request);
 /* Whether only the end of the connection ends the body, as for callers of
  * HTTP/1.0. */
--- a/web/server.c
+++ b/web/server.c
@@ -8,6 +8,7 @@
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/error.h"
+#include "common/log.h"
 #include "keepalive.h"
 #include "request.h"
 
@@ -20,6 +21,10 @@
 /* Loop iterations in which web_server_destroy() lets connections close. */
 #define CLOSE_ITERATIONS 1000
 #define STREAMS_MAX 256
+/* Callers have this long to read an answer before it makes room for others. */
+#define READ_MIN_USEC (10 * USEC_PER_SEC)
+/* Smaller answers always fit. */
+#define REPLY_SMALL_MAX ((size_t)16 << 10)
 
 struct route {
 	char *prefix;
@@ -304,6 +309,47 @@
 	conns_close_idle(server);
 }
 
+/* Of the answers that are kept, the one that ended first, if that was at least
+ * READ_MIN_USEC ago. Adds up all of them. */
+static struct web_request *replies_find_oldest(const struct web_server *server,
+					       size_t *kept)
+{
+	int64_t until = clock_now(loop_clock(server->loop)) - READ_MIN_USEC;
+	struct web_request *oldest = NULL;
+
+	*kept = 0;
+	for (GList *link = server->requests.head; link; link = link->next) {
+		struct web_request *request = link->data;
+		size_t bytes = reply_kept(request);
+
+		*kept += bytes;
+		if (bytes > REPLY_SMALL_MAX && request->ended_at <= until &&
+		    (!oldest || request->ended_at < oldest->ended_at))
+			oldest = request;
+	}
+	return oldest;
+}
+
+bool web_reply_fits(struct web_request *request, size_t size)
+{
+	const struct web_server *server = request->server;
+	size_t max = server->limits.replies_bytes;
+	struct web_request *oldest;
+	size_t kept;
+
+	if (max == 0 || size <= REPLY_SMALL_MAX)
+		return true;
+	oldest = replies_find_oldest(server, &kept);
+	while (kept > 0 && kept + size > max && oldest) {
+		log_event(LOG_NOTICE, "answer_unread",
+			  LOG_D("bytes", (int64_t)reply_kept(oldest)),
+			  LOG_D("kept", (int64_t)kept));
+		request_hang_up(oldest);
+		oldest = replies_find_oldest(server, &kept);
+	}
+	return kept == 0 || kept + size <= max;
+}
+
 unsigned int web_server_pending(const struct web_server *server)
 {
 	return server->requests.length;
