tests: soak with planned stops under kept connections

Callers use their connections, with requests in one or two parts, until the process is gone, while instances are stopped in series, read their settings again and get new configurations. Nothing else fails, so each request that has run must be answered, and each that is refused must not have run.

--- a/tests/soak/process.c
+++ b/tests/soak/process.c
@@ -140,12 +140,12 @@
 		versions_set(soak);
 	for (int i = 0; i < INSTANCES; i++) {
 		struct instance *instance = &soak->instances[i];
-		char address[32];
 
 		(void)g_snprintf(instance->name, sizeof(instance->name), "f%d",
 				 i);
-		address_make(address, sizeof(address), i, 0);
-		instance->callers = proxy_create(address);
+		address_make(instance->address, sizeof(instance->address), i,
+			     0);
+		instance->callers = proxy_create(instance->address);
 		instance->store = proxy_create(soak->site_address);
 		instance_start(soak, instance);
 	}
--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -1,12 +1,13 @@
 /* soak BUILD SEED [SECONDS [repeats|parts|asks|versions|drills|
- * framing]]: one run; exit
+ * framing|stops]]: one run; exit
  * status 1 when a guarantee was violated. With "repeats" a caller repeats a
  * request that crashes servers, with "parts" its requests have only a part of
  * their prompts in common, with "asks" servers announce rate limits, request
  * backoffs and announce that they are leaving, with "versions" servers restart
  * with other software versions and callers resume streams, with "drills" the
  * store comes back from old copies, with "framing" servers answer with and
- * without a length and crash in the middle of answers. */
+ * without a length and crash in the middle of answers, with "stops" instances
+ * are stopped in series and nothing else fails. */
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -95,8 +96,10 @@
 	}
 }
 
-static void soak_run(struct soak *soak, int seconds)
+static void soak_run(struct soak *soak, int seconds, uint32_t seed)
 {
+	struct stops *stops = NULL;
+
 	soak_start(soak);
 	timer_init(&soak->watch_timer, soak->clock, on_watch, soak);
 	timer_init(&soak->call_timer, soak->clock, on_call, soak);
@@ -115,11 +118,16 @@
 		drills_start(soak);
 	if (soak->framing_enabled)
 		framing_start(soak);
+	if (soak->stops_enabled)
+		stops = stops_start(soak, seed);
 	while (clock_now(soak->clock) < soak->end_at) {
 		soak_loop_run(soak, g_rand_int_range(soak->rand, 50, 500) *
 					    USEC_PER_MSEC);
-		fault_inject(soak);
+		if (!soak->stops_enabled)
+			fault_inject(soak);
 	}
+	if (stops)
+		site_post_wait(soak);
 	faults_clear(soak);
 	if (soak->backpressure_enabled)
 		backpressure_clear(soak);
@@ -137,6 +145,8 @@
 		soak_loop_run(soak, QUIET_USEC);
 	}
 	calls_check(soak);
+	if (stops)
+		stops_check(stops);
 	if (soak->repeats_enabled)
 		repeats_check(soak);
 	if (soak->versions_enabled)
@@ -163,6 +173,7 @@
 	soak.drills_enabled = argc > 4 && strcmp(argv[4], "drills") == 0;
 	soak.dispatch_enabled = argc > 4 && strcmp(argv[4], "dispatch") == 0;
 	soak.framing_enabled = argc > 4 && strcmp(argv[4], "framing") == 0;
+	soak.stops_enabled = argc > 4 && strcmp(argv[4], "stops") == 0;
 	soak.backpressure_enabled = argc > 4 && strcmp(argv[4], "asks") == 0;
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
@@ -178,7 +189,7 @@
 	soak.drill_rand = g_rand_new_with_seed(seed + 4000000);
 	soak.framing_rand = g_rand_new_with_seed(seed + 5000000);
 	soak.calls = g_ptr_array_new();
-	soak_run(&soak, seconds);
+	soak_run(&soak, seconds, seed);
 	printf("seed %u: %s, %u calls, %u faults, %u broken%s%s\n", seed,
 	       soak.failures ? "FAILED" : "ok", soak.calls->len, soak.faults,
 	       soak.failures, soak.failures ? ", logs in " : "",
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -80,8 +80,9 @@
 	int64_t start_at;
 	int64_t wake_at; /* paused until then; 0: running */
 	bool stopping;
-	bool reloaded;	 /* SIGHUP was sent since the last start */
-	uint32_t starts; /* starts that are expected in the log */
+	bool reloaded;	  /* SIGHUP was sent since the last start */
+	uint32_t starts;  /* starts that are expected in the log */
+	char address[32]; /* for callers, without the proxy */
 	struct proxy *callers;
 	struct proxy *store;
 };
@@ -135,6 +136,7 @@
 	bool framing_enabled;
 	GRand *framing_rand;
 	struct timer framing_timer;
+	bool stops_enabled;	/* planned stops, and no other faults */
 	uint32_t posts_pending; /* calls of site_post() without an answer */
 	bool loop_running;
 };
@@ -208,6 +210,12 @@
 			const struct instance *instance);
 char *framing_links_file(const struct soak *soak);
 
+/* stops.c */
+struct stops;
+struct stops *stops_start(struct soak *soak, uint32_t seed);
+/* Also frees it. */
+void stops_check(struct stops *stops);
+
 /* asks.c */
 void backpressure_start(struct soak *soak);
 /* Removes the limits and backoffs of all servers and restarts them. */
