--- a/forward/drain.c
+++ b/forward/drain.c
@@ -51,9 +51,8 @@
 {
 	const struct forward *forward = request->forward;
 
-	if (!forward->draining ||
-	    (request_stage(request) != STAGE_DECODE &&
-	     request->deadline <= forward->drain_until))
+	if (!forward->draining || (request_stage(request) != STAGE_DECODE &&
+				   request->deadline <= forward->drain_until))
 		return false;
 	request_refuse(request, RESULT_DRAINING, RETRY_AFTER_USEC);
 	return true;
