--- a/forward/node.h
+++ b/forward/node.h
@@ -100,7 +100,7 @@
 	int64_t refreshed_at; /* last mirror_refresh() for a summary */
 	int64_t drain_started_at;
 	struct timer drain_timer;
-	uint32_t drain_pending; /* when requests were ended */
+	uint32_t drain_pending; /* requests when they were ended */
 	struct timer file_timer;
 	int64_t file_read; /* modification time of the file as read */
 	struct timer register_timer;
--- a/include/forward/node.h
+++ b/include/forward/node.h
@@ -43,8 +43,8 @@
 	/* Whether an entry was written after another of the same server. */
 	bool (*backend_newer)(const void *before, size_t before_size,
 			      const void *data, size_t size);
-	/* Whether it was written before the other one. False if the entries do
-	 * not tell. */
+	/* Whether an entry was written earlier than the one known before it.
+	 * False if the entries do not tell. */
 	bool (*backend_outdated)(const void *before, size_t before_size,
 				 const void *data, size_t size);
 	/* Whether a key of the configuration stream marks a data centre as
--- a/include/platform/decode.h
+++ b/include/platform/decode.h
@@ -24,8 +24,8 @@
  * and heartbeat. False for one without a heartbeat. */
 bool decode_backend_newer(const void *before, size_t before_size,
 			  const void *data, size_t size);
-/* Whether it was written before the other one, by a server with the same start.
- * False if one of them has no heartbeat. */
+/* Whether an entry was written earlier than the one known before it, by a
+ * server with the same start. False if one of them has no heartbeat. */
 bool decode_backend_outdated(const void *before, size_t before_size,
 			     const void *data, size_t size);
 /* Whether the entries differ at most in the heartbeat number. */
