web: signals that arrive after the last iteration are ignored

Cause: loop_destroy() unblocked the signals that the loop handled with their default effect.

Evidence: web_loop signal-late ended by SIGUSR1 before, passes now.

Why it works: they are ignored before they are unblocked, which also discards those that are pending.

--- a/include/web/loop.h
+++ b/include/web/loop.h
@@ -47,6 +47,7 @@
 };
 
 struct loop *loop_create(struct clock *clock);
+/* Signals that the loop has handled are ignored from then on. */
 void loop_destroy(struct loop *loop);
 void loop_run(struct loop *loop);
 void loop_stop(struct loop *loop);
--- a/tests/web/test_loop.c
+++ b/tests/web/test_loop.c
@@ -190,6 +190,14 @@
 	g_assert_cmpint(paused.gap_at_request, >=, 50 * USEC_PER_SEC);
 }
 
+/* Guards against a signal that ends the process since it arrives after the last
+ * iteration of the loop, which the teardown destroys. */
+static void test_signal_late(struct fixture *fixture, gconstpointer data)
+{
+	loop_on_signal(fixture->loop, SIGUSR1, on_signal, fixture);
+	raise(SIGUSR1);
+}
+
 #define TEST(name, fn)                                                         \
 	g_test_add("/web/loop/" name, struct fixture, NULL, setup, fn, teardown)
 
@@ -197,6 +205,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	TEST("defer", test_defer);
+	TEST("signal-late", test_signal_late);
 	TEST("signal", test_signal);
 	TEST("gap", test_gap);
 	g_test_add("/web/loop/gap-before-request", struct world, NULL,
--- a/web/loop.c
+++ b/web/loop.c
@@ -110,13 +110,24 @@
 	return loop;
 }
 
+/* From here on nothing handles the signals: one that arrived in the last
+ * iteration, or still arrives, must not end the process. */
+static void signals_ignore(const struct loop *loop)
+{
+	for (guint i = 0; i < loop->watches->len; i++)
+		signal(g_array_index(loop->watches, struct signal_watch, i)
+			       .signal,
+		       SIG_IGN);
+	sigprocmask(SIG_UNBLOCK, &loop->mask, NULL);
+}
+
 void loop_destroy(struct loop *loop)
 {
 	if (!loop)
 		return;
 	if (loop->signal_sock)
 		h2o_socket_close(loop->signal_sock);
-	sigprocmask(SIG_UNBLOCK, &loop->mask, NULL);
+	signals_ignore(loop);
 	/* Lets h2o free sockets that were just closed. */
 	loop_run_h2o(loop, 0);
 	h2o_timeout_unlink(&loop->deferred_entry);
