--- a/forward/drain.c
+++ b/forward/drain.c
@@ -5,17 +5,14 @@
 
 /* Retry-After: another instance can take the request at once. */
 #define RETRY_AFTER_USEC (20 * USEC_PER_MSEC)
-/* Streams after which the measured time between events is used. */
-#define EVENT_SAMPLES 5u
 
-/* Time between events of a stream: the measured one, or else the longest that
- * the route allows. */
+/* Between events of a stream; the route's limit while it is not known. */
 static double event_usec(const struct request *request)
 {
 	const struct engine_rates *rates =
 		forward_rates(request->forward, request->service->id);
 
-	return rates->event.samples >= EVENT_SAMPLES
+	return rates->event.samples >= RATES_SAMPLES_MIN
 		       ? rates->event.value
 		       : (double)request->route->gap_usec;
 }
--- a/forward/forward.c
+++ b/forward/forward.c
@@ -18,9 +18,6 @@
 /* Initial mean time from reservation to first event. */
 #define FIRST_EVENT_USEC (250.0 * (double)USEC_PER_MSEC)
 
-/* Number of samples from which on a rate counts as known. */
-#define RATE_SAMPLES 5u
-
 /* Demand for an engine service, and the measured rates of its engines. */
 struct demand {
 	uint64_t service;
@@ -259,7 +256,7 @@
 	if (demand) {
 		out->prompt_tokens_per_s =
 			demand_decayed(demand, now) / demand_sec(forward, now);
-		if (demand->rates.prefill.samples >= RATE_SAMPLES)
+		if (demand->rates.prefill.samples >= RATES_SAMPLES_MIN)
 			out->prefill_rate = demand->rates.prefill.value;
 	}
 	for (GList *link = forward->waiting.head; link; link = link->next) {
--- a/include/forward/rates.h
+++ b/include/forward/rates.h
@@ -19,6 +19,8 @@
 
 /* Relative step by which one sample moves the estimate. */
 #define RATES_STEP 0.04
+/* Number of samples from which on an estimate counts as known. */
+#define RATES_SAMPLES_MIN 5u
 
 struct median {
 	double value;
