--- a/web/call.c
+++ b/web/call.c
@@ -13,7 +13,6 @@
 /* Framing of a chunk with one byte is five bytes, up to about 90 with an
  * extension. */
 #define FRAME_RATIO 16
-#define STATUS_SWITCHING 101
 
 static void call_destroy(struct web_call *call)
 {
--- a/web/head.c
+++ b/web/head.c
@@ -5,7 +5,6 @@
 #define VERSION_PREFIX "HTTP/1."
 /* "HTTP/1.1 200" */
 #define STATUS_LINE_MIN 12
-#define STATUS_SWITCHING 101
 #define STATUS_MAX 599
 
 /* Offsets into the text, which moves while it grows. */
--- a/web/head.h
+++ b/web/head.h
@@ -23,6 +23,8 @@
 
 #include "web/server.h"
 
+#define STATUS_SWITCHING 101 /* to another protocol */
+
 enum head_result {
 	HEAD_INCOMPLETE,    /* valid so far */
 	HEAD_INFORMATIONAL, /* complete, and the final head follows */
