web: the bound on complete answers in a file of its own

web/server.c had grown by it, and web_reply_fits() made room as well as it asked: web_reply_make_room().

--- a/forward/request.c
+++ b/forward/request.c
@@ -328,7 +328,7 @@
 	int status = request->answer.head.status;
 	const GByteArray *body = request->answer.body;
 
-	if (body && !web_reply_fits(request->web, body->len)) {
+	if (body && !web_reply_make_room(request->web, body->len)) {
 		request_fail(request, RESULT_BACKEND_FAILED,
 			     "callers have not read earlier answers");
 		return;
--- a/include/web/server.h
+++ b/include/web/server.h
@@ -38,7 +38,7 @@
 	size_t body_bytes;
 	size_t bodies_bytes; /* of all large bodies; 0: no bound */
 	/* Of all complete answers that callers have not read, for
-	 * web_reply_fits(); 0: no bound. */
+	 * web_reply_make_room(); 0: no bound. */
 	size_t replies_bytes;
 	unsigned int connections;
 	int64_t idle_usec;    /* keep-alive connection without a request */
@@ -116,10 +116,10 @@
  * since the server sets them itself. */
 void web_reply_header(struct web_request *request, const char *name,
 		      const char *value);
-/* Whether a complete answer of that size may be kept until its caller has read
- * it. Small ones and a single one always may. For others, those that callers
- * have not read in ten seconds are truncated to make room. */
-bool web_reply_fits(struct web_request *request, size_t size);
+/* Makes room for a complete answer of that size, which is kept until its caller
+ * has read it, by truncating answers that callers have not read in ten seconds.
+ * False if there is none. Small answers and a single one always have room. */
+bool web_reply_make_room(struct web_request *request, size_t size);
 /* Sends a complete answer and ends the request. The body is copied. */
 void web_reply(struct web_request *request, int status, const char *type,
 	       const void *body, size_t size);
--- a/tests/forward/paths_world.c
+++ b/tests/forward/paths_world.c
@@ -110,7 +110,7 @@
 	say("header %s: %s", name, value);
 }
 
-bool web_reply_fits(struct web_request *request, size_t size)
+bool web_reply_make_room(struct web_request *request, size_t size)
 {
 	return !world.unread_full;
 }
--- a/tests/forward/reach_world.c
+++ b/tests/forward/reach_world.c
@@ -510,7 +510,7 @@
 		timer_start(&record->timer, RESUME_USEC);
 }
 
-bool web_reply_fits(struct web_request *request, size_t size)
+bool web_reply_make_room(struct web_request *request, size_t size)
 {
 	return true;
 }
--- a/tests/web/test_server.c
+++ b/tests/web/test_server.c
@@ -9,7 +9,6 @@
 #include "h2.h"
 
 #define FDS_MAX 256
-#define DRAIN_USEC (2 * USEC_PER_MSEC)
 
 static void echo(void *ctx, struct web_request *request)
 {
@@ -292,65 +291,6 @@
 	g_free(zeroes);
 }
 
-#define LARGE_BYTES ((size_t)8 << 20)
-
-static void large(void *ctx, struct web_request *request)
-{
-	g_autofree char *text = g_strnfill(LARGE_BYTES, 'x');
-
-	if (web_reply_fits(request, LARGE_BYTES))
-		web_reply(request, 200, NULL, text, LARGE_BYTES);
-	else
-		web_reply(request, 502, NULL, "full", 4);
-}
-
-/* Sends a request; a caller that reads slowly has read only the head then. */
-static int large_open(struct world *world, int *status)
-{
-	static const char text[] = "GET /large HTTP/1.1\r\nhost: a\r\n\r\n";
-	int fd = raw_connect(web_server_address(world->server));
-	char head[16] = "";
-
-	raw_send(fd, text, sizeof(text) - 1);
-	for (int i = 0; i < 5000 && recv(fd, head, 12, MSG_DONTWAIT) < 0; i++)
-		world_iterate(world, 1);
-	*status = atoi(head + strlen("HTTP/1.1 "));
-	return fd;
-}
-
-/* Guards against complete answers of callers that read slowly which together
- * take more memory than the server may use. */
-static void test_replies(struct world *world, gconstpointer data)
-{
-	int fds[5];
-	int status;
-
-	web_server_handle(world->server, "/large", large, NULL);
-	for (size_t i = 0; i < 3; i++) {
-		fds[i] = large_open(world, &status);
-		g_assert_cmpint(status, ==, i < 2 ? 200 : 502);
-	}
-	/* An answer that was read makes room. */
-	g_string_free(raw_read_until(world, fds[1], "xxxxx"), TRUE);
-	for (size_t got = 0; got < LARGE_BYTES - (1 << 20);) {
-		char part[65536];
-		ssize_t n = recv(fds[1], part, sizeof(part), MSG_DONTWAIT);
-
-		got += (size_t)MAX(n, 0);
-		world_iterate(world, 1);
-	}
-	world_iterate(world, 100);
-	fds[3] = large_open(world, &status);
-	g_assert_cmpint(status, ==, 200);
-	/* So do those that were not read for long. */
-	clock_advance(world->clock,
-		      clock_now(world->clock) + 11 * USEC_PER_SEC);
-	fds[4] = large_open(world, &status);
-	g_assert_cmpint(status, ==, 200);
-	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
-		close(fds[i]);
-}
-
 /* Reads until the connection ends; returns 0 for an orderly close, or the
  * error. */
 static int end_read(struct world *world, int fd)
@@ -458,174 +398,6 @@
 	g_assert_cmpint(blocked, >, 0);
 }
 
-#define COUNTED "GET /counted HTTP/1.1\r\nhost: a\r\n\r\n"
-
-static void counted(void *ctx, struct web_request *request)
-{
-	int *count = ctx;
-
-	++*count;
-	web_reply(request, 200, "text/plain", "counted\n", 8);
-}
-
-/* A connection on which one request was handled and another was sent that the
- * server has not read. */
-static int unread_open(struct world *world, int *count)
-{
-	int fd = raw_connect(web_server_address(world->server));
-
-	web_server_handle(world->server, "/counted", counted, count);
-	raw_send(fd, COUNTED, strlen(COUNTED));
-	g_string_free(raw_read_until(world, fd, "counted\n"), TRUE);
-	raw_send(fd, COUNTED, strlen(COUNTED));
-	return fd;
-}
-
-/* Guards against requests that are handled on connections which a graceful
- * shutdown has closed. */
-static void test_drain_unread(struct world *world, gconstpointer data)
-{
-	int count = 0;
-	int fd = unread_open(world, &count);
-	GString *got;
-
-	web_server_drain(world->server);
-	got = raw_read_until(world, fd, NULL);
-	world_iterate(world, 10);
-	g_assert_cmpint(count, ==, 2);
-	g_assert_nonnull(strstr(got->str, "counted\n"));
-	g_assert_nonnull(strstr(got->str, "Connection: close"));
-	g_string_free(got, TRUE);
-	close(fd);
-}
-
-/* A request that has arrived in part when the shutdown begins is answered when
- * the rest has come, on a new connection and on a kept one. */
-static void test_drain_half_read(struct world *world, gconstpointer data)
-{
-	static const char half[] = "GET /counted HTTP/1.1\r\n";
-	static const char rest[] = "host: a\r\n\r\n";
-	int fds[2] = {raw_connect(web_server_address(world->server)),
-		      raw_connect(web_server_address(world->server))};
-	int count = 0;
-
-	web_server_handle(world->server, "/counted", counted, &count);
-	raw_send(fds[1], COUNTED, strlen(COUNTED));
-	g_string_free(raw_read_until(world, fds[1], "counted\n"), TRUE);
-	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++)
-		raw_send(fds[i], half, sizeof(half) - 1);
-	world_iterate(world, 10);
-	web_server_drain(world->server);
-	world_iterate(world, 10);
-	for (size_t i = 0; i < G_N_ELEMENTS(fds); i++) {
-		GString *got;
-
-		raw_send(fds[i], rest, sizeof(rest) - 1);
-		got = raw_read_until(world, fds[i], NULL);
-		g_assert_nonnull(strstr(got->str, "Connection: close"));
-		g_assert_true(g_str_has_suffix(got->str, "counted\n"));
-		g_string_free(got, TRUE);
-		close(fds[i]);
-	}
-}
-
-struct late_drain {
-	struct world *world;
-	struct timer timer;
-	struct loop_deferred sleep;
-	int drained;
-};
-
-static void on_drain_timer(struct timer *timer, void *ctx)
-{
-	struct late_drain *late = ctx;
-
-	web_server_drain(late->world->server);
-	late->drained = 1;
-}
-
-static void on_sleep(void *ctx)
-{
-	g_usleep(DRAIN_USEC);
-}
-
-/* The same when the shutdown begins while the request is being read: a timer
- * that has become due fires in the first callback of an iteration. */
-static void test_drain_in_request(struct world *world, gconstpointer data)
-{
-	struct late_drain late = {.world = world};
-	int count = 0;
-	int fd = unread_open(world, &count);
-	GString *got;
-
-	timer_init(&late.timer, world->clock, on_drain_timer, &late);
-	timer_start(&late.timer, DRAIN_USEC);
-	loop_defer(world->loop, &late.sleep, on_sleep, NULL);
-	world_run(world, &late.drained);
-	got = raw_read_until(world, fd, NULL);
-	g_assert_cmpint(count, ==, 2);
-	g_assert_nonnull(strstr(got->str, "counted\n"));
-	g_string_free(got, TRUE);
-	close(fd);
-}
-
-/* The same when the server is destroyed. */
-static void test_destroy_unread(struct world *world, gconstpointer data)
-{
-	int count = 0;
-	int fd = unread_open(world, &count);
-
-	web_server_destroy(world->server);
-	world->server = NULL;
-	g_assert_cmpint(count, ==, 1);
-	(void)end_read(world, fd);
-	close(fd);
-}
-
-/* The same over HTTP/2. */
-static void test_destroy_unread_h2(struct world *world, gconstpointer data)
-{
-	struct h2 *h2 =
-		h2_create(raw_connect(web_server_address(world->server)));
-	int count = 0;
-
-	web_server_handle(world->server, "/counted", counted, &count);
-	h2_request(h2, "GET", "/counted", 0);
-	h2_run(world, h2, &h2->closed, 1);
-	h2_request(h2, "GET", "/counted", 0);
-	h2_send(h2);
-	web_server_destroy(world->server);
-	world->server = NULL;
-	g_assert_cmpint(count, ==, 1);
-	h2_destroy(h2);
-}
-
-static void reply_kept(void *ctx, struct web_request *request)
-{
-	*(struct web_request **)ctx = request;
-	reply_opened(NULL, request);
-}
-
-/* Guards against connections that stay open after answers which were begun
- * before the shutdown. */
-static void test_drain_answer(struct world *world, gconstpointer data)
-{
-	static const char text[] = "GET /kept HTTP/1.1\r\nhost: a\r\n\r\n";
-	int fd = raw_connect(web_server_address(world->server));
-	struct web_request *request = NULL;
-	GString *got;
-
-	web_server_handle(world->server, "/kept", reply_kept, &request);
-	raw_send(fd, text, sizeof(text) - 1);
-	g_string_free(raw_read_until(world, fd, "some"), TRUE);
-	web_server_drain(world->server);
-	web_reply_end(request);
-	got = raw_read_until(world, fd, NULL);
-	g_assert_true(g_str_has_suffix(got->str, "0\r\n\r\n"));
-	g_string_free(got, TRUE);
-	close(fd);
-}
-
 static void test_h2(struct world *world, gconstpointer data)
 {
 	static const struct {
@@ -746,13 +518,6 @@
 	TEST("unframed", test_unframed);
 	TEST("unframed-stop", test_unframed_stop);
 	TEST("unframed-last-slice", test_unframed_last_slice);
-	TEST("replies", test_replies);
-	TEST("drain-unread", test_drain_unread);
-	TEST("drain-half-read", test_drain_half_read);
-	TEST("drain-in-request", test_drain_in_request);
-	TEST("drain-answer", test_drain_answer);
-	TEST("destroy-unread", test_destroy_unread);
-	TEST("destroy-unread-h2", test_destroy_unread_h2);
 	TEST("h2", test_h2);
 	TEST("upgrade", test_upgrade);
 	TEST("connections", test_connections);
--- a/web/reply.c
+++ b/web/reply.c
@@ -266,6 +266,11 @@
 	g_byte_array_append(request->queue, data, (guint)size);
 }
 
+bool web_reply_make_room(struct web_request *request, size_t size)
+{
+	return replies_make_room(request->replies, size);
+}
+
 void web_reply(struct web_request *request, int status, const char *type,
 	       const void *body, size_t size)
 {
--- a/web/request.c
+++ b/web/request.c
@@ -90,6 +90,7 @@
 
 struct web_request *web_request_create(struct web_server *server,
 				       struct loop *loop, struct bodies *bodies,
+				       const struct replies *replies,
 				       h2o_req_t *req)
 {
 	struct web_request *request = h2o_mem_alloc_shared(
@@ -101,6 +102,7 @@
 	request->server = server;
 	request->loop = loop;
 	request->bodies = bodies;
+	request->replies = replies;
 	request->link.data = request;
 	server_request_add(server, &request->link);
 	watch_start(request);
--- a/web/request.h
+++ b/web/request.h
@@ -14,6 +14,7 @@
 #include <glib.h>
 
 #include "bodies.h"
+#include "replies.h"
 #include "web/loop.h"
 #include "web/server.h"
 
@@ -36,6 +37,7 @@
 	struct web_header *headers;
 	struct bodies *bodies;
 	size_t reserved; /* in bodies */
+	const struct replies *replies;
 	bool watched;
 	bool started;	 /* status and headers are set */
 	bool no_body;	 /* HEAD, or a status without a body */
@@ -61,6 +63,7 @@
 
 struct web_request *web_request_create(struct web_server *server,
 				       struct loop *loop, struct bodies *bodies,
+				       const struct replies *replies,
 				       h2o_req_t *req);
 /* The connection of an HTTP/1 request; NULL for HTTP/2. */
 struct web_conn *request_conn(const struct web_request *request);
--- a/web/server.c
+++ b/web/server.c
@@ -8,7 +8,6 @@
 #include "common/address.h"
 #include "common/clock.h"
 #include "common/error.h"
-#include "common/log.h"
 #include "keepalive.h"
 #include "request.h"
 
@@ -21,10 +20,6 @@
 /* Loop iterations in which web_server_destroy() lets connections close. */
 #define CLOSE_ITERATIONS 1000
 #define STREAMS_MAX 256
-/* Callers have this long to read an answer before it makes room for others. */
-#define READ_MIN_USEC (10 * USEC_PER_SEC)
-/* Smaller answers always fit. */
-#define REPLY_SMALL_MAX ((size_t)16 << 10)
 
 struct route {
 	char *prefix;
@@ -45,6 +40,7 @@
 	GQueue conns;
 	GQueue requests;
 	struct bodies bodies;
+	struct replies replies;
 	struct timer sweep;
 	bool closing; /* requests get no answer any more */
 };
@@ -103,8 +99,8 @@
 	const struct route *route;
 
 	loop_enter(server->loop);
-	request =
-		web_request_create(server, server->loop, &server->bodies, req);
+	request = web_request_create(server, server->loop, &server->bodies,
+				     &server->replies, req);
 	route = route_find(server, web_request_path(request));
 	if (server->closing)
 		request_hang_up(request);
@@ -252,6 +248,8 @@
 	server->listener->data = server;
 	h2o_socket_read_start(server->listener, on_accept);
 	bodies_init(&server->bodies, loop, limits, &server->conns);
+	server->replies = (struct replies){loop_clock(loop), &server->requests,
+					   limits->replies_bytes};
 	timer_init(&server->sweep, loop_clock(loop), on_sweep, server);
 	timer_start(&server->sweep, SWEEP_INTERVAL_USEC);
 	return server;
@@ -309,47 +307,6 @@
 	conns_close_idle(server);
 }
 
-/* Of the answers that are kept, the one that ended first, if that was at least
- * READ_MIN_USEC ago. Adds up all of them. */
-static struct web_request *replies_find_oldest(const struct web_server *server,
-					       size_t *kept)
-{
-	int64_t until = clock_now(loop_clock(server->loop)) - READ_MIN_USEC;
-	struct web_request *oldest = NULL;
-
-	*kept = 0;
-	for (GList *link = server->requests.head; link; link = link->next) {
-		struct web_request *request = link->data;
-		size_t bytes = reply_kept(request);
-
-		*kept += bytes;
-		if (bytes > REPLY_SMALL_MAX && request->ended_at <= until &&
-		    (!oldest || request->ended_at < oldest->ended_at))
-			oldest = request;
-	}
-	return oldest;
-}
-
-bool web_reply_fits(struct web_request *request, size_t size)
-{
-	const struct web_server *server = request->server;
-	size_t max = server->limits.replies_bytes;
-	struct web_request *oldest;
-	size_t kept;
-
-	if (max == 0 || size <= REPLY_SMALL_MAX)
-		return true;
-	oldest = replies_find_oldest(server, &kept);
-	while (kept > 0 && kept + size > max && oldest) {
-		log_event(LOG_NOTICE, "answer_unread",
-			  LOG_D("bytes", (int64_t)reply_kept(oldest)),
-			  LOG_D("kept", (int64_t)kept));
-		request_hang_up(oldest);
-		oldest = replies_find_oldest(server, &kept);
-	}
-	return kept == 0 || kept + size <= max;
-}
-
 unsigned int web_server_pending(const struct web_server *server)
 {
 	return server->requests.length;
