--- a/tests/web/test_drain.c
+++ b/tests/web/test_drain.c
@@ -129,6 +129,8 @@
 	web_server_destroy(world->server);
 	world->server = NULL;
 	g_assert_cmpint(count, ==, 1);
+	/* The connection has ended. */
+	g_string_free(raw_read_until(world, fd, NULL), TRUE);
 	close(fd);
 }
 
