--- a/tests/soak/stops.c
+++ b/tests/soak/stops.c
@@ -294,6 +294,15 @@
 		soak_fail(soak, "%s: refused as not run, and ran", call->id);
 }
 
+/* All calls are over by then, answered or closed. */
+static void connection_end(struct stops *stops, struct connection *connection)
+{
+	if (connection->state == CONNECTION_SENT)
+		soak_fail(stops->soak, "%s: never ended", connection->call->id);
+	if (connection->state != CONNECTION_CLOSED)
+		close(connection->fd);
+}
+
 void stops_check(struct stops *stops)
 {
 	uint32_t whole = 0;
@@ -313,8 +322,7 @@
 	       "refused, %u closed unread\n",
 	       stops->stops, stops->calls->len, whole, refused, unanswered);
 	for (int i = 0; i < CONNECTIONS; i++)
-		if (stops->connections[i].state != CONNECTION_CLOSED)
-			close(stops->connections[i].fd);
+		connection_end(stops, &stops->connections[i]);
 	g_ptr_array_unref(stops->calls);
 	g_rand_free(stops->rand);
 	g_free(stops);
